--- a/src/linnetwood/admission.py
+++ b/src/linnetwood/admission.py
@@ -51,7 +51,8 @@
         fut = asyncio.get_running_loop().create_future()
         self._queue[ticket] = fut
         try:
-            await asyncio.wait_for(fut, wait_s)
+            async with asyncio.timeout(wait_s):
+                await fut
         except TimeoutError:
             self._queue.pop(ticket, None)
             return not_run(Code.BUSY, 'waited too long')
--- a/src/linnetwood/agent.py
+++ b/src/linnetwood/agent.py
@@ -14,8 +14,15 @@
 from linnetwood.guard import Guard
 from linnetwood.neighbours import neighbours
 from linnetwood.orders import LoadOrder, Orders, chunks_digest, next_fence
-from linnetwood.swarm import Ring, SharedReading, SwarmOptions
+from linnetwood.swarm import (
+    DirectReading,
+    OriginPolicy,
+    Ring,
+    SharedReading,
+    SwarmOptions,
+)
 from linnetwood.transfer import Download, Tools
+from linnetwood.waits import happened
 
 _WAKE_S = 0.1
 _NOTICE_REFRESH_S = 0.5
@@ -110,13 +117,7 @@
                 await self._step()
             except LinnetwoodError as exc:
                 log(Event.ORDER_REFUSED, code=exc.code, detail=exc.detail)
-            await self._pause(_WAKE_S)
-
-    async def _pause(self, seconds: float) -> None:
-        try:
-            await asyncio.wait_for(self._wake.wait(), seconds)
-        except TimeoutError:
-            return
+            await happened(self._wake, _WAKE_S)
 
     async def _step(self) -> None:
         if self._changed:
@@ -239,7 +240,9 @@
         cfg = self._swarm_options(manifest.chunk_bytes)
         me = self._gossip.me.vm
         ring = Ring(target.manifest, self._assigned)
-        policy = SharedReading(me, ring, len(manifest.digests), cfg)
+        policy: OriginPolicy = DirectReading(len(manifest.digests))
+        if self._tools.cfg.reading == 'shared':
+            policy = SharedReading(me, ring, len(manifest.digests), cfg)
         return Download(target.manifest, manifest, self._tools, policy, cfg)
 
     def _swarm_options(self, chunk_bytes: int) -> SwarmOptions:
@@ -271,7 +274,7 @@
         return [view[vm] for vm in chosen if vm in view]
 
     def _meet_neighbours(self) -> None:
-        if self.download is not None:
+        if self.download is not None and self._tools.cfg.reading == 'shared':
             self.download.neighbours(self._neighbour_members())
 
     def _kept(self, index: int, chunk: bytes) -> None:
@@ -299,6 +302,7 @@
                 self._staging.put_nowait(index)
                 return
             self._staged.add(index)
+            self._wake.set()
 
     def _notice(self, download: Download) -> None:
         now = self._tools.clock.now()
@@ -322,6 +326,7 @@
             self._gossip.restate(held=held, total=download.swarm.count)
 
     async def _put_in_service(self, target: Target, download: Download) -> None:
+        await self._stage_some(download)
         if len(self._staged) < download.swarm.count:
             return
         members = list(self._gossip.members.values())
@@ -333,7 +338,11 @@
         await self._take_out_of_service()
         await self._order(target, download.manifest)
         self._serve(target.label)
-        log(Event.TRANSFER_COMPLETE, version=target.label)
+        log(
+            Event.TRANSFER_COMPLETE,
+            version=target.label,
+            **dataclasses.asdict(self._tools.tally),
+        )
 
     async def _take_out_of_service(self) -> None:
         self._guard.state.loading = True
--- a/src/linnetwood/fakekv.py
+++ b/src/linnetwood/fakekv.py
@@ -7,6 +7,7 @@
 
 from linnetwood.kvtable import MAX_VALUE, KvTable
 from linnetwood.store import VERSION_HEADER
+from linnetwood.waits import happened
 
 _CONFLICT = 409
 _ABSENT = 404
@@ -21,7 +22,7 @@
     def __init__(self) -> None:
         """Start up, quick and honest."""
         self.table = KvTable()
-        self.changed = asyncio.Condition()
+        self.changed = asyncio.Event()
         self.calls = 0
         self.down = False
         self.slow_s = float()
@@ -77,8 +78,8 @@
             time.monotonic(),
             int(self.get_argument('lease', '0')),
         )
-        async with self.state.changed:
-            self.state.changed.notify_all()
+        self.state.changed.set()
+        self.state.changed = asyncio.Event()
         if swap.done and self.state.lose_answers > 0:
             self.state.lose_answers -= 1
             self.request.connection.stream.close()  # type: ignore[union-attr]
@@ -88,11 +89,7 @@
             self.set_status(_CONFLICT)
 
     async def _wait(self, left: float) -> None:
-        async with self.state.changed:
-            try:
-                await asyncio.wait_for(self.state.changed.wait(), left)
-            except TimeoutError:
-                return
+        await happened(self.state.changed, left)
 
 
 class LeaseHandler(_Base):
--- a/src/linnetwood/fleet.py
+++ b/src/linnetwood/fleet.py
@@ -7,6 +7,7 @@
 import dataclasses
 import os
 import pathlib
+import random
 import signal
 import socket
 import subprocess  # noqa: S404
@@ -22,6 +23,8 @@
 _START_LIMIT_S = 60.0
 _STOP_LIMIT_S = 30.0
 _POLL_S = 0.05
+_PORTS_FROM = 12000
+_PORTS_TO = 32000
 _ZONES = (('north', 'n1'), ('north', 'n2'), ('south', 's1'))
 
 
@@ -59,28 +62,32 @@
 
 
 class Ports:
-    """Give free ports, each once."""
+    """Give free ports below the range that outgoing connections use."""
 
     def __init__(self) -> None:
-        """Hold none."""
-        self._held: list[socket.socket] = []
+        """Start somewhere, so that two fleets seldom meet."""
+        self._next = random.randrange(_PORTS_FROM, _PORTS_TO)
 
     def take(self, count: int) -> list[int]:
         """Give ports that nobody uses now, for TCP and UDP alike."""
-        found = []
-        for _ in range(count):
-            probe = socket.socket()
-            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            probe.bind((_HOST, 0))
-            self._held.append(probe)
-            found.append(probe.getsockname()[1])
+        found: list[int] = []
+        while len(found) < count:
+            self._next += 1
+            if self._next >= _PORTS_TO:
+                self._next = _PORTS_FROM
+            if _is_free(self._next):
+                found.append(self._next)
         return found
 
-    def release(self) -> None:
-        """Let the processes bind them."""
-        for probe in self._held:
-            probe.close()
-        self._held.clear()
+
+def _is_free(port: int) -> bool:
+    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+        with socket.socket(socket.AF_INET, kind) as probe:
+            try:
+                probe.bind((_HOST, port))
+            except OSError:
+                return False
+    return True
 
 
 class Fleet:
@@ -102,7 +109,6 @@
         self.service_ports = ports.take(plan.services)
         self._wire_ports = ports.take(plan.engines + plan.services)
         self._entry_ports = ports.take(plan.entries * 3)
-        ports.release()
 
     def start(self) -> None:
         """Start every process and wait until all of them listen."""
--- a/src/linnetwood/guard.py
+++ b/src/linnetwood/guard.py
@@ -21,6 +21,7 @@
     not_run,
     unknown,
 )
+from linnetwood.waits import happened
 
 _REFUSALS = MappingProxyType(
     {
@@ -128,11 +129,7 @@
 
     async def drained(self, limit_s: float) -> bool:
         """Wait until no call is under way; tell whether that came in time."""
-        try:
-            await asyncio.wait_for(self.idle.wait(), limit_s)
-        except TimeoutError:
-            return False
-        return True
+        return await happened(self.idle, limit_s)
 
     async def _admitted(
         self,
--- a/src/linnetwood/links.py
+++ b/src/linnetwood/links.py
@@ -6,6 +6,7 @@
 from linnetwood.clock import Clock
 
 _SLICE_S = 0.05
+_BUCKET_S = 0.02
 
 
 class Link(Protocol):
@@ -35,7 +36,11 @@
 
 
 class Lane:
-    """Pace one direction by the time at which it falls free."""
+    """Pace one direction as a token bucket that holds a few milliseconds.
+
+    The bucket makes up for timers that fire late; without it each late timer
+    would lose the link's time for good.
+    """
 
     __slots__ = ('_free_at', '_rate')
 
@@ -46,9 +51,9 @@
 
     def book(self, size: int, now: float) -> float:
         """Take the lane for bytes; give the seconds until they are through."""
-        start = max(now, self._free_at)
+        start = max(now - _BUCKET_S, self._free_at)
         self._free_at = start + size / self._rate
-        return self._free_at - now
+        return max(0, self._free_at - now)
 
     def wait(self, now: float) -> float:
         """Give the seconds until the lane falls free."""
--- /dev/null
+++ b/src/linnetwood/measure.py
@@ -0,0 +1,19 @@
+"""Run a measurement and print one JSON object: linnetwood-measure."""
+
+import defopt
+
+from linnetwood.measure_burst import burst
+
+COMMANDS = (burst,)
+
+
+def main() -> None:
+    """Run the command line."""
+    defopt.run(
+        {one.__name__: one for one in COMMANDS},
+        no_negated_flags=True,
+    )
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/src/linnetwood/measure_burst.py
@@ -0,0 +1,310 @@
+"""Measure how soon N replicas are complete, and what it cost the origin."""
+
+import asyncio
+import dataclasses
+import json
+import random
+import sys
+import time
+import uuid
+from typing import Any
+
+from tornado.httpclient import AsyncHTTPClient, HTTPRequest
+
+from linnetwood.client import OperatorClient
+from linnetwood.events import Event
+from linnetwood.fleet import Fleet, Plan
+from linnetwood.gen.schema.ttypes import (
+    Deployment,
+    Intent,
+    Model,
+    Version,
+    Weigh,
+)
+from linnetwood.placement import label
+
+MODEL = 'sevak'
+ORIGIN_TO_LINK = 2
+_SETTLE_S = 3.0
+_POLL_S = 0.1
+_LIMIT_FACTOR = 6
+_WEIGHS = {'time': Weigh.TIME, 'origin': Weigh.ORIGIN}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Shape:
+    """Sizes of one run: bytes, bytes a second and the fluid bound."""
+
+    vms: int
+    chunk_count: int
+    chunk_bytes: int
+    link: float
+    origin: float
+
+    @property
+    def size(self) -> int:
+        """Give the bytes of the weights."""
+        return self.chunk_count * self.chunk_bytes
+
+    @property
+    def bound_s(self) -> float:
+        """Give the least time in which all VMs can hold all bytes."""
+        together = self.vms * self.size / (self.origin + self.vms * self.link)
+        return max(self.size / self.origin, self.size / self.link, together)
+
+
+@dataclasses.dataclass(slots=True)
+class Curve:
+    """How many replicas were complete when."""
+
+    points: list[tuple[float, int]] = dataclasses.field(default_factory=list)
+
+    def steps(self) -> list[tuple[float, int]]:
+        """Give the points at which the count changed."""
+        changed = []
+        last = 0
+        for seconds, complete in self.points:
+            if complete != last:
+                changed.append((round(seconds, 2), complete))
+            last = complete
+        return changed
+
+    def time_of(self, count: int) -> float:
+        """Give the seconds until so many were complete, or -1."""
+        for seconds, complete in self.points:
+            if complete >= count:
+                return seconds
+        return -1
+
+
+async def publish(fleet: Fleet, weights: bytes, chunk_bytes: int) -> str:
+    """Put weights into the stand-in store and give the manifest's name."""
+    url = f'http://127.0.0.1:{fleet.origin_port}/control?chunk_bytes={chunk_bytes}'
+    req = HTTPRequest(
+        url,
+        method='POST',
+        body=weights,
+        headers={'Content-Type': 'application/octet-stream'},
+    )
+    return (await AsyncHTTPClient().fetch(req)).body.decode()
+
+
+async def origin_state(fleet: Fleet) -> dict[str, Any]:
+    """Ask the stand-in store what was read."""
+    url = f'http://127.0.0.1:{fleet.origin_port}/control'
+    reply = await AsyncHTTPClient().fetch(url)
+    found: dict[str, Any] = json.loads(reply.body)
+    return found
+
+
+async def engine_violations(fleet: Fleet) -> int:
+    """Count what the stand-in engines saw done to them."""
+    client = AsyncHTTPClient()
+    found = 0
+    for port in fleet.engine_ports:
+        reply = await client.fetch(f'http://127.0.0.1:{port}/status')
+        found += len(json.loads(reply.body)['violations'])
+    return found
+
+
+def declare(fleet: Fleet, manifests: list[str]) -> None:
+    """Put a deployment in force that declares versions v1, v2, …"""
+    versions = [
+        Version(name=f'v{number}', manifest=manifest)
+        for number, manifest in enumerate(manifests, start=1)
+    ]
+    deployment = Deployment(models=[Model(name=MODEL, versions=versions)])
+    with OperatorClient(fleet.operators()) as calls:
+        revision = calls.configuration().revision
+        calls.apply(deployment, revision, uuid.uuid4().hex, 'measure')
+
+
+def roll_out(fleet: Fleet, version: str, replicas: int, weigh: int) -> None:
+    """Ask for so many replicas of a version."""
+    intent = Intent(
+        model=MODEL,
+        version=version,
+        replicas=replicas,
+        weigh=weigh,
+        spare_replicas=max(1, replicas // 4),
+    )
+    with OperatorClient(fleet.operators()) as calls:
+        revision = calls.configuration().revision
+        calls.startRollout(intent, revision, uuid.uuid4().hex, 'measure')
+
+
+async def follow(
+    fleet: Fleet, version: str, wanted: int, limit_s: float
+) -> Curve:
+    """Watch replicas become complete."""
+    curve = Curve()
+    began = time.monotonic()
+    while time.monotonic() - began < limit_s:
+        complete = await asyncio.to_thread(_complete, fleet, version)
+        curve.points.append((time.monotonic() - began, complete))
+        if complete >= wanted:
+            break
+        await asyncio.sleep(_POLL_S)
+    return curve
+
+
+def _complete(fleet: Fleet, version: str) -> int:
+    wanted = label(MODEL, version)
+    with OperatorClient(fleet.operators()) as calls:
+        return sum(
+            1
+            for one in calls.endpoints()
+            if one.serving == wanted and one.state in {'alive', 'suspect'}
+        )
+
+
+def tallies(fleet: Fleet) -> list[dict[str, Any]]:
+    """Read from the logs what each completed transfer cost."""
+    found = []
+    for path in fleet.folder.glob('vm-*.log'):
+        for line in path.read_text().splitlines():
+            if f'"event": {int(Event.TRANSFER_COMPLETE)}' in line:
+                found.append(json.loads(line))
+    return found
+
+
+def _plan(shape: Shape, seed: int, *, direct: bool) -> Plan:
+    return Plan(
+        engines=shape.vms,
+        services=0,
+        entries=2,
+        origin_bytes_per_s=shape.origin,
+        link_bytes_per_s=shape.link,
+        slots=64,
+        fakes_per_process=25,
+        seed=seed,
+        log_level='info',
+        transfer={'reading': 'direct'} if direct else {},
+    )
+
+
+async def _direct(vms: int, link: float, seed: int) -> float:
+    """Give the baseline's ratio to its own bound, on a small model."""
+    shape = Shape(vms, 4, int(link * 2) // vms, link, link * ORIGIN_TO_LINK)
+    fleet = Fleet(_plan(shape, seed, direct=True))
+    try:
+        await asyncio.to_thread(fleet.start)
+        await asyncio.sleep(_SETTLE_S)
+        weights = random.Random(seed).randbytes(shape.size)
+        declare(fleet, [await publish(fleet, weights, shape.chunk_bytes)])
+        roll_out(fleet, 'v1', vms, Weigh.TIME)
+        curve = await follow(fleet, 'v1', vms, 120)
+    finally:
+        await asyncio.to_thread(fleet.close)
+    return curve.time_of(vms) / shape.bound_s
+
+
+async def _run(shape: Shape, options: 'BurstOptions') -> dict[str, Any]:
+    fleet = Fleet(_plan(shape, options.seed, direct=False))
+    try:
+        await asyncio.to_thread(fleet.start)
+        await asyncio.sleep(_SETTLE_S)
+        found = await _measure(fleet, shape, options)
+    finally:
+        bad = await asyncio.to_thread(fleet.close)
+    found['violations'] += len(bad)
+    return found
+
+
+async def _measure(
+    fleet: Fleet,
+    shape: Shape,
+    options: 'BurstOptions',
+) -> dict[str, Any]:
+    rng = random.Random(options.seed)
+    weights = rng.randbytes(shape.size)
+    declare(fleet, [await publish(fleet, weights, shape.chunk_bytes)])
+    wanted = int(shape.vms * options.share)
+    roll_out(fleet, 'v1', shape.vms, _WEIGHS[options.policy])
+    limit_s = _LIMIT_FACTOR * shape.bound_s
+    faults = asyncio.create_task(_faults(fleet, shape, options, rng))
+    curve = await follow(fleet, 'v1', wanted, limit_s)
+    faults.cancel()
+    read = (await origin_state(fleet))['bytes_read']
+    costs = tallies(fleet)
+    received = sum(one['peer_bytes'] + one['origin_bytes'] for one in costs)
+    repeated = sum(one['repeated_bytes'] for one in costs)
+    time_s = curve.time_of(wanted)
+    return {
+        'vms': shape.vms,
+        'wanted': wanted,
+        'chunks': shape.chunk_count,
+        'bound_s': round(shape.bound_s, 3),
+        'time_to_n_s': round(time_s, 3),
+        'time_ratio': round(time_s / shape.bound_s, 3),
+        'origin_copies': round(read / shape.size, 3),
+        'duplicate_ratio': round(repeated / max(1, received), 4),
+        'violations': await engine_violations(fleet),
+        'curve': curve.steps(),
+    }
+
+
+async def _faults(
+    fleet: Fleet,
+    shape: Shape,
+    options: 'BurstOptions',
+    rng: random.Random,
+) -> None:
+    if not options.faults:
+        return
+    victims = rng.sample(sorted(fleet.endpoints), shape.vms // 10)
+    pause = shape.bound_s / 2 / max(1, len(victims))
+    for number, vm in enumerate(victims):
+        await asyncio.sleep(pause)
+        fleet.kill(vm)
+        if number == len(victims) // 2:
+            await _slow_origin(fleet)
+
+
+async def _slow_origin(fleet: Fleet) -> None:
+    url = f'http://127.0.0.1:{fleet.origin_port}/control?slow_factor=2'
+    await AsyncHTTPClient().fetch(HTTPRequest(url, method='POST', body=b''))
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class BurstOptions:
+    """What a run varies."""
+
+    seed: int
+    faults: bool
+    share: float
+    policy: str
+
+
+def burst(
+    *,
+    vms: int = 25,
+    faults: bool = False,
+    share: float = 1.0,
+    policy: str = 'time',
+    seed: int = 1,
+    chunks: int = 400,
+    chunk_bytes: int = 32768,
+    bound_s: float = 20.0,
+    baseline: bool = False,
+) -> None:
+    """Bring one version to so many VMs over paced links.
+
+    :param vms: how many endpoint VMs
+    :param faults: kill a tenth of them and halve the origin's rate midway
+    :param share: part of the VMs that must be complete
+    :param policy: the measure that weighs more, time or origin
+    :param seed: seed of the weights and the faults
+    :param chunks: chunks in the model
+    :param chunk_bytes: bytes in a chunk
+    :param bound_s: the fluid bound to aim at; sets the links' rates
+    :param baseline: also run every VM straight from the origin
+    """
+    link = chunks * chunk_bytes / bound_s
+    shape = Shape(vms, chunks, chunk_bytes, link, link * ORIGIN_TO_LINK)
+    found = asyncio.run(_run(shape, BurstOptions(seed, faults, share, policy)))
+    if baseline:
+        ratio = asyncio.run(_direct(vms, link, seed))
+        found['baseline_direct_ratio'] = round(ratio, 3)
+    json.dump(found, sys.stdout)
+    sys.stdout.write('\n')
--- a/src/linnetwood/options.py
+++ b/src/linnetwood/options.py
@@ -92,10 +92,11 @@
     origin_url: str = ''
     origin_bytes_per_s: float = at_least(1, 1.0e9)
     link_bytes_per_s: float = at_least(0, float())
-    window: int = at_least(1, 4)
+    window: int = at_least(1, 6)
     neighbours: int = at_least(1, 20)
     upload_queue: int = at_least(1, 4)
     notice_every_s: float = at_least(0.01, 0.1)
+    reading: str = one_of('shared', 'direct', default='shared')
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/linnetwood/swarm.py
+++ b/src/linnetwood/swarm.py
@@ -26,7 +26,7 @@
 class SwarmOptions:
     """What bounds a transfer."""
 
-    window: int = 4
+    window: int = 6
     per_peer: int = 1
     queue_limit: int = 4
     origin_window: int = 2
@@ -68,6 +68,9 @@
     def due_at(self, index: int, started: float) -> float | None:
         """Give the time from which this process may read the chunk."""
 
+    def turns(self) -> int:
+        """Give the bitmap of chunks that this process may ever read."""
+
 
 class SharedReading:
     """Let each chunk be read once, by the VM that the ring names.
@@ -92,16 +95,29 @@
                 rank = readers.index(me)
                 wait = max(0, index) * cfg.chunk_origin_s
                 self._due[index] = wait + rank * cfg.takeover_s
+        self._turns = sum(1 << index for index in self._due if index >= 0)
 
     def due_at(self, index: int, started: float) -> float | None:
         """Give the time of this process's turn, if it has one."""
         due = self._due.get(index)
         return None if due is None else started + due
 
+    def turns(self) -> int:
+        """Give the chunks for which this process is among the readers."""
+        return self._turns
+
 
 class DirectReading:
     """Let every VM read everything from the origin: the plain baseline."""
 
+    def __init__(self, count: int) -> None:
+        """Know how many chunks there are."""
+        self._turns = chunks.full(count)
+
+    def turns(self) -> int:
+        """Give every chunk."""
+        return self._turns
+
     def due_at(self, index: int, started: float) -> float | None:
         """Allow every chunk at once."""
         return started
@@ -224,8 +240,8 @@
             yield self._begin(Fetch(index, ORIGIN), now)
 
     def _due(self, now: float) -> Iterator[int]:
-        for index in range(self.count):
-            if self.held >> index & 1 or index in self.pending:
+        for index in chunks.indices(self.policy.turns() & ~self.held):
+            if index in self.pending:
                 continue
             due = self.policy.due_at(index, self.started)
             if due is not None and due <= now and not self._rarity[index]:
@@ -267,8 +283,8 @@
         wanted = offered & ~self.held
         indices = [
             index
-            for index in range(self.count)
-            if wanted >> index & 1 and index not in self.pending
+            for index in chunks.indices(wanted)
+            if index not in self.pending
         ]
         self._rng.shuffle(indices)
         indices.sort(key=self._rarity.__getitem__)
--- a/src/linnetwood/transfer.py
+++ b/src/linnetwood/transfer.py
@@ -22,6 +22,7 @@
 from linnetwood.metrics import Metric, Metrics
 from linnetwood.options import Transfer
 from linnetwood.swarm import ORIGIN, Fetch, OriginPolicy, Swarm, SwarmOptions
+from linnetwood.waits import happened
 from linnetwood.wire import Address, Dialler
 
 _WAKE_S = 0.05
@@ -264,15 +265,9 @@
                 self._give_up(index)
             for fetch in self.swarm.plan(now):
                 self._begin(fetch)
-            await self._pause()
+            await happened(self._wake, _WAKE_S)
         self.done.set()
 
-    async def _pause(self) -> None:
-        try:
-            await asyncio.wait_for(self._wake.wait(), _WAKE_S)
-        except TimeoutError:
-            return
-
     def _begin(self, fetch: Fetch) -> None:
         task = asyncio.create_task(self._fetch(fetch))
         self._fetches[fetch.index] = task
--- a/src/linnetwood/wire.py
+++ b/src/linnetwood/wire.py
@@ -38,14 +38,12 @@
         """Connect to a process."""
         host, port = address
         try:
-            stream = await asyncio.wait_for(
-                self._client.connect(
+            async with asyncio.timeout(self._timeout_s):
+                stream = await self._client.connect(
                     host,
                     port,
                     max_buffer_size=_BUFFER_BYTES,
-                ),
-                self._timeout_s,
-            )
+                )
         except (OSError, StreamClosedError, TimeoutError) as exc:
             raise WireError('connect-failed', f'{host}:{port}: {exc}') from exc
         return FrameStream(stream)
--- a/tests/test_swarm.py
+++ b/tests/test_swarm.py
@@ -23,6 +23,10 @@
         """Give no time."""
         return None
 
+    def turns(self) -> int:
+        """Give no chunk."""
+        return 0
+
 
 def swarm(held: int = 0, **options: int) -> Swarm:
     """Give a swarm that asks peers only."""
@@ -104,7 +108,7 @@
     def test_no_read_of_what_a_neighbour_holds(self) -> None:
         """A chunk seen at a neighbour is never read from the origin."""
         cfg = SwarmOptions(origin_window=COUNT)
-        found = Swarm(COUNT, 0, cfg, DirectReading(), Random(1), 0)
+        found = Swarm(COUNT, 0, cfg, DirectReading(COUNT), Random(1), 0)
         found.notice('a', 0b1111, 9)
         read = [one.index for one in found.plan(0) if one.source == ORIGIN]
         self.assertEqual(read, [4, 5, 6, 7])
