--- a/src/linnetwood/dispatch.py
+++ b/src/linnetwood/dispatch.py
@@ -21,7 +21,7 @@
 )
 from linnetwood.retries import MAX_ATTEMPTS, RetryBudget, may_retry
 from linnetwood.routing import Routes, Want
-from linnetwood.wire import Address, TcpDialler
+from linnetwood.wire import Address, Pool
 
 _MILLISECONDS = 1000
 _FRESH_KEY_REFUSALS = frozenset(
@@ -79,7 +79,7 @@
     def __init__(
         self,
         routes: Routes,
-        dialler: TcpDialler,
+        dialler: Pool,
         clock: Clock,
         metrics: Metrics,
     ) -> None:
@@ -95,17 +95,17 @@
         """Run a call and say how it ended."""
         self._budget.earn()
         tried: set[str] = set()
-        ending: Ending | None = None
+        endings: list[Ending] = []
         for _ in range(MAX_ATTEMPTS):
             member = self._routes.choose(call.want, tried, self._clock.now())
             if member is None:
-                return ending or self._nobody(call)
+                break
             tried.add(member.vm)
             attempt = self._prepare(call, member)
-            ending = await self._try(call, member, attempt, sink)
-            if not self._again(call, ending, attempt):
-                return ending
-        return ending or self._nobody(call)
+            endings.append(await self._try(call, member, attempt, sink))
+            if not self._again(call, endings[-1], attempt):
+                break
+        return conclude(endings) if endings else self._nobody(call)
 
     def _again(self, call: Call, ending: Ending, attempt: _Attempt) -> bool:
         if call.key:
@@ -264,6 +264,20 @@
 _OWNER_KNOWS = frozenset((Code.KEYS_FULL.value, Code.KEY_MALFORMED.value))
 
 
+def conclude(endings: list[Ending]) -> Ending:
+    """Give the ending of a call from those of its attempts, in order.
+
+    A call is not run only if every one of its attempts was not run.
+    """
+    last = endings[-1]
+    if last.outcome != Outcome.NOT_RUN:
+        return last
+    for earlier in endings:
+        if earlier.outcome == Outcome.UNKNOWN:
+            return earlier
+    return last
+
+
 def mint(member: Member, nonce: str) -> str:
     """Give a key that only this incarnation of an endpoint can run."""
     return keys.Key(
--- a/src/linnetwood/wire.py
+++ b/src/linnetwood/wire.py
@@ -25,6 +25,16 @@
         """Connect; raise WireError if that can't be done."""
 
 
+class Pool(Dialler, Protocol):
+    """Dial, and keep connections whose exchange ended cleanly."""
+
+    def reuse(self, address: Address) -> FrameStream | None:
+        """Give a connection that is kept, if any."""
+
+    def keep(self, address: Address, stream: FrameStream) -> None:
+        """Keep a connection for a later exchange."""
+
+
 class TcpDialler:
     """Open connections over TCP and keep finished ones for the next."""
 
