Follow the fleet while reading from the origin

Ruled out: notices and take-over windows. Change: the ring follows the fleet; turns that are new wait one take-over window; a process without peers asks its seeds every 0.3 s.

--- a/src/linnetwood/agent.py
+++ b/src/linnetwood/agent.py
@@ -20,6 +20,7 @@
     Ring,
     SharedReading,
     SwarmOptions,
+    Turns,
 )
 from linnetwood.transfer import Download, Tools
 from linnetwood.waits import happened
@@ -141,8 +142,10 @@
         target = self._target(intent)
         if target != self.target:
             await self._retarget(target)
-        self._assigned = [vm for vm, one in chosen.items() if one is intent]
-        self._meet_neighbours()
+        assigned = [vm for vm, one in chosen.items() if one is intent]
+        if assigned != self._assigned:
+            self._assigned = assigned
+            self._meet_neighbours()
 
     def _target(self, intent: Intent | None) -> Target | None:
         if intent is None or self._configuration is None:
@@ -237,13 +240,26 @@
         target: Target,
         manifest: chunks.Manifest,
     ) -> Download:
+        return Download(
+            target.manifest,
+            manifest,
+            self._tools,
+            self._policy(target.manifest, manifest),
+            self._swarm_options(manifest.chunk_bytes),
+        )
+
+    def _policy(
+        self,
+        name: str,
+        manifest: chunks.Manifest,
+        before: Turns | None = None,
+    ) -> OriginPolicy:
+        count = len(manifest.digests)
+        if self._tools.cfg.reading == 'direct':
+            return DirectReading(count)
+        ring = Ring(name, self._assigned)
         cfg = self._swarm_options(manifest.chunk_bytes)
-        me = self._gossip.me.vm
-        ring = Ring(target.manifest, self._assigned)
-        policy: OriginPolicy = DirectReading(len(manifest.digests))
-        if self._tools.cfg.reading == 'shared':
-            policy = SharedReading(me, ring, len(manifest.digests), cfg)
-        return Download(target.manifest, manifest, self._tools, policy, cfg)
+        return SharedReading(self._gossip.me.vm, ring, count, cfg, before)
 
     def _swarm_options(self, chunk_bytes: int) -> SwarmOptions:
         cfg = self._tools.cfg
@@ -274,8 +290,19 @@
         return [view[vm] for vm in chosen if vm in view]
 
     def _meet_neighbours(self) -> None:
-        if self.download is not None and self._tools.cfg.reading == 'shared':
-            self.download.neighbours(self._neighbour_members())
+        download = self.download
+        if download is None or self._tools.cfg.reading != 'shared':
+            return
+        # Whoever is gone has no turn at the origin any more.
+        swarm = download.swarm
+        elapsed_s = self._tools.clock.now() - swarm.started
+        before = Turns(swarm.policy.turns(), elapsed_s)
+        swarm.policy = self._policy(
+            download.name,
+            download.manifest,
+            before,
+        )
+        download.neighbours(self._neighbour_members())
 
     def _kept(self, index: int, chunk: bytes) -> None:
         self._staging.put_nowait(index)
--- a/src/linnetwood/gossip.py
+++ b/src/linnetwood/gossip.py
@@ -19,6 +19,7 @@
 _DATAGRAM = 1200
 _BATCH_S = 0.03
 _TICK_S = 0.1
+_JOIN_S = 0.3
 _PENDING_LIMIT = 4096
 _JITTER_LOW = 0.9
 # IPv4 and UDP headers count towards the budget too.
@@ -108,6 +109,7 @@
         self.seed(self._peers)
         self._tasks = [
             asyncio.create_task(self._every(_TICK_S, self._tick)),
+            asyncio.create_task(self._every(_JOIN_S, self._join)),
             asyncio.create_task(self._every(self._cfg.heartbeat_s, self._beat)),
             asyncio.create_task(
                 self._every(self._cfg.sync_every_s, self._sync)
@@ -239,6 +241,10 @@
         for member in self.membership.silent(now):
             self._send(member, self._gossip(GossipKind.PING))
 
+    def _join(self) -> None:
+        if len(self.membership.view.members) == 1:
+            self.seed(self._peers)
+
     def _beat(self) -> None:
         beat = self._gossip(GossipKind.BEAT)
         for vm in self.membership.duties(self._clock.now()).beat_to:
@@ -247,8 +253,6 @@
     def _sync(self) -> None:
         for member in pick(self.membership.view.zone_mates(), 1, self._rng):
             self._send_sync((member.host, member.port), GossipKind.SYNC)
-        if len(self.membership.view.members) == 1:
-            self.seed(self._peers)
 
     def _far_sync(self) -> None:
         if self._peers:
--- a/src/linnetwood/swarm.py
+++ b/src/linnetwood/swarm.py
@@ -11,6 +11,7 @@
 
 ORIGIN = ''
 _RING_POINTS = 16
+_TAKERS = 3
 _SHUN_S = 60.0
 
 
@@ -72,11 +73,27 @@
         """Give the bitmap of chunks that this process may ever read."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Turns:
+    """Which chunks were this VM's to read before, and for how long."""
+
+    chunks: int
+    elapsed_s: float
+
+
+def _grace_s(index: int, before: Turns | None, cfg: SwarmOptions) -> float:
+    if before is None or index < 0 or before.chunks >> index & 1:
+        return 0
+    return before.elapsed_s + cfg.takeover_s
+
+
 class SharedReading:
     """Let each chunk be read once, by the VM that the ring names.
 
     The reads are spread over the time that the origin's link needs, and the
     next VM on the ring takes over when nobody has shown the chunk in time.
+    When the fleet changes, turns that were not this VM's before wait for as
+    long, since whoever had them may have read the chunk already.
     """
 
     def __init__(
@@ -85,16 +102,17 @@
         ring: Ring,
         count: int,
         cfg: SwarmOptions,
-        takers: int = 3,
+        before: Turns | None = None,
     ) -> None:
         """Work out this process's turns."""
         self._due: dict[int, float] = {}
         for index in range(chunks.MANIFEST_INDEX, count):
-            readers = ring.readers(index, takers)
+            readers = ring.readers(index, _TAKERS)
             if me in readers:
                 rank = readers.index(me)
                 wait = max(0, index) * cfg.chunk_origin_s
-                self._due[index] = wait + rank * cfg.takeover_s
+                due = wait + rank * cfg.takeover_s
+                self._due[index] = max(due, _grace_s(index, before, cfg))
         self._turns = sum(1 << chunk for chunk in self._due if chunk >= 0)
 
     def due_at(self, index: int, started: float) -> float | None:
--- a/tests/test_swarm.py
+++ b/tests/test_swarm.py
@@ -11,6 +11,7 @@
     SharedReading,
     Swarm,
     SwarmOptions,
+    Turns,
 )
 
 COUNT = 8
@@ -105,6 +106,14 @@
         ]
         self.assertEqual(due, [3, 13])
 
+    def test_new_turns_wait(self) -> None:
+        """A turn that came with a change of the fleet waits a window."""
+        cfg = SwarmOptions(chunk_origin_s=1, takeover_s=10)
+        ring = Ring('m', ['a'])
+        before = Turns(0b1, 5)
+        policy = SharedReading('a', ring, COUNT, cfg, before)
+        self.assertEqual([policy.due_at(one, 0) for one in (0, 1)], [0, 15])
+
     def test_no_read_of_what_a_neighbour_holds(self) -> None:
         """A chunk seen at a neighbour is never read from the origin."""
         cfg = SwarmOptions(origin_window=COUNT)
