--- a/src/linnetwood/callers.py
+++ b/src/linnetwood/callers.py
@@ -1,5 +1,6 @@
 """What callers reach over HTTP at an entry."""
 
+import dataclasses
 import json
 import secrets
 from collections.abc import Iterable
@@ -23,6 +24,7 @@
 from linnetwood.placement import ENGINE_KIND
 from linnetwood.routing import Routes, Want
 from linnetwood.sizes import MIB
+from linnetwood.traces import Tracer
 
 OUTCOME_HEADER = 'X-Linnetwood-Outcome'
 CODE_HEADER = 'X-Linnetwood-Code'
@@ -70,6 +72,7 @@
         'metrics',
         'routes',
         'timeout_s',
+        'traces',
     )
 
     def __init__(
@@ -80,6 +83,7 @@
         clock: Clock,
         metrics: Metrics,
         timeout_s: float,
+        traces: Tracer,
     ) -> None:
         """Begin with nothing deployed."""
         self.dispatcher = dispatcher
@@ -88,6 +92,7 @@
         self.clock = clock
         self.metrics = metrics
         self.timeout_s = timeout_s
+        self.traces = traces
         self.deployment = Deployment()
 
 
@@ -168,6 +173,8 @@
             return
         answer = _Answer(self)
         began = desk.clock.now()
+        span = desk.traces.span('entry', call.traceparent)
+        call = dataclasses.replace(call, traceparent=span.traceparent)
         try:
             ending = await desk.dispatcher.run(call, answer)
         except StreamClosedError:
@@ -175,6 +182,7 @@
             return
         finally:
             desk.gate.leave(visit, desk.clock.now() - began)
+            span.end(call=call.call_id)
         self.conclude(ending, answer)
 
     def conclude(self, ending: Ending, answer: _Answer) -> None:
--- a/src/linnetwood/endpoint.py
+++ b/src/linnetwood/endpoint.py
@@ -7,6 +7,7 @@
 from linnetwood.agent import WeightsAgent
 from linnetwood.backend import Backend, EngineBackend, ServiceBackend
 from linnetwood.chunks import ChunkStore
+from linnetwood.clock import SystemClock
 from linnetwood.events import Event, log
 from linnetwood.frames import Frame, FrameKind, FrameStream
 from linnetwood.gen.wire.ttypes import DrainOrder, Member
@@ -20,7 +21,6 @@
 from linnetwood.origin import HttpWeightStore
 from linnetwood.placement import ENGINE_KIND
 from linnetwood.transfer import Fetcher, Tally, Tools, Uploads
-from linnetwood.clock import SystemClock
 
 _ORIGIN_TIMEOUT_S = 120.0
 _EPOCH_CHECK_S = 1.0
@@ -110,7 +110,7 @@
             self.node.clock.now(),
         )
         self._memory = memory
-        return Guard(state, self._build_backend(), memory)
+        return Guard(state, self._build_backend(), memory, self.node.traces)
 
     def _build_backend(self) -> Backend:
         backend = self._cfg.backend
--- a/src/linnetwood/entry.py
+++ b/src/linnetwood/entry.py
@@ -59,6 +59,7 @@
             self.node.clock,
             self.node.metrics,
             cfg.call_timeout_s,
+            self.node.traces,
         )
         self._leaving = False
         self._http = HTTPServer(
--- a/src/linnetwood/fleet.py
+++ b/src/linnetwood/fleet.py
@@ -142,6 +142,23 @@
         first = next(iter(self.entries.values()))
         return f'{_HOST}:{first.third_port}'
 
+    def run(
+        self,
+        program: str,
+        vm: str,
+        args: tuple[str, ...],
+    ) -> 'subprocess.Popen[bytes]':
+        """Start one program of the package with a log of its own."""
+        command = (sys.executable, '-m', f'linnetwood.{program}', *args)
+        with open(self.folder / f'{vm}.log', 'ab') as stream:
+            return subprocess.Popen(  # noqa: S603
+                command,
+                stderr=stream,
+                stdout=stream,
+                stdin=subprocess.DEVNULL,
+                env=_environment(),
+            )
+
     def start_endpoint(self, number: int) -> str:
         """Start one endpoint's process."""
         vm = f'vm-{number:04d}'
@@ -234,7 +251,7 @@
             f'--slots={plan.slots}',
             '--checks-fences' if plan.checks_fences else '--no-checks-fences',
         )
-        process = self._run('fakes', f'fakes-{name}', (*common, *args))
+        process = self.run('fakes', f'fakes-{name}', (*common, *args))
         self.fakes.append(Started(f'fakes-{name}', process, 0))
 
     def _spawn(
@@ -245,23 +262,7 @@
     ) -> 'subprocess.Popen[bytes]':
         path = self.folder / f'{vm}.yaml'
         path.write_text(yaml.safe_dump(settings))
-        return self._run(program, vm, ('--settings', str(path)))
-
-    def _run(
-        self,
-        program: str,
-        vm: str,
-        args: tuple[str, ...],
-    ) -> 'subprocess.Popen[bytes]':
-        command = (sys.executable, '-m', f'linnetwood.{program}', *args)
-        with open(self.folder / f'{vm}.log', 'ab') as stream:
-            return subprocess.Popen(  # noqa: S603
-                command,
-                stderr=stream,
-                stdout=stream,
-                stdin=subprocess.DEVNULL,
-                env=_environment(),
-            )
+        return self.run(program, vm, ('--settings', str(path)))
 
     def _wait_listening(self) -> None:
         ports = [started.port for started in self.endpoints.values()]
--- a/src/linnetwood/gossip.py
+++ b/src/linnetwood/gossip.py
@@ -18,7 +18,7 @@
 
 _DATAGRAM = 1200
 _BATCH_S = 0.03
-_TICK_S = 0.1
+_TICK_S = 0.2
 _JOIN_S = 0.3
 _PENDING_LIMIT = 4096
 _JITTER_LOW = 0.9
--- a/src/linnetwood/guard.py
+++ b/src/linnetwood/guard.py
@@ -21,6 +21,7 @@
     not_run,
     unknown,
 )
+from linnetwood.traces import NoTraces, Tracer
 from linnetwood.waits import happened
 
 _REFUSALS = MappingProxyType(
@@ -110,8 +111,10 @@
         state: GuardState,
         backend: Backend,
         memory: keys.KeyMemory,
+        traces: Tracer | None = None,
     ) -> None:
         """Guard one back end."""
+        self._traces = traces or NoTraces()
         self.state = state
         self.idle = asyncio.Event()
         self.idle.set()
@@ -122,9 +125,12 @@
         """Serve one call on a connection."""
         start = decode(Start, frame.payload)
         body = (await stream.read()).payload
+        span = self._traces.span('endpoint', start.traceparent)
+        start.traceparent = span.traceparent
         ending = refusal(self.state, start)
         if ending is None:
             ending = await self._admitted(stream, start, body)
+        span.end(call=start.call_id, outcome=ending.outcome.name)
         await self._finish(stream, start, ending)
 
     async def drained(self, limit_s: float) -> bool:
--- a/src/linnetwood/histories.py
+++ b/src/linnetwood/histories.py
@@ -13,8 +13,8 @@
 from linnetwood.gen.wire.ttypes import Head, Member, Start
 from linnetwood.guard import Guard, GuardState
 from linnetwood.keys import KeyMemory
-from linnetwood.memory_net import MemoryDialler, MemoryNet
 from linnetwood.members import ENDPOINT, Health, copy
+from linnetwood.memory_net import MemoryDialler, MemoryNet
 from linnetwood.metrics import NoMetrics
 from linnetwood.outcomes import (
     ANSWERED,
--- a/src/linnetwood/load.py
+++ b/src/linnetwood/load.py
@@ -11,6 +11,7 @@
 from linnetwood.callers import (
     CODE_HEADER,
     DEADLINE_HEADER,
+    ORGANISATION_HEADER,
     OUTCOME_HEADER,
     VERSION_HEADER,
 )
@@ -47,6 +48,7 @@
     tokens: int = 16
     deadline_s: float = 20.0
     seed: int = 0
+    organisation: str = ''
 
 
 class _Heard:
@@ -105,6 +107,7 @@
             body=json.dumps(body),
             headers={
                 DEADLINE_HEADER: str(int(traffic.deadline_s * _MILLISECONDS)),
+                ORGANISATION_HEADER: traffic.organisation,
             },
             streaming_callback=heard.take,
             request_timeout=traffic.deadline_s + 5,
--- a/src/linnetwood/measure.py
+++ b/src/linnetwood/measure.py
@@ -5,8 +5,9 @@
 from linnetwood.measure_burst import burst
 from linnetwood.measure_control import control
 from linnetwood.measure_histories import histories
+from linnetwood.measure_serve import serve
 
-COMMANDS = (burst, control, histories)
+COMMANDS = (burst, control, histories, serve)
 
 
 def main() -> None:
--- a/src/linnetwood/measure_control.py
+++ b/src/linnetwood/measure_control.py
@@ -92,7 +92,8 @@
     return [one.process.pid for one in started]
 
 
-def _cpu_s(pid: int) -> float:
+def cpu_s(pid: int) -> float:
+    """Give the processor seconds that a process has used."""
     fields = pathlib.Path(f'/proc/{pid}/stat').read_text().rsplit(')', 1)[1]
     user, system = fields.split()[11:13]
     return (int(user) + int(system)) / _TICKS
@@ -120,14 +121,14 @@
 async def _quiet(fleet: Fleet) -> tuple[float, float, float]:
     """Give processor share, bytes and service calls a second at rest."""
     pids = _pids(fleet)
-    cpu = sum(map(_cpu_s, pids))
+    cpu = sum(map(cpu_s, pids))
     sent = _control_bytes(fleet)
     called = await _kv_calls(fleet)
     began = time.monotonic()
     await asyncio.sleep(_WINDOW_S)
     span = time.monotonic() - began
     return (
-        (sum(map(_cpu_s, pids)) - cpu) / span / len(pids) * _PERCENT,
+        (sum(map(cpu_s, pids)) - cpu) / span / len(pids) * _PERCENT,
         (_control_bytes(fleet) - sent) / span,
         (await _kv_calls(fleet) - called) / span,
     )
--- a/src/linnetwood/node.py
+++ b/src/linnetwood/node.py
@@ -18,6 +18,7 @@
 from linnetwood.metrics import Metrics, open_metrics
 from linnetwood.options import Gossiping, Place, Platform, Watching
 from linnetwood.store import HttpKeyValue
+from linnetwood.traces import Tracer, open_traces
 from linnetwood.watching import ConfigTask
 from linnetwood.wire import FrameHandler, TcpDialler, WireServer
 
@@ -63,6 +64,7 @@
             watching.statsd_host,
             watching.statsd_port,
         )
+        self.traces: Tracer = open_traces(watching.trace_file, place.vm)
         self._place = place
         self._platform = platform
         self._server: WireServer | None = None
@@ -90,6 +92,7 @@
             self._server.close()
         self.dialler.close()
         self.client.close()
+        self.traces.close()
 
     def leave(self) -> None:
         """Say that this process takes no new work."""
--- a/src/linnetwood/transfer.py
+++ b/src/linnetwood/transfer.py
@@ -25,7 +25,7 @@
 from linnetwood.waits import happened
 from linnetwood.wire import Address, Dialler
 
-_WAKE_S = 0.1
+_WAKE_S = 0.25
 _PLAN_PAUSE_S = 0.01
 _EXPIRE_EVERY_S = 0.5
 
--- /dev/null
+++ b/tests/test_catalogues.py
@@ -0,0 +1,47 @@
+"""The pages list exactly what the code has."""
+
+import pathlib
+import re
+import unittest
+
+from linnetwood.events import Event
+from linnetwood.metrics import Metric, open_metrics
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+SOURCES = ROOT / 'src' / 'linnetwood'
+
+
+class CataloguesTest(unittest.TestCase):
+    """Events and metrics agree with their pages, and each is used."""
+
+    def test_events(self) -> None:
+        """Each event is listed under its number, and nothing else is."""
+        page = (ROOT / 'docs' / 'EVENTS.md').read_text()
+        listed = set(re.findall(r'^\| (\d+) \| (\w+) \|', page, re.MULTILINE))
+        self.assertEqual(listed, {(str(int(one)), one.name) for one in Event})
+
+    def test_metrics(self) -> None:
+        """Each metric is listed, and nothing else is."""
+        page = (ROOT / 'docs' / 'METRICS.md').read_text()
+        listed = set(re.findall(r'^\| `([a-z_.]+)` \|', page, re.MULTILINE))
+        self.assertEqual(listed, {one.value for one in Metric})
+
+    def test_nothing_is_listed_in_vain(self) -> None:
+        """Each event and metric is sent somewhere."""
+        code = '\n'.join(path.read_text() for path in SOURCES.glob('*.py'))
+        names = [f'Event.{one.name}' for one in Event]
+        names += [f'Metric.{one.name}' for one in Metric]
+        unused = [name for name in names if not re.search(rf'{name}\b', code)]
+        self.assertEqual(unused, [])
+
+    def test_absent_receiver_never_blocks(self) -> None:
+        """Figures for nobody cost nothing and raise nothing."""
+        metrics = open_metrics('127.0.0.1', 9)
+        for _ in range(1000):
+            metrics.count(Metric.CALLS_ANSWERED)
+        metrics.timing(Metric.FIRST_BYTE_MS, 1)
+        open_metrics('no.such.host.invalid', 9).count(Metric.CALLS_ANSWERED)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- /dev/null
+++ b/tests/test_schema.py
@@ -0,0 +1,83 @@
+"""Schema files are refused whole, naming file, line, field and what is allowed."""
+
+import pathlib
+import tempfile
+import unittest
+
+from linnetwood import schema
+from linnetwood.errors import SchemaError
+from linnetwood.gen.schema.ttypes import Weigh
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+HEAD = 'include "linnetwood.thrift"\nconst linnetwood.Deployment d = '
+MODEL = '{"name": "m", "versions": [{"name": "v1", "manifest": "a"}]}'
+
+
+class SchemaTest(unittest.TestCase):
+    """Good files load; each kind of bad file is refused."""
+
+    def load(self, text: str) -> object:
+        """Load text as a file."""
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder, 'd.thrift')
+            path.write_text(text)
+            return schema.load(str(path))
+
+    def test_example_loads(self) -> None:
+        """The commented example is a good schema."""
+        deployment = schema.load(str(ROOT / 'examples' / 'deployment.thrift'))
+        self.assertEqual(deployment.intents[0].weigh, Weigh.TIME)
+
+    def test_refusals(self) -> None:
+        """Every refusal of docs/REFUSALS.md for schema files."""
+        intent = '{"model": "m", "version": "v9", "replicas": 1}'
+        cases = (
+            ('struct A {}', 'schema-no-deployment'),
+            (f'{HEAD}{{', 'schema-syntax.*d.thrift:2'),
+            (f'{HEAD}{{"models" 3}}', "schema-syntax.*:2: found 3, .*':'"),
+            (f'{HEAD}{{}} struct', 'schema-syntax'),
+            (f'{HEAD}\x01{{}}', 'schema-syntax'),
+            (f'{HEAD}[]', ':2: field deployment: found a list, .* a map'),
+            (f'{HEAD}{{"modles": []}}', "found 'modles', allowed is one of"),
+            (f'{HEAD}{{"models": 3}}', 'field models: found 3, .* a list'),
+            (
+                f'{HEAD}{{"models": [\n{{"versions": []}}]}}',
+                r':3: field models\[0\].name: found nothing',
+            ),
+            (
+                f'{HEAD}{{"models": [{{"name": 4}}]}}',
+                r'field models\[0\].name: found 4, allowed is text',
+            ),
+            (
+                f'{HEAD}{{"models": [], "models": []}}',
+                'field models: .*each field once',
+            ),
+            (
+                f'{HEAD}{{"organisations": [{{"name": "o", "share": 9999999999'
+                '}]}',
+                'share: found 9999999999, allowed is a whole number of 32',
+            ),
+            (
+                f'{HEAD}{{"intents": [{{"model": "m", "weigh": SOON}}]}}',
+                "weigh: found 'SOON', allowed is one of",
+            ),
+            (
+                f'{HEAD}{{"models": [{MODEL}], "intents": [{intent}]}}',
+                'schema-contradiction.*v9.*declared version',
+            ),
+        )
+        for text, message in cases:
+            with (
+                self.subTest(message),
+                self.assertRaisesRegex(SchemaError, message),
+            ):
+                self.load(text)
+
+    def test_missing_file(self) -> None:
+        """A file that can't be read is named."""
+        with self.assertRaisesRegex(SchemaError, 'schema-unreadable'):
+            schema.load('/no/such.thrift')
+
+
+if __name__ == '__main__':
+    unittest.main()
