Relay tokens over plain transports; test callers and operators on sockets

Ruled out: message coding, which a body frame does not need. Change: the wire between our processes stands on asyncio's transports; a piece goes straight to the caller's connection; frame kinds are looked up; what is loaded at the start is kept out of collections. The work of a caller that went away is cancelled as soon as its connection closes: a test found that a write to a closed connection went unnoticed. Peers named in settings are asked at a rate that does not grow with the fleet (an entry named as a peer received 3.8 to 6.8 KB/s at 30 to 120 processes).

--- a/src/linnetwood/callers.py
+++ b/src/linnetwood/callers.py
@@ -1,13 +1,14 @@
 """What callers reach over HTTP at an entry."""
 
+import asyncio
 import dataclasses
 import json
 import secrets
 from collections.abc import Iterable
 from types import MappingProxyType
-from typing import Any, Protocol
+from typing import Any, Protocol, cast
 
-from tornado.httputil import HTTPServerRequest
+from tornado.httputil import HTTPConnection, HTTPServerRequest
 from tornado.iostream import StreamClosedError
 from tornado.web import Application, RequestHandler
 
@@ -152,13 +153,33 @@
 
     async def body(self, piece: bytes) -> None:
         """Write a piece and wait until the caller's socket took it."""
-        self._handler.write(piece)
-        await self._handler.flush()
+        handler = self._handler
+        if handler.headers_written:
+            connection = handler.request.connection
+            taken = cast(HTTPConnection, connection).write(piece)
+        else:
+            handler.write(piece)
+            taken = handler.flush()
+        if taken.done():
+            # A write to a caller that went away has failed by now.
+            taken.result()
+        else:
+            await taken
 
 
 class _CallHandler(_Base):
     """Run one call and write how it ended."""
 
+    def initialize(self, desk: Desk) -> None:
+        """Share the desk; nothing is under way yet."""
+        super().initialize(desk)
+        self._work: asyncio.Future[Ending] | None = None
+
+    def on_connection_close(self) -> None:
+        """Stop the work that nobody waits for."""
+        if self._work is not None:
+            self._work.cancel()
+
     async def run_call(self, call: Call) -> None:
         """Admit, dispatch and finish."""
         desk = self.desk
@@ -176,9 +197,12 @@
         began = desk.clock.now()
         span = desk.traces.span('entry', call.traceparent)
         call = dataclasses.replace(call, traceparent=span.traceparent)
+        self._work = asyncio.ensure_future(
+            desk.dispatcher.run(call, answer),
+        )
         try:
-            ending = await desk.dispatcher.run(call, answer)
-        except StreamClosedError:
+            ending = await self._work
+        except (StreamClosedError, asyncio.CancelledError):
             log(Event.CALL_CUT, call=call.call_id, code='caller-gone')
             return
         finally:
@@ -191,7 +215,7 @@
         self._count(ending)
         if ending.outcome == Outcome.ANSWERED:
             self.finish()
-        elif answer.begun and self._headers_written:
+        elif answer.begun and self.headers_written:
             # The caller must see that the answer is not whole.
             log(Event.CALL_CUT, code=ending.code)
             self.request.connection.stream.close()  # type: ignore[union-attr]
@@ -199,6 +223,11 @@
             self.clear()
             self.end(ending)
 
+    @property
+    def headers_written(self) -> bool:
+        """Tell whether the caller has seen the status."""
+        return self._headers_written
+
     def note_first_byte(self) -> None:
         """Note how long the caller waited for the head of its answer."""
         waited_ms = self.request.request_time() * _MILLISECONDS
--- a/src/linnetwood/daemon.py
+++ b/src/linnetwood/daemon.py
@@ -2,6 +2,7 @@
 
 import argparse
 import asyncio
+import gc
 import sys
 from collections.abc import Awaitable, Callable
 from typing import Any, TypeVar
@@ -13,6 +14,7 @@
 EXIT_OK = 0
 EXIT_FAILED = 1
 EXIT_SETTINGS = 2
+_COLLECT_AFTER = 20000
 
 _Options = TypeVar('_Options')
 
@@ -49,6 +51,7 @@
     cfg: Any,
     serve: Callable[[Any], Awaitable[None]],
 ) -> int:
+    _settle_memory()
     log(Event.STARTED, program=name)
     try:
         asyncio.run(_as_coroutine(serve(cfg)))
@@ -59,5 +62,13 @@
     return EXIT_OK
 
 
+def _settle_memory() -> None:
+    # What is loaded by now stays, so collections need not look at it again,
+    # and a relay makes little garbage that refers to itself.
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(_COLLECT_AFTER)
+
+
 async def _as_coroutine(work: Awaitable[None]) -> None:
     await work
--- a/src/linnetwood/fakeengine.py
+++ b/src/linnetwood/fakeengine.py
@@ -11,6 +11,7 @@
 _STALE = 409
 _BUSY = 503
 _ABSENT = 404
+_KEPT = 100
 CALL_HEADER = 'X-Call'
 VERSION_HEADER = 'X-Model-Version'
 
@@ -33,6 +34,7 @@
     cancelled: set[str] = dataclasses.field(default_factory=set)
     runs: dict[str, int] = dataclasses.field(default_factory=dict)
     violations: list[str] = dataclasses.field(default_factory=list)
+    traceparents: list[str] = dataclasses.field(default_factory=list)
 
 
 def token(version: str, prompt: str, index: int) -> str:
@@ -118,6 +120,9 @@
             self.set_status(_ABSENT)
             return
         call_id = self.request.headers.get(CALL_HEADER, '')
+        parent = self.request.headers.get('traceparent', '')
+        if len(state.traceparents) < _KEPT:
+            state.traceparents.append(parent)
         state.runs[call_id] = state.runs.get(call_id, 0) + 1
         state.in_flight += 1
         try:
--- a/src/linnetwood/fakes.py
+++ b/src/linnetwood/fakes.py
@@ -72,6 +72,7 @@
         cancelled=set(),
         runs={},
         violations=[],
+        traceparents=[],
     )
     return fakeengine.application(fresh)
 
--- a/src/linnetwood/frames.py
+++ b/src/linnetwood/frames.py
@@ -2,16 +2,19 @@
 
 import asyncio
 import enum
+import socket
 import struct
-from collections.abc import Iterator
-
-from tornado.iostream import IOStream, StreamClosedError
+from collections import deque
+from collections.abc import Callable, Iterator
+from types import MappingProxyType
+from typing import cast
 
 from linnetwood.errors import CodecError, WireError
 from linnetwood.sizes import MIB
 
 MAX_FRAME = 4 * MIB
-_READ_BYTES = 262144
+_READY_LIMIT = 1024
+_WRITE_LIMIT = MAX_FRAME
 _HEADER = struct.Struct('>IB')
 
 
@@ -33,6 +36,10 @@
     DONE = 13
 
 
+# Looking a kind up here costs a third of what the enumeration's call does.
+_KINDS = MappingProxyType({int(kind): kind for kind in FrameKind})
+
+
 class Frame:
     """Hold one frame's kind and payload."""
 
@@ -64,26 +71,76 @@
 
 
 def _kind(number: int) -> FrameKind:
-    try:
-        return FrameKind(number)
-    except ValueError as exc:
-        raise CodecError('unknown-frame', str(number)) from exc
-
-
-class FrameStream:
-    """Read and write frames on a tornado stream."""
-
-    def __init__(self, stream: IOStream) -> None:
-        """Own the stream from here on."""
-        self._stream = stream
+    kind = _KINDS.get(number)
+    if kind is None:
+        raise CodecError('unknown-frame', str(number))
+    return kind
+
+
+class FrameStream(asyncio.Protocol):
+    """Read and write frames on one connection.
+
+    It stands on asyncio's own transports: a tornado stream changes its
+    registration with the poller for every read, which costs more than the
+    relaying of a token itself (docs/MEASUREMENTS.md).
+    """
+
+    def __init__(
+        self,
+        accepted: 'Callable[[FrameStream], None] | None' = None,
+    ) -> None:
+        """Tell a server, if there is one, once the connection is made."""
+        self._accepted = accepted
+        self._transport: asyncio.Transport | None = None
         self._pending = bytearray()
-        self._ready: list[Frame] = []
-        stream.set_nodelay(True)
+        self._ready: deque[Frame] = deque()
+        self._waiter: asyncio.Future[None] | None = None
+        self._writable = asyncio.Event()
+        self._writable.set()
+        self._gone = asyncio.Event()
+        self._fault: CodecError | None = None
+        self._paused = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take the connection over."""
+        self._transport = cast(asyncio.Transport, transport)
+        sock = transport.get_extra_info('socket')
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        if self._accepted is not None:
+            self._accepted(self)
+
+    def data_received(self, received: bytes) -> None:
+        """Cut what came in into frames."""
+        self._pending += received
+        try:
+            self._ready.extend(split(self._pending))
+        except CodecError as exc:
+            self._fault = exc
+            self.close()
+        if len(self._ready) > _READY_LIMIT and self._transport is not None:
+            self._paused = True
+            self._transport.pause_reading()
+        self._wake()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Note that the connection is gone."""
+        self._gone.set()
+        self._writable.set()
+        self._wake()
+
+    def pause_writing(self) -> None:
+        """Make writers wait for a slow reader."""
+        self._writable.clear()
+
+    def resume_writing(self) -> None:
+        """Let writers go on."""
+        self._writable.set()
 
     @property
     def closed(self) -> bool:
         """Tell whether either side has closed."""
-        return bool(self._stream.closed())
+        transport = self._transport
+        return transport is None or transport.is_closing()
 
     @property
     def idle(self) -> bool:
@@ -93,46 +150,50 @@
     async def read(self) -> Frame:
         """Wait for the next frame; raise WireError when the peer is gone."""
         while not self._ready:
-            try:
-                received = await self._stream.read_bytes(
-                    _READ_BYTES,
-                    partial=True,
-                )
-            except StreamClosedError as exc:
-                raise WireError('connection-lost', str(exc)) from exc
-            self._pending += received
-            self._ready.extend(split(self._pending))
-            self._ready.reverse()
-        return self._ready.pop()
+            self._check()
+            self._waiter = asyncio.get_running_loop().create_future()
+            await self._waiter
+        frame = self._ready.popleft()
+        if self._paused and not self._ready:
+            self._resume()
+        return frame
 
     async def write(self, kind: FrameKind, payload: bytes) -> None:
-        """Send one frame and wait until the socket took it."""
-        try:
-            await self._stream.write(pack(kind, payload))
-        except StreamClosedError as exc:
-            raise WireError('connection-lost', str(exc)) from exc
+        """Send one frame and wait while the peer reads too slowly."""
+        self.send(kind, payload)
+        if not self._writable.is_set():
+            await self._writable.wait()
 
     def send(self, kind: FrameKind, payload: bytes) -> None:
-        """Queue one frame without waiting."""
-        if self._stream.closed():
+        """Send one frame without waiting."""
+        transport = self._transport
+        if transport is None or transport.is_closing():
             raise WireError('connection-lost', 'closed before the write')
-        self._stream.write(pack(kind, payload)).add_done_callback(_taken)
+        if transport.get_write_buffer_size() > _WRITE_LIMIT:
+            raise WireError('reader-too-slow', f'over {_WRITE_LIMIT} bytes')
+        transport.write(pack(kind, payload))
 
     async def wait_closed(self) -> None:
-        """Wait until either side closes; bytes that come meanwhile are kept."""
-        closed = asyncio.Event()
-        self._stream.set_close_callback(closed.set)
-        if self._stream.closed():
-            return
-        try:
-            await closed.wait()
-        finally:
-            self._stream.set_close_callback(None)
+        """Wait until either side closes; frames that come are kept."""
+        await self._gone.wait()
 
     def close(self) -> None:
         """Close the connection."""
-        self._stream.close()
-
-
-def _taken(fut: 'object') -> None:
-    fut.exception()  # type: ignore[attr-defined]
+        if self._transport is not None:
+            self._transport.close()
+
+    def _check(self) -> None:
+        if self._fault is not None:
+            raise self._fault
+        if self._gone.is_set() or self.closed:
+            raise WireError('connection-lost', 'closed')
+
+    def _resume(self) -> None:
+        self._paused = False
+        if not self.closed and self._transport is not None:
+            self._transport.resume_reading()
+
+    def _wake(self) -> None:
+        waiter = self._waiter
+        if waiter is not None and not waiter.done():
+            waiter.set_result(None)
--- a/src/linnetwood/gossip.py
+++ b/src/linnetwood/gossip.py
@@ -20,6 +20,7 @@
 _BATCH_S = 0.03
 _TICK_S = 0.2
 _JOIN_S = 0.3
+_SEEDERS = 4
 _PENDING_LIMIT = 4096
 _JITTER_LOW = 0.9
 # IPv4 and UDP headers count towards the budget too.
@@ -259,8 +260,11 @@
             self._send_sync((member.host, member.port), GossipKind.SYNC)
 
     def _far_sync(self) -> None:
-        if self._peers:
-            # A peer from the settings joins views that never met or split.
+        # A peer from the settings joins views that never met or split. The
+        # whole fleet asks as often as a few processes would, or the peers
+        # would carry a load that grows with the fleet.
+        known = len(self.membership.view.members)
+        if self._peers and self._rng.random() < _SEEDERS / known:
             self.seed((self._rng.choice(self._peers),))
         for member in pick(self.membership.view.strangers(), 1, self._rng):
             self._send_sync((member.host, member.port), GossipKind.SYNC)
--- a/src/linnetwood/guard.py
+++ b/src/linnetwood/guard.py
@@ -4,8 +4,6 @@
 import dataclasses
 from types import MappingProxyType
 
-from tornado.iostream import StreamBufferFullError
-
 from linnetwood import keys
 from linnetwood.backend import Backend
 from linnetwood.codec import decode, encode
@@ -93,13 +91,9 @@
             self.small += piece
         try:
             self._stream.send(FrameKind.BODY, piece)
-        except WireError:
-            # Nobody reads any more; the guard cancels the call.
-            return
-        except StreamBufferFullError:
-            log(
-                Event.CALL_CUT, call=self._start.call_id, code='caller-too-slow'
-            )
+        except WireError as exc:
+            # Nobody reads in time; the guard cancels the call.
+            log(Event.CALL_CUT, call=self._start.call_id, code=exc.code)
             self._stream.close()
 
 
--- a/src/linnetwood/load.py
+++ b/src/linnetwood/load.py
@@ -3,9 +3,12 @@
 import asyncio
 import dataclasses
 import json
+import signal
+import sys
 import time
 from random import Random
 
+import defopt
 from tornado.httpclient import HTTPRequest, HTTPResponse
 
 from linnetwood.callers import (
@@ -165,3 +168,50 @@
         return 0
     ordered = sorted(figures)
     return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
+
+
+def send(
+    *,
+    ports: list[int],
+    model: str,
+    calls_per_s: float,
+    tokens: int = 16,
+    deadline_s: float = 60.0,
+    seed: int = 0,
+) -> None:
+    """Send calls until told to stop; then print how many went wrong.
+
+    :param ports: ports of the entries
+    :param model: the model to ask
+    :param calls_per_s: mean rate
+    :param tokens: tokens of each answer
+    :param deadline_s: deadline of each call
+    :param seed: seed of the arrival times
+    """
+    traffic = Traffic(ports, model, calls_per_s, tokens, deadline_s, seed)
+    asyncio.run(_send(traffic))
+
+
+async def _send(traffic: Traffic) -> None:
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, stop.set)
+    caller = Caller(traffic)
+    caller.start()
+    await stop.wait()
+    await caller.close()
+    wrong = sum(1 for one in caller.records if not one.right)
+    tokens = sum(len(one.gaps_s) + 1 for one in caller.records)
+    spans = [one.began + one.whole_s for one in caller.records]
+    began = min(one.began for one in caller.records)
+    found = {
+        'calls': len(caller.records),
+        'wrong': wrong,
+        'cut': sum(1 for one in caller.records if one.outcome == 'cut'),
+        'tokens_per_s': tokens / (max(spans) - began),
+    }
+    sys.stdout.write(json.dumps(found))
+
+
+if __name__ == '__main__':
+    defopt.run(send)
--- a/src/linnetwood/measure_control.py
+++ b/src/linnetwood/measure_control.py
@@ -26,6 +26,8 @@
 DESIGN_PROCESSES = 2710
 _ENTRY_SHARE = 0.15
 _WINDOW_S = 10.0
+# Longer than a watch waits at the service, so that its renewals are counted.
+_WATCHED_S = 52.0
 _SETTLE_S = 6.0
 _POLL_S = 0.05
 _DEAD_LIMIT_S = 10.0
@@ -118,19 +120,17 @@
     return int(json.loads((await AsyncHTTPClient().fetch(url)).body)['calls'])
 
 
-async def _quiet(fleet: Fleet) -> tuple[float, float, float]:
-    """Give processor share, bytes and service calls a second at rest."""
+async def _quiet(fleet: Fleet) -> tuple[float, float]:
+    """Give processor share and bytes a second at rest."""
     pids = _pids(fleet)
     cpu = sum(map(cpu_s, pids))
     sent = _control_bytes(fleet)
-    called = await _kv_calls(fleet)
     began = time.monotonic()
     await asyncio.sleep(_WINDOW_S)
     span = time.monotonic() - began
     return (
         (sum(map(cpu_s, pids)) - cpu) / span / len(pids) * _PERCENT,
         (_control_bytes(fleet) - sent) / span,
-        (await _kv_calls(fleet) - called) / span,
     )
 
 
@@ -207,11 +207,15 @@
     try:
         await asyncio.to_thread(fleet.start)
         await asyncio.sleep(_SETTLE_S)
-        cpu, sent, called = await _quiet(fleet)
+        called_before = await _kv_calls(fleet)
+        began = time.monotonic()
+        cpu, sent = await _quiet(fleet)
         rss = statistics.median(map(_rss_mb, _pids(fleet)))
         everywhere = await _config_everywhere(fleet)
         false_deaths = _deaths(fleet)
         detected = await _detect_dead(fleet)
+        await asyncio.sleep(max(0, began + _WATCHED_S - time.monotonic()))
+        called = await _kv_calls(fleet) - called_before
     finally:
         await asyncio.to_thread(fleet.close)
     return Point(
@@ -219,7 +223,7 @@
         round(cpu, 3),
         round(rss, 2),
         round(sent),
-        round(called, 3),
+        round(called / _WATCHED_S, 3),
         round(everywhere, 3),
         round(detected, 3),
         false_deaths,
--- a/src/linnetwood/measure_serve.py
+++ b/src/linnetwood/measure_serve.py
@@ -40,6 +40,9 @@
 _SPAN_S = 12.0
 _SETTLE_S = 2.0
 _MILLISECONDS = 1000
+_MICROSECONDS = 1000000
+# Longer than a call takes, so that as many end as begin.
+_RAMP_S = 12.0
 _SHORT_TOKENS = 4
 _SMALL = 'small'
 _LARGE = 'large'
@@ -88,76 +91,84 @@
     return (time.perf_counter() - began) * _MILLISECONDS
 
 
-async def _added(fleet: Fleet, background: Caller) -> tuple[float, float]:
+class _Background:
+    """Send calls from a process of its own."""
+
+    def __init__(self, fleet: Fleet, ports: list[int], seed: int) -> None:
+        self._log = fleet.folder / f'load-{ports[0]}.log'
+        self._process = fleet.run(
+            'load',
+            f'load-{ports[0]}',
+            (
+                '--ports',
+                *map(str, ports),
+                f'--model={MODEL}',
+                f'--calls-per-s={_CALLS_PER_S}',
+                f'--tokens={_TOKENS_PER_CALL}',
+                f'--seed={seed}',
+            ),
+        )
+
+    def close(self) -> dict[str, Any]:
+        """End the calls and give what came of them."""
+        self._process.terminate()
+        self._process.wait()
+        found: dict[str, Any] = json.loads(self._log.read_text())
+        return found
+
+
+async def _added(fleet: Fleet) -> tuple[float, float]:
     """Pair calls through the system with calls to the engine itself."""
     client = open_client(8)
     body = {'model': MODEL, 'prompt': 'p', 'max_tokens': _SHORT_TOKENS}
     through = f'http://127.0.0.1:{fleet.http_ports()[0]}/v1/completions'
     direct = f'http://127.0.0.1:{fleet.engine_ports[0]}/generate'
     added = []
-    background.start()
-    await asyncio.sleep(_SETTLE_S)
     until = time.monotonic() + _SPAN_S
     while time.monotonic() < until:
         one = await _time_ms(client, through, body)
         other = await _time_ms(client, direct, body)
         added.append(one - other)
-    await background.close()
     client.close()
     return percentile(added, 0.5), percentile(added, 0.99)
 
 
-async def _tokens_cpu(caller: Caller, pids: list[int], span_s: float) -> float:
-    """Give the processor seconds a token, over a span of steady calls."""
-    caller.start()
-    await asyncio.sleep(_SETTLE_S)
+async def _cpu_share(pids: list[int]) -> float:
     began = sum(map(cpu_s, pids))
-    await asyncio.sleep(span_s)
-    used = sum(map(cpu_s, pids)) - began
-    await caller.close()
-    tokens = sum(len(one.gaps_s) + 1 for one in caller.records)
-    calls_span = max(one.began + one.whole_s for one in caller.records)
-    calls_span -= min(one.began for one in caller.records)
-    return used / span_s / (tokens / calls_span)
+    await asyncio.sleep(_SPAN_S)
+    return (sum(map(cpu_s, pids)) - began) / _SPAN_S
 
 
-async def _relay_ratio(fleet: Fleet, seed: int) -> float:
-    port = Ports().take(1)[0]
-    engine = fleet.engine_ports[0]
-    relay = fleet.run(
-        'relay',
-        'relay',
-        (f'--port={port}', f'--url=http://127.0.0.1:{engine}/generate'),
-    )
-    await asyncio.sleep(_SETTLE_S)
-    try:
-        bare = await _tokens_cpu(
-            Caller(_traffic([port], seed)),
-            [relay.pid],
-            _SPAN_S,
-        )
-    finally:
-        relay.terminate()
-        relay.wait()
+async def _through(fleet: Fleet, seed: int) -> dict[str, Any]:
+    """Give added latency and processor seconds a token under full load."""
+    load = _Background(fleet, fleet.http_ports()[:1], seed)
+    await asyncio.sleep(_RAMP_S)
     pids = [one.process.pid for one in fleet.entries.values()]
     pids += [one.process.pid for one in fleet.endpoints.values()]
-    ours = await _tokens_cpu(
-        Caller(_traffic(fleet.http_ports()[:1], seed)),
-        pids,
-        _SPAN_S,
-    )
-    return ours / bare
+    share = await _cpu_share(pids)
+    median, high = await _added(fleet)
+    found = await asyncio.to_thread(load.close)
+    return {
+        'added_ms_p50': round(median, 3),
+        'added_ms_p99': round(high, 3),
+        'token_us': round(share / found['tokens_per_s'] * _MICROSECONDS, 1),
+        'violations': found['wrong'] + found['cut'],
+    }
 
 
-def _traffic(ports: list[int], seed: int) -> Traffic:
-    return Traffic(
-        ports,
-        MODEL,
-        _CALLS_PER_S,
-        tokens=_TOKENS_PER_CALL,
-        deadline_s=60,
-        seed=seed,
-    )
+async def _bare(fleet: Fleet, seed: int) -> float:
+    """Give the barest relay's processor microseconds a token."""
+    port = Ports().take(1)[0]
+    url = f'http://127.0.0.1:{fleet.engine_ports[0]}/generate'
+    relay = fleet.run('relay', 'relay', (f'--port={port}', f'--url={url}'))
+    await asyncio.sleep(_SETTLE_S)
+    load = _Background(fleet, [port], seed)
+    await asyncio.sleep(_RAMP_S)
+    share = await _cpu_share([relay.pid])
+    found = await asyncio.to_thread(load.close)
+    relay.terminate()
+    relay.wait()
+    return share / float(found['tokens_per_s']) * _MICROSECONDS
 
 
 async def _latency(seed: int) -> dict[str, Any]:
@@ -168,25 +179,21 @@
         first_token_s=0.005,
         token_s=_TOKEN_S,
         slots=512,
+        fakes_per_process=1,
         seed=seed,
     )
     fleet = Fleet(plan)
     try:
         await asyncio.to_thread(fleet.start)
         await _deploy(fleet)
-        background = Caller(_traffic(fleet.http_ports(), seed))
-        median, high = await _added(fleet, background)
-        ratio = await _relay_ratio(fleet, seed)
-        violations = await engine_violations(fleet)
+        found = await _through(fleet, seed)
+        bare = await _bare(fleet, seed)
+        found['violations'] += await engine_violations(fleet)
     finally:
         await asyncio.to_thread(fleet.close)
-    wrong = sum(1 for one in background.records if not one.right)
-    return {
-        'added_ms_p50': round(median, 3),
-        'added_ms_p99': round(high, 3),
-        'relay_cpu_ratio': round(ratio, 3),
-        'violations': violations + wrong,
-    }
+    found['bare_token_us'] = round(bare, 1)
+    found['relay_cpu_ratio'] = round(found['token_us'] / bare, 3)
+    return found
 
 
 async def _overloaded(seed: int, factor: float) -> dict[str, Any]:
--- a/src/linnetwood/memory_net.py
+++ b/src/linnetwood/memory_net.py
@@ -19,6 +19,7 @@
 
     def __init__(self, net: 'MemoryNet') -> None:
         """Start open, without the other end."""
+        super().__init__()
         self.other: MemoryStream | None = None
         self.on_its_way: deque[Frame] = deque()
         self._net = net
--- a/src/linnetwood/node.py
+++ b/src/linnetwood/node.py
@@ -87,7 +87,7 @@
         served = {FrameKind.CONFIG_REQUEST: self._serve_config, **handlers}
         self._server = WireServer(served)
         # Binding the one port of the slot keeps a second process out of it.
-        self._server.add_sockets(
+        await self._server.start(
             bind_sockets(self._place.wire_port, self._place.host),
         )
         await self.gossip.start(self._place.host, self._place.wire_port, peers)
@@ -102,7 +102,7 @@
         await self.config.close()
         await self.gossip.close()
         if self._server is not None:
-            self._server.close()
+            await self._server.close()
         self.dialler.close()
         self.client.close()
         self.traces.close()
--- a/src/linnetwood/wire.py
+++ b/src/linnetwood/wire.py
@@ -1,19 +1,15 @@
 """Connections between the system's own processes."""
 
 import asyncio
+import socket
 from collections.abc import Awaitable, Callable
 from typing import Protocol
 
-from tornado.iostream import IOStream, StreamClosedError
-from tornado.tcpclient import TCPClient
-from tornado.tcpserver import TCPServer
-
 from linnetwood.errors import CodecError, LinnetwoodError, WireError
 from linnetwood.events import Event, log
 from linnetwood.frames import Frame, FrameStream
 
 Address = tuple[str, int]
-_BUFFER_BYTES = 16777216
 _IDLE_KEPT = 64
 CONNECT_TIMEOUT_S = 1.0
 
@@ -40,23 +36,19 @@
 
     def __init__(self, timeout_s: float = CONNECT_TIMEOUT_S) -> None:
         """Keep nothing yet."""
-        self._client = TCPClient()
         self._timeout_s = timeout_s
         self._idle: dict[Address, list[FrameStream]] = {}
 
     async def dial(self, address: Address) -> FrameStream:
         """Connect to a process."""
         host, port = address
+        loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(self._timeout_s):
-                stream = await self._client.connect(
-                    host,
-                    port,
-                    max_buffer_size=_BUFFER_BYTES,
-                )
-        except (OSError, StreamClosedError, TimeoutError) as exc:
+                opened = await loop.create_connection(FrameStream, host, port)
+        except (OSError, TimeoutError) as exc:
             raise WireError('connect-failed', f'{host}:{port}: {exc}') from exc
-        return FrameStream(stream)
+        return opened[1]
 
     def reuse(self, address: Address) -> FrameStream | None:
         """Give a connection whose last exchange ended cleanly, if any."""
@@ -87,36 +79,49 @@
 FrameHandler = Callable[[FrameStream, Frame], Awaitable[None]]
 
 
-class WireServer(TCPServer):
+class WireServer:
     """Accept connections and hand each frame that opens something on."""
 
     def __init__(self, handlers: dict[int, FrameHandler]) -> None:
         """Serve the given kinds of opening frames."""
-        super().__init__(max_buffer_size=_BUFFER_BYTES)
         self._by_kind = handlers
-        self._streams: set[FrameStream] = set()
+        self._servers: list[asyncio.Server] = []
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def start(self, sockets: list[socket.socket]) -> None:
+        """Listen on bound sockets."""
+        loop = asyncio.get_running_loop()
+        for sock in sockets:
+            server = await loop.create_server(self._accept, sock=sock)
+            self._servers.append(server)
+
+    async def close(self) -> None:
+        """Stop accepting and close every connection."""
+        for server in self._servers:
+            server.close()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def _accept(self) -> FrameStream:
+        return FrameStream(self._accepted)
 
-    async def handle_stream(self, stream: IOStream, address: object) -> None:
-        """Serve one connection until it closes."""
-        frames = FrameStream(stream)
-        self._streams.add(frames)
+    def _accepted(self, frames: FrameStream) -> None:
+        task = asyncio.get_running_loop().create_task(self._handle(frames))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _handle(self, frames: FrameStream) -> None:
         try:
             await self._serve(frames)
         except CodecError as exc:
-            log(Event.FRAME_REFUSED, code=exc.code, source=str(address))
+            log(Event.FRAME_REFUSED, code=exc.code, detail=exc.detail)
         except LinnetwoodError:
             # The peer went away; whoever served it has cleaned up.
             return
         finally:
-            self._streams.discard(frames)
             frames.close()
 
-    def close(self) -> None:
-        """Stop accepting and close every connection."""
-        self.stop()
-        for stream in tuple(self._streams):
-            stream.close()
-
     async def _serve(self, frames: FrameStream) -> None:
         while True:
             frame = await frames.read()
--- /dev/null
+++ b/tests/test_callers.py
@@ -0,0 +1,211 @@
+"""Callers over real sockets: answers, refusals, keys, leaving, outages."""
+
+import asyncio
+import json
+import unittest
+
+from tornado.httpclient import HTTPRequest
+
+from linnetwood.fakeengine import token
+from tests.rig import Rig, running
+
+GENERATE = '/v1/completions'
+OUTCOME = 'X-Linnetwood-Outcome'
+CODE = 'X-Linnetwood-Code'
+KEY = 'X-Linnetwood-Key'
+
+
+def body(prompt: str = 'p', tokens: int = 3) -> dict[str, object]:
+    """Give a good request."""
+    return {'model': 'sevak', 'prompt': prompt, 'max_tokens': tokens}
+
+
+def expected(prompt: str, tokens: int) -> str:
+    """Give the one right answer."""
+    words = [token('sevak@v1', prompt, index) for index in range(tokens)]
+    return ''.join(f'data: {one}\n\n' for one in (*words, '[DONE]'))
+
+
+class CallersTest(unittest.IsolatedAsyncioTestCase):
+    """What callers see."""
+
+    @running
+    async def test_answers_and_refusals(self, rig: Rig) -> None:
+        """Good calls are answered whole, bad ones refused with a code."""
+        await rig.entry()
+        await rig.engine()
+        await rig.booking()
+        await rig.apply(1)
+        reply = await rig.http(GENERATE, body('hello', 5))
+        self.assertEqual(reply.body.decode(), expected('hello', 5))
+        cases = (
+            (GENERATE, '[]', 400, 'bad-request'),
+            (GENERATE, '{', 400, 'bad-request'),
+            (GENERATE, {'model': 'sevak'}, 400, 'bad-request'),
+            (GENERATE, body(tokens=0), 400, 'bad-request'),
+            (GENERATE, {**body(), 'model': 'x'}, 404, 'unknown-target'),
+            ('/services/none/x', '', 404, 'unknown-target'),
+            ('/v1/keys?service=booking&count=0', '', 400, 'bad-request'),
+            ('/v1/keys?service=none', '', 503, 'no-endpoint'),
+        )
+        for path, sent, status, code in cases:
+            with self.subTest(path=path, sent=sent):
+                reply = await rig.http(path, sent)
+                found = (reply.code, reply.headers[CODE])
+                self.assertEqual(found, (status, code))
+                self.assertEqual(reply.headers[OUTCOME], 'not-run')
+        bad_key = await rig.http(
+            '/services/booking/x', '', headers={KEY: 'nokey'}
+        )
+        self.assertEqual(bad_key.headers[CODE], 'key-malformed')
+
+    @running
+    async def test_old_desk_byte_for_byte(self, rig: Rig) -> None:
+        """A lookup through the system is what the desk itself answers."""
+        await rig.entry()
+        await rig.booking()
+        await rig.until(lambda: len(rig.entries[0].node.gossip.members) == 2)
+        direct = await rig.client.fetch(
+            f'http://127.0.0.1:{rig.service_port}/qso/7?call=SM0ABC',
+        )
+        through = await rig.http('/services/booking/qso/7?call=SM0ABC')
+        self.assertEqual(through.body, direct.body)
+        self.assertEqual(through.code, direct.code)
+        same = sorted(
+            line for line in through.headers.get_all() if line[0] != 'Date'
+        )
+        before = sorted(
+            line for line in direct.headers.get_all() if line[0] != 'Date'
+        )
+        self.assertEqual(same, before)
+
+    @running
+    async def test_key_runs_once_through_any_entry(self, rig: Rig) -> None:
+        """A repeated key gives the same answer without a second run."""
+        await rig.entry()
+        await rig.entry()
+        await rig.booking()
+        await rig.until(lambda: len(rig.entries[1].node.gossip.members) == 3)
+        minted = await rig.http('/v1/keys?service=booking', '')
+        key = json.loads(minted.body)['keys'][0]
+        replies = [
+            await rig.http(
+                '/services/booking/confirm', 'slot', one, headers={KEY: key}
+            )
+            for one in (0, 1, 0)
+        ]
+        self.assertEqual([one.code for one in replies], [200, 200, 200])
+        self.assertEqual(len({one.body for one in replies}), 1)
+        self.assertEqual(rig.service.runs, {'slot': 1})
+
+    @running
+    async def test_key_of_a_process_that_is_gone(self, rig: Rig) -> None:
+        """After its endpoint's restart a key is unknown, and never runs."""
+        await rig.entry()
+        first = await rig.booking()
+        await rig.until(lambda: len(rig.entries[0].node.gossip.members) == 2)
+        minted = await rig.http('/v1/keys?service=booking', '')
+        key = json.loads(minted.body)['keys'][0]
+        rig.endpoints.remove(first)
+        await first.close()
+        await rig.booking()
+        await rig.until(lambda: len(rig.entries[0].node.gossip.members) == 3)
+        reply = await rig.http(
+            '/services/booking/confirm', 'slot', headers={KEY: key}
+        )
+        found = (reply.headers[OUTCOME], reply.headers[CODE])
+        self.assertEqual(found, ('unknown', 'key-owner-gone'))
+        self.assertEqual(rig.service.runs, {})
+
+    @running
+    async def test_stream_outlives_a_drain(self, rig: Rig) -> None:
+        """What is under way finishes; new calls are refused, not run."""
+        await rig.entry()
+        endpoint = await rig.engine(token_s=0.05)
+        await rig.apply(1)
+        stream = asyncio.create_task(rig.http(GENERATE, body('long', 20)))
+        await rig.until(lambda: endpoint.guard.state.in_flight == 1)
+        vm = endpoint.node.gossip.me.vm
+        await rig.operate(lambda calls: calls.drain(vm, 'asha'))
+        refused = await rig.http(GENERATE, body('late'))
+        self.assertEqual(refused.headers[OUTCOME], 'not-run')
+        self.assertIn('Retry-After', refused.headers)
+        self.assertEqual((await stream).body.decode(), expected('long', 20))
+        self.assertEqual(len(rig.engines[0].runs), 1)
+
+    @running
+    async def test_planned_stop_of_an_entry(self, rig: Rig) -> None:
+        """An entry is not ready first, and its streams finish."""
+        await rig.entry()
+        endpoint = await rig.engine(token_s=0.05)
+        await rig.apply(1)
+        stream = asyncio.create_task(rig.http(GENERATE, body('long', 20)))
+        await rig.until(lambda: endpoint.guard.state.in_flight == 1)
+        stop = asyncio.create_task(rig.entries.pop().close())
+        await asyncio.sleep(0)
+        self.assertEqual((await stream).body.decode(), expected('long', 20))
+        await stop
+
+    @running
+    async def test_caller_that_goes_away(self, rig: Rig) -> None:
+        """The engine is told to stop when the caller goes."""
+        await rig.entry()
+        endpoint = await rig.engine(token_s=0.05)
+        await rig.apply(1)
+        port = rig.url('').rpartition(':')[2]
+        _, writer = await asyncio.open_connection('127.0.0.1', int(port))
+        text = json.dumps(body('gone', 1000))
+        writer.write(
+            f'POST {GENERATE} HTTP/1.1\r\nHost: x\r\n'
+            f'Content-Length: {len(text)}\r\n\r\n{text}'.encode(),
+        )
+        await rig.until(lambda: endpoint.guard.state.in_flight == 1)
+        writer.close()
+        await rig.until(lambda: endpoint.guard.state.in_flight == 0)
+        self.assertEqual(len(rig.engines[0].cancelled), 1)
+
+    @running
+    async def test_trace_context_reaches_the_engine(self, rig: Rig) -> None:
+        """Without a recorder the caller's own context is passed on."""
+        await rig.entry()
+        await rig.engine()
+        await rig.apply(1)
+        parent = '00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01'
+        await rig.http(GENERATE, body(), headers={'traceparent': parent})
+        self.assertEqual(rig.engines[0].traceparents, [parent])
+
+
+class OutageTest(unittest.IsolatedAsyncioTestCase):
+    """The key-value service is away."""
+
+    @running
+    async def test_serving_goes_on(self, rig: Rig) -> None:
+        """Calls are answered, changes refused, a newcomer learns from peers."""
+        await rig.entry()
+        await rig.engine()
+        await rig.apply(1)
+        rig.kv.down = True
+        answer = await rig.operate(
+            lambda calls: calls.apply(rig.deployment(1), 1, 'op-2', 'asha'),
+        )
+        self.assertEqual(answer.code, 'store-unavailable')
+        newcomer = await rig.entry()
+        await rig.until(lambda: newcomer.node.config.standing.revision == 1)
+        await rig.until(lambda: rig.serving() == 1)
+        self.assertEqual(newcomer.reason(), '')
+        reply = await rig.http(GENERATE, body('hello', 5), number=1)
+        self.assertEqual(reply.body.decode(), expected('hello', 5))
+
+    @running
+    async def test_alone_in_an_outage_is_not_ready(self, rig: Rig) -> None:
+        """A process that can reach nobody says so."""
+        rig.kv.down = True
+        entry = await rig.entry()
+        self.assertIn('no configuration', entry.reason())
+        req = HTTPRequest(rig.url('/readyz'))
+        reply = await rig.client.fetch(req, raise_error=False)
+        self.assertEqual(reply.code, 503)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- /dev/null
+++ b/tests/test_frames.py
@@ -0,0 +1,128 @@
+"""Frames and messages stand any bytes without crashing or growing."""
+
+import asyncio
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from tornado.netutil import bind_sockets
+
+from linnetwood import codec, frames
+from linnetwood.errors import CodecError, WireError
+from linnetwood.frames import Frame, FrameKind, FrameStream
+from linnetwood.gen.schema.ttypes import Configuration
+from linnetwood.gen.wire.ttypes import End, Gossip, Start
+from linnetwood.wire import TcpDialler, WireServer
+
+QUIET = settings(
+    max_examples=200,
+    deadline=None,
+    derandomize=True,
+    database=None,
+)
+
+
+class FramesTest(unittest.TestCase):
+    """Whole frames come out, whatever the pieces."""
+
+    @QUIET
+    @given(
+        st.lists(
+            st.tuples(st.sampled_from(FrameKind), st.binary(max_size=40)),
+            max_size=6,
+        ),
+        st.integers(1, 9),
+    )
+    def test_any_pieces(
+        self,
+        sent: list[tuple[FrameKind, bytes]],
+        piece: int,
+    ) -> None:
+        """Frames cut into pieces read back as they were."""
+        wire = b''.join(frames.pack(kind, payload) for kind, payload in sent)
+        pending = bytearray()
+        found: list[Frame] = []
+        for start in range(0, len(wire), piece):
+            pending += wire[start : start + piece]
+            found.extend(frames.split(pending))
+        self.assertEqual([(one.kind, one.payload) for one in found], sent)
+        self.assertEqual(pending, b'')
+
+    @QUIET
+    @given(st.binary(max_size=200))
+    def test_any_bytes(self, wire: bytes) -> None:
+        """Bytes that are no frames are refused with a code."""
+        try:
+            list(frames.split(bytearray(wire)))
+        except CodecError as exc:
+            self.assertIn(exc.code, {'frame-too-large', 'unknown-frame'})
+
+    def test_oversized(self) -> None:
+        """A frame over the limit is refused from its header alone."""
+        header = (frames.MAX_FRAME + 1).to_bytes(4, 'big') + b'\x01'
+        with self.assertRaisesRegex(CodecError, 'frame-too-large'):
+            list(frames.split(bytearray(header)))
+
+
+class CodecTest(unittest.TestCase):
+    """Messages read back, and anything else is refused."""
+
+    @QUIET
+    @given(
+        st.binary(max_size=300),
+        st.sampled_from((Gossip, Start, End, Configuration)),
+    )
+    def test_any_bytes(self, payload: bytes, kind: type) -> None:
+        """Random bytes are refused with a code or are a whole message."""
+        try:
+            codec.decode(kind, payload)
+        except CodecError as exc:
+            self.assertIn(exc.code, {'bad-message', 'missing-field'})
+
+    def test_huge_lengths_are_not_believed(self) -> None:
+        """A length in a message does not make memory."""
+        claims = b'\x18\xff\xff\xff\xff\x07'
+        with self.assertRaises(CodecError):
+            codec.decode(Start, claims)
+
+    def test_missing_field(self) -> None:
+        """A message without a required field is refused."""
+        with self.assertRaisesRegex(CodecError, 'missing-field'):
+            codec.decode(Start, codec.encode(End(call_id='c')))
+
+
+class ServerTest(unittest.IsolatedAsyncioTestCase):
+    """A server survives strangers."""
+
+    async def test_garbage_closes_one_connection_only(self) -> None:
+        """Garbage is refused; the next connection is served."""
+
+        async def echo(stream: FrameStream, frame: Frame) -> None:
+            await stream.write(FrameKind.DONE, frame.payload)
+
+        sockets = bind_sockets(0, '127.0.0.1')
+        address = ('127.0.0.1', sockets[0].getsockname()[1])
+        server = WireServer({FrameKind.DRAIN: echo})
+        await server.start(sockets)
+        for garbage in (b'\xff' * 50, b'\x00\x00\x00\x01\x01x'):
+            reader, writer = await asyncio.open_connection(*address)
+            writer.write(garbage)
+            self.assertEqual(await reader.read(), b'')
+            writer.close()
+        stream = await TcpDialler().dial(address)
+        await stream.write(FrameKind.DRAIN, b'good')
+        self.assertEqual((await stream.read()).payload, b'good')
+        stream.close()
+        await server.close()
+
+    async def test_refused_connection(self) -> None:
+        """A connection that can't be made is a wire error."""
+        sockets = bind_sockets(0, '127.0.0.1')
+        port = sockets[0].getsockname()[1]
+        sockets[0].close()
+        with self.assertRaisesRegex(WireError, 'connect-failed'):
+            await TcpDialler().dial(('127.0.0.1', port))
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -1,5 +1,6 @@
 """Run every test with unittest and end with the counts of the real result."""
 
+import logging
 import pathlib
 import sys
 import unittest
@@ -32,6 +33,7 @@
 def main() -> int:
     """Run the named tests, or all of them."""
     sys.path.insert(0, str(ROOT))
+    logging.getLogger('tornado.access').setLevel(logging.CRITICAL)
     loader = unittest.TestLoader()
     if len(sys.argv) > 1:
         suite = loader.loadTestsFromNames(sys.argv[1:])
