--- a/src/linnetwood/agent.py
+++ b/src/linnetwood/agent.py
@@ -10,10 +10,11 @@
 from linnetwood.events import Event, log
 from linnetwood.gen.schema.ttypes import Configuration, Intent
 from linnetwood.gen.wire.ttypes import HeldNotice, Member
-from linnetwood.gossip import Address, GossipTask
+from linnetwood.gossip import Address, GossipTask, Listener
 from linnetwood.guard import Guard
 from linnetwood.neighbours import neighbours
 from linnetwood.orders import LoadOrder, Orders, chunks_digest, next_fence
+from linnetwood.pauses import PauseWatch
 from linnetwood.staging import Staging
 from linnetwood.swarm import (
     DirectReading,
@@ -43,7 +44,7 @@
     intent: Intent
 
 
-class WeightsAgent:
+class WeightsAgent(Listener):
     """Follow the configuration; one task owns the target and the download."""
 
     def __init__(
@@ -68,6 +69,7 @@
         self._staging: Staging | None = None
         self._noticed = (0, float())
         self._checked_at = float()
+        self._pauses = PauseWatch(tools.clock.now())
         self._holders: dict[str, set[str]] = {}
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -98,7 +100,10 @@
         self._rouse()
 
     def revision_seen(self, revision: int, source: Address) -> None:
-        """Take no notice."""
+        """Trust what is known again after a pause, if nothing is newer."""
+        standing = self._configuration
+        if standing is None or revision <= standing.revision:
+            self._pauses.confirm()
 
     def chunks_noticed(self, notice: HeldNotice) -> None:
         """Take in what a neighbour holds."""
@@ -116,6 +121,7 @@
     async def _run(self) -> None:
         while True:
             self._wake.clear()
+            self._pauses.tick(self._tools.clock.now())
             try:
                 await self._step()
             except LinnetwoodError as exc:
@@ -403,6 +409,8 @@
 
     async def _order(self, target: Target, manifest: chunks.Manifest) -> None:
         status = await self._orders.status()
+        if not self._pauses.may_order(self._tools.clock.now()):
+            raise OrderError('paused', 'no order before a peer has answered')
         revision = self._configuration.revision if self._configuration else 0
         order = LoadOrder(
             fence=next_fence(revision, status.fence),
--- a/src/linnetwood/dispatch.py
+++ b/src/linnetwood/dispatch.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+from collections.abc import Callable
 from typing import Protocol
 
 from linnetwood import keys
@@ -82,6 +83,7 @@
         dialler: Pool,
         clock: Clock,
         metrics: Metrics,
+        probe: Callable[[Member], None] | None = None,
     ) -> None:
         """Share one retry budget among all calls."""
         self.attempts = 0
@@ -89,11 +91,13 @@
         self._dialler = dialler
         self._clock = clock
         self._metrics = metrics
+        self._probe = probe
         self._budget = RetryBudget()
 
     async def run(self, call: Call, sink: AnswerSink) -> Ending:
         """Run a call and say how it ended."""
         self._budget.earn()
+        self._ask_load(call.want)
         tried: set[str] = set()
         endings: list[Ending] = []
         for _ in range(MAX_ATTEMPTS):
@@ -107,6 +111,11 @@
                 break
         return conclude(endings) if endings else self._nobody(call)
 
+    def _ask_load(self, want: Want) -> None:
+        member = self._routes.sample(want) if self._probe else None
+        if member is not None and self._probe is not None:
+            self._probe(member)
+
     def _again(self, call: Call, ending: Ending, attempt: _Attempt) -> bool:
         if call.key:
             return False
--- a/src/linnetwood/endpoint.py
+++ b/src/linnetwood/endpoint.py
@@ -11,6 +11,7 @@
 from linnetwood.events import Event, log
 from linnetwood.frames import Frame, FrameKind, FrameStream
 from linnetwood.gen.wire.ttypes import DrainOrder, Member
+from linnetwood.gossip import Listener
 from linnetwood.guard import Guard, GuardState
 from linnetwood.keys import KeyMemory
 from linnetwood.links import Link, OpenLink, PacedLink
@@ -26,7 +27,7 @@
 _EPOCH_CHECK_S = 1.0
 
 
-class Endpoint:
+class Endpoint(Listener):
     """Put the slot's parts together."""
 
     def __init__(self, cfg: EndpointOptions) -> None:
@@ -41,6 +42,7 @@
         )
         self.tally = Tally()
         self.guard = self._build_guard()
+        self.node.gossip.load = self.guard.load
         self._link = self._build_link()
         self._uploads = Uploads(
             ChunkStore(),
@@ -93,12 +95,6 @@
         if member.vm == self._cfg.place.vm and member.status == Health.LEAVING:
             self.drain()
 
-    def revision_seen(self, revision: int, source: object) -> None:
-        """Take no notice."""
-
-    def chunks_noticed(self, notice: object) -> None:
-        """Take no notice."""
-
     def _build_guard(self) -> Guard:
         backend = self._cfg.backend
         state = GuardState(backend.kind, backend.name, backend.slots)
--- a/src/linnetwood/entry.py
+++ b/src/linnetwood/entry.py
@@ -14,6 +14,7 @@
 from linnetwood.fairness import Bounds
 from linnetwood.gen.schema.ttypes import Configuration
 from linnetwood.gen.wire.ttypes import Member
+from linnetwood.gossip import Listener
 from linnetwood.members import ENTRY, usable
 from linnetwood.node import Node, introduce, until_told
 from linnetwood.operators import OperatorCalls, OperatorServer
@@ -23,7 +24,7 @@
 _DRAIN_CHECK_S = 0.05
 
 
-class Entry:
+class Entry(Listener):
     """Put the parts of an entry together."""
 
     def __init__(self, cfg: EntryOptions) -> None:
@@ -46,6 +47,7 @@
             self.node.dialler,
             self.node.clock,
             self.node.metrics,
+            self.node.gossip.probe,
         )
         self.gate = Admission(
             Bounds(cfg.queue_limit, cfg.queue_wait_s),
@@ -113,11 +115,9 @@
         """Route by the newest statement."""
         self.routes.member_changed(member)
 
-    def revision_seen(self, revision: int, source: object) -> None:
-        """Take no notice."""
-
-    def chunks_noticed(self, notice: object) -> None:
-        """Take no notice."""
+    def load_heard(self, vm: str, load: int) -> None:
+        """Choose by the newest word of an endpoint's load."""
+        self.routes.load(vm).report(load, self.node.clock.now())
 
     async def _drained(self) -> None:
         until = self.node.clock.now() + self._cfg.drain_limit_s
--- a/src/linnetwood/gen/wire/ttypes.py
+++ b/src/linnetwood/gen/wire/ttypes.py
@@ -458,6 +458,7 @@
      - members
      - digests
      - notices
+     - load
 
     """
 
@@ -469,12 +470,13 @@
         'members',
         'digests',
         'notices',
+        'load',
     )
 
 
     def __init__(self, sender=None, incarnation=None, kind=None, revision=0, members=[
     ], digests=b"", notices=[
-    ],):
+    ], load=-1,):
         self.sender = sender
         self.incarnation = incarnation
         self.kind = kind
@@ -488,6 +490,7 @@
             notices = [
             ]
         self.notices = notices
+        self.load = load
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -545,6 +548,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I32:
+                    self.load = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -589,6 +597,10 @@
                 iter20.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.load is not None:
+            oprot.writeFieldBegin('load', TType.I32, 8)
+            oprot.writeI32(self.load)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1646,6 +1658,7 @@
     (6, TType.STRING, 'digests', 'BINARY', b"", ),  # 6
     (7, TType.LIST, 'notices', (TType.STRUCT, [HeldNotice, None], False), [
     ], ),  # 7
+    (8, TType.I32, 'load', None, -1, ),  # 8
 )
 all_structs.append(Start)
 Start.thrift_spec = (
--- a/src/linnetwood/gen/wire/ttypes.pyi
+++ b/src/linnetwood/gen/wire/ttypes.pyi
@@ -33,7 +33,8 @@
     members: list[Member]
     digests: bytes
     notices: list[HeldNotice]
-    def __init__(self, sender: str = ..., incarnation: int = ..., kind: int = ..., revision: int = ..., members: list[Member] = ..., digests: bytes = ..., notices: list[HeldNotice] = ...) -> None: ...
+    load: int
+    def __init__(self, sender: str = ..., incarnation: int = ..., kind: int = ..., revision: int = ..., members: list[Member] = ..., digests: bytes = ..., notices: list[HeldNotice] = ..., load: int = ...) -> None: ...
 class Start:
     call_id: str
     target: str
--- a/src/linnetwood/gossip.py
+++ b/src/linnetwood/gossip.py
@@ -5,7 +5,7 @@
 import struct
 from collections.abc import Callable, Iterable, Iterator
 from random import Random
-from typing import Any, Protocol
+from typing import Any
 
 from linnetwood.clock import Clock
 from linnetwood.codec import decode, encode
@@ -21,6 +21,7 @@
 _TICK_S = 0.2
 _JOIN_S = 0.3
 _SEEDERS = 4
+_NO_LOAD = -1
 _PENDING_LIMIT = 4096
 _JITTER_LOW = 0.9
 # IPv4 and UDP headers count towards the budget too.
@@ -45,8 +46,8 @@
 _TEACHING = frozenset((GossipKind.ACK, GossipKind.SYNC_REPLY))
 
 
-class Listener(Protocol):
-    """Hear what gossip learns."""
+class Listener:
+    """Hear what gossip learns; each kind of news is ignored unless taken."""
 
     def member_changed(self, member: Member) -> None:
         """Learn a newer statement."""
@@ -57,6 +58,9 @@
     def chunks_noticed(self, notice: HeldNotice) -> None:
         """Learn which chunks a peer holds."""
 
+    def load_heard(self, vm: str, load: int) -> None:
+        """Learn how many calls an endpoint has under way now."""
+
 
 class GossipTask(asyncio.DatagramProtocol):
     """Run the membership protocol over one UDP socket."""
@@ -74,6 +78,7 @@
         self.sent_bytes = 0
         self.received_bytes = 0
         self.zone_heard: dict[str, float] = {}
+        self.load: Callable[[], int] = _no_load
         self._listeners: list[Listener] = []
         self._peers: tuple[str, ...] = ()
         self._cfg = cfg
@@ -140,8 +145,15 @@
         self.spread(self.membership.restate(**changes))
 
     def learn(self, member: Member) -> None:
-        """Take in a statement from elsewhere and pass it on if it is new."""
-        self._hear(member, self._clock.now())
+        """Take in a statement and pass it on if it is new."""
+        news = self.membership.hear(member, self._clock.now())
+        if news is None:
+            return
+        self.spread(news)
+        if news.status >= Health.SUSPECT:
+            log(Event.MEMBER_DOUBTED, vm=news.vm, status=news.status)
+        for listener in self._listeners:
+            listener.member_changed(news)
 
     def spread(self, member: Member) -> None:
         """Pass a statement on with the next batch."""
@@ -153,6 +165,10 @@
             loop = asyncio.get_running_loop()
             self._flush = loop.call_later(_BATCH_S, self._send_news)
 
+    def probe(self, member: Member) -> None:
+        """Ask a process how many calls it has under way."""
+        self._send(member, self._gossip(GossipKind.PING))
+
     def announce_revision(self, revision: int) -> None:
         """Tell some processes at once that a revision is held here."""
         self.revision = revision
@@ -200,10 +216,13 @@
         if sender is not None:
             self.zone_heard[sender.availability_zone] = now
         for member in gossip.members:
-            self._hear(member, now)
+            self.learn(member)
         if gossip.revision > self.revision or gossip.kind in _TEACHING:
             for listener in self._listeners:
                 listener.revision_seen(gossip.revision, source)
+        if gossip.load != _NO_LOAD:
+            for hearer in self._listeners:
+                hearer.load_heard(gossip.sender, gossip.load)
         for notice in gossip.notices:
             for listener in self._listeners:
                 listener.chunks_noticed(notice)
@@ -211,7 +230,9 @@
 
     def _respond(self, gossip: Gossip, source: Address) -> None:
         if gossip.kind == GossipKind.PING:
-            self._send_to(source, self._gossip(GossipKind.ACK))
+            answer = self._gossip(GossipKind.ACK)
+            answer.load = self.load()
+            self._send_to(source, answer)
         elif gossip.kind == GossipKind.SYNC:
             self._answer_sync(gossip, source)
         elif gossip.kind == GossipKind.SYNC_REPLY:
@@ -226,16 +247,6 @@
         self._send_differing(gossip, source)
         self._send_sync(source, GossipKind.SYNC_REPLY)
 
-    def _hear(self, member: Member, now: float) -> None:
-        news = self.membership.hear(member, now)
-        if news is None:
-            return
-        self.spread(news)
-        if news.status >= Health.SUSPECT:
-            log(Event.MEMBER_DOUBTED, vm=news.vm, status=news.status)
-        for listener in self._listeners:
-            listener.member_changed(news)
-
     def _tick(self) -> None:
         now = self._clock.now()
         for verdict in self.membership.tick(now):
@@ -332,6 +343,10 @@
             await asyncio.sleep(period_s * self._rng.uniform(_JITTER_LOW, 1))
 
 
+def _no_load() -> int:
+    return _NO_LOAD
+
+
 def _one_each_zone(strangers: list[Member], rng: Random) -> list[Member]:
     zones: dict[str, list[Member]] = {}
     for member in strangers:
--- a/src/linnetwood/guard.py
+++ b/src/linnetwood/guard.py
@@ -127,6 +127,10 @@
         span.end(call=start.call_id, outcome=ending.outcome.name)
         await self._finish(stream, start, ending)
 
+    def load(self) -> int:
+        """Give how many calls are under way."""
+        return self.state.in_flight
+
     async def drained(self, limit_s: float) -> bool:
         """Wait until no call is under way; tell whether that came in time."""
         return await happened(self.idle, limit_s)
--- a/src/linnetwood/idl/wire.thrift
+++ b/src/linnetwood/idl/wire.thrift
@@ -40,7 +40,8 @@
   4: i64 revision = 0,
   5: list<Member> members = [],
   6: binary digests = "",
-  7: list<HeldNotice> notices = []
+  7: list<HeldNotice> notices = [],
+  8: i32 load = -1
 }
 
 /** Opens one exchange on a connection. */
--- a/src/linnetwood/measure.py
+++ b/src/linnetwood/measure.py
@@ -5,9 +5,10 @@
 from linnetwood.measure_burst import burst
 from linnetwood.measure_control import control
 from linnetwood.measure_histories import histories
+from linnetwood.measure_routing import routing
 from linnetwood.measure_serve import serve
 
-COMMANDS = (burst, control, histories, serve)
+COMMANDS = (burst, control, histories, routing, serve)
 
 
 def main() -> None:
--- /dev/null
+++ b/src/linnetwood/measure_routing.py
@@ -0,0 +1,176 @@
+"""Measure how evenly policies spread calls as entries grow; no sockets."""
+
+import heapq
+import itertools
+import json
+import statistics
+import sys
+from collections.abc import Iterator
+from random import Random
+from typing import Any
+
+from linnetwood.gen.schema.ttypes import (
+    Deployment,
+    Intent,
+    Model,
+    Version,
+)
+from linnetwood.gen.wire.ttypes import Member
+from linnetwood.members import ENDPOINT, Health
+from linnetwood.placement import ENGINE_KIND
+from linnetwood.routing import POLICIES, Routes, Want
+
+_SLOTS = 16
+_SPAN_S = 60.0
+_WARM_S = 10.0
+_SAMPLE_S = 0.25
+_PROBE_S = 0.003
+_WANT = Want(ENGINE_KIND, model='m')
+
+
+class _World:
+    """Play arrivals, probes, reports and ends in the order of their times."""
+
+    def __init__(
+        self, policy: str, entries: int, options: dict[str, Any]
+    ) -> None:
+        self.rng = Random(options['seed'])
+        self.in_flight = dict.fromkeys(
+            [f'vm-{number}' for number in range(options['endpoints'])],
+            0,
+        )
+        self.lag_s = options['lag_s']
+        self.mean_s = options['service_s']
+        self.rate = options['use'] * _SLOTS * options['endpoints'] / self.mean_s
+        self.entries = [self._routes(policy) for _ in range(entries)]
+        self.samples: list[float] = []
+        self._events: list[Any] = []
+        self._order = itertools.count()
+
+    def run(self) -> float:
+        """Give the mean over time of the largest load by the mean load."""
+        self.at(0, self.arrive)
+        self.at(_WARM_S, self.sample)
+        now = float()
+        while now < _SPAN_S:
+            now, _, act, args = heapq.heappop(self._events)
+            act(now, *args)
+        return statistics.mean(self.samples)
+
+    def at(self, when: float, act: Any, *args: Any) -> None:
+        """Let something happen."""
+        heapq.heappush(self._events, (when, next(self._order), act, args))
+
+    def arrive(self, now: float) -> None:
+        """Send a call from an entry at random."""
+        self.at(now + self.rng.expovariate(self.rate), self.arrive)
+        routes = self.rng.choice(self.entries)
+        asked = routes.sample(_WANT)
+        if asked is not None:
+            self.at(now + _PROBE_S, self.probe, routes, asked.vm)
+        member = routes.choose(_WANT, (), now)
+        if member is None:
+            return
+        routes.load(member.vm).sent += 1
+        self.in_flight[member.vm] += 1
+        took = self.rng.expovariate(1 / self.mean_s)
+        self.at(now + took, self.end, routes, member.vm)
+
+    def probe(self, now: float, routes: Routes, vm: str) -> None:
+        """Bring an endpoint's load as it was when it was asked, late."""
+        load = self.in_flight[vm]
+        self.at(now + self.lag_s, self.report, routes, vm, load)
+
+    def report(self, now: float, routes: Routes, vm: str, load: int) -> None:
+        """Take a late report in."""
+        routes.load(vm).report(load, now)
+
+    def end(self, now: float, routes: Routes, vm: str) -> None:
+        """End a call."""
+        routes.load(vm).sent -= 1
+        self.in_flight[vm] -= 1
+
+    def sample(self, now: float) -> None:
+        """Note the imbalance now."""
+        loads = self.in_flight.values()
+        mean = statistics.mean(loads)
+        if mean:
+            self.samples.append(max(loads) / mean)
+        self.at(now + _SAMPLE_S, self.sample)
+
+    def _routes(self, policy: str) -> Routes:
+        routes = Routes('z', POLICIES[policy](), self.rng)
+        routes.configured(
+            Deployment(
+                models=[
+                    Model(
+                        name='m',
+                        versions=[Version(name='v', manifest='x')],
+                    ),
+                ],
+                intents=[Intent(model='m', version='v', replicas=1)],
+            ),
+        )
+        for vm in self.in_flight:
+            routes.member_changed(_member(vm))
+        return routes
+
+
+def _member(vm: str) -> Member:
+    return Member(
+        vm=vm,
+        incarnation=1,
+        version=1,
+        role=ENDPOINT,
+        availability_zone='z',
+        region='r',
+        rack='',
+        host='h',
+        port=1,
+        status=int(Health.ALIVE),
+        kind=ENGINE_KIND,
+        serving='m@v',
+        slots=_SLOTS,
+    )
+
+
+def _rows(
+    sizes: list[int], options: dict[str, Any]
+) -> Iterator[tuple[str, Any]]:
+    for policy in POLICIES:
+        found = {
+            size: round(_World(policy, size, options).run(), 3)
+            for size in sizes
+        }
+        growth = found[sizes[-1]] / found[sizes[0]]
+        yield policy, {'imbalance': found, 'growth': round(growth, 3)}
+
+
+def routing(
+    *,
+    entries: str = '4,40',
+    endpoints: int = 40,
+    lag_s: float = 0.5,
+    service_s: float = 1.0,
+    use: float = 0.7,
+    seed: int = 1,
+) -> None:
+    """Compare policies on the same calls as the entries grow.
+
+    :param entries: numbers of entries, with commas
+    :param endpoints: how many endpoints
+    :param lag_s: how late an endpoint's report comes
+    :param service_s: mean seconds a call takes
+    :param use: offered load by capacity
+    :param seed: seed of the calls
+    """
+    sizes = [int(one) for one in entries.split(',')]
+    options = {
+        'endpoints': endpoints,
+        'lag_s': lag_s,
+        'service_s': service_s,
+        'use': use,
+        'seed': seed,
+    }
+    json.dump(dict(_rows(sizes, options)), sys.stdout)
+    sys.stdout.write('\n')
--- a/src/linnetwood/options.py
+++ b/src/linnetwood/options.py
@@ -64,11 +64,12 @@
     queue_wait_s: float = at_least(0, 2.0)
     drain_limit_s: float = at_least(0, 60.0)
     routing: str = one_of(
+        'probing',
         'two_choices',
         'least_known_load',
         'round_robin',
         'random',
-        default='two_choices',
+        default='probing',
     )
     gossiping: Gossiping = Gossiping()
     watching: Watching = Watching()
--- a/src/linnetwood/routing.py
+++ b/src/linnetwood/routing.py
@@ -1,6 +1,7 @@
 """Decide which endpoint a call goes to; no I/O, clock or chance inside."""
 
 import dataclasses
+import math
 from collections.abc import Callable, Collection, Mapping
 from random import Random
 from types import MappingProxyType
@@ -15,6 +16,8 @@
 _SUSPECT_PENALTY = 2.0
 _FAILED_PENALTY = 2.0
 _FAILED_FOR_S = 2.0
+_FRESH_NEEDED = 2
+FRESH_S = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -26,6 +29,7 @@
 
     member: Member
     load: float
+    fresh: bool = False
 
 
 class Policy(Protocol):
@@ -66,6 +70,28 @@
         return rng.choice([one for one in candidates if one.load == lowest])
 
 
+class Probing:
+    """Choose the less loaded of two of those heard from within a second.
+
+    Each call asks one endpoint at random for its load, so an entry knows a
+    few loads that are fresh, and no two entries know the same few; asking
+    ahead of the choice is the idea of Prequal (Wydrowski and others, NSDI
+    2024). The least loaded of all the fresh would draw every call until the
+    next report, which measured worse than chance.
+    """
+
+    def __init__(self) -> None:
+        """Fall back on two choices while little is known."""
+        self._fallback = TwoChoices()
+
+    def choose(self, candidates: list[Candidate], rng: Random) -> Candidate:
+        """Give the best of the fresh ones."""
+        fresh = [one for one in candidates if one.fresh]
+        if len(fresh) < _FRESH_NEEDED:
+            return self._fallback.choose(candidates, rng)
+        return self._fallback.choose(fresh, rng)
+
+
 class TwoChoices:
     """Choose the less loaded of two at random, so that entries don't herd."""
 
@@ -77,6 +103,7 @@
 
 POLICIES: Final[Mapping[str, Callable[[], Policy]]] = MappingProxyType(
     {
+        'probing': Probing,
         'two_choices': TwoChoices,
         'least_known_load': LeastKnownLoad,
         'round_robin': RoundRobin,
@@ -94,13 +121,25 @@
     """
 
     reported: int = 0
-    reported_at: float = 0
+    reported_at: float = -math.inf
     sent_at_report: int = 0
     sent: int = 0
     failed_at: float = -_FAILED_FOR_S
 
-    def estimate(self) -> int:
+    def report(self, in_flight: int, now: float) -> None:
+        """Take in the endpoint's own count."""
+        self.reported = in_flight
+        self.reported_at = now
+        self.sent_at_report = self.sent
+
+    def fresh(self, now: float) -> bool:
+        """Tell whether the report is worth more than none."""
+        return now - self.reported_at < FRESH_S
+
+    def estimate(self, now: float) -> int:
         """Correct the report by what this entry began and ended since."""
+        if not self.fresh(now):
+            return self.sent
         return max(self.sent, self.reported + self.sent - self.sent_at_report)
 
 
@@ -179,17 +218,24 @@
         now: float,
     ) -> Member | None:
         """Give the endpoint for a call, or None when there is none."""
+        able = self._candidates(want, tried)
+        if not able:
+            return None
+        candidates = [self._candidate(member, now) for member in able]
+        return self._policy.choose(candidates, self._rng).member
+
+    def sample(self, want: Want) -> Member | None:
+        """Give an endpoint at random to ask for its load."""
+        able = self._candidates(want, ())
+        return self._rng.choice(able) if able else None
+
+    def _candidates(self, want: Want, tried: Collection[str]) -> list[Member]:
         able = [
             member
             for member in self._members.values()
             if member.vm not in tried and _able(member, want)
         ]
-        if want.model:
-            able = self._serving(want.model, able)
-        if not able:
-            return None
-        candidates = [self._candidate(member, now) for member in able]
-        return self._policy.choose(candidates, self._rng).member
+        return self._serving(want.model, able) if want.model else able
 
     def _serving(self, model: str, able: list[Member]) -> list[Member]:
         wanted = self._wanted.get(model, set())
@@ -202,14 +248,14 @@
 
     def _candidate(self, member: Member, now: float) -> Candidate:
         record = self.load(member.vm)
-        load = record.estimate() / max(1, member.slots)
+        load = record.estimate(now) / max(1, member.slots)
         if member.availability_zone != self._zone:
             load += _FAR_PENALTY
         if member.status == Health.SUSPECT:
             load += _SUSPECT_PENALTY
         if now - record.failed_at < _FAILED_FOR_S:
             load += _FAILED_PENALTY
-        return Candidate(member, load)
+        return Candidate(member, load, record.fresh(now))
 
 
 def _able(member: Member, want: Want) -> bool:
--- a/src/linnetwood/watching.py
+++ b/src/linnetwood/watching.py
@@ -14,10 +14,9 @@
 from linnetwood.gen.wire.ttypes import (
     ConfigReply,
     ConfigRequest,
-    HeldNotice,
     Member,
 )
-from linnetwood.gossip import Address, GossipTask
+from linnetwood.gossip import Address, GossipTask, Listener
 from linnetwood.members import Health, place_hash
 from linnetwood.store import KeyValue, Stored
 from linnetwood.wire import Dialler
@@ -52,7 +51,7 @@
     return sorted(able, key=lambda vm: place_hash(f'watch|{vm}'))[:count]
 
 
-class ConfigTask:
+class ConfigTask(Listener):
     """Hold the configuration in force, which only moves forward."""
 
     def __init__(
@@ -111,12 +110,6 @@
         for listener in self._listeners:
             listener(arrived)
 
-    def member_changed(self, member: Member) -> None:
-        """Take no notice: watchers are worked out afresh each time."""
-
-    def chunks_noticed(self, notice: HeldNotice) -> None:
-        """Take no notice."""
-
     def revision_seen(self, revision: int, source: Address) -> None:
         """Fetch a newer revision from the process that has it."""
         if revision <= self.standing.revision:
