Sample the progress of a rollout instead of telling it to all

Cause: each VM told about seven statements in a rollout to every process; at 2,300 VMs a node would receive about 6 MB in three minutes, five times its budget (computed). One statement a VM for a first load, three for a change of version. Before: seven statements a VM. After: one to three (by the code; the bytes at that size are computed, not measured).

--- a/src/linnetwood/agent.py
+++ b/src/linnetwood/agent.py
@@ -9,10 +9,11 @@
 from linnetwood.errors import LinnetwoodError, OrderError, WeightsError
 from linnetwood.events import Event, log
 from linnetwood.gen.schema.ttypes import Configuration, Intent
-from linnetwood.gen.wire.ttypes import HeldNotice, Member
+from linnetwood.gen.wire.ttypes import HeldNotice, Member, TransferProgress
 from linnetwood.gossip import Address, GossipTask, Listener
 from linnetwood.guard import Guard
 from linnetwood.neighbours import neighbours
+from linnetwood.options import Transfer
 from linnetwood.orders import LoadOrder, Orders, chunks_digest, next_fence
 from linnetwood.pauses import PauseWatch
 from linnetwood.staging import Staging
@@ -30,7 +31,6 @@
 _WAKE_S = 0.5
 _NOTICE_REFRESH_S = 0.5
 _MANIFEST_PAUSE_S = 0.03
-_STEPS_TOLD = 4
 _CHECK_EVERY_S = 1.0
 _TAKEOVER_BASE_S = 1.0
 
@@ -65,7 +65,6 @@
         self._wake = asyncio.Event()
         self._changed = True
         self._assigned: list[str] = []
-        self._told = -1
         self._staging: Staging | None = None
         self._noticed = (0, float())
         self._checked_at = float()
@@ -90,6 +89,15 @@
             await self.download.close()
         self._tools.fetcher.close()
 
+    def progress(self) -> TransferProgress:
+        """Tell how far the transfer is."""
+        download = self.download
+        return TransferProgress(
+            wanted=self.target.label if self.target else '',
+            held=download.swarm.held.bit_count() if download else 0,
+            total=download.swarm.count if download else 0,
+        )
+
     def configured(self, configuration: Configuration) -> None:
         """Take in a newer configuration."""
         self._configuration = configuration
@@ -185,12 +193,8 @@
             log(Event.TRANSFER_DROPPED, manifest=self.download.name)
         self.download = None
         self._staging = None
-        self._told = -1
-        self._gossip.restate(
-            wanted=target.label if target else '',
-            held=0,
-            total=0,
-        )
+        if self._gossip.me.wanted:
+            self._gossip.restate(wanted='', held=0, total=0)
 
     async def _begin(self, target: Target) -> None:
         if await self._believe_engine(target):
@@ -237,7 +241,9 @@
             return known
         ring = Ring(target.manifest, self._assigned)
         me = self._gossip.me.vm
-        policy = SharedReading(me, ring, 0, self._swarm_options(1))
+        policy = SharedReading(
+            me, ring, 0, swarm_options(self._tools.cfg, len(self._assigned), 1)
+        )
         started = self._tools.clock.now()
         while self.target is target and not self._changed:
             due = policy.due_at(chunks.MANIFEST_INDEX, started)
@@ -277,7 +283,11 @@
             manifest,
             self._tools,
             self._policy(target.manifest, manifest),
-            self._swarm_options(manifest.chunk_bytes),
+            swarm_options(
+                self._tools.cfg,
+                len(self._assigned),
+                manifest.chunk_bytes,
+            ),
         )
 
     def _policy(
@@ -290,24 +300,12 @@
         if self._tools.cfg.reading == 'direct':
             return DirectReading(count)
         ring = Ring(name, self._assigned)
-        cfg = self._swarm_options(manifest.chunk_bytes)
-        return SharedReading(self._gossip.me.vm, ring, count, cfg, before)
-
-    def _swarm_options(self, chunk_bytes: int) -> SwarmOptions:
-        cfg = self._tools.cfg
-        chunk_origin_s = chunk_bytes / cfg.origin_bytes_per_s
-        link_rate = cfg.link_bytes_per_s or cfg.origin_bytes_per_s
-        hops = math.log2(len(self._assigned) + 1) + cfg.window
-        takeover_s = (
-            _TAKEOVER_BASE_S + hops * cfg.window * chunk_bytes / link_rate
-        )
-        return SwarmOptions(
-            window=cfg.window,
-            queue_limit=cfg.upload_queue,
-            chunk_origin_s=chunk_origin_s,
-            takeover_s=takeover_s,
-            request_timeout_s=takeover_s,
+        cfg = swarm_options(
+            self._tools.cfg,
+            len(self._assigned),
+            manifest.chunk_bytes,
         )
+        return SharedReading(self._gossip.me.vm, ring, count, cfg, before)
 
     def _neighbour_members(self) -> list[Member]:
         me = self._gossip.me.vm
@@ -346,7 +344,6 @@
             await asyncio.sleep(self._tools.cfg.notice_every_s)
             if self.download is not None:
                 self._notice(self.download)
-                self._restate_progress(self.download)
             if self._staging is not None and await self._staging.hand_over():
                 self._wake.set()
 
@@ -364,13 +361,6 @@
         )
         self._gossip.tell_held(self._neighbour_members(), notice)
 
-    def _restate_progress(self, download: Download) -> None:
-        held = download.swarm.held.bit_count()
-        step = held * _STEPS_TOLD // max(1, download.swarm.count)
-        if step != self._told:
-            self._told = step
-            self._gossip.restate(held=held, total=download.swarm.count)
-
     async def _put_in_service(
         self,
         target: Target,
@@ -380,9 +370,7 @@
         await staging.hand_over()
         if not staging.complete:
             return
-        members = list(self._gossip.members.values())
-        me = self._gossip.me
-        if me.serving and not placement.may_load(me.vm, target.intent, members):
+        if self._gossip.me.serving and not self._turn_to_load(target):
             return
         if not self._tools.store.whole(download.manifest):
             raise WeightsError('whole-digest-differs', target.label)
@@ -400,6 +388,18 @@
             **dataclasses.asdict(self._tools.tally),
         )
 
+    def _turn_to_load(self, target: Target) -> bool:
+        if self._gossip.me.wanted != target.label:
+            # Only now do the others need to know that this VM holds it all.
+            self._state_complete(target.label)
+        members = self._gossip.members.values()
+        me = self._gossip.me.vm
+        return placement.may_load(me, target.intent, members)
+
+    def _state_complete(self, label: str, **more: str) -> None:
+        total = self.download.swarm.count if self.download else 1
+        self._gossip.restate(wanted=label, held=total, total=total, **more)
+
     async def _take_out_of_service(self) -> None:
         self._guard.state.loading = True
         self._guard.state.serving = ''
@@ -424,6 +424,18 @@
     def _serve(self, label: str) -> None:
         self._guard.state.serving = label
         self._guard.state.loading = False
-        download = self.download
-        total = download.swarm.count if download else 1
-        self._gossip.restate(serving=label, held=total, total=total)
+        self._state_complete(label, serving=label)
+
+
+def swarm_options(cfg: Transfer, vms: int, chunk_bytes: int) -> SwarmOptions:
+    """Size the windows of a transfer from fleet, chunk and rate."""
+    link_rate = cfg.link_bytes_per_s or cfg.origin_bytes_per_s
+    hops = math.log2(vms + 1) + cfg.window
+    takeover_s = _TAKEOVER_BASE_S + hops * cfg.window * chunk_bytes / link_rate
+    return SwarmOptions(
+        window=cfg.window,
+        queue_limit=cfg.upload_queue,
+        chunk_origin_s=chunk_bytes / cfg.origin_bytes_per_s,
+        takeover_s=takeover_s,
+        request_timeout_s=takeover_s,
+    )
--- a/src/linnetwood/endpoint.py
+++ b/src/linnetwood/endpoint.py
@@ -10,7 +10,7 @@
 from linnetwood.clock import SystemClock
 from linnetwood.events import Event, log
 from linnetwood.frames import Frame, FrameKind, FrameStream
-from linnetwood.gen.wire.ttypes import DrainOrder, Member
+from linnetwood.gen.wire.ttypes import DrainOrder, Member, TransferProgress
 from linnetwood.gossip import Listener
 from linnetwood.guard import Guard, GuardState
 from linnetwood.http import open_client
@@ -66,6 +66,7 @@
                 FrameKind.START: self.guard.serve,
                 FrameKind.CHUNK_REQUEST: self._uploads.serve,
                 FrameKind.DRAIN: self._serve_drain,
+                FrameKind.PROGRESS_REQUEST: self._serve_progress,
             },
         )
         self.node.gossip.listen(self)
@@ -148,6 +149,12 @@
         self.drain()
         await stream.write(FrameKind.DONE, b'')
 
+    async def _serve_progress(self, stream: FrameStream, frame: Frame) -> None:
+        progress = TransferProgress(wanted='', held=0, total=0)
+        if self.agent is not None:
+            progress = self.agent.progress()
+        await stream.write(FrameKind.PROGRESS_REPLY, codec.encode(progress))
+
     async def _advance_epochs(self) -> None:
         while True:
             await asyncio.sleep(_EPOCH_CHECK_S)
--- a/src/linnetwood/frames.py
+++ b/src/linnetwood/frames.py
@@ -34,6 +34,8 @@
     CONFIG_REPLY = 11
     DRAIN = 12
     DONE = 13
+    PROGRESS_REQUEST = 14
+    PROGRESS_REPLY = 15
 
 
 # Looking a kind up here costs a third of what the enumeration's call does.
--- a/src/linnetwood/gen/schema/ttypes.py
+++ b/src/linnetwood/gen/schema/ttypes.py
@@ -1496,7 +1496,7 @@
      - replicas_wanted
      - replicas_complete
      - fraction_held
-     - chunks_per_s
+     - replicas_per_s
      - estimate_s
      - deadline_s
      - at_risk
@@ -1510,7 +1510,7 @@
         'replicas_wanted',
         'replicas_complete',
         'fraction_held',
-        'chunks_per_s',
+        'replicas_per_s',
         'estimate_s',
         'deadline_s',
         'at_risk',
@@ -1518,13 +1518,13 @@
     )
 
 
-    def __init__(self, model=None, version=None, replicas_wanted=None, replicas_complete=None, fraction_held=None, chunks_per_s=None, estimate_s=None, deadline_s=None, at_risk=None, cause="",):
+    def __init__(self, model=None, version=None, replicas_wanted=None, replicas_complete=None, fraction_held=None, replicas_per_s=None, estimate_s=None, deadline_s=None, at_risk=None, cause="",):
         self.model = model
         self.version = version
         self.replicas_wanted = replicas_wanted
         self.replicas_complete = replicas_complete
         self.fraction_held = fraction_held
-        self.chunks_per_s = chunks_per_s
+        self.replicas_per_s = replicas_per_s
         self.estimate_s = estimate_s
         self.deadline_s = deadline_s
         self.at_risk = at_risk
@@ -1566,7 +1566,7 @@
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.DOUBLE:
-                    self.chunks_per_s = iprot.readDouble()
+                    self.replicas_per_s = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
             elif fid == 7:
@@ -1619,9 +1619,9 @@
             oprot.writeFieldBegin('fraction_held', TType.DOUBLE, 5)
             oprot.writeDouble(self.fraction_held)
             oprot.writeFieldEnd()
-        if self.chunks_per_s is not None:
-            oprot.writeFieldBegin('chunks_per_s', TType.DOUBLE, 6)
-            oprot.writeDouble(self.chunks_per_s)
+        if self.replicas_per_s is not None:
+            oprot.writeFieldBegin('replicas_per_s', TType.DOUBLE, 6)
+            oprot.writeDouble(self.replicas_per_s)
             oprot.writeFieldEnd()
         if self.estimate_s is not None:
             oprot.writeFieldBegin('estimate_s', TType.DOUBLE, 7)
@@ -1653,8 +1653,8 @@
             raise TProtocolException(message='Required field replicas_complete is unset!')
         if self.fraction_held is None:
             raise TProtocolException(message='Required field fraction_held is unset!')
-        if self.chunks_per_s is None:
-            raise TProtocolException(message='Required field chunks_per_s is unset!')
+        if self.replicas_per_s is None:
+            raise TProtocolException(message='Required field replicas_per_s is unset!')
         if self.estimate_s is None:
             raise TProtocolException(message='Required field estimate_s is unset!')
         if self.deadline_s is None:
@@ -2104,7 +2104,7 @@
     (3, TType.I32, 'replicas_wanted', None, None, ),  # 3
     (4, TType.I32, 'replicas_complete', None, None, ),  # 4
     (5, TType.DOUBLE, 'fraction_held', None, None, ),  # 5
-    (6, TType.DOUBLE, 'chunks_per_s', None, None, ),  # 6
+    (6, TType.DOUBLE, 'replicas_per_s', None, None, ),  # 6
     (7, TType.DOUBLE, 'estimate_s', None, None, ),  # 7
     (8, TType.DOUBLE, 'deadline_s', None, None, ),  # 8
     (9, TType.BOOL, 'at_risk', None, None, ),  # 9
--- a/src/linnetwood/gen/schema/ttypes.pyi
+++ b/src/linnetwood/gen/schema/ttypes.pyi
@@ -87,12 +87,12 @@
     replicas_wanted: int
     replicas_complete: int
     fraction_held: float
-    chunks_per_s: float
+    replicas_per_s: float
     estimate_s: float
     deadline_s: float
     at_risk: bool
     cause: str
-    def __init__(self, model: str = ..., version: str = ..., replicas_wanted: int = ..., replicas_complete: int = ..., fraction_held: float = ..., chunks_per_s: float = ..., estimate_s: float = ..., deadline_s: float = ..., at_risk: bool = ..., cause: str = ...) -> None: ...
+    def __init__(self, model: str = ..., version: str = ..., replicas_wanted: int = ..., replicas_complete: int = ..., fraction_held: float = ..., replicas_per_s: float = ..., estimate_s: float = ..., deadline_s: float = ..., at_risk: bool = ..., cause: str = ...) -> None: ...
 class Status:
     vm: str
     availability_zone: str
--- a/src/linnetwood/gen/wire/ttypes.py
+++ b/src/linnetwood/gen/wire/ttypes.py
@@ -1546,6 +1546,106 @@
         return not (self == other)
 
 
+class TransferProgress(object):
+    """
+    How far a VM's transfer is; asked of a few VMs only when an operator asks.
+
+    Attributes:
+     - wanted
+     - held
+     - total
+
+    """
+
+    __slots__ = (
+        'wanted',
+        'held',
+        'total',
+    )
+
+
+    def __init__(self, wanted=None, held=None, total=None,):
+        self.wanted = wanted
+        self.held = held
+        self.total = total
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.wanted = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.held = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.total = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('TransferProgress')
+        if self.wanted is not None:
+            oprot.writeFieldBegin('wanted', TType.STRING, 1)
+            oprot.writeString(self.wanted.encode('utf-8') if sys.version_info[0] == 2 else self.wanted)
+            oprot.writeFieldEnd()
+        if self.held is not None:
+            oprot.writeFieldBegin('held', TType.I32, 2)
+            oprot.writeI32(self.held)
+            oprot.writeFieldEnd()
+        if self.total is not None:
+            oprot.writeFieldBegin('total', TType.I32, 3)
+            oprot.writeI32(self.total)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.wanted is None:
+            raise TProtocolException(message='Required field wanted is unset!')
+        if self.held is None:
+            raise TProtocolException(message='Required field held is unset!')
+        if self.total is None:
+            raise TProtocolException(message='Required field total is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class DrainOrder(object):
     """
     Attributes:
@@ -1727,6 +1827,13 @@
     (1, TType.I64, 'revision', None, None, ),  # 1
     (2, TType.STRING, 'encoded', 'BINARY', b"", ),  # 2
 )
+all_structs.append(TransferProgress)
+TransferProgress.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'wanted', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'held', None, None, ),  # 2
+    (3, TType.I32, 'total', None, None, ),  # 3
+)
 all_structs.append(DrainOrder)
 DrainOrder.thrift_spec = (
     None,  # 0
--- a/src/linnetwood/gen/wire/ttypes.pyi
+++ b/src/linnetwood/gen/wire/ttypes.pyi
@@ -87,6 +87,11 @@
     revision: int
     encoded: bytes
     def __init__(self, revision: int = ..., encoded: bytes = ...) -> None: ...
+class TransferProgress:
+    wanted: str
+    held: int
+    total: int
+    def __init__(self, wanted: str = ..., held: int = ..., total: int = ...) -> None: ...
 class DrainOrder:
     operator_name: str
     def __init__(self, operator_name: str = ...) -> None: ...
--- a/src/linnetwood/idl/linnetwood.thrift
+++ b/src/linnetwood/idl/linnetwood.thrift
@@ -115,7 +115,7 @@
   3: required i32 replicas_wanted,
   4: required i32 replicas_complete,
   5: required double fraction_held,
-  6: required double chunks_per_s,
+  6: required double replicas_per_s,
   7: required double estimate_s,
   8: required double deadline_s,
   9: required bool at_risk,
--- a/src/linnetwood/idl/wire.thrift
+++ b/src/linnetwood/idl/wire.thrift
@@ -110,6 +110,13 @@
   2: binary encoded = ""
 }
 
+/** How far a VM's transfer is; asked of a few VMs only when an operator asks. */
+struct TransferProgress {
+  1: required string wanted,
+  2: required i32 held,
+  3: required i32 total
+}
+
 struct DrainOrder {
   1: required string operator_name
 }
--- a/src/linnetwood/operators.py
+++ b/src/linnetwood/operators.py
@@ -31,7 +31,8 @@
 from linnetwood.gen.wire.ttypes import DrainOrder, Member
 from linnetwood.members import ENDPOINT, ENTRY, Health, usable
 from linnetwood.node import Node
-from linnetwood.progress import Progress
+from linnetwood.progress import Instant, Progress
+from linnetwood.sampling import Sampler
 from linnetwood.sizes import MIB
 
 _LENGTH_BYTES = 4
@@ -53,6 +54,7 @@
         """Work with the parts of the entry."""
         self._node = node
         self._progress = Progress()
+        self._sampler = Sampler(node.dialler, node.rng)
         self._changes = Changes(node.store, node.clock, node.config.adopt)
 
     async def apply(
@@ -128,11 +130,12 @@
         """Give the fleet and its rollouts as this entry sees them."""
         members = self._members()
         me = self._node.gossip.me
+        clock = self._node.clock
         rollouts = self._progress.report(
             self._node.config.deployment,
             members,
-            self._node.clock.now(),
-            self._node.clock.wall(),
+            await self._sampler.sample(self._node.config.deployment, members),
+            Instant(clock.now(), clock.wall()),
         )
         return Status(
             vm=me.vm,
--- a/src/linnetwood/progress.py
+++ b/src/linnetwood/progress.py
@@ -1,7 +1,8 @@
 """Work out how a rollout gets on and whether the burst is at risk."""
 
+import dataclasses
 from collections import deque
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 
 from linnetwood.gen.schema.ttypes import Deployment, Intent, RolloutStatus
 from linnetwood.gen.wire.ttypes import Member
@@ -13,6 +14,14 @@
 _MIN_SPAN_S = 0.2
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Instant:
+    """One moment on both clocks, in seconds."""
+
+    now: float
+    wall: float
+
+
 class Progress:
     """Keep a few samples of each rollout and draw the line through them."""
 
@@ -24,40 +33,43 @@
         self,
         deployment: Deployment,
         members: list[Member],
-        now: float,
-        wall: float,
+        sampled: Mapping[str, float],
+        at: Instant,
     ) -> Iterator[RolloutStatus]:
-        """Yield the state of each intent."""
+        """Yield the state of each intent.
+
+        What a few VMs said of their transfers, as fractions by VM, stands for
+        all that are not complete.
+        """
         chosen = assign(deployment, members)
         by_name = {member.vm: member for member in members}
         for intent in deployment.intents:
             assigned = [
                 by_name[vm] for vm, one in chosen.items() if one is intent
             ]
-            yield self._one(intent, assigned, now, wall)
+            yield self._one(intent, assigned, sampled, at)
 
     def _one(
         self,
         intent: Intent,
         assigned: list[Member],
-        now: float,
-        wall: float,
+        sampled: Mapping[str, float],
+        at: Instant,
     ) -> RolloutStatus:
         wanted = label(intent.model, intent.version)
         complete = sum(1 for member in assigned if _serves(member, wanted))
-        fraction = _fraction(intent, assigned, wanted)
-        rate = self._rate(wanted, fraction, now)
+        fraction = _fraction(intent, assigned, sampled)
+        rate = self._rate(wanted, fraction, at.now)
         estimate = _estimate(fraction, rate)
-        deadline = _deadline(intent, wall)
+        deadline = _deadline(intent, at.wall)
         cause = _cause(intent, assigned, complete, estimate, deadline)
-        total = max((member.total for member in assigned), default=0)
         return RolloutStatus(
             model=intent.model,
             version=intent.version,
             replicas_wanted=intent.replicas,
             replicas_complete=complete,
             fraction_held=fraction,
-            chunks_per_s=rate * total * intent.replicas,
+            replicas_per_s=rate * intent.replicas,
             estimate_s=estimate,
             deadline_s=deadline,
             at_risk=bool(cause),
@@ -78,16 +90,28 @@
     return member.serving == wanted and member.status != Health.DEAD
 
 
-def _fraction(intent: Intent, assigned: list[Member], wanted: str) -> float:
+def waiting(intent: Intent, assigned: list[Member]) -> list[Member]:
+    """Give the assigned VMs that do not hold the whole version yet."""
+    wanted = label(intent.model, intent.version)
+    return [
+        member
+        for member in assigned
+        if wanted not in {member.serving, member.wanted}
+    ]
+
+
+def _fraction(
+    intent: Intent,
+    assigned: list[Member],
+    sampled: Mapping[str, float],
+) -> float:
     if not intent.replicas:
-        return 1.0
-    held = float()
-    for member in assigned:
-        if member.serving == wanted:
-            held += 1
-        elif member.wanted == wanted and member.total:
-            held += member.held / member.total
-    return min(1.0, held / intent.replicas)
+        return 1
+    open_vms = waiting(intent, assigned)
+    known = [sampled[one.vm] for one in open_vms if one.vm in sampled]
+    mean = sum(known) / len(known) if known else 0
+    held = len(assigned) - len(open_vms) + mean * len(open_vms)
+    return min(1, held / intent.replicas)
 
 
 def _estimate(fraction: float, rate: float) -> float:
--- a/src/linnetwood/show.py
+++ b/src/linnetwood/show.py
@@ -71,7 +71,7 @@
         f'{found.model} {found.version}: '
         f'{found.replicas_complete} of {found.replicas_wanted} complete, '
         f'{found.fraction_held * _PERCENT:.0f}% held, '
-        f'{found.chunks_per_s:.1f} chunks/s'
+        f'{found.replicas_per_s:.2f} replicas/s'
     )
     if found.estimate_s >= 0:
         line = f'{line}, about {found.estimate_s:.0f} s to go'
