Run links under TLS with client certificates and sealed datagrams

Cause: anybody who reached a port could give orders, news or configuration. Change: trust settings that must be given; TLS 1.3 between processes and from operators, roles from certificates, a keyed seal on gossip; SIGHUP reads the files again. A failed handshake with the operators' port raised an unhandled error; found by the test with strangers and mended. Before: no trust. After: a stranger's certificate, no certificate and a plain process get nothing (tests); cost not measured yet.

--- a/src/linnetwood/cli.py
+++ b/src/linnetwood/cli.py
@@ -1,6 +1,7 @@
 """The operators' command line: linnetwood."""
 
 import getpass
+import os
 import sys
 import time
 import uuid
@@ -13,7 +14,12 @@
 
 from linnetwood import schema, show
 from linnetwood.client import OperatorClient
-from linnetwood.errors import LinnetwoodError, SchemaError, UsageError
+from linnetwood.errors import (
+    LinnetwoodError,
+    SchemaError,
+    SettingsError,
+    UsageError,
+)
 from linnetwood.gen.schema.ttypes import (
     Answer,
     Intent,
@@ -30,6 +36,8 @@
 EXIT_UNREACHABLE = 4
 EXIT_AT_RISK = 5
 DEFAULT_ENTRY = '127.0.0.1:7700'
+# Names a folder with cert.pem, key.pem and ca.pem; unset means plain mode.
+TLS_FOLDER = 'LINNETWOOD_TLS'
 _POLL_S = 0.5
 _WORDS = MappingProxyType({'time': Weigh.TIME, 'origin': Weigh.ORIGIN})
 
@@ -150,7 +158,7 @@
     :param json: print JSON
     """
     last: RolloutStatus | None = None
-    with OperatorClient(entry) as calls:
+    with _client(entry) as calls:
         for found in _follow(calls, model, wait):
             _print(found, (show.rollout(found),), json)
             last = found
@@ -200,7 +208,7 @@
     :param entry: operators' address of an entry
     :param json: print JSON
     """
-    with OperatorClient(entry) as calls:
+    with _client(entry) as calls:
         return _answered(calls.settle(operation), json)
 
 
@@ -210,7 +218,7 @@
     :param entry: operators' address of an entry
     :param json: print JSON
     """
-    with OperatorClient(entry) as calls:
+    with _client(entry) as calls:
         found = calls.endpoints()
     return _print(found, map(show.endpoint, found), json)
 
@@ -221,7 +229,7 @@
     :param vm: the endpoint's VM
     :param entry: operators' address of an entry
     """
-    with OperatorClient(entry) as calls:
+    with _client(entry) as calls:
         calls.drain(vm, getpass.getuser())
     return _print(None, (f'{vm} is leaving',), as_json=False)
 
@@ -232,7 +240,7 @@
     :param entry: operators' address of an entry
     :param json: print JSON
     """
-    with OperatorClient(entry) as calls:
+    with _client(entry) as calls:
         found = calls.status()
     return _print(found, show.status(found), json)
 
@@ -242,7 +250,7 @@
 
     :param entry: operators' address of an entry
     """
-    with OperatorClient(entry) as calls:
+    with _client(entry) as calls:
         return _print(calls.configuration(), (), as_json=True)
 
 
@@ -252,11 +260,15 @@
     :param entry: operators' address of an entry
     :param json: print JSON
     """
-    with OperatorClient(entry) as calls:
+    with _client(entry) as calls:
         found = calls.configuration()
     return _print(found.history, show.history(found), json)
 
 
+def _client(entry: str) -> OperatorClient:
+    return OperatorClient(entry, os.environ.get(TLS_FOLDER, ''))
+
+
 def _follow(calls: Any, model: str, wait: bool) -> Iterator[RolloutStatus]:
     while True:
         rollouts = calls.status().rollouts
@@ -276,7 +288,7 @@
     as_json: bool,
     act: Callable[[Any, int], Answer],
 ) -> int:
-    with OperatorClient(entry) as calls:
+    with _client(entry) as calls:
         revision = base if base >= 0 else calls.configuration().revision
         return _answered(act(calls, revision), as_json)
 
@@ -322,7 +334,7 @@
     """Run one command and give its exit code."""
     try:
         return int(defopt.run(dict(COMMANDS), argv=argv, no_negated_flags=True))
-    except (SchemaError, UsageError) as exc:
+    except (SchemaError, SettingsError, UsageError) as exc:
         return _complain(str(exc), EXIT_BAD_INPUT)
     except Refusal as exc:
         return _complain(f'{exc.code}: {exc.detail}', EXIT_REFUSED)
--- a/src/linnetwood/daemon.py
+++ b/src/linnetwood/daemon.py
@@ -10,6 +10,7 @@
 from linnetwood import settings
 from linnetwood.errors import LinnetwoodError
 from linnetwood.events import Event, log, open_log
+from linnetwood.trust import Keys
 
 EXIT_OK = 0
 EXIT_FAILED = 1
@@ -35,6 +36,7 @@
     args = parser.parse_args()
     try:
         cfg: Any = settings.load(options, args.settings)
+        Keys(cfg.trust)
     except LinnetwoodError as exc:
         sys.stderr.write(f'{name}: {exc}\n')
         log(Event.SETTINGS_REFUSED, code=exc.code)
--- a/src/linnetwood/endpoint.py
+++ b/src/linnetwood/endpoint.py
@@ -23,6 +23,7 @@
 from linnetwood.origin import HttpWeightStore
 from linnetwood.placement import ENGINE_KIND
 from linnetwood.transfer import Fetcher, Tally, Tools, Uploads
+from linnetwood.trust import Keys
 
 _ORIGIN_TIMEOUT_S = 120.0
 _EPOCH_CHECK_S = 1.0
@@ -42,6 +43,7 @@
             cfg.watching,
             _introduce(cfg),
             open_client(_MAX_CLIENTS),
+            Keys(cfg.trust),
         )
         self.tally = Tally()
         self.guard = self._build_guard()
@@ -179,7 +181,7 @@
     """Fetch and serve weights, order the VM's engine, guard its calls."""
     endpoint = Endpoint(cfg)
     await endpoint.start()
-    await until_told()
+    await until_told(endpoint.node.keys)
     log(Event.STOPPING)
     await endpoint.close()
 
--- a/src/linnetwood/entry.py
+++ b/src/linnetwood/entry.py
@@ -21,6 +21,7 @@
 from linnetwood.operators import OperatorCalls, OperatorServer
 from linnetwood.options import EntryOptions
 from linnetwood.routing import POLICIES, Routes
+from linnetwood.trust import Keys
 
 _DRAIN_CHECK_S = 0.05
 _MAX_CLIENTS = 16
@@ -39,6 +40,7 @@
             cfg.watching,
             introduce(cfg.place, ENTRY, SystemClock()),
             open_small_client(_MAX_CLIENTS),
+            Keys(cfg.trust),
         )
         self.routes = Routes(
             cfg.place.availability_zone,
@@ -71,7 +73,10 @@
             callers.application(self.desk, self),
             max_body_size=callers.MAX_BODY,
         )
-        self._operators = OperatorServer(OperatorCalls(self.node))
+        self._operators = OperatorServer(
+            OperatorCalls(self.node),
+            self.node.keys.server,
+        )
 
     async def start(self) -> None:
         """Join the others and begin to serve callers and operators."""
@@ -135,7 +140,7 @@
     """Answer callers and operators on an entry VM."""
     entry = Entry(cfg)
     await entry.start()
-    await until_told()
+    await until_told(entry.node.keys)
     log(Event.STOPPING)
     await entry.close()
 
--- a/src/linnetwood/events.py
+++ b/src/linnetwood/events.py
@@ -44,6 +44,8 @@
     KEYS_FORGOTTEN = 6004
     FRAME_REFUSED = 7001
     METRICS_UNREACHABLE = 7002
+    KEYS_RELOADED = 7003
+    KEYS_REFUSED = 7004
 
 
 _WARNINGS = frozenset(
@@ -58,6 +60,7 @@
         Event.ENGINE_UNREACHABLE,
         Event.CALL_CUT,
         Event.METRICS_UNREACHABLE,
+        Event.KEYS_REFUSED,
     ),
 )
 
--- a/src/linnetwood/fleet.py
+++ b/src/linnetwood/fleet.py
@@ -176,6 +176,7 @@
         settings = {
             'place': self._place(vm, number, port),
             'platform': self._platform(),
+            'trust': {'mode': 'plain'},
             'peers': self._peers(),
             'drain_limit_s': 20,
             'backend': {
@@ -203,6 +204,7 @@
         settings = {
             'place': self._place(vm, number, wire),
             'platform': self._platform(),
+            'trust': {'mode': 'plain'},
             'http_port': http,
             'operators_port': operators,
             'peers': self._peers(),
--- a/src/linnetwood/gossip.py
+++ b/src/linnetwood/gossip.py
@@ -15,6 +15,7 @@
 from linnetwood.members import Health
 from linnetwood.membership import BUCKETS, Membership, pick
 from linnetwood.options import Gossiping
+from linnetwood.trust import NoSeal, Seal
 
 _DATAGRAM = 1200
 _BATCH_S = 0.03
@@ -71,8 +72,10 @@
         cfg: Gossiping,
         clock: Clock,
         rng: Random,
+        seal: Seal | None = None,
     ) -> None:
         """Start nothing yet."""
+        self._seal: Seal = seal or NoSeal()
         self.membership = membership
         self.revision = 0
         self.sent_bytes = 0
@@ -199,8 +202,12 @@
     def datagram_received(self, received: bytes, addr: Any) -> None:
         """Take in one datagram; drop what is not one."""
         self.received_bytes += len(received) + _HEADER_BYTES
+        opened = self._seal.open(received)
+        if opened is None:
+            log(Event.DATAGRAM_DROPPED, code='bad-seal', source=str(addr))
+            return
         try:
-            gossip = decode(Gossip, received)
+            gossip = decode(Gossip, opened)
         except CodecError as exc:
             log(Event.DATAGRAM_DROPPED, code=exc.code, source=str(addr))
             return
@@ -333,7 +340,7 @@
     def _send_to(self, address: Address, gossip: Gossip) -> None:
         if self._transport is None or self._transport.is_closing():
             return
-        datagram = encode(gossip)
+        datagram = self._seal.close(encode(gossip))
         self.sent_bytes += len(datagram) + _HEADER_BYTES
         self._transport.sendto(datagram, address)
 
--- a/src/linnetwood/node.py
+++ b/src/linnetwood/node.py
@@ -9,6 +9,8 @@
 
 from linnetwood import codec
 from linnetwood.clock import Clock, SystemClock
+from linnetwood.errors import SettingsError
+from linnetwood.events import Event, log
 from linnetwood.frames import Frame, FrameKind, FrameStream
 from linnetwood.gen.wire.ttypes import ConfigRequest, Member
 from linnetwood.gossip import GossipTask
@@ -18,6 +20,7 @@
 from linnetwood.options import Gossiping, Place, Platform, Watching
 from linnetwood.store import HttpKeyValue
 from linnetwood.traces import Tracer, open_traces
+from linnetwood.trust import Keys
 from linnetwood.vmlist import HttpVmList, VmListTask
 from linnetwood.watching import ConfigTask
 from linnetwood.wire import FrameHandler, TcpDialler, WireServer
@@ -36,17 +39,20 @@
         watching: Watching,
         member: Member,
         client: AsyncHTTPClient,
+        keys: Keys,
     ) -> None:
         """Put the parts together; start nothing."""
         self.clock: Clock = SystemClock()
         self.rng = Random(f'{place.vm}|{member.incarnation}')
         self.client = client
-        self.dialler = TcpDialler()
+        self.keys = keys
+        self.dialler = TcpDialler(keys.client)
         self.gossip = GossipTask(
             Membership(member, gossiping, self.clock.now()),
             gossiping,
             self.clock,
             self.rng,
+            keys.seal,
         )
         self.store = HttpKeyValue(
             platform.kv_url,
@@ -88,6 +94,7 @@
         # Binding the one port of the slot keeps a second process out of it.
         await self._server.start(
             bind_sockets(self._place.wire_port, self._place.host),
+            self.keys.server,
         )
         await self.gossip.start(self._place.host, self._place.wire_port, peers)
         await self.config.start(self._platform.watch_wait_s)
@@ -132,10 +139,21 @@
     )
 
 
-async def until_told() -> None:
-    """Wait for a signal to stop."""
+async def until_told(keys: Keys) -> None:
+    """Wait for a signal to stop; read the keys again on SIGHUP."""
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGHUP, reload_keys, keys)
     for signum in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signum, stop.set)
     await stop.wait()
+
+
+def reload_keys(keys: Keys) -> None:
+    """Read the keys again, and go on with the old ones if they are no good."""
+    try:
+        keys.reload()
+    except SettingsError as exc:
+        log(Event.KEYS_REFUSED, code=exc.code, detail=exc.detail)
+        return
+    log(Event.KEYS_RELOADED)
--- a/src/linnetwood/operators.py
+++ b/src/linnetwood/operators.py
@@ -1,13 +1,14 @@
 """The operators' calls, as the schema file declares them."""
 
 import asyncio
+import ssl
 from collections.abc import Awaitable, Callable
 from typing import Any
 
 from thrift.protocol.TCompactProtocol import TCompactProtocolAcceleratedFactory
 from thrift.Thrift import TApplicationException, TException, TMessageType
 from thrift.transport.TTransport import TMemoryBuffer
-from tornado.iostream import IOStream, StreamClosedError
+from tornado.iostream import IOStream, SSLIOStream, StreamClosedError
 from tornado.tcpserver import TCPServer
 
 from linnetwood import codec
@@ -34,13 +35,21 @@
 from linnetwood.progress import Instant, Progress
 from linnetwood.sampling import Sampler
 from linnetwood.sizes import MIB
+from linnetwood.trust import OPERATE, READ, Operator, operator_of
 
 _LENGTH_BYTES = 4
 _MAX_CALL = 2 * MIB
 _ZONE_SILENT_S = 12.0
 _DRAIN_TIMEOUT_S = 2.0
+_READ_CALLS = frozenset(('settle', 'configuration', 'status', 'endpoints'))
 # What a malformed call makes the library raise.
-_CALL_ERRORS = (TException, LinnetwoodError, ValueError, EOFError)
+_CALL_ERRORS = (
+    TException,
+    LinnetwoodError,
+    ValueError,
+    EOFError,
+    ssl.SSLError,
+)
 _factory = TCompactProtocolAcceleratedFactory(
     string_length_limit=codec.MAX_STRING,
     container_length_limit=codec.MAX_ITEMS,
@@ -215,16 +224,21 @@
 class OperatorServer(TCPServer):
     """Serve framed Thrift calls, each by the method of its name."""
 
-    def __init__(self, calls: OperatorCalls) -> None:
-        """Serve these calls."""
-        super().__init__(max_buffer_size=_MAX_CALL)
+    def __init__(
+        self,
+        calls: OperatorCalls,
+        context: ssl.SSLContext | None = None,
+    ) -> None:
+        """Serve these calls; without a context, in plain mode."""
+        super().__init__(ssl_options=context, max_buffer_size=_MAX_CALL)
         self._calls = calls
 
     async def handle_stream(self, stream: IOStream, address: object) -> None:
         """Serve one connection, one call after another."""
         try:
+            operator = await _who(stream)
             while True:
-                await self._serve_one(stream)
+                await self._serve_one(stream, operator)
         except StreamClosedError:
             return
         except _CALL_ERRORS as exc:
@@ -232,15 +246,15 @@
         finally:
             stream.close()
 
-    async def _serve_one(self, stream: IOStream) -> None:
+    async def _serve_one(self, stream: IOStream, operator: Operator) -> None:
         head = await stream.read_bytes(_LENGTH_BYTES)
         length = int.from_bytes(head, 'big')
         if length > _MAX_CALL:
             raise WireError('call-too-large', f'{length} bytes')
-        reply = await self._answer(await stream.read_bytes(length))
+        reply = await self._answer(await stream.read_bytes(length), operator)
         await stream.write(len(reply).to_bytes(_LENGTH_BYTES, 'big') + reply)
 
-    async def _answer(self, payload: bytes) -> bytes:
+    async def _answer(self, payload: bytes, operator: Operator) -> bytes:
         protocol = _factory.getProtocol(TMemoryBuffer(payload))
         name, _, sequence = protocol.readMessageBegin()
         args_class = getattr(Operators, f'{name}_args', None)
@@ -253,11 +267,14 @@
             return _message(name, TMessageType.EXCEPTION, sequence, problem)
         args = args_class()
         args.read(protocol)
+        if operator.name and 'operator_name' in args.__slots__:
+            # A certificate says who it is; the call need not.
+            args.operator_name = operator.name
         return _message(
             name,
             TMessageType.REPLY,
             sequence,
-            await _result(name, method, args),
+            await _result(name, method, args, operator.role),
         )
 
 
@@ -265,10 +282,12 @@
     name: str,
     method: Callable[..., Awaitable[Any]],
     args: Any,
+    role: str,
 ) -> Any:
     result = getattr(Operators, f'{name}_result')()
     fields = [getattr(args, field) for field in args.__slots__]
     try:
+        check_role(name, role)
         answer = await method(*fields)
     except Refusal as exc:
         log(Event.OPERATOR_REFUSED, call=name, code=exc.code)
@@ -279,6 +298,20 @@
     return result
 
 
+def check_role(name: str, role: str) -> None:
+    """Refuse a call that the role does not cover."""
+    if role == OPERATE or (role == READ and name in _READ_CALLS):
+        return
+    raise Refusal('not-permitted', f'{name}: found role {role!r}')
+
+
+async def _who(stream: IOStream) -> Operator:
+    if not isinstance(stream, SSLIOStream):
+        return Operator('', OPERATE)
+    await stream.wait_for_handshake()
+    return operator_of(stream.socket.getpeercert())
+
+
 def _message(name: str, kind: int, sequence: int, struct: Any) -> bytes:
     transport = TMemoryBuffer()
     protocol = _factory.getProtocol(transport)
--- a/src/linnetwood/options.py
+++ b/src/linnetwood/options.py
@@ -27,6 +27,17 @@
     trace_file: str = ''
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Trust:
+    """Whom to believe; plain mode only when the settings say so."""
+
+    mode: str = one_of('plain', 'tls')
+    certificate_file: str = ''
+    key_file: str = ''
+    authority_file: str = ''
+    gossip_key_file: str = ''
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Platform:
     """The platform's services."""
@@ -56,6 +67,7 @@
 
     place: Place
     platform: Platform
+    trust: Trust
     http_port: int = port()
     operators_port: int = port()
     peers: tuple[str, ...] = ()
@@ -106,6 +118,7 @@
 
     place: Place
     platform: Platform
+    trust: Trust
     backend: Backend
     transfer: Transfer = Transfer()
     peers: tuple[str, ...] = ()
--- a/src/linnetwood/wire.py
+++ b/src/linnetwood/wire.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import ssl
 from collections.abc import Awaitable, Callable
 from typing import Protocol
 
@@ -34,8 +35,13 @@
 class TcpDialler:
     """Open connections over TCP and keep finished ones for the next."""
 
-    def __init__(self, timeout_s: float = CONNECT_TIMEOUT_S) -> None:
-        """Keep nothing yet."""
+    def __init__(
+        self,
+        context: ssl.SSLContext | None = None,
+        timeout_s: float = CONNECT_TIMEOUT_S,
+    ) -> None:
+        """Keep nothing yet; without a context, connect in plain mode."""
+        self._context = context
         self._timeout_s = timeout_s
         self._idle: dict[Address, list[FrameStream]] = {}
 
@@ -45,7 +51,12 @@
         loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(self._timeout_s):
-                opened = await loop.create_connection(FrameStream, host, port)
+                opened = await loop.create_connection(
+                    FrameStream,
+                    host,
+                    port,
+                    ssl=self._context,
+                )
         except (OSError, TimeoutError) as exc:
             raise WireError('connect-failed', f'{host}:{port}: {exc}') from exc
         return opened[1]
@@ -88,11 +99,19 @@
         self._servers: list[asyncio.Server] = []
         self._tasks: set[asyncio.Task[None]] = set()
 
-    async def start(self, sockets: list[socket.socket]) -> None:
-        """Listen on bound sockets."""
+    async def start(
+        self,
+        sockets: list[socket.socket],
+        context: ssl.SSLContext | None = None,
+    ) -> None:
+        """Listen on bound sockets; without a context, in plain mode."""
         loop = asyncio.get_running_loop()
         for sock in sockets:
-            server = await loop.create_server(self._accept, sock=sock)
+            server = await loop.create_server(
+                self._accept,
+                sock=sock,
+                ssl=context,
+            )
             self._servers.append(server)
 
     async def close(self) -> None:
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -30,6 +30,7 @@
     Place,
     Platform,
     Transfer,
+    Trust,
 )
 
 HOST = '127.0.0.1'
@@ -63,6 +64,8 @@
         self.service_port = self.serve(fakeservice.application(self.service))
         self._http: dict[Entry, tuple[int, int]] = {}
         self.peers: tuple[str, ...] = ()
+        self.trust = Trust('plain')
+        self.tls_folder = ''
 
     def serve(self, application: Application) -> int:
         """Serve an application on a free port."""
@@ -98,6 +101,7 @@
             EntryOptions(
                 place=self.place(f'entry-{wire}', wire),
                 platform=self.platform(),
+                trust=self.trust,
                 http_port=http,
                 operators_port=operators,
                 peers=self.peers,
@@ -117,6 +121,7 @@
             EndpointOptions(
                 place=self.place(f'vm-{wire}', wire),
                 platform=self.platform(),
+                trust=self.trust,
                 backend=backend,
                 transfer=Transfer(
                     origin_url=f'http://{HOST}:{self.origin_port}',
@@ -165,7 +170,7 @@
         address = f'{HOST}:{self._http[self.entries[number]][1]}'
 
         def call() -> Any:
-            with OperatorClient(address) as calls:
+            with OperatorClient(address, self.tls_folder) as calls:
                 return act(calls)
 
         return await asyncio.to_thread(call)
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -16,6 +16,7 @@
   wire_port: 7000
 platform:
   kv_url: http://127.0.0.1:1
+trust: {mode: plain}
 http_port: 8000
 operators_port: 7700
 """
@@ -46,26 +47,30 @@
             ('', 'settings-empty'),
             ('a: [', 'settings-not-yaml'),
             ('- 1', 'f:1: field the file: found .* allowed is a mapping'),
-            (f'{GOOD}speed: 3\n', 'f:11: .*found .speed., allowed is one of'),
-            (f'{GOOD}http_port: 1\n', 'f:11: field http_port.*each field once'),
+            (f'{GOOD}speed: 3\n', 'f:12: .*found .speed., allowed is one of'),
+            (f'{GOOD}http_port: 1\n', 'f:12: field http_port.*each field once'),
             (
                 GOOD.replace('8000', 'many'),
-                "f:9: field http_port: found 'many', allowed is a whole",
+                "f:10: field http_port: found 'many', allowed is a whole",
             ),
             (
                 GOOD.replace('8000', '70000'),
-                "f:9: field http_port: found '70000', allowed is at most",
+                "f:10: field http_port: found '70000', allowed is at most",
             ),
             (GOOD.replace('8000', '-1'), 'allowed is at least 0'),
             (GOOD.replace('8000', 'true'), 'allowed is a whole number'),
             (
                 f'{GOOD}routing: best\n',
-                "f:11: field routing: found 'best', allowed is one of",
+                "f:12: field routing: found 'best', allowed is one of",
             ),
             (
                 GOOD.replace('  vm: e1\n', ''),
                 'f:2: field vm: found nothing, it must be given',
             ),
+            (
+                GOOD.replace('trust: {mode: plain}\n', ''),
+                'f:1: field trust: found nothing, it must be given',
+            ),
             (f'{GOOD}peers: x\n', 'field peers: .*allowed is a list'),
             (f'{GOOD}peers: [1]\n', "field peers: found '1', allowed is text"),
         )
