Split the engine's keeper from the agent; drop a load nobody wants any more

Before: a version wanted no more was loaded and then loaded over. After: one load, and the version wanted serves (test).

--- a/demo/run.py
+++ b/demo/run.py
@@ -11,6 +11,11 @@
 
 from linnetwood import cli
 from linnetwood.fleet import Fleet, Plan
+from linnetwood.instruments import (
+    engine_violations,
+    origin_state,
+    publish,
+)
 from linnetwood.load import Caller, Record, Traffic, percentile
 
 MODEL = 'sevak'
@@ -40,18 +45,6 @@
 """
 
 
-async def publish(fleet: Fleet, weights: bytes) -> str:
-    """Put a version's weights into the stand-in weight store."""
-    url = f'http://127.0.0.1:{fleet.origin_port}/control?chunk_bytes={CHUNK}'
-    req = HTTPRequest(
-        url,
-        method='POST',
-        body=weights,
-        headers={'Content-Type': 'application/octet-stream'},
-    )
-    return (await AsyncHTTPClient().fetch(req)).body.decode()
-
-
 async def command(fleet: Fleet, *args: str) -> int:
     """Run an operator's command as an operator would."""
     print('$ linnetwood', *args)
@@ -97,17 +90,6 @@
     return [] if counted.get('slot 7') == 1 else [f'slot 7 ran {counted}']
 
 
-async def engine_violations(fleet: Fleet) -> list[str]:
-    """Ask the stand-in engines what was done to them."""
-    found = []
-    for port in fleet.engine_ports:
-        url = f'http://127.0.0.1:{port}/status'
-        found += json.loads((await AsyncHTTPClient().fetch(url)).body)[
-            'violations'
-        ]
-    return found
-
-
 def broken(records: list[Record]) -> list[str]:
     """Give the promises that callers saw broken."""
     wrong = [f'wrong answer to {one.name}' for one in records if not one.right]
@@ -142,7 +124,7 @@
     """Run both rollouts and give the promises that broke."""
     rng = random.Random(7)
     weights = [rng.randbytes(SIZE), rng.randbytes(SIZE)]
-    manifests = [await publish(fleet, one) for one in weights]
+    manifests = [await publish(fleet, one, CHUNK) for one in weights]
     path = pathlib.Path(fleet.folder, 'deployment.thrift')
     path.write_text(SCHEMA % tuple(manifests))
     await command(fleet, 'apply', str(path))
@@ -154,11 +136,13 @@
     await asyncio.sleep(1)
     faults = await once(fleet)
     await caller.close()
-    url = f'http://127.0.0.1:{fleet.origin_port}/control'
-    read = json.loads((await AsyncHTTPClient().fetch(url)).body)['bytes_read']
+    read = (await origin_state(fleet))['bytes_read']
     report(times, read / SIZE, caller.records)
     faults += broken(caller.records)
-    return faults + await engine_violations(fleet)
+    bad_loads = await engine_violations(fleet)
+    if bad_loads:
+        faults.append(f'engines saw {bad_loads} bad loads')
+    return faults
 
 
 def main() -> int:
--- a/src/linnetwood/agent.py
+++ b/src/linnetwood/agent.py
@@ -12,10 +12,10 @@
 from linnetwood.gen.wire.ttypes import HeldNotice, Member, TransferProgress
 from linnetwood.gossip import Address, GossipTask, Listener
 from linnetwood.guard import Guard
+from linnetwood.keeper import EngineKeeper, Target
 from linnetwood.neighbours import neighbours
 from linnetwood.options import Transfer
-from linnetwood.orders import LoadOrder, Orders, chunks_digest, next_fence
-from linnetwood.pauses import PauseWatch
+from linnetwood.orders import Orders
 from linnetwood.staging import Staging
 from linnetwood.swarm import (
     DirectReading,
@@ -31,19 +31,9 @@
 _WAKE_S = 0.5
 _NOTICE_REFRESH_S = 0.5
 _MANIFEST_PAUSE_S = 0.03
-_CHECK_EVERY_S = 1.0
 _TAKEOVER_BASE_S = 1.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Target:
-    """The version that this VM should serve."""
-
-    label: str
-    manifest: str
-    intent: Intent
-
-
 class WeightsAgent(Listener):
     """Follow the configuration; one task owns the target and the download."""
 
@@ -60,15 +50,13 @@
         self._tools = tools
         self._gossip = gossip
         self._orders = orders
-        self._guard = guard
+        self._keeper = EngineKeeper(gossip, orders, guard, tools.clock)
         self._configuration: Configuration | None = None
         self._wake = asyncio.Event()
         self._changed = True
         self._assigned: list[str] = []
         self._staging: Staging | None = None
         self._noticed = (0, float())
-        self._checked_at = float()
-        self._pauses = PauseWatch(tools.clock.now())
         self._holders: dict[str, set[str]] = {}
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -111,7 +99,7 @@
         """Trust what is known again after a pause, if nothing is newer."""
         standing = self._configuration
         if standing is None or revision <= standing.revision:
-            self._pauses.confirm()
+            self._keeper.pauses.confirm()
 
     def chunks_noticed(self, notice: HeldNotice) -> None:
         """Take in what a neighbour holds."""
@@ -129,7 +117,7 @@
     async def _run(self) -> None:
         while True:
             self._wake.clear()
-            self._pauses.tick(self._tools.clock.now())
+            self._keeper.pauses.tick(self._tools.clock.now())
             try:
                 await self._step()
             except LinnetwoodError as exc:
@@ -142,8 +130,10 @@
             await self._aim()
         if self.target is None:
             return
-        if self._guard.state.serving == self.target.label:
-            await self._check_engine(self.target)
+        if self._keeper.serves(self.target):
+            kept = await self._keeper.still_serves(self.target)
+            if not kept and self._staging is not None:
+                self._staging.begin_again()
             return
         if self.download is None:
             await self._begin(self.target)
@@ -197,7 +187,7 @@
             self._gossip.restate(wanted='', held=0, total=0)
 
     async def _begin(self, target: Target) -> None:
-        if await self._believe_engine(target):
+        if await self._keeper.believe(target):
             return
         manifest = await self._manifest(target)
         if manifest is None:
@@ -213,28 +203,6 @@
         self.download.start()
         log(Event.TRANSFER_STARTED, version=target.label)
 
-    async def _check_engine(self, target: Target) -> None:
-        now = self._tools.clock.now()
-        if now - self._checked_at < _CHECK_EVERY_S:
-            return
-        self._checked_at = now
-        status = await self._orders.status()
-        if (status.serving, status.manifest) == (target.label, target.manifest):
-            return
-        # The engine lost what it had, or somebody else gave it an order.
-        log(Event.ORDER_REFUSED, code='engine-changed', found=status.serving)
-        self._guard.state.serving = ''
-        self._gossip.restate(serving='')
-        if self._staging is not None:
-            self._staging.begin_again()
-
-    async def _believe_engine(self, target: Target) -> bool:
-        status = await self._orders.status()
-        if (status.serving, status.manifest) != (target.label, target.manifest):
-            return False
-        self._serve(target.label)
-        return True
-
     async def _manifest(self, target: Target) -> chunks.Manifest | None:
         known = self._tools.uploads.manifests.get(target.manifest)
         if known is not None:
@@ -370,61 +338,36 @@
         await staging.hand_over()
         if not staging.complete:
             return
-        if self._gossip.me.serving and not self._turn_to_load(target):
+        if not self._keeper.may_load(target, download.swarm.count):
             return
         if not self._tools.store.whole(download.manifest):
             raise WeightsError('whole-digest-differs', target.label)
-        await self._take_out_of_service()
-        try:
-            await self._order(target, download.manifest)
-        except OrderError:
-            # The engine may have been started anew and hold nothing.
-            staging.begin_again()
-            raise
-        self._serve(target.label)
+        await self._keeper.leave_service()
+        if self._changed:
+            # What is wanted may be another version by now.
+            return
+        await self._load(target, download, staging)
+        self._keeper.go_into_service(target, download.swarm.count)
         log(
             Event.TRANSFER_COMPLETE,
             version=target.label,
             **dataclasses.asdict(self._tools.tally),
         )
 
-    def _turn_to_load(self, target: Target) -> bool:
-        if self._gossip.me.wanted != target.label:
-            # Only now do the others need to know that this VM holds it all.
-            self._state_complete(target.label)
-        members = self._gossip.members.values()
-        me = self._gossip.me.vm
-        return placement.may_load(me, target.intent, members)
-
-    def _state_complete(self, label: str, **more: str) -> None:
-        total = self.download.swarm.count if self.download else 1
-        self._gossip.restate(wanted=label, held=total, total=total, **more)
-
-    async def _take_out_of_service(self) -> None:
-        self._guard.state.loading = True
-        self._guard.state.serving = ''
-        self._gossip.restate(serving='')
-        # A load waits for every call in progress, however long.
-        await self._guard.idle.wait()
-
-    async def _order(self, target: Target, manifest: chunks.Manifest) -> None:
-        status = await self._orders.status()
-        if not self._pauses.may_order(self._tools.clock.now()):
-            raise OrderError('paused', 'no order before a peer has answered')
-        revision = self._configuration.revision if self._configuration else 0
-        order = LoadOrder(
-            fence=next_fence(revision, status.fence),
-            serving=target.label,
-            manifest=target.manifest,
-            chunks_digest=chunks_digest(manifest),
-        )
-        log(Event.ORDER_GIVEN, version=target.label, fence=order.fence)
-        await self._orders.load(order)
-
-    def _serve(self, label: str) -> None:
-        self._guard.state.serving = label
-        self._guard.state.loading = False
-        self._state_complete(label, serving=label)
+    async def _load(
+        self,
+        target: Target,
+        download: Download,
+        staging: Staging,
+    ) -> None:
+        standing = self._configuration
+        revision = standing.revision if standing else 0
+        try:
+            await self._keeper.order(target, download.manifest, revision)
+        except OrderError:
+            # The engine may have been started anew and hold nothing.
+            staging.begin_again()
+            raise
 
 
 def swarm_options(cfg: Transfer, vms: int, chunk_bytes: int) -> SwarmOptions:
--- /dev/null
+++ b/src/linnetwood/keeper.py
@@ -0,0 +1,122 @@
+"""Put complete versions in service at the engine, and keep them there."""
+
+import dataclasses
+
+from linnetwood import placement
+from linnetwood.chunks import Manifest
+from linnetwood.clock import Clock
+from linnetwood.errors import OrderError
+from linnetwood.events import Event, log
+from linnetwood.gen.schema.ttypes import Intent
+from linnetwood.gossip import GossipTask
+from linnetwood.guard import Guard
+from linnetwood.orders import LoadOrder, Orders, chunks_digest, next_fence
+from linnetwood.pauses import PauseWatch
+
+_CHECK_EVERY_S = 1.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Target:
+    """The version that this VM should serve."""
+
+    label: str
+    manifest: str
+    intent: Intent
+
+
+class EngineKeeper:
+    """Take the engine out of service, order loads, believe confirmations."""
+
+    def __init__(
+        self,
+        gossip: GossipTask,
+        orders: Orders,
+        guard: Guard,
+        clock: Clock,
+    ) -> None:
+        """Know nothing of the engine yet."""
+        self.pauses = PauseWatch(clock.now())
+        self._gossip = gossip
+        self._orders = orders
+        self._guard = guard
+        self._clock = clock
+        self._checked_at = float()
+
+    def serves(self, target: Target) -> bool:
+        """Tell whether calls are taken for the target."""
+        return self._guard.state.serving == target.label
+
+    async def believe(self, target: Target) -> bool:
+        """Go into service if the engine names the target exactly."""
+        if not await self._names(target):
+            return False
+        self.go_into_service(target, 1)
+        return True
+
+    async def still_serves(self, target: Target) -> bool:
+        """Ask the engine now and then; tell whether it lost the target."""
+        now = self._clock.now()
+        if now - self._checked_at < _CHECK_EVERY_S:
+            return True
+        self._checked_at = now
+        if await self._names(target):
+            return True
+        # The engine was started anew, or somebody else gave it an order.
+        log(Event.ORDER_REFUSED, code='engine-changed', version=target.label)
+        self._guard.state.serving = ''
+        self._gossip.restate(serving='')
+        return False
+
+    def may_load(self, target: Target, total: int) -> bool:
+        """Tell whether it is this VM's turn to leave service for a load."""
+        me = self._gossip.me
+        if not me.serving:
+            return True
+        if me.wanted != target.label:
+            # Only now do the others need to know that this VM holds it all.
+            self._gossip.restate(wanted=target.label, held=total, total=total)
+        members = self._gossip.members.values()
+        return placement.may_load(me.vm, target.intent, members)
+
+    async def leave_service(self) -> None:
+        """Take no calls, and wait for every call in progress, however long."""
+        self._guard.state.loading = True
+        self._guard.state.serving = ''
+        self._gossip.restate(serving='')
+        await self._guard.idle.wait()
+
+    async def order(
+        self,
+        target: Target,
+        manifest: Manifest,
+        revision: int,
+    ) -> None:
+        """Order the load; raise OrderError unless it is confirmed exactly."""
+        status = await self._orders.status()
+        if not self.pauses.may_order(self._clock.now()):
+            raise OrderError('paused', 'no order before a peer has answered')
+        order = LoadOrder(
+            fence=next_fence(revision, status.fence),
+            serving=target.label,
+            manifest=target.manifest,
+            chunks_digest=chunks_digest(manifest),
+        )
+        log(Event.ORDER_GIVEN, version=target.label, fence=order.fence)
+        await self._orders.load(order)
+
+    def go_into_service(self, target: Target, total: int) -> None:
+        """Take calls for the target, and say so."""
+        self._guard.state.serving = target.label
+        self._guard.state.loading = False
+        self._gossip.restate(
+            serving=target.label,
+            wanted=target.label,
+            held=total,
+            total=total,
+        )
+
+    async def _names(self, target: Target) -> bool:
+        status = await self._orders.status()
+        found = (status.serving, status.manifest)
+        return found == (target.label, target.manifest)
--- a/src/linnetwood/measure_burst.py
+++ b/src/linnetwood/measure_burst.py
@@ -22,6 +22,11 @@
     Version,
     Weigh,
 )
+from linnetwood.instruments import (
+    engine_violations,
+    origin_state,
+    publish,
+)
 from linnetwood.placement import label
 
 MODEL = 'sevak'
@@ -80,37 +85,6 @@
         return -1
 
 
-async def publish(fleet: Fleet, weights: bytes, chunk_bytes: int) -> str:
-    """Put weights into the stand-in store and give the manifest's name."""
-    query = f'control?chunk_bytes={chunk_bytes}'
-    url = f'http://127.0.0.1:{fleet.origin_port}/{query}'
-    req = HTTPRequest(
-        url,
-        method='POST',
-        body=weights,
-        headers={'Content-Type': 'application/octet-stream'},
-    )
-    return (await AsyncHTTPClient().fetch(req)).body.decode()
-
-
-async def origin_state(fleet: Fleet) -> dict[str, Any]:
-    """Ask the stand-in store what was read."""
-    url = f'http://127.0.0.1:{fleet.origin_port}/control'
-    reply = await AsyncHTTPClient().fetch(url)
-    found: dict[str, Any] = json.loads(reply.body)
-    return found
-
-
-async def engine_violations(fleet: Fleet) -> int:
-    """Count what the stand-in engines saw done to them."""
-    client = AsyncHTTPClient()
-    found = 0
-    for port in fleet.engine_ports:
-        reply = await client.fetch(f'http://127.0.0.1:{port}/status')
-        found += len(json.loads(reply.body)['violations'])
-    return found
-
-
 def declare(fleet: Fleet, manifests: list[str]) -> None:
     """Put a deployment in force that declares versions v1, v2, …"""
     versions = [
@@ -238,6 +212,7 @@
     time_s = curve.time_of(wanted)
     return {
         'vms': shape.vms,
+        'faults': options.faults,
         'wanted': wanted,
         'chunks': shape.chunk_count,
         'bound_s': round(shape.bound_s, 3),
--- a/src/linnetwood/measure_serve.py
+++ b/src/linnetwood/measure_serve.py
@@ -23,14 +23,13 @@
     Weigh,
 )
 from linnetwood.http import open_client
-from linnetwood.load import Caller, Record, Traffic, percentile
-from linnetwood.measure_burst import (
-    MODEL,
+from linnetwood.instruments import (
     engine_violations,
-    follow,
     origin_state,
     publish,
 )
+from linnetwood.load import Caller, Record, Traffic, percentile
+from linnetwood.measure_burst import MODEL, follow
 from linnetwood.measure_control import cpu_s
 
 _SIZE = 65536
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -371,6 +371,27 @@
         self.assertEqual(slot.engine.serving, 'm@v2')
         self.assertEqual(len(slot.engine.loads), 1)
 
+    def test_wish_changed_while_a_call_finishes(self) -> None:
+        """A load that waited for a call is dropped once nobody wants it."""
+
+        async def change() -> Slot:
+            slot = Slot()
+            slot.want('v1')
+            await asyncio.sleep(5)
+            slot.guard._enter()
+            slot.want('v2')
+            await asyncio.sleep(5)
+            self.assertTrue(slot.guard.state.loading)
+            slot.want('v1')
+            slot.guard._leave()
+            await asyncio.sleep(5)
+            await slot.agent.close()
+            return slot
+
+        slot = virtual.run(change())
+        self.assertEqual(len(slot.engine.loads), 1)
+        self.assertEqual(slot.guard.state.serving, 'm@v1')
+
     def test_engine_that_lost_its_weights_is_loaded_again(self) -> None:
         """An engine that started anew does not stay empty."""
 
