--- a/src/linnetwood/swarm.py
+++ b/src/linnetwood/swarm.py
@@ -223,8 +223,14 @@
         }
 
     def notice(self, vm: str, held: int, queued: int) -> None:
-        """Note what a neighbour holds and how many wait on it."""
-        peer = self.meet(vm)
+        """Note what a neighbour holds and how many wait on it.
+
+        What comes late from a neighbour that was parted from is ignored: it
+        must not be asked any more.
+        """
+        peer = self.peers.get(vm)
+        if peer is None:
+            return
         self._count(held & ~peer.held, 1)
         peer.held |= held
         peer.queued = queued
@@ -245,7 +251,9 @@
 
     def shun(self, vm: str, now: float) -> None:
         """Ask nothing more of a peer that sent a bad chunk, for a while."""
-        self.meet(vm).shunned_until = now + _SHUN_S
+        peer = self.peers.get(vm)
+        if peer is not None:
+            peer.shunned_until = now + _SHUN_S
 
     def expired(self, now: float) -> list[int]:
         """Give the fetches that took too long."""
--- a/src/linnetwood/transfer.py
+++ b/src/linnetwood/transfer.py
@@ -9,7 +9,7 @@
 from linnetwood import chunks
 from linnetwood.clock import Clock
 from linnetwood.codec import decode, encode
-from linnetwood.errors import LinnetwoodError, WeightsError
+from linnetwood.errors import LinnetwoodError, WeightsError, WireError
 from linnetwood.events import Event, log
 from linnetwood.frames import Frame, FrameKind, FrameStream
 from linnetwood.gen.wire.ttypes import (
@@ -310,9 +310,12 @@
         return chunk
 
     async def _from_peer(self, fetch: Fetch) -> bytes:
+        address = self._addresses.get(fetch.source)
+        if address is None:
+            raise WireError('no-neighbour', fetch.source)
         reply, chunk = await self._tools.fetcher.fetch(
             fetch.source,
-            self._addresses[fetch.source],
+            address,
             self.name,
             fetch.index,
         )
