--- a/src/linnetwood/cli.py
+++ b/src/linnetwood/cli.py
@@ -223,15 +223,21 @@
     return _print(found, map(show.endpoint, found), json)
 
 
-def endpoint_drain(vm: str, *, entry: str = DEFAULT_ENTRY) -> int:
+def endpoint_drain(
+    vm: str,
+    *,
+    entry: str = DEFAULT_ENTRY,
+    json: bool = False,
+) -> int:
     """Tell an endpoint to take no new work.
 
     :param vm: the endpoint's VM
     :param entry: operators' address of an entry
+    :param json: print JSON
     """
     with _client(entry) as calls:
         calls.drain(vm, getpass.getuser())
-    return _print(None, (f'{vm} is leaving',), as_json=False)
+    return _print({'vm': vm, 'state': 'leaving'}, (f'{vm} is leaving',), json)
 
 
 def status(*, entry: str = DEFAULT_ENTRY, json: bool = False) -> int:
@@ -245,13 +251,15 @@
     return _print(found, show.status(found), json)
 
 
-def config_show(*, entry: str = DEFAULT_ENTRY) -> int:
-    """Show the configuration in force, as JSON.
+def config_show(*, entry: str = DEFAULT_ENTRY, json: bool = False) -> int:
+    """Show the configuration in force.
 
     :param entry: operators' address of an entry
+    :param json: print JSON
     """
     with _client(entry) as calls:
-        return _print(calls.configuration(), (), as_json=True)
+        found = calls.configuration()
+    return _print(found, show.configuration(found), json)
 
 
 def config_history(*, entry: str = DEFAULT_ENTRY, json: bool = False) -> int:
--- a/src/linnetwood/show.py
+++ b/src/linnetwood/show.py
@@ -51,6 +51,24 @@
         yield _change(change)
 
 
+def configuration(found: Configuration) -> Iterator[str]:
+    """Describe the configuration in force."""
+    yield f'revision {found.revision}'
+    for model in found.deployment.models:
+        versions = ', '.join(version.name for version in model.versions)
+        yield f'model {model.name}: versions {versions}'
+    for service in found.deployment.services:
+        once = ', '.join(service.once_paths) or 'nothing'
+        yield f'service {service.name}: at most once {once}'
+    for organisation in found.deployment.organisations:
+        yield f'organisation {organisation.name}: share {organisation.share}'
+    for intent in found.deployment.intents:
+        yield (
+            f'intent {intent.model}: version {intent.version}, '
+            f'{intent.replicas} replicas'
+        )
+
+
 def status(found: Status) -> Iterator[str]:
     """Describe the fleet as one entry sees it."""
     platform = (
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -87,6 +87,7 @@
             (('endpoint', 'list'), cli.EXIT_OK),
             (('config', 'history'), cli.EXIT_OK),
             (('config', 'show'), cli.EXIT_OK),
+            (('config', 'show', '--json'), cli.EXIT_OK),
             (('settle', 'op-1'), cli.EXIT_OK),
             (('settle', 'op-0'), cli.EXIT_REFUSED),
             ((*rollout, 'v1', '1', '--wait'), cli.EXIT_OK),
