--- a/src/linnetwood/chunks.py
+++ b/src/linnetwood/chunks.py
@@ -29,10 +29,6 @@
         head = _HEAD.pack(_MAGIC, self.size, self.chunk_bytes, self.whole)
         return head + b''.join(self.digests)
 
-    def chunk_size(self, index: int) -> int:
-        """Give the bytes of one chunk; the last may be shorter."""
-        return min(self.chunk_bytes, self.size - index * self.chunk_bytes)
-
 
 def name_of(encoded: bytes) -> str:
     """Name bytes by their SHA-256 digest."""
--- a/src/linnetwood/fleet.py
+++ b/src/linnetwood/fleet.py
@@ -15,7 +15,6 @@
 import sys
 import tempfile
 import time
-from collections.abc import Iterator
 from typing import Any
 
 import yaml
@@ -318,14 +317,3 @@
     with socket.socket() as probe:
         probe.settimeout(1)
         return probe.connect_ex((_HOST, port)) == 0
-
-
-@contextlib.contextmanager
-def running(plan: Plan) -> Iterator[Fleet]:
-    """Run a fleet for the time of a with statement."""
-    fleet = Fleet(plan)
-    try:
-        fleet.start()
-        yield fleet
-    finally:
-        fleet.close()
--- a/src/linnetwood/frames.py
+++ b/src/linnetwood/frames.py
@@ -25,11 +25,9 @@
     HEAD = 2
     BODY = 3
     END = 4
-    CANCEL = 5
     CHUNK_REQUEST = 6
     CHUNK_REPLY = 7
     CHUNK = 8
-    HELD_NOTICE = 9
     CONFIG_REQUEST = 10
     CONFIG_REPLY = 11
     DRAIN = 12
--- a/src/linnetwood/outcomes.py
+++ b/src/linnetwood/outcomes.py
@@ -17,7 +17,6 @@
 
     NO_ENDPOINT = 'no-endpoint'
     NOT_SERVING = 'not-serving'
-    NOT_READY = 'not-ready'
     LEAVING = 'leaving'
     BUSY = 'busy'
     QUEUE_FULL = 'queue-full'
@@ -35,7 +34,6 @@
     KEY_USED = 'key-used'
     KEYS_FULL = 'keys-full'
     BAD_REQUEST = 'bad-request'
-    CALLER_SLOW = 'caller-too-slow'
     STOPPING = 'stopping'
     UNKNOWN_TARGET = 'unknown-target'
 
--- a/src/linnetwood/transfer.py
+++ b/src/linnetwood/transfer.py
@@ -27,7 +27,6 @@
 
 _WAKE_S = 0.25
 _PLAN_PAUSE_S = 0.01
-_EXPIRE_EVERY_S = 0.5
 
 
 class WeightStore(Protocol):
@@ -216,15 +215,12 @@
             tools.rng,
             tools.clock.now(),
         )
-        self.done = asyncio.Event()
         self.kept: Callable[[int, bytes], None] | None = None
         self._tools = tools
         self._addresses: dict[str, Address] = {}
         self._wake = asyncio.Event()
         self._fetches: dict[int, asyncio.Task[None]] = {}
         self._tasks: list[asyncio.Task[None]] = []
-        self._notice_streams: dict[str, FrameStream] = {}
-        self._noticed = 0
 
     def start(self) -> None:
         """Begin to fetch."""
@@ -269,7 +265,6 @@
             for fetch in self.swarm.plan(now):
                 self._begin(fetch)
             await happened(self._wake, _WAKE_S)
-        self.done.set()
 
     def _begin(self, fetch: Fetch) -> None:
         task = asyncio.create_task(self._fetch(fetch))
