--- a/demo/run.py
+++ b/demo/run.py
@@ -9,14 +9,14 @@
 
 from tornado.httpclient import AsyncHTTPClient, HTTPRequest
 
-from linnetwood import cli
-from linnetwood.fleet import Fleet, Plan
-from linnetwood.instruments import (
+from linnetwood.lab.instruments import (
     engine_violations,
     origin_state,
     publish,
 )
-from linnetwood.load import Caller, Record, Traffic, percentile
+from linnetwood.lab.launcher import Fleet, Plan
+from linnetwood.lab.load import Caller, Record, Traffic, percentile
+from linnetwood.programs import cli
 
 MODEL = 'sevak'
 REPLICAS = 4
--- a/src/linnetwood/admission.py
+++ b/src/linnetwood/calls/admission.py
@@ -4,10 +4,10 @@
 import dataclasses
 from collections.abc import Callable
 
-from linnetwood.clock import Clock
-from linnetwood.fairness import Bounds, FairQueue, Ticket
+from linnetwood.calls.fairness import Bounds, FairQueue, Ticket
+from linnetwood.core.clock import Clock
+from linnetwood.core.outcomes import Code, Ending, not_run
 from linnetwood.gen.schema.ttypes import Deployment
-from linnetwood.outcomes import Code, Ending, not_run
 
 Capacity = Callable[[str], int]
 
--- a/src/linnetwood/backend.py
+++ b/src/linnetwood/calls/backend.py
@@ -9,9 +9,9 @@
 from tornado.httpclient import AsyncHTTPClient, HTTPRequest, HTTPResponse
 from tornado.httputil import HTTPHeaders
 
+from linnetwood.core.outcomes import ANSWERED, Code, Ending, not_run, unknown
 from linnetwood.gen.wire.ttypes import Start
-from linnetwood.http import NO_ANSWER, fetch
-from linnetwood.outcomes import ANSWERED, Code, Ending, not_run, unknown
+from linnetwood.wire.http import NO_ANSWER, fetch
 
 CALL_HEADER = 'X-Call'
 VERSION_HEADER = 'X-Model-Version'
--- a/src/linnetwood/callers.py
+++ b/src/linnetwood/calls/callers.py
@@ -12,20 +12,20 @@
 from tornado.iostream import StreamClosedError
 from tornado.web import Application, RequestHandler
 
-from linnetwood import keys
-from linnetwood.admission import Visit
-from linnetwood.clock import Clock
-from linnetwood.dispatch import Call, Dispatcher, mint
-from linnetwood.errors import CallError
-from linnetwood.events import Event, log
+from linnetwood.calls import keys
+from linnetwood.calls.admission import Visit
+from linnetwood.calls.dispatch import Call, Dispatcher, mint
+from linnetwood.calls.routing import Routes, Want
+from linnetwood.core.clock import Clock
+from linnetwood.core.errors import CallError
+from linnetwood.core.events import Event, log
+from linnetwood.core.metrics import Metric, Metrics
+from linnetwood.core.outcomes import Code, Ending, Outcome, not_run
+from linnetwood.core.sizes import MIB
+from linnetwood.core.traces import Tracer
+from linnetwood.fleet.placement import ENGINE_KIND
 from linnetwood.gen.schema.ttypes import Deployment, Service
 from linnetwood.gen.wire.ttypes import Head
-from linnetwood.metrics import Metric, Metrics
-from linnetwood.outcomes import Code, Ending, Outcome, not_run
-from linnetwood.placement import ENGINE_KIND
-from linnetwood.routing import Routes, Want
-from linnetwood.sizes import MIB
-from linnetwood.traces import Tracer
 
 OUTCOME_HEADER = 'X-Linnetwood-Outcome'
 CODE_HEADER = 'X-Linnetwood-Code'
--- a/src/linnetwood/dispatch.py
+++ b/src/linnetwood/calls/dispatch.py
@@ -5,14 +5,13 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from linnetwood import keys
-from linnetwood.clock import Clock
-from linnetwood.codec import decode, encode
-from linnetwood.errors import CodecError, WireError
-from linnetwood.frames import FrameKind, FrameStream
-from linnetwood.gen.wire.ttypes import End, Head, Member, Start
-from linnetwood.metrics import Metric, Metrics
-from linnetwood.outcomes import (
+from linnetwood.calls import keys
+from linnetwood.calls.retries import MAX_ATTEMPTS, RetryBudget, may_retry
+from linnetwood.calls.routing import Routes, Want
+from linnetwood.core.clock import Clock
+from linnetwood.core.errors import CodecError, WireError
+from linnetwood.core.metrics import Metric, Metrics
+from linnetwood.core.outcomes import (
     ANSWERED,
     Code,
     Ending,
@@ -20,9 +19,10 @@
     not_run,
     unknown,
 )
-from linnetwood.retries import MAX_ATTEMPTS, RetryBudget, may_retry
-from linnetwood.routing import Routes, Want
-from linnetwood.wire import Address, Pool
+from linnetwood.gen.wire.ttypes import End, Head, Member, Start
+from linnetwood.wire.codec import decode, encode
+from linnetwood.wire.connections import Address, Pool
+from linnetwood.wire.frames import FrameKind, FrameStream
 
 _MILLISECONDS = 1000
 _FRESH_KEY_REFUSALS = frozenset(
--- a/src/linnetwood/fairness.py
+++ b/src/linnetwood/calls/fairness.py
@@ -9,7 +9,7 @@
 import heapq
 from collections.abc import Iterator, Mapping
 
-from linnetwood.outcomes import Code, Ending, not_run
+from linnetwood.core.outcomes import Code, Ending, not_run
 
 _DEFAULT_SHARE = 1
 _MEAN_WEIGHT = 0.1
--- a/src/linnetwood/guard.py
+++ b/src/linnetwood/calls/guard.py
@@ -4,14 +4,11 @@
 import dataclasses
 from types import MappingProxyType
 
-from linnetwood import keys
-from linnetwood.backend import Backend
-from linnetwood.codec import decode, encode
-from linnetwood.errors import CallError, WireError
-from linnetwood.events import Event, log
-from linnetwood.frames import Frame, FrameKind, FrameStream
-from linnetwood.gen.wire.ttypes import End, Head, Start
-from linnetwood.outcomes import (
+from linnetwood.calls import keys
+from linnetwood.calls.backend import Backend
+from linnetwood.core.errors import CallError, WireError
+from linnetwood.core.events import Event, log
+from linnetwood.core.outcomes import (
     ANSWERED,
     Code,
     Ending,
@@ -19,8 +16,11 @@
     not_run,
     unknown,
 )
-from linnetwood.traces import NoTraces, Tracer
-from linnetwood.waits import happened
+from linnetwood.core.traces import NoTraces, Tracer
+from linnetwood.core.waits import happened
+from linnetwood.gen.wire.ttypes import End, Head, Start
+from linnetwood.wire.codec import decode, encode
+from linnetwood.wire.frames import Frame, FrameKind, FrameStream
 
 _REFUSALS = MappingProxyType(
     {
--- a/src/linnetwood/keys.py
+++ b/src/linnetwood/calls/keys.py
@@ -10,8 +10,8 @@
 import enum
 from collections import OrderedDict
 
-from linnetwood.errors import CallError
-from linnetwood.outcomes import Code
+from linnetwood.core.errors import CallError
+from linnetwood.core.outcomes import Code
 
 EPOCHS_KEPT = 3
 _PARTS = 4
--- a/src/linnetwood/retries.py
+++ b/src/linnetwood/calls/retries.py
@@ -1,6 +1,6 @@
 """Decide whether a call may be tried again: only when safe, and budgeted."""
 
-from linnetwood.outcomes import Code, Ending, Outcome
+from linnetwood.core.outcomes import Code, Ending, Outcome
 
 SHARE = 0.1
 _RESERVE = 10.0
--- a/src/linnetwood/routing.py
+++ b/src/linnetwood/calls/routing.py
@@ -7,10 +7,10 @@
 from types import MappingProxyType
 from typing import Final, Protocol
 
+from linnetwood.fleet.members import ENDPOINT, Health
+from linnetwood.fleet.placement import SEPARATOR, label
 from linnetwood.gen.schema.ttypes import Deployment
 from linnetwood.gen.wire.ttypes import Member
-from linnetwood.members import ENDPOINT, Health
-from linnetwood.placement import SEPARATOR, label
 
 _FAR_PENALTY = 0.25
 _SUSPECT_PENALTY = 2.0
--- a/src/linnetwood/metrics.py
+++ b/src/linnetwood/core/metrics.py
@@ -6,7 +6,7 @@
 
 import statsd
 
-from linnetwood.events import Event, log
+from linnetwood.core.events import Event, log
 
 
 class Metric(enum.Enum):
--- a/src/linnetwood/options.py
+++ b/src/linnetwood/core/options.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from linnetwood.settings import at_least, one_of, port
+from linnetwood.core.settings import at_least, one_of, port
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/linnetwood/settings.py
+++ b/src/linnetwood/core/settings.py
@@ -6,7 +6,7 @@
 
 import yaml
 
-from linnetwood.errors import SettingsError
+from linnetwood.core.errors import SettingsError
 
 _Settings = TypeVar('_Settings')
 _SCALARS = MappingProxyType(
--- a/src/linnetwood/trust.py
+++ b/src/linnetwood/core/trust.py
@@ -7,8 +7,8 @@
 import ssl
 from typing import Any, Protocol
 
-from linnetwood.errors import SettingsError
-from linnetwood.options import Trust
+from linnetwood.core.errors import SettingsError
+from linnetwood.core.options import Trust
 
 READ = 'read'
 OPERATE = 'operate'
--- a/src/linnetwood/changes.py
+++ b/src/linnetwood/fleet/changes.py
@@ -3,17 +3,17 @@
 import asyncio
 from collections.abc import Callable
 
-from linnetwood import configuration
-from linnetwood.clock import Clock
-from linnetwood.errors import ConfigError, StoreAnswerLostError, StoreError
-from linnetwood.events import Event, log
+from linnetwood.core.clock import Clock
+from linnetwood.core.errors import ConfigError, StoreAnswerLostError, StoreError
+from linnetwood.core.events import Event, log
+from linnetwood.fleet import configuration
+from linnetwood.fleet.store import KeyValue, Stored
 from linnetwood.gen.schema.ttypes import (
     Answer,
     Configuration,
     Deployment,
     Verdict,
 )
-from linnetwood.store import KeyValue, Stored
 
 _SETTLE_TRIES = 3
 _SETTLE_PAUSE_S = 0.2
--- a/src/linnetwood/configuration.py
+++ b/src/linnetwood/fleet/configuration.py
@@ -3,15 +3,15 @@
 import dataclasses
 from collections.abc import Iterator
 
-from linnetwood.codec import decode, encode
-from linnetwood.errors import CodecError, ConfigError
+from linnetwood.core.errors import CodecError, ConfigError
+from linnetwood.fleet.kvtable import MAX_VALUE
 from linnetwood.gen.schema.ttypes import (
     Change,
     Configuration,
     Deployment,
     Intent,
 )
-from linnetwood.kvtable import MAX_VALUE
+from linnetwood.wire.codec import decode, encode
 
 CONFIG_KEY = 'linnetwood/configuration'
 HISTORY_KEPT = 64
--- a/src/linnetwood/gossip.py
+++ b/src/linnetwood/fleet/gossip.py
@@ -7,15 +7,15 @@
 from random import Random
 from typing import Any
 
-from linnetwood.clock import Clock
-from linnetwood.codec import decode, encode
-from linnetwood.errors import CodecError
-from linnetwood.events import Event, log
+from linnetwood.core.clock import Clock
+from linnetwood.core.errors import CodecError
+from linnetwood.core.events import Event, log
+from linnetwood.core.options import Gossiping
+from linnetwood.core.trust import NoSeal, Seal
+from linnetwood.fleet.members import Health
+from linnetwood.fleet.membership import BUCKETS, Membership, pick
 from linnetwood.gen.wire.ttypes import Gossip, HeldNotice, Member
-from linnetwood.members import Health
-from linnetwood.membership import BUCKETS, Membership, pick
-from linnetwood.options import Gossiping
-from linnetwood.trust import NoSeal, Seal
+from linnetwood.wire.codec import decode, encode
 
 _DATAGRAM = 1200
 _BATCH_S = 0.03
--- a/src/linnetwood/kvtable.py
+++ b/src/linnetwood/fleet/kvtable.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from linnetwood.sizes import MIB
+from linnetwood.core.sizes import MIB
 
 MAX_VALUE = MIB
 
--- a/src/linnetwood/membership.py
+++ b/src/linnetwood/fleet/membership.py
@@ -4,8 +4,8 @@
 from collections.abc import Iterable, Iterator
 from random import Random
 
-from linnetwood.gen.wire.ttypes import Member
-from linnetwood.members import (
+from linnetwood.core.options import Gossiping
+from linnetwood.fleet.members import (
     Health,
     copy,
     newer,
@@ -13,7 +13,7 @@
     stamp,
     statement_hash,
 )
-from linnetwood.options import Gossiping
+from linnetwood.gen.wire.ttypes import Member
 
 BUCKETS = 64
 DEAD_KEPT_S = 600.0
--- a/src/linnetwood/neighbours.py
+++ b/src/linnetwood/fleet/neighbours.py
@@ -1,6 +1,6 @@
 """Choose the neighbours with whom a VM exchanges chunks."""
 
-from linnetwood.members import place_hash
+from linnetwood.fleet.members import place_hash
 
 
 def neighbours(me: str, vms: list[str], manifest: str, count: int) -> list[str]:
--- a/src/linnetwood/node.py
+++ b/src/linnetwood/fleet/node.py
@@ -7,23 +7,27 @@
 from tornado.httpclient import AsyncHTTPClient
 from tornado.netutil import bind_sockets
 
-from linnetwood import codec
-from linnetwood.clock import Clock, SystemClock
-from linnetwood.errors import SettingsError
-from linnetwood.events import Event, log
-from linnetwood.frames import Frame, FrameKind, FrameStream
+from linnetwood.core.clock import Clock, SystemClock
+from linnetwood.core.errors import SettingsError
+from linnetwood.core.events import Event, log
+from linnetwood.core.metrics import Metrics, open_metrics
+from linnetwood.core.options import Gossiping, Place, Platform, Watching
+from linnetwood.core.traces import Tracer, open_traces
+from linnetwood.core.trust import Keys
+from linnetwood.fleet.gossip import GossipTask
+from linnetwood.fleet.members import Health
+from linnetwood.fleet.membership import Membership
+from linnetwood.fleet.store import HttpKeyValue
+from linnetwood.fleet.vmlist import HttpVmList, VmListTask
+from linnetwood.fleet.watching import ConfigTask
 from linnetwood.gen.wire.ttypes import ConfigRequest, Member
-from linnetwood.gossip import GossipTask
-from linnetwood.members import Health
-from linnetwood.membership import Membership
-from linnetwood.metrics import Metrics, open_metrics
-from linnetwood.options import Gossiping, Place, Platform, Watching
-from linnetwood.store import HttpKeyValue
-from linnetwood.traces import Tracer, open_traces
-from linnetwood.trust import Keys
-from linnetwood.vmlist import HttpVmList, VmListTask
-from linnetwood.watching import ConfigTask
-from linnetwood.wire import FrameHandler, TcpDialler, WireServer
+from linnetwood.wire import codec
+from linnetwood.wire.connections import (
+    FrameHandler,
+    TcpDialler,
+    WireServer,
+)
+from linnetwood.wire.frames import Frame, FrameKind, FrameStream
 
 _MILLISECONDS = 1000
 
--- a/src/linnetwood/placement.py
+++ b/src/linnetwood/fleet/placement.py
@@ -2,9 +2,9 @@
 
 from collections.abc import Iterable
 
+from linnetwood.fleet.members import ENDPOINT, Health, copy, place_hash
 from linnetwood.gen.schema.ttypes import Deployment, Intent
 from linnetwood.gen.wire.ttypes import Member
-from linnetwood.members import ENDPOINT, Health, copy, place_hash
 
 ENGINE_KIND = 'engine'
 SEPARATOR = '@'
--- a/src/linnetwood/progress.py
+++ b/src/linnetwood/fleet/progress.py
@@ -4,10 +4,10 @@
 from collections import deque
 from collections.abc import Iterator, Mapping
 
+from linnetwood.fleet.members import Health
+from linnetwood.fleet.placement import assign, label
 from linnetwood.gen.schema.ttypes import Deployment, Intent, RolloutStatus
 from linnetwood.gen.wire.ttypes import Member
-from linnetwood.members import Health
-from linnetwood.placement import assign, label
 
 _SAMPLES = 32
 _UNKNOWN_S = -1.0
--- a/src/linnetwood/sampling.py
+++ b/src/linnetwood/fleet/sampling.py
@@ -7,14 +7,14 @@
 import asyncio
 from random import Random
 
-from linnetwood.codec import decode
-from linnetwood.errors import LinnetwoodError
-from linnetwood.frames import FrameKind
+from linnetwood.core.errors import LinnetwoodError
+from linnetwood.fleet.placement import assign, label
+from linnetwood.fleet.progress import waiting
 from linnetwood.gen.schema.ttypes import Deployment
 from linnetwood.gen.wire.ttypes import Member, TransferProgress
-from linnetwood.placement import assign, label
-from linnetwood.progress import waiting
-from linnetwood.wire import Dialler
+from linnetwood.wire.codec import decode
+from linnetwood.wire.connections import Dialler
+from linnetwood.wire.frames import FrameKind
 
 _ASKED = 16
 _TIMEOUT_S = 0.5
--- a/src/linnetwood/schema.py
+++ b/src/linnetwood/fleet/schema.py
@@ -12,12 +12,12 @@
     ThriftParserError,
 )
 
-from linnetwood import configuration
-from linnetwood.errors import SchemaError
+from linnetwood.core.errors import SchemaError
+from linnetwood.fleet import configuration
+from linnetwood.fleet.tokens import Tokens, Tree
 from linnetwood.gen.schema.ttypes import Deployment, Weigh
-from linnetwood.tokens import Tokens, Tree
 
-IDL_FOLDER = pathlib.Path(__file__).parent / 'idl'
+IDL_FOLDER = pathlib.Path(__file__).parent.parent / 'idl'
 DEPLOYMENT_TYPE = 'linnetwood.Deployment'
 _ENUMS = MappingProxyType({'weigh': Weigh})
 _ALLOWED = MappingProxyType(
--- a/src/linnetwood/store.py
+++ b/src/linnetwood/fleet/store.py
@@ -10,8 +10,8 @@
     HTTPResponse,
 )
 
-from linnetwood.errors import StoreAnswerLostError, StoreError
-from linnetwood.http import NO_ANSWER, fetch
+from linnetwood.core.errors import StoreAnswerLostError, StoreError
+from linnetwood.wire.http import NO_ANSWER, fetch
 
 VERSION_HEADER = 'X-Version'
 _ABSENT = 404
--- a/src/linnetwood/tokens.py
+++ b/src/linnetwood/fleet/tokens.py
@@ -8,7 +8,7 @@
 from thriftpy2.parser import lexer as thrift_lexer
 from thriftpy2.parser.exc import ThriftLexerError
 
-from linnetwood.errors import SchemaError
+from linnetwood.core.errors import SchemaError
 
 _SCALARS = frozenset(
     ('LITERAL', 'INTCONSTANT', 'DUBCONSTANT', 'BOOLCONSTANT', 'IDENTIFIER'),
--- a/src/linnetwood/vmlist.py
+++ b/src/linnetwood/fleet/vmlist.py
@@ -8,13 +8,13 @@
 
 from tornado.httpclient import AsyncHTTPClient, HTTPRequest
 
-from linnetwood.errors import StoreError
-from linnetwood.events import Event, log
+from linnetwood.core.errors import StoreError
+from linnetwood.core.events import Event, log
+from linnetwood.fleet.gossip import GossipTask
+from linnetwood.fleet.members import Health, copy
+from linnetwood.fleet.watching import backoff_s
 from linnetwood.gen.wire.ttypes import Member
-from linnetwood.gossip import GossipTask
-from linnetwood.http import fetch
-from linnetwood.members import Health, copy
-from linnetwood.watching import backoff_s
+from linnetwood.wire.http import fetch
 
 _LEAVING = 'leaving'
 _OK = 200
--- a/src/linnetwood/watching.py
+++ b/src/linnetwood/fleet/watching.py
@@ -4,22 +4,22 @@
 from collections.abc import Callable
 from random import Random
 
-from linnetwood import configuration
-from linnetwood.clock import Clock
-from linnetwood.codec import decode, encode
-from linnetwood.errors import LinnetwoodError, StoreError
-from linnetwood.events import Event, log
-from linnetwood.frames import FrameKind
+from linnetwood.core.clock import Clock
+from linnetwood.core.errors import LinnetwoodError, StoreError
+from linnetwood.core.events import Event, log
+from linnetwood.fleet import configuration
+from linnetwood.fleet.gossip import Address, GossipTask, Listener
+from linnetwood.fleet.members import Health, place_hash
+from linnetwood.fleet.store import KeyValue, Stored
 from linnetwood.gen.schema.ttypes import Configuration, Deployment
 from linnetwood.gen.wire.ttypes import (
     ConfigReply,
     ConfigRequest,
     Member,
 )
-from linnetwood.gossip import Address, GossipTask, Listener
-from linnetwood.members import Health, place_hash
-from linnetwood.store import KeyValue, Stored
-from linnetwood.wire import Dialler
+from linnetwood.wire.codec import decode, encode
+from linnetwood.wire.connections import Dialler
+from linnetwood.wire.frames import FrameKind
 
 WATCHERS_PER_REGION = 2
 _BACKOFF_FIRST_S = 1.0
--- /dev/null
+++ b/src/linnetwood/lab/__init__.py
@@ -0,0 +1,1 @@
+"""Apart from the product: stand-ins, histories and measurements."""
--- a/src/linnetwood/checking.py
+++ b/src/linnetwood/lab/checking.py
@@ -9,7 +9,7 @@
 import dataclasses
 from collections.abc import Iterator
 
-from linnetwood.outcomes import Outcome
+from linnetwood.core.outcomes import Outcome
 
 LEAVING_GRACE_S = 2.0
 
--- a/src/linnetwood/fakekv.py
+++ b/src/linnetwood/lab/fakekv.py
@@ -5,9 +5,9 @@
 
 from tornado.web import Application, RequestHandler
 
-from linnetwood.kvtable import MAX_VALUE, KvTable
-from linnetwood.store import VERSION_HEADER
-from linnetwood.waits import happened
+from linnetwood.core.waits import happened
+from linnetwood.fleet.kvtable import MAX_VALUE, KvTable
+from linnetwood.fleet.store import VERSION_HEADER
 
 _CONFLICT = 409
 _ABSENT = 404
--- a/src/linnetwood/fakeorigin.py
+++ b/src/linnetwood/lab/fakeorigin.py
@@ -6,8 +6,8 @@
 
 from tornado.web import Application, RequestHandler
 
-from linnetwood import chunks
-from linnetwood.links import Lane
+from linnetwood.weights import chunks
+from linnetwood.wire.links import Lane
 
 _ABSENT = 404
 _SLICE = 65536
--- a/src/linnetwood/fakes.py
+++ b/src/linnetwood/lab/fakes.py
@@ -11,8 +11,8 @@
 from tornado.netutil import bind_sockets
 from tornado.web import Application
 
-from linnetwood import fakeengine, fakekv, fakeorigin, fakeservice, fakevms
-from linnetwood.sizes import GIB
+from linnetwood.core.sizes import GIB
+from linnetwood.lab import fakeengine, fakekv, fakeorigin, fakeservice, fakevms
 
 _BODY_LIMIT = GIB
 
--- a/src/linnetwood/histories.py
+++ b/src/linnetwood/lab/histories.py
@@ -5,18 +5,13 @@
 import itertools
 from random import Random
 
-from linnetwood.backend import Sink
-from linnetwood.checking import Effect, History, Seen, Stop
-from linnetwood.dispatch import Call, Dispatcher, mint
-from linnetwood.frames import FrameKind, FrameStream
-from linnetwood.gen.schema.ttypes import Deployment, Intent, Model, Version
-from linnetwood.gen.wire.ttypes import Head, Member, Start
-from linnetwood.guard import Guard, GuardState
-from linnetwood.keys import KeyMemory
-from linnetwood.members import ENDPOINT, Health, copy
-from linnetwood.memory_net import MemoryDialler, MemoryNet
-from linnetwood.metrics import NoMetrics
-from linnetwood.outcomes import (
+from linnetwood.calls.backend import Sink
+from linnetwood.calls.dispatch import Call, Dispatcher, mint
+from linnetwood.calls.guard import Guard, GuardState
+from linnetwood.calls.keys import KeyMemory
+from linnetwood.calls.routing import POLICIES, Routes, Want
+from linnetwood.core.metrics import NoMetrics
+from linnetwood.core.outcomes import (
     ANSWERED,
     Code,
     Ending,
@@ -24,9 +19,14 @@
     not_run,
     unknown,
 )
-from linnetwood.placement import ENGINE_KIND, label
-from linnetwood.routing import POLICIES, Routes, Want
-from linnetwood.virtual import VirtualClock
+from linnetwood.fleet.members import ENDPOINT, Health, copy
+from linnetwood.fleet.placement import ENGINE_KIND, label
+from linnetwood.gen.schema.ttypes import Deployment, Intent, Model, Version
+from linnetwood.gen.wire.ttypes import Head, Member, Start
+from linnetwood.lab.checking import Effect, History, Seen, Stop
+from linnetwood.lab.memory_net import MemoryDialler, MemoryNet
+from linnetwood.lab.virtual import VirtualClock
+from linnetwood.wire.frames import FrameKind, FrameStream
 
 MODEL = 'sevak'
 VERSIONS = (label(MODEL, 'v1'), label(MODEL, 'v2'))
--- a/src/linnetwood/instruments.py
+++ b/src/linnetwood/lab/instruments.py
@@ -5,7 +5,7 @@
 
 from tornado.httpclient import AsyncHTTPClient, HTTPRequest
 
-from linnetwood.fleet import Fleet
+from linnetwood.lab.launcher import Fleet
 
 
 async def publish(fleet: Fleet, weights: bytes, chunk_bytes: int) -> str:
--- a/src/linnetwood/fleet.py
+++ b/src/linnetwood/lab/launcher.py
@@ -193,7 +193,7 @@
             'gossiping': self.plan.gossiping,
             'watching': {'log_level': self.plan.log_level},
         }
-        process = self._spawn('endpoint', vm, settings)
+        process = self._spawn('programs.endpoint', vm, settings)
         self.endpoints[vm] = Started(vm, process, port)
         return vm
 
@@ -212,7 +212,7 @@
             'watching': {'log_level': self.plan.log_level},
             **self.plan.entry,
         }
-        process = self._spawn('entry', vm, settings)
+        process = self._spawn('programs.entry', vm, settings)
         self.entries[vm] = Started(vm, process, wire, http, operators)
 
     def _place(self, vm: str, number: int, port: int) -> dict[str, Any]:
@@ -263,7 +263,7 @@
             f'--slots={plan.slots}',
             '--checks-fences' if plan.checks_fences else '--no-checks-fences',
         )
-        process = self.run('fakes', f'fakes-{name}', (*common, *args))
+        process = self.run('lab.fakes', f'fakes-{name}', (*common, *args))
         self.fakes.append(Started(f'fakes-{name}', process, 0))
 
     def _spawn(
--- a/src/linnetwood/load.py
+++ b/src/linnetwood/lab/load.py
@@ -11,15 +11,15 @@
 import defopt
 from tornado.httpclient import HTTPRequest, HTTPResponse
 
-from linnetwood.callers import (
+from linnetwood.calls.callers import (
     CODE_HEADER,
     DEADLINE_HEADER,
     ORGANISATION_HEADER,
     OUTCOME_HEADER,
     VERSION_HEADER,
 )
-from linnetwood.fakeengine import token
-from linnetwood.http import fetch, open_client
+from linnetwood.lab.fakeengine import token
+from linnetwood.wire.http import fetch, open_client
 
 _OK = 200
 _CLIENTS = 4096
--- a/src/linnetwood/measure.py
+++ b/src/linnetwood/lab/measure.py
@@ -2,11 +2,11 @@
 
 import defopt
 
-from linnetwood.measure_burst import burst
-from linnetwood.measure_control import control
-from linnetwood.measure_histories import histories
-from linnetwood.measure_routing import routing
-from linnetwood.measure_serve import serve
+from linnetwood.lab.measure_burst import burst
+from linnetwood.lab.measure_control import control
+from linnetwood.lab.measure_histories import histories
+from linnetwood.lab.measure_routing import routing
+from linnetwood.lab.measure_serve import serve
 
 COMMANDS = (burst, control, histories, routing, serve)
 
--- a/src/linnetwood/measure_burst.py
+++ b/src/linnetwood/lab/measure_burst.py
@@ -12,9 +12,8 @@
 
 from tornado.httpclient import AsyncHTTPClient, HTTPRequest
 
-from linnetwood.client import OperatorClient
-from linnetwood.events import Event
-from linnetwood.fleet import Fleet, Plan
+from linnetwood.core.events import Event
+from linnetwood.fleet.placement import label
 from linnetwood.gen.schema.ttypes import (
     Deployment,
     Intent,
@@ -22,12 +21,13 @@
     Version,
     Weigh,
 )
-from linnetwood.instruments import (
+from linnetwood.lab.instruments import (
     engine_violations,
     origin_state,
     publish,
 )
-from linnetwood.placement import label
+from linnetwood.lab.launcher import Fleet, Plan
+from linnetwood.programs.client import OperatorClient
 
 MODEL = 'sevak'
 ORIGIN_TO_LINK = 2
--- a/src/linnetwood/measure_control.py
+++ b/src/linnetwood/lab/measure_control.py
@@ -15,13 +15,13 @@
 
 from tornado.httpclient import AsyncHTTPClient
 
-from linnetwood.client import OperatorClient
-from linnetwood.events import Event
-from linnetwood.fleet import Fleet, Plan
+from linnetwood.core.events import Event
+from linnetwood.fleet.members import ENDPOINT, Health
+from linnetwood.fleet.membership import View
 from linnetwood.gen.schema.ttypes import Deployment, Organisation
 from linnetwood.gen.wire.ttypes import Member
-from linnetwood.members import ENDPOINT, Health
-from linnetwood.membership import View
+from linnetwood.lab.launcher import Fleet, Plan
+from linnetwood.programs.client import OperatorClient
 
 DESIGN_PROCESSES = 2710
 _ENTRY_SHARE = 0.15
--- a/src/linnetwood/measure_histories.py
+++ b/src/linnetwood/lab/measure_histories.py
@@ -5,9 +5,9 @@
 import time
 from collections import Counter
 
-from linnetwood import checking, virtual
-from linnetwood.histories import Shape, counts, one
-from linnetwood.outcomes import Outcome
+from linnetwood.core.outcomes import Outcome
+from linnetwood.lab import checking, virtual
+from linnetwood.lab.histories import Shape, counts, one
 
 _SHOWN = 5
 
--- a/src/linnetwood/measure_routing.py
+++ b/src/linnetwood/lab/measure_routing.py
@@ -9,6 +9,9 @@
 from random import Random
 from typing import Any
 
+from linnetwood.calls.routing import POLICIES, Routes, Want
+from linnetwood.fleet.members import ENDPOINT, Health
+from linnetwood.fleet.placement import ENGINE_KIND
 from linnetwood.gen.schema.ttypes import (
     Deployment,
     Intent,
@@ -16,9 +19,6 @@
     Version,
 )
 from linnetwood.gen.wire.ttypes import Member
-from linnetwood.members import ENDPOINT, Health
-from linnetwood.placement import ENGINE_KIND
-from linnetwood.routing import POLICIES, Routes, Want
 
 _SLOTS = 16
 _SPAN_S = 60.0
--- a/src/linnetwood/measure_serve.py
+++ b/src/linnetwood/lab/measure_serve.py
@@ -11,9 +11,6 @@
 
 from tornado.httpclient import AsyncHTTPClient, HTTPRequest
 
-from linnetwood.client import OperatorClient
-from linnetwood.fakeengine import CALL_HEADER
-from linnetwood.fleet import Fleet, Plan, Ports
 from linnetwood.gen.schema.ttypes import (
     Deployment,
     Intent,
@@ -22,15 +19,18 @@
     Version,
     Weigh,
 )
-from linnetwood.http import open_client
-from linnetwood.instruments import (
+from linnetwood.lab.fakeengine import CALL_HEADER
+from linnetwood.lab.instruments import (
     engine_violations,
     origin_state,
     publish,
 )
-from linnetwood.load import Caller, Record, Traffic, percentile
-from linnetwood.measure_burst import MODEL, follow
-from linnetwood.measure_control import cpu_s
+from linnetwood.lab.launcher import Fleet, Plan, Ports
+from linnetwood.lab.load import Caller, Record, Traffic, percentile
+from linnetwood.lab.measure_burst import MODEL, follow
+from linnetwood.lab.measure_control import cpu_s
+from linnetwood.programs.client import OperatorClient
+from linnetwood.wire.http import open_client
 
 _SIZE = 65536
 _CALLS_PER_S = 15.0
--- a/src/linnetwood/memory_net.py
+++ b/src/linnetwood/lab/memory_net.py
@@ -5,9 +5,9 @@
 from collections.abc import Awaitable, Callable
 from random import Random
 
-from linnetwood.errors import WireError
-from linnetwood.frames import Frame, FrameKind, FrameStream
-from linnetwood.wire import Address
+from linnetwood.core.errors import WireError
+from linnetwood.wire.connections import Address
+from linnetwood.wire.frames import Frame, FrameKind, FrameStream
 
 _LATENCY_S = 0.001
 _STALL_S = 3.0
--- a/src/linnetwood/relay.py
+++ b/src/linnetwood/lab/relay.py
@@ -9,7 +9,7 @@
 from tornado.netutil import bind_sockets
 from tornado.web import Application, RequestHandler
 
-from linnetwood.http import open_client
+from linnetwood.wire.http import open_client
 
 _CLIENTS = 512
 
--- /dev/null
+++ b/src/linnetwood/programs/__init__.py
@@ -0,0 +1,1 @@
+"""The programs: each puts the parts together and ends with an exit code."""
--- a/src/linnetwood/cli.py
+++ b/src/linnetwood/programs/cli.py
@@ -12,14 +12,13 @@
 import defopt
 from thrift.Thrift import TException
 
-from linnetwood import schema, show
-from linnetwood.client import OperatorClient
-from linnetwood.errors import (
+from linnetwood.core.errors import (
     LinnetwoodError,
     SchemaError,
     SettingsError,
     UsageError,
 )
+from linnetwood.fleet import schema
 from linnetwood.gen.schema.ttypes import (
     Answer,
     Intent,
@@ -28,6 +27,8 @@
     Verdict,
     Weigh,
 )
+from linnetwood.programs import show
+from linnetwood.programs.client import OperatorClient
 
 EXIT_OK = 0
 EXIT_REFUSED = 1
--- a/src/linnetwood/client.py
+++ b/src/linnetwood/programs/client.py
@@ -9,9 +9,9 @@
 from thrift.transport.TSSLSocket import TSSLSocket
 from thrift.transport.TTransport import TFramedTransport
 
-from linnetwood.errors import WireError
+from linnetwood.core.errors import WireError
+from linnetwood.core.trust import client_context
 from linnetwood.gen.schema import Operators
-from linnetwood.trust import client_context
 
 _TIMEOUT_MS = 10000
 
--- a/src/linnetwood/daemon.py
+++ b/src/linnetwood/programs/daemon.py
@@ -7,10 +7,10 @@
 from collections.abc import Awaitable, Callable
 from typing import Any, TypeVar
 
-from linnetwood import settings
-from linnetwood.errors import LinnetwoodError
-from linnetwood.events import Event, log, open_log
-from linnetwood.trust import Keys
+from linnetwood.core import settings
+from linnetwood.core.errors import LinnetwoodError
+from linnetwood.core.events import Event, log, open_log
+from linnetwood.core.trust import Keys
 
 EXIT_OK = 0
 EXIT_FAILED = 1
--- a/src/linnetwood/endpoint.py
+++ b/src/linnetwood/programs/endpoint.py
@@ -3,27 +3,28 @@
 import asyncio
 import sys
 
-from linnetwood import codec, daemon
-from linnetwood.agent import WeightsAgent
-from linnetwood.backend import Backend, EngineBackend, ServiceBackend
-from linnetwood.chunks import ChunkStore
-from linnetwood.clock import SystemClock
-from linnetwood.events import Event, log
-from linnetwood.frames import Frame, FrameKind, FrameStream
+from linnetwood.calls.backend import Backend, EngineBackend, ServiceBackend
+from linnetwood.calls.guard import Guard, GuardState
+from linnetwood.calls.keys import KeyMemory
+from linnetwood.core.clock import SystemClock
+from linnetwood.core.events import Event, log
+from linnetwood.core.options import EndpointOptions
+from linnetwood.core.trust import Keys
+from linnetwood.fleet.gossip import Listener
+from linnetwood.fleet.members import ENDPOINT, Health, copy
+from linnetwood.fleet.node import Node, introduce, until_told
+from linnetwood.fleet.placement import ENGINE_KIND
 from linnetwood.gen.wire.ttypes import DrainOrder, Member, TransferProgress
-from linnetwood.gossip import Listener
-from linnetwood.guard import Guard, GuardState
-from linnetwood.http import open_client
-from linnetwood.keys import KeyMemory
-from linnetwood.links import Link, OpenLink, PacedLink
-from linnetwood.members import ENDPOINT, Health, copy
-from linnetwood.node import Node, introduce, until_told
-from linnetwood.options import EndpointOptions
-from linnetwood.orders import HttpOrders
-from linnetwood.origin import HttpWeightStore
-from linnetwood.placement import ENGINE_KIND
-from linnetwood.transfer import Fetcher, Tally, Tools, Uploads
-from linnetwood.trust import Keys
+from linnetwood.programs import daemon
+from linnetwood.weights.agent import WeightsAgent
+from linnetwood.weights.chunks import ChunkStore
+from linnetwood.weights.orders import HttpOrders
+from linnetwood.weights.origin import HttpWeightStore
+from linnetwood.weights.transfer import Fetcher, Tally, Tools, Uploads
+from linnetwood.wire import codec
+from linnetwood.wire.frames import Frame, FrameKind, FrameStream
+from linnetwood.wire.http import open_client
+from linnetwood.wire.links import Link, OpenLink, PacedLink
 
 _ORIGIN_TIMEOUT_S = 120.0
 _EPOCH_CHECK_S = 1.0
--- a/src/linnetwood/entry.py
+++ b/src/linnetwood/programs/entry.py
@@ -6,22 +6,23 @@
 from tornado.httpserver import HTTPServer
 from tornado.netutil import bind_sockets
 
-from linnetwood import callers, daemon
-from linnetwood.admission import Admission
-from linnetwood.clock import SystemClock
-from linnetwood.dispatch import Dispatcher
-from linnetwood.events import Event, log
-from linnetwood.fairness import Bounds
+from linnetwood.calls import callers
+from linnetwood.calls.admission import Admission
+from linnetwood.calls.dispatch import Dispatcher
+from linnetwood.calls.fairness import Bounds
+from linnetwood.calls.routing import POLICIES, Routes
+from linnetwood.core.clock import SystemClock
+from linnetwood.core.events import Event, log
+from linnetwood.core.options import EntryOptions
+from linnetwood.core.trust import Keys
+from linnetwood.fleet.gossip import Listener
+from linnetwood.fleet.members import ENTRY, usable
+from linnetwood.fleet.node import Node, introduce, until_told
 from linnetwood.gen.schema.ttypes import Configuration
 from linnetwood.gen.wire.ttypes import Member
-from linnetwood.gossip import Listener
-from linnetwood.http import open_small_client
-from linnetwood.members import ENTRY, usable
-from linnetwood.node import Node, introduce, until_told
-from linnetwood.operators import OperatorCalls, OperatorServer
-from linnetwood.options import EntryOptions
-from linnetwood.routing import POLICIES, Routes
-from linnetwood.trust import Keys
+from linnetwood.programs import daemon
+from linnetwood.programs.operators import OperatorCalls, OperatorServer
+from linnetwood.wire.http import open_small_client
 
 _DRAIN_CHECK_S = 0.05
 _MAX_CLIENTS = 16
--- a/src/linnetwood/operators.py
+++ b/src/linnetwood/programs/operators.py
@@ -11,13 +11,17 @@
 from tornado.iostream import IOStream, SSLIOStream, StreamClosedError
 from tornado.tcpserver import TCPServer
 
-from linnetwood import codec
-from linnetwood import configuration as rules
-from linnetwood.changes import Changes
-from linnetwood.configuration import Proposal
-from linnetwood.errors import ConfigError, LinnetwoodError, WireError
-from linnetwood.events import Event, log
-from linnetwood.frames import FrameKind
+from linnetwood.core.errors import ConfigError, LinnetwoodError, WireError
+from linnetwood.core.events import Event, log
+from linnetwood.core.sizes import MIB
+from linnetwood.core.trust import OPERATE, READ, Operator, operator_of
+from linnetwood.fleet import configuration as rules
+from linnetwood.fleet.changes import Changes
+from linnetwood.fleet.configuration import Proposal
+from linnetwood.fleet.members import ENDPOINT, ENTRY, Health, usable
+from linnetwood.fleet.node import Node
+from linnetwood.fleet.progress import Instant, Progress
+from linnetwood.fleet.sampling import Sampler
 from linnetwood.gen.schema import Operators
 from linnetwood.gen.schema.ttypes import (
     Answer,
@@ -30,12 +34,8 @@
     Status,
 )
 from linnetwood.gen.wire.ttypes import DrainOrder, Member
-from linnetwood.members import ENDPOINT, ENTRY, Health, usable
-from linnetwood.node import Node
-from linnetwood.progress import Instant, Progress
-from linnetwood.sampling import Sampler
-from linnetwood.sizes import MIB
-from linnetwood.trust import OPERATE, READ, Operator, operator_of
+from linnetwood.wire import codec
+from linnetwood.wire.frames import FrameKind
 
 _LENGTH_BYTES = 4
 _MAX_CALL = 2 * MIB
--- a/src/linnetwood/agent.py
+++ b/src/linnetwood/weights/agent.py
@@ -4,20 +4,22 @@
 import dataclasses
 import math
 
-from linnetwood import chunks, placement
-from linnetwood.configuration import manifest_of
-from linnetwood.errors import LinnetwoodError, OrderError, WeightsError
-from linnetwood.events import Event, log
+from linnetwood.calls.guard import Guard
+from linnetwood.core.errors import LinnetwoodError, OrderError, WeightsError
+from linnetwood.core.events import Event, log
+from linnetwood.core.options import Transfer
+from linnetwood.core.waits import happened
+from linnetwood.fleet import placement
+from linnetwood.fleet.configuration import manifest_of
+from linnetwood.fleet.gossip import Address, GossipTask, Listener
+from linnetwood.fleet.neighbours import neighbours
 from linnetwood.gen.schema.ttypes import Configuration, Intent
 from linnetwood.gen.wire.ttypes import HeldNotice, Member, TransferProgress
-from linnetwood.gossip import Address, GossipTask, Listener
-from linnetwood.guard import Guard
-from linnetwood.keeper import EngineKeeper, Target
-from linnetwood.neighbours import neighbours
-from linnetwood.options import Transfer
-from linnetwood.orders import Orders
-from linnetwood.staging import Staging
-from linnetwood.swarm import (
+from linnetwood.weights import chunks
+from linnetwood.weights.keeper import EngineKeeper, Target
+from linnetwood.weights.orders import Orders
+from linnetwood.weights.staging import Staging
+from linnetwood.weights.swarm import (
     DirectReading,
     OriginPolicy,
     Ring,
@@ -25,8 +27,7 @@
     SwarmOptions,
     Turns,
 )
-from linnetwood.transfer import Download, Tools
-from linnetwood.waits import happened
+from linnetwood.weights.transfer import Download, Tools
 
 _WAKE_S = 0.5
 _NOTICE_REFRESH_S = 0.5
--- a/src/linnetwood/chunks.py
+++ b/src/linnetwood/weights/chunks.py
@@ -5,7 +5,7 @@
 import struct
 from collections.abc import Iterator
 
-from linnetwood.errors import WeightsError
+from linnetwood.core.errors import WeightsError
 
 _HEAD = struct.Struct('>4sQI32s')
 _MAGIC = b'LWM1'
--- a/src/linnetwood/keeper.py
+++ b/src/linnetwood/weights/keeper.py
@@ -2,16 +2,21 @@
 
 import dataclasses
 
-from linnetwood import placement
-from linnetwood.chunks import Manifest
-from linnetwood.clock import Clock
-from linnetwood.errors import OrderError
-from linnetwood.events import Event, log
+from linnetwood.calls.guard import Guard
+from linnetwood.core.clock import Clock
+from linnetwood.core.errors import OrderError
+from linnetwood.core.events import Event, log
+from linnetwood.core.pauses import PauseWatch
+from linnetwood.fleet import placement
+from linnetwood.fleet.gossip import GossipTask
 from linnetwood.gen.schema.ttypes import Intent
-from linnetwood.gossip import GossipTask
-from linnetwood.guard import Guard
-from linnetwood.orders import LoadOrder, Orders, chunks_digest, next_fence
-from linnetwood.pauses import PauseWatch
+from linnetwood.weights.chunks import Manifest
+from linnetwood.weights.orders import (
+    LoadOrder,
+    Orders,
+    chunks_digest,
+    next_fence,
+)
 
 _CHECK_EVERY_S = 1.0
 
--- a/src/linnetwood/orders.py
+++ b/src/linnetwood/weights/orders.py
@@ -7,9 +7,9 @@
 
 from tornado.httpclient import AsyncHTTPClient, HTTPRequest, HTTPResponse
 
-from linnetwood.chunks import Manifest
-from linnetwood.errors import OrderError
-from linnetwood.http import fetch
+from linnetwood.core.errors import OrderError
+from linnetwood.weights.chunks import Manifest
+from linnetwood.wire.http import fetch
 
 FENCE_STEP = 1024 * 1024
 _TIMEOUT_S = 30.0
--- a/src/linnetwood/origin.py
+++ b/src/linnetwood/weights/origin.py
@@ -2,8 +2,8 @@
 
 from tornado.httpclient import AsyncHTTPClient, HTTPRequest
 
-from linnetwood.errors import WeightsError
-from linnetwood.http import fetch
+from linnetwood.core.errors import WeightsError
+from linnetwood.wire.http import fetch
 
 _OK = 200
 
--- a/src/linnetwood/staging.py
+++ b/src/linnetwood/weights/staging.py
@@ -2,11 +2,11 @@
 
 import asyncio
 
-from linnetwood import chunks
-from linnetwood.errors import OrderError
-from linnetwood.events import Event, log
-from linnetwood.orders import Orders
-from linnetwood.transfer import Download
+from linnetwood.core.errors import OrderError
+from linnetwood.core.events import Event, log
+from linnetwood.weights import chunks
+from linnetwood.weights.orders import Orders
+from linnetwood.weights.transfer import Download
 
 
 class Staging:
--- a/src/linnetwood/swarm.py
+++ b/src/linnetwood/weights/swarm.py
@@ -6,8 +6,8 @@
 from random import Random
 from typing import Protocol
 
-from linnetwood import chunks
-from linnetwood.members import place_hash
+from linnetwood.fleet.members import place_hash
+from linnetwood.weights import chunks
 
 ORIGIN = ''
 _RING_POINTS = 16
--- a/src/linnetwood/transfer.py
+++ b/src/linnetwood/weights/transfer.py
@@ -6,24 +6,30 @@
 from random import Random
 from typing import Protocol
 
-from linnetwood import chunks
-from linnetwood.clock import Clock
-from linnetwood.codec import decode, encode
-from linnetwood.errors import LinnetwoodError, WeightsError, WireError
-from linnetwood.events import Event, log
-from linnetwood.frames import Frame, FrameKind, FrameStream
+from linnetwood.core.clock import Clock
+from linnetwood.core.errors import LinnetwoodError, WeightsError, WireError
+from linnetwood.core.events import Event, log
+from linnetwood.core.metrics import Metric, Metrics
+from linnetwood.core.options import Transfer
+from linnetwood.core.waits import happened
 from linnetwood.gen.wire.ttypes import (
     ChunkReply,
     ChunkRequest,
     HeldNotice,
     Member,
 )
-from linnetwood.links import Link
-from linnetwood.metrics import Metric, Metrics
-from linnetwood.options import Transfer
-from linnetwood.swarm import ORIGIN, Fetch, OriginPolicy, Swarm, SwarmOptions
-from linnetwood.waits import happened
-from linnetwood.wire import Address, Dialler
+from linnetwood.weights import chunks
+from linnetwood.weights.swarm import (
+    ORIGIN,
+    Fetch,
+    OriginPolicy,
+    Swarm,
+    SwarmOptions,
+)
+from linnetwood.wire.codec import decode, encode
+from linnetwood.wire.connections import Address, Dialler
+from linnetwood.wire.frames import Frame, FrameKind, FrameStream
+from linnetwood.wire.links import Link
 
 _WAKE_S = 0.25
 _PLAN_PAUSE_S = 0.01
--- a/src/linnetwood/codec.py
+++ b/src/linnetwood/wire/codec.py
@@ -6,8 +6,8 @@
 from thrift.Thrift import TException
 from thrift.transport.TTransport import TMemoryBuffer
 
-from linnetwood.errors import CodecError
-from linnetwood.sizes import MIB
+from linnetwood.core.errors import CodecError
+from linnetwood.core.sizes import MIB
 
 MAX_STRING = MIB
 MAX_ITEMS = 65536
--- a/src/linnetwood/wire.py
+++ b/src/linnetwood/wire/connections.py
@@ -6,9 +6,9 @@
 from collections.abc import Awaitable, Callable
 from typing import Protocol
 
-from linnetwood.errors import CodecError, LinnetwoodError, WireError
-from linnetwood.events import Event, log
-from linnetwood.frames import Frame, FrameStream
+from linnetwood.core.errors import CodecError, LinnetwoodError, WireError
+from linnetwood.core.events import Event, log
+from linnetwood.wire.frames import Frame, FrameStream
 
 Address = tuple[str, int]
 _IDLE_KEPT = 64
--- a/src/linnetwood/frames.py
+++ b/src/linnetwood/wire/frames.py
@@ -9,8 +9,8 @@
 from types import MappingProxyType
 from typing import cast
 
-from linnetwood.errors import CodecError, WireError
-from linnetwood.sizes import MIB
+from linnetwood.core.errors import CodecError, WireError
+from linnetwood.core.sizes import MIB
 
 MAX_FRAME = 4 * MIB
 _READY_LIMIT = 1024
--- a/src/linnetwood/http.py
+++ b/src/linnetwood/wire/http.py
@@ -26,7 +26,7 @@
 def open_client(max_clients: int) -> Any:
     """Give a curl client that runs so many requests at a time."""
     # Only endpoints need curl; an entry does without its 6 MB.
-    from linnetwood.curl import QuietCurlClient  # noqa: PLC0415
+    from linnetwood.wire.curl import QuietCurlClient  # noqa: PLC0415
 
     return QuietCurlClient(force_instance=True, max_clients=max_clients)
 
--- a/src/linnetwood/links.py
+++ b/src/linnetwood/wire/links.py
@@ -3,7 +3,7 @@
 import asyncio
 from typing import Protocol
 
-from linnetwood.clock import Clock
+from linnetwood.core.clock import Clock
 
 _SLICE_S = 0.05
 _BUCKET_S = 0.02
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -10,19 +10,7 @@
 from tornado.netutil import bind_sockets
 from tornado.web import Application
 
-from linnetwood import cli, fakeengine, fakekv, fakeorigin, fakeservice
-from linnetwood.client import OperatorClient
-from linnetwood.endpoint import Endpoint
-from linnetwood.entry import Entry
-from linnetwood.fleet import Ports
-from linnetwood.gen.schema.ttypes import (
-    Deployment,
-    Intent,
-    Model,
-    Service,
-    Version,
-)
-from linnetwood.options import (
+from linnetwood.core.options import (
     Backend,
     EndpointOptions,
     EntryOptions,
@@ -32,6 +20,19 @@
     Transfer,
     Trust,
 )
+from linnetwood.gen.schema.ttypes import (
+    Deployment,
+    Intent,
+    Model,
+    Service,
+    Version,
+)
+from linnetwood.lab import fakeengine, fakekv, fakeorigin, fakeservice
+from linnetwood.lab.launcher import Ports
+from linnetwood.programs import cli
+from linnetwood.programs.client import OperatorClient
+from linnetwood.programs.endpoint import Endpoint
+from linnetwood.programs.entry import Entry
 
 HOST = '127.0.0.1'
 LIMIT_S = 30.0
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -8,10 +8,15 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from linnetwood import chunks, virtual
-from linnetwood.agent import WeightsAgent
-from linnetwood.backend import Sink
-from linnetwood.errors import OrderError, WeightsError
+from linnetwood.calls.backend import Sink
+from linnetwood.calls.guard import Guard, GuardState
+from linnetwood.calls.keys import KeyMemory
+from linnetwood.core.errors import OrderError, WeightsError
+from linnetwood.core.metrics import NoMetrics
+from linnetwood.core.options import Gossiping, Transfer
+from linnetwood.core.outcomes import ANSWERED, Ending
+from linnetwood.fleet.gossip import GossipTask
+from linnetwood.fleet.membership import Membership
 from linnetwood.gen.schema.ttypes import (
     Configuration,
     Deployment,
@@ -20,17 +25,13 @@
     Version,
 )
 from linnetwood.gen.wire.ttypes import Start
-from linnetwood.gossip import GossipTask
-from linnetwood.guard import Guard, GuardState
-from linnetwood.keys import KeyMemory
-from linnetwood.links import OpenLink
-from linnetwood.membership import Membership
-from linnetwood.metrics import NoMetrics
-from linnetwood.options import Gossiping, Transfer
-from linnetwood.orders import EngineStatus, LoadOrder
-from linnetwood.outcomes import ANSWERED, Ending
-from linnetwood.transfer import Fetcher, Tally, Tools, Uploads
-from linnetwood.wire import TcpDialler
+from linnetwood.lab import virtual
+from linnetwood.weights import chunks
+from linnetwood.weights.agent import WeightsAgent
+from linnetwood.weights.orders import EngineStatus, LoadOrder
+from linnetwood.weights.transfer import Fetcher, Tally, Tools, Uploads
+from linnetwood.wire.connections import TcpDialler
+from linnetwood.wire.links import OpenLink
 from tests.test_membership import member
 
 WEIGHTS = {
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -6,15 +6,15 @@
 
 from tornado.httpclient import HTTPRequest
 
-from linnetwood.errors import OrderError, StoreError, WeightsError
-from linnetwood.fakeengine import token
-from linnetwood.fleet import Ports
-from linnetwood.http import open_client
-from linnetwood.options import Backend
-from linnetwood.orders import HttpOrders
-from linnetwood.origin import HttpWeightStore
-from linnetwood.store import HttpKeyValue
-from linnetwood.vmlist import HttpVmList
+from linnetwood.core.errors import OrderError, StoreError, WeightsError
+from linnetwood.core.options import Backend
+from linnetwood.fleet.store import HttpKeyValue
+from linnetwood.fleet.vmlist import HttpVmList
+from linnetwood.lab.fakeengine import token
+from linnetwood.lab.launcher import Ports
+from linnetwood.weights.orders import HttpOrders
+from linnetwood.weights.origin import HttpWeightStore
+from linnetwood.wire.http import open_client
 from tests.rig import Rig, running
 
 GENERATE = '/v1/completions'
--- a/tests/test_catalogues.py
+++ b/tests/test_catalogues.py
@@ -4,8 +4,8 @@
 import re
 import unittest
 
-from linnetwood.events import Event
-from linnetwood.metrics import Metric, open_metrics
+from linnetwood.core.events import Event
+from linnetwood.core.metrics import Metric, open_metrics
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 SOURCES = ROOT / 'src' / 'linnetwood'
@@ -28,7 +28,7 @@
 
     def test_nothing_is_listed_in_vain(self) -> None:
         """Each event and metric is sent somewhere."""
-        code = '\n'.join(path.read_text() for path in SOURCES.glob('*.py'))
+        code = '\n'.join(path.read_text() for path in SOURCES.rglob('*.py'))
         names = [f'Event.{one.name}' for one in Event]
         names += [f'Metric.{one.name}' for one in Metric]
         unused = [name for name in names if not re.search(rf'{name}\b', code)]
--- a/tests/test_config_machine.py
+++ b/tests/test_config_machine.py
@@ -8,15 +8,16 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from linnetwood import configuration, virtual
-from linnetwood.changes import Changes
-from linnetwood.configuration import CONFIG_KEY
+from linnetwood.core.options import Gossiping
+from linnetwood.fleet import configuration
+from linnetwood.fleet.changes import Changes
+from linnetwood.fleet.configuration import CONFIG_KEY
+from linnetwood.fleet.gossip import GossipTask
+from linnetwood.fleet.membership import Membership
+from linnetwood.fleet.watching import ConfigTask, backoff_s, watchers
 from linnetwood.gen.schema.ttypes import Answer, Configuration, Verdict
-from linnetwood.gossip import GossipTask
-from linnetwood.membership import Membership
-from linnetwood.options import Gossiping
-from linnetwood.watching import ConfigTask, backoff_s, watchers
-from linnetwood.wire import TcpDialler
+from linnetwood.lab import virtual
+from linnetwood.wire.connections import TcpDialler
 from tests.test_configuration import FakeStore, FixedClock, proposal
 from tests.test_membership import member
 
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -3,9 +3,11 @@
 import asyncio
 import unittest
 
-from linnetwood import configuration
-from linnetwood.changes import Changes
-from linnetwood.errors import ConfigError, StoreAnswerLostError, StoreError
+from linnetwood.core.errors import ConfigError, StoreAnswerLostError, StoreError
+from linnetwood.fleet import configuration
+from linnetwood.fleet.changes import Changes
+from linnetwood.fleet.kvtable import KvTable
+from linnetwood.fleet.store import Stored, Swapped
 from linnetwood.gen.schema.ttypes import (
     Adapter,
     Configuration,
@@ -16,8 +18,6 @@
     Verdict,
     Version,
 )
-from linnetwood.kvtable import KvTable
-from linnetwood.store import Stored, Swapped
 
 V1 = Version(name='v1', manifest='a1')
 V2 = Version(name='v2', manifest='a2')
--- a/tests/test_fairness.py
+++ b/tests/test_fairness.py
@@ -2,8 +2,8 @@
 
 import unittest
 
-from linnetwood.fairness import Bounds, FairQueue, Ticket
-from linnetwood.outcomes import Ending
+from linnetwood.calls.fairness import Bounds, FairQueue, Ticket
+from linnetwood.core.outcomes import Ending
 
 SHARES = {'large': 3, 'small': 1}
 
--- a/tests/test_frames.py
+++ b/tests/test_frames.py
@@ -7,12 +7,12 @@
 from hypothesis import strategies as st
 from tornado.netutil import bind_sockets
 
-from linnetwood import codec, frames
-from linnetwood.errors import CodecError, WireError
-from linnetwood.frames import Frame, FrameKind, FrameStream
+from linnetwood.core.errors import CodecError, WireError
 from linnetwood.gen.schema.ttypes import Configuration
 from linnetwood.gen.wire.ttypes import End, Gossip, Start
-from linnetwood.wire import TcpDialler, WireServer
+from linnetwood.wire import codec, frames
+from linnetwood.wire.connections import TcpDialler, WireServer
+from linnetwood.wire.frames import Frame, FrameKind, FrameStream
 
 QUIET = settings(
     max_examples=200,
--- a/tests/test_histories.py
+++ b/tests/test_histories.py
@@ -6,11 +6,12 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from linnetwood import checking, dispatch, histories, virtual
-from linnetwood.checking import Effect, Held, History, Seen, Stop
-from linnetwood.keys import Admission, KeyMemory
-from linnetwood.memory_net import MemoryDialler
-from linnetwood.outcomes import ANSWERED, Outcome
+from linnetwood.calls import dispatch
+from linnetwood.calls.keys import Admission, KeyMemory
+from linnetwood.core.outcomes import ANSWERED, Outcome
+from linnetwood.lab import checking, histories, virtual
+from linnetwood.lab.checking import Effect, Held, History, Seen, Stop
+from linnetwood.lab.memory_net import MemoryDialler
 
 SEEDS = range(40)
 
@@ -160,7 +161,7 @@
 
     def test_guard_that_ignores_leaving(self) -> None:
         """An endpoint that takes calls while it leaves gets new work."""
-        refusal = 'linnetwood.guard.refusal'
+        refusal = 'linnetwood.calls.guard.refusal'
         late = histories.Shape(calls=60)
         found: set[str] = set()
         with (
--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -2,9 +2,9 @@
 
 import unittest
 
-from linnetwood import keys
-from linnetwood.errors import CallError
-from linnetwood.keys import Admission, Key, KeyMemory
+from linnetwood.calls import keys
+from linnetwood.calls.keys import Admission, Key, KeyMemory
+from linnetwood.core.errors import CallError
 
 
 def memory(limit: int = 10) -> KeyMemory:
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -6,10 +6,10 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from linnetwood.core.options import Gossiping
+from linnetwood.fleet.members import Health, copy, newer
+from linnetwood.fleet.membership import Membership, View
 from linnetwood.gen.wire.ttypes import Member
-from linnetwood.members import Health, copy, newer
-from linnetwood.membership import Membership, View
-from linnetwood.options import Gossiping
 
 CFG = Gossiping()
 ZONE = 12
--- a/tests/test_neighbours.py
+++ b/tests/test_neighbours.py
@@ -2,10 +2,10 @@
 
 import unittest
 
+from linnetwood.fleet.members import Health, copy
+from linnetwood.fleet.neighbours import neighbours
+from linnetwood.fleet.placement import assign, with_the_dead
 from linnetwood.gen.schema.ttypes import Deployment, Intent
-from linnetwood.members import Health, copy
-from linnetwood.neighbours import neighbours
-from linnetwood.placement import assign, with_the_dead
 from tests.test_membership import member
 
 VMS = [f'vm-{number}' for number in range(200)]
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -5,7 +5,6 @@
 from functools import partial
 from typing import Any
 
-from linnetwood import cli
 from linnetwood.gen.schema.ttypes import (
     Answer,
     Deployment,
@@ -13,6 +12,7 @@
     Refusal,
     Verdict,
 )
+from linnetwood.programs import cli
 from tests.rig import Rig, running
 
 
--- a/tests/test_pauses.py
+++ b/tests/test_pauses.py
@@ -2,8 +2,8 @@
 
 import unittest
 
-from linnetwood.orders import next_fence
-from linnetwood.pauses import PauseWatch
+from linnetwood.core.pauses import PauseWatch
+from linnetwood.weights.orders import next_fence
 
 
 class PausesTest(unittest.TestCase):
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -3,12 +3,12 @@
 import unittest
 from random import Random
 
+from linnetwood.calls.retries import RetryBudget, may_retry
+from linnetwood.calls.routing import POLICIES, Load, Policy, Routes, Want
+from linnetwood.core.outcomes import Code, Ending, Outcome, not_run, unknown
+from linnetwood.fleet.members import Health, copy
 from linnetwood.gen.schema.ttypes import Deployment, Intent, Model, Version
 from linnetwood.gen.wire.ttypes import Member
-from linnetwood.members import Health, copy
-from linnetwood.outcomes import Code, Ending, Outcome, not_run, unknown
-from linnetwood.retries import RetryBudget, may_retry
-from linnetwood.routing import POLICIES, Load, Policy, Routes, Want
 from tests.test_membership import member
 
 WANT = Want('engine', model='m')
--- a/tests/test_schema.py
+++ b/tests/test_schema.py
@@ -4,8 +4,8 @@
 import tempfile
 import unittest
 
-from linnetwood import schema
-from linnetwood.errors import SchemaError
+from linnetwood.core.errors import SchemaError
+from linnetwood.fleet import schema
 from linnetwood.gen.schema.ttypes import Weigh
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -3,9 +3,9 @@
 import pathlib
 import unittest
 
-from linnetwood import settings
-from linnetwood.errors import SettingsError
-from linnetwood.options import EndpointOptions, EntryOptions
+from linnetwood.core import settings
+from linnetwood.core.errors import SettingsError
+from linnetwood.core.options import EndpointOptions, EntryOptions
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 GOOD = """place:
--- a/tests/test_swarm.py
+++ b/tests/test_swarm.py
@@ -3,8 +3,8 @@
 import unittest
 from random import Random
 
-from linnetwood import chunks
-from linnetwood.swarm import (
+from linnetwood.weights import chunks
+from linnetwood.weights.swarm import (
     ORIGIN,
     DirectReading,
     Ring,
--- a/tests/test_traces.py
+++ b/tests/test_traces.py
@@ -5,7 +5,7 @@
 import tempfile
 import unittest
 
-from linnetwood.traces import NoTraces, open_traces
+from linnetwood.core.traces import NoTraces, open_traces
 
 TRACE = '0af7651916cd43dd8448eb211c80319c'
 PARENT = f'00-{TRACE}-b7ad6b7169203331-01'
--- a/tests/test_trust.py
+++ b/tests/test_trust.py
@@ -9,12 +9,12 @@
 
 from thrift.Thrift import TException
 
-from linnetwood import cli
-from linnetwood.errors import LinnetwoodError, SettingsError
+from linnetwood.core.errors import LinnetwoodError, SettingsError
+from linnetwood.core.options import Trust
+from linnetwood.core.trust import KeyedSeal, Keys
+from linnetwood.fleet.node import reload_keys
 from linnetwood.gen.schema.ttypes import Deployment, Refusal, Verdict
-from linnetwood.node import reload_keys
-from linnetwood.options import Trust
-from linnetwood.trust import KeyedSeal, Keys
+from linnetwood.programs import cli
 from tests.rig import Rig, running
 from tests.test_callers import GENERATE, body, expected
 
--- a/tests/test_vmlist.py
+++ b/tests/test_vmlist.py
@@ -2,10 +2,10 @@
 
 import unittest
 
-from linnetwood.members import Health, copy
-from linnetwood.membership import Membership
-from linnetwood.options import Gossiping
-from linnetwood.vmlist import told_to_leave
+from linnetwood.core.options import Gossiping
+from linnetwood.fleet.members import Health, copy
+from linnetwood.fleet.membership import Membership
+from linnetwood.fleet.vmlist import told_to_leave
 from tests.test_membership import member
 
 
--- a/tests/test_waits.py
+++ b/tests/test_waits.py
@@ -3,7 +3,7 @@
 import asyncio
 import unittest
 
-from linnetwood.waits import happened
+from linnetwood.core.waits import happened
 
 
 class WaitsTest(unittest.IsolatedAsyncioTestCase):
