--- /dev/null
+++ b/src/linnetwood/calls/choice.py
@@ -0,0 +1,119 @@
+"""Choose the endpoint for a call by what it is predicted to lose there."""
+
+import dataclasses
+from collections.abc import Collection, Iterator
+from random import Random
+
+from linnetwood.calls.directory import Directory, Listed
+from linnetwood.calls.routebook import Service
+from linnetwood.calls.standing import Standing
+
+_SUSPECT_S = 1.0
+_PLAIN_WORK_S = 0.08
+_FAR_S = 0.004
+# Equals within this are chosen among by chance, so that entries don't herd.
+_JITTER_S = 0.01
+_FAILING_S = 2.0
+_CHANGING_S = 1.5
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Need:
+    """What a call asks of an endpoint."""
+
+    service: Service
+    zone: str
+    prompt: int = 0
+    model: str = ''
+    least_version: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Choice:
+    """An endpoint and the time to its first byte as predicted."""
+
+    endpoint: Listed
+    wait_s: float
+
+
+class Chooser:
+    """Predict each endpoint's wait and take the least."""
+
+    def __init__(self, directory: Directory, rng: Random) -> None:
+        """Choose among the directory's endpoints."""
+        self.standings: dict[str, Standing] = {}
+        self._directory = directory
+        self._rng = rng
+
+    def standing(self, endpoint: str) -> Standing:
+        """Give what is known of an endpoint."""
+        found = self.standings.get(endpoint)
+        if found is None:
+            found = Standing()
+            self.standings[endpoint] = found
+        return found
+
+    def choose(
+        self,
+        need: Need,
+        tried: Collection[str],
+        now: float,
+    ) -> Choice | None:
+        """Give the best endpoint not yet tried, or None."""
+        best: tuple[float, Choice] | None = None
+        for one in self._able(need, tried):
+            wait_s = self.wait_s(need, one, now)
+            loss = wait_s + self._penalty(one, now)
+            loss += self._rng.random() * _JITTER_S
+            if best is None or loss < best[0]:
+                best = (loss, Choice(one, wait_s))
+        return best[1] if best else None
+
+    def wait_s(self, need: Need, one: Listed, now: float) -> float:
+        """Predict the time to the first byte at an endpoint."""
+        engine = need.service.engine
+        standing = self.standing(one.endpoint)
+        waiting, running = standing.work(now)
+        if engine is None:
+            over = max(0, standing.in_flight - one.slots + 1)
+            ahead = standing.in_flight / max(1, one.slots)
+            far = 0 if one.zone == need.zone else _FAR_S
+            return (over + ahead) * _PLAIN_WORK_S + far
+        delay = engine.delay_s(need.zone, one.zone)
+        return 4 * delay + engine.first_token_s(need.prompt, waiting, running)
+
+    def forget(self) -> None:
+        """Drop what is known of endpoints that are no longer listed."""
+        for name in list(self.standings):
+            idle = not self.standings[name].in_flight
+            if idle and self._directory.get(name) is None:
+                self.standings.pop(name)
+
+    def _able(
+        self,
+        need: Need,
+        tried: Collection[str],
+    ) -> Iterator[Listed]:
+        for one in self._directory.ready(need.service.name):
+            if one.endpoint in tried:
+                continue
+            if need.model and not self._serves(need, one):
+                continue
+            yield one
+
+    def _serves(self, need: Need, one: Listed) -> bool:
+        version = one.versions.get(need.model, 0)
+        report = self.standing(one.endpoint).report
+        if report is not None:
+            version = max(version, report.serving)
+        return version >= max(1, need.least_version)
+
+    def _penalty(self, one: Listed, now: float) -> float:
+        standing = self.standing(one.endpoint)
+        penalty = standing.failing * _FAILING_S + one.cold_s
+        if standing.shunned_until > now:
+            penalty += _SUSPECT_S * 4
+        report = standing.report
+        if report is not None and report.changing:
+            penalty += _CHANGING_S
+        return penalty
--- /dev/null
+++ b/src/linnetwood/calls/dialect.py
@@ -0,0 +1,62 @@
+"""What calls and answers mean, apart from how they are written."""
+
+import dataclasses
+import enum
+from typing import Protocol
+
+from linnetwood.wire.curldriver import Headers
+
+
+class Verdict(enum.Enum):
+    """Say what an endpoint's answer to a call is."""
+
+    ANSWER = 'answer'
+    NOT_RUN = 'not-run'
+    FAILED = 'failed'
+    FOREIGN = 'foreign'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallHead:
+    """What a caller's headers say; times in seconds.
+
+    Length is the expected count of tokens to generate.
+    """
+
+    call_id: str = ''
+    wait_s: float | None = None
+    key: str = ''
+    model: str = ''
+    prompt: int = 0
+    length: int = 0
+    resume_after: str = ''
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Errand:
+    """What an attempt adds to the caller's own headers."""
+
+    endpoint: str
+    left_s: float
+    organisation: str
+    least_version: int = 0
+    resume_after: str = ''
+
+
+class Dialect(Protocol):
+    """Read callers and endpoints, and write to them."""
+
+    def read(self, headers: Headers) -> CallHead:
+        """Read a caller's headers."""
+
+    def outgoing(self, headers: Headers, errand: Errand) -> Headers:
+        """Give the headers of an attempt."""
+
+    def verdict(self, status: int, headers: Headers, call_id: str) -> Verdict:
+        """Say what an answer's head means."""
+
+    def answer_headers(self, headers: Headers) -> Headers:
+        """Give the headers of an answer that go on to the caller."""
+
+    def fault(self, headers: Headers) -> str:
+        """Give the address of the endpoint that an answer blames, if any."""
--- /dev/null
+++ b/src/linnetwood/calls/direct.py
@@ -0,0 +1,264 @@
+"""Run a call straight at endpoints that have no process of ours in front."""
+
+import asyncio
+import dataclasses
+import math
+from collections.abc import Callable
+from random import Random
+
+from linnetwood.calls.attempt import Attempt, AttemptEnd, Caller, How, Relay
+from linnetwood.calls.choice import Choice, Chooser, Need
+from linnetwood.calls.dialect import CallHead, Dialect, Errand
+from linnetwood.calls.retries import RetryBudget
+from linnetwood.calls.routebook import Organisation, Repeat, Route, Service
+from linnetwood.core.events import Event, log
+from linnetwood.core.outcomes import (
+    ANSWERED,
+    Code,
+    Ending,
+    Outcome,
+    not_run,
+    unknown,
+)
+from linnetwood.wire.curldriver import CurlDriver, Headers, Request
+
+# A handshake takes two delays of a few milliseconds; a lost packet is sent
+# again after a second, so a try elsewhere comes sooner.
+CONNECT_S = 0.4
+# A stream's caller gives up after two silent seconds (the users' pages).
+FIRST_EVENT_S = 1.6
+NEXT_EVENT_S = 1.0
+# Below this nothing can be answered any more.
+_LEAST_LEFT_S = 0.02
+_RETRY_AFTER_MS = 200
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DirectCall:
+    """A call that is to be run at an endpoint of a service."""
+
+    head: CallHead
+    route: Route
+    service: Service
+    organisation: Organisation | None
+    method: str
+    target: str
+    headers: Headers
+    body: bytes
+    arrived: float
+    until: float
+
+    @property
+    def repeatable(self) -> bool:
+        """Tell whether it may run more than once."""
+        return self.route.repeat is not Repeat.NEVER
+
+
+class DirectDispatcher:
+    """Run calls: choose, send, and send again where that is safe."""
+
+    def __init__(
+        self,
+        chooser: Chooser,
+        driver: CurlDriver,
+        dialect: Dialect,
+        least_version: Callable[[str, str], int],
+        zone: str,
+        rng: Random,
+    ) -> None:
+        """Use the given parts; know no retry budgets yet."""
+        self.budgets: dict[str, RetryBudget] = {}
+        self.under_way = 0
+        self._chooser = chooser
+        self._driver = driver
+        self._dialect = dialect
+        self._least_version = least_version
+        self._zone = zone
+        self._rng = rng
+        self._loop = asyncio.get_running_loop()
+
+    def need(self, call: DirectCall) -> Need:
+        """Say what the call asks of an endpoint."""
+        model = call.head.model if call.service.engine else ''
+        return Need(
+            call.service,
+            self._zone,
+            call.head.prompt,
+            model,
+            self._least_version(call.service.name, model) if model else 0,
+        )
+
+    async def run(self, call: DirectCall, caller: Caller) -> Ending:
+        """Run the call; the caller has its answer unless the ending says no."""
+        self.under_way += 1
+        try:
+            return await self._run(call, caller)
+        finally:
+            self.under_way -= 1
+
+    async def _run(self, call: DirectCall, caller: Caller) -> Ending:
+        relay = Relay(caller, call.head.resume_after)
+        progress = _Progress()
+        budget = self.budgets.setdefault(call.service.name, RetryBudget())
+        budget.earn()
+        while True:
+            now = self._loop.time()
+            need = self.need(call)
+            choice = self._chooser.choose(need, progress.tried, now)
+            if choice is None:
+                return progress.ending(relay, Code.NO_ENDPOINT)
+            end = await self._attempt(call, need, choice, relay)
+            progress.note(choice.endpoint.endpoint, end)
+            if end.how is How.ANSWERED:
+                self._deliver(relay, end)
+                return ANSWERED
+            if not self._again(call, progress, end, relay, budget):
+                return self._give_up(relay, progress, end)
+            relay.cutter.drop_half()
+
+    async def _attempt(
+        self,
+        call: DirectCall,
+        need: Need,
+        choice: Choice,
+        relay: Relay,
+    ) -> AttemptEnd:
+        now = self._loop.time()
+        left_s = call.until - now
+        if left_s < _LEAST_LEFT_S:
+            return AttemptEnd(How.NOT_RUN, reached=False, detail='late')
+        attempt = Attempt(
+            relay,
+            self._dialect,
+            call.head.call_id,
+            streams=call.route.streams,
+            clock_now=now,
+        )
+        standing = self._chooser.standing(choice.endpoint.endpoint)
+        standing.sent()
+        try:
+            end = await attempt.run(
+                self._driver,
+                self._request(call, need, choice, relay, left_s),
+                call.until,
+                self._stall_s(call, relay),
+            )
+        finally:
+            standing.ended()
+        self._learn(choice, end)
+        log(
+            Event.ATTEMPT_ENDED,
+            call=call.head.call_id,
+            endpoint=choice.endpoint.endpoint,
+            predicted_ms=round(choice.wait_s * 1000),
+            first_ms=_ms_between(now, attempt.first_heard),
+            took_ms=round((self._loop.time() - now) * 1000),
+            how=end.how.value,
+            detail=end.detail,
+        )
+        return end
+
+    def _request(
+        self,
+        call: DirectCall,
+        need: Need,
+        choice: Choice,
+        relay: Relay,
+        left_s: float,
+    ) -> Request:
+        errand = Errand(
+            choice.endpoint.endpoint,
+            left_s,
+            call.organisation.name if call.organisation else '',
+            need.least_version,
+            relay.cutter.last_id,
+        )
+        return Request(
+            choice.endpoint.host,
+            choice.endpoint.port,
+            call.method,
+            call.target,
+            self._dialect.outgoing(call.headers, errand),
+            call.body,
+            min(CONNECT_S, left_s),
+            left_s,
+        )
+
+    def _stall_s(self, call: DirectCall, relay: Relay) -> float:
+        if not call.route.streams or call.route.repeat is not Repeat.RESUME:
+            return math.inf
+        return NEXT_EVENT_S if relay.begun else FIRST_EVENT_S
+
+    def _learn(self, choice: Choice, end: AttemptEnd) -> None:
+        standing = self._chooser.standing(choice.endpoint.endpoint)
+        if end.how is How.ANSWERED:
+            standing.answered()
+        elif not end.reached or end.how is How.STALLED:
+            standing.unreachable(self._loop.time())
+        elif end.how is not How.TIMED_OUT:
+            standing.failed()
+
+    def _again(
+        self,
+        call: DirectCall,
+        progress: '_Progress',
+        end: AttemptEnd,
+        relay: Relay,
+        budget: RetryBudget,
+    ) -> bool:
+        if end.how is How.TIMED_OUT or progress.reached >= call.route.attempts:
+            return False
+        if call.until - self._loop.time() < _LEAST_LEFT_S:
+            return False
+        if end.how is not How.NOT_RUN and not call.repeatable:
+            return False
+        if relay.begun and call.route.repeat is not Repeat.RESUME:
+            return False
+        return not end.reached or budget.spend()
+
+    def _deliver(self, relay: Relay, end: AttemptEnd) -> None:
+        if relay.begun:
+            relay.caller.finish()
+        else:
+            relay.caller.whole(end.status, end.headers, end.body)
+
+    def _give_up(
+        self,
+        relay: Relay,
+        progress: '_Progress',
+        end: AttemptEnd,
+    ) -> Ending:
+        if end.how is How.FAILED and not relay.begun:
+            relay.caller.whole(end.status, end.headers, end.body)
+            return ANSWERED
+        code = Code.LATE if end.how is How.TIMED_OUT else Code.CONNECTION_LOST
+        return progress.ending(relay, code, end.detail)
+
+
+class _Progress:
+    """What the attempts of one call came to."""
+
+    __slots__ = ('may_have_run', 'reached', 'tried')
+
+    def __init__(self) -> None:
+        self.tried: set[str] = set()
+        self.reached = 0
+        self.may_have_run = False
+
+    def note(self, endpoint: str, end: AttemptEnd) -> None:
+        self.tried.add(endpoint)
+        self.reached += end.reached
+        if end.how is not How.NOT_RUN:
+            self.may_have_run = True
+
+    def ending(self, relay: Relay, code: Code, detail: str = '') -> Ending:
+        if relay.begun:
+            relay.caller.abort()
+            return Ending(Outcome.UNKNOWN, code.value, detail)
+        if self.may_have_run:
+            return unknown(code, detail)
+        return not_run(code, detail, _RETRY_AFTER_MS)
+
+
+def _ms_between(start: float, end: float) -> int:
+    return round((end - start) * 1000) if end else -1
--- /dev/null
+++ b/src/linnetwood/calls/directory.py
@@ -0,0 +1,86 @@
+"""The endpoints that take calls straight, as the platform lists them; no I/O."""
+
+import dataclasses
+from collections.abc import Iterator, Mapping
+
+# A list that was away may have dropped entries of endpoints that live; they
+# are written again within two seconds of its return.
+HELD_AFTER_OUTAGE_S = 2.0
+# An outage ends some time before this process notices it.
+_OUTAGE_SEEN_S = 3.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Listed:
+    """One endpoint as the platform lists it."""
+
+    endpoint: str
+    service: str
+    host: str
+    port: int
+    zone: str
+    slots: int
+    ready: bool
+    cold_s: float = 0
+    versions: Mapping[str, int] = dataclasses.field(default_factory=dict)
+
+
+class Directory:
+    """Hold the newest list, and entries that an outage may have dropped."""
+
+    def __init__(self) -> None:
+        """Know nobody."""
+        self._listed: dict[str, Listed] = {}
+        self._doubted: dict[str, float] = {}
+        self._outage_at = -_OUTAGE_SEEN_S
+
+    def listed(self, one: Listed) -> None:
+        """Take in a new or changed entry."""
+        self._listed[one.endpoint] = one
+        self._doubted.pop(one.endpoint, None)
+
+    def dropped(self, endpoint: str, now: float) -> None:
+        """Take in that an entry is gone; keep it a while after an outage."""
+        if endpoint not in self._listed:
+            return
+        if now - self._outage_at < _OUTAGE_SEEN_S:
+            self._doubted.setdefault(endpoint, now + HELD_AFTER_OUTAGE_S)
+        else:
+            self._forget(endpoint)
+
+    def replaced(self, fresh: Mapping[str, Listed], now: float) -> None:
+        """Take in a whole list."""
+        for endpoint in [one for one in self._listed if one not in fresh]:
+            self.dropped(endpoint, now)
+        for one in fresh.values():
+            self.listed(one)
+
+    def list_away(self, now: float) -> None:
+        """Note that the list could not be read just now."""
+        self._outage_at = now
+
+    def settle(self, now: float) -> None:
+        """Forget the doubted entries whose time is over."""
+        late = [name for name, until in self._doubted.items() if until <= now]
+        for endpoint in late:
+            self._forget(endpoint)
+
+    def get(self, endpoint: str) -> Listed | None:
+        """Give one entry."""
+        return self._listed.get(endpoint)
+
+    def all(self) -> Iterator[Listed]:
+        """Yield every entry."""
+        yield from self._listed.values()
+
+    def ready(self, service: str) -> list[Listed]:
+        """Give the endpoints of a service that take new work."""
+        return [
+            one
+            for one in self._listed.values()
+            if one.service == service and one.ready
+        ]
+
+    def _forget(self, endpoint: str) -> None:
+        self._listed.pop(endpoint, None)
+        self._doubted.pop(endpoint, None)
--- /dev/null
+++ b/src/linnetwood/calls/front.py
@@ -0,0 +1,297 @@
+"""What callers reach over HTTP at an entry that passes calls straight on."""
+
+import asyncio
+from collections.abc import Callable
+from random import Random
+from types import MappingProxyType
+from typing import Protocol
+
+from tornado.http1connection import HTTP1Connection
+from tornado.httpserver import HTTPServer
+from tornado.httputil import (
+    HTTPConnection,
+    HTTPHeaders,
+    HTTPMessageDelegate,
+    HTTPServerConnectionDelegate,
+    RequestStartLine,
+    ResponseStartLine,
+)
+from tornado.iostream import StreamClosedError
+
+from linnetwood.calls.dialect import Dialect
+from linnetwood.calls.direct import DirectCall, DirectDispatcher
+from linnetwood.calls.routebook import RouteBook, pick_service
+from linnetwood.core.events import Event, log
+from linnetwood.core.outcomes import Code, Ending, Outcome, not_run
+from linnetwood.wire.curldriver import Headers
+
+_NOT_FOUND = 404
+_UNAUTHORISED = 401
+_UNAVAILABLE = 503
+_GATEWAY = 502
+_TIMED_OUT = 504
+_BAD_REQUEST = 400
+_MILLISECONDS = 1000
+_REASONS = MappingProxyType(
+    {
+        200: 'OK',
+        400: 'Bad Request',
+        401: 'Unauthorized',
+        404: 'Not Found',
+        502: 'Bad Gateway',
+        503: 'Service Unavailable',
+        504: 'Gateway Timeout',
+    },
+)
+_STATUSES = MappingProxyType(
+    {
+        Code.UNKNOWN_TARGET.value: _NOT_FOUND,
+        Code.KEY_UNKNOWN.value: _UNAUTHORISED,
+        Code.BAD_REQUEST.value: _BAD_REQUEST,
+    },
+)
+# A caller that names no deadline is held no longer than this.
+_DEFAULT_WAIT_S = 30.0
+
+
+class Admit(Protocol):
+    """Decide whether a call is taken now."""
+
+    async def __call__(self, call: DirectCall) -> Ending | None:
+        """Give None to run the call, or why not."""
+
+
+class Front(HTTPServerConnectionDelegate):
+    """Accept callers' connections and run their calls."""
+
+    def __init__(
+        self,
+        book: Callable[[], RouteBook],
+        dispatcher: DirectDispatcher,
+        dialect: Dialect,
+        admit: Admit,
+        rng: Random,
+    ) -> None:
+        """Serve by whatever configuration is in force when a call comes."""
+        self.book = book
+        self.dispatcher = dispatcher
+        self.dialect = dialect
+        self.admit = admit
+        self.rng = rng
+        self.stopping = False
+        self.under_way = 0
+
+    def start_request(
+        self,
+        server_conn: object,
+        request_conn: HTTPConnection,
+    ) -> HTTPMessageDelegate:
+        """Begin to read one request."""
+        return _Request(self, request_conn)
+
+    def on_close(self, server_conn: object) -> None:
+        """Let a closed connection go."""
+
+
+class _Request(HTTPMessageDelegate):
+    """Read one request, run it and write its answer."""
+
+    def __init__(self, front: Front, conn: HTTPConnection) -> None:
+        self._front = front
+        self._conn = conn
+        self._line: RequestStartLine | None = None
+        self._headers: Headers = []
+        self._pieces: list[bytes] = []
+        self._task: asyncio.Task[None] | None = None
+        self._arrived = float()
+
+    def headers_received(
+        self,
+        start_line: RequestStartLine | ResponseStartLine,
+        headers: HTTPHeaders,
+    ) -> None:
+        """Keep the head."""
+        assert isinstance(start_line, RequestStartLine)
+        self._line = start_line
+        self._headers = list(headers.get_all())
+        self._arrived = asyncio.get_running_loop().time()
+
+    def data_received(self, chunk: bytes) -> None:
+        """Keep a piece of the body."""
+        self._pieces.append(chunk)
+
+    def finish(self) -> None:
+        """Run the call that has been read whole."""
+        self._front.under_way += 1
+        self._task = asyncio.create_task(self._run())
+
+    def on_connection_close(self) -> None:
+        """Stop the work that nobody waits for."""
+        if self._task is not None:
+            self._task.cancel()
+
+    async def _run(self) -> None:
+        writer = AnswerWriter(self._conn, self._front)
+        try:
+            ending = await self._answer(writer)
+        except asyncio.CancelledError:
+            log(Event.CALL_CUT, code='caller-gone')
+            return
+        finally:
+            self._front.under_way -= 1
+        if ending.outcome is not Outcome.ANSWERED and not writer.begun:
+            refuse(writer, ending)
+
+    async def _answer(self, writer: 'AnswerWriter') -> Ending:
+        call = self._read()
+        if isinstance(call, Ending):
+            return call
+        refused = await self._front.admit(call)
+        if refused is not None:
+            log(
+                Event.CALL_REFUSED,
+                call=call.head.call_id,
+                code=refused.code,
+                detail=refused.detail,
+            )
+            return refused
+        ending = await self._front.dispatcher.run(call, writer)
+        if ending.outcome is not Outcome.ANSWERED:
+            log(
+                Event.CALL_NOT_RUN
+                if ending.outcome is Outcome.NOT_RUN
+                else Event.CALL_UNKNOWN,
+                call=call.head.call_id,
+                code=ending.code,
+                detail=ending.detail,
+            )
+        return ending
+
+    def _read(self) -> DirectCall | Ending:
+        front = self._front
+        book = front.book()
+        line = self._line
+        if line is None or not book.revision:
+            return not_run(Code.NOT_SERVING, 'no configuration yet')
+        host = next(
+            (text for name, text in self._headers if name.lower() == 'host'),
+            '',
+        )
+        route = book.find(host, line.path)
+        if route is None:
+            return not_run(Code.UNKNOWN_TARGET, line.path)
+        head = front.dialect.read(self._headers)
+        organisation = book.organisation(head.key)
+        restricted = book.organisations is not None and not route.public
+        if restricted and organisation is None:
+            return not_run(Code.KEY_UNKNOWN, route.name)
+        name = pick_service(route, front.rng.random())
+        service = book.services.get(name)
+        if service is None:
+            return not_run(Code.NO_ENDPOINT, name)
+        wait_s = _DEFAULT_WAIT_S if head.wait_s is None else head.wait_s
+        return DirectCall(
+            head,
+            route,
+            service,
+            organisation,
+            line.method,
+            line.path,
+            self._headers,
+            b''.join(self._pieces),
+            self._arrived,
+            self._arrived + min(wait_s, route.timeout_s),
+        )
+
+
+class AnswerWriter:
+    """Write one answer on a caller's connection."""
+
+    def __init__(self, conn: HTTPConnection, front: Front) -> None:
+        """Begin with nothing written."""
+        self.begun = False
+        self._conn = conn
+        self._front = front
+
+    def begin(self, status: int, headers: Headers) -> None:
+        """Write the head of an answer that comes in pieces."""
+        self._head(status, headers, None, b'')
+
+    def piece(self, piece: bytes) -> None:
+        """Write a piece; a caller that reads slowly is not waited for."""
+        _forget(self._conn.write(piece))
+
+    def whole(self, status: int, headers: Headers, body: bytes) -> None:
+        """Write a whole answer."""
+        self._head(status, headers, len(body), body)
+        self._conn.finish()
+
+    def finish(self) -> None:
+        """End an answer that came in pieces."""
+        self._conn.finish()
+
+    def abort(self) -> None:
+        """Reset the connection, so that the answer can't look whole."""
+        conn = self._conn
+        assert isinstance(conn, HTTP1Connection)
+        conn.stream.close()
+
+    def _head(
+        self,
+        status: int,
+        headers: Headers,
+        length: int | None,
+        body: bytes,
+    ) -> None:
+        self.begun = True
+        fields = HTTPHeaders()
+        for name, text in headers:
+            fields.add(name, text)
+        if length is not None:
+            fields['Content-Length'] = str(length)
+        if self._front.stopping:
+            fields['Connection'] = 'close'
+        line = ResponseStartLine(
+            'HTTP/1.1',
+            status,
+            _REASONS.get(status, 'Answer'),
+        )
+        _forget(self._conn.write_headers(line, fields, body or None))
+
+
+def refuse(writer: AnswerWriter, ending: Ending) -> None:
+    """Tell the caller at once how a call without an answer ended."""
+    if ending.outcome is Outcome.NOT_RUN:
+        status = _STATUSES.get(ending.code, _UNAVAILABLE)
+    else:
+        late = ending.code == Code.LATE.value
+        status = _TIMED_OUT if late else _GATEWAY
+    headers: Headers = []
+    if status == _UNAVAILABLE:
+        seconds = ending.retry_after_ms / _MILLISECONDS
+        headers.append(('Retry-After', f'{seconds:.3f}'))
+    writer.whole(status, headers, ending.code.encode())
+
+
+def open_server(front: Front, book: RouteBook) -> HTTPServer:
+    """Give the HTTP server for a front, bounded by the configuration."""
+    limits = book.limits
+    return HTTPServer(
+        front,
+        max_header_size=limits.header_bytes,
+        max_body_size=limits.body_bytes,
+        idle_connection_timeout=limits.idle_s,
+        body_timeout=limits.header_s * 2,
+    )
+
+
+def _forget(fut: 'asyncio.Future[None]') -> None:
+    fut.add_done_callback(_ignore_closed)
+
+
+def _ignore_closed(fut: 'asyncio.Future[None]') -> None:
+    if not fut.cancelled() and not isinstance(
+        fut.exception(),
+        StreamClosedError | None,
+    ):
+        log(Event.CALL_CUT, code='write-failed', detail=str(fut.exception()))
--- /dev/null
+++ b/src/linnetwood/calls/reports.py
@@ -0,0 +1,135 @@
+"""Hear from the processes beside engines, and tell them what is wanted."""
+
+import asyncio
+from collections.abc import Iterator
+
+from linnetwood.calls.choice import Chooser
+from linnetwood.calls.directory import Directory, Listed
+from linnetwood.calls.routebook import RouteBook, Service
+from linnetwood.calls.standing import Report
+from linnetwood.core.clock import Clock
+from linnetwood.fleet.news import Address, NewsPort
+from linnetwood.fleet.wanted import WantedVersions
+from linnetwood.gen.wire.ttypes import EngineNews, EntryNews, News
+
+# An endpoint process tells the entries that it heard from within four of these.
+HELLO_EVERY_S = 0.5
+
+
+class Reports:
+    """Own the exchange of an entry with the endpoint processes."""
+
+    def __init__(
+        self,
+        directory: Directory,
+        chooser: Chooser,
+        wanted: WantedVersions,
+        clock: Clock,
+        port: int,
+    ) -> None:
+        """Tell nothing yet; all endpoint processes listen on one port."""
+        self.entries = 0
+        self.book = RouteBook()
+        self._directory = directory
+        self._chooser = chooser
+        self._wanted = wanted
+        self._clock = clock
+        self._port = port
+        self._news = NewsPort(self)
+        self._number = 0
+        self._wake = asyncio.Event()
+        self._task: asyncio.Task[None] | None = None
+
+    async def start(self, host: str) -> None:
+        """Listen, and begin to tell."""
+        await self._news.start(host, self._port)
+        self._task = asyncio.create_task(self._run())
+
+    async def close(self) -> None:
+        """Stop telling."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+        self._news.close()
+
+    def rouse(self) -> None:
+        """Tell at once: something changed that others should know."""
+        self._wake.set()
+
+    def heard(self, news: News, source: Address) -> None:
+        """Take in an engine's report."""
+        engine = news.engine
+        if engine is None:
+            return
+        now = self._clock.now()
+        self._wanted.heard(engine.wanted, now)
+        self.entries = max(engine.entries, 1)
+        one = self._listed_at(engine.address)
+        if one is not None:
+            self._chooser.standing(one.endpoint).heard(_report(engine, now))
+
+    def _listed_at(self, address: str) -> Listed | None:
+        host, _, port = address.rpartition(':')
+        for one in self._directory.all():
+            if one.host == host and str(one.port) == port:
+                return one
+        return None
+
+    async def _run(self) -> None:
+        while True:
+            self._wake.clear()
+            self._tell()
+            self._chooser.forget()
+            self._directory.settle(self._clock.now())
+            try:
+                async with asyncio.timeout(HELLO_EVERY_S):
+                    await self._wake.wait()
+            except TimeoutError:
+                continue
+            await asyncio.sleep(0)
+
+    def _tell(self) -> None:
+        for service in self.book.services.values():
+            if service.engine is not None:
+                self._tell_service(service)
+
+    def _tell_service(self, service: Service) -> None:
+        engine = service.engine
+        hosts = sorted(set(self._hosts(service.name)))
+        if engine is None or not hosts:
+            return
+        for one in self._directory.all():
+            if one.service == service.name:
+                self._wanted.serving(one.versions.items())
+        self._number += 1
+        origin = self.book.origin
+        news = EntryNews(
+            number=self._number,
+            wanted=self._wanted.told(
+                service.name,
+                engine.models,
+                self._clock.now(),
+            ),
+            peers=hosts,
+            origin=f'{origin.host}:{origin.port}' if origin.host else '',
+            chunk_bytes=engine.chunk_bytes,
+            chunks=engine.chunks,
+            origin_bytes_per_s=int(origin.bytes_per_s),
+        )
+        addresses = [(host, self._port) for host in hosts]
+        self._news.send(News(entry=news), addresses)
+
+    def _hosts(self, service: str) -> Iterator[str]:
+        for one in self._directory.all():
+            if one.service == service:
+                yield one.host
+
+
+def _report(engine: EngineNews, now: float) -> Report:
+    return Report(
+        engine.waiting,
+        engine.running,
+        engine.serving,
+        engine.changing,
+        now,
+    )
--- /dev/null
+++ b/src/linnetwood/calls/standing.py
@@ -0,0 +1,91 @@
+"""What this entry knows of an endpoint beside the list; no I/O or clock."""
+
+import dataclasses
+import math
+
+_FAIL_WEIGHT = 0.2
+_PAIR_S = 1.5
+_SHUN_FIRST_S = 0.5
+_SHUN_MOST_S = 4.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Report:
+    """An engine's own word on its work, heard at a time."""
+
+    waiting: int
+    running: int
+    serving: int
+    changing: bool
+    heard_at: float
+
+
+class Standing:
+    """One endpoint's load, failures and last report."""
+
+    __slots__ = (
+        'ended_since',
+        'failing',
+        'in_flight',
+        'report',
+        'sent_since',
+        'shun_s',
+        'shunned_until',
+    )
+
+    def __init__(self) -> None:
+        """Know nothing bad."""
+        self.in_flight = 0
+        self.sent_since = 0
+        self.ended_since = 0
+        self.failing = float()
+        self.shun_s = _SHUN_FIRST_S
+        self.shunned_until = -math.inf
+        self.report: Report | None = None
+
+    def heard(self, report: Report) -> None:
+        """Take in the engine's own word."""
+        self.report = report
+        self.sent_since = 0
+        self.ended_since = 0
+
+    def sent(self) -> None:
+        """Note a call sent there."""
+        self.in_flight += 1
+        self.sent_since += 1
+
+    def ended(self) -> None:
+        """Note that a call sent there is over."""
+        self.in_flight -= 1
+        self.ended_since += 1
+
+    def answered(self) -> None:
+        """Note a good answer."""
+        self.failing -= _FAIL_WEIGHT * self.failing
+        self.shun_s = _SHUN_FIRST_S
+
+    def failed(self) -> None:
+        """Note an answer that was none."""
+        self.failing += _FAIL_WEIGHT * (1 - self.failing)
+
+    def unreachable(self, now: float) -> None:
+        """Send nothing for a while, longer each time."""
+        self.failed()
+        self.shunned_until = now + self.shun_s
+        self.shun_s = min(_SHUN_MOST_S, self.shun_s * 2)
+
+    def fresh(self, now: float) -> bool:
+        """Tell whether the report is young enough to count."""
+        report = self.report
+        return report is not None and now - report.heard_at < _PAIR_S
+
+    def work(self, now: float) -> tuple[float, int]:
+        """Estimate the calls that wait and the calls that run."""
+        report = self.report
+        if report is None or not self.fresh(now):
+            return 0, self.in_flight
+        left = max(0, report.waiting - self.ended_since)
+        running = report.running - max(0, self.ended_since - report.waiting)
+        total = max(self.in_flight, left + self.sent_since + max(0, running))
+        running = min(total, max(0, running))
+        return total - running, running
--- a/src/linnetwood/core/outcomes.py
+++ b/src/linnetwood/core/outcomes.py
@@ -36,6 +36,8 @@
     BAD_REQUEST = 'bad-request'
     STOPPING = 'stopping'
     UNKNOWN_TARGET = 'unknown-target'
+    KEY_UNKNOWN = 'key-unknown'
+    OVERLOADED = 'overloaded'
 
 
 RETRY_SOON_MS = 1000
--- a/src/linnetwood/gen/wire/ttypes.py
+++ b/src/linnetwood/gen/wire/ttypes.py
@@ -1714,6 +1714,581 @@
 
     def __ne__(self, other):
         return not (self == other)
+
+
+class WantedWeights(object):
+    """
+    A version of a model's weights that every engine of a service is to serve.
+
+    Attributes:
+     - target
+     - model
+     - version
+     - age_ms
+
+    """
+
+    __slots__ = (
+        'target',
+        'model',
+        'version',
+        'age_ms',
+    )
+
+
+    def __init__(self, target=None, model=None, version=None, age_ms=None,):
+        self.target = target
+        self.model = model
+        self.version = version
+        self.age_ms = age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.target = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.model = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.age_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('WantedWeights')
+        if self.target is not None:
+            oprot.writeFieldBegin('target', TType.STRING, 1)
+            oprot.writeString(self.target.encode('utf-8') if sys.version_info[0] == 2 else self.target)
+            oprot.writeFieldEnd()
+        if self.model is not None:
+            oprot.writeFieldBegin('model', TType.STRING, 2)
+            oprot.writeString(self.model.encode('utf-8') if sys.version_info[0] == 2 else self.model)
+            oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I64, 3)
+            oprot.writeI64(self.version)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I64, 4)
+            oprot.writeI64(self.age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.target is None:
+            raise TProtocolException(message='Required field target is unset!')
+        if self.model is None:
+            raise TProtocolException(message='Required field model is unset!')
+        if self.version is None:
+            raise TProtocolException(message='Required field version is unset!')
+        if self.age_ms is None:
+            raise TProtocolException(message='Required field age_ms is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class EntryNews(object):
+    """
+    What an entry tells the endpoint process beside an engine.
+
+    Attributes:
+     - number
+     - wanted
+     - peers
+     - origin
+     - chunk_bytes
+     - chunks
+     - origin_bytes_per_s
+
+    """
+
+    __slots__ = (
+        'number',
+        'wanted',
+        'peers',
+        'origin',
+        'chunk_bytes',
+        'chunks',
+        'origin_bytes_per_s',
+    )
+
+
+    def __init__(self, number=None, wanted=[
+    ], peers=[
+    ], origin="", chunk_bytes=0, chunks=0, origin_bytes_per_s=0,):
+        self.number = number
+        if wanted is self.thrift_spec[2][4]:
+            wanted = [
+            ]
+        self.wanted = wanted
+        if peers is self.thrift_spec[3][4]:
+            peers = [
+            ]
+        self.peers = peers
+        self.origin = origin
+        self.chunk_bytes = chunk_bytes
+        self.chunks = chunks
+        self.origin_bytes_per_s = origin_bytes_per_s
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.number = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.wanted = []
+                    (_etype38, _size35) = iprot.readListBegin()
+                    for _i39 in range(_size35):
+                        _elem40 = WantedWeights()
+                        _elem40.read(iprot)
+                        self.wanted.append(_elem40)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.peers = []
+                    (_etype44, _size41) = iprot.readListBegin()
+                    for _i45 in range(_size41):
+                        _elem46 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.peers.append(_elem46)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.origin = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.chunk_bytes = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.chunks = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I32:
+                    self.origin_bytes_per_s = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('EntryNews')
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I64, 1)
+            oprot.writeI64(self.number)
+            oprot.writeFieldEnd()
+        if self.wanted is not None:
+            oprot.writeFieldBegin('wanted', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.wanted))
+            for iter47 in self.wanted:
+                iter47.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.peers is not None:
+            oprot.writeFieldBegin('peers', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRING, len(self.peers))
+            for iter48 in self.peers:
+                oprot.writeString(iter48.encode('utf-8') if sys.version_info[0] == 2 else iter48)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.origin is not None:
+            oprot.writeFieldBegin('origin', TType.STRING, 4)
+            oprot.writeString(self.origin.encode('utf-8') if sys.version_info[0] == 2 else self.origin)
+            oprot.writeFieldEnd()
+        if self.chunk_bytes is not None:
+            oprot.writeFieldBegin('chunk_bytes', TType.I32, 5)
+            oprot.writeI32(self.chunk_bytes)
+            oprot.writeFieldEnd()
+        if self.chunks is not None:
+            oprot.writeFieldBegin('chunks', TType.I32, 6)
+            oprot.writeI32(self.chunks)
+            oprot.writeFieldEnd()
+        if self.origin_bytes_per_s is not None:
+            oprot.writeFieldBegin('origin_bytes_per_s', TType.I32, 7)
+            oprot.writeI32(self.origin_bytes_per_s)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.number is None:
+            raise TProtocolException(message='Required field number is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class EngineNews(object):
+    """
+    What the endpoint process beside an engine tells entries.
+
+    Attributes:
+     - address
+     - number
+     - waiting
+     - running
+     - kv_used
+     - kv_total
+     - serving
+     - changing
+     - entries
+     - wanted
+
+    """
+
+    __slots__ = (
+        'address',
+        'number',
+        'waiting',
+        'running',
+        'kv_used',
+        'kv_total',
+        'serving',
+        'changing',
+        'entries',
+        'wanted',
+    )
+
+
+    def __init__(self, address=None, number=None, waiting=0, running=0, kv_used=0, kv_total=0, serving=0, changing=False, entries=0, wanted=[
+    ],):
+        self.address = address
+        self.number = number
+        self.waiting = waiting
+        self.running = running
+        self.kv_used = kv_used
+        self.kv_total = kv_total
+        self.serving = serving
+        self.changing = changing
+        self.entries = entries
+        if wanted is self.thrift_spec[10][4]:
+            wanted = [
+            ]
+        self.wanted = wanted
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.number = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.waiting = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.running = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.kv_used = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I64:
+                    self.kv_total = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I64:
+                    self.serving = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.BOOL:
+                    self.changing = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I32:
+                    self.entries = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.LIST:
+                    self.wanted = []
+                    (_etype52, _size49) = iprot.readListBegin()
+                    for _i53 in range(_size49):
+                        _elem54 = WantedWeights()
+                        _elem54.read(iprot)
+                        self.wanted.append(_elem54)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('EngineNews')
+        if self.address is not None:
+            oprot.writeFieldBegin('address', TType.STRING, 1)
+            oprot.writeString(self.address.encode('utf-8') if sys.version_info[0] == 2 else self.address)
+            oprot.writeFieldEnd()
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I64, 2)
+            oprot.writeI64(self.number)
+            oprot.writeFieldEnd()
+        if self.waiting is not None:
+            oprot.writeFieldBegin('waiting', TType.I32, 3)
+            oprot.writeI32(self.waiting)
+            oprot.writeFieldEnd()
+        if self.running is not None:
+            oprot.writeFieldBegin('running', TType.I32, 4)
+            oprot.writeI32(self.running)
+            oprot.writeFieldEnd()
+        if self.kv_used is not None:
+            oprot.writeFieldBegin('kv_used', TType.I64, 5)
+            oprot.writeI64(self.kv_used)
+            oprot.writeFieldEnd()
+        if self.kv_total is not None:
+            oprot.writeFieldBegin('kv_total', TType.I64, 6)
+            oprot.writeI64(self.kv_total)
+            oprot.writeFieldEnd()
+        if self.serving is not None:
+            oprot.writeFieldBegin('serving', TType.I64, 7)
+            oprot.writeI64(self.serving)
+            oprot.writeFieldEnd()
+        if self.changing is not None:
+            oprot.writeFieldBegin('changing', TType.BOOL, 8)
+            oprot.writeBool(self.changing)
+            oprot.writeFieldEnd()
+        if self.entries is not None:
+            oprot.writeFieldBegin('entries', TType.I32, 9)
+            oprot.writeI32(self.entries)
+            oprot.writeFieldEnd()
+        if self.wanted is not None:
+            oprot.writeFieldBegin('wanted', TType.LIST, 10)
+            oprot.writeListBegin(TType.STRUCT, len(self.wanted))
+            for iter55 in self.wanted:
+                iter55.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.address is None:
+            raise TProtocolException(message='Required field address is unset!')
+        if self.number is None:
+            raise TProtocolException(message='Required field number is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class News(object):
+    """
+    One datagram between the processes on the users' platform.
+
+    Attributes:
+     - entry
+     - engine
+     - held
+
+    """
+
+    __slots__ = (
+        'entry',
+        'engine',
+        'held',
+    )
+
+
+    def __init__(self, entry=None, engine=None, held=None,):
+        self.entry = entry
+        self.engine = engine
+        self.held = held
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.entry = EntryNews()
+                    self.entry.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRUCT:
+                    self.engine = EngineNews()
+                    self.engine.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRUCT:
+                    self.held = HeldNotice()
+                    self.held.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('News')
+        if self.entry is not None:
+            oprot.writeFieldBegin('entry', TType.STRUCT, 1)
+            self.entry.write(oprot)
+            oprot.writeFieldEnd()
+        if self.engine is not None:
+            oprot.writeFieldBegin('engine', TType.STRUCT, 2)
+            self.engine.write(oprot)
+            oprot.writeFieldEnd()
+        if self.held is not None:
+            oprot.writeFieldBegin('held', TType.STRUCT, 3)
+            self.held.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
 all_structs.append(Member)
 Member.thrift_spec = (
     None,  # 0
@@ -1839,5 +2414,48 @@
     None,  # 0
     (1, TType.STRING, 'operator_name', 'UTF8', None, ),  # 1
 )
+all_structs.append(WantedWeights)
+WantedWeights.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'target', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'model', 'UTF8', None, ),  # 2
+    (3, TType.I64, 'version', None, None, ),  # 3
+    (4, TType.I64, 'age_ms', None, None, ),  # 4
+)
+all_structs.append(EntryNews)
+EntryNews.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'number', None, None, ),  # 1
+    (2, TType.LIST, 'wanted', (TType.STRUCT, [WantedWeights, None], False), [
+    ], ),  # 2
+    (3, TType.LIST, 'peers', (TType.STRING, 'UTF8', False), [
+    ], ),  # 3
+    (4, TType.STRING, 'origin', 'UTF8', "", ),  # 4
+    (5, TType.I32, 'chunk_bytes', None, 0, ),  # 5
+    (6, TType.I32, 'chunks', None, 0, ),  # 6
+    (7, TType.I32, 'origin_bytes_per_s', None, 0, ),  # 7
+)
+all_structs.append(EngineNews)
+EngineNews.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'address', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'number', None, None, ),  # 2
+    (3, TType.I32, 'waiting', None, 0, ),  # 3
+    (4, TType.I32, 'running', None, 0, ),  # 4
+    (5, TType.I64, 'kv_used', None, 0, ),  # 5
+    (6, TType.I64, 'kv_total', None, 0, ),  # 6
+    (7, TType.I64, 'serving', None, 0, ),  # 7
+    (8, TType.BOOL, 'changing', None, False, ),  # 8
+    (9, TType.I32, 'entries', None, 0, ),  # 9
+    (10, TType.LIST, 'wanted', (TType.STRUCT, [WantedWeights, None], False), [
+    ], ),  # 10
+)
+all_structs.append(News)
+News.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'entry', [EntryNews, None], None, ),  # 1
+    (2, TType.STRUCT, 'engine', [EngineNews, None], None, ),  # 2
+    (3, TType.STRUCT, 'held', [HeldNotice, None], None, ),  # 3
+)
 fix_spec(all_structs)
 del all_structs
--- a/src/linnetwood/gen/wire/ttypes.pyi
+++ b/src/linnetwood/gen/wire/ttypes.pyi
@@ -95,3 +95,35 @@
 class DrainOrder:
     operator_name: str
     def __init__(self, operator_name: str = ...) -> None: ...
+class WantedWeights:
+    target: str
+    model: str
+    version: int
+    age_ms: int
+    def __init__(self, target: str = ..., model: str = ..., version: int = ..., age_ms: int = ...) -> None: ...
+class EntryNews:
+    number: int
+    wanted: list[WantedWeights]
+    peers: list[str]
+    origin: str
+    chunk_bytes: int
+    chunks: int
+    origin_bytes_per_s: int
+    def __init__(self, number: int = ..., wanted: list[WantedWeights] = ..., peers: list[str] = ..., origin: str = ..., chunk_bytes: int = ..., chunks: int = ..., origin_bytes_per_s: int = ...) -> None: ...
+class EngineNews:
+    address: str
+    number: int
+    waiting: int
+    running: int
+    kv_used: int
+    kv_total: int
+    serving: int
+    changing: bool
+    entries: int
+    wanted: list[WantedWeights]
+    def __init__(self, address: str = ..., number: int = ..., waiting: int = ..., running: int = ..., kv_used: int = ..., kv_total: int = ..., serving: int = ..., changing: bool = ..., entries: int = ..., wanted: list[WantedWeights] = ...) -> None: ...
+class News:
+    entry: EntryNews
+    engine: EngineNews
+    held: HeldNotice
+    def __init__(self, entry: EntryNews = ..., engine: EngineNews = ..., held: HeldNotice = ...) -> None: ...
--- a/src/linnetwood/idl/wire.thrift
+++ b/src/linnetwood/idl/wire.thrift
@@ -120,3 +120,43 @@
 struct DrainOrder {
   1: required string operator_name
 }
+
+/** A version of a model's weights that every engine of a service is to serve. */
+struct WantedWeights {
+  1: required string target,
+  2: required string model,
+  3: required i64 version,
+  4: required i64 age_ms
+}
+
+/** What an entry tells the endpoint process beside an engine. */
+struct EntryNews {
+  1: required i64 number,
+  2: list<WantedWeights> wanted = [],
+  3: list<string> peers = [],
+  4: string origin = "",
+  5: i32 chunk_bytes = 0,
+  6: i32 chunks = 0,
+  7: i32 origin_bytes_per_s = 0
+}
+
+/** What the endpoint process beside an engine tells entries. */
+struct EngineNews {
+  1: required string address,
+  2: required i64 number,
+  3: i32 waiting = 0,
+  4: i32 running = 0,
+  5: i64 kv_used = 0,
+  6: i64 kv_total = 0,
+  7: i64 serving = 0,
+  8: bool changing = false,
+  9: i32 entries = 0,
+  10: list<WantedWeights> wanted = []
+}
+
+/** One datagram between the processes on the users' platform. */
+struct News {
+  1: EntryNews entry,
+  2: EngineNews engine,
+  3: HeldNotice held
+}
--- /dev/null
+++ b/src/linnetwood/platform/dialect.py
@@ -0,0 +1,137 @@
+"""The headers of the platform's callers and servers."""
+
+from http import HTTPStatus
+
+from linnetwood.calls.dialect import CallHead, Errand, Verdict
+from linnetwood.wire.curldriver import Headers
+
+_CALL_ID = 'x-attempt-id'
+_WAIT_MS = 'x-deadline-ms'
+_KEY = 'authorization'
+_BEARER = 'bearer '
+_MODEL = 'x-model'
+# Tokens of the prompt, and the most that may come out.
+_TOKENS = 'x-token-counts'
+_LENGTH = 'x-length-hint'
+_RESUME_AFTER = 'last-event-id'
+_ORGANISATION = 'x-tenant'
+_ENDPOINT = 'x-expected-instance'
+_VERSION = 'x-expected-version'
+_SIGNATURE = 'x-server-signature'
+_NOT_RUN = 'x-not-executed'
+_AT_FAULT = 'at-server'
+_MILLISECONDS = 1000
+# What concerns one connection alone, and what the system sets by itself.
+_OF_CONNECTION = frozenset(
+    (
+        'connection',
+        'keep-alive',
+        'proxy-connection',
+        'proxy-authenticate',
+        'proxy-authorization',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+        'content-length',
+        'expect',
+    ),
+)
+_SET_HERE = frozenset((_WAIT_MS, _KEY, _ORGANISATION, _ENDPOINT, _VERSION))
+
+
+class PlatformDialect:
+    """Read and write the platform's headers."""
+
+    def read(self, headers: Headers) -> CallHead:
+        """Read a caller's headers."""
+        by_name = {name.lower(): text for name, text in headers}
+        prompt, most = _tokens(by_name.get(_TOKENS, ''))
+        return CallHead(
+            call_id=by_name.get(_CALL_ID, ''),
+            wait_s=_seconds(by_name.get(_WAIT_MS, '')),
+            key=_bearer(by_name.get(_KEY, '')),
+            model=by_name.get(_MODEL, ''),
+            prompt=prompt,
+            length=_whole(by_name.get(_LENGTH, '')) or most,
+            resume_after=by_name.get(_RESUME_AFTER, ''),
+        )
+
+    def outgoing(self, headers: Headers, errand: Errand) -> Headers:
+        """Give the headers of an attempt."""
+        resumes = bool(errand.resume_after)
+        dropped = _of_connection(headers) | _SET_HERE
+        sent = [
+            (name, text)
+            for name, text in headers
+            if name.lower() not in dropped
+            and not (resumes and name.lower() == _RESUME_AFTER)
+        ]
+        left_ms = max(1, int(errand.left_s * _MILLISECONDS))
+        sent.append(('X-Deadline-Ms', str(left_ms)))
+        sent.append(('X-Expected-Instance', errand.endpoint))
+        if errand.organisation:
+            sent.append(('X-Tenant', errand.organisation))
+        if errand.least_version:
+            sent.append(('X-Expected-Version', str(errand.least_version)))
+        if resumes:
+            sent.append(('Last-Event-Id', errand.resume_after))
+        return sent
+
+    def verdict(self, status: int, headers: Headers, call_id: str) -> Verdict:
+        """Say what an answer's head means."""
+        by_name = {name.lower(): text for name, text in headers}
+        if _NOT_RUN in by_name or status == HTTPStatus.MISDIRECTED_REQUEST:
+            return Verdict.NOT_RUN
+        if by_name.get(_CALL_ID, call_id) != call_id:
+            return Verdict.FOREIGN
+        if 'content-encoding' in by_name:
+            return Verdict.FOREIGN
+        if status >= HTTPStatus.INTERNAL_SERVER_ERROR:
+            return Verdict.FAILED
+        if _SIGNATURE not in by_name and status < HTTPStatus.MULTIPLE_CHOICES:
+            return Verdict.FOREIGN
+        return Verdict.ANSWER
+
+    def answer_headers(self, headers: Headers) -> Headers:
+        """Give the headers of an answer that go on to the caller."""
+        dropped = _of_connection(headers)
+        return [one for one in headers if one[0].lower() not in dropped]
+
+    def fault(self, headers: Headers) -> str:
+        """Give the address of the server that an answer blames, if any."""
+        return next(
+            (text for name, text in headers if name.lower() == _AT_FAULT),
+            '',
+        )
+
+
+def _of_connection(headers: Headers) -> frozenset[str]:
+    named = {
+        one.strip().lower()
+        for name, text in headers
+        if name.lower() == 'connection'
+        for one in text.split(',')
+    }
+    return _OF_CONNECTION | named
+
+
+def _tokens(text: str) -> tuple[int, int]:
+    prompt, _, most = text.partition(',')
+    return _whole(prompt), _whole(most)
+
+
+def _whole(text: str) -> int:
+    trimmed = text.strip()
+    return int(trimmed) if trimmed.isdecimal() else 0
+
+
+def _seconds(text: str) -> float | None:
+    trimmed = text.strip()
+    return int(trimmed) / _MILLISECONDS if trimmed.isdecimal() else None
+
+
+def _bearer(text: str) -> str:
+    if text[: len(_BEARER)].lower() != _BEARER:
+        return ''
+    return text[len(_BEARER) :].strip()
--- /dev/null
+++ b/src/linnetwood/platform/items.py
@@ -0,0 +1,194 @@
+"""Decode what the operator and the servers write to the platform's store."""
+
+import json
+from collections.abc import Iterator, Mapping
+from typing import Any
+
+from linnetwood.calls.directory import Listed
+from linnetwood.calls.engine import EngineFigures
+from linnetwood.calls.routebook import (
+    CallLimits,
+    Organisation,
+    Origin,
+    Repeat,
+    Route,
+    RouteBook,
+    Service,
+    Share,
+    shelve,
+)
+from linnetwood.core.errors import ConfigError
+from linnetwood.fleet.following import Item
+from linnetwood.platform.settings import address
+
+OPERATOR_PREFIX = 'op/'
+CONFIG_KEY = 'op/config'
+VERSION_PREFIX = 'op/version/'
+ENDPOINT_PREFIX = 'servers/'
+
+_MILLISECONDS = 1000
+_MEGABIT_BYTES = 125000
+_READY = 'ready'
+_STREAMING = 'streaming'
+_REPEATABLE = 'idempotent'
+_BAD_ITEM = (KeyError, TypeError, ValueError, AttributeError)
+
+
+def config(item: Item) -> RouteBook:
+    """Decode the operator's configuration, or raise ConfigError."""
+    try:
+        return _config(_object(item), item.revision)
+    except _BAD_ITEM as exc:
+        raise ConfigError('config-malformed', repr(exc)) from exc
+
+
+def named_version(item: Item) -> tuple[str, int]:
+    """Decode a named version of a model, or raise ConfigError."""
+    try:
+        said = _object(item)
+        return str(said['model']), int(said['version'])
+    except _BAD_ITEM as exc:
+        raise ConfigError('version-malformed', repr(exc)) from exc
+
+
+def endpoint(key: str, item: Item) -> Listed:
+    """Decode a server's entry, or raise ConfigError."""
+    try:
+        return _endpoint(key.removeprefix(ENDPOINT_PREFIX), _object(item))
+    except _BAD_ITEM as exc:
+        raise ConfigError('endpoint-malformed', f'{key}: {exc!r}') from exc
+
+
+def _object(item: Item) -> dict[str, Any]:
+    said = json.loads(item.payload)
+    if not isinstance(said, dict):
+        raise TypeError(type(said).__name__)
+    return said
+
+
+def _endpoint(name: str, said: Mapping[str, Any]) -> Listed:
+    host, port = address(said['address'])
+    return Listed(
+        endpoint=name,
+        service=said['service'],
+        host=host,
+        port=port,
+        zone=said.get('zone', ''),
+        slots=int(said.get('slots', 1)),
+        ready=said.get('state', _READY) == _READY,
+        cold_s=said.get('cold_remaining_ms', 0) / _MILLISECONDS,
+        versions={
+            one['name']: int(one['version']) for one in said.get('models') or ()
+        },
+    )
+
+
+def _config(said: Mapping[str, Any], revision: int) -> RouteBook:
+    tenants = said.get('tenants')
+    return RouteBook(
+        revision=revision,
+        version=int(said.get('version', 0)),
+        by_host=shelve(_route(one) for one in said['routes']),
+        services={
+            one['name']: _service(one)
+            for one in said['services']
+            if 'origin' not in one
+        },
+        organisations=None if tenants is None else dict(_keys(tenants)),
+        limits=_limits(said.get('limits', {})),
+        origin=next(_origins(said['services']), Origin()),
+    )
+
+
+def _route(said: Mapping[str, Any]) -> Route:
+    kind = said['kind']
+    streams = kind == _STREAMING
+    repeat = Repeat.MAY if kind == _REPEATABLE else Repeat.NEVER
+    if streams and said.get('stream_resumption'):
+        repeat = Repeat.RESUME
+    # One service, or a table of services with weights, never both.
+    split = said.get('traffic_split') or [
+        {'service': said['service'], 'weight': 1},
+    ]
+    return Route(
+        name=said['name'],
+        host=said['host'],
+        prefix=said['path_prefix'],
+        repeat=repeat,
+        streams=streams,
+        timeout_s=said['timeout_ms'] / _MILLISECONDS,
+        target_s=said.get('target_latency_ms', 0) / _MILLISECONDS,
+        gap_s=said.get('target_gap_ms', 0) / _MILLISECONDS,
+        attempts=int(said.get('max_attempts', 1)),
+        priority=int(said.get('priority', 0)),
+        public=bool(said.get('public')),
+        shares=tuple(
+            Share(one['service'], float(one['weight'])) for one in split
+        ),
+    )
+
+
+def _service(said: Mapping[str, Any]) -> Service:
+    figures = said.get('engine')
+    return Service(
+        name=said['name'],
+        connection_limit=int(said.get('connection_limit', 1)),
+        engine=_engine(figures) if figures else None,
+    )
+
+
+def _engine(said: Mapping[str, Any]) -> EngineFigures:
+    usual = said.get('usual', {})
+    return EngineFigures(
+        slots=int(said['slots']),
+        step_s=said['step_ms'] / _MILLISECONDS,
+        per_call_s=said.get('per_seq_ms', 0) / _MILLISECONDS,
+        context_s_per_k=said.get('context_per_k', 0) / _MILLISECONDS,
+        read_per_s=float(said['read_per_s']),
+        pairs_s_per_m=said.get('pairs_per_m', 0) / _MILLISECONDS,
+        stride=int(said.get('stride', 1)),
+        usual_prompt=int(usual.get('prompt', 0)),
+        usual_answer=int(usual.get('answer', 0)),
+        kv_tokens=int(said.get('kv_capacity_tokens', 0)),
+        models=tuple(one['name'] for one in said.get('models', ())),
+        layers=int(said.get('layers', 1)),
+        chunks=int(said.get('chunks', 0)),
+        chunk_bytes=int(said.get('chunk_bytes', 0)),
+        report_lag_s=said.get('report_lag_ms', 0) / _MILLISECONDS,
+        delays={
+            # The second zone of a pair stands in the field of a version.
+            (one['source'], one['target_version']): (
+                one['delay_ms'] / _MILLISECONDS
+            )
+            for one in said.get('delays', ())
+        },
+    )
+
+
+def _origins(services: list[dict[str, Any]]) -> Iterator[Origin]:
+    for said in services:
+        if 'origin' in said:
+            host, port = address(said['origin'])
+            yield Origin(
+                host,
+                port,
+                float(said.get('link_mbps', 0)) * _MEGABIT_BYTES,
+                int(said.get('connection_limit', 1)),
+            )
+
+
+def _keys(tenants: list[dict[str, Any]]) -> Iterator[tuple[str, Organisation]]:
+    for one in tenants:
+        holder = Organisation(one['name'], int(one.get('priority', 0)))
+        for key in one.get('api_keys', ()):
+            yield key, holder
+
+
+def _limits(said: Mapping[str, Any]) -> CallLimits:
+    usual = CallLimits()
+    return CallLimits(
+        int(said.get('max_header_bytes', usual.header_bytes)),
+        int(said.get('max_body_bytes', usual.body_bytes)),
+        said.get('header_timeout_ms', 0) / _MILLISECONDS or usual.header_s,
+        said.get('idle_timeout_ms', 0) / _MILLISECONDS or usual.idle_s,
+    )
--- /dev/null
+++ b/src/linnetwood/platform/settings.py
@@ -0,0 +1,78 @@
+"""Read the settings file that the platform lays down for each process."""
+
+import dataclasses
+import os
+import tomllib
+from collections.abc import Mapping
+from typing import Any, cast
+
+from linnetwood.core.errors import SettingsError
+
+_PATH_VARIABLE = 'LINNETWOOD_NODE_FILE'
+_DEFAULT_PATH = '/etc/linnetwood/local.toml'
+_MILLISECONDS = 1000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Residence:
+    """What the platform tells a process of itself; times in seconds."""
+
+    vm: str
+    host: str
+    zone: str
+    region: str
+    wire_port: int
+    store: tuple[str, int]
+    callers: tuple[str, int] | None
+    readiness: tuple[str, int] | None
+    engine: tuple[str, int] | None
+    stop_within_s: float
+    version_bound_s: float
+    drain_bound_s: float
+    retry_share: float
+    retry_extra: float
+
+
+def load(path: str = '') -> Residence:
+    """Read the file; raise SettingsError naming the file and the field."""
+    place = path or os.environ.get(_PATH_VARIABLE, _DEFAULT_PATH)
+    try:
+        with open(place, 'rb') as stream:
+            given = tomllib.load(stream)
+    except (OSError, tomllib.TOMLDecodeError) as exc:
+        raise SettingsError('settings-unreadable', f'{place}: {exc}') from exc
+    try:
+        return _read(given)
+    except (KeyError, TypeError, ValueError, IndexError) as exc:
+        raise SettingsError('settings-bad-field', f'{place}: {exc!r}') from exc
+
+
+def address(text: str) -> tuple[str, int]:
+    """Read IP:PORT."""
+    host, _, port = text.rpartition(':')
+    return host, int(port)
+
+
+def _read(given: Mapping[str, Any]) -> Residence:
+    listen = cast(Mapping[str, str], given.get('listen', {}))
+    bounds = cast(Mapping[str, float], given.get('bounds', {}))
+    return Residence(
+        vm=str(given['node']),
+        host=str(given['ip']),
+        zone=str(given['zone']),
+        region=str(given['region']),
+        wire_port=int(given['internal_port_range'][0]),
+        store=address(given['platform']['address']),
+        callers=_optional(listen.get('frontend')),
+        readiness=_optional(listen.get('ready')),
+        engine=_optional(given.get('app')),
+        stop_within_s=float(bounds.get('grace_period_s', 8)),
+        version_bound_s=bounds.get('version_ms', 8000) / _MILLISECONDS,
+        drain_bound_s=bounds.get('drain_timeout_ms', 2000) / _MILLISECONDS,
+        retry_share=float(bounds.get('retry_budget_ratio', 0)),
+        retry_extra=float(bounds.get('retry_budget_extra', 0)),
+    )
+
+
+def _optional(text: str | None) -> tuple[str, int] | None:
+    return address(text) if text else None
--- /dev/null
+++ b/src/linnetwood/platform/store.py
@@ -0,0 +1,116 @@
+"""The platform's store, as the product's range of keys."""
+
+import base64
+import json
+from typing import Any
+from urllib.parse import urlencode
+
+from linnetwood.core.errors import StoreError
+from linnetwood.fleet.following import (
+    Change,
+    Changes,
+    HistoryLostError,
+    Item,
+    Snapshot,
+)
+from linnetwood.wire.curldriver import Answer, CurlDriver, Request, ask
+
+_OK = 200
+_GONE = 410
+_MILLISECONDS = 1000
+# It answers in milliseconds; a slow one takes half a second.
+_TIMEOUT_S = 2.5
+_CONNECT_S = 1.0
+# A waiting call is answered this much after its time at the latest.
+_SLACK_S = 1.0
+# A page holds a megabyte of values, in base64 and JSON.
+_MOST_BYTES = 33554432
+
+
+class PlatformStore:
+    """Read ranges and wait for their changes."""
+
+    def __init__(self, address: tuple[str, int], driver: CurlDriver) -> None:
+        """Reach the store at an address."""
+        self._host, self._port = address
+        self._driver = driver
+
+    async def read(self, prefix: str) -> Snapshot:
+        """Read every page of a range."""
+        items: dict[str, Item] = {}
+        revision = 0
+        last = ''
+        while True:
+            said = await self._page(prefix, last)
+            # Pages are no snapshot: what changed since the first is waited for.
+            revision = revision or int(said['timestamp'])
+            for row in said['items']:
+                last = row['private_key']
+                items[last] = _item(row)
+            if not said['has_more']:
+                return Snapshot(items, revision)
+
+    async def wait(self, prefix: str, after: int, wait_s: float) -> Changes:
+        """Wait for changes of a range."""
+        said = await self._get(
+            '/linnetwood/kv-watch',
+            {
+                'path_prefix': prefix,
+                'after_revision': str(after),
+                'wait_ms': str(int(wait_s * _MILLISECONDS)),
+            },
+            wait_s + _SLACK_S,
+        )
+        try:
+            changes = tuple(_change(row) for row in said['events'])
+            return Changes(changes, int(said['timestamp']))
+        except (KeyError, TypeError, ValueError) as exc:
+            raise StoreError('store-bad-answer', repr(exc)) from exc
+
+    async def _page(self, prefix: str, last: str) -> dict[str, Any]:
+        query = {'path_prefix': prefix}
+        if last:
+            # Here the field holds the key after which the page starts.
+            query['after_revision'] = last
+        return await self._get('/linnetwood/kv-range', query, _TIMEOUT_S)
+
+    async def _get(
+        self,
+        path: str,
+        query: dict[str, str],
+        timeout_s: float,
+    ) -> dict[str, Any]:
+        req = Request(
+            self._host,
+            self._port,
+            'GET',
+            f'{path}?{urlencode(query)}',
+            [('Host', f'{self._host}:{self._port}')],
+            connect_s=_CONNECT_S,
+            total_s=timeout_s,
+        )
+        return _said(await ask(self._driver, req, _MOST_BYTES))
+
+
+def _said(answer: Answer) -> dict[str, Any]:
+    if answer.status == _GONE:
+        raise HistoryLostError('store-history-lost')
+    if answer.status != _OK:
+        detail = answer.finish.detail or f'status {answer.status}'
+        raise StoreError('store-unreachable', detail)
+    try:
+        said = json.loads(answer.body)
+    except ValueError as exc:
+        raise StoreError('store-bad-answer', str(exc)) from exc
+    if not isinstance(said, dict):
+        raise StoreError('store-bad-answer', type(said).__name__)
+    return said
+
+
+def _item(row: dict[str, Any]) -> Item:
+    return Item(base64.b64decode(row['value']), int(row['revision']))
+
+
+def _change(row: dict[str, Any]) -> Change:
+    gone = bool(row.get('deleted'))
+    return Change(row['private_key'], None if gone else _item(row))
--- /dev/null
+++ b/src/linnetwood/platform/weights.py
@@ -0,0 +1,185 @@
+"""The platform's model server and origin, as the weights path uses them."""
+
+import json
+from collections.abc import Mapping
+from http import HTTPStatus
+from types import MappingProxyType
+from typing import Any
+from urllib.parse import quote, urlencode
+
+from linnetwood.core.errors import LinnetwoodError, OrderError, WeightsError
+from linnetwood.weights.chunks import Manifest
+from linnetwood.weights.engine import EngineReport, Order
+from linnetwood.wire.curldriver import Answer, CurlDriver, Request, ask
+
+_TIMEOUT_S = 1.5
+_PIECE_TIMEOUT_S = 4.0
+_MOST_BYTES = 16777216
+_UNKNOWN_WHOLE = bytes(32)
+
+
+class ServerEngine:
+    """Speak to the model server of this machine."""
+
+    def __init__(self, address: tuple[str, int], driver: CurlDriver) -> None:
+        """Reach the server at its address."""
+        self._site = _Site(address, driver)
+
+    async def report(self) -> EngineReport:
+        """Ask what it does."""
+        answer = await self._site.ask('GET', '/linnetwood/report')
+        said = _object(answer, OrderError)
+        return EngineReport(
+            waiting=int(said.get('waiting', 0)),
+            running=int(said.get('running', 0)),
+            kv_used=int(said.get('kv_used', 0)),
+            kv_total=int(said.get('kv_total', 0)),
+            serving={
+                one['name']: int(one['version'])
+                for one in said.get('models') or ()
+            },
+            # The field's name misleads: true means that an order is under way.
+            changing=bool(said.get('utilization')),
+            orders_taken=int(said.get('sequence', 0)),
+        )
+
+    async def staged(self, model: str) -> list[int]:
+        """Ask which chunks lie there."""
+        answer = await self._site.ask('GET', _stage('stage-get', model))
+        if answer.status == HTTPStatus.NOT_FOUND:
+            return []
+        return [int(one) for one in _object(answer, OrderError)['held']]
+
+    async def read_staged(self, model: str, index: int) -> bytes | None:
+        """Read a chunk that lies there."""
+        place = _stage('stage-get', model, index)
+        answer = await self._site.ask('GET', place)
+        return answer.body if answer.status == HTTPStatus.OK else None
+
+    async def stage(self, model: str, index: int, chunk: bytes) -> None:
+        """Lay a chunk there."""
+        place = _stage('stage-put', model, index)
+        answer = await self._site.ask('PUT', place, chunk)
+        if not answer.status or answer.status >= HTTPStatus.MULTIPLE_CHOICES:
+            raise OrderError('engine-refused', _why(answer))
+
+    async def take(self, model: str, version: int, orders: int) -> Order:
+        """Order it to serve what lies there, if it took so many orders."""
+        body = json.dumps(
+            {
+                'operation': 'start',
+                'model': model,
+                'version': version,
+                'method': 'queue',
+                # The page's name for the count of orders that is expected.
+                'expected_revision': orders,
+            },
+        )
+        answer = await self._site.ask(
+            'POST',
+            '/linnetwood/order',
+            body.encode(),
+            [('Content-Type', 'application/json')],
+        )
+        if not answer.status:
+            raise OrderError('engine-unreachable', _why(answer))
+        return _ORDERS.get(answer.status, Order.REFUSED)
+
+
+_ORDERS: Mapping[int, Order] = MappingProxyType(
+    {
+        int(HTTPStatus.ACCEPTED): Order.TAKEN,
+        int(HTTPStatus.OK): Order.DONE,
+        int(HTTPStatus.CONFLICT): Order.CONFLICT,
+    },
+)
+
+
+class PlatformOrigin:
+    """Read manifests and pieces; the address is told while running."""
+
+    def __init__(self, driver: CurlDriver) -> None:
+        """Know no address yet."""
+        self.address: tuple[str, int] | None = None
+        self._driver = driver
+
+    async def manifest(self, model: str, version: int) -> Manifest:
+        """Read the digests of a version."""
+        place = f'/linnetwood/manifest/{quote(model)}?version={version}'
+        said = _object(await self._site().ask('GET', place), WeightsError)
+        try:
+            digests = tuple(bytes.fromhex(one) for one in said['digests'])
+            size = int(said['chunk_bytes']) * len(digests)
+            return Manifest(
+                size,
+                int(said['chunk_bytes']),
+                _UNKNOWN_WHOLE,
+                digests,
+            )
+        except (KeyError, TypeError, ValueError) as exc:
+            raise WeightsError('manifest-malformed', repr(exc)) from exc
+
+    async def piece(self, model: str, version: int, index: int) -> bytes:
+        """Read one chunk, unchecked."""
+        query = urlencode({'quantity': index, 'version': version})
+        place = f'/linnetwood/piece/{quote(model)}?{query}'
+        answer = await self._site().ask('GET', place, limit_s=_PIECE_TIMEOUT_S)
+        if answer.status != HTTPStatus.OK:
+            raise WeightsError('origin-refused', _why(answer))
+        return answer.body
+
+    def _site(self) -> '_Site':
+        if self.address is None:
+            raise WeightsError('origin-unknown')
+        return _Site(self.address, self._driver)
+
+
+class _Site:
+    """One address and how to ask it."""
+
+    def __init__(self, address: tuple[str, int], driver: CurlDriver) -> None:
+        self._host, self._port = address
+        self._driver = driver
+
+    async def ask(
+        self,
+        method: str,
+        target: str,
+        body: bytes = b'',
+        headers: list[tuple[str, str]] | None = None,
+        limit_s: float = _TIMEOUT_S,
+    ) -> Answer:
+        fields = [('Host', f'{self._host}:{self._port}'), *(headers or ())]
+        req = Request(
+            self._host,
+            self._port,
+            method,
+            target,
+            fields,
+            body,
+            connect_s=1.0,
+            total_s=limit_s,
+        )
+        return await ask(self._driver, req, _MOST_BYTES)
+
+
+def _stage(call: str, model: str, index: int | None = None) -> str:
+    place = f'/linnetwood/{call}/{quote(model)}'
+    # The page's name for the number of a piece.
+    return place if index is None else f'{place}?quantity={index}'
+
+
+def _object(answer: Answer, error: type[LinnetwoodError]) -> dict[str, Any]:
+    if answer.status != HTTPStatus.OK:
+        raise error('no-answer', _why(answer))
+    try:
+        said = json.loads(answer.body)
+    except ValueError as exc:
+        raise error('bad-answer', str(exc)) from exc
+    if not isinstance(said, dict):
+        raise error('bad-answer', type(said).__name__)
+    return said
+
+
+def _why(answer: Answer) -> str:
+    return answer.finish.detail or f'status {answer.status}'
--- /dev/null
+++ b/src/linnetwood/programs/resident.py
@@ -0,0 +1,63 @@
+"""Start a program as a resident of the users' platform."""
+
+import asyncio
+import gc
+import signal
+import sys
+from collections.abc import Awaitable, Callable
+
+from linnetwood.core.errors import LinnetwoodError
+from linnetwood.core.events import Event, log, open_log
+from linnetwood.platform import settings
+
+EXIT_OK = 0
+EXIT_FAILED = 1
+EXIT_SETTINGS = 2
+_COLLECT_AFTER = 50000
+
+Serve = Callable[[settings.Residence], Awaitable[None]]
+
+
+def run(program: str, serve: Serve) -> int:
+    """Read the platform's settings, then serve until told to stop."""
+    try:
+        cfg = settings.load()
+    except LinnetwoodError as exc:
+        sys.stderr.write(f'{program}: {exc}\n')
+        return EXIT_SETTINGS
+    open_log('info', cfg.vm)
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(_COLLECT_AFTER)
+    log(Event.STARTED, program=program)
+    try:
+        asyncio.run(_serve(serve, cfg))
+    except (LinnetwoodError, OSError) as exc:
+        sys.stderr.write(f'{program}: {exc}\n')
+        return EXIT_FAILED
+    log(Event.STOPPED, program=program)
+    return EXIT_OK
+
+
+async def until_stopped() -> None:
+    """Wait for the signal to stop; on SIGHUP check the settings again."""
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGHUP, _check_again)
+    for signum in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(signum, stop.set)
+    await stop.wait()
+    log(Event.STOPPING)
+
+
+async def _serve(serve: Serve, cfg: settings.Residence) -> None:
+    await serve(cfg)
+
+
+def _check_again() -> None:
+    try:
+        settings.load()
+    except LinnetwoodError as exc:
+        log(Event.SETTINGS_REFUSED, code=exc.code, detail=exc.detail)
+        return
+    log(Event.SETTINGS_RELOADED)
--- /dev/null
+++ b/src/linnetwood/programs/resident_endpoint.py
@@ -0,0 +1,184 @@
+"""The program beside a model engine of the users' platform."""
+
+import asyncio
+import sys
+from random import Random
+
+from tornado.netutil import bind_sockets
+
+from linnetwood.core.clock import SystemClock
+from linnetwood.core.errors import OrderError
+from linnetwood.core.events import Event, log
+from linnetwood.core.metrics import open_metrics
+from linnetwood.core.options import Transfer
+from linnetwood.fleet.news import Address, NewsPort
+from linnetwood.fleet.wanted import WantedVersions
+from linnetwood.gen.wire.ttypes import EngineNews, EntryNews, News
+from linnetwood.platform import settings
+from linnetwood.platform.settings import Residence
+from linnetwood.platform.weights import PlatformOrigin, ServerEngine
+from linnetwood.programs import resident
+from linnetwood.weights.chunks import ChunkStore
+from linnetwood.weights.follower import OriginChunks, VersionFollower
+from linnetwood.weights.transfer import Fetcher, Tally, Tools, Uploads
+from linnetwood.wire.connections import TcpDialler, WireServer
+from linnetwood.wire.curldriver import CurlDriver
+from linnetwood.wire.frames import FrameKind
+from linnetwood.wire.links import OpenLink
+
+_REPORT_EVERY_S = 0.1
+_HELD_EVERY_S = 0.2
+# An entry that was not heard for four of its greetings is not told any more.
+_ENTRY_HEARD_S = 2.0
+
+
+class ResidentEndpoint:
+    """Put the parts of an endpoint process together."""
+
+    def __init__(self, cfg: Residence, address: tuple[str, int]) -> None:
+        """Build; start nothing."""
+        self._cfg = cfg
+        self._address = f'{address[0]}:{address[1]}'
+        self._clock = SystemClock()
+        self.wanted = WantedVersions(cfg.version_bound_s)
+        self.driver = CurlDriver()
+        self._engine = ServerEngine(address, self.driver)
+        self._origin = PlatformOrigin(self.driver)
+        self._news = NewsPort(self)
+        self._entries: dict[Address, float] = {}
+        self._number = 0
+        self._held_at = float()
+        tools = self._tools()
+        self.follower = VersionFollower(
+            tools,
+            self._engine,
+            self._origin,
+            self.wanted,
+            cfg.wire_port,
+        )
+        self._server = WireServer(
+            {FrameKind.CHUNK_REQUEST: tools.uploads.serve},
+        )
+        self._task: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Listen, and begin to follow."""
+        cfg = self._cfg
+        await self._server.start(bind_sockets(cfg.wire_port, cfg.host))
+        await self._news.start(cfg.host, cfg.wire_port)
+        self._task = asyncio.create_task(self._run())
+        self.follower.start()
+
+    async def close(self) -> None:
+        """Stop; the engine goes on serving."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+        await self.follower.close()
+        await self._server.close()
+        self._news.close()
+        self.driver.close()
+
+    def heard(self, news: News, source: Address) -> None:
+        """Take in what entries and peers tell."""
+        if news.entry is not None:
+            self._heard_entry(news.entry, source)
+        if news.held is not None:
+            self.follower.noticed(news.held)
+
+    def _heard_entry(self, entry: EntryNews, source: Address) -> None:
+        now = self._clock.now()
+        self._entries[source] = now
+        self.wanted.heard(entry.wanted, now)
+        around = self.follower.around
+        around.peers = sorted(entry.peers)
+        around.origin_bytes_per_s = entry.origin_bytes_per_s
+        if entry.origin:
+            self._origin.address = settings.address(entry.origin)
+        self.follower.rouse()
+
+    async def _run(self) -> None:
+        while True:
+            try:
+                self.follower.report = await self._engine.report()
+            except OrderError as exc:
+                log(Event.ENGINE_UNREACHABLE, code=exc.code, detail=exc.detail)
+                self.follower.report = None
+            self._tell()
+            await asyncio.sleep(_REPORT_EVERY_S)
+
+    def _tell(self) -> None:
+        now = self._clock.now()
+        self._entries = {
+            address: at
+            for address, at in self._entries.items()
+            if now - at < _ENTRY_HEARD_S
+        }
+        report = self.follower.report
+        if report is not None:
+            self._number += 1
+            engine = EngineNews(
+                address=self._address,
+                number=self._number,
+                waiting=report.waiting,
+                running=report.running,
+                kv_used=report.kv_used,
+                kv_total=report.kv_total,
+                serving=max(report.serving.values(), default=0),
+                changing=report.changing,
+                entries=len(self._entries),
+            )
+            self._news.send(News(engine=engine), list(self._entries))
+        if now - self._held_at >= _HELD_EVERY_S:
+            self._held_at = now
+            self._tell_held()
+
+    def _tell_held(self) -> None:
+        notice = self.follower.notice()
+        if notice is None:
+            return
+        peers = [
+            (host, self._cfg.wire_port)
+            for host in self.follower.around.peers
+            if host != self._cfg.host
+        ]
+        self._news.send(News(held=notice), peers)
+
+    def _tools(self) -> Tools:
+        store = ChunkStore()
+        tally = Tally()
+        cfg = Transfer()
+        link = OpenLink()
+        return Tools(
+            me=self._cfg.host,
+            store=store,
+            fetcher=Fetcher(self._cfg.host, TcpDialler(), link),
+            uploads=Uploads(store, link, tally, cfg.upload_queue),
+            origin=OriginChunks(self._origin),
+            link=link,
+            clock=self._clock,
+            rng=Random(),
+            tally=tally,
+            metrics=open_metrics('', 0),
+            cfg=cfg,
+        )
+
+
+async def serve(cfg: Residence) -> None:
+    """Bring weights to the engine of this VM."""
+    if cfg.engine is None:
+        await resident.until_stopped()
+        return
+    endpoint = ResidentEndpoint(cfg, cfg.engine)
+    await endpoint.start()
+    await resident.until_stopped()
+    await endpoint.close()
+
+
+def main() -> None:
+    """Serve until told to stop."""
+    sys.exit(resident.run('linnetwood-resident-endpoint', serve))
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/src/linnetwood/programs/resident_entry.py
@@ -0,0 +1,180 @@
+"""The program on an entry VM of the users' platform."""
+
+import asyncio
+import sys
+from random import Random
+
+from tornado.httpserver import HTTPServer
+from tornado.httputil import HTTPServerRequest
+from tornado.netutil import bind_sockets
+
+from linnetwood.calls.choice import Chooser
+from linnetwood.calls.direct import DirectDispatcher
+from linnetwood.calls.directory import Directory
+from linnetwood.calls.entrance import Entrance
+from linnetwood.calls.front import Front, open_server
+from linnetwood.calls.reports import Reports
+from linnetwood.calls.routebook import RouteBook
+from linnetwood.core.clock import SystemClock
+from linnetwood.core.events import Event, log
+from linnetwood.fleet.following import Following
+from linnetwood.fleet.wanted import WantedVersions
+from linnetwood.platform import items
+from linnetwood.platform.dialect import PlatformDialect
+from linnetwood.platform.feeds import EndpointFeed, OperatorFeed
+from linnetwood.platform.settings import Residence
+from linnetwood.platform.store import PlatformStore
+from linnetwood.programs import resident
+from linnetwood.wire.curldriver import CurlDriver
+
+# The balancer asks once a second and takes a VM out after two misses.
+_BALANCER_SEES_S = 2.5
+_STOP_MARGIN_S = 0.7
+_CHECK_S = 0.05
+_OK = 200
+_UNAVAILABLE = 503
+
+
+class ResidentEntry:
+    """Put the parts of an entry together."""
+
+    def __init__(self, cfg: Residence) -> None:
+        """Build; start nothing."""
+        self.book = RouteBook()
+        self._cfg = cfg
+        self._stopping = False
+        clock = SystemClock()
+        rng = Random()
+        self.directory = Directory()
+        self.wanted = WantedVersions(cfg.version_bound_s)
+        self.driver = CurlDriver()
+        chooser = Chooser(self.directory, rng)
+        dialect = PlatformDialect()
+        self.dispatcher = DirectDispatcher(
+            chooser,
+            self.driver,
+            dialect,
+            lambda _, model: self.wanted.least(model, clock.now()),
+            cfg.zone,
+            rng,
+        )
+        self.reports = Reports(
+            self.directory,
+            chooser,
+            self.wanted,
+            clock,
+            cfg.wire_port,
+        )
+        self.front = Front(
+            lambda: self.book,
+            self.dispatcher,
+            dialect,
+            Entrance(chooser, self.dispatcher, clock),
+            rng,
+        )
+        store = PlatformStore(cfg.store, self.driver)
+        self._operator = Following(
+            store,
+            items.OPERATOR_PREFIX,
+            OperatorFeed(
+                self.adopt,
+                self.wanted,
+                clock,
+                self.reports.rouse,
+            ),
+            clock,
+            rng,
+        )
+        self._endpoints = Following(
+            store,
+            items.ENDPOINT_PREFIX,
+            EndpointFeed(self.directory, clock, self.reports.rouse),
+            clock,
+            rng,
+        )
+        self._servers: list[HTTPServer] = []
+
+    async def start(self) -> None:
+        """Listen, and learn what there is to serve."""
+        cfg = self._cfg
+        readiness = HTTPServer(self._tell_ready)
+        self._listen(readiness, cfg.readiness)
+        self._operator.start()
+        self._endpoints.start()
+        await self.reports.start(cfg.host)
+        self._listen(open_server(self.front, self.book), cfg.callers)
+
+    async def close(self) -> None:
+        """Be taken out, finish what is under way, then go."""
+        self._stopping = True
+        self.front.stopping = True
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        until = began + self._cfg.stop_within_s - _STOP_MARGIN_S
+        await asyncio.sleep(_BALANCER_SEES_S)
+        for server in self._servers:
+            server.stop()
+        while self.front.under_way and loop.time() < until:
+            await asyncio.sleep(_CHECK_S)
+        if self.front.under_way:
+            log(Event.STOP_LIMIT_REACHED, in_flight=self.front.under_way)
+        await self._operator.close()
+        await self._endpoints.close()
+        await self.reports.close()
+        self.driver.close()
+
+    def adopt(self, book: RouteBook) -> None:
+        """Put a newer configuration in force; an older one never is."""
+        if book.version <= self.book.version and self.book.revision:
+            return
+        self.book = book
+        self.reports.book = book
+        log(
+            Event.ROUTES_ADOPTED,
+            version=book.version,
+            revision=book.revision,
+            routes=sum(map(len, book.by_host.values())),
+        )
+
+    @property
+    def ready(self) -> bool:
+        """Tell whether calls should come here."""
+        learned = self._operator.learned.is_set()
+        learned = learned and self._endpoints.learned.is_set()
+        return learned and bool(self.book.revision) and not self._stopping
+
+    def _listen(
+        self,
+        server: HTTPServer,
+        address: tuple[str, int] | None,
+    ) -> None:
+        if address is not None:
+            host, port = address
+            server.add_sockets(bind_sockets(port, host))
+            self._servers.append(server)
+
+    def _tell_ready(self, req: HTTPServerRequest) -> None:
+        status = _OK if self.ready else _UNAVAILABLE
+        reason = b'OK' if self.ready else b'Not Ready'
+        conn = req.connection
+        if conn is not None:
+            lines = b'HTTP/1.1 %d %s\r\nContent-Length: 0\r\n\r\n'
+            conn.write(lines % (status, reason))  # type: ignore[unused-ignore]
+            conn.finish()
+
+
+async def serve(cfg: Residence) -> None:
+    """Answer callers on an entry VM."""
+    entry = ResidentEntry(cfg)
+    await entry.start()
+    await resident.until_stopped()
+    await entry.close()
+
+
+def main() -> None:
+    """Serve until told to stop."""
+    sys.exit(resident.run('linnetwood-resident-entry', serve))
+
+
+if __name__ == '__main__':
+    main()
--- a/src/linnetwood/weights/chunks.py
+++ b/src/linnetwood/weights/chunks.py
@@ -54,14 +54,19 @@
     """Check a manifest against its name and take it apart."""
     if name_of(encoded) != name:
         raise WeightsError('manifest-digest-differs', name)
+    return parse_manifest(encoded)
+
+
+def parse_manifest(encoded: bytes) -> Manifest:
+    """Take a manifest apart that is named by something else than its digest."""
     try:
         magic, size, chunk_bytes, whole = _HEAD.unpack_from(encoded)
     except struct.error as exc:
-        raise WeightsError('manifest-malformed', name) from exc
+        raise WeightsError('manifest-malformed', 'head') from exc
     rest = encoded[_HEAD.size :]
     digests = tuple(cut(rest, _DIGEST_BYTES))
     if magic != _MAGIC or not _consistent(size, chunk_bytes, len(digests)):
-        raise WeightsError('manifest-malformed', name)
+        raise WeightsError('manifest-malformed', 'sizes')
     return Manifest(size, chunk_bytes, whole, digests)
 
 
--- /dev/null
+++ b/src/linnetwood/wire/curldriver.py
@@ -0,0 +1,355 @@
+"""Run many HTTP requests through libcurl, each on a connection of its own.
+
+A kept connection would let libcurl send a request again by itself when the
+connection died before the first byte of its answer, and would let a surplus
+answer appear in the place of the next. A connection that serves one request
+rules out both; what it costs is in docs/design/platform.md.
+"""
+
+import asyncio
+import dataclasses
+from collections.abc import Callable
+from typing import Any, Protocol
+
+import pycurl
+
+Headers = list[tuple[str, str]]
+
+_MILLISECONDS = 1000
+_HEAD_METHOD = 'HEAD'
+_INTERIM_BELOW = 200
+_KEPT_HANDLES = 64
+# Headers that libcurl would add by itself; the caller's own go instead.
+_NOT_ADDED = ('Accept', 'User-Agent', 'Content-Type', 'Expect')
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Request:
+    """One request, sent exactly as it stands here."""
+
+    host: str
+    port: int
+    method: str
+    target: str
+    headers: Headers
+    body: bytes = b''
+    connect_s: float = 1.0
+    total_s: float = 10.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Finish:
+    """How a request ended.
+
+    Whole means that the answer came to its proper end; connected tells
+    whether the request can have reached anybody at all.
+    """
+
+    whole: bool
+    connected: bool
+    detail: str = ''
+
+
+class Receiver(Protocol):
+    """Take in an answer as it comes."""
+
+    def head(self, status: int, headers: Headers) -> None:
+        """Take the status and the headers."""
+
+    def body(self, piece: bytes) -> None:
+        """Take a piece of the body."""
+
+    def done(self, finish: Finish) -> None:
+        """Learn how it ended; nothing follows."""
+
+
+class Transfer:
+    """One request under way."""
+
+    __slots__ = ('handle', 'headers', 'in_head', 'receiver', 'status')
+
+    def __init__(self, receiver: Receiver) -> None:
+        """Know nothing of the answer yet."""
+        self.receiver = receiver
+        self.handle: Any = None
+        self.status = 0
+        self.headers: Headers = []
+        self.in_head = True
+
+    def header_line(self, raw: bytes) -> None:
+        """Take one line of a head; lines behind the body are left aside."""
+        line = raw.decode('latin-1').rstrip('\r\n')
+        if not self.in_head:
+            return
+        if not line:
+            self._head_ends()
+        elif line.startswith('HTTP/') and not self.headers:
+            self._status_line(line)
+        else:
+            name, _, text = line.partition(':')
+            self.headers.append((name, text.strip()))
+
+    def _status_line(self, line: str) -> None:
+        parts = line.split(' ', 2)
+        self.status = int(parts[1]) if parts[1:2] else 0
+
+    def _head_ends(self) -> None:
+        if self.status < _INTERIM_BELOW:
+            self.headers = []
+            return
+        self.in_head = False
+        self.receiver.head(self.status, self.headers)
+
+
+class CurlDriver:
+    """Own libcurl's sockets and timer on the running loop."""
+
+    def __init__(self) -> None:
+        """Begin with nothing under way."""
+        self._loop = asyncio.get_running_loop()
+        self._multi = pycurl.CurlMulti()
+        self._multi.setopt(pycurl.M_SOCKETFUNCTION, self._on_socket)
+        self._multi.setopt(pycurl.M_TIMERFUNCTION, self._on_timer)
+        self._timer: asyncio.TimerHandle | None = None
+        self._by_handle: dict[Any, Transfer] = {}
+        self._idle: list[Any] = []
+        self._inside = False
+        self._closed = False
+
+    def begin(self, req: Request, receiver: Receiver) -> Transfer:
+        """Send a request; the receiver hears of the answer from now on."""
+        transfer = Transfer(receiver)
+        handle = self._idle.pop() if self._idle else pycurl.Curl()
+        transfer.handle = handle
+        self._by_handle[handle] = transfer
+        _prepare(handle, req, transfer)
+        self._soon(self._add, handle)
+        return transfer
+
+    def cancel(self, transfer: Transfer) -> None:
+        """Close the connection at once; the receiver hears no more."""
+        handle = transfer.handle
+        if handle is None or handle not in self._by_handle:
+            return
+        transfer.in_head = False
+        transfer.receiver = _DEAF
+        self._soon(self._drop, transfer)
+
+    def close(self) -> None:
+        """Cancel everything."""
+        for transfer in list(self._by_handle.values()):
+            self._drop(transfer)
+        self._closed = True
+        self._cancel_timer()
+        self._multi.close()
+
+    def _soon(self, step: Callable[[Any], None], subject: Any) -> None:
+        # libcurl allows no change of its set from within its own callbacks.
+        if self._inside:
+            self._loop.call_soon(step, subject)
+        else:
+            step(subject)
+
+    def _add(self, handle: Any) -> None:
+        if handle in self._by_handle and not self._closed:
+            self._multi.add_handle(handle)
+
+    def _drop(self, transfer: Transfer) -> None:
+        handle = transfer.handle
+        if handle is None or self._by_handle.pop(handle, None) is None:
+            return
+        transfer.handle = None
+        try:
+            self._multi.remove_handle(handle)
+        except pycurl.error:
+            # It was never added.
+            pass  # noqa: WPS420
+        self._keep(handle)
+
+    def _keep(self, handle: Any) -> None:
+        handle.reset()
+        if len(self._idle) < _KEPT_HANDLES:
+            self._idle.append(handle)
+        else:
+            handle.close()
+
+    def _on_socket(self, what: int, fd: int, multi: Any, extra: Any) -> None:
+        if self._closed:
+            return
+        if what == pycurl.POLL_REMOVE:
+            self._loop.remove_reader(fd)
+            self._loop.remove_writer(fd)
+            return
+        if what & pycurl.POLL_IN:
+            self._loop.add_reader(fd, self._act, fd, pycurl.CSELECT_IN)
+        else:
+            self._loop.remove_reader(fd)
+        if what & pycurl.POLL_OUT:
+            self._loop.add_writer(fd, self._act, fd, pycurl.CSELECT_OUT)
+        else:
+            self._loop.remove_writer(fd)
+
+    def _on_timer(self, wait_ms: int) -> None:
+        self._cancel_timer()
+        if wait_ms >= 0 and not self._closed:
+            self._timer = self._loop.call_later(
+                wait_ms / _MILLISECONDS,
+                self._act,
+                pycurl.SOCKET_TIMEOUT,
+                0,
+            )
+
+    def _cancel_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _act(self, fd: int, events: int) -> None:
+        if self._closed:
+            return
+        self._inside = True
+        try:
+            self._multi.socket_action(fd, events)
+        finally:
+            self._inside = False
+        self._collect()
+
+    def _collect(self) -> None:
+        while not self._closed:
+            left, good, bad = self._multi.info_read()
+            for handle in good:
+                self._finish(handle, 0, '')
+            for handle, code, detail in bad:
+                self._finish(handle, code, detail)
+            if not left:
+                return
+
+    def _finish(self, handle: Any, code: int, detail: str) -> None:
+        transfer = self._by_handle.get(handle)
+        if transfer is None:
+            return
+        receiver = transfer.receiver
+        connected = (
+            handle.getinfo(pycurl.CONNECT_TIME) > 0
+            or handle.getinfo(pycurl.REQUEST_SIZE) > 0
+        )
+        self._drop(transfer)
+        receiver.done(Finish(not code, bool(connected), detail))
+
+
+class _Deaf:
+    """Hear nothing: the receiver of a cancelled request."""
+
+    def head(self, status: int, headers: Headers) -> None:
+        """Drop it."""
+
+    def body(self, piece: bytes) -> None:
+        """Drop it."""
+
+    def done(self, finish: Finish) -> None:
+        """Drop it."""
+
+
+_DEAF = _Deaf()
+
+
+def _prepare(handle: Any, req: Request, transfer: Transfer) -> None:
+    handle.setopt(pycurl.URL, f'http://{req.host}:{req.port}/')
+    handle.setopt(pycurl.REQUEST_TARGET, req.target)
+    handle.setopt(pycurl.HTTP_VERSION, pycurl.CURL_HTTP_VERSION_1_1)
+    handle.setopt(pycurl.NOSIGNAL, 1)
+    handle.setopt(pycurl.PROXY, '')
+    handle.setopt(pycurl.FRESH_CONNECT, 1)
+    handle.setopt(pycurl.FORBID_REUSE, 1)
+    handle.setopt(pycurl.CONNECTTIMEOUT_MS, _at_least_one_ms(req.connect_s))
+    handle.setopt(pycurl.TIMEOUT_MS, _at_least_one_ms(req.total_s))
+    _prepare_body(handle, req)
+    handle.setopt(pycurl.HTTPHEADER, list(_header_lines(req)))
+    handle.setopt(pycurl.HEADERFUNCTION, transfer.header_line)
+    handle.setopt(pycurl.WRITEFUNCTION, lambda piece: _piece(transfer, piece))
+
+
+def _piece(transfer: Transfer, piece: bytes) -> None:
+    transfer.receiver.body(piece)
+
+
+def _prepare_body(handle: Any, req: Request) -> None:
+    if req.method == _HEAD_METHOD:
+        handle.setopt(pycurl.NOBODY, 1)
+    elif req.body or req.method in {'POST', 'PUT', 'PATCH'}:
+        handle.setopt(pycurl.POST, 1)
+        handle.setopt(pycurl.POSTFIELDSIZE, len(req.body))
+        handle.setopt(pycurl.POSTFIELDS, req.body)
+    handle.setopt(pycurl.CUSTOMREQUEST, req.method)
+
+
+def _header_lines(req: Request) -> Any:
+    given = {name.lower() for name, _ in req.headers}
+    for name, text in req.headers:
+        # libcurl drops a header without text unless it ends with a semicolon.
+        yield f'{name}: {text}' if text else f'{name};'
+    for name in _NOT_ADDED:
+        if name.lower() not in given:
+            yield f'{name}:'
+
+
+def _at_least_one_ms(seconds: float) -> int:
+    return max(1, int(seconds * _MILLISECONDS))
+
+
+class _Whole:
+    """Collect an answer for whoever waits for it."""
+
+    def __init__(self, fut: 'asyncio.Future[Answer]', most_bytes: int) -> None:
+        self._fut = fut
+        self._most = most_bytes
+        self._status = 0
+        self._headers: Headers = []
+        self._pieces: list[bytes] = []
+        self._size = 0
+
+    def head(self, status: int, headers: Headers) -> None:
+        self._status = status
+        self._headers = headers
+
+    def body(self, piece: bytes) -> None:
+        self._size += len(piece)
+        if self._size <= self._most:
+            self._pieces.append(piece)
+
+    def done(self, finish: Finish) -> None:
+        if self._fut.done():
+            return
+        whole = finish.whole and self._size <= self._most
+        self._fut.set_result(
+            Answer(
+                self._status if whole else 0,
+                self._headers,
+                b''.join(self._pieces),
+                finish,
+            ),
+        )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answer:
+    """A whole answer, or status 0 and how the request failed."""
+
+    status: int
+    headers: Headers
+    body: bytes
+    finish: Finish
+
+
+async def ask(
+    driver: CurlDriver,
+    req: Request,
+    most_bytes: int,
+) -> Answer:
+    """Send a request and wait for its whole answer."""
+    fut: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
+    transfer = driver.begin(req, _Whole(fut, most_bytes))
+    try:
+        return await fut
+    finally:
+        driver.cancel(transfer)
