Keep the queues of links short while weights move; one copy into each zone

Endpoint processes sent whole chunks of 24 KB into links of 456 KB/s, six at a time, so a live event waited behind up to 0.3 s of weights; each chunk also crossed regions up to nine times. Ruled out: engines too full (they were half empty), entries' processor (4%). Change: transfers go out one at a time in slices of 5 ms at 0.9 of the link; a download asks for three chunks at a time; one VM of a zone brings a chunk in.

--- a/src/linnetwood/calls/reports.py
+++ b/src/linnetwood/calls/reports.py
@@ -10,7 +10,7 @@
 from linnetwood.core.clock import Clock
 from linnetwood.fleet.news import Address, NewsPort
 from linnetwood.fleet.wanted import WantedVersions
-from linnetwood.gen.wire.ttypes import EngineNews, EntryNews, News
+from linnetwood.gen.wire.ttypes import EngineNews, EntryNews, News, PeerPlace
 
 # An endpoint process tells the entries that it heard from within four of these.
 HELLO_EVERY_S = 0.5
@@ -95,8 +95,8 @@
 
     def _tell_service(self, service: Service) -> None:
         engine = service.engine
-        hosts = sorted(set(self._hosts(service.name)))
-        if engine is None or not hosts:
+        places = dict(self._places(service.name))
+        if engine is None or not places:
             return
         for one in self._directory.all():
             if one.service == service.name:
@@ -110,19 +110,19 @@
                 engine.models,
                 self._clock.now(),
             ),
-            peers=hosts,
+            peers=[PeerPlace(*one) for one in sorted(places.items())],
             origin=f'{origin.host}:{origin.port}' if origin.host else '',
             chunk_bytes=engine.chunk_bytes,
             chunks=engine.chunks,
             origin_bytes_per_s=int(origin.bytes_per_s),
         )
-        addresses = [(host, self._port) for host in hosts]
+        addresses = [(host, self._port) for host in places]
         self._news.send(News(entry=news), addresses)
 
-    def _hosts(self, service: str) -> Iterator[str]:
+    def _places(self, service: str) -> Iterator[tuple[str, str]]:
         for one in self._directory.all():
             if one.service == service:
-                yield one.host
+                yield one.host, one.zone
 
 
 def _report(engine: EngineNews, now: float) -> Report:
--- a/src/linnetwood/gen/wire/ttypes.py
+++ b/src/linnetwood/gen/wire/ttypes.py
@@ -1830,6 +1830,92 @@
         return not (self == other)
 
 
+class PeerPlace(object):
+    """
+    A process beside an engine: its VM's address and availability zone.
+
+    Attributes:
+     - host
+     - zone
+
+    """
+
+    __slots__ = (
+        'host',
+        'zone',
+    )
+
+
+    def __init__(self, host=None, zone=None,):
+        self.host = host
+        self.zone = zone
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.host = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.zone = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PeerPlace')
+        if self.host is not None:
+            oprot.writeFieldBegin('host', TType.STRING, 1)
+            oprot.writeString(self.host.encode('utf-8') if sys.version_info[0] == 2 else self.host)
+            oprot.writeFieldEnd()
+        if self.zone is not None:
+            oprot.writeFieldBegin('zone', TType.STRING, 2)
+            oprot.writeString(self.zone.encode('utf-8') if sys.version_info[0] == 2 else self.zone)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.host is None:
+            raise TProtocolException(message='Required field host is unset!')
+        if self.zone is None:
+            raise TProtocolException(message='Required field zone is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class EntryNews(object):
     """
     What an entry tells the endpoint process beside an engine.
@@ -1903,7 +1989,8 @@
                     self.peers = []
                     (_etype44, _size41) = iprot.readListBegin()
                     for _i45 in range(_size41):
-                        _elem46 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _elem46 = PeerPlace()
+                        _elem46.read(iprot)
                         self.peers.append(_elem46)
                     iprot.readListEnd()
                 else:
@@ -1951,9 +2038,9 @@
             oprot.writeFieldEnd()
         if self.peers is not None:
             oprot.writeFieldBegin('peers', TType.LIST, 3)
-            oprot.writeListBegin(TType.STRING, len(self.peers))
+            oprot.writeListBegin(TType.STRUCT, len(self.peers))
             for iter48 in self.peers:
-                oprot.writeString(iter48.encode('utf-8') if sys.version_info[0] == 2 else iter48)
+                iter48.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.origin is not None:
@@ -2422,13 +2509,19 @@
     (3, TType.I64, 'version', None, None, ),  # 3
     (4, TType.I64, 'age_ms', None, None, ),  # 4
 )
+all_structs.append(PeerPlace)
+PeerPlace.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'host', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'zone', 'UTF8', None, ),  # 2
+)
 all_structs.append(EntryNews)
 EntryNews.thrift_spec = (
     None,  # 0
     (1, TType.I64, 'number', None, None, ),  # 1
     (2, TType.LIST, 'wanted', (TType.STRUCT, [WantedWeights, None], False), [
     ], ),  # 2
-    (3, TType.LIST, 'peers', (TType.STRING, 'UTF8', False), [
+    (3, TType.LIST, 'peers', (TType.STRUCT, [PeerPlace, None], False), [
     ], ),  # 3
     (4, TType.STRING, 'origin', 'UTF8', "", ),  # 4
     (5, TType.I32, 'chunk_bytes', None, 0, ),  # 5
--- a/src/linnetwood/gen/wire/ttypes.pyi
+++ b/src/linnetwood/gen/wire/ttypes.pyi
@@ -101,15 +101,19 @@
     version: int
     age_ms: int
     def __init__(self, target: str = ..., model: str = ..., version: int = ..., age_ms: int = ...) -> None: ...
+class PeerPlace:
+    host: str
+    zone: str
+    def __init__(self, host: str = ..., zone: str = ...) -> None: ...
 class EntryNews:
     number: int
     wanted: list[WantedWeights]
-    peers: list[str]
+    peers: list[PeerPlace]
     origin: str
     chunk_bytes: int
     chunks: int
     origin_bytes_per_s: int
-    def __init__(self, number: int = ..., wanted: list[WantedWeights] = ..., peers: list[str] = ..., origin: str = ..., chunk_bytes: int = ..., chunks: int = ..., origin_bytes_per_s: int = ...) -> None: ...
+    def __init__(self, number: int = ..., wanted: list[WantedWeights] = ..., peers: list[PeerPlace] = ..., origin: str = ..., chunk_bytes: int = ..., chunks: int = ..., origin_bytes_per_s: int = ...) -> None: ...
 class EngineNews:
     address: str
     number: int
--- a/src/linnetwood/idl/wire.thrift
+++ b/src/linnetwood/idl/wire.thrift
@@ -129,11 +129,17 @@
   4: required i64 age_ms
 }
 
+/** A process beside an engine: its VM's address and availability zone. */
+struct PeerPlace {
+  1: required string host,
+  2: required string zone
+}
+
 /** What an entry tells the endpoint process beside an engine. */
 struct EntryNews {
   1: required i64 number,
   2: list<WantedWeights> wanted = [],
-  3: list<string> peers = [],
+  3: list<PeerPlace> peers = [],
   4: string origin = "",
   5: i32 chunk_bytes = 0,
   6: i32 chunks = 0,
--- a/src/linnetwood/platform/settings.py
+++ b/src/linnetwood/platform/settings.py
@@ -11,6 +11,7 @@
 _PATH_VARIABLE = 'LINNETWOOD_NODE_FILE'
 _DEFAULT_PATH = '/etc/linnetwood/local.toml'
 _MILLISECONDS = 1000
+_MEGABIT_BYTES = 125000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -26,6 +27,7 @@
     callers: tuple[str, int] | None
     readiness: tuple[str, int] | None
     engine: tuple[str, int] | None
+    link_bytes_per_s: float
     stop_within_s: float
     version_bound_s: float
     drain_bound_s: float
@@ -66,6 +68,7 @@
         callers=_optional(listen.get('frontend')),
         readiness=_optional(listen.get('ready')),
         engine=_optional(given.get('app')),
+        link_bytes_per_s=given['limits']['link_mbps'] * _MEGABIT_BYTES,
         stop_within_s=float(bounds.get('grace_period_s', 8)),
         version_bound_s=bounds.get('version_ms', 8000) / _MILLISECONDS,
         drain_bound_s=bounds.get('drain_timeout_ms', 2000) / _MILLISECONDS,
--- a/src/linnetwood/programs/resident_endpoint.py
+++ b/src/linnetwood/programs/resident_endpoint.py
@@ -24,7 +24,7 @@
 from linnetwood.wire.connections import TcpDialler, WireServer
 from linnetwood.wire.curldriver import CurlDriver
 from linnetwood.wire.frames import FrameKind
-from linnetwood.wire.links import OpenLink
+from linnetwood.wire.links import GentleLink
 
 _REPORT_EVERY_S = 0.1
 _HELD_EVERY_S = 0.2
@@ -91,7 +91,7 @@
         self._entries[source] = now
         self.wanted.heard(entry.wanted, now)
         around = self.follower.around
-        around.peers = sorted(entry.peers)
+        around.peers = {one.host: one.zone for one in entry.peers}
         around.origin_bytes_per_s = entry.origin_bytes_per_s
         if entry.origin:
             self._origin.address = settings.address(entry.origin)
@@ -147,8 +147,8 @@
     def _tools(self) -> Tools:
         store = ChunkStore()
         tally = Tally()
-        cfg = Transfer()
-        link = OpenLink()
+        cfg = Transfer(window=3)
+        link = GentleLink(self._cfg.link_bytes_per_s, self._clock)
         return Tools(
             me=self._cfg.host,
             store=store,
--- a/src/linnetwood/weights/follower.py
+++ b/src/linnetwood/weights/follower.py
@@ -11,13 +11,20 @@
 from linnetwood.gen.wire.ttypes import HeldNotice, Member
 from linnetwood.weights import chunks
 from linnetwood.weights.engine import Engine, EngineReport, Order, Origin
-from linnetwood.weights.swarm import Ring, SharedReading, SwarmOptions
+from linnetwood.weights.swarm import (
+    Ring,
+    SharedReading,
+    SwarmOptions,
+    ZoneReading,
+)
 from linnetwood.weights.transfer import Download, Tools
 
 _WAKE_S = 0.1
 _SETTLE_S = 3.0
 _MANIFEST_RETRY_S = 0.3
 _TAKEOVER_S = 1.0
+# A chunk needs 54 ms on the narrowest links, and 96 of them come one by one.
+_FAR_TAKEOVER_S = 1.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -35,9 +42,9 @@
 
 @dataclasses.dataclass(slots=True)
 class Surroundings:
-    """What entries told of the fleet: hosts of peers, and the origin."""
+    """What entries told of the fleet: zones by host of peer, and the origin."""
 
-    peers: list[str] = dataclasses.field(default_factory=list)
+    peers: dict[str, str] = dataclasses.field(default_factory=dict)
     origin_bytes_per_s: float = 1.0e6
 
 
@@ -79,7 +86,7 @@
         self._staged: set[int] = set()
         self._recovered: set[str] = set()
         self._ordered_at = -_SETTLE_S
-        self._met: list[str] = []
+        self._met: dict[str, str] = {}
         self._task: asyncio.Task[None] | None = None
 
     def start(self) -> None:
@@ -163,20 +170,12 @@
         await self._recover(aim, manifest)
         self.aim = aim
         self._staged = set()
-        self._met = []
+        self._met = {}
         uploads = self._tools.uploads
         kept = list(uploads.manifests.values())[-1:]
         self._tools.store.drop_all_but([*kept, manifest])
         uploads.manifests = {aim.name: manifest}
-        cfg = self._options(manifest)
-        ring = Ring(aim.name, self.around.peers)
-        policy = SharedReading(
-            self._tools.me,
-            ring,
-            len(manifest.digests),
-            cfg,
-        )
-        self.download = Download(aim.name, manifest, self._tools, policy, cfg)
+        self.download = self._download(aim, manifest)
         self.download.start()
         log(
             Event.TRANSFER_STARTED,
@@ -186,6 +185,38 @@
             peers=len(self.around.peers),
         )
 
+    def _download(self, aim: Aim, manifest: chunks.Manifest) -> Download:
+        cfg = self._options(manifest)
+        policy, far = self._turns(aim, len(manifest.digests), cfg)
+        return Download(aim.name, manifest, self._tools, policy, cfg, far)
+
+    def _turns(
+        self,
+        aim: Aim,
+        count: int,
+        cfg: SwarmOptions,
+    ) -> tuple[SharedReading, ZoneReading]:
+        me = self._tools.me
+        near = self._near()
+        everyone = Ring(aim.name, {*self.around.peers, me})
+        return (
+            SharedReading(me, everyone, count, cfg),
+            ZoneReading(
+                me,
+                Ring(aim.name, near),
+                len(near),
+                count,
+                _FAR_TAKEOVER_S,
+            ),
+        )
+
+    def _near(self) -> set[str]:
+        peers = self.around.peers
+        zone = peers.get(self._tools.me)
+        return {vm for vm, place in peers.items() if place == zone} | {
+            self._tools.me,
+        }
+
     def _options(self, manifest: chunks.Manifest) -> SwarmOptions:
         cfg = self._tools.cfg
         rate = max(1, self.around.origin_bytes_per_s)
@@ -240,6 +271,10 @@
         if self._met == self.around.peers:
             return
         self._met = self.around.peers
+        cfg = self._options(download.manifest)
+        count = download.swarm.count
+        if self.aim is not None:
+            download.swarm.reroute(*self._turns(self.aim, count, cfg))
         download.neighbours(
             [
                 _member(host, self._port)
@@ -247,6 +282,7 @@
                 if host != self._tools.me
             ],
         )
+        download.nearby(self._near())
 
     async def _lay(self, aim: Aim, download: Download) -> None:
         for index in chunks.indices(download.swarm.held):
--- a/src/linnetwood/weights/swarm.py
+++ b/src/linnetwood/weights/swarm.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 from bisect import bisect_right
-from collections.abc import Iterable, Iterator
+from collections.abc import Collection, Iterable, Iterator
 from random import Random
 from typing import Protocol
 
@@ -135,6 +135,39 @@
         return index not in self._first
 
 
+class ZoneReading:
+    """Let one VM of a zone bring each chunk into it; the others wait for that.
+
+    Bytes between zones are dear. The next VM on the zone's ring takes over
+    when the chunk has not come in time, and in the end anyone may.
+    """
+
+    def __init__(
+        self,
+        me: str,
+        ring: Ring,
+        members: int,
+        count: int,
+        takeover_s: float,
+    ) -> None:
+        """Work out this VM's rank for each chunk."""
+        self._due = [
+            ring.readers(index, members).index(me) * takeover_s
+            for index in range(count)
+        ]
+
+    def due_at(self, index: int, started: float) -> float | None:
+        """Give the time from which a far neighbour may be asked."""
+        return started + self._due[index]
+
+
+class DueTimes(Protocol):
+    """Tell from when on a chunk may be fetched some way."""
+
+    def due_at(self, index: int, started: float) -> float | None:
+        """Give the time, or None for never."""
+
+
 class DirectReading:
     """Let every VM read everything from the origin: the plain baseline."""
 
@@ -158,10 +191,11 @@
 class Peer:
     """What is known of one neighbour."""
 
-    __slots__ = ('held', 'outstanding', 'queued', 'shunned_until')
+    __slots__ = ('far', 'held', 'outstanding', 'queued', 'shunned_until')
 
     def __init__(self) -> None:
         """Know nothing."""
+        self.far = False
         self.held = 0
         self.queued = 0
         self.outstanding = 0
@@ -190,8 +224,14 @@
         policy: OriginPolicy,
         rng: Random,
         now: float,
+        far: DueTimes | None = None,
     ) -> None:
-        """Start with what is held already."""
+        """Start with what is held already.
+
+        With a policy for far neighbours, a chunk is asked of them only when
+        it is this VM's turn among those near it.
+        """
+        self._far = far
         self.count = count
         self.held = held
         self.peers: dict[str, Peer] = {}
@@ -211,6 +251,16 @@
         """Give the record of a neighbour, new if need be."""
         return self.peers.setdefault(vm, Peer())
 
+    def nearby(self, vms: Collection[str]) -> None:
+        """Note which neighbours are near; the others count as far."""
+        for vm, peer in self.peers.items():
+            peer.far = vm not in vms
+
+    def reroute(self, policy: OriginPolicy, far: DueTimes | None) -> None:
+        """Follow new turns: the fleet has changed."""
+        self.policy = policy
+        self._far = far
+
     def part(self, vm: str) -> None:
         """Forget a neighbour that is gone, and what was asked of it."""
         peer = self.peers.pop(vm, None)
@@ -296,7 +346,7 @@
             return
         free = self._free_peers(now)
         for index in self._rarest_first(free):
-            source = self._quietest(index, free)
+            source = self._quietest(index, free, now)
             if source is None:
                 continue
             yield self._begin(Fetch(index, source), now)
@@ -330,14 +380,30 @@
         indices.sort(key=self._rarity.__getitem__)
         return indices
 
-    def _quietest(self, index: int, free: dict[str, Peer]) -> str | None:
+    def _far_due(self, index: int, now: float) -> bool:
+        if self._far is None:
+            return True
+        due = self._far.due_at(index, self.started)
+        return due is not None and due <= now
+
+    def _quietest(
+        self,
+        index: int,
+        free: dict[str, Peer],
+        now: float,
+    ) -> str | None:
         holders = [vm for vm, peer in free.items() if peer.held >> index & 1]
+        if not self._far_due(index, now):
+            holders = [vm for vm in holders if not free[vm].far]
         if not holders:
             return None
         self._rng.shuffle(holders)
         return min(
             holders,
-            key=lambda vm: free[vm].queued + free[vm].outstanding,
+            key=lambda vm: (
+                free[vm].far,
+                free[vm].queued + free[vm].outstanding,
+            ),
         )
 
     def _begin(self, fetch: Fetch, now: float) -> Fetch:
--- a/src/linnetwood/weights/transfer.py
+++ b/src/linnetwood/weights/transfer.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import dataclasses
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from random import Random
 from typing import Protocol
 
@@ -21,6 +21,7 @@
 from linnetwood.weights import chunks
 from linnetwood.weights.swarm import (
     ORIGIN,
+    DueTimes,
     Fetch,
     OriginPolicy,
     Swarm,
@@ -70,6 +71,7 @@
         self._link = link
         self._tally = tally
         self._limit = limit
+        self._turn = asyncio.Lock()
 
     async def serve(self, stream: FrameStream, frame: Frame) -> None:
         """Answer one request for a chunk."""
@@ -80,11 +82,10 @@
             return
         self.queued += 1
         try:
-            await self._link.send(len(payload))
+            async with self._turn:
+                await self._send(stream, request, payload)
         finally:
             self.queued -= 1
-        await self._reply(stream, request, held_here=True)
-        await stream.write(FrameKind.CHUNK, payload)
         self._tally.bytes_sent += len(payload)
 
     def held_bytes(self, name: str) -> bytes:
@@ -95,6 +96,22 @@
         count = len(manifest.digests)
         return chunks.to_bytes(self.store.held(manifest), count)
 
+    async def _send(
+        self,
+        stream: FrameStream,
+        request: ChunkRequest,
+        payload: bytes,
+    ) -> None:
+        size = self._link.slice_bytes or len(payload)
+        await self._link.send(min(size, len(payload)))
+        await self._reply(stream, request, held_here=True)
+        stream.open_frame(FrameKind.CHUNK, len(payload))
+        await stream.pour(payload[:size])
+        for start in range(size, len(payload), size):
+            part = payload[start : start + size]
+            await self._link.send(len(part))
+            await stream.pour(part)
+
     def _payload(self, request: ChunkRequest) -> bytes | None:
         manifest = self.manifests.get(request.manifest)
         if manifest is None:
@@ -209,6 +226,7 @@
         tools: Tools,
         policy: OriginPolicy,
         cfg: SwarmOptions,
+        far: DueTimes | None = None,
     ) -> None:
         """Start from what the store holds already."""
         self.name = name
@@ -220,6 +238,7 @@
             policy,
             tools.rng,
             tools.clock.now(),
+            far,
         )
         self.kept: Callable[[int, bytes], None] | None = None
         self._tools = tools
@@ -242,6 +261,10 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
+    def nearby(self, vms: Collection[str]) -> None:
+        """Set which neighbours cost little to ask."""
+        self.swarm.nearby(vms)
+
     def neighbours(self, members: list[Member]) -> None:
         """Set whom to exchange chunks with."""
         wanted = {member.vm: (member.host, member.port) for member in members}
--- a/src/linnetwood/wire/frames.py
+++ b/src/linnetwood/wire/frames.py
@@ -166,12 +166,25 @@
 
     def send(self, kind: FrameKind, payload: bytes) -> None:
         """Send one frame without waiting."""
+        self._put(pack(kind, payload))
+
+    def open_frame(self, kind: FrameKind, length: int) -> None:
+        """Begin a frame whose payload is poured in parts."""
+        self._put(_HEADER.pack(length, kind))
+
+    async def pour(self, part: bytes) -> None:
+        """Send a part of the payload; wait while the peer reads too slowly."""
+        self._put(part)
+        if not self._writable.is_set():
+            await self._writable.wait()
+
+    def _put(self, payload: bytes) -> None:
         transport = self._transport
         if transport is None or transport.is_closing():
             raise WireError('connection-lost', 'closed before the write')
         if transport.get_write_buffer_size() > _WRITE_LIMIT:
             raise WireError('reader-too-slow', f'over {_WRITE_LIMIT} bytes')
-        transport.write(pack(kind, payload))
+        transport.write(payload)
 
     async def wait_closed(self) -> None:
         """Wait until either side closes; frames that come are kept."""
--- a/src/linnetwood/wire/links.py
+++ b/src/linnetwood/wire/links.py
@@ -7,11 +7,18 @@
 
 _SLICE_S = 0.05
 _BUCKET_S = 0.02
+# A tenth of a link is left to the answers of the engine beside it.
+_GENTLE_SHARE = 0.9
+_GENTLE_SLICE_S = 0.005
 
 
 class Link(Protocol):
     """Grant bytes on a VM's link, out and in."""
 
+    @property
+    def slice_bytes(self) -> int:
+        """Give the most that should go out at once; 0 for any."""
+
     async def send(self, size: int) -> None:
         """Wait until the bytes of a transfer may go out."""
 
@@ -25,6 +32,8 @@
 class OpenLink:
     """Let everything pass at once."""
 
+    slice_bytes = 0
+
     async def send(self, size: int) -> None:
         """Pass."""
 
@@ -60,9 +69,36 @@
         return max(0, self._free_at - now)
 
 
+class GentleLink:
+    """Keep a real link's queue short, so that live events pass in time.
+
+    Transfers go out in small slices somewhat below the link's own rate; a live
+    event then waits for one slice, and not for whole chunks.
+    """
+
+    def __init__(self, bytes_per_s: float, clock: Clock) -> None:
+        """Pace below a link of so many bytes a second."""
+        self._out = Lane(bytes_per_s * _GENTLE_SHARE)
+        self._clock = clock
+        self.slice_bytes = max(1, int(bytes_per_s * _GENTLE_SLICE_S))
+
+    async def send(self, size: int) -> None:
+        """Wait until the bytes of a transfer may go out."""
+        await asyncio.sleep(self._out.book(size, self._clock.now()))
+
+    async def receive(self, size: int) -> None:
+        """Pass: the link itself has carried them."""
+
+    def live(self, size: int) -> None:
+        """Push transfers back by what a live call took."""
+        self._out.book(size, self._clock.now())
+
+
 class PacedLink:
     """Stand in for a link of a stated rate in each direction."""
 
+    slice_bytes = 0
+
     def __init__(self, bytes_per_s: float, clock: Clock) -> None:
         """Pace both directions alike."""
         self._out = Lane(bytes_per_s)
