--- a/src/linnetwood/calls/attempt.py
+++ b/src/linnetwood/calls/attempt.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import enum
+from collections.abc import Callable
 from typing import Protocol
 
 from linnetwood.calls.dialect import Dialect, Verdict
@@ -32,6 +33,10 @@
         """Close without an end, so that the answer can't look whole."""
 
 
+def _nothing() -> None:
+    """Tell nobody."""
+
+
 class How(enum.Enum):
     """Say how an attempt ended."""
 
@@ -41,6 +46,7 @@
     LOST = 'lost'
     STALLED = 'stalled'
     TIMED_OUT = 'timed-out'
+    TAKEN_BACK = 'taken-back'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -55,15 +61,29 @@
     body: bytes = b''
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Bounds:
+    """Until when an attempt may last, and how long it may be silent.
+
+    Times of the loop's clock; seconds before the first event and the next.
+    """
+
+    until: float
+    start_by: float
+    first_s: float
+    next_s: float
+
+
 class Relay:
     """What has gone out to the caller, over all attempts of a call."""
 
-    __slots__ = ('begun', 'caller', 'cutter')
+    __slots__ = ('begun', 'caller', 'cutter', 'version')
 
     def __init__(self, caller: Caller, resume_after: str) -> None:
         """Begin before the first byte."""
         self.caller = caller
         self.begun = False
+        self.version = 0
         self.cutter = EventCutter()
         self.cutter.last_id = resume_after
 
@@ -83,6 +103,7 @@
         """Expect a stream of events, or an answer to pass on whole."""
         self.last_heard = clock_now
         self.first_heard = float()
+        self.started: Callable[[], None] = _nothing
         self._loop = asyncio.get_running_loop()
         self._relay = relay
         self._dialect = dialect
@@ -99,17 +120,16 @@
         self,
         driver: CurlDriver,
         req: Request,
-        until: float,
-        stall_s: float,
+        bounds: 'Bounds',
     ) -> AttemptEnd:
         """Send the request and see it through to an end."""
         transfer = driver.begin(req, self)
         try:
             while not self.fut.done():
-                now = self._loop.time()
-                wake = min(until, self.last_heard + stall_s)
-                await asyncio.wait((self.fut,), timeout=max(0, wake - now))
-                self._watch(until, stall_s)
+                wake = self._wake_at(bounds)
+                wait_s = max(0, wake - self._loop.time())
+                await asyncio.wait((self.fut,), timeout=wait_s)
+                self._watch(bounds)
         finally:
             driver.cancel(transfer)
         return self.fut.result()
@@ -149,8 +169,10 @@
         relay = self._relay
         if not self.first_heard:
             self.first_heard = self.last_heard
+            self.started()
         if not relay.begun:
             relay.begun = True
+            relay.version = self._dialect.version(self._headers)
             headers = self._dialect.answer_headers(self._headers)
             relay.caller.begin(self._status, headers)
         relay.caller.piece(whole)
@@ -190,11 +212,19 @@
             body=b''.join(self._pieces),
         )
 
-    def _watch(self, until: float, stall_s: float) -> None:
+    def _wake_at(self, bounds: 'Bounds') -> float:
+        if self.first_heard:
+            return min(bounds.until, self.last_heard + bounds.next_s)
+        first = self.last_heard + bounds.first_s
+        return min(bounds.until, first, bounds.start_by)
+
+    def _watch(self, bounds: 'Bounds') -> None:
         now = self._loop.time()
-        if self.fut.done():
+        if self.fut.done() or now < self._wake_at(bounds):
             return
-        if now >= until:
-            self.fut.set_result(AttemptEnd(How.TIMED_OUT, reached=True))
-        elif now >= self.last_heard + stall_s:
-            self.fut.set_result(AttemptEnd(How.STALLED, reached=True))
+        how = How.STALLED
+        if now >= bounds.until:
+            how = How.TIMED_OUT
+        elif not self.first_heard and now >= bounds.start_by:
+            how = How.TAKEN_BACK
+        self.fut.set_result(AttemptEnd(how, reached=True))
--- a/src/linnetwood/calls/choice.py
+++ b/src/linnetwood/calls/choice.py
@@ -10,7 +10,8 @@
 
 _SUSPECT_S = 1.0
 _PLAIN_WORK_S = 0.08
-_FAR_S = 0.004
+# What bytes between zones cost, as a time to wait; delays come on top.
+_FAR_S = 0.015
 # Equals within this are chosen among by chance, so that entries don't herd.
 _JITTER_S = 0.01
 _FAILING_S = 2.0
@@ -26,6 +27,8 @@
     prompt: int = 0
     model: str = ''
     least_version: int = 0
+    exact_version: int = 0
+    urgent: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -34,6 +37,7 @@
 
     endpoint: Listed
     wait_s: float
+    version: int = 0
 
 
 class Chooser:
@@ -66,7 +70,8 @@
             loss = wait_s + self._penalty(one, now)
             loss += self._rng.random() * _JITTER_S
             if best is None or loss < best[0]:
-                best = (loss, Choice(one, wait_s))
+                version = self._version(need, one)
+                best = (loss, Choice(one, wait_s, version))
         return best[1] if best else None
 
     def wait_s(self, need: Need, one: Listed, now: float) -> float:
@@ -80,7 +85,11 @@
             far = 0 if one.zone == need.zone else _FAR_S
             return (over + ahead) * _PLAIN_WORK_S + far
         delay = engine.delay_s(need.zone, one.zone)
-        return 4 * delay + engine.first_token_s(need.prompt, waiting, running)
+        if need.urgent:
+            waiting *= standing.urgent_share()
+        # Two delays to connect, one to ask, one back; going far is not free.
+        delay = 4 * delay + (_FAR_S if delay else 0)
+        return delay + engine.first_token_s(need.prompt, waiting, running)
 
     def forget(self) -> None:
         """Drop what is known of endpoints that are no longer listed."""
@@ -102,11 +111,19 @@
             yield one
 
     def _serves(self, need: Need, one: Listed) -> bool:
+        version = self._version(need, one)
+        if need.exact_version:
+            return version == need.exact_version
+        return version >= max(1, need.least_version)
+
+    def _version(self, need: Need, one: Listed) -> int:
+        if not need.model:
+            return 0
         version = one.versions.get(need.model, 0)
         report = self.standing(one.endpoint).report
         if report is not None:
             version = max(version, report.serving)
-        return version >= max(1, need.least_version)
+        return version
 
     def _penalty(self, one: Listed, now: float) -> float:
         standing = self.standing(one.endpoint)
--- a/src/linnetwood/calls/dialect.py
+++ b/src/linnetwood/calls/dialect.py
@@ -16,6 +16,13 @@
     FOREIGN = 'foreign'
 
 
+class Urgency(enum.Enum):
+    """Say which of the calls that wait at an engine go first."""
+
+    IN_TIME = 'in-time'
+    LATE = 'late'
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class CallHead:
     """What a caller's headers say; times in seconds.
@@ -39,8 +46,9 @@
     endpoint: str
     left_s: float
     organisation: str
-    least_version: int = 0
+    version: int = 0
     resume_after: str = ''
+    urgency: Urgency = Urgency.IN_TIME
 
 
 class Dialect(Protocol):
@@ -58,5 +66,8 @@
     def answer_headers(self, headers: Headers) -> Headers:
         """Give the headers of an answer that go on to the caller."""
 
+    def version(self, headers: Headers) -> int:
+        """Give the version of the weights that answered; 0 if none is told."""
+
     def fault(self, headers: Headers) -> str:
         """Give the address of the endpoint that an answer blames, if any."""
--- a/src/linnetwood/calls/direct.py
+++ b/src/linnetwood/calls/direct.py
@@ -3,14 +3,21 @@
 import asyncio
 import dataclasses
 import math
-from collections.abc import Callable
 from random import Random
 
-from linnetwood.calls.attempt import Attempt, AttemptEnd, Caller, How, Relay
+from linnetwood.calls.attempt import (
+    Attempt,
+    AttemptEnd,
+    Bounds,
+    Caller,
+    How,
+    Relay,
+)
 from linnetwood.calls.choice import Choice, Chooser, Need
-from linnetwood.calls.dialect import CallHead, Dialect, Errand
+from linnetwood.calls.dialect import CallHead, Dialect, Errand, Urgency
 from linnetwood.calls.retries import RetryBudget
 from linnetwood.calls.routebook import Organisation, Repeat, Route, Service
+from linnetwood.calls.standing import Standing
 from linnetwood.core.events import Event, log
 from linnetwood.core.outcomes import (
     ANSWERED,
@@ -20,6 +27,7 @@
     not_run,
     unknown,
 )
+from linnetwood.fleet.wanted import WantedVersions
 from linnetwood.wire.curldriver import CurlDriver, Headers, Request
 
 # A handshake takes two delays of a few milliseconds; a lost packet is sent
@@ -28,6 +36,8 @@
 # A stream's caller gives up after two silent seconds (the users' pages).
 FIRST_EVENT_S = 1.6
 NEXT_EVENT_S = 1.0
+# Callers wait for the first event eight times the longest pause, or longer.
+LATE_EVENT_S = 2.9
 # Below this nothing can be answered any more.
 _LEAST_LEFT_S = 0.02
 _RETRY_AFTER_MS = 200
@@ -62,7 +72,7 @@
         chooser: Chooser,
         driver: CurlDriver,
         dialect: Dialect,
-        least_version: Callable[[str, str], int],
+        wanted: WantedVersions,
         zone: str,
         rng: Random,
     ) -> None:
@@ -72,7 +82,7 @@
         self._chooser = chooser
         self._driver = driver
         self._dialect = dialect
-        self._least_version = least_version
+        self._wanted = wanted
         self._zone = zone
         self._rng = rng
         self._loop = asyncio.get_running_loop()
@@ -85,29 +95,32 @@
             self._zone,
             call.head.prompt,
             model,
-            self._least_version(call.service.name, model) if model else 0,
+            self._wanted.least(model, self._loop.time()) if model else 0,
         )
 
-    async def run(self, call: DirectCall, caller: Caller) -> Ending:
+    async def run(
+        self,
+        call: DirectCall,
+        caller: Caller,
+        urgency: Urgency = Urgency.IN_TIME,
+    ) -> Ending:
         """Run the call; the caller has its answer unless the ending says no."""
-        self.under_way += 1
-        try:
-            return await self._run(call, caller)
-        finally:
-            self.under_way -= 1
-
-    async def _run(self, call: DirectCall, caller: Caller) -> Ending:
         relay = Relay(caller, call.head.resume_after)
         progress = _Progress()
         budget = self.budgets.setdefault(call.service.name, RetryBudget())
         budget.earn()
         while True:
             now = self._loop.time()
-            need = self.need(call)
+            # One answer comes of one version, also when it is resumed.
+            need = dataclasses.replace(
+                self.need(call),
+                exact_version=relay.version,
+                urgent=urgency is Urgency.IN_TIME,
+            )
             choice = self._chooser.choose(need, progress.tried, now)
             if choice is None:
                 return progress.ending(relay, Code.NO_ENDPOINT)
-            end = await self._attempt(call, need, choice, relay)
+            end = await self._attempt(call, need, choice, relay, urgency)
             progress.note(choice.endpoint.endpoint, end)
             if end.how is How.ANSWERED:
                 self._deliver(relay, end)
@@ -122,6 +135,7 @@
         need: Need,
         choice: Choice,
         relay: Relay,
+        urgency: Urgency,
     ) -> AttemptEnd:
         now = self._loop.time()
         left_s = call.until - now
@@ -134,16 +148,19 @@
             streams=call.route.streams,
             clock_now=now,
         )
+        errand = self._errand(call, need, choice, relay, urgency)
         standing = self._chooser.standing(choice.endpoint.endpoint)
         standing.sent()
+        waiting = _Waiting(standing, urgency)
+        attempt.started = waiting.over
         try:
             end = await attempt.run(
                 self._driver,
-                self._request(call, need, choice, relay, left_s),
-                call.until,
-                self._stall_s(call, relay),
+                self._request(call, choice, errand),
+                self._bounds(call, choice, urgency),
             )
         finally:
+            waiting.over()
             standing.ended()
         self._learn(choice, end)
         log(
@@ -158,21 +175,30 @@
         )
         return end
 
-    def _request(
+    def _errand(
         self,
         call: DirectCall,
         need: Need,
         choice: Choice,
         relay: Relay,
-        left_s: float,
-    ) -> Request:
-        errand = Errand(
+        urgency: Urgency,
+    ) -> Errand:
+        bound = bool(need.least_version or need.exact_version)
+        return Errand(
             choice.endpoint.endpoint,
-            left_s,
+            call.until - self._loop.time(),
             call.organisation.name if call.organisation else '',
-            need.least_version,
+            choice.version if bound else 0,
             relay.cutter.last_id,
+            urgency,
         )
+
+    def _request(
+        self,
+        call: DirectCall,
+        choice: Choice,
+        errand: Errand,
+    ) -> Request:
         return Request(
             choice.endpoint.host,
             choice.endpoint.port,
@@ -180,14 +206,26 @@
             call.target,
             self._dialect.outgoing(call.headers, errand),
             call.body,
-            min(CONNECT_S, left_s),
-            left_s,
+            min(CONNECT_S, errand.left_s),
+            errand.left_s,
         )
 
-    def _stall_s(self, call: DirectCall, relay: Relay) -> float:
+    def _bounds(
+        self,
+        call: DirectCall,
+        choice: Choice,
+        urgency: Urgency,
+    ) -> Bounds:
+        start_by = math.inf
+        if choice.version and call.repeatable:
+            start_by = self._wanted.start_by(call.head.model, choice.version)
         if not call.route.streams or call.route.repeat is not Repeat.RESUME:
-            return math.inf
-        return NEXT_EVENT_S if relay.begun else FIRST_EVENT_S
+            return Bounds(call.until, start_by, math.inf, math.inf)
+        first_s = FIRST_EVENT_S
+        if urgency is Urgency.LATE or choice.wait_s > FIRST_EVENT_S / 2:
+            # It was known to wait; another endpoint would not be sooner.
+            first_s = LATE_EVENT_S
+        return Bounds(call.until, start_by, first_s, NEXT_EVENT_S)
 
     def _learn(self, choice: Choice, end: AttemptEnd) -> None:
         standing = self._chooser.standing(choice.endpoint.endpoint)
@@ -195,7 +233,7 @@
             standing.answered()
         elif not end.reached or end.how is How.STALLED:
             standing.unreachable(self._loop.time())
-        elif end.how is not How.TIMED_OUT:
+        elif end.how in {How.FAILED, How.LOST}:
             standing.failed()
 
     def _again(
@@ -235,6 +273,29 @@
         return progress.ending(relay, code, end.detail)
 
 
+class _Waiting:
+    """Count a call among those that wait at an endpoint until it begins."""
+
+    __slots__ = ('_standing', '_urgency')
+
+    def __init__(self, standing: Standing, urgency: Urgency) -> None:
+        self._standing: Standing | None = standing
+        self._urgency = urgency
+        self._count(standing, 1)
+
+    def over(self) -> None:
+        standing = self._standing
+        if standing is not None:
+            self._standing = None
+            self._count(standing, -1)
+
+    def _count(self, standing: Standing, change: int) -> None:
+        if self._urgency is Urgency.LATE:
+            standing.late_waiting += change
+        else:
+            standing.urgent_waiting += change
+
+
 class _Progress:
     """What the attempts of one call came to."""
 
--- a/src/linnetwood/calls/directory.py
+++ b/src/linnetwood/calls/directory.py
@@ -1,4 +1,4 @@
-"""The endpoints that take calls straight, as the platform lists them; no I/O."""
+"""The endpoints that the platform lists, with no process before them."""
 
 import dataclasses
 from collections.abc import Iterator, Mapping
@@ -50,7 +50,8 @@
 
     def replaced(self, fresh: Mapping[str, Listed], now: float) -> None:
         """Take in a whole list."""
-        for endpoint in [one for one in self._listed if one not in fresh]:
+        missing = set(self._listed) - set(fresh)
+        for endpoint in missing:
             self.dropped(endpoint, now)
         for one in fresh.values():
             self.listed(one)
--- a/src/linnetwood/calls/engine.py
+++ b/src/linnetwood/calls/engine.py
@@ -10,6 +10,9 @@
 
 _MILLION = 1000000
 _THOUSAND = 1000
+# A call waits for the pass under way, is read in the next, and its first event
+# goes out when that has played its steps (measured against quiet days).
+_PASSES_TO_FIRST = 2.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -70,5 +73,6 @@
         readers = min(waiting, free)
         behind = max(0, waiting - free + 1) if waiting >= free else 0
         pass_s = self.stride * self.step(min(running, self.slots))
+        pass_s *= _PASSES_TO_FIRST
         reading = self.read_s(prompt) + readers * self.read_s(self.usual_prompt)
         return pass_s + reading + behind * self.slot_s()
--- a/src/linnetwood/calls/entrance.py
+++ b/src/linnetwood/calls/entrance.py
@@ -1,25 +1,66 @@
 """Decide at the door whether a call can be in time; refuse at once if not."""
 
+from random import Random
+
 from linnetwood.calls.choice import Chooser
+from linnetwood.calls.dialect import Urgency
 from linnetwood.calls.direct import DirectCall, DirectDispatcher
 from linnetwood.core.clock import Clock
-from linnetwood.core.outcomes import Ending
+from linnetwood.core.outcomes import Code, Ending, not_run
+
+# A prediction is a mean; calls come this much later one time in ten.
+_SPREAD_S = 0.1
+# A caller that comes back has less time left than one that comes first.
+_SECOND_TRY_BELOW = 0.97
+_LEAST_RETRY_S = 0.15
+# Callers wait for at most a third of the time that they have left.
+_MOST_RETRY_S = 1.6
+_RETRY_SPREAD = 0.5
+_MILLISECONDS = 1000
 
 
 class Entrance:
-    """Admit the calls that can be answered in time."""
+    """Admit calls that can be in time, and those that will not come again."""
 
     def __init__(
         self,
         chooser: Chooser,
         dispatcher: DirectDispatcher,
         clock: Clock,
+        rng: Random,
     ) -> None:
         """Predict by the chooser's view."""
         self._chooser = chooser
         self._dispatcher = dispatcher
         self._clock = clock
+        self._rng = rng
+        self._longest: dict[str, float] = {}
+
+    def __call__(self, call: DirectCall) -> Urgency | Ending:
+        """Give how urgent the call is, or why it is refused."""
+        if call.service.engine is None:
+            return Urgency.IN_TIME
+        need = self._dispatcher.need(call)
+        choice = self._chooser.choose(need, (), self._clock.now())
+        if choice is None:
+            return self._refusal(Code.NO_ENDPOINT, _MOST_RETRY_S / 2, 'none')
+        over_s = choice.wait_s + _SPREAD_S - call.route.target_s
+        if over_s <= 0:
+            return Urgency.IN_TIME
+        if self._second_try(call):
+            return Urgency.LATE
+        detail = f'predicted {round(choice.wait_s * _MILLISECONDS)} ms'
+        return self._refusal(Code.OVERLOADED, over_s, detail)
+
+    def _second_try(self, call: DirectCall) -> bool:
+        wait_s = call.head.wait_s
+        if wait_s is None:
+            return False
+        longest = max(wait_s, self._longest.get(call.route.name, 0))
+        self._longest[call.route.name] = longest
+        return wait_s < longest * _SECOND_TRY_BELOW
 
-    async def __call__(self, call: DirectCall) -> Ending | None:
-        """Admit everything for now."""
-        return None
+    def _refusal(self, code: Code, over_s: float, detail: str) -> Ending:
+        spread = 1 + self._rng.random() * _RETRY_SPREAD
+        wait_s = min(_MOST_RETRY_S, (over_s + _LEAST_RETRY_S) * spread)
+        return not_run(code, detail, int(wait_s * _MILLISECONDS))
--- a/src/linnetwood/calls/front.py
+++ b/src/linnetwood/calls/front.py
@@ -18,9 +18,10 @@
 )
 from tornado.iostream import StreamClosedError
 
-from linnetwood.calls.dialect import Dialect
+from linnetwood.calls.dialect import Dialect, Urgency
 from linnetwood.calls.direct import DirectCall, DirectDispatcher
-from linnetwood.calls.routebook import RouteBook, pick_service
+from linnetwood.calls.reading import Arrival, read_call
+from linnetwood.calls.routebook import RouteBook
 from linnetwood.core.events import Event, log
 from linnetwood.core.outcomes import Code, Ending, Outcome, not_run
 from linnetwood.wire.curldriver import Headers
@@ -50,15 +51,13 @@
         Code.BAD_REQUEST.value: _BAD_REQUEST,
     },
 )
-# A caller that names no deadline is held no longer than this.
-_DEFAULT_WAIT_S = 30.0
 
 
 class Admit(Protocol):
     """Decide whether a call is taken now."""
 
-    async def __call__(self, call: DirectCall) -> Ending | None:
-        """Give None to run the call, or why not."""
+    def __call__(self, call: DirectCall) -> Urgency | Ending:
+        """Give how urgent the call is, or why it is not taken."""
 
 
 class Front(HTTPServerConnectionDelegate):
@@ -80,6 +79,7 @@
         self.rng = rng
         self.stopping = False
         self.under_way = 0
+        self.waiting: set[_Request] = set()
 
     def start_request(
         self,
@@ -87,7 +87,14 @@
         request_conn: HTTPConnection,
     ) -> HTTPMessageDelegate:
         """Begin to read one request."""
-        return _Request(self, request_conn)
+        req = _Request(self, request_conn)
+        self.waiting.add(req)
+        return req
+
+    def close_idle(self) -> None:
+        """Close the connections on which no request has begun."""
+        for req in list(self.waiting):
+            req.close()
 
     def on_close(self, server_conn: object) -> None:
         """Let a closed connection go."""
@@ -111,6 +118,7 @@
         headers: HTTPHeaders,
     ) -> None:
         """Keep the head."""
+        self._front.waiting.discard(self)
         assert isinstance(start_line, RequestStartLine)
         self._line = start_line
         self._headers = list(headers.get_all())
@@ -124,12 +132,20 @@
         """Run the call that has been read whole."""
         self._front.under_way += 1
         self._task = asyncio.create_task(self._run())
+        # Without this the library tells of a departure only while it reads.
+        _http1(self._conn).set_close_callback(self.on_connection_close)
 
     def on_connection_close(self) -> None:
         """Stop the work that nobody waits for."""
+        self._front.waiting.discard(self)
         if self._task is not None:
             self._task.cancel()
 
+    def close(self) -> None:
+        """Close the connection."""
+        self._front.waiting.discard(self)
+        _http1(self._conn).stream.close()
+
     async def _run(self) -> None:
         writer = AnswerWriter(self._conn, self._front)
         try:
@@ -146,16 +162,17 @@
         call = self._read()
         if isinstance(call, Ending):
             return call
-        refused = await self._front.admit(call)
-        if refused is not None:
+        admitted = self._front.admit(call)
+        if isinstance(admitted, Ending):
             log(
                 Event.CALL_REFUSED,
                 call=call.head.call_id,
-                code=refused.code,
-                detail=refused.detail,
+                code=admitted.code,
+                detail=admitted.detail,
+                retry_after_ms=admitted.retry_after_ms,
             )
-            return refused
-        ending = await self._front.dispatcher.run(call, writer)
+            return admitted
+        ending = await self._front.dispatcher.run(call, writer, admitted)
         if ending.outcome is not Outcome.ANSWERED:
             log(
                 Event.CALL_NOT_RUN
@@ -168,40 +185,18 @@
         return ending
 
     def _read(self) -> DirectCall | Ending:
-        front = self._front
-        book = front.book()
         line = self._line
-        if line is None or not book.revision:
-            return not_run(Code.NOT_SERVING, 'no configuration yet')
-        host = next(
-            (text for name, text in self._headers if name.lower() == 'host'),
-            '',
-        )
-        route = book.find(host, line.path)
-        if route is None:
-            return not_run(Code.UNKNOWN_TARGET, line.path)
-        head = front.dialect.read(self._headers)
-        organisation = book.organisation(head.key)
-        restricted = book.organisations is not None and not route.public
-        if restricted and organisation is None:
-            return not_run(Code.KEY_UNKNOWN, route.name)
-        name = pick_service(route, front.rng.random())
-        service = book.services.get(name)
-        if service is None:
-            return not_run(Code.NO_ENDPOINT, name)
-        wait_s = _DEFAULT_WAIT_S if head.wait_s is None else head.wait_s
-        return DirectCall(
-            head,
-            route,
-            service,
-            organisation,
+        if line is None:
+            return not_run(Code.BAD_REQUEST, 'no request line')
+        arrival = Arrival(
             line.method,
             line.path,
             self._headers,
             b''.join(self._pieces),
             self._arrived,
-            self._arrived + min(wait_s, route.timeout_s),
         )
+        front = self._front
+        return read_call(arrival, front.book(), front.dialect, front.rng)
 
 
 class AnswerWriter:
@@ -232,9 +227,7 @@
 
     def abort(self) -> None:
         """Reset the connection, so that the answer can't look whole."""
-        conn = self._conn
-        assert isinstance(conn, HTTP1Connection)
-        conn.stream.close()
+        _http1(self._conn).stream.close()
 
     def _head(
         self,
@@ -259,6 +252,11 @@
         _forget(self._conn.write_headers(line, fields, body or None))
 
 
+def _http1(conn: HTTPConnection) -> HTTP1Connection:
+    assert isinstance(conn, HTTP1Connection)
+    return conn
+
+
 def refuse(writer: AnswerWriter, ending: Ending) -> None:
     """Tell the caller at once how a call without an answer ended."""
     if ending.outcome is Outcome.NOT_RUN:
--- a/src/linnetwood/calls/reports.py
+++ b/src/linnetwood/calls/reports.py
@@ -13,7 +13,7 @@
 from linnetwood.gen.wire.ttypes import EngineNews, EntryNews, News, PeerPlace
 
 # An endpoint process tells the entries that it heard from within four of these.
-HELLO_EVERY_S = 0.5
+HELLO_EVERY_S = 1.0
 
 
 class Reports:
@@ -98,9 +98,9 @@
         places = dict(self._places(service.name))
         if engine is None or not places:
             return
-        for one in self._directory.all():
-            if one.service == service.name:
-                self._wanted.serving(one.versions.items())
+        for listed in self._directory.all():
+            if listed.service == service.name:
+                self._wanted.serving(listed.versions.items())
         self._number += 1
         origin = self.book.origin
         news = EntryNews(
--- a/src/linnetwood/calls/routebook.py
+++ b/src/linnetwood/calls/routebook.py
@@ -113,11 +113,15 @@
     for route in routes:
         by_host.setdefault(route.host.lower(), []).append(route)
     return {
-        host: tuple(sorted(found, key=lambda one: -len(one.prefix)))
+        host: tuple(sorted(found, key=_shortness))
         for host, found in by_host.items()
     }
 
 
+def _shortness(route: Route) -> int:
+    return -len(route.prefix)
+
+
 def pick_service(route: Route, chance: float) -> str:
     """Give the service for a call, by weight; chance runs from 0 to 1."""
     total = sum(share.weight for share in route.shares)
--- a/src/linnetwood/calls/standing.py
+++ b/src/linnetwood/calls/standing.py
@@ -27,15 +27,19 @@
         'ended_since',
         'failing',
         'in_flight',
+        'late_waiting',
         'report',
         'sent_since',
         'shun_s',
         'shunned_until',
+        'urgent_waiting',
     )
 
     def __init__(self) -> None:
         """Know nothing bad."""
         self.in_flight = 0
+        self.late_waiting = 0
+        self.urgent_waiting = 0
         self.sent_since = 0
         self.ended_since = 0
         self.failing = float()
@@ -79,6 +83,14 @@
         report = self.report
         return report is not None and now - report.heard_at < _PAIR_S
 
+    def urgent_share(self) -> float:
+        """Give the part of those waiting that go before late calls.
+
+        An engine tells only how many wait; others send as this entry does.
+        """
+        own = self.urgent_waiting + self.late_waiting
+        return self.urgent_waiting / own if self.late_waiting else 1
+
     def work(self, now: float) -> tuple[float, int]:
         """Estimate the calls that wait and the calls that run."""
         report = self.report
--- a/src/linnetwood/fleet/following.py
+++ b/src/linnetwood/fleet/following.py
@@ -27,7 +27,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Item:
+class Record:
     """A key's bytes and the revision that wrote them."""
 
     payload: bytes
@@ -36,17 +36,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Change:
-    """A key as it was written, or without an item when it is gone."""
+    """A key as it was written, or without an record when it is gone."""
 
     key: str
-    item: Item | None
+    record: Record | None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Snapshot:
     """A range of keys, and the revision from which to wait for changes."""
 
-    items: Mapping[str, Item]
+    records: Mapping[str, Record]
     revision: int
 
 
@@ -71,7 +71,7 @@
 class Sink(Protocol):
     """Take in what a range holds."""
 
-    def replaced(self, items: Mapping[str, Item]) -> None:
+    def replaced(self, records: Mapping[str, Record]) -> None:
         """Take in the whole range."""
 
     def changed(self, changes: tuple[Change, ...]) -> None:
@@ -135,7 +135,7 @@
     async def _step(self) -> None:
         if not self._revision:
             snapshot = await self._store.read(self._prefix)
-            self._sink.replaced(snapshot.items)
+            self._sink.replaced(snapshot.records)
             self._revision = snapshot.revision
             self.learned.set()
             return
--- a/src/linnetwood/fleet/wanted.py
+++ b/src/linnetwood/fleet/wanted.py
@@ -1,41 +1,37 @@
 """Which version every engine should serve, and since when; no I/O or clock."""
 
-import dataclasses
+import math
 from collections.abc import Iterable
 
 from linnetwood.gen.wire.ttypes import WantedWeights
 
 _MILLISECONDS = 1000
+# The age of a version that serves and was never named.
+NOT_NAMED = -1
+# Older versions than these are no longer anybody's bound.
+MOST_TOLD = 4
 # Calls stop going to an older version this long before they have to.
 MARGIN_S = 0.7
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Named:
-    """A version that was named, and when this process knows it was."""
-
-    version: int
-    since: float
+# A call that has not begun by then is taken back; so long it may take to
+# reach an endpoint that it is.
+START_MARGIN_S = 0.35
 
 
 class WantedVersions:
-    """Hold the newest version of each model."""
+    """Hold the named versions of each model, and the newest that serves."""
 
     def __init__(self, bound_s: float) -> None:
         """Allow older versions for so long after a newer one was named."""
         self.bound_s = bound_s
-        self._named: dict[str, Named] = {}
+        self._named: dict[str, dict[int, float]] = {}
         self._serving: dict[str, int] = {}
 
     def name(self, model: str, version: int, since: float) -> bool:
-        """Take in a named version; tell whether it is newer."""
-        standing = self._named.get(model)
-        if standing is None or version > standing.version:
-            self._named[model] = Named(version, since)
-            return True
-        if version == standing.version and since < standing.since:
-            self._named[model] = Named(version, since)
-        return False
+        """Take in a named version; tell whether it is the newest."""
+        named = self._named.setdefault(model, {})
+        newest = version > max(named, default=0)
+        named[version] = min(since, named.get(version, since))
+        return newest
 
     def serving(self, found: Iterable[tuple[str, int]]) -> None:
         """Take in the versions that engines serve, named or not."""
@@ -45,27 +41,31 @@
 
     def version(self, model: str) -> int:
         """Give the version to bring everywhere; 0 if none is known."""
-        named = self._named.get(model)
-        serving = self._serving.get(model, 0)
-        return max(serving, named.version if named else 0)
+        newest = max(self._named.get(model, {}), default=0)
+        return max(self._serving.get(model, 0), newest)
 
     def models(self) -> list[str]:
         """Give every model of which a version is known."""
         return sorted({*self._named, *self._serving})
 
-    def since(self, model: str) -> float | None:
-        """Give when the newest version was named, if it was."""
-        named = self._named.get(model)
-        if named is None or named.version < self._serving.get(model, 0):
-            return None
-        return named.since
-
     def least(self, model: str, now: float) -> int:
-        """Give the oldest version that a call may still start on; 0 for any."""
-        named = self._named.get(model)
-        if named is None or now < named.since + self.bound_s - MARGIN_S:
-            return 0
-        return named.version
+        """Give the oldest version that a call may still start on; 0 for any.
+
+        Each named version has its own bound: a newer one extends none.
+        """
+        due = now - self.bound_s + MARGIN_S
+        named = self._named.get(model, {})
+        return max(
+            (version for version, since in named.items() if since <= due),
+            default=0,
+        )
+
+    def start_by(self, model: str, version: int) -> float:
+        """Give until when a call may begin on a version; inf for any time."""
+        named = self._named.get(model, {})
+        newer = [since for one, since in named.items() if one > version]
+        first = min(newer, default=math.inf)
+        return first + self.bound_s - START_MARGIN_S
 
     def told(
         self,
@@ -73,14 +73,16 @@
         models: Iterable[str],
         now: float,
     ) -> list[WantedWeights]:
-        """Give what to tell others of a service's models; age -1: not named."""
+        """Give what to tell others of a service's models."""
         rows = []
         for model in models:
-            version = self.version(model)
-            since = self.since(model)
-            age = -1 if since is None else int((now - since) * _MILLISECONDS)
-            if version:
-                rows.append(WantedWeights(target, model, version, age))
+            named = self._named.get(model, {})
+            serving = self._serving.get(model, 0)
+            if serving and serving not in named:
+                rows.append(WantedWeights(target, model, serving, NOT_NAMED))
+            for version, since in sorted(named.items())[-MOST_TOLD:]:
+                age_ms = int((now - since) * _MILLISECONDS)
+                rows.append(WantedWeights(target, model, version, age_ms))
         return rows
 
     def heard(self, rows: Iterable[WantedWeights], now: float) -> None:
--- a/src/linnetwood/platform/dialect.py
+++ b/src/linnetwood/platform/dialect.py
@@ -2,7 +2,7 @@
 
 from http import HTTPStatus
 
-from linnetwood.calls.dialect import CallHead, Errand, Verdict
+from linnetwood.calls.dialect import CallHead, Errand, Urgency, Verdict
 from linnetwood.wire.curldriver import Headers
 
 _CALL_ID = 'x-attempt-id'
@@ -20,6 +20,10 @@
 _SIGNATURE = 'x-server-signature'
 _NOT_RUN = 'x-not-executed'
 _AT_FAULT = 'at-server'
+_WEIGHTS_VERSION = 'x-weight-versions'
+_PRIORITY = 'x-request-priority'
+# From 0, the first, to 9; 5 where nothing is said.
+_LATE_PRIORITY = '8'
 _MILLISECONDS = 1000
 # What concerns one connection alone, and what the system sets by itself.
 _OF_CONNECTION = frozenset(
@@ -37,7 +41,9 @@
         'expect',
     ),
 )
-_SET_HERE = frozenset((_WAIT_MS, _KEY, _ORGANISATION, _ENDPOINT, _VERSION))
+_SET_HERE = frozenset(
+    (_WAIT_MS, _KEY, _ORGANISATION, _ENDPOINT, _VERSION, _PRIORITY),
+)
 
 
 class PlatformDialect:
@@ -72,8 +78,10 @@
         sent.append(('X-Expected-Instance', errand.endpoint))
         if errand.organisation:
             sent.append(('X-Tenant', errand.organisation))
-        if errand.least_version:
-            sent.append(('X-Expected-Version', str(errand.least_version)))
+        if errand.version:
+            sent.append(('X-Expected-Version', str(errand.version)))
+        if errand.urgency is Urgency.LATE:
+            sent.append(('X-Request-Priority', _LATE_PRIORITY))
         if resumes:
             sent.append(('Last-Event-Id', errand.resume_after))
         return sent
@@ -98,6 +106,13 @@
         dropped = _of_connection(headers)
         return [one for one in headers if one[0].lower() not in dropped]
 
+    def version(self, headers: Headers) -> int:
+        """Give the version of the weights that answered; 0 if none is told."""
+        for name, text in headers:
+            if name.lower() == _WEIGHTS_VERSION:
+                return _whole(text)
+        return 0
+
     def fault(self, headers: Headers) -> str:
         """Give the address of the server that an answer blames, if any."""
         return next(
--- a/src/linnetwood/platform/feeds.py
+++ b/src/linnetwood/platform/feeds.py
@@ -7,9 +7,9 @@
 from linnetwood.core.clock import Clock
 from linnetwood.core.errors import ConfigError
 from linnetwood.core.events import Event, log
-from linnetwood.fleet.following import Change, Item
+from linnetwood.fleet.following import Change, Record
 from linnetwood.fleet.wanted import WantedVersions
-from linnetwood.platform import items
+from linnetwood.platform import records
 
 
 class OperatorFeed:
@@ -29,41 +29,38 @@
         self._changed = changed
         self._first = True
 
-    def replaced(self, found: Mapping[str, Item]) -> None:
+    def replaced(self, found: Mapping[str, Record]) -> None:
         """Take in everything that the operators wrote."""
-        for key, item in found.items():
-            self._take(key, item)
+        for key, record in found.items():
+            self._take(key, record)
         self._first = False
 
     def changed(self, changes: tuple[Change, ...]) -> None:
         """Take in what they wrote since; of one key only the last counts."""
-        newest = {one.key: one.item for one in changes}
-        for key, item in newest.items():
-            if item is not None:
-                self._take(key, item)
+        newest = {one.key: one.record for one in changes}
+        for key, record in newest.items():
+            if record is not None:
+                self._take(key, record)
 
-    def away(self) -> None:
-        """Go on with what is known."""
-
-    def _take(self, key: str, item: Item) -> None:
+    def _take(self, key: str, record: Record) -> None:
         try:
-            self._read(key, item)
+            self._read(key, record)
         except ConfigError as exc:
             log(
                 Event.ITEM_IGNORED,
                 key=key,
-                revision=item.revision,
+                revision=record.revision,
                 code=exc.code,
                 detail=exc.detail,
             )
             return
         self._changed()
 
-    def _read(self, key: str, item: Item) -> None:
-        if key == items.CONFIG_KEY:
-            self._adopt(items.config(item))
-        elif key.startswith(items.VERSION_PREFIX):
-            model, version = items.named_version(item)
+    def _read(self, key: str, record: Record) -> None:
+        if key == records.CONFIG_KEY:
+            self._adopt(records.config(record))
+        elif key.startswith(records.VERSION_PREFIX):
+            model, version = records.named_version(record)
             # One that stood before this process came may be nearly due.
             now = self._clock.now()
             since = now - self._wanted.bound_s / 2 if self._first else now
@@ -72,10 +69,55 @@
                     Event.VERSION_NAMED,
                     model=model,
                     version=version,
-                    revision=item.revision,
+                    revision=record.revision,
                 )
 
 
+class StoreFeed:
+    """Split one range over the whole store: each waiting call is paid for."""
+
+    def __init__(
+        self, operator: OperatorFeed, endpoints: 'EndpointFeed'
+    ) -> None:
+        """Hand each record to the feed of its prefix."""
+        self._operator = operator
+        self._endpoints = endpoints
+
+    def replaced(self, found: Mapping[str, Record]) -> None:
+        """Take in everything that the store holds."""
+        operator = records.OPERATOR_PREFIX
+        endpoint = records.ENDPOINT_PREFIX
+        self._operator.replaced(
+            {
+                key: one
+                for key, one in found.items()
+                if key.startswith(operator)
+            },
+        )
+        self._endpoints.replaced(
+            {
+                key: one
+                for key, one in found.items()
+                if key.startswith(endpoint)
+            },
+        )
+
+    def changed(self, changes: tuple[Change, ...]) -> None:
+        """Take in changes, in order."""
+        operator = records.OPERATOR_PREFIX
+        endpoint = records.ENDPOINT_PREFIX
+        written = tuple(one for one in changes if one.key.startswith(operator))
+        listed = tuple(one for one in changes if one.key.startswith(endpoint))
+        if written:
+            self._operator.changed(written)
+        if listed:
+            self._endpoints.changed(listed)
+
+    def away(self) -> None:
+        """Doubt that what goes missing now is gone."""
+        self._endpoints.away()
+
+
 class EndpointFeed:
     """Take in the servers' entries."""
 
@@ -90,11 +132,11 @@
         self._clock = clock
         self._changed = changed
 
-    def replaced(self, found: Mapping[str, Item]) -> None:
+    def replaced(self, found: Mapping[str, Record]) -> None:
         """Take in the whole list."""
         fresh: dict[str, Listed] = {}
-        for key, item in found.items():
-            one = _decoded(key, item)
+        for key, record in found.items():
+            one = _decoded(key, record)
             if one is not None:
                 fresh[one.endpoint] = one
         self._directory.replaced(fresh, self._clock.now())
@@ -111,12 +153,12 @@
         self._directory.list_away(self._clock.now())
 
     def _change(self, change: Change) -> None:
-        if change.item is None:
-            name = change.key.removeprefix(items.ENDPOINT_PREFIX)
+        if change.record is None:
+            name = change.key.removeprefix(records.ENDPOINT_PREFIX)
             log(Event.ENDPOINT_GONE, endpoint=name)
             self._directory.dropped(name, self._clock.now())
             return
-        one = _decoded(change.key, change.item)
+        one = _decoded(change.key, change.record)
         if one is None:
             return
         log(
@@ -126,19 +168,19 @@
             address=f'{one.host}:{one.port}',
             ready=one.ready,
             versions=dict(one.versions),
-            revision=change.item.revision,
+            revision=change.record.revision,
         )
         self._directory.listed(one)
 
 
-def _decoded(key: str, item: Item) -> Listed | None:
+def _decoded(key: str, record: Record) -> Listed | None:
     try:
-        return items.endpoint(key, item)
+        return records.endpoint(key, record)
     except ConfigError as exc:
         log(
             Event.ITEM_IGNORED,
             key=key,
-            revision=item.revision,
+            revision=record.revision,
             code=exc.code,
             detail=exc.detail,
         )
--- a/src/linnetwood/platform/items.py
+++ b/src/linnetwood/platform/records.py
@@ -18,9 +18,11 @@
     shelve,
 )
 from linnetwood.core.errors import ConfigError
-from linnetwood.fleet.following import Item
+from linnetwood.fleet.following import Record
 from linnetwood.platform.settings import address
 
+# One range holds what the operators and the servers write.
+WHOLE_STORE = ''
 OPERATOR_PREFIX = 'op/'
 CONFIG_KEY = 'op/config'
 VERSION_PREFIX = 'op/version/'
@@ -34,33 +36,33 @@
 _BAD_ITEM = (KeyError, TypeError, ValueError, AttributeError)
 
 
-def config(item: Item) -> RouteBook:
+def config(record: Record) -> RouteBook:
     """Decode the operator's configuration, or raise ConfigError."""
     try:
-        return _config(_object(item), item.revision)
+        return _config(_object(record), record.revision)
     except _BAD_ITEM as exc:
         raise ConfigError('config-malformed', repr(exc)) from exc
 
 
-def named_version(item: Item) -> tuple[str, int]:
+def named_version(record: Record) -> tuple[str, int]:
     """Decode a named version of a model, or raise ConfigError."""
     try:
-        said = _object(item)
+        said = _object(record)
         return str(said['model']), int(said['version'])
     except _BAD_ITEM as exc:
         raise ConfigError('version-malformed', repr(exc)) from exc
 
 
-def endpoint(key: str, item: Item) -> Listed:
+def endpoint(key: str, record: Record) -> Listed:
     """Decode a server's entry, or raise ConfigError."""
     try:
-        return _endpoint(key.removeprefix(ENDPOINT_PREFIX), _object(item))
+        return _endpoint(key.removeprefix(ENDPOINT_PREFIX), _object(record))
     except _BAD_ITEM as exc:
         raise ConfigError('endpoint-malformed', f'{key}: {exc!r}') from exc
 
 
-def _object(item: Item) -> dict[str, Any]:
-    said = json.loads(item.payload)
+def _object(record: Record) -> dict[str, Any]:
+    said = json.loads(record.payload)
     if not isinstance(said, dict):
         raise TypeError(type(said).__name__)
     return said
@@ -167,8 +169,9 @@
 
 def _origins(services: list[dict[str, Any]]) -> Iterator[Origin]:
     for said in services:
-        if 'origin' in said:
-            host, port = address(said['origin'])
+        place = said.get('origin')
+        if place:
+            host, port = address(place)
             yield Origin(
                 host,
                 port,
--- a/src/linnetwood/platform/settings.py
+++ b/src/linnetwood/platform/settings.py
@@ -11,6 +11,10 @@
 _PATH_VARIABLE = 'LINNETWOOD_NODE_FILE'
 _DEFAULT_PATH = '/etc/linnetwood/local.toml'
 _MILLISECONDS = 1000
+# Used where the platform states no bound: those of its first deployments.
+_VERSION_MS = 8000
+_DRAIN_MS = 2000
+_BAD_FIELD = (KeyError, TypeError, ValueError, IndexError)
 _MEGABIT_BYTES = 125000
 
 
@@ -45,7 +49,7 @@
         raise SettingsError('settings-unreadable', f'{place}: {exc}') from exc
     try:
         return _read(given)
-    except (KeyError, TypeError, ValueError, IndexError) as exc:
+    except _BAD_FIELD as exc:
         raise SettingsError('settings-bad-field', f'{place}: {exc!r}') from exc
 
 
@@ -70,8 +74,8 @@
         engine=_optional(given.get('app')),
         link_bytes_per_s=given['limits']['link_mbps'] * _MEGABIT_BYTES,
         stop_within_s=float(bounds.get('grace_period_s', 8)),
-        version_bound_s=bounds.get('version_ms', 8000) / _MILLISECONDS,
-        drain_bound_s=bounds.get('drain_timeout_ms', 2000) / _MILLISECONDS,
+        version_bound_s=bounds.get('version_ms', _VERSION_MS) / _MILLISECONDS,
+        drain_bound_s=bounds.get('drain_timeout_ms', _DRAIN_MS) / _MILLISECONDS,
         retry_share=float(bounds.get('retry_budget_ratio', 0)),
         retry_extra=float(bounds.get('retry_budget_extra', 0)),
     )
--- a/src/linnetwood/platform/store.py
+++ b/src/linnetwood/platform/store.py
@@ -10,7 +10,7 @@
     Change,
     Changes,
     HistoryLostError,
-    Item,
+    Record,
     Snapshot,
 )
 from linnetwood.wire.curldriver import Answer, CurlDriver, Request, ask
@@ -32,12 +32,12 @@
 
     def __init__(self, address: tuple[str, int], driver: CurlDriver) -> None:
         """Reach the store at an address."""
-        self._host, self._port = address
+        self._address = address
         self._driver = driver
 
     async def read(self, prefix: str) -> Snapshot:
         """Read every page of a range."""
-        items: dict[str, Item] = {}
+        found: dict[str, Record] = {}
         revision = 0
         last = ''
         while True:
@@ -46,9 +46,9 @@
             revision = revision or int(said['timestamp'])
             for row in said['items']:
                 last = row['private_key']
-                items[last] = _item(row)
+                found[last] = _record(row)
             if not said['has_more']:
-                return Snapshot(items, revision)
+                return Snapshot(found, revision)
 
     async def wait(self, prefix: str, after: int, wait_s: float) -> Changes:
         """Wait for changes of a range."""
@@ -80,14 +80,16 @@
         query: dict[str, str],
         timeout_s: float,
     ) -> dict[str, Any]:
+        host, port = self._address
         req = Request(
-            self._host,
-            self._port,
+            host,
+            port,
             'GET',
             f'{path}?{urlencode(query)}',
-            [('Host', f'{self._host}:{self._port}')],
+            [('Host', f'{host}:{port}')],
             connect_s=_CONNECT_S,
             total_s=timeout_s,
+            keep=True,
         )
         return _said(await ask(self._driver, req, _MOST_BYTES))
 
@@ -99,18 +101,15 @@
         detail = answer.finish.detail or f'status {answer.status}'
         raise StoreError('store-unreachable', detail)
     try:
-        said = json.loads(answer.body)
-    except ValueError as exc:
+        return dict(json.loads(answer.body))
+    except (ValueError, TypeError) as exc:
         raise StoreError('store-bad-answer', str(exc)) from exc
-    if not isinstance(said, dict):
-        raise StoreError('store-bad-answer', type(said).__name__)
-    return said
 
 
-def _item(row: dict[str, Any]) -> Item:
-    return Item(base64.b64decode(row['value']), int(row['revision']))
+def _record(row: dict[str, Any]) -> Record:
+    return Record(base64.b64decode(row['value']), int(row['revision']))
 
 
 def _change(row: dict[str, Any]) -> Change:
     gone = bool(row.get('deleted'))
-    return Change(row['private_key'], None if gone else _item(row))
+    return Change(row['private_key'], None if gone else _record(row))
--- a/src/linnetwood/platform/weights.py
+++ b/src/linnetwood/platform/weights.py
@@ -1,5 +1,6 @@
 """The platform's model server and origin, as the weights path uses them."""
 
+import hashlib
 import json
 from collections.abc import Mapping
 from http import HTTPStatus
@@ -15,7 +16,8 @@
 _TIMEOUT_S = 1.5
 _PIECE_TIMEOUT_S = 4.0
 _MOST_BYTES = 16777216
-_UNKNOWN_WHOLE = bytes(32)
+# The platform gives no digest over all pieces.
+_UNKNOWN_WHOLE = bytes(hashlib.sha256().digest_size)
 
 
 class ServerEngine:
@@ -138,7 +140,7 @@
     """One address and how to ask it."""
 
     def __init__(self, address: tuple[str, int], driver: CurlDriver) -> None:
-        self._host, self._port = address
+        self._address = address
         self._driver = driver
 
     async def ask(
@@ -149,16 +151,18 @@
         headers: list[tuple[str, str]] | None = None,
         limit_s: float = _TIMEOUT_S,
     ) -> Answer:
-        fields = [('Host', f'{self._host}:{self._port}'), *(headers or ())]
+        host, port = self._address
+        fields = [('Host', f'{host}:{port}'), *(headers or ())]
         req = Request(
-            self._host,
-            self._port,
+            host,
+            port,
             method,
             target,
             fields,
             body,
             connect_s=1.0,
             total_s=limit_s,
+            keep=method != 'POST',
         )
         return await ask(self._driver, req, _MOST_BYTES)
 
--- a/src/linnetwood/programs/daemon.py
+++ b/src/linnetwood/programs/daemon.py
@@ -53,7 +53,7 @@
     cfg: Any,
     serve: Callable[[Any], Awaitable[None]],
 ) -> int:
-    _settle_memory()
+    settle_memory()
     log(Event.STARTED, program=name)
     try:
         asyncio.run(_as_coroutine(serve(cfg)))
@@ -64,9 +64,11 @@
     return EXIT_OK
 
 
-def _settle_memory() -> None:
-    # What is loaded by now stays, so collections need not look at it again,
-    # and a relay makes little garbage that refers to itself.
+def settle_memory() -> None:
+    """Keep collections from what is loaded by now: it stays.
+
+    A relay makes little garbage that refers to itself.
+    """
     gc.collect()
     gc.freeze()
     gc.set_threshold(_COLLECT_AFTER)
--- a/src/linnetwood/programs/resident.py
+++ b/src/linnetwood/programs/resident.py
@@ -1,7 +1,6 @@
 """Start a program as a resident of the users' platform."""
 
 import asyncio
-import gc
 import signal
 import sys
 from collections.abc import Awaitable, Callable
@@ -9,11 +8,11 @@
 from linnetwood.core.errors import LinnetwoodError
 from linnetwood.core.events import Event, log, open_log
 from linnetwood.platform import settings
+from linnetwood.programs.daemon import settle_memory
 
 EXIT_OK = 0
 EXIT_FAILED = 1
 EXIT_SETTINGS = 2
-_COLLECT_AFTER = 50000
 
 Serve = Callable[[settings.Residence], Awaitable[None]]
 
@@ -26,9 +25,7 @@
         sys.stderr.write(f'{program}: {exc}\n')
         return EXIT_SETTINGS
     open_log('info', cfg.vm)
-    gc.collect()
-    gc.freeze()
-    gc.set_threshold(_COLLECT_AFTER)
+    settle_memory()
     log(Event.STARTED, program=program)
     try:
         asyncio.run(_serve(serve, cfg))
--- a/src/linnetwood/programs/resident_endpoint.py
+++ b/src/linnetwood/programs/resident_endpoint.py
@@ -14,8 +14,7 @@
 from linnetwood.fleet.news import Address, NewsPort
 from linnetwood.fleet.wanted import WantedVersions
 from linnetwood.gen.wire.ttypes import EngineNews, EntryNews, News
-from linnetwood.platform import settings
-from linnetwood.platform.settings import Residence
+from linnetwood.platform.settings import Residence, address
 from linnetwood.platform.weights import PlatformOrigin, ServerEngine
 from linnetwood.programs import resident
 from linnetwood.weights.chunks import ChunkStore
@@ -27,27 +26,30 @@
 from linnetwood.wire.links import GentleLink
 
 _REPORT_EVERY_S = 0.1
-_HELD_EVERY_S = 0.2
+_HELD_EVERY_S = 0.1
+# What was told already is told again, since datagrams may be lost.
+_HELD_AGAIN_S = 1.0
 # An entry that was not heard for four of its greetings is not told any more.
-_ENTRY_HEARD_S = 2.0
+_ENTRY_HEARD_S = 4.0
 
 
 class ResidentEndpoint:
     """Put the parts of an endpoint process together."""
 
-    def __init__(self, cfg: Residence, address: tuple[str, int]) -> None:
+    def __init__(self, cfg: Residence, engine: tuple[str, int]) -> None:
         """Build; start nothing."""
         self._cfg = cfg
-        self._address = f'{address[0]}:{address[1]}'
+        self._address = f'{engine[0]}:{engine[1]}'
         self._clock = SystemClock()
         self.wanted = WantedVersions(cfg.version_bound_s)
         self.driver = CurlDriver()
-        self._engine = ServerEngine(address, self.driver)
+        self._engine = ServerEngine(engine, self.driver)
         self._origin = PlatformOrigin(self.driver)
         self._news = NewsPort(self)
         self._entries: dict[Address, float] = {}
         self._number = 0
         self._held_at = float()
+        self._held_told = b''
         tools = self._tools()
         self.follower = VersionFollower(
             tools,
@@ -94,7 +96,7 @@
         around.peers = {one.host: one.zone for one in entry.peers}
         around.origin_bytes_per_s = entry.origin_bytes_per_s
         if entry.origin:
-            self._origin.address = settings.address(entry.origin)
+            self._origin.address = address(entry.origin)
         self.follower.rouse()
 
     async def _run(self) -> None:
@@ -129,14 +131,17 @@
                 entries=len(self._entries),
             )
             self._news.send(News(engine=engine), list(self._entries))
-        if now - self._held_at >= _HELD_EVERY_S:
-            self._held_at = now
-            self._tell_held()
+        self._tell_held(now)
 
-    def _tell_held(self) -> None:
+    def _tell_held(self, now: float) -> None:
         notice = self.follower.notice()
         if notice is None:
             return
+        fresh = notice.held != self._held_told
+        if now - self._held_at < (_HELD_EVERY_S if fresh else _HELD_AGAIN_S):
+            return
+        self._held_at = now
+        self._held_told = notice.held
         peers = [
             (host, self._cfg.wire_port)
             for host in self.follower.around.peers
--- a/src/linnetwood/programs/resident_entry.py
+++ b/src/linnetwood/programs/resident_entry.py
@@ -19,9 +19,9 @@
 from linnetwood.core.events import Event, log
 from linnetwood.fleet.following import Following
 from linnetwood.fleet.wanted import WantedVersions
-from linnetwood.platform import items
+from linnetwood.platform import records
 from linnetwood.platform.dialect import PlatformDialect
-from linnetwood.platform.feeds import EndpointFeed, OperatorFeed
+from linnetwood.platform.feeds import EndpointFeed, OperatorFeed, StoreFeed
 from linnetwood.platform.settings import Residence
 from linnetwood.platform.store import PlatformStore
 from linnetwood.programs import resident
@@ -31,6 +31,7 @@
 _BALANCER_SEES_S = 2.5
 _STOP_MARGIN_S = 0.7
 _CHECK_S = 0.05
+_IDLE_CHECK_S = 0.4
 _OK = 200
 _UNAVAILABLE = 503
 
@@ -54,7 +55,7 @@
             chooser,
             self.driver,
             dialect,
-            lambda _, model: self.wanted.least(model, clock.now()),
+            self.wanted,
             cfg.zone,
             rng,
         )
@@ -69,29 +70,20 @@
             lambda: self.book,
             self.dispatcher,
             dialect,
-            Entrance(chooser, self.dispatcher, clock),
+            Entrance(chooser, self.dispatcher, clock, rng),
             rng,
         )
-        store = PlatformStore(cfg.store, self.driver)
-        self._operator = Following(
-            store,
-            items.OPERATOR_PREFIX,
-            OperatorFeed(
-                self.adopt,
-                self.wanted,
-                clock,
-                self.reports.rouse,
+        rouse = self.reports.rouse
+        self._following = Following(
+            PlatformStore(cfg.store, self.driver),
+            records.WHOLE_STORE,
+            StoreFeed(
+                OperatorFeed(self.adopt, self.wanted, clock, rouse),
+                EndpointFeed(self.directory, clock, rouse),
             ),
             clock,
             rng,
         )
-        self._endpoints = Following(
-            store,
-            items.ENDPOINT_PREFIX,
-            EndpointFeed(self.directory, clock, self.reports.rouse),
-            clock,
-            rng,
-        )
         self._servers: list[HTTPServer] = []
 
     async def start(self) -> None:
@@ -99,8 +91,7 @@
         cfg = self._cfg
         readiness = HTTPServer(self._tell_ready)
         self._listen(readiness, cfg.readiness)
-        self._operator.start()
-        self._endpoints.start()
+        self._following.start()
         await self.reports.start(cfg.host)
         self._listen(open_server(self.front, self.book), cfg.callers)
 
@@ -108,20 +99,25 @@
         """Be taken out, finish what is under way, then go."""
         self._stopping = True
         self.front.stopping = True
+        await self._finish_calls()
+        await self._following.close()
+        await self.reports.close()
+        self.driver.close()
+
+    async def _finish_calls(self) -> None:
         loop = asyncio.get_running_loop()
         began = loop.time()
         until = began + self._cfg.stop_within_s - _STOP_MARGIN_S
-        await asyncio.sleep(_BALANCER_SEES_S)
+        while loop.time() < began + _BALANCER_SEES_S:
+            await asyncio.sleep(_IDLE_CHECK_S)
+            self.front.close_idle()
         for server in self._servers:
             server.stop()
         while self.front.under_way and loop.time() < until:
             await asyncio.sleep(_CHECK_S)
+            self.front.close_idle()
         if self.front.under_way:
             log(Event.STOP_LIMIT_REACHED, in_flight=self.front.under_way)
-        await self._operator.close()
-        await self._endpoints.close()
-        await self.reports.close()
-        self.driver.close()
 
     def adopt(self, book: RouteBook) -> None:
         """Put a newer configuration in force; an older one never is."""
@@ -139,8 +135,7 @@
     @property
     def ready(self) -> bool:
         """Tell whether calls should come here."""
-        learned = self._operator.learned.is_set()
-        learned = learned and self._endpoints.learned.is_set()
+        learned = self._following.learned.is_set()
         return learned and bool(self.book.revision) and not self._stopping
 
     def _listen(
--- a/src/linnetwood/wire/curldriver.py
+++ b/src/linnetwood/wire/curldriver.py
@@ -25,7 +25,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Request:
-    """One request, sent exactly as it stands here."""
+    """One request, sent exactly as it stands here.
+
+    With keep it may go over a connection that is kept, and libcurl may then
+    send it again by itself: only for what may be asked twice.
+    """
 
     host: str
     port: int
@@ -35,6 +39,7 @@
     body: bytes = b''
     connect_s: float = 1.0
     total_s: float = 10.0
+    keep: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -79,19 +84,18 @@
     def header_line(self, raw: bytes) -> None:
         """Take one line of a head; lines behind the body are left aside."""
         line = raw.decode('latin-1').rstrip('\r\n')
-        if not self.in_head:
-            return
-        if not line:
+        if self.in_head and line:
+            self._field(line)
+        elif self.in_head:
             self._head_ends()
-        elif line.startswith('HTTP/') and not self.headers:
-            self._status_line(line)
-        else:
-            name, _, text = line.partition(':')
-            self.headers.append((name, text.strip()))
 
-    def _status_line(self, line: str) -> None:
-        parts = line.split(' ', 2)
-        self.status = int(parts[1]) if parts[1:2] else 0
+    def _field(self, line: str) -> None:
+        if line.startswith('HTTP/') and not self.headers:
+            # libcurl itself refuses a line without a number here.
+            self.status = int(line.split(' ', 2)[1])
+            return
+        name, _, text = line.partition(':')
+        self.headers.append((name, text.strip()))
 
     def _head_ends(self) -> None:
         if self.status < _INTERIM_BELOW:
@@ -234,7 +238,7 @@
             or handle.getinfo(pycurl.REQUEST_SIZE) > 0
         )
         self._drop(transfer)
-        receiver.done(Finish(not code, bool(connected), detail))
+        receiver.done(Finish(code == 0, bool(connected), detail))
 
 
 class _Deaf:
@@ -253,14 +257,20 @@
 _DEAF = _Deaf()
 
 
+_FIXED = (
+    (pycurl.HTTP_VERSION, pycurl.CURL_HTTP_VERSION_1_1),
+    (pycurl.NOSIGNAL, 1),
+    (pycurl.PROXY, ''),
+)
+
+
 def _prepare(handle: Any, req: Request, transfer: Transfer) -> None:
+    for option, setting in _FIXED:
+        handle.setopt(option, setting)
     handle.setopt(pycurl.URL, f'http://{req.host}:{req.port}/')
     handle.setopt(pycurl.REQUEST_TARGET, req.target)
-    handle.setopt(pycurl.HTTP_VERSION, pycurl.CURL_HTTP_VERSION_1_1)
-    handle.setopt(pycurl.NOSIGNAL, 1)
-    handle.setopt(pycurl.PROXY, '')
-    handle.setopt(pycurl.FRESH_CONNECT, 1)
-    handle.setopt(pycurl.FORBID_REUSE, 1)
+    handle.setopt(pycurl.FRESH_CONNECT, int(not req.keep))
+    handle.setopt(pycurl.FORBID_REUSE, int(not req.keep))
     handle.setopt(pycurl.CONNECTTIMEOUT_MS, _at_least_one_ms(req.connect_s))
     handle.setopt(pycurl.TIMEOUT_MS, _at_least_one_ms(req.total_s))
     _prepare_body(handle, req)
--- a/src/linnetwood/wire/frames.py
+++ b/src/linnetwood/wire/frames.py
@@ -178,14 +178,6 @@
         if not self._writable.is_set():
             await self._writable.wait()
 
-    def _put(self, payload: bytes) -> None:
-        transport = self._transport
-        if transport is None or transport.is_closing():
-            raise WireError('connection-lost', 'closed before the write')
-        if transport.get_write_buffer_size() > _WRITE_LIMIT:
-            raise WireError('reader-too-slow', f'over {_WRITE_LIMIT} bytes')
-        transport.write(payload)
-
     async def wait_closed(self) -> None:
         """Wait until either side closes; frames that come are kept."""
         await self._gone.wait()
@@ -195,6 +187,14 @@
         if self._transport is not None:
             self._transport.close()
 
+    def _put(self, payload: bytes) -> None:
+        transport = self._transport
+        if transport is None or transport.is_closing():
+            raise WireError('connection-lost', 'closed before the write')
+        if transport.get_write_buffer_size() > _WRITE_LIMIT:
+            raise WireError('reader-too-slow', f'over {_WRITE_LIMIT} bytes')
+        transport.write(payload)
+
     def _check(self) -> None:
         if self._fault is not None:
             raise self._fault
--- /dev/null
+++ b/tests/test_curldriver.py
@@ -0,0 +1,199 @@
+"""Requests through libcurl: sent once, answers whole or known as not."""
+
+import asyncio
+import unittest
+from collections.abc import Awaitable, Callable
+
+from linnetwood.wire.curldriver import Answer, CurlDriver, Request, ask
+
+HOST = '127.0.0.1'
+MOST = 1000000
+Behaviour = Callable[
+    [asyncio.StreamReader, asyncio.StreamWriter],
+    Awaitable[None],
+]
+WHOLE = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX-One: a\r\n\r\nok'
+
+
+async def read_request(reader: asyncio.StreamReader) -> bytes:
+    """Read a request with its body by length."""
+    head = await reader.readuntil(b'\r\n\r\n')
+    size = 0
+    for line in head.split(b'\r\n'):
+        if line.lower().startswith(b'content-length:'):
+            size = int(line.partition(b':')[2])
+    return head + await reader.readexactly(size)
+
+
+class Server:
+    """A stand-in that counts the requests it read."""
+
+    def __init__(self, behave: Behaviour) -> None:
+        self.requests: list[bytes] = []
+        self.connections = 0
+        self._behave = behave
+
+    async def start(self) -> int:
+        self._server = await asyncio.start_server(self._accept, HOST, 0)
+        return int(self._server.sockets[0].getsockname()[1])
+
+    async def close(self) -> None:
+        self._server.close()
+
+    async def _accept(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        self.connections += 1
+        try:
+            self.requests.append(await read_request(reader))
+            await self._behave(reader, writer)
+        except (OSError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            writer.close()
+
+
+def says(answer: bytes) -> Behaviour:
+    """Answer with bytes, then close."""
+
+    async def behave(
+        _: asyncio.StreamReader, out: asyncio.StreamWriter
+    ) -> None:
+        out.write(answer)
+        await out.drain()
+
+    return behave
+
+
+async def reset(_: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    """Reset the connection without an answer."""
+    writer.transport.abort()
+
+
+class CurlDriverTest(unittest.IsolatedAsyncioTestCase):
+    """Ask stand-ins that behave and that do not."""
+
+    async def asked(
+        self,
+        behave: Behaviour,
+        method: str = 'POST',
+        body: bytes = b'abc',
+    ) -> tuple[Answer, Server]:
+        """Ask once."""
+        server = Server(behave)
+        port = await server.start()
+        driver = CurlDriver()
+        req = Request(
+            HOST,
+            port,
+            method,
+            '/a/../b%2f?q=1',
+            [('Host', 'x.example'), ('X-Empty', '')],
+            body,
+            total_s=5,
+        )
+        answer = await ask(driver, req, MOST)
+        driver.close()
+        await server.close()
+        return answer, server
+
+    async def test_request_goes_out_as_it_stands(self) -> None:
+        """Nothing is added to the target, the headers or the body."""
+        answer, server = await self.asked(says(WHOLE))
+        self.assertEqual((answer.status, answer.body), (200, b'ok'))
+        self.assertIn(('X-One', 'a'), answer.headers)
+        head, _, body = server.requests[0].partition(b'\r\n\r\n')
+        lines = set(head.split(b'\r\n'))
+        self.assertEqual(
+            lines,
+            {
+                b'POST /a/../b%2f?q=1 HTTP/1.1',
+                b'Host: x.example',
+                b'X-Empty:',
+                b'Content-Length: 3',
+            },
+        )
+        self.assertEqual(body, b'abc')
+
+    async def test_never_sent_twice(self) -> None:
+        """A connection that dies after the request is not tried again."""
+        cases: tuple[tuple[str, Behaviour], ...] = (
+            ('closed', says(b'')),
+            ('reset', reset),
+            ('half', says(WHOLE[:-1])),
+            ('no answer', says(b'what is this\r\n\r\n')),
+        )
+        for name, behave in cases:
+            for method, body in (('POST', b'abc'), ('GET', b'')):
+                with self.subTest(name=name, method=method):
+                    answer, server = await self.asked(behave, method, body)
+                    self.assertEqual(answer.status, 0)
+                    self.assertTrue(answer.finish.connected)
+                    self.assertEqual(len(server.requests), 1)
+
+    async def test_each_request_has_its_own_connection(self) -> None:
+        """A surplus answer has no next request to be taken for."""
+        server = Server(says(WHOLE + WHOLE.replace(b'ok', b'no')))
+        port = await server.start()
+        driver = CurlDriver()
+        req = Request(HOST, port, 'GET', '/', [('Host', 'x')], total_s=5)
+        for _ in range(3):
+            answer = await ask(driver, req, MOST)
+            self.assertEqual((answer.status, answer.body), (200, b'ok'))
+        self.assertEqual(server.connections, 3)
+        driver.close()
+        await server.close()
+
+    async def test_a_connection_never_made_is_told_apart(self) -> None:
+        """Nobody can have run what reached nobody."""
+        server = Server(says(b''))
+        port = await server.start()
+        await server.close()
+        driver = CurlDriver()
+        req = Request(HOST, port, 'POST', '/', [('Host', 'x')], b'a', total_s=5)
+        answer = await ask(driver, req, MOST)
+        self.assertEqual((answer.status, answer.finish.connected), (0, False))
+        driver.close()
+
+    async def test_chunks_without_an_end_are_not_whole(self) -> None:
+        """A chunked answer that stops early does not look complete."""
+        head = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
+        cases = (
+            (b'2\r\nok\r\n0\r\n\r\n', 200),
+            (b'2\r\nok\r\n', 0),
+            (b'5\r\nok', 0),
+        )
+        for body, expected in cases:
+            with self.subTest(body=body):
+                answer, _ = await self.asked(says(head + body))
+                self.assertEqual(answer.status, expected)
+
+    async def test_cancelled_request_closes_its_connection(self) -> None:
+        """The server sees at once that nobody waits."""
+        gone = asyncio.Event()
+
+        async def wait_for_close(
+            reader: asyncio.StreamReader,
+            _: asyncio.StreamWriter,
+        ) -> None:
+            await reader.read()
+            gone.set()
+
+        server = Server(wait_for_close)
+        port = await server.start()
+        driver = CurlDriver()
+        req = Request(HOST, port, 'GET', '/', [('Host', 'x')], total_s=60)
+        task = asyncio.create_task(ask(driver, req, MOST))
+        while not server.requests:
+            await asyncio.sleep(0)
+        task.cancel()
+        async with asyncio.timeout(30):
+            await gone.wait()
+        driver.close()
+        await server.close()
+
+
+if __name__ == '__main__':
+    unittest.main()
--- /dev/null
+++ b/tests/test_direct.py
@@ -0,0 +1,254 @@
+"""Calls straight at endpoints: whole answers, true refusals, at most once."""
+
+import asyncio
+import unittest
+from random import Random
+
+from linnetwood.calls.attempt import Caller
+from linnetwood.calls.choice import Chooser
+from linnetwood.calls.dialect import CallHead, Errand
+from linnetwood.calls.direct import DirectCall, DirectDispatcher
+from linnetwood.calls.directory import Directory, Listed
+from linnetwood.calls.routebook import Repeat, Route, Service, Share
+from linnetwood.core.outcomes import Ending, Outcome
+from linnetwood.fleet.wanted import WantedVersions
+from linnetwood.platform.dialect import PlatformDialect
+from linnetwood.wire.curldriver import CurlDriver, Headers
+from tests.test_curldriver import HOST, Behaviour, Server, reset, says
+
+ID = 'X-Attempt-Id: c-1\r\n'
+SIGNED = f'{ID}X-Server-Signature: s-1\r\n'
+
+
+def answer(head: str, body: bytes, length: int | None = None) -> bytes:
+    """Give an answer with a length."""
+    size = len(body) if length is None else length
+    text = f'HTTP/1.1 {head}Content-Length: {size}\r\n\r\n'
+    return text.encode() + body
+
+
+GOOD = answer(f'200 OK\r\n{SIGNED}', b'fine')
+FULL = answer(f'503 No\r\n{ID}X-Not-Executed: 1\r\n', b'')
+ELSEWHERE = answer('421 No\r\nX-Instance-Id: i-9\r\n', b'')
+FAILED = answer(f'500 Bad\r\n{SIGNED}', b'oops')
+
+
+class Heard(Caller):
+    """A caller that keeps what it is sent."""
+
+    def __init__(self) -> None:
+        self.status = 0
+        self.headers: Headers = []
+        self.received = b''
+        self.ended = ''
+
+    def begin(self, status: int, headers: Headers) -> None:
+        self.status, self.headers = status, headers
+
+    def piece(self, piece: bytes) -> None:
+        self.received += piece
+
+    def whole(self, status: int, headers: Headers, body: bytes) -> None:
+        self.begin(status, headers)
+        self.received, self.ended = body, 'whole'
+
+    def finish(self) -> None:
+        self.ended = 'whole'
+
+    def abort(self) -> None:
+        self.ended = 'aborted'
+
+
+def events(*numbers: int) -> bytes:
+    """Give whole events."""
+    return b''.join(b'id: %d\ndata: x\n\n' % one for one in numbers)
+
+
+def stream(*parts: bytes, ends: bool = True) -> bytes:
+    """Give a chunked stream; without an end it is broken off."""
+    head = f'HTTP/1.1 200 OK\r\n{SIGNED}Transfer-Encoding: chunked\r\n\r\n'
+    chunks = b''.join(b'%x\r\n%s\r\n' % (len(one), one) for one in parts)
+    return head.encode() + chunks + (b'0\r\n\r\n' if ends else b'')
+
+
+class DirectTest(unittest.IsolatedAsyncioTestCase):
+    """Run calls at stand-ins, the first of which may fail."""
+
+    async def asyncSetUp(self) -> None:
+        self.servers: list[Server] = []
+        self.directory = Directory()
+        self.chooser = Chooser(self.directory, Random(1))
+        self.driver = CurlDriver()
+        self.dispatcher = DirectDispatcher(
+            self.chooser,
+            self.driver,
+            PlatformDialect(),
+            WantedVersions(8),
+            'z1',
+            Random(1),
+        )
+
+    async def asyncTearDown(self) -> None:
+        self.driver.close()
+        for server in self.servers:
+            await server.close()
+
+    async def serve(self, *behaviours: Behaviour) -> None:
+        """Start endpoints that are chosen in this order."""
+        for number, behave in enumerate(behaviours):
+            server = Server(behave)
+            self.servers.append(server)
+            port = await server.start()
+            name = f'i-{number}'
+            self.directory.listed(
+                Listed(name, 'desk', HOST, port, 'z1', 6, ready=True),
+            )
+            for _ in range(number):
+                self.chooser.standing(name).sent()
+
+    async def call(
+        self,
+        repeat: Repeat,
+        *,
+        streams: bool = False,
+        attempts: int = 2,
+        wait_s: float = 20,
+    ) -> tuple[Ending, Heard]:
+        """Run one call."""
+        route = Route(
+            'r',
+            'h',
+            '/',
+            repeat,
+            streams,
+            timeout_s=wait_s,
+            target_s=0.4,
+            gap_s=0.4,
+            attempts=attempts,
+            priority=1,
+            public=True,
+            shares=(Share('desk', 1),),
+        )
+        now = asyncio.get_running_loop().time()
+        call = DirectCall(
+            CallHead(call_id='c-1'),
+            route,
+            Service('desk', 10),
+            None,
+            'POST',
+            '/x',
+            [('Host', 'h'), ('X-Attempt-Id', 'c-1')],
+            b'body',
+            now,
+            now + wait_s,
+        )
+        heard = Heard()
+        return await self.dispatcher.run(call, heard), heard
+
+    def runs(self) -> int:
+        """Count what reached any endpoint."""
+        return sum(len(server.requests) for server in self.servers)
+
+    async def test_outcomes_of_calls_that_may_not_repeat(self) -> None:
+        """Only proof that nothing ran leads to a second endpoint."""
+        late = answer(f'200 OK\r\n{SIGNED}', b'fin', length=4)
+        other = GOOD.replace(b'c-1', b'c-2')
+        unsigned = answer(f'200 OK\r\n{ID}', b'fine')
+        cases: tuple[tuple[str, Behaviour, Outcome, int], ...] = (
+            ('good', says(GOOD), Outcome.ANSWERED, 1),
+            ('full', says(FULL), Outcome.ANSWERED, 2),
+            ('elsewhere', says(ELSEWHERE), Outcome.ANSWERED, 2),
+            ('failed', says(FAILED), Outcome.ANSWERED, 1),
+            ('reset', reset, Outcome.UNKNOWN, 1),
+            ('closed', says(b''), Outcome.UNKNOWN, 1),
+            ('half', says(late), Outcome.UNKNOWN, 1),
+            ('of another call', says(other), Outcome.UNKNOWN, 1),
+            ('unsigned', says(unsigned), Outcome.UNKNOWN, 1),
+        )
+        for name, first, outcome, runs in cases:
+            with self.subTest(name=name):
+                await self.asyncTearDown()
+                await self.asyncSetUp()
+                await self.serve(first, says(GOOD))
+                ending, heard = await self.call(Repeat.NEVER)
+                self.assertEqual((ending.outcome, self.runs()), (outcome, runs))
+                if outcome is Outcome.UNKNOWN:
+                    self.assertEqual(heard.received, b'')
+
+    async def test_calls_that_may_repeat_go_on(self) -> None:
+        """Any failure leads to a second endpoint, and its answer goes out."""
+        cases: tuple[tuple[str, Behaviour], ...] = (
+            ('failed', says(FAILED)),
+            ('reset', reset),
+            ('unsigned', says(answer(f'200 OK\r\n{ID}', b'bad'))),
+        )
+        for name, first in cases:
+            with self.subTest(name=name):
+                await self.asyncTearDown()
+                await self.asyncSetUp()
+                await self.serve(first, says(GOOD))
+                ending, heard = await self.call(Repeat.MAY)
+                self.assertEqual(ending.outcome, Outcome.ANSWERED)
+                self.assertEqual((heard.status, heard.received), (200, b'fine'))
+
+    async def test_no_more_endpoints_than_the_route_allows(self) -> None:
+        """The last failure of an endpoint goes to the caller as it is."""
+        await self.serve(says(FAILED), says(FAILED), says(GOOD))
+        ending, heard = await self.call(Repeat.MAY)
+        self.assertEqual(ending.outcome, Outcome.ANSWERED)
+        self.assertEqual((heard.status, heard.received), (500, b'oops'))
+        self.assertEqual(self.runs(), 2)
+
+    async def test_refused_everywhere_is_not_run(self) -> None:
+        """A call that nobody ran is told so, with a time to come back."""
+        await self.serve(says(FULL), says(FULL))
+        ending, _ = await self.call(Repeat.NEVER)
+        self.assertEqual(ending.outcome, Outcome.NOT_RUN)
+        self.assertGreater(ending.retry_after_ms, 0)
+
+    async def test_stream_goes_on_at_another_endpoint(self) -> None:
+        """No event is missing, doubled or halved, and one answer holds all."""
+        first = stream(events(0, 1), b'id: 2\nda', ends=False)
+        await self.serve(says(first), says(stream(events(2, 3))))
+        ending, heard = await self.call(Repeat.RESUME, streams=True)
+        self.assertEqual(ending.outcome, Outcome.ANSWERED)
+        self.assertEqual(heard.received, events(0, 1, 2, 3))
+        self.assertEqual(heard.ended, 'whole')
+        self.assertIn(b'Last-Event-Id: 1\r\n', self.servers[1].requests[0])
+
+    async def test_stream_that_may_not_be_resumed_is_cut(self) -> None:
+        """What was broken off must not look whole."""
+        first = stream(events(0, 1), ends=False)
+        await self.serve(says(first), says(stream(events(2, 3))))
+        ending, heard = await self.call(Repeat.NEVER, streams=True)
+        self.assertEqual(ending.outcome, Outcome.UNKNOWN)
+        self.assertEqual(
+            (heard.received, heard.ended), (events(0, 1), 'aborted')
+        )
+        self.assertEqual(self.runs(), 1)
+
+    async def test_key_is_not_shown_and_the_organisation_is_set(self) -> None:
+        """An endpoint is told who calls, never the key."""
+        sent = PlatformDialect().outgoing(
+            [
+                ('Authorization', 'Bearer k1'),
+                ('X-Tenant', 'forged'),
+                ('X-Other', 'kept'),
+                ('Connection', 'close, X-Hop'),
+                ('X-Hop', 'dropped'),
+            ],
+            Errand('i-1', 0.25, 't-1'),
+        )
+        self.assertEqual(
+            sent,
+            [
+                ('X-Other', 'kept'),
+                ('X-Deadline-Ms', '250'),
+                ('X-Expected-Instance', 'i-1'),
+                ('X-Tenant', 't-1'),
+            ],
+        )
+
+
+if __name__ == '__main__':
+    unittest.main()
