--- a/src/linnetwood/calls/front.py
+++ b/src/linnetwood/calls/front.py
@@ -130,6 +130,9 @@
 
     def finish(self) -> None:
         """Run the call that has been read whole."""
+        if _http1(self._conn).stream.closed():
+            # It crossed our close: nobody would hear the answer.
+            return
         self._front.under_way += 1
         self._task = asyncio.create_task(self._run())
         # Without this the library tells of a departure only while it reads.
--- a/src/linnetwood/fleet/wanted.py
+++ b/src/linnetwood/fleet/wanted.py
@@ -11,10 +11,10 @@
 # Older versions than these are no longer anybody's bound.
 MOST_TOLD = 4
 # Calls stop going to an older version this long before they have to.
-MARGIN_S = 0.7
+MARGIN_S = 0.6
 # A call that has not begun by then is taken back; so long it may take to
 # reach an endpoint that it is.
-START_MARGIN_S = 0.35
+START_MARGIN_S = 0.3
 
 
 class WantedVersions:
@@ -44,6 +44,31 @@
         newest = max(self._named.get(model, {}), default=0)
         return max(self._serving.get(model, 0), newest)
 
+    def aim(
+        self,
+        model: str,
+        serving: int,
+        transfer_s: float,
+        now: float,
+    ) -> int:
+        """Give the version to bring next to an engine that serves another.
+
+        Where versions are named one soon after the other, the older is brought
+        first if it then needs less time than has passed since it was named:
+        calls stop sooner for want of it than the newer one comes later. All
+        VMs judge by the same times, so all bring the same.
+        """
+        aim = self.version(model)
+        named = self._named.get(model, {})
+        for version in sorted(named, reverse=True):
+            if not serving < version < aim:
+                continue
+            apart_s = named.get(aim, now) - named[version]
+            still_due = now < named[version] + self.bound_s + transfer_s
+            if apart_s >= transfer_s / 2 and still_due:
+                aim = version
+        return aim
+
     def models(self) -> list[str]:
         """Give every model of which a version is known."""
         return sorted({*self._named, *self._serving})
--- a/src/linnetwood/programs/resident_endpoint.py
+++ b/src/linnetwood/programs/resident_endpoint.py
@@ -27,6 +27,8 @@
 
 _REPORT_EVERY_S = 0.1
 _HELD_EVERY_S = 0.1
+# The part of its link that a download fills (measured, docs/MEASUREMENTS.md).
+_TRANSFER_SHARE = 0.78
 # What was told already is told again, since datagrams may be lost.
 _HELD_AGAIN_S = 1.0
 # An entry that was not heard for four of its greetings is not told any more.
@@ -95,6 +97,9 @@
         around = self.follower.around
         around.peers = {one.host: one.zone for one in entry.peers}
         around.origin_bytes_per_s = entry.origin_bytes_per_s
+        size = entry.chunks * entry.chunk_bytes
+        share = _TRANSFER_SHARE * self._cfg.link_bytes_per_s
+        self.follower.transfer_s = size / share
         if entry.origin:
             self._origin.address = address(entry.origin)
         self.follower.rouse()
--- a/src/linnetwood/weights/follower.py
+++ b/src/linnetwood/weights/follower.py
@@ -74,6 +74,7 @@
     ) -> None:
         """Follow nothing yet."""
         self.around = Surroundings()
+        self.transfer_s = float()
         self.report: EngineReport | None = None
         self.download: Download | None = None
         self.aim: Aim | None = None
@@ -156,8 +157,10 @@
             await self._take(aim, self.download)
 
     def _newest(self) -> Aim | None:
+        now = self._tools.clock.now()
         for model in self._wanted.models():
-            version = self._wanted.version(model)
+            serving = self.report.serving.get(model, 0) if self.report else 0
+            version = self._wanted.aim(model, serving, self.transfer_s, now)
             if version:
                 return Aim(model, version)
         return None
--- a/src/linnetwood/weights/swarm.py
+++ b/src/linnetwood/weights/swarm.py
@@ -1,6 +1,7 @@
 """Decide which chunk to fetch from whom; no I/O or clock inside."""
 
 import dataclasses
+import itertools
 from bisect import bisect_right
 from collections.abc import Collection, Iterable, Iterator
 from random import Random
@@ -323,12 +324,31 @@
         reading = sum(
             1 for pending in self.pending.values() if pending.source == ORIGIN
         )
-        for index in self._due(now):
+        for index in itertools.chain(self._due(now), self._idle_origin(now)):
             if reading >= self._cfg.origin_window:
                 return
             reading += 1
             yield self._begin(Fetch(index, ORIGIN), now)
 
+    def _idle_origin(self, now: float) -> Iterator[int]:
+        """Yield what no near neighbour holds, once every chunk was read.
+
+        The origin's link is free then, and bytes from it cost no more than
+        those from another zone.
+        """
+        first_pass_s = self.count * self._cfg.chunk_origin_s
+        if self._far is None or now < self.started + first_pass_s:
+            return
+        near = 0
+        for peer in self.peers.values():
+            near |= 0 if peer.far else peer.held
+        for index in chunks.indices(chunks.full(self.count) & ~self.held):
+            held_near = near >> index & 1
+            if index in self.pending or held_near:
+                continue
+            if self._far_due(index, now):
+                yield index
+
     def _due(self, now: float) -> Iterator[int]:
         for index in chunks.indices(self.policy.turns() & ~self.held):
             if index in self.pending:
--- /dev/null
+++ b/tests/test_wanted.py
@@ -0,0 +1,97 @@
+"""Named versions: what to bring next, and what a call may still start on."""
+
+import unittest
+
+from linnetwood.fleet.wanted import (
+    MARGIN_S,
+    NOT_NAMED,
+    START_MARGIN_S,
+    WantedVersions,
+)
+from linnetwood.gen.wire.ttypes import WantedWeights
+
+BOUND_S = 8.0
+TRANSFER_S = 6.0
+
+
+def named(*rows: tuple[int, float]) -> WantedVersions:
+    """Give versions of one model, named at times."""
+    wanted = WantedVersions(BOUND_S)
+    for version, since in rows:
+        wanted.name('m', version, since)
+    return wanted
+
+
+class WantedTest(unittest.TestCase):
+    """Decide by versions and times alone."""
+
+    def test_each_version_has_its_own_bound(self) -> None:
+        """A newer version does not put off the bound of an older one."""
+        wanted = named((2, 18.0), (3, 20.0))
+        due = 18.0 + BOUND_S - MARGIN_S
+        cases = (
+            (due - 0.1, 0),
+            (due, 2),
+            (due + 1.9, 2),
+            (due + 2.0, 3),
+        )
+        for now, expected in cases:
+            with self.subTest(now=now):
+                self.assertEqual(wanted.least('m', now), expected)
+        self.assertEqual(wanted.least('other', 99), 0)
+
+    def test_a_call_begins_before_the_first_newer_bound(self) -> None:
+        """What waits at an old version is taken back in time."""
+        wanted = named((2, 18.0), (3, 20.0))
+        cases = ((1, 18.0), (2, 20.0), (3, float('inf')))
+        for version, since in cases:
+            with self.subTest(version=version):
+                self.assertEqual(
+                    wanted.start_by('m', version),
+                    since + BOUND_S - START_MARGIN_S,
+                )
+
+    def test_older_version_first_where_the_newer_comes_late(self) -> None:
+        """Both ways are weighed by when calls would find no engine."""
+        cases = (
+            ('soon after', (2, 18.0), (3, 20.0), 1, 20.0, 3),
+            ('long after', (2, 20.0), (3, 24.0), 1, 24.0, 2),
+            ('served already', (2, 20.0), (3, 24.0), 2, 27.0, 3),
+            ('hopeless', (2, 0.0), (3, 24.0), 1, 24.0, 3),
+        )
+        for name, old, new, serving, now, expected in cases:
+            with self.subTest(name=name):
+                wanted = named(old, new)
+                aim = wanted.aim('m', serving, TRANSFER_S, now)
+                self.assertEqual(aim, expected)
+
+    def test_serving_version_goes_to_empty_engines(self) -> None:
+        """A version that serves and was never named is wanted too."""
+        wanted = WantedVersions(BOUND_S)
+        wanted.serving([('m', 1)])
+        self.assertEqual(wanted.aim('m', 0, TRANSFER_S, 5.0), 1)
+        self.assertEqual(wanted.least('m', 100.0), 0)
+
+    def test_what_is_told_is_learned(self) -> None:
+        """Another process knows the same versions and bounds."""
+        wanted = named((2, 18.0), (3, 20.0))
+        wanted.serving([('m', 1)])
+        rows = wanted.told('pool', ['m'], 21.0)
+        self.assertEqual(
+            [(row.version, row.age_ms) for row in rows],
+            [(1, NOT_NAMED), (2, 3000), (3, 1000)],
+        )
+        other = WantedVersions(BOUND_S)
+        other.heard(rows, 121.0)
+        self.assertEqual(other.least('m', 118.0 + BOUND_S), 2)
+        self.assertEqual(other.version('m'), 3)
+
+    def test_earliest_word_of_a_version_counts(self) -> None:
+        """A process that came later learns the true age from others."""
+        wanted = named((2, 30.0))
+        wanted.heard([WantedWeights('pool', 'm', 2, 5000)], 31.0)
+        self.assertEqual(wanted.least('m', 26.0 + BOUND_S), 2)
+
+
+if __name__ == '__main__':
+    unittest.main()
