--- a/src/linnetwood/calls/front.py
+++ b/src/linnetwood/calls/front.py
@@ -111,6 +111,7 @@
         self._pieces: list[bytes] = []
         self._task: asyncio.Task[None] | None = None
         self._arrived = float()
+        self._call_id = ''
 
     def headers_received(
         self,
@@ -154,7 +155,7 @@
         try:
             ending = await self._answer(writer)
         except asyncio.CancelledError:
-            log(Event.CALL_CUT, code='caller-gone')
+            log(Event.CALL_CUT, call=self._call_id, code='caller-gone')
             return
         finally:
             self._front.under_way -= 1
@@ -165,6 +166,7 @@
         call = self._read()
         if isinstance(call, Ending):
             return call
+        self._call_id = call.head.call_id
         admitted = self._front.admit(call)
         if isinstance(admitted, Ending):
             log(
--- a/src/linnetwood/core/events.py
+++ b/src/linnetwood/core/events.py
@@ -6,6 +6,8 @@
 
 from pythonjsonlogger.json import JsonFormatter
 
+from linnetwood.core.logsink import BoundedHandler
+
 _LOGGER = logging.getLogger('linnetwood')
 # Without this, a program that opened no log would print events as they are.
 _LOGGER.addHandler(logging.NullHandler())
@@ -20,6 +22,7 @@
     SETTINGS_REFUSED = 1004
     STOP_LIMIT_REACHED = 1005
     SETTINGS_RELOADED = 1006
+    LOG_DROPPED = 1007
     DATAGRAM_DROPPED = 2001
     GOSSIP_BACKLOG = 2002
     MEMBER_DOUBTED = 2003
@@ -63,6 +66,11 @@
 _WARNINGS = frozenset(
     (
         Event.STOP_LIMIT_REACHED,
+        Event.LOG_DROPPED,
+        Event.CALL_REFUSED,
+        Event.CALL_UNKNOWN,
+        Event.CALL_NOT_RUN,
+        Event.PEER_UNREACHABLE,
         Event.GOSSIP_BACKLOG,
         Event.VM_LIST_UNREACHABLE,
         Event.CONFIG_STORE_UNREACHABLE,
@@ -81,8 +89,8 @@
 
 
 def open_log(level: str, vm: str) -> None:
-    """Send JSON lines to standard error."""
-    handler = logging.StreamHandler(sys.stderr)
+    """Send JSON lines to standard output, never waiting for its reader."""
+    handler = BoundedHandler(sys.stdout.fileno(), _report_dropped)
     handler.setFormatter(
         JsonFormatter(
             '%(asctime)s %(levelname)s %(message)s',
@@ -95,6 +103,10 @@
     _LOGGER.setLevel(level.upper())
 
 
+def _report_dropped(count: int) -> None:
+    log(Event.LOG_DROPPED, lines=count)
+
+
 def log(event: Event, **fields: object) -> None:
     """Log one event with its number and fields."""
     level = logging.WARNING if event in _WARNINGS else logging.INFO
--- a/src/linnetwood/fleet/wanted.py
+++ b/src/linnetwood/fleet/wanted.py
@@ -11,10 +11,12 @@
 # Older versions than these are no longer anybody's bound.
 MOST_TOLD = 4
 # Calls stop going to an older version this long before they have to.
-MARGIN_S = 0.6
+MARGIN_S = 0.9
 # A call that has not begun by then is taken back; so long it may take to
 # reach an endpoint that it is.
-START_MARGIN_S = 0.3
+START_MARGIN_S = 0.5
+# An engine finishes what it runs before it takes a version (measured).
+SWITCH_S = 1.8
 
 
 class WantedVersions:
@@ -53,11 +55,13 @@
     ) -> int:
         """Give the version to bring next to an engine that serves another.
 
-        Where versions are named one soon after the other, the older is brought
-        first if it then needs less time than has passed since it was named:
-        calls stop sooner for want of it than the newer one comes later. All
+        Where versions are named one soon after the other, calls find no engine
+        from the older one's bound until it serves, and again for the newer; or,
+        if the older is left out, from its bound until the newer serves. The
+        older comes first where that leaves less time without an engine. All
         VMs judge by the same times, so all bring the same.
         """
+        both_s = 2 * transfer_s + SWITCH_S - self.bound_s + MARGIN_S
         aim = self.version(model)
         named = self._named.get(model, {})
         for version in sorted(named, reverse=True):
@@ -65,7 +69,7 @@
                 continue
             apart_s = named.get(aim, now) - named[version]
             still_due = now < named[version] + self.bound_s + transfer_s
-            if apart_s >= transfer_s / 2 and still_due:
+            if apart_s >= both_s / 2 and still_due:
                 aim = version
         return aim
 
--- a/src/linnetwood/programs/cli.py
+++ b/src/linnetwood/programs/cli.py
@@ -27,7 +27,7 @@
     Verdict,
     Weigh,
 )
-from linnetwood.programs import show
+from linnetwood.programs import explain, show
 from linnetwood.programs.client import OperatorClient
 
 EXIT_OK = 0
@@ -274,6 +274,24 @@
     return _print(found.history, show.history(found), json)
 
 
+def explain_call(call: str, *logs: str, json: bool = False) -> int:
+    """Tell the story of a call from log files of several processes.
+
+    :param call: the call's id
+    :param logs: files with log lines of any processes
+    :param json: print JSON
+    """
+    lines: list[dict[str, Any]] = []
+    for name in logs:
+        try:
+            with open(name, encoding='utf-8', errors='replace') as stream:
+                lines.extend(explain.lines_of(stream))
+        except OSError as exc:
+            raise UsageError('log-unreadable', f'{name}: {exc}') from exc
+    story = explain.of_call(lines, call)
+    return _print(story, map(explain.sentence, story), json)
+
+
 def _client(entry: str) -> OperatorClient:
     return OperatorClient(entry, os.environ.get(TLS_FOLDER, ''))
 
@@ -329,6 +347,7 @@
         'settle': settle,
         'endpoint': {'list': endpoint_list, 'drain': endpoint_drain},
         'status': status,
+        'explain': explain_call,
         'config': {'show': config_show, 'history': config_history},
     }
 )
--- /dev/null
+++ b/src/linnetwood/programs/explain.py
@@ -0,0 +1,103 @@
+"""Tell the story of one call from the log lines of several processes."""
+
+import json
+from collections.abc import Iterable, Iterator
+from typing import Any, TextIO
+
+from linnetwood.core.errors import UsageError
+from linnetwood.core.events import Event
+
+_CALL = 'call'
+_STAMPED = ('asctime', 'levelname', 'message', 'event', 'vm', 'taskName')
+
+
+def lines_of(stream: TextIO) -> Iterator[dict[str, Any]]:
+    """Yield the log lines of a file; torn and foreign lines are passed over.
+
+    What stands before the first brace of a line, such as a collector's own
+    time and name of the machine, is left out.
+    """
+    for line in stream:
+        start = line.find('{')
+        if start < 0:
+            continue
+        try:
+            found = json.loads(line[start:])
+        except ValueError:
+            continue
+        if isinstance(found, dict) and isinstance(found.get('event'), int):
+            yield found
+
+
+def of_call(
+    lines: Iterable[dict[str, Any]],
+    call: str,
+) -> list[dict[str, Any]]:
+    """Give a call's lines in the order of their times, or raise UsageError."""
+    found = [line for line in lines if line.get(_CALL) == call]
+    if not found:
+        raise UsageError('call-unknown', f'no line names the call {call}')
+    return sorted(found, key=lambda line: str(line.get('asctime', '')))
+
+
+def sentence(line: dict[str, Any]) -> str:
+    """Say in plain words what a line tells."""
+    teller = _TELLERS.get(line['event'], _plain)
+    when = str(line.get('asctime', '?'))
+    return f'{when}  {line.get("vm", "?")}: {teller(line)}'
+
+
+def _attempt(line: dict[str, Any]) -> str:
+    first = line.get('first_ms', -1)
+    began = 'no event came'
+    if first >= 0:
+        began = f'the first event came after {first} ms'
+    return (
+        f'sent to {line.get("endpoint")}, where {line.get("predicted_ms")} ms '
+        f'to the first byte were predicted; {began}; ended '
+        f'"{line.get("how")}" after {line.get("took_ms")} ms'
+        f'{_detail(line)}'
+    )
+
+
+def _refused(line: dict[str, Any]) -> str:
+    return (
+        f'refused at the door ({line.get("code")}){_detail(line)}; it did not '
+        f'run and may come back after {line.get("retry_after_ms")} ms'
+    )
+
+
+def _not_run(line: dict[str, Any]) -> str:
+    return f'given up ({line.get("code")}){_detail(line)}; it did not run'
+
+
+def _unknown(line: dict[str, Any]) -> str:
+    return f'given up ({line.get("code")}){_detail(line)}; it may have run'
+
+
+def _cut(line: dict[str, Any]) -> str:
+    return f'cut off ({line.get("code")}){_detail(line)}'
+
+
+def _plain(line: dict[str, Any]) -> str:
+    fields = {
+        name: text
+        for name, text in line.items()
+        if name not in _STAMPED and name != _CALL
+    }
+    told = ', '.join(f'{name} {text}' for name, text in fields.items())
+    return f'{line.get("message")}: {told}'
+
+
+def _detail(line: dict[str, Any]) -> str:
+    detail = line.get('detail')
+    return f', {detail}' if detail else ''
+
+
+_TELLERS = {
+    int(Event.ATTEMPT_ENDED): _attempt,
+    int(Event.CALL_REFUSED): _refused,
+    int(Event.CALL_NOT_RUN): _not_run,
+    int(Event.CALL_UNKNOWN): _unknown,
+    int(Event.CALL_CUT): _cut,
+}
--- a/src/linnetwood/weights/follower.py
+++ b/src/linnetwood/weights/follower.py
@@ -87,6 +87,7 @@
         self._staged: set[int] = set()
         self._recovered: set[str] = set()
         self._ordered_at = -_SETTLE_S
+        self._taken: Aim | None = None
         self._met: dict[str, str] = {}
         self._task: asyncio.Task[None] | None = None
 
@@ -141,6 +142,10 @@
         report = self.report
         if report is None:
             return
+        now_s = self._tools.clock.now()
+        if now_s - self._ordered_at >= _SETTLE_S:
+            # An order that led to nothing by now is given again.
+            self._taken = None
         self._wanted.serving(report.serving.items())
         aim = self._newest()
         if aim is None:
@@ -153,6 +158,8 @@
         await self._lay(aim, self.download)
         if report.serving.get(aim.model, 0) >= aim.version:
             return
+        if self._taken == aim and now_s - self._ordered_at < _SETTLE_S:
+            return
         if self.download.swarm.complete and not report.changing:
             await self._take(aim, self.download)
 
@@ -160,6 +167,9 @@
         now = self._tools.clock.now()
         for model in self._wanted.models():
             serving = self.report.serving.get(model, 0) if self.report else 0
+            # What an order was taken for has left the place where it lay.
+            if self._taken is not None and self._taken.model == model:
+                serving = max(serving, self._taken.version)
             version = self._wanted.aim(model, serving, self.transfer_s, now)
             if version:
                 return Aim(model, version)
@@ -175,9 +185,10 @@
         self._staged = set()
         self._met = {}
         uploads = self._tools.uploads
-        kept = list(uploads.manifests.values())[-1:]
-        self._tools.store.drop_all_but([*kept, manifest])
-        uploads.manifests = {aim.name: manifest}
+        # Peers may still fetch the version before this one.
+        kept = dict(list(uploads.manifests.items())[-1:])
+        uploads.manifests = {**kept, aim.name: manifest}
+        self._tools.store.drop_all_but(list(uploads.manifests.values()))
         self.download = self._download(aim, manifest)
         self.download.start()
         log(
@@ -318,6 +329,8 @@
         )
         if answer in {Order.TAKEN, Order.DONE}:
             self._ordered_at = now
+            self._taken = aim
+            self._wake.set()
 
     async def _verified(self, aim: Aim, download: Download) -> bool:
         """Read back what lies there; lay again what is not as it should be."""
--- /dev/null
+++ b/tests/test_explain.py
@@ -0,0 +1,105 @@
+"""A call's story from its id."""
+
+import contextlib
+import io
+import json
+import pathlib
+import tempfile
+import unittest
+
+from linnetwood.programs import cli
+
+
+def line(event: int, message: str, at: str, **fields: object) -> str:
+    """Give a log line as a process writes it."""
+    return json.dumps(
+        {
+            'asctime': f'2026-01-01 00:00:0{at}',
+            'message': message,
+            'vm': 'entry-1',
+            'event': event,
+            **fields,
+        },
+    )
+
+
+ENTRY_1 = '\n'.join(
+    (
+        line(
+            6005,
+            'attempt_ended',
+            '2,000',
+            call='c-1',
+            endpoint='i-1',
+            predicted_ms=80,
+            first_ms=-1,
+            took_ms=1600,
+            how='stalled',
+            detail='',
+        ),
+        line(6005, 'attempt_ended', '1,000', call='c-2', endpoint='i-1'),
+        '{"torn": ',
+        'not a line of ours',
+    ),
+)
+ENTRY_2 = '  1.5 entry-2 ' + line(
+    6006,
+    'call_refused',
+    '1,500',
+    call='c-1',
+    code='overloaded',
+    detail='predicted 900 ms',
+    retry_after_ms=650,
+)
+
+
+class ExplainTest(unittest.TestCase):
+    """Run the command on files."""
+
+    def run_command(self, *args: str) -> tuple[int, str, str]:
+        """Give exit code, output and complaints."""
+        with tempfile.TemporaryDirectory() as folder:
+            one = pathlib.Path(folder) / 'one.log'
+            two = pathlib.Path(folder) / 'two.log'
+            one.write_text(ENTRY_1)
+            two.write_text(ENTRY_2)
+            out, err = io.StringIO(), io.StringIO()
+            with (
+                contextlib.redirect_stdout(out),
+                contextlib.redirect_stderr(err),
+            ):
+                code = cli.run(
+                    ['explain', args[0], str(one), str(two), *args[1:]],
+                )
+        return code, out.getvalue(), err.getvalue()
+
+    def test_story_is_in_order_and_in_plain_words(self) -> None:
+        """Lines of all processes make one story; torn ones are left out."""
+        code, said, _ = self.run_command('c-1')
+        self.assertEqual(code, cli.EXIT_OK)
+        first, second = said.splitlines()
+        self.assertIn('refused at the door (overloaded)', first)
+        self.assertIn('may come back after 650 ms', first)
+        self.assertIn('sent to i-1', second)
+        self.assertIn('no event came; ended "stalled"', second)
+
+    def test_json(self) -> None:
+        """The same as data."""
+        code, said, _ = self.run_command('c-1', '--json')
+        self.assertEqual(code, cli.EXIT_OK)
+        self.assertEqual(len(json.loads(said)), 2)
+
+    def test_unknown_id_and_unreadable_file(self) -> None:
+        """What can't be told is a coded error."""
+        code, _, complaint = self.run_command('c-9')
+        self.assertEqual(code, cli.EXIT_BAD_INPUT)
+        self.assertIn('call-unknown', complaint)
+        err = io.StringIO()
+        with contextlib.redirect_stderr(err):
+            code = cli.run(['explain', 'c-1', '/no/such/file'])
+        self.assertEqual(code, cli.EXIT_BAD_INPUT)
+        self.assertIn('log-unreadable', err.getvalue())
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/tests/test_wanted.py
+++ b/tests/test_wanted.py
@@ -54,15 +54,16 @@
     def test_older_version_first_where_the_newer_comes_late(self) -> None:
         """Both ways are weighed by when calls would find no engine."""
         cases = (
-            ('soon after', (2, 18.0), (3, 20.0), 1, 20.0, 3),
-            ('long after', (2, 20.0), (3, 24.0), 1, 24.0, 2),
-            ('served already', (2, 20.0), (3, 24.0), 2, 27.0, 3),
-            ('hopeless', (2, 0.0), (3, 24.0), 1, 24.0, 3),
+            ('soon after', (2, 18.0), (3, 20.0), 1, 6.0, 20.0, 3),
+            ('long after', (2, 20.0), (3, 24.0), 1, 6.0, 24.0, 2),
+            ('narrow links', (2, 20.0), (3, 24.0), 1, 7.2, 24.0, 3),
+            ('served already', (2, 20.0), (3, 24.0), 2, 6.0, 27.0, 3),
+            ('hopeless', (2, 0.0), (3, 24.0), 1, 6.0, 24.0, 3),
         )
-        for name, old, new, serving, now, expected in cases:
+        for name, old, new, serving, transfer_s, now, expected in cases:
             with self.subTest(name=name):
                 wanted = named(old, new)
-                aim = wanted.aim('m', serving, TRANSFER_S, now)
+                aim = wanted.aim('m', serving, transfer_s, now)
                 self.assertEqual(aim, expected)
 
     def test_serving_version_goes_to_empty_engines(self) -> None:
