--- a/src/linnetwood/calls/choice.py
+++ b/src/linnetwood/calls/choice.py
@@ -12,6 +12,8 @@
 _PLAIN_WORK_S = 0.08
 # What bytes between zones cost, as a time to wait; delays come on top.
 _FAR_S = 0.015
+# Two delays to connect, one to ask and one back.
+_DELAYS = 4
 # Equals within this are chosen among by chance, so that entries don't herd.
 _JITTER_S = 0.01
 _FAILING_S = 2.0
@@ -78,18 +80,16 @@
         """Predict the time to the first byte at an endpoint."""
         engine = need.service.engine
         standing = self.standing(one.endpoint)
-        waiting, running = standing.work(now)
+        far_s = 0 if one.zone == need.zone else _FAR_S
         if engine is None:
             over = max(0, standing.in_flight - one.slots + 1)
             ahead = standing.in_flight / max(1, one.slots)
-            far = 0 if one.zone == need.zone else _FAR_S
-            return (over + ahead) * _PLAIN_WORK_S + far
-        delay = engine.delay_s(need.zone, one.zone)
+            return (over + ahead) * _PLAIN_WORK_S + far_s
+        waiting, running = standing.work(now)
         if need.urgent:
             waiting *= standing.urgent_share()
-        # Two delays to connect, one to ask, one back; going far is not free.
-        delay = 4 * delay + (_FAR_S if delay else 0)
-        return delay + engine.first_token_s(need.prompt, waiting, running)
+        far_s += _DELAYS * engine.delay_s(need.zone, one.zone)
+        return far_s + engine.first_token_s(need.prompt, waiting, running)
 
     def forget(self) -> None:
         """Drop what is known of endpoints that are no longer listed."""
--- a/src/linnetwood/core/logsink.py
+++ b/src/linnetwood/core/logsink.py
@@ -81,9 +81,8 @@
         now = self._clock()
         failure = record.levelno >= _FAILURE
         reserve = 0 if failure else 1 - _SUCCESS_SHARE
-        if not self._budget.allows(len(line), now, reserve):
-            self.dropped += 1
-        elif self._room(len(line), failure=failure):
+        allowed = self._budget.allows(len(line), now, reserve)
+        if allowed and self._room(len(line), failure=failure):
             self._backlog.append(line)
             self._backlog_bytes += len(line)
             self._write()
--- a/src/linnetwood/programs/explain.py
+++ b/src/linnetwood/programs/explain.py
@@ -2,6 +2,7 @@
 
 import json
 from collections.abc import Iterable, Iterator
+from types import MappingProxyType
 from typing import Any, TextIO
 
 from linnetwood.core.errors import UsageError
@@ -18,17 +19,21 @@
     time and name of the machine, is left out.
     """
     for line in stream:
-        start = line.find('{')
-        if start < 0:
-            continue
-        try:
-            found = json.loads(line[start:])
-        except ValueError:
-            continue
+        found = _read(line)
         if isinstance(found, dict) and isinstance(found.get('event'), int):
             yield found
 
 
+def _read(line: str) -> object:
+    start = line.find('{')
+    if start < 0:
+        return None
+    try:
+        return json.loads(line[start:])
+    except ValueError:
+        return None
+
+
 def of_call(
     lines: Iterable[dict[str, Any]],
     call: str,
@@ -94,10 +99,12 @@
     return f', {detail}' if detail else ''
 
 
-_TELLERS = {
-    int(Event.ATTEMPT_ENDED): _attempt,
-    int(Event.CALL_REFUSED): _refused,
-    int(Event.CALL_NOT_RUN): _not_run,
-    int(Event.CALL_UNKNOWN): _unknown,
-    int(Event.CALL_CUT): _cut,
-}
+_TELLERS = MappingProxyType(
+    {
+        int(Event.ATTEMPT_ENDED): _attempt,
+        int(Event.CALL_REFUSED): _refused,
+        int(Event.CALL_NOT_RUN): _not_run,
+        int(Event.CALL_UNKNOWN): _unknown,
+        int(Event.CALL_CUT): _cut,
+    },
+)
--- a/src/linnetwood/programs/resident_endpoint.py
+++ b/src/linnetwood/programs/resident_endpoint.py
@@ -143,7 +143,8 @@
         if notice is None:
             return
         fresh = notice.held != self._held_told
-        if now - self._held_at < (_HELD_EVERY_S if fresh else _HELD_AGAIN_S):
+        pause_s = _HELD_EVERY_S if fresh else _HELD_AGAIN_S
+        if now - self._held_at < pause_s:
             return
         self._held_at = now
         self._held_told = notice.held
--- a/src/linnetwood/programs/resident_entry.py
+++ b/src/linnetwood/programs/resident_entry.py
@@ -104,21 +104,6 @@
         await self.reports.close()
         self.driver.close()
 
-    async def _finish_calls(self) -> None:
-        loop = asyncio.get_running_loop()
-        began = loop.time()
-        until = began + self._cfg.stop_within_s - _STOP_MARGIN_S
-        while loop.time() < began + _BALANCER_SEES_S:
-            await asyncio.sleep(_IDLE_CHECK_S)
-            self.front.close_idle()
-        for server in self._servers:
-            server.stop()
-        while self.front.under_way and loop.time() < until:
-            await asyncio.sleep(_CHECK_S)
-            self.front.close_idle()
-        if self.front.under_way:
-            log(Event.STOP_LIMIT_REACHED, in_flight=self.front.under_way)
-
     def adopt(self, book: RouteBook) -> None:
         """Put a newer configuration in force; an older one never is."""
         if book.version <= self.book.version and self.book.revision:
@@ -138,6 +123,21 @@
         learned = self._following.learned.is_set()
         return learned and bool(self.book.revision) and not self._stopping
 
+    async def _finish_calls(self) -> None:
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        until = began + self._cfg.stop_within_s - _STOP_MARGIN_S
+        while loop.time() < began + _BALANCER_SEES_S:
+            await asyncio.sleep(_IDLE_CHECK_S)
+            self.front.close_idle()
+        for server in self._servers:
+            server.stop()
+        while self.front.under_way and loop.time() < until:
+            await asyncio.sleep(_CHECK_S)
+            self.front.close_idle()
+        if self.front.under_way:
+            log(Event.STOP_LIMIT_REACHED, in_flight=self.front.under_way)
+
     def _listen(
         self,
         server: HTTPServer,
--- a/src/linnetwood/weights/swarm.py
+++ b/src/linnetwood/weights/swarm.py
@@ -339,14 +339,11 @@
         first_pass_s = self.count * self._cfg.chunk_origin_s
         if self._far is None or now < self.started + first_pass_s:
             return
-        near = 0
+        known = self.held
         for peer in self.peers.values():
-            near |= 0 if peer.far else peer.held
-        for index in chunks.indices(chunks.full(self.count) & ~self.held):
-            held_near = near >> index & 1
-            if index in self.pending or held_near:
-                continue
-            if self._far_due(index, now):
+            known |= 0 if peer.far else peer.held
+        for index in chunks.indices(chunks.full(self.count) & ~known):
+            if index not in self.pending and self._far_due(index, now):
                 yield index
 
     def _due(self, now: float) -> Iterator[int]:
--- a/src/linnetwood/wire/curldriver.py
+++ b/src/linnetwood/wire/curldriver.py
@@ -265,22 +265,29 @@
 
 
 def _prepare(handle: Any, req: Request, transfer: Transfer) -> None:
-    for option, setting in _FIXED:
+    fresh = int(not req.keep)
+    of_request = (
+        (pycurl.URL, f'http://{req.host}:{req.port}/'),
+        (pycurl.REQUEST_TARGET, req.target),
+        (pycurl.FRESH_CONNECT, fresh),
+        (pycurl.FORBID_REUSE, fresh),
+        (pycurl.CONNECTTIMEOUT_MS, _at_least_one_ms(req.connect_s)),
+        (pycurl.TIMEOUT_MS, _at_least_one_ms(req.total_s)),
+        (pycurl.HTTPHEADER, list(_header_lines(req))),
+    )
+    for option, setting in (*_FIXED, *of_request):
         handle.setopt(option, setting)
-    handle.setopt(pycurl.URL, f'http://{req.host}:{req.port}/')
-    handle.setopt(pycurl.REQUEST_TARGET, req.target)
-    handle.setopt(pycurl.FRESH_CONNECT, int(not req.keep))
-    handle.setopt(pycurl.FORBID_REUSE, int(not req.keep))
-    handle.setopt(pycurl.CONNECTTIMEOUT_MS, _at_least_one_ms(req.connect_s))
-    handle.setopt(pycurl.TIMEOUT_MS, _at_least_one_ms(req.total_s))
     _prepare_body(handle, req)
-    handle.setopt(pycurl.HTTPHEADER, list(_header_lines(req)))
-    handle.setopt(pycurl.HEADERFUNCTION, transfer.header_line)
-    handle.setopt(pycurl.WRITEFUNCTION, lambda piece: _piece(transfer, piece))
+    _listen(handle, transfer)
+
 
+def _listen(handle: Any, transfer: Transfer) -> None:
+    # A cancelled request has another receiver by the time a piece comes.
+    def piece(octets: bytes) -> None:  # noqa: WPS430
+        transfer.receiver.body(octets)
 
-def _piece(transfer: Transfer, piece: bytes) -> None:
-    transfer.receiver.body(piece)
+    handle.setopt(pycurl.HEADERFUNCTION, transfer.header_line)
+    handle.setopt(pycurl.WRITEFUNCTION, piece)
 
 
 def _prepare_body(handle: Any, req: Request) -> None:
--- a/tests/test_curldriver.py
+++ b/tests/test_curldriver.py
@@ -31,6 +31,7 @@
     def __init__(self, behave: Behaviour) -> None:
         self.requests: list[bytes] = []
         self.connections = 0
+        self.connections_cut = 0
         self._behave = behave
 
     async def start(self) -> int:
@@ -50,7 +51,7 @@
             self.requests.append(await read_request(reader))
             await self._behave(reader, writer)
         except (OSError, asyncio.IncompleteReadError):
-            pass
+            self.connections_cut += 1
         finally:
             writer.close()
 
--- a/tests/test_direct.py
+++ b/tests/test_direct.py
@@ -43,14 +43,16 @@
         self.ended = ''
 
     def begin(self, status: int, headers: Headers) -> None:
-        self.status, self.headers = status, headers
+        self.status = status
+        self.headers = headers
 
     def piece(self, piece: bytes) -> None:
         self.received += piece
 
     def whole(self, status: int, headers: Headers, body: bytes) -> None:
         self.begin(status, headers)
-        self.received, self.ended = body, 'whole'
+        self.received = body
+        self.ended = 'whole'
 
     def finish(self) -> None:
         self.ended = 'whole'
@@ -68,7 +70,8 @@
     """Give a chunked stream; without an end it is broken off."""
     head = f'HTTP/1.1 200 OK\r\n{SIGNED}Transfer-Encoding: chunked\r\n\r\n'
     chunks = b''.join(b'%x\r\n%s\r\n' % (len(one), one) for one in parts)
-    return head.encode() + chunks + (b'0\r\n\r\n' if ends else b'')
+    end = b'0\r\n\r\n' if ends else b''
+    return head.encode() + chunks + end
 
 
 class DirectTest(unittest.IsolatedAsyncioTestCase):
--- /dev/null
+++ b/tests/test_directory.py
@@ -0,0 +1,208 @@
+"""The list of endpoints, choice among them, and what each is known for."""
+
+import unittest
+from random import Random
+
+from linnetwood.calls.choice import Chooser, Need
+from linnetwood.calls.directory import HELD_AFTER_OUTAGE_S, Directory, Listed
+from linnetwood.calls.engine import EngineFigures
+from linnetwood.calls.routebook import Service
+from linnetwood.calls.standing import Report, Standing
+
+FIGURES = EngineFigures(
+    slots=16,
+    step_s=0.00927,
+    per_call_s=0.0000232,
+    context_s_per_k=0.0000322,
+    read_per_s=20700,
+    pairs_s_per_m=0.00118,
+    stride=5,
+    usual_prompt=979,
+    usual_answer=92,
+    kv_tokens=317000,
+    models=('m',),
+)
+POOL = Service('pool', 100, FIGURES)
+
+
+def listed(name: str, *, ready: bool = True, version: int = 1) -> Listed:
+    """Give an entry of an engine."""
+    return Listed(
+        name,
+        'pool',
+        '10.0.0.1',
+        80,
+        'z1',
+        16,
+        ready=ready,
+        versions={'m': version} if version else {},
+    )
+
+
+def report(waiting: int, running: int, at: float, serving: int = 1) -> Report:
+    """Give an engine's own word."""
+    return Report(waiting, running, serving, changing=False, heard_at=at)
+
+
+class DirectoryTest(unittest.TestCase):
+    """Entries come, drain, go, and lapse with the store."""
+
+    def setUp(self) -> None:
+        self.directory = Directory()
+        self.directory.listed(listed('i-1'))
+        self.directory.listed(listed('i-2', ready=False))
+
+    def names(self) -> list[str]:
+        """Give who takes new work."""
+        return [one.endpoint for one in self.directory.ready('pool')]
+
+    def test_draining_takes_nothing_new(self) -> None:
+        """Only ready endpoints of the service are given."""
+        self.assertEqual(self.names(), ['i-1'])
+        self.assertEqual(self.directory.ready('desk'), [])
+
+    def test_gone_at_once_while_the_store_is_there(self) -> None:
+        """A dropped entry takes nothing from then on."""
+        self.directory.dropped('i-1', 100)
+        self.assertEqual(self.names(), [])
+
+    def test_lapsed_entry_is_held_after_an_outage(self) -> None:
+        """An endpoint that lives writes its entry again in time."""
+        self.directory.list_away(100)
+        self.directory.dropped('i-1', 101)
+        self.assertEqual(self.names(), ['i-1'])
+        self.directory.settle(101 + HELD_AFTER_OUTAGE_S)
+        self.assertEqual(self.names(), [])
+
+    def test_written_again_it_stays(self) -> None:
+        """What came back is no longer doubted."""
+        self.directory.list_away(100)
+        self.directory.replaced({}, 101)
+        self.directory.listed(listed('i-1'))
+        self.directory.settle(200)
+        self.assertEqual(self.names(), ['i-1'])
+
+    def test_whole_list_replaces_the_old(self) -> None:
+        """Entries that are not in it are gone."""
+        self.directory.replaced({'i-3': listed('i-3')}, 100)
+        self.assertEqual(self.names(), ['i-3'])
+
+
+class ChooserTest(unittest.TestCase):
+    """Take the endpoint with the least predicted wait."""
+
+    def setUp(self) -> None:
+        self.directory = Directory()
+        self.chooser = Chooser(self.directory, Random(1))
+        for name in ('i-1', 'i-2'):
+            self.directory.listed(listed(name))
+
+    def chosen(self, need: Need, *tried: str) -> str:
+        """Choose at second 10."""
+        choice = self.chooser.choose(need, tried, 10)
+        return choice.endpoint.endpoint if choice else ''
+
+    def test_the_less_loaded_by_its_own_word(self) -> None:
+        """A queue makes the other the choice."""
+        need = Need(POOL, 'z1', 1000, 'm')
+        self.chooser.standing('i-1').heard(report(8, 16, 10))
+        self.chooser.standing('i-2').heard(report(0, 3, 10))
+        self.assertEqual(self.chosen(need), 'i-2')
+        self.assertEqual(self.chosen(need, 'i-2'), 'i-1')
+        self.assertEqual(self.chosen(need, 'i-1', 'i-2'), '')
+
+    def test_versions(self) -> None:
+        """Empty engines, and those with another version, are left out."""
+        self.directory.listed(listed('i-1', version=0))
+        self.directory.listed(listed('i-2', version=2))
+        cases = (
+            (Need(POOL, 'z1', 9, 'm'), 'i-2'),
+            (Need(POOL, 'z1', 9, 'm', least_version=3), ''),
+            (Need(POOL, 'z1', 9, 'm', exact_version=2), 'i-2'),
+            (Need(POOL, 'z1', 9, 'm', exact_version=1), ''),
+        )
+        for need, expected in cases:
+            with self.subTest(need=need):
+                self.assertEqual(self.chosen(need), expected)
+
+    def test_a_report_tells_of_a_version_before_the_list(self) -> None:
+        """The process beside the engine knows first."""
+        self.directory.listed(listed('i-1', version=0))
+        self.chooser.standing('i-1').heard(report(0, 0, 10, serving=2))
+        need = Need(POOL, 'z1', 9, 'm', least_version=2)
+        self.assertEqual(self.chosen(need), 'i-1')
+
+    def test_unreachable_endpoint_is_passed_over_for_a_while(self) -> None:
+        """It is chosen only where there is no other."""
+        need = Need(POOL, 'z1', 9, 'm')
+        self.chooser.standing('i-1').unreachable(10)
+        self.chooser.standing('i-2').heard(report(4, 16, 10))
+        self.assertEqual(self.chosen(need), 'i-2')
+        self.assertEqual(self.chosen(need, 'i-2'), 'i-1')
+
+    def test_late_calls_do_not_count_before_urgent_ones(self) -> None:
+        """Those that wait behind are left out of an urgent call's wait."""
+        standing = self.chooser.standing('i-1')
+        standing.heard(report(12, 16, 10))
+        standing.late_waiting = 3
+        standing.urgent_waiting = 1
+        one = listed('i-1')
+        urgent = self.chooser.wait_s(Need(POOL, 'z1', 9, 'm'), one, 10)
+        late = self.chooser.wait_s(
+            Need(POOL, 'z1', 9, 'm', urgent=False),
+            one,
+            10,
+        )
+        self.assertLess(urgent, late / 2)
+
+
+class StandingTest(unittest.TestCase):
+    """Correct a report by what was sent and ended since."""
+
+    def test_estimates(self) -> None:
+        """Calls sent since wait, calls ended since make room."""
+        cases = (
+            (report(0, 0, 10), 0, 0, (0, 0)),
+            (report(2, 16, 10), 3, 0, (5, 16)),
+            (report(2, 16, 10), 0, 3, (0, 15)),
+            (report(0, 4, 10), 1, 9, (1, 0)),
+        )
+        for word, sent, ended, expected in cases:
+            with self.subTest(sent=sent, ended=ended):
+                standing = Standing()
+                for _ in range(ended):
+                    standing.sent()
+                standing.heard(word)
+                for _ in range(sent):
+                    standing.sent()
+                for _ in range(ended):
+                    standing.ended()
+                self.assertEqual(standing.work(10.2), expected)
+
+    def test_without_a_fresh_report_only_own_calls_count(self) -> None:
+        """An old report is worth nothing."""
+        standing = Standing()
+        standing.heard(report(9, 16, 10))
+        standing.sent()
+        self.assertEqual(standing.work(20), (0, 1))
+
+
+class ForecastTest(unittest.TestCase):
+    """Predict by the engine's own figures."""
+
+    def test_grows_with_what_is_ahead(self) -> None:
+        """Longer prompts, more running and more waiting take longer."""
+        waits = [
+            FIGURES.first_token_s(1000, 0, 0),
+            FIGURES.first_token_s(3000, 0, 0),
+            FIGURES.first_token_s(3000, 2, 8),
+            FIGURES.first_token_s(3000, 2, 16),
+            FIGURES.first_token_s(3000, 9, 16),
+        ]
+        self.assertEqual(waits, sorted(waits))
+        self.assertLess(waits[0], 0.25)
+        self.assertGreater(waits[-1], 1)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/tests/test_eventstream.py
+++ b/tests/test_eventstream.py
@@ -19,7 +19,8 @@
         cutter = EventCutter()
         sent = b''
         start = 0
-        for size in [*sizes, len(STREAM)]:
+        sizes.append(len(STREAM))
+        for size in sizes:
             whole = cutter.feed(STREAM[start : start + size])
             start += size
             sent += whole
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -23,7 +23,7 @@
     )
 
 
-ENTRY_1 = '\n'.join(
+FIRST_LOG = '\n'.join(
     (
         line(
             6005,
@@ -42,7 +42,7 @@
         'not a line of ours',
     ),
 )
-ENTRY_2 = '  1.5 entry-2 ' + line(
+SECOND_LOG = '  1.5 entry-2 ' + line(
     6006,
     'call_refused',
     '1,500',
@@ -61,8 +61,8 @@
         with tempfile.TemporaryDirectory() as folder:
             one = pathlib.Path(folder) / 'one.log'
             two = pathlib.Path(folder) / 'two.log'
-            one.write_text(ENTRY_1)
-            two.write_text(ENTRY_2)
+            one.write_text(FIRST_LOG)
+            two.write_text(SECOND_LOG)
             out, err = io.StringIO(), io.StringIO()
             with (
                 contextlib.redirect_stdout(out),
--- /dev/null
+++ b/tests/test_follower.py
@@ -0,0 +1,221 @@
+"""A version reaches the engine: fetched, checked, laid, ordered once."""
+
+import asyncio
+import hashlib
+import unittest
+from random import Random
+
+from linnetwood.core.clock import SystemClock
+from linnetwood.core.errors import OrderError, WeightsError
+from linnetwood.core.metrics import open_metrics
+from linnetwood.core.options import Transfer
+from linnetwood.fleet.wanted import WantedVersions
+from linnetwood.weights.chunks import ChunkStore, Manifest
+from linnetwood.weights.engine import EngineReport, Order
+from linnetwood.weights.follower import OriginChunks, VersionFollower
+from linnetwood.weights.transfer import Fetcher, Tally, Tools, Uploads
+from linnetwood.wire.connections import TcpDialler
+from linnetwood.wire.links import OpenLink
+
+COUNT = 6
+ME = '10.0.0.1'
+
+
+def chunk(version: int, index: int) -> bytes:
+    """Give a version's chunk."""
+    return b'%d/%d' % (version, index) * 20
+
+
+def manifest(version: int) -> Manifest:
+    """Give a version's digests."""
+    digests = tuple(
+        hashlib.sha256(chunk(version, index)).digest() for index in range(COUNT)
+    )
+    return Manifest(60 * COUNT, 60, bytes(32), digests)
+
+
+class FakeOrigin:
+    """An origin that may be away or spoil chunks."""
+
+    def __init__(self) -> None:
+        self.away = False
+        self.spoils: set[int] = set()
+        self.reads: list[tuple[int, int]] = []
+
+    async def manifest(self, model: str, version: int) -> Manifest:
+        if self.away:
+            raise WeightsError('origin-refused')
+        return manifest(version)
+
+    async def piece(self, model: str, version: int, index: int) -> bytes:
+        if self.away:
+            raise WeightsError('origin-refused')
+        self.reads.append((version, index))
+        if index in self.spoils:
+            self.spoils.discard(index)
+            return b'spoilt'
+        return chunk(version, index)
+
+
+class FakeEngine:
+    """An engine that takes exactly what lies there."""
+
+    def __init__(self) -> None:
+        self.place: dict[int, bytes] = {}
+        self.serving = 0
+        self.orders = 0
+        self.taken: list[dict[int, bytes]] = []
+        self.rots: set[int] = set()
+        self.refuses = 0
+
+    async def report(self) -> EngineReport:
+        serving = {'m': self.serving} if self.serving else {}
+        return EngineReport(0, 0, 0, 1, serving, False, self.orders)
+
+    async def staged(self, model: str) -> list[int]:
+        return sorted(self.place)
+
+    async def read_staged(self, model: str, index: int) -> bytes | None:
+        return self.place.get(index)
+
+    async def stage(self, model: str, index: int, piece: bytes) -> None:
+        if self.refuses:
+            self.refuses -= 1
+            raise OrderError('engine-refused')
+        self.place[index] = piece
+        if index in self.rots:
+            self.rots.discard(index)
+            self.place[index] = b'rotten'
+
+    async def take(self, model: str, version: int, orders: int) -> Order:
+        if orders != self.orders:
+            return Order.CONFLICT
+        self.orders += 1
+        self.taken.append(dict(self.place))
+        self.serving = version
+        return Order.TAKEN
+
+
+class FollowerTest(unittest.IsolatedAsyncioTestCase):
+    """Follow versions over fakes."""
+
+    async def asyncSetUp(self) -> None:
+        self.origin = FakeOrigin()
+        self.engine = FakeEngine()
+        self.wanted = WantedVersions(8)
+        store = ChunkStore()
+        tally = Tally()
+        cfg = Transfer()
+        link = OpenLink()
+        tools = Tools(
+            me=ME,
+            store=store,
+            fetcher=Fetcher(ME, TcpDialler(), link),
+            uploads=Uploads(store, link, tally, cfg.upload_queue),
+            origin=OriginChunks(self.origin),
+            link=link,
+            clock=SystemClock(),
+            rng=Random(1),
+            tally=tally,
+            metrics=open_metrics('', 0),
+            cfg=cfg,
+        )
+        self.follower = VersionFollower(
+            tools,
+            self.engine,
+            self.origin,
+            self.wanted,
+            7700,
+        )
+        self.follower.around.peers = {ME: 'z1'}
+        self.follower.around.origin_bytes_per_s = 1.0e9
+        self.follower.start()
+
+    async def asyncTearDown(self) -> None:
+        await self.follower.close()
+
+    async def until_served(self, version: int) -> None:
+        """Play the report that the process beside the engine reads."""
+        async with asyncio.timeout(60):
+            while self.engine.serving != version:
+                self.follower.report = await self.engine.report()
+                self.follower.rouse()
+                await asyncio.sleep(0.01)
+
+    def check_taken(self, *versions: int) -> None:
+        """Each order took one whole version."""
+        for place, version in zip(self.engine.taken, versions, strict=True):
+            whole = {index: chunk(version, index) for index in range(COUNT)}
+            self.assertEqual(place, whole)
+
+    async def test_named_version_is_served_whole(self) -> None:
+        """Every chunk is read once, laid, and taken by one order."""
+        self.wanted.name('m', 2, 0)
+        await self.until_served(2)
+        self.check_taken(2)
+        self.assertEqual(len(self.origin.reads), COUNT)
+
+    async def test_serving_version_comes_to_an_empty_engine(self) -> None:
+        """Nobody named it; others serve it."""
+        self.wanted.serving([('m', 1)])
+        await self.until_served(1)
+        self.check_taken(1)
+
+    async def test_spoilt_chunk_is_read_again(self) -> None:
+        """What fails its digest is neither kept nor laid."""
+        self.origin.spoils = {0, 3}
+        self.wanted.name('m', 2, 0)
+        await self.until_served(2)
+        self.check_taken(2)
+
+    async def test_chunk_that_turned_bad_where_it_lay_is_laid_again(
+        self,
+    ) -> None:
+        """All is read back before the order."""
+        self.engine.rots = {1, 5}
+        self.wanted.name('m', 2, 0)
+        await self.until_served(2)
+        self.check_taken(2)
+
+    async def test_refused_laying_is_tried_again(self) -> None:
+        """An engine that does not answer for a while is served later."""
+        self.engine.refuses = 3
+        self.wanted.name('m', 2, 0)
+        await self.until_served(2)
+        self.check_taken(2)
+
+    async def test_a_process_that_forgot_takes_back_what_lies_there(
+        self,
+    ) -> None:
+        """After a restart the origin is not read again."""
+        self.engine.place = {index: chunk(1, index) for index in range(COUNT)}
+        self.engine.place[2] = b'rotten'
+        self.wanted.serving([('m', 1)])
+        await self.until_served(1)
+        self.check_taken(1)
+        self.assertEqual(self.origin.reads, [(1, 2)])
+
+    async def test_newer_version_while_the_older_is_served(self) -> None:
+        """Both are taken whole, one after the other."""
+        self.wanted.name('m', 2, 0)
+        await self.until_served(2)
+        self.wanted.name('m', 3, 1)
+        await self.until_served(3)
+        self.check_taken(2, 3)
+
+    async def test_origin_that_comes_back(self) -> None:
+        """Nothing is lost while it is away."""
+        self.origin.away = True
+        self.wanted.name('m', 2, 0)
+        for _ in range(10):
+            self.follower.report = await self.engine.report()
+            self.follower.rouse()
+            await asyncio.sleep(0.01)
+        self.assertEqual(self.engine.taken, [])
+        self.origin.away = False
+        await self.until_served(2)
+        self.check_taken(2)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/tests/test_logsink.py
+++ b/tests/test_logsink.py
@@ -1,6 +1,5 @@
 """Log lines never hold a call up, and failures go before successes."""
 
-import json
 import logging
 import os
 import unittest
@@ -13,7 +12,9 @@
 
     def __init__(self) -> None:
         self.now = 0.0
-        self.reader, self.writer = os.pipe()
+        ends = os.pipe()
+        self.reader = ends[0]
+        self.writer = ends[1]
         self.reports: list[int] = []
         self.handler = BoundedHandler(
             self.writer,
