--- /dev/null
+++ b/tests/test_front.py
@@ -0,0 +1,218 @@
+"""Callers' connections at an entry: refusals, departures, stops."""
+
+import asyncio
+import unittest
+from random import Random
+
+from tornado.httpserver import HTTPServer
+from tornado.netutil import bind_sockets
+
+from linnetwood.calls.choice import Chooser
+from linnetwood.calls.direct import DirectDispatcher
+from linnetwood.calls.directory import Directory, Listed
+from linnetwood.calls.entrance import Entrance
+from linnetwood.calls.front import Front, open_server
+from linnetwood.calls.routebook import (
+    Organisation,
+    Repeat,
+    Route,
+    RouteBook,
+    Service,
+    Share,
+    shelve,
+)
+from linnetwood.core.clock import SystemClock
+from linnetwood.fleet.wanted import WantedVersions
+from linnetwood.platform.dialect import PlatformDialect
+from linnetwood.wire.curldriver import CurlDriver
+from tests.test_curldriver import HOST, Behaviour, Server, reset, says
+from tests.test_direct import FULL, GOOD
+
+BOOK = RouteBook(
+    revision=1,
+    version=1,
+    by_host=shelve(
+        [
+            Route(
+                'r',
+                'h.example',
+                '/a/',
+                Repeat.NEVER,
+                streams=False,
+                timeout_s=20,
+                target_s=0.4,
+                gap_s=0,
+                attempts=1,
+                priority=1,
+                public=False,
+                shares=(Share('desk', 1),),
+            ),
+        ],
+    ),
+    services={'desk': Service('desk', 10)},
+    organisations={'k1': Organisation('t-1', 1)},
+)
+
+
+def request(path: str, key: str = 'k1', host: str = 'h.example') -> bytes:
+    """Give a whole request."""
+    lines = (
+        f'POST {path} HTTP/1.1',
+        f'Host: {host}',
+        'X-Attempt-Id: c-1',
+        'X-Deadline-Ms: 15000',
+        f'Authorization: Bearer {key}',
+        'Content-Length: 2',
+        '',
+        'hi',
+    )
+    return '\r\n'.join(lines).encode()
+
+
+class FrontTest(unittest.IsolatedAsyncioTestCase):
+    """Speak to a front over sockets."""
+
+    async def asyncSetUp(self) -> None:
+        self.book = BOOK
+        self.directory = Directory()
+        chooser = Chooser(self.directory, Random(1))
+        self.driver = CurlDriver()
+        dialect = PlatformDialect()
+        dispatcher = DirectDispatcher(
+            chooser,
+            self.driver,
+            dialect,
+            WantedVersions(8),
+            'z1',
+            Random(1),
+        )
+        entrance = Entrance(chooser, dispatcher, SystemClock(), Random(1))
+        self.front = Front(
+            lambda: self.book,
+            dispatcher,
+            dialect,
+            entrance,
+            Random(1),
+        )
+        self.server: HTTPServer = open_server(self.front, BOOK)
+        sockets = bind_sockets(0, HOST)
+        self.server.add_sockets(sockets)
+        self.port = int(sockets[0].getsockname()[1])
+        self.back: list[Server] = []
+
+    async def asyncTearDown(self) -> None:
+        self.server.stop()
+        await self.server.close_all_connections()
+        self.driver.close()
+        for one in self.back:
+            await one.close()
+
+    async def serve(self, behave: Behaviour) -> Server:
+        """Start the one endpoint."""
+        server = Server(behave)
+        self.back.append(server)
+        port = await server.start()
+        self.directory.listed(
+            Listed('i-1', 'desk', HOST, port, 'z1', 6, ready=True),
+        )
+        return server
+
+    async def ask(self, *requests: bytes) -> list[tuple[int, bytes, bytes]]:
+        """Send requests on one connection; give status, head and body."""
+        reader, writer = await asyncio.open_connection(HOST, self.port)
+        answers = []
+        for one in requests:
+            writer.write(one)
+            head = await reader.readuntil(b'\r\n\r\n')
+            size = 0
+            for line in head.lower().split(b'\r\n'):
+                if line.startswith(b'content-length:'):
+                    size = int(line.partition(b':')[2])
+            body = await reader.readexactly(size)
+            answers.append((int(head.split()[1]), head, body))
+        writer.close()
+        return answers
+
+    async def test_statuses(self) -> None:
+        """Each refusal says what it is, and only true ones say not run."""
+        cases: tuple[tuple[str, bytes, Behaviour, int], ...] = (
+            ('good', request('/a/x'), says(GOOD), 200),
+            ('no route', request('/b/x'), says(GOOD), 404),
+            ('no host', request('/a/x', host='other'), says(GOOD), 404),
+            ('no key', request('/a/x', key='k2'), says(GOOD), 401),
+            ('full', request('/a/x'), says(FULL), 503),
+            ('may have run', request('/a/x'), reset, 502),
+        )
+        for name, asked, behave, expected in cases:
+            with self.subTest(name=name):
+                await self.serve(behave)
+                status, head, _ = (await self.ask(asked))[0]
+                self.assertEqual(status, expected)
+                self.assertEqual(b'Retry-After' in head, status == 503)
+
+    async def test_no_configuration_yet(self) -> None:
+        """A process that knows none says so, not that there is no route."""
+        self.book = RouteBook()
+        self.assertEqual((await self.ask(request('/a/x')))[0][0], 503)
+
+    async def test_kept_connection_serves_several(self) -> None:
+        """One connection carries calls one after the other."""
+        await self.serve(says(GOOD))
+        answers = await self.ask(request('/a/x'), request('/a/y'))
+        self.assertEqual([one[0] for one in answers], [200, 200])
+
+    async def test_answers_of_a_stopping_process_close(self) -> None:
+        """Callers are sent elsewhere with their last answer."""
+        await self.serve(says(GOOD))
+        self.front.stopping = True
+        _, head, body = (await self.ask(request('/a/x')))[0]
+        self.assertIn(b'Connection: close', head)
+        self.assertEqual(body, b'fine')
+
+    async def test_idle_connections_are_closed_busy_ones_are_not(self) -> None:
+        """A stop cuts off no call."""
+        go = asyncio.Event()
+
+        async def wait(
+            _: asyncio.StreamReader,
+            writer: asyncio.StreamWriter,
+        ) -> None:
+            await go.wait()
+            writer.write(GOOD)
+            await writer.drain()
+
+        back = await self.serve(wait)
+        idle, idle_writer = await asyncio.open_connection(HOST, self.port)
+        busy = asyncio.create_task(self.ask(request('/a/x')))
+        while not back.requests:
+            await asyncio.sleep(0)
+        self.front.close_idle()
+        self.assertEqual(await idle.read(), b'')
+        idle_writer.close()
+        go.set()
+        self.assertEqual((await busy)[0][0], 200)
+
+    async def test_departure_is_passed_on(self) -> None:
+        """The endpoint sees at once that nobody waits any more."""
+        gone = asyncio.Event()
+
+        async def wait(
+            reader: asyncio.StreamReader,
+            _: asyncio.StreamWriter,
+        ) -> None:
+            await reader.read()
+            gone.set()
+
+        back = await self.serve(wait)
+        _, writer = await asyncio.open_connection(HOST, self.port)
+        writer.write(request('/a/x'))
+        while not back.requests:
+            await asyncio.sleep(0)
+        writer.close()
+        async with asyncio.timeout(30):
+            await gone.wait()
+        self.assertEqual(self.front.under_way, 0)
+
+
+if __name__ == '__main__':
+    unittest.main()
