Change versions in two waves; share one retry budget over the entries

Cause: from 7.1 s after a version was named until it served (8.1 to 9.6 s) no engine took calls, since all engines finished what they ran at the same time. Change: half of the engines are spared new calls before their transfer ends and change first; the others wait for them, or until calls may not begin on their version. Each entry takes its part of the operators' retry budget by the number of entries that endpoint processes hear.

--- a/src/linnetwood/calls/direct.py
+++ b/src/linnetwood/calls/direct.py
@@ -15,7 +15,7 @@
 )
 from linnetwood.calls.choice import Choice, Chooser, Need
 from linnetwood.calls.dialect import CallHead, Dialect, Errand, Urgency
-from linnetwood.calls.retries import RetryBudget
+from linnetwood.calls.retries import SHARE, RetryBudget
 from linnetwood.calls.routebook import Organisation, Repeat, Route, Service
 from linnetwood.calls.standing import Standing
 from linnetwood.core.events import Event, log
@@ -64,6 +64,14 @@
         return self.route.repeat is not Repeat.NEVER
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RetryBounds:
+    """What this entry may send again: a share of its calls, and a reserve."""
+
+    share: float = SHARE
+    reserve: float = 4
+
+
 class DirectDispatcher:
     """Run calls: choose, send, and send again where that is safe."""
 
@@ -77,8 +85,8 @@
         rng: Random,
     ) -> None:
         """Use the given parts; know no retry budgets yet."""
-        self.budgets: dict[str, RetryBudget] = {}
-        self.under_way = 0
+        self.retry_bounds = RetryBounds()
+        self._budgets: dict[str, RetryBudget] = {}
         self._chooser = chooser
         self._driver = driver
         self._dialect = dialect
@@ -107,7 +115,7 @@
         """Run the call; the caller has its answer unless the ending says no."""
         relay = Relay(caller, call.head.resume_after)
         progress = _Progress()
-        budget = self.budgets.setdefault(call.service.name, RetryBudget())
+        budget = self._budget(call.service.name)
         budget.earn()
         while True:
             now = self._loop.time()
@@ -129,6 +137,16 @@
                 return self._give_up(relay, progress, end)
             relay.cutter.drop_half()
 
+    def _budget(self, service: str) -> RetryBudget:
+        bounds = self.retry_bounds
+        budget = self._budgets.get(service)
+        if budget is None:
+            # A process that starts anew must not spend its part twice.
+            budget = RetryBudget(bounds.share, bounds.reserve / 2)
+            self._budgets[service] = budget
+        budget.bound(bounds.share, bounds.reserve)
+        return budget
+
     async def _attempt(
         self,
         call: DirectCall,
--- a/src/linnetwood/calls/reports.py
+++ b/src/linnetwood/calls/reports.py
@@ -1,7 +1,7 @@
 """Hear from the processes beside engines, and tell them what is wanted."""
 
 import asyncio
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 from linnetwood.calls.choice import Chooser
 from linnetwood.calls.directory import Directory, Listed
@@ -14,6 +14,8 @@
 
 # An endpoint process tells the entries that it heard from within four of these.
 HELLO_EVERY_S = 1.0
+# How many entries share what all may do, until an endpoint has told.
+UNKNOWN_ENTRIES = 16
 
 
 class Reports:
@@ -26,9 +28,11 @@
         wanted: WantedVersions,
         clock: Clock,
         port: int,
+        counted: Callable[[], None],
     ) -> None:
         """Tell nothing yet; all endpoint processes listen on one port."""
-        self.entries = 0
+        self.entries = UNKNOWN_ENTRIES
+        self._counted = counted
         self.book = RouteBook()
         self._directory = directory
         self._chooser = chooser
@@ -63,7 +67,9 @@
             return
         now = self._clock.now()
         self._wanted.heard(engine.wanted, now)
-        self.entries = max(engine.entries, 1)
+        if engine.entries != self.entries:
+            self.entries = max(engine.entries, 1)
+            self._counted()
         one = self._listed_at(engine.address)
         if one is not None:
             self._chooser.standing(one.endpoint).heard(_report(engine, now))
--- a/src/linnetwood/calls/retries.py
+++ b/src/linnetwood/calls/retries.py
@@ -28,6 +28,12 @@
         self._reserve = reserve
         self._tokens = reserve
 
+    def bound(self, share: float, reserve: float) -> None:
+        """Follow new bounds; what was saved beyond them is lost."""
+        self._share = share
+        self._reserve = reserve
+        self._tokens = min(self._tokens, reserve)
+
     def earn(self) -> None:
         """Note a first attempt."""
         self._tokens = min(self._reserve, self._tokens + self._share)
--- a/src/linnetwood/fleet/wanted.py
+++ b/src/linnetwood/fleet/wanted.py
@@ -96,6 +96,11 @@
         first = min(newer, default=math.inf)
         return first + self.bound_s - START_MARGIN_S
 
+    def cutoff(self, model: str, version: int) -> float | None:
+        """Give from when calls start on this version only, if it was named."""
+        since = self._named.get(model, {}).get(version)
+        return None if since is None else since + self.bound_s - MARGIN_S
+
     def told(
         self,
         target: str,
--- a/src/linnetwood/programs/resident_endpoint.py
+++ b/src/linnetwood/programs/resident_endpoint.py
@@ -132,7 +132,7 @@
                 kv_used=report.kv_used,
                 kv_total=report.kv_total,
                 serving=max(report.serving.values(), default=0),
-                changing=report.changing,
+                changing=report.changing or self.follower.spared,
                 entries=len(self._entries),
             )
             self._news.send(News(engine=engine), list(self._entries))
--- a/src/linnetwood/programs/resident_entry.py
+++ b/src/linnetwood/programs/resident_entry.py
@@ -9,7 +9,7 @@
 from tornado.netutil import bind_sockets
 
 from linnetwood.calls.choice import Chooser
-from linnetwood.calls.direct import DirectDispatcher
+from linnetwood.calls.direct import DirectDispatcher, RetryBounds
 from linnetwood.calls.directory import Directory
 from linnetwood.calls.entrance import Entrance
 from linnetwood.calls.front import Front, open_server
@@ -30,6 +30,8 @@
 # The balancer asks once a second and takes a VM out after two misses.
 _BALANCER_SEES_S = 2.5
 _STOP_MARGIN_S = 0.7
+# A part of the budget is left for entries that come and go meanwhile.
+_RETRY_PART = 0.6
 _CHECK_S = 0.05
 _IDLE_CHECK_S = 0.4
 _OK = 200
@@ -65,6 +67,7 @@
             self.wanted,
             clock,
             cfg.wire_port,
+            self._share_retries,
         )
         self.front = Front(
             lambda: self.book,
@@ -110,6 +113,7 @@
             return
         self.book = book
         self.reports.book = book
+        self._share_retries()
         log(
             Event.ROUTES_ADOPTED,
             version=book.version,
@@ -138,6 +142,14 @@
         if self.front.under_way:
             log(Event.STOP_LIMIT_REACHED, in_flight=self.front.under_way)
 
+    def _share_retries(self) -> None:
+        # All entries share one budget without talk: each takes its part.
+        entries = max(1, self.reports.entries)
+        self.dispatcher.retry_bounds = RetryBounds(
+            self._cfg.retry_share * _RETRY_PART,
+            max(1, self._cfg.retry_extra * _RETRY_PART / entries),
+        )
+
     def _listen(
         self,
         server: HTTPServer,
--- a/src/linnetwood/weights/follower.py
+++ b/src/linnetwood/weights/follower.py
@@ -7,9 +7,9 @@
 from linnetwood.core.errors import LinnetwoodError, OrderError, WeightsError
 from linnetwood.core.events import Event, log
 from linnetwood.core.waits import happened
-from linnetwood.fleet.wanted import WantedVersions
+from linnetwood.fleet.wanted import SWITCH_S, WantedVersions
 from linnetwood.gen.wire.ttypes import HeldNotice, Member
-from linnetwood.weights import chunks
+from linnetwood.weights import chunks, waves
 from linnetwood.weights.engine import Engine, EngineReport, Order, Origin
 from linnetwood.weights.swarm import (
     Ring,
@@ -88,6 +88,7 @@
         self._recovered: set[str] = set()
         self._ordered_at = -_SETTLE_S
         self._taken: Aim | None = None
+        self._complete_at: float | None = None
         self._met: dict[str, str] = {}
         self._task: asyncio.Task[None] | None = None
 
@@ -108,6 +109,21 @@
         """Look again at what is wanted."""
         self._wake.set()
 
+    @property
+    def spared(self) -> bool:
+        """Tell whether new calls should go elsewhere: a change is near."""
+        aim = self.aim
+        report = self.report
+        download = self.download
+        if aim is None or report is None or download is None:
+            return False
+        serving = report.serving.get(aim.model, 0)
+        if not 0 < serving < aim.version:
+            return False
+        held = download.swarm.held.bit_count()
+        count = download.swarm.count
+        return waves.is_spared(held, count, first=self._first_wave(aim))
+
     def noticed(self, notice: HeldNotice) -> None:
         """Take in what a peer holds."""
         if self.download is not None and self.download.name == notice.manifest:
@@ -160,9 +176,33 @@
             return
         if self._taken == aim and now_s - self._ordered_at < _SETTLE_S:
             return
-        if self.download.swarm.complete and not report.changing:
+        if not self.download.swarm.complete or report.changing:
+            return
+        if now_s >= self._change_at(aim, report, now_s):
             await self._take(aim, self.download)
 
+    def _first_wave(self, aim: Aim) -> bool:
+        return waves.in_first_wave(
+            self._tools.me,
+            self.around.peers,
+            aim.name,
+        )
+
+    def _change_at(self, aim: Aim, report: EngineReport, now_s: float) -> float:
+        if self._complete_at is None:
+            self._complete_at = now_s
+        cutoff = self._wanted.cutoff(aim.model, aim.version)
+        serves_nothing = not report.serving.get(aim.model, 0)
+        if cutoff is None or serves_nothing:
+            return now_s
+        first = self._first_wave(aim)
+        return waves.change_at(
+            self._complete_at,
+            cutoff,
+            SWITCH_S,
+            first=first,
+        )
+
     def _newest(self) -> Aim | None:
         now = self._tools.clock.now()
         for model in self._wanted.models():
@@ -183,6 +223,7 @@
         await self._recover(aim, manifest)
         self.aim = aim
         self._staged = set()
+        self._complete_at = None
         self._met = {}
         uploads = self._tools.uploads
         # Peers may still fetch the version before this one.
--- /dev/null
+++ b/src/linnetwood/weights/waves.py
@@ -0,0 +1,39 @@
+"""Decide when engines change version, so that not all change at once; no I/O.
+
+An engine takes nothing new while it finishes what it runs before a change. The
+first wave is spared new calls ahead of its change and comes back first; the
+second goes on until the first is back, or until calls may no longer begin on
+its version.
+"""
+
+from collections.abc import Iterable
+
+from linnetwood.fleet.members import place_hash
+
+# The first wave is spared from when this part of its chunks is missing: about
+# as long before the end of a transfer as calls take to finish.
+SPARED_AT = 0.22
+
+
+def in_first_wave(me: str, vms: Iterable[str], name: str) -> bool:
+    """Tell whether this VM's engine changes in the first wave."""
+    ranked = sorted({*vms, me}, key=lambda vm: place_hash(f'{name}|{vm}'))
+    return bool(ranked.index(me) % 2)
+
+
+def is_spared(held: int, count: int, *, first: bool) -> bool:
+    """Tell whether new calls should go elsewhere already."""
+    return first and count - held <= count * SPARED_AT
+
+
+def change_at(
+    complete_at: float,
+    cutoff: float,
+    switch_s: float,
+    *,
+    first: bool,
+) -> float:
+    """Give when to change: the second wave when the first should be back."""
+    if first:
+        return complete_at
+    return max(complete_at, min(complete_at + switch_s, cutoff))
--- a/tests/test_direct.py
+++ b/tests/test_direct.py
@@ -7,7 +7,11 @@
 from linnetwood.calls.attempt import Caller
 from linnetwood.calls.choice import Chooser
 from linnetwood.calls.dialect import CallHead, Errand
-from linnetwood.calls.direct import DirectCall, DirectDispatcher
+from linnetwood.calls.direct import (
+    DirectCall,
+    DirectDispatcher,
+    RetryBounds,
+)
 from linnetwood.calls.directory import Directory, Listed
 from linnetwood.calls.routebook import Repeat, Route, Service, Share
 from linnetwood.core.outcomes import Ending, Outcome
@@ -209,6 +213,18 @@
         self.assertEqual(ending.outcome, Outcome.NOT_RUN)
         self.assertGreater(ending.retry_after_ms, 0)
 
+    async def test_no_more_attempts_than_the_shared_budget_allows(self) -> None:
+        """Without budget the first failure is the last; with it one more."""
+        cases = ((RetryBounds(0, 0), 1), (RetryBounds(0, 4), 2))
+        for bounds, runs in cases:
+            with self.subTest(bounds=bounds):
+                await self.asyncTearDown()
+                await self.asyncSetUp()
+                await self.serve(says(FAILED), says(GOOD))
+                self.dispatcher.retry_bounds = bounds
+                await self.call(Repeat.MAY)
+                self.assertEqual(self.runs(), runs)
+
     async def test_stream_goes_on_at_another_endpoint(self) -> None:
         """No event is missing, doubled or halved, and one answer holds all."""
         first = stream(events(0, 1), b'id: 2\nda', ends=False)
--- /dev/null
+++ b/tests/test_waves.py
@@ -0,0 +1,46 @@
+"""Engines change in two waves."""
+
+import unittest
+
+from linnetwood.weights.waves import change_at, in_first_wave, is_spared
+
+
+class WavesTest(unittest.TestCase):
+    """Decide by names, counts and times."""
+
+    def test_half_of_the_engines_change_first(self) -> None:
+        """All VMs agree on who does, and it differs by version."""
+        for count in (1, 2, 3, 10, 24):
+            vms = [f'vm-{one}' for one in range(count)]
+            first = [vm for vm in vms if in_first_wave(vm, vms, 'm@2')]
+            with self.subTest(count=count):
+                self.assertEqual(len(first), count // 2)
+
+    def test_spared_only_in_the_first_wave_and_near_the_end(self) -> None:
+        """The second wave takes calls until it changes."""
+        cases = (
+            (96, True, True),
+            (80, True, True),
+            (70, True, False),
+            (96, False, False),
+        )
+        for held, first, expected in cases:
+            with self.subTest(held=held, first=first):
+                self.assertEqual(is_spared(held, 96, first=first), expected)
+
+    def test_second_wave_waits_for_the_first_or_the_cutoff(self) -> None:
+        """It never waits once calls may not begin on its version."""
+        cases = (
+            ('first', 10, 20, True, 10),
+            ('second', 10, 20, False, 12),
+            ('second near the cutoff', 10, 11, False, 11),
+            ('second past the cutoff', 10, 9, False, 10),
+        )
+        for name, complete, cutoff, first, expected in cases:
+            with self.subTest(name=name):
+                found = change_at(complete, cutoff, 2, first=first)
+                self.assertEqual(found, expected)
+
+
+if __name__ == '__main__':
+    unittest.main()
