Forget idle connections that callers close

Cause: the HTTP library tells a request's reader nothing of a connection that closes before a request was read on it, and the server did not pass its own notice on; each such connection left an object behind.

--- a/src/linnetwood/calls/front.py
+++ b/src/linnetwood/calls/front.py
@@ -79,7 +79,7 @@
         self.rng = rng
         self.stopping = False
         self.under_way = 0
-        self.waiting: set[_Request] = set()
+        self.waiting: dict[object, _Request] = {}
 
     def start_request(
         self,
@@ -87,24 +87,31 @@
         request_conn: HTTPConnection,
     ) -> HTTPMessageDelegate:
         """Begin to read one request."""
-        req = _Request(self, request_conn)
-        self.waiting.add(req)
+        req = _Request(self, server_conn, request_conn)
+        self.waiting[server_conn] = req
         return req
 
     def close_idle(self) -> None:
         """Close the connections on which no request has begun."""
-        for req in list(self.waiting):
+        for req in list(self.waiting.values()):
             req.close()
 
     def on_close(self, server_conn: object) -> None:
-        """Let a closed connection go."""
+        """Forget a connection that closed while no request was read on it."""
+        self.waiting.pop(server_conn, None)
 
 
 class _Request(HTTPMessageDelegate):
     """Read one request, run it and write its answer."""
 
-    def __init__(self, front: Front, conn: HTTPConnection) -> None:
+    def __init__(
+        self,
+        front: Front,
+        server_conn: object,
+        conn: HTTPConnection,
+    ) -> None:
         self._front = front
+        self._server_conn = server_conn
         self._conn = conn
         self._line: RequestStartLine | None = None
         self._headers: Headers = []
@@ -119,7 +126,7 @@
         headers: HTTPHeaders,
     ) -> None:
         """Keep the head."""
-        self._front.waiting.discard(self)
+        self._front.waiting.pop(self._server_conn, None)
         assert isinstance(start_line, RequestStartLine)
         self._line = start_line
         self._headers = list(headers.get_all())
@@ -141,13 +148,11 @@
 
     def on_connection_close(self) -> None:
         """Stop the work that nobody waits for."""
-        self._front.waiting.discard(self)
         if self._task is not None:
             self._task.cancel()
 
     def close(self) -> None:
         """Close the connection."""
-        self._front.waiting.discard(self)
         _http1(self._conn).stream.close()
 
     async def _run(self) -> None:
@@ -276,10 +281,20 @@
     writer.whole(status, headers, ending.code.encode())
 
 
+class _FrontServer(HTTPServer):
+    """Tell the front of closed connections, which the library keeps."""
+
+    def on_close(self, server_conn: object) -> None:
+        super().on_close(server_conn)
+        callback = self.request_callback
+        if isinstance(callback, Front):
+            callback.on_close(server_conn)
+
+
 def open_server(front: Front, book: RouteBook) -> HTTPServer:
     """Give the HTTP server for a front, bounded by the configuration."""
     limits = book.limits
-    return HTTPServer(
+    return _FrontServer(
         front,
         max_header_size=limits.header_bytes,
         max_body_size=limits.body_bytes,
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -192,6 +192,16 @@
         go.set()
         self.assertEqual((await busy)[0][0], 200)
 
+    async def test_closed_connections_are_forgotten(self) -> None:
+        """A caller that comes and goes leaves nothing behind."""
+        for _ in range(3):
+            _, writer = await asyncio.open_connection(HOST, self.port)
+            writer.close()
+            await writer.wait_closed()
+        async with asyncio.timeout(30):
+            while self.front.waiting:
+                await asyncio.sleep(0)
+
     async def test_departure_is_passed_on(self) -> None:
         """The endpoint sees at once that nobody waits any more."""
         gone = asyncio.Event()
