--- a/src/linnetwood/calls/entrance.py
+++ b/src/linnetwood/calls/entrance.py
@@ -1,15 +1,16 @@
 """Decide at the door whether a call can be in time; refuse at once if not."""
 
+import dataclasses
 from random import Random
 
-from linnetwood.calls.choice import Chooser
+from linnetwood.calls.choice import Chooser, Need
 from linnetwood.calls.dialect import Urgency
 from linnetwood.calls.direct import DirectCall, DirectDispatcher
 from linnetwood.core.clock import Clock
 from linnetwood.core.outcomes import Code, Ending, not_run
 
-# A prediction is a mean; calls come this much later one time in ten.
-_SPREAD_S = 0.1
+# A prediction is a mean; calls come this much later one time in four.
+_SPREAD_S = 0.06
 # A caller that comes back has less time left than one that comes first.
 _SECOND_TRY_BELOW = 0.97
 _LEAST_RETRY_S = 0.15
@@ -17,6 +18,8 @@
 _MOST_RETRY_S = 1.6
 _RETRY_SPREAD = 0.5
 _MILLISECONDS = 1000
+# Late calls go only where fewer than so many wait already.
+_MOST_WAITING = 3
 
 
 class Entrance:
@@ -47,11 +50,25 @@
         over_s = choice.wait_s + _SPREAD_S - call.route.target_s
         if over_s <= 0:
             return Urgency.IN_TIME
-        if self._second_try(call):
+        if self._second_try(call) and self._room_behind(need):
             return Urgency.LATE
         detail = f'predicted {round(choice.wait_s * _MILLISECONDS)} ms'
         return self._refusal(Code.OVERLOADED, over_s, detail)
 
+    def _room_behind(self, need: Need) -> bool:
+        """Tell whether a late call would begin without a long queue.
+
+        Late calls that pile up take the slots of calls that would be in time,
+        since an engine does not tell which of those that wait are late.
+        """
+        now = self._clock.now()
+        need = dataclasses.replace(need, urgent=False)
+        choice = self._chooser.choose(need, (), now)
+        if choice is None:
+            return False
+        standing = self._chooser.standing(choice.endpoint.endpoint)
+        return standing.work(now)[0] < _MOST_WAITING
+
     def _second_try(self, call: DirectCall) -> bool:
         wait_s = call.head.wait_s
         if wait_s is None:
