Measurements tell null and exit 1 where an aim was not reached

Change: null, what was reached, busy share of the cores and whether the machine was the limit, violations and extra_attempts_ratio for overload.

--- a/src/linnetwood/lab/measure.py
+++ b/src/linnetwood/lab/measure.py
@@ -1,5 +1,7 @@
 """Run a measurement and print one JSON object: linnetwood-measure."""
 
+import sys
+
 import defopt
 
 from linnetwood.lab.measure_burst import burst
@@ -12,11 +14,12 @@
 
 
 def main() -> None:
-    """Run the command line."""
-    defopt.run(
+    """Run the command line; exit 1 where a measurement missed its aim."""
+    missed = defopt.run(
         {one.__name__: one for one in COMMANDS},
         no_negated_flags=True,
     )
+    sys.exit(int(missed or 0))
 
 
 if __name__ == '__main__':
--- a/src/linnetwood/lab/measure_burst.py
+++ b/src/linnetwood/lab/measure_burst.py
@@ -22,6 +22,7 @@
     Weigh,
 )
 from linnetwood.lab.instruments import (
+    Machine,
     engine_violations,
     origin_state,
     publish,
@@ -36,6 +37,8 @@
 _LIMIT_FACTOR = 2
 _STALL_S = 1.5
 _CORRUPT = 0.01
+# One VM in so many is killed in a run with faults.
+_KILLED_PART = 10
 _WEIGHS = MappingProxyType({'time': Weigh.TIME, 'origin': Weigh.ORIGIN})
 
 
@@ -77,12 +80,12 @@
             last = complete
         return changed
 
-    def time_of(self, count: int) -> float:
-        """Give the seconds until so many were complete, or -1."""
+    def time_of(self, count: int) -> float | None:
+        """Give the seconds until so many were complete; None if never."""
         for seconds, complete in self.points:
             if complete >= count:
                 return seconds
-        return -1
+        return None
 
 
 def declare(fleet: Fleet, manifests: list[str]) -> None:
@@ -161,7 +164,7 @@
     )
 
 
-async def _direct(vms: int, link: float, seed: int) -> float:
+async def _direct(vms: int, link: float, seed: int) -> float | None:
     """Give the baseline's ratio to its own bound, on a small model."""
     shape = Shape(vms, 4, int(link * 2) // vms, link, link * ORIGIN_TO_LINK)
     fleet = Fleet(_plan(shape, seed, direct=True))
@@ -174,7 +177,11 @@
         curve = await follow(fleet, 'v1', vms, 120)
     finally:
         await asyncio.to_thread(fleet.close)
-    return curve.time_of(vms) / shape.bound_s
+    return _ratio(curve.time_of(vms), shape)
+
+
+def _ratio(seconds: float | None, shape: Shape) -> float | None:
+    return None if seconds is None else round(seconds / shape.bound_s, 3)
 
 
 async def _run(shape: Shape, options: 'BurstOptions') -> dict[str, Any]:
@@ -199,7 +206,9 @@
     rng = random.Random(options.seed)
     weights = rng.randbytes(shape.size)
     declare(fleet, [await publish(fleet, weights, shape.chunk_bytes)])
-    wanted = int(shape.vms * options.share)
+    machine = Machine()
+    killed = shape.vms // _KILLED_PART if options.faults else 0
+    wanted = min(int(shape.vms * options.share), shape.vms - killed)
     roll_out(fleet, 'v1', shape.vms, _WEIGHS[options.policy])
     limit_s = _LIMIT_FACTOR * shape.bound_s
     faults = asyncio.create_task(_faults(fleet, shape, options, rng))
@@ -216,12 +225,14 @@
         'wanted': wanted,
         'chunks': shape.chunk_count,
         'bound_s': round(shape.bound_s, 3),
-        'time_to_n_s': round(time_s, 3),
-        'time_ratio': round(time_s / shape.bound_s, 3),
+        'reached': max((done for _, done in curve.points), default=0),
+        'time_to_n_s': None if time_s is None else round(time_s, 3),
+        'time_ratio': _ratio(time_s, shape),
         'origin_copies': round(read / shape.size, 3),
         'duplicate_ratio': round(repeated / max(1, received), 4),
         'violations': await engine_violations(fleet),
         'curve': curve.steps(),
+        **machine.told(),
     }
 
 
@@ -233,8 +244,9 @@
 ) -> None:
     if not options.faults:
         return
-    chosen = rng.sample(sorted(fleet.endpoints), shape.vms // 10 * 3 // 2)
-    victims = chosen[: shape.vms // 10]
+    killed = shape.vms // _KILLED_PART
+    chosen = rng.sample(sorted(fleet.endpoints), killed * 3 // 2)
+    victims = chosen[:killed]
     stalled = chosen[len(victims) :]
     pause = shape.bound_s / 2 / max(1, len(victims))
     for number, vm in enumerate(victims):
@@ -272,7 +284,7 @@
     chunk_bytes: int = 65536,
     bound_s: float = 20.0,
     baseline: bool = False,
-) -> None:
+) -> int:
     """Bring one version to so many VMs over paced links.
 
     :param vms: how many endpoint VMs
@@ -290,7 +302,7 @@
     shape = Shape(vms, chunks, chunk_bytes, link, link * ORIGIN_TO_LINK)
     found = asyncio.run(_run(shape, BurstOptions(seed, faults, share, policy)))
     if baseline:
-        ratio = asyncio.run(_direct(vms, link, seed))
-        found['baseline_direct_ratio'] = round(ratio, 3)
+        found['baseline_direct_ratio'] = asyncio.run(_direct(vms, link, seed))
     json.dump(found, sys.stdout)
     sys.stdout.write('\n')
+    return int(found['time_to_n_s'] is None or found['violations'] > 0)
--- a/src/linnetwood/lab/measure_serve.py
+++ b/src/linnetwood/lab/measure_serve.py
@@ -11,6 +11,7 @@
 
 from tornado.httpclient import AsyncHTTPClient, HTTPRequest
 
+from linnetwood.core.metrics import Metric
 from linnetwood.gen.schema.ttypes import (
     Deployment,
     Intent,
@@ -21,8 +22,9 @@
 )
 from linnetwood.lab.fakeengine import CALL_HEADER
 from linnetwood.lab.instruments import (
+    Figures,
+    Machine,
     engine_violations,
-    origin_state,
     publish,
 )
 from linnetwood.lab.launcher import Fleet, Plan, Ports
@@ -96,7 +98,7 @@
     def __init__(self, fleet: Fleet, ports: list[int], seed: int) -> None:
         self._log = fleet.folder / f'load-{ports[0]}.log'
         self._process = fleet.run(
-            'load',
+            'lab.load',
             f'load-{ports[0]}',
             (
                 '--ports',
@@ -159,7 +161,7 @@
     """Give the barest relay's processor microseconds a token."""
     port = Ports().take(1)[0]
     url = f'http://127.0.0.1:{fleet.engine_ports[0]}/generate'
-    relay = fleet.run('relay', 'relay', (f'--port={port}', f'--url={url}'))
+    relay = fleet.run('lab.relay', 'relay', (f'--port={port}', f'--url={url}'))
     await asyncio.sleep(_SETTLE_S)
     load = _Background(fleet, [port], seed)
     await asyncio.sleep(_RAMP_S)
@@ -197,6 +199,8 @@
 
 async def _overloaded(seed: int, factor: float) -> dict[str, Any]:
     """Offer more than the engines can do; one organisation stays small."""
+    machine = Machine()
+    figures = Figures()
     plan = Plan(
         engines=2,
         services=0,
@@ -205,7 +209,11 @@
         token_s=0.01,
         slots=8,
         seed=seed,
-        entry={'queue_wait_s': 1.0, 'queue_limit': 64},
+        entry={
+            'queue_wait_s': 1.0,
+            'queue_limit': 64,
+            'watching': figures.settings(),
+        },
     )
     service_s = 0.1 + 0.01 * 10
     capacity = plan.engines * plan.slots / service_s
@@ -219,12 +227,14 @@
             [(_SMALL, capacity * 0.1), (_LARGE, capacity * factor)],
             seed,
         )
-        read = await origin_state(fleet)
+        violations = await engine_violations(fleet)
+        retried = figures.read(Metric.CALLS_RETRIED)
     finally:
+        figures.close()
         await asyncio.to_thread(fleet.close)
-    answered = sum(
-        1 for records in mixed.values() for one in records if _good(one)
-    )
+    records = [one for offered in mixed.values() for one in offered]
+    wrong = sum(1 for one in records if not one.right)
+    answered = sum(map(_good, records))
     small = percentile(
         [one.whole_s for one in mixed[_SMALL] if _good(one)], 0.95
     )
@@ -239,7 +249,9 @@
             sum(map(_good, mixed[_SMALL])) / len(mixed[_SMALL]),
             3,
         ),
-        'origin_reads': read['bytes_read'],
+        'extra_attempts_ratio': round(retried / max(1, len(records)), 4),
+        'violations': violations + wrong,
+        **machine.told(),
     }
 
 
@@ -273,7 +285,7 @@
     return {name: one.records for name, one in callers.items()}
 
 
-def serve(*, overload: float = 0, seed: int = 1, output: str = '') -> None:
+def serve(*, overload: float = 0, seed: int = 1, output: str = '') -> int:
     """Measure added latency and the cost of a token, or overload.
 
     :param overload: offer so many times the capacity; 0 measures latency
@@ -288,3 +300,4 @@
     if output:
         pathlib.Path(output).write_text(text)
     sys.stdout.write(f'{text}\n')
+    return int(found['violations'] > 0)
