--- a/src/linnetwood/calls/entrance.py
+++ b/src/linnetwood/calls/entrance.py
@@ -2,10 +2,11 @@
 
 import dataclasses
 from random import Random
+from typing import Protocol
 
 from linnetwood.calls.choice import Chooser, Need
 from linnetwood.calls.dialect import Urgency
-from linnetwood.calls.direct import DirectCall, DirectDispatcher
+from linnetwood.calls.direct import DirectCall
 from linnetwood.core.clock import Clock
 from linnetwood.core.outcomes import Code, Ending, not_run
 
@@ -22,13 +23,20 @@
 _MOST_WAITING = 3
 
 
+class Needs(Protocol):
+    """Say what calls ask of endpoints."""
+
+    def need(self, call: DirectCall) -> Need:
+        """Say it for one call."""
+
+
 class Entrance:
     """Admit calls that can be in time, and those that will not come again."""
 
     def __init__(
         self,
         chooser: Chooser,
-        dispatcher: DirectDispatcher,
+        dispatcher: Needs,
         clock: Clock,
         rng: Random,
     ) -> None:
--- /dev/null
+++ b/tests/test_entrance.py
@@ -0,0 +1,135 @@
+"""Who is taken at the door, how urgently, and who is refused."""
+
+import unittest
+from random import Random
+
+from linnetwood.calls.choice import Choice, Chooser, Need
+from linnetwood.calls.dialect import CallHead, Urgency
+from linnetwood.calls.direct import DirectCall
+from linnetwood.calls.directory import Directory
+from linnetwood.calls.entrance import Entrance
+from linnetwood.calls.routebook import Repeat, Route, Service, Share
+from linnetwood.core.outcomes import Ending, Outcome
+from tests.test_directory import POOL, listed, report
+
+ROUTE = Route(
+    'r',
+    'h',
+    '/',
+    Repeat.RESUME,
+    streams=True,
+    timeout_s=6,
+    target_s=0.4,
+    gap_s=0.4,
+    attempts=2,
+    priority=1,
+    public=True,
+    shares=(Share('pool', 1),),
+)
+FIRST_TRY_S = 6.0
+SECOND_TRY_S = 5.0
+
+
+class FixedClock:
+    """A clock that stands still."""
+
+    def now(self) -> float:
+        return 10
+
+    def wall(self) -> float:
+        return 0
+
+
+class Needs:
+    """Stand in for the dispatcher: every call needs the same."""
+
+    def need(self, call: DirectCall) -> Need:
+        return Need(call.service, 'z1', 1000, 'm')
+
+
+def call(wait_s: float, service: Service = POOL) -> DirectCall:
+    """Give a call whose caller waits so long."""
+    return DirectCall(
+        CallHead(call_id='c', wait_s=wait_s, model='m'),
+        ROUTE,
+        service,
+        None,
+        'POST',
+        '/',
+        [],
+        b'',
+        10,
+        16,
+    )
+
+
+class EntranceTest(unittest.TestCase):
+    """Offer first and second tries to engines with more or less to do."""
+
+    def setUp(self) -> None:
+        directory = Directory()
+        self.chooser = Chooser(directory, Random(1))
+        directory.listed(listed('i-1'))
+        self.entrance = Entrance(
+            self.chooser,
+            Needs(),
+            FixedClock(),
+            Random(1),
+        )
+        self.entrance(call(FIRST_TRY_S))
+
+    def offered(self, waiting: int, wait_s: float) -> str:
+        """Say what becomes of a call while so many wait at a full engine."""
+        running = 16 if waiting else 2
+        word = report(waiting, running, 10)
+        self.chooser.standing('i-1').heard(word)
+        found = self.entrance(call(wait_s))
+        if isinstance(found, Ending):
+            self.assertIs(found.outcome, Outcome.NOT_RUN)
+            self.assertGreater(found.retry_after_ms, 0)
+            return 'refused'
+        return found.value
+
+    def test_tries(self) -> None:
+        """In time is taken; late is refused once, then taken behind others."""
+        cases = (
+            (0, FIRST_TRY_S, Urgency.IN_TIME.value),
+            (0, SECOND_TRY_S, Urgency.IN_TIME.value),
+            (2, FIRST_TRY_S, 'refused'),
+            (2, SECOND_TRY_S, Urgency.LATE.value),
+            (9, FIRST_TRY_S, 'refused'),
+            (9, SECOND_TRY_S, 'refused'),
+        )
+        for waiting, wait_s, expected in cases:
+            with self.subTest(waiting=waiting, wait_s=wait_s):
+                self.assertEqual(self.offered(waiting, wait_s), expected)
+
+    def test_plain_services_take_every_call(self) -> None:
+        """Only engines tell enough to predict by."""
+        desk = Service('desk', 10)
+        self.assertIs(
+            self.entrance(call(FIRST_TRY_S, desk)),
+            Urgency.IN_TIME,
+        )
+
+    def test_no_endpoint_is_a_refusal(self) -> None:
+        """Nothing can run where nobody serves."""
+        nobody = Entrance(
+            Chooser(Directory(), Random(1)),
+            Needs(),
+            FixedClock(),
+            Random(1),
+        )
+        found = nobody(call(FIRST_TRY_S))
+        assert isinstance(found, Ending)
+        self.assertEqual(found.code, 'no-endpoint')
+
+    def test_choice_is_the_chooser_s(self) -> None:
+        """The prediction comes of the endpoint that would be taken."""
+        found = self.chooser.choose(Need(POOL, 'z1', 1000, 'm'), (), 10)
+        assert isinstance(found, Choice)
+        self.assertGreater(found.wait_s, 0)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- /dev/null
+++ b/tests/test_following.py
@@ -0,0 +1,248 @@
+"""A range of the platform's store, followed through its troubles."""
+
+import asyncio
+import base64
+import json
+import unittest
+from collections.abc import Mapping
+from random import Random
+from typing import Any
+from urllib.parse import parse_qs, urlsplit
+
+from linnetwood.core.clock import SystemClock
+from linnetwood.core.errors import StoreError
+from linnetwood.fleet.following import (
+    Change,
+    Changes,
+    Following,
+    HistoryLostError,
+    Record,
+    Snapshot,
+)
+from linnetwood.platform.store import PlatformStore
+from linnetwood.wire.curldriver import CurlDriver
+from tests.test_curldriver import HOST, Server
+
+Step = Snapshot | Changes | StoreError
+Query = dict[str, list[str]]
+Asked = tuple[str, Query]
+
+
+class ScriptedStore:
+    """Give one scripted answer after the other, then wait for ever."""
+
+    def __init__(self, *steps: Step) -> None:
+        self.steps = list(steps)
+        self.asked: list[tuple[str, int]] = []
+        self.done = asyncio.Event()
+
+    async def read(self, prefix: str) -> Snapshot:
+        found = await self.next('read', 0)
+        assert isinstance(found, Snapshot)
+        return found
+
+    async def wait(self, prefix: str, after: int, wait_s: float) -> Changes:
+        found = await self.next('wait', after)
+        assert isinstance(found, Changes)
+        return found
+
+    async def next(self, call: str, after: int) -> Step:
+        self.asked.append((call, after))
+        if not self.steps:
+            self.done.set()
+            await asyncio.Event().wait()
+        step = self.steps.pop(0)
+        if isinstance(step, StoreError):
+            raise step
+        return step
+
+
+class Kept:
+    """A sink that keeps what it is told."""
+
+    def __init__(self) -> None:
+        self.told: list[object] = []
+
+    def replaced(self, records: Mapping[str, Record]) -> None:
+        self.told.append(dict(records))
+
+    def changed(self, changes: tuple[Change, ...]) -> None:
+        self.told.extend(changes)
+
+    def away(self) -> None:
+        self.told.append('away')
+
+
+ONE = Record(b'1', 5)
+TWO = Change('k', Record(b'2', 6))
+
+
+class FollowingTest(unittest.IsolatedAsyncioTestCase):
+    """Read once, then wait; begin again where history is lost."""
+
+    async def follow(self, *steps: Step) -> tuple[ScriptedStore, Kept]:
+        """Play all steps."""
+        store = ScriptedStore(*steps)
+        kept = Kept()
+        following = Following(store, '', kept, SystemClock(), Random(1))
+        following.start()
+        async with asyncio.timeout(60):
+            await store.done.wait()
+        await following.close()
+        return store, kept
+
+    async def test_reads_once_and_goes_on_from_there(self) -> None:
+        """Each wait begins where the last one ended."""
+        store, kept = await self.follow(
+            Snapshot({'k': ONE}, 5),
+            Changes((), 5),
+            Changes((TWO,), 6),
+        )
+        self.assertEqual(
+            store.asked,
+            [('read', 0), ('wait', 5), ('wait', 5), ('wait', 6)],
+        )
+        self.assertEqual(kept.told, [{'k': ONE}, TWO])
+
+    async def test_lost_history_is_read_again(self) -> None:
+        """What can't be told any more is read whole."""
+        store, kept = await self.follow(
+            Snapshot({'k': ONE}, 5),
+            HistoryLostError('store-history-lost'),
+            Snapshot({}, 9),
+        )
+        self.assertEqual([one for one, _ in store.asked][2:], ['read', 'wait'])
+        self.assertEqual(kept.told, [{'k': ONE}, 'away', {}])
+
+    async def test_store_that_is_away_comes_back(self) -> None:
+        """What was learned stays, and waiting goes on from there."""
+        store, kept = await self.follow(
+            StoreError('store-unreachable'),
+            Snapshot({'k': ONE}, 5),
+            StoreError('store-unreachable'),
+            Changes((TWO,), 6),
+        )
+        self.assertEqual(kept.told, ['away', {'k': ONE}, 'away', TWO])
+        self.assertEqual(store.asked[-2:], [('wait', 5), ('wait', 6)])
+
+
+def answer(status: int, said: Any = None) -> bytes:
+    """Give an answer of the store."""
+    body = json.dumps(said).encode()
+    head = f'HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n\r\n'
+    return head.encode() + body
+
+
+def row(key: str, text: str, revision: int) -> dict[str, Any]:
+    """Give a stored item."""
+    value = base64.b64encode(text.encode()).decode()
+    return {'private_key': key, 'value': value, 'revision': revision}
+
+
+class PlatformStoreTest(unittest.IsolatedAsyncioTestCase):
+    """Speak the store's protocol to a stand-in."""
+
+    async def asyncSetUp(self) -> None:
+        self.answers: list[bytes] = []
+        self.server = Server(self.behave)
+        self.driver = CurlDriver()
+        port = await self.server.start()
+        self.store = PlatformStore((HOST, port), self.driver)
+
+    async def asyncTearDown(self) -> None:
+        self.driver.close()
+        await self.server.close()
+
+    async def behave(
+        self,
+        _: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        """Give the next answer."""
+        writer.write(self.answers.pop(0))
+        await writer.drain()
+
+    def asked(self) -> list[Asked]:
+        """Give the paths and queries that were asked."""
+        targets = [one.split(b' ')[1].decode() for one in self.server.requests]
+        parts = [urlsplit(one) for one in targets]
+        return [
+            (one.path, parse_qs(one.query, keep_blank_values=True))
+            for one in parts
+        ]
+
+    async def test_pages_are_joined_at_the_first_revision(self) -> None:
+        """What changed between pages is waited for."""
+        self.answers = [
+            answer(
+                200,
+                {'items': [row('a', 'x', 3)], 'has_more': True, 'timestamp': 9},
+            ),
+            answer(
+                200,
+                {
+                    'items': [row('b', 'y', 4)],
+                    'has_more': False,
+                    'timestamp': 11,
+                },
+            ),
+        ]
+        found = await self.store.read('op/')
+        self.assertEqual(found.revision, 9)
+        self.assertEqual(
+            dict(found.records),
+            {'a': Record(b'x', 3), 'b': Record(b'y', 4)},
+        )
+        second = self.asked()[1][1]
+        self.assertEqual(second['after_revision'], ['a'])
+
+    async def test_changes(self) -> None:
+        """Written and deleted keys are told apart."""
+        self.answers = [
+            answer(
+                200,
+                {
+                    'events': [
+                        row('a', 'x', 3),
+                        {'private_key': 'b', 'revision': 4, 'deleted': True},
+                    ],
+                    'timestamp': 4,
+                },
+            ),
+        ]
+        found = await self.store.wait('', 2, 1.5)
+        self.assertEqual(
+            found,
+            Changes((Change('a', Record(b'x', 3)), Change('b', None)), 4),
+        )
+        path, query = self.asked()[0]
+        self.assertEqual(path, '/linnetwood/kv-watch')
+        self.assertEqual(
+            query,
+            {
+                'path_prefix': [''],
+                'after_revision': ['2'],
+                'wait_ms': ['1500'],
+            },
+        )
+
+    async def test_troubles_are_coded(self) -> None:
+        """Each trouble is an error of the store's layer."""
+        cases: tuple[tuple[bytes, str], ...] = (
+            (answer(410), 'store-history-lost'),
+            (answer(503), 'store-unreachable'),
+            (answer(429), 'store-unreachable'),
+            (b'', 'store-unreachable'),
+            (answer(200, []), 'store-bad-answer'),
+            (answer(200, {'events': [{}], 'timestamp': 1}), 'store-bad-answer'),
+        )
+        for said, code in cases:
+            with self.subTest(said=said[:20]):
+                self.answers = [said, said]
+                with self.assertRaises(StoreError) as caught:
+                    await self.store.wait('', 2, 1)
+                self.assertEqual(caught.exception.code, code)
+
+
+if __name__ == '__main__':
+    unittest.main()
