Bad answers of store, engine and origin end no task; lost history is no outage

Cause (found by reading): a page or report without a field that it must have raised errors that no task caught, so a process would have gone on for ever on what it knew; and after the store's history was lost, endpoints that had gone meanwhile were held as if the store had been away, 2 s longer than allowed.

--- a/src/linnetwood/fleet/following.py
+++ b/src/linnetwood/fleet/following.py
@@ -118,11 +118,10 @@
         while True:
             try:
                 await self._step()
-            except HistoryLostError as exc:
+            except HistoryLostError:
                 log(Event.STORE_HISTORY_LOST, prefix=self._prefix)
+                # The store itself was there: what is missing now is gone.
                 self._revision = 0
-                self._sink.away()
-                self._note_away(exc)
             except StoreError as exc:
                 failures += 1
                 self._note_away(exc)
--- a/src/linnetwood/platform/store.py
+++ b/src/linnetwood/platform/store.py
@@ -26,6 +26,7 @@
 _SLACK_S = 1.0
 # A page holds a megabyte of values, in base64 and JSON.
 _MOST_BYTES = 33554432
+_BAD_ANSWER = (KeyError, TypeError, ValueError)
 
 
 class PlatformStore:
@@ -38,18 +39,10 @@
 
     async def read(self, prefix: str) -> Snapshot:
         """Read every page of a range."""
-        found: dict[str, Record] = {}
-        revision = 0
-        last = ''
-        while True:
-            said = await self._page(prefix, last)
-            # Pages are no snapshot: what changed since the first is waited for.
-            revision = revision or int(said['timestamp'])
-            for row in said['items']:
-                last = row['private_key']
-                found[last] = _record(row)
-            if not said['has_more']:
-                return Snapshot(found, revision)
+        try:
+            return await self._pages(prefix)
+        except _BAD_ANSWER as exc:
+            raise StoreError('store-bad-answer', repr(exc)) from exc
 
     async def wait(self, prefix: str, after: int, wait_s: float) -> Changes:
         """Wait for changes of a range."""
@@ -65,9 +58,23 @@
         try:
             changes = tuple(_change(row) for row in said['events'])
             return Changes(changes, int(said['timestamp']))
-        except (KeyError, TypeError, ValueError) as exc:
+        except _BAD_ANSWER as exc:
             raise StoreError('store-bad-answer', repr(exc)) from exc
 
+    async def _pages(self, prefix: str) -> Snapshot:
+        found: dict[str, Record] = {}
+        revision = 0
+        last = ''
+        while True:
+            said = await self._page(prefix, last)
+            # Pages are no snapshot: what changed since the first is waited for.
+            revision = revision or int(said['timestamp'])
+            for row in said['items']:
+                last = row['private_key']
+                found[last] = _record(row)
+            if not said['has_more']:
+                return Snapshot(found, revision)
+
     async def _page(self, prefix: str, last: str) -> dict[str, Any]:
         query = {'path_prefix': prefix}
         if last:
--- a/src/linnetwood/platform/weights.py
+++ b/src/linnetwood/platform/weights.py
@@ -17,6 +17,7 @@
 _TIMEOUT_S = 1.5
 _PIECE_TIMEOUT_S = 4.0
 _MOST_BYTES = 16777216
+_BAD_ANSWER = (KeyError, TypeError, ValueError)
 # The platform gives no digest over all pieces.
 _UNKNOWN_WHOLE = bytes(hashlib.sha256().digest_size)
 
@@ -32,26 +33,20 @@
         """Ask what it does."""
         answer = await self._site.ask('GET', '/linnetwood/report')
         said = _object(answer, OrderError)
-        return EngineReport(
-            waiting=int(said.get('waiting', 0)),
-            running=int(said.get('running', 0)),
-            kv_used=int(said.get('kv_used', 0)),
-            kv_total=int(said.get('kv_total', 0)),
-            serving={
-                one['name']: int(one['version'])
-                for one in said.get('models') or ()
-            },
-            # The field's name misleads: true means that an order is under way.
-            changing=bool(said.get('utilization')),
-            orders_taken=int(said.get('sequence', 0)),
-        )
+        try:
+            return _report(said)
+        except _BAD_ANSWER as exc:
+            raise OrderError('engine-bad-answer', repr(exc)) from exc
 
     async def staged(self, model: str) -> list[int]:
         """Ask which chunks lie there."""
         answer = await self._site.ask('GET', _stage('stage-get', model))
         if answer.status == HTTPStatus.NOT_FOUND:
             return []
-        return [int(one) for one in _object(answer, OrderError)['held']]
+        try:
+            return [int(one) for one in _object(answer, OrderError)['held']]
+        except _BAD_ANSWER as exc:
+            raise OrderError('engine-bad-answer', repr(exc)) from exc
 
     async def read_staged(self, model: str, index: int) -> bytes | None:
         """Read a chunk that lies there."""
@@ -119,7 +114,7 @@
                 _UNKNOWN_WHOLE,
                 digests,
             )
-        except (KeyError, TypeError, ValueError) as exc:
+        except _BAD_ANSWER as exc:
             raise WeightsError('manifest-malformed', repr(exc)) from exc
 
     async def piece(self, model: str, version: int, index: int) -> bytes:
@@ -168,6 +163,21 @@
         return await ask(self._driver, req, _MOST_BYTES)
 
 
+def _report(said: Mapping[str, Any]) -> EngineReport:
+    return EngineReport(
+        waiting=int(said.get('waiting', 0)),
+        running=int(said.get('running', 0)),
+        kv_used=int(said.get('kv_used', 0)),
+        kv_total=int(said.get('kv_total', 0)),
+        serving={
+            one['name']: int(one['version']) for one in said.get('models') or ()
+        },
+        # The field's name misleads: true means that an order is under way.
+        changing=bool(said.get('utilization')),
+        orders_taken=int(said.get('sequence', 0)),
+    )
+
+
 def _stage(call: str, model: str, index: int | None = None) -> str:
     place = f'/linnetwood/{call}/{quote(model)}'
     # The page's name for the number of a piece.
--- a/src/linnetwood/weights/follower.py
+++ b/src/linnetwood/weights/follower.py
@@ -4,7 +4,7 @@
 import dataclasses
 import hashlib
 
-from linnetwood.core.errors import LinnetwoodError, OrderError, WeightsError
+from linnetwood.core.errors import LinnetwoodError, WeightsError
 from linnetwood.core.events import Event, log
 from linnetwood.core.waits import happened
 from linnetwood.fleet.wanted import SWITCH_S, WantedVersions
@@ -149,7 +149,7 @@
             self._wake.clear()
             try:
                 await self._step()
-            except (OrderError, WeightsError) as exc:
+            except LinnetwoodError as exc:
                 log(Event.ORDER_REFUSED, code=exc.code, detail=exc.detail)
                 await asyncio.sleep(_MANIFEST_RETRY_S)
             await happened(self._wake, _WAKE_S)
--- /dev/null
+++ b/tests/test_engine_client.py
@@ -0,0 +1,128 @@
+"""The model server and the origin, asked over HTTP."""
+
+import asyncio
+import json
+import unittest
+from typing import Any
+
+from linnetwood.core.errors import OrderError, WeightsError
+from linnetwood.platform.weights import PlatformOrigin, ServerEngine
+from linnetwood.weights.engine import Order
+from linnetwood.wire.curldriver import CurlDriver
+from tests.test_curldriver import HOST, Server
+from tests.test_following import answer
+
+REPORT: dict[str, Any] = {
+    'models': [{'name': 'm', 'version': 2, 'adapters': []}],
+    'utilization': True,
+    'sequence': 4,
+    'waiting': 1,
+    'running': 12,
+    'kv_used': 7,
+    'kv_total': 9,
+}
+
+
+class ClientTest(unittest.IsolatedAsyncioTestCase):
+    """Ask a stand-in that gives scripted answers."""
+
+    async def asyncSetUp(self) -> None:
+        self.answers: list[bytes] = []
+        self.server = Server(self.behave)
+        self.driver = CurlDriver()
+        port = await self.server.start()
+        self.engine = ServerEngine((HOST, port), self.driver)
+        self.origin = PlatformOrigin(self.driver)
+        self.origin.address = (HOST, port)
+
+    async def asyncTearDown(self) -> None:
+        self.driver.close()
+        await self.server.close()
+
+    async def behave(
+        self,
+        _: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        """Give the next answer."""
+        writer.write(self.answers.pop(0))
+        await writer.drain()
+
+    async def test_report(self) -> None:
+        """An order under way stands in a field of another name."""
+        self.answers = [answer(200, REPORT)]
+        found = await self.engine.report()
+        self.assertEqual(dict(found.serving), {'m': 2})
+        self.assertTrue(found.changing)
+        self.assertEqual((found.running, found.orders_taken), (12, 4))
+
+    async def test_bad_answers_are_coded(self) -> None:
+        """What can't be read ends no task."""
+        cases = (
+            answer(200, {**REPORT, 'models': [{}]}),
+            answer(200, {**REPORT, 'running': 'many'}),
+            answer(200, 'text'),
+            answer(500, REPORT),
+        )
+        for said in cases:
+            with self.subTest(said=said[:60]):
+                self.answers = [said]
+                with self.assertRaises(OrderError):
+                    await self.engine.report()
+
+    async def test_orders(self) -> None:
+        """Each status of the platform is one outcome."""
+        cases = (
+            (202, Order.TAKEN),
+            (200, Order.DONE),
+            (409, Order.CONFLICT),
+            (412, Order.REFUSED),
+            (400, Order.REFUSED),
+        )
+        for status, expected in cases:
+            with self.subTest(status=status):
+                self.answers = [answer(status)]
+                found = await self.engine.take('m', 3, 4)
+                self.assertIs(found, expected)
+        body = self.server.requests[-1].partition(b'\r\n\r\n')[2]
+        self.assertEqual(
+            json.loads(body),
+            {
+                'operation': 'start',
+                'model': 'm',
+                'version': 3,
+                'method': 'queue',
+                'expected_revision': 4,
+            },
+        )
+
+    async def test_staged(self) -> None:
+        """Nothing staged is no error, a chunk that is not there is none."""
+        self.answers = [answer(404), answer(200, {'held': [0, 2]}), answer(404)]
+        self.assertEqual(await self.engine.staged('m'), [])
+        self.assertEqual(await self.engine.staged('m'), [0, 2])
+        self.assertIsNone(await self.engine.read_staged('m', 1))
+
+    async def test_manifest(self) -> None:
+        """Digests are read, and what is none is a coded error."""
+        digest = '00' * 32
+        self.answers = [
+            answer(200, {'chunk_bytes': 10, 'digests': [digest, digest]}),
+            answer(200, {'chunk_bytes': 10, 'digests': ['what']}),
+            answer(410),
+        ]
+        found = await self.origin.manifest('m', 2)
+        self.assertEqual((found.size, len(found.digests)), (20, 2))
+        for _ in range(2):
+            with self.assertRaises(WeightsError):
+                await self.origin.manifest('m', 2)
+
+    async def test_origin_unknown(self) -> None:
+        """Before an entry told of it there is none."""
+        with self.assertRaises(WeightsError) as caught:
+            await PlatformOrigin(self.driver).piece('m', 2, 0)
+        self.assertEqual(caught.exception.code, 'origin-unknown')
+
+
+if __name__ == '__main__':
+    unittest.main()
