--- a/src/linnetwood/calls/choice.py
+++ b/src/linnetwood/calls/choice.py
@@ -9,6 +9,7 @@
 from linnetwood.calls.standing import Standing
 
 _SUSPECT_S = 1.0
+_SHUNNED_S = 4.0
 _PLAIN_WORK_S = 0.08
 # What bytes between zones cost, as a time to wait; delays come on top.
 _FAR_S = 0.015
@@ -67,7 +68,7 @@
     ) -> Choice | None:
         """Give the best endpoint not yet tried, or None."""
         best: tuple[float, Choice] | None = None
-        for one in self._able(need, tried):
+        for one in self._able(need, tried, now):
             wait_s = self.wait_s(need, one, now)
             loss = wait_s + self._penalty(one, now)
             loss += self._rng.random() * _JITTER_S
@@ -102,8 +103,9 @@
         self,
         need: Need,
         tried: Collection[str],
+        now: float,
     ) -> Iterator[Listed]:
-        for one in self._directory.ready(need.service.name):
+        for one in self._directory.ready(need.service.name, now):
             if one.endpoint in tried:
                 continue
             if need.model and not self._serves(need, one):
@@ -129,7 +131,9 @@
         standing = self.standing(one.endpoint)
         penalty = standing.failing * _FAILING_S + one.cold_s
         if standing.shunned_until > now:
-            penalty += _SUSPECT_S * 4
+            penalty += _SHUNNED_S
+        if standing.silent(now):
+            penalty += _SUSPECT_S
         report = standing.report
         if report is not None and report.changing:
             penalty += _CHANGING_S
--- a/src/linnetwood/calls/directory.py
+++ b/src/linnetwood/calls/directory.py
@@ -1,11 +1,13 @@
 """The endpoints that the platform lists, with no process before them."""
 
 import dataclasses
+import math
 from collections.abc import Iterator, Mapping
 
 # A list that was away may have dropped entries of endpoints that live; they
-# are written again within two seconds of its return.
-HELD_AFTER_OUTAGE_S = 2.0
+# are written again within about two seconds of its return. An endpoint that
+# left meanwhile may get nothing two seconds after that was acknowledged.
+HELD_AFTER_OUTAGE_S = 1.4
 # An outage ends some time before this process notices it.
 _OUTAGE_SEEN_S = 3.0
 
@@ -74,12 +76,14 @@
         """Yield every entry."""
         yield from self._listed.values()
 
-    def ready(self, service: str) -> list[Listed]:
+    def ready(self, service: str, now: float) -> list[Listed]:
         """Give the endpoints of a service that take new work."""
         return [
             one
             for one in self._listed.values()
-            if one.service == service and one.ready
+            if one.service == service
+            and one.ready
+            and now < self._doubted.get(one.endpoint, math.inf)
         ]
 
     def _forget(self, endpoint: str) -> None:
--- a/src/linnetwood/calls/standing.py
+++ b/src/linnetwood/calls/standing.py
@@ -5,6 +5,8 @@
 
 _FAIL_WEIGHT = 0.2
 _PAIR_S = 1.5
+# Reports come every tenth of a second; some are lost.
+_SILENT_S = 0.4
 _SHUN_FIRST_S = 0.5
 _SHUN_MOST_S = 4.0
 
@@ -78,6 +80,11 @@
         self.shunned_until = now + self.shun_s
         self.shun_s = min(_SHUN_MOST_S, self.shun_s * 2)
 
+    def silent(self, now: float) -> bool:
+        """Tell whether an engine that reported has stopped to."""
+        report = self.report
+        return report is not None and now - report.heard_at > _SILENT_S
+
     def fresh(self, now: float) -> bool:
         """Tell whether the report is young enough to count."""
         report = self.report
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -52,14 +52,14 @@
         self.directory.listed(listed('i-1'))
         self.directory.listed(listed('i-2', ready=False))
 
-    def names(self) -> list[str]:
+    def names(self, now: float = 100) -> list[str]:
         """Give who takes new work."""
-        return [one.endpoint for one in self.directory.ready('pool')]
+        return [one.endpoint for one in self.directory.ready('pool', now)]
 
     def test_draining_takes_nothing_new(self) -> None:
         """Only ready endpoints of the service are given."""
         self.assertEqual(self.names(), ['i-1'])
-        self.assertEqual(self.directory.ready('desk'), [])
+        self.assertEqual(self.directory.ready('desk', 100), [])
 
     def test_gone_at_once_while_the_store_is_there(self) -> None:
         """A dropped entry takes nothing from then on."""
@@ -70,9 +70,11 @@
         """An endpoint that lives writes its entry again in time."""
         self.directory.list_away(100)
         self.directory.dropped('i-1', 101)
-        self.assertEqual(self.names(), ['i-1'])
-        self.directory.settle(101 + HELD_AFTER_OUTAGE_S)
-        self.assertEqual(self.names(), [])
+        held_until = 101 + HELD_AFTER_OUTAGE_S
+        self.assertEqual(self.names(held_until - 0.1), ['i-1'])
+        self.assertEqual(self.names(held_until), [])
+        self.directory.settle(held_until)
+        self.assertIsNone(self.directory.get('i-1'))
 
     def test_written_again_it_stays(self) -> None:
         """What came back is no longer doubted."""
@@ -140,6 +142,13 @@
         self.assertEqual(self.chosen(need), 'i-2')
         self.assertEqual(self.chosen(need, 'i-2'), 'i-1')
 
+    def test_engine_that_fell_silent_is_passed_over(self) -> None:
+        """A VM that stands still reports nothing, long before it is listed."""
+        need = Need(POOL, 'z1', 9, 'm')
+        self.chooser.standing('i-1').heard(report(0, 0, 9.5))
+        self.chooser.standing('i-2').heard(report(2, 16, 10))
+        self.assertEqual(self.chosen(need), 'i-2')
+
     def test_late_calls_do_not_count_before_urgent_ones(self) -> None:
         """Those that wait behind are left out of an urgent call's wait."""
         standing = self.chooser.standing('i-1')
