--- a/src/linnetwood/calls/dialect.py
+++ b/src/linnetwood/calls/dialect.py
@@ -25,17 +25,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CallHead:
-    """What a caller's headers say; times in seconds.
-
-    Length is the expected count of tokens to generate.
-    """
+    """What a caller's headers say; times in seconds, the prompt in tokens."""
 
     call_id: str = ''
     wait_s: float | None = None
     key: str = ''
     model: str = ''
     prompt: int = 0
-    length: int = 0
     resume_after: str = ''
 
 
@@ -68,6 +64,3 @@
 
     def version(self, headers: Headers) -> int:
         """Give the version of the weights that answered; 0 if none is told."""
-
-    def fault(self, headers: Headers) -> str:
-        """Give the address of the endpoint that an answer blames, if any."""
--- a/src/linnetwood/calls/standing.py
+++ b/src/linnetwood/calls/standing.py
@@ -4,7 +4,7 @@
 import math
 
 _FAIL_WEIGHT = 0.2
-_PAIR_S = 1.5
+_FRESH_S = 1.5
 # Reports come every tenth of a second; some are lost.
 _SILENT_S = 0.4
 _SHUN_FIRST_S = 0.5
@@ -88,7 +88,7 @@
     def fresh(self, now: float) -> bool:
         """Tell whether the report is young enough to count."""
         report = self.report
-        return report is not None and now - report.heard_at < _PAIR_S
+        return report is not None and now - report.heard_at < _FRESH_S
 
     def urgent_share(self) -> float:
         """Give the part of those waiting that go before late calls.
--- a/src/linnetwood/fleet/following.py
+++ b/src/linnetwood/fleet/following.py
@@ -6,7 +6,6 @@
 from random import Random
 from typing import Protocol
 
-from linnetwood.core.clock import Clock
 from linnetwood.core.errors import StoreError
 from linnetwood.core.events import Event, log
 
@@ -89,7 +88,6 @@
         store: RangeStore,
         prefix: str,
         sink: Sink,
-        clock: Clock,
         rng: Random,
     ) -> None:
         """Follow nothing yet."""
@@ -97,7 +95,6 @@
         self._store = store
         self._prefix = prefix
         self._sink = sink
-        self._clock = clock
         self._rng = rng
         self._revision = 0
         self._away = False
--- a/src/linnetwood/platform/dialect.py
+++ b/src/linnetwood/platform/dialect.py
@@ -12,14 +12,12 @@
 _MODEL = 'x-model'
 # Tokens of the prompt, and the most that may come out.
 _TOKENS = 'x-token-counts'
-_LENGTH = 'x-length-hint'
 _RESUME_AFTER = 'last-event-id'
 _ORGANISATION = 'x-tenant'
 _ENDPOINT = 'x-expected-instance'
 _VERSION = 'x-expected-version'
 _SIGNATURE = 'x-server-signature'
 _NOT_RUN = 'x-not-executed'
-_AT_FAULT = 'at-server'
 _WEIGHTS_VERSION = 'x-weight-versions'
 _PRIORITY = 'x-request-priority'
 # From 0, the first, to 9; 5 where nothing is said.
@@ -52,14 +50,13 @@
     def read(self, headers: Headers) -> CallHead:
         """Read a caller's headers."""
         by_name = {name.lower(): text for name, text in headers}
-        prompt, most = _tokens(by_name.get(_TOKENS, ''))
+        prompt = by_name.get(_TOKENS, '').partition(',')[0]
         return CallHead(
             call_id=by_name.get(_CALL_ID, ''),
             wait_s=_seconds(by_name.get(_WAIT_MS, '')),
             key=_bearer(by_name.get(_KEY, '')),
             model=by_name.get(_MODEL, ''),
-            prompt=prompt,
-            length=_whole(by_name.get(_LENGTH, '')) or most,
+            prompt=_whole(prompt),
             resume_after=by_name.get(_RESUME_AFTER, ''),
         )
 
@@ -113,13 +110,6 @@
                 return _whole(text)
         return 0
 
-    def fault(self, headers: Headers) -> str:
-        """Give the address of the server that an answer blames, if any."""
-        return next(
-            (text for name, text in headers if name.lower() == _AT_FAULT),
-            '',
-        )
-
 
 def _of_connection(headers: Headers) -> frozenset[str]:
     named = {
@@ -131,11 +121,6 @@
     return _OF_CONNECTION | named
 
 
-def _tokens(text: str) -> tuple[int, int]:
-    prompt, _, most = text.partition(',')
-    return _whole(prompt), _whole(most)
-
-
 def _whole(text: str) -> int:
     trimmed = text.strip()
     return int(trimmed) if trimmed.isdecimal() else 0
--- a/src/linnetwood/programs/resident_entry.py
+++ b/src/linnetwood/programs/resident_entry.py
@@ -83,7 +83,6 @@
                 OperatorFeed(self.adopt, self.wanted, clock, rouse),
                 EndpointFeed(self.directory, clock, rouse),
             ),
-            clock,
             rng,
         )
         self._servers: list[HTTPServer] = []
--- a/tests/test_curldriver.py
+++ b/tests/test_curldriver.py
@@ -75,6 +75,37 @@
     writer.transport.abort()
 
 
+class ScriptedServer(Server):
+    """A stand-in that gives one answer after the other."""
+
+    def __init__(self) -> None:
+        super().__init__(self._next)
+        self.answers: list[bytes] = []
+
+    async def _next(
+        self,
+        _: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        writer.write(self.answers.pop(0))
+        await writer.drain()
+
+
+def notes_reset(gone: asyncio.Event) -> Behaviour:
+    """Answer nothing, and note that the caller reset the connection."""
+
+    async def behave(
+        reader: asyncio.StreamReader,
+        _: asyncio.StreamWriter,
+    ) -> None:
+        try:
+            await reader.read()
+        except ConnectionResetError:
+            gone.set()
+
+    return behave
+
+
 class CurlDriverTest(unittest.IsolatedAsyncioTestCase):
     """Ask stand-ins that behave and that do not."""
 
@@ -177,16 +208,7 @@
         """The server sees at once that nobody waits."""
         gone = asyncio.Event()
 
-        async def wait_for_close(
-            reader: asyncio.StreamReader,
-            _: asyncio.StreamWriter,
-        ) -> None:
-            try:
-                await reader.read()
-            except ConnectionResetError:
-                gone.set()
-
-        server = Server(wait_for_close)
+        server = Server(notes_reset(gone))
         port = await server.start()
         driver = CurlDriver()
         req = Request(HOST, port, 'GET', '/', [('Host', 'x')], total_s=60)
--- a/tests/test_engine_client.py
+++ b/tests/test_engine_client.py
@@ -1,6 +1,5 @@
 """The model server and the origin, asked over HTTP."""
 
-import asyncio
 import json
 import unittest
 from typing import Any
@@ -9,7 +8,7 @@
 from linnetwood.platform.weights import PlatformOrigin, ServerEngine
 from linnetwood.weights.engine import Order
 from linnetwood.wire.curldriver import CurlDriver
-from tests.test_curldriver import HOST, Server
+from tests.test_curldriver import HOST, ScriptedServer
 from tests.test_following import answer
 
 REPORT: dict[str, Any] = {
@@ -27,8 +26,7 @@
     """Ask a stand-in that gives scripted answers."""
 
     async def asyncSetUp(self) -> None:
-        self.answers: list[bytes] = []
-        self.server = Server(self.behave)
+        self.server = ScriptedServer()
         self.driver = CurlDriver()
         port = await self.server.start()
         self.engine = ServerEngine((HOST, port), self.driver)
@@ -39,18 +37,9 @@
         self.driver.close()
         await self.server.close()
 
-    async def behave(
-        self,
-        _: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-    ) -> None:
-        """Give the next answer."""
-        writer.write(self.answers.pop(0))
-        await writer.drain()
-
     async def test_report(self) -> None:
         """An order under way stands in a field of another name."""
-        self.answers = [answer(200, REPORT)]
+        self.server.answers = [answer(200, REPORT)]
         found = await self.engine.report()
         self.assertEqual(dict(found.serving), {'m': 2})
         self.assertTrue(found.changing)
@@ -66,7 +55,7 @@
         )
         for said in cases:
             with self.subTest(said=said[:60]):
-                self.answers = [said]
+                self.server.answers = [said]
                 with self.assertRaises(OrderError):
                     await self.engine.report()
 
@@ -81,7 +70,7 @@
         )
         for status, expected in cases:
             with self.subTest(status=status):
-                self.answers = [answer(status)]
+                self.server.answers = [answer(status)]
                 found = await self.engine.take('m', 3, 4)
                 self.assertIs(found, expected)
         body = self.server.requests[-1].partition(b'\r\n\r\n')[2]
@@ -98,7 +87,11 @@
 
     async def test_staged(self) -> None:
         """Nothing staged is no error, a chunk that is not there is none."""
-        self.answers = [answer(404), answer(200, {'held': [0, 2]}), answer(404)]
+        self.server.answers = [
+            answer(404),
+            answer(200, {'held': [0, 2]}),
+            answer(404),
+        ]
         self.assertEqual(await self.engine.staged('m'), [])
         self.assertEqual(await self.engine.staged('m'), [0, 2])
         self.assertIsNone(await self.engine.read_staged('m', 1))
@@ -106,7 +99,7 @@
     async def test_manifest(self) -> None:
         """Digests are read, and what is none is a coded error."""
         digest = '00' * 32
-        self.answers = [
+        self.server.answers = [
             answer(200, {'chunk_bytes': 10, 'digests': [digest, digest]}),
             answer(200, {'chunk_bytes': 10, 'digests': ['what']}),
             answer(410),
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -9,7 +9,6 @@
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
-from linnetwood.core.clock import SystemClock
 from linnetwood.core.errors import StoreError
 from linnetwood.fleet.following import (
     Change,
@@ -21,7 +20,7 @@
 )
 from linnetwood.platform.store import PlatformStore
 from linnetwood.wire.curldriver import CurlDriver
-from tests.test_curldriver import HOST, Server
+from tests.test_curldriver import HOST, ScriptedServer
 
 Step = Snapshot | Changes | StoreError
 Query = dict[str, list[str]]
@@ -84,7 +83,7 @@
         """Play all steps."""
         store = ScriptedStore(*steps)
         kept = Kept()
-        following = Following(store, '', kept, SystemClock(), Random(1))
+        following = Following(store, '', kept, Random(1))
         following.start()
         async with asyncio.timeout(60):
             await store.done.wait()
@@ -143,8 +142,7 @@
     """Speak the store's protocol to a stand-in."""
 
     async def asyncSetUp(self) -> None:
-        self.answers: list[bytes] = []
-        self.server = Server(self.behave)
+        self.server = ScriptedServer()
         self.driver = CurlDriver()
         port = await self.server.start()
         self.store = PlatformStore((HOST, port), self.driver)
@@ -153,15 +151,6 @@
         self.driver.close()
         await self.server.close()
 
-    async def behave(
-        self,
-        _: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-    ) -> None:
-        """Give the next answer."""
-        writer.write(self.answers.pop(0))
-        await writer.drain()
-
     def asked(self) -> list[Asked]:
         """Give the paths and queries that were asked."""
         targets = [one.split(b' ')[1].decode() for one in self.server.requests]
@@ -173,7 +162,7 @@
 
     async def test_pages_are_joined_at_the_first_revision(self) -> None:
         """What changed between pages is waited for."""
-        self.answers = [
+        self.server.answers = [
             answer(
                 200,
                 {'items': [row('a', 'x', 3)], 'has_more': True, 'timestamp': 9},
@@ -198,7 +187,7 @@
 
     async def test_changes(self) -> None:
         """Written and deleted keys are told apart."""
-        self.answers = [
+        self.server.answers = [
             answer(
                 200,
                 {
@@ -238,7 +227,7 @@
         )
         for said, code in cases:
             with self.subTest(said=said[:20]):
-                self.answers = [said, said]
+                self.server.answers = [said, said]
                 with self.assertRaises(StoreError) as caught:
                     await self.store.wait('', 2, 1)
                 self.assertEqual(caught.exception.code, code)
@@ -252,7 +241,7 @@
         )
         for said in cases:
             with self.subTest(said=said):
-                self.answers = [answer(200, said)]
+                self.server.answers = [answer(200, said)]
                 with self.assertRaises(StoreError) as caught:
                     await self.store.read('')
                 self.assertEqual(caught.exception.code, 'store-bad-answer')
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -25,7 +25,14 @@
 from linnetwood.fleet.wanted import WantedVersions
 from linnetwood.platform.dialect import PlatformDialect
 from linnetwood.wire.curldriver import CurlDriver
-from tests.test_curldriver import HOST, Behaviour, Server, reset, says
+from tests.test_curldriver import (
+    HOST,
+    Behaviour,
+    Server,
+    notes_reset,
+    reset,
+    says,
+)
 from tests.test_direct import FULL, GOOD
 
 BOOK = RouteBook(
@@ -205,16 +212,7 @@
         """The endpoint sees at once that nobody waits any more."""
         gone = asyncio.Event()
 
-        async def wait(
-            reader: asyncio.StreamReader,
-            _: asyncio.StreamWriter,
-        ) -> None:
-            try:
-                await reader.read()
-            except ConnectionResetError:
-                gone.set()
-
-        back = await self.serve(wait)
+        back = await self.serve(notes_reset(gone))
         _, writer = await asyncio.open_connection(HOST, self.port)
         writer.write(request('/a/x'))
         while not back.requests:
