Share one backoff, one wait and one log of records left aside

The range follower had a backoff of its own without the bound that configuration watching has: after some 1,100 failures in a row (about ten minutes of a store that is away) the power would have overflowed and ended the task for good. Reports waits with waits.happened instead of a copy of it and walks the list of endpoints once; two equal log calls of the feeds are one.

--- a/src/linnetwood/calls/reports.py
+++ b/src/linnetwood/calls/reports.py
@@ -1,13 +1,15 @@
 """Hear from the processes beside engines, and tell them what is wanted."""
 
 import asyncio
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 
 from linnetwood.calls.choice import Chooser
 from linnetwood.calls.directory import Directory, Listed
-from linnetwood.calls.routebook import RouteBook, Service
+from linnetwood.calls.engine import EngineFigures
+from linnetwood.calls.routebook import RouteBook
 from linnetwood.calls.standing import Report
 from linnetwood.core.clock import Clock
+from linnetwood.core.waits import happened
 from linnetwood.fleet.news import Address, NewsPort
 from linnetwood.fleet.wanted import WantedVersions
 from linnetwood.gen.wire.ttypes import EngineNews, EntryNews, News, PeerPlace
@@ -87,36 +89,32 @@
             self._tell()
             self._chooser.forget()
             self._directory.settle(self._clock.now())
-            try:
-                async with asyncio.timeout(HELLO_EVERY_S):
-                    await self._wake.wait()
-            except TimeoutError:
-                continue
-            await asyncio.sleep(0)
+            await happened(self._wake, HELLO_EVERY_S)
 
     def _tell(self) -> None:
         for service in self.book.services.values():
             if service.engine is not None:
-                self._tell_service(service)
+                self._tell_service(service.name, service.engine)
 
-    def _tell_service(self, service: Service) -> None:
-        engine = service.engine
-        places = dict(self._places(service.name))
-        if engine is None or not places:
+    def _tell_service(self, service: str, engine: EngineFigures) -> None:
+        listed = [
+            one for one in self._directory.all() if one.service == service
+        ]
+        if not listed:
             return
-        for listed in self._directory.all():
-            if listed.service == service.name:
-                self._wanted.serving(listed.versions.items())
+        places = {one.host: one.zone for one in listed}
+        for one in listed:
+            self._wanted.serving(one.versions.items())
         self._number += 1
         origin = self.book.origin
         news = EntryNews(
             number=self._number,
             wanted=self._wanted.told(
-                service.name,
+                service,
                 engine.models,
                 self._clock.now(),
             ),
-            peers=[PeerPlace(*one) for one in sorted(places.items())],
+            peers=[PeerPlace(*place) for place in sorted(places.items())],
             origin=f'{origin.host}:{origin.port}' if origin.host else '',
             chunk_bytes=engine.chunk_bytes,
             chunks=engine.chunks,
@@ -125,11 +123,6 @@
         addresses = [(host, self._port) for host in places]
         self._news.send(News(entry=news), addresses)
 
-    def _places(self, service: str) -> Iterator[tuple[str, str]]:
-        for one in self._directory.all():
-            if one.service == service:
-                yield one.host, one.zone
-
 
 def _report(engine: EngineNews, now: float) -> Report:
     return Report(
--- a/src/linnetwood/fleet/following.py
+++ b/src/linnetwood/fleet/following.py
@@ -6,6 +6,7 @@
 from random import Random
 from typing import Protocol
 
+from linnetwood.core.backoff import pause_s
 from linnetwood.core.errors import StoreError
 from linnetwood.core.events import Event, log
 
@@ -19,6 +20,7 @@
 # so a store that is back is to be noticed well within one.
 _PAUSE_FIRST_S = 0.1
 _PAUSE_MOST_S = 0.8
+_PAUSE_LEAST_SHARE = 0.5
 
 
 class HistoryLostError(StoreError):
@@ -123,7 +125,7 @@
                 failures += 1
                 self._note_away(exc)
                 self._sink.away()
-                await asyncio.sleep(_pause_s(failures, self._rng))
+                await asyncio.sleep(self._pause_s(failures))
             else:
                 failures = 0
                 self._note_back()
@@ -141,6 +143,15 @@
             await asyncio.sleep(_GATHER_S)
         self._revision = max(self._revision, found.revision)
 
+    def _pause_s(self, failures: int) -> float:
+        return pause_s(
+            failures,
+            self._rng,
+            _PAUSE_FIRST_S,
+            _PAUSE_MOST_S,
+            _PAUSE_LEAST_SHARE,
+        )
+
     def _note_away(self, exc: StoreError) -> None:
         if not self._away:
             log(
@@ -160,8 +171,3 @@
                 revision=self._revision,
             )
         self._away = False
-
-
-def _pause_s(failures: int, rng: Random) -> float:
-    ceiling = min(_PAUSE_MOST_S, _PAUSE_FIRST_S * 2**failures)
-    return rng.uniform(ceiling / 2, ceiling)
--- a/src/linnetwood/fleet/watching.py
+++ b/src/linnetwood/fleet/watching.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from random import Random
 
+from linnetwood.core.backoff import pause_s
 from linnetwood.core.clock import Clock
 from linnetwood.core.errors import LinnetwoodError, StoreError
 from linnetwood.core.events import Event, log
@@ -24,6 +25,7 @@
 WATCHERS_PER_REGION = 2
 _BACKOFF_FIRST_S = 1.0
 _BACKOFF_MOST_S = 60.0
+_BACKOFF_LEAST_SHARE = 0.25
 _IDLE_S = 2.0
 _PEER_TIMEOUT_S = 2.0
 _ZONE_SILENT_S = 12.0
@@ -200,5 +202,10 @@
 
 def backoff_s(failures: int, rng: Random) -> float:
     """Give the pause after so many failures in a row, with full jitter."""
-    ceiling = min(_BACKOFF_MOST_S, _BACKOFF_FIRST_S * 2 ** min(failures, 10))
-    return rng.uniform(ceiling / 4, ceiling)
+    return pause_s(
+        failures,
+        rng,
+        _BACKOFF_FIRST_S,
+        _BACKOFF_MOST_S,
+        _BACKOFF_LEAST_SHARE,
+    )
--- a/src/linnetwood/platform/feeds.py
+++ b/src/linnetwood/platform/feeds.py
@@ -46,13 +46,7 @@
         try:
             self._read(key, record)
         except ConfigError as exc:
-            log(
-                Event.ITEM_IGNORED,
-                key=key,
-                revision=record.revision,
-                code=exc.code,
-                detail=exc.detail,
-            )
+            _log_ignored(key, record, exc)
             return
         self._changed()
 
@@ -177,11 +171,15 @@
     try:
         return records.endpoint(key, record)
     except ConfigError as exc:
-        log(
-            Event.ITEM_IGNORED,
-            key=key,
-            revision=record.revision,
-            code=exc.code,
-            detail=exc.detail,
-        )
+        _log_ignored(key, record, exc)
         return None
+
+
+def _log_ignored(key: str, record: Record, exc: ConfigError) -> None:
+    log(
+        Event.ITEM_IGNORED,
+        key=key,
+        revision=record.revision,
+        code=exc.code,
+        detail=exc.detail,
+    )
--- a/src/linnetwood/programs/resident_entry.py
+++ b/src/linnetwood/programs/resident_entry.py
@@ -164,7 +164,7 @@
         conn = req.connection
         if conn is not None:
             lines = b'HTTP/1.1 %d %s\r\nContent-Length: 0\r\n\r\n'
-            conn.write(lines % (status, reason))  # type: ignore[unused-ignore]
+            conn.write(lines % (status, reason))
             conn.finish()
 
 
