Give the first wave its chunks before the second

Change: uploads serve VMs of the first wave first, the first wave asks for five chunks at a time and the second for four, and chunks come into a zone and from the origin through VMs of the first wave where there are any. The waves are the same for every version: who changed first has time for the next. The other zones' takeover comes after 0.8 s, since a chunk crosses in 0.1.

--- a/src/linnetwood/weights/follower.py
+++ b/src/linnetwood/weights/follower.py
@@ -15,6 +15,7 @@
     Ring,
     SharedReading,
     SwarmOptions,
+    WaveRings,
     ZoneReading,
 )
 from linnetwood.weights.transfer import Download, Tools
@@ -24,7 +25,11 @@
 _MANIFEST_RETRY_S = 0.3
 _TAKEOVER_S = 1.0
 # A chunk needs 54 ms on the narrowest links, and 96 of them come one by one.
-_FAR_TAKEOVER_S = 1.5
+_FAR_TAKEOVER_S = 0.8
+# Chunks asked of peers at a time. The first wave's links are filled; the second
+# takes what is left of the peers' links until the first holds everything.
+_FIRST_WINDOW = 5
+_SECOND_WINDOW = 4
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -122,7 +127,7 @@
             return False
         held = download.swarm.held.bit_count()
         count = download.swarm.count
-        return waves.is_spared(held, count, first=self._first_wave(aim))
+        return waves.is_spared(held, count, first=self._is_first(aim))
 
     def noticed(self, notice: HeldNotice) -> None:
         """Take in what a peer holds."""
@@ -171,6 +176,7 @@
         if self.download is None:
             return
         self._meet_peers(self.download)
+        self._share_links(aim, self.download)
         await self._lay(aim, self.download)
         if report.serving.get(aim.model, 0) >= aim.version:
             return
@@ -181,12 +187,26 @@
         if now_s >= self._change_at(aim, report, now_s):
             await self._take(aim, self.download)
 
-    def _first_wave(self, aim: Aim) -> bool:
-        return waves.in_first_wave(
-            self._tools.me,
-            self.around.peers,
-            aim.name,
+    def _first_wave(self, aim: Aim) -> frozenset[str]:
+        # The same VMs for every version: who changed first has time for more.
+        vms = {*self.around.peers, self._tools.me}
+        return waves.first_wave(vms, aim.model)
+
+    def _is_first(self, aim: Aim) -> bool:
+        return self._tools.me in self._first_wave(aim)
+
+    def _share_links(self, aim: Aim, download: Download) -> None:
+        """Let the first wave have its chunks before the second."""
+        first = self._first_wave(aim)
+        self._tools.uploads.urgent = first.__contains__
+        swarm = download.swarm
+        every = chunks.full(swarm.count)
+        waits = any(
+            vm in first and peer.held != every
+            for vm, peer in swarm.peers.items()
         )
+        second = self._tools.me not in first
+        swarm.window = _SECOND_WINDOW if second and waits else _FIRST_WINDOW
 
     def _change_at(self, aim: Aim, report: EngineReport, now_s: float) -> float:
         if self._complete_at is None:
@@ -195,7 +215,7 @@
         serves_nothing = not report.serving.get(aim.model, 0)
         if cutoff is None or serves_nothing:
             return now_s
-        first = self._first_wave(aim)
+        first = self._is_first(aim)
         return waves.change_at(
             self._complete_at,
             cutoff,
@@ -253,18 +273,24 @@
     ) -> tuple[SharedReading, ZoneReading]:
         me = self._tools.me
         near = self._near()
-        everyone = Ring(aim.name, {*self.around.peers, me})
+        everyone = {*self.around.peers, me}
         return (
-            SharedReading(me, everyone, count, cfg),
+            SharedReading(me, self._rings(aim, everyone), count, cfg),
             ZoneReading(
                 me,
-                Ring(aim.name, near),
+                self._rings(aim, near),
                 len(near),
                 count,
                 _FAR_TAKEOVER_S,
             ),
         )
 
+    def _rings(self, aim: Aim, vms: set[str]) -> WaveRings:
+        first = self._first_wave(aim)
+        return WaveRings(
+            (Ring(aim.name, vms & first), Ring(aim.name, vms - first)),
+        )
+
     def _near(self) -> set[str]:
         peers = self.around.peers
         zone = peers.get(self._tools.me)
--- a/src/linnetwood/weights/swarm.py
+++ b/src/linnetwood/weights/swarm.py
@@ -59,8 +59,30 @@
         for _, vm in self._points[start:] + self._points[:start]:
             if vm not in found:
                 found.append(vm)
-            if len(found) == count:
+            if len(found) >= count:
                 break
+        return found[:count]
+
+
+class Readers(Protocol):
+    """Say in which order VMs may read a chunk."""
+
+    def readers(self, index: int, count: int) -> list[str]:
+        """Give the VMs that should read a chunk, first choice first."""
+
+
+class WaveRings:
+    """Let the VMs of an earlier wave read first, then those of the next."""
+
+    def __init__(self, rings: Iterable[Ring]) -> None:
+        """Take the rings of the waves in their order."""
+        self._rings = list(rings)
+
+    def readers(self, index: int, count: int) -> list[str]:
+        """Give the VMs that should read a chunk, first choice first."""
+        found: list[str] = []
+        for ring in self._rings:
+            found.extend(ring.readers(index, count - len(found)))
         return found
 
 
@@ -103,7 +125,7 @@
     def __init__(
         self,
         me: str,
-        ring: Ring,
+        ring: Readers,
         count: int,
         cfg: SwarmOptions,
         before: Turns | None = None,
@@ -146,7 +168,7 @@
     def __init__(
         self,
         me: str,
-        ring: Ring,
+        ring: Readers,
         members: int,
         count: int,
         takeover_s: float,
@@ -239,6 +261,7 @@
         self.pending: dict[int, Pending] = {}
         self.policy = policy
         self.started = now
+        self.window = cfg.window
         self._cfg = cfg
         self._rng = rng
         self._rarity = [0 for _ in range(count)]
@@ -358,7 +381,7 @@
         asked = sum(
             1 for pending in self.pending.values() if pending.source != ORIGIN
         )
-        room = self._cfg.window - asked
+        room = self.window - asked
         if room <= 0:
             return
         free = self._free_peers(now)
--- a/src/linnetwood/weights/transfer.py
+++ b/src/linnetwood/weights/transfer.py
@@ -31,6 +31,7 @@
 from linnetwood.wire.connections import Address, Dialler
 from linnetwood.wire.frames import Frame, FrameKind, FrameStream
 from linnetwood.wire.links import Link
+from linnetwood.wire.turns import Turns
 
 _WAKE_S = 0.25
 _PLAN_PAUSE_S = 0.01
@@ -54,6 +55,10 @@
     bytes_sent: int = 0
 
 
+def _nobody(_vm: str) -> bool:
+    return False
+
+
 class Uploads:
     """Serve held chunks to peers, a bounded number at a time."""
 
@@ -70,8 +75,9 @@
         self.store = store
         self._link = link
         self._tally = tally
+        self.urgent: Callable[[str], bool] = _nobody
         self._limit = limit
-        self._turn = asyncio.Lock()
+        self._turns = Turns()
 
     async def serve(self, stream: FrameStream, frame: Frame) -> None:
         """Answer one request for a chunk."""
@@ -82,8 +88,7 @@
             return
         self.queued += 1
         try:
-            async with self._turn:
-                await self._send(stream, request, payload)
+            await self._send_in_turn(stream, request, payload)
         finally:
             self.queued -= 1
         self._tally.bytes_sent += len(payload)
@@ -96,6 +101,18 @@
         count = len(manifest.digests)
         return chunks.to_bytes(self.store.held(manifest), count)
 
+    async def _send_in_turn(
+        self,
+        stream: FrameStream,
+        request: ChunkRequest,
+        payload: bytes,
+    ) -> None:
+        await self._turns.take(urgent=self.urgent(request.asker))
+        try:
+            await self._send(stream, request, payload)
+        finally:
+            self._turns.give_back()
+
     async def _send(
         self,
         stream: FrameStream,
--- a/tests/test_swarm.py
+++ b/tests/test_swarm.py
@@ -12,6 +12,7 @@
     Swarm,
     SwarmOptions,
     Turns,
+    WaveRings,
 )
 
 COUNT = 8
@@ -112,6 +113,31 @@
         first = {ring.readers(index, 1)[0] for index in range(400)}
         self.assertGreater(len(first), 15)
 
+    def test_first_wave_reads_before_the_second(self) -> None:
+        """Within a wave the ring decides; short waves are filled up."""
+        waves = WaveRings((Ring('m', ['a', 'b']), Ring('m', ['c', 'd'])))
+        cases = ((1, 'ab'), (2, 'ab'), (3, 'abcd'), (4, 'abcd'))
+        for count, among in cases:
+            with self.subTest(count=count):
+                readers = waves.readers(5, count)
+                self.assertEqual(len(set(readers)), count)
+                self.assertLessEqual(set(readers), set(among))
+                self.assertEqual(set(readers[:2]) - set('ab'), set())
+        empty = WaveRings((Ring('m', []), Ring('m', ['c'])))
+        self.assertEqual(empty.readers(5, 2), ['c'])
+
+    def test_window_bounds_what_is_asked_at_a_time(self) -> None:
+        """It may be changed while a transfer is under way."""
+        cfg = SwarmOptions(window=1, origin_window=0)
+        found = Swarm(COUNT, 0, cfg, Nobody(), Random(1), 0)
+        for vm in ('a', 'b', 'c'):
+            found.meet(vm)
+            found.notice(vm, 0b1111, 0)
+        self.assertEqual(len(list(found.plan(0))), 1)
+        self.assertEqual(len(list(found.plan(0))), 0)
+        found.window = 3
+        self.assertEqual(len(list(found.plan(0))), 2)
+
     def test_next_reader_takes_over(self) -> None:
         """The second reader's turn comes one window later."""
         ring = Ring('m', ['a', 'b'])
