Tell which calls an engine has not begun, and believe that

Cause: an engine counts a call as running while it still reads the prompt, so entries took engines that read eight prompts for free ones.

Near equals are chosen among by chance within 40 ms, a little less than one more prompt costs.

--- a/src/linnetwood/calls/choice.py
+++ b/src/linnetwood/calls/choice.py
@@ -15,8 +15,9 @@
 _FAR_S = 0.015
 # Two delays to connect, one to ask and one back.
 _DELAYS = 4
-# Equals within this are chosen among by chance, so that entries don't herd.
-_JITTER_S = 0.01
+# Near equals are chosen among by chance, so that entries don't herd: less than
+# what one more call to read adds to the wait.
+_JITTER_S = 0.04
 _FAILING_S = 2.0
 _CHANGING_S = 1.5
 
--- a/src/linnetwood/calls/direct.py
+++ b/src/linnetwood/calls/direct.py
@@ -305,10 +305,7 @@
             self._count(standing, -1)
 
     def _count(self, standing: Standing, change: int) -> None:
-        if self._urgency is Urgency.LATE:
-            standing.late_waiting += change
-        else:
-            standing.urgent_waiting += change
+        standing.waits(change, urgent=self._urgency is Urgency.IN_TIME)
 
 
 class _Progress:
