--- a/src/linnetwood/calls/choice.py
+++ b/src/linnetwood/calls/choice.py
@@ -11,8 +11,9 @@
 _SUSPECT_S = 1.0
 _SHUNNED_S = 4.0
 _PLAIN_WORK_S = 0.08
-# What bytes between zones cost, as a time to wait; delays come on top.
-_FAR_S = 0.015
+# What bytes between zones cost, as a time to wait; delays come on top. Half of
+# what a prompt of the usual length takes to read.
+_FAR_S = 0.03
 # Two delays to connect, one to ask and one back.
 _DELAYS = 4
 # Near equals are chosen among by chance, so that entries don't herd: less than
--- a/src/linnetwood/programs/resident_endpoint.py
+++ b/src/linnetwood/programs/resident_endpoint.py
@@ -29,7 +29,7 @@
 _REPORT_EVERY_S = 0.05
 _HELD_EVERY_S = 0.1
 # The part of its link that a download fills (measured, docs/MEASUREMENTS.md).
-_TRANSFER_SHARE = 0.72
+_TRANSFER_SHARE = 0.85
 # What was told already is told again, since datagrams may be lost.
 _HELD_AGAIN_S = 1.0
 # An entry that was not heard for four of its greetings is not told any more.
--- a/src/linnetwood/weights/follower.py
+++ b/src/linnetwood/weights/follower.py
@@ -26,10 +26,6 @@
 _TAKEOVER_S = 1.0
 # A chunk needs 54 ms on the narrowest links, and 96 of them come one by one.
 _FAR_TAKEOVER_S = 0.8
-# Chunks asked of peers at a time. The first wave's links are filled; the second
-# takes what is left of the peers' links until the first holds everything.
-_FIRST_WINDOW = 5
-_SECOND_WINDOW = 4
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -176,7 +172,8 @@
         if self.download is None:
             return
         self._meet_peers(self.download)
-        self._share_links(aim, self.download)
+        # The first wave has its chunks before the second.
+        self._tools.uploads.urgent = self._first_wave(aim).__contains__
         await self._lay(aim, self.download)
         if report.serving.get(aim.model, 0) >= aim.version:
             return
@@ -195,19 +192,6 @@
     def _is_first(self, aim: Aim) -> bool:
         return self._tools.me in self._first_wave(aim)
 
-    def _share_links(self, aim: Aim, download: Download) -> None:
-        """Let the first wave have its chunks before the second."""
-        first = self._first_wave(aim)
-        self._tools.uploads.urgent = first.__contains__
-        swarm = download.swarm
-        every = chunks.full(swarm.count)
-        waits = any(
-            vm in first and peer.held != every
-            for vm, peer in swarm.peers.items()
-        )
-        second = self._tools.me not in first
-        swarm.window = _SECOND_WINDOW if second and waits else _FIRST_WINDOW
-
     def _change_at(self, aim: Aim, report: EngineReport, now_s: float) -> float:
         if self._complete_at is None:
             self._complete_at = now_s
--- a/src/linnetwood/weights/swarm.py
+++ b/src/linnetwood/weights/swarm.py
@@ -281,7 +281,6 @@
         self.pending: dict[int, Pending] = {}
         self.policy = policy
         self.started = now
-        self.window = cfg.window
         self._cfg = cfg
         self._rng = rng
         self._origin_failures = 0
@@ -437,7 +436,7 @@
         asked = sum(
             1 for pending in self.pending.values() if pending.source != ORIGIN
         )
-        room = self.window - asked
+        room = self._cfg.window - asked
         if room <= 0:
             return
         free = self._free_peers(now)
