Bound callers by the limits of the configuration in force

Change: a configuration that is adopted puts its limits in force on the server that is open. The call that an open connection waits for is still read by the older ones: the library has begun to read it.

Measured: tests only; the test failed before, since there was no way to do it.

--- a/src/linnetwood/calls/front.py
+++ b/src/linnetwood/calls/front.py
@@ -21,7 +21,7 @@
 from linnetwood.calls.dialect import Dialect, Urgency
 from linnetwood.calls.direct import DirectCall, DirectDispatcher
 from linnetwood.calls.reading import Arrival, read_call
-from linnetwood.calls.routebook import RouteBook
+from linnetwood.calls.routebook import CallLimits, RouteBook
 from linnetwood.core.events import Event, log
 from linnetwood.core.outcomes import Code, Ending, Outcome, not_run
 from linnetwood.wire.curldriver import Headers
@@ -281,28 +281,44 @@
     writer.whole(status, headers, ending.code.encode())
 
 
-class _FrontServer(HTTPServer):
-    """Tell the front of closed connections, which the library keeps."""
+class FrontServer(HTTPServer):
+    """Tell the front of closed connections, and bound what callers send."""
 
     def on_close(self, server_conn: object) -> None:
+        """Hear of a connection that closed; the library keeps quiet of it."""
         super().on_close(server_conn)
         callback = self.request_callback
         if isinstance(callback, Front):
             callback.on_close(server_conn)
 
+    def bound(self, limits: CallLimits) -> None:
+        """Put other limits in force.
 
-def open_server(front: Front, book: RouteBook) -> HTTPServer:
+        The call that an open connection waits for is read by the old ones.
+        """
+        of_conn = self.conn_params
+        of_conn.max_header_size = limits.header_bytes
+        of_conn.max_body_size = limits.body_bytes
+        of_conn.header_timeout = limits.idle_s
+        of_conn.body_timeout = _body_s(limits)
+
+
+def open_server(front: Front, limits: CallLimits) -> FrontServer:
     """Give the HTTP server for a front, bounded by the configuration."""
-    limits = book.limits
-    return _FrontServer(
+    return FrontServer(
         front,
         max_header_size=limits.header_bytes,
         max_body_size=limits.body_bytes,
         idle_connection_timeout=limits.idle_s,
-        body_timeout=limits.header_s * 2,
+        body_timeout=_body_s(limits),
     )
 
 
+def _body_s(limits: CallLimits) -> float:
+    # The configuration states a time for the head alone; a body has twice that.
+    return limits.header_s * 2
+
+
 def _forget(fut: 'asyncio.Future[None]') -> None:
     fut.add_done_callback(_ignore_closed)
 
--- a/src/linnetwood/programs/resident_entry.py
+++ b/src/linnetwood/programs/resident_entry.py
@@ -85,6 +85,7 @@
             ),
             rng,
         )
+        self._callers = open_server(self.front, self.book.limits)
         self._servers: list[HTTPServer] = []
 
     async def start(self) -> None:
@@ -94,7 +95,7 @@
         self._listen(readiness, cfg.readiness)
         self._following.start()
         await self.reports.start(cfg.host)
-        self._listen(open_server(self.front, self.book), cfg.callers)
+        self._listen(self._callers, cfg.callers)
 
     async def close(self) -> None:
         """Be taken out, finish what is under way, then go."""
@@ -111,6 +112,7 @@
             return
         self.book = book
         self.reports.book = book
+        self._callers.bound(book.limits)
         self._share_retries()
         log(
             Event.ROUTES_ADOPTED,
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -4,7 +4,6 @@
 import unittest
 from random import Random
 
-from tornado.httpserver import HTTPServer
 from tornado.netutil import bind_sockets
 
 from linnetwood.calls.choice import Chooser
@@ -13,6 +12,7 @@
 from linnetwood.calls.entrance import Entrance
 from linnetwood.calls.front import Front, open_server
 from linnetwood.calls.routebook import (
+    CallLimits,
     Organisation,
     Repeat,
     Route,
@@ -100,7 +100,7 @@
             entrance,
             Random(1),
         )
-        self.server: HTTPServer = open_server(self.front, BOOK)
+        self.server = open_server(self.front, BOOK.limits)
         sockets = bind_sockets(0, HOST)
         self.server.add_sockets(sockets)
         self.port = int(sockets[0].getsockname()[1])
@@ -161,6 +161,26 @@
         self.book = RouteBook()
         self.assertEqual((await self.ask(request('/a/x')))[0][0], 503)
 
+    async def test_limits_of_a_newer_configuration(self) -> None:
+        """They hold on a connection that was open before, too."""
+        await self.serve(says(GOOD))
+        plain = request('/a/x')
+        long = plain.replace(b'\r\n', b'\r\nX-Fill: ' + b'f' * 900 + b'\r\n', 1)
+        answers = await self.ask(plain, long)
+        self.assertEqual([one[0] for one in answers], [200, 200])
+        self.server.bound(CallLimits(header_bytes=600))
+        reader, writer = await asyncio.open_connection(HOST, self.port)
+        writer.write(plain)
+        self.assertIn(b'200', await reader.readline())
+        self.server.bound(CallLimits(header_bytes=60))
+        writer.write(plain + plain)
+        async with asyncio.timeout(60):
+            rest = await reader.read()
+        self.assertEqual(rest.count(b'HTTP/1.1 200'), 1)
+        writer.close()
+        self.server.bound(CallLimits())
+        self.assertEqual((await self.ask(long))[0][0], 200)
+
     async def test_kept_connection_serves_several(self) -> None:
         """One connection carries calls one after the other."""
         await self.serve(says(GOOD))
