Split who reads what from the swarm's own state

The rings, turns and policies of reading move to reading.py, what bounds a transfer to bounds.py, unchanged. A second class named Turns (who sends next on a link) is called TurnQueue now. No behaviour changes; the tests only import from elsewhere.

--- a/src/linnetwood/weights/agent.py
+++ b/src/linnetwood/weights/agent.py
@@ -16,17 +16,17 @@
 from linnetwood.gen.schema.ttypes import Configuration, Intent
 from linnetwood.gen.wire.ttypes import HeldNotice, Member, TransferProgress
 from linnetwood.weights import chunks
+from linnetwood.weights.bounds import SwarmOptions
 from linnetwood.weights.keeper import EngineKeeper, Target
 from linnetwood.weights.orders import Orders
-from linnetwood.weights.staging import Staging
-from linnetwood.weights.swarm import (
+from linnetwood.weights.reading import (
     DirectReading,
     OriginPolicy,
     Ring,
     SharedReading,
-    SwarmOptions,
     Turns,
 )
+from linnetwood.weights.staging import Staging
 from linnetwood.weights.transfer import Download, Tools
 
 _WAKE_S = 0.5
--- a/src/linnetwood/weights/follower.py
+++ b/src/linnetwood/weights/follower.py
@@ -10,11 +10,11 @@
 from linnetwood.fleet.wanted import SWITCH_S, WantedVersions
 from linnetwood.gen.wire.ttypes import HeldNotice, Member
 from linnetwood.weights import chunks, waves
+from linnetwood.weights.bounds import SwarmOptions
 from linnetwood.weights.engine import Engine, EngineReport, Order, Origin
-from linnetwood.weights.swarm import (
+from linnetwood.weights.reading import (
     Ring,
     SharedReading,
-    SwarmOptions,
     WaveRings,
     ZoneReading,
 )
--- a/src/linnetwood/weights/swarm.py
+++ b/src/linnetwood/weights/swarm.py
@@ -2,18 +2,15 @@
 
 import dataclasses
 import itertools
-from bisect import bisect_right
-from collections.abc import Collection, Iterable, Iterator
+from collections.abc import Collection, Iterator
 from random import Random
-from typing import Protocol
 
 from linnetwood.core.backoff import pause_s
-from linnetwood.fleet.members import place_hash
 from linnetwood.weights import chunks
+from linnetwood.weights.bounds import SwarmOptions
+from linnetwood.weights.reading import DueTimes, OriginPolicy
 
 ORIGIN = ''
-_RING_POINTS = 16
-_TAKERS = 3
 _SHUN_S = 60.0
 # How long an origin that failed is left alone: about a chunk's time on a slow
 # link at first, at most what a version's bound can spare.
@@ -30,207 +27,6 @@
     source: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class SwarmOptions:
-    """What bounds a transfer."""
-
-    window: int = 6
-    per_peer: int = 1
-    queue_limit: int = 4
-    origin_window: int = 2
-    request_timeout_s: float = 5.0
-    chunk_origin_s: float = 0.01
-    takeover_s: float = 3.0
-
-
-class Ring:
-    """Place VMs on a ring so that each chunk has readers in an agreed order."""
-
-    def __init__(self, manifest: str, vms: Iterable[str]) -> None:
-        """Place each VM at several points."""
-        self._points = sorted(
-            (place_hash(f'{manifest}|{vm}|{point}'), vm)
-            for vm in vms
-            for point in range(_RING_POINTS)
-        )
-        self._keys = [key for key, _ in self._points]
-        self._manifest = manifest
-
-    def readers(self, index: int, count: int) -> list[str]:
-        """Give the VMs that should read a chunk, first choice first."""
-        found: list[str] = []
-        start = bisect_right(
-            self._keys, place_hash(f'{self._manifest}#{index}')
-        )
-        for _, vm in self._points[start:] + self._points[:start]:
-            if vm not in found:
-                found.append(vm)
-            if len(found) >= count:
-                break
-        return found[:count]
-
-
-class Readers(Protocol):
-    """Say in which order VMs may read a chunk."""
-
-    def readers(self, index: int, count: int) -> list[str]:
-        """Give the VMs that should read a chunk, first choice first."""
-
-
-class WaveRings:
-    """Let the VMs of an earlier wave read first, then those of the next."""
-
-    def __init__(self, rings: Iterable[Ring]) -> None:
-        """Take the rings of the waves in their order."""
-        self._rings = list(rings)
-
-    def readers(self, index: int, count: int) -> list[str]:
-        """Give the VMs that should read a chunk, first choice first."""
-        found: list[str] = []
-        for ring in self._rings:
-            found.extend(ring.readers(index, count - len(found)))
-        return found
-
-
-class OriginPolicy(Protocol):
-    """Decide when a process may read a chunk from the origin."""
-
-    def due_at(self, index: int, started: float) -> float | None:
-        """Give the time from which this process may read the chunk."""
-
-    def again_at(self, index: int, failed: float) -> float:
-        """Give the time of the turn once an origin that failed is back."""
-
-    def turns(self) -> int:
-        """Give the bitmap of chunks that this process may ever read."""
-
-    def takes_over(self, index: int) -> bool:
-        """Tell whether another process was to read the chunk first."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Turns:
-    """Which chunks were this VM's to read before, and for how long."""
-
-    chunks: int
-    elapsed_s: float
-
-
-def _grace_s(index: int, before: Turns | None, cfg: SwarmOptions) -> float:
-    if before is None or index < 0 or before.chunks >> index & 1:
-        return 0
-    return before.elapsed_s + cfg.takeover_s
-
-
-class SharedReading:
-    """Let each chunk be read once, by the VM that the ring names.
-
-    The reads are spread over the time that the origin's link needs, and the
-    next VM on the ring takes over when nobody has shown the chunk in time.
-    When the fleet changes, turns that were not this VM's before wait for as
-    long, since whoever had them may have read the chunk already.
-    """
-
-    def __init__(
-        self,
-        me: str,
-        ring: Readers,
-        count: int,
-        cfg: SwarmOptions,
-        before: Turns | None = None,
-    ) -> None:
-        """Work out this process's turns."""
-        self._due: dict[int, float] = {}
-        self._ranks: dict[int, int] = {}
-        self._takeover_s = cfg.takeover_s
-        for index in range(chunks.MANIFEST_INDEX, count):
-            readers = ring.readers(index, _TAKERS)
-            if me in readers:
-                rank = readers.index(me)
-                self._ranks[index] = rank
-                wait = max(0, index) * cfg.chunk_origin_s
-                due = wait + rank * cfg.takeover_s
-                self._due[index] = max(due, _grace_s(index, before, cfg))
-        self._turns = sum(1 << chunk for chunk in self._due if chunk >= 0)
-
-    def due_at(self, index: int, started: float) -> float | None:
-        """Give the time of this process's turn, if it has one."""
-        due = self._due.get(index)
-        return None if due is None else started + due
-
-    def again_at(self, index: int, failed: float) -> float:
-        """Give the turn after a failure: by then every first turn is over.
-
-        Without this all readers of a chunk would read it at the same time.
-        """
-        return failed + self._ranks.get(index, _TAKERS) * self._takeover_s
-
-    def turns(self) -> int:
-        """Give the chunks for which this process is among the readers."""
-        return self._turns
-
-    def takes_over(self, index: int) -> bool:
-        """Tell whether this process is not the first reader."""
-        return self._ranks.get(index) != 0
-
-
-class ZoneReading:
-    """Let one VM of a zone bring each chunk into it; the others wait for that.
-
-    Bytes between zones are dear. The next VM on the zone's ring takes over
-    when the chunk has not come in time, and in the end anyone may.
-    """
-
-    def __init__(
-        self,
-        me: str,
-        ring: Readers,
-        members: int,
-        count: int,
-        takeover_s: float,
-    ) -> None:
-        """Work out this VM's rank for each chunk."""
-        self._due = [
-            ring.readers(index, members).index(me) * takeover_s
-            for index in range(count)
-        ]
-
-    def due_at(self, index: int, started: float) -> float | None:
-        """Give the time from which a far neighbour may be asked."""
-        return started + self._due[index]
-
-
-class DueTimes(Protocol):
-    """Tell from when on a chunk may be fetched some way."""
-
-    def due_at(self, index: int, started: float) -> float | None:
-        """Give the time, or None for never."""
-
-
-class DirectReading:
-    """Let every VM read everything from the origin: the plain baseline."""
-
-    def __init__(self, count: int) -> None:
-        """Know how many chunks there are."""
-        self._turns = chunks.full(count)
-
-    def turns(self) -> int:
-        """Give every chunk."""
-        return self._turns
-
-    def takes_over(self, index: int) -> bool:
-        """Take over from nobody."""
-        return False
-
-    def due_at(self, index: int, started: float) -> float | None:
-        """Allow every chunk at once."""
-        return started
-
-    def again_at(self, index: int, failed: float) -> float:
-        """Allow every chunk at once."""
-        return failed
-
-
 class Peer:
     """What is known of one neighbour."""
 
--- a/src/linnetwood/weights/transfer.py
+++ b/src/linnetwood/weights/transfer.py
@@ -19,19 +19,21 @@
     Member,
 )
 from linnetwood.weights import chunks
+from linnetwood.weights.bounds import SwarmOptions
+from linnetwood.weights.reading import (
+    DueTimes,
+    OriginPolicy,
+)
 from linnetwood.weights.swarm import (
     ORIGIN,
-    DueTimes,
     Fetch,
-    OriginPolicy,
     Swarm,
-    SwarmOptions,
 )
 from linnetwood.wire.codec import decode, encode
 from linnetwood.wire.connections import Address, Dialler
 from linnetwood.wire.frames import Frame, FrameKind, FrameStream
 from linnetwood.wire.links import Link
-from linnetwood.wire.turns import Turns
+from linnetwood.wire.turns import TurnQueue
 
 _WAKE_S = 0.25
 _PLAN_PAUSE_S = 0.01
@@ -77,7 +79,7 @@
         self._tally = tally
         self.urgent: Callable[[str], bool] = _nobody
         self._limit = limit
-        self._turns = Turns()
+        self._turns = TurnQueue()
 
     async def serve(self, stream: FrameStream, frame: Frame) -> None:
         """Answer one request for a chunk."""
--- a/src/linnetwood/wire/turns.py
+++ b/src/linnetwood/wire/turns.py
@@ -4,7 +4,7 @@
 from collections import deque
 
 
-class Turns:
+class TurnQueue:
     """Grant one turn at a time; each of the two kinds in order of asking."""
 
     def __init__(self) -> None:
--- a/tests/test_swarm.py
+++ b/tests/test_swarm.py
@@ -4,16 +4,18 @@
 from random import Random
 
 from linnetwood.weights import chunks
-from linnetwood.weights.swarm import (
-    ORIGIN,
+from linnetwood.weights.bounds import SwarmOptions
+from linnetwood.weights.reading import (
     DirectReading,
     Ring,
     SharedReading,
-    Swarm,
-    SwarmOptions,
     Turns,
     WaveRings,
 )
+from linnetwood.weights.swarm import (
+    ORIGIN,
+    Swarm,
+)
 
 COUNT = 8
 
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -1,16 +1,16 @@
-"""Turns are granted one at a time, to the urgent first."""
+"""TurnQueue are granted one at a time, to the urgent first."""
 
 import asyncio
 import unittest
 
-from linnetwood.wire.turns import Turns
+from linnetwood.wire.turns import TurnQueue
 
 
 class TurnsTest(unittest.IsolatedAsyncioTestCase):
     """Ask in one order and see in which turns come."""
 
     def setUp(self) -> None:
-        self.turns = Turns()
+        self.turns = TurnQueue()
         self.had: list[str] = []
 
     async def ask(self, name: str, *, urgent: bool) -> None:
