Stop 1.2 s before an older version's bound again

Cause: on a VM whose link is narrowed to 0.9 Mbit/s while chunks come in, calls reach the engine 1.3 to 2 s after they were sent, also those that were taken back meanwhile: the reset waits behind them.

The longest of the ways above is longer than the margin, so this makes it seldom and not impossible.

--- a/src/linnetwood/fleet/wanted.py
+++ b/src/linnetwood/fleet/wanted.py
@@ -10,12 +10,12 @@
 NOT_NAMED = -1
 # Older versions than these are no longer anybody's bound.
 MOST_TOLD = 4
-# Calls stop going to an older version this long before they have to: one that
-# is expected in time begins within half a second.
-MARGIN_S = 0.8
+# Calls stop going to an older version this long before they have to: over a
+# link that turned narrow one took 1.3 to 2 s to arrive (a day of the bench).
+MARGIN_S = 1.2
 # A call that has not begun by then is taken back; so long it may take to
 # reach an endpoint that it is.
-START_MARGIN_S = 0.5
+START_MARGIN_S = 0.8
 # An engine finishes what it runs before it takes a version (measured).
 SWITCH_S = 1.8
 
--- a/tests/test_wanted.py
+++ b/tests/test_wanted.py
@@ -51,6 +51,20 @@
                     since + BOUND_S - START_MARGIN_S,
                 )
 
+    def test_a_call_that_takes_long_to_arrive_is_within_the_bound(self) -> None:
+        """Over a narrow link a call arrives more than a second after it left."""
+        wanted = named((2, 18.0))
+        on_the_way_s = 1.15
+        bound = 18.0 + BOUND_S
+        last_sent = next(
+            step / 100
+            for step in range(1800, 2600)
+            if wanted.least('m', step / 100)
+        )
+        self.assertLess(last_sent + on_the_way_s, bound)
+        taken_back = wanted.start_by('m', 1)
+        self.assertLess(taken_back + on_the_way_s / 2, bound)
+
     def test_older_version_first_where_the_newer_comes_late(self) -> None:
         """Both ways are weighed by when calls would find no engine."""
         cases = (
