--- a/tests/test_wanted.py
+++ b/tests/test_wanted.py
@@ -52,7 +52,7 @@
                 )
 
     def test_a_call_slow_to_arrive_is_within_the_bound(self) -> None:
-        """Over a narrow link a call arrives more than a second after it left."""
+        """Over a narrow link it arrives more than a second after it left."""
         wanted = named((2, 18.0))
         on_the_way_s = 1.15
         bound = 18.0 + BOUND_S
