Sum up by second which calls were lost or late: linnetwood losses

The line of an attempt now says what was believed of the endpoint, the longest pause and what the route asks; the line of a start says the availability zone.

--- /dev/null
+++ b/src/linnetwood/calls/accounts.py
@@ -0,0 +1,76 @@
+"""Tell in one log line how an attempt went, and what was believed before it."""
+
+import dataclasses
+
+from linnetwood.calls.attempt import Attempt, AttemptEnd
+from linnetwood.calls.choice import Choice
+from linnetwood.calls.dialect import Urgency
+from linnetwood.calls.routebook import Route
+from linnetwood.calls.standing import Standing
+from linnetwood.core.events import Event, log
+
+_MILLISECONDS = 1000
+# What a line says where nothing was heard.
+_NEVER = -1
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Belief:
+    """What was believed of an endpoint when a call went there."""
+
+    waiting: float
+    running: int
+    report_age_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Sending:
+    """An attempt as it goes out; the time is one of the loop's clock."""
+
+    call_id: str
+    route: Route
+    choice: Choice
+    urgency: Urgency
+    belief: Belief
+    at: float
+
+
+def believed(standing: Standing, now: float) -> Belief:
+    """Say what is believed of an endpoint."""
+    waiting, running = standing.work(now)
+    report = standing.report
+    age_ms = _NEVER if report is None else _ms(now - report.heard_at)
+    return Belief(round(waiting, 1), running, age_ms)
+
+
+def tell(
+    sending: Sending, attempt: Attempt, end: AttemptEnd, now: float
+) -> None:
+    """Log how an attempt ended, beside what it should have been."""
+    first_heard = attempt.first_heard
+    route = sending.route
+    belief = sending.belief
+    log(
+        Event.ATTEMPT_ENDED,
+        call=sending.call_id,
+        route=route.name,
+        endpoint=sending.choice.endpoint.endpoint,
+        far=sending.choice.far,
+        version=sending.choice.version,
+        urgency=sending.urgency.value,
+        waiting=belief.waiting,
+        running=belief.running,
+        report_age_ms=belief.report_age_ms,
+        predicted_ms=_ms(sending.choice.wait_s),
+        first_ms=_ms(first_heard - sending.at) if first_heard else _NEVER,
+        target_ms=_ms(route.target_s),
+        gap_ms=_ms(attempt.longest_gap_s),
+        allowed_gap_ms=_ms(route.gap_s),
+        took_ms=_ms(now - sending.at),
+        how=end.how.value,
+        detail=end.detail,
+    )
+
+
+def _ms(seconds: float) -> int:
+    return round(seconds * _MILLISECONDS)
--- a/src/linnetwood/calls/attempt.py
+++ b/src/linnetwood/calls/attempt.py
@@ -103,12 +103,14 @@
         """Expect a stream of events, or an answer to pass on whole."""
         self.last_heard = clock_now
         self.first_heard = float()
+        self.longest_gap_s = float()
         self.started: Callable[[], None] = _nothing
         self._loop = asyncio.get_running_loop()
         self._relay = relay
         self._dialect = dialect
         self._call_id = call_id
         self._streams = streams
+        self._sent_at = float()
         self._verdict: Verdict | None = None
         self._status = 0
         self._headers: Headers = []
@@ -167,9 +169,13 @@
 
     def _send(self, whole: bytes) -> None:
         relay = self._relay
-        if not self.first_heard:
+        if self.first_heard:
+            gap_s = self.last_heard - self._sent_at
+            self.longest_gap_s = max(self.longest_gap_s, gap_s)
+        else:
             self.first_heard = self.last_heard
             self.started()
+        self._sent_at = self.last_heard
         if not relay.begun:
             relay.begun = True
             relay.version = self._dialect.version(self._headers)
--- a/src/linnetwood/calls/choice.py
+++ b/src/linnetwood/calls/choice.py
@@ -41,6 +41,7 @@
     endpoint: Listed
     wait_s: float
     version: int = 0
+    far: bool = False
 
 
 class Chooser:
@@ -74,7 +75,8 @@
             loss += self._rng.random() * _JITTER_S
             if best is None or loss < best[0]:
                 version = self._version(need, one)
-                best = (loss, Choice(one, wait_s, version))
+                far = one.zone != need.zone
+                best = (loss, Choice(one, wait_s, version, far))
         return best[1] if best else None
 
     def wait_s(self, need: Need, one: Listed, now: float) -> float:
--- a/src/linnetwood/calls/direct.py
+++ b/src/linnetwood/calls/direct.py
@@ -4,6 +4,7 @@
 import dataclasses
 import math
 
+from linnetwood.calls.accounts import Sending, believed, tell
 from linnetwood.calls.attempt import (
     Attempt,
     AttemptEnd,
@@ -17,7 +18,6 @@
 from linnetwood.calls.retries import SHARE, RetryBudget
 from linnetwood.calls.routebook import Organisation, Repeat, Route, Service
 from linnetwood.calls.standing import Standing
-from linnetwood.core.events import Event, log
 from linnetwood.core.outcomes import (
     ANSWERED,
     Code,
@@ -165,6 +165,14 @@
         )
         errand = self._errand(call, need, choice, relay, urgency)
         standing = self._chooser.standing(choice.endpoint.endpoint)
+        sending = Sending(
+            call.head.call_id,
+            call.route,
+            choice,
+            urgency,
+            believed(standing, now),
+            now,
+        )
         standing.sent()
         waiting = _Waiting(standing, urgency)
         attempt.started = waiting.over
@@ -178,16 +186,7 @@
             waiting.over()
             standing.ended()
         self._learn(choice, end)
-        log(
-            Event.ATTEMPT_ENDED,
-            call=call.head.call_id,
-            endpoint=choice.endpoint.endpoint,
-            predicted_ms=round(choice.wait_s * 1000),
-            first_ms=_ms_between(now, attempt.first_heard),
-            took_ms=round((self._loop.time() - now) * 1000),
-            how=end.how.value,
-            detail=end.detail,
-        )
+        tell(sending, attempt, end, self._loop.time())
         return end
 
     def _errand(
@@ -334,7 +333,3 @@
         if self.may_have_run:
             return unknown(code, detail)
         return not_run(code, detail, _RETRY_AFTER_MS)
-
-
-def _ms_between(start: float, end: float) -> int:
-    return round((end - start) * 1000) if end else -1
--- a/src/linnetwood/calls/front.py
+++ b/src/linnetwood/calls/front.py
@@ -177,6 +177,7 @@
             log(
                 Event.CALL_REFUSED,
                 call=call.head.call_id,
+                route=call.route.name,
                 code=admitted.code,
                 detail=admitted.detail,
                 retry_after_ms=admitted.retry_after_ms,
@@ -189,6 +190,7 @@
                 if ending.outcome is Outcome.NOT_RUN
                 else Event.CALL_UNKNOWN,
                 call=call.head.call_id,
+                route=call.route.name,
                 code=ending.code,
                 detail=ending.detail,
             )
--- a/src/linnetwood/programs/cli.py
+++ b/src/linnetwood/programs/cli.py
@@ -7,7 +7,7 @@
 import uuid
 from collections.abc import Callable, Iterable, Iterator
 from types import MappingProxyType
-from typing import Any, Final
+from typing import Any, Final, TextIO
 
 import defopt
 from thrift.Thrift import TException
@@ -27,7 +27,7 @@
     Verdict,
     Weigh,
 )
-from linnetwood.programs import explain, show
+from linnetwood.programs import explain, losses, show
 from linnetwood.programs.client import OperatorClient
 
 EXIT_OK = 0
@@ -282,14 +282,35 @@
     :param json: print JSON
     """
     lines: list[dict[str, Any]] = []
+    for stream in _opened(logs):
+        lines.extend(explain.lines_of(stream))
+    story = explain.of_call(lines, call)
+    return _print(story, map(explain.sentence, story), json)
+
+
+def sum_up_losses(*logs: str, json: bool = False) -> int:
+    """Sum up by second which calls were late, refused or lost, and why.
+
+    :param logs: files with log lines of any processes
+    :param json: print JSON
+    """
+    if not logs:
+        raise UsageError('log-missing', 'name one log file or more')
+    found = losses.sum_up(_opened(logs))
+    if json:
+        sys.stdout.write(f'{losses.as_json(found)}\n')
+    else:
+        sys.stdout.writelines(f'{line}\n' for line in losses.report(found))
+    return EXIT_OK
+
+
+def _opened(logs: Iterable[str]) -> Iterator[TextIO]:
     for name in logs:
         try:
             with open(name, encoding='utf-8', errors='replace') as stream:
-                lines.extend(explain.lines_of(stream))
+                yield stream
         except OSError as exc:
             raise UsageError('log-unreadable', f'{name}: {exc}') from exc
-    story = explain.of_call(lines, call)
-    return _print(story, map(explain.sentence, story), json)
 
 
 def _client(entry: str) -> OperatorClient:
@@ -348,6 +369,7 @@
         'endpoint': {'list': endpoint_list, 'drain': endpoint_drain},
         'status': status,
         'explain': explain_call,
+        'losses': sum_up_losses,
         'config': {'show': config_show, 'history': config_history},
     }
 )
--- a/src/linnetwood/programs/explain.py
+++ b/src/linnetwood/programs/explain.py
@@ -18,20 +18,24 @@
     What stands before the first brace of a line, such as a collector's own
     time and name of the machine, is left out.
     """
-    for line in stream:
-        found = _read(line)
-        if isinstance(found, dict) and isinstance(found.get('event'), int):
-            yield found
+    for text in stream:
+        line = read_line(text)
+        if line is not None:
+            yield line
 
 
-def _read(line: str) -> object:
-    start = line.find('{')
+def read_line(text: str) -> dict[str, Any] | None:
+    """Give the event that a line tells; None for a torn or foreign line."""
+    start = text.find('{')
     if start < 0:
         return None
     try:
-        return json.loads(line[start:])
+        found = json.loads(text[start:])
     except ValueError:
         return None
+    if isinstance(found, dict) and isinstance(found.get('event'), int):
+        return found
+    return None
 
 
 def of_call(
--- /dev/null
+++ b/src/linnetwood/programs/losses.py
@@ -0,0 +1,245 @@
+"""Sum up from log lines which calls were lost or late, when, where and why."""
+
+import collections
+import dataclasses
+import json
+from collections.abc import Iterable, Iterator
+from types import MappingProxyType
+from typing import Any, TextIO
+
+from linnetwood.core.events import Event
+from linnetwood.programs.explain import read_line
+
+# Seconds that are kept; the oldest go first, and are counted.
+MOST_SECONDS = 7200
+# Kinds of rows in one second; what comes beyond counts as the rest.
+MOST_KINDS = 400
+# What stands where a line does not tell.
+_UNTOLD = '?'
+_REST = (_UNTOLD, _UNTOLD, 'rest')
+# Waits are counted in steps of so many milliseconds, up to a last step.
+_STEP_MS = 25
+_MEDIAN = 0.5
+_TAIL = 0.9
+_LAST_STEP = 400
+_SECOND = len('2026-01-01 00:00:00')
+IN_TIME = 'in time'
+_LATE_START = 'late: first event'
+_LATE_GAP = 'late: pause'
+_LATE = 'late'
+_ENDINGS = MappingProxyType(
+    {
+        int(Event.CALL_REFUSED): 'refused',
+        int(Event.CALL_NOT_RUN): 'given up, not run',
+        int(Event.CALL_UNKNOWN): 'given up, may have run',
+        int(Event.CALL_CUT): 'cut',
+    },
+)
+_ZONED = int(Event.STARTED)
+_ATTEMPT = int(Event.ATTEMPT_ENDED)
+
+
+class Spread:
+    """Count milliseconds in steps, so that memory does not grow with calls."""
+
+    __slots__ = ('_counts', 'count')
+
+    def __init__(self) -> None:
+        """Begin empty."""
+        self.count = 0
+        self._counts: collections.Counter[int] = collections.Counter()
+
+    def add(self, milliseconds: float) -> None:
+        """Count one."""
+        step = int(milliseconds // _STEP_MS)
+        self._counts[max(-_LAST_STEP, min(_LAST_STEP, step))] += 1
+        self.count += 1
+
+    def at(self, share: float) -> int | None:
+        """Give a quantile, to the step; None of nothing."""
+        left = share * self.count
+        for step in sorted(self._counts):
+            left -= self._counts[step]
+            if left < 0:
+                return step * _STEP_MS
+        return None
+
+
+class Second:
+    """What one second's lines add up to."""
+
+    __slots__ = ('ages', 'kinds', 'missing', 'predicted', 'seen', 'versions')
+
+    def __init__(self) -> None:
+        """Begin empty."""
+        self.kinds: collections.Counter[tuple[str, str, str]] = (
+            collections.Counter()
+        )
+        self.predicted = Spread()
+        self.seen = Spread()
+        self.missing = Spread()
+        self.ages = Spread()
+        self.versions: collections.Counter[str] = collections.Counter()
+
+    def count(self, zone: str, route: str, cause: str) -> None:
+        """Count a call under its availability zone, route and cause."""
+        kind = (zone, route, cause)
+        if kind not in self.kinds and len(self.kinds) >= MOST_KINDS:
+            kind = _REST
+        self.kinds[kind] += 1
+
+
+@dataclasses.dataclass(slots=True)
+class Losses:
+    """What the lines of several processes add up to."""
+
+    seconds: dict[str, Second] = dataclasses.field(default_factory=dict)
+    zones: dict[str, str] = dataclasses.field(default_factory=dict)
+    torn: int = 0
+    dropped_seconds: int = 0
+
+    def read(self, stream: TextIO) -> None:
+        """Take in the lines of one file; torn ones are counted."""
+        for text in stream:
+            line = read_line(text)
+            if line is None:
+                self.torn += '{' in text
+            else:
+                self.take(line)
+
+    def take(self, line: dict[str, Any]) -> None:
+        """Take in one line."""
+        number = line['event']
+        vm = str(line.get('vm', _UNTOLD))
+        if number == _ZONED:
+            self.zones[vm] = str(line.get('zone', _UNTOLD))
+        elif number == _ATTEMPT:
+            self._attempt(line, self.zones.get(vm, _UNTOLD))
+        else:
+            self._ending(line, self.zones.get(vm, _UNTOLD))
+
+    def _ending(self, line: dict[str, Any], zone: str) -> None:
+        ending = _ENDINGS.get(line['event'])
+        if ending is not None:
+            cause = f'{ending}: {line.get("code", _UNTOLD)}'
+            route = str(line.get('route', _UNTOLD))
+            self._second(line).count(zone, route, cause)
+
+    def _second(self, line: dict[str, Any]) -> Second:
+        at = str(line.get('asctime', _UNTOLD))[:_SECOND]
+        found = self.seconds.setdefault(at, Second())
+        if len(self.seconds) > MOST_SECONDS:
+            self.seconds.pop(min(self.seconds))
+            self.dropped_seconds += 1
+        return found
+
+    def _attempt(self, line: dict[str, Any], zone: str) -> None:
+        found = self._second(line)
+        found.count(zone, str(line.get('route', _UNTOLD)), cause_of(line))
+        version = _number(line, 'version')
+        if version > 0:
+            found.versions[f'{line.get("endpoint", _UNTOLD)}@{version}'] += 1
+        age_ms = _number(line, 'report_age_ms')
+        if age_ms >= 0:
+            found.ages.add(age_ms)
+        first_ms = _number(line, 'first_ms')
+        if first_ms >= 0:
+            predicted_ms = _number(line, 'predicted_ms')
+            found.predicted.add(predicted_ms)
+            found.seen.add(first_ms)
+            found.missing.add(first_ms - predicted_ms)
+
+
+def cause_of(line: dict[str, Any]) -> str:
+    """Say in which way an attempt was good, late or lost."""
+    how = str(line.get('how', _UNTOLD))
+    if how != 'answered':
+        return f'lost: {how}'
+    first_ms = _number(line, 'first_ms')
+    target_ms = _number(line, 'target_ms')
+    if first_ms < 0:
+        in_time = _number(line, 'took_ms') <= target_ms
+        return IN_TIME if in_time else _LATE
+    if line.get('urgency') == _LATE:
+        return 'late: came back'
+    if first_ms > target_ms:
+        return _LATE_START
+    allowed_ms = _number(line, 'allowed_gap_ms')
+    if allowed_ms and _number(line, 'gap_ms') > allowed_ms:
+        return _LATE_GAP
+    return IN_TIME
+
+
+def rows(losses: Losses) -> list[dict[str, Any]]:
+    """Give what was found as one plain record a second."""
+    return [_row(at, losses.seconds[at]) for at in sorted(losses.seconds)]
+
+
+def report(losses: Losses) -> Iterator[str]:
+    """Yield the lines of a report for people."""
+    for row in rows(losses):
+        yield _headline(row)
+        for kind in row['calls']:
+            if kind['cause'] != IN_TIME:
+                yield (
+                    f'    {kind["count"]:5}  {kind["cause"]}'
+                    f'  {kind["zone"]} {kind["route"]}'
+                )
+    yield (
+        f'{losses.torn} torn lines, {losses.dropped_seconds} seconds left out'
+    )
+
+
+def _row(at: str, second: Second) -> dict[str, Any]:
+    return {
+        'second': at,
+        'calls': [
+            {'zone': zone, 'route': route, 'cause': cause, 'count': count}
+            for (zone, route, cause), count in second.kinds.most_common()
+        ],
+        'predicted_ms': second.predicted.at(_MEDIAN),
+        'seen_ms': second.seen.at(_MEDIAN),
+        'missing_ms': second.missing.at(_MEDIAN),
+        'missing_p90_ms': second.missing.at(_TAIL),
+        'report_age_ms': second.ages.at(_MEDIAN),
+        'report_age_p90_ms': second.ages.at(_TAIL),
+        'versions': dict(sorted(second.versions.items())),
+    }
+
+
+def _headline(row: dict[str, Any]) -> str:
+    by_cause: collections.Counter[str] = collections.Counter()
+    for kind in row['calls']:
+        by_cause[kind['cause'].partition(':')[0]] += kind['count']
+    told = ', '.join(f'{count} {cause}' for cause, count in by_cause.items())
+    served = sorted({one.rpartition('@')[2] for one in row['versions']})
+    return (
+        f'{row["second"]}  {told}; first event predicted '
+        f'{row["predicted_ms"]} ms, seen {row["seen_ms"]}, short by '
+        f'{row["missing_ms"]} ({row["missing_p90_ms"]} in one of ten); '
+        f'reports {row["report_age_ms"]} ms old; versions {",".join(served)}'
+    )
+
+
+def _number(line: dict[str, Any], name: str) -> float:
+    found = line.get(name, 0)
+    return found if isinstance(found, int | float) else 0
+
+
+def as_json(losses: Losses) -> str:
+    """Give the report for programs."""
+    return json.dumps(
+        {
+            'seconds': rows(losses),
+            'torn_lines': losses.torn,
+            'seconds_left_out': losses.dropped_seconds,
+        },
+    )
+
+
+def sum_up(streams: Iterable[TextIO]) -> Losses:
+    """Read several logs."""
+    found = Losses()
+    for stream in streams:
+        found.read(stream)
+    return found
--- a/src/linnetwood/programs/resident.py
+++ b/src/linnetwood/programs/resident.py
@@ -26,7 +26,7 @@
         return EXIT_SETTINGS
     open_log('info', cfg.vm)
     settle_memory()
-    log(Event.STARTED, program=program)
+    log(Event.STARTED, program=program, zone=cfg.zone)
     try:
         asyncio.run(_serve(serve, cfg))
     except (LinnetwoodError, OSError) as exc:
