Fetch the next version while one that is complete waits to be taken

Cause: of two versions named four seconds apart the second was asked for only when the engine had been given the first; engines of the second wave wait up to 1.8 s for that, with an idle link. Test that failed first: test_next_version_is_fetched_while_one_waits_to_be_taken.

--- a/src/linnetwood/weights/follower.py
+++ b/src/linnetwood/weights/follower.py
@@ -152,6 +152,7 @@
         """Fetch what comes next, and what may be needed beside it.
 
         What came next before goes on until a newer version's manifest is here.
+        Once all of a version is here, the link is free for the one after it.
         """
         if newest != self.aim and self._fetching.get(newest) is not None:
             self.aim = newest
@@ -160,6 +161,11 @@
         wants = [newest]
         if self.aim not in {None, newest}:
             wants.append(self.aim)
+        download = self.download
+        if self.aim == newest and download is not None:
+            after = Aim(newest.model, self._wanted.version(newest.model))
+            if download.swarm.complete and after != newest:
+                wants.append(after)
         await self._fetching.want(wants)
 
     def _first_wave(self, aim: Aim) -> bool:
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -237,6 +237,23 @@
         await self.until_served(3)
         self.check_taken(2, 3)
 
+    async def test_next_version_is_fetched_while_one_waits_to_be_taken(
+        self,
+    ) -> None:
+        """The link is free once all of a version is here."""
+        self.engine.serving = 1
+        self.follower.report = await self.engine.report()
+        now = SystemClock().now()
+        self.wanted.name('m', 2, now)
+        self.wanted.name('m', 3, now)
+        async with asyncio.timeout(60):
+            while (3, 0) not in self.origin.reads:
+                self.follower.rouse()
+                await asyncio.sleep(0.01)
+        self.assertEqual(self.engine.serving, 1)
+        await self.until_served(3)
+        self.check_taken(2, 3)
+
 
 if __name__ == '__main__':
     unittest.main()
