Ask another peer for a chunk when one has fallen silent

Ruled out: waiting for a wave (the bound had passed); the origin (read by 21 s); the freeze's own chunks (others held them). Change: a fetch ends when its peer sent no byte for 0.8 s, and that peer is asked no more for 3 s; a slow peer that sends goes on for up to 5 s as before. Test that failed first (there was no such bound): test_a_silent_peer_is_left_for_another.

--- a/src/linnetwood/core/events.py
+++ b/src/linnetwood/core/events.py
@@ -47,6 +47,7 @@
     ORIGIN_TAKEN_OVER = 4005
     TRANSFER_DROPPED = 4006
     PEER_UNREACHABLE = 4007
+    PEER_SILENT = 4008
     ORDER_GIVEN = 5001
     ORDER_REFUSED = 5002
     ENGINE_UNREACHABLE = 5003
@@ -71,6 +72,7 @@
         Event.CALL_UNKNOWN,
         Event.CALL_NOT_RUN,
         Event.PEER_UNREACHABLE,
+        Event.PEER_SILENT,
         Event.GOSSIP_BACKLOG,
         Event.VM_LIST_UNREACHABLE,
         Event.CONFIG_STORE_UNREACHABLE,
--- a/src/linnetwood/weights/bounds.py
+++ b/src/linnetwood/weights/bounds.py
@@ -12,5 +12,7 @@
     queue_limit: int = 4
     origin_window: int = 2
     request_timeout_s: float = 5.0
+    # A peer that sent nothing for so long is asked no more for a while.
+    silence_s: float = 5.0
     chunk_origin_s: float = 0.01
     takeover_s: float = 3.0
--- a/src/linnetwood/weights/fetching.py
+++ b/src/linnetwood/weights/fetching.py
@@ -15,6 +15,8 @@
 
 _MANIFEST_RETRY_S = 0.3
 _TAKEOVER_S = 1.0
+# Four chunks may wait before one at a peer: 0.3 s on the narrowest links.
+_SILENCE_S = 0.8
 # A chunk needs 54 ms on the narrowest links, and 96 of them come one by one.
 _FAR_TAKEOVER_S = 1.5
 
@@ -229,6 +231,7 @@
             queue_limit=cfg.upload_queue,
             chunk_origin_s=manifest.chunk_bytes / rate,
             takeover_s=_TAKEOVER_S,
+            silence_s=_SILENCE_S,
         )
 
     def _meet_peers(self, aim: Aim, download: Download) -> None:
--- a/src/linnetwood/weights/swarm.py
+++ b/src/linnetwood/weights/swarm.py
@@ -2,8 +2,9 @@
 
 import dataclasses
 import itertools
-from collections.abc import Collection, Iterator
+from collections.abc import Collection, Iterator, Mapping
 from random import Random
+from types import MappingProxyType
 
 from linnetwood.core.backoff import pause_s
 from linnetwood.weights import chunks
@@ -12,6 +13,9 @@
 
 ORIGIN = ''
 _SHUN_S = 60.0
+# About as long as the list needs to drop a VM that is gone (three heartbeats).
+_AVOID_S = 3.0
+_NOTHING_HEARD: Mapping[str, float] = MappingProxyType({})
 # How long an origin that failed is left alone: about a chunk's time on a slow
 # link at first, at most what a version's bound can spare.
 _AWAY_FIRST_S = 0.1
@@ -167,20 +171,45 @@
         if peer is not None:
             peer.shunned_until = now + _SHUN_S
 
-    def expired(self, now: float) -> list[int]:
-        """Give the fetches that took too long."""
-        limit = self._cfg.request_timeout_s
+    def expired(
+        self,
+        now: float,
+        heard_at: Mapping[str, float] = _NOTHING_HEARD,
+    ) -> list[int]:
+        """Give the fetches that took too long, or whose peer fell silent.
+
+        A peer's time is when its last byte came, on the same clock.
+        """
         return [
             index
             for index, pending in self.pending.items()
-            if now - pending.since > limit
+            if self._overdue(pending, now, heard_at)
         ]
 
+    def avoid(self, vm: str, now: float) -> None:
+        """Ask nothing of a peer that fell silent, for a while."""
+        peer = self.peers.get(vm)
+        if peer is not None:
+            peer.shunned_until = max(peer.shunned_until, now + _AVOID_S)
+
     def plan(self, now: float) -> Iterator[Fetch]:
         """Yield the fetches to begin now, and count them as begun."""
         yield from self._plan_origin(now)
         yield from self._plan_peers(now)
 
+    def _overdue(
+        self,
+        pending: Pending,
+        now: float,
+        heard_at: Mapping[str, float],
+    ) -> bool:
+        if now - pending.since > self._cfg.request_timeout_s:
+            return True
+        if pending.source == ORIGIN:
+            return False
+        last = max(pending.since, heard_at.get(pending.source, pending.since))
+        return now - last > self._cfg.silence_s
+
     def _plan_origin(self, now: float) -> Iterator[Fetch]:
         if now < self._origin_free_at:
             return
--- a/src/linnetwood/weights/transfer.py
+++ b/src/linnetwood/weights/transfer.py
@@ -163,6 +163,10 @@
                 stream.close()
                 raise
 
+    def heard_at(self) -> dict[str, float]:
+        """Give when the last byte came from each peer, in monotonic time."""
+        return {vm: stream.heard_at for vm, stream in self._streams.items()}
+
     def close(self) -> None:
         """Close every connection."""
         for stream in self._streams.values():
@@ -284,8 +288,9 @@
             await asyncio.sleep(_PLAN_PAUSE_S)
             self._wake.clear()
             now = self._tools.clock.now()
-            for index in self.swarm.expired(now):
-                self._give_up(index)
+            heard_at = self._tools.fetcher.heard_at()
+            for index in self.swarm.expired(now, heard_at):
+                self._give_up(index, now)
             for fetch in self.swarm.plan(now):
                 self._begin(fetch)
             await happened(self._wake, _WAKE_S)
@@ -295,13 +300,20 @@
         self._fetches[fetch.index] = task
         task.add_done_callback(lambda _: self._wake.set())
 
-    def _give_up(self, index: int) -> None:
+    def _give_up(self, index: int, now: float) -> None:
         task = self._fetches.pop(index, None)
         if task is not None:
             task.cancel()
         pending = self.swarm.pending.get(index)
         if pending is not None:
             self.swarm.failed(index, pending.source)
+            self.swarm.avoid(pending.source, now)
+            log(
+                Event.PEER_SILENT,
+                manifest=self.name,
+                index=index,
+                peer=pending.source,
+            )
 
     async def _fetch(self, fetch: Fetch) -> None:
         try:
--- a/src/linnetwood/wire/frames.py
+++ b/src/linnetwood/wire/frames.py
@@ -3,6 +3,7 @@
 import asyncio
 import enum
 import socket
+import time
 import struct
 from collections import deque
 from collections.abc import Callable, Iterator
@@ -90,6 +91,7 @@
         accepted: 'Callable[[FrameStream], None] | None' = None,
     ) -> None:
         """Tell a server, if there is one, once the connection is made."""
+        self.heard_at = float()
         self._accepted = accepted
         self._transport: asyncio.Transport | None = None
         self._pending = bytearray()
@@ -111,6 +113,7 @@
 
     def data_received(self, received: bytes) -> None:
         """Cut what came in into frames."""
+        self.heard_at = time.monotonic()
         self._pending += received
         try:
             self._ready.extend(split(self._pending))
--- a/tests/test_swarm.py
+++ b/tests/test_swarm.py
@@ -2,6 +2,7 @@
 
 import unittest
 from random import Random
+from typing import Any
 
 from linnetwood.weights import chunks
 from linnetwood.weights.bounds import SwarmOptions
@@ -31,7 +32,7 @@
         return False
 
 
-def swarm(held: int = 0, **options: int) -> Swarm:
+def swarm(held: int = 0, **options: Any) -> Swarm:
     """Give a swarm that asks peers only."""
     cfg = SwarmOptions(**options)
     found = Swarm(COUNT, held, cfg, Nobody(), Random(1), 0)
@@ -201,6 +202,27 @@
         read = [one.index for one in found.plan(0) if one.source == ORIGIN]
         self.assertEqual(sorted(read), [4, 5, 6, 7])
 
+    def test_a_silent_peer_is_left_for_another(self) -> None:
+        """A peer whose VM stands still must not hold a chunk back for long."""
+        found = swarm(window=1, request_timeout_s=5.0, silence_s=0.8)
+        found.notice('a', 0b1, 0)
+        self.assertEqual([one.source for one in found.plan(0)], ['a'])
+        cases: tuple[tuple[str, float, dict[str, float], list[int]], ...] = (
+            ('just asked', 0.7, {}, []),
+            ('slow, but bytes come', 2.0, {'a': 1.5}, []),
+            ('silent', 0.9, {}, [0]),
+            ('fell silent midway', 2.0, {'a': 1.1}, [0]),
+            ('slow for too long', 5.1, {'a': 5.0}, [0]),
+        )
+        for name, now, heard_at, expected in cases:
+            with self.subTest(name=name):
+                self.assertEqual(found.expired(now, heard_at), expected)
+        found.failed(0, 'a')
+        found.avoid('a', 1.0)
+        self.assertEqual(list(found.plan(1.1)), [])
+        found.notice('b', 0b1, 0)
+        self.assertEqual([one.source for one in found.plan(1.2)], ['b'])
+
 
 class ChunksTest(unittest.TestCase):
     """Only checked chunks are kept."""
