--- a/src/linnetwood/calls/accounts.py
+++ b/src/linnetwood/calls/accounts.py
@@ -8,6 +8,7 @@
 from linnetwood.calls.routebook import Route
 from linnetwood.calls.standing import Standing
 from linnetwood.core.events import Event, log
+from linnetwood.core.metrics import Metric, Metrics
 
 _MILLISECONDS = 1000
 # What a line says where nothing was heard.
@@ -43,8 +44,28 @@
     return Belief(round(waiting, 1), running, age_ms)
 
 
+def count(
+    sending: Sending,
+    attempt: Attempt,
+    end: AttemptEnd,
+    metrics: Metrics,
+) -> None:
+    """Add an attempt to the figures."""
+    metrics.count(Metric.ATTEMPTS_ENDED, kind=end.how.value)
+    if sending.choice.version:
+        version = str(sending.choice.version)
+        metrics.count(Metric.ATTEMPTS_AT_VERSION, kind=version)
+    if attempt.first_heard:
+        first_s = attempt.first_heard - sending.at
+        metrics.timing(Metric.FIRST_EVENT_MS, _ms(first_s))
+        metrics.timing(Metric.PREDICTED_MS, _ms(sending.choice.wait_s))
+
+
 def tell(
-    sending: Sending, attempt: Attempt, end: AttemptEnd, now: float
+    sending: Sending,
+    attempt: Attempt,
+    end: AttemptEnd,
+    now: float,
 ) -> None:
     """Log how an attempt ended, beside what it should have been."""
     first_heard = attempt.first_heard
--- a/src/linnetwood/calls/direct.py
+++ b/src/linnetwood/calls/direct.py
@@ -4,7 +4,7 @@
 import dataclasses
 import math
 
-from linnetwood.calls.accounts import Sending, believed, tell
+from linnetwood.calls.accounts import Sending, believed, count, tell
 from linnetwood.calls.attempt import (
     Attempt,
     AttemptEnd,
@@ -18,6 +18,7 @@
 from linnetwood.calls.retries import SHARE, RetryBudget
 from linnetwood.calls.routebook import Organisation, Repeat, Route, Service
 from linnetwood.calls.standing import Standing
+from linnetwood.core.metrics import Metrics
 from linnetwood.core.outcomes import (
     ANSWERED,
     Code,
@@ -81,6 +82,7 @@
         dialect: Dialect,
         wanted: WantedVersions,
         zone: str,
+        metrics: Metrics,
     ) -> None:
         """Use the given parts; know no retry budgets yet."""
         self.retry_bounds = RetryBounds()
@@ -90,6 +92,7 @@
         self._dialect = dialect
         self._wanted = wanted
         self._zone = zone
+        self._metrics = metrics
         self._loop = asyncio.get_running_loop()
 
     def need(self, call: DirectCall) -> Need:
@@ -187,6 +190,7 @@
             standing.ended()
         self._learn(choice, end)
         tell(sending, attempt, end, self._loop.time())
+        count(sending, attempt, end, self._metrics)
         return end
 
     def _errand(
--- a/src/linnetwood/calls/front.py
+++ b/src/linnetwood/calls/front.py
@@ -23,6 +23,7 @@
 from linnetwood.calls.reading import Arrival, read_call
 from linnetwood.calls.routebook import CallLimits, RouteBook
 from linnetwood.core.events import Event, log
+from linnetwood.core.metrics import Metric, Metrics
 from linnetwood.core.outcomes import Code, Ending, Outcome, not_run
 from linnetwood.wire.curldriver import Headers
 
@@ -70,6 +71,7 @@
         dialect: Dialect,
         admit: Admit,
         rng: Random,
+        metrics: Metrics,
     ) -> None:
         """Serve by whatever configuration is in force when a call comes."""
         self.book = book
@@ -77,6 +79,7 @@
         self.dialect = dialect
         self.admit = admit
         self.rng = rng
+        self.metrics = metrics
         self.stopping = False
         self.under_way = 0
         self.waiting: dict[object, _Request] = {}
@@ -164,7 +167,15 @@
             return
         finally:
             self._front.under_way -= 1
-        if ending.outcome is not Outcome.ANSWERED and not writer.begun:
+        metrics = self._front.metrics
+        if ending.outcome is Outcome.ANSWERED:
+            metrics.count(Metric.CALLS_ANSWERED)
+            return
+        if ending.outcome is Outcome.NOT_RUN:
+            metrics.count(Metric.CALLS_REFUSED, kind=ending.code)
+        else:
+            metrics.count(Metric.CALLS_UNKNOWN)
+        if not writer.begun:
             refuse(writer, ending)
 
     async def _answer(self, writer: 'AnswerWriter') -> Ending:
--- a/src/linnetwood/core/metrics.py
+++ b/src/linnetwood/core/metrics.py
@@ -17,6 +17,11 @@
     CALLS_UNKNOWN = 'calls.unknown'
     CALLS_RETRIED = 'calls.retried'
     FIRST_BYTE_MS = 'calls.first_byte_ms'
+    CALLS_REFUSED = 'calls.refused'
+    ATTEMPTS_ENDED = 'attempts.ended'
+    ATTEMPTS_AT_VERSION = 'attempts.at_version'
+    FIRST_EVENT_MS = 'attempts.first_event_ms'
+    PREDICTED_MS = 'attempts.predicted_ms'
     CHUNKS_RECEIVED = 'chunks.received'
     CHUNKS_BAD = 'chunks.bad'
     CHUNKS_REPEATED = 'chunks.repeated'
@@ -26,8 +31,8 @@
 class Metrics(Protocol):
     """Take figures without ever failing the caller."""
 
-    def count(self, metric: Metric, amount: int = 1) -> None:
-        """Add to a counter."""
+    def count(self, metric: Metric, amount: int = 1, kind: str = '') -> None:
+        """Add to a counter, or to the part of it that is of a kind."""
 
     def timing(self, metric: Metric, milliseconds: float) -> None:
         """Note one duration."""
@@ -36,7 +41,7 @@
 class NoMetrics:
     """Drop every figure."""
 
-    def count(self, metric: Metric, amount: int = 1) -> None:
+    def count(self, metric: Metric, amount: int = 1, kind: str = '') -> None:
         """Drop."""
 
     def timing(self, metric: Metric, milliseconds: float) -> None:
@@ -50,9 +55,10 @@
         """Send to one receiver; its absence is not an error."""
         self._client = statsd.StatsClient(host, port, prefix='linnetwood')
 
-    def count(self, metric: Metric, amount: int = 1) -> None:
-        """Add to a counter."""
-        self._client.incr(metric.value, amount)
+    def count(self, metric: Metric, amount: int = 1, kind: str = '') -> None:
+        """Add to a counter, under its kind if there is one."""
+        name = f'{metric.value}.{kind}' if kind else metric.value
+        self._client.incr(name, amount)
 
     def timing(self, metric: Metric, milliseconds: float) -> None:
         """Note one duration."""
--- /dev/null
+++ b/src/linnetwood/programs/figures.py
@@ -0,0 +1,55 @@
+"""Answer a collector that fetches a process's figures."""
+
+from http import HTTPStatus
+
+from tornado.httpserver import HTTPServer
+from tornado.httputil import HTTPHeaders, HTTPServerRequest, ResponseStartLine
+from tornado.netutil import bind_sockets
+
+from linnetwood.core.events import Event, log
+from linnetwood.core.exposed import ExposedMetrics
+
+# deploy/system.toml names the same port and path.
+PORT = 9464
+PATH = '/metrics'
+_OK = ResponseStartLine('HTTP/1.1', HTTPStatus.OK, 'OK')
+_NOT_FOUND = ResponseStartLine(
+    'HTTP/1.1',
+    HTTPStatus.NOT_FOUND,
+    'Not Found',
+)
+
+
+class FiguresPage:
+    """Own the address at which the figures are fetched."""
+
+    def __init__(self, metrics: ExposedMetrics) -> None:
+        """Tell these figures."""
+        self._metrics = metrics
+        self._server = HTTPServer(self._answer)
+
+    def start(self, host: str, port: int = PORT) -> None:
+        """Listen; a process whose port is taken works without."""
+        try:
+            self._server.add_sockets(bind_sockets(port, host))
+        except OSError as exc:
+            log(Event.METRICS_UNREACHABLE, host=host, detail=str(exc))
+
+    def close(self) -> None:
+        """Stop listening."""
+        self._server.stop()
+
+    def _answer(self, req: HTTPServerRequest) -> None:
+        conn = req.connection
+        if conn is None:
+            return
+        found = req.path == PATH
+        text = self._metrics.text() if found else b''
+        headers = HTTPHeaders(
+            {
+                'Content-Type': 'text/plain; version=0.0.4',
+                'Content-Length': str(len(text)),
+            },
+        )
+        conn.write_headers(_OK if found else _NOT_FOUND, headers, text)
+        conn.finish()
--- a/src/linnetwood/programs/resident_endpoint.py
+++ b/src/linnetwood/programs/resident_endpoint.py
@@ -9,7 +9,7 @@
 from linnetwood.core.clock import SystemClock
 from linnetwood.core.errors import OrderError
 from linnetwood.core.events import Event, log
-from linnetwood.core.metrics import open_metrics
+from linnetwood.core.exposed import ExposedMetrics
 from linnetwood.core.options import Transfer
 from linnetwood.fleet.news import Address, NewsPort
 from linnetwood.fleet.wanted import WantedVersions
@@ -22,6 +22,7 @@
 from linnetwood.platform.settings import Residence, address
 from linnetwood.platform.weights import PlatformOrigin, ServerEngine
 from linnetwood.programs import resident
+from linnetwood.programs.figures import FiguresPage
 from linnetwood.weights.chunks import ChunkStore
 from linnetwood.weights.follower import OriginChunks, VersionFollower
 from linnetwood.weights.transfer import Fetcher, Tally, Tools, Uploads
@@ -60,6 +61,8 @@
         self._held_at = float()
         self._wanted_at = float()
         self._held_told: dict[str, bytes] = {}
+        self._metrics = ExposedMetrics()
+        self._figures = FiguresPage(self._metrics)
         tools = self._tools()
         self.follower = VersionFollower(
             tools,
@@ -78,6 +81,7 @@
         cfg = self._cfg
         await self._server.start(bind_sockets(cfg.wire_port, cfg.host))
         await self._news.start(cfg.host, cfg.wire_port)
+        self._figures.start(cfg.host)
         self._task = asyncio.create_task(self._run())
         self.follower.start()
 
@@ -89,6 +93,7 @@
         await self.follower.close()
         await self._server.close()
         self._news.close()
+        self._figures.close()
         self.driver.close()
 
     def heard(self, news: News, source: Address) -> None:
@@ -185,7 +190,7 @@
             clock=self._clock,
             rng=Random(),
             tally=tally,
-            metrics=open_metrics('', 0),
+            metrics=self._metrics,
             cfg=cfg,
         )
 
--- a/src/linnetwood/programs/resident_entry.py
+++ b/src/linnetwood/programs/resident_entry.py
@@ -17,6 +17,7 @@
 from linnetwood.calls.routebook import RouteBook
 from linnetwood.core.clock import SystemClock
 from linnetwood.core.events import Event, log
+from linnetwood.core.exposed import ExposedMetrics
 from linnetwood.fleet.following import Following
 from linnetwood.fleet.wanted import WantedVersions
 from linnetwood.platform import records
@@ -25,6 +26,7 @@
 from linnetwood.platform.settings import Residence
 from linnetwood.platform.store import PlatformStore
 from linnetwood.programs import resident
+from linnetwood.programs.figures import FiguresPage
 from linnetwood.wire.curldriver import CurlDriver
 
 # The balancer asks once a second and takes a VM out after two misses.
@@ -51,6 +53,7 @@
         self.directory = Directory()
         self.wanted = WantedVersions(cfg.version_bound_s)
         self.driver = CurlDriver()
+        metrics = ExposedMetrics()
         chooser = Chooser(self.directory, rng)
         dialect = PlatformDialect()
         self.dispatcher = DirectDispatcher(
@@ -59,6 +62,7 @@
             dialect,
             self.wanted,
             cfg.zone,
+            metrics,
         )
         self.reports = Reports(
             self.directory,
@@ -74,7 +78,9 @@
             dialect,
             Entrance(chooser, self.dispatcher, clock, rng),
             rng,
+            metrics,
         )
+        self._figures = FiguresPage(metrics)
         rouse = self.reports.rouse
         self._following = Following(
             PlatformStore(cfg.store, self.driver),
@@ -93,6 +99,7 @@
         cfg = self._cfg
         readiness = HTTPServer(self._tell_ready)
         self._listen(readiness, cfg.readiness)
+        self._figures.start(cfg.host)
         self._following.start()
         await self.reports.start(cfg.host)
         self._listen(self._callers, cfg.callers)
@@ -104,6 +111,7 @@
         await self._finish_calls()
         await self._following.close()
         await self.reports.close()
+        self._figures.close()
         self.driver.close()
 
     def adopt(self, book: RouteBook) -> None:
--- a/tests/test_direct.py
+++ b/tests/test_direct.py
@@ -14,6 +14,7 @@
 )
 from linnetwood.calls.directory import Directory, Listed
 from linnetwood.calls.routebook import Repeat, Route, Service, Share
+from linnetwood.core.metrics import NoMetrics
 from linnetwood.core.outcomes import Ending, Outcome
 from linnetwood.fleet.wanted import WantedVersions
 from linnetwood.platform.dialect import PlatformDialect
@@ -92,6 +93,7 @@
             PlatformDialect(),
             WantedVersions(8),
             'z1',
+            NoMetrics(),
         )
 
     async def asyncTearDown(self) -> None:
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -22,6 +22,8 @@
     shelve,
 )
 from linnetwood.core.clock import SystemClock
+from linnetwood.core.exposed import ExposedMetrics
+from linnetwood.core.metrics import NoMetrics
 from linnetwood.fleet.wanted import WantedVersions
 from linnetwood.platform.dialect import PlatformDialect
 from linnetwood.wire.curldriver import CurlDriver
@@ -84,6 +86,7 @@
         self.directory = Directory()
         chooser = Chooser(self.directory, Random(1))
         self.driver = CurlDriver()
+        self.metrics = ExposedMetrics()
         dialect = PlatformDialect()
         dispatcher = DirectDispatcher(
             chooser,
@@ -91,6 +94,7 @@
             dialect,
             WantedVersions(8),
             'z1',
+            NoMetrics(),
         )
         entrance = Entrance(chooser, dispatcher, SystemClock(), Random(1))
         self.front = Front(
@@ -99,6 +103,7 @@
             dialect,
             entrance,
             Random(1),
+            self.metrics,
         )
         self.server = open_server(self.front, BOOK.limits)
         sockets = bind_sockets(0, HOST)
