Send callers away for longer, and back over a while

Cause: a caller refused under overload came back 0.2 to 0.5 s later, into the same overload, and one refused for want of an engine after 0.8 to 1.2 s, often still before there was one. It is late in any case, since its time counts from its first try; a second refusal leaves it without an answer. Change: it is told to come back in the last two fifths of the time that callers wait for (a third of what they have left). Test that failed first: test_callers_come_back_late_and_not_at_once.

--- a/src/linnetwood/calls/entrance.py
+++ b/src/linnetwood/calls/entrance.py
@@ -15,9 +15,10 @@
 # A caller that comes back has less time left than one that comes first.
 _SECOND_TRY_BELOW = 0.97
 _LEAST_RETRY_S = 0.15
-# Callers wait for at most a third of the time that they have left.
-_MOST_RETRY_S = 1.6
-_RETRY_SPREAD = 0.5
+# Callers wait for at most this share of the time that they have left (the
+# users' pages); they come back over the last part of it.
+_WAITED_SHARE = 1 / 3
+_EARLIEST_SHARE = 0.6
 _MILLISECONDS = 1000
 # Late calls go only where fewer than so many wait already.
 _MOST_WAITING = 3
@@ -54,14 +55,14 @@
         need = self._dispatcher.need(call)
         choice = self._chooser.choose(need, (), self._clock.now())
         if choice is None:
-            return self._refusal(Code.NO_ENDPOINT, _MOST_RETRY_S / 2, 'none')
+            return self._refusal(Code.NO_ENDPOINT, call, 'none')
         over_s = choice.wait_s + _SPREAD_S - call.route.target_s
         if over_s <= 0:
             return Urgency.IN_TIME
         if self._second_try(call) and self._room_behind(need):
             return Urgency.LATE
         detail = f'predicted {round(choice.wait_s * _MILLISECONDS)} ms'
-        return self._refusal(Code.OVERLOADED, over_s, detail)
+        return self._refusal(Code.OVERLOADED, call, detail)
 
     def _room_behind(self, need: Need) -> bool:
         """Tell whether a late call would begin without a long queue.
@@ -85,7 +86,14 @@
         self._longest[call.route.name] = longest
         return wait_s < longest * _SECOND_TRY_BELOW
 
-    def _refusal(self, code: Code, over_s: float, detail: str) -> Ending:
-        spread = 1 + self._rng.random() * _RETRY_SPREAD
-        wait_s = min(_MOST_RETRY_S, (over_s + _LEAST_RETRY_S) * spread)
+    def _refusal(self, code: Code, call: DirectCall, detail: str) -> Ending:
+        """Refuse, and say when to come back.
+
+        Whoever comes back is late already, since its time counts from its
+        first try; what matters then is that there is room. So it comes back as
+        late as it will, and not all at once.
+        """
+        left_s = max(0, call.until - self._clock.now())
+        share = self._rng.uniform(_EARLIEST_SHARE, 1)
+        wait_s = max(_LEAST_RETRY_S, left_s * _WAITED_SHARE * share)
         return not_run(code, detail, int(wait_s * _MILLISECONDS))
--- a/tests/test_entrance.py
+++ b/tests/test_entrance.py
@@ -104,6 +104,19 @@
             with self.subTest(waiting=waiting, wait_s=wait_s):
                 self.assertEqual(self.offered(waiting, wait_s), expected)
 
+    def test_callers_come_back_late_and_not_at_once(self) -> None:
+        """They wait for a third of their time at most, and differ."""
+        self.chooser.standing('i-1').heard(report(9, 16, 10))
+        waits = []
+        for _ in range(50):
+            found = self.entrance(call(FIRST_TRY_S))
+            assert isinstance(found, Ending)
+            waits.append(found.retry_after_ms)
+        left_ms = (call(FIRST_TRY_S).until - FixedClock().now()) * 1000
+        self.assertLessEqual(max(waits), left_ms / 3)
+        self.assertGreaterEqual(min(waits), int(left_ms / 3 * 0.6))
+        self.assertGreater(max(waits) - min(waits), left_ms / 3 * 0.3)
+
     def test_plain_services_take_every_call(self) -> None:
         """Only engines tell enough to predict by."""
         desk = Service('desk', 10)
