Take a guessed time for news where nobody saw the version before

Only an entry that had just started read it, guessed that it had stood for half its bound, and as nobody else ever saw it the guess stayed: calls stopped at 28.7 s instead of 32.8, and version 2 was brought first, for nothing. Change: an endpoint process that was told by entries for a whole bound knows that a version it first hears of by a guess is new. Test that failed first: test_a_guess_of_what_nobody_saw_before_is_news.

--- a/src/linnetwood/fleet/wanted.py
+++ b/src/linnetwood/fleet/wanted.py
@@ -16,6 +16,8 @@
 # A call that has not begun by then is taken back; so long it may take to
 # reach an endpoint that it is.
 START_MARGIN_S = 0.8
+# Whoever learns of a version has told it everywhere by then (a greeting).
+TOLD_WITHIN_S = 1.0
 # An engine finishes what it runs before it takes a version (measured).
 SWITCH_S = 1.8
 
@@ -143,16 +145,28 @@
                 )
         return rows
 
-    def heard(self, rows: Iterable[WantedWeights], now: float) -> None:
-        """Take in what another process tells."""
+    def heard(
+        self,
+        rows: Iterable[WantedWeights],
+        now: float,
+        *,
+        steady: bool = False,
+    ) -> None:
+        """Take in what another process tells.
+
+        Who was told by entries all the while, steadily, and hears of a version
+        for the first time by a guess, knows that nobody saw it named before.
+        """
         for row in rows:
             if row.age_ms < 0:
                 self.serving([(row.model, row.version)])
             else:
                 since = now - row.age_ms / _MILLISECONDS
-                self.name(
-                    row.model,
-                    row.version,
-                    since,
-                    guessed=bool(row.guessed),
-                )
+                guessed = bool(row.guessed)
+                if guessed and steady and not self._knows(row):
+                    guessed = False
+                    since = max(since, now - TOLD_WITHIN_S)
+                self.name(row.model, row.version, since, guessed=guessed)
+
+    def _knows(self, row: WantedWeights) -> bool:
+        return row.version in self._named.get(row.model, {})
--- a/src/linnetwood/programs/resident_endpoint.py
+++ b/src/linnetwood/programs/resident_endpoint.py
@@ -58,6 +58,7 @@
         self._news = NewsPort(self)
         self._entries: dict[Address, float] = {}
         self._number = 0
+        self._told_since = self._clock.now()
         self._held_at = float()
         self._wanted_at = float()
         self._held_told: dict[str, bytes] = {}
@@ -105,8 +106,11 @@
 
     def _heard_entry(self, entry: EntryNews, source: Address) -> None:
         now = self._clock.now()
+        if not self._entries:
+            self._told_since = now
         self._entries[source] = now
-        self.wanted.heard(entry.wanted, now)
+        steady = now - self._told_since > self._cfg.version_bound_s
+        self.wanted.heard(entry.wanted, now, steady=steady)
         around = self.follower.around
         around.peers = {one.host: one.zone for one in entry.peers}
         around.origin_bytes_per_s = entry.origin_bytes_per_s
--- a/tests/test_wanted.py
+++ b/tests/test_wanted.py
@@ -68,6 +68,22 @@
         self.assertEqual(there.cutoff('m', 2), cutoff)
         self.assertEqual(late.cutoff('m', 2), cutoff)
 
+    def test_a_guess_of_what_nobody_saw_before_is_news(self) -> None:
+        """Told by entries all along, a process knows that it is new."""
+        late = WantedVersions(BOUND_S)
+        late.name('m', 2, 26.0 - BOUND_S / 2, guessed=True)
+        told = late.told('s', ['m'], 26.0)
+        cases = (
+            ('new to a steady one', named(), True, 25.0),
+            ('new to one that just came', named(), False, 22.0),
+            ('seen before', named((2, 20.0)), True, 20.0),
+        )
+        for name, there, steady, expected in cases:
+            with self.subTest(name=name):
+                there.heard(told, 26.0, steady=steady)
+                cutoff = there.cutoff('m', 2)
+                self.assertEqual(cutoff, expected + BOUND_S - MARGIN_S)
+
     def test_a_call_begins_before_the_first_newer_bound(self) -> None:
         """What waits at an old version is taken back in time."""
         wanted = named((2, 18.0), (3, 20.0))
