Take late calls only into slots that are free

Cause: after seconds without an engine fresh calls and callers that come back together ask for 1.6 times what the engines carry. Change: a call that is predicted late is taken only where a slot is to spare, be it a first or a second try; nothing is remembered of tries any more. test_tries asked for late calls at second tries whenever few wait; it is replaced by test_late_calls_take_nobody_s_place, as strict, which failed before.

--- a/src/linnetwood/calls/entrance.py
+++ b/src/linnetwood/calls/entrance.py
@@ -12,16 +12,14 @@
 
 # A prediction is a mean; calls come this much later one time in four.
 _SPREAD_S = 0.06
-# A caller that comes back has less time left than one that comes first.
-_SECOND_TRY_BELOW = 0.97
 _LEAST_RETRY_S = 0.15
 # Callers wait for at most this share of the time that they have left (the
 # users' pages); they come back over the last part of it.
 _WAITED_SHARE = 1 / 3
 _EARLIEST_SHARE = 0.6
 _MILLISECONDS = 1000
-# Late calls go only where fewer than so many wait already.
-_MOST_WAITING = 3
+# So many slots of an engine are left to calls that will be in time.
+_KEPT_FREE = 1
 
 
 class Needs(Protocol):
@@ -32,7 +30,7 @@
 
 
 class Entrance:
-    """Admit calls that can be in time, and those that will not come again."""
+    """Admit calls that can be in time, and late ones that keep out nobody."""
 
     def __init__(
         self,
@@ -46,7 +44,6 @@
         self._dispatcher = dispatcher
         self._clock = clock
         self._rng = rng
-        self._longest: dict[str, float] = {}
 
     def __call__(self, call: DirectCall) -> Urgency | Ending:
         """Give how urgent the call is, or why it is refused."""
@@ -59,32 +56,26 @@
         over_s = choice.wait_s + _SPREAD_S - call.route.target_s
         if over_s <= 0:
             return Urgency.IN_TIME
-        if self._second_try(call) and self._room_behind(need):
+        if self._room_behind(need):
             return Urgency.LATE
         detail = f'predicted {round(choice.wait_s * _MILLISECONDS)} ms'
         return self._refusal(Code.OVERLOADED, call, detail)
 
     def _room_behind(self, need: Need) -> bool:
-        """Tell whether a late call would begin without a long queue.
+        """Tell whether a late call would take nobody's place.
 
-        Late calls that pile up take the slots of calls that would be in time,
-        since an engine does not tell which of those that wait are late.
+        A slot must be free: late calls that fill the last ones keep out those
+        that come first and would be in time.
         """
         now = self._clock.now()
         need = dataclasses.replace(need, urgent=False)
         choice = self._chooser.choose(need, (), now)
-        if choice is None:
+        engine = need.service.engine
+        if choice is None or engine is None:
             return False
         standing = self._chooser.standing(choice.endpoint.endpoint)
-        return standing.work(now)[0] < _MOST_WAITING
-
-    def _second_try(self, call: DirectCall) -> bool:
-        wait_s = call.head.wait_s
-        if wait_s is None:
-            return False
-        longest = max(wait_s, self._longest.get(call.route.name, 0))
-        self._longest[call.route.name] = longest
-        return wait_s < longest * _SECOND_TRY_BELOW
+        waiting, running = standing.work(now)
+        return waiting + running < engine.slots - _KEPT_FREE
 
     def _refusal(self, code: Code, call: DirectCall, detail: str) -> Ending:
         """Refuse, and say when to come back.
