--- a/src/linnetwood/programs/endpoint.py
+++ b/src/linnetwood/programs/endpoint.py
@@ -18,9 +18,10 @@
 from linnetwood.programs import daemon
 from linnetwood.weights.agent import WeightsAgent
 from linnetwood.weights.chunks import ChunkStore
+from linnetwood.weights.exchange import Fetcher, Tally, Uploads
 from linnetwood.weights.orders import HttpOrders
 from linnetwood.weights.origin import HttpWeightStore
-from linnetwood.weights.transfer import Fetcher, Tally, Tools, Uploads
+from linnetwood.weights.transfer import Tools
 from linnetwood.wire import codec
 from linnetwood.wire.frames import Frame, FrameKind, FrameStream
 from linnetwood.wire.http import open_client
--- a/src/linnetwood/programs/resident_endpoint.py
+++ b/src/linnetwood/programs/resident_endpoint.py
@@ -24,8 +24,9 @@
 from linnetwood.programs import resident
 from linnetwood.programs.figures import FiguresPage
 from linnetwood.weights.chunks import ChunkStore
+from linnetwood.weights.exchange import Fetcher, Tally, Uploads
 from linnetwood.weights.follower import OriginChunks, VersionFollower
-from linnetwood.weights.transfer import Fetcher, Tally, Tools, Uploads
+from linnetwood.weights.transfer import Tools
 from linnetwood.wire.connections import TcpDialler, WireServer
 from linnetwood.wire.curldriver import CurlDriver
 from linnetwood.wire.frames import FrameKind
--- /dev/null
+++ b/src/linnetwood/weights/exchange.py
@@ -0,0 +1,172 @@
+"""Ask peers for chunks, and serve those that are held to them."""
+
+import asyncio
+import dataclasses
+
+from linnetwood.core.errors import WeightsError
+from linnetwood.gen.wire.ttypes import ChunkReply, ChunkRequest
+from linnetwood.weights import chunks
+from linnetwood.wire.codec import decode, encode
+from linnetwood.wire.connections import Address, Dialler
+from linnetwood.wire.frames import Frame, FrameKind, FrameStream
+from linnetwood.wire.links import Link
+
+
+@dataclasses.dataclass(slots=True)
+class Tally:
+    """Count what a transfer cost."""
+
+    origin_bytes: int = 0
+    peer_bytes: int = 0
+    repeated_bytes: int = 0
+    bad_chunks: int = 0
+    bytes_sent: int = 0
+
+
+class Uploads:
+    """Serve held chunks to peers, a bounded number at a time."""
+
+    def __init__(
+        self,
+        store: chunks.ChunkStore,
+        link: Link,
+        tally: Tally,
+        limit: int,
+    ) -> None:
+        """Serve from the store over the link."""
+        self.queued = 0
+        self.manifests: dict[str, chunks.Manifest] = {}
+        self.store = store
+        self._link = link
+        self._tally = tally
+        self._limit = limit
+        self._turn = asyncio.Lock()
+
+    async def serve(self, stream: FrameStream, frame: Frame) -> None:
+        """Answer one request for a chunk."""
+        request = decode(ChunkRequest, frame.payload)
+        payload = self._payload(request)
+        if payload is None or self.queued >= self._limit:
+            await self._reply(stream, request, held_here=False)
+            return
+        self.queued += 1
+        try:
+            async with self._turn:
+                await self._send(stream, request, payload)
+        finally:
+            self.queued -= 1
+        self._tally.bytes_sent += len(payload)
+
+    def held_bytes(self, name: str) -> bytes:
+        """Pack what is held of a manifest."""
+        manifest = self.manifests.get(name)
+        if manifest is None:
+            return b''
+        count = len(manifest.digests)
+        return chunks.to_bytes(self.store.held(manifest), count)
+
+    async def _send(
+        self,
+        stream: FrameStream,
+        request: ChunkRequest,
+        payload: bytes,
+    ) -> None:
+        size = self._link.slice_bytes or len(payload)
+        await self._link.send(min(size, len(payload)))
+        await self._reply(stream, request, held_here=True)
+        stream.open_frame(FrameKind.CHUNK, len(payload))
+        await stream.pour(payload[:size])
+        for start in range(size, len(payload), size):
+            part = payload[start : start + size]
+            await self._link.send(len(part))
+            await stream.pour(part)
+
+    def _payload(self, request: ChunkRequest) -> bytes | None:
+        manifest = self.manifests.get(request.manifest)
+        if manifest is None:
+            return None
+        if request.index == chunks.MANIFEST_INDEX:
+            return manifest.encode()
+        if not 0 <= request.index < len(manifest.digests):
+            return None
+        return self.store.chunk(manifest, request.index)
+
+    async def _reply(
+        self,
+        stream: FrameStream,
+        request: ChunkRequest,
+        *,
+        held_here: bool,
+    ) -> None:
+        reply = ChunkReply(
+            manifest=request.manifest,
+            index=request.index,
+            held_here=held_here,
+            held=self.held_bytes(request.manifest),
+            queued=self.queued,
+        )
+        await stream.write(FrameKind.CHUNK_REPLY, encode(reply))
+
+
+class Fetcher:
+    """Ask one peer at a time over a connection that is kept."""
+
+    def __init__(self, me: str, dialler: Dialler, link: Link) -> None:
+        """Hold no connection yet."""
+        self._me = me
+        self._dialler = dialler
+        self._link = link
+        self._streams: dict[str, FrameStream] = {}
+        self._turns: dict[str, asyncio.Lock] = {}
+
+    async def fetch(
+        self,
+        vm: str,
+        address: Address,
+        manifest: str,
+        index: int,
+    ) -> tuple[ChunkReply, bytes]:
+        """Ask for a chunk; give the reply and the bytes, if any."""
+        async with self._turns.setdefault(vm, asyncio.Lock()):
+            stream = await self._stream(vm, address)
+            try:
+                return await self._exchange(stream, manifest, index)
+            except BaseException:
+                # A broken exchange must not leave its answer to the next.
+                self._streams.pop(vm, None)
+                stream.close()
+                raise
+
+    def heard_at(self) -> dict[str, float]:
+        """Give when the last byte came from each peer, in monotonic time."""
+        return {vm: stream.heard_at for vm, stream in self._streams.items()}
+
+    def close(self) -> None:
+        """Close every connection."""
+        for stream in self._streams.values():
+            stream.close()
+        self._streams.clear()
+
+    async def _stream(self, vm: str, address: Address) -> FrameStream:
+        stream = self._streams.get(vm)
+        if stream is None or stream.closed:
+            stream = await self._dialler.dial(address)
+            self._streams[vm] = stream
+        return stream
+
+    async def _exchange(
+        self,
+        stream: FrameStream,
+        manifest: str,
+        index: int,
+    ) -> tuple[ChunkReply, bytes]:
+        request = ChunkRequest(asker=self._me, manifest=manifest, index=index)
+        await stream.write(FrameKind.CHUNK_REQUEST, encode(request))
+        reply = decode(ChunkReply, (await stream.read()).payload)
+        if (reply.manifest, reply.index) != (manifest, index):
+            raise WeightsError('wrong-chunk-answered', f'{reply.index}')
+        if not reply.held_here:
+            return reply, b''
+        frame = await stream.read()
+        await self._link.receive(len(frame.payload))
+        return reply, frame.payload
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -28,8 +28,9 @@
 from linnetwood.lab import virtual
 from linnetwood.weights import chunks
 from linnetwood.weights.agent import WeightsAgent
+from linnetwood.weights.exchange import Fetcher, Tally, Uploads
 from linnetwood.weights.orders import EngineStatus, LoadOrder
-from linnetwood.weights.transfer import Fetcher, Tally, Tools, Uploads
+from linnetwood.weights.transfer import Tools
 from linnetwood.wire.connections import TcpDialler
 from linnetwood.wire.links import OpenLink
 from tests.test_membership import member
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -12,8 +12,9 @@
 from linnetwood.fleet.wanted import WantedVersions
 from linnetwood.weights.chunks import ChunkStore, Manifest
 from linnetwood.weights.engine import EngineReport, Order
+from linnetwood.weights.exchange import Fetcher, Tally, Uploads
 from linnetwood.weights.follower import OriginChunks, VersionFollower
-from linnetwood.weights.transfer import Fetcher, Tally, Tools, Uploads
+from linnetwood.weights.transfer import Tools
 from linnetwood.wire.connections import TcpDialler
 from linnetwood.wire.links import OpenLink
 
