Tell since when versions are wanted to entries that just came alone

Cause: each endpoint process told every entry three times a second, which at 410 entries would be 1,350 datagrams a second beside its reports; only an entry that just started needs it. Change: fleet/listeners.py knows who greeted, and who is new or started anew (its numbers begin again). Tests: tests/test_listeners.py.

--- /dev/null
+++ b/src/linnetwood/fleet/listeners.py
@@ -0,0 +1,66 @@
+"""Which entries hear an endpoint process, and since when; no I/O or clock."""
+
+from linnetwood.fleet.news import Address
+
+# An entry greets once a second; four greetings missed, and it is told no more.
+_GONE_S = 4.0
+# So long an entry that just came is told what others know already: longer than
+# a greeting and an answer take, should one datagram be lost.
+_NEWCOMER_S = 1.5
+
+
+class _Listener:
+    """One entry."""
+
+    __slots__ = ('came_at', 'heard_at', 'number')
+
+    def __init__(self, number: int, now: float) -> None:
+        self.number = number
+        self.came_at = now
+        self.heard_at = now
+
+
+class Listeners:
+    """Hold the entries that greeted lately."""
+
+    __slots__ = ('_listeners', '_since')
+
+    def __init__(self, now: float) -> None:
+        """Know nobody."""
+        self._listeners: dict[Address, _Listener] = {}
+        self._since = now
+
+    def heard(self, address: Address, number: int, now: float) -> None:
+        """Note a greeting; a number that starts anew is a new process."""
+        if not self._listeners:
+            self._since = now
+        known = self._listeners.get(address)
+        if known is None or number < known.number:
+            self._listeners[address] = _Listener(number, now)
+        else:
+            known.number = number
+            known.heard_at = now
+
+    def settle(self, now: float) -> None:
+        """Forget those that have gone."""
+        self._listeners = {
+            address: one
+            for address, one in self._listeners.items()
+            if now - one.heard_at < _GONE_S
+        }
+
+    def addresses(self) -> list[Address]:
+        """Give all of them."""
+        return list(self._listeners)
+
+    def newcomers(self, now: float) -> list[Address]:
+        """Give those that came just now."""
+        return [
+            address
+            for address, one in self._listeners.items()
+            if now - one.came_at < _NEWCOMER_S
+        ]
+
+    def told_for_s(self, now: float) -> float:
+        """Give how long there has been an entry all the while, in seconds."""
+        return now - self._since
--- a/src/linnetwood/programs/resident_endpoint.py
+++ b/src/linnetwood/programs/resident_endpoint.py
@@ -11,19 +11,16 @@
 from linnetwood.core.events import Event, log
 from linnetwood.core.exposed import ExposedMetrics
 from linnetwood.core.options import Transfer
+from linnetwood.fleet.listeners import Listeners
 from linnetwood.fleet.news import Address, NewsPort
 from linnetwood.fleet.wanted import WantedVersions
-from linnetwood.gen.wire.ttypes import (
-    EngineNews,
-    EntryNews,
-    News,
-    WantedWeights,
-)
+from linnetwood.gen.wire.ttypes import EngineNews, EntryNews, News
 from linnetwood.platform.settings import Residence, address
 from linnetwood.platform.weights import PlatformOrigin, ServerEngine
 from linnetwood.programs import resident
 from linnetwood.programs.figures import FiguresPage
 from linnetwood.weights.chunks import ChunkStore
+from linnetwood.weights.engine import EngineReport
 from linnetwood.weights.exchange import Fetcher, Tally, Uploads
 from linnetwood.weights.follower import OriginChunks, VersionFollower
 from linnetwood.weights.transfer import Tools
@@ -38,10 +35,6 @@
 _TRANSFER_SHARE = 0.72
 # What was told already is told again, since datagrams may be lost.
 _HELD_AGAIN_S = 1.0
-# Since when versions are wanted; an entry that just came waits for it.
-_WANTED_EVERY_S = 0.3
-# An entry that was not heard for four of its greetings is not told any more.
-_ENTRY_HEARD_S = 4.0
 
 
 class ResidentEndpoint:
@@ -57,11 +50,9 @@
         self._engine = ServerEngine(engine, self.driver)
         self._origin = PlatformOrigin(self.driver)
         self._news = NewsPort(self)
-        self._entries: dict[Address, float] = {}
+        self._listeners = Listeners(self._clock.now())
         self._number = 0
-        self._told_since = self._clock.now()
         self._held_at = float()
-        self._wanted_at = float()
         self._held_told: dict[str, bytes] = {}
         self._metrics = ExposedMetrics()
         self._figures = FiguresPage(self._metrics)
@@ -107,10 +98,9 @@
 
     def _heard_entry(self, entry: EntryNews, source: Address) -> None:
         now = self._clock.now()
-        if not self._entries:
-            self._told_since = now
-        self._entries[source] = now
-        steady = now - self._told_since > self._cfg.version_bound_s
+        self._listeners.heard(source, entry.number, now)
+        told_for_s = self._listeners.told_for_s(now)
+        steady = told_for_s > self._cfg.version_bound_s
         self.wanted.heard(entry.wanted, now, steady=steady)
         around = self.follower.around
         around.peers = {one.host: one.zone for one in entry.peers}
@@ -134,35 +124,32 @@
 
     def _tell(self) -> None:
         now = self._clock.now()
-        self._entries = {
-            address: at
-            for address, at in self._entries.items()
-            if now - at < _ENTRY_HEARD_S
-        }
+        self._listeners.settle(now)
         report = self.follower.report
         if report is not None:
-            self._number += 1
-            engine = EngineNews(
-                address=self._address,
-                number=self._number,
-                waiting=report.waiting,
-                running=report.running,
-                kv_used=report.kv_used,
-                kv_total=report.kv_total,
-                serving=max(report.serving.values(), default=0),
-                changing=report.changing or self.follower.spared,
-                entries=len(self._entries),
-                wanted=self._wanted_rows(now),
-            )
-            self._news.send(News(engine=engine), list(self._entries))
+            self._report(report, now)
         self._tell_held(now)
 
-    def _wanted_rows(self, now: float) -> list[WantedWeights]:
-        """Give what entries need that came after a version was named."""
-        if now - self._wanted_at < _WANTED_EVERY_S:
-            return []
-        self._wanted_at = now
-        return self.wanted.told('', self.wanted.models(), now)
+    def _report(self, report: EngineReport, now: float) -> None:
+        everyone = self._listeners.addresses()
+        self._number += 1
+        engine = EngineNews(
+            address=self._address,
+            number=self._number,
+            waiting=report.waiting,
+            running=report.running,
+            kv_used=report.kv_used,
+            kv_total=report.kv_total,
+            serving=max(report.serving.values(), default=0),
+            changing=report.changing or self.follower.spared,
+            entries=len(everyone),
+        )
+        newcomers = self._listeners.newcomers(now)
+        others = [one for one in everyone if one not in newcomers]
+        self._news.send(News(engine=engine), others)
+        # They could only guess since when a version is wanted.
+        engine.wanted = self.wanted.told('', self.wanted.models(), now)
+        self._news.send(News(engine=engine), newcomers)
 
     def _tell_held(self, now: float) -> None:
         notices = self.follower.notices()
--- /dev/null
+++ b/tests/test_listeners.py
@@ -0,0 +1,51 @@
+"""Which entries an endpoint process tells, and what those new need."""
+
+import unittest
+
+from linnetwood.fleet.listeners import Listeners
+from linnetwood.fleet.news import Address
+
+NEAR = ('10.0.0.1', 7700)
+FAR = ('10.0.0.2', 7700)
+
+
+class ListenersTest(unittest.TestCase):
+    """Follow greetings by their times and numbers."""
+
+    def test_newcomers(self) -> None:
+        """An entry is new for a while, and again after it started anew."""
+        found = Listeners(0)
+        cases: tuple[tuple[str, Address, int, float, list[Address]], ...] = (
+            ('first greeting', NEAR, 1, 0.0, [NEAR]),
+            ('a second later', NEAR, 2, 1.0, [NEAR]),
+            ('no longer new', NEAR, 3, 2.0, []),
+            ('another comes', FAR, 1, 2.5, [FAR]),
+            ('it started anew', NEAR, 1, 2.6, [FAR, NEAR]),
+        )
+        for name, address, number, now, expected in cases:
+            with self.subTest(name=name):
+                found.heard(address, number, now)
+                self.assertCountEqual(found.newcomers(now), expected)
+
+    def test_gone(self) -> None:
+        """Four greetings missed, and an entry is told no more."""
+        found = Listeners(0)
+        found.heard(NEAR, 1, 0)
+        found.heard(FAR, 1, 3)
+        found.settle(3.9)
+        self.assertCountEqual(found.addresses(), [NEAR, FAR])
+        found.settle(4.1)
+        self.assertEqual(found.addresses(), [FAR])
+
+    def test_told_all_the_while(self) -> None:
+        """The time counts from when there was nobody."""
+        found = Listeners(0)
+        found.heard(NEAR, 1, 2)
+        self.assertEqual(found.told_for_s(9), 7)
+        found.settle(9)
+        found.heard(FAR, 1, 10)
+        self.assertEqual(found.told_for_s(12), 2)
+
+
+if __name__ == '__main__':
+    unittest.main()
