Trust that a version is new only where entries greeted without a gap

Cause, found in reading: had all entries died for some seconds just after a naming, an endpoint process would have taken the first guess after it for news, and calls could have started on the older version up to 1.7 s after its bound. Change: 1.5 s without any greeting is a gap; what remains is within the margin of 1.2 s. Test: test_told_all_the_while, which failed first.

--- a/src/linnetwood/fleet/listeners.py
+++ b/src/linnetwood/fleet/listeners.py
@@ -7,6 +7,9 @@
 # So long an entry that just came is told what others know already: longer than
 # a greeting and an answer take, should one datagram be lost.
 _NEWCOMER_S = 1.5
+# Greetings come once a second: a longer silence of all entries is a gap in which
+# something may have been named that nobody told.
+_GAP_S = 1.5
 
 
 class _Listener:
@@ -23,17 +26,19 @@
 class Listeners:
     """Hold the entries that greeted lately."""
 
-    __slots__ = ('_listeners', '_since')
+    __slots__ = ('_heard_at', '_listeners', '_since')
 
     def __init__(self, now: float) -> None:
         """Know nobody."""
         self._listeners: dict[Address, _Listener] = {}
         self._since = now
+        self._heard_at = now
 
     def heard(self, address: Address, number: int, now: float) -> None:
         """Note a greeting; a number that starts anew is a new process."""
-        if not self._listeners:
+        if now - self._heard_at > _GAP_S:
             self._since = now
+        self._heard_at = now
         known = self._listeners.get(address)
         if known is None or number < known.number:
             self._listeners[address] = _Listener(number, now)
@@ -62,5 +67,5 @@
         ]
 
     def told_for_s(self, now: float) -> float:
-        """Give how long there has been an entry all the while, in seconds."""
+        """Give for how long entries have greeted without a gap, in seconds."""
         return now - self._since
--- a/tests/test_listeners.py
+++ b/tests/test_listeners.py
@@ -38,13 +38,19 @@
         self.assertEqual(found.addresses(), [FAR])
 
     def test_told_all_the_while(self) -> None:
-        """The time counts from when there was nobody."""
+        """The time counts from the last gap between all greetings."""
         found = Listeners(0)
-        found.heard(NEAR, 1, 2)
-        self.assertEqual(found.told_for_s(9), 7)
-        found.settle(9)
-        found.heard(FAR, 1, 10)
-        self.assertEqual(found.told_for_s(12), 2)
+        cases = (
+            ('first', NEAR, 1, 1.0, 1.0),
+            ('steady', NEAR, 2, 2.0, 2.0),
+            ('one goes, another goes on', FAR, 1, 3.4, 3.4),
+            ('a gap', NEAR, 3, 5.0, 0.0),
+            ('steady again', FAR, 2, 6.0, 1.0),
+        )
+        for name, address, number, now, expected in cases:
+            with self.subTest(name=name):
+                found.heard(address, number, now)
+                self.assertEqual(found.told_for_s(now), expected)
 
 
 if __name__ == '__main__':
