--- a/src/linnetwood/fleet/listeners.py
+++ b/src/linnetwood/fleet/listeners.py
@@ -7,8 +7,8 @@
 # So long an entry that just came is told what others know already: longer than
 # a greeting and an answer take, should one datagram be lost.
 _NEWCOMER_S = 1.5
-# Greetings come once a second: a longer silence of all entries is a gap in which
-# something may have been named that nobody told.
+# Greetings come once a second: in a longer silence of all entries something may
+# have been named that nobody told.
 _GAP_S = 1.5
 
 
