--- a/src/linnetwood/weights/agent.py
+++ b/src/linnetwood/weights/agent.py
@@ -235,12 +235,13 @@
         if holders:
             vm = self._tools.rng.choice(holders)
             member = self._gossip.members[vm]
-            _, encoded = await self._tools.fetcher.fetch(
+            brought = await self._tools.fetcher.fetch(
                 vm,
                 (member.host, member.port),
                 name,
                 chunks.MANIFEST_INDEX,
             )
+            encoded = brought.chunk
         else:
             encoded = await self._tools.origin.read(name, chunks.MANIFEST_INDEX)
             self._tools.tally.origin_bytes += len(encoded)
--- a/src/linnetwood/weights/fetching.py
+++ b/src/linnetwood/weights/fetching.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import math
 from collections.abc import Callable, Sequence
 
 from linnetwood.core.errors import LinnetwoodError, WeightsError
@@ -36,10 +37,11 @@
 
 @dataclasses.dataclass(slots=True)
 class Surroundings:
-    """What entries told of the fleet: zones by host of peer, and the origin."""
+    """The fleet: zones by host of peer, the origin, and this VM's own link."""
 
     peers: dict[str, str] = dataclasses.field(default_factory=dict)
     origin_bytes_per_s: float = 1.0e6
+    link_bytes_per_s: float = math.inf
 
 
 class Fetching:
@@ -171,7 +173,7 @@
             if host == self._tools.me:
                 continue
             try:
-                _, encoded = await self._tools.fetcher.fetch(
+                brought = await self._tools.fetcher.fetch(
                     host,
                     (host, self._port),
                     aim.name,
@@ -180,8 +182,8 @@
             except LinnetwoodError as exc:
                 log(Event.PEER_UNREACHABLE, peer=host, code=exc.code)
                 continue
-            if encoded:
-                return chunks.parse_manifest(encoded)
+            if brought.chunk:
+                return chunks.parse_manifest(brought.chunk)
         raise WeightsError('manifest-not-found', aim.name)
 
     async def _recover(self, aim: Aim, manifest: chunks.Manifest) -> None:
@@ -230,6 +232,7 @@
             window=cfg.window,
             queue_limit=cfg.upload_queue,
             chunk_origin_s=manifest.chunk_bytes / rate,
+            chunk_link_s=manifest.chunk_bytes / self.around.link_bytes_per_s,
             takeover_s=_TAKEOVER_S,
             silence_s=_SILENCE_S,
         )
