--- a/src/linnetwood/programs/resident_endpoint.py
+++ b/src/linnetwood/programs/resident_endpoint.py
@@ -64,7 +64,6 @@
             self.wanted,
             cfg.wire_port,
         )
-        self.follower.around.link_bytes_per_s = cfg.link_bytes_per_s
         self._server = WireServer(
             {FrameKind.CHUNK_REQUEST: tools.uploads.serve},
         )
--- a/src/linnetwood/weights/agent.py
+++ b/src/linnetwood/weights/agent.py
@@ -235,13 +235,12 @@
         if holders:
             vm = self._tools.rng.choice(holders)
             member = self._gossip.members[vm]
-            brought = await self._tools.fetcher.fetch(
+            _, encoded = await self._tools.fetcher.fetch(
                 vm,
                 (member.host, member.port),
                 name,
                 chunks.MANIFEST_INDEX,
             )
-            encoded = brought.chunk
         else:
             encoded = await self._tools.origin.read(name, chunks.MANIFEST_INDEX)
             self._tools.tally.origin_bytes += len(encoded)
--- a/src/linnetwood/weights/bounds.py
+++ b/src/linnetwood/weights/bounds.py
@@ -15,6 +15,4 @@
     # A peer that sent nothing for so long is asked no more for a while.
     silence_s: float = 5.0
     chunk_origin_s: float = 0.01
-    # How long a chunk alone takes on this VM's link; 0 if that is not known.
-    chunk_link_s: float = 0
     takeover_s: float = 3.0
--- a/src/linnetwood/weights/exchange.py
+++ b/src/linnetwood/weights/exchange.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import dataclasses
-import time
 
 from linnetwood.core.errors import WeightsError
 from linnetwood.gen.wire.ttypes import ChunkReply, ChunkRequest
@@ -109,15 +108,6 @@
         await stream.write(FrameKind.CHUNK_REPLY, encode(reply))
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Brought:
-    """What a peer answered, and how long the chunk itself took, in seconds."""
-
-    reply: ChunkReply
-    chunk: bytes
-    took_s: float
-
-
 class Fetcher:
     """Ask one peer at a time over a connection that is kept."""
 
@@ -135,7 +125,7 @@
         address: Address,
         manifest: str,
         index: int,
-    ) -> Brought:
+    ) -> tuple[ChunkReply, bytes]:
         """Ask for a chunk; give the reply and the bytes, if any."""
         async with self._turns.setdefault(vm, asyncio.Lock()):
             stream = await self._stream(vm, address)
@@ -169,16 +159,14 @@
         stream: FrameStream,
         manifest: str,
         index: int,
-    ) -> Brought:
+    ) -> tuple[ChunkReply, bytes]:
         request = ChunkRequest(asker=self._me, manifest=manifest, index=index)
         await stream.write(FrameKind.CHUNK_REQUEST, encode(request))
         reply = decode(ChunkReply, (await stream.read()).payload)
         if (reply.manifest, reply.index) != (manifest, index):
             raise WeightsError('wrong-chunk-answered', f'{reply.index}')
         if not reply.held_here:
-            return Brought(reply, b'', 0)
-        began = time.monotonic()
+            return reply, b''
         frame = await stream.read()
-        took_s = time.monotonic() - began
         await self._link.receive(len(frame.payload))
-        return Brought(reply, frame.payload, took_s)
+        return reply, frame.payload
--- a/src/linnetwood/weights/fetching.py
+++ b/src/linnetwood/weights/fetching.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import dataclasses
-import math
 from collections.abc import Callable, Sequence
 
 from linnetwood.core.errors import LinnetwoodError, WeightsError
@@ -37,11 +36,10 @@
 
 @dataclasses.dataclass(slots=True)
 class Surroundings:
-    """The fleet: zones by host of peer, the origin, and this VM's own link."""
+    """What entries told of the fleet: zones by host of peer, and the origin."""
 
     peers: dict[str, str] = dataclasses.field(default_factory=dict)
     origin_bytes_per_s: float = 1.0e6
-    link_bytes_per_s: float = math.inf
 
 
 class Fetching:
@@ -173,7 +171,7 @@
             if host == self._tools.me:
                 continue
             try:
-                brought = await self._tools.fetcher.fetch(
+                _, encoded = await self._tools.fetcher.fetch(
                     host,
                     (host, self._port),
                     aim.name,
@@ -182,8 +180,8 @@
             except LinnetwoodError as exc:
                 log(Event.PEER_UNREACHABLE, peer=host, code=exc.code)
                 continue
-            if brought.chunk:
-                return chunks.parse_manifest(brought.chunk)
+            if encoded:
+                return chunks.parse_manifest(encoded)
         raise WeightsError('manifest-not-found', aim.name)
 
     async def _recover(self, aim: Aim, manifest: chunks.Manifest) -> None:
@@ -232,7 +230,6 @@
             window=cfg.window,
             queue_limit=cfg.upload_queue,
             chunk_origin_s=manifest.chunk_bytes / rate,
-            chunk_link_s=manifest.chunk_bytes / self.around.link_bytes_per_s,
             takeover_s=_TAKEOVER_S,
             silence_s=_SILENCE_S,
         )
--- a/src/linnetwood/weights/swarm.py
+++ b/src/linnetwood/weights/swarm.py
@@ -1,7 +1,6 @@
 """Decide which chunk to fetch from whom; no I/O or clock inside."""
 
 import dataclasses
-import itertools
 from collections.abc import Collection, Iterator, Mapping
 from random import Random
 from types import MappingProxyType
@@ -9,7 +8,6 @@
 from linnetwood.core.backoff import pause_s
 from linnetwood.weights import chunks
 from linnetwood.weights.bounds import SwarmOptions
-from linnetwood.weights.narrowing import LinkSense
 from linnetwood.weights.reading import DueTimes, OriginPolicy
 
 ORIGIN = ''
@@ -82,7 +80,6 @@
         self.pending: dict[int, Pending] = {}
         self.policy = policy
         self.started = now
-        self.link = LinkSense(cfg.chunk_link_s)
         self._cfg = cfg
         self._rng = rng
         self._origin_failures = 0
@@ -195,19 +192,9 @@
             peer.shunned_until = max(peer.shunned_until, now + _AVOID_S)
 
     def plan(self, now: float) -> Iterator[Fetch]:
-        """Yield the fetches to begin now, and count them as begun.
-
-        Over a narrowed link one chunk comes at a time: calls to the engine
-        beside this process wait behind what was asked for.
-        """
-        planned = itertools.chain(
-            self._plan_origin(now),
-            self._plan_peers(now),
-        )
-        if not self.link.narrowed:
-            yield from planned
-        elif not self.pending:
-            yield from itertools.islice(planned, 1)
+        """Yield the fetches to begin now, and count them as begun."""
+        yield from self._plan_origin(now)
+        yield from self._plan_peers(now)
 
     def _overdue(
         self,
--- a/src/linnetwood/weights/transfer.py
+++ b/src/linnetwood/weights/transfer.py
@@ -180,20 +180,16 @@
         address = self._addresses.get(fetch.source)
         if address is None:
             raise WireError('no-neighbour', fetch.source)
-        flows = len(self.swarm.pending)
-        brought = await self._tools.fetcher.fetch(
+        reply, chunk = await self._tools.fetcher.fetch(
             fetch.source,
             address,
             self.name,
             fetch.index,
         )
-        reply = brought.reply
         held = chunks.from_bytes(reply.held, self.swarm.count)
         self.swarm.notice(fetch.source, held, reply.queued)
-        if brought.chunk:
-            self.swarm.link.came(brought.took_s, flows)
-        self._tools.tally.peer_bytes += len(brought.chunk)
-        return brought.chunk
+        self._tools.tally.peer_bytes += len(chunk)
+        return chunk
 
     def _keep(self, fetch: Fetch, chunk: bytes) -> None:
         tools = self._tools
