Make the report for newcomers only when there are some

Found in reading: each endpoint process put together and encoded the versions' ages ten times a second, with nobody to send them to but in the first 1.5 s of an entry; and a default of the check for silent peers that no caller used. What is sent is as before.

--- a/src/linnetwood/programs/resident_endpoint.py
+++ b/src/linnetwood/programs/resident_endpoint.py
@@ -144,12 +144,13 @@
             changing=report.changing or self.follower.spared,
             entries=len(everyone),
         )
-        newcomers = self._listeners.newcomers(now)
+        newcomers = set(self._listeners.newcomers(now))
         others = [one for one in everyone if one not in newcomers]
         self._news.send(News(engine=engine), others)
-        # They could only guess since when a version is wanted.
-        engine.wanted = self.wanted.told('', self.wanted.models(), now)
-        self._news.send(News(engine=engine), newcomers)
+        if newcomers:
+            # They could only guess since when a version is wanted.
+            engine.wanted = self.wanted.told('', self.wanted.models(), now)
+            self._news.send(News(engine=engine), list(newcomers))
 
     def _tell_held(self, now: float) -> None:
         notices = self.follower.notices()
--- a/src/linnetwood/weights/swarm.py
+++ b/src/linnetwood/weights/swarm.py
@@ -3,7 +3,6 @@
 import dataclasses
 from collections.abc import Collection, Iterator, Mapping
 from random import Random
-from types import MappingProxyType
 
 from linnetwood.core.backoff import pause_s
 from linnetwood.weights import chunks
@@ -14,7 +13,6 @@
 _SHUN_S = 60.0
 # About as long as the list needs to drop a VM that is gone (three heartbeats).
 _AVOID_S = 3.0
-_NOTHING_HEARD: Mapping[str, float] = MappingProxyType({})
 # How long an origin that failed is left alone: about a chunk's time on a slow
 # link at first, at most what a version's bound can spare.
 _AWAY_FIRST_S = 0.1
@@ -173,7 +171,7 @@
     def expired(
         self,
         now: float,
-        heard_at: Mapping[str, float] = _NOTHING_HEARD,
+        heard_at: Mapping[str, float],
     ) -> list[int]:
         """Give the fetches that took too long, or whose peer fell silent.
 
