Show that answers which flow for longer than a fixed time are lost

Cause suspected: platform/store.py gives a waiting call its wait and 1 s in total, and a page of a range 2.5 s. An answer that flows for longer is dropped and asked for again from the same revision, which is larger by then. The manifest of a version (1.5 s) and the configuration of a peer (2 s) have the same total times.

test_what_flows_is_taken_at_the_first_try: answers that flow steadily for longer than their total time (changes 3.5 s, a second page 3 s, a manifest 2 s, a peer's configuration 2.5 s).

test_all_that_share_a_link_reach_the_newest: 13 followers, one link, three configurations. The wait is a tenth (0.2 s, so 1.2 s in total) and the link carries one configuration to all in 1.3 s. The bound is in bytes of the link, 7/6 of what three configurations for each follower are.

A store that stops before the head, in it, in the body or in a page is asked again.

--- /dev/null
+++ b/tests/test_slow_links.py
@@ -0,0 +1,387 @@
+"""Answers that flow slowly are taken; answers that stop are given up."""
+
+import asyncio
+import dataclasses
+import unittest
+from collections.abc import Mapping
+from random import Random
+from urllib.parse import parse_qs, urlsplit
+
+from linnetwood.core.errors import WeightsError
+from linnetwood.fleet import configuration
+from linnetwood.fleet.following import (
+    Change,
+    Changes,
+    Following,
+    Record,
+    Snapshot,
+)
+from linnetwood.gen.schema import ttypes as schema
+from linnetwood.gen.wire.ttypes import ConfigReply
+from linnetwood.platform.store import PlatformStore
+from linnetwood.platform.weights import PlatformOrigin
+from linnetwood.wire import frames
+from linnetwood.wire.codec import encode
+from linnetwood.wire.curldriver import CurlDriver
+from tests.test_config_machine import process
+from tests.test_configuration import FakeStore
+from tests.test_curldriver import HOST, Server
+from tests.test_following import Kept, answer, row
+
+# About the size of a configuration of 250 routes.
+LARGE = 'x' * 200000
+PIECE_EVERY_S = 0.1
+# Ends a test that hangs; nothing else depends on it.
+GUARD_S = 60
+Asked = tuple[str, str]
+Row = tuple[str, object, object]
+
+
+@dataclasses.dataclass(frozen=True)
+class Step:
+    """One answer, how long it flows, and whether it stops for good then."""
+
+    octets: bytes
+    span_s: float = 0
+    stops: bool = False
+
+
+async def trickle(
+    octets: bytes,
+    span_s: float,
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+) -> None:
+    """Send pieces of one size at a steady pace, until the caller closes."""
+    size = -(-len(octets) // max(1, round(span_s / PIECE_EVERY_S))) or 1
+    for start in range(0, len(octets), size):
+        if reader.at_eof():
+            return
+        writer.write(octets[start : start + size])
+        await writer.drain()
+        await asyncio.sleep(PIECE_EVERY_S if span_s else 0)
+
+
+class StoreStandIn(Server):
+    """A store that notes what it was asked."""
+
+    def asked(self) -> list[Asked]:
+        """Give the calls and from where each one asked."""
+        targets = [one.split(b' ')[1].decode() for one in self.requests]
+        parts = [urlsplit(one) for one in targets]
+        return [
+            (
+                one.path.rpartition('/')[2],
+                parse_qs(one.query).get('after_revision', [''])[0],
+            )
+            for one in parts
+        ]
+
+
+class TricklingServer(StoreStandIn):
+    """Give each answer in its own time, then say nothing."""
+
+    def __init__(self, *steps: Step) -> None:
+        super().__init__(self._next)
+        self.done = asyncio.Event()
+        self._steps = list(steps)
+
+    async def _next(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        step = self._steps.pop(0) if self._steps else None
+        if step is None:
+            self.done.set()
+            await reader.read()
+            return
+        await trickle(step.octets, step.span_s, reader, writer)
+        if step.stops:
+            await reader.read()
+
+
+def page(key: str, revision: int, *, has_more: bool = False) -> bytes:
+    """Give a page of one large item."""
+    said = {
+        'items': [row(key, LARGE, revision)],
+        'has_more': has_more,
+        'timestamp': revision,
+    }
+    return answer(200, said)
+
+
+def change(revision: int) -> bytes:
+    """Give one large change."""
+    said = {'events': [row('k', LARGE, revision)], 'timestamp': revision}
+    return answer(200, said)
+
+
+async def followed(*steps: Step) -> list[Asked]:
+    """Follow a store that gives these answers; tell what it was asked."""
+    server = TricklingServer(*steps)
+    driver = CurlDriver()
+    store = PlatformStore((HOST, await server.start()), driver)
+    following = Following(store, '', Kept(), Random(1))
+    following.start()
+    async with asyncio.timeout(GUARD_S):
+        await server.done.wait()
+    await following.close()
+    driver.close()
+    await server.close()
+    return server.asked()
+
+
+async def slow_changes() -> Row:
+    """Answer a wait for longer than the wait and its slack."""
+    expected = [('kv-range', ''), ('kv-watch', '1'), ('kv-watch', '2')]
+    found = await followed(Step(page('k', 1)), Step(change(2), 3.5))
+    return 'changes', expected, found
+
+
+async def slow_page() -> Row:
+    """Answer with a second page that flows for longer than is allowed."""
+    expected = [('kv-range', ''), ('kv-range', 'a'), ('kv-watch', '1')]
+    first = page('a', 1, has_more=True)
+    found = await followed(Step(first), Step(page('b', 1), 3))
+    return 'page', expected, found
+
+
+async def slow_manifest() -> Row:
+    """Answer with the digests of many chunks."""
+    digests = ['00' * 32] * 4000
+    said = answer(200, {'digests': digests, 'chunk_bytes': 1})
+    server = TricklingServer(Step(said, 2))
+    driver = CurlDriver()
+    origin = PlatformOrigin(driver)
+    origin.address = (HOST, await server.start())
+    found: object = ''
+    try:
+        found = len((await origin.manifest('m', 2)).digests)
+    except WeightsError as exc:
+        found = str(exc)
+    driver.close()
+    await server.close()
+    return 'manifest', len(digests), found
+
+
+async def slow_peer() -> Row:
+    """Answer a peer's request with a large configuration."""
+    large = schema.Change(2, 'a', 'b', 1, LARGE)
+    packed = configuration.pack(
+        schema.Configuration(2, schema.Deployment(), [large]),
+    )
+    reply = encode(ConfigReply(revision=2, encoded=packed))
+    sent = frames.pack(frames.FrameKind.CONFIG_REPLY, reply)
+
+    async def serve(
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        await reader.read(len(sent))
+        await trickle(sent, 2.5, reader, writer)
+        writer.close()
+
+    server = await asyncio.start_server(serve, HOST, 0)
+    task = process('a', FakeStore())
+    await task._fetch(server.sockets[0].getsockname())
+    server.close()
+    return 'peer', 2, task.standing.revision
+
+
+FOLLOWERS = 13
+NEWEST = 4
+VALUE_BYTES = 48000
+ANSWER_BYTES = VALUE_BYTES * 4 // 3
+LINK_BYTES_PER_S = FOLLOWERS * ANSWER_BYTES / 1.3
+LINK_PIECE = 8192
+# All followers need the first configuration, and then the two after it.
+NEEDED_BYTES = 3 * FOLLOWERS * ANSWER_BYTES
+ALLOWED_BYTES = NEEDED_BYTES * 7 // 6
+
+
+class SharedLink:
+    """Let all answers share one rate, a piece of each in turn."""
+
+    def __init__(self) -> None:
+        self.sent = 0
+        self._free_at = float()
+
+    async def send(self, size: int) -> None:
+        """Wait for the time that so many bytes take on the link."""
+        loop = asyncio.get_running_loop()
+        begin = max(self._free_at, loop.time())
+        self._free_at = begin + size / LINK_BYTES_PER_S
+        await asyncio.sleep(self._free_at - loop.time())
+        self.sent += size
+
+
+class FarStore(StoreStandIn):
+    """Hold one key, and write it three times while the link is busy."""
+
+    def __init__(self) -> None:
+        super().__init__(self._answer)
+        self.answering = 0
+        self.link = SharedLink()
+        self.storm = asyncio.Event()
+
+    @property
+    def revision(self) -> int:
+        """Give the revision that was written last."""
+        if not self.storm.is_set():
+            return 1
+        quarter = FOLLOWERS * ANSWER_BYTES // 4
+        return min(NEWEST, 2 + self.link.sent // quarter)
+
+    async def _answer(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        self.answering += 1
+        try:
+            await self._say(reader, writer)
+        finally:
+            self.answering -= 1
+
+    async def _say(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        call, place = self.asked()[-1]
+        if call == 'kv-range':
+            items = [row('k', 'x', 1)]
+            said = {'items': items, 'has_more': False, 'timestamp': 1}
+            writer.write(answer(200, said))
+            return
+        await self.storm.wait()
+        octets = self._since(int(place))
+        for start in range(0, len(octets), LINK_PIECE):
+            if reader.at_eof():
+                return
+            piece = octets[start : start + LINK_PIECE]
+            await self.link.send(len(piece))
+            writer.write(piece)
+            await writer.drain()
+        if not octets:
+            await reader.read()
+
+    def _since(self, after: int) -> bytes:
+        """Give all that was written since, or nothing if nothing was."""
+        newest = self.revision
+        text = 'x' * VALUE_BYTES
+        events = [row('k', text, one) for one in range(after + 1, newest + 1)]
+        if not events:
+            return b''
+        return answer(200, {'events': events, 'timestamp': newest})
+
+
+class ShortWaits:
+    """Wait for changes for less time than a follower asks for."""
+
+    def __init__(self, store: PlatformStore) -> None:
+        self._store = store
+
+    async def read(self, prefix: str) -> Snapshot:
+        """Read as asked."""
+        return await self._store.read(prefix)
+
+    async def wait(self, prefix: str, after: int, wait_s: float) -> Changes:
+        """Wait for a tenth of the time."""
+        return await self._store.wait(prefix, after, wait_s / 10)
+
+
+class Newest:
+    """A sink that keeps the newest revision alone."""
+
+    def __init__(self) -> None:
+        self.revision = 0
+
+    def replaced(self, records: Mapping[str, Record]) -> None:
+        self.revision = max(one.revision for one in records.values())
+
+    def changed(self, changes: tuple[Change, ...]) -> None:
+        for one in changes:
+            if one.record is not None:
+                self.revision = max(self.revision, one.record.revision)
+
+    def away(self) -> None:
+        """Keep what there is."""
+
+
+class SlowLinkTest(unittest.IsolatedAsyncioTestCase):
+    """Follow a store, an origin and a peer over a link that is slow."""
+
+    async def test_what_flows_is_taken_at_the_first_try(self) -> None:
+        """However long an answer flows, it is not asked for again."""
+        rows = await asyncio.gather(
+            slow_changes(),
+            slow_page(),
+            slow_manifest(),
+            slow_peer(),
+        )
+        self.maxDiff = None
+        self.assertEqual(
+            {name: found for name, _, found in rows},
+            {name: expected for name, expected, _ in rows},
+        )
+
+    async def test_all_that_share_a_link_reach_the_newest(self) -> None:
+        """Three configurations reach everybody for little more than once each.
+
+        The bound is in bytes of the link, so it holds on a busy machine.
+        """
+        server = FarStore()
+        driver = CurlDriver()
+        store = ShortWaits(PlatformStore((HOST, await server.start()), driver))
+        sinks = [Newest() for _ in range(FOLLOWERS)]
+        tasks = [
+            Following(store, '', sink, Random(seed))
+            for seed, sink in enumerate(sinks)
+        ]
+        for one in tasks:
+            one.start()
+        async with asyncio.timeout(GUARD_S):
+            await asyncio.gather(*(one.learned.wait() for one in tasks))
+            server.storm.set()
+            while server.link.sent < ALLOWED_BYTES:
+                if all(sink.revision == NEWEST for sink in sinks):
+                    break
+                await asyncio.sleep(PIECE_EVERY_S)
+        for one in tasks:
+            await one.close()
+        driver.close()
+        while server.answering:
+            await asyncio.sleep(0)
+        await server.close()
+        self.assertEqual(
+            [sink.revision for sink in sinks],
+            [NEWEST] * FOLLOWERS,
+        )
+
+    async def test_what_stops_is_asked_for_again(self) -> None:
+        """An answer that stops anywhere doesn't hold a follower for ever."""
+        whole = change(2)
+        halves = {
+            'nothing': b'',
+            'half a head': whole[:20],
+            'half a body': whole[: len(whole) // 2],
+        }
+        asked = await asyncio.gather(
+            *(
+                followed(Step(page('k', 1)), Step(half, stops=True))
+                for half in halves.values()
+            ),
+            followed(Step(page('k', 1)[:1000], stops=True)),
+        )
+        again = [('kv-range', ''), ('kv-watch', '1'), ('kv-watch', '1')]
+        for name, found in zip(halves, asked, strict=False):
+            with self.subTest(sent=name):
+                self.assertEqual(found, again)
+        with self.subTest(sent='half a page'):
+            self.assertEqual(asked[-1], again[:1] * 2)
+
+
+if __name__ == '__main__':
+    unittest.main()
