Log each 404 and 401 with the age of the belief behind it

An entry that refuses for want of a route or a key said nothing of it: from its output one could not tell by which configuration it decided, nor how long ago it had last heard the store.

CALL_UNPLACED (6007) carries call, host and path (cut to 120 characters, the query and the key left out), why, the configuration's version and revision, how long it is in force here and how long ago the store last answered well. Following keeps that time; an answered wait without changes counts, failures and lost history do not. No decision changes.

--- a/src/linnetwood/calls/front.py
+++ b/src/linnetwood/calls/front.py
@@ -20,7 +20,8 @@
 
 from linnetwood.calls.dialect import Dialect, Urgency
 from linnetwood.calls.direct import DirectCall, DirectDispatcher
-from linnetwood.calls.reading import Arrival, read_call
+from linnetwood.calls.grounds import Grounds
+from linnetwood.calls.reading import Arrival, asked_host, read_call
 from linnetwood.calls.routebook import CallLimits, RouteBook
 from linnetwood.core.events import Event, log
 from linnetwood.core.metrics import Metric, Metrics
@@ -34,6 +35,8 @@
 _TIMED_OUT = 504
 _BAD_REQUEST = 400
 _MILLISECONDS = 1000
+# What a caller wrote is cut to so many characters in a log line.
+_MOST_TOLD = 120
 _REASONS = MappingProxyType(
     {
         200: 'OK',
@@ -52,6 +55,8 @@
         Code.BAD_REQUEST.value: _BAD_REQUEST,
     },
 )
+# Refusals that a newer configuration might not have given.
+_UNPLACED = frozenset((Code.UNKNOWN_TARGET.value, Code.KEY_UNKNOWN.value))
 
 
 class Admit(Protocol):
@@ -72,6 +77,7 @@
         admit: Admit,
         rng: Random,
         metrics: Metrics,
+        grounds: Callable[[], Grounds] = Grounds,
     ) -> None:
         """Serve by whatever configuration is in force when a call comes."""
         self.book = book
@@ -80,6 +86,7 @@
         self.admit = admit
         self.rng = rng
         self.metrics = metrics
+        self.grounds = grounds
         self.stopping = False
         self.under_way = 0
         self.waiting: dict[object, _Request] = {}
@@ -219,7 +226,10 @@
             self._arrived,
         )
         front = self._front
-        return read_call(arrival, front.book(), front.dialect, front.rng)
+        call = read_call(arrival, front.book(), front.dialect, front.rng)
+        if isinstance(call, Ending) and call.code in _UNPLACED:
+            _tell_unplaced(arrival, call, front)
+        return call
 
 
 class AnswerWriter:
@@ -280,6 +290,27 @@
     return conn
 
 
+def _tell_unplaced(arrival: Arrival, ending: Ending, front: Front) -> None:
+    head = front.dialect.read(arrival.headers)
+    grounds = front.grounds()
+    if ending.code == Code.UNKNOWN_TARGET.value:
+        why = 'no-route'
+    else:
+        why = 'unknown-key' if head.key else 'no-key'
+    log(
+        Event.CALL_UNPLACED,
+        call=head.call_id[:_MOST_TOLD],
+        host=asked_host(arrival.headers)[:_MOST_TOLD],
+        # A query may hold what is nobody else's business.
+        path=arrival.target.partition('?')[0][:_MOST_TOLD],
+        code=why,
+        config_version=grounds.version,
+        config_revision=grounds.revision,
+        config_age_ms=grounds.config_age_ms,
+        store_age_ms=grounds.store_age_ms,
+    )
+
+
 def refuse(writer: AnswerWriter, ending: Ending) -> None:
     """Tell the caller at once how a call without an answer ended."""
     if ending.outcome is Outcome.NOT_RUN:
--- a/src/linnetwood/calls/reading.py
+++ b/src/linnetwood/calls/reading.py
@@ -38,7 +38,7 @@
     """Find the route, the organisation and the service of a request."""
     if not book.revision:
         return not_run(Code.NOT_SERVING, 'no configuration yet')
-    route = book.find(_host(arrival.headers), arrival.target)
+    route = book.find(asked_host(arrival.headers), arrival.target)
     if route is None:
         return not_run(Code.UNKNOWN_TARGET, arrival.target)
     head = dialect.read(arrival.headers)
@@ -76,7 +76,8 @@
     )
 
 
-def _host(headers: Headers) -> str:
+def asked_host(headers: Headers) -> str:
+    """Give the host that a request names, or nothing."""
     for name, text in headers:
         if name.lower() == 'host':
             return text
--- a/src/linnetwood/core/events.py
+++ b/src/linnetwood/core/events.py
@@ -58,6 +58,7 @@
     KEYS_FORGOTTEN = 6004
     ATTEMPT_ENDED = 6005
     CALL_REFUSED = 6006
+    CALL_UNPLACED = 6007
     FRAME_REFUSED = 7001
     METRICS_UNREACHABLE = 7002
     KEYS_RELOADED = 7003
@@ -69,6 +70,7 @@
         Event.STOP_LIMIT_REACHED,
         Event.LOG_DROPPED,
         Event.CALL_REFUSED,
+        Event.CALL_UNPLACED,
         Event.CALL_UNKNOWN,
         Event.CALL_NOT_RUN,
         Event.PEER_UNREACHABLE,
--- a/src/linnetwood/fleet/following.py
+++ b/src/linnetwood/fleet/following.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import math
 from collections.abc import Mapping
 from random import Random
 from typing import Protocol
@@ -94,6 +95,8 @@
     ) -> None:
         """Follow nothing yet."""
         self.learned = asyncio.Event()
+        # By the clock of the loop, which is the monotonic one.
+        self.heard_at = -math.inf
         self._store = store
         self._prefix = prefix
         self._sink = sink
@@ -133,11 +136,14 @@
     async def _step(self) -> None:
         if not self._revision:
             snapshot = await self._store.read(self._prefix)
+            self._note_heard()
             self._sink.replaced(snapshot.records)
             self._revision = snapshot.revision
             self.learned.set()
             return
         found = await self._store.wait(self._prefix, self._revision, _WAIT_S)
+        # A wait that ends empty confirms what is believed, too.
+        self._note_heard()
         if found.changes:
             self._sink.changed(found.changes)
             await asyncio.sleep(_GATHER_S)
@@ -152,6 +158,9 @@
             _PAUSE_LEAST_SHARE,
         )
 
+    def _note_heard(self) -> None:
+        self.heard_at = asyncio.get_running_loop().time()
+
     def _note_away(self, exc: StoreError) -> None:
         if not self._away:
             log(
--- a/src/linnetwood/programs/resident_entry.py
+++ b/src/linnetwood/programs/resident_entry.py
@@ -13,6 +13,7 @@
 from linnetwood.calls.directory import Directory
 from linnetwood.calls.entrance import Entrance
 from linnetwood.calls.front import Front, open_server
+from linnetwood.calls.grounds import Vigil
 from linnetwood.calls.reports import Reports
 from linnetwood.calls.routebook import RouteBook
 from linnetwood.core.clock import SystemClock
@@ -72,6 +73,7 @@
             cfg.wire_port,
             self._share_retries,
         )
+        self.vigil = Vigil(clock, lambda: self._following.heard_at)
         self.front = Front(
             lambda: self.book,
             self.dispatcher,
@@ -79,6 +81,7 @@
             Entrance(chooser, self.dispatcher, clock, rng),
             rng,
             metrics,
+            self.vigil.grounds,
         )
         self._figures = FiguresPage(metrics)
         rouse = self.reports.rouse
@@ -119,6 +122,7 @@
         if book.version <= self.book.version and self.book.revision:
             return
         self.book = book
+        self.vigil.adopted(book)
         self.reports.book = book
         self._callers.bound(book.limits)
         self._share_retries()
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 import json
+import math
 import unittest
 from collections.abc import Mapping
 from random import Random
@@ -33,6 +34,7 @@
     def __init__(self, *steps: Step) -> None:
         self.steps = list(steps)
         self.asked: list[tuple[str, int]] = []
+        self.asked_at: list[float] = []
         self.done = asyncio.Event()
 
     async def read(self, prefix: str) -> Snapshot:
@@ -47,6 +49,7 @@
 
     async def next(self, call: str, after: int) -> Step:
         self.asked.append((call, after))
+        self.asked_at.append(asyncio.get_running_loop().time())
         if not self.steps:
             self.done.set()
             await asyncio.Event().wait()
@@ -124,6 +127,34 @@
         self.assertEqual(kept.told, ['away', {'k': ONE}, 'away', TWO])
         self.assertEqual(store.asked[-2:], [('wait', 5), ('wait', 6)])
 
+    async def test_knows_when_the_store_was_heard(self) -> None:
+        """Good answers count, empty ones too; failures and lost history not."""
+        first = Snapshot({'k': ONE}, 5)
+        away = StoreError('store-unreachable')
+        cases: tuple[tuple[str, tuple[Step, ...], int], ...] = (
+            ('never', (away,), 0),
+            ('read', (first, away, away), 1),
+            ('a wait that ends empty', (first, Changes((), 5)), 2),
+            ('changes', (first, Changes((TWO,), 6), away), 2),
+            ('lost', (first, HistoryLostError('store-history-lost'), away), 1),
+        )
+        loop = asyncio.get_running_loop()
+        for name, steps, nth in cases:
+            with self.subTest(name=name):
+                store = ScriptedStore(*steps)
+                following = Following(store, '', Kept(), Random(1))
+                following.start()
+                async with asyncio.timeout(60):
+                    await store.done.wait()
+                await following.close()
+                # Each answer came between its question and the one after.
+                times = [-math.inf, *store.asked_at, loop.time()]
+                self.assertLessEqual(times[nth], following.heard_at)
+                self.assertLessEqual(
+                    following.heard_at,
+                    times[nth + 1] if nth else -math.inf,
+                )
+
 
 def answer(status: int, said: Any = None) -> bytes:
     """Give an answer of the store."""
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -1,6 +1,7 @@
 """Callers' connections at an entry: refusals, departures, stops."""
 
 import asyncio
+import math
 import unittest
 from random import Random
 
@@ -11,6 +12,7 @@
 from linnetwood.calls.directory import Directory, Listed
 from linnetwood.calls.entrance import Entrance
 from linnetwood.calls.front import Front, open_server
+from linnetwood.calls.grounds import Vigil
 from linnetwood.calls.routebook import (
     CallLimits,
     Organisation,
@@ -22,6 +24,7 @@
     shelve,
 )
 from linnetwood.core.clock import SystemClock
+from linnetwood.core.events import Event, log
 from linnetwood.core.exposed import ExposedMetrics
 from linnetwood.core.metrics import NoMetrics
 from linnetwood.fleet.wanted import WantedVersions
@@ -63,6 +66,18 @@
 )
 
 
+UNPLACED = (
+    'call',
+    'host',
+    'path',
+    'code',
+    'config_version',
+    'config_revision',
+    'config_age_ms',
+    'store_age_ms',
+)
+
+
 def request(path: str, key: str = 'k1', host: str = 'h.example') -> bytes:
     """Give a whole request."""
     lines = (
@@ -78,11 +93,25 @@
     return '\r\n'.join(lines).encode()
 
 
+class StillClock:
+    """A clock that stands until it is set."""
+
+    def __init__(self) -> None:
+        self.at = 100.0
+
+    def now(self) -> float:
+        return self.at
+
+    def wall(self) -> float:
+        return self.at
+
+
 class FrontTest(unittest.IsolatedAsyncioTestCase):
     """Speak to a front over sockets."""
 
     async def asyncSetUp(self) -> None:
         self.book = BOOK
+        self.heard_at = -math.inf
         self.directory = Directory()
         chooser = Chooser(self.directory, Random(1))
         self.driver = CurlDriver()
@@ -97,6 +126,8 @@
             NoMetrics(),
         )
         entrance = Entrance(chooser, dispatcher, SystemClock(), Random(1))
+        self.clock = StillClock()
+        self.vigil = Vigil(self.clock, lambda: self.heard_at)
         self.front = Front(
             lambda: self.book,
             dispatcher,
@@ -104,6 +135,7 @@
             entrance,
             Random(1),
             self.metrics,
+            self.vigil.grounds,
         )
         self.server = open_server(self.front, BOOK.limits)
         sockets = bind_sockets(0, HOST)
@@ -161,6 +193,54 @@
                 self.assertEqual(status, expected)
                 self.assertEqual(b'Retry-After' in head, status == 503)
 
+    async def refused(self, asked: bytes) -> list[dict[str, object]]:
+        """Send a request; give what the log tells of its place."""
+        with self.assertLogs('linnetwood', 'INFO') as told:
+            log(Event.STARTED)
+            await self.ask(asked)
+        return [
+            {name: getattr(one, name, None) for name in UNPLACED}
+            for one in told.records
+            if getattr(one, 'event', 0) == Event.CALL_UNPLACED
+        ]
+
+    async def test_refusals_tell_how_old_the_belief_was(self) -> None:
+        """Each says why, by which configuration, and how old that is."""
+        self.vigil.adopted(BOOK)
+        self.heard_at = 102.5
+        self.clock.at = 110.0
+        keyless = request('/a/x').replace(b'Authorization', b'X-Other')
+        cases = (
+            ('no route', request('/b/x?q=1'), 'h.example', '/b/x', 'no-route'),
+            ('host', request('/a/x', host='o'), 'o', '/a/x', 'no-route'),
+            ('key', request('/a/x', 'k2'), 'h.example', '/a/x', 'unknown-key'),
+            ('no key', keyless, 'h.example', '/a/x', 'no-key'),
+        )
+        for name, asked, *expected in cases:
+            with self.subTest(name=name):
+                told = ('c-1', *expected, 1, 1, 10000, 7500)
+                self.assertEqual(
+                    await self.refused(asked),
+                    [dict(zip(UNPLACED, told, strict=True))],
+                )
+
+    async def test_what_callers_wrote_is_cut(self) -> None:
+        """A line stays short, and says of a store never heard that it isn't."""
+        long = 'x' * 2000
+        asked = request(f'/{long}', host=long).replace(b'c-1', long.encode())
+        told = (await self.refused(asked))[0]
+        for name in ('call', 'host', 'path'):
+            self.assertEqual(len(str(told[name])), 120)
+        ages = (told['config_age_ms'], told['store_age_ms'])
+        self.assertEqual(ages, (-1, -1))
+
+    async def test_other_endings_tell_no_place(self) -> None:
+        """Answers, and refusals that no configuration changes, add no line."""
+        await self.serve(says(GOOD))
+        self.assertEqual(await self.refused(request('/a/x')), [])
+        self.book = RouteBook()
+        self.assertEqual(await self.refused(request('/a/x')), [])
+
     async def test_no_configuration_yet(self) -> None:
         """A process that knows none says so, not that there is no route."""
         self.book = RouteBook()
--- /dev/null
+++ b/tests/test_resident_entry.py
@@ -0,0 +1,84 @@
+"""What an entry of the platform tells of its own belief."""
+
+import asyncio
+import json
+import math
+import unittest
+
+from linnetwood.calls.grounds import Grounds
+from linnetwood.platform import records
+from linnetwood.platform.settings import Residence
+from linnetwood.programs.resident_entry import ResidentEntry
+from tests.test_curldriver import HOST, ScriptedServer
+from tests.test_following import answer, row
+from tests.test_records import CONFIG
+
+
+class ResidentEntryTest(unittest.IsolatedAsyncioTestCase):
+    """Let an entry learn from a stand-in of the store."""
+
+    async def asyncSetUp(self) -> None:
+        self.store = ScriptedServer()
+        item = row(records.CONFIG_KEY, json.dumps(CONFIG), 5)
+        self.store.answers = [
+            answer(200, {'items': [item], 'has_more': False, 'timestamp': 9}),
+            *[answer(503) for _ in range(1000)],
+        ]
+        port = await self.store.start()
+        self.entry = ResidentEntry(
+            Residence(
+                vm='vm-1',
+                host=HOST,
+                zone='z1',
+                region='r1',
+                wire_port=0,
+                store=(HOST, port),
+                callers=None,
+                readiness=None,
+                engine=None,
+                link_bytes_per_s=1e6,
+                stop_within_s=8,
+                version_bound_s=8,
+                retry_share=0,
+                retry_extra=0,
+            ),
+        )
+
+    async def asyncTearDown(self) -> None:
+        await self.entry._following.close()
+        self.entry.driver.close()
+        await self.store.close()
+
+    async def learn(self) -> None:
+        """Follow the store until its one good answer has come."""
+        self.entry._following.start()
+        async with asyncio.timeout(60):
+            await self.entry._following.learned.wait()
+
+    async def test_calls_are_told_by_what_is_in_force(self) -> None:
+        """Nothing is known at first; then version, revision and both ages."""
+        self.assertEqual(self.entry.front.grounds(), Grounds())
+        self.assertEqual(self.entry.vigil.store_age_s(), math.inf)
+        await self.learn()
+        found = self.entry.front.grounds()
+        self.assertEqual((found.version, found.revision), (7, 5))
+        self.assertGreaterEqual(found.config_age_ms, 0)
+        self.assertGreaterEqual(found.store_age_ms, found.config_age_ms)
+
+    async def test_ages_grow_while_the_store_fails(self) -> None:
+        """What fails confirms nothing."""
+        await self.learn()
+        heard_at = self.entry._following.heard_at
+        async with asyncio.timeout(60):
+            while len(self.store.requests) < 3:
+                await asyncio.sleep(0.01)
+        self.assertEqual(self.entry._following.heard_at, heard_at)
+        now = asyncio.get_running_loop().time()
+        self.assertGreaterEqual(
+            self.entry.vigil.store_age_s(),
+            now - heard_at,
+        )
+
+
+if __name__ == '__main__':
+    unittest.main()
