Tell in each attempt's line by which configuration its call was read

A call that ran as only an old version allows left no trace of it: the line named the endpoint's version and the report's age, not the configuration.

ATTEMPT_ENDED carries config_version, config_age_ms and store_age_ms as they were when the call was read, also where a newer one came in force meanwhile.

--- a/src/linnetwood/calls/accounts.py
+++ b/src/linnetwood/calls/accounts.py
@@ -5,6 +5,7 @@
 from linnetwood.calls.attempt import Attempt, AttemptEnd
 from linnetwood.calls.choice import Choice
 from linnetwood.calls.dialect import Urgency
+from linnetwood.calls.grounds import Grounds
 from linnetwood.calls.routebook import Route
 from linnetwood.calls.standing import Standing
 from linnetwood.core.events import Event, log
@@ -34,6 +35,7 @@
     urgency: Urgency
     belief: Belief
     at: float
+    grounds: Grounds
 
 
 def believed(standing: Standing, now: float) -> Belief:
@@ -71,6 +73,7 @@
     first_heard = attempt.first_heard
     route = sending.route
     belief = sending.belief
+    grounds = sending.grounds
     log(
         Event.ATTEMPT_ENDED,
         call=sending.call_id,
@@ -82,6 +85,9 @@
         waiting=belief.waiting,
         running=belief.running,
         report_age_ms=belief.report_age_ms,
+        config_version=grounds.version,
+        config_age_ms=grounds.config_age_ms,
+        store_age_ms=grounds.store_age_ms,
         predicted_ms=_ms(sending.choice.wait_s),
         first_ms=_ms(first_heard - sending.at) if first_heard else _NEVER,
         target_ms=_ms(route.target_s),
--- a/src/linnetwood/calls/direct.py
+++ b/src/linnetwood/calls/direct.py
@@ -15,6 +15,7 @@
 )
 from linnetwood.calls.choice import Choice, Chooser, Need
 from linnetwood.calls.dialect import CallHead, Dialect, Errand, Urgency
+from linnetwood.calls.grounds import Grounds
 from linnetwood.calls.retries import SHARE, RetryBudget
 from linnetwood.calls.routebook import Organisation, Repeat, Route, Service
 from linnetwood.calls.standing import Standing
@@ -57,6 +58,7 @@
     body: bytes
     arrived: float
     until: float
+    grounds: Grounds = Grounds()
 
     @property
     def repeatable(self) -> bool:
@@ -175,6 +177,7 @@
             urgency,
             believed(standing, now),
             now,
+            call.grounds,
         )
         standing.sent()
         waiting = _Waiting(standing, urgency)
--- a/src/linnetwood/calls/front.py
+++ b/src/linnetwood/calls/front.py
@@ -18,7 +18,7 @@
 )
 from tornado.iostream import StreamClosedError
 
-from linnetwood.calls.dialect import Dialect, Urgency
+from linnetwood.calls.dialect import CallHead, Dialect, Urgency
 from linnetwood.calls.direct import DirectCall, DirectDispatcher
 from linnetwood.calls.grounds import Grounds
 from linnetwood.calls.reading import Arrival, asked_host, read_call
@@ -218,17 +218,18 @@
         line = self._line
         if line is None:
             return not_run(Code.BAD_REQUEST, 'no request line')
+        front = self._front
         arrival = Arrival(
             line.method,
             line.path,
             self._headers,
             b''.join(self._pieces),
             self._arrived,
+            front.grounds(),
         )
-        front = self._front
         call = read_call(arrival, front.book(), front.dialect, front.rng)
         if isinstance(call, Ending) and call.code in _UNPLACED:
-            _tell_unplaced(arrival, call, front)
+            _tell_unplaced(arrival, call, front.dialect.read(self._headers))
         return call
 
 
@@ -290,9 +291,8 @@
     return conn
 
 
-def _tell_unplaced(arrival: Arrival, ending: Ending, front: Front) -> None:
-    head = front.dialect.read(arrival.headers)
-    grounds = front.grounds()
+def _tell_unplaced(arrival: Arrival, ending: Ending, head: CallHead) -> None:
+    grounds = arrival.grounds
     if ending.code == Code.UNKNOWN_TARGET.value:
         why = 'no-route'
     else:
--- a/src/linnetwood/calls/reading.py
+++ b/src/linnetwood/calls/reading.py
@@ -5,6 +5,7 @@
 
 from linnetwood.calls.dialect import CallHead, Dialect
 from linnetwood.calls.direct import DirectCall
+from linnetwood.calls.grounds import Grounds
 from linnetwood.calls.routebook import (
     Organisation,
     Route,
@@ -20,13 +21,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Arrival:
-    """One request as it was read, and when."""
+    """One request as it was read, when, and what it is decided by."""
 
     method: str
     target: str
     headers: Headers
     body: bytes
     at: float
+    grounds: Grounds = Grounds()
 
 
 def read_call(
@@ -73,6 +75,7 @@
         arrival.body,
         arrival.at,
         arrival.at + min(wait_s, route.timeout_s),
+        arrival.grounds,
     )
 
 
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -241,6 +241,34 @@
         self.book = RouteBook()
         self.assertEqual(await self.refused(request('/a/x')), [])
 
+    async def test_calls_tell_by_which_configuration_they_were_read(
+        self,
+    ) -> None:
+        """Of a call that outlasts its configuration the old one is told."""
+        self.vigil.adopted(BOOK)
+        self.heard_at = 99.0
+        self.clock.at = 101.0
+
+        async def adopt(
+            _: asyncio.StreamReader,
+            writer: asyncio.StreamWriter,
+        ) -> None:
+            self.vigil.adopted(RouteBook(revision=2, version=2))
+            self.clock.at = 105.0
+            writer.write(GOOD)
+            await writer.drain()
+
+        await self.serve(adopt)
+        with self.assertLogs('linnetwood', 'INFO') as told:
+            await self.ask(request('/a/x'))
+        lines = [
+            [getattr(one, name, None) for name in UNPLACED[4:]]
+            for one in told.records
+            if getattr(one, 'event', 0) == Event.ATTEMPT_ENDED
+        ]
+        self.assertEqual(lines, [[1, None, 1000, 2000]])
+        self.assertEqual(self.front.grounds().version, 2)
+
     async def test_no_configuration_yet(self) -> None:
         """A process that knows none says so, not that there is no route."""
         self.book = RouteBook()
