Show the configuration in force and the store's age as gauges

A collector could not see which entry lags behind the others: the page had counters and spreads only, none of them of the configuration or the store.

config.version and store.age_s are read whenever they are fetched; the age is infinite until the store was first heard, so that a bound on it catches that.

--- a/src/linnetwood/core/exposed.py
+++ b/src/linnetwood/core/exposed.py
@@ -1,10 +1,12 @@
-"""Counters and histograms that a collector fetches as text."""
+"""Counters, histograms and gauges that a collector fetches as text."""
 
+from collections.abc import Callable
 from types import MappingProxyType
 
 from prometheus_client import (
     CollectorRegistry,
     Counter,
+    Gauge,
     Histogram,
     generate_latest,
 )
@@ -59,6 +61,11 @@
             self._histograms[metric] = histogram
         histogram.observe(milliseconds)
 
+    def gauge(self, metric: Metric, read: Callable[[], float]) -> None:
+        """Tell a figure as it stands whenever somebody fetches."""
+        gauge = Gauge(_name(metric), metric.value, registry=self._registry)
+        gauge.set_function(read)
+
     def text(self) -> bytes:
         """Give all figures in the collectors' text format."""
         return generate_latest(self._registry)
--- a/src/linnetwood/core/metrics.py
+++ b/src/linnetwood/core/metrics.py
@@ -26,6 +26,8 @@
     CHUNKS_BAD = 'chunks.bad'
     CHUNKS_REPEATED = 'chunks.repeated'
     ORIGIN_BYTES = 'origin.bytes'
+    CONFIG_VERSION = 'config.version'
+    STORE_AGE_S = 'store.age_s'
 
 
 class Metrics(Protocol):
--- a/src/linnetwood/programs/resident_entry.py
+++ b/src/linnetwood/programs/resident_entry.py
@@ -19,6 +19,7 @@
 from linnetwood.core.clock import SystemClock
 from linnetwood.core.events import Event, log
 from linnetwood.core.exposed import ExposedMetrics
+from linnetwood.core.metrics import Metric
 from linnetwood.fleet.following import Following
 from linnetwood.fleet.wanted import WantedVersions
 from linnetwood.platform import records
@@ -83,6 +84,8 @@
             metrics,
             self.vigil.grounds,
         )
+        metrics.gauge(Metric.CONFIG_VERSION, lambda: self.book.version)
+        metrics.gauge(Metric.STORE_AGE_S, self.vigil.store_age_s)
         self._figures = FiguresPage(metrics)
         rouse = self.reports.rouse
         self._following = Following(
--- a/tests/test_figures.py
+++ b/tests/test_figures.py
@@ -1,5 +1,6 @@
 """Figures are kept, told apart and fetched as text."""
 
+import math
 import socket
 import unittest
 
@@ -56,6 +57,15 @@
             with self.subTest(line=line):
                 self.assertIn(line, told)
 
+    async def test_gauges_are_read_when_fetched(self) -> None:
+        """Each fetch tells the figure of its moment, infinity included."""
+        standing = [math.inf, 2.5]
+        self.metrics.gauge(Metric.STORE_AGE_S, lambda: standing.pop(0))
+        for expected in ('+Inf', '2.5'):
+            told = (await self.fetch(PATH)).body.decode().splitlines()
+            self.assertIn(f'linnetwood_store_age_s {expected}', told)
+        self.assertIn('# TYPE linnetwood_store_age_s gauge', told)
+
     async def test_every_metric_can_be_told(self) -> None:
         """No name clashes with another or with the library's rules."""
         for metric in Metric:
--- a/tests/test_resident_entry.py
+++ b/tests/test_resident_entry.py
@@ -65,6 +65,24 @@
         self.assertGreaterEqual(found.config_age_ms, 0)
         self.assertGreaterEqual(found.store_age_ms, found.config_age_ms)
 
+    def figure(self, name: str) -> float:
+        """Give a figure as a collector reads it."""
+        text = self.entry._figures._metrics.text().decode()
+        told = dict(
+            line.rsplit(' ', 1)
+            for line in text.splitlines()
+            if not line.startswith('#')
+        )
+        return float(told[f'linnetwood_{name}'])
+
+    async def test_figures(self) -> None:
+        """The version in force and the store's age are fetched as they are."""
+        self.assertEqual(self.figure('config_version'), 0)
+        self.assertEqual(self.figure('store_age_s'), math.inf)
+        await self.learn()
+        self.assertEqual(self.figure('config_version'), 7)
+        self.assertLess(self.figure('store_age_s'), 60)
+
     async def test_ages_grow_while_the_store_fails(self) -> None:
         """What fails confirms nothing."""
         await self.learn()
