Count the refusals that an entry gave by an old belief as losses

`linnetwood losses` passed over 404 and 401, so calls that an entry refused while it did not hear the store were missing from the sum.

They have a cause row of their own where the store had not been heard for over three seconds (OLD_BELIEF_MS: a wait and what it is given more). Others may be right and still don't count; a store that answers, but with old news, is told by the versions in the lines alone.

--- a/src/linnetwood/programs/losses.py
+++ b/src/linnetwood/programs/losses.py
@@ -10,6 +10,9 @@
 from linnetwood.core.events import Event
 from linnetwood.programs.explain import read_line
 
+# A wait at the store lasts two seconds and has one more to be answered; what
+# was not confirmed for longer is an old belief.
+OLD_BELIEF_MS = 3000
 # Seconds that are kept; the oldest go first, and are counted.
 MOST_SECONDS = 7200
 # Kinds of rows in one second; what comes beyond counts as the rest.
@@ -37,6 +40,8 @@
 )
 _ZONED = int(Event.STARTED)
 _ATTEMPT = int(Event.ATTEMPT_ENDED)
+_UNPLACED = int(Event.CALL_UNPLACED)
+_BY_OLD_BELIEF = 'refused by an old belief'
 
 
 class Spread:
@@ -120,6 +125,8 @@
 
     def _ending(self, line: dict[str, Any], zone: str) -> None:
         ending = _ENDINGS.get(line['event'])
+        if _by_old_belief(line):
+            ending = _BY_OLD_BELIEF
         if ending is not None:
             cause = f'{ending}: {line.get("code", _UNTOLD)}'
             route = str(line.get('route', _UNTOLD))
@@ -221,6 +228,11 @@
     )
 
 
+def _by_old_belief(line: dict[str, Any]) -> bool:
+    old = _number(line, 'store_age_ms') > OLD_BELIEF_MS
+    return old and line['event'] == _UNPLACED
+
+
 def _number(line: dict[str, Any], name: str) -> float:
     found = line.get(name, 0)
     return found if isinstance(found, int | float) else 0
--- a/tests/test_losses.py
+++ b/tests/test_losses.py
@@ -102,6 +102,31 @@
             ],
         )
 
+    def test_refusals_by_an_old_belief(self) -> None:
+        """Only those count; one by a fresh belief may be right."""
+        bound_ms = losses.OLD_BELIEF_MS
+        text = '\n'.join(
+            (
+                line(1001, 0, zone='north'),
+                line(6007, 1, code='no-route', store_age_ms=bound_ms),
+                line(6007, 1, code='no-route', store_age_ms=bound_ms + 1),
+                line(6007, 1, code='unknown-key', store_age_ms=bound_ms + 1),
+                line(6007, 1, code='no-key', store_age_ms=-1),
+                line(6007, 1, code='no-key'),
+                attempt(1, store_age_ms=bound_ms + 1),
+            ),
+        )
+        _, told = self.run_command(text, '--json')
+        found = json.loads(told)['seconds'][0]['calls']
+        self.assertEqual(
+            {(one['route'], one['cause'], one['count']) for one in found},
+            {
+                ('chat', 'in time', 1),
+                ('?', 'refused by an old belief: no-route', 1),
+                ('?', 'refused by an old belief: unknown-key', 1),
+            },
+        )
+
     def test_beliefs(self) -> None:
         """Predicted and seen waits, reports' ages and versions are told."""
         _, told = self.run_command(LOG, '--json')
