--- a/src/linnetwood/calls/reading.py
+++ b/src/linnetwood/calls/reading.py
@@ -5,6 +5,7 @@
 
 from linnetwood.calls.dialect import CallHead, Dialect
 from linnetwood.calls.direct import DirectCall
+from linnetwood.calls.grounds import Grounds
 from linnetwood.calls.routebook import (
     Organisation,
     Route,
@@ -20,13 +21,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Arrival:
-    """One request as it was read, and when."""
+    """One request as it was read, when, and what it is decided by."""
 
     method: str
     target: str
     headers: Headers
     body: bytes
     at: float
+    grounds: Grounds = Grounds()
 
 
 def read_call(
@@ -38,7 +40,7 @@
     """Find the route, the organisation and the service of a request."""
     if not book.revision:
         return not_run(Code.NOT_SERVING, 'no configuration yet')
-    route = book.find(_host(arrival.headers), arrival.target)
+    route = book.find(asked_host(arrival.headers), arrival.target)
     if route is None:
         return not_run(Code.UNKNOWN_TARGET, arrival.target)
     head = dialect.read(arrival.headers)
@@ -73,10 +75,12 @@
         arrival.body,
         arrival.at,
         arrival.at + min(wait_s, route.timeout_s),
+        arrival.grounds,
     )
 
 
-def _host(headers: Headers) -> str:
+def asked_host(headers: Headers) -> str:
+    """Give the host that a request names, or nothing."""
     for name, text in headers:
         if name.lower() == 'host':
             return text
--- a/src/linnetwood/programs/resident_entry.py
+++ b/src/linnetwood/programs/resident_entry.py
@@ -13,11 +13,13 @@
 from linnetwood.calls.directory import Directory
 from linnetwood.calls.entrance import Entrance
 from linnetwood.calls.front import Front, open_server
+from linnetwood.calls.grounds import Vigil
 from linnetwood.calls.reports import Reports
 from linnetwood.calls.routebook import RouteBook
 from linnetwood.core.clock import SystemClock
 from linnetwood.core.events import Event, log
 from linnetwood.core.exposed import ExposedMetrics
+from linnetwood.core.metrics import Metric
 from linnetwood.fleet.following import Following
 from linnetwood.fleet.wanted import WantedVersions
 from linnetwood.platform import records
@@ -72,6 +74,7 @@
             cfg.wire_port,
             self._share_retries,
         )
+        self.vigil = Vigil(clock, lambda: self._following.heard_at)
         self.front = Front(
             lambda: self.book,
             self.dispatcher,
@@ -79,7 +82,10 @@
             Entrance(chooser, self.dispatcher, clock, rng),
             rng,
             metrics,
+            self.vigil.grounds,
         )
+        metrics.gauge(Metric.CONFIG_VERSION, lambda: self.book.version)
+        metrics.gauge(Metric.STORE_AGE_S, self.vigil.store_age_s)
         self._figures = FiguresPage(metrics)
         rouse = self.reports.rouse
         self._following = Following(
@@ -119,6 +125,7 @@
         if book.version <= self.book.version and self.book.revision:
             return
         self.book = book
+        self.vigil.adopted(book)
         self.reports.book = book
         self._callers.bound(book.limits)
         self._share_retries()
