--- a/src/linnetwood/calls/reports.py
+++ b/src/linnetwood/calls/reports.py
@@ -11,6 +11,7 @@
 from linnetwood.core.clock import Clock
 from linnetwood.core.waits import happened
 from linnetwood.fleet.news import Address, NewsPort
+from linnetwood.fleet.tellers import Tellers
 from linnetwood.fleet.wanted import WantedVersions
 from linnetwood.gen.wire.ttypes import EngineNews, EntryNews, News, PeerPlace
 
@@ -31,8 +32,12 @@
         clock: Clock,
         port: int,
         counted: Callable[[], None],
+        zone: str,
+        tellers: Tellers,
     ) -> None:
         """Tell nothing yet; all endpoint processes listen on one port."""
+        self._zone = zone
+        self._tellers = tellers
         self.entries = UNKNOWN_ENTRIES
         self._counted = counted
         self.book = RouteBook()
@@ -63,11 +68,14 @@
         self._wake.set()
 
     def heard(self, news: News, source: Address) -> None:
-        """Take in an engine's report."""
-        engine = news.engine
-        if engine is None:
-            return
+        """Take in an engine's report, or who else is in this zone."""
         now = self._clock.now()
+        if news.neighbours is not None:
+            self._tellers.heard(news.neighbours.hosts, now)
+        if news.engine is not None:
+            self._heard_engine(news.engine, now)
+
+    def _heard_engine(self, engine: EngineNews, now: float) -> None:
         self._wanted.heard(engine.wanted, now)
         if engine.entries != self.entries:
             self.entries = max(engine.entries, 1)
@@ -119,6 +127,7 @@
             chunk_bytes=engine.chunk_bytes,
             chunks=engine.chunks,
             origin_bytes_per_s=int(origin.bytes_per_s),
+            zone=self._zone,
         )
         addresses = [(host, self._port) for host in places]
         self._news.send(News(entry=news), addresses)
--- a/src/linnetwood/fleet/following.py
+++ b/src/linnetwood/fleet/following.py
@@ -1,18 +1,26 @@
-"""Follow a range of keys: read it once, then wait for what changes."""
+"""Follow a range of keys: read it once, then wait for what changes.
+
+Where a neighbour tells what the range holds and since when it knows, the store
+is left alone; as soon as that belief is too old, it is asked directly.
+"""
 
 import asyncio
 import dataclasses
 import math
-from collections.abc import Mapping
 from random import Random
-from typing import Protocol
 
 from linnetwood.core.backoff import pause_s
 from linnetwood.core.errors import StoreError
 from linnetwood.core.events import Event, log
+from linnetwood.fleet.mirror import Mirror
+from linnetwood.fleet.ranges import (
+    Change,
+    Changes,
+    HistoryLostError,
+    RangeStore,
+    Sink,
+)
 
-# A wait that is cut off unseen is noticed within this and the slack.
-_WAIT_S = 2.0
 # Changes that come in a crowd are fetched together.
 _GATHER_S = 0.02
 
@@ -23,64 +31,60 @@
 _PAUSE_MOST_S = 0.8
 _PAUSE_LEAST_SHARE = 0.5
 
+# Whoever hears a neighbour asks a store that fails half as often: the neighbour
+# hears of its return first, and one copy crosses the link in place of many.
+_LISTENER_PAUSE_MOST_S = 1.6
 
-class HistoryLostError(StoreError):
-    """The changes since a revision can no longer be told."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Record:
-    """A key's bytes and the revision that wrote them."""
-
-    payload: bytes
-    revision: int
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Change:
-    """A key as it was written, or without an record when it is gone."""
-
-    key: str
-    record: Record | None
-
+# Whoever heard nothing for so long reads the range anew: the answer is no larger
+# for each version that came and went meanwhile.
+_READ_ANEW_S = 3.0
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Snapshot:
-    """A range of keys, and the revision from which to wait for changes."""
-
-    records: Mapping[str, Record]
-    revision: int
+# Parts of the time within which a configuration must be in force. A wait and
+# a fresh belief's age leave more than half of it for asking directly; an answer
+# that flows to the neighbour is waited for a little longer, since as many
+# copies over the same link would take as many times as long.
+_WAIT_SHARE = 0.3
+_FRESH_SHARE = 0.4
+_FLOWING_SHARE = 0.4
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Changes:
-    """What changed, in order, and the revision to go on from."""
+class Bounds:
+    """How long waits last, and how old a neighbour's word may be; seconds."""
 
-    changes: tuple[Change, ...]
-    revision: int
+    wait_s: float = 2
+    fresh_s: float = 0
+    flowing_s: float = 0
 
 
-class RangeStore(Protocol):
-    """Read and wait for ranges of keys."""
+USUAL_BOUNDS = Bounds()
 
-    async def read(self, prefix: str) -> Snapshot:
-        """Read a range; raise StoreError when the store does not answer."""
 
-    async def wait(self, prefix: str, after: int, wait_s: float) -> Changes:
-        """Wait for changes; raise HistoryLostError if they can't be told."""
+def bounds_within(apply_s: float) -> Bounds:
+    """Give the bounds where a change must be in force within so long."""
+    return Bounds(
+        apply_s * _WAIT_SHARE,
+        apply_s * _FRESH_SHARE,
+        apply_s * _FLOWING_SHARE,
+    )
 
 
-class Sink(Protocol):
-    """Take in what a range holds."""
-
-    def replaced(self, records: Mapping[str, Record]) -> None:
-        """Take in the whole range."""
+@dataclasses.dataclass(frozen=True, slots=True)
+class Told:
+    """What a neighbour tells: changes up to a revision, or the whole range.
 
-    def changed(self, changes: tuple[Change, ...]) -> None:
-        """Take in changes, in order."""
+    Ages are in seconds, infinity for never: since it knew that it knew all,
+    since it last got a byte from the store, and since the answer began of
+    which that byte is a part.
+    """
 
-    def away(self) -> None:
-        """Learn that the store could not be read just now."""
+    revision: int
+    age_s: float
+    flow_age_s: float
+    flowing_s: float
+    outages: int
+    whole: bool
+    changes: tuple[Change, ...]
 
 
 class Following:
@@ -92,18 +96,30 @@
         prefix: str,
         sink: Sink,
         rng: Random,
+        bounds: Bounds = USUAL_BOUNDS,
     ) -> None:
         """Follow nothing yet."""
         self.learned = asyncio.Event()
         # By the clock of the loop, which is the monotonic one.
         self.heard_at = -math.inf
+        self.flowed_at = -math.inf
+        self.flowing_since = -math.inf
+        self.outages = 0
+        # Whether a neighbour is there to be heard.
+        self.backed = False
+        self.mirror = Mirror()
         self._store = store
         self._prefix = prefix
         self._sink = sink
         self._rng = rng
+        self._bounds = bounds
         self._revision = 0
         self._away = False
+        self._told_until = -math.inf
+        self._outages_told: int | None = None
+        self._listeners: set[asyncio.Event] = set()
         self._task: asyncio.Task[None] | None = None
+        self._asking: asyncio.Task[None] | None = None
 
     def start(self) -> None:
         """Begin to follow."""
@@ -115,11 +131,57 @@
             self._task.cancel()
             await asyncio.gather(self._task, return_exceptions=True)
 
+    @property
+    def revision(self) -> int:
+        """Give the revision up to which everything is known."""
+        return self._revision
+
+    def listen(self, woken: asyncio.Event) -> None:
+        """Set an event at each change from now on."""
+        self._listeners.add(woken)
+
+    def forget(self, woken: asyncio.Event) -> None:
+        """Set it no more."""
+        self._listeners.discard(woken)
+
+    def flowed(self) -> None:
+        """Note that bytes of an answer came from the store."""
+        now = asyncio.get_running_loop().time()
+        if self.flowing_since <= self.heard_at:
+            self.flowing_since = now
+        self.flowed_at = now
+
+    def fresh(self, told: Told) -> bool:
+        """Tell whether a neighbour's word can stand for the store's."""
+        return self._trusted_s(told) > 0
+
+    def told(self, told: Told) -> None:
+        """Take in what a neighbour tells, and leave the store alone."""
+        now = asyncio.get_running_loop().time()
+        if told.outages != self._outages_told:
+            if self._outages_told is not None:
+                self._sink.away()
+            self._outages_told = told.outages
+        if told.revision > self._revision:
+            self._take_told(told)
+        elif told.revision < self._revision:
+            # It has yet to learn what is known here.
+            return
+        self.heard_at = max(self.heard_at, now - told.age_s)
+        self._told_until = max(self._told_until, now + self._trusted_s(told))
+        if self._asking is not None and now < self._told_until:
+            self._asking.cancel()
+
+    def left(self) -> None:
+        """Expect nothing more from the neighbour; another counts anew."""
+        self._outages_told = None
+
     async def _run(self) -> None:
         failures = 0
         while True:
+            await self._until_needed()
             try:
-                await self._step()
+                await self._ask()
             except HistoryLostError:
                 log(Event.STORE_HISTORY_LOST, prefix=self._prefix)
                 # The store itself was there: what is missing now is gone.
@@ -133,35 +195,102 @@
                 failures = 0
                 self._note_back()
 
+    async def _until_needed(self) -> None:
+        loop = asyncio.get_running_loop()
+        while self._revision and loop.time() < self._told_until:
+            await asyncio.sleep(self._told_until - loop.time())
+
+    async def _ask(self) -> None:
+        """Ask the store, unless a neighbour tells meanwhile."""
+        asking = asyncio.create_task(self._step())
+        self._asking = asking
+        try:
+            await asyncio.wait((asking,))
+        finally:
+            self._asking = None
+            asking.cancel()
+        if not asking.cancelled():
+            asking.result()
+
     async def _step(self) -> None:
-        if not self._revision:
-            snapshot = await self._store.read(self._prefix)
-            self._note_heard()
-            self._sink.replaced(snapshot.records)
-            self._revision = snapshot.revision
-            self.learned.set()
+        loop = asyncio.get_running_loop()
+        if not self._revision or loop.time() - self.heard_at > _READ_ANEW_S:
+            await self._read()
             return
-        found = await self._store.wait(self._prefix, self._revision, _WAIT_S)
+        after = self._revision
+        found = await self._store.wait(
+            self._prefix,
+            after,
+            self._bounds.wait_s,
+        )
         # A wait that ends empty confirms what is believed, too.
         self._note_heard()
+        if found.revision > self._revision:
+            self._take(found)
         if found.changes:
-            self._sink.changed(found.changes)
             await asyncio.sleep(_GATHER_S)
-        self._revision = max(self._revision, found.revision)
+
+    async def _read(self) -> None:
+        snapshot = await self._store.read(self._prefix)
+        self._note_heard()
+        if snapshot.revision < self._revision:
+            # A neighbour told more meanwhile.
+            return
+        now = asyncio.get_running_loop().time()
+        self.mirror.replaced(snapshot.records, snapshot.revision, now)
+        self._sink.replaced(snapshot.records)
+        self._arrived(snapshot.revision)
+
+    def _take(self, found: Changes) -> None:
+        now = asyncio.get_running_loop().time()
+        self.mirror.changed(found.changes, found.revision, now)
+        if found.changes:
+            self._sink.changed(found.changes)
+        self._arrived(found.revision)
+
+    def _take_told(self, told: Told) -> None:
+        if not told.whole:
+            self._take(Changes(told.changes, told.revision))
+            return
+        found = {
+            one.key: one.record
+            for one in told.changes
+            if one.record is not None
+        }
+        now = asyncio.get_running_loop().time()
+        self.mirror.replaced(found, told.revision, now)
+        self._sink.replaced(found)
+        self._arrived(told.revision)
+
+    def _arrived(self, revision: int) -> None:
+        self._revision = revision
+        self.learned.set()
+        for woken in self._listeners:
+            woken.set()
+
+    def _trusted_s(self, told: Told) -> float:
+        bounds = self._bounds
+        flowing_s = min(
+            bounds.fresh_s - told.flow_age_s,
+            bounds.flowing_s - told.flowing_s,
+        )
+        return max(bounds.fresh_s - told.age_s, flowing_s)
 
     def _pause_s(self, failures: int) -> float:
         return pause_s(
             failures,
             self._rng,
             _PAUSE_FIRST_S,
-            _PAUSE_MOST_S,
+            _LISTENER_PAUSE_MOST_S if self.backed else _PAUSE_MOST_S,
             _PAUSE_LEAST_SHARE,
         )
 
     def _note_heard(self) -> None:
         self.heard_at = asyncio.get_running_loop().time()
+        self.flowed_at = self.heard_at
 
     def _note_away(self, exc: StoreError) -> None:
+        self.outages += 1
         if not self._away:
             log(
                 Event.STORE_AWAY,
--- a/src/linnetwood/fleet/listeners.py
+++ b/src/linnetwood/fleet/listeners.py
@@ -15,10 +15,11 @@
 class _Listener:
     """One entry."""
 
-    __slots__ = ('came_at', 'heard_at', 'number')
+    __slots__ = ('came_at', 'heard_at', 'number', 'zone')
 
-    def __init__(self, number: int, now: float) -> None:
+    def __init__(self, number: int, zone: str, now: float) -> None:
         self.number = number
+        self.zone = zone
         self.came_at = now
         self.heard_at = now
 
@@ -34,14 +35,20 @@
         self._since = now
         self._heard_at = now
 
-    def heard(self, address: Address, number: int, now: float) -> None:
+    def heard(
+        self,
+        address: Address,
+        number: int,
+        now: float,
+        zone: str = '',
+    ) -> None:
         """Note a greeting; a number that starts anew is a new process."""
         if now - self._heard_at > _GAP_S:
             self._since = now
         self._heard_at = now
         known = self._listeners.get(address)
         if known is None or number < known.number:
-            self._listeners[address] = _Listener(number, now)
+            self._listeners[address] = _Listener(number, zone, now)
         else:
             known.number = number
             known.heard_at = now
@@ -58,6 +65,14 @@
         """Give all of them."""
         return list(self._listeners)
 
+    def of_zone(self, zone: str) -> list[Address]:
+        """Give those of an availability zone."""
+        return [
+            address
+            for address, one in self._listeners.items()
+            if one.zone == zone
+        ]
+
     def newcomers(self, now: float) -> list[Address]:
         """Give those that came just now."""
         return [
--- /dev/null
+++ b/src/linnetwood/fleet/mirror.py
@@ -0,0 +1,112 @@
+"""What a range holds, and what somebody at an older revision lacks of it."""
+
+import dataclasses
+from collections import deque
+from collections.abc import Iterator, Mapping
+
+from linnetwood.fleet.ranges import Change, Record
+
+# Beyond so many deletions the oldest are forgotten, and whoever asks from
+# before them is told the whole range.
+MOST_DELETIONS = 4096
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Lack:
+    """What brings a range to a revision: all of it, or what changed."""
+
+    revision: int
+    whole: bool
+    changes: tuple[Change, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Known:
+    record: Record
+    since: float
+
+
+class Mirror:
+    """Hold the newest record of each key; of several writes only the last."""
+
+    __slots__ = ('_deleted', '_floor', '_known', 'revision')
+
+    def __init__(self) -> None:
+        """Hold nothing, as of no revision."""
+        self.revision = 0
+        self._known: dict[str, _Known] = {}
+        self._deleted: deque[tuple[int, str, float]] = deque()
+        self._floor = 0
+
+    def replaced(
+        self,
+        records: Mapping[str, Record],
+        revision: int,
+        now: float,
+    ) -> None:
+        """Take in the whole range; deletions before it are not known."""
+        self._known = {
+            key: self._kept(key, record, now) for key, record in records.items()
+        }
+        self._deleted.clear()
+        self._floor = revision
+        self.revision = revision
+
+    def changed(
+        self,
+        changes: tuple[Change, ...],
+        revision: int,
+        now: float,
+    ) -> None:
+        """Take in changes, in order."""
+        for change in changes:
+            since = now - change.age_s
+            if change.record is None:
+                self._delete(change.key, revision, since)
+            else:
+                self._write(change.key, change.record, since)
+        self.revision = max(self.revision, revision)
+
+    def lack(self, after: int, now: float) -> Lack:
+        """Give what somebody lacks who knows everything up to a revision."""
+        if after < self._floor:
+            return Lack(self.revision, whole=True, changes=self._all(now))
+        return Lack(
+            self.revision,
+            whole=False,
+            changes=tuple(self._since(after, now)),
+        )
+
+    def _kept(self, key: str, record: Record, now: float) -> _Known:
+        known = self._known.get(key)
+        if known is not None and known.record.revision == record.revision:
+            return known
+        return _Known(record, now)
+
+    def _write(self, key: str, record: Record, since: float) -> None:
+        # A range is read in pages: one read late may hold what comes only now.
+        known = self._known.get(key)
+        if known is None or known.record.revision < record.revision:
+            self._known[key] = _Known(record, since)
+
+    def _delete(self, key: str, revision: int, since: float) -> None:
+        # The change does not tell its own revision; that of all the changes it
+        # came with is no lower, so nobody who lacks it is left out.
+        self._known.pop(key, None)
+        self._deleted.append((revision, key, since))
+        if len(self._deleted) > MOST_DELETIONS:
+            self._floor = self._deleted.popleft()[0]
+
+    def _all(self, now: float) -> tuple[Change, ...]:
+        return tuple(
+            Change(key, one.record, now - one.since)
+            for key, one in self._known.items()
+        )
+
+    def _since(self, after: int, now: float) -> Iterator[Change]:
+        for revision, key, since in self._deleted:
+            if revision > after and key not in self._known:
+                yield Change(key, None, now - since)
+        for name, one in self._known.items():
+            if one.record.revision > after:
+                yield Change(name, one.record, now - one.since)
--- /dev/null
+++ b/src/linnetwood/fleet/ranges.py
@@ -0,0 +1,70 @@
+"""Ranges of keys: what they hold, what changes, who tells and who hears."""
+
+import dataclasses
+from collections.abc import Mapping
+from typing import Protocol
+
+from linnetwood.core.errors import StoreError
+
+
+class HistoryLostError(StoreError):
+    """The changes since a revision can no longer be told."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Record:
+    """A key's bytes and the revision that wrote them."""
+
+    payload: bytes
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Change:
+    """A key as it was written, or without a record when it is gone.
+
+    Its age is for how long somebody has known of it, in seconds.
+    """
+
+    key: str
+    record: Record | None
+    age_s: float = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Snapshot:
+    """A range of keys, and the revision from which to wait for changes."""
+
+    records: Mapping[str, Record]
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Changes:
+    """What changed, in order, and the revision to go on from."""
+
+    changes: tuple[Change, ...]
+    revision: int
+
+
+class RangeStore(Protocol):
+    """Read and wait for ranges of keys."""
+
+    async def read(self, prefix: str) -> Snapshot:
+        """Read a range; raise StoreError when the store does not answer."""
+
+    async def wait(self, prefix: str, after: int, wait_s: float) -> Changes:
+        """Wait for changes; raise HistoryLostError if they can't be told."""
+
+
+class Sink(Protocol):
+    """Take in what a range holds."""
+
+    def replaced(self, records: Mapping[str, Record]) -> None:
+        """Take in the whole range."""
+
+    def changed(self, changes: tuple[Change, ...]) -> None:
+        """Take in changes, in order."""
+
+    def away(self) -> None:
+        """Learn that the store could not be read just now."""
--- /dev/null
+++ b/src/linnetwood/fleet/relaying.py
@@ -0,0 +1,250 @@
+"""Pass the store's news on to neighbours, so that few copies cross regions."""
+
+import asyncio
+import math
+import zlib
+from collections.abc import Iterator
+
+from linnetwood.core.errors import CodecError, LinnetwoodError, WireError
+from linnetwood.core.events import Event, log
+from linnetwood.core.waits import happened
+from linnetwood.fleet.following import Following, Told
+from linnetwood.fleet.mirror import Lack
+from linnetwood.fleet.ranges import Change, Record
+from linnetwood.fleet.tellers import Tellers
+from linnetwood.gen.wire.ttypes import (
+    RangeItem,
+    RangeItems,
+    RangePart,
+    RangeRequest,
+)
+from linnetwood.wire.codec import decode, encode
+from linnetwood.wire.connections import Dialler, read_within
+from linnetwood.wire.frames import MAX_FRAME, Frame, FrameKind, FrameStream
+
+# A teller that knows nothing new says so this often; one that is silent for
+# more than two such times is left for another.
+BEAT_S = 0.2
+SILENT_S = 0.5
+# A listener that reads nothing for so long is given up.
+_WRITE_S = 5.0
+_IDLE_S = 0.5
+_MILLISECONDS = 1000
+_NEVER = -1
+_FAST = 1
+_MOST_UNPACKED = 8 * MAX_FRAME
+
+
+class StaleTellerError(WireError):
+    """A neighbour is there, but does not hear the store itself."""
+
+
+class RangeTeller:
+    """Tell neighbours what is known of a range, and since when."""
+
+    def __init__(self, following: Following) -> None:
+        """Tell what a follower knows."""
+        self._following = following
+        self._packed = b''
+        self._packed_for = (-1, -1)
+        self._packed_at = float()
+
+    async def serve(self, stream: FrameStream, frame: Frame) -> None:
+        """Tell one listener, until it goes."""
+        after = decode(RangeRequest, frame.payload).after
+        woken = asyncio.Event()
+        self._following.listen(woken)
+        try:
+            while True:
+                woken.clear()
+                after = await self._tell(stream, after)
+                await happened(woken, BEAT_S)
+        finally:
+            self._following.forget(woken)
+
+    async def _tell(self, stream: FrameStream, after: int) -> int:
+        following = self._following
+        now = asyncio.get_running_loop().time()
+        revision = following.mirror.revision
+        news = revision > after
+        part = RangePart(
+            revision=revision,
+            age_ms=_to_ms(now - following.heard_at),
+            flow_age_ms=_to_ms(now - following.flowed_at),
+            flowing_ms=_to_ms(now - following.flowing_since),
+            outages=following.outages,
+            items=news,
+        )
+        packed = b''
+        if news:
+            lack = following.mirror.lack(after, now)
+            part.whole = lack.whole
+            packed = self._pack(after, lack, now)
+            part.packed_ms = _to_ms(now - self._packed_at)
+        try:
+            async with asyncio.timeout(_WRITE_S):
+                await stream.write(FrameKind.RANGE_PART, encode(part))
+                if packed:
+                    await stream.write(FrameKind.RANGE_ITEMS, packed)
+        except TimeoutError as exc:
+            raise WireError('reader-too-slow', f'{_WRITE_S} s') from exc
+        return max(after, revision)
+
+    def _pack(self, after: int, lack: Lack, now: float) -> bytes:
+        # Listeners that keep up all lack the same.
+        if self._packed_for != (after, lack.revision):
+            self._packed_at = now
+            rows = [_to_item(one) for one in lack.changes]
+            self._packed = zlib.compress(encode(RangeItems(rows)), _FAST)
+            self._packed_for = (after, lack.revision)
+        if len(self._packed) > MAX_FRAME:
+            # Whoever lacks so much asks the store.
+            raise WireError('range-too-large', f'{len(self._packed)} bytes')
+        return self._packed
+
+
+class RangeListener:
+    """Hear a neighbour where there is one; a task that owns its connection."""
+
+    def __init__(
+        self,
+        following: Following,
+        tellers: Tellers,
+        dialler: Dialler,
+        port: int,
+    ) -> None:
+        """All entries tell on one port."""
+        self._following = following
+        self._tellers = tellers
+        self._dialler = dialler
+        self._port = port
+        self._trouble = ('', '')
+        self._task: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        """Begin to listen."""
+        self._task = asyncio.create_task(self._run())
+
+    async def close(self) -> None:
+        """Stop listening."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    async def _run(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            host = self._tellers.choose(loop.time())
+            self._following.backed = self._tellers.known
+            if host is None:
+                await asyncio.sleep(_IDLE_S)
+                continue
+            try:
+                await self._hear(host)
+            except StaleTellerError as exc:
+                self._tellers.stale(host, loop.time())
+                self._note_trouble(host, exc)
+            except LinnetwoodError as exc:
+                self._tellers.failed(host, loop.time())
+                self._note_trouble(host, exc)
+            finally:
+                self._following.left()
+
+    def _note_trouble(self, host: str, exc: LinnetwoodError) -> None:
+        # The same trouble again says nothing new.
+        if self._trouble == (host, exc.code):
+            return
+        self._trouble = (host, exc.code)
+        log(
+            Event.TELLER_LEFT,
+            teller=host,
+            code=exc.code,
+            detail=exc.detail,
+            revision=self._following.revision,
+        )
+
+    async def _hear(self, host: str) -> None:
+        stream = await self._dialler.dial((host, self._port))
+        try:
+            await self._hear_on(stream, host)
+        finally:
+            stream.close()
+
+    async def _hear_on(self, stream: FrameStream, host: str) -> None:
+        loop = asyncio.get_running_loop()
+        following = self._following
+        request = encode(RangeRequest(after=following.revision))
+        await stream.write(FrameKind.RANGE_REQUEST, request)
+        while self._tellers.choose(loop.time()) == host:
+            told = await _read(stream)
+            following.told(told)
+            if not following.fresh(told):
+                raise StaleTellerError('teller-stale', f'{told.age_s:.3f} s')
+            self._tellers.told(host)
+            self._note_heard(host)
+
+    def _note_heard(self, host: str) -> None:
+        if self._trouble != (host, ''):
+            self._trouble = (host, '')
+            revision = self._following.revision
+            log(Event.TELLER_HEARD, teller=host, revision=revision)
+
+
+async def _read(stream: FrameStream) -> Told:
+    frame = await _expect(stream, FrameKind.RANGE_PART)
+    part = decode(RangePart, frame.payload)
+    changes: tuple[Change, ...] = ()
+    if part.items:
+        packed = await _expect(stream, FrameKind.RANGE_ITEMS)
+        changes = tuple(_unpack(packed.payload, part.packed_ms))
+    return Told(
+        part.revision,
+        _to_s(part.age_ms),
+        _to_s(part.flow_age_ms),
+        _to_s(part.flowing_ms),
+        part.outages,
+        part.whole,
+        changes,
+    )
+
+
+async def _expect(stream: FrameStream, kind: FrameKind) -> Frame:
+    frame = await read_within(stream, SILENT_S)
+    if frame.kind is not kind:
+        raise CodecError('unexpected-frame', frame.kind.name)
+    return frame
+
+
+def _unpack(packed: bytes, packed_ms: int) -> Iterator[Change]:
+    unpacker = zlib.decompressobj()
+    try:
+        plain = unpacker.decompress(packed, _MOST_UNPACKED)
+    except zlib.error as exc:
+        raise CodecError('bad-message', f'RangeItems: {exc}') from exc
+    if unpacker.unconsumed_tail:
+        raise CodecError('bad-message', f'RangeItems: over {_MOST_UNPACKED}')
+    for one in decode(RangeItems, plain).items:
+        record = None if one.gone else Record(one.payload, one.revision)
+        age_ms = one.age_ms + packed_ms
+        yield Change(one.key, record, age_ms / _MILLISECONDS)
+
+
+def _to_item(change: Change) -> RangeItem:
+    age_ms = int(change.age_s * _MILLISECONDS)
+    record = change.record
+    if record is None:
+        return RangeItem(key=change.key, gone=True, age_ms=age_ms)
+    return RangeItem(
+        key=change.key,
+        revision=record.revision,
+        payload=record.payload,
+        age_ms=age_ms,
+    )
+
+
+def _to_ms(seconds: float) -> int:
+    return int(seconds * _MILLISECONDS) if math.isfinite(seconds) else _NEVER
+
+
+def _to_s(milliseconds: int) -> float:
+    return math.inf if milliseconds < 0 else milliseconds / _MILLISECONDS
--- a/src/linnetwood/gen/wire/ttypes.py
+++ b/src/linnetwood/gen/wire/ttypes.py
@@ -1940,6 +1940,7 @@
      - chunk_bytes
      - chunks
      - origin_bytes_per_s
+     - zone: The availability zone of the entry itself.
 
     """
 
@@ -1951,12 +1952,13 @@
         'chunk_bytes',
         'chunks',
         'origin_bytes_per_s',
+        'zone',
     )
 
 
     def __init__(self, number=None, wanted=[
     ], peers=[
-    ], origin="", chunk_bytes=0, chunks=0, origin_bytes_per_s=0,):
+    ], origin="", chunk_bytes=0, chunks=0, origin_bytes_per_s=0, zone="",):
         self.number = number
         if wanted is self.thrift_spec[2][4]:
             wanted = [
@@ -1970,6 +1972,7 @@
         self.chunk_bytes = chunk_bytes
         self.chunks = chunks
         self.origin_bytes_per_s = origin_bytes_per_s
+        self.zone = zone
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2027,6 +2030,11 @@
                     self.origin_bytes_per_s = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.STRING:
+                    self.zone = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2071,6 +2079,10 @@
             oprot.writeFieldBegin('origin_bytes_per_s', TType.I32, 7)
             oprot.writeI32(self.origin_bytes_per_s)
             oprot.writeFieldEnd()
+        if self.zone is not None:
+            oprot.writeFieldBegin('zone', TType.STRING, 8)
+            oprot.writeString(self.zone.encode('utf-8') if sys.version_info[0] == 2 else self.zone)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2293,6 +2305,88 @@
         return not (self == other)
 
 
+class NeighbourNews(object):
+    """
+    The entries of one availability zone, as an endpoint process there hears them.
+
+    Attributes:
+     - hosts
+
+    """
+
+    __slots__ = (
+        'hosts',
+    )
+
+
+    def __init__(self, hosts=[
+    ],):
+        if hosts is self.thrift_spec[1][4]:
+            hosts = [
+            ]
+        self.hosts = hosts
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.hosts = []
+                    (_etype59, _size56) = iprot.readListBegin()
+                    for _i60 in range(_size56):
+                        _elem61 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.hosts.append(_elem61)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('NeighbourNews')
+        if self.hosts is not None:
+            oprot.writeFieldBegin('hosts', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRING, len(self.hosts))
+            for iter62 in self.hosts:
+                oprot.writeString(iter62.encode('utf-8') if sys.version_info[0] == 2 else iter62)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class News(object):
     """
     One datagram between the processes on the users' platform.
@@ -2301,6 +2395,7 @@
      - entry
      - engine
      - held
+     - neighbours
 
     """
 
@@ -2308,13 +2403,15 @@
         'entry',
         'engine',
         'held',
+        'neighbours',
     )
 
 
-    def __init__(self, entry=None, engine=None, held=None,):
+    def __init__(self, entry=None, engine=None, held=None, neighbours=None,):
         self.entry = entry
         self.engine = engine
         self.held = held
+        self.neighbours = neighbours
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2343,6 +2440,12 @@
                     self.held.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRUCT:
+                    self.neighbours = NeighbourNews()
+                    self.neighbours.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2365,10 +2468,447 @@
             oprot.writeFieldBegin('held', TType.STRUCT, 3)
             self.held.write(oprot)
             oprot.writeFieldEnd()
+        if self.neighbours is not None:
+            oprot.writeFieldBegin('neighbours', TType.STRUCT, 4)
+            self.neighbours.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RangeRequest(object):
+    """
+    Asks an entry to tell what the platform's store holds, from a revision on.
+
+    Attributes:
+     - after
+
+    """
+
+    __slots__ = (
+        'after',
+    )
+
+
+    def __init__(self, after=None,):
+        self.after = after
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.after = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RangeRequest')
+        if self.after is not None:
+            oprot.writeFieldBegin('after', TType.I64, 1)
+            oprot.writeI64(self.after)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.after is None:
+            raise TProtocolException(message='Required field after is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RangePart(object):
+    """
+    What the store holds as of a revision; items follow if there are any.
+
+    Attributes:
+     - revision
+     - age_ms: Since the teller knew that it knew all; -1 if it never did.
+     - flow_age_ms: Since the teller last got a byte from the store; -1 if it never did.
+     - outages: How often the teller found the store away.
+     - whole
+     - items
+     - flowing_ms: Since the answer began of which that byte is a part; -1 for none.
+     - packed_ms: Since the items were packed, which tell their ages as of then.
+
+    """
+
+    __slots__ = (
+        'revision',
+        'age_ms',
+        'flow_age_ms',
+        'outages',
+        'whole',
+        'items',
+        'flowing_ms',
+        'packed_ms',
+    )
+
+
+    def __init__(self, revision=None, age_ms=None, flow_age_ms=None, outages=0, whole=False, items=False, flowing_ms=-1, packed_ms=0,):
+        self.revision = revision
+        self.age_ms = age_ms
+        self.flow_age_ms = flow_age_ms
+        self.outages = outages
+        self.whole = whole
+        self.items = items
+        self.flowing_ms = flowing_ms
+        self.packed_ms = packed_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.age_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.flow_age_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.outages = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.BOOL:
+                    self.whole = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.BOOL:
+                    self.items = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I64:
+                    self.flowing_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I64:
+                    self.packed_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RangePart')
+        if self.revision is not None:
+            oprot.writeFieldBegin('revision', TType.I64, 1)
+            oprot.writeI64(self.revision)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I64, 2)
+            oprot.writeI64(self.age_ms)
+            oprot.writeFieldEnd()
+        if self.flow_age_ms is not None:
+            oprot.writeFieldBegin('flow_age_ms', TType.I64, 3)
+            oprot.writeI64(self.flow_age_ms)
+            oprot.writeFieldEnd()
+        if self.outages is not None:
+            oprot.writeFieldBegin('outages', TType.I64, 4)
+            oprot.writeI64(self.outages)
+            oprot.writeFieldEnd()
+        if self.whole is not None:
+            oprot.writeFieldBegin('whole', TType.BOOL, 5)
+            oprot.writeBool(self.whole)
+            oprot.writeFieldEnd()
+        if self.items is not None:
+            oprot.writeFieldBegin('items', TType.BOOL, 6)
+            oprot.writeBool(self.items)
+            oprot.writeFieldEnd()
+        if self.flowing_ms is not None:
+            oprot.writeFieldBegin('flowing_ms', TType.I64, 7)
+            oprot.writeI64(self.flowing_ms)
+            oprot.writeFieldEnd()
+        if self.packed_ms is not None:
+            oprot.writeFieldBegin('packed_ms', TType.I64, 8)
+            oprot.writeI64(self.packed_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.revision is None:
+            raise TProtocolException(message='Required field revision is unset!')
+        if self.age_ms is None:
+            raise TProtocolException(message='Required field age_ms is unset!')
+        if self.flow_age_ms is None:
+            raise TProtocolException(message='Required field flow_age_ms is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RangeItem(object):
+    """
+    One key as it was written, or gone.
+
+    Attributes:
+     - key
+     - revision
+     - payload
+     - gone
+     - age_ms
+
+    """
+
+    __slots__ = (
+        'key',
+        'revision',
+        'payload',
+        'gone',
+        'age_ms',
+    )
+
+
+    def __init__(self, key=None, revision=0, payload=b"", gone=False, age_ms=0,):
+        self.key = key
+        self.revision = revision
+        self.payload = payload
+        self.gone = gone
+        self.age_ms = age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.key = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.payload = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.gone = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.age_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RangeItem')
+        if self.key is not None:
+            oprot.writeFieldBegin('key', TType.STRING, 1)
+            oprot.writeString(self.key.encode('utf-8') if sys.version_info[0] == 2 else self.key)
+            oprot.writeFieldEnd()
+        if self.revision is not None:
+            oprot.writeFieldBegin('revision', TType.I64, 2)
+            oprot.writeI64(self.revision)
+            oprot.writeFieldEnd()
+        if self.payload is not None:
+            oprot.writeFieldBegin('payload', TType.STRING, 3)
+            oprot.writeBinary(self.payload)
+            oprot.writeFieldEnd()
+        if self.gone is not None:
+            oprot.writeFieldBegin('gone', TType.BOOL, 4)
+            oprot.writeBool(self.gone)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I64, 5)
+            oprot.writeI64(self.age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.key is None:
+            raise TProtocolException(message='Required field key is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RangeItems(object):
+    """
+    Items of a part, in order; sent compressed.
+
+    Attributes:
+     - items
+
+    """
+
+    __slots__ = (
+        'items',
+    )
+
+
+    def __init__(self, items=None,):
+        self.items = items
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.items = []
+                    (_etype66, _size63) = iprot.readListBegin()
+                    for _i67 in range(_size63):
+                        _elem68 = RangeItem()
+                        _elem68.read(iprot)
+                        self.items.append(_elem68)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RangeItems')
+        if self.items is not None:
+            oprot.writeFieldBegin('items', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.items))
+            for iter69 in self.items:
+                iter69.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
     def validate(self):
+        if self.items is None:
+            raise TProtocolException(message='Required field items is unset!')
         return
 
     def __repr__(self):
@@ -2540,6 +3080,7 @@
     (5, TType.I32, 'chunk_bytes', None, 0, ),  # 5
     (6, TType.I32, 'chunks', None, 0, ),  # 6
     (7, TType.I32, 'origin_bytes_per_s', None, 0, ),  # 7
+    (8, TType.STRING, 'zone', 'UTF8', "", ),  # 8
 )
 all_structs.append(EngineNews)
 EngineNews.thrift_spec = (
@@ -2556,12 +3097,50 @@
     (10, TType.LIST, 'wanted', (TType.STRUCT, [WantedWeights, None], False), [
     ], ),  # 10
 )
+all_structs.append(NeighbourNews)
+NeighbourNews.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'hosts', (TType.STRING, 'UTF8', False), [
+    ], ),  # 1
+)
 all_structs.append(News)
 News.thrift_spec = (
     None,  # 0
     (1, TType.STRUCT, 'entry', [EntryNews, None], None, ),  # 1
     (2, TType.STRUCT, 'engine', [EngineNews, None], None, ),  # 2
     (3, TType.STRUCT, 'held', [HeldNotice, None], None, ),  # 3
+    (4, TType.STRUCT, 'neighbours', [NeighbourNews, None], None, ),  # 4
+)
+all_structs.append(RangeRequest)
+RangeRequest.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'after', None, None, ),  # 1
+)
+all_structs.append(RangePart)
+RangePart.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'revision', None, None, ),  # 1
+    (2, TType.I64, 'age_ms', None, None, ),  # 2
+    (3, TType.I64, 'flow_age_ms', None, None, ),  # 3
+    (4, TType.I64, 'outages', None, 0, ),  # 4
+    (5, TType.BOOL, 'whole', None, False, ),  # 5
+    (6, TType.BOOL, 'items', None, False, ),  # 6
+    (7, TType.I64, 'flowing_ms', None, -1, ),  # 7
+    (8, TType.I64, 'packed_ms', None, 0, ),  # 8
+)
+all_structs.append(RangeItem)
+RangeItem.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'key', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'revision', None, 0, ),  # 2
+    (3, TType.STRING, 'payload', 'BINARY', b"", ),  # 3
+    (4, TType.BOOL, 'gone', None, False, ),  # 4
+    (5, TType.I64, 'age_ms', None, 0, ),  # 5
+)
+all_structs.append(RangeItems)
+RangeItems.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'items', (TType.STRUCT, [RangeItem, None], False), None, ),  # 1
 )
 fix_spec(all_structs)
 del all_structs
--- a/src/linnetwood/gen/wire/ttypes.pyi
+++ b/src/linnetwood/gen/wire/ttypes.pyi
@@ -114,7 +114,8 @@
     chunk_bytes: int
     chunks: int
     origin_bytes_per_s: int
-    def __init__(self, number: int = ..., wanted: list[WantedWeights] = ..., peers: list[PeerPlace] = ..., origin: str = ..., chunk_bytes: int = ..., chunks: int = ..., origin_bytes_per_s: int = ...) -> None: ...
+    zone: str
+    def __init__(self, number: int = ..., wanted: list[WantedWeights] = ..., peers: list[PeerPlace] = ..., origin: str = ..., chunk_bytes: int = ..., chunks: int = ..., origin_bytes_per_s: int = ..., zone: str = ...) -> None: ...
 class EngineNews:
     address: str
     number: int
@@ -127,8 +128,35 @@
     entries: int
     wanted: list[WantedWeights]
     def __init__(self, address: str = ..., number: int = ..., waiting: int = ..., running: int = ..., kv_used: int = ..., kv_total: int = ..., serving: int = ..., changing: bool = ..., entries: int = ..., wanted: list[WantedWeights] = ...) -> None: ...
+class NeighbourNews:
+    hosts: list[str]
+    def __init__(self, hosts: list[str] = ...) -> None: ...
 class News:
     entry: EntryNews
     engine: EngineNews
     held: HeldNotice
-    def __init__(self, entry: EntryNews = ..., engine: EngineNews = ..., held: HeldNotice = ...) -> None: ...
+    neighbours: NeighbourNews
+    def __init__(self, entry: EntryNews = ..., engine: EngineNews = ..., held: HeldNotice = ..., neighbours: NeighbourNews = ...) -> None: ...
+class RangeRequest:
+    after: int
+    def __init__(self, after: int = ...) -> None: ...
+class RangePart:
+    revision: int
+    age_ms: int
+    flow_age_ms: int
+    outages: int
+    whole: bool
+    items: bool
+    flowing_ms: int
+    packed_ms: int
+    def __init__(self, revision: int = ..., age_ms: int = ..., flow_age_ms: int = ..., outages: int = ..., whole: bool = ..., items: bool = ..., flowing_ms: int = ..., packed_ms: int = ...) -> None: ...
+class RangeItem:
+    key: str
+    revision: int
+    payload: bytes
+    gone: bool
+    age_ms: int
+    def __init__(self, key: str = ..., revision: int = ..., payload: bytes = ..., gone: bool = ..., age_ms: int = ...) -> None: ...
+class RangeItems:
+    items: list[RangeItem]
+    def __init__(self, items: list[RangeItem] = ...) -> None: ...
--- a/src/linnetwood/idl/wire.thrift
+++ b/src/linnetwood/idl/wire.thrift
@@ -145,7 +145,9 @@
   4: string origin = "",
   5: i32 chunk_bytes = 0,
   6: i32 chunks = 0,
-  7: i32 origin_bytes_per_s = 0
+  7: i32 origin_bytes_per_s = 0,
+  /** The availability zone of the entry itself. */
+  8: string zone = ""
 }
 
 /** What the endpoint process beside an engine tells entries. */
@@ -162,9 +164,51 @@
   10: list<WantedWeights> wanted = []
 }
 
+/** The entries of one availability zone, as an endpoint process there hears them. */
+struct NeighbourNews {
+  1: list<string> hosts = []
+}
+
 /** One datagram between the processes on the users' platform. */
 struct News {
   1: EntryNews entry,
   2: EngineNews engine,
-  3: HeldNotice held
+  3: HeldNotice held,
+  4: NeighbourNews neighbours
+}
+
+/** Asks an entry to tell what the platform's store holds, from a revision on. */
+struct RangeRequest {
+  1: required i64 after
+}
+
+/** What the store holds as of a revision; items follow if there are any. */
+struct RangePart {
+  1: required i64 revision,
+  /** Since the teller knew that it knew all; -1 if it never did. */
+  2: required i64 age_ms,
+  /** Since the teller last got a byte from the store; -1 if it never did. */
+  3: required i64 flow_age_ms,
+  /** How often the teller found the store away. */
+  4: i64 outages = 0,
+  5: bool whole = 0,
+  6: bool items = 0,
+  /** Since the answer began of which that byte is a part; -1 for none. */
+  7: i64 flowing_ms = -1,
+  /** Since the items were packed, which tell their ages as of then. */
+  8: i64 packed_ms = 0
+}
+
+/** One key as it was written, or gone. */
+struct RangeItem {
+  1: required string key,
+  2: i64 revision = 0,
+  3: binary payload = "",
+  4: bool gone = 0,
+  5: i64 age_ms = 0
+}
+
+/** Items of a part, in order; sent compressed. */
+struct RangeItems {
+  1: required list<RangeItem> items
 }
--- a/src/linnetwood/platform/feeds.py
+++ b/src/linnetwood/platform/feeds.py
@@ -7,7 +7,7 @@
 from linnetwood.core.clock import Clock
 from linnetwood.core.errors import ConfigError
 from linnetwood.core.events import Event, log
-from linnetwood.fleet.following import Change, Record
+from linnetwood.fleet.ranges import Change, Record
 from linnetwood.fleet.wanted import WantedVersions
 from linnetwood.platform import records
 
@@ -32,25 +32,25 @@
     def replaced(self, found: Mapping[str, Record]) -> None:
         """Take in everything that the operators wrote."""
         for key, record in found.items():
-            self._take(key, record)
+            self._take(key, record, 0)
         self._first = False
 
     def changed(self, changes: tuple[Change, ...]) -> None:
         """Take in what they wrote since; of one key only the last counts."""
-        newest = {one.key: one.record for one in changes}
-        for key, record in newest.items():
-            if record is not None:
-                self._take(key, record)
+        newest = {one.key: one for one in changes}
+        for key, change in newest.items():
+            if change.record is not None:
+                self._take(key, change.record, change.age_s)
 
-    def _take(self, key: str, record: Record) -> None:
+    def _take(self, key: str, record: Record, age_s: float) -> None:
         try:
-            self._read(key, record)
+            self._read(key, record, age_s)
         except ConfigError as exc:
             _log_ignored(key, record, exc)
             return
         self._changed()
 
-    def _read(self, key: str, record: Record) -> None:
+    def _read(self, key: str, record: Record, age_s: float) -> None:
         if key == records.CONFIG_KEY:
             self._adopt(records.config(record))
         elif key.startswith(records.VERSION_PREFIX):
@@ -58,7 +58,9 @@
             # One that stood before this process came may be nearly due; the
             # endpoint processes know better, and tell.
             now = self._clock.now()
-            since = now - self._wanted.bound_s / 2 if self._first else now
+            since = now - age_s
+            if self._first:
+                since = now - self._wanted.bound_s / 2
             if self._wanted.name(model, version, since, guessed=self._first):
                 log(
                     Event.VERSION_NAMED,
--- a/src/linnetwood/platform/records.py
+++ b/src/linnetwood/platform/records.py
@@ -18,7 +18,7 @@
     shelve,
 )
 from linnetwood.core.errors import ConfigError
-from linnetwood.fleet.following import Record
+from linnetwood.fleet.ranges import Record
 from linnetwood.platform.settings import address
 
 # One range holds what the operators and the servers write.
--- a/src/linnetwood/platform/store.py
+++ b/src/linnetwood/platform/store.py
@@ -2,11 +2,12 @@
 
 import base64
 import json
+from collections.abc import Callable
 from typing import Any
 from urllib.parse import urlencode
 
 from linnetwood.core.errors import StoreError
-from linnetwood.fleet.following import (
+from linnetwood.fleet.ranges import (
     Change,
     Changes,
     HistoryLostError,
@@ -29,11 +30,17 @@
 _BAD_ANSWER = (KeyError, TypeError, ValueError)
 
 
+def _nothing() -> None:
+    """Tell nobody."""
+
+
 class PlatformStore:
     """Read ranges and wait for their changes."""
 
     def __init__(self, address: tuple[str, int], driver: CurlDriver) -> None:
         """Reach the store at an address."""
+        # Told of each piece of an answer.
+        self.heard: Callable[[], None] = _nothing
         self._address = address
         self._driver = driver
 
--- a/src/linnetwood/programs/resident_endpoint.py
+++ b/src/linnetwood/programs/resident_endpoint.py
@@ -14,7 +14,12 @@
 from linnetwood.fleet.listeners import Listeners
 from linnetwood.fleet.news import Address, NewsPort
 from linnetwood.fleet.wanted import WantedVersions
-from linnetwood.gen.wire.ttypes import EngineNews, EntryNews, News
+from linnetwood.gen.wire.ttypes import (
+    EngineNews,
+    EntryNews,
+    NeighbourNews,
+    News,
+)
 from linnetwood.platform.settings import Residence, address
 from linnetwood.platform.weights import PlatformOrigin, ServerEngine
 from linnetwood.programs import resident
@@ -31,6 +36,10 @@
 
 _REPORT_EVERY_S = 0.1
 _HELD_EVERY_S = 0.1
+# Entries forget a neighbour that three such tellings left out.
+_NEIGHBOURS_EVERY_S = 1.0
+# So many addresses fit one datagram of an ordinary network.
+_MOST_NEIGHBOURS = 64
 # The part of its link that a download fills (measured, docs/MEASUREMENTS.md).
 _TRANSFER_SHARE = 0.72
 # What was told already is told again, since datagrams may be lost.
@@ -53,6 +62,7 @@
         self._listeners = Listeners(self._clock.now())
         self._number = 0
         self._held_at = float()
+        self._neighbours_at = float()
         self._held_told: dict[str, bytes] = {}
         self._metrics = ExposedMetrics()
         self._figures = FiguresPage(self._metrics)
@@ -98,7 +108,7 @@
 
     def _heard_entry(self, entry: EntryNews, source: Address) -> None:
         now = self._clock.now()
-        self._listeners.heard(source, entry.number, now)
+        self._listeners.heard(source, entry.number, now, entry.zone)
         told_for_s = self._listeners.told_for_s(now)
         steady = told_for_s > self._cfg.version_bound_s
         self.wanted.heard(entry.wanted, now, steady=steady)
@@ -128,6 +138,7 @@
         report = self.follower.report
         if report is not None:
             self._report(report, now)
+        self._tell_neighbours(now)
         self._tell_held(now)
 
     def _report(self, report: EngineReport, now: float) -> None:
@@ -152,6 +163,16 @@
             engine.wanted = self.wanted.told('', self.wanted.models(), now)
             self._news.send(News(engine=engine), list(newcomers))
 
+    def _tell_neighbours(self, now: float) -> None:
+        if now - self._neighbours_at < _NEIGHBOURS_EVERY_S:
+            return
+        self._neighbours_at = now
+        near = self._listeners.of_zone(self._cfg.zone)
+        hosts = sorted(host for host, _ in near)
+        if len(hosts) > 1:
+            news = NeighbourNews(hosts=hosts[:_MOST_NEIGHBOURS])
+            self._news.send(News(neighbours=news), near)
+
     def _tell_held(self, now: float) -> None:
         notices = self.follower.notices()
         told = {one.manifest: one.held for one in notices}
--- a/src/linnetwood/programs/resident_entry.py
+++ b/src/linnetwood/programs/resident_entry.py
@@ -20,7 +20,9 @@
 from linnetwood.core.events import Event, log
 from linnetwood.core.exposed import ExposedMetrics
 from linnetwood.core.metrics import Metric
-from linnetwood.fleet.following import Following
+from linnetwood.fleet.following import Following, bounds_within
+from linnetwood.fleet.relaying import RangeListener, RangeTeller
+from linnetwood.fleet.tellers import Tellers
 from linnetwood.fleet.wanted import WantedVersions
 from linnetwood.platform import records
 from linnetwood.platform.dialect import PlatformDialect
@@ -29,8 +31,12 @@
 from linnetwood.platform.store import PlatformStore
 from linnetwood.programs import resident
 from linnetwood.programs.figures import FiguresPage
+from linnetwood.wire.connections import TcpDialler, WireServer
 from linnetwood.wire.curldriver import CurlDriver
+from linnetwood.wire.frames import FrameKind
 
+# A neighbour of the same availability zone is about a millisecond away.
+_NEIGHBOUR_CONNECT_S = 0.4
 # The balancer asks once a second and takes a VM out after two misses.
 _BALANCER_SEES_S = 2.5
 _STOP_MARGIN_S = 0.7
@@ -66,6 +72,7 @@
             cfg.zone,
             metrics,
         )
+        self._tellers = Tellers(cfg.host, rng)
         self.reports = Reports(
             self.directory,
             chooser,
@@ -73,6 +80,8 @@
             clock,
             cfg.wire_port,
             self._share_retries,
+            cfg.zone,
+            self._tellers,
         )
         self.vigil = Vigil(clock, lambda: self._following.heard_at)
         self.front = Front(
@@ -88,15 +97,26 @@
         metrics.gauge(Metric.STORE_AGE_S, self.vigil.store_age_s)
         self._figures = FiguresPage(metrics)
         rouse = self.reports.rouse
+        store = PlatformStore(cfg.store, self.driver)
         self._following = Following(
-            PlatformStore(cfg.store, self.driver),
+            store,
             records.WHOLE_STORE,
             StoreFeed(
                 OperatorFeed(self.adopt, self.wanted, clock, rouse),
                 EndpointFeed(self.directory, clock, rouse),
             ),
             rng,
+            bounds_within(cfg.config_bound_s),
+        )
+        store.heard = self._following.flowed
+        self._listener = RangeListener(
+            self._following,
+            self._tellers,
+            TcpDialler(timeout_s=_NEIGHBOUR_CONNECT_S),
+            cfg.wire_port,
         )
+        teller = RangeTeller(self._following)
+        self._neighbours = WireServer({FrameKind.RANGE_REQUEST: teller.serve})
         self._callers = open_server(self.front, self.book.limits)
         self._servers: list[HTTPServer] = []
 
@@ -108,6 +128,8 @@
         self._figures.start(cfg.host)
         self._following.start()
         await self.reports.start(cfg.host)
+        await self._neighbours.start(bind_sockets(cfg.wire_port, cfg.host))
+        self._listener.start()
         self._listen(self._callers, cfg.callers)
 
     async def close(self) -> None:
@@ -115,6 +137,8 @@
         self._stopping = True
         self.front.stopping = True
         await self._finish_calls()
+        await self._listener.close()
+        await self._neighbours.close()
         await self._following.close()
         await self.reports.close()
         self._figures.close()
--- a/src/linnetwood/wire/frames.py
+++ b/src/linnetwood/wire/frames.py
@@ -35,6 +35,9 @@
     DONE = 13
     PROGRESS_REQUEST = 14
     PROGRESS_REPLY = 15
+    RANGE_REQUEST = 16
+    RANGE_PART = 17
+    RANGE_ITEMS = 18
 
 
 # Looking a kind up here costs a third of what the enumeration's call does.
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -11,10 +11,10 @@
 from urllib.parse import parse_qs, urlsplit
 
 from linnetwood.core.errors import StoreError
-from linnetwood.fleet.following import (
+from linnetwood.fleet.following import Following
+from linnetwood.fleet.ranges import (
     Change,
     Changes,
-    Following,
     HistoryLostError,
     Record,
     Snapshot,
--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -6,7 +6,7 @@
 
 from linnetwood.calls.routebook import Repeat, pick_service
 from linnetwood.core.errors import ConfigError
-from linnetwood.fleet.following import Record
+from linnetwood.fleet.ranges import Record
 from linnetwood.platform import records
 
 ROUTE: dict[str, Any] = {
--- /dev/null
+++ b/tests/test_relaying.py
@@ -0,0 +1,444 @@
+"""News of the store that entries of one availability zone pass on."""
+
+import asyncio
+import functools
+import unittest
+from collections.abc import Awaitable, Callable, Iterable, Mapping
+from random import Random
+
+from hypothesis import given, strategies
+
+from linnetwood.core.errors import StoreError
+from linnetwood.core.waits import happened
+from linnetwood.fleet.following import Following, bounds_within
+from linnetwood.fleet.mirror import Mirror
+from linnetwood.fleet.ranges import Change, Changes, Record, Snapshot
+from linnetwood.fleet.relaying import RangeListener, RangeTeller
+from linnetwood.fleet.tellers import Tellers
+from linnetwood.lab import virtual
+from linnetwood.lab.memory_net import MemoryDialler, MemoryNet
+from linnetwood.wire.frames import FrameStream
+
+PORT = 7700
+ENTRIES = 13
+APPLY_S = 3.0
+LARGE = 400000
+LINK_BYTES_PER_S = 1500000
+ROUND_TRIP_S = 0.006
+PIECE = 16384
+KEY = 'op/config'
+
+
+class FarStore:
+    """Hold one range behind a link that all its readers share."""
+
+    def __init__(self) -> None:
+        self.records: dict[str, Record] = {KEY: Record(b'1', 1)}
+        self.events: list[Change] = []
+        self.revision = 1
+        self.sent = 0
+        self.calls = 0
+        self.cut: set[str] = set()
+        self.changed = asyncio.Event()
+        self._free_at = float()
+
+    def write(self, payload: bytes) -> None:
+        """Write the key anew."""
+        self.revision += 1
+        self.records[KEY] = Record(payload, self.revision)
+        self.events.append(Change(KEY, self.records[KEY]))
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    async def carry(self, size: int, heard: Callable[[], None]) -> None:
+        """Wait for the time that bytes take on the link, a piece in turn."""
+        loop = asyncio.get_running_loop()
+        while size > 0:
+            piece = min(size, PIECE)
+            size -= piece
+            self.sent += piece
+            begin = max(self._free_at, loop.time())
+            self._free_at = begin + piece / LINK_BYTES_PER_S
+            await asyncio.sleep(self._free_at - loop.time())
+            heard()
+        await asyncio.sleep(ROUND_TRIP_S)
+
+
+def nothing() -> None:
+    """Tell nobody of a piece."""
+
+
+class Handle:
+    """One entry's way to the store."""
+
+    def __init__(self, store: FarStore, name: str) -> None:
+        self._store = store
+        self._name = name
+        self.heard: Callable[[], None] = nothing
+
+    async def read(self, prefix: str) -> Snapshot:
+        """Read everything."""
+        await self._reach()
+        found = Snapshot(dict(self._store.records), self._store.revision)
+        await self._store.carry(_size(found.records.values()), self.heard)
+        return found
+
+    async def wait(self, prefix: str, after: int, wait_s: float) -> Changes:
+        """Wait for what was written since."""
+        await self._reach()
+        store = self._store
+        if store.revision <= after:
+            await happened(store.changed, wait_s)
+        await self._reach()
+        # Each write is told, also those that a later one replaced.
+        changes = tuple(
+            one
+            for one in store.events
+            if one.record is not None and one.record.revision > after
+        )
+        revision = store.revision
+        await store.carry(_size(one.record for one in changes), self.heard)
+        return Changes(changes, revision)
+
+    async def _reach(self) -> None:
+        self._store.calls += 1
+        if self._name in self._store.cut:
+            await asyncio.sleep(ROUND_TRIP_S)
+            raise StoreError('store-unreachable', 'cut')
+
+
+def _size(records: Iterable[Record | None]) -> int:
+    return 100 + sum(len(one.payload) for one in records if one is not None)
+
+
+class Newest:
+    """A sink that notes when each payload came."""
+
+    def __init__(self) -> None:
+        self.payload = b''
+        self.at = float()
+        self.ages: list[float] = []
+        self.outages = 0
+
+    def replaced(self, records: Mapping[str, Record]) -> None:
+        self._take(records[KEY])
+
+    def changed(self, changes: tuple[Change, ...]) -> None:
+        for one in changes:
+            if one.record is not None:
+                self.ages.append(one.age_s)
+                self._take(one.record)
+
+    def away(self) -> None:
+        self.outages += 1
+
+    def _take(self, record: Record) -> None:
+        self.payload = record.payload
+        self.at = asyncio.get_running_loop().time()
+
+
+class Entry:
+    """One entry: it follows, tells its neighbours, and hears one of them."""
+
+    def __init__(self, name: str, store: FarStore, net: MemoryNet) -> None:
+        self.name = name
+        self.sink = Newest()
+        self.tellers = Tellers(name, Random(1))
+        handle = Handle(store, name)
+        self.following = Following(
+            handle,
+            '',
+            self.sink,
+            Random(2),
+            bounds_within(APPLY_S),
+        )
+        handle.heard = self.following.flowed
+        self.listener = RangeListener(
+            self.following,
+            self.tellers,
+            MemoryDialler(net),
+            PORT,
+        )
+        self.teller = RangeTeller(self.following)
+        self._net = net
+
+    async def accept(self, stream: FrameStream) -> None:
+        """Serve one listener."""
+        await self.teller.serve(stream, await stream.read())
+
+    def start(self) -> None:
+        self._net.accepting[(self.name, PORT)] = self.accept
+        self.following.start()
+        self.listener.start()
+
+    async def close(self) -> None:
+        await self.listener.close()
+        await self.following.close()
+
+
+class Zone:
+    """All entries of an availability zone, told of each other."""
+
+    def __init__(self) -> None:
+        self.store = FarStore()
+        self.net = MemoryNet(Random(3), 0, 0)
+        self.entries = [
+            Entry(f'10.0.0.{number}', self.store, self.net)
+            for number in range(ENTRIES)
+        ]
+        self._gone: set[str] = set()
+        self._greeting: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Let everybody learn the range and hear the first of them."""
+        self._greeting = asyncio.create_task(self._greet())
+        for one in self.entries:
+            one.start()
+        await asyncio.sleep(5)
+        self.store.sent = 0
+        self.store.calls = 0
+
+    async def close(self) -> None:
+        if self._greeting is not None:
+            self._greeting.cancel()
+        for one in self.entries:
+            await one.close()
+        await self.net.close()
+
+    def first(self) -> Entry:
+        """Give the entry that hears nobody."""
+        now = asyncio.get_running_loop().time()
+        alone = [one for one in self.entries if one.tellers.choose(now) is None]
+        return alone[0]
+
+    def second(self) -> Entry:
+        """Give an entry that hears the first."""
+        now = asyncio.get_running_loop().time()
+        name = self.first().name
+        return next(
+            one for one in self.entries if one.tellers.choose(now) == name
+        )
+
+    async def kill(self, entry: Entry) -> None:
+        """End a process without a word."""
+        self._gone.add(entry.name)
+        self.entries.remove(entry)
+        self.net.drop((entry.name, PORT))
+        await entry.close()
+
+    async def _greet(self) -> None:
+        while True:
+            now = asyncio.get_running_loop().time()
+            names = [one.name for one in self.entries]
+            for one in self.entries:
+                one.tellers.heard(names, now)
+            await asyncio.sleep(1)
+
+
+def payloads(zone: Zone) -> set[bytes]:
+    """Give what the entries hold."""
+    return {one.sink.payload for one in zone.entries}
+
+
+def played(act: Callable[[Zone], Awaitable[None]]) -> None:
+    """Play something in virtual time, in a zone that has learned the range."""
+
+    async def play() -> None:
+        zone = Zone()
+        try:
+            await zone.start()
+            await act(zone)
+        finally:
+            await zone.close()
+
+    virtual.run(play())
+
+
+class ZoneTest(unittest.TestCase):
+    """Change the range, and see when and at what cost all know it."""
+
+    def test_one_copy_crosses(self) -> None:
+        """A large change reaches all in time, for little more than one copy."""
+
+        async def act(zone: Zone) -> None:
+            for mark in (b'2', b'3', b'4'):
+                zone.store.write(mark * LARGE)
+                await asyncio.sleep(0.3)
+            await asyncio.sleep(APPLY_S - 0.3)
+            self.assertEqual(payloads(zone), {b'4' * LARGE})
+            # Three versions, and the second teller may have asked too.
+            self.assertLess(zone.store.sent, 4 * LARGE)
+
+        played(act)
+
+    def test_few_ask(self) -> None:
+        """While nothing changes one entry waits at the store, for all."""
+
+        async def act(zone: Zone) -> None:
+            await asyncio.sleep(10)
+            each_s = bounds_within(APPLY_S).wait_s
+            # Each wait counts twice, when it begins and when it ends.
+            self.assertLess(zone.store.calls, 2 * 10 / each_s + 4)
+
+        played(act)
+
+    def test_a_teller_that_fails(self) -> None:
+        """All others know a change in time though their teller does not."""
+        for name in ('dead', 'frozen', 'cut off from the store'):
+            with self.subTest(teller=name):
+                played(functools.partial(self._fail, name))
+
+    def test_all_turned_away(self) -> None:
+        """All catch up in time though the store was closed to all of them."""
+
+        async def act(zone: Zone) -> None:
+            zone.store.cut.update(one.name for one in zone.entries)
+            for mark in (b'2', b'3', b'4', b'5', b'6'):
+                await asyncio.sleep(1.8)
+                zone.store.write(mark * LARGE)
+            zone.store.cut.clear()
+            back_at = asyncio.get_running_loop().time()
+            await asyncio.sleep(2 * APPLY_S)
+            self.assertEqual(payloads(zone), {b'6' * LARGE})
+            late_s = max(one.sink.at for one in zone.entries) - back_at
+            self.assertLess(late_s, APPLY_S)
+
+        played(act)
+
+    def test_ages_come_along(self) -> None:
+        """Whoever hears of a change late knows since when it stands."""
+
+        async def act(zone: Zone) -> None:
+            late = next(one for one in zone.entries if one is not zone.first())
+            await late.close()
+            zone.store.cut.add(late.name)
+            zone.store.write(b'2')
+            await asyncio.sleep(2)
+            late.start()
+            await asyncio.sleep(0.5)
+            self.assertEqual(late.sink.payload, b'2')
+            self.assertAlmostEqual(late.sink.ages[-1], 2, delta=0.1)
+
+        played(act)
+
+    def test_word_of_outages(self) -> None:
+        """Whoever hears that the store was away doubts what goes missing."""
+
+        async def act(zone: Zone) -> None:
+            first = zone.first()
+            second = zone.second()
+            zone.store.cut.add(first.name)
+            while not first.sink.outages:
+                await asyncio.sleep(0.01)
+            zone.store.cut.clear()
+            await asyncio.sleep(1)
+            self.assertGreater(second.sink.outages, 0)
+
+        played(act)
+
+    async def _fail(self, name: str, zone: Zone) -> None:
+        first = zone.first()
+        loop = asyncio.get_running_loop()
+        if name == 'dead':
+            await zone.kill(first)
+        elif name == 'frozen':
+            zone.net.frozen_until[(first.name, PORT)] = loop.time() + 60
+            zone.store.cut.add(first.name)
+        else:
+            zone.store.cut.add(first.name)
+        written_at = loop.time()
+        zone.store.write(b'2')
+        await asyncio.sleep(APPLY_S)
+        for one in zone.entries:
+            if one is not first:
+                self.assertEqual(one.sink.payload, b'2')
+                self.assertLess(one.sink.at - written_at, APPLY_S * 0.75)
+
+
+KEYS = strategies.sampled_from('abc')
+WRITES = strategies.lists(
+    strategies.tuples(KEYS, strategies.booleans()),
+    max_size=30,
+)
+
+
+class MirrorTest(unittest.TestCase):
+    """Whoever takes what a mirror says it lacks holds what the mirror holds."""
+
+    @given(WRITES, strategies.integers(0, 30), strategies.integers(0, 30))
+    def test_lack(
+        self,
+        writes: list[tuple[str, bool]],
+        started: int,
+        known: int,
+    ) -> None:
+        """From any revision on, whether the mirror saw it or not."""
+        started = min(started, len(writes))
+        known = min(known, len(writes))
+        mirror = Mirror()
+        mirror.replaced(_play(writes[:started]), started, 0)
+        for revision, (key, deleted) in enumerate(writes, 1):
+            record = None if deleted else Record(b'', revision)
+            if revision > started:
+                mirror.changed((Change(key, record),), revision, 0)
+        lack = mirror.lack(known, 0)
+        held = {} if lack.whole else _play(writes[:known])
+        for change in lack.changes:
+            held.pop(change.key, None)
+            if change.record is not None:
+                held[change.key] = change.record
+        self.assertEqual(lack.revision, len(writes))
+        self.assertEqual(held, _play(writes))
+
+
+def _play(writes: list[tuple[str, bool]]) -> dict[str, Record]:
+    held: dict[str, Record] = {}
+    for revision, (key, deleted) in enumerate(writes, 1):
+        held.pop(key, None)
+        if not deleted:
+            held[key] = Record(b'', revision)
+    return held
+
+
+class TellersTest(unittest.TestCase):
+    """Choose whom to hear."""
+
+    def test_order(self) -> None:
+        """Nobody hears one that hears him, whoever knows whom."""
+        names = [f'10.0.0.{number}' for number in range(40)]
+        rng = Random(5)
+        hears = {}
+        for name in names:
+            tellers = Tellers(name, Random(1))
+            tellers.heard(rng.sample(names, 20), 0)
+            hears[name] = tellers.choose(0)
+        for name in names:
+            seen = [name]
+            while hears[seen[-1]] is not None:
+                seen.append(str(hears[seen[-1]]))
+                self.assertLessEqual(len(seen), len(names))
+
+    def test_one_that_fails_rests(self) -> None:
+        """The second takes over, and then the store itself."""
+        names = [f'10.0.0.{number}' for number in range(5)]
+        last = Tellers(names[0], Random(1))
+        for name in names:
+            tellers = Tellers(name, Random(1))
+            tellers.heard(names, 0)
+            first = tellers.choose(0)
+            if first is not None:
+                last = tellers
+                tellers.failed(first, 0)
+                second = tellers.choose(0)
+                if second is not None:
+                    self.assertNotEqual(first, second)
+                    tellers.failed(second, 0)
+                    self.assertIsNone(tellers.choose(0))
+                tellers.heard(names, 5)
+                self.assertEqual(tellers.choose(5), first)
+        last.heard((), 9)
+        self.assertIsNone(last.choose(9))
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/tests/test_resident_entry.py
+++ b/tests/test_resident_entry.py
@@ -39,6 +39,7 @@
                 link_bytes_per_s=1e6,
                 stop_within_s=8,
                 version_bound_s=8,
+                config_bound_s=2,
                 retry_share=0,
                 retry_extra=0,
             ),
--- a/tests/test_slow_links.py
+++ b/tests/test_slow_links.py
@@ -9,10 +9,10 @@
 
 from linnetwood.core.errors import WeightsError
 from linnetwood.fleet import configuration
-from linnetwood.fleet.following import (
+from linnetwood.fleet.following import Following
+from linnetwood.fleet.ranges import (
     Change,
     Changes,
-    Following,
     Record,
     Snapshot,
 )
