Log what each call to the platform's store brought and cost

Cause: entries far from the store served by old configurations, and the log told only that the store was away, not what was asked, how much of it came and where the time went.

STORE_CALL (3014) is logged for each call that brought changes or failed, through the bounded log: call, revision asked and got, octets, keys and value octets by prefix, seconds to the head and to the end, seconds since the last whole answer, whether a connection was opened. No behaviour changes.

--- a/src/linnetwood/platform/store.py
+++ b/src/linnetwood/platform/store.py
@@ -13,6 +13,7 @@
     Record,
     Snapshot,
 )
+from linnetwood.platform.storesight import StoreSight
 from linnetwood.wire.asking import Answer, ask
 from linnetwood.wire.curldriver import CurlDriver, Request
 
@@ -36,17 +37,25 @@
         """Reach the store at an address."""
         self._address = address
         self._driver = driver
+        self._sight = StoreSight()
 
     async def read(self, prefix: str) -> Snapshot:
         """Read every page of a range."""
-        try:
-            return await self._pages(prefix)
-        except _BAD_ANSWER as exc:
-            raise StoreError('store-bad-answer', repr(exc)) from exc
+        found: dict[str, Record] = {}
+        revision = 0
+        last = ''
+        more = True
+        while more:
+            page, more = await self._page(prefix, last)
+            # Pages are no snapshot: what changed since the first is waited for.
+            revision = revision or page.revision
+            found.update(page.records)
+            last = next(reversed(found), '')
+        return Snapshot(found, revision)
 
     async def wait(self, prefix: str, after: int, wait_s: float) -> Changes:
         """Wait for changes of a range."""
-        said = await self._get(
+        answer = await self._get(
             '/linnetwood/kv-watch',
             {
                 'path_prefix': prefix,
@@ -56,38 +65,35 @@
             wait_s + _SLACK_S,
         )
         try:
-            changes = tuple(_change(row) for row in said['events'])
-            return Changes(changes, int(said['timestamp']))
-        except _BAD_ANSWER as exc:
-            raise StoreError('store-bad-answer', repr(exc)) from exc
-
-    async def _pages(self, prefix: str) -> Snapshot:
-        found: dict[str, Record] = {}
-        revision = 0
-        last = ''
-        while True:
-            said = await self._page(prefix, last)
-            # Pages are no snapshot: what changed since the first is waited for.
-            revision = revision or int(said['timestamp'])
-            for row in said['items']:
-                last = row['private_key']
-                found[last] = _record(row)
-            if not said['has_more']:
-                return Snapshot(found, revision)
-
-    async def _page(self, prefix: str, last: str) -> dict[str, Any]:
+            found = _changes(_said(answer))
+        except StoreError as exc:
+            self._sight.failed('wait', after, answer, exc)
+            raise
+        self._sight.answered('wait', after, answer, found)
+        return found
+
+    async def _page(self, prefix: str, last: str) -> tuple[Snapshot, bool]:
         query = {'path_prefix': prefix}
         if last:
             # Here the field holds the key after which the page starts.
             query['after_revision'] = last
-        return await self._get('/linnetwood/kv-range', query, _TIMEOUT_S)
+        answer = await self._get('/linnetwood/kv-range', query, _TIMEOUT_S)
+        try:
+            page, more = _read_page(_said(answer))
+        except StoreError as exc:
+            self._sight.failed('page', 0, answer, exc)
+            raise
+        held = (Change(key, one) for key, one in page.records.items())
+        found = Changes(tuple(held), page.revision)
+        self._sight.answered('page', 0, answer, found)
+        return page, more
 
     async def _get(
         self,
         path: str,
         query: dict[str, str],
         timeout_s: float,
-    ) -> dict[str, Any]:
+    ) -> Answer:
         host, port = self._address
         req = Request(
             host,
@@ -99,7 +105,7 @@
             total_s=timeout_s,
             keep=True,
         )
-        return _said(await ask(self._driver, req, _MOST_BYTES))
+        return await ask(self._driver, req, _MOST_BYTES)
 
 
 def _said(answer: Answer) -> dict[str, Any]:
@@ -114,6 +120,22 @@
         raise StoreError('store-bad-answer', str(exc)) from exc
 
 
+def _read_page(said: dict[str, Any]) -> tuple[Snapshot, bool]:
+    try:
+        found = {row['private_key']: _record(row) for row in said['items']}
+        return Snapshot(found, int(said['timestamp'])), bool(said['has_more'])
+    except _BAD_ANSWER as exc:
+        raise StoreError('store-bad-answer', repr(exc)) from exc
+
+
+def _changes(said: dict[str, Any]) -> Changes:
+    try:
+        changes = tuple(_change(row) for row in said['events'])
+        return Changes(changes, int(said['timestamp']))
+    except _BAD_ANSWER as exc:
+        raise StoreError('store-bad-answer', repr(exc)) from exc
+
+
 def _record(row: dict[str, Any]) -> Record:
     return Record(base64.b64decode(row['value']), int(row['revision']))
 
--- a/src/linnetwood/wire/curldriver.py
+++ b/src/linnetwood/wire/curldriver.py
@@ -51,12 +51,14 @@
     """How a request ended.
 
     Whole means that the answer came to its proper end; connected tells
-    whether the request can have reached anybody at all.
+    whether the request can have reached anybody at all, and fresh whether a
+    connection was opened for it.
     """
 
     whole: bool
     connected: bool
     detail: str = ''
+    fresh: bool = True
 
 
 class Receiver(Protocol):
@@ -254,8 +256,9 @@
             handle.getinfo(pycurl.CONNECT_TIME) > 0
             or handle.getinfo(pycurl.REQUEST_SIZE) > 0
         )
+        fresh = handle.getinfo(pycurl.NUM_CONNECTS) > 0
         self._drop(transfer)
-        receiver.done(Finish(code == 0, bool(connected), detail))
+        receiver.done(Finish(code == 0, bool(connected), detail, fresh))
 
 
 def _reset_on_close(descriptor: int) -> None:
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -232,6 +232,42 @@
                     await self.store.wait('', 2, 1)
                 self.assertEqual(caught.exception.code, code)
 
+    async def test_calls_are_seen(self) -> None:
+        """What brought changes or failed is told, and a quiet wait is not."""
+        body = {'events': [row('op/config', 'xyz', 3)], 'timestamp': 3}
+        quiet = {'events': [], 'timestamp': 3}
+        self.server.answers = [answer(200, quiet), answer(200, body)]
+        with self.assertLogs('linnetwood') as logged:
+            await self.store.wait('', 2, 1)
+            await self.store.wait('', 2, 1)
+            self.server.answers = [answer(503)]
+            with self.assertRaises(StoreError):
+                await self.store.wait('', 3, 1)
+        first, second = (one.__dict__ for one in logged.records)
+        self.assertEqual(
+            (first['call'], first['asked'], first['got']),
+            ('wait', 2, 3),
+        )
+        self.assertEqual(first['octets'], len(json.dumps(body)))
+        self.assertEqual(first['keys'], {'op/': 1})
+        self.assertEqual(first['value_octets'], {'op/': 3})
+        self.assertGreaterEqual(first['silent_s'], 0)
+        self.assertGreaterEqual(first['end_s'], first['head_s'])
+        self.assertEqual((second['asked'], second['detail']), (3, 'status 503'))
+        self.assertNotIn('got', second)
+
+    async def test_a_silent_store_is_seen(self) -> None:
+        """A call without an answer tells that no head came, and how long."""
+        self.server.answers = [b'']
+        with self.assertLogs('linnetwood') as logged:
+            with self.assertRaises(StoreError):
+                await self.store.wait('', 3, 1)
+        self.assertEqual(len(logged.records), 1)
+        seen = logged.records[0].__dict__
+        self.assertEqual((seen['status'], seen['octets']), (0, 0))
+        self.assertEqual((seen['head_s'], seen['silent_s']), (-1, -1))
+        self.assertGreater(seen['end_s'], 0)
+
     async def test_a_range_that_is_none(self) -> None:
         """A page without what it must hold ends no task."""
         cases: tuple[Any, ...] = (
