Let an answer be bounded by its silence

Cause: a request had a total time alone, so that an answer which flows for longer was lost. ask() takes Patience now: a time until the body begins and one between its pieces. The total time is off then (0 is no limit for libcurl). An answer that was silent for too long is cancelled, with a detail of how long and after how many bytes; one that is over its size ends at once, since nothing else would end it. Without patience all is as before. Nobody uses it yet.

The head does not end the first time: a store that holds a waiting call may send its head before it waits.

--- a/src/linnetwood/wire/curldriver.py
+++ b/src/linnetwood/wire/curldriver.py
@@ -32,7 +32,8 @@
     """One request, sent exactly as it stands here.
 
     With keep it may go over a connection that is kept, and libcurl may then
-    send it again by itself: only for what may be asked twice.
+    send it again by itself: only for what may be asked twice. A total time of
+    0 sets no limit: whoever sends it then watches for silence.
     """
 
     host: str
@@ -297,7 +298,7 @@
         (pycurl.FRESH_CONNECT, fresh),
         (pycurl.FORBID_REUSE, fresh),
         (pycurl.CONNECTTIMEOUT_MS, _at_least_one_ms(req.connect_s)),
-        (pycurl.TIMEOUT_MS, _at_least_one_ms(req.total_s)),
+        (pycurl.TIMEOUT_MS, _limit_ms(req.total_s)),
         (pycurl.HTTPHEADER, list(_header_lines(req))),
     )
     for option, setting in (*_FIXED, *of_request):
@@ -342,3 +343,8 @@
 
 def _at_least_one_ms(seconds: float) -> int:
     return max(1, int(seconds * _MILLISECONDS))
+
+
+def _limit_ms(seconds: float) -> int:
+    # libcurl takes 0 for no limit, too.
+    return _at_least_one_ms(seconds) if seconds else 0
--- a/tests/test_curldriver.py
+++ b/tests/test_curldriver.py
@@ -5,7 +5,7 @@
 import unittest
 from collections.abc import Awaitable, Callable
 
-from linnetwood.wire.asking import Answer, ask
+from linnetwood.wire.asking import Answer, Patience, ask
 from linnetwood.wire.curldriver import CurlDriver, Request
 
 HOST = '127.0.0.1'
@@ -222,6 +222,89 @@
         await server.close()
 
 
+def says_apart(pause_s: float, *pieces: bytes) -> Behaviour:
+    """Answer piece by piece, then say nothing until the caller goes."""
+
+    async def behave(
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        for piece in pieces:
+            await asyncio.sleep(pause_s)
+            writer.write(piece)
+        await reader.read()
+
+    return behave
+
+
+class PatienceTest(unittest.IsolatedAsyncioTestCase):
+    """Ask stand-ins that take their time."""
+
+    async def asked(
+        self,
+        patience: Patience,
+        behave: Behaviour,
+        most: int = MOST,
+    ) -> tuple[Answer, int]:
+        """Ask once; count the pieces that were told, the head among them."""
+        server = Server(behave)
+        port = await server.start()
+        driver = CurlDriver()
+        heard: list[None] = []
+        req = Request(HOST, port, 'GET', '/', [('Host', 'x')], total_s=0.1)
+        async with asyncio.timeout(30):
+            answer = await ask(
+                driver,
+                req,
+                most,
+                patience,
+                lambda: heard.append(None),
+            )
+        driver.close()
+        await server.close()
+        return answer, len(heard)
+
+    async def test_what_flows_may_take_its_time(self) -> None:
+        """Neither the request's total time nor the sum of pauses counts."""
+        pieces = [WHOLE[:-2], b'o', b'k']
+        answer, heard = await self.asked(
+            Patience(5, 5),
+            says_apart(0.2, *pieces),
+        )
+        self.assertEqual((answer.status, answer.body), (200, b'ok'))
+        self.assertEqual(heard, len(pieces))
+
+    async def test_silence_ends_it(self) -> None:
+        """It is told how long nothing came, and how much had come before."""
+        cases = (
+            ('nothing', b'', Patience(0.2, 30), 0),
+            ('half a head', WHOLE[:9], Patience(0.2, 30), 0),
+            ('a head', WHOLE[:-2], Patience(0.2, 30), 0),
+            ('half a body', WHOLE[:-1], Patience(30, 0.2), 1),
+        )
+        for name, sent, patience, size in cases:
+            with self.subTest(sent=name):
+                answer, _ = await self.asked(patience, says_apart(0, sent))
+                self.assertEqual(answer.status, 0)
+                self.assertFalse(answer.finish.whole)
+                self.assertRegex(
+                    answer.finish.detail,
+                    rf'^silent for \d+\.\d s after {size} bytes$',
+                )
+
+    async def test_too_large_an_answer_ends_at_once(self) -> None:
+        """What flows for ever is not waited for."""
+        answer, _ = await self.asked(
+            Patience(30, 30),
+            says_apart(0, WHOLE[:-1]),
+            most=0,
+        )
+        self.assertEqual(
+            (answer.status, answer.finish.detail),
+            (0, 'over 0 bytes'),
+        )
+
+
 class CancelTest(unittest.IsolatedAsyncioTestCase):
     """Take a request back from a server that has not read it."""
 
