Take the store's answers for as long as they flow

Cause: a waiting call had its wait and 1 s in total, a page 2.5 s. What flowed for longer was dropped and asked for again from the same revision, larger by then; a later page that failed threw away those before it.

Now the wait and 1 s, and the 2.5 s, hold until the answer begins; then it is left after 2 s of silence. A later page is asked for again after 0.1 s, twice at most; event 3014 tells it. The first page is not: nothing is lost with it, and whoever follows learns at once that the store is away.

Ruled out: keeping the pages that were read for the next read, since two that follow the same range through one store would share them.

--- a/src/linnetwood/core/events.py
+++ b/src/linnetwood/core/events.py
@@ -40,6 +40,7 @@
     ENDPOINT_LISTED = 3011
     ENDPOINT_GONE = 3012
     ITEM_IGNORED = 3013
+    STORE_PAGE_AGAIN = 3014
     TRANSFER_STARTED = 4001
     CHUNK_BAD = 4002
     TRANSFER_COMPLETE = 4003
@@ -79,6 +80,7 @@
         Event.STORE_AWAY,
         Event.STORE_HISTORY_LOST,
         Event.ITEM_IGNORED,
+        Event.STORE_PAGE_AGAIN,
         Event.CHUNK_BAD,
         Event.ORIGIN_UNREACHABLE,
         Event.ORDER_REFUSED,
--- a/src/linnetwood/wire/connections.py
+++ b/src/linnetwood/wire/connections.py
@@ -13,6 +13,9 @@
 Address = tuple[str, int]
 _IDLE_KEPT = 64
 CONNECT_TIMEOUT_S = 1.0
+# A packet that is lost is sent again after about a second at most, so less
+# silence than this in the middle of an answer means nothing.
+SILENT_S = 2.0
 
 
 class Dialler(Protocol):
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -185,6 +185,43 @@
         second = self.asked()[1][1]
         self.assertEqual(second['after_revision'], ['a'])
 
+    async def test_later_page_is_asked_for_again(self) -> None:
+        """A read goes on from the page that failed, and not for ever."""
+        first = answer(
+            200,
+            {'items': [row('a', 'x', 3)], 'has_more': True, 'timestamp': 9},
+        )
+        last = answer(
+            200,
+            {'items': [row('b', 'y', 4)], 'has_more': False, 'timestamp': 11},
+        )
+        busy = answer(503)
+        cases = (
+            ('cut once', [first, b'', last], ['', 'a', 'a'], 9),
+            ('busy twice', [first, busy, busy, last], ['', 'a', 'a', 'a'], 9),
+            ('away', [first, *[busy] * 3], ['', 'a', 'a', 'a'], None),
+            ('away at once', [busy], [''], None),
+            ('forgot', [first, answer(410)], ['', 'a'], None),
+        )
+        for name, answers, places, revision in cases:
+            with self.subTest(name=name):
+                self.server.requests.clear()
+                self.server.answers = list(answers)
+                found = await self.revision_read()
+                queries = [query for _, query in self.asked()]
+                self.assertEqual(
+                    [one.get('after_revision', [''])[0] for one in queries],
+                    places,
+                )
+                self.assertEqual(found, revision)
+
+    async def revision_read(self) -> int | None:
+        """Read a range, if that can be done."""
+        try:
+            return (await self.store.read('op/')).revision
+        except StoreError:
+            return None
+
     async def test_changes(self) -> None:
         """Written and deleted keys are told apart."""
         self.server.answers = [
