Take manifests and chunks for as long as they flow

Cause: the manifest of a version, the list of what lies at an engine and a chunk read back from there had 1.5 s in total, a chunk of the origin 4 s. All but the chunk grow with the model, and whoever asks again begins at the first byte.

A report, an order and a chunk that is laid keep 1.5 s in total: their size does not grow with the model.

--- a/src/linnetwood/platform/weights.py
+++ b/src/linnetwood/platform/weights.py
@@ -11,11 +11,17 @@
 from linnetwood.core.errors import LinnetwoodError, OrderError, WeightsError
 from linnetwood.weights.chunks import Manifest
 from linnetwood.weights.engine import EngineReport, Order
-from linnetwood.wire.asking import Answer, ask
+from linnetwood.wire.asking import Answer, Patience, ask
+from linnetwood.wire.connections import SILENT_S
 from linnetwood.wire.curldriver import CurlDriver, Request
 
+# An answer of a fixed size, on this machine, comes in milliseconds.
 _TIMEOUT_S = 1.5
-_PIECE_TIMEOUT_S = 4.0
+# What grows with the model has no total time, and begins within the same.
+_GROWING = Patience(_TIMEOUT_S, SILENT_S)
+# Others may share the origin's link, so a piece may begin later than that.
+_PIECE_FIRST_S = 4.0
+_PIECE = Patience(_PIECE_FIRST_S, SILENT_S)
 _MOST_BYTES = 16777216
 _BAD_ANSWER = (KeyError, TypeError, ValueError)
 # The platform gives no digest over all pieces.
@@ -40,7 +46,8 @@
 
     async def staged(self, model: str) -> list[int]:
         """Ask which chunks lie there."""
-        answer = await self._site.ask('GET', _stage('stage-get', model))
+        place = _stage('stage-get', model)
+        answer = await self._site.ask('GET', place, patience=_GROWING)
         if answer.status == HTTPStatus.NOT_FOUND:
             return []
         try:
@@ -51,7 +58,7 @@
     async def read_staged(self, model: str, index: int) -> bytes | None:
         """Read a chunk that lies there."""
         place = _stage('stage-get', model, index)
-        answer = await self._site.ask('GET', place)
+        answer = await self._site.ask('GET', place, patience=_GROWING)
         return answer.body if answer.status == HTTPStatus.OK else None
 
     async def stage(self, model: str, index: int, chunk: bytes) -> None:
@@ -104,7 +111,8 @@
     async def manifest(self, model: str, version: int) -> Manifest:
         """Read the digests of a version."""
         place = f'/linnetwood/manifest/{quote(model)}?version={version}'
-        said = _object(await self._site().ask('GET', place), WeightsError)
+        answer = await self._site().ask('GET', place, patience=_GROWING)
+        said = _object(answer, WeightsError)
         try:
             digests = tuple(bytes.fromhex(one) for one in said['digests'])
             size = int(said['chunk_bytes']) * len(digests)
@@ -121,7 +129,7 @@
         """Read one chunk, unchecked."""
         query = urlencode({'quantity': index, 'version': version})
         place = f'/linnetwood/piece/{quote(model)}?{query}'
-        answer = await self._site().ask('GET', place, limit_s=_PIECE_TIMEOUT_S)
+        answer = await self._site().ask('GET', place, patience=_PIECE)
         if answer.status != HTTPStatus.OK:
             raise WeightsError('origin-refused', _why(answer))
         return answer.body
@@ -145,7 +153,7 @@
         target: str,
         body: bytes = b'',
         headers: list[tuple[str, str]] | None = None,
-        limit_s: float = _TIMEOUT_S,
+        patience: Patience | None = None,
     ) -> Answer:
         host, port = self._address
         fields = [('Host', f'{host}:{port}'), *(headers or ())]
@@ -157,10 +165,10 @@
             fields,
             body,
             connect_s=1.0,
-            total_s=limit_s,
+            total_s=_TIMEOUT_S,
             keep=method != 'POST',
         )
-        return await ask(self._driver, req, _MOST_BYTES)
+        return await ask(self._driver, req, _MOST_BYTES, patience)
 
 
 def _report(said: Mapping[str, Any]) -> EngineReport:
