--- a/src/linnetwood/fleet/following.py
+++ b/src/linnetwood/fleet/following.py
@@ -35,9 +35,9 @@
 # hears of its return first, and one copy crosses the link in place of many.
 _LISTENER_PAUSE_MOST_S = 1.6
 
-# Whoever heard nothing for so long reads the range anew: the answer is no larger
-# for each version that came and went meanwhile.
-_READ_ANEW_S = 3.0
+# Whoever heard nothing for so long reads the range anew: that answer grows with
+# no version that came and went meanwhile. One wait that is lost takes less.
+_READ_ANEW_S = 5.0
 
 # Parts of the time within which a configuration must be in force. A wait and
 # a fresh belief's age leave more than half of it for asking directly; an answer
--- a/src/linnetwood/fleet/relaying.py
+++ b/src/linnetwood/fleet/relaying.py
@@ -1,25 +1,30 @@
 """Pass the store's news on to neighbours, so that few copies cross regions."""
 
 import asyncio
-import math
-import zlib
-from collections.abc import Iterator
+
+from tornado.netutil import bind_sockets
 
 from linnetwood.core.errors import CodecError, LinnetwoodError, WireError
 from linnetwood.core.events import Event, log
 from linnetwood.core.waits import happened
 from linnetwood.fleet.following import Following, Told
 from linnetwood.fleet.mirror import Lack
-from linnetwood.fleet.ranges import Change, Record
-from linnetwood.fleet.tellers import Tellers
-from linnetwood.gen.wire.ttypes import (
-    RangeItem,
-    RangeItems,
-    RangePart,
-    RangeRequest,
+from linnetwood.fleet.rangeparts import (
+    pack,
+    as_milliseconds,
+    as_seconds,
+    unpack,
 )
+from linnetwood.fleet.ranges import Change
+from linnetwood.fleet.tellers import Tellers
+from linnetwood.gen.wire.ttypes import RangePart, RangeRequest
 from linnetwood.wire.codec import decode, encode
-from linnetwood.wire.connections import Dialler, read_within
+from linnetwood.wire.connections import (
+    Dialler,
+    TcpDialler,
+    WireServer,
+    read_within,
+)
 from linnetwood.wire.frames import MAX_FRAME, Frame, FrameKind, FrameStream
 
 # A teller that knows nothing new says so this often; one that is silent for
@@ -29,10 +34,8 @@
 # A listener that reads nothing for so long is given up.
 _WRITE_S = 5.0
 _IDLE_S = 0.5
-_MILLISECONDS = 1000
-_NEVER = -1
-_FAST = 1
-_MOST_UNPACKED = 8 * MAX_FRAME
+# A neighbour of the same availability zone is about a millisecond away.
+_CONNECT_S = 0.4
 
 
 class StaleTellerError(WireError):
@@ -69,9 +72,9 @@
         news = revision > after
         part = RangePart(
             revision=revision,
-            age_ms=_to_ms(now - following.heard_at),
-            flow_age_ms=_to_ms(now - following.flowed_at),
-            flowing_ms=_to_ms(now - following.flowing_since),
+            age_ms=as_milliseconds(now - following.heard_at),
+            flow_age_ms=as_milliseconds(now - following.flowed_at),
+            flowing_ms=as_milliseconds(now - following.flowing_since),
             outages=following.outages,
             items=news,
         )
@@ -80,7 +83,7 @@
             lack = following.mirror.lack(after, now)
             part.whole = lack.whole
             packed = self._pack(after, lack, now)
-            part.packed_ms = _to_ms(now - self._packed_at)
+            part.packed_ms = as_milliseconds(now - self._packed_at)
         try:
             async with asyncio.timeout(_WRITE_S):
                 await stream.write(FrameKind.RANGE_PART, encode(part))
@@ -94,8 +97,7 @@
         # Listeners that keep up all lack the same.
         if self._packed_for != (after, lack.revision):
             self._packed_at = now
-            rows = [_to_item(one) for one in lack.changes]
-            self._packed = zlib.compress(encode(RangeItems(rows)), _FAST)
+            self._packed = pack(lack.changes)
             self._packed_for = (after, lack.revision)
         if len(self._packed) > MAX_FRAME:
             # Whoever lacks so much asks the store.
@@ -190,18 +192,42 @@
             log(Event.TELLER_HEARD, teller=host, revision=revision)
 
 
+class Relay:
+    """Both sides at an entry: hear the neighbours, and tell them."""
+
+    def __init__(
+        self, following: Following, tellers: Tellers, port: int
+    ) -> None:
+        """All entries tell on one port."""
+        teller = RangeTeller(following)
+        self._port = port
+        self._server = WireServer({FrameKind.RANGE_REQUEST: teller.serve})
+        dialler = TcpDialler(timeout_s=_CONNECT_S)
+        self._listener = RangeListener(following, tellers, dialler, port)
+
+    async def start(self, host: str) -> None:
+        """Begin to tell and to listen."""
+        await self._server.start(bind_sockets(self._port, host))
+        self._listener.start()
+
+    async def close(self) -> None:
+        """Stop both."""
+        await self._listener.close()
+        await self._server.close()
+
+
 async def _read(stream: FrameStream) -> Told:
     frame = await _expect(stream, FrameKind.RANGE_PART)
     part = decode(RangePart, frame.payload)
     changes: tuple[Change, ...] = ()
     if part.items:
         packed = await _expect(stream, FrameKind.RANGE_ITEMS)
-        changes = tuple(_unpack(packed.payload, part.packed_ms))
+        changes = tuple(unpack(packed.payload, part.packed_ms))
     return Told(
         part.revision,
-        _to_s(part.age_ms),
-        _to_s(part.flow_age_ms),
-        _to_s(part.flowing_ms),
+        as_seconds(part.age_ms),
+        as_seconds(part.flow_age_ms),
+        as_seconds(part.flowing_ms),
         part.outages,
         part.whole,
         changes,
@@ -213,38 +239,3 @@
     if frame.kind is not kind:
         raise CodecError('unexpected-frame', frame.kind.name)
     return frame
-
-
-def _unpack(packed: bytes, packed_ms: int) -> Iterator[Change]:
-    unpacker = zlib.decompressobj()
-    try:
-        plain = unpacker.decompress(packed, _MOST_UNPACKED)
-    except zlib.error as exc:
-        raise CodecError('bad-message', f'RangeItems: {exc}') from exc
-    if unpacker.unconsumed_tail:
-        raise CodecError('bad-message', f'RangeItems: over {_MOST_UNPACKED}')
-    for one in decode(RangeItems, plain).items:
-        record = None if one.gone else Record(one.payload, one.revision)
-        age_ms = one.age_ms + packed_ms
-        yield Change(one.key, record, age_ms / _MILLISECONDS)
-
-
-def _to_item(change: Change) -> RangeItem:
-    age_ms = int(change.age_s * _MILLISECONDS)
-    record = change.record
-    if record is None:
-        return RangeItem(key=change.key, gone=True, age_ms=age_ms)
-    return RangeItem(
-        key=change.key,
-        revision=record.revision,
-        payload=record.payload,
-        age_ms=age_ms,
-    )
-
-
-def _to_ms(seconds: float) -> int:
-    return int(seconds * _MILLISECONDS) if math.isfinite(seconds) else _NEVER
-
-
-def _to_s(milliseconds: int) -> float:
-    return math.inf if milliseconds < 0 else milliseconds / _MILLISECONDS
--- a/src/linnetwood/programs/resident_entry.py
+++ b/src/linnetwood/programs/resident_entry.py
@@ -21,7 +21,7 @@
 from linnetwood.core.exposed import ExposedMetrics
 from linnetwood.core.metrics import Metric
 from linnetwood.fleet.following import Following, bounds_within
-from linnetwood.fleet.relaying import RangeListener, RangeTeller
+from linnetwood.fleet.relaying import Relay
 from linnetwood.fleet.tellers import Tellers
 from linnetwood.fleet.wanted import WantedVersions
 from linnetwood.platform import records
@@ -31,12 +31,8 @@
 from linnetwood.platform.store import PlatformStore
 from linnetwood.programs import resident
 from linnetwood.programs.figures import FiguresPage
-from linnetwood.wire.connections import TcpDialler, WireServer
 from linnetwood.wire.curldriver import CurlDriver
-from linnetwood.wire.frames import FrameKind
 
-# A neighbour of the same availability zone is about a millisecond away.
-_NEIGHBOUR_CONNECT_S = 0.4
 # The balancer asks once a second and takes a VM out after two misses.
 _BALANCER_SEES_S = 2.5
 _STOP_MARGIN_S = 0.7
@@ -109,14 +105,7 @@
             bounds_within(cfg.config_bound_s),
         )
         store.heard = self._following.flowed
-        self._listener = RangeListener(
-            self._following,
-            self._tellers,
-            TcpDialler(timeout_s=_NEIGHBOUR_CONNECT_S),
-            cfg.wire_port,
-        )
-        teller = RangeTeller(self._following)
-        self._neighbours = WireServer({FrameKind.RANGE_REQUEST: teller.serve})
+        self._relay = Relay(self._following, self._tellers, cfg.wire_port)
         self._callers = open_server(self.front, self.book.limits)
         self._servers: list[HTTPServer] = []
 
@@ -128,8 +117,7 @@
         self._figures.start(cfg.host)
         self._following.start()
         await self.reports.start(cfg.host)
-        await self._neighbours.start(bind_sockets(cfg.wire_port, cfg.host))
-        self._listener.start()
+        await self._relay.start(cfg.host)
         self._listen(self._callers, cfg.callers)
 
     async def close(self) -> None:
@@ -137,8 +125,7 @@
         self._stopping = True
         self.front.stopping = True
         await self._finish_calls()
-        await self._listener.close()
-        await self._neighbours.close()
+        await self._relay.close()
         await self._following.close()
         await self.reports.close()
         self._figures.close()
