Take a peer's configuration for as long as it flows

Cause: a peer's configuration had 2 s in total, connecting counted in, and was asked for again from its first byte. FrameStream.read_within waits for a frame for as long as bytes come, and raises peer-silent after 2 s without one; the connection has its own second. Each byte that comes wakes the reader already, so it is measured on the loop's clock and read() is as it was.

Ruled out: FrameStream.heard_at, which is not on the loop's clock and would spin under virtual time; a limit that data_received moves, which can meet one that has just run out.

Not changed: revision_seen begins a fetch of a newer revision beside one that is under way. fleet/store.py keeps a total time (2 s, and the wait): tornado's client has no other, and the users' platform does not use it.

--- a/src/linnetwood/fleet/watching.py
+++ b/src/linnetwood/fleet/watching.py
@@ -19,7 +19,7 @@
     Member,
 )
 from linnetwood.wire.codec import decode, encode
-from linnetwood.wire.connections import Dialler
+from linnetwood.wire.connections import SILENT_S, Dialler
 from linnetwood.wire.frames import FrameKind
 
 WATCHERS_PER_REGION = 2
@@ -27,7 +27,6 @@
 _BACKOFF_MOST_S = 60.0
 _BACKOFF_LEAST_SHARE = 0.25
 _IDLE_S = 2.0
-_PEER_TIMEOUT_S = 2.0
 _ZONE_SILENT_S = 12.0
 
 
@@ -141,9 +140,8 @@
 
     async def _fetch(self, source: Address) -> None:
         try:
-            async with asyncio.timeout(_PEER_TIMEOUT_S):
-                await self._fetch_from(source)
-        except (LinnetwoodError, TimeoutError) as exc:
+            await self._fetch_from(source)
+        except LinnetwoodError as exc:
             log(Event.CONFIG_IGNORED, source=str(source), detail=str(exc))
         finally:
             self._fetching = 0
@@ -153,7 +151,7 @@
         request = ConfigRequest(above=self.standing.revision)
         try:
             await stream.write(FrameKind.CONFIG_REQUEST, encode(request))
-            frame = await stream.read()
+            frame = await stream.read_within(SILENT_S)
         finally:
             stream.close()
         reply = decode(ConfigReply, frame.payload)
--- a/src/linnetwood/wire/frames.py
+++ b/src/linnetwood/wire/frames.py
@@ -161,6 +161,16 @@
             self._resume()
         return frame
 
+    async def read_within(self, silent_s: float) -> Frame:
+        """Wait for the next frame, however long it takes while bytes come.
+
+        Raises WireError when none came for so long, or the peer is gone.
+        """
+        while not self._ready:
+            self._check()
+            await self._stirred(silent_s)
+        return await self.read()
+
     async def write(self, kind: FrameKind, payload: bytes) -> None:
         """Send one frame and wait while the peer reads too slowly."""
         self.send(kind, payload)
@@ -198,6 +208,20 @@
             raise WireError('reader-too-slow', f'over {_WRITE_LIMIT} bytes')
         transport.write(payload)
 
+    async def _stirred(self, silent_s: float) -> None:
+        waiter = asyncio.get_running_loop().create_future()
+        self._waiter = waiter
+        try:
+            async with asyncio.timeout(silent_s):
+                await waiter
+        except TimeoutError as exc:
+            # Bytes that came at the last moment were not waited for in vain.
+            if waiter.cancelled():
+                raise WireError('peer-silent', self._silence(silent_s)) from exc
+
+    def _silence(self, silent_s: float) -> str:
+        return f'for {silent_s} s after {len(self._pending)} bytes of a frame'
+
     def _check(self) -> None:
         if self._fault is not None:
             raise self._fault
--- a/tests/test_frames.py
+++ b/tests/test_frames.py
@@ -115,6 +115,44 @@
         stream.close()
         await server.close()
 
+    async def test_only_silence_ends_a_read(self) -> None:
+        """A frame that comes in pieces is taken; one that stops is not."""
+        whole = frames.pack(FrameKind.DONE, b'good')
+        cases: tuple[tuple[list[bytes], bytes | None], ...] = (
+            ([whole[:3], whole[3:6], whole[6:]], b'good'),
+            ([whole[:6]], None),
+            ([], None),
+        )
+        for pieces, expected in cases:
+            with self.subTest(pieces=pieces):
+                self.assertEqual(await self.read_from(pieces), expected)
+
+    async def read_from(self, pieces: list[bytes]) -> bytes | None:
+        """Read from a peer that sends these, each 0.3 s after the last."""
+
+        async def serve(
+            reader: asyncio.StreamReader,
+            writer: asyncio.StreamWriter,
+        ) -> None:
+            for piece in pieces:
+                await asyncio.sleep(0.3)
+                writer.write(piece)
+            await reader.read()
+            writer.close()
+
+        server = await asyncio.start_server(serve, '127.0.0.1', 0)
+        address = server.sockets[0].getsockname()
+        stream = await TcpDialler().dial(address)
+        try:
+            async with asyncio.timeout(30):
+                return (await stream.read_within(0.7)).payload
+        except WireError as exc:
+            self.assertEqual(exc.code, 'peer-silent')
+            return None
+        finally:
+            stream.close()
+            server.close()
+
     async def test_refused_connection(self) -> None:
         """A connection that can't be made is a wire error."""
         sockets = bind_sockets(0, '127.0.0.1')
