--- a/src/linnetwood/fleet/relaying.py
+++ b/src/linnetwood/fleet/relaying.py
@@ -23,7 +23,6 @@
     Dialler,
     TcpDialler,
     WireServer,
-    read_within,
 )
 from linnetwood.wire.frames import MAX_FRAME, Frame, FrameKind, FrameStream
 
@@ -235,7 +234,7 @@
 
 
 async def _expect(stream: FrameStream, kind: FrameKind) -> Frame:
-    frame = await read_within(stream, SILENT_S)
+    frame = await stream.read_within(SILENT_S)
     if frame.kind is not kind:
         raise CodecError('unexpected-frame', frame.kind.name)
     return frame
--- a/src/linnetwood/lab/memory_net.py
+++ b/src/linnetwood/lab/memory_net.py
@@ -46,6 +46,14 @@
             await self._changed.wait()
         return self._arrived.popleft()
 
+    async def read_within(self, silent_s: float) -> Frame:
+        """Wait for the next frame for a while."""
+        try:
+            async with asyncio.timeout(silent_s):
+                return await self.read()
+        except TimeoutError as exc:
+            raise WireError('peer-silent', f'{silent_s} s') from exc
+
     async def write(self, kind: FrameKind, payload: bytes) -> None:
         """Send one frame."""
         self.send(kind, payload)
--- a/src/linnetwood/wire/connections.py
+++ b/src/linnetwood/wire/connections.py
@@ -18,18 +18,6 @@
 SILENT_S = 2.0
 
 
-async def read_within(stream: FrameStream, silent_s: float) -> Frame:
-    """Wait for a frame; raise WireError if no byte comes for so long."""
-    while True:
-        heard_at = stream.heard_at
-        try:
-            async with asyncio.timeout(silent_s):
-                return await stream.read()
-        except TimeoutError as exc:
-            if stream.heard_at == heard_at:
-                raise WireError('peer-silent', f'{silent_s} s') from exc
-
-
 class Dialler(Protocol):
     """Open connections to other processes."""
 
