Show that an entry refuses a new route for good on an old belief

Cause: an entry that finds no route answers 404 without regard to how long ago the store was last heard.

The test lets a resident entry learn once, puts the store's last answer 5.2 s back and asks for an unknown route over a socket. Ruled out: the limit of a head in the test's configuration (100 octets) closed the connection in the first form of the test; it asks under wider limits.

Measured: tests.test_resident_entry, 4 run, 3 pass, this one fails (404, 503 wanted).

--- a/tests/test_resident_entry.py
+++ b/tests/test_resident_entry.py
@@ -5,12 +5,16 @@
 import math
 import unittest
 
+from tornado.netutil import bind_sockets
+
 from linnetwood.calls.grounds import Grounds
+from linnetwood.calls.routebook import CallLimits
 from linnetwood.platform import records
 from linnetwood.platform.settings import Residence
 from linnetwood.programs.resident_entry import ResidentEntry
 from tests.test_curldriver import HOST, ScriptedServer
 from tests.test_following import answer, row
+from tests.test_front import request
 from tests.test_records import CONFIG
 
 
@@ -46,6 +50,8 @@
 
     async def asyncTearDown(self) -> None:
         await self.entry._following.close()
+        self.entry._callers.stop()
+        await self.entry._callers.close_all_connections()
         self.entry.driver.close()
         await self.store.close()
 
@@ -97,6 +103,28 @@
             now - heard_at,
         )
 
+    async def status(self, asked: bytes, store_age_s: float) -> int:
+        """Give the status of a call that comes so long after the store."""
+        # Heads may be longer than the test's configuration allows.
+        self.entry._callers.bound(CallLimits())
+        sockets = bind_sockets(0, HOST)
+        self.entry._callers.add_sockets(sockets)
+        reader, writer = await asyncio.open_connection(
+            *sockets[0].getsockname()
+        )
+        now = asyncio.get_running_loop().time()
+        self.entry._following.heard_at = now - store_age_s
+        writer.write(asked)
+        line = await reader.readline()
+        writer.close()
+        return int(line.split()[1])
+
+    async def test_an_old_belief_refuses_no_route_for_good(self) -> None:
+        """What a newer configuration may hold is refused for now alone."""
+        await self.learn()
+        asked = request('/new/x', host='host1.example')
+        self.assertEqual(await self.status(asked, 5.2), 503)
+
 
 if __name__ == '__main__':
     unittest.main()
