Refuse by 404 or 401 only on a fresh belief

Cause: reading.py finds no route or key and front.py answered 404 or 401 whatever the age of the belief, though Vigil knows it. Callers don't come back after either.

Grounds tell whether the belief is old: the store not heard for more than 0.6 of config_apply_ms (waits at the store last 0.3 of it, neighbours' word is trusted up to 0.4). Then such a call is refused as not run, 503 belief-old, with a time to come back as at the door, and logged as 6006 with the grounds of 6007. Known routes and keys are served however old the belief is.

Ruled out: logging it as 6007, since 'linnetwood losses' counts those above three seconds as refused by an old belief, for good; refusing known routes too, since a zone that is cut off serves what it can.

--- a/src/linnetwood/calls/entrance.py
+++ b/src/linnetwood/calls/entrance.py
@@ -78,13 +78,18 @@
         return waiting + running < engine.slots - _KEPT_FREE
 
     def _refusal(self, code: Code, call: DirectCall, detail: str) -> Ending:
-        """Refuse, and say when to come back.
+        """Refuse, and say when to come back."""
+        left_s = call.until - self._clock.now()
+        return not_run(code, detail, back_after_ms(left_s, self._rng))
 
-        Whoever comes back is late already, since its time counts from its
-        first try; what matters then is that there is room. So it comes back as
-        late as it will, and not all at once.
-        """
-        left_s = max(0, call.until - self._clock.now())
-        share = self._rng.uniform(_EARLIEST_SHARE, 1)
-        wait_s = max(_LEAST_RETRY_S, left_s * _WAITED_SHARE * share)
-        return not_run(code, detail, int(wait_s * _MILLISECONDS))
+
+def back_after_ms(left_s: float, rng: Random) -> int:
+    """Say when a caller with so much time left is to come back.
+
+    Whoever comes back is late already, since its time counts from its first
+    try; what matters then is that there is room. So it comes back as late as
+    it will, and not all at once.
+    """
+    share = rng.uniform(_EARLIEST_SHARE, 1)
+    wait_s = max(_LEAST_RETRY_S, left_s * _WAITED_SHARE * share)
+    return int(wait_s * _MILLISECONDS)
--- a/src/linnetwood/calls/front.py
+++ b/src/linnetwood/calls/front.py
@@ -20,8 +20,9 @@
 
 from linnetwood.calls.dialect import CallHead, Dialect, Urgency
 from linnetwood.calls.direct import DirectCall, DirectDispatcher
+from linnetwood.calls.entrance import back_after_ms
 from linnetwood.calls.grounds import Grounds
-from linnetwood.calls.reading import Arrival, asked_host, read_call
+from linnetwood.calls.reading import Arrival, asked_host, held_s, read_call
 from linnetwood.calls.routebook import CallLimits, RouteBook
 from linnetwood.core.events import Event, log
 from linnetwood.core.metrics import Metric, Metrics
@@ -229,7 +230,7 @@
         )
         call = read_call(arrival, front.book(), front.dialect, front.rng)
         if isinstance(call, Ending) and call.code in _UNPLACED:
-            _tell_unplaced(arrival, call, front.dialect.read(self._headers))
+            return _unplaced(arrival, call, front)
         return call
 
 
@@ -291,23 +292,51 @@
     return conn
 
 
-def _tell_unplaced(arrival: Arrival, ending: Ending, head: CallHead) -> None:
-    grounds = arrival.grounds
+def _unplaced(arrival: Arrival, ending: Ending, front: Front) -> Ending:
+    """Refuse for good, or for now where the belief is old."""
+    head = front.dialect.read(arrival.headers)
+    why = _why_unplaced(ending, head)
+    if not arrival.grounds.old:
+        _tell_unplaced(Event.CALL_UNPLACED, arrival, head, code=why)
+        return ending
+    until = arrival.at + held_s(head)
+    left_s = until - asyncio.get_running_loop().time()
+    later = not_run(Code.BELIEF_OLD, why, back_after_ms(left_s, front.rng))
+    _tell_unplaced(
+        Event.CALL_REFUSED,
+        arrival,
+        head,
+        code=later.code,
+        detail=later.detail,
+        retry_after_ms=later.retry_after_ms,
+    )
+    return later
+
+
+def _why_unplaced(ending: Ending, head: CallHead) -> str:
     if ending.code == Code.UNKNOWN_TARGET.value:
-        why = 'no-route'
-    else:
-        why = 'unknown-key' if head.key else 'no-key'
+        return 'no-route'
+    return 'unknown-key' if head.key else 'no-key'
+
+
+def _tell_unplaced(
+    event: Event,
+    arrival: Arrival,
+    head: CallHead,
+    **verdict: object,
+) -> None:
+    grounds = arrival.grounds
     log(
-        Event.CALL_UNPLACED,
+        event,
         call=head.call_id[:_MOST_TOLD],
         host=asked_host(arrival.headers)[:_MOST_TOLD],
         # A query may hold what is nobody else's business.
         path=arrival.target.partition('?')[0][:_MOST_TOLD],
-        code=why,
         config_version=grounds.version,
         config_revision=grounds.revision,
         config_age_ms=grounds.config_age_ms,
         store_age_ms=grounds.store_age_ms,
+        **verdict,
     )
 
 
--- a/src/linnetwood/calls/grounds.py
+++ b/src/linnetwood/calls/grounds.py
@@ -20,15 +20,26 @@
     revision: int = 0
     config_age_ms: int = _NEVER
     store_age_ms: int = _NEVER
+    # Older than what a healthy process believes; so is what was never heard.
+    old: bool = True
 
 
 class Vigil:
     """Know the configuration in force, and when its store was heard."""
 
-    def __init__(self, clock: Clock, heard_at: Callable[[], float]) -> None:
-        """Ask the follower of the store when that last answered well."""
+    def __init__(
+        self,
+        clock: Clock,
+        heard_at: Callable[[], float],
+        trusted_s: float = math.inf,
+    ) -> None:
+        """Ask the follower when the store last answered well.
+
+        What was not confirmed for longer than `trusted_s` is an old belief.
+        """
         self._clock = clock
         self._heard_at = heard_at
+        self._trusted_s = trusted_s
         self._version = 0
         self._revision = 0
         self._adopted_at = -math.inf
@@ -41,11 +52,13 @@
 
     def grounds(self) -> Grounds:
         """Give what a call that comes now is decided by."""
+        store_age_s = self.store_age_s()
         return Grounds(
             self._version,
             self._revision,
             _ms(self._clock.now() - self._adopted_at),
-            _ms(self.store_age_s()),
+            _ms(store_age_s),
+            store_age_s > self._trusted_s,
         )
 
     def store_age_s(self) -> float:
--- a/src/linnetwood/calls/reading.py
+++ b/src/linnetwood/calls/reading.py
@@ -63,7 +63,6 @@
     service = book.services.get(name)
     if service is None:
         return not_run(Code.NO_ENDPOINT, name)
-    wait_s = _DEFAULT_WAIT_S if head.wait_s is None else head.wait_s
     return DirectCall(
         head,
         route,
@@ -74,11 +73,16 @@
         arrival.headers,
         arrival.body,
         arrival.at,
-        arrival.at + min(wait_s, route.timeout_s),
+        arrival.at + min(held_s(head), route.timeout_s),
         arrival.grounds,
     )
 
 
+def held_s(head: CallHead) -> float:
+    """Give the seconds that a caller waits for its answer."""
+    return _DEFAULT_WAIT_S if head.wait_s is None else head.wait_s
+
+
 def asked_host(headers: Headers) -> str:
     """Give the host that a request names, or nothing."""
     for name, text in headers:
--- a/src/linnetwood/core/outcomes.py
+++ b/src/linnetwood/core/outcomes.py
@@ -37,6 +37,7 @@
     STOPPING = 'stopping'
     UNKNOWN_TARGET = 'unknown-target'
     KEY_UNKNOWN = 'key-unknown'
+    BELIEF_OLD = 'belief-old'
     OVERLOADED = 'overloaded'
 
 
--- a/src/linnetwood/platform/settings.py
+++ b/src/linnetwood/platform/settings.py
@@ -11,8 +11,9 @@
 _PATH_VARIABLE = 'LINNETWOOD_NODE_FILE'
 _DEFAULT_PATH = '/etc/linnetwood/local.toml'
 _MILLISECONDS = 1000
-# Used where the platform states no bound: that of its first deployments.
+# Used where the platform states no bound: those of its first deployments.
 _VERSION_MS = 8000
+_CONFIG_MS = 2000
 _BAD_FIELD = (KeyError, TypeError, ValueError, IndexError)
 _MEGABIT_BYTES = 125000
 
@@ -33,6 +34,7 @@
     link_bytes_per_s: float
     stop_within_s: float
     version_bound_s: float
+    config_bound_s: float
     retry_share: float
     retry_extra: float
 
@@ -73,6 +75,9 @@
         link_bytes_per_s=given['limits']['link_mbps'] * _MEGABIT_BYTES,
         stop_within_s=float(bounds.get('grace_period_s', 8)),
         version_bound_s=bounds.get('version_ms', _VERSION_MS) / _MILLISECONDS,
+        config_bound_s=(
+            bounds.get('config_apply_ms', _CONFIG_MS) / _MILLISECONDS
+        ),
         retry_share=float(bounds.get('retry_budget_ratio', 0)),
         retry_extra=float(bounds.get('retry_budget_extra', 0)),
     )
--- a/src/linnetwood/programs/resident_entry.py
+++ b/src/linnetwood/programs/resident_entry.py
@@ -36,6 +36,9 @@
 _STOP_MARGIN_S = 0.7
 # A part of the budget is left for entries that come and go meanwhile.
 _RETRY_PART = 0.6
+# Of a configuration's bound: waits at the store last 0.3 of it, neighbours'
+# word is trusted up to 0.4; an older belief is no healthy entry's.
+_TRUSTED_PART = 0.6
 _CHECK_S = 0.05
 _IDLE_CHECK_S = 0.4
 _OK = 200
@@ -74,7 +77,11 @@
             cfg.wire_port,
             self._share_retries,
         )
-        self.vigil = Vigil(clock, lambda: self._following.heard_at)
+        self.vigil = Vigil(
+            clock,
+            lambda: self._following.heard_at,
+            cfg.config_bound_s * _TRUSTED_PART,
+        )
         self.front = Front(
             lambda: self.book,
             self.dispatcher,
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -76,6 +76,7 @@
     'config_age_ms',
     'store_age_ms',
 )
+PUT_OFF = ('event', 'detail', 'retry_after_ms', *UNPLACED)
 
 
 def request(path: str, key: str = 'k1', host: str = 'h.example') -> bytes:
@@ -193,6 +194,12 @@
                 self.assertEqual(status, expected)
                 self.assertEqual(b'Retry-After' in head, status == 503)
 
+    def trust(self, trusted_s: float) -> None:
+        """Believe for so long after the store was heard, from 100 s on."""
+        vigil = Vigil(self.clock, lambda: self.heard_at, trusted_s)
+        vigil.adopted(BOOK)
+        self.front.grounds = vigil.grounds
+
     async def refused(self, asked: bytes) -> list[dict[str, object]]:
         """Send a request; give what the log tells of its place."""
         with self.assertLogs('linnetwood', 'INFO') as told:
@@ -224,6 +231,61 @@
                     [dict(zip(UNPLACED, told, strict=True))],
                 )
 
+    async def test_an_old_belief_refuses_for_now(self) -> None:
+        """Callers are told to come back, and the log why and how old it was."""
+        self.trust(1.2)
+        self.heard_at = 102.5
+        self.clock.at = 103.75
+        keyless = request('/a/x').replace(b'Authorization', b'X-Other')
+        cases = (
+            ('no-route', request('/b/x?q=1'), 'h.example', '/b/x'),
+            ('no-route', request('/a/x', host='o'), 'o', '/a/x'),
+            ('unknown-key', request('/a/x', 'k2'), 'h.example', '/a/x'),
+            ('no-key', keyless, 'h.example', '/a/x'),
+        )
+        for why, asked, host, path in cases:
+            with self.subTest(why=why, host=host):
+                with self.assertLogs('linnetwood', 'INFO') as told:
+                    status, head, body = (await self.ask(asked))[0]
+                self.assertEqual((status, body), (503, b'belief-old'))
+                # A third of 15 s at most, and the last two fifths of that.
+                after_s = head.partition(b'Retry-After: ')[2].split()[0]
+                after_ms = round(float(after_s) * 1000)
+                self.assertIn(after_ms, range(2900, 5001))
+                lines = [
+                    {name: getattr(one, name, None) for name in PUT_OFF}
+                    for one in told.records
+                ]
+                self.assertEqual(
+                    [tuple(one.values()) for one in lines],
+                    [
+                        (
+                            *(Event.CALL_REFUSED, why, after_ms),
+                            *('c-1', host, path, 'belief-old'),
+                            *(1, 1, 3750, 1250),
+                        ),
+                    ],
+                )
+        self.assertIn('code="belief-old"} 4.0', self.metrics.text().decode())
+
+    async def test_a_belief_within_its_time_refuses_for_good(self) -> None:
+        """What was confirmed a moment ago is told as it is."""
+        self.trust(1.2)
+        self.heard_at = 102.5
+        self.clock.at = 103.5
+        asked = (request('/b/x'), request('/a/x', 'k2'))
+        answers = await self.ask(*asked)
+        self.assertEqual([one[0] for one in answers], [404, 401])
+        self.assertEqual(len(await self.refused(asked[0])), 1)
+
+    async def test_known_routes_are_served_on_an_old_belief(self) -> None:
+        """A zone that is cut off serves what it can."""
+        self.trust(1.2)
+        self.clock.at = 200.0
+        await self.serve(says(GOOD))
+        self.assertTrue(self.front.grounds().old)
+        self.assertEqual((await self.ask(request('/a/x')))[0][0], 200)
+
     async def test_what_callers_wrote_is_cut(self) -> None:
         """A line stays short, and says of a store never heard that it isn't."""
         long = 'x' * 2000
--- a/tests/test_losses.py
+++ b/tests/test_losses.py
@@ -113,6 +113,7 @@
                 line(6007, 1, code='unknown-key', store_age_ms=bound_ms + 1),
                 line(6007, 1, code='no-key', store_age_ms=-1),
                 line(6007, 1, code='no-key'),
+                line(6006, 1, code='belief-old', store_age_ms=bound_ms + 1),
                 attempt(1, store_age_ms=bound_ms + 1),
             ),
         )
@@ -124,6 +125,8 @@
                 ('chat', 'in time', 1),
                 ('?', 'refused by an old belief: no-route', 1),
                 ('?', 'refused by an old belief: unknown-key', 1),
+                # Put off, not refused for good.
+                ('?', 'refused: belief-old', 1),
             },
         )
 
--- /dev/null
+++ b/tests/test_residence.py
@@ -0,0 +1,36 @@
+"""The settings file that the platform lays down."""
+
+import pathlib
+import tempfile
+import unittest
+
+from linnetwood.platform import settings
+
+TEXT = """
+node = 'vm-1'
+ip = '10.0.0.1'
+zone = 'z1'
+region = 'r1'
+internal_port_range = [7000, 7009]
+platform = {{ address = '10.0.0.2:80' }}
+limits = {{ link_mbps = 8 }}
+bounds = {{ {bounds} }}
+"""
+
+
+class ResidenceTest(unittest.TestCase):
+    """Read files as the platform writes them."""
+
+    def test_bound_of_a_configuration(self) -> None:
+        """The platform states it in milliseconds, or the usual one holds."""
+        for bounds, bound_s in (('config_apply_ms = 3500', 3.5), ('', 2)):
+            with self.subTest(bounds=bounds):
+                with tempfile.TemporaryDirectory() as folder:
+                    path = pathlib.Path(folder) / 'local.toml'
+                    path.write_text(TEXT.format(bounds=bounds))
+                    found = settings.load(str(path))
+                self.assertEqual(found.config_bound_s, bound_s)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/tests/test_resident_entry.py
+++ b/tests/test_resident_entry.py
@@ -43,6 +43,7 @@
                 link_bytes_per_s=1e6,
                 stop_within_s=8,
                 version_bound_s=8,
+                config_bound_s=2,
                 retry_share=0,
                 retry_extra=0,
             ),
@@ -125,6 +126,22 @@
         asked = request('/new/x', host='host1.example')
         self.assertEqual(await self.status(asked, 5.2), 503)
 
+    async def test_a_belief_is_old_beyond_a_share_of_the_bound(self) -> None:
+        """It is no healthy entry's from 0.6 of two seconds on."""
+        self.assertTrue(self.entry.front.grounds().old)
+        await self.learn()
+        for age_s, old in ((0, False), (1, False), (1.21, True), (6, True)):
+            with self.subTest(age_s=age_s):
+                now = asyncio.get_running_loop().time()
+                self.entry._following.heard_at = now - age_s
+                self.assertIs(self.entry.front.grounds().old, old)
+
+    async def test_a_fresh_belief_refuses_for_good(self) -> None:
+        """A route that the store has just not named is none."""
+        await self.learn()
+        asked = request('/new/x', host='host1.example')
+        self.assertEqual(await self.status(asked, 0), 404)
+
 
 if __name__ == '__main__':
     unittest.main()
