--- a/src/linnetwood/platform/settings.py
+++ b/src/linnetwood/platform/settings.py
@@ -11,7 +11,7 @@
 _PATH_VARIABLE = 'LINNETWOOD_NODE_FILE'
 _DEFAULT_PATH = '/etc/linnetwood/local.toml'
 _MILLISECONDS = 1000
-# Used where the platform states no bound: that of its first deployments.
+# Used where the platform states no bound: those of its first deployments.
 _VERSION_MS = 8000
 _CONFIG_MS = 2000
 _BAD_FIELD = (KeyError, TypeError, ValueError, IndexError)
