Show that a manifest of a silent peer is waited for without a limit

Cause: weights/fetching.py (_manifest_of_peers) and weights/agent.py (_read_manifest) have no limit once they are connected. A peer that stands still, or stops in the middle, holds the download up for as long as it lives. The swarm's check of silence is for chunks, and runs after the manifest.

--- /dev/null
+++ b/tests/test_silent_peers.py
@@ -0,0 +1,137 @@
+"""A peer that connects and falls silent holds up nobody's manifest."""
+
+import asyncio
+import unittest
+
+from linnetwood.core.errors import LinnetwoodError
+from linnetwood.gen.schema.ttypes import Intent
+from linnetwood.gen.wire.ttypes import ChunkReply
+from linnetwood.weights import chunks
+from linnetwood.weights.fetching import Aim, Fetching
+from linnetwood.weights.keeper import Target
+from linnetwood.wire import frames
+from linnetwood.wire.codec import encode
+from linnetwood.wire.frames import FrameKind
+from tests.test_agent import Slot
+from tests.test_follower import FakeEngine, FakeOrigin, manifest
+from tests.test_membership import member
+from tests.test_slow_links import trickle
+
+SILENT = '127.0.0.2'
+HALF = '127.0.0.3'
+SLOW = '127.0.0.4'
+AIM = Aim('m', 2)
+WANTED = manifest(AIM.version)
+NAME = chunks.name_of(WANTED.encode())
+SLOW_S = 3
+# Ends what hangs; silence is noticed long before.
+GUARD_S = 12
+
+
+def sent(name: str) -> bytes:
+    """Give the answer to a request for the manifest of this name."""
+    reply = ChunkReply(
+        manifest=name,
+        index=chunks.MANIFEST_INDEX,
+        held_here=True,
+        held=b'',
+        queued=0,
+    )
+    return frames.pack(FrameKind.CHUNK_REPLY, encode(reply)) + frames.pack(
+        FrameKind.CHUNK,
+        WANTED.encode(),
+    )
+
+
+class Peers:
+    """Stand-ins at one port: silent, silent half-way, and slow."""
+
+    def __init__(self, name: str) -> None:
+        self._octets = sent(name)
+
+    async def start(self) -> int:
+        first = await asyncio.start_server(self._serve, SILENT, 0)
+        port = int(first.sockets[0].getsockname()[1])
+        others = await asyncio.start_server(self._serve, (HALF, SLOW), port)
+        self._servers = (first, others)
+        return port
+
+    def close(self) -> None:
+        for server in self._servers:
+            server.close()
+
+    async def _serve(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        await reader.read(1)
+        octets = self._octets
+        host = writer.get_extra_info('sockname')[0]
+        if host == SLOW:
+            await trickle(octets, SLOW_S, reader, writer)
+        elif host == HALF:
+            writer.write(octets[: len(octets) // 2])
+        while await reader.read(len(octets)):
+            await asyncio.sleep(0)
+        writer.close()
+
+
+class SilentPeersTest(unittest.IsolatedAsyncioTestCase):
+    """Ask peers for a manifest while the origin is away."""
+
+    async def asyncSetUp(self) -> None:
+        self.slot = Slot()
+
+    async def asyncTearDown(self) -> None:
+        await self.slot.agent.close()
+
+    async def test_next_peer_is_asked_for_the_manifest(self) -> None:
+        """Peers that fall silent are passed over, one that flows is not."""
+        peers = Peers(AIM.name)
+        origin = FakeOrigin()
+        origin.away = True
+        fetching = Fetching(
+            self.slot.agent._tools,
+            FakeEngine(),
+            origin,
+            await peers.start(),
+            asyncio.Event().set,
+        )
+        fetching.around.peers = {SILENT: 'z', HALF: 'z', SLOW: 'z'}
+        async with asyncio.timeout(GUARD_S):
+            found = await fetching._manifest(AIM)
+        await fetching.close()
+        peers.close()
+        self.assertEqual(found, WANTED)
+
+    async def test_holder_that_is_silent_is_left(self) -> None:
+        """The agent learns that it must ask elsewhere."""
+        peers = Peers(NAME)
+        port = await peers.start()
+        expected = {SILENT: 'peer-silent', HALF: 'peer-silent', SLOW: ''}
+        found = {}
+        for host in expected:
+            found[host] = await self.fault(host, port)
+        peers.close()
+        self.assertEqual(found, expected)
+
+    async def fault(self, host: str, port: int) -> str:
+        """Ask a holder for a manifest; give the code of what went wrong."""
+        agent = self.slot.agent
+        holder = member(host, port=port)
+        holder.host = host
+        agent._gossip.members[host] = holder
+        agent._holders = {NAME: {host}}
+        try:
+            async with asyncio.timeout(GUARD_S / 2):
+                await agent._read_manifest(Target('', NAME, Intent()))
+        except LinnetwoodError as exc:
+            return exc.code
+        except TimeoutError:
+            return 'held up'
+        return ''
+
+
+if __name__ == '__main__':
+    unittest.main()
