Leave a peer that falls silent over a manifest

A manifest's frames are read with read_within now: 2 s without a byte end the exchange and its connection, and the next peer is asked. Chunks are read as before; a swarm watches over them, with its own times.

Before: both tests of test_silent_peers failed (held up until their guards).

Ruled out: the same limit for chunks, which may wait in a peer's queue behind others, for longer than 2 s on a slow link.

Left: silent peers are passed over one after the other, 2 s each.

--- a/src/linnetwood/weights/exchange.py
+++ b/src/linnetwood/weights/exchange.py
@@ -7,7 +7,7 @@
 from linnetwood.gen.wire.ttypes import ChunkReply, ChunkRequest
 from linnetwood.weights import chunks
 from linnetwood.wire.codec import decode, encode
-from linnetwood.wire.connections import Address, Dialler
+from linnetwood.wire.connections import SILENT_S, Address, Dialler
 from linnetwood.wire.frames import Frame, FrameKind, FrameStream
 from linnetwood.wire.links import Link
 
@@ -162,11 +162,18 @@
     ) -> tuple[ChunkReply, bytes]:
         request = ChunkRequest(asker=self._me, manifest=manifest, index=index)
         await stream.write(FrameKind.CHUNK_REQUEST, encode(request))
-        reply = decode(ChunkReply, (await stream.read()).payload)
+        reply = decode(ChunkReply, (await _frame(stream, index)).payload)
         if (reply.manifest, reply.index) != (manifest, index):
             raise WeightsError('wrong-chunk-answered', f'{reply.index}')
         if not reply.held_here:
             return reply, b''
-        frame = await stream.read()
+        frame = await _frame(stream, index)
         await self._link.receive(len(frame.payload))
         return reply, frame.payload
+
+
+async def _frame(stream: FrameStream, index: int) -> Frame:
+    # A swarm watches over chunks; nobody does over a manifest.
+    if index == chunks.MANIFEST_INDEX:
+        return await stream.read_within(SILENT_S)
+    return await stream.read()
