--- a/src/linnetwood/programs/resident_endpoint.py
+++ b/src/linnetwood/programs/resident_endpoint.py
@@ -38,6 +38,9 @@
 _HELD_EVERY_S = 0.1
 # Entries forget a neighbour that three such tellings left out.
 _NEIGHBOURS_EVERY_S = 1.0
+# So many endpoint processes of a zone tell each time, whatever their number:
+# that all are silent for three times happens once in e**12.
+_NEIGHBOURS_BY = 4
 # So many addresses fit one datagram of an ordinary network.
 _MOST_NEIGHBOURS = 64
 # The part of its link that a download fills (measured, docs/MEASUREMENTS.md).
@@ -63,6 +66,7 @@
         self._number = 0
         self._held_at = float()
         self._neighbours_at = float()
+        self._rng = Random()
         self._held_told: dict[str, bytes] = {}
         self._metrics = ExposedMetrics()
         self._figures = FiguresPage(self._metrics)
@@ -167,6 +171,9 @@
         if now - self._neighbours_at < _NEIGHBOURS_EVERY_S:
             return
         self._neighbours_at = now
+        beside = list(self.follower.around.peers.values())
+        if self._rng.random() * beside.count(self._cfg.zone) > _NEIGHBOURS_BY:
+            return
         near = self._listeners.of_zone(self._cfg.zone)
         hosts = sorted(host for host, _ in near)
         if len(hosts) > 1:
