Pass the store's news on within a zone; bound answers by silence; refuse nothing for good on an old belief

Each of 40 entries fetched its own copy of each configuration over one link between regions; what did not come whole within 3 s was dropped and asked for again, from the same revision.

--- a/src/linnetwood/core/events.py
+++ b/src/linnetwood/core/events.py
@@ -41,6 +41,9 @@
     ENDPOINT_GONE = 3012
     ITEM_IGNORED = 3013
     STORE_CALL = 3014
+    TELLER_HEARD = 3018
+    TELLER_LEFT = 3019
+    STORE_PAGE_AGAIN = 3015
     TRANSFER_STARTED = 4001
     CHUNK_BAD = 4002
     TRANSFER_COMPLETE = 4003
@@ -82,6 +85,7 @@
         Event.STORE_AWAY,
         Event.STORE_HISTORY_LOST,
         Event.ITEM_IGNORED,
+        Event.STORE_PAGE_AGAIN,
         Event.CHUNK_BAD,
         Event.ORIGIN_UNREACHABLE,
         Event.ORDER_REFUSED,
--- a/src/linnetwood/platform/store.py
+++ b/src/linnetwood/platform/store.py
@@ -1,12 +1,15 @@
 """The platform's store, as the product's range of keys."""
 
+import asyncio
 import base64
 import json
+from collections.abc import Callable
 from typing import Any
 from urllib.parse import urlencode
 
 from linnetwood.core.errors import StoreError
-from linnetwood.fleet.following import (
+from linnetwood.core.events import Event, log
+from linnetwood.fleet.ranges import (
     Change,
     Changes,
     HistoryLostError,
@@ -14,27 +17,38 @@
     Snapshot,
 )
 from linnetwood.platform.storesight import StoreSight
-from linnetwood.wire.asking import Answer, ask
+from linnetwood.wire.asking import Answer, Patience, ask
+from linnetwood.wire.connections import SILENT_S
 from linnetwood.wire.curldriver import CurlDriver, Request
 
 _OK = 200
 _GONE = 410
 _MILLISECONDS = 1000
-# It answers in milliseconds; a slow one takes half a second.
-_TIMEOUT_S = 2.5
+# It begins to answer in milliseconds; a slow one after half a second.
+_FIRST_S = 2.5
 _CONNECT_S = 1.0
-# A waiting call is answered this much after its time at the latest.
+# An answer to a waiting call begins this much after its time at the latest.
 _SLACK_S = 1.0
+# One failure may be a connection that broke; a store that is away fails again.
+_PAGE_RETRIES = 2
+# As long as one who follows pauses after a first failure.
+_PAGE_PAUSE_S = 0.1
 # A page holds a megabyte of values, in base64 and JSON.
 _MOST_BYTES = 33554432
 _BAD_ANSWER = (KeyError, TypeError, ValueError)
 
 
+def _nothing() -> None:
+    """Tell nobody."""
+
+
 class PlatformStore:
     """Read ranges and wait for their changes."""
 
     def __init__(self, address: tuple[str, int], driver: CurlDriver) -> None:
         """Reach the store at an address."""
+        # Told of each piece of an answer.
+        self.heard: Callable[[], None] = _nothing
         self._address = address
         self._driver = driver
         self._sight = StoreSight()
@@ -46,7 +60,7 @@
         last = ''
         more = True
         while more:
-            page, more = await self._page(prefix, last)
+            page, more = await self._patient_page(prefix, last)
             # Pages are no snapshot: what changed since the first is waited for.
             revision = revision or page.revision
             found.update(page.records)
@@ -72,12 +86,30 @@
         self._sight.answered('wait', after, answer, found)
         return found
 
+    async def _patient_page(
+        self,
+        prefix: str,
+        last: str,
+    ) -> tuple[Snapshot, bool]:
+        """Ask again for a page, so that those before it are not lost."""
+        # Nothing is lost with the first: whoever follows asks for it again.
+        retries = _PAGE_RETRIES if last else 0
+        for _ in range(retries):
+            try:
+                return await self._page(prefix, last)
+            except HistoryLostError:
+                raise
+            except StoreError as exc:
+                log(Event.STORE_PAGE_AGAIN, prefix=prefix, detail=str(exc))
+                await asyncio.sleep(_PAGE_PAUSE_S)
+        return await self._page(prefix, last)
+
     async def _page(self, prefix: str, last: str) -> tuple[Snapshot, bool]:
         query = {'path_prefix': prefix}
         if last:
             # Here the field holds the key after which the page starts.
             query['after_revision'] = last
-        answer = await self._get('/linnetwood/kv-range', query, _TIMEOUT_S)
+        answer = await self._get('/linnetwood/kv-range', query, _FIRST_S)
         try:
             page, more = _read_page(_said(answer))
         except StoreError as exc:
@@ -92,7 +124,7 @@
         self,
         path: str,
         query: dict[str, str],
-        timeout_s: float,
+        first_s: float,
     ) -> Answer:
         host, port = self._address
         req = Request(
@@ -102,10 +134,16 @@
             f'{path}?{urlencode(query)}',
             [('Host', f'{host}:{port}')],
             connect_s=_CONNECT_S,
-            total_s=timeout_s,
             keep=True,
         )
-        return await ask(self._driver, req, _MOST_BYTES)
+        patience = Patience(first_s, SILENT_S)
+        return await ask(
+            self._driver,
+            req,
+            _MOST_BYTES,
+            patience,
+            self.heard,
+        )
 
 
 def _said(answer: Answer) -> dict[str, Any]:
--- a/src/linnetwood/platform/storesight.py
+++ b/src/linnetwood/platform/storesight.py
@@ -5,7 +5,7 @@
 
 from linnetwood.core.errors import StoreError
 from linnetwood.core.events import Event, log
-from linnetwood.fleet.following import Change, Changes
+from linnetwood.fleet.ranges import Change, Changes
 from linnetwood.platform import records
 from linnetwood.wire.asking import Answer
 
--- a/src/linnetwood/programs/resident_entry.py
+++ b/src/linnetwood/programs/resident_entry.py
@@ -20,7 +20,9 @@
 from linnetwood.core.events import Event, log
 from linnetwood.core.exposed import ExposedMetrics
 from linnetwood.core.metrics import Metric
-from linnetwood.fleet.following import Following
+from linnetwood.fleet.following import Following, bounds_within
+from linnetwood.fleet.relaying import Relay
+from linnetwood.fleet.tellers import Tellers
 from linnetwood.fleet.wanted import WantedVersions
 from linnetwood.platform import records
 from linnetwood.platform.dialect import PlatformDialect
@@ -36,6 +38,9 @@
 _STOP_MARGIN_S = 0.7
 # A part of the budget is left for entries that come and go meanwhile.
 _RETRY_PART = 0.6
+# Of a configuration's bound: waits at the store last 0.3 of it, neighbours'
+# word is trusted up to 0.4; an older belief is no healthy entry's.
+_TRUSTED_PART = 0.6
 _CHECK_S = 0.05
 _IDLE_CHECK_S = 0.4
 _OK = 200
@@ -66,6 +71,7 @@
             cfg.zone,
             metrics,
         )
+        self._tellers = Tellers(cfg.host, rng)
         self.reports = Reports(
             self.directory,
             chooser,
@@ -73,8 +79,14 @@
             clock,
             cfg.wire_port,
             self._share_retries,
+            cfg.zone,
+            self._tellers,
+        )
+        self.vigil = Vigil(
+            clock,
+            lambda: self._following.heard_at,
+            cfg.config_bound_s * _TRUSTED_PART,
         )
-        self.vigil = Vigil(clock, lambda: self._following.heard_at)
         self.front = Front(
             lambda: self.book,
             self.dispatcher,
@@ -88,15 +100,19 @@
         metrics.gauge(Metric.STORE_AGE_S, self.vigil.store_age_s)
         self._figures = FiguresPage(metrics)
         rouse = self.reports.rouse
+        store = PlatformStore(cfg.store, self.driver)
         self._following = Following(
-            PlatformStore(cfg.store, self.driver),
+            store,
             records.WHOLE_STORE,
             StoreFeed(
                 OperatorFeed(self.adopt, self.wanted, clock, rouse),
                 EndpointFeed(self.directory, clock, rouse),
             ),
             rng,
+            bounds_within(cfg.config_bound_s),
         )
+        store.heard = self._following.flowed
+        self._relay = Relay(self._following, self._tellers, cfg.wire_port)
         self._callers = open_server(self.front, self.book.limits)
         self._servers: list[HTTPServer] = []
 
@@ -108,6 +124,7 @@
         self._figures.start(cfg.host)
         self._following.start()
         await self.reports.start(cfg.host)
+        await self._relay.start(cfg.host)
         self._listen(self._callers, cfg.callers)
 
     async def close(self) -> None:
@@ -115,6 +132,7 @@
         self._stopping = True
         self.front.stopping = True
         await self._finish_calls()
+        await self._relay.close()
         await self._following.close()
         await self.reports.close()
         self._figures.close()
--- a/src/linnetwood/wire/asking.py
+++ b/src/linnetwood/wire/asking.py
@@ -2,10 +2,13 @@
 
 import asyncio
 import dataclasses
+from collections.abc import Callable
 
+from linnetwood.core.waits import happened
 from linnetwood.wire.curldriver import CurlDriver, Finish, Headers, Request
 
 _NO_HEAD_S = -1.0
+_REFUSED_FROM = 300
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -25,17 +28,41 @@
     end_s: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Patience:
+    """How long an answer may be silent: until its body begins, and from then.
+
+    While it flows it may take any time: an answer that is dropped then is as
+    large when it is asked for again, or larger.
+    """
+
+    first_s: float
+    silent_s: float
+
+
+def _unheard() -> None:
+    """Tell nobody."""
+
+
 async def ask(
     driver: CurlDriver,
     req: Request,
     most_bytes: int,
+    patience: Patience | None = None,
+    heard: Callable[[], None] = _unheard,
 ) -> Answer:
-    """Send a request and wait for its whole answer."""
-    fut: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
-    began = asyncio.get_running_loop().time()
-    transfer = driver.begin(req, _Whole(fut, most_bytes, began))
+    """Send a request and wait for its whole answer.
+
+    With patience only silence ends it, and the request's total time does not
+    count. Each piece of an answer that is no refusal is told to whoever wants
+    to know that it flows.
+    """
+    whole = _Whole(most_bytes, heard)
+    if patience is not None:
+        req = dataclasses.replace(req, total_s=0)
+    transfer = driver.begin(req, whole)
     try:
-        return await fut
+        return await whole.arrival(patience)
     finally:
         driver.cancel(transfer)
 
@@ -43,38 +70,69 @@
 class _Whole:
     """Collect an answer for whoever waits for it."""
 
-    def __init__(
-        self,
-        fut: 'asyncio.Future[Answer]',
-        most_bytes: int,
-        began: float,
-    ) -> None:
-        self._fut = fut
-        self._began = began
+    def __init__(self, most_bytes: int, heard: Callable[[], None]) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._fut: asyncio.Future[Answer] = self._loop.create_future()
+        # Set as the body begins, since another limit counts then, and at last.
+        self._stirred = asyncio.Event()
+        self._began = self._loop.time()
         self._head_s = _NO_HEAD_S
         self._most = most_bytes
+        self._heard = heard
+        self._heard_at = self._loop.time()
         self._status = 0
         self._headers: Headers = []
         self._pieces: list[bytes] = []
         self._size = 0
 
+    async def arrival(self, patience: Patience | None) -> Answer:
+        """Wait until it is whole, has failed, or was silent for too long."""
+        while patience is not None and not self._fut.done():
+            silent_s = self._loop.time() - self._heard_at
+            # A server that waits itself may send the head before it does.
+            limit_s = patience.silent_s if self._size else patience.first_s
+            if silent_s >= limit_s:
+                self._silent(silent_s)
+                break
+            await happened(self._stirred, limit_s - silent_s)
+            self._stirred.clear()
+        return await self._fut
+
     def head(self, status: int, headers: Headers) -> None:
         self._status = status
         self._headers = headers
         self._head_s = self._passed_s()
+        self._heard_at = self._loop.time()
 
     def body(self, piece: bytes) -> None:
+        self._heard_at = self._loop.time()
+        if not self._size:
+            self._stirred.set()
+        if self._status < _REFUSED_FROM:
+            self._heard()
         self._size += len(piece)
         if self._size <= self._most:
             self._pieces.append(piece)
+        else:
+            self._fail(f'over {self._most} bytes')
 
     def done(self, finish: Finish) -> None:
-        if self._fut.done():
-            return
-        whole = finish.whole and self._size <= self._most
+        if not self._fut.done():
+            status = self._status if finish.whole else 0
+            self._settle(status, finish)
+
+    def _silent(self, silent_s: float) -> None:
+        self._fail(f'silent for {silent_s:.1f} s after {self._size} bytes')
+
+    def _fail(self, detail: str) -> None:
+        if not self._fut.done():
+            # Whether the request reached anybody can't be known here.
+            self._settle(0, Finish(whole=False, connected=True, detail=detail))
+
+    def _settle(self, status: int, finish: Finish) -> None:
         self._fut.set_result(
             Answer(
-                self._status if whole else 0,
+                status,
                 self._headers,
                 b''.join(self._pieces),
                 finish,
@@ -82,6 +140,7 @@
                 self._passed_s(),
             ),
         )
+        self._stirred.set()
 
     def _passed_s(self) -> float:
-        return self._fut.get_loop().time() - self._began
+        return self._loop.time() - self._began
