--- /dev/null
+++ b/tests/test_relaying_review.py
@@ -0,0 +1,270 @@
+"""Where news of the store is lost, delayed or asked for too often."""
+
+import asyncio
+import unittest
+from random import Random
+from unittest import mock
+
+from linnetwood.fleet.following import Following, Told, bounds_within
+from linnetwood.fleet.ranges import Change, Changes, Record, Snapshot
+from linnetwood.fleet.relaying import RangeTeller, _read
+from linnetwood.gen.wire.ttypes import RangeRequest
+from linnetwood.lab import virtual
+from linnetwood.lab.memory_net import MemoryDialler, MemoryNet
+from linnetwood.wire.codec import encode
+from linnetwood.wire.frames import FrameKind, FrameStream
+from tests import test_relaying as zones
+
+KEY = zones.KEY
+
+
+class CountingStore(zones.FarStore):
+    """A far store that counts the reads that begin."""
+
+    reads = 0
+
+
+class CountingHandle(zones.Handle):
+    """An entry's way to it."""
+
+    async def read(self, prefix: str) -> Snapshot:
+        """Read everything."""
+        CountingStore.reads += 1
+        return await super().read(prefix)
+
+
+class SlowHandle(zones.Handle):
+    """A way to a store that takes half a second over each answer."""
+
+    async def wait(self, prefix: str, after: int, wait_s: float) -> Changes:
+        """Wait for what was written since."""
+        await asyncio.sleep(0.5)
+        return await super().wait(prefix, after, wait_s)
+
+
+async def _reads_of_a_start() -> int:
+    """Start a zone whose entries know each other from the beginning."""
+    CountingStore.reads = 0
+    with (
+        mock.patch.object(zones, 'FarStore', CountingStore),
+        mock.patch.object(zones, 'Handle', CountingHandle),
+    ):
+        zone = zones.Zone()
+        zone.store.records[KEY] = Record(b'1' * zones.LARGE * 3, 1)
+        await zone.start()
+        await zone.close()
+    return CountingStore.reads
+
+
+class ZoneReviewTest(unittest.TestCase):
+    """Play a zone in virtual time."""
+
+    def test_first_turned_away(self) -> None:
+        """Whoever the store turns away hears a neighbour that it serves."""
+
+        async def act(zone: zones.Zone) -> None:
+            first = zone.first()
+            zone.store.cut.add(first.name)
+            zone.store.write(b'2')
+            await asyncio.sleep(zones.APPLY_S + 5)
+            self.assertEqual(zones.payloads(zone), {b'2'})
+
+        zones.played(act)
+
+    def test_all_start_at_once(self) -> None:
+        """Nobody takes a read back that it must begin again at once."""
+        reads = virtual.run(_reads_of_a_start())
+        self.assertLessEqual(reads, zones.ENTRIES)
+
+    def test_slow_store(self) -> None:
+        """While a slow store answers the first, the others leave it alone."""
+
+        with (
+            mock.patch.object(zones, 'Handle', SlowHandle),
+            mock.patch.object(zones, 'APPLY_S', 2.0),
+        ):
+            calls: list[int] = []
+
+            async def act(zone: zones.Zone) -> None:
+                zone.store.calls = 0
+                await asyncio.sleep(10)
+                calls.append(zone.store.calls // 2)
+
+            zones.played(act)
+        # Two tellers, each of whose waits lasts 1.1 s.
+        self.assertLess(calls[0], 2 * 10 / 1.1 + 4)
+
+    def test_one_cut_off_makes_few_connections(self) -> None:
+        """A teller that hears nothing itself is not dialled all the time."""
+
+        async def act(zone: zones.Zone) -> None:
+            zone.store.cut.add(zone.first().name)
+            with mock.patch.object(
+                MemoryNet, 'dial', autospec=True, side_effect=MemoryNet.dial
+            ) as dial:
+                await asyncio.sleep(10)
+            # One in two seconds for each.
+            self.assertLess(dial.call_count, 5 * zones.ENTRIES)
+
+        zones.played(act)
+
+
+class AgeTest(unittest.TestCase):
+    """Since when a follower knows what it knows."""
+
+    def test_age_counts_from_the_answers_begin(self) -> None:
+        """What was written while an answer came is not known with it."""
+
+        async def play() -> None:
+            store = zones.FarStore()
+            handle = zones.Handle(store, 'me')
+            following = Following(
+                handle, '', zones.Newest(), Random(1), bounds_within(2)
+            )
+            handle.heard = following.flowed
+            store.records[KEY] = Record(b'1' * 6000000, 1)
+            following.start()
+            await asyncio.sleep(0.1)
+            # Written after the store made up its answer, which takes 4 s.
+            store.write(b'2')
+            await following.learned.wait()
+            age_s = asyncio.get_running_loop().time() - following.heard_at
+            await following.close()
+            self.assertGreater(age_s, 3.5)
+
+        virtual.run(play())
+
+    def test_ages_come_with_the_whole(self) -> None:
+        """A whole range that a neighbour tells brings its ages, too."""
+
+        async def play() -> None:
+            following = Following(
+                zones.Handle(zones.FarStore(), 'me'),
+                '',
+                zones.Newest(),
+                Random(1),
+                bounds_within(2),
+            )
+            told = Told(
+                9,
+                0,
+                0,
+                0,
+                0,
+                whole=True,
+                changes=(Change(KEY, Record(b'x', 7), 5),),
+            )
+            following.told(told)
+            now = asyncio.get_running_loop().time()
+            lack = following.mirror.lack(0, now)
+            self.assertEqual([one.age_s for one in lack.changes], [5])
+
+        virtual.run(play())
+
+
+class WordTest(unittest.TestCase):
+    """What a follower makes of a neighbour's word."""
+
+    def test_outages_go_on(self) -> None:
+        """Whoever is told of an outage tells of one."""
+
+        async def play() -> None:
+            following = Following(
+                zones.Handle(zones.FarStore(), 'me'),
+                '',
+                zones.Newest(),
+                Random(1),
+                bounds_within(2),
+            )
+            before = following.outages
+            for outages in (0, 1):
+                following.told(Told(1, 0, 0, 0, outages, False, ()))
+            self.assertGreater(following.outages, before)
+
+        virtual.run(play())
+
+
+class PackTest(unittest.TestCase):
+    """What a teller sends."""
+
+    def test_whole_is_whole(self) -> None:
+        """What was packed as changes is never sent as the whole range."""
+
+        async def play() -> None:
+            following = Following(
+                zones.Handle(zones.FarStore(), 't'),
+                '',
+                zones.Newest(),
+                Random(1),
+                bounds_within(2),
+            )
+            mirror = following.mirror
+            whole = {KEY: Record(b'1', 1), 'servers/a': Record(b'a', 2)}
+            mirror.replaced(whole, 2, 0)
+            new = Record(b'2', 3)
+            mirror.changed((Change(KEY, new),), 3, 0)
+            teller = RangeTeller(following)
+            net = MemoryNet(Random(1), 0, 0)
+
+            async def accept(stream: FrameStream) -> None:
+                await teller.serve(stream, await stream.read())
+
+            net.accepting[('t', 1)] = accept
+
+            async def ask(after: int) -> Told:
+                stream = await MemoryDialler(net).dial(('t', 1))
+                request = encode(RangeRequest(after=after))
+                await stream.write(FrameKind.RANGE_REQUEST, request)
+                told = await _read(stream)
+                stream.close()
+                return told
+
+            before = await ask(2)
+            self.assertFalse(before.whole)
+            # Read anew after an outage; nothing was written meanwhile.
+            mirror.replaced({**whole, KEY: new}, 3, 1)
+            after = await ask(2)
+            await net.close()
+            keys = {one.key for one in after.changes}
+            if after.whole:
+                self.assertEqual(keys, set(whole))
+
+        virtual.run(play())
+
+
+class OwnAnswerTest(unittest.TestCase):
+    """An answer of one's own that flows already."""
+
+    def test_is_not_dropped_for_one_that_flows_elsewhere(self) -> None:
+        """Only what a neighbour knows, not what it awaits, replaces it."""
+
+        async def play() -> None:
+            store = zones.FarStore()
+            handle = zones.Handle(store, 'me')
+            sink = zones.Newest()
+            following = Following(handle, '', sink, Random(1), bounds_within(3))
+            handle.heard = following.flowed
+            following.start()
+            await asyncio.sleep(3)
+            store.write(b'2' * zones.LARGE * 3)
+            await asyncio.sleep(0.4)
+            self.assertEqual(sink.payload, b'1')
+            # The neighbour knows no more, and its own answer begins.
+            loop = asyncio.get_running_loop()
+            written_at = loop.time()
+            for nth in range(20):
+                flowing_s = nth * 0.1
+                told = Told(1, 2 + flowing_s, 0, flowing_s, 0, False, ())
+                following.told(told)
+                await asyncio.sleep(0.1)
+            await asyncio.sleep(3)
+            late_s = sink.at - written_at
+            await following.close()
+            self.assertEqual(sink.payload[:1], b'2')
+            self.assertLess(late_s, 1)
+
+        virtual.run(play())
+
+
+if __name__ == '__main__':
+    unittest.main()
