--- a/src/linnetwood/calls/accounts.py
+++ b/src/linnetwood/calls/accounts.py
@@ -69,6 +69,7 @@
 ) -> None:
     """Log how an attempt ended, beside what it should have been."""
     first_heard = attempt.first_heard
+    sent = attempt.sent
     route = sending.route
     belief = sending.belief
     log(
@@ -83,6 +84,8 @@
         running=belief.running,
         report_age_ms=belief.report_age_ms,
         predicted_ms=_ms(sending.choice.wait_s),
+        connect_ms=_ms(sent.connected_s) if sent.connected_s else _NEVER,
+        written_bytes=sent.written,
         first_ms=_ms(first_heard - sending.at) if first_heard else _NEVER,
         target_ms=_ms(route.target_s),
         gap_ms=_ms(attempt.longest_gap_s),
--- a/src/linnetwood/calls/attempt.py
+++ b/src/linnetwood/calls/attempt.py
@@ -7,7 +7,13 @@
 from typing import Protocol
 
 from linnetwood.calls.dialect import Dialect, Verdict
-from linnetwood.wire.curldriver import CurlDriver, Finish, Headers, Request
+from linnetwood.wire.curldriver import (
+    CurlDriver,
+    Finish,
+    Headers,
+    Request,
+    Sent,
+)
 from linnetwood.wire.eventstream import EventCutter
 
 MOST_ANSWER_BYTES = 16777216
@@ -103,6 +109,7 @@
         """Expect a stream of events, or an answer to pass on whole."""
         self.last_heard = clock_now
         self.first_heard = float()
+        self.sent = Sent()
         self.longest_gap_s = float()
         self.started: Callable[[], None] = _nothing
         self._loop = asyncio.get_running_loop()
@@ -134,6 +141,7 @@
                 self._watch(bounds)
         finally:
             driver.cancel(transfer)
+            self.sent = transfer.sent
         return self.fut.result()
 
     def head(self, status: int, headers: Headers) -> None:
--- a/src/linnetwood/wire/curldriver.py
+++ b/src/linnetwood/wire/curldriver.py
@@ -59,6 +59,18 @@
     detail: str = ''
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Sent:
+    """How far a request came: seconds to its connection, 0 if it had none.
+
+    Written are the bytes of its head and body that went into the connection;
+    that they left this VM, or arrived, is not said.
+    """
+
+    connected_s: float = 0
+    written: int = 0
+
+
 class Receiver(Protocol):
     """Take in an answer as it comes."""
 
@@ -73,7 +85,7 @@
 
 
 class Transfer:
-    """One request under way."""
+    """One request under way; what was sent of it is known when it is over."""
 
     __slots__ = (
         'descriptor',
@@ -81,12 +93,14 @@
         'headers',
         'in_head',
         'receiver',
+        'sent',
         'status',
     )
 
     def __init__(self, receiver: Receiver) -> None:
         """Know nothing of the answer yet."""
         self.receiver = receiver
+        self.sent = Sent()
         self.handle: Any = None
         self.descriptor = -1
         self.status = 0
@@ -180,6 +194,7 @@
         if handle is None or self._by_handle.pop(handle, None) is None:
             return
         transfer.handle = None
+        transfer.sent = _sent(handle)
         try:
             self._multi.remove_handle(handle)
         except pycurl.error:
@@ -258,6 +273,13 @@
         receiver.done(Finish(code == 0, bool(connected), detail))
 
 
+def _sent(handle: Any) -> Sent:
+    return Sent(
+        handle.getinfo(pycurl.CONNECT_TIME),
+        handle.getinfo(pycurl.REQUEST_SIZE),
+    )
+
+
 def _reset_on_close(descriptor: int) -> None:
     if descriptor < 0:
         return
--- a/tests/test_curldriver.py
+++ b/tests/test_curldriver.py
@@ -6,7 +6,13 @@
 from collections.abc import Awaitable, Callable
 
 from linnetwood.wire.asking import Answer, ask
-from linnetwood.wire.curldriver import CurlDriver, Request
+from linnetwood.wire.curldriver import (
+    CurlDriver,
+    Finish,
+    Headers,
+    Request,
+    Sent,
+)
 
 HOST = '127.0.0.1'
 MOST = 1000000
@@ -222,6 +228,19 @@
         await server.close()
 
 
+class Silent:
+    """Take in no answer."""
+
+    def head(self, status: int, headers: Headers) -> None:
+        """Leave it."""
+
+    def body(self, piece: bytes) -> None:
+        """Leave it."""
+
+    def done(self, finish: Finish) -> None:
+        """Leave it."""
+
+
 class CancelTest(unittest.IsolatedAsyncioTestCase):
     """Take a request back from a server that has not read it."""
 
@@ -245,6 +264,39 @@
                     await asyncio.sleep(0)
             driver.close()
 
+    async def test_cancelled_request_tells_what_was_sent(self) -> None:
+        """All of its bytes went into the connection, though nobody read."""
+        with socket.socket() as listening:
+            listening.bind((HOST, 0))
+            listening.listen()
+            port = listening.getsockname()[1]
+            driver = CurlDriver()
+            req = Request(HOST, port, 'POST', '/', [('Host', 'x')], b'abc')
+            transfer = driver.begin(req, Silent())
+            self.assertEqual(transfer.sent, Sent())
+            loop = asyncio.get_running_loop()
+            listening.setblocking(False)  # noqa: WPS425
+            conn, _ = await loop.sock_accept(listening)
+            await self.arrived(conn)
+            driver.cancel(transfer)
+            with conn:
+                request = await loop.sock_recv(conn, MOST)
+            self.assertEqual(transfer.sent.written, len(request))
+            self.assertGreater(transfer.sent.connected_s, 0)
+            driver.close()
+
+    async def test_request_without_a_connection_sent_nothing(self) -> None:
+        """Nobody takes it in, and it is cancelled while it connects."""
+        with socket.socket() as listening:
+            listening.bind((HOST, 0))
+            port = listening.getsockname()[1]
+            driver = CurlDriver()
+            req = Request(HOST, port, 'POST', '/', [('Host', 'x')], b'abc')
+            transfer = driver.begin(req, Silent())
+            driver.cancel(transfer)
+            self.assertEqual(transfer.sent, Sent())
+            driver.close()
+
     async def arrived(self, conn: socket.socket) -> None:
         """Wait until the request lies in the connection, unread."""
         conn.setblocking(False)  # noqa: WPS425
