Show a call that begins behind its version's bound over a slow way (red)

Cause: a call's bytes wait in the queue of the narrowed link of the VM beside the engine, and the reset that takes the call back waits behind them. Entries send on the old version until 1.2 s and take back at 0.8 s before the bound; the queue was 1.7 s long. Connections stood after 2 to 32 ms: a quick handshake says nothing of the way, and a reset can't overtake the request.

Of 42 attempts at i-795365c0f4 sent from 19 to 25.3 s, 28 were taken back (25.220 to 25.226 s), all connected, sent from 24.03 to 24.70 s.

The test needs what an entry alone can tell: a call before this one had been slow on the same way.

--- /dev/null
+++ b/tests/test_narrow_way.py
@@ -0,0 +1,225 @@
+"""Calls over a way that holds bytes back: none begins behind the bound.
+
+The way shakes hands at once and keeps the order of what it carries: what ends
+a connection comes out behind the request that it was to take back.
+"""
+
+import asyncio
+import contextlib
+import unittest
+from random import Random
+
+from linnetwood.calls.choice import Chooser
+from linnetwood.calls.dialect import CallHead
+from linnetwood.calls.direct import DirectCall, DirectDispatcher
+from linnetwood.calls.directory import Directory, Listed
+from linnetwood.calls.engine import EngineFigures
+from linnetwood.calls.routebook import Repeat, Route, Service, Share
+from linnetwood.core.metrics import NoMetrics
+from linnetwood.core.outcomes import Ending, Outcome
+from linnetwood.fleet.wanted import MARGIN_S, WantedVersions
+from linnetwood.platform.dialect import PlatformDialect
+from linnetwood.wire.curldriver import CurlDriver
+from tests.test_curldriver import HOST, Server, says
+from tests.test_direct import Heard, events, stream
+
+MODEL = 'm'
+BOUND_S = 8
+MOST = 65536
+ENGINE = EngineFigures(
+    slots=16,
+    step_s=0.01,
+    per_call_s=0.00002,
+    context_s_per_k=0.00003,
+    read_per_s=20000,
+    pairs_s_per_m=0.001,
+    stride=5,
+    usual_prompt=800,
+    usual_answer=80,
+    kv_tokens=300000,
+    models=(MODEL,),
+)
+SERVICE = Service('pool', 100, ENGINE)
+ROUTE = Route(
+    'r',
+    'h',
+    '/',
+    Repeat.RESUME,
+    streams=True,
+    timeout_s=6,
+    target_s=0.4,
+    gap_s=0.4,
+    attempts=2,
+    priority=1,
+    public=True,
+    shares=(Share('pool', 1),),
+)
+
+
+class NarrowWay:
+    """Carry connections to a port, and hold their bytes while it is shut."""
+
+    def __init__(self, port: int) -> None:
+        self.open = asyncio.Event()
+        self.open.set()
+        self.tasks: set[asyncio.Task[None]] = set()
+        self._port = port
+
+    async def start(self) -> int:
+        self._server = await asyncio.start_server(self._accept, HOST, 0)
+        return int(self._server.sockets[0].getsockname()[1])
+
+    async def close(self) -> None:
+        self._server.close()
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+    async def settled(self) -> None:
+        """Wait until everything is through and both ends have closed."""
+        await asyncio.gather(*self.tasks)
+
+    async def _accept(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        there, out = await asyncio.open_connection(HOST, self._port)
+        for pump in (self._onward(reader, out), self._back(there, writer)):
+            task = asyncio.create_task(pump)
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+
+    async def _onward(
+        self,
+        reader: asyncio.StreamReader,
+        out: asyncio.StreamWriter,
+    ) -> None:
+        held: asyncio.Queue[bytes | None] = asyncio.Queue()
+        reading = asyncio.create_task(self._read(reader, held))
+        while True:
+            piece = await held.get()
+            await self.open.wait()
+            if piece is None:
+                break
+            out.write(piece)
+        out.close()
+        await reading
+
+    async def _read(
+        self,
+        reader: asyncio.StreamReader,
+        held: asyncio.Queue[bytes | None],
+    ) -> None:
+        with contextlib.suppress(ConnectionResetError):
+            while piece := await reader.read(MOST):
+                held.put_nowait(piece)
+        held.put_nowait(None)
+
+    async def _back(
+        self,
+        there: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        with contextlib.suppress(ConnectionResetError):
+            while piece := await there.read(MOST):
+                writer.write(piece)
+        writer.close()
+
+
+class NarrowWayTest(unittest.IsolatedAsyncioTestCase):
+    """Call an engine of the old version shortly before its bound."""
+
+    async def asyncSetUp(self) -> None:
+        self.loop = asyncio.get_running_loop()
+        answer = stream(events(0)).replace(b'c-1', b'c-2')
+        self.engine = Server(says(answer))
+        self.way = NarrowWay(await self.engine.start())
+        self.wanted = WantedVersions(BOUND_S)
+        directory = Directory()
+        directory.listed(
+            Listed(
+                'i-1',
+                'pool',
+                HOST,
+                await self.way.start(),
+                'z1',
+                16,
+                ready=True,
+                versions={MODEL: 1},
+            ),
+        )
+        self.driver = CurlDriver()
+        self.dispatcher = DirectDispatcher(
+            Chooser(directory, Random(1)),
+            self.driver,
+            PlatformDialect(),
+            self.wanted,
+            'z1',
+            NoMetrics(),
+        )
+
+    async def asyncTearDown(self) -> None:
+        self.driver.close()
+        await self.way.close()
+        await self.engine.close()
+
+    async def call(self) -> Ending:
+        """Run one call."""
+        now = self.loop.time()
+        call = DirectCall(
+            CallHead(call_id='c-2', model=MODEL, prompt=100),
+            ROUTE,
+            SERVICE,
+            None,
+            'POST',
+            '/x',
+            [('Host', 'h'), ('X-Attempt-Id', 'c-2')],
+            b'body',
+            now,
+            now + ROUTE.timeout_s,
+        )
+        return await self.dispatcher.run(call, Heard())
+
+    def named(self, left_s: float) -> float:
+        """Name a newer version, so long before its bound; give the bound."""
+        bound = self.loop.time() + left_s
+        self.wanted.name(MODEL, 2, bound - BOUND_S)
+        return bound
+
+    async def passed(self, moment: float) -> None:
+        """Wait until a moment has passed."""
+        gone = asyncio.Event()
+        self.loop.call_at(moment, gone.set)
+        await gone.wait()
+
+    async def test_open_way(self) -> None:
+        """A call begins on the old version while there is time for it."""
+        self.named(2 * MARGIN_S)
+        ending = await self.call()
+        self.assertEqual(ending.outcome, Outcome.ANSWERED)
+        self.assertEqual(len(self.engine.requests), 1)
+
+    async def test_slow_way_lets_nothing_begin_behind_the_bound(self) -> None:
+        """What a slow way brings behind the bound must not be a call.
+
+        The way was slow for a call before this one, so that was to be seen.
+        """
+        self.way.open.clear()
+        earlier = asyncio.create_task(self.call())
+        await asyncio.sleep(MARGIN_S)
+        self.way.open.set()
+        await earlier
+        self.assertEqual(len(self.engine.requests), 1)
+        self.way.open.clear()
+        bound = self.named(MARGIN_S + 0.2)
+        ending = await self.call()
+        await self.passed(bound)
+        self.way.open.set()
+        await self.way.settled()
+        self.assertNotEqual(ending.outcome, Outcome.ANSWERED)
+        self.assertEqual(len(self.engine.requests), 1)
+
+
+if __name__ == '__main__':
+    unittest.main()
