Show that fetching weights fills a narrowed link's queue (red)

Why the way was slow: three chunks from peers and two from the origin are asked for at a time whatever the link carries, and a chunk of a peer that was silent for 0.8 s is asked again elsewhere while its bytes still come. At 0.91 Mbit/s a chunk takes 0.22 s.

--- a/tests/test_swarm.py
+++ b/tests/test_swarm.py
@@ -4,10 +4,11 @@
 from random import Random
 from typing import Any
 
+from linnetwood.fleet.wanted import START_MARGIN_S
 from linnetwood.weights import chunks
 from linnetwood.weights.bounds import SwarmOptions
 from linnetwood.weights.reading import DirectReading, Ring, SharedReading, Turns
-from linnetwood.weights.swarm import ORIGIN, Swarm
+from linnetwood.weights.swarm import ORIGIN, Fetch, Swarm
 
 COUNT = 8
 
@@ -234,6 +235,88 @@
         self.assertEqual([one.source for one in found.plan(1.2)], ['b'])
 
 
+class Reads(Nobody):
+    """Read some chunks from the origin, as soon as may be."""
+
+    def __init__(self, among: int) -> None:
+        self._among = among
+
+    def due_at(self, index: int, started: float) -> float | None:
+        """Give a turn at once."""
+        return started if self._among >> index & 1 else None
+
+    def turns(self) -> int:
+        """Give the chunks to read."""
+        return self._among
+
+
+class NarrowLink:
+    """Carry what was asked for, in order, also what nobody waits for now."""
+
+    def __init__(self, chunk_s: float) -> None:
+        self.heard_at: dict[str, float] = {}
+        self.free_at = float()
+        self._chunk_s = chunk_s
+        self._asked: list[tuple[float, Fetch]] = []
+
+    def ask(self, fetch: Fetch, now: float) -> None:
+        """Put a chunk behind all that is under way."""
+        self._asked.append((max(now, self.free_at), fetch))
+        self.free_at = self._asked[-1][0] + self._chunk_s
+
+    def carry(self, found: Swarm, now: float) -> None:
+        """Hand over what has come by now, unless it was given up."""
+        for start, fetch in list(self._asked):
+            pending = found.pending.get(fetch.index)
+            wanted = pending is not None and pending.source == fetch.source
+            if wanted and start <= now:
+                self.heard_at[fetch.source] = min(now, start + self._chunk_s)
+            if start + self._chunk_s <= now:
+                self._asked.remove((start, fetch))
+                if wanted:
+                    found.arrived(fetch.index)
+
+
+class NarrowLinkTest(unittest.TestCase):
+    """Fetch over a link that has become narrower than it should be."""
+
+    def longest_queue_s(self, bytes_per_s: float) -> float:
+        """Fetch all; give the longest that a call had to wait on the link."""
+        count = 96
+        read_here = (1 << count // 8) - 1
+        cfg = SwarmOptions(window=3, queue_limit=4, silence_s=0.8)
+        found = Swarm(count, 0, cfg, Reads(read_here), Random(1), 0)
+        for vm in 'abcdefghi':
+            found.meet(vm)
+            found.notice(vm, chunks.full(count) & ~read_here, 0)
+        link = NarrowLink(24576 / bytes_per_s)
+        now = float()
+        longest = float()
+        while not found.complete:
+            link.carry(found, now)
+            for index in found.expired(now, link.heard_at):
+                source = found.pending[index].source
+                found.failed(index, source)
+                found.avoid(source, now)
+            for fetch in found.plan(now):
+                link.ask(fetch, now)
+            longest = max(longest, link.free_at - now)
+            now += 0.01
+        return longest
+
+    def test_calls_pass_on_a_link_of_the_stated_rate(self) -> None:
+        """Calls wait for a few chunks."""
+        self.assertLess(self.longest_queue_s(456250), START_MARGIN_S)
+
+    def test_calls_pass_on_a_narrowed_link(self) -> None:
+        """Fetching leaves room there too: calls and resets come in time.
+
+        What was asked of a silent peer still comes; asked again elsewhere, it
+        lies in the same queue twice.
+        """
+        self.assertLess(self.longest_queue_s(113750), START_MARGIN_S)
+
+
 class ChunksTest(unittest.TestCase):
     """Only checked chunks are kept."""
 
