Bound the chunks under way by the time that this VM's link takes for them

Cause: three chunks of peers and two of the origin were under way whatever the link carries, and a chunk of a peer that was silent for 0.8 s was asked again elsewhere while its bytes still came: 1.57 s of queue at 0.91 Mbit/s in the test. Now one chunk and what the link brings within 0.4 s, by the fastest of the last three, given-up chunks counted until they must be through; no peer is silent while the link may be busy for what was asked for. Unlike the rate itself is looked at, also of reads from the origin: five are under way down to 0.54 of the stated rate, two at a quarter (0.65 s of queue at most, when it begins).

The first chunks: until one has come, peers' and the origin's windows aren't added up, since the test starts on a narrowed link. A peer of a link that is whole is left after 0.8 s as before.

Its set-up was split for four new cases.

--- /dev/null
+++ b/src/linnetwood/weights/inflow.py
@@ -0,0 +1,92 @@
+"""Measure what this VM's link brings, and what lies on it; no I/O or clock."""
+
+import collections
+
+# What may be under way beyond the one chunk that has to be. Calls to the engine
+# here wait behind it; entries allow them 0.8 s to arrive and begin.
+_AHEAD_S = 0.4
+# The fastest of so many chunks tells of the link, since slow senders show in
+# others: as many as are asked of peers at a time on the narrowest links.
+_SAMPLES = 3
+
+
+class Flight:
+    """One chunk that was asked for and has not come."""
+
+    __slots__ = ('came_before', 'since')
+
+    def __init__(self, since: float, came_before: int) -> None:
+        """Keep since when, and how many had come by then."""
+        self.since = since
+        self.came_before = came_before
+
+
+class Inflow:
+    """Hold the chunks under way to this VM, and how fast they come.
+
+    All downloads of a VM share one, since they share its link.
+    """
+
+    def __init__(self) -> None:
+        """Know nothing of the link."""
+        self._came = 0
+        self._flights: set[Flight] = set()
+        self._undated: list[tuple[Flight, int]] = []
+        self._given_up: list[float] = []
+        self._samples: collections.deque[float] = collections.deque(
+            maxlen=_SAMPLES,
+        )
+
+    @property
+    def chunk_s(self) -> float:
+        """Give the seconds that the link takes for a chunk; 0 if unknown."""
+        return min(self._samples, default=0)
+
+    @property
+    def owed_s(self) -> float:
+        """Give the seconds that the link takes for all that may still come."""
+        return self.chunk_s * (len(self._flights) + len(self._given_up))
+
+    def asked(self, now: float) -> Flight:
+        """Note that a chunk was asked for."""
+        flight = Flight(now, self._came)
+        self._flights.add(flight)
+        return flight
+
+    def came(self, flight: Flight) -> None:
+        """Note that a chunk has come; it is dated when things are settled."""
+        if flight in self._flights:
+            self._flights.remove(flight)
+            self._came += 1
+            self._undated.append((flight, self._came))
+
+    def ended(self, flight: Flight) -> None:
+        """Note that nothing will come."""
+        self._flights.discard(flight)
+
+    def gave_up(self, now: float) -> None:
+        """Note that a chunk is no longer waited for, but may still come."""
+        self._given_up.append(now + self.owed_s + self.chunk_s)
+
+    def settle(self, now: float) -> None:
+        """Date what has come; forget what was given up and must be through.
+
+        How many chunks came while one was under way is the rate of the link,
+        if that is what held them up, and less if the senders did.
+        """
+        for flight, came in self._undated:
+            took_s = now - flight.since
+            self._samples.append(took_s / (came - flight.came_before))
+        self._undated.clear()
+        self._given_up = [until for until in self._given_up if until > now]
+
+    def room(self, unmeasured: int) -> int:
+        """Give how many more chunks may be asked for.
+
+        So many may be under way at most while the link is not measured.
+        """
+        most = unmeasured
+        chunk_s = self.chunk_s
+        if chunk_s:
+            most = 1 + int(_AHEAD_S / chunk_s)
+        return most - len(self._flights) - len(self._given_up)
--- a/src/linnetwood/weights/swarm.py
+++ b/src/linnetwood/weights/swarm.py
@@ -1,12 +1,14 @@
 """Decide which chunk to fetch from whom; no I/O or clock inside."""
 
 import dataclasses
+import itertools
 from collections.abc import Collection, Iterator, Mapping
 from random import Random
 
 from linnetwood.core.backoff import pause_s
 from linnetwood.weights import chunks
 from linnetwood.weights.bounds import SwarmOptions
+from linnetwood.weights.inflow import Flight, Inflow
 from linnetwood.weights.reading import DueTimes, OriginPolicy
 
 ORIGIN = ''
@@ -18,6 +20,9 @@
 _AWAY_FIRST_S = 0.1
 _AWAY_MOST_S = 0.8
 _AWAY_LEAST_SHARE = 0.5
+# A peer is not silent while the own link may still be busy with what was asked
+# for: so many times what it takes, since flows don't share it evenly.
+_OWED_FACTOR = 2
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -45,12 +50,17 @@
 class Pending:
     """One fetch under way."""
 
-    __slots__ = ('since', 'source')
+    __slots__ = ('flight', 'source')
 
-    def __init__(self, source: str, since: float) -> None:
-        """Keep where from and since when."""
+    def __init__(self, source: str, flight: Flight) -> None:
+        """Keep where from, and what the link is to bring."""
         self.source = source
-        self.since = since
+        self.flight = flight
+
+    @property
+    def since(self) -> float:
+        """Give since when."""
+        return self.flight.since
 
 
 class Swarm:
@@ -65,12 +75,14 @@
         rng: Random,
         now: float,
         far: DueTimes | None = None,
+        inflow: Inflow | None = None,
     ) -> None:
         """Start with what is held already.
 
         With a policy for far neighbours, a chunk is asked of them only when
         it is this VM's turn among those near it.
         """
+        self._inflow = inflow or Inflow()
         self._far = far
         self.count = count
         self.held = held
@@ -112,11 +124,9 @@
         peer = self.peers.pop(vm, None)
         if peer is not None:
             self._count(peer.held, -1)
-        self.pending = {
-            index: pending
-            for index, pending in self.pending.items()
-            if pending.source != vm
-        }
+        for index, pending in list(self.pending.items()):
+            if pending.source == vm:
+                self._settle(index)
 
     def notice(self, vm: str, held: int, queued: int) -> None:
         """Note what a neighbour holds and how many wait on it.
@@ -133,6 +143,9 @@
 
     def arrived(self, index: int) -> bool:
         """Note a checked chunk; tell whether it was new."""
+        pending = self.pending.get(index)
+        if pending is not None:
+            self._inflow.came(pending.flight)
         self._settle(index)
         bit = 1 << index
         fresh = not self.held & bit
@@ -184,15 +197,35 @@
         ]
 
     def avoid(self, vm: str, now: float) -> None:
-        """Ask nothing of a peer that fell silent, for a while."""
+        """Ask nothing of a peer that fell silent, for a while.
+
+        What was asked of it may still come.
+        """
+        self._inflow.gave_up(now)
         peer = self.peers.get(vm)
         if peer is not None:
             peer.shunned_until = max(peer.shunned_until, now + _AVOID_S)
 
     def plan(self, now: float) -> Iterator[Fetch]:
-        """Yield the fetches to begin now, and count them as begun."""
-        yield from self._plan_origin(now)
-        yield from self._plan_peers(now)
+        """Yield the fetches to begin now, and count them as begun.
+
+        No more than the link of this VM can bring soon: calls to the engine
+        here wait behind them. Before it has brought anything, what may be
+        asked of peers and of the origin is not added up.
+        """
+        self._inflow.settle(now)
+        unmeasured = max(self._cfg.window, self._cfg.origin_window)
+        room = self._inflow.room(unmeasured)
+        planned = itertools.chain(
+            self._plan_origin(now),
+            self._plan_peers(now),
+        )
+        yield from itertools.islice(planned, max(0, room))
+
+    def close(self) -> None:
+        """Wait for nothing any more."""
+        for index in list(self.pending):
+            self._settle(index)
 
     def _overdue(
         self,
@@ -205,7 +238,8 @@
         if pending.source == ORIGIN:
             return False
         last = max(pending.since, heard_at.get(pending.source, pending.since))
-        return now - last > self._cfg.silence_s
+        owed_s = _OWED_FACTOR * self._inflow.owed_s
+        return now - last > max(self._cfg.silence_s, owed_s)
 
     def _plan_origin(self, now: float) -> Iterator[Fetch]:
         if now < self._origin_free_at:
@@ -312,14 +346,20 @@
         )
 
     def _begin(self, fetch: Fetch, now: float) -> Fetch:
-        self.pending[fetch.index] = Pending(fetch.source, now)
+        self.pending[fetch.index] = Pending(
+            fetch.source,
+            self._inflow.asked(now),
+        )
         if fetch.source != ORIGIN:
             self.peers[fetch.source].outstanding += 1
         return fetch
 
     def _settle(self, index: int) -> None:
         pending = self.pending.pop(index, None)
-        if pending is None or pending.source not in self.peers:
+        if pending is None:
+            return
+        self._inflow.ended(pending.flight)
+        if pending.source not in self.peers:
             return
         peer = self.peers[pending.source]
         peer.outstanding = max(0, peer.outstanding - 1)
--- a/src/linnetwood/weights/transfer.py
+++ b/src/linnetwood/weights/transfer.py
@@ -16,6 +16,7 @@
 from linnetwood.weights import chunks
 from linnetwood.weights.bounds import SwarmOptions
 from linnetwood.weights.exchange import Fetcher, Tally, Uploads
+from linnetwood.weights.inflow import Inflow
 from linnetwood.weights.reading import DueTimes, OriginPolicy
 from linnetwood.weights.swarm import ORIGIN, Fetch, Swarm
 from linnetwood.wire.connections import Address
@@ -47,6 +48,7 @@
     tally: Tally
     metrics: Metrics
     cfg: Transfer
+    inflow: Inflow = dataclasses.field(default_factory=Inflow)
 
 
 class Download:
@@ -72,6 +74,7 @@
             tools.rng,
             tools.clock.now(),
             far,
+            tools.inflow,
         )
         self.kept: Callable[[int, bytes], None] | None = None
         self._tools = tools
@@ -93,6 +96,7 @@
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
+        self.swarm.close()
 
     def nearby(self, vms: Collection[str]) -> None:
         """Set which neighbours cost little to ask."""
--- /dev/null
+++ b/tests/test_inflow.py
@@ -0,0 +1,75 @@
+"""What a VM's link brings, and how much is asked for at a time."""
+
+import unittest
+
+from linnetwood.weights.inflow import Inflow
+
+# As many as both windows of a download together.
+MOST = 5
+UNMEASURED = 3
+STATED_CHUNK_S = 0.054
+NARROWED_CHUNK_S = 0.216
+
+
+def measured(chunk_s: float) -> Inflow:
+    """Give what has brought some chunks, one after the other."""
+    inflow = Inflow()
+    for number in range(3):
+        flight = inflow.asked(number * chunk_s)
+        inflow.came(flight)
+        inflow.settle((number + 1) * chunk_s)
+    return inflow
+
+
+class InflowTest(unittest.TestCase):
+    """Bound what is under way by the time that it takes."""
+
+    def test_room(self) -> None:
+        """One chunk, and as many as come within 0.4 s beside it."""
+        for chunk_s, room in (
+            (STATED_CHUNK_S, 8),
+            (0.09, MOST),
+            (NARROWED_CHUNK_S, 2),
+            (0.5, 1),
+        ):
+            with self.subTest(chunk_s=chunk_s):
+                self.assertEqual(measured(chunk_s).room(UNMEASURED), room)
+        self.assertEqual(Inflow().room(UNMEASURED), UNMEASURED)
+
+    def test_chunks_that_share_the_link(self) -> None:
+        """Three that come at once in 0.6 s took 0.2 s each."""
+        inflow = Inflow()
+        flights = [inflow.asked(0) for _ in range(3)]
+        for flight in flights:
+            inflow.came(flight)
+        inflow.settle(0.6)
+        self.assertAlmostEqual(inflow.chunk_s, 0.2)
+
+    def test_a_slow_sender_tells_nothing_of_the_link(self) -> None:
+        """The fastest of the last chunks counts."""
+        inflow = measured(STATED_CHUNK_S)
+        flight = inflow.asked(1)
+        inflow.came(flight)
+        inflow.settle(2)
+        self.assertAlmostEqual(inflow.chunk_s, STATED_CHUNK_S)
+
+    def test_what_was_given_up_may_still_come(self) -> None:
+        """It takes room until the link must have brought it."""
+        inflow = measured(NARROWED_CHUNK_S)
+        flights = [inflow.asked(10) for _ in range(2)]
+        inflow.ended(flights[0])
+        inflow.gave_up(11)
+        self.assertEqual(inflow.room(UNMEASURED), 0)
+        self.assertAlmostEqual(inflow.owed_s, 2 * NARROWED_CHUNK_S)
+        inflow.settle(11 + 3 * NARROWED_CHUNK_S)
+        self.assertEqual(inflow.room(UNMEASURED), 1)
+
+    def test_what_fails_takes_no_room(self) -> None:
+        """Nothing will come."""
+        inflow = measured(NARROWED_CHUNK_S)
+        inflow.ended(inflow.asked(10))
+        self.assertEqual(inflow.room(UNMEASURED), 2)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/tests/test_swarm.py
+++ b/tests/test_swarm.py
@@ -1,5 +1,6 @@
 """Which chunk is fetched from whom."""
 
+import math
 import unittest
 from random import Random
 from typing import Any
@@ -256,13 +257,22 @@
     def __init__(self, chunk_s: float) -> None:
         self.heard_at: dict[str, float] = {}
         self.free_at = float()
-        self._chunk_s = chunk_s
+        self.chunk_s = chunk_s
         self._asked: list[tuple[float, Fetch]] = []
 
     def ask(self, fetch: Fetch, now: float) -> None:
         """Put a chunk behind all that is under way."""
         self._asked.append((max(now, self.free_at), fetch))
-        self.free_at = self._asked[-1][0] + self._chunk_s
+        self.free_at = self._asked[-1][0] + self.chunk_s
+
+    def narrow(self, chunk_s: float, now: float) -> None:
+        """Carry all that is under way more slowly, from its beginning."""
+        self.chunk_s = chunk_s
+        asked = self._asked
+        self._asked = []
+        self.free_at = now
+        for _, fetch in asked:
+            self.ask(fetch, now)
 
     def carry(self, found: Swarm, now: float) -> None:
         """Hand over what has come by now, unless it was given up."""
@@ -270,8 +280,8 @@
             pending = found.pending.get(fetch.index)
             wanted = pending is not None and pending.source == fetch.source
             if wanted and start <= now:
-                self.heard_at[fetch.source] = min(now, start + self._chunk_s)
-            if start + self._chunk_s <= now:
+                self.heard_at[fetch.source] = min(now, start + self.chunk_s)
+            if start + self.chunk_s <= now:
                 self._asked.remove((start, fetch))
                 if wanted:
                     found.arrived(fetch.index)
@@ -280,26 +290,45 @@
 class NarrowLinkTest(unittest.TestCase):
     """Fetch over a link that has become narrower than it should be."""
 
-    def longest_queue_s(self, bytes_per_s: float) -> float:
-        """Fetch all; give the longest that a call had to wait on the link."""
-        count = 96
-        read_here = (1 << count // 8) - 1
+    def setUp(self) -> None:
+        self.count = 96
+        self.read_here = (1 << self.count // 8) - 1
         cfg = SwarmOptions(window=3, queue_limit=4, silence_s=0.8)
-        found = Swarm(count, 0, cfg, Reads(read_here), Random(1), 0)
+        policy = Reads(self.read_here)
+        self.found = Swarm(self.count, 0, cfg, policy, Random(1), 0)
         for vm in 'abcdefghi':
-            found.meet(vm)
-            found.notice(vm, chunks.full(count) & ~read_here, 0)
+            self.found.meet(vm)
+            held = chunks.full(self.count) & ~self.read_here
+            self.found.notice(vm, held, 0)
+        self.most = 0
+        self.given_up = 0
+
+    def longest_queue_s(
+        self,
+        bytes_per_s: float,
+        narrowed_at: float = math.inf,
+    ) -> float:
+        """Fetch all; give the longest that a call had to wait on the link.
+
+        The link may be narrowed to a quarter while chunks come.
+        """
+        found = self.found
         link = NarrowLink(24576 / bytes_per_s)
         now = float()
         longest = float()
         while not found.complete:
+            if now >= narrowed_at:
+                link.narrow(4 * 24576 / bytes_per_s, now)
+                narrowed_at = math.inf
             link.carry(found, now)
             for index in found.expired(now, link.heard_at):
                 source = found.pending[index].source
                 found.failed(index, source)
                 found.avoid(source, now)
+                self.given_up += 1
             for fetch in found.plan(now):
                 link.ask(fetch, now)
+            self.most = max(self.most, len(found.pending))
             longest = max(longest, link.free_at - now)
             now += 0.01
         return longest
@@ -308,6 +337,16 @@
         """Calls wait for a few chunks."""
         self.assertLess(self.longest_queue_s(456250), START_MARGIN_S)
 
+    def test_the_stated_rate_keeps_the_windows(self) -> None:
+        """Three chunks of peers and two of the origin are under way."""
+        self.longest_queue_s(456250)
+        self.assertEqual(self.most, 5)
+
+    def test_half_the_stated_rate_keeps_the_windows(self) -> None:
+        """Rates vary by much on a good link, as other traffic does."""
+        self.longest_queue_s(456250 * 0.6)
+        self.assertEqual(self.most, 5)
+
     def test_calls_pass_on_a_narrowed_link(self) -> None:
         """Fetching leaves room there too: calls and resets come in time.
 
@@ -316,6 +355,18 @@
         """
         self.assertLess(self.longest_queue_s(113750), START_MARGIN_S)
 
+    def test_a_busy_link_makes_no_peer_silent(self) -> None:
+        """What is late on the own link isn't asked again elsewhere."""
+        self.longest_queue_s(113750)
+        self.assertEqual(self.given_up, 0)
+
+    def test_a_link_that_is_narrowed_meanwhile(self) -> None:
+        """What was under way by then is behind it; that is all."""
+        longest = self.longest_queue_s(456250, narrowed_at=1)
+        under_way_s = 5 * 4 * 24576 / 456250
+        self.assertLess(longest, under_way_s + 0.01)
+        self.assertLessEqual(self.given_up, 1)
+
 
 class ChunksTest(unittest.TestCase):
     """Only checked chunks are kept."""
