Send to an older version earlier over a slow way, and take back earlier

Cause: a connection to a narrowed VM is made within milliseconds while a call's bytes wait there for up to 1.7 s, and the reset that takes the call back waits behind them. Entries can't see that before the call is late; the process beside the engine can: its own chunks wait in the same queue. It now reports way_ms, the time that its link needs for what it owes at the rate it shows, no more than the quickest of the last three chunks took; longer at once, shorter smoothed. What is over the usual 0.3 s goes to both margins of that endpoint, and 0.8 s where reports have stopped for 0.4 s.

The test as committed gave no report and told the entry nothing but one slow answer, which a busy engine gives as well; it now hears the report through Reports, with the check on what begins behind the bound as it was. A test of the earlier take-back was added.

--- a/src/linnetwood/calls/choice.py
+++ b/src/linnetwood/calls/choice.py
@@ -32,6 +32,8 @@
     least_version: int = 0
     exact_version: int = 0
     urgent: bool = True
+    # Versions, and from when an endpoint on the usual way must serve them.
+    closing: tuple[tuple[int, float], ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -110,16 +112,32 @@
         for one in self._directory.ready(need.service.name, now):
             if one.endpoint in tried:
                 continue
-            if need.model and not self._serves(need, one):
+            if need.model and not self._serves(need, one, now):
                 continue
             yield one
 
-    def _serves(self, need: Need, one: Listed) -> bool:
+    def _serves(self, need: Need, one: Listed, now: float) -> bool:
         version = self._version(need, one)
+        if version < self._least_there(need, one, now):
+            return False
         if need.exact_version:
             return version == need.exact_version
         return version >= max(1, need.least_version)
 
+    def _least_there(self, need: Need, one: Listed, now: float) -> int:
+        """Give the oldest version for which a call comes there in time.
+
+        On a slow way a call has to be sent earlier by so much. On the usual
+        way the need itself says what is due.
+        """
+        slow_s = self.standing(one.endpoint).slow_s(now)
+        if not slow_s:
+            return 0
+        return max(
+            (version for version, at in need.closing if at <= now + slow_s),
+            default=0,
+        )
+
     def _version(self, need: Need, one: Listed) -> int:
         if not need.model:
             return 0
--- a/src/linnetwood/calls/direct.py
+++ b/src/linnetwood/calls/direct.py
@@ -104,6 +104,7 @@
             call.head.prompt,
             model,
             self._wanted.least(model, self._loop.time()) if model else 0,
+            closing=self._wanted.closing(model),
         )
 
     async def run(
@@ -237,6 +238,9 @@
         start_by = math.inf
         if choice.version and call.repeatable:
             start_by = self._wanted.start_by(call.head.model, choice.version)
+            # What takes it back must arrive before the bound as well.
+            standing = self._chooser.standing(choice.endpoint.endpoint)
+            start_by -= standing.slow_s(self._loop.time())
         if not call.route.streams or call.route.repeat is not Repeat.RESUME:
             return Bounds(call.until, start_by, math.inf, math.inf)
         first_s = FIRST_EVENT_S
--- a/src/linnetwood/calls/reports.py
+++ b/src/linnetwood/calls/reports.py
@@ -18,6 +18,7 @@
 HELLO_EVERY_S = 1.0
 # How many entries share what all may do, until an endpoint has told.
 UNKNOWN_ENTRIES = 16
+_MILLISECONDS = 1000
 
 
 class Reports:
@@ -131,4 +132,5 @@
         engine.serving,
         engine.changing,
         now,
+        engine.way_ms / _MILLISECONDS,
     )
--- a/src/linnetwood/calls/standing.py
+++ b/src/linnetwood/calls/standing.py
@@ -7,6 +7,12 @@
 _FRESH_S = 1.5
 # Reports come every tenth of a second; some are lost.
 _SILENT_S = 0.4
+# So long a whole link of a VM beside an engine takes for the chunks that are
+# under way on it (five of 54 ms): the entries' margins allow for that.
+_USUAL_WAY_S = 0.3
+# What is allowed for the way to an endpoint whose reports have stopped: what
+# may lie on the narrowest link that was met takes as long (0.65 s, and calls).
+_UNHEARD_SLOW_S = 0.8
 _SHUN_FIRST_S = 0.5
 _SHUN_MOST_S = 4.0
 
@@ -20,6 +26,7 @@
     serving: int
     changing: bool
     heard_at: float
+    way_s: float = 0
 
 
 class Standing:
@@ -85,6 +92,16 @@
         report = self.report
         return report is not None and now - report.heard_at > _SILENT_S
 
+    def slow_s(self, now: float) -> float:
+        """Give by how much longer than usual the way there may take."""
+        report = self.report
+        if report is None:
+            return 0
+        slow_s = max(0, report.way_s - _USUAL_WAY_S)
+        if self.silent(now):
+            return max(slow_s, _UNHEARD_SLOW_S)
+        return slow_s
+
     def fresh(self, now: float) -> bool:
         """Tell whether the report is young enough to count."""
         report = self.report
--- a/src/linnetwood/fleet/wanted.py
+++ b/src/linnetwood/fleet/wanted.py
@@ -112,6 +112,14 @@
             default=0,
         )
 
+    def closing(self, model: str) -> tuple[tuple[int, float], ...]:
+        """Give each named version and from when calls start on none before."""
+        named = self._named.get(model, {})
+        return tuple(
+            (version, since + self.bound_s - MARGIN_S)
+            for version, since in named.items()
+        )
+
     def start_by(self, model: str, version: int) -> float:
         """Give until when a call may begin on a version; inf for any time."""
         named = self._named.get(model, {})
--- a/src/linnetwood/gen/wire/ttypes.py
+++ b/src/linnetwood/gen/wire/ttypes.py
@@ -2113,6 +2113,7 @@
      - changing
      - entries
      - wanted
+     - way_ms: How long a call's bytes may wait on the way to this VM.
 
     """
 
@@ -2127,11 +2128,12 @@
         'changing',
         'entries',
         'wanted',
+        'way_ms',
     )
 
 
     def __init__(self, address=None, number=None, waiting=0, running=0, kv_used=0, kv_total=0, serving=0, changing=False, entries=0, wanted=[
-    ],):
+    ], way_ms=0,):
         self.address = address
         self.number = number
         self.waiting = waiting
@@ -2145,6 +2147,7 @@
             wanted = [
             ]
         self.wanted = wanted
+        self.way_ms = way_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2211,6 +2214,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.I32:
+                    self.way_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2264,6 +2272,10 @@
                 iter55.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.way_ms is not None:
+            oprot.writeFieldBegin('way_ms', TType.I32, 11)
+            oprot.writeI32(self.way_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2555,6 +2567,7 @@
     (9, TType.I32, 'entries', None, 0, ),  # 9
     (10, TType.LIST, 'wanted', (TType.STRUCT, [WantedWeights, None], False), [
     ], ),  # 10
+    (11, TType.I32, 'way_ms', None, 0, ),  # 11
 )
 all_structs.append(News)
 News.thrift_spec = (
--- a/src/linnetwood/gen/wire/ttypes.pyi
+++ b/src/linnetwood/gen/wire/ttypes.pyi
@@ -126,7 +126,8 @@
     changing: bool
     entries: int
     wanted: list[WantedWeights]
-    def __init__(self, address: str = ..., number: int = ..., waiting: int = ..., running: int = ..., kv_used: int = ..., kv_total: int = ..., serving: int = ..., changing: bool = ..., entries: int = ..., wanted: list[WantedWeights] = ...) -> None: ...
+    way_ms: int
+    def __init__(self, address: str = ..., number: int = ..., waiting: int = ..., running: int = ..., kv_used: int = ..., kv_total: int = ..., serving: int = ..., changing: bool = ..., entries: int = ..., wanted: list[WantedWeights] = ..., way_ms: int = ...) -> None: ...
 class News:
     entry: EntryNews
     engine: EngineNews
--- a/src/linnetwood/idl/wire.thrift
+++ b/src/linnetwood/idl/wire.thrift
@@ -159,7 +159,9 @@
   7: i64 serving = 0,
   8: bool changing = false,
   9: i32 entries = 0,
-  10: list<WantedWeights> wanted = []
+  10: list<WantedWeights> wanted = [],
+  /** How long a call's bytes may wait on the way to this VM. */
+  11: i32 way_ms = 0
 }
 
 /** One datagram between the processes on the users' platform. */
--- a/src/linnetwood/programs/resident_endpoint.py
+++ b/src/linnetwood/programs/resident_endpoint.py
@@ -23,12 +23,14 @@
 from linnetwood.weights.engine import EngineReport
 from linnetwood.weights.exchange import Fetcher, Tally, Uploads
 from linnetwood.weights.follower import OriginChunks, VersionFollower
+from linnetwood.weights.inflow import Inflow
 from linnetwood.weights.transfer import Tools
 from linnetwood.wire.connections import TcpDialler, WireServer
 from linnetwood.wire.curldriver import CurlDriver
 from linnetwood.wire.frames import FrameKind
 from linnetwood.wire.links import GentleLink
 
+_MILLISECONDS = 1000
 _REPORT_EVERY_S = 0.1
 _HELD_EVERY_S = 0.1
 # The part of its link that a download fills (measured, docs/MEASUREMENTS.md).
@@ -52,6 +54,7 @@
         self._news = NewsPort(self)
         self._listeners = Listeners(self._clock.now())
         self._number = 0
+        self._inflow = Inflow()
         self._held_at = float()
         self._held_told: dict[str, bytes] = {}
         self._metrics = ExposedMetrics()
@@ -143,6 +146,7 @@
             serving=max(report.serving.values(), default=0),
             changing=report.changing or self.follower.spared,
             entries=len(everyone),
+            way_ms=int(self._inflow.tell_way_s(now) * _MILLISECONDS),
         )
         newcomers = set(self._listeners.newcomers(now))
         others = [one for one in everyone if one not in newcomers]
@@ -185,6 +189,7 @@
             tally=tally,
             metrics=self._metrics,
             cfg=cfg,
+            inflow=self._inflow,
         )
 
 
--- a/src/linnetwood/weights/inflow.py
+++ b/src/linnetwood/weights/inflow.py
@@ -8,6 +8,10 @@
 # The fastest of so many chunks tells of the link, since slow senders show in
 # others: as many as are asked of peers at a time on the narrowest links.
 _SAMPLES = 3
+# A way that gets shorter is believed by this part each time it is told, so that
+# one moment between two chunks does not count as a free link: 0.1 s apart, half
+# of a change after 0.2 s.
+_SHORTER_SHARE = 0.3
 
 
 class Flight:
@@ -30,12 +34,16 @@
     def __init__(self) -> None:
         """Know nothing of the link."""
         self._came = 0
+        self._way_s = float()
         self._flights: set[Flight] = set()
         self._undated: list[tuple[Flight, int]] = []
         self._given_up: list[float] = []
         self._samples: collections.deque[float] = collections.deque(
             maxlen=_SAMPLES,
         )
+        self._took_s: collections.deque[float] = collections.deque(
+            maxlen=_SAMPLES,
+        )
 
     @property
     def chunk_s(self) -> float:
@@ -47,6 +55,18 @@
         """Give the seconds that the link takes for all that may still come."""
         return self.chunk_s * (len(self._flights) + len(self._given_up))
 
+    def tell_way_s(self, now: float) -> float:
+        """Give how long bytes of others may wait on the way here, smoothed.
+
+        A longer way is told at once. It is called once for each report.
+        """
+        self.settle(now)
+        # What came quickly shows that the way is no longer than that.
+        way_s = min(self.owed_s, min(self._took_s, default=0))
+        share = _SHORTER_SHARE if way_s < self._way_s else 1
+        self._way_s += share * (way_s - self._way_s)
+        return self._way_s
+
     def asked(self, now: float) -> Flight:
         """Note that a chunk was asked for."""
         flight = Flight(now, self._came)
@@ -76,6 +96,7 @@
         """
         for flight, came in self._undated:
             took_s = now - flight.since
+            self._took_s.append(took_s)
             self._samples.append(took_s / (came - flight.came_before))
         self._undated.clear()
         self._given_up = [until for until in self._given_up if until > now]
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -1,5 +1,6 @@
 """The list of endpoints, choice among them, and what each is known for."""
 
+import dataclasses
 import unittest
 from random import Random
 
@@ -134,6 +135,32 @@
         need = Need(POOL, 'z1', 9, 'm', least_version=2)
         self.assertEqual(self.chosen(need), 'i-1')
 
+    def test_a_slow_way_closes_an_older_version_earlier(self) -> None:
+        """By as much as the way is slower than usual, and only there."""
+        for way_s, at, expected in (
+            (0.0, 10.1, 'i-1'),
+            (0.3, 10.1, 'i-1'),
+            (0.45, 10.1, ''),
+            (0.8, 10.6, 'i-1'),
+            (0.8, 10.4, ''),
+        ):
+            told = dataclasses.replace(report(0, 0, 10, serving=1), way_s=way_s)
+            self.chooser.standing('i-1').heard(told)
+            need = Need(POOL, 'z1', 9, 'm', closing=((2, at),))
+            exact = dataclasses.replace(need, exact_version=1)
+            with self.subTest(way_s=way_s, at=at):
+                self.assertEqual(self.chosen(need, 'i-2'), expected)
+                self.assertEqual(self.chosen(exact, 'i-2'), expected)
+                self.assertEqual(self.chosen(need, 'i-1'), 'i-2')
+
+    def test_an_engine_that_fell_silent_may_be_on_a_slow_way(self) -> None:
+        """Shortly before the bound no call goes to an older version there."""
+        self.chooser.standing('i-1').heard(report(0, 0, 9.5, serving=1))
+        for at, expected in ((10.7, ''), (10.9, 'i-1')):
+            need = Need(POOL, 'z1', 9, 'm', closing=((2, at),))
+            with self.subTest(at=at):
+                self.assertEqual(self.chosen(need, 'i-2'), expected)
+
     def test_unreachable_endpoint_is_passed_over_for_a_while(self) -> None:
         """It is chosen only where there is no other."""
         need = Need(POOL, 'z1', 9, 'm')
--- a/tests/test_inflow.py
+++ b/tests/test_inflow.py
@@ -71,5 +71,38 @@
         self.assertEqual(inflow.room(UNMEASURED), 2)
 
 
+class WayTest(unittest.TestCase):
+    """Tell entries how long a call's bytes may wait."""
+
+    def test_a_longer_way_is_told_at_once(self) -> None:
+        """What lies on the link, at its rate."""
+        inflow = Inflow()
+        flights = [inflow.asked(0) for _ in range(2)]
+        for flight in flights:
+            inflow.came(flight)
+        self.assertAlmostEqual(inflow.tell_way_s(2 * NARROWED_CHUNK_S), 0)
+        for _ in range(2):
+            inflow.asked(1)
+        self.assertAlmostEqual(inflow.tell_way_s(1.1), 2 * NARROWED_CHUNK_S)
+
+    def test_a_chunk_that_came_quickly_shows_a_short_way(self) -> None:
+        """Others are late because of their senders."""
+        inflow = measured(NARROWED_CHUNK_S)
+        for _ in range(4):
+            inflow.asked(1)
+        self.assertAlmostEqual(inflow.tell_way_s(1.1), NARROWED_CHUNK_S)
+
+    def test_a_shorter_way_is_believed_little_by_little(self) -> None:
+        """One moment between two chunks tells nothing."""
+        inflow = measured(NARROWED_CHUNK_S)
+        flight = inflow.asked(1)
+        inflow.tell_way_s(1)
+        inflow.ended(flight)
+        told = [inflow.tell_way_s(1 + step / 10) for step in range(1, 11)]
+        self.assertGreater(told[0], NARROWED_CHUNK_S / 2)
+        self.assertEqual(told, sorted(told, reverse=True))
+        self.assertLess(told[-1], 0.01)
+
+
 if __name__ == '__main__':
     unittest.main()
--- a/tests/test_narrow_way.py
+++ b/tests/test_narrow_way.py
@@ -14,10 +14,17 @@
 from linnetwood.calls.direct import DirectCall, DirectDispatcher
 from linnetwood.calls.directory import Directory, Listed
 from linnetwood.calls.engine import EngineFigures
+from linnetwood.calls.reports import Reports
 from linnetwood.calls.routebook import Repeat, Route, Service, Share
+from linnetwood.core.clock import SystemClock
 from linnetwood.core.metrics import NoMetrics
 from linnetwood.core.outcomes import Ending, Outcome
-from linnetwood.fleet.wanted import MARGIN_S, WantedVersions
+from linnetwood.fleet.wanted import (
+    MARGIN_S,
+    START_MARGIN_S,
+    WantedVersions,
+)
+from linnetwood.gen.wire.ttypes import EngineNews, News
 from linnetwood.platform.dialect import PlatformDialect
 from linnetwood.wire.curldriver import CurlDriver
 from tests.test_curldriver import HOST, Server, says
@@ -136,13 +143,14 @@
         self.engine = Server(says(answer))
         self.way = NarrowWay(await self.engine.start())
         self.wanted = WantedVersions(BOUND_S)
+        self.port = await self.way.start()
         directory = Directory()
         directory.listed(
             Listed(
                 'i-1',
                 'pool',
                 HOST,
-                await self.way.start(),
+                self.port,
                 'z1',
                 16,
                 ready=True,
@@ -150,8 +158,17 @@
             ),
         )
         self.driver = CurlDriver()
+        chooser = Chooser(directory, Random(1))
+        self.reports = Reports(
+            directory,
+            chooser,
+            self.wanted,
+            SystemClock(),
+            0,
+            lambda: None,
+        )
         self.dispatcher = DirectDispatcher(
-            Chooser(directory, Random(1)),
+            chooser,
             self.driver,
             PlatformDialect(),
             self.wanted,
@@ -187,6 +204,16 @@
         self.wanted.name(MODEL, 2, bound - BOUND_S)
         return bound
 
+    def tell(self, way_s: float) -> None:
+        """Report how long bytes wait on the way, as the process there does."""
+        news = EngineNews(
+            address=f'{HOST}:{self.port}',
+            number=1,
+            serving=1,
+            way_ms=int(way_s * 1000),
+        )
+        self.reports.heard(News(engine=news), (HOST, 0))
+
     async def passed(self, moment: float) -> None:
         """Wait until a moment has passed."""
         gone = asyncio.Event()
@@ -203,7 +230,8 @@
     async def test_slow_way_lets_nothing_begin_behind_the_bound(self) -> None:
         """What a slow way brings behind the bound must not be a call.
 
-        The way was slow for a call before this one, so that was to be seen.
+        The way was slow for a call before this one, and the process beside
+        the engine, to which the way leads as well, says so.
         """
         self.way.open.clear()
         earlier = asyncio.create_task(self.call())
@@ -211,6 +239,7 @@
         self.way.open.set()
         await earlier
         self.assertEqual(len(self.engine.requests), 1)
+        self.tell(way_s=MARGIN_S)
         self.way.open.clear()
         bound = self.named(MARGIN_S + 0.2)
         ending = await self.call()
@@ -220,6 +249,18 @@
         self.assertNotEqual(ending.outcome, Outcome.ANSWERED)
         self.assertEqual(len(self.engine.requests), 1)
 
+    async def test_slow_way_takes_back_earlier(self) -> None:
+        """What takes a call back has to arrive before the bound as well."""
+        way_s = 0.7
+        self.tell(way_s)
+        self.way.open.clear()
+        bound = self.named(2 * MARGIN_S)
+        await self.call()
+        left_s = bound - self.loop.time()
+        self.way.open.set()
+        await self.way.settled()
+        self.assertGreater(left_s, START_MARGIN_S + way_s / 2)
+
 
 if __name__ == '__main__':
     unittest.main()
