--- a/src/linnetwood/calls/accounts.py
+++ b/src/linnetwood/calls/accounts.py
@@ -71,6 +71,7 @@
 ) -> None:
     """Log how an attempt ended, beside what it should have been."""
     first_heard = attempt.first_heard
+    sent = attempt.sent
     route = sending.route
     belief = sending.belief
     grounds = sending.grounds
@@ -89,6 +90,8 @@
         config_age_ms=grounds.config_age_ms,
         store_age_ms=grounds.store_age_ms,
         predicted_ms=_ms(sending.choice.wait_s),
+        connect_ms=_ms(sent.connected_s) if sent.connected_s else _NEVER,
+        written_bytes=sent.written,
         first_ms=_ms(first_heard - sending.at) if first_heard else _NEVER,
         target_ms=_ms(route.target_s),
         gap_ms=_ms(attempt.longest_gap_s),
