--- a/tests/test_swarm.py
+++ b/tests/test_swarm.py
@@ -1,13 +1,15 @@
 """Which chunk is fetched from whom."""
 
+import math
 import unittest
 from random import Random
 from typing import Any
 
+from linnetwood.fleet.wanted import START_MARGIN_S
 from linnetwood.weights import chunks
 from linnetwood.weights.bounds import SwarmOptions
 from linnetwood.weights.reading import DirectReading, Ring, SharedReading, Turns
-from linnetwood.weights.swarm import ORIGIN, Swarm
+from linnetwood.weights.swarm import ORIGIN, Fetch, Swarm
 
 COUNT = 8
 
@@ -234,6 +236,138 @@
         self.assertEqual([one.source for one in found.plan(1.2)], ['b'])
 
 
+class Reads(Nobody):
+    """Read some chunks from the origin, as soon as may be."""
+
+    def __init__(self, among: int) -> None:
+        self._among = among
+
+    def due_at(self, index: int, started: float) -> float | None:
+        """Give a turn at once."""
+        return started if self._among >> index & 1 else None
+
+    def turns(self) -> int:
+        """Give the chunks to read."""
+        return self._among
+
+
+class NarrowLink:
+    """Carry what was asked for, in order, also what nobody waits for now."""
+
+    def __init__(self, chunk_s: float) -> None:
+        self.heard_at: dict[str, float] = {}
+        self.free_at = float()
+        self.chunk_s = chunk_s
+        self._asked: list[tuple[float, Fetch]] = []
+
+    def ask(self, fetch: Fetch, now: float) -> None:
+        """Put a chunk behind all that is under way."""
+        self._asked.append((max(now, self.free_at), fetch))
+        self.free_at = self._asked[-1][0] + self.chunk_s
+
+    def narrow(self, chunk_s: float, now: float) -> None:
+        """Carry all that is under way more slowly, from its beginning."""
+        self.chunk_s = chunk_s
+        asked = self._asked
+        self._asked = []
+        self.free_at = now
+        for _, fetch in asked:
+            self.ask(fetch, now)
+
+    def carry(self, found: Swarm, now: float) -> None:
+        """Hand over what has come by now, unless it was given up."""
+        for start, fetch in list(self._asked):
+            pending = found.pending.get(fetch.index)
+            wanted = pending is not None and pending.source == fetch.source
+            if wanted and start <= now:
+                self.heard_at[fetch.source] = min(now, start + self.chunk_s)
+            if start + self.chunk_s <= now:
+                self._asked.remove((start, fetch))
+                if wanted:
+                    found.arrived(fetch.index)
+
+
+class NarrowLinkTest(unittest.TestCase):
+    """Fetch over a link that has become narrower than it should be."""
+
+    def setUp(self) -> None:
+        self.count = 96
+        self.read_here = (1 << self.count // 8) - 1
+        cfg = SwarmOptions(window=3, queue_limit=4, silence_s=0.8)
+        policy = Reads(self.read_here)
+        self.found = Swarm(self.count, 0, cfg, policy, Random(1), 0)
+        for vm in 'abcdefghi':
+            self.found.meet(vm)
+            held = chunks.full(self.count) & ~self.read_here
+            self.found.notice(vm, held, 0)
+        self.most = 0
+        self.given_up = 0
+
+    def longest_queue_s(
+        self,
+        bytes_per_s: float,
+        narrowed_at: float = math.inf,
+    ) -> float:
+        """Fetch all; give the longest that a call had to wait on the link.
+
+        The link may be narrowed to a quarter while chunks come.
+        """
+        found = self.found
+        link = NarrowLink(24576 / bytes_per_s)
+        now = float()
+        longest = float()
+        while not found.complete:
+            if now >= narrowed_at:
+                link.narrow(4 * 24576 / bytes_per_s, now)
+                narrowed_at = math.inf
+            link.carry(found, now)
+            for index in found.expired(now, link.heard_at):
+                source = found.pending[index].source
+                found.failed(index, source)
+                found.avoid(source, now)
+                self.given_up += 1
+            for fetch in found.plan(now):
+                link.ask(fetch, now)
+            self.most = max(self.most, len(found.pending))
+            longest = max(longest, link.free_at - now)
+            now += 0.01
+        return longest
+
+    def test_calls_pass_on_a_link_of_the_stated_rate(self) -> None:
+        """Calls wait for a few chunks."""
+        self.assertLess(self.longest_queue_s(456250), START_MARGIN_S)
+
+    def test_the_stated_rate_keeps_the_windows(self) -> None:
+        """Three chunks of peers and two of the origin are under way."""
+        self.longest_queue_s(456250)
+        self.assertEqual(self.most, 5)
+
+    def test_half_the_stated_rate_keeps_the_windows(self) -> None:
+        """Rates vary by much on a good link, as other traffic does."""
+        self.longest_queue_s(456250 * 0.6)
+        self.assertEqual(self.most, 5)
+
+    def test_calls_pass_on_a_narrowed_link(self) -> None:
+        """Fetching leaves room there too: calls and resets come in time.
+
+        What was asked of a silent peer still comes; asked again elsewhere, it
+        lies in the same queue twice.
+        """
+        self.assertLess(self.longest_queue_s(113750), START_MARGIN_S)
+
+    def test_a_busy_link_makes_no_peer_silent(self) -> None:
+        """What is late on the own link isn't asked again elsewhere."""
+        self.longest_queue_s(113750)
+        self.assertEqual(self.given_up, 0)
+
+    def test_a_link_that_is_narrowed_meanwhile(self) -> None:
+        """What was under way by then is behind it; that is all."""
+        longest = self.longest_queue_s(456250, narrowed_at=1)
+        under_way_s = 5 * 4 * 24576 / 456250
+        self.assertLess(longest, under_way_s + 0.01)
+        self.assertLessEqual(self.given_up, 1)
+
+
 class ChunksTest(unittest.TestCase):
     """Only checked chunks are kept."""
 
