--- /dev/null
+++ b/src/linnetwood/fleet/belief.py
@@ -0,0 +1,60 @@
+"""How old a neighbour's word of a range may be; no I/O or clock."""
+
+import dataclasses
+
+from linnetwood.fleet.ranges import Change
+
+# Parts of the time within which a configuration must be in force. A wait and
+# a fresh belief's age leave more than half of it for asking directly; an answer
+# that flows to the neighbour is waited for a little longer, since as many
+# copies over the same link would take as many times as long.
+_WAIT_SHARE = 0.3
+_FRESH_SHARE = 0.4
+_FLOWING_SHARE = 0.4
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Told:
+    """What a neighbour tells: changes up to a revision, or the whole range.
+
+    Ages are in seconds, infinity for never: since it knew that it knew all,
+    since it last got a byte from the store, and since the answer began of
+    which that byte is a part.
+    """
+
+    revision: int
+    age_s: float
+    flow_age_s: float
+    flowing_s: float
+    outages: int
+    whole: bool
+    changes: tuple[Change, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Bounds:
+    """How long waits last, and how old a neighbour's word may be; seconds."""
+
+    wait_s: float = 2
+    fresh_s: float = 0
+    flowing_s: float = 0
+
+    def trusted_s(self, told: Told) -> float:
+        """Give for how long a word stands for the store's; negative for not."""
+        flowing_s = min(
+            self.fresh_s - told.flow_age_s,
+            self.flowing_s - told.flowing_s,
+        )
+        return max(self.fresh_s - told.age_s, flowing_s)
+
+
+USUAL_BOUNDS = Bounds()
+
+
+def bounds_within(apply_s: float) -> Bounds:
+    """Give the bounds where a change must be in force within so long."""
+    return Bounds(
+        apply_s * _WAIT_SHARE,
+        apply_s * _FRESH_SHARE,
+        apply_s * _FLOWING_SHARE,
+    )
--- a/src/linnetwood/fleet/following.py
+++ b/src/linnetwood/fleet/following.py
@@ -5,16 +5,15 @@
 """
 
 import asyncio
-import dataclasses
 import math
 from random import Random
 
 from linnetwood.core.backoff import pause_s
 from linnetwood.core.errors import StoreError
 from linnetwood.core.events import Event, log
+from linnetwood.fleet.belief import USUAL_BOUNDS, Bounds, Told
 from linnetwood.fleet.mirror import Mirror
 from linnetwood.fleet.ranges import (
-    Change,
     Changes,
     HistoryLostError,
     RangeStore,
@@ -40,57 +39,11 @@
 # no version that came and went meanwhile. One wait that is lost takes less.
 _READ_ANEW_S = 5.0
 
-# Parts of the time within which a configuration must be in force. A wait and
-# a fresh belief's age leave more than half of it for asking directly; an answer
-# that flows to the neighbour is waited for a little longer, since as many
-# copies over the same link would take as many times as long.
-_WAIT_SHARE = 0.3
-_FRESH_SHARE = 0.4
-_FLOWING_SHARE = 0.4
 # A store that is slow is asked to wait for less, so that its answers come as
 # often; but each costs a call.
 _LEAST_WAIT_S = 0.1
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Bounds:
-    """How long waits last, and how old a neighbour's word may be; seconds."""
-
-    wait_s: float = 2
-    fresh_s: float = 0
-    flowing_s: float = 0
-
-
-USUAL_BOUNDS = Bounds()
-
-
-def bounds_within(apply_s: float) -> Bounds:
-    """Give the bounds where a change must be in force within so long."""
-    return Bounds(
-        apply_s * _WAIT_SHARE,
-        apply_s * _FRESH_SHARE,
-        apply_s * _FLOWING_SHARE,
-    )
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Told:
-    """What a neighbour tells: changes up to a revision, or the whole range.
-
-    Ages are in seconds, infinity for never: since it knew that it knew all,
-    since it last got a byte from the store, and since the answer began of
-    which that byte is a part.
-    """
-
-    revision: int
-    age_s: float
-    flow_age_s: float
-    flowing_s: float
-    outages: int
-    whole: bool
-    changes: tuple[Change, ...]
-
-
 class Following:
     """Own one range: a task that reads, waits and begins again."""
 
@@ -171,7 +124,7 @@
 
     def fresh(self, told: Told) -> bool:
         """Tell whether a neighbour's word can stand for the store's."""
-        return self._trusted_s(told) > 0
+        return self._bounds.trusted_s(told) > 0
 
     def told(self, told: Told) -> None:
         """Take in what a neighbour tells, and leave the store alone."""
@@ -190,7 +143,9 @@
         if self.borrows:
             # The store is asked all the same: it may be back for this entry.
             return
-        self._told_until = max(self._told_until, now + self._trusted_s(told))
+        self._told_until = max(
+            self._told_until, now + self._bounds.trusted_s(told)
+        )
         # One's own answer is given up also if it flows: after an outage all
         # would share the link, and the neighbour's would come later for all.
         if self._asking and self._revision and now < self._told_until:
@@ -296,14 +251,6 @@
         for woken in self._listeners:
             woken.set()
 
-    def _trusted_s(self, told: Told) -> float:
-        bounds = self._bounds
-        flowing_s = min(
-            bounds.fresh_s - told.flow_age_s,
-            bounds.flowing_s - told.flowing_s,
-        )
-        return max(bounds.fresh_s - told.age_s, flowing_s)
-
     def _pause_s(self, failures: int) -> float:
         return pause_s(
             failures,
--- a/src/linnetwood/fleet/relaying.py
+++ b/src/linnetwood/fleet/relaying.py
@@ -8,7 +8,8 @@
 from linnetwood.core.errors import CodecError, LinnetwoodError, WireError
 from linnetwood.core.events import Event, log
 from linnetwood.core.waits import happened
-from linnetwood.fleet.following import Following, Told
+from linnetwood.fleet.belief import Told
+from linnetwood.fleet.following import Following
 from linnetwood.fleet.mirror import Lack
 from linnetwood.fleet.rangeparts import (
     pack,
--- a/src/linnetwood/programs/resident_entry.py
+++ b/src/linnetwood/programs/resident_entry.py
@@ -20,17 +20,14 @@
 from linnetwood.core.events import Event, log
 from linnetwood.core.exposed import ExposedMetrics
 from linnetwood.core.metrics import Metric
-from linnetwood.fleet.following import Following, bounds_within
-from linnetwood.fleet.relaying import Relay
 from linnetwood.fleet.tellers import Tellers
 from linnetwood.fleet.wanted import WantedVersions
-from linnetwood.platform import records
 from linnetwood.platform.dialect import PlatformDialect
 from linnetwood.platform.feeds import EndpointFeed, OperatorFeed, StoreFeed
 from linnetwood.platform.settings import Residence
-from linnetwood.platform.store import PlatformStore
 from linnetwood.programs import resident
 from linnetwood.programs.figures import FiguresPage
+from linnetwood.programs.resident_news import StoreNews
 from linnetwood.wire.curldriver import CurlDriver
 
 # The balancer asks once a second and takes a VM out after two misses.
@@ -100,19 +97,12 @@
         metrics.gauge(Metric.STORE_AGE_S, self.vigil.store_age_s)
         self._figures = FiguresPage(metrics)
         rouse = self.reports.rouse
-        store = PlatformStore(cfg.store, self.driver)
-        self._following = Following(
-            store,
-            records.WHOLE_STORE,
-            StoreFeed(
-                OperatorFeed(self.adopt, self.wanted, clock, rouse),
-                EndpointFeed(self.directory, clock, rouse),
-            ),
-            rng,
-            bounds_within(cfg.config_bound_s),
+        feed = StoreFeed(
+            OperatorFeed(self.adopt, self.wanted, clock, rouse),
+            EndpointFeed(self.directory, clock, rouse),
         )
-        store.heard = self._following.flowed
-        self._relay = Relay(self._following, self._tellers, cfg.wire_port)
+        self._news = StoreNews(cfg, self.driver, feed, self._tellers, rng)
+        self._following = self._news.following
         self._callers = open_server(self.front, self.book.limits)
         self._servers: list[HTTPServer] = []
 
@@ -122,9 +112,8 @@
         readiness = HTTPServer(self._tell_ready)
         self._listen(readiness, cfg.readiness)
         self._figures.start(cfg.host)
-        self._following.start()
+        await self._news.start()
         await self.reports.start(cfg.host)
-        await self._relay.start(cfg.host)
         self._listen(self._callers, cfg.callers)
 
     async def close(self) -> None:
@@ -132,8 +121,7 @@
         self._stopping = True
         self.front.stopping = True
         await self._finish_calls()
-        await self._relay.close()
-        await self._following.close()
+        await self._news.close()
         await self.reports.close()
         self._figures.close()
         self.driver.close()
--- /dev/null
+++ b/src/linnetwood/programs/resident_news.py
@@ -0,0 +1,48 @@
+"""The store's news at an entry: followed, heard from neighbours, passed on."""
+
+from random import Random
+
+from linnetwood.fleet.belief import bounds_within
+from linnetwood.fleet.following import Following
+from linnetwood.fleet.relaying import Relay
+from linnetwood.fleet.tellers import Tellers
+from linnetwood.platform import records
+from linnetwood.platform.feeds import StoreFeed
+from linnetwood.platform.settings import Residence
+from linnetwood.platform.store import PlatformStore
+from linnetwood.wire.curldriver import CurlDriver
+
+
+class StoreNews:
+    """Own what keeps an entry up to date with the platform's store."""
+
+    def __init__(
+        self,
+        cfg: Residence,
+        driver: CurlDriver,
+        feed: StoreFeed,
+        tellers: Tellers,
+        rng: Random,
+    ) -> None:
+        """Hand all news to the feed; start nothing."""
+        self._host = cfg.host
+        store = PlatformStore(cfg.store, driver)
+        self.following = Following(
+            store,
+            records.WHOLE_STORE,
+            feed,
+            rng,
+            bounds_within(cfg.config_bound_s),
+        )
+        store.heard = self.following.flowed
+        self._relay = Relay(self.following, tellers, cfg.wire_port)
+
+    async def start(self) -> None:
+        """Follow the store, and listen to neighbours and for them."""
+        self.following.start()
+        await self._relay.start(self._host)
+
+    async def close(self) -> None:
+        """Tell and hear no more; what was learned stays."""
+        await self._relay.close()
+        await self.following.close()
--- a/tests/test_relaying.py
+++ b/tests/test_relaying.py
@@ -10,7 +10,8 @@
 
 from linnetwood.core.errors import StoreError
 from linnetwood.core.waits import happened
-from linnetwood.fleet.following import Following, bounds_within
+from linnetwood.fleet.belief import bounds_within
+from linnetwood.fleet.following import Following
 from linnetwood.fleet.mirror import Mirror
 from linnetwood.fleet.ranges import Change, Changes, Record, Snapshot
 from linnetwood.fleet.relaying import RangeListener, RangeTeller
--- a/tests/test_relaying_troubles.py
+++ b/tests/test_relaying_troubles.py
@@ -5,7 +5,8 @@
 from random import Random
 from unittest import mock
 
-from linnetwood.fleet.following import Following, Told, bounds_within
+from linnetwood.fleet.belief import Told, bounds_within
+from linnetwood.fleet.following import Following
 from linnetwood.fleet.ranges import Change, Changes, Record, Snapshot
 from linnetwood.fleet.relaying import RangeTeller, _read
 from linnetwood.gen.wire.ttypes import RangeRequest
@@ -42,6 +43,17 @@
         return await super().wait(prefix, after, wait_s)
 
 
+def follower() -> Following:
+    """Give one that follows a store of its own, and has not begun."""
+    return Following(
+        zones.Handle(zones.FarStore(), 'me'),
+        '',
+        zones.Newest(),
+        Random(1),
+        bounds_within(2),
+    )
+
+
 async def _reads_of_a_start() -> int:
     """Start a zone whose entries know each other from the beginning."""
     CountingStore.reads = 0
@@ -138,13 +150,7 @@
         """A whole range that a neighbour tells brings its ages, too."""
 
         async def play() -> None:
-            following = Following(
-                zones.Handle(zones.FarStore(), 'me'),
-                '',
-                zones.Newest(),
-                Random(1),
-                bounds_within(2),
-            )
+            following = follower()
             told = Told(
                 9,
                 0,
@@ -169,13 +175,7 @@
         """Whoever is told of an outage tells of one."""
 
         async def play() -> None:
-            following = Following(
-                zones.Handle(zones.FarStore(), 'me'),
-                '',
-                zones.Newest(),
-                Random(1),
-                bounds_within(2),
-            )
+            following = follower()
             before = following.outages
             for outages in (0, 1):
                 following.told(Told(1, 0, 0, 0, outages, False, ()))
@@ -191,13 +191,7 @@
         """What was packed as changes is never sent as the whole range."""
 
         async def play() -> None:
-            following = Following(
-                zones.Handle(zones.FarStore(), 't'),
-                '',
-                zones.Newest(),
-                Random(1),
-                bounds_within(2),
-            )
+            following = follower()
             mirror = following.mirror
             whole = {KEY: Record(b'1', 1), 'servers/a': Record(b'a', 2)}
             mirror.replaced(Snapshot(whole, 2), 0)
