--- a/tests/test_relaying_troubles.py
+++ b/tests/test_relaying_troubles.py
@@ -146,6 +146,38 @@
 
         virtual.run(play())
 
+    def test_an_older_answer_makes_no_belief_older(self) -> None:
+        """What a neighbour confirmed meanwhile stays confirmed."""
+
+        async def play() -> None:
+            following = follower()
+            following.told(Told(1, 0, 0, 0, 0, False, ()))
+            heard_at = following.heard_at
+            following.flowing_since = heard_at - 1
+            following._note_heard()
+            self.assertEqual(following.heard_at, heard_at)
+
+        virtual.run(play())
+
+    def test_a_slow_read_is_not_begun_again(self) -> None:
+        """However long it took, what comes next is waited for."""
+
+        async def play() -> None:
+            CountingStore.reads = 0
+            store = CountingStore()
+            store.records[KEY] = Record(b'1' * zones.LINK_BYTES_PER_S * 8, 1)
+            handle = CountingHandle(store, 'me')
+            following = Following(
+                handle, '', zones.Newest(), Random(1), bounds_within(2)
+            )
+            handle.heard = following.flowed
+            following.start()
+            await asyncio.sleep(30)
+            await following.close()
+            self.assertEqual(CountingStore.reads, 1)
+
+        virtual.run(play())
+
     def test_ages_come_with_the_whole(self) -> None:
         """A whole range that a neighbour tells brings its ages, too."""
 
