Keep a belief's age, and a read that took long, from going back

It is now judged by when the last answer ended. And what a neighbour confirmed meanwhile stays confirmed.

--- a/src/linnetwood/fleet/following.py
+++ b/src/linnetwood/fleet/following.py
@@ -74,6 +74,7 @@
         self._bounds = bounds
         self._revision = 0
         self._away = False
+        self._answered_at = -math.inf
         self._told_until = -math.inf
         self._overhead_s = float()
         self._outages_told: int | None = None
@@ -198,7 +199,9 @@
     async def _step(self) -> None:
         asked_at = asyncio.get_running_loop().time()
         self.flowing_since = -math.inf
-        if not self._revision or asked_at - self.heard_at > _READ_ANEW_S:
+        # An answer that took long is not asked for again for that.
+        last_at = max(self.heard_at, self._answered_at)
+        if not self._revision or asked_at - last_at > _READ_ANEW_S:
             await self._read()
             return
         wait_s = max(_LEAST_WAIT_S, self._bounds.wait_s - self._overhead_s)
@@ -263,9 +266,11 @@
     def _note_heard(self) -> None:
         now = asyncio.get_running_loop().time()
         self.flowed_at = now
+        self._answered_at = now
         # The store knew no more than this when its answer began.
         began_at = self.flowing_since
-        self.heard_at = began_at if math.isfinite(began_at) else now
+        known_at = began_at if math.isfinite(began_at) else now
+        self.heard_at = max(self.heard_at, known_at)
 
     def _note_away(self, exc: StoreError) -> None:
         self.outages += 1
