--- a/src/linnetwood/fleet/following.py
+++ b/src/linnetwood/fleet/following.py
@@ -42,6 +42,8 @@
 # A store that is slow is asked to wait for less, so that its answers come as
 # often; but each costs a call.
 _LEAST_WAIT_S = 0.1
+# Ages are told in milliseconds: what differs by less is the same answer.
+_SAME_S = 0.01
 
 
 class Following:
@@ -73,6 +75,7 @@
         self._rng = rng
         self._bounds = bounds
         self._revision = 0
+        self._failures = 0
         self._away = False
         self._answered_at = -math.inf
         self._told_until = -math.inf
@@ -106,15 +109,14 @@
         self._listeners.discard(woken)
 
     @property
-    def away(self) -> bool:
-        """Tell whether the store failed when it was last asked."""
-        return self._away
+    def unanswered(self) -> bool:
+        """Tell whether the store itself has not answered lately."""
+        return self._is_old(self._answered_at)
 
     @property
     def lost(self) -> bool:
         """Tell whether neither the store nor a neighbour was heard lately."""
-        age_s = asyncio.get_running_loop().time() - self.heard_at
-        return self._away and age_s > self._bounds.fresh_s
+        return self._is_old(self.heard_at)
 
     def flowed(self) -> None:
         """Note that bytes of an answer came from the store."""
@@ -140,13 +142,14 @@
         elif told.revision < self._revision:
             # It has yet to learn what is known here.
             return
-        self.heard_at = max(self.heard_at, now - told.age_s)
+        self._confirmed(now - told.age_s)
         if self.borrows:
             # The store is asked all the same: it may be back for this entry.
             return
-        self._told_until = max(
-            self._told_until, now + self._bounds.trusted_s(told)
-        )
+        trusted_s = self._bounds.trusted_s(told)
+        self._told_until = max(self._told_until, now + trusted_s)
+        if trusted_s > 0:
+            self._failures = 0
         # One's own answer is given up also if it flows: after an outage all
         # would share the link, and the neighbour's would come later for all.
         if self._asking and self._revision and now < self._told_until:
@@ -158,7 +161,6 @@
         self.borrows = False
 
     async def _run(self) -> None:
-        failures = 0
         while True:
             await self._until_needed()
             try:
@@ -168,13 +170,13 @@
                 # The store itself was there: what is missing now is gone.
                 self._revision = 0
             except StoreError as exc:
-                failures += 1
+                self._failures += 1
                 self._note_away(exc)
                 self._sink.away()
-                await asyncio.sleep(self._pause_s(failures))
+                await asyncio.sleep(self._pause_s())
             else:
                 if answered:
-                    failures = 0
+                    self._failures = 0
                     self._note_back()
 
     async def _until_needed(self) -> None:
@@ -204,12 +206,15 @@
         if not self._revision or asked_at - last_at > _READ_ANEW_S:
             await self._read()
             return
-        wait_s = max(_LEAST_WAIT_S, self._bounds.wait_s - self._overhead_s)
+        # An old belief is to be confirmed soon.
+        age_s = asked_at - self.heard_at
+        wait_s = self._bounds.wait_s - self._overhead_s - age_s
+        wait_s = max(_LEAST_WAIT_S, wait_s)
         found = await self._store.wait(self._prefix, self._revision, wait_s)
         # A wait that ends empty confirms what is believed, too.
-        self._note_heard()
+        known_at = self._note_heard()
         if not found.changes:
-            self._overhead_s = max(0, self.heard_at - asked_at - wait_s)
+            self._overhead_s = max(0, known_at - asked_at - wait_s)
         if found.revision > self._revision:
             self._take(found)
         if found.changes:
@@ -251,26 +256,42 @@
     def _arrived(self, revision: int) -> None:
         self._revision = revision
         self.learned.set()
+        self._wake()
+
+    def _wake(self) -> None:
         for woken in self._listeners:
             woken.set()
 
-    def _pause_s(self, failures: int) -> float:
+    def _pause_s(self) -> float:
         return pause_s(
-            failures,
+            self._failures,
             self._rng,
             _PAUSE_FIRST_S,
             _LISTENER_PAUSE_MOST_S if self.backed else _PAUSE_MOST_S,
             _PAUSE_LEAST_SHARE,
         )
 
-    def _note_heard(self) -> None:
+    def _is_old(self, at: float) -> bool:
+        age_s = asyncio.get_running_loop().time() - at
+        return age_s > self._bounds.fresh_s
+
+    def _note_heard(self) -> float:
+        """Note that the store answered; give as of when that is known."""
         now = asyncio.get_running_loop().time()
         self.flowed_at = now
         self._answered_at = now
         # The store knew no more than this when its answer began.
         began_at = self.flowing_since
         known_at = began_at if math.isfinite(began_at) else now
+        self._confirmed(known_at)
+        return known_at
+
+    def _confirmed(self, known_at: float) -> None:
+        newer = known_at > self.heard_at + _SAME_S
         self.heard_at = max(self.heard_at, known_at)
+        if newer:
+            # Listeners trust what is confirmed, also where nothing changed.
+            self._wake()
 
     def _note_away(self, exc: StoreError) -> None:
         self.outages += 1
--- a/src/linnetwood/fleet/relaying.py
+++ b/src/linnetwood/fleet/relaying.py
@@ -185,7 +185,7 @@
         if self._passed_over == host:
             return False
         if self._following.borrows:
-            return self._following.away
+            return self._following.unanswered
         return self._tellers.knows(host)
 
     def _weigh(self, host: str, told: Told) -> None:
--- a/src/linnetwood/platform/feeds.py
+++ b/src/linnetwood/platform/feeds.py
@@ -29,12 +29,14 @@
         self._clock = clock
         self._changed = changed
         self._first = True
+        self._revisions: dict[str, int] = {}
 
     def replaced(self, found: Snapshot) -> None:
         """Take in everything that the operators wrote."""
         for key, record in found.records.items():
-            # What nobody saw come and was not there before came just now.
-            unseen_s = math.inf if self._first else 0
+            # What nobody saw come, and was not there before, came just now.
+            known = self._first or self._revisions.get(key) == record.revision
+            unseen_s = math.inf if known else 0
             self._take(key, record, found.ages.get(key, unseen_s))
         self._first = False
 
@@ -46,6 +48,7 @@
                 self._take(key, change.record, change.age_s)
 
     def _take(self, key: str, record: Record, age_s: float) -> None:
+        self._revisions[key] = record.revision
         try:
             self._read(key, record, age_s)
         except ConfigError as exc:
