--- a/tests/test_narrow_way.py
+++ b/tests/test_narrow_way.py
@@ -9,7 +9,7 @@
 import unittest
 from random import Random
 
-from linnetwood.calls.choice import Chooser
+from linnetwood.calls.choice import Chooser, Need
 from linnetwood.calls.dialect import CallHead
 from linnetwood.calls.direct import DirectCall, DirectDispatcher
 from linnetwood.calls.directory import Directory, Listed
@@ -265,5 +265,34 @@
         self.assertGreater(left_s, START_MARGIN_S + way_s / 2)
 
 
+class ResumedTest(unittest.TestCase):
+    """A stream that is resumed on its own version."""
+
+    def test_closed_version_is_not_begun_on_again(self) -> None:
+        """Nothing is sent on a version in the last 1.2 s of its bound."""
+        directory = Directory()
+        directory.listed(
+            Listed(
+                'i-1',
+                'pool',
+                'h',
+                1,
+                'z1',
+                16,
+                ready=True,
+                versions={MODEL: 1},
+            ),
+        )
+        need = Need(
+            SERVICE,
+            'z1',
+            100,
+            MODEL,
+            least_version=2,
+            exact_version=1,
+        )
+        self.assertIsNone(Chooser(directory, Random(1)).choose(need, (), 0))
+
+
 if __name__ == '__main__':
     unittest.main()
