Measure the link by what flows on it, not by its senders

A chunk's time began when it was asked for, so a queue at its sender made the link look slow and closed the windows. It begins at its first byte now (the reply that goes before a peer's bytes). The origin's chunks take room but tell nothing of this VM's link; they count for how long a peer may be silent, as what waits behind them waits on the same link. Where the origin fills the room, peers have every other place. No way counts as more than 1.7 s slower than usual.

--- a/src/linnetwood/calls/standing.py
+++ b/src/linnetwood/calls/standing.py
@@ -13,6 +13,9 @@
 # What is allowed for the way to an endpoint whose reports have stopped: two
 # chunks on the narrowest link that was met (0.43 s each, measured).
 _UNHEARD_SLOW_S = 0.8
+# More is not believed of any way: calls took up to 2 s to arrive on narrowed
+# links (measured), 0.3 s of which is usual.
+_SLOW_MOST_S = 1.7
 _SHUN_FIRST_S = 0.5
 _SHUN_MOST_S = 4.0
 
@@ -99,8 +102,8 @@
             return 0
         slow_s = max(0, report.way_s - _USUAL_WAY_S)
         if self.silent(now):
-            return max(slow_s, _UNHEARD_SLOW_S)
-        return slow_s
+            slow_s = max(slow_s, _UNHEARD_SLOW_S)
+        return min(slow_s, _SLOW_MOST_S)
 
     def fresh(self, now: float) -> bool:
         """Tell whether the report is young enough to count."""
--- a/src/linnetwood/weights/exchange.py
+++ b/src/linnetwood/weights/exchange.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+from collections.abc import Callable
 
 from linnetwood.core.errors import WeightsError
 from linnetwood.gen.wire.ttypes import ChunkReply, ChunkRequest
@@ -125,12 +126,16 @@
         address: Address,
         manifest: str,
         index: int,
+        flows: Callable[[], None] | None = None,
     ) -> tuple[ChunkReply, bytes]:
-        """Ask for a chunk; give the reply and the bytes, if any."""
+        """Ask for a chunk; give the reply and the bytes, if any.
+
+        The caller may be told when the bytes begin to flow.
+        """
         async with self._turns.setdefault(vm, asyncio.Lock()):
             stream = await self._stream(vm, address)
             try:
-                return await self._exchange(stream, manifest, index)
+                return await self._exchange(stream, manifest, index, flows)
             except BaseException:
                 # A broken exchange must not leave its answer to the next.
                 self._streams.pop(vm, None)
@@ -159,6 +164,7 @@
         stream: FrameStream,
         manifest: str,
         index: int,
+        flows: Callable[[], None] | None,
     ) -> tuple[ChunkReply, bytes]:
         request = ChunkRequest(asker=self._me, manifest=manifest, index=index)
         await stream.write(FrameKind.CHUNK_REQUEST, encode(request))
@@ -167,6 +173,8 @@
             raise WeightsError('wrong-chunk-answered', f'{reply.index}')
         if not reply.held_here:
             return reply, b''
+        if flows is not None:
+            flows()
         frame = await _frame(stream, index)
         await self._link.receive(len(frame.payload))
         return reply, frame.payload
--- a/src/linnetwood/weights/inflow.py
+++ b/src/linnetwood/weights/inflow.py
@@ -17,12 +17,17 @@
 class Flight:
     """One chunk that was asked for and has not come."""
 
-    __slots__ = ('came_before', 'since')
+    __slots__ = ('came_before', 'flows_since', 'sampled', 'since')
 
-    def __init__(self, since: float, came_before: int) -> None:
-        """Keep since when, and how many had come by then."""
+    def __init__(
+        self, since: float, came_before: int, *, sampled: bool
+    ) -> None:
+        """Keep since when, how many had come by then, and if it tells."""
         self.since = since
+        # Until its first byte is seen, it may be flowing all the while.
+        self.flows_since = since
         self.came_before = came_before
+        self.sampled = sampled
 
 
 class Inflow:
@@ -41,6 +46,9 @@
         self._samples: collections.deque[float] = collections.deque(
             maxlen=_SAMPLES,
         )
+        self._paces: collections.deque[float] = collections.deque(
+            maxlen=_SAMPLES,
+        )
         self._took_s: collections.deque[float] = collections.deque(
             maxlen=_SAMPLES,
         )
@@ -53,7 +61,16 @@
     @property
     def owed_s(self) -> float:
         """Give the seconds that the link takes for all that may still come."""
-        return self.chunk_s * (len(self._flights) + len(self._given_up))
+        return self.chunk_s * self._under_way
+
+    @property
+    def patience_s(self) -> float:
+        """Give the seconds that all under way may take, if senders do not tell.
+
+        The origin's chunks count here: where they are slow as well, it may be
+        this link, and what was asked for waits behind them.
+        """
+        return min(self._paces, default=0) * self._under_way
 
     def tell_way_s(self, now: float) -> float:
         """Give how long bytes of others may wait on the way here, smoothed.
@@ -67,12 +84,20 @@
         self._way_s += share * (way_s - self._way_s)
         return self._way_s
 
-    def asked(self, now: float) -> Flight:
-        """Note that a chunk was asked for."""
-        flight = Flight(now, self._came)
+    def asked(self, now: float, *, sampled: bool = True) -> Flight:
+        """Note that a chunk was asked for.
+
+        How long it takes tells of this link, unless others share the sender's.
+        """
+        flight = Flight(now, self._came, sampled=sampled)
         self._flights.add(flight)
         return flight
 
+    def flows(self, flight: Flight, now: float) -> None:
+        """Note a chunk's first byte: up to now it waited for its sender."""
+        flight.flows_since = now
+        flight.came_before = self._came
+
     def came(self, flight: Flight) -> None:
         """Note that a chunk has come; it is dated when things are settled."""
         if flight in self._flights:
@@ -86,18 +111,22 @@
 
     def gave_up(self, now: float) -> None:
         """Note that a chunk is no longer waited for, but may still come."""
-        self._given_up.append(now + self.owed_s + self.chunk_s)
+        pace_s = min(self._paces, default=0)
+        self._given_up.append(now + self.patience_s + pace_s)
 
     def settle(self, now: float) -> None:
         """Date what has come; forget what was given up and must be through.
 
-        How many chunks came while one was under way is the rate of the link,
-        if that is what held them up, and less if the senders did.
+        How many chunks came while one flowed is the rate of the link, if that
+        is what held them up, and less if the senders did.
         """
         for flight, came in self._undated:
-            took_s = now - flight.since
-            self._took_s.append(took_s)
-            self._samples.append(took_s / (came - flight.came_before))
+            self._took_s.append(now - flight.since)
+            flowed_s = now - flight.flows_since
+            pace_s = flowed_s / (came - flight.came_before)
+            self._paces.append(pace_s)
+            if flight.sampled:
+                self._samples.append(pace_s)
         self._undated.clear()
         self._given_up = [until for until in self._given_up if until > now]
 
@@ -110,4 +139,8 @@
         chunk_s = self.chunk_s
         if chunk_s:
             most = 1 + int(_AHEAD_S / chunk_s)
-        return most - len(self._flights) - len(self._given_up)
+        return most - self._under_way
+
+    @property
+    def _under_way(self) -> int:
+        return len(self._flights) + len(self._given_up)
--- a/src/linnetwood/weights/swarm.py
+++ b/src/linnetwood/weights/swarm.py
@@ -99,6 +99,7 @@
         # Each VM goes through what it may read in an order of its own: those
         # that may read the same chunks then seldom read the same one.
         self._order = rng.sample(range(count), count)
+        self._peers_next = False
 
     @property
     def complete(self) -> bool:
@@ -141,6 +142,12 @@
         peer.held |= held
         peer.queued = queued
 
+    def flows(self, index: int, source: str, now: float) -> None:
+        """Note the first byte of what was asked for."""
+        pending = self.pending.get(index)
+        if pending is not None and pending.source == source:
+            self._inflow.flows(pending.flight, now)
+
     def arrived(self, index: int) -> bool:
         """Note a checked chunk; tell whether it was new."""
         pending = self.pending.get(index)
@@ -211,12 +218,15 @@
 
         No more than the link of this VM can bring soon: calls to the engine
         here wait behind them. Before it has brought anything, what may be
-        asked of peers and of the origin is not added up.
+        asked of peers and of the origin is not added up. The origin goes first,
+        but where it fills the room, peers have every other place.
         """
         self._inflow.settle(now)
         unmeasured = max(self._cfg.window, self._cfg.origin_window)
         room = self._inflow.room(unmeasured)
+        one_of_peers = 1 if self._peers_next else 0
         planned = itertools.chain(
+            itertools.islice(self._plan_peers(now), one_of_peers),
             self._plan_origin(now),
             self._plan_peers(now),
         )
@@ -238,8 +248,8 @@
         if pending.source == ORIGIN:
             return False
         last = max(pending.since, heard_at.get(pending.source, pending.since))
-        owed_s = _OWED_FACTOR * self._inflow.owed_s
-        return now - last > max(self._cfg.silence_s, owed_s)
+        patience_s = _OWED_FACTOR * self._inflow.patience_s
+        return now - last > max(self._cfg.silence_s, patience_s)
 
     def _plan_origin(self, now: float) -> Iterator[Fetch]:
         if now < self._origin_free_at:
@@ -346,11 +356,12 @@
         )
 
     def _begin(self, fetch: Fetch, now: float) -> Fetch:
-        self.pending[fetch.index] = Pending(
-            fetch.source,
-            self._inflow.asked(now),
-        )
-        if fetch.source != ORIGIN:
+        of_peer = fetch.source != ORIGIN
+        # All VMs share the origin's link: it tells nothing of this one's.
+        flight = self._inflow.asked(now, sampled=of_peer)
+        self.pending[fetch.index] = Pending(fetch.source, flight)
+        self._peers_next = not of_peer
+        if of_peer:
             self.peers[fetch.source].outstanding += 1
         return fetch
 
--- a/src/linnetwood/weights/transfer.py
+++ b/src/linnetwood/weights/transfer.py
@@ -189,12 +189,17 @@
             address,
             self.name,
             fetch.index,
+            lambda: self._flows(fetch),
         )
         held = chunks.from_bytes(reply.held, self.swarm.count)
         self.swarm.notice(fetch.source, held, reply.queued)
         self._tools.tally.peer_bytes += len(chunk)
         return chunk
 
+    def _flows(self, fetch: Fetch) -> None:
+        now = self._tools.clock.now()
+        self.swarm.flows(fetch.index, fetch.source, now)
+
     def _keep(self, fetch: Fetch, chunk: bytes) -> None:
         tools = self._tools
         if not tools.store.keep(self.manifest, fetch.index, chunk):
--- a/tests/test_inflow.py
+++ b/tests/test_inflow.py
@@ -53,6 +53,29 @@
         inflow.settle(2)
         self.assertAlmostEqual(inflow.chunk_s, STATED_CHUNK_S)
 
+    def test_what_flows_at_a_time_counts(self) -> None:
+        """Senders that begin late make no slow link."""
+        inflow = Inflow()
+        for number in range(4):
+            flights = [inflow.asked(number) for _ in range(2)]
+            for flight in flights:
+                inflow.flows(flight, number + 0.9)
+            for flight in flights:
+                inflow.came(flight)
+            inflow.settle(number + 0.9 + 2 * STATED_CHUNK_S)
+        self.assertAlmostEqual(inflow.chunk_s, STATED_CHUNK_S)
+
+    def test_the_origin_tells_nothing_of_the_link(self) -> None:
+        """What others share is not this link; it is under way all the same."""
+        inflow = measured(NARROWED_CHUNK_S)
+        for number in range(3):
+            flight = inflow.asked(number, sampled=False)
+            inflow.came(flight)
+            inflow.settle(number + STATED_CHUNK_S)
+        self.assertAlmostEqual(inflow.chunk_s, NARROWED_CHUNK_S)
+        inflow.asked(4, sampled=False)
+        self.assertEqual(inflow.room(UNMEASURED), 1)
+
     def test_what_was_given_up_may_still_come(self) -> None:
         """It takes room until the link must have brought it."""
         inflow = measured(NARROWED_CHUNK_S)
--- a/tests/test_narrow_way.py
+++ b/tests/test_narrow_way.py
@@ -16,6 +16,7 @@
 from linnetwood.calls.engine import EngineFigures
 from linnetwood.calls.reports import Reports
 from linnetwood.calls.routebook import Repeat, Route, Service, Share
+from linnetwood.calls.standing import Report, Standing
 from linnetwood.core.clock import SystemClock
 from linnetwood.core.metrics import NoMetrics
 from linnetwood.core.outcomes import Ending, Outcome
@@ -294,5 +295,17 @@
         self.assertIsNone(Chooser(directory, Random(1)).choose(need, (), 0))
 
 
+class StandingTest(unittest.TestCase):
+    """What is believed of a way."""
+
+    def test_no_way_is_slower_than_any_that_was_met(self) -> None:
+        """Calls took 2 s to arrive at most."""
+        standing = Standing()
+        for way_s, slow_s in ((0.3, 0), (1, 0.7), (2, 1.7), (9, 1.7)):
+            standing.heard(Report(0, 0, 1, False, 0, way_s))
+            with self.subTest(way_s=way_s):
+                self.assertAlmostEqual(standing.slow_s(0.1), slow_s)
+
+
 if __name__ == '__main__':
     unittest.main()
