Begin no resumed stream on a version that is closed

A stream that was resumed on its own version went out until that was taken back, 0.8 s before the bound, instead of 1.2 s before it like any call. It ends now as where no endpoint serves its version. tests/test_narrow_way.py ResumedTest: failed before, passes.

--- a/src/linnetwood/calls/choice.py
+++ b/src/linnetwood/calls/choice.py
@@ -120,8 +120,8 @@
         version = self._version(need, one)
         if version < self._least_there(need, one, now):
             return False
-        if need.exact_version:
-            return version == need.exact_version
+        if need.exact_version and version != need.exact_version:
+            return False
         return version >= max(1, need.least_version)
 
     def _least_there(self, need: Need, one: Listed, now: float) -> int:
