Report a slow way before any chunk has come

While nothing is measured, the way is as long as a peer's chunk has been under way. Three chunks for 1.5 s with nothing come: told as 0 s before, as 1.5 s now (tests/test_swarm.py, tests/test_inflow.py).

--- a/src/linnetwood/weights/inflow.py
+++ b/src/linnetwood/weights/inflow.py
@@ -78,8 +78,10 @@
         A longer way is told at once. It is called once for each report.
         """
         self.settle(now)
-        # What came quickly shows that the way is no longer than that.
-        way_s = min(self.owed_s, min(self._took_s, default=0))
+        way_s = self._oldest_s(now)
+        if self._samples:
+            # What came quickly shows that the way is no longer than that.
+            way_s = min(self.owed_s, min(self._took_s))
         share = _SHORTER_SHARE if way_s < self._way_s else 1
         self._way_s += share * (way_s - self._way_s)
         return self._way_s
@@ -141,6 +143,15 @@
             most = 1 + int(_AHEAD_S / chunk_s)
         return most - self._under_way
 
+    def _oldest_s(self, now: float) -> float:
+        """Give how long a chunk has been held up; it may be by this link."""
+        ages = [
+            now - flight.flows_since
+            for flight in self._flights
+            if flight.sampled
+        ]
+        return max(ages, default=0)
+
     @property
     def _under_way(self) -> int:
         return len(self._flights) + len(self._given_up)
--- a/tests/test_inflow.py
+++ b/tests/test_inflow.py
@@ -108,6 +108,18 @@
             inflow.asked(1)
         self.assertAlmostEqual(inflow.tell_way_s(1.1), 2 * NARROWED_CHUNK_S)
 
+    def test_before_any_came(self) -> None:
+        """Peers' chunks tell by their age, and the origin's do not."""
+        inflow = Inflow()
+        inflow.asked(0, sampled=False)
+        self.assertAlmostEqual(inflow.tell_way_s(1), 0)
+        flight = inflow.asked(1)
+        self.assertAlmostEqual(inflow.tell_way_s(1.5), 0.5)
+        inflow.flows(flight, 1.5)
+        inflow.came(flight)
+        inflow.settle(1.5 + STATED_CHUNK_S)
+        self.assertLess(inflow.tell_way_s(1.6), 0.5)
+
     def test_a_chunk_that_came_quickly_shows_a_short_way(self) -> None:
         """Others are late because of their senders."""
         inflow = measured(NARROWED_CHUNK_S)
