Keep track of what one that left still sends

A neighbour that leaves the list has what was asked of it under way still: it takes room until the link must have brought it, as what was given up does. A chunk that comes from it later is no chunk of whom it was asked of next, and that one's bytes still take room.

--- a/src/linnetwood/weights/inflow.py
+++ b/src/linnetwood/weights/inflow.py
@@ -42,6 +42,7 @@
         self._way_s = float()
         self._flights: set[Flight] = set()
         self._undated: list[tuple[Flight, int]] = []
+        self._left: list[Flight] = []
         self._given_up: list[float] = []
         self._samples: collections.deque[float] = collections.deque(
             maxlen=_SAMPLES,
@@ -111,6 +112,15 @@
         """Note that nothing will come."""
         self._flights.discard(flight)
 
+    def left(self, flight: Flight) -> None:
+        """Note that whom it was asked of is left; it may still come.
+
+        As what has come, it is dated when things are settled.
+        """
+        if flight in self._flights:
+            self._flights.remove(flight)
+            self._left.append(flight)
+
     def gave_up(self, now: float) -> None:
         """Note that a chunk is no longer waited for, but may still come."""
         pace_s = min(self._paces, default=0)
@@ -130,6 +140,9 @@
             if flight.sampled:
                 self._samples.append(pace_s)
         self._undated.clear()
+        while self._left:
+            self._left.pop()
+            self.gave_up(now)
         self._given_up = [until for until in self._given_up if until > now]
 
     def room(self, unmeasured: int) -> int:
@@ -154,4 +167,5 @@
 
     @property
     def _under_way(self) -> int:
-        return len(self._flights) + len(self._given_up)
+        unasked = len(self._left) + len(self._given_up)
+        return len(self._flights) + unasked
--- a/src/linnetwood/weights/swarm.py
+++ b/src/linnetwood/weights/swarm.py
@@ -121,12 +121,16 @@
         self._far = far
 
     def part(self, vm: str) -> None:
-        """Forget a neighbour that is gone, and what was asked of it."""
+        """Forget a neighbour that is gone, and what was asked of it.
+
+        What it had sent by then still comes.
+        """
         peer = self.peers.pop(vm, None)
         if peer is not None:
             self._count(peer.held, -1)
         for index, pending in list(self.pending.items()):
             if pending.source == vm:
+                self._inflow.left(pending.flight)
                 self._settle(index)
 
     def notice(self, vm: str, held: int, queued: int) -> None:
@@ -148,11 +152,17 @@
         if pending is not None and pending.source == source:
             self._inflow.flows(pending.flight, now)
 
-    def arrived(self, index: int) -> bool:
-        """Note a checked chunk; tell whether it was new."""
+    def arrived(self, index: int, source: str) -> bool:
+        """Note a checked chunk; tell whether it was new.
+
+        What comes late from one that was left is not what another was asked
+        for: that may still come.
+        """
         pending = self.pending.get(index)
-        if pending is not None:
+        if pending is not None and pending.source == source:
             self._inflow.came(pending.flight)
+        elif pending is not None:
+            self._inflow.left(pending.flight)
         self._settle(index)
         bit = 1 << index
         fresh = not self.held & bit
--- a/src/linnetwood/weights/transfer.py
+++ b/src/linnetwood/weights/transfer.py
@@ -206,7 +206,7 @@
             self._reject(fetch)
             return
         tools.metrics.count(Metric.CHUNKS_RECEIVED)
-        if not self.swarm.arrived(fetch.index):
+        if not self.swarm.arrived(fetch.index, fetch.source):
             tools.tally.repeated_bytes += len(chunk)
             tools.metrics.count(Metric.CHUNKS_REPEATED)
         if self.kept is not None:
