--- a/tests/test_narrow_way.py
+++ b/tests/test_narrow_way.py
@@ -34,6 +34,8 @@
 
 MODEL = 'm'
 BOUND_S = 8
+# What the entries' margins allow for anyway.
+USUAL_WAY_S = 0.3
 MOST = 65536
 ENGINE = EngineFigures(
     slots=16,
@@ -161,6 +163,7 @@
         )
         self.driver = CurlDriver()
         chooser = Chooser(directory, Random(1))
+        self.chooser = chooser
         self.reports = Reports(
             directory,
             chooser,
@@ -253,6 +256,29 @@
         self.assertNotEqual(ending.outcome, Outcome.ANSWERED)
         self.assertEqual(len(self.engine.requests), 1)
 
+    async def test_what_is_sent_has_time_to_begin(self) -> None:
+        """On any way a call has 0.4 s there before it is taken back."""
+        for way_s in (0, 0.5, 1, 1.5):
+            self.tell(way_s)
+            slow_s = max(0, way_s - USUAL_WAY_S)
+            # A call that would be taken back a moment too soon, and one not.
+            late_s = MARGIN_S + 2 * slow_s
+            for left_s, sent in ((late_s - 0.05, False), (late_s + 0.05, True)):
+                wanted = WantedVersions(BOUND_S)
+                now = self.loop.time()
+                wanted.name(MODEL, 2, now + left_s - BOUND_S)
+                need = Need(
+                    SERVICE,
+                    'z1',
+                    100,
+                    MODEL,
+                    wanted.least(MODEL, now),
+                    closing=wanted.closing(MODEL),
+                )
+                choice = self.chooser.choose(need, (), now)
+                with self.subTest(way_s=way_s, left_s=left_s):
+                    self.assertEqual(choice is not None, sent)
+
     async def test_slow_way_takes_back_earlier(self) -> None:
         """What takes a call back has to arrive before the bound as well."""
         way_s = 0.7
