--- a/tests/test_inflow.py
+++ b/tests/test_inflow.py
@@ -1,8 +1,14 @@
 """What a VM's link brings, and how much is asked for at a time."""
 
 import unittest
+from unittest import mock
 
+from linnetwood.gen.wire.ttypes import ChunkReply
+from linnetwood.weights.exchange import Fetcher
 from linnetwood.weights.inflow import Inflow
+from linnetwood.wire.codec import encode
+from linnetwood.wire.frames import Frame, FrameKind
+from linnetwood.wire.links import OpenLink
 
 # As many as both windows of a download together.
 MOST = 5
@@ -139,5 +145,50 @@
         self.assertLess(told[-1], 0.01)
 
 
+class FirstByteTest(unittest.IsolatedAsyncioTestCase):
+    """See a chunk's first byte."""
+
+    async def answered(self, *, held_here: bool) -> list[str]:
+        """Ask a peer for a chunk; give what happened, in order."""
+        seen: list[str] = []
+        reply = ChunkReply('m', 0, held_here, b'', 0)
+        frames = [
+            Frame(FrameKind.CHUNK_REPLY, encode(reply)),
+            Frame(FrameKind.CHUNK, b'chunk'),
+        ]
+
+        def read() -> Frame:
+            frame = frames.pop(0)
+            seen.append(frame.kind.name)
+            return frame
+
+        stream = mock.Mock(closed=False)
+        stream.write = mock.AsyncMock()
+        stream.read = mock.AsyncMock(side_effect=read)
+        dialler = mock.Mock(dial=mock.AsyncMock(return_value=stream))
+        await Fetcher('me', dialler, OpenLink()).fetch(
+            'vm',
+            ('h', 1),
+            'm',
+            0,
+            lambda: seen.append('flows'),
+        )
+        return seen
+
+    async def test_reply_marks_it(self) -> None:
+        """The reply goes right before the bytes."""
+        self.assertEqual(
+            await self.answered(held_here=True),
+            ['CHUNK_REPLY', 'flows', 'CHUNK'],
+        )
+
+    async def test_nothing_flows_from_who_has_nothing(self) -> None:
+        """A reply without bytes marks nothing."""
+        self.assertEqual(
+            await self.answered(held_here=False),
+            ['CHUNK_REPLY'],
+        )
+
+
 if __name__ == '__main__':
     unittest.main()
