Hold a call back that has no time, instead of closing earlier

A call that may be taken back is now held back where it would have less than 0.4 s there, and closing is as it was.

--- a/src/linnetwood/calls/choice.py
+++ b/src/linnetwood/calls/choice.py
@@ -15,8 +15,6 @@
 _FAR_S = 0.015
 # Two delays to connect, one to ask and one back.
 _DELAYS = 4
-# A call's way there, and the way of what takes it back.
-_WAYS = 2
 # Equals within this are chosen among by chance, so that entries don't herd.
 _JITTER_S = 0.01
 _FAILING_S = 2.0
@@ -129,16 +127,14 @@
     def _least_there(self, need: Need, one: Listed, now: float) -> int:
         """Give the oldest version for which a call comes there in time.
 
-        On a slow way a call has to be sent earlier by so much, and by as much
-        again, since it is taken back so much earlier and has to begin before.
-        On the usual way the need itself says what is due.
+        On a slow way a call has to be sent earlier by so much. On the usual
+        way the need itself says what is due.
         """
         slow_s = self.standing(one.endpoint).slow_s(now)
         if not slow_s:
             return 0
-        by = now + _WAYS * slow_s
         return max(
-            (version for version, at in need.closing if at <= by),
+            (version for version, at in need.closing if at <= now + slow_s),
             default=0,
         )
 
--- a/src/linnetwood/calls/direct.py
+++ b/src/linnetwood/calls/direct.py
@@ -28,7 +28,11 @@
     not_run,
     unknown,
 )
-from linnetwood.fleet.wanted import WantedVersions
+from linnetwood.fleet.wanted import (
+    MARGIN_S,
+    START_MARGIN_S,
+    WantedVersions,
+)
 from linnetwood.wire.curldriver import CurlDriver, Headers, Request
 
 # A handshake takes two delays of a few milliseconds; a lost packet is sent
@@ -42,6 +46,8 @@
 # Below this nothing can be answered any more.
 _LEAST_LEFT_S = 0.02
 _RETRY_AFTER_MS = 200
+# So long a call has there, on any way, before it is taken back.
+_BEGIN_S = MARGIN_S - START_MARGIN_S
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -160,7 +166,8 @@
     ) -> AttemptEnd:
         now = self._loop.time()
         left_s = call.until - now
-        if left_s < _LEAST_LEFT_S:
+        bounds = self._bounds(call, choice, urgency)
+        if left_s < _LEAST_LEFT_S or not self._may_begin(choice, bounds, now):
             return AttemptEnd(How.NOT_RUN, reached=False, detail='late')
         attempt = Attempt(
             relay,
@@ -187,7 +194,7 @@
             end = await attempt.run(
                 self._driver,
                 self._request(call, choice, errand),
-                self._bounds(call, choice, urgency),
+                bounds,
             )
         finally:
             waiting.over()
@@ -252,6 +259,12 @@
             first_s = LATE_EVENT_S
         return Bounds(call.until, start_by, first_s, NEXT_EVENT_S)
 
+    def _may_begin(self, choice: Choice, bounds: Bounds, now: float) -> bool:
+        """Tell whether it has time there before it is taken back."""
+        slow_s = self._chooser.standing(choice.endpoint.endpoint).slow_s(now)
+        left_s = bounds.start_by - now - slow_s
+        return not slow_s or left_s >= _BEGIN_S
+
     def _learn(self, choice: Choice, end: AttemptEnd) -> None:
         standing = self._chooser.standing(choice.endpoint.endpoint)
         if end.how is How.ANSWERED:
--- a/tests/test_narrow_way.py
+++ b/tests/test_narrow_way.py
@@ -174,8 +174,17 @@
             'z1',
             Tellers(HOST, Random(1)),
         )
-        self.dispatcher = DirectDispatcher(
-            chooser,
+        self.dispatcher = self.dispatch()
+
+    async def asyncTearDown(self) -> None:
+        self.driver.close()
+        await self.way.close()
+        await self.engine.close()
+
+    def dispatch(self) -> DirectDispatcher:
+        """Give what runs calls by the versions that are wanted."""
+        return DirectDispatcher(
+            self.chooser,
             self.driver,
             PlatformDialect(),
             self.wanted,
@@ -183,11 +192,6 @@
             NoMetrics(),
         )
 
-    async def asyncTearDown(self) -> None:
-        self.driver.close()
-        await self.way.close()
-        await self.engine.close()
-
     async def call(self) -> Ending:
         """Run one call."""
         now = self.loop.time()
@@ -264,20 +268,16 @@
             # A call that would be taken back a moment too soon, and one not.
             late_s = MARGIN_S + 2 * slow_s
             for left_s, sent in ((late_s - 0.05, False), (late_s + 0.05, True)):
-                wanted = WantedVersions(BOUND_S)
-                now = self.loop.time()
-                wanted.name(MODEL, 2, now + left_s - BOUND_S)
-                need = Need(
-                    SERVICE,
-                    'z1',
-                    100,
-                    MODEL,
-                    wanted.least(MODEL, now),
-                    closing=wanted.closing(MODEL),
-                )
-                choice = self.chooser.choose(need, (), now)
+                self.wanted = WantedVersions(BOUND_S)
+                self.dispatcher = self.dispatch()
+                self.named(left_s)
+                before = len(self.engine.requests)
+                await self.call()
                 with self.subTest(way_s=way_s, left_s=left_s):
-                    self.assertEqual(choice is not None, sent)
+                    self.assertEqual(
+                        len(self.engine.requests) > before,
+                        sent,
+                    )
 
     async def test_slow_way_takes_back_earlier(self) -> None:
         """What takes a call back has to arrive before the bound as well."""
