--- a/tests/test_inflow.py
+++ b/tests/test_inflow.py
@@ -1,8 +1,14 @@
 """What a VM's link brings, and how much is asked for at a time."""
 
 import unittest
+from unittest import mock
 
+from linnetwood.gen.wire.ttypes import ChunkReply
+from linnetwood.weights.exchange import Fetcher
 from linnetwood.weights.inflow import Inflow
+from linnetwood.wire.codec import encode
+from linnetwood.wire.frames import Frame, FrameKind
+from linnetwood.wire.links import OpenLink
 
 # As many as both windows of a download together.
 MOST = 5
@@ -53,6 +59,29 @@
         inflow.settle(2)
         self.assertAlmostEqual(inflow.chunk_s, STATED_CHUNK_S)
 
+    def test_what_flows_at_a_time_counts(self) -> None:
+        """Senders that begin late make no slow link."""
+        inflow = Inflow()
+        for number in range(4):
+            flights = [inflow.asked(number) for _ in range(2)]
+            for flight in flights:
+                inflow.flows(flight, number + 0.9)
+            for flight in flights:
+                inflow.came(flight)
+            inflow.settle(number + 0.9 + 2 * STATED_CHUNK_S)
+        self.assertAlmostEqual(inflow.chunk_s, STATED_CHUNK_S)
+
+    def test_the_origin_tells_nothing_of_the_link(self) -> None:
+        """What others share is not this link; it is under way all the same."""
+        inflow = measured(NARROWED_CHUNK_S)
+        for number in range(3):
+            flight = inflow.asked(number, sampled=False)
+            inflow.came(flight)
+            inflow.settle(number + STATED_CHUNK_S)
+        self.assertAlmostEqual(inflow.chunk_s, NARROWED_CHUNK_S)
+        inflow.asked(4, sampled=False)
+        self.assertEqual(inflow.room(UNMEASURED), 1)
+
     def test_what_was_given_up_may_still_come(self) -> None:
         """It takes room until the link must have brought it."""
         inflow = measured(NARROWED_CHUNK_S)
@@ -85,6 +114,18 @@
             inflow.asked(1)
         self.assertAlmostEqual(inflow.tell_way_s(1.1), 2 * NARROWED_CHUNK_S)
 
+    def test_before_any_came(self) -> None:
+        """Peers' chunks tell by their age, and the origin's do not."""
+        inflow = Inflow()
+        inflow.asked(0, sampled=False)
+        self.assertAlmostEqual(inflow.tell_way_s(1), 0)
+        flight = inflow.asked(1)
+        self.assertAlmostEqual(inflow.tell_way_s(1.5), 0.5)
+        inflow.flows(flight, 1.5)
+        inflow.came(flight)
+        inflow.settle(1.5 + STATED_CHUNK_S)
+        self.assertLess(inflow.tell_way_s(1.6), 0.5)
+
     def test_a_chunk_that_came_quickly_shows_a_short_way(self) -> None:
         """Others are late because of their senders."""
         inflow = measured(NARROWED_CHUNK_S)
@@ -104,5 +145,50 @@
         self.assertLess(told[-1], 0.01)
 
 
+class FirstByteTest(unittest.IsolatedAsyncioTestCase):
+    """See a chunk's first byte."""
+
+    async def answered(self, *, held_here: bool) -> list[str]:
+        """Ask a peer for a chunk; give what happened, in order."""
+        seen: list[str] = []
+        reply = ChunkReply('m', 0, held_here, b'', 0)
+        frames = [
+            Frame(FrameKind.CHUNK_REPLY, encode(reply)),
+            Frame(FrameKind.CHUNK, b'chunk'),
+        ]
+
+        def read() -> Frame:
+            frame = frames.pop(0)
+            seen.append(frame.kind.name)
+            return frame
+
+        stream = mock.Mock(closed=False)
+        stream.write = mock.AsyncMock()
+        stream.read = mock.AsyncMock(side_effect=read)
+        dialler = mock.Mock(dial=mock.AsyncMock(return_value=stream))
+        await Fetcher('me', dialler, OpenLink()).fetch(
+            'vm',
+            ('h', 1),
+            'm',
+            0,
+            lambda: seen.append('flows'),
+        )
+        return seen
+
+    async def test_reply_marks_it(self) -> None:
+        """The reply goes right before the bytes."""
+        self.assertEqual(
+            await self.answered(held_here=True),
+            ['CHUNK_REPLY', 'flows', 'CHUNK'],
+        )
+
+    async def test_nothing_flows_from_who_has_nothing(self) -> None:
+        """A reply without bytes marks nothing."""
+        self.assertEqual(
+            await self.answered(held_here=False),
+            ['CHUNK_REPLY'],
+        )
+
+
 if __name__ == '__main__':
     unittest.main()
--- a/tests/test_narrow_way.py
+++ b/tests/test_narrow_way.py
@@ -9,13 +9,14 @@
 import unittest
 from random import Random
 
-from linnetwood.calls.choice import Chooser
+from linnetwood.calls.choice import Chooser, Need
 from linnetwood.calls.dialect import CallHead
 from linnetwood.calls.direct import DirectCall, DirectDispatcher
 from linnetwood.calls.directory import Directory, Listed
 from linnetwood.calls.engine import EngineFigures
 from linnetwood.calls.reports import Reports
 from linnetwood.calls.routebook import Repeat, Route, Service, Share
+from linnetwood.calls.standing import Report, Standing
 from linnetwood.core.clock import SystemClock
 from linnetwood.core.metrics import NoMetrics
 from linnetwood.core.outcomes import Ending, Outcome
@@ -33,6 +34,8 @@
 
 MODEL = 'm'
 BOUND_S = 8
+# What the entries' margins allow for anyway.
+USUAL_WAY_S = 0.3
 MOST = 65536
 ENGINE = EngineFigures(
     slots=16,
@@ -160,6 +163,7 @@
         )
         self.driver = CurlDriver()
         chooser = Chooser(directory, Random(1))
+        self.chooser = chooser
         self.reports = Reports(
             directory,
             chooser,
@@ -170,8 +174,17 @@
             'z1',
             Tellers(HOST, Random(1)),
         )
-        self.dispatcher = DirectDispatcher(
-            chooser,
+        self.dispatcher = self.dispatch()
+
+    async def asyncTearDown(self) -> None:
+        self.driver.close()
+        await self.way.close()
+        await self.engine.close()
+
+    def dispatch(self) -> DirectDispatcher:
+        """Give what runs calls by the versions that are wanted."""
+        return DirectDispatcher(
+            self.chooser,
             self.driver,
             PlatformDialect(),
             self.wanted,
@@ -179,11 +192,6 @@
             NoMetrics(),
         )
 
-    async def asyncTearDown(self) -> None:
-        self.driver.close()
-        await self.way.close()
-        await self.engine.close()
-
     async def call(self) -> Ending:
         """Run one call."""
         now = self.loop.time()
@@ -252,6 +260,25 @@
         self.assertNotEqual(ending.outcome, Outcome.ANSWERED)
         self.assertEqual(len(self.engine.requests), 1)
 
+    async def test_what_is_sent_has_time_to_begin(self) -> None:
+        """On any way a call has 0.4 s there before it is taken back."""
+        for way_s in (0, 0.5, 1, 1.5):
+            self.tell(way_s)
+            slow_s = max(0, way_s - USUAL_WAY_S)
+            # A call that would be taken back a moment too soon, and one not.
+            late_s = MARGIN_S + 2 * slow_s
+            for left_s, sent in ((late_s - 0.05, False), (late_s + 0.05, True)):
+                self.wanted = WantedVersions(BOUND_S)
+                self.dispatcher = self.dispatch()
+                self.named(left_s)
+                before = len(self.engine.requests)
+                await self.call()
+                with self.subTest(way_s=way_s, left_s=left_s):
+                    self.assertEqual(
+                        len(self.engine.requests) > before,
+                        sent,
+                    )
+
     async def test_slow_way_takes_back_earlier(self) -> None:
         """What takes a call back has to arrive before the bound as well."""
         way_s = 0.7
@@ -265,5 +292,46 @@
         self.assertGreater(left_s, START_MARGIN_S + way_s / 2)
 
 
+class ResumedTest(unittest.TestCase):
+    """A stream that is resumed on its own version."""
+
+    def test_closed_version_is_not_begun_on_again(self) -> None:
+        """Nothing is sent on a version in the last 1.2 s of its bound."""
+        directory = Directory()
+        directory.listed(
+            Listed(
+                'i-1',
+                'pool',
+                'h',
+                1,
+                'z1',
+                16,
+                ready=True,
+                versions={MODEL: 1},
+            ),
+        )
+        need = Need(
+            SERVICE,
+            'z1',
+            100,
+            MODEL,
+            least_version=2,
+            exact_version=1,
+        )
+        self.assertIsNone(Chooser(directory, Random(1)).choose(need, (), 0))
+
+
+class StandingTest(unittest.TestCase):
+    """What is believed of a way."""
+
+    def test_no_way_is_slower_than_any_that_was_met(self) -> None:
+        """Calls took 2 s to arrive at most."""
+        standing = Standing()
+        for way_s, slow_s in ((0.3, 0), (1, 0.7), (2, 1.7), (9, 1.7)):
+            standing.heard(Report(0, 0, 1, False, 0, way_s))
+            with self.subTest(way_s=way_s):
+                self.assertAlmostEqual(standing.slow_s(0.1), slow_s)
+
+
 if __name__ == '__main__':
     unittest.main()
--- a/tests/test_swarm.py
+++ b/tests/test_swarm.py
@@ -8,10 +8,13 @@
 from linnetwood.fleet.wanted import START_MARGIN_S
 from linnetwood.weights import chunks
 from linnetwood.weights.bounds import SwarmOptions
+from linnetwood.weights.inflow import Inflow
 from linnetwood.weights.reading import DirectReading, Ring, SharedReading, Turns
 from linnetwood.weights.swarm import ORIGIN, Fetch, Swarm
 
 COUNT = 8
+# What a chunk takes on a link of the stated rate.
+STATED_CHUNK_S = 0.054
 
 
 class Nobody:
@@ -107,7 +110,8 @@
     def test_arrived_tells_repeats(self) -> None:
         """A chunk that comes twice is counted as repeated."""
         found = swarm()
-        self.assertEqual([found.arrived(3), found.arrived(3)], [True, False])
+        fresh = [found.arrived(3, vm) for vm in ('a', 'b')]
+        self.assertEqual(fresh, [True, False])
 
 
 class OriginTest(unittest.TestCase):
@@ -280,11 +284,22 @@
             pending = found.pending.get(fetch.index)
             wanted = pending is not None and pending.source == fetch.source
             if wanted and start <= now:
-                self.heard_at[fetch.source] = min(now, start + self.chunk_s)
+                self._flow(found, fetch, start, now)
             if start + self.chunk_s <= now:
                 self._asked.remove((start, fetch))
                 if wanted:
-                    found.arrived(fetch.index)
+                    found.arrived(fetch.index, fetch.source)
+
+    def _flow(
+        self,
+        found: Swarm,
+        fetch: Fetch,
+        start: float,
+        now: float,
+    ) -> None:
+        if self.heard_at.get(fetch.source, -1) < start:
+            found.flows(fetch.index, fetch.source, now)
+        self.heard_at[fetch.source] = min(now, start + self.chunk_s)
 
 
 class NarrowLinkTest(unittest.TestCase):
@@ -368,6 +383,236 @@
         self.assertLessEqual(self.given_up, 1)
 
 
+class EveryChunk(Nobody):
+    """Read any chunk from the origin at once."""
+
+    def due_at(self, index: int, started: float) -> float | None:
+        """Give the start."""
+        return started
+
+    def turns(self) -> int:
+        """Give every chunk."""
+        return chunks.full(COUNT)
+
+
+class SlowSenders:
+    """Send each chunk after a while, over a link that is whole."""
+
+    def __init__(self, peer_s: float, origin_s: float) -> None:
+        self.now = float()
+        self._peer_s = peer_s
+        self._origin_s = origin_s
+        self._free_at = float()
+        self._sent: list[tuple[float, Fetch]] = []
+        self._flowing: list[tuple[float, Fetch]] = []
+
+    def fetch(self, found: Swarm) -> float:
+        """Fetch all; give the seconds that it took."""
+        while not found.complete:
+            self._send(found)
+            self._carry(found)
+            for fetch in found.plan(self.now):
+                slow_s = self._peer_s if fetch.source else self._origin_s
+                self._sent.append((self.now + slow_s, fetch))
+            self.now += 0.01
+        return self.now
+
+    def _send(self, found: Swarm) -> None:
+        for at, fetch in list(self._sent):
+            if at <= self.now:
+                self._sent.remove((at, fetch))
+                self._free_at = max(self._free_at, self.now) + STATED_CHUNK_S
+                self._flowing.append((self._free_at, fetch))
+                found.flows(fetch.index, fetch.source, self.now)
+
+    def _carry(self, found: Swarm) -> None:
+        for at, fetch in list(self._flowing):
+            if at <= self.now:
+                self._flowing.remove((at, fetch))
+                found.arrived(fetch.index, fetch.source)
+
+
+class SendersTest(unittest.TestCase):
+    """A link that is whole, and senders that are not."""
+
+    def test_slow_origin_leaves_peers_their_turn(self) -> None:
+        """Where only the origin is slow, peers are asked beside it."""
+        cfg = SwarmOptions(window=3)
+        found = Swarm(COUNT, 0, cfg, EveryChunk(), Random(1), 0, None, Inflow())
+        found.meet('a')
+        found.meet('b')
+        now = 0.0
+        # Nobody else holds anything: the origin brings each in a second.
+        for _ in range(3):
+            asked = list(found.plan(now))
+            now += 1
+            for one in asked:
+                found.arrived(one.index, one.source)
+        left = ~found.held & chunks.full(COUNT)
+        # Now two peers near hold one chunk of those that are left.
+        offered = left & -left
+        found.notice('a', offered, 0)
+        found.notice('b', offered, 0)
+        sources = {one.source for one in found.plan(now)}
+        self.assertIn(ORIGIN, sources)
+        self.assertTrue(sources & {'a', 'b'}, sources)
+
+    def test_slow_senders_keep_the_windows(self) -> None:
+        """Five at a time come, however long their senders take."""
+        count = 60
+        for peer_s, origin_s in ((1, 1), (0.3, 1), (1, 0.1)):
+            read_here = (1 << count // 5) - 1
+            cfg = SwarmOptions(window=3)
+            policy = Reads(read_here)
+            found = Swarm(count, 0, cfg, policy, Random(1), 0)
+            for vm in 'abcdefghi':
+                found.meet(vm)
+                found.notice(vm, chunks.full(count) & ~read_here, 0)
+            took_s = SlowSenders(peer_s, origin_s).fetch(found)
+            each_s = max(
+                (peer_s + 2 * STATED_CHUNK_S) * count * 0.8 / 3,
+                (origin_s + 2 * STATED_CHUNK_S) * count * 0.2 / 2,
+            )
+            with self.subTest(peer_s=peer_s, origin_s=origin_s):
+                self.assertLess(took_s, 1.2 * each_s)
+
+    def test_dead_peer_among_slow_ones(self) -> None:
+        """It is given up as soon as among quick ones."""
+        cfg = SwarmOptions(window=3, silence_s=0.8)
+        found = Swarm(COUNT, 0, cfg, Nobody(), Random(1), 0)
+        for vm in 'abc':
+            found.meet(vm)
+            found.notice(vm, 0b1111, 0)
+        dead, *others = found.plan(0)
+        for number, fetch in enumerate(others):
+            found.flows(fetch.index, fetch.source, 0.7 + number / 100)
+            found.arrived(fetch.index, fetch.source)
+            list(found.plan(0.75 + number / 100))
+        self.assertEqual(found.expired(0.81, {}), [dead.index])
+
+    def test_one_place_goes_to_peers_in_turn(self) -> None:
+        """Where one chunk is under way at a time, the origin has not all."""
+        inflow = Inflow()
+        for number in range(3):
+            flight = inflow.asked(number)
+            inflow.came(flight)
+            inflow.settle(number + 0.5)
+        found = Swarm(
+            COUNT, 0, SwarmOptions(), Reads(0b1111), Random(1), 0, None, inflow
+        )
+        found.meet('a')
+        found.notice('a', 0b11110000, 0)
+        sources = []
+        for step in range(4):
+            fetch = next(found.plan(4 + step))
+            sources.append(fetch.source)
+            found.failed(fetch.index, fetch.source)
+        self.assertEqual(sources, [ORIGIN, 'a', ORIGIN, 'a'])
+
+    def test_a_late_chunk_of_one_that_left_is_no_sample(self) -> None:
+        """What one peer brought is not counted as another's."""
+        inflow = Inflow()
+        found = Swarm(
+            COUNT,
+            0,
+            SwarmOptions(window=1),
+            Nobody(),
+            Random(1),
+            0,
+            None,
+            inflow,
+        )
+        found.meet('a')
+        found.meet('b')
+        found.notice('a', 1, 0)
+        self.assertEqual(len(list(found.plan(0))), 1)
+        # The list drops it for a moment; its chunk flows on.
+        found.part('a')
+        found.notice('b', 1, 0)
+        self.assertEqual(len(list(found.plan(0.4))), 1)
+        found.arrived(0, 'a')
+        inflow.settle(0.405)
+        # It took 0.4 s; that nothing was measured is right as well.
+        if inflow.chunk_s:
+            self.assertGreater(inflow.chunk_s, 0.1)
+
+    def test_what_came_late_leaves_the_other_under_way(self) -> None:
+        """The chunk that another was asked for still takes room."""
+        inflow = Inflow()
+        for number in range(3):
+            flight = inflow.asked(number)
+            inflow.came(flight)
+            inflow.settle(number + 0.5)
+        found = Swarm(
+            COUNT, 0, SwarmOptions(), Nobody(), Random(1), 0, None, inflow
+        )
+        for vm in ('a', 'b'):
+            found.meet(vm)
+        found.notice('a', 0b1, 0)
+        list(found.plan(4))
+        found.part('a')
+        found.notice('b', 0b11, 0)
+        self.assertEqual(list(found.plan(4.1)), [])
+        self.assertEqual([one.source for one in found.plan(5.1)], ['b'])
+        for index in list(found.pending):
+            found.arrived(index, 'a')
+        self.assertEqual(list(found.plan(5.2)), [])
+        self.assertEqual(len(list(found.plan(6.3))), 1)
+
+    def test_first_chunks_that_do_not_come_show_a_slow_way(self) -> None:
+        """Chunks under way for long tell of the way before any has come."""
+        inflow = Inflow()
+        for _ in range(3):
+            inflow.asked(0)
+        self.assertGreater(inflow.tell_way_s(1.5), 0.5)
+
+    def test_a_slow_origin_makes_no_slow_way(self) -> None:
+        """One chunk in a second from the origin does not fill a link."""
+        inflow = Inflow()
+        for number in range(4):
+            flight = inflow.asked(number, sampled=False)
+            way_s = inflow.tell_way_s(number + 0.5)
+            inflow.came(flight)
+            inflow.settle(number + 1)
+            self.assertLess(way_s, 0.3)
+
+    def test_a_slow_peer_makes_no_slow_way(self) -> None:
+        """Neither does one from a peer that takes its time to begin."""
+        inflow = Inflow()
+        for number in range(4):
+            flight = inflow.asked(number)
+            way_s = inflow.tell_way_s(number + 0.2)
+            inflow.flows(flight, number + 0.9)
+            inflow.came(flight)
+            inflow.settle(number + 0.95)
+            self.assertLess(way_s, 0.3)
+
+    def test_what_a_parted_peer_sends_takes_room(self) -> None:
+        """Bytes under way from one that was dropped are still under way."""
+        inflow = Inflow()
+        for number in range(3):
+            flight = inflow.asked(number * 0.5)
+            inflow.came(flight)
+            inflow.settle((number + 1) * 0.5)
+        found = Swarm(
+            COUNT,
+            0,
+            SwarmOptions(window=3),
+            Nobody(),
+            Random(1),
+            0,
+            None,
+            inflow,
+        )
+        for vm in ('a', 'b'):
+            found.meet(vm)
+            found.notice(vm, 0b11, 0)
+        self.assertEqual(len(list(found.plan(2))), 1)
+        source = next(iter(found.pending.values())).source
+        found.part(source)
+        self.assertEqual(list(found.plan(2.01)), [])
+
+
 class ChunksTest(unittest.TestCase):
     """Only checked chunks are kept."""
 
