Show that a stopping entry begins calls on kept connections to its end (red)

SIGTERM at 11.0 s; a request of 14.762 s came on a connection that was kept by an answer begun before, was sent on and cut at 18.326 s, 0.7 s before the grace period ends, in the middle of its answer.

--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -370,6 +370,19 @@
         self.assertIn(b'Connection: close', head)
         self.assertEqual(body, b'fine')
 
+    async def test_late_calls_on_kept_connections_are_sent_elsewhere(
+        self,
+    ) -> None:
+        """What may not finish before the process ends is not begun."""
+        back = await self.serve(says(GOOD))
+        self.front.stopping = True
+        self.front.leaving = True
+        status, head, _ = (await self.ask(request('/a/x')))[0]
+        self.assertEqual(status, 503)
+        self.assertIn(b'Connection: close', head)
+        self.assertIn(b'Retry-After: 0.1', head)
+        self.assertEqual(back.requests, [])
+
     async def test_idle_connections_are_closed_busy_ones_are_not(self) -> None:
         """A stop cuts off no call."""
         go = asyncio.Event()
