Send calls elsewhere that come on kept connections at a stop's end

From the moment at which the entry takes no new connection, it answers 503, not run, with a time to come back of 0.1 s.

--- a/src/linnetwood/calls/front.py
+++ b/src/linnetwood/calls/front.py
@@ -36,6 +36,8 @@
 _TIMED_OUT = 504
 _BAD_REQUEST = 400
 _MILLISECONDS = 1000
+# Another entry can be asked at once.
+_ELSEWHERE_MS = 100
 # What a caller wrote is cut to so many characters in a log line.
 _MOST_TOLD = 120
 _REASONS = MappingProxyType(
@@ -89,6 +91,8 @@
         self.metrics = metrics
         self.grounds = grounds
         self.stopping = False
+        # Calls that come from now on may not finish before the process ends.
+        self.leaving = False
         self.under_way = 0
         self.waiting: dict[object, _Request] = {}
 
@@ -187,6 +191,9 @@
             refuse(writer, ending)
 
     async def _answer(self, writer: 'AnswerWriter') -> Ending:
+        if self._front.leaving:
+            # It came on a connection that an answer begun before had kept.
+            return not_run(Code.STOPPING, '', _ELSEWHERE_MS)
         call = self._read()
         if isinstance(call, Ending):
             return call
--- a/src/linnetwood/programs/resident_entry.py
+++ b/src/linnetwood/programs/resident_entry.py
@@ -157,6 +157,7 @@
             self.front.close_idle()
         for server in self._servers:
             server.stop()
+        self.front.leaving = True
         while self.front.under_way and loop.time() < until:
             await asyncio.sleep(_CHECK_S)
             self.front.close_idle()
