--- a/src/linnetwood/fleet/following.py
+++ b/src/linnetwood/fleet/following.py
@@ -5,16 +5,15 @@
 """
 
 import asyncio
-import dataclasses
 import math
 from random import Random
 
 from linnetwood.core.backoff import pause_s
 from linnetwood.core.errors import StoreError
 from linnetwood.core.events import Event, log
+from linnetwood.fleet.belief import USUAL_BOUNDS, Bounds, Told
 from linnetwood.fleet.mirror import Mirror
 from linnetwood.fleet.ranges import (
-    Change,
     Changes,
     HistoryLostError,
     RangeStore,
@@ -40,55 +39,11 @@
 # no version that came and went meanwhile. One wait that is lost takes less.
 _READ_ANEW_S = 5.0
 
-# Parts of the time within which a configuration must be in force. A wait and
-# a fresh belief's age leave more than half of it for asking directly; an answer
-# that flows to the neighbour is waited for a little longer, since as many
-# copies over the same link would take as many times as long.
-_WAIT_SHARE = 0.3
-_FRESH_SHARE = 0.4
-_FLOWING_SHARE = 0.4
 # A store that is slow is asked to wait for less, so that its answers come as
 # often; but each costs a call.
 _LEAST_WAIT_S = 0.1
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Bounds:
-    """How long waits last, and how old a neighbour's word may be; seconds."""
-
-    wait_s: float = 2
-    fresh_s: float = 0
-    flowing_s: float = 0
-
-
-USUAL_BOUNDS = Bounds()
-
-
-def bounds_within(apply_s: float) -> Bounds:
-    """Give the bounds where a change must be in force within so long."""
-    return Bounds(
-        apply_s * _WAIT_SHARE,
-        apply_s * _FRESH_SHARE,
-        apply_s * _FLOWING_SHARE,
-    )
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Told:
-    """What a neighbour tells: changes up to a revision, or the whole range.
-
-    Ages are in seconds, infinity for never: since it knew that it knew all,
-    since it last got a byte from the store, and since the answer began of
-    which that byte is a part.
-    """
-
-    revision: int
-    age_s: float
-    flow_age_s: float
-    flowing_s: float
-    outages: int
-    whole: bool
-    changes: tuple[Change, ...]
+# Ages are told in milliseconds: what differs by less is the same answer.
+_SAME_S = 0.01
 
 
 class Following:
@@ -120,7 +75,9 @@
         self._rng = rng
         self._bounds = bounds
         self._revision = 0
+        self._failures = 0
         self._away = False
+        self._answered_at = -math.inf
         self._told_until = -math.inf
         self._overhead_s = float()
         self._outages_told: int | None = None
@@ -152,15 +109,14 @@
         self._listeners.discard(woken)
 
     @property
-    def away(self) -> bool:
-        """Tell whether the store failed when it was last asked."""
-        return self._away
+    def unanswered(self) -> bool:
+        """Tell whether the store itself has not answered lately."""
+        return self._is_old(self._answered_at)
 
     @property
     def lost(self) -> bool:
         """Tell whether neither the store nor a neighbour was heard lately."""
-        age_s = asyncio.get_running_loop().time() - self.heard_at
-        return self._away and age_s > self._bounds.fresh_s
+        return self._is_old(self.heard_at)
 
     def flowed(self) -> None:
         """Note that bytes of an answer came from the store."""
@@ -171,7 +127,7 @@
 
     def fresh(self, told: Told) -> bool:
         """Tell whether a neighbour's word can stand for the store's."""
-        return self._trusted_s(told) > 0
+        return self._bounds.trusted_s(told) > 0
 
     def told(self, told: Told) -> None:
         """Take in what a neighbour tells, and leave the store alone."""
@@ -186,11 +142,14 @@
         elif told.revision < self._revision:
             # It has yet to learn what is known here.
             return
-        self.heard_at = max(self.heard_at, now - told.age_s)
+        self._confirmed(now - told.age_s)
         if self.borrows:
             # The store is asked all the same: it may be back for this entry.
             return
-        self._told_until = max(self._told_until, now + self._trusted_s(told))
+        trusted_s = self._bounds.trusted_s(told)
+        self._told_until = max(self._told_until, now + trusted_s)
+        if trusted_s > 0:
+            self._failures = 0
         # One's own answer is given up also if it flows: after an outage all
         # would share the link, and the neighbour's would come later for all.
         if self._asking and self._revision and now < self._told_until:
@@ -202,7 +161,6 @@
         self.borrows = False
 
     async def _run(self) -> None:
-        failures = 0
         while True:
             await self._until_needed()
             try:
@@ -212,13 +170,13 @@
                 # The store itself was there: what is missing now is gone.
                 self._revision = 0
             except StoreError as exc:
-                failures += 1
+                self._failures += 1
                 self._note_away(exc)
                 self._sink.away()
-                await asyncio.sleep(self._pause_s(failures))
+                await asyncio.sleep(self._pause_s())
             else:
                 if answered:
-                    failures = 0
+                    self._failures = 0
                     self._note_back()
 
     async def _until_needed(self) -> None:
@@ -243,15 +201,20 @@
     async def _step(self) -> None:
         asked_at = asyncio.get_running_loop().time()
         self.flowing_since = -math.inf
-        if not self._revision or asked_at - self.heard_at > _READ_ANEW_S:
+        # An answer that took long is not asked for again for that.
+        last_at = max(self.heard_at, self._answered_at)
+        if not self._revision or asked_at - last_at > _READ_ANEW_S:
             await self._read()
             return
-        wait_s = max(_LEAST_WAIT_S, self._bounds.wait_s - self._overhead_s)
+        # An old belief is to be confirmed soon.
+        age_s = asked_at - self.heard_at
+        wait_s = self._bounds.wait_s - self._overhead_s - age_s
+        wait_s = max(_LEAST_WAIT_S, wait_s)
         found = await self._store.wait(self._prefix, self._revision, wait_s)
         # A wait that ends empty confirms what is believed, too.
-        self._note_heard()
+        known_at = self._note_heard()
         if not found.changes:
-            self._overhead_s = max(0, self.heard_at - asked_at - wait_s)
+            self._overhead_s = max(0, known_at - asked_at - wait_s)
         if found.revision > self._revision:
             self._take(found)
         if found.changes:
@@ -293,32 +256,42 @@
     def _arrived(self, revision: int) -> None:
         self._revision = revision
         self.learned.set()
+        self._wake()
+
+    def _wake(self) -> None:
         for woken in self._listeners:
             woken.set()
 
-    def _trusted_s(self, told: Told) -> float:
-        bounds = self._bounds
-        flowing_s = min(
-            bounds.fresh_s - told.flow_age_s,
-            bounds.flowing_s - told.flowing_s,
-        )
-        return max(bounds.fresh_s - told.age_s, flowing_s)
-
-    def _pause_s(self, failures: int) -> float:
+    def _pause_s(self) -> float:
         return pause_s(
-            failures,
+            self._failures,
             self._rng,
             _PAUSE_FIRST_S,
             _LISTENER_PAUSE_MOST_S if self.backed else _PAUSE_MOST_S,
             _PAUSE_LEAST_SHARE,
         )
 
-    def _note_heard(self) -> None:
+    def _is_old(self, at: float) -> bool:
+        age_s = asyncio.get_running_loop().time() - at
+        return age_s > self._bounds.fresh_s
+
+    def _note_heard(self) -> float:
+        """Note that the store answered; give as of when that is known."""
         now = asyncio.get_running_loop().time()
         self.flowed_at = now
+        self._answered_at = now
         # The store knew no more than this when its answer began.
         began_at = self.flowing_since
-        self.heard_at = began_at if math.isfinite(began_at) else now
+        known_at = began_at if math.isfinite(began_at) else now
+        self._confirmed(known_at)
+        return known_at
+
+    def _confirmed(self, known_at: float) -> None:
+        newer = known_at > self.heard_at + _SAME_S
+        self.heard_at = max(self.heard_at, known_at)
+        if newer:
+            # Listeners trust what is confirmed, also where nothing changed.
+            self._wake()
 
     def _note_away(self, exc: StoreError) -> None:
         self.outages += 1
--- a/src/linnetwood/fleet/relaying.py
+++ b/src/linnetwood/fleet/relaying.py
@@ -8,7 +8,8 @@
 from linnetwood.core.errors import CodecError, LinnetwoodError, WireError
 from linnetwood.core.events import Event, log
 from linnetwood.core.waits import happened
-from linnetwood.fleet.following import Following, Told
+from linnetwood.fleet.belief import Told
+from linnetwood.fleet.following import Following
 from linnetwood.fleet.mirror import Lack
 from linnetwood.fleet.rangeparts import (
     pack,
@@ -184,7 +185,7 @@
         if self._passed_over == host:
             return False
         if self._following.borrows:
-            return self._following.away
+            return self._following.unanswered
         return self._tellers.knows(host)
 
     def _weigh(self, host: str, told: Told) -> None:
--- a/src/linnetwood/weights/inflow.py
+++ b/src/linnetwood/weights/inflow.py
@@ -17,12 +17,17 @@
 class Flight:
     """One chunk that was asked for and has not come."""
 
-    __slots__ = ('came_before', 'since')
+    __slots__ = ('came_before', 'flows_since', 'sampled', 'since')
 
-    def __init__(self, since: float, came_before: int) -> None:
-        """Keep since when, and how many had come by then."""
+    def __init__(
+        self, since: float, came_before: int, *, sampled: bool
+    ) -> None:
+        """Keep since when, how many had come by then, and if it tells."""
         self.since = since
+        # Until its first byte is seen, it may be flowing all the while.
+        self.flows_since = since
         self.came_before = came_before
+        self.sampled = sampled
 
 
 class Inflow:
@@ -37,10 +42,14 @@
         self._way_s = float()
         self._flights: set[Flight] = set()
         self._undated: list[tuple[Flight, int]] = []
+        self._left: list[Flight] = []
         self._given_up: list[float] = []
         self._samples: collections.deque[float] = collections.deque(
             maxlen=_SAMPLES,
         )
+        self._paces: collections.deque[float] = collections.deque(
+            maxlen=_SAMPLES,
+        )
         self._took_s: collections.deque[float] = collections.deque(
             maxlen=_SAMPLES,
         )
@@ -53,7 +62,16 @@
     @property
     def owed_s(self) -> float:
         """Give the seconds that the link takes for all that may still come."""
-        return self.chunk_s * (len(self._flights) + len(self._given_up))
+        return self.chunk_s * self._under_way
+
+    @property
+    def patience_s(self) -> float:
+        """Give the seconds that all under way may take, if senders do not tell.
+
+        The origin's chunks count here: where they are slow as well, it may be
+        this link, and what was asked for waits behind them.
+        """
+        return min(self._paces, default=0) * self._under_way
 
     def tell_way_s(self, now: float) -> float:
         """Give how long bytes of others may wait on the way here, smoothed.
@@ -61,18 +79,28 @@
         A longer way is told at once. It is called once for each report.
         """
         self.settle(now)
-        # What came quickly shows that the way is no longer than that.
-        way_s = min(self.owed_s, min(self._took_s, default=0))
+        way_s = self._oldest_s(now)
+        if self._samples:
+            # What came quickly shows that the way is no longer than that.
+            way_s = min(self.owed_s, min(self._took_s))
         share = _SHORTER_SHARE if way_s < self._way_s else 1
         self._way_s += share * (way_s - self._way_s)
         return self._way_s
 
-    def asked(self, now: float) -> Flight:
-        """Note that a chunk was asked for."""
-        flight = Flight(now, self._came)
+    def asked(self, now: float, *, sampled: bool = True) -> Flight:
+        """Note that a chunk was asked for.
+
+        How long it takes tells of this link, unless others share the sender's.
+        """
+        flight = Flight(now, self._came, sampled=sampled)
         self._flights.add(flight)
         return flight
 
+    def flows(self, flight: Flight, now: float) -> None:
+        """Note a chunk's first byte: up to now it waited for its sender."""
+        flight.flows_since = now
+        flight.came_before = self._came
+
     def came(self, flight: Flight) -> None:
         """Note that a chunk has come; it is dated when things are settled."""
         if flight in self._flights:
@@ -84,21 +112,37 @@
         """Note that nothing will come."""
         self._flights.discard(flight)
 
+    def left(self, flight: Flight) -> None:
+        """Note that whom it was asked of is left; it may still come.
+
+        As what has come, it is dated when things are settled.
+        """
+        if flight in self._flights:
+            self._flights.remove(flight)
+            self._left.append(flight)
+
     def gave_up(self, now: float) -> None:
         """Note that a chunk is no longer waited for, but may still come."""
-        self._given_up.append(now + self.owed_s + self.chunk_s)
+        pace_s = min(self._paces, default=0)
+        self._given_up.append(now + self.patience_s + pace_s)
 
     def settle(self, now: float) -> None:
         """Date what has come; forget what was given up and must be through.
 
-        How many chunks came while one was under way is the rate of the link,
-        if that is what held them up, and less if the senders did.
+        How many chunks came while one flowed is the rate of the link, if that
+        is what held them up, and less if the senders did.
         """
         for flight, came in self._undated:
-            took_s = now - flight.since
-            self._took_s.append(took_s)
-            self._samples.append(took_s / (came - flight.came_before))
+            self._took_s.append(now - flight.since)
+            flowed_s = now - flight.flows_since
+            pace_s = flowed_s / (came - flight.came_before)
+            self._paces.append(pace_s)
+            if flight.sampled:
+                self._samples.append(pace_s)
         self._undated.clear()
+        while self._left:
+            self._left.pop()
+            self.gave_up(now)
         self._given_up = [until for until in self._given_up if until > now]
 
     def room(self, unmeasured: int) -> int:
@@ -110,4 +154,18 @@
         chunk_s = self.chunk_s
         if chunk_s:
             most = 1 + int(_AHEAD_S / chunk_s)
-        return most - len(self._flights) - len(self._given_up)
+        return most - self._under_way
+
+    def _oldest_s(self, now: float) -> float:
+        """Give how long a chunk has been held up; it may be by this link."""
+        ages = [
+            now - flight.flows_since
+            for flight in self._flights
+            if flight.sampled
+        ]
+        return max(ages, default=0)
+
+    @property
+    def _under_way(self) -> int:
+        unasked = len(self._left) + len(self._given_up)
+        return len(self._flights) + unasked
--- a/tests/test_relaying_troubles.py
+++ b/tests/test_relaying_troubles.py
@@ -5,7 +5,8 @@
 from random import Random
 from unittest import mock
 
-from linnetwood.fleet.following import Following, Told, bounds_within
+from linnetwood.fleet.belief import Told, bounds_within
+from linnetwood.fleet.following import Following
 from linnetwood.fleet.ranges import Change, Changes, Record, Snapshot
 from linnetwood.fleet.relaying import RangeTeller, _read
 from linnetwood.gen.wire.ttypes import RangeRequest
@@ -42,6 +43,17 @@
         return await super().wait(prefix, after, wait_s)
 
 
+def follower() -> Following:
+    """Give one that follows a store of its own, and has not begun."""
+    return Following(
+        zones.Handle(zones.FarStore(), 'me'),
+        '',
+        zones.Newest(),
+        Random(1),
+        bounds_within(2),
+    )
+
+
 async def _reads_of_a_start() -> int:
     """Start a zone whose entries know each other from the beginning."""
     CountingStore.reads = 0
@@ -134,17 +146,43 @@
 
         virtual.run(play())
 
-    def test_ages_come_with_the_whole(self) -> None:
-        """A whole range that a neighbour tells brings its ages, too."""
+    def test_an_older_answer_makes_no_belief_older(self) -> None:
+        """What a neighbour confirmed meanwhile stays confirmed."""
+
+        async def play() -> None:
+            following = follower()
+            following.told(Told(1, 0, 0, 0, 0, False, ()))
+            heard_at = following.heard_at
+            following.flowing_since = heard_at - 1
+            following._note_heard()
+            self.assertEqual(following.heard_at, heard_at)
+
+        virtual.run(play())
+
+    def test_a_slow_read_is_not_begun_again(self) -> None:
+        """However long it took, what comes next is waited for."""
 
         async def play() -> None:
+            CountingStore.reads = 0
+            store = CountingStore()
+            store.records[KEY] = Record(b'1' * zones.LINK_BYTES_PER_S * 8, 1)
+            handle = CountingHandle(store, 'me')
             following = Following(
-                zones.Handle(zones.FarStore(), 'me'),
-                '',
-                zones.Newest(),
-                Random(1),
-                bounds_within(2),
+                handle, '', zones.Newest(), Random(1), bounds_within(2)
             )
+            handle.heard = following.flowed
+            following.start()
+            await asyncio.sleep(30)
+            await following.close()
+            self.assertEqual(CountingStore.reads, 1)
+
+        virtual.run(play())
+
+    def test_ages_come_with_the_whole(self) -> None:
+        """A whole range that a neighbour tells brings its ages, too."""
+
+        async def play() -> None:
+            following = follower()
             told = Told(
                 9,
                 0,
@@ -169,13 +207,7 @@
         """Whoever is told of an outage tells of one."""
 
         async def play() -> None:
-            following = Following(
-                zones.Handle(zones.FarStore(), 'me'),
-                '',
-                zones.Newest(),
-                Random(1),
-                bounds_within(2),
-            )
+            following = follower()
             before = following.outages
             for outages in (0, 1):
                 following.told(Told(1, 0, 0, 0, outages, False, ()))
@@ -191,13 +223,7 @@
         """What was packed as changes is never sent as the whole range."""
 
         async def play() -> None:
-            following = Following(
-                zones.Handle(zones.FarStore(), 't'),
-                '',
-                zones.Newest(),
-                Random(1),
-                bounds_within(2),
-            )
+            following = follower()
             mirror = following.mirror
             whole = {KEY: Record(b'1', 1), 'servers/a': Record(b'a', 2)}
             mirror.replaced(Snapshot(whole, 2), 0)
