Show that answers that flow and break off are trusted for ever (red)

A neighbour that begins one answer after the other and ends none keeps a listener from asking: it holds the old value after twice the bound.

--- a/tests/test_relaying_quiet.py
+++ b/tests/test_relaying_quiet.py
@@ -133,6 +133,38 @@
 
         virtual.run(play())
 
+    def test_answers_that_never_end_are_trusted_once(self) -> None:
+        """A neighbour whose answers flow and break off stands for nothing."""
+
+        async def play() -> None:
+            store = zones.FarStore()
+            sink = zones.Newest()
+            following = Following(
+                zones.Handle(store, 'me'),
+                '',
+                sink,
+                Random(1),
+                bounds_within(BOUND_S),
+            )
+            following.start()
+            await asyncio.sleep(1)
+            store.write(b'2')
+            loop = asyncio.get_running_loop()
+            written_at = loop.time()
+            following.told(word(0))
+            sink.at = written_at
+            while loop.time() < written_at + 2 * BOUND_S:
+                age_s = loop.time() - written_at + 0.5
+                flowing_s = age_s % 0.5
+                told = Told(1, age_s, 0, flowing_s, 0, False, ())
+                following.told(told)
+                await asyncio.sleep(BEAT_S)
+            await following.close()
+            self.assertEqual(sink.payload, b'2')
+            self.assertLess(sink.at - written_at, BOUND_S)
+
+        virtual.run(play())
+
     def test_mute_store_makes_lost(self) -> None:
         """Who hears nothing for long may hear anybody, failed or not."""
 
