--- a/src/linnetwood/fleet/belief.py
+++ b/src/linnetwood/fleet/belief.py
@@ -39,13 +39,16 @@
     fresh_s: float = 0
     flowing_s: float = 0
 
-    def trusted_s(self, told: Told) -> float:
-        """Give for how long a word stands for the store's; negative for not."""
-        flowing_s = min(
+    def known_s(self, told: Told) -> float:
+        """Give for how long what is told stays fresh; negative if it is old."""
+        return self.fresh_s - told.age_s
+
+    def flow_s(self, told: Told) -> float:
+        """Give for how long an answer that flows is worth waiting for."""
+        return min(
             self.fresh_s - told.flow_age_s,
             self.flowing_s - told.flowing_s,
         )
-        return max(self.fresh_s - told.age_s, flowing_s)
 
 
 USUAL_BOUNDS = Bounds()
--- a/src/linnetwood/fleet/following.py
+++ b/src/linnetwood/fleet/following.py
@@ -79,6 +79,7 @@
         self._away = False
         self._answered_at = -math.inf
         self._told_until = -math.inf
+        self._flow_until = math.inf
         self._overhead_s = float()
         self._outages_told: int | None = None
         self._listeners: set[asyncio.Event] = set()
@@ -125,13 +126,13 @@
             self.flowing_since = now
         self.flowed_at = now
 
-    def fresh(self, told: Told) -> bool:
-        """Tell whether a neighbour's word can stand for the store's."""
-        return self._bounds.trusted_s(told) > 0
+    def told(self, told: Told) -> bool:
+        """Take in what a neighbour tells; tell whether it is trusted.
 
-    def told(self, told: Told) -> None:
-        """Take in what a neighbour tells, and leave the store alone."""
+        While it is, it stands for the store's word.
+        """
         now = asyncio.get_running_loop().time()
+        trusted_s = self._trusted_s(told, now)
         if told.outages != self._outages_told:
             if self._outages_told is not None:
                 self.outages += 1
@@ -141,12 +142,11 @@
             self._take_told(told)
         elif told.revision < self._revision:
             # It has yet to learn what is known here.
-            return
+            return trusted_s > 0
         self._confirmed(now - told.age_s)
         if self.borrows:
             # The store is asked all the same: it may be back for this entry.
-            return
-        trusted_s = self._bounds.trusted_s(told)
+            return trusted_s > 0
         self._told_until = max(self._told_until, now + trusted_s)
         if trusted_s > 0:
             self._failures = 0
@@ -154,6 +154,7 @@
         # would share the link, and the neighbour's would come later for all.
         if self._asking and self._revision and now < self._told_until:
             self._asking.cancel()
+        return trusted_s > 0
 
     def left(self) -> None:
         """Expect nothing more from the neighbour; another counts anew."""
@@ -262,6 +263,19 @@
         for woken in self._listeners:
             woken.set()
 
+    def _trusted_s(self, told: Told, now: float) -> float:
+        known_s = self._bounds.known_s(told)
+        if known_s > 0:
+            self._flow_until = math.inf
+            return known_s
+        flow_s = self._bounds.flow_s(told)
+        if flow_s > 0:
+            # Not for ever: one answer after the other may break off.
+            until = min(self._flow_until, now + self._bounds.flowing_s)
+            self._flow_until = until
+            return min(flow_s, until - now)
+        return known_s
+
     def _pause_s(self) -> float:
         return pause_s(
             self._failures,
@@ -280,6 +294,7 @@
         now = asyncio.get_running_loop().time()
         self.flowed_at = now
         self._answered_at = now
+        self._flow_until = math.inf
         # The store knew no more than this when its answer began.
         began_at = self.flowing_since
         known_at = began_at if math.isfinite(began_at) else now
--- a/src/linnetwood/fleet/relaying.py
+++ b/src/linnetwood/fleet/relaying.py
@@ -174,8 +174,7 @@
         await stream.write(FrameKind.RANGE_REQUEST, request)
         while self._stays(host):
             told = await _read(stream)
-            following.told(told)
-            if following.fresh(told):
+            if following.told(told):
                 self._tellers.told(host)
                 self._note_heard(host)
             else:
