--- a/tests/test_relaying_quiet.py
+++ b/tests/test_relaying_quiet.py
@@ -133,6 +133,23 @@
 
         virtual.run(play())
 
+    def test_slow_answers_make_nobody_lost(self) -> None:
+        """What is old because its answer took long needs no other neighbour.
+
+        Whoever borrows leaves again as soon as the store has answered: both
+        at once would mean to connect and leave for ever.
+        """
+
+        async def play() -> None:
+            following = follower(Quiet())
+            loop = asyncio.get_running_loop()
+            following.flowing_since = loop.time() - 2 * BOUND_S
+            following._note_heard()
+            self.assertFalse(following.unanswered)
+            self.assertFalse(following.lost)
+
+        virtual.run(play())
+
     def test_answers_that_never_end_are_trusted_once(self) -> None:
         """A neighbour whose answers flow and break off stands for nothing."""
 
