Borrow only where the store has not answered lately

An answer that takes longer than a belief may be old made the entry look for any neighbour, and leave it at once since the store had answered: one connection after the other. The test failed before and passes.

--- a/src/linnetwood/fleet/following.py
+++ b/src/linnetwood/fleet/following.py
@@ -117,7 +117,7 @@
     @property
     def lost(self) -> bool:
         """Tell whether neither the store nor a neighbour was heard lately."""
-        return self._is_old(self.heard_at)
+        return self.unanswered and self._is_old(self.heard_at)
 
     def flowed(self) -> None:
         """Note that bytes of an answer came from the store."""
