--- a/tests/test_slow_links.py
+++ b/tests/test_slow_links.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import socket
 import unittest
 from random import Random
 from urllib.parse import parse_qs, urlsplit
@@ -325,6 +326,31 @@
             {name: expected for name, expected, _ in rows},
         )
 
+    async def test_a_handshake_that_takes_long_is_waited_for(self) -> None:
+        """A lost packet, or a queue of a second, costs no try of its own.
+
+        The queue of new connections is full at first, so the first packet is
+        dropped, and the kernel sends it again after a second.
+        """
+        body = {'items': [], 'has_more': False, 'timestamp': 7}
+        listener = socket.create_server((HOST, 0), backlog=0)
+        listener.setblocking(False)  # noqa: WPS425
+        address = listener.getsockname()
+        filling = socket.create_connection(address)
+        driver = CurlDriver()
+        asking = asyncio.create_task(PlatformStore(address, driver).read(''))
+        loop = asyncio.get_running_loop()
+        await asyncio.sleep(0.5)
+        (await loop.sock_accept(listener))[0].close()
+        async with asyncio.timeout(GUARD_S):
+            accepted, _ = await loop.sock_accept(listener)
+            await loop.sock_recv(accepted, 1000)
+            await loop.sock_sendall(accepted, answer(200, body))
+            self.assertEqual((await asking).revision, 7)
+        for one in (accepted, filling, listener):
+            one.close()
+        driver.close()
+
     async def test_all_that_share_a_link_reach_the_newest(self) -> None:
         """Three configurations reach everybody for little more than once each.
 
