Show that what processes say to each other grows with the fleet (red)

Cause looked for: an entry greets every endpoint process once a second with the whole list of peers inside, and each endpoint process reports ten times a second to every entry.

--- /dev/null
+++ b/tests/test_talk.py
@@ -0,0 +1,221 @@
+"""What processes say to each other does not grow with the fleet.
+
+Load pattern: nothing happens. Entries greet, endpoint processes report, at the
+sizes of the users' deployments and at the size to design for. The bound is the
+users' own: a process spends 7 KB a second on control.
+"""
+
+import asyncio
+import unittest
+from collections import defaultdict
+from random import Random
+
+from linnetwood.calls.choice import Chooser
+from linnetwood.calls.directory import Directory, Listed
+from linnetwood.calls.reports import Reports
+from linnetwood.calls.routebook import RouteBook
+from linnetwood.fleet.news import Address
+from linnetwood.fleet.tellers import Tellers
+from linnetwood.fleet.wanted import WantedVersions
+from linnetwood.gen.wire.ttypes import News
+from linnetwood.platform.settings import Residence
+from linnetwood.programs.resident_endpoint import ResidentEndpoint
+from linnetwood.weights.engine import EngineReport
+from linnetwood.wire.codec import encode
+from tests.test_directory import POOL
+
+PORT = 7700
+MODEL = 'model-a'
+# Headers of IP and UDP, which links carry too.
+HEADERS = 28
+MOST_BYTES_PER_S = 7000
+SECONDS = 10
+TICK_S = 0.1
+# Entries, engines, availability zones.
+SIZES = (
+    (7, 6, 3),
+    (40, 23, 3),
+    (98, 60, 5),
+    (98, 102, 5),
+    (300, 180, 5),
+    (410, 600, 10),
+)
+
+
+class Clock:
+    """Stand until it is set."""
+
+    def __init__(self) -> None:
+        self.seconds = 100.0
+
+    def now(self) -> float:
+        """Give monotonic seconds."""
+        return self.seconds
+
+    def wall(self) -> float:
+        """Give the same."""
+        return self.seconds
+
+
+class Wire:
+    """Count what is sent, by sender and by receiver, a second."""
+
+    def __init__(self) -> None:
+        self.sent: dict[str, float] = defaultdict(float)
+        self.received: dict[str, float] = defaultdict(float)
+        self.last: dict[str, list[tuple[str, News]]] = defaultdict(list)
+
+
+class Port:
+    """Stand in for the socket of one process."""
+
+    def __init__(self, host: str, wire: Wire, share: float) -> None:
+        self._host = host
+        self._wire = wire
+        self._share = share
+
+    def send(self, news: News, addresses: list[Address]) -> None:
+        """Count a message to each address."""
+        size = (len(encode(news)) + HEADERS) * self._share
+        for host, _ in addresses:
+            self._wire.sent[self._host] += size
+            self._wire.received[host] += size
+            self._wire.last[host].append((self._host, news))
+
+
+def entry_host(number: int) -> str:
+    """Give the address of an entry."""
+    return f'10.1.{number // 250}.{number % 250}'
+
+
+def engine_host(number: int) -> str:
+    """Give the address of an engine's VM."""
+    return f'10.2.{number // 250}.{number % 250}'
+
+
+class Fleet:
+    """Entries before engines, evenly over availability zones."""
+
+    def __init__(self, entries: int, engines: int, zones: int) -> None:
+        self.wire = Wire()
+        self.clock = Clock()
+        self.zones = zones
+        self.engines = [engine_host(one) for one in range(engines)]
+        self.entries = [entry_host(one) for one in range(entries)]
+        self.directory = Directory()
+        for number, host in enumerate(self.engines):
+            self.directory.listed(
+                Listed(
+                    f'i-{number}',
+                    'pool',
+                    host,
+                    8000,
+                    self.zone(number),
+                    8,
+                    ready=True,
+                    versions={MODEL: 1},
+                ),
+            )
+
+    def zone(self, number: int) -> str:
+        """Give the zone of the VM of a number."""
+        return f'hall-number-{number % self.zones}'
+
+    def greet(self) -> None:
+        """Let every entry greet once, as it does each second."""
+        for number, host in enumerate(self.entries):
+            reports = Reports(
+                self.directory,
+                Chooser(self.directory, Random(1)),
+                WantedVersions(8),
+                self.clock,
+                PORT,
+                lambda: None,
+                self.zone(number),
+                Tellers(host, Random(1)),
+            )
+            reports.book = RouteBook(services={POOL.name: POOL})
+            reports._news = Port(host, self.wire, 1)
+            reports._tell()
+
+    async def report(self, number: int) -> None:
+        """Let the process beside an engine report for some seconds."""
+        host = self.engines[number]
+        endpoint = ResidentEndpoint(
+            Residence(
+                vm=f'side-{number}',
+                host=host,
+                zone=self.zone(number),
+                region='r1',
+                wire_port=PORT,
+                store=('127.0.0.1', 1),
+                callers=None,
+                readiness=None,
+                engine=(host, 8000),
+                link_bytes_per_s=456000,
+                stop_within_s=8,
+                version_bound_s=8,
+                config_bound_s=2,
+                retry_share=0,
+                retry_extra=0,
+            ),
+            (host, 8000),
+        )
+        endpoint._clock = self.clock
+        endpoint._news = Port(host, self.wire, 1 / SECONDS)
+        endpoint.follower.report = EngineReport(
+            3, 8, 41000, 90000, {MODEL: 1}, changing=False, orders_taken=2
+        )
+        for source, news in list(self.wire.last[host]):
+            endpoint.heard(news, (source, PORT))
+        for _ in range(round(SECONDS / TICK_S)):
+            self.clock.seconds += TICK_S
+            for source, news in list(self.wire.last[host])[:len(self.entries)]:
+                # Greetings go on; they are counted once.
+                if news.entry is not None:
+                    endpoint.heard(news, (source, PORT))
+            endpoint._tell()
+        endpoint.driver.close()
+
+
+def most(counted: dict[str, float], hosts: list[str]) -> int:
+    """Give the most that any of these hosts has, in whole bytes a second."""
+    return round(max(counted[host] for host in hosts))
+
+
+class TalkTest(unittest.IsolatedAsyncioTestCase):
+    """Count bytes a second into and out of every process."""
+
+    async def test_greetings(self) -> None:
+        """Neither an entry nor what it greets has more than its bound."""
+        for size in SIZES:
+            with self.subTest(size=size):
+                fleet = Fleet(*size)
+                fleet.greet()
+                wire = fleet.wire
+                found = (
+                    most(wire.sent, fleet.entries),
+                    most(wire.received, fleet.engines),
+                )
+                self.assertLessEqual(max(found), MOST_BYTES_PER_S, found)
+
+    async def test_reports(self) -> None:
+        """Neither a reporting process nor an entry has more than its bound."""
+        for size in SIZES[:4]:
+            with self.subTest(size=size):
+                fleet = Fleet(*size)
+                fleet.greet()
+                fleet.wire.received.clear()
+                for number in range(len(fleet.engines)):
+                    await fleet.report(number)
+                    await asyncio.sleep(0)
+                wire = fleet.wire
+                found = (
+                    most(wire.sent, fleet.engines),
+                    most(wire.received, fleet.entries),
+                )
+                self.assertLessEqual(max(found), MOST_BYTES_PER_S, found)
+
+
+if __name__ == '__main__':
+    unittest.main()
