--- a/src/linnetwood/calls/choice.py
+++ b/src/linnetwood/calls/choice.py
@@ -1,9 +1,10 @@
 """Choose the endpoint for a call by what it is predicted to lose there."""
 
 import dataclasses
-from collections.abc import Collection, Iterator
+from collections.abc import Collection, Iterable, Iterator
 from random import Random
 
+from linnetwood.calls.candidates import Candidates
 from linnetwood.calls.directory import Directory, Listed
 from linnetwood.calls.routebook import Service
 from linnetwood.calls.standing import Standing
@@ -52,6 +53,7 @@
     def __init__(self, directory: Directory, rng: Random) -> None:
         """Choose among the directory's endpoints."""
         self.standings: dict[str, Standing] = {}
+        self.candidates = Candidates(directory)
         self._directory = directory
         self._rng = rng
 
@@ -69,17 +71,15 @@
         tried: Collection[str],
         now: float,
     ) -> Choice | None:
-        """Give the best endpoint not yet tried, or None."""
-        best: tuple[float, Choice] | None = None
-        for one in self._able(need, tried, now):
-            wait_s = self.wait_s(need, one, now)
-            loss = wait_s + self._penalty(one, now)
-            loss += self._rng.random() * _JITTER_S
-            if best is None or loss < best[0]:
-                version = self._version(need, one)
-                far = one.zone != need.zone
-                best = (loss, Choice(one, wait_s, version, far))
-        return best[1] if best else None
+        """Give the best endpoint not yet tried, or None.
+
+        Those that are not heard are looked at only where no other will do.
+        """
+        for listed in self.candidates.groups(need.service.name, now):
+            best = self._best(need, self._able(need, listed, tried, now), now)
+            if best is not None:
+                return best
+        return None
 
     def wait_s(self, need: Need, one: Listed, now: float) -> float:
         """Predict the time to the first byte at an endpoint."""
@@ -103,13 +103,31 @@
             if idle and self._directory.get(name) is None:
                 self.standings.pop(name)
 
+    def _best(
+        self,
+        need: Need,
+        able: Iterator[Listed],
+        now: float,
+    ) -> Choice | None:
+        best: tuple[float, Choice] | None = None
+        for one in able:
+            wait_s = self.wait_s(need, one, now)
+            loss = wait_s + self._penalty(one, now)
+            loss += self._rng.random() * _JITTER_S
+            if best is None or loss < best[0]:
+                version = self._version(need, one)
+                far = one.zone != need.zone
+                best = (loss, Choice(one, wait_s, version, far))
+        return best[1] if best else None
+
     def _able(
         self,
         need: Need,
+        listed: Iterable[Listed],
         tried: Collection[str],
         now: float,
     ) -> Iterator[Listed]:
-        for one in self._directory.ready(need.service.name, now):
+        for one in listed:
             if one.endpoint in tried:
                 continue
             if need.model and not self._serves(need, one, now):
--- a/src/linnetwood/calls/directory.py
+++ b/src/linnetwood/calls/directory.py
@@ -32,13 +32,23 @@
 
     def __init__(self) -> None:
         """Know nobody."""
+        # Grows whenever the list changes: what was derived of it is then old.
+        self.changes = 0
         self._listed: dict[str, Listed] = {}
+        self._by_service: dict[str, dict[str, Listed]] = {}
+        self._by_host: dict[str, str] = {}
         self._doubted: dict[str, float] = {}
         self._outage_at = -_OUTAGE_SEEN_S
 
     def listed(self, one: Listed) -> None:
         """Take in a new or changed entry."""
+        self.changes += 1
+        known = self._listed.get(one.endpoint)
+        if known is not None and known.service != one.service:
+            self._by_service[known.service].pop(one.endpoint)
         self._listed[one.endpoint] = one
+        self._by_service.setdefault(one.service, {})[one.endpoint] = one
+        self._by_host[one.host] = one.endpoint
         self._doubted.pop(one.endpoint, None)
 
     def dropped(self, endpoint: str, now: float) -> None:
@@ -76,16 +86,29 @@
         """Yield every entry."""
         yield from self._listed.values()
 
+    def at_host(self, host: str) -> Listed | None:
+        """Give the entry that was listed last at a host."""
+        return self._listed.get(self._by_host.get(host, ''))
+
+    def of_service(self, service: str) -> Iterator[Listed]:
+        """Yield every entry of a service."""
+        yield from self._by_service.get(service, {}).values()
+
+    def takes(self, one: Listed, now: float) -> bool:
+        """Tell whether an endpoint takes new work."""
+        return one.ready and now < self._doubted.get(one.endpoint, math.inf)
+
     def ready(self, service: str, now: float) -> list[Listed]:
         """Give the endpoints of a service that take new work."""
-        return [
-            one
-            for one in self._listed.values()
-            if one.service == service
-            and one.ready
-            and now < self._doubted.get(one.endpoint, math.inf)
-        ]
+        listed = self.of_service(service)
+        return [one for one in listed if self.takes(one, now)]
 
     def _forget(self, endpoint: str) -> None:
-        self._listed.pop(endpoint, None)
         self._doubted.pop(endpoint, None)
+        one = self._listed.pop(endpoint, None)
+        if one is None:
+            return
+        self.changes += 1
+        self._by_service[one.service].pop(endpoint)
+        if self._by_host.get(one.host) == endpoint:
+            self._by_host.pop(one.host)
--- /dev/null
+++ b/src/linnetwood/calls/greetings.py
@@ -0,0 +1,155 @@
+"""Greet the processes beside the engines that this entry hears."""
+
+import dataclasses
+import itertools
+from collections import defaultdict
+from collections.abc import Callable, Mapping
+
+from linnetwood.calls.candidates import Candidates, draw
+from linnetwood.calls.directory import Directory
+from linnetwood.calls.engine import EngineFigures
+from linnetwood.calls.routebook import Origin, RouteBook
+from linnetwood.fleet.listeners import report_every_s
+from linnetwood.fleet.news import Address, NewsPort
+from linnetwood.fleet.peerlist import PeerTeller, Places
+from linnetwood.fleet.wanted import WantedVersions
+from linnetwood.gen.wire.ttypes import EntryNews, News
+
+_MILLISECONDS = 1000
+_PERCENT = 100
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Around:
+    """The engines of a service, and what was worked out of their places."""
+
+    places: Places
+    digest: int
+    revision: int
+    heard: Mapping[str, float]
+    # At this pace all that is heard stays within its bound.
+    every_s: float
+
+
+def _unknown() -> int:
+    return 0
+
+
+class Greetings:
+    """Tell what is wanted to those that are to report."""
+
+    def __init__(
+        self,
+        me: str,
+        zone: str,
+        directory: Directory,
+        candidates: Candidates,
+        wanted: WantedVersions,
+    ) -> None:
+        """Greet as the entry of a host in an availability zone."""
+        self.peers = PeerTeller()
+        # The revision of the platform's store that the directory is of.
+        self.revision: Callable[[], int] = _unknown
+        self._me = me
+        self._zone = zone
+        self._directory = directory
+        self._candidates = candidates
+        self._wanted = wanted
+        self._around: dict[str, _Around] = {}
+        self._number = 0
+
+    def near(self, host: str) -> bool:
+        """Tell whether a host that is heard is of this zone."""
+        return any(
+            around.places.get(host) == self._zone
+            for around in self._around.values()
+        )
+
+    def tell(
+        self,
+        book: RouteBook,
+        now: float,
+        news: NewsPort,
+        port: int,
+    ) -> None:
+        """Greet those heard of each service that has engines."""
+        self._look_around(book)
+        self._number += 1
+        for service, around in self._around.items():
+            engine = book.services[service].engine
+            if engine is not None:
+                greeting = self._greeting(service, engine, book.origin, now)
+                self._send(greeting, around, news, port)
+
+    def _look_around(self, book: RouteBook) -> None:
+        """Draw anew whom to hear where engines have come or gone."""
+        known = self._around
+        self._around = {
+            service.name: around
+            for service in book.services.values()
+            if service.engine is not None
+            and (around := self._around_of(service.name, known)) is not None
+        }
+        if self._around != known:
+            heard = [around.heard for around in self._around.values()]
+            self._candidates.hear(itertools.chain.from_iterable(heard))
+
+    def _around_of(
+        self,
+        service: str,
+        known: Mapping[str, _Around],
+    ) -> _Around | None:
+        listed = list(self._directory.of_service(service))
+        for endpoint in listed:
+            self._wanted.serving(endpoint.versions.items())
+        places = {one.host: one.zone for one in listed}
+        around = known.get(service)
+        if around is not None and around.places == places:
+            return around
+        return self._drawn(places) if places else None
+
+    def _drawn(self, places: Places) -> _Around:
+        revision = self.revision()
+        heard = draw(self._me, self._zone, places)
+        return _Around(
+            places,
+            self.peers.update(places, revision),
+            revision,
+            heard,
+            report_every_s([places[host] for host in heard], self._zone),
+        )
+
+    def _greeting(
+        self,
+        service: str,
+        engine: EngineFigures,
+        origin: Origin,
+        now: float,
+    ) -> EntryNews:
+        return EntryNews(
+            number=self._number,
+            wanted=self._wanted.told(service, engine.models, now),
+            origin=f'{origin.host}:{origin.port}' if origin.host else '',
+            chunk_bytes=engine.chunk_bytes,
+            chunks=engine.chunks,
+            origin_bytes_per_s=int(origin.bytes_per_s),
+            zone=self._zone,
+        )
+
+    def _send(
+        self,
+        greeting: EntryNews,
+        around: _Around,
+        news: NewsPort,
+        port: int,
+    ) -> None:
+        greeting.peers_digest = around.digest
+        greeting.peers_revision = around.revision
+        greeting.every_ms = int(around.every_s * _MILLISECONDS)
+        # One encoding serves all hosts for which it says the same.
+        alike: dict[int, list[Address]] = defaultdict(list)
+        for host, stands_for in around.heard.items():
+            alike[round(stands_for * _PERCENT)].append((host, port))
+        for stands_for_pct, addresses in alike.items():
+            greeting.stands_for_pct = stands_for_pct
+            news.send(News(entry=greeting), addresses)
--- a/src/linnetwood/calls/standing.py
+++ b/src/linnetwood/calls/standing.py
@@ -5,8 +5,11 @@
 
 _FAIL_WEIGHT = 0.2
 _FRESH_S = 1.5
-# Reports come every tenth of a second; some are lost.
-_SILENT_S = 0.4
+# Some reports are lost: an engine is silent when three of them are, and fresh
+# a little longer than that. At the usual pace, ten a second, this is 0.4 s.
+_MISSED = 3
+_SLACK_S = 0.1
+_USUAL_EVERY_S = 0.1
 # So long a whole link of a VM beside an engine takes for the chunks that are
 # under way on it (five of 54 ms): the entries' margins allow for that.
 _USUAL_WAY_S = 0.3
@@ -30,6 +33,17 @@
     changing: bool
     heard_at: float
     way_s: float = 0
+    # When the next one is due, from this one.
+    every_s: float = _USUAL_EVERY_S
+
+    def silent(self, now: float) -> bool:
+        """Tell whether reports that were due have not come."""
+        return now - self.heard_at > _MISSED * self.every_s + _SLACK_S
+
+    def fresh(self, now: float) -> bool:
+        """Tell whether it is young enough to count."""
+        limit_s = max(_FRESH_S, (_MISSED + 1) * self.every_s)
+        return now - self.heard_at < limit_s
 
 
 class Standing:
@@ -93,7 +107,7 @@
     def silent(self, now: float) -> bool:
         """Tell whether an engine that reported has stopped to."""
         report = self.report
-        return report is not None and now - report.heard_at > _SILENT_S
+        return report is not None and report.silent(now)
 
     def slow_s(self, now: float) -> float:
         """Give by how much longer than usual the way there may take."""
@@ -108,7 +122,7 @@
     def fresh(self, now: float) -> bool:
         """Tell whether the report is young enough to count."""
         report = self.report
-        return report is not None and now - report.heard_at < _FRESH_S
+        return report is not None and report.fresh(now)
 
     def urgent_share(self) -> float:
         """Give the part of those waiting that go before late calls.
--- a/src/linnetwood/core/events.py
+++ b/src/linnetwood/core/events.py
@@ -44,6 +44,8 @@
     TELLER_HEARD = 3018
     TELLER_LEFT = 3019
     STORE_PAGE_AGAIN = 3015
+    PEERS_TAKEN = 3016
+    PEERS_UNHEARD = 3017
     TRANSFER_STARTED = 4001
     CHUNK_BAD = 4002
     TRANSFER_COMPLETE = 4003
@@ -86,6 +88,7 @@
         Event.STORE_HISTORY_LOST,
         Event.ITEM_IGNORED,
         Event.STORE_PAGE_AGAIN,
+        Event.PEERS_UNHEARD,
         Event.CHUNK_BAD,
         Event.ORIGIN_UNREACHABLE,
         Event.ORDER_REFUSED,
--- a/src/linnetwood/fleet/relaying.py
+++ b/src/linnetwood/fleet/relaying.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import math
+from collections.abc import Mapping
+from types import MappingProxyType
 
 from tornado.netutil import bind_sockets
 
@@ -23,6 +25,7 @@
 from linnetwood.wire.codec import decode, encode
 from linnetwood.wire.connections import (
     Dialler,
+    FrameHandler,
     TcpDialler,
     WireServer,
 )
@@ -37,6 +40,7 @@
 _IDLE_S = 0.5
 # A neighbour of the same availability zone is about a millisecond away.
 _CONNECT_S = 0.4
+_NO_HANDLERS: Mapping[int, FrameHandler] = MappingProxyType({})
 
 
 class RangeTeller:
@@ -227,12 +231,18 @@
     """Both sides at an entry: hear the neighbours, and tell them."""
 
     def __init__(
-        self, following: Following, tellers: Tellers, port: int
+        self,
+        following: Following,
+        tellers: Tellers,
+        port: int,
+        handlers: Mapping[int, FrameHandler] = _NO_HANDLERS,
     ) -> None:
-        """All entries tell on one port."""
+        """All entries tell on one port, and answer other frames there too."""
         teller = RangeTeller(following)
         self._port = port
-        self._server = WireServer({FrameKind.RANGE_REQUEST: teller.serve})
+        self._server = WireServer(
+            {FrameKind.RANGE_REQUEST: teller.serve, **handlers},
+        )
         dialler = TcpDialler(timeout_s=_CONNECT_S)
         self._listener = RangeListener(following, tellers, dialler, port)
 
--- a/src/linnetwood/fleet/tellers.py
+++ b/src/linnetwood/fleet/tellers.py
@@ -26,11 +26,11 @@
     and those before it too, borrows from any other, and passes nothing on.
     """
 
-    __slots__ = ('_failures', '_heard_at', '_me', '_resting_until', '_rng')
+    __slots__ = ('_failures', '_heard_at', '_resting_until', '_rng', 'me')
 
     def __init__(self, me: str, rng: Random) -> None:
         """Know nobody."""
-        self._me = me
+        self.me = me
         self._rng = rng
         self._heard_at: dict[str, float] = {}
         self._failures: dict[str, int] = {}
@@ -44,7 +44,7 @@
     def heard(self, hosts: Iterable[str], now: float) -> None:
         """Take in who is there."""
         for host in hosts:
-            if host != self._me:
+            if host != self.me:
                 self._heard_at[host] = now
 
     def knows(self, host: str) -> bool:
@@ -53,7 +53,7 @@
 
     def before(self, host: str) -> bool:
         """Tell whether a neighbour comes before this entry."""
-        return _place(host) < _place(self._me)
+        return _place(host) < _place(self.me)
 
     def leads(self, host: str) -> bool:
         """Tell whether a neighbour is one of those to hear first."""
--- a/src/linnetwood/gen/wire/ttypes.py
+++ b/src/linnetwood/gen/wire/ttypes.py
@@ -1928,6 +1928,175 @@
         return not (self == other)
 
 
+class PeersRequest(object):
+    """
+    Asks an entry for one of its lists of processes beside engines.
+
+    Attributes:
+     - digest
+
+    """
+
+    __slots__ = (
+        'digest',
+    )
+
+
+    def __init__(self, digest=None,):
+        self.digest = digest
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.digest = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PeersRequest')
+        if self.digest is not None:
+            oprot.writeFieldBegin('digest', TType.I64, 1)
+            oprot.writeI64(self.digest)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.digest is None:
+            raise TProtocolException(message='Required field digest is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class PeerList(object):
+    """
+    All processes beside a service's engines, as of a revision of the platform's store.
+
+    Attributes:
+     - revision
+     - peers
+
+    """
+
+    __slots__ = (
+        'revision',
+        'peers',
+    )
+
+
+    def __init__(self, revision=None, peers=[
+    ],):
+        self.revision = revision
+        if peers is self.thrift_spec[2][4]:
+            peers = [
+            ]
+        self.peers = peers
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.peers = []
+                    (_etype38, _size35) = iprot.readListBegin()
+                    for _i39 in range(_size35):
+                        _elem40 = PeerPlace()
+                        _elem40.read(iprot)
+                        self.peers.append(_elem40)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PeerList')
+        if self.revision is not None:
+            oprot.writeFieldBegin('revision', TType.I64, 1)
+            oprot.writeI64(self.revision)
+            oprot.writeFieldEnd()
+        if self.peers is not None:
+            oprot.writeFieldBegin('peers', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.peers))
+            for iter41 in self.peers:
+                iter41.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.revision is None:
+            raise TProtocolException(message='Required field revision is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class EntryNews(object):
     """
     What an entry tells the endpoint process beside an engine.
@@ -1935,44 +2104,50 @@
     Attributes:
      - number
      - wanted
-     - peers
      - origin
      - chunk_bytes
      - chunks
      - origin_bytes_per_s
      - zone: The availability zone of the entry itself.
+     - peers_digest: Of the list of processes beside engines, and the revision it is of.
+     - peers_revision
+     - every_ms: How far apart the entry wants reports at least; 0 for any pace.
+     - stands_for_pct: How many entries this one stands for, in hundredths: it greets a part of
+    the processes, so that each hears a part of the entries.
 
     """
 
     __slots__ = (
         'number',
         'wanted',
-        'peers',
         'origin',
         'chunk_bytes',
         'chunks',
         'origin_bytes_per_s',
         'zone',
+        'peers_digest',
+        'peers_revision',
+        'every_ms',
+        'stands_for_pct',
     )
 
 
     def __init__(self, number=None, wanted=[
-    ], peers=[
-    ], origin="", chunk_bytes=0, chunks=0, origin_bytes_per_s=0, zone="",):
+    ], origin="", chunk_bytes=0, chunks=0, origin_bytes_per_s=0, zone="", peers_digest=0, peers_revision=0, every_ms=0, stands_for_pct=100,):
         self.number = number
         if wanted is self.thrift_spec[2][4]:
             wanted = [
             ]
         self.wanted = wanted
-        if peers is self.thrift_spec[3][4]:
-            peers = [
-            ]
-        self.peers = peers
         self.origin = origin
         self.chunk_bytes = chunk_bytes
         self.chunks = chunks
         self.origin_bytes_per_s = origin_bytes_per_s
         self.zone = zone
+        self.peers_digest = peers_digest
+        self.peers_revision = peers_revision
+        self.every_ms = every_ms
+        self.stands_for_pct = stands_for_pct
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1991,22 +2166,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.wanted = []
-                    (_etype38, _size35) = iprot.readListBegin()
-                    for _i39 in range(_size35):
-                        _elem40 = WantedWeights()
-                        _elem40.read(iprot)
-                        self.wanted.append(_elem40)
-                    iprot.readListEnd()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 3:
-                if ftype == TType.LIST:
-                    self.peers = []
-                    (_etype44, _size41) = iprot.readListBegin()
-                    for _i45 in range(_size41):
-                        _elem46 = PeerPlace()
-                        _elem46.read(iprot)
-                        self.peers.append(_elem46)
+                    (_etype45, _size42) = iprot.readListBegin()
+                    for _i46 in range(_size42):
+                        _elem47 = WantedWeights()
+                        _elem47.read(iprot)
+                        self.wanted.append(_elem47)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2035,6 +2199,26 @@
                     self.zone = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I64:
+                    self.peers_digest = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.I64:
+                    self.peers_revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.I32:
+                    self.every_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.I32:
+                    self.stands_for_pct = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2052,14 +2236,7 @@
         if self.wanted is not None:
             oprot.writeFieldBegin('wanted', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.wanted))
-            for iter47 in self.wanted:
-                iter47.write(oprot)
-            oprot.writeListEnd()
-            oprot.writeFieldEnd()
-        if self.peers is not None:
-            oprot.writeFieldBegin('peers', TType.LIST, 3)
-            oprot.writeListBegin(TType.STRUCT, len(self.peers))
-            for iter48 in self.peers:
+            for iter48 in self.wanted:
                 iter48.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
@@ -2083,6 +2260,22 @@
             oprot.writeFieldBegin('zone', TType.STRING, 8)
             oprot.writeString(self.zone.encode('utf-8') if sys.version_info[0] == 2 else self.zone)
             oprot.writeFieldEnd()
+        if self.peers_digest is not None:
+            oprot.writeFieldBegin('peers_digest', TType.I64, 9)
+            oprot.writeI64(self.peers_digest)
+            oprot.writeFieldEnd()
+        if self.peers_revision is not None:
+            oprot.writeFieldBegin('peers_revision', TType.I64, 10)
+            oprot.writeI64(self.peers_revision)
+            oprot.writeFieldEnd()
+        if self.every_ms is not None:
+            oprot.writeFieldBegin('every_ms', TType.I32, 11)
+            oprot.writeI32(self.every_ms)
+            oprot.writeFieldEnd()
+        if self.stands_for_pct is not None:
+            oprot.writeFieldBegin('stands_for_pct', TType.I32, 12)
+            oprot.writeI32(self.stands_for_pct)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2115,43 +2308,36 @@
     What the endpoint process beside an engine tells entries.
 
     Attributes:
-     - address
      - number
      - waiting
      - running
-     - kv_used
-     - kv_total
      - serving
      - changing
-     - entries
+     - entries: How many entries there are by what greetings stand for; 0 if unknown.
      - wanted
      - way_ms: How long a call's bytes may wait on the way to this VM.
+     - every_ms: When the next report is due.
 
     """
 
     __slots__ = (
-        'address',
         'number',
         'waiting',
         'running',
-        'kv_used',
-        'kv_total',
         'serving',
         'changing',
         'entries',
         'wanted',
         'way_ms',
+        'every_ms',
     )
 
 
-    def __init__(self, address=None, number=None, waiting=0, running=0, kv_used=0, kv_total=0, serving=0, changing=False, entries=0, wanted=[
-    ], way_ms=0,):
-        self.address = address
+    def __init__(self, number=None, waiting=0, running=0, serving=0, changing=False, entries=0, wanted=[
+    ], way_ms=0, every_ms=0,):
         self.number = number
         self.waiting = waiting
         self.running = running
-        self.kv_used = kv_used
-        self.kv_total = kv_total
         self.serving = serving
         self.changing = changing
         self.entries = entries
@@ -2160,6 +2346,7 @@
             ]
         self.wanted = wanted
         self.way_ms = way_ms
+        self.every_ms = every_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2170,12 +2357,7 @@
             (fname, ftype, fid) = iprot.readFieldBegin()
             if ftype == TType.STOP:
                 break
-            if fid == 1:
-                if ftype == TType.STRING:
-                    self.address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 2:
+            if fid == 2:
                 if ftype == TType.I64:
                     self.number = iprot.readI64()
                 else:
@@ -2190,16 +2372,6 @@
                     self.running = iprot.readI32()
                 else:
                     iprot.skip(ftype)
-            elif fid == 5:
-                if ftype == TType.I64:
-                    self.kv_used = iprot.readI64()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 6:
-                if ftype == TType.I64:
-                    self.kv_total = iprot.readI64()
-                else:
-                    iprot.skip(ftype)
             elif fid == 7:
                 if ftype == TType.I64:
                     self.serving = iprot.readI64()
@@ -2231,6 +2403,11 @@
                     self.way_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.I32:
+                    self.every_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2241,10 +2418,6 @@
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
         oprot.writeStructBegin('EngineNews')
-        if self.address is not None:
-            oprot.writeFieldBegin('address', TType.STRING, 1)
-            oprot.writeString(self.address.encode('utf-8') if sys.version_info[0] == 2 else self.address)
-            oprot.writeFieldEnd()
         if self.number is not None:
             oprot.writeFieldBegin('number', TType.I64, 2)
             oprot.writeI64(self.number)
@@ -2257,14 +2430,6 @@
             oprot.writeFieldBegin('running', TType.I32, 4)
             oprot.writeI32(self.running)
             oprot.writeFieldEnd()
-        if self.kv_used is not None:
-            oprot.writeFieldBegin('kv_used', TType.I64, 5)
-            oprot.writeI64(self.kv_used)
-            oprot.writeFieldEnd()
-        if self.kv_total is not None:
-            oprot.writeFieldBegin('kv_total', TType.I64, 6)
-            oprot.writeI64(self.kv_total)
-            oprot.writeFieldEnd()
         if self.serving is not None:
             oprot.writeFieldBegin('serving', TType.I64, 7)
             oprot.writeI64(self.serving)
@@ -2288,12 +2453,14 @@
             oprot.writeFieldBegin('way_ms', TType.I32, 11)
             oprot.writeI32(self.way_ms)
             oprot.writeFieldEnd()
+        if self.every_ms is not None:
+            oprot.writeFieldBegin('every_ms', TType.I32, 12)
+            oprot.writeI32(self.every_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
     def validate(self):
-        if self.address is None:
-            raise TProtocolException(message='Required field address is unset!')
         if self.number is None:
             raise TProtocolException(message='Required field number is unset!')
         return
@@ -2322,7 +2489,7 @@
     The entries of one availability zone, as an endpoint process there hears them.
 
     Attributes:
-     - hosts
+     - hosts: Four bytes for each host's IPv4 address.
 
     """
 
@@ -2331,11 +2498,7 @@
     )
 
 
-    def __init__(self, hosts=[
-    ],):
-        if hosts is self.thrift_spec[1][4]:
-            hosts = [
-            ]
+    def __init__(self, hosts=b"",):
         self.hosts = hosts
 
     def read(self, iprot):
@@ -2348,13 +2511,8 @@
             if ftype == TType.STOP:
                 break
             if fid == 1:
-                if ftype == TType.LIST:
-                    self.hosts = []
-                    (_etype59, _size56) = iprot.readListBegin()
-                    for _i60 in range(_size56):
-                        _elem61 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.hosts.append(_elem61)
-                    iprot.readListEnd()
+                if ftype == TType.STRING:
+                    self.hosts = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
             else:
@@ -2368,11 +2526,8 @@
             return
         oprot.writeStructBegin('NeighbourNews')
         if self.hosts is not None:
-            oprot.writeFieldBegin('hosts', TType.LIST, 1)
-            oprot.writeListBegin(TType.STRING, len(self.hosts))
-            for iter62 in self.hosts:
-                oprot.writeString(iter62.encode('utf-8') if sys.version_info[0] == 2 else iter62)
-            oprot.writeListEnd()
+            oprot.writeFieldBegin('hosts', TType.STRING, 1)
+            oprot.writeBinary(self.hosts)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -2890,11 +3045,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.items = []
-                    (_etype66, _size63) = iprot.readListBegin()
-                    for _i67 in range(_size63):
-                        _elem68 = RangeItem()
-                        _elem68.read(iprot)
-                        self.items.append(_elem68)
+                    (_etype59, _size56) = iprot.readListBegin()
+                    for _i60 in range(_size56):
+                        _elem61 = RangeItem()
+                        _elem61.read(iprot)
+                        self.items.append(_elem61)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2911,8 +3066,8 @@
         if self.items is not None:
             oprot.writeFieldBegin('items', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.items))
-            for iter69 in self.items:
-                iter69.write(oprot)
+            for iter62 in self.items:
+                iter62.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3080,41 +3235,56 @@
     (1, TType.STRING, 'host', 'UTF8', None, ),  # 1
     (2, TType.STRING, 'zone', 'UTF8', None, ),  # 2
 )
+all_structs.append(PeersRequest)
+PeersRequest.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'digest', None, None, ),  # 1
+)
+all_structs.append(PeerList)
+PeerList.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'revision', None, None, ),  # 1
+    (2, TType.LIST, 'peers', (TType.STRUCT, [PeerPlace, None], False), [
+    ], ),  # 2
+)
 all_structs.append(EntryNews)
 EntryNews.thrift_spec = (
     None,  # 0
     (1, TType.I64, 'number', None, None, ),  # 1
     (2, TType.LIST, 'wanted', (TType.STRUCT, [WantedWeights, None], False), [
     ], ),  # 2
-    (3, TType.LIST, 'peers', (TType.STRUCT, [PeerPlace, None], False), [
-    ], ),  # 3
+    None,  # 3
     (4, TType.STRING, 'origin', 'UTF8', "", ),  # 4
     (5, TType.I32, 'chunk_bytes', None, 0, ),  # 5
     (6, TType.I32, 'chunks', None, 0, ),  # 6
     (7, TType.I32, 'origin_bytes_per_s', None, 0, ),  # 7
     (8, TType.STRING, 'zone', 'UTF8', "", ),  # 8
+    (9, TType.I64, 'peers_digest', None, 0, ),  # 9
+    (10, TType.I64, 'peers_revision', None, 0, ),  # 10
+    (11, TType.I32, 'every_ms', None, 0, ),  # 11
+    (12, TType.I32, 'stands_for_pct', None, 100, ),  # 12
 )
 all_structs.append(EngineNews)
 EngineNews.thrift_spec = (
     None,  # 0
-    (1, TType.STRING, 'address', 'UTF8', None, ),  # 1
+    None,  # 1
     (2, TType.I64, 'number', None, None, ),  # 2
     (3, TType.I32, 'waiting', None, 0, ),  # 3
     (4, TType.I32, 'running', None, 0, ),  # 4
-    (5, TType.I64, 'kv_used', None, 0, ),  # 5
-    (6, TType.I64, 'kv_total', None, 0, ),  # 6
+    None,  # 5
+    None,  # 6
     (7, TType.I64, 'serving', None, 0, ),  # 7
     (8, TType.BOOL, 'changing', None, False, ),  # 8
     (9, TType.I32, 'entries', None, 0, ),  # 9
     (10, TType.LIST, 'wanted', (TType.STRUCT, [WantedWeights, None], False), [
     ], ),  # 10
     (11, TType.I32, 'way_ms', None, 0, ),  # 11
+    (12, TType.I32, 'every_ms', None, 0, ),  # 12
 )
 all_structs.append(NeighbourNews)
 NeighbourNews.thrift_spec = (
     None,  # 0
-    (1, TType.LIST, 'hosts', (TType.STRING, 'UTF8', False), [
-    ], ),  # 1
+    (1, TType.STRING, 'hosts', 'BINARY', b"", ),  # 1
 )
 all_structs.append(News)
 News.thrift_spec = (
--- a/src/linnetwood/gen/wire/ttypes.pyi
+++ b/src/linnetwood/gen/wire/ttypes.pyi
@@ -106,32 +106,40 @@
     host: str
     zone: str
     def __init__(self, host: str = ..., zone: str = ...) -> None: ...
+class PeersRequest:
+    digest: int
+    def __init__(self, digest: int = ...) -> None: ...
+class PeerList:
+    revision: int
+    peers: list[PeerPlace]
+    def __init__(self, revision: int = ..., peers: list[PeerPlace] = ...) -> None: ...
 class EntryNews:
     number: int
     wanted: list[WantedWeights]
-    peers: list[PeerPlace]
     origin: str
     chunk_bytes: int
     chunks: int
     origin_bytes_per_s: int
     zone: str
-    def __init__(self, number: int = ..., wanted: list[WantedWeights] = ..., peers: list[PeerPlace] = ..., origin: str = ..., chunk_bytes: int = ..., chunks: int = ..., origin_bytes_per_s: int = ..., zone: str = ...) -> None: ...
+    peers_digest: int
+    peers_revision: int
+    every_ms: int
+    stands_for_pct: int
+    def __init__(self, number: int = ..., wanted: list[WantedWeights] = ..., origin: str = ..., chunk_bytes: int = ..., chunks: int = ..., origin_bytes_per_s: int = ..., zone: str = ..., peers_digest: int = ..., peers_revision: int = ..., every_ms: int = ..., stands_for_pct: int = ...) -> None: ...
 class EngineNews:
-    address: str
     number: int
     waiting: int
     running: int
-    kv_used: int
-    kv_total: int
     serving: int
     changing: bool
     entries: int
     wanted: list[WantedWeights]
     way_ms: int
-    def __init__(self, address: str = ..., number: int = ..., waiting: int = ..., running: int = ..., kv_used: int = ..., kv_total: int = ..., serving: int = ..., changing: bool = ..., entries: int = ..., wanted: list[WantedWeights] = ..., way_ms: int = ...) -> None: ...
+    every_ms: int
+    def __init__(self, number: int = ..., waiting: int = ..., running: int = ..., serving: int = ..., changing: bool = ..., entries: int = ..., wanted: list[WantedWeights] = ..., way_ms: int = ..., every_ms: int = ...) -> None: ...
 class NeighbourNews:
-    hosts: list[str]
-    def __init__(self, hosts: list[str] = ...) -> None: ...
+    hosts: bytes
+    def __init__(self, hosts: bytes = ...) -> None: ...
 class News:
     entry: EntryNews
     engine: EngineNews
--- a/src/linnetwood/idl/wire.thrift
+++ b/src/linnetwood/idl/wire.thrift
@@ -137,38 +137,59 @@
   2: required string zone
 }
 
+/** Asks an entry for one of its lists of processes beside engines. */
+struct PeersRequest {
+  1: required i64 digest
+}
+
+/** All processes beside a service's engines, as of a revision of the platform's store. */
+struct PeerList {
+  1: required i64 revision,
+  2: list<PeerPlace> peers = []
+}
+
 /** What an entry tells the endpoint process beside an engine. */
 struct EntryNews {
   1: required i64 number,
   2: list<WantedWeights> wanted = [],
-  3: list<PeerPlace> peers = [],
   4: string origin = "",
   5: i32 chunk_bytes = 0,
   6: i32 chunks = 0,
   7: i32 origin_bytes_per_s = 0,
   /** The availability zone of the entry itself. */
-  8: string zone = ""
+  8: string zone = "",
+  /** Of the list of processes beside engines, and the revision it is of. */
+  9: i64 peers_digest = 0,
+  10: i64 peers_revision = 0,
+  /** How far apart the entry wants reports at least; 0 for any pace. */
+  11: i32 every_ms = 0,
+  /**
+   * How many entries this one stands for, in hundredths: it greets a part of
+   * the processes, so that each hears a part of the entries.
+   */
+  12: i32 stands_for_pct = 100
 }
 
 /** What the endpoint process beside an engine tells entries. */
 struct EngineNews {
-  1: required string address,
   2: required i64 number,
   3: i32 waiting = 0,
   4: i32 running = 0,
-  5: i64 kv_used = 0,
-  6: i64 kv_total = 0,
   7: i64 serving = 0,
   8: bool changing = false,
+  /** How many entries there are by what greetings stand for; 0 if unknown. */
   9: i32 entries = 0,
   10: list<WantedWeights> wanted = [],
   /** How long a call's bytes may wait on the way to this VM. */
-  11: i32 way_ms = 0
+  11: i32 way_ms = 0,
+  /** When the next report is due. */
+  12: i32 every_ms = 0
 }
 
 /** The entries of one availability zone, as an endpoint process there hears them. */
 struct NeighbourNews {
-  1: list<string> hosts = []
+  /** Four bytes for each host's IPv4 address. */
+  1: binary hosts = ""
 }
 
 /** One datagram between the processes on the users' platform. */
--- a/src/linnetwood/programs/resident_entry.py
+++ b/src/linnetwood/programs/resident_entry.py
@@ -29,6 +29,7 @@
 from linnetwood.programs.figures import FiguresPage
 from linnetwood.programs.resident_news import StoreNews
 from linnetwood.wire.curldriver import CurlDriver
+from linnetwood.wire.frames import FrameKind
 
 # The balancer asks once a second and takes a VM out after two misses.
 _BALANCER_SEES_S = 2.5
@@ -101,8 +102,16 @@
             OperatorFeed(self.adopt, self.wanted, clock, rouse),
             EndpointFeed(self.directory, clock, rouse),
         )
-        self._news = StoreNews(cfg, self.driver, feed, self._tellers, rng)
+        self._news = StoreNews(
+            cfg,
+            self.driver,
+            feed,
+            self._tellers,
+            rng,
+            {FrameKind.PEERS_REQUEST: self.reports.greetings.peers.serve},
+        )
         self._following = self._news.following
+        self.reports.greetings.revision = lambda: self._following.revision
         self._callers = open_server(self.front, self.book.limits)
         self._servers: list[HTTPServer] = []
 
--- a/src/linnetwood/programs/resident_news.py
+++ b/src/linnetwood/programs/resident_news.py
@@ -1,5 +1,6 @@
 """The store's news at an entry: followed, heard from neighbours, passed on."""
 
+from collections.abc import Mapping
 from random import Random
 
 from linnetwood.fleet.belief import bounds_within
@@ -10,6 +11,7 @@
 from linnetwood.platform.feeds import StoreFeed
 from linnetwood.platform.settings import Residence
 from linnetwood.platform.store import PlatformStore
+from linnetwood.wire.connections import FrameHandler
 from linnetwood.wire.curldriver import CurlDriver
 
 
@@ -23,8 +25,12 @@
         feed: StoreFeed,
         tellers: Tellers,
         rng: Random,
+        handlers: Mapping[int, FrameHandler],
     ) -> None:
-        """Hand all news to the feed; start nothing."""
+        """Hand all news to the feed; start nothing.
+
+        Frames of other kinds that come to the same port go to the handlers.
+        """
         self._host = cfg.host
         store = PlatformStore(cfg.store, driver)
         self.following = Following(
@@ -35,7 +41,12 @@
             bounds_within(cfg.config_bound_s),
         )
         store.heard = self.following.flowed
-        self._relay = Relay(self.following, tellers, cfg.wire_port)
+        self._relay = Relay(
+            self.following,
+            tellers,
+            cfg.wire_port,
+            handlers,
+        )
 
     async def start(self) -> None:
         """Follow the store, and listen to neighbours and for them."""
--- /dev/null
+++ b/src/linnetwood/programs/resident_talk.py
@@ -0,0 +1,197 @@
+"""What an endpoint process of the users' platform hears and tells."""
+
+from random import Random
+
+from linnetwood.calls.candidates import NEAR_MOST
+from linnetwood.core.clock import Clock
+from linnetwood.fleet.hosts import pack
+from linnetwood.fleet.listeners import Greeting, Listeners
+from linnetwood.fleet.news import Address, NewsPort
+from linnetwood.fleet.peerlist import PeerFollower
+from linnetwood.fleet.wanted import WantedVersions
+from linnetwood.gen.wire.ttypes import (
+    EngineNews,
+    EntryNews,
+    NeighbourNews,
+    News,
+)
+from linnetwood.platform.settings import Residence, address
+from linnetwood.platform.weights import PlatformOrigin
+from linnetwood.weights.engine import EngineReport
+from linnetwood.weights.follower import VersionFollower
+from linnetwood.weights.inflow import Inflow
+from linnetwood.wire.connections import TcpDialler
+
+_MILLISECONDS = 1000
+_PERCENT = 100
+_HELD_EVERY_S = 0.1
+# What was told already is told again, since datagrams may be lost; less and
+# less often while nothing changes.
+_HELD_AGAIN_S = 1.0
+_HELD_AGAIN_MOST_S = 4.0
+# Entries forget a neighbour that three such tellings left out.
+_NEIGHBOURS_EVERY_S = 1.0
+# So many endpoint processes of a zone tell each time, whatever their number:
+# that all are silent for three times happens once in e**12.
+_NEIGHBOURS_BY = 4
+# So many addresses fit one datagram of an ordinary network.
+_MOST_NEIGHBOURS = 64
+# The part of its link that a download fills (measured, docs/MEASUREMENTS.md).
+_TRANSFER_SHARE = 0.72
+
+
+class EndpointTalk:
+    """Own the datagrams between this process, entries and peers."""
+
+    def __init__(
+        self,
+        cfg: Residence,
+        clock: Clock,
+        follower: VersionFollower,
+        wanted: WantedVersions,
+        origin: PlatformOrigin,
+        inflow: Inflow,
+    ) -> None:
+        """Tell nobody yet."""
+        self._cfg = cfg
+        self._clock = clock
+        self._follower = follower
+        self._wanted = wanted
+        self._origin = origin
+        self._inflow = inflow
+        self._news = NewsPort(self)
+        self._listeners = Listeners(clock.now())
+        self._peers = PeerFollower(TcpDialler(), self._learned)
+        self._rng = Random()
+        self._number = 0
+        self._neighbours_at = float()
+        self._held_at = float()
+        self._held_again_s = _HELD_AGAIN_S
+        self._held_told: dict[str, bytes] = {}
+
+    async def start(self) -> None:
+        """Listen."""
+        await self._news.start(self._cfg.host, self._cfg.wire_port)
+
+    async def close(self) -> None:
+        """Stop listening."""
+        await self._peers.close()
+        self._news.close()
+
+    @property
+    def every_s(self) -> float:
+        """Give the pace at which entries are told, in seconds."""
+        return self._listeners.every_s(self._cfg.zone)
+
+    def heard(self, news: News, source: Address) -> None:
+        """Take in what entries and peers tell."""
+        if news.entry is not None:
+            self._heard_entry(news.entry, source)
+        if news.held is not None:
+            self._follower.noticed(news.held)
+
+    def tell(self) -> None:
+        """Tell those for whom it is time."""
+        now = self._clock.now()
+        self._listeners.settle(now)
+        report = self._follower.report
+        if report is not None:
+            self._report(report, now)
+        self._tell_neighbours(now)
+        self._tell_held(now)
+
+    def _heard_entry(self, entry: EntryNews, source: Address) -> None:
+        now = self._clock.now()
+        greeting = Greeting(
+            entry.number,
+            entry.zone,
+            entry.every_ms / _MILLISECONDS,
+            entry.stands_for_pct / _PERCENT,
+        )
+        self._listeners.heard(source, greeting, now)
+        self._peers.greeted(entry.peers_digest, entry.peers_revision, source)
+        if not self._peers.known:
+            # Alone it would read all from the origin: whoever greets next
+            # tells the same again.
+            return
+        told_for_s = self._listeners.told_for_s(now)
+        steady = told_for_s > self._cfg.version_bound_s
+        self._wanted.heard(entry.wanted, now, steady=steady)
+        self._follower.around.origin_bytes_per_s = entry.origin_bytes_per_s
+        size = entry.chunks * entry.chunk_bytes
+        share = _TRANSFER_SHARE * self._cfg.link_bytes_per_s
+        self._follower.transfer_s = size / share
+        if entry.origin:
+            self._origin.address = address(entry.origin)
+        self._follower.rouse()
+
+    def _learned(self, places: dict[str, str]) -> None:
+        self._follower.around.peers = places
+        self._follower.rouse()
+
+    def _report(self, report: EngineReport, now: float) -> None:
+        due = self._listeners.due(self._cfg.zone, now)
+        newcomers = set(self._listeners.newcomers(now))
+        self._number += 1
+        engine = EngineNews(
+            number=self._number,
+            waiting=report.waiting,
+            running=report.running,
+            serving=max(report.serving.values(), default=0),
+            changing=report.changing or self._follower.spared,
+            entries=self._listeners.entries(now),
+            way_ms=int(self._inflow.tell_way_s(now) * _MILLISECONDS),
+        )
+        wanted = self._wanted.told('', self._wanted.models(), now)
+        for every_s, addresses in due.items():
+            engine.every_ms = int(every_s * _MILLISECONDS)
+            engine.wanted = []
+            others = [one for one in addresses if one not in newcomers]
+            self._news.send(News(engine=engine), others)
+            # They could only guess since when a version is wanted.
+            engine.wanted = wanted
+            new = [one for one in addresses if one in newcomers]
+            self._news.send(News(engine=engine), new)
+
+    def _tell_neighbours(self, now: float) -> None:
+        if now - self._neighbours_at < _NEIGHBOURS_EVERY_S:
+            return
+        self._neighbours_at = now
+        for zone in self._listeners.zones():
+            if self._falls_to_me(zone):
+                self._tell_zone(zone)
+
+    def _falls_to_me(self, zone: str) -> bool:
+        """Tell by chance, as often as a few of those who may tell a zone."""
+        beside = list(self._follower.around.peers.values())
+        own = beside.count(zone)
+        if own and zone != self._cfg.zone:
+            return False
+        # Where each process hears a part of the entries, and each entry hears
+        # a part of the processes, so many more have to tell.
+        part = min(1, NEAR_MOST / (own or NEAR_MOST))
+        by = _NEIGHBOURS_BY / part**2
+        return self._rng.random() * (own or len(beside)) <= by
+
+    def _tell_zone(self, zone: str) -> None:
+        near = self._listeners.of_zone(zone)
+        hosts = sorted(host for host, _ in near)
+        if len(hosts) > 1:
+            news = NeighbourNews(hosts=pack(hosts[:_MOST_NEIGHBOURS]))
+            self._news.send(News(neighbours=news), near)
+
+    def _tell_held(self, now: float) -> None:
+        notices = self._follower.notices()
+        told = {one.manifest: one.held for one in notices}
+        same = told == self._held_told
+        pause_s = self._held_again_s if same else _HELD_EVERY_S
+        if now - self._held_at < pause_s:
+            return
+        again_s = 2 * self._held_again_s if same else _HELD_AGAIN_S
+        self._held_again_s = min(again_s, _HELD_AGAIN_MOST_S)
+        self._held_at = now
+        self._held_told = told
+        for notice in notices:
+            hosts = self._follower.partners(notice.manifest)
+            peers = [(host, self._cfg.wire_port) for host in hosts]
+            self._news.send(News(held=notice), peers)
--- a/src/linnetwood/weights/fetching.py
+++ b/src/linnetwood/weights/fetching.py
@@ -6,6 +6,7 @@
 
 from linnetwood.core.errors import LinnetwoodError, WeightsError
 from linnetwood.core.events import Event, log
+from linnetwood.fleet.neighbours import neighbours
 from linnetwood.gen.wire.ttypes import HeldNotice, Member
 from linnetwood.weights import chunks
 from linnetwood.weights.bounds import SwarmOptions
@@ -19,6 +20,9 @@
 _SILENCE_S = 0.8
 # A chunk needs 54 ms on the narrowest links, and 96 of them come one by one.
 _FAR_TAKEOVER_S = 3.0
+# Ten words a second of 60 bytes to each while chunks come: a twentieth of the
+# narrowest links that were met.
+_NEAR_PARTNERS = 24
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -98,6 +102,19 @@
             if download.name == notice.manifest:
                 download.notice(notice)
 
+    def partners(self, manifest: str) -> list[str]:
+        """Give the hosts with which a version's chunks are exchanged.
+
+        Both sides of a pair choose each other. Those of the zone spread what
+        has come into it; of all others a random graph keeps the way from any
+        holder short, and word of what is held bounded.
+        """
+        me = self._tools.me
+        near = neighbours(me, sorted(self._near()), manifest, _NEAR_PARTNERS)
+        everywhere = sorted(self.around.peers)
+        far = neighbours(me, everywhere, manifest, self._tools.cfg.neighbours)
+        return sorted({*near, *far})
+
     def notices(self) -> list[HeldNotice]:
         """Tell what is held here of the versions that are fetched."""
         uploads = self._tools.uploads
@@ -240,14 +257,10 @@
         self._met[aim] = self.around.peers
         cfg = self._options(download.manifest)
         download.swarm.reroute(*self._turns(aim, download.swarm.count, cfg))
-        download.neighbours(
-            [
-                _member(host, self._port)
-                for host in self.around.peers
-                if host != self._tools.me
-            ],
-        )
-        download.nearby(self._near())
+        near = self._near()
+        hosts = self.partners(aim.name)
+        download.neighbours([_member(host, self._port) for host in hosts])
+        download.nearby(near)
 
 
 async def _cancelled(task: asyncio.Task[None]) -> None:
--- a/src/linnetwood/weights/follower.py
+++ b/src/linnetwood/weights/follower.py
@@ -103,6 +103,19 @@
         count = download.swarm.count
         return waves.is_spared(held, count, first=self._first_wave(aim))
 
+    @property
+    def busy(self) -> bool:
+        """Tell whether a version is being brought or taken here."""
+        report = self.report
+        if report is None or report.changing:
+            return True
+        aim = self.aim
+        return aim is None or report.serving.get(aim.model, 0) < aim.version
+
+    def partners(self, manifest: str) -> list[str]:
+        """Give the hosts with which a version's chunks are exchanged."""
+        return self._fetching.partners(manifest)
+
     def noticed(self, notice: HeldNotice) -> None:
         """Take in what a peer holds."""
         self._fetching.noticed(notice)
--- a/src/linnetwood/wire/frames.py
+++ b/src/linnetwood/wire/frames.py
@@ -38,6 +38,8 @@
     RANGE_REQUEST = 16
     RANGE_PART = 17
     RANGE_ITEMS = 18
+    PEERS_REQUEST = 19
+    PEERS = 20
 
 
 # Looking a kind up here costs a third of what the enumeration's call does.
--- a/tests/test_listeners.py
+++ b/tests/test_listeners.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from linnetwood.fleet.listeners import Listeners
+from linnetwood.fleet.listeners import Greeting, Listeners
 from linnetwood.fleet.news import Address
 
 NEAR = ('10.0.0.1', 7700)
@@ -24,14 +24,14 @@
         )
         for name, address, number, now, expected in cases:
             with self.subTest(name=name):
-                found.heard(address, number, now)
+                found.heard(address, Greeting(number), now)
                 self.assertCountEqual(found.newcomers(now), expected)
 
     def test_gone(self) -> None:
         """Four greetings missed, and an entry is told no more."""
         found = Listeners(0)
-        found.heard(NEAR, 1, 0)
-        found.heard(FAR, 1, 3)
+        found.heard(NEAR, Greeting(1), 0)
+        found.heard(FAR, Greeting(1), 3)
         found.settle(3.9)
         self.assertCountEqual(found.addresses(), [NEAR, FAR])
         found.settle(4.1)
@@ -49,7 +49,7 @@
         )
         for name, address, number, now, expected in cases:
             with self.subTest(name=name):
-                found.heard(address, number, now)
+                found.heard(address, Greeting(number), now)
                 self.assertEqual(found.told_for_s(now), expected)
 
 
--- a/tests/test_narrow_way.py
+++ b/tests/test_narrow_way.py
@@ -218,7 +218,6 @@
     def tell(self, way_s: float) -> None:
         """Report how long bytes wait on the way, as the process there does."""
         news = EngineNews(
-            address=f'{HOST}:{self.port}',
             number=1,
             serving=1,
             way_ms=int(way_s * 1000),
--- a/tests/test_talk.py
+++ b/tests/test_talk.py
@@ -14,14 +14,15 @@
 from linnetwood.calls.directory import Directory, Listed
 from linnetwood.calls.reports import Reports
 from linnetwood.calls.routebook import RouteBook
-from linnetwood.fleet.news import Address
+from linnetwood.fleet.listeners import Listeners
+from linnetwood.fleet.news import Address, NewsPort
 from linnetwood.fleet.tellers import Tellers
 from linnetwood.fleet.wanted import WantedVersions
 from linnetwood.gen.wire.ttypes import News
 from linnetwood.platform.settings import Residence
 from linnetwood.programs.resident_endpoint import ResidentEndpoint
 from linnetwood.weights.engine import EngineReport
-from linnetwood.wire.codec import encode
+from linnetwood.wire.codec import decode, encode
 from tests.test_directory import POOL
 
 PORT = 7700
@@ -66,7 +67,7 @@
         self.last: dict[str, list[tuple[str, News]]] = defaultdict(list)
 
 
-class Port:
+class Port(NewsPort):
     """Stand in for the socket of one process."""
 
     def __init__(self, host: str, wire: Wire, share: float) -> None:
@@ -76,7 +77,9 @@
 
     def send(self, news: News, addresses: list[Address]) -> None:
         """Count a message to each address."""
-        size = (len(encode(news)) + HEADERS) * self._share
+        encoded = encode(news)
+        news = decode(News, encoded)
+        size = (len(encoded) + HEADERS) * self._share
         for host, _ in addresses:
             self._wire.sent[self._host] += size
             self._wire.received[host] += size
@@ -161,20 +164,26 @@
             ),
             (host, 8000),
         )
-        endpoint._clock = self.clock
-        endpoint._news = Port(host, self.wire, 1 / SECONDS)
+        talk = endpoint.talk
+        talk._clock = self.clock
+        talk._listeners = Listeners(self.clock.now())
+        talk._news = Port(host, self.wire, 1 / SECONDS)
+        talk._peers.known = True
+        talk._learned(
+            {one: self.zone(each) for each, one in enumerate(self.engines)},
+        )
         endpoint.follower.report = EngineReport(
             3, 8, 41000, 90000, {MODEL: 1}, changing=False, orders_taken=2
         )
         for source, news in list(self.wire.last[host]):
-            endpoint.heard(news, (source, PORT))
+            talk.heard(news, (source, PORT))
         for _ in range(round(SECONDS / TICK_S)):
             self.clock.seconds += TICK_S
-            for source, news in list(self.wire.last[host])[:len(self.entries)]:
+            for source, news in list(self.wire.last[host])[: len(self.entries)]:
                 # Greetings go on; they are counted once.
                 if news.entry is not None:
-                    endpoint.heard(news, (source, PORT))
-            endpoint._tell()
+                    talk.heard(news, (source, PORT))
+            talk.tell()
         endpoint.driver.close()
 
 
@@ -206,7 +215,7 @@
                 fleet = Fleet(*size)
                 fleet.greet()
                 fleet.wire.received.clear()
-                for number in range(len(fleet.engines)):
+                for number, _ in enumerate(fleet.engines):
                     await fleet.report(number)
                     await asyncio.sleep(0)
                 wire = fleet.wire
