Wait for a handshake with the store that takes over a second

Cause: connections to the store had a fixed 1.0 s, in which the kernel sends a lost packet again just too late; over a full link between regions no try came through. 2.0 s lets one packet be lost.

--- a/src/linnetwood/platform/store.py
+++ b/src/linnetwood/platform/store.py
@@ -26,7 +26,9 @@
 _MILLISECONDS = 1000
 # It begins to answer in milliseconds; a slow one after half a second.
 _FIRST_S = 2.5
-_CONNECT_S = 1.0
+# A handshake's lost packet is sent again after a second, and over a link that
+# is full it takes as long. Longer, and a store that is back is noticed late.
+_CONNECT_S = 2.0
 # An answer to a waiting call begins this much after its time at the latest: it
 # may queue on a link between regions for a second and more.
 _SLACK_S = 2.0
