Greet ten times a second at most while the list keeps changing

Each change of the list woke an entry to greet all that it hears, up to fifty times a second in a crowd of starts. What changed is told together now.

--- a/src/linnetwood/calls/reports.py
+++ b/src/linnetwood/calls/reports.py
@@ -19,6 +19,9 @@
 
 # An endpoint process tells the entries that it heard from within four of these.
 HELLO_EVERY_S = 1.0
+# While the list changes all the time, as in a crowd of starts, what is news is
+# told together; whoever is told later by this still has most of any bound.
+_HELLO_LEAST_S = 0.1
 _MILLISECONDS = 1000
 
 
@@ -100,6 +103,7 @@
             self._tell()
             self._chooser.forget()
             self._directory.settle(self._clock.now())
+            await asyncio.sleep(_HELLO_LEAST_S)
             await happened(self._wake, HELLO_EVERY_S)
 
     def _tell(self) -> None:
--- a/tests/test_talk.py
+++ b/tests/test_talk.py
@@ -19,6 +19,7 @@
 from linnetwood.fleet.tellers import Tellers
 from linnetwood.fleet.wanted import WantedVersions
 from linnetwood.gen.wire.ttypes import News
+from linnetwood.lab import virtual
 from linnetwood.platform.settings import Residence
 from linnetwood.programs.resident_endpoint import ResidentEndpoint
 from linnetwood.weights.engine import EngineReport
@@ -126,20 +127,25 @@
 
     def greet(self) -> None:
         """Let every entry greet once, as it does each second."""
-        for number, host in enumerate(self.entries):
-            reports = Reports(
-                self.directory,
-                Chooser(self.directory, Random(1)),
-                WantedVersions(8),
-                self.clock,
-                PORT,
-                lambda: None,
-                self.zone(number),
-                Tellers(host, Random(1)),
-            )
-            reports.book = RouteBook(services={POOL.name: POOL})
-            reports._news = Port(host, self.wire, 1)
-            reports._tell()
+        for number, _ in enumerate(self.entries):
+            self.entry(number)._tell()
+
+    def entry(self, number: int) -> Reports:
+        """Give what an entry hears and tells with."""
+        host = self.entries[number]
+        reports = Reports(
+            self.directory,
+            Chooser(self.directory, Random(1)),
+            WantedVersions(8),
+            self.clock,
+            PORT,
+            lambda: None,
+            self.zone(number),
+            Tellers(host, Random(1)),
+        )
+        reports.book = RouteBook(services={POOL.name: POOL})
+        reports._news = Port(host, self.wire, 1)
+        return reports
 
     async def report(self, number: int) -> None:
         """Let the process beside an engine report for some seconds."""
@@ -225,6 +231,21 @@
                 )
                 self.assertLessEqual(max(found), MOST_BYTES_PER_S, found)
 
+    def test_crowds_of_changes(self) -> None:
+        """A list that changes a hundred times a second is told ten times."""
+
+        async def play() -> int:
+            fleet = Fleet(7, 6, 3)
+            reports = fleet.entry(0)
+            running = asyncio.create_task(reports._run())
+            for _ in range(200):
+                reports.rouse()
+                await asyncio.sleep(0.01)
+            running.cancel()
+            return len(fleet.wire.last[engine_host(0)])
+
+        self.assertLessEqual(virtual.run(play()), 21)
+
 
 if __name__ == '__main__':
     unittest.main()
