--- a/src/linnetwood/calls/direct.py
+++ b/src/linnetwood/calls/direct.py
@@ -16,6 +16,7 @@
 from linnetwood.calls.choice import Choice, Chooser, Need
 from linnetwood.calls.dialect import CallHead, Dialect, Errand, Urgency
 from linnetwood.calls.grounds import Grounds
+from linnetwood.calls.patience import Silence
 from linnetwood.calls.retries import SHARE, RetryBudget
 from linnetwood.calls.routebook import Organisation, Repeat, Route, Service
 from linnetwood.calls.standing import Standing
@@ -38,11 +39,6 @@
 # A handshake takes two delays of a few milliseconds; a lost packet is sent
 # again after a second, so a try elsewhere comes sooner.
 CONNECT_S = 0.4
-# A stream's caller gives up after two silent seconds (the users' pages).
-FIRST_EVENT_S = 1.6
-NEXT_EVENT_S = 1.0
-# Callers wait for the first event eight times the longest pause, or longer.
-LATE_EVENT_S = 2.9
 # Below this nothing can be answered any more.
 _LEAST_LEFT_S = 0.02
 _RETRY_AFTER_MS = 200
@@ -253,11 +249,12 @@
             start_by -= standing.slow_s(self._loop.time())
         if not call.route.streams or call.route.repeat is not Repeat.RESUME:
             return Bounds(call.until, start_by, math.inf, math.inf)
-        first_s = FIRST_EVENT_S
-        if urgency is Urgency.LATE or choice.wait_s > FIRST_EVENT_S / 2:
+        silence = Silence.of(call.route)
+        first_s = silence.first_s
+        if urgency is Urgency.LATE or choice.wait_s > first_s / 2:
             # It was known to wait; another endpoint would not be sooner.
-            first_s = LATE_EVENT_S
-        return Bounds(call.until, start_by, first_s, NEXT_EVENT_S)
+            first_s = silence.late_first_s
+        return Bounds(call.until, start_by, first_s, silence.next_s)
 
     def _may_begin(self, choice: Choice, bounds: Bounds, now: float) -> bool:
         """Tell whether it has time there before it is taken back."""
--- /dev/null
+++ b/tests/test_patience.py
@@ -0,0 +1,46 @@
+"""How long a stream may be silent follows what its route promises."""
+
+import dataclasses
+import unittest
+
+from linnetwood.calls.patience import Silence
+from linnetwood.calls.routebook import Repeat, Route
+
+ROUTE = Route(
+    'r',
+    'h',
+    '/',
+    Repeat.RESUME,
+    streams=True,
+    timeout_s=6,
+    target_s=0.4,
+    gap_s=0.4,
+    attempts=2,
+    priority=1,
+    public=False,
+    shares=(),
+)
+
+
+class SilenceTest(unittest.TestCase):
+    """Compare with when callers of such routes leave."""
+
+    def test_routes(self) -> None:
+        """First, late first and next; callers leave a little later."""
+        cases = (
+            (0.4, 0.4, (1.6, 2.88, 1.0)),
+            (0.606, 0.6, (2.4, 4.32, 1.5)),
+            (2.0, 0.4, (4.0, 7.2, 1.0)),
+            (0.1, 0.1, (1.0, 1.8, 0.5)),
+            (0.4, 0.0, (1.0, 1.8, 0.5)),
+        )
+        for target_s, gap_s, expected in cases:
+            route = dataclasses.replace(ROUTE, target_s=target_s, gap_s=gap_s)
+            found = dataclasses.astuple(Silence.of(route))
+            with self.subTest(target_s=target_s, gap_s=gap_s):
+                for one, other in zip(found, expected, strict=True):
+                    self.assertAlmostEqual(one, other)
+
+
+if __name__ == '__main__':
+    unittest.main()
