Keep the pairs that exchange chunks while other VMs are replaced

The random graph over all VMs counts places on a ring, so that one VM that comes shifts half of all pairs, and what was known of the former partners was dropped.

Pairs are now drawn by a hash of both names (tests/test_neighbours.py: one VM more changes under 2 in 100 pairs of 100 VMs), and a new partner is told at once what is held here.

--- a/src/linnetwood/fleet/members.py
+++ b/src/linnetwood/fleet/members.py
@@ -19,7 +19,7 @@
 
 ENTRY = 'entry'
 ENDPOINT = 'endpoint'
-_HASH_BYTES = 8
+HASH_BYTES = 8
 _HALF_BITS = 32
 
 
@@ -42,7 +42,7 @@
 
 def place_hash(text: str) -> int:
     """Place text on a ring of 64 bits."""
-    digest = hashlib.blake2b(text.encode(), digest_size=_HASH_BYTES).digest()
+    digest = hashlib.blake2b(text.encode(), digest_size=HASH_BYTES).digest()
     return int.from_bytes(digest, 'big')
 
 
--- a/src/linnetwood/fleet/neighbours.py
+++ b/src/linnetwood/fleet/neighbours.py
@@ -1,6 +1,11 @@
 """Choose the neighbours with whom a VM exchanges chunks."""
 
-from linnetwood.fleet.members import place_hash
+from collections.abc import Iterable
+
+from linnetwood.fleet.members import HASH_BYTES, place_hash
+
+# As many values as a place on the ring may have.
+_HASHES = float(1 << (8 * HASH_BYTES))
 
 
 def neighbours(me: str, vms: list[str], manifest: str, count: int) -> list[str]:
@@ -23,3 +28,24 @@
             if vm != me and vm not in found:
                 found.append(vm)
     return found[:count]
+
+
+def partners(me: str, vms: Iterable[str], matter: str, count: int) -> list[str]:
+    """Give about so many VMs that are paired with this one by chance.
+
+    A pair is one by the hash of both names, so that both sides agree and a VM
+    that comes or goes changes no other pair, but for the few that the number of
+    VMs moves over the edge. In `neighbours` one that comes shifts the places of
+    half of all pairs: while VMs were replaced three times a second, what was
+    known of those beyond was lost as often.
+    """
+    others = [vm for vm in vms if vm != me]
+    if len(others) <= count:
+        return sorted(others)
+    share = count / len(others)
+    return sorted(vm for vm in others if _chance(me, vm, matter) < share)
+
+
+def _chance(one: str, other: str, matter: str) -> float:
+    first, second = sorted((one, other))
+    return place_hash(f'{matter}|{first}|{second}') / _HASHES
--- a/src/linnetwood/programs/resident_talk.py
+++ b/src/linnetwood/programs/resident_talk.py
@@ -12,6 +12,7 @@
 from linnetwood.gen.wire.ttypes import (
     EngineNews,
     EntryNews,
+    HeldNotice,
     NeighbourNews,
     News,
 )
@@ -68,6 +69,7 @@
         self._held_at = float()
         self._held_again_s = _HELD_AGAIN_S
         self._held_told: dict[str, bytes] = {}
+        self._held_by: dict[str, list[str]] = {}
 
     async def start(self) -> None:
         """Listen."""
@@ -182,16 +184,28 @@
 
     def _tell_held(self, now: float) -> None:
         notices = self._follower.notices()
+        everybody = self._held_is_due(notices, now)
+        heard_by = self._held_by
+        self._held_by = {}
+        for notice in notices:
+            hosts = self._follower.partners(notice.manifest)
+            self._held_by[notice.manifest] = hosts
+            if not everybody:
+                # Whoever is new knows nothing yet.
+                known = heard_by.get(notice.manifest, ())
+                hosts = [host for host in hosts if host not in known]
+            peers = [(host, self._cfg.wire_port) for host in hosts]
+            self._news.send(News(held=notice), peers)
+
+    def _held_is_due(self, notices: list[HeldNotice], now: float) -> bool:
+        """Tell whether what is held is to be told to everybody now."""
         told = {one.manifest: one.held for one in notices}
         same = told == self._held_told
         pause_s = self._held_again_s if same else _HELD_EVERY_S
         if now - self._held_at < pause_s:
-            return
+            return False
         again_s = 2 * self._held_again_s if same else _HELD_AGAIN_S
         self._held_again_s = min(again_s, _HELD_AGAIN_MOST_S)
         self._held_at = now
         self._held_told = told
-        for notice in notices:
-            hosts = self._follower.partners(notice.manifest)
-            peers = [(host, self._cfg.wire_port) for host in hosts]
-            self._news.send(News(held=notice), peers)
+        return True
--- a/src/linnetwood/weights/fetching.py
+++ b/src/linnetwood/weights/fetching.py
@@ -6,7 +6,7 @@
 
 from linnetwood.core.errors import LinnetwoodError
 from linnetwood.core.events import Event, log
-from linnetwood.fleet.neighbours import neighbours
+from linnetwood.fleet.neighbours import partners
 from linnetwood.gen.wire.ttypes import HeldNotice, Member
 from linnetwood.weights import chunks
 from linnetwood.weights.bounds import SwarmOptions
@@ -26,6 +26,10 @@
 _NEAR_PARTNERS = 24
 
 
+# By manifest: the peers of which they were worked out, and the partners.
+_Partners = dict[str, tuple[dict[str, str], list[str]]]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Aim:
     """A version to bring to the engine."""
@@ -79,6 +83,7 @@
         self._beginning: dict[Aim, asyncio.Task[None]] = {}
         self._downloads: dict[Aim, Download] = {}
         self._met: dict[Aim, dict[str, str]] = {}
+        self._partners: _Partners = {}
 
     def get(self, aim: Aim) -> Download | None:
         """Give the download of a version, if it has begun."""
@@ -118,10 +123,16 @@
         holder short, and word of what is held bounded.
         """
         me = self._tools.me
-        near = neighbours(me, sorted(self._near()), manifest, _NEAR_PARTNERS)
-        everywhere = sorted(self.around.peers)
-        far = neighbours(me, everywhere, manifest, self._tools.cfg.neighbours)
-        return sorted({*near, *far})
+        peers = self.around.peers
+        known = self._partners.get(manifest)
+        if known is not None and known[0] == peers:
+            return known[1]
+        near = partners(me, self._near(), manifest, _NEAR_PARTNERS)
+        far = partners(me, peers, manifest, self._tools.cfg.neighbours)
+        found = sorted({*near, *far})
+        self._partners = self._fetched(self._partners)
+        self._partners[manifest] = (peers, found)
+        return found
 
     def notices(self) -> list[HeldNotice]:
         """Tell what is held here of the versions that are fetched."""
@@ -136,6 +147,14 @@
             for download in self._downloads.values()
         ]
 
+    def _fetched(
+        self,
+        known: _Partners,
+    ) -> _Partners:
+        """Leave out what belongs to versions that are fetched no more."""
+        fetched = {aim.name for aim in (*self._beginning, *self._downloads)}
+        return {name: one for name, one in known.items() if name in fetched}
+
     async def _begin(self, aim: Aim) -> None:
         manifest = await self._sought(aim)
         self._beginning.pop(aim, None)
--- a/tests/test_neighbours.py
+++ b/tests/test_neighbours.py
@@ -1,9 +1,10 @@
 """Neighbours choose each other, and a death changes little."""
 
 import unittest
+from collections import Counter
 
 from linnetwood.fleet.members import Health, copy
-from linnetwood.fleet.neighbours import neighbours
+from linnetwood.fleet.neighbours import neighbours, partners
 from linnetwood.fleet.placement import assign, with_the_dead
 from linnetwood.gen.schema.ttypes import Deployment, Intent
 from tests.test_membership import member
@@ -62,5 +63,38 @@
         self.assertEqual(len(assign(deployment, fallen)), 19)
 
 
+class PartnersTest(unittest.TestCase):
+    """Pair VMs by chance, and keep the pairs while others come and go."""
+
+    def setUp(self) -> None:
+        self.vms = [f'10.2.0.{number}' for number in range(100)]
+
+    def pairs(self, vms: list[str]) -> set[tuple[str, str]]:
+        """Give all pairs, in both orders."""
+        return {
+            (vm, other) for vm in vms for other in partners(vm, vms, 'm@2', 12)
+        }
+
+    def test_both_sides_agree(self) -> None:
+        """Each VM has about as many, and nobody itself."""
+        pairs = self.pairs(self.vms)
+        self.assertEqual(pairs, {(other, vm) for vm, other in pairs})
+        counts = Counter(vm for vm, _ in pairs)
+        self.assertEqual(len(counts), len(self.vms))
+        self.assertLess(abs(sum(counts.values()) / len(self.vms) - 12), 1.5)
+        self.assertFalse([vm for vm, other in pairs if vm == other])
+
+    def test_one_that_comes_changes_few_pairs(self) -> None:
+        """Under two in a hundred of those that were there."""
+        before = self.pairs(self.vms)
+        after = self.pairs([*self.vms, 'new'])
+        self.assertLess(len(before - after), 0.02 * len(before))
+        self.assertIn('new', {vm for vm, _ in after})
+
+    def test_few(self) -> None:
+        """All others, where there are no more than asked for."""
+        self.assertEqual(partners('a', ['a', 'b', 'c'], 'm', 12), ['b', 'c'])
+
+
 if __name__ == '__main__':
     unittest.main()
