--- a/tests/test_candidates.py
+++ b/tests/test_candidates.py
@@ -153,7 +153,7 @@
         self.assertLessEqual(max(self.running.values()), 8)
 
     def test_one_zone_is_pressed(self) -> None:
-        """What its own engines can't take fills all others but for 10 in 100."""
+        """What its own engines can not take fills others but for 10 in 100."""
         self.send(960, 1)
         far = [
             self.running[host]
