Fetch changes that come in a crowd together, within a twentieth of the bound

Cause: an entry that hears the store asked again 0.02 s after each change.

Now a twentieth of the time within which a configuration must be in force: 0.1 s at two seconds, 0.2 s at four. In virtual time (tests/test_crowded_news.py, a change every 0.01 s): 41.8 calls a second before, at most 10 and 5 now; what is believed is at most a tenth of the bound old.

--- a/src/linnetwood/fleet/belief.py
+++ b/src/linnetwood/fleet/belief.py
@@ -11,6 +11,9 @@
 _WAIT_SHARE = 0.3
 _FRESH_SHARE = 0.4
 _FLOWING_SHARE = 0.4
+# Changes that come in a crowd are fetched together: each call is paid for, and
+# told on to every neighbour. A twentieth of the bound is 0.1 to 0.2 s.
+_GATHER_SHARE = 0.05
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -33,11 +36,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Bounds:
-    """How long waits last, and how old a neighbour's word may be; seconds."""
+    """How long waits last, and how old a neighbour's word may be; seconds.
+
+    After a change others are gathered for so long before the next call.
+    """
 
     wait_s: float = 2
     fresh_s: float = 0
     flowing_s: float = 0
+    gather_s: float = 0.02
 
     def known_s(self, told: Told) -> float:
         """Give for how long what is told stays fresh; negative if it is old."""
@@ -60,4 +67,5 @@
         apply_s * _WAIT_SHARE,
         apply_s * _FRESH_SHARE,
         apply_s * _FLOWING_SHARE,
+        apply_s * _GATHER_SHARE,
     )
--- a/src/linnetwood/fleet/following.py
+++ b/src/linnetwood/fleet/following.py
@@ -21,10 +21,6 @@
     Snapshot,
 )
 
-# Changes that come in a crowd are fetched together.
-_GATHER_S = 0.02
-
-
 # Entries of live endpoints are back within two seconds of the store's return,
 # so a store that is back is to be noticed well within one.
 _PAUSE_FIRST_S = 0.1
@@ -219,7 +215,7 @@
         if found.revision > self._revision:
             self._take(found)
         if found.changes:
-            await asyncio.sleep(_GATHER_S)
+            await asyncio.sleep(self._bounds.gather_s)
 
     async def _read(self) -> None:
         snapshot = await self._store.read(self._prefix)
--- /dev/null
+++ b/tests/test_crowded_news.py
@@ -0,0 +1,79 @@
+"""What changes in crowds is fetched together, within its bound.
+
+Load pattern: a hundred servers write their warmth, each on its own second, so
+that the store has a change for each waiting call at once. Virtual time.
+"""
+
+import asyncio
+import unittest
+from random import Random
+
+from linnetwood.fleet.belief import bounds_within
+from linnetwood.fleet.following import Following
+from linnetwood.fleet.ranges import Change, Changes, Record, Snapshot
+from linnetwood.lab import virtual
+from tests.test_following import Kept
+
+EVERY_S = 0.01
+SPAN_S = 10
+ANSWER_S = 0.004
+
+
+class BusyStore:
+    """Write one key every hundredth of a second, from the beginning on."""
+
+    def __init__(self) -> None:
+        self.calls = 0
+
+    @property
+    def revision(self) -> int:
+        """Give the revision that was written last."""
+        return 1 + int(asyncio.get_running_loop().time() / EVERY_S)
+
+    async def read(self, prefix: str) -> Snapshot:
+        """Give the key."""
+        self.calls += 1
+        await asyncio.sleep(ANSWER_S)
+        found = Record(b'', self.revision)
+        return Snapshot({'k': found}, found.revision)
+
+    async def wait(self, prefix: str, after: int, wait_s: float) -> Changes:
+        """Give the newest change as soon as there is one."""
+        self.calls += 1
+        await asyncio.sleep(ANSWER_S)
+        while self.revision <= after:
+            await asyncio.sleep(EVERY_S)
+        change = Change('k', Record(b'', self.revision))
+        return Changes((change,), self.revision)
+
+
+async def followed(apply_s: float) -> tuple[float, float]:
+    """Follow for a while; give calls a second and the oldest belief."""
+    store = BusyStore()
+    bounds = bounds_within(apply_s)
+    following = Following(store, '', Kept(), Random(1), bounds)
+    following.start()
+    await following.learned.wait()
+    oldest_s = float()
+    for _ in range(round(SPAN_S / EVERY_S)):
+        await asyncio.sleep(EVERY_S)
+        behind = store.revision - following.revision
+        oldest_s = max(oldest_s, behind * EVERY_S)
+    await following.close()
+    return store.calls / SPAN_S, oldest_s
+
+
+class CrowdedNewsTest(unittest.TestCase):
+    """Follow a store that changes all the time."""
+
+    def test_calls_are_bounded(self) -> None:
+        """Ten or five calls a second, and a belief of a tenth of its bound."""
+        for apply_s, most_calls in ((2, 10), (4, 5)):
+            calls, oldest_s = virtual.run(followed(apply_s))
+            with self.subTest(apply_s=apply_s):
+                self.assertLessEqual(calls, most_calls)
+                self.assertLess(oldest_s, apply_s / 10)
+
+
+if __name__ == '__main__':
+    unittest.main()
