--- a/src/linnetwood/fleet/listeners.py
+++ b/src/linnetwood/fleet/listeners.py
@@ -9,8 +9,7 @@
 # What a process sends and an entry receives at most: 80 reports of 50 bytes
 # with their headers are 4 KB of the 7 KB a second that control may take.
 _REPORTS_PER_S = 80
-# Load changes within a token step; faster than this brought nothing (reports
-# are some hundred milliseconds old by themselves).
+# The pace of small fleets; each report asks the engine of the VM once.
 _LEAST_EVERY_S = 0.1
 # Engines of other zones are the second choice: half as often will do.
 _FAR_STRIDE = 2
