--- a/src/linnetwood/calls/directory.py
+++ b/src/linnetwood/calls/directory.py
@@ -72,7 +72,7 @@
         """Note that the list could not be read just now."""
         self._outage_at = now
 
-    def settle(self, now: float) -> None:
+    def expire(self, now: float) -> None:
         """Forget the doubted entries whose time is over."""
         late = [name for name, until in self._doubted.items() if until <= now]
         for endpoint in late:
--- a/src/linnetwood/calls/reports.py
+++ b/src/linnetwood/calls/reports.py
@@ -79,7 +79,7 @@
             await asyncio.gather(self._task, return_exceptions=True)
         self._news.close()
 
-    def rouse(self) -> None:
+    def wake(self) -> None:
         """Look at once whether something changed that others should know."""
         self._wake.set()
 
@@ -107,7 +107,7 @@
                 self._hello_at = now + HELLO_EVERY_S
                 self._tell()
             self._chooser.forget()
-            self._directory.settle(now)
+            self._directory.expire(now)
             await asyncio.sleep(_HELLO_LEAST_S)
             await happened(self._wake, self._hello_at - self._clock.now())
 
--- a/src/linnetwood/fleet/listeners.py
+++ b/src/linnetwood/fleet/listeners.py
@@ -78,7 +78,7 @@
             known.greeting = greeting
             known.heard_at = now
 
-    def settle(self, now: float) -> None:
+    def expire(self, now: float) -> None:
         """Forget those that have gone."""
         self._listeners = {
             address: one
--- a/src/linnetwood/programs/resident_entry.py
+++ b/src/linnetwood/programs/resident_entry.py
@@ -97,10 +97,10 @@
         metrics.gauge(Metric.CONFIG_VERSION, lambda: self.book.version)
         metrics.gauge(Metric.STORE_AGE_S, self.vigil.store_age_s)
         self._figures = FiguresPage(metrics)
-        rouse = self.reports.rouse
+        wake = self.reports.wake
         feed = StoreFeed(
-            OperatorFeed(self.adopt, self.wanted, clock, rouse),
-            EndpointFeed(self.directory, clock, rouse),
+            OperatorFeed(self.adopt, self.wanted, clock, wake),
+            EndpointFeed(self.directory, clock, wake),
         )
         self._news = StoreNews(
             cfg,
--- a/src/linnetwood/programs/resident_talk.py
+++ b/src/linnetwood/programs/resident_talk.py
@@ -96,7 +96,7 @@
     def tell(self) -> None:
         """Tell those for whom it is time."""
         now = self._clock.now()
-        self._listeners.settle(now)
+        self._listeners.expire(now)
         report = self._follower.report
         if report is not None:
             self._report(report, now)
@@ -133,11 +133,11 @@
         known = self._wanted.known()
         if known != self._known:
             self._known = known
-            self._follower.rouse()
+            self._follower.wake()
 
     def _learned(self, places: dict[str, str]) -> None:
         self._follower.around.peers = places
-        self._follower.rouse()
+        self._follower.wake()
 
     def _report(self, report: EngineReport, now: float) -> None:
         due = self._listeners.due(self._cfg.zone, now)
@@ -148,7 +148,7 @@
             waiting=report.waiting,
             running=report.running,
             serving=max(report.serving.values(), default=0),
-            changing=report.changing or self._follower.spared,
+            changing=report.changing or self._follower.draining,
             entries=self._listeners.entries(now),
             way_ms=int(self._inflow.tell_way_s(now) * _MILLISECONDS),
         )
--- a/src/linnetwood/weights/agent.py
+++ b/src/linnetwood/weights/agent.py
@@ -91,11 +91,11 @@
     def configured(self, configuration: Configuration) -> None:
         """Take in a newer configuration."""
         self._configuration = configuration
-        self._rouse()
+        self._wake_up()
 
     def member_changed(self, member: Member) -> None:
         """Work the target out again when the fleet changes."""
-        self._rouse()
+        self._wake_up()
 
     def revision_seen(self, revision: int, source: Address) -> None:
         """Trust what is known again after a pause, if nothing is newer."""
@@ -112,7 +112,7 @@
         ):
             self._holders.setdefault(notice.manifest, set()).add(notice.sender)
 
-    def _rouse(self) -> None:
+    def _wake_up(self) -> None:
         self._changed = True
         self._wake.set()
 
--- a/src/linnetwood/weights/fetching.py
+++ b/src/linnetwood/weights/fetching.py
@@ -64,9 +64,9 @@
         engine: Engine,
         origin: Origin,
         wire_port: int,
-        rouse: Callable[[], None],
+        wake: Callable[[], None],
     ) -> None:
-        """Fetch nothing yet; rouse the owner whenever a download begins."""
+        """Fetch nothing yet; wake the owner whenever a download begins."""
         self.around = Surroundings()
         self._tools = tools
         self._engine = engine
@@ -78,7 +78,7 @@
             tools.rng,
         )
         self._port = wire_port
-        self._rouse = rouse
+        self._wake_owner = wake
         self._recovered: set[str] = set()
         self._beginning: dict[Aim, asyncio.Task[None]] = {}
         self._downloads: dict[Aim, Download] = {}
@@ -171,7 +171,7 @@
             chunks=len(manifest.digests),
             peers=len(self.around.peers),
         )
-        self._rouse()
+        self._wake_owner()
 
     def _keep_for_peers(self, aim: Aim, manifest: chunks.Manifest) -> None:
         """Keep what is fetched, and the last version before: peers may ask."""
--- a/src/linnetwood/weights/follower.py
+++ b/src/linnetwood/weights/follower.py
@@ -85,12 +85,12 @@
             await asyncio.gather(self._task, return_exceptions=True)
         await self._fetching.close()
 
-    def rouse(self) -> None:
+    def wake(self) -> None:
         """Look again at what is wanted."""
         self._wake.set()
 
     @property
-    def spared(self) -> bool:
+    def draining(self) -> bool:
         """Tell whether new calls should go elsewhere: a change is near."""
         aim = self.aim
         report = self.report
@@ -102,7 +102,7 @@
             return False
         held = download.swarm.held.bit_count()
         count = download.swarm.count
-        return waves.is_spared(held, count, first=self._first_wave(aim))
+        return waves.is_draining(held, count, first=self._first_wave(aim))
 
     @property
     def busy(self) -> bool:
--- a/src/linnetwood/weights/waves.py
+++ b/src/linnetwood/weights/waves.py
@@ -1,7 +1,7 @@
 """Decide when engines change version, so that not all change at once; no I/O.
 
 An engine takes nothing new while it finishes what it runs before a change. The
-first wave is spared new calls ahead of its change and comes back first; the
+first wave drains ahead of its change and comes back first; the
 second goes on until the first is back, or until calls may no longer begin on
 its version.
 """
@@ -10,9 +10,9 @@
 
 from linnetwood.fleet.members import place_hash
 
-# The first wave is spared from when this part of its chunks is missing: about
+# The first wave drains from when this part of its chunks is missing: about
 # as long before the end of a transfer as calls take to finish.
-SPARED_AT = 0.22
+DRAINS_AT = 0.22
 
 
 def in_first_wave(me: str, vms: Iterable[str], name: str) -> bool:
@@ -21,9 +21,9 @@
     return bool(ranked.index(me) % 2)
 
 
-def is_spared(held: int, count: int, *, first: bool) -> bool:
+def is_draining(held: int, count: int, *, first: bool) -> bool:
     """Tell whether new calls should go elsewhere already."""
-    return first and count - held <= count * SPARED_AT
+    return first and count - held <= count * DRAINS_AT
 
 
 def change_at(
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -74,7 +74,7 @@
         held_until = 101 + HELD_AFTER_OUTAGE_S
         self.assertEqual(self.names(held_until - 0.1), ['i-1'])
         self.assertEqual(self.names(held_until), [])
-        self.directory.settle(held_until)
+        self.directory.expire(held_until)
         self.assertIsNone(self.directory.get('i-1'))
 
     def test_written_again_it_stays(self) -> None:
@@ -82,7 +82,7 @@
         self.directory.list_away(100)
         self.directory.replaced({}, 101)
         self.directory.listed(listed('i-1'))
-        self.directory.settle(200)
+        self.directory.expire(200)
         self.assertEqual(self.names(), ['i-1'])
 
     def test_whole_list_replaces_the_old(self) -> None:
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -141,7 +141,7 @@
         async with asyncio.timeout(60):
             while self.engine.serving != version:
                 self.follower.report = await self.engine.report()
-                self.follower.rouse()
+                self.follower.wake()
                 await asyncio.sleep(0.01)
 
     def check_taken(self, *versions: int) -> None:
@@ -211,7 +211,7 @@
         self.wanted.name('m', 2, 0)
         for _ in range(10):
             self.follower.report = await self.engine.report()
-            self.follower.rouse()
+            self.follower.wake()
             await asyncio.sleep(0.01)
         self.assertEqual(self.engine.taken, [])
         self.origin.away = False
@@ -230,7 +230,7 @@
         self.wanted.name('m', 2, now)
         self.follower.report = await self.engine.report()
         while self.follower.aim is None:
-            self.follower.rouse()
+            self.follower.wake()
             await asyncio.sleep(0)
         self.wanted.name('m', 3, now + 1)
         await self.until_served(2)
@@ -249,7 +249,7 @@
         self.wanted.name('m', 3, now)
         async with asyncio.timeout(60):
             while (3, 0) not in self.origin.reads:
-                self.follower.rouse()
+                self.follower.wake()
                 await asyncio.sleep(0.01)
         self.assertEqual(self.engine.serving, 1)
         await self.until_served(3)
--- a/tests/test_listeners.py
+++ b/tests/test_listeners.py
@@ -32,9 +32,9 @@
         found = Listeners(0)
         found.heard(NEAR, Greeting(1), 0)
         found.heard(FAR, Greeting(1), 3)
-        found.settle(3.9)
+        found.expire(3.9)
         self.assertCountEqual(found.addresses(), [NEAR, FAR])
-        found.settle(4.1)
+        found.expire(4.1)
         self.assertEqual(found.addresses(), [FAR])
 
     def test_told_all_the_while(self) -> None:
--- a/tests/test_talk.py
+++ b/tests/test_talk.py
@@ -222,7 +222,7 @@
 
 
 def played(*, names: bool) -> int:
-    """Rouse an entry for two seconds; give the greetings to one engine."""
+    """Wake an entry for two seconds; give the greetings to one engine."""
 
     async def play() -> int:
         fleet = Fleet(7, 6, 3)
@@ -232,7 +232,7 @@
         for number in range(200):
             if names:
                 reports._wanted.name(MODEL, number + 2, 0)
-            reports.rouse()
+            reports.wake()
             await asyncio.sleep(0.01)
         running.cancel()
         return len(fleet.wire.last[engine_host(0)])
--- a/tests/test_waves.py
+++ b/tests/test_waves.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from linnetwood.weights.waves import change_at, in_first_wave, is_spared
+from linnetwood.weights.waves import change_at, in_first_wave, is_draining
 
 
 class WavesTest(unittest.TestCase):
@@ -26,7 +26,7 @@
         )
         for held, first, expected in cases:
             with self.subTest(held=held, first=first):
-                self.assertEqual(is_spared(held, 96, first=first), expected)
+                self.assertEqual(is_draining(held, 96, first=first), expected)
 
     def test_second_wave_waits_for_the_first_or_the_cutoff(self) -> None:
         """It never waits once calls may not begin on its version."""
