--- a/src/linnetwood/weights/swarm.py
+++ b/src/linnetwood/weights/swarm.py
@@ -274,19 +274,11 @@
             yield self._begin(Fetch(index, ORIGIN), now)
 
     def _due(self, now: float) -> Iterator[int]:
-        unheard = self._unheard()
-        for index in self._lacking(self.policy.turns() & unheard):
-            due = self._origin_due(index, unheard)
+        for index in self._lacking(self.policy.turns()):
+            due = None if self._rarity[index] else self._origin_due(index)
             if due is not None and due <= now:
                 yield index
 
-    def _unheard(self) -> int:
-        """Give what neither this VM nor any neighbour is known to hold."""
-        unheard = sum(
-            1 << index for index, held in enumerate(self._rarity) if not held
-        )
-        return unheard & ~self.held
-
     def _lacking(self, among: int) -> Iterator[int]:
         """Yield, in this VM's own order, what is neither held nor asked for."""
         among &= ~self.held
@@ -294,16 +286,11 @@
             if among >> index & 1 and index not in self.pending:
                 yield index
 
-    def _origin_due(self, index: int, unheard: int) -> float | None:
+    def _origin_due(self, index: int) -> float | None:
         due = self.policy.due_at(index, self.started)
         if due is None or self._origin_failed_at is None:
             return due
-        # What is still to be read is spread over the time that the origin's
-        # link takes: asked for at once it is over its connections, and what
-        # comes slowly is read by the next VM, too.
-        before = (unheard & ((1 << index) - 1)).bit_count()
-        again = self.policy.again_at(index, self._origin_failed_at)
-        return max(due, again + before * self._cfg.chunk_origin_s)
+        return max(due, self.policy.again_at(index, self._origin_failed_at))
 
     def _plan_peers(self, now: float) -> Iterator[Fetch]:
         asked = sum(
