Let entries ask the store one after the other where all tellers fail

Each now waits for a twentieth of the bound for each neighbour that asks before it, a fifth of the bound at most, so that the first answer is there to be passed on. tests/test_asking_in_turn.py: of thirteen entries that lose their tellers at once all asked within the same millisecond before; three do now, the last 0.6 of the bound after the last word.

--- a/src/linnetwood/fleet/belief.py
+++ b/src/linnetwood/fleet/belief.py
@@ -14,6 +14,10 @@
 # Changes that come in a crowd are fetched together: each call is paid for, and
 # told on to every neighbour. A twentieth of the bound is 0.1 to 0.2 s.
 _GATHER_SHARE = 0.05
+# Where all that a zone hears are out of touch, its entries ask one after the
+# other. The last one's belief is then 0.6 of the bound old, and its answer has
+# the rest.
+_BEHIND_SHARE = 0.2
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -38,13 +42,15 @@
 class Bounds:
     """How long waits last, and how old a neighbour's word may be; seconds.
 
-    After a change others are gathered for so long before the next call.
+    After a change others are gathered for so long before the next call; and an
+    entry waits for so long at most while those before it ask.
     """
 
     wait_s: float = 2
     fresh_s: float = 0
     flowing_s: float = 0
     gather_s: float = 0.02
+    behind_s: float = 0
 
     def known_s(self, told: Told) -> float:
         """Give for how long what is told stays fresh; negative if it is old."""
@@ -68,4 +74,5 @@
         apply_s * _FRESH_SHARE,
         apply_s * _FLOWING_SHARE,
         apply_s * _GATHER_SHARE,
+        apply_s * _BEHIND_SHARE,
     )
--- a/src/linnetwood/fleet/following.py
+++ b/src/linnetwood/fleet/following.py
@@ -64,6 +64,8 @@
         # may itself hear this entry: then nothing is passed on.
         self.backed = False
         self.borrows = False
+        # How many neighbours ask before this entry where all tellers fail.
+        self.behind = 0
         self.mirror = Mirror()
         self._store = store
         self._prefix = prefix
@@ -178,8 +180,20 @@
 
     async def _until_needed(self) -> None:
         loop = asyncio.get_running_loop()
-        while self._revision and loop.time() < self._told_until:
-            await asyncio.sleep(self._told_until - loop.time())
+        while self._revision and loop.time() < self._asks_at():
+            await asyncio.sleep(self._asks_at() - loop.time())
+
+    def _asks_at(self) -> float:
+        """Give when the store is asked, if no neighbour tells until then.
+
+        One after the other, so that the first answer can be passed on: as many
+        copies at once over one link take as many times as long.
+        """
+        behind_s = min(
+            self.behind * self._bounds.gather_s,
+            self._bounds.behind_s,
+        )
+        return self._told_until + behind_s
 
     async def _ask(self) -> bool:
         """Ask the store; tell whether it answered before a neighbour did."""
--- a/src/linnetwood/fleet/relaying.py
+++ b/src/linnetwood/fleet/relaying.py
@@ -144,6 +144,7 @@
         following = self._following
         while True:
             following.backed = self._tellers.known
+            following.behind = self._tellers.behind
             host = self._choose()
             self._passed_over = ''
             if host is None:
--- a/src/linnetwood/fleet/tellers.py
+++ b/src/linnetwood/fleet/tellers.py
@@ -44,6 +44,15 @@
         """Tell whether anybody is there to be heard."""
         return bool(self._first())
 
+    @property
+    def behind(self) -> int:
+        """Give how many ask the store before this entry, if all tellers fail.
+
+        Those that all others hear ask anyway, and are not counted.
+        """
+        earlier = sum(1 for host in self._heard_at if self.before(host))
+        return max(0, earlier - TELLERS)
+
     def heard(self, hosts: Iterable[str], now: float) -> None:
         """Take in who is there."""
         for host in hosts:
--- /dev/null
+++ b/tests/test_asking_in_turn.py
@@ -0,0 +1,84 @@
+"""Where all that a zone hears are out of touch, its entries ask in turn.
+
+Load pattern: thirteen entries trust the same tellers, which fall silent in the
+same moment; each answer of the store fills the link that all share for a while.
+Virtual time.
+"""
+
+import asyncio
+import unittest
+from random import Random
+
+from linnetwood.fleet.belief import Told, bounds_within
+from linnetwood.fleet.following import Following
+from linnetwood.fleet.ranges import Changes, Record, Snapshot
+from linnetwood.fleet.tellers import Tellers
+from linnetwood.lab import virtual
+from tests.test_following import Kept
+
+APPLY_S = 3
+ENTRIES = [f'10.0.0.{number}' for number in range(13)]
+WORD = Told(5, 0, 0, 0, 0, whole=False, changes=())
+
+
+class NotingStore:
+    """Note when it is asked to wait, and never answer that."""
+
+    def __init__(self) -> None:
+        self.asked_at: list[float] = []
+
+    async def read(self, prefix: str) -> Snapshot:
+        """Give one key."""
+        return Snapshot({'k': Record(b'', 5)}, 5)
+
+    async def wait(self, prefix: str, after: int, wait_s: float) -> Changes:
+        """Wait for ever."""
+        self.asked_at.append(asyncio.get_running_loop().time())
+        await asyncio.Event().wait()
+        raise AssertionError
+
+
+def placed(me: str) -> Tellers:
+    """Give an entry that knows all others."""
+    tellers = Tellers(me, Random(1))
+    tellers.heard(ENTRIES, 0)
+    return tellers
+
+
+async def asks_after(me: str) -> float:
+    """Give how long after the last word an entry asks the store."""
+    store = NotingStore()
+    bounds = bounds_within(APPLY_S)
+    following = Following(store, '', Kept(), Random(1), bounds)
+    following.behind = placed(me).behind
+    following.start()
+    await following.learned.wait()
+    told_at = asyncio.get_running_loop().time()
+    following.told(WORD)
+    store.asked_at.clear()
+    await asyncio.sleep(APPLY_S)
+    await following.close()
+    return store.asked_at[0] - told_at
+
+
+class AskingInTurnTest(unittest.TestCase):
+    """Let each entry of a zone lose its tellers."""
+
+    def test_one_after_the_other(self) -> None:
+        """The first asks at once, few within a tenth of a second of it."""
+        times = sorted(virtual.run(asks_after(me)) for me in ENTRIES)
+        fresh_s = bounds_within(APPLY_S).fresh_s
+        self.assertAlmostEqual(times[0], fresh_s, 2)
+        self.assertLessEqual(sum(one < times[0] + 0.1 for one in times), 3)
+        # The last has two fifths of the bound left for its answer.
+        self.assertLessEqual(times[-1], 0.6 * APPLY_S + 0.01)
+
+    def test_few_entries_ask_at_once(self) -> None:
+        """The tellers, and the next one after them."""
+        self.assertEqual(Tellers('a', Random(1)).behind, 0)
+        counts = sorted(placed(me).behind for me in ENTRIES)
+        self.assertEqual(counts, [0, 0, 0, *range(1, 11)])
+
+
+if __name__ == '__main__':
+    unittest.main()
