--- a/src/linnetwood/calls/candidates.py
+++ b/src/linnetwood/calls/candidates.py
@@ -7,12 +7,12 @@
 
 A call looks at two of these in its own zone, and at two elsewhere where neither
 will be in time. If each call took the best of all, every entry that hears of a
-free place would send there until the next report. In the model of
-`linnetwood-measure policy` (98 entries, 60 engines, a report every 0.25 s)
-calls in time a second rise from 77 to 197 at 1.6 times the capacity, from 134
-to 230 at 1.3 times, and from 221 to 239 at the knee. Fewer than five engines in
-the own zone are all looked at, with all others that are heard: with seven
-entries before six engines two of them are worse at light load.
+free place would send there until the next report. In a first form of the model
+of `linnetwood-measure policy` (98 entries, 60 engines, a report every 0.25 s,
+one seed) calls in time a second rose from 77 to 197 at 1.6 times the capacity,
+from 134 to 230 at 1.3 times, and from 221 to 239 at the knee. Fewer than five
+engines in the own zone are all looked at, with all others that are heard: with
+seven entries before six engines two of them are worse at light load.
 """
 
 import dataclasses
