--- a/src/linnetwood/fleet/relaying.py
+++ b/src/linnetwood/fleet/relaying.py
@@ -40,6 +40,8 @@
 _IDLE_S = 0.5
 # A neighbour of the same availability zone is about a millisecond away.
 _CONNECT_S = 0.4
+# Below this a neighbour's word is of load and warmth: tens of lines a second.
+_MUCH_OCTETS = 4096
 _NO_HANDLERS: Mapping[int, FrameHandler] = MappingProxyType({})
 
 
@@ -178,7 +180,7 @@
         request = encode(RangeRequest(after=following.revision))
         await stream.write(FrameKind.RANGE_REQUEST, request)
         while self._stays(host):
-            told = await _read(stream)
+            told = await _read(stream, host, following.revision)
             if following.told(told):
                 self._tellers.told(host)
                 self._note_heard(host)
@@ -258,13 +260,28 @@
         await self._server.close()
 
 
-async def _read(stream: FrameStream) -> Told:
+async def _read(
+    stream: FrameStream,
+    host: str = '',
+    known: int = 0,
+) -> Told:
     frame = await _expect(stream, FrameKind.RANGE_PART)
     part = decode(RangePart, frame.payload)
     changes: tuple[Change, ...] = ()
     if part.items:
         packed = await _expect(stream, FrameKind.RANGE_ITEMS)
         changes = tuple(unpack(packed.payload, part.packed_ms))
+        if len(packed.payload) > _MUCH_OCTETS:
+            log(
+                Event.NEWS_TAKEN,
+                teller=host,
+                asked=known,
+                got=part.revision,
+                octets=len(packed.payload),
+                keys=len(changes),
+                whole=part.whole,
+                age_ms=part.age_ms,
+            )
     return Told(
         part.revision,
         as_seconds(part.age_ms),
