Let entries without any word hear other zones

Change: whoever hears neither the store nor a neighbour hears other zones, for five seconds from then. Test first (fails without the change: three entries behind after 1.4 s at least); endpoint processes name entries of other zones to the first of a zone and to one more by chance. Ruled out: to tell all each time (7,215 of 7,000 bytes a second at 98 entries).

--- a/src/linnetwood/fleet/elsewhere.py
+++ b/src/linnetwood/fleet/elsewhere.py
@@ -10,8 +10,9 @@
 # An entry that a zone hears has a connection to one entry of each of so many
 # other zones, whatever their number. An idle one is 0.3 KB a second.
 ZONES_HEARD = 4
-# Endpoint processes tell once a second whom they hear, a few by chance.
-_GONE_S = 10.0
+# The first of a zone are told of others once a second, one more at each telling
+# by chance: each of 20 about every fifth second.
+_GONE_S = 20.0
 _PAUSE_FIRST_S = 0.25
 _PAUSE_MOST_S = 4.0
 _PAUSE_LEAST_SHARE = 0.5
--- a/src/linnetwood/fleet/farlistening.py
+++ b/src/linnetwood/fleet/farlistening.py
@@ -15,10 +15,16 @@
 from linnetwood.wire.frames import FrameStream
 
 _LOOK_S = 0.25
+# Whoever was lost goes on hearing other zones for so long: it is told by these
+# within a round trip, and would be lost again as soon as it left them.
+_LOST_FOR_S = 5.0
 
 
 class FarListener:
-    """Own a connection to each of a few other zones, while the own hears us."""
+    """Own a connection to each of a few other zones, while they are needed.
+
+    Those that a zone hears need them, and whoever hears nobody else.
+    """
 
     def __init__(
         self,
@@ -49,9 +55,13 @@
 
     async def _run(self) -> None:
         loop = asyncio.get_running_loop()
+        lost_until = loop.time()
         while True:
-            zones = self._elsewhere.zones(loop.time())
-            await self._hear_only(zones if self._tellers.leading else [])
+            now = loop.time()
+            if self._following.lost:
+                lost_until = now + _LOST_FOR_S
+            needed = self._tellers.leading or now < lost_until
+            await self._hear_only(self._elsewhere.zones(now) if needed else [])
             await asyncio.sleep(_LOOK_S)
 
     async def _hear_only(self, zones: list[str]) -> None:
--- a/src/linnetwood/programs/resident_talk.py
+++ b/src/linnetwood/programs/resident_talk.py
@@ -37,9 +37,7 @@
 # So many endpoint processes of a zone tell each time, whatever their number:
 # that all are silent for three times happens once in e**12.
 _NEIGHBOURS_BY = 4
-# Of other zones so many are told, as each names those that it hears itself; and
-# so many of a zone are told of them: 70 bytes for each of 20 others would take
-# a fifth of what a process may send.
+# Of other zones so many are told, as each names those that it hears itself.
 _FEW = 3
 # So many addresses fit one datagram of an ordinary network.
 _MOST_NEIGHBOURS = 64
@@ -193,14 +191,17 @@
         near = self._in_turn(zone)
         hosts = sorted(host for host, _ in near)
         news = NeighbourNews(pack(hosts[:_MOST_NEIGHBOURS]))
+        # The first hear other zones, and whoever loses them all; to tell each
+        # time all of 20 would take a fifth of what a process may send.
+        first, others = near[:_FEW], near[_FEW:]
+        self._rng.shuffle(others)
         if len(hosts) > 1:
-            self._news.send(News(neighbours=news), near[_FEW:])
-        # The first hear other zones; the next may have to soon.
+            self._news.send(News(neighbours=news), others[1:])
         news.elsewhere = [
             ZoneHosts(other, pack(self._few_of(other)))
             for other in sorted(self._listeners.zones() - {zone})
         ]
-        self._news.send(News(neighbours=news), near[:_FEW])
+        self._news.send(News(neighbours=news), first + others[:1])
 
     def _few_of(self, zone: str) -> list[str]:
         return [host for host, _ in self._in_turn(zone)[:_FEW]]
--- a/tests/test_narrow_regions.py
+++ b/tests/test_narrow_regions.py
@@ -330,6 +330,31 @@
 
         played(act)
 
+    def test_a_zone_whose_tellers_stand_still(self) -> None:
+        """Its entries hear other zones, in place of the store in a crowd."""
+
+        async def act(regions: Regions) -> None:
+            now = asyncio.get_running_loop().time()
+            leading = [one for one in regions.of('far') if one.tellers.leading]
+            for one in leading:
+                regions.net.frozen_until[(one.name, PORT)] = now + 2 * APPLY_S
+                regions.stores['far'].cut.add(one.name)
+            await asyncio.sleep(0.1)
+            for version in range(2, 9):
+                regions.write(version)
+                await asyncio.sleep(0.4)
+            await asyncio.sleep(1)
+            names = {one.name for one in leading}
+            self.assertLessEqual(regions.behind().keys(), names)
+            late_s = [
+                late_s
+                for name, late_s in regions.late_s.items()
+                if name not in names
+            ]
+            self.assertLess(max(late_s), APPLY_S)
+
+        played(act)
+
 
 if __name__ == '__main__':
     unittest.main()
