--- /dev/null
+++ b/tests/test_introduction.py
@@ -0,0 +1,69 @@
+"""Entries that start where others are there hear these before the store.
+
+Load pattern: most entries of a zone are killed and start again in one moment,
+and each reads a range of 700 KB over the link that its region shares; or all
+entries of all zones do. Virtual time, links at 6 Mbit/s.
+"""
+
+import asyncio
+import unittest
+
+from tests.test_narrow_regions import (
+    ROUTES,
+    ZONES,
+    RegionEntry,
+    Regions,
+    configuration,
+    played,
+)
+
+WHOLE = len(configuration(1, ROUTES)) * 4 // 3
+KEPT = 1
+
+
+class StartsTest(unittest.TestCase):
+    """Restart entries, and see what crosses the link."""
+
+    def test_most_of_a_zone(self) -> None:
+        """One copy at most, and a second until all know the range."""
+
+        async def act(regions: Regions) -> None:
+            regions.links.sent.clear()
+            started = await restart(regions, regions.of('far')[KEPT:])
+            await asyncio.sleep(1)
+            self.assertEqual(
+                [one.following.revision for one in started], [1] * 4
+            )
+            self.assertLess(regions.links.sent[ZONES[0], 'far'], WHOLE)
+
+        played(act)
+
+    def test_everybody(self) -> None:
+        """Three copies at most cross, as the first of each zone tell others."""
+
+        async def act(regions: Regions) -> None:
+            regions.links.sent.clear()
+            started = await restart(regions, list(regions.entries))
+            await asyncio.sleep(4)
+            self.assertEqual({one.following.revision for one in started}, {1})
+            self.assertLess(regions.links.sent[ZONES[0], 'far'], 4 * WHOLE)
+
+        played(act)
+
+
+async def restart(
+    regions: Regions,
+    entries: list[RegionEntry],
+) -> list[RegionEntry]:
+    """Kill entries and start them again, knowing nothing."""
+    started = []
+    for one in entries:
+        await regions.kill(one)
+        started.append(regions.add(one.name))
+    for one in started:
+        one.start()
+    return started
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/tests/test_narrow_regions.py
+++ b/tests/test_narrow_regions.py
@@ -194,11 +194,10 @@
         self.links = Links()
         self.net = RegionNet(self.links)
         self.stores = {zone: RegionStore(zone, self.links) for zone in ZONES}
-        self.entries = [
-            RegionEntry(f'10.{number}.0.{place}', self.stores[zone], self.net)
-            for number, zone in enumerate(ZONES)
-            for place in range(ENTRIES)
-        ]
+        self.entries: list[RegionEntry] = []
+        for number, _ in enumerate(ZONES):
+            for place in range(ENTRIES):
+                self.add(f'10.{number}.0.{place}')
         self.written: dict[int, float] = {1: 0}
         self.late_s: dict[str, float] = {}
         self._held: dict[str, int] = {}
@@ -229,7 +228,19 @@
         for store in self.stores.values():
             store.write(configuration(version, routes))
 
-    def of(self, zone: str) -> list[Entry]:
+    def add(self, name: str) -> RegionEntry:
+        """Put an entry there; the caller starts it."""
+        one = RegionEntry(name, self.stores[zone_of(name)], self.net)
+        self.entries.append(one)
+        return one
+
+    async def kill(self, entry: RegionEntry) -> None:
+        """End a process without a word."""
+        self.entries.remove(entry)
+        self.net.drop((entry.name, PORT))
+        await entry.close()
+
+    def of(self, zone: str) -> list[RegionEntry]:
         """Give the entries of a zone."""
         return [one for one in self.entries if zone_of(one.name) == zone]
 
