Let an entry that starts hear its neighbours before it reads the store

Cause: every start read the whole range, over the link that its region shares; thirteen of a zone at once are 9 MB with 1,900 routes. An entry knew of others only after that read, since endpoint processes are greeted by what it brings. Change: a start reads the list of endpoints alone (23 entries, some 20 KB), asks processes beside engines which entries there are, and is told the range by one; the store is read whole after 0.5 s without a word, 2 s later by those that others come before. A word without an age no longer makes a follower read anew at once.

--- a/src/linnetwood/calls/reports.py
+++ b/src/linnetwood/calls/reports.py
@@ -16,7 +16,12 @@
 from linnetwood.fleet.news import Address, NewsPort
 from linnetwood.fleet.tellers import Tellers
 from linnetwood.fleet.wanted import WantedVersions
-from linnetwood.gen.wire.ttypes import EngineNews, NeighbourNews, News
+from linnetwood.gen.wire.ttypes import (
+    EngineNews,
+    EntryAsks,
+    NeighbourNews,
+    News,
+)
 
 # An endpoint process tells the entries that it heard from within four of these.
 HELLO_EVERY_S = 1.0
@@ -49,6 +54,7 @@
             chooser.candidates,
             wanted,
         )
+        self._zone = zone
         self._tellers = tellers
         self._count = EntryCount()
         self._counted = counted
@@ -79,6 +85,12 @@
             await asyncio.gather(self._task, return_exceptions=True)
         self._news.close()
 
+    def ask(self, hosts: list[str]) -> None:
+        """Ask processes beside engines which other entries there are."""
+        asks = EntryAsks(zone=self._zone)
+        addresses = [(host, self._port) for host in hosts]
+        self._news.send(News(asks=asks), addresses)
+
     def wake(self) -> None:
         """Look at once whether something changed that others should know."""
         self._wake.set()
--- a/src/linnetwood/core/events.py
+++ b/src/linnetwood/core/events.py
@@ -45,6 +45,8 @@
     TELLER_HEARD = 3018
     TELLER_LEFT = 3019
     NEWS_TAKEN = 3020
+    INTRODUCED = 3021
+    INTRODUCTION_FAILED = 3022
     STORE_PAGE_AGAIN = 3015
     PEERS_TAKEN = 3016
     PEERS_UNHEARD = 3017
@@ -90,6 +92,7 @@
         Event.STORE_HISTORY_LOST,
         Event.ITEM_IGNORED,
         Event.STORE_PAGE_AGAIN,
+        Event.INTRODUCTION_FAILED,
         Event.PEERS_UNHEARD,
         Event.CHUNK_BAD,
         Event.ORIGIN_UNREACHABLE,
--- a/src/linnetwood/fleet/farlistening.py
+++ b/src/linnetwood/fleet/farlistening.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import math
 
 from linnetwood.core.errors import LinnetwoodError, WireError
 from linnetwood.core.events import Event, log
@@ -15,6 +16,12 @@
 from linnetwood.wire.frames import FrameStream
 
 _LOOK_S = 0.25
+# Whoever knows nothing yet waits for somebody to hear.
+_LOOK_FIRST_S = 0.02
+# A neighbour that tells is found sooner, also at a start.
+_LOST_AFTER_S = 0.3
+# Whoever knows nothing is told the whole range, 60 KB with 1,900 routes.
+_ZONES_FIRST = 2
 # Whoever was lost goes on hearing other zones for so long: it is told by these
 # within a round trip, and would be lost again as soon as it left them.
 _LOST_FOR_S = 5.0
@@ -39,6 +46,8 @@
         self._elsewhere = tellers.elsewhere
         self._dialler = dialler
         self._port = port
+        self._found_at = -math.inf
+        self._lost_until = -math.inf
         self._hearing: dict[str, asyncio.Task[None]] = {}
         self._task: asyncio.Task[None] | None = None
 
@@ -55,14 +64,21 @@
 
     async def _run(self) -> None:
         loop = asyncio.get_running_loop()
-        lost_until = loop.time()
+        self._found_at = loop.time()
         while True:
-            now = loop.time()
-            if self._following.lost:
-                lost_until = now + _LOST_FOR_S
-            needed = self._tellers.leading or now < lost_until
-            await self._hear_only(self._elsewhere.zones(now) if needed else [])
-            await asyncio.sleep(_LOOK_S)
+            known = self._following.revision
+            zones = self._needed(loop.time())
+            await self._hear_only(zones if known else zones[:_ZONES_FIRST])
+            await asyncio.sleep(_LOOK_S if known else _LOOK_FIRST_S)
+
+    def _needed(self, now: float) -> list[str]:
+        if not self._following.lost:
+            self._found_at = now
+        elif now - self._found_at > _LOST_AFTER_S:
+            self._lost_until = now + _LOST_FOR_S
+        if self._tellers.leading or now < self._lost_until:
+            return self._elsewhere.zones(now)
+        return []
 
     async def _hear_only(self, zones: list[str]) -> None:
         for zone in self._hearing.keys() - set(zones):
--- a/src/linnetwood/fleet/following.py
+++ b/src/linnetwood/fleet/following.py
@@ -78,6 +78,7 @@
         self._failures = 0
         self._away = False
         self._answered_at = -math.inf
+        self._arrived_at = -math.inf
         self._told_until = -math.inf
         self._flow_until = math.inf
         self._overhead_s = float()
@@ -233,7 +234,7 @@
         asked_at = asyncio.get_running_loop().time()
         self.flowing_since = -math.inf
         # An answer that took long is not asked for again for that.
-        last_at = max(self.heard_at, self._answered_at)
+        last_at = max(self.heard_at, self._answered_at, self._arrived_at)
         if not self._revision or asked_at - last_at > _READ_ANEW_S:
             await self._read()
             return
@@ -288,6 +289,7 @@
 
     def _arrived(self, revision: int) -> None:
         self._revision = revision
+        self._arrived_at = asyncio.get_running_loop().time()
         self.learned.set()
         self._wake()
 
--- /dev/null
+++ b/src/linnetwood/fleet/introduction.py
@@ -0,0 +1,89 @@
+"""Let an entry that starts hear its neighbours before it reads the store whole.
+
+After the restart of a zone of 13, thirteen copies of the range crossed the link
+that its region shares: 9 MB with a configuration of 1,900 routes, five seconds
+at 14 Mbit/s. A neighbour tells the same in 60 KB, and one copy serves all.
+"""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from linnetwood.core.errors import StoreError
+from linnetwood.core.events import Event, log
+from linnetwood.core.waits import happened
+from linnetwood.fleet.following import Following
+from linnetwood.fleet.tellers import Tellers
+
+# A question and its answer take milliseconds where somebody is there; datagrams
+# may be lost.
+_ASK_EVERY_S = 0.1
+# So long an entry that nobody tells looks for others: as long as starts of one
+# moment lie apart, and the least that a whole range takes over a full link.
+_LOOK_FOR_S = 0.5
+# One that finds others which come before it waits for so long until they are
+# told; by then a whole range has passed a link at a third of its rate.
+_BEHIND_FOR_S = 2.0
+# So many processes beside engines are asked each time.
+_ASKED = 4
+
+
+class Introduction:
+    """Own the start of a follower: first whom to hear, then the store."""
+
+    def __init__(
+        self,
+        following: Following,
+        tellers: Tellers,
+        look: Callable[[], Awaitable[list[str]]],
+        ask: Callable[[list[str]], None],
+    ) -> None:
+        """Look up who can name entries, nearest first, and ask some of them."""
+        self._following = following
+        self._tellers = tellers
+        self._look = look
+        self._ask = ask
+        self._task: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        """Begin; the follower starts at the end."""
+        self._task = asyncio.create_task(self._run())
+
+    async def close(self) -> None:
+        """Begin nothing more."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    async def _run(self) -> None:
+        began = asyncio.get_running_loop().time()
+        try:
+            await self._hear()
+        except StoreError as exc:
+            log(Event.INTRODUCTION_FAILED, code=exc.code, detail=exc.detail)
+        log(
+            Event.INTRODUCED,
+            revision=self._following.revision,
+            behind=self._tellers.behind,
+            took_s=round(asyncio.get_running_loop().time() - began, 3),
+        )
+        self._following.start()
+
+    async def _hear(self) -> None:
+        hosts = await self._look()
+        if hosts:
+            await self._ask_until_told(hosts, _LOOK_FOR_S)
+        if not self._told and self._tellers.behind:
+            await happened(self._following.learned, _BEHIND_FOR_S)
+
+    async def _ask_until_told(self, hosts: list[str], seconds: float) -> None:
+        loop = asyncio.get_running_loop()
+        until = loop.time() + seconds
+        while not self._told and loop.time() < until:
+            self._ask(hosts[:_ASKED])
+            await happened(self._following.learned, _ASK_EVERY_S)
+            # The next ones, should these be gone.
+            hosts = hosts[_ASKED:] + hosts[:_ASKED]
+
+    @property
+    def _told(self) -> bool:
+        return self._following.learned.is_set()
--- a/src/linnetwood/fleet/relaying.py
+++ b/src/linnetwood/fleet/relaying.py
@@ -23,6 +23,8 @@
 from linnetwood.wire.frames import FrameKind, FrameStream
 
 _IDLE_S = 0.5
+# Whoever knows nothing yet waits for somebody to hear.
+_IDLE_FIRST_S = 0.02
 # A neighbour of the same availability zone is about a millisecond away.
 _CONNECT_S = 0.4
 # A packet to another region may wait on a full link for a second or more.
@@ -68,7 +70,8 @@
             host = self._choose()
             self._passed_over = ''
             if host is None:
-                await asyncio.sleep(_IDLE_S)
+                idle_s = _IDLE_S if following.revision else _IDLE_FIRST_S
+                await asyncio.sleep(idle_s)
                 continue
             following.borrows = not self._tellers.before(host)
             try:
--- a/src/linnetwood/gen/wire/ttypes.py
+++ b/src/linnetwood/gen/wire/ttypes.py
@@ -2663,6 +2663,78 @@
         return not (self == other)
 
 
+class EntryAsks(object):
+    """
+    Asks an endpoint process which entries there are; an entry that starts does.
+
+    Attributes:
+     - zone
+
+    """
+
+    __slots__ = (
+        'zone',
+    )
+
+
+    def __init__(self, zone=None,):
+        self.zone = zone
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.zone = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('EntryAsks')
+        if self.zone is not None:
+            oprot.writeFieldBegin('zone', TType.STRING, 1)
+            oprot.writeString(self.zone.encode('utf-8') if sys.version_info[0] == 2 else self.zone)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.zone is None:
+            raise TProtocolException(message='Required field zone is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class News(object):
     """
     One datagram between the processes on the users' platform.
@@ -2672,6 +2744,7 @@
      - engine
      - held
      - neighbours
+     - asks
 
     """
 
@@ -2680,14 +2753,16 @@
         'engine',
         'held',
         'neighbours',
+        'asks',
     )
 
 
-    def __init__(self, entry=None, engine=None, held=None, neighbours=None,):
+    def __init__(self, entry=None, engine=None, held=None, neighbours=None, asks=None,):
         self.entry = entry
         self.engine = engine
         self.held = held
         self.neighbours = neighbours
+        self.asks = asks
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2722,6 +2797,12 @@
                     self.neighbours.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRUCT:
+                    self.asks = EntryAsks()
+                    self.asks.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2748,6 +2829,10 @@
             oprot.writeFieldBegin('neighbours', TType.STRUCT, 4)
             self.neighbours.write(oprot)
             oprot.writeFieldEnd()
+        if self.asks is not None:
+            oprot.writeFieldBegin('asks', TType.STRUCT, 5)
+            self.asks.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3588,6 +3673,11 @@
     (2, TType.LIST, 'elsewhere', (TType.STRUCT, [ZoneHosts, None], False), [
     ], ),  # 2
 )
+all_structs.append(EntryAsks)
+EntryAsks.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'zone', 'UTF8', None, ),  # 1
+)
 all_structs.append(News)
 News.thrift_spec = (
     None,  # 0
@@ -3595,6 +3685,7 @@
     (2, TType.STRUCT, 'engine', [EngineNews, None], None, ),  # 2
     (3, TType.STRUCT, 'held', [HeldNotice, None], None, ),  # 3
     (4, TType.STRUCT, 'neighbours', [NeighbourNews, None], None, ),  # 4
+    (5, TType.STRUCT, 'asks', [EntryAsks, None], None, ),  # 5
 )
 all_structs.append(HeldKey)
 HeldKey.thrift_spec = (
--- a/src/linnetwood/gen/wire/ttypes.pyi
+++ b/src/linnetwood/gen/wire/ttypes.pyi
@@ -145,12 +145,16 @@
     hosts: bytes
     elsewhere: list[ZoneHosts]
     def __init__(self, hosts: bytes = ..., elsewhere: list[ZoneHosts] = ...) -> None: ...
+class EntryAsks:
+    zone: str
+    def __init__(self, zone: str = ...) -> None: ...
 class News:
     entry: EntryNews
     engine: EngineNews
     held: HeldNotice
     neighbours: NeighbourNews
-    def __init__(self, entry: EntryNews = ..., engine: EngineNews = ..., held: HeldNotice = ..., neighbours: NeighbourNews = ...) -> None: ...
+    asks: EntryAsks
+    def __init__(self, entry: EntryNews = ..., engine: EngineNews = ..., held: HeldNotice = ..., neighbours: NeighbourNews = ..., asks: EntryAsks = ...) -> None: ...
 class HeldKey:
     key: str
     revision: int
--- a/src/linnetwood/idl/wire.thrift
+++ b/src/linnetwood/idl/wire.thrift
@@ -200,12 +200,18 @@
   2: list<ZoneHosts> elsewhere = []
 }
 
+/** Asks an endpoint process which entries there are; an entry that starts does. */
+struct EntryAsks {
+  1: required string zone
+}
+
 /** One datagram between the processes on the users' platform. */
 struct News {
   1: EntryNews entry,
   2: EngineNews engine,
   3: HeldNotice held,
-  4: NeighbourNews neighbours
+  4: NeighbourNews neighbours,
+  5: EntryAsks asks
 }
 
 /** A key whose payload of a revision is held. */
--- a/src/linnetwood/platform/feeds.py
+++ b/src/linnetwood/platform/feeds.py
@@ -1,7 +1,7 @@
 """Hand what the platform's store holds to the product's own state."""
 
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 from linnetwood.calls.directory import Directory, Listed
 from linnetwood.calls.routebook import RouteBook
@@ -123,11 +123,7 @@
 
     def replaced(self, found: Snapshot) -> None:
         """Take in the whole list."""
-        fresh: dict[str, Listed] = {}
-        for key, record in found.records.items():
-            one = _decoded(key, record)
-            if one is not None:
-                fresh[one.endpoint] = one
+        fresh = {one.endpoint: one for one in endpoints(found)}
         self._directory.replaced(fresh, self._clock.now())
         self._changed()
 
@@ -162,6 +158,14 @@
         self._directory.listed(one)
 
 
+def endpoints(found: Snapshot) -> Iterator[Listed]:
+    """Yield the entries of endpoints that can be read."""
+    for key, record in found.records.items():
+        one = _decoded(key, record)
+        if one is not None:
+            yield one
+
+
 def _part(found: Snapshot, prefix: str) -> Snapshot:
     kept = {
         key: one for key, one in found.records.items() if key.startswith(prefix)
--- a/src/linnetwood/programs/resident_entry.py
+++ b/src/linnetwood/programs/resident_entry.py
@@ -109,6 +109,7 @@
             self._tellers,
             rng,
             {FrameKind.PEERS_REQUEST: self.reports.greetings.peers.serve},
+            self.reports.ask,
         )
         self._following = self._news.following
         self.reports.greetings.revision = lambda: self._following.revision
@@ -121,8 +122,8 @@
         readiness = HTTPServer(self._tell_ready)
         self._listen(readiness, cfg.readiness)
         self._figures.start(cfg.host)
-        await self._news.start()
         await self.reports.start(cfg.host)
+        await self._news.start()
         self._listen(self._callers, cfg.callers)
 
     async def close(self) -> None:
--- a/src/linnetwood/programs/resident_news.py
+++ b/src/linnetwood/programs/resident_news.py
@@ -1,14 +1,15 @@
 """The store's news at an entry: followed, heard from neighbours, passed on."""
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from random import Random
 
 from linnetwood.fleet.belief import bounds_within
 from linnetwood.fleet.following import Following
+from linnetwood.fleet.introduction import Introduction
 from linnetwood.fleet.relaying import Relay
 from linnetwood.fleet.tellers import Tellers
 from linnetwood.platform import records
-from linnetwood.platform.feeds import StoreFeed
+from linnetwood.platform.feeds import StoreFeed, endpoints
 from linnetwood.platform.settings import Residence
 from linnetwood.platform.store import PlatformStore
 from linnetwood.wire.connections import FrameHandler
@@ -26,13 +27,18 @@
         tellers: Tellers,
         rng: Random,
         handlers: Mapping[int, FrameHandler],
+        ask: Callable[[list[str]], None],
     ) -> None:
         """Hand all news to the feed; start nothing.
 
         Frames of other kinds that come to the same port go to the handlers.
+        Processes beside engines are asked which other entries there are.
         """
         self._host = cfg.host
+        self._zone = cfg.zone
+        self._rng = rng
         store = PlatformStore(cfg.store, driver)
+        self._store = store
         self.following = Following(
             store,
             records.WHOLE_STORE,
@@ -48,12 +54,28 @@
             handlers,
         )
 
+        self._introduction = Introduction(
+            self.following,
+            tellers,
+            self._look,
+            ask,
+        )
+
     async def start(self) -> None:
-        """Follow the store, and listen to neighbours and for them."""
-        self.following.start()
+        """Listen to neighbours and for them, and follow the store."""
         await self._relay.start(self._host)
+        self._introduction.start()
 
     async def close(self) -> None:
         """Tell and hear no more; what was learned stays."""
+        await self._introduction.close()
         await self._relay.close()
         await self.following.close()
+
+    async def _look(self) -> list[str]:
+        """Give the VMs of endpoints, those of the own zone first."""
+        found = await self._store.read(records.ENDPOINT_PREFIX)
+        listed = list(endpoints(found))
+        self._rng.shuffle(listed)
+        listed.sort(key=lambda one: one.zone != self._zone)
+        return [one.host for one in listed]
--- a/src/linnetwood/programs/resident_talk.py
+++ b/src/linnetwood/programs/resident_talk.py
@@ -96,6 +96,9 @@
             self._heard_entry(news.entry, source)
         if news.held is not None:
             self._follower.noticed(news.held)
+        if news.asks is not None:
+            answer = self._neighbours(news.asks.zone)
+            self._news.send(News(neighbours=answer), [source])
 
     def tell(self) -> None:
         """Tell those for whom it is time."""
@@ -189,19 +192,23 @@
 
     def _tell_zone(self, zone: str) -> None:
         near = self._in_turn(zone)
-        hosts = sorted(host for host, _ in near)
-        news = NeighbourNews(pack(hosts[:_MOST_NEIGHBOURS]))
+        whole = self._neighbours(zone)
+        brief = NeighbourNews(whole.hosts)
         # The first hear other zones, and whoever loses them all; to tell each
         # time all of 20 would take a fifth of what a process may send.
         first, others = near[:_FEW], near[_FEW:]
         self._rng.shuffle(others)
-        if len(hosts) > 1:
-            self._news.send(News(neighbours=news), others[1:])
-        news.elsewhere = [
+        self._news.send(News(neighbours=brief), others[1:])
+        if len(near) > 1 or whole.elsewhere:
+            self._news.send(News(neighbours=whole), first + others[:1])
+
+    def _neighbours(self, zone: str) -> NeighbourNews:
+        hosts = sorted(host for host, _ in self._in_turn(zone))
+        elsewhere = [
             ZoneHosts(other, pack(self._few_of(other)))
             for other in sorted(self._listeners.zones() - {zone})
         ]
-        self._news.send(News(neighbours=news), first + others[:1])
+        return NeighbourNews(pack(hosts[:_MOST_NEIGHBOURS]), elsewhere)
 
     def _few_of(self, zone: str) -> list[str]:
         return [host for host, _ in self._in_turn(zone)[:_FEW]]
--- a/tests/test_narrow_regions.py
+++ b/tests/test_narrow_regions.py
@@ -23,6 +23,7 @@
 from random import Random
 
 from linnetwood.fleet.farlistening import FarListener
+from linnetwood.fleet.introduction import Introduction
 from linnetwood.fleet.rangeteller import RangeTeller
 from linnetwood.fleet.ranges import Record
 from linnetwood.lab import virtual
@@ -177,15 +178,39 @@
             PORT,
         )
         self.teller = RangeTeller(self.following, self.tellers)
+        self.named: Callable[[Entry], None] = nobody
+        self.introduction = Introduction(
+            self.following,
+            self.tellers,
+            self._look,
+            self._ask,
+        )
 
     def start(self) -> None:
-        super().start()
+        self._net.accepting[(self.name, PORT)] = self.accept
+        self.listener.start()
         self.far.start()
+        self.introduction.start()
 
     async def close(self) -> None:
+        await self.introduction.close()
         await self.far.close()
         await super().close()
 
+    async def _look(self) -> list[str]:
+        """Read a short list from the store."""
+        await asyncio.sleep(ROUND_TRIP_S)
+        return ['an endpoint process']
+
+    def _ask(self, hosts: list[str]) -> None:
+        """Be told of others, as by an endpoint process of the zone."""
+        loop = asyncio.get_running_loop()
+        loop.call_later(ROUND_TRIP_S, self.named, self)
+
+
+def nobody(one: Entry) -> None:
+    """Name no other entry."""
+
 
 class Regions:
     """All entries of three zones in as many regions."""
@@ -231,6 +256,7 @@
     def add(self, name: str) -> RegionEntry:
         """Put an entry there; the caller starts it."""
         one = RegionEntry(name, self.stores[zone_of(name)], self.net)
+        one.named = self._tell
         self.entries.append(one)
         return one
 
@@ -252,12 +278,12 @@
 
     async def _greet(self) -> None:
         while True:
-            now = asyncio.get_running_loop().time()
             for one in self.entries:
-                self._tell(one, now)
+                self._tell(one)
             await asyncio.sleep(1)
 
-    def _tell(self, one: Entry, now: float) -> None:
+    def _tell(self, one: Entry) -> None:
+        now = asyncio.get_running_loop().time()
         for zone in ZONES:
             names = [other.name for other in self.of(zone)]
             if one.name in names:
