Check what others wrote, and tell the lives of an endpoint apart

Cause: records were decoded by taking what fitted, so that a spoilt field named an endpoint to use or ended the task that follows the store; and all that is learned of an endpoint was kept by its id, which it keeps when it starts again. Change: tables of fields and types for what stands in the store and for answers of engines and the origin; an endpoint is out of use while its entry is spoilt; each spoilt record is logged and counted once for each write. An endpoint's life is its id with its start: load, suspicion, reports and tries are kept by that, an entry or report of an older life changes nothing, one of a newer life at a listed address takes the listed one out of use. An engine that starts again is laid and ordered anew, and no order rests on what was read back in the life before. An endpoint that moves leaves its address.

--- a/src/linnetwood/calls/accounts.py
+++ b/src/linnetwood/calls/accounts.py
@@ -80,6 +80,7 @@
         call=sending.call_id,
         route=route.name,
         endpoint=sending.choice.endpoint.endpoint,
+        born=sending.choice.endpoint.born,
         far=sending.choice.far,
         version=sending.choice.version,
         urgency=sending.urgency.value,
--- a/src/linnetwood/calls/choice.py
+++ b/src/linnetwood/calls/choice.py
@@ -67,12 +67,12 @@
         self._directory = directory
         self._rng = rng
 
-    def standing(self, endpoint: str) -> Standing:
-        """Give what is known of an endpoint."""
-        found = self.standings.get(endpoint)
+    def standing(self, life: str) -> Standing:
+        """Give what is known of one life of an endpoint."""
+        found = self.standings.get(life)
         if found is None:
             found = Standing()
-            self.standings[endpoint] = found
+            self.standings[life] = found
         return found
 
     def choose(
@@ -99,7 +99,7 @@
     def wait_s(self, need: Need, one: Listed, now: float) -> float:
         """Predict the time to the first byte at an endpoint."""
         engine = need.service.engine
-        standing = self.standing(one.endpoint)
+        standing = self.standing(one.life)
         far_s = 0 if one.zone == need.zone else _FAR_S
         if engine is None:
             over = max(0, standing.in_flight - one.slots + 1)
@@ -113,9 +113,9 @@
 
     def forget(self) -> None:
         """Drop what is known of endpoints that are no longer listed."""
-        for name in list(self.standings):
-            idle = not self.standings[name].in_flight
-            if idle and self._directory.get(name) is None:
+        lives = self._directory.lives()
+        for name in self.standings.keys() - lives:
+            if not self.standings[name].in_flight:
                 self.standings.pop(name)
 
     def _best_of(
@@ -165,7 +165,7 @@
         now: float,
     ) -> Iterator[Listed]:
         for one in listed:
-            if one.endpoint in tried:
+            if one.life in tried:
                 continue
             if need.model and not self._serves(need, one, now):
                 continue
@@ -185,7 +185,7 @@
         On a slow way a call has to be sent earlier by so much. On the usual
         way the need itself says what is due.
         """
-        slow_s = self.standing(one.endpoint).slow_s(now)
+        slow_s = self.standing(one.life).slow_s(now)
         if not slow_s:
             return 0
         return max(
@@ -197,13 +197,13 @@
         if not need.model:
             return 0
         version = one.versions.get(need.model, 0)
-        report = self.standing(one.endpoint).report
+        report = self.standing(one.life).report
         if report is not None:
             version = max(version, report.serving)
         return version
 
     def _penalty(self, one: Listed, now: float) -> float:
-        standing = self.standing(one.endpoint)
+        standing = self.standing(one.life)
         penalty = standing.failing * _FAILING_S + one.cold_s
         if standing.shunned_until > now:
             penalty += _SHUNNED_S
--- a/src/linnetwood/calls/direct.py
+++ b/src/linnetwood/calls/direct.py
@@ -140,7 +140,7 @@
             if choice is None:
                 return progress.ending(relay, Code.NO_ENDPOINT)
             end = await self._attempt(call, need, choice, relay, urgency)
-            progress.note(choice.endpoint.endpoint, end)
+            progress.note(choice.endpoint.life, end)
             if end.how is How.ANSWERED:
                 self._deliver(relay, end)
                 return ANSWERED
@@ -189,7 +189,7 @@
             clock_now=now,
         )
         errand = self._errand(call, need, choice, relay, urgency)
-        standing = self._chooser.standing(choice.endpoint.endpoint)
+        standing = self._chooser.standing(choice.endpoint.life)
         sending = Sending(
             call.head.call_id,
             call.route,
@@ -268,7 +268,7 @@
         if choice.version and call.repeatable:
             start_by = self._wanted.start_by(call.head.model, choice.version)
             # What takes it back must arrive before the bound as well.
-            standing = self._chooser.standing(choice.endpoint.endpoint)
+            standing = self._chooser.standing(choice.endpoint.life)
             start_by -= standing.slow_s(self._loop.time())
         if not call.route.streams or call.route.repeat is not Repeat.RESUME:
             return Bounds(call.until, start_by, math.inf, math.inf)
@@ -281,7 +281,7 @@
 
     def _may_begin(self, choice: Choice, bounds: Bounds, now: float) -> bool:
         """Tell whether it has time there before it is taken back."""
-        slow_s = self._chooser.standing(choice.endpoint.endpoint).slow_s(now)
+        slow_s = self._chooser.standing(choice.endpoint.life).slow_s(now)
         left_s = bounds.start_by - now - slow_s
         return not slow_s or left_s >= _BEGIN_S
 
@@ -303,7 +303,7 @@
         forecast.seen(sending.choice.wait_s, now - sending.at, now)
 
     def _learn(self, choice: Choice, end: AttemptEnd) -> None:
-        standing = self._chooser.standing(choice.endpoint.endpoint)
+        standing = self._chooser.standing(choice.endpoint.life)
         if end.how is How.ANSWERED:
             standing.answered()
         elif not end.reached or end.how is How.STALLED:
@@ -381,8 +381,8 @@
         self.reached = 0
         self.may_have_run = False
 
-    def note(self, endpoint: str, end: AttemptEnd) -> None:
-        self.tried.add(endpoint)
+    def note(self, life: str, end: AttemptEnd) -> None:
+        self.tried.add(life)
         self.reached += end.reached
         if end.how is not How.NOT_RUN:
             self.may_have_run = True
--- a/src/linnetwood/calls/directory.py
+++ b/src/linnetwood/calls/directory.py
@@ -10,6 +10,8 @@
 HELD_AFTER_OUTAGE_S = 1.4
 # An outage ends some time before this process notices it.
 _OUTAGE_SEEN_S = 3.0
+# As many ids as a fleet of 600 endpoints has in days of restarts.
+_BORN_KEPT = 4096
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -25,6 +27,16 @@
     ready: bool
     cold_s: float = 0
     versions: Mapping[str, int] = dataclasses.field(default_factory=dict)
+    # Unix milliseconds of its start; 0 where that is unknown.
+    born: int = 0
+
+    @property
+    def life(self) -> str:
+        """Name this life of the endpoint: it may start again under its id.
+
+        What is learned of an endpoint is kept by this name.
+        """
+        return f'{self.endpoint}@{self.born}' if self.born else self.endpoint
 
 
 class Directory:
@@ -39,18 +51,39 @@
         self._by_host: dict[str, str] = {}
         self._doubted: dict[str, float] = {}
         self._outage_at = -_OUTAGE_SEEN_S
+        # Of the newest life of each endpoint that tells it, also of those that
+        # have gone: an entry of an older one may still arrive.
+        self._born: dict[str, int] = {}
 
     def listed(self, one: Listed) -> None:
-        """Take in a new or changed entry."""
+        """Take in a new or changed entry; one of an older life is none."""
+        if one.born:
+            if one.born < self._born.get(one.endpoint, 0):
+                return
+            self._note_born(one)
         self.changes += 1
         known = self._listed.get(one.endpoint)
-        if known is not None and known.service != one.service:
-            self._by_service[known.service].pop(one.endpoint)
+        if known is not None:
+            self._leave(known)
         self._listed[one.endpoint] = one
         self._by_service.setdefault(one.service, {})[one.endpoint] = one
         self._by_host[one.host] = one.endpoint
         self._doubted.pop(one.endpoint, None)
 
+    def left(self, endpoint: str) -> None:
+        """Take in that a later life stands at an endpoint's address.
+
+        Nothing more goes there until the list tells of the endpoint again: who
+        it is now, and what it holds, is not known.
+        """
+        known = self._listed.get(endpoint)
+        if known is not None and known.ready:
+            self.listed(dataclasses.replace(known, ready=False))
+
+    def spoilt(self, endpoint: str) -> None:
+        """Take in that an entry can't be read: it names nobody to use."""
+        self._forget(endpoint)
+
     def dropped(self, endpoint: str, now: float) -> None:
         """Take in that an entry is gone; keep it a while after an outage."""
         if endpoint not in self._listed:
@@ -86,6 +119,10 @@
         """Yield every entry."""
         yield from self._listed.values()
 
+    def lives(self) -> set[str]:
+        """Give the names of the lives that are listed."""
+        return {one.life for one in self._listed.values()}
+
     def at_host(self, host: str) -> Listed | None:
         """Give the entry that was listed last at a host."""
         return self._listed.get(self._by_host.get(host, ''))
@@ -109,6 +146,16 @@
         if one is None:
             return
         self.changes += 1
-        self._by_service[one.service].pop(endpoint)
-        if self._by_host.get(one.host) == endpoint:
+        self._leave(one)
+
+    def _leave(self, one: Listed) -> None:
+        """Take an entry out of the tables; its address may be another's now."""
+        self._by_service[one.service].pop(one.endpoint)
+        if self._by_host.get(one.host) == one.endpoint:
             self._by_host.pop(one.host)
+
+    def _note_born(self, one: Listed) -> None:
+        self._born.pop(one.endpoint, None)
+        self._born[one.endpoint] = one.born
+        while len(self._born) > _BORN_KEPT:
+            self._born.pop(next(iter(self._born)))
--- a/src/linnetwood/calls/entrance.py
+++ b/src/linnetwood/calls/entrance.py
@@ -70,7 +70,7 @@
         engine = need.service.engine
         if choice is None or engine is None:
             return False
-        standing = self._chooser.standing(choice.endpoint.endpoint)
+        standing = self._chooser.standing(choice.endpoint.life)
         waiting, running = standing.work(now)
         return waiting + running < engine.slots - _KEPT_FREE
 
--- /dev/null
+++ b/src/linnetwood/calls/lives.py
@@ -0,0 +1,34 @@
+"""Count what comes from an address for the life of the endpoint that said it.
+
+An endpoint may start again under its id within its lease, so that the list
+never lacks it, and its address may be used again by another. Its start, by its
+own clock, tells its lives apart; no I/O or clock here.
+"""
+
+from linnetwood.calls.choice import Chooser
+from linnetwood.calls.directory import Directory
+from linnetwood.calls.standing import Report
+
+
+def take_report(
+    directory: Directory,
+    chooser: Chooser,
+    host: str,
+    born: int,
+    report: Report,
+) -> None:
+    """Take in a report that came from a host, born at a Unix millisecond.
+
+    0 stands for an unknown start: the report is then of whoever is listed. One
+    of an older life is dropped. One of a newer life comes ahead of the list:
+    it may be of another endpoint that has the address now, so it counts for
+    nobody, but the life that is listed has ended.
+    """
+    listed = directory.at_host(host)
+    if listed is None:
+        return
+    if born and listed.born and born != listed.born:
+        if born > listed.born:
+            directory.left(listed.endpoint)
+        return
+    chooser.standing(listed.life).heard(report)
--- a/src/linnetwood/calls/reports.py
+++ b/src/linnetwood/calls/reports.py
@@ -9,6 +9,7 @@
 from linnetwood.calls.entrycount import EntryCount
 from linnetwood.calls.greetings import Greetings
 from linnetwood.calls.routebook import RouteBook
+from linnetwood.calls.lives import take_report
 from linnetwood.calls.standing import Report
 from linnetwood.core.clock import Clock
 from linnetwood.core.waits import happened
@@ -112,9 +113,8 @@
         self._wanted.heard(engine.wanted, now)
         near = self.greetings.near(host)
         self._count.told(host, engine.entries, now, near=near)
-        one = self._directory.at_host(host)
-        if one is not None:
-            self._chooser.standing(one.endpoint).heard(_report(engine, now))
+        report = _report(engine, now)
+        take_report(self._directory, self._chooser, host, engine.born, report)
 
     async def _run(self) -> None:
         while True:
--- a/src/linnetwood/gen/wire/ttypes.py
+++ b/src/linnetwood/gen/wire/ttypes.py
@@ -2317,6 +2317,7 @@
      - wanted
      - way_ms: How long a call's bytes may wait on the way to this VM.
      - every_ms: When the next report is due.
+     - born: Unix milliseconds of the engine's start; 0 where it does not tell.
 
     """
 
@@ -2330,11 +2331,12 @@
         'wanted',
         'way_ms',
         'every_ms',
+        'born',
     )
 
 
     def __init__(self, number=None, waiting=0, running=0, serving=0, changing=False, entries=0, wanted=[
-    ], way_ms=0, every_ms=0,):
+    ], way_ms=0, every_ms=0, born=0,):
         self.number = number
         self.waiting = waiting
         self.running = running
@@ -2347,6 +2349,7 @@
         self.wanted = wanted
         self.way_ms = way_ms
         self.every_ms = every_ms
+        self.born = born
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2408,6 +2411,11 @@
                     self.every_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.I64:
+                    self.born = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2457,6 +2465,10 @@
             oprot.writeFieldBegin('every_ms', TType.I32, 12)
             oprot.writeI32(self.every_ms)
             oprot.writeFieldEnd()
+        if self.born is not None:
+            oprot.writeFieldBegin('born', TType.I64, 13)
+            oprot.writeI64(self.born)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3659,6 +3671,7 @@
     ], ),  # 10
     (11, TType.I32, 'way_ms', None, 0, ),  # 11
     (12, TType.I32, 'every_ms', None, 0, ),  # 12
+    (13, TType.I64, 'born', None, 0, ),  # 13
 )
 all_structs.append(ZoneHosts)
 ZoneHosts.thrift_spec = (
--- a/src/linnetwood/gen/wire/ttypes.pyi
+++ b/src/linnetwood/gen/wire/ttypes.pyi
@@ -136,7 +136,8 @@
     wanted: list[WantedWeights]
     way_ms: int
     every_ms: int
-    def __init__(self, number: int = ..., waiting: int = ..., running: int = ..., serving: int = ..., changing: bool = ..., entries: int = ..., wanted: list[WantedWeights] = ..., way_ms: int = ..., every_ms: int = ...) -> None: ...
+    born: int
+    def __init__(self, number: int = ..., waiting: int = ..., running: int = ..., serving: int = ..., changing: bool = ..., entries: int = ..., wanted: list[WantedWeights] = ..., way_ms: int = ..., every_ms: int = ..., born: int = ...) -> None: ...
 class ZoneHosts:
     zone: str
     hosts: bytes
--- a/src/linnetwood/idl/wire.thrift
+++ b/src/linnetwood/idl/wire.thrift
@@ -183,7 +183,9 @@
   /** How long a call's bytes may wait on the way to this VM. */
   11: i32 way_ms = 0,
   /** When the next report is due. */
-  12: i32 every_ms = 0
+  12: i32 every_ms = 0,
+  /** Unix milliseconds of the engine's start; 0 where it does not tell. */
+  13: i64 born = 0
 }
 
 /** Some entries of an availability zone: four bytes for each IPv4 address. */
--- a/src/linnetwood/platform/feeds.py
+++ b/src/linnetwood/platform/feeds.py
@@ -1,7 +1,8 @@
 """Hand what the platform's store holds to the product's own state."""
 
+import functools
 import math
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Mapping
 
 from linnetwood.calls.directory import Directory, Listed
 from linnetwood.calls.routebook import RouteBook
@@ -13,6 +14,41 @@
 from linnetwood.platform import records
 
 
+# So many keys that could not be read are remembered; the oldest go first, and
+# are told once more if they are read again.
+_IGNORED_KEPT = 4096
+
+
+def _uncounted() -> None:
+    """Count nothing."""
+
+
+class Ignored:
+    """Tell of each record that can't be read once for each write of it."""
+
+    def __init__(self, count: Callable[[], None] = _uncounted) -> None:
+        """Count them, too."""
+        self._count = count
+        self._told: dict[str, int] = {}
+
+    def note(self, key: str, record: Record, exc: ConfigError) -> None:
+        """Log and count one."""
+        if self._told.get(key) == record.revision:
+            return
+        self._told.pop(key, None)
+        self._told[key] = record.revision
+        while len(self._told) > _IGNORED_KEPT:
+            self._told.pop(next(iter(self._told)))
+        self._count()
+        log(
+            Event.ITEM_IGNORED,
+            key=key,
+            revision=record.revision,
+            code=exc.code,
+            detail=exc.detail,
+        )
+
+
 class OperatorFeed:
     """Take in configurations and named versions."""
 
@@ -22,8 +58,10 @@
         wanted: WantedVersions,
         clock: Clock,
         changed: Callable[[], None],
+        ignored: Ignored | None = None,
     ) -> None:
         """Tell of each configuration, and of each change."""
+        self._ignored = ignored or Ignored()
         self._adopt = adopt
         self._wanted = wanted
         self._clock = clock
@@ -52,7 +90,8 @@
         try:
             self._read(key, record, age_s)
         except ConfigError as exc:
-            _log_ignored(key, record, exc)
+            # What was sound before stays in force.
+            self._ignored.note(key, record, exc)
             return
         self._changed()
 
@@ -115,15 +154,18 @@
         directory: Directory,
         clock: Clock,
         changed: Callable[[], None],
+        ignored: Ignored | None = None,
     ) -> None:
         """Keep the directory as the platform has it."""
+        self._ignored = ignored or Ignored()
         self._directory = directory
         self._clock = clock
         self._changed = changed
 
     def replaced(self, found: Snapshot) -> None:
         """Take in the whole list."""
-        fresh = {one.endpoint: one for one in endpoints(found)}
+        spoilt = functools.partial(self._spoilt, found.records)
+        fresh = {one.endpoint: one for one in endpoints(found, spoilt)}
         self._directory.replaced(fresh, self._clock.now())
         self._changed()
 
@@ -143,8 +185,10 @@
             log(Event.ENDPOINT_GONE, endpoint=name)
             self._directory.dropped(name, self._clock.now())
             return
-        one = _decoded(change.key, change.record)
-        if one is None:
+        try:
+            one = records.endpoint(change.key, change.record)
+        except ConfigError as exc:
+            self._spoilt({change.key: change.record}, change.key, exc)
             return
         log(
             Event.ENDPOINT_LISTED,
@@ -153,17 +197,33 @@
             address=f'{one.host}:{one.port}',
             ready=one.ready,
             versions=dict(one.versions),
+            born=one.born,
             revision=change.record.revision,
         )
         self._directory.listed(one)
 
+    def _spoilt(
+        self,
+        found: Mapping[str, Record],
+        key: str,
+        exc: ConfigError,
+    ) -> None:
+        """Use nothing that stood under the key: nobody vouches for it."""
+        self._ignored.note(key, found[key], exc)
+        self._directory.spoilt(key.removeprefix(records.ENDPOINT_PREFIX))
+
 
-def endpoints(found: Snapshot) -> Iterator[Listed]:
-    """Yield the entries of endpoints that can be read."""
+def endpoints(
+    found: Snapshot,
+    spoilt: Callable[[str, ConfigError], None] | None = None,
+) -> Iterator[Listed]:
+    """Yield the entries of endpoints that can be read; tell of the others."""
     for key, record in found.records.items():
-        one = _decoded(key, record)
-        if one is not None:
-            yield one
+        try:
+            yield records.endpoint(key, record)
+        except ConfigError as exc:
+            if spoilt is not None:
+                spoilt(key, exc)
 
 
 def _part(found: Snapshot, prefix: str) -> Snapshot:
@@ -171,21 +231,3 @@
         key: one for key, one in found.records.items() if key.startswith(prefix)
     }
     return Snapshot(kept, found.revision, found.ages)
-
-
-def _decoded(key: str, record: Record) -> Listed | None:
-    try:
-        return records.endpoint(key, record)
-    except ConfigError as exc:
-        _log_ignored(key, record, exc)
-        return None
-
-
-def _log_ignored(key: str, record: Record, exc: ConfigError) -> None:
-    log(
-        Event.ITEM_IGNORED,
-        key=key,
-        revision=record.revision,
-        code=exc.code,
-        detail=exc.detail,
-    )
--- a/src/linnetwood/platform/records.py
+++ b/src/linnetwood/platform/records.py
@@ -1,6 +1,5 @@
 """Decode what the operator and the servers write to the platform's store."""
 
-import json
 from collections.abc import Iterator, Mapping
 from typing import Any
 
@@ -19,6 +18,7 @@
 )
 from linnetwood.core.errors import ConfigError
 from linnetwood.fleet.ranges import Record
+from linnetwood.platform import checked, tables
 from linnetwood.platform.settings import address
 
 # One range holds what the operators and the servers write.
@@ -30,42 +30,29 @@
 
 _MILLISECONDS = 1000
 _MEGABIT_BYTES = 125000
-_READY = 'ready'
 _STREAMING = 'streaming'
 _REPEATABLE = 'idempotent'
-_BAD_ITEM = (KeyError, TypeError, ValueError, AttributeError)
 
 
 def config(record: Record) -> RouteBook:
     """Decode the operator's configuration, or raise ConfigError."""
-    try:
-        return _config(_object(record), record.revision)
-    except _BAD_ITEM as exc:
-        raise ConfigError('config-malformed', repr(exc)) from exc
+    said = checked.read(record.payload, tables.CONFIG, 'config-malformed')
+    for one in said['routes']:
+        if not (one.get('traffic_split') or one.get('service')):
+            raise ConfigError('config-malformed', f'no service: {one["name"]}')
+    return _config(said, record.revision)
 
 
 def named_version(record: Record) -> tuple[str, int]:
     """Decode a named version of a model, or raise ConfigError."""
-    try:
-        said = _object(record)
-        return str(said['model']), int(said['version'])
-    except _BAD_ITEM as exc:
-        raise ConfigError('version-malformed', repr(exc)) from exc
+    said = checked.read(record.payload, tables.VERSION, 'version-malformed')
+    return said['model'], said['version']
 
 
 def endpoint(key: str, record: Record) -> Listed:
     """Decode a server's entry, or raise ConfigError."""
-    try:
-        return _endpoint(key.removeprefix(ENDPOINT_PREFIX), _object(record))
-    except _BAD_ITEM as exc:
-        raise ConfigError('endpoint-malformed', f'{key}: {exc!r}') from exc
-
-
-def _object(record: Record) -> dict[str, Any]:
-    said = json.loads(record.payload)
-    if not isinstance(said, dict):
-        raise TypeError(type(said).__name__)
-    return said
+    said = checked.read(record.payload, tables.ENDPOINT, 'endpoint-malformed')
+    return _endpoint(key.removeprefix(ENDPOINT_PREFIX), said)
 
 
 def _endpoint(name: str, said: Mapping[str, Any]) -> Listed:
@@ -75,13 +62,15 @@
         service=said['service'],
         host=host,
         port=port,
-        zone=said.get('zone', ''),
-        slots=int(said.get('slots', 1)),
-        ready=said.get('state', _READY) == _READY,
-        cold_s=said.get('cold_remaining_ms', 0) / _MILLISECONDS,
+        zone=said['zone'],
+        slots=said['slots'],
+        ready=said['state'] == tables.READY,
+        cold_s=said['cold_remaining_ms'] / _MILLISECONDS,
         versions={
-            one['name']: int(one['version']) for one in said.get('models') or ()
+            one['name']: one['version'] for one in said.get('models', ())
         },
+        # One that does not tell it is sound, and its life is unknown.
+        born=said.get('born', 0),
     )
 
 
--- a/src/linnetwood/platform/store.py
+++ b/src/linnetwood/platform/store.py
@@ -16,6 +16,7 @@
     Record,
     Snapshot,
 )
+from linnetwood.platform.checked import UNREADABLE
 from linnetwood.platform.storesight import StoreSight
 from linnetwood.wire.asking import Answer, Patience, ask
 from linnetwood.wire.connections import SILENT_S
@@ -38,7 +39,8 @@
 _PAGE_PAUSE_S = 0.1
 # A page holds a megabyte of values, in base64 and JSON.
 _MOST_BYTES = 33554432
-_BAD_ANSWER = (KeyError, TypeError, ValueError)
+_BAD_ANSWER = (KeyError, TypeError, ValueError, OverflowError, AttributeError)
+_UNREADABLE = (*UNREADABLE, TypeError)
 
 
 def _nothing() -> None:
@@ -157,13 +159,13 @@
         raise StoreError('store-unreachable', detail)
     try:
         return dict(json.loads(answer.body))
-    except (ValueError, TypeError) as exc:
+    except _UNREADABLE as exc:
         raise StoreError('store-bad-answer', str(exc)) from exc
 
 
 def _read_page(said: dict[str, Any]) -> tuple[Snapshot, bool]:
     try:
-        found = {row['private_key']: _record(row) for row in said['items']}
+        found = {_key(row): _record(row) for row in said['items']}
         return Snapshot(found, int(said['timestamp'])), bool(said['has_more'])
     except _BAD_ANSWER as exc:
         raise StoreError('store-bad-answer', repr(exc)) from exc
@@ -177,12 +179,20 @@
         raise StoreError('store-bad-answer', repr(exc)) from exc
 
 
+def _key(row: dict[str, Any]) -> str:
+    key = row['private_key']
+    if not isinstance(key, str):
+        raise TypeError(f'a key is {type(key).__name__}')
+    return key
+
+
 def _record(row: dict[str, Any]) -> Record:
-    return Record(base64.b64decode(row['value']), int(row['revision']))
+    payload = base64.b64decode(row['value'], validate=True)
+    return Record(payload, int(row['revision']))
 
 
 def _change(row: dict[str, Any]) -> Change:
-    key = row['private_key']
+    key = _key(row)
     if row.get('deleted'):
         return Change(key, None, gone_at=int(row['revision']))
     return Change(key, _record(row))
--- a/src/linnetwood/platform/weights.py
+++ b/src/linnetwood/platform/weights.py
@@ -9,6 +9,7 @@
 from urllib.parse import quote, urlencode
 
 from linnetwood.core.errors import LinnetwoodError, OrderError, WeightsError
+from linnetwood.platform import checked, tables
 from linnetwood.weights.chunks import Manifest
 from linnetwood.weights.engine import EngineReport, Order
 from linnetwood.wire.asking import Answer, Patience, ask
@@ -23,7 +24,18 @@
 _PIECE_FIRST_S = 4.0
 _PIECE = Patience(_PIECE_FIRST_S, SILENT_S)
 _MOST_BYTES = 16777216
-_BAD_ANSWER = (KeyError, TypeError, ValueError)
+_BAD_ANSWER = (KeyError, TypeError, ValueError, OverflowError)
+_REPORT = (
+    checked.whole('waiting', needed=False),
+    checked.whole('running', needed=False),
+    checked.whole('kv_used', needed=False),
+    checked.whole('kv_total', needed=False),
+    tables.MODELS,
+    checked.flag('utilization', needed=False),
+    checked.whole('sequence', needed=False),
+    checked.whole('born', needed=False),
+)
+_MANIFEST = (checked.texts('digests'), checked.whole('chunk_bytes', 1))
 # The platform gives no digest over all pieces.
 _UNKNOWN_WHOLE = bytes(hashlib.sha256().digest_size)
 
@@ -39,10 +51,10 @@
         """Ask what it does."""
         answer = await self._site.ask('GET', '/linnetwood/report')
         said = _object(answer, OrderError)
-        try:
-            return _report(said)
-        except _BAD_ANSWER as exc:
-            raise OrderError('engine-bad-answer', repr(exc)) from exc
+        fault = checked.faults(said, _REPORT)
+        if fault:
+            raise OrderError('engine-bad-answer', fault)
+        return _report(said)
 
     async def staged(self, model: str) -> list[int]:
         """Ask which chunks lie there."""
@@ -113,6 +125,9 @@
         place = f'/linnetwood/manifest/{quote(model)}?version={version}'
         answer = await self._site().ask('GET', place, patience=_GROWING)
         said = _object(answer, WeightsError)
+        fault = checked.faults(said, _MANIFEST)
+        if fault:
+            raise WeightsError('manifest-malformed', fault)
         try:
             digests = tuple(bytes.fromhex(one) for one in said['digests'])
             size = int(said['chunk_bytes']) * len(digests)
@@ -177,12 +192,11 @@
         running=int(said.get('running', 0)),
         kv_used=int(said.get('kv_used', 0)),
         kv_total=int(said.get('kv_total', 0)),
-        serving={
-            one['name']: int(one['version']) for one in said.get('models') or ()
-        },
+        serving={one['name']: one['version'] for one in said.get('models', ())},
         # The field's name misleads: true means that an order is under way.
         changing=bool(said.get('utilization')),
         orders_taken=int(said.get('sequence', 0)),
+        born=int(said.get('born', 0)),
     )
 
 
@@ -197,7 +211,7 @@
         raise error('no-answer', _why(answer))
     try:
         said = json.loads(answer.body)
-    except ValueError as exc:
+    except checked.UNREADABLE as exc:
         raise error('bad-answer', str(exc)) from exc
     if not isinstance(said, dict):
         raise error('bad-answer', type(said).__name__)
--- a/src/linnetwood/programs/resident_entry.py
+++ b/src/linnetwood/programs/resident_entry.py
@@ -23,7 +23,12 @@
 from linnetwood.fleet.tellers import Tellers
 from linnetwood.fleet.wanted import WantedVersions
 from linnetwood.platform.dialect import PlatformDialect
-from linnetwood.platform.feeds import EndpointFeed, OperatorFeed, StoreFeed
+from linnetwood.platform.feeds import (
+    EndpointFeed,
+    Ignored,
+    OperatorFeed,
+    StoreFeed,
+)
 from linnetwood.platform.settings import Residence
 from linnetwood.programs import resident
 from linnetwood.programs.figures import FiguresPage
@@ -98,9 +103,10 @@
         metrics.gauge(Metric.STORE_AGE_S, self.vigil.store_age_s)
         self._figures = FiguresPage(metrics)
         wake = self.reports.wake
+        ignored = Ignored(lambda: metrics.count(Metric.RECORDS_IGNORED))
         feed = StoreFeed(
-            OperatorFeed(self.adopt, self.wanted, clock, wake),
-            EndpointFeed(self.directory, clock, wake),
+            OperatorFeed(self.adopt, self.wanted, clock, wake, ignored),
+            EndpointFeed(self.directory, clock, wake, ignored),
         )
         self._news = StoreNews(
             cfg,
--- a/src/linnetwood/programs/resident_talk.py
+++ b/src/linnetwood/programs/resident_talk.py
@@ -158,6 +158,7 @@
             changing=report.changing or self._follower.draining,
             entries=self._listeners.entries(now),
             way_ms=int(self._inflow.tell_way_s(now) * _MILLISECONDS),
+            born=report.born,
         )
         wanted = self._wanted.told('', self._wanted.models(), now)
         for every_s, addresses in due.items():
--- a/src/linnetwood/weights/engine.py
+++ b/src/linnetwood/weights/engine.py
@@ -10,7 +10,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class EngineReport:
-    """What an engine says of itself; changing means an order is under way."""
+    """What an engine says of itself; changing means an order is under way.
+
+    Counts begin anew with each life; it was born at a Unix time, 0 if unknown.
+    """
 
     waiting: int
     running: int
@@ -19,6 +22,7 @@
     serving: Mapping[str, int]
     changing: bool
     orders_taken: int
+    born: int = 0
 
 
 class Order(enum.Enum):
--- a/src/linnetwood/weights/follower.py
+++ b/src/linnetwood/weights/follower.py
@@ -59,6 +59,7 @@
         )
         # A bit for each chunk that was laid there.
         self._staged = 0
+        self._born = 0
         self._ordered_at = -_SETTLE_S
         self._taken: Aim | None = None
         self._complete_at: float | None = None
@@ -139,6 +140,8 @@
         report = self.report
         if report is None:
             return
+        if report.born != self._born:
+            self._begin_life(report.born)
         now_s = self._tools.clock.now()
         if now_s - self._ordered_at >= _SETTLE_S:
             # An order that led to nothing by now is given again.
@@ -162,6 +165,15 @@
         if now_s >= self._change_at(aim, report, now_s):
             await self._take(aim, download)
 
+    def _begin_life(self, born: int) -> None:
+        """Lay and order everything anew: this life knows of nothing."""
+        if self._born:
+            log(Event.ENGINE_REBORN, before=self._born, born=born)
+        self._born = born
+        self._staged = 0
+        self._taken = None
+        self._ordered_at = -_SETTLE_S
+
     async def _fetch(self, newest: Aim) -> None:
         """Fetch what comes next, and what may be needed beside it.
 
@@ -230,7 +242,8 @@
         if not await self._verified(aim, download):
             return
         report = await self._engine.report()
-        if report.changing:
+        if report.changing or report.born != self._born:
+            # What was read back lay at the life before.
             return
         answer = await self._engine.take(
             aim.model,
--- a/tests/test_direct.py
+++ b/tests/test_direct.py
@@ -1,6 +1,7 @@
 """Calls straight at endpoints: whole answers, true refusals, at most once."""
 
 import asyncio
+import dataclasses
 import unittest
 from random import Random
 
@@ -183,6 +184,27 @@
                 if outcome is Outcome.UNKNOWN:
                     self.assertEqual(heard.received, b'')
 
+    async def test_unknown_stays_unknown_across_lives(self) -> None:
+        """An endpoint that starts again under its id is sent nothing twice."""
+
+        async def crash(
+            reader: asyncio.StreamReader,
+            writer: asyncio.StreamWriter,
+        ) -> None:
+            # It is listed again before the caller's connection has gone.
+            self.directory.listed(dataclasses.replace(listed, born=5))
+            await reset(reader, writer)
+
+        await self.serve(crash)
+        listed = self.directory.ready('desk', 0)[0]
+        for repeat, runs in ((Repeat.NEVER, 1), (Repeat.MAY, 2)):
+            with self.subTest(repeat=repeat):
+                self.servers[0].requests.clear()
+                self.directory.listed(listed)
+                ending, _ = await self.call(repeat)
+                self.assertEqual(ending.outcome, Outcome.UNKNOWN)
+                self.assertEqual(self.runs(), runs)
+
     async def test_calls_that_may_repeat_go_on(self) -> None:
         """Any failure leads to a second endpoint, and its answer goes out."""
         cases: tuple[tuple[str, Behaviour], ...] = (
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -69,10 +69,23 @@
         self.taken: list[dict[int, bytes]] = []
         self.rots: set[int] = set()
         self.refuses = 0
+        self.born = 1000
+        self.asked = 0
+        self.starts_again_at = 0
+
+    def start_again(self) -> None:
+        """Hold and know nothing of before."""
+        self.born += 1
+        self.serving = 0
+        self.orders = 0
+        self.place = {}
 
     async def report(self) -> EngineReport:
+        self.asked += 1
+        if self.asked == self.starts_again_at:
+            self.start_again()
         serving = {'m': self.serving} if self.serving else {}
-        return EngineReport(0, 0, 0, 1, serving, False, self.orders)
+        return EngineReport(0, 0, 0, 1, serving, False, self.orders, self.born)
 
     async def staged(self, model: str) -> list[int]:
         return sorted(self.place)
@@ -197,6 +210,27 @@
         self.check_taken(1)
         self.assertEqual(self.origin.reads, [(1, 2)])
 
+    async def test_an_engine_that_starts_again(self) -> None:
+        """All is laid and ordered anew for its new life."""
+        self.wanted.name('m', 2, 0)
+        await self.until_served(2)
+        self.engine.start_again()
+        await self.until_served(2)
+        self.check_taken(2, 2)
+        # The origin was not read again for that.
+        self.assertEqual(len(self.origin.reads), COUNT)
+
+    async def test_an_engine_that_starts_again_at_any_moment(self) -> None:
+        """No order counts on what was read back in the life before."""
+        self.wanted.name('m', 2, 0)
+        for moment in range(1, 12):
+            with self.subTest(moment=moment):
+                self.engine.start_again()
+                self.engine.taken.clear()
+                self.engine.starts_again_at = self.engine.asked + moment
+                await self.until_served(2)
+                self.check_taken(*(2 for _ in self.engine.taken))
+
     async def test_newer_version_while_the_older_is_served(self) -> None:
         """Both are taken whole, one after the other."""
         self.wanted.name('m', 2, 0)
--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -153,6 +153,7 @@
             'service': 'pool',
             'address': '10.1.0.9:8080',
             'zone': 'z1',
+            'version': 'v1',
             'slots': 16,
             'state': 'draining',
             'cold_remaining_ms': 500,
