--- a/src/linnetwood/lab/measure.py
+++ b/src/linnetwood/lab/measure.py
@@ -10,8 +10,9 @@
 from linnetwood.lab.measure_policy import policy
 from linnetwood.lab.measure_routing import routing
 from linnetwood.lab.measure_serve import serve
+from linnetwood.lab.measure_soak import soak
 
-COMMANDS = (burst, control, histories, policy, routing, serve)
+COMMANDS = (burst, control, histories, policy, routing, serve, soak)
 
 
 def main() -> None:
--- /dev/null
+++ b/src/linnetwood/lab/soak/callers.py
@@ -0,0 +1,180 @@
+"""Callers that keep connections open until they are gone, and note all."""
+
+import asyncio
+import secrets
+import time
+from collections.abc import Mapping
+from random import Random
+from types import MappingProxyType
+
+from linnetwood.lab.soak.fleet import CALLERS_PORT, Fleet, Vm
+from linnetwood.lab.soak.history import Call, History, Kind
+
+KEY = 'key-1'
+HOST = 'soak.example'
+_PATHS: Mapping[Kind, str] = MappingProxyType(
+    {
+        Kind.STREAM: '/chat/x',
+        Kind.NEVER: '/confirm/x',
+        Kind.MAY: '/lookup/x',
+    },
+)
+_PATIENCE_S: Mapping[Kind, float] = MappingProxyType(
+    {Kind.STREAM: 6, Kind.NEVER: 4, Kind.MAY: 4},
+)
+_LOST = (OSError, EOFError, ValueError)
+_HEX = 16
+_MILLISECONDS = 1000
+_LEAVES_SHARE = 0.05
+_LEAVES_AFTER_S = (0.05, 0.4)
+_EVENTS = (5, 25)
+_THINK_S = (0.02, 0.3)
+_BACK_S = (0.1, 1.0)
+_PROBE_S = (0.1, 0.4)
+_CONNECT_S = 1.0
+_ID_BYTES = 8
+_BUSY = 503
+
+
+class Callers:
+    """Own the tasks that call."""
+
+    def __init__(self, fleet: Fleet, history: History, seed: int) -> None:
+        """Call nobody yet."""
+        # The newest configuration that was sent; probes ask for its route.
+        self.configuration = 1
+        self._fleet = fleet
+        self._history = history
+        self._rng = Random(seed)
+        self._tasks: list[asyncio.Task[None]] = []
+
+    def start(self, count: int) -> None:
+        """Let so many callers begin, each at an entry of its own."""
+        for number in range(count):
+            vm = self._fleet.entries[number % len(self._fleet.entries)]
+            self._tasks.append(asyncio.create_task(self._call_on(vm)))
+        for vm in self._fleet.entries:
+            self._tasks.append(asyncio.create_task(self._probe(vm)))
+
+    async def close(self) -> None:
+        """Let nobody call any more."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def _call_on(self, vm: Vm) -> None:
+        conn = Connection(vm)
+        while True:
+            kind = self._rng.choice(tuple(Kind))
+            call = self._new(vm, kind, _PATHS[kind])
+            leaves_s = float()
+            if kind is not Kind.NEVER and self._rng.random() < _LEAVES_SHARE:
+                leaves_s = self._rng.uniform(*_LEAVES_AFTER_S)
+            await conn.run(call, self._rng.randint(*_EVENTS), leaves_s)
+            busy = call.status in {0, _BUSY}
+            span = _BACK_S if busy else _THINK_S
+            await asyncio.sleep(self._rng.uniform(*span))
+
+    async def _probe(self, vm: Vm) -> None:
+        conn = Connection(vm)
+        while True:
+            await asyncio.sleep(self._rng.uniform(*_PROBE_S))
+            back = self._rng.choice((0, 0, 1, 5))
+            probed = max(1, self.configuration - back)
+            call = self._new(vm, Kind.MAY, f'/only-{probed}/x')
+            call.probes = probed
+            await conn.run(call, 1, 0)
+
+    def _new(self, vm: Vm, kind: Kind, path: str) -> Call:
+        call = Call(
+            secrets.token_hex(_ID_BYTES),
+            kind,
+            vm.name,
+            path,
+            time.monotonic(),
+            _PATIENCE_S[kind],
+        )
+        self._history.calls.append(call)
+        return call
+
+
+class Connection:
+    """One kept connection to an entry, opened anew when it is gone."""
+
+    def __init__(self, vm: Vm) -> None:
+        """Open nothing yet."""
+        self._vm = vm
+        self._streams: (
+            tuple[asyncio.StreamReader, asyncio.StreamWriter] | None
+        ) = None
+
+    async def run(self, call: Call, events: int, leaves_s: float) -> None:
+        """Send one call and read what comes, or leave in the middle."""
+        try:
+            async with asyncio.timeout(leaves_s or call.patience_s):
+                await self._run(call, events)
+        except TimeoutError:
+            call.left_at = time.monotonic()
+            self._close()
+        except _LOST:
+            self._close()
+        call.ended_at = time.monotonic()
+
+    async def _run(self, call: Call, events: int) -> None:
+        if self._streams is None:
+            async with asyncio.timeout(_CONNECT_S):
+                self._streams = await asyncio.open_connection(
+                    self._vm.host,
+                    CALLERS_PORT,
+                )
+        reader, writer = self._streams
+        method = 'GET' if call.kind is Kind.MAY else 'POST'
+        call.sent_at = time.monotonic()
+        head = (
+            f'{method} {call.path} HTTP/1.1\r\nHost: {HOST}\r\n'
+            f'X-Attempt-Id: {call.call_id}\r\n'
+            f'X-Deadline-Ms: {int(call.patience_s * _MILLISECONDS)}\r\n'
+            f'X-Model: m-1\r\nX-Token-Counts: 10,{events}\r\n'
+            f'Authorization: Bearer {KEY}\r\nContent-Length: 0\r\n\r\n'
+        )
+        writer.write(head.encode())
+        await writer.drain()
+        await self._read(call, reader)
+
+    async def _read(self, call: Call, reader: asyncio.StreamReader) -> None:
+        head = (await reader.readuntil(b'\r\n\r\n')).decode('latin-1')
+        first, *lines = head.split('\r\n')
+        fields = dict(
+            line.lower().split(': ', 1) for line in lines if ': ' in line
+        )
+        call.status = int(first.split(' ')[1])
+        signature = [
+            line.partition(': ')[2]
+            for line in lines
+            if line.lower().startswith('x-server-signature')
+        ]
+        call.signature = ''.join(signature)
+        if fields.get('transfer-encoding') == 'chunked':
+            await self._read_chunks(call, reader)
+        else:
+            size = int(fields.get('content-length', '0'))
+            call.body = (await reader.readexactly(size)).decode('latin-1')
+        call.whole = True
+        if fields.get('connection') == 'close':
+            self._close()
+
+    async def _read_chunks(
+        self,
+        call: Call,
+        reader: asyncio.StreamReader,
+    ) -> None:
+        size = -1
+        while size:
+            size = int((await reader.readline()).strip(), _HEX)
+            piece = await reader.readexactly(size + 2)
+            call.body += piece[:size].decode('latin-1')
+
+    def _close(self) -> None:
+        if self._streams is not None:
+            self._streams[1].close()
+        self._streams = None
--- /dev/null
+++ b/src/linnetwood/lab/soak/checks.py
@@ -0,0 +1,243 @@
+"""Check the promises against what was seen; no I/O or clock."""
+
+import dataclasses
+import itertools
+from collections import defaultdict
+from collections.abc import Callable, Iterator
+
+from linnetwood.lab.soak.configuration import KEPT_ROUTES
+from linnetwood.lab.soak.history import Acked, Call, History, Kind, Run
+
+_OK = 200
+_FOUND_BELOW = 300
+_UNKNOWN = 404
+# Answers that promise that a call has not run, and never will.
+_NOT_RUN = frozenset((408, 421, 429, 503))
+_MILLISECONDS = 1000
+_LATE_S = 0.5
+_FEW = 5
+_QUARTER = 0.25
+# Fewer calls at the end tell nothing.
+_ENOUGH = 20
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Limits:
+    """The bounds of a deployment, and what a busy machine may add to them."""
+
+    contact_s: float = 3
+    apply_s: float = 4
+    version_s: float = 12
+    drain_s: float = 3
+    attempts: int = 2
+    retry_share: float = 0.2
+    retry_extra: float = 100
+    window_s: float = 10
+    slack_s: float = 1
+
+
+class Checker:
+    """Look at one history."""
+
+    def __init__(self, history: History, limits: Limits) -> None:
+        """Sort what was seen by call."""
+        self._history = history
+        self._limits = limits
+        self._runs: dict[str, list[Run]] = defaultdict(list)
+        for run in history.runs:
+            self._runs[run.call_id].append(run)
+
+    def violations(self) -> Iterator[str]:
+        """Yield each broken promise: its name, when and what."""
+        yield from itertools.chain(
+            self._of_calls(),
+            (f'WHOLE {one}' for one in self._history.found),
+            self._of_runs(),
+            self._budget(),
+            self._gone(),
+            self._recover(),
+        )
+
+    def _of_calls(self) -> Iterator[str]:
+        rules: tuple[Callable[[Call], Iterator[str]], ...] = (
+            self._mixed,
+            self._order,
+            self._twice,
+            self._refused,
+            self._config,
+            self._budget_of_call,
+        )
+        for call in self._history.calls:
+            yield from itertools.chain.from_iterable(
+                rule(call) for rule in rules
+            )
+
+    def _of_runs(self) -> Iterator[str]:
+        for run in self._history.runs:
+            yield from self._drain(run)
+            yield from self._version(run)
+
+    def _mixed(self, call: Call) -> Iterator[str]:
+        if not _OK <= call.status < _FOUND_BELOW or call.probes:
+            return
+        runs = self._runs[call.call_id]
+        if call.signature not in {run.signature for run in runs}:
+            yield _told('MIXED', call, 'no such signature at a back end')
+        if call.kind is not Kind.STREAM and call.whole:
+            if call.body not in {run.body for run in runs}:
+                yield _told('MIXED', call, f'body {call.body[:60]!r}')
+
+    def _order(self, call: Call) -> Iterator[str]:
+        """A stream's events: its own, one after the other, all if it ends."""
+        if call.kind is not Kind.STREAM or call.status != _OK:
+            return
+        # What follows the last blank line is half an event, or nothing.
+        rows = call.body.split('\n\n')[:-1]
+        events = [row.partition('data: ')[2].split('|') for row in rows]
+        if {parts[0] for parts in events} - {call.call_id}:
+            yield _told('MIXED', call, 'an event of another call')
+        numbers = [parts[1] for parts in events]
+        if numbers != [str(one) for one in range(1, len(rows) + 1)]:
+            yield _told('ORDER', call, f'events {numbers}')
+        elif call.whole and numbers[-1:] != events[-1][2:3]:
+            yield _told('ORDER', call, f'ends after event {numbers[-1:]}')
+
+    def _twice(self, call: Call) -> Iterator[str]:
+        runs = self._runs[call.call_id]
+        if call.kind is Kind.NEVER and len(runs) > 1:
+            yield _told('TWICE', call, f'at {[run.server for run in runs]}')
+
+    def _refused(self, call: Call) -> Iterator[str]:
+        runs = self._runs[call.call_id]
+        if call.kind is Kind.NEVER and call.status in _NOT_RUN and runs:
+            yield _told('REFUSED', call, f'ran at {runs[0].server}')
+
+    def _config(self, call: Call) -> Iterator[str]:
+        """Probes ask for a route that one configuration added or took away.
+
+        Each configuration has its own route, and those of a few before it; one
+        that is newer than it must be may be in force, too.
+        """
+        if not call.probes or not self._in_touch(call.entry, call.sent_at):
+            return
+        due = self._newest('config', call.sent_at - self._limits.apply_s)
+        # One that is sent may be in force before it is acknowledged.
+        newest = 1 + self._newest('config', call.ended_at)
+        kept = call.probes <= due and call.probes >= newest - KEPT_ROUTES
+        if kept and call.status == _UNKNOWN:
+            yield _told('CONFIG', call, f'{call.probes} not in force')
+        if call.probes < due - KEPT_ROUTES and call.status == _OK:
+            yield _told('CONFIG', call, f'{call.probes} still in force')
+
+    def _budget_of_call(self, call: Call) -> Iterator[str]:
+        runs = self._runs[call.call_id]
+        if len(runs) > self._limits.attempts:
+            yield _told('BUDGET', call, f'ran {len(runs)} times')
+        for run in runs:
+            left_s = call.sent_at + call.patience_s - run.at
+            if run.wait_ms / _MILLISECONDS > left_s + self._limits.slack_s:
+                yield _told('BUDGET', call, f'{run.wait_ms} ms told')
+
+    def _drain(self, run: Run) -> Iterator[str]:
+        limits = self._limits
+        for ack in self._acked('draining', run.server):
+            late_s = run.at - ack.at - limits.drain_s - limits.slack_s
+            if late_s > 0 and self._calm_since(ack.at - limits.contact_s, run):
+                yield f'DRAIN {run.at:.3f} {run.call_id} at {run.server}'
+
+    def _version(self, run: Run) -> Iterator[str]:
+        limits = self._limits
+        bound_s = limits.version_s + limits.slack_s
+        newest = self._newest('version', run.at - bound_s)
+        if run.version and run.version < newest:
+            since = max(
+                one.at
+                for one in self._history.acked
+                if one.what == 'version' and one.number == newest
+            )
+            if self._calm_since(since - limits.contact_s, run):
+                yield (
+                    f'VERSION {run.at:.3f} {run.call_id} at {run.server}: '
+                    f'{run.version}, named was {newest}'
+                )
+
+    def _budget(self) -> Iterator[str]:
+        """What goes to a second back end, in any window, of all calls."""
+        again = sorted(
+            run.at
+            for runs in self._runs.values()
+            for run in sorted(runs, key=lambda one: one.at)[1:]
+        )
+        window_s = self._limits.window_s
+        sent = [call.sent_at for call in self._history.calls]
+        for first in again:
+            until = first + window_s
+            count = sum(first <= at < until for at in again)
+            calls = sum(first - window_s <= at < until for at in sent)
+            allowed = self._limits.retry_share * calls
+            if count > allowed + self._limits.retry_extra:
+                yield f'BUDGET {first:.3f} {count} again for {calls} calls'
+                return
+
+    def _gone(self) -> Iterator[str]:
+        """Back ends stop soon after callers have left."""
+        late_s = _LATE_S + self._limits.slack_s
+        left = [
+            call
+            for call in self._history.calls
+            if call.left_at
+            and call.kind is not Kind.NEVER
+            and self._in_touch(call.entry, call.left_at + late_s)
+        ]
+        worked_on = [
+            run
+            for call in left
+            for run in self._runs[call.call_id]
+            if max(run.at, run.ended_at) > call.left_at + late_s
+        ]
+        if len(worked_on) > max(_FEW, _QUARTER * len(left)):
+            first = worked_on[0].at
+            yield f'GONE {first:.3f} {len(worked_on)} of {len(left)} worked on'
+
+    def _recover(self) -> Iterator[str]:
+        """At the end, without any fault, calls are served again."""
+        calls = self._history.calls
+        ended = max((one.until for one in self._history.troubles), default=0)
+        since = ended + self._limits.version_s
+        last = [
+            call for call in calls if call.sent_at > since and not call.left_at
+        ]
+        served = sum(call.status == _OK for call in last)
+        if len(last) >= _ENOUGH and served < _QUARTER * len(last):
+            yield f'RECOVER {since:.3f} {served} of {len(last)} served'
+
+    def _acked(self, what: str, name: str) -> Iterator[Acked]:
+        for one in self._history.acked:
+            if one.what == what and one.name == name:
+                yield one
+
+    def _newest(self, what: str, before: float) -> int:
+        numbers = [
+            one.number
+            for one in self._history.acked
+            if one.what == what and one.at <= before
+        ]
+        return max(numbers, default=0)
+
+    def _in_touch(self, who: str, at: float) -> bool:
+        since = at - self._limits.contact_s - self._limits.apply_s
+        return self._history.calm(who, since, at)
+
+    def _calm_since(self, since: float, run: Run) -> bool:
+        """Tell whether no fault lay on anybody since, up to a run."""
+        return not any(
+            one.at < run.at and one.until > since
+            for one in self._history.troubles
+        )
+
+
+def _told(rule: str, call: Call, detail: str) -> str:
+    return (
+        f'{rule} {call.sent_at:.3f} {call.call_id} by {call.entry}: '
+        f'{call.status} {detail}'
+    )
--- /dev/null
+++ b/src/linnetwood/lab/soak/faults.py
@@ -0,0 +1,313 @@
+"""Bring faults about from outside, and note whom each lay on."""
+
+import asyncio
+import json
+import signal
+import time
+from collections.abc import Awaitable, Callable, Mapping
+from types import MappingProxyType
+from typing import Any
+
+from tornado.httpclient import AsyncHTTPClient
+
+from linnetwood.lab.soak.callers import Callers
+from linnetwood.lab.soak.configuration import configuration
+from linnetwood.lab.soak.fleet import SERVER_PORT, Fleet, Vm
+from linnetwood.lab.soak.history import Acked, History, Trouble
+from linnetwood.lab.soak.schedule import SERIES, SERIES_GAP_S, Fault
+from linnetwood.lab.soak.standservers import MODEL
+
+_BEAT_S = 0.3
+_RESTART_S = 0.5
+# A process that was killed takes so long to be there again, at most.
+_BACK_S = 4.0
+# A connection that was silenced stays so until it is left.
+_SILENCED_S = 3.0
+_DRAINS_S = 3.0
+_MODES: Mapping[str, str] = MappingProxyType(
+    {
+        'way slow': 'slow',
+        'way silent': 'silent',
+        'way cut one way': 'one-way',
+        'way resets': 'resets',
+        'store silent': 'silent',
+        'store resets': 'resets',
+    },
+)
+
+
+class Faults:
+    """Own the list of servers, the configuration, and what goes wrong."""
+
+    def __init__(
+        self, fleet: Fleet, history: History, callers: Callers
+    ) -> None:
+        """Nothing is wrong yet."""
+        self.done: dict[str, int] = {}
+        self._fleet = fleet
+        self._history = history
+        self._callers = callers
+        self._client = AsyncHTTPClient()
+        self._listed: dict[str, dict[str, Any]] = {}
+        self._places = dict(fleet.servers)
+        self._version = 1
+        self._configuration = 0
+        self._starts = 0
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def begin(self) -> None:
+        """Write what stands in the store at the start."""
+        for name in self._fleet.servers:
+            if name.startswith('i-engine'):
+                order = {'server': name, 'order': 'serve', 'version': 1}
+                await self._control(order)
+        await self._beat()
+        await self.configure()
+        await self._write('version', {f'op/version/{MODEL}': self._named()})
+        self._later(self._beat_on())
+
+    async def close(self) -> None:
+        """Go on with nothing."""
+        for task in tuple(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def play(self, fault: Fault) -> None:
+        """Begin one fault; it ends by itself."""
+        self.done[fault.kind] = self.done.get(fault.kind, 0) + 1
+        self._later(self._act(fault))
+
+    async def settled(self) -> None:
+        """Wait until every fault is over."""
+        while len(self._tasks) > 1:
+            await asyncio.sleep(_BEAT_S)
+
+    async def configure(self) -> None:
+        """Write a configuration with a route of its own."""
+        self._configuration += 1
+        number = self._configuration
+        self._callers.configuration = number
+        await self._write(
+            'config', {'op/config': configuration(number, self._fleet.origin)}
+        )
+
+    async def _act(self, fault: Fault) -> None:
+        acts: dict[str, Callable[[Fault], Awaitable[None]]] = {
+            'kill entry': self._kill_entry,
+            'stop entry': self._stop_entry,
+            'pause entry': self._pause_entry,
+            'kill endpoint': self._kill_endpoint,
+            'pause endpoint': self._pause_endpoint,
+            'crash server': self._crash,
+            'drain server': self._drain,
+            'store down': self._store,
+            'store slow': self._store,
+            'store forgets': self._store,
+            'spoilt pieces': self._origin,
+            'origin silent': self._origin,
+            'config': self._configs,
+            'configs': self._configs,
+            'version': self._name_version,
+        }
+        await acts.get(fault.kind, self._way)(fault)
+
+    async def _kill_entry(self, fault: Fault) -> None:
+        vm = _pick(self._fleet.entries, fault)
+        await self._restart(fault, vm, signal.SIGKILL)
+
+    async def _stop_entry(self, fault: Fault) -> None:
+        vm = _pick(self._fleet.entries, fault)
+        await self._restart(fault, vm, signal.SIGTERM)
+
+    async def _kill_endpoint(self, fault: Fault) -> None:
+        vm = _pick(self._fleet.engines, fault)
+        await self._restart(fault, vm, signal.SIGKILL)
+
+    async def _restart(
+        self,
+        fault: Fault,
+        vm: Vm,
+        signum: signal.Signals,
+    ) -> None:
+        process = vm.process
+        if process is None or not vm.alive:
+            return
+        trouble = self._note(fault.kind, vm.name, self._fleet.version_s)
+        process.send_signal(signal.SIGCONT)
+        process.send_signal(signum)
+        while process.poll() is None:
+            await asyncio.sleep(_BEAT_S / 3)
+        await asyncio.sleep(_RESTART_S)
+        if vm.process is process:
+            self._fleet.start(vm)
+        self._end(trouble, _BACK_S)
+
+    async def _pause_entry(self, fault: Fault) -> None:
+        await self._pause(fault, _pick(self._fleet.entries, fault))
+
+    async def _pause_endpoint(self, fault: Fault) -> None:
+        await self._pause(fault, _pick(self._fleet.engines, fault))
+
+    async def _pause(self, fault: Fault, vm: Vm) -> None:
+        process = vm.process
+        if process is None or not vm.alive:
+            return
+        trouble = self._note(fault.kind, vm.name, fault.span_s)
+        process.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(fault.span_s)
+        if process.poll() is None:
+            process.send_signal(signal.SIGCONT)
+        self._end(trouble, 0)
+
+    async def _crash(self, fault: Fault) -> None:
+        name = _pick(sorted(self._places), fault)
+        trouble = self._note(fault.kind, name, fault.span_s)
+        await self._control({'server': name, 'order': 'crash'})
+        await asyncio.sleep(fault.span_s)
+        keeps = bool(fault.pick % 2)
+        order = {'server': name, 'order': 'start', 'keeps': keeps}
+        await self._control(order)
+        self._end(trouble, 0)
+
+    async def _drain(self, fault: Fault) -> None:
+        """Let a server say that it leaves, end, and come with a new id."""
+        name = _pick(sorted(self._places), fault)
+        if name not in self._places:
+            return
+        trouble = self._note(fault.kind, name, fault.span_s + _DRAINS_S)
+        await self._control({'server': name, 'order': 'drain'})
+        at = await self._beat()
+        self._history.acked.append(Acked('draining', name, 0, at))
+        await asyncio.sleep(_DRAINS_S + fault.span_s)
+        self._starts += 1
+        new = f'{name}-{self._starts}'
+        vm = self._places.pop(name, None)
+        if vm is not None:
+            self._places[new] = vm
+            await self._rename(name, new)
+        self._end(trouble, 0)
+
+    async def _rename(self, name: str, new: str) -> None:
+        await self._control({'server': name, 'order': 'crash'})
+        order = {'server': name, 'order': 'rename', 'name': new}
+        await self._control(order)
+        await self._beat()
+
+    async def _store(self, fault: Fault) -> None:
+        trouble = self._note(fault.kind, '', fault.span_s)
+        if fault.kind == 'store forgets':
+            await self._operator({'forget': True})
+        else:
+            await self._operator({'mode': fault.kind.removeprefix('store ')})
+            await asyncio.sleep(fault.span_s)
+            await self._operator({'mode': 'pass'})
+        self._end(trouble, 0)
+
+    async def _origin(self, fault: Fault) -> None:
+        field = 'spoils' if fault.kind == 'spoilt pieces' else 'origin_silent'
+        trouble = self._note(fault.kind, '', fault.span_s)
+        await self._control({field: True})
+        await asyncio.sleep(fault.span_s)
+        await self._control({field: False})
+        self._end(trouble, 0)
+
+    async def _way(self, fault: Fault) -> None:
+        """Trouble the connections of some entries to the store, or a server."""
+        if fault.kind.startswith('store'):
+            first = fault.pick % len(self._fleet.entries)
+            who = [vm.name for vm in self._fleet.entries[first::2]]
+            ways = [f'store-{name}' for name in who]
+        else:
+            ways = [_pick(sorted(self._fleet.servers), fault)]
+            who = ['']
+        span_s = fault.span_s + _SILENCED_S
+        troubles = [self._note(fault.kind, one, span_s) for one in who]
+        self._fleet.trouble(ways, _MODES[fault.kind])
+        await asyncio.sleep(fault.span_s)
+        self._fleet.trouble(ways, 'pass')
+        for trouble in troubles:
+            self._end(trouble, _SILENCED_S)
+
+    async def _configs(self, fault: Fault) -> None:
+        for _ in range(SERIES if fault.kind == 'configs' else 1):
+            await self.configure()
+            await asyncio.sleep(SERIES_GAP_S)
+
+    async def _name_version(self, fault: Fault) -> None:
+        self._version += 1
+        await self._write('version', {f'op/version/{MODEL}': self._named()})
+
+    async def _beat_on(self) -> None:
+        while True:
+            await asyncio.sleep(_BEAT_S)
+            await self._beat()
+
+    async def _beat(self) -> float:
+        """Write the entries of servers that changed; give the time."""
+        told = await self._control({})
+        fresh = {
+            name: {**told[name], **_place(vm)}
+            for name, vm in self._places.items()
+            if name in told
+        }
+        gone = self._listed.keys() - self._places.keys()
+        write: dict[str, object] = {f'servers/{one}': None for one in gone}
+        write.update(
+            (f'servers/{name}', entry)
+            for name, entry in fresh.items()
+            if name not in self._listed or self._listed[name] != entry
+        )
+        self._listed = {
+            name: entry
+            for name, entry in {**self._listed, **fresh}.items()
+            if name not in gone
+        }
+        said = await self._operator({'write': write})
+        return float(said['at'])
+
+    async def _write(self, what: str, write: dict[str, object]) -> None:
+        number = self._version if what == 'version' else self._configuration
+        said = await self._operator({'write': write})
+        self._history.acked.append(Acked(what, '', number, said['at']))
+
+    async def _operator(self, said: dict[str, Any]) -> dict[str, Any]:
+        return await self._post(f'{self._fleet.store_url}/operator', said)
+
+    async def _control(self, said: dict[str, Any]) -> dict[str, Any]:
+        return await self._post(f'{self._fleet.control_url}/control', said)
+
+    async def _post(self, url: str, said: dict[str, Any]) -> dict[str, Any]:
+        body = json.dumps(said)
+        answer = await self._client.fetch(url, method='POST', body=body)
+        return dict(json.loads(answer.body))
+
+    def _named(self) -> dict[str, object]:
+        return {'model': MODEL, 'version': self._version}
+
+    def _note(self, kind: str, who: str, span_s: float) -> int:
+        now = time.monotonic()
+        self._history.troubles.append(Trouble(kind, now, now + span_s, who))
+        return len(self._history.troubles) - 1
+
+    def _end(self, number: int, after_s: float) -> None:
+        trouble = self._history.troubles[number]
+        until = time.monotonic() + after_s
+        self._history.troubles[number] = Trouble(
+            trouble.kind,
+            trouble.at,
+            until,
+            trouble.who,
+        )
+
+    def _later(self, work: Any) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+def _place(vm: Vm) -> dict[str, str]:
+    return {'address': f'{vm.host}:{SERVER_PORT}', 'zone': vm.zone}
+
+
+def _pick(among: Any, fault: Fault) -> Any:
+    return among[fault.pick % len(among)]
--- /dev/null
+++ b/src/linnetwood/lab/soak/fleet.py
@@ -0,0 +1,270 @@
+"""The processes of a soak on loopback: the programs, stand-ins and the proxy.
+
+Each VM has an address of its own under 127/8, so that ports are alike on all.
+"""
+
+import dataclasses
+import json
+import os
+import pathlib
+import random
+import signal
+import socket
+import subprocess  # noqa: S404
+import sys
+import tempfile
+import time
+
+from linnetwood.lab.launcher import Ports
+
+ZONES = ('z1', 'z2', 'z3')
+CALLERS_PORT = 8005
+_READY_PORT = 8002
+_WIRE_PORT = 7700
+SERVER_PORT = 8204
+_STORE_PORT = 8007
+_LOOPBACK = '127.0.0.1'
+_STOP_S = 12.0
+_START_S = 30.0
+_POLL_S = 0.05
+_MILLISECONDS = 1000
+_ENTRIES_FROM = 10
+_ENGINES_FROM = 50
+_DESKS_FROM = 90
+_STORE_FROM = 150
+_NET_FROM = 20
+_NET_TO = 250
+_SLOTS = 8
+
+_SETTINGS = """
+node = "{name}"
+ip = "{host}"
+zone = "{zone}"
+region = "{zone}"
+internal_port_range = [{wire}, {wire}]
+{app}
+[listen]
+{listen}
+[platform]
+address = "{store}"
+[limits]
+link_mbps = 100
+[bounds]
+grace_period_s = 8
+version_ms = {version_ms}
+config_apply_ms = {apply_ms}
+retry_budget_ratio = 0.2
+retry_budget_extra = 100
+"""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Size:
+    """How many of each."""
+
+    entries: int = 6
+    engines: int = 6
+    desks: int = 3
+
+
+@dataclasses.dataclass(slots=True)
+class Vm:
+    """One VM: its address, and the program that runs there."""
+
+    name: str
+    host: str
+    zone: str
+    program: str = ''
+    settings: str = ''
+    process: 'subprocess.Popen[bytes] | None' = None
+
+    @property
+    def alive(self) -> bool:
+        """Tell whether its process runs."""
+        return self.process is not None and self.process.poll() is None
+
+
+class Fleet:
+    """Own all processes; it ends none that it did not start."""
+
+    def __init__(self, size: Size, version_s: float, apply_s: float) -> None:
+        """Choose addresses and write settings; start nothing."""
+        self.folder = pathlib.Path(tempfile.mkdtemp(prefix='linnetwood-soak-'))
+        self.version_s = version_s
+        self.apply_s = apply_s
+        self._net = _free_net()
+        ports = Ports().take(2 + size.engines + size.desks)
+        self.store_url = f'http://{_LOOPBACK}:{ports[0]}'
+        self.control_url = f'http://{_LOOPBACK}:{ports[1]}'
+        self._ports = ports
+        self.entries = self._vms('entry', size.entries, _ENTRIES_FROM)
+        self.engines = self._vms('engine', size.engines, _ENGINES_FROM)
+        self.desks = self._vms('desk', size.desks, _DESKS_FROM)
+        self.origin = f'127.{self._net}.200.1:{SERVER_PORT}'
+        self._others: list[subprocess.Popen[bytes]] = []
+        self._proxy: subprocess.Popen[bytes] | None = None
+
+    @property
+    def servers(self) -> dict[str, Vm]:
+        """Give the VM of each server at the start, by its id."""
+        return {f'i-{vm.name}': vm for vm in (*self.engines, *self.desks)}
+
+    def start_stand_ins(self) -> None:
+        """Start the store, the servers and the proxy."""
+        store, control, *servers = self._ports
+        rows = [
+            f'{name}={"pool" if vm in self.engines else "desk"}={_SLOTS}={port}'
+            for (name, vm), port in zip(
+                self.servers.items(), servers, strict=True
+            )
+        ]
+        stand_ins = 'linnetwood.lab.soak.standins'
+        self._other(stand_ins, 'store', str(store))
+        self._other(stand_ins, 'servers', str(control), *rows)
+        pairs = [
+            f'{name}={vm.host}:{SERVER_PORT}={_LOOPBACK}:{port}'
+            for (name, vm), port in zip(
+                self.servers.items(), servers, strict=True
+            )
+        ]
+        pairs.append(f'origin={self.origin}={_LOOPBACK}:{control}')
+        pairs.extend(
+            f'store-{vm.name}={self._store_of(vm)}={_LOOPBACK}:{store}'
+            for vm in self.entries
+        )
+        self._proxy = self._spawn('proxy', 'linnetwood.lab.soak.proxy', pairs)
+        self._others.append(self._proxy)
+        for address in (store, control, *servers):
+            _await_port(_LOOPBACK, address)
+
+    def start_programs(self) -> None:
+        """Start every entry and every process beside an engine."""
+        for vm in self.entries:
+            listen = (
+                f'frontend = "{vm.host}:{CALLERS_PORT}"\n'
+                f'ready = "{vm.host}:{_READY_PORT}"'
+            )
+            self._write(vm, 'resident_entry', listen, '')
+        for vm in self.engines:
+            app = f'app = "{vm.host}:{SERVER_PORT}"'
+            self._write(vm, 'resident_endpoint', '', app)
+        for vm in (*self.entries, *self.engines):
+            self.start(vm)
+
+    def start(self, vm: Vm) -> None:
+        """Start a VM's program, once more if it had ended."""
+        environment = {'LINNETWOOD_NODE_FILE': vm.settings}
+        program = f'linnetwood.programs.{vm.program}'
+        vm.process = self._spawn(vm.name, program, [], environment)
+
+    def trouble(self, ways: list[str], mode: str) -> None:
+        """Set how the proxy carries some connections."""
+        if self._proxy is not None and self._proxy.stdin is not None:
+            line = json.dumps({'ways': ways, 'mode': mode})
+            self._proxy.stdin.write(f'{line}\n'.encode())
+            self._proxy.stdin.flush()
+
+    def close(self) -> list[str]:
+        """Stop everything; give the names of programs that did not end well."""
+        programs = [*self.entries, *self.engines]
+        for vm in programs:
+            _tell_to_stop(vm.process)
+        bad = [one.name for one in programs if not _ended(one.process)]
+        for one in self._others:
+            one.terminate()
+            _ended(one)
+        return bad
+
+    def _vms(self, kind: str, count: int, first: int) -> list[Vm]:
+        rows = []
+        for number in range(count):
+            zone = number % len(ZONES)
+            host = f'127.{self._net}.{zone + 1}.{first + number // len(ZONES)}'
+            rows.append(Vm(f'{kind}-{number}', host, ZONES[zone]))
+        return rows
+
+    def _store_of(self, vm: Vm) -> str:
+        number = self.entries.index(vm) if vm in self.entries else 0
+        return f'127.{self._net}.100.{_STORE_FROM + number}:{_STORE_PORT}'
+
+    def _write(self, vm: Vm, program: str, listen: str, app: str) -> None:
+        vm.program = program
+        path = self.folder / f'{vm.name}.toml'
+        path.write_text(
+            _SETTINGS.format(
+                name=vm.name,
+                host=vm.host,
+                zone=vm.zone,
+                wire=_WIRE_PORT,
+                app=app,
+                listen=listen,
+                store=self._store_of(vm),
+                version_ms=int(self.version_s * _MILLISECONDS),
+                apply_ms=int(self.apply_s * _MILLISECONDS),
+            ),
+        )
+        vm.settings = str(path)
+
+    def _other(self, program: str, *args: str) -> None:
+        self._others.append(self._spawn(args[0], program, list(args)))
+
+    def _spawn(
+        self,
+        name: str,
+        program: str,
+        args: list[str],
+        environment: dict[str, str] | None = None,
+    ) -> 'subprocess.Popen[bytes]':
+        with open(self.folder / f'{name}.log', 'ab') as stream:
+            return subprocess.Popen(  # noqa: S603
+                (sys.executable, '-m', program, *args),
+                stdin=subprocess.PIPE if name == 'proxy' else None,
+                stdout=stream,
+                stderr=stream,
+                env={**os.environ, **(environment or {})},
+            )
+
+
+def _free_net() -> int:
+    """Give the second number of addresses that nobody listens at."""
+    nets = list(range(_NET_FROM, _NET_TO))
+    random.shuffle(nets)
+    return next(net for net in nets if _is_free(f'127.{net}.1.10'))
+
+
+def _is_free(host: str) -> bool:
+    with socket.socket() as probe:
+        try:
+            probe.bind((host, CALLERS_PORT))
+        except OSError:
+            return False
+    return True
+
+
+def _await_port(host: str, port: int) -> None:
+    until = time.monotonic() + _START_S
+    while time.monotonic() < until:
+        with socket.socket() as probe:
+            if probe.connect_ex((host, port)) == 0:
+                return
+        time.sleep(_POLL_S)
+    raise TimeoutError(f'{host}:{port} does not listen')
+
+
+def _tell_to_stop(process: 'subprocess.Popen[bytes] | None') -> None:
+    if process is not None and process.poll() is None:
+        process.send_signal(signal.SIGCONT)
+        process.send_signal(signal.SIGTERM)
+
+
+def _ended(process: 'subprocess.Popen[bytes] | None') -> bool:
+    """Tell whether a process that was told to stop did, in time and well."""
+    if process is None:
+        return True
+    try:
+        code = process.wait(_STOP_S)
+    except subprocess.TimeoutExpired:
+        process.kill()
+        process.wait()
+        return False
+    return code in {0, -signal.SIGKILL, -signal.SIGTERM}
--- /dev/null
+++ b/src/linnetwood/lab/soak/history.py
@@ -0,0 +1,99 @@
+"""What callers, back ends and operators saw in one run; times in seconds.
+
+All times are of the machine's steady clock, which its processes share.
+"""
+
+import dataclasses
+import enum
+from typing import Any
+
+
+class Kind(enum.Enum):
+    """What may be done with a call a second time."""
+
+    STREAM = 'stream'
+    NEVER = 'never'
+    MAY = 'may'
+
+
+@dataclasses.dataclass(slots=True)
+class Call:
+    """One try of a caller, and what it got."""
+
+    call_id: str
+    kind: Kind
+    entry: str
+    path: str
+    sent_at: float
+    patience_s: float
+    status: int = 0
+    ended_at: float = 0
+    whole: bool = False
+    signature: str = ''
+    body: str = ''
+    left_at: float = 0
+    # The configuration of whose routes this asks, if it is a probe.
+    probes: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class Run:
+    """One call that a back end began."""
+
+    call_id: str
+    server: str
+    service: str
+    at: float
+    version: int
+    wait_ms: int
+    signature: str
+    tenant: str = ''
+    body: str = ''
+    ended_at: float = 0
+    finished: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Acked:
+    """Something that the store acknowledged to whoever wrote it."""
+
+    what: str
+    name: str
+    number: int
+    at: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Trouble:
+    """A fault, who had it (nobody named: all), and for how long."""
+
+    kind: str
+    at: float
+    until: float
+    who: str = ''
+
+    def touches(self, who: str, since: float, until: float) -> bool:
+        """Tell whether it lay on somebody in a span of time."""
+        mine = not self.who or self.who == who
+        return mine and self.at < until and self.until > since
+
+
+@dataclasses.dataclass(slots=True)
+class History:
+    """All that is checked."""
+
+    calls: list[Call] = dataclasses.field(default_factory=list)
+    runs: list[Run] = dataclasses.field(default_factory=list)
+    acked: list[Acked] = dataclasses.field(default_factory=list)
+    troubles: list[Trouble] = dataclasses.field(default_factory=list)
+    # What back ends found wrong by themselves, as engines with weights.
+    found: list[str] = dataclasses.field(default_factory=list)
+
+    def calm(self, who: str, since: float, until: float) -> bool:
+        """Tell whether no fault lay on somebody."""
+        return not any(one.touches(who, since, until) for one in self.troubles)
+
+
+def runs_of(rows: list[dict[str, Any]]) -> list[Run]:
+    """Read the runs that a stand-in tells."""
+    return [Run(**row) for row in rows]
--- /dev/null
+++ b/src/linnetwood/lab/soak/schedule.py
@@ -0,0 +1,68 @@
+"""One seed gives one schedule of faults; no I/O or clock."""
+
+import dataclasses
+from collections.abc import Mapping
+from random import Random
+from types import MappingProxyType
+
+# So long nothing happens at the start, and at the end all is well again.
+LEAD_S = 4.0
+_GAP_S = (0.3, 2.0)
+# A fault on one process or connection, and how long it lasts.
+_NO_TIME = (0, 0)
+_SPANS: Mapping[str, tuple[float, float]] = MappingProxyType(
+    {
+        'kill entry': _NO_TIME,
+        'stop entry': _NO_TIME,
+        'pause entry': (0.5, 4.0),
+        'kill endpoint': _NO_TIME,
+        'pause endpoint': (0.5, 4.0),
+        'crash server': (0.3, 2.0),
+        'drain server': (2.0, 5.0),
+        'store down': (0.5, 4.0),
+        'store slow': (0.5, 4.0),
+        'store silent': (0.5, 5.0),
+        'store resets': (0.1, 1.0),
+        'store forgets': _NO_TIME,
+        'way slow': (0.5, 3.0),
+        'way silent': (0.5, 3.0),
+        'way cut one way': (0.5, 3.0),
+        'way resets': (0.1, 0.5),
+        'spoilt pieces': (1.0, 4.0),
+        'origin silent': (0.5, 3.0),
+        'config': _NO_TIME,
+        'configs': _NO_TIME,
+        'version': _NO_TIME,
+    }
+)
+# Which of those that it fits, whatever their number.
+_PICKS = 65536
+_OFTEN = ('config', 'config', 'configs', 'version')
+# A series: as many changes as this, as far apart.
+SERIES = 4
+SERIES_GAP_S = 0.25
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Fault:
+    """What happens, when, for how long, and to which one of those it fits."""
+
+    at_s: float
+    kind: str
+    span_s: float
+    pick: int
+
+
+def schedule(seed: int, span_s: float) -> list[Fault]:
+    """Give the faults of a run, by time; several may lie over each other."""
+    rng = Random(seed)
+    kinds = (*_SPANS, *_OFTEN)
+    faults = []
+    at_s = LEAD_S
+    while at_s < span_s:
+        kind = rng.choice(kinds)
+        lasts_s = rng.uniform(*_SPANS[kind])
+        pick = rng.randrange(_PICKS)
+        faults.append(Fault(round(at_s, 2), kind, round(lasts_s, 2), pick))
+        at_s += rng.uniform(*_GAP_S)
+    return faults
--- /dev/null
+++ b/src/linnetwood/lab/soak/standins.py
@@ -0,0 +1,47 @@
+"""Run the stand-ins of one kind in a process of their own."""
+
+import asyncio
+
+import defopt
+
+from linnetwood.lab.soak import standservers, standstore
+
+
+def store(port: int) -> None:
+    """Run the store.
+
+    :param port: where it listens on loopback
+    """
+    asyncio.run(_store(port))
+
+
+def servers(port: int, *rows: str) -> None:
+    """Run servers and the origin.
+
+    :param port: where origin and control listen on loopback
+    :param rows: NAME=SERVICE=SLOTS=PORT for each server
+    """
+    asyncio.run(_servers(port, rows))
+
+
+async def _store(port: int) -> None:
+    standstore.application().listen(port, '127.0.0.1')
+    await asyncio.Event().wait()
+
+
+async def _servers(port: int, rows: tuple[str, ...]) -> None:
+    all_servers = standservers.Servers()
+    for row in rows:
+        name, service, slots, listens = row.split('=')
+        all_servers.add(name, service, int(slots), int(listens))
+    standservers.application(all_servers).listen(port, '127.0.0.1')
+    await asyncio.Event().wait()
+
+
+def main() -> None:
+    """Run the command line."""
+    defopt.run([store, servers])
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/src/linnetwood/lab/soak/standservers.py
@@ -0,0 +1,410 @@
+"""Stand-ins of engines, plain servers and the origin of weights.
+
+Each server notes what it began, and an engine looks whether the pieces that it
+is ordered to serve are all there and of one version.
+"""
+
+import asyncio
+import dataclasses
+import hashlib
+import json
+import secrets
+import time
+from typing import Any
+
+from tornado.httpserver import HTTPServer
+from tornado.httputil import HTTPHeaders
+from tornado.iostream import StreamClosedError
+from tornado.web import Application, RequestHandler
+
+from linnetwood.lab.soak.history import Run
+
+_NOT_FOUND = 404
+_CONFLICT = 409
+_MISDIRECTED = 421
+_BUSY = 503
+_ACCEPTED = 202
+_SIGNED = 4
+_EVENT_S = 0.03
+_PLAIN_S = 0.02
+_LOAD_S = 0.2
+_MILLISECONDS = 1000
+_POOL = 'pool'
+MODEL = 'm-1'
+PIECES = 8
+PIECE_BYTES = 2048
+
+
+def piece(version: int, index: int) -> bytes:
+    """Give the one right piece of a version."""
+    seed = hashlib.sha256(f'{version}/{index}'.encode()).digest()
+    return (seed * PIECE_BYTES)[:PIECE_BYTES]
+
+
+class Server:
+    """One server of a service; an engine if it has a model."""
+
+    def __init__(self, name: str, service: str, slots: int) -> None:
+        """Be there, holding nothing."""
+        self.name = name
+        self.service = service
+        self.slots = slots
+        self.serving = 0
+        self.alive = True
+        self.draining = False
+        self.changing = False
+        self.sequence = 0
+        self.born = _now_ms()
+        self.staged: dict[int, bytes] = {}
+        self.running: set[RequestHandler] = set()
+
+    def start_again(self, *, keeps_staged: bool) -> None:
+        """Begin a life that knows nothing; what is staged may outlast it."""
+        self.born = max(self.born + 1, _now_ms())
+        self.serving = 0
+        self.sequence = 0
+        self.changing = False
+        self.alive = True
+        if not keeps_staged:
+            self.staged.clear()
+
+    def crash(self) -> None:
+        """Break every call off."""
+        self.alive = False
+        for handler in tuple(self.running):
+            _close(handler)
+
+    def entry(self, address: str, zone: str) -> dict[str, Any]:
+        """Give what the server writes of itself to the store."""
+        said: dict[str, Any] = {
+            'service': self.service,
+            'address': address,
+            'zone': zone,
+            'version': 'v1',
+            'slots': self.slots,
+            'state': 'draining' if self.draining else 'ready',
+            'cold_remaining_ms': 0,
+            'sequence': self.sequence,
+            'born': self.born,
+        }
+        if self.service == _POOL:
+            said['models'] = self.held()
+        return said
+
+    def held(self) -> list[dict[str, Any]]:
+        """Give what it serves, as it tells that."""
+        if not self.serving:
+            return []
+        return [{'name': MODEL, 'version': self.serving, 'adapters': []}]
+
+
+class Servers:
+    """All of them, and what they saw."""
+
+    def __init__(self) -> None:
+        """Have none."""
+        self.servers: dict[str, Server] = {}
+        self.runs: list[Run] = []
+        self.found: list[str] = []
+        self.spoils = False
+        self.origin_silent = False
+
+    def add(self, name: str, service: str, slots: int, port: int) -> None:
+        """Serve at a port of loopback."""
+        server = Server(name, service, slots)
+        self.servers[name] = server
+        shared = {'servers': self, 'server': server}
+        app = Application(
+            [
+                ('/linnetwood/report', _Report, shared),
+                ('/linnetwood/order', _Order, shared),
+                (r'/linnetwood/stage-put/(.*)', _StagePut, shared),
+                (r'/linnetwood/stage-get/(.*)', _StageGet, shared),
+                ('/health', _Health, shared),
+                ('/.*', _Call, shared),
+            ],
+        )
+        HTTPServer(app).listen(port, '127.0.0.1')
+
+    def run(self, server: Server, handler: RequestHandler) -> Run:
+        """Note that a call begins."""
+        headers = handler.request.headers
+        run = Run(
+            headers.get('X-Attempt-Id', ''),
+            server.name,
+            server.service,
+            time.monotonic(),
+            server.serving,
+            int(headers.get('X-Deadline-Ms', '0')),
+            f'{server.name}.{secrets.token_hex(_SIGNED)}',
+            headers.get('X-Tenant', ''),
+        )
+        self.runs.append(run)
+        return run
+
+
+class _Base(RequestHandler):
+    def initialize(self, servers: Servers, server: Server) -> None:
+        self.servers = servers
+        self.server = server
+
+    def prepare(self) -> None:
+        if not self.server.alive:
+            _close(self)
+
+    def data_received(self, chunk: bytes) -> None:
+        """Take no streamed bodies."""
+
+
+class _Report(_Base):
+    def get(self) -> None:
+        """Tell what it does."""
+        server = self.server
+        self.write(
+            {
+                'stage': 'combined',
+                'models': server.held(),
+                'utilization': server.changing,
+                'sequence': server.sequence,
+                'born': server.born,
+                'waiting': 0,
+                'running': len(server.running),
+                'kv_used': 0,
+                'kv_total': 1,
+                'handles': 0,
+            },
+        )
+
+
+class _Health(_Base):
+    def get(self) -> None:
+        """Be well unless it leaves."""
+        self.set_header('X-Instance-Id', self.server.name)
+        if self.server.draining:
+            self.set_status(_BUSY)
+
+
+class _StagePut(_Base):
+    def put(self, model: str) -> None:
+        """Lay a piece."""
+        index = int(self.get_argument('quantity'))
+        self.server.staged[index] = self.request.body
+
+
+class _StageGet(_Base):
+    def get(self, model: str) -> None:
+        """Give a piece back, or tell which lie there."""
+        index = self.get_argument('quantity', '')
+        staged = self.server.staged
+        if not index:
+            self.write({'held': sorted(staged)})
+            return
+        if int(index) not in staged:
+            self.set_status(_NOT_FOUND)
+            return
+        self.write(staged[int(index)])
+
+
+class _Order(_Base):
+    async def post(self) -> None:
+        """Serve what lies there, after the calls that run."""
+        server = self.server
+        order = json.loads(self.request.body)
+        if order['expected_revision'] != server.sequence:
+            self.set_status(_CONFLICT)
+            return
+        server.sequence += 1
+        server.changing = True
+        version = order['version']
+        staged = dict(server.staged)
+        right = {index: piece(version, index) for index in range(PIECES)}
+        if staged != right:
+            wrong = [one for one in right if staged.get(one) != right[one]]
+            now = time.monotonic()
+            told = f'{now:.3f} {server.name} version {version}: {wrong}'
+            self.servers.found.append(told)
+        self.set_status(_ACCEPTED)
+        born = server.born
+        loop = asyncio.get_running_loop()
+        loop.call_later(_LOAD_S, _load, server, version, born)
+
+
+def _load(server: Server, version: int, born: int) -> None:
+    if server.born == born:
+        server.changing = False
+        server.serving = version
+
+
+class _Call(_Base):
+    async def post(self) -> None:
+        """Run a call, if it is for this server and this can."""
+        server = self.server
+        headers = self.request.headers
+        if not _is_meant(server, headers):
+            self.set_header('X-Instance-Id', server.name)
+            self.set_header('At-Server', server.name)
+            self.set_status(_MISDIRECTED)
+            return
+        if len(server.running) >= server.slots or server.changing:
+            self.set_header('X-Not-Executed', '1')
+            self.set_status(_BUSY)
+            return
+        run = self.servers.run(server, self)
+        server.running.add(self)
+        try:
+            await self._serve(run)
+            run.finished = True
+        except (StreamClosedError, asyncio.CancelledError):
+            run.finished = False
+        finally:
+            run.ended_at = time.monotonic()
+            server.running.discard(self)
+
+    async def get(self) -> None:
+        """Run a call that changes nothing."""
+        await self.post()
+
+    def on_connection_close(self) -> None:
+        """Stop: whoever asked has gone."""
+        self._gone = True
+
+    async def _serve(self, run: Run) -> None:
+        engine = self.server.service == _POOL
+        await (self._stream(run) if engine else self._answer(run))
+
+    async def _answer(self, run: Run) -> None:
+        await asyncio.sleep(_PLAIN_S)
+        run.body = f'{run.server} {run.call_id} {run.signature}'
+        self._sign(run)
+        self.write(run.body)
+        await self.finish()
+
+    async def _stream(self, run: Run) -> None:
+        self._sign(run)
+        self.set_header('X-Weight-Versions', str(run.version))
+        self.set_header('Content-Type', 'text/event-stream')
+        counts = self.request.headers.get('X-Token-Counts', '10,10')
+        total = int(counts.partition(',')[2])
+        after = int(self.request.headers.get('Last-Event-Id', '0'))
+        for number in range(after + 1, total + 1):
+            await asyncio.sleep(_EVENT_S)
+            if getattr(self, '_gone', False):
+                raise StreamClosedError()
+            row = f'{run.call_id}|{number}|{total}|{run.version}'
+            self.write(f'id: {number}\ndata: {row}\n\n')
+            await self.flush()
+
+    def _sign(self, run: Run) -> None:
+        self.set_header('X-Attempt-Id', run.call_id)
+        self.set_header('X-Server-Signature', run.signature)
+
+
+class Origin(RequestHandler):
+    """Give manifests and pieces; some are spoilt on order."""
+
+    def initialize(self, servers: Servers) -> None:
+        """Share the state."""
+        self.servers = servers
+
+    def data_received(self, chunk: bytes) -> None:
+        """Take no streamed bodies."""
+
+    async def get(self, what: str, model: str) -> None:
+        """Answer as asked."""
+        while self.servers.origin_silent:
+            await asyncio.sleep(_LOAD_S)
+        version = int(self.get_argument('version'))
+        if what == 'manifest':
+            rows = [piece(version, index) for index in range(PIECES)]
+            self.write(
+                {
+                    'model': model,
+                    'version': version,
+                    'chunk_bytes': PIECE_BYTES,
+                    'layers': PIECES,
+                    'digests': [
+                        hashlib.sha256(one).hexdigest() for one in rows
+                    ],
+                },
+            )
+            return
+        found = piece(version, int(self.get_argument('quantity')))
+        spoilt = self.servers.spoils and secrets.randbelow(2)
+        self.write(bytes(PIECE_BYTES) if spoilt else found)
+
+
+class Control(RequestHandler):
+    """Do what the soak orders, and tell what was seen."""
+
+    def initialize(self, servers: Servers) -> None:
+        """Share the state."""
+        self.servers = servers
+
+    def data_received(self, chunk: bytes) -> None:
+        """Take no streamed bodies."""
+
+    def get(self) -> None:
+        """Tell all."""
+        runs = [dataclasses.asdict(run) for run in self.servers.runs]
+        self.write({'runs': runs, 'found': self.servers.found})
+
+    def post(self) -> None:
+        """Order a server, or set a trouble; give the servers' entries."""
+        said = json.loads(self.request.body)
+        server = self.servers.servers.get(said.get('server', ''))
+        if server is not None:
+            self._order(server, said)
+        for field in said.keys() & {'spoils', 'origin_silent'}:
+            setattr(self.servers, field, bool(said[field]))
+        self.write(
+            {
+                name: one.entry('', '')
+                for name, one in self.servers.servers.items()
+                if one.alive and one.name == name
+            },
+        )
+
+    def _order(self, server: Server, said: dict[str, Any]) -> None:
+        match said['order']:
+            case 'crash':
+                server.crash()
+            case 'start':
+                server.start_again(keeps_staged=said['keeps'])
+            case 'drain':
+                server.draining = True
+            case 'serve':
+                server.serving = said['version']
+            case 'rename':
+                server.draining = False
+                server.name = said['name']
+                self.servers.servers[server.name] = server
+                server.start_again(keeps_staged=False)
+
+
+def application(servers: Servers) -> Application:
+    """Give the origin and the control as a tornado application."""
+    shared = {'servers': servers}
+    return Application(
+        [
+            (r'/linnetwood/(manifest|piece)/(.*)', Origin, shared),
+            ('/control', Control, shared),
+        ],
+    )
+
+
+def _is_meant(server: Server, headers: HTTPHeaders) -> bool:
+    """Tell whether a call names this server, and a version that it serves."""
+    if headers.get('X-Expected-Instance', '') != server.name:
+        return False
+    wanted = headers.get('X-Expected-Version', str(server.serving))
+    serves = bool(server.serving) or server.service != _POOL
+    return serves and wanted == str(server.serving)
+
+
+def _close(handler: RequestHandler) -> None:
+    stream = handler.request.connection.stream  # type: ignore[union-attr]
+    stream.close()
+
+
+def _now_ms() -> int:
+    return int(time.time() * _MILLISECONDS)
--- /dev/null
+++ b/src/linnetwood/lab/soak/standstore.py
@@ -0,0 +1,165 @@
+"""A stand-in of the platform's store: ranges, waits, and troubles on order."""
+
+import asyncio
+import base64
+import json
+import time
+from collections import deque
+from typing import Any
+
+from tornado.web import Application, RequestHandler
+
+from linnetwood.core.waits import happened
+
+_DOWN = 503
+_GONE = 410
+_HISTORY = 400
+_MILLISECONDS = 1000
+_SLOW_S = 0.5
+
+
+class StoreState:
+    """Hold keys, the last changes, and the trouble that is on."""
+
+    def __init__(self) -> None:
+        """Hold nothing."""
+        self.mode = 'pass'
+        self.revision = 0
+        self._rows: dict[str, dict[str, Any]] = {}
+        self._events: deque[dict[str, Any]] = deque(maxlen=_HISTORY)
+        self._forgotten = 0
+        self._changed = asyncio.Event()
+
+    def write(self, key: str, payload: bytes | None) -> None:
+        """Write a key, or take it away."""
+        self.revision += 1
+        row: dict[str, Any] = {'private_key': key, 'revision': self.revision}
+        if payload is None:
+            self._rows.pop(key, None)
+            row['deleted'] = True
+        else:
+            row['value'] = base64.b64encode(payload).decode()
+            row['lease'] = 0
+            self._rows[key] = row
+        if len(self._events) == _HISTORY:
+            self._forgotten = self._events[0]['revision']
+        self._events.append(row)
+        self.stir()
+
+    def forget(self) -> None:
+        """Lose the history: waits from before are told so."""
+        self._forgotten = self.revision
+        self._events.clear()
+        self.stir()
+
+    def stir(self) -> None:
+        """Let those that wait look again."""
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    def rows(self, prefix: str) -> list[dict[str, Any]]:
+        """Give a range."""
+        return [
+            row
+            for key, row in sorted(self._rows.items())
+            if key.startswith(prefix)
+        ]
+
+    def since(self, prefix: str, after: int) -> list[dict[str, Any]] | None:
+        """Give the changes after a revision; none if they are forgotten."""
+        if after < self._forgotten:
+            return None
+        return [
+            row
+            for row in self._events
+            if row['revision'] > after and row['private_key'].startswith(prefix)
+        ]
+
+    async def stirred(self, wait_s: float) -> None:
+        """Wait for a change."""
+        await happened(self._changed, wait_s)
+
+
+class _Base(RequestHandler):
+    def initialize(self, state: StoreState) -> None:
+        self.state = state
+
+    async def prepare(self) -> None:
+        if self.state.mode == 'slow':
+            await asyncio.sleep(_SLOW_S)
+        if self.state.mode == 'down':
+            self.set_status(_DOWN)
+            await self.finish()
+
+    def data_received(self, chunk: bytes) -> None:
+        """Take no streamed bodies."""
+
+
+class _Range(_Base):
+    def get(self) -> None:
+        """Give a whole range in one page."""
+        prefix = self.get_argument('path_prefix', '')
+        self.write(
+            {
+                'items': self.state.rows(prefix),
+                'has_more': False,
+                'timestamp': self.state.revision,
+            },
+        )
+
+
+class _Watch(_Base):
+    async def get(self) -> None:
+        """Give what changes, as soon as something does."""
+        state = self.state
+        prefix = self.get_argument('path_prefix', '')
+        after = int(self.get_argument('after_revision'))
+        wait_s = int(self.get_argument('wait_ms')) / _MILLISECONDS
+        until = time.monotonic() + wait_s
+        while True:
+            found = state.since(prefix, after)
+            left_s = until - time.monotonic()
+            if found is None:
+                self.set_status(_GONE)
+                return
+            if found or left_s <= 0 or state.mode == 'down':
+                self.write({'events': found, 'timestamp': state.revision})
+                return
+            await state.stirred(left_s)
+
+
+class _Operator(RequestHandler):
+    """What operators and servers do, which no trouble keeps from writing."""
+
+    def initialize(self, state: StoreState) -> None:
+        """Share the state."""
+        self.state = state
+
+    def data_received(self, chunk: bytes) -> None:
+        """Take no streamed bodies."""
+
+    def post(self) -> None:
+        """Write keys, or set the trouble."""
+        said = json.loads(self.request.body)
+        for key in said.get('write', ()):
+            wanted = said['write'][key]
+            payload = None if wanted is None else json.dumps(wanted).encode()
+            self.state.write(key, payload)
+        if 'mode' in said:
+            self.state.mode = said['mode']
+            self.state.stir()
+        if 'forget' in said:
+            self.state.forget()
+        self.write({'at': time.monotonic(), 'revision': self.state.revision})
+
+
+def application() -> Application:
+    """Give the store as a tornado application."""
+    shared = {'state': StoreState()}
+    return Application(
+        [
+            ('/linnetwood/kv-range', _Range, shared),
+            ('/linnetwood/kv-watch', _Watch, shared),
+            ('/operator', _Operator, shared),
+        ],
+    )
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,165 @@
+"""The soak's checker finds each broken promise; a short run breaks none."""
+
+import dataclasses
+import unittest
+
+from linnetwood.lab.measure_soak import run_soak
+from linnetwood.lab.soak.checks import Checker, Limits
+from linnetwood.lab.soak.fleet import Size
+from linnetwood.lab.soak.history import (
+    Acked,
+    Call,
+    History,
+    Kind,
+    Run,
+    Trouble,
+)
+from linnetwood.lab.soak.schedule import LEAD_S, schedule
+
+SEED = 1
+MINUTES = 0.2
+AT = 1000.0
+CALL = Call(
+    'c',
+    Kind.NEVER,
+    'e',
+    '/confirm/x',
+    AT,
+    4,
+    status=200,
+    ended_at=AT + 0.1,
+    whole=True,
+    signature='s',
+    body='mine',
+)
+RUN = Run('c', 'i', 'desk', AT, 0, 4000, 's', body='mine', ended_at=AT + 0.1)
+EVENTS = 'id: 1\ndata: c|1|2|1\n\nid: 2\ndata: c|2|2|1\n\n'
+STREAM = dataclasses.replace(CALL, kind=Kind.STREAM, body=EVENTS)
+
+
+def rules(history: History) -> set[str]:
+    """Give the names of the promises that are found broken."""
+    found = Checker(history, Limits()).violations()
+    return {one.partition(' ')[0] for one in found}
+
+
+def seen(call: Call, *runs: Run, **more: object) -> History:
+    """Give a history of one call; changed fields of it come by name."""
+    changed = dataclasses.replace(call, **more)  # type: ignore[arg-type]
+    return History([changed], list(runs))
+
+
+class CheckerTest(unittest.TestCase):
+    """Break one promise after the other."""
+
+    def test_sound_histories(self) -> None:
+        """Nothing is found where nothing is broken."""
+        resumed = dataclasses.replace(RUN, server='j', at=AT + 1)
+        for history in (
+            seen(CALL, RUN),
+            seen(STREAM, RUN),
+            seen(STREAM, RUN, resumed),
+            seen(CALL, status=503, signature='', body=''),
+            seen(CALL, RUN, status=502, signature=''),
+            seen(STREAM, RUN, whole=False, body=EVENTS[:-5]),
+        ):
+            with self.subTest(history=history):
+                self.assertEqual(rules(history), set())
+
+    def test_answers(self) -> None:
+        """Answers of others, spoilt ones, and events out of order."""
+        again = dataclasses.replace(RUN, server='j')
+        skipped = EVENTS.replace('c|1|2', 'c|2|2')
+        foreign = EVENTS.replace('c|2|2', 'd|2|2')
+        short = EVENTS[: len(EVENTS) // 2]
+        for name, history in (
+            ('MIXED', seen(CALL, RUN, signature='other')),
+            ('MIXED', seen(CALL, RUN, body='spoilt')),
+            ('MIXED', seen(STREAM, RUN, body=foreign)),
+            ('ORDER', seen(STREAM, RUN, body=skipped)),
+            ('ORDER', seen(STREAM, RUN, body=short)),
+            ('TWICE', seen(CALL, RUN, again)),
+            ('REFUSED', seen(CALL, RUN, status=503)),
+            ('BUDGET', seen(STREAM, RUN, again, again)),
+            ('BUDGET', seen(CALL, dataclasses.replace(RUN, wait_ms=9000))),
+        ):
+            with self.subTest(name=name, history=history):
+                self.assertEqual(rules(history), {name})
+
+    def test_bounds(self) -> None:
+        """What the store acknowledged is heeded in time by who is in touch."""
+        late = AT + 30
+        run = dataclasses.replace(RUN, at=late, version=1)
+        call = dataclasses.replace(CALL, sent_at=late)
+        probe = dataclasses.replace(call, probes=5, signature='')
+        for name, acked, history in (
+            ('DRAIN', Acked('draining', 'i', 0, AT), seen(call, run)),
+            ('VERSION', Acked('version', '', 2, AT), seen(call, run)),
+            ('CONFIG', Acked('config', '', 5, AT), seen(probe, status=404)),
+            ('CONFIG', Acked('config', '', 9, AT), seen(probe)),
+        ):
+            history.acked = [acked]
+            with self.subTest(name=name, acked=acked):
+                self.assertEqual(rules(history), {name})
+                history.troubles = [Trouble('any', AT, late - 1)]
+                self.assertEqual(rules(history), set())
+
+    def test_a_newer_configuration_may_be_in_force(self) -> None:
+        """It took the route away that the last one due still has."""
+        history = seen(CALL, probes=5, status=404, signature='')
+        history.acked = [
+            Acked('config', '', 5, AT - 30),
+            Acked('config', '', 9, AT - 1),
+        ]
+        self.assertEqual(rules(history), set())
+
+    def test_many_calls(self) -> None:
+        """What counts by its number: budgets, work after callers, recovery."""
+        again = [
+            dataclasses.replace(RUN, call_id=f'c{number // 2}', at=AT + number)
+            for number in range(0, 8)
+        ] * 60
+        left = [
+            dataclasses.replace(
+                STREAM,
+                call_id=f'c{number}',
+                status=0,
+                left_at=AT + 1,
+            )
+            for number in range(20)
+        ]
+        working = [
+            dataclasses.replace(RUN, call_id=one.call_id, ended_at=AT + 9)
+            for one in left
+        ]
+        refused = [
+            dataclasses.replace(CALL, call_id=f'c{number}', status=503)
+            for number in range(30)
+        ]
+        self.assertIn('BUDGET', rules(History([], again)))
+        self.assertEqual(rules(History(left, working)), {'GONE'})
+        self.assertEqual(rules(History(refused)), {'RECOVER'})
+        found = History(found=['1 i-1 version 2: [3]'])
+        self.assertEqual(rules(found), {'WHOLE'})
+
+    def test_a_seed_gives_one_schedule(self) -> None:
+        """And each seed another one, after a while without faults."""
+        self.assertEqual(schedule(7, 60), schedule(7, 60))
+        self.assertNotEqual(schedule(7, 60), schedule(8, 60))
+        self.assertEqual(schedule(7, 60)[0].at_s, LEAD_S)
+
+
+class SoakTest(unittest.TestCase):
+    """Run the programs for a short while."""
+
+    def test_a_short_run(self) -> None:
+        """No promise is broken, calls are served, all programs end well."""
+        found = run_soak(SEED, MINUTES, Size(3, 3, 2), callers=6)
+        self.assertEqual(found['first'], [])
+        self.assertEqual(found['ended_badly'], [])
+        self.assertGreater(found['calls']['stream 200'], 0)
+        self.assertGreater(found['calls']['never 200'], 0)
+
+
+if __name__ == '__main__':
+    unittest.main()
