Bind calls to regions, leave evacuated zones alone, spare cold servers

Change: where a call may go is decided once at the door (calls/reach.py) and asked in each choice; op/evacuate/ZONE comes with the configuration's news and takes a zone's endpoints out of use; a cold endpoint's rate is shared out among entries without talk (calls/coldgate.py), also where a zone or an endpoint comes back and has not told yet. For how long one is cold counts from when that was told.

--- a/src/linnetwood/calls/choice.py
+++ b/src/linnetwood/calls/choice.py
@@ -2,11 +2,13 @@
 
 import dataclasses
 import math
-from collections.abc import Collection, Iterable, Iterator
+from collections.abc import Callable, Collection, Iterable, Iterator
 from random import Random
 
 from linnetwood.calls.candidates import Candidates, Group, two_by_lot
+from linnetwood.calls.coldgate import UNTOLD_S, ColdGate
 from linnetwood.calls.directory import Directory, Listed
+from linnetwood.calls.reach import ANYWHERE, Reach
 from linnetwood.calls.routebook import Service
 from linnetwood.calls.standing import Standing
 
@@ -38,6 +40,7 @@
     least_version: int = 0
     exact_version: int = 0
     urgent: bool = True
+    reach: Reach = ANYWHERE
     # Versions, and from when an endpoint on the usual way must serve them.
     closing: tuple[tuple[int, float], ...] = ()
     # A wait that is short enough, so that nobody else need be looked at.
@@ -64,6 +67,9 @@
         """Choose among the directory's endpoints."""
         self.standings: dict[str, Standing] = {}
         self.candidates = Candidates(directory)
+        # How many entries share what cold endpoints bear.
+        self.entries: Callable[[], int] = _one_entry
+        self._gate = ColdGate(rng, lambda: self.entries())
         self._directory = directory
         self._rng = rng
 
@@ -111,9 +117,21 @@
         far_s += _DELAYS * engine.delay_s(need.zone, one.zone)
         return far_s + engine.first_token_s(need.prompt, waiting, running)
 
+    def sent(self, service: Service, one: Listed, now: float) -> None:
+        """Note that a call goes to an endpoint."""
+        if service.cold_per_s and self._directory.is_cold(one, now):
+            self._gate.sent(one.life, service.cold_per_s, now)
+
+    def lost(self, service: Service, one: Listed, now: float) -> None:
+        """Note that an endpoint could not be reached: it may come back cold."""
+        if service.cold_per_s:
+            until = now + max(UNTOLD_S, service.cold_start_s)
+            self._directory.cold(one.life, until)
+
     def forget(self) -> None:
         """Drop what is known of endpoints that are no longer listed."""
         lives = self._directory.lives()
+        self._gate.keep(lives)
         for name in self.standings.keys() - lives:
             if not self.standings[name].in_flight:
                 self.standings.pop(name)
@@ -165,11 +183,22 @@
         now: float,
     ) -> Iterator[Listed]:
         for one in listed:
-            if one.life in tried:
-                continue
-            if need.model and not self._serves(need, one, now):
-                continue
-            yield one
+            if one.life not in tried and self._may_go(need, one, now):
+                yield one
+
+    def _may_go(self, need: Need, one: Listed, now: float) -> bool:
+        if not need.reach.allows(one.region):
+            return False
+        if need.model and not self._serves(need, one, now):
+            return False
+        return self._bears(need.service, one, now)
+
+    def _bears(self, service: Service, one: Listed, now: float) -> bool:
+        """Tell whether one more call is this entry's part, if it is cold."""
+        per_s = service.cold_per_s
+        if not per_s or not self._directory.is_cold(one, now):
+            return True
+        return self._gate.opens(one.life, per_s, now)
 
     def _serves(self, need: Need, one: Listed, now: float) -> bool:
         version = self._version(need, one)
@@ -204,7 +233,8 @@
 
     def _penalty(self, one: Listed, now: float) -> float:
         standing = self.standing(one.life)
-        penalty = standing.failing * _FAILING_S + one.cold_s
+        penalty = standing.failing * _FAILING_S
+        penalty += self._directory.cold_left_s(one, now)
         if standing.shunned_until > now:
             penalty += _SHUNNED_S
         if standing.silent(now):
@@ -215,6 +245,10 @@
         return penalty
 
 
+def _one_entry() -> int:
+    return 1
+
+
 def _sooner(one: Choice | None, other: Choice | None) -> Choice | None:
     if one is None or other is None:
         return one or other
--- a/src/linnetwood/calls/direct.py
+++ b/src/linnetwood/calls/direct.py
@@ -20,6 +20,7 @@
 from linnetwood.calls.grounds import Grounds
 from linnetwood.calls.patience import Silence
 from linnetwood.calls.retries import SHARE, RetryBudget
+from linnetwood.calls.reach import ANYWHERE, Reach
 from linnetwood.calls.routebook import Organisation, Repeat, Route, Service
 from linnetwood.calls.standing import Standing
 from linnetwood.core.metrics import Metrics
@@ -64,6 +65,7 @@
     arrived: float
     until: float
     grounds: Grounds = Grounds()
+    reach: Reach = ANYWHERE
 
     @property
     def repeatable(self) -> bool:
@@ -114,6 +116,7 @@
             self._wanted.least(model, self._loop.time()) if model else 0,
             closing=self._wanted.closing(model),
             enough_s=self._enough_s(call),
+            reach=call.reach,
             lot=place_hash(call.head.call_id),
         )
 
@@ -200,6 +203,7 @@
             call.grounds,
         )
         standing.sent()
+        self._chooser.sent(call.service, choice.endpoint, now)
         waiting = _Waiting(standing, urgency)
         attempt.started = functools.partial(
             self._begun,
@@ -216,7 +220,7 @@
         finally:
             waiting.over()
             standing.ended()
-        self._learn(choice, end)
+        self._learn(call.service, choice, end)
         if end.how is How.STALLED and not attempt.first_heard:
             self._learn_wait(call, sending)
         tell(sending, attempt, end, self._loop.time())
@@ -302,12 +306,19 @@
         forecast = self._forecast(call.service.name)
         forecast.seen(sending.choice.wait_s, now - sending.at, now)
 
-    def _learn(self, choice: Choice, end: AttemptEnd) -> None:
+    def _learn(
+        self,
+        service: Service,
+        choice: Choice,
+        end: AttemptEnd,
+    ) -> None:
         standing = self._chooser.standing(choice.endpoint.life)
         if end.how is How.ANSWERED:
             standing.answered()
         elif not end.reached or end.how is How.STALLED:
-            standing.unreachable(self._loop.time())
+            now = self._loop.time()
+            standing.unreachable(now)
+            self._chooser.lost(service, choice.endpoint, now)
         elif end.how in {How.FAILED, How.LOST}:
             standing.failed()
 
--- a/src/linnetwood/calls/directory.py
+++ b/src/linnetwood/calls/directory.py
@@ -4,6 +4,8 @@
 import math
 from collections.abc import Iterator, Mapping
 
+from linnetwood.calls.coldgate import UNTOLD_S
+
 # A list that was away may have dropped entries of endpoints that live; they
 # are written again within about two seconds of its return. An endpoint that
 # left meanwhile may get nothing two seconds after that was acknowledged.
@@ -29,6 +31,7 @@
     versions: Mapping[str, int] = dataclasses.field(default_factory=dict)
     # Unix milliseconds of its start; 0 where that is unknown.
     born: int = 0
+    region: str = ''
 
     @property
     def life(self) -> str:
@@ -50,11 +53,38 @@
         self._by_service: dict[str, dict[str, Listed]] = {}
         self._by_host: dict[str, str] = {}
         self._doubted: dict[str, float] = {}
+        # Zones to whose endpoints nothing goes, and since when others are back.
+        self.evacuated: frozenset[str] = frozenset()
+        self._back_at: dict[str, float] = {}
+        self._cold_until: dict[str, float] = {}
         self._outage_at = -_OUTAGE_SEEN_S
         # Of the newest life of each endpoint that tells it, also of those that
         # have gone: an entry of an older one may still arrive.
         self._born: dict[str, int] = {}
 
+    def evacuate(self, zones: frozenset[str], now: float) -> None:
+        """Take in which zones are to be left alone from now on."""
+        if zones == self.evacuated:
+            return
+        for zone in self.evacuated - zones:
+            self._back_at[zone] = now
+        self.evacuated = zones
+        self.changes += 1
+
+    def cold(self, life: str, until: float) -> None:
+        """Note until when one life is cold, as far as is known."""
+        self._cold_until[life] = until
+
+    def cold_left_s(self, one: Listed, now: float) -> float:
+        """Give for how long an endpoint is cold yet, as far as is known."""
+        return max(0, self._cold_until.get(one.life, now) - now)
+
+    def is_cold(self, one: Listed, now: float) -> bool:
+        """Tell whether an endpoint is cold, or may be and has not told yet."""
+        back_at = self._back_at.get(one.zone, -math.inf)
+        until = self._cold_until.get(one.life, -math.inf)
+        return now < max(until, back_at + UNTOLD_S)
+
     def listed(self, one: Listed) -> None:
         """Take in a new or changed entry; one of an older life is none."""
         if one.born:
@@ -107,6 +137,11 @@
 
     def expire(self, now: float) -> None:
         """Forget the doubted entries whose time is over."""
+        self._cold_until = {
+            life: until
+            for life, until in self._cold_until.items()
+            if until > now
+        }
         late = [name for name, until in self._doubted.items() if until <= now]
         for endpoint in late:
             self._forget(endpoint)
@@ -133,7 +168,8 @@
 
     def takes(self, one: Listed, now: float) -> bool:
         """Tell whether an endpoint takes new work."""
-        return one.ready and now < self._doubted.get(one.endpoint, math.inf)
+        ready = one.ready and one.zone not in self.evacuated
+        return ready and now < self._doubted.get(one.endpoint, math.inf)
 
     def ready(self, service: str, now: float) -> list[Listed]:
         """Give the endpoints of a service that take new work."""
--- /dev/null
+++ b/src/linnetwood/calls/reach.py
@@ -0,0 +1,30 @@
+"""Where a call may go, decided once at the door; no I/O or clock."""
+
+import dataclasses
+from collections.abc import Collection
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reach:
+    """The regions whose endpoints may receive a call; None stands for any.
+
+    It goes with the call to each choice: at admission, at a second attempt, and
+    where a stream is resumed.
+    """
+
+    regions: frozenset[str] | None = None
+
+    def allows(self, region: str) -> bool:
+        """Tell whether endpoints of a region may receive the call."""
+        return self.regions is None or region in self.regions
+
+
+ANYWHERE = Reach()
+
+
+def reach_of(*bounds: Collection[str]) -> Reach:
+    """Give what all bounds allow; an empty one allows every region."""
+    binding = [frozenset(bound) for bound in bounds if bound]
+    if not binding:
+        return ANYWHERE
+    return Reach(frozenset.intersection(*binding))
--- a/src/linnetwood/calls/reading.py
+++ b/src/linnetwood/calls/reading.py
@@ -6,6 +6,7 @@
 from linnetwood.calls.dialect import CallHead, Dialect
 from linnetwood.calls.direct import DirectCall
 from linnetwood.calls.grounds import Grounds
+from linnetwood.calls.reach import reach_of
 from linnetwood.calls.routebook import (
     Organisation,
     Route,
@@ -75,6 +76,7 @@
         arrival.at,
         arrival.at + min(held_s(head), route.timeout_s),
         arrival.grounds,
+        reach_of(route.regions, organisation.regions if organisation else ()),
     )
 
 
--- a/src/linnetwood/calls/routebook.py
+++ b/src/linnetwood/calls/routebook.py
@@ -41,6 +41,8 @@
     priority: int
     public: bool
     shares: tuple[Share, ...]
+    # Where it may be served; empty for anywhere.
+    regions: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -50,6 +52,10 @@
     name: str
     connection_limit: int
     engine: EngineFigures | None = None
+    # Calls a second that a cold endpoint bears from all entries; 0 for any.
+    cold_per_s: float = 0
+    # How long one is cold after its start.
+    cold_start_s: float = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -78,6 +84,8 @@
 
     name: str
     priority: int
+    # Where its calls may be served; empty for anywhere.
+    regions: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/linnetwood/lab/soak/standstore.py
+++ b/src/linnetwood/lab/soak/standstore.py
@@ -145,9 +145,8 @@
             wanted = said['write'][key]
             payload = None if wanted is None else json.dumps(wanted).encode()
             self.state.write(key, payload)
-        if 'mode' in said:
-            self.state.mode = said['mode']
-            self.state.stir()
+        self.state.mode = said.get('mode', self.state.mode)
+        self.state.stir()
         if 'forget' in said:
             self.state.forget()
         self.write({'at': time.monotonic(), 'revision': self.state.revision})
--- a/src/linnetwood/platform/feeds.py
+++ b/src/linnetwood/platform/feeds.py
@@ -1,8 +1,10 @@
 """Hand what the platform's store holds to the product's own state."""
 
+import dataclasses
 import functools
 import math
 from collections.abc import Callable, Iterator, Mapping
+from types import MappingProxyType
 
 from linnetwood.calls.directory import Directory, Listed
 from linnetwood.calls.routebook import RouteBook
@@ -19,6 +21,13 @@
 _IGNORED_KEPT = 4096
 
 
+_NO_REGIONS: Mapping[str, str] = MappingProxyType({})
+
+
+def _evacuate_none(zones: frozenset[str]) -> None:
+    """Leave no zone alone."""
+
+
 def _uncounted() -> None:
     """Count nothing."""
 
@@ -59,9 +68,12 @@
         clock: Clock,
         changed: Callable[[], None],
         ignored: Ignored | None = None,
+        evacuate: Callable[[frozenset[str]], None] = _evacuate_none,
     ) -> None:
-        """Tell of each configuration, and of each change."""
+        """Tell of each configuration, of each change, and of evacuations."""
         self._ignored = ignored or Ignored()
+        self._evacuate = evacuate
+        self._evacuated: frozenset[str] = frozenset()
         self._adopt = adopt
         self._wanted = wanted
         self._clock = clock
@@ -77,14 +89,25 @@
             unseen_s = math.inf if known else 0
             self._take(key, record, found.ages.get(key, unseen_s))
         self._first = False
+        self._leave_zones(frozenset(filter(None, map(_zone, found.records))))
 
     def changed(self, changes: tuple[Change, ...]) -> None:
         """Take in what they wrote since; of one key only the last counts."""
         newest = {one.key: one for one in changes}
         for key, change in newest.items():
-            if change.record is not None:
+            zone = _zone(key)
+            if zone:
+                zones = self._evacuated - {zone}
+                self._leave_zones(zones | {zone} if change.record else zones)
+            elif change.record is not None:
                 self._take(key, change.record, change.age_s)
 
+    def _leave_zones(self, zones: frozenset[str]) -> None:
+        if zones != self._evacuated:
+            log(Event.ZONES_EVACUATED, zones=sorted(zones))
+            self._evacuated = zones
+            self._evacuate(zones)
+
     def _take(self, key: str, record: Record, age_s: float) -> None:
         self._revisions[key] = record.revision
         try:
@@ -155,9 +178,11 @@
         clock: Clock,
         changed: Callable[[], None],
         ignored: Ignored | None = None,
+        regions: Mapping[str, str] = _NO_REGIONS,
     ) -> None:
-        """Keep the directory as the platform has it."""
+        """Keep the directory as the platform has it; regions are by zone."""
         self._ignored = ignored or Ignored()
+        self._regions = regions
         self._directory = directory
         self._clock = clock
         self._changed = changed
@@ -165,7 +190,10 @@
     def replaced(self, found: Snapshot) -> None:
         """Take in the whole list."""
         spoilt = functools.partial(self._spoilt, found.records)
-        fresh = {one.endpoint: one for one in endpoints(found, spoilt)}
+        fresh = {
+            one.endpoint: self._placed(one, _age_s(one, found))
+            for one in endpoints(found, spoilt)
+        }
         self._directory.replaced(fresh, self._clock.now())
         self._changed()
 
@@ -200,7 +228,15 @@
             born=one.born,
             revision=change.record.revision,
         )
-        self._directory.listed(one)
+        self._directory.listed(self._placed(one, change.age_s))
+
+    def _placed(self, one: Listed, age_s: float) -> Listed:
+        """Add the region, and note for how long it is cold yet."""
+        if one.cold_s > age_s:
+            until = self._clock.now() + one.cold_s - age_s
+            self._directory.cold(one.life, until)
+        region = self._regions.get(one.zone, '')
+        return dataclasses.replace(one, region=region)
 
     def _spoilt(
         self,
@@ -226,6 +262,18 @@
                 spoilt(key, exc)
 
 
+def _age_s(one: Listed, found: Snapshot) -> float:
+    """Give since when an entry stands, as far as anybody saw it come."""
+    age_s = found.ages.get(f'{records.ENDPOINT_PREFIX}{one.endpoint}', 0)
+    return age_s if math.isfinite(age_s) else 0
+
+
+def _zone(key: str) -> str:
+    """Give the zone that a key evacuates, or nothing."""
+    prefix = records.EVACUATE_PREFIX
+    return key.removeprefix(prefix) if key.startswith(prefix) else ''
+
+
 def _part(found: Snapshot, prefix: str) -> Snapshot:
     kept = {
         key: one for key, one in found.records.items() if key.startswith(prefix)
--- a/src/linnetwood/platform/records.py
+++ b/src/linnetwood/platform/records.py
@@ -26,6 +26,8 @@
 OPERATOR_PREFIX = 'op/'
 CONFIG_KEY = 'op/config'
 VERSION_PREFIX = 'op/version/'
+# The key names the zone; what stands under it tells nothing more.
+EVACUATE_PREFIX = 'op/evacuate/'
 ENDPOINT_PREFIX = 'servers/'
 
 _MILLISECONDS = 1000
@@ -116,6 +118,7 @@
         shares=tuple(
             Share(one['service'], float(one['weight'])) for one in split
         ),
+        regions=tuple(said.get('allowed_regions', ())),
     )
 
 
@@ -125,6 +128,8 @@
         name=said['name'],
         connection_limit=int(said.get('connection_limit', 1)),
         engine=_engine(figures) if figures else None,
+        cold_per_s=said.get('cold_per_s', 0),
+        cold_start_s=said.get('cold_start_s', 0),
     )
 
 
@@ -171,7 +176,11 @@
 
 def _keys(tenants: list[dict[str, Any]]) -> Iterator[tuple[str, Organisation]]:
     for one in tenants:
-        holder = Organisation(one['name'], int(one.get('priority', 0)))
+        holder = Organisation(
+            one['name'],
+            int(one.get('priority', 0)),
+            tuple(one.get('allowed_regions', ())),
+        )
         for key in one.get('api_keys', ()):
             yield key, holder
 
--- a/src/linnetwood/platform/settings.py
+++ b/src/linnetwood/platform/settings.py
@@ -37,6 +37,8 @@
     config_bound_s: float
     retry_share: float
     retry_extra: float
+    # The region of each availability zone.
+    regions: Mapping[str, str] = dataclasses.field(default_factory=dict)
 
 
 def load(path: str = '') -> Residence:
@@ -80,6 +82,7 @@
         ),
         retry_share=float(bounds.get('retry_budget_ratio', 0)),
         retry_extra=float(bounds.get('retry_budget_extra', 0)),
+        regions=dict(given.get('zones', {})),
     )
 
 
--- a/src/linnetwood/platform/tables.py
+++ b/src/linnetwood/platform/tables.py
@@ -29,6 +29,7 @@
     checked.whole('born', needed=_OPTIONAL),
 )
 VERSION = (checked.text('model'), checked.whole('version', 1))
+_REGIONS = checked.texts('allowed_regions', needed=_OPTIONAL)
 _ROUTE = (
     _NAME,
     checked.text('host'),
@@ -47,6 +48,7 @@
         (_SERVICE_NAME, checked.number('weight')),
         needed=_OPTIONAL,
     ),
+    _REGIONS,
 )
 _DELAY = (
     checked.text('source'),
@@ -78,6 +80,8 @@
     _NAME,
     checked.whole('connection_limit', needed=_OPTIONAL),
     checked.number('link_mbps', needed=_OPTIONAL),
+    checked.number('cold_start_s', needed=_OPTIONAL),
+    checked.number('cold_per_s', needed=_OPTIONAL),
     checked.place('origin', needed=_OPTIONAL),
     checked.table('engine', _ENGINE, needed=_OPTIONAL),
 )
@@ -91,6 +95,7 @@
     _NAME,
     checked.whole('priority', needed=_OPTIONAL),
     checked.texts('api_keys', needed=_OPTIONAL),
+    _REGIONS,
 )
 CONFIG = (
     _VERSION_HELD,
--- a/src/linnetwood/programs/resident_entry.py
+++ b/src/linnetwood/programs/resident_entry.py
@@ -101,12 +101,20 @@
         )
         metrics.gauge(Metric.CONFIG_VERSION, lambda: self.book.version)
         metrics.gauge(Metric.STORE_AGE_S, self.vigil.store_age_s)
+        chooser.entries = lambda: self.reports.entries
         self._figures = FiguresPage(metrics)
         wake = self.reports.wake
         ignored = Ignored(lambda: metrics.count(Metric.RECORDS_IGNORED))
         feed = StoreFeed(
-            OperatorFeed(self.adopt, self.wanted, clock, wake, ignored),
-            EndpointFeed(self.directory, clock, wake, ignored),
+            OperatorFeed(
+                self.adopt,
+                self.wanted,
+                clock,
+                wake,
+                ignored,
+                lambda zones: self.directory.evacuate(zones, clock.now()),
+            ),
+            EndpointFeed(self.directory, clock, wake, ignored, cfg.regions),
         )
         self._news = StoreNews(
             cfg,
--- /dev/null
+++ b/tests/test_places.py
@@ -0,0 +1,200 @@
+"""Calls bound to regions, and zones that are evacuated; no network.
+
+Load pattern: a share of the calls may be served in one region only, whose
+endpoints are a part of those that an entry hears; an availability zone is left
+alone while its calls go on, and comes back cold.
+"""
+
+import json
+import unittest
+from random import Random
+
+from linnetwood.calls.choice import Chooser, Need
+from linnetwood.calls.directory import Directory
+from linnetwood.calls.reach import ANYWHERE, Reach, reach_of
+from linnetwood.calls.routebook import RouteBook, Service
+from linnetwood.core.clock import SystemClock
+from linnetwood.fleet.ranges import Change, Record, Snapshot
+from linnetwood.fleet.wanted import WantedVersions
+from linnetwood.platform import records
+from linnetwood.platform.feeds import EndpointFeed, OperatorFeed, StoreFeed
+from tests.test_junk import ENTRY, told
+from tests.test_records import CONFIG, ROUTE
+
+REGIONS = {'z1': 'north', 'z2': 'north', 'z3': 'south'}
+DESK = Service('desk', 10)
+COLD = Service('desk', 10, cold_per_s=10, cold_start_s=3)
+EACH = 8
+COLD_MS = 3000
+CALLS = 200
+
+
+class Clock(SystemClock):
+    """A clock that is set."""
+
+    def __init__(self) -> None:
+        self.at = 100.0
+
+    def now(self) -> float:
+        return self.at
+
+
+class PlacesTest(unittest.TestCase):
+    """Choose among endpoints of three zones in two regions."""
+
+    def setUp(self) -> None:
+        self.clock = Clock()
+        self.directory = Directory()
+        self.chooser = Chooser(self.directory, Random(1))
+        wanted = WantedVersions(8)
+        self.feed = StoreFeed(
+            OperatorFeed(
+                self._adopt,
+                wanted,
+                self.clock,
+                self._changed,
+                evacuate=self._evacuate,
+            ),
+            EndpointFeed(
+                self.directory,
+                self.clock,
+                self._changed,
+                regions=REGIONS,
+            ),
+        )
+        self.found = {
+            f'servers/{zone}-{number}': told(self.entry(zone, number))
+            for zone in REGIONS
+            for number in range(EACH)
+        }
+        self.feed.replaced(Snapshot(self.found, 9))
+        self.chooser.candidates.hear(
+            one.host for one in self.directory.all() if one.host.endswith('1')
+        )
+
+    def entry(self, zone: str, number: int, **more: object) -> object:
+        """Give a plain server's entry."""
+        place = f'10.{list(REGIONS).index(zone)}.0.{number}1:80'
+        plain = {key: ENTRY[key] for key in ENTRY if key != 'models'}
+        more = {'service': 'desk', 'address': place, 'zone': zone, **more}
+        return {**plain, **more}
+
+    def zones(self, need: Need) -> set[str]:
+        """Give where calls go, each with its own lot."""
+        found = set()
+        for lot in range(CALLS):
+            one = Need(need.service, need.zone, lot=lot, reach=need.reach)
+            choice = self.chooser.choose(one, (), self.clock.now())
+            found.add(choice.endpoint.zone if choice else 'nowhere')
+        return found
+
+    def evacuated(self, *zones: str) -> None:
+        """Let the operators evacuate zones, all others back."""
+        written = {f'op/evacuate/{zone}': told({}) for zone in zones}
+        self.feed.replaced(Snapshot({**self.found, **written}, 12))
+
+    def test_bound_calls(self) -> None:
+        """They go to no other region, wherever they come in."""
+        for zone in REGIONS:
+            for region, allowed in (
+                ('north', {'z1', 'z2'}),
+                ('south', {'z3'}),
+                ('west', {'nowhere'}),
+            ):
+                reach = Reach(frozenset((region,)))
+                with self.subTest(zone=zone, region=region):
+                    found = self.zones(Need(DESK, zone, reach=reach))
+                    self.assertLessEqual(found, allowed)
+
+    def test_second_attempts(self) -> None:
+        """Where all of the region were tried, nothing else is."""
+        reach = Reach(frozenset(('south',)))
+        tried = {one.life for one in self.directory.all() if one.zone == 'z3'}
+        need = Need(DESK, 'z1', reach=reach)
+        self.assertIsNone(self.chooser.choose(need, tried, 0))
+
+    def test_both_bounds_bind(self) -> None:
+        """Of a route and of an organisation; an empty one binds nothing."""
+        self.assertEqual(reach_of((), ()), ANYWHERE)
+        self.assertEqual(reach_of(['a'], ()).regions, {'a'})
+        self.assertEqual(reach_of(['a', 'b'], ['b', 'c']).regions, {'b'})
+        self.assertFalse(reach_of(['a'], ['b']).allows('a'))
+
+    def test_decoded(self) -> None:
+        """Regions of routes and organisations, and what cold servers bear."""
+        route = {**ROUTE, 'allowed_regions': ['north']}
+        tenant = {**CONFIG['tenants'][0], 'allowed_regions': ['south']}
+        desk = {'name': 'desk', 'cold_per_s': 26.0, 'cold_start_s': 3.0}
+        said = {**CONFIG, 'routes': [route], 'tenants': [tenant]}
+        said['services'] = [*CONFIG['services'], desk]
+        book = records.config(Record(json.dumps(said).encode(), 1))
+        self.assertEqual(book.by_host['host1.example'][0].regions, ('north',))
+        holder = book.organisation('k1')
+        assert holder is not None
+        self.assertEqual(holder.regions, ('south',))
+        found = book.services['desk']
+        self.assertEqual((found.cold_per_s, found.cold_start_s), (26, 3))
+
+    def test_an_evacuated_zone(self) -> None:
+        """Nothing goes there, until it is taken back; also bound calls."""
+        need = Need(DESK, 'z1')
+        self.evacuated('z1')
+        self.assertNotIn('z1', self.zones(need))
+        south = Need(DESK, 'z3', reach=Reach(frozenset(('south',))))
+        self.evacuated('z3')
+        self.assertEqual(self.zones(south), {'nowhere'})
+        # What stands under the key does not matter.
+        change = Change('op/evacuate/z1', Record(b'{[', 20))
+        self.feed.changed((change,))
+        self.assertEqual(self.zones(need), {'z2'})
+        self.feed.changed((Change('op/evacuate/z1', None),))
+        self.assertIn('z1', self.zones(need))
+        self.evacuated()
+        self.assertNotIn('nowhere', self.zones(south))
+
+    def test_a_zone_that_comes_back(self) -> None:
+        """Its servers may be cold, and have not told yet."""
+        self.chooser.entries = lambda: 39
+        self.evacuated('z1')
+        self.evacuated()
+        self.assertNotIn('z1', self.zones(Need(COLD, 'z1')))
+        self.clock.at += 2.1
+        self.assertIn('z1', self.zones(Need(COLD, 'z1')))
+
+    def test_servers_that_are_cold(self) -> None:
+        """Each entry sends its part there until they are warm."""
+        self.chooser.entries = lambda: 39
+        changes = [
+            Change(f'servers/z1-{number}', told(self._cold(number)))
+            for number in range(EACH)
+        ]
+        self.feed.changed(tuple(changes))
+        self.assertNotIn('z1', self.zones(Need(COLD, 'z1')))
+        self.assertIn('z1', self.zones(Need(DESK, 'z1')))
+        self.clock.at += COLD_MS / 1000 + 0.1
+        self.assertIn('z1', self.zones(Need(COLD, 'z1')))
+
+    def test_a_server_that_was_lost(self) -> None:
+        """It may come back cold before it says so."""
+        one = self.directory.get('z3-1')
+        assert one is not None
+        self.chooser.entries = lambda: 39
+        self.chooser.lost(COLD, one, self.clock.now())
+        self.assertTrue(self.directory.is_cold(one, self.clock.now() + 2.9))
+        self.assertFalse(self.directory.is_cold(one, self.clock.now() + 3.1))
+
+    def _cold(self, number: int) -> object:
+        return self.entry('z1', number, cold_remaining_ms=COLD_MS)
+
+    def _adopt(self, book: RouteBook) -> None:
+        """Keep nothing."""
+
+    def _changed(self) -> None:
+        """Note nothing."""
+
+    def _evacuate(self, zones: frozenset[str]) -> None:
+        self.directory.evacuate(zones, self.clock.now())
+
+
+if __name__ == '__main__':
+    unittest.main()
