--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -104,6 +104,17 @@
                 history.troubles = [Trouble('any', AT, late - 1)]
                 self.assertEqual(rules(history), set())
 
+    def test_an_entry_that_stood_still(self) -> None:
+        """It tells a back end the whole time of a call that waited for it.
+
+        Seeds 3, 21 and 22 showed that, each time within 0.1 s of the pause.
+        """
+        late = dataclasses.replace(RUN, at=AT + 2)
+        history = seen(CALL, late)
+        self.assertEqual(rules(history), {'BUDGET'})
+        history.troubles = [Trouble('pause entry', AT, AT + 2, 'e')]
+        self.assertEqual(rules(history), set())
+
     def test_a_newer_configuration_may_be_in_force(self) -> None:
         """It took the route away that the last one due still has."""
         history = seen(CALL, probes=5, status=404, signature='')
