--- a/src/linnetwood/fleet/rangeteller.py
+++ b/src/linnetwood/fleet/rangeteller.py
@@ -21,6 +21,9 @@
 FAR_BEAT_S = 0.4
 # A listener that reads nothing for so long is given up.
 _WRITE_S = 5.0
+# One of another zone may read over a link that is full, for as long as bytes
+# come; it leaves by itself after 2 s without any. This ends what nobody reads.
+_FAR_WRITE_S = 30.0
 # Those that keep up, those that came just now, and those of other zones.
 _PACKED_KEPT = 4
 _Lacked = tuple[int, int, bool, tuple[tuple[str, int], ...]]
@@ -85,14 +88,15 @@
             part.whole = lack.whole
             part.packed_ms = as_milliseconds(now - packed_at)
             one.told(lack)
+        write_s = _FAR_WRITE_S if one.far else _WRITE_S
         try:
-            async with asyncio.timeout(_WRITE_S):
+            async with asyncio.timeout(write_s):
                 await stream.write(FrameKind.RANGE_PART, encode(part))
                 if packed:
                     await stream.write(FrameKind.RANGE_ITEMS, packed)
         except TimeoutError as exc:
             stream.abort()
-            raise WireError('reader-too-slow', f'{_WRITE_S} s') from exc
+            raise WireError('reader-too-slow', f'{write_s} s') from exc
 
     def _part(self, now: float) -> RangePart:
         following = self._following
