Share what tasks that own something, and resting after failures, have in common

Five tasks had the same start and close, and the zone's tellers and those of other zones the same pauses after failures. Behaviour stays as it is.

--- a/src/linnetwood/fleet/elsewhere.py
+++ b/src/linnetwood/fleet/elsewhere.py
@@ -4,8 +4,8 @@
 from collections.abc import Iterable
 from random import Random
 
-from linnetwood.core.backoff import pause_s
 from linnetwood.fleet.members import place_hash
+from linnetwood.fleet.resting import Resting
 
 # An entry that a zone hears has a connection to one entry of each of so many
 # other zones, whatever their number. An idle one is 0.3 KB a second.
@@ -13,9 +13,6 @@
 # The first of a zone are told of others once a second, one more at each telling
 # by chance: each of 20 about every fifth second.
 _GONE_S = 20.0
-_PAUSE_FIRST_S = 0.25
-_PAUSE_MOST_S = 4.0
-_PAUSE_LEAST_SHARE = 0.5
 # Places are asked for at each word of a neighbour; those of the largest zones.
 _PLACES_KEPT = 1024
 
@@ -23,23 +20,14 @@
 class Elsewhere:
     """Hold some entries of each other zone, in an order all agree on."""
 
-    __slots__ = (
-        '_failures',
-        '_heard_at',
-        '_me',
-        '_rather',
-        '_resting_until',
-        '_rng',
-    )
+    __slots__ = ('_heard_at', '_me', '_rather', '_resting')
 
     def __init__(self, me: str, rng: Random) -> None:
         """Know nobody."""
         self._me = me
-        self._rng = rng
         self._heard_at: dict[str, dict[str, float]] = {}
         self._rather: dict[str, tuple[str, ...]] = {}
-        self._failures: dict[str, int] = {}
-        self._resting_until: dict[str, float] = {}
+        self._resting = Resting(rng)
 
     def heard(self, zone: str, hosts: Iterable[str], now: float) -> None:
         """Take in who is there in a zone."""
@@ -61,7 +49,7 @@
         awake = (
             host
             for host in (*self._rather.get(zone, ()), *known)
-            if self._resting_until.get(host, now) <= now
+            if self._resting.awake(host, now)
         )
         return next(awake, None)
 
@@ -71,19 +59,11 @@
 
     def failed(self, host: str, now: float) -> None:
         """Leave an entry alone for a while."""
-        failures = self._failures.get(host, 0)
-        self._failures[host] = failures + 1
-        self._resting_until[host] = now + pause_s(
-            failures,
-            self._rng,
-            _PAUSE_FIRST_S,
-            _PAUSE_MOST_S,
-            _PAUSE_LEAST_SHARE,
-        )
+        self._resting.failed(host, now)
 
     def told(self, host: str) -> None:
         """Forget the failures of one that tells."""
-        self._failures.pop(host, None)
+        self._resting.told(host)
 
     def _expire(self, now: float) -> None:
         for zone, known in tuple(self._heard_at.items()):
@@ -97,9 +77,8 @@
             else:
                 self._heard_at.pop(zone)
                 self._rather.pop(zone, None)
-        for host in self._resting_until.keys() - self._everybody():
-            self._resting_until.pop(host)
-            self._failures.pop(host, None)
+        for host in self._resting.names() - self._everybody():
+            self._resting.forget(host)
 
     def _everybody(self) -> set[str]:
         known = {host for one in self._heard_at.values() for host in one}
--- a/src/linnetwood/fleet/farlistening.py
+++ b/src/linnetwood/fleet/farlistening.py
@@ -9,6 +9,7 @@
 
 from linnetwood.core.errors import LinnetwoodError, WireError
 from linnetwood.core.events import Event, log
+from linnetwood.core.owner import Owner
 from linnetwood.fleet.following import Following
 from linnetwood.fleet.tellers import Tellers
 from linnetwood.fleet.toldreading import ask_to_tell, read_told
@@ -27,7 +28,7 @@
 _LOST_FOR_S = 5.0
 
 
-class FarListener:
+class FarListener(Owner):
     """Own a connection to each of a few other zones, while they are needed.
 
     Those that a zone hears need them, and whoever hears nobody else.
@@ -41,6 +42,7 @@
         port: int,
     ) -> None:
         """All entries tell on one port."""
+        super().__init__()
         self._following = following
         self._tellers = tellers
         self._elsewhere = tellers.elsewhere
@@ -49,17 +51,10 @@
         self._found_at = -math.inf
         self._lost_until = -math.inf
         self._hearing: dict[str, asyncio.Task[None]] = {}
-        self._task: asyncio.Task[None] | None = None
-
-    def start(self) -> None:
-        """Begin to listen."""
-        self._task = asyncio.create_task(self._run())
 
     async def close(self) -> None:
         """Stop listening."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+        await super().close()
         await self._hear_only([])
 
     async def _run(self) -> None:
--- a/src/linnetwood/fleet/following.py
+++ b/src/linnetwood/fleet/following.py
@@ -11,6 +11,7 @@
 from linnetwood.core.backoff import pause_s
 from linnetwood.core.errors import StoreError
 from linnetwood.core.events import Event, log
+from linnetwood.core.owner import Owner
 from linnetwood.fleet.belief import USUAL_BOUNDS, Bounds, Told
 from linnetwood.fleet.mirror import LARGE_OCTETS, Mirror
 from linnetwood.fleet.ranges import (
@@ -42,7 +43,7 @@
 _SAME_S = 0.01
 
 
-class Following:
+class Following(Owner):
     """Own one range: a task that reads, waits and begins again."""
 
     def __init__(
@@ -54,6 +55,7 @@
         bounds: Bounds = USUAL_BOUNDS,
     ) -> None:
         """Follow nothing yet."""
+        super().__init__()
         self.learned = asyncio.Event()
         # By the clock of the loop, which is the monotonic one.
         self.heard_at = -math.inf
@@ -84,19 +86,8 @@
         self._overhead_s = float()
         self._outages_told: int | None = None
         self._listeners: set[asyncio.Event] = set()
-        self._task: asyncio.Task[None] | None = None
         self._asking: asyncio.Task[None] | None = None
 
-    def start(self) -> None:
-        """Begin to follow."""
-        self._task = asyncio.create_task(self._run())
-
-    async def close(self) -> None:
-        """Stop following; what was learned stays."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
-
     @property
     def revision(self) -> int:
         """Give the revision up to which everything is known."""
--- a/src/linnetwood/fleet/introduction.py
+++ b/src/linnetwood/fleet/introduction.py
@@ -10,6 +10,7 @@
 
 from linnetwood.core.errors import StoreError
 from linnetwood.core.events import Event, log
+from linnetwood.core.owner import Owner
 from linnetwood.core.waits import happened
 from linnetwood.fleet.following import Following
 from linnetwood.fleet.tellers import Tellers
@@ -27,7 +28,7 @@
 _ASKED = 4
 
 
-class Introduction:
+class Introduction(Owner):
     """Own the start of a follower: first whom to hear, then the store."""
 
     def __init__(
@@ -38,21 +39,11 @@
         ask: Callable[[list[str]], None],
     ) -> None:
         """Look up who can name entries, nearest first, and ask some of them."""
+        super().__init__()
         self._following = following
         self._tellers = tellers
         self._look = look
         self._ask = ask
-        self._task: asyncio.Task[None] | None = None
-
-    def start(self) -> None:
-        """Begin; the follower starts at the end."""
-        self._task = asyncio.create_task(self._run())
-
-    async def close(self) -> None:
-        """Begin nothing more."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
 
     async def _run(self) -> None:
         began = asyncio.get_running_loop().time()
--- a/src/linnetwood/fleet/relaying.py
+++ b/src/linnetwood/fleet/relaying.py
@@ -8,6 +8,7 @@
 
 from linnetwood.core.errors import LinnetwoodError, WireError
 from linnetwood.core.events import Event, log
+from linnetwood.core.owner import Owner
 from linnetwood.fleet.belief import Told
 from linnetwood.fleet.farlistening import FarListener
 from linnetwood.fleet.following import Following
@@ -32,7 +33,7 @@
 _NO_HANDLERS: Mapping[int, FrameHandler] = MappingProxyType({})
 
 
-class RangeListener:
+class RangeListener(Owner):
     """Hear a neighbour where there is one; a task that owns its connection."""
 
     def __init__(
@@ -43,23 +44,13 @@
         port: int,
     ) -> None:
         """All entries tell on one port."""
+        super().__init__()
         self._following = following
         self._tellers = tellers
         self._dialler = dialler
         self._port = port
         self._passed_over = ''
         self._troubles: dict[str, str] = {}
-        self._task: asyncio.Task[None] | None = None
-
-    def start(self) -> None:
-        """Begin to listen."""
-        self._task = asyncio.create_task(self._run())
-
-    async def close(self) -> None:
-        """Stop listening."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
 
     async def _run(self) -> None:
         loop = asyncio.get_running_loop()
--- a/src/linnetwood/fleet/tellers.py
+++ b/src/linnetwood/fleet/tellers.py
@@ -3,17 +3,14 @@
 from collections.abc import Iterable
 from random import Random
 
-from linnetwood.core.backoff import pause_s
 from linnetwood.fleet.elsewhere import Elsewhere, teller_place
+from linnetwood.fleet.resting import Resting
 
 # So many of an availability zone ask the store for all: one, and one more that
 # takes over where the first is gone or hears nothing.
 TELLERS = 2
 # Endpoint processes tell once a second who is there.
 _GONE_S = 3.0
-_PAUSE_FIRST_S = 0.25
-_PAUSE_MOST_S = 4.0
-_PAUSE_LEAST_SHARE = 0.5
 # All others rest together: which of them is asked is chance.
 _ANYBODY = ''
 
@@ -26,14 +23,7 @@
     and those before it too, borrows from any other, and passes nothing on.
     """
 
-    __slots__ = (
-        '_failures',
-        '_heard_at',
-        '_resting_until',
-        '_rng',
-        'elsewhere',
-        'me',
-    )
+    __slots__ = ('_heard_at', '_resting', '_rng', 'elsewhere', 'me')
 
     def __init__(self, me: str, rng: Random) -> None:
         """Know nobody."""
@@ -41,8 +31,7 @@
         self.elsewhere = Elsewhere(me, rng)
         self._rng = rng
         self._heard_at: dict[str, float] = {}
-        self._failures: dict[str, int] = {}
-        self._resting_until: dict[str, float] = {}
+        self._resting = Resting(rng)
 
     @property
     def known(self) -> bool:
@@ -98,7 +87,7 @@
         awake = (
             host
             for host in self._first()
-            if host != but and self._resting_until.get(host, now) <= now
+            if host != but and self._resting.awake(host, now)
         )
         chosen = next(awake, None)
         if chosen is None and widely:
@@ -107,20 +96,11 @@
 
     def failed(self, host: str, now: float) -> None:
         """Leave a neighbour alone for a while that knew nothing new."""
-        matter = host if self.leads(host) else _ANYBODY
-        failures = self._failures.get(matter, 0)
-        self._failures[matter] = failures + 1
-        self._resting_until[matter] = now + pause_s(
-            failures,
-            self._rng,
-            _PAUSE_FIRST_S,
-            _PAUSE_MOST_S,
-            _PAUSE_LEAST_SHARE,
-        )
+        self._resting.failed(host if self.leads(host) else _ANYBODY, now)
 
     def told(self, host: str) -> None:
         """Forget the failures of a neighbour that tells."""
-        self._failures.pop(host if self.leads(host) else _ANYBODY, None)
+        self._resting.told(host if self.leads(host) else _ANYBODY)
 
     def _first(self) -> list[str]:
         ranked = sorted(filter(self.before, self._heard_at), key=teller_place)
@@ -128,7 +108,7 @@
 
     def _any(self, now: float, but: str) -> str | None:
         others = sorted(set(self._heard_at) - {*self._first(), but})
-        if not others or self._resting_until.get(_ANYBODY, now) > now:
+        if not others or not self._resting.awake(_ANYBODY, now):
             return None
         return self._rng.choice(others)
 
@@ -139,9 +119,5 @@
             if now - heard_at >= _GONE_S
         ]
         for host in gone:
-            for known in (
-                self._heard_at,
-                self._failures,
-                self._resting_until,
-            ):
-                known.pop(host, None)
+            self._heard_at.pop(host)
+            self._resting.forget(host)
--- a/src/linnetwood/fleet/vmlist.py
+++ b/src/linnetwood/fleet/vmlist.py
@@ -10,6 +10,7 @@
 
 from linnetwood.core.errors import StoreError
 from linnetwood.core.events import Event, log
+from linnetwood.core.owner import Owner
 from linnetwood.fleet.gossip import GossipTask
 from linnetwood.fleet.members import Health, copy
 from linnetwood.fleet.watching import backoff_s
@@ -69,7 +70,7 @@
             yield copy(member, status=int(Health.LEAVING))
 
 
-class VmListTask:
+class VmListTask(Owner):
     """Ask the list, if this process is one of the few that watch."""
 
     def __init__(
@@ -80,21 +81,11 @@
         rng: Random,
     ) -> None:
         """Start nothing yet."""
+        super().__init__()
         self._vm_list = vm_list
         self._gossip = gossip
         self._falls_to_me = falls_to_me
         self._rng = rng
-        self._task: asyncio.Task[None] | None = None
-
-    def start(self) -> None:
-        """Begin to ask."""
-        self._task = asyncio.create_task(self._run())
-
-    async def close(self) -> None:
-        """Stop asking."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
 
     async def _run(self) -> None:
         failures = 0
