Read the store at once where an entry starts, and look for neighbours beside it

Cause: an entry that started looked for others for half a second, and for two more where some came before it, before it read. Change: the read begins at once; whoever is told the range meanwhile gives it up.

--- a/src/linnetwood/fleet/following.py
+++ b/src/linnetwood/fleet/following.py
@@ -132,6 +132,7 @@
             self._outages_told = told.outages
         if told.revision > self._revision:
             self._take_told(told)
+            self._give_up_if_large(told)
         elif told.revision < self._revision:
             # It has yet to learn what is known here.
             return trusted_s > 0
@@ -161,9 +162,7 @@
         now = asyncio.get_running_loop().time()
         if told.revision > self._revision:
             self._take_told(told)
-            if self._asking and _is_large(told):
-                # The same is on its way, whole, over the link that all share.
-                self._asking.cancel()
+            self._give_up_if_large(told)
         self._confirmed(now - told.age_s)
 
     def left(self) -> None:
@@ -278,6 +277,11 @@
         ages = {one.key: one.age_s for one in told.changes}
         self._replace(Snapshot(found, told.revision, ages))
 
+    def _give_up_if_large(self, told: Told) -> None:
+        """Ask the store anew: it sends the same whole, over a shared link."""
+        if self._asking and _is_large(told):
+            self._asking.cancel()
+
     def _arrived(self, revision: int) -> None:
         self._revision = revision
         self._arrived_at = asyncio.get_running_loop().time()
--- a/src/linnetwood/fleet/introduction.py
+++ b/src/linnetwood/fleet/introduction.py
@@ -1,4 +1,4 @@
-"""Let an entry that starts hear its neighbours before it reads the store whole.
+"""Let an entry that starts hear its neighbours while it reads the store.
 
 After the restart of a zone of 13, thirteen copies of the range crossed the link
 that its region shares: 9 MB with a configuration of 1,900 routes, five seconds
@@ -18,18 +18,15 @@
 # A question and its answer take milliseconds where somebody is there; datagrams
 # may be lost.
 _ASK_EVERY_S = 0.1
-# So long an entry that nobody tells looks for others: as long as starts of one
-# moment lie apart, and the least that a whole range takes over a full link.
-_LOOK_FOR_S = 0.5
-# One that finds others which come before it waits for so long until they are
-# told; by then a whole range has passed a link at a third of its rate.
-_BEHIND_FOR_S = 2.0
+# So long an entry that nobody tells looks for others; what a whole range takes
+# over a link at a third of its rate.
+_LOOK_FOR_S = 1.0
 # So many processes beside engines are asked each time.
 _ASKED = 4
 
 
 class Introduction(Owner):
-    """Own the start of a follower: first whom to hear, then the store."""
+    """Own the start of a follower, and look for whom to hear."""
 
     def __init__(
         self,
@@ -46,9 +43,12 @@
         self._ask = ask
 
     async def _run(self) -> None:
+        # Whoever is told gives its own read up; where nobody is there to tell,
+        # as after a restart of all, no time is lost.
+        self._following.start()
         began = asyncio.get_running_loop().time()
         try:
-            await self._hear()
+            await self._ask_until_told(await self._look(), _LOOK_FOR_S)
         except StoreError as exc:
             log(Event.INTRODUCTION_FAILED, code=exc.code, detail=exc.detail)
         log(
@@ -57,14 +57,6 @@
             behind=self._tellers.behind,
             took_s=round(asyncio.get_running_loop().time() - began, 3),
         )
-        self._following.start()
-
-    async def _hear(self) -> None:
-        hosts = await self._look()
-        if hosts:
-            await self._ask_until_told(hosts, _LOOK_FOR_S)
-        if not self._told and self._tellers.behind:
-            await happened(self._following.learned, _BEHIND_FOR_S)
 
     async def _ask_until_told(self, hosts: list[str], seconds: float) -> None:
         loop = asyncio.get_running_loop()
