Show calls that end servers, failing, and name what calls have in common

The soak has such calls as a fault, its servers refuse connections while they are ended, and its checker counts what is sent after three have ended under one.

--- a/src/linnetwood/calls/direct.py
+++ b/src/linnetwood/calls/direct.py
@@ -66,6 +66,8 @@
     until: float
     grounds: Grounds = Grounds()
     reach: Reach = ANYWHERE
+    # What it shares with calls that ask the same; nothing where unknown.
+    likeness: str = ''
 
     @property
     def repeatable(self) -> bool:
@@ -195,6 +197,7 @@
         standing = self._chooser.standing(choice.endpoint.life)
         sending = Sending(
             call.head.call_id,
+            call.likeness,
             call.route,
             choice,
             urgency,
--- a/src/linnetwood/lab/measure_soak.py
+++ b/src/linnetwood/lab/measure_soak.py
@@ -59,15 +59,20 @@
     size: Size,
     callers: int,
     out: str = '',
+    planned: list[Fault] | None = None,
 ) -> dict[str, Any]:
-    """Run once; give what is printed."""
-    span_s = minutes * _MINUTE_S
-    return asyncio.run(_soak(seed, span_s, size, callers, out))
+    """Run once; give what is printed.
+
+    With planned faults only these come, in place of the seed's.
+    """
+    if planned is None:
+        planned = schedule(seed, minutes * _MINUTE_S)
+    return asyncio.run(_soak(seed, planned, size, callers, out))
 
 
 async def _soak(
     seed: int,
-    span_s: float,
+    planned: list[Fault],
     size: Size,
     count: int,
     out: str,
@@ -79,7 +84,7 @@
     faults = Faults(fleet, history, callers)
     watching = asyncio.create_task(_watch(history))
     try:
-        await _run(schedule(seed, span_s), fleet, faults, callers, count)
+        await _run(planned, fleet, faults, callers, count)
         # Back ends note that their callers have gone.
         await asyncio.sleep(1)
         await _gather(fleet, history)
--- a/src/linnetwood/lab/soak/callers.py
+++ b/src/linnetwood/lab/soak/callers.py
@@ -3,12 +3,15 @@
 import asyncio
 import secrets
 import time
-from collections.abc import Mapping
+from collections.abc import Coroutine, Mapping
 from random import Random
 from types import MappingProxyType
+from typing import Any
 
 from linnetwood.lab.soak.fleet import CALLERS_PORT, Fleet, Vm
 from linnetwood.lab.soak.history import Call, History, Kind
+from linnetwood.lab.soak.schedule import Fault
+from linnetwood.lab.soak.standservers import FATAL
 
 KEY = 'key-1'
 HOST = 'soak.example'
@@ -31,6 +34,8 @@
 _THINK_S = (0.02, 0.3)
 _BACK_S = (0.1, 1.0)
 _PROBE_S = (0.1, 0.4)
+# How far apart a call comes again that ends servers.
+_FATAL_S = (0.2, 0.8)
 _CONNECT_S = 1.0
 _ID_BYTES = 8
 _BUSY = 503
@@ -62,6 +67,20 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
+    async def end_servers(self, fault: Fault) -> None:
+        """Send a call that ends servers, again and again, to any entry."""
+        rng = Random(fault.pick)
+        kind = rng.choice(tuple(Kind))
+        path = f'{_PATHS[kind]}/{FATAL}-{fault.pick}'
+        until = time.monotonic() + fault.span_s
+        while time.monotonic() < until:
+            vm = rng.choice(self._fleet.entries)
+            self._aside(Connection(vm).run(self._new(vm, kind, path), 1, 0))
+            await asyncio.sleep(rng.uniform(*_FATAL_S))
+
+    def _aside(self, work: Coroutine[Any, Any, None]) -> None:
+        self._tasks.append(asyncio.create_task(work))
+
     async def _call_on(self, vm: Vm) -> None:
         conn = Connection(vm)
         while True:
--- a/src/linnetwood/lab/soak/checks.py
+++ b/src/linnetwood/lab/soak/checks.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import itertools
+import math
 from collections import defaultdict
 from collections.abc import Callable, Iterator
 
@@ -17,6 +18,10 @@
 _LATE_S = 0.5
 _FEW = 5
 _QUARTER = 0.25
+# So many servers may end under a call before all know it, and so many times it
+# may be sent to one from then on.
+_MOST_ENDED = 3
+_MOST_AFTER = 3
 # Fewer calls at the end tell nothing.
 _ENOUGH = 20
 
@@ -54,6 +59,7 @@
             (f'WHOLE {one}' for one in self._history.found),
             self._of_runs(),
             self._budget(),
+            self._after_three_ended(),
             self._gone(),
             self._recover(),
         )
@@ -181,6 +187,31 @@
                 yield f'BUDGET {first:.3f} {count} again for {calls} calls'
                 return
 
+    def _after_three_ended(self) -> Iterator[str]:
+        """A call under which three servers ended goes to hardly any more."""
+        by_path: dict[str, list[Run]] = defaultdict(list)
+        entries = {one.call_id: one.entry for one in self._history.calls}
+        for call in self._history.calls:
+            by_path[call.path].extend(self._runs[call.call_id])
+        for path, runs in by_path.items():
+            ended = sorted(one.ended_at for one in runs if one.crashed)
+            known_at = self._known_at(ended)
+            late = [
+                one
+                for one in runs
+                if one.at > known_at
+                and self._in_touch(entries[one.call_id], one.at)
+            ]
+            if len(late) > _MOST_AFTER:
+                told = f'{len(late)} more after three, {len(ended)} in all'
+                yield f'BUDGET {known_at:.3f} {path} ended servers: {told}'
+
+    def _known_at(self, ended: list[float]) -> float:
+        """Give from when all must know of a call that ended servers."""
+        if len(ended) < _MOST_ENDED:
+            return math.inf
+        return ended[_MOST_ENDED - 1] + self._limits.contact_s
+
     def _gone(self) -> Iterator[str]:
         """Back ends stop soon after callers have left."""
         late_s = _LATE_S + self._limits.slack_s
--- a/src/linnetwood/lab/soak/faults.py
+++ b/src/linnetwood/lab/soak/faults.py
@@ -63,7 +63,9 @@
                 await self._control(order)
         await self._beat()
         await self.configure()
-        await self._write('version', {f'op/version/{MODEL}': self._named()})
+        await self._write(
+            'version', {f'op/version/{MODEL}': _named(self._version)}
+        )
         self._later(self._beat_on())
 
     async def close(self) -> None:
@@ -100,6 +102,7 @@
             'pause endpoint': self._pause_endpoint,
             'crash server': self._crash,
             'drain server': self._drain,
+            'call that ends servers': self._end_servers,
             'store down': self._store,
             'store slow': self._store,
             'store forgets': self._store,
@@ -169,6 +172,12 @@
         await self._control(order)
         self._end(trouble, 0)
 
+    async def _end_servers(self, fault: Fault) -> None:
+        """Nothing lies on the entries: they are to heed all their bounds."""
+        trouble = self._note(fault.kind, 'servers', fault.span_s)
+        await self._callers.end_servers(fault)
+        self._end(trouble, _BACK_S)
+
     async def _drain(self, fault: Fault) -> None:
         """Let a server say that it leaves, end, and come with a new id."""
         name = _pick(sorted(self._places), fault)
@@ -235,7 +244,9 @@
 
     async def _name_version(self, fault: Fault) -> None:
         self._version += 1
-        await self._write('version', {f'op/version/{MODEL}': self._named()})
+        await self._write(
+            'version', {f'op/version/{MODEL}': _named(self._version)}
+        )
 
     async def _beat_on(self) -> None:
         while True:
@@ -281,9 +292,6 @@
         answer = await self._client.fetch(url, method='POST', body=body)
         return dict(json.loads(answer.body))
 
-    def _named(self) -> dict[str, object]:
-        return {'model': MODEL, 'version': self._version}
-
     def _note(self, kind: str, who: str, span_s: float) -> int:
         now = time.monotonic()
         self._history.troubles.append(Trouble(kind, now, now + span_s, who))
@@ -305,6 +313,10 @@
         task.add_done_callback(self._tasks.discard)
 
 
+def _named(version: int) -> dict[str, object]:
+    return {'model': MODEL, 'version': version}
+
+
 def _place(vm: Vm) -> dict[str, str]:
     return {'address': f'{vm.host}:{SERVER_PORT}', 'zone': vm.zone}
 
--- a/src/linnetwood/lab/soak/history.py
+++ b/src/linnetwood/lab/soak/history.py
@@ -51,6 +51,8 @@
     body: str = ''
     ended_at: float = 0
     finished: bool = False
+    # The server ended under it.
+    crashed: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/linnetwood/lab/soak/proxy.py
+++ b/src/linnetwood/lab/soak/proxy.py
@@ -14,6 +14,7 @@
 
 _PIECE = 65536
 _SLOW_S = 0.15
+_LOOK_S = 0.02
 _RESET = struct.pack('ii', 1, 0)
 
 
@@ -26,11 +27,13 @@
         self._listen = _address(listen)
         self._target = _address(target)
         self._open: set[asyncio.StreamWriter] = set()
+        self._server: asyncio.Server | None = None
+        self._looking: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
         """Listen."""
         host, port = self._listen
-        await asyncio.start_server(self._carry, host, port)
+        self._server = await asyncio.start_server(self._carry, host, port)
 
     def trouble(self, mode: str) -> None:
         """Begin a mode; connections that were silenced stay so."""
@@ -48,6 +51,7 @@
             there = await asyncio.open_connection(*self._target)
         except OSError:
             _reset(writer)
+            self._refuse()
             return
         self._open |= {writer, there[1]}
         await asyncio.gather(
@@ -56,6 +60,24 @@
         )
         self._open -= {writer, there[1]}
 
+    def _refuse(self) -> None:
+        """Refuse connections for as long as the target does."""
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+            self._looking = asyncio.create_task(self._look())
+
+    async def _look(self) -> None:
+        while True:
+            await asyncio.sleep(_LOOK_S)
+            try:
+                there = await asyncio.open_connection(*self._target)
+            except OSError:
+                continue
+            there[1].close()
+            await self.start()
+            return
+
     async def _pass_on(
         self,
         reader: asyncio.StreamReader,
--- a/src/linnetwood/lab/soak/standservers.py
+++ b/src/linnetwood/lab/soak/standservers.py
@@ -28,6 +28,10 @@
 _EVENT_S = 0.03
 _PLAIN_S = 0.02
 _LOAD_S = 0.2
+# A call with this in its path ends the server that begins to run it.
+FATAL = 'fatal'
+_FATAL_S = 0.06
+_BACK_S = 3.0
 _MILLISECONDS = 1000
 _POOL = 'pool'
 MODEL = 'm-1'
@@ -57,6 +61,17 @@
         self.born = _now_ms()
         self.staged: dict[int, bytes] = {}
         self.running: set[RequestHandler] = set()
+        self._port = 0
+        self._app: Application | None = None
+        self._listening: HTTPServer | None = None
+
+    def listen(self, app: Application, port: int) -> None:
+        """Take calls at a port of loopback."""
+        self._app = app
+        self._port = port
+        # One that was stopped can't listen again.
+        self._listening = HTTPServer(app)
+        self._listening.listen(port, '127.0.0.1')
 
     def start_again(self, *, keeps_staged: bool) -> None:
         """Begin a life that knows nothing; what is staged may outlast it."""
@@ -64,12 +79,16 @@
         self.serving = 0
         self.sequence = 0
         self.changing = False
+        if not self.alive and self._app is not None:
+            self.listen(self._app, self._port)
         self.alive = True
         if not keeps_staged:
             self.staged.clear()
 
     def crash(self) -> None:
-        """Break every call off."""
+        """Break every call off, and take none."""
+        if self.alive and self._listening is not None:
+            self._listening.stop()
         self.alive = False
         for handler in tuple(self.running):
             _close(handler)
@@ -124,7 +143,7 @@
                 ('/.*', _Call, shared),
             ],
         )
-        HTTPServer(app).listen(port, '127.0.0.1')
+        server.listen(app, port)
 
     def run(self, server: Server, handler: RequestHandler) -> Run:
         """Note that a call begins."""
@@ -249,16 +268,7 @@
             self.set_header('X-Not-Executed', '1')
             self.set_status(_BUSY)
             return
-        run = self.servers.run(server, self)
-        server.running.add(self)
-        try:
-            await self._serve(run)
-            run.finished = True
-        except (StreamClosedError, asyncio.CancelledError):
-            run.finished = False
-        finally:
-            run.ended_at = time.monotonic()
-            server.running.discard(self)
+        await self._run(self.servers.run(server, self))
 
     async def get(self) -> None:
         """Run a call that changes nothing."""
@@ -268,6 +278,32 @@
         """Stop: whoever asked has gone."""
         self._gone = True
 
+    async def _run(self, run: Run) -> None:
+        running = self.server.running
+        running.add(self)
+        try:
+            await self._end_server(run)
+            await self._serve(run)
+            run.finished = True
+        except (StreamClosedError, asyncio.CancelledError):
+            run.finished = False
+        finally:
+            run.ended_at = time.monotonic()
+            running.discard(self)
+
+    async def _end_server(self, run: Run) -> None:
+        """End the server, if this is such a call."""
+        if FATAL not in self.request.path:
+            return
+        server = self.server
+        born = server.born
+        await asyncio.sleep(_FATAL_S)
+        if server.alive and server.born == born:
+            run.crashed = True
+            server.crash()
+            asyncio.get_running_loop().call_later(_BACK_S, _come_back, server)
+        raise StreamClosedError
+
     async def _serve(self, run: Run) -> None:
         engine = self.server.service == _POOL
         await (self._stream(run) if engine else self._answer(run))
@@ -401,6 +437,11 @@
     return serves and wanted == str(server.serving)
 
 
+def _come_back(server: Server) -> None:
+    if not server.alive:
+        server.start_again(keeps_staged=True)
+
+
 def _close(handler: RequestHandler) -> None:
     stream = handler.request.connection.stream  # type: ignore[union-attr]
     stream.close()
