Refuse calls under which endpoints ended, by what all entries share

Cause: nothing knew a call that comes again under another id; attempts, budget and suspicion are counted by call, entry and life of an endpoint.

A call that is lost is a suspect where the endpoint ended: a connection to it is refused, or another life stands at its address. A drain, a cut, a reset or a spoilt answer is none, nor a call whose events came for a second. Ends are shared as keys of the store under a lease, so they travel as configurations do. After two ends without an answer calls that are alike are refused.

--- /dev/null
+++ b/src/linnetwood/calls/crashes.py
@@ -0,0 +1,157 @@
+"""Which calls endpoints crashed under, and which are refused; no I/O or clock.
+
+Load pattern: a call that ends each endpoint that begins to run it comes again
+twice a second, at any entry and with an id of its own each time. With it end
+the 8 to 18 calls beside it (counted), each of which looks as guilty the first
+time. So a call is refused once two lives have ended under calls like it, with
+no answer to any of them since: a call that ends every endpoint is never
+answered, and one that was only near by nearly always is, elsewhere, before a
+second endpoint ends under it. With two attempts a call, two lives are those of
+its first coming: a limit of three would cost one endpoint more each time, and
+save only calls that were near by twice.
+"""
+
+import hashlib
+import math
+from collections.abc import Iterable, Iterator
+from typing import NamedTuple
+
+# So many lives may end under calls that are alike before these are refused.
+ENDS_BORNE = 2
+# From the last end on; then one such call is tried, alone. It costs at most
+# one endpoint in so long, and twice as long each time that it ends one.
+REFUSED_FIRST_S = 60.0
+REFUSED_MOST_S = 600.0
+# So long nobody else tries meanwhile: callers wait no longer for an answer.
+_TRIED_S = 10.0
+# An end that nobody confirmed for so long counts no more; the store forgets it
+# by then, too.
+FORGOTTEN_S = 600.0
+# As many as 250 endpoints leave that crash with 16 calls each; the oldest go.
+_MOST_KEPT = 4096
+_LIFE_BYTES = 8
+
+
+class End(NamedTuple):
+    """One life of an endpoint that ended under calls that are alike."""
+
+    likeness: str
+    life: str
+
+
+def life_digest(life: str) -> str:
+    """Give a short name of a life, whatever the length of its own."""
+    digest = hashlib.blake2b(life.encode(), digest_size=_LIFE_BYTES)
+    return digest.hexdigest()
+
+
+class _Suspect:
+    """Lives that ended under calls that are alike, and when."""
+
+    __slots__ = ('ended_at', 'shared', 'tried_until')
+
+    def __init__(self) -> None:
+        self.ended_at: dict[str, float] = {}
+        # Those of them that all entries can read.
+        self.shared: set[str] = set()
+        self.tried_until = float()
+
+    @property
+    def refused(self) -> bool:
+        return len(self.ended_at) >= ENDS_BORNE
+
+    @property
+    def refused_until(self) -> float:
+        more = len(self.ended_at) - ENDS_BORNE
+        refused_s = min(REFUSED_MOST_S, math.ldexp(REFUSED_FIRST_S, more))
+        return max(self.ended_at.values()) + refused_s
+
+
+class Crashes:
+    """Hold the calls under which endpoints ended, as far as is known here."""
+
+    __slots__ = ('_suspects',)
+
+    def __init__(self) -> None:
+        """Suspect nobody."""
+        self._suspects: dict[str, _Suspect] = {}
+
+    def ends(self, likeness: str) -> int:
+        """Give how many lives ended under calls like this."""
+        suspect = self._suspects.get(likeness)
+        return len(suspect.ended_at) if suspect else 0
+
+    def wait_s(self, likeness: str, now: float) -> float:
+        """Give for how long a call is refused; 0 lets this one go.
+
+        Whoever is let go after a refusal is tried alone: others like it are
+        refused until it is over.
+        """
+        suspect = self._suspects.get(likeness)
+        if suspect is None or not suspect.refused:
+            return 0
+        left_s = max(suspect.refused_until, suspect.tried_until) - now
+        if left_s <= 0:
+            suspect.tried_until = now + _TRIED_S
+        return max(0, left_s)
+
+    def may_go_again(self, likeness: str) -> bool:
+        """Tell whether a call may be sent to a second endpoint."""
+        return self.ends(likeness) < ENDS_BORNE
+
+    def ended(self, end: End, at: float, *, shared: bool = False) -> bool:
+        """Take in an end; tell whether it is news."""
+        suspect = self._suspects.pop(end.likeness, None) or _Suspect()
+        # The newest stand last.
+        self._suspects[end.likeness] = suspect
+        while len(self._suspects) > _MOST_KEPT:
+            self._suspects.pop(next(iter(self._suspects)))
+        news = end.life not in suspect.ended_at
+        known_at = suspect.ended_at.get(end.life, at)
+        suspect.ended_at[end.life] = min(known_at, at)
+        if shared:
+            suspect.shared.add(end.life)
+        return news
+
+    def withdrawn(self, end: End) -> None:
+        """Take in that an end counts no more for all entries."""
+        suspect = self._suspects.get(end.likeness)
+        if suspect is not None:
+            suspect.ended_at.pop(end.life, None)
+            suspect.shared.discard(end.life)
+            self._drop_if_clear(end.likeness, suspect)
+
+    def replaced(self, ends: Iterable[tuple[End, float]]) -> None:
+        """Take in all ends that entries share now, and since when."""
+        fresh = dict(ends)
+        for end in tuple(self._all_shared()):
+            if end not in fresh:
+                self.withdrawn(end)
+        for end, at in fresh.items():
+            self.ended(end, at, shared=True)
+
+    def answered(self, likeness: str) -> list[End]:
+        """Clear calls that are alike; give the ends that were held."""
+        suspect = self._suspects.pop(likeness, None)
+        if suspect is None:
+            return []
+        return [End(likeness, life) for life in suspect.ended_at]
+
+    def expire(self, now: float) -> None:
+        """Forget what ended too long ago."""
+        for likeness, suspect in tuple(self._suspects.items()):
+            suspect.ended_at = {
+                life: at
+                for life, at in suspect.ended_at.items()
+                if now - at < FORGOTTEN_S
+            }
+            self._drop_if_clear(likeness, suspect)
+
+    def _drop_if_clear(self, likeness: str, suspect: _Suspect) -> None:
+        if not suspect.ended_at:
+            self._suspects.pop(likeness)
+
+    def _all_shared(self) -> Iterator[End]:
+        for likeness, suspect in self._suspects.items():
+            for life in suspect.shared:
+                yield End(likeness, life)
--- a/src/linnetwood/calls/direct.py
+++ b/src/linnetwood/calls/direct.py
@@ -15,6 +15,7 @@
     Relay,
 )
 from linnetwood.calls.choice import SPREAD_S, Choice, Chooser, Need
+from linnetwood.calls.crashwatch import Ends, Unwatched
 from linnetwood.calls.dialect import CallHead, Dialect, Errand, Urgency
 from linnetwood.calls.forecast import Forecast
 from linnetwood.calls.grounds import Grounds
@@ -97,6 +98,7 @@
     ) -> None:
         """Use the given parts; know no retry budgets yet."""
         self.retry_bounds = RetryBounds()
+        self.ends: Ends = Unwatched()
         self._budgets: dict[str, RetryBudget] = {}
         self._forecasts: dict[str, Forecast] = {}
         self._chooser = chooser
@@ -224,6 +226,7 @@
             waiting.over()
             standing.ended()
         self._learn(call.service, choice, end)
+        self._tell_end(call, choice, attempt, end)
         if end.how is How.STALLED and not attempt.first_heard:
             self._learn_wait(call, sending)
         tell(sending, attempt, end, self._loop.time())
@@ -325,6 +328,23 @@
         elif end.how in {How.FAILED, How.LOST}:
             standing.failed()
 
+    def _tell_end(
+        self,
+        call: DirectCall,
+        choice: Choice,
+        attempt: Attempt,
+        end: AttemptEnd,
+    ) -> None:
+        """Say what an attempt shows of calls that may end endpoints."""
+        if end.how is How.LOST:
+            heard_s = float()
+            if attempt.first_heard:
+                heard_s = self._loop.time() - attempt.first_heard
+            self.ends.lost(call.likeness, choice.endpoint, heard_s)
+        elif end.how in {How.ANSWERED, How.FAILED}:
+            # An endpoint that says so has outlived the call.
+            self.ends.answered(call.likeness)
+
     def _again(
         self,
         call: DirectCall,
@@ -341,6 +361,8 @@
             return False
         if relay.begun and call.route.repeat is not Repeat.RESUME:
             return False
+        if not self.ends.may_go_again(call.likeness):
+            return False
         return not end.reached or budget.spend()
 
     def _deliver(self, relay: Relay, end: AttemptEnd) -> None:
--- a/src/linnetwood/core/events.py
+++ b/src/linnetwood/core/events.py
@@ -71,6 +71,9 @@
     ATTEMPT_ENDED = 6005
     CALL_REFUSED = 6006
     CALL_UNPLACED = 6007
+    ENDPOINT_CRASHED = 6008
+    SUSPECT_CLEARED = 6009
+    ENDS_UNSHARED = 6010
     FRAME_REFUSED = 7001
     METRICS_UNREACHABLE = 7002
     KEYS_RELOADED = 7003
@@ -101,6 +104,8 @@
         Event.ORDER_REFUSED,
         Event.ENGINE_UNREACHABLE,
         Event.CALL_CUT,
+        Event.ENDPOINT_CRASHED,
+        Event.ENDS_UNSHARED,
         Event.METRICS_UNREACHABLE,
         Event.KEYS_REFUSED,
     ),
--- a/src/linnetwood/core/outcomes.py
+++ b/src/linnetwood/core/outcomes.py
@@ -39,6 +39,7 @@
     KEY_UNKNOWN = 'key-unknown'
     BELIEF_OLD = 'belief-old'
     OVERLOADED = 'overloaded'
+    ENDS_ENDPOINTS = 'ends-endpoints'
 
 
 RETRY_SOON_MS = 1000
--- a/src/linnetwood/lab/soak/standstore.py
+++ b/src/linnetwood/lab/soak/standstore.py
@@ -13,6 +13,8 @@
 
 _DOWN = 503
 _GONE = 410
+_FORBIDDEN = 403
+_OTHERS = ('op/', 'servers/')
 _HISTORY = 400
 _MILLISECONDS = 1000
 _SLOW_S = 0.5
@@ -128,6 +130,29 @@
             await state.stirred(left_s)
 
 
+class _Lease(_Base):
+    def post(self) -> None:
+        """Give a lease; no run lasts until it ends."""
+        said = json.loads(self.request.body)
+        self.write({'lease': 1, 'ttl_ms': said['ttl_ms']})
+
+
+class _Txn(_Base):
+    def post(self) -> None:
+        """Write and remove keys, but those of operators and servers."""
+        said = json.loads(self.request.body)
+        keys = [row['private_key'] for row in said['write']]
+        if any(key.startswith(_OTHERS) for key in (*keys, *said['remove'])):
+            self.set_status(_FORBIDDEN)
+            return
+        for row in said['write']:
+            payload = base64.b64decode(row['value'], validate=True)
+            self.state.write(row['private_key'], payload)
+        for key in said['remove']:
+            self.state.write(key, None)
+        self.write({'revision': self.state.revision})
+
+
 class _Operator(RequestHandler):
     """What operators and servers do, which no trouble keeps from writing."""
 
@@ -159,6 +184,8 @@
         [
             ('/linnetwood/kv-range', _Range, shared),
             ('/linnetwood/kv-watch', _Watch, shared),
+            ('/linnetwood/kv-lease', _Lease, shared),
+            ('/linnetwood/kv-txn', _Txn, shared),
             ('/operator', _Operator, shared),
         ],
     )
--- a/src/linnetwood/platform/feeds.py
+++ b/src/linnetwood/platform/feeds.py
@@ -14,11 +14,8 @@
 from linnetwood.fleet.ranges import Change, Record, Snapshot
 from linnetwood.fleet.wanted import WantedVersions
 from linnetwood.platform import records
-
-
-# So many keys that could not be read are remembered; the oldest go first, and
-# are told once more if they are read again.
-_IGNORED_KEPT = 4096
+from linnetwood.platform.endboard import EndFeed
+from linnetwood.platform.ignored import Ignored
 
 
 _NO_REGIONS: Mapping[str, str] = MappingProxyType({})
@@ -28,36 +25,6 @@
     """Leave no zone alone."""
 
 
-def _uncounted() -> None:
-    """Count nothing."""
-
-
-class Ignored:
-    """Tell of each record that can't be read once for each write of it."""
-
-    def __init__(self, count: Callable[[], None] = _uncounted) -> None:
-        """Count them, too."""
-        self._count = count
-        self._told: dict[str, int] = {}
-
-    def note(self, key: str, record: Record, exc: ConfigError) -> None:
-        """Log and count one."""
-        if self._told.get(key) == record.revision:
-            return
-        self._told.pop(key, None)
-        self._told[key] = record.revision
-        while len(self._told) > _IGNORED_KEPT:
-            self._told.pop(next(iter(self._told)))
-        self._count()
-        log(
-            Event.ITEM_IGNORED,
-            key=key,
-            revision=record.revision,
-            code=exc.code,
-            detail=exc.detail,
-        )
-
-
 class OperatorFeed:
     """Take in configurations and named versions."""
 
@@ -142,27 +109,33 @@
     """Split one range over the whole store: each waiting call is paid for."""
 
     def __init__(
-        self, operator: OperatorFeed, endpoints: 'EndpointFeed'
+        self,
+        operator: OperatorFeed,
+        endpoints: 'EndpointFeed',
+        ends: EndFeed,
     ) -> None:
         """Hand each record to the feed of its prefix."""
         self._operator = operator
         self._endpoints = endpoints
+        self._ends = ends
 
     def replaced(self, found: Snapshot) -> None:
         """Take in everything that the store holds."""
         self._operator.replaced(_part(found, records.OPERATOR_PREFIX))
         self._endpoints.replaced(_part(found, records.ENDPOINT_PREFIX))
+        self._ends.replaced(_part(found, records.END_PREFIX))
 
     def changed(self, changes: tuple[Change, ...]) -> None:
         """Take in changes, in order."""
-        operator = records.OPERATOR_PREFIX
-        endpoint = records.ENDPOINT_PREFIX
-        written = tuple(one for one in changes if one.key.startswith(operator))
-        listed = tuple(one for one in changes if one.key.startswith(endpoint))
+        written = _under(records.OPERATOR_PREFIX, changes)
+        listed = _under(records.ENDPOINT_PREFIX, changes)
+        ended = _under(records.END_PREFIX, changes)
         if written:
             self._operator.changed(written)
         if listed:
             self._endpoints.changed(listed)
+        if ended:
+            self._ends.changed(ended)
 
     def away(self) -> None:
         """Doubt that what goes missing now is gone."""
@@ -274,6 +247,10 @@
     return key.removeprefix(prefix) if key.startswith(prefix) else ''
 
 
+def _under(prefix: str, changes: tuple[Change, ...]) -> tuple[Change, ...]:
+    return tuple(one for one in changes if one.key.startswith(prefix))
+
+
 def _part(found: Snapshot, prefix: str) -> Snapshot:
     kept = {
         key: one for key, one in found.records.items() if key.startswith(prefix)
--- a/src/linnetwood/platform/records.py
+++ b/src/linnetwood/platform/records.py
@@ -29,6 +29,8 @@
 # The key names the zone; what stands under it tells nothing more.
 EVACUATE_PREFIX = 'op/evacuate/'
 ENDPOINT_PREFIX = 'servers/'
+# What entries write themselves: a likeness and a life, both in hex.
+END_PREFIX = 'ends/'
 
 _MILLISECONDS = 1000
 _MEGABIT_BYTES = 125000
--- a/src/linnetwood/platform/store.py
+++ b/src/linnetwood/platform/store.py
@@ -3,7 +3,7 @@
 import asyncio
 import base64
 import json
-from collections.abc import Callable
+from collections.abc import Callable, Mapping, Sequence
 from typing import Any
 from urllib.parse import urlencode
 
@@ -23,6 +23,7 @@
 from linnetwood.wire.curldriver import CurlDriver, Request
 
 _OK = 200
+_NOT_FOUND = 404
 _GONE = 410
 _MILLISECONDS = 1000
 # It begins to answer in milliseconds; a slow one after half a second.
@@ -33,6 +34,9 @@
 # An answer to a waiting call begins this much after its time at the latest: it
 # may queue on a link between regions for a second and more.
 _SLACK_S = 2.0
+# A change is answered in milliseconds, by a slow store after half a second.
+_WRITE_S = 2.5
+LEASE_GONE = 'store-lease-gone'
 # One failure may be a connection that broke; a store that is away fails again.
 _PAGE_RETRIES = 2
 # As long as one who follows pauses after a first failure.
@@ -91,6 +95,44 @@
         self._sight.answered('wait', after, answer, found)
         return found
 
+    async def lease(self, ttl_s: float) -> int:
+        """Take a lease; keys written under it go when it ends."""
+        ttl = {'ttl_ms': int(ttl_s * _MILLISECONDS)}
+        said = _said(await self._post('/linnetwood/kv-lease', ttl))
+        try:
+            return int(said['lease'])
+        except _BAD_ANSWER as exc:
+            raise StoreError('store-bad-answer', repr(exc)) from exc
+
+    async def write(
+        self,
+        payloads: Mapping[str, bytes],
+        removed: Sequence[str],
+        lease: int,
+    ) -> None:
+        """Write keys under a lease and remove others, all or none.
+
+        Raises StoreError, with the code LEASE_GONE where the lease has ended;
+        otherwise the write may have taken effect, and may be sent again.
+        """
+        written = [
+            {
+                'private_key': key,
+                'value': base64.b64encode(payload).decode(),
+                'lease': lease,
+            }
+            for key, payload in payloads.items()
+        ]
+        change = {
+            'expected_revision': [],
+            'write': written,
+            'remove': list(removed),
+        }
+        answer = await self._post('/linnetwood/kv-txn', change)
+        if answer.status == _NOT_FOUND:
+            raise StoreError(LEASE_GONE, f'lease {lease}')
+        _said(answer)
+
     async def _patient_page(
         self,
         prefix: str,
@@ -131,17 +173,8 @@
         query: dict[str, str],
         first_s: float,
     ) -> Answer:
-        host, port = self._address
-        req = Request(
-            host,
-            port,
-            'GET',
-            f'{path}?{urlencode(query)}',
-            [('Host', f'{host}:{port}')],
-            connect_s=_CONNECT_S,
-            keep=True,
-        )
         patience = Patience(first_s, SILENT_S)
+        req = self._request('GET', f'{path}?{urlencode(query)}')
         return await ask(
             self._driver,
             req,
@@ -150,6 +183,27 @@
             self.heard,
         )
 
+    async def _post(self, path: str, said: dict[str, Any]) -> Answer:
+        patience = Patience(_WRITE_S, SILENT_S)
+        req = self._request('POST', path, json.dumps(said).encode())
+        return await ask(self._driver, req, _MOST_BYTES, patience)
+
+    def _request(self, method: str, target: str, body: bytes = b'') -> Request:
+        host, port = self._address
+        headers = [('Host', f'{host}:{port}')]
+        if body:
+            headers.append(('Content-Type', 'application/json'))
+        return Request(
+            host,
+            port,
+            method,
+            target,
+            headers,
+            body,
+            connect_s=_CONNECT_S,
+            keep=True,
+        )
+
 
 def _said(answer: Answer) -> dict[str, Any]:
     if answer.status == _GONE:
--- a/src/linnetwood/platform/storesight.py
+++ b/src/linnetwood/platform/storesight.py
@@ -9,7 +9,11 @@
 from linnetwood.platform import records
 from linnetwood.wire.asking import Answer
 
-_PREFIXES = (records.OPERATOR_PREFIX, records.ENDPOINT_PREFIX)
+_PREFIXES = (
+    records.OPERATOR_PREFIX,
+    records.ENDPOINT_PREFIX,
+    records.END_PREFIX,
+)
 _OTHERS = 'others'
 _NEVER_S = -1.0
 _DIGITS = 4
--- /dev/null
+++ b/src/linnetwood/programs/listening.py
@@ -0,0 +1,38 @@
+"""The ports of an entry: where callers come, and where the balancer asks."""
+
+from collections.abc import Callable
+
+from tornado.httpserver import HTTPServer
+from tornado.httputil import HTTPServerRequest
+from tornado.netutil import bind_sockets
+
+_OK = 200
+_UNAVAILABLE = 503
+
+
+def listen(server: HTTPServer, address: tuple[str, int]) -> None:
+    """Let a server take connections at an address."""
+    host, port = address
+    server.add_sockets(bind_sockets(port, host))
+
+
+def readiness_server(is_ready: Callable[[], bool]) -> HTTPServer:
+    """Give the server that tells the balancer whether calls should come."""
+    return HTTPServer(_Readiness(is_ready))
+
+
+class _Readiness:
+    """Answer whoever asks, whatever the path."""
+
+    def __init__(self, is_ready: Callable[[], bool]) -> None:
+        self._is_ready = is_ready
+
+    def __call__(self, req: HTTPServerRequest) -> None:
+        status, reason = _UNAVAILABLE, b'Not Ready'
+        if self._is_ready():
+            status, reason = _OK, b'OK'
+        conn = req.connection
+        if conn is not None:
+            lines = b'HTTP/1.1 %d %s\r\nContent-Length: 0\r\n\r\n'
+            conn.write(lines % (status, reason))
+            conn.finish()
--- /dev/null
+++ b/src/linnetwood/programs/resident_ends.py
@@ -0,0 +1,54 @@
+"""What an entry knows of calls that end endpoints: seen here, and shared."""
+
+from random import Random
+
+from linnetwood.calls.crashes import Crashes
+from linnetwood.calls.crashtelling import EndTeller
+from linnetwood.calls.crashwatch import CrashWatch
+from linnetwood.calls.directory import Directory
+from linnetwood.calls.quarantine import Admit, Quarantine
+from linnetwood.core.clock import Clock
+from linnetwood.platform.endboard import EndFeed, StoreEndBoard
+from linnetwood.platform.ignored import Ignored
+from linnetwood.platform.store import PlatformStore
+from linnetwood.wire.probing import refuses
+
+
+class EndNews:
+    """Own the watch over crashes, and what is told of them."""
+
+    def __init__(
+        self,
+        store: PlatformStore,
+        directory: Directory,
+        clock: Clock,
+        rng: Random,
+    ) -> None:
+        """Suspect nobody."""
+        self._clock = clock
+        self._crashes = Crashes()
+        self._teller = EndTeller(StoreEndBoard(store, clock), rng)
+        self.watch = CrashWatch(
+            self._crashes,
+            directory,
+            clock,
+            refuses,
+            self._teller,
+        )
+
+    def start(self) -> None:
+        """Begin to tell."""
+        self._teller.start()
+
+    async def close(self) -> None:
+        """Watch and tell no more."""
+        await self.watch.close()
+        await self._teller.close()
+
+    def feed(self, ignored: Ignored) -> EndFeed:
+        """Give what takes in the ends that others share."""
+        return EndFeed(self._crashes, self._clock, ignored)
+
+    def before(self, admit: Admit) -> Quarantine:
+        """Give what refuses calls that end endpoints, before all else."""
+        return Quarantine(self._crashes, admit, self._clock)
--- a/src/linnetwood/programs/resident_entry.py
+++ b/src/linnetwood/programs/resident_entry.py
@@ -5,8 +5,6 @@
 from random import Random
 
 from tornado.httpserver import HTTPServer
-from tornado.httputil import HTTPServerRequest
-from tornado.netutil import bind_sockets
 
 from linnetwood.calls.choice import Chooser
 from linnetwood.calls.direct import DirectDispatcher, RetryBounds
@@ -25,13 +23,16 @@
 from linnetwood.platform.dialect import PlatformDialect
 from linnetwood.platform.feeds import (
     EndpointFeed,
-    Ignored,
     OperatorFeed,
     StoreFeed,
 )
+from linnetwood.platform.ignored import Ignored
 from linnetwood.platform.settings import Residence
+from linnetwood.platform.store import PlatformStore
 from linnetwood.programs import resident
 from linnetwood.programs.figures import FiguresPage
+from linnetwood.programs.listening import listen, readiness_server
+from linnetwood.programs.resident_ends import EndNews
 from linnetwood.programs.resident_news import StoreNews
 from linnetwood.wire.curldriver import CurlDriver
 from linnetwood.wire.frames import FrameKind
@@ -46,8 +47,6 @@
 _TRUSTED_PART = 0.6
 _CHECK_S = 0.05
 _IDLE_CHECK_S = 0.4
-_OK = 200
-_UNAVAILABLE = 503
 
 
 class ResidentEntry:
@@ -74,6 +73,10 @@
             cfg.zone,
             metrics,
         )
+        store = PlatformStore(cfg.store, self.driver)
+        ends = EndNews(store, self.directory, clock, rng)
+        self.dispatcher.ends = ends.watch
+        self._ends = ends
         self._tellers = Tellers(cfg.host, rng)
         self.reports = Reports(
             self.directory,
@@ -94,7 +97,7 @@
             lambda: self.book,
             self.dispatcher,
             dialect,
-            Entrance(chooser, self.dispatcher, clock, rng),
+            ends.before(Entrance(chooser, self.dispatcher, clock, rng)),
             rng,
             metrics,
             self.vigil.grounds,
@@ -115,10 +118,11 @@
                 lambda zones: self.directory.evacuate(zones, clock.now()),
             ),
             EndpointFeed(self.directory, clock, wake, ignored, cfg.regions),
+            ends.feed(ignored),
         )
         self._news = StoreNews(
             cfg,
-            self.driver,
+            store,
             feed,
             self._tellers,
             rng,
@@ -133,11 +137,11 @@
     async def start(self) -> None:
         """Listen, and learn what there is to serve."""
         cfg = self._cfg
-        readiness = HTTPServer(self._tell_ready)
-        self._listen(readiness, cfg.readiness)
+        self._listen(readiness_server(lambda: self.ready), cfg.readiness)
         self._figures.start(cfg.host)
         await self.reports.start(cfg.host)
         await self._news.start()
+        self._ends.start()
         self._listen(self._callers, cfg.callers)
 
     async def close(self) -> None:
@@ -145,6 +149,7 @@
         self._stopping = True
         self.front.stopping = True
         await self._finish_calls()
+        await self._ends.close()
         await self._news.close()
         await self.reports.close()
         self._figures.close()
@@ -202,19 +207,9 @@
         address: tuple[str, int] | None,
     ) -> None:
         if address is not None:
-            host, port = address
-            server.add_sockets(bind_sockets(port, host))
+            listen(server, address)
             self._servers.append(server)
 
-    def _tell_ready(self, req: HTTPServerRequest) -> None:
-        status = _OK if self.ready else _UNAVAILABLE
-        reason = b'OK' if self.ready else b'Not Ready'
-        conn = req.connection
-        if conn is not None:
-            lines = b'HTTP/1.1 %d %s\r\nContent-Length: 0\r\n\r\n'
-            conn.write(lines % (status, reason))
-            conn.finish()
-
 
 async def serve(cfg: Residence) -> None:
     """Answer callers on an entry VM."""
--- a/src/linnetwood/programs/resident_news.py
+++ b/src/linnetwood/programs/resident_news.py
@@ -13,7 +13,6 @@
 from linnetwood.platform.settings import Residence
 from linnetwood.platform.store import PlatformStore
 from linnetwood.wire.connections import FrameHandler
-from linnetwood.wire.curldriver import CurlDriver
 
 
 class StoreNews:
@@ -22,7 +21,7 @@
     def __init__(
         self,
         cfg: Residence,
-        driver: CurlDriver,
+        store: PlatformStore,
         feed: StoreFeed,
         tellers: Tellers,
         rng: Random,
@@ -37,7 +36,6 @@
         self._host = cfg.host
         self._zone = cfg.zone
         self._rng = rng
-        store = PlatformStore(cfg.store, driver)
         self._store = store
         self.following = Following(
             store,
