Go by the clock that counts suspensions, in one place

Cause: SystemClock, the loop's timers and a few other readings rested on the steady clock, which stands still while a VM is suspended; the time of day would count it, but jumps.

All go by core.clock.seconds now (CLOCK_BOOTTIME), and the programs run on a loop whose time it is. A wait for sockets is one of the steady clock, so none is longer than 0.2 s: what was due fires within that. Tests run on the same loop.

--- a/src/linnetwood/calls/dispatch.py
+++ b/src/linnetwood/calls/dispatch.py
@@ -34,7 +34,7 @@
 class Call:
     """One caller's request.
 
-    The deadline is in the entry's monotonic seconds. A call that runs at most
+    The deadline is one of the entry's clock. A call that runs at most
     once carries a key, given by the caller or minted for this call alone.
     """
 
--- a/src/linnetwood/core/logsink.py
+++ b/src/linnetwood/core/logsink.py
@@ -8,9 +8,10 @@
 import collections
 import logging
 import os
-import time
 from collections.abc import Callable
 
+from linnetwood.core.clock import seconds
+
 # Budget of one process, over any second and with one second's burst.
 LINES_PER_S = 400
 BYTES_PER_S = 160000
@@ -60,7 +61,7 @@
         self,
         fd: int,
         report: Callable[[int], None],
-        clock: Callable[[], float] = time.monotonic,
+        clock: Callable[[], float] = seconds,
     ) -> None:
         """Write to a descriptor; report how many lines were dropped."""
         super().__init__()
--- a/src/linnetwood/fleet/following.py
+++ b/src/linnetwood/fleet/following.py
@@ -57,7 +57,7 @@
         """Follow nothing yet."""
         super().__init__()
         self.learned = asyncio.Event()
-        # By the clock of the loop, which is the monotonic one.
+        # By the clock of the loop, which is that of all ages.
         self.heard_at = -math.inf
         # As of when the store itself confirmed all that is known.
         self.answered_as_of = -math.inf
--- a/src/linnetwood/lab/virtual.py
+++ b/src/linnetwood/lab/virtual.py
@@ -32,11 +32,16 @@
     def __init__(self) -> None:
         """Begin at zero."""
         self._jumping = _JumpingSelector()
+        self._suspended_s = float()
         super().__init__(self._jumping)
 
     def time(self) -> float:
         """Give the virtual seconds so far."""
-        return self._jumping.elapsed
+        return self._jumping.elapsed + self._suspended_s
+
+    def suspend(self, seconds: float) -> None:
+        """Let the VM be suspended: the time goes on, and nothing runs."""
+        self._suspended_s += seconds
 
 
 class VirtualClock:
--- a/src/linnetwood/programs/daemon.py
+++ b/src/linnetwood/programs/daemon.py
@@ -1,12 +1,11 @@
 """Start a daemon from its command line and settings file."""
 
 import argparse
-import asyncio
 import sys
 from collections.abc import Awaitable, Callable
 from typing import Any, TypeVar
 
-from linnetwood.core import settings
+from linnetwood.core import loops, settings
 from linnetwood.core.errors import LinnetwoodError
 from linnetwood.core.events import Event, log, open_log
 from linnetwood.core.memory import settle_memory
@@ -55,7 +54,7 @@
     settle_memory()
     log(Event.STARTED, program=name)
     try:
-        asyncio.run(_as_coroutine(serve(cfg)))
+        loops.run(_as_coroutine(serve(cfg)))
     except (LinnetwoodError, OSError) as exc:
         sys.stderr.write(f'{name}: {exc}\n')
         return EXIT_FAILED
--- a/src/linnetwood/programs/resident.py
+++ b/src/linnetwood/programs/resident.py
@@ -5,6 +5,7 @@
 import sys
 from collections.abc import Awaitable, Callable
 
+from linnetwood.core import loops
 from linnetwood.core.errors import LinnetwoodError
 from linnetwood.core.events import Event, log, open_log
 from linnetwood.core.memory import settle_memory
@@ -28,7 +29,7 @@
     settle_memory()
     log(Event.STARTED, program=program, zone=cfg.zone)
     try:
-        asyncio.run(_serve(serve, cfg))
+        loops.run(_serve(serve, cfg))
     except (LinnetwoodError, OSError) as exc:
         sys.stderr.write(f'{program}: {exc}\n')
         return EXIT_FAILED
--- a/src/linnetwood/weights/exchange.py
+++ b/src/linnetwood/weights/exchange.py
@@ -146,7 +146,7 @@
                 raise
 
     def heard_at(self) -> dict[str, float]:
-        """Give when the last byte came from each peer, in monotonic time."""
+        """Give when the last byte came from each peer, by the clock."""
         return {vm: stream.heard_at for vm, stream in self._streams.items()}
 
     def close(self) -> None:
--- a/src/linnetwood/wire/frames.py
+++ b/src/linnetwood/wire/frames.py
@@ -3,13 +3,13 @@
 import asyncio
 import enum
 import socket
-import time
 import struct
 from collections import deque
 from collections.abc import Callable, Iterator
 from types import MappingProxyType
 from typing import cast
 
+from linnetwood.core.clock import seconds
 from linnetwood.core.errors import CodecError, WireError
 from linnetwood.core.sizes import MIB
 
@@ -118,7 +118,7 @@
 
     def data_received(self, received: bytes) -> None:
         """Cut what came in into frames."""
-        self.heard_at = time.monotonic()
+        self.heard_at = seconds()
         self._pending += received
         try:
             self._ready.extend(split(self._pending))
--- a/tests/test_suspension.py
+++ b/tests/test_suspension.py
@@ -4,17 +4,36 @@
 taken for fresh, and a pause of any length went unnoticed.
 """
 
+import asyncio
 import time
 import unittest
 from unittest import mock
 
+from linnetwood.calls.crashes import Crashes, End
+from linnetwood.calls.directory import Directory, Listed
 from linnetwood.calls.grounds import Vigil
+from linnetwood.calls.standing import Report
+from linnetwood.core import loops
 from linnetwood.core.clock import SystemClock
 from linnetwood.core.pauses import PauseWatch
+from linnetwood.fleet.wanted import WantedVersions
+from linnetwood.lab.virtual import VirtualClock, VirtualLoop
+from linnetwood.wire.asking import Patience, ask
+from linnetwood.wire.curldriver import CurlDriver, Request
+from tests.test_curldriver import HOST, Server
 
 SUSPENDED_S = 6.0
 
 
+async def falls_silent(
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+) -> None:
+    """Begin an answer, and never end it."""
+    writer.write(b'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nx')
+    await reader.read()
+
+
 class Suspension:
     """Let the clock that counts suspensions run ahead of the steady one."""
 
@@ -52,5 +71,119 @@
         self.assertTrue(vigil.grounds().old)
 
 
+class LoopTest(unittest.TestCase):
+    """The loop of the programs, while the two clocks drift apart."""
+
+    def test_a_timer_that_was_due_meanwhile(self) -> None:
+        """It fires soon after, whatever the steady clock says."""
+        suspension = Suspension()
+
+        async def play() -> float:
+            loop = asyncio.get_running_loop()
+            began = loop.time()
+            fut: asyncio.Future[float] = loop.create_future()
+            due_s = SUSPENDED_S * 100
+            loop.call_later(due_s, lambda: fut.set_result(loop.time()))
+            suspension.gone_s = due_s
+            return await fut - began
+
+        with mock.patch('time.clock_gettime', suspension.clock_gettime):
+            self.assertGreaterEqual(loops.run(play()), SUSPENDED_S * 100)
+
+    def test_no_wait_is_long(self) -> None:
+        """Also where there is no timer at all, or one far away."""
+        for asked in (None, 60, 0.01, 0):
+            with mock.patch('selectors.DefaultSelector.select') as select:
+                loops.ShortWaits().select(asked)
+            with self.subTest(asked=asked):
+                waited_s = select.call_args.args[0]
+                self.assertLessEqual(waited_s, loops.WAIT_MOST_S)
+
+
+class BeliefTest(unittest.TestCase):
+    """What rests on ages, in virtual time: after a suspension they are true."""
+
+    def setUp(self) -> None:
+        self.loop = VirtualLoop()
+        self.addCleanup(self.loop.close)
+        self.clock = VirtualClock(self.loop)
+
+    def test_a_configuration(self) -> None:
+        """What was not confirmed since is an old belief."""
+        vigil = Vigil(self.clock, float, 1.8)
+        self.assertFalse(vigil.grounds().old)
+        self.loop.suspend(SUSPENDED_S)
+        self.assertTrue(vigil.grounds().old)
+
+    def test_a_version(self) -> None:
+        """Its bound passes meanwhile: calls start on no older one."""
+        wanted = WantedVersions(SUSPENDED_S)
+        wanted.serving([('m', 1)])
+        wanted.name('m', 2, self.clock.now())
+        self.assertEqual(wanted.least('m', self.clock.now()), 0)
+        self.loop.suspend(SUSPENDED_S)
+        self.assertEqual(wanted.least('m', self.clock.now()), 2)
+
+    def test_an_evacuation(self) -> None:
+        """Endpoints that were back, and may be cold, have been told by now."""
+        directory = Directory()
+        one = Listed('i', 's', '10.0.0.1', 80, 'z1', 8, ready=True)
+        directory.listed(one)
+        directory.evacuate(frozenset(('z1',)), self.clock.now())
+        directory.evacuate(frozenset(), self.clock.now())
+        self.assertTrue(directory.is_cold(one, self.clock.now()))
+        self.loop.suspend(SUSPENDED_S)
+        self.assertFalse(directory.is_cold(one, self.clock.now()))
+
+    def test_orders(self) -> None:
+        """A pause is noticed, and no order given on what was known."""
+        watch = PauseWatch(self.clock.now())
+        self.assertTrue(watch.may_order(self.clock.now()))
+        self.loop.suspend(SUSPENDED_S)
+        self.assertFalse(watch.may_order(self.clock.now()))
+
+    def test_a_report(self) -> None:
+        """An endpoint's load of before counts for nothing."""
+        report = Report(1, 1, 1, changing=False, heard_at=self.clock.now())
+        self.assertTrue(report.fresh(self.clock.now()))
+        self.loop.suspend(SUSPENDED_S)
+        self.assertFalse(report.fresh(self.clock.now()))
+        self.assertTrue(report.silent(self.clock.now()))
+
+    def test_a_refusal(self) -> None:
+        """Callers are told the time that is left, suspensions counted."""
+        crashes = Crashes()
+        for life in 'ab':
+            crashes.ended(End('l', life), self.clock.now())
+        before = crashes.wait_s('l', self.clock.now())
+        self.loop.suspend(SUSPENDED_S)
+        after = crashes.wait_s('l', self.clock.now())
+        self.assertEqual(before - after, SUSPENDED_S)
+
+    def test_a_kept_connection(self) -> None:
+        """An answer that was silent meanwhile is given up, and asked anew."""
+
+        async def play() -> float:
+            server = Server(falls_silent)
+            port = await server.start()
+            driver = CurlDriver()
+            loop = asyncio.get_running_loop()
+            loop.call_later(0.2, self._suspend)
+            began = loop.time()
+            req = Request(HOST, port, 'GET', '/', [], keep=True)
+            await ask(driver, req, 99, Patience(SUSPENDED_S, SUSPENDED_S))
+            driver.close()
+            await server.close()
+            return loop.time() - began
+
+        self.suspension = Suspension()
+        with mock.patch('time.clock_gettime', self.suspension.clock_gettime):
+            took_s = loops.run(play())
+        self.assertGreaterEqual(took_s, SUSPENDED_S)
+
+    def _suspend(self) -> None:
+        self.suspension.gone_s = SUSPENDED_S
+
+
 if __name__ == '__main__':
     unittest.main()
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -33,6 +33,9 @@
 def main() -> int:
     """Run the named tests, or all of them."""
     sys.path.insert(0, str(ROOT))
+    from tests.loops import use_loops_of_programs
+
+    use_loops_of_programs()
     logging.getLogger('tornado.access').setLevel(logging.CRITICAL)
     loader = unittest.TestLoader()
     if len(sys.argv) > 1:
