--- a/tests/test_introduction.py
+++ b/tests/test_introduction.py
@@ -1,4 +1,4 @@
-"""Entries that start where others are there hear these before the store.
+"""Entries that start hear others that are there while they read the store.
 
 Load pattern: most entries of a zone are killed and start again in one moment,
 and each reads a range of 700 KB over the link that its region shares; or all
--- a/tests/test_relaying.py
+++ b/tests/test_relaying.py
@@ -44,11 +44,11 @@
         self.changed = asyncio.Event()
         self._free_at = float()
 
-    def write(self, payload: bytes) -> None:
-        """Write the key anew."""
+    def write(self, payload: bytes, key: str = KEY) -> None:
+        """Write a key anew."""
         self.revision += 1
-        self.records[KEY] = Record(payload, self.revision)
-        self.events.append(Change(KEY, self.records[KEY]))
+        self.records[key] = Record(payload, self.revision)
+        self.events.append(Change(key, self.records[key]))
         self.changed.set()
         self.changed = asyncio.Event()
 
--- /dev/null
+++ b/tests/test_shared_ends.py
@@ -0,0 +1,102 @@
+"""Ends of endpoints, shared by entries of three zones, in virtual time.
+
+Load pattern: a call ends three endpoints, each seen by one entry of another
+zone, while the store turns a zone away, entries start, or a zone returns. All
+that reach the store are to know within 3 s of the third end.
+"""
+
+import asyncio
+import unittest
+
+from linnetwood.calls.crashes import End
+from linnetwood.platform.endboard import end_key
+from tests.test_narrow_regions import ZONES, RegionEntry, Regions, played
+
+ENDS = [End('c0' * 12, f'{number:016x}') for number in range(3)]
+KNOWN_WITHIN_S = 3.0
+
+
+def known(entry: RegionEntry) -> set[str]:
+    """Give the keys of ends that an entry holds."""
+    now = asyncio.get_running_loop().time()
+    held = entry.following.mirror.lack(0, now).changes
+    return {one.key for one in held if one.record and 'ends/' in one.key}
+
+
+def write(regions: Regions, *ends: End) -> None:
+    """Write ends, as entries that saw them do."""
+    for store in regions.stores.values():
+        for end in ends:
+            store.write(b'', end_key(end))
+
+
+class SharedEndsTest(unittest.TestCase):
+    """Write ends, and see who knows them."""
+
+    def assert_known(self, entries: list[RegionEntry]) -> None:
+        """Every one of them knows all ends."""
+        keys = {end_key(end) for end in ENDS}
+        for entry in entries:
+            with self.subTest(entry=entry.name):
+                self.assertEqual(known(entry), keys)
+
+    def test_seen_in_three_zones(self) -> None:
+        """All know all, half a second apart."""
+
+        async def act(regions: Regions) -> None:
+            for end in ENDS:
+                write(regions, end)
+                await asyncio.sleep(0.5)
+            await asyncio.sleep(KNOWN_WITHIN_S - 0.5)
+            self.assert_known(regions.entries)
+
+        played(act)
+
+    def test_a_zone_that_the_store_turns_away(self) -> None:
+        """It hears of them from the others."""
+
+        async def act(regions: Regions) -> None:
+            far = regions.stores[ZONES[2]]
+            far.cut = {one.name for one in regions.of(ZONES[2])}
+            await asyncio.sleep(2)
+            write(regions, *ENDS)
+            await asyncio.sleep(KNOWN_WITHIN_S)
+            self.assert_known(regions.entries)
+
+        played(act)
+
+    def test_an_entry_that_starts(self) -> None:
+        """It learns them with all the rest."""
+
+        async def act(regions: Regions) -> None:
+            write(regions, *ENDS)
+            await asyncio.sleep(1)
+            new = regions.add('10.1.0.9')
+            new.start()
+            await asyncio.sleep(KNOWN_WITHIN_S)
+            self.assert_known([new])
+
+        played(act)
+
+    def test_a_zone_that_returns(self) -> None:
+        """The store turned it away and nobody was named to it meanwhile."""
+
+        async def act(regions: Regions) -> None:
+            lost = regions.of(ZONES[1])
+            regions.entries = [
+                one for one in regions.entries if one not in lost
+            ]
+            store = regions.stores[ZONES[1]]
+            store.cut = {one.name for one in lost}
+            write(regions, *ENDS)
+            await asyncio.sleep(30)
+            regions.entries += lost
+            store.cut.clear()
+            await asyncio.sleep(KNOWN_WITHIN_S)
+            self.assert_known(lost)
+
+        played(act)
+
+
+if __name__ == '__main__':
+    unittest.main()
