--- a/src/linnetwood/programs/cli.py
+++ b/src/linnetwood/programs/cli.py
@@ -277,7 +277,7 @@
 def explain_call(call: str, *logs: str, json: bool = False) -> int:
     """Tell the story of a call from log files of several processes.
 
-    :param call: the call's id
+    :param call: the call's id, or the likeness of calls
     :param logs: files with log lines of any processes
     :param json: print JSON
     """
--- a/src/linnetwood/programs/explain.py
+++ b/src/linnetwood/programs/explain.py
@@ -1,4 +1,4 @@
-"""Tell the story of one call from the log lines of several processes."""
+"""Tell the story of a call, or of calls that are alike, from log lines."""
 
 import json
 from collections.abc import Iterable, Iterator
@@ -42,8 +42,11 @@
     lines: Iterable[dict[str, Any]],
     call: str,
 ) -> list[dict[str, Any]]:
-    """Give a call's lines in the order of their times, or raise UsageError."""
-    found = [line for line in lines if line.get(_CALL) == call]
+    """Give a call's lines in the order of their times, or raise UsageError.
+
+    The name may also be a likeness: then it is the story of all such calls.
+    """
+    found = [line for line in lines if _names(line, call)]
     if not found:
         raise UsageError('call-unknown', f'no line names the call {call}')
     return sorted(found, key=lambda line: str(line.get('asctime', '')))
@@ -56,6 +59,13 @@
     return f'{when}  {line.get("vm", "?")}: {teller(line)}'
 
 
+def _names(line: dict[str, Any], name: str) -> bool:
+    if name in {line.get(_CALL), line.get('likeness')}:
+        return True
+    likenesses = line.get('likenesses')
+    return isinstance(likenesses, list) and name in likenesses
+
+
 def _attempt(line: dict[str, Any]) -> str:
     first = line.get('first_ms', -1)
     began = 'no event came'
@@ -88,6 +98,13 @@
     return f'cut off ({line.get("code")}){_detail(line)}'
 
 
+def _crashed(line: dict[str, Any]) -> str:
+    return (
+        f'{line.get("endpoint")} of {line.get("service")} ended '
+        f'({line.get("why")}) under {line.get("calls")} calls'
+    )
+
+
 def _plain(line: dict[str, Any]) -> str:
     fields = {
         name: text
@@ -110,5 +127,6 @@
         int(Event.CALL_NOT_RUN): _not_run,
         int(Event.CALL_UNKNOWN): _unknown,
         int(Event.CALL_CUT): _cut,
+        int(Event.ENDPOINT_CRASHED): _crashed,
     },
 )
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -53,6 +53,32 @@
 )
 
 
+ALIKE = '\n'.join(
+    (
+        line(
+            6008,
+            'endpoint_crashed',
+            '3,000',
+            endpoint='i-7',
+            service='pool',
+            why='refused',
+            calls=2,
+            likenesses=['c0ffee', 'beef'],
+        ),
+        line(
+            6006,
+            'call_refused',
+            '4,000',
+            call='c-8',
+            likeness='c0ffee',
+            code='ends-endpoints',
+            detail='2 ended',
+            retry_after_ms=59000,
+        ),
+    ),
+)
+
+
 class ExplainTest(unittest.TestCase):
     """Run the command on files."""
 
@@ -61,7 +87,7 @@
         with tempfile.TemporaryDirectory() as folder:
             one = pathlib.Path(folder) / 'one.log'
             two = pathlib.Path(folder) / 'two.log'
-            one.write_text(FIRST_LOG)
+            one.write_text(f'{FIRST_LOG}\n{ALIKE}')
             two.write_text(SECOND_LOG)
             out, err = io.StringIO(), io.StringIO()
             with (
@@ -83,6 +109,14 @@
         self.assertIn('sent to i-1', second)
         self.assertIn('no event came; ended "stalled"', second)
 
+    def test_calls_that_are_alike(self) -> None:
+        """What endpoints ended under, and what was refused for it."""
+        code, said, _ = self.run_command('c0ffee')
+        self.assertEqual(code, cli.EXIT_OK)
+        crash, refusal = said.splitlines()
+        self.assertIn('i-7 of pool ended (refused) under 2 calls', crash)
+        self.assertIn('refused at the door (ends-endpoints), 2 ended', refusal)
+
     def test_json(self) -> None:
         """The same as data."""
         code, said, _ = self.run_command('c-1', '--json')
