--- a/src/linnetwood/calls/crashtelling.py
+++ b/src/linnetwood/calls/crashtelling.py
@@ -7,7 +7,7 @@
 
 import asyncio
 from collections import deque
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from random import Random
 from typing import Protocol
 
@@ -46,9 +46,15 @@
 class EndTeller(Owner):
     """Own the calls that tell; one at a time."""
 
-    def __init__(self, board: EndBoard, rng: Random) -> None:
-        """Have nothing to tell."""
+    def __init__(
+        self,
+        board: EndBoard,
+        rng: Random,
+        entries: Callable[[], int],
+    ) -> None:
+        """Have nothing to tell; so many entries share the store."""
         super().__init__()
+        self._entries = entries
         self._board = board
         self._rng = rng
         self._share: deque[End] = deque(maxlen=_MOST_WAITING)
@@ -69,6 +75,9 @@
         self._drop.append(end)
         self._wake.set()
 
+    def gone(self, end: End) -> None:
+        """Note that the store holds an end no more."""
+
     async def _run(self) -> None:
         failures = 0
         while True:
--- a/src/linnetwood/programs/resident_ends.py
+++ b/src/linnetwood/programs/resident_ends.py
@@ -1,5 +1,6 @@
 """What an entry knows of calls that end endpoints: seen here, and shared."""
 
+from collections.abc import Callable
 from random import Random
 
 from linnetwood.calls.crashes import Crashes
@@ -25,9 +26,15 @@
         rng: Random,
     ) -> None:
         """Suspect nobody."""
+        # How many entries share the store's calls.
+        self.entries: Callable[[], int] = _one_entry
         self._clock = clock
         self._crashes = Crashes()
-        self._teller = EndTeller(StoreEndBoard(store, clock), rng)
+        self._teller = EndTeller(
+            StoreEndBoard(store, clock),
+            rng,
+            lambda: self.entries(),
+        )
         self.watch = CrashWatch(
             self._crashes,
             directory,
@@ -52,3 +59,7 @@
     def before(self, admit: Admit) -> Quarantine:
         """Give what refuses calls that end endpoints, before all else."""
         return Quarantine(self._crashes, admit, self._clock)
+
+
+def _one_entry() -> int:
+    return 1
--- a/src/linnetwood/programs/resident_entry.py
+++ b/src/linnetwood/programs/resident_entry.py
@@ -105,6 +105,7 @@
         metrics.gauge(Metric.CONFIG_VERSION, lambda: self.book.version)
         metrics.gauge(Metric.STORE_AGE_S, self.vigil.store_age_s)
         chooser.entries = lambda: self.reports.entries
+        ends.entries = chooser.entries
         self._figures = FiguresPage(metrics)
         wake = self.reports.wake
         ignored = Ignored(lambda: metrics.count(Metric.RECORDS_IGNORED))
--- /dev/null
+++ b/tests/test_crashtelling.py
@@ -0,0 +1,182 @@
+"""What entries write of crashes: nothing stays, and calls to the store are few.
+
+Load patterns: (a) the answer of a write is lost, and the call is cleared before
+it is written again; the write may also be carried out seconds later. (b) At 410
+entries, the size to design for, 16 calls of each of 60 endpoints are lost at
+once, as when an availability zone loses power. (c) Calls that are alike at all
+of these entries are answered within a moment after one of them ended with its
+endpoint, as with a hot key. The smallest store that was met takes 400 writing
+calls a second from all entries; crashes may have half of these.
+"""
+
+import asyncio
+import collections
+import unittest
+from collections.abc import Sequence
+from random import Random
+
+from linnetwood.calls.crashes import End, life_digest
+from linnetwood.calls.crashtelling import EndTeller
+from linnetwood.core.errors import StoreError
+from linnetwood.lab.virtual import run
+
+END = End('c0' * 12, life_digest('i-1'))
+ENTRIES = 410
+ENDPOINTS = 60
+CALLS = 16
+# What a watch takes to tell all entries of a change.
+SEEN_S = 0.15
+KNOWN_WITHIN_S = 3.0
+MOST_PER_S = 200
+
+
+class LostAnswers:
+    """Carry the first writes out after a while, and never answer them."""
+
+    most = 4
+
+    def __init__(self, lost: int, late_s: float = 0) -> None:
+        self.ends: set[End] = set()
+        self._lost = lost
+        self._late_s = late_s
+
+    async def write(self, share: Sequence[End], drop: Sequence[End]) -> None:
+        self._lost -= 1
+        if self._lost < 0:
+            self._carry_out(set(share), set(drop))
+            return
+        loop = asyncio.get_running_loop()
+        loop.call_later(self._late_s, self._carry_out, set(share), set(drop))
+        await asyncio.sleep(0.5)
+        raise StoreError('store-unreachable')
+
+    def _carry_out(self, share: set[End], drop: set[End]) -> None:
+        self.ends = (self.ends | share) - drop
+
+
+class Fleet:
+    """Entries before one store that tells all of them what was taken away."""
+
+    most = 32
+
+    def __init__(self) -> None:
+        self.calls: collections.Counter[float] = collections.Counter()
+        self.known: dict[End, float] = {}
+        self.tellers = [
+            EndTeller(self, Random(seed), lambda: ENTRIES)
+            for seed in range(ENTRIES)
+        ]
+        for teller in self.tellers:
+            teller.start()
+
+    async def write(self, share: Sequence[End], drop: Sequence[End]) -> None:
+        loop = asyncio.get_running_loop()
+        self.calls[round(loop.time(), 1)] += 1
+        await asyncio.sleep(0.01)
+        for end in share:
+            self.known.setdefault(end, loop.time())
+        loop.call_later(SEEN_S, self._all_see, list(drop))
+
+    async def close(self) -> None:
+        for teller in self.tellers:
+            await teller.close()
+
+    def most_per_s(self) -> int:
+        """Give the calls of the worst second."""
+        return max(
+            sum(self.calls[round(at + one / 10, 1)] for one in range(10))
+            for at in list(self.calls)
+        )
+
+    def _all_see(self, gone: list[End]) -> None:
+        for teller in self.tellers:
+            for end in gone:
+                teller.gone(end)
+
+
+class LostAnswersTest(unittest.TestCase):
+    """An end that may have been written, and is cleared meanwhile."""
+
+    def left(self, board: LostAnswers, cleared_s: float) -> set[End]:
+        """Clear an end so long after it was told; give what stays."""
+
+        async def play() -> None:
+            teller = EndTeller(board, Random(1), lambda: 1)
+            teller.start()
+            teller.share(END)
+            await asyncio.sleep(cleared_s)
+            teller.withdraw(END)
+            await asyncio.sleep(60)
+            await teller.close()
+
+        run(play())
+        return board.ends
+
+    def test_cleared_while_no_answer_comes(self) -> None:
+        """It is taken away, whether or not it was written."""
+        self.assertEqual(self.left(LostAnswers(1), 0.3), set())
+
+    def test_cleared_before_it_is_written_again(self) -> None:
+        """Between two tries."""
+        self.assertEqual(self.left(LostAnswers(1), 0.62), set())
+
+    def test_written_seconds_later(self) -> None:
+        """What was taken away too early is taken away again."""
+        self.assertEqual(self.left(LostAnswers(1, 4.0), 0.62), set())
+
+
+class GrowthTest(unittest.TestCase):
+    """Calls to the store after a crash, at the size to design for."""
+
+    def test_a_zone_without_power(self) -> None:
+        """All know within their time; the store is not pressed."""
+
+        async def play() -> Fleet:
+            fleet = Fleet()
+            rng = Random(3)
+            for place in range(ENDPOINTS):
+                life = life_digest(f'i-{place}')
+                for call in range(CALLS):
+                    end = End(f'{place}-{call}', life)
+                    rng.choice(fleet.tellers).share(end)
+            await asyncio.sleep(30)
+            await fleet.close()
+            return fleet
+
+        fleet = run(play())
+        self.assertEqual(len(fleet.known), ENDPOINTS * CALLS)
+        self.assertLessEqual(max(fleet.known.values()), KNOWN_WITHIN_S)
+        self.assertLessEqual(fleet.most_per_s(), MOST_PER_S)
+
+    def test_a_crash_of_one_endpoint(self) -> None:
+        """It is told at once, however many entries there are."""
+
+        async def play() -> Fleet:
+            fleet = Fleet()
+            for call in range(CALLS):
+                fleet.tellers[call].share(End(f'l-{call}', END.life))
+            await asyncio.sleep(30)
+            await fleet.close()
+            return fleet
+
+        fleet = run(play())
+        self.assertLessEqual(sum(fleet.calls.values()), CALLS)
+        self.assertLessEqual(max(fleet.known.values()), 0.2)
+
+    def test_all_see_an_answer(self) -> None:
+        """One takes it away, and the others see that."""
+
+        async def play() -> Fleet:
+            fleet = Fleet()
+            for teller in fleet.tellers:
+                teller.withdraw(END)
+            await asyncio.sleep(60)
+            await fleet.close()
+            return fleet
+
+        fleet = run(play())
+        self.assertLessEqual(sum(fleet.calls.values()), CALLS)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/tests/test_crashwatch.py
+++ b/tests/test_crashwatch.py
@@ -177,7 +177,7 @@
         """Let a teller work for a while."""
 
         async def play() -> None:
-            teller = EndTeller(board, Random(1))
+            teller = EndTeller(board, Random(1), lambda: 1)
             teller.start()
             await work(teller)
             await asyncio.sleep(10)
