Name calls alike whatever text a stored name holds

Cause: a name in a record may escape half of a pair of units (JSON allows it), which UTF-8 refuses; each call of that organisation raised. surrogateescape mends only the 128 units that stand for raw bytes. surrogatepass encodes all of them, each differently (so nothing is alike that was not). Ruled out: 'replace', by which two organisations would share a likeness, and with it refusals.

--- a/src/linnetwood/calls/likeness.py
+++ b/src/linnetwood/calls/likeness.py
@@ -23,6 +23,7 @@
     digest = hashlib.blake2b(digest_size=LIKENESS_BYTES)
     for part in (organisation, method, host.lower(), target):
         # What callers write holds no such byte, so parts can't be shifted.
-        digest.update(part.encode('utf-8', 'surrogateescape') + _SEPARATOR)
+        # Stored names are JSON, which can escape half of a pair of units.
+        digest.update(part.encode('utf-8', 'surrogatepass') + _SEPARATOR)
     digest.update(body)
     return digest.hexdigest()
