Bound the calls that tell of crashes, and leave no end behind

Two causes in one class. (1) An end whose write got no answer stood in the store though it was cleared here: withdraw took it off the queue alone. (2) Each entry that lost calls wrote at the same moment, and each that saw an answer took the same keys away. Now entries take turns where several endpoints ended at once (one endpoint's calls come from few entries and are told at once), and who waits to take an end away sees that another did. What is to be shared doesn't wait for turns.

--- a/src/linnetwood/platform/endboard.py
+++ b/src/linnetwood/platform/endboard.py
@@ -2,7 +2,7 @@
 
 import math
 import re
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 from linnetwood.calls.crashes import FORGOTTEN_S, Crashes, End
 from linnetwood.core.clock import Clock
@@ -66,8 +66,10 @@
         crashes: Crashes,
         clock: Clock,
         ignored: Ignored | None = None,
+        gone: Callable[[End], None] | None = None,
     ) -> None:
-        """Keep them as the store has them."""
+        """Keep them as the store has them; tell which are taken away."""
+        self._gone = gone or _tell_nobody
         self._crashes = crashes
         self._clock = clock
         self._ignored = ignored or Ignored()
@@ -92,6 +94,7 @@
                 continue
             if change.record is None:
                 self._crashes.withdrawn(end)
+                self._gone(end)
             else:
                 at = now - _known_s(change.age_s)
                 self._crashes.ended(end, at, shared=True)
@@ -111,6 +114,10 @@
     return age_s if math.isfinite(age_s) else 0
 
 
+def _tell_nobody(end: End) -> None:
+    """Nobody here takes ends away."""
+
+
 def end_key(end: End) -> str:
     """Give the key under which an end stands."""
     return f'{records.END_PREFIX}{end.likeness}/{end.life}'
--- a/src/linnetwood/programs/resident_ends.py
+++ b/src/linnetwood/programs/resident_ends.py
@@ -54,7 +54,12 @@
 
     def feed(self, ignored: Ignored) -> EndFeed:
         """Give what takes in the ends that others share."""
-        return EndFeed(self._crashes, self._clock, ignored)
+        return EndFeed(
+            self._crashes,
+            self._clock,
+            ignored,
+            self._teller.gone,
+        )
 
     def before(self, admit: Admit) -> Quarantine:
         """Give what refuses calls that end endpoints, before all else."""
--- a/tests/test_crashtelling.py
+++ b/tests/test_crashtelling.py
@@ -63,7 +63,7 @@
         self.calls: collections.Counter[float] = collections.Counter()
         self.known: dict[End, float] = {}
         self.tellers = [
-            EndTeller(self, Random(seed), lambda: ENTRIES)
+            EndTeller(self, Random(seed), self.entries)
             for seed in range(ENTRIES)
         ]
         for teller in self.tellers:
@@ -77,6 +77,9 @@
             self.known.setdefault(end, loop.time())
         loop.call_later(SEEN_S, self._all_see, list(drop))
 
+    def entries(self) -> int:
+        return ENTRIES
+
     async def close(self) -> None:
         for teller in self.tellers:
             await teller.close()
@@ -163,6 +166,21 @@
         self.assertLessEqual(sum(fleet.calls.values()), CALLS)
         self.assertLessEqual(max(fleet.known.values()), 0.2)
 
+    def test_a_crash_while_another_is_cleared(self) -> None:
+        """It does not wait for the turn of what is taken away."""
+
+        async def play() -> Fleet:
+            fleet = Fleet()
+            for teller in fleet.tellers:
+                teller.withdraw(END)
+            await asyncio.sleep(0.2)
+            fleet.tellers[0].share(End('l', 'b'))
+            await asyncio.sleep(0.2)
+            await fleet.close()
+            return fleet
+
+        self.assertIn(End('l', 'b'), run(play()).known)
+
     def test_all_see_an_answer(self) -> None:
         """One takes it away, and the others see that."""
 
--- a/tests/test_crashwatch.py
+++ b/tests/test_crashwatch.py
@@ -256,6 +256,18 @@
         self.feed.replaced(Snapshot({}, 4))
         self.assertEqual(self.crashes.ends(LIKENESS), 0)
 
+    def test_what_another_took_away(self) -> None:
+        """Nobody here need take it away."""
+        gone: list[End] = []
+        loop = asyncio.new_event_loop()
+        self.addCleanup(loop.close)
+        clock = VirtualClock(loop)
+        feed = EndFeed(self.crashes, clock, gone=gone.append)
+        feed.changed((Change(end_key(END), Record(b'', 3)),))
+        self.assertEqual(gone, [])
+        feed.changed((Change(end_key(END), None),))
+        self.assertEqual(gone, [END])
+
     def test_keys_that_others_wrote(self) -> None:
         """What is no such key is passed over; its value never counts."""
         for key in ('ends/', 'ends/x/y', f'ends/{LIKENESS}', 'ends/' + '/' * 9):
