--- a/src/linnetwood/calls/crashtelling.py
+++ b/src/linnetwood/calls/crashtelling.py
@@ -23,9 +23,10 @@
 # What clears a call that is not refused is in no hurry.
 _CLEAR_S = 1.0
 _PAUSE_FIRST_S = 0.1
-# Entries take turns where several endpoints end at once, so that their calls stay
-# under 200 a second, half of what the smallest store that was met takes. At 410 entries and 60 endpoints the worst second has 156 to 178 in place of 363
-# (the load of tests/test_crashtelling.py, twelve seeds).
+# Entries take turns where several endpoints end at once, so that their calls
+# stay under 200 a second, half of what the smallest store that was met takes.
+# At 410 entries and 60 endpoints the worst second has 156 to 178 in place of
+# 363 (the load of tests/test_crashtelling.py, twelve seeds).
 _CALLS_PER_S = 150
 # All are to know within 3 s; half a second is left for the call and the news.
 _SPREAD_MOST_S = 2.5
