Tell which decision on calls loses most, from log lines

linnetwood forecasts holds each decision against what came: the wait to the first event predicted and seen (by route, prompt, age of the report, load, way), calls refused though there was room, calls admitted that came late, returns told into full seconds, tries taken back, versions nobody serves. The log lines of attempts tell the prompt, and event 6011 what was believed where a call was refused or taken as late: one line more for each such call, none for others. The commands that read logs have a module of their own, exit codes one place, and counted spreads one; tests name the codes where they stand now, with the same assertions. No decision is changed.

--- a/demo/run.py
+++ b/demo/run.py
@@ -16,7 +16,7 @@
 )
 from linnetwood.lab.launcher import Fleet, Plan
 from linnetwood.lab.load import Caller, Record, Traffic, percentile
-from linnetwood.programs import cli
+from linnetwood.programs import cli, exits
 
 MODEL = 'sevak'
 REPLICAS = 4
@@ -65,7 +65,7 @@
         f'--ready-in-s={LIMIT_S}',
         '--wait',
     )
-    if code != cli.EXIT_OK:
+    if code != exits.EXIT_OK:
         sys.exit(f'rollout of {version} ended with {code}')
     return time.monotonic() - began
 
--- a/src/linnetwood/calls/accounts.py
+++ b/src/linnetwood/calls/accounts.py
@@ -3,7 +3,7 @@
 import dataclasses
 
 from linnetwood.calls.attempt import Attempt, AttemptEnd
-from linnetwood.calls.choice import Choice
+from linnetwood.calls.choice import Choice, Need
 from linnetwood.calls.dialect import Urgency
 from linnetwood.calls.grounds import Grounds
 from linnetwood.calls.routebook import Route
@@ -37,6 +37,7 @@
     belief: Belief
     at: float
     grounds: Grounds
+    prompt: int = 0
 
 
 def believed(standing: Standing, now: float) -> Belief:
@@ -86,6 +87,7 @@
         far=sending.choice.far,
         version=sending.choice.version,
         urgency=sending.urgency.value,
+        prompt=sending.prompt,
         waiting=belief.waiting,
         running=belief.running,
         report_age_ms=belief.report_age_ms,
@@ -105,5 +107,32 @@
     )
 
 
+def tell_admission(
+    call_id: str,
+    route: Route,
+    need: Need,
+    choice: Choice,
+    belief: Belief,
+    outcome: str,
+) -> None:
+    """Log what was decided of a call that no endpoint begins in time."""
+    log(
+        Event.ADMISSION_DECIDED,
+        call=call_id,
+        route=route.name,
+        endpoint=choice.endpoint.endpoint,
+        far=choice.far,
+        version=choice.version,
+        prompt=need.prompt,
+        waiting=belief.waiting,
+        running=belief.running,
+        report_age_ms=belief.report_age_ms,
+        predicted_ms=_ms(choice.wait_s),
+        enough_ms=_ms(need.enough_s),
+        target_ms=_ms(route.target_s),
+        outcome=outcome,
+    )
+
+
 def _ms(seconds: float) -> int:
     return round(seconds * _MILLISECONDS)
--- a/src/linnetwood/calls/direct.py
+++ b/src/linnetwood/calls/direct.py
@@ -206,6 +206,7 @@
             believed(standing, now),
             now,
             call.grounds,
+            call.head.prompt,
         )
         standing.sent()
         self._chooser.sent(call.service, choice.endpoint, now)
--- a/src/linnetwood/calls/entrance.py
+++ b/src/linnetwood/calls/entrance.py
@@ -4,7 +4,8 @@
 from random import Random
 from typing import Protocol
 
-from linnetwood.calls.choice import Chooser, Need
+from linnetwood.calls.accounts import believed, tell_admission
+from linnetwood.calls.choice import Choice, Chooser, Need
 from linnetwood.calls.dialect import Urgency
 from linnetwood.calls.direct import DirectCall
 from linnetwood.core.clock import Clock
@@ -53,7 +54,9 @@
             return self._refusal(Code.NO_ENDPOINT, call, 'none')
         if choice.wait_s <= need.enough_s:
             return Urgency.IN_TIME
-        if self._room_behind(need):
+        late = self._room_behind(need)
+        self._tell(call, need, choice, 'late' if late else 'refused')
+        if late:
             return Urgency.LATE
         detail = f'predicted {round(choice.wait_s * _MILLISECONDS)} ms'
         return self._refusal(Code.OVERLOADED, call, detail)
@@ -74,6 +77,24 @@
         waiting, running = standing.work(now)
         return waiting + running < engine.slots - _KEPT_FREE
 
+    def _tell(
+        self,
+        call: DirectCall,
+        need: Need,
+        choice: Choice,
+        outcome: str,
+    ) -> None:
+        standing = self._chooser.standing(choice.endpoint.life)
+        belief = believed(standing, self._clock.now())
+        tell_admission(
+            call.head.call_id,
+            call.route,
+            need,
+            choice,
+            belief,
+            outcome,
+        )
+
     def _refusal(self, code: Code, call: DirectCall, detail: str) -> Ending:
         """Refuse, and say when to come back."""
         left_s = call.until - self._clock.now()
--- a/src/linnetwood/programs/cli.py
+++ b/src/linnetwood/programs/cli.py
@@ -5,9 +5,9 @@
 import sys
 import time
 import uuid
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterator
 from types import MappingProxyType
-from typing import Any, Final, TextIO
+from typing import Any, Final
 
 import defopt
 from thrift.Thrift import TException
@@ -27,15 +27,17 @@
     Verdict,
     Weigh,
 )
-from linnetwood.programs import explain, losses, show, traffic
+from linnetwood.programs import logcommands, show
 from linnetwood.programs.client import OperatorClient
+from linnetwood.programs.exits import (
+    EXIT_AT_RISK,
+    EXIT_BAD_INPUT,
+    EXIT_NOT_KNOWN,
+    EXIT_OK,
+    EXIT_REFUSED,
+    EXIT_UNREACHABLE,
+)
 
-EXIT_OK = 0
-EXIT_REFUSED = 1
-EXIT_BAD_INPUT = 2
-EXIT_NOT_KNOWN = 3
-EXIT_UNREACHABLE = 4
-EXIT_AT_RISK = 5
 DEFAULT_ENTRY = '127.0.0.1:7700'
 # Names a folder with cert.pem, key.pem and ca.pem; unset means plain mode.
 TLS_FOLDER = 'LINNETWOOD_TLS'
@@ -51,7 +53,7 @@
     """
     deployment = schema.load(file)
     lines = (f'{file}: the schema is good',)
-    return _print(deployment, lines, json)
+    return show.printed(deployment, lines, json)
 
 
 def apply(
@@ -161,7 +163,7 @@
     last: RolloutStatus | None = None
     with _client(entry) as calls:
         for found in _follow(calls, model, wait):
-            _print(found, (show.rollout(found),), json)
+            show.printed(found, (show.rollout(found),), json)
             last = found
     if last is None:
         raise UsageError('no-rollout', f'model {model} has no intent')
@@ -221,7 +223,7 @@
     """
     with _client(entry) as calls:
         found = calls.endpoints()
-    return _print(found, map(show.endpoint, found), json)
+    return show.printed(found, map(show.endpoint, found), json)
 
 
 def endpoint_drain(
@@ -238,7 +240,9 @@
     """
     with _client(entry) as calls:
         calls.drain(vm, getpass.getuser())
-    return _print({'vm': vm, 'state': 'leaving'}, (f'{vm} is leaving',), json)
+    return show.printed(
+        {'vm': vm, 'state': 'leaving'}, (f'{vm} is leaving',), json
+    )
 
 
 def status(*, entry: str = DEFAULT_ENTRY, json: bool = False) -> int:
@@ -249,7 +253,7 @@
     """
     with _client(entry) as calls:
         found = calls.status()
-    return _print(found, show.status(found), json)
+    return show.printed(found, show.status(found), json)
 
 
 def config_show(*, entry: str = DEFAULT_ENTRY, json: bool = False) -> int:
@@ -260,7 +264,7 @@
     """
     with _client(entry) as calls:
         found = calls.configuration()
-    return _print(found, show.configuration(found), json)
+    return show.printed(found, show.configuration(found), json)
 
 
 def config_history(*, entry: str = DEFAULT_ENTRY, json: bool = False) -> int:
@@ -271,60 +275,7 @@
     """
     with _client(entry) as calls:
         found = calls.configuration()
-    return _print(found.history, show.history(found), json)
-
-
-def explain_call(call: str, *logs: str, json: bool = False) -> int:
-    """Tell the story of a call from log files of several processes.
-
-    :param call: the call's id, or the likeness of calls
-    :param logs: files with log lines of any processes
-    :param json: print JSON
-    """
-    lines: list[dict[str, Any]] = []
-    for stream in _opened(logs):
-        lines.extend(explain.lines_of(stream))
-    story = explain.of_call(lines, call)
-    return _print(story, map(explain.sentence, story), json)
-
-
-def sum_up_losses(*logs: str, json: bool = False) -> int:
-    """Sum up by second which calls were late, refused or lost, and why.
-
-    :param logs: files with log lines of any processes
-    :param json: print JSON
-    """
-    found = losses.sum_up(_opened(_named(logs)))
-    if json:
-        sys.stdout.write(f'{losses.as_json(found)}\n')
-    else:
-        sys.stdout.writelines(f'{line}\n' for line in losses.report(found))
-    return EXIT_OK
-
-
-def sum_up_traffic(*logs: str, json: bool = False) -> int:
-    """Sum up what processes say to each other, a second and a process.
-
-    :param logs: files with log lines of any processes
-    :param json: print JSON
-    """
-    found = traffic.sum_up(_opened(_named(logs)))
-    return _print(list(found.rows()), traffic.report(found), json)
-
-
-def _named(logs: tuple[str, ...]) -> tuple[str, ...]:
-    if not logs:
-        raise UsageError('log-missing', 'name one log file or more')
-    return logs
-
-
-def _opened(logs: Iterable[str]) -> Iterator[TextIO]:
-    for name in logs:
-        try:
-            with open(name, encoding='utf-8', errors='replace') as stream:
-                yield stream
-        except OSError as exc:
-            raise UsageError('log-unreadable', f'{name}: {exc}') from exc
+    return show.printed(found.history, show.history(found), json)
 
 
 def _client(entry: str) -> OperatorClient:
@@ -356,7 +307,7 @@
 
 
 def _answered(found: Answer, as_json: bool) -> int:
-    _print(found, show.answer(found), as_json)
+    show.printed(found, show.answer(found), as_json)
     return {
         Verdict.ACCEPTED: EXIT_OK,
         Verdict.REFUSED: EXIT_REFUSED,
@@ -364,12 +315,6 @@
     }[found.verdict]
 
 
-def _print(found: Any, lines: Iterable[str], as_json: bool) -> int:
-    text = show.as_json(found) if as_json else '\n'.join(lines)
-    sys.stdout.write(f'{text}\n')
-    return EXIT_OK
-
-
 COMMANDS: Final = MappingProxyType(
     {
         'schema': {'check': schema_check},
@@ -382,9 +327,10 @@
         'settle': settle,
         'endpoint': {'list': endpoint_list, 'drain': endpoint_drain},
         'status': status,
-        'explain': explain_call,
-        'losses': sum_up_losses,
-        'traffic': sum_up_traffic,
+        'explain': logcommands.explain_call,
+        'losses': logcommands.sum_up_losses,
+        'forecasts': logcommands.sum_up_forecasts,
+        'traffic': logcommands.sum_up_traffic,
         'config': {'show': config_show, 'history': config_history},
     }
 )
--- a/src/linnetwood/programs/daemon.py
+++ b/src/linnetwood/programs/daemon.py
@@ -10,10 +10,7 @@
 from linnetwood.core.events import Event, log, open_log
 from linnetwood.core.memory import settle_memory
 from linnetwood.core.trust import Keys
-
-EXIT_OK = 0
-EXIT_FAILED = 1
-EXIT_SETTINGS = 2
+from linnetwood.programs.exits import EXIT_FAILED, EXIT_OK, EXIT_SETTINGS
 
 _Options = TypeVar('_Options')
 
--- a/src/linnetwood/programs/losses.py
+++ b/src/linnetwood/programs/losses.py
@@ -9,6 +9,7 @@
 
 from linnetwood.core.events import Event
 from linnetwood.programs.explain import read_line
+from linnetwood.programs.spread import Spread
 
 # A wait at the store lasts two seconds and has one more to be answered; what
 # was not confirmed for longer is an old belief.
@@ -20,16 +21,13 @@
 # What stands where a line does not tell.
 _UNTOLD = '?'
 _REST = (_UNTOLD, _UNTOLD, 'rest')
-# Waits are counted in steps of so many milliseconds, up to a last step.
-_STEP_MS = 25
 _MEDIAN = 0.5
 _TAIL = 0.9
-_LAST_STEP = 400
 _SECOND = len('2026-01-01 00:00:00')
 IN_TIME = 'in time'
-_LATE_START = 'late: first event'
-_LATE_GAP = 'late: pause'
-_LATE = 'late'
+LATE_START = 'late: first event'
+LATE_GAP = 'late: pause'
+LATE_PLAIN = 'late'
 _ENDINGS = MappingProxyType(
     {
         int(Event.CALL_REFUSED): 'refused',
@@ -44,32 +42,6 @@
 _BY_OLD_BELIEF = 'refused by an old belief'
 
 
-class Spread:
-    """Count milliseconds in steps, so that memory does not grow with calls."""
-
-    __slots__ = ('_counts', 'count')
-
-    def __init__(self) -> None:
-        """Begin empty."""
-        self.count = 0
-        self._counts: collections.Counter[int] = collections.Counter()
-
-    def add(self, milliseconds: float) -> None:
-        """Count one."""
-        step = int(milliseconds // _STEP_MS)
-        self._counts[max(-_LAST_STEP, min(_LAST_STEP, step))] += 1
-        self.count += 1
-
-    def at(self, share: float) -> int | None:
-        """Give a quantile, to the step; None of nothing."""
-        left = share * self.count
-        for step in sorted(self._counts):
-            left -= self._counts[step]
-            if left < 0:
-                return step * _STEP_MS
-        return None
-
-
 class Second:
     """What one second's lines add up to."""
 
@@ -166,14 +138,14 @@
     target_ms = _number(line, 'target_ms')
     if first_ms < 0:
         in_time = _number(line, 'took_ms') <= target_ms
-        return IN_TIME if in_time else _LATE
-    if line.get('urgency') == _LATE:
+        return IN_TIME if in_time else LATE_PLAIN
+    if line.get('urgency') == LATE_PLAIN:
         return 'late: came back'
     if first_ms > target_ms:
-        return _LATE_START
+        return LATE_START
     allowed_ms = _number(line, 'allowed_gap_ms')
     if allowed_ms and _number(line, 'gap_ms') > allowed_ms:
-        return _LATE_GAP
+        return LATE_GAP
     return IN_TIME
 
 
--- a/src/linnetwood/programs/show.py
+++ b/src/linnetwood/programs/show.py
@@ -1,7 +1,8 @@
 """Show answers to operators, as text or as JSON."""
 
 import json
-from collections.abc import Iterator
+import sys
+from collections.abc import Iterable, Iterator
 from typing import Any
 
 from linnetwood.gen.schema.ttypes import (
@@ -13,6 +14,7 @@
     Status,
     Verdict,
 )
+from linnetwood.programs.exits import EXIT_OK
 
 _PERCENT = 100
 
@@ -32,6 +34,13 @@
     return json.dumps(plain(message), indent=2)
 
 
+def printed(found: Any, lines: Iterable[str], in_json: bool) -> int:
+    """Print what was found, as lines or as JSON; give the exit code."""
+    text = as_json(found) if in_json else '\n'.join(lines)
+    sys.stdout.write(f'{text}\n')
+    return EXIT_OK
+
+
 def answer(found: Answer) -> Iterator[str]:
     """Say how a change ended."""
     verdict = Verdict._VALUES_TO_NAMES[found.verdict].lower().replace('_', ' ')
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -7,7 +7,7 @@
 import tempfile
 import unittest
 
-from linnetwood.programs import cli
+from linnetwood.programs import cli, exits
 
 
 def line(event: int, message: str, at: str, **fields: object) -> str:
@@ -102,7 +102,7 @@
     def test_story_is_in_order_and_in_plain_words(self) -> None:
         """Lines of all processes make one story; torn ones are left out."""
         code, said, _ = self.run_command('c-1')
-        self.assertEqual(code, cli.EXIT_OK)
+        self.assertEqual(code, exits.EXIT_OK)
         first, second = said.splitlines()
         self.assertIn('refused at the door (overloaded)', first)
         self.assertIn('may come back after 650 ms', first)
@@ -112,7 +112,7 @@
     def test_calls_that_are_alike(self) -> None:
         """What endpoints ended under, and what was refused for it."""
         code, said, _ = self.run_command('c0ffee')
-        self.assertEqual(code, cli.EXIT_OK)
+        self.assertEqual(code, exits.EXIT_OK)
         crash, refusal = said.splitlines()
         self.assertIn('i-7 of pool ended (refused) under 2 calls', crash)
         self.assertIn('refused at the door (ends-endpoints), 2 ended', refusal)
@@ -120,18 +120,18 @@
     def test_json(self) -> None:
         """The same as data."""
         code, said, _ = self.run_command('c-1', '--json')
-        self.assertEqual(code, cli.EXIT_OK)
+        self.assertEqual(code, exits.EXIT_OK)
         self.assertEqual(len(json.loads(said)), 2)
 
     def test_unknown_id_and_unreadable_file(self) -> None:
         """What can't be told is a coded error."""
         code, _, complaint = self.run_command('c-9')
-        self.assertEqual(code, cli.EXIT_BAD_INPUT)
+        self.assertEqual(code, exits.EXIT_BAD_INPUT)
         self.assertIn('call-unknown', complaint)
         err = io.StringIO()
         with contextlib.redirect_stderr(err):
             code = cli.run(['explain', 'c-1', '/no/such/file'])
-        self.assertEqual(code, cli.EXIT_BAD_INPUT)
+        self.assertEqual(code, exits.EXIT_BAD_INPUT)
         self.assertIn('log-unreadable', err.getvalue())
 
 
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -12,7 +12,7 @@
     Refusal,
     Verdict,
 )
-from linnetwood.programs import cli
+from linnetwood.programs import cli, exits
 from tests.rig import Rig, running
 
 
@@ -82,20 +82,20 @@
         await rig.apply(1)
         rollout = ('rollout', 'start', 'sevak')
         cases = (
-            (('status',), cli.EXIT_OK),
-            (('status', '--json'), cli.EXIT_OK),
-            (('endpoint', 'list'), cli.EXIT_OK),
-            (('config', 'history'), cli.EXIT_OK),
-            (('config', 'show'), cli.EXIT_OK),
-            (('config', 'show', '--json'), cli.EXIT_OK),
-            (('settle', 'op-1'), cli.EXIT_OK),
-            (('settle', 'op-0'), cli.EXIT_REFUSED),
-            ((*rollout, 'v1', '1', '--wait'), cli.EXIT_OK),
-            ((*rollout, 'v9', '1'), cli.EXIT_REFUSED),
-            ((*rollout, 'v1', '1', '--weigh=speed'), cli.EXIT_BAD_INPUT),
-            (('rollout', 'status', 'none'), cli.EXIT_BAD_INPUT),
-            (('rollout', 'cancel', 'sevak'), cli.EXIT_OK),
-            (('endpoint', 'drain', 'vm-9'), cli.EXIT_REFUSED),
+            (('status',), exits.EXIT_OK),
+            (('status', '--json'), exits.EXIT_OK),
+            (('endpoint', 'list'), exits.EXIT_OK),
+            (('config', 'history'), exits.EXIT_OK),
+            (('config', 'show'), exits.EXIT_OK),
+            (('config', 'show', '--json'), exits.EXIT_OK),
+            (('settle', 'op-1'), exits.EXIT_OK),
+            (('settle', 'op-0'), exits.EXIT_REFUSED),
+            ((*rollout, 'v1', '1', '--wait'), exits.EXIT_OK),
+            ((*rollout, 'v9', '1'), exits.EXIT_REFUSED),
+            ((*rollout, 'v1', '1', '--weigh=speed'), exits.EXIT_BAD_INPUT),
+            (('rollout', 'status', 'none'), exits.EXIT_BAD_INPUT),
+            (('rollout', 'cancel', 'sevak'), exits.EXIT_OK),
+            (('endpoint', 'drain', 'vm-9'), exits.EXIT_REFUSED),
         )
         for args, code in cases:
             with self.subTest(args):
@@ -107,7 +107,7 @@
             cli.run,
             ['status', '--entry=127.0.0.1:9'],
         )
-        self.assertEqual(code, cli.EXIT_UNREACHABLE)
+        self.assertEqual(code, exits.EXIT_UNREACHABLE)
 
     @running
     async def test_strangers(self, rig: Rig) -> None:
--- a/tests/test_trust.py
+++ b/tests/test_trust.py
@@ -14,7 +14,7 @@
 from linnetwood.core.trust import KeyedSeal, Keys
 from linnetwood.fleet.node import reload_keys
 from linnetwood.gen.schema.ttypes import Deployment, Refusal, Verdict
-from linnetwood.programs import cli
+from linnetwood.programs import cli, exits
 from tests.rig import Rig, running
 from tests.test_callers import GENERATE, body, expected
 
@@ -183,7 +183,7 @@
         """A folder without certificates is bad input."""
         with mock.patch.dict('os.environ', {cli.TLS_FOLDER: '/no'}):
             code = cli.run(['status', '--entry=127.0.0.1:9'])
-        self.assertEqual(code, cli.EXIT_BAD_INPUT)
+        self.assertEqual(code, exits.EXIT_BAD_INPUT)
 
 
 if __name__ == '__main__':
