Count readers' turns after an outage from when the origin is seen to be back

Now it counts from when its neighbours hold more than at the failure, and tries three times less often before that.

--- a/src/linnetwood/weights/swarm.py
+++ b/src/linnetwood/weights/swarm.py
@@ -96,7 +96,10 @@
         self._rng = rng
         self._origin_failures = 0
         self._origin_failed_at: float | None = None
+        # Since it failed: when it answered, and when others were seen to read.
         self._origin_answered_at: float | None = None
+        self._others_read_at: float | None = None
+        self._known_count = 0
         self._origin_free_at = now
         self._rarity = [0 for _ in range(count)]
         # Each VM goes through what it may read in an order of its own: those
@@ -200,6 +203,8 @@
         self._origin_failures += 1
         self._origin_failed_at = now
         self._origin_answered_at = None
+        self._others_read_at = None
+        self._known_count = self.known.bit_count()
         self._origin_free_at = now + pause
 
     def origin_answered(self, now: float) -> None:
@@ -293,24 +298,29 @@
             yield self._begin(Fetch(index, ORIGIN), now)
 
     def _due(self, now: float) -> Iterator[int]:
-        away = self._away()
+        away = self._away(now)
         for index in self._lacking(self.policy.turns()):
             due = None if self._rarity[index] else self._origin_due(index, away)
             if due is not None and due <= now:
                 yield index
 
-    def _away(self) -> Away | None:
+    def _away(self, now: float) -> Away | None:
         """Give what is known of the origin, if it failed."""
         if self._origin_failed_at is None:
             return None
         known = self.known
-        mine = self.policy.turns() & ~known
-        first = not all(map(self.policy.takes_over, chunks.indices(mine)))
+        if (
+            self._others_read_at is None
+            and known.bit_count() > self._known_count
+        ):
+            self._others_read_at = now
+        mine = chunks.indices(self.policy.turns() & ~known)
         return Away(
             self._origin_failed_at,
             self._origin_answered_at,
+            self._others_read_at,
             self.count - known.bit_count(),
-            first,
+            not all(map(self.policy.takes_over, mine)),
         )
 
     def _lacking(self, among: int) -> Iterator[int]:
--- a/src/linnetwood/weights/takeover.py
+++ b/src/linnetwood/weights/takeover.py
@@ -8,18 +8,24 @@
 """
 
 import dataclasses
-import math
 from types import MappingProxyType
 from typing import Final, Protocol
 
 
+# While nothing shows that the origin is back, its first readers try it; others
+# do so as many times less often, in case these are all gone.
+_UNTOLD_TIMES = 3
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Away:
     """What a VM knows of an origin that failed it; times in seconds."""
 
     failed_at: float
-    # Its last answer since then; none if it is away as far as is known.
+    # When it answered this VM since then.
     answered_at: float | None
+    # When another was seen to hold more than at the failure.
+    others_at: float | None
     # Chunks that nobody is known to hold.
     unread: int
     # Whether this VM is the first reader of one of these.
@@ -36,7 +42,7 @@
         takeover_s: float,
         chunk_s: float,
     ) -> float:
-        """Give the time from which it may; infinity for not as things stand.
+        """Give the time from which it may.
 
         A chunk takes so long on the origin's link by itself.
         """
@@ -60,15 +66,17 @@
 ) -> float:
     """Let each reader wait for as long as all that is unread takes as well.
 
-    Whoever is the first reader of something learns by that read that the origin
-    is back, and waits for nothing else before.
+    It is counted from when the origin is known to be back. Whoever is the first
+    reader of something learns that by its own read and by nothing else, since
+    what others hold may have been read before.
     """
-    if rank and away.is_first and away.answered_at is None:
-        return math.inf
-    since = away.failed_at
-    if away.answered_at is not None:
-        since = max(since, away.answered_at)
-    return since + rank * (takeover_s + away.unread * chunk_s)
+    wait_s = rank * (takeover_s + away.unread * chunk_s)
+    back_at = away.answered_at
+    if back_at is None and not away.is_first:
+        back_at = away.others_at
+    if back_at is None:
+        return away.failed_at + _UNTOLD_TIMES * wait_s
+    return max(away.failed_at, back_at) + wait_s
 
 
 AFTER_THE_REST: Final = 'after-the-rest'
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -1,6 +1,5 @@
 """When a reader takes a chunk over after the origin was away."""
 
-import math
 import unittest
 
 from linnetwood.weights.takeover import (
@@ -17,19 +16,20 @@
 
 def away(
     answered_at: float | None,
+    others_at: float | None = None,
     unread: int = 40,
     *,
     is_first: bool = True,
 ) -> Away:
     """Give what is known of an origin that failed at a time."""
-    return Away(FAILED_AT, answered_at, unread, is_first)
+    return Away(FAILED_AT, answered_at, others_at, unread, is_first)
 
 
 class TakeOverTest(unittest.TestCase):
     """Each rank of reader, with more or less known."""
 
     def due(self, rank: int, seen: Away) -> float:
-        """Ask the way that is in force."""
+        """Ask the way that waits for the rest."""
         return after_the_rest(rank, seen, TAKEOVER_S, CHUNK_S)
 
     def test_the_first_reader_tries_at_once(self) -> None:
@@ -42,20 +42,21 @@
         expected = 12 + TAKEOVER_S + 40 * CHUNK_S
         self.assertEqual(self.due(1, away(12)), expected)
         self.assertGreater(self.due(2, away(12)), self.due(1, away(12)))
-        self.assertEqual(self.due(1, away(12, 0)), 12 + TAKEOVER_S)
+        self.assertEqual(self.due(1, away(12, unread=0)), 12 + TAKEOVER_S)
 
     def test_whoever_reads_first_elsewhere_waits_for_that(self) -> None:
         """Its own first read tells that the origin is back."""
-        self.assertEqual(self.due(1, away(None)), math.inf)
-
-    def test_somebody_takes_over_if_the_first_is_gone(self) -> None:
-        """Who has no first read tries by time alone."""
-        expected = FAILED_AT + TAKEOVER_S + 40 * CHUNK_S
-        self.assertEqual(self.due(1, away(None, is_first=False)), expected)
-
-    def test_an_earlier_answer_does_not_count(self) -> None:
-        """The failure came after it."""
-        self.assertGreater(self.due(1, away(5)), FAILED_AT)
+        late = self.due(1, away(None))
+        self.assertEqual(self.due(1, away(None, 12)), late)
+        self.assertGreater(late, self.due(1, away(12)))
+        self.assertLess(late, FAILED_AT + 10)
+
+    def test_whoever_reads_nothing_first_looks_at_others(self) -> None:
+        """What they hold more than before tells that the origin is back."""
+        told = self.due(1, away(None, 12, is_first=False))
+        self.assertEqual(told, 12 + TAKEOVER_S + 40 * CHUNK_S)
+        untold = self.due(1, away(None, is_first=False))
+        self.assertEqual(untold, self.due(1, away(None)))
 
     def test_by_time_alone(self) -> None:
         """Each rank waits a time."""
