Let an entry find out whether callers' times tell returns from first tries

Now an entry counts, while it refuses nobody, how many say less than the longest, and takes all alike where these are over one in twenty. No default changes.

--- a/src/linnetwood/calls/entrance.py
+++ b/src/linnetwood/calls/entrance.py
@@ -99,5 +99,6 @@
     def _refusal(self, code: Code, call: DirectCall, detail: str) -> Ending:
         """Refuse, and say when to come back."""
         now = self._clock.now()
+        self._first_tries.refused(now)
         after_s = self._returns.after_s(call.until - now, now)
         return not_run(code, detail, int(after_s * _MILLISECONDS))
--- a/src/linnetwood/calls/policy/firsttries.py
+++ b/src/linnetwood/calls/policy/firsttries.py
@@ -8,6 +8,10 @@
 fall from 115 at the knee to 83 (40 entries, 23 engines; the model of
 `linnetwood-measure policy`, three seeds). Where callers who come back get what
 room is left, they are 138 and 113; at 0.8 times the knee nothing changes.
+
+Where callers differ in what they wait, what one says tells nothing. An entry
+finds that out by itself: while it refuses nobody, hardly anybody comes back, so
+whoever says less then shows that the way does not fit, and all count alike.
 """
 
 from collections.abc import Callable
@@ -19,8 +23,16 @@
 # A route's callers may change what they wait; the longest is forgotten after
 # one to two spans of this.
 _SPAN_S = 30.0
-# Routes whose callers are known; the oldest go first.
+# Routes whose callers are known; others count as first tries.
 _MOST_ROUTES = 4096
+# Whoever was refused is back or gone after this, by the time that callers have.
+_QUIET_S = 5.0
+# Of so many calls at least, no more than this share may say less: some come
+# back because an endpoint failed.
+_QUIET_CALLS = 20
+_QUIET_SHARE = 0.05
+# Beyond so many, what was counted is halved: callers may change.
+_QUIET_MOST = 400
 
 
 class FirstTries(Protocol):
@@ -29,6 +41,9 @@
     def is_first(self, route: str, wait_s: float | None, now: float) -> bool:
         """Tell whether a caller of a route comes for the first time."""
 
+    def refused(self, now: float) -> None:
+        """Note that somebody was sent away and will come back."""
+
 
 class AllAlike:
     """Count every call as a first try."""
@@ -37,6 +52,9 @@
         """Take it for one."""
         return True
 
+    def refused(self, now: float) -> None:
+        """Note nothing."""
+
 
 class ByPatience:
     """Count a call as a first try if its caller waits about the longest.
@@ -45,18 +63,45 @@
     have spent a part.
     """
 
-    __slots__ = ('_before', '_longest', '_turned_at')
+    __slots__ = (
+        '_before',
+        '_longest',
+        '_quiet_calls',
+        '_quiet_short',
+        '_refused_at',
+        '_turned_at',
+    )
 
     def __init__(self) -> None:
         """Know no callers."""
         self._longest: dict[str, float] = {}
         self._before: dict[str, float] = {}
         self._turned_at = float()
+        self._refused_at = -_QUIET_S
+        self._quiet_calls = 0
+        self._quiet_short = 0
+
+    @property
+    def fits(self) -> bool:
+        """Tell whether callers were seen to have the same time."""
+        if self._quiet_calls < _QUIET_CALLS:
+            return False
+        return self._quiet_short <= _QUIET_SHARE * self._quiet_calls
 
     def is_first(self, route: str, wait_s: float | None, now: float) -> bool:
         """Tell whether a caller of a route comes for the first time."""
         if wait_s is None:
             return True
+        is_short = wait_s < _FIRST_SHARE * self._longest_of(route, wait_s, now)
+        if now - self._refused_at >= _QUIET_S:
+            self._count(is_short)
+        return not (is_short and self.fits)
+
+    def refused(self, now: float) -> None:
+        """Note that somebody was sent away and will come back."""
+        self._refused_at = now
+
+    def _longest_of(self, route: str, wait_s: float, now: float) -> float:
         if now - self._turned_at >= _SPAN_S:
             self._before = self._longest
             self._longest = {}
@@ -64,8 +109,14 @@
         longest = max(wait_s, self._longest.get(route, 0))
         if route in self._longest or len(self._longest) < _MOST_ROUTES:
             self._longest[route] = longest
-        longest = max(longest, self._before.get(route, 0))
-        return wait_s >= _FIRST_SHARE * longest
+        return max(longest, self._before.get(route, 0))
+
+    def _count(self, is_short: bool) -> None:
+        if self._quiet_calls >= _QUIET_MOST:
+            self._quiet_calls //= 2
+            self._quiet_short //= 2
+        self._quiet_calls += 1
+        self._quiet_short += is_short
 
 
 FIRST_TRIES: Final = MappingProxyType[str, Callable[[], FirstTries]](
--- a/src/linnetwood/lab/policy.py
+++ b/src/linnetwood/lab/policy.py
@@ -35,6 +35,7 @@
 _CHUNK_TOKENS = 2048
 _WAY_S = 0.004
 _MEDIAN = 0.5
+_CALM_SHARE = 0.5
 _TAIL = 0.9
 
 
@@ -57,6 +58,8 @@
     # How long callers wait, who come back once when they are refused; with 0
     # they don't, and no late call is taken.
     patience_s: float = 0
+    # Half of the rate comes for so long at first.
+    calm_s: float = 0
 
 
 class _Call:
@@ -251,6 +254,7 @@
         fleet = self._fleet
         turns = 2 * math.pi * self._now / fleet.swing_s
         rate = fleet.rate * (1 + fleet.swing * math.sin(turns))
+        rate *= _CALM_SHARE if self._now < fleet.calm_s else 1
         self._at(self._now + self._rng.expovariate(rate), self._arrive)
         kinds = fleet.sheet.kinds
         weights = [kind.weight for kind in kinds]
@@ -305,6 +309,7 @@
     ) -> None:
         self.outcome.refused += not again
         self.outcome.lost += again
+        self._first_tries[chooser].refused(self._now)
         if self._fleet.patience_s and not again:
             left_s = came_at + self._fleet.patience_s - self._now
             after_s = self._returns[chooser].after_s(left_s, self._now)
