Drop the ways that brought nothing: the tail, a quarter kept, returns told apart

Their tests go with them; the tests of today's ways stay, and so do the three decisions that have two ways.

--- a/src/linnetwood/calls/entrance.py
+++ b/src/linnetwood/calls/entrance.py
@@ -7,13 +7,13 @@
 from linnetwood.calls.choice import Choice, Chooser, Need
 from linnetwood.calls.dialect import Urgency
 from linnetwood.calls.direct import DirectCall
-from linnetwood.calls.policy.firsttries import AllAlike, FirstTries
-from linnetwood.calls.policy.lateroom import LateRoom, free_slot
 from linnetwood.calls.policy.returns import Returns
 from linnetwood.core.clock import Clock
 from linnetwood.core.outcomes import Code, Ending, not_run
 
 _MILLISECONDS = 1000
+# So many slots of an engine are left to calls that will be in time.
+_KEPT_FREE = 1
 
 
 class Needs(Protocol):
@@ -32,16 +32,12 @@
         dispatcher: Needs,
         clock: Clock,
         returns: Returns,
-        late_room: LateRoom = free_slot,
-        first_tries: FirstTries | None = None,
     ) -> None:
         """Predict by the chooser's view."""
-        self._first_tries = first_tries or AllAlike()
         self._chooser = chooser
         self._dispatcher = dispatcher
         self._clock = clock
         self._returns = returns
-        self._late_room = late_room
 
     def __call__(self, call: DirectCall) -> Urgency | Ending:
         """Give how urgent the call is, or why it is refused."""
@@ -50,24 +46,24 @@
         now = self._clock.now()
         need = self._dispatcher.need(call)
         choice = self._chooser.choose(need, (), now)
-        wait_s = call.head.wait_s
-        first = self._first_tries.is_first(call.route.name, wait_s, now)
         if choice is None:
             return self._refusal(Code.NO_ENDPOINT, call, 'none')
-        if first and choice.wait_s <= need.enough_s:
+        if choice.wait_s <= need.enough_s:
             self._returns.admitted(now)
             return Urgency.IN_TIME
         late = self._room_behind(need)
         self._tell(call, need, choice, 'late' if late else 'refused')
         if late:
             return Urgency.LATE
-        if not first:
-            return self._refusal(Code.OVERLOADED, call, 'came back')
         detail = f'predicted {round(choice.wait_s * _MILLISECONDS)} ms'
         return self._refusal(Code.OVERLOADED, call, detail)
 
     def _room_behind(self, need: Need) -> bool:
-        """Tell whether a late call would take nobody's place."""
+        """Tell whether a late call would take nobody's place.
+
+        A slot must be free: late calls that fill the last ones keep out those
+        that come first and would be in time.
+        """
         now = self._clock.now()
         need = dataclasses.replace(need, urgent=False)
         choice = self._chooser.choose(need, (), now)
@@ -76,7 +72,7 @@
             return False
         standing = self._chooser.standing(choice.endpoint.life)
         waiting, running = standing.work(now)
-        return self._late_room(waiting, running, engine.slots)
+        return waiting + running < engine.slots - _KEPT_FREE
 
     def _tell(
         self,
@@ -99,6 +95,5 @@
     def _refusal(self, code: Code, call: DirectCall, detail: str) -> Ending:
         """Refuse, and say when to come back."""
         now = self._clock.now()
-        self._first_tries.refused(now)
         after_s = self._returns.after_s(call.until - now, now)
         return not_run(code, detail, int(after_s * _MILLISECONDS))
--- a/src/linnetwood/calls/policy/lateness.py
+++ b/src/linnetwood/calls/policy/lateness.py
@@ -11,10 +11,7 @@
 entries and 23 engines 95, 95, 88, 89 and 82 in place of 96, 92, 79, 70 and 51.
 """
 
-import collections
-from collections.abc import Callable
-from types import MappingProxyType
-from typing import Final, Protocol
+from typing import Protocol
 
 # A prediction is a mean; calls come this much later one time in four.
 SPREAD_S = 0.06
@@ -28,14 +25,6 @@
 _MOST_SHARE = 0.5
 
 
-# Errors that the tail is taken of: as many as an entry of a large fleet sees in
-# ten seconds.
-_TAIL_KEPT = 32
-_TAIL_SHARE = 0.75
-# Errors that were never seen count as so many of the usual spread.
-_TAIL_PRIOR = (SPREAD_S,) * 8
-
-
 class Lateness(Protocol):
     """Learn from an entry's own calls what to allow for; one a service."""
 
@@ -72,32 +61,3 @@
 
     def _error_at(self, now: float) -> float:
         return self._error_s * 2 ** ((self._at - now) / _HALVED_S)
-
-
-class TailLateness:
-    """Allow what three of four of an entry's last calls stayed under."""
-
-    __slots__ = ('_errors',)
-
-    def __init__(self) -> None:
-        """Know of no error."""
-        self._errors: collections.deque[tuple[float, float]] = (
-            collections.deque(maxlen=_TAIL_KEPT)
-        )
-
-    def seen(self, predicted_s: float, seen_s: float, now: float) -> None:
-        """Take in how long a call waited, or has waited so far."""
-        self._errors.append((now, seen_s - predicted_s))
-
-    def allowed_s(self, target_s: float, now: float) -> float:
-        """Give by how much sooner than a target calls must be predicted."""
-        since = now - _HALVED_S
-        fresh = [error_s for at, error_s in self._errors if at >= since]
-        ranked = sorted([*fresh, *_TAIL_PRIOR])
-        tail_s = ranked[int(_TAIL_SHARE * len(ranked))]
-        return min(max(0, tail_s), SPREAD_S + _MOST_SHARE * target_s)
-
-
-LATENESS: Final = MappingProxyType[str, Callable[[], Lateness]](
-    {'mean': MeanLateness, 'tail': TailLateness},
-)
--- a/src/linnetwood/core/options.py
+++ b/src/linnetwood/core/options.py
@@ -146,7 +146,4 @@
         'by-naming',
         default='by-naming',
     )
-    lateness: str = one_of('mean', 'tail', default='mean')
     returns: str = one_of('last-part', 'sized-window', default='last-part')
-    late_room: str = one_of('free-slot', 'free-quarter', default='free-slot')
-    first_tries: str = one_of('all-alike', 'by-patience', default='all-alike')
--- a/src/linnetwood/lab/policy.py
+++ b/src/linnetwood/lab/policy.py
@@ -21,9 +21,7 @@
 from linnetwood.calls.choice import Choice, Chooser, Need
 from linnetwood.calls.directory import Directory, Listed
 from linnetwood.calls.engine import EngineFigures
-from linnetwood.calls.policy.firsttries import FIRST_TRIES, FirstTries
-from linnetwood.calls.policy.lateness import LATENESS, Lateness
-from linnetwood.calls.policy.lateroom import LATE_ROOM
+from linnetwood.calls.policy.lateness import Lateness, MeanLateness
 from linnetwood.calls.policy.returns import RETURNS, Returns
 from linnetwood.calls.routebook import Service
 from linnetwood.calls.standing import Report, Standing
@@ -205,7 +203,6 @@
         }
         self._lateness: dict[Chooser, Lateness] = {}
         self._returns: dict[Chooser, Returns] = {}
-        self._first_tries: dict[Chooser, FirstTries] = {}
         self._entries = [
             self._entry(f'a{number}', f'z{number % fleet.zones}', directory)
             for number in range(fleet.entries)
@@ -235,9 +232,8 @@
         for host in heard:
             self._hearers[host].append(chooser)
         ways = self._fleet.decisions
-        self._lateness[chooser] = LATENESS[ways.lateness]()
+        self._lateness[chooser] = MeanLateness()
         self._returns[chooser] = RETURNS[ways.returns](Random(me))
-        self._first_tries[chooser] = FIRST_TRIES[ways.first_tries]()
         return chooser, zone
 
     def _run(self, until: float) -> None:
@@ -276,13 +272,7 @@
             lot=place_hash(str(self._rng.random())),
         )
         choice = chooser.choose(need, (), self._now)
-        first = self._first_tries[chooser].is_first(
-            str(kind.prompt),
-            came_at + self._fleet.patience_s - self._now,
-            self._now,
-        )
-        soon = choice is not None and choice.wait_s <= need.enough_s
-        urgent = first and soon
+        urgent = choice is not None and choice.wait_s <= need.enough_s
         if urgent:
             self._returns[chooser].admitted(self._now)
         if choice is None or not (urgent or self._has_room(chooser, choice)):
@@ -296,8 +286,8 @@
         if not self._fleet.patience_s:
             return False
         standing = chooser.standing(choice.endpoint.life)
-        room = LATE_ROOM[self._fleet.decisions.late_room]
-        return room(*standing.work(self._now), self._figures.slots)
+        waiting, running = standing.work(self._now)
+        return waiting + running < self._figures.slots - 1
 
     def _refuse(
         self,
@@ -309,7 +299,6 @@
     ) -> None:
         self.outcome.refused += not again
         self.outcome.lost += again
-        self._first_tries[chooser].refused(self._now)
         if self._fleet.patience_s and not again:
             left_s = came_at + self._fleet.patience_s - self._now
             after_s = self._returns[chooser].after_s(left_s, self._now)
--- a/src/linnetwood/programs/resident_calls.py
+++ b/src/linnetwood/programs/resident_calls.py
@@ -6,9 +6,6 @@
 from linnetwood.calls.direct import DirectDispatcher
 from linnetwood.calls.directory import Directory
 from linnetwood.calls.entrance import Entrance
-from linnetwood.calls.policy.firsttries import FIRST_TRIES
-from linnetwood.calls.policy.lateness import LATENESS
-from linnetwood.calls.policy.lateroom import LATE_ROOM
 from linnetwood.calls.policy.returns import RETURNS
 from linnetwood.core.clock import Clock
 from linnetwood.core.metrics import Metrics
@@ -42,13 +39,10 @@
             wanted,
             zone,
             metrics,
-            LATENESS[decisions.lateness],
         )
         self.entrance = Entrance(
             self.chooser,
             self.dispatcher,
             clock,
             RETURNS[decisions.returns](rng),
-            LATE_ROOM[decisions.late_room],
-            FIRST_TRIES[decisions.first_tries](),
         )
--- a/tests/test_lateness.py
+++ b/tests/test_lateness.py
@@ -5,7 +5,6 @@
 from linnetwood.calls.policy.lateness import (
     SPREAD_S,
     MeanLateness,
-    TailLateness,
 )
 
 
@@ -50,34 +49,5 @@
         self.assertEqual(forecast.allowed_s(0.6, 10), SPREAD_S + 0.3)
 
 
-class TailLatenessTest(unittest.TestCase):
-    """The same, by what three of four stay under."""
-
-    def test_learns(self) -> None:
-        """A quarter of late calls count, single ones don't."""
-        forecast = TailLateness()
-        self.assertEqual(forecast.allowed_s(1, 10), SPREAD_S)
-        for _ in range(20):
-            forecast.seen(0.2, 0.1, 10)
-        self.assertLessEqual(forecast.allowed_s(1, 10), SPREAD_S)
-        for _ in range(12):
-            forecast.seen(0.2, 0.5, 10)
-        self.assertAlmostEqual(forecast.allowed_s(1, 10), 0.3, 2)
-
-    def test_bounded(self) -> None:
-        """Half of the target is left, so that an idle engine gets calls."""
-        forecast = TailLateness()
-        for _ in range(40):
-            forecast.seen(0.2, 4, 10)
-        self.assertEqual(forecast.allowed_s(0.6, 10), SPREAD_S + 0.3)
-
-    def test_forgets(self) -> None:
-        """What is older than some seconds counts no more."""
-        forecast = TailLateness()
-        for _ in range(40):
-            forecast.seen(0.2, 0.6, 10)
-        self.assertEqual(forecast.allowed_s(1, 30), SPREAD_S)
-
-
 if __name__ == '__main__':
     unittest.main()
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -4,20 +4,15 @@
 sizes of three deployments; virtual time. Bounds are of the same seeds' knee.
 """
 
-import dataclasses
 import unittest
 
-from linnetwood.core.options import Decisions
 from linnetwood.lab.policy import Fleet, World
-from linnetwood.lab.sheets import SHEETS
 
 SEEDS = (0, 1)
 WARM_S = 3
 SPAN_S = 5
-CALM_S = 11
 # Calls a second and engine that nearly all begin in time.
 KNEE = 4.2
-SHIFTED_KNEE = 8.2
 LARGE = Fleet(98, 60, 5, every_s=0.2)
 GROWN = Fleet(40, 23, 3, every_s=0.17)
 
@@ -61,41 +56,6 @@
         own = KNEE * 60 / fleet.zones
         self.assertGreater(in_time(fleet, 0.5), 2 * own)
 
-    def test_callers_who_come_back(self) -> None:
-        """They keep out nobody who can be in time.
-
-        Load pattern: 1.3 times the rate of the knee of the shifted fleet, a
-        rate that swings by a fifth, callers of six seconds who come back once
-        when they are refused; half of the rate before, from which entries
-        learn that all callers wait the same.
-        """
-        fleet = Fleet(
-            40,
-            23,
-            3,
-            1.3 * SHIFTED_KNEE * 23,
-            0.17,
-            sheet=SHEETS['shifted'],
-            swing=0.22,
-            patience_s=6,
-            calm_s=CALM_S,
-        )
-        ways = {
-            name: dataclasses.replace(
-                fleet,
-                decisions=Decisions(first_tries=name),
-            )
-            for name in ('all-alike', 'by-patience')
-        }
-        found = {
-            name: sum(
-                World(played, seed).play(CALM_S + WARM_S, SPAN_S).in_time
-                for seed in SEEDS
-            )
-            for name, played in ways.items()
-        }
-        self.assertGreater(found['by-patience'], 1.2 * found['all-alike'])
-
 
 if __name__ == '__main__':
     unittest.main()
