Plan versions by what is left to bring, and take over after the rest

Nobody could serve from 30.2 to 42 s. Ruled out: the links (the second version alone could be whole at 31.7).

--- a/src/linnetwood/core/options.py
+++ b/src/linnetwood/core/options.py
@@ -139,11 +139,11 @@
     takeover: str = one_of(
         'after-the-rest',
         'after-a-time',
-        default='after-a-time',
+        default='after-the-rest',
     )
     version_plan: str = one_of(
         'by-forecast',
         'by-naming',
-        default='by-naming',
+        default='by-forecast',
     )
     returns: str = one_of('last-part', 'sized-window', default='last-part')
--- a/src/linnetwood/weights/fetching.py
+++ b/src/linnetwood/weights/fetching.py
@@ -14,7 +14,7 @@
 from linnetwood.weights.manifests import Manifests
 from linnetwood.weights.reading import Ring, SharedReading, ZoneReading
 from linnetwood.weights.swarm import brought
-from linnetwood.weights.takeover import TakeOver, after_a_time
+from linnetwood.weights.takeover import TakeOver, after_the_rest
 from linnetwood.weights.transfer import Download, Tools
 from linnetwood.weights.versionplan import Brought
 
@@ -75,7 +75,7 @@
         origin: Origin,
         wire_port: int,
         wake: Callable[[], None],
-        takeover: TakeOver = after_a_time,
+        takeover: TakeOver = after_the_rest,
     ) -> None:
         """Fetch nothing yet; wake the owner whenever a download begins."""
         self._takeover = takeover
--- a/src/linnetwood/weights/reading.py
+++ b/src/linnetwood/weights/reading.py
@@ -8,7 +8,7 @@
 from linnetwood.fleet.members import place_hash
 from linnetwood.weights import chunks
 from linnetwood.weights.bounds import SwarmOptions
-from linnetwood.weights.takeover import Away, TakeOver, after_a_time
+from linnetwood.weights.takeover import Away, TakeOver, after_the_rest
 
 _RING_POINTS = 16
 _TAKERS = 3
@@ -87,7 +87,7 @@
         count: int,
         cfg: SwarmOptions,
         before: Turns | None = None,
-        takeover: TakeOver = after_a_time,
+        takeover: TakeOver = after_the_rest,
     ) -> None:
         """Work out this process's turns."""
         self._takeover = takeover
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -8,7 +8,7 @@
 from linnetwood.core.clock import SystemClock
 from linnetwood.core.errors import OrderError, WeightsError
 from linnetwood.core.metrics import open_metrics
-from linnetwood.core.options import Transfer
+from linnetwood.core.options import Decisions, Transfer
 from linnetwood.fleet.wanted import WantedVersions
 from linnetwood.weights.chunks import ChunkStore, Manifest
 from linnetwood.weights.engine import EngineReport, Order
@@ -111,9 +111,11 @@
         return Order.TAKEN
 
 
-class FollowerTest(unittest.IsolatedAsyncioTestCase):
+class FollowerRig(unittest.IsolatedAsyncioTestCase):
     """Follow versions over fakes."""
 
+    decisions = Decisions()
+
     async def asyncSetUp(self) -> None:
         self.origin = FakeOrigin()
         self.engine = FakeEngine()
@@ -141,6 +143,7 @@
             self.origin,
             self.wanted,
             7700,
+            self.decisions,
         )
         self.follower.around.peers = {ME: 'z1'}
         self.follower.around.origin_bytes_per_s = 1.0e9
@@ -163,6 +166,10 @@
             whole = {index: chunk(version, index) for index in range(COUNT)}
             self.assertEqual(place, whole)
 
+
+class FollowerTest(FollowerRig):
+    """Versions that are named, engines that are empty, chunks that rot."""
+
     async def test_named_version_is_served_whole(self) -> None:
         """Every chunk is read once, laid, and taken by one order."""
         self.wanted.name('m', 2, 0)
@@ -272,6 +279,22 @@
         await self.until_served(3)
         self.check_taken(2, 3)
 
+    async def test_older_version_is_left_out(self) -> None:
+        """The newer can be whole in time: one change, and one transfer."""
+        self.engine.serving = 1
+        self.follower.report = await self.engine.report()
+        now = SystemClock().now()
+        self.wanted.name('m', 2, now)
+        self.wanted.name('m', 3, now)
+        await self.until_served(3)
+        self.check_taken(3)
+
+
+class ByNamingTest(FollowerRig):
+    """Where versions are weighed by when they were named."""
+
+    decisions = Decisions(version_plan='by-naming')
+
     async def test_next_version_is_fetched_while_one_waits_to_be_taken(
         self,
     ) -> None:
