Let stand-ins of tests end what they accepted

Cause of the accept traceback at some tear-downs: a stand-in's server was closed in the step in which it accepted, so the connection was attached to a server without sockets; and connections it still served were cancelled by the loop's end, which says so for each. Now a stand-in takes no more, lets those that were accepted get there, closes, and ends them itself.

--- a/tests/test_curldriver.py
+++ b/tests/test_curldriver.py
@@ -13,6 +13,7 @@
     Request,
     Sent,
 )
+from tests.loops import close_server
 
 HOST = '127.0.0.1'
 MOST = 1000000
@@ -41,13 +42,19 @@
         self.connections = 0
         self.connections_cut = 0
         self._behave = behave
+        self._serving: set[asyncio.Task[None] | None] = set()
 
     async def start(self) -> int:
         self._server = await asyncio.start_server(self._accept, HOST, 0)
         return int(self._server.sockets[0].getsockname()[1])
 
     async def close(self) -> None:
-        self._server.close()
+        await close_server(self._server)
+        # The loop complains of any that it has to cancel at its end.
+        serving = [one for one in self._serving if one is not None]
+        for one in serving:
+            one.cancel()
+        await asyncio.gather(*serving, return_exceptions=True)
 
     async def _accept(
         self,
@@ -55,12 +62,17 @@
         writer: asyncio.StreamWriter,
     ) -> None:
         self.connections += 1
+        task = asyncio.current_task()
+        self._serving.add(task)
         try:
             self.requests.append(await read_request(reader))
             await self._behave(reader, writer)
         except (OSError, asyncio.IncompleteReadError):
             self.connections_cut += 1
+        except asyncio.CancelledError:
+            return
         finally:
+            self._serving.discard(task)
             writer.close()
 
 
--- a/tests/test_narrow_way.py
+++ b/tests/test_narrow_way.py
@@ -29,6 +29,7 @@
 from linnetwood.gen.wire.ttypes import EngineNews, News
 from linnetwood.platform.dialect import PlatformDialect
 from linnetwood.wire.curldriver import CurlDriver
+from tests.loops import close_server
 from tests.test_curldriver import HOST, Server, says
 from tests.test_direct import Heard, events, stream
 
@@ -81,7 +82,7 @@
         return int(self._server.sockets[0].getsockname()[1])
 
     async def close(self) -> None:
-        self._server.close()
+        await close_server(self._server)
         for task in self.tasks:
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
