Let the policy model be asked for other sheets, swings and callers who come back

The command plays the engines and calls of three deployments' sheets, a rate that swings and returns; the defaults play what they did. No product code is touched.

--- a/src/linnetwood/lab/measure_policy.py
+++ b/src/linnetwood/lab/measure_policy.py
@@ -5,9 +5,11 @@
 import statistics
 import sys
 from collections.abc import Iterator
-from typing import Any
+from typing import Any, Literal
 
+from linnetwood.core.options import Decisions
 from linnetwood.lab.policy import Fleet, World
+from linnetwood.lab.sheets import SHEETS
 
 # Passes of a second fill the queues; what comes after is counted.
 _WARM_S = 3.0
@@ -24,6 +26,10 @@
     every_s: float = 0.25,
     knee: float = 4.2,
     seeds: int = 3,
+    sheet: Literal['large', 'shifted', 'first'] = 'large',
+    swing: float = 0,
+    patience_s: float = 0,
+    returns: Literal['last-part', 'sized-window'] = 'last-part',
 ) -> bool:
     """Print calls in time at one to three times the rate of the knee.
 
@@ -33,8 +39,22 @@
     :param every_s: seconds between two reports of an engine
     :param knee: calls a second and engine at the knee
     :param seeds: how many seeds to take the mean of
+    :param sheet: engines and calls: large, shifted or first
+    :param swing: the part of the rate by which it swings
+    :param patience_s: how long callers wait, who come back once; 0 for never
+    :param returns: when refused callers come back
     """
-    fleet = Fleet(entries, engines, zones, knee * engines, every_s)
+    fleet = Fleet(
+        entries,
+        engines,
+        zones,
+        knee * engines,
+        every_s,
+        sheet=SHEETS[sheet],
+        decisions=Decisions(returns=returns),
+        swing=swing,
+        patience_s=patience_s,
+    )
     rows = list(_rows(fleet, seeds))
     best = rows[0]['in_time_per_s']
     missed = any(row['in_time_per_s'] < _AIM * best for row in rows)
