--- a/tests/test_versionplan.py
+++ b/tests/test_versionplan.py
@@ -97,6 +97,11 @@
             seen = outlook(4, half, ALL, aim=aim)
             self.assertEqual(self.aim(wanted, seen), 2)
 
+    def test_little_is_saved_by_giving_up_what_is_half_here(self) -> None:
+        """Less than transfers are reckoned wrong by, so the plan stands."""
+        seen = outlook(4, Brought(COUNT, 56, 15), ALL, aim=2)
+        self.assertEqual(self.aim(named(0, 4), seen), 2)
+
     def test_the_older_is_hopeless(self) -> None:
         """It could only serve when calls may start on it no more."""
         wanted = named(0, 4)
