Measure what a call costs an entry's processor, and which step costs it

`linnetwood-measure callcost` floods one entry on loopback, reads the processor time of its process from the system with and without calls, and plays the same again under the standard library's profiler by processor time; what is not written in Python counts for whoever called it, and each function for the step that its module is part of.

--- /dev/null
+++ b/src/linnetwood/lab/callsteps.py
@@ -0,0 +1,108 @@
+"""Sum a profile up by the steps of a call's way through an entry; no I/O."""
+
+from collections import Counter
+from collections.abc import Iterator, Mapping
+from typing import Final
+
+# A function as the standard library's profiler names it: file, line and name;
+# what is not written in Python has no file.
+Function = tuple[str, int, str]
+# Calls without repetition, calls, own seconds, seconds with callees, callers.
+Row = tuple[int, int, float, float, Mapping[Function, tuple[float, ...]]]
+_NO_FILE = '~'
+_OWN_S = 2
+_CALLERS = 4
+OTHER: Final = 'other'
+# The first that fits names the step: what comes first is more particular.
+_STEPS: Final = (
+    (
+        'send and receive at endpoints',
+        ('/linnetwood/wire/curldriver', '/pycurl'),
+    ),
+    (
+        'log',
+        (
+            '/linnetwood/core/logsink',
+            '/linnetwood/core/events',
+            '/linnetwood/calls/accounts',
+            '/pythonjsonlogger/',
+            '/logging/',
+            '/json/',
+        ),
+    ),
+    ('count', ('/linnetwood/core/exposed', '/prometheus_client/')),
+    (
+        'read and answer callers',
+        (
+            '/linnetwood/calls/front',
+            '/linnetwood/calls/reading',
+            '/linnetwood/platform/dialect',
+            '/tornado/',
+        ),
+    ),
+    (
+        'choose',
+        (
+            '/linnetwood/calls/entrance',
+            '/linnetwood/calls/choice',
+            '/linnetwood/calls/candidates',
+            '/linnetwood/calls/standing',
+            '/linnetwood/calls/directory',
+            '/linnetwood/calls/engine',
+            '/linnetwood/calls/policy/',
+        ),
+    ),
+    (
+        'hear endpoints and the store',
+        (
+            '/linnetwood/calls/reports',
+            '/linnetwood/calls/greetings',
+            '/linnetwood/fleet/',
+            '/linnetwood/platform/',
+            '/linnetwood/wire/',
+            '/linnetwood/gen/',
+            '/thrift',
+        ),
+    ),
+    ('run the call', ('/linnetwood/calls/',)),
+    (
+        'loop',
+        (
+            '/asyncio/',
+            '/selectors',
+            '/linnetwood/core/loops',
+            '/linnetwood/core/clock',
+        ),
+    ),
+    ('start', ('<frozen importlib', '/re/_')),
+)
+
+
+def step_of(function: Function) -> str:
+    """Name the step that a function written in Python belongs to."""
+    path = function[0].replace('\\', '/')
+    return next(
+        (step for step, parts in _STEPS if any(one in path for one in parts)),
+        OTHER,
+    )
+
+
+def by_step(stats: Mapping[Function, Row]) -> Counter[str]:
+    """Give the seconds of each step.
+
+    What is not written in Python counts for whoever called it.
+    """
+    found: Counter[str] = Counter()
+    for function, row in stats.items():
+        for step, seconds in _parts(function, row):
+            found[step] += seconds
+    return found
+
+
+def _parts(function: Function, row: Row) -> Iterator[tuple[str, float]]:
+    callers = row[_CALLERS]
+    if function[0] != _NO_FILE or not callers:
+        yield step_of(function), row[_OWN_S]
+        return
+    for caller, figures in callers.items():
+        yield step_of(caller), figures[_OWN_S]
--- a/src/linnetwood/lab/measure.py
+++ b/src/linnetwood/lab/measure.py
@@ -5,6 +5,7 @@
 import defopt
 
 from linnetwood.lab.measure_burst import burst
+from linnetwood.lab.measure_callcost import callcost
 from linnetwood.lab.measure_control import control
 from linnetwood.lab.measure_histories import histories
 from linnetwood.lab.measure_policy import policy
@@ -15,6 +16,7 @@
 
 COMMANDS = (
     burst,
+    callcost,
     control,
     histories,
     policy,
--- /dev/null
+++ b/tests/test_callsteps.py
@@ -0,0 +1,53 @@
+"""A profile is summed up by the steps of a call's way through an entry."""
+
+import unittest
+
+from linnetwood.lab.callsteps import OTHER, Function, Row, by_step, step_of
+
+_CHOICE: Function = ('/x/src/linnetwood/calls/choice.py', 9, 'choose')
+_DIRECT: Function = ('/x/src/linnetwood/calls/direct.py', 9, 'run')
+_MAX: Function = ('~', 0, '<built-in method builtins.max>')
+_START: Function = ('~', 0, '<built-in method builtins.exec>')
+
+
+def _row(own_s: float, callers: dict[Function, float]) -> Row:
+    told = {one: (1, 1, own, own) for one, own in callers.items()}
+    return 1, 1, own_s, own_s, told
+
+
+class CallStepsTest(unittest.TestCase):
+    """Each second belongs to one step."""
+
+    def test_functions_belong_to_the_step_of_their_module(self) -> None:
+        """What is more particular goes first; the rest is named so."""
+        cases = (
+            ('/v/tornado/http1connection.py', 'read and answer callers'),
+            (
+                '/x/linnetwood/wire/curldriver.py',
+                'send and receive at endpoints',
+            ),
+            ('/x/linnetwood/wire/frames.py', 'hear endpoints and the store'),
+            ('/x/linnetwood/calls/attempt.py', 'run the call'),
+            ('/x/linnetwood/calls/policy/returns.py', 'choose'),
+            ('/lib/python3.11/asyncio/events.py', 'loop'),
+            ('/lib/python3.11/enum.py', OTHER),
+        )
+        for path, step in cases:
+            with self.subTest(path=path):
+                self.assertEqual(step_of((path, 1, 'f')), step)
+
+    def test_what_has_no_file_counts_for_its_callers(self) -> None:
+        """Nothing is counted twice, and nothing is lost."""
+        stats = {
+            _CHOICE: _row(1, {_DIRECT: 1}),
+            _DIRECT: _row(2, {}),
+            _MAX: _row(4, {_CHOICE: 3, _DIRECT: 1}),
+            _START: _row(8, {}),
+        }
+        found = by_step(stats)
+        self.assertEqual(found, {'choose': 4, 'run the call': 3, OTHER: 8})
+        self.assertEqual(found.total(), 15)
+
+
+if __name__ == '__main__':
+    unittest.main()
