--- a/src/linnetwood/lab/callsteps.py
+++ b/src/linnetwood/lab/callsteps.py
@@ -10,8 +10,8 @@
 # Calls without repetition, calls, own seconds, seconds with callees, callers.
 Row = tuple[int, int, float, float, Mapping[Function, tuple[float, ...]]]
 _NO_FILE = '~'
-_OWN_S = 2
-_CALLERS = 4
+_OWN_S: Final = 2
+_CALLERS: Final = 4
 OTHER: Final = 'other'
 # The first that fits names the step: what comes first is more particular.
 _STEPS: Final = (
