Take the stories of how values were chosen out of comments

A reader of today's code needs to know what a value protects, not the runs by which it was found. No behaviour changes.

--- a/src/linnetwood/calls/candidates.py
+++ b/src/linnetwood/calls/candidates.py
@@ -24,10 +24,9 @@
 # Engines heard in the own zone: with fewer, reports come more often within the
 # same bytes, and a call looks at two of them.
 NEAR_MOST = 8
-# Engines heard elsewhere, and in all where the own zone has few. Where one of
-# five zones has over three times what its engines take, 20 entries that hear
-# eight elsewhere leave 2.8% of those idle, twelve 0.6%, sixteen 0.3% (worked
-# out as in tests/test_candidates.py); each one more costs reports.
+# Engines heard elsewhere, and in all where the own zone has few: so many that
+# the entries of one zone leave hardly any of the others' idle. Each one more
+# costs reports.
 FAR_LEAST = 8
 HEARD_LEAST = 16
 # So many engines of a zone are few: all are looked at.
--- a/src/linnetwood/calls/crashtelling.py
+++ b/src/linnetwood/calls/crashtelling.py
@@ -24,16 +24,13 @@
 _CLEAR_S = 1.0
 _PAUSE_FIRST_S = 0.1
 # Entries take turns where several endpoints end at once, so that their calls
-# stay under 200 a second, half of what the smallest store that was met takes.
-# At 410 entries and 60 endpoints the worst second has 156 to 178 in place of
-# 363 (the load of tests/test_crashtelling.py, twelve seeds).
+# stay under half of what a store takes whose own limit is 400 a second.
 _CALLS_PER_S = 150
 # All are to know within 3 s; half a second is left for the call and the news.
 _SPREAD_MOST_S = 2.5
 # Whoever lost calls of one endpoint alone has gone before.
 _SPREAD_FROM_SHARE = 0.2
-# So many entries may take the same end away before they see that one did; at
-# 410 entries that all see an answer 4 to 11 calls are made in place of 410.
+# So many entries may take the same end away before they see that one did.
 _AT_ONCE = 8
 # What a call to the store and the news of it take.
 _SEEN_S = 0.2
--- a/src/linnetwood/calls/crashwatch.py
+++ b/src/linnetwood/calls/crashwatch.py
@@ -21,8 +21,8 @@
 # one that ended is listed again after some seconds.
 _BACK_LOOKS = 16
 _BACK_LOOK_S = 0.5
-# Endpoints begin calls within their queue's time and end 35 to 101 ms later
-# (measured over 8 ends); one whose events came for so long is not the cause.
+# A call that ends an endpoint does so in its first passes; one whose events
+# came for so long is not the cause.
 _RUNNING_WELL_S = 1.0
 # An endpoint has no more calls of one entry under way.
 _MOST_SUSPECTS = 64
--- a/src/linnetwood/calls/engine.py
+++ b/src/linnetwood/calls/engine.py
@@ -11,7 +11,7 @@
 _MILLION = 1000000
 _THOUSAND = 1000
 # A call waits for the pass under way, is read in the next, and its first event
-# goes out when that has played its steps (measured against quiet days).
+# goes out when that has played its steps.
 _PASSES_TO_FIRST = 2.5
 
 
--- a/src/linnetwood/calls/policy/lateness.py
+++ b/src/linnetwood/calls/policy/lateness.py
@@ -4,22 +4,17 @@
 entry predicts by reports, and does not see what others have sent since; in
 overload that makes every prediction hopeful at the same time, all admit more,
 and calls in time fall to half of what the engines could do. So each entry
-corrects what it admits by what its own calls saw. In a first form of the model
-of `linnetwood-measure policy` (98 entries, 60 engines, reports every 0.2 s, two
-seeds) calls in time a second at 1, 1.3, 1.6, 2 and 3 times the rate of the knee
-were 244, 237, 226, 214 and 208 in place of 244, 230, 202, 166 and 119; with 40
-entries and 23 engines 95, 95, 88, 89 and 82 in place of 96, 92, 79, 70 and 51.
+corrects what it admits by what its own calls saw.
 """
 
 from typing import Protocol
 
 # A prediction is a mean; calls come this much later one time in four.
 SPREAD_S = 0.06
-# A call's share in what is believed: a tenth learns too slowly for a burst that
-# lasts seconds (214 became 192 at twice the knee, in the model).
+# A call's share in what is believed: large enough for bursts that last seconds.
 _GAIN = 0.3
 # What was learned is halved in so many seconds, since an entry that refuses all
-# learns no more. Two and ten brought the same within 5 in 100.
+# learns no more.
 _HALVED_S = 5.0
 # Of a route's target: with more, calls to an idle engine may be refused.
 _MOST_SHARE = 0.5
--- a/src/linnetwood/calls/routing.py
+++ b/src/linnetwood/calls/routing.py
@@ -77,7 +77,7 @@
     few loads that are fresh, and no two entries know the same few; asking
     ahead of the choice is the idea of Prequal (Wydrowski and others, NSDI
     2024). The least loaded of all the fresh would draw every call until the
-    next report, which measured worse than chance.
+    next report.
     """
 
     def __init__(self) -> None:
--- a/src/linnetwood/fleet/patches.py
+++ b/src/linnetwood/fleet/patches.py
@@ -2,9 +2,7 @@
 
 A configuration of 1,900 routes is 500 KB, and a change of one route of it a few
 hundred bytes. Payloads are cut where a row of JSON begins, and the pieces that
-the older one has are copied from there. That takes 2 ms and no library; zstd
-with the older one as its dictionary came to 11 KB for the same change (measured
-on a made-up configuration of that size), and holds 3.5 MB more.
+the older one has are copied from there.
 """
 
 import dataclasses
--- a/src/linnetwood/platform/checked.py
+++ b/src/linnetwood/platform/checked.py
@@ -1,7 +1,7 @@
 """Check what others wrote by tables of fields, before anything is taken of it.
 
-A validation library decodes a configuration of 1,900 routes no sooner, and the
-smallest one holds 3 MB more in each process (measured), a twelfth of an entry.
+A validation library would decode no sooner, and hold a twelfth of an entry's
+memory in each process.
 """
 
 import dataclasses
--- a/src/linnetwood/programs/resident_talk.py
+++ b/src/linnetwood/programs/resident_talk.py
@@ -41,7 +41,7 @@
 _FEW = 3
 # So many addresses fit one datagram of an ordinary network.
 _MOST_NEIGHBOURS = 64
-# The part of its link that a download fills (measured, docs/MEASUREMENTS.md).
+# The part of its link that a download fills.
 _TRANSFER_SHARE = 0.72
 
 
--- a/src/linnetwood/weights/inflow.py
+++ b/src/linnetwood/weights/inflow.py
@@ -9,8 +9,7 @@
 # others: as many as are asked of peers at a time on the narrowest links.
 _SAMPLES = 3
 # A way that gets shorter is believed by this part each time it is told, so that
-# one moment between two chunks does not count as a free link: 0.1 s apart, half
-# of a change after 0.2 s.
+# one moment between two chunks does not count as a free link.
 _SHORTER_SHARE = 0.3
 
 
--- a/src/linnetwood/weights/versionplan.py
+++ b/src/linnetwood/weights/versionplan.py
@@ -13,9 +13,8 @@
 
 from linnetwood.fleet.wanted import SWITCH_S, WantedVersions
 
-# A plan is left for one that saves more than this. What is reckoned of a
-# transfer errs by one to two seconds (7.2 s reckoned for a whole fleet, 8 to 9
-# seen), and what is given up half done was brought for nothing.
+# A plan is left for one that saves more than reckoning errs by: what is given
+# up half done was brought for nothing.
 _WORTH_A_CHANGE_S = 1.5
 # What a change costs beside: engines change in two waves, so that the others go
 # on; this is far less than the same time without a version.
