Show that calls alike are refused after a crash of all endpoints (red)

Where three calls that end endpoints come to six of them, nearly all end within a second. Calls that everybody sends lose an answer at two endpoints before any of them is answered, and are refused for a minute and more: none is sent that could clear the others.

--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -217,6 +217,22 @@
                 self.assertGreater(fleet.share_served(ALIKE), 0.85)
                 self.assertGreater(fleet.share_served(OWN), 0.85)
 
+    def test_a_fleet_that_ends_at_once(self) -> None:
+        """Calls that all send go on as those that nobody else sends.
+
+        Seen: three such calls end nearly all of six endpoints within a second,
+        and whatever else runs there. Calls that are alike lose an answer at
+        two endpoints before any of them is answered. Refused for a minute,
+        none of them can clear the others.
+        """
+        for seed in range(20):
+            fleet = Fleet(6, 6, seed, fatal=SEVERAL, waits_s=QUEUED_S)
+            fleet.play()
+            others = fleet.share_served(OWN)
+            with self.subTest(seed=seed):
+                self.assertLessEqual(max(fleet.ended_by.values()), 4)
+                self.assertGreater(fleet.share_served(ALIKE), others - 0.1)
+
 
 class RulesTest(unittest.TestCase):
     """What is refused, until when, and what clears it."""
