Try calls alike soon after a crash if one of them was answered before

Seen: where nearly all endpoints end within a second, calls that everybody sends are refused for a minute and more.

Cause: they lose an answer at two endpoints at once, before any of them is answered. From then on none is sent, so none can clear the others. A call that ends every endpoint is never answered; that these had been, a moment ago, was forgotten.

Each entry keeps the last 1,024 likenesses that it saw answered. Calls like those are tried alone after 1 s in place of 60, again and again while ends are at most 1.5 s apart from the second; an end later than that voids it. The end of a trial lets the next one go, in place of 10 s during which nobody does.

The model counted a call without a place as tried; in the program it is refused before.

--- a/src/linnetwood/calls/crashes.py
+++ b/src/linnetwood/calls/crashes.py
@@ -9,6 +9,10 @@
 second endpoint ends under it. With two attempts a call, two lives are those of
 its first coming: a limit of three would cost one endpoint more each time, and
 save only calls that were near by twice.
+
+Where many endpoints end together, calls that everybody sends lose an answer at
+each of them at once. Those that were answered before are tried again, one at a
+time, as soon as ends come no longer: else none of them could clear the others.
 """
 
 import hashlib
@@ -22,6 +26,10 @@
 # one endpoint in so long, and twice as long each time that it ends one.
 REFUSED_FIRST_S = 60.0
 REFUSED_MOST_S = 600.0
+# Calls like one that was answered before are tried this soon. If ends go on for
+# longer than the second, the answer says nothing of what such calls do now.
+REFUSED_ANSWERED_S = 1.0
+TRUSTED_ANSWERED_S = 1.5
 # So long nobody else tries meanwhile: callers wait no longer for an answer.
 _TRIED_S = 10.0
 # An end that nobody confirmed for so long counts no more; the store forgets it
@@ -30,6 +38,8 @@
 # As many as 250 endpoints leave that crash with 16 calls each; the oldest go.
 _MOST_KEPT = 4096
 _LIFE_BYTES = 8
+# What everybody sends is answered at least once in so many calls.
+_MOST_ANSWERED = 1024
 
 
 class End(NamedTuple):
@@ -48,9 +58,10 @@
 class _Suspect:
     """Lives that ended under calls that are alike, and when."""
 
-    __slots__ = ('ended_at', 'shared', 'tried_until')
+    __slots__ = ('answered_before', 'ended_at', 'shared', 'tried_until')
 
-    def __init__(self) -> None:
+    def __init__(self, *, answered_before: bool) -> None:
+        self.answered_before = answered_before
         self.ended_at: dict[str, float] = {}
         # Those of them that all entries can read.
         self.shared: set[str] = set()
@@ -62,19 +73,26 @@
 
     @property
     def refused_until(self) -> float:
-        more = len(self.ended_at) - ENDS_BORNE
+        ended_at = sorted(self.ended_at.values())
+        if self.answered_before:
+            since = ended_at[ENDS_BORNE - 1]
+            if ended_at[-1] - since < TRUSTED_ANSWERED_S:
+                return ended_at[-1] + REFUSED_ANSWERED_S
+        more = len(ended_at) - ENDS_BORNE
         refused_s = min(REFUSED_MOST_S, math.ldexp(REFUSED_FIRST_S, more))
-        return max(self.ended_at.values()) + refused_s
+        return ended_at[-1] + refused_s
 
 
 class Crashes:
     """Hold the calls under which endpoints ended, as far as is known here."""
 
-    __slots__ = ('_suspects',)
+    __slots__ = ('_answered', '_suspects')
 
     def __init__(self) -> None:
         """Suspect nobody."""
         self._suspects: dict[str, _Suspect] = {}
+        # The newest stand last.
+        self._answered: dict[str, None] = {}
 
     def ends(self, likeness: str) -> int:
         """Give how many lives ended under calls like this."""
@@ -103,12 +121,17 @@
 
     def ended(self, end: End, at: float, *, shared: bool = False) -> bool:
         """Take in an end; tell whether it is news."""
-        suspect = self._suspects.pop(end.likeness, None) or _Suspect()
+        suspect = self._suspects.pop(end.likeness, None) or _Suspect(
+            answered_before=end.likeness in self._answered,
+        )
         # The newest stand last.
         self._suspects[end.likeness] = suspect
         while len(self._suspects) > _MOST_KEPT:
             self._suspects.pop(next(iter(self._suspects)))
         news = end.life not in suspect.ended_at
+        if news:
+            # What was tried has ended, here or at another entry.
+            suspect.tried_until = float()
         known_at = suspect.ended_at.get(end.life, at)
         suspect.ended_at[end.life] = min(known_at, at)
         if shared:
@@ -134,6 +157,10 @@
 
     def answered(self, likeness: str) -> list[End]:
         """Clear calls that are alike; give the ends that were held."""
+        self._answered.pop(likeness, None)
+        self._answered[likeness] = None
+        if len(self._answered) > _MOST_ANSWERED:
+            self._answered.pop(next(iter(self._answered)))
         suspect = self._suspects.pop(likeness, None)
         if suspect is None:
             return []
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -28,7 +28,9 @@
 from linnetwood.calls.crashes import (
     ENDS_BORNE,
     FORGOTTEN_S,
+    REFUSED_ANSWERED_S,
     REFUSED_FIRST_S,
+    TRUSTED_ANSWERED_S,
     Crashes,
     End,
     life_digest,
@@ -117,16 +119,14 @@
         entry = self.rng.randrange(len(self.entries))
         if likeness not in self.fatal:
             self.asked[kind(likeness)] += 1
-        if not self.entries[entry].wait_s(likeness, now):
+        refused = self.entries[entry].wait_s(likeness, now)
+        # Without a place a call is refused, too, and isn't tried.
+        if not refused and self._able(now):
             self.entries[entry].goes(likeness, now)
             self._send(likeness, entry, now, 2)
 
     def _send(self, likeness: str, entry: int, now: float, tries: int) -> None:
-        able = [
-            one
-            for one in self.endpoints
-            if one.away_until <= now and len(one.running) < PLACES
-        ]
+        able = self._able(now)
         if not able:
             return
         one = self.rng.choice(able)
@@ -138,6 +138,13 @@
             until = math.inf
         one.running.append((likeness, entry, until, tries))
 
+    def _able(self, now: float) -> list[Endpoint]:
+        return [
+            one
+            for one in self.endpoints
+            if one.away_until <= now and len(one.running) < PLACES
+        ]
+
     def _begin(self, one: Endpoint, likeness: str, now: float) -> None:
         ends_at = now + RUNS_S + self.rng.uniform(0, self.waits_s)
         if one.ends_at is None or ends_at < one.ends_at:
@@ -233,6 +240,19 @@
                 self.assertLessEqual(max(fleet.ended_by.values()), 4)
                 self.assertGreater(fleet.share_served(ALIKE), others - 0.1)
 
+    def test_one_that_was_answered_before(self) -> None:
+        """It costs some endpoints more, and none once three have ended."""
+        sizes = ((3, 12), (6, 6), (40, 26), (98, 60))
+        for (entries, endpoints), seed in product(sizes, range(5)):
+            fleet = Fleet(entries, endpoints, seed, waits_s=QUEUED_S)
+            for entry in fleet.entries:
+                entry.answered(FATAL)
+            fleet.play()
+            with self.subTest(entries=entries, seed=seed):
+                self.assertLessEqual(len(fleet.ended), 6)
+                due = fleet.ended[min(2, len(fleet.ended) - 1)] + 3
+                self.assertEqual([at for at in fleet.sent if at > due], [])
+
 
 class RulesTest(unittest.TestCase):
     """What is refused, until when, and what clears it."""
@@ -278,6 +298,29 @@
         self.assertEqual(self.crashes.wait_s(FATAL, 0), 0)
         self.assertEqual(self.crashes.answered(FATAL), [])
 
+    def test_answers_from_before(self) -> None:
+        """One like them is soon tried, again and again while ends are new."""
+        self.crashes.answered(FATAL)
+        self.end('a', 'b')
+        self.assertEqual(self.crashes.wait_s(FATAL, 0), REFUSED_ANSWERED_S)
+        self.crashes.goes(FATAL, REFUSED_ANSWERED_S)
+        tried_s = self.crashes.wait_s(FATAL, REFUSED_ANSWERED_S)
+        self.assertGreater(tried_s, REFUSED_ANSWERED_S)
+        self.end('c', at=REFUSED_ANSWERED_S)
+        wait_s = self.crashes.wait_s(FATAL, REFUSED_ANSWERED_S)
+        self.assertEqual(wait_s, REFUSED_ANSWERED_S)
+        self.end('d', at=TRUSTED_ANSWERED_S)
+        wait_s = self.crashes.wait_s(FATAL, TRUSTED_ANSWERED_S)
+        self.assertEqual(wait_s, 4 * REFUSED_FIRST_S)
+
+    def test_answers_are_not_kept_for_ever(self) -> None:
+        """What everybody sends is answered again in time."""
+        self.crashes.answered(FATAL)
+        for number in range(5000):
+            self.crashes.answered(f'l-{number}')
+        self.end('a', 'b')
+        self.assertEqual(self.crashes.wait_s(FATAL, 0), REFUSED_FIRST_S)
+
     def test_ends_are_forgotten(self) -> None:
         """Those of long ago, and those that are withdrawn."""
         self.end('a', 'b')
