--- a/src/linnetwood/lab/transfers.py
+++ b/src/linnetwood/lab/transfers.py
@@ -2,7 +2,8 @@
 
 VMs read chunks from one origin and from each other over links that share their
 rate evenly, in steps of ten milliseconds. The origin may be away for a while
-and takes so many connections at most. Calls, losses and cut zones are left out.
+and takes so many connections at most; its zone may be cut off from the others.
+Calls and losses are left out.
 """
 
 import dataclasses
@@ -23,6 +24,7 @@
 from linnetwood.weights.versionplan import Outlook, VersionPlan
 
 MODEL = 'm'
+_ORIGIN_ZONE = 'z0'
 # The links of the shifted fleet, by the figures of its pages.
 _LINK_BYTES_PER_S = 456250
 _ORIGIN_BYTES_PER_S = 547500
@@ -60,6 +62,8 @@
     transfer_s: float = 7.2
     named: tuple[float, ...] = (0,)
     away: tuple[float, float] = (math.inf, math.inf)
+    # While the zone of the origin reaches no other.
+    cut: tuple[float, float] = (math.inf, math.inf)
 
     @property
     def chunk_origin_s(self) -> float:
@@ -122,6 +126,8 @@
     reads: Counter[int] = dataclasses.field(default_factory=Counter)
     refused: int = 0
     whole_at: dict[int, float] = dataclasses.field(default_factory=dict)
+    # The same for the zone of the origin alone.
+    near_at: dict[int, float] = dataclasses.field(default_factory=dict)
     # Seconds without an allowed version, the mean of all engines.
     without_s: float = 0
     served_at: float = math.inf
@@ -167,7 +173,7 @@
             self._name(now)
             self._advance(now)
             if not step % _NOTICE_EVERY:
-                self._tell()
+                self._tell(now)
             turn = slice(step % _PLAN_EVERY, None, _PLAN_EVERY)
             for one in list(self._vms.values())[turn]:
                 self._act(one, now)
@@ -182,15 +188,23 @@
             version, at = self._unnamed.pop(0)
             self._wanted.name(MODEL, version, at)
 
-    def _is_away(self, now: float) -> bool:
+    def _is_away(self, vm: _Vm, now: float) -> bool:
         since, until = self._place.away
-        return since <= now < until
+        return since <= now < until or self._is_cut(vm.me, ORIGIN, now)
+
+    def _is_cut(self, one: str, other: str, now: float) -> bool:
+        since, until = self._place.cut
+        if not since <= now < until:
+            return False
+        return self._is_near(one) != self._is_near(other)
+
+    def _is_near(self, one: str) -> bool:
+        return one == ORIGIN or self._zones[one] == _ORIGIN_ZONE
 
     def _advance(self, now: float) -> None:
-        if self._is_away(now):
-            for flow in tuple(self._flows):
-                if flow.fetch.source == ORIGIN:
-                    self._fail(flow, now)
+        for flow in tuple(self._flows):
+            if flow.fetch.source == ORIGIN and self._is_away(flow.vm, now):
+                self._fail(flow, now)
         sent = list(self._sent(now))
         for flow, rate in self._shares(sent).items():
             flow.left -= rate * _STEP_S
@@ -202,7 +216,7 @@
         busy = set()
         for flow in self._flows:
             source = flow.fetch.source
-            if source in busy:
+            if source in busy or self._is_cut(flow.vm.me, source, now):
                 continue
             if source != ORIGIN:
                 busy.add(source)
@@ -251,21 +265,46 @@
         swarm.arrived(flow.fetch.index, flow.fetch.source)
         if swarm.complete:
             flow.vm.complete_at.setdefault(flow.version, now)
-            if all(flow.version in vm.complete_at for vm in self._vms.values()):
-                self.outcome.whole_at[flow.version] = now
+            self._note_whole(flow.version, now)
+
+    def _note_whole(self, version: int, now: float) -> None:
+        lacking = [
+            vm for vm in self._vms.values() if version not in vm.complete_at
+        ]
+        if not any(self._is_near(vm.me) for vm in lacking):
+            self.outcome.near_at.setdefault(version, now)
+        if not lacking:
+            self.outcome.whole_at[version] = now
 
-    def _tell(self) -> None:
+    def _tell(self, now: float) -> None:
         queued = Counter(flow.fetch.source for flow in self._flows)
         for vm in self._vms.values():
             for version in vm.swarms:
-                self._tell_partners(vm, version, queued[vm.me])
-
-    def _tell_partners(self, vm: _Vm, version: int, queued: int) -> None:
-        held = vm.swarms[version].held
-        for other in vm.partners[version]:
-            there = self._vms[other].swarms.get(version)
-            if there is not None:
-                there.notice(vm.me, held, queued)
+                there = [
+                    self._vms[other].swarms.get(version)
+                    for other in vm.partners[version]
+                    if not self._is_cut(vm.me, other, now)
+                ]
+                held = vm.swarms[version].held
+                for swarm in filter(None, there):
+                    swarm.notice(vm.me, held, queued[vm.me])
+
+    def _give_up(self, vm: _Vm, version: int, now: float) -> None:
+        swarm = vm.swarms[version]
+        heard_at = {
+            other: now
+            for other in swarm.peers
+            if not self._is_cut(vm.me, other, now)
+        }
+        for index in swarm.expired(now, heard_at):
+            source = swarm.pending[index].source
+            swarm.failed(index, source)
+            swarm.avoid(source, now)
+            self._flows = [
+                flow
+                for flow in self._flows
+                if flow.vm is not vm or flow.fetch != Fetch(index, source)
+            ]
 
     def _act(self, vm: _Vm, now: float) -> None:
         self._take(vm, now)
@@ -273,6 +312,7 @@
         aim = self._ways.plan.aim(self._wanted, outlook)
         self._want(vm, aim, now)
         for version, swarm in vm.swarms.items():
+            self._give_up(vm, version, now)
             for fetch in swarm.plan(now):
                 self._begin(vm, version, fetch, now)
 
@@ -370,7 +410,7 @@
         if fetch.source == ORIGIN:
             reading = sum(flow.fetch.source == ORIGIN for flow in self._flows)
             full = reading >= self._place.connections
-            if full or self._is_away(now):
+            if full or self._is_away(vm, now):
                 self.outcome.refused += full
                 swarm.failed(fetch.index, ORIGIN)
                 swarm.origin_failed(now)
