Show requests given up that are closed and not reset, failing

A request whose own time is over, and any that is under way when the process stops, is closed plainly: an endpoint that was paused or out of touch reads it whole when it is back, and runs it. A cancel resets in all ways that were tried: written whole or in part, not yet accepted, from within an answer.

--- a/tests/test_curldriver.py
+++ b/tests/test_curldriver.py
@@ -12,6 +12,7 @@
     Headers,
     Request,
     Sent,
+    Transfer,
 )
 from tests.loops import close_server
 
@@ -414,5 +415,144 @@
                 return
 
 
+class Cut:
+    """Note how a request ended, and act on the first piece of an answer."""
+
+    def __init__(self) -> None:
+        self.finish: Finish | None = None
+        self.act: Callable[[], None] | None = None
+
+    def head(self, status: int, headers: Headers) -> None:
+        """Leave it."""
+
+    def body(self, piece: bytes) -> None:
+        """Act, from within libcurl."""
+        if self.act is not None:
+            self.act()
+
+    def done(self, finish: Finish) -> None:
+        """Note it."""
+        self.finish = finish
+
+
+class GivenUpTest(unittest.IsolatedAsyncioTestCase):
+    """Give a request up in each way, before an endpoint that does not read.
+
+    Seen: an endpoint that had been out of touch began a call 1 s after its
+    caller had been told that it failed, on a version that was closed by then.
+    How it may come about: a plain close leaves what was written to an endpoint
+    that is paused or cut off, which runs it when it is back. What proves it:
+    it reads the request and an orderly end here, in place of a reset.
+    """
+
+    large = b'x' * 20000000
+
+    async def asyncSetUp(self) -> None:
+        """Listen, and accept nobody yet."""
+        self.driver = CurlDriver()
+        self.receiver = Cut()
+        self.listening = socket.create_server((HOST, 0))
+        self.listening.setblocking(False)  # noqa: WPS425
+        self.port = self.listening.getsockname()[1]
+
+    async def asyncTearDown(self) -> None:
+        """Close what a test left open."""
+        self.driver.close()
+        self.listening.close()
+
+    def begin(self, body: bytes, total_s: float = 30) -> Transfer:
+        """Send a request."""
+        head = [('Host', 'x')]
+        req = Request(HOST, self.port, 'POST', '/', head, body, 1, total_s)
+        return self.driver.begin(req, self.receiver)
+
+    async def accepted(self) -> socket.socket:
+        """Accept the connection, and read nothing from it."""
+        loop = asyncio.get_running_loop()
+        conn, _ = await loop.sock_accept(self.listening)
+        conn.setblocking(False)  # noqa: WPS425
+        return conn
+
+    async def arrived(self, conn: socket.socket) -> None:
+        """Wait until the request lies in the connection, unread."""
+        while True:
+            try:
+                conn.recv(1, socket.MSG_PEEK)
+            except BlockingIOError:
+                await asyncio.sleep(0)
+            else:
+                return
+
+    async def assert_reset(self, conn: socket.socket) -> None:
+        """Read all that there is: it ends with a reset."""
+        loop = asyncio.get_running_loop()
+        async with asyncio.timeout(30):
+            with conn, self.assertRaises(ConnectionResetError):
+                while await loop.sock_recv(conn, MOST):
+                    await asyncio.sleep(0)
+
+    async def finished(self) -> None:
+        """Wait until the receiver hears of the end."""
+        async with asyncio.timeout(30):
+            while self.receiver.finish is None:
+                await asyncio.sleep(0.01)
+
+    async def test_cancelled(self) -> None:
+        """Whether all of it was written or a part."""
+        for name, body in (('whole', b'a'), ('in part', self.large)):
+            with self.subTest(written=name):
+                transfer = self.begin(body)
+                conn = await self.accepted()
+                await self.arrived(conn)
+                self.driver.cancel(transfer)
+                await self.assert_reset(conn)
+
+    async def test_cancelled_before_it_is_accepted(self) -> None:
+        """It lies with the endpoint's system, which has the connection."""
+        transfer = self.begin(b'a')
+        # Its own loop makes the connection and writes within a few turns.
+        await asyncio.sleep(0.1)
+        self.driver.cancel(transfer)
+        self.assertGreater(transfer.sent.written, 0)
+        await self.assert_reset(await self.accepted())
+
+    async def test_cancelled_from_within_an_answer(self) -> None:
+        """Where libcurl allows no change, it is done in the next step."""
+        transfer = self.begin(b'a')
+        conn = await self.accepted()
+        await self.arrived(conn)
+        self.receiver.act = lambda: self.driver.cancel(transfer)
+        await asyncio.get_running_loop().sock_sendall(conn, WHOLE[:-1])
+        await self.assert_reset(conn)
+
+    async def test_out_of_time(self) -> None:
+        """The request's own limit is over; the receiver is told as ever."""
+        await self.run_out_of_time(b'a')
+
+    async def test_out_of_time_in_part(self) -> None:
+        """The same with a request of which a part was written."""
+        await self.run_out_of_time(self.large)
+
+    async def run_out_of_time(self, body: bytes) -> None:
+        """Let a request's own limit pass."""
+        self.begin(body, total_s=0.2)
+        conn = await self.accepted()
+        await self.finished()
+        await self.assert_reset(conn)
+        finish = self.receiver.finish
+        assert finish is not None
+        self.assertFalse(finish.whole)
+        self.assertTrue(finish.connected)
+        self.assertRegex(finish.detail, 'timed out')
+
+    async def test_driver_closed(self) -> None:
+        """The process stops while requests are under way."""
+        self.begin(b'a')
+        conn = await self.accepted()
+        await self.arrived(conn)
+        self.driver.close()
+        await self.assert_reset(conn)
+
+
 if __name__ == '__main__':
     unittest.main()
