Reset what is given up by its time or by a stop, too

What callers saw: nothing by itself; an endpoint may run a call whose caller has had his answer, on a version that is closed by then. Cause: libcurl watched over a request's total time and closes plainly when it is over. A stop closed plainly, too. Ruled out: cancels, which reset in every way that was tried (written whole or in part, not yet accepted, from within an answer); the limit for a connection, before which nothing is written. Before and after: tests/test_curldriver.py, three tests failed and pass. Why it holds: the driver keeps the time itself, and every end that is not the answer's goes through cancel. What callers and metrics are told is unchanged.

--- a/src/linnetwood/wire/curldriver.py
+++ b/src/linnetwood/wire/curldriver.py
@@ -21,6 +21,7 @@
 _HEAD_METHOD = 'HEAD'
 _INTERIM_BELOW = 200
 _KEPT_HANDLES = 64
+_OUT_OF_TIME = 'timed out'
 # Linger on, for no time: what was not read yet is thrown away at both ends.
 _RESET = struct.pack('ii', 1, 0)
 # Headers that libcurl would add by itself; the caller's own go instead.
@@ -98,12 +99,14 @@
         'receiver',
         'sent',
         'status',
+        'timer',
     )
 
     def __init__(self, receiver: Receiver) -> None:
         """Know nothing of the answer yet."""
         self.receiver = receiver
         self.sent = Sent()
+        self.timer: asyncio.TimerHandle | None = None
         self.handle: Any = None
         self.descriptor = -1
         self.status = 0
@@ -156,6 +159,11 @@
         transfer.handle = handle
         self._by_handle[handle] = transfer
         _prepare(handle, req, transfer)
+        if req.total_s:
+            # libcurl's own limit would close plainly.
+            limit_s = _at_least_one_ms(req.total_s) / _MILLISECONDS
+            late = self._late
+            transfer.timer = self._loop.call_later(limit_s, late, transfer)
         self._soon(self._add, handle)
         return transfer
 
@@ -174,13 +182,23 @@
         self._soon(self._drop, transfer)
 
     def close(self) -> None:
-        """Cancel everything."""
+        """Cancel everything; nobody is to run what nobody waits for."""
         for transfer in list(self._by_handle.values()):
-            self._drop(transfer)
+            self.cancel(transfer)
         self._closed = True
         self._cancel_timer()
         self._multi.close()
 
+    def _late(self, transfer: Transfer) -> None:
+        """End a request whose time is over."""
+        if transfer.handle is None:
+            return
+        receiver = transfer.receiver
+        connected = _connected(transfer.handle)
+        fresh = _fresh(transfer.handle)
+        self.cancel(transfer)
+        receiver.done(Finish(False, connected, _OUT_OF_TIME, fresh))
+
     def _soon(self, step: Callable[[Any], None], subject: Any) -> None:
         # libcurl allows no change of its set from within its own callbacks.
         if self._inside:
@@ -197,6 +215,8 @@
         if handle is None or self._by_handle.pop(handle, None) is None:
             return
         transfer.handle = None
+        if transfer.timer is not None:
+            transfer.timer.cancel()
         transfer.sent = _sent(handle)
         try:
             self._multi.remove_handle(handle)
@@ -268,13 +288,22 @@
         if transfer is None:
             return
         receiver = transfer.receiver
-        connected = (
-            handle.getinfo(pycurl.CONNECT_TIME) > 0
-            or handle.getinfo(pycurl.REQUEST_SIZE) > 0
-        )
-        fresh = handle.getinfo(pycurl.NUM_CONNECTS) > 0
+        connected = _connected(handle)
+        fresh = _fresh(handle)
         self._drop(transfer)
-        receiver.done(Finish(code == 0, bool(connected), detail, fresh))
+        receiver.done(Finish(code == 0, connected, detail, fresh))
+
+
+def _connected(handle: Any) -> bool:
+    """Tell whether a request can have reached anybody."""
+    return bool(
+        handle.getinfo(pycurl.CONNECT_TIME) > 0
+        or handle.getinfo(pycurl.REQUEST_SIZE) > 0,
+    )
+
+
+def _fresh(handle: Any) -> bool:
+    return bool(handle.getinfo(pycurl.NUM_CONNECTS) > 0)
 
 
 def _sent(handle: Any) -> Sent:
@@ -323,7 +352,6 @@
         (pycurl.FRESH_CONNECT, fresh),
         (pycurl.FORBID_REUSE, fresh),
         (pycurl.CONNECTTIMEOUT_MS, _at_least_one_ms(req.connect_s)),
-        (pycurl.TIMEOUT_MS, _limit_ms(req.total_s)),
         (pycurl.HTTPHEADER, list(_header_lines(req))),
     )
     for option, setting in (*_FIXED, *of_request):
@@ -368,8 +396,3 @@
 
 def _at_least_one_ms(seconds: float) -> int:
     return max(1, int(seconds * _MILLISECONDS))
-
-
-def _limit_ms(seconds: float) -> int:
-    # libcurl takes 0 for no limit, too.
-    return _at_least_one_ms(seconds) if seconds else 0
