Tell in each attempt's line how slow its way was believed to be

Whether a call that came late was sent on a way that was taken for free could not be told: the report's age says only that the endpoint was heard.

--- a/src/linnetwood/calls/accounts.py
+++ b/src/linnetwood/calls/accounts.py
@@ -23,6 +23,7 @@
     waiting: float
     running: int
     report_age_ms: int
+    slow_ms: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -45,7 +46,8 @@
     waiting, running = standing.work(now)
     report = standing.report
     age_ms = _NEVER if report is None else _ms(now - report.heard_at)
-    return Belief(round(waiting, 1), running, age_ms)
+    slow_ms = _ms(standing.slow_s(now))
+    return Belief(round(waiting, 1), running, age_ms, slow_ms)
 
 
 def count(
@@ -91,6 +93,7 @@
         waiting=belief.waiting,
         running=belief.running,
         report_age_ms=belief.report_age_ms,
+        slow_ms=belief.slow_ms,
         config_version=grounds.version,
         config_age_ms=grounds.config_age_ms,
         store_age_ms=grounds.store_age_ms,
