Choose a silent endpoint only where nobody else is able

What callers saw: under load, calls that waited 0.4 s for a connection, or were silent for 1.6 to 2.9 s, at endpoints out of touch, and were refused then. Cause: a report counts for 1.5 s, after which an endpoint counts as idle. 1 s was added where endpoints are ranked; where all others had longer waits, the silent one was the best, and in time by the wait that admits a call. Ruled out: shunning, which begins only after a call has failed there; the list, which keeps an entry for three missed renewals. Why it holds: silence ranks before any wait, in each group and between groups, and a silent one never ends the search. Where nobody is heard, as after a pause of the entry itself, all count as before.

--- a/src/linnetwood/calls/choice.py
+++ b/src/linnetwood/calls/choice.py
@@ -56,6 +56,8 @@
     wait_s: float
     version: int = 0
     far: bool = False
+    # None of its reports that were due is missing.
+    heard: bool = True
 
 
 class Chooser:
@@ -88,15 +90,16 @@
         """Give the best endpoint not yet tried, or None.
 
         Of many only two are looked at, and two elsewhere where neither will be
-        in time; all where none of these is able.
+        in time; all where none of these is able and heard. One whose reports
+        have stopped is taken only where nobody else is able.
         """
         best: Choice | None = None
         groups = self.candidates.groups(need.service.name, need.zone, now)
         for group in groups:
-            if best is None or group.by_lot:
+            if best is None or not best.heard or group.by_lot:
                 found = self._best_of(need, group, tried, now)
                 best = _sooner(best, found)
-            if best is not None and best.wait_s <= need.enough_s:
+            if best is not None and _will_do(best, need):
                 break
         return best
 
@@ -152,15 +155,18 @@
         able: Iterable[Listed],
         now: float,
     ) -> Choice | None:
-        best: tuple[float, Choice] | None = None
+        best: tuple[tuple[bool, float], Choice] | None = None
         for one in able:
+            # What is believed of a silent one is no reason to go past others.
+            silent = self.standing(one.life).silent(now)
             wait_s = self.wait_s(need, one, now)
             loss = wait_s + self._penalty(one, now)
             loss += self._rng.random() * _JITTER_S
-            if best is None or loss < best[0]:
+            if best is None or (silent, loss) < best[0]:
                 version = self._version(need, one)
                 far = one.zone != need.zone
-                best = (loss, Choice(one, wait_s, version, far))
+                choice = Choice(one, wait_s, version, far, not silent)
+                best = ((silent, loss), choice)
         return best[1] if best else None
 
     def _picked(
@@ -250,4 +256,8 @@
 def _sooner(one: Choice | None, other: Choice | None) -> Choice | None:
     if one is None or other is None:
         return one or other
-    return min(one, other, key=lambda choice: choice.wait_s)
+    return min(one, other, key=lambda choice: (not choice.heard, choice.wait_s))
+
+
+def _will_do(choice: Choice, need: Need) -> bool:
+    return choice.heard and choice.wait_s <= need.enough_s
