Name by tests what a request that was given up leaves in the log, red

Callers see nothing of it. When a process ends, or a caller goes away, a request that is under way is cancelled; the library keeps its connection and logs the connection's later end as an error with a traceback line. Two tests hold a request, give it up, and end the connection, one for each client.

--- /dev/null
+++ b/tests/test_http_clients.py
@@ -0,0 +1,71 @@
+"""Clients over real sockets: what a request leaves when its asker gives up."""
+
+import asyncio
+import unittest
+from collections.abc import Callable
+from typing import Any
+
+from tornado.httpclient import HTTPRequest
+
+from linnetwood.wire.http import fetch, open_client, open_small_client
+from tests.test_curldriver import HOST, Server, reset
+
+CLIENTS = 2
+# Long enough for a client to see that its connection ended.
+SEEN_S = 0.2
+Opener = Callable[[int], Any]
+
+
+class GivenUpTest(unittest.IsolatedAsyncioTestCase):
+    """Give a request up while its server holds it."""
+
+    async def given_up(self, opener: Opener, *, cut: bool) -> list[str]:
+        """Give what the loop and the library complain of afterwards."""
+        complaints: list[str] = []
+        asyncio.get_running_loop().set_exception_handler(
+            lambda _, context: complaints.append(str(context['message'])),
+        )
+        asked = asyncio.Event()
+        given = asyncio.Event()
+
+        async def hold(
+            reader: asyncio.StreamReader,
+            writer: asyncio.StreamWriter,
+        ) -> None:
+            asked.set()
+            await given.wait()
+            if cut:
+                await reset(reader, writer)
+
+        server = Server(hold)
+        client = opener(CLIENTS)
+        req = HTTPRequest(f'http://{HOST}:{await server.start()}/')
+        asking = asyncio.create_task(fetch(client, req))
+        await asked.wait()
+        asking.cancel()
+        await asyncio.gather(asking, return_exceptions=True)
+        self.assertTrue(asking.cancelled())
+        given.set()
+        await asyncio.sleep(SEEN_S)
+        client.close()
+        await server.close()
+        return complaints
+
+    async def assert_silent(self, opener: Opener) -> None:
+        """Check that the connection's end is no error of anybody's."""
+        for cut in (False, True):
+            with self.assertNoLogs('tornado.application'):
+                found = await self.given_up(opener, cut=cut)
+            self.assertEqual(found, [], cut)
+
+    async def test_of_the_small_client(self) -> None:
+        """Nobody hears of the end of what nobody waits for."""
+        await self.assert_silent(open_small_client)
+
+    async def test_of_the_curl_client(self) -> None:
+        """Nobody hears of the end of what nobody waits for."""
+        await self.assert_silent(open_client)
+
+
+if __name__ == '__main__':
+    unittest.main()
