Let the end of a request that was given up be nobody's error

Cause: cancelling the task that waits also cancelled the library's own future, while the library goes on with the request; when its connection ends later, it logs that error, since it has nobody to give it to. The watch of the key-value service ends so whenever a process closes, and a call to a plain service whenever its caller goes away. Ruled out: the test rigs, for both clients do it against a bare server. Now the wait is shielded: who asks gives up at once, the library's future ends as it will, and its outcome is taken and dropped.

--- a/src/linnetwood/wire/http.py
+++ b/src/linnetwood/wire/http.py
@@ -1,5 +1,6 @@
 """HTTP clients whose failures come back as answers, closed cleanly."""
 
+import asyncio
 from typing import Any
 
 from tornado.httpclient import (
@@ -16,11 +17,23 @@
     """Give the answer, or one of status 599 that holds the error.
 
     The library raises what is not an HTTP status even when told not to raise.
+    It goes on with a request whose asker has gone, so the asker's end must not
+    reach it: it would log the connection's end as an error.
     """
+    asked = asyncio.ensure_future(client.fetch(req, raise_error=False))
     try:
-        return await client.fetch(req, raise_error=False)
+        return await asyncio.shield(asked)
     except (HTTPClientError, OSError) as exc:
         return HTTPResponse(req, NO_ANSWER, error=exc)
+    except asyncio.CancelledError:
+        asked.add_done_callback(_let_go)
+        raise
+
+
+def _let_go(asked: asyncio.Future[HTTPResponse]) -> None:
+    """Take an outcome that nobody waits for."""
+    if not asked.cancelled():
+        asked.exception()
 
 
 def open_client(max_clients: int) -> Any:
