Let the silent stand-ins of tests end what they accepted

Cause: the stand-ins closed their listening sockets alone, so the loop cancelled their connections at its end, and its stream callback raised on the cancelled task: two tracebacks a run of these tests. Now they cancel and await what they accepted, as the other stand-ins do. Nothing that is asserted changed.

--- a/tests/test_silent_peers.py
+++ b/tests/test_silent_peers.py
@@ -48,17 +48,38 @@
 
     def __init__(self, name: str) -> None:
         self._octets = sent(name)
+        self._serving: set[asyncio.Task[None] | None] = set()
 
     async def start(self) -> int:
-        first = await asyncio.start_server(self._serve, SILENT, 0)
+        first = await asyncio.start_server(self._accept, SILENT, 0)
         port = int(first.sockets[0].getsockname()[1])
-        others = await asyncio.start_server(self._serve, (HALF, SLOW), port)
+        others = await asyncio.start_server(self._accept, (HALF, SLOW), port)
         self._servers = (first, others)
         return port
 
-    def close(self) -> None:
+    async def close(self) -> None:
         for server in self._servers:
             server.close()
+        # The loop complains of any that it has to cancel at its end.
+        serving = [one for one in self._serving if one is not None]
+        for one in serving:
+            one.cancel()
+        await asyncio.gather(*serving, return_exceptions=True)
+
+    async def _accept(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        task = asyncio.current_task()
+        self._serving.add(task)
+        try:
+            await self._serve(reader, writer)
+        except asyncio.CancelledError:
+            return
+        finally:
+            self._serving.discard(task)
+            writer.close()
 
     async def _serve(
         self,
@@ -74,7 +95,6 @@
             writer.write(octets[: len(octets) // 2])
         while await reader.read(len(octets)):
             await asyncio.sleep(0)
-        writer.close()
 
 
 class SilentPeersTest(unittest.IsolatedAsyncioTestCase):
@@ -102,7 +122,7 @@
         async with asyncio.timeout(GUARD_S):
             found = await fetching._manifest(AIM)
         await fetching.close()
-        peers.close()
+        await peers.close()
         self.assertEqual(found, WANTED)
 
     async def test_holder_that_is_silent_is_left(self) -> None:
@@ -113,7 +133,7 @@
         found = {}
         for host in expected:
             found[host] = await self.fault(host, port)
-        peers.close()
+        await peers.close()
         self.assertEqual(found, expected)
 
     async def fault(self, host: str, port: int) -> str:
