Tell of overload by which codes each organisation's calls were refused

The figure "small_answered" said how many calls of the organisation within its share were not answered, not why; the cause of the shortfall was open. Nothing else changed.

--- a/src/linnetwood/lab/measure_serve.py
+++ b/src/linnetwood/lab/measure_serve.py
@@ -7,6 +7,7 @@
 import sys
 import time
 import uuid
+from collections import Counter
 from typing import Any
 
 from tornado.httpclient import AsyncHTTPClient, HTTPRequest
@@ -249,6 +250,7 @@
             sum(map(_good, mixed[_SMALL])) / len(mixed[_SMALL]),
             3,
         ),
+        'refused': {name: _codes(offered) for name, offered in mixed.items()},
         'extra_attempts_ratio': round(retried / max(1, len(records)), 4),
         'violations': violations + wrong,
         **machine.told(),
@@ -259,6 +261,11 @@
     return record.outcome == 'answered' and record.right
 
 
+def _codes(records: list[Record]) -> dict[str, int]:
+    """Count by code the calls that have no good answer."""
+    return dict(Counter(one.code for one in records if not _good(one)))
+
+
 async def _offer(
     fleet: Fleet,
     loads: list[tuple[str, float]],
