Let an organisation catch up with what it left of its share

Cause: start-time fair queueing charges each call of a small share with a long virtual time, and its idle time is worth nothing afterwards. Calls come at random; the second of two that come together waits until the share has earned it, as if the organisation used its whole share all the time. Now a start may lie up to four calls of the share before the virtual time of the others: two or three calls that come together go ahead of a backlog. A new organisation has nothing to catch up with; a long pause is worth no more than four calls. The first of the two new tests of the queue failed before, the second holds the bound.

--- a/src/linnetwood/calls/fairness.py
+++ b/src/linnetwood/calls/fairness.py
@@ -3,6 +3,8 @@
 Start-time fair queueing (Goyal, Vin and Cheng, 1996) over organisations by
 their shares; within one organisation the higher priority, then the earlier
 deadline, goes first. Capacity that nobody else wants goes to whoever waits.
+What an organisation left of its share it may use up later, up to a few calls,
+since calls come at random and not at the pace of the share.
 """
 
 import dataclasses
@@ -12,6 +14,8 @@
 from linnetwood.core.outcomes import Code, Ending, not_run
 
 _DEFAULT_SHARE = 1
+# How many calls of its share an organisation may catch up with at once.
+_CATCH_UP_CALLS = 4
 _MEAN_WEIGHT = 0.1
 _FIRST_MEAN_S = 0.1
 _MILLISECONDS = 1000
@@ -146,12 +150,14 @@
         return heapq.heappop(self._waiting[organisation])
 
     def _start(self, organisation: str) -> float:
-        return max(self._virtual, self._finish.get(organisation, 0))
+        earliest = self._virtual - _CATCH_UP_CALLS / self._share(organisation)
+        # Who was never seen left nothing of its share.
+        return max(earliest, self._finish.get(organisation, self._virtual))
 
     def _charge(self, organisation: str) -> None:
-        self._virtual = self._start(organisation)
-        cost = 1 / self._share(organisation)
-        self._finish[organisation] = self._virtual + cost
+        start = self._start(organisation)
+        self._virtual = max(self._virtual, start)
+        self._finish[organisation] = start + 1 / self._share(organisation)
 
     def _too_late(self, ticket: Ticket, now: float) -> bool:
         waited = now - ticket.asked_at > self._bounds.wait_s
--- a/tests/test_fairness.py
+++ b/tests/test_fairness.py
@@ -17,6 +17,16 @@
     return queue
 
 
+def after_a_pause() -> FairQueue:
+    """Give a queue where the small one was quiet during a long backlog."""
+    queue = full_queue()
+    queue.ask('small', 0, 1000, 0)
+    for _ in range(60):
+        queue.ask('large', 0, 1000, 0)
+    drain(queue, 41)
+    return queue
+
+
 def drain(queue: FairQueue, count: int) -> list[str]:
     """Free one slot after another and give who was let in."""
     found = []
@@ -54,6 +64,20 @@
         queue.ask('small', 0, 1000, 0)
         self.assertIn('small', drain(queue, 2))
 
+    def test_what_was_left_of_a_share_is_caught_up_with(self) -> None:
+        """Calls that come together after a pause go before a backlog."""
+        queue = after_a_pause()
+        for _ in range(3):
+            queue.ask('small', 0, 1000, 0)
+        self.assertEqual(drain(queue, 3), ['small'] * 3)
+
+    def test_a_long_pause_is_worth_no_more(self) -> None:
+        """What is caught up with stays small beside the others' backlog."""
+        queue = after_a_pause()
+        for _ in range(10):
+            queue.ask('small', 0, 1000, 0)
+        self.assertLessEqual(drain(queue, 10).count('small'), 6)
+
     def test_priority_then_deadline(self) -> None:
         """Within an organisation priority goes first, then the deadline."""
         queue = full_queue()
