Keep an entry to its part of each endpoint's slots

What callers saw: under overload a call that its entry had admitted after a wait was refused by all endpoints, "busy". Cause: entries share out the slots of all endpoints together, so that the sum over entries never passes what there is, but each chose endpoints by loads that are as old as a probe; two entries that see the same endpoint free send there at once, one is refused, and the budget of retries, a tenth of the calls, is soon used up. Ruled out: the budget and the number of attempts, which only decide how many of these refusals are seen. Now a sound endpoint of which the entry's own part is not full goes before one of which it is, whatever is known of loads; if no such one is left, the choice is as it was. Entries that keep to their parts can't fill an endpoint together. Suspect endpoints and those that failed a moment ago get no call for their room (a case of the new test).

--- a/src/linnetwood/calls/routing.py
+++ b/src/linnetwood/calls/routing.py
@@ -136,6 +136,10 @@
         """Tell whether the report is worth more than none."""
         return now - self.reported_at < FRESH_S
 
+    def failed_of_late(self, now: float) -> bool:
+        """Tell whether an attempt there was lost a moment ago."""
+        return now - self.failed_at < _FAILED_FOR_S
+
     def estimate(self, now: float) -> int:
         """Correct the report by what this entry began and ended since."""
         if not self.fresh(now):
@@ -158,6 +162,8 @@
 
     def __init__(self, zone: str, policy: Policy, rng: Random) -> None:
         """Know nobody yet."""
+        # How many entries share the endpoints, this one too.
+        self.entries = 1
         self._zone = zone
         self._policy = policy
         self._rng = rng
@@ -221,7 +227,8 @@
         able = self._candidates(want, tried)
         if not able:
             return None
-        candidates = [self._candidate(member, now) for member in able]
+        roomy = [one for one in able if self._has_room(one, now)] or able
+        candidates = [self._candidate(member, now) for member in roomy]
         return self._policy.choose(candidates, self._rng).member
 
     def sample(self, want: Want) -> Member | None:
@@ -246,6 +253,17 @@
         declared = self._declared.get(model, set())
         return [member for member in able if member.serving in declared]
 
+    def _has_room(self, member: Member, now: float) -> bool:
+        """Tell whether it is sound and this entry's part of it isn't full.
+
+        Entries that each keep to their part never fill an endpoint together,
+        however late they hear of its load.
+        """
+        load = self.load(member.vm)
+        if member.status == Health.SUSPECT or load.failed_of_late(now):
+            return False
+        return load.sent < -(-member.slots // self.entries)
+
     def _candidate(self, member: Member, now: float) -> Candidate:
         record = self.load(member.vm)
         load = record.estimate(now) / max(1, member.slots)
@@ -253,7 +271,7 @@
             load += _FAR_PENALTY
         if member.status == Health.SUSPECT:
             load += _SUSPECT_PENALTY
-        if now - record.failed_at < _FAILED_FOR_S:
+        if record.failed_of_late(now):
             load += _FAILED_PENALTY
         return Candidate(member, load, record.fresh(now))
 
--- a/src/linnetwood/programs/entry.py
+++ b/src/linnetwood/programs/entry.py
@@ -116,18 +116,24 @@
 
     def capacity(self, target: str) -> int:
         """Give this entry's part of the slots that serve a target."""
-        members = self.node.gossip.members.values()
-        entries = sum(1 for one in members if one.role == ENTRY and usable(one))
-        return -(-self.routes.slots(target) // max(1, entries))
+        return -(-self.routes.slots(target) // self._entries())
 
     def member_changed(self, member: Member) -> None:
         """Route by the newest statement."""
         self.routes.member_changed(member)
+        if member.role == ENTRY:
+            self.routes.entries = self._entries()
 
     def load_heard(self, vm: str, load: int) -> None:
         """Choose by the newest word of an endpoint's load."""
         self.routes.load(vm).report(load, self.node.clock.now())
 
+    def _entries(self) -> int:
+        """Count the entries that share the endpoints, at least this one."""
+        members = self.node.gossip.members.values()
+        found = sum(1 for one in members if one.role == ENTRY and usable(one))
+        return max(1, found)
+
     async def _drained(self) -> None:
         until = self.node.clock.now() + self._cfg.drain_limit_s
         while self.gate.under_way:
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -158,6 +158,7 @@
         """Put an entry together."""
         routes = Routes('z', POLICIES['probing'](), self.rng)
         routes.configured(DEPLOYMENT)
+        routes.entries = ENTRIES
         for one in self.endpoints.values():
             routes.member_changed(one.member())
         gate = Admission(
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -105,6 +105,29 @@
         )
         self.assertEqual(found.slots('m'), 10)
 
+    def test_an_entry_keeps_to_its_part(self) -> None:
+        """What is full by this entry's part goes after a sound one with room.
+
+        Loads heard say the opposite: they are old when they come.
+        """
+        cases: tuple[tuple[str, Member, dict[str, float], str], ...] = (
+            ('sound', engine('b'), {}, 'b'),
+            ('suspect', engine('b', status=int(Health.SUSPECT)), {}, 'a'),
+            ('failed', engine('b'), {'failed_at': 9.5}, 'a'),
+            ('full', engine('b'), {'sent': 5}, 'a'),
+        )
+        for name, other, known, expected in cases:
+            with self.subTest(name):
+                found = routes(engine('a'), other)
+                found.entries = 2
+                found.load('a').sent = 5
+                for field, told in known.items():
+                    setattr(found.load('b'), field, told)
+                found.load('a').report(0, 10)
+                found.load('b').report(8, 10)
+                chosen = found.choose(WANT, (), 10)
+                self.assertEqual(chosen.vm if chosen else '', expected)
+
     def test_reports_are_corrected_and_grow_old(self) -> None:
         """What was sent since a report is added; an old one is forgotten."""
         load = Load()
