Show calls that go to an endpoint which answered none, failing

Entries whose last attempts there could not connect, or were silent, send calls on a closing version as soon as a report of it comes: reports come over a narrowed link that holds calls up for seconds.

--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -161,6 +161,23 @@
             with self.subTest(at=at):
                 self.assertEqual(self.chosen(need, 'i-2'), expected)
 
+    def test_an_engine_that_did_not_answer_may_be_on_a_slow_way(self) -> None:
+        """Reports come from it, and calls to it may wait, until one answers.
+
+        Seen: entries that had failed to connect to an endpoint, or had waited
+        there in vain, sent it 17 calls within 0.4 s as soon as it was heard
+        again; 12 of them began behind the bound of their version.
+        """
+        standing = self.chooser.standing('i-1')
+        standing.unreachable(5)
+        standing.heard(report(0, 0, 10, serving=1))
+        for at, expected in ((11.6, ''), (11.8, 'i-1')):
+            need = Need(POOL, 'z1', 9, 'm', closing=((2, at),))
+            self.assertEqual(self.chosen(need, 'i-2'), expected)
+        standing.answered()
+        need = Need(POOL, 'z1', 9, 'm', closing=((2, 10.1),))
+        self.assertEqual(self.chosen(need, 'i-2'), 'i-1')
+
     def test_unreachable_endpoint_is_passed_over_for_a_while(self) -> None:
         """It is chosen only where there is no other."""
         need = Need(POOL, 'z1', 9, 'm')
