Lend slots beyond a share one after another, and catch up with eight calls

What callers saw: calls of an organisation within its share waited beside one that asks for more than there is, though the queue let them go first. Cause: calls that take the same time and were let in together end together. The queue gave all slots that came free at once to whoever waited, so the next came free a whole call later; who came in between waited for that. Now slots beyond a share are lent one after another: the next one not before nine tenths of the time between two ends if these were spread evenly, the sooner the more slots are free, and never later than a tenth of what a caller may wait. A call within its share takes a free slot at once, past those that wait. Where the shares name nobody else there is no pace.

--- a/src/linnetwood/calls/admission.py
+++ b/src/linnetwood/calls/admission.py
@@ -5,10 +5,13 @@
 from collections.abc import Callable
 
 from linnetwood.calls.fairness import Bounds, FairQueue, Ticket
+from linnetwood.calls.pacing import Pace
 from linnetwood.core.clock import Clock
 from linnetwood.core.outcomes import Code, Ending, not_run
 from linnetwood.gen.schema.ttypes import Deployment
 
+# Timers of the loop may be a little early.
+_LEAST_PAUSE_S = 0.001
 Capacity = Callable[[str], int]
 
 
@@ -40,6 +43,7 @@
         self._shares: dict[str, int] = {}
         self._queues: dict[str, FairQueue] = {}
         self._turns: dict[Ticket, asyncio.Future[Ending | None]] = {}
+        self._resuming: set[FairQueue] = set()
 
     def configured(self, deployment: Deployment) -> None:
         """Take in the organisations' shares."""
@@ -73,15 +77,29 @@
     def _queue(self, target: str) -> FairQueue:
         queue = self._queues.get(target)
         if queue is None:
-            queue = FairQueue(self._bounds, self._shares)
+            pace = Pace(self._bounds.wait_s)
+            queue = FairQueue(self._bounds, self._shares, pace)
             self._queues[target] = queue
         queue.capacity = max(1, self._capacity(target))
         return queue
 
     def _let_in(self, queue: FairQueue) -> None:
-        for ticket, ending in queue.admitted(self._clock.now()):
+        now = self._clock.now()
+        for ticket, ending in queue.admitted(now):
             turn = self._turns.pop(ticket)
             turn.set_result(ending)
+        if queue.resume_at is None or queue in self._resuming:
+            return
+        self._resuming.add(queue)
+        asyncio.get_running_loop().call_later(
+            max(_LEAST_PAUSE_S, queue.resume_at - now),
+            self._resume,
+            queue,
+        )
+
+    def _resume(self, queue: FairQueue) -> None:
+        self._resuming.discard(queue)
+        self._let_in(queue)
 
     async def _turn(self, queue: FairQueue, ticket: Ticket) -> Ending | None:
         turn = asyncio.get_running_loop().create_future()
--- a/src/linnetwood/calls/fairness.py
+++ b/src/linnetwood/calls/fairness.py
@@ -9,13 +9,15 @@
 
 import dataclasses
 import heapq
+import math
 from collections.abc import Iterator, Mapping
 
+from linnetwood.calls.pacing import Pace
 from linnetwood.core.outcomes import Code, Ending, not_run
 
 _DEFAULT_SHARE = 1
 # How many calls of its share an organisation may catch up with at once.
-_CATCH_UP_CALLS = 4
+_CATCH_UP_CALLS = 8
 _MEAN_WEIGHT = 0.1
 _FIRST_MEAN_S = 0.1
 _MILLISECONDS = 1000
@@ -43,10 +45,18 @@
 class FairQueue:
     """Share one pool of slots among organisations."""
 
-    def __init__(self, bounds: Bounds, shares: Mapping[str, int]) -> None:
-        """Start empty, with no slots known."""
+    def __init__(
+        self,
+        bounds: Bounds,
+        shares: Mapping[str, int],
+        pace: Pace | None = None,
+    ) -> None:
+        """Start empty, with no slots known; lend slots at a pace, if any."""
         self.under_way = 0
         self.capacity = 1
+        # When to look again: a slot is free then that was not lent before.
+        self.resume_at: float | None = None
+        self._pace = pace
         self._bounds = bounds
         self._shares = shares
         self._waiting: dict[str, list[Ticket]] = {}
@@ -68,8 +78,11 @@
         now: float,
     ) -> Ticket | Ending | None:
         """Admit at once (None), queue (a ticket) or refuse (an ending)."""
-        if self.under_way < self.capacity and not self._length:
-            self._charge(organisation)
+        if self.under_way < self.capacity and self._passes(organisation):
+            if self._length:
+                self._charge(organisation)
+            else:
+                self._lend_freely(organisation)
             self.under_way += 1
             return None
         refused = self._refusal(organisation, deadline, now)
@@ -88,13 +101,19 @@
 
     def admitted(self, now: float) -> Iterator[tuple[Ticket, Ending | None]]:
         """Yield whom to let in now, and whom to refuse as too late."""
+        self.resume_at = None
         while self._length and self.under_way < self.capacity:
-            ticket = self._next()
+            organisation = self._first()
+            due = self._due(organisation)
+            if now < due:
+                self.resume_at = due
+                return
+            ticket = heapq.heappop(self._waiting[organisation])
+            self._length -= 1
             if self._too_late(ticket, now):
                 yield ticket, not_run(Code.LATE, 'waited too long')
                 continue
-            self._charge(ticket.organisation)
-            self.under_way += 1
+            self._admit(organisation, now)
             yield ticket, None
 
     def withdraw(self, ticket: Ticket) -> bool:
@@ -141,24 +160,56 @@
     def _share(self, organisation: str) -> int:
         return self._shares.get(organisation, _DEFAULT_SHARE)
 
-    def _next(self) -> Ticket:
-        organisation = min(
+    def _first(self) -> str:
+        return min(
             (name for name, waiting in self._waiting.items() if waiting),
             key=self._start,
         )
-        self._length -= 1
-        return heapq.heappop(self._waiting[organisation])
+
+    def _passes(self, organisation: str) -> bool:
+        """Tell whether a call need not wait for those in the queue."""
+        if not self._length:
+            return True
+        return self._within(organisation) and not self._waiting.get(
+            organisation,
+        )
+
+    def _within(self, organisation: str) -> bool:
+        """Tell whether it used no more than its share of late."""
+        return self._finish.get(organisation, self._virtual) <= self._virtual
+
+    def _due(self, organisation: str) -> float:
+        """Give from when a free slot may go to an organisation."""
+        # Slots are kept apart only for others, whom the shares name.
+        alone = len(self._shares) < 2
+        if self._pace is None or alone or self._within(organisation):
+            return -math.inf
+        free = self.capacity - self.under_way
+        return self._pace.next_at(self._mean_s, self.capacity, free)
+
+    def _admit(self, organisation: str, now: float) -> None:
+        if self._pace is not None and not self._within(organisation):
+            self._pace.lent(now)
+        self._charge(organisation)
+        self.under_way += 1
 
     def _start(self, organisation: str) -> float:
-        earliest = self._virtual - _CATCH_UP_CALLS / self._share(organisation)
         # Who was never seen left nothing of its share.
-        return max(earliest, self._finish.get(organisation, self._virtual))
+        finish = self._finish.get(organisation, self._virtual)
+        return max(self._earliest(organisation), finish)
 
     def _charge(self, organisation: str) -> None:
         start = self._start(organisation)
         self._virtual = max(self._virtual, start)
         self._finish[organisation] = start + 1 / self._share(organisation)
 
+    def _lend_freely(self, organisation: str) -> None:
+        """Charge nothing for a slot that nobody waits for."""
+        self._finish.setdefault(organisation, self._earliest(organisation))
+
+    def _earliest(self, organisation: str) -> float:
+        return self._virtual - _CATCH_UP_CALLS / self._share(organisation)
+
     def _too_late(self, ticket: Ticket, now: float) -> bool:
         waited = now - ticket.asked_at > self._bounds.wait_s
         return waited or now + self._mean_s > ticket.deadline
