Read a number of a log line in one place

The summaries of forecasts and of losses each had the same function; it stands beside the reader of lines now.

--- a/src/linnetwood/programs/explain.py
+++ b/src/linnetwood/programs/explain.py
@@ -1,7 +1,7 @@
 """Tell the story of a call, or of calls that are alike, from log lines."""
 
 import json
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator, Mapping
 from types import MappingProxyType
 from typing import Any, TextIO
 
@@ -38,6 +38,12 @@
     return None
 
 
+def number_in(line: Mapping[str, Any], name: str) -> float:
+    """Give a number that a line tells; 0 where it tells none."""
+    found = line.get(name, 0)
+    return found if isinstance(found, int | float) else 0
+
+
 def take_lines(
     stream: TextIO,
     take: Callable[[dict[str, Any]], None],
--- a/src/linnetwood/programs/forecasts.py
+++ b/src/linnetwood/programs/forecasts.py
@@ -13,7 +13,7 @@
 from typing import Any, TextIO
 
 from linnetwood.core.events import Event
-from linnetwood.programs.explain import take_lines
+from linnetwood.programs.explain import number_in, take_lines
 from linnetwood.programs.losses import (
     IN_TIME,
     LATE_GAP,
@@ -183,10 +183,10 @@
         }
 
     def _attempt(self, line: Mapping[str, Any], at: float) -> None:
-        sent_at = at - _number(line, 'took_ms') / _MILLISECONDS
+        sent_at = at - number_in(line, 'took_ms') / _MILLISECONDS
         cause = cause_of(dict(line))
         urgent = line.get('urgency') != 'late'
-        streams = _number(line, 'version') > 0
+        streams = number_in(line, 'version') > 0
         self._second(sent_at).came += 1
         self._count(AGAIN, lost=line.get('how') in _TRIED_AGAIN)
         if not streams:
@@ -194,7 +194,7 @@
         elif urgent:
             self._count(FIRST_EVENT, lost=cause == LATE_START)
             self._count(PAUSES, lost=cause == LATE_GAP)
-        first_ms = _number(line, 'first_ms')
+        first_ms = number_in(line, 'first_ms')
         if not streams or first_ms < 0:
             return
         if urgent:
@@ -204,7 +204,7 @@
         span.in_time += cause in {IN_TIME, LATE_GAP}
 
     def _compare(self, line: Mapping[str, Any], first_ms: float) -> None:
-        predicted_ms = _number(line, 'predicted_ms')
+        predicted_ms = number_in(line, 'predicted_ms')
         self.every.add(predicted_ms, first_ms)
         for kind, named in _kinds(line):
             found = self.by_kind.setdefault(kind, {})
@@ -220,7 +220,7 @@
         second = self._second(at)
         second.came += 1
         second.refused += 1
-        back_at = at + _number(line, 'retry_after_ms') / _MILLISECONDS
+        back_at = at + number_in(line, 'retry_after_ms') / _MILLISECONDS
         self.returns[int(back_at)] += 1
 
     def _count(self, decision: str, *, lost: bool) -> None:
@@ -297,10 +297,13 @@
 
 
 def _kinds(line: Mapping[str, Any]) -> Iterator[tuple[str, str]]:
-    load = _number(line, 'waiting') + _number(line, 'running')
+    load = number_in(line, 'waiting') + number_in(line, 'running')
     yield 'route', str(line.get('route', _UNTOLD))
-    yield 'prompt tokens from', _step(_number(line, 'prompt'), _PROMPT_STEP)
-    yield 'report ms from', _step(_number(line, 'report_age_ms'), _AGE_STEP_MS)
+    yield 'prompt tokens from', _step(number_in(line, 'prompt'), _PROMPT_STEP)
+    yield (
+        'report ms from',
+        _step(number_in(line, 'report_age_ms'), _AGE_STEP_MS),
+    )
     yield 'calls there from', _step(load, _LOAD_STEP)
     yield 'way', 'far' if line.get('far') else 'near'
 
@@ -316,8 +319,3 @@
         return datetime.datetime.fromisoformat(text).timestamp()
     except ValueError:
         return None
-
-
-def _number(line: Mapping[str, Any], name: str) -> float:
-    found = line.get(name, 0)
-    return found if isinstance(found, int | float) else 0
--- a/src/linnetwood/programs/losses.py
+++ b/src/linnetwood/programs/losses.py
@@ -8,7 +8,7 @@
 from typing import Any, TextIO
 
 from linnetwood.core.events import Event
-from linnetwood.programs.explain import take_lines
+from linnetwood.programs.explain import number_in, take_lines
 from linnetwood.programs.spread import Spread
 
 # A wait at the store lasts two seconds and has one more to be answered; what
@@ -110,15 +110,15 @@
     def _attempt(self, line: dict[str, Any], zone: str) -> None:
         found = self._second(line)
         found.count(zone, str(line.get('route', _UNTOLD)), cause_of(line))
-        version = _number(line, 'version')
+        version = number_in(line, 'version')
         if version > 0:
             found.versions[f'{line.get("endpoint", _UNTOLD)}@{version}'] += 1
-        age_ms = _number(line, 'report_age_ms')
+        age_ms = number_in(line, 'report_age_ms')
         if age_ms >= 0:
             found.ages.add(age_ms)
-        first_ms = _number(line, 'first_ms')
+        first_ms = number_in(line, 'first_ms')
         if first_ms >= 0:
-            predicted_ms = _number(line, 'predicted_ms')
+            predicted_ms = number_in(line, 'predicted_ms')
             found.predicted.add(predicted_ms)
             found.seen.add(first_ms)
             found.missing.add(first_ms - predicted_ms)
@@ -129,17 +129,17 @@
     how = str(line.get('how', _UNTOLD))
     if how != 'answered':
         return f'lost: {how}'
-    first_ms = _number(line, 'first_ms')
-    target_ms = _number(line, 'target_ms')
+    first_ms = number_in(line, 'first_ms')
+    target_ms = number_in(line, 'target_ms')
     if first_ms < 0:
-        in_time = _number(line, 'took_ms') <= target_ms
+        in_time = number_in(line, 'took_ms') <= target_ms
         return IN_TIME if in_time else LATE_PLAIN
     if line.get('urgency') == LATE_PLAIN:
         return 'late: came back'
     if first_ms > target_ms:
         return LATE_START
-    allowed_ms = _number(line, 'allowed_gap_ms')
-    if allowed_ms and _number(line, 'gap_ms') > allowed_ms:
+    allowed_ms = number_in(line, 'allowed_gap_ms')
+    if allowed_ms and number_in(line, 'gap_ms') > allowed_ms:
         return LATE_GAP
     return IN_TIME
 
@@ -196,15 +196,10 @@
 
 
 def _by_old_belief(line: dict[str, Any]) -> bool:
-    old = _number(line, 'store_age_ms') > OLD_BELIEF_MS
+    old = number_in(line, 'store_age_ms') > OLD_BELIEF_MS
     return old and line['event'] == _UNPLACED
 
 
-def _number(line: dict[str, Any], name: str) -> float:
-    found = line.get(name, 0)
-    return found if isinstance(found, int | float) else 0
-
-
 def as_json(losses: Losses) -> str:
     """Give the report for programs."""
     return json.dumps(
