Name by a test that a step reckons twice what is here of each version, red

No caller sees it; it is work that a process beside an engine does at least ten times a second. A step plans by what is here of each version, and works the same out again to say what is fetched. The test counts 2 in place of 1 and is listed in KNOWN-RED.txt.

--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -4,6 +4,7 @@
 import hashlib
 import unittest
 from random import Random
+from unittest import mock
 
 from linnetwood.core.clock import SystemClock
 from linnetwood.core.errors import OrderError, WeightsError
@@ -183,6 +184,22 @@
         await self.until_served(1)
         self.check_taken(1)
 
+    async def test_a_step_reckons_once_what_is_here(self) -> None:
+        """What the plan was made by is what is fetched by."""
+        self.wanted.name('m', 2, 0)
+        await self.until_served(2)
+        # No other step comes in between.
+        assert self.follower._task is not None
+        self.follower._task.cancel()
+        fetching = self.follower._fetching
+        with mock.patch.object(
+            fetching,
+            'brought',
+            side_effect=fetching.brought,
+        ) as brought:
+            await self.follower._step()
+        self.assertEqual(brought.call_count, 1)
+
     async def test_spoilt_chunk_is_read_again(self) -> None:
         """What fails its digest is neither kept nor laid."""
         self.origin.spoils = {0, 3}
