Work out once a step what is here of each version

What a plan was made by now goes on to what is fetched; nothing waits in between, so it is the same. Calls of the reckoning a step: 2 before, 1 now. The 31 tests of followers, plans of versions and taking over pass.

--- a/src/linnetwood/weights/follower.py
+++ b/src/linnetwood/weights/follower.py
@@ -156,10 +156,10 @@
             # An order that led to nothing by now is given again.
             self._taken = None
         self._wanted.serving(report.serving.items())
-        newest = self._newest()
-        if newest is None:
+        planned = self._newest(now_s)
+        if planned is None:
             return
-        await self._fetch(newest)
+        await self._fetch(*planned)
         aim = self.aim
         download = self.download
         if aim is None or download is None:
@@ -183,7 +183,7 @@
         self._taken = None
         self._ordered_at = -_SETTLE_S
 
-    async def _fetch(self, newest: Aim) -> None:
+    async def _fetch(self, newest: Aim, outlook: Outlook) -> None:
         """Fetch what comes next, and what may be needed beside it.
 
         What came next before goes on until a newer version's manifest is here.
@@ -192,11 +192,11 @@
             self.aim = newest
             self._staged = 0
             self._complete_at = None
-        await self._fetching.want(tuple(self._wants(newest)))
+        await self._fetching.want(tuple(self._wants(newest, outlook)))
         if self.aim is not None:
             self._fetching.prefer(self.aim)
 
-    def _wants(self, newest: Aim) -> Iterator[Aim]:
+    def _wants(self, newest: Aim, outlook: Outlook) -> Iterator[Aim]:
         yield newest
         if self.aim is None:
             return
@@ -204,7 +204,7 @@
             yield self.aim
             return
         after = Aim(newest.model, self._wanted.version(newest.model))
-        brought = self._fetching.brought(newest.model).get(newest.version)
+        brought = outlook.brought.get(newest.version)
         if after == newest or brought is None:
             return
         if self._plan.reads_ahead(brought):
@@ -232,8 +232,8 @@
             first=first,
         )
 
-    def _newest(self) -> Aim | None:
-        now = self._tools.clock.now()
+    def _newest(self, now: float) -> tuple[Aim, Outlook] | None:
+        """Give the version to bring next, and what that was planned by."""
         for model in self._wanted.models():
             serving = self.report.serving.get(model, 0) if self.report else 0
             # What an order was taken for has left the place where it lay.
@@ -243,7 +243,7 @@
             version = self._plan.aim(self._wanted, outlook)
             if version:
                 self._tell_plan(outlook, version)
-                return Aim(model, version)
+                return Aim(model, version), outlook
         return None
 
     def _tell_plan(self, outlook: Outlook, version: int) -> None:
