Read from the origin what only neighbours hold of whom nothing is heard

Seen: a zone was cut off together with the origin 4 s after a version had been named. Its engines lacked a few chunks until the cut healed, and from the bound on calls were refused there for 4 s, though the origin was in reach.

Cause: a chunk that a neighbour was seen to hold is never read from the origin, also where that neighbour answers no more; and a chunk that nobody has read yet is only read by its three readers, who may all be behind the cut.

Once a fetch goes unanswered, each neighbour counts as unheard until it tells something. 0.5 s later what only the unheard hold is read from the origin, and what none is known to hold once all turns are over. Each VM has a rank for each chunk and waits 0.1 s and a chunk's time for each before it, so that one read serves all in reach.

Ruled out: to count only those as silent that were asked in vain.

Not played on a fleet yet when this was written.

--- a/src/linnetwood/weights/reading.py
+++ b/src/linnetwood/weights/reading.py
@@ -11,7 +11,9 @@
 from linnetwood.weights.takeover import Away, TakeOver, after_the_rest
 
 _RING_POINTS = 16
-_TAKERS = 3
+TAKERS = 3
+# What a chunk takes to be told of.
+_SHOWN_S = 0.1
 
 
 class Ring:
@@ -25,20 +27,20 @@
             for point in range(_RING_POINTS)
         )
         self._keys = [key for key, _ in self._points]
+        self.members = len(self._points) // _RING_POINTS
         self._manifest = manifest
 
     def readers(self, index: int, count: int) -> list[str]:
         """Give the VMs that should read a chunk, first choice first."""
-        found: list[str] = []
+        found: dict[str, None] = {}
         start = bisect_right(
             self._keys, place_hash(f'{self._manifest}#{index}')
         )
         for _, vm in self._points[start:] + self._points[:start]:
-            if vm not in found:
-                found.append(vm)
+            found[vm] = None
             if len(found) == count:
                 break
-        return found
+        return list(found)
 
 
 class OriginPolicy(Protocol):
@@ -50,8 +52,11 @@
     def again_at(self, index: int, away: Away) -> float:
         """Give the time of the turn once an origin that failed is back."""
 
+    def alone_at(self, index: int, since: float) -> float:
+        """Give the time to read what only VMs hold that are silent since."""
+
     def turns(self) -> int:
-        """Give the bitmap of chunks that this process may ever read."""
+        """Give the bitmap of chunks whose readers this process is among."""
 
     def takes_over(self, index: int) -> bool:
         """Tell whether another process was to read the chunk first."""
@@ -90,12 +95,15 @@
         takeover: TakeOver = after_the_rest,
     ) -> None:
         """Work out this process's turns."""
+        self._me = me
+        self._ring = ring
+        self._alone_s: dict[int, float] = {}
         self._takeover = takeover
         self._cfg = cfg
         self._due: dict[int, float] = {}
         self._ranks: dict[int, int] = {}
         for index in range(chunks.MANIFEST_INDEX, count):
-            readers = ring.readers(index, _TAKERS)
+            readers = ring.readers(index, TAKERS)
             if me in readers:
                 rank = readers.index(me)
                 self._ranks[index] = rank
@@ -115,12 +123,23 @@
         Without this all readers of a chunk would read it at the same time.
         """
         return self._takeover(
-            self._ranks.get(index, _TAKERS),
+            self._ranks.get(index, TAKERS),
             away,
             self._cfg.takeover_s,
             self._cfg.chunk_origin_s,
         )
 
+    def alone_at(self, index: int, since: float) -> float:
+        """Give the turn among all VMs, which are seldom all in reach.
+
+        Each waits until the one before it could have shown the chunk.
+        """
+        if index not in self._alone_s:
+            readers = self._ring.readers(index, self._ring.members)
+            rank = readers.index(self._me) if self._me in readers else 0
+            self._alone_s[index] = rank * (self._cfg.chunk_origin_s + _SHOWN_S)
+        return since + self._alone_s[index]
+
     def turns(self) -> int:
         """Give the chunks for which this process is among the readers."""
         return self._turns
@@ -170,6 +189,10 @@
         """Know how many chunks there are."""
         self._turns = chunks.full(count)
 
+    def alone_at(self, index: int, since: float) -> float:
+        """Allow every chunk at once."""
+        return since
+
     def turns(self) -> int:
         """Give every chunk."""
         return self._turns
--- a/src/linnetwood/weights/swarm.py
+++ b/src/linnetwood/weights/swarm.py
@@ -9,7 +9,8 @@
 from linnetwood.weights import chunks
 from linnetwood.weights.bounds import SwarmOptions
 from linnetwood.weights.inflow import Flight, Inflow
-from linnetwood.weights.reading import DueTimes, OriginPolicy
+from linnetwood.weights.reading import TAKERS, DueTimes, OriginPolicy
+from linnetwood.weights.silence import Silence
 from linnetwood.weights.takeover import Away
 from linnetwood.weights.versionplan import Brought
 
@@ -107,6 +108,9 @@
         # that may read the same chunks then seldom read the same one.
         self._order = rng.sample(range(count), count)
         self._peers_next = False
+        self._silence = Silence()
+        turns_s = count * cfg.chunk_origin_s + TAKERS * cfg.takeover_s
+        self._turns_over_at = now + turns_s
         # While another version comes first, only the origin is asked.
         self.ahead = False
 
@@ -142,6 +146,7 @@
 
         What it had sent by then still comes.
         """
+        self._silence.heard(vm)
         peer = self.peers.pop(vm, None)
         if peer is not None:
             self._count(peer.held, -1)
@@ -162,6 +167,7 @@
         self._count(held & ~peer.held, 1)
         peer.held |= held
         peer.queued = queued
+        self._silence.heard(vm)
 
     def flows(self, index: int, source: str, now: float) -> None:
         """Note the first byte of what was asked for."""
@@ -243,6 +249,7 @@
         peer = self.peers.get(vm)
         if peer is not None:
             peer.shunned_until = max(peer.shunned_until, now + _AVOID_S)
+            self._silence.fell(vm, self.peers, now)
 
     def plan(self, now: float) -> Iterator[Fetch]:
         """Yield the fetches to begin now, and count them as begun.
@@ -309,6 +316,14 @@
             due = None if self._rarity[index] else self._origin_due(index, away)
             if due is not None and due <= now:
                 yield index
+        every = chunks.full(self.count)
+        lone = self._silence.lone(now, self.peers, every, self._turns_over_at)
+        for among, since in lone:
+            yield from (
+                chunk
+                for chunk in self._lacking(among)
+                if self.policy.alone_at(chunk, since) <= now
+            )
 
     def _away(self, now: float) -> Away | None:
         """Give what is known of the origin, if it failed."""
--- a/tests/test_swarm.py
+++ b/tests/test_swarm.py
@@ -25,6 +25,10 @@
         """Give some time; there is no turn."""
         return away.failed_at
 
+    def alone_at(self, index: int, since: float) -> float:
+        """Give no time."""
+        return math.inf
+
     def due_at(self, index: int, started: float) -> float | None:
         """Give no time."""
         return None
@@ -240,6 +244,28 @@
         found.notice('b', 0b1, 0)
         self.assertEqual([one.source for one in found.plan(1.2)], ['b'])
 
+    def test_what_only_silent_peers_hold_is_read(self) -> None:
+        """Once nothing is heard of all that hold it; others are waited for."""
+        found = Swarm(
+            COUNT,
+            chunks.full(COUNT) & ~0b11,
+            SwarmOptions(),
+            DirectReading(COUNT),
+            Random(1),
+            0,
+        )
+        for vm, held in (('a', 0b01), ('b', 0b01), ('c', 0b10)):
+            found.meet(vm)
+            found.notice(vm, held, 0)
+        for vm in ('a', 'b', 'c'):
+            found.avoid(vm, 1.0)
+        self.assertEqual(list(found.plan(1.1)), [])
+        found.notice('c', 0b10, 0)
+        self.assertEqual(list(found.plan(1.6)), [Fetch(0, ORIGIN)])
+        found.failed(0, ORIGIN)
+        found.notice('b', 0b01, 0)
+        self.assertEqual(list(found.plan(1.7)), [])
+
 
 class Reads(Nobody):
     """Read some chunks from the origin, as soon as may be."""
