Say by tests which calls a soak must count as lost, red

The soak checks no call whose connection an entry closed after it had passed the call on: more than three of an entry in touch to sound servers, or one of an entry that was told to stop and had the time.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -33,6 +33,10 @@
     body='mine',
 )
 RUN = Run('c', 'i', 'desk', AT, 0, 4000, 's', body='mine', ended_at=AT + 0.1)
+CUT = dataclasses.replace(CALL, kind=Kind.STREAM, status=0, whole=False)
+CRASHED = dataclasses.replace(RUN, crashed=True)
+LONG = dataclasses.replace(RUN, ended_at=AT + 7)
+SPAN = (AT - 1, AT + 1)
 EVENTS = 'id: 1\ndata: c|1|2|1\n\nid: 2\ndata: c|2|2|1\n\n'
 STREAM = dataclasses.replace(CALL, kind=Kind.STREAM, body=EVENTS)
 
@@ -49,6 +53,25 @@
     return History([changed], list(runs))
 
 
+def closed_on(count: int, run: Run | None, **changed: object) -> History:
+    """Give streams on whose connections an entry closed."""
+    history = History()
+    for number in range(count):
+        name = f'c{number}'
+        call = dataclasses.replace(CUT, call_id=name)
+        for field, told in changed.items():
+            setattr(call, field, told)
+        history.calls.append(call)
+        if run is not None:
+            history.runs.append(dataclasses.replace(run, call_id=name))
+    return history
+
+
+def stop_of(stop: Trouble, entry: str) -> Trouble:
+    """Give the same for another entry."""
+    return dataclasses.replace(stop, who=entry)
+
+
 class CheckerTest(unittest.TestCase):
     """Break one promise after the other."""
 
@@ -104,6 +127,56 @@
                 history.troubles = [Trouble('any', AT, late - 1)]
                 self.assertEqual(rules(history), set())
 
+    def test_lost(self) -> None:
+        """An entry in touch closes on no call that a sound server got."""
+        found = {}
+        expected = {}
+        for name, lost, run, changed, troubles, broken in (
+            ('three', 3, RUN, {}, (), False),
+            ('four', 4, RUN, {}, (), True),
+            ('not passed on', 4, None, {}, (), False),
+            ('ended under it', 4, CRASHED, {}, (), False),
+            ('told so', 4, RUN, {'status': 502}, (), False),
+            ('left', 4, RUN, {'left_at': AT + 0.1}, (), False),
+            ('all troubled', 4, RUN, {}, (Trouble('any', *SPAN),), False),
+            ('entry', 4, RUN, {}, (Trouble('any', *SPAN, 'e'),), False),
+            ('other entry', 4, RUN, {}, (Trouble('any', *SPAN, 'f'),), True),
+            ('server', 4, RUN, {}, (Trouble('any', *SPAN, 'i'),), False),
+            ('other server', 4, RUN, {}, (Trouble('any', *SPAN, 'j'),), True),
+        ):
+            history = closed_on(lost, run, **changed)
+            history.troubles = list(troubles)
+            found[name] = 'LOST' in rules(history)
+            expected[name] = broken
+        self.assertEqual(found, expected)
+
+    def test_lost_while_an_entry_stops(self) -> None:
+        """An entry that is told to stop ends what it passed on."""
+        stop = Trouble('stop entry', AT - 0.5, AT + 8, 'e')
+        cut = {'status': 200}
+        whole = {'whole': True, 'status': 200, 'body': EVENTS}
+        found = {}
+        expected = {}
+        for name, changed, run, troubles, broken in (
+            ('no answer', {}, RUN, (stop,), True),
+            ('half an answer', cut, RUN, (stop,), True),
+            ('whole', whole, RUN, (stop,), False),
+            ('left', {'left_at': AT + 1}, RUN, (stop,), False),
+            ('not passed on', {}, None, (stop,), False),
+            ('ended under it', {}, CRASHED, (stop,), False),
+            ('no stop', cut, RUN, (), False),
+            ('another stops', {}, RUN, (stop_of(stop, 'f'),), False),
+            ('disruption', {}, RUN, (stop, Trouble('any', *SPAN, 'x')), False),
+            ('both stop', {}, RUN, (stop, stop_of(stop, 'f')), True),
+            ('grace over', {'ended_at': AT + 9}, RUN, (stop,), False),
+            ('at work to the end', {}, LONG, (stop,), False),
+        ):
+            history = closed_on(1, run, **changed)
+            history.troubles = list(troubles)
+            found[name] = 'LOST' in rules(history)
+            expected[name] = broken
+        self.assertEqual(found, expected)
+
     def test_an_entry_that_stood_still(self) -> None:
         """It tells a back end the whole time of a call that waited for it.
 
