Check in a soak that no call is lost

Cause of the gap: the checker judged answers and runs, and what had neither an answer nor a broken bound passed. Now it finds connections that an entry closed after it had passed the call on: more than three times at an entry in touch while the servers were sound, and once at an entry that was told to stop, had its grace left and nothing else was the matter. A call that was not passed on, that its caller left, or under which a server ended doesn't count; nor one that came early enough and whose server worked to the last sixth of the grace. Not done: a proxy between entries.

--- a/src/linnetwood/lab/soak/checks.py
+++ b/src/linnetwood/lab/soak/checks.py
@@ -8,6 +8,7 @@
 
 from linnetwood.lab.soak.configuration import KEPT_ROUTES
 from linnetwood.lab.soak.history import Acked, Call, History, Kind, Run
+from linnetwood.lab.soak.lost import lost
 
 _OK = 200
 _FOUND_BELOW = 300
@@ -61,6 +62,7 @@
             self._budget(),
             self._after_three_ended(),
             self._gone(),
+            self._lost(),
             self._recover(),
         )
 
@@ -232,6 +234,14 @@
             first = worked_on[0].at
             yield f'GONE {first:.3f} {len(worked_on)} of {len(left)} worked on'
 
+    def _lost(self) -> Iterator[str]:
+        return lost(
+            self._history,
+            self._runs,
+            self._in_touch,
+            self._limits.contact_s,
+        )
+
     def _recover(self) -> Iterator[str]:
         """At the end, without any fault, calls are served again."""
         calls = self._history.calls
