Tell a way on which nothing comes as the longest that calls were seen to take

Cause: how long nothing has come says for how long what lies on the link has waited so far, not what lies on it: five chunks asked for and five given up there, which take 4 s at 0.5 Mbit/s, and calls. Ruled out: the cap of what entries believe (1.7 s), which would have closed the older version there in time.

--- a/src/linnetwood/weights/inflow.py
+++ b/src/linnetwood/weights/inflow.py
@@ -17,6 +17,10 @@
 _RECENT_S = 1.5
 # A chunk that comes within this shows that nothing else waits on the link.
 _QUICK_S = 0.3
+# A link that brings nothing for so long, while peers are given up, holds back
+# what is not known: then the way counts as long as calls were seen to wait.
+_STUCK_S = 0.8
+_STUCK_WAY_S = 2.0
 # So long nothing may be under way until a link counts as unknown.
 _IDLE_S = 1.0
 
@@ -194,7 +198,9 @@
             return min(owed_s, took_s)
         if now - self._sampled_at > _RECENT_S:
             owed_s = took_s
-        return max(min(owed_s, took_s), now - self._still_since)
+        still_s = now - self._still_since
+        stuck_s = _STUCK_WAY_S if still_s > _STUCK_S else 0
+        return max(min(owed_s, took_s), still_s, stuck_s)
 
     def _look_for_idleness(self, now: float) -> None:
         """End the doubt where nothing has been under way for a while.
--- a/tests/test_inflow.py
+++ b/tests/test_inflow.py
@@ -204,7 +204,8 @@
         """What lies on it is not known: chunks that were given up, and calls.
 
         Seen: by a way told as 1.2 s, after as long without a byte, calls were
-        sent that arrived after 3.4 s, behind the bound of their version.
+        sent that arrived after 3.4 s, behind the bound of their version. Cause:
+        how long nothing came says how long it has waited so far, and no more.
         """
         inflow = measured(STATED_CHUNK_S)
         flights = [inflow.asked(1) for _ in range(3)]
