Doubt the way to an endpoint until a call that is sent there begins

What callers saw: 17 calls within 0.4 s to an endpoint that had just been heard again; all taken back, 12 of them begun behind the bound of their version. Cause: what attempts there had shown (no connection, silence, reports missing for 3 s) was forgotten with the next report, and reports overtake calls on a narrowed link. Ruled out: shunning, which ends by time, and after any answer, also one to a call that was sent before. Why it holds: after an attempt that reached nobody or was silent, the way counts as the slowest that is believed, after a silence of reports as that of a silent endpoint, until a call that was sent since begins less than 0.8 s late. It bears on versions that are about to close only, and on no endpoint without versions. What it may cost: an entry whose own process stood still hears all endpoints after a silence, and closes older versions 1.6 s earlier until a call begins.

--- a/src/linnetwood/calls/direct.py
+++ b/src/linnetwood/calls/direct.py
@@ -232,7 +232,7 @@
         finally:
             waiting.over()
             standing.ended()
-        self._learn(call.service, choice, end)
+        self._learn(call.service, sending, attempt, end)
         self._tell_end(call, choice, attempt, end)
         if end.how is How.STALLED and not attempt.first_heard:
             self._learn_wait(call, sending)
@@ -309,8 +309,14 @@
         waiting: '_Waiting',
     ) -> None:
         waiting.over()
+        self._note_begun(sending)
         self._learn_wait(call, sending)
 
+    def _note_begun(self, sending: Sending) -> None:
+        standing = self._chooser.standing(sending.choice.endpoint.life)
+        waited_s = self._loop.time() - sending.at
+        standing.began(sending.at, waited_s - sending.choice.wait_s)
+
     def _learn_wait(self, call: DirectCall, sending: Sending) -> None:
         """Compare how long an admitted call waited with what was predicted."""
         if call.service.engine is None or sending.urgency is Urgency.LATE:
@@ -322,12 +328,16 @@
     def _learn(
         self,
         service: Service,
-        choice: Choice,
+        sending: Sending,
+        attempt: Attempt,
         end: AttemptEnd,
     ) -> None:
+        choice = sending.choice
         standing = self._chooser.standing(choice.endpoint.life)
         if end.how is How.ANSWERED:
             standing.answered()
+            if not attempt.first_heard:
+                self._note_begun(sending)
         elif not end.reached or end.how is How.STALLED:
             now = self._loop.time()
             standing.unreachable(now)
--- a/src/linnetwood/calls/standing.py
+++ b/src/linnetwood/calls/standing.py
@@ -13,8 +13,8 @@
 # So long a whole link of a VM beside an engine takes for the chunks that are
 # under way on it (five of 54 ms): the entries' margins allow for that.
 _USUAL_WAY_S = 0.3
-# What is allowed for the way to an endpoint whose reports have stopped: two
-# chunks on the narrowest link that was met (0.43 s each, measured).
+# What is allowed for the way to an endpoint whose reports have stopped, also
+# when they come again: two chunks on the narrowest link that was met.
 _UNHEARD_SLOW_S = 0.8
 # More is not believed of any way: calls took up to 2 s to arrive on narrowed
 # links (measured), 0.3 s of which is usual.
@@ -51,6 +51,8 @@
 
     __slots__ = (
         'ended_since',
+        'doubt_s',
+        'doubted_since',
         'failing',
         'in_flight',
         'late_waiting',
@@ -72,9 +74,15 @@
         self.shun_s = _SHUN_FIRST_S
         self.shunned_until = -math.inf
         self.report: Report | None = None
+        # Since when it may be that reports come and calls wait on the way, and
+        # for how long; inf where nothing says so.
+        self.doubted_since = math.inf
+        self.doubt_s = float()
 
     def heard(self, report: Report) -> None:
-        """Take in the engine's own word."""
+        """Take in the engine's own word; after a silence, as one in doubt."""
+        if self.silent(report.heard_at):
+            self._doubt(report.heard_at, _UNHEARD_SLOW_S)
         self.report = report
         self.sent_since = 0
         self.ended_since = 0
@@ -89,6 +97,15 @@
         self.in_flight -= 1
         self.ended_since += 1
 
+    def began(self, sent_at: float, late_s: float) -> None:
+        """Note that a call began so much later than predicted.
+
+        One that was sent since, and waited no longer, ends the doubt.
+        """
+        if sent_at >= self.doubted_since and late_s < _UNHEARD_SLOW_S:
+            self.doubted_since = math.inf
+            self.doubt_s = 0
+
     def answered(self) -> None:
         """Note a good answer."""
         self.failing -= _FAIL_WEIGHT * self.failing
@@ -101,6 +118,7 @@
     def unreachable(self, now: float) -> None:
         """Send nothing for a while, longer each time."""
         self.failed()
+        self._doubt(now, _SLOW_MOST_S)
         self.shunned_until = now + self.shun_s
         self.shun_s = min(_SHUN_MOST_S, self.shun_s * 2)
 
@@ -115,6 +133,7 @@
         if report is None:
             return 0
         slow_s = max(0, report.way_s - _USUAL_WAY_S)
+        slow_s = max(slow_s, self.doubt_s)
         if self.silent(now):
             slow_s = max(slow_s, _UNHEARD_SLOW_S)
         return min(slow_s, _SLOW_MOST_S)
@@ -142,3 +161,8 @@
         total = max(self.in_flight, left + self.sent_since + max(0, running))
         running = min(total, max(0, running))
         return total - running, running
+
+    def _doubt(self, now: float, slow_s: float) -> None:
+        """Take the way for slow until a call that is sent later begins."""
+        self.doubted_since = now
+        self.doubt_s = max(self.doubt_s, slow_s)
