Let an entry keep places from callers who come back

Two decisions with two ways each, today's the defaults: who came back (nobody is told apart, or by the time that is left, with the check of each entry by which it leaves that where callers differ), and what they may have (as first tries, or what is free beside a reserve of half of an engine's slots). A return beyond the reserve is refused at the door as not run; nobody is held. Reserved by what is free and not by a memory of refusals, so that returns are served as soon as the load falls, and entries need tell each other nothing.

--- a/src/linnetwood/calls/entrance.py
+++ b/src/linnetwood/calls/entrance.py
@@ -7,7 +7,10 @@
 from linnetwood.calls.choice import Choice, Chooser, Need
 from linnetwood.calls.dialect import Urgency
 from linnetwood.calls.direct import DirectCall
+from linnetwood.calls.policy.firsttries import AllAlike, FirstTries
+from linnetwood.calls.policy.returnroom import Place, ReturnRoom, as_first
 from linnetwood.calls.policy.returns import Returns
+from linnetwood.calls.routebook import Service
 from linnetwood.core.clock import Clock
 from linnetwood.core.outcomes import Code, Ending, not_run
 
@@ -32,8 +35,12 @@
         dispatcher: Needs,
         clock: Clock,
         returns: Returns,
+        first_tries: FirstTries | None = None,
+        return_room: ReturnRoom = as_first,
     ) -> None:
         """Predict by the chooser's view."""
+        self._first_tries = first_tries or AllAlike()
+        self._return_room = return_room
         self._chooser = chooser
         self._dispatcher = dispatcher
         self._clock = clock
@@ -46,8 +53,13 @@
         now = self._clock.now()
         need = self._dispatcher.need(call)
         choice = self._chooser.choose(need, (), now)
+        wait_s = call.head.wait_s
+        first = self._first_tries.is_first(call.route.name, wait_s, now)
         if choice is None:
             return self._refusal(Code.NO_ENDPOINT, call, 'none')
+        if not (first or self._may_return(call.service, choice)):
+            self._tell(call, need, choice, 'refused')
+            return self._refusal(Code.OVERLOADED, call, 'came back')
         if choice.wait_s <= need.enough_s:
             self._returns.admitted(now)
             return Urgency.IN_TIME
@@ -58,6 +70,14 @@
         detail = f'predicted {round(choice.wait_s * _MILLISECONDS)} ms'
         return self._refusal(Code.OVERLOADED, call, detail)
 
+    def _may_return(self, service: Service, choice: Choice) -> bool:
+        """Tell whether a caller who comes back keeps out no first try."""
+        if service.engine is None:
+            return True
+        standing = self._chooser.standing(choice.endpoint.life)
+        taken = sum(standing.work(self._clock.now()))
+        return self._return_room(Place(taken, service.engine.slots))
+
     def _room_behind(self, need: Need) -> bool:
         """Tell whether a late call would take nobody's place.
 
@@ -95,5 +115,6 @@
     def _refusal(self, code: Code, call: DirectCall, detail: str) -> Ending:
         """Refuse, and say when to come back."""
         now = self._clock.now()
+        self._first_tries.refused(now)
         after_s = self._returns.after_s(call.until - now, now)
         return not_run(code, detail, int(after_s * _MILLISECONDS))
--- /dev/null
+++ b/src/linnetwood/calls/policy/returnroom.py
@@ -0,0 +1,46 @@
+"""Whether a caller who comes back may have a place at an engine.
+
+Load pattern: overload with retries. A caller who comes back is late already, so
+that its answer is worth less than one to a caller who comes first, and both ask
+for the same place. Telephone networks keep overflowing calls from the places of
+fresh ones by trunk reservation: they are taken only while more than a reserve
+is free, so that they are served again as soon as the load falls.
+"""
+
+import dataclasses
+from types import MappingProxyType
+from typing import Final, Protocol
+
+# The part of an engine's slots that stays free of callers who come back. It
+# covers what is sent there before its next report, by all entries.
+_RESERVE_SHARE = 0.5
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Place:
+    """What is taken of the slots of the engine that a call would go to."""
+
+    taken: float
+    slots: int
+
+
+class ReturnRoom(Protocol):
+    """Tell whether callers who come back may have a place."""
+
+    def __call__(self, place: Place) -> bool:
+        """Tell it by what is taken there."""
+
+
+def as_first(place: Place) -> bool:
+    """Let them have what first tries may have."""
+    return place.slots > 0
+
+
+def reserve(place: Place) -> bool:
+    """Keep a part of the slots for first tries."""
+    return place.taken < place.slots * (1 - _RESERVE_SHARE)
+
+
+RETURN_ROOM: Final[MappingProxyType[str, ReturnRoom]] = MappingProxyType(
+    {'as-first': as_first, 'reserve': reserve},
+)
--- a/src/linnetwood/core/options.py
+++ b/src/linnetwood/core/options.py
@@ -133,7 +133,7 @@
 class Decisions:
     """Which way each decision is taken, where there is more than one.
 
-    docs/design/shifted.md compares them.
+    docs/design/shifted.md and docs/design/returns.md compare them.
     """
 
     takeover: str = one_of(
@@ -147,3 +147,9 @@
         default='by-forecast',
     )
     returns: str = one_of('last-part', 'sized-window', default='last-part')
+    first_tries: str = one_of(
+        'all-alike',
+        'by-patience',
+        default='all-alike',
+    )
+    return_room: str = one_of('as-first', 'reserve', default='as-first')
--- a/src/linnetwood/lab/measure_policy.py
+++ b/src/linnetwood/lab/measure_policy.py
@@ -13,6 +13,8 @@
 
 # Passes of a second fill the queues; what comes after is counted.
 _WARM_S = 3.0
+# In half of the rate entries learn first how long callers wait.
+_CALM_S = 6.0
 _SPAN_S = 5.0
 # Of the calls in time at the knee, so many should be left beyond it.
 _AIM = 0.9
@@ -30,6 +32,8 @@
     swing: float = 0,
     patience_s: float = 0,
     returns: Literal['last-part', 'sized-window'] = 'last-part',
+    first_tries: Literal['all-alike', 'by-patience'] = 'all-alike',
+    return_room: Literal['as-first', 'reserve'] = 'as-first',
 ) -> bool:
     """Print calls in time at one to three times the rate of the knee.
 
@@ -43,6 +47,8 @@
     :param swing: the part of the rate by which it swings
     :param patience_s: how long callers wait, who come back once; 0 for never
     :param returns: when refused callers come back
+    :param first_tries: by what callers who come back are told
+    :param return_room: what callers who come back may take
     """
     fleet = Fleet(
         entries,
@@ -51,7 +57,12 @@
         knee * engines,
         every_s,
         sheet=SHEETS[sheet],
-        decisions=Decisions(returns=returns),
+        decisions=Decisions(
+            returns=returns,
+            first_tries=first_tries,
+            return_room=return_room,
+        ),
+        calm_s=_CALM_S if patience_s else 0,
         swing=swing,
         patience_s=patience_s,
     )
@@ -67,7 +78,9 @@
         rate = fleet.rate * times
         played = dataclasses.replace(fleet, rate=rate)
         found = [
-            World(played, seed).play(_WARM_S, _SPAN_S).row(fleet.engines)
+            World(played, seed)
+            .play(_WARM_S + fleet.calm_s, _SPAN_S)
+            .row(fleet.engines)
             for seed in range(seeds)
         ]
         means = {
--- a/src/linnetwood/lab/policy.py
+++ b/src/linnetwood/lab/policy.py
@@ -21,7 +21,9 @@
 from linnetwood.calls.choice import Choice, Chooser, Need
 from linnetwood.calls.directory import Directory, Listed
 from linnetwood.calls.engine import EngineFigures
+from linnetwood.calls.policy.firsttries import FIRST_TRIES, FirstTries
 from linnetwood.calls.policy.lateness import Lateness, MeanLateness
+from linnetwood.calls.policy.returnroom import RETURN_ROOM, Place
 from linnetwood.calls.policy.returns import RETURNS, Returns
 from linnetwood.calls.routebook import Service
 from linnetwood.calls.standing import Report, Standing
@@ -205,6 +207,7 @@
         }
         self._lateness: dict[Chooser, Lateness] = {}
         self._returns: dict[Chooser, Returns] = {}
+        self._first_tries: dict[Chooser, FirstTries] = {}
         self._entries = [
             self._entry(f'a{number}', f'z{number % fleet.zones}', directory)
             for number in range(fleet.entries)
@@ -236,6 +239,7 @@
         ways = self._fleet.decisions
         self._lateness[chooser] = MeanLateness()
         self._returns[chooser] = RETURNS[ways.returns](Random(me))
+        self._first_tries[chooser] = FIRST_TRIES[ways.first_tries]()
         return chooser, zone
 
     def _run(self, until: float) -> None:
@@ -275,6 +279,13 @@
             lot=place_hash(str(self._rng.random())),
         )
         choice = chooser.choose(need, (), self._now)
+        first = self._first_tries[chooser].is_first(
+            str(kind.prompt),
+            came_at + self._fleet.patience_s - self._now,
+            self._now,
+        )
+        if choice is not None and not first:
+            choice = self._left_for_returns(chooser, choice)
         urgent = choice is not None and choice.wait_s <= need.enough_s
         if urgent:
             self._returns[chooser].admitted(self._now)
@@ -285,6 +296,16 @@
         call.asked_at = self._now
         self._send(choice.endpoint.endpoint, call)
 
+    def _left_for_returns(
+        self,
+        chooser: Chooser,
+        choice: Choice,
+    ) -> Choice | None:
+        standing = chooser.standing(choice.endpoint.life)
+        taken = sum(standing.work(self._now))
+        room = RETURN_ROOM[self._fleet.decisions.return_room]
+        return choice if room(Place(taken, self._figures.slots)) else None
+
     def _has_room(self, chooser: Chooser, choice: Choice) -> bool:
         if not self._fleet.patience_s:
             return False
@@ -302,6 +323,7 @@
     ) -> None:
         self.outcome.refused += not again
         self.outcome.lost += again
+        self._first_tries[chooser].refused(self._now)
         if self._fleet.patience_s and not again:
             left_s = came_at + self._fleet.patience_s - self._now
             after_s = self._returns[chooser].after_s(left_s, self._now)
--- a/src/linnetwood/programs/resident_calls.py
+++ b/src/linnetwood/programs/resident_calls.py
@@ -6,6 +6,8 @@
 from linnetwood.calls.direct import DirectDispatcher
 from linnetwood.calls.directory import Directory
 from linnetwood.calls.entrance import Entrance
+from linnetwood.calls.policy.firsttries import FIRST_TRIES
+from linnetwood.calls.policy.returnroom import RETURN_ROOM
 from linnetwood.calls.policy.returns import RETURNS
 from linnetwood.core.clock import Clock
 from linnetwood.core.metrics import Metrics
@@ -45,4 +47,6 @@
             self.dispatcher,
             clock,
             RETURNS[decisions.returns](rng),
+            FIRST_TRIES[decisions.first_tries](),
+            RETURN_ROOM[decisions.return_room],
         )
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -6,6 +6,17 @@
 import unittest
 from random import Random
 
+from linnetwood.calls.policy.firsttries import (
+    FIRST_TRIES,
+    AllAlike,
+    ByPatience,
+)
+from linnetwood.calls.policy.returnroom import (
+    RETURN_ROOM,
+    Place,
+    as_first,
+    reserve,
+)
 from linnetwood.calls.policy.returns import RETURNS, LastPart, SizedWindow
 from linnetwood.core.errors import SettingsError
 from linnetwood.core.options import Decisions
@@ -14,6 +25,8 @@
 from linnetwood.weights.versionplan import PLANS
 
 WAYS = {
+    'first_tries': FIRST_TRIES,
+    'return_room': RETURN_ROOM,
     'returns': RETURNS,
     'takeover': TAKEOVERS,
     'version_plan': PLANS,
@@ -110,5 +123,91 @@
         self.assertGreater(max(found) - min(found), 0.5)
 
 
+class FirstTriesTest(unittest.TestCase):
+    """Who comes for the first time, by what callers say that they wait."""
+
+    def setUp(self) -> None:
+        self.tries = ByPatience()
+        for number in range(20):
+            self.assertTrue(self.tries.is_first('r', 6 + number / 100, 0))
+
+    def test_who_was_refused_has_less_time(self) -> None:
+        """A fifth of it at least; others differ by little."""
+        self.tries.refused(1)
+        self.assertTrue(self.tries.is_first('r', 6.0, 1))
+        self.assertFalse(self.tries.is_first('r', 4.8, 2))
+        self.assertFalse(self.tries.is_first('r', 4.1, 2))
+
+    def test_routes_differ(self) -> None:
+        """Each has callers of its own."""
+        self.assertTrue(self.tries.is_first('s', 1.5, 0))
+        self.assertFalse(self.tries.is_first('r', 1.5, 0))
+
+    def test_nothing_is_said(self) -> None:
+        """Then nobody is put behind."""
+        self.assertTrue(self.tries.is_first('r', None, 0))
+
+    def test_nobody_is_known_yet(self) -> None:
+        """All are alike until enough were seen."""
+        tries = ByPatience()
+        tries.is_first('r', 6, 0)
+        self.assertTrue(tries.is_first('r', 3, 0))
+
+    def test_callers_that_differ(self) -> None:
+        """The way does not fit, and is left by itself."""
+        tries = ByPatience()
+        rng = Random(1)
+        waits = [rng.uniform(2, 6) for _ in range(200)]
+        found = [tries.is_first('r', wait_s, 0) for wait_s in waits]
+        self.assertTrue(all(found[40:]))
+        tries.refused(1)
+        self.assertTrue(tries.is_first('r', 2, 1))
+
+    def test_returns_don_t_count_against_it(self) -> None:
+        """Those who come back after a refusal are what it is for."""
+        self.tries.refused(10)
+        found = [self.tries.is_first('r', 4, 11) for _ in range(100)]
+        self.assertFalse(any(found))
+        self.assertTrue(self.tries.fits)
+
+    def test_callers_that_wait_less_from_now_on(self) -> None:
+        """What they waited before is forgotten."""
+        found = [self.tries.is_first('r', 3, at) for at in range(1, 100, 5)]
+        self.assertTrue(found[-1])
+
+    def test_memory_is_bounded(self) -> None:
+        """Routes beyond a number are not told apart."""
+        for number in range(10000):
+            self.tries.is_first(f'r{number}', 6, 0)
+        self.assertLessEqual(len(self.tries._longest), 4096)
+        self.assertTrue(self.tries.is_first('r9999', 1, 0))
+
+    def test_all_alike(self) -> None:
+        """The other way tells nobody apart."""
+        self.assertTrue(AllAlike().is_first('r', 0.1, 0))
+
+
+class ReturnRoomTest(unittest.TestCase):
+    """Which places callers who come back may have."""
+
+    def test_as_first(self) -> None:
+        """All that first tries may have."""
+        for taken in (0, 8, 15, 20):
+            self.assertTrue(as_first(Place(taken, 16)))
+
+    def test_a_reserve(self) -> None:
+        """Where more than half of the slots are free."""
+        for taken, slots, expected in (
+            (0, 16, True),
+            (7, 16, True),
+            (8, 16, False),
+            (20, 16, False),
+            (0, 1, True),
+            (1, 1, False),
+        ):
+            with self.subTest(taken=taken, slots=slots):
+                self.assertIs(reserve(Place(taken, slots)), expected)
+
+
 if __name__ == '__main__':
     unittest.main()
--- a/tests/test_entrance.py
+++ b/tests/test_entrance.py
@@ -8,7 +8,9 @@
 from linnetwood.calls.direct import DirectCall
 from linnetwood.calls.directory import Directory
 from linnetwood.calls.entrance import Entrance
+from linnetwood.calls.policy.firsttries import ByPatience
 from linnetwood.calls.policy.lateness import SPREAD_S
+from linnetwood.calls.policy.returnroom import reserve
 from linnetwood.calls.policy.returns import LastPart
 from linnetwood.calls.routebook import Repeat, Route, Service, Share
 from linnetwood.core.outcomes import Ending, Outcome
@@ -29,6 +31,8 @@
     shares=(Share('pool', 1),),
 )
 FIRST_TRY_S = 6.0
+# What is left to a caller who was refused and waited for a fourth of that.
+RETURN_S = 4.5
 
 
 class FixedClock:
@@ -144,5 +148,60 @@
         self.assertGreater(found.wait_s, 0)
 
 
+class ReturningTest(unittest.TestCase):
+    """Offer first tries and returns to an engine with more or less to do."""
+
+    def setUp(self) -> None:
+        directory = Directory()
+        self.chooser = Chooser(directory, Random(1))
+        directory.listed(listed('i-1'))
+        self.entrance = Entrance(
+            self.chooser,
+            Needs(),
+            FixedClock(),
+            LastPart(Random(1)),
+            ByPatience(),
+            reserve,
+        )
+        self.offer(0, 0, *(FIRST_TRY_S for _ in range(100)))
+
+    def offer(self, waiting: int, running: int, *waits: float) -> list[str]:
+        """Say what becomes of calls at an engine with so much to do."""
+        word = report(waiting, running, 10)
+        self.chooser.standing('i-1').heard(word)
+        found = [self.entrance(call(wait_s)) for wait_s in waits]
+        return [
+            one.detail if isinstance(one, Ending) else one.value
+            for one in found
+        ]
+
+    def test_first_tries_have_the_last_places(self) -> None:
+        """Returns have what is left beside a reserve, and are refused truly."""
+        in_time = Urgency.IN_TIME.value
+        cases = (
+            ('idle', 0, 2, in_time, in_time),
+            ('half is taken', 0, 8, in_time, 'came back'),
+            ('most is taken', 0, 12, in_time, 'came back'),
+        )
+        for name, waiting, running, first, again in cases:
+            with self.subTest(name=name):
+                found = self.offer(waiting, running, FIRST_TRY_S, RETURN_S)
+                self.assertEqual(found, [first, again])
+
+    def test_refused_returns_may_come_again(self) -> None:
+        """They are told when, within a third of what they have left."""
+        self.chooser.standing('i-1').heard(report(0, 12, 10))
+        found = self.entrance(call(RETURN_S))
+        assert isinstance(found, Ending)
+        self.assertIs(found.outcome, Outcome.NOT_RUN)
+        self.assertGreater(found.retry_after_ms, 0)
+
+    def test_plain_services_take_returns(self) -> None:
+        """Only engines tell enough to keep places."""
+        desk = Service('desk', 10)
+        found = self.entrance(call(RETURN_S, desk))
+        self.assertIs(found, Urgency.IN_TIME)
+
+
 if __name__ == '__main__':
     unittest.main()
