Count as coming back only who is late already

Where a route's target is long beside what its callers wait, one who comes back can still be in time, and would have been put behind. So what a caller has spent must exceed the target as well as a tenth of its time. Refusals of callers who came back are logged with an outcome of their own, since they say nothing of predictions.

--- a/src/linnetwood/calls/entrance.py
+++ b/src/linnetwood/calls/entrance.py
@@ -7,7 +7,7 @@
 from linnetwood.calls.choice import Choice, Chooser, Need
 from linnetwood.calls.dialect import Urgency
 from linnetwood.calls.direct import DirectCall
-from linnetwood.calls.policy.firsttries import AllAlike, FirstTries
+from linnetwood.calls.policy.firsttries import AllAlike, FirstTries, Said
 from linnetwood.calls.policy.returnroom import Place, ReturnRoom, as_first
 from linnetwood.calls.policy.returns import Returns
 from linnetwood.calls.routebook import Service
@@ -53,12 +53,12 @@
         now = self._clock.now()
         need = self._dispatcher.need(call)
         choice = self._chooser.choose(need, (), now)
-        wait_s = call.head.wait_s
-        first = self._first_tries.is_first(call.route.name, wait_s, now)
+        said = Said(call.route.name, call.head.wait_s, call.route.target_s)
+        first = self._first_tries.is_first(said, now)
         if choice is None:
             return self._refusal(Code.NO_ENDPOINT, call, 'none')
         if not (first or self._may_return(call.service, choice)):
-            self._tell(call, need, choice, 'refused')
+            self._tell(call, need, choice, 'returned')
             return self._refusal(Code.OVERLOADED, call, 'came back')
         if choice.wait_s <= need.enough_s:
             self._returns.admitted(now)
--- a/src/linnetwood/calls/policy/firsttries.py
+++ b/src/linnetwood/calls/policy/firsttries.py
@@ -2,16 +2,19 @@
 
 Load pattern: more calls than engines take for some seconds, and every caller
 who is refused comes back once. Callers of a kind have the same time in all, of
-which one who comes back has spent a part. Where they differ in it, what one
-says tells nothing: an entry finds that out by itself.
+which one who comes back has spent a part. It counts as one who comes back where
+that part is longer than its target, so that it is late already. Where callers
+differ in their time, what one says tells nothing: an entry finds that out by
+itself.
 """
 
+import dataclasses
 from collections.abc import Callable
 from types import MappingProxyType
 from typing import Final, Protocol
 
 # Who is refused waits for a fifth of the time that it has, or longer.
-_FIRST_SHARE = 0.9
+_SPENT_SHARE = 0.1
 # A route's callers may change what they wait; the longest is forgotten after
 # one to two spans of this.
 _SPAN_S = 30.0
@@ -27,10 +30,19 @@
 _QUIET_MOST = 400
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Said:
+    """What a caller says that it waits, of its route and the route's target."""
+
+    route: str
+    wait_s: float | None
+    target_s: float
+
+
 class FirstTries(Protocol):
     """Tell first tries from others by what a caller says that it waits."""
 
-    def is_first(self, route: str, wait_s: float | None, now: float) -> bool:
+    def is_first(self, said: Said, now: float) -> bool:
         """Tell whether a caller of a route comes for the first time."""
 
     def refused(self, now: float) -> None:
@@ -40,7 +52,7 @@
 class AllAlike:
     """Count every call as a first try."""
 
-    def is_first(self, route: str, wait_s: float | None, now: float) -> bool:
+    def is_first(self, said: Said, now: float) -> bool:
         """Take it for one."""
         return True
 
@@ -80,11 +92,13 @@
             return False
         return self._quiet_short <= _QUIET_SHARE * self._quiet_calls
 
-    def is_first(self, route: str, wait_s: float | None, now: float) -> bool:
+    def is_first(self, said: Said, now: float) -> bool:
         """Tell whether a caller of a route comes for the first time."""
-        if wait_s is None:
+        if said.wait_s is None:
             return True
-        is_short = wait_s < _FIRST_SHARE * self._longest_of(route, wait_s, now)
+        longest_s = self._longest_of(said.route, said.wait_s, now)
+        least_s = max(said.target_s, _SPENT_SHARE * longest_s)
+        is_short = longest_s - said.wait_s > least_s
         if now - self._refused_at >= _QUIET_S:
             self._count(is_short)
         return not (is_short and self.fits)
--- a/src/linnetwood/lab/policy.py
+++ b/src/linnetwood/lab/policy.py
@@ -21,7 +21,7 @@
 from linnetwood.calls.choice import Choice, Chooser, Need
 from linnetwood.calls.directory import Directory, Listed
 from linnetwood.calls.engine import EngineFigures
-from linnetwood.calls.policy.firsttries import FIRST_TRIES, FirstTries
+from linnetwood.calls.policy.firsttries import FIRST_TRIES, FirstTries, Said
 from linnetwood.calls.policy.lateness import Lateness, MeanLateness
 from linnetwood.calls.policy.returnroom import RETURN_ROOM, Place
 from linnetwood.calls.policy.returns import RETURNS, Returns
@@ -279,11 +279,9 @@
             lot=place_hash(str(self._rng.random())),
         )
         choice = chooser.choose(need, (), self._now)
-        first = self._first_tries[chooser].is_first(
-            str(kind.prompt),
-            came_at + self._fleet.patience_s - self._now,
-            self._now,
-        )
+        wait_s = came_at + self._fleet.patience_s - self._now
+        said = Said(str(kind.prompt), wait_s, kind.target_s)
+        first = self._first_tries[chooser].is_first(said, self._now)
         if choice is not None and not first:
             choice = self._left_for_returns(chooser, choice)
         urgent = choice is not None and choice.wait_s <= need.enough_s
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -10,6 +10,7 @@
     FIRST_TRIES,
     AllAlike,
     ByPatience,
+    Said,
 )
 from linnetwood.calls.policy.returnroom import (
     RETURN_ROOM,
@@ -123,68 +124,81 @@
         self.assertGreater(max(found) - min(found), 0.5)
 
 
+def said(route: str, wait_s: float | None, target_s: float = 0.5) -> Said:
+    """Give what a caller says that it waits."""
+    return Said(route, wait_s, target_s)
+
+
 class FirstTriesTest(unittest.TestCase):
     """Who comes for the first time, by what callers say that they wait."""
 
     def setUp(self) -> None:
         self.tries = ByPatience()
         for number in range(20):
-            self.assertTrue(self.tries.is_first('r', 6 + number / 100, 0))
+            self.assertTrue(self.tries.is_first(said('r', 6 + number / 100), 0))
 
     def test_who_was_refused_has_less_time(self) -> None:
         """A fifth of it at least; others differ by little."""
         self.tries.refused(1)
-        self.assertTrue(self.tries.is_first('r', 6.0, 1))
-        self.assertFalse(self.tries.is_first('r', 4.8, 2))
-        self.assertFalse(self.tries.is_first('r', 4.1, 2))
+        self.assertTrue(self.tries.is_first(said('r', 6.0), 1))
+        self.assertFalse(self.tries.is_first(said('r', 4.8), 2))
+        self.assertFalse(self.tries.is_first(said('r', 4.1), 2))
+
+    def test_who_may_still_be_in_time(self) -> None:
+        """It counts as a first try, also where it has waited."""
+        self.tries.refused(1)
+        self.assertTrue(self.tries.is_first(said('r', 4.8, 2), 2))
+        self.assertFalse(self.tries.is_first(said('r', 4.1, 1.5), 2))
 
     def test_routes_differ(self) -> None:
         """Each has callers of its own."""
-        self.assertTrue(self.tries.is_first('s', 1.5, 0))
-        self.assertFalse(self.tries.is_first('r', 1.5, 0))
+        self.assertTrue(self.tries.is_first(said('s', 1.5), 0))
+        self.assertFalse(self.tries.is_first(said('r', 1.5), 0))
 
     def test_nothing_is_said(self) -> None:
         """Then nobody is put behind."""
-        self.assertTrue(self.tries.is_first('r', None, 0))
+        self.assertTrue(self.tries.is_first(said('r', None), 0))
 
     def test_nobody_is_known_yet(self) -> None:
         """All are alike until enough were seen."""
         tries = ByPatience()
-        tries.is_first('r', 6, 0)
-        self.assertTrue(tries.is_first('r', 3, 0))
+        tries.is_first(said('r', 6), 0)
+        self.assertTrue(tries.is_first(said('r', 3), 0))
 
     def test_callers_that_differ(self) -> None:
         """The way does not fit, and is left by itself."""
         tries = ByPatience()
         rng = Random(1)
         waits = [rng.uniform(2, 6) for _ in range(200)]
-        found = [tries.is_first('r', wait_s, 0) for wait_s in waits]
+        found = [tries.is_first(said('r', wait_s), 0) for wait_s in waits]
         self.assertTrue(all(found[40:]))
         tries.refused(1)
-        self.assertTrue(tries.is_first('r', 2, 1))
+        self.assertTrue(tries.is_first(said('r', 2), 1))
 
     def test_returns_don_t_count_against_it(self) -> None:
         """Those who come back after a refusal are what it is for."""
         self.tries.refused(10)
-        found = [self.tries.is_first('r', 4, 11) for _ in range(100)]
+        found = [self.tries.is_first(said('r', 4), 11) for _ in range(100)]
         self.assertFalse(any(found))
         self.assertTrue(self.tries.fits)
 
     def test_callers_that_wait_less_from_now_on(self) -> None:
         """What they waited before is forgotten."""
-        found = [self.tries.is_first('r', 3, at) for at in range(1, 100, 5)]
+        found = [
+            self.tries.is_first(said('r', 3), at) for at in range(1, 100, 5)
+        ]
         self.assertTrue(found[-1])
 
     def test_memory_is_bounded(self) -> None:
         """Routes beyond a number are not told apart."""
         for number in range(10000):
-            self.tries.is_first(f'r{number}', 6, 0)
+            self.tries.is_first(said(f'r{number}', 6), 0)
         self.assertLessEqual(len(self.tries._longest), 4096)
-        self.assertTrue(self.tries.is_first('r9999', 1, 0))
+        self.assertTrue(self.tries.is_first(said('r9999', 1), 0))
 
     def test_all_alike(self) -> None:
         """The other way tells nobody apart."""
-        self.assertTrue(AllAlike().is_first('r', 0.1, 0))
+        self.assertTrue(AllAlike().is_first(said('r', 0.1), 0))
 
 
 class ReturnRoomTest(unittest.TestCase):
