--- a/src/linnetwood/calls/policy/returnroom.py
+++ b/src/linnetwood/calls/policy/returnroom.py
@@ -12,8 +12,9 @@
 from typing import Final, Protocol
 
 # The part of an engine's slots that stays free of callers who come back. It
-# covers what is sent there before its next report, by all entries.
-_RESERVE_SHARE = 0.5
+# covers what all entries send there before its next report; with more, returns
+# are refused beside room when a gap is over.
+_RESERVE_SHARE = 0.25
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
