Keep a quarter of the slots from callers who come back, by default

Callers saw: in overload every third generation was late or refused for good, since callers who were refused came back and took the places of first tries. Cause: the door judged a return as if its time began anew.

--- a/src/linnetwood/core/options.py
+++ b/src/linnetwood/core/options.py
@@ -150,6 +150,6 @@
     first_tries: str = one_of(
         'all-alike',
         'by-patience',
-        default='all-alike',
+        default='by-patience',
     )
-    return_room: str = one_of('as-first', 'reserve', default='as-first')
+    return_room: str = one_of('as-first', 'reserve', default='reserve')
--- a/src/linnetwood/lab/measure_policy.py
+++ b/src/linnetwood/lab/measure_policy.py
@@ -32,8 +32,8 @@
     swing: float = 0,
     patience_s: float = 0,
     returns: Literal['last-part', 'sized-window'] = 'last-part',
-    first_tries: Literal['all-alike', 'by-patience'] = 'all-alike',
-    return_room: Literal['as-first', 'reserve'] = 'as-first',
+    first_tries: Literal['all-alike', 'by-patience'] = 'by-patience',
+    return_room: Literal['as-first', 'reserve'] = 'reserve',
 ) -> bool:
     """Print calls in time at one to three times the rate of the knee.
 
