Show beliefs that are younger than the truth, by failing tests

Regions under troubles drawn by a seed check of every entry that it lacks nothing that was written before the time as of which it claims to know all.

--- /dev/null
+++ b/tests/test_proven_ages.py
@@ -0,0 +1,188 @@
+"""An age counts from what is proven, however late a word or an answer is.
+
+What was seen: an entry whose neighbours had ended and started again refused a
+key for good 2.6 s after it had been added. How it came about: a refusal is for
+good where the belief is young, and this one was older than it said. What caused
+it: the ages of a neighbour's words and of the store's answers were counted from
+their arrival, so what these had waited in a process that stood still, in a
+buffer or on a full link was left out. What proved it: words that are read two
+seconds late make a belief of a tenth of a second; and an answer that was on its
+way for 1.5 s confirms what was written meanwhile.
+
+Load pattern: words and answers come late; changes go on.
+Virtual time.
+"""
+
+import asyncio
+import unittest
+from random import Random
+
+from linnetwood.core.waits import happened
+from linnetwood.fleet.belief import bounds_within
+from linnetwood.fleet.following import Following
+from linnetwood.fleet.ranges import Change, Changes, Record, Snapshot
+from linnetwood.fleet.relaying import RangeListener
+from linnetwood.lab import virtual
+from linnetwood.lab.memory_net import MemoryDialler, MemoryNet, MemoryStream
+from linnetwood.wire.connections import Address
+from linnetwood.wire.frames import Frame, FrameStream
+from tests import test_relaying as zones
+from tests.test_following import Kept
+
+APPLY_S = 2.0
+LATE_S = 1.5
+STANDS_S = 2.0
+
+
+class LateStore:
+    """Make up each answer at once, and deliver it late."""
+
+    def __init__(self, late_s: float) -> None:
+        self.late_s = late_s
+        self.writes: list[float] = []
+        self.written = asyncio.Event()
+
+    @property
+    def revision(self) -> int:
+        """Give the revision that was written last."""
+        return 1 + len(self.writes)
+
+    def write(self) -> None:
+        """Write the key anew."""
+        self.writes.append(asyncio.get_running_loop().time())
+        self.written.set()
+        self.written = asyncio.Event()
+
+    async def read(self, prefix: str) -> Snapshot:
+        """Give the key."""
+        found = Record(b'', self.revision)
+        await asyncio.sleep(self.late_s)
+        return Snapshot({'k': found}, found.revision)
+
+    async def wait(self, prefix: str, after: int, wait_s: float) -> Changes:
+        """Wait for a write."""
+        if self.revision <= after:
+            await happened(self.written, wait_s)
+        revision = self.revision
+        await asyncio.sleep(self.late_s)
+        change = Change('k', Record(b'', revision))
+        changes = (change,) if revision > after else ()
+        return Changes(changes, revision)
+
+    def lie_s(self, following: Following) -> float:
+        """Give by how much an entry's belief is younger than the truth."""
+        lacking = self.writes[max(0, following.revision - 1) :]
+        return following.heard_at - min(lacking, default=following.heard_at)
+
+
+async def _lies_of(late_s: float, seed: int) -> float:
+    """Follow a store whose answers are late; give the worst lie."""
+    store = LateStore(late_s)
+    rng = Random(seed)
+    bounds = bounds_within(APPLY_S)
+    following = Following(store, '', Kept(), Random(1), bounds)
+    following.start()
+    await following.learned.wait()
+    worst_s = float()
+    for _ in range(1000):
+        if rng.randrange(50) == 0:
+            store.write()
+        await asyncio.sleep(0.01)
+        worst_s = max(worst_s, store.lie_s(following))
+    await following.close()
+    return worst_s
+
+
+class LateAnswersTest(unittest.TestCase):
+    """The store's answers are on their way for a while."""
+
+    def test_no_age_is_younger_than_the_truth(self) -> None:
+        """Whatever was written before that age is known."""
+        for seed in range(4):
+            for late_s in (0.005, 0.3, LATE_S):
+                with self.subTest(seed=seed, late_s=late_s):
+                    worst_s = virtual.run(_lies_of(late_s, seed))
+                    self.assertLessEqual(worst_s, 0)
+
+
+class StillStream(MemoryStream):
+    """An end of a connection that is read late, once."""
+
+    stands_until = float()
+
+    async def read_within(self, silent_s: float) -> Frame:
+        """Read what came meanwhile only when the process runs again."""
+        left_s = self.stands_until - asyncio.get_running_loop().time()
+        if left_s > 0:
+            await asyncio.sleep(left_s)
+        return await super().read_within(silent_s)
+
+
+class StillDialler(MemoryDialler):
+    """Dial, and keep hold of what was dialled."""
+
+    def __init__(self, net: MemoryNet) -> None:
+        super().__init__(net)
+        self.streams: list[MemoryStream] = []
+
+    async def dial(self, address: Address) -> FrameStream:
+        """Connect to a process."""
+        stream = await super().dial(address)
+        assert isinstance(stream, MemoryStream)
+        stream.__class__ = StillStream
+        self.streams.append(stream)
+        return stream
+
+
+async def _lie_of_words_read_late() -> tuple[float, float]:
+    """Let a listener stand still while its teller ends; give how old it is.
+
+    That is what it believes, and since when it was told nothing.
+    """
+    loop = asyncio.get_running_loop()
+    net = MemoryNet(Random(1), 0, 0)
+    store = zones.FarStore()
+    names = ['10.0.0.1', '10.0.0.2']
+    entries = [zones.Entry(name, store, net) for name in names]
+    for one in entries:
+        one.tellers.heard(names, loop.time())
+    first = next(one for one in entries if one.tellers.leading)
+    if len(first.tellers.first) > 0:
+        first = next(one for one in entries if not one.tellers.first)
+    second = next(one for one in entries if one is not first)
+    dialler = StillDialler(net)
+    second.listener = RangeListener(
+        second.following, second.tellers, dialler, zones.PORT
+    )
+    for one in entries:
+        one.start()
+    await asyncio.sleep(2)
+    store.cut.add(second.name)
+    stands_until = loop.time() + STANDS_S
+    for stream in dialler.streams:
+        assert isinstance(stream, StillStream)
+        stream.stands_until = stands_until
+    await asyncio.sleep(0.3)
+    ended_at = loop.time()
+    net.drop((first.name, zones.PORT))
+    await first.close()
+    store.write(b'2')
+    await asyncio.sleep(stands_until - loop.time() + 0.05)
+    believed_s = loop.time() - second.following.heard_at
+    truth_s = loop.time() - ended_at
+    await second.close()
+    await net.close()
+    return believed_s, truth_s
+
+
+class LateWordsTest(unittest.TestCase):
+    """Words of a neighbour are read late."""
+
+    def test_age_counts_from_when_the_word_was_said(self) -> None:
+        """Also where whoever said it has ended since."""
+        believed_s, truth_s = virtual.run(_lie_of_words_read_late())
+        self.assertGreaterEqual(believed_s, truth_s)
+
+
+if __name__ == '__main__':
+    unittest.main()
