Count a belief's age from the question that an answer of the store proves

Callers met: a key or route that stands was refused for good by an entry whose belief said that it was young.

Cause: the age of what the store confirmed counted from the first byte of its answer. The answer is made up before, and may wait on a full link: one that is 1.5 s on its way confirmed what was written up to 1.45 s after it.

It counts from the question now, and from the end of the wait where a wait ends empty: later than that the store can't have made it up. So no queue, no pause and no slow store makes a belief younger than the truth. A belief that has aged while it waited for a change is confirmed at once, in place of gathering more.

Words of neighbours still count from their arrival (known red).

--- a/src/linnetwood/fleet/following.py
+++ b/src/linnetwood/fleet/following.py
@@ -234,19 +234,26 @@
         wait_s = max(_LEAST_WAIT_S, wait_s)
         found = await self._store.wait(self._prefix, self._revision, wait_s)
         # A wait that ends empty confirms what is believed, too.
-        known_at = self._note_heard()
+        full_s = 0 if found.changes else wait_s
+        began_at = self._note_heard(asked_at, full_s)
         if not found.changes:
-            self._overhead_s = max(0, known_at - asked_at - wait_s)
+            self._overhead_s = max(0, began_at - asked_at - wait_s)
         if found.revision > self._revision:
             # Another entry may have told a part of it meanwhile.
             lacked = (one for one in found.changes if one.since(self._revision))
             self._take(Changes(tuple(lacked), found.revision))
         if found.changes:
-            await asyncio.sleep(self._bounds.gather_s)
+            await asyncio.sleep(self._gather_s())
+
+    def _gather_s(self) -> float:
+        """Give for how long changes are gathered: a belief that ages is not."""
+        age_s = asyncio.get_running_loop().time() - self.heard_at
+        return max(0, min(self._bounds.gather_s, self._bounds.wait_s - age_s))
 
     async def _read(self) -> None:
+        asked_at = asyncio.get_running_loop().time()
         snapshot = await self._store.read(self._prefix)
-        self._note_heard()
+        self._note_heard(asked_at)
         if snapshot.revision < self._revision:
             # A neighbour told more meanwhile.
             return
@@ -318,18 +325,24 @@
         age_s = asyncio.get_running_loop().time() - at
         return age_s > self._bounds.fresh_s
 
-    def _note_heard(self) -> float:
-        """Note that the store answered; give as of when that is known."""
+    def _note_heard(self, asked_at: float, waited_s: float = 0) -> float:
+        """Note that the store answered; give when its answer began to come.
+
+        It waited for so long, at least, unless the answer came sooner.
+        """
         now = asyncio.get_running_loop().time()
         self.flowed_at = now
         self._answered_at = now
         self._flow_until = math.inf
-        # The store knew no more than this when its answer began.
         began_at = self.flowing_since
-        known_at = began_at if math.isfinite(began_at) else now
+        began_at = began_at if math.isfinite(began_at) else now
+        # An answer is made up after its question, and may be on its way for any
+        # time: from its arrival on, a belief would be younger than the truth.
+        until = asked_at + waited_s
+        known_at = until if until <= began_at else asked_at
         self.answered_as_of = max(self.answered_as_of, known_at)
         self._confirmed(known_at)
-        return known_at
+        return began_at
 
     def _confirmed(self, known_at: float) -> None:
         newer = known_at > self.heard_at + _SAME_S
--- a/src/linnetwood/platform/store.py
+++ b/src/linnetwood/platform/store.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 import json
+import math
 from collections.abc import Callable, Mapping, Sequence
 from typing import Any
 from urllib.parse import urlencode
@@ -83,7 +84,8 @@
             {
                 'path_prefix': prefix,
                 'after_revision': str(after),
-                'wait_ms': str(int(wait_s * _MILLISECONDS)),
+                # No less: an empty answer confirms all of the wait.
+                'wait_ms': str(math.ceil(wait_s * _MILLISECONDS)),
             },
             wait_s + _SLACK_S,
         )
