Count a neighbour's word from when it was said, not from when it is read

Callers met: a key that stands was refused for good by an entry that had lived on while its neighbours ended.

Cause: an age was added to the time at which the word was read. What the word had waited on a full link, in a buffer of either side, or while the listener stood still was left out: a last word that was read 1.75 s late made a belief of 0.46 s, and no newer word came to correct it.

A word says since when its teller has read the listener's last request, and how many it has read. The listener knows when it asked, so it knows a time before which the word can't have been said, with no clock in common and no message more than a request in ten seconds, since clocks drift. All ages of the word and of the changes in it are older by that. The teller reads requests as they come; before it read them at its next beat. Ages are rounded up where they are sent.

--- a/src/linnetwood/fleet/farlistening.py
+++ b/src/linnetwood/fleet/farlistening.py
@@ -12,7 +12,7 @@
 from linnetwood.core.owner import Owner
 from linnetwood.fleet.following import Following
 from linnetwood.fleet.tellers import Tellers
-from linnetwood.fleet.toldreading import ask_to_tell, read_told
+from linnetwood.fleet.toldreading import Hearing
 from linnetwood.wire.connections import SILENT_S, Dialler
 from linnetwood.wire.frames import FrameStream
 
@@ -120,12 +120,13 @@
     ) -> None:
         mirror = self._following.mirror
         known = -1
+        hearing = Hearing(stream, mirror, host, far=True, silent_s=SILENT_S)
         while True:
             if mirror.revision != known:
                 # What is known here need not be told.
                 known = mirror.revision
-                await ask_to_tell(stream, mirror, far=True)
-            told = await read_told(stream, mirror, host, SILENT_S)
+                await hearing.ask()
+            told = await hearing.read()
             self._elsewhere.told(host)
             self._following.told_far(told)
             if told.rather and host not in told.rather:
--- a/src/linnetwood/fleet/rangeparts.py
+++ b/src/linnetwood/fleet/rangeparts.py
@@ -94,8 +94,10 @@
 
 
 def as_milliseconds(seconds: float) -> int:
-    """Give an age as it is sent."""
-    return int(seconds * _MILLISECONDS) if math.isfinite(seconds) else _NEVER
+    """Give an age as it is sent, no younger than it is."""
+    if not math.isfinite(seconds):
+        return _NEVER
+    return math.ceil(seconds * _MILLISECONDS)
 
 
 def as_seconds(milliseconds: int) -> float:
--- a/src/linnetwood/fleet/rangeteller.py
+++ b/src/linnetwood/fleet/rangeteller.py
@@ -24,6 +24,7 @@
 # One of another zone may read over a link that is full, for as long as bytes
 # come; it leaves by itself after 2 s without any. This ends what nobody reads.
 _FAR_WRITE_S = 30.0
+_MILLISECONDS = 1000
 # Those that keep up, those that came just now, and those of other zones.
 _PACKED_KEPT = 4
 _Lacked = tuple[int, int, bool, tuple[tuple[str, int], ...]]
@@ -44,21 +45,33 @@
 
     async def serve(self, stream: FrameStream, frame: Frame) -> None:
         """Tell one listener, until it goes."""
-        asked = decode(RangeRequest, frame.payload)
-        one = _Hearer(asked)
+        one = _Hearer(decode(RangeRequest, frame.payload))
         woken = asyncio.Event()
         self._following.listen(woken)
+        # Beside telling: ages count from when a request was read.
+        heeding = asyncio.create_task(_heed(stream, one))
         try:
-            while True:
-                woken.clear()
-                await self._tell(stream, one)
-                if one.far:
-                    await self._until_far_beat(woken, one)
-                else:
-                    await happened(woken, BEAT_S)
-                await _heed(stream, one)
+            await self._tell_on(stream, one, woken, heeding)
         finally:
             self._following.forget(woken)
+            await _end(heeding)
+
+    async def _tell_on(
+        self,
+        stream: FrameStream,
+        one: '_Hearer',
+        woken: asyncio.Event,
+        heeding: asyncio.Task[None],
+    ) -> None:
+        """Tell at each beat and at news, until the listener is not heard."""
+        while not heeding.done():
+            woken.clear()
+            await self._tell(stream, one)
+            if one.far:
+                await self._until_far_beat(woken, one)
+            else:
+                await happened(woken, BEAT_S)
+        await heeding
 
     async def _until_far_beat(
         self,
@@ -88,6 +101,8 @@
             part.whole = lack.whole
             part.packed_ms = as_milliseconds(now - packed_at)
             one.told(lack)
+        part.asked_ms = int((now - one.asked_at) * _MILLISECONDS)
+        part.requests = one.requests
         write_s = _FAR_WRITE_S if one.far else _WRITE_S
         try:
             async with asyncio.timeout(write_s):
@@ -152,16 +167,20 @@
 class _Hearer:
     """What one listener knows."""
 
-    __slots__ = ('after', 'far', 'held')
+    __slots__ = ('after', 'asked_at', 'far', 'held', 'requests')
 
     def __init__(self, asked: RangeRequest) -> None:
         self.after = 0
+        self.asked_at = float()
+        self.requests = 0
         self.far = asked.far
         self.held: dict[str, int] = {}
         self.knows(asked)
 
     def knows(self, asked: RangeRequest) -> None:
         """Note what it knows by its own word, unless it was told more since."""
+        self.asked_at = asyncio.get_running_loop().time()
+        self.requests += 1
         if asked.after >= self.after:
             self.after = asked.after
             self.held = {one.key: one.revision for one in asked.held}
@@ -175,9 +194,14 @@
                 self.held[change.key] = record.revision
 
 
+async def _end(task: asyncio.Task[None]) -> None:
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
+
+
 async def _heed(stream: FrameStream, one: _Hearer) -> None:
     """Take in what a listener learned meanwhile: it need not be told that."""
-    while not stream.idle:
+    while True:
         frame = await stream.read()
         if frame.kind is not FrameKind.RANGE_REQUEST:
             raise CodecError('unexpected-frame', frame.kind.name)
--- a/src/linnetwood/fleet/relaying.py
+++ b/src/linnetwood/fleet/relaying.py
@@ -14,7 +14,7 @@
 from linnetwood.fleet.following import Following
 from linnetwood.fleet.rangeteller import RangeTeller
 from linnetwood.fleet.tellers import Tellers
-from linnetwood.fleet.toldreading import ask_to_tell, read_told
+from linnetwood.fleet.toldreading import Hearing
 from linnetwood.wire.connections import (
     Dialler,
     FrameHandler,
@@ -89,9 +89,10 @@
 
     async def _hear_on(self, stream: FrameStream, host: str) -> None:
         following = self._following
-        await ask_to_tell(stream, following.mirror)
+        hearing = Hearing(stream, following.mirror, host)
+        await hearing.ask()
         while self._stays(host):
-            told = await read_told(stream, following.mirror, host)
+            told = await hearing.read()
             if following.told(told):
                 self._tellers.told(host)
                 self._note_heard(host)
--- a/src/linnetwood/gen/wire/ttypes.py
+++ b/src/linnetwood/gen/wire/ttypes.py
@@ -3079,6 +3079,8 @@
      - flowing_ms: Since the answer began of which that byte is a part; -1 for none.
      - packed_ms: Since the items were packed, which tell their ages as of then.
      - rather: Told to other zones: whom of its own zone to hear rather, if anybody.
+     - asked_ms: Since the teller read the listener's last request; -1 if it doesn't say.
+     - requests: How many requests of the listener it has read.
 
     """
 
@@ -3092,10 +3094,12 @@
         'flowing_ms',
         'packed_ms',
         'rather',
+        'asked_ms',
+        'requests',
     )
 
 
-    def __init__(self, revision=None, age_ms=None, flow_age_ms=None, outages=0, whole=False, items=False, flowing_ms=-1, packed_ms=0, rather=b"",):
+    def __init__(self, revision=None, age_ms=None, flow_age_ms=None, outages=0, whole=False, items=False, flowing_ms=-1, packed_ms=0, rather=b"", asked_ms=-1, requests=0,):
         self.revision = revision
         self.age_ms = age_ms
         self.flow_age_ms = flow_age_ms
@@ -3105,6 +3109,8 @@
         self.flowing_ms = flowing_ms
         self.packed_ms = packed_ms
         self.rather = rather
+        self.asked_ms = asked_ms
+        self.requests = requests
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3160,6 +3166,16 @@
                     self.rather = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.I64:
+                    self.asked_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.I64:
+                    self.requests = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3206,6 +3222,14 @@
             oprot.writeFieldBegin('rather', TType.STRING, 9)
             oprot.writeBinary(self.rather)
             oprot.writeFieldEnd()
+        if self.asked_ms is not None:
+            oprot.writeFieldBegin('asked_ms', TType.I64, 10)
+            oprot.writeI64(self.asked_ms)
+            oprot.writeFieldEnd()
+        if self.requests is not None:
+            oprot.writeFieldBegin('requests', TType.I64, 11)
+            oprot.writeI64(self.requests)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3726,6 +3750,8 @@
     (7, TType.I64, 'flowing_ms', None, -1, ),  # 7
     (8, TType.I64, 'packed_ms', None, 0, ),  # 8
     (9, TType.STRING, 'rather', 'BINARY', b"", ),  # 9
+    (10, TType.I64, 'asked_ms', None, -1, ),  # 10
+    (11, TType.I64, 'requests', None, 0, ),  # 11
 )
 all_structs.append(RangeItem)
 RangeItem.thrift_spec = (
--- a/src/linnetwood/gen/wire/ttypes.pyi
+++ b/src/linnetwood/gen/wire/ttypes.pyi
@@ -175,7 +175,9 @@
     flowing_ms: int
     packed_ms: int
     rather: bytes
-    def __init__(self, revision: int = ..., age_ms: int = ..., flow_age_ms: int = ..., outages: int = ..., whole: bool = ..., items: bool = ..., flowing_ms: int = ..., packed_ms: int = ..., rather: bytes = ...) -> None: ...
+    asked_ms: int
+    requests: int
+    def __init__(self, revision: int = ..., age_ms: int = ..., flow_age_ms: int = ..., outages: int = ..., whole: bool = ..., items: bool = ..., flowing_ms: int = ..., packed_ms: int = ..., rather: bytes = ..., asked_ms: int = ..., requests: int = ...) -> None: ...
 class RangeItem:
     key: str
     revision: int
--- a/src/linnetwood/idl/wire.thrift
+++ b/src/linnetwood/idl/wire.thrift
@@ -247,7 +247,11 @@
   /** Since the items were packed, which tell their ages as of then. */
   8: i64 packed_ms = 0,
   /** Told to other zones: whom of its own zone to hear rather, if anybody. */
-  9: binary rather = ""
+  9: binary rather = "",
+  /** Since the teller read the listener's last request; -1 if it doesn't say. */
+  10: i64 asked_ms = -1,
+  /** How many requests of the listener it has read. */
+  11: i64 requests = 0
 }
 
 /** One key as it was written, or gone. */
