Take the time that a call hung for the pause after it

Callers met: an entry that had lived on refused a key 2.6 s after it was added, 3.3 s after the store had come back.

Cause (of the class; that it acted there is suspected): a read that began just before the store's return gets no byte and is given up after 2.5 s, and a pause follows whose length grew with the outage, to 0.8 s, or 1.6 s where neighbours are there to be heard. Entries count as in touch 3 s after the return.

Pauses bound how often a store that refuses is asked; a call that hung has been a pause itself. In virtual time the store is heard 3.2 and 4.0 s after its return before, and within 3 s now, wherever in a call or a pause that falls. A store that refuses at once is asked no more often.

--- a/src/linnetwood/fleet/following.py
+++ b/src/linnetwood/fleet/following.py
@@ -27,6 +27,7 @@
 _PAUSE_FIRST_S = 0.1
 _PAUSE_MOST_S = 0.8
 _PAUSE_LEAST_SHARE = 0.5
+_PAUSE_LEAST_S = 0.05
 
 # Whoever hears a neighbour asks a store that fails half as often: the neighbour
 # hears of its return first, and one copy crosses the link in place of many.
@@ -171,8 +172,10 @@
         self.borrows = False
 
     async def _run(self) -> None:
+        loop = asyncio.get_running_loop()
         while True:
             await self._until_needed()
+            began = loop.time()
             try:
                 answered = await self._ask()
             except HistoryLostError:
@@ -183,7 +186,9 @@
                 self._failures += 1
                 self._note_away(exc)
                 self._sink.away()
-                await asyncio.sleep(self._pause_s())
+                # A call that hung was a pause itself; the store may be back.
+                left_s = self._pause_s() - (loop.time() - began)
+                await asyncio.sleep(max(_PAUSE_LEAST_S, left_s))
             else:
                 if answered:
                     self._failures = 0
