Ask the store once more where a wait hangs

Callers met: calls decided by an older configuration at entries that lived on while others, or the store, were away.

Cause (of the class; that it acted there is suspected): an entry has one waiting call at the store. On a connection that fell silent for good it is given up 2 s after its time, with a bound of 2 s 2.6 s after it began, and nobody asks meanwhile. Until now only a neighbour's word could help.

A wait that is late by 0.4 of the bound gets a second one beside it, over a connection of its own: one that is kept may be as silent. The first goes on and whichever comes first counts, so what is late on a full link is not dropped and asked for by everybody again, as giving up sooner would do. A store that failed last is asked once, so that an outage costs one call more.

--- a/src/linnetwood/fleet/belief.py
+++ b/src/linnetwood/fleet/belief.py
@@ -1,6 +1,7 @@
 """How old a neighbour's word of a range may be; no I/O or clock."""
 
 import dataclasses
+import math
 
 from linnetwood.fleet.ranges import Change
 
@@ -19,6 +20,9 @@
 # other. The last one's belief is then 0.55 of the bound old, 0.8 if an answer
 # flowed meanwhile, and its answer has the rest.
 _BEHIND_SHARE = 0.15
+# A wait that is so much late gets a second one beside it; both fit the bound.
+# Answers are late by less on links that are full.
+_LATE_SHARE = 0.4
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -45,8 +49,9 @@
 class Bounds:
     """How long waits last, and how old a neighbour's word may be; seconds.
 
-    After a change others are gathered for so long before the next call; and an
-    entry waits for so long at most while those before it ask.
+    After a change others are gathered for so long before the next call; an
+    entry waits for so long at most while those before it ask; and an answer is
+    late by so much when it is asked for once more.
     """
 
     wait_s: float = 2
@@ -54,6 +59,7 @@
     flowing_s: float = 0
     gather_s: float = 0.02
     behind_s: float = 0
+    late_s: float = math.inf
 
     def known_s(self, told: Told) -> float:
         """Give for how long what is told stays fresh; negative if it is old."""
@@ -78,4 +84,5 @@
         apply_s * _FLOWING_SHARE,
         apply_s * _GATHER_SHARE,
         apply_s * _BEHIND_SHARE,
+        apply_s * _LATE_SHARE,
     )
--- a/src/linnetwood/fleet/following.py
+++ b/src/linnetwood/fleet/following.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import functools
 import math
 from random import Random
 
@@ -21,6 +22,11 @@
     Sink,
     Snapshot,
 )
+from linnetwood.fleet.secondquestion import (
+    Question,
+    answered,
+    end_all,
+)
 
 # Entries of live endpoints are back within two seconds of the store's return,
 # so a store that is back is to be noticed well within one.
@@ -219,7 +225,7 @@
             await asyncio.wait((asking,))
         finally:
             self._asking = None
-            asking.cancel()
+            await end_all((asking,))
         if asking.cancelled():
             return False
         asking.result()
@@ -237,7 +243,12 @@
         age_s = asked_at - self.heard_at
         wait_s = self._bounds.wait_s - self._overhead_s - age_s
         wait_s = max(_LEAST_WAIT_S, wait_s)
-        found = await self._store.wait(self._prefix, self._revision, wait_s)
+        found = await answered(
+            self._waiting(wait_s),
+            self._waiting(_LEAST_WAIT_S),
+            self._due_s(wait_s),
+            lambda: not math.isfinite(self.flowing_since),
+        )
         # A wait that ends empty confirms what is believed, too.
         full_s = 0 if found.changes else wait_s
         began_at = self._note_heard(asked_at, full_s)
@@ -250,6 +261,16 @@
         if found.changes:
             await asyncio.sleep(self._gather_s())
 
+    def _waiting(self, wait_s: float) -> Question[Changes]:
+        wait = self._store.wait
+        return functools.partial(wait, self._prefix, self._revision, wait_s)
+
+    def _due_s(self, wait_s: float) -> float:
+        """Give when a wait is asked again; a store that fails is asked once."""
+        if self._failures:
+            return math.inf
+        return wait_s + self._overhead_s + self._bounds.late_s
+
     def _gather_s(self) -> float:
         """Give for how long changes are gathered: a belief that ages is not."""
         age_s = asyncio.get_running_loop().time() - self.heard_at
--- a/src/linnetwood/platform/store.py
+++ b/src/linnetwood/platform/store.py
@@ -62,6 +62,7 @@
         self._address = address
         self._driver = driver
         self._sight = StoreSight()
+        self._under_way = 0
 
     async def read(self, prefix: str) -> Snapshot:
         """Read every page of a range."""
@@ -176,21 +177,38 @@
         first_s: float,
     ) -> Answer:
         patience = Patience(first_s, SILENT_S)
-        req = self._request('GET', f'{path}?{urlencode(query)}')
-        return await ask(
-            self._driver,
-            req,
-            _MOST_BYTES,
-            patience,
-            self.heard,
+        # A call beside one that waits may be asked because that one hangs, and
+        # connections that are kept may have fallen silent with it.
+        req = self._request(
+            'GET',
+            f'{path}?{urlencode(query)}',
+            keep=not self._under_way,
         )
+        self._under_way += 1
+        try:
+            return await ask(
+                self._driver,
+                req,
+                _MOST_BYTES,
+                patience,
+                self.heard,
+            )
+        finally:
+            self._under_way -= 1
 
     async def _post(self, path: str, said: dict[str, Any]) -> Answer:
         patience = Patience(_WRITE_S, SILENT_S)
         req = self._request('POST', path, json.dumps(said).encode())
         return await ask(self._driver, req, _MOST_BYTES, patience)
 
-    def _request(self, method: str, target: str, body: bytes = b'') -> Request:
+    def _request(
+        self,
+        method: str,
+        target: str,
+        body: bytes = b'',
+        *,
+        keep: bool = True,
+    ) -> Request:
         host, port = self._address
         headers = [('Host', f'{host}:{port}')]
         if body:
@@ -203,7 +221,7 @@
             headers,
             body,
             connect_s=_CONNECT_S,
-            keep=True,
+            keep=keep,
         )
 
 
--- a/tests/test_bound_budget.py
+++ b/tests/test_bound_budget.py
@@ -17,12 +17,15 @@
 import math
 import unittest
 from random import Random
+from unittest import mock
 
 from linnetwood.core.errors import StoreError
 from linnetwood.fleet.belief import Told, bounds_within
 from linnetwood.fleet.following import Following
 from linnetwood.fleet.ranges import Change, Changes, Record, Snapshot
 from linnetwood.lab import virtual
+from linnetwood.platform.store import PlatformStore
+from linnetwood.wire.curldriver import CurlDriver
 from tests import test_relaying as zones
 from tests.test_following import Kept
 
@@ -164,6 +167,24 @@
         )
         self.assertLess(worst_s, APPLY_S)
 
+    def test_the_second_call_takes_a_connection_of_its_own(self) -> None:
+        """One that is kept may have fallen silent with that of the first."""
+
+        async def play() -> list[bool]:
+            driver = mock.Mock(spec=CurlDriver)
+            store = PlatformStore(('10.0.0.1', 80), driver)
+            calls = [
+                asyncio.create_task(store.wait('', 1, 0.1)) for _ in range(2)
+            ]
+            await asyncio.sleep(0.1)
+            for call in calls:
+                call.cancel()
+            await asyncio.gather(*calls, return_exceptions=True)
+            begun = driver.begin.call_args_list
+            return [call.args[0].keep for call in begun]
+
+        self.assertEqual(virtual.run(play()), [True, False])
+
     def test_store_that_is_back_is_heard_in_time(self) -> None:
         """Wherever in a call or a pause its return falls."""
         for backed in (False, True):
