--- a/tests/test_belief_seeds.py
+++ b/tests/test_belief_seeds.py
@@ -47,10 +47,6 @@
 class PatientHandle(zones.Handle):
     """A way to a store that may be away; it gives up as the client does."""
 
-    def __init__(self, store: zones.FarStore, name: str) -> None:
-        super().__init__(store, name)
-        self._flowed = asyncio.Event()
-
     async def read(self, prefix: str) -> Snapshot:
         """Read everything."""
         return await self._patient(super().read(prefix), READ_FIRST_S)
@@ -78,29 +74,22 @@
         asking: Coroutine[Any, Any, _Found],
         first_s: float,
     ) -> _Found:
+        loop = asyncio.get_running_loop()
         task = asyncio.create_task(asking)
         tell = self.heard
-        flowed = asyncio.Event()
+        until = loop.time() + first_s
 
         def heard() -> None:
-            flowed.set()
+            nonlocal until  # noqa: WPS420
+            until = loop.time() + SILENT_S
             tell()
 
         self.heard = heard
-        limit_s = first_s
         try:
             while not task.done():
-                flowed.clear()
-                stirred = asyncio.create_task(flowed.wait())
-                done, _ = await asyncio.wait(
-                    (task, stirred),
-                    timeout=limit_s,
-                    return_when=asyncio.FIRST_COMPLETED,
-                )
-                await _ended(stirred)
-                if not done:
+                await asyncio.wait((task,), timeout=until - loop.time())
+                if not task.done() and loop.time() >= until:
                     raise StoreError('store-unreachable', 'silent')
-                limit_s = SILENT_S
             return task.result()
         finally:
             self.heard = tell
