--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -199,6 +199,22 @@
             need = Need(POOL, 'z1', 9, 'm', closing=((2, at),))
             self.assertEqual(self.chosen(need, 'i-2'), expected)
 
+    def test_an_engine_that_is_listed_again_is_not_taken_for_new(self) -> None:
+        """The list loses who is out of touch, and tells of it again.
+
+        Seen: within 0.6 s, 71 calls to an endpoint that had not been heard for
+        3 s, by no report at all, in the last second before the bound of their
+        version; none connected.
+        """
+        self.chooser.standing('i-1').heard(report(0, 0, 7, serving=1))
+        self.chooser.standing('i-2').heard(report(60, 16, 10, serving=1))
+        self.directory.dropped('i-1', 9)
+        self.chooser.forget()
+        self.directory.listed(listed('i-1'))
+        self.assertEqual(self.chosen(Need(POOL, 'z1', 9, 'm')), 'i-2')
+        need = Need(POOL, 'z1', 9, 'm', closing=((2, 10.7),))
+        self.assertEqual(self.chosen(need, 'i-2'), '')
+
     def test_unreachable_endpoint_is_passed_over_for_a_while(self) -> None:
         """It is chosen only where there is no other."""
         need = Need(POOL, 'z1', 9, 'm')
