Remember an endpoint that the list has lost for a while

What callers saw: calls refused or sent elsewhere 0.4 s late, 71 within 0.6 s, as an older version was about to close. Cause: an endpoint out of touch loses its lease; what was known of it went with its entry. Listed again before it was heard, it was new: idle, and on the usual way, as one of which entries hear no reports. Ruled out: reports that came (their age in these attempts is -1). Before and after: tests/test_directory.py. Why it holds: it is remembered for 10 s from its last report, which is then overdue: it counts as silent, is the last choice, and its older version closes earlier. A life that began anew has another name and nothing against it.

--- a/src/linnetwood/calls/choice.py
+++ b/src/linnetwood/calls/choice.py
@@ -23,6 +23,8 @@
 _JITTER_S = 0.01
 _FAILING_S = 2.0
 _CHANGING_S = 1.5
+# So long an endpoint is remembered that the list has lost.
+_KEPT_S = 10.0
 # Less stands against an endpoint that failed now and then.
 _SOUND_S = 1.0
 
@@ -129,12 +131,20 @@
             until = now + max(UNTOLD_S, service.cold_start_s)
             self._directory.cold(one.life, until)
 
-    def forget(self) -> None:
-        """Drop what is known of endpoints that are no longer listed."""
+    def forget(self, now: float) -> None:
+        """Drop what is known of endpoints that are no longer listed.
+
+        The list loses who is out of touch for a while, and tells of it again:
+        until its last report is that old, it is no newcomer.
+        """
         lives = self._directory.lives()
         self._gate.keep(lives)
         for name in self.standings.keys() - lives:
-            if not self.standings[name].in_flight:
+            standing = self.standings[name]
+            if not standing.in_flight and not standing.heard_within(
+                _KEPT_S,
+                now,
+            ):
                 self.standings.pop(name)
 
     def _best_of(
--- a/src/linnetwood/calls/reports.py
+++ b/src/linnetwood/calls/reports.py
@@ -123,7 +123,7 @@
             if self.greetings.changed(self.book) or self._hello_at <= now:
                 self._hello_at = now + HELLO_EVERY_S
                 self._tell()
-            self._chooser.forget()
+            self._chooser.forget(now)
             self._directory.expire(now)
             await asyncio.sleep(_HELLO_LEAST_S)
             await happened(self._wake, self._hello_at - self._clock.now())
--- a/src/linnetwood/calls/standing.py
+++ b/src/linnetwood/calls/standing.py
@@ -127,6 +127,11 @@
         report = self.report
         return report is not None and report.silent(now)
 
+    def heard_within(self, span_s: float, now: float) -> bool:
+        """Tell whether the last report came within a time."""
+        report = self.report
+        return report is not None and now - report.heard_at <= span_s
+
     def slow_s(self, now: float) -> float:
         """Give by how much longer than usual the way there may take."""
         report = self.report
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -204,16 +204,23 @@
 
         Seen: within 0.6 s, 71 calls to an endpoint that had not been heard for
         3 s, by no report at all, in the last second before the bound of their
-        version; none connected.
+        version; none connected. How it came about: its lease had run out, and
+        its entry was written again. Cause: what was known of it went with its
+        entry. What proved it: the age of the report in each attempt's line,
+        -1, and that of attempts before, 0.2 to 0.3 s.
         """
         self.chooser.standing('i-1').heard(report(0, 0, 7, serving=1))
         self.chooser.standing('i-2').heard(report(60, 16, 10, serving=1))
         self.directory.dropped('i-1', 9)
-        self.chooser.forget()
+        self.chooser.forget(9.5)
         self.directory.listed(listed('i-1'))
         self.assertEqual(self.chosen(Need(POOL, 'z1', 9, 'm')), 'i-2')
         need = Need(POOL, 'z1', 9, 'm', closing=((2, 10.7),))
         self.assertEqual(self.chosen(need, 'i-2'), '')
+        # It is forgotten in the end.
+        self.directory.dropped('i-1', 12)
+        self.chooser.forget(17.1)
+        self.assertNotIn('i-1', self.chooser.standings)
 
     def test_unreachable_endpoint_is_passed_over_for_a_while(self) -> None:
         """It is chosen only where there is no other."""
--- a/tests/test_lives.py
+++ b/tests/test_lives.py
@@ -182,7 +182,7 @@
         self.assertEqual((after.in_flight, after.failing), (0, 0))
         # A call of the life before ends there, and is forgotten with it.
         before.ended()
-        chooser.forget()
+        chooser.forget(2)
         self.assertEqual(list(chooser.standings), [server.entry().life])
 
     def test_an_older_life_changes_nothing(self) -> None:
