--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -138,6 +138,7 @@
             ('ended under it', 4, CRASHED, {}, (), False),
             ('told so', 4, RUN, {'status': 502}, (), False),
             ('left', 4, RUN, {'left_at': AT + 0.1}, (), False),
+            ('under way at the end', 4, RUN, {'ended_at': 0.0}, (), False),
             ('all troubled', 4, RUN, {}, (Trouble('any', *SPAN),), False),
             ('entry', 4, RUN, {}, (Trouble('any', *SPAN, 'e'),), False),
             ('other entry', 4, RUN, {}, (Trouble('any', *SPAN, 'f'),), True),
