Count no call as lost that was under way when the soak ended

Cause: a soak ends its callers, so the calls that are under way then have no end; the check of lost calls took them for connections that an entry closed. Ruled out: entries, since the ends that the findings counted are no ends at all (their time is 0). The case fails without this and passes now.

--- a/src/linnetwood/lab/soak/lost.py
+++ b/src/linnetwood/lab/soak/lost.py
@@ -46,6 +46,9 @@
     passed_on = runs.get(call.call_id, ())
     if call.whole or call.left_at or not passed_on:
         return False
+    if not call.ended_at:
+        # The soak ended before it.
+        return False
     return not any(run.crashed for run in passed_on)
 
 
