Show a way told as free before any chunk was measured, failing

What would be seen: calls that begin behind the bound of their version at an endpoint whose process has begun anew on a narrow link, as on one that narrows later.

--- a/tests/test_inflow.py
+++ b/tests/test_inflow.py
@@ -200,6 +200,35 @@
         told = [inflow.tell_way_s(6.1 + step / 10) for step in range(10)]
         self.assertLess(told[-1], 0.3)
 
+    def test_a_link_that_is_narrow_before_any_came(self) -> None:
+        """Peers that brought nothing are given up here, too.
+
+        Seen in a trial of this class alone: a way is told as free as soon as
+        the peers are given up, where no chunk of a peer has come since the
+        process began. How it comes about: its VM's link is narrow from then on;
+        calls wait behind what peers and the origin were asked for. Cause: only
+        what is under way was looked at until a chunk was measured; the doubt
+        counted from then on. What proved it: 0.8 s are told while peers are
+        waited for, and 0 within 1.5 s after, with the origin under way.
+        """
+        inflow = Inflow()
+        peers = [inflow.asked(1) for _ in range(2)]
+        inflow.asked(1, sampled=False)
+        for step in range(9):
+            inflow.tell_way_s(1 + step / 10)
+        for flight in peers:
+            inflow.ended(flight)
+            inflow.gave_up(1.8)
+        told = [inflow.tell_way_s(1.8 + step / 10) for step in range(16)]
+        self.assertEqual(told, sorted(told))
+        self.assertGreater(told[-1], 2)
+        flight = inflow.asked(4)
+        inflow.flows(flight, 4)
+        inflow.came(flight)
+        inflow.settle(4 + STATED_CHUNK_S)
+        told = [inflow.tell_way_s(4.1 + step / 10) for step in range(10)]
+        self.assertLess(told[-1], 0.3)
+
     def test_an_origin_that_is_away_makes_no_slow_way(self) -> None:
         """As long as no peer was asked in vain."""
         inflow = measured(STATED_CHUNK_S)
