Doubt the way from the first peers that bring nothing

The doubt was kept from the first peer that is asked, but only looked at once a chunk was measured. Ruled out: that what is given up still counts as under way there; it is let go of at once, as no pace is known. Why it holds: the same doubt counts before and after the first chunk, and ends by the same signs.

--- a/src/linnetwood/weights/inflow.py
+++ b/src/linnetwood/weights/inflow.py
@@ -94,9 +94,12 @@
         A longer way is told at once. It is called once for each report.
         """
         self.settle(now)
-        way_s = self._oldest_s(now)
         if self._samples:
             way_s = self._measured_s(now)
+        else:
+            # Whom nothing came of may be given up by now; the link is no freer.
+            doubted_s = now - self._still_since if self._in_doubt else 0
+            way_s = max(self._oldest_s(now), doubted_s)
         share = _SHORTER_SHARE if way_s < self._way_s else 1
         self._way_s += share * (way_s - self._way_s)
         return self._way_s
