Show calls that go to endpoints which never reported, failing

What would be seen: after a pause of an entry, or where an entry began anew while some endpoint was out of touch, calls that wait for a connection or for their first byte at endpoints of which it never heard. Where all that an entry hears fell silent at once, the search now goes on to all others, and takes one that was never heard: 0.6 and 1.4 s after the last reports. Not mended here: whoever was just listed has not reported yet, either, and which of those goes first is a choice of the design.

--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -214,6 +214,45 @@
         # Where nobody is heard, as after a pause of this process, all may be.
         self.assertEqual(self.chosen(need, 'i-2'), 'i-1')
 
+    def test_a_pause_of_the_entry_itself(self) -> None:
+        """Those it hears are chosen as before it, and not those it never hears.
+
+        Seen in a trial of this class: 0.6 s after the last reports of all that
+        are heard, as when the entry stood still, a call goes past endpoints
+        that had room by their last word, to one of which nothing is known. How
+        it comes about: there are more endpoints than an entry hears. Cause:
+        whose reports have stopped counts as not heard, and who never reported
+        as heard, and as empty. What proved it: before silence ranked ahead of
+        any wait, the same call went to one of the former.
+        """
+        beyond = dataclasses.replace(listed('i-2'), host='10.0.0.2')
+        self.directory.listed(beyond)
+        heard = ('i-1', 'i-3', 'i-4', 'i-5')
+        for name in heard:
+            self.directory.listed(listed(name))
+        self.chooser.candidates.hear(['10.0.0.1'])
+        need = Need(POOL, 'z1', 9, 'm', enough_s=0.5)
+        for age_s in (0.1, 0.6, 1.4):
+            with self.subTest(age_s=age_s):
+                for name in heard:
+                    last = report(0, 1, 10 - age_s)
+                    self.chooser.standing(name).heard(last)
+                self.assertIn(self.chosen(need), heard)
+
+    def test_one_that_was_never_heard_is_not_taken_for_empty(self) -> None:
+        """Silence from the first is silence, too.
+
+        Seen in a trial of this class: an endpoint that an entry has known for
+        5 s and never heard is chosen before one that reports a queue. How it
+        comes about: the entry began anew while no report of that endpoint
+        reached it. Cause: only an endpoint that once reported can be silent.
+        What proved it: after a single report, 5 s old, the other is chosen.
+        """
+        need = Need(POOL, 'z1', 9, 'm', enough_s=0.5)
+        self.chooser.choose(need, (), 5)
+        self.chooser.standing('i-2').heard(report(60, 16, 10))
+        self.assertEqual(self.chosen(need), 'i-2')
+
     def test_late_calls_do_not_count_before_urgent_ones(self) -> None:
         """Those that wait behind are left out of an urgent call's wait."""
         standing = self.chooser.standing('i-1')
