--- a/tests/test_inflow.py
+++ b/tests/test_inflow.py
@@ -245,7 +245,8 @@
                 if origin:
                     inflow.asked(1, sampled=False)
                 inflow.ended(inflow.asked(1))
-                told = [inflow.tell_way_s(1.01 + n / 10) for n in range(30)]
+                times = [1.01 + step / 10 for step in range(30)]
+                told = [inflow.tell_way_s(at) for at in times]
                 self.assertLess(max(told), 0.3)
 
     def test_an_origin_that_is_away_makes_no_slow_way(self) -> None:
