Show what comes slowly from the store told as new, failing

What would be seen: calls that begin on an older version behind its bound, where the naming came behind a whole configuration on a narrow link. What the store itself tells has the age 0 when it is read, whatever its answer took (4 s in the test, virtual time); a version's bound counts from that, at this entry and at those that hear it from nobody else. The belief in what is known does count from the answer's begin.

--- a/tests/test_relaying_troubles.py
+++ b/tests/test_relaying_troubles.py
@@ -147,6 +147,36 @@
 
         virtual.run(play())
 
+    def test_a_change_is_as_old_as_the_answer_that_brings_it(self) -> None:
+        """It was written before the store began to answer.
+
+        Seen in a trial of this class: a change whose answer takes 4 s to come
+        is told with an age of 0. How it comes about: the link to the store is
+        narrow, or full of whole configurations. Cause: changes that the store
+        itself tells have the age of something that comes just now; only the
+        belief counts from the answer's begin. What that may do: a version's
+        bound counts from then, here and at whoever is told by this entry alone.
+        What proved it: the age that the sink is given, in virtual time.
+        """
+
+        async def play() -> None:
+            store = zones.FarStore()
+            handle = zones.Handle(store, 'me')
+            newest = zones.Newest()
+            following = Following(
+                handle, '', newest, Random(1), bounds_within(2)
+            )
+            handle.heard = following.flowed
+            following.start()
+            await asyncio.sleep(0.5)
+            store.write(b'2' * 4 * zones.LINK_BYTES_PER_S)
+            await asyncio.sleep(5)
+            await following.close()
+            self.assertEqual(len(newest.ages), 1)
+            self.assertGreater(newest.ages[0], 3.5)
+
+        virtual.run(play())
+
     def test_an_older_answer_makes_no_belief_older(self) -> None:
         """What a neighbour confirmed meanwhile stays confirmed."""
 
