Let peers that say no at once cast no doubt on a link

What callers would see: calls kept from an engine near a version's bound, on a way told as 2.9 s, where a peer refused a connection while the origin let a chunk wait. Cause: what ends within a moment casts no doubt, but only if nothing else was under way. What peers were asked for counts by itself now: where all of it ended within 0.3 s of the first question the doubt ends, whatever the origin does. Peers that were given up after 0.8 s leave it standing as before.

--- a/src/linnetwood/weights/inflow.py
+++ b/src/linnetwood/weights/inflow.py
@@ -70,7 +70,9 @@
         self._took_s: _Dated = collections.deque(maxlen=_SAMPLES)
         # Peers were asked, and nothing has come since that shows a free link.
         self._in_doubt = False
+        self._doubted_since = float()
         self._still_since = float()
+        self._awaited_at = float()
         self._busy_at = float()
 
     @property
@@ -114,9 +116,9 @@
         How long it takes tells of this link, unless others share the sender's.
         """
         self._busy_at = now
-        if sampled and not self._in_doubt:
-            self._in_doubt = True
-            self._still_since = now
+        if sampled:
+            self._awaited_at = now
+            self._doubt(now)
         flight = Flight(now, self._came, sampled=sampled)
         self._flights.add(flight)
         return flight
@@ -204,11 +206,22 @@
         stuck_s = _STUCK_WAY_S if still_s > _STUCK_S else 0
         return max(min(owed_s, took_s), still_s, stuck_s)
 
+    def _doubt(self, now: float) -> None:
+        if not self._in_doubt:
+            self._in_doubt = True
+            self._doubted_since = now
+            self._still_since = now
+
     def _look_for_idleness(self, now: float) -> None:
         """End the doubt where nothing has been under way for a while.
 
         The same at once where it ended before it can have come.
         """
+        if self._awaits_peers:
+            self._awaited_at = now
+        elif self._awaited_at - self._doubted_since < _QUICK_S:
+            # They said no, whatever the origin lets wait.
+            self._in_doubt = False
         if self._under_way:
             self._busy_at = now
             return
@@ -216,6 +229,11 @@
         if held_up_s < _QUICK_S or now - self._busy_at > _IDLE_S:
             self._in_doubt = False
 
+    @property
+    def _awaits_peers(self) -> bool:
+        asked = any(flight.sampled for flight in self._flights)
+        return asked or bool(self._left or self._given_up)
+
     @property
     def _sampled_at(self) -> float:
         return self._samples[-1][0]
