Choose engines that never reported behind those that have stopped to

What callers would see: after a pause of their entry, or where the reports of an engine never reach it, a call goes past engines that had room by their last word to one of which nothing is known, as if it were empty. Cause: silence ranks before any wait, but only who had reported could be silent. Ruled out: plain services, which never report and are ranked by waits as before. What that costs while engines are added was not measured by itself.

--- a/src/linnetwood/calls/choice.py
+++ b/src/linnetwood/calls/choice.py
@@ -10,7 +10,7 @@
 from linnetwood.calls.directory import Directory, Listed
 from linnetwood.calls.reach import ANYWHERE, Reach
 from linnetwood.calls.routebook import Service
-from linnetwood.calls.standing import Standing
+from linnetwood.calls.standing import Standing, Word
 
 _SUSPECT_S = 1.0
 _SHUNNED_S = 4.0
@@ -56,8 +56,8 @@
     wait_s: float
     version: int = 0
     far: bool = False
-    # None of its reports that were due is missing.
-    heard: bool = True
+    # Plain services don't report: nothing is missed there.
+    word: Word = Word.FRESH
 
 
 class Chooser:
@@ -91,12 +91,13 @@
 
         Of many only two are looked at, and two elsewhere where neither will be
         in time; all where none of these is able and heard. One whose reports
-        have stopped is taken only where nobody else is able.
+        have stopped is taken only where nobody else is able, one that never
+        reported after those.
         """
         best: Choice | None = None
         groups = self.candidates.groups(need.service.name, need.zone, now)
         for group in groups:
-            if best is None or not best.heard or group.by_lot:
+            if best is None or best.word or group.by_lot:
                 found = self._best_of(need, group, tried, now)
                 best = _sooner(best, found)
             if best is not None and _will_do(best, need):
@@ -155,20 +156,25 @@
         able: Iterable[Listed],
         now: float,
     ) -> Choice | None:
-        best: tuple[tuple[bool, float], Choice] | None = None
+        best: tuple[tuple[Word, float], Choice] | None = None
         for one in able:
             # What is believed of a silent one is no reason to go past others.
-            silent = self.standing(one.life).silent(now)
+            word = self._word(need, one, now)
             wait_s = self.wait_s(need, one, now)
             loss = wait_s + self._penalty(one, now)
             loss += self._rng.random() * _JITTER_S
-            if best is None or (silent, loss) < best[0]:
+            if best is None or (word, loss) < best[0]:
                 version = self._version(need, one)
                 far = one.zone != need.zone
-                choice = Choice(one, wait_s, version, far, not silent)
-                best = ((silent, loss), choice)
+                choice = Choice(one, wait_s, version, far, word)
+                best = ((word, loss), choice)
         return best[1] if best else None
 
+    def _word(self, need: Need, one: Listed, now: float) -> Word:
+        if need.service.engine is None:
+            return Word.FRESH
+        return self.standing(one.life).word(now)
+
     def _picked(
         self,
         able: list[Listed],
@@ -256,8 +262,8 @@
 def _sooner(one: Choice | None, other: Choice | None) -> Choice | None:
     if one is None or other is None:
         return one or other
-    return min(one, other, key=lambda choice: (not choice.heard, choice.wait_s))
+    return min(one, other, key=lambda choice: (choice.word, choice.wait_s))
 
 
 def _will_do(choice: Choice, need: Need) -> bool:
-    return choice.heard and choice.wait_s <= need.enough_s
+    return not choice.word and choice.wait_s <= need.enough_s
--- a/src/linnetwood/calls/standing.py
+++ b/src/linnetwood/calls/standing.py
@@ -1,6 +1,7 @@
 """What this entry knows of an endpoint beside the list; no I/O or clock."""
 
 import dataclasses
+import enum
 import math
 
 _FAIL_WEIGHT = 0.2
@@ -23,6 +24,14 @@
 _SHUN_MOST_S = 4.0
 
 
+class Word(enum.IntEnum):
+    """Say whether an engine is heard; the less, the later it is chosen."""
+
+    FRESH = 0
+    STOPPED = 1
+    NEVER = 2
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Report:
     """An engine's own word on its work, heard at a time."""
@@ -127,6 +136,12 @@
         report = self.report
         return report is not None and report.silent(now)
 
+    def word(self, now: float) -> Word:
+        """Tell whether an engine reports, has stopped to, or never did."""
+        if self.report is None:
+            return Word.NEVER
+        return Word.STOPPED if self.silent(now) else Word.FRESH
+
     def slow_s(self, now: float) -> float:
         """Give by how much longer than usual the way there may take."""
         report = self.report
