Count what the store tells as old as its answer took to come

What callers would see: calls that begin on an older version behind its bound, at an entry whose naming of the newer one came behind a whole configuration on a narrow link. Cause: changes that the store itself tells had the age 0 when the answer was whole, 4 s after it began in the test; a version's bound counts from that age, here and at whoever hears it from this entry alone. They are as old now as the answer's first byte. Earlier than that nothing is known of when each was written, and a bound that counts from the question would close versions up to a wait too soon.

--- a/src/linnetwood/fleet/following.py
+++ b/src/linnetwood/fleet/following.py
@@ -5,8 +5,10 @@
 """
 
 import asyncio
+import dataclasses
 import functools
 import math
+from collections.abc import Iterable, Iterator
 from random import Random
 
 from linnetwood.core.backoff import pause_s
@@ -16,6 +18,7 @@
 from linnetwood.fleet.belief import USUAL_BOUNDS, Bounds, Told
 from linnetwood.fleet.mirror import LARGE_OCTETS, Mirror
 from linnetwood.fleet.ranges import (
+    Change,
     Changes,
     HistoryLostError,
     RangeStore,
@@ -257,7 +260,9 @@
         if found.revision > self._revision:
             # Another entry may have told a part of it meanwhile.
             lacked = (one for one in found.changes if one.since(self._revision))
-            self._take(Changes(tuple(lacked), found.revision))
+            # All were written before the answer began to come.
+            aged = _aged(lacked, self.flowed_at - began_at)
+            self._take(Changes(tuple(aged), found.revision))
         if found.changes:
             await asyncio.sleep(self._gather_s())
 
@@ -399,6 +404,12 @@
         self._away = False
 
 
+def _aged(changes: Iterable[Change], seconds: float) -> Iterator[Change]:
+    """Add what changes took to come."""
+    for one in changes:
+        yield dataclasses.replace(one, age_s=one.age_s + seconds)
+
+
 def _is_large(told: Told) -> bool:
     return any(
         one.record is not None and len(one.record.payload) >= LARGE_OCTETS
