Show zones that are behind on links full for longer than the bound, by a failing test

The question of an entry waits for the answer before it, and its far tellers were left meanwhile. Not traced to its end.

--- a/tests/test_belief_seeds.py
+++ b/tests/test_belief_seeds.py
@@ -31,6 +31,7 @@
 from tests import test_relaying as zones
 
 SEEDS = range(3)
+FULL_SEED = 8
 # As the client of the store: a first byte is waited for this much longer than
 # the wait itself, or this long; then a silence of so much ends an answer.
 SLACK_S = 2.0
@@ -379,6 +380,12 @@
         """Who can reach the store holds what stands for long enough."""
         self._play('lacks')
 
+    def test_nobody_is_behind_where_links_are_full(self) -> None:
+        """Others' bytes wait up to 2.6 s there; a change found a way before."""
+        found = _found(_full_links, FULL_SEED)
+        told = [one for one in found if 'lacks' in one]
+        self.assertEqual(told[:5], [])
+
     def _play(self, what: str) -> None:
         for trouble in TROUBLES:
             for seed in SEEDS:
