--- a/src/linnetwood/wire/curldriver.py
+++ b/src/linnetwood/wire/curldriver.py
@@ -170,8 +170,8 @@
     def cancel(self, transfer: Transfer) -> None:
         """Reset the connection at once; the receiver hears no more.
 
-        A plain close would leave the request to a server that was paused, and
-        that would run it when it wakes.
+        A plain close would leave what is still on its way to arrive, and to be
+        run. What has arrived already, a server that was paused may still read.
         """
         handle = transfer.handle
         if handle is None or handle not in self._by_handle:
