Show a wait that hangs after a turn as asked again too late, failing

What callers would see: calls run by a configuration that is behind its bound, at an entry that neighbours told until they ended, where its own connection to the store fell silent unused meanwhile. Seen in virtual time alone, with a bound of 2 s: a change is 2.0 s late after trust and a turn, 2.46 s where an answer flowed to the neighbour as well. The scripted store lets a wait hang also where it could answer at once, which is harder on the tests that use it.

--- a/tests/test_bound_budget.py
+++ b/tests/test_bound_budget.py
@@ -99,7 +99,7 @@
         await self._reach(wait_s + SLACK_S)
         began = asyncio.get_running_loop().time()
         until = began + wait_s
-        while self.revision <= after:
+        while self.revision <= after or self.hangs:
             if self.hangs:
                 self.hangs = False
                 await asyncio.sleep(until + SLACK_S - began)
@@ -157,6 +157,39 @@
     return loop.time() - written_at
 
 
+async def _late_of_hung_turn(*, flows: bool) -> float:
+    """Let the first wait after a neighbour's last word hang; give the delay.
+
+    A write follows that word; then an answer may flow to the neighbour.
+    """
+    store = HungStore()
+    bounds = bounds_within(APPLY_S)
+    following = Following(store, '', Kept(), Random(5), bounds)
+    # The last of many.
+    following.behind = 10
+    following.start()
+    await asyncio.sleep(0.5)
+    for _ in range(20):
+        following.told(Told(1, 0, math.inf, math.inf, 0, False, ()))
+        await asyncio.sleep(0.1)
+    following.told(Told(1, 0, math.inf, math.inf, 0, False, ()))
+    loop = asyncio.get_running_loop()
+    written_at = loop.time()
+    store.hangs = True
+    store.revision += 1
+    if flows:
+        age_s = bounds.fresh_s - 0.05
+        await asyncio.sleep(age_s)
+        following.told(Told(1, age_s, 0, 0, 0, False, ()))
+        await asyncio.sleep(0.1)
+        following.told(Told(1, age_s + 0.1, 0, 0.1, 0, False, ()))
+    # Only a call beside the one that hangs brings it.
+    while following.revision < store.revision:
+        await asyncio.sleep(0.01)
+    await following.close()
+    return loop.time() - written_at
+
+
 class HungCallsTest(unittest.TestCase):
     """Calls that get no answer, while the store is away or well."""
 
@@ -167,6 +200,20 @@
         )
         self.assertLess(worst_s, APPLY_S)
 
+    def test_a_call_that_hangs_after_a_turn_leaves_time(self) -> None:
+        """What a neighbour was trusted for and the turn took counts as well.
+
+        Seen in virtual time alone: a change is 2.0 s late, 2.5 s where an
+        answer flowed to the neighbour, and 2 s are allowed. How it comes about:
+        neighbours told the entry for a while, its own connection to the store
+        fell silent unused, and the neighbours end. Cause: a second call is due
+        after a share of the bound that leaves out how old the belief is.
+        """
+        for flows in (False, True):
+            with self.subTest(flows=flows):
+                late_s = virtual.run(_late_of_hung_turn(flows=flows))
+                self.assertLess(late_s, APPLY_S)
+
     def test_the_second_call_takes_a_connection_of_its_own(self) -> None:
         """One that is kept may have fallen silent with that of the first."""
 
