Ask a second time for a wait by what the belief's age leaves

What callers would see: calls run by a configuration that is behind its bound, at an entry that neighbours told until they ended, where its own connection to the store fell silent unused meanwhile. Cause: the second question was due 0.4 of the bound after the wait, whatever trust in the neighbour, an answer that flowed to it and the turn had taken before: 1.0 to 1.25 of the bound in all. It is due now by 0.8 of the bound, or a tenth of it after the wait where that is later. Where not even that is in time nothing changes, so answers that are slow for long cost no more calls; nor does it for an entry that hears the store itself. What it costs in calls to the store where tellers end on full links was not measured.

--- a/src/linnetwood/fleet/belief.py
+++ b/src/linnetwood/fleet/belief.py
@@ -20,9 +20,13 @@
 # other. The last one's belief is then 0.55 of the bound old, 0.8 if an answer
 # flowed meanwhile, and its answer has the rest.
 _BEHIND_SHARE = 0.15
-# A wait that is so much late gets a second one beside it; both fit the bound.
-# Answers are late by less on links that are full.
+# A wait that is so much late gets a second one beside it. Answers are late by
+# less on links that are full.
 _LATE_SHARE = 0.4
+# Trust and a turn take their part first: the second one is asked for by this
+# age of the belief, or after the least lateness, so that both fit the bound.
+_ASKED_SHARE = 0.8
+_LATE_LEAST_SHARE = 0.1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -51,7 +55,8 @@
 
     After a change others are gathered for so long before the next call; an
     entry waits for so long at most while those before it ask; and an answer is
-    late by so much when it is asked for once more.
+    late by so much when it is asked for once more: by less, to a least, where
+    the belief would be older than asked_s by then.
     """
 
     wait_s: float = 2
@@ -60,6 +65,8 @@
     gather_s: float = 0.02
     behind_s: float = 0
     late_s: float = math.inf
+    late_least_s: float = math.inf
+    asked_s: float = math.inf
 
     def known_s(self, told: Told) -> float:
         """Give for how long what is told stays fresh; negative if it is old."""
@@ -72,6 +79,14 @@
             self.flowing_s - told.flowing_s,
         )
 
+    def late_at_s(self, age_s: float) -> float:
+        """Give how late an answer may be that is due at this belief's age."""
+        if age_s > self.asked_s + self.late_least_s:
+            # Nothing comes in time any more; a second call would only cost.
+            return self.late_s
+        left_s = max(self.late_least_s, self.asked_s - age_s)
+        return min(self.late_s, left_s)
+
 
 USUAL_BOUNDS = Bounds()
 
@@ -85,4 +100,6 @@
         apply_s * _GATHER_SHARE,
         apply_s * _BEHIND_SHARE,
         apply_s * _LATE_SHARE,
+        apply_s * _LATE_LEAST_SHARE,
+        apply_s * _ASKED_SHARE,
     )
--- a/src/linnetwood/fleet/following.py
+++ b/src/linnetwood/fleet/following.py
@@ -249,7 +249,7 @@
         found = await answered(
             self._waiting(wait_s),
             self._waiting(_LEAST_WAIT_S),
-            self._due_s(wait_s),
+            self._due_s(wait_s, age_s),
             lambda: not math.isfinite(self.flowing_since),
         )
         # A wait that ends empty confirms what is believed, too.
@@ -270,11 +270,12 @@
         wait = self._store.wait
         return functools.partial(wait, self._prefix, self._revision, wait_s)
 
-    def _due_s(self, wait_s: float) -> float:
+    def _due_s(self, wait_s: float, age_s: float) -> float:
         """Give when a wait is asked again; a store that fails is asked once."""
         if self._failures:
             return math.inf
-        return wait_s + self._overhead_s + self._bounds.late_s
+        due_s = wait_s + self._overhead_s
+        return due_s + self._bounds.late_at_s(age_s + due_s)
 
     def _gather_s(self) -> float:
         """Give for how long changes are gathered: a belief that ages is not."""
