Ask a teller anew a second after its words began to count as late

What callers would see: refusals for an old belief, and more calls to the store, at an entry whose neighbour read its request late, once; inferred from the code, not played. Cause: a word counts from the last request that its teller has read, and that was asked anew only after ten seconds, so one late request made all words until then too old. While words count as more than 0.1 s late the request is sent again each second; ages stay no younger than what is proven. What the requests cost on links that are late all the time was not measured.

--- a/src/linnetwood/fleet/toldreading.py
+++ b/src/linnetwood/fleet/toldreading.py
@@ -22,6 +22,9 @@
 
 # Clocks of two VMs drift apart by half a thousandth at most.
 _ASK_AGAIN_S = 10.0
+# A request that was read late makes all words count as late until the next.
+_ASK_LATE_AGAIN_S = 1.0
+_MUCH_LATE_S = 0.1
 _MILLISECONDS = 1000
 
 
@@ -50,6 +53,7 @@
         self._silent_s = silent_s
         self._requests = 0
         self._last_at = float()
+        self._was_late_s = float()
         self._asked_at: dict[int, float] = {}
 
     async def ask(self) -> None:
@@ -64,7 +68,9 @@
 
     async def read(self) -> Told:
         """Read a word; raise WireError, CodecError."""
-        if asyncio.get_running_loop().time() - self._last_at > _ASK_AGAIN_S:
+        was_late = self._was_late_s > _MUCH_LATE_S
+        again_s = _ASK_LATE_AGAIN_S if was_late else _ASK_AGAIN_S
+        if asyncio.get_running_loop().time() - self._last_at > again_s:
             await self.ask()
         return await read_told(
             self._stream,
@@ -88,7 +94,9 @@
         if part.requests in self._asked_at:
             self._forget_before(part.requests)
         said_at = asked_at + as_seconds(part.asked_ms)
-        return max(0, asyncio.get_running_loop().time() - said_at)
+        late_s = max(0, asyncio.get_running_loop().time() - said_at)
+        self._was_late_s = late_s
+        return late_s
 
     def _forget_before(self, request: int) -> None:
         self._asked_at = {
