--- a/tests/test_bound_budget.py
+++ b/tests/test_bound_budget.py
@@ -2,11 +2,11 @@
 
 What was seen: entries of a far zone lacked changes for 3.3 s in a storm of
 them, and an entry for 2.6 s after the store had been away. How it may have come
-about: they waited for others, or for a call that got no byte. What caused it:
+about: they waited for others, or for a call that got no byte. Suspected of it:
 the shares of the bound that trust, a flowing answer and the entry's turn may
 take added up to all of it; and a call that hung was the only one that asked,
-for up to 2.9 s, with a pause after it. What proved it: in virtual time such an
-entry asks when the bound is over, has a change 2.75 s late where its connection
+for up to 2.9 s, with a pause after it. What proved the class: in virtual time
+an entry asks when the bound is over, has a change 2.75 s late where its way
 fell silent, and hears a store 3.2 to 4.0 s after its return.
 
 Load pattern: an answer to a teller flows and breaks off; connections fall
--- a/tests/test_proven_ages.py
+++ b/tests/test_proven_ages.py
@@ -2,12 +2,13 @@
 
 What was seen: an entry whose neighbours had ended and started again refused a
 key for good 2.6 s after it had been added. How it came about: a refusal is for
-good where the belief is young, and this one was older than it said. What caused
-it: the ages of a neighbour's words and of the store's answers were counted from
-their arrival, so what these had waited in a process that stood still, in a
-buffer or on a full link was left out. What proved it: words that are read two
-seconds late make a belief of a tenth of a second; and an answer that was on its
-way for 1.5 s confirms what was written meanwhile.
+good where the belief is young, and this one was older than it said. What may
+have caused it (that case itself was not brought about): the ages of a
+neighbour's words and of the store's answers were counted from their arrival, so
+what these had waited in a process that stood still, in a buffer or on a full
+link was left out. What proved the class: words that are read two seconds late
+make a belief of a tenth of a second; and an answer that was on its way for
+1.5 s confirms what was written meanwhile.
 
 Load pattern: words and answers come late; changes go on.
 Virtual time.
