--- a/src/linnetwood/calls/choice.py
+++ b/src/linnetwood/calls/choice.py
@@ -10,7 +10,7 @@
 from linnetwood.calls.directory import Directory, Listed
 from linnetwood.calls.reach import ANYWHERE, Reach
 from linnetwood.calls.routebook import Service
-from linnetwood.calls.standing import Standing, Word
+from linnetwood.calls.standing import Reporting, Standing
 
 _SUSPECT_S = 1.0
 _SHUNNED_S = 4.0
@@ -59,7 +59,7 @@
     version: int = 0
     far: bool = False
     # Plain services don't report: nothing is missed there.
-    word: Word = Word.FRESH
+    reporting: Reporting = Reporting.FRESH
 
 
 class Chooser:
@@ -99,7 +99,7 @@
         best: Choice | None = None
         groups = self.candidates.groups(need.service.name, need.zone, now)
         for group in groups:
-            if best is None or best.word or group.by_lot:
+            if best is None or best.reporting or group.by_lot:
                 found = self._best_of(need, group, tried, now)
                 best = _sooner(best, found)
             if best is not None and _will_do(best, need):
@@ -166,24 +166,24 @@
         able: Iterable[Listed],
         now: float,
     ) -> Choice | None:
-        best: tuple[tuple[Word, float], Choice] | None = None
+        best: tuple[tuple[Reporting, float], Choice] | None = None
         for one in able:
             # What is believed of a silent one is no reason to go past others.
-            word = self._word(need, one, now)
+            reporting = self._reporting(need, one, now)
             wait_s = self.wait_s(need, one, now)
             loss = wait_s + self._penalty(one, now)
             loss += self._rng.random() * _JITTER_S
-            if best is None or (word, loss) < best[0]:
+            if best is None or (reporting, loss) < best[0]:
                 version = self._version(need, one)
                 far = one.zone != need.zone
-                choice = Choice(one, wait_s, version, far, word)
-                best = ((word, loss), choice)
+                choice = Choice(one, wait_s, version, far, reporting)
+                best = ((reporting, loss), choice)
         return best[1] if best else None
 
-    def _word(self, need: Need, one: Listed, now: float) -> Word:
+    def _reporting(self, need: Need, one: Listed, now: float) -> Reporting:
         if need.service.engine is None:
-            return Word.FRESH
-        return self.standing(one.life).word(now)
+            return Reporting.FRESH
+        return self.standing(one.life).reporting(now)
 
     def _picked(
         self,
@@ -272,8 +272,8 @@
 def _sooner(one: Choice | None, other: Choice | None) -> Choice | None:
     if one is None or other is None:
         return one or other
-    return min(one, other, key=lambda choice: (choice.word, choice.wait_s))
+    return min(one, other, key=lambda choice: (choice.reporting, choice.wait_s))
 
 
 def _will_do(choice: Choice, need: Need) -> bool:
-    return not choice.word and choice.wait_s <= need.enough_s
+    return not choice.reporting and choice.wait_s <= need.enough_s
--- a/src/linnetwood/calls/standing.py
+++ b/src/linnetwood/calls/standing.py
@@ -24,8 +24,8 @@
 _SHUN_MOST_S = 4.0
 
 
-class Word(enum.IntEnum):
-    """Say whether an engine is heard; the less, the later it is chosen."""
+class Reporting(enum.IntEnum):
+    """Say whether an engine reports; the less, the later it is chosen."""
 
     FRESH = 0
     STOPPED = 1
@@ -141,11 +141,11 @@
         report = self.report
         return report is not None and now - report.heard_at <= span_s
 
-    def word(self, now: float) -> Word:
+    def reporting(self, now: float) -> Reporting:
         """Tell whether an engine reports, has stopped to, or never did."""
         if self.report is None:
-            return Word.NEVER
-        return Word.STOPPED if self.silent(now) else Word.FRESH
+            return Reporting.NEVER
+        return Reporting.STOPPED if self.silent(now) else Reporting.FRESH
 
     def slow_s(self, now: float) -> float:
         """Give by how much longer than usual the way there may take."""
--- a/src/linnetwood/fleet/following.py
+++ b/src/linnetwood/fleet/following.py
@@ -16,6 +16,7 @@
 from linnetwood.core.events import Event, log
 from linnetwood.core.owner import Owner
 from linnetwood.fleet.belief import USUAL_BOUNDS, Bounds, Told
+from linnetwood.fleet.hedging import Question, end_all, hedged
 from linnetwood.fleet.mirror import LARGE_OCTETS, Mirror
 from linnetwood.fleet.ranges import (
     Change,
@@ -25,11 +26,6 @@
     Sink,
     Snapshot,
 )
-from linnetwood.fleet.secondquestion import (
-    Question,
-    answered,
-    end_all,
-)
 
 # Entries of live endpoints are back within two seconds of the store's return,
 # so a store that is back is to be noticed well within one.
@@ -246,7 +242,7 @@
         age_s = asked_at - self.heard_at
         wait_s = self._bounds.wait_s - self._overhead_s - age_s
         wait_s = max(_LEAST_WAIT_S, wait_s)
-        found = await answered(
+        found = await hedged(
             self._waiting(wait_s),
             self._waiting(_LEAST_WAIT_S),
             self._due_s(wait_s, age_s),
--- a/src/linnetwood/fleet/secondquestion.py
+++ b/src/linnetwood/fleet/hedging.py
@@ -16,7 +16,7 @@
 Question = Callable[[], Coroutine[Any, Any, _Found]]
 
 
-async def answered(
+async def hedged(
     first: Question[_Found],
     second: Question[_Found],
     due_s: float,
