Log what an endpoint says anew of itself in its answers

Whether a limit that an endpoint names is never read, or is read and lost, no line could tell. Nothing decides by it yet.

--- a/src/linnetwood/calls/accounts.py
+++ b/src/linnetwood/calls/accounts.py
@@ -6,6 +6,7 @@
 from linnetwood.calls.choice import Choice, Need
 from linnetwood.calls.dialect import Urgency
 from linnetwood.calls.grounds import Grounds
+from linnetwood.calls.notices import Notice
 from linnetwood.calls.routebook import Route
 from linnetwood.calls.standing import Standing
 from linnetwood.core.events import Event, log
@@ -110,6 +111,20 @@
     )
 
 
+def tell_notice(sending: Sending, notice: Notice) -> None:
+    """Log what an endpoint says anew of itself."""
+    one = sending.choice.endpoint
+    log(
+        Event.ENDPOINT_NOTICE,
+        call=sending.call_id,
+        endpoint=one.endpoint,
+        born=one.born,
+        service=one.service,
+        limit_per_s=notice.limit_per_s,
+        unread=notice.unread,
+    )
+
+
 def tell_admission(
     call_id: str,
     route: Route,
--- a/src/linnetwood/calls/attempt.py
+++ b/src/linnetwood/calls/attempt.py
@@ -7,6 +7,7 @@
 from typing import Protocol
 
 from linnetwood.calls.dialect import Dialect, Verdict
+from linnetwood.calls.notices import Notice
 from linnetwood.wire.curldriver import (
     CurlDriver,
     Finish,
@@ -43,6 +44,10 @@
     """Tell nobody."""
 
 
+def _unnoticed(notice: Notice) -> None:
+    """Tell nobody."""
+
+
 class How(enum.Enum):
     """Say how an attempt ended."""
 
@@ -112,6 +117,7 @@
         self.sent = Sent()
         self.longest_gap_s = float()
         self.started: Callable[[], None] = _nothing
+        self.noticed: Callable[[Notice], None] = _unnoticed
         self._loop = asyncio.get_running_loop()
         self._relay = relay
         self._dialect = dialect
@@ -150,6 +156,9 @@
         self._status = status
         self._headers = headers
         self._verdict = self._dialect.verdict(status, headers, self._call_id)
+        notice = self._dialect.notice(status, headers, self._call_id)
+        if notice is not None:
+            self.noticed(notice)
 
     def body(self, piece: bytes) -> None:
         """Pass whole events on; collect everything else."""
--- a/src/linnetwood/calls/choice.py
+++ b/src/linnetwood/calls/choice.py
@@ -8,6 +8,7 @@
 from linnetwood.calls.candidates import Candidates, Group, two_by_lot
 from linnetwood.calls.coldgate import UNTOLD_S, ColdGate
 from linnetwood.calls.directory import Directory, Listed
+from linnetwood.calls.notices import Notices
 from linnetwood.calls.reach import ANYWHERE, Reach
 from linnetwood.calls.routebook import Service
 from linnetwood.calls.standing import Reporting, Standing
@@ -71,6 +72,7 @@
         self.candidates = Candidates(directory)
         # How many entries share what cold endpoints bear.
         self.entries: Callable[[], int] = _one_entry
+        self.notices = Notices()
         self._gate = ColdGate(rng, lambda: self.entries())
         self._directory = directory
         self._rng = rng
@@ -140,6 +142,7 @@
         """
         lives = self._directory.lives()
         self._gate.keep(lives)
+        self.notices.keep(lives, now)
         for name in self.standings.keys() - lives:
             standing = self.standings[name]
             if not standing.in_flight and not standing.heard_within(
--- a/src/linnetwood/calls/dialect.py
+++ b/src/linnetwood/calls/dialect.py
@@ -4,6 +4,7 @@
 import enum
 from typing import Protocol
 
+from linnetwood.calls.notices import Notice
 from linnetwood.wire.curldriver import Headers
 
 
@@ -59,6 +60,14 @@
     def verdict(self, status: int, headers: Headers, call_id: str) -> Verdict:
         """Say what an answer's head means."""
 
+    def notice(
+        self,
+        status: int,
+        headers: Headers,
+        call_id: str,
+    ) -> Notice | None:
+        """Give what an endpoint says of itself; None if it is not its word."""
+
     def answer_headers(self, headers: Headers) -> Headers:
         """Give the headers of an answer that go on to the caller."""
 
--- a/src/linnetwood/calls/direct.py
+++ b/src/linnetwood/calls/direct.py
@@ -6,7 +6,13 @@
 import math
 from collections.abc import Callable
 
-from linnetwood.calls.accounts import Sending, believed, count, tell
+from linnetwood.calls.accounts import (
+    Sending,
+    believed,
+    count,
+    tell,
+    tell_notice,
+)
 from linnetwood.calls.attempt import (
     Attempt,
     AttemptEnd,
@@ -19,6 +25,7 @@
 from linnetwood.calls.crashwatch import Ends, Unwatched
 from linnetwood.calls.dialect import CallHead, Dialect, Errand, Urgency
 from linnetwood.calls.grounds import Grounds
+from linnetwood.calls.notices import Notice
 from linnetwood.calls.patience import Silence
 from linnetwood.calls.policy.lateness import Lateness, MeanLateness
 from linnetwood.calls.retries import SHARE, RetryBudget
@@ -223,6 +230,7 @@
             sending,
             waiting,
         )
+        attempt.noticed = functools.partial(self._noticed, sending)
         try:
             end = await attempt.run(
                 self._driver,
@@ -312,6 +320,12 @@
         self._note_begun(sending)
         self._learn_wait(call, sending)
 
+    def _noticed(self, sending: Sending, notice: Notice) -> None:
+        """Take in what an endpoint says of itself, as soon as its head came."""
+        one = sending.choice.endpoint
+        if self._chooser.notices.heard(one.life, notice, self._loop.time()):
+            tell_notice(sending, self._chooser.notices.of(one.life))
+
     def _note_begun(self, sending: Sending) -> None:
         standing = self._chooser.standing(sending.choice.endpoint.life)
         waited_s = self._loop.time() - sending.at
--- /dev/null
+++ b/src/linnetwood/calls/notices.py
@@ -0,0 +1,69 @@
+"""What endpoints say of themselves in their answers; no I/O or clock.
+
+It is kept by the life of an endpoint: one that starts again says it anew.
+"""
+
+import dataclasses
+from collections.abc import Collection
+
+# An endpoint that the list loses may be told of again: so long what it said
+# last is kept.
+_KEPT_S = 60.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Notice:
+    """What the head of one answer says of the endpoint that gave it."""
+
+    # Calls a second that it takes from all entries; None where it names none.
+    limit_per_s: float | None = None
+    # What could not be read, cut short.
+    unread: str = ''
+    # Whether what it does not say holds no longer: only a call that ran shows
+    # that, since a refusal may leave things out.
+    complete: bool = False
+
+
+class Notices:
+    """Hold what each life said last."""
+
+    __slots__ = ('_heard_at', '_said')
+
+    def __init__(self) -> None:
+        """Have heard nothing."""
+        self._said: dict[str, Notice] = {}
+        self._heard_at: dict[str, float] = {}
+
+    def heard(self, life: str, notice: Notice, now: float) -> bool:
+        """Take in an answer's word; tell whether it says anything new."""
+        known = self._said.get(life, _NOTHING)
+        fresh = _joined(known, notice)
+        if fresh == _NOTHING:
+            self._said.pop(life, None)
+            self._heard_at.pop(life, None)
+        else:
+            self._said[life] = fresh
+            self._heard_at[life] = now
+        return fresh != known
+
+    def of(self, life: str) -> Notice:
+        """Give what a life said last."""
+        return self._said.get(life, _NOTHING)
+
+    def keep(self, lives: Collection[str], now: float) -> None:
+        """Forget all others that said nothing for a while."""
+        for life, heard_at in list(self._heard_at.items()):
+            if life not in lives and now - heard_at > _KEPT_S:
+                self._heard_at.pop(life)
+                self._said.pop(life)
+
+
+def _joined(known: Notice, notice: Notice) -> Notice:
+    """Give what holds after an answer, by what held before."""
+    limit_per_s = notice.limit_per_s
+    if limit_per_s is None and (notice.unread or not notice.complete):
+        limit_per_s = known.limit_per_s
+    return Notice(limit_per_s, notice.unread)
+
+
+_NOTHING = Notice()
--- a/src/linnetwood/platform/dialect.py
+++ b/src/linnetwood/platform/dialect.py
@@ -1,8 +1,11 @@
 """The headers of the platform's callers and servers."""
 
+import re
 from http import HTTPStatus
+from typing import Final
 
 from linnetwood.calls.dialect import CallHead, Errand, Urgency, Verdict
+from linnetwood.calls.notices import Notice
 from linnetwood.wire.curldriver import Headers
 
 _CALL_ID = 'x-attempt-id'
@@ -20,6 +23,11 @@
 _NOT_RUN = 'x-not-executed'
 _WEIGHTS_VERSION = 'x-weight-versions'
 _PRIORITY = 'x-request-priority'
+# Calls a second that an endpoint takes from all entries together.
+_LIMIT = 'server-limit'
+_DECIMAL: Final = re.compile(r'\d{1,9}(\.\d{1,9})?', re.ASCII)
+# So much of a value that can't be read is told.
+_SHOWN = 40
 # From 0, the first, to 9; 5 where nothing is said.
 _LATE_PRIORITY = '8'
 _MILLISECONDS = 1000
@@ -98,6 +106,24 @@
             return Verdict.FOREIGN
         return Verdict.ANSWER
 
+    def notice(
+        self,
+        status: int,
+        headers: Headers,
+        call_id: str,
+    ) -> Notice | None:
+        """Give what an endpoint says of itself; None if it is not its word."""
+        verdict = self.verdict(status, headers, call_id)
+        misdirected = status == HTTPStatus.MISDIRECTED_REQUEST
+        if verdict is Verdict.FOREIGN or misdirected:
+            return None
+        limits, unread = _decimals(headers, _LIMIT)
+        return Notice(
+            min(limits, default=None),
+            unread[:_SHOWN],
+            complete=verdict is Verdict.ANSWER,
+        )
+
     def answer_headers(self, headers: Headers) -> Headers:
         """Give the headers of an answer that go on to the caller."""
         dropped = _of_connection(headers)
@@ -121,6 +147,19 @@
     return _OF_CONNECTION | named
 
 
+def _decimals(headers: Headers, wanted: str) -> tuple[list[float], str]:
+    """Give the numbers of all headers of a name, and what is none."""
+    texts = [
+        one.strip()
+        for name, text in headers
+        if name.lower() == wanted
+        for one in text.split(',')
+    ]
+    found = [float(one) for one in texts if _DECIMAL.fullmatch(one)]
+    unread = [one for one in texts if not _DECIMAL.fullmatch(one)]
+    return found, ', '.join(unread)
+
+
 def _whole(text: str) -> int:
     trimmed = text.strip()
     return int(trimmed) if trimmed.isdecimal() else 0
--- /dev/null
+++ b/tests/test_notices.py
@@ -0,0 +1,95 @@
+"""What endpoints say of themselves in their answers is read and kept."""
+
+import unittest
+
+from linnetwood.calls.notices import Notice, Notices
+from linnetwood.platform.dialect import PlatformDialect
+from linnetwood.wire.curldriver import Headers
+
+SIGNED: Headers = [('X-Attempt-Id', 'c-1'), ('X-Server-Signature', 's')]
+
+
+def read(*said: tuple[str, str], status: int = 200) -> Notice | None:
+    """Read the head of an answer that says something."""
+    return PlatformDialect().notice(status, [*SIGNED, *said], 'c-1')
+
+
+def limit(*texts: str) -> tuple[float | None, str]:
+    """Read limits, and what of them could not be read."""
+    notice = read(*(('Server-Limit', text) for text in texts))
+    assert notice is not None
+    return notice.limit_per_s, notice.unread
+
+
+class ReadingTest(unittest.TestCase):
+    """Values of headers, good and bad."""
+
+    def test_limits(self) -> None:
+        """A decimal number counts; of several the least does."""
+        for text, expected in (('1.8', 1.8), ('12', 12), (' 0 ', 0)):
+            with self.subTest(text=text):
+                self.assertEqual(limit(text), (expected, ''))
+        self.assertEqual(limit('3', '2.5'), (2.5, ''))
+        self.assertEqual(limit('3, 2.5'), (2.5, ''))
+        self.assertEqual(limit(), (None, ''))
+
+    def test_values_that_are_no_limits(self) -> None:
+        """They are told, cut short, and set nothing."""
+        bad = ('-1', 'nan', 'inf', '1e3', '', '1.', '9' * 400, '٣', '1 2')
+        for text in bad:
+            with self.subTest(text=text):
+                self.assertEqual(limit(text), (None, text[:40]))
+        self.assertEqual(limit('bad', '4'), (4, 'bad'))
+
+    def test_whose_word_it_is(self) -> None:
+        """An answer of somebody else says nothing of the endpoint."""
+        said = ('Server-Limit', '2')
+        self.assertIsNone(read(said, status=421))
+        self.assertIsNone(read(said, ('X-Attempt-Id', 'c-2')))
+        full = read(said, ('X-Not-Executed', '1'), status=503)
+        self.assertEqual(full, Notice(2))
+        self.assertEqual(read(said), Notice(2, complete=True))
+
+
+class KeptTest(unittest.TestCase):
+    """What holds after which answers."""
+
+    def setUp(self) -> None:
+        self.notices = Notices()
+
+    def hear(self, notice: Notice, now: float = 0) -> bool:
+        """Hear an answer of the one endpoint."""
+        return self.notices.heard('i-1', notice, now)
+
+    def limit(self) -> float | None:
+        """Give the limit that holds."""
+        return self.notices.of('i-1').limit_per_s
+
+    def test_a_limit_holds_until_a_call_that_ran_names_none(self) -> None:
+        """A refusal without it, or with a bad one, ends no limit."""
+        self.assertTrue(self.hear(Notice(2, complete=True)))
+        self.assertFalse(self.hear(Notice(2, complete=True)))
+        self.assertFalse(self.hear(Notice()))
+        self.hear(Notice(unread='x', complete=True))
+        self.assertEqual(self.limit(), 2)
+        self.assertTrue(self.hear(Notice(complete=True)))
+        self.assertIsNone(self.limit())
+
+    def test_another_life_inherits_nothing(self) -> None:
+        """What is said is kept by life."""
+        self.hear(Notice(2))
+        self.assertEqual(self.notices.of('i-1@5'), Notice())
+
+    def test_who_is_no_longer_listed_is_forgotten(self) -> None:
+        """It is kept a while: the list may tell of it again."""
+        self.hear(Notice(2))
+        self.notices.keep((), 50)
+        self.assertEqual(self.limit(), 2)
+        self.notices.keep(('i-1',), 70)
+        self.assertEqual(self.limit(), 2)
+        self.notices.keep((), 70)
+        self.assertIsNone(self.limit())
+
+
+if __name__ == '__main__':
+    unittest.main()
