--- a/tests/test_coldgate.py
+++ b/tests/test_coldgate.py
@@ -87,6 +87,17 @@
             with self.subTest(entries=count):
                 self.assertLessEqual(crowd.most(), ALLOWED)
 
+    def test_a_wave_after_a_pause(self) -> None:
+        """Guard against turns that entries save while they are idle."""
+        for count in SIZES:
+            crowd = Crowd(count, count)
+            self.play(crowd)
+            crowd.sent.clear()
+            for number in range(100):
+                crowd.step(SPAN_S + 8 + number * STEP_S)
+            with self.subTest(entries=count):
+                self.assertLessEqual(crowd.most(), ALLOWED)
+
     def test_entries_that_come_and_a_count_that_is_late(self) -> None:
         """A fifth more entries than are known, a few new ones a second."""
         crowd = Crowd(39, 1)
