Hold to the rate limits that endpoints name, over all entries together

Cause: nothing read it, so the choice went by predicted wait alone. Ruled out: that entries obey and only their sum does not (two entries sent nearly all, at the old pace). Entries that each obeyed alone would break it too: 21 calls in 4 s of 7 entries and 1,220 of 410, at 1 a second (11 allowed; a model). So an endpoint that names a limit is sent to by turns whose sum stays below it, whoever sends. The process beside an engine tells each entry that hears it which part is its own; elsewhere the parts are equal, by the number of entries. What is not due is not chosen, so predictions, the door, second tries and resumed streams all count what is left; callers whom none may take are refused at once and told when the first turn is.

--- a/src/linnetwood/calls/choice.py
+++ b/src/linnetwood/calls/choice.py
@@ -8,6 +8,7 @@
 from linnetwood.calls.candidates import Candidates, Group, two_by_lot
 from linnetwood.calls.coldgate import UNTOLD_S, ColdGate
 from linnetwood.calls.directory import Directory, Listed
+from linnetwood.calls.limits import Place, RateLimits
 from linnetwood.calls.notices import Notices
 from linnetwood.calls.reach import ANYWHERE, Reach
 from linnetwood.calls.routebook import Service
@@ -70,10 +71,11 @@
         """Choose among the directory's endpoints."""
         self.standings: dict[str, Standing] = {}
         self.candidates = Candidates(directory)
-        # How many entries share what cold endpoints bear.
+        # How many entries share what endpoints bear that are cold or limited.
         self.entries: Callable[[], int] = _one_entry
         self.notices = Notices()
         self._gate = ColdGate(rng, lambda: self.entries())
+        self._limits = RateLimits(self.notices, rng, lambda: self.entries())
         self._directory = directory
         self._rng = rng
 
@@ -123,8 +125,23 @@
         far_s += _DELAYS * engine.delay_s(need.zone, one.zone)
         return far_s + engine.first_token_s(need.prompt, waiting, running)
 
+    def limited_s(self, need: Need, now: float) -> float:
+        """Give in how long one that is at its limit may have a call.
+
+        It is 0 where none is.
+        """
+        service = need.service
+        places = (
+            self._place(service, one)
+            for one in self._directory.ready(service.name, now)
+            if need.reach.allows(one.region)
+        )
+        waits = (self._limits.opens_at(place, now) - now for place in places)
+        return min((wait_s for wait_s in waits if wait_s > 0), default=0)
+
     def sent(self, service: Service, one: Listed, now: float) -> None:
         """Note that a call goes to an endpoint."""
+        self._limits.sent(self._place(service, one), now)
         if service.cold_per_s and self._directory.is_cold(one, now):
             self._gate.sent(one.life, service.cold_per_s, now)
 
@@ -142,6 +159,7 @@
         """
         lives = self._directory.lives()
         self._gate.keep(lives)
+        self._limits.keep(lives)
         self.notices.keep(lives, now)
         for name in self.standings.keys() - lives:
             standing = self.standings[name]
@@ -214,8 +232,13 @@
             return False
         if need.model and not self._serves(need, one, now):
             return False
+        if self._limits.opens_at(self._place(need.service, one), now) > now:
+            return False
         return self._bears(need.service, one, now)
 
+    def _place(self, service: Service, one: Listed) -> Place:
+        return Place(service, one, self.standing(one.life))
+
     def _bears(self, service: Service, one: Listed, now: float) -> bool:
         """Tell whether one more call is this entry's part, if it is cold."""
         per_s = service.cold_per_s
--- a/src/linnetwood/calls/direct.py
+++ b/src/linnetwood/calls/direct.py
@@ -55,6 +55,7 @@
 # Below this nothing can be answered any more.
 _LEAST_LEFT_S = 0.02
 _RETRY_AFTER_MS = 200
+_MILLISECONDS = 1000
 # So long a call has there, on any way, before it is taken back.
 _BEGIN_S = MARGIN_S - START_MARGIN_S
 
@@ -155,7 +156,8 @@
             )
             choice = self._chooser.choose(need, progress.tried, now)
             if choice is None:
-                return progress.ending(relay, Code.NO_ENDPOINT)
+                limited_s = self._chooser.limited_s(need, now)
+                return progress.unplaced(relay, limited_s)
             end = await self._attempt(call, need, choice, relay, urgency)
             progress.note(choice.endpoint.life, end)
             if end.how is How.ANSWERED:
@@ -454,6 +456,14 @@
         if end.how is not How.NOT_RUN:
             self.may_have_run = True
 
+    def unplaced(self, relay: Relay, limited_s: float) -> Ending:
+        """End a call for which there is no endpoint, or only limited ones."""
+        ending = self.ending(relay, Code.NO_ENDPOINT)
+        if ending.outcome is not Outcome.NOT_RUN or not limited_s:
+            return ending
+        after_ms = max(_RETRY_AFTER_MS, math.ceil(limited_s * _MILLISECONDS))
+        return not_run(Code.NO_ENDPOINT, 'limited', after_ms)
+
     def ending(self, relay: Relay, code: Code, detail: str = '') -> Ending:
         if relay.begun:
             relay.caller.abort()
--- a/src/linnetwood/calls/entrance.py
+++ b/src/linnetwood/calls/entrance.py
@@ -56,7 +56,9 @@
         said = Said(call.route.name, call.head.wait_s, call.route.target_s)
         first = self._first_tries.is_first(said, now)
         if choice is None:
-            return self._refusal(Code.NO_ENDPOINT, call, 'none')
+            limited_s = self._chooser.limited_s(need, now)
+            why = 'limited' if limited_s else 'none'
+            return self._refusal(Code.NO_ENDPOINT, call, why, limited_s)
         if not (first or self._may_return(call.service, choice)):
             self._tell(call, need, choice, 'returned')
             return self._refusal(Code.OVERLOADED, call, 'came back')
@@ -112,9 +114,16 @@
             outcome,
         )
 
-    def _refusal(self, code: Code, call: DirectCall, detail: str) -> Ending:
-        """Refuse, and say when to come back."""
+    def _refusal(
+        self,
+        code: Code,
+        call: DirectCall,
+        detail: str,
+        least_s: float = 0,
+    ) -> Ending:
+        """Refuse, and say when to come back: not before there is room."""
         now = self._clock.now()
         self._first_tries.refused(now)
         after_s = self._returns.after_s(call.until - now, now)
+        after_s = max(after_s, least_s)
         return not_run(code, detail, int(after_s * _MILLISECONDS))
--- a/src/linnetwood/calls/reports.py
+++ b/src/linnetwood/calls/reports.py
@@ -30,6 +30,7 @@
 # told together; whoever is told later by this still has most of any bound.
 _HELLO_LEAST_S = 0.1
 _MILLISECONDS = 1000
+_MILLION = 1000000
 
 
 class Reports:
@@ -144,4 +145,5 @@
         now,
         engine.way_ms / _MILLISECONDS,
         engine.every_ms / _MILLISECONDS,
+        engine.part_ppm / _MILLION,
     )
--- a/src/linnetwood/calls/standing.py
+++ b/src/linnetwood/calls/standing.py
@@ -44,6 +44,9 @@
     way_s: float = 0
     # When the next one is due, from this one.
     every_s: float = _USUAL_EVERY_S
+    # Of what it takes from all entries, what this one may send while it names a
+    # limit; 0 where that is not told.
+    part: float = 0
 
     def silent(self, now: float) -> bool:
         """Tell whether reports that were due have not come."""
--- a/src/linnetwood/fleet/listeners.py
+++ b/src/linnetwood/fleet/listeners.py
@@ -21,6 +21,13 @@
 # So long an entry that just came is told what others know already: longer than
 # a greeting and an answer take, should one datagram be lost.
 _NEWCOMER_S = 1.5
+# Of what an endpoint takes that names a limit, the part of those entries which
+# do not hear it, where there are any.
+UNHEARD_SHARE = 1 / 3
+# What those of its own zone share of the rest, who send it most of its calls.
+_NEAR_SHARE = 0.75
+# Entries are counted by what greetings stand for, a little over or under.
+_ALL_HEAR = 0.95
 # Greetings come once a second: in a longer silence of all entries something may
 # have been named that nobody told.
 _GAP_S = 1.5
@@ -111,6 +118,23 @@
         )
         return round(sum(stand_for))
 
+    def part(self, zone: str, now: float, *, near: bool) -> float:
+        """Give what each of the own zone, or of the others, may send.
+
+        It is a part of what the endpoint takes from all; 0 where it is not
+        known who shares it.
+        """
+        entries = self.entries(now)
+        if not entries:
+            return 0
+        heard = len(self._listeners)
+        share = 1 if heard >= _ALL_HEAR * entries else 1 - UNHEARD_SHARE
+        inside = len(self.of_zone(zone))
+        if 0 < inside < heard:
+            share *= _NEAR_SHARE if near else 1 - _NEAR_SHARE
+            heard = inside if near else heard - inside
+        return share / heard
+
     def every_s(self, zone: str) -> float:
         """Give the pace of reports to entries of the own zone, in seconds."""
         zones = [one.greeting.zone for one in self._listeners.values()]
--- a/src/linnetwood/gen/wire/ttypes.py
+++ b/src/linnetwood/gen/wire/ttypes.py
@@ -2318,6 +2318,8 @@
      - way_ms: How long a call's bytes may wait on the way to this VM.
      - every_ms: When the next report is due.
      - born: Unix milliseconds of the engine's start; 0 where it does not tell.
+     - part_ppm: Of what the engine takes from all entries, what whoever hears this may send
+    while it names a limit, in millionths; 0 where that is not known.
 
     """
 
@@ -2332,11 +2334,12 @@
         'way_ms',
         'every_ms',
         'born',
+        'part_ppm',
     )
 
 
     def __init__(self, number=None, waiting=0, running=0, serving=0, changing=False, entries=0, wanted=[
-    ], way_ms=0, every_ms=0, born=0,):
+    ], way_ms=0, every_ms=0, born=0, part_ppm=0,):
         self.number = number
         self.waiting = waiting
         self.running = running
@@ -2350,6 +2353,7 @@
         self.way_ms = way_ms
         self.every_ms = every_ms
         self.born = born
+        self.part_ppm = part_ppm
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2416,6 +2420,11 @@
                     self.born = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.I32:
+                    self.part_ppm = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2469,6 +2478,10 @@
             oprot.writeFieldBegin('born', TType.I64, 13)
             oprot.writeI64(self.born)
             oprot.writeFieldEnd()
+        if self.part_ppm is not None:
+            oprot.writeFieldBegin('part_ppm', TType.I32, 14)
+            oprot.writeI32(self.part_ppm)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3696,6 +3709,7 @@
     (11, TType.I32, 'way_ms', None, 0, ),  # 11
     (12, TType.I32, 'every_ms', None, 0, ),  # 12
     (13, TType.I64, 'born', None, 0, ),  # 13
+    (14, TType.I32, 'part_ppm', None, 0, ),  # 14
 )
 all_structs.append(ZoneHosts)
 ZoneHosts.thrift_spec = (
--- a/src/linnetwood/gen/wire/ttypes.pyi
+++ b/src/linnetwood/gen/wire/ttypes.pyi
@@ -137,7 +137,8 @@
     way_ms: int
     every_ms: int
     born: int
-    def __init__(self, number: int = ..., waiting: int = ..., running: int = ..., serving: int = ..., changing: bool = ..., entries: int = ..., wanted: list[WantedWeights] = ..., way_ms: int = ..., every_ms: int = ..., born: int = ...) -> None: ...
+    part_ppm: int
+    def __init__(self, number: int = ..., waiting: int = ..., running: int = ..., serving: int = ..., changing: bool = ..., entries: int = ..., wanted: list[WantedWeights] = ..., way_ms: int = ..., every_ms: int = ..., born: int = ..., part_ppm: int = ...) -> None: ...
 class ZoneHosts:
     zone: str
     hosts: bytes
--- a/src/linnetwood/idl/wire.thrift
+++ b/src/linnetwood/idl/wire.thrift
@@ -185,7 +185,12 @@
   /** When the next report is due. */
   12: i32 every_ms = 0,
   /** Unix milliseconds of the engine's start; 0 where it does not tell. */
-  13: i64 born = 0
+  13: i64 born = 0,
+  /**
+   * Of what the engine takes from all entries, what whoever hears this may send
+   * while it names a limit, in millionths; 0 where that is not known.
+   */
+  14: i32 part_ppm = 0
 }
 
 /** Some entries of an availability zone: four bytes for each IPv4 address. */
--- a/src/linnetwood/programs/resident_talk.py
+++ b/src/linnetwood/programs/resident_talk.py
@@ -1,5 +1,6 @@
 """What an endpoint process of the users' platform hears and tells."""
 
+from collections.abc import Iterator
 from random import Random
 
 from linnetwood.calls.candidates import NEAR_MOST
@@ -26,6 +27,7 @@
 from linnetwood.wire.connections import TcpDialler
 
 _MILLISECONDS = 1000
+_MILLION = 1000000
 _PERCENT = 100
 _HELD_EVERY_S = 0.1
 # What was told already is told again, since datagrams may be lost; less and
@@ -164,13 +166,28 @@
         wanted = self._wanted.told('', self._wanted.models(), now)
         for every_s, addresses in due.items():
             engine.every_ms = int(every_s * _MILLISECONDS)
-            engine.wanted = []
-            others = [one for one in addresses if one not in newcomers]
-            self._news.send(News(engine=engine), others)
-            # They could only guess since when a version is wanted.
-            engine.wanted = wanted
-            new = [one for one in addresses if one in newcomers]
-            self._news.send(News(engine=engine), new)
+            for part, alike in self._by_part(addresses, now):
+                engine.part_ppm = int(part * _MILLION)
+                engine.wanted = []
+                others = [one for one in alike if one not in newcomers]
+                self._news.send(News(engine=engine), others)
+                # They could only guess since when a version is wanted.
+                engine.wanted = wanted
+                new = [one for one in alike if one in newcomers]
+                self._news.send(News(engine=engine), new)
+
+    def _by_part(
+        self,
+        addresses: list[Address],
+        now: float,
+    ) -> Iterator[tuple[float, list[Address]]]:
+        """Yield entries with the part of a limit that each of them has."""
+        zone = self._cfg.zone
+        inside = set(self._listeners.of_zone(zone))
+        for near in (True, False):
+            alike = [one for one in addresses if (one in inside) is near]
+            if alike:
+                yield self._listeners.part(zone, now, near=near), alike
 
     def _tell_neighbours(self, now: float) -> None:
         if now - self._neighbours_at < _NEIGHBOURS_EVERY_S:
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -1,15 +1,27 @@
-"""What endpoints get that name in their answers how much they take."""
+"""What endpoints get that name in their answers how much they take.
+
+Load pattern: an endpoint in need, and entries that all have calls for it and do
+not talk to each other: as many as the smallest and the largest fleets have.
+"""
 
 import asyncio
 import unittest
+from collections.abc import Iterator
 from random import Random
 
+from linnetwood.calls.candidates import draw
 from linnetwood.calls.choice import Chooser
 from linnetwood.calls.dialect import CallHead
 from linnetwood.calls.direct import DirectCall, DirectDispatcher
 from linnetwood.calls.directory import Directory, Listed
+from linnetwood.calls.engine import EngineFigures
+from linnetwood.calls.limits import Place, RateLimits
+from linnetwood.calls.notices import Notice, Notices
 from linnetwood.calls.routebook import Repeat, Route, Service, Share
+from linnetwood.calls.standing import Report, Standing
 from linnetwood.core.metrics import NoMetrics
+from linnetwood.core.outcomes import Outcome
+from linnetwood.fleet.listeners import Greeting, Listeners
 from linnetwood.fleet.wanted import WantedVersions
 from linnetwood.platform.dialect import PlatformDialect
 from linnetwood.wire.curldriver import CurlDriver
@@ -126,6 +138,212 @@
             await asyncio.gather(*calls)
         self.assertLessEqual(most_in_span(times), allowed(1.0))
 
+    async def test_a_caller_is_told_when_a_limit_lets_it_in(self) -> None:
+        """Guard against calls held, or asked back while none may go."""
+        head = f'200 OK\r\n{SIGNED}Server-Limit: 0.2\r\n'
+        self.server = Server(says(answer(head, b'fine')))
+        one = self.entry(await self.server.start())
+        await one.run(self.call(), Heard())
+        ending = await one.run(self.call(), Heard())
+        self.assertIs(ending.outcome, Outcome.NOT_RUN)
+        self.assertEqual(ending.detail, 'limited')
+        self.assertGreater(ending.retry_after_ms, 200)
+        self.assertEqual(len(self.server.requests), 1)
+
+
+FIGURES = EngineFigures(8, 0.01, 0, 0, 20000, 0, 4, 900, 100, 90000)
+POOL = Service('pool', 10, FIGURES)
+# Entries, engines and zones of fleets.
+FLEETS = ((7, 6, 3), (18, 12, 3), (98, 60, 5), (410, 600, 10))
+LIMITS = (0, 0.25, 1, 1.8, 5, 20)
+STEP_S = 0.1
+PLAYED_S = 24.0
+WARM_S = 2.0
+
+
+class Entry:
+    """One entry: what it was told, and when it may send."""
+
+    def __init__(self, me: str, zone: str, fleet: 'Fleet') -> None:
+        self.zone = zone
+        self.fleet = fleet
+        heard = draw(me, zone, fleet.places)
+        self.stands_for = heard.get('e0', 0) if fleet.has_process else 0
+        self.in_reach = True
+        self.start(me)
+
+    def start(self, seed: object) -> None:
+        """Begin to live, knowing nothing."""
+        self.told = False
+        self.notices = Notices()
+        self.standing = Standing()
+        fleet = self.fleet
+        rng = Random(f'{fleet.seed}{seed}')
+        self.limits = RateLimits(self.notices, rng, lambda: fleet.told)
+
+    def step(self, now: float) -> None:
+        """Send a call if one may go."""
+        fleet = self.fleet
+        place = Place(fleet.service, fleet.one, self.standing)
+        if self.limits.opens_at(place, now) > now:
+            return
+        self.limits.sent(place, now)
+        if self.told:
+            fleet.times.append(now)
+        self.told = True
+        self.notices.heard('e0', Notice(fleet.limit, complete=True), now)
+
+
+class Fleet:
+    """Entries that all have calls for one endpoint of a zone."""
+
+    def __init__(
+        self,
+        sizes: tuple[int, int, int],
+        limit: float,
+        *,
+        has_process: bool,
+        seed: str = '',
+    ) -> None:
+        entries, engines, zones = sizes
+        self.seed = seed
+        self.limit = limit
+        self.told = entries
+        self.has_process = has_process
+        self.service = POOL if has_process else DESK
+        self.places = {f'e{one}': f'z{one % zones}' for one in range(engines)}
+        self.one = Listed('e0', 'pool', 'e0', 80, 'z0', 8, ready=True)
+        self.times: list[float] = []
+        self.rng = Random(entries)
+        self.listeners = Listeners(-2.0)
+        self.entries = [
+            Entry(f'a{one}', f'z{one % zones}', self) for one in range(entries)
+        ]
+        self.now = float()
+
+    def play(self, until: float, share: float = 1) -> None:
+        """Let a share of the entries have a call at each step."""
+        steps = int((until - self.now) / STEP_S)
+        for _ in range(steps):
+            self.now += STEP_S
+            self.talk()
+            for entry in self.entries:
+                if share >= 1 or self.rng.random() < share:
+                    entry.step(self.now)
+
+    def talk(self) -> None:
+        """Let entries greet the process and hear its reports."""
+        hearing = [
+            (number, entry)
+            for number, entry in enumerate(self.entries)
+            if entry.stands_for and entry.in_reach
+        ]
+        for number, entry in hearing:
+            greeting = Greeting(
+                int(self.now * 10) + 99, entry.zone, 0.1, entry.stands_for
+            )
+            self.listeners.heard((f'a{number}', 1), greeting, self.now)
+        self.listeners.expire(self.now)
+        reports = {near: self.report(near=near) for near in (True, False)}
+        for _, entry in hearing:
+            entry.standing.heard(reports[entry.zone == 'z0'])
+
+    def report(self, *, near: bool) -> Report:
+        """Give what the process tells entries of its zone, or the others."""
+        part = self.listeners.part('z0', self.now, near=near)
+        return Report(0, 1, 1, changing=False, heard_at=self.now, part=part)
+
+
+def fleets(limit: float) -> Iterator[Fleet]:
+    """Yield a fleet of each size, before an engine and a plain endpoint."""
+    for sizes in FLEETS:
+        for has_process in (True, False):
+            yield Fleet(sizes, limit, has_process=has_process)
+
+
+class LimitOfAllTest(unittest.TestCase):
+    """The sum over all entries, in virtual time."""
+
+    def within(self, fleet: Fleet) -> None:
+        """Check what came after the limit had been told to each."""
+        self.assertLessEqual(most_in_span(fleet.times), allowed(fleet.limit))
+
+    def test_sum_over_all_entries(self) -> None:
+        """Guard against entries that each obey and together do not."""
+        for limit in LIMITS:
+            for fleet in fleets(limit):
+                fleet.play(PLAYED_S)
+                with self.subTest(limit=limit, entries=fleet.told):
+                    self.within(fleet)
+
+    def test_the_limit_is_used(self) -> None:
+        """Guard against an endpoint left idle, whose end of need none hears."""
+        for limit in (1, 5):
+            for fleet in fleets(limit):
+                fleet.play(2 * PLAYED_S)
+                rate = len(fleet.times) / (2 * PLAYED_S)
+                # Turns of many fall together by chance, so less is tried.
+                least = limit / 2 if fleet.told < 30 else limit / 3
+                with self.subTest(limit=limit, entries=fleet.told):
+                    self.assertGreaterEqual(rate, least)
+
+    def test_turns_of_many_that_fall_together(self) -> None:
+        """Guard against 13 calls in 4 s by chance: this seed showed them."""
+        fleet = Fleet(FLEETS[-1], 1, has_process=False, seed='s24-')
+        fleet.play(PLAYED_S)
+        self.within(fleet)
+
+    def test_a_crowd_after_silence(self) -> None:
+        """Guard against turns that all entries saved up."""
+        for fleet in fleets(1):
+            for idle_s in (8, 60, 3600):
+                fleet.play(fleet.now + PLAYED_S / 2)
+                fleet.now += idle_s
+            fleet.play(fleet.now + PLAYED_S / 2)
+            with self.subTest(entries=fleet.told):
+                self.within(fleet)
+
+    def test_entries_that_start_again(self) -> None:
+        """Guard against lives of entries that each have a whole part."""
+        for fleet in fleets(1):
+            for number in range(40):
+                fleet.play(fleet.now + 0.6, share=0.5)
+                entry = fleet.entries[number % fleet.told]
+                entry.start(number)
+            with self.subTest(entries=fleet.told):
+                self.within(fleet)
+
+    def test_a_zone_that_the_process_does_not_hear(self) -> None:
+        """Guard against parts handed out twice: to those cut off as well."""
+        for fleet in fleets(1.8):
+            fleet.play(PLAYED_S / 2)
+            for entry in fleet.entries:
+                entry.in_reach = entry.zone != 'z1'
+            fleet.play(PLAYED_S)
+            for entry in fleet.entries:
+                entry.in_reach = True
+            fleet.play(PLAYED_S * 1.5)
+            with self.subTest(entries=fleet.told):
+                self.within(fleet)
+
+    def test_more_entries_than_are_known(self) -> None:
+        """Guard against a count of entries that is a fifth too low."""
+        for fleet in fleets(1.8):
+            fleet.told = max(1, int(fleet.told / 1.2))
+            fleet.play(PLAYED_S)
+            with self.subTest(entries=fleet.told):
+                self.within(fleet)
+
+    def test_a_limit_that_ends_is_forgotten(self) -> None:
+        """Guard against turns kept for a limit that was named long ago."""
+        fleet = Fleet(FLEETS[0], 0, has_process=False)
+        fleet.play(PLAYED_S)
+        entry = fleet.entries[0]
+        entry.notices.heard('e0', Notice(complete=True), fleet.now)
+        place = Place(fleet.service, fleet.one, entry.standing)
+        for now in (fleet.now, fleet.now + 1):
+            self.assertEqual(entry.limits.opens_at(place, now), now)
+
 
 if __name__ == '__main__':
     unittest.main()
