Tell all entries that hear an engine of the rate limit that it names

What callers would see: an engine that needs no rest any more left nearly idle by entries that hear of it when their own turn comes (20 s at 1 a second from another zone), and one in need that each entry finds out about by calls of its own, again after each restart. Cause: what an answer says stayed with the entry that got it. The entry passes it on to the process beside the engine, which puts it into its reports: one datagram for each change, and 7 bytes a report. Tests (tests/test_passed_notices.py) with lost, late and older words and another life; without this the second entry knew nothing.

--- a/src/linnetwood/calls/accounts.py
+++ b/src/linnetwood/calls/accounts.py
@@ -5,6 +5,7 @@
 from linnetwood.calls.attempt import Attempt, AttemptEnd
 from linnetwood.calls.choice import Choice, Need
 from linnetwood.calls.dialect import Urgency
+from linnetwood.calls.directory import Listed
 from linnetwood.calls.grounds import Grounds
 from linnetwood.calls.notices import Notice
 from linnetwood.calls.routebook import Route
@@ -111,12 +112,11 @@
     )
 
 
-def tell_notice(sending: Sending, notice: Notice) -> None:
-    """Log what an endpoint says anew of itself."""
-    one = sending.choice.endpoint
+def tell_notice(one: Listed, notice: Notice, call_id: str = '') -> None:
+    """Log what an endpoint says anew of itself, to whichever call."""
     log(
         Event.ENDPOINT_NOTICE,
-        call=sending.call_id,
+        call=call_id,
         endpoint=one.endpoint,
         born=one.born,
         service=one.service,
--- a/src/linnetwood/calls/direct.py
+++ b/src/linnetwood/calls/direct.py
@@ -24,6 +24,7 @@
 from linnetwood.calls.choice import Choice, Chooser, Need
 from linnetwood.calls.crashwatch import Ends, Unwatched
 from linnetwood.calls.dialect import CallHead, Dialect, Errand, Urgency
+from linnetwood.calls.directory import Listed
 from linnetwood.calls.grounds import Grounds
 from linnetwood.calls.notices import Notice
 from linnetwood.calls.patience import Silence
@@ -93,6 +94,10 @@
     reserve: float = 4
 
 
+def _tell_nobody(one: Listed, now: float) -> None:
+    """Keep to itself what an endpoint says."""
+
+
 class DirectDispatcher:
     """Run calls: choose, send, and send again where that is safe."""
 
@@ -109,6 +114,8 @@
         """Use the given parts; know no retry budgets yet."""
         self.retry_bounds = RetryBounds()
         self.ends: Ends = Unwatched()
+        # Who passes on what endpoints say of themselves.
+        self.noticed: Callable[[Listed, float], None] = _tell_nobody
         self._budgets: dict[str, RetryBudget] = {}
         self._new_lateness = lateness
         self._lateness: dict[str, Lateness] = {}
@@ -325,8 +332,11 @@
     def _noticed(self, sending: Sending, notice: Notice) -> None:
         """Take in what an endpoint says of itself, as soon as its head came."""
         one = sending.choice.endpoint
-        if self._chooser.notices.heard(one.life, notice, self._loop.time()):
-            tell_notice(sending, self._chooser.notices.of(one.life))
+        now = self._loop.time()
+        notices = self._chooser.notices
+        if notices.heard(one.life, notice, now):
+            tell_notice(one, notices.of(one.life), sending.call_id)
+        self.noticed(one, now)
 
     def _note_begun(self, sending: Sending) -> None:
         standing = self._chooser.standing(sending.choice.endpoint.life)
--- a/src/linnetwood/calls/lives.py
+++ b/src/linnetwood/calls/lives.py
@@ -6,7 +6,7 @@
 """
 
 from linnetwood.calls.choice import Chooser
-from linnetwood.calls.directory import Directory
+from linnetwood.calls.directory import Directory, Listed
 from linnetwood.calls.standing import Report
 
 
@@ -16,9 +16,11 @@
     host: str,
     born: int,
     report: Report,
-) -> None:
+) -> Listed | None:
     """Take in a report that came from a host, born at a Unix millisecond.
 
+    Give the endpoint of which it says something new beside its load.
+
     0 stands for an unknown start: the report is then of whoever is listed. One
     of an older life is dropped. One of a newer life comes ahead of the list:
     it may be of another endpoint that has the address now, so it counts for
@@ -26,9 +28,14 @@
     """
     listed = directory.at_host(host)
     if listed is None:
-        return
+        return None
     if born and listed.born and born != listed.born:
         if born > listed.born:
             directory.left(listed.endpoint)
-        return
+        return None
     chooser.standing(listed.life).heard(report)
+    notice = report.notice
+    if notice is None:
+        return None
+    fresh = chooser.notices.heard(listed.life, notice, report.notice_at)
+    return listed if fresh else None
--- a/src/linnetwood/calls/notices.py
+++ b/src/linnetwood/calls/notices.py
@@ -4,6 +4,7 @@
 """
 
 import dataclasses
+import math
 from collections.abc import Collection
 
 # An endpoint that the list loses may be told of again: so long what it said
@@ -35,13 +36,16 @@
         self._heard_at: dict[str, float] = {}
 
     def heard(self, life: str, notice: Notice, now: float) -> bool:
-        """Take in an answer's word; tell whether it says anything new."""
-        known = self._said.get(life, _NOTHING)
+        """Take in the word of an answer that came at a time.
+
+        Tell whether it says anything new. One that is older than what is known
+        counts no more.
+        """
+        if now < self._heard_at.get(life, -math.inf):
+            return False
+        known = self.of(life)
         fresh = _joined(known, notice)
-        if fresh == _NOTHING:
-            self._said.pop(life, None)
-            self._heard_at.pop(life, None)
-        else:
+        if fresh != _NOTHING or life in self._said:
             self._said[life] = fresh
             self._heard_at[life] = now
         return fresh != known
--- a/src/linnetwood/calls/reports.py
+++ b/src/linnetwood/calls/reports.py
@@ -4,12 +4,14 @@
 import math
 from collections.abc import Callable
 
+from linnetwood.calls.accounts import tell_notice
 from linnetwood.calls.choice import Chooser
-from linnetwood.calls.directory import Directory
+from linnetwood.calls.directory import Directory, Listed
 from linnetwood.calls.entrycount import EntryCount
 from linnetwood.calls.greetings import Greetings
 from linnetwood.calls.routebook import RouteBook
 from linnetwood.calls.lives import take_report
+from linnetwood.calls.notices import Notice
 from linnetwood.calls.standing import Report
 from linnetwood.core.clock import Clock
 from linnetwood.core.waits import happened
@@ -19,6 +21,7 @@
 from linnetwood.fleet.wanted import WantedVersions
 from linnetwood.gen.wire.ttypes import (
     EngineNews,
+    EngineSaid,
     EntryAsks,
     NeighbourNews,
     News,
@@ -29,6 +32,10 @@
 # While the list changes all the time, as in a crowd of starts, what is news is
 # told together; whoever is told later by this still has most of any bound.
 _HELLO_LEAST_S = 0.1
+# What an answer said is told again if no report has it after this.
+_PASSED_ON_S = 0.5
+_NO_LIMIT = -1
+_THOUSAND = 1000
 _MILLISECONDS = 1000
 _MILLION = 1000000
 
@@ -93,6 +100,20 @@
         addresses = [(host, self._port) for host in hosts]
         self._news.send(News(asks=asks), addresses)
 
+    def noticed(self, one: Listed, now: float) -> None:
+        """Pass on what an answer said, unless the engine's process tells it."""
+        standing = self._chooser.standing(one.life)
+        report = standing.report
+        if report is None or now - standing.passed_on_at < _PASSED_ON_S:
+            return
+        told = report.notice or Notice()
+        limit_per_s = self._chooser.notices.of(one.life).limit_per_s
+        if told.limit_per_s == limit_per_s:
+            return
+        standing.passed_on_at = now
+        said = EngineSaid(one.born, _milli(limit_per_s))
+        self._news.send(News(said=said), [(one.host, self._port)])
+
     def wake(self) -> None:
         """Look at once whether something changed that others should know."""
         self._wake.set()
@@ -115,7 +136,15 @@
         near = self.greetings.near(host)
         self._count.told(host, engine.entries, now, near=near)
         report = _report(engine, now)
-        take_report(self._directory, self._chooser, host, engine.born, report)
+        fresh = take_report(
+            self._directory,
+            self._chooser,
+            host,
+            engine.born,
+            report,
+        )
+        if fresh is not None:
+            tell_notice(fresh, self._chooser.notices.of(fresh.life))
 
     async def _run(self) -> None:
         while True:
@@ -136,6 +165,18 @@
             self._counted()
 
 
+def _milli(limit_per_s: float | None) -> int:
+    return _NO_LIMIT if limit_per_s is None else round(limit_per_s * _THOUSAND)
+
+
+def _notice(engine: EngineNews) -> Notice | None:
+    if engine.limit_age_ms < 0:
+        return None
+    if engine.limit_milli < 0:
+        return Notice(complete=True)
+    return Notice(engine.limit_milli / _THOUSAND, complete=True)
+
+
 def _report(engine: EngineNews, now: float) -> Report:
     return Report(
         engine.waiting,
@@ -145,5 +186,7 @@
         now,
         engine.way_ms / _MILLISECONDS,
         engine.every_ms / _MILLISECONDS,
+        _notice(engine),
+        now - engine.limit_age_ms / _MILLISECONDS,
         engine.part_ppm / _MILLION,
     )
--- a/src/linnetwood/calls/standing.py
+++ b/src/linnetwood/calls/standing.py
@@ -4,6 +4,8 @@
 import enum
 import math
 
+from linnetwood.calls.notices import Notice
+
 _FAIL_WEIGHT = 0.2
 _FRESH_S = 1.5
 # Some reports are lost: an engine is silent when three of them are, and fresh
@@ -44,6 +46,9 @@
     way_s: float = 0
     # When the next one is due, from this one.
     every_s: float = _USUAL_EVERY_S
+    # What other entries' answers said of it last, and when that was.
+    notice: Notice | None = None
+    notice_at: float = -math.inf
     # Of what it takes from all entries, what this one may send while it names a
     # limit; 0 where that is not told.
     part: float = 0
@@ -68,6 +73,7 @@
         'failing',
         'in_flight',
         'late_waiting',
+        'passed_on_at',
         'report',
         'sent_since',
         'shun_s',
@@ -86,6 +92,8 @@
         self.shun_s = _SHUN_FIRST_S
         self.shunned_until = -math.inf
         self.report: Report | None = None
+        # When the process beside it was told what its answers say.
+        self.passed_on_at = -math.inf
         # Since when it may be that reports come and calls wait on the way, and
         # for how long; inf where nothing says so.
         self.doubted_since = math.inf
--- a/src/linnetwood/gen/wire/ttypes.py
+++ b/src/linnetwood/gen/wire/ttypes.py
@@ -2320,6 +2320,8 @@
      - born: Unix milliseconds of the engine's start; 0 where it does not tell.
      - part_ppm: Of what the engine takes from all entries, what whoever hears this may send
     while it names a limit, in millionths; 0 where that is not known.
+     - limit_milli: What answers named last, in calls per 1,000 s; -1 where they name no limit.
+     - limit_age_ms: Since then; -1 where no entry has told of any answer.
 
     """
 
@@ -2335,11 +2337,13 @@
         'every_ms',
         'born',
         'part_ppm',
+        'limit_milli',
+        'limit_age_ms',
     )
 
 
     def __init__(self, number=None, waiting=0, running=0, serving=0, changing=False, entries=0, wanted=[
-    ], way_ms=0, every_ms=0, born=0, part_ppm=0,):
+    ], way_ms=0, every_ms=0, born=0, part_ppm=0, limit_milli=-1, limit_age_ms=-1,):
         self.number = number
         self.waiting = waiting
         self.running = running
@@ -2354,6 +2358,8 @@
         self.every_ms = every_ms
         self.born = born
         self.part_ppm = part_ppm
+        self.limit_milli = limit_milli
+        self.limit_age_ms = limit_age_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2425,6 +2431,16 @@
                     self.part_ppm = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 15:
+                if ftype == TType.I64:
+                    self.limit_milli = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 16:
+                if ftype == TType.I32:
+                    self.limit_age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2482,6 +2498,14 @@
             oprot.writeFieldBegin('part_ppm', TType.I32, 14)
             oprot.writeI32(self.part_ppm)
             oprot.writeFieldEnd()
+        if self.limit_milli is not None:
+            oprot.writeFieldBegin('limit_milli', TType.I64, 15)
+            oprot.writeI64(self.limit_milli)
+            oprot.writeFieldEnd()
+        if self.limit_age_ms is not None:
+            oprot.writeFieldBegin('limit_age_ms', TType.I32, 16)
+            oprot.writeI32(self.limit_age_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2509,6 +2533,90 @@
         return not (self == other)
 
 
+class EngineSaid(object):
+    """
+    What an answer of an engine said of it, from the entry that got it.
+
+    Attributes:
+     - born: Unix milliseconds of the engine's start; 0 where it does not tell.
+     - limit_milli
+
+    """
+
+    __slots__ = (
+        'born',
+        'limit_milli',
+    )
+
+
+    def __init__(self, born=None, limit_milli=-1,):
+        self.born = born
+        self.limit_milli = limit_milli
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.born = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.limit_milli = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('EngineSaid')
+        if self.born is not None:
+            oprot.writeFieldBegin('born', TType.I64, 1)
+            oprot.writeI64(self.born)
+            oprot.writeFieldEnd()
+        if self.limit_milli is not None:
+            oprot.writeFieldBegin('limit_milli', TType.I64, 2)
+            oprot.writeI64(self.limit_milli)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.born is None:
+            raise TProtocolException(message='Required field born is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class ZoneHosts(object):
     """
     Some entries of an availability zone: four bytes for each IPv4 address.
@@ -2770,6 +2878,7 @@
      - held
      - neighbours
      - asks
+     - said
 
     """
 
@@ -2779,15 +2888,17 @@
         'held',
         'neighbours',
         'asks',
+        'said',
     )
 
 
-    def __init__(self, entry=None, engine=None, held=None, neighbours=None, asks=None,):
+    def __init__(self, entry=None, engine=None, held=None, neighbours=None, asks=None, said=None,):
         self.entry = entry
         self.engine = engine
         self.held = held
         self.neighbours = neighbours
         self.asks = asks
+        self.said = said
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2828,6 +2939,12 @@
                     self.asks.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.STRUCT:
+                    self.said = EngineSaid()
+                    self.said.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2858,6 +2975,10 @@
             oprot.writeFieldBegin('asks', TType.STRUCT, 5)
             self.asks.write(oprot)
             oprot.writeFieldEnd()
+        if self.said is not None:
+            oprot.writeFieldBegin('said', TType.STRUCT, 6)
+            self.said.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3710,6 +3831,14 @@
     (12, TType.I32, 'every_ms', None, 0, ),  # 12
     (13, TType.I64, 'born', None, 0, ),  # 13
     (14, TType.I32, 'part_ppm', None, 0, ),  # 14
+    (15, TType.I64, 'limit_milli', None, -1, ),  # 15
+    (16, TType.I32, 'limit_age_ms', None, -1, ),  # 16
+)
+all_structs.append(EngineSaid)
+EngineSaid.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'born', None, None, ),  # 1
+    (2, TType.I64, 'limit_milli', None, -1, ),  # 2
 )
 all_structs.append(ZoneHosts)
 ZoneHosts.thrift_spec = (
@@ -3737,6 +3866,7 @@
     (3, TType.STRUCT, 'held', [HeldNotice, None], None, ),  # 3
     (4, TType.STRUCT, 'neighbours', [NeighbourNews, None], None, ),  # 4
     (5, TType.STRUCT, 'asks', [EntryAsks, None], None, ),  # 5
+    (6, TType.STRUCT, 'said', [EngineSaid, None], None, ),  # 6
 )
 all_structs.append(HeldKey)
 HeldKey.thrift_spec = (
--- a/src/linnetwood/gen/wire/ttypes.pyi
+++ b/src/linnetwood/gen/wire/ttypes.pyi
@@ -138,7 +138,13 @@
     every_ms: int
     born: int
     part_ppm: int
-    def __init__(self, number: int = ..., waiting: int = ..., running: int = ..., serving: int = ..., changing: bool = ..., entries: int = ..., wanted: list[WantedWeights] = ..., way_ms: int = ..., every_ms: int = ..., born: int = ..., part_ppm: int = ...) -> None: ...
+    limit_milli: int
+    limit_age_ms: int
+    def __init__(self, number: int = ..., waiting: int = ..., running: int = ..., serving: int = ..., changing: bool = ..., entries: int = ..., wanted: list[WantedWeights] = ..., way_ms: int = ..., every_ms: int = ..., born: int = ..., part_ppm: int = ..., limit_milli: int = ..., limit_age_ms: int = ...) -> None: ...
+class EngineSaid:
+    born: int
+    limit_milli: int
+    def __init__(self, born: int = ..., limit_milli: int = ...) -> None: ...
 class ZoneHosts:
     zone: str
     hosts: bytes
@@ -156,7 +162,8 @@
     held: HeldNotice
     neighbours: NeighbourNews
     asks: EntryAsks
-    def __init__(self, entry: EntryNews = ..., engine: EngineNews = ..., held: HeldNotice = ..., neighbours: NeighbourNews = ..., asks: EntryAsks = ...) -> None: ...
+    said: EngineSaid
+    def __init__(self, entry: EntryNews = ..., engine: EngineNews = ..., held: HeldNotice = ..., neighbours: NeighbourNews = ..., asks: EntryAsks = ..., said: EngineSaid = ...) -> None: ...
 class HeldKey:
     key: str
     revision: int
--- a/src/linnetwood/idl/wire.thrift
+++ b/src/linnetwood/idl/wire.thrift
@@ -190,7 +190,18 @@
    * Of what the engine takes from all entries, what whoever hears this may send
    * while it names a limit, in millionths; 0 where that is not known.
    */
-  14: i32 part_ppm = 0
+  14: i32 part_ppm = 0,
+  /** What answers named last, in calls per 1,000 s; -1 where they name no limit. */
+  15: i64 limit_milli = -1,
+  /** Since then; -1 where no entry has told of any answer. */
+  16: i32 limit_age_ms = -1
+}
+
+/** What an answer of an engine said of it, from the entry that got it. */
+struct EngineSaid {
+  /** Unix milliseconds of the engine's start; 0 where it does not tell. */
+  1: required i64 born,
+  2: i64 limit_milli = -1
 }
 
 /** Some entries of an availability zone: four bytes for each IPv4 address. */
@@ -218,7 +229,8 @@
   2: EngineNews engine,
   3: HeldNotice held,
   4: NeighbourNews neighbours,
-  5: EntryAsks asks
+  5: EntryAsks asks,
+  6: EngineSaid said
 }
 
 /** A key whose payload of a revision is held. */
--- a/src/linnetwood/programs/resident_entry.py
+++ b/src/linnetwood/programs/resident_entry.py
@@ -95,6 +95,7 @@
             cfg.zone,
             self._tellers,
         )
+        self.dispatcher.noticed = self.reports.noticed
         self.vigil = Vigil(
             clock,
             lambda: self._following.heard_at,
--- /dev/null
+++ b/tests/test_passed_notices.py
@@ -0,0 +1,148 @@
+"""What one entry hears of an engine in an answer, all that hear it learn."""
+
+import unittest
+
+from linnetwood.calls.notices import Notice
+from linnetwood.calls.reports import Reports
+from linnetwood.gen.wire.ttypes import EngineSaid, News
+from linnetwood.programs.resident_endpoint import ResidentEndpoint
+from linnetwood.weights.engine import EngineReport
+from tests.test_talk import MODEL, PORT, TICK_S, Clock, Fleet
+
+
+class PassedOnTest(unittest.IsolatedAsyncioTestCase):
+    """Two entries, and the process beside one engine."""
+
+    async def asyncSetUp(self) -> None:
+        self.fleet = Fleet(2, 1, 1)
+        clock = self.fleet.clock
+        assert isinstance(clock, Clock)
+        self.clock = clock
+        self.entries = [self.fleet.entry(number) for number in range(2)]
+        self.endpoint = self.fleet.endpoint(0)
+        self.endpoint.talk._peers.known = True
+        self.born = 0
+        self.one = next(self.fleet.directory.all())
+        self.greets = True
+        self.report()
+        for _ in range(30):
+            self.tick()
+
+    async def asyncTearDown(self) -> None:
+        self.endpoint.driver.close()
+
+    def report(self) -> None:
+        """Let the engine report that it works."""
+        self.endpoint.follower.report = EngineReport(
+            3, 8, 41000, 90000, {MODEL: 1}, False, 2, self.born
+        )
+
+    def deliver(self) -> None:
+        """Bring what was sent to whoever it is for."""
+        wire = self.fleet.wire
+        talk = self.endpoint.talk
+        hosts = dict(zip(self.fleet.entries, self.entries))
+        for host, came in list(wire.last.items()):
+            for source, news in came:
+                if host in hosts:
+                    hosts[host].heard(news, (source, PORT))
+                else:
+                    talk.heard(news, (source, PORT))
+            came.clear()
+
+    def tick(self) -> None:
+        """Greet and report once."""
+        for one in self.entries if self.greets else []:
+            one._tell()
+        self.deliver()
+        self.endpoint.talk.tell()
+        self.deliver()
+        self.clock.seconds += TICK_S
+
+    def hear(self, reports: Reports, notice: Notice) -> None:
+        """Let an entry get an answer."""
+        now = self.clock.now()
+        reports._chooser.notices.heard(self.one.life, notice, now)
+        reports.noticed(self.one, now)
+
+    def limits(self) -> list[float | None]:
+        """Give the limit that each entry knows."""
+        life = self.one.life
+        return [
+            one._chooser.notices.of(life).limit_per_s for one in self.entries
+        ]
+
+    async def test_a_limit_and_its_end_reach_all(self) -> None:
+        """Guard against entries that each find out by calls of their own."""
+        self.hear(self.entries[0], Notice(1.8, complete=True))
+        self.tick()
+        self.assertEqual(self.limits(), [1.8, 1.8])
+        self.clock.seconds += 1
+        self.hear(self.entries[1], Notice(complete=True))
+        self.tick()
+        self.assertEqual(self.limits(), [None, None])
+
+    async def test_a_word_that_is_lost_is_told_again(self) -> None:
+        """Guard against a limit that one entry keeps to itself."""
+        self.hear(self.entries[0], Notice(2, complete=True))
+        self.fleet.wire.last.clear()
+        self.tick()
+        self.assertEqual(self.limits(), [2, None])
+        self.clock.seconds += 1
+        self.hear(self.entries[0], Notice(2, complete=True))
+        self.tick()
+        self.assertEqual(self.limits(), [2, 2])
+
+    async def test_an_older_word_changes_nothing(self) -> None:
+        """Guard against a report that was sent before the newest answer."""
+        self.hear(self.entries[0], Notice(2, complete=True))
+        self.tick()
+        self.clock.seconds += 1
+        self.hear(self.entries[0], Notice(3, complete=True))
+        # The word is under way when the next report comes.
+        said = self.fleet.wire.last.pop(self.fleet.engines[0])
+        self.tick()
+        self.assertEqual(self.limits(), [3, 2])
+        self.fleet.wire.last[self.fleet.engines[0]] = said
+        self.tick()
+        self.assertEqual(self.limits(), [3, 3])
+
+    async def test_the_same_word_is_told_once(self) -> None:
+        """Guard against a datagram for each answer."""
+        for _ in range(20):
+            self.hear(self.entries[0], Notice(2, complete=True))
+        said = self.fleet.wire.last[self.fleet.engines[0]]
+        self.assertEqual(len(said), 1)
+        self.tick()
+        self.clock.seconds += 1
+        self.hear(self.entries[0], Notice(2, complete=True))
+        self.assertEqual(self.fleet.wire.last[self.fleet.engines[0]], [])
+
+    async def test_another_life_has_no_limit(self) -> None:
+        """Guard against a limit that outlives the life that named it."""
+        self.hear(self.entries[0], Notice(2, complete=True))
+        self.tick()
+        self.born = 7
+        self.report()
+        news = self.reported(self.endpoint)
+        self.assertEqual(news, {-1})
+        talk = self.endpoint.talk
+        talk.heard(News(said=EngineSaid(7, 3000)), ('10.9.9.9', PORT))
+        talk.heard(News(said=EngineSaid(5, 1000)), ('10.9.9.9', PORT))
+        self.assertEqual(self.reported(self.endpoint), {3000})
+
+    def reported(self, endpoint: ResidentEndpoint) -> set[int]:
+        """Give the limits that the next reports tell."""
+        self.fleet.wire.last.clear()
+        self.clock.seconds += 1
+        endpoint.talk.tell()
+        return {
+            news.engine.limit_milli
+            for came in self.fleet.wire.last.values()
+            for _, news in came
+            if news.engine is not None
+        }
+
+
+if __name__ == '__main__':
+    unittest.main()
