--- a/tests/test_passed_notices.py
+++ b/tests/test_passed_notices.py
@@ -4,6 +4,7 @@
 
 from linnetwood.calls.notices import Notice
 from linnetwood.calls.reports import Reports
+from linnetwood.fleet.news import Reader
 from linnetwood.gen.wire.ttypes import EngineSaid, News
 from linnetwood.programs.resident_endpoint import ResidentEndpoint
 from linnetwood.weights.engine import EngineReport
@@ -41,13 +42,11 @@
         """Bring what was sent to whoever it is for."""
         wire = self.fleet.wire
         talk = self.endpoint.talk
-        hosts = dict(zip(self.fleet.entries, self.entries))
+        hosts: dict[str, Reader] = dict(zip(self.fleet.entries, self.entries))
         for host, came in list(wire.last.items()):
+            hearer = hosts.get(host, talk)
             for source, news in came:
-                if host in hosts:
-                    hosts[host].heard(news, (source, PORT))
-                else:
-                    talk.heard(news, (source, PORT))
+                hearer.heard(news, (source, PORT))
             came.clear()
 
     def tick(self) -> None:
