Let the soak's servers name rate limits, and check that all entries heed them

Stand-ins that said nothing of themselves could not show calls beyond a limit. A server in need names one for some seconds, nothing lies on the entries meanwhile, and the checker counts what comes from those that were told, over all of them. Processes that are killed, stopped or paused are picked in one place each.

--- a/src/linnetwood/lab/measure_soak.py
+++ b/src/linnetwood/lab/measure_soak.py
@@ -15,7 +15,12 @@
 from linnetwood.lab.soak.checks import Checker, Limits
 from linnetwood.lab.soak.faults import Faults
 from linnetwood.lab.soak.fleet import Fleet, Size
-from linnetwood.lab.soak.history import History, Trouble, runs_of
+from linnetwood.lab.soak.history import (
+    History,
+    Trouble,
+    arrivals_of,
+    runs_of,
+)
 from linnetwood.lab.soak.schedule import Fault, schedule
 
 _MINUTE_S = 60
@@ -136,6 +141,7 @@
     answer = await AsyncHTTPClient().fetch(f'{fleet.control_url}/control')
     told = json.loads(answer.body)
     history.runs = runs_of(told['runs'])
+    history.arrivals = arrivals_of(told['arrivals'])
     history.found = told['found']
 
 
--- a/src/linnetwood/lab/soak/checks.py
+++ b/src/linnetwood/lab/soak/checks.py
@@ -9,6 +9,7 @@
 from linnetwood.lab.soak.configuration import KEPT_ROUTES
 from linnetwood.lab.soak.history import Acked, Call, History, Kind, Run
 from linnetwood.lab.soak.lost import lost
+from linnetwood.lab.soak.notices import over_limits
 
 _OK = 200
 _FOUND_BELOW = 300
@@ -63,6 +64,7 @@
             self._after_three_ended(),
             self._gone(),
             self._lost(),
+            self._over_limits(),
             self._recover(),
         )
 
@@ -242,6 +244,13 @@
             self._limits.contact_s,
         )
 
+    def _over_limits(self) -> Iterator[str]:
+        return over_limits(
+            self._history,
+            self._in_touch,
+            self._limits.contact_s,
+        )
+
     def _recover(self) -> Iterator[str]:
         """At the end, without any fault, calls are served again."""
         calls = self._history.calls
--- a/src/linnetwood/lab/soak/faults.py
+++ b/src/linnetwood/lab/soak/faults.py
@@ -5,6 +5,7 @@
 import signal
 import time
 from collections.abc import Awaitable, Callable, Mapping
+from functools import partial
 from types import MappingProxyType
 from typing import Any
 
@@ -24,6 +25,8 @@
 # A connection that was silenced stays so until it is left.
 _SILENCED_S = 3.0
 _DRAINS_S = 3.0
+# Calls a second that a server in need says it takes.
+_LIMITS = (1.0, 1.8, 0.5, 4.0)
 _MODES: Mapping[str, str] = MappingProxyType(
     {
         'way slow': 'slow',
@@ -59,8 +62,7 @@
         """Write what stands in the store at the start."""
         for name in self._fleet.servers:
             if name.startswith('i-engine'):
-                order = {'server': name, 'order': 'serve', 'version': 1}
-                await self._control(order)
+                await self._order(name, 'serve', version=1)
         await self._beat()
         await self.configure()
         await self._write(
@@ -94,15 +96,18 @@
         )
 
     async def _act(self, fault: Fault) -> None:
+        entries = self._fleet.entries
+        engines = self._fleet.engines
         acts: dict[str, Callable[[Fault], Awaitable[None]]] = {
-            'kill entry': self._kill_entry,
-            'stop entry': self._stop_entry,
-            'pause entry': self._pause_entry,
-            'kill endpoint': self._kill_endpoint,
-            'pause endpoint': self._pause_endpoint,
+            'kill entry': partial(self._restart, entries, signal.SIGKILL),
+            'stop entry': partial(self._restart, entries, signal.SIGTERM),
+            'pause entry': partial(self._pause, entries),
+            'kill endpoint': partial(self._restart, engines, signal.SIGKILL),
+            'pause endpoint': partial(self._pause, engines),
             'crash server': self._crash,
             'drain server': self._drain,
             'call that ends servers': self._end_servers,
+            'server in need': self._need,
             'store down': self._store,
             'store slow': self._store,
             'store forgets': self._store,
@@ -114,24 +119,13 @@
         }
         await acts.get(fault.kind, self._way)(fault)
 
-    async def _kill_entry(self, fault: Fault) -> None:
-        vm = _pick(self._fleet.entries, fault)
-        await self._restart(fault, vm, signal.SIGKILL)
-
-    async def _stop_entry(self, fault: Fault) -> None:
-        vm = _pick(self._fleet.entries, fault)
-        await self._restart(fault, vm, signal.SIGTERM)
-
-    async def _kill_endpoint(self, fault: Fault) -> None:
-        vm = _pick(self._fleet.engines, fault)
-        await self._restart(fault, vm, signal.SIGKILL)
-
     async def _restart(
         self,
-        fault: Fault,
-        vm: Vm,
+        among: list[Vm],
         signum: signal.Signals,
+        fault: Fault,
     ) -> None:
+        vm = _pick(among, fault)
         process = vm.process
         if process is None or not vm.alive:
             return
@@ -145,13 +139,8 @@
             self._fleet.start(vm)
         self._end(trouble, _BACK_S)
 
-    async def _pause_entry(self, fault: Fault) -> None:
-        await self._pause(fault, _pick(self._fleet.entries, fault))
-
-    async def _pause_endpoint(self, fault: Fault) -> None:
-        await self._pause(fault, _pick(self._fleet.engines, fault))
-
-    async def _pause(self, fault: Fault, vm: Vm) -> None:
+    async def _pause(self, among: list[Vm], fault: Fault) -> None:
+        vm = _pick(among, fault)
         process = vm.process
         if process is None or not vm.alive:
             return
@@ -165,11 +154,9 @@
     async def _crash(self, fault: Fault) -> None:
         name = _pick(sorted(self._places), fault)
         trouble = self._note(fault.kind, name, fault.span_s)
-        await self._control({'server': name, 'order': 'crash'})
+        await self._order(name, 'crash')
         await asyncio.sleep(fault.span_s)
-        keeps = bool(fault.pick % 2)
-        order = {'server': name, 'order': 'start', 'keeps': keeps}
-        await self._control(order)
+        await self._order(name, 'start', keeps=bool(fault.pick % 2))
         self._end(trouble, 0)
 
     async def _end_servers(self, fault: Fault) -> None:
@@ -178,13 +165,22 @@
         await self._callers.end_servers(fault)
         self._end(trouble, _BACK_S)
 
+    async def _need(self, fault: Fault) -> None:
+        """Let a server name a limit; nothing lies on the entries."""
+        name = _pick(sorted(self._places), fault)
+        trouble = self._note(fault.kind, name, fault.span_s)
+        await self._order(name, 'limit', limit=_pick(_LIMITS, fault))
+        await asyncio.sleep(fault.span_s)
+        await self._order(name, 'limit', limit=0)
+        self._end(trouble, 0)
+
     async def _drain(self, fault: Fault) -> None:
         """Let a server say that it leaves, end, and come with a new id."""
         name = _pick(sorted(self._places), fault)
         if name not in self._places:
             return
         trouble = self._note(fault.kind, name, fault.span_s + _DRAINS_S)
-        await self._control({'server': name, 'order': 'drain'})
+        await self._order(name, 'drain')
         at = await self._beat()
         self._history.acked.append(Acked('draining', name, 0, at))
         await asyncio.sleep(_DRAINS_S + fault.span_s)
@@ -197,9 +193,8 @@
         self._end(trouble, 0)
 
     async def _rename(self, name: str, new: str) -> None:
-        await self._control({'server': name, 'order': 'crash'})
-        order = {'server': name, 'order': 'rename', 'name': new}
-        await self._control(order)
+        await self._order(name, 'crash')
+        await self._order(name, 'rename', name=new)
         await self._beat()
 
     async def _store(self, fault: Fault) -> None:
@@ -284,6 +279,9 @@
     async def _operator(self, said: dict[str, Any]) -> dict[str, Any]:
         return await self._post(f'{self._fleet.store_url}/operator', said)
 
+    async def _order(self, server: str, order: str, **more: object) -> None:
+        await self._control({'server': server, 'order': order, **more})
+
     async def _control(self, said: dict[str, Any]) -> dict[str, Any]:
         return await self._post(f'{self._fleet.control_url}/control', said)
 
--- a/src/linnetwood/lab/soak/history.py
+++ b/src/linnetwood/lab/soak/history.py
@@ -55,6 +55,17 @@
     crashed: bool = False
 
 
+@dataclasses.dataclass(slots=True)
+class Arrival:
+    """One call that reached a back end, begun or not, and what it was told."""
+
+    call_id: str
+    server: str
+    at: float
+    # Calls a second that the answer said are taken from all; 0 for any number.
+    limit: float = 0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Acked:
     """Something that the store acknowledged to whoever wrote it."""
@@ -86,6 +97,7 @@
 
     calls: list[Call] = dataclasses.field(default_factory=list)
     runs: list[Run] = dataclasses.field(default_factory=list)
+    arrivals: list[Arrival] = dataclasses.field(default_factory=list)
     acked: list[Acked] = dataclasses.field(default_factory=list)
     troubles: list[Trouble] = dataclasses.field(default_factory=list)
     # What back ends found wrong by themselves, as engines with weights.
@@ -96,6 +108,11 @@
         return not any(one.touches(who, since, until) for one in self.troubles)
 
 
+def arrivals_of(rows: list[dict[str, Any]]) -> list[Arrival]:
+    """Read the arrivals that a stand-in tells."""
+    return [Arrival(**row) for row in rows]
+
+
 def runs_of(rows: list[dict[str, Any]]) -> list[Run]:
     """Read the runs that a stand-in tells."""
     return [Run(**row) for row in rows]
--- a/src/linnetwood/lab/soak/standservers.py
+++ b/src/linnetwood/lab/soak/standservers.py
@@ -17,7 +17,7 @@
 from tornado.iostream import StreamClosedError
 from tornado.web import Application, RequestHandler
 
-from linnetwood.lab.soak.history import Run
+from linnetwood.lab.soak.history import Arrival, Run
 
 _NOT_FOUND = 404
 _CONFLICT = 409
@@ -57,6 +57,8 @@
         self.alive = True
         self.draining = False
         self.changing = False
+        # Calls a second that it says it takes from all; 0 for any number.
+        self.limit = float()
         self.sequence = 0
         self.born = _now_ms()
         self.staged: dict[int, bytes] = {}
@@ -76,6 +78,7 @@
     def start_again(self, *, keeps_staged: bool) -> None:
         """Begin a life that knows nothing; what is staged may outlast it."""
         self.born = max(self.born + 1, _now_ms())
+        self.limit = 0
         self.serving = 0
         self.sequence = 0
         self.changing = False
@@ -124,6 +127,7 @@
         """Have none."""
         self.servers: dict[str, Server] = {}
         self.runs: list[Run] = []
+        self.arrivals: list[Arrival] = []
         self.found: list[str] = []
         self.spoils = False
         self.origin_silent = False
@@ -145,6 +149,12 @@
         )
         server.listen(app, port)
 
+    def arrive(self, server: Server, headers: HTTPHeaders) -> None:
+        """Note that a call is there."""
+        call_id = headers.get('X-Attempt-Id', '')
+        now = time.monotonic()
+        self.arrivals.append(Arrival(call_id, server.name, now, server.limit))
+
     def run(self, server: Server, handler: RequestHandler) -> Run:
         """Note that a call begins."""
         headers = handler.request.headers
@@ -259,6 +269,9 @@
         """Run a call, if it is for this server and this can."""
         server = self.server
         headers = self.request.headers
+        self.servers.arrive(server, headers)
+        if server.limit:
+            self.set_header('Server-Limit', str(server.limit))
         if not _is_meant(server, headers):
             self.set_header('X-Instance-Id', server.name)
             self.set_header('At-Server', server.name)
@@ -382,7 +395,10 @@
     def get(self) -> None:
         """Tell all."""
         runs = [dataclasses.asdict(run) for run in self.servers.runs]
-        self.write({'runs': runs, 'found': self.servers.found})
+        arrivals = [dataclasses.asdict(one) for one in self.servers.arrivals]
+        self.write(
+            {'runs': runs, 'arrivals': arrivals, 'found': self.servers.found},
+        )
 
     def post(self) -> None:
         """Order a server, or set a trouble; give the servers' entries."""
@@ -408,6 +424,8 @@
                 server.start_again(keeps_staged=said['keeps'])
             case 'drain':
                 server.draining = True
+            case 'limit':
+                server.limit = said['limit']
             case 'serve':
                 server.serving = said['version']
             case 'rename':
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -8,6 +8,7 @@
 from linnetwood.lab.soak.fleet import Size
 from linnetwood.lab.soak.history import (
     Acked,
+    Arrival,
     Call,
     History,
     Kind,
@@ -198,6 +199,30 @@
         ]
         self.assertEqual(rules(history), set())
 
+    def test_limits(self) -> None:
+        """A server gets what its limit allows from entries that know of it."""
+        found = {}
+        expected = {}
+        for name, gap_s, limit, troubles, broken in (
+            ('too many', 0.3, 1, (), True),
+            ('so many as are allowed', 0.38, 1, (), False),
+            ('a higher limit', 0.3, 2, (), False),
+            ('no limit', 0.01, 0, (), False),
+            ('all at first', 0.01, 1, (), False),
+            ('entry', 0.3, 1, (Trouble('any', AT, AT + 60, 'e'),), False),
+            ('server', 0.3, 1, (Trouble('any', AT, AT + 60, 'i'),), True),
+        ):
+            history = History(troubles=list(troubles))
+            for number in range(60):
+                call = dataclasses.replace(CALL, call_id=f'c{number}')
+                at = AT + number * gap_s
+                history.calls.append(call)
+                arrival = Arrival(call.call_id, 'i', at, limit)
+                history.arrivals.append(arrival)
+            found[name] = 'LIMIT' in rules(history)
+            expected[name] = broken
+        self.assertEqual(found, expected)
+
     def test_many_calls(self) -> None:
         """What counts by its number: budgets, work after callers, recovery."""
         again = [
