--- /dev/null
+++ b/tests/test_heeding.py
@@ -0,0 +1,43 @@
+"""What endpoints say of themselves is heeded by the entry that hears it."""
+
+import unittest
+
+from linnetwood.calls.routebook import Repeat
+from tests import test_direct
+from tests.test_curldriver import Behaviour, says
+from tests.test_direct import GOOD, ID, SIGNED, answer
+
+LEAVING = answer(f'200 OK\r\n{SIGNED}Server-Leaving: 1\r\n', b'fine')
+NOT_RUN = f'503 No\r\n{ID}X-Not-Executed: 1\r\n'
+RESTS = answer(f'{NOT_RUN}Retry-After: 3\r\n', b'')
+CALLS = 6
+
+
+class HeedingTest(unittest.IsolatedAsyncioTestCase):
+    """Two endpoints, the first of which is the better choice."""
+
+    async def asyncSetUp(self) -> None:
+        self.direct = test_direct.DirectTest()
+        await self.direct.asyncSetUp()
+
+    async def asyncTearDown(self) -> None:
+        await self.direct.asyncTearDown()
+
+    async def got(self, first: Behaviour) -> list[int]:
+        """Give how many calls each endpoint gets of some in a row."""
+        await self.direct.serve(first, says(GOOD))
+        for _ in range(CALLS):
+            await self.direct.call(Repeat.NEVER)
+        return [len(one.requests) for one in self.direct.servers]
+
+    async def test_an_endpoint_that_says_it_leaves_gets_no_more(self) -> None:
+        """Guard against new work for one whose answers say that it leaves."""
+        self.assertEqual(await self.got(says(LEAVING)), [1, CALLS - 1])
+
+    async def test_an_endpoint_that_asks_for_rest_gets_it(self) -> None:
+        """Guard against calls that come back during the rest asked for."""
+        self.assertEqual(await self.got(says(RESTS)), [1, CALLS])
+
+
+if __name__ == '__main__':
+    unittest.main()
