Send nothing new to an endpoint whose answers say that it leaves

What callers saw: calls that reach an endpoint 2.6 s after its answer had said to that entry that it leaves (2 s allowed). Cause: leaving was read from the store's entry alone, and the store was away. Ruled out: choices made before (the callers sent those calls 2.6 s after the answer), and that another entry knew. The word is kept by life, for good, and asked where an endpoint is picked; entries that hear an engine learn it with its process's reports.

--- a/src/linnetwood/calls/accounts.py
+++ b/src/linnetwood/calls/accounts.py
@@ -121,6 +121,7 @@
         born=one.born,
         service=one.service,
         limit_per_s=notice.limit_per_s,
+        leaving=notice.leaving,
         unread=notice.unread,
     )
 
--- a/src/linnetwood/calls/choice.py
+++ b/src/linnetwood/calls/choice.py
@@ -130,14 +130,13 @@
 
         It is 0 where none is.
         """
-        service = need.service
-        places = (
-            self._place(service, one)
-            for one in self._directory.ready(service.name, now)
+        waits = (
+            self._opens_at(need.service, one, now) - now
+            for one in self._directory.ready(need.service.name, now)
             if need.reach.allows(one.region)
         )
-        waits = (self._limits.opens_at(place, now) - now for place in places)
-        return min((wait_s for wait_s in waits if wait_s > 0), default=0)
+        bounded = (wait_s for wait_s in waits if 0 < wait_s < math.inf)
+        return min(bounded, default=0)
 
     def sent(self, service: Service, one: Listed, now: float) -> None:
         """Note that a call goes to an endpoint."""
@@ -232,10 +231,15 @@
             return False
         if need.model and not self._serves(need, one, now):
             return False
-        if self._limits.opens_at(self._place(need.service, one), now) > now:
+        if self._opens_at(need.service, one, now) > now:
             return False
         return self._bears(need.service, one, now)
 
+    def _opens_at(self, service: Service, one: Listed, now: float) -> float:
+        """Give from when on an endpoint takes a call, by its own word."""
+        opens_at = self._limits.opens_at(self._place(service, one), now)
+        return max(opens_at, self.notices.opens_at(one.life))
+
     def _place(self, service: Service, one: Listed) -> Place:
         return Place(service, one, self.standing(one.life))
 
--- a/src/linnetwood/calls/notices.py
+++ b/src/linnetwood/calls/notices.py
@@ -7,9 +7,9 @@
 import math
 from collections.abc import Collection
 
-# An endpoint that the list loses may be told of again: so long what it said
-# last is kept.
-_KEPT_S = 60.0
+# An endpoint that the list loses may be told of again, also after a long outage
+# of the store: so long what it said last is kept.
+_KEPT_S = 600.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -18,6 +18,8 @@
 
     # Calls a second that it takes from all entries; None where it names none.
     limit_per_s: float | None = None
+    # It takes nothing new any more.
+    leaving: bool = False
     # What could not be read, cut short.
     unread: str = ''
     # Whether what it does not say holds no longer: only a call that ran shows
@@ -54,6 +56,10 @@
         """Give what a life said last."""
         return self._said.get(life, _NOTHING)
 
+    def opens_at(self, life: str) -> float:
+        """Give from when on a life takes calls at all; inf for never again."""
+        return math.inf if self.of(life).leaving else -math.inf
+
     def keep(self, lives: Collection[str], now: float) -> None:
         """Forget all others that said nothing for a while."""
         for life, heard_at in list(self._heard_at.items()):
@@ -63,11 +69,15 @@
 
 
 def _joined(known: Notice, notice: Notice) -> Notice:
-    """Give what holds after an answer, by what held before."""
+    """Give what holds after an answer, by what held before.
+
+    A life that leaves does so for good: an answer without that word was begun
+    before it.
+    """
     limit_per_s = notice.limit_per_s
     if limit_per_s is None and (notice.unread or not notice.complete):
         limit_per_s = known.limit_per_s
-    return Notice(limit_per_s, notice.unread)
+    return Notice(limit_per_s, known.leaving or notice.leaving, notice.unread)
 
 
 _NOTHING = Notice()
--- a/src/linnetwood/calls/reports.py
+++ b/src/linnetwood/calls/reports.py
@@ -107,11 +107,12 @@
         if report is None or now - standing.passed_on_at < _PASSED_ON_S:
             return
         told = report.notice or Notice()
-        limit_per_s = self._chooser.notices.of(one.life).limit_per_s
-        if told.limit_per_s == limit_per_s:
+        known = self._chooser.notices.of(one.life)
+        alike = told.limit_per_s == known.limit_per_s
+        if alike and told.leaving == known.leaving:
             return
         standing.passed_on_at = now
-        said = EngineSaid(one.born, _milli(limit_per_s))
+        said = EngineSaid(one.born, _milli(known.limit_per_s), known.leaving)
         self._news.send(News(said=said), [(one.host, self._port)])
 
     def wake(self) -> None:
@@ -172,9 +173,10 @@
 def _notice(engine: EngineNews) -> Notice | None:
     if engine.limit_age_ms < 0:
         return None
-    if engine.limit_milli < 0:
-        return Notice(complete=True)
-    return Notice(engine.limit_milli / _THOUSAND, complete=True)
+    limit_per_s = None
+    if engine.limit_milli >= 0:
+        limit_per_s = engine.limit_milli / _THOUSAND
+    return Notice(limit_per_s, engine.leaving, complete=True)
 
 
 def _report(engine: EngineNews, now: float) -> Report:
--- a/src/linnetwood/gen/wire/ttypes.py
+++ b/src/linnetwood/gen/wire/ttypes.py
@@ -2322,6 +2322,7 @@
     while it names a limit, in millionths; 0 where that is not known.
      - limit_milli: What answers named last, in calls per 1,000 s; -1 where they name no limit.
      - limit_age_ms: Since then; -1 where no entry has told of any answer.
+     - leaving: An answer of this life said that it leaves.
 
     """
 
@@ -2339,11 +2340,12 @@
         'part_ppm',
         'limit_milli',
         'limit_age_ms',
+        'leaving',
     )
 
 
     def __init__(self, number=None, waiting=0, running=0, serving=0, changing=False, entries=0, wanted=[
-    ], way_ms=0, every_ms=0, born=0, part_ppm=0, limit_milli=-1, limit_age_ms=-1,):
+    ], way_ms=0, every_ms=0, born=0, part_ppm=0, limit_milli=-1, limit_age_ms=-1, leaving=False,):
         self.number = number
         self.waiting = waiting
         self.running = running
@@ -2360,6 +2362,7 @@
         self.part_ppm = part_ppm
         self.limit_milli = limit_milli
         self.limit_age_ms = limit_age_ms
+        self.leaving = leaving
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2441,6 +2444,11 @@
                     self.limit_age_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 17:
+                if ftype == TType.BOOL:
+                    self.leaving = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2506,6 +2514,10 @@
             oprot.writeFieldBegin('limit_age_ms', TType.I32, 16)
             oprot.writeI32(self.limit_age_ms)
             oprot.writeFieldEnd()
+        if self.leaving is not None:
+            oprot.writeFieldBegin('leaving', TType.BOOL, 17)
+            oprot.writeBool(self.leaving)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2540,18 +2552,21 @@
     Attributes:
      - born: Unix milliseconds of the engine's start; 0 where it does not tell.
      - limit_milli
+     - leaving
 
     """
 
     __slots__ = (
         'born',
         'limit_milli',
+        'leaving',
     )
 
 
-    def __init__(self, born=None, limit_milli=-1,):
+    def __init__(self, born=None, limit_milli=-1, leaving=False,):
         self.born = born
         self.limit_milli = limit_milli
+        self.leaving = leaving
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2572,6 +2587,11 @@
                     self.limit_milli = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BOOL:
+                    self.leaving = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2590,6 +2610,10 @@
             oprot.writeFieldBegin('limit_milli', TType.I64, 2)
             oprot.writeI64(self.limit_milli)
             oprot.writeFieldEnd()
+        if self.leaving is not None:
+            oprot.writeFieldBegin('leaving', TType.BOOL, 3)
+            oprot.writeBool(self.leaving)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3833,12 +3857,14 @@
     (14, TType.I32, 'part_ppm', None, 0, ),  # 14
     (15, TType.I64, 'limit_milli', None, -1, ),  # 15
     (16, TType.I32, 'limit_age_ms', None, -1, ),  # 16
+    (17, TType.BOOL, 'leaving', None, False, ),  # 17
 )
 all_structs.append(EngineSaid)
 EngineSaid.thrift_spec = (
     None,  # 0
     (1, TType.I64, 'born', None, None, ),  # 1
     (2, TType.I64, 'limit_milli', None, -1, ),  # 2
+    (3, TType.BOOL, 'leaving', None, False, ),  # 3
 )
 all_structs.append(ZoneHosts)
 ZoneHosts.thrift_spec = (
--- a/src/linnetwood/gen/wire/ttypes.pyi
+++ b/src/linnetwood/gen/wire/ttypes.pyi
@@ -140,11 +140,13 @@
     part_ppm: int
     limit_milli: int
     limit_age_ms: int
-    def __init__(self, number: int = ..., waiting: int = ..., running: int = ..., serving: int = ..., changing: bool = ..., entries: int = ..., wanted: list[WantedWeights] = ..., way_ms: int = ..., every_ms: int = ..., born: int = ..., part_ppm: int = ..., limit_milli: int = ..., limit_age_ms: int = ...) -> None: ...
+    leaving: bool
+    def __init__(self, number: int = ..., waiting: int = ..., running: int = ..., serving: int = ..., changing: bool = ..., entries: int = ..., wanted: list[WantedWeights] = ..., way_ms: int = ..., every_ms: int = ..., born: int = ..., part_ppm: int = ..., limit_milli: int = ..., limit_age_ms: int = ..., leaving: bool = ...) -> None: ...
 class EngineSaid:
     born: int
     limit_milli: int
-    def __init__(self, born: int = ..., limit_milli: int = ...) -> None: ...
+    leaving: bool
+    def __init__(self, born: int = ..., limit_milli: int = ..., leaving: bool = ...) -> None: ...
 class ZoneHosts:
     zone: str
     hosts: bytes
--- a/src/linnetwood/idl/wire.thrift
+++ b/src/linnetwood/idl/wire.thrift
@@ -194,14 +194,17 @@
   /** What answers named last, in calls per 1,000 s; -1 where they name no limit. */
   15: i64 limit_milli = -1,
   /** Since then; -1 where no entry has told of any answer. */
-  16: i32 limit_age_ms = -1
+  16: i32 limit_age_ms = -1,
+  /** An answer of this life said that it leaves. */
+  17: bool leaving = 0
 }
 
 /** What an answer of an engine said of it, from the entry that got it. */
 struct EngineSaid {
   /** Unix milliseconds of the engine's start; 0 where it does not tell. */
   1: required i64 born,
-  2: i64 limit_milli = -1
+  2: i64 limit_milli = -1,
+  3: bool leaving = 0
 }
 
 /** Some entries of an availability zone: four bytes for each IPv4 address. */
--- a/src/linnetwood/platform/dialect.py
+++ b/src/linnetwood/platform/dialect.py
@@ -25,6 +25,9 @@
 _PRIORITY = 'x-request-priority'
 # Calls a second that an endpoint takes from all entries together.
 _LIMIT = 'server-limit'
+# 1 where an endpoint leaves.
+_LEAVING = 'server-leaving'
+_FLAGS = frozenset(('0', '1'))
 _DECIMAL: Final = re.compile(r'\d{1,9}(\.\d{1,9})?', re.ASCII)
 # So much of a value that can't be read is told.
 _SHOWN = 40
@@ -118,9 +121,12 @@
         if verdict is Verdict.FOREIGN or misdirected:
             return None
         limits, unread = _decimals(headers, _LIMIT)
+        leaving = _texts(headers, _LEAVING)
+        unread += [one for one in leaving if one not in _FLAGS]
         return Notice(
             min(limits, default=None),
-            unread[:_SHOWN],
+            '1' in leaving,
+            ', '.join(unread)[:_SHOWN],
             complete=verdict is Verdict.ANSWER,
         )
 
@@ -147,17 +153,22 @@
     return _OF_CONNECTION | named
 
 
-def _decimals(headers: Headers, wanted: str) -> tuple[list[float], str]:
-    """Give the numbers of all headers of a name, and what is none."""
-    texts = [
+def _texts(headers: Headers, wanted: str) -> list[str]:
+    """Give the values of all headers of a name."""
+    return [
         one.strip()
         for name, text in headers
         if name.lower() == wanted
         for one in text.split(',')
     ]
+
+
+def _decimals(headers: Headers, wanted: str) -> tuple[list[float], list[str]]:
+    """Give the numbers of all headers of a name, and what is none."""
+    texts = _texts(headers, wanted)
     found = [float(one) for one in texts if _DECIMAL.fullmatch(one)]
     unread = [one for one in texts if not _DECIMAL.fullmatch(one)]
-    return found, ', '.join(unread)
+    return found, unread
 
 
 def _whole(text: str) -> int:
--- a/src/linnetwood/programs/resident_talk.py
+++ b/src/linnetwood/programs/resident_talk.py
@@ -6,10 +6,10 @@
 from linnetwood.calls.candidates import NEAR_MOST
 from linnetwood.core.clock import Clock
 from linnetwood.fleet.hosts import pack
+from linnetwood.fleet.lastsaid import LastSaid
 from linnetwood.fleet.listeners import Greeting, Listeners
 from linnetwood.fleet.news import Address, NewsPort
 from linnetwood.fleet.peerlist import PeerFollower
-from linnetwood.fleet.saidlimit import SaidLimit
 from linnetwood.fleet.elsewhere import teller_place
 from linnetwood.fleet.wanted import WantedVersions
 from linnetwood.gen.wire.ttypes import (
@@ -69,7 +69,7 @@
         self._inflow = inflow
         self._news = NewsPort(self)
         self._listeners = Listeners(clock.now())
-        self._said_limit = SaidLimit()
+        self._last_said = LastSaid()
         self._peers = PeerFollower(TcpDialler(), self._learned)
         self._rng = Random()
         self._number = 0
@@ -101,7 +101,7 @@
         if news.held is not None:
             self._follower.noticed(news.held)
         if news.said is not None:
-            self._said_limit.heard(news.said, self._clock.now())
+            self._last_said.heard(news.said, self._clock.now())
         if news.asks is not None:
             answer = self._neighbours(news.asks.zone)
             self._news.send(News(neighbours=answer), [source])
@@ -167,7 +167,7 @@
             way_ms=int(self._inflow.tell_way_s(now) * _MILLISECONDS),
             born=report.born,
         )
-        self._said_limit.tell(engine, now)
+        self._last_said.tell(engine, now)
         wanted = self._wanted.told('', self._wanted.models(), now)
         for every_s, addresses in due.items():
             engine.every_ms = int(every_s * _MILLISECONDS)
--- a/tests/test_passed_notices.py
+++ b/tests/test_passed_notices.py
@@ -81,6 +81,16 @@
         self.tick()
         self.assertEqual(self.limits(), [None, None])
 
+    async def test_leaving_reaches_all_and_stays(self) -> None:
+        """Guard against new work from entries that got no answer yet."""
+        self.hear(self.entries[0], Notice(leaving=True))
+        self.tick()
+        self.clock.seconds += 1
+        self.hear(self.entries[1], Notice(complete=True))
+        self.tick()
+        for one in self.entries:
+            self.assertTrue(one._chooser.notices.of(self.one.life).leaving)
+
     async def test_a_word_that_is_lost_is_told_again(self) -> None:
         """Guard against a limit that one entry keeps to itself."""
         self.hear(self.entries[0], Notice(2, complete=True))
