Leave an endpoint alone for the rest that it asks for

What callers saw: streams refused beside room, as an endpoint that turns calls away with a time to come back got 13 calls of one entry in the 3 s that it had asked for (two allowed), and two such endpoints between them both attempts of a call. Cause: of a 503 it was only read that the call did not run; nothing was held against the endpoint, which is idle by its reports and so the best choice. Ruled out: calls under way when it asked. Where all rest, callers are refused at once and told when the first may be asked. Before and after: tests/test_heeding.py, 6 of 6 calls went there, 1 does.

--- a/src/linnetwood/calls/accounts.py
+++ b/src/linnetwood/calls/accounts.py
@@ -112,7 +112,12 @@
     )
 
 
-def tell_notice(one: Listed, notice: Notice, call_id: str = '') -> None:
+def tell_notice(
+    one: Listed,
+    notice: Notice,
+    call_id: str = '',
+    rest_s: float = 0,
+) -> None:
     """Log what an endpoint says anew of itself, to whichever call."""
     log(
         Event.ENDPOINT_NOTICE,
@@ -122,6 +127,7 @@
         service=one.service,
         limit_per_s=notice.limit_per_s,
         leaving=notice.leaving,
+        rest_s=rest_s,
         unread=notice.unread,
     )
 
--- a/src/linnetwood/calls/direct.py
+++ b/src/linnetwood/calls/direct.py
@@ -335,7 +335,8 @@
         now = self._loop.time()
         notices = self._chooser.notices
         if notices.heard(one.life, notice, now):
-            tell_notice(one, notices.of(one.life), sending.call_id)
+            known = notices.of(one.life)
+            tell_notice(one, known, sending.call_id, notice.rest_s)
         self.noticed(one, now)
 
     def _note_begun(self, sending: Sending) -> None:
--- a/src/linnetwood/calls/notices.py
+++ b/src/linnetwood/calls/notices.py
@@ -10,6 +10,8 @@
 # An endpoint that the list loses may be told of again, also after a long outage
 # of the store: so long what it said last is kept.
 _KEPT_S = 600.0
+# A longer rest is taken for one of this: what it said may be in error.
+_REST_MOST_S = 3600.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -20,6 +22,8 @@
     limit_per_s: float | None = None
     # It takes nothing new any more.
     leaving: bool = False
+    # So long it wants nothing from the entry that it has turned away.
+    rest_s: float = 0
     # What could not be read, cut short.
     unread: str = ''
     # Whether what it does not say holds no longer: only a call that ran shows
@@ -30,12 +34,13 @@
 class Notices:
     """Hold what each life said last."""
 
-    __slots__ = ('_heard_at', '_said')
+    __slots__ = ('_heard_at', '_rests_until', '_said')
 
     def __init__(self) -> None:
         """Have heard nothing."""
         self._said: dict[str, Notice] = {}
         self._heard_at: dict[str, float] = {}
+        self._rests_until: dict[str, float] = {}
 
     def heard(self, life: str, notice: Notice, now: float) -> bool:
         """Take in the word of an answer that came at a time.
@@ -50,7 +55,7 @@
         if fresh != _NOTHING or life in self._said:
             self._said[life] = fresh
             self._heard_at[life] = now
-        return fresh != known
+        return self._rests(life, notice, now) or fresh != known
 
     def of(self, life: str) -> Notice:
         """Give what a life said last."""
@@ -58,14 +63,34 @@
 
     def opens_at(self, life: str) -> float:
         """Give from when on a life takes calls at all; inf for never again."""
-        return math.inf if self.of(life).leaving else -math.inf
+        if self.of(life).leaving:
+            return math.inf
+        return self._rests_until.get(life, -math.inf)
 
     def keep(self, lives: Collection[str], now: float) -> None:
         """Forget all others that said nothing for a while."""
-        for life, heard_at in list(self._heard_at.items()):
-            if life not in lives and now - heard_at > _KEPT_S:
-                self._heard_at.pop(life)
-                self._said.pop(life)
+        for known, heard_at in list(self._heard_at.items()):
+            if known not in lives and now - heard_at > _KEPT_S:
+                self._heard_at.pop(known)
+                self._said.pop(known)
+        self._rests_until = {
+            life: until
+            for life, until in self._rests_until.items()
+            if until > now
+        }
+
+    def _rests(self, life: str, notice: Notice, now: float) -> bool:
+        """Note a rest that is asked for; tell whether it begins with this.
+
+        A later answer that asks for less shortens none: it may have been given
+        to a call that was under way before.
+        """
+        if not notice.rest_s:
+            return False
+        known = self._rests_until.get(life, -math.inf)
+        until = now + min(notice.rest_s, _REST_MOST_S)
+        self._rests_until[life] = max(known, until)
+        return known <= now
 
 
 def _joined(known: Notice, notice: Notice) -> Notice:
@@ -77,7 +102,8 @@
     limit_per_s = notice.limit_per_s
     if limit_per_s is None and (notice.unread or not notice.complete):
         limit_per_s = known.limit_per_s
-    return Notice(limit_per_s, known.leaving or notice.leaving, notice.unread)
+    leaving = known.leaving or notice.leaving
+    return Notice(limit_per_s, leaving, unread=notice.unread)
 
 
 _NOTHING = Notice()
--- a/src/linnetwood/platform/dialect.py
+++ b/src/linnetwood/platform/dialect.py
@@ -27,6 +27,8 @@
 _LIMIT = 'server-limit'
 # 1 where an endpoint leaves.
 _LEAVING = 'server-leaving'
+# Seconds for which one that turned a call away wants nothing from this entry.
+_REST_S = 'retry-after'
 _FLAGS = frozenset(('0', '1'))
 _DECIMAL: Final = re.compile(r'\d{1,9}(\.\d{1,9})?', re.ASCII)
 # So much of a value that can't be read is told.
@@ -123,9 +125,14 @@
         limits, unread = _decimals(headers, _LIMIT)
         leaving = _texts(headers, _LEAVING)
         unread += [one for one in leaving if one not in _FLAGS]
+        rests = [float()]
+        if status == HTTPStatus.SERVICE_UNAVAILABLE:
+            rests, bad = _decimals(headers, _REST_S)
+            unread += bad
         return Notice(
             min(limits, default=None),
             '1' in leaving,
+            max(rests, default=0),
             ', '.join(unread)[:_SHOWN],
             complete=verdict is Verdict.ANSWER,
         )
--- a/tests/test_heeding.py
+++ b/tests/test_heeding.py
@@ -3,6 +3,7 @@
 import unittest
 
 from linnetwood.calls.routebook import Repeat
+from linnetwood.core.outcomes import Outcome
 from tests import test_direct
 from tests.test_curldriver import Behaviour, says
 from tests.test_direct import GOOD, ID, SIGNED, answer
@@ -38,6 +39,16 @@
         """Guard against calls that come back during the rest asked for."""
         self.assertEqual(await self.got(says(RESTS)), [1, CALLS])
 
+    async def test_nobody_left_says_when_one_may_be_asked_again(self) -> None:
+        """Guard against callers asked back while all endpoints rest."""
+        await self.direct.serve(says(RESTS))
+        await self.direct.call(Repeat.NEVER)
+        ending, _ = await self.direct.call(Repeat.NEVER)
+        self.assertIs(ending.outcome, Outcome.NOT_RUN)
+        self.assertGreater(ending.retry_after_ms, 1000)
+        self.assertLessEqual(ending.retry_after_ms, 3000)
+        self.assertEqual(len(self.direct.servers[0].requests), 1)
+
 
 if __name__ == '__main__':
     unittest.main()
--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -56,6 +56,23 @@
             assert notice is not None
             self.assertEqual((notice.leaving, notice.unread), (leaving, unread))
 
+    def test_rest(self) -> None:
+        """Only one that turns a call away asks for it, in seconds."""
+        for text, rest_s, unread in (
+            ('3', 3, ''),
+            ('0.25', 0.25, ''),
+            ('0', 0, ''),
+            ('-3', 0, '-3'),
+            ('soon', 0, 'soon'),
+            ('Thu, 03 Dec 2026', 0, 'Thu, 03 Dec 2026'),
+        ):
+            said = ('Retry-After', text)
+            notice = read(said, ('X-Not-Executed', '1'), status=503)
+            assert notice is not None
+            self.assertEqual((notice.rest_s, notice.unread), (rest_s, unread))
+            self.assertEqual(read(said, status=500), Notice())
+            self.assertEqual(read(said), Notice(complete=True))
+
     def test_whose_word_it_is(self) -> None:
         """An answer of somebody else says nothing of the endpoint."""
         said = ('Server-Limit', '2')
@@ -97,6 +114,19 @@
         self.assertEqual(self.notices.opens_at('i-1'), math.inf)
         self.assertEqual(self.notices.opens_at('i-1@5'), -math.inf)
 
+    def test_rest_lasts_as_long_as_the_longest_asked_for(self) -> None:
+        """An answer that asks for less shortens none, and none is a year."""
+        self.assertTrue(self.hear(Notice(rest_s=3)))
+        self.assertFalse(self.hear(Notice(rest_s=1), 1))
+        self.hear(Notice(complete=True), 1)
+        self.assertEqual(self.notices.opens_at('i-1'), 3)
+        self.assertTrue(self.hear(Notice(rest_s=1), 5))
+        self.hear(Notice(rest_s=1e9), 5)
+        self.assertEqual(self.notices.opens_at('i-1'), 3605)
+        self.assertEqual(self.notices.opens_at('i-1@5'), -math.inf)
+        self.notices.keep((), 4000)
+        self.assertEqual(self.notices.opens_at('i-1'), -math.inf)
+
     def test_another_life_inherits_nothing(self) -> None:
         """What is said is kept by life."""
         self.hear(Notice(2))
