Let the soak's servers leave without the store's word, and ask for rest

Stand-ins told the store whenever they left, and said nothing of themselves in answers. Now one may leave by its answers alone, and one may turn calls away and ask for rest; the checker binds entries in touch and out of touch, as the users' rules do.

--- a/src/linnetwood/lab/soak/checks.py
+++ b/src/linnetwood/lab/soak/checks.py
@@ -9,7 +9,11 @@
 from linnetwood.lab.soak.configuration import KEPT_ROUTES
 from linnetwood.lab.soak.history import Acked, Call, History, Kind, Run
 from linnetwood.lab.soak.lost import lost
-from linnetwood.lab.soak.notices import over_limits
+from linnetwood.lab.soak.notices import (
+    after_leaving,
+    during_rest,
+    over_limits,
+)
 
 _OK = 200
 _FOUND_BELOW = 300
@@ -65,6 +69,8 @@
             self._gone(),
             self._lost(),
             self._over_limits(),
+            after_leaving(self._history, self._limits.drain_s),
+            during_rest(self._history),
             self._recover(),
         )
 
--- a/src/linnetwood/lab/soak/faults.py
+++ b/src/linnetwood/lab/soak/faults.py
@@ -4,7 +4,7 @@
 import json
 import signal
 import time
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import Awaitable, Callable, Mapping, Sequence
 from functools import partial
 from types import MappingProxyType
 from typing import Any
@@ -25,6 +25,7 @@
 # A connection that was silenced stays so until it is left.
 _SILENCED_S = 3.0
 _DRAINS_S = 3.0
+_RESTS_S = (3.0, 2.0)
 # Calls a second that a server in need says it takes.
 _LIMITS = (1.0, 1.8, 0.5, 4.0)
 _MODES: Mapping[str, str] = MappingProxyType(
@@ -107,7 +108,11 @@
             'crash server': self._crash,
             'drain server': self._drain,
             'call that ends servers': self._end_servers,
-            'server in need': self._need,
+            'server in need': partial(self._say_for_a_while, 'limit', _LIMITS),
+            'server asks for rest': partial(
+                self._say_for_a_while, 'rest_s', _RESTS_S
+            ),
+            'server leaves unlisted': self._leave,
             'store down': self._store,
             'store slow': self._store,
             'store forgets': self._store,
@@ -165,13 +170,26 @@
         await self._callers.end_servers(fault)
         self._end(trouble, _BACK_S)
 
-    async def _need(self, fault: Fault) -> None:
-        """Let a server name a limit; nothing lies on the entries."""
+    async def _say_for_a_while(
+        self,
+        field: str,
+        choices: Sequence[float],
+        fault: Fault,
+    ) -> None:
+        """Let a server say something; nothing lies on the entries."""
         name = _pick(sorted(self._places), fault)
         trouble = self._note(fault.kind, name, fault.span_s)
-        await self._order(name, 'limit', limit=_pick(_LIMITS, fault))
+        await self._say(name, **{field: _pick(choices, fault)})
         await asyncio.sleep(fault.span_s)
-        await self._order(name, 'limit', limit=0)
+        await self._say(name, **{field: 0})
+        self._end(trouble, 0)
+
+    async def _leave(self, fault: Fault) -> None:
+        """Let a server say in answers alone that it leaves, and end."""
+        name = _pick(sorted(self._places), fault)
+        trouble = self._note(fault.kind, name, fault.span_s + _DRAINS_S)
+        await self._say(name, leaving=True)
+        await self._end_as_another(name, fault)
         self._end(trouble, 0)
 
     async def _drain(self, fault: Fault) -> None:
@@ -183,6 +201,10 @@
         await self._order(name, 'drain')
         at = await self._beat()
         self._history.acked.append(Acked('draining', name, 0, at))
+        await self._end_as_another(name, fault)
+        self._end(trouble, 0)
+
+    async def _end_as_another(self, name: str, fault: Fault) -> None:
         await asyncio.sleep(_DRAINS_S + fault.span_s)
         self._starts += 1
         new = f'{name}-{self._starts}'
@@ -190,7 +212,6 @@
         if vm is not None:
             self._places[new] = vm
             await self._rename(name, new)
-        self._end(trouble, 0)
 
     async def _rename(self, name: str, new: str) -> None:
         await self._order(name, 'crash')
@@ -279,6 +300,9 @@
     async def _operator(self, said: dict[str, Any]) -> dict[str, Any]:
         return await self._post(f'{self._fleet.store_url}/operator', said)
 
+    async def _say(self, server: str, **says: object) -> None:
+        await self._order(server, 'say', says=says)
+
     async def _order(self, server: str, order: str, **more: object) -> None:
         await self._control({'server': server, 'order': order, **more})
 
--- a/src/linnetwood/lab/soak/history.py
+++ b/src/linnetwood/lab/soak/history.py
@@ -55,15 +55,26 @@
     crashed: bool = False
 
 
-@dataclasses.dataclass(slots=True)
+@dataclasses.dataclass(frozen=True, slots=True)
+class Saying:
+    """What a back end says of itself in its answers."""
+
+    # Calls a second that it takes from all; 0 for any number.
+    limit: float = 0
+    # It leaves; what stands of it in the store need not say so.
+    leaving: bool = False
+    # It turns calls away, and wants so long a rest in seconds.
+    rest_s: float = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
 class Arrival:
     """One call that reached a back end, begun or not, and what it was told."""
 
     call_id: str
     server: str
     at: float
-    # Calls a second that the answer said are taken from all; 0 for any number.
-    limit: float = 0
+    said: Saying = Saying()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -110,7 +121,7 @@
 
 def arrivals_of(rows: list[dict[str, Any]]) -> list[Arrival]:
     """Read the arrivals that a stand-in tells."""
-    return [Arrival(**row) for row in rows]
+    return [Arrival(**{**row, 'said': Saying(**row['said'])}) for row in rows]
 
 
 def runs_of(rows: list[dict[str, Any]]) -> list[Run]:
--- a/src/linnetwood/lab/soak/notices.py
+++ b/src/linnetwood/lab/soak/notices.py
@@ -1,7 +1,13 @@
-"""Check that entries heed what servers say of themselves; no I/O or clock."""
+"""Check that entries heed what servers say of themselves; no I/O or clock.
 
+These checks bind entries in touch and out of touch alike: what excuses one is
+that it started again or stood still since it was told.
+"""
+
+import itertools
 from collections import defaultdict
 from collections.abc import Callable, Iterator
+from typing import NamedTuple
 
 from linnetwood.lab.soak.history import Arrival, History
 
@@ -13,6 +19,12 @@
 _OVER = 1.5
 _EXTRA = 5
 
+# Calls that may come during a rest.
+_FEW = 2
+_EXCUSES = frozenset(
+    ('kill entry', 'stop entry', 'pause entry', 'machine busy'),
+)
+
 InTouch = Callable[[str, float], bool]
 
 
@@ -24,14 +36,83 @@
     """Yield each server that got more than the limit that it had named."""
     entries = {call.call_id: call.entry for call in history.calls}
     by_server: dict[str, list[Arrival]] = defaultdict(list)
-    for one in history.arrivals:
+    for one in sorted(history.arrivals, key=_time):
         by_server[one.server].append(one)
     for server, arrivals in by_server.items():
-        arrivals.sort(key=_time)
         told = list(_from_told(arrivals, entries, in_touch, contact_s))
         yield from _broken(server, told)
 
 
+def after_leaving(history: History, drain_s: float) -> Iterator[str]:
+    """Yield each call that came later than an entry knew of the leaving."""
+    for entry, came in _by_entry(history):
+        first = next((one for one in came if one.arrival.said.leaving), None)
+        if first is None:
+            continue
+        since = first.arrival.at + _WAY_S
+        late = [one.arrival for one in came if one.sent_at > since + drain_s]
+        for arrival in late:
+            if not _excused(history, entry, since, arrival.at):
+                told = f'{arrival.call_id} at {arrival.server} by {entry}'
+                yield f'DRAIN {arrival.at:.3f} {told}, told at {since:.3f}'
+
+
+def during_rest(history: History) -> Iterator[str]:
+    """Yield each entry that sent on in a rest that it was asked for."""
+    for entry, came in _by_entry(history):
+        arrivals = [one.arrival for one in came]
+        broken = (
+            told
+            for asked in arrivals
+            if (told := _in_rest(history, entry, asked, arrivals))
+        )
+        yield from itertools.islice(broken, 1)
+
+
+def _in_rest(
+    history: History,
+    entry: str,
+    asked: Arrival,
+    arrivals: list[Arrival],
+) -> str:
+    """Tell what came in a rest, if it was more than a few; else nothing."""
+    since = asked.at + _KNOWN_S
+    until = asked.at + asked.said.rest_s
+    inside = [one for one in arrivals if since < one.at < until]
+    few = len(inside) <= _FEW
+    if few or _excused(history, entry, asked.at, inside[-1].at):
+        return ''
+    told = f'{len(inside)} to {asked.server} by {entry}'
+    return f'BUDGET {asked.at:.3f} {told} in {asked.said.rest_s} s of rest'
+
+
+class _Came(NamedTuple):
+    """A call that reached a server, and when its caller sent it."""
+
+    arrival: Arrival
+    sent_at: float
+
+
+def _by_entry(history: History) -> Iterator[tuple[str, list[_Came]]]:
+    """Yield what came from each entry to each server, by time."""
+    calls = {call.call_id: call for call in history.calls}
+    found: dict[tuple[str, str], list[_Came]] = defaultdict(list)
+    for one in sorted(history.arrivals, key=_time):
+        call = calls.get(one.call_id)
+        if call is not None:
+            found[call.entry, one.server].append(_Came(one, call.sent_at))
+    for (entry, _), came in found.items():
+        yield entry, came
+
+
+def _excused(history: History, entry: str, since: float, until: float) -> bool:
+    """Tell whether an entry started again or stood still in a span."""
+    return any(
+        trouble.kind in _EXCUSES and trouble.touches(entry, since, until)
+        for trouble in history.troubles
+    )
+
+
 def _time(arrival: Arrival) -> float:
     return arrival.at
 
@@ -46,7 +127,7 @@
     named_at = float()
     told_at: dict[str, float] = {}
     for one in arrivals:
-        if not one.limit:
+        if not one.said.limit:
             named_at = 0
             told_at.clear()
             continue
@@ -62,7 +143,7 @@
     for first, since in enumerate(one.at for one in told):
         until = since + _WINDOW_S
         inside = [one for one in told[first:] if one.at < until]
-        limit = max(one.limit for one in inside)
+        limit = max(one.said.limit for one in inside)
         allowed = int(_OVER * limit * _WINDOW_S + _EXTRA)
         if len(inside) > allowed:
             yield (
--- a/src/linnetwood/lab/soak/schedule.py
+++ b/src/linnetwood/lab/soak/schedule.py
@@ -21,6 +21,8 @@
         'drain server': (2.0, 5.0),
         'call that ends servers': (8.0, 15.0),
         'server in need': (8.0, 15.0),
+        'server asks for rest': (4.0, 8.0),
+        'server leaves unlisted': (2.0, 5.0),
         'store down': (0.5, 4.0),
         'store slow': (0.5, 4.0),
         'store silent': (0.5, 5.0),
--- a/src/linnetwood/lab/soak/standservers.py
+++ b/src/linnetwood/lab/soak/standservers.py
@@ -10,6 +10,7 @@
 import json
 import secrets
 import time
+from collections.abc import Iterator
 from typing import Any
 
 from tornado.httpserver import HTTPServer
@@ -17,7 +18,7 @@
 from tornado.iostream import StreamClosedError
 from tornado.web import Application, RequestHandler
 
-from linnetwood.lab.soak.history import Arrival, Run
+from linnetwood.lab.soak.history import Arrival, Run, Saying
 
 _NOT_FOUND = 404
 _CONFLICT = 409
@@ -57,8 +58,7 @@
         self.alive = True
         self.draining = False
         self.changing = False
-        # Calls a second that it says it takes from all; 0 for any number.
-        self.limit = float()
+        self.says = Saying()
         self.sequence = 0
         self.born = _now_ms()
         self.staged: dict[int, bytes] = {}
@@ -78,7 +78,7 @@
     def start_again(self, *, keeps_staged: bool) -> None:
         """Begin a life that knows nothing; what is staged may outlast it."""
         self.born = max(self.born + 1, _now_ms())
-        self.limit = 0
+        self.says = Saying()
         self.serving = 0
         self.sequence = 0
         self.changing = False
@@ -153,7 +153,7 @@
         """Note that a call is there."""
         call_id = headers.get('X-Attempt-Id', '')
         now = time.monotonic()
-        self.arrivals.append(Arrival(call_id, server.name, now, server.limit))
+        self.arrivals.append(Arrival(call_id, server.name, now, server.says))
 
     def run(self, server: Server, handler: RequestHandler) -> Run:
         """Note that a call begins."""
@@ -270,14 +270,15 @@
         server = self.server
         headers = self.request.headers
         self.servers.arrive(server, headers)
-        if server.limit:
-            self.set_header('Server-Limit', str(server.limit))
+        for header in _told(server.says):
+            self.set_header(*header)
         if not _is_meant(server, headers):
             self.set_header('X-Instance-Id', server.name)
             self.set_header('At-Server', server.name)
             self.set_status(_MISDIRECTED)
             return
-        if len(server.running) >= server.slots or server.changing:
+        full = len(server.running) >= server.slots
+        if full or server.changing or server.says.rest_s:
             self.set_header('X-Not-Executed', '1')
             self.set_status(_BUSY)
             return
@@ -424,8 +425,10 @@
                 server.start_again(keeps_staged=said['keeps'])
             case 'drain':
                 server.draining = True
-            case 'limit':
-                server.limit = said['limit']
+                server.says = dataclasses.replace(server.says, leaving=True)
+            case 'say':
+                changed = said['says']
+                server.says = dataclasses.replace(server.says, **changed)
             case 'serve':
                 server.serving = said['version']
             case 'rename':
@@ -455,6 +458,16 @@
     return serves and wanted == str(server.serving)
 
 
+def _told(says: Saying) -> Iterator[tuple[str, str]]:
+    """Yield the headers that say it."""
+    if says.limit:
+        yield 'Server-Limit', str(says.limit)
+    if says.leaving:
+        yield 'Server-Leaving', '1'
+    if says.rest_s:
+        yield 'Retry-After', str(says.rest_s)
+
+
 def _come_back(server: Server) -> None:
     if not server.alive:
         server.start_again(keeps_staged=True)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -13,6 +13,7 @@
     History,
     Kind,
     Run,
+    Saying,
     Trouble,
 )
 from linnetwood.lab.soak.schedule import LEAD_S, schedule
@@ -217,12 +218,41 @@
                 call = dataclasses.replace(CALL, call_id=f'c{number}')
                 at = AT + number * gap_s
                 history.calls.append(call)
-                arrival = Arrival(call.call_id, 'i', at, limit)
+                said = Saying(limit=limit)
+                arrival = Arrival(call.call_id, 'i', at, said)
                 history.arrivals.append(arrival)
             found[name] = 'LIMIT' in rules(history)
             expected[name] = broken
         self.assertEqual(found, expected)
 
+    def test_leaving_and_rest(self) -> None:
+        """An entry that was told sends nothing new, or hardly anything."""
+        freeze = Trouble('pause entry', AT, AT + 1, 'e')
+        cut = Trouble('way silent', AT, AT + 9, 'e')
+        found = {}
+        expected = {}
+        for name, gap_s, said, troubles, broken in (
+            ('leaves', 4.0, Saying(leaving=True), (), {'DRAIN'}),
+            ('just left', 0.5, Saying(leaving=True), (), set()),
+            ('out of touch', 4.0, Saying(leaving=True), (cut,), {'DRAIN'}),
+            ('stood still', 4.0, Saying(leaving=True), (freeze,), set()),
+            ('rests', 0.6, Saying(rest_s=3.0), (), {'BUDGET'}),
+            ('rested', 3.1, Saying(rest_s=3.0), (), set()),
+            ('rest, stood still', 0.6, Saying(rest_s=3.0), (freeze,), set()),
+        ):
+            history = History(troubles=list(troubles))
+            for number in range(5):
+                at = AT + number * gap_s
+                call = dataclasses.replace(
+                    CALL, call_id=f'c{number}', sent_at=at, status=502
+                )
+                history.calls.append(call)
+                arrival = Arrival(call.call_id, 'i', at, said)
+                history.arrivals.append(arrival)
+            found[name] = rules(history)
+            expected[name] = broken
+        self.assertEqual(found, expected)
+
     def test_many_calls(self) -> None:
         """What counts by its number: budgets, work after callers, recovery."""
         again = [
