Pass on what an engine said for the life that said it

Cause: the process beside an engine told the last word of its address, and only a birth told lives apart; on the first sites none is told. The word names the life now, and an entry takes it for that life alone. A value that can't be read stays noted, so that reports between answers don't log it anew.

--- a/src/linnetwood/calls/notices.py
+++ b/src/linnetwood/calls/notices.py
@@ -103,7 +103,8 @@
     if limit_per_s is None and (notice.unread or not notice.complete):
         limit_per_s = known.limit_per_s
     leaving = known.leaving or notice.leaving
-    return Notice(limit_per_s, leaving, unread=notice.unread)
+    unread = notice.unread or known.unread
+    return Notice(limit_per_s, leaving, unread=unread)
 
 
 _NOTHING = Notice()
--- a/src/linnetwood/calls/reports.py
+++ b/src/linnetwood/calls/reports.py
@@ -1,6 +1,7 @@
 """Hear from the processes beside engines, and tell them what is wanted."""
 
 import asyncio
+import dataclasses
 import math
 from collections.abc import Callable
 
@@ -106,13 +107,15 @@
         report = standing.report
         if report is None or now - standing.passed_on_at < _PASSED_ON_S:
             return
-        told = report.notice or Notice()
+        told = Notice()
+        if report.notice is not None and report.notice_of == one.life:
+            told = report.notice
         known = self._chooser.notices.of(one.life)
         alike = told.limit_per_s == known.limit_per_s
         if alike and told.leaving == known.leaving:
             return
         standing.passed_on_at = now
-        said = EngineSaid(one.born, _milli(known.limit_per_s), known.leaving)
+        said = EngineSaid(one.life, _milli(known.limit_per_s), known.leaving)
         self._news.send(News(said=said), [(one.host, self._port)])
 
     def wake(self) -> None:
@@ -170,17 +173,15 @@
     return _NO_LIMIT if limit_per_s is None else round(limit_per_s * _THOUSAND)
 
 
-def _notice(engine: EngineNews) -> Notice | None:
-    if engine.limit_age_ms < 0:
-        return None
+def _notice(said: EngineSaid) -> Notice:
     limit_per_s = None
-    if engine.limit_milli >= 0:
-        limit_per_s = engine.limit_milli / _THOUSAND
-    return Notice(limit_per_s, engine.leaving, complete=True)
+    if said.limit_milli >= 0:
+        limit_per_s = said.limit_milli / _THOUSAND
+    return Notice(limit_per_s, said.leaving, complete=True)
 
 
 def _report(engine: EngineNews, now: float) -> Report:
-    return Report(
+    report = Report(
         engine.waiting,
         engine.running,
         engine.serving,
@@ -188,7 +189,14 @@
         now,
         engine.way_ms / _MILLISECONDS,
         engine.every_ms / _MILLISECONDS,
-        _notice(engine),
-        now - engine.limit_age_ms / _MILLISECONDS,
-        engine.part_ppm / _MILLION,
+        part=engine.part_ppm / _MILLION,
+    )
+    said = engine.said
+    if said is None:
+        return report
+    return dataclasses.replace(
+        report,
+        notice=_notice(said),
+        notice_of=said.life,
+        notice_at=now - said.age_ms / _MILLISECONDS,
     )
--- a/src/linnetwood/calls/standing.py
+++ b/src/linnetwood/calls/standing.py
@@ -46,8 +46,9 @@
     way_s: float = 0
     # When the next one is due, from this one.
     every_s: float = _USUAL_EVERY_S
-    # What other entries' answers said of it last, and when that was.
+    # What other entries' answers said last, of which life, and when that was.
     notice: Notice | None = None
+    notice_of: str = ''
     notice_at: float = -math.inf
     # Of what it takes from all entries, what this one may send while it names a
     # limit; 0 where that is not told.
--- a/src/linnetwood/gen/wire/ttypes.py
+++ b/src/linnetwood/gen/wire/ttypes.py
@@ -2303,6 +2303,114 @@
         return not (self == other)
 
 
+class EngineSaid(object):
+    """
+    What an answer of an engine said of it, as the entry that got it tells.
+
+    Attributes:
+     - life: Which life of which endpoint said it.
+     - limit_milli: Calls that it takes in 1,000 s; -1 where it names no limit.
+     - leaving
+     - age_ms: Since the answer came.
+
+    """
+
+    __slots__ = (
+        'life',
+        'limit_milli',
+        'leaving',
+        'age_ms',
+    )
+
+
+    def __init__(self, life=None, limit_milli=-1, leaving=False, age_ms=0,):
+        self.life = life
+        self.limit_milli = limit_milli
+        self.leaving = leaving
+        self.age_ms = age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.life = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.limit_milli = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BOOL:
+                    self.leaving = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('EngineSaid')
+        if self.life is not None:
+            oprot.writeFieldBegin('life', TType.STRING, 1)
+            oprot.writeString(self.life.encode('utf-8') if sys.version_info[0] == 2 else self.life)
+            oprot.writeFieldEnd()
+        if self.limit_milli is not None:
+            oprot.writeFieldBegin('limit_milli', TType.I64, 2)
+            oprot.writeI64(self.limit_milli)
+            oprot.writeFieldEnd()
+        if self.leaving is not None:
+            oprot.writeFieldBegin('leaving', TType.BOOL, 3)
+            oprot.writeBool(self.leaving)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 4)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.life is None:
+            raise TProtocolException(message='Required field life is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class EngineNews(object):
     """
     What the endpoint process beside an engine tells entries.
@@ -2320,9 +2428,7 @@
      - born: Unix milliseconds of the engine's start; 0 where it does not tell.
      - part_ppm: Of what the engine takes from all entries, what whoever hears this may send
     while it names a limit, in millionths; 0 where that is not known.
-     - limit_milli: What answers named last, in calls per 1,000 s; -1 where they name no limit.
-     - limit_age_ms: Since then; -1 where no entry has told of any answer.
-     - leaving: An answer of this life said that it leaves.
+     - said: What answers said last of it; absent where no entry has told of any.
 
     """
 
@@ -2338,14 +2444,12 @@
         'every_ms',
         'born',
         'part_ppm',
-        'limit_milli',
-        'limit_age_ms',
-        'leaving',
+        'said',
     )
 
 
     def __init__(self, number=None, waiting=0, running=0, serving=0, changing=False, entries=0, wanted=[
-    ], way_ms=0, every_ms=0, born=0, part_ppm=0, limit_milli=-1, limit_age_ms=-1, leaving=False,):
+    ], way_ms=0, every_ms=0, born=0, part_ppm=0, said=None,):
         self.number = number
         self.waiting = waiting
         self.running = running
@@ -2360,9 +2464,7 @@
         self.every_ms = every_ms
         self.born = born
         self.part_ppm = part_ppm
-        self.limit_milli = limit_milli
-        self.limit_age_ms = limit_age_ms
-        self.leaving = leaving
+        self.said = said
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2435,18 +2537,9 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 15:
-                if ftype == TType.I64:
-                    self.limit_milli = iprot.readI64()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 16:
-                if ftype == TType.I32:
-                    self.limit_age_ms = iprot.readI32()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 17:
-                if ftype == TType.BOOL:
-                    self.leaving = iprot.readBool()
+                if ftype == TType.STRUCT:
+                    self.said = EngineSaid()
+                    self.said.read(iprot)
                 else:
                     iprot.skip(ftype)
             else:
@@ -2506,17 +2599,9 @@
             oprot.writeFieldBegin('part_ppm', TType.I32, 14)
             oprot.writeI32(self.part_ppm)
             oprot.writeFieldEnd()
-        if self.limit_milli is not None:
-            oprot.writeFieldBegin('limit_milli', TType.I64, 15)
-            oprot.writeI64(self.limit_milli)
-            oprot.writeFieldEnd()
-        if self.limit_age_ms is not None:
-            oprot.writeFieldBegin('limit_age_ms', TType.I32, 16)
-            oprot.writeI32(self.limit_age_ms)
-            oprot.writeFieldEnd()
-        if self.leaving is not None:
-            oprot.writeFieldBegin('leaving', TType.BOOL, 17)
-            oprot.writeBool(self.leaving)
+        if self.said is not None:
+            oprot.writeFieldBegin('said', TType.STRUCT, 15)
+            self.said.write(oprot)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -2545,102 +2630,6 @@
         return not (self == other)
 
 
-class EngineSaid(object):
-    """
-    What an answer of an engine said of it, from the entry that got it.
-
-    Attributes:
-     - born: Unix milliseconds of the engine's start; 0 where it does not tell.
-     - limit_milli
-     - leaving
-
-    """
-
-    __slots__ = (
-        'born',
-        'limit_milli',
-        'leaving',
-    )
-
-
-    def __init__(self, born=None, limit_milli=-1, leaving=False,):
-        self.born = born
-        self.limit_milli = limit_milli
-        self.leaving = leaving
-
-    def read(self, iprot):
-        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
-            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
-            return
-        iprot.readStructBegin()
-        while True:
-            (fname, ftype, fid) = iprot.readFieldBegin()
-            if ftype == TType.STOP:
-                break
-            if fid == 1:
-                if ftype == TType.I64:
-                    self.born = iprot.readI64()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 2:
-                if ftype == TType.I64:
-                    self.limit_milli = iprot.readI64()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 3:
-                if ftype == TType.BOOL:
-                    self.leaving = iprot.readBool()
-                else:
-                    iprot.skip(ftype)
-            else:
-                iprot.skip(ftype)
-            iprot.readFieldEnd()
-        iprot.readStructEnd()
-
-    def write(self, oprot):
-        if oprot._fast_encode is not None and self.thrift_spec is not None:
-            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
-            return
-        oprot.writeStructBegin('EngineSaid')
-        if self.born is not None:
-            oprot.writeFieldBegin('born', TType.I64, 1)
-            oprot.writeI64(self.born)
-            oprot.writeFieldEnd()
-        if self.limit_milli is not None:
-            oprot.writeFieldBegin('limit_milli', TType.I64, 2)
-            oprot.writeI64(self.limit_milli)
-            oprot.writeFieldEnd()
-        if self.leaving is not None:
-            oprot.writeFieldBegin('leaving', TType.BOOL, 3)
-            oprot.writeBool(self.leaving)
-            oprot.writeFieldEnd()
-        oprot.writeFieldStop()
-        oprot.writeStructEnd()
-
-    def validate(self):
-        if self.born is None:
-            raise TProtocolException(message='Required field born is unset!')
-        return
-
-    def __repr__(self):
-        L = ['%s=%r' % (key, getattr(self, key))
-             for key in self.__slots__]
-        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
-
-    def __eq__(self, other):
-        if not isinstance(other, self.__class__):
-            return False
-        for attr in self.__slots__:
-            my_val = getattr(self, attr)
-            other_val = getattr(other, attr)
-            if my_val != other_val:
-                return False
-        return True
-
-    def __ne__(self, other):
-        return not (self == other)
-
-
 class ZoneHosts(object):
     """
     Some entries of an availability zone: four bytes for each IPv4 address.
@@ -3837,6 +3826,14 @@
     (11, TType.I32, 'every_ms', None, 0, ),  # 11
     (12, TType.I32, 'stands_for_pct', None, 100, ),  # 12
 )
+all_structs.append(EngineSaid)
+EngineSaid.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'life', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'limit_milli', None, -1, ),  # 2
+    (3, TType.BOOL, 'leaving', None, False, ),  # 3
+    (4, TType.I32, 'age_ms', None, 0, ),  # 4
+)
 all_structs.append(EngineNews)
 EngineNews.thrift_spec = (
     None,  # 0
@@ -3855,16 +3852,7 @@
     (12, TType.I32, 'every_ms', None, 0, ),  # 12
     (13, TType.I64, 'born', None, 0, ),  # 13
     (14, TType.I32, 'part_ppm', None, 0, ),  # 14
-    (15, TType.I64, 'limit_milli', None, -1, ),  # 15
-    (16, TType.I32, 'limit_age_ms', None, -1, ),  # 16
-    (17, TType.BOOL, 'leaving', None, False, ),  # 17
-)
-all_structs.append(EngineSaid)
-EngineSaid.thrift_spec = (
-    None,  # 0
-    (1, TType.I64, 'born', None, None, ),  # 1
-    (2, TType.I64, 'limit_milli', None, -1, ),  # 2
-    (3, TType.BOOL, 'leaving', None, False, ),  # 3
+    (15, TType.STRUCT, 'said', [EngineSaid, None], None, ),  # 15
 )
 all_structs.append(ZoneHosts)
 ZoneHosts.thrift_spec = (
--- a/src/linnetwood/gen/wire/ttypes.pyi
+++ b/src/linnetwood/gen/wire/ttypes.pyi
@@ -126,6 +126,12 @@
     every_ms: int
     stands_for_pct: int
     def __init__(self, number: int = ..., wanted: list[WantedWeights] = ..., origin: str = ..., chunk_bytes: int = ..., chunks: int = ..., origin_bytes_per_s: int = ..., zone: str = ..., peers_digest: int = ..., peers_revision: int = ..., every_ms: int = ..., stands_for_pct: int = ...) -> None: ...
+class EngineSaid:
+    life: str
+    limit_milli: int
+    leaving: bool
+    age_ms: int
+    def __init__(self, life: str = ..., limit_milli: int = ..., leaving: bool = ..., age_ms: int = ...) -> None: ...
 class EngineNews:
     number: int
     waiting: int
@@ -138,15 +144,8 @@
     every_ms: int
     born: int
     part_ppm: int
-    limit_milli: int
-    limit_age_ms: int
-    leaving: bool
-    def __init__(self, number: int = ..., waiting: int = ..., running: int = ..., serving: int = ..., changing: bool = ..., entries: int = ..., wanted: list[WantedWeights] = ..., way_ms: int = ..., every_ms: int = ..., born: int = ..., part_ppm: int = ..., limit_milli: int = ..., limit_age_ms: int = ..., leaving: bool = ...) -> None: ...
-class EngineSaid:
-    born: int
-    limit_milli: int
-    leaving: bool
-    def __init__(self, born: int = ..., limit_milli: int = ..., leaving: bool = ...) -> None: ...
+    said: EngineSaid
+    def __init__(self, number: int = ..., waiting: int = ..., running: int = ..., serving: int = ..., changing: bool = ..., entries: int = ..., wanted: list[WantedWeights] = ..., way_ms: int = ..., every_ms: int = ..., born: int = ..., part_ppm: int = ..., said: EngineSaid = ...) -> None: ...
 class ZoneHosts:
     zone: str
     hosts: bytes
--- a/src/linnetwood/idl/wire.thrift
+++ b/src/linnetwood/idl/wire.thrift
@@ -170,6 +170,17 @@
   12: i32 stands_for_pct = 100
 }
 
+/** What an answer of an engine said of it, as the entry that got it tells. */
+struct EngineSaid {
+  /** Which life of which endpoint said it. */
+  1: required string life,
+  /** Calls that it takes in 1,000 s; -1 where it names no limit. */
+  2: i64 limit_milli = -1,
+  3: bool leaving = 0,
+  /** Since the answer came. */
+  4: i32 age_ms = 0
+}
+
 /** What the endpoint process beside an engine tells entries. */
 struct EngineNews {
   2: required i64 number,
@@ -191,20 +202,8 @@
    * while it names a limit, in millionths; 0 where that is not known.
    */
   14: i32 part_ppm = 0,
-  /** What answers named last, in calls per 1,000 s; -1 where they name no limit. */
-  15: i64 limit_milli = -1,
-  /** Since then; -1 where no entry has told of any answer. */
-  16: i32 limit_age_ms = -1,
-  /** An answer of this life said that it leaves. */
-  17: bool leaving = 0
-}
-
-/** What an answer of an engine said of it, from the entry that got it. */
-struct EngineSaid {
-  /** Unix milliseconds of the engine's start; 0 where it does not tell. */
-  1: required i64 born,
-  2: i64 limit_milli = -1,
-  3: bool leaving = 0
+  /** What answers said last of it; absent where no entry has told of any. */
+  15: EngineSaid said
 }
 
 /** Some entries of an availability zone: four bytes for each IPv4 address. */
--- a/src/linnetwood/programs/resident_talk.py
+++ b/src/linnetwood/programs/resident_talk.py
@@ -167,7 +167,9 @@
             way_ms=int(self._inflow.tell_way_s(now) * _MILLISECONDS),
             born=report.born,
         )
-        self._last_said.tell(engine, now)
+        said = self._last_said.told(now)
+        if said is not None:
+            engine.said = said
         wanted = self._wanted.told('', self._wanted.models(), now)
         for every_s, addresses in due.items():
             engine.every_ms = int(every_s * _MILLISECONDS)
