Look at what endpoints say only where one says anything

A choice looks at up to 16 engines, and each was held against a limit that hardly any names. Reports are put together in a step of their own. No behaviour changes.

--- a/src/linnetwood/calls/choice.py
+++ b/src/linnetwood/calls/choice.py
@@ -237,6 +237,8 @@
 
     def _opens_at(self, service: Service, one: Listed, now: float) -> float:
         """Give from when on an endpoint takes a call, by its own word."""
+        if self.notices.is_empty:
+            return -math.inf
         opens_at = self._limits.opens_at(self._place(service, one), now)
         return max(opens_at, self.notices.opens_at(one.life))
 
--- a/src/linnetwood/calls/notices.py
+++ b/src/linnetwood/calls/notices.py
@@ -42,6 +42,11 @@
         self._heard_at: dict[str, float] = {}
         self._rests_until: dict[str, float] = {}
 
+    @property
+    def is_empty(self) -> bool:
+        """Tell whether no endpoint says anything, as is usual."""
+        return not (self._said or self._rests_until)
+
     def heard(self, life: str, notice: Notice, now: float) -> bool:
         """Take in the word of an answer that came at a time.
 
--- a/src/linnetwood/programs/resident_talk.py
+++ b/src/linnetwood/programs/resident_talk.py
@@ -156,6 +156,22 @@
     def _report(self, report: EngineReport, now: float) -> None:
         due = self._listeners.due(self._cfg.zone, now)
         newcomers = set(self._listeners.newcomers(now))
+        engine = self._engine_news(report, now)
+        wanted = self._wanted.told('', self._wanted.models(), now)
+        for every_s, addresses in due.items():
+            engine.every_ms = int(every_s * _MILLISECONDS)
+            for part, alike in self._by_part(addresses, now):
+                engine.part_ppm = int(part * _MILLION)
+                engine.wanted = []
+                others = [one for one in alike if one not in newcomers]
+                self._news.send(News(engine=engine), others)
+                # They could only guess since when a version is wanted.
+                engine.wanted = wanted
+                new = [one for one in alike if one in newcomers]
+                self._news.send(News(engine=engine), new)
+
+    def _engine_news(self, report: EngineReport, now: float) -> EngineNews:
+        """Give what every report of now says."""
         self._number += 1
         engine = EngineNews(
             number=self._number,
@@ -170,18 +186,7 @@
         said = self._last_said.told(now)
         if said is not None:
             engine.said = said
-        wanted = self._wanted.told('', self._wanted.models(), now)
-        for every_s, addresses in due.items():
-            engine.every_ms = int(every_s * _MILLISECONDS)
-            for part, alike in self._by_part(addresses, now):
-                engine.part_ppm = int(part * _MILLION)
-                engine.wanted = []
-                others = [one for one in alike if one not in newcomers]
-                self._news.send(News(engine=engine), others)
-                # They could only guess since when a version is wanted.
-                engine.wanted = wanted
-                new = [one for one in alike if one in newcomers]
-                self._news.send(News(engine=engine), new)
+        return engine
 
     def _by_part(
         self,
