Judge the last moment at which a call is sent in virtual time

The test named a version and asked whether a call was still sent 50 ms before and after the last moment, by the machine's clock: a machine that kept the process waiting for longer in between gave the wrong side.

--- a/tests/test_narrow_way.py
+++ b/tests/test_narrow_way.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import unittest
 from random import Random
 
@@ -27,8 +28,15 @@
     WantedVersions,
 )
 from linnetwood.gen.wire.ttypes import EngineNews, News
+from linnetwood.lab import virtual
 from linnetwood.platform.dialect import PlatformDialect
-from linnetwood.wire.curldriver import CurlDriver
+from linnetwood.wire.curldriver import (
+    CurlDriver,
+    Finish,
+    Receiver,
+    Request,
+    Transfer,
+)
 from tests.loops import close_server
 from tests.test_curldriver import HOST, Server, says
 from tests.test_direct import Heard, events, stream
@@ -38,6 +46,8 @@
 # What the entries' margins allow for anyway.
 USUAL_WAY_S = 0.3
 MOST = 65536
+# A moment sooner or later than the last one.
+CLOSE_S = 0.001
 ENGINE = EngineFigures(
     slots=16,
     step_s=0.01,
@@ -68,6 +78,22 @@
 )
 
 
+def call_at(now: float) -> DirectCall:
+    """Give a call that comes at a time."""
+    return DirectCall(
+        CallHead(call_id='c-2', model=MODEL, prompt=100),
+        ROUTE,
+        SERVICE,
+        None,
+        'POST',
+        '/x',
+        [('Host', 'h'), ('X-Attempt-Id', 'c-2')],
+        b'body',
+        now,
+        now + ROUTE.timeout_s,
+    )
+
+
 class NarrowWay:
     """Carry connections to a port, and hold their bytes while it is shut."""
 
@@ -195,20 +221,7 @@
 
     async def call(self) -> Ending:
         """Run one call."""
-        now = self.loop.time()
-        call = DirectCall(
-            CallHead(call_id='c-2', model=MODEL, prompt=100),
-            ROUTE,
-            SERVICE,
-            None,
-            'POST',
-            '/x',
-            [('Host', 'h'), ('X-Attempt-Id', 'c-2')],
-            b'body',
-            now,
-            now + ROUTE.timeout_s,
-        )
-        return await self.dispatcher.run(call, Heard())
+        return await self.dispatcher.run(call_at(self.loop.time()), Heard())
 
     def named(self, left_s: float) -> float:
         """Name a newer version, so long before its bound; give the bound."""
@@ -260,25 +273,6 @@
         self.assertNotEqual(ending.outcome, Outcome.ANSWERED)
         self.assertEqual(len(self.engine.requests), 1)
 
-    async def test_what_is_sent_has_time_to_begin(self) -> None:
-        """On any way a call has 0.4 s there before it is taken back."""
-        for way_s in (0, 0.5, 1, 1.5):
-            self.tell(way_s)
-            slow_s = max(0, way_s - USUAL_WAY_S)
-            # A call that would be taken back a moment too soon, and one not.
-            late_s = MARGIN_S + 2 * slow_s
-            for left_s, sent in ((late_s - 0.05, False), (late_s + 0.05, True)):
-                self.wanted = WantedVersions(BOUND_S)
-                self.dispatcher = self.dispatch()
-                self.named(left_s)
-                before = len(self.engine.requests)
-                await self.call()
-                with self.subTest(way_s=way_s, left_s=left_s):
-                    self.assertEqual(
-                        len(self.engine.requests) > before,
-                        sent,
-                    )
-
     async def test_slow_way_takes_back_earlier(self) -> None:
         """What takes a call back has to arrive before the bound as well."""
         way_s = 0.7
@@ -292,6 +286,66 @@
         self.assertGreater(left_s, START_MARGIN_S + way_s / 2)
 
 
+class Noting(CurlDriver):
+    """A driver that notes what would be sent, and sends nothing."""
+
+    def __init__(self) -> None:
+        self.noted = 0
+
+    def begin(self, req: Request, receiver: Receiver) -> Transfer:
+        """Note it, and say that nobody could be reached."""
+        self.noted += 1
+        receiver.done(Finish(whole=False, connected=False))
+        return Transfer(receiver)
+
+    def cancel(self, transfer: Transfer) -> None:
+        """Leave nothing behind."""
+
+
+class LastMomentTest(unittest.TestCase):
+    """When a call is sent for the last time before a bound, in virtual time."""
+
+    def test_what_is_sent_has_time_to_begin(self) -> None:
+        """On any way a call has 0.4 s there before it is taken back."""
+        for way_s in (0, 0.5, 1, 1.5):
+            slow_s = max(0, way_s - USUAL_WAY_S)
+            # A call that would be taken back a moment too soon, and one not.
+            late_s = MARGIN_S + 2 * slow_s
+            for left_s, sent in (
+                (late_s - CLOSE_S, False),
+                (late_s + CLOSE_S, True),
+            ):
+                with self.subTest(way_s=way_s, left_s=left_s):
+                    self.assertIs(virtual.run(is_sent(way_s, left_s)), sent)
+
+
+async def is_sent(way_s: float, left_s: float) -> bool:
+    """Tell whether a call is sent, so long before its version's bound."""
+    loop = asyncio.get_running_loop()
+    # Bounds begin behind the start of all clocks.
+    await asyncio.sleep(2 * BOUND_S)
+    directory = Directory()
+    one = Listed('i-1', 'pool', HOST, 1, 'z1', 16, ready=True)
+    directory.listed(dataclasses.replace(one, versions={MODEL: 1}))
+    chooser = Chooser(directory, Random(1))
+    chooser.standing('i-1').heard(
+        Report(0, 0, 1, changing=False, heard_at=loop.time(), way_s=way_s),
+    )
+    wanted = WantedVersions(BOUND_S)
+    wanted.name(MODEL, 2, loop.time() + left_s - BOUND_S)
+    driver = Noting()
+    dispatcher = DirectDispatcher(
+        chooser,
+        driver,
+        PlatformDialect(),
+        wanted,
+        'z1',
+        NoMetrics(),
+    )
+    await dispatcher.run(call_at(loop.time()), Heard())
+    return bool(driver.noted)
+
+
 class ResumedTest(unittest.TestCase):
     """A stream that is resumed on its own version."""
 
