Heed that an engine leaves also where a newer answer came in between

Cause: a word older than what is known counted for nothing, and leaving, which is final, was among it. Before and after: tests/test_notices.py.

--- a/src/linnetwood/calls/notices.py
+++ b/src/linnetwood/calls/notices.py
@@ -50,16 +50,17 @@
     def heard(self, life: str, notice: Notice, now: float) -> bool:
         """Take in the word of an answer that came at a time.
 
-        Tell whether it says anything new. One that is older than what is known
-        counts no more.
+        Tell whether it says anything new. Of one that is older than what is
+        known only the leaving counts, which nothing ends.
         """
-        if now < self._heard_at.get(life, -math.inf):
-            return False
+        heard_at = self._heard_at.get(life, now)
+        if now < heard_at:
+            notice = Notice(leaving=notice.leaving)
         known = self.of(life)
         fresh = _joined(known, notice)
         if fresh != _NOTHING or life in self._said:
             self._said[life] = fresh
-            self._heard_at[life] = now
+            self._heard_at[life] = max(now, heard_at)
         return self._rests(life, notice, now) or fresh != known
 
     def of(self, life: str) -> Notice:
--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -127,6 +127,14 @@
         self.notices.keep((), 4000)
         self.assertEqual(self.notices.opens_at('i-1'), -math.inf)
 
+    def test_leaving_holds_also_where_it_is_told_late(self) -> None:
+        """Guard against new work since another answer came in between."""
+        self.hear(Notice(2, complete=True), 5)
+        self.assertTrue(self.hear(Notice(3, leaving=True, complete=True), 4))
+        self.assertEqual(self.notices.opens_at('i-1'), math.inf)
+        self.assertEqual(self.limit(), 2)
+        self.assertFalse(self.hear(Notice(3, leaving=True, complete=True), 4))
+
     def test_another_life_inherits_nothing(self) -> None:
         """What is said is kept by life."""
         self.hear(Notice(2))
