Take a stream back in time that falls silent soon after its first event

Cause: how long an attempt may be silent was looked at again only once the wait for its first event was over, which is the longer one. It is looked at after the shorter one now, at the latest.

--- a/src/linnetwood/calls/attempt.py
+++ b/src/linnetwood/calls/attempt.py
@@ -141,8 +141,9 @@
         transfer = driver.begin(req, self)
         try:
             while not self.fut.done():
-                wake = self._wake_at(bounds)
-                wait_s = max(0, wake - self._loop.time())
+                wait_s = max(0, self._wake_at(bounds) - self._loop.time())
+                # Once an event has come it is due sooner than the first was.
+                wait_s = min(wait_s, bounds.next_s)
                 await asyncio.wait((self.fut,), timeout=wait_s)
                 self._watch(bounds)
         finally:
--- /dev/null
+++ b/tests/test_severed.py
@@ -0,0 +1,144 @@
+"""Streams whose connections go silent for good, at once and without a reset."""
+
+import asyncio
+import unittest
+from random import Random
+
+from linnetwood.calls.choice import Chooser
+from linnetwood.calls.dialect import CallHead
+from linnetwood.calls.direct import DirectCall, DirectDispatcher, RetryBounds
+from linnetwood.calls.directory import Directory, Listed
+from linnetwood.calls.patience import Silence
+from linnetwood.calls.routebook import Repeat, Route, Service, Share
+from linnetwood.core.metrics import NoMetrics
+from linnetwood.core.outcomes import Outcome
+from linnetwood.fleet.wanted import WantedVersions
+from linnetwood.lab import virtual
+from linnetwood.platform.dialect import PlatformDialect
+from linnetwood.wire.curldriver import (
+    CurlDriver,
+    Finish,
+    Receiver,
+    Request,
+    Transfer,
+)
+from tests.test_direct import Heard, events
+
+STREAMS = 20
+EVENTS = 10
+EVERY_S = 0.1
+SEVERED_AT = 0.55
+PORTS = (1, 2)
+POOL = Service('pool', 100)
+ROUTE = Route(
+    'r',
+    'h',
+    '/',
+    Repeat.RESUME,
+    streams=True,
+    timeout_s=6,
+    target_s=0.4,
+    gap_s=0.4,
+    attempts=2,
+    priority=1,
+    public=True,
+    shares=(Share('pool', 1),),
+)
+
+
+class SeveredDriver(CurlDriver):
+    """Carry streams, until all that are open go silent at one moment."""
+
+    def __init__(self) -> None:
+        self.loop = asyncio.get_running_loop()
+        self.severed_at = self.loop.time() + SEVERED_AT
+        self.begun: list[tuple[float, int, int]] = []
+        self.cancelled = 0
+        self.sending: set[asyncio.Task[None]] = set()
+
+    def begin(self, req: Request, receiver: Receiver) -> Transfer:
+        """Send a stream from behind the event that the caller has."""
+        after = int(dict(req.headers).get('Last-Event-Id', '0'))
+        self.begun.append((self.loop.time(), req.port, after))
+        task = asyncio.create_task(self.send(receiver, after))
+        self.sending.add(task)
+        return Transfer(receiver)
+
+    def cancel(self, transfer: Transfer) -> None:
+        """Count what was given up."""
+        self.cancelled += 1
+
+    async def send(self, receiver: Receiver, after: int) -> None:
+        """Send event by event; say nothing more once it is severed."""
+        began = self.loop.time()
+        receiver.head(
+            200,
+            [('X-Attempt-Id', 'c-1'), ('X-Server-Signature', 's-1')],
+        )
+        for number in range(after + 1, EVENTS + 1):
+            await asyncio.sleep(EVERY_S)
+            if began < self.severed_at <= self.loop.time():
+                return
+            receiver.body(events(number))
+        receiver.done(Finish(whole=True, connected=True))
+
+
+async def played() -> tuple[SeveredDriver, list[Heard], list[Outcome]]:
+    """Run streams at two endpoints, all of which are severed midway."""
+    loop = asyncio.get_running_loop()
+    directory = Directory()
+    for port in PORTS:
+        name = f'i-{port}'
+        directory.listed(Listed(name, 'pool', 'h', port, 'z', 16, ready=True))
+    driver = SeveredDriver()
+    dispatcher = DirectDispatcher(
+        Chooser(directory, Random(1)),
+        driver,
+        PlatformDialect(),
+        WantedVersions(8),
+        'z',
+        NoMetrics(),
+    )
+    dispatcher.retry_bounds = RetryBounds(reserve=4 * STREAMS)
+    now = loop.time()
+    call = DirectCall(
+        CallHead(call_id='c-1'),
+        ROUTE,
+        POOL,
+        None,
+        'POST',
+        '/x',
+        [('X-Attempt-Id', 'c-1')],
+        b'',
+        now,
+        now + ROUTE.timeout_s,
+    )
+    callers = [Heard() for _ in range(STREAMS)]
+    running = [dispatcher.run(call, caller) for caller in callers]
+    endings = await asyncio.gather(*running)
+    return driver, callers, [one.outcome for one in endings]
+
+
+class SeveredTest(unittest.TestCase):
+    """Virtual time."""
+
+    def test_every_stream_goes_on_elsewhere(self) -> None:
+        """Guard against streams lost, doubled or mixed as connections hang."""
+        driver, callers, outcomes = virtual.run(played())
+        whole = events(*range(1, EVENTS + 1))
+        self.assertEqual(set(outcomes), {Outcome.ANSWERED})
+        self.assertEqual({one.received for one in callers}, {whole})
+        self.assertEqual(len(driver.begun), 2 * STREAMS)
+
+    def test_none_waits_for_longer_than_its_silence(self) -> None:
+        """Guard against callers that leave before the second one begins."""
+        driver, _, _ = virtual.run(played())
+        again = driver.begun[STREAMS:]
+        silence_s = max(at for at, _, _ in again) - driver.severed_at
+        self.assertLessEqual(silence_s, Silence.of(ROUTE).next_s)
+        self.assertEqual({after for _, _, after in again}, {5})
+        self.assertEqual(driver.cancelled, 2 * STREAMS)
+
+
+if __name__ == '__main__':
+    unittest.main()
