Take the last turn that is due where turns come often

Cause: a turn that was missed was made up for by the next one to come, also where turns are closer than a turn is kept. The last one that is due may be taken now. Tests that want the same route take it from one place.

--- a/src/linnetwood/calls/turns.py
+++ b/src/linnetwood/calls/turns.py
@@ -32,9 +32,11 @@
         next_at = self._next_at.get(life)
         if next_at is None or next_at - now > _OUTDATED * pause_s:
             next_at = now + self._rng.uniform(0, pause_s)
-        missed_s = now - next_at
-        if missed_s > min(pause_s, self._saved_s):
-            next_at += math.ceil(missed_s / pause_s) * pause_s
+        # Of the turns that are due the last one may still be taken.
+        missed = max(0, math.floor((now - next_at) / pause_s))
+        next_at += missed * pause_s
+        if now - next_at > self._saved_s:
+            next_at += pause_s
         self._next_at[life] = next_at
         return next_at
 
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import dataclasses
 import unittest
 from collections.abc import Iterator
 from random import Random
@@ -17,7 +18,7 @@
 from linnetwood.calls.engine import EngineFigures
 from linnetwood.calls.limits import Place, RateLimits
 from linnetwood.calls.notices import Notice, Notices
-from linnetwood.calls.routebook import Repeat, Route, Service, Share
+from linnetwood.calls.routebook import Repeat, Service, Share
 from linnetwood.calls.standing import Report, Standing
 from linnetwood.core.metrics import NoMetrics
 from linnetwood.core.outcomes import Outcome
@@ -25,6 +26,7 @@
 from linnetwood.fleet.wanted import WantedVersions
 from linnetwood.platform.dialect import PlatformDialect
 from linnetwood.wire.curldriver import CurlDriver
+from tests import test_narrow_way
 from tests.test_curldriver import HOST, Server, says
 from tests.test_direct import SIGNED, Heard, answer
 
@@ -32,18 +34,11 @@
 CALLS = 40
 SPAN_S = 4.0
 DESK = Service('desk', 10)
-ROUTE = Route(
-    'r',
-    'h',
-    '/',
-    Repeat.MAY,
+ROUTE = dataclasses.replace(
+    test_narrow_way.ROUTE,
+    repeat=Repeat.MAY,
     streams=False,
     timeout_s=5,
-    target_s=0.4,
-    gap_s=0.4,
-    attempts=2,
-    priority=1,
-    public=True,
     shares=(Share('desk', 1),),
 )
 
@@ -293,6 +288,21 @@
         fleet.play(PLAYED_S)
         self.within(fleet)
 
+    def test_a_limit_above_what_comes_holds_nothing_up(self) -> None:
+        """Guard against calls refused beside room, while turns come often."""
+        for limit in (20, 1000, 999999999):
+            fleet = Fleet(FLEETS[0], limit, has_process=False)
+            entry = fleet.entries[0]
+            entry.notices.heard('e0', Notice(limit, complete=True), 0)
+            place = Place(fleet.service, fleet.one, entry.standing)
+            # The first turn is drawn.
+            entry.limits.opens_at(place, 0)
+            for number in range(1, 50):
+                now = number * 0.77
+                with self.subTest(limit=limit, now=now):
+                    self.assertLessEqual(entry.limits.opens_at(place, now), now)
+                entry.limits.sent(place, now)
+
     def test_a_crowd_after_silence(self) -> None:
         """Guard against turns that all entries saved up."""
         for fleet in fleets(1):
--- a/tests/test_severed.py
+++ b/tests/test_severed.py
@@ -9,7 +9,7 @@
 from linnetwood.calls.direct import DirectCall, DirectDispatcher, RetryBounds
 from linnetwood.calls.directory import Directory, Listed
 from linnetwood.calls.patience import Silence
-from linnetwood.calls.routebook import Repeat, Route, Service, Share
+from linnetwood.calls.routebook import Service
 from linnetwood.core.metrics import NoMetrics
 from linnetwood.core.outcomes import Outcome
 from linnetwood.fleet.wanted import WantedVersions
@@ -23,6 +23,7 @@
     Transfer,
 )
 from tests.test_direct import Heard, events
+from tests.test_narrow_way import ROUTE
 
 STREAMS = 20
 EVENTS = 10
@@ -30,20 +31,6 @@
 SEVERED_AT = 0.55
 PORTS = (1, 2)
 POOL = Service('pool', 100)
-ROUTE = Route(
-    'r',
-    'h',
-    '/',
-    Repeat.RESUME,
-    streams=True,
-    timeout_s=6,
-    target_s=0.4,
-    gap_s=0.4,
-    attempts=2,
-    priority=1,
-    public=True,
-    shares=(Share('pool', 1),),
-)
 
 
 class SeveredDriver(CurlDriver):
