Let what engines say reach entries at every pace of reports

What would break: entries whose reports come each 0.4, 0.5, 1 or 2 s from a process that also reports faster never hear what is known, as their turns always fall between two rounds of four seconds. Cause: the round is a multiple of their pace. It is 3.73 s now, which no usual pace divides. Before and after: tests/test_passed_notices.py, four of seven paces missed it.

--- a/src/linnetwood/fleet/lastsaid.py
+++ b/src/linnetwood/fleet/lastsaid.py
@@ -10,8 +10,9 @@
 _MILLISECONDS = 1000
 # What is new goes into every report for so long, since some are lost; after
 # that all entries hear it once in so many seconds, so that it costs few bytes.
+# No usual pace of reports divides them: else some would always miss it.
 _NEW_S = 0.6
-_AGAIN_S = 4.0
+_AGAIN_S = 3.73
 # Entries of other zones hear every second report.
 _ROUND = 2
 
