--- a/src/linnetwood/programs/explain.py
+++ b/src/linnetwood/programs/explain.py
@@ -126,6 +126,18 @@
     )
 
 
+def _notice(line: dict[str, Any]) -> str:
+    limit = line.get('limit_per_s')
+    said = [
+        '' if limit is None else f'takes {limit} calls a second',
+        'leaves' if line.get('leaving') else '',
+        f'wants {line["rest_s"]} s of rest' if line.get('rest_s') else '',
+        f'tells {line["unread"]!r}' if line.get('unread') else '',
+    ]
+    told = ', '.join(filter(None, said)) or 'takes any number of calls again'
+    return f'{line.get("endpoint")} says of itself: {told}'
+
+
 def _plain(line: dict[str, Any]) -> str:
     fields = {
         name: text
@@ -149,5 +161,6 @@
         int(Event.CALL_UNKNOWN): _unknown,
         int(Event.CALL_CUT): _cut,
         int(Event.ENDPOINT_CRASHED): _crashed,
+        int(Event.ENDPOINT_NOTICE): _notice,
     },
 )
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -7,7 +7,7 @@
 import tempfile
 import unittest
 
-from linnetwood.programs import cli, exits
+from linnetwood.programs import cli, exits, explain
 
 
 def line(event: int, message: str, at: str, **fields: object) -> str:
@@ -109,6 +109,24 @@
         self.assertIn('sent to i-1', second)
         self.assertIn('no event came; ended "stalled"', second)
 
+    def test_what_an_endpoint_says_of_itself(self) -> None:
+        """In words, whatever it is."""
+        for fields, told in (
+            ({'limit_per_s': 1.8}, 'takes 1.8 calls a second'),
+            (
+                {'limit_per_s': 0, 'leaving': True},
+                'takes 0 calls a second, leaves',
+            ),
+            ({'rest_s': 3.0, 'unread': 'x'}, "wants 3.0 s of rest, tells 'x'"),
+            ({'limit_per_s': None}, 'takes any number of calls again'),
+        ):
+            row = json.loads(
+                line(6012, 'endpoint_notice', '1,000', endpoint='i-1', **fields)
+            )
+            with self.subTest(told=told):
+                ending = f': i-1 says of itself: {told}'
+                self.assertTrue(explain.sentence(row).endswith(ending))
+
     def test_calls_that_are_alike(self) -> None:
         """What endpoints ended under, and what was refused for it."""
         code, said, _ = self.run_command('c0ffee')
