--- a/src/linnetwood/calls/choice.py
+++ b/src/linnetwood/calls/choice.py
@@ -126,9 +126,9 @@
         return far_s + engine.first_token_s(need.prompt, waiting, running)
 
     def limited_s(self, need: Need, now: float) -> float:
-        """Give in how long one that is at its limit may have a call.
+        """Give in how long one that is at its limit, or rests, may have a call.
 
-        It is 0 where none is.
+        It is 0 where none does either.
         """
         waits = (
             self._opens_at(need.service, one, now) - now
--- a/src/linnetwood/calls/direct.py
+++ b/src/linnetwood/calls/direct.py
@@ -114,7 +114,7 @@
         """Use the given parts; know no retry budgets yet."""
         self.retry_bounds = RetryBounds()
         self.ends: Ends = Unwatched()
-        # Who passes on what endpoints say of themselves.
+        # Told of each endpoint that has said something of itself just now.
         self.noticed: Callable[[Listed, float], None] = _tell_nobody
         self._budgets: dict[str, RetryBudget] = {}
         self._new_lateness = lateness
@@ -468,7 +468,7 @@
             self.may_have_run = True
 
     def unplaced(self, relay: Relay, limited_s: float) -> Ending:
-        """End a call for which there is no endpoint, or only limited ones."""
+        """End a call that no endpoint takes, or none before some seconds."""
         ending = self.ending(relay, Code.NO_ENDPOINT)
         if ending.outcome is not Outcome.NOT_RUN or not limited_s:
             return ending
