Judge what servers said in the soak by their lives

Found by reading: a server that leaves, crashes and starts again under its name would have counted as leaving still, so that calls to its new life looked like a broken promise. The test fails without it; no run had shown it.

--- a/src/linnetwood/lab/soak/history.py
+++ b/src/linnetwood/lab/soak/history.py
@@ -75,6 +75,8 @@
     server: str
     at: float
     said: Saying = Saying()
+    # Which life of the back end it reached.
+    born: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/linnetwood/lab/soak/standservers.py
+++ b/src/linnetwood/lab/soak/standservers.py
@@ -153,7 +153,9 @@
         """Note that a call is there."""
         call_id = headers.get('X-Attempt-Id', '')
         now = time.monotonic()
-        self.arrivals.append(Arrival(call_id, server.name, now, server.says))
+        self.arrivals.append(
+            Arrival(call_id, server.name, now, server.says, server.born)
+        )
 
     def run(self, server: Server, handler: RequestHandler) -> Run:
         """Note that a call begins."""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -253,6 +253,19 @@
             expected[name] = broken
         self.assertEqual(found, expected)
 
+    def test_another_life_under_the_same_name_has_said_nothing(self) -> None:
+        """Guard against alarms where a server that leaves starts again."""
+        history = History()
+        for number, said in enumerate((Saying(leaving=True), Saying())):
+            at = AT + 9 * number
+            call = dataclasses.replace(
+                CALL, call_id=f'c{number}', sent_at=at, status=502
+            )
+            history.calls.append(call)
+            arrival = Arrival(call.call_id, 'i', at, said, born=number)
+            history.arrivals.append(arrival)
+        self.assertEqual(rules(history), set())
+
     def test_many_calls(self) -> None:
         """What counts by its number: budgets, work after callers, recovery."""
         again = [
