Say why no endpoint may take a call, and which models have no known version

Refusals of engines' calls said `no-endpoint`, `none`, both where no engine is listed and where none holds weights, and a process beside an engine that waits for a version said nothing at all: the hypotheses of the incident gave the same lines. The detail now is unlisted, limited, no-weights, old-weights or none. Entries send a model without any known version as version 0, which older processes ignore, and the process beside an engine logs event 5007 for it. No decision changes.

--- a/src/linnetwood/calls/choice.py
+++ b/src/linnetwood/calls/choice.py
@@ -1,6 +1,7 @@
 """Choose the endpoint for a call by its predicted wait plus penalties."""
 
 import dataclasses
+import enum
 import math
 from collections.abc import Callable, Collection, Iterable, Iterator
 from random import Random
@@ -52,6 +53,16 @@
     sample_number: int = 0
 
 
+class Unavailable(enum.Enum):
+    """Why no endpoint may take a call."""
+
+    UNLISTED = 'unlisted'
+    LIMITED = 'limited'
+    NO_WEIGHTS = 'no-weights'
+    OLD_WEIGHTS = 'old-weights'
+    OTHER = 'none'
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Choice:
     """An endpoint and the predicted time to its first byte."""
@@ -152,6 +163,27 @@
         finite_waits = (wait_s for wait_s in waits if 0 < wait_s < math.inf)
         return min(finite_waits, default=0)
 
+    def unavailable_reason(
+        self, requirements: Requirements, now: float
+    ) -> Unavailable:
+        """Return why no endpoint may take a call, for the log."""
+        versions = [
+            self._version(requirements, endpoint)
+            for endpoint in self._directory.eligible(
+                requirements.service.name, now
+            )
+            if requirements.region_scope.allows(endpoint.region)
+        ]
+        if not versions:
+            return Unavailable.UNLISTED
+        if self.rate_limited_s(requirements, now):
+            return Unavailable.LIMITED
+        if requirements.model and not any(versions):
+            return Unavailable.NO_WEIGHTS
+        if requirements.model and max(versions) < requirements.min_version:
+            return Unavailable.OLD_WEIGHTS
+        return Unavailable.OTHER
+
     def record_sent(
         self, service: Service, endpoint: Endpoint, now: float
     ) -> None:
--- a/src/linnetwood/calls/deadlineadmission.py
+++ b/src/linnetwood/calls/deadlineadmission.py
@@ -67,8 +67,10 @@
         first = self._first_attempts.is_first(traits, now)
         if choice is None:
             rate_limited_s = self._chooser.rate_limited_s(requirements, now)
-            why = 'limited' if rate_limited_s else 'none'
-            return self._refusal(Code.NO_ENDPOINT, call, why, rate_limited_s)
+            why = self._chooser.unavailable_reason(requirements, now)
+            return self._refusal(
+                Code.NO_ENDPOINT, call, why.value, rate_limited_s
+            )
         if not (first or self._has_retry_capacity(call.service, choice)):
             self._log_decision(call, requirements, choice, 'returned')
             return self._refusal(Code.OVERLOADED, call, 'came back')
--- a/src/linnetwood/core/events.py
+++ b/src/linnetwood/core/events.py
@@ -65,6 +65,7 @@
     DRAINING = 5004
     ENGINE_REBORN = 5005
     VERSION_PLANNED = 5006
+    VERSION_UNKNOWN = 5007
     CALL_NOT_RUN = 6001
     CALL_UNKNOWN = 6002
     CALL_CUT = 6003
@@ -106,6 +107,7 @@
         Event.ORIGIN_UNREACHABLE,
         Event.ORDER_REFUSED,
         Event.ENGINE_UNREACHABLE,
+        Event.VERSION_UNKNOWN,
         Event.CALL_CUT,
         Event.ENDPOINT_CRASHED,
         Event.ENDS_UNSHARED,
--- a/src/linnetwood/fleet/wanted.py
+++ b/src/linnetwood/fleet/wanted.py
@@ -13,6 +13,8 @@
 _MILLISECONDS = 1000
 # The age that is sent for a version that serves and was never named.
 NOT_NAMED = -1
+# Sent in place of a version by a process that knows none of a model.
+UNKNOWN_VERSION = 0
 # Only the newest named versions are sent; the bounds of older ones no longer
 # matter to any process.
 MAX_VERSIONS_SENT = 4
@@ -170,8 +172,8 @@
         messages = []
         for model in models:
             named = self._named.get(model, {})
-            serving = self._serving.get(model, 0)
-            if serving and serving not in named:
+            serving = self._serving.get(model, UNKNOWN_VERSION)
+            if serving not in named and (serving or not named):
                 messages.append(
                     WantedWeights(target, model, serving, NOT_NAMED)
                 )
@@ -209,6 +211,17 @@
                     message.model, message.version, named_at, guessed=guessed
                 )
 
+    def unknown_models(
+        self, messages: Iterable[WantedWeights]
+    ) -> tuple[str, ...]:
+        """Return the models of which neither sender nor receiver knows any."""
+        return tuple(
+            message.model
+            for message in messages
+            if message.version == UNKNOWN_VERSION
+            and self.newest(message.model) == UNKNOWN_VERSION
+        )
+
     def _versions(self, model: str) -> tuple[int, ...]:
         named = sorted(self._named.get(model, ()))
         return (self._serving.get(model, 0), *named)
--- a/src/linnetwood/programs/resident_talk.py
+++ b/src/linnetwood/programs/resident_talk.py
@@ -5,6 +5,7 @@
 
 from linnetwood.calls.candidates import MAX_SAME_ZONE
 from linnetwood.core.clock import Clock
+from linnetwood.core.events import Event, log
 from linnetwood.fleet.hosts import pack
 from linnetwood.fleet.latestnotice import LatestNotice
 from linnetwood.fleet.news import Address, NewsSocket
@@ -77,6 +78,7 @@
         self._rng = Random()
         self._number = 0
         self._known: dict[str, tuple[int, ...]] = {}
+        self._unknown: tuple[str, ...] = ()
         self._neighbours_at = float()
         self._held_at = float()
         self._held_again_s = _HELD_AGAIN_S
@@ -140,6 +142,7 @@
         told_for_s = self._listeners.unbroken_for_s(now)
         steady = told_for_s > self._cfg.version_bound_s
         self._wanted.apply_messages(entry.wanted, now, steady=steady)
+        self._note_unknown(self._wanted.unknown_models(entry.wanted), source)
         self._follower.fleet.origin_bytes_per_s = entry.origin_bytes_per_s
         self._follower.fleet.chunk_bytes = entry.chunk_bytes
         size = entry.chunks * entry.chunk_bytes
@@ -152,6 +155,16 @@
             self._known = known
             self._follower.wake()
 
+    def _note_unknown(self, models: tuple[str, ...], source: Address) -> None:
+        """Log models whose version is not known, once for each change."""
+        if models and models != self._unknown:
+            log(
+                Event.VERSION_UNKNOWN,
+                models=models,
+                entry=source[0],
+            )
+        self._unknown = models
+
     def _learned(self, places: dict[str, str]) -> None:
         self._follower.fleet.peers = places
         self._follower.wake()
--- a/tests/test_deadlineadmission.py
+++ b/tests/test_deadlineadmission.py
@@ -1,5 +1,6 @@
 """Which calls are admitted, with which urgency, and which are refused."""
 
+import dataclasses
 import unittest
 from random import Random
 
@@ -145,6 +146,28 @@
         assert isinstance(decision, Ending)
         self.assertEqual(decision.code, 'no-endpoint')
 
+    def test_refusals_name_what_endpoints_lack(self) -> None:
+        """An empty list, empty engines and old versions are told apart."""
+        held = endpoint('i-1')
+        empty = dataclasses.replace(held, versions={})
+        leaving = dataclasses.replace(held, ready=False)
+        cases = (
+            ('nothing listed', (), 0, 'unlisted'),
+            ('leaving', (leaving,), 0, 'unlisted'),
+            ('holds nothing', (empty,), 0, 'no-weights'),
+            ('older than allowed', (held,), 2, 'old-weights'),
+        )
+        for name, listed, min_version, expected in cases:
+            with self.subTest(name=name):
+                directory = Directory()
+                for one in listed:
+                    directory.update(one)
+                required = Requirements(POOL, 'z1', 1000, 'm', min_version)
+                found = Chooser(directory, Random(1)).unavailable_reason(
+                    required, 10
+                )
+                self.assertEqual(found.value, expected)
+
     def test_chooser_predicts_a_wait(self) -> None:
         """The prediction is of the endpoint that would be chosen."""
         choice = self.chooser.choose(
--- a/tests/test_wanted.py
+++ b/tests/test_wanted.py
@@ -6,6 +6,7 @@
     NOT_NAMED,
     SEND_MARGIN_S,
     START_MARGIN_S,
+    UNKNOWN_VERSION,
     WantedVersions,
 )
 from linnetwood.gen.wire.ttypes import WantedWeights
@@ -57,6 +58,23 @@
                 cutoff = wanted.cutoff('m', 2)
                 self.assertEqual(cutoff, expected + BOUND_S - SEND_MARGIN_S)
 
+    def test_a_model_without_a_version_is_sent_as_unknown(self) -> None:
+        """It changes nothing where a version is known."""
+        sender = WantedVersions(BOUND_S)
+        messages = sender.to_messages('pool', ['m'], 20.0)
+        self.assertEqual(
+            [(sent.model, sent.version) for sent in messages],
+            [('m', UNKNOWN_VERSION)],
+        )
+        receiver = WantedVersions(BOUND_S)
+        self.assertEqual(receiver.unknown_models(messages), ('m',))
+        receiver.apply_messages(messages, 20.0)
+        self.assertEqual(receiver.versions_by_model(), {})
+        receiver.add_serving([('m', 1)])
+        receiver.apply_messages(messages, 20.0)
+        self.assertEqual(receiver.newest('m'), 1)
+        self.assertEqual(receiver.unknown_models(messages), ())
+
     def test_a_guess_is_sent_as_a_guess(self) -> None:
         """A process that receives a guess keeps the time that it saw."""
         late = WantedVersions(BOUND_S)
