Ask the origin for the version of a model that no process knows

Cause: a version that was never named was known only from engines that served it, from their records and from what processes had learned of these. All of it ends in one fault. Engines that start again hold nothing, the processes beside them wait for a version, and nobody asks the one who knows.

Ruled out: an empty list of engines (all refusals say no-weights, none unlisted); orders or an origin that fail (nothing was ordered or asked).

Change: an entry that knows no version of a model says so. The number counts only if the origin has the same manifest under it, since a number that is too high would stay everywhere. Whoever finds it tells the entries, which tell all others; it only adds to what is known, so a named version is never undercut.

Why it holds: the origin is the only bearer that outlives all processes and leases, and is needed for the weights themselves.

--- a/src/linnetwood/calls/reports.py
+++ b/src/linnetwood/calls/reports.py
@@ -26,6 +26,7 @@
     EntryAsks,
     NeighbourNews,
     News,
+    WantedWeights,
 )
 
 # An endpoint process reports to an entry for 4 of these after a subscription.
@@ -142,7 +143,7 @@
     def _receive_report(
         self, engine: EngineNews, host: str, now: float
     ) -> None:
-        self._wanted.apply_messages(engine.wanted, now)
+        self._apply_versions(engine.wanted, now)
         same_zone = self.subscriptions.is_same_zone(host)
         self._entry_count.record(host, engine.entries, now, same_zone=same_zone)
         report = _report(engine, now)
@@ -158,6 +159,15 @@
                 endpoint, self._chooser.notices.latest(endpoint.incarnation_id)
             )
 
+    def _apply_versions(
+        self, versions: list[WantedWeights], now: float
+    ) -> None:
+        known = self._wanted.versions_by_model()
+        self._wanted.apply_messages(versions, now)
+        if self._wanted.versions_by_model() != known:
+            # Other endpoint processes may not know them yet.
+            self.wake()
+
     async def _run(self) -> None:
         while True:
             self._wake.clear()
--- a/src/linnetwood/fleet/reportsubscribers.py
+++ b/src/linnetwood/fleet/reportsubscribers.py
@@ -57,13 +57,15 @@
     The number grows with each datagram and starts anew with the entry's
     process. Reports are to come every `interval_s` seconds or less often. Where
     each entry subscribes to some endpoints only, one represents several
-    entries: `represents` says how many.
+    entries: `represents` says how many. An entry that lacks versions knows none
+    of some model.
     """
 
     number: int
     zone: str = ''
     interval_s: float = 0
     represents: float = 1
+    lacks_versions: bool = False
 
 
 class _Subscriber:
@@ -201,11 +203,12 @@
         return due
 
     def new_subscribers(self, now: float) -> list[Address]:
-        """Return the addresses that subscribed just now."""
+        """Return the addresses that subscribed just now or lack versions."""
         return [
             address
             for address, subscriber in self._subscribers.items()
             if now - subscriber.subscribed_at < _NEW_FOR_S
+            or subscriber.subscription.lacks_versions
         ]
 
     def unbroken_for_s(self, now: float) -> float:
--- a/src/linnetwood/fleet/wanted.py
+++ b/src/linnetwood/fleet/wanted.py
@@ -73,7 +73,7 @@
         return is_newest
 
     def add_serving(self, found: Iterable[tuple[str, int]]) -> None:
-        """Add pairs of model and version that engines serve."""
+        """Add pairs of model and version that serve, or served at last."""
         for model, version in found:
             if version > self._serving.get(model, 0):
                 self._serving[model] = version
--- a/src/linnetwood/platform/weights.py
+++ b/src/linnetwood/platform/weights.py
@@ -2,7 +2,7 @@
 
 import hashlib
 import json
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from http import HTTPStatus
 from types import MappingProxyType
 from typing import Any
@@ -36,6 +36,7 @@
     checked.whole('born', needed=False),
 )
 _MANIFEST = (checked.texts('digests'), checked.whole('chunk_bytes', 1))
+_NEWEST = (*_MANIFEST, checked.whole('version', 1))
 # The platform gives no digest over all pieces.
 _UNKNOWN_WHOLE = bytes(hashlib.sha256().digest_size)
 
@@ -124,23 +125,14 @@
 
     async def manifest(self, model: str, version: int) -> Manifest:
         """Read the digests of a version."""
-        place = f'/linnetwood/manifest/{quote(model)}?version={version}'
-        answer = await self._site().ask('GET', place, patience=_GROWING)
-        said = _object(answer, WeightsError)
-        fault = checked.faults(said, _MANIFEST)
-        if fault:
-            raise WeightsError('manifest-malformed', fault)
-        try:
-            digests = tuple(bytes.fromhex(one) for one in said['digests'])
-            size = int(said['chunk_bytes']) * len(digests)
-            return Manifest(
-                size,
-                int(said['chunk_bytes']),
-                _UNKNOWN_WHOLE,
-                digests,
-            )
-        except _BAD_ANSWER as exc:
-            raise WeightsError('manifest-malformed', repr(exc)) from exc
+        query = urlencode({'version': version})
+        return _manifest(await self._manifest(f'{quote(model)}?{query}'))
+
+    async def newest(self, model: str) -> tuple[int, Manifest]:
+        """Read the newest version's number and digests."""
+        # Without a number the page's call gives the newest named version.
+        said = await self._manifest(quote(model), _NEWEST)
+        return int(said['version']), _manifest(said)
 
     async def chunk(self, model: str, version: int, index: int) -> bytes:
         """Read one chunk, unchecked."""
@@ -151,6 +143,18 @@
             raise WeightsError('origin-refused', _why(answer))
         return answer.body
 
+    async def _manifest(
+        self, place: str, fields: Sequence[checked.Field] = _MANIFEST
+    ) -> Mapping[str, Any]:
+        answer = await self._site().ask(
+            'GET', f'/linnetwood/manifest/{place}', patience=_GROWING
+        )
+        said = _object(answer, WeightsError)
+        fault = checked.faults(said, fields)
+        if fault:
+            raise WeightsError('manifest-malformed', fault)
+        return said
+
     def _site(self) -> '_Site':
         if self.address is None:
             raise WeightsError('origin-unknown')
@@ -202,6 +206,20 @@
     )
 
 
+def _manifest(said: Mapping[str, Any]) -> Manifest:
+    try:
+        digests = tuple(bytes.fromhex(one) for one in said['digests'])
+        size = int(said['chunk_bytes']) * len(digests)
+        return Manifest(
+            size,
+            int(said['chunk_bytes']),
+            _UNKNOWN_WHOLE,
+            digests,
+        )
+    except _BAD_ANSWER as exc:
+        raise WeightsError('manifest-malformed', repr(exc)) from exc
+
+
 def _stage(call: str, model: str, index: int | None = None) -> str:
     place = f'/linnetwood/{call}/{quote(model)}'
     # The page's name for the number of a piece.
--- a/src/linnetwood/programs/resident_talk.py
+++ b/src/linnetwood/programs/resident_talk.py
@@ -15,7 +15,7 @@
     ReportSubscribers,
     ReportSubscription,
 )
-from linnetwood.fleet.wanted import WantedVersions
+from linnetwood.fleet.wanted import UNKNOWN_VERSION, WantedVersions
 from linnetwood.gen.wire.ttypes import (
     EngineNews,
     EntryNews,
@@ -128,6 +128,9 @@
             entry.zone,
             entry.every_ms / _MILLISECONDS,
             entry.stands_for_pct / _PERCENT,
+            lacks_versions=any(
+                sent.version == UNKNOWN_VERSION for sent in entry.wanted
+            ),
         )
         self._listeners.subscribe(source, greeting, now)
         near = self._listeners.in_zone(self._cfg.zone)
@@ -142,7 +145,6 @@
         told_for_s = self._listeners.unbroken_for_s(now)
         steady = told_for_s > self._cfg.version_bound_s
         self._wanted.apply_messages(entry.wanted, now, steady=steady)
-        self._note_unknown(self._wanted.unknown_models(entry.wanted), source)
         self._follower.fleet.origin_bytes_per_s = entry.origin_bytes_per_s
         self._follower.fleet.chunk_bytes = entry.chunk_bytes
         size = entry.chunks * entry.chunk_bytes
@@ -150,13 +152,14 @@
         self._follower.transfer_s = size / share
         if entry.origin:
             self._origin.address = address(entry.origin)
+        self._look_up(self._wanted.unknown_models(entry.wanted), source)
         known = self._wanted.versions_by_model()
         if known != self._known:
             self._known = known
             self._follower.wake()
 
-    def _note_unknown(self, models: tuple[str, ...], source: Address) -> None:
-        """Log models whose version is not known, once for each change."""
+    def _look_up(self, models: tuple[str, ...], source: Address) -> None:
+        """Ask the origin for versions that neither the entry knows."""
         if models and models != self._unknown:
             log(
                 Event.VERSION_UNKNOWN,
@@ -164,6 +167,7 @@
                 entry=source[0],
             )
         self._unknown = models
+        self._follower.look_up(models)
 
     def _learned(self, places: dict[str, str]) -> None:
         self._follower.fleet.peers = places
--- a/src/linnetwood/weights/engine.py
+++ b/src/linnetwood/weights/engine.py
@@ -62,5 +62,8 @@
     async def manifest(self, model: str, version: int) -> Manifest:
         """Read the manifest of a version."""
 
+    async def newest(self, model: str) -> tuple[int, Manifest]:
+        """Read the number and the manifest of the newest version."""
+
     async def chunk(self, model: str, version: int, index: int) -> bytes:
         """Read one chunk without verifying it."""
--- a/src/linnetwood/weights/fetching.py
+++ b/src/linnetwood/weights/fetching.py
@@ -122,6 +122,12 @@
         for version_key, download in self._downloads.items():
             self._update_peers(version_key, download)
 
+    def add_manifest(
+        self, version_key: ModelVersion, manifest: chunks.Manifest
+    ) -> None:
+        """Keep a manifest that was read for another purpose."""
+        self._tools.uploads.manifests.setdefault(version_key.name, manifest)
+
     def prioritise(self, first: ModelVersion) -> None:
         """Request other versions from peers only when this one is complete."""
         download = self._downloads.get(first)
@@ -162,7 +168,7 @@
         known = self._partners.get(manifest)
         if known is not None and known[0] == peers:
             return known[1]
-        near = partners(me, self._zone_vms(), manifest, _ZONE_PARTNERS)
+        near = partners(me, self.zone_vms(), manifest, _ZONE_PARTNERS)
         far = partners(me, peers, manifest, self._tools.cfg.neighbours)
         found = sorted({*near, *far})
         self._partners = self._drop_unused(self._partners)
@@ -182,6 +188,14 @@
             for download in self._downloads.values()
         ]
 
+    def zone_vms(self) -> set[str]:
+        """Return the hosts of this availability zone, this one included."""
+        peers = self.fleet.peers
+        zone = peers.get(self._tools.me)
+        return {vm for vm, place in peers.items() if place == zone} | {
+            self._tools.me,
+        }
+
     def _drop_unused(
         self,
         known: _Partners,
@@ -255,7 +269,7 @@
         return await self._manifests.find(
             version_key.model,
             version_key.version,
-            self._zone_vms(),
+            self.zone_vms(),
             self.partners,
         )
 
@@ -280,7 +294,7 @@
         cfg: SwarmOptions,
     ) -> tuple[SharedReading, ZoneReading]:
         me = self._tools.me
-        near = self._zone_vms()
+        near = self.zone_vms()
         all_vms = Ring(version_key.name, {*self.fleet.peers, me})
         return (
             SharedReading(
@@ -299,13 +313,6 @@
             ),
         )
 
-    def _zone_vms(self) -> set[str]:
-        peers = self.fleet.peers
-        zone = peers.get(self._tools.me)
-        return {vm for vm, place in peers.items() if place == zone} | {
-            self._tools.me,
-        }
-
     def _options(self, manifest: chunks.Manifest) -> SwarmOptions:
         cfg = self._tools.cfg
         rate = max(1, self.fleet.origin_bytes_per_s)
@@ -327,7 +334,7 @@
         download.swarm.set_policies(
             *self._reading_policies(version_key, download.swarm.count, cfg)
         )
-        near = self._zone_vms()
+        near = self.zone_vms()
         hosts = self.partners(version_key.name)
         download.set_neighbours(
             [_host_member(host, self._port) for host in hosts]
--- a/src/linnetwood/weights/follower.py
+++ b/src/linnetwood/weights/follower.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import hashlib
-from collections.abc import Iterator
+from collections.abc import Collection, Iterator
 
 from linnetwood.core.errors import LinnetwoodError
 from linnetwood.core.events import Event, log
@@ -19,6 +19,7 @@
 )
 from linnetwood.weights.takeover import TAKEOVERS
 from linnetwood.weights.transfer import Download, Tools
+from linnetwood.weights.versionlookup import VersionLookup
 from linnetwood.weights.versionplan import PLANS, PlanInputs
 
 _WAKE_S = 0.1
@@ -70,6 +71,13 @@
             self._wake.set,
             TAKEOVERS[decisions.takeover],
         )
+        self._lookup = VersionLookup(
+            tools.me,
+            origin,
+            wanted,
+            self._downloads.zone_vms,
+            self._version_found,
+        )
         # A bit for each chunk that is staged at the engine.
         self._staged = 0
         self._engine_born = 0
@@ -91,14 +99,20 @@
     def start(self) -> None:
         """Start following the wanted versions."""
         self._task = asyncio.create_task(self._run())
+        self._lookup.start()
 
     async def close(self) -> None:
         """Stop following; the engine continues to serve."""
         if self._task is not None:
             self._task.cancel()
             await asyncio.gather(self._task, return_exceptions=True)
+        await self._lookup.close()
         await self._downloads.close()
 
+    def look_up(self, models: Collection[str]) -> None:
+        """Ask the origin for the versions of models that nobody knows."""
+        self._lookup.request(models)
+
     def wake(self) -> None:
         """Check the wanted versions again now."""
         self._wake.set()
@@ -142,6 +156,12 @@
         """Return which chunks of the fetched versions this VM holds."""
         return self._downloads.notices()
 
+    def _version_found(
+        self, model: str, version: int, manifest: chunks.Manifest
+    ) -> None:
+        self._downloads.add_manifest(ModelVersion(model, version), manifest)
+        self._wake.set()
+
     async def _run(self) -> None:
         while True:
             self._wake.clear()
--- a/tests/test_engine_client.py
+++ b/tests/test_engine_client.py
@@ -110,6 +110,23 @@
             with self.assertRaises(WeightsError):
                 await self.origin.manifest('m', 2)
 
+    async def test_newest_version(self) -> None:
+        """It is asked for without a number, and its number is read."""
+        digest = '00' * 32
+        sound = {'chunk_bytes': 10, 'digests': [digest]}
+        self.server.answers = [
+            answer(200, {**sound, 'version': 3}),
+            answer(200, sound),
+            answer(200, {**sound, 'version': 0}),
+            answer(404),
+        ]
+        number, found = await self.origin.newest('m')
+        self.assertEqual((number, found.size), (3, 10))
+        self.assertNotIn(b'?', self.server.requests[0].split(b'\r\n')[0])
+        for _ in range(3):
+            with self.assertRaises(WeightsError):
+                await self.origin.newest('m')
+
     async def test_origin_unknown(self) -> None:
         """Before an entry told of it there is none."""
         with self.assertRaises(WeightsError) as caught:
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -44,12 +44,21 @@
         self.missing_versions: set[int] = set()
         self.corrupt_reads: set[int] = set()
         self.reads: list[tuple[int, int]] = []
+        # The newest version, if there is any, and how often it was asked for.
+        self.published: int | None = 1
+        self.asked = 0
 
     async def manifest(self, model: str, version: int) -> Manifest:
         if self.unreachable or version in self.missing_versions:
             raise WeightsError('origin-refused')
         return manifest(version)
 
+    async def newest(self, model: str) -> tuple[int, Manifest]:
+        self.asked += 1
+        if self.published is None:
+            raise WeightsError('no-answer', 'status 404')
+        return self.published, await self.manifest(model, self.published)
+
     async def chunk(self, model: str, version: int, index: int) -> bytes:
         if self.unreachable:
             raise WeightsError('origin-refused')
--- a/tests/test_junk.py
+++ b/tests/test_junk.py
@@ -249,12 +249,14 @@
         for field in ('digests', 'chunk_bytes'):
             sound = {'digests': ['00' * 32], 'chunk_bytes': 1}
             said.extend({**sound, field: junk} for junk in JUNK)
+        sound = {'digests': ['00' * 32], 'chunk_bytes': 1}
+        said.extend({**sound, 'version': junk} for junk in JUNK)
         return said
 
     async def _ask_all(self, body: bytes) -> None:
         server = ScriptedServer()
         head = f'HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n'
-        server.answers = [head.encode() + body] * 4
+        server.answers = [head.encode() + body] * 5
         port = await server.start()
         driver = CurlDriver()
         store = PlatformStore((HOST, port), driver)
@@ -266,6 +268,7 @@
             (store.wait('', 1, 1), StoreError),
             (engine.report(), OrderError),
             (origin.manifest('m', 1), WeightsError),
+            (origin.newest('m'), WeightsError),
         ):
             try:
                 await asked
--- a/tests/test_manifests.py
+++ b/tests/test_manifests.py
@@ -38,6 +38,9 @@
             raise WeightsError('no-answer')
         return manifest(version)
 
+    async def newest(self, model: str) -> tuple[int, Manifest]:
+        raise WeightsError('no-answer')
+
     async def chunk(self, model: str, version: int, index: int) -> bytes:
         raise WeightsError('no-answer')
 
