Close older versions when the bound begins to hold for a process that starts

Found while looking for other facts that only processes and leases bear: when a version was named. An entry that nobody can tell assumed that half of the bound was left. Where the bound is long (13.4 s on one deployment) calls could still go to an older version 2.5 s after the entry is in touch again, up to 2.5 s behind the bound.

Shown by a test alone, which failed with a bound of 13.4 s and contact 3 s and holds with 8, 10, 10.3 and 13.4 s. An entry that hears any process that saw the naming still takes that time.

The same commit tests that a list of engines which is empty at the start, and the origin's address, are learned again.

--- a/src/linnetwood/fleet/wanted.py
+++ b/src/linnetwood/fleet/wanted.py
@@ -38,13 +38,28 @@
     Times are in seconds of one monotonic clock.
     """
 
-    def __init__(self, bound_s: float) -> None:
-        """Allow older versions for `bound_s` after a newer one was named."""
+    def __init__(self, bound_s: float, contact_s: float = math.inf) -> None:
+        """Allow older versions for `bound_s` after a newer one was named.
+
+        The bound holds for a process from `contact_s` after its start.
+        """
         self.bound_s = bound_s
+        self._contact_s = contact_s
         self._named: dict[str, dict[int, float]] = {}
         self._guessed: set[tuple[str, int]] = set()
         self._serving: dict[str, int] = {}
 
+    @property
+    def assumed_age_s(self) -> float:
+        """Return the age to assume of a version that nobody saw named.
+
+        It leaves older versions half of the bound, but no longer than until the
+        bound holds for a process that has just started.
+        """
+        return max(
+            self.bound_s / 2, self.bound_s - SEND_MARGIN_S - self._contact_s
+        )
+
     def add_named(
         self,
         model: str,
--- a/src/linnetwood/platform/feeds.py
+++ b/src/linnetwood/platform/feeds.py
@@ -93,7 +93,7 @@
             # know better, and tell.
             guessed = math.isinf(age_s)
             if guessed:
-                age_s = self._wanted.bound_s / 2
+                age_s = self._wanted.assumed_age_s
             since = self._clock.now() - age_s
             if self._wanted.add_named(model, version, since, guessed=guessed):
                 log(
--- a/src/linnetwood/platform/settings.py
+++ b/src/linnetwood/platform/settings.py
@@ -14,6 +14,7 @@
 # Used where the platform states no bound: those of its first deployments.
 _VERSION_MS = 8000
 _CONFIG_MS = 2000
+_CONTACT_MS = 3000
 _BAD_FIELD = (KeyError, TypeError, ValueError, IndexError)
 _MEGABIT_BYTES = 125000
 
@@ -39,6 +40,8 @@
     retry_extra: float
     # The region of each availability zone.
     regions: Mapping[str, str] = dataclasses.field(default_factory=dict)
+    # So long after its start the platform's bounds hold for a process.
+    contact_s: float = _CONTACT_MS / _MILLISECONDS
 
 
 def load(path: str = '') -> Residence:
@@ -83,6 +86,7 @@
         retry_share=float(bounds.get('retry_budget_ratio', 0)),
         retry_extra=float(bounds.get('retry_budget_extra', 0)),
         regions=dict(given.get('zones', {})),
+        contact_s=bounds.get('contact_ms', _CONTACT_MS) / _MILLISECONDS,
     )
 
 
--- a/src/linnetwood/programs/resident_endpoint.py
+++ b/src/linnetwood/programs/resident_endpoint.py
@@ -46,7 +46,7 @@
         """Build; start nothing."""
         self._cfg = cfg
         self._clock = SystemClock()
-        self.wanted = WantedVersions(cfg.version_bound_s)
+        self.wanted = WantedVersions(cfg.version_bound_s, cfg.contact_s)
         self.driver = CurlDriver()
         self._engine = ServerEngine(engine, self.driver)
         self._origin = PlatformOrigin(self.driver)
--- a/src/linnetwood/programs/resident_entry.py
+++ b/src/linnetwood/programs/resident_entry.py
@@ -61,7 +61,7 @@
         clock = SystemClock()
         rng = Random()
         self.directory = Directory()
-        self.wanted = WantedVersions(cfg.version_bound_s)
+        self.wanted = WantedVersions(cfg.version_bound_s, cfg.contact_s)
         self.driver = CurlDriver()
         metrics = ExposedMetrics()
         path = CallPath(
--- a/tests/cold_fleet.py
+++ b/tests/cold_fleet.py
@@ -35,6 +35,7 @@
 PORT = 7700
 MODEL = 'm'
 BOUND_S = 8.0
+ORIGIN_ADDRESS = ('10.9.0.1', 80)
 _LATENCY_S = 0.001
 _TICK_S = 0.1
 _SERVED_POLL_S = 0.05
@@ -113,7 +114,7 @@
         )
         self.reports.route_table = RouteTable(
             services={POOL.name: POOL},
-            origin=Origin('10.9.0.1', 80, 1e6, 48),
+            origin=Origin(*ORIGIN_ADDRESS, 1e6, 48),
         )
         self.reports._news = Port(host, self.reports, fleet.datagrams)
         fleet.net.accepting[host, PORT] = self._serve_peers
@@ -192,12 +193,14 @@
         self.follower = VersionFollower(
             tools, self.engine, fleet.origin, self.wanted, PORT
         )
+        # Chunks come from a stand-in; this one only learns its address.
+        self.origin = PlatformOrigin(self._driver)
         self.talk = EndpointTalk(
             residence(host, zone),
             fleet.clock,
             self.follower,
             self.wanted,
-            PlatformOrigin(self._driver),
+            self.origin,
             InboundLink(),
         )
         self.talk._news = Port(host, self.talk, fleet.datagrams)
--- a/tests/test_cold_start.py
+++ b/tests/test_cold_start.py
@@ -1,14 +1,22 @@
 """What a fleet needs to begin again is known after all of it was lost."""
 
 import asyncio
+import json
 import unittest
 from collections.abc import Callable
 
+from linnetwood.fleet.ranges import Record, Snapshot
+from linnetwood.fleet.wanted import WantedVersions
 from linnetwood.lab import virtual
-from tests.cold_fleet import MODEL, ColdFleet
+from linnetwood.platform import records
+from linnetwood.platform.feeds import OperatorFeed
+from tests.cold_fleet import MODEL, ORIGIN_ADDRESS, ColdFleet
+from tests.test_deadlineadmission import StoppedClock
 
 # The users allow 12 s until calls are served again after all VMs are back.
 RECOVERY_S = 12.0
+# The store has the records of living servers so soon after its return.
+LISTED_AGAIN_S = 2.0
 
 
 def change_nothing(fleet: ColdFleet) -> None:
@@ -115,5 +123,53 @@
         self.assertLess(found_s, RECOVERY_S)
 
 
+class NamingTimeTest(unittest.TestCase):
+    """Nobody is left who saw when a version was named."""
+
+    # Entries that started after a loss of all processes sent calls to versions
+    # whose bound had passed, as they assumed half of a long bound to be left.
+    def test_no_old_version_is_used_in_touch(self) -> None:
+        """Bounds in s, and how long after its start an entry is in touch."""
+        for bound_s, contact_s in ((8, 3), (10, 4), (10.3, 4), (13.4, 3)):
+            with self.subTest(bound_s=bound_s):
+                wanted = WantedVersions(bound_s, contact_s)
+                feed = OperatorFeed(
+                    lambda routes: None, wanted, StoppedClock(), lambda: None
+                )
+                key = f'{records.VERSION_PREFIX}{MODEL}'
+                said = json.dumps({'model': MODEL, 'version': 2})
+                record = Record(said.encode(), 9)
+                feed.replace_all(Snapshot({key: record}, 9, {}))
+                in_touch_at = StoppedClock().now() + contact_s
+                oldest = wanted.oldest_allowed(MODEL, in_touch_at)
+                self.assertEqual(oldest, 2)
+
+
+class LostListTest(unittest.TestCase):
+    """The list of engines lapsed; they write their records again."""
+
+    def test_engines_that_are_listed_late(self) -> None:
+        """Entries and processes beside engines find each other all the same."""
+
+        async def play() -> tuple[float, set[tuple[str, int] | None]]:
+            fleet = ColdFleet()
+            listed = list(fleet.directory.all())
+            for engine in listed:
+                fleet.directory.discard(engine.endpoint_id)
+            await fleet.start()
+            await asyncio.sleep(LISTED_AGAIN_S)
+            for engine in listed:
+                fleet.directory.update(engine)
+            found_s = await fleet.served_after_s(1, RECOVERY_S)
+            origins = {vm.origin.address for vm in fleet.endpoints.values()}
+            await fleet.close()
+            return found_s, origins
+
+        found_s, origins = virtual.run(play())
+        self.assertLess(found_s, RECOVERY_S - LISTED_AGAIN_S)
+        # The address stands in the configuration alone; entries pass it on.
+        self.assertEqual(origins, {ORIGIN_ADDRESS})
+
+
 if __name__ == '__main__':
     unittest.main()
