Let a soak lose everything at once, and judge each kind of call alone

The soak crashed one server at a time, named a version at the start, and its check of recovery counted all kinds of calls together: plain services hid that no stream was served. Now a fault takes all programs and servers, with the store there, its leases run out, or down; no version is named at the start; the stand-in of the origin knows its newest version; recovery holds for each kind.

The commands to stand-ins are a class of their own, since the faults had grown too many methods. A fleet of the product's own processes is tested for the same: it comes back by its configuration.

--- a/src/linnetwood/lab/measure_soak.py
+++ b/src/linnetwood/lab/measure_soak.py
@@ -25,7 +25,8 @@
 
 _MINUTE_S = 60
 _SETTLE_S = 3.0
-_QUIET_S = 6.0
+# Longer than a process that was killed takes to be back.
+_QUIET_S = 10.0
 _TICK_S = 0.05
 # A machine that let this process wait for so long kept the others, too.
 _LAG_S = 0.3
--- a/src/linnetwood/lab/soak/checks.py
+++ b/src/linnetwood/lab/soak/checks.py
@@ -30,6 +30,7 @@
 _MOST_AFTER = 3
 # Fewer calls at the end tell nothing.
 _ENOUGH = 20
+_ENOUGH_ALIKE = 10
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -268,6 +269,13 @@
         served = sum(call.status == _OK for call in last)
         if len(last) >= _ENOUGH and served < _QUARTER * len(last):
             yield f'RECOVER {since:.3f} {served} of {len(last)} served'
+        # One kind that is served must not hide another that is not.
+        for kind in Kind:
+            alike = [call for call in last if call.kind is kind]
+            served = sum(call.status == _OK for call in alike)
+            if len(alike) >= _ENOUGH_ALIKE and served < _QUARTER * len(alike):
+                told = f'{served} of {len(alike)} {kind.value} served'
+                yield f'RECOVER {since:.3f} {told}'
 
     def _acked(self, what: str, name: str) -> Iterator[Acked]:
         for one in self._history.acked:
--- /dev/null
+++ b/src/linnetwood/lab/soak/commands.py
@@ -0,0 +1,34 @@
+"""Give commands to the stand-ins of a soak."""
+
+import json
+from typing import Any
+
+from tornado.httpclient import AsyncHTTPClient
+
+from linnetwood.lab.soak.fleet import Fleet
+
+
+class Commands:
+    """Post commands to the servers and to the store, and give the answers."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        """Reach the stand-ins of a fleet."""
+        self._fleet = fleet
+        self._client = AsyncHTTPClient()
+
+    async def servers(self, said: dict[str, Any]) -> dict[str, Any]:
+        """Command the servers and the origin; give the servers' records."""
+        return await self._post(f'{self._fleet.control_url}/control', said)
+
+    async def order(self, server: str, order: str, **more: object) -> None:
+        """Command one server."""
+        await self.servers({'server': server, 'order': order, **more})
+
+    async def store(self, said: dict[str, Any]) -> dict[str, Any]:
+        """Write to the store, or change how it answers."""
+        return await self._post(f'{self._fleet.store_url}/operator', said)
+
+    async def _post(self, url: str, said: dict[str, Any]) -> dict[str, Any]:
+        body = json.dumps(said)
+        answer = await self._client.fetch(url, method='POST', body=body)
+        return dict(json.loads(answer.body))
--- a/src/linnetwood/lab/soak/faults.py
+++ b/src/linnetwood/lab/soak/faults.py
@@ -1,7 +1,6 @@
 """Bring faults about from outside, and note whom each lay on."""
 
 import asyncio
-import json
 import signal
 import time
 from collections.abc import Awaitable, Callable, Mapping, Sequence
@@ -9,14 +8,14 @@
 from types import MappingProxyType
 from typing import Any
 
-from tornado.httpclient import AsyncHTTPClient
-
 from linnetwood.lab.soak.callers import Callers
+from linnetwood.lab.soak.commands import Commands
 from linnetwood.lab.soak.configuration import configuration
 from linnetwood.lab.soak.fleet import SERVER_PORT, Fleet, Vm
 from linnetwood.lab.soak.history import Acked, History, Trouble
 from linnetwood.lab.soak.schedule import SERIES, SERIES_GAP_S, Fault
 from linnetwood.lab.soak.standservers import MODEL
+from linnetwood.lab.soak.totalloss import StoreState, TotalLoss
 
 _BEAT_S = 0.3
 _RESTART_S = 0.5
@@ -51,7 +50,7 @@
         self._fleet = fleet
         self._history = history
         self._callers = callers
-        self._client = AsyncHTTPClient()
+        self._commands = Commands(fleet)
         self._listed: dict[str, dict[str, Any]] = {}
         self._places = dict(fleet.servers)
         self._version = 1
@@ -63,12 +62,9 @@
         """Write what stands in the store at the start."""
         for name in self._fleet.servers:
             if name.startswith('i-engine'):
-                await self._order(name, 'serve', version=1)
+                await self._commands.order(name, 'serve', version=1)
         await self._beat()
         await self.configure()
-        await self._write(
-            'version', {f'op/version/{MODEL}': _named(self._version)}
-        )
         self._later(self._beat_on())
 
     async def close(self) -> None:
@@ -121,6 +117,7 @@
             'config': self._configs,
             'configs': self._configs,
             'version': self._name_version,
+            'all lost': self._lose_all,
         }
         await acts.get(fault.kind, self._way)(fault)
 
@@ -159,9 +156,9 @@
     async def _crash(self, fault: Fault) -> None:
         name = _pick(sorted(self._places), fault)
         trouble = self._note(fault.kind, name, fault.span_s)
-        await self._order(name, 'crash')
+        await self._commands.order(name, 'crash')
         await asyncio.sleep(fault.span_s)
-        await self._order(name, 'start', keeps=bool(fault.pick % 2))
+        await self._commands.order(name, 'start', keeps=bool(fault.pick % 2))
         self._end(trouble, 0)
 
     async def _end_servers(self, fault: Fault) -> None:
@@ -198,7 +195,7 @@
         if name not in self._places:
             return
         trouble = self._note(fault.kind, name, fault.span_s + _DRAINS_S)
-        await self._order(name, 'drain')
+        await self._commands.order(name, 'drain')
         at = await self._beat()
         self._history.acked.append(Acked('draining', name, 0, at))
         await self._end_as_another(name, fault)
@@ -214,26 +211,28 @@
             await self._rename(name, new)
 
     async def _rename(self, name: str, new: str) -> None:
-        await self._order(name, 'crash')
-        await self._order(name, 'rename', name=new)
+        await self._commands.order(name, 'crash')
+        await self._commands.order(name, 'rename', name=new)
         await self._beat()
 
     async def _store(self, fault: Fault) -> None:
         trouble = self._note(fault.kind, '', fault.span_s)
         if fault.kind == 'store forgets':
-            await self._operator({'forget': True})
+            await self._commands.store({'forget': True})
         else:
-            await self._operator({'mode': fault.kind.removeprefix('store ')})
+            await self._commands.store(
+                {'mode': fault.kind.removeprefix('store ')}
+            )
             await asyncio.sleep(fault.span_s)
-            await self._operator({'mode': 'pass'})
+            await self._commands.store({'mode': 'pass'})
         self._end(trouble, 0)
 
     async def _origin(self, fault: Fault) -> None:
         field = 'spoils' if fault.kind == 'spoilt pieces' else 'origin_silent'
         trouble = self._note(fault.kind, '', fault.span_s)
-        await self._control({field: True})
+        await self._commands.servers({field: True})
         await asyncio.sleep(fault.span_s)
-        await self._control({field: False})
+        await self._commands.servers({field: False})
         self._end(trouble, 0)
 
     async def _way(self, fault: Fault) -> None:
@@ -258,8 +257,19 @@
             await self.configure()
             await asyncio.sleep(SERIES_GAP_S)
 
+    async def _lose_all(self, fault: Fault) -> None:
+        state = _pick(tuple(StoreState), fault)
+        trouble = self._note(fault.kind, '', fault.span_s + _BACK_S)
+        if state is not StoreState.ANSWERS:
+            # Servers that live write their records again.
+            self._listed = {}
+        loss = TotalLoss(self._fleet, self._commands)
+        await loss.play(sorted(self._places), fault.span_s, state)
+        self._end(trouble, _BACK_S)
+
     async def _name_version(self, fault: Fault) -> None:
         self._version += 1
+        await self._commands.servers({'newest': self._version})
         await self._write(
             'version', {f'op/version/{MODEL}': _named(self._version)}
         )
@@ -271,7 +281,7 @@
 
     async def _beat(self) -> float:
         """Write the entries of servers that changed; give the time."""
-        told = await self._control({})
+        told = await self._commands.servers({})
         fresh = {
             name: {**told[name], **_place(vm)}
             for name, vm in self._places.items()
@@ -289,30 +299,16 @@
             for name, entry in {**self._listed, **fresh}.items()
             if name not in gone
         }
-        said = await self._operator({'write': write})
+        said = await self._commands.store({'write': write})
         return float(said['at'])
 
     async def _write(self, what: str, write: dict[str, object]) -> None:
         number = self._version if what == 'version' else self._configuration
-        said = await self._operator({'write': write})
+        said = await self._commands.store({'write': write})
         self._history.acked.append(Acked(what, '', number, said['at']))
 
-    async def _operator(self, said: dict[str, Any]) -> dict[str, Any]:
-        return await self._post(f'{self._fleet.store_url}/operator', said)
-
     async def _say(self, server: str, **says: object) -> None:
-        await self._order(server, 'say', says=says)
-
-    async def _order(self, server: str, order: str, **more: object) -> None:
-        await self._control({'server': server, 'order': order, **more})
-
-    async def _control(self, said: dict[str, Any]) -> dict[str, Any]:
-        return await self._post(f'{self._fleet.control_url}/control', said)
-
-    async def _post(self, url: str, said: dict[str, Any]) -> dict[str, Any]:
-        body = json.dumps(said)
-        answer = await self._client.fetch(url, method='POST', body=body)
-        return dict(json.loads(answer.body))
+        await self._commands.order(server, 'say', says=says)
 
     def _note(self, kind: str, who: str, span_s: float) -> int:
         now = time.monotonic()
--- a/src/linnetwood/lab/soak/schedule.py
+++ b/src/linnetwood/lab/soak/schedule.py
@@ -37,6 +37,7 @@
         'config': _NO_TIME,
         'configs': _NO_TIME,
         'version': _NO_TIME,
+        'all lost': (0.5, 2.0),
     }
 )
 # Which of those that it fits, whatever their number.
--- a/src/linnetwood/lab/soak/standservers.py
+++ b/src/linnetwood/lab/soak/standservers.py
@@ -131,6 +131,8 @@
         self.found: list[str] = []
         self.spoils = False
         self.origin_silent = False
+        # The newest version that the origin has.
+        self.newest = 1
 
     def add(self, name: str, service: str, slots: int, port: int) -> None:
         """Serve at a port of loopback."""
@@ -365,7 +367,11 @@
         """Answer as asked."""
         while self.servers.origin_silent:
             await asyncio.sleep(_LOAD_S)
-        version = int(self.get_argument('version'))
+        newest = str(self.servers.newest)
+        version = int(self.get_argument('version', newest))
+        if version > self.servers.newest:
+            self.set_status(_NOT_FOUND)
+            return
         if what == 'manifest':
             rows = [piece(version, index) for index in range(PIECES)]
             self.write(
@@ -411,6 +417,7 @@
             self._order(server, said)
         for field in said.keys() & {'spoils', 'origin_silent'}:
             setattr(self.servers, field, bool(said[field]))
+        self.servers.newest = int(said.get('newest', self.servers.newest))
         self.write(
             {
                 name: one.entry('', '')
--- /dev/null
+++ b/src/linnetwood/lab/soak/totalloss.py
@@ -0,0 +1,71 @@
+"""Let everything but the store and the origin lose power at once."""
+
+import asyncio
+import enum
+import subprocess  # noqa: S404
+from collections.abc import Sequence
+
+from linnetwood.lab.soak.commands import Commands
+from linnetwood.lab.soak.fleet import Fleet, Vm
+
+
+_Killed = list[tuple[Vm, subprocess.Popen[bytes]]]
+
+
+class StoreState(enum.Enum):
+    """What becomes of the store meanwhile."""
+
+    ANSWERS = 'answers'
+    LEASES_RUN_OUT = 'leases run out'
+    # Leases run out too, and it is down until all have started again.
+    DOWN = 'down'
+
+
+class TotalLoss:
+    """Kill every program and server, and start them knowing nothing."""
+
+    def __init__(self, fleet: Fleet, commands: Commands) -> None:
+        """Act on the programs of a fleet and on its stand-ins."""
+        self._fleet = fleet
+        self._commands = commands
+
+    async def play(
+        self, servers: Sequence[str], down_s: float, state: StoreState
+    ) -> None:
+        """Take these servers down together with all programs."""
+        killed = self._kill_programs()
+        await self._crash_all(servers, state)
+        await asyncio.sleep(down_s)
+        await self._start_all(servers, killed)
+        if state is StoreState.DOWN:
+            await asyncio.sleep(down_s)
+            await self._commands.store({'mode': 'pass'})
+
+    async def _crash_all(
+        self, servers: Sequence[str], state: StoreState
+    ) -> None:
+        for name in servers:
+            await self._commands.order(name, 'crash')
+        if state is not StoreState.ANSWERS:
+            lapsed = dict.fromkeys(f'servers/{one}' for one in servers)
+            await self._commands.store({'write': lapsed})
+        if state is StoreState.DOWN:
+            await self._commands.store({'mode': 'down'})
+
+    async def _start_all(self, servers: Sequence[str], killed: _Killed) -> None:
+        for name in servers:
+            await self._commands.order(name, 'start', keeps=False)
+        for vm, process in killed:
+            # Another fault may have started it meanwhile.
+            if vm.process is process:
+                self._fleet.start(vm)
+
+    def _kill_programs(self) -> _Killed:
+        killed = []
+        for vm in (*self._fleet.entries, *self._fleet.engines):
+            process = vm.process
+            if process is not None and vm.alive:
+                process.kill()
+                process.wait()
+                killed.append((vm, process))
+        return killed
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -16,7 +16,8 @@
     Saying,
     Trouble,
 )
-from linnetwood.lab.soak.schedule import LEAD_S, schedule
+from linnetwood.lab.soak.schedule import LEAD_S, Fault, schedule
+from linnetwood.lab.soak.totalloss import StoreState
 
 SEED = 1
 MINUTES = 0.2
@@ -292,6 +293,19 @@
         self.assertIn('BUDGET', rules(History([], again)))
         self.assertEqual(rules(History(left, working)), {'GONE'})
         self.assertEqual(rules(History(refused)), {'RECOVER'})
+        # Another kind is served, often enough for all calls together.
+        served = [
+            dataclasses.replace(CALL, call_id=f's{number}')
+            for number in range(30)
+        ]
+        answered = [
+            dataclasses.replace(RUN, call_id=one.call_id) for one in served
+        ]
+        streams = [
+            dataclasses.replace(one, kind=Kind.STREAM) for one in refused
+        ]
+        mixed = History([*streams, *served], answered)
+        self.assertEqual(rules(mixed), {'RECOVER'})
         found = History(found=['1 i-1 version 2: [3]'])
         self.assertEqual(rules(found), {'WHOLE'})
 
@@ -313,6 +327,16 @@
         self.assertGreater(found['calls']['stream 200'], 0)
         self.assertGreater(found['calls']['never 200'], 0)
 
+    # No engine served again where the version that served was known only from
+    # processes and leases that were lost together.
+    def test_everything_is_lost_with_the_leases(self) -> None:
+        """Entries, endpoint processes and servers come back and serve."""
+        pick = list(StoreState).index(StoreState.LEASES_RUN_OUT)
+        lost = Fault(LEAD_S, 'all lost', 1.0, pick)
+        found = run_soak(SEED, 0, Size(3, 3, 2), callers=6, planned=[lost])
+        self.assertEqual(found['first'], [])
+        self.assertEqual(found['ended_badly'], [])
+
 
 if __name__ == '__main__':
     unittest.main()
