Send no further calls to an endpoint that another incarnation replaced

Cause: that an answer says 421 was heard by the one call alone; the next chose the same record again.

Now it counts for a second: the endpoint gets no other call from this entry, and calls that only such endpoints could take are refused unsent, with the usual time to return (detail `replaced`). An endpoint's own fresh report that it serves a version goes first, so that a change of version, or a caller's headers, keep nobody out.

--- a/src/linnetwood/calls/attempt.py
+++ b/src/linnetwood/calls/attempt.py
@@ -79,6 +79,8 @@
     status: int = 0
     headers: Headers = dataclasses.field(default_factory=list)
     body: bytes = b''
+    # The endpoint is another incarnation, or holds another version.
+    misdirected: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -222,7 +224,7 @@
                 else AttemptOutcome.NOT_RUN
             )
             return AttemptResult(outcome, finish.connected, detail)
-        if self._verdict is Verdict.NOT_RUN:
+        if self._verdict in {Verdict.NOT_RUN, Verdict.MISDIRECTED}:
             # The head alone is enough; the body does not matter.
             return AttemptResult(
                 AttemptOutcome.NOT_RUN,
@@ -230,6 +232,7 @@
                 detail=f'status {self._status}',
                 status=self._status,
                 headers=self._headers,
+                misdirected=self._verdict is Verdict.MISDIRECTED,
             )
         if not finish.whole or self._size > MAX_ANSWER_BYTES:
             return AttemptResult(
--- a/src/linnetwood/calls/attemptlog.py
+++ b/src/linnetwood/calls/attemptlog.py
@@ -56,6 +56,18 @@
     return LoadEstimate(round(waiting, 1), running, age_ms, extra_link_delay_ms)
 
 
+def record_attempt(
+    sent_attempt: SentAttempt,
+    attempt: Attempt,
+    result: AttemptResult,
+    now: float,
+    metrics: Metrics,
+) -> None:
+    """Log an attempt that has ended, and add it to the metrics."""
+    log_attempt(sent_attempt, attempt, result, now)
+    count_attempt(sent_attempt, attempt, result, metrics)
+
+
 def count_attempt(
     sent_attempt: SentAttempt,
     attempt: Attempt,
--- a/src/linnetwood/calls/choice.py
+++ b/src/linnetwood/calls/choice.py
@@ -57,6 +57,7 @@
     """Why no endpoint may take a call."""
 
     UNLISTED = 'unlisted'
+    REPLACED = 'replaced'
     LIMITED = 'limited'
     NO_WEIGHTS = 'no-weights'
     OLD_WEIGHTS = 'old-weights'
@@ -167,15 +168,22 @@
         self, requirements: Requirements, now: float
     ) -> Unavailable:
         """Return why no endpoint may take a call, for the log."""
-        versions = [
-            self._version(requirements, endpoint)
+        listed = [
+            endpoint
             for endpoint in self._directory.eligible(
                 requirements.service.name, now
             )
             if requirements.region_scope.allows(endpoint.region)
         ]
-        if not versions:
+        versions = [
+            self._version(requirements, endpoint)
+            for endpoint in listed
+            if not self.stats_of(endpoint.incarnation_id).is_misdirected(now)
+        ]
+        if not listed:
             return Unavailable.UNLISTED
+        if not versions:
+            return Unavailable.REPLACED
         if self.rate_limited_s(requirements, now):
             return Unavailable.LIMITED
         if requirements.model and not any(versions):
@@ -298,6 +306,8 @@
     ) -> bool:
         if not requirements.region_scope.allows(endpoint.region):
             return False
+        if self.stats_of(endpoint.incarnation_id).is_misdirected(now):
+            return False
         if requirements.model and not self._serves_version(
             requirements, endpoint, now
         ):
--- a/src/linnetwood/calls/dialect.py
+++ b/src/linnetwood/calls/dialect.py
@@ -13,6 +13,8 @@
 
     ANSWER = 'answer'
     NOT_RUN = 'not-run'
+    # Not run either: another incarnation or version than the call requires.
+    MISDIRECTED = 'misdirected'
     FAILED = 'failed'
     # Not an answer to this call, or not from an endpoint of the platform.
     FOREIGN = 'foreign'
--- a/src/linnetwood/calls/direct.py
+++ b/src/linnetwood/calls/direct.py
@@ -16,10 +16,9 @@
 )
 from linnetwood.calls.attemptlog import (
     SentAttempt,
-    count_attempt,
     load_estimate,
-    log_attempt,
     log_notice,
+    record_attempt,
 )
 from linnetwood.calls.choice import Choice, Chooser, Requirements
 from linnetwood.calls.configbasis import ConfigBasis
@@ -262,15 +261,18 @@
         finally:
             waiting_count.release()
             stats.record_ended()
-        self._update_stats(call.service, sent_attempt, attempt, result)
+        if result.misdirected:
+            stats.record_misdirected(self._loop.time())
+        else:
+            self._update_stats(call.service, sent_attempt, attempt, result)
         self._report_to_crash_observer(call, choice, attempt, result)
         if (
             result.outcome is AttemptOutcome.STALLED
             and not attempt.first_event_at
         ):
             self._update_lateness(call, sent_attempt)
-        log_attempt(sent_attempt, attempt, result, self._loop.time())
-        count_attempt(sent_attempt, attempt, result, self._metrics)
+        now = self._loop.time()
+        record_attempt(sent_attempt, attempt, result, now, self._metrics)
         return result
 
     def _outgoing_call(
--- a/src/linnetwood/calls/endpointstats.py
+++ b/src/linnetwood/calls/endpointstats.py
@@ -27,6 +27,9 @@
 # Two rounds in which an endpoint process reports notices.
 _NOTICE_VALID_S = 9.0
 _BACKOFF_MAX_S = 4.0
+# The record of an endpoint that started again stays for up to 3.6 s; one call
+# a second finds out whether it is valid again.
+_MISDIRECTED_S = 1.0
 
 
 class Reporting(enum.IntEnum):
@@ -82,6 +85,7 @@
         'delay_suspected_at',
         'failure_rate',
         'in_flight',
+        '_misdirected_at',
         'late_waiting',
         'notice_forwarded_at',
         'report',
@@ -102,6 +106,7 @@
         self.failure_rate = float()
         self.backoff_s = _BACKOFF_FIRST_S
         self.backoff_until = -math.inf
+        self._misdirected_at = -math.inf
         self.report: Report | None = None
         # The last report with a notice.
         self._notice_report: Report | None = None
@@ -161,6 +166,25 @@
         self.backoff_until = now + self.backoff_s
         self.backoff_s = min(_BACKOFF_MAX_S, self.backoff_s * 2)
 
+    def record_misdirected(self, now: float) -> None:
+        """Record that the process at the address refused a call for this one.
+
+        It is another incarnation, or holds another version than its record
+        says.
+        """
+        self._misdirected_at = now
+
+    def is_misdirected(self, now: float) -> bool:
+        """Return whether calls would reach another incarnation.
+
+        The endpoint's own report that it serves a version takes precedence:
+        what a single call met there may have been a change of version.
+        """
+        if now - self._misdirected_at >= _MISDIRECTED_S:
+            return False
+        report = self.report
+        return report is None or not report.serving or self.is_overdue(now)
+
     def reported_notice(self, incarnation_mark: int, now: float) -> Notice:
         """Return the notice of an incarnation in recent reports, if any."""
         report = self._recent_notice_report(now)
--- a/src/linnetwood/platform/dialect.py
+++ b/src/linnetwood/platform/dialect.py
@@ -99,11 +99,12 @@
     def verdict(self, status: int, headers: Headers, call_id: str) -> Verdict:
         """Say what an answer's head means."""
         by_name = {name.lower(): text for name, text in headers}
-        if _NOT_RUN in by_name or status == HTTPStatus.MISDIRECTED_REQUEST:
+        if status == HTTPStatus.MISDIRECTED_REQUEST:
+            return Verdict.MISDIRECTED
+        if _NOT_RUN in by_name:
             return Verdict.NOT_RUN
-        if by_name.get(_CALL_ID, call_id) != call_id:
-            return Verdict.FOREIGN
-        if 'content-encoding' in by_name:
+        own = by_name.get(_CALL_ID, call_id) == call_id
+        if not own or 'content-encoding' in by_name:
             return Verdict.FOREIGN
         if status >= HTTPStatus.INTERNAL_SERVER_ERROR:
             return Verdict.FAILED
@@ -119,8 +120,7 @@
     ) -> Notice | None:
         """Give what an endpoint says of itself; None if it is not its word."""
         verdict = self.verdict(status, headers, call_id)
-        misdirected = status == HTTPStatus.MISDIRECTED_REQUEST
-        if verdict is Verdict.FOREIGN or misdirected:
+        if verdict in {Verdict.FOREIGN, Verdict.MISDIRECTED}:
             return None
         limits, unread = _decimals(headers, _LIMIT)
         leaving = _texts(headers, _LEAVING)
--- a/tests/test_direct.py
+++ b/tests/test_direct.py
@@ -232,6 +232,16 @@
         self.assertEqual(ending.outcome, Outcome.NOT_RUN)
         self.assertGreater(ending.retry_after_ms, 0)
 
+    # Entries that had just started sent call after call by the records of
+    # engines that had ended with all VMs, and told callers to return at once.
+    async def test_a_replaced_endpoint_gets_no_further_call(self) -> None:
+        """Later calls go elsewhere, or are refused without an attempt."""
+        await self.serve(says(ELSEWHERE), says(GOOD))
+        for _ in range(3):
+            ending, _ = await self.call(Repeat.NEVER)
+            self.assertEqual(ending.outcome, Outcome.ANSWERED)
+        self.assertEqual(len(self.servers[0].requests), 1)
+
     async def test_no_more_attempts_than_the_retry_budget_allows(self) -> None:
         """A failure is retried only if the budget has a retry left."""
         cases = ((RetryLimits(0, 0), 1), (RetryLimits(0, 4), 2))
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -45,6 +45,39 @@
     return Report(waiting, running, serving, changing=False, received_at=at)
 
 
+class MisdirectedTest(unittest.TestCase):
+    """The process at an address is another incarnation than the record says."""
+
+    def test_how_long_an_endpoint_counts_as_replaced(self) -> None:
+        """For a second, unless its own fresh report names a version."""
+        cases = (
+            ('no report', None, 100.5, True),
+            ('a second later', None, 101.0, False),
+            ('reports no version', report(0, 0, 100.1, serving=0), 100.2, True),
+            ('changes its version', report(0, 0, 100.1), 100.2, False),
+            ('reports have stopped', report(0, 0, 98.0), 100.2, True),
+        )
+        for name, latest, now, expected in cases:
+            with self.subTest(name=name):
+                stats = EndpointStats()
+                stats.record_misdirected(100.0)
+                if latest is not None:
+                    stats.record_report(latest)
+                self.assertIs(stats.is_misdirected(now), expected)
+
+    def test_refusals_say_so(self) -> None:
+        """A call is refused before it is sent, and the log says why."""
+        directory = Directory()
+        directory.update(endpoint('i-1'))
+        chooser = Chooser(directory, Random(1))
+        chooser.stats_of('i-1').record_misdirected(100.0)
+        required = Requirements(POOL, 'z1', 1000, 'm')
+        self.assertIsNone(chooser.choose(required, (), 100.2))
+        reason = chooser.unavailable_reason(required, 100.2)
+        self.assertEqual(reason.value, 'replaced')
+        self.assertIsNotNone(chooser.choose(required, (), 101.2))
+
+
 class DirectoryTest(unittest.TestCase):
     """Records come, drain, go, and lapse with the store."""
 
