--- a/src/linnetwood/calls/crashsharing.py
+++ b/src/linnetwood/calls/crashsharing.py
@@ -15,8 +15,8 @@
 from linnetwood.core.backoff import pause_s
 from linnetwood.core.errors import StoreError
 from linnetwood.core.events import Event, log
-from linnetwood.core.owner import Owner
-from linnetwood.core.waits import happened
+from linnetwood.core.owner import TaskOwner
+from linnetwood.core.waits import wait_for_event
 
 # Records of one crash are gathered for this long and written with one call.
 _BATCH_S = 0.1
@@ -65,7 +65,7 @@
         """
 
 
-class CrashPublisher(Owner):
+class CrashPublisher(TaskOwner):
     """Write crash records to the store, one call at a time."""
 
     def __init__(
@@ -135,7 +135,7 @@
             spread_s = self._entries() * _WATCH_DELAY_S / _CONCURRENT_REMOVALS
             delay_s = _REMOVAL_DELAY_S + self._rng.uniform(0, spread_s)
             # A record to add ends this wait.
-            await happened(self._add_pending, delay_s)
+            await wait_for_event(self._add_pending, delay_s)
         self._add_pending.clear()
         if self._to_add:
             await asyncio.sleep(_BATCH_S)
--- a/src/linnetwood/calls/guard.py
+++ b/src/linnetwood/calls/guard.py
@@ -17,7 +17,7 @@
     unknown,
 )
 from linnetwood.core.traces import NoTraces, Tracer
-from linnetwood.core.waits import happened
+from linnetwood.core.waits import wait_for_event
 from linnetwood.gen.wire.ttypes import End, Head, Start
 from linnetwood.wire.codec import decode, encode
 from linnetwood.wire.frames import Frame, FrameKind, FrameStream
@@ -135,7 +135,7 @@
 
     async def drained(self, limit_s: float) -> bool:
         """Wait until no call is in flight; return whether that came in time."""
-        return await happened(self.idle, limit_s)
+        return await wait_for_event(self.idle, limit_s)
 
     async def _check_key_and_run(
         self,
--- a/src/linnetwood/calls/reports.py
+++ b/src/linnetwood/calls/reports.py
@@ -15,7 +15,7 @@
 from linnetwood.calls.reportsubscriptions import ReportSubscriptions
 from linnetwood.calls.routetable import RouteTable
 from linnetwood.core.clock import Clock
-from linnetwood.core.waits import happened
+from linnetwood.core.waits import wait_for_event
 from linnetwood.fleet.hosts import unpack
 from linnetwood.fleet.news import Address, NewsSocket
 from linnetwood.fleet.relayselector import RelaySelector
@@ -181,7 +181,9 @@
             self._chooser.forget_unlisted(now)
             self._directory.expire(now)
             await asyncio.sleep(_MIN_SUBSCRIBE_GAP_S)
-            await happened(self._wake, self._subscribe_at - self._clock.now())
+            await wait_for_event(
+                self._wake, self._subscribe_at - self._clock.now()
+            )
 
     def _subscribe(self) -> None:
         now = self._clock.now()
--- a/src/linnetwood/core/__init__.py
+++ b/src/linnetwood/core/__init__.py
@@ -1,4 +1,4 @@
-"""What every layer stands on: clock, errors, events, outcomes, options.
+"""Clock, errors, events, outcomes and options, used by every other package.
 
-Nothing comes in from other packages; types and small services go out to all.
+This package imports from no other one.
 """
--- a/src/linnetwood/core/clock.py
+++ b/src/linnetwood/core/clock.py
@@ -1,38 +1,38 @@
-"""Time, passed in so that decisions can be tested without waiting."""
+"""Clocks, which are passed in so that tests need not wait."""
 
 import time
 from typing import Protocol
 
-# It counts the time for which the VM is suspended; the steady clock does not.
+# It includes time for which the VM is suspended, unlike CLOCK_MONOTONIC.
 _CLOCK = getattr(time, 'CLOCK_BOOTTIME', time.CLOCK_MONOTONIC)
 
 
-def seconds() -> float:
-    """Give the seconds that all ages, leases and timers go by.
+def monotonic_s() -> float:
+    """Return the seconds on which all ages, leases and timers are based.
 
-    They never step back, and go on while the VM is suspended: whatever was
-    heard before is then as old as it is for everybody else.
+    They never step back and include suspensions of the VM, so that information
+    from before a suspension is as old here as on any other VM.
     """
     return time.clock_gettime(_CLOCK)
 
 
 class Clock(Protocol):
-    """Tell the time twice: for spans and for people."""
+    """A monotonic clock, and the time of day."""
 
     def now(self) -> float:
-        """Give seconds that never step back and count suspensions."""
+        """Return seconds that never step back and include suspensions."""
 
     def wall(self) -> float:
-        """Give Unix seconds."""
+        """Return Unix seconds."""
 
 
 class SystemClock:
     """Read the clocks of the machine."""
 
     def now(self) -> float:
-        """Give seconds that never step back and count suspensions."""
-        return seconds()
+        """Return seconds that never step back and include suspensions."""
+        return monotonic_s()
 
     def wall(self) -> float:
-        """Give Unix seconds."""
+        """Return Unix seconds."""
         return time.time()
--- a/src/linnetwood/core/errors.py
+++ b/src/linnetwood/core/errors.py
@@ -2,31 +2,31 @@
 
 
 class LinnetwoodError(Exception):
-    """Carry a stable code beside the words for a person."""
+    """An error with a stable code, and a detail for people."""
 
     layer = 'linnetwood'
 
     def __init__(self, code: str, detail: str = '') -> None:
-        """Keep the code and the detail."""
+        """Set the code and the detail."""
         super().__init__(f'{code}: {detail}' if detail else code)
         self.code = code
         self.detail = detail
 
 
 class CodecError(LinnetwoodError):
-    """Bytes that are not the message they should be."""
+    """Bytes that cannot be decoded as the expected message."""
 
     layer = 'codec'
 
 
 class WireError(LinnetwoodError):
-    """A connection that could not be made or did not hold."""
+    """A connection that could not be opened, or broke."""
 
     layer = 'wire'
 
 
 class StoreError(LinnetwoodError):
-    """A call to the key-value service that surely had no effect."""
+    """A call to the key-value service that had no effect."""
 
     layer = 'store'
 
@@ -36,19 +36,19 @@
 
 
 class ConfigError(LinnetwoodError):
-    """A configuration that can't be accepted or learned."""
+    """A configuration that can't be accepted or obtained."""
 
     layer = 'config'
 
 
 class SettingsError(LinnetwoodError):
-    """A settings file that is refused whole."""
+    """A settings file that is rejected as a whole."""
 
     layer = 'settings'
 
 
 class SchemaError(LinnetwoodError):
-    """A schema file that is refused whole."""
+    """A schema file that is rejected as a whole."""
 
     layer = 'schema'
 
@@ -66,12 +66,12 @@
 
 
 class CallError(LinnetwoodError):
-    """A caller's call that ended without a whole answer."""
+    """A call that ended without a complete answer."""
 
     layer = 'call'
 
 
 class UsageError(LinnetwoodError):
-    """A command line that can't be carried out as given."""
+    """A command line that can't be executed as given."""
 
     layer = 'usage'
--- a/src/linnetwood/core/events.py
+++ b/src/linnetwood/core/events.py
@@ -9,7 +9,7 @@
 from linnetwood.core.logsink import BoundedHandler
 
 _LOGGER = logging.getLogger('linnetwood')
-# Without this, a program that opened no log would print events as they are.
+# Otherwise a program without an open log would print events to stderr.
 _LOGGER.addHandler(logging.NullHandler())
 
 
@@ -119,7 +119,7 @@
 
 
 def open_log(level: str, vm: str) -> None:
-    """Send JSON lines to standard output, never waiting for its reader."""
+    """Write JSON lines to standard output without blocking on its reader."""
     handler = BoundedHandler(sys.stdout.fileno(), _report_dropped)
     handler.setFormatter(
         JsonFormatter(
--- a/src/linnetwood/core/exposed.py
+++ b/src/linnetwood/core/exposed.py
@@ -1,4 +1,4 @@
-"""Counters, histograms and gauges that a collector fetches as text."""
+"""Counters, histograms and gauges that a collector scrapes as text."""
 
 from collections.abc import Callable
 from types import MappingProxyType
@@ -13,10 +13,10 @@
 
 from linnetwood.core.metrics import Metric
 
-# From a step of an engine to the longest that callers wait, in milliseconds.
+# From a step of an engine to the longest wait of callers, in milliseconds.
 _BUCKETS_MS = (10, 25, 50, 75, 100, 150, 200, 300, 400, 600, 1000, 2000, 6000)
-# What each counter is told apart by; docs/METRICS.md lists the same.
-_KINDS = MappingProxyType(
+# The label of each counter that has one, as in docs/METRICS.md.
+_LABELS = MappingProxyType(
     {
         Metric.CALLS_REFUSED: 'code',
         Metric.ATTEMPTS_ENDED: 'how',
@@ -26,19 +26,19 @@
 
 
 class ExposedMetrics:
-    """Keep figures in this process, for whoever asks."""
+    """Hold the metrics of this process for collectors."""
 
     def __init__(self) -> None:
-        """Begin at nought, in a registry of its own."""
+        """Start at zero, in a registry of its own."""
         self._registry = CollectorRegistry()
         self._counters: dict[Metric, Counter] = {}
         self._histograms: dict[Metric, Histogram] = {}
 
     def count(self, metric: Metric, amount: int = 1, kind: str = '') -> None:
-        """Add to a counter, or to the part of it that is of a kind."""
+        """Add to a counter, under the label value `kind` if it has a label."""
         counter = self._counters.get(metric)
         if counter is None:
-            labels = (_KINDS[metric],) if metric in _KINDS else ()
+            labels = (_LABELS[metric],) if metric in _LABELS else ()
             counter = Counter(
                 _name(metric),
                 metric.value,
@@ -46,10 +46,10 @@
                 registry=self._registry,
             )
             self._counters[metric] = counter
-        (counter.labels(kind) if metric in _KINDS else counter).inc(amount)
+        (counter.labels(kind) if metric in _LABELS else counter).inc(amount)
 
     def timing(self, metric: Metric, milliseconds: float) -> None:
-        """Note one duration."""
+        """Record one duration."""
         histogram = self._histograms.get(metric)
         if histogram is None:
             histogram = Histogram(
@@ -62,12 +62,12 @@
         histogram.observe(milliseconds)
 
     def gauge(self, metric: Metric, read: Callable[[], float]) -> None:
-        """Tell a figure as it stands whenever somebody fetches."""
+        """Read a gauge's value whenever the metrics are scraped."""
         gauge = Gauge(_name(metric), metric.value, registry=self._registry)
         gauge.set_function(read)
 
     def text(self) -> bytes:
-        """Give all figures in the collectors' text format."""
+        """Return all metrics in the Prometheus text format."""
         return generate_latest(self._registry)
 
 
--- a/src/linnetwood/core/loops.py
+++ b/src/linnetwood/core/loops.py
@@ -1,8 +1,8 @@
-"""The event loop of all programs: its time counts suspensions.
+"""The event loop of all programs, whose time includes suspensions.
 
-A wait for sockets is one of the steady clock, which stands still while the VM
-is suspended: a timer that was due meanwhile would fire late by that long. So no
-wait is longer than a bound, and whatever was due is seen within it.
+The selector waits by CLOCK_MONOTONIC, which stops while the VM is suspended, so
+a timer that became due meanwhile would fire late by the whole suspension.
+Therefore each wait is bounded, and due timers are found after it.
 """
 
 import asyncio
@@ -10,40 +10,40 @@
 from collections.abc import Coroutine
 from typing import Any, TypeVar
 
-from linnetwood.core.clock import seconds
+from linnetwood.core.clock import monotonic_s
 
-# A process with nothing to do wakes five times a second for it; one under load
-# does so a hundred times and more. All bounds are of 2 s and up.
-WAIT_MOST_S = 0.2
+# An idle process wakes 5 times a second for this, a busy one does so 100 times
+# and more anyway. All time bounds are 2 s or longer.
+MAX_WAIT_S = 0.2
 
 _Result = TypeVar('_Result')
 
 
-class ShortWaits(selectors.DefaultSelector):
-    """Wait for sockets, and look at the time between."""
+class BoundedSelector(selectors.DefaultSelector):
+    """A selector that never waits longer than MAX_WAIT_S."""
 
     def select(
         self,
         timeout: float | None = None,
     ) -> list[tuple[selectors.SelectorKey, int]]:
-        """Give what is ready; nothing may be, before the timeout is over."""
-        bounded = WAIT_MOST_S if timeout is None else min(timeout, WAIT_MOST_S)
+        """Return what is ready, possibly nothing before the timeout is over."""
+        bounded = MAX_WAIT_S if timeout is None else min(timeout, MAX_WAIT_S)
         return super().select(bounded)
 
 
 class SuspendableLoop(asyncio.SelectorEventLoop):
-    """Run timers by the time that counts suspensions."""
+    """Run timers by the clock that includes suspensions."""
 
     def __init__(self) -> None:
-        """Wait in short turns."""
-        super().__init__(ShortWaits())
+        """Use the bounded selector."""
+        super().__init__(BoundedSelector())
 
     def time(self) -> float:
-        """Give the seconds that all clocks of the programs give."""
-        return seconds()
+        """Return the same seconds as the clocks of the programs."""
+        return monotonic_s()
 
 
 def run(work: Coroutine[Any, Any, _Result]) -> _Result:
-    """Run a program's work to its end."""
+    """Run a program's coroutine to its end."""
     with asyncio.Runner(loop_factory=SuspendableLoop) as runner:
         return runner.run(work)
--- a/src/linnetwood/core/memory.py
+++ b/src/linnetwood/core/memory.py
@@ -1,14 +1,14 @@
-"""Keep the collector of cycles from what stays."""
+"""Reduce the work of the cyclic garbage collector."""
 
 import gc
 
-# Objects made between two collections: a relay makes little garbage that
-# refers to itself.
-_COLLECT_AFTER = 20000
+# Allocations between two collections of the youngest generation; an entry
+# creates few reference cycles.
+_GC_THRESHOLD = 20000
 
 
-def settle_memory() -> None:
-    """Keep collections from what is loaded by now."""
+def tune_garbage_collector() -> None:
+    """Exclude existing objects from collections; collect less often."""
     gc.collect()
     gc.freeze()
-    gc.set_threshold(_COLLECT_AFTER)
+    gc.set_threshold(_GC_THRESHOLD)
--- a/src/linnetwood/core/metrics.py
+++ b/src/linnetwood/core/metrics.py
@@ -10,7 +10,7 @@
 
 
 class Metric(enum.Enum):
-    """Every figure that a program may send."""
+    """Every metric that a program may send."""
 
     CALLS_ANSWERED = 'calls.answered'
     CALLS_NOT_RUN = 'calls.not_run'
@@ -32,44 +32,44 @@
 
 
 class Metrics(Protocol):
-    """Take figures without ever failing the caller."""
+    """Accept metrics; a failure never affects the caller."""
 
     def count(self, metric: Metric, amount: int = 1, kind: str = '') -> None:
-        """Add to a counter, or to the part of it that is of a kind."""
+        """Add to a counter, under the label value `kind` if it has a label."""
 
     def timing(self, metric: Metric, milliseconds: float) -> None:
-        """Note one duration."""
+        """Record one duration."""
 
 
 class NoMetrics:
-    """Drop every figure."""
+    """Drop every metric."""
 
     def count(self, metric: Metric, amount: int = 1, kind: str = '') -> None:
-        """Drop."""
+        """Drop the metric."""
 
     def timing(self, metric: Metric, milliseconds: float) -> None:
-        """Drop."""
+        """Drop the metric."""
 
 
 class StatsdMetrics:
-    """Send figures in datagrams, which never block."""
+    """Send metrics in datagrams, which never block."""
 
     def __init__(self, host: str, port: int) -> None:
-        """Send to one receiver; its absence is not an error."""
+        """Send to one receiver, which may be absent."""
         self._client = statsd.StatsClient(host, port, prefix='linnetwood')
 
     def count(self, metric: Metric, amount: int = 1, kind: str = '') -> None:
-        """Add to a counter, under its kind if there is one."""
+        """Add to a counter, with `kind` as the last part of its name."""
         name = f'{metric.value}.{kind}' if kind else metric.value
         self._client.incr(name, amount)
 
     def timing(self, metric: Metric, milliseconds: float) -> None:
-        """Note one duration."""
+        """Record one duration."""
         self._client.timing(metric.value, milliseconds)
 
 
 def open_metrics(host: str, port: int) -> Metrics:
-    """Give the sender for a receiver, or one that drops everything."""
+    """Return metrics for a receiver, or ones that drop everything."""
     if not host:
         return NoMetrics()
     try:
--- a/src/linnetwood/core/options.py
+++ b/src/linnetwood/core/options.py
@@ -7,7 +7,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Place:
-    """Where a process runs and how others reach it."""
+    """The VM that a process runs on, and its address."""
 
     vm: str
     availability_zone: str
@@ -18,8 +18,8 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Watching:
-    """Where logs, metrics and traces go; empty means nowhere."""
+class Observability:
+    """Destinations of logs, metrics and traces; empty for none."""
 
     log_level: str = one_of('debug', 'info', 'warning', 'error', default='info')
     statsd_host: str = ''
@@ -29,7 +29,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Trust:
-    """Whom to believe; plain mode only when the settings say so."""
+    """Authentication between processes; plain mode must be set explicitly."""
 
     mode: str = one_of('plain', 'tls')
     certificate_file: str = ''
@@ -49,8 +49,8 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Gossiping:
-    """Times of the membership protocol."""
+class GossipOptions:
+    """Intervals and timeouts of the membership protocol."""
 
     heartbeat_s: float = at_least(0.05, 0.25)
     suspect_after_s: float = at_least(0.1, 1.2)
@@ -83,8 +83,8 @@
         'random',
         default='probing',
     )
-    gossiping: Gossiping = Gossiping()
-    watching: Watching = Watching()
+    gossiping: GossipOptions = GossipOptions()
+    watching: Observability = Observability()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -100,7 +100,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Transfer:
-    """How weights are fetched."""
+    """Options of the transfer of weights."""
 
     origin_url: str = ''
     origin_bytes_per_s: float = at_least(1, 1.0e9)
@@ -125,13 +125,13 @@
     drain_limit_s: float = at_least(0, 60.0)
     key_epoch_s: float = at_least(1, 600.0)
     keys_remembered: int = at_least(1, 100000)
-    gossiping: Gossiping = Gossiping()
-    watching: Watching = Watching()
+    gossiping: GossipOptions = GossipOptions()
+    watching: Observability = Observability()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Decisions:
-    """Which way each decision is taken, where there is more than one.
+    """The policy for each decision that has more than one.
 
     docs/design/shifted.md and docs/design/returns.md compare them.
     """
--- a/src/linnetwood/core/outcomes.py
+++ b/src/linnetwood/core/outcomes.py
@@ -5,7 +5,7 @@
 
 
 class Outcome(enum.IntEnum):
-    """Say how a call ended."""
+    """How a call ended."""
 
     ANSWERED = 1
     NOT_RUN = 2
@@ -13,7 +13,7 @@
 
 
 class Code(enum.Enum):
-    """Say why a call was not answered."""
+    """Why a call was not answered."""
 
     NO_ENDPOINT = 'no-endpoint'
     NOT_SERVING = 'not-serving'
@@ -58,12 +58,12 @@
 def not_run(
     code: Code, detail: str = '', after_ms: int = RETRY_SOON_MS
 ) -> Ending:
-    """Give the ending of a call that surely did not run."""
+    """Return the ending of a call that certainly did not run."""
     return Ending(Outcome.NOT_RUN, code.value, detail, after_ms)
 
 
 def unknown(code: Code, detail: str = '') -> Ending:
-    """Give the ending of a call that may have run."""
+    """Return the ending of a call that may have run."""
     return Ending(Outcome.UNKNOWN, code.value, detail)
 
 
--- a/src/linnetwood/core/owner.py
+++ b/src/linnetwood/core/owner.py
@@ -1,21 +1,21 @@
-"""A task that owns something: begun once, and ended with what it leaves."""
+"""A base for objects that own one background task."""
 
 import asyncio
 
 
-class Owner:
-    """Start one task and close it; what it owns belongs to it alone."""
+class TaskOwner:
+    """Start and cancel one task, which alone changes the object's state."""
 
     def __init__(self) -> None:
-        """Run nothing yet."""
+        """Start no task yet."""
         self._task: asyncio.Task[None] | None = None
 
     def start(self) -> None:
-        """Begin."""
+        """Start the task."""
         self._task = asyncio.create_task(self._run())
 
     async def close(self) -> None:
-        """End the task; what was learned stays."""
+        """Cancel the task; the state remains readable."""
         if self._task is not None:
             self._task.cancel()
             await asyncio.gather(self._task, return_exceptions=True)
--- a/src/linnetwood/core/settings.py
+++ b/src/linnetwood/core/settings.py
@@ -1,4 +1,4 @@
-"""Settings in YAML, checked whole before anything starts."""
+"""Settings in YAML, validated completely before anything starts."""
 
 import dataclasses
 from types import MappingProxyType
@@ -26,7 +26,7 @@
 
 
 def one_of(*allowed: str, default: object = dataclasses.MISSING) -> Any:
-    """Declare text that is one of a few words."""
+    """Declare text with a set of allowed values."""
     return dataclasses.field(default=default, metadata={'allowed': allowed})
 
 
@@ -49,39 +49,39 @@
 
 
 def parse(cls: type[_Settings], text: str, path: str) -> _Settings:
-    """Check settings text against the class and build it."""
+    """Validate settings text against a class and return an instance."""
     try:
         node = yaml.compose(text, Loader=yaml.SafeLoader)
     except yaml.YAMLError as exc:
         raise SettingsError('settings-not-yaml', f'{path}: {exc}') from exc
     if node is None:
         raise SettingsError('settings-empty', f'{path}: the file says nothing')
-    return cast(_Settings, _Reader(path).struct(cls, node, ''))
+    return cast(_Settings, _Reader(path).read_struct(cls, node, ''))
 
 
 class _Reader:
-    """Turn YAML nodes into settings, refusing what does not fit."""
+    """Build settings from YAML nodes; reject any that do not fit."""
 
     def __init__(self, path: str) -> None:
         self._path = path
 
-    def struct(self, kind: type, node: yaml.Node, name: str) -> object:
+    def read_struct(self, kind: type, node: yaml.Node, name: str) -> object:
         if not isinstance(node, yaml.MappingNode):
-            raise self._refuse(node, name or 'the file', 'a mapping')
+            raise self._error(node, name or 'the file', 'a mapping')
         fields = {field.name: field for field in dataclasses.fields(kind)}
         hints = get_type_hints(kind)
         found: dict[str, object] = {}
         for key_node, child in node.value:
             key = str(key_node.value)
             if key not in fields:
-                raise self._refuse(key_node, name, f'one of {sorted(fields)}')
+                raise self._error(key_node, name, f'one of {sorted(fields)}')
             if key in found:
-                raise self._refuse(key_node, key, 'each field once')
-            found[key] = self._field(fields[key], hints[key], child)
-        self._complete(kind, node, found)
+                raise self._error(key_node, key, 'each field once')
+            found[key] = self._read_field(fields[key], hints[key], child)
+        self._check_required(kind, node, found)
         return kind(**found)
 
-    def _complete(
+    def _check_required(
         self,
         kind: type,
         node: yaml.Node,
@@ -100,29 +100,31 @@
                     'found nothing, it must be given',
                 )
 
-    def _field(
+    def _read_field(
         self,
         field: 'dataclasses.Field[Any]',
         hint: Any,
         node: yaml.Node,
     ) -> object:
         if dataclasses.is_dataclass(hint):
-            return self.struct(cast(type, hint), node, field.name)
+            return self.read_struct(cast(type, hint), node, field.name)
         if get_origin(hint) is tuple:
-            return self._sequence(field, get_args(hint)[0], node)
-        return self._scalar(field, hint, node)
+            return self._read_sequence(field, get_args(hint)[0], node)
+        return self._read_scalar(field, hint, node)
 
-    def _sequence(
+    def _read_sequence(
         self,
         field: 'dataclasses.Field[Any]',
         hint: Any,
         node: yaml.Node,
     ) -> object:
         if not isinstance(node, yaml.SequenceNode):
-            raise self._refuse(node, field.name, 'a list')
-        return tuple(self._field(field, hint, child) for child in node.value)
+            raise self._error(node, field.name, 'a list')
+        return tuple(
+            self._read_field(field, hint, child) for child in node.value
+        )
 
-    def _scalar(
+    def _read_scalar(
         self,
         field: 'dataclasses.Field[Any]',
         hint: Any,
@@ -132,11 +134,11 @@
         if hint is float and plain.__class__ is int:
             plain = float(plain)
         if plain.__class__ is not hint:
-            raise self._refuse(node, field.name, _SCALARS[hint])
-        self._bounds(field, node, plain)
+            raise self._error(node, field.name, _SCALARS[hint])
+        self._check_limits(field, node, plain)
         return plain
 
-    def _bounds(
+    def _check_limits(
         self,
         field: 'dataclasses.Field[Any]',
         node: yaml.Node,
@@ -144,16 +146,14 @@
     ) -> None:
         limits = field.metadata
         if 'low' in limits and plain < limits['low']:
-            raise self._refuse(node, field.name, f'at least {limits["low"]}')
+            raise self._error(node, field.name, f'at least {limits["low"]}')
         if 'high' in limits and plain > limits['high']:
-            raise self._refuse(node, field.name, f'at most {limits["high"]}')
+            raise self._error(node, field.name, f'at most {limits["high"]}')
         if 'allowed' in limits and plain not in limits['allowed']:
             words = ', '.join(limits['allowed'])
-            raise self._refuse(node, field.name, f'one of {words}')
+            raise self._error(node, field.name, f'one of {words}')
 
-    def _refuse(
-        self, node: yaml.Node, name: str, allowed: str
-    ) -> SettingsError:
+    def _error(self, node: yaml.Node, name: str, allowed: str) -> SettingsError:
         line = node.start_mark.line + 1
         found = node.value if isinstance(node, yaml.ScalarNode) else node.tag
         return SettingsError(
--- a/src/linnetwood/core/traces.py
+++ b/src/linnetwood/core/traces.py
@@ -1,4 +1,4 @@
-"""A span for each hop, with the W3C trace context passed on."""
+"""A span for each hop, with the W3C trace context propagated."""
 
 import pathlib
 from typing import Any, Protocol
@@ -9,24 +9,24 @@
 
     @property
     def traceparent(self) -> str:
-        """Give the context for the next hop."""
+        """Return the trace context for the next hop."""
 
     def end(self, **attributes: str) -> None:
-        """Close the span with what is known by then."""
+        """End the span and set its attributes."""
 
 
 class Tracer(Protocol):
-    """Open spans."""
+    """Start spans."""
 
     def span(self, name: str, traceparent: str) -> Span:
-        """Open a span under a caller's context, which may be empty."""
+        """Start a span under a caller's context, which may be empty."""
 
     def close(self) -> None:
-        """Write what is left."""
+        """Write the remaining spans."""
 
 
-class _PassedOn:
-    """Stand for a span that nobody records."""
+class _UnrecordedSpan:
+    """A span that is not recorded."""
 
     def __init__(self, traceparent: str) -> None:
         self.traceparent = traceparent
@@ -36,17 +36,17 @@
 
 
 class NoTraces:
-    """Pass the caller's context on unchanged."""
+    """Propagate the caller's context unchanged."""
 
     def span(self, name: str, traceparent: str) -> Span:
-        """Give a span that is not recorded."""
-        return _PassedOn(traceparent)
+        """Return a span that is not recorded."""
+        return _UnrecordedSpan(traceparent)
 
     def close(self) -> None:
-        """Have nothing to write."""
+        """Do nothing."""
 
 
-class _Recorded:
+class _RecordedSpan:
     """Wrap one OpenTelemetry span."""
 
     def __init__(self, span: Any, carrier: dict[str, str]) -> None:
@@ -55,11 +55,11 @@
 
     @property
     def traceparent(self) -> str:
-        """Give this span's own context."""
+        """Return this span's own trace context."""
         return self._carrier.get('traceparent', '')
 
     def end(self, **attributes: str) -> None:
-        """Close the span."""
+        """End the span."""
         self._span.set_attributes(attributes)
         self._span.end()
 
@@ -68,7 +68,7 @@
     """Record spans with OpenTelemetry as JSON lines in a file."""
 
     def __init__(self, path: str, vm: str) -> None:
-        """Import the SDK only here: it costs a process several MB."""
+        """Import the SDK only here, since it takes several MB of memory."""
         from opentelemetry import propagate, trace  # noqa: PLC0415
         from opentelemetry.sdk.resources import Resource  # noqa: PLC0415
         from opentelemetry.sdk.trace import (
@@ -90,19 +90,19 @@
         self._trace = trace
 
     def span(self, name: str, traceparent: str) -> Span:
-        """Open a span under the caller's context."""
+        """Start a span under the caller's context."""
         context = self._propagate.extract({'traceparent': traceparent})
         span = self._tracer.start_span(name, context=context)
         carrier: dict[str, str] = {}
         self._propagate.inject(carrier, self._trace.set_span_in_context(span))
-        return _Recorded(span, carrier)
+        return _RecordedSpan(span, carrier)
 
     def close(self) -> None:
-        """Write what is left and close the file."""
+        """Write the remaining spans and close the file."""
         self._provider.shutdown()
         self._stream.close()
 
 
 def open_traces(path: str, vm: str) -> Tracer:
-    """Give a tracer for a file, or one that records nothing."""
+    """Return a tracer for a file, or one that records nothing."""
     return FileTraces(path, vm) if path else NoTraces()
--- a/src/linnetwood/core/trust.py
+++ b/src/linnetwood/core/trust.py
@@ -1,4 +1,4 @@
-"""Who is believed: certificates on connections, a seal on datagrams."""
+"""Trust between processes: certificates, and signed datagrams."""
 
 import dataclasses
 import hashlib
@@ -12,97 +12,97 @@
 
 READ = 'read'
 OPERATE = 'operate'
-_SEAL_BYTES = 16
-_KEY_MOST = 64
-_KEY_LEAST = 16
+_MAC_BYTES = 16
+_MAX_KEY_BYTES = 64
+_MIN_KEY_BYTES = 16
 _KEYS_KEPT = 2
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Operator:
-    """Who makes an operator's call, and what that one may do.
+    """The operator who makes a call, and the role that limits the call.
 
-    The name is empty in plain mode, where the caller names itself.
+    The name is empty in plain mode, where the caller states it itself.
     """
 
     name: str
     role: str
 
 
-class Seal(Protocol):
-    """Mark datagrams as ours."""
+class DatagramSigner(Protocol):
+    """Authenticate the datagrams between processes of one deployment."""
 
-    def close(self, datagram: bytes) -> bytes:
-        """Give the datagram with its seal."""
+    def sign(self, datagram: bytes) -> bytes:
+        """Return the datagram with its authentication code."""
 
-    def open(self, sealed: bytes) -> bytes | None:
-        """Give the datagram, or None when the seal is wrong."""
+    def verify(self, signed: bytes) -> bytes | None:
+        """Return the datagram, or None if its code is wrong."""
 
 
-class NoSeal:
-    """Believe every datagram: plain mode."""
+class NoSigning:
+    """Accept every datagram, in plain mode."""
 
-    def close(self, datagram: bytes) -> bytes:
-        """Add nothing."""
+    def sign(self, datagram: bytes) -> bytes:
+        """Add no code."""
         return datagram
 
-    def open(self, sealed: bytes) -> bytes | None:
-        """Take what came."""
-        return sealed
+    def verify(self, signed: bytes) -> bytes | None:
+        """Return what was received."""
+        return signed
 
 
-class KeyedSeal:
-    """Seal with the newest key and open with it or the one before."""
+class KeyedSigner:
+    """Sign with the newest key, and verify with it or the previous one."""
 
     def __init__(self) -> None:
-        """Know no key yet."""
+        """Start without a key."""
         self._keys: list[bytes] = []
 
     def add(self, key: bytes) -> None:
-        """Seal with this key from now on."""
+        """Sign with this key from now on."""
         if key not in self._keys[:1]:
             self._keys = [key, *self._keys][:_KEYS_KEPT]
 
-    def close(self, datagram: bytes) -> bytes:
-        """Put the seal before the datagram."""
-        return _seal(datagram, self._keys[0]) + datagram
+    def sign(self, datagram: bytes) -> bytes:
+        """Return the authentication code, followed by the datagram."""
+        return _mac(datagram, self._keys[0]) + datagram
 
-    def open(self, sealed: bytes) -> bytes | None:
-        """Check the seal against the keys in force."""
-        seal = sealed[:_SEAL_BYTES]
-        datagram = sealed[_SEAL_BYTES:]
+    def verify(self, signed: bytes) -> bytes | None:
+        """Check the code against the keys in force."""
+        mac = signed[:_MAC_BYTES]
+        datagram = signed[_MAC_BYTES:]
         for key in self._keys:
-            if hmac.compare_digest(seal, _seal(datagram, key)):
+            if hmac.compare_digest(mac, _mac(datagram, key)):
                 return datagram
         return None
 
 
-def _seal(datagram: bytes, key: bytes) -> bytes:
-    hashed = hashlib.blake2b(datagram, key=key, digest_size=_SEAL_BYTES)
+def _mac(datagram: bytes, key: bytes) -> bytes:
+    hashed = hashlib.blake2b(datagram, key=key, digest_size=_MAC_BYTES)
     return hashed.digest()
 
 
-class Keys:
-    """Hold the contexts of a process; reading them again rotates them."""
+class Credentials:
+    """Hold the TLS contexts and keys of a process; a reload rotates them."""
 
     def __init__(self, cfg: Trust) -> None:
-        """Read the files; raise SettingsError when one is no good."""
+        """Read the files; raise SettingsError if one is invalid."""
         self.server: ssl.SSLContext | None = None
         self.client: ssl.SSLContext | None = None
-        self.seal: Seal = NoSeal()
+        self.signer: DatagramSigner = NoSigning()
         self._cfg = cfg
-        self._keyed = KeyedSeal()
+        self._keyed = KeyedSigner()
         if cfg.mode == 'tls':
             self.server = _context(ssl.PROTOCOL_TLS_SERVER)
             self.client = _context(ssl.PROTOCOL_TLS_CLIENT)
-            self.seal = self._keyed
+            self.signer = self._keyed
         self.reload()
 
     def reload(self) -> None:
-        """Read the files again: new connections use what they say now.
+        """Read the files again, for new connections and datagrams.
 
-        An authority that was trusted stays trusted until the process restarts,
-        and the gossip key before the newest is still believed.
+        A trusted authority stays trusted until the process restarts, and the
+        gossip key before the newest is still accepted.
         """
         for context in (self.server, self.client):
             if context is not None:
@@ -114,7 +114,7 @@
 def _context(protocol: int) -> ssl.SSLContext:
     context = ssl.SSLContext(protocol)
     context.minimum_version = ssl.TLSVersion.TLSv1_3
-    # Processes know each other by IP number; the authority vouches for them.
+    # Processes address each other by IP, so only the authority is checked.
     context.check_hostname = False
     context.verify_mode = ssl.CERT_REQUIRED
     return context
@@ -134,17 +134,17 @@
         key = pathlib.Path(path).read_bytes()
     except OSError as exc:
         raise SettingsError('bad-gossip-key', f'{path}: {exc}') from exc
-    if not _KEY_LEAST <= len(key) <= _KEY_MOST:
+    if not _MIN_KEY_BYTES <= len(key) <= _MAX_KEY_BYTES:
         raise SettingsError(
             'bad-gossip-key',
             f'{path}: found {len(key)} bytes, '
-            f'allowed is {_KEY_LEAST} to {_KEY_MOST}',
+            f'allowed is {_MIN_KEY_BYTES} to {_MAX_KEY_BYTES}',
         )
     return key
 
 
 def operator_of(certificate: Any) -> Operator:
-    """Read name and role from a certificate's CN and OU."""
+    """Return the operator named by a certificate's CN, with OU as the role."""
     parts = {
         name: text
         for entry in certificate.get('subject', ())
--- a/src/linnetwood/core/waits.py
+++ b/src/linnetwood/core/waits.py
@@ -1,14 +1,15 @@
-"""Wait for an event for a while, without ever losing a cancellation."""
+"""Wait for an event with a timeout, without losing a cancellation."""
 
 import asyncio
 
 
-async def happened(event: asyncio.Event, seconds: float) -> bool:
-    """Wait for the event; tell whether it came in time.
+async def wait_for_event(event: asyncio.Event, seconds: float) -> bool:
+    """Wait for the event; return whether it was set in time.
 
-    asyncio.wait_for may swallow a cancellation that meets the event, and a
-    loop that waits so would outlive its own close. Other tasks get a turn even
-    when the event is there already, so that no such loop can hold up a process.
+    asyncio.wait_for may swallow a cancellation in the step in which the event
+    is set, and a loop that uses it would then outlive its own close. Other
+    tasks run even if the event is set already, so that a loop over this call
+    cannot starve them.
     """
     await asyncio.sleep(0)
     try:
--- a/src/linnetwood/fleet/gossip.py
+++ b/src/linnetwood/fleet/gossip.py
@@ -10,8 +10,8 @@
 from linnetwood.core.clock import Clock
 from linnetwood.core.errors import CodecError
 from linnetwood.core.events import Event, log
-from linnetwood.core.options import Gossiping
-from linnetwood.core.trust import NoSeal, Seal
+from linnetwood.core.options import GossipOptions
+from linnetwood.core.trust import DatagramSigner, NoSigning
 from linnetwood.fleet.members import Health
 from linnetwood.fleet.membership import BUCKETS, Membership, sample_members
 from linnetwood.gen.wire.ttypes import Gossip, HeldNotice, Member
@@ -70,13 +70,13 @@
     def __init__(
         self,
         membership: Membership,
-        cfg: Gossiping,
+        cfg: GossipOptions,
         clock: Clock,
         rng: Random,
-        seal: Seal | None = None,
+        signer: DatagramSigner | None = None,
     ) -> None:
         """Prepare the protocol; `start` opens the socket."""
-        self._seal: Seal = seal or NoSeal()
+        self._signer: DatagramSigner = signer or NoSigning()
         self.membership = membership
         self.revision = 0
         self.sent_bytes = 0
@@ -217,9 +217,9 @@
         )
 
     def datagram_received(self, received: bytes, addr: Any) -> None:
-        """Handle one datagram; drop it if its seal or its content is bad."""
+        """Handle one datagram; drop it if signature or content is bad."""
         self.received_bytes += len(received) + _HEADER_BYTES
-        payload = self._seal.open(received)
+        payload = self._signer.verify(received)
         if payload is None:
             log(Event.DATAGRAM_DROPPED, code='bad-seal', source=str(addr))
             return
@@ -367,7 +367,7 @@
     def _send_to(self, address: Address, gossip: Gossip) -> None:
         if self._transport is None or self._transport.is_closing():
             return
-        datagram = self._seal.close(encode(gossip))
+        datagram = self._signer.sign(encode(gossip))
         self.sent_bytes += len(datagram) + _HEADER_BYTES
         self._transport.sendto(datagram, address)
 
--- a/src/linnetwood/fleet/membership.py
+++ b/src/linnetwood/fleet/membership.py
@@ -7,7 +7,7 @@
 from collections.abc import Iterable, Iterator
 from random import Random
 
-from linnetwood.core.options import Gossiping
+from linnetwood.core.options import GossipOptions
 from linnetwood.fleet.members import (
     Health,
     copy,
@@ -111,7 +111,9 @@
     Times are in seconds of one monotonic clock.
     """
 
-    def __init__(self, own_record: Member, cfg: Gossiping, now: float) -> None:
+    def __init__(
+        self, own_record: Member, cfg: GossipOptions, now: float
+    ) -> None:
         """Start with this process as the only member."""
         self.view = View(own_record)
         self._cfg = cfg
--- a/src/linnetwood/fleet/rangefollower.py
+++ b/src/linnetwood/fleet/rangefollower.py
@@ -14,7 +14,7 @@
 from linnetwood.core.backoff import pause_s
 from linnetwood.core.errors import StoreError
 from linnetwood.core.events import Event, log
-from linnetwood.core.owner import Owner
+from linnetwood.core.owner import TaskOwner
 from linnetwood.fleet.freshness import (
     DEFAULT_BOUNDS,
     FreshnessBounds,
@@ -56,7 +56,7 @@
 _AGE_RESOLUTION_S = 0.01
 
 
-class RangeFollower(Owner):
+class RangeFollower(TaskOwner):
     """Own one range: a task that reads it, waits for changes and repeats."""
 
     def __init__(
--- a/src/linnetwood/fleet/rangerelay.py
+++ b/src/linnetwood/fleet/rangerelay.py
@@ -8,7 +8,7 @@
 
 from linnetwood.core.errors import LinnetwoodError, WireError
 from linnetwood.core.events import Event, log
-from linnetwood.core.owner import Owner
+from linnetwood.core.owner import TaskOwner
 from linnetwood.fleet.freshness import RelayedUpdate
 from linnetwood.fleet.rangefollower import RangeFollower
 from linnetwood.fleet.rangerelayserver import RangeRelayServer
@@ -33,7 +33,7 @@
 _NO_HANDLERS: Mapping[int, FrameHandler] = MappingProxyType({})
 
 
-class RangeSubscriber(Owner):
+class RangeSubscriber(TaskOwner):
     """Follow a relay of the own zone; a task that owns the connection."""
 
     def __init__(
--- a/src/linnetwood/fleet/rangerelayserver.py
+++ b/src/linnetwood/fleet/rangerelayserver.py
@@ -4,7 +4,7 @@
 import math
 
 from linnetwood.core.errors import CodecError, WireError
-from linnetwood.core.waits import happened
+from linnetwood.core.waits import wait_for_event
 from linnetwood.fleet import hosts
 from linnetwood.fleet.mirror import LARGE_BYTES, Delta
 from linnetwood.fleet.rangecodec import as_milliseconds, pack
@@ -71,7 +71,7 @@
             if subscriber.is_remote:
                 await self._wait_for_remote_heartbeat(changed, subscriber)
             else:
-                await happened(changed, HEARTBEAT_S)
+                await wait_for_event(changed, HEARTBEAT_S)
         await reading
 
     async def _wait_for_remote_heartbeat(
@@ -90,7 +90,7 @@
             mirror.large_revision <= subscriber.known_revision
             and loop.time() < until
         ):
-            await happened(changed, until - loop.time())
+            await wait_for_event(changed, until - loop.time())
             changed.clear()
 
     async def _send_update(
--- a/src/linnetwood/fleet/remotezonesubscriber.py
+++ b/src/linnetwood/fleet/remotezonesubscriber.py
@@ -10,7 +10,7 @@
 
 from linnetwood.core.errors import LinnetwoodError, WireError
 from linnetwood.core.events import Event, log
-from linnetwood.core.owner import Owner
+from linnetwood.core.owner import TaskOwner
 from linnetwood.fleet.rangefollower import RangeFollower
 from linnetwood.fleet.relayreader import RelayReader
 from linnetwood.fleet.relayselector import RelaySelector
@@ -30,7 +30,7 @@
 _STAY_SUBSCRIBED_S = 5.0
 
 
-class RemoteZoneSubscriber(Owner):
+class RemoteZoneSubscriber(TaskOwner):
     """Own a connection to each of a few other zones, while they are needed.
 
     The relays of a zone and isolated entries need them.
--- a/src/linnetwood/fleet/runtime.py
+++ b/src/linnetwood/fleet/runtime.py
@@ -14,9 +14,14 @@
 from linnetwood.core.errors import SettingsError
 from linnetwood.core.events import Event, log
 from linnetwood.core.metrics import Metrics, open_metrics
-from linnetwood.core.options import Gossiping, Place, Platform, Watching
+from linnetwood.core.options import (
+    GossipOptions,
+    Place,
+    Platform,
+    Observability,
+)
 from linnetwood.core.traces import Tracer, open_traces
-from linnetwood.core.trust import Keys
+from linnetwood.core.trust import Credentials
 from linnetwood.fleet.configtask import ConfigTask
 from linnetwood.fleet.gossip import GossipTask
 from linnetwood.fleet.members import Health
@@ -42,11 +47,11 @@
         self,
         place: Place,
         platform: Platform,
-        gossiping: Gossiping,
-        watching: Watching,
+        gossiping: GossipOptions,
+        watching: Observability,
         member: Member,
         client: AsyncHTTPClient,
-        keys: Keys,
+        keys: Credentials,
     ) -> None:
         """Build the parts; `start` begins their work."""
         self.clock: Clock = SystemClock()
@@ -59,7 +64,7 @@
             gossiping,
             self.clock,
             self.rng,
-            keys.seal,
+            keys.signer,
         )
         self.store = HttpKeyValue(
             platform.kv_url,
@@ -149,7 +154,7 @@
     )
 
 
-async def wait_for_stop(keys: Keys) -> None:
+async def wait_for_stop(keys: Credentials) -> None:
     """Wait for SIGTERM or SIGINT; reload the keys on each SIGHUP."""
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
@@ -159,7 +164,7 @@
     await stop.wait()
 
 
-def reload_keys(keys: Keys) -> None:
+def reload_keys(keys: Credentials) -> None:
     """Reload the keys; keep the old ones if the new ones are not usable."""
     try:
         keys.reload()
--- a/src/linnetwood/fleet/startupsync.py
+++ b/src/linnetwood/fleet/startupsync.py
@@ -10,8 +10,8 @@
 
 from linnetwood.core.errors import StoreError
 from linnetwood.core.events import Event, log
-from linnetwood.core.owner import Owner
-from linnetwood.core.waits import happened
+from linnetwood.core.owner import TaskOwner
+from linnetwood.core.waits import wait_for_event
 from linnetwood.fleet.rangefollower import RangeFollower
 from linnetwood.fleet.relayselector import RelaySelector
 
@@ -25,7 +25,7 @@
 _HOSTS_PER_REQUEST = 4
 
 
-class StartupSync(Owner):
+class StartupSync(TaskOwner):
     """Own the start of a follower, and look for relays."""
 
     def __init__(
@@ -70,7 +70,7 @@
         until = loop.time() + seconds
         while not self._is_synced and loop.time() < until:
             self._request_entries(hosts[:_HOSTS_PER_REQUEST])
-            await happened(self._follower.synced, _REQUEST_EVERY_S)
+            await wait_for_event(self._follower.synced, _REQUEST_EVERY_S)
             # The next hosts, in case these are gone.
             hosts = hosts[_HOSTS_PER_REQUEST:] + hosts[:_HOSTS_PER_REQUEST]
 
--- a/src/linnetwood/fleet/vmlist.py
+++ b/src/linnetwood/fleet/vmlist.py
@@ -10,7 +10,7 @@
 
 from linnetwood.core.errors import StoreError
 from linnetwood.core.events import Event, log
-from linnetwood.core.owner import Owner
+from linnetwood.core.owner import TaskOwner
 from linnetwood.fleet.configtask import backoff_s
 from linnetwood.fleet.gossip import GossipTask
 from linnetwood.fleet.members import Health, copy
@@ -70,7 +70,7 @@
             yield copy(member, status=int(Health.LEAVING))
 
 
-class VmListTask(Owner):
+class VmListTask(TaskOwner):
     """Poll the list while this process is one of the few watchers."""
 
     def __init__(
--- a/src/linnetwood/lab/fakekv.py
+++ b/src/linnetwood/lab/fakekv.py
@@ -5,7 +5,7 @@
 
 from tornado.web import Application, RequestHandler
 
-from linnetwood.core.waits import happened
+from linnetwood.core.waits import wait_for_event
 from linnetwood.fleet.kvtable import MAX_VALUE, KvTable
 from linnetwood.fleet.store import VERSION_HEADER
 
@@ -89,7 +89,7 @@
             self.set_status(_CONFLICT)
 
     async def _wait(self, left: float) -> None:
-        await happened(self.state.changed, left)
+        await wait_for_event(self.state.changed, left)
 
 
 class LeaseHandler(_Base):
--- a/src/linnetwood/lab/soak/standstore.py
+++ b/src/linnetwood/lab/soak/standstore.py
@@ -9,7 +9,7 @@
 
 from tornado.web import Application, RequestHandler
 
-from linnetwood.core.waits import happened
+from linnetwood.core.waits import wait_for_event
 
 _DOWN = 503
 _GONE = 410
@@ -79,7 +79,7 @@
 
     async def stirred(self, wait_s: float) -> None:
         """Wait for a change."""
-        await happened(self._changed, wait_s)
+        await wait_for_event(self._changed, wait_s)
 
 
 class _Base(RequestHandler):
--- a/src/linnetwood/programs/daemon.py
+++ b/src/linnetwood/programs/daemon.py
@@ -8,8 +8,8 @@
 from linnetwood.core import loops, settings
 from linnetwood.core.errors import LinnetwoodError
 from linnetwood.core.events import Event, log, open_log
-from linnetwood.core.memory import settle_memory
-from linnetwood.core.trust import Keys
+from linnetwood.core.memory import tune_garbage_collector
+from linnetwood.core.trust import Credentials
 from linnetwood.programs.exits import EXIT_FAILED, EXIT_OK, EXIT_SETTINGS
 
 _Options = TypeVar('_Options')
@@ -31,7 +31,7 @@
     args = parser.parse_args()
     try:
         cfg: Any = settings.load(options, args.settings)
-        Keys(cfg.trust)
+        Credentials(cfg.trust)
     except LinnetwoodError as exc:
         sys.stderr.write(f'{name}: {exc}\n')
         log(Event.SETTINGS_REFUSED, code=exc.code)
@@ -48,7 +48,7 @@
     cfg: Any,
     serve: Callable[[Any], Awaitable[None]],
 ) -> int:
-    settle_memory()
+    tune_garbage_collector()
     log(Event.STARTED, program=name)
     try:
         loops.run(_as_coroutine(serve(cfg)))
--- a/src/linnetwood/programs/endpoint.py
+++ b/src/linnetwood/programs/endpoint.py
@@ -9,7 +9,7 @@
 from linnetwood.core.clock import SystemClock
 from linnetwood.core.events import Event, log
 from linnetwood.core.options import EndpointOptions
-from linnetwood.core.trust import Keys
+from linnetwood.core.trust import Credentials
 from linnetwood.fleet.gossip import Listener
 from linnetwood.fleet.members import ENDPOINT, Health, copy
 from linnetwood.fleet.placement import ENGINE_KIND
@@ -45,7 +45,7 @@
             cfg.watching,
             _introduce(cfg),
             open_client(_MAX_CLIENTS),
-            Keys(cfg.trust),
+            Credentials(cfg.trust),
         )
         self.counters = TransferCounters()
         self.guard = self._build_guard()
--- a/src/linnetwood/programs/entry.py
+++ b/src/linnetwood/programs/entry.py
@@ -14,7 +14,7 @@
 from linnetwood.core.clock import SystemClock
 from linnetwood.core.events import Event, log
 from linnetwood.core.options import EntryOptions
-from linnetwood.core.trust import Keys
+from linnetwood.core.trust import Credentials
 from linnetwood.fleet.gossip import Listener
 from linnetwood.fleet.members import ENTRY, accepts_work
 from linnetwood.fleet.runtime import Runtime, initial_record, wait_for_stop
@@ -41,7 +41,7 @@
             cfg.watching,
             initial_record(cfg.place, ENTRY, SystemClock()),
             open_small_client(_MAX_CLIENTS),
-            Keys(cfg.trust),
+            Credentials(cfg.trust),
         )
         self.routes = Routes(
             cfg.place.availability_zone,
--- a/src/linnetwood/programs/resident.py
+++ b/src/linnetwood/programs/resident.py
@@ -9,7 +9,7 @@
 from linnetwood.core import settings as settings_files
 from linnetwood.core.errors import LinnetwoodError, SettingsError
 from linnetwood.core.events import Event, log, open_log
-from linnetwood.core.memory import settle_memory
+from linnetwood.core.memory import tune_garbage_collector
 from linnetwood.core.options import Decisions
 from linnetwood.platform import settings
 from linnetwood.programs.exits import EXIT_FAILED, EXIT_OK, EXIT_SETTINGS
@@ -29,7 +29,7 @@
         sys.stderr.write(f'{program}: {exc}\n')
         return EXIT_SETTINGS
     open_log('info', cfg.vm)
-    settle_memory()
+    tune_garbage_collector()
     log(Event.STARTED, program=program, zone=cfg.zone)
     try:
         loops.run(_serve(serve, cfg, decisions))
--- a/src/linnetwood/weights/agent.py
+++ b/src/linnetwood/weights/agent.py
@@ -8,7 +8,7 @@
 from linnetwood.core.errors import LinnetwoodError, OrderError, WeightsError
 from linnetwood.core.events import Event, log
 from linnetwood.core.options import Transfer
-from linnetwood.core.waits import happened
+from linnetwood.core.waits import wait_for_event
 from linnetwood.fleet import placement
 from linnetwood.fleet.configuration import manifest_of
 from linnetwood.fleet.gossip import Address, GossipTask, Listener
@@ -126,7 +126,7 @@
                 await self._step()
             except LinnetwoodError as exc:
                 log(Event.ORDER_REFUSED, code=exc.code, detail=exc.detail)
-            await happened(self._wake, _MAX_WAIT_S)
+            await wait_for_event(self._wake, _MAX_WAIT_S)
 
     async def _step(self) -> None:
         if self._is_target_stale:
--- a/src/linnetwood/weights/enginecontroller.py
+++ b/src/linnetwood/weights/enginecontroller.py
@@ -6,7 +6,7 @@
 from linnetwood.core.clock import Clock
 from linnetwood.core.errors import OrderError
 from linnetwood.core.events import Event, log
-from linnetwood.core.pauses import PauseWatch
+from linnetwood.core.pauses import PauseDetector
 from linnetwood.fleet import placement
 from linnetwood.fleet.gossip import GossipTask
 from linnetwood.gen.schema.ttypes import Intent
@@ -41,7 +41,7 @@
         clock: Clock,
     ) -> None:
         """Start without knowledge of the engine."""
-        self.pauses = PauseWatch(clock.now())
+        self.pauses = PauseDetector(clock.now())
         self._gossip = gossip
         self._orders = orders
         self._guard = guard
--- a/src/linnetwood/weights/follower.py
+++ b/src/linnetwood/weights/follower.py
@@ -7,7 +7,7 @@
 from linnetwood.core.errors import LinnetwoodError
 from linnetwood.core.events import Event, log
 from linnetwood.core.options import Decisions
-from linnetwood.core.waits import happened
+from linnetwood.core.waits import wait_for_event
 from linnetwood.fleet.wanted import ENGINE_SWITCH_S, WantedVersions
 from linnetwood.gen.wire.ttypes import HeldNotice
 from linnetwood.weights import chunks, waves
@@ -170,7 +170,7 @@
             except LinnetwoodError as exc:
                 log(Event.ORDER_REFUSED, code=exc.code, detail=exc.detail)
                 await asyncio.sleep(_RETRY_S)
-            await happened(self._wake, _WAKE_S)
+            await wait_for_event(self._wake, _WAKE_S)
 
     async def _step(self) -> None:
         report = self.report
--- a/src/linnetwood/weights/manifests.py
+++ b/src/linnetwood/weights/manifests.py
@@ -16,7 +16,7 @@
 from linnetwood.core.backoff import pause_s
 from linnetwood.core.errors import LinnetwoodError, WeightsError
 from linnetwood.core.events import Event, log
-from linnetwood.core.waits import happened
+from linnetwood.core.waits import wait_for_event
 from linnetwood.fleet.members import hash64
 from linnetwood.gen.wire.ttypes import ChunkReply
 from linnetwood.weights import chunks
@@ -118,7 +118,9 @@
             if found is not None:
                 return found
             left_s = deadline - loop.time()
-            await happened(self._holder_added, min(_RETRY_S, max(0, left_s)))
+            await wait_for_event(
+                self._holder_added, min(_RETRY_S, max(0, left_s))
+            )
         found = await self._from_origin(model, version)
         if found is None:
             all_partners = partners(name)
--- a/src/linnetwood/weights/transfer.py
+++ b/src/linnetwood/weights/transfer.py
@@ -11,7 +11,7 @@
 from linnetwood.core.events import Event, log
 from linnetwood.core.metrics import Metric, Metrics
 from linnetwood.core.options import Transfer
-from linnetwood.core.waits import happened
+from linnetwood.core.waits import wait_for_event
 from linnetwood.gen.wire.ttypes import HeldNotice, Member
 from linnetwood.weights import chunks
 from linnetwood.weights.exchange import Fetcher, TransferCounters, Uploads
@@ -131,7 +131,7 @@
                 self._time_out(index, now)
             for fetch in self.swarm.plan(now):
                 self._start_fetch(fetch)
-            await happened(self._wake, _MAX_PLAN_INTERVAL_S)
+            await wait_for_event(self._wake, _MAX_PLAN_INTERVAL_S)
 
     def _start_fetch(self, fetch: Fetch) -> None:
         task = asyncio.create_task(self._fetch(fetch))
--- a/src/linnetwood/wire/asking.py
+++ b/src/linnetwood/wire/asking.py
@@ -4,7 +4,7 @@
 import dataclasses
 from collections.abc import Callable
 
-from linnetwood.core.waits import happened
+from linnetwood.core.waits import wait_for_event
 from linnetwood.wire.curldriver import CurlDriver, Finish, Headers, Request
 
 _NO_HEAD_S = -1.0
@@ -94,7 +94,7 @@
             if silent_s >= limit_s:
                 self._silent(silent_s)
                 break
-            await happened(self._stirred, limit_s - silent_s)
+            await wait_for_event(self._stirred, limit_s - silent_s)
             self._stirred.clear()
         return await self._fut
 
--- a/src/linnetwood/wire/frames.py
+++ b/src/linnetwood/wire/frames.py
@@ -9,7 +9,7 @@
 from types import MappingProxyType
 from typing import cast
 
-from linnetwood.core.clock import seconds
+from linnetwood.core.clock import monotonic_s
 from linnetwood.core.errors import CodecError, WireError
 from linnetwood.core.sizes import MIB
 
@@ -118,7 +118,7 @@
 
     def data_received(self, received: bytes) -> None:
         """Cut what came in into frames."""
-        self.heard_at = seconds()
+        self.heard_at = monotonic_s()
         self._pending += received
         try:
             self._ready.extend(split(self._pending))
--- a/tests/loops.py
+++ b/tests/loops.py
@@ -1,4 +1,4 @@
-"""The loops of tests, which tell the time that the programs' loops tell."""
+"""Event loops of tests, with the same clock as those of the programs."""
 
 import asyncio
 
@@ -6,23 +6,23 @@
 
 
 class _Policy(asyncio.DefaultEventLoopPolicy):
-    """Give tests the loop of the programs."""
+    """Create the loop of the programs for tests."""
 
     def new_event_loop(self) -> asyncio.AbstractEventLoop:
-        """Give a loop."""
+        """Return a new loop."""
         return SuspendableLoop()
 
 
 def use_loops_of_programs() -> None:
-    """Let all tests run on the loop of the programs."""
+    """Run all tests on the loop of the programs."""
     asyncio.set_event_loop_policy(_Policy())
 
 
 async def close_server(server: asyncio.Server) -> None:
-    """Close a stand-in once the connections that it accepted belong to it.
+    """Close a server after the connections that it accepted are set up.
 
-    One that is closed in the step in which it accepts leaves a connection that
-    nobody owns, and the loop says so.
+    If it is closed in the step in which it accepts a connection, nothing owns
+    that connection, and the loop logs a warning.
     """
     loop = asyncio.get_running_loop()
     for sock in server.sockets:
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -14,7 +14,7 @@
     Backend,
     EndpointOptions,
     EntryOptions,
-    Gossiping,
+    GossipOptions,
     Place,
     Platform,
     Transfer,
@@ -37,7 +37,7 @@
 HOST = '127.0.0.1'
 LIMIT_S = 30.0
 _POLL_S = 0.02
-QUICK = Gossiping(
+QUICK = GossipOptions(
     heartbeat_s=0.1,
     suspect_after_s=0.6,
     dead_after_s=1.2,
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -13,7 +13,7 @@
 from linnetwood.calls.keys import KeyMemory
 from linnetwood.core.errors import OrderError, WeightsError
 from linnetwood.core.metrics import NoMetrics
-from linnetwood.core.options import Gossiping, Transfer
+from linnetwood.core.options import GossipOptions, Transfer
 from linnetwood.core.outcomes import ANSWERED, Ending
 from linnetwood.fleet.gossip import GossipTask
 from linnetwood.fleet.membership import Membership
@@ -168,8 +168,8 @@
         me.kind = 'engine'
         rng = Random(self.starts)
         gossip = GossipTask(
-            Membership(me, Gossiping(), 0),
-            Gossiping(),
+            Membership(me, GossipOptions(), 0),
+            GossipOptions(),
             self.clock,
             rng,
         )
--- a/tests/test_backoff.py
+++ b/tests/test_backoff.py
@@ -1,4 +1,4 @@
-"""Pauses grow to their ceiling and no further."""
+"""The backoff grows to its maximum and no further."""
 
 import unittest
 from random import Random
@@ -7,10 +7,10 @@
 
 
 class BackoffTest(unittest.TestCase):
-    """Fail few times and very often."""
+    """Compute pauses after few and after very many failures."""
 
     def test_pauses(self) -> None:
-        """Each lies between its share of the ceiling and the ceiling."""
+        """Each lies between half of the ceiling and the ceiling."""
         cases = ((0, 0.1), (1, 0.2), (2, 0.4), (9, 0.8), (5000, 0.8))
         for failures, ceiling in cases:
             with self.subTest(failures=failures):
--- a/tests/test_catalogues.py
+++ b/tests/test_catalogues.py
@@ -1,4 +1,4 @@
-"""The pages list exactly what the code has."""
+"""The pages list exactly the events and metrics of the code."""
 
 import pathlib
 import re
@@ -12,7 +12,7 @@
 
 
 class CataloguesTest(unittest.TestCase):
-    """Events and metrics agree with their pages, and each is used."""
+    """Compare events and metrics with their pages and with their uses."""
 
     def test_events(self) -> None:
         """Each event is listed under its number, and nothing else is."""
@@ -26,8 +26,8 @@
         listed = set(re.findall(r'^\| `([a-z_.]+)` \|', page, re.MULTILINE))
         self.assertEqual(listed, {one.value for one in Metric})
 
-    def test_nothing_is_listed_in_vain(self) -> None:
-        """Each event and metric is sent somewhere."""
+    def test_everything_is_used(self) -> None:
+        """Each event and metric is emitted somewhere."""
         code = '\n'.join(path.read_text() for path in SOURCES.rglob('*.py'))
         names = [f'Event.{one.name}' for one in Event]
         names += [f'Metric.{one.name}' for one in Metric]
@@ -35,7 +35,7 @@
         self.assertEqual(unused, [])
 
     def test_absent_receiver_never_blocks(self) -> None:
-        """Figures for nobody cost nothing and raise nothing."""
+        """Metrics without a receiver raise no error."""
         metrics = open_metrics('127.0.0.1', 9)
         for _ in range(1000):
             metrics.count(Metric.CALLS_ANSWERED)
--- a/tests/test_config_machine.py
+++ b/tests/test_config_machine.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from linnetwood.core.options import Gossiping
+from linnetwood.core.options import GossipOptions
 from linnetwood.fleet import configuration
 from linnetwood.fleet.configchanges import ConfigChanges
 from linnetwood.fleet.configtask import ConfigTask, backoff_s, choose_watchers
@@ -30,8 +30,8 @@
     clock = FixedClock()
     rng = Random(1)
     gossip = GossipTask(
-        Membership(member(vm), Gossiping(), 0),
-        Gossiping(),
+        Membership(member(vm), GossipOptions(), 0),
+        GossipOptions(),
         clock,
         rng,
     )
--- a/tests/test_logsink.py
+++ b/tests/test_logsink.py
@@ -1,4 +1,4 @@
-"""Log lines never hold a call up, and failures go before successes."""
+"""Logging never blocks, and failures take precedence over successes."""
 
 import logging
 import os
@@ -8,7 +8,7 @@
 
 
 class Sink:
-    """A handler on a pipe that nobody reads until told to."""
+    """A handler on a pipe that is read only on request."""
 
     def __init__(self) -> None:
         self.now = 0.0
@@ -26,7 +26,7 @@
         os.close(self.reader)
         os.close(self.writer)
 
-    def say(self, text: str, level: int = logging.INFO) -> None:
+    def emit(self, text: str, level: int = logging.INFO) -> None:
         record = logging.LogRecord('n', level, '', 0, text, (), None)
         self.handler.emit(record)
 
@@ -52,14 +52,14 @@
         self.addCleanup(self.sink.close)
 
     def test_full_pipe_never_blocks_and_keeps_failures(self) -> None:
-        """A stuck reader costs successes first, and what is lost is counted."""
+        """If the reader is stuck, successes are dropped first, and counted."""
         sink = self.sink
         for second in range(400):
             sink.now = float(second)
-            sink.say('s' * 2000)
+            sink.emit('s' * 2000)
         dropped = sum(sink.reports) + sink.handler.dropped
         self.assertGreater(dropped, 100)
-        sink.say('failure', logging.WARNING)
+        sink.emit('failure', logging.WARNING)
         lines = sink.read()
         self.assertEqual(lines[-1], 'failure')
         self.assertEqual(len(lines) + dropped, 401)
@@ -68,36 +68,36 @@
         """Successes beyond their share are dropped, failures are not."""
         sink = self.sink
         for _ in range(LINES_PER_S):
-            sink.say('success')
+            sink.emit('success')
         self.assertGreater(sink.handler.dropped, 0)
         for _ in range(50):
-            sink.say('failure', logging.WARNING)
+            sink.emit('failure', logging.WARNING)
         self.assertEqual(sink.read().count('failure'), 50)
 
     def test_dropped_lines_are_reported_once_a_second(self) -> None:
-        """The count goes out, and then starts anew."""
+        """The count is reported and then reset."""
         sink = self.sink
         for _ in range(LINES_PER_S * 2):
-            sink.say('success')
+            sink.emit('success')
         self.assertEqual(sink.reports, [])
         sink.now = 1.5
-        sink.say('success')
+        sink.emit('success')
         self.assertEqual(len(sink.reports), 1)
         self.assertEqual(sink.handler.dropped, 0)
 
-    def test_reader_that_went_away(self) -> None:
+    def test_reader_that_is_gone(self) -> None:
         """A closed pipe drops lines and raises nothing."""
         sink = Sink()
         os.close(sink.reader)
-        sink.say('lost')
+        sink.emit('lost')
         os.close(sink.writer)
 
 
 class BudgetTest(unittest.TestCase):
-    """Count lines and bytes."""
+    """Use up lines and bytes."""
 
     def test_refills_with_time(self) -> None:
-        """A second's worth is had each second, and never more at once."""
+        """One second's worth is added each second, and never more is held."""
         budget = Budget(10, 1000)
         taken = sum(budget.allows(10, 0, 0) for _ in range(30))
         self.assertEqual(taken, 10)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -6,12 +6,12 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from linnetwood.core.options import Gossiping
+from linnetwood.core.options import GossipOptions
 from linnetwood.fleet.members import Health, copy, supersedes
 from linnetwood.fleet.membership import Membership, View
 from linnetwood.gen.wire.ttypes import Member
 
-CFG = Gossiping()
+CFG = GossipOptions()
 ZONE = 12
 
 
--- a/tests/test_pauses.py
+++ b/tests/test_pauses.py
@@ -1,24 +1,24 @@
-"""After a pause no order is given on the strength of what was known."""
+"""After a pause no order is given from what was known before."""
 
 import unittest
 
-from linnetwood.core.pauses import PauseWatch
+from linnetwood.core.pauses import PauseDetector
 from linnetwood.weights.orders import next_fence
 
 
 class PausesTest(unittest.TestCase):
-    """When an order may be given."""
+    """Check when an order may be given."""
 
     def test_orders(self) -> None:
-        """Only a pause takes the right away, and it comes back."""
+        """Orders stop only after a pause, until a peer confirms."""
         cases = (
-            ('awake', (1, 2, 3), False, 3.5, True),
+            ('not paused', (1, 2, 3), False, 3.5, True),
             ('paused', (1, 9), False, 9.5, False),
-            ('paused unseen', (1,), False, 9, False),
+            ('paused without a tick', (1,), False, 9, False),
             ('confirmed', (1, 9), True, 9.5, True),
         )
         for name, ticks, confirmed, now, expected in cases:
-            watch = PauseWatch(0)
+            watch = PauseDetector(0)
             for tick in ticks:
                 watch.tick(tick)
             if confirmed:
@@ -26,9 +26,9 @@
             with self.subTest(name):
                 self.assertEqual(watch.may_order(now), expected)
 
-    def test_alone(self) -> None:
-        """Cut off from everybody it goes on after a while."""
-        watch = PauseWatch(0)
+    def test_isolated(self) -> None:
+        """Without any answer, orders are allowed again after 10 s."""
+        watch = PauseDetector(0)
         found = [watch.may_order(9 + second) for second in range(13)]
         self.assertEqual(found.index(True), 11)
 
--- a/tests/test_proven_ages.py
+++ b/tests/test_proven_ages.py
@@ -16,7 +16,7 @@
 import unittest
 from random import Random
 
-from linnetwood.core.waits import happened
+from linnetwood.core.waits import wait_for_event
 from linnetwood.fleet.freshness import bounds_for
 from linnetwood.fleet.rangefollower import RangeFollower
 from linnetwood.fleet.rangerelay import RangeSubscriber
@@ -61,7 +61,7 @@
     async def wait(self, prefix: str, after: int, wait_s: float) -> Changes:
         """Wait for a write."""
         if self.revision <= after:
-            await happened(self.written, wait_s)
+            await wait_for_event(self.written, wait_s)
         revision = self.revision
         await asyncio.sleep(self.late_s)
         change = Change('k', Record(b'', revision))
--- a/tests/test_relaying.py
+++ b/tests/test_relaying.py
@@ -9,7 +9,7 @@
 from hypothesis import given, strategies
 
 from linnetwood.core.errors import StoreError
-from linnetwood.core.waits import happened
+from linnetwood.core.waits import wait_for_event
 from linnetwood.fleet.freshness import bounds_for
 from linnetwood.fleet.mirror import Mirror
 from linnetwood.fleet.rangefollower import RangeFollower
@@ -90,7 +90,7 @@
         await self._connect()
         store = self._store
         if store.revision <= after:
-            await happened(store.changed, wait_s)
+            await wait_for_event(store.changed, wait_s)
         await self._connect()
         # All writes are sent, also those that a later one replaced.
         changes = tuple(
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -1,4 +1,4 @@
-"""Settings files are refused whole, naming file, line and field."""
+"""Settings files are rejected with file, line and field."""
 
 import pathlib
 import unittest
@@ -23,10 +23,10 @@
 
 
 class SettingsTest(unittest.TestCase):
-    """Good files load; each kind of bad file is refused."""
+    """Valid files load; each kind of invalid file is rejected."""
 
     def test_examples_load(self) -> None:
-        """The commented examples are good settings."""
+        """The commented examples are valid settings."""
         cases = (
             ('entry.yaml', EntryOptions),
             ('endpoint.yaml', EndpointOptions),
@@ -37,12 +37,12 @@
                 self.assertIsInstance(settings.load(options, path), options)
 
     def test_defaults(self) -> None:
-        """What is not given has the documented default."""
+        """Fields that are not given have the documented default."""
         cfg = settings.parse(EntryOptions, GOOD, 'f')
         self.assertEqual((cfg.queue_limit, cfg.routing), (256, 'probing'))
 
     def test_refusals(self) -> None:
-        """Every refusal of docs/REFUSALS.md for settings."""
+        """Each error for settings in docs/REFUSALS.md occurs."""
         cases = (
             ('', 'settings-empty'),
             ('a: [', 'settings-not-yaml'),
@@ -82,7 +82,7 @@
                 settings.parse(EntryOptions, text, 'f')
 
     def test_missing_file(self) -> None:
-        """A file that can't be read is named."""
+        """The error names a file that can't be read."""
         with self.assertRaisesRegex(SettingsError, 'settings-unreadable.*/no/'):
             settings.load(EntryOptions, '/no/such')
 
--- a/tests/test_slow_links.py
+++ b/tests/test_slow_links.py
@@ -275,7 +275,7 @@
         return answer(200, {'events': events, 'timestamp': newest})
 
 
-class ShortWaits:
+class BoundedSelector:
     """A store whose waits end before the time that a follower requests."""
 
     def __init__(self, store: PlatformStore) -> None:
@@ -360,7 +360,9 @@
         """
         server = FarStore()
         driver = CurlDriver()
-        store = ShortWaits(PlatformStore((HOST, await server.start()), driver))
+        store = BoundedSelector(
+            PlatformStore((HOST, await server.start()), driver)
+        )
         sinks = [Newest() for _ in range(FOLLOWERS)]
         tasks = [
             RangeFollower(store, '', sink, Random(seed))
--- a/tests/test_suspension.py
+++ b/tests/test_suspension.py
@@ -1,7 +1,7 @@
-"""A suspended VM: its steady clock stands still, the world goes on.
+"""A suspended VM: CLOCK_MONOTONIC stops, while the other VMs continue.
 
-After it every age was too young by the suspension's length: a stale
-configuration counted as fresh, and a pause of any length went unnoticed.
+Guards against ages that are too short by the length of the suspension: a stale
+configuration counted as fresh, and a pause of any length was not detected.
 """
 
 import asyncio
@@ -15,7 +15,7 @@
 from linnetwood.calls.endpointstats import Report
 from linnetwood.core import loops
 from linnetwood.core.clock import SystemClock
-from linnetwood.core.pauses import PauseWatch
+from linnetwood.core.pauses import PauseDetector
 from linnetwood.fleet.wanted import WantedVersions
 from linnetwood.lab.virtual import VirtualClock, VirtualLoop
 from linnetwood.wire.asking import Patience, ask
@@ -29,26 +29,28 @@
     reader: asyncio.StreamReader,
     writer: asyncio.StreamWriter,
 ) -> None:
-    """Begin an answer, and never end it."""
+    """Send the beginning of an answer, and nothing more."""
     writer.write(b'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nx')
     await reader.read()
 
 
 class Suspension:
-    """Let the clock that counts suspensions run ahead of the steady one."""
+    """Advance CLOCK_BOOTTIME ahead of CLOCK_MONOTONIC."""
 
     def __init__(self) -> None:
-        self.gone_s = float()
-        self._told = time.clock_gettime
+        self.suspended_s = float()
+        self._clock_gettime = time.clock_gettime
 
     def clock_gettime(self, which: int) -> float:
-        """Tell any clock's time."""
-        told = self._told(which)
-        return told + self.gone_s if which == time.CLOCK_BOOTTIME else told
+        """Return the time of a clock."""
+        seconds = self._clock_gettime(which)
+        if which == time.CLOCK_BOOTTIME:
+            seconds += self.suspended_s
+        return seconds
 
 
 class ClockTest(unittest.TestCase):
-    """What the programs go by."""
+    """The clock of the programs."""
 
     def setUp(self) -> None:
         self.suspension = Suspension()
@@ -59,23 +61,23 @@
         self.addCleanup(patched.stop)
 
     def test_ages_count_suspensions(self) -> None:
-        """A pause is noticed, and what was heard before it is old."""
+        """A suspension is detected, and earlier information counts as old."""
         clock = SystemClock()
         before = clock.now()
-        watch = PauseWatch(before)
+        watch = PauseDetector(before)
         tracker = ConfigAgeTracker(clock, lambda: before, SUSPENDED_S / 2)
         self.assertFalse(tracker.basis().is_stale)
-        self.suspension.gone_s = SUSPENDED_S
+        self.suspension.suspended_s = SUSPENDED_S
         self.assertGreaterEqual(clock.now() - before, SUSPENDED_S)
         self.assertFalse(watch.may_order(clock.now()))
         self.assertTrue(tracker.basis().is_stale)
 
 
 class LoopTest(unittest.TestCase):
-    """The loop of the programs, while the two clocks drift apart."""
+    """The loop of the programs while the two clocks diverge."""
 
-    def test_a_timer_that_was_due_meanwhile(self) -> None:
-        """It fires soon after, whatever the steady clock says."""
+    def test_a_timer_that_became_due_meanwhile(self) -> None:
+        """It fires soon after the suspension."""
         suspension = Suspension()
 
         async def play() -> float:
@@ -84,24 +86,24 @@
             fut: asyncio.Future[float] = loop.create_future()
             due_s = SUSPENDED_S * 100
             loop.call_later(due_s, lambda: fut.set_result(loop.time()))
-            suspension.gone_s = due_s
+            suspension.suspended_s = due_s
             return await fut - began
 
         with mock.patch('time.clock_gettime', suspension.clock_gettime):
             self.assertGreaterEqual(loops.run(play()), SUSPENDED_S * 100)
 
     def test_no_wait_is_long(self) -> None:
-        """Also where there is no timer at all, or one far away."""
+        """Waits are bounded without a timer, too, or with a distant one."""
         for asked in (None, 60, 0.01, 0):
             with mock.patch('selectors.DefaultSelector.select') as select:
-                loops.ShortWaits().select(asked)
+                loops.BoundedSelector().select(asked)
             with self.subTest(asked=asked):
                 waited_s = select.call_args.args[0]
-                self.assertLessEqual(waited_s, loops.WAIT_MOST_S)
+                self.assertLessEqual(waited_s, loops.MAX_WAIT_S)
 
 
-class BeliefTest(unittest.TestCase):
-    """What rests on ages, in virtual time: after a suspension they are true."""
+class AgesTest(unittest.TestCase):
+    """Decisions by age are right after a suspension, in virtual time."""
 
     def setUp(self) -> None:
         self.loop = VirtualLoop()
@@ -125,7 +127,7 @@
         self.assertEqual(wanted.oldest_allowed('m', self.clock.now()), 2)
 
     def test_an_evacuation(self) -> None:
-        """Endpoints that were back, and may be cold, have been told by now."""
+        """Endpoints of a zone that returned no longer count as cold."""
         directory = Directory()
         one = Endpoint('i', 's', '10.0.0.1', 80, 'z1', 8, ready=True)
         directory.update(one)
@@ -136,14 +138,14 @@
         self.assertFalse(directory.is_cold(one, self.clock.now()))
 
     def test_orders(self) -> None:
-        """A pause is noticed, and no order given on what was known."""
-        watch = PauseWatch(self.clock.now())
+        """The pause is detected, and no order is given."""
+        watch = PauseDetector(self.clock.now())
         self.assertTrue(watch.may_order(self.clock.now()))
         self.loop.suspend(SUSPENDED_S)
         self.assertFalse(watch.may_order(self.clock.now()))
 
     def test_a_report(self) -> None:
-        """An endpoint's load of before counts for nothing."""
+        """A report from before the suspension is stale and overdue."""
         report = Report(1, 1, 1, changing=False, received_at=self.clock.now())
         self.assertTrue(report.is_fresh(self.clock.now()))
         self.loop.suspend(SUSPENDED_S)
@@ -151,7 +153,7 @@
         self.assertTrue(report.is_overdue(self.clock.now()))
 
     def test_a_refusal(self) -> None:
-        """Callers are told the time that is left, suspensions counted."""
+        """The retry delay includes the suspension."""
         crashes = CrashHistory()
         for incarnation_id in 'ab':
             crashes.add(CrashRecord('l', incarnation_id), self.clock.now())
@@ -161,7 +163,7 @@
         self.assertEqual(before - after, SUSPENDED_S)
 
     def test_a_kept_connection(self) -> None:
-        """An answer that was silent meanwhile is given up, and asked anew."""
+        """An answer that stayed silent times out and is requested again."""
 
         async def play() -> float:
             server = Server(falls_silent)
@@ -182,7 +184,7 @@
         self.assertGreaterEqual(took_s, SUSPENDED_S)
 
     def _suspend(self) -> None:
-        self.suspension.gone_s = SUSPENDED_S
+        self.suspension.suspended_s = SUSPENDED_S
 
 
 if __name__ == '__main__':
--- a/tests/test_traces.py
+++ b/tests/test_traces.py
@@ -1,4 +1,4 @@
-"""A span for each hop, each the child of the one before."""
+"""A span for each hop, each a child of the previous one."""
 
 import json
 import pathlib
@@ -12,10 +12,10 @@
 
 
 class TracesTest(unittest.TestCase):
-    """What is recorded, and what is passed on."""
+    """Check recorded spans and propagated contexts."""
 
     def test_hops(self) -> None:
-        """Entry and endpoint stand in one trace, one under the other."""
+        """Entry and endpoint are in one trace, one the parent of the other."""
         with tempfile.TemporaryDirectory() as folder:
             path = pathlib.Path(folder, 'spans.jsonl')
             traces = open_traces(str(path), 'vm')
@@ -34,7 +34,7 @@
         self.assertEqual(inner['attributes'], {'outcome': 'ANSWERED'})
 
     def test_not_recorded(self) -> None:
-        """Without a file the caller's context goes through unchanged."""
+        """Without a file the caller's context is propagated unchanged."""
         traces = open_traces('', 'vm')
         self.assertIsInstance(traces, NoTraces)
         self.assertEqual(traces.span('entry', PARENT).traceparent, PARENT)
--- a/tests/test_trust.py
+++ b/tests/test_trust.py
@@ -1,4 +1,4 @@
-"""Certificates, roles, seals and their rotation."""
+"""Certificates, roles, signed datagrams and the rotation of keys."""
 
 import dataclasses
 import pathlib
@@ -11,7 +11,7 @@
 
 from linnetwood.core.errors import LinnetwoodError, SettingsError
 from linnetwood.core.options import Trust
-from linnetwood.core.trust import KeyedSeal, Keys
+from linnetwood.core.trust import KeyedSigner, Credentials
 from linnetwood.fleet.runtime import reload_keys
 from linnetwood.gen.schema.ttypes import Deployment, Refusal, Verdict
 from linnetwood.programs import cli, exits
@@ -22,7 +22,7 @@
 
 
 def trust(**changes: str) -> Trust:
-    """Give good settings for TLS."""
+    """Return valid settings for TLS."""
     good = Trust(
         mode='tls',
         certificate_file=str(CERTS / 'node.pem'),
@@ -33,43 +33,43 @@
     return dataclasses.replace(good, **changes)
 
 
-class SealTest(unittest.TestCase):
-    """Datagrams of strangers are not believed."""
+class SigningTest(unittest.TestCase):
+    """Datagrams without a valid code are rejected."""
 
-    def test_seals(self) -> None:
-        """Only what a known key sealed, unchanged, is opened."""
-        ours = KeyedSeal()
+    def test_signatures(self) -> None:
+        """Only unchanged datagrams signed with a known key are accepted."""
+        ours = KeyedSigner()
         ours.add(b'k' * 16)
-        theirs = KeyedSeal()
+        theirs = KeyedSigner()
         theirs.add(b'x' * 16)
-        good = ours.close(b'news')
+        good = ours.sign(b'news')
         cases = (
             (good, b'news'),
-            (theirs.close(b'news'), None),
+            (theirs.sign(b'news'), None),
             (good[:-1] + b'!', None),
             (b'news', None),
             (b'', None),
         )
-        for sealed, opened in cases:
-            with self.subTest(sealed):
-                self.assertEqual(ours.open(sealed), opened)
+        for signed, expected_datagram in cases:
+            with self.subTest(signed):
+                self.assertEqual(ours.verify(signed), expected_datagram)
 
     def test_rotation(self) -> None:
-        """The key before the newest is still believed, an older one not."""
-        seal = KeyedSeal()
-        sealed = []
+        """The key before the newest is still accepted, an older one is not."""
+        signer = KeyedSigner()
+        signed = []
         for key in (b'1' * 16, b'2' * 16, b'3' * 16):
-            seal.add(key)
-            sealed.append(seal.close(b'news'))
-        opened = [seal.open(one) for one in sealed]
-        self.assertEqual(opened, [None, b'news', b'news'])
+            signer.add(key)
+            signed.append(signer.sign(b'news'))
+        verified = [signer.verify(one) for one in signed]
+        self.assertEqual(verified, [None, b'news', b'news'])
 
 
 class KeysTest(unittest.TestCase):
-    """Files are checked before they are used."""
+    """Files are validated before they are used."""
 
     def test_refusals(self) -> None:
-        """A file that is missing or no good is named."""
+        """The error names a file that is missing or invalid."""
         cases = (
             (trust(certificate_file='/no/such'), 'bad-certificate.*/no/such'),
             (trust(key_file=str(CERTS / 'reader.key')), 'bad-certificate'),
@@ -85,29 +85,29 @@
                 self.subTest(message),
                 self.assertRaisesRegex(SettingsError, message),
             ):
-                Keys(cfg)
+                Credentials(cfg)
 
     def test_bad_reload_keeps_the_old(self) -> None:
-        """A file spoilt later does not stop a process that runs."""
+        """A file that becomes invalid does not stop a running process."""
         with tempfile.TemporaryDirectory() as folder:
             path = pathlib.Path(folder, 'gossip.key')
             shutil.copy(CERTS / 'gossip.key', path)
-            keys = Keys(trust(gossip_key_file=str(path)))
-            sealed = keys.seal.close(b'news')
+            keys = Credentials(trust(gossip_key_file=str(path)))
+            signed = keys.signer.sign(b'news')
             path.write_bytes(b'short')
             reload_keys(keys)
-            self.assertEqual(keys.seal.open(sealed), b'news')
+            self.assertEqual(keys.signer.verify(signed), b'news')
             shutil.copy(CERTS / 'gossip-next.key', path)
             reload_keys(keys)
-            self.assertNotEqual(keys.seal.close(b'news'), sealed)
-            self.assertEqual(keys.seal.open(sealed), b'news')
+            self.assertNotEqual(keys.signer.sign(b'news'), signed)
+            self.assertEqual(keys.signer.verify(signed), b'news')
 
 
 class TlsTest(unittest.IsolatedAsyncioTestCase):
     """The whole path and the operators' roles under TLS."""
 
     def setUp(self) -> None:
-        """Lay out a folder for each operator as the command line wants it."""
+        """Create a folder for each operator, as the command line expects it."""
         self.folder = tempfile.TemporaryDirectory()
         self.addCleanup(self.folder.cleanup)
         for name in ('operator', 'reader', 'stranger'):
--- a/tests/test_vmlist.py
+++ b/tests/test_vmlist.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from linnetwood.core.options import Gossiping
+from linnetwood.core.options import GossipOptions
 from linnetwood.fleet.members import Health, copy
 from linnetwood.fleet.membership import Membership
 from linnetwood.fleet.vmlist import leaving_records
@@ -25,7 +25,7 @@
 
     def test_told_process_announces_that_it_leaves(self) -> None:
         """A process told to leave announces it itself in a newer record."""
-        membership = Membership(member('a'), Gossiping(), 0)
+        membership = Membership(member('a'), GossipOptions(), 0)
         order = copy(membership.own_record, status=int(Health.LEAVING))
         record = membership.receive(order, 0)
         assert record is not None
@@ -33,7 +33,7 @@
 
     def test_late_list_does_not_reach_a_new_process(self) -> None:
         """A leaving record of an earlier incarnation changes nothing."""
-        membership = Membership(member('a', incarnation=2), Gossiping(), 0)
+        membership = Membership(member('a', incarnation=2), GossipOptions(), 0)
         old = member('a', status=int(Health.LEAVING))
         self.assertIsNone(membership.receive(old, 0))
         self.assertEqual(membership.own_record.status, Health.ALIVE)
--- a/tests/test_waits.py
+++ b/tests/test_waits.py
@@ -1,23 +1,23 @@
-"""Waiting never loses a cancellation."""
+"""Waiting for an event never loses a cancellation."""
 
 import asyncio
 import unittest
 
-from linnetwood.core.waits import happened
+from linnetwood.core.waits import wait_for_event
 
 
 class WaitsTest(unittest.IsolatedAsyncioTestCase):
-    """The event, the end of the time and a cancellation are told apart."""
+    """Distinguish the event, the timeout and a cancellation."""
 
     async def test_event_and_timeout(self) -> None:
-        """An event that came is True, one that did not is False."""
+        """The result is True if the event is set, and False on timeout."""
         event = asyncio.Event()
-        self.assertFalse(await happened(event, 0.001))
+        self.assertFalse(await wait_for_event(event, 0.001))
         event.set()
-        self.assertTrue(await happened(event, 1))
+        self.assertTrue(await wait_for_event(event, 1))
 
     async def test_cancellation_that_meets_the_event(self) -> None:
-        """A task cancelled in the step in which the event comes does end."""
+        """A task that is cancelled when the event is set does end."""
         event = asyncio.Event()
         task = asyncio.create_task(self._forever(event))
         await asyncio.sleep(0)
@@ -27,14 +27,14 @@
         done, _ = await asyncio.wait((task,), timeout=5)
         self.assertEqual(done, {task})
 
-    async def test_others_get_a_turn(self) -> None:
-        """A loop over an event that is always set starves nobody."""
+    async def test_other_tasks_run(self) -> None:
+        """A loop over an event that stays set starves no other task."""
         event = asyncio.Event()
         event.set()
         turns: list[int] = []
         other = asyncio.create_task(self._note(turns))
         for _ in range(3):
-            await happened(event, 1)
+            await wait_for_event(event, 1)
         self.assertEqual(turns, [1])
         await other
 
@@ -43,7 +43,7 @@
 
     async def _forever(self, event: asyncio.Event) -> None:
         while True:
-            await happened(event, 10)
+            await wait_for_event(event, 10)
             event.clear()
 
 
