--- a/src/linnetwood/calls/attempt.py
+++ b/src/linnetwood/calls/attempt.py
@@ -15,7 +15,7 @@
     Request,
     Sent,
 )
-from linnetwood.wire.eventstream import EventCutter
+from linnetwood.wire.eventstream import EventSplitter
 
 MAX_ANSWER_BYTES = 16777216
 _OK_BELOW = 300
@@ -101,15 +101,15 @@
 class AnswerStream:
     """The answer as sent to the caller so far, over all attempts of a call."""
 
-    __slots__ = ('begun', 'cutter', 'sink', 'version')
+    __slots__ = ('begun', 'splitter', 'sink', 'version')
 
     def __init__(self, sink: AnswerSink, resume_after: str) -> None:
         """Start with nothing sent; resume after the given event id, if any."""
         self.sink = sink
         self.begun = False
         self.version = 0
-        self.cutter = EventCutter()
-        self.cutter.last_id = resume_after
+        self.splitter = EventSplitter()
+        self.splitter.last_id = resume_after
 
 
 class Attempt:
@@ -180,7 +180,7 @@
         self.last_received_at = self._loop.time()
         self._size += len(piece)
         if self._is_forwarded:
-            whole_events = self._answer.cutter.feed(piece)
+            whole_events = self._answer.splitter.feed(piece)
             if whole_events:
                 self._send(whole_events)
         elif self._size <= MAX_ANSWER_BYTES:
@@ -242,7 +242,7 @@
 
     def _complete_result(self) -> AttemptResult:
         if self._is_forwarded:
-            if self._answer.cutter.half:
+            if self._answer.splitter.has_partial:
                 return AttemptResult(
                     AttemptOutcome.LOST,
                     reached=True,
--- a/src/linnetwood/calls/direct.py
+++ b/src/linnetwood/calls/direct.py
@@ -178,7 +178,7 @@
                 return ANSWERED
             if not self._may_retry(call, history, result, answer, budget):
                 return self._give_up(answer, history, result)
-            answer.cutter.drop_half()
+            answer.splitter.drop_partial()
 
     def _max_wait_s(self, call: DirectCall) -> float:
         """Return the longest predicted wait with which a call is in time."""
@@ -289,7 +289,7 @@
             call.deadline - self._loop.time(),
             call.organisation.name if call.organisation else '',
             choice.version if bound else 0,
-            answer.cutter.last_id,
+            answer.splitter.last_id,
             urgency,
         )
 
--- a/src/linnetwood/fleet/configtask.py
+++ b/src/linnetwood/fleet/configtask.py
@@ -23,7 +23,7 @@
     Member,
 )
 from linnetwood.wire.codec import decode, encode
-from linnetwood.wire.connections import SILENT_S, Dialler
+from linnetwood.wire.connections import SILENCE_TIMEOUT_S, Dialler
 from linnetwood.wire.frames import FrameKind
 
 WATCHERS_PER_REGION = 2
@@ -155,7 +155,7 @@
         request = ConfigRequest(above=self.current.revision)
         try:
             await stream.write(FrameKind.CONFIG_REQUEST, encode(request))
-            frame = await stream.read_within(SILENT_S)
+            frame = await stream.read_within(SILENCE_TIMEOUT_S)
         finally:
             stream.close()
         reply = decode(ConfigReply, frame.payload)
--- a/src/linnetwood/fleet/peerlist.py
+++ b/src/linnetwood/fleet/peerlist.py
@@ -16,7 +16,7 @@
 from linnetwood.fleet.members import hash64
 from linnetwood.gen.wire.ttypes import PeerList, PeerPlace, PeersRequest
 from linnetwood.wire.codec import decode, encode
-from linnetwood.wire.connections import SILENT_S, Address, Dialler
+from linnetwood.wire.connections import SILENCE_TIMEOUT_S, Address, Dialler
 from linnetwood.wire.frames import MAX_FRAME, Frame, FrameKind, FrameStream
 
 # Pause after each request. The lists of entries differ for a moment while the
@@ -119,7 +119,7 @@
         stream = await self._dialler.dial(entry)
         try:
             await stream.write(FrameKind.PEERS_REQUEST, request)
-            frame = await stream.read_within(SILENT_S)
+            frame = await stream.read_within(SILENCE_TIMEOUT_S)
         finally:
             stream.close()
         if frame.kind is not FrameKind.PEERS:
--- a/src/linnetwood/fleet/remotezonesubscriber.py
+++ b/src/linnetwood/fleet/remotezonesubscriber.py
@@ -14,7 +14,7 @@
 from linnetwood.fleet.rangefollower import RangeFollower
 from linnetwood.fleet.relayreader import RelayReader
 from linnetwood.fleet.relayselector import RelaySelector
-from linnetwood.wire.connections import SILENT_S, Dialler
+from linnetwood.wire.connections import SILENCE_TIMEOUT_S, Dialler
 from linnetwood.wire.frames import FrameStream
 
 _CHECK_EVERY_S = 0.25
@@ -127,7 +127,11 @@
         mirror = self._follower.mirror
         known_revision = -1
         reader = RelayReader(
-            stream, mirror, host, is_remote=True, silence_timeout_s=SILENT_S
+            stream,
+            mirror,
+            host,
+            is_remote=True,
+            silence_timeout_s=SILENCE_TIMEOUT_S,
         )
         while True:
             if mirror.revision != known_revision:
--- a/src/linnetwood/lab/fakeorigin.py
+++ b/src/linnetwood/lab/fakeorigin.py
@@ -7,7 +7,7 @@
 from tornado.web import Application, RequestHandler
 
 from linnetwood.weights import chunks
-from linnetwood.wire.links import Lane
+from linnetwood.wire.links import TokenBucket
 
 _ABSENT = 404
 _SLICE = 65536
@@ -20,7 +20,7 @@
         """Pace the one link at the given rate."""
         self.manifests: dict[str, chunks.Manifest] = {}
         self.weights: dict[str, bytes] = {}
-        self.lane = Lane(bytes_per_s)
+        self.lane = TokenBucket(bytes_per_s)
         self.bytes_read = 0
         self.reads: dict[str, int] = {}
         self.corrupt = corrupt
@@ -38,7 +38,7 @@
     async def pace(self, size: int) -> None:
         """Wait for the link."""
         cost = size * self.slow_factor
-        await asyncio.sleep(self.lane.book(cost, time.monotonic()))
+        await asyncio.sleep(self.lane.reserve(cost, time.monotonic()))
 
 
 class ChunkHandler(RequestHandler):
--- a/src/linnetwood/platform/store.py
+++ b/src/linnetwood/platform/store.py
@@ -19,8 +19,8 @@
 )
 from linnetwood.platform.checked import UNREADABLE
 from linnetwood.platform.storesight import StoreSight
-from linnetwood.wire.asking import Answer, Patience, ask
-from linnetwood.wire.connections import SILENT_S
+from linnetwood.wire.asking import Answer, SilenceLimits, ask
+from linnetwood.wire.connections import SILENCE_TIMEOUT_S
 from linnetwood.wire.curldriver import CurlDriver, Request
 
 _OK = 200
@@ -176,7 +176,7 @@
         query: dict[str, str],
         first_s: float,
     ) -> Answer:
-        patience = Patience(first_s, SILENT_S)
+        patience = SilenceLimits(first_s, SILENCE_TIMEOUT_S)
         # A call beside one that waits may be asked because that one hangs, and
         # connections that are kept may have fallen silent with it.
         req = self._request(
@@ -197,7 +197,7 @@
             self._under_way -= 1
 
     async def _post(self, path: str, said: dict[str, Any]) -> Answer:
-        patience = Patience(_WRITE_S, SILENT_S)
+        patience = SilenceLimits(_WRITE_S, SILENCE_TIMEOUT_S)
         req = self._request('POST', path, json.dumps(said).encode())
         return await ask(self._driver, req, _MOST_BYTES, patience)
 
--- a/src/linnetwood/platform/weights.py
+++ b/src/linnetwood/platform/weights.py
@@ -12,17 +12,17 @@
 from linnetwood.platform import checked, tables
 from linnetwood.weights.chunks import Manifest
 from linnetwood.weights.engine import EngineReport, OrderResult
-from linnetwood.wire.asking import Answer, Patience, ask
-from linnetwood.wire.connections import SILENT_S
+from linnetwood.wire.asking import Answer, SilenceLimits, ask
+from linnetwood.wire.connections import SILENCE_TIMEOUT_S
 from linnetwood.wire.curldriver import CurlDriver, Request
 
 # An answer of a fixed size, on this machine, comes in milliseconds.
 _TIMEOUT_S = 1.5
 # What grows with the model has no total time, and begins within the same.
-_GROWING = Patience(_TIMEOUT_S, SILENT_S)
+_GROWING = SilenceLimits(_TIMEOUT_S, SILENCE_TIMEOUT_S)
 # Others may share the origin's link, so a piece may begin later than that.
 _PIECE_FIRST_S = 4.0
-_PIECE = Patience(_PIECE_FIRST_S, SILENT_S)
+_PIECE = SilenceLimits(_PIECE_FIRST_S, SILENCE_TIMEOUT_S)
 _MOST_BYTES = 16777216
 _BAD_ANSWER = (KeyError, TypeError, ValueError, OverflowError)
 _REPORT = (
@@ -174,7 +174,7 @@
         target: str,
         body: bytes = b'',
         headers: list[tuple[str, str]] | None = None,
-        patience: Patience | None = None,
+        patience: SilenceLimits | None = None,
     ) -> Answer:
         host, port = self._address
         fields = [('Host', f'{host}:{port}'), *(headers or ())]
--- a/src/linnetwood/programs/endpoint.py
+++ b/src/linnetwood/programs/endpoint.py
@@ -25,7 +25,7 @@
 from linnetwood.wire import codec
 from linnetwood.wire.frames import Frame, FrameKind, FrameStream
 from linnetwood.wire.http import open_client
-from linnetwood.wire.links import Link, OpenLink, PacedLink
+from linnetwood.wire.links import Link, UnlimitedLink, SimulatedLink
 
 _ORIGIN_TIMEOUT_S = 120.0
 _EPOCH_CHECK_S = 1.0
@@ -124,7 +124,9 @@
 
     def _build_link(self) -> Link:
         rate = self._cfg.transfer.link_bytes_per_s
-        return PacedLink(rate, self.runtime.clock) if rate else OpenLink()
+        return (
+            SimulatedLink(rate, self.runtime.clock) if rate else UnlimitedLink()
+        )
 
     def _build_agent(self) -> WeightsAgent:
         cfg = self._cfg
--- a/src/linnetwood/programs/entry.py
+++ b/src/linnetwood/programs/entry.py
@@ -22,7 +22,7 @@
 from linnetwood.gen.wire.ttypes import Member
 from linnetwood.programs import daemon
 from linnetwood.programs.operators import OperatorCalls, OperatorServer
-from linnetwood.wire.http import open_small_client
+from linnetwood.wire.http import open_simple_client
 
 _DRAIN_CHECK_S = 0.05
 _MAX_CLIENTS = 16
@@ -40,7 +40,7 @@
             cfg.gossiping,
             cfg.watching,
             initial_record(cfg.place, ENTRY, SystemClock()),
-            open_small_client(_MAX_CLIENTS),
+            open_simple_client(_MAX_CLIENTS),
             Credentials(cfg.trust),
         )
         self.routes = Routes(
--- a/src/linnetwood/programs/resident_crashes.py
+++ b/src/linnetwood/programs/resident_crashes.py
@@ -12,7 +12,7 @@
 from linnetwood.platform.crashstore import CrashFeed, PlatformCrashStore
 from linnetwood.platform.ignored import Ignored
 from linnetwood.platform.store import PlatformStore
-from linnetwood.wire.probing import refuses
+from linnetwood.wire.probing import refuses_connections
 
 
 class CrashTracker:
@@ -39,7 +39,7 @@
             self._crashes,
             directory,
             clock,
-            refuses,
+            refuses_connections,
             self._publisher,
         )
 
--- a/src/linnetwood/programs/resident_endpoint.py
+++ b/src/linnetwood/programs/resident_endpoint.py
@@ -25,7 +25,7 @@
 from linnetwood.wire.connections import TcpDialler, WireServer
 from linnetwood.wire.curldriver import CurlDriver
 from linnetwood.wire.frames import FrameKind
-from linnetwood.wire.links import GentleLink
+from linnetwood.wire.links import ShapedLink
 
 NAME = 'linnetwood-resident-endpoint'
 # Entries that hear few engines are told this often, and a change of version is
@@ -115,7 +115,7 @@
         store = ChunkStore()
         counters = TransferCounters()
         cfg = Transfer(window=3)
-        link = GentleLink(self._cfg.link_bytes_per_s, self._clock)
+        link = ShapedLink(self._cfg.link_bytes_per_s, self._clock)
         return Tools(
             me=self._cfg.host,
             store=store,
--- a/src/linnetwood/weights/exchange.py
+++ b/src/linnetwood/weights/exchange.py
@@ -8,7 +8,7 @@
 from linnetwood.gen.wire.ttypes import ChunkReply, ChunkRequest
 from linnetwood.weights import chunks
 from linnetwood.wire.codec import decode, encode
-from linnetwood.wire.connections import SILENT_S, Address, Dialler
+from linnetwood.wire.connections import SILENCE_TIMEOUT_S, Address, Dialler
 from linnetwood.wire.frames import Frame, FrameKind, FrameStream
 from linnetwood.wire.links import Link
 
@@ -79,12 +79,12 @@
         size = self._link.slice_bytes or len(payload)
         await self._link.send(min(size, len(payload)))
         await self._reply(stream, request, held_here=True)
-        stream.open_frame(FrameKind.CHUNK, len(payload))
-        await stream.pour(payload[:size])
+        stream.begin_frame(FrameKind.CHUNK, len(payload))
+        await stream.write_part(payload[:size])
         for start in range(size, len(payload), size):
             part = payload[start : start + size]
             await self._link.send(len(part))
-            await stream.pour(part)
+            await stream.write_part(part)
 
     def _payload(self, request: ChunkRequest) -> bytes | None:
         manifest = self.manifests.get(request.manifest)
@@ -150,7 +150,9 @@
 
     def last_received_at(self) -> dict[str, float]:
         """Give the clock's time of the last byte from each peer."""
-        return {vm: stream.heard_at for vm, stream in self._streams.items()}
+        return {
+            vm: stream.last_received_at for vm, stream in self._streams.items()
+        }
 
     def close(self) -> None:
         """Close every connection."""
@@ -189,5 +191,5 @@
 async def _frame(stream: FrameStream, index: int) -> Frame:
     # The swarm has a timeout for chunks; manifests have none but this.
     if index == chunks.MANIFEST_INDEX:
-        return await stream.read_within(SILENT_S)
+        return await stream.read_within(SILENCE_TIMEOUT_S)
     return await stream.read()
--- a/src/linnetwood/wire/__init__.py
+++ b/src/linnetwood/wire/__init__.py
@@ -1,4 +1,4 @@
-"""Messages between processes and HTTP clients.
+"""Connections and messages between processes, and HTTP clients.
 
-Bytes and addresses come in; checked frames, structs and answers go out.
+The modules turn bytes into validated frames, structs and answers.
 """
--- a/src/linnetwood/wire/asking.py
+++ b/src/linnetwood/wire/asking.py
@@ -1,4 +1,4 @@
-"""Send a request and wait for its whole answer."""
+"""Send an HTTP request and wait for the complete answer."""
 
 import asyncio
 import dataclasses
@@ -8,16 +8,16 @@
 from linnetwood.wire.curldriver import CurlDriver, Finish, Headers, Request
 
 _NO_HEAD_S = -1.0
-_REFUSED_FROM = 300
+_ERROR_FROM = 300
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Answer:
-    """A whole answer, or status 0 and how the request failed.
+    """A complete answer, or status 0 and how the request failed.
 
-    The times are seconds from the request: to the end of the answer's head,
-    negative if none came, and until it ended. The body holds what came of it
-    also when the request failed.
+    Times are in seconds since the request: to the end of the answer's head,
+    negative without one, and to the end of the answer. The body holds what was
+    received even if the request failed.
     """
 
     status: int
@@ -29,107 +29,110 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Patience:
-    """How long an answer may be silent: until its body begins, and from then.
+class SilenceLimits:
+    """The longest silence before the body of an answer, and within it, in s.
 
-    While it flows it may take any time: an answer that is dropped then is as
-    large when it is asked for again, or larger.
+    As long as bytes arrive an answer may take any time: if it were abandoned,
+    the answer to the next request would be as large or larger.
     """
 
     first_s: float
     silent_s: float
 
 
-def _unheard() -> None:
-    """Tell nobody."""
+def _ignore_bytes() -> None:
+    """Do nothing by default."""
 
 
 async def ask(
     driver: CurlDriver,
     req: Request,
-    most_bytes: int,
-    patience: Patience | None = None,
-    heard: Callable[[], None] = _unheard,
+    max_bytes: int,
+    limits: SilenceLimits | None = None,
+    on_bytes: Callable[[], None] = _ignore_bytes,
 ) -> Answer:
-    """Send a request and wait for its whole answer.
+    """Send a request and wait for its complete answer.
 
-    With patience only silence ends it, and the request's total time does not
-    count. Each piece of an answer that is no refusal is told to whoever wants
-    to know that it flows.
+    With limits only silence ends it, and the request's total time does not
+    apply. `on_bytes` is called for each piece of the body, unless the status is
+    an error.
     """
-    whole = _Whole(most_bytes, heard)
-    if patience is not None:
+    collector = _AnswerCollector(max_bytes, on_bytes)
+    if limits is not None:
         req = dataclasses.replace(req, total_s=0)
-    transfer = driver.begin(req, whole)
+    transfer = driver.begin(req, collector)
     try:
-        return await whole.arrival(patience)
+        return await collector.wait(limits)
     finally:
         driver.cancel(transfer)
 
 
-class _Whole:
-    """Collect an answer for whoever waits for it."""
+class _AnswerCollector:
+    """Collect the parts of an answer."""
 
-    def __init__(self, most_bytes: int, heard: Callable[[], None]) -> None:
+    def __init__(self, max_bytes: int, on_bytes: Callable[[], None]) -> None:
         self._loop = asyncio.get_running_loop()
         self._fut: asyncio.Future[Answer] = self._loop.create_future()
-        # Set as the body begins, since another limit counts then, and at last.
-        self._stirred = asyncio.Event()
-        self._began = self._loop.time()
+        # Set when the body begins, since another limit applies then, and when
+        # the answer ends.
+        self._progress = asyncio.Event()
+        self._started_at = self._loop.time()
         self._head_s = _NO_HEAD_S
-        self._most = most_bytes
-        self._heard = heard
-        self._heard_at = self._loop.time()
+        self._max_bytes = max_bytes
+        self._on_bytes = on_bytes
+        self._last_received_at = self._loop.time()
         self._status = 0
         self._headers: Headers = []
         self._pieces: list[bytes] = []
         self._size = 0
 
-    async def arrival(self, patience: Patience | None) -> Answer:
-        """Wait until it is whole, has failed, or was silent for too long."""
-        while patience is not None and not self._fut.done():
-            silent_s = self._loop.time() - self._heard_at
-            # A server that waits itself may send the head before it does.
-            limit_s = patience.silent_s if self._size else patience.first_s
+    async def wait(self, limits: SilenceLimits | None) -> Answer:
+        """Wait until it is complete, has failed, or was silent for too long."""
+        while limits is not None and not self._fut.done():
+            silent_s = self._loop.time() - self._last_received_at
+            # A server may send the head before it waits for the content.
+            limit_s = limits.silent_s if self._size else limits.first_s
             if silent_s >= limit_s:
-                self._silent(silent_s)
+                self._time_out(silent_s)
                 break
-            await wait_for_event(self._stirred, limit_s - silent_s)
-            self._stirred.clear()
+            await wait_for_event(self._progress, limit_s - silent_s)
+            self._progress.clear()
         return await self._fut
 
     def head(self, status: int, headers: Headers) -> None:
         self._status = status
         self._headers = headers
-        self._head_s = self._passed_s()
-        self._heard_at = self._loop.time()
+        self._head_s = self._elapsed_s()
+        self._last_received_at = self._loop.time()
 
     def body(self, piece: bytes) -> None:
-        self._heard_at = self._loop.time()
+        self._last_received_at = self._loop.time()
         if not self._size:
-            self._stirred.set()
-        if self._status < _REFUSED_FROM:
-            self._heard()
+            self._progress.set()
+        if self._status < _ERROR_FROM:
+            self._on_bytes()
         self._size += len(piece)
-        if self._size <= self._most:
+        if self._size <= self._max_bytes:
             self._pieces.append(piece)
         else:
-            self._fail(f'over {self._most} bytes')
+            self._fail(f'over {self._max_bytes} bytes')
 
     def done(self, finish: Finish) -> None:
         if not self._fut.done():
             status = self._status if finish.whole else 0
-            self._settle(status, finish)
+            self._set_result(status, finish)
 
-    def _silent(self, silent_s: float) -> None:
+    def _time_out(self, silent_s: float) -> None:
         self._fail(f'silent for {silent_s:.1f} s after {self._size} bytes')
 
     def _fail(self, detail: str) -> None:
         if not self._fut.done():
-            # Whether the request reached anybody can't be known here.
-            self._settle(0, Finish(whole=False, connected=True, detail=detail))
+            # Whether the request reached a server can't be known here.
+            self._set_result(
+                0, Finish(whole=False, connected=True, detail=detail)
+            )
 
-    def _settle(self, status: int, finish: Finish) -> None:
+    def _set_result(self, status: int, finish: Finish) -> None:
         self._fut.set_result(
             Answer(
                 status,
@@ -137,10 +140,10 @@
                 b''.join(self._pieces),
                 finish,
                 self._head_s,
-                self._passed_s(),
+                self._elapsed_s(),
             ),
         )
-        self._stirred.set()
+        self._progress.set()
 
-    def _passed_s(self) -> float:
-        return self._loop.time() - self._began
+    def _elapsed_s(self) -> float:
+        return self._loop.time() - self._started_at
--- a/src/linnetwood/wire/codec.py
+++ b/src/linnetwood/wire/codec.py
@@ -1,4 +1,4 @@
-"""Thrift compact encoding of messages, with a bound on every size."""
+"""Thrift compact encoding of messages, with limits on all sizes."""
 
 from typing import TypeVar
 
@@ -17,21 +17,21 @@
     container_length_limit=MAX_ITEMS,
 )
 
-# What the library raises on bytes that are no message.
+# The library raises these for bytes that are not a message.
 _DECODE_ERRORS = (TException, ValueError, TypeError, EOFError, OverflowError)
 
 _Message = TypeVar('_Message')
 
 
 def encode(message: object) -> bytes:
-    """Turn a generated struct into bytes."""
+    """Encode a generated struct."""
     transport = TMemoryBuffer()
     message.write(_factory.getProtocol(transport))  # type: ignore[attr-defined]
     return bytes(transport.getvalue())
 
 
 def decode(cls: type[_Message], payload: bytes) -> _Message:
-    """Turn bytes into a generated struct, or raise CodecError."""
+    """Decode a generated struct, or raise CodecError."""
     message = cls()
     protocol = _factory.getProtocol(TMemoryBuffer(payload))
     try:
--- a/src/linnetwood/wire/connections.py
+++ b/src/linnetwood/wire/connections.py
@@ -11,39 +11,39 @@
 from linnetwood.wire.frames import Frame, FrameStream
 
 Address = tuple[str, int]
-_IDLE_KEPT = 64
+_MAX_IDLE = 64
 CONNECT_TIMEOUT_S = 1.0
-# A packet that is lost is sent again after about a second at most, so less
-# silence than this in the middle of an answer means nothing.
-SILENT_S = 2.0
+# A lost packet is resent after at most about 1 s, so a shorter silence within
+# an answer does not mean that the connection is dead.
+SILENCE_TIMEOUT_S = 2.0
 
 
 class Dialler(Protocol):
     """Open connections to other processes."""
 
     async def dial(self, address: Address) -> FrameStream:
-        """Connect; raise WireError if that can't be done."""
+        """Connect, or raise WireError."""
 
 
 class Pool(Dialler, Protocol):
-    """Dial, and keep connections whose exchange ended cleanly."""
+    """Connect, and keep connections whose exchange ended cleanly."""
 
     def reuse(self, address: Address) -> FrameStream | None:
-        """Give a connection that is kept, if any."""
+        """Return an idle connection, if there is one."""
 
     def keep(self, address: Address, stream: FrameStream) -> None:
-        """Keep a connection for a later exchange."""
+        """Keep a connection for later exchanges."""
 
 
 class TcpDialler:
-    """Open connections over TCP and keep finished ones for the next."""
+    """Open TCP connections, and keep idle ones for reuse."""
 
     def __init__(
         self,
         context: ssl.SSLContext | None = None,
         timeout_s: float = CONNECT_TIMEOUT_S,
     ) -> None:
-        """Keep nothing yet; without a context, connect in plain mode."""
+        """Start without connections; without a context, don't use TLS."""
         self._context = context
         self._timeout_s = timeout_s
         self._idle: dict[Address, list[FrameStream]] = {}
@@ -65,7 +65,7 @@
         return opened[1]
 
     def reuse(self, address: Address) -> FrameStream | None:
-        """Give a connection whose last exchange ended cleanly, if any."""
+        """Return a connection whose last exchange ended cleanly, if any."""
         kept = self._idle.get(address, [])
         while kept:
             stream = kept.pop()
@@ -77,13 +77,13 @@
     def keep(self, address: Address, stream: FrameStream) -> None:
         """Keep a connection whose exchange ended cleanly."""
         kept = self._idle.setdefault(address, [])
-        if stream.closed or not stream.idle or len(kept) >= _IDLE_KEPT:
+        if stream.closed or not stream.idle or len(kept) >= _MAX_IDLE:
             stream.close()
             return
         kept.append(stream)
 
     def close(self) -> None:
-        """Close every connection that is kept."""
+        """Close every idle connection."""
         for kept in self._idle.values():
             for stream in kept:
                 stream.close()
@@ -94,10 +94,10 @@
 
 
 class WireServer:
-    """Accept connections and hand each frame that opens something on."""
+    """Accept connections, and pass each opening frame to its handler."""
 
     def __init__(self, handlers: dict[int, FrameHandler]) -> None:
-        """Serve the given kinds of opening frames."""
+        """Handle these kinds of opening frames."""
         self._by_kind = handlers
         self._servers: list[asyncio.Server] = []
         self._tasks: set[asyncio.Task[None]] = set()
@@ -107,7 +107,7 @@
         sockets: list[socket.socket],
         context: ssl.SSLContext | None = None,
     ) -> None:
-        """Listen on bound sockets; without a context, in plain mode."""
+        """Listen on bound sockets; without a context, don't use TLS."""
         loop = asyncio.get_running_loop()
         for sock in sockets:
             server = await loop.create_server(
@@ -139,7 +139,7 @@
         except CodecError as exc:
             log(Event.FRAME_REFUSED, code=exc.code, detail=exc.detail)
         except LinnetwoodError:
-            # The peer went away; whoever served it has cleaned up.
+            # The peer is gone; the handler has cleaned up.
             return
         finally:
             frames.close()
--- a/src/linnetwood/wire/curl.py
+++ b/src/linnetwood/wire/curl.py
@@ -1,4 +1,4 @@
-"""The curl client, closed cleanly."""
+"""Tornado's curl client with a clean close."""
 
 from typing import Any
 
@@ -6,7 +6,7 @@
 
 
 class QuietCurlClient(CurlAsyncHTTPClient):
-    """Ignore what curl still wants to do once the client is closed."""
+    """Ignore libcurl's callbacks after the client was closed."""
 
     def _handle_timeout(self) -> None:
         if self._multi is not None:
--- a/src/linnetwood/wire/curldriver.py
+++ b/src/linnetwood/wire/curldriver.py
@@ -1,9 +1,9 @@
-"""Run many HTTP requests through libcurl, each on a connection of its own.
+"""Run HTTP requests through libcurl, usually each on its own connection.
 
-A kept connection would let libcurl send a request again by itself when the
-connection died before the first byte of its answer, and would let a surplus
-answer appear in the place of the next. A connection that serves one request
-rules out both; what it costs is in docs/design/platform.md.
+On a reused connection that dies before the first byte of the answer, libcurl
+would resend the request, and a surplus answer could be taken for the next one.
+With one connection per request neither can happen; docs/design/platform.md
+states the cost.
 """
 
 import asyncio
@@ -20,21 +20,22 @@
 _MILLISECONDS = 1000
 _HEAD_METHOD = 'HEAD'
 _INTERIM_BELOW = 200
-_KEPT_HANDLES = 64
-_OUT_OF_TIME = 'timed out'
-# Linger on, for no time: what was not read yet is thrown away at both ends.
+_MAX_IDLE_HANDLES = 64
+_TIMED_OUT = 'timed out'
+# SO_LINGER with a timeout of 0: close() sends a reset, which discards unread
+# bytes at both ends.
 _RESET = struct.pack('ii', 1, 0)
-# Headers that libcurl would add by itself; the caller's own go instead.
+# Headers that libcurl adds unless the caller sets or removes them.
 _NOT_ADDED = ('Accept', 'User-Agent', 'Content-Type', 'Expect')
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Request:
-    """One request, sent exactly as it stands here.
+    """One request, which is sent without any change.
 
-    With keep it may go over a connection that is kept, and libcurl may then
-    send it again by itself: only for what may be asked twice. A total time of
-    0 sets no limit: whoever sends it then watches for silence.
+    With `keep` it may use a kept connection, on which libcurl may resend it, so
+    the request must be repeatable. A total time of 0 sets no limit; the caller
+    must detect silence then.
     """
 
     host: str
@@ -52,9 +53,9 @@
 class Finish:
     """How a request ended.
 
-    Whole means that the answer came to its proper end; connected tells
-    whether the request can have reached anybody at all, and fresh whether a
-    connection was opened for it.
+    `whole` says whether the answer is complete, `connected` whether the request
+    may have reached the server, and `fresh` whether a connection was opened for
+    it.
     """
 
     whole: bool
@@ -65,10 +66,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Sent:
-    """How far a request came: seconds to its connection, 0 if it had none.
+    """How much of a request was sent.
 
-    Written are the bytes of its head and body that went into the connection;
-    that they left this VM, or arrived, is not said.
+    `connected_s` is the time until it was connected, 0 if it never was.
+    `written` counts the bytes of head and body that were written to the
+    connection; they may not have left this VM.
     """
 
     connected_s: float = 0
@@ -76,20 +78,20 @@
 
 
 class Receiver(Protocol):
-    """Take in an answer as it comes."""
+    """Receive the parts of an answer."""
 
     def head(self, status: int, headers: Headers) -> None:
-        """Take the status and the headers."""
+        """Receive the status and the headers."""
 
     def body(self, piece: bytes) -> None:
-        """Take a piece of the body."""
+        """Receive a piece of the body."""
 
     def done(self, finish: Finish) -> None:
-        """Learn how it ended; nothing follows."""
+        """Receive how the request ended; nothing follows."""
 
 
 class Transfer:
-    """One request under way; what was sent of it is known when it is over."""
+    """A request in progress; `sent` is set when it ends."""
 
     __slots__ = (
         'descriptor',
@@ -103,7 +105,7 @@
     )
 
     def __init__(self, receiver: Receiver) -> None:
-        """Know nothing of the answer yet."""
+        """Start without any part of the answer."""
         self.receiver = receiver
         self.sent = Sent()
         self.timer: asyncio.TimerHandle | None = None
@@ -114,22 +116,22 @@
         self.in_head = True
 
     def header_line(self, raw: bytes) -> None:
-        """Take one line of a head; lines behind the body are left aside."""
+        """Process one line of the head; ignore trailer lines after the body."""
         line = raw.decode('latin-1').rstrip('\r\n')
         if self.in_head and line:
-            self._field(line)
+            self._parse_field(line)
         elif self.in_head:
-            self._head_ends()
+            self._end_head()
 
-    def _field(self, line: str) -> None:
+    def _parse_field(self, line: str) -> None:
         if line.startswith('HTTP/') and not self.headers:
-            # libcurl itself refuses a line without a number here.
+            # libcurl rejects a status line without a number.
             self.status = int(line.split(' ', 2)[1])
             return
         name, _, text = line.partition(':')
         self.headers.append((name, text.strip()))
 
-    def _head_ends(self) -> None:
+    def _end_head(self) -> None:
         if self.status < _INTERIM_BELOW:
             self.headers = []
             return
@@ -141,67 +143,71 @@
     """Own libcurl's sockets and timer on the running loop."""
 
     def __init__(self) -> None:
-        """Begin with nothing under way."""
+        """Start without requests."""
         self._loop = asyncio.get_running_loop()
         self._multi = pycurl.CurlMulti()
         self._multi.setopt(pycurl.M_SOCKETFUNCTION, self._on_socket)
         self._multi.setopt(pycurl.M_TIMERFUNCTION, self._on_timer)
         self._timer: asyncio.TimerHandle | None = None
         self._by_handle: dict[Any, Transfer] = {}
-        self._idle: list[Any] = []
-        self._inside = False
+        self._idle_handles: list[Any] = []
+        self._in_callback = False
         self._closed = False
 
     def begin(self, req: Request, receiver: Receiver) -> Transfer:
-        """Send a request; the receiver hears of the answer from now on."""
+        """Send a request, and pass the answer to the receiver."""
         transfer = Transfer(receiver)
-        handle = self._idle.pop() if self._idle else pycurl.Curl()
+        handle = (
+            self._idle_handles.pop() if self._idle_handles else pycurl.Curl()
+        )
         transfer.handle = handle
         self._by_handle[handle] = transfer
         _prepare(handle, req, transfer)
         if req.total_s:
-            # libcurl's own limit would close plainly.
+            # On libcurl's own timeout the connection would not be reset.
             limit_s = _at_least_one_ms(req.total_s) / _MILLISECONDS
-            late = self._late
+            late = self._time_out
             transfer.timer = self._loop.call_later(limit_s, late, transfer)
-        self._soon(self._add, handle)
+        self._run_outside_callbacks(self._add, handle)
         return transfer
 
     def cancel(self, transfer: Transfer) -> None:
-        """Reset the connection at once; the receiver hears no more.
+        """Reset the connection at once; the receiver gets nothing more.
 
-        A plain close would leave what is still on its way to arrive, and to be
-        run. What has arrived already, a server that was paused may still read.
+        After a plain close, bytes on their way would still arrive and the call
+        would run. A paused server may still read what has arrived already.
         """
         handle = transfer.handle
         if handle is None or handle not in self._by_handle:
             return
         transfer.in_head = False
-        transfer.receiver = _DEAF
+        transfer.receiver = _IGNORING_RECEIVER
         _reset_on_close(transfer.descriptor)
-        self._soon(self._drop, transfer)
+        self._run_outside_callbacks(self._drop, transfer)
 
     def close(self) -> None:
-        """Cancel everything; nobody is to run what nobody waits for."""
+        """Cancel all requests, so that none runs without a caller."""
         for transfer in list(self._by_handle.values()):
             self.cancel(transfer)
         self._closed = True
         self._cancel_timer()
         self._multi.close()
 
-    def _late(self, transfer: Transfer) -> None:
-        """End a request whose time is over."""
+    def _time_out(self, transfer: Transfer) -> None:
+        """End a request after its total time."""
         if transfer.handle is None:
             return
         receiver = transfer.receiver
         connected = _connected(transfer.handle)
         fresh = _fresh(transfer.handle)
         self.cancel(transfer)
-        receiver.done(Finish(False, connected, _OUT_OF_TIME, fresh))
+        receiver.done(Finish(False, connected, _TIMED_OUT, fresh))
 
-    def _soon(self, step: Callable[[Any], None], subject: Any) -> None:
-        # libcurl allows no change of its set from within its own callbacks.
-        if self._inside:
+    def _run_outside_callbacks(
+        self, step: Callable[[Any], None], subject: Any
+    ) -> None:
+        # libcurl allows no change of its handles within its own callbacks.
+        if self._in_callback:
             self._loop.call_soon(step, subject)
         else:
             step(subject)
@@ -221,14 +227,14 @@
         try:
             self._multi.remove_handle(handle)
         except pycurl.error:
-            # It was never added.
+            # The handle was never added.
             pass  # noqa: WPS420
-        self._keep(handle)
+        self._recycle(handle)
 
-    def _keep(self, handle: Any) -> None:
+    def _recycle(self, handle: Any) -> None:
         handle.reset()
-        if len(self._idle) < _KEPT_HANDLES:
-            self._idle.append(handle)
+        if len(self._idle_handles) < _MAX_IDLE_HANDLES:
+            self._idle_handles.append(handle)
         else:
             handle.close()
 
@@ -240,11 +246,11 @@
             self._loop.remove_writer(fd)
             return
         if what & pycurl.POLL_IN:
-            self._loop.add_reader(fd, self._act, fd, pycurl.CSELECT_IN)
+            self._loop.add_reader(fd, self._on_event, fd, pycurl.CSELECT_IN)
         else:
             self._loop.remove_reader(fd)
         if what & pycurl.POLL_OUT:
-            self._loop.add_writer(fd, self._act, fd, pycurl.CSELECT_OUT)
+            self._loop.add_writer(fd, self._on_event, fd, pycurl.CSELECT_OUT)
         else:
             self._loop.remove_writer(fd)
 
@@ -253,7 +259,7 @@
         if wait_ms >= 0 and not self._closed:
             self._timer = self._loop.call_later(
                 wait_ms / _MILLISECONDS,
-                self._act,
+                self._on_event,
                 pycurl.SOCKET_TIMEOUT,
                 0,
             )
@@ -263,14 +269,14 @@
             self._timer.cancel()
             self._timer = None
 
-    def _act(self, fd: int, events: int) -> None:
+    def _on_event(self, fd: int, events: int) -> None:
         if self._closed:
             return
-        self._inside = True
+        self._in_callback = True
         try:
             self._multi.socket_action(fd, events)
         finally:
-            self._inside = False
+            self._in_callback = False
         self._collect()
 
     def _collect(self) -> None:
@@ -295,7 +301,7 @@
 
 
 def _connected(handle: Any) -> bool:
-    """Tell whether a request can have reached anybody."""
+    """Return whether a request may have reached the server."""
     return bool(
         handle.getinfo(pycurl.CONNECT_TIME) > 0
         or handle.getinfo(pycurl.REQUEST_SIZE) > 0,
@@ -316,28 +322,28 @@
 def _reset_on_close(descriptor: int) -> None:
     if descriptor < 0:
         return
-    # A copy shares the connection's options, and closing it closes no more.
+    # The duplicate shares the socket's options; closing it keeps the original.
     with socket.fromfd(descriptor, socket.AF_INET, socket.SOCK_STREAM) as copy:
         copy.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
 
 
-class _Deaf:
-    """Hear nothing: the receiver of a cancelled request."""
+class _IgnoringReceiver:
+    """Ignore the answer to a cancelled request."""
 
     def head(self, status: int, headers: Headers) -> None:
-        """Drop it."""
+        """Do nothing."""
 
     def body(self, piece: bytes) -> None:
-        """Drop it."""
+        """Do nothing."""
 
     def done(self, finish: Finish) -> None:
-        """Drop it."""
+        """Do nothing."""
 
 
-_DEAF = _Deaf()
+_IGNORING_RECEIVER = _IgnoringReceiver()
 
 
-_FIXED = (
+_FIXED_OPTIONS = (
     (pycurl.HTTP_VERSION, pycurl.CURL_HTTP_VERSION_1_1),
     (pycurl.NOSIGNAL, 1),
     (pycurl.PROXY, ''),
@@ -354,14 +360,14 @@
         (pycurl.CONNECTTIMEOUT_MS, _at_least_one_ms(req.connect_s)),
         (pycurl.HTTPHEADER, list(_header_lines(req))),
     )
-    for option, setting in (*_FIXED, *of_request):
+    for option, setting in (*_FIXED_OPTIONS, *of_request):
         handle.setopt(option, setting)
     _prepare_body(handle, req)
-    _listen(handle, transfer)
+    _set_callbacks(handle, transfer)
 
 
-def _listen(handle: Any, transfer: Transfer) -> None:
-    # A cancelled request has another receiver by the time a piece comes.
+def _set_callbacks(handle: Any, transfer: Transfer) -> None:
+    # Look up the receiver each time, since a cancellation replaces it.
     def piece(octets: bytes) -> None:  # noqa: WPS430
         transfer.receiver.body(octets)
 
@@ -387,7 +393,7 @@
 def _header_lines(req: Request) -> Any:
     given = {name.lower() for name, _ in req.headers}
     for name, text in req.headers:
-        # libcurl drops a header without text unless it ends with a semicolon.
+        # libcurl omits a header without a value unless it ends in a semicolon.
         yield f'{name}: {text}' if text else f'{name};'
     for name in _NOT_ADDED:
         if name.lower() not in given:
--- a/src/linnetwood/wire/eventstream.py
+++ b/src/linnetwood/wire/eventstream.py
@@ -1,44 +1,44 @@
-"""Cut a stream of server-sent events into whole events."""
+"""Split a stream of server-sent events into complete events."""
 
-_END = b'\n\n'
-_ID = b'id:'
+_EVENT_END = b'\n\n'
+_ID_FIELD = b'id:'
 
 
-class EventCutter:
-    """Hold back half an event until the rest of it has come."""
+class EventSplitter:
+    """Buffer a partial event until the rest of it arrives."""
 
     __slots__ = ('_pending', 'count', 'last_id')
 
     def __init__(self) -> None:
-        """Begin before the first event."""
+        """Start before the first event."""
         self._pending = b''
         self.last_id = ''
         self.count = 0
 
     def feed(self, piece: bytes) -> bytes:
-        """Take bytes; give the whole events that they complete."""
+        """Add bytes; return the events that are complete with them."""
         pending = self._pending + piece if self._pending else piece
-        end = pending.rfind(_END)
+        end = pending.rfind(_EVENT_END)
         if end < 0:
             self._pending = pending
             return b''
-        end += len(_END)
+        end += len(_EVENT_END)
         whole = pending[:end]
         self._pending = pending[end:]
-        self._note(whole)
+        self._count_events(whole)
         return whole
 
     @property
-    def half(self) -> bool:
-        """Tell whether an event has begun and not ended."""
+    def has_partial(self) -> bool:
+        """Return whether the last event is incomplete."""
         return bool(self._pending)
 
-    def drop_half(self) -> None:
-        """Forget half an event: another endpoint sends the whole of it."""
+    def drop_partial(self) -> None:
+        """Drop a partial event, which another endpoint will send again."""
         self._pending = b''
 
-    def _note(self, whole: bytes) -> None:
-        self.count += whole.count(_END)
+    def _count_events(self, whole: bytes) -> None:
+        self.count += whole.count(_EVENT_END)
         for line in whole.split(b'\n'):
-            if line.startswith(_ID):
-                self.last_id = line[len(_ID) :].strip().decode('latin-1')
+            if line.startswith(_ID_FIELD):
+                self.last_id = line[len(_ID_FIELD) :].strip().decode('latin-1')
--- a/src/linnetwood/wire/frames.py
+++ b/src/linnetwood/wire/frames.py
@@ -1,4 +1,4 @@
-"""Length-prefixed frames over one connection, one exchange at a time."""
+"""Length-prefixed frames on a connection, for one exchange at a time."""
 
 import asyncio
 import enum
@@ -20,7 +20,7 @@
 
 
 class FrameKind(enum.IntEnum):
-    """Say what a frame's payload is."""
+    """The type of a frame's payload."""
 
     START = 1
     HEAD = 2
@@ -42,28 +42,28 @@
     PEERS = 20
 
 
-# Looking a kind up here costs a third of what the enumeration's call does.
+# A lookup here takes a third of the time of calling the enumeration.
 _KINDS = MappingProxyType({int(kind): kind for kind in FrameKind})
 
 
 class Frame:
-    """Hold one frame's kind and payload."""
+    """A frame's kind and payload."""
 
     __slots__ = ('kind', 'payload')
 
     def __init__(self, kind: FrameKind, payload: bytes) -> None:
-        """Keep both parts."""
+        """Set both parts."""
         self.kind = kind
         self.payload = payload
 
 
 def pack(kind: FrameKind, payload: bytes) -> bytes:
-    """Put the header before the payload."""
+    """Return the payload with its header."""
     return _HEADER.pack(len(payload), kind) + payload
 
 
 def split(pending: bytearray) -> Iterator[Frame]:
-    """Yield the whole frames at the start of the bytes and remove them."""
+    """Remove and yield the complete frames at the start of the bytes."""
     while len(pending) >= _HEADER.size:
         length, number = _HEADER.unpack_from(pending)
         if length > MAX_FRAME:
@@ -86,17 +86,17 @@
 class FrameStream(asyncio.Protocol):
     """Read and write frames on one connection.
 
-    It stands on asyncio's own transports: a tornado stream changes its
-    registration with the poller for every read, which costs more than the
-    relaying of a token itself (docs/MEASUREMENTS.md).
+    It uses asyncio's transports: a tornado stream changes its registration
+    with the poller for every read, which takes more time than relaying a token
+    does (docs/MEASUREMENTS.md).
     """
 
     def __init__(
         self,
         accepted: 'Callable[[FrameStream], None] | None' = None,
     ) -> None:
-        """Tell a server, if there is one, once the connection is made."""
-        self.heard_at = float()
+        """Call `accepted`, if given, once the connection is made."""
+        self.last_received_at = float()
         self._accepted = accepted
         self._transport: asyncio.Transport | None = None
         self._pending = bytearray()
@@ -104,12 +104,12 @@
         self._waiter: asyncio.Future[None] | None = None
         self._writable = asyncio.Event()
         self._writable.set()
-        self._gone = asyncio.Event()
-        self._fault: CodecError | None = None
+        self._closed_event = asyncio.Event()
+        self._error: CodecError | None = None
         self._paused = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Take the connection over."""
+        """Store the transport and disable Nagle's algorithm."""
         self._transport = cast(asyncio.Transport, transport)
         sock = transport.get_extra_info('socket')
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -117,13 +117,13 @@
             self._accepted(self)
 
     def data_received(self, received: bytes) -> None:
-        """Cut what came in into frames."""
-        self.heard_at = monotonic_s()
+        """Split received bytes into frames."""
+        self.last_received_at = monotonic_s()
         self._pending += received
         try:
             self._ready.extend(split(self._pending))
         except CodecError as exc:
-            self._fault = exc
+            self._error = exc
             self.close()
         if len(self._ready) > _READY_LIMIT and self._transport is not None:
             self._paused = True
@@ -131,34 +131,34 @@
         self._wake()
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Note that the connection is gone."""
-        self._gone.set()
+        """Wake readers and writers."""
+        self._closed_event.set()
         self._writable.set()
         self._wake()
 
     def pause_writing(self) -> None:
-        """Make writers wait for a slow reader."""
+        """Block writers, since the peer reads slowly."""
         self._writable.clear()
 
     def resume_writing(self) -> None:
-        """Let writers go on."""
+        """Unblock writers."""
         self._writable.set()
 
     @property
     def closed(self) -> bool:
-        """Tell whether either side has closed."""
+        """Return whether either side has closed."""
         transport = self._transport
         return transport is None or transport.is_closing()
 
     @property
     def idle(self) -> bool:
-        """Tell whether nothing waits to be read."""
+        """Return whether no received bytes are unread."""
         return not (self._ready or self._pending)
 
     async def read(self) -> Frame:
-        """Wait for the next frame; raise WireError when the peer is gone."""
+        """Wait for the next frame; raise WireError if the connection ends."""
         while not self._ready:
-            self._check()
+            self._raise_if_closed()
             self._waiter = asyncio.get_running_loop().create_future()
             await self._waiter
         frame = self._ready.popleft()
@@ -167,38 +167,39 @@
         return frame
 
     async def read_within(self, silent_s: float) -> Frame:
-        """Wait for the next frame, however long it takes while bytes come.
+        """Wait for the next frame as long as bytes arrive.
 
-        Raises WireError when none came for so long, or the peer is gone.
+        Raises WireError after `silent_s` seconds without bytes, or if the
+        connection ends.
         """
         while not self._ready:
-            self._check()
-            await self._stirred(silent_s)
+            self._raise_if_closed()
+            await self._wait_for_bytes(silent_s)
         return await self.read()
 
     async def write(self, kind: FrameKind, payload: bytes) -> None:
-        """Send one frame and wait while the peer reads too slowly."""
+        """Send one frame, and wait while the peer reads too slowly."""
         self.send(kind, payload)
         if not self._writable.is_set():
             await self._writable.wait()
 
     def send(self, kind: FrameKind, payload: bytes) -> None:
         """Send one frame without waiting."""
-        self._put(pack(kind, payload))
+        self._write_bytes(pack(kind, payload))
 
-    def open_frame(self, kind: FrameKind, length: int) -> None:
-        """Begin a frame whose payload is poured in parts."""
-        self._put(_HEADER.pack(length, kind))
+    def begin_frame(self, kind: FrameKind, length: int) -> None:
+        """Send the header of a frame whose payload follows in parts."""
+        self._write_bytes(_HEADER.pack(length, kind))
 
-    async def pour(self, part: bytes) -> None:
-        """Send a part of the payload; wait while the peer reads too slowly."""
-        self._put(part)
+    async def write_part(self, part: bytes) -> None:
+        """Send a part of a payload; wait while the peer reads too slowly."""
+        self._write_bytes(part)
         if not self._writable.is_set():
             await self._writable.wait()
 
     async def wait_closed(self) -> None:
-        """Wait until either side closes; frames that come are kept."""
-        await self._gone.wait()
+        """Wait until either side closes; received frames remain readable."""
+        await self._closed_event.wait()
 
     def close(self) -> None:
         """Close the connection."""
@@ -206,11 +207,11 @@
             self._transport.close()
 
     def abort(self) -> None:
-        """Close the connection and drop what was not sent."""
+        """Close the connection and discard unsent bytes."""
         if self._transport is not None:
             self._transport.abort()
 
-    def _put(self, payload: bytes) -> None:
+    def _write_bytes(self, payload: bytes) -> None:
         transport = self._transport
         if transport is None or transport.is_closing():
             raise WireError('connection-lost', 'closed before the write')
@@ -218,24 +219,26 @@
             raise WireError('reader-too-slow', f'over {_WRITE_LIMIT} bytes')
         transport.write(payload)
 
-    async def _stirred(self, silent_s: float) -> None:
+    async def _wait_for_bytes(self, silent_s: float) -> None:
         waiter = asyncio.get_running_loop().create_future()
         self._waiter = waiter
         try:
             async with asyncio.timeout(silent_s):
                 await waiter
         except TimeoutError as exc:
-            # Bytes that came at the last moment were not waited for in vain.
+            # If bytes arrived at the last moment, this is no timeout.
             if waiter.cancelled():
-                raise WireError('peer-silent', self._silence(silent_s)) from exc
+                raise WireError(
+                    'peer-silent', self._silence_detail(silent_s)
+                ) from exc
 
-    def _silence(self, silent_s: float) -> str:
+    def _silence_detail(self, silent_s: float) -> str:
         return f'for {silent_s} s after {len(self._pending)} bytes of a frame'
 
-    def _check(self) -> None:
-        if self._fault is not None:
-            raise self._fault
-        if self._gone.is_set() or self.closed:
+    def _raise_if_closed(self) -> None:
+        if self._error is not None:
+            raise self._error
+        if self._closed_event.is_set() or self.closed:
             raise WireError('connection-lost', 'closed')
 
     def _resume(self) -> None:
--- a/src/linnetwood/wire/http.py
+++ b/src/linnetwood/wire/http.py
@@ -1,4 +1,4 @@
-"""HTTP clients whose failures come back as answers, closed cleanly."""
+"""HTTP clients that return failures as responses and close cleanly."""
 
 import asyncio
 from typing import Any
@@ -14,36 +14,36 @@
 
 
 async def fetch(client: AsyncHTTPClient, req: HTTPRequest) -> HTTPResponse:
-    """Give the answer, or one of status 599 that holds the error.
+    """Return the response, or one with status 599 that holds the error.
 
-    The library raises what is not an HTTP status even when told not to raise.
-    It goes on with a request whose asker has gone, so the asker's end must not
-    reach it: it would log the connection's end as an error.
+    The library raises failures other than an HTTP status even with
+    raise_error=False. If its future were cancelled together with the caller, it
+    would continue the request and log the end of the connection as an error.
     """
-    asked = asyncio.ensure_future(client.fetch(req, raise_error=False))
+    fut = asyncio.ensure_future(client.fetch(req, raise_error=False))
     try:
-        return await asyncio.shield(asked)
+        return await asyncio.shield(fut)
     except (HTTPClientError, OSError) as exc:
         return HTTPResponse(req, NO_ANSWER, error=exc)
     except asyncio.CancelledError:
-        asked.add_done_callback(_let_go)
+        fut.add_done_callback(_discard_result)
         raise
 
 
-def _let_go(asked: asyncio.Future[HTTPResponse]) -> None:
-    """Take an outcome that nobody waits for."""
-    if not asked.cancelled():
-        asked.exception()
+def _discard_result(fut: asyncio.Future[HTTPResponse]) -> None:
+    """Retrieve a result that is no longer needed, to avoid a warning."""
+    if not fut.cancelled():
+        fut.exception()
 
 
 def open_client(max_clients: int) -> Any:
-    """Give a curl client that runs so many requests at a time."""
-    # Only endpoints need curl; an entry does without its 6 MB.
+    """Return a curl client for this number of parallel requests."""
+    # Only endpoints need curl, which takes 6 MB of memory.
     from linnetwood.wire.curl import QuietCurlClient  # noqa: PLC0415
 
     return QuietCurlClient(force_instance=True, max_clients=max_clients)
 
 
-def open_small_client(max_clients: int) -> Any:
-    """Give tornado's own client, for a process that makes few requests."""
+def open_simple_client(max_clients: int) -> Any:
+    """Return tornado's own client, for processes that send few requests."""
     return AsyncHTTPClient(force_instance=True, max_clients=max_clients)
--- a/tests/cold_fleet.py
+++ b/tests/cold_fleet.py
@@ -28,7 +28,7 @@
 from linnetwood.weights.transfer import Tools
 from linnetwood.wire.curldriver import CurlDriver
 from linnetwood.wire.frames import FrameStream
-from linnetwood.wire.links import OpenLink
+from linnetwood.wire.links import UnlimitedLink
 from tests.test_directory import POOL
 from tests.test_follower import FakeEngine, FakeOrigin
 
@@ -139,7 +139,7 @@
 
     def __init__(self, fleet: 'ColdFleet', me: str) -> None:
         """Reach the peers of a fleet."""
-        super().__init__(me, MemoryDialler(fleet.net), OpenLink())
+        super().__init__(me, MemoryDialler(fleet.net), UnlimitedLink())
         self._fleet = fleet
         self._host = me
 
@@ -176,14 +176,16 @@
         store = ChunkStore()
         counters = TransferCounters()
         cfg = Transfer()
-        self.uploads = Uploads(store, OpenLink(), counters, cfg.upload_queue)
+        self.uploads = Uploads(
+            store, UnlimitedLink(), counters, cfg.upload_queue
+        )
         tools = Tools(
             me=host,
             store=store,
             fetcher=MemoryFetcher(fleet, host),
             uploads=self.uploads,
             origin=OriginChunks(fleet.origin),
-            link=OpenLink(),
+            link=UnlimitedLink(),
             clock=fleet.clock,
             rng=rng,
             counters=counters,
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -32,7 +32,7 @@
 from linnetwood.weights.orders import EngineStatus, LoadOrder
 from linnetwood.weights.transfer import Tools
 from linnetwood.wire.connections import TcpDialler
-from linnetwood.wire.links import OpenLink
+from linnetwood.wire.links import UnlimitedLink
 from tests.test_membership import member
 
 WEIGHTS = {
@@ -178,7 +178,7 @@
         self.guard = Guard(state, NoBackend(), memory)
         store = chunks.ChunkStore()
         counters = TransferCounters()
-        link = OpenLink()
+        link = UnlimitedLink()
         self.store = store
         tools = Tools(
             me='vm',
--- a/tests/test_callserver.py
+++ b/tests/test_callserver.py
@@ -35,9 +35,9 @@
     HOST,
     Behaviour,
     Server,
-    notes_reset,
+    await_reset,
     reset,
-    says,
+    respond_with,
 )
 from tests.test_direct import FULL, GOOD
 
@@ -188,11 +188,11 @@
     async def test_statuses(self) -> None:
         """Each ending has its status, and only 503 has a Retry-After."""
         cases: tuple[tuple[str, bytes, Behaviour, int], ...] = (
-            ('good', request('/a/x'), says(GOOD), 200),
-            ('no route', request('/b/x'), says(GOOD), 404),
-            ('no host', request('/a/x', host='other'), says(GOOD), 404),
-            ('no key', request('/a/x', key='k2'), says(GOOD), 401),
-            ('full', request('/a/x'), says(FULL), 503),
+            ('good', request('/a/x'), respond_with(GOOD), 200),
+            ('no route', request('/b/x'), respond_with(GOOD), 404),
+            ('no host', request('/a/x', host='other'), respond_with(GOOD), 404),
+            ('no key', request('/a/x', key='k2'), respond_with(GOOD), 401),
+            ('full', request('/a/x'), respond_with(FULL), 503),
             ('may have run', request('/a/x'), reset, 502),
         )
         for name, sent_request, behave, expected in cases:
@@ -294,7 +294,7 @@
         """A zone that is cut off goes on serving the routes that it knows."""
         self.set_max_age(1.2)
         self.clock.at = 200.0
-        await self.serve(says(GOOD))
+        await self.serve(respond_with(GOOD))
         self.assertTrue(self.delegate.config_basis().is_stale)
         self.assertEqual((await self.send(request('/a/x')))[0][0], 200)
 
@@ -312,7 +312,7 @@
 
     async def test_other_endings_log_no_unplaced_call(self) -> None:
         """Answers, and refusals without any configuration, add no line."""
-        await self.serve(says(GOOD))
+        await self.serve(respond_with(GOOD))
         self.assertEqual(await self.unplaced_lines(request('/a/x')), [])
         self.route_table = RouteTable()
         self.assertEqual(await self.unplaced_lines(request('/a/x')), [])
@@ -352,7 +352,7 @@
 
     async def test_new_limits_apply_to_open_connections(self) -> None:
         """New limits apply from the second request of an open connection."""
-        await self.serve(says(GOOD))
+        await self.serve(respond_with(GOOD))
         plain = request('/a/x')
         long = plain.replace(b'\r\n', b'\r\nX-Fill: ' + b'f' * 900 + b'\r\n', 1)
         answers = await self.send(plain, long)
@@ -372,13 +372,13 @@
 
     async def test_connection_serves_several_calls(self) -> None:
         """A connection is kept open for the next call."""
-        await self.serve(says(GOOD))
+        await self.serve(respond_with(GOOD))
         answers = await self.send(request('/a/x'), request('/a/y'))
         self.assertEqual([answer[0] for answer in answers], [200, 200])
 
     async def test_stopping_process_closes_connections(self) -> None:
         """The last answer on a connection has a Connection: close."""
-        await self.serve(says(GOOD))
+        await self.serve(respond_with(GOOD))
         self.delegate.stopping = True
         _, head, body = (await self.send(request('/a/x')))[0]
         self.assertIn(b'Connection: close', head)
@@ -388,7 +388,7 @@
         self,
     ) -> None:
         """A call that may not finish before the process ends is not begun."""
-        endpoint = await self.serve(says(GOOD))
+        endpoint = await self.serve(respond_with(GOOD))
         self.delegate.stopping = True
         self.delegate.leaving = True
         status, head, _ = (await self.send(request('/a/x')))[0]
@@ -434,7 +434,7 @@
         """The endpoint sees at once that the caller has left."""
         gone = asyncio.Event()
 
-        endpoint = await self.serve(notes_reset(gone))
+        endpoint = await self.serve(await_reset(gone))
         _, writer = await asyncio.open_connection(HOST, self.port)
         writer.write(request('/a/x'))
         while not endpoint.requests:
--- a/tests/test_curldriver.py
+++ b/tests/test_curldriver.py
@@ -1,11 +1,11 @@
-"""Requests through libcurl: sent once, answers whole or known as not."""
+"""Requests through libcurl are sent once; incomplete answers are detected."""
 
 import asyncio
 import socket
 import unittest
 from collections.abc import Awaitable, Callable
 
-from linnetwood.wire.asking import Answer, Patience, ask
+from linnetwood.wire.asking import Answer, SilenceLimits, ask
 from linnetwood.wire.curldriver import (
     CurlDriver,
     Finish,
@@ -17,7 +17,7 @@
 from tests.loops import close_server
 
 HOST = '127.0.0.1'
-MOST = 1000000
+MAX_BYTES = 1000000
 Behaviour = Callable[
     [asyncio.StreamReader, asyncio.StreamWriter],
     Awaitable[None],
@@ -26,7 +26,7 @@
 
 
 async def read_request(reader: asyncio.StreamReader) -> bytes:
-    """Read a request with its body by length."""
+    """Read a request with a body of the stated length."""
     head = await reader.readuntil(b'\r\n\r\n')
     size = 0
     for line in head.split(b'\r\n'):
@@ -36,7 +36,7 @@
 
 
 class Server:
-    """A stand-in that counts the requests it read."""
+    """A test server that records the requests it read."""
 
     def __init__(self, behave: Behaviour) -> None:
         self.requests: list[bytes] = []
@@ -51,7 +51,7 @@
 
     async def close(self) -> None:
         await close_server(self._server)
-        # The loop complains of any that it has to cancel at its end.
+        # The loop warns of tasks that it has to cancel when it closes.
         serving = [one for one in self._serving if one is not None]
         for one in serving:
             one.cancel()
@@ -77,8 +77,8 @@
             writer.close()
 
 
-def says(answer: bytes) -> Behaviour:
-    """Answer with bytes, then close."""
+def respond_with(answer: bytes) -> Behaviour:
+    """Return a behaviour that sends an answer and closes."""
 
     async def behave(
         _: asyncio.StreamReader, out: asyncio.StreamWriter
@@ -95,7 +95,7 @@
 
 
 class ScriptedServer(Server):
-    """A stand-in that gives one answer after the other."""
+    """A test server that sends one scripted answer after the other."""
 
     def __init__(self) -> None:
         super().__init__(self._next)
@@ -110,8 +110,8 @@
         await writer.drain()
 
 
-def notes_reset(gone: asyncio.Event) -> Behaviour:
-    """Answer nothing, and note that the caller reset the connection."""
+def await_reset(gone: asyncio.Event) -> Behaviour:
+    """Return a behaviour that sets an event when the caller resets."""
 
     async def behave(
         reader: asyncio.StreamReader,
@@ -126,7 +126,7 @@
 
 
 class CurlDriverTest(unittest.IsolatedAsyncioTestCase):
-    """Ask stand-ins that behave and that do not."""
+    """Send requests to servers that work and to faulty ones."""
 
     async def asked(
         self,
@@ -134,7 +134,7 @@
         method: str = 'POST',
         body: bytes = b'abc',
     ) -> tuple[Answer, Server]:
-        """Ask once."""
+        """Send one request."""
         server = Server(behave)
         port = await server.start()
         driver = CurlDriver()
@@ -147,14 +147,14 @@
             body,
             total_s=5,
         )
-        answer = await ask(driver, req, MOST)
+        answer = await ask(driver, req, MAX_BYTES)
         driver.close()
         await server.close()
         return answer, server
 
-    async def test_request_goes_out_as_it_stands(self) -> None:
-        """Nothing is added to the target, the headers or the body."""
-        answer, server = await self.asked(says(WHOLE))
+    async def test_request_is_sent_unchanged(self) -> None:
+        """Target, headers and body are exactly those of the request."""
+        answer, server = await self.asked(respond_with(WHOLE))
         self.assertEqual((answer.status, answer.body), (200, b'ok'))
         self.assertIn(('X-One', 'a'), answer.headers)
         head, _, body = server.requests[0].partition(b'\r\n\r\n')
@@ -171,12 +171,12 @@
         self.assertEqual(body, b'abc')
 
     async def test_never_sent_twice(self) -> None:
-        """A connection that dies after the request is not tried again."""
+        """The request is not resent if the connection dies after it."""
         cases: tuple[tuple[str, Behaviour], ...] = (
-            ('closed', says(b'')),
+            ('closed', respond_with(b'')),
             ('reset', reset),
-            ('half', says(WHOLE[:-1])),
-            ('no answer', says(b'what is this\r\n\r\n')),
+            ('half', respond_with(WHOLE[:-1])),
+            ('no answer', respond_with(b'what is this\r\n\r\n')),
         )
         for name, behave in cases:
             for method, body in (('POST', b'abc'), ('GET', b'')):
@@ -187,31 +187,31 @@
                     self.assertEqual(len(server.requests), 1)
 
     async def test_each_request_has_its_own_connection(self) -> None:
-        """A surplus answer has no next request to be taken for."""
-        server = Server(says(WHOLE + WHOLE.replace(b'ok', b'no')))
+        """A surplus answer can't be taken for that of the next request."""
+        server = Server(respond_with(WHOLE + WHOLE.replace(b'ok', b'no')))
         port = await server.start()
         driver = CurlDriver()
         req = Request(HOST, port, 'GET', '/', [('Host', 'x')], total_s=5)
         for _ in range(3):
-            answer = await ask(driver, req, MOST)
+            answer = await ask(driver, req, MAX_BYTES)
             self.assertEqual((answer.status, answer.body), (200, b'ok'))
         self.assertEqual(server.connections, 3)
         driver.close()
         await server.close()
 
-    async def test_a_connection_never_made_is_told_apart(self) -> None:
-        """Nobody can have run what reached nobody."""
-        server = Server(says(b''))
+    async def test_a_connection_that_was_never_made(self) -> None:
+        """The result says that the request can't have run."""
+        server = Server(respond_with(b''))
         port = await server.start()
         await server.close()
         driver = CurlDriver()
         req = Request(HOST, port, 'POST', '/', [('Host', 'x')], b'a', total_s=5)
-        answer = await ask(driver, req, MOST)
+        answer = await ask(driver, req, MAX_BYTES)
         self.assertEqual((answer.status, answer.finish.connected), (0, False))
         driver.close()
 
     async def test_chunks_without_an_end_are_not_whole(self) -> None:
-        """A chunked answer that stops early does not look complete."""
+        """A chunked answer without its last chunk is incomplete."""
         head = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
         cases = (
             (b'2\r\nok\r\n0\r\n\r\n', 200),
@@ -220,18 +220,18 @@
         )
         for body, expected in cases:
             with self.subTest(body=body):
-                answer, _ = await self.asked(says(head + body))
+                answer, _ = await self.asked(respond_with(head + body))
                 self.assertEqual(answer.status, expected)
 
     async def test_cancelled_request_closes_its_connection(self) -> None:
-        """The server sees at once that nobody waits."""
+        """The server gets a reset at once."""
         gone = asyncio.Event()
 
-        server = Server(notes_reset(gone))
+        server = Server(await_reset(gone))
         port = await server.start()
         driver = CurlDriver()
         req = Request(HOST, port, 'GET', '/', [('Host', 'x')], total_s=60)
-        task = asyncio.create_task(ask(driver, req, MOST))
+        task = asyncio.create_task(ask(driver, req, MAX_BYTES))
         while not server.requests:
             await asyncio.sleep(0)
         task.cancel()
@@ -241,8 +241,8 @@
         await server.close()
 
 
-def says_apart(pause_s: float, *pieces: bytes) -> Behaviour:
-    """Answer piece by piece, then say nothing until the caller goes."""
+def respond_in_pieces(pause_s: float, *pieces: bytes) -> Behaviour:
+    """Return a behaviour that sends pieces, then waits for the close."""
 
     async def behave(
         reader: asyncio.StreamReader,
@@ -256,16 +256,16 @@
     return behave
 
 
-class PatienceTest(unittest.IsolatedAsyncioTestCase):
-    """Ask stand-ins that take their time."""
+class SilenceTest(unittest.IsolatedAsyncioTestCase):
+    """Send requests to slow servers."""
 
     async def asked(
         self,
-        patience: Patience,
+        patience: SilenceLimits,
         behave: Behaviour,
-        most: int = MOST,
+        most: int = MAX_BYTES,
     ) -> tuple[Answer, int]:
-        """Ask once; count the pieces that were told, the head among them."""
+        """Send one request; return the answer and the calls of `on_bytes`."""
         server = Server(behave)
         port = await server.start()
         driver = CurlDriver()
@@ -283,37 +283,41 @@
         await server.close()
         return answer, len(heard)
 
-    async def test_what_flows_may_take_its_time(self) -> None:
-        """Neither the request's total time nor the sum of pauses counts.
+    async def test_a_slow_answer_is_received(self) -> None:
+        """Neither the request's total time nor the sum of pauses is limited.
 
-        Only the body's pieces say that an answer flows.
+        `on_bytes` is called for pieces of the body only.
         """
         pieces = [WHOLE[:-2], b'o', b'k']
         answer, heard = await self.asked(
-            Patience(5, 5),
-            says_apart(0.2, *pieces),
+            SilenceLimits(5, 5),
+            respond_in_pieces(0.2, *pieces),
         )
         self.assertEqual((answer.status, answer.body), (200, b'ok'))
         self.assertEqual(heard, 2)
 
-    async def test_a_refusal_is_no_answer_that_flows(self) -> None:
-        """Its body is taken, and nobody is told of a piece."""
+    async def test_an_error_is_not_reported_as_bytes(self) -> None:
+        """Its body is received, and `on_bytes` is not called."""
         refusal = WHOLE.replace(b'200 OK', b'429 Busy')
-        answer, heard = await self.asked(Patience(5, 5), says_apart(0, refusal))
+        answer, heard = await self.asked(
+            SilenceLimits(5, 5), respond_in_pieces(0, refusal)
+        )
         self.assertEqual((answer.status, answer.body), (429, b'ok'))
         self.assertEqual(heard, 0)
 
     async def test_silence_ends_it(self) -> None:
-        """It is told how long nothing came, and how much had come before."""
+        """The detail names the silence and the bytes received before it."""
         cases = (
-            ('nothing', b'', Patience(0.2, 30), 0),
-            ('half a head', WHOLE[:9], Patience(0.2, 30), 0),
-            ('a head', WHOLE[:-2], Patience(0.2, 30), 0),
-            ('half a body', WHOLE[:-1], Patience(30, 0.2), 1),
+            ('nothing', b'', SilenceLimits(0.2, 30), 0),
+            ('half a head', WHOLE[:9], SilenceLimits(0.2, 30), 0),
+            ('a head', WHOLE[:-2], SilenceLimits(0.2, 30), 0),
+            ('half a body', WHOLE[:-1], SilenceLimits(30, 0.2), 1),
         )
         for name, sent, patience, size in cases:
             with self.subTest(sent=name):
-                answer, _ = await self.asked(patience, says_apart(0, sent))
+                answer, _ = await self.asked(
+                    patience, respond_in_pieces(0, sent)
+                )
                 self.assertEqual(answer.status, 0)
                 self.assertFalse(answer.finish.whole)
                 self.assertRegex(
@@ -321,11 +325,11 @@
                     rf'^silent for \d+\.\d s after {size} bytes$',
                 )
 
-    async def test_too_large_an_answer_ends_at_once(self) -> None:
-        """What flows for ever is not waited for."""
+    async def test_an_answer_that_is_too_large(self) -> None:
+        """The request ends at once, although the answer goes on."""
         answer, _ = await self.asked(
-            Patience(30, 30),
-            says_apart(0, WHOLE[:-1]),
+            SilenceLimits(30, 30),
+            respond_in_pieces(0, WHOLE[:-1]),
             most=0,
         )
         self.assertEqual(
@@ -334,31 +338,31 @@
         )
 
 
-class Silent:
-    """Take in no answer."""
+class IgnoringReceiver:
+    """Ignore the answer."""
 
     def head(self, status: int, headers: Headers) -> None:
-        """Leave it."""
+        """Do nothing."""
 
     def body(self, piece: bytes) -> None:
-        """Leave it."""
+        """Do nothing."""
 
     def done(self, finish: Finish) -> None:
-        """Leave it."""
+        """Do nothing."""
 
 
 class CancelTest(unittest.IsolatedAsyncioTestCase):
-    """Take a request back from a server that has not read it."""
+    """Cancel a request that the server has not read."""
 
-    async def test_paused_server_learns_that_the_call_was_reset(self) -> None:
-        """When it wakes it sees a reset, and no caller that closed in peace."""
+    async def test_paused_server_gets_a_reset(self) -> None:
+        """When it continues it gets a reset and not an orderly close."""
         with socket.socket() as listening:
             listening.bind((HOST, 0))
             listening.listen()
             port = listening.getsockname()[1]
             driver = CurlDriver()
             req = Request(HOST, port, 'POST', '/', [('Host', 'x')], b'a')
-            task = asyncio.create_task(ask(driver, req, MOST))
+            task = asyncio.create_task(ask(driver, req, MAX_BYTES))
             loop = asyncio.get_running_loop()
             listening.setblocking(False)  # noqa: WPS425
             conn, _ = await loop.sock_accept(listening)
@@ -370,15 +374,15 @@
                     await asyncio.sleep(0)
             driver.close()
 
-    async def test_cancelled_request_tells_what_was_sent(self) -> None:
-        """All of its bytes went into the connection, though nobody read."""
+    async def test_cancelled_request_reports_what_was_sent(self) -> None:
+        """All of its bytes were written, although the server read none."""
         with socket.socket() as listening:
             listening.bind((HOST, 0))
             listening.listen()
             port = listening.getsockname()[1]
             driver = CurlDriver()
             req = Request(HOST, port, 'POST', '/', [('Host', 'x')], b'abc')
-            transfer = driver.begin(req, Silent())
+            transfer = driver.begin(req, IgnoringReceiver())
             self.assertEqual(transfer.sent, Sent())
             loop = asyncio.get_running_loop()
             listening.setblocking(False)  # noqa: WPS425
@@ -386,25 +390,25 @@
             await self.arrived(conn)
             driver.cancel(transfer)
             with conn:
-                request = await loop.sock_recv(conn, MOST)
+                request = await loop.sock_recv(conn, MAX_BYTES)
             self.assertEqual(transfer.sent.written, len(request))
             self.assertGreater(transfer.sent.connected_s, 0)
             driver.close()
 
     async def test_request_without_a_connection_sent_nothing(self) -> None:
-        """Nobody takes it in, and it is cancelled while it connects."""
+        """It is cancelled while it connects."""
         with socket.socket() as listening:
             listening.bind((HOST, 0))
             port = listening.getsockname()[1]
             driver = CurlDriver()
             req = Request(HOST, port, 'POST', '/', [('Host', 'x')], b'abc')
-            transfer = driver.begin(req, Silent())
+            transfer = driver.begin(req, IgnoringReceiver())
             driver.cancel(transfer)
             self.assertEqual(transfer.sent, Sent())
             driver.close()
 
     async def arrived(self, conn: socket.socket) -> None:
-        """Wait until the request lies in the connection, unread."""
+        """Wait until the request has arrived unread."""
         conn.setblocking(False)  # noqa: WPS425
         while True:
             try:
@@ -415,48 +419,47 @@
                 return
 
 
-class Cut:
-    """Note how a request ended, and act on the first piece of an answer."""
+class RecordingReceiver:
+    """Record how a request ended; act on the first piece of the answer."""
 
     def __init__(self) -> None:
         self.finish: Finish | None = None
         self.act: Callable[[], None] | None = None
 
     def head(self, status: int, headers: Headers) -> None:
-        """Leave it."""
+        """Do nothing."""
 
     def body(self, piece: bytes) -> None:
-        """Act, from within libcurl."""
+        """Act within a callback of libcurl."""
         if self.act is not None:
             self.act()
 
     def done(self, finish: Finish) -> None:
-        """Note it."""
+        """Record the end."""
         self.finish = finish
 
 
 class GivenUpTest(unittest.IsolatedAsyncioTestCase):
-    """Give a request up in each way, before an endpoint that does not read.
+    """Abandon a request in each way while the endpoint does not read.
 
-    Seen: an endpoint that had been out of touch began a call 1 s after its
-    caller had been told that it failed, on a version that was closed by then.
-    How it may come about: a plain close leaves what was written to an endpoint
-    that is paused or cut off, which runs it when it is back. What proves it:
-    it reads the request and an orderly end here, in place of a reset.
+    Guards against a call that begins after its caller was told that it failed,
+    on a version that is no longer allowed. After a plain close an endpoint that
+    was paused or cut off reads the request when it is back, and an orderly end
+    instead of a reset.
     """
 
     large = b'x' * 20000000
 
     async def asyncSetUp(self) -> None:
-        """Listen, and accept nobody yet."""
+        """Listen, and accept no connection yet."""
         self.driver = CurlDriver()
-        self.receiver = Cut()
+        self.receiver = RecordingReceiver()
         self.listening = socket.create_server((HOST, 0))
         self.listening.setblocking(False)  # noqa: WPS425
         self.port = self.listening.getsockname()[1]
 
     async def asyncTearDown(self) -> None:
-        """Close what a test left open."""
+        """Close the driver and the listener."""
         self.driver.close()
         self.listening.close()
 
@@ -467,14 +470,14 @@
         return self.driver.begin(req, self.receiver)
 
     async def accepted(self) -> socket.socket:
-        """Accept the connection, and read nothing from it."""
+        """Accept the connection without reading from it."""
         loop = asyncio.get_running_loop()
         conn, _ = await loop.sock_accept(self.listening)
         conn.setblocking(False)  # noqa: WPS425
         return conn
 
     async def arrived(self, conn: socket.socket) -> None:
-        """Wait until the request lies in the connection, unread."""
+        """Wait until the request has arrived unread."""
         while True:
             try:
                 conn.recv(1, socket.MSG_PEEK)
@@ -484,21 +487,21 @@
                 return
 
     async def assert_reset(self, conn: socket.socket) -> None:
-        """Read all that there is: it ends with a reset."""
+        """Read until the end, which must be a reset."""
         loop = asyncio.get_running_loop()
         async with asyncio.timeout(30):
             with conn, self.assertRaises(ConnectionResetError):
-                while await loop.sock_recv(conn, MOST):
+                while await loop.sock_recv(conn, MAX_BYTES):
                     await asyncio.sleep(0)
 
     async def finished(self) -> None:
-        """Wait until the receiver hears of the end."""
+        """Wait until the receiver gets the end."""
         async with asyncio.timeout(30):
             while self.receiver.finish is None:
                 await asyncio.sleep(0.01)
 
     async def test_cancelled(self) -> None:
-        """Whether all of it was written or a part."""
+        """The request was written completely or in part."""
         for name, body in (('whole', b'a'), ('in part', self.large)):
             with self.subTest(written=name):
                 transfer = self.begin(body)
@@ -508,16 +511,16 @@
                 await self.assert_reset(conn)
 
     async def test_cancelled_before_it_is_accepted(self) -> None:
-        """It lies with the endpoint's system, which has the connection."""
+        """The kernel of the endpoint holds the connection and the request."""
         transfer = self.begin(b'a')
-        # Its own loop makes the connection and writes within a few turns.
+        # The driver connects and writes within a few iterations of the loop.
         await asyncio.sleep(0.1)
         self.driver.cancel(transfer)
         self.assertGreater(transfer.sent.written, 0)
         await self.assert_reset(await self.accepted())
 
     async def test_cancelled_from_within_an_answer(self) -> None:
-        """Where libcurl allows no change, it is done in the next step."""
+        """libcurl allows no change in a callback, so it happens after it."""
         transfer = self.begin(b'a')
         conn = await self.accepted()
         await self.arrived(conn)
@@ -526,15 +529,15 @@
         await self.assert_reset(conn)
 
     async def test_out_of_time(self) -> None:
-        """The request's own limit is over; the receiver is told as ever."""
+        """After the total time the connection is reset."""
         await self.run_out_of_time(b'a')
 
     async def test_out_of_time_in_part(self) -> None:
-        """The same with a request of which a part was written."""
+        """The same if only a part of the request was written."""
         await self.run_out_of_time(self.large)
 
     async def run_out_of_time(self, body: bytes) -> None:
-        """Let a request's own limit pass."""
+        """Let a request exceed its total time."""
         self.begin(body, total_s=0.2)
         conn = await self.accepted()
         await self.finished()
@@ -546,7 +549,7 @@
         self.assertRegex(finish.detail, 'timed out')
 
     async def test_driver_closed(self) -> None:
-        """The process stops while requests are under way."""
+        """The process stops while requests are in progress."""
         self.begin(b'a')
         conn = await self.accepted()
         await self.arrived(conn)
--- a/tests/test_direct.py
+++ b/tests/test_direct.py
@@ -16,7 +16,7 @@
 from linnetwood.fleet.wanted import WantedVersions
 from linnetwood.platform.dialect import PlatformDialect
 from linnetwood.wire.curldriver import CurlDriver, Headers
-from tests.test_curldriver import HOST, Behaviour, Server, reset, says
+from tests.test_curldriver import HOST, Behaviour, Server, reset, respond_with
 
 ID = 'X-Attempt-Id: c-1\r\n'
 SIGNED = f'{ID}X-Server-Signature: s-1\r\n'
@@ -160,21 +160,21 @@
         other = GOOD.replace(b'c-1', b'c-2')
         unsigned = answer(f'200 OK\r\n{ID}', b'fine')
         cases: tuple[tuple[str, Behaviour, Outcome, int], ...] = (
-            ('good', says(GOOD), Outcome.ANSWERED, 1),
-            ('full', says(FULL), Outcome.ANSWERED, 2),
-            ('elsewhere', says(ELSEWHERE), Outcome.ANSWERED, 2),
-            ('failed', says(FAILED), Outcome.ANSWERED, 1),
+            ('good', respond_with(GOOD), Outcome.ANSWERED, 1),
+            ('full', respond_with(FULL), Outcome.ANSWERED, 2),
+            ('elsewhere', respond_with(ELSEWHERE), Outcome.ANSWERED, 2),
+            ('failed', respond_with(FAILED), Outcome.ANSWERED, 1),
             ('reset', reset, Outcome.UNKNOWN, 1),
-            ('closed', says(b''), Outcome.UNKNOWN, 1),
-            ('half', says(late), Outcome.UNKNOWN, 1),
-            ('of another call', says(other), Outcome.UNKNOWN, 1),
-            ('unsigned', says(unsigned), Outcome.UNKNOWN, 1),
+            ('closed', respond_with(b''), Outcome.UNKNOWN, 1),
+            ('half', respond_with(late), Outcome.UNKNOWN, 1),
+            ('of another call', respond_with(other), Outcome.UNKNOWN, 1),
+            ('unsigned', respond_with(unsigned), Outcome.UNKNOWN, 1),
         )
         for name, first, outcome, runs in cases:
             with self.subTest(name=name):
                 await self.asyncTearDown()
                 await self.asyncSetUp()
-                await self.serve(first, says(GOOD))
+                await self.serve(first, respond_with(GOOD))
                 ending, sink = await self.call(Repeat.NEVER)
                 self.assertEqual((ending.outcome, self.runs()), (outcome, runs))
                 if outcome is Outcome.UNKNOWN:
@@ -204,22 +204,24 @@
     async def test_repeatable_calls_are_retried(self) -> None:
         """Any failure leads to a second endpoint, whose answer is delivered."""
         cases: tuple[tuple[str, Behaviour], ...] = (
-            ('failed', says(FAILED)),
+            ('failed', respond_with(FAILED)),
             ('reset', reset),
-            ('unsigned', says(answer(f'200 OK\r\n{ID}', b'bad'))),
+            ('unsigned', respond_with(answer(f'200 OK\r\n{ID}', b'bad'))),
         )
         for name, first in cases:
             with self.subTest(name=name):
                 await self.asyncTearDown()
                 await self.asyncSetUp()
-                await self.serve(first, says(GOOD))
+                await self.serve(first, respond_with(GOOD))
                 ending, sink = await self.call(Repeat.MAY)
                 self.assertEqual(ending.outcome, Outcome.ANSWERED)
                 self.assertEqual((sink.status, sink.received), (200, b'fine'))
 
     async def test_no_more_attempts_than_the_route_allows(self) -> None:
         """The last failure of an endpoint is delivered to the caller."""
-        await self.serve(says(FAILED), says(FAILED), says(GOOD))
+        await self.serve(
+            respond_with(FAILED), respond_with(FAILED), respond_with(GOOD)
+        )
         ending, sink = await self.call(Repeat.MAY)
         self.assertEqual(ending.outcome, Outcome.ANSWERED)
         self.assertEqual((sink.status, sink.received), (500, b'oops'))
@@ -227,7 +229,7 @@
 
     async def test_refused_everywhere_is_not_run(self) -> None:
         """A call that no endpoint ran ends as not run, with a retry delay."""
-        await self.serve(says(FULL), says(FULL))
+        await self.serve(respond_with(FULL), respond_with(FULL))
         ending, _ = await self.call(Repeat.NEVER)
         self.assertEqual(ending.outcome, Outcome.NOT_RUN)
         self.assertGreater(ending.retry_after_ms, 0)
@@ -236,7 +238,7 @@
     # engines that had ended with all VMs, and told callers to return at once.
     async def test_a_replaced_endpoint_gets_no_further_call(self) -> None:
         """Later calls go elsewhere, or are refused without an attempt."""
-        await self.serve(says(ELSEWHERE), says(GOOD))
+        await self.serve(respond_with(ELSEWHERE), respond_with(GOOD))
         for _ in range(3):
             ending, _ = await self.call(Repeat.NEVER)
             self.assertEqual(ending.outcome, Outcome.ANSWERED)
@@ -249,7 +251,7 @@
             with self.subTest(bounds=bounds):
                 await self.asyncTearDown()
                 await self.asyncSetUp()
-                await self.serve(says(FAILED), says(GOOD))
+                await self.serve(respond_with(FAILED), respond_with(GOOD))
                 self.dispatcher.retry_limits = bounds
                 await self.call(Repeat.MAY)
                 self.assertEqual(self.runs(), runs)
@@ -257,7 +259,9 @@
     async def test_stream_is_resumed_at_another_endpoint(self) -> None:
         """One answer has all events: none is missing, repeated or cut."""
         first = stream(events(0, 1), b'id: 2\nda', ends=False)
-        await self.serve(says(first), says(stream(events(2, 3))))
+        await self.serve(
+            respond_with(first), respond_with(stream(events(2, 3)))
+        )
         ending, sink = await self.call(Repeat.RESUME, streams=True)
         self.assertEqual(ending.outcome, Outcome.ANSWERED)
         self.assertEqual(sink.received, events(0, 1, 2, 3))
@@ -267,7 +271,9 @@
     async def test_stream_that_may_not_be_resumed_is_aborted(self) -> None:
         """A truncated answer must not look complete."""
         first = stream(events(0, 1), ends=False)
-        await self.serve(says(first), says(stream(events(2, 3))))
+        await self.serve(
+            respond_with(first), respond_with(stream(events(2, 3)))
+        )
         ending, sink = await self.call(Repeat.NEVER, streams=True)
         self.assertEqual(ending.outcome, Outcome.UNKNOWN)
         self.assertEqual((sink.received, sink.ended), (events(0, 1), 'aborted'))
--- a/tests/test_eventstream.py
+++ b/tests/test_eventstream.py
@@ -1,42 +1,42 @@
-"""Whole events go out, halves wait."""
+"""Only complete events of a stream are passed on."""
 
 import unittest
 
 from hypothesis import given
 from hypothesis import strategies as st
 
-from linnetwood.wire.eventstream import EventCutter
+from linnetwood.wire.eventstream import EventSplitter
 
 STREAM = b''.join(b'id: %d\ndata: %d\n\n' % (one, one) for one in range(9))
 
 
 class EventCutterTest(unittest.TestCase):
-    """Cut streams at every place."""
+    """Feed streams in pieces of any size."""
 
     @given(st.lists(st.integers(min_value=1, max_value=40), max_size=40))
     def test_any_cut_gives_the_same_events(self, sizes: list[int]) -> None:
-        """However the bytes come, whole events go out in order."""
-        cutter = EventCutter()
+        """However the bytes arrive, complete events come out in order."""
+        splitter = EventSplitter()
         sent = b''
         start = 0
         sizes.append(len(STREAM))
         for size in sizes:
-            whole = cutter.feed(STREAM[start : start + size])
+            whole = splitter.feed(STREAM[start : start + size])
             start += size
             sent += whole
             self.assertTrue(not whole or whole.endswith(b'\n\n'))
         self.assertEqual(sent, STREAM)
-        self.assertEqual((cutter.last_id, cutter.count), ('8', 9))
-        self.assertFalse(cutter.half)
+        self.assertEqual((splitter.last_id, splitter.count), ('8', 9))
+        self.assertFalse(splitter.has_partial)
 
     def test_half_an_event_is_held_back_and_can_be_dropped(self) -> None:
-        """What another endpoint sends again is not sent twice."""
-        cutter = EventCutter()
-        self.assertEqual(cutter.feed(b'id: 4\nda'), b'')
-        self.assertTrue(cutter.half)
-        cutter.drop_half()
-        self.assertEqual(cutter.feed(b'id: 4\n\n'), b'id: 4\n\n')
-        self.assertEqual(cutter.last_id, '4')
+        """An event that another endpoint sends again comes out once."""
+        splitter = EventSplitter()
+        self.assertEqual(splitter.feed(b'id: 4\nda'), b'')
+        self.assertTrue(splitter.has_partial)
+        splitter.drop_partial()
+        self.assertEqual(splitter.feed(b'id: 4\n\n'), b'id: 4\n\n')
+        self.assertEqual(splitter.last_id, '4')
 
 
 if __name__ == '__main__':
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -17,7 +17,7 @@
 from linnetwood.weights.follower import OriginChunks, VersionFollower
 from linnetwood.weights.transfer import Tools
 from linnetwood.wire.connections import TcpDialler
-from linnetwood.wire.links import OpenLink
+from linnetwood.wire.links import UnlimitedLink
 
 COUNT = 6
 ME = '10.0.0.1'
@@ -135,7 +135,7 @@
         store = ChunkStore()
         counters = TransferCounters()
         cfg = Transfer()
-        link = OpenLink()
+        link = UnlimitedLink()
         tools = Tools(
             me=ME,
             store=store,
--- a/tests/test_frames.py
+++ b/tests/test_frames.py
@@ -1,4 +1,4 @@
-"""Frames and messages stand any bytes without crashing or growing."""
+"""Decoding arbitrary bytes neither crashes nor uses much memory."""
 
 import asyncio
 import unittest
@@ -23,7 +23,7 @@
 
 
 class FramesTest(unittest.TestCase):
-    """Whole frames come out, whatever the pieces."""
+    """Split bytes into frames."""
 
     @QUIET
     @given(
@@ -38,7 +38,7 @@
         sent: list[tuple[FrameKind, bytes]],
         piece: int,
     ) -> None:
-        """Frames cut into pieces read back as they were."""
+        """Frames that arrive in pieces are decoded unchanged."""
         wire = b''.join(frames.pack(kind, payload) for kind, payload in sent)
         pending = bytearray()
         found: list[Frame] = []
@@ -51,21 +51,21 @@
     @QUIET
     @given(st.binary(max_size=200))
     def test_any_bytes(self, wire: bytes) -> None:
-        """Bytes that are no frames are refused with a code."""
+        """Bytes that are not frames are rejected with a code."""
         try:
             list(frames.split(bytearray(wire)))
         except CodecError as exc:
             self.assertIn(exc.code, {'frame-too-large', 'unknown-frame'})
 
     def test_oversized(self) -> None:
-        """A frame over the limit is refused from its header alone."""
+        """A frame over the limit is rejected by its header alone."""
         header = (frames.MAX_FRAME + 1).to_bytes(4, 'big') + b'\x01'
         with self.assertRaisesRegex(CodecError, 'frame-too-large'):
             list(frames.split(bytearray(header)))
 
 
 class CodecTest(unittest.TestCase):
-    """Messages read back, and anything else is refused."""
+    """Decode messages, and bytes that are none."""
 
     @QUIET
     @given(
@@ -73,29 +73,29 @@
         st.sampled_from((Gossip, Start, End, Configuration)),
     )
     def test_any_bytes(self, payload: bytes, kind: type) -> None:
-        """Random bytes are refused with a code or are a whole message."""
+        """Random bytes are rejected with a code, or are a complete message."""
         try:
             codec.decode(kind, payload)
         except CodecError as exc:
             self.assertIn(exc.code, {'bad-message', 'missing-field'})
 
-    def test_huge_lengths_are_not_believed(self) -> None:
-        """A length in a message does not make memory."""
+    def test_huge_lengths(self) -> None:
+        """No memory is allocated for a length that a message claims."""
         claims = b'\x18\xff\xff\xff\xff\x07'
         with self.assertRaises(CodecError):
             codec.decode(Start, claims)
 
     def test_missing_field(self) -> None:
-        """A message without a required field is refused."""
+        """A message without a required field is rejected."""
         with self.assertRaisesRegex(CodecError, 'missing-field'):
             codec.decode(Start, codec.encode(End(call_id='c')))
 
 
 class ServerTest(unittest.IsolatedAsyncioTestCase):
-    """A server survives strangers."""
+    """Connect to a server with valid frames and with garbage."""
 
     async def test_garbage_closes_one_connection_only(self) -> None:
-        """Garbage is refused; the next connection is served."""
+        """Garbage is rejected, and the next connection is served."""
 
         async def echo(stream: FrameStream, frame: Frame) -> None:
             await stream.write(FrameKind.DONE, frame.payload)
@@ -116,7 +116,7 @@
         await server.close()
 
     async def test_only_silence_ends_a_read(self) -> None:
-        """A frame that comes in pieces is taken; one that stops is not."""
+        """A frame that arrives in pieces is read; one that stops is not."""
         whole = frames.pack(FrameKind.DONE, b'good')
         cases: tuple[tuple[list[bytes], bytes | None], ...] = (
             ([whole[:3], whole[3:6], whole[6:]], b'good'),
@@ -128,7 +128,7 @@
                 self.assertEqual(await self.read_from(pieces), expected)
 
     async def read_from(self, pieces: list[bytes]) -> bytes | None:
-        """Read from a peer that sends these, each 0.3 s after the last."""
+        """Read from a peer that sends pieces, each 0.3 s after the last."""
 
         async def serve(
             reader: asyncio.StreamReader,
@@ -154,7 +154,7 @@
             server.close()
 
     async def test_refused_connection(self) -> None:
-        """A connection that can't be made is a wire error."""
+        """A connection that can't be made raises WireError."""
         sockets = bind_sockets(0, '127.0.0.1')
         port = sockets[0].getsockname()[1]
         sockets[0].close()
--- a/tests/test_heeding.py
+++ b/tests/test_heeding.py
@@ -5,7 +5,7 @@
 from linnetwood.calls.routetable import Repeat
 from linnetwood.core.outcomes import Outcome
 from tests import test_direct
-from tests.test_curldriver import Behaviour, says
+from tests.test_curldriver import Behaviour, respond_with
 from tests.test_direct import GOOD, ID, SIGNED, answer
 
 LEAVING = answer(f'200 OK\r\n{SIGNED}Server-Leaving: 1\r\n', b'fine')
@@ -26,24 +26,26 @@
 
     async def call_counts(self, first: Behaviour) -> list[int]:
         """Return how many of several calls in a row each endpoint gets."""
-        await self.direct.serve(first, says(GOOD))
+        await self.direct.serve(first, respond_with(GOOD))
         for _ in range(CALLS):
             await self.direct.call(Repeat.NEVER)
         return [len(server.requests) for server in self.direct.servers]
 
     async def test_leaving_endpoint_gets_no_more_calls(self) -> None:
         """Guard against new calls to an endpoint that reports its departure."""
-        self.assertEqual(await self.call_counts(says(LEAVING)), [1, CALLS - 1])
+        self.assertEqual(
+            await self.call_counts(respond_with(LEAVING)), [1, CALLS - 1]
+        )
 
     async def test_endpoint_gets_no_calls_during_a_requested_rest(self) -> None:
         """Guard against calls sent again during the rest that it asked for."""
         self.assertEqual(
-            await self.call_counts(says(ASKS_FOR_REST)), [1, CALLS]
+            await self.call_counts(respond_with(ASKS_FOR_REST)), [1, CALLS]
         )
 
     async def test_retry_delay_covers_the_rest_of_all_endpoints(self) -> None:
         """Guard against callers told to retry while all endpoints rest."""
-        await self.direct.serve(says(ASKS_FOR_REST))
+        await self.direct.serve(respond_with(ASKS_FOR_REST))
         await self.direct.call(Repeat.NEVER)
         ending, _ = await self.direct.call(Repeat.NEVER)
         self.assertIs(ending.outcome, Outcome.NOT_RUN)
--- a/tests/test_http_clients.py
+++ b/tests/test_http_clients.py
@@ -1,4 +1,4 @@
-"""Clients over real sockets: what a request leaves when its asker gives up."""
+"""A cancelled request of the HTTP clients causes no error log."""
 
 import asyncio
 import unittest
@@ -7,7 +7,7 @@
 
 from tornado.httpclient import HTTPRequest
 
-from linnetwood.wire.http import fetch, open_client, open_small_client
+from linnetwood.wire.http import fetch, open_client, open_simple_client
 from tests.test_curldriver import HOST, Server, reset
 
 CLIENTS = 2
@@ -17,10 +17,10 @@
 
 
 class GivenUpTest(unittest.IsolatedAsyncioTestCase):
-    """Give a request up while its server holds it."""
+    """Cancel a request while the server holds it."""
 
     async def given_up(self, opener: Opener, *, cut: bool) -> list[str]:
-        """Give what the loop and the library complain of afterwards."""
+        """Return the errors that the loop and the library report."""
         complaints: list[str] = []
         asyncio.get_running_loop().set_exception_handler(
             lambda _, context: complaints.append(str(context['message'])),
@@ -52,18 +52,18 @@
         return complaints
 
     async def assert_silent(self, opener: Opener) -> None:
-        """Check that the connection's end is no error of anybody's."""
+        """Check that the end of the connection is not reported as an error."""
         for cut in (False, True):
             with self.assertNoLogs('tornado.application'):
                 found = await self.given_up(opener, cut=cut)
             self.assertEqual(found, [], cut)
 
     async def test_of_the_small_client(self) -> None:
-        """Nobody hears of the end of what nobody waits for."""
-        await self.assert_silent(open_small_client)
+        """The end of the cancelled request is not reported."""
+        await self.assert_silent(open_simple_client)
 
     async def test_of_the_curl_client(self) -> None:
-        """Nobody hears of the end of what nobody waits for."""
+        """The end of the cancelled request is not reported."""
         await self.assert_silent(open_client)
 
 
--- a/tests/test_inflow.py
+++ b/tests/test_inflow.py
@@ -8,7 +8,7 @@
 from linnetwood.weights.inboundlink import InboundLink
 from linnetwood.wire.codec import encode
 from linnetwood.wire.frames import Frame, FrameKind
-from linnetwood.wire.links import OpenLink
+from linnetwood.wire.links import UnlimitedLink
 
 # The sum of both windows of a download.
 MOST = 5
@@ -339,7 +339,7 @@
         stream.write = mock.AsyncMock()
         stream.read = mock.AsyncMock(side_effect=read)
         dialler = mock.Mock(dial=mock.AsyncMock(return_value=stream))
-        await Fetcher('me', dialler, OpenLink()).fetch(
+        await Fetcher('me', dialler, UnlimitedLink()).fetch(
             'vm',
             ('h', 1),
             'm',
--- a/tests/test_narrow_way.py
+++ b/tests/test_narrow_way.py
@@ -38,7 +38,7 @@
     Transfer,
 )
 from tests.loops import close_server
-from tests.test_curldriver import HOST, Server, says
+from tests.test_curldriver import HOST, Server, respond_with
 from tests.test_direct import RecordingSink, events, stream
 
 MODEL = 'm'
@@ -171,7 +171,7 @@
     async def asyncSetUp(self) -> None:
         self.loop = asyncio.get_running_loop()
         answer = stream(events(0)).replace(b'c-1', b'c-2')
-        self.engine = Server(says(answer))
+        self.engine = Server(respond_with(answer))
         self.link = SlowLink(await self.engine.start())
         self.wanted = WantedVersions(BOUND_S)
         self.port = await self.link.start()
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -30,7 +30,7 @@
 from linnetwood.platform.dialect import PlatformDialect
 from linnetwood.wire.curldriver import CurlDriver
 from tests import test_narrow_way
-from tests.test_curldriver import HOST, Server, says
+from tests.test_curldriver import HOST, Server, respond_with
 from tests.test_direct import SIGNED, RecordingSink, answer
 
 ENTRIES = 6
@@ -115,7 +115,7 @@
         """Guard against calls to an endpoint above the rate that it named."""
         times: list[float] = []
         head = f'200 OK\r\n{SIGNED}Server-Limit: 1.0\r\n'
-        reply = says(answer(head, b'fine'))
+        reply = respond_with(answer(head, b'fine'))
 
         async def noting(
             reader: asyncio.StreamReader,
@@ -141,7 +141,7 @@
     async def test_a_refusal_names_when_the_limit_allows_a_call(self) -> None:
         """Guard against calls that are held, or asked back too early."""
         head = f'200 OK\r\n{SIGNED}Server-Limit: 0.2\r\n'
-        self.server = Server(says(answer(head, b'fine')))
+        self.server = Server(respond_with(answer(head, b'fine')))
         entry = self.entry(await self.server.start())
         await entry.run(self.call(), RecordingSink())
         ending = await entry.run(self.call(), RecordingSink())
--- a/tests/test_slow_links.py
+++ b/tests/test_slow_links.py
@@ -275,7 +275,7 @@
         return answer(200, {'events': events, 'timestamp': newest})
 
 
-class BoundedSelector:
+class ShortWaitStore:
     """A store whose waits end before the time that a follower requests."""
 
     def __init__(self, store: PlatformStore) -> None:
@@ -360,7 +360,7 @@
         """
         server = FarStore()
         driver = CurlDriver()
-        store = BoundedSelector(
+        store = ShortWaitStore(
             PlatformStore((HOST, await server.start()), driver)
         )
         sinks = [Newest() for _ in range(FOLLOWERS)]
--- a/tests/test_suspension.py
+++ b/tests/test_suspension.py
@@ -18,7 +18,7 @@
 from linnetwood.core.pauses import PauseDetector
 from linnetwood.fleet.wanted import WantedVersions
 from linnetwood.lab.virtual import VirtualClock, VirtualLoop
-from linnetwood.wire.asking import Patience, ask
+from linnetwood.wire.asking import SilenceLimits, ask
 from linnetwood.wire.curldriver import CurlDriver, Request
 from tests.test_curldriver import HOST, Server
 
@@ -173,7 +173,7 @@
             loop.call_later(0.2, self._suspend)
             began = loop.time()
             req = Request(HOST, port, 'GET', '/', [], keep=True)
-            await ask(driver, req, 99, Patience(SUSPENDED_S, SUSPENDED_S))
+            await ask(driver, req, 99, SilenceLimits(SUSPENDED_S, SUSPENDED_S))
             driver.close()
             await server.close()
             return loop.time() - began
