--- a/src/linnetwood/platform/__init__.py
+++ b/src/linnetwood/platform/__init__.py
@@ -1,6 +1,6 @@
-"""The users' platform, translated into the product's own types.
+"""The adapter between the users' platform and the product's own types.
 
-The platform's settings file, store, items, headers, engines and origin come
-in; typed settings, routes, endpoints, verdicts and chunks go out. Names of the
-platform's pages stand in this package alone, each decoded once.
+It decodes the platform's settings file, store, headers, engines and origin to
+settings, routes, endpoints, verdicts and chunks. Only this package uses the
+platform's names, and decodes each in one place.
 """
--- a/src/linnetwood/platform/crashstore.py
+++ b/src/linnetwood/platform/crashstore.py
@@ -13,7 +13,7 @@
 from linnetwood.core.errors import ConfigError, StoreError
 from linnetwood.fleet.ranges import Change, Record, Snapshot
 from linnetwood.platform import records
-from linnetwood.platform.ignored import Ignored
+from linnetwood.platform.ignored import IgnoredRecords
 from linnetwood.platform.store import LEASE_GONE, PlatformStore
 
 _KEY = re.compile(f'{records.CRASH_PREFIX}([0-9a-f]{{24}})/([0-9a-f]{{16}})')
@@ -71,14 +71,14 @@
         self,
         crashes: CrashHistory,
         clock: Clock,
-        ignored: Ignored | None = None,
+        ignored: IgnoredRecords | None = None,
         removed: Callable[[CrashRecord], None] | None = None,
     ) -> None:
         """Update crashes from the store; call removed for removed records."""
         self._removed = removed or _ignore_removed
         self._crashes = crashes
         self._clock = clock
-        self._ignored = ignored or Ignored()
+        self._ignored = ignored or IgnoredRecords()
 
     def replace_all(self, found: Snapshot) -> None:
         """Replace all records; one of unknown age counts from now."""
@@ -111,7 +111,7 @@
             return CrashRecord(found[1], found[2])
         if record is not None:
             exc = ConfigError('end-malformed', key)
-            self._ignored.note(key, record, exc)
+            self._ignored.record_ignored(key, record, exc)
         return None
 
 
--- a/src/linnetwood/platform/dialect.py
+++ b/src/linnetwood/platform/dialect.py
@@ -1,4 +1,4 @@
-"""The headers of the platform's callers and servers."""
+"""The HTTP headers of the platform's callers and servers."""
 
 import re
 from http import HTTPStatus
@@ -13,7 +13,7 @@
 _KEY = 'authorization'
 _BEARER = 'bearer '
 _MODEL = 'x-model'
-# Tokens of the prompt, and the most that may come out.
+# Tokens of the prompt, and the maximum number of generated tokens.
 _TOKENS = 'x-token-counts'
 _RESUME_AFTER = 'last-event-id'
 _ORGANISATION = 'x-tenant'
@@ -23,21 +23,21 @@
 _NOT_RUN = 'x-not-executed'
 _WEIGHTS_VERSION = 'x-weight-versions'
 _PRIORITY = 'x-request-priority'
-# Calls a second that an endpoint takes from all entries together.
+# Calls per second that an endpoint accepts from all entries together.
 _LIMIT = 'server-limit'
-# 1 where an endpoint leaves.
+# 1 if the endpoint leaves.
 _LEAVING = 'server-leaving'
-# Seconds for which one that turned a call away wants nothing from this entry.
-_REST_S = 'retry-after'
+# Seconds for which an endpoint that refused a call wants none of this entry.
+_PAUSE_S = 'retry-after'
 _FLAGS = frozenset(('0', '1'))
 _DECIMAL: Final = re.compile(r'\d{1,9}(\.\d{1,9})?', re.ASCII)
-# So much of a value that can't be read is told.
-_SHOWN = 40
-# From 0, the first, to 9; 5 where nothing is said.
+# Logged part of a value that can't be parsed.
+_MAX_SHOWN_CHARS = 40
+# Priorities range from 0, the highest, to 9; 5 is the default.
 _LATE_PRIORITY = '8'
 _MILLISECONDS = 1000
-# What concerns one connection alone, and what the system sets by itself.
-_OF_CONNECTION = frozenset(
+# Headers of a single connection, and headers that the system sets itself.
+_CONNECTION_HEADERS = frozenset(
     (
         'connection',
         'keep-alive',
@@ -52,16 +52,16 @@
         'expect',
     ),
 )
-_SET_HERE = frozenset(
+_SET_BY_SYSTEM = frozenset(
     (_WAIT_MS, _KEY, _ORGANISATION, _ENDPOINT, _VERSION, _PRIORITY),
 )
 
 
 class PlatformDialect:
-    """Read and write the platform's headers."""
+    """Parse and build the platform's headers."""
 
     def read(self, headers: Headers) -> CallHead:
-        """Read a caller's headers."""
+        """Parse a caller's headers."""
         by_name = {name.lower(): text for name, text in headers}
         prompt = by_name.get(_TOKENS, '').partition(',')[0]
         return CallHead(
@@ -69,14 +69,14 @@
             wait_s=_seconds(by_name.get(_WAIT_MS, '')),
             key=_bearer(by_name.get(_KEY, '')),
             model=by_name.get(_MODEL, ''),
-            prompt=_whole(prompt),
+            prompt=_integer(prompt),
             resume_after=by_name.get(_RESUME_AFTER, ''),
         )
 
     def outgoing(self, headers: Headers, call: OutgoingCall) -> Headers:
-        """Give the headers of an attempt."""
+        """Return the headers of an attempt."""
         resumes = bool(call.resume_after)
-        dropped = _of_connection(headers) | _SET_HERE
+        dropped = _connection_headers(headers) | _SET_BY_SYSTEM
         sent = [
             (name, text)
             for name, text in headers
@@ -97,7 +97,7 @@
         return sent
 
     def verdict(self, status: int, headers: Headers, call_id: str) -> Verdict:
-        """Say what an answer's head means."""
+        """Classify an answer by its head."""
         by_name = {name.lower(): text for name, text in headers}
         if status == HTTPStatus.MISDIRECTED_REQUEST:
             return Verdict.MISDIRECTED
@@ -118,7 +118,7 @@
         headers: Headers,
         call_id: str,
     ) -> Notice | None:
-        """Give what an endpoint says of itself; None if it is not its word."""
+        """Return an endpoint's notice; None if another process answered."""
         verdict = self.verdict(status, headers, call_id)
         if verdict in {Verdict.FOREIGN, Verdict.MISDIRECTED}:
             return None
@@ -127,41 +127,41 @@
         unread += [one for one in leaving if one not in _FLAGS]
         rests = [float()]
         if status == HTTPStatus.SERVICE_UNAVAILABLE:
-            rests, bad = _decimals(headers, _REST_S)
+            rests, bad = _decimals(headers, _PAUSE_S)
             unread += bad
         return Notice(
             min(limits, default=None),
             '1' in leaving,
             max(rests, default=0),
-            ', '.join(unread)[:_SHOWN],
+            ', '.join(unread)[:_MAX_SHOWN_CHARS],
             complete=verdict is Verdict.ANSWER,
         )
 
     def answer_headers(self, headers: Headers) -> Headers:
-        """Give the headers of an answer that go on to the caller."""
-        dropped = _of_connection(headers)
+        """Return the headers of an answer to forward to the caller."""
+        dropped = _connection_headers(headers)
         return [one for one in headers if one[0].lower() not in dropped]
 
     def version(self, headers: Headers) -> int:
-        """Give the version of the weights that answered; 0 if none is told."""
+        """Return the version of the weights that answered; 0 if unknown."""
         for name, text in headers:
             if name.lower() == _WEIGHTS_VERSION:
-                return _whole(text)
+                return _integer(text)
         return 0
 
 
-def _of_connection(headers: Headers) -> frozenset[str]:
+def _connection_headers(headers: Headers) -> frozenset[str]:
     named = {
         one.strip().lower()
         for name, text in headers
         if name.lower() == 'connection'
         for one in text.split(',')
     }
-    return _OF_CONNECTION | named
+    return _CONNECTION_HEADERS | named
 
 
 def _texts(headers: Headers, wanted: str) -> list[str]:
-    """Give the values of all headers of a name."""
+    """Return the values of all headers with a name."""
     return [
         one.strip()
         for name, text in headers
@@ -171,14 +171,14 @@
 
 
 def _decimals(headers: Headers, wanted: str) -> tuple[list[float], list[str]]:
-    """Give the numbers of all headers of a name, and what is none."""
+    """Return the numbers in all headers with a name, and other values."""
     texts = _texts(headers, wanted)
     found = [float(one) for one in texts if _DECIMAL.fullmatch(one)]
     unread = [one for one in texts if not _DECIMAL.fullmatch(one)]
     return found, unread
 
 
-def _whole(text: str) -> int:
+def _integer(text: str) -> int:
     trimmed = text.strip()
     return int(trimmed) if trimmed.isdecimal() else 0
 
--- a/src/linnetwood/platform/ignored.py
+++ b/src/linnetwood/platform/ignored.py
@@ -1,4 +1,4 @@
-"""Tell of records of the store that can't be read."""
+"""Log records of the store that are malformed."""
 
 from collections.abc import Callable
 
@@ -6,31 +6,33 @@
 from linnetwood.core.events import Event, log
 from linnetwood.fleet.ranges import Record
 
-# So many keys that could not be read are remembered; the oldest go first, and
-# are told once more if they are read again.
-_IGNORED_KEPT = 4096
+# Maximum number of keys for which the logged revision is kept. The oldest are
+# dropped first, and logged again if they are read again.
+_MAX_LOGGED_KEYS = 4096
 
 
-def _uncounted() -> None:
-    """Count nothing."""
+def _ignore_count() -> None:
+    """Do nothing by default."""
 
 
-class Ignored:
-    """Tell of each record that can't be read once for each write of it."""
+class IgnoredRecords:
+    """Log each malformed record once for each of its revisions."""
 
-    def __init__(self, count: Callable[[], None] = _uncounted) -> None:
-        """Count them, too."""
+    def __init__(self, count: Callable[[], None] = _ignore_count) -> None:
+        """Call `count` for each logged record."""
         self._count = count
-        self._told: dict[str, int] = {}
+        self._logged_revisions: dict[str, int] = {}
 
-    def note(self, key: str, record: Record, exc: ConfigError) -> None:
-        """Log and count one."""
-        if self._told.get(key) == record.revision:
+    def record_ignored(
+        self, key: str, record: Record, exc: ConfigError
+    ) -> None:
+        """Log and count a record, unless this revision was logged."""
+        if self._logged_revisions.get(key) == record.revision:
             return
-        self._told.pop(key, None)
-        self._told[key] = record.revision
-        while len(self._told) > _IGNORED_KEPT:
-            self._told.pop(next(iter(self._told)))
+        self._logged_revisions.pop(key, None)
+        self._logged_revisions[key] = record.revision
+        while len(self._logged_revisions) > _MAX_LOGGED_KEYS:
+            self._logged_revisions.pop(next(iter(self._logged_revisions)))
         self._count()
         log(
             Event.ITEM_IGNORED,
--- a/src/linnetwood/platform/records.py
+++ b/src/linnetwood/platform/records.py
@@ -1,4 +1,4 @@
-"""Decode what the operator and the servers write to the platform's store."""
+"""Decode the records of operators and servers in the platform's store."""
 
 from collections.abc import Iterator, Mapping
 from typing import Any
@@ -18,19 +18,18 @@
 )
 from linnetwood.core.errors import ConfigError
 from linnetwood.fleet.ranges import Record
-from linnetwood.platform import checked, tables
+from linnetwood.platform import validation, tables
 from linnetwood.platform.settings import address
 
-# One range holds what the operators and the servers write.
+# The range of all records.
 WHOLE_STORE = ''
 OPERATOR_PREFIX = 'op/'
 CONFIG_KEY = 'op/config'
 VERSION_PREFIX = 'op/version/'
-# The key names the zone; what stands under it tells nothing more.
+# The key names the zone; the value is not used.
 EVACUATE_PREFIX = 'op/evacuate/'
 ENDPOINT_PREFIX = 'servers/'
-# What entries write themselves: a call fingerprint and an incarnation digest,
-# both in hex.
+# Records of entries: a call fingerprint and an incarnation digest, both in hex.
 CRASH_PREFIX = 'ends/'
 
 _MILLISECONDS = 1000
@@ -41,143 +40,151 @@
 
 def config(record: Record) -> RouteTable:
     """Decode the operator's configuration, or raise ConfigError."""
-    said = checked.read(record.payload, tables.CONFIG, 'config-malformed')
-    for one in said['routes']:
+    parsed = validation.parse(record.payload, tables.CONFIG, 'config-malformed')
+    for one in parsed['routes']:
         if not (one.get('traffic_split') or one.get('service')):
             raise ConfigError('config-malformed', f'no service: {one["name"]}')
-    return _config(said, record.revision)
+    return _config(parsed, record.revision)
 
 
 def named_version(record: Record) -> tuple[str, int]:
     """Decode a named version of a model, or raise ConfigError."""
-    said = checked.read(record.payload, tables.VERSION, 'version-malformed')
-    return said['model'], said['version']
+    parsed = validation.parse(
+        record.payload, tables.VERSION, 'version-malformed'
+    )
+    return parsed['model'], parsed['version']
 
 
 def endpoint(key: str, record: Record) -> Endpoint:
-    """Decode a server's entry, or raise ConfigError."""
-    said = checked.read(record.payload, tables.ENDPOINT, 'endpoint-malformed')
-    return _endpoint(key.removeprefix(ENDPOINT_PREFIX), said)
+    """Decode a server's record, or raise ConfigError."""
+    parsed = validation.parse(
+        record.payload, tables.ENDPOINT, 'endpoint-malformed'
+    )
+    return _endpoint(key.removeprefix(ENDPOINT_PREFIX), parsed)
 
 
-def _endpoint(name: str, said: Mapping[str, Any]) -> Endpoint:
-    host, port = address(said['address'])
+def _endpoint(name: str, parsed: Mapping[str, Any]) -> Endpoint:
+    host, port = address(parsed['address'])
     return Endpoint(
         endpoint_id=name,
-        service=said['service'],
+        service=parsed['service'],
         host=host,
         port=port,
-        zone=said['zone'],
-        slots=said['slots'],
-        ready=said['state'] == tables.READY,
-        cold_s=said['cold_remaining_ms'] / _MILLISECONDS,
+        zone=parsed['zone'],
+        slots=parsed['slots'],
+        ready=parsed['state'] == tables.READY,
+        cold_s=parsed['cold_remaining_ms'] / _MILLISECONDS,
         versions={
-            one['name']: one['version'] for one in said.get('models', ())
+            one['name']: one['version'] for one in parsed.get('models', ())
         },
-        # A record without it is valid, but its incarnation is unknown.
-        born=said.get('born', 0),
+        # Optional; without it the incarnation is unknown.
+        born=parsed.get('born', 0),
     )
 
 
-def _config(said: Mapping[str, Any], revision: int) -> RouteTable:
-    tenants = said.get('tenants')
+def _config(parsed: Mapping[str, Any], revision: int) -> RouteTable:
+    tenants = parsed.get('tenants')
     return RouteTable(
         revision=revision,
-        version=int(said.get('version', 0)),
-        by_host=index_by_host(_route(one) for one in said['routes']),
+        version=int(parsed.get('version', 0)),
+        by_host=index_by_host(_route(one) for one in parsed['routes']),
         services={
             one['name']: _service(one)
-            for one in said['services']
+            for one in parsed['services']
             if 'origin' not in one
         },
-        organisations=None if tenants is None else dict(_keys(tenants)),
-        limits=_limits(said.get('limits', {})),
-        origin=next(_origins(said['services']), Origin()),
+        organisations=None
+        if tenants is None
+        else dict(_organisations_by_key(tenants)),
+        limits=_limits(parsed.get('limits', {})),
+        origin=next(_origins(parsed['services']), Origin()),
     )
 
 
-def _route(said: Mapping[str, Any]) -> Route:
-    kind = said['kind']
+def _route(parsed: Mapping[str, Any]) -> Route:
+    kind = parsed['kind']
     streams = kind == _STREAMING
     repeat = Repeat.MAY if kind == _REPEATABLE else Repeat.NEVER
-    if streams and said.get('stream_resumption'):
+    if streams and parsed.get('stream_resumption'):
         repeat = Repeat.RESUME
-    # One service, or a table of services with weights, never both.
-    split = said.get('traffic_split') or [
-        {'service': said['service'], 'weight': 1},
+    # A route has one service, or a list of services with weights.
+    split = parsed.get('traffic_split') or [
+        {'service': parsed['service'], 'weight': 1},
     ]
     return Route(
-        name=said['name'],
-        host=said['host'],
-        prefix=said['path_prefix'],
+        name=parsed['name'],
+        host=parsed['host'],
+        prefix=parsed['path_prefix'],
         repeat=repeat,
         streams=streams,
-        timeout_s=said['timeout_ms'] / _MILLISECONDS,
-        target_s=said.get('target_latency_ms', 0) / _MILLISECONDS,
-        gap_s=said.get('target_gap_ms', 0) / _MILLISECONDS,
-        attempts=int(said.get('max_attempts', 1)),
-        priority=int(said.get('priority', 0)),
-        public=bool(said.get('public')),
+        timeout_s=parsed['timeout_ms'] / _MILLISECONDS,
+        target_s=parsed.get('target_latency_ms', 0) / _MILLISECONDS,
+        gap_s=parsed.get('target_gap_ms', 0) / _MILLISECONDS,
+        attempts=int(parsed.get('max_attempts', 1)),
+        priority=int(parsed.get('priority', 0)),
+        public=bool(parsed.get('public')),
         shares=tuple(
             Share(one['service'], float(one['weight'])) for one in split
         ),
-        regions=tuple(said.get('allowed_regions', ())),
+        regions=tuple(parsed.get('allowed_regions', ())),
     )
 
 
-def _service(said: Mapping[str, Any]) -> Service:
-    figures = said.get('engine')
+def _service(parsed: Mapping[str, Any]) -> Service:
+    figures = parsed.get('engine')
     return Service(
-        name=said['name'],
-        connection_limit=int(said.get('connection_limit', 1)),
+        name=parsed['name'],
+        connection_limit=int(parsed.get('connection_limit', 1)),
         engine=_engine(figures) if figures else None,
-        cold_per_s=said.get('cold_per_s', 0),
-        cold_start_s=said.get('cold_start_s', 0),
+        cold_per_s=parsed.get('cold_per_s', 0),
+        cold_start_s=parsed.get('cold_start_s', 0),
     )
 
 
-def _engine(said: Mapping[str, Any]) -> EngineProfile:
-    usual = said.get('usual', {})
+def _engine(parsed: Mapping[str, Any]) -> EngineProfile:
+    defaults = parsed.get('usual', {})
     return EngineProfile(
-        slots=int(said['slots']),
-        step_s=said['step_ms'] / _MILLISECONDS,
-        step_s_per_call=said.get('per_seq_ms', 0) / _MILLISECONDS,
-        step_s_per_k_context=said.get('context_per_k', 0) / _MILLISECONDS,
-        prefill_tokens_per_s=float(said['read_per_s']),
-        attention_s_per_m_pairs=said.get('pairs_per_m', 0) / _MILLISECONDS,
-        steps_per_pass=int(said.get('stride', 1)),
-        typical_prompt_tokens=int(usual.get('prompt', 0)),
-        typical_answer_tokens=int(usual.get('answer', 0)),
-        kv_tokens=int(said.get('kv_capacity_tokens', 0)),
-        models=tuple(one['name'] for one in said.get('models', ())),
-        layers=int(said.get('layers', 1)),
-        chunks=int(said.get('chunks', 0)),
-        chunk_bytes=int(said.get('chunk_bytes', 0)),
-        report_lag_s=said.get('report_lag_ms', 0) / _MILLISECONDS,
+        slots=int(parsed['slots']),
+        step_s=parsed['step_ms'] / _MILLISECONDS,
+        step_s_per_call=parsed.get('per_seq_ms', 0) / _MILLISECONDS,
+        step_s_per_k_context=parsed.get('context_per_k', 0) / _MILLISECONDS,
+        prefill_tokens_per_s=float(parsed['read_per_s']),
+        attention_s_per_m_pairs=parsed.get('pairs_per_m', 0) / _MILLISECONDS,
+        steps_per_pass=int(parsed.get('stride', 1)),
+        typical_prompt_tokens=int(defaults.get('prompt', 0)),
+        typical_answer_tokens=int(defaults.get('answer', 0)),
+        kv_tokens=int(parsed.get('kv_capacity_tokens', 0)),
+        models=tuple(one['name'] for one in parsed.get('models', ())),
+        layers=int(parsed.get('layers', 1)),
+        chunks=int(parsed.get('chunks', 0)),
+        chunk_bytes=int(parsed.get('chunk_bytes', 0)),
+        report_lag_s=parsed.get('report_lag_ms', 0) / _MILLISECONDS,
         delays={
-            # The second zone of a pair stands in the field of a version.
+            # The second zone of a pair is in a field named for a version.
             (one['source'], one['target_version']): (
                 one['delay_ms'] / _MILLISECONDS
             )
-            for one in said.get('delays', ())
+            for one in parsed.get('delays', ())
         },
     )
 
 
 def _origins(services: list[dict[str, Any]]) -> Iterator[Origin]:
-    for said in services:
-        place = said.get('origin')
-        if place:
-            host, port = address(place)
+    for parsed in services:
+        origin_address = parsed.get('origin')
+        if origin_address:
+            host, port = address(origin_address)
             yield Origin(
                 host,
                 port,
-                float(said.get('link_mbps', 0)) * _MEGABIT_BYTES,
-                int(said.get('connection_limit', 1)),
+                float(parsed.get('link_mbps', 0)) * _MEGABIT_BYTES,
+                int(parsed.get('connection_limit', 1)),
             )
 
 
-def _keys(tenants: list[dict[str, Any]]) -> Iterator[tuple[str, Organisation]]:
+def _organisations_by_key(
+    tenants: list[dict[str, Any]],
+) -> Iterator[tuple[str, Organisation]]:
     for one in tenants:
         holder = Organisation(
             one['name'],
@@ -188,11 +195,11 @@
             yield key, holder
 
 
-def _limits(said: Mapping[str, Any]) -> CallLimits:
-    usual = CallLimits()
+def _limits(parsed: Mapping[str, Any]) -> CallLimits:
+    defaults = CallLimits()
     return CallLimits(
-        int(said.get('max_header_bytes', usual.header_bytes)),
-        int(said.get('max_body_bytes', usual.body_bytes)),
-        said.get('header_timeout_ms', 0) / _MILLISECONDS or usual.header_s,
-        said.get('idle_timeout_ms', 0) / _MILLISECONDS or usual.idle_s,
+        int(parsed.get('max_header_bytes', defaults.header_bytes)),
+        int(parsed.get('max_body_bytes', defaults.body_bytes)),
+        parsed.get('header_timeout_ms', 0) / _MILLISECONDS or defaults.header_s,
+        parsed.get('idle_timeout_ms', 0) / _MILLISECONDS or defaults.idle_s,
     )
--- a/src/linnetwood/platform/settings.py
+++ b/src/linnetwood/platform/settings.py
@@ -1,4 +1,4 @@
-"""Read the settings file that the platform lays down for each process."""
+"""Read the settings file that the platform writes for each process."""
 
 import dataclasses
 import os
@@ -11,7 +11,7 @@
 _PATH_VARIABLE = 'LINNETWOOD_NODE_FILE'
 _DEFAULT_PATH = '/etc/linnetwood/local.toml'
 _MILLISECONDS = 1000
-# Used where the platform states no bound: those of its first deployments.
+# Defaults if the platform states no bound: those of its first deployments.
 _VERSION_MS = 8000
 _CONFIG_MS = 2000
 _CONTACT_MS = 3000
@@ -20,8 +20,8 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Residence:
-    """What the platform tells a process of itself; times in seconds."""
+class ProcessSettings:
+    """The settings of a process; times in seconds."""
 
     vm: str
     host: str
@@ -40,12 +40,12 @@
     retry_extra: float
     # The region of each availability zone.
     regions: Mapping[str, str] = dataclasses.field(default_factory=dict)
-    # So long after its start the platform's bounds hold for a process.
+    # The platform's bounds hold for a process this long after its start.
     contact_s: float = _CONTACT_MS / _MILLISECONDS
 
 
-def load(path: str = '') -> Residence:
-    """Read the file; raise SettingsError naming the file and the field."""
+def load(path: str = '') -> ProcessSettings:
+    """Read the file, or raise SettingsError with the file and the field."""
     place = path or os.environ.get(_PATH_VARIABLE, _DEFAULT_PATH)
     try:
         with open(place, 'rb') as stream:
@@ -59,15 +59,15 @@
 
 
 def address(text: str) -> tuple[str, int]:
-    """Read IP:PORT."""
+    """Parse IP:PORT."""
     host, _, port = text.rpartition(':')
     return host, int(port)
 
 
-def _read(given: Mapping[str, Any]) -> Residence:
+def _read(given: Mapping[str, Any]) -> ProcessSettings:
     listen = cast(Mapping[str, str], given.get('listen', {}))
     bounds = cast(Mapping[str, float], given.get('bounds', {}))
-    return Residence(
+    return ProcessSettings(
         vm=str(given['node']),
         host=str(given['ip']),
         zone=str(given['zone']),
--- a/src/linnetwood/platform/store.py
+++ b/src/linnetwood/platform/store.py
@@ -1,4 +1,4 @@
-"""The platform's store, as the product's range of keys."""
+"""A client of the platform's store for ranges of keys."""
 
 import asyncio
 import base64
@@ -17,8 +17,8 @@
     Record,
     Snapshot,
 )
-from linnetwood.platform.checked import UNREADABLE
-from linnetwood.platform.storesight import StoreSight
+from linnetwood.platform.validation import UNREADABLE
+from linnetwood.platform.storecalllog import StoreCallLog
 from linnetwood.wire.asking import Answer, SilenceLimits, ask
 from linnetwood.wire.connections import SILENCE_TIMEOUT_S
 from linnetwood.wire.curldriver import CurlDriver, Request
@@ -27,42 +27,43 @@
 _NOT_FOUND = 404
 _GONE = 410
 _MILLISECONDS = 1000
-# It begins to answer in milliseconds; a slow one after half a second.
-_FIRST_S = 2.5
-# A handshake's lost packet is sent again after a second, and over a link that
-# is full it takes as long. Longer, and a store that is back is noticed late.
+# The store begins to answer within milliseconds, a slow one after 0.5 s.
+_FIRST_BYTE_S = 2.5
+# A lost packet of a handshake is resent after 1 s, and over a full link a
+# handshake takes as long. A longer timeout delays noticing that the store is
+# back.
 _CONNECT_S = 2.0
-# An answer to a waiting call begins this much after its time at the latest: it
-# may queue on a link between regions for a second and more.
+# The answer to a wait begins at most this long after the end of the wait, since
+# it may be queued on a link between regions for more than 1 s.
 _SLACK_S = 2.0
-# A change is answered in milliseconds, by a slow store after half a second.
+# A write is answered within milliseconds, by a slow store after 0.5 s.
 _WRITE_S = 2.5
 LEASE_GONE = 'store-lease-gone'
-# One failure may be a connection that broke; a store that is away fails again.
+# A single failure may be a broken connection.
 _PAGE_RETRIES = 2
-# As long as one who follows pauses after a first failure.
+# The same as the first pause of a follower.
 _PAGE_PAUSE_S = 0.1
-# A page holds a megabyte of values, in base64 and JSON.
-_MOST_BYTES = 33554432
+# A page holds 1 MB of values, encoded in base64 and JSON.
+_MAX_BYTES = 33554432
 _BAD_ANSWER = (KeyError, TypeError, ValueError, OverflowError, AttributeError)
 _UNREADABLE = (*UNREADABLE, TypeError)
 
 
-def _nothing() -> None:
-    """Tell nobody."""
+def _ignore_bytes() -> None:
+    """Do nothing by default."""
 
 
 class PlatformStore:
     """Read ranges and wait for their changes."""
 
     def __init__(self, address: tuple[str, int], driver: CurlDriver) -> None:
-        """Reach the store at an address."""
-        # Told of each piece of an answer.
-        self.heard: Callable[[], None] = _nothing
+        """Use the store at an address."""
+        # Called for each received piece of an answer.
+        self.on_bytes: Callable[[], None] = _ignore_bytes
         self._address = address
         self._driver = driver
-        self._sight = StoreSight()
-        self._under_way = 0
+        self._call_log = StoreCallLog()
+        self._in_progress = 0
 
     async def read(self, prefix: str) -> Snapshot:
         """Read every page of a range."""
@@ -71,8 +72,8 @@
         last = ''
         more = True
         while more:
-            page, more = await self._patient_page(prefix, last)
-            # Pages are no snapshot: what changed since the first is waited for.
+            page, more = await self._page_with_retries(prefix, last)
+            # Pages are no snapshot; the next wait returns the changes since.
             revision = revision or page.revision
             found.update(page.records)
             last = next(reversed(found), '')
@@ -85,25 +86,25 @@
             {
                 'path_prefix': prefix,
                 'after_revision': str(after),
-                # No less: an empty answer confirms all of the wait.
+                # Rounded up, since an empty answer confirms the whole wait.
                 'wait_ms': str(math.ceil(wait_s * _MILLISECONDS)),
             },
             wait_s + _SLACK_S,
         )
         try:
-            found = _changes(_said(answer))
+            found = _changes(_parse_answer(answer))
         except StoreError as exc:
-            self._sight.failed('wait', after, answer, exc)
+            self._call_log.log_failure('wait', after, answer, exc)
             raise
-        self._sight.answered('wait', after, answer, found)
+        self._call_log.log_answer('wait', after, answer, found)
         return found
 
     async def lease(self, ttl_s: float) -> int:
-        """Take a lease; keys written under it go when it ends."""
+        """Create a lease; keys written under it are deleted when it ends."""
         ttl = {'ttl_ms': int(ttl_s * _MILLISECONDS)}
-        said = _said(await self._post('/linnetwood/kv-lease', ttl))
+        parsed = _parse_answer(await self._post('/linnetwood/kv-lease', ttl))
         try:
-            return int(said['lease'])
+            return int(parsed['lease'])
         except _BAD_ANSWER as exc:
             raise StoreError('store-bad-answer', repr(exc)) from exc
 
@@ -134,40 +135,42 @@
         answer = await self._post('/linnetwood/kv-txn', change)
         if answer.status == _NOT_FOUND:
             raise StoreError(LEASE_GONE, f'lease {lease}')
-        _said(answer)
+        _parse_answer(answer)
 
-    async def _patient_page(
+    async def _page_with_retries(
         self,
         prefix: str,
         last: str,
     ) -> tuple[Snapshot, bool]:
-        """Ask again for a page, so that those before it are not lost."""
-        # Nothing is lost with the first: whoever follows asks for it again.
+        """Request a page with retries, so that previous pages are not lost."""
+        # The first page needs none: the follower retries the whole read.
         retries = _PAGE_RETRIES if last else 0
         for _ in range(retries):
             try:
-                return await self._page(prefix, last)
+                return await self._request_page(prefix, last)
             except HistoryLostError:
                 raise
             except StoreError as exc:
                 log(Event.STORE_PAGE_AGAIN, prefix=prefix, detail=str(exc))
                 await asyncio.sleep(_PAGE_PAUSE_S)
-        return await self._page(prefix, last)
+        return await self._request_page(prefix, last)
 
-    async def _page(self, prefix: str, last: str) -> tuple[Snapshot, bool]:
+    async def _request_page(
+        self, prefix: str, last: str
+    ) -> tuple[Snapshot, bool]:
         query = {'path_prefix': prefix}
         if last:
-            # Here the field holds the key after which the page starts.
+            # In this call the field holds the key after which the page starts.
             query['after_revision'] = last
-        answer = await self._get('/linnetwood/kv-range', query, _FIRST_S)
+        answer = await self._get('/linnetwood/kv-range', query, _FIRST_BYTE_S)
         try:
-            page, more = _read_page(_said(answer))
+            page, more = _parse_page(_parse_answer(answer))
         except StoreError as exc:
-            self._sight.failed('page', 0, answer, exc)
+            self._call_log.log_failure('page', 0, answer, exc)
             raise
         held = (Change(key, one) for key, one in page.records.items())
         found = Changes(tuple(held), page.revision)
-        self._sight.answered('page', 0, answer, found)
+        self._call_log.log_answer('page', 0, answer, found)
         return page, more
 
     async def _get(
@@ -176,30 +179,30 @@
         query: dict[str, str],
         first_s: float,
     ) -> Answer:
-        patience = SilenceLimits(first_s, SILENCE_TIMEOUT_S)
-        # A call beside one that waits may be asked because that one hangs, and
-        # connections that are kept may have fallen silent with it.
+        limits = SilenceLimits(first_s, SILENCE_TIMEOUT_S)
+        # A request beside a pending wait may be sent because that wait hangs,
+        # and kept connections may be silent as well.
         req = self._request(
             'GET',
             f'{path}?{urlencode(query)}',
-            keep=not self._under_way,
+            keep=not self._in_progress,
         )
-        self._under_way += 1
+        self._in_progress += 1
         try:
             return await ask(
                 self._driver,
                 req,
-                _MOST_BYTES,
-                patience,
-                self.heard,
+                _MAX_BYTES,
+                limits,
+                self.on_bytes,
             )
         finally:
-            self._under_way -= 1
+            self._in_progress -= 1
 
-    async def _post(self, path: str, said: dict[str, Any]) -> Answer:
-        patience = SilenceLimits(_WRITE_S, SILENCE_TIMEOUT_S)
-        req = self._request('POST', path, json.dumps(said).encode())
-        return await ask(self._driver, req, _MOST_BYTES, patience)
+    async def _post(self, path: str, parsed: dict[str, Any]) -> Answer:
+        limits = SilenceLimits(_WRITE_S, SILENCE_TIMEOUT_S)
+        req = self._request('POST', path, json.dumps(parsed).encode())
+        return await ask(self._driver, req, _MAX_BYTES, limits)
 
     def _request(
         self,
@@ -225,7 +228,7 @@
         )
 
 
-def _said(answer: Answer) -> dict[str, Any]:
+def _parse_answer(answer: Answer) -> dict[str, Any]:
     if answer.status == _GONE:
         raise HistoryLostError('store-history-lost')
     if answer.status != _OK:
@@ -237,18 +240,20 @@
         raise StoreError('store-bad-answer', str(exc)) from exc
 
 
-def _read_page(said: dict[str, Any]) -> tuple[Snapshot, bool]:
+def _parse_page(parsed: dict[str, Any]) -> tuple[Snapshot, bool]:
     try:
-        found = {_key(row): _record(row) for row in said['items']}
-        return Snapshot(found, int(said['timestamp'])), bool(said['has_more'])
+        found = {_key(row): _record(row) for row in parsed['items']}
+        return Snapshot(found, int(parsed['timestamp'])), bool(
+            parsed['has_more']
+        )
     except _BAD_ANSWER as exc:
         raise StoreError('store-bad-answer', repr(exc)) from exc
 
 
-def _changes(said: dict[str, Any]) -> Changes:
+def _changes(parsed: dict[str, Any]) -> Changes:
     try:
-        changes = tuple(_change(row) for row in said['events'])
-        return Changes(changes, int(said['timestamp']))
+        changes = tuple(_change(row) for row in parsed['events'])
+        return Changes(changes, int(parsed['timestamp']))
     except _BAD_ANSWER as exc:
         raise StoreError('store-bad-answer', repr(exc)) from exc
 
--- a/src/linnetwood/platform/storesight.py
+++ b/src/linnetwood/platform/storecalllog.py
@@ -1,4 +1,4 @@
-"""Tell in the log what calls to the store brought and how long they took."""
+"""Log the results and durations of calls to the store."""
 
 import asyncio
 from collections import Counter
@@ -15,53 +15,53 @@
     records.CRASH_PREFIX,
 )
 _OTHERS = 'others'
-_NEVER_S = -1.0
+_NO_ANSWER_S = -1.0
 _DIGITS = 4
 
 
-class StoreSight:
-    """Log each call that brought changes or failed."""
+class StoreCallLog:
+    """Log each call that returned changes or failed."""
 
     def __init__(self) -> None:
-        """Know of no answer yet."""
+        """Start without any answer."""
         self._answered_at: float | None = None
 
-    def failed(
+    def log_failure(
         self,
         call: str,
         asked: int,
         answer: Answer,
         exc: StoreError,
     ) -> None:
-        """Tell of a call without a whole, good answer."""
+        """Log a call without a complete, successful answer."""
         figures = {'code': exc.code, 'detail': exc.detail}
-        log(Event.STORE_CALL, **figures, **self._figures(call, asked, answer))
+        log(Event.STORE_CALL, **figures, **self._fields(call, asked, answer))
 
-    def answered(
+    def log_answer(
         self,
         call: str,
         asked: int,
         answer: Answer,
         found: Changes,
     ) -> None:
-        """Tell what keys came, with the sizes of their values."""
+        """Log the received keys with the sizes of their values."""
         if found.changes:
             keys: Counter[str] = Counter()
             octets: Counter[str] = Counter()
             for one in found.changes:
-                prefix = _prefix(one.key)
+                prefix = _prefix_of(one.key)
                 keys[prefix] += 1
-                octets[prefix] += _size(one)
+                octets[prefix] += _value_size(one)
             log(
                 Event.STORE_CALL,
                 got=found.revision,
                 keys=dict(keys),
                 value_octets=dict(octets),
-                **self._figures(call, asked, answer),
+                **self._fields(call, asked, answer),
             )
         self._answered_at = asyncio.get_running_loop().time()
 
-    def _figures(
+    def _fields(
         self,
         call: str,
         asked: int,
@@ -80,16 +80,16 @@
 
     def _silent_s(self) -> float:
         if self._answered_at is None:
-            return _NEVER_S
+            return _NO_ANSWER_S
         return asyncio.get_running_loop().time() - self._answered_at
 
 
-def _prefix(key: str) -> str:
+def _prefix_of(key: str) -> str:
     for prefix in _PREFIXES:
         if key.startswith(prefix):
             return prefix
     return _OTHERS
 
 
-def _size(one: Change) -> int:
+def _value_size(one: Change) -> int:
     return len(one.record.payload) if one.record else 0
--- a/src/linnetwood/platform/checked.py
+++ b/src/linnetwood/platform/validation.py
@@ -1,6 +1,6 @@
-"""Check what others wrote by tables of fields, before anything is taken of it.
+"""Validate records of other writers by tables of fields before use.
 
-A validation library would decode no sooner, and hold a twelfth of an entry's
+A validation library would decode no faster, and take a twelfth of an entry's
 memory in each process.
 """
 
@@ -13,12 +13,12 @@
 
 from linnetwood.core.errors import ConfigError
 
-# What a whole number may be: it fits every other program's, too.
-_MOST_WHOLE = 2**53  # noqa: WPS432
-_MOST_PORT = 65535
-# So much of a value that is refused is told.
-_SHOWN = 40
-# What bytes that are no JSON, or nest too deep for the parser, raise.
+# Integers up to this are exact in every JSON implementation.
+_MAX_INTEGER = 2**53  # noqa: WPS432
+_MAX_PORT = 65535
+# Logged part of a rejected value.
+_MAX_SHOWN_CHARS = 40
+# Raised for bytes that are not JSON, or nested too deeply for the parser.
 UNREADABLE = (ValueError, RecursionError)
 
 Check = Callable[[object], bool]
@@ -26,7 +26,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Field:
-    """One field: how it is checked, what is allowed, whether it is needed."""
+    """A field: its check, the allowed values in words, if it is required."""
 
     name: str
     check: Check
@@ -35,27 +35,27 @@
 
 
 def text(name: str, *, needed: bool = True) -> Field:
-    """Want text that is not empty."""
+    """Require text that is not empty."""
     return Field(name, _is_text, 'text', needed)
 
 
-def flag(name: str, *, needed: bool = True) -> Field:
-    """Want true or false."""
-    return Field(name, _is_flag, 'true or false', needed)
+def boolean(name: str, *, needed: bool = True) -> Field:
+    """Require true or false."""
+    return Field(name, _is_boolean, 'true or false', needed)
 
 
-def whole(name: str, least: int = 0, *, needed: bool = True) -> Field:
-    """Want a whole number of at least so much."""
+def integer(name: str, least: int = 0, *, needed: bool = True) -> Field:
+    """Require an integer that is at least `least`."""
     return Field(
         name,
-        lambda found: _is_whole(found) and cast(int, found) >= least,
+        lambda found: _is_integer(found) and cast(int, found) >= least,
         f'a whole number from {least}',
         needed,
     )
 
 
 def number(name: str, *, above: float = -1, needed: bool = True) -> Field:
-    """Want a finite number from 0 on, or above another one."""
+    """Require a finite number that is not negative and above `above`."""
     return Field(
         name,
         lambda found: _is_number(found) and cast(float, found) > above,
@@ -65,7 +65,7 @@
 
 
 def one_of(name: str, *words: str) -> Field:
-    """Want one of some words."""
+    """Require one of some words."""
     return Field(
         name,
         lambda found: isinstance(found, str) and found in words,
@@ -73,38 +73,40 @@
     )
 
 
-def place(name: str, *, needed: bool = True) -> Field:
-    """Want IP:PORT."""
-    return Field(name, _is_place, 'IP:PORT', needed)
+def address(name: str, *, needed: bool = True) -> Field:
+    """Require IP:PORT."""
+    return Field(name, _is_address, 'IP:PORT', needed)
 
 
-def texts(name: str, *, needed: bool = True) -> Field:
-    """Want a list of texts."""
+def text_list(name: str, *, needed: bool = True) -> Field:
+    """Require a list of texts."""
     return Field(name, _are_texts, 'a list of texts', needed)
 
 
-def table(name: str, fields: Sequence[Field], *, needed: bool = True) -> Field:
-    """Want an object with such fields."""
+def nested(name: str, fields: Sequence[Field], *, needed: bool = True) -> Field:
+    """Require an object with these fields."""
     return Field(
-        name, lambda found: not faults(found, fields), 'a table', needed
+        name, lambda found: not find_fault(found, fields), 'a table', needed
     )
 
 
-def rows(name: str, fields: Sequence[Field], *, needed: bool = True) -> Field:
-    """Want a list of objects with such fields."""
+def object_list(
+    name: str, fields: Sequence[Field], *, needed: bool = True
+) -> Field:
+    """Require a list of objects with these fields."""
     return Field(
         name,
         lambda found: (
             isinstance(found, list)
-            and not any(faults(one, fields) for one in found)
+            and not any(find_fault(one, fields) for one in found)
         ),
         'a list of tables',
         needed,
     )
 
 
-def faults(found: object, fields: Sequence[Field]) -> str:
-    """Tell the first field that is not as it should be; nothing if all are."""
+def find_fault(found: object, fields: Sequence[Field]) -> str:
+    """Return what is wrong with the first invalid field, or an empty text."""
     if not isinstance(found, dict):
         return f'{_shown(found)} is no table'
     for field in fields:
@@ -117,45 +119,45 @@
     return ''
 
 
-def read(
+def parse(
     payload: bytes,
     fields: Sequence[Field],
     code: str,
 ) -> Mapping[str, Any]:
-    """Read an object with such fields, or raise ConfigError with this code."""
+    """Parse an object with these fields, or raise ConfigError with a code."""
     try:
         found = json.loads(payload)
     except UNREADABLE as exc:
         raise ConfigError(code, repr(exc)) from exc
-    fault = faults(found, fields)
+    fault = find_fault(found, fields)
     if fault:
         raise ConfigError(code, fault)
     return cast(Mapping[str, Any], found)
 
 
 def _shown(found: object) -> str:
-    return repr(found)[:_SHOWN]
+    return repr(found)[:_MAX_SHOWN_CHARS]
 
 
 def _is_text(found: object) -> bool:
     return isinstance(found, str) and bool(found)
 
 
-def _is_flag(found: object) -> bool:
+def _is_boolean(found: object) -> bool:
     return isinstance(found, bool)
 
 
-def _is_whole(found: object) -> bool:
-    return type(found) is int and abs(found) <= _MOST_WHOLE  # noqa: WPS516
+def _is_integer(found: object) -> bool:
+    return type(found) is int and abs(found) <= _MAX_INTEGER  # noqa: WPS516
 
 
 def _is_number(found: object) -> bool:
-    return _is_whole(found) or (
+    return _is_integer(found) or (
         isinstance(found, float) and math.isfinite(found) and found >= 0
     )
 
 
-def _is_place(found: object) -> bool:
+def _is_address(found: object) -> bool:
     if not isinstance(found, str):
         return False
     host, _, port = found.rpartition(':')
@@ -163,7 +165,7 @@
         ipaddress.IPv4Address(host)
     except ValueError:
         return False
-    return port.isdecimal() and 0 < int(port) <= _MOST_PORT
+    return port.isdecimal() and 0 < int(port) <= _MAX_PORT
 
 
 def _are_texts(found: object) -> bool:
--- a/src/linnetwood/platform/weights.py
+++ b/src/linnetwood/platform/weights.py
@@ -1,4 +1,4 @@
-"""The platform's model server and origin, as the weights path uses them."""
+"""Clients of the platform's model server and origin of weights."""
 
 import hashlib
 import json
@@ -9,104 +9,113 @@
 from urllib.parse import quote, urlencode
 
 from linnetwood.core.errors import LinnetwoodError, OrderError, WeightsError
-from linnetwood.platform import checked, tables
+from linnetwood.platform import validation, tables
 from linnetwood.weights.chunks import Manifest
 from linnetwood.weights.engine import EngineReport, OrderResult
 from linnetwood.wire.asking import Answer, SilenceLimits, ask
 from linnetwood.wire.connections import SILENCE_TIMEOUT_S
 from linnetwood.wire.curldriver import CurlDriver, Request
 
-# An answer of a fixed size, on this machine, comes in milliseconds.
+# An answer of a fixed size from the same VM takes milliseconds.
 _TIMEOUT_S = 1.5
-# What grows with the model has no total time, and begins within the same.
-_GROWING = SilenceLimits(_TIMEOUT_S, SILENCE_TIMEOUT_S)
-# Others may share the origin's link, so a piece may begin later than that.
-_PIECE_FIRST_S = 4.0
-_PIECE = SilenceLimits(_PIECE_FIRST_S, SILENCE_TIMEOUT_S)
-_MOST_BYTES = 16777216
+# Answers that grow with the model have no limit on their total time.
+_LARGE_ANSWER_LIMITS = SilenceLimits(_TIMEOUT_S, SILENCE_TIMEOUT_S)
+# The origin's link is shared, so a chunk may begin later.
+_CHUNK_FIRST_BYTE_S = 4.0
+_CHUNK_LIMITS = SilenceLimits(_CHUNK_FIRST_BYTE_S, SILENCE_TIMEOUT_S)
+_MAX_BYTES = 16777216
 _BAD_ANSWER = (KeyError, TypeError, ValueError, OverflowError)
 _REPORT = (
-    checked.whole('waiting', needed=False),
-    checked.whole('running', needed=False),
-    checked.whole('kv_used', needed=False),
-    checked.whole('kv_total', needed=False),
+    validation.integer('waiting', needed=False),
+    validation.integer('running', needed=False),
+    validation.integer('kv_used', needed=False),
+    validation.integer('kv_total', needed=False),
     tables.MODELS,
-    checked.flag('utilization', needed=False),
-    checked.whole('sequence', needed=False),
-    checked.whole('born', needed=False),
+    validation.boolean('utilization', needed=False),
+    validation.integer('sequence', needed=False),
+    validation.integer('born', needed=False),
 )
-_MANIFEST = (checked.texts('digests'), checked.whole('chunk_bytes', 1))
-_NEWEST = (*_MANIFEST, checked.whole('version', 1))
-# The platform gives no digest over all pieces.
+_MANIFEST = (
+    validation.text_list('digests'),
+    validation.integer('chunk_bytes', 1),
+)
+_NEWEST = (*_MANIFEST, validation.integer('version', 1))
+# The platform has no digest of all chunks together.
 _UNKNOWN_WHOLE = bytes(hashlib.sha256().digest_size)
 
 
 class ServerEngine:
-    """Speak to the model server of this machine."""
+    """A client of the model server on this VM."""
 
     def __init__(self, address: tuple[str, int], driver: CurlDriver) -> None:
-        """Reach the server at its address."""
-        self._site = _Site(address, driver)
+        """Use the server at an address."""
+        self._server = _HttpServer(address, driver)
 
     async def report(self) -> EngineReport:
-        """Ask what it does."""
-        answer = await self._site.ask('GET', '/linnetwood/report')
-        said = _object(answer, OrderError)
-        fault = checked.faults(said, _REPORT)
+        """Request its report."""
+        answer = await self._server.ask('GET', '/linnetwood/report')
+        parsed = _parse_object(answer, OrderError)
+        fault = validation.find_fault(parsed, _REPORT)
         if fault:
             raise OrderError('engine-bad-answer', fault)
-        return _report(said)
+        return _report(parsed)
 
     async def staged(self, model: str) -> list[int]:
-        """Ask which chunks lie there."""
-        place = _stage('stage-get', model)
-        answer = await self._site.ask('GET', place, patience=_GROWING)
+        """Request the indices of staged chunks."""
+        path = _stage_path('stage-get', model)
+        answer = await self._server.ask(
+            'GET', path, limits=_LARGE_ANSWER_LIMITS
+        )
         if answer.status == HTTPStatus.NOT_FOUND:
             return []
         try:
-            return [int(one) for one in _object(answer, OrderError)['held']]
+            return [
+                int(one) for one in _parse_object(answer, OrderError)['held']
+            ]
         except _BAD_ANSWER as exc:
             raise OrderError('engine-bad-answer', repr(exc)) from exc
 
     async def read_staged(self, model: str, index: int) -> bytes | None:
-        """Read a chunk that lies there."""
-        place = _stage('stage-get', model, index)
-        answer = await self._site.ask('GET', place, patience=_GROWING)
+        """Read a staged chunk."""
+        path = _stage_path('stage-get', model, index)
+        answer = await self._server.ask(
+            'GET', path, limits=_LARGE_ANSWER_LIMITS
+        )
         return answer.body if answer.status == HTTPStatus.OK else None
 
     async def stage(self, model: str, index: int, chunk: bytes) -> None:
-        """Lay a chunk there."""
-        place = _stage('stage-put', model, index)
-        answer = await self._site.ask('PUT', place, chunk)
+        """Stage a chunk."""
+        path = _stage_path('stage-put', model, index)
+        answer = await self._server.ask('PUT', path, chunk)
         if not answer.status or answer.status >= HTTPStatus.MULTIPLE_CHOICES:
-            raise OrderError('engine-refused', _why(answer))
+            raise OrderError('engine-refused', _failure_detail(answer))
 
     async def activate(
         self, model: str, version: int, orders: int
     ) -> OrderResult:
-        """Order it to serve what lies there, if it took so many orders."""
+        """Order it to serve the staged chunks if its order count matches."""
         body = json.dumps(
             {
                 'operation': 'start',
                 'model': model,
                 'version': version,
                 'method': 'queue',
-                # The page's name for the count of orders that is expected.
+                # The platform's name for the expected count of orders.
                 'expected_revision': orders,
             },
         )
-        answer = await self._site.ask(
+        answer = await self._server.ask(
             'POST',
             '/linnetwood/order',
             body.encode(),
             [('Content-Type', 'application/json')],
         )
         if not answer.status:
-            raise OrderError('engine-unreachable', _why(answer))
-        return _ORDERS.get(answer.status, OrderResult.REFUSED)
+            raise OrderError('engine-unreachable', _failure_detail(answer))
+        return _ORDER_RESULTS.get(answer.status, OrderResult.REFUSED)
 
 
-_ORDERS: Mapping[int, OrderResult] = MappingProxyType(
+_ORDER_RESULTS: Mapping[int, OrderResult] = MappingProxyType(
     {
         int(HTTPStatus.ACCEPTED): OrderResult.TAKEN,
         int(HTTPStatus.OK): OrderResult.DONE,
@@ -116,10 +125,10 @@
 
 
 class PlatformOrigin:
-    """Read manifests and pieces; the address is told while running."""
+    """A client of the origin, whose address is set later."""
 
     def __init__(self, driver: CurlDriver) -> None:
-        """Know no address yet."""
+        """Start without an address."""
         self.address: tuple[str, int] | None = None
         self._driver = driver
 
@@ -130,39 +139,39 @@
 
     async def newest(self, model: str) -> tuple[int, Manifest]:
         """Read the newest version's number and digests."""
-        # Without a number the page's call gives the newest named version.
-        said = await self._manifest(quote(model), _NEWEST)
-        return int(said['version']), _manifest(said)
+        # Without a version in the query the origin returns the newest.
+        parsed = await self._manifest(quote(model), _NEWEST)
+        return int(parsed['version']), _manifest(parsed)
 
     async def chunk(self, model: str, version: int, index: int) -> bytes:
-        """Read one chunk, unchecked."""
+        """Read one chunk without verifying it."""
         query = urlencode({'quantity': index, 'version': version})
-        place = f'/linnetwood/piece/{quote(model)}?{query}'
-        answer = await self._site().ask('GET', place, patience=_PIECE)
+        path = f'/linnetwood/piece/{quote(model)}?{query}'
+        answer = await self._server().ask('GET', path, limits=_CHUNK_LIMITS)
         if answer.status != HTTPStatus.OK:
-            raise WeightsError('origin-refused', _why(answer))
+            raise WeightsError('origin-refused', _failure_detail(answer))
         return answer.body
 
     async def _manifest(
-        self, place: str, fields: Sequence[checked.Field] = _MANIFEST
+        self, path: str, fields: Sequence[validation.Field] = _MANIFEST
     ) -> Mapping[str, Any]:
-        answer = await self._site().ask(
-            'GET', f'/linnetwood/manifest/{place}', patience=_GROWING
+        answer = await self._server().ask(
+            'GET', f'/linnetwood/manifest/{path}', limits=_LARGE_ANSWER_LIMITS
         )
-        said = _object(answer, WeightsError)
-        fault = checked.faults(said, fields)
+        parsed = _parse_object(answer, WeightsError)
+        fault = validation.find_fault(parsed, fields)
         if fault:
             raise WeightsError('manifest-malformed', fault)
-        return said
+        return parsed
 
-    def _site(self) -> '_Site':
+    def _server(self) -> '_HttpServer':
         if self.address is None:
             raise WeightsError('origin-unknown')
-        return _Site(self.address, self._driver)
+        return _HttpServer(self.address, self._driver)
 
 
-class _Site:
-    """One address and how to ask it."""
+class _HttpServer:
+    """Send requests to one address."""
 
     def __init__(self, address: tuple[str, int], driver: CurlDriver) -> None:
         self._address = address
@@ -174,7 +183,7 @@
         target: str,
         body: bytes = b'',
         headers: list[tuple[str, str]] | None = None,
-        patience: SilenceLimits | None = None,
+        limits: SilenceLimits | None = None,
     ) -> Answer:
         host, port = self._address
         fields = [('Host', f'{host}:{port}'), *(headers or ())]
@@ -189,30 +198,32 @@
             total_s=_TIMEOUT_S,
             keep=method != 'POST',
         )
-        return await ask(self._driver, req, _MOST_BYTES, patience)
+        return await ask(self._driver, req, _MAX_BYTES, limits)
 
 
-def _report(said: Mapping[str, Any]) -> EngineReport:
+def _report(parsed: Mapping[str, Any]) -> EngineReport:
     return EngineReport(
-        waiting=int(said.get('waiting', 0)),
-        running=int(said.get('running', 0)),
-        kv_used=int(said.get('kv_used', 0)),
-        kv_total=int(said.get('kv_total', 0)),
-        serving={one['name']: one['version'] for one in said.get('models', ())},
-        # The field's name misleads: true means that an order is under way.
-        changing=bool(said.get('utilization')),
-        orders_taken=int(said.get('sequence', 0)),
-        born=int(said.get('born', 0)),
+        waiting=int(parsed.get('waiting', 0)),
+        running=int(parsed.get('running', 0)),
+        kv_used=int(parsed.get('kv_used', 0)),
+        kv_total=int(parsed.get('kv_total', 0)),
+        serving={
+            one['name']: one['version'] for one in parsed.get('models', ())
+        },
+        # The field's name is misleading: true means an order in progress.
+        changing=bool(parsed.get('utilization')),
+        orders_taken=int(parsed.get('sequence', 0)),
+        born=int(parsed.get('born', 0)),
     )
 
 
-def _manifest(said: Mapping[str, Any]) -> Manifest:
+def _manifest(parsed: Mapping[str, Any]) -> Manifest:
     try:
-        digests = tuple(bytes.fromhex(one) for one in said['digests'])
-        size = int(said['chunk_bytes']) * len(digests)
+        digests = tuple(bytes.fromhex(one) for one in parsed['digests'])
+        size = int(parsed['chunk_bytes']) * len(digests)
         return Manifest(
             size,
-            int(said['chunk_bytes']),
+            int(parsed['chunk_bytes']),
             _UNKNOWN_WHOLE,
             digests,
         )
@@ -220,23 +231,25 @@
         raise WeightsError('manifest-malformed', repr(exc)) from exc
 
 
-def _stage(call: str, model: str, index: int | None = None) -> str:
-    place = f'/linnetwood/{call}/{quote(model)}'
-    # The page's name for the number of a piece.
-    return place if index is None else f'{place}?quantity={index}'
+def _stage_path(call: str, model: str, index: int | None = None) -> str:
+    path = f'/linnetwood/{call}/{quote(model)}'
+    # The platform's name for the index of a chunk.
+    return path if index is None else f'{path}?quantity={index}'
 
 
-def _object(answer: Answer, error: type[LinnetwoodError]) -> dict[str, Any]:
+def _parse_object(
+    answer: Answer, error: type[LinnetwoodError]
+) -> dict[str, Any]:
     if answer.status != HTTPStatus.OK:
-        raise error('no-answer', _why(answer))
+        raise error('no-answer', _failure_detail(answer))
     try:
-        said = json.loads(answer.body)
-    except checked.UNREADABLE as exc:
+        parsed = json.loads(answer.body)
+    except validation.UNREADABLE as exc:
         raise error('bad-answer', str(exc)) from exc
-    if not isinstance(said, dict):
-        raise error('bad-answer', type(said).__name__)
-    return said
+    if not isinstance(parsed, dict):
+        raise error('bad-answer', type(parsed).__name__)
+    return parsed
 
 
-def _why(answer: Answer) -> str:
+def _failure_detail(answer: Answer) -> str:
     return answer.finish.detail or f'status {answer.status}'
--- a/src/linnetwood/programs/resident.py
+++ b/src/linnetwood/programs/resident.py
@@ -14,7 +14,7 @@
 from linnetwood.platform import settings
 from linnetwood.programs.exits import EXIT_FAILED, EXIT_OK, EXIT_SETTINGS
 
-Serve = Callable[[settings.Residence, Decisions], Awaitable[None]]
+Serve = Callable[[settings.ProcessSettings, Decisions], Awaitable[None]]
 
 
 def run(program: str, serve: Serve, argv: Sequence[str]) -> int:
@@ -65,7 +65,7 @@
 
 async def _serve(
     serve: Serve,
-    cfg: settings.Residence,
+    cfg: settings.ProcessSettings,
     decisions: Decisions,
 ) -> None:
     await serve(cfg, decisions)
--- a/src/linnetwood/programs/resident_crashes.py
+++ b/src/linnetwood/programs/resident_crashes.py
@@ -10,7 +10,7 @@
 from linnetwood.calls.quarantine import Admit, Quarantine
 from linnetwood.core.clock import Clock
 from linnetwood.platform.crashstore import CrashFeed, PlatformCrashStore
-from linnetwood.platform.ignored import Ignored
+from linnetwood.platform.ignored import IgnoredRecords
 from linnetwood.platform.store import PlatformStore
 from linnetwood.wire.probing import refuses_connections
 
@@ -52,7 +52,7 @@
         await self.watch.close()
         await self._publisher.close()
 
-    def feed(self, ignored: Ignored) -> CrashFeed:
+    def feed(self, ignored: IgnoredRecords) -> CrashFeed:
         """Give the feed that applies the records shared by others."""
         return CrashFeed(
             self._crashes,
--- a/src/linnetwood/programs/resident_endpoint.py
+++ b/src/linnetwood/programs/resident_endpoint.py
@@ -12,7 +12,7 @@
 from linnetwood.core.exposed import ExposedMetrics
 from linnetwood.core.options import Decisions, Transfer
 from linnetwood.fleet.wanted import WantedVersions
-from linnetwood.platform.settings import Residence
+from linnetwood.platform.settings import ProcessSettings
 from linnetwood.platform.weights import PlatformOrigin, ServerEngine
 from linnetwood.programs import resident
 from linnetwood.programs.figures import FiguresPage
@@ -39,7 +39,7 @@
 
     def __init__(
         self,
-        cfg: Residence,
+        cfg: ProcessSettings,
         engine: tuple[str, int],
         decisions: Decisions = _BY_DEFAULT,
     ) -> None:
@@ -132,7 +132,7 @@
         )
 
 
-async def serve(cfg: Residence, decisions: Decisions) -> None:
+async def serve(cfg: ProcessSettings, decisions: Decisions) -> None:
     """Bring weights to the engine of this VM."""
     if cfg.engine is None:
         await resident.until_stopped()
--- a/src/linnetwood/programs/resident_entry.py
+++ b/src/linnetwood/programs/resident_entry.py
@@ -20,8 +20,8 @@
 from linnetwood.fleet.relayselector import RelaySelector
 from linnetwood.fleet.wanted import WantedVersions
 from linnetwood.platform.feeds import EndpointFeed, OperatorFeed, StoreFeed
-from linnetwood.platform.ignored import Ignored
-from linnetwood.platform.settings import Residence
+from linnetwood.platform.ignored import IgnoredRecords
+from linnetwood.platform.settings import ProcessSettings
 from linnetwood.platform.store import PlatformStore
 from linnetwood.programs import resident
 from linnetwood.programs.figures import FiguresPage
@@ -51,7 +51,7 @@
 
     def __init__(
         self,
-        cfg: Residence,
+        cfg: ProcessSettings,
         decisions: Decisions = _BY_DEFAULT,
     ) -> None:
         """Build; start nothing."""
@@ -112,7 +112,7 @@
         crashes.entries = chooser.entry_count
         self._figures = FiguresPage(metrics)
         wake = self.reports.wake
-        ignored = Ignored(lambda: metrics.count(Metric.RECORDS_IGNORED))
+        ignored = IgnoredRecords(lambda: metrics.count(Metric.RECORDS_IGNORED))
         feed = StoreFeed(
             OperatorFeed(
                 self.adopt,
@@ -221,7 +221,7 @@
             self._servers.append(server)
 
 
-async def serve(cfg: Residence, decisions: Decisions) -> None:
+async def serve(cfg: ProcessSettings, decisions: Decisions) -> None:
     """Answer callers on an entry VM."""
     entry = ResidentEntry(cfg, decisions)
     await entry.start()
--- a/src/linnetwood/programs/resident_news.py
+++ b/src/linnetwood/programs/resident_news.py
@@ -10,7 +10,7 @@
 from linnetwood.fleet.startupsync import StartupSync
 from linnetwood.platform import records
 from linnetwood.platform.feeds import StoreFeed, endpoints
-from linnetwood.platform.settings import Residence
+from linnetwood.platform.settings import ProcessSettings
 from linnetwood.platform.store import PlatformStore
 from linnetwood.wire.connections import FrameHandler
 
@@ -20,7 +20,7 @@
 
     def __init__(
         self,
-        cfg: Residence,
+        cfg: ProcessSettings,
         store: PlatformStore,
         feed: StoreFeed,
         selector: RelaySelector,
@@ -44,7 +44,7 @@
             rng,
             bounds_for(cfg.config_bound_s),
         )
-        store.heard = self.follower.note_bytes
+        store.on_bytes = self.follower.note_bytes
         self._relay = RangeRelay(
             self.follower,
             selector,
--- a/src/linnetwood/programs/resident_talk.py
+++ b/src/linnetwood/programs/resident_talk.py
@@ -24,7 +24,7 @@
     News,
     ZoneHosts,
 )
-from linnetwood.platform.settings import Residence, address
+from linnetwood.platform.settings import ProcessSettings, address
 from linnetwood.platform.weights import PlatformOrigin
 from linnetwood.weights.engine import EngineReport
 from linnetwood.weights.follower import VersionFollower
@@ -57,7 +57,7 @@
 
     def __init__(
         self,
-        cfg: Residence,
+        cfg: ProcessSettings,
         clock: Clock,
         follower: VersionFollower,
         wanted: WantedVersions,
--- a/tests/cold_fleet.py
+++ b/tests/cold_fleet.py
@@ -18,7 +18,7 @@
 from linnetwood.gen.wire.ttypes import ChunkReply, ChunkRequest, News
 from linnetwood.lab import virtual
 from linnetwood.lab.memory_net import MemoryDialler, MemoryNet
-from linnetwood.platform.settings import Residence
+from linnetwood.platform.settings import ProcessSettings
 from linnetwood.platform.weights import PlatformOrigin
 from linnetwood.programs.resident_talk import EndpointTalk
 from linnetwood.weights.chunks import ChunkStore
@@ -303,9 +303,9 @@
     return Endpoint(f'i-{host}', POOL.name, host, 80, zone, 16, ready=True)
 
 
-def residence(host: str, zone: str) -> Residence:
+def residence(host: str, zone: str) -> ProcessSettings:
     """Return the settings of a process beside an engine."""
-    return Residence(
+    return ProcessSettings(
         vm=f'side-{host}',
         host=host,
         zone=zone,
--- a/tests/test_engine_client.py
+++ b/tests/test_engine_client.py
@@ -1,4 +1,4 @@
-"""The model server and the origin, asked over HTTP."""
+"""HTTP clients of the model server and the origin."""
 
 import json
 import unittest
@@ -23,7 +23,7 @@
 
 
 class ClientTest(unittest.IsolatedAsyncioTestCase):
-    """Ask a stand-in that gives scripted answers."""
+    """Send requests to a server with scripted answers."""
 
     async def asyncSetUp(self) -> None:
         self.server = ScriptedServer()
@@ -38,7 +38,7 @@
         await self.server.close()
 
     async def test_report(self) -> None:
-        """An order under way stands in a field of another name."""
+        """An order in progress is decoded from a field with another name."""
         self.server.answers = [answer(200, REPORT)]
         found = await self.engine.report()
         self.assertEqual(dict(found.serving), {'m': 2})
@@ -46,21 +46,21 @@
         self.assertEqual((found.running, found.orders_taken), (12, 4))
 
     async def test_bad_answers_are_coded(self) -> None:
-        """What can't be read ends no task."""
+        """A malformed answer raises OrderError."""
         cases = (
             answer(200, {**REPORT, 'models': [{}]}),
             answer(200, {**REPORT, 'running': 'many'}),
             answer(200, 'text'),
             answer(500, REPORT),
         )
-        for said in cases:
-            with self.subTest(said=said[:60]):
-                self.server.answers = [said]
+        for reply in cases:
+            with self.subTest(reply=reply[:60]):
+                self.server.answers = [reply]
                 with self.assertRaises(OrderError):
                     await self.engine.report()
 
     async def test_orders(self) -> None:
-        """Each status of the platform is one outcome."""
+        """Each status maps to one result."""
         cases = (
             (202, OrderResult.TAKEN),
             (200, OrderResult.DONE),
@@ -86,7 +86,7 @@
         )
 
     async def test_staged(self) -> None:
-        """Nothing staged is no error, a chunk that is not there is none."""
+        """No staged chunks are no error, and a missing chunk is None."""
         self.server.answers = [
             answer(404),
             answer(200, {'held': [0, 2]}),
@@ -97,7 +97,7 @@
         self.assertIsNone(await self.engine.read_staged('m', 1))
 
     async def test_manifest(self) -> None:
-        """Digests are read, and what is none is a coded error."""
+        """Digests are decoded, and a malformed one raises WeightsError."""
         digest = '00' * 32
         self.server.answers = [
             answer(200, {'chunk_bytes': 10, 'digests': [digest, digest]}),
@@ -111,7 +111,7 @@
                 await self.origin.manifest('m', 2)
 
     async def test_newest_version(self) -> None:
-        """It is asked for without a number, and its number is read."""
+        """It is requested without a version, which the answer holds."""
         digest = '00' * 32
         sound = {'chunk_bytes': 10, 'digests': [digest]}
         self.server.answers = [
@@ -128,7 +128,7 @@
                 await self.origin.newest('m')
 
     async def test_origin_unknown(self) -> None:
-        """Before an entry told of it there is none."""
+        """Without an address a read raises WeightsError."""
         with self.assertRaises(WeightsError) as caught:
             await PlatformOrigin(self.driver).chunk('m', 2, 0)
         self.assertEqual(caught.exception.code, 'origin-unknown')
--- a/tests/test_junk.py
+++ b/tests/test_junk.py
@@ -1,7 +1,7 @@
-"""Records and answers that somebody else wrote, or that were spoilt.
+"""Malformed records and answers do no harm.
 
-Whatever stands in a record, no error leaves the feed, what was spoilt names
-nothing to use, and all others hold.
+Whatever a record holds, the feed raises no error, a malformed record names no
+endpoint, and all other records stay in force.
 """
 
 import json
@@ -48,7 +48,7 @@
 }
 MISSING = 'no such field'
 NOT_NEEDED = ('stage', 'models', 'born')
-# Of these no field of an entry is sound.
+# Invalid for each field of a record, except for those below.
 JUNK: tuple[object, ...] = (
     None,
     True,
@@ -74,8 +74,8 @@
 DEEP = (b'[' * 100000, b'{"a":' * 100000)
 
 
-class Fed:
-    """A feed, and what came of it."""
+class FeedRig:
+    """A feed with valid records, and the state that it updates."""
 
     def __init__(self) -> None:
         self.directory = Directory()
@@ -90,37 +90,39 @@
         self.feed.replace_all(
             Snapshot(
                 {
-                    'op/config': told(CONFIG),
-                    'op/version/m-1': told({'model': 'm-1', 'version': 2}),
-                    'servers/a': told(ENTRY),
-                    'servers/b': told({**ENTRY, 'address': '10.1.0.8:8080'}),
+                    'op/config': record_of(CONFIG),
+                    'op/version/m-1': record_of({'model': 'm-1', 'version': 2}),
+                    'servers/a': record_of(ENTRY),
+                    'servers/b': record_of(
+                        {**ENTRY, 'address': '10.1.0.8:8080'}
+                    ),
                 },
                 9,
             ),
         )
 
     def names(self) -> set[str]:
-        """Give the endpoints in use."""
+        """Return the ids of eligible endpoints."""
         return {one.endpoint_id for one in self.directory.eligible('pool', 0)}
 
     def change(self, key: str, payload: bytes) -> None:
-        """Write one key."""
+        """Apply a change of one key."""
         self.feed.apply_changes((Change(key, Record(payload, 10)),))
 
     def _adopt(self, route_table: RouteTable) -> None:
         self.route_table = route_table
 
     def _changed(self) -> None:
-        """Note nothing."""
+        """Do nothing."""
 
 
-def told(said: object) -> Record:
-    """Give a record as the store holds it."""
+def record_of(said: object) -> Record:
+    """Return a record with an encoded value."""
     return Record(json.dumps(said).encode(), 9)
 
 
-def spoilt(said: dict[str, Any], field: str, junk: object) -> bytes:
-    """Spoil or leave out one field."""
+def with_junk(said: dict[str, Any], field: str, junk: object) -> bytes:
+    """Encode a record with one field replaced or removed."""
     kept = {key: one for key, one in said.items() if key != field}
     if junk != MISSING:
         kept[field] = junk
@@ -128,7 +130,7 @@
 
 
 def junk_fields() -> list[tuple[str, object]]:
-    """Give each field of an entry with what it can't be."""
+    """Return each field of a record with each invalid value."""
     rows: list[tuple[str, object]] = []
     for field in ENTRY:
         rows.extend(
@@ -139,37 +141,37 @@
     return rows
 
 
-def places(said: Any) -> Iterator[tuple[Any, Any]]:
-    """Yield every place inside a value, outermost first."""
+def positions(said: Any) -> Iterator[tuple[Any, Any]]:
+    """Yield every position inside a value, outermost first."""
     keys = said if isinstance(said, dict) else range(len(said))
     for key in keys:
         yield said, key
         if isinstance(said[key], dict | list):
-            yield from places(said[key])
+            yield from positions(said[key])
 
 
 class JunkTest(unittest.TestCase):
-    """Spoil one record after the other."""
+    """Replace valid records by malformed ones."""
 
-    def test_entries(self) -> None:
-        """An endpoint is out of use while its entry is spoilt, others are not.
+    def test_server_records(self) -> None:
+        """A malformed record removes its endpoint and no other.
 
-        That holds whether the entry changes or the whole list is read again.
+        This holds for a change and for a read of the whole list.
         """
         for field, junk in junk_fields():
             with self.subTest(field=field, junk=repr(junk)):
-                fed = Fed()
-                payload = spoilt(ENTRY, field, junk)
-                fed.change('servers/a', payload)
-                self.assertEqual(fed.names(), {'b'})
-                fed.change('servers/a', told(ENTRY).payload)
-                self.assertEqual(fed.names(), {'a', 'b'})
+                rig = FeedRig()
+                payload = with_junk(ENTRY, field, junk)
+                rig.change('servers/a', payload)
+                self.assertEqual(rig.names(), {'b'})
+                rig.change('servers/a', record_of(ENTRY).payload)
+                self.assertEqual(rig.names(), {'a', 'b'})
                 found = {
                     'servers/a': Record(payload, 11),
-                    'servers/b': told(ENTRY),
+                    'servers/b': record_of(ENTRY),
                 }
-                fed.feed.replace_all(Snapshot(found, 11))
-                self.assertEqual(fed.names(), {'b'})
+                rig.feed.replace_all(Snapshot(found, 11))
+                self.assertEqual(rig.names(), {'b'})
 
     @given(
         strategies.sampled_from(
@@ -197,31 +199,31 @@
     @example('op/config', DEEP[1])
     @example('op/version/m-1', DEEP[0])
     def test_bytes(self, key: str, payload: bytes) -> None:
-        """The sound rest goes on, and a configuration stays in force."""
-        fed = Fed()
-        fed.change(key, payload)
-        self.assertIn('b', fed.names())
-        self.assertEqual(fed.route_table.version, CONFIG['version'])
-        self.assertEqual(fed.wanted.newest('m-1'), 2)
+        """Other records and the configuration stay in force."""
+        rig = FeedRig()
+        rig.change(key, payload)
+        self.assertIn('b', rig.names())
+        self.assertEqual(rig.route_table.version, CONFIG['version'])
+        self.assertEqual(rig.wanted.newest('m-1'), 2)
 
     @settings(max_examples=300)
     @given(strategies.data())
     def test_configurations(self, chance: strategies.DataObject) -> None:
-        """One spoilt value anywhere: an error, or a book that can be used."""
+        """With one invalid value the configuration is rejected or usable."""
         said = json.loads(json.dumps(CONFIG))
-        place, key = chance.draw(strategies.sampled_from(list(places(said))))
+        place, key = chance.draw(strategies.sampled_from(list(positions(said))))
         place[key] = chance.draw(strategies.sampled_from(JUNK))
-        fed = Fed()
-        fed.change('op/config', json.dumps(said).encode())
-        route = fed.route_table.find('host1.example', '/c/x')
+        rig = FeedRig()
+        rig.change('op/config', json.dumps(said).encode())
+        route = rig.route_table.find('host1.example', '/c/x')
         if route is not None:
             self.assertGreater(route.timeout_s, 0)
             self.assertIsInstance(route.shares[0].service, str)
-        fed.route_table.organisation('k1')
+        rig.route_table.organisation('k1')
 
     @given(strategies.binary(max_size=200))
     def test_what_entries_pass_on(self, packed: bytes) -> None:
-        """Bytes that are no items are an error of the message."""
+        """Bytes that are not items raise CodecError."""
         try:
             tuple(unpack(packed, 0))
         except CodecError:
@@ -229,16 +231,16 @@
 
 
 class JunkAnswersTest(unittest.IsolatedAsyncioTestCase):
-    """Spoil the answers of the store, an engine and the origin."""
+    """Get malformed answers of the store, an engine and the origin."""
 
     async def test_answers(self) -> None:
-        """Each is a coded error of its layer."""
-        bodies = [json.dumps(one).encode() for one in self._sayings()]
+        """Each raises the error of its layer."""
+        bodies = [json.dumps(one).encode() for one in self._answers()]
         for body in (*bodies, *DEEP, b'\xff', b'{', b''):
             with self.subTest(body=body[:60]):
                 await self._ask_all(body)
 
-    def _sayings(self) -> list[object]:
+    def _answers(self) -> list[object]:
         item = {'private_key': 'k', 'revision': 1, 'value': 'AA=='}
         rows = [{**item, field: junk} for field in item for junk in JUNK]
         page = {'has_more': False, 'timestamp': 1}
--- a/tests/test_places.py
+++ b/tests/test_places.py
@@ -24,7 +24,7 @@
 from linnetwood.platform import records
 from linnetwood.platform.crashstore import CrashFeed
 from linnetwood.platform.feeds import EndpointFeed, OperatorFeed, StoreFeed
-from tests.test_junk import ENTRY, told
+from tests.test_junk import ENTRY, record_of
 from tests.test_records import CONFIG, ROUTE
 
 REGIONS = {'z1': 'north', 'z2': 'north', 'z3': 'south'}
@@ -70,7 +70,9 @@
             CrashFeed(CrashHistory(), self.clock),
         )
         self.records = {
-            f'servers/{zone}-{number}': told(self.endpoint_record(zone, number))
+            f'servers/{zone}-{number}': record_of(
+                self.endpoint_record(zone, number)
+            )
             for zone in REGIONS
             for number in range(EACH)
         }
@@ -104,7 +106,7 @@
 
     def evacuate_zones(self, *zones: str) -> None:
         """Let the operators evacuate these zones and no others."""
-        written = {f'op/evacuate/{zone}': told({}) for zone in zones}
+        written = {f'op/evacuate/{zone}': record_of({}) for zone in zones}
         self.feed.replace_all(Snapshot({**self.records, **written}, 12))
 
     def test_calls_stay_in_their_region(self) -> None:
@@ -191,7 +193,7 @@
         """Each entry sends only its quota there until they are warm."""
         self.chooser.entry_count = lambda: 39
         changes = [
-            Change(f'servers/z1-{number}', told(self._cold(number)))
+            Change(f'servers/z1-{number}', record_of(self._cold(number)))
             for number in range(EACH)
         ]
         self.feed.apply_changes(tuple(changes))
--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -1,4 +1,4 @@
-"""What stands in the platform's store, decoded."""
+"""Records of the platform's store are decoded or rejected."""
 
 import json
 import unittest
@@ -67,14 +67,14 @@
 
 
 def record(found: object, revision: int = 5) -> Record:
-    """Give a value as the store holds it."""
+    """Return a record with an encoded value."""
     return Record(json.dumps(found).encode(), revision)
 
 
 class ConfigTest(unittest.TestCase):
     """Decode the operator's configuration."""
 
-    def test_longest_prefix_of_the_host_wins(self) -> None:
+    def test_longest_prefix(self) -> None:
         """A route is found by host and longest prefix, or not at all."""
         route_table = records.config(record(CONFIG))
         cases = (
@@ -89,7 +89,7 @@
                 self.assertEqual(route.name if route else None, expected)
 
     def test_kinds_say_what_may_be_repeated(self) -> None:
-        """Each kind of route becomes a rule for repeats."""
+        """Each kind of route maps to a rule for repeats."""
         route_table = records.config(record(CONFIG))
         found = {one.name: one for one in route_table.by_host['host1.example']}
         self.assertIs(found['r-1'].repeat, Repeat.RESUME)
@@ -101,7 +101,7 @@
         self.assertIs(only.repeat, Repeat.NEVER)
 
     def test_split_follows_the_weights(self) -> None:
-        """A call goes to a service by its share."""
+        """A service is picked in proportion to its weight."""
         route_table = records.config(record(CONFIG))
         route = route_table.find('host1.example', '/c/')
         assert route is not None
@@ -111,7 +111,7 @@
                 self.assertEqual(pick_service(route, chance), expected)
 
     def test_services_origin_keys_and_limits(self) -> None:
-        """Engines, the origin, organisations and limits are told apart."""
+        """Engines, the origin, organisations and limits are decoded."""
         route_table = records.config(record(CONFIG))
         self.assertEqual(set(route_table.services), {'pool', 'desk'})
         engine = route_table.services['pool'].engine
@@ -124,13 +124,13 @@
         self.assertIsNone(route_table.organisation('k3'))
         self.assertEqual(route_table.limits.header_bytes, 100)
 
-    def test_no_table_of_keys_means_no_keys_asked(self) -> None:
-        """A configuration without organisations asks for no key."""
+    def test_no_organisations(self) -> None:
+        """Without organisations no call needs a key."""
         plain = {key: CONFIG[key] for key in CONFIG if key != 'tenants'}
         self.assertIsNone(records.config(record(plain)).organisations)
 
-    def test_bad_configurations_are_refused_whole(self) -> None:
-        """What can't be read is a coded error, and nothing is taken of it."""
+    def test_malformed_configurations(self) -> None:
+        """A malformed configuration raises an error with a code."""
         cases: tuple[object, ...] = (
             [],
             {},
@@ -145,9 +145,9 @@
 
 
 class EndpointTest(unittest.TestCase):
-    """Decode servers' entries."""
+    """Decode records of servers."""
 
-    def test_entry(self) -> None:
+    def test_record(self) -> None:
         """State, address and versions are read."""
         said = {
             'service': 'pool',
@@ -167,8 +167,8 @@
         )
         self.assertEqual(dict(one.versions), {'m-1': 2})
 
-    def test_bad_entry(self) -> None:
-        """An entry that can't be read is a coded error."""
+    def test_malformed_record(self) -> None:
+        """A malformed record raises an error."""
         with self.assertRaises(ConfigError):
             records.endpoint('servers/i-1', record({'service': 'pool'}))
 
--- a/tests/test_residence.py
+++ b/tests/test_residence.py
@@ -1,4 +1,4 @@
-"""The settings file that the platform lays down."""
+"""The settings file that the platform writes."""
 
 import pathlib
 import tempfile
@@ -18,11 +18,11 @@
 """
 
 
-class ResidenceTest(unittest.TestCase):
-    """Read files as the platform writes them."""
+class ProcessSettingsTest(unittest.TestCase):
+    """Read settings files."""
 
     def test_bound_of_a_configuration(self) -> None:
-        """The platform states it in milliseconds, or the usual one holds."""
+        """The platform states it in milliseconds, or there is a default."""
         for bounds, bound_s in (('config_apply_ms = 3500', 3.5), ('', 2)):
             with self.subTest(bounds=bounds):
                 with tempfile.TemporaryDirectory() as folder:
--- a/tests/test_resident_entry.py
+++ b/tests/test_resident_entry.py
@@ -10,7 +10,7 @@
 from linnetwood.calls.configbasis import ConfigBasis
 from linnetwood.calls.routetable import CallLimits
 from linnetwood.platform import records
-from linnetwood.platform.settings import Residence
+from linnetwood.platform.settings import ProcessSettings
 from linnetwood.programs.resident_entry import ResidentEntry
 from tests.test_callserver import request
 from tests.test_curldriver import HOST, ScriptedServer
@@ -30,7 +30,7 @@
         ]
         port = await self.store.start()
         self.entry = ResidentEntry(
-            Residence(
+            ProcessSettings(
                 vm='vm-1',
                 host=HOST,
                 zone='z1',
--- a/tests/test_talk.py
+++ b/tests/test_talk.py
@@ -21,7 +21,7 @@
 from linnetwood.fleet.wanted import WantedVersions
 from linnetwood.gen.wire.ttypes import EngineSaid, News
 from linnetwood.lab import virtual
-from linnetwood.platform.settings import Residence
+from linnetwood.platform.settings import ProcessSettings
 from linnetwood.programs.resident_endpoint import ResidentEndpoint
 from linnetwood.weights.engine import EngineReport
 from linnetwood.wire.codec import decode, encode
@@ -167,7 +167,7 @@
         """Give the endpoint process beside an engine, just started."""
         host = self.engines[number]
         endpoint = ResidentEndpoint(
-            Residence(
+            ProcessSettings(
                 vm=f'side-{number}',
                 host=host,
                 zone=self.zone(number),
