--- a/Makefile
+++ b/Makefile
@@ -18,6 +18,7 @@
 
 lint: .venv/ready
 	$(BIN)/ruff format --check src tests tools demo
+	$(BIN)/ruff check src tests tools demo
 	$(BIN)/flake8 src tests tools demo
 	$(BIN)/mypy
 
--- a/src/linnetwood/calls/choice.py
+++ b/src/linnetwood/calls/choice.py
@@ -9,7 +9,7 @@
 from linnetwood.calls.candidates import Candidates, Group, pick_two
 from linnetwood.calls.directory import Directory, Endpoint
 from linnetwood.calls.endpointstats import EndpointStats, Reporting
-from linnetwood.calls.limits import RateLimitTarget, RateLimits
+from linnetwood.calls.limits import RateLimits, RateLimitTarget
 from linnetwood.calls.notices import Notices
 from linnetwood.calls.regionscope import ANY_REGION, RegionScope
 from linnetwood.calls.routetable import Service
--- a/src/linnetwood/fleet/runtime.py
+++ b/src/linnetwood/fleet/runtime.py
@@ -16,9 +16,9 @@
 from linnetwood.core.metrics import Metrics, open_metrics
 from linnetwood.core.options import (
     GossipOptions,
+    Observability,
     Place,
     Platform,
-    Observability,
 )
 from linnetwood.core.traces import Tracer, open_traces
 from linnetwood.core.trust import Credentials
--- a/src/linnetwood/lab/soak/totalloss.py
+++ b/src/linnetwood/lab/soak/totalloss.py
@@ -8,7 +8,6 @@
 from linnetwood.lab.soak.commands import Commands
 from linnetwood.lab.soak.fleet import Fleet, Vm
 
-
 _Killed = list[tuple[Vm, subprocess.Popen[bytes]]]
 
 
--- a/src/linnetwood/platform/records.py
+++ b/src/linnetwood/platform/records.py
@@ -18,7 +18,7 @@
 )
 from linnetwood.core.errors import ConfigError
 from linnetwood.fleet.ranges import Record
-from linnetwood.platform import validation, tables
+from linnetwood.platform import tables, validation
 from linnetwood.platform.settings import address
 
 # The range of all records.
--- a/src/linnetwood/platform/store.py
+++ b/src/linnetwood/platform/store.py
@@ -17,8 +17,8 @@
     Record,
     Snapshot,
 )
-from linnetwood.platform.validation import UNREADABLE
 from linnetwood.platform.storecalllog import StoreCallLog
+from linnetwood.platform.validation import UNREADABLE
 from linnetwood.wire.asking import Answer, SilenceLimits, ask
 from linnetwood.wire.connections import SILENCE_TIMEOUT_S
 from linnetwood.wire.curldriver import CurlDriver, Request
--- a/src/linnetwood/platform/weights.py
+++ b/src/linnetwood/platform/weights.py
@@ -9,7 +9,7 @@
 from urllib.parse import quote, urlencode
 
 from linnetwood.core.errors import LinnetwoodError, OrderError, WeightsError
-from linnetwood.platform import validation, tables
+from linnetwood.platform import tables, validation
 from linnetwood.weights.chunks import Manifest
 from linnetwood.weights.engine import EngineReport, OrderResult
 from linnetwood.wire.asking import Answer, SilenceLimits, ask
--- a/src/linnetwood/programs/endpoint.py
+++ b/src/linnetwood/programs/endpoint.py
@@ -25,7 +25,7 @@
 from linnetwood.wire import codec
 from linnetwood.wire.frames import Frame, FrameKind, FrameStream
 from linnetwood.wire.http import open_client
-from linnetwood.wire.links import Link, UnlimitedLink, SimulatedLink
+from linnetwood.wire.links import Link, SimulatedLink, UnlimitedLink
 
 _ORIGIN_TIMEOUT_S = 120.0
 _EPOCH_CHECK_S = 1.0
--- a/src/linnetwood/weights/swarm.py
+++ b/src/linnetwood/weights/swarm.py
@@ -7,7 +7,7 @@
 
 from linnetwood.core.backoff import pause_s
 from linnetwood.weights import chunks
-from linnetwood.weights.inboundlink import InFlightChunk, InboundLink
+from linnetwood.weights.inboundlink import InboundLink, InFlightChunk
 from linnetwood.weights.reading import READERS_PER_CHUNK, DueTimes, OriginPolicy
 from linnetwood.weights.silentpeers import SilentPeers
 from linnetwood.weights.swarmoptions import SwarmOptions
--- a/src/linnetwood/weights/takeover.py
+++ b/src/linnetwood/weights/takeover.py
@@ -11,7 +11,6 @@
 from types import MappingProxyType
 from typing import Final, Protocol
 
-
 # While nothing shows that the origin is reachable again, the first readers try
 # it; later readers wait this many times as long, in case all first ones failed.
 _UNCONFIRMED_FACTOR = 3
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -17,7 +17,7 @@
 from linnetwood.calls.directory import Directory, Endpoint
 from linnetwood.calls.endpointstats import EndpointStats, Report
 from linnetwood.calls.engine import EngineProfile
-from linnetwood.calls.limits import RateLimitTarget, RateLimits
+from linnetwood.calls.limits import RateLimits, RateLimitTarget
 from linnetwood.calls.notices import Notice, Notices
 from linnetwood.calls.routetable import Repeat, Service, Share
 from linnetwood.core.metrics import NoMetrics
--- a/tests/test_trust.py
+++ b/tests/test_trust.py
@@ -11,7 +11,7 @@
 
 from linnetwood.core.errors import LinnetwoodError, SettingsError
 from linnetwood.core.options import Trust
-from linnetwood.core.trust import KeyedSigner, Credentials
+from linnetwood.core.trust import Credentials, KeyedSigner
 from linnetwood.fleet.runtime import reload_keys
 from linnetwood.gen.schema.ttypes import Deployment, Refusal, Verdict
 from linnetwood.programs import cli, exits
--- a/tests/test_versionplan.py
+++ b/tests/test_versionplan.py
@@ -15,9 +15,9 @@
 from linnetwood.weights.takeover import TAKEOVERS
 from linnetwood.weights.versionplan import (
     PLANS,
-    ChunkProgress,
     ByForecast,
     ByNaming,
+    ChunkProgress,
     PlanInputs,
     VersionPlan,
 )
