--- a/src/linnetwood/programs/cli.py
+++ b/src/linnetwood/programs/cli.py
@@ -39,10 +39,10 @@
 )
 
 DEFAULT_ENTRY = '127.0.0.1:7700'
-# Names a folder with cert.pem, key.pem and ca.pem; unset means plain mode.
+# Path of a folder with cert.pem, key.pem and ca.pem; plain mode if unset.
 TLS_FOLDER = 'LINNETWOOD_TLS'
 _POLL_S = 0.5
-_WORDS = MappingProxyType({'time': Weigh.TIME, 'origin': Weigh.ORIGIN})
+_MEASURES = MappingProxyType({'time': Weigh.TIME, 'origin': Weigh.ORIGIN})
 
 
 def schema_check(file: str, *, json: bool = False) -> int:
@@ -53,7 +53,7 @@
     """
     deployment = schema.load(file)
     lines = (f'{file}: the schema is good',)
-    return show.printed(deployment, lines, json)
+    return show.print_result(deployment, lines, json)
 
 
 def apply(
@@ -116,17 +116,17 @@
     :param wait: show progress until every replica is complete
     :param json: print JSON
     """
-    if weigh not in _WORDS:
+    if weigh not in _MEASURES:
         raise UsageError(
             'bad-option',
-            f'weigh: found {weigh!r}, allowed is one of {sorted(_WORDS)}',
+            f'weigh: found {weigh!r}, allowed is one of {sorted(_MEASURES)}',
         )
     intent = Intent(
         model=model,
         version=version,
         replicas=replicas,
         ready_by_unix_s=int(time.time() + ready_in_s) if ready_in_s else 0,
-        weigh=_WORDS[weigh],
+        weigh=_MEASURES[weigh],
         availability_zones=zones or [],
         spare_replicas=spare,
     )
@@ -153,7 +153,7 @@
     wait: bool = False,
     json: bool = False,
 ) -> int:
-    """Show how a rollout gets on.
+    """Show the progress of a rollout.
 
     :param model: the model
     :param entry: operators' address of an entry
@@ -163,7 +163,7 @@
     last: RolloutStatus | None = None
     with _client(entry) as calls:
         for found in _follow(calls, model, wait):
-            show.printed(found, (show.rollout(found),), json)
+            show.print_result(found, (show.rollout(found),), json)
             last = found
     if last is None:
         raise UsageError('no-rollout', f'model {model} has no intent')
@@ -178,7 +178,7 @@
     operation: str = '',
     json: bool = False,
 ) -> int:
-    """Go back to what a rollout replaced.
+    """Restore what a rollout replaced.
 
     :param model: the model
     :param entry: operators' address of an entry
@@ -205,14 +205,14 @@
     entry: str = DEFAULT_ENTRY,
     json: bool = False,
 ) -> int:
-    """Ask whether an earlier change was accepted.
+    """Show whether an earlier change was accepted.
 
     :param operation: its operation id
     :param entry: operators' address of an entry
     :param json: print JSON
     """
     with _client(entry) as calls:
-        return _answered(calls.settle(operation), json)
+        return _print_answer(calls.settle(operation), json)
 
 
 def endpoint_list(*, entry: str = DEFAULT_ENTRY, json: bool = False) -> int:
@@ -223,7 +223,7 @@
     """
     with _client(entry) as calls:
         found = calls.endpoints()
-    return show.printed(found, map(show.endpoint, found), json)
+    return show.print_result(found, map(show.endpoint, found), json)
 
 
 def endpoint_drain(
@@ -240,7 +240,7 @@
     """
     with _client(entry) as calls:
         calls.drain(vm, getpass.getuser())
-    return show.printed(
+    return show.print_result(
         {'vm': vm, 'state': 'leaving'}, (f'{vm} is leaving',), json
     )
 
@@ -253,7 +253,7 @@
     """
     with _client(entry) as calls:
         found = calls.status()
-    return show.printed(found, show.status(found), json)
+    return show.print_result(found, show.status(found), json)
 
 
 def config_show(*, entry: str = DEFAULT_ENTRY, json: bool = False) -> int:
@@ -264,7 +264,7 @@
     """
     with _client(entry) as calls:
         found = calls.configuration()
-    return show.printed(found, show.configuration(found), json)
+    return show.print_result(found, show.configuration(found), json)
 
 
 def config_history(*, entry: str = DEFAULT_ENTRY, json: bool = False) -> int:
@@ -275,7 +275,7 @@
     """
     with _client(entry) as calls:
         found = calls.configuration()
-    return show.printed(found.history, show.history(found), json)
+    return show.print_result(found.history, show.history(found), json)
 
 
 def _client(entry: str) -> OperatorClient:
@@ -303,11 +303,11 @@
 ) -> int:
     with _client(entry) as calls:
         revision = base if base >= 0 else calls.configuration().revision
-        return _answered(act(calls, revision), as_json)
+        return _print_answer(act(calls, revision), as_json)
 
 
-def _answered(found: Answer, as_json: bool) -> int:
-    show.printed(found, show.answer(found), as_json)
+def _print_answer(found: Answer, as_json: bool) -> int:
+    show.print_result(found, show.answer(found), as_json)
     return {
         Verdict.ACCEPTED: EXIT_OK,
         Verdict.REFUSED: EXIT_REFUSED,
@@ -342,18 +342,18 @@
 
 
 def run(argv: list[str] | None = None) -> int:
-    """Run one command and give its exit code."""
+    """Run one command and return its exit code."""
     try:
         return int(defopt.run(dict(COMMANDS), argv=argv, no_negated_flags=True))
     except (SchemaError, SettingsError, UsageError) as exc:
-        return _complain(str(exc), EXIT_BAD_INPUT)
+        return _print_error(str(exc), EXIT_BAD_INPUT)
     except Refusal as exc:
-        return _complain(f'{exc.code}: {exc.detail}', EXIT_REFUSED)
+        return _print_error(f'{exc.code}: {exc.detail}', EXIT_REFUSED)
     except (LinnetwoodError, TException) as exc:
-        return _complain(str(exc), EXIT_UNREACHABLE)
+        return _print_error(str(exc), EXIT_UNREACHABLE)
 
 
-def _complain(text: str, code: int) -> int:
+def _print_error(text: str, code: int) -> int:
     sys.stderr.write(f'linnetwood: {text}\n')
     return code
 
--- a/src/linnetwood/programs/client.py
+++ b/src/linnetwood/programs/client.py
@@ -1,4 +1,4 @@
-"""Call an entry as an operator."""
+"""A client for operators' calls to an entry."""
 
 from types import TracebackType
 from typing import Any
@@ -17,10 +17,10 @@
 
 
 class OperatorClient:
-    """Hold one connection to an entry."""
+    """One connection to an entry."""
 
     def __init__(self, address: str, tls_folder: str = '') -> None:
-        """Name the entry as HOST:PORT, and where certificates are, if any."""
+        """Set the entry's HOST:PORT and the folder of certificates, if any."""
         host, _, port = address.rpartition(':')
         if not host or not port.isdecimal():
             raise WireError('bad-address', f'{address!r}, allowed is HOST:PORT')
@@ -34,7 +34,7 @@
         self.calls: Any = client(protocol)
 
     def __enter__(self) -> Any:
-        """Connect and give the generated calls."""
+        """Connect and return the generated client."""
         try:
             self._transport.open()
         except TException as exc:
@@ -47,7 +47,7 @@
         exc: BaseException | None,
         trace: TracebackType | None,
     ) -> None:
-        """Hang up."""
+        """Close the connection."""
         self._transport.close()
 
 
@@ -58,9 +58,9 @@
         host,
         port,
         ssl_context=client_context(tls_folder),
-        validate_callback=_vouched,
+        validate_callback=_accept_any_name,
     )
 
 
-def _vouched(certificate: object, hostname: str) -> None:
-    """Accept what the authority signed: entries are known by IP number."""
+def _accept_any_name(certificate: object, hostname: str) -> None:
+    """Accept any name signed by the authority: entries have only an IP."""
--- a/src/linnetwood/programs/daemon.py
+++ b/src/linnetwood/programs/daemon.py
@@ -20,7 +20,7 @@
     options: type[_Options],
     serve: Callable[[Any], Awaitable[None]],
 ) -> int:
-    """Check the settings, then serve until told to stop; give an exit code."""
+    """Validate the settings, serve until stopped, and return an exit code."""
     parser = argparse.ArgumentParser(prog=name, description=serve.__doc__)
     parser.add_argument('--settings', required=True, help='YAML settings file')
     parser.add_argument(
--- a/src/linnetwood/programs/endpoint.py
+++ b/src/linnetwood/programs/endpoint.py
@@ -1,4 +1,4 @@
-"""The process in an endpoint VM's slot: linnetwood-endpoint."""
+"""The process on an endpoint VM: linnetwood-endpoint."""
 
 import asyncio
 import sys
@@ -33,17 +33,17 @@
 
 
 class Endpoint(Listener):
-    """Put the slot's parts together."""
+    """Compose the parts of an endpoint process."""
 
     def __init__(self, cfg: EndpointOptions) -> None:
-        """Build; start nothing."""
+        """Build all parts without starting them."""
         self._cfg = cfg
         self.runtime = Runtime(
             cfg.place,
             cfg.platform,
             cfg.gossiping,
             cfg.watching,
-            _introduce(cfg),
+            _initial_member(cfg),
             open_client(_MAX_CLIENTS),
             Credentials(cfg.trust),
         )
@@ -63,7 +63,7 @@
         self._epochs: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
-        """Join the others and begin to serve."""
+        """Join the fleet and start to serve."""
         await self.runtime.start(
             self._cfg.peers,
             {
@@ -80,7 +80,7 @@
         self._epochs = asyncio.create_task(self._advance_epochs())
 
     async def close(self) -> None:
-        """Refuse new work, let what is under way finish, then leave."""
+        """Refuse new calls, wait for calls in progress, and leave the fleet."""
         self.drain()
         if not await self.guard.drained(self._cfg.drain_limit_s):
             log(Event.STOP_LIMIT_REACHED, in_flight=self.guard.state.in_flight)
@@ -91,7 +91,7 @@
         await self.runtime.close()
 
     def drain(self) -> None:
-        """Take no new work from now on."""
+        """Accept no new calls from now on."""
         if self.guard.state.leaving:
             return
         self.guard.state.leaving = True
@@ -99,7 +99,7 @@
         self.runtime.leave()
 
     def member_changed(self, member: Member) -> None:
-        """Obey when others say that this VM is leaving."""
+        """Drain if other processes report that this VM is leaving."""
         if member.vm == self._cfg.place.vm and member.status == Health.LEAVING:
             self.drain()
 
@@ -169,7 +169,7 @@
                 self.runtime.gossip.update_self(key_epoch=self._memory.epoch)
 
 
-def _introduce(cfg: EndpointOptions) -> Member:
+def _initial_member(cfg: EndpointOptions) -> Member:
     member = initial_record(cfg.place, ENDPOINT, SystemClock())
     return copy(
         member,
@@ -182,7 +182,7 @@
 
 
 async def serve(cfg: EndpointOptions) -> None:
-    """Fetch and serve weights, order the VM's engine, guard its calls."""
+    """Transfer weights, control the VM's engine, and admit its calls."""
     endpoint = Endpoint(cfg)
     await endpoint.start()
     await wait_for_stop(endpoint.runtime.keys)
--- a/src/linnetwood/programs/entry.py
+++ b/src/linnetwood/programs/entry.py
@@ -29,10 +29,10 @@
 
 
 class Entry(Listener):
-    """Put the parts of an entry together."""
+    """Compose the parts of an entry process."""
 
     def __init__(self, cfg: EntryOptions) -> None:
-        """Build; start nothing."""
+        """Build all parts without starting them."""
         self._cfg = cfg
         self.runtime = Runtime(
             cfg.place,
@@ -80,7 +80,7 @@
         )
 
     async def start(self) -> None:
-        """Join the others and begin to serve callers and operators."""
+        """Join the fleet and start to serve callers and operators."""
         self.runtime.gossip.add_listener(self)
         self.runtime.config.add_listener(self.configured)
         await self.runtime.start(self._cfg.peers, {})
@@ -91,17 +91,17 @@
         self._http.add_sockets(bind_sockets(self._cfg.http_port, host))
 
     async def close(self) -> None:
-        """Send callers elsewhere, finish what is under way, then leave."""
+        """Report as not ready, wait for calls in progress, and leave."""
         self._leaving = True
         self.runtime.leave()
-        await self._drained()
+        await self._wait_for_calls()
         self._http.stop()
         await self._http.close_all_connections()
         self._operators.stop()
         await self.runtime.close()
 
     def reason(self) -> str:
-        """Say why the balancer should send calls elsewhere."""
+        """Return why the entry is not ready, or an empty text."""
         if self._leaving:
             return 'leaving'
         if not self.runtime.config.is_loaded:
@@ -109,23 +109,23 @@
         return ''
 
     def configured(self, configuration: Configuration) -> None:
-        """Put a newer configuration in force."""
+        """Apply a newer configuration."""
         self.routes.apply_config(configuration.deployment)
         self.gate.configured(configuration.deployment)
         self.context.deployment = configuration.deployment
 
     def capacity(self, target: str) -> int:
-        """Give this entry's part of the slots that serve a target."""
+        """Return this entry's share of the slots that serve a target."""
         return -(-self.routes.slots(target) // self._entries())
 
     def member_changed(self, member: Member) -> None:
-        """Route by the newest statement."""
+        """Update the routes with a member's newest record."""
         self.routes.member_changed(member)
         if member.role == ENTRY:
             self.routes.entry_count = self._entries()
 
     def load_reported(self, vm: str, load: int) -> None:
-        """Choose by the newest word of an endpoint's load."""
+        """Record the newest load of an endpoint."""
         self.routes.load(vm).record_report(load, self.runtime.clock.now())
 
     def _entries(self) -> int:
@@ -136,7 +136,7 @@
         )
         return max(1, found)
 
-    async def _drained(self) -> None:
+    async def _wait_for_calls(self) -> None:
         until = self.runtime.clock.now() + self._cfg.drain_limit_s
         while self.gate.in_flight:
             if self.runtime.clock.now() > until:
@@ -146,7 +146,7 @@
 
 
 async def serve(cfg: EntryOptions) -> None:
-    """Answer callers and operators on an entry VM."""
+    """Serve callers and operators on an entry VM."""
     entry = Entry(cfg)
     await entry.start()
     await wait_for_stop(entry.runtime.keys)
--- a/src/linnetwood/programs/exits.py
+++ b/src/linnetwood/programs/exits.py
@@ -1,4 +1,4 @@
-"""How the operators' command line ends."""
+"""Exit codes of the command line and of the programs."""
 
 EXIT_OK = 0
 EXIT_REFUSED = 1
@@ -7,6 +7,6 @@
 EXIT_UNREACHABLE = 4
 EXIT_AT_RISK = 5
 
-# Programs that serve end with one of these.
+# Exit codes of programs that serve.
 EXIT_FAILED = 1
 EXIT_SETTINGS = 2
--- a/src/linnetwood/programs/explain.py
+++ b/src/linnetwood/programs/explain.py
@@ -1,4 +1,4 @@
-"""Tell the story of a call, or of calls that are alike, from log lines."""
+"""Reconstruct what happened to a call, or to similar calls, from logs."""
 
 import json
 from collections.abc import Callable, Iterable, Iterator, Mapping
@@ -9,14 +9,14 @@
 from linnetwood.core.events import Event
 
 _CALL = 'call'
-_STAMPED = ('asctime', 'levelname', 'message', 'event', 'vm', 'taskName')
+_COMMON_FIELDS = ('asctime', 'levelname', 'message', 'event', 'vm', 'taskName')
 
 
-def lines_of(stream: TextIO) -> Iterator[dict[str, Any]]:
-    """Yield the log lines of a file; torn and foreign lines are passed over.
+def read_lines(stream: TextIO) -> Iterator[dict[str, Any]]:
+    """Yield the log events of a file; skip lines that are none.
 
-    What stands before the first brace of a line, such as a collector's own
-    time and name of the machine, is left out.
+    Anything before the first brace of a line, such as a time or a host name
+    that a log collector adds, is ignored.
     """
     for text in stream:
         line = read_line(text)
@@ -25,7 +25,7 @@
 
 
 def read_line(text: str) -> dict[str, Any] | None:
-    """Give the event that a line tells; None for a torn or foreign line."""
+    """Parse a log line; return None if it is truncated or no log event."""
     start = text.find('{')
     if start < 0:
         return None
@@ -39,48 +39,48 @@
 
 
 def number_in(line: Mapping[str, Any], name: str) -> float:
-    """Give a number that a line tells; 0 where it tells none."""
+    """Return a numeric field of a line; 0 if it has none."""
     found = line.get(name, 0)
     return found if isinstance(found, int | float) else 0
 
 
-def take_lines(
+def feed_lines(
     stream: TextIO,
-    take: Callable[[dict[str, Any]], None],
+    add_line: Callable[[dict[str, Any]], None],
 ) -> int:
-    """Hand on what each line of a file tells; give how many were torn."""
+    """Pass on each event of a file; return the number of truncated lines."""
     torn = 0
     for text in stream:
         line = read_line(text)
         if line is None:
             torn += '{' in text
         else:
-            take(line)
+            add_line(line)
     return torn
 
 
-def of_call(
+def lines_of_call(
     lines: Iterable[dict[str, Any]],
     call: str,
 ) -> list[dict[str, Any]]:
-    """Give a call's lines in the order of their times, or raise UsageError.
+    """Return a call's lines ordered by time, or raise UsageError.
 
-    The name may also be a likeness: then it is the story of all such calls.
+    The name may also be a fingerprint, for all calls that share it.
     """
-    found = [line for line in lines if _names(line, call)]
+    found = [line for line in lines if _concerns(line, call)]
     if not found:
         raise UsageError('call-unknown', f'no line names the call {call}')
     return sorted(found, key=lambda line: str(line.get('asctime', '')))
 
 
-def sentence(line: dict[str, Any]) -> str:
-    """Say in plain words what a line tells."""
-    teller = _TELLERS.get(line['event'], _plain)
+def describe(line: dict[str, Any]) -> str:
+    """Describe an event in words."""
+    describe_event = _DESCRIBERS.get(line['event'], _plain)
     when = str(line.get('asctime', '?'))
-    return f'{when}  {line.get("vm", "?")}: {teller(line)}'
+    return f'{when}  {line.get("vm", "?")}: {describe_event(line)}'
 
 
-def _names(line: dict[str, Any], name: str) -> bool:
+def _concerns(line: dict[str, Any], name: str) -> bool:
     if name in {line.get(_CALL), line.get('likeness')}:
         return True
     likenesses = line.get('likenesses')
@@ -102,7 +102,7 @@
 
 def _refused(line: dict[str, Any]) -> str:
     return (
-        f'refused at the door ({line.get("code")}){_detail(line)}; it did not '
+        f'refused at admission ({line.get("code")}){_detail(line)}; it did not '
         f'run and may come back after {line.get("retry_after_ms")} ms'
     )
 
@@ -128,24 +128,24 @@
 
 def _notice(line: dict[str, Any]) -> str:
     limit = line.get('limit_per_s')
-    said = [
+    parts = [
         '' if limit is None else f'takes {limit} calls a second',
         'leaves' if line.get('leaving') else '',
         f'wants {line["rest_s"]} s of rest' if line.get('rest_s') else '',
         f'tells {line["unread"]!r}' if line.get('unread') else '',
     ]
-    told = ', '.join(filter(None, said)) or 'takes any number of calls again'
-    return f'{line.get("endpoint")} says of itself: {told}'
+    text = ', '.join(filter(None, parts)) or 'takes any number of calls again'
+    return f'{line.get("endpoint")} says of itself: {text}'
 
 
 def _plain(line: dict[str, Any]) -> str:
     fields = {
         name: text
         for name, text in line.items()
-        if name not in _STAMPED and name != _CALL
+        if name not in _COMMON_FIELDS and name != _CALL
     }
-    told = ', '.join(f'{name} {text}' for name, text in fields.items())
-    return f'{line.get("message")}: {told}'
+    text = ', '.join(f'{name} {text}' for name, text in fields.items())
+    return f'{line.get("message")}: {text}'
 
 
 def _detail(line: dict[str, Any]) -> str:
@@ -153,7 +153,7 @@
     return f', {detail}' if detail else ''
 
 
-_TELLERS = MappingProxyType(
+_DESCRIBERS = MappingProxyType(
     {
         int(Event.ATTEMPT_ENDED): _attempt,
         int(Event.CALL_REFUSED): _refused,
--- a/src/linnetwood/programs/forecasts.py
+++ b/src/linnetwood/programs/forecasts.py
@@ -1,8 +1,8 @@
-"""Hold what was decided of calls against what came, from log lines.
+"""Compare decisions on calls with their outcomes, from logs.
 
-Each decision has a row: how often it was taken, and how often what came shows
-that another one would have served a caller. The rows are ordered by what they
-lost, so the first is the decision to look at.
+For each kind of decision the report has the number of decisions, and in how
+many cases the outcome shows that another one would have served the caller. The
+kind that lost most comes first.
 """
 
 import collections
@@ -13,7 +13,8 @@
 from typing import Any, TextIO
 
 from linnetwood.core.events import Event
-from linnetwood.programs.explain import number_in, take_lines
+from linnetwood.programs.explain import feed_lines, number_in
+from linnetwood.programs.histogram import Histogram
 from linnetwood.programs.losses import (
     IN_TIME,
     LATE_GAP,
@@ -21,24 +22,23 @@
     LATE_START,
     cause_of,
 )
-from linnetwood.programs.spread import Spread
-
-# Calls that one engine got within this met the same work there: two or three of
-# its passes.
-NEAR_S = 0.25
-# Spans that are kept for engines; the oldest go first, and are counted.
-MOST_SPANS = 200_000
-# Values of one thing that are told apart; what comes beyond counts as the rest.
-MOST_VALUES = 40
-# Errors of a few milliseconds are told apart.
+
+# Calls that an engine gets within this span meet the same load: it is two or
+# three passes of the engine.
+SPAN_S = 0.25
+# Maximum number of spans kept; the oldest are dropped and counted.
+MAX_SPANS = 200_000
+# Maximum number of distinct values; others are counted together.
+MAX_VALUES = 40
+# The resolution of prediction errors.
 _FINE_MS = 5
 _MEDIAN = 0.5
 _TAIL = 0.9
-# An engine had room if so many of those it got then were in time.
+# An engine had capacity if this share of the calls that it began was in time.
 _ROOM_SHARE = 0.5
-# A second has room if no more than this share of what came was refused.
+# A second had capacity if at most this share of its calls was refused.
 _FULL_SHARE = 0.1
-_UNTOLD = '?'
+_UNKNOWN = '?'
 _REST = 'rest'
 _PROMPT_STEP = 500
 _AGE_STEP_MS = 100
@@ -50,51 +50,51 @@
 _NOT_RUN = int(Event.CALL_NOT_RUN)
 _ENDED = frozenset((_REFUSED, _NOT_RUN))
 _NO_ENDPOINT = 'no-endpoint'
-_TRIED_AGAIN = frozenset(('stalled', 'taken-back'))
+_RETRIED = frozenset(('stalled', 'taken-back'))
 
 FIRST_EVENT = 'time to the first event: admitted as in time, began late'
 ADMISSION = 'admission: refused though the engine began others in time'
 VERSIONS = 'versions: no endpoint with an allowed version'
 PAUSES = 'where a call goes: a pause too long after a start in time'
 PLAIN = 'plain services: answered late'
-AGAIN = 'second tries: given up after silence, or taken back'
-RETURN = 'return: told to come back into a second without room'
+RETRIES = 'retries: given up after silence, or cancelled'
+RETRY_AFTER = 'retry delay: told to retry in a second without capacity'
 
 
-class Error:
-    """Predicted and seen waits of some calls, and how far they lie apart."""
+class PredictionErrors:
+    """Predicted and observed waits of calls, and their differences."""
 
-    __slots__ = ('apart', 'predicted', 'seen', 'short')
+    __slots__ = ('absolute', 'predicted', 'seen', 'signed')
 
     def __init__(self) -> None:
-        """Begin empty."""
-        self.predicted = Spread(_FINE_MS)
-        self.seen = Spread(_FINE_MS)
-        self.short = Spread(_FINE_MS)
-        self.apart = Spread(_FINE_MS)
+        """Start without calls."""
+        self.predicted = Histogram(_FINE_MS)
+        self.seen = Histogram(_FINE_MS)
+        self.signed = Histogram(_FINE_MS)
+        self.absolute = Histogram(_FINE_MS)
 
     def add(self, predicted_ms: float, seen_ms: float) -> None:
-        """Count one call."""
+        """Add one call."""
         self.predicted.add(predicted_ms)
         self.seen.add(seen_ms)
-        self.short.add(seen_ms - predicted_ms)
-        self.apart.add(abs(seen_ms - predicted_ms))
+        self.signed.add(seen_ms - predicted_ms)
+        self.absolute.add(abs(seen_ms - predicted_ms))
 
     def row(self) -> dict[str, Any]:
-        """Give medians and the error that nine of ten stay under."""
+        """Return medians, and the 90th percentile of the error."""
         return {
             'count': self.seen.count,
-            'predicted_ms': self.predicted.at(_MEDIAN),
-            'seen_ms': self.seen.at(_MEDIAN),
-            'short_by_ms': self.short.at(_MEDIAN),
-            'error_ms': self.apart.at(_MEDIAN),
-            'error_p90_ms': self.apart.at(_TAIL),
+            'predicted_ms': self.predicted.quantile(_MEDIAN),
+            'seen_ms': self.seen.quantile(_MEDIAN),
+            'short_by_ms': self.signed.quantile(_MEDIAN),
+            'error_ms': self.absolute.quantile(_MEDIAN),
+            'error_p90_ms': self.absolute.quantile(_TAIL),
         }
 
 
 @dataclasses.dataclass(slots=True)
-class Span:
-    """What one engine began in a span, and how often it was thought full."""
+class EngineSpan:
+    """The calls that an engine began in a span, and refusals on its account."""
 
     begun: int = 0
     in_time: int = 0
@@ -102,29 +102,31 @@
 
     @property
     def had_room(self) -> bool:
-        """Tell whether a call that was refused would have been in time."""
+        """Return whether a refused call would have been in time."""
         return bool(self.begun) and self.in_time >= _ROOM_SHARE * self.begun
 
 
 @dataclasses.dataclass(slots=True)
-class Arrivals:
-    """Calls of one second, and whom it sent away until when."""
+class SecondArrivals:
+    """The calls of one second, and how many were refused."""
 
     came: int = 0
     refused: int = 0
 
     @property
     def full(self) -> bool:
-        """Tell whether many were refused."""
+        """Return whether more than a few were refused."""
         return self.refused > _FULL_SHARE * self.came
 
 
 @dataclasses.dataclass(slots=True)
 class Forecasts:
-    """What the lines of several processes add up to."""
+    """The totals of the logs of several processes."""
 
-    every: Error = dataclasses.field(default_factory=Error)
-    by_kind: dict[str, dict[str, Error]] = dataclasses.field(
+    overall: PredictionErrors = dataclasses.field(
+        default_factory=PredictionErrors
+    )
+    by_kind: dict[str, dict[str, PredictionErrors]] = dataclasses.field(
         default_factory=dict,
     )
     decided: collections.Counter[str] = dataclasses.field(
@@ -133,22 +135,22 @@
     lost: collections.Counter[str] = dataclasses.field(
         default_factory=collections.Counter,
     )
-    spans: dict[tuple[str, int], Span] = dataclasses.field(
+    spans: dict[tuple[str, int], EngineSpan] = dataclasses.field(
         default_factory=dict,
     )
-    seconds: dict[int, Arrivals] = dataclasses.field(default_factory=dict)
+    seconds: dict[int, SecondArrivals] = dataclasses.field(default_factory=dict)
     returns: collections.Counter[int] = dataclasses.field(
         default_factory=collections.Counter,
     )
     torn: int = 0
     dropped_spans: int = 0
 
-    def read(self, stream: TextIO) -> None:
-        """Take in the lines of one file; torn ones are counted."""
-        self.torn += take_lines(stream, self.take)
+    def add_log(self, stream: TextIO) -> None:
+        """Add the events of a file; count truncated lines."""
+        self.torn += feed_lines(stream, self.add_line)
 
-    def take(self, line: Mapping[str, Any]) -> None:
-        """Take in one line."""
+    def add_line(self, line: Mapping[str, Any]) -> None:
+        """Add one event."""
         at = _seconds(line)
         if at is None:
             return
@@ -161,8 +163,8 @@
             self._ending(line, at)
 
     def rows(self) -> list[dict[str, Any]]:
-        """Give the decisions, those that lost most first."""
-        self._settle()
+        """Return the kinds of decisions, those that lost most first."""
+        self._update_totals()
         return [
             {
                 'decision': name,
@@ -173,11 +175,11 @@
         ]
 
     def errors(self) -> dict[str, Any]:
-        """Give how far predictions lie from what was seen, by what."""
+        """Return prediction errors in total and by properties of calls."""
         return {
-            'all': self.every.row(),
+            'all': self.overall.row(),
             **{
-                kind: {named: found[named].row() for named in sorted(found)}
+                kind: {label: found[label].row() for label in sorted(found)}
                 for kind, found in self.by_kind.items()
             },
         }
@@ -188,7 +190,7 @@
         urgent = line.get('urgency') != 'late'
         streams = number_in(line, 'version') > 0
         self._second(sent_at).came += 1
-        self._count(AGAIN, lost=line.get('how') in _TRIED_AGAIN)
+        self._count(RETRIES, lost=line.get('how') in _RETRIED)
         if not streams:
             self._count(PLAIN, lost=cause == LATE_PLAIN)
         elif urgent:
@@ -205,12 +207,14 @@
 
     def _compare(self, line: Mapping[str, Any], first_ms: float) -> None:
         predicted_ms = number_in(line, 'predicted_ms')
-        self.every.add(predicted_ms, first_ms)
-        for kind, named in _kinds(line):
+        self.overall.add(predicted_ms, first_ms)
+        for kind, label in _kinds(line):
             found = self.by_kind.setdefault(kind, {})
-            if named not in found and len(found) >= MOST_VALUES:
-                named = _REST
-            found.setdefault(named, Error()).add(predicted_ms, first_ms)
+            if label not in found and len(found) >= MAX_VALUES:
+                label = _REST
+            found.setdefault(label, PredictionErrors()).add(
+                predicted_ms, first_ms
+            )
 
     def _ending(self, line: Mapping[str, Any], at: float) -> None:
         code = line.get('code')
@@ -227,48 +231,48 @@
         self.decided[decision] += 1
         self.lost[decision] += lost
 
-    def _span(self, line: Mapping[str, Any], at: float) -> Span:
-        key = (str(line.get('endpoint', _UNTOLD)), int(at / NEAR_S))
+    def _span(self, line: Mapping[str, Any], at: float) -> EngineSpan:
+        key = (str(line.get('endpoint', _UNKNOWN)), int(at / SPAN_S))
         found = self.spans.get(key)
         if found is None:
-            found = self.spans.setdefault(key, Span())
-            if len(self.spans) > MOST_SPANS:
+            found = self.spans.setdefault(key, EngineSpan())
+            if len(self.spans) > MAX_SPANS:
                 self.spans.pop(next(iter(self.spans)))
                 self.dropped_spans += 1
         return found
 
-    def _second(self, at: float) -> Arrivals:
-        return self.seconds.setdefault(int(at), Arrivals())
+    def _second(self, at: float) -> SecondArrivals:
+        return self.seconds.setdefault(int(at), SecondArrivals())
 
-    def _settle(self) -> None:
+    def _update_totals(self) -> None:
         refused = [span for span in self.spans.values() if span.refused]
         self.decided[ADMISSION] = sum(span.refused for span in refused)
         self.lost[ADMISSION] = sum(
             span.refused for span in refused if span.had_room
         )
-        self.decided[RETURN] = self.returns.total()
-        self.lost[RETURN] = sum(
+        self.decided[RETRY_AFTER] = self.returns.total()
+        self.lost[RETRY_AFTER] = sum(
             count
             for second, count in self.returns.items()
-            if self.seconds.get(second, Arrivals()).full
+            if self.seconds.get(second, SecondArrivals()).full
         )
 
 
 def report(found: Forecasts) -> Iterator[str]:
-    """Yield the lines of a report for people."""
+    """Yield the lines of a text report."""
     for row in found.rows():
         yield f'{row["lost"]:7} of {row["taken"]:7}  {row["decision"]}'
     for kind, errors in found.errors().items():
         if kind == 'all':
-            yield _sentence(kind, '', errors)
+            yield _describe(kind, '', errors)
             continue
-        for named, row in errors.items():
-            yield _sentence(kind, named, row)
+        for label, row in errors.items():
+            yield _describe(kind, label, row)
     yield f'{found.torn} torn lines, {found.dropped_spans} spans left out'
 
 
 def as_json(found: Forecasts) -> str:
-    """Give the report for programs."""
+    """Return the report as JSON."""
     return json.dumps(
         {
             'decisions': found.rows(),
@@ -279,17 +283,17 @@
     )
 
 
-def sum_up(streams: Iterable[TextIO]) -> Forecasts:
-    """Read several logs."""
+def summarize(streams: Iterable[TextIO]) -> Forecasts:
+    """Summarize several logs."""
     found = Forecasts()
     for stream in streams:
-        found.read(stream)
+        found.add_log(stream)
     return found
 
 
-def _sentence(kind: str, named: str, row: Mapping[str, Any]) -> str:
+def _describe(kind: str, label: str, row: Mapping[str, Any]) -> str:
     return (
-        f'{kind} {named}: {row["count"]} calls, first event predicted '
+        f'{kind} {label}: {row["count"]} calls, first event predicted '
         f'{row["predicted_ms"]} ms, seen {row["seen_ms"]}, short by '
         f'{row["short_by_ms"]}; off by {row["error_ms"]} '
         f'({row["error_p90_ms"]} in one of ten)'
@@ -298,7 +302,7 @@
 
 def _kinds(line: Mapping[str, Any]) -> Iterator[tuple[str, str]]:
     load = number_in(line, 'waiting') + number_in(line, 'running')
-    yield 'route', str(line.get('route', _UNTOLD))
+    yield 'route', str(line.get('route', _UNKNOWN))
     yield 'prompt tokens from', _step(number_in(line, 'prompt'), _PROMPT_STEP)
     yield (
         'report ms from',
@@ -309,7 +313,7 @@
 
 
 def _step(number: float, width: int) -> str:
-    # Texts that sort as their numbers do.
+    # Padded, so that the texts sort like the numbers.
     return f'{int(number // width) * width:6}'
 
 
--- a/src/linnetwood/programs/listening.py
+++ b/src/linnetwood/programs/listening.py
@@ -1,4 +1,4 @@
-"""The ports of an entry: where callers come, and where the balancer asks."""
+"""The ports of an entry, for callers and for the balancer's checks."""
 
 from collections.abc import Callable
 
@@ -11,18 +11,18 @@
 
 
 def listen(server: HTTPServer, address: tuple[str, int]) -> None:
-    """Let a server take connections at an address."""
+    """Let a server accept connections at an address."""
     host, port = address
     server.add_sockets(bind_sockets(port, host))
 
 
 def readiness_server(is_ready: Callable[[], bool]) -> HTTPServer:
-    """Give the server that tells the balancer whether calls should come."""
+    """Return the server for the readiness checks of the balancer."""
     return HTTPServer(_Readiness(is_ready))
 
 
 class _Readiness:
-    """Answer whoever asks, whatever the path."""
+    """Answer every request, whatever its path."""
 
     def __init__(self, is_ready: Callable[[], bool]) -> None:
         self._is_ready = is_ready
--- a/src/linnetwood/programs/losses.py
+++ b/src/linnetwood/programs/losses.py
@@ -1,4 +1,4 @@
-"""Sum up from log lines which calls were lost or late, when, where and why."""
+"""Summarize from logs which calls were lost or late, when, where and why."""
 
 import collections
 import dataclasses
@@ -8,19 +8,19 @@
 from typing import Any, TextIO
 
 from linnetwood.core.events import Event
-from linnetwood.programs.explain import number_in, take_lines
-from linnetwood.programs.spread import Spread
-
-# A wait at the store lasts two seconds and has one more to be answered; what
-# was not confirmed for longer is an old belief.
-OLD_BELIEF_MS = 3000
-# Seconds that are kept; the oldest go first, and are counted.
-MOST_SECONDS = 7200
-# Kinds of rows in one second; what comes beyond counts as the rest.
-MOST_KINDS = 400
-# What stands where a line does not tell.
-_UNTOLD = '?'
-_REST = (_UNTOLD, _UNTOLD, 'rest')
+from linnetwood.programs.explain import feed_lines, number_in
+from linnetwood.programs.histogram import Histogram
+
+# A wait at the store lasts 2 s, and its answer may take 1 s more; a view that
+# was not confirmed for longer is stale.
+STALE_VIEW_MS = 3000
+# Maximum number of seconds kept; the oldest are dropped and counted.
+MAX_SECONDS = 7200
+# Maximum number of kinds in a second; others are counted together.
+MAX_KINDS = 400
+# Printed for a field that a line does not have.
+_UNKNOWN = '?'
+_REST = (_UNKNOWN, _UNKNOWN, 'rest')
 _MEDIAN = 0.5
 _TAIL = 0.9
 _SECOND = len('2026-01-01 00:00:00')
@@ -28,7 +28,7 @@
 LATE_START = 'late: first event'
 LATE_GAP = 'late: pause'
 LATE_PLAIN = 'late'
-_ENDINGS = MappingProxyType(
+_CAUSES = MappingProxyType(
     {
         int(Event.CALL_REFUSED): 'refused',
         int(Event.CALL_NOT_RUN): 'given up, not run',
@@ -36,83 +36,83 @@
         int(Event.CALL_CUT): 'cut',
     },
 )
-_ZONED = int(Event.STARTED)
+_STARTED = int(Event.STARTED)
 _ATTEMPT = int(Event.ATTEMPT_ENDED)
 _UNPLACED = int(Event.CALL_UNPLACED)
-_BY_OLD_BELIEF = 'refused by an old belief'
+_BY_STALE_VIEW = 'refused by a stale view'
 
 
-class Second:
-    """What one second's lines add up to."""
+class SecondTotals:
+    """The totals of one second."""
 
     __slots__ = ('ages', 'kinds', 'missing', 'predicted', 'seen', 'versions')
 
     def __init__(self) -> None:
-        """Begin empty."""
+        """Start with zero counts."""
         self.kinds: collections.Counter[tuple[str, str, str]] = (
             collections.Counter()
         )
-        self.predicted = Spread()
-        self.seen = Spread()
-        self.missing = Spread()
-        self.ages = Spread()
+        self.predicted = Histogram()
+        self.seen = Histogram()
+        self.missing = Histogram()
+        self.ages = Histogram()
         self.versions: collections.Counter[str] = collections.Counter()
 
     def count(self, zone: str, route: str, cause: str) -> None:
         """Count a call under its availability zone, route and cause."""
         kind = (zone, route, cause)
-        if kind not in self.kinds and len(self.kinds) >= MOST_KINDS:
+        if kind not in self.kinds and len(self.kinds) >= MAX_KINDS:
             kind = _REST
         self.kinds[kind] += 1
 
 
 @dataclasses.dataclass(slots=True)
 class Losses:
-    """What the lines of several processes add up to."""
+    """The totals of the logs of several processes."""
 
-    seconds: dict[str, Second] = dataclasses.field(default_factory=dict)
+    seconds: dict[str, SecondTotals] = dataclasses.field(default_factory=dict)
     zones: dict[str, str] = dataclasses.field(default_factory=dict)
     torn: int = 0
     dropped_seconds: int = 0
 
-    def read(self, stream: TextIO) -> None:
-        """Take in the lines of one file; torn ones are counted."""
-        self.torn += take_lines(stream, self.take)
+    def add_log(self, stream: TextIO) -> None:
+        """Add the events of a file; count truncated lines."""
+        self.torn += feed_lines(stream, self.add_line)
 
-    def take(self, line: dict[str, Any]) -> None:
-        """Take in one line."""
+    def add_line(self, line: dict[str, Any]) -> None:
+        """Add one event."""
         number = line['event']
-        vm = str(line.get('vm', _UNTOLD))
-        if number == _ZONED:
-            self.zones[vm] = str(line.get('zone', _UNTOLD))
+        vm = str(line.get('vm', _UNKNOWN))
+        if number == _STARTED:
+            self.zones[vm] = str(line.get('zone', _UNKNOWN))
         elif number == _ATTEMPT:
-            self._attempt(line, self.zones.get(vm, _UNTOLD))
+            self._attempt(line, self.zones.get(vm, _UNKNOWN))
         else:
-            self._ending(line, self.zones.get(vm, _UNTOLD))
+            self._ending(line, self.zones.get(vm, _UNKNOWN))
 
     def _ending(self, line: dict[str, Any], zone: str) -> None:
-        ending = _ENDINGS.get(line['event'])
-        if _by_old_belief(line):
-            ending = _BY_OLD_BELIEF
+        ending = _CAUSES.get(line['event'])
+        if _is_by_stale_view(line):
+            ending = _BY_STALE_VIEW
         if ending is not None:
-            cause = f'{ending}: {line.get("code", _UNTOLD)}'
-            route = str(line.get('route', _UNTOLD))
+            cause = f'{ending}: {line.get("code", _UNKNOWN)}'
+            route = str(line.get('route', _UNKNOWN))
             self._second(line).count(zone, route, cause)
 
-    def _second(self, line: dict[str, Any]) -> Second:
-        at = str(line.get('asctime', _UNTOLD))[:_SECOND]
-        found = self.seconds.setdefault(at, Second())
-        if len(self.seconds) > MOST_SECONDS:
+    def _second(self, line: dict[str, Any]) -> SecondTotals:
+        at = str(line.get('asctime', _UNKNOWN))[:_SECOND]
+        found = self.seconds.setdefault(at, SecondTotals())
+        if len(self.seconds) > MAX_SECONDS:
             self.seconds.pop(min(self.seconds))
             self.dropped_seconds += 1
         return found
 
     def _attempt(self, line: dict[str, Any], zone: str) -> None:
         found = self._second(line)
-        found.count(zone, str(line.get('route', _UNTOLD)), cause_of(line))
+        found.count(zone, str(line.get('route', _UNKNOWN)), cause_of(line))
         version = number_in(line, 'version')
         if version > 0:
-            found.versions[f'{line.get("endpoint", _UNTOLD)}@{version}'] += 1
+            found.versions[f'{line.get("endpoint", _UNKNOWN)}@{version}'] += 1
         age_ms = number_in(line, 'report_age_ms')
         if age_ms >= 0:
             found.ages.add(age_ms)
@@ -125,8 +125,8 @@
 
 
 def cause_of(line: dict[str, Any]) -> str:
-    """Say in which way an attempt was good, late or lost."""
-    how = str(line.get('how', _UNTOLD))
+    """Return whether an attempt was in time, late or lost, and why."""
+    how = str(line.get('how', _UNKNOWN))
     if how != 'answered':
         return f'lost: {how}'
     first_ms = number_in(line, 'first_ms')
@@ -145,12 +145,12 @@
 
 
 def rows(losses: Losses) -> list[dict[str, Any]]:
-    """Give what was found as one plain record a second."""
+    """Return one record for each second."""
     return [_row(at, losses.seconds[at]) for at in sorted(losses.seconds)]
 
 
 def report(losses: Losses) -> Iterator[str]:
-    """Yield the lines of a report for people."""
+    """Yield the lines of a text report."""
     for row in rows(losses):
         yield _headline(row)
         for kind in row['calls']:
@@ -164,19 +164,19 @@
     )
 
 
-def _row(at: str, second: Second) -> dict[str, Any]:
+def _row(at: str, second: SecondTotals) -> dict[str, Any]:
     return {
         'second': at,
         'calls': [
             {'zone': zone, 'route': route, 'cause': cause, 'count': count}
             for (zone, route, cause), count in second.kinds.most_common()
         ],
-        'predicted_ms': second.predicted.at(_MEDIAN),
-        'seen_ms': second.seen.at(_MEDIAN),
-        'missing_ms': second.missing.at(_MEDIAN),
-        'missing_p90_ms': second.missing.at(_TAIL),
-        'report_age_ms': second.ages.at(_MEDIAN),
-        'report_age_p90_ms': second.ages.at(_TAIL),
+        'predicted_ms': second.predicted.quantile(_MEDIAN),
+        'seen_ms': second.seen.quantile(_MEDIAN),
+        'missing_ms': second.missing.quantile(_MEDIAN),
+        'missing_p90_ms': second.missing.quantile(_TAIL),
+        'report_age_ms': second.ages.quantile(_MEDIAN),
+        'report_age_p90_ms': second.ages.quantile(_TAIL),
         'versions': dict(sorted(second.versions.items())),
     }
 
@@ -185,23 +185,23 @@
     by_cause: collections.Counter[str] = collections.Counter()
     for kind in row['calls']:
         by_cause[kind['cause'].partition(':')[0]] += kind['count']
-    told = ', '.join(f'{count} {cause}' for cause, count in by_cause.items())
+    counts = ', '.join(f'{count} {cause}' for cause, count in by_cause.items())
     served = sorted({one.rpartition('@')[2] for one in row['versions']})
     return (
-        f'{row["second"]}  {told}; first event predicted '
+        f'{row["second"]}  {counts}; first event predicted '
         f'{row["predicted_ms"]} ms, seen {row["seen_ms"]}, short by '
         f'{row["missing_ms"]} ({row["missing_p90_ms"]} in one of ten); '
         f'reports {row["report_age_ms"]} ms old; versions {",".join(served)}'
     )
 
 
-def _by_old_belief(line: dict[str, Any]) -> bool:
-    old = number_in(line, 'store_age_ms') > OLD_BELIEF_MS
+def _is_by_stale_view(line: dict[str, Any]) -> bool:
+    old = number_in(line, 'store_age_ms') > STALE_VIEW_MS
     return old and line['event'] == _UNPLACED
 
 
 def as_json(losses: Losses) -> str:
-    """Give the report for programs."""
+    """Return the report as JSON."""
     return json.dumps(
         {
             'seconds': rows(losses),
@@ -211,9 +211,9 @@
     )
 
 
-def sum_up(streams: Iterable[TextIO]) -> Losses:
-    """Read several logs."""
+def summarize(streams: Iterable[TextIO]) -> Losses:
+    """Summarize several logs."""
     found = Losses()
     for stream in streams:
-        found.read(stream)
+        found.add_log(stream)
     return found
--- a/src/linnetwood/programs/figures.py
+++ b/src/linnetwood/programs/metricspage.py
@@ -1,4 +1,4 @@
-"""Answer a collector that fetches a process's figures."""
+"""An HTTP page from which a collector scrapes the metrics of a process."""
 
 from http import HTTPStatus
 
@@ -20,16 +20,16 @@
 )
 
 
-class FiguresPage:
-    """Own the address at which the figures are fetched."""
+class MetricsPage:
+    """Serve the metrics at one address."""
 
     def __init__(self, metrics: ExposedMetrics) -> None:
-        """Tell these figures."""
+        """Serve these metrics."""
         self._metrics = metrics
         self._server = HTTPServer(self._answer)
 
     def start(self, host: str, port: int = PORT) -> None:
-        """Listen; a process whose port is taken works without."""
+        """Listen; if the port is in use, continue without the page."""
         try:
             self._server.add_sockets(bind_sockets(port, host))
         except OSError as exc:
--- a/src/linnetwood/programs/operators.py
+++ b/src/linnetwood/programs/operators.py
@@ -1,4 +1,4 @@
-"""The operators' calls, as the schema file declares them."""
+"""The server of the operators' calls that the schema file declares."""
 
 import asyncio
 import ssl
@@ -42,7 +42,7 @@
 _ZONE_SILENT_S = 12.0
 _DRAIN_TIMEOUT_S = 2.0
 _READ_CALLS = frozenset(('settle', 'configuration', 'status', 'endpoints'))
-# What a malformed call makes the library raise.
+# The library raises these for malformed calls.
 _CALL_ERRORS = (
     TException,
     LinnetwoodError,
@@ -57,10 +57,10 @@
 
 
 class OperatorCalls:
-    """Carry out what operators ask."""
+    """Execute the operators' calls."""
 
     def __init__(self, runtime: Runtime) -> None:
-        """Work with the parts of the entry."""
+        """Use the parts of the entry."""
         self._runtime = runtime
         self._progress = RolloutProgress()
         self._sampler = ProgressSampler(runtime.dialler, runtime.rng)
@@ -94,11 +94,11 @@
         operator_name: str,
     ) -> Answer:
         """Set the intent for one model."""
-        standing = self._runtime.config.deployment
+        current = self._runtime.config.deployment
         summary = f'start {intent.model} {intent.version} x{intent.replicas}'
         return await self._propose(
             Proposal(
-                rules.with_intent(standing, intent),
+                rules.with_intent(current, intent),
                 base_revision,
                 operation_id,
                 operator_name,
@@ -113,10 +113,10 @@
         operation_id: str,
         operator_name: str,
     ) -> Answer:
-        """Go back to what the model's intent replaced."""
-        standing = self._runtime.config.deployment
+        """Restore what the model's intent replaced."""
+        current = self._runtime.config.deployment
         try:
-            deployment = rules.without_rollout(standing, model)
+            deployment = rules.without_rollout(current, model)
         except ConfigError as exc:
             raise Refusal(exc.code, exc.detail) from exc
         return await self._propose(
@@ -130,15 +130,15 @@
         )
 
     async def settle(self, operation_id: str) -> Answer:
-        """Say whether an earlier change was accepted."""
+        """Return whether an earlier change was accepted."""
         return await self._changes.settle(operation_id)
 
     async def configuration(self) -> Configuration:
-        """Give what is in force here."""
+        """Return the configuration in force here."""
         return self._runtime.config.current
 
     async def status(self) -> Status:
-        """Give the fleet and its rollouts as this entry sees them."""
+        """Return the fleet and its rollouts as this entry sees them."""
         members = self._members()
         me = self._runtime.gossip.own_record
         clock = self._runtime.clock
@@ -166,7 +166,7 @@
         )
 
     async def endpoints(self) -> list[EndpointStatus]:
-        """Give every endpoint as this entry sees it."""
+        """Return every endpoint as this entry sees it."""
         return [
             _endpoint_status(member)
             for member in sorted(self._members(), key=lambda one: one.vm)
@@ -174,7 +174,7 @@
         ]
 
     async def drain(self, vm: str, operator_name: str) -> None:
-        """Tell an endpoint to take no new work."""
+        """Tell an endpoint to accept no new calls."""
         member = self._runtime.gossip.members.get(vm)
         if member is None or member.role != ENDPOINT:
             raise Refusal('unknown-vm', f'{vm} is no endpoint known here')
@@ -226,21 +226,21 @@
 
 
 class OperatorServer(TCPServer):
-    """Serve framed Thrift calls, each by the method of its name."""
+    """Serve framed Thrift calls by the methods of the same names."""
 
     def __init__(
         self,
         calls: OperatorCalls,
         context: ssl.SSLContext | None = None,
     ) -> None:
-        """Serve these calls; without a context, in plain mode."""
+        """Serve these calls; without a context, don't use TLS."""
         super().__init__(ssl_options=context, max_buffer_size=_MAX_CALL)
         self._calls = calls
 
     async def handle_stream(self, stream: IOStream, address: object) -> None:
         """Serve one connection, one call after another."""
         try:
-            operator = await _who(stream)
+            operator = await _authenticate(stream)
             while True:
                 await self._serve_one(stream, operator)
         except StreamClosedError:
@@ -272,7 +272,7 @@
         args = args_class()
         args.read(protocol)
         if operator.name and 'operator_name' in args.__slots__:
-            # A certificate says who it is; the call need not.
+            # The name in the certificate replaces the one in the call.
             args.operator_name = operator.name
         return _message(
             name,
@@ -303,13 +303,13 @@
 
 
 def check_role(name: str, role: str) -> None:
-    """Refuse a call that the role does not cover."""
+    """Raise Refusal for a call that the role does not permit."""
     if role == OPERATE or (role == READ and name in _READ_CALLS):
         return
     raise Refusal('not-permitted', f'{name}: found role {role!r}')
 
 
-async def _who(stream: IOStream) -> Operator:
+async def _authenticate(stream: IOStream) -> Operator:
     if not isinstance(stream, SSLIOStream):
         return Operator('', OPERATE)
     await stream.wait_for_handshake()
--- a/src/linnetwood/programs/resident.py
+++ b/src/linnetwood/programs/resident.py
@@ -1,4 +1,4 @@
-"""Start a program as a resident of the users' platform."""
+"""Run a program on the users' platform."""
 
 import asyncio
 import signal
@@ -18,9 +18,10 @@
 
 
 def run(program: str, serve: Serve, argv: Sequence[str]) -> int:
-    """Read the settings, then serve until told to stop.
+    """Read the settings and serve until stopped.
 
-    The platform lays its own settings down; a file with ours may be named.
+    The platform provides its settings file; `argv` may name a file with the
+    product's own settings.
     """
     try:
         cfg = settings.load()
@@ -41,10 +42,10 @@
 
 
 async def until_stopped() -> None:
-    """Wait for the signal to stop; on SIGHUP check the settings again."""
+    """Wait for a signal to stop; on SIGHUP validate the settings again."""
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
-    loop.add_signal_handler(signal.SIGHUP, _check_again)
+    loop.add_signal_handler(signal.SIGHUP, _recheck_settings)
     for signum in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signum, stop.set)
     await stop.wait()
@@ -52,7 +53,7 @@
 
 
 def read_decisions(argv: Sequence[str]) -> Decisions:
-    """Read the file that is named, if any; raise SettingsError if it's bad."""
+    """Read the named file, if any; raise SettingsError if it is invalid."""
     if not argv:
         return Decisions()
     if len(argv) > 1:
@@ -71,7 +72,7 @@
     await serve(cfg, decisions)
 
 
-def _check_again() -> None:
+def _recheck_settings() -> None:
     try:
         settings.load()
     except LinnetwoodError as exc:
--- a/src/linnetwood/programs/resident_calls.py
+++ b/src/linnetwood/programs/resident_calls.py
@@ -1,4 +1,4 @@
-"""The path of a call at an entry, with each decision as the settings say."""
+"""The call path of an entry, with the policies from the settings."""
 
 from random import Random
 
@@ -18,7 +18,7 @@
 
 
 class CallPath:
-    """Put together what admits a call, chooses for it and runs it."""
+    """Compose admission, choice of an endpoint, and dispatch of calls."""
 
     def __init__(
         self,
@@ -31,7 +31,7 @@
         rng: Random,
         decisions: Decisions,
     ) -> None:
-        """Build; start nothing."""
+        """Build all parts without starting them."""
         self.chooser = Chooser(directory, rng)
         self.dialect = PlatformDialect()
         self.dispatcher = DirectDispatcher(
--- a/src/linnetwood/programs/resident_crashes.py
+++ b/src/linnetwood/programs/resident_crashes.py
@@ -53,7 +53,7 @@
         await self._publisher.close()
 
     def feed(self, ignored: IgnoredRecords) -> CrashFeed:
-        """Give the feed that applies the records shared by others."""
+        """Return the feed that applies the records shared by others."""
         return CrashFeed(
             self._crashes,
             self._clock,
@@ -62,7 +62,7 @@
         )
 
     def quarantine_before(self, admit: Admit) -> Quarantine:
-        """Give an admission that first refuses calls that crash endpoints."""
+        """Return an admission that first refuses calls that crash endpoints."""
         return Quarantine(self._crashes, admit, self._clock)
 
 
--- a/src/linnetwood/programs/resident_endpoint.py
+++ b/src/linnetwood/programs/resident_endpoint.py
@@ -1,4 +1,4 @@
-"""The program beside a model engine of the users' platform."""
+"""The program on the VM of a model engine of the users' platform."""
 
 import asyncio
 import sys
@@ -15,8 +15,8 @@
 from linnetwood.platform.settings import ProcessSettings
 from linnetwood.platform.weights import PlatformOrigin, ServerEngine
 from linnetwood.programs import resident
-from linnetwood.programs.figures import FiguresPage
-from linnetwood.programs.resident_talk import EndpointTalk
+from linnetwood.programs.metricspage import MetricsPage
+from linnetwood.programs.resident_messages import EndpointMessenger
 from linnetwood.weights.chunks import ChunkStore
 from linnetwood.weights.exchange import Fetcher, TransferCounters, Uploads
 from linnetwood.weights.follower import OriginChunks, VersionFollower
@@ -28,22 +28,22 @@
 from linnetwood.wire.links import ShapedLink
 
 NAME = 'linnetwood-resident-endpoint'
-# Entries that hear few engines are told this often, and a change of version is
-# seen within this.
-_REPORT_EVERY_S = 0.1
-_BY_DEFAULT = Decisions()
+# The interval of reports to entries with few engines, and of polling the engine
+# during a change of version.
+_MIN_REPORT_INTERVAL_S = 0.1
+_DEFAULT_DECISIONS = Decisions()
 
 
 class ResidentEndpoint:
-    """Put the parts of an endpoint process together."""
+    """Compose the parts of an endpoint process."""
 
     def __init__(
         self,
         cfg: ProcessSettings,
         engine: tuple[str, int],
-        decisions: Decisions = _BY_DEFAULT,
+        decisions: Decisions = _DEFAULT_DECISIONS,
     ) -> None:
-        """Build; start nothing."""
+        """Build all parts without starting them."""
         self._cfg = cfg
         self._clock = SystemClock()
         self.wanted = WantedVersions(cfg.version_bound_s, cfg.contact_s)
@@ -52,7 +52,7 @@
         self._origin = PlatformOrigin(self.driver)
         self._inbound_link = InboundLink()
         self._metrics = ExposedMetrics()
-        self._figures = FiguresPage(self._metrics)
+        self._metrics_page = MetricsPage(self._metrics)
         tools = self._tools()
         self.follower = VersionFollower(
             tools,
@@ -62,7 +62,7 @@
             cfg.wire_port,
             decisions,
         )
-        self.talk = EndpointTalk(
+        self.talk = EndpointMessenger(
             cfg,
             self._clock,
             self.follower,
@@ -76,23 +76,23 @@
         self._task: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
-        """Listen, and begin to follow."""
+        """Listen, and start to follow the wanted versions."""
         cfg = self._cfg
         await self._server.start(bind_sockets(cfg.wire_port, cfg.host))
         await self.talk.start()
-        self._figures.start(cfg.host)
+        self._metrics_page.start(cfg.host)
         self._task = asyncio.create_task(self._run())
         self.follower.start()
 
     async def close(self) -> None:
-        """Stop; the engine goes on serving."""
+        """Stop; the engine continues to serve."""
         if self._task is not None:
             self._task.cancel()
             await asyncio.gather(self._task, return_exceptions=True)
         await self.follower.close()
         await self._server.close()
         await self.talk.close()
-        self._figures.close()
+        self._metrics_page.close()
         self.driver.close()
 
     async def _run(self) -> None:
@@ -102,14 +102,14 @@
             except OrderError as exc:
                 log(Event.ENGINE_UNREACHABLE, code=exc.code, detail=exc.detail)
                 self.follower.report = None
-            self.talk.tell()
-            await asyncio.sleep(self._report_every_s())
+            self.talk.send_due()
+            await asyncio.sleep(self._report_interval_s())
 
-    def _report_every_s(self) -> float:
-        """Give when the engine is to be asked again, in seconds."""
+    def _report_interval_s(self) -> float:
+        """Return the interval of polling the engine, in seconds."""
         if self.follower.busy:
-            return _REPORT_EVERY_S
-        return max(_REPORT_EVERY_S, self.talk.every_s)
+            return _MIN_REPORT_INTERVAL_S
+        return max(_MIN_REPORT_INTERVAL_S, self.talk.report_interval_s)
 
     def _tools(self) -> Tools:
         store = ChunkStore()
@@ -133,7 +133,7 @@
 
 
 async def serve(cfg: ProcessSettings, decisions: Decisions) -> None:
-    """Bring weights to the engine of this VM."""
+    """Transfer weights to the engine of this VM."""
     if cfg.engine is None:
         await resident.until_stopped()
         return
@@ -144,7 +144,7 @@
 
 
 def main() -> None:
-    """Serve until told to stop."""
+    """Serve until stopped."""
     sys.exit(resident.run(NAME, serve, sys.argv[1:]))
 
 
--- a/src/linnetwood/programs/resident_entry.py
+++ b/src/linnetwood/programs/resident_entry.py
@@ -24,37 +24,38 @@
 from linnetwood.platform.settings import ProcessSettings
 from linnetwood.platform.store import PlatformStore
 from linnetwood.programs import resident
-from linnetwood.programs.figures import FiguresPage
 from linnetwood.programs.listening import listen, readiness_server
+from linnetwood.programs.metricspage import MetricsPage
 from linnetwood.programs.resident_calls import CallPath
 from linnetwood.programs.resident_crashes import CrashTracker
-from linnetwood.programs.resident_news import StoreNews
+from linnetwood.programs.resident_store import StoreFollower
 from linnetwood.wire.curldriver import CurlDriver
 from linnetwood.wire.frames import FrameKind
 
 NAME = 'linnetwood-resident-entry'
-_BY_DEFAULT = Decisions()
-# The balancer asks once a second and takes a VM out after two misses.
-_BALANCER_SEES_S = 2.5
+_DEFAULT_DECISIONS = Decisions()
+# The balancer checks once a second and removes a VM after two failures.
+_BALANCER_NOTICES_S = 2.5
 _STOP_MARGIN_S = 0.7
-# A part of the budget is left for entries that come and go meanwhile.
-_RETRY_PART = 0.6
-# Of a configuration's bound: waits at the store last 0.3 of it, neighbours'
-# word is trusted up to 0.4; an older belief is no healthy entry's.
-_TRUSTED_PART = 0.6
+# The rest of the budget is for entries that start or end meanwhile.
+_RETRY_SHARE = 0.6
+# Share of a configuration's bound. Waits at the store take 0.3 of it, and views
+# of relays are trusted up to 0.4; a healthy entry's view is never older than
+# this.
+_TRUSTED_SHARE = 0.6
 _CHECK_S = 0.05
 _IDLE_CHECK_S = 0.4
 
 
 class ResidentEntry:
-    """Put the parts of an entry together."""
+    """Compose the parts of an entry process."""
 
     def __init__(
         self,
         cfg: ProcessSettings,
-        decisions: Decisions = _BY_DEFAULT,
+        decisions: Decisions = _DEFAULT_DECISIONS,
     ) -> None:
-        """Build; start nothing."""
+        """Build all parts without starting them."""
         self.route_table = RouteTable()
         self._cfg = cfg
         self._stopping = False
@@ -95,7 +96,7 @@
         self.config_age = ConfigAgeTracker(
             clock,
             lambda: self._follower.confirmed_at,
-            cfg.config_bound_s * _TRUSTED_PART,
+            cfg.config_bound_s * _TRUSTED_SHARE,
         )
         self.delegate = CallServerDelegate(
             lambda: self.route_table,
@@ -110,7 +111,7 @@
         metrics.gauge(Metric.STORE_AGE_S, self.config_age.store_age_s)
         chooser.entry_count = lambda: self.reports.entry_count
         crashes.entries = chooser.entry_count
-        self._figures = FiguresPage(metrics)
+        self._metrics_page = MetricsPage(metrics)
         wake = self.reports.wake
         ignored = IgnoredRecords(lambda: metrics.count(Metric.RECORDS_IGNORED))
         feed = StoreFeed(
@@ -125,7 +126,7 @@
             EndpointFeed(self.directory, clock, wake, ignored, cfg.regions),
             crashes.feed(ignored),
         )
-        self._news = StoreNews(
+        self._news = StoreFollower(
             cfg,
             store,
             feed,
@@ -140,28 +141,28 @@
         self._servers: list[HTTPServer] = []
 
     async def start(self) -> None:
-        """Listen, and learn what there is to serve."""
+        """Listen, and start to follow the store."""
         cfg = self._cfg
         self._listen(readiness_server(lambda: self.ready), cfg.readiness)
-        self._figures.start(cfg.host)
+        self._metrics_page.start(cfg.host)
         await self.reports.start(cfg.host)
         await self._news.start()
         self._crashes.start()
         self._listen(self._callers, cfg.callers)
 
     async def close(self) -> None:
-        """Be taken out, finish what is under way, then go."""
+        """Report as not ready, wait for calls in progress, and stop."""
         self._stopping = True
         self.delegate.stopping = True
         await self._finish_calls()
         await self._crashes.close()
         await self._news.close()
         await self.reports.close()
-        self._figures.close()
+        self._metrics_page.close()
         self.driver.close()
 
     def adopt(self, route_table: RouteTable) -> None:
-        """Put a newer configuration in force; an older one never is."""
+        """Apply a newer configuration; ignore an older one."""
         if (
             route_table.version <= self.route_table.version
             and self.route_table.revision
@@ -181,7 +182,7 @@
 
     @property
     def ready(self) -> bool:
-        """Tell whether calls should come here."""
+        """Return whether the balancer should send calls here."""
         learned = self._follower.synced.is_set()
         return (
             learned and bool(self.route_table.revision) and not self._stopping
@@ -191,7 +192,7 @@
         loop = asyncio.get_running_loop()
         began = loop.time()
         until = began + self._cfg.stop_within_s - _STOP_MARGIN_S
-        while loop.time() < began + _BALANCER_SEES_S:
+        while loop.time() < began + _BALANCER_NOTICES_S:
             await asyncio.sleep(_IDLE_CHECK_S)
             self.delegate.close_idle()
         for server in self._servers:
@@ -204,11 +205,11 @@
             log(Event.STOP_LIMIT_REACHED, in_flight=self.delegate.active_calls)
 
     def _share_retries(self) -> None:
-        # All entries share one budget without talk: each takes its part.
+        # All entries share one budget without messages; each uses its share.
         entries = max(1, self.reports.entry_count)
         self.dispatcher.retry_limits = RetryLimits(
-            self._cfg.retry_share * _RETRY_PART,
-            max(1, self._cfg.retry_extra * _RETRY_PART / entries),
+            self._cfg.retry_share * _RETRY_SHARE,
+            max(1, self._cfg.retry_extra * _RETRY_SHARE / entries),
         )
 
     def _listen(
@@ -222,7 +223,7 @@
 
 
 async def serve(cfg: ProcessSettings, decisions: Decisions) -> None:
-    """Answer callers on an entry VM."""
+    """Serve callers on an entry VM."""
     entry = ResidentEntry(cfg, decisions)
     await entry.start()
     await resident.until_stopped()
@@ -230,7 +231,7 @@
 
 
 def main() -> None:
-    """Serve until told to stop."""
+    """Serve until stopped."""
     sys.exit(resident.run(NAME, serve, sys.argv[1:]))
 
 
--- a/src/linnetwood/programs/resident_talk.py
+++ b/src/linnetwood/programs/resident_messages.py
@@ -1,4 +1,4 @@
-"""What an endpoint process of the users' platform hears and tells."""
+"""Datagrams between an endpoint process, entries and other endpoints."""
 
 from collections.abc import Iterator
 from random import Random
@@ -34,26 +34,26 @@
 _MILLISECONDS = 1000
 _MILLION = 1000000
 _PERCENT = 100
-_HELD_EVERY_S = 0.1
-# What was told already is told again, since datagrams may be lost; less and
-# less often while nothing changes.
-_HELD_AGAIN_S = 1.0
-_HELD_AGAIN_MOST_S = 4.0
-# Entries forget a neighbour that three such tellings left out.
-_NEIGHBOURS_EVERY_S = 1.0
-# So many endpoint processes of a zone tell each time, whatever their number:
-# that all are silent for three times happens once in e**12.
-_NEIGHBOURS_BY = 4
-# Of other zones so many are told, as each names those that it hears itself.
-_FEW = 3
-# So many addresses fit one datagram of an ordinary network.
-_MOST_NEIGHBOURS = 64
-# The part of its link that a download fills.
+_HELD_MIN_INTERVAL_S = 0.1
+# Unchanged notices are sent again, since datagrams may be lost, at growing
+# intervals.
+_HELD_RESEND_S = 1.0
+_HELD_MAX_RESEND_S = 4.0
+# Entries forget a neighbour that three of these lists don't name.
+_NEIGHBOURS_INTERVAL_S = 1.0
+# Expected number of endpoint processes of a zone that send a list each time. No
+# list is sent three times in a row with a probability of e**-12.
+_NEIGHBOURS_SENDERS = 4
+# Entries named of each other zone.
+_MAX_PER_OTHER_ZONE = 3
+# This many addresses fit into one datagram.
+_MAX_NEIGHBOURS = 64
+# The share of the link that a transfer uses.
 _TRANSFER_SHARE = 0.72
 
 
-class EndpointTalk:
-    """Own the datagrams between this process, entries and peers."""
+class EndpointMessenger:
+    """Exchange datagrams with entries and peers."""
 
     def __init__(
         self,
@@ -64,7 +64,7 @@
         origin: PlatformOrigin,
         inbound_link: InboundLink,
     ) -> None:
-        """Tell nobody yet."""
+        """Start without subscribers."""
         self._cfg = cfg
         self._clock = clock
         self._follower = follower
@@ -74,19 +74,19 @@
         self._news = NewsSocket(self)
         self._listeners = ReportSubscribers(clock.now())
         self._latest_notice = LatestNotice()
-        self._peers = PeerListClient(TcpDialler(), self._learned)
+        self._peers = PeerListClient(TcpDialler(), self._set_peers)
         self._rng = Random()
         self._number = 0
         self._known: dict[str, tuple[int, ...]] = {}
         self._unknown: tuple[str, ...] = ()
         self._neighbours_at = float()
         self._held_at = float()
-        self._held_again_s = _HELD_AGAIN_S
-        self._held_told: dict[str, bytes] = {}
-        self._held_by: dict[str, list[str]] = {}
+        self._held_resend_s = _HELD_RESEND_S
+        self._held_sent: dict[str, bytes] = {}
+        self._held_receivers: dict[str, list[str]] = {}
 
     async def start(self) -> None:
-        """Listen."""
+        """Start to listen."""
         await self._news.start(self._cfg.host, self._cfg.wire_port)
 
     async def close(self) -> None:
@@ -95,14 +95,14 @@
         self._news.close()
 
     @property
-    def every_s(self) -> float:
-        """Give the pace at which entries are told, in seconds."""
+    def report_interval_s(self) -> float:
+        """Return the interval of reports to entries of this zone, in s."""
         return self._listeners.own_zone_interval_s(self._cfg.zone)
 
     def handle_news(self, news: News, source: Address) -> None:
-        """Take in what entries and peers tell."""
+        """Handle a datagram of an entry or a peer."""
         if news.entry is not None:
-            self._heard_entry(news.entry, source)
+            self._receive_subscription(news.entry, source)
         if news.held is not None:
             self._follower.add_notice(news.held)
         if news.said is not None:
@@ -111,19 +111,19 @@
             answer = self._neighbours(news.asks.zone)
             self._news.send(News(neighbours=answer), [source])
 
-    def tell(self) -> None:
-        """Tell those for whom it is time."""
+    def send_due(self) -> None:
+        """Send what is due."""
         now = self._clock.now()
         self._listeners.expire(now)
         report = self._follower.report
         if report is not None:
             self._report(report, now)
-        self._tell_neighbours(now)
-        self._tell_held(now)
+        self._send_neighbours(now)
+        self._send_held(now)
 
-    def _heard_entry(self, entry: EntryNews, source: Address) -> None:
+    def _receive_subscription(self, entry: EntryNews, source: Address) -> None:
         now = self._clock.now()
-        greeting = ReportSubscription(
+        subscription = ReportSubscription(
             entry.number,
             entry.zone,
             entry.every_ms / _MILLISECONDS,
@@ -132,18 +132,19 @@
                 sent.version == UNKNOWN_VERSION for sent in entry.wanted
             ),
         )
-        self._listeners.subscribe(source, greeting, now)
+        self._listeners.subscribe(source, subscription, now)
         near = self._listeners.in_zone(self._cfg.zone)
         if not near or source in near:
-            # The list need not cross the link that a whole region shares.
-            told = entry.peers_digest
-            self._peers.digest_received(told, entry.peers_revision, source)
+            # The list is requested within the zone, since links between
+            # regions are narrow.
+            sent = entry.peers_digest
+            self._peers.digest_received(sent, entry.peers_revision, source)
         if not self._peers.is_known:
-            # Alone it would read all from the origin: whoever greets next
-            # tells the same again.
+            # Without peers it would read everything from the origin. The next
+            # subscription has the same content.
             return
-        told_for_s = self._listeners.unbroken_for_s(now)
-        steady = told_for_s > self._cfg.version_bound_s
+        subscribed_for_s = self._listeners.unbroken_for_s(now)
+        steady = subscribed_for_s > self._cfg.version_bound_s
         self._wanted.apply_messages(entry.wanted, now, steady=steady)
         self._follower.fleet.origin_bytes_per_s = entry.origin_bytes_per_s
         self._follower.fleet.chunk_bytes = entry.chunk_bytes
@@ -159,7 +160,7 @@
             self._follower.wake()
 
     def _look_up(self, models: tuple[str, ...], source: Address) -> None:
-        """Ask the origin for versions that neither the entry knows."""
+        """Look up versions that neither the entry nor this process knows."""
         if models and models != self._unknown:
             log(
                 Event.VERSION_UNKNOWN,
@@ -169,7 +170,7 @@
         self._unknown = models
         self._follower.look_up(models)
 
-    def _learned(self, places: dict[str, str]) -> None:
+    def _set_peers(self, places: dict[str, str]) -> None:
         self._follower.fleet.peers = places
         self._follower.wake()
 
@@ -178,21 +179,21 @@
         newcomers = set(self._listeners.new_subscribers(now))
         engine = self._engine_news(report, now)
         wanted = self._wanted.to_messages('', self._wanted.models(), now)
-        for every_s, addresses in due.items():
-            engine.every_ms = int(every_s * _MILLISECONDS)
-            for part, alike in self._by_part(addresses, now):
+        for report_interval_s, addresses in due.items():
+            engine.every_ms = int(report_interval_s * _MILLISECONDS)
+            for part, alike in self._by_quota(addresses, now):
                 if engine.said is not None:
                     engine.said.part_ppm = int(part * _MILLION)
                 engine.wanted = []
                 others = [one for one in alike if one not in newcomers]
                 self._news.send(News(engine=engine), others)
-                # They could only guess since when a version is wanted.
+                # New subscribers don't know when a version was named.
                 engine.wanted = wanted
                 new = [one for one in alike if one in newcomers]
                 self._news.send(News(engine=engine), new)
 
     def _engine_news(self, report: EngineReport, now: float) -> EngineNews:
-        """Give what every report of now says."""
+        """Return the content that all reports have now."""
         self._number += 1
         engine = EngineNews(
             number=self._number,
@@ -206,17 +207,17 @@
             ),
             born=report.born,
         )
-        said = self._latest_notice.for_report(now, self.every_s)
+        said = self._latest_notice.for_report(now, self.report_interval_s)
         if said is not None:
             engine.said = said
         return engine
 
-    def _by_part(
+    def _by_quota(
         self,
         addresses: list[Address],
         now: float,
     ) -> Iterator[tuple[float, list[Address]]]:
-        """Yield entries with the part of a limit that each of them has."""
+        """Yield entries with the quota of a rate limit that each has."""
         zone = self._cfg.zone
         inside = set(self._listeners.in_zone(zone))
         for near in (True, False):
@@ -224,77 +225,77 @@
             if alike:
                 yield self._listeners.quota_share(zone, now, near=near), alike
 
-    def _tell_neighbours(self, now: float) -> None:
-        if now - self._neighbours_at < _NEIGHBOURS_EVERY_S:
+    def _send_neighbours(self, now: float) -> None:
+        if now - self._neighbours_at < _NEIGHBOURS_INTERVAL_S:
             return
         self._neighbours_at = now
         for zone in self._listeners.zones():
-            if self._falls_to_me(zone):
-                self._tell_zone(zone)
+            if self._is_my_turn(zone):
+                self._send_to_zone(zone)
 
-    def _falls_to_me(self, zone: str) -> bool:
-        """Tell by chance, as often as a few of those who may tell a zone."""
+    def _is_my_turn(self, zone: str) -> bool:
+        """Draw whether to send the list, so that about four processes do."""
         beside = list(self._follower.fleet.peers.values())
         own = beside.count(zone)
         if own and zone != self._cfg.zone:
             return False
-        # Where each process hears a part of the entries, and each entry hears
-        # a part of the processes, so many more have to tell.
+        # If each process knows only some of the entries, and each entry only
+        # some of the processes, more of them have to send.
         part = min(1, MAX_SAME_ZONE / (own or MAX_SAME_ZONE))
-        by = _NEIGHBOURS_BY / part**2
+        by = _NEIGHBOURS_SENDERS / part**2
         return self._rng.random() * (own or len(beside)) <= by
 
-    def _tell_zone(self, zone: str) -> None:
-        near = self._in_turn(zone)
+    def _send_to_zone(self, zone: str) -> None:
+        near = self._ranked(zone)
         whole = self._neighbours(zone)
         brief = NeighbourNews(whole.hosts)
-        # The first hear other zones, and whoever loses them all; to tell each
-        # time all of 20 would take a fifth of what a process may send.
-        first, others = near[:_FEW], near[_FEW:]
+        # Only the first ones, and one of the others, get entries of other
+        # zones: for 20 entries that would take a fifth of the control traffic.
+        first, others = near[:_MAX_PER_OTHER_ZONE], near[_MAX_PER_OTHER_ZONE:]
         self._rng.shuffle(others)
         self._news.send(News(neighbours=brief), others[1:])
         if len(near) > 1 or whole.elsewhere:
             self._news.send(News(neighbours=whole), first + others[:1])
 
     def _neighbours(self, zone: str) -> NeighbourNews:
-        hosts = sorted(host for host, _ in self._in_turn(zone))
+        hosts = sorted(host for host, _ in self._ranked(zone))
         elsewhere = [
-            ZoneHosts(other, pack(self._few_of(other)))
+            ZoneHosts(other, pack(self._first_of(other)))
             for other in sorted(self._listeners.zones() - {zone})
         ]
-        return NeighbourNews(pack(hosts[:_MOST_NEIGHBOURS]), elsewhere)
+        return NeighbourNews(pack(hosts[:_MAX_NEIGHBOURS]), elsewhere)
 
-    def _few_of(self, zone: str) -> list[str]:
-        return [host for host, _ in self._in_turn(zone)[:_FEW]]
+    def _first_of(self, zone: str) -> list[str]:
+        return [host for host, _ in self._ranked(zone)[:_MAX_PER_OTHER_ZONE]]
 
-    def _in_turn(self, zone: str) -> list[Address]:
+    def _ranked(self, zone: str) -> list[Address]:
         near = self._listeners.in_zone(zone)
         return sorted(near, key=lambda one: relay_rank(one[0]))
 
-    def _tell_held(self, now: float) -> None:
+    def _send_held(self, now: float) -> None:
         notices = self._follower.notices()
         everybody = self._held_is_due(notices, now)
-        heard_by = self._held_by
-        self._held_by = {}
+        heard_by = self._held_receivers
+        self._held_receivers = {}
         for notice in notices:
             hosts = self._follower.partners(notice.manifest)
-            self._held_by[notice.manifest] = hosts
+            self._held_receivers[notice.manifest] = hosts
             if not everybody:
-                # Whoever is new knows nothing yet.
+                # New partners have no notice yet.
                 known = heard_by.get(notice.manifest, ())
                 hosts = [host for host in hosts if host not in known]
             peers = [(host, self._cfg.wire_port) for host in hosts]
             self._news.send(News(held=notice), peers)
 
     def _held_is_due(self, notices: list[HeldNotice], now: float) -> bool:
-        """Tell whether what is held is to be told to everybody now."""
-        told = {one.manifest: one.held for one in notices}
-        same = told == self._held_told
-        pause_s = self._held_again_s if same else _HELD_EVERY_S
+        """Return whether notices are due for all partners."""
+        sent = {one.manifest: one.held for one in notices}
+        same = sent == self._held_sent
+        pause_s = self._held_resend_s if same else _HELD_MIN_INTERVAL_S
         if now - self._held_at < pause_s:
             return False
-        again_s = 2 * self._held_again_s if same else _HELD_AGAIN_S
-        self._held_again_s = min(again_s, _HELD_AGAIN_MOST_S)
+        again_s = 2 * self._held_resend_s if same else _HELD_RESEND_S
+        self._held_resend_s = min(again_s, _HELD_MAX_RESEND_S)
         self._held_at = now
-        self._held_told = told
+        self._held_sent = sent
         return True
--- a/src/linnetwood/programs/resident_news.py
+++ b/src/linnetwood/programs/resident_store.py
@@ -1,4 +1,4 @@
-"""The store's news at an entry: followed, heard from neighbours, passed on."""
+"""Follow the store at an entry, directly or by relays, and relay changes."""
 
 from collections.abc import Callable, Mapping
 from random import Random
@@ -15,8 +15,8 @@
 from linnetwood.wire.connections import FrameHandler
 
 
-class StoreNews:
-    """Own what keeps an entry up to date with the platform's store."""
+class StoreFollower:
+    """Own the tasks that keep an entry up to date with the platform's store."""
 
     def __init__(
         self,
@@ -28,10 +28,10 @@
         handlers: Mapping[int, FrameHandler],
         ask: Callable[[list[str]], None],
     ) -> None:
-        """Hand all news to the feed; start nothing.
+        """Pass all changes to the feed; start nothing.
 
-        Frames of other kinds that come to the same port go to the handlers.
-        Processes beside engines are asked which other entries there are.
+        The handlers get frames of other kinds that arrive at the same port.
+        `ask` requests the list of entries from endpoint processes.
         """
         self._host = cfg.host
         self._zone = cfg.zone
@@ -60,18 +60,18 @@
         )
 
     async def start(self) -> None:
-        """Listen to neighbours and for them, and follow the store."""
+        """Start to follow the store and to relay its changes."""
         await self._relay.start(self._host)
         self._startup_sync.start()
 
     async def close(self) -> None:
-        """Tell and hear no more; what was learned stays."""
+        """Stop all tasks; the state remains readable."""
         await self._startup_sync.close()
         await self._relay.close()
         await self.follower.close()
 
     async def _endpoint_hosts(self) -> list[str]:
-        """Give the VMs of endpoints, those of the own zone first."""
+        """Return the VMs of endpoints, those of this zone first."""
         found = await self._store.read(records.ENDPOINT_PREFIX)
         listed = list(endpoints(found))
         self._rng.shuffle(listed)
--- a/src/linnetwood/programs/show.py
+++ b/src/linnetwood/programs/show.py
@@ -1,4 +1,4 @@
-"""Show answers to operators, as text or as JSON."""
+"""Print answers for operators, as text or as JSON."""
 
 import json
 import sys
@@ -19,30 +19,32 @@
 _PERCENT = 100
 
 
-def plain(message: Any) -> Any:
-    """Turn a generated struct into what JSON can hold."""
+def to_json_value(message: Any) -> Any:
+    """Convert a generated struct to values for JSON."""
     if isinstance(message, list):
-        return [plain(one) for one in message]
+        return [to_json_value(one) for one in message]
     spec = getattr(message, 'thrift_spec', None)
     if spec is None:
         return message
-    return {one[2]: plain(getattr(message, one[2])) for one in spec if one}
+    return {
+        one[2]: to_json_value(getattr(message, one[2])) for one in spec if one
+    }
 
 
 def as_json(message: Any) -> str:
-    """Write a struct as JSON."""
-    return json.dumps(plain(message), indent=2)
+    """Encode a struct as JSON."""
+    return json.dumps(to_json_value(message), indent=2)
 
 
-def printed(found: Any, lines: Iterable[str], in_json: bool) -> int:
-    """Print what was found, as lines or as JSON; give the exit code."""
+def print_result(found: Any, lines: Iterable[str], in_json: bool) -> int:
+    """Print a result as lines or as JSON; return the exit code."""
     text = as_json(found) if in_json else '\n'.join(lines)
     sys.stdout.write(f'{text}\n')
     return EXIT_OK
 
 
 def answer(found: Answer) -> Iterator[str]:
-    """Say how a change ended."""
+    """Describe the result of a change."""
     verdict = Verdict._VALUES_TO_NAMES[found.verdict].lower().replace('_', ' ')
     if found.verdict == Verdict.ACCEPTED:
         yield f'accepted as revision {found.revision}'
--- a/src/linnetwood/programs/traffic.py
+++ b/src/linnetwood/programs/traffic.py
@@ -1,4 +1,4 @@
-"""Sum up from log lines what processes say to each other."""
+"""Summarize from logs the datagrams between processes."""
 
 import collections
 import dataclasses
@@ -10,13 +10,13 @@
 
 _COUNTED = int(Event.TALK_COUNTED)
 _STARTED = int(Event.STARTED)
-_UNTOLD = '?'
+_UNKNOWN = '?'
 Kind = tuple[str, str, str]
 
 
 @dataclasses.dataclass(slots=True)
 class Row:
-    """One kind of datagram of one program, over all spans that were told."""
+    """The totals of one kind of datagram of one program."""
 
     processes: set[str] = dataclasses.field(default_factory=set)
     spans_s: float = 0
@@ -25,16 +25,16 @@
     most_per_s: float = 0
 
     def add(self, line: dict[str, Any]) -> None:
-        """Take in one line."""
+        """Add one event."""
         span_s = float(line['span_s'])
-        self.processes.add(str(line.get('vm', _UNTOLD)))
+        self.processes.add(str(line.get('vm', _UNKNOWN)))
         self.spans_s += span_s
         self.datagrams += int(line['datagrams'])
         self.octets += int(line['bytes'])
         self.most_per_s = max(self.most_per_s, int(line['bytes']) / span_s)
 
     def as_dict(self, kind: Kind) -> dict[str, Any]:
-        """Give what it adds up to, a second and a process."""
+        """Return the rates of one process."""
         program, direction, name = kind
         return {
             'program': program,
@@ -48,48 +48,48 @@
 
 
 class Traffic:
-    """What the lines of several processes add up to."""
+    """The totals of the logs of several processes."""
 
     __slots__ = ('_programs', '_rows')
 
     def __init__(self) -> None:
-        """Know nothing."""
+        """Start without events."""
         self._rows: dict[Kind, Row] = collections.defaultdict(Row)
         self._programs: dict[str, str] = {}
 
-    def read(self, stream: TextIO) -> None:
-        """Take in the lines of one file; others than its own are passed by."""
+    def add_log(self, stream: TextIO) -> None:
+        """Add the events of a file; skip other lines."""
         for text in stream:
             line = read_line(text)
             if line is not None:
-                self.take(line)
+                self.add_line(line)
 
-    def take(self, line: dict[str, Any]) -> None:
-        """Take in one line."""
-        vm = str(line.get('vm', _UNTOLD))
+    def add_line(self, line: dict[str, Any]) -> None:
+        """Add one event."""
+        vm = str(line.get('vm', _UNKNOWN))
         if line['event'] == _STARTED:
-            self._programs[vm] = str(line.get('program', _UNTOLD))
+            self._programs[vm] = str(line.get('program', _UNKNOWN))
         elif line['event'] == _COUNTED:
-            program = self._programs.get(vm, _UNTOLD)
+            program = self._programs.get(vm, _UNKNOWN)
             kind = (program, str(line['direction']), str(line['kind']))
             self._rows[kind].add(line)
 
     def rows(self) -> Iterator[dict[str, Any]]:
-        """Yield what each kind adds up to, in order."""
+        """Yield the rates of each kind, in order."""
         for kind, row in sorted(self._rows.items()):
             yield row.as_dict(kind)
 
 
-def sum_up(streams: Iterable[TextIO]) -> Traffic:
-    """Read all logs."""
+def summarize(streams: Iterable[TextIO]) -> Traffic:
+    """Summarize several logs."""
     found = Traffic()
     for stream in streams:
-        found.read(stream)
+        found.add_log(stream)
     return found
 
 
 def report(found: Traffic) -> Iterator[str]:
-    """Say it in lines, the rates those of one process."""
+    """Yield the lines of a text report, with rates of one process."""
     for row in found.rows():
         yield (
             f'{row["program"]:28} {row["direction"]:8} {row["kind"]:10}'
--- a/tests/cold_fleet.py
+++ b/tests/cold_fleet.py
@@ -20,7 +20,7 @@
 from linnetwood.lab.memory_net import MemoryDialler, MemoryNet
 from linnetwood.platform.settings import ProcessSettings
 from linnetwood.platform.weights import PlatformOrigin
-from linnetwood.programs.resident_talk import EndpointTalk
+from linnetwood.programs.resident_messages import EndpointMessenger
 from linnetwood.weights.chunks import ChunkStore
 from linnetwood.weights.exchange import Fetcher, TransferCounters, Uploads
 from linnetwood.weights.follower import OriginChunks, VersionFollower
@@ -197,7 +197,7 @@
         )
         # Chunks come from a stand-in; this one only learns its address.
         self.origin = PlatformOrigin(self._driver)
-        self.talk = EndpointTalk(
+        self.talk = EndpointMessenger(
             residence(host, zone),
             fleet.clock,
             self.follower,
@@ -207,7 +207,7 @@
         )
         self.talk._news = Port(host, self.talk, fleet.datagrams)
         self.talk._peers = PeerListClient(
-            MemoryDialler(fleet.net), self.talk._learned
+            MemoryDialler(fleet.net), self.talk._set_peers
         )
         self._task: asyncio.Task[None] | None = None
 
@@ -232,7 +232,7 @@
                 self.follower.report = await self.engine.report()
             except OrderError:
                 self.follower.report = None
-            self.talk.tell()
+            self.talk.send_due()
             await asyncio.sleep(_TICK_S)
 
 
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -1,4 +1,4 @@
-"""A call's story from its id."""
+"""What happened to a call is reconstructed from logs."""
 
 import contextlib
 import io
@@ -11,7 +11,7 @@
 
 
 def line(event: int, message: str, at: str, **fields: object) -> str:
-    """Give a log line as a process writes it."""
+    """Return a log line as a process writes it."""
     return json.dumps(
         {
             'asctime': f'2026-01-01 00:00:0{at}',
@@ -53,7 +53,7 @@
 )
 
 
-ALIKE = '\n'.join(
+SIMILAR = '\n'.join(
     (
         line(
             6008,
@@ -80,14 +80,14 @@
 
 
 class ExplainTest(unittest.TestCase):
-    """Run the command on files."""
+    """Run the command on log files."""
 
     def run_command(self, *args: str) -> tuple[int, str, str]:
-        """Give exit code, output and complaints."""
+        """Return the exit code, the output and the errors."""
         with tempfile.TemporaryDirectory() as folder:
             one = pathlib.Path(folder) / 'one.log'
             two = pathlib.Path(folder) / 'two.log'
-            one.write_text(f'{FIRST_LOG}\n{ALIKE}')
+            one.write_text(f'{FIRST_LOG}\n{SIMILAR}')
             two.write_text(SECOND_LOG)
             out, err = io.StringIO(), io.StringIO()
             with (
@@ -99,19 +99,19 @@
                 )
         return code, out.getvalue(), err.getvalue()
 
-    def test_story_is_in_order_and_in_plain_words(self) -> None:
-        """Lines of all processes make one story; torn ones are left out."""
-        code, said, _ = self.run_command('c-1')
+    def test_events_are_in_order_and_in_words(self) -> None:
+        """Events of all processes are merged; truncated lines are skipped."""
+        code, out, _ = self.run_command('c-1')
         self.assertEqual(code, exits.EXIT_OK)
-        first, second = said.splitlines()
-        self.assertIn('refused at the door (overloaded)', first)
+        first, second = out.splitlines()
+        self.assertIn('refused at admission (overloaded)', first)
         self.assertIn('may come back after 650 ms', first)
         self.assertIn('sent to i-1', second)
         self.assertIn('no event came; ended "stalled"', second)
 
-    def test_what_an_endpoint_says_of_itself(self) -> None:
-        """In words, whatever it is."""
-        for fields, told in (
+    def test_notices_of_endpoints(self) -> None:
+        """Each notice is described in words."""
+        for fields, notice in (
             ({'limit_per_s': 1.8}, 'takes 1.8 calls a second'),
             (
                 {'limit_per_s': 0, 'leaving': True},
@@ -123,29 +123,29 @@
             row = json.loads(
                 line(6012, 'endpoint_notice', '1,000', endpoint='i-1', **fields)
             )
-            with self.subTest(told=told):
-                ending = f': i-1 says of itself: {told}'
-                self.assertTrue(explain.sentence(row).endswith(ending))
+            with self.subTest(notice=notice):
+                ending = f': i-1 says of itself: {notice}'
+                self.assertTrue(explain.describe(row).endswith(ending))
 
-    def test_calls_that_are_alike(self) -> None:
-        """What endpoints ended under, and what was refused for it."""
-        code, said, _ = self.run_command('c0ffee')
+    def test_similar_calls(self) -> None:
+        """The crashes under them, and the refusals because of these."""
+        code, out, _ = self.run_command('c0ffee')
         self.assertEqual(code, exits.EXIT_OK)
-        crash, refusal = said.splitlines()
+        crash, refusal = out.splitlines()
         self.assertIn('i-7 of pool ended (refused) under 2 calls', crash)
-        self.assertIn('refused at the door (ends-endpoints), 2 ended', refusal)
+        self.assertIn('refused at admission (ends-endpoints), 2 ended', refusal)
 
     def test_json(self) -> None:
-        """The same as data."""
-        code, said, _ = self.run_command('c-1', '--json')
+        """The events are printed as JSON."""
+        code, out, _ = self.run_command('c-1', '--json')
         self.assertEqual(code, exits.EXIT_OK)
-        self.assertEqual(len(json.loads(said)), 2)
+        self.assertEqual(len(json.loads(out)), 2)
 
     def test_unknown_id_and_unreadable_file(self) -> None:
-        """What can't be told is a coded error."""
-        code, _, complaint = self.run_command('c-9')
+        """Each is reported as an error with a code."""
+        code, _, error = self.run_command('c-9')
         self.assertEqual(code, exits.EXIT_BAD_INPUT)
-        self.assertIn('call-unknown', complaint)
+        self.assertIn('call-unknown', error)
         err = io.StringIO()
         with contextlib.redirect_stderr(err):
             code = cli.run(['explain', 'c-1', '/no/such/file'])
--- a/tests/test_figures.py
+++ b/tests/test_figures.py
@@ -9,7 +9,7 @@
 
 from linnetwood.core.exposed import ExposedMetrics
 from linnetwood.core.metrics import Metric
-from linnetwood.programs.figures import PATH, FiguresPage
+from linnetwood.programs.metricspage import PATH, MetricsPage
 
 HOST = '127.0.0.1'
 
@@ -26,7 +26,7 @@
 
     async def asyncSetUp(self) -> None:
         self.metrics = ExposedMetrics()
-        self.page = FiguresPage(self.metrics)
+        self.page = MetricsPage(self.metrics)
         self.port = free_port()
         self.page.start(HOST, self.port)
 
@@ -86,7 +86,7 @@
     async def test_a_port_in_use(self) -> None:
         """The process continues without its metrics page."""
         taken = bind_sockets(0, HOST)
-        other = FiguresPage(self.metrics)
+        other = MetricsPage(self.metrics)
         other.start(HOST, taken[0].getsockname()[1])
         other.close()
         for sock in taken:
--- a/tests/test_losses.py
+++ b/tests/test_losses.py
@@ -1,4 +1,4 @@
-"""Losses are summed up by second, zone, route and cause."""
+"""Losses are counted by second, zone, route and cause."""
 
 import contextlib
 import io
@@ -11,7 +11,7 @@
 
 
 def line(event: int, second: int, vm: str = 'entry-1', **fields: object) -> str:
-    """Give a log line as a process writes it."""
+    """Return a log line as a process writes it."""
     return json.dumps(
         {
             'asctime': f'2026-01-01 00:00:{second:02},500',
@@ -24,8 +24,8 @@
 
 
 def attempt(second: int, **fields: object) -> str:
-    """Give the line of an attempt that was answered in time."""
-    told: dict[str, object] = {
+    """Return the line of an attempt that was answered in time."""
+    fields_of_line: dict[str, object] = {
         'route': 'chat',
         'endpoint': 'i-1',
         'version': 1,
@@ -39,8 +39,8 @@
         'took_ms': 900,
         'how': 'answered',
     }
-    told.update(fields)
-    return line(6005, second, 'entry-1', **told)
+    fields_of_line.update(fields)
+    return line(6005, second, 'entry-1', **fields_of_line)
 
 
 LOG = '\n'.join(
@@ -60,23 +60,23 @@
 
 
 class LossesTest(unittest.TestCase):
-    """Run the command on files."""
+    """Run the command on log files."""
 
     def run_command(self, text: str, *args: str) -> tuple[int, str]:
-        """Give exit code and output."""
-        told = io.StringIO()
+        """Return the exit code and the output."""
+        out = io.StringIO()
         with tempfile.TemporaryDirectory() as folder:
             path = pathlib.Path(folder) / 'a.log'
             path.write_text(text)
-            with contextlib.redirect_stdout(told):
+            with contextlib.redirect_stdout(out):
                 code = cli.run(['losses', str(path), *args])
-        return code, told.getvalue()
+        return code, out.getvalue()
 
     def test_causes(self) -> None:
         """Each attempt counts under one cause."""
-        code, told = self.run_command(LOG, '--json')
+        code, out = self.run_command(LOG, '--json')
         self.assertEqual(code, 0)
-        found = json.loads(told)
+        found = json.loads(out)
         self.assertEqual(found['torn_lines'], 1)
         self.assertEqual(
             [
@@ -102,9 +102,9 @@
             ],
         )
 
-    def test_refusals_by_an_old_belief(self) -> None:
-        """Only those count; one by a fresh belief may be right."""
-        bound_ms = losses.OLD_BELIEF_MS
+    def test_refusals_by_a_stale_view(self) -> None:
+        """Only those count; a refusal by a fresh view may be right."""
+        bound_ms = losses.STALE_VIEW_MS
         text = '\n'.join(
             (
                 line(1001, 0, zone='north'),
@@ -117,23 +117,23 @@
                 attempt(1, store_age_ms=bound_ms + 1),
             ),
         )
-        _, told = self.run_command(text, '--json')
-        found = json.loads(told)['seconds'][0]['calls']
+        _, out = self.run_command(text, '--json')
+        found = json.loads(out)['seconds'][0]['calls']
         self.assertEqual(
             {(one['route'], one['cause'], one['count']) for one in found},
             {
                 ('chat', 'in time', 1),
-                ('?', 'refused by an old belief: no-route', 1),
-                ('?', 'refused by an old belief: unknown-key', 1),
-                # Put off, not refused for good.
+                ('?', 'refused by a stale view: no-route', 1),
+                ('?', 'refused by a stale view: unknown-key', 1),
+                # Refused for now, not finally.
                 ('?', 'refused: belief-old', 1),
             },
         )
 
-    def test_beliefs(self) -> None:
-        """Predicted and seen waits, reports' ages and versions are told."""
-        _, told = self.run_command(LOG, '--json')
-        first, second = json.loads(told)['seconds']
+    def test_predictions_and_reports(self) -> None:
+        """Waits, ages of reports and versions are in the report."""
+        _, out = self.run_command(LOG, '--json')
+        first, second = json.loads(out)['seconds']
         self.assertEqual(first['predicted_ms'], 100)
         self.assertEqual(first['seen_ms'], 125)
         self.assertEqual(first['report_age_ms'], 75)
@@ -142,14 +142,14 @@
         self.assertIsNone(second['seen_ms'])
 
     def test_report_for_people(self) -> None:
-        """What was in time is in the headline alone."""
-        _, told = self.run_command(LOG)
-        self.assertIn('1 in time', told)
-        self.assertIn('refused: overloaded  north chat', told)
-        self.assertIn('1 torn lines', told)
+        """Calls in time are only in the first line of a second."""
+        _, out = self.run_command(LOG)
+        self.assertIn('1 in time', out)
+        self.assertIn('refused: overloaded  north chat', out)
+        self.assertIn('1 torn lines', out)
 
     def test_no_file(self) -> None:
-        """Without a log, or with one that is missing, the exit code tells."""
+        """Without a log, or with a missing one, the exit code is 2."""
         complaints = io.StringIO()
         with contextlib.redirect_stderr(complaints):
             self.assertEqual(cli.run(['losses']), 2)
@@ -158,18 +158,18 @@
         self.assertIn('log-unreadable', complaints.getvalue())
 
     def test_memory_is_bounded(self) -> None:
-        """Old seconds go first; kinds beyond a number count as the rest."""
+        """The oldest seconds are dropped; kinds beyond a limit are combined."""
         found = losses.Losses()
         hour = [f'2026-01-01 {number // 3600:02}' for number in (0, 3600)]
-        for number in range(losses.MOST_SECONDS + 5):
+        for number in range(losses.MAX_SECONDS + 5):
             at = f'{hour[0]}:{number // 60:04}:{number % 60:02}'
-            found.take({'event': 6006, 'asctime': at[:19], 'code': 'x'})
-        self.assertLessEqual(len(found.seconds), losses.MOST_SECONDS)
-        second = losses.Second()
-        for number in range(losses.MOST_KINDS + 5):
+            found.add_line({'event': 6006, 'asctime': at[:19], 'code': 'x'})
+        self.assertLessEqual(len(found.seconds), losses.MAX_SECONDS)
+        second = losses.SecondTotals()
+        for number in range(losses.MAX_KINDS + 5):
             second.count('z', f'r{number}', 'refused')
-        self.assertEqual(len(second.kinds), losses.MOST_KINDS + 1)
-        self.assertEqual(sum(second.kinds.values()), losses.MOST_KINDS + 5)
+        self.assertEqual(len(second.kinds), losses.MAX_KINDS + 1)
+        self.assertEqual(sum(second.kinds.values()), losses.MAX_KINDS + 5)
 
 
 if __name__ == '__main__':
--- a/tests/test_passed_notices.py
+++ b/tests/test_passed_notices.py
@@ -73,7 +73,7 @@
         for entry in self.entries if self.subscribes else []:
             entry._subscribe()
         self.deliver()
-        self.endpoint.talk.tell()
+        self.endpoint.talk.send_due()
         self.deliver()
         self.clock.seconds += TICK_S
 
@@ -159,7 +159,7 @@
         self.entries[1] = started
         reported = 0
         for _ in range(100):
-            self.endpoint.talk.tell()
+            self.endpoint.talk.send_due()
             came = self.fleet.wire.last[self.fleet.entries[0]]
             reported += sum(
                 news.engine is not None and news.engine.said is not None
--- a/tests/test_resident_entry.py
+++ b/tests/test_resident_entry.py
@@ -74,7 +74,7 @@
 
     def figure(self, name: str) -> float:
         """Give a figure as a collector reads it."""
-        text = self.entry._figures._metrics.text().decode()
+        text = self.entry._metrics_page._metrics.text().decode()
         told = dict(
             line.rsplit(' ', 1)
             for line in text.splitlines()
--- a/tests/test_talk.py
+++ b/tests/test_talk.py
@@ -201,7 +201,7 @@
         endpoint = self.endpoint(number)
         talk = endpoint.talk
         talk._peers.is_known = True
-        talk._learned(
+        talk._set_peers(
             {known: self.zone(each) for each, known in enumerate(self.engines)},
         )
         endpoint.follower.report = EngineReport(
@@ -222,7 +222,7 @@
                 # Subscriptions go on; they are counted once.
                 if news.entry is not None:
                     talk.handle_news(news, (source, PORT))
-            talk.tell()
+            talk.send_due()
         endpoint.driver.close()
 
 
--- a/tests/test_traffic.py
+++ b/tests/test_traffic.py
@@ -1,4 +1,4 @@
-"""What processes say is counted by kind, told in lines, and summed up."""
+"""Datagrams are counted by kind, logged, and summarized."""
 
 import contextlib
 import io
@@ -14,12 +14,12 @@
 
 
 def line(event: Event, vm: str, **fields: object) -> str:
-    """Give a line as a process writes it."""
+    """Return a line as a process writes it."""
     return json.dumps({'event': int(event), 'vm': vm, **fields})
 
 
 def counted(vm: str, kind: str, datagrams: int, octets: int) -> str:
-    """Give a line on one kind that was sent in ten seconds."""
+    """Return a line for one kind of datagram sent in 10 s."""
     return line(
         Event.TALK_COUNTED,
         vm,
@@ -44,19 +44,19 @@
 )
 
 
-class TalkTest(unittest.TestCase):
+class TrafficCountersTest(unittest.TestCase):
     """Count both directions."""
 
     def test_counts(self) -> None:
-        """Bytes hold headers, and a message to many counts as many."""
-        talk = TrafficCounters()
+        """Bytes include headers; a message counts once for each receiver."""
+        counters = TrafficCounters()
         news = News(engine=EngineNews(number=1))
-        talk.count_sent(news, 10, 3)
-        talk.count_sent(news, 20, 1)
-        talk.count_received(None, 5)
+        counters.count_sent(news, 10, 3)
+        counters.count_sent(news, 20, 1)
+        counters.count_received(None, 5)
         found = {
             (direction, kind): (flow.datagrams, flow.byte_count)
-            for direction, kind, flow in talk.take_counts()
+            for direction, kind, flow in counters.take_counts()
         }
         self.assertEqual(
             found,
@@ -65,27 +65,27 @@
                 ('received', 'unknown'): (1, 5 + HEADER_BYTES),
             },
         )
-        self.assertEqual(list(talk.take_counts()), [])
+        self.assertEqual(list(counters.take_counts()), [])
 
 
 class TrafficTest(unittest.TestCase):
-    """Run the command on a file."""
+    """Run the command on a log file."""
 
     def run_command(self, *args: str) -> tuple[int, str]:
-        """Give exit code and output."""
-        told = io.StringIO()
+        """Return the exit code and the output."""
+        out = io.StringIO()
         with tempfile.TemporaryDirectory() as folder:
             path = pathlib.Path(folder) / 'a.log'
             path.write_text(LOG)
-            with contextlib.redirect_stdout(told):
+            with contextlib.redirect_stdout(out):
                 code = cli.run(['traffic', str(path), *args])
-        return code, told.getvalue()
+        return code, out.getvalue()
 
     def test_rates(self) -> None:
-        """Rates are those of one process, the most those of any span."""
-        code, told = self.run_command('--json')
+        """Rates are of one process, the maximum is of any span."""
+        code, out = self.run_command('--json')
         self.assertEqual(code, 0)
-        found = {one['program']: one for one in json.loads(told)}
+        found = {one['program']: one for one in json.loads(out)}
         self.assertEqual(
             found['p'],
             {
@@ -102,17 +102,17 @@
 
     def test_text(self) -> None:
         """One line for each kind."""
-        code, told = self.run_command()
+        code, out = self.run_command()
         self.assertEqual(code, 0)
-        self.assertEqual(len(told.splitlines()), 2)
-        self.assertIn('1000 B/s, at most 1600', told)
+        self.assertEqual(len(out.splitlines()), 2)
+        self.assertIn('1000 B/s, at most 1600', out)
 
     def test_no_log(self) -> None:
-        """Without a file the command says what is missing."""
-        with contextlib.redirect_stderr(io.StringIO()) as told:
+        """Without a file the command names the missing argument."""
+        with contextlib.redirect_stderr(io.StringIO()) as out:
             code = cli.run(['traffic'])
         self.assertEqual(code, 2)
-        self.assertIn('log-missing', told.getvalue())
+        self.assertIn('log-missing', out.getvalue())
 
 
 if __name__ == '__main__':
