--- a/src/linnetwood/core/trust.py
+++ b/src/linnetwood/core/trust.py
@@ -155,7 +155,7 @@
 
 
 def client_context(folder: str) -> ssl.SSLContext:
-    """Give the command line's context from cert.pem, key.pem and ca.pem."""
+    """Return the command line's context from cert.pem, key.pem and ca.pem."""
     place = pathlib.Path(folder)
     context = _context(ssl.PROTOCOL_TLS_CLIENT)
     cfg = Trust(
--- a/src/linnetwood/platform/crashstore.py
+++ b/src/linnetwood/platform/crashstore.py
@@ -37,7 +37,7 @@
 
     @property
     def max_records(self) -> int:
-        """Give the maximum number of records per write."""
+        """Return the maximum number of records per write."""
         return _MAX_KEYS_PER_WRITE
 
     async def write(
@@ -116,7 +116,7 @@
 
 
 def _known_for_s(age_s: float) -> float:
-    """Give the age of a record in seconds; 0 if it is unknown."""
+    """Return the age of a record in seconds; 0 if it is unknown."""
     return age_s if math.isfinite(age_s) else 0
 
 
@@ -125,5 +125,5 @@
 
 
 def crash_key(crash: CrashRecord) -> str:
-    """Give the store key of a record."""
+    """Return the store key of a record."""
     return f'{records.CRASH_PREFIX}{crash.fingerprint}/{crash.incarnation_id}'
