--- a/src/linnetwood/weights/versionlookup.py
+++ b/src/linnetwood/weights/versionlookup.py
@@ -15,6 +15,7 @@
 
 from linnetwood.core.errors import WeightsError
 from linnetwood.core.events import Event, log
+from linnetwood.core.owner import TaskOwner
 from linnetwood.fleet.wanted import WantedVersions
 from linnetwood.weights.chunks import Manifest
 from linnetwood.weights.engine import Origin
@@ -35,7 +36,7 @@
     return vm_rank // _READERS_PER_ROUND == round_number % rounds
 
 
-class VersionLookup:
+class VersionLookup(TaskOwner):
     """Own the task that asks while a version is unknown."""
 
     def __init__(
@@ -47,6 +48,7 @@
         on_found: OnFound,
     ) -> None:
         """Ask nothing yet; call `on_found` with each version and manifest."""
+        super().__init__()
         self._me = me
         self._origin = origin
         self._wanted = wanted
@@ -54,17 +56,6 @@
         self._on_found = on_found
         self._models: tuple[str, ...] = ()
         self._requested = asyncio.Event()
-        self._task: asyncio.Task[None] | None = None
-
-    def start(self) -> None:
-        """Start waiting for requests."""
-        self._task = asyncio.create_task(self._run())
-
-    async def close(self) -> None:
-        """Stop asking."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
 
     def request(self, models: Collection[str]) -> None:
         """Ask for these models until a version of each is known."""
