Call the endpoint's messenger by its class's name

What an endpoint process owns for its messages was still called talk after its class had become EndpointMessenger, and the test of control traffic likewise.

--- a/src/linnetwood/programs/resident_endpoint.py
+++ b/src/linnetwood/programs/resident_endpoint.py
@@ -62,7 +62,7 @@
             cfg.wire_port,
             decisions,
         )
-        self.talk = EndpointMessenger(
+        self.messenger = EndpointMessenger(
             cfg,
             self._clock,
             self.follower,
@@ -79,7 +79,7 @@
         """Listen, and start to follow the wanted versions."""
         cfg = self._cfg
         await self._server.start(bind_sockets(cfg.wire_port, cfg.host))
-        await self.talk.start()
+        await self.messenger.start()
         self._metrics_page.start(cfg.host)
         self._task = asyncio.create_task(self._run())
         self.follower.start()
@@ -91,7 +91,7 @@
             await asyncio.gather(self._task, return_exceptions=True)
         await self.follower.close()
         await self._server.close()
-        await self.talk.close()
+        await self.messenger.close()
         self._metrics_page.close()
         self.driver.close()
 
@@ -102,14 +102,14 @@
             except OrderError as exc:
                 log(Event.ENGINE_UNREACHABLE, code=exc.code, detail=exc.detail)
                 self.follower.report = None
-            self.talk.send_due()
+            self.messenger.send_due()
             await asyncio.sleep(self._report_interval_s())
 
     def _report_interval_s(self) -> float:
         """Return the interval of polling the engine, in seconds."""
         if self.follower.busy:
             return _MIN_REPORT_INTERVAL_S
-        return max(_MIN_REPORT_INTERVAL_S, self.talk.report_interval_s)
+        return max(_MIN_REPORT_INTERVAL_S, self.messenger.report_interval_s)
 
     def _tools(self) -> Tools:
         store = ChunkStore()
--- a/tests/cold_fleet.py
+++ b/tests/cold_fleet.py
@@ -197,7 +197,7 @@
         )
         # Chunks come from a stand-in; this one only learns its address.
         self.origin = PlatformOrigin(self._driver)
-        self.talk = EndpointMessenger(
+        self.messenger = EndpointMessenger(
             residence(host, zone),
             fleet.clock,
             self.follower,
@@ -205,15 +205,15 @@
             self.origin,
             InboundLink(),
         )
-        self.talk._news = Port(host, self.talk, fleet.datagrams)
-        self.talk._peers = PeerListClient(
-            MemoryDialler(fleet.net), self.talk._set_peers
+        self.messenger._news = Port(host, self.messenger, fleet.datagrams)
+        self.messenger._peers = PeerListClient(
+            MemoryDialler(fleet.net), self.messenger._set_peers
         )
         self._task: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
         """Report, and follow the wanted versions."""
-        await self.talk.start()
+        await self.messenger.start()
         self.follower.start()
         self._task = asyncio.create_task(self._run())
 
@@ -223,7 +223,7 @@
             self._task.cancel()
             await asyncio.gather(self._task, return_exceptions=True)
         await self.follower.close()
-        await self.talk.close()
+        await self.messenger.close()
         self._driver.close()
 
     async def _run(self) -> None:
@@ -232,7 +232,7 @@
                 self.follower.report = await self.engine.report()
             except OrderError:
                 self.follower.report = None
-            self.talk.send_due()
+            self.messenger.send_due()
             await asyncio.sleep(_TICK_S)
 
 
--- a/tests/test_talk.py
+++ b/tests/test_control_traffic.py
@@ -186,11 +186,11 @@
             ),
             (host, 8000),
         )
-        talk = endpoint.talk
-        talk._clock = self.clock
-        talk._listeners = ReportSubscribers(self.clock.now())
-        talk._rng = Random(number)
-        talk._news = Port(host, self.wire, 1 / SECONDS)
+        messenger = endpoint.messenger
+        messenger._clock = self.clock
+        messenger._listeners = ReportSubscribers(self.clock.now())
+        messenger._rng = Random(number)
+        messenger._news = Port(host, self.wire, 1 / SECONDS)
         return endpoint
 
     async def report(self, number: int) -> None:
@@ -199,30 +199,30 @@
         clock = self.clock
         assert isinstance(clock, Clock)
         endpoint = self.endpoint(number)
-        talk = endpoint.talk
-        talk._peers.is_known = True
-        talk._set_peers(
+        messenger = endpoint.messenger
+        messenger._peers.is_known = True
+        messenger._set_peers(
             {known: self.zone(each) for each, known in enumerate(self.engines)},
         )
         endpoint.follower.report = EngineReport(
             3, 8, 41000, 90000, {MODEL: 1}, changing=False, orders_taken=2
         )
         for source, news in list(self.wire.last[host]):
-            talk.handle_news(news, (source, PORT))
+            messenger.handle_news(news, (source, PORT))
         if self.all_have_notices:
             # The longest possible notice.
             listed = self.directory.at_host(host)
             assert listed is not None
             mark = listed.incarnation_mark
             said = EngineSaid(mark, 999999999999, leaving=True)
-            talk.handle_news(News(said=said), (self.entries[0], PORT))
+            messenger.handle_news(News(said=said), (self.entries[0], PORT))
         for _ in range(round(SECONDS / TICK_S)):
             clock.seconds += TICK_S
             for source, news in list(self.wire.last[host])[: len(self.entries)]:
                 # Subscriptions go on; they are counted once.
                 if news.entry is not None:
-                    talk.handle_news(news, (source, PORT))
-            talk.send_due()
+                    messenger.handle_news(news, (source, PORT))
+            messenger.send_due()
         endpoint.driver.close()
 
 
@@ -290,14 +290,14 @@
         fleet.subscribe()
         endpoint = fleet.endpoint(0)
         asked: list[str] = []
-        endpoint.talk._peers = Asked(asked)
+        endpoint.messenger._peers = Asked(asked)
         received = fleet.wire.last[fleet.engines[0]]
         far = [sent for sent in received if sent[1].entry.zone != fleet.zone(0)]
         near = [
             sent for sent in received if sent[1].entry.zone == fleet.zone(0)
         ]
         for source, news in (far[0], near[0], far[1], near[1]):
-            endpoint.talk.handle_news(news, (source, PORT))
+            endpoint.messenger.handle_news(news, (source, PORT))
         endpoint.driver.close()
         self.assertEqual(asked, [far[0][0], near[0][0], near[1][0]])
 
--- a/tests/test_passed_notices.py
+++ b/tests/test_passed_notices.py
@@ -9,7 +9,7 @@
 from linnetwood.fleet.news import NewsHandler
 from linnetwood.gen.wire.ttypes import EngineSaid
 from linnetwood.weights.engine import EngineReport
-from tests.test_talk import MODEL, PORT, TICK_S, Clock, Fleet
+from tests.test_control_traffic import MODEL, PORT, TICK_S, Clock, Fleet
 
 
 class RoundsTest(unittest.TestCase):
@@ -38,7 +38,7 @@
         self.clock = clock
         self.entries = [self.fleet.entry(number) for number in range(2)]
         self.endpoint = self.fleet.endpoint(0)
-        self.endpoint.talk._peers.is_known = True
+        self.endpoint.messenger._peers.is_known = True
         self.born = 0
         self.listed = next(self.fleet.directory.all())
         self.subscribes = True
@@ -58,12 +58,12 @@
     def deliver(self) -> None:
         """Deliver the sent datagrams to their receivers."""
         wire = self.fleet.wire
-        talk = self.endpoint.talk
+        messenger = self.endpoint.messenger
         hosts: dict[str, NewsHandler] = dict(
             zip(self.fleet.entries, self.entries)
         )
         for host, came in list(wire.last.items()):
-            receiver = hosts.get(host, talk)
+            receiver = hosts.get(host, messenger)
             for source, news in came:
                 receiver.handle_news(news, (source, PORT))
             came.clear()
@@ -73,7 +73,7 @@
         for entry in self.entries if self.subscribes else []:
             entry._subscribe()
         self.deliver()
-        self.endpoint.talk.send_due()
+        self.endpoint.messenger.send_due()
         self.deliver()
         self.clock.seconds += TICK_S
 
@@ -159,7 +159,7 @@
         self.entries[1] = started
         reported = 0
         for _ in range(100):
-            self.endpoint.talk.send_due()
+            self.endpoint.messenger.send_due()
             came = self.fleet.wire.last[self.fleet.entries[0]]
             reported += sum(
                 news.engine is not None and news.engine.said is not None
