--- a/tests/test_control_traffic.py
+++ b/tests/test_control_traffic.py
@@ -120,6 +120,8 @@
         self.zones = zones
         # Whether every engine has a notice in its answers.
         self.all_have_notices = False
+        # The version that every endpoint process knows of its engine's model.
+        self.known_version = 0
         self.engines = [engine_host(number) for number in range(engines)]
         self.entries = [entry_host(number) for number in range(entries)]
         self.directory = Directory()
@@ -191,6 +193,7 @@
         messenger._listeners = ReportSubscribers(self.clock.now())
         messenger._rng = Random(number)
         messenger._news = Port(host, self.wire, 1 / SECONDS)
+        endpoint.wanted.add_serving([(MODEL, self.known_version)])
         return endpoint
 
     async def report(self, number: int) -> None:
@@ -268,10 +271,21 @@
 
     async def test_reports(self) -> None:
         """Neither an endpoint process nor an entry exceeds the bound."""
+        await self.check_reports(0)
+
+    # Entries whose service has another model, of which no version exists yet,
+    # got all known versions with each report, for as long as that lasted.
+    async def test_reports_while_a_model_has_no_version(self) -> None:
+        """Versions of other models are not sent again and again."""
+        await self.check_reports(1)
+
+    async def check_reports(self, known_version: int) -> None:
+        """Play the reports of fleets whose entries know no version of 'm'."""
         for size in SIZES[:4]:
             with self.subTest(size=size):
                 fleet = Fleet(*size)
                 fleet.all_have_notices = True
+                fleet.known_version = known_version
                 fleet.subscribe()
                 fleet.wire.received.clear()
                 for number, _ in enumerate(fleet.engines):
