Send versions again only to entries that lack one which is known

What entries' processes saw: a service with two models, one of them not yet published, had every report carry all versions of the other, without an end. Cause: an entry said only that it lacks some version, so a process could not see that it had none to give. Now a subscription holds which models are unknown, and versions go to it while the process knows one of these.

--- a/src/linnetwood/fleet/reportsubscribers.py
+++ b/src/linnetwood/fleet/reportsubscribers.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 from collections import defaultdict
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 
 from linnetwood.fleet.news import Address
 
@@ -57,15 +57,15 @@
     The number grows with each datagram and starts anew with the entry's
     process. Reports are to come every `interval_s` seconds or less often. Where
     each entry subscribes to some endpoints only, one represents several
-    entries: `represents` says how many. An entry that lacks versions knows none
-    of some model.
+    entries: `represents` says how many. Of the unknown models the entry knows
+    no version.
     """
 
     number: int
     zone: str = ''
     interval_s: float = 0
     represents: float = 1
-    lacks_versions: bool = False
+    unknown_models: frozenset[str] = frozenset()
 
 
 class _Subscriber:
@@ -203,12 +203,21 @@
         return due
 
     def new_subscribers(self, now: float) -> list[Address]:
-        """Return the addresses that subscribed just now or lack versions."""
+        """Return the addresses that subscribed just now."""
         return [
             address
             for address, subscriber in self._subscribers.items()
             if now - subscriber.subscribed_at < _NEW_FOR_S
-            or subscriber.subscription.lacks_versions
+        ]
+
+    def lacking(self, known_models: Collection[str]) -> list[Address]:
+        """Return the addresses that know no version of one of these models."""
+        return [
+            address
+            for address, subscriber in self._subscribers.items()
+            if not subscriber.subscription.unknown_models.isdisjoint(
+                known_models
+            )
         ]
 
     def unbroken_for_s(self, now: float) -> float:
--- a/src/linnetwood/programs/resident_messages.py
+++ b/src/linnetwood/programs/resident_messages.py
@@ -128,8 +128,10 @@
             entry.zone,
             entry.every_ms / _MILLISECONDS,
             entry.stands_for_pct / _PERCENT,
-            lacks_versions=any(
-                sent.version == UNKNOWN_VERSION for sent in entry.wanted
+            unknown_models=frozenset(
+                sent.model
+                for sent in entry.wanted
+                if sent.version == UNKNOWN_VERSION
             ),
         )
         self._listeners.subscribe(source, subscription, now)
@@ -176,7 +178,7 @@
 
     def _report(self, report: EngineReport, now: float) -> None:
         due = self._listeners.take_due(self._cfg.zone, now)
-        newcomers = set(self._listeners.new_subscribers(now))
+        uninformed = self._uninformed(now)
         engine = self._engine_news(report, now)
         wanted = self._wanted.to_messages('', self._wanted.models(), now)
         for report_interval_s, addresses in due.items():
@@ -185,13 +187,17 @@
                 if engine.said is not None:
                     engine.said.part_ppm = int(part * _MILLION)
                 engine.wanted = []
-                others = [one for one in alike if one not in newcomers]
+                others = [one for one in alike if one not in uninformed]
                 self._news.send(News(engine=engine), others)
-                # New subscribers don't know when a version was named.
                 engine.wanted = wanted
-                new = [one for one in alike if one in newcomers]
+                new = [one for one in alike if one in uninformed]
                 self._news.send(News(engine=engine), new)
 
+    def _uninformed(self, now: float) -> set[Address]:
+        """Return entries that may not know a version, or when it was named."""
+        new = self._listeners.new_subscribers(now)
+        return {*new, *self._listeners.lacking(self._wanted.models())}
+
     def _engine_news(self, report: EngineReport, now: float) -> EngineNews:
         """Return the content that all reports have now."""
         self._number += 1
--- a/tests/test_control_traffic.py
+++ b/tests/test_control_traffic.py
@@ -35,6 +35,8 @@
 MOST_BYTES_PER_S = 7000
 SECONDS = 10
 TICK_S = 0.1
+# An entry is new for less than this time.
+NEW_FOR_S = 2.0
 # Entries, engines, availability zones.
 SIZES = (
     (7, 6, 3),
@@ -122,6 +124,8 @@
         self.all_have_notices = False
         # The version that every endpoint process knows of its engine's model.
         self.known_version = 0
+        # Reports are counted from so long after the first subscription.
+        self.uncounted_s = float()
         self.engines = [engine_host(number) for number in range(engines)]
         self.entries = [entry_host(number) for number in range(entries)]
         self.directory = Directory()
@@ -192,15 +196,13 @@
         messenger._clock = self.clock
         messenger._listeners = ReportSubscribers(self.clock.now())
         messenger._rng = Random(number)
-        messenger._news = Port(host, self.wire, 1 / SECONDS)
+        messenger._news = Port(host, self.wire, 0)
         endpoint.wanted.add_serving([(MODEL, self.known_version)])
         return endpoint
 
     async def report(self, number: int) -> None:
         """Let the endpoint process beside an engine report for 10 s."""
         host = self.engines[number]
-        clock = self.clock
-        assert isinstance(clock, Clock)
         endpoint = self.endpoint(number)
         messenger = endpoint.messenger
         messenger._peers.is_known = True
@@ -219,14 +221,23 @@
             mark = listed.incarnation_mark
             said = EngineSaid(mark, 999999999999, leaving=True)
             messenger.handle_news(News(said=said), (self.entries[0], PORT))
-        for _ in range(round(SECONDS / TICK_S)):
-            clock.seconds += TICK_S
+        self.play(endpoint, host, self.uncounted_s)
+        messenger._news = Port(host, self.wire, 1 / SECONDS)
+        self.play(endpoint, host, SECONDS)
+        endpoint.driver.close()
+
+    def play(
+        self, endpoint: ResidentEndpoint, host: str, seconds: float
+    ) -> None:
+        """Let an endpoint process report while subscriptions go on."""
+        assert isinstance(self.clock, Clock)
+        for _ in range(round(seconds / TICK_S)):
+            self.clock.seconds += TICK_S
             for source, news in list(self.wire.last[host])[: len(self.entries)]:
-                # Subscriptions go on; they are counted once.
+                # Subscriptions are counted once.
                 if news.entry is not None:
-                    messenger.handle_news(news, (source, PORT))
-            messenger.send_due()
-        endpoint.driver.close()
+                    endpoint.messenger.handle_news(news, (source, PORT))
+            endpoint.messenger.send_due()
 
 
 def most(counted: dict[str, float], hosts: list[str]) -> int:
@@ -279,13 +290,20 @@
         """Versions of other models are not sent again and again."""
         await self.check_reports(1)
 
-    async def check_reports(self, known_version: int) -> None:
+    async def test_no_versions_in_reports_of_an_idle_fleet(self) -> None:
+        """Versions of other models are sent to new subscribers alone."""
+        await self.check_reports(1, NEW_FOR_S)
+
+    async def check_reports(
+        self, known_version: int, uncounted_s: float = 0
+    ) -> None:
         """Play the reports of fleets whose entries know no version of 'm'."""
         for size in SIZES[:4]:
             with self.subTest(size=size):
                 fleet = Fleet(*size)
                 fleet.all_have_notices = True
                 fleet.known_version = known_version
+                fleet.uncounted_s = uncounted_s
                 fleet.subscribe()
                 fleet.wire.received.clear()
                 for number, _ in enumerate(fleet.engines):
--- a/tests/test_reportsubscribers.py
+++ b/tests/test_reportsubscribers.py
@@ -32,6 +32,17 @@
                     subscribers.new_subscribers(now), expected
                 )
 
+    def test_lacking(self) -> None:
+        """Only who lacks a version that is known here is named."""
+        subscribers = ReportSubscribers(0)
+        subscribers.subscribe(NEAR, ReportSubscription(1), 0)
+        lacking = ReportSubscription(1, unknown_models=frozenset('ab'))
+        subscribers.subscribe(FAR, lacking, 0)
+        self.assertEqual(subscribers.lacking(['b', 'c']), [FAR])
+        self.assertEqual(subscribers.lacking(['c']), [])
+        subscribers.subscribe(FAR, ReportSubscription(2), 1)
+        self.assertEqual(subscribers.lacking(['b', 'c']), [])
+
     def test_expired(self) -> None:
         """A subscription expires 4 s after it was last renewed."""
         subscribers = ReportSubscribers(0)
