--- a/tests/test_swarm.py
+++ b/tests/test_swarm.py
@@ -274,6 +274,49 @@
         self.assertEqual(list(swarm.plan(1.7)), [])
 
 
+class FallbackReads(NoOriginReads):
+    """Read from the origin only what no neighbour can send."""
+
+    def fallback_at(self, index: int, since: float) -> float:
+        """Give the time since which no neighbour can send it."""
+        return since
+
+
+class UnheardPeerTest(unittest.TestCase):
+    """A chunk without a known holder may be held by a peer behind a cut."""
+
+    def reads(self, *heard: str, listed_again: str = '') -> list[Fetch]:
+        """Return what is read late in a transfer that lacks one chunk."""
+        held = chunks.full_bitmap(COUNT) & ~1
+        swarm = Swarm(
+            COUNT, held, SwarmOptions(), FallbackReads(), Random(1), 0
+        )
+        for vm in ('a', 'b'):
+            swarm.add_peer(vm)
+        for vm in heard:
+            swarm.update_peer(vm, 0, 0)
+        if listed_again:
+            swarm.remove_peer(listed_again)
+            swarm.add_peer(listed_again)
+        return list(swarm.plan(60))
+
+    def test_peers_that_sent_a_message(self) -> None:
+        """Nothing is read beside its readers' turns."""
+        self.assertEqual(self.reads('a', 'b'), [])
+
+    def test_a_peer_that_sent_none(self) -> None:
+        """It may stand in the way of the chunk's readers."""
+        self.assertEqual(self.reads('a'), [Fetch(0, ORIGIN)])
+
+    # A peer that left the list counted as one that had sent a message.
+    def test_a_peer_that_is_listed_again(self) -> None:
+        """What was known of it ended with its place in the list."""
+        read = self.reads('a', listed_again='b')
+        self.assertEqual(read, [Fetch(0, ORIGIN)])
+        read = self.reads('a', 'b', listed_again='b')
+        self.assertEqual(read, [Fetch(0, ORIGIN)])
+
+
 class ImmediateReads(NoOriginReads):
     """Read the given chunks from the origin without delay."""
 
