Forget with a peer's place in the list that it sent a message

A zone behind a cut reads chunks that only neighbours it never heard of were to read. Which ones it had heard was kept by name for the whole transfer, and a neighbour that left the list was noted as heard; listed again, it counted as one that reports. Now the record of the neighbour itself holds it, which is made anew when it is listed again.

--- a/src/linnetwood/weights/silentpeers.py
+++ b/src/linnetwood/weights/silentpeers.py
@@ -14,15 +14,19 @@
 
 
 class Holder(Protocol):
-    """A neighbour with the bitmap of the chunks that it reported."""
+    """A neighbour with the bitmap of the chunks that it reported.
+
+    It counts as heard once it has sent any message.
+    """
 
     held: int
+    heard: bool
 
 
 class SilentPeers:
     """Hold the neighbours without a message since one became silent."""
 
-    __slots__ = ('_heard', '_silent', '_since', '_without_message')
+    __slots__ = ('_silent', '_since', '_without_message')
 
     def __init__(self) -> None:
         """Start with no silent neighbour."""
@@ -31,8 +35,6 @@
         self._silent: set[str] = set()
         self._without_message: set[str] = set()
         self._since = float()
-        # Neighbours that have sent any message.
-        self._heard: set[str] = set()
 
     def record_timeout(
         self, vm: str, all_vms: Iterable[str], now: float
@@ -45,7 +47,6 @@
 
     def record_message(self, vm: str) -> None:
         """Record a message of a neighbour, or that it is none any more."""
-        self._heard.add(vm)
         self._without_message.discard(vm)
         self._silent.discard(vm)
         if not self._silent:
@@ -66,31 +67,35 @@
         since = self._since + _MESSAGE_TIMEOUT_S
         if not self._silent or now < since:
             return
-        known = 0
-        reachable = 0
-        for vm, neighbour in neighbours.items():
-            known |= neighbour.held
-            if vm not in self._without_message:
-                reachable |= neighbour.held
+        known = known_chunks(neighbours.values())
+        reachable = known_chunks(
+            neighbour
+            for vm, neighbour in neighbours.items()
+            if vm not in self._without_message
+        )
         yield known & ~reachable, since
         yield every & ~known, max(since, turns_over_at)
 
-    def unreported_chunks(
-        self,
-        now: float,
-        neighbours: Mapping[str, Holder],
-        every: int,
-        turns_over_at: float,
-    ) -> Iterator[tuple[int, float]]:
-        """Yield chunks without a holder if a neighbour never sent a message.
 
-        Behind a cut that began before the transfer, neighbours are not known to
-        hold chunks, so none is requested from them and none times out.
-        """
-        since = turns_over_at + _MESSAGE_TIMEOUT_S
-        if now < since or self._heard.issuperset(neighbours):
-            return
-        known = 0
-        for neighbour in neighbours.values():
-            known |= neighbour.held
-        yield every & ~known, since
+def unreported_chunks(
+    now: float,
+    neighbours: Mapping[str, Holder],
+    every: int,
+    turns_over_at: float,
+) -> Iterator[tuple[int, float]]:
+    """Yield chunks without a holder if a neighbour never sent a message.
+
+    Behind a cut that began before the transfer, neighbours are not known to
+    hold chunks, so none is requested from them and none times out.
+    """
+    since = turns_over_at + _MESSAGE_TIMEOUT_S
+    if now >= since and not all(one.heard for one in neighbours.values()):
+        yield every & ~known_chunks(neighbours.values()), since
+
+
+def known_chunks(holders: Iterable[Holder]) -> int:
+    """Return the bitmap of chunks that any of the holders reported."""
+    known = 0
+    for holder in holders:
+        known |= holder.held
+    return known
--- a/src/linnetwood/weights/swarm.py
+++ b/src/linnetwood/weights/swarm.py
@@ -9,7 +9,7 @@
 from linnetwood.weights import chunks
 from linnetwood.weights.inboundlink import InboundLink, InFlightChunk
 from linnetwood.weights.reading import READERS_PER_CHUNK, DueTimes, OriginPolicy
-from linnetwood.weights.silentpeers import SilentPeers
+from linnetwood.weights.silentpeers import SilentPeers, unreported_chunks
 from linnetwood.weights.swarmoptions import SwarmOptions
 from linnetwood.weights.takeover import OriginFailure
 from linnetwood.weights.versionplan import ChunkProgress
@@ -42,11 +42,19 @@
 class Peer:
     """What is known of one neighbour; `held` is a bitmap of chunks."""
 
-    __slots__ = ('blocked_until', 'held', 'is_remote', 'outstanding', 'queued')
+    __slots__ = (
+        'blocked_until',
+        'heard',
+        'held',
+        'is_remote',
+        'outstanding',
+        'queued',
+    )
 
     def __init__(self) -> None:
-        """Start with nothing held and nothing requested."""
+        """Start with nothing held, nothing requested and no message."""
         self.is_remote = False
+        self.heard = False
         self.held = 0
         self.queued = 0
         self.outstanding = 0
@@ -174,6 +182,7 @@
         self._count_holders(held & ~peer.held, 1)
         peer.held |= held
         peer.queued = queued
+        peer.heard = True
         self._silent_peers.record_message(vm)
 
     def record_first_byte(self, index: int, source: str, now: float) -> None:
@@ -342,7 +351,7 @@
             # same time when the origin is back.
             turns_s = READERS_PER_CHUNK * self._cfg.takeover_s
             turns_end_at = max(turns_end_at, self._origin_failed_at + turns_s)
-        unreported = self._silent_peers.unreported_chunks(
+        unreported = unreported_chunks(
             now, self.peers, all_chunks, turns_end_at
         )
         for candidates, since in itertools.chain(unreachable, unreported):
