--- a/src/linnetwood/weights/swarm.py
+++ b/src/linnetwood/weights/swarm.py
@@ -9,7 +9,11 @@
 from linnetwood.weights import chunks
 from linnetwood.weights.inboundlink import InboundLink, InFlightChunk
 from linnetwood.weights.reading import READERS_PER_CHUNK, DueTimes, OriginPolicy
-from linnetwood.weights.silentpeers import SilentPeers, unreported_chunks
+from linnetwood.weights.silentpeers import (
+    SilentPeers,
+    known_chunks,
+    unreported_chunks,
+)
 from linnetwood.weights.swarmoptions import SwarmOptions
 from linnetwood.weights.takeover import OriginFailure
 from linnetwood.weights.versionplan import ChunkProgress
@@ -135,10 +139,7 @@
     @property
     def available(self) -> int:
         """Give the bitmap of chunks that this VM or a neighbour holds."""
-        bitmap = self.held
-        for peer in self.peers.values():
-            bitmap |= peer.held
-        return bitmap
+        return self.held | known_chunks(self.peers.values())
 
     def add_peer(self, vm: str) -> Peer:
         """Give the record of a neighbour; create it if it is new."""
@@ -425,18 +426,15 @@
         }
 
     def _rarest_first(self, free: dict[str, Peer]) -> list[int]:
-        offered = 0
-        for peer in free.values():
-            offered |= peer.held
-        wanted = offered & ~self.held
+        wanted = known_chunks(free.values()) & ~self.held
         indices = [
             index
             for index in chunks.indices(wanted)
             if index not in self.pending
         ]
-        held_nearby = 0
-        for peer in self.peers.values():
-            held_nearby |= 0 if peer.is_remote else peer.held
+        held_nearby = known_chunks(
+            peer for peer in self.peers.values() if not peer.is_remote
+        )
         self._rng.shuffle(indices)
         # Chunks that no nearby VM holds go first, since all of those wait for
         # them; among the rest, the ones with the fewest holders.
