--- a/src/linnetwood/calls/reports.py
+++ b/src/linnetwood/calls/reports.py
@@ -162,6 +162,8 @@
     def _apply_versions(
         self, versions: list[WantedWeights], now: float
     ) -> None:
+        if not versions:
+            return
         known = self._wanted.versions_by_model()
         self._wanted.apply_messages(versions, now)
         if self._wanted.versions_by_model() != known:
