--- a/src/linnetwood/calls/choice.py
+++ b/src/linnetwood/calls/choice.py
@@ -165,9 +165,12 @@
         return min(finite_waits, default=0)
 
     def unavailable_reason(
-        self, requirements: Requirements, now: float
+        self, requirements: Requirements, rate_limited_s: float, now: float
     ) -> Unavailable:
-        """Return why no endpoint may take a call, for the log."""
+        """Return why no endpoint may take a call, for the log.
+
+        `rate_limited_s` is what the method of this name returned.
+        """
         listed = [
             endpoint
             for endpoint in self._directory.eligible(
@@ -184,7 +187,7 @@
             return Unavailable.UNLISTED
         if not versions:
             return Unavailable.REPLACED
-        if self.rate_limited_s(requirements, now):
+        if rate_limited_s:
             return Unavailable.LIMITED
         if requirements.model and not any(versions):
             return Unavailable.NO_WEIGHTS
--- a/src/linnetwood/calls/deadlineadmission.py
+++ b/src/linnetwood/calls/deadlineadmission.py
@@ -67,7 +67,9 @@
         first = self._first_attempts.is_first(traits, now)
         if choice is None:
             rate_limited_s = self._chooser.rate_limited_s(requirements, now)
-            why = self._chooser.unavailable_reason(requirements, now)
+            why = self._chooser.unavailable_reason(
+                requirements, rate_limited_s, now
+            )
             return self._refusal(
                 Code.NO_ENDPOINT, call, why.value, rate_limited_s
             )
--- a/tests/test_deadlineadmission.py
+++ b/tests/test_deadlineadmission.py
@@ -164,7 +164,7 @@
                     directory.update(one)
                 required = Requirements(POOL, 'z1', 1000, 'm', min_version)
                 found = Chooser(directory, Random(1)).unavailable_reason(
-                    required, 10
+                    required, 0, 10
                 )
                 self.assertEqual(found.value, expected)
 
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -73,7 +73,7 @@
         chooser.stats_of('i-1').record_misdirected(100.0)
         required = Requirements(POOL, 'z1', 1000, 'm')
         self.assertIsNone(chooser.choose(required, (), 100.2))
-        reason = chooser.unavailable_reason(required, 100.2)
+        reason = chooser.unavailable_reason(required, 0, 100.2)
         self.assertEqual(reason.value, 'replaced')
         self.assertIsNotNone(chooser.choose(required, (), 101.2))
 
