--- a/tests/cold_fleet.py
+++ b/tests/cold_fleet.py
@@ -18,7 +18,6 @@
 from linnetwood.gen.wire.ttypes import ChunkReply, ChunkRequest, News
 from linnetwood.lab import virtual
 from linnetwood.lab.memory_net import MemoryDialler, MemoryNet
-from linnetwood.platform.settings import ProcessSettings
 from linnetwood.platform.weights import PlatformOrigin
 from linnetwood.programs.resident_messages import EndpointMessenger
 from linnetwood.weights.chunks import ChunkStore
@@ -29,6 +28,7 @@
 from linnetwood.wire.curldriver import CurlDriver
 from linnetwood.wire.frames import FrameStream
 from linnetwood.wire.links import UnlimitedLink
+from tests.process_settings import process_settings
 from tests.test_directory import POOL
 from tests.test_follower import FakeEngine, FakeOrigin
 
@@ -198,7 +198,14 @@
         # Chunks come from a stand-in; this one only learns its address.
         self.origin = PlatformOrigin(self._driver)
         self.messenger = EndpointMessenger(
-            residence(host, zone),
+            process_settings(
+                vm=f'side-{host}',
+                host=host,
+                zone=zone,
+                wire_port=PORT,
+                engine=(host, 80),
+                version_bound_s=BOUND_S,
+            ),
             fleet.clock,
             self.follower,
             self.wanted,
@@ -301,24 +308,3 @@
 def engine_record(host: str, zone: str) -> Endpoint:
     """Return the record of an engine that holds no version."""
     return Endpoint(f'i-{host}', POOL.name, host, 80, zone, 16, ready=True)
-
-
-def residence(host: str, zone: str) -> ProcessSettings:
-    """Return the settings of a process beside an engine."""
-    return ProcessSettings(
-        vm=f'side-{host}',
-        host=host,
-        zone=zone,
-        region='r1',
-        wire_port=PORT,
-        store=('127.0.0.1', 1),
-        callers=None,
-        readiness=None,
-        engine=(host, 80),
-        link_bytes_per_s=456000,
-        stop_within_s=8,
-        version_bound_s=BOUND_S,
-        config_bound_s=2,
-        retry_share=0,
-        retry_extra=0,
-    )
--- a/tests/test_control_traffic.py
+++ b/tests/test_control_traffic.py
@@ -21,11 +21,11 @@
 from linnetwood.fleet.wanted import WantedVersions
 from linnetwood.gen.wire.ttypes import EngineSaid, News
 from linnetwood.lab import virtual
-from linnetwood.platform.settings import ProcessSettings
 from linnetwood.programs.resident_endpoint import ResidentEndpoint
 from linnetwood.weights.engine import EngineReport
 from linnetwood.wire.codec import decode, encode
 from linnetwood.wire.connections import TcpDialler
+from tests.process_settings import process_settings
 from tests.test_directory import POOL
 
 PORT = 7700
@@ -173,22 +173,12 @@
         """Give the endpoint process beside an engine, just started."""
         host = self.engines[number]
         endpoint = ResidentEndpoint(
-            ProcessSettings(
+            process_settings(
                 vm=f'side-{number}',
                 host=host,
                 zone=self.zone(number),
-                region='r1',
                 wire_port=PORT,
-                store=('127.0.0.1', 1),
-                callers=None,
-                readiness=None,
                 engine=(host, 8000),
-                link_bytes_per_s=456000,
-                stop_within_s=8,
-                version_bound_s=8,
-                config_bound_s=2,
-                retry_share=0,
-                retry_extra=0,
             ),
             (host, 8000),
         )
--- a/tests/test_resident_entry.py
+++ b/tests/test_resident_entry.py
@@ -10,8 +10,8 @@
 from linnetwood.calls.configbasis import ConfigBasis
 from linnetwood.calls.routetable import CallLimits
 from linnetwood.platform import records
-from linnetwood.platform.settings import ProcessSettings
 from linnetwood.programs.resident_entry import ResidentEntry
+from tests.process_settings import process_settings
 from tests.test_callserver import request
 from tests.test_curldriver import HOST, ScriptedServer
 from tests.test_following import answer, row
@@ -30,22 +30,8 @@
         ]
         port = await self.store.start()
         self.entry = ResidentEntry(
-            ProcessSettings(
-                vm='vm-1',
-                host=HOST,
-                zone='z1',
-                region='r1',
-                wire_port=0,
-                store=(HOST, port),
-                callers=None,
-                readiness=None,
-                engine=None,
-                link_bytes_per_s=1e6,
-                stop_within_s=8,
-                version_bound_s=8,
-                config_bound_s=2,
-                retry_share=0,
-                retry_extra=0,
+            process_settings(
+                host=HOST, store=(HOST, port), link_bytes_per_s=1e6
             ),
         )
 
