--- a/tests/test_deadlineadmission.py
+++ b/tests/test_deadlineadmission.py
@@ -72,13 +72,18 @@
     )
 
 
+def one_engine() -> Chooser:
+    """Return a chooser that knows one engine."""
+    directory = Directory()
+    directory.update(endpoint('i-1'))
+    return Chooser(directory, Random(1))
+
+
 class DeadlineAdmissionTest(unittest.TestCase):
     """Admit calls at an engine under different loads."""
 
     def setUp(self) -> None:
-        directory = Directory()
-        self.chooser = Chooser(directory, Random(1))
-        directory.update(endpoint('i-1'))
+        self.chooser = one_engine()
         self.admission = DeadlineAdmission(
             self.chooser,
             FixedRequirements(),
@@ -181,9 +186,7 @@
     """Admit first attempts and retries at an engine under different loads."""
 
     def setUp(self) -> None:
-        directory = Directory()
-        self.chooser = Chooser(directory, Random(1))
-        directory.update(endpoint('i-1'))
+        self.chooser = one_engine()
         self.admission = DeadlineAdmission(
             self.chooser,
             FixedRequirements(),
--- a/tests/test_inflow.py
+++ b/tests/test_inflow.py
@@ -27,6 +27,18 @@
     return link
 
 
+def delay_after_quick_chunk_s(link: InboundLink, at: float) -> float:
+    """Receive a chunk at the stated rate; return the delay 1 s later."""
+    chunk = link.record_request(at)
+    link.record_first_byte(chunk, at)
+    link.record_received(chunk)
+    link.update(at + STATED_CHUNK_S)
+    delays_s = [
+        link.update_link_delay_s(at + 0.1 + step / 10) for step in range(10)
+    ]
+    return delays_s[-1]
+
+
 class InboundLinkTest(unittest.TestCase):
     """Bound the chunks in flight by the time that they take."""
 
@@ -205,14 +217,7 @@
         ]
         self.assertGreater(min(delays_s), 0.35)
         # A chunk that arrives quickly does.
-        chunk = link.record_request(6)
-        link.record_first_byte(chunk, 6)
-        link.record_received(chunk)
-        link.update(6 + STATED_CHUNK_S)
-        delays_s = [
-            link.update_link_delay_s(6.1 + step / 10) for step in range(10)
-        ]
-        self.assertLess(delays_s[-1], 0.3)
+        self.assertLess(delay_after_quick_chunk_s(link, 6), 0.3)
 
     def test_a_stalled_link_has_a_long_delay(self) -> None:
         """Its backlog of timed-out chunks and of calls is unknown.
@@ -254,14 +259,7 @@
         ]
         self.assertEqual(delays_s, sorted(delays_s))
         self.assertGreater(delays_s[-1], 2)
-        chunk = link.record_request(4)
-        link.record_first_byte(chunk, 4)
-        link.record_received(chunk)
-        link.update(4 + STATED_CHUNK_S)
-        delays_s = [
-            link.update_link_delay_s(4.1 + step / 10) for step in range(10)
-        ]
-        self.assertLess(delays_s[-1], 0.3)
+        self.assertLess(delay_after_quick_chunk_s(link, 4), 0.3)
 
     def test_an_immediate_refusal_adds_no_delay(self) -> None:
         """A peer's refusal came over this link quickly, with or without origin.
