Log the store's era, replaced views and updates of relays that are ignored

The lines of a store restored from a copy didn't say to which history a revision belongs, which entry sent an old view, or what was dropped. Now they do: 3024 when an answer names a higher era, 3026 when a relay's update is older than the view, 3027 when a whole range replaces the view and what it loses. Lines about calls to the store (3014) name the era. No decision changes. What a follower logs moves to a module of its own.

--- a/src/linnetwood/fleet/freshness.py
+++ b/src/linnetwood/fleet/freshness.py
@@ -49,6 +49,8 @@
     changes: tuple[Change, ...]
     # Hosts of its own zone that a relay of another zone names in its place.
     preferred: tuple[str, ...] = ()
+    # Host of the relay.
+    source: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/linnetwood/fleet/mirror.py
+++ b/src/linnetwood/fleet/mirror.py
@@ -76,6 +76,18 @@
         self._history_start = snapshot.revision
         self.revision = snapshot.revision
 
+    def compare(self, snapshot: Snapshot) -> dict[str, int]:
+        """Count the keys that a snapshot would lose, change and keep."""
+        held = {key: one.record.payload for key, one in self._stored.items()}
+        found = snapshot.records
+        common = held.keys() & found.keys()
+        kept = sum(held[key] == found[key].payload for key in common)
+        return {
+            'lost': len(held) - len(common),
+            'changed': len(common) - kept,
+            'kept': kept,
+        }
+
     def apply_changes(
         self,
         changes: tuple[Change, ...],
--- a/src/linnetwood/fleet/rangefollower.py
+++ b/src/linnetwood/fleet/rangefollower.py
@@ -13,8 +13,8 @@
 
 from linnetwood.core.backoff import pause_s
 from linnetwood.core.errors import StoreError
-from linnetwood.core.events import Event, log
 from linnetwood.core.owner import TaskOwner
+from linnetwood.fleet.followerlog import FROM_STORE, FollowerLog
 from linnetwood.fleet.freshness import (
     DEFAULT_BOUNDS,
     FreshnessBounds,
@@ -85,6 +85,7 @@
         # How many entries send requests before this one where all relays fail.
         self.stagger_position = 0
         self.mirror = Mirror()
+        self._log = FollowerLog(prefix, self.mirror)
         self._store = store
         self._prefix = prefix
         self._sink = sink
@@ -92,7 +93,6 @@
         self._bounds = bounds
         self._revision = 0
         self._failures = 0
-        self._is_unreachable = False
         self._answered_at = -math.inf
         self._advanced_at = -math.inf
         self._trusted_until = -math.inf
@@ -150,6 +150,7 @@
             self._cancel_request_if_large(update)
         elif update.revision < self._revision:
             # The relay has yet to learn changes that are known here.
+            self._log.update_ignored(update)
             return trusted_s > 0
         self._note_confirmed(now - update.age_s)
         if self.uses_fallback_relay:
@@ -175,6 +176,7 @@
         depends on another one.
         """
         if update.revision < self._revision:
+            self._log.update_ignored(update)
             return
         now = asyncio.get_running_loop().time()
         if update.revision > self._revision:
@@ -195,12 +197,13 @@
             try:
                 answered = await self._request()
             except HistoryLostError:
-                log(Event.STORE_HISTORY_LOST, prefix=self._prefix)
+                self._log.history_lost()
                 # The store did answer: keys that are missing now are deleted.
                 self._revision = 0
             except StoreError as exc:
                 self._failures += 1
-                self._note_unreachable(exc)
+                self.outages += 1
+                self._log.store_failed(exc)
                 self._sink.mark_unreachable()
                 # The time that a hung call took counts as part of the pause, as
                 # the store may be reachable again.
@@ -209,7 +212,7 @@
             else:
                 if answered:
                     self._failures = 0
-                    self._note_reachable()
+                    self._log.store_answered()
 
     async def _wait_until_due(self) -> None:
         loop = asyncio.get_running_loop()
@@ -312,10 +315,11 @@
         if snapshot.revision < self._revision:
             # A relay sent a newer revision meanwhile.
             return
-        self._apply_snapshot(snapshot)
+        self._apply_snapshot(snapshot, FROM_STORE)
 
-    def _apply_snapshot(self, snapshot: Snapshot) -> None:
+    def _apply_snapshot(self, snapshot: Snapshot, source: str) -> None:
         now = asyncio.get_running_loop().time()
+        self._log.replaced(snapshot, source)
         self.mirror.replace_all(snapshot, now)
         self._sink.replace_all(snapshot)
         self._advance(snapshot.revision)
@@ -337,7 +341,8 @@
             if change.record is not None
         }
         ages = {change.key: change.age_s for change in update.changes}
-        self._apply_snapshot(Snapshot(records, update.revision, ages))
+        snapshot = Snapshot(records, update.revision, ages)
+        self._apply_snapshot(snapshot, update.source)
 
     def _cancel_request_if_large(self, update: RelayedUpdate) -> None:
         """Cancel a request whose answer would bring the same data as a whole.
@@ -352,6 +357,7 @@
 
     def _advance(self, revision: int) -> None:
         self._revision = revision
+        self._log.update_applied()
         self._advanced_at = asyncio.get_running_loop().time()
         self.synced.set()
         self._notify()
@@ -414,27 +420,6 @@
             # Subscribers need the new age also where no key changed.
             self._notify()
 
-    def _note_unreachable(self, exc: StoreError) -> None:
-        self.outages += 1
-        if not self._is_unreachable:
-            log(
-                Event.STORE_AWAY,
-                prefix=self._prefix,
-                code=exc.code,
-                detail=exc.detail,
-                revision=self._revision,
-            )
-        self._is_unreachable = True
-
-    def _note_reachable(self) -> None:
-        if self._is_unreachable:
-            log(
-                Event.STORE_BACK,
-                prefix=self._prefix,
-                revision=self._revision,
-            )
-        self._is_unreachable = False
-
 
 def _add_age(changes: Iterable[Change], seconds: float) -> Iterator[Change]:
     """Add the time that changes took to arrive."""
--- a/src/linnetwood/fleet/relayreader.py
+++ b/src/linnetwood/fleet/relayreader.py
@@ -146,6 +146,7 @@
         part.whole,
         changes,
         tuple(hosts.unpack(part.rather)),
+        host,
     )
 
 
--- a/src/linnetwood/platform/store.py
+++ b/src/linnetwood/platform/store.py
@@ -18,6 +18,7 @@
     Snapshot,
 )
 from linnetwood.platform.storecalllog import StoreCallLog
+from linnetwood.platform.storeera import StoreEra
 from linnetwood.platform.validation import UNREADABLE
 from linnetwood.wire.asking import Answer, SilenceLimits, ask
 from linnetwood.wire.connections import SILENCE_TIMEOUT_S
@@ -62,7 +63,8 @@
         self.on_bytes: Callable[[], None] = _ignore_bytes
         self._address = address
         self._driver = driver
-        self._call_log = StoreCallLog()
+        self._era = StoreEra()
+        self._call_log = StoreCallLog(self._era)
         self._in_progress = 0
 
     async def read(self, prefix: str) -> Snapshot:
@@ -189,7 +191,7 @@
         )
         self._in_progress += 1
         try:
-            return await ask(
+            answer = await ask(
                 self._driver,
                 req,
                 _MAX_BYTES,
@@ -198,11 +200,15 @@
             )
         finally:
             self._in_progress -= 1
+        self._era.read(answer.headers)
+        return answer
 
     async def _post(self, path: str, parsed: dict[str, Any]) -> Answer:
         limits = SilenceLimits(_WRITE_S, SILENCE_TIMEOUT_S)
         req = self._request('POST', path, json.dumps(parsed).encode())
-        return await ask(self._driver, req, _MAX_BYTES, limits)
+        answer = await ask(self._driver, req, _MAX_BYTES, limits)
+        self._era.read(answer.headers)
+        return answer
 
     def _request(
         self,
--- a/src/linnetwood/platform/storecalllog.py
+++ b/src/linnetwood/platform/storecalllog.py
@@ -7,6 +7,7 @@
 from linnetwood.core.events import Event, log
 from linnetwood.fleet.ranges import Change, Changes
 from linnetwood.platform import records
+from linnetwood.platform.storeera import StoreEra
 from linnetwood.wire.asking import Answer
 
 _PREFIXES = (
@@ -22,8 +23,9 @@
 class StoreCallLog:
     """Log each call that returned changes or failed."""
 
-    def __init__(self) -> None:
-        """Start without any answer."""
+    def __init__(self, era: StoreEra) -> None:
+        """Start without any answer; log the era that is known."""
+        self._era = era
         self._answered_at: float | None = None
 
     def log_failure(
@@ -70,6 +72,7 @@
         return {
             'call': call,
             'asked': asked,
+            'era': self._era.newest,
             'status': answer.status,
             'octets': len(answer.body),
             'head_s': round(answer.head_s, _DIGITS),
