--- a/src/linnetwood/lab/soak/standstore.py
+++ b/src/linnetwood/lab/soak/standstore.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import dataclasses
 import json
 import time
 from collections import deque
@@ -20,12 +21,22 @@
 _SLOW_S = 0.5
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreCopy:
+    """What a store held at a revision, and the changes it still knew."""
+
+    revision: int
+    rows: dict[str, dict[str, Any]]
+    events: tuple[dict[str, Any], ...]
+
+
 class StoreState:
     """Hold keys, the last changes, and the trouble that is on."""
 
     def __init__(self) -> None:
         """Hold nothing."""
         self.mode = 'pass'
+        self.era = 1
         self.revision = 0
         self._rows: dict[str, dict[str, Any]] = {}
         self._events: deque[dict[str, Any]] = deque(maxlen=_HISTORY)
@@ -48,6 +59,19 @@
         self._events.append(row)
         self.stir()
 
+    def copy(self) -> StoreCopy:
+        """Return a copy to restore the store from."""
+        return StoreCopy(self.revision, dict(self._rows), tuple(self._events))
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Lose all since a copy, and give out its revisions again."""
+        self.era += 1
+        self.revision = copy.revision
+        self._rows = dict(copy.rows)
+        self._events.clear()
+        self._events.extend(copy.events)
+        self.stir()
+
     def forget(self) -> None:
         """Lose the history: waits from before are told so."""
         self._forgotten = self.revision
@@ -68,8 +92,8 @@
         ]
 
     def since(self, prefix: str, after: int) -> list[dict[str, Any]] | None:
-        """Give the changes after a revision; none if they are forgotten."""
-        if after < self._forgotten:
+        """Give the changes after a revision; none if they aren't held."""
+        if after < self._forgotten or after > self.revision:
             return None
         return [
             row
@@ -93,6 +117,11 @@
             self.set_status(_DOWN)
             await self.finish()
 
+    def finish(self, chunk: Any = None) -> Any:
+        """Name the era in each answer, as of when it is given."""
+        self.set_header('Store-Era', str(self.state.era))
+        return super().finish(chunk)
+
     def data_received(self, chunk: bytes) -> None:
         """Take no streamed bodies."""
 
@@ -177,9 +206,9 @@
         self.write({'at': time.monotonic(), 'revision': self.state.revision})
 
 
-def application() -> Application:
+def application(state: StoreState | None = None) -> Application:
     """Give the store as a tornado application."""
-    shared = {'state': StoreState()}
+    shared = {'state': state or StoreState()}
     return Application(
         [
             ('/linnetwood/kv-range', _Range, shared),
