Order revisions across the histories of a store that is restored from a copy

Callers saw calls reach endpoints 2.4 and 3.0 s after they had said that they leave, and 404 for routes acknowledged 3 s before.

Cause: a revision of the new history was compared with one of the lost history. A subscriber at 25 ignored its relay's 18 to 25 as known; an entry alone waited from its own number and missed what was written below; and as a lost history set the known revision to 0, a relay's update of the lost history was newer than that and brought it back.

A revision now holds the store's era, of its answers' header, above the store's number. So all comparisons, deltas, patches and lists of peers order changes of all histories; on the wire the era is a field of its own, and processes without it see the numbers as before. A wait whose answer has a later era is a lost history, an answer of an earlier era is a failed call.

--- a/src/linnetwood/calls/callserver.py
+++ b/src/linnetwood/calls/callserver.py
@@ -32,6 +32,7 @@
 from linnetwood.core.events import Event, log
 from linnetwood.core.metrics import Metric, Metrics
 from linnetwood.core.outcomes import Code, Ending, Outcome, not_run
+from linnetwood.fleet.revisions import era_of, number_of
 from linnetwood.wire.curldriver import Headers
 
 _NOT_FOUND = 404
@@ -357,7 +358,8 @@
         # The query is left out, since it may hold private data.
         path=incoming.target.partition('?')[0][:_MAX_LOGGED_CHARS],
         config_version=config_basis.version,
-        config_revision=config_basis.revision,
+        config_revision=number_of(config_basis.revision),
+        config_era=era_of(config_basis.revision),
         config_age_ms=config_basis.config_age_ms,
         store_age_ms=config_basis.store_age_ms,
         **verdict,
--- a/src/linnetwood/core/metrics.py
+++ b/src/linnetwood/core/metrics.py
@@ -28,6 +28,7 @@
     ORIGIN_BYTES = 'origin.bytes'
     CONFIG_VERSION = 'config.version'
     STORE_AGE_S = 'store.age_s'
+    STORE_ERA = 'store.era'
     RECORDS_IGNORED = 'records.ignored'
 
 
--- a/src/linnetwood/fleet/followerlog.py
+++ b/src/linnetwood/fleet/followerlog.py
@@ -4,7 +4,8 @@
 from linnetwood.core.events import Event, log
 from linnetwood.fleet.freshness import RelayedUpdate
 from linnetwood.fleet.mirror import Mirror
-from linnetwood.fleet.ranges import Snapshot
+from linnetwood.fleet.ranges import HistoryLostError, Snapshot
+from linnetwood.fleet.revisions import era_of, number_of
 
 # The source of what the store itself answered.
 FROM_STORE = 'store'
@@ -30,7 +31,7 @@
                 prefix=self._prefix,
                 code=exc.code,
                 detail=exc.detail,
-                revision=self._mirror.revision,
+                **self._held(),
             )
         self._is_unreachable = True
 
@@ -40,16 +41,17 @@
             log(
                 Event.STORE_BACK,
                 prefix=self._prefix,
-                revision=self._mirror.revision,
+                **self._held(),
             )
         self._is_unreachable = False
 
-    def history_lost(self) -> None:
+    def history_lost(self, exc: HistoryLostError) -> None:
         """Log that the store lacks the changes since the known revision."""
         log(
             Event.STORE_HISTORY_LOST,
             prefix=self._prefix,
-            revision=self._mirror.revision,
+            store_era=exc.era,
+            **self._held(),
         )
 
     def update_ignored(self, update: RelayedUpdate) -> None:
@@ -58,9 +60,10 @@
             log(
                 Event.UPDATE_IGNORED,
                 source=update.source,
-                got=update.revision,
-                held=self._mirror.revision,
+                got=number_of(update.revision),
+                got_era=era_of(update.revision),
                 age_s=update.age_s,
+                **self._held(),
             )
         self._ignores_updates = True
 
@@ -74,7 +77,12 @@
             log(
                 Event.RANGE_REPLACED,
                 source=source,
-                held=self._mirror.revision,
-                got=snapshot.revision,
+                got=number_of(snapshot.revision),
+                got_era=era_of(snapshot.revision),
+                **self._held(),
                 **self._mirror.compare(snapshot),
             )
+
+    def _held(self) -> dict[str, int]:
+        revision = self._mirror.revision
+        return {'revision': number_of(revision), 'era': era_of(revision)}
--- a/src/linnetwood/fleet/peerlist.py
+++ b/src/linnetwood/fleet/peerlist.py
@@ -14,6 +14,7 @@
 from linnetwood.core.errors import CodecError, LinnetwoodError
 from linnetwood.core.events import Event, log
 from linnetwood.fleet.members import hash64
+from linnetwood.fleet.revisions import era_of, number_of
 from linnetwood.gen.wire.ttypes import PeerList, PeerPlace, PeersRequest
 from linnetwood.wire.codec import decode, encode
 from linnetwood.wire.connections import SILENCE_TIMEOUT_S, Address, Dialler
@@ -136,7 +137,8 @@
         log(
             Event.PEERS_TAKEN,
             entry=entry[0],
-            revision=received.revision,
+            revision=number_of(received.revision),
+            era=era_of(received.revision),
             peers=len(zones_by_host),
         )
         self._on_list(zones_by_host)
--- a/src/linnetwood/fleet/rangefollower.py
+++ b/src/linnetwood/fleet/rangefollower.py
@@ -30,6 +30,7 @@
     RangeStore,
     Snapshot,
 )
+from linnetwood.fleet.revisions import era_of
 
 # Records of live endpoints are back within 2 s of the store's return, so that
 # return must be noticed well within 1 s.
@@ -92,6 +93,11 @@
         self._rng = rng
         self._bounds = bounds
         self._revision = 0
+        # The newest era that the store named here, and whether it no longer
+        # has the changes since the known revision, noticed at this time.
+        self._store_era = 0
+        self._must_read = False
+        self._history_lost_at = -math.inf
         self._failures = 0
         self._answered_at = -math.inf
         self._advanced_at = -math.inf
@@ -145,14 +151,16 @@
                 self.outages += 1
                 self._sink.mark_unreachable()
             self._relay_outages = update.outages
-        if update.revision > self._revision:
-            self._apply_relayed(update)
-            self._cancel_request_if_large(update)
-        elif update.revision < self._revision:
+        is_lost = self._is_of_lost_history(update)
+        if update.revision < self._revision:
             # The relay has yet to learn changes that are known here.
             self._log.update_ignored(update)
             return trusted_s > 0
-        self._note_confirmed(now - update.age_s)
+        if is_lost:
+            self._log.update_ignored(update)
+        else:
+            self._apply_newer(update)
+            self._note_confirmed(now - update.age_s)
         if self.uses_fallback_relay:
             # Requests to the store go on: it may be reachable again from here.
             return trusted_s > 0
@@ -175,13 +183,12 @@
         is 0.3 KB. Requests to the store go on beside it, so that no zone
         depends on another one.
         """
-        if update.revision < self._revision:
+        is_older = update.revision < self._revision
+        if is_older or self._is_of_lost_history(update):
             self._log.update_ignored(update)
             return
         now = asyncio.get_running_loop().time()
-        if update.revision > self._revision:
-            self._apply_relayed(update)
-            self._cancel_request_if_large(update)
+        self._apply_newer(update)
         self._note_confirmed(now - update.age_s)
 
     def forget_relay(self) -> None:
@@ -196,10 +203,13 @@
             started_at = loop.time()
             try:
                 answered = await self._request()
-            except HistoryLostError:
-                self._log.history_lost()
-                # The store did answer: keys that are missing now are deleted.
-                self._revision = 0
+            except HistoryLostError as exc:
+                self._log.history_lost(exc)
+                # The revision is kept: a relay that has not heard of it yet
+                # must not bring back what was lost.
+                self._must_read = True
+                self._store_era = max(self._store_era, exc.era)
+                self._history_lost_at = loop.time()
             except StoreError as exc:
                 self._failures += 1
                 self.outages += 1
@@ -229,6 +239,10 @@
             self.stagger_position * self._bounds.batch_delay_s,
             self._bounds.max_stagger_s,
         )
+        if self._must_read:
+            # All entries notice it at the same moment.
+            until = max(self._trusted_until, self._history_lost_at)
+            return until + stagger_s
         # A relay that brought a large change stands in for one wait. Where its
         # view is too old to be trusted, as on full links, each entry would get
         # the whole configuration from the store again after each change.
@@ -256,7 +270,8 @@
         last_news_at = max(
             self.confirmed_at, self._answered_at, self._advanced_at
         )
-        if not self._revision or requested_at - last_news_at > _REREAD_AFTER_S:
+        is_old = requested_at - last_news_at > _REREAD_AFTER_S
+        if not self._revision or self._must_read or is_old:
             await self._read()
             return
         # The older the view is, the sooner it must be confirmed.
@@ -331,6 +346,16 @@
             self._sink.apply_changes(answer.changes)
         self._advance(answer.revision)
 
+    def _is_of_lost_history(self, update: RelayedUpdate) -> bool:
+        """Return whether the store was restored since the update's history."""
+        return era_of(update.revision) < self._store_era
+
+    def _apply_newer(self, update: RelayedUpdate) -> None:
+        """Apply an update if it has changes that are not known here."""
+        if update.revision > self._revision:
+            self._apply_relayed(update)
+            self._cancel_request_if_large(update)
+
     def _apply_relayed(self, update: RelayedUpdate) -> None:
         if not update.whole:
             self._apply_changes(Changes(update.changes, update.revision))
@@ -357,6 +382,8 @@
 
     def _advance(self, revision: int) -> None:
         self._revision = revision
+        self._store_era = max(self._store_era, era_of(revision))
+        self._must_read = False
         self._log.update_applied()
         self._advanced_at = asyncio.get_running_loop().time()
         self.synced.set()
@@ -368,6 +395,9 @@
 
     def _trusted_s(self, update: RelayedUpdate, now: float) -> float:
         fresh_s = self._bounds.fresh_for_s(update)
+        if self._is_of_lost_history(update):
+            # However young, its view is not the store's; it may be reading it.
+            fresh_s = -math.inf
         if fresh_s > 0:
             self._receiving_until = math.inf
             return fresh_s
--- a/src/linnetwood/fleet/rangerelay.py
+++ b/src/linnetwood/fleet/rangerelay.py
@@ -15,6 +15,7 @@
 from linnetwood.fleet.relayreader import RelayReader
 from linnetwood.fleet.relayselector import RelaySelector
 from linnetwood.fleet.remotezonesubscriber import RemoteZoneSubscriber
+from linnetwood.fleet.revisions import era_of, number_of
 from linnetwood.wire.connections import (
     Dialler,
     FrameHandler,
@@ -135,7 +136,7 @@
             teller=host,
             code=exc.code,
             detail=exc.detail,
-            revision=self._follower.revision,
+            revision=number_of(self._follower.revision),
         )
 
     def _log_subscribed(self, host: str) -> None:
@@ -143,7 +144,12 @@
             # Any error of other relays from now on is logged again.
             self._error_codes = {host: ''}
             revision = self._follower.revision
-            log(Event.TELLER_HEARD, teller=host, revision=revision)
+            log(
+                Event.TELLER_HEARD,
+                teller=host,
+                revision=number_of(revision),
+                era=era_of(revision),
+            )
 
 
 class RangeRelay:
--- a/src/linnetwood/fleet/rangerelayserver.py
+++ b/src/linnetwood/fleet/rangerelayserver.py
@@ -7,9 +7,14 @@
 from linnetwood.core.waits import wait_for_event
 from linnetwood.fleet import hosts
 from linnetwood.fleet.mirror import LARGE_BYTES, Delta
-from linnetwood.fleet.rangecodec import as_milliseconds, pack
+from linnetwood.fleet.rangecodec import (
+    as_milliseconds,
+    pack,
+    received_revision,
+)
 from linnetwood.fleet.rangefollower import RangeFollower
 from linnetwood.fleet.relayselector import RelaySelector
+from linnetwood.fleet.revisions import era_of, number_of, same_era
 from linnetwood.gen.wire.ttypes import RangePart, RangeRequest
 from linnetwood.wire.codec import decode, encode
 from linnetwood.wire.frames import MAX_FRAME, Frame, FrameKind, FrameStream
@@ -104,7 +109,7 @@
             else self._range_part(now)
         )
         packed = b''
-        if part.revision > subscriber.known_revision:
+        if mirror.revision > subscriber.known_revision:
             delta = mirror.delta_since(subscriber.known_revision, now)
             packed, packed_at = self._pack_delta(subscriber, delta, now)
             part.items = True
@@ -133,7 +138,8 @@
         # entries confirm each other's views.
         as_of = -math.inf if follower.uses_fallback_relay else now
         return RangePart(
-            revision=follower.mirror.revision,
+            revision=number_of(follower.mirror.revision),
+            era=era_of(follower.mirror.revision),
             age_ms=as_milliseconds(as_of - follower.confirmed_at),
             flow_age_ms=as_milliseconds(as_of - follower.last_byte_at),
             flowing_ms=as_milliseconds(as_of - follower.first_byte_at),
@@ -151,7 +157,8 @@
         if self._selector is not None and follower.is_store_silent:
             rather = hosts.pack(self._selector.relays)
         return RangePart(
-            revision=follower.mirror.revision,
+            revision=number_of(follower.mirror.revision),
+            era=era_of(follower.mirror.revision),
             age_ms=as_milliseconds(now - follower.store_confirmed_at),
             flow_age_ms=as_milliseconds(math.inf),
             outages=follower.outages,
@@ -165,17 +172,15 @@
         now: float,
     ) -> tuple[bytes, float]:
         # All subscribers that keep up lack the same changes.
-        held = tuple(sorted(subscriber.held_revisions.items()))
+        held = subscriber.held_in_era_of(delta.revision)
         cache_key = (
             subscriber.known_revision,
             delta.revision,
             delta.whole,
-            held,
+            tuple(sorted(held.items())),
         )
         if cache_key not in self._packed_cache:
-            packed = pack(
-                delta.changes, subscriber.held_revisions, self._follower.mirror
-            )
+            packed = pack(delta.changes, held, self._follower.mirror)
             while len(self._packed_cache) >= _PACKED_CACHE_SIZE:
                 self._packed_cache.pop(next(iter(self._packed_cache)))
             self._packed_cache[cache_key] = (packed, now)
@@ -209,12 +214,22 @@
         """Note what a request says it holds, unless more was sent since."""
         self.requested_at = asyncio.get_running_loop().time()
         self.request_count += 1
-        if request.after >= self.known_revision:
-            self.known_revision = request.after
+        known_revision = received_revision(request.era, request.after)
+        if known_revision >= self.known_revision:
+            self.known_revision = known_revision
             self.held_revisions = {
-                held.key: held.revision for held in request.held
+                held.key: received_revision(request.era, held.revision)
+                for held in request.held
             }
 
+    def held_in_era_of(self, revision: int) -> dict[str, int]:
+        """Return the held revisions that a message of an era may refer to."""
+        return {
+            key: held
+            for key, held in self.held_revisions.items()
+            if same_era(held, revision)
+        }
+
     def note_sent(self, delta: Delta) -> None:
         """Note what the subscriber holds after an update."""
         self.known_revision = delta.revision
--- a/src/linnetwood/fleet/ranges.py
+++ b/src/linnetwood/fleet/ranges.py
@@ -1,4 +1,7 @@
-"""Ranges of keys: snapshots, changes, and the protocols for both."""
+"""Ranges of keys: snapshots, changes, and the protocols for both.
+
+All revisions order changes across the histories of a store: see revisions.py.
+"""
 
 import dataclasses
 from collections.abc import Mapping
@@ -8,7 +11,15 @@
 
 
 class HistoryLostError(StoreError):
-    """The store no longer has the changes since a revision."""
+    """The store no longer has the changes since a revision.
+
+    Its era is then higher than that of the revision if it was restored.
+    """
+
+    def __init__(self, code: str, detail: str = '', era: int = 0) -> None:
+        """Set the code, the detail and the era that the store named."""
+        super().__init__(code, detail)
+        self.era = era
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/linnetwood/fleet/relayreader.py
+++ b/src/linnetwood/fleet/relayreader.py
@@ -8,8 +8,13 @@
 from linnetwood.fleet import hosts
 from linnetwood.fleet.freshness import RelayedUpdate
 from linnetwood.fleet.mirror import Mirror
-from linnetwood.fleet.rangecodec import as_seconds, unpack
+from linnetwood.fleet.rangecodec import (
+    as_seconds,
+    received_revision,
+    unpack,
+)
 from linnetwood.fleet.ranges import Change
+from linnetwood.fleet.revisions import era_of, number_of
 from linnetwood.gen.wire.ttypes import HeldKey, RangePart, RangeRequest
 from linnetwood.wire.codec import decode, encode
 from linnetwood.wire.frames import Frame, FrameKind, FrameStream
@@ -59,8 +64,16 @@
     async def request(self) -> None:
         """Request all changes that the mirror lacks, from now on."""
         mirror = self._mirror
-        held_keys = [HeldKey(*held) for held in mirror.held_revisions().items()]
-        request = RangeRequest(mirror.revision, self._is_remote, held_keys)
+        held_keys = [
+            HeldKey(key, number_of(revision))
+            for key, revision in mirror.held_revisions().items()
+        ]
+        request = RangeRequest(
+            number_of(mirror.revision),
+            self._is_remote,
+            held_keys,
+            era_of(mirror.revision),
+        )
         self._request_count += 1
         self._last_request_at = asyncio.get_running_loop().time()
         self._requested_at[self._request_count] = self._last_request_at
@@ -134,11 +147,11 @@
     changes: tuple[Change, ...] = ()
     if payload:
         packed_age_ms = part.packed_ms + round(delay_s * _MILLISECONDS)
-        changes = tuple(unpack(payload, packed_age_ms, mirror))
+        changes = tuple(unpack(payload, packed_age_ms, mirror, part.era))
         if len(payload) > _LOGGED_FROM_BYTES:
             _log_large_update(part, payload, changes, mirror, host, delay_s)
     return RelayedUpdate(
-        part.revision,
+        received_revision(part.era, part.revision),
         as_seconds(part.age_ms) + delay_s,
         as_seconds(part.flow_age_ms) + delay_s,
         as_seconds(part.flowing_ms) + delay_s,
@@ -161,8 +174,9 @@
     log(
         Event.NEWS_TAKEN,
         teller=host,
-        asked=mirror.revision if mirror else 0,
+        asked=number_of(mirror.revision) if mirror else 0,
         got=part.revision,
+        era=part.era,
         octets=len(payload),
         keys=len(changes),
         whole=part.whole,
--- a/src/linnetwood/fleet/remotezonesubscriber.py
+++ b/src/linnetwood/fleet/remotezonesubscriber.py
@@ -14,6 +14,7 @@
 from linnetwood.fleet.rangefollower import RangeFollower
 from linnetwood.fleet.relayreader import RelayReader
 from linnetwood.fleet.relayselector import RelaySelector
+from linnetwood.fleet.revisions import number_of
 from linnetwood.wire.connections import SILENCE_TIMEOUT_S, Dialler
 from linnetwood.wire.frames import FrameStream
 
@@ -108,7 +109,7 @@
                     zone=zone,
                     code=exc.code,
                     detail=exc.detail,
-                    revision=self._follower.revision,
+                    revision=number_of(self._follower.revision),
                 )
 
     async def _follow_entry(self, zone: str, host: str) -> None:
--- a/src/linnetwood/fleet/startupsync.py
+++ b/src/linnetwood/fleet/startupsync.py
@@ -14,6 +14,7 @@
 from linnetwood.core.waits import wait_for_event
 from linnetwood.fleet.rangefollower import RangeFollower
 from linnetwood.fleet.relayselector import RelaySelector
+from linnetwood.fleet.revisions import number_of
 
 # A request and its answer take milliseconds where an endpoint process is there;
 # datagrams may be lost.
@@ -58,7 +59,7 @@
             log(Event.INTRODUCTION_FAILED, code=exc.code, detail=exc.detail)
         log(
             Event.INTRODUCED,
-            revision=self._follower.revision,
+            revision=number_of(self._follower.revision),
             behind=self._selector.stagger_position,
             took_s=round(asyncio.get_running_loop().time() - started_at, 3),
         )
--- a/src/linnetwood/gen/wire/ttypes.py
+++ b/src/linnetwood/gen/wire/ttypes.py
@@ -3111,6 +3111,7 @@
      - after
      - far: The asker is of another availability zone.
      - held: Large payloads that the asker holds, against which others can be told.
+     - era: The history of the store that all these revisions belong to.
 
     """
 
@@ -3118,17 +3119,19 @@
         'after',
         'far',
         'held',
+        'era',
     )
 
 
     def __init__(self, after=None, far=False, held=[
-    ],):
+    ], era=0,):
         self.after = after
         self.far = far
         if held is self.thrift_spec[3][4]:
             held = [
             ]
         self.held = held
+        self.era = era
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3160,6 +3163,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3185,6 +3193,10 @@
                 iter69.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.era is not None:
+            oprot.writeFieldBegin('era', TType.I64, 4)
+            oprot.writeI64(self.era)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3228,6 +3240,7 @@
      - rather: Told to other zones: whom of its own zone to hear rather, if anybody.
      - asked_ms: Since the teller read the listener's last request; -1 if it doesn't say.
      - requests: How many requests of the listener it has read.
+     - era: The history of the store that all revisions of this part belong to.
 
     """
 
@@ -3243,10 +3256,11 @@
         'rather',
         'asked_ms',
         'requests',
+        'era',
     )
 
 
-    def __init__(self, revision=None, age_ms=None, flow_age_ms=None, outages=0, whole=False, items=False, flowing_ms=-1, packed_ms=0, rather=b"", asked_ms=-1, requests=0,):
+    def __init__(self, revision=None, age_ms=None, flow_age_ms=None, outages=0, whole=False, items=False, flowing_ms=-1, packed_ms=0, rather=b"", asked_ms=-1, requests=0, era=0,):
         self.revision = revision
         self.age_ms = age_ms
         self.flow_age_ms = flow_age_ms
@@ -3258,6 +3272,7 @@
         self.rather = rather
         self.asked_ms = asked_ms
         self.requests = requests
+        self.era = era
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3323,6 +3338,11 @@
                     self.requests = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.I64:
+                    self.era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3377,6 +3397,10 @@
             oprot.writeFieldBegin('requests', TType.I64, 11)
             oprot.writeI64(self.requests)
             oprot.writeFieldEnd()
+        if self.era is not None:
+            oprot.writeFieldBegin('era', TType.I64, 12)
+            oprot.writeI64(self.era)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3895,6 +3919,7 @@
     (2, TType.BOOL, 'far', None, False, ),  # 2
     (3, TType.LIST, 'held', (TType.STRUCT, [HeldKey, None], False), [
     ], ),  # 3
+    (4, TType.I64, 'era', None, 0, ),  # 4
 )
 all_structs.append(RangePart)
 RangePart.thrift_spec = (
@@ -3910,6 +3935,7 @@
     (9, TType.STRING, 'rather', 'BINARY', b"", ),  # 9
     (10, TType.I64, 'asked_ms', None, -1, ),  # 10
     (11, TType.I64, 'requests', None, 0, ),  # 11
+    (12, TType.I64, 'era', None, 0, ),  # 12
 )
 all_structs.append(RangeItem)
 RangeItem.thrift_spec = (
--- a/src/linnetwood/gen/wire/ttypes.pyi
+++ b/src/linnetwood/gen/wire/ttypes.pyi
@@ -173,7 +173,8 @@
     after: int
     far: bool
     held: list[HeldKey]
-    def __init__(self, after: int = ..., far: bool = ..., held: list[HeldKey] = ...) -> None: ...
+    era: int
+    def __init__(self, after: int = ..., far: bool = ..., held: list[HeldKey] = ..., era: int = ...) -> None: ...
 class RangePart:
     revision: int
     age_ms: int
@@ -186,7 +187,8 @@
     rather: bytes
     asked_ms: int
     requests: int
-    def __init__(self, revision: int = ..., age_ms: int = ..., flow_age_ms: int = ..., outages: int = ..., whole: bool = ..., items: bool = ..., flowing_ms: int = ..., packed_ms: int = ..., rather: bytes = ..., asked_ms: int = ..., requests: int = ...) -> None: ...
+    era: int
+    def __init__(self, revision: int = ..., age_ms: int = ..., flow_age_ms: int = ..., outages: int = ..., whole: bool = ..., items: bool = ..., flowing_ms: int = ..., packed_ms: int = ..., rather: bytes = ..., asked_ms: int = ..., requests: int = ..., era: int = ...) -> None: ...
 class RangeItem:
     key: str
     revision: int
--- a/src/linnetwood/idl/wire.thrift
+++ b/src/linnetwood/idl/wire.thrift
@@ -247,7 +247,9 @@
   /** The asker is of another availability zone. */
   2: bool far = 0,
   /** Large payloads that the asker holds, against which others can be told. */
-  3: list<HeldKey> held = []
+  3: list<HeldKey> held = [],
+  /** The history of the store that all these revisions belong to. */
+  4: i64 era = 0
 }
 
 /** What the store holds as of a revision; items follow if there are any. */
@@ -270,7 +272,9 @@
   /** Since the teller read the listener's last request; -1 if it doesn't say. */
   10: i64 asked_ms = -1,
   /** How many requests of the listener it has read. */
-  11: i64 requests = 0
+  11: i64 requests = 0,
+  /** The history of the store that all revisions of this part belong to. */
+  12: i64 era = 0
 }
 
 /** One key as it was written, or gone. */
--- a/src/linnetwood/platform/feeds.py
+++ b/src/linnetwood/platform/feeds.py
@@ -12,6 +12,7 @@
 from linnetwood.core.errors import ConfigError
 from linnetwood.core.events import Event, log
 from linnetwood.fleet.ranges import Change, Record, Snapshot
+from linnetwood.fleet.revisions import number_of
 from linnetwood.fleet.wanted import WantedVersions
 from linnetwood.platform import records
 from linnetwood.platform.crashstore import CrashFeed
@@ -102,7 +103,7 @@
                     Event.VERSION_NAMED,
                     model=model,
                     version=version,
-                    revision=record.revision,
+                    revision=number_of(record.revision),
                 )
 
 
@@ -206,7 +207,7 @@
             ready=one.ready,
             versions=dict(one.versions),
             born=one.born,
-            revision=change.record.revision,
+            revision=number_of(change.record.revision),
         )
         self._directory.update(self._with_region(one, change.age_s))
 
--- a/src/linnetwood/platform/ignored.py
+++ b/src/linnetwood/platform/ignored.py
@@ -5,6 +5,7 @@
 from linnetwood.core.errors import ConfigError
 from linnetwood.core.events import Event, log
 from linnetwood.fleet.ranges import Record
+from linnetwood.fleet.revisions import number_of
 
 # Maximum number of keys for which the logged revision is kept. The oldest are
 # dropped first, and logged again if they are read again.
@@ -37,7 +38,7 @@
         log(
             Event.ITEM_IGNORED,
             key=key,
-            revision=record.revision,
+            revision=number_of(record.revision),
             code=exc.code,
             detail=exc.detail,
         )
--- a/src/linnetwood/platform/store.py
+++ b/src/linnetwood/platform/store.py
@@ -17,6 +17,7 @@
     Record,
     Snapshot,
 )
+from linnetwood.fleet.revisions import era_of, join, number_of, same_era
 from linnetwood.platform.storecalllog import StoreCallLog
 from linnetwood.platform.storeera import StoreEra
 from linnetwood.platform.validation import UNREADABLE
@@ -77,28 +78,32 @@
             page, more = await self._page_with_retries(prefix, last)
             # Pages are no snapshot; the next wait returns the changes since.
             revision = revision or page.revision
+            if not same_era(page.revision, revision):
+                raise _history_lost(era_of(page.revision))
             found.update(page.records)
             last = next(reversed(found), '')
         return Snapshot(found, revision)
 
     async def wait(self, prefix: str, after: int, wait_s: float) -> Changes:
         """Wait for changes of a range."""
+        asked = number_of(after)
+        self._era.note(era_of(after))
         answer = await self._get(
             '/linnetwood/kv-watch',
             {
                 'path_prefix': prefix,
-                'after_revision': str(after),
+                'after_revision': str(asked),
                 # Rounded up, since an empty answer confirms the whole wait.
                 'wait_ms': str(math.ceil(wait_s * _MILLISECONDS)),
             },
             wait_s + _SLACK_S,
         )
         try:
-            found = _changes(_parse_answer(answer))
+            found = self._parse_changes(answer, era_of(after))
         except StoreError as exc:
-            self._call_log.log_failure('wait', after, answer, exc)
+            self._call_log.log_failure('wait', asked, answer, exc)
             raise
-        self._call_log.log_answer('wait', after, answer, found)
+        self._call_log.log_answer('wait', asked, answer, found)
         return found
 
     async def lease(self, ttl_s: float) -> int:
@@ -139,6 +144,24 @@
             raise StoreError(LEASE_GONE, f'lease {lease}')
         _parse_answer(answer)
 
+    def _parse_changes(self, answer: Answer, asked_era: int) -> Changes:
+        era = self._current_era(answer)
+        if era > asked_era:
+            # A number of the earlier history means nothing in this one.
+            raise _history_lost(era)
+        return _changes(_parse_answer(answer, era), era)
+
+    def _current_era(self, answer: Answer) -> int:
+        """Return the era of an answer; raise StoreError if it is not newest.
+
+        An answer that is late, or of a copy of the store that is behind, must
+        not bring back an earlier history.
+        """
+        era = self._era.read(answer.headers)
+        if era < self._era.newest:
+            raise StoreError('store-era-old', f'{era} < {self._era.newest}')
+        return era
+
     async def _page_with_retries(
         self,
         prefix: str,
@@ -166,7 +189,8 @@
             query['after_revision'] = last
         answer = await self._get('/linnetwood/kv-range', query, _FIRST_BYTE_S)
         try:
-            page, more = _parse_page(_parse_answer(answer))
+            era = self._current_era(answer)
+            page, more = _parse_page(_parse_answer(answer, era), era)
         except StoreError as exc:
             self._call_log.log_failure('page', 0, answer, exc)
             raise
@@ -191,7 +215,7 @@
         )
         self._in_progress += 1
         try:
-            answer = await ask(
+            return await ask(
                 self._driver,
                 req,
                 _MAX_BYTES,
@@ -200,8 +224,6 @@
             )
         finally:
             self._in_progress -= 1
-        self._era.read(answer.headers)
-        return answer
 
     async def _post(self, path: str, parsed: dict[str, Any]) -> Answer:
         limits = SilenceLimits(_WRITE_S, SILENCE_TIMEOUT_S)
@@ -234,9 +256,13 @@
         )
 
 
-def _parse_answer(answer: Answer) -> dict[str, Any]:
+def _history_lost(era: int) -> HistoryLostError:
+    return HistoryLostError('store-history-lost', f'era {era}', era)
+
+
+def _parse_answer(answer: Answer, era: int = 0) -> dict[str, Any]:
     if answer.status == _GONE:
-        raise HistoryLostError('store-history-lost')
+        raise _history_lost(era)
     if answer.status != _OK:
         detail = answer.finish.detail or f'status {answer.status}'
         raise StoreError('store-unreachable', detail)
@@ -246,20 +272,19 @@
         raise StoreError('store-bad-answer', str(exc)) from exc
 
 
-def _parse_page(parsed: dict[str, Any]) -> tuple[Snapshot, bool]:
+def _parse_page(parsed: dict[str, Any], era: int) -> tuple[Snapshot, bool]:
     try:
-        found = {_key(row): _record(row) for row in parsed['items']}
-        return Snapshot(found, int(parsed['timestamp'])), bool(
-            parsed['has_more']
-        )
+        found = {_key(row): _record(row, era) for row in parsed['items']}
+        revision = join(era, int(parsed['timestamp']))
+        return Snapshot(found, revision), bool(parsed['has_more'])
     except _BAD_ANSWER as exc:
         raise StoreError('store-bad-answer', repr(exc)) from exc
 
 
-def _changes(parsed: dict[str, Any]) -> Changes:
+def _changes(parsed: dict[str, Any], era: int) -> Changes:
     try:
-        changes = tuple(_change(row) for row in parsed['events'])
-        return Changes(changes, int(parsed['timestamp']))
+        changes = tuple(_change(row, era) for row in parsed['events'])
+        return Changes(changes, join(era, int(parsed['timestamp'])))
     except _BAD_ANSWER as exc:
         raise StoreError('store-bad-answer', repr(exc)) from exc
 
@@ -271,13 +296,14 @@
     return key
 
 
-def _record(row: dict[str, Any]) -> Record:
+def _record(row: dict[str, Any], era: int) -> Record:
     payload = base64.b64decode(row['value'], validate=True)
-    return Record(payload, int(row['revision']))
+    return Record(payload, join(era, int(row['revision'])))
 
 
-def _change(row: dict[str, Any]) -> Change:
+def _change(row: dict[str, Any], era: int) -> Change:
     key = _key(row)
     if row.get('deleted'):
-        return Change(key, None, deleted_revision=int(row['revision']))
-    return Change(key, _record(row))
+        deleted_revision = join(era, int(row['revision']))
+        return Change(key, None, deleted_revision=deleted_revision)
+    return Change(key, _record(row, era))
--- a/src/linnetwood/platform/storecalllog.py
+++ b/src/linnetwood/platform/storecalllog.py
@@ -6,6 +6,7 @@
 from linnetwood.core.errors import StoreError
 from linnetwood.core.events import Event, log
 from linnetwood.fleet.ranges import Change, Changes
+from linnetwood.fleet.revisions import number_of
 from linnetwood.platform import records
 from linnetwood.platform.storeera import StoreEra
 from linnetwood.wire.asking import Answer
@@ -56,7 +57,7 @@
                 octets[prefix] += _value_size(one)
             log(
                 Event.STORE_CALL,
-                got=found.revision,
+                got=number_of(found.revision),
                 keys=dict(keys),
                 value_octets=dict(octets),
                 **self._fields(call, asked, answer),
--- a/src/linnetwood/platform/storeera.py
+++ b/src/linnetwood/platform/storeera.py
@@ -7,12 +7,11 @@
 import re
 
 from linnetwood.core.events import Event, log
+from linnetwood.fleet.revisions import MAX_ERA
 from linnetwood.wire.curldriver import Headers
 
 NO_ERA = 0
 _HEADER = 'store-era'
-# Eras share 63 bits with revisions; the limit leaves 40 bits for these.
-MAX_ERA = 8388607
 _DIGITS = re.compile('[0-9]{1,7}')
 # Enough to see what is wrong with a header.
 _LOGGED_CHARACTERS = 80
@@ -44,6 +43,10 @@
             self.newest = era
         return era
 
+    def note(self, era: int) -> None:
+        """Note an era that another entry has learned from the store."""
+        self.newest = max(self.newest, era)
+
     def _log_unreadable(self, found: list[str]) -> None:
         text = repr(found)[:_LOGGED_CHARACTERS] if found else ''
         if text and text != self._unreadable:
--- a/src/linnetwood/programs/resident_entry.py
+++ b/src/linnetwood/programs/resident_entry.py
@@ -18,6 +18,7 @@
 from linnetwood.core.metrics import Metric
 from linnetwood.core.options import Decisions
 from linnetwood.fleet.relayselector import RelaySelector
+from linnetwood.fleet.revisions import era_of, number_of
 from linnetwood.fleet.wanted import WantedVersions
 from linnetwood.platform.feeds import EndpointFeed, OperatorFeed, StoreFeed
 from linnetwood.platform.ignored import IgnoredRecords
@@ -109,6 +110,7 @@
         )
         metrics.gauge(Metric.CONFIG_VERSION, lambda: self.route_table.version)
         metrics.gauge(Metric.STORE_AGE_S, self.config_age.store_age_s)
+        metrics.gauge(Metric.STORE_ERA, lambda: era_of(self._follower.revision))
         chooser.entry_count = lambda: self.reports.entry_count
         crashes.entries = chooser.entry_count
         self._metrics_page = MetricsPage(metrics)
@@ -176,7 +178,8 @@
         log(
             Event.ROUTES_ADOPTED,
             version=route_table.version,
-            revision=route_table.revision,
+            revision=number_of(route_table.revision),
+            era=era_of(route_table.revision),
             routes=sum(map(len, route_table.by_host.values())),
         )
 
--- a/tests/test_store_era.py
+++ b/tests/test_store_era.py
@@ -3,7 +3,8 @@
 import unittest
 
 from linnetwood.core.events import Event
-from linnetwood.platform.storeera import MAX_ERA, StoreEra
+from linnetwood.fleet.revisions import MAX_ERA
+from linnetwood.platform.storeera import StoreEra
 
 HEADER = 'Store-Era'
 # Values that name no era.
