Keep an endpoint that leaves out of use, whatever a later list says

A store restored from a copy that is older than an endpoint's leaving lists it as ready again; it got new calls until its server wrote once more, or until its record lapsed. Leaving is final for an incarnation: what answers say is kept so already, now what the list says is, too, also after the record's removal, for the last 4,096 incarnations. A later incarnation under the same id doesn't inherit it, and an endpoint that was only superseded is used when it is listed.

--- a/src/linnetwood/calls/directory.py
+++ b/src/linnetwood/calls/directory.py
@@ -4,6 +4,7 @@
 import math
 import zlib
 from collections.abc import Iterator, Mapping
+from typing import TypeVar
 
 from linnetwood.calls.warmuplimiter import ASSUMED_COLD_S
 
@@ -15,7 +16,8 @@
 # may end some time before this process notices it.
 _OUTAGE_GRACE_S = 3.0
 # Covers the ids of a fleet of 600 endpoints over days of restarts.
-_MAX_BORN_TIMES = 4096
+_MAX_KEPT = 4096
+_Kept = TypeVar('_Kept')
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -71,6 +73,9 @@
         # Start of the newest incarnation by endpoint id. Removed endpoints are
         # included, since a record of an older incarnation may still arrive.
         self._latest_born: dict[str, int] = {}
+        # Incarnations that were listed as leaving. Leaving is final, but a
+        # store restored from a copy may list them as ready again.
+        self._leaving: dict[str, None] = {}
 
     def evacuate(self, zones: frozenset[str], now: float) -> None:
         """Set the zones whose endpoints get no calls from now on."""
@@ -100,17 +105,18 @@
         if endpoint.born:
             if endpoint.born < self._latest_born.get(endpoint.endpoint_id, 0):
                 return
-            self._record_born(endpoint)
-        self.change_count += 1
-        known = self._endpoints.get(endpoint.endpoint_id)
-        if known is not None:
-            self._remove_from_indexes(known)
-        self._endpoints[endpoint.endpoint_id] = endpoint
-        self._by_service.setdefault(endpoint.service, {})[
-            endpoint.endpoint_id
-        ] = endpoint
-        self._by_host[endpoint.host] = endpoint.endpoint_id
-        self._removal_due_at.pop(endpoint.endpoint_id, None)
+            _keep_newest(
+                self._latest_born,
+                endpoint.endpoint_id,
+                endpoint.born,
+                _MAX_KEPT,
+            )
+        incarnation_id = endpoint.incarnation_id
+        if not endpoint.ready:
+            _keep_newest(self._leaving, incarnation_id, None, _MAX_KEPT)
+        elif incarnation_id in self._leaving:
+            endpoint = dataclasses.replace(endpoint, ready=False)
+        self._put(endpoint)
 
     def mark_superseded(self, endpoint_id: str) -> None:
         """Stop calls to an endpoint whose address has a later incarnation.
@@ -120,7 +126,7 @@
         """
         known = self._endpoints.get(endpoint_id)
         if known is not None and known.ready:
-            self.update(dataclasses.replace(known, ready=False))
+            self._put(dataclasses.replace(known, ready=False))
 
     def discard(self, endpoint_id: str) -> None:
         """Remove an endpoint whose record is malformed."""
@@ -202,6 +208,18 @@
             if self.is_eligible(endpoint, now)
         ]
 
+    def _put(self, endpoint: Endpoint) -> None:
+        self.change_count += 1
+        known = self._endpoints.get(endpoint.endpoint_id)
+        if known is not None:
+            self._remove_from_indexes(known)
+        self._endpoints[endpoint.endpoint_id] = endpoint
+        self._by_service.setdefault(endpoint.service, {})[
+            endpoint.endpoint_id
+        ] = endpoint
+        self._by_host[endpoint.host] = endpoint.endpoint_id
+        self._removal_due_at.pop(endpoint.endpoint_id, None)
+
     def _remove(self, endpoint_id: str) -> None:
         self._removal_due_at.pop(endpoint_id, None)
         endpoint = self._endpoints.pop(endpoint_id, None)
@@ -216,8 +234,12 @@
         if self._by_host.get(endpoint.host) == endpoint.endpoint_id:
             self._by_host.pop(endpoint.host)
 
-    def _record_born(self, endpoint: Endpoint) -> None:
-        self._latest_born.pop(endpoint.endpoint_id, None)
-        self._latest_born[endpoint.endpoint_id] = endpoint.born
-        while len(self._latest_born) > _MAX_BORN_TIMES:
-            self._latest_born.pop(next(iter(self._latest_born)))
+
+def _keep_newest(
+    kept: dict[str, _Kept], key: str, found: _Kept, limit: int
+) -> None:
+    """Keep a value under a key, and drop the oldest beyond a limit."""
+    kept.pop(key, None)
+    kept[key] = found
+    while len(kept) > limit:
+        kept.pop(next(iter(kept)))
