Tell what a restored list may lack from what has gone

A copy lacks the records that servers wrote since; an entry that saw no outage itself, as behind a relay, removed their endpoints at once and refused calls until they were written again, about 2 s. A copy also names endpoints that had gone since; they got calls until their records lapsed.

What it lacks is kept as after an outage, 1.4 s; an endpoint that had been removed here gets no calls until its record is written again, or for 4 s, after which a dead server's record has lapsed.

--- a/src/linnetwood/calls/directory.py
+++ b/src/linnetwood/calls/directory.py
@@ -15,6 +15,10 @@
 # Removals within this time after a failed read are held back, since an outage
 # may end some time before this process notices it.
 _OUTAGE_GRACE_S = 3.0
+# An endpoint that was removed gets no calls for this time once a restored list
+# names it again. If it lives, its record is written again before; if it has
+# ended, its record lapses after three missing writes, 1.2 s apart.
+UNCONFIRMED_S = 4.0
 # Covers the ids of a fleet of 600 endpoints over days of restarts.
 _MAX_KEPT = 4096
 _Kept = TypeVar('_Kept')
@@ -76,6 +80,9 @@
         # Incarnations that were listed as leaving. Leaving is final, but a
         # store restored from a copy may list them as ready again.
         self._leaving: dict[str, None] = {}
+        # Incarnations that were removed and not listed since.
+        self._removed: dict[str, None] = {}
+        self._unconfirmed_until: dict[str, float] = {}
 
     def evacuate(self, zones: frozenset[str], now: float) -> None:
         """Set the zones whose endpoints get no calls from now on."""
@@ -101,22 +108,12 @@
         return now < max(until, back_at + ASSUMED_COLD_S)
 
     def update(self, endpoint: Endpoint) -> None:
-        """Add or replace a record; ignore one of an older incarnation."""
-        if endpoint.born:
-            if endpoint.born < self._latest_born.get(endpoint.endpoint_id, 0):
-                return
-            _keep_newest(
-                self._latest_born,
-                endpoint.endpoint_id,
-                endpoint.born,
-                _MAX_KEPT,
-            )
-        incarnation_id = endpoint.incarnation_id
-        if not endpoint.ready:
-            _keep_newest(self._leaving, incarnation_id, None, _MAX_KEPT)
-        elif incarnation_id in self._leaving:
-            endpoint = dataclasses.replace(endpoint, ready=False)
-        self._put(endpoint)
+        """Add or replace a record that was written just now.
+
+        One of an older incarnation is ignored.
+        """
+        self._unconfirmed_until.pop(endpoint.endpoint_id, None)
+        self._add(endpoint)
 
     def mark_superseded(self, endpoint_id: str) -> None:
         """Stop calls to an endpoint whose address has a later incarnation.
@@ -143,13 +140,28 @@
         else:
             self._remove(endpoint_id)
 
-    def replace_all(self, listed: Mapping[str, Endpoint], now: float) -> None:
-        """Replace the whole list."""
+    def replace_all(
+        self,
+        listed: Mapping[str, Endpoint],
+        now: float,
+        *,
+        is_restored: bool = False,
+    ) -> None:
+        """Replace the whole list.
+
+        A list of a store that was restored from a copy may lack endpoints that
+        run, and name some that have ended.
+        """
+        if is_restored:
+            self.note_outage(now)
         missing = set(self._endpoints) - set(listed)
         for endpoint_id in missing:
             self.mark_removed(endpoint_id, now)
         for endpoint in listed.values():
-            self.update(endpoint)
+            if is_restored and endpoint.incarnation_id in self._removed:
+                until = now + UNCONFIRMED_S
+                self._unconfirmed_until[endpoint.endpoint_id] = until
+            self._add(endpoint)
 
     def note_outage(self, now: float) -> None:
         """Record that the list could not be read just now."""
@@ -162,6 +174,11 @@
             for incarnation_id, until in self._cold_until.items()
             if until > now
         }
+        self._unconfirmed_until = {
+            endpoint_id: until
+            for endpoint_id, until in self._unconfirmed_until.items()
+            if until > now
+        }
         overdue = [
             endpoint_id
             for endpoint_id, until in self._removal_due_at.items()
@@ -194,10 +211,11 @@
 
     def is_eligible(self, endpoint: Endpoint, now: float) -> bool:
         """Return whether an endpoint may get new calls."""
-        ready = endpoint.ready and endpoint.zone not in self.evacuated
-        return ready and now < self._removal_due_at.get(
-            endpoint.endpoint_id, math.inf
-        )
+        if not endpoint.ready or endpoint.zone in self.evacuated:
+            return False
+        endpoint_id = endpoint.endpoint_id
+        since = self._unconfirmed_until.get(endpoint_id, -math.inf)
+        return since <= now < self._removal_due_at.get(endpoint_id, math.inf)
 
     def eligible(self, service: str, now: float) -> list[Endpoint]:
         """Return the endpoints of a service that may get new calls."""
@@ -208,6 +226,23 @@
             if self.is_eligible(endpoint, now)
         ]
 
+    def _add(self, endpoint: Endpoint) -> None:
+        if endpoint.born:
+            if endpoint.born < self._latest_born.get(endpoint.endpoint_id, 0):
+                return
+            _keep_newest(
+                self._latest_born,
+                endpoint.endpoint_id,
+                endpoint.born,
+                _MAX_KEPT,
+            )
+        incarnation_id = endpoint.incarnation_id
+        if not endpoint.ready:
+            _keep_newest(self._leaving, incarnation_id, None, _MAX_KEPT)
+        elif incarnation_id in self._leaving:
+            endpoint = dataclasses.replace(endpoint, ready=False)
+        self._put(endpoint)
+
     def _put(self, endpoint: Endpoint) -> None:
         self.change_count += 1
         known = self._endpoints.get(endpoint.endpoint_id)
@@ -219,6 +254,7 @@
         ] = endpoint
         self._by_host[endpoint.host] = endpoint.endpoint_id
         self._removal_due_at.pop(endpoint.endpoint_id, None)
+        self._removed.pop(endpoint.incarnation_id, None)
 
     def _remove(self, endpoint_id: str) -> None:
         self._removal_due_at.pop(endpoint_id, None)
@@ -227,6 +263,7 @@
             return
         self.change_count += 1
         self._remove_from_indexes(endpoint)
+        _keep_newest(self._removed, endpoint.incarnation_id, None, _MAX_KEPT)
 
     def _remove_from_indexes(self, endpoint: Endpoint) -> None:
         """Remove an endpoint; another one may own its address by now."""
--- a/src/linnetwood/fleet/rangefollower.py
+++ b/src/linnetwood/fleet/rangefollower.py
@@ -30,7 +30,7 @@
     RangeStore,
     Snapshot,
 )
-from linnetwood.fleet.revisions import era_of
+from linnetwood.fleet.revisions import era_of, same_era
 
 # Records of live endpoints are back within 2 s of the store's return, so that
 # return must be noticed well within 1 s.
@@ -335,6 +335,8 @@
     def _apply_snapshot(self, snapshot: Snapshot, source: str) -> None:
         now = asyncio.get_running_loop().time()
         self._log.replaced(snapshot, source)
+        if self._revision and not same_era(snapshot.revision, self._revision):
+            snapshot = dataclasses.replace(snapshot, is_restored=True)
         self.mirror.replace_all(snapshot, now)
         self._sink.replace_all(snapshot)
         self._advance(snapshot.revision)
--- a/src/linnetwood/fleet/ranges.py
+++ b/src/linnetwood/fleet/ranges.py
@@ -55,12 +55,14 @@
     """A range of keys, and the revision from which to wait for changes.
 
     Ages are in seconds, by key, as in Change; a key without an age was not seen
-    to change.
+    to change. Of a store that was restored from a copy since the view before,
+    keys may be missing that still hold, and others may be back that were gone.
     """
 
     records: Mapping[str, Record]
     revision: int
     ages: Mapping[str, float] = dataclasses.field(default_factory=dict)
+    is_restored: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/linnetwood/platform/feeds.py
+++ b/src/linnetwood/platform/feeds.py
@@ -173,7 +173,9 @@
             one.endpoint_id: self._with_region(one, _age_s(one, found))
             for one in endpoints(found, on_malformed)
         }
-        self._directory.replace_all(fresh, self._clock.now())
+        self._directory.replace_all(
+            fresh, self._clock.now(), is_restored=found.is_restored
+        )
         self._changed()
 
     def apply_changes(self, changes: tuple[Change, ...]) -> None:
@@ -265,4 +267,4 @@
     kept = {
         key: one for key, one in found.records.items() if key.startswith(prefix)
     }
-    return Snapshot(kept, found.revision, found.ages)
+    return dataclasses.replace(found, records=kept)
--- a/tests/test_restored_endpoints.py
+++ b/tests/test_restored_endpoints.py
@@ -9,7 +9,12 @@
 import json
 import unittest
 
-from linnetwood.calls.directory import Directory, Endpoint
+from linnetwood.calls.directory import (
+    KEPT_AFTER_OUTAGE_S,
+    UNCONFIRMED_S,
+    Directory,
+    Endpoint,
+)
 from linnetwood.fleet.ranges import Change, Record, Snapshot
 from linnetwood.fleet.revisions import join
 from linnetwood.platform.feeds import EndpointFeed
@@ -136,6 +141,54 @@
         self.feed.replace_all(Snapshot(copy, join(2, 7)))
         self.assertEqual(self.eligible(), ['i-2'])
 
+    def restore(self, *names: str) -> None:
+        """Apply the list of the second history."""
+        copy = {key(name): record(join(2, 5)) for name in names}
+        self.feed.replace_all(Snapshot(copy, join(2, 7), is_restored=True))
+
+    def test_a_record_that_is_younger_than_the_copy(self) -> None:
+        """Its endpoint is used until it is written again, though not for long.
+
+        Nobody here saw the store away.
+        """
+        self.write('i-1', 1, 5, 'ready')
+        self.write('i-2', 1, 9, 'ready')
+        self.write('i-3', 1, 10, 'ready')
+        self.restore('i-1')
+        self.assertEqual(self.eligible(), ['i-1', 'i-2', 'i-3'])
+        self.clock.at += 1
+        self.write('i-2', 2, 8, 'ready')
+        self.clock.at += KEPT_AFTER_OUTAGE_S
+        self.assertEqual(self.eligible(), ['i-1', 'i-2'])
+
+    def test_a_removal_that_the_copy_lacks(self) -> None:
+        """An endpoint that was gone is not used before it is written again."""
+        for name in ('i-1', 'i-2', 'i-3'):
+            self.write(name, 1, 5, 'ready')
+        for name in ('i-2', 'i-3'):
+            self.feed.apply_changes((Change(key(name), None),))
+        self.restore('i-1', 'i-2', 'i-3')
+        self.assertEqual(self.eligible(), ['i-1'])
+        # Read again meanwhile.
+        copy = {key(one): record(join(2, 5)) for one in ('i-1', 'i-2', 'i-3')}
+        self.feed.replace_all(Snapshot(copy, join(2, 8)))
+        self.assertEqual(self.eligible(), ['i-1'])
+        self.write('i-2', 2, 9, 'ready')
+        self.assertEqual(self.eligible(), ['i-1', 'i-2'])
+        # It lives and had nothing to write: its record hasn't lapsed.
+        self.clock.at += UNCONFIRMED_S
+        self.directory.expire(self.clock.at)
+        self.assertEqual(self.eligible(), ['i-1', 'i-2', 'i-3'])
+
+    def test_a_list_that_is_read_again_in_one_history(self) -> None:
+        """What is there again was written again, and what isn't is gone."""
+        self.write('i-1', 1, 5, 'ready')
+        self.write('i-2', 1, 6, 'ready')
+        self.feed.apply_changes((Change(key('i-1'), None),))
+        found = {key('i-1'): record(join(1, 8))}
+        self.feed.replace_all(Snapshot(found, join(1, 8)))
+        self.assertEqual(self.eligible(), ['i-1'])
+
 
 if __name__ == '__main__':
     unittest.main()
