--- a/src/linnetwood/lab/soak/faults.py
+++ b/src/linnetwood/lab/soak/faults.py
@@ -13,6 +13,7 @@
 from linnetwood.lab.soak.configuration import configuration
 from linnetwood.lab.soak.fleet import SERVER_PORT, Fleet, Vm
 from linnetwood.lab.soak.history import Acked, History, Trouble
+from linnetwood.lab.soak.restoration import Restoration
 from linnetwood.lab.soak.schedule import SERIES, SERIES_GAP_S, Fault
 from linnetwood.lab.soak.standservers import MODEL
 from linnetwood.lab.soak.totalloss import StoreState, TotalLoss
@@ -52,6 +53,7 @@
         self._callers = callers
         self._commands = Commands(fleet)
         self._listed: dict[str, dict[str, Any]] = {}
+        self._listed_ever: set[str] = set()
         self._places = dict(fleet.servers)
         self._version = 1
         self._configuration = 0
@@ -88,9 +90,7 @@
         self._configuration += 1
         number = self._configuration
         self._callers.configuration = number
-        await self._write(
-            'config', {'op/config': configuration(number, self._fleet.origin)}
-        )
+        await self._write_configuration()
 
     async def _act(self, fault: Fault) -> None:
         entries = self._fleet.entries
@@ -112,6 +112,7 @@
             'store down': self._store,
             'store slow': self._store,
             'store forgets': self._store,
+            'store restored': self._restore_store,
             'spoilt pieces': self._origin,
             'origin silent': self._origin,
             'config': self._configs,
@@ -227,6 +228,19 @@
             await self._commands.store({'mode': 'pass'})
         self._end(trouble, 0)
 
+    async def _restore_store(self, fault: Fault) -> None:
+        """Let the store come back from a copy; all write theirs again."""
+        restoration = Restoration(self._commands)
+        await restoration.copy()
+        trouble = self._note(fault.kind, '', fault.span_s)
+        await restoration.restore(fault.span_s)
+        # The copy names servers that have ended since.
+        self._listed = dict.fromkeys(self._listed_ever, {})
+        await self._write_configuration()
+        await self._write_version()
+        await self._beat()
+        self._end(trouble, _BACK_S)
+
     async def _origin(self, fault: Fault) -> None:
         field = 'spoils' if fault.kind == 'spoilt pieces' else 'origin_silent'
         trouble = self._note(fault.kind, '', fault.span_s)
@@ -270,9 +284,7 @@
     async def _name_version(self, fault: Fault) -> None:
         self._version += 1
         await self._commands.servers({'newest': self._version})
-        await self._write(
-            'version', {f'op/version/{MODEL}': _named(self._version)}
-        )
+        await self._write_version()
 
     async def _beat_on(self) -> None:
         while True:
@@ -299,9 +311,18 @@
             for name, entry in {**self._listed, **fresh}.items()
             if name not in gone
         }
+        self._listed_ever.update(self._listed)
         said = await self._commands.store({'write': write})
         return float(said['at'])
 
+    async def _write_configuration(self) -> None:
+        parsed = configuration(self._configuration, self._fleet.origin)
+        await self._write('config', {'op/config': parsed})
+
+    async def _write_version(self) -> None:
+        named = _named(self._version)
+        await self._write('version', {f'op/version/{MODEL}': named})
+
     async def _write(self, what: str, write: dict[str, object]) -> None:
         number = self._version if what == 'version' else self._configuration
         said = await self._commands.store({'write': write})
--- a/src/linnetwood/lab/soak/schedule.py
+++ b/src/linnetwood/lab/soak/schedule.py
@@ -28,6 +28,7 @@
         'store silent': (0.5, 5.0),
         'store resets': (0.1, 1.0),
         'store forgets': _NO_TIME,
+        'store restored': (0.2, 2.0),
         'way slow': (0.5, 3.0),
         'way silent': (0.5, 3.0),
         'way cut one way': (0.5, 3.0),
--- a/src/linnetwood/lab/soak/standstore.py
+++ b/src/linnetwood/lab/soak/standstore.py
@@ -41,6 +41,7 @@
         self._rows: dict[str, dict[str, Any]] = {}
         self._events: deque[dict[str, Any]] = deque(maxlen=_HISTORY)
         self._forgotten = 0
+        self._copy = self.copy()
         self._changed = asyncio.Event()
 
     def write(self, key: str, payload: bytes | None) -> None:
@@ -59,6 +60,14 @@
         self._events.append(row)
         self.stir()
 
+    def save(self) -> None:
+        """Make the copy that the store is restored from."""
+        self._copy = self.copy()
+
+    def restore_saved(self) -> None:
+        """Restore the store from the copy that was made last."""
+        self.restore(self._copy)
+
     def copy(self) -> StoreCopy:
         """Return a copy to restore the store from."""
         return StoreCopy(self.revision, dict(self._rows), tuple(self._events))
@@ -195,6 +204,8 @@
     def post(self) -> None:
         """Write keys, or set the trouble."""
         said = json.loads(self.request.body)
+        if 'restore' in said:
+            self.state.restore_saved()
         for key in said.get('write', ()):
             wanted = said['write'][key]
             payload = None if wanted is None else json.dumps(wanted).encode()
@@ -203,6 +214,8 @@
         self.state.stir()
         if 'forget' in said:
             self.state.forget()
+        if 'save' in said:
+            self.state.save()
         self.write({'at': time.monotonic(), 'revision': self.state.revision})
 
 
