Keep in force what operators wrote when the store comes back from a copy

A configuration and the newest version never went back within a life. But a copy that lacks an evacuation ended it until operators wrote it again; a version whose time of naming was guessed counted as named just now when its record came with a new revision, so calls were allowed on older versions for a whole bound more; and each whole read made endpoints cold again for their first seconds.

An evacuation, or its end, holds until operators write again. A record with known content that is written again isn't newly named, and what a copy brings is of unknown age. A record that is only read again keeps the age with which its change was seen, across histories if its content is the same.

--- a/src/linnetwood/fleet/mirror.py
+++ b/src/linnetwood/fleet/mirror.py
@@ -7,6 +7,7 @@
 from collections.abc import Iterator
 
 from linnetwood.fleet.ranges import Change, Record, Snapshot
+from linnetwood.fleet.revisions import same_era
 
 # Beyond this number the oldest deletions are forgotten; a subscriber whose
 # revision is older than these gets the whole range.
@@ -88,6 +89,14 @@
             'kept': kept,
         }
 
+    def known_ages(self, now: float) -> dict[str, float]:
+        """Return the ages of the records that were seen to change, by key."""
+        return {
+            key: now - stored.changed_at
+            for key, stored in self._stored.items()
+            if math.isfinite(stored.changed_at)
+        }
+
     def apply_changes(
         self,
         changes: tuple[Change, ...],
@@ -139,7 +148,7 @@
         self, key: str, record: Record, changed_at: float
     ) -> _StoredKey:
         stored = self._stored.get(key)
-        if stored is not None and stored.record.revision == record.revision:
+        if stored is not None and _is_same(stored.record, record):
             seen_at = filter(math.isfinite, (changed_at, stored.changed_at))
             changed_at = min(seen_at, default=changed_at)
         return _StoredKey(record, changed_at)
@@ -188,3 +197,13 @@
         for stored_key, stored in self._stored.items():
             if stored.record.revision > known_revision:
                 yield Change(stored_key, stored.record, now - stored.changed_at)
+
+
+def _is_same(held: Record, read: Record) -> bool:
+    """Return whether a record that is read was held before.
+
+    A restored store gives it a revision of another era.
+    """
+    if same_era(held.revision, read.revision):
+        return held.revision == read.revision
+    return held.payload == read.payload
--- a/src/linnetwood/fleet/rangefollower.py
+++ b/src/linnetwood/fleet/rangefollower.py
@@ -338,7 +338,9 @@
         if self._revision and not same_era(snapshot.revision, self._revision):
             snapshot = dataclasses.replace(snapshot, is_restored=True)
         self.mirror.replace_all(snapshot, now)
-        self._sink.replace_all(snapshot)
+        # A record that is only read again keeps its age.
+        ages = {**snapshot.ages, **self.mirror.known_ages(now)}
+        self._sink.replace_all(dataclasses.replace(snapshot, ages=ages))
         self._advance(snapshot.revision)
 
     def _apply_changes(self, answer: Changes) -> None:
--- a/src/linnetwood/platform/feeds.py
+++ b/src/linnetwood/platform/feeds.py
@@ -46,19 +46,24 @@
         self._clock = clock
         self._changed = changed
         self._first = True
-        self._revisions: dict[str, int] = {}
+        self._held: dict[str, Record] = {}
 
     def replace_all(self, found: Snapshot) -> None:
         """Apply all records of the operators."""
+        # A record without an age that was not there before is new, but a copy
+        # may hold one of any age.
+        unseen_s = math.inf if self._first or found.is_restored else 0
         for key, record in found.records.items():
-            # A record without an age that was not there before is new.
-            known = self._first or self._revisions.get(key) == record.revision
-            unseen_s = math.inf if known else 0
-            self._apply_record(key, record, found.ages.get(key, unseen_s))
+            is_known = self._is_known(key, record)
+            default_s = math.inf if is_known else unseen_s
+            self._apply_record(key, record, found.ages.get(key, default_s))
+        if self._first or not found.is_restored:
+            # A copy may lack an evacuation, or its end, that operators are
+            # about to write again: what is in force stays so until then.
+            self._set_evacuated(
+                frozenset(filter(None, map(_evacuated_zone, found.records)))
+            )
         self._first = False
-        self._set_evacuated(
-            frozenset(filter(None, map(_evacuated_zone, found.records)))
-        )
 
     def apply_changes(self, changes: tuple[Change, ...]) -> None:
         """Apply changed records, only the last one of each key."""
@@ -71,6 +76,10 @@
             elif change.record is not None:
                 self._apply_record(key, change.record, change.age_s)
 
+    def _is_known(self, key: str, record: Record) -> bool:
+        held = self._held.get(key)
+        return held is not None and held.payload == record.payload
+
     def _set_evacuated(self, zones: frozenset[str]) -> None:
         if zones != self._evacuated:
             log(Event.ZONES_EVACUATED, zones=sorted(zones))
@@ -78,7 +87,12 @@
             self._evacuate(zones)
 
     def _apply_record(self, key: str, record: Record, age_s: float) -> None:
-        self._revisions[key] = record.revision
+        is_known = self._is_known(key, record)
+        if is_known and self._held[key].revision != record.revision:
+            # It was written again, as after the store was restored: that is not
+            # when it was named.
+            age_s = math.inf
+        self._held[key] = record
         try:
             self._decode(key, record, age_s)
         except ConfigError as exc:
