--- a/src/linnetwood/lab/soak/faults.py
+++ b/src/linnetwood/lab/soak/faults.py
@@ -230,13 +230,13 @@
 
     async def _restore_store(self, fault: Fault) -> None:
         """Let the store come back from a copy; all write theirs again."""
-        restoration = Restoration(self._commands)
+        restoration = Restoration(self._commands, self.configure)
         await restoration.copy()
         trouble = self._note(fault.kind, '', fault.span_s)
         await restoration.restore(fault.span_s)
         # The copy names servers that have ended since.
         self._listed = dict.fromkeys(self._listed_ever, {})
-        await self._write_configuration()
+        await self.configure()
         await self._write_version()
         await self._beat()
         self._end(trouble, _BACK_S)
--- a/src/linnetwood/lab/soak/restoration.py
+++ b/src/linnetwood/lab/soak/restoration.py
@@ -1,24 +1,31 @@
 """Let the store lose its last writes, as when it is restored from a copy."""
 
 import asyncio
+from collections.abc import Awaitable, Callable
 
 from linnetwood.lab.soak.commands import Commands
 
-# What was written for this time is lost.
-_COPY_AGE_S = 2.0
+# So many configurations are lost, this far apart.
+_LOST = 4
+_APART_S = 0.5
 
 
 class Restoration:
     """Make a copy of the store, and restore the store from it."""
 
-    def __init__(self, commands: Commands) -> None:
-        """Act on the stand-in by commands."""
+    def __init__(
+        self, commands: Commands, configure: Callable[[], Awaitable[None]]
+    ) -> None:
+        """Act on the stand-in by commands; configure writes to it."""
         self._commands = commands
+        self._configure = configure
 
     async def copy(self) -> None:
-        """Make the copy, and let its age grow."""
+        """Make the copy, and write what will be lost."""
         await self._commands.store({'save': True})
-        await asyncio.sleep(_COPY_AGE_S)
+        for _ in range(_LOST):
+            await self._configure()
+            await asyncio.sleep(_APART_S)
 
     async def restore(self, away_s: float) -> None:
         """Take the store away, and bring it back from the copy."""
