Write a configuration again that the key-value service lost with a copy

On the product's own path too, a service restored from a copy counts versions anew: processes waited from a version that it reaches late or never, and changes accepted on the copy bore revisions that every process took for known. Accepted changes were gone for whoever started.

An empty wait is followed by a read, one call more for each wait of the two watchers of a region. Where the service holds an older configuration than is in force, the one in force is written again by compare-and-swap. Only accepted configurations are in force, so nothing else is written.

Open: a service without an era can't tell two changes of one revision apart, nor a version that matches by chance; of two histories the higher revision holds, and settle tells who proposed the other.

--- a/src/linnetwood/fleet/configtask.py
+++ b/src/linnetwood/fleet/configtask.py
@@ -78,6 +78,8 @@
         self._clock = clock
         self._rng = rng
         self._version = 0
+        # Whether the next call reads the service rather than waiting.
+        self._must_read = True
         self._listeners: list[Callable[[Configuration], None]] = []
         self._tasks: set[asyncio.Task[None]] = set()
         self._fetching_revision = 0
@@ -173,28 +175,50 @@
                 failures = 0
             except StoreError as exc:
                 self.store_reachable = False
+                self._must_read = True
                 failures += 1
                 log(Event.CONFIG_STORE_UNREACHABLE, detail=str(exc))
                 await asyncio.sleep(backoff_s(failures, self._rng))
 
     async def _watch_once(self, wait_s: float) -> None:
-        if self.store_reachable:
-            found = await self._store.wait(
-                configuration.CONFIG_KEY,
-                self._version,
-                wait_s,
-            )
+        key = configuration.CONFIG_KEY
+        if self._must_read:
+            self._must_read = False
+            await self._apply_stored(await self._store.get(key))
+            return
+        found = await self._store.wait(key, self._version, wait_s)
+        if found is None:
+            # A service that was restored from a copy counts versions anew, and
+            # a wait from a later one ends without any.
+            self._must_read = True
         else:
-            found = await self._store.get(configuration.CONFIG_KEY)
-        if found is not None:
-            self._apply_stored(found)
+            await self._apply_stored(found)
 
-    def _apply_stored(self, stored: StoredValue) -> None:
+    async def _apply_stored(self, stored: StoredValue) -> None:
         self.store_reachable = True
         self.is_loaded = True
         self._version = stored.version
         if stored.version:
             self.adopt(stored.payload)
+        known = configuration.unpack(stored.payload)
+        if known.revision < self.current.revision:
+            await self._write_again(stored, known.revision)
+
+    async def _write_again(self, stored: StoredValue, revision: int) -> None:
+        """Write what is in force to a service that lost it with a copy.
+
+        Only accepted configurations are in force, and their revisions rise.
+        """
+        self._must_read = True
+        swap = await self._store.swap(
+            configuration.CONFIG_KEY, self.encoded, stored.version
+        )
+        log(
+            Event.CONFIG_WRITTEN_AGAIN,
+            revision=self.current.revision,
+            stored_revision=revision,
+            done=swap.done,
+        )
 
     def _spawn(self, work: 'object') -> None:
         task = asyncio.ensure_future(work)  # type: ignore[call-overload]
