Read a restored store once, also where a relay was faster than a wait

A wait that was sent in the earlier era ends with a lost history after a relay has brought the new one; the entry then read the whole range again. What a follower knows of the store's history moves to a module of its own. Before, the new test counts two reads; after, one.

--- a/src/linnetwood/fleet/rangefollower.py
+++ b/src/linnetwood/fleet/rangefollower.py
@@ -30,7 +30,8 @@
     RangeStore,
     Snapshot,
 )
-from linnetwood.fleet.revisions import era_of, same_era
+from linnetwood.fleet.revisions import same_era
+from linnetwood.fleet.storehistory import StoreHistory
 
 # Records of live endpoints are back within 2 s of the store's return, so that
 # return must be noticed well within 1 s.
@@ -93,11 +94,7 @@
         self._rng = rng
         self._bounds = bounds
         self._revision = 0
-        # The newest era that the store named here, and whether it no longer
-        # has the changes since the known revision, noticed at this time.
-        self._store_era = 0
-        self._must_read = False
-        self._history_lost_at = -math.inf
+        self._history = StoreHistory()
         self._failures = 0
         self._answered_at = -math.inf
         self._advanced_at = -math.inf
@@ -151,7 +148,7 @@
                 self.outages += 1
                 self._sink.mark_unreachable()
             self._relay_outages = update.outages
-        is_lost = self._is_of_lost_history(update)
+        is_lost = self._history.is_over(update.revision)
         if update.revision < self._revision:
             # The relay has yet to learn changes that are known here.
             self._log.update_ignored(update)
@@ -184,7 +181,7 @@
         depends on another one.
         """
         is_older = update.revision < self._revision
-        if is_older or self._is_of_lost_history(update):
+        if is_older or self._history.is_over(update.revision):
             self._log.update_ignored(update)
             return
         now = asyncio.get_running_loop().time()
@@ -205,11 +202,7 @@
                 answered = await self._request()
             except HistoryLostError as exc:
                 self._log.history_lost(exc)
-                # The revision is kept: a relay that has not heard of it yet
-                # must not bring back what was lost.
-                self._must_read = True
-                self._store_era = max(self._store_era, exc.era)
-                self._history_lost_at = loop.time()
+                self._history.note_lost(exc.era, self._revision, loop.time())
             except StoreError as exc:
                 self._failures += 1
                 self.outages += 1
@@ -239,10 +232,9 @@
             self.stagger_position * self._bounds.batch_delay_s,
             self._bounds.max_stagger_s,
         )
-        if self._must_read:
+        if self._history.must_read:
             # All entries notice it at the same moment.
-            until = max(self._trusted_until, self._history_lost_at)
-            return until + stagger_s
+            return max(self._trusted_until, self._history.lost_at) + stagger_s
         # A relay that brought a large change stands in for one wait. Where its
         # view is too old to be trusted, as on full links, each entry would get
         # the whole configuration from the store again after each change.
@@ -266,12 +258,13 @@
     async def _read_or_wait(self) -> None:
         requested_at = asyncio.get_running_loop().time()
         self.first_byte_at = -math.inf
+        self._history.note_request(self._revision)
         # An answer that took long must not itself cause another full read.
         last_news_at = max(
             self.confirmed_at, self._answered_at, self._advanced_at
         )
         is_old = requested_at - last_news_at > _REREAD_AFTER_S
-        if not self._revision or self._must_read or is_old:
+        if not self._revision or self._history.must_read or is_old:
             await self._read()
             return
         # The older the view is, the sooner it must be confirmed.
@@ -350,10 +343,6 @@
             self._sink.apply_changes(answer.changes)
         self._advance(answer.revision)
 
-    def _is_of_lost_history(self, update: RelayedUpdate) -> bool:
-        """Return whether the store was restored since the update's history."""
-        return era_of(update.revision) < self._store_era
-
     def _apply_newer(self, update: RelayedUpdate) -> None:
         """Apply an update if it has changes that are not known here."""
         if update.revision > self._revision:
@@ -386,8 +375,7 @@
 
     def _advance(self, revision: int) -> None:
         self._revision = revision
-        self._store_era = max(self._store_era, era_of(revision))
-        self._must_read = False
+        self._history.note_view(revision)
         self._log.update_applied()
         self._advanced_at = asyncio.get_running_loop().time()
         self.synced.set()
@@ -399,7 +387,7 @@
 
     def _trusted_s(self, update: RelayedUpdate, now: float) -> float:
         fresh_s = self._bounds.fresh_for_s(update)
-        if self._is_of_lost_history(update):
+        if self._history.is_over(update.revision):
             # However young, its view is not the store's; it may be reading it.
             fresh_s = -math.inf
         if fresh_s > 0:
--- a/tests/test_store_histories.py
+++ b/tests/test_store_histories.py
@@ -189,6 +189,26 @@
     )
 
 
+class HangingStore(ScriptedStore):
+    """A store whose waits hang until they end with a lost history."""
+
+    def __init__(self, first: Snapshot) -> None:
+        super().__init__(first)
+        self._ended = asyncio.Event()
+
+    def end_waits(self) -> None:
+        """End the waits that hang, and let later ones find no changes."""
+        self._ended.set()
+
+    async def wait(self, prefix: str, after: int, wait_s: float) -> Changes:
+        self.requests.append(('wait', after))
+        await self._ended.wait()
+        if era_of(after) < 2:
+            raise HistoryLostError('store-history-lost', '', 2)
+        await asyncio.sleep(wait_s)
+        return Changes((), after)
+
+
 class TrustTest(unittest.TestCase):
     """A relay of a lost history is not trusted, however young its view."""
 
@@ -224,6 +244,29 @@
 
         virtual.run(scenario())
 
+    def test_a_history_that_a_relay_has_brought_meanwhile(self) -> None:
+        """It is not read again when the wait in the earlier one ends."""
+
+        async def scenario() -> None:
+            old = join(1, 25)
+            new = join(2, 7)
+            store = HangingStore(Snapshot({'o': Record(b'o', old)}, old))
+            follower = RangeFollower(
+                store, '', RecordingSink(), Random(1), bounds_for(APPLY_S)
+            )
+            follower.start()
+            await asyncio.sleep(0.1)
+            # The relay's own view is too old to be trusted.
+            follower.apply_update(update(new, 1.5, 'n'))
+            store.end_waits()
+            await asyncio.sleep(2)
+            await follower.close()
+            self.assertEqual(follower.revision, new)
+            calls = [call for call, _ in store.requests]
+            self.assertEqual(calls.count('read'), 1)
+
+        virtual.run(scenario())
+
     def test_a_relay_that_reads_the_new_history_is_waited_for(self) -> None:
         """One copy then serves the zone; but not for longer than its bound."""
 
