Test calls that only lost entries saw answered; they stay refused

The store holds the records of two crashes under the streams; the entries that had seen such streams answered are gone, so new ones refuse them for 60 s, and 0 of 139 are served. Traced in the logs: the records were written once the store was back, and no entry that knew of an answer lived on. It doesn't need a copy.

--- a/tests/test_restored_crashes.py
+++ b/tests/test_restored_crashes.py
@@ -30,6 +30,8 @@
 
 FINGERPRINT = 'c0' * 12
 ONE = CrashRecord(FINGERPRINT, f'{1:016x}')
+# Within this time after a loss of everything calls are served again.
+RECOVERY_S = 12.0
 TWO = CrashRecord(FINGERPRINT, f'{2:016x}')
 
 
@@ -60,6 +62,25 @@
         self.assertEqual(told, [[ONE]])
 
 
+class RestartTest(unittest.TestCase):
+    """What entries that start make of the records of earlier ones."""
+
+    def test_calls_that_only_lost_entries_saw_answered(self) -> None:
+        """Guards against innocent calls refused after all entries are lost.
+
+        Two endpoints crashed under a call that ends servers while others ran
+        that are often answered. Their records outlive the entries that knew of
+        the answers; a fleet that starts again must serve within its recovery.
+        """
+        crashes = CrashHistory()
+        clock = ManualClock()
+        feed = CrashFeed(crashes, clock)
+        found = {crash_key(crash): Record(b'', 5) for crash in (ONE, TWO)}
+        feed.replace_all(Snapshot(found, 5))
+        refused_s = crashes.refused_for_s(FINGERPRINT, clock.now())
+        self.assertLessEqual(refused_s, RECOVERY_S)
+
+
 class LosingStore:
     """A store that loses all its records on order."""
 
