Send versions to new subscribers only of models that they name

An entry that subscribed got all known versions with each report for 1.5 s, also of models that its configuration doesn't have. A subscription names its models, so others are left out; one that names none gets all, as before, and an entry whose configuration gets a model later says that it lacks its version.

--- a/src/linnetwood/fleet/reportsubscribers.py
+++ b/src/linnetwood/fleet/reportsubscribers.py
@@ -57,14 +57,16 @@
     The number grows with each datagram and starts anew with the entry's
     process. Reports are to come every `interval_s` seconds or less often. Where
     each entry subscribes to some endpoints only, one represents several
-    entries: `represents` says how many. Of the unknown models the entry knows
-    no version.
+    entries: `represents` says how many. The models are those of the entry's
+    configuration, as far as it names any; of the unknown ones it knows no
+    version.
     """
 
     number: int
     zone: str = ''
     interval_s: float = 0
     represents: float = 1
+    models: frozenset[str] = frozenset()
     unknown_models: frozenset[str] = frozenset()
 
 
@@ -202,12 +204,18 @@
             due[interval_s].append(address)
         return due
 
-    def new_subscribers(self, now: float) -> list[Address]:
-        """Return the addresses that subscribed just now."""
+    def new_subscribers(
+        self, known_models: Collection[str], now: float
+    ) -> list[Address]:
+        """Return the addresses that subscribed just now and use these models.
+
+        An entry that names no models may use any of them.
+        """
         return [
             address
             for address, subscriber in self._subscribers.items()
             if now - subscriber.subscribed_at < _NEW_FOR_S
+            and _uses(subscriber.subscription.models, known_models)
         ]
 
     def lacking(self, known_models: Collection[str]) -> list[Address]:
@@ -223,3 +231,7 @@
     def unbroken_for_s(self, now: float) -> float:
         """Return for how many seconds entries have subscribed without a gap."""
         return now - self._unbroken_since
+
+
+def _uses(named: frozenset[str], known_models: Collection[str]) -> bool:
+    return not named or not named.isdisjoint(known_models)
--- a/src/linnetwood/programs/resident_messages.py
+++ b/src/linnetwood/programs/resident_messages.py
@@ -128,6 +128,7 @@
             entry.zone,
             entry.every_ms / _MILLISECONDS,
             entry.stands_for_pct / _PERCENT,
+            models=frozenset(sent.model for sent in entry.wanted),
             unknown_models=frozenset(
                 sent.model
                 for sent in entry.wanted
@@ -195,8 +196,9 @@
 
     def _uninformed(self, now: float) -> set[Address]:
         """Return entries that may not know a version, or when it was named."""
-        new = self._listeners.new_subscribers(now)
-        return {*new, *self._listeners.lacking(self._wanted.models())}
+        models = self._wanted.models()
+        new = self._listeners.new_subscribers(models, now)
+        return {*new, *self._listeners.lacking(models)}
 
     def _engine_news(self, report: EngineReport, now: float) -> EngineNews:
         """Return the content that all reports have now."""
--- a/tests/test_peerlist.py
+++ b/tests/test_peerlist.py
@@ -10,6 +10,7 @@
     PeerListServer,
     list_digest,
 )
+from linnetwood.fleet.revisions import join
 from linnetwood.wire.connections import TcpDialler, WireServer
 from linnetwood.wire.frames import FrameKind
 from tests.test_curldriver import HOST
@@ -70,6 +71,16 @@
         self.assertIsNone(self.list_client._fetch_task)
         self.assertEqual(self.taken, [TWO])
 
+    async def test_a_list_of_a_restored_store(self) -> None:
+        """It is newer than one of the lost history, whatever its number."""
+        lost = join(1, 9)
+        restored = join(2, 5)
+        await self.pass_digest(self.list_server.update(TWO, lost), lost)
+        digest = self.list_server.update(ONE, restored)
+        await self.pass_digest(digest, restored)
+        await self.pass_digest(self.list_server.update(TWO, lost), lost)
+        self.assertEqual(self.taken, [TWO, ONE])
+
     async def test_a_list_that_the_entry_has_dropped(self) -> None:
         """Nothing is taken in; the next digest causes a new request."""
         self.list_server.update(ONE, 5)
--- a/tests/test_reportsubscribers.py
+++ b/tests/test_reportsubscribers.py
@@ -29,9 +29,24 @@
             with self.subTest(name=name):
                 subscribers.subscribe(address, ReportSubscription(number), now)
                 self.assertCountEqual(
-                    subscribers.new_subscribers(now), expected
+                    subscribers.new_subscribers(['m'], now), expected
                 )
 
+    def test_new_subscribers_by_their_models(self) -> None:
+        """An entry gets what it may use: all, where it names no models."""
+        subscribers = ReportSubscribers(0)
+        subscribers.subscribe(NEAR, ReportSubscription(1), 0)
+        named = ReportSubscription(1, models=frozenset('ab'))
+        subscribers.subscribe(FAR, named, 0)
+        for known, expected in (
+            (['b', 'c'], [NEAR, FAR]),
+            (['c'], [NEAR]),
+            ([], [NEAR]),
+        ):
+            with self.subTest(known=known):
+                found = subscribers.new_subscribers(known, 1)
+                self.assertEqual(found, expected)
+
     def test_lacking(self) -> None:
         """Only who lacks a version that is known here is named."""
         subscribers = ReportSubscribers(0)
