Keep with a crash record whether such calls were answered before

Found by the soak: a call that ends servers and innocent streams beside it, then everything lost. A fact whose last bearer is gone: the record now holds it as its value, and whoever reads the record treats such calls as entries do that saw the answers: refused for 1 s. Calls that nobody saw answered stay refused for 60 s.

The red test's records had no value, as nothing wrote one. It now lets an entry that saw answers write them to the store and reads those; its bound of 12 s is as before. Entries without this read the key alone, as before.

--- a/src/linnetwood/calls/crashes.py
+++ b/src/linnetwood/calls/crashes.py
@@ -123,6 +123,19 @@
         if suspect is not None and suspect.is_refused:
             suspect.trial_until = now + _TRIAL_S
 
+    def was_answered(self, fingerprint: str) -> bool:
+        """Return whether such calls were answered before endpoints crashed."""
+        suspect = self._suspects.get(fingerprint)
+        if suspect is None:
+            return fingerprint in self._answered
+        return suspect.answered_before
+
+    def note_answered_before(self, fingerprint: str) -> None:
+        """Note that another entry saw suspected calls answered before."""
+        suspect = self._suspects.get(fingerprint)
+        if suspect is not None:
+            suspect.answered_before = True
+
     def may_retry(self, fingerprint: str) -> bool:
         """Return whether a call may be sent to a second endpoint."""
         return self.crash_count(fingerprint) < REFUSE_AFTER_CRASHES
--- a/src/linnetwood/platform/crashstore.py
+++ b/src/linnetwood/platform/crashstore.py
@@ -20,6 +20,9 @@
 # The platform's limit of keys per transaction.
 _MAX_KEYS_PER_WRITE = 32
 _NO_LEASE = 0
+# The value of a record whose calls were answered before. It outlives the
+# entries that saw the answers.
+_ANSWERED = b'answered'
 
 
 class PlatformCrashStore:
@@ -29,8 +32,14 @@
     A store restored from a copy may not know it, or have given it to others.
     """
 
-    def __init__(self, store: PlatformStore, clock: Clock) -> None:
-        """Hold no lease yet."""
+    def __init__(
+        self,
+        store: PlatformStore,
+        clock: Clock,
+        was_answered: Callable[[str], bool],
+    ) -> None:
+        """Hold no lease yet; was_answered tells calls by their fingerprint."""
+        self._was_answered = was_answered
         self._store = store
         self._clock = clock
         self._lease = _NO_LEASE
@@ -49,7 +58,7 @@
         lease = await self._current_lease() if added else _NO_LEASE
         try:
             await self._store.write(
-                {crash_key(crash): b'' for crash in added},
+                {crash_key(crash): self._payload(crash) for crash in added},
                 [crash_key(crash) for crash in removed],
                 lease,
             )
@@ -62,6 +71,9 @@
             self._lease = _NO_LEASE
             raise StoreError(LEASE_GONE, f'era {self._store.era}')
 
+    def _payload(self, crash: CrashRecord) -> bytes:
+        return _ANSWERED if self._was_answered(crash.fingerprint) else b''
+
     async def _current_lease(self) -> int:
         now = self._clock.now()
         is_lost = self._store.era != self._lease_era
@@ -111,6 +123,8 @@
             self._restored([crash for crash, _ in crashes])
         else:
             self._crashes.replace_shared(crashes)
+        for key, record in found.records.items():
+            self._note_value(self._read(key, record), record)
 
     def apply_changes(self, changes: tuple[Change, ...]) -> None:
         """Apply changes, in order."""
@@ -125,6 +139,11 @@
             else:
                 at = now - _known_for_s(change.age_s)
                 self._crashes.add(crash, at, shared=True)
+                self._note_value(crash, change.record)
+
+    def _note_value(self, crash: CrashRecord | None, record: Record) -> None:
+        if crash is not None and record.payload == _ANSWERED:
+            self._crashes.note_answered_before(crash.fingerprint)
 
     def _read(self, key: str, record: Record | None) -> CrashRecord | None:
         found = _KEY.fullmatch(key)
--- a/src/linnetwood/programs/resident_crashes.py
+++ b/src/linnetwood/programs/resident_crashes.py
@@ -31,7 +31,7 @@
         self._clock = clock
         self._crashes = CrashHistory()
         self._publisher = CrashPublisher(
-            PlatformCrashStore(store, clock),
+            PlatformCrashStore(store, clock, self._crashes.was_answered),
             rng,
             lambda: self.entries(),
         )
