Share what keeps the newest keys of a dictionary, and one clock of tests

Six places dropped the oldest keys beyond a limit in their own lines, and three tests had the same clock. Assertions and limits are as they were.

--- a/src/linnetwood/calls/crashes.py
+++ b/src/linnetwood/calls/crashes.py
@@ -22,6 +22,8 @@
 from collections.abc import Iterable, Iterator
 from typing import NamedTuple
 
+from linnetwood.core.bounded import keep_newest
+
 # Calls with one fingerprint are refused after this many crashes under them.
 REFUSE_AFTER_CRASHES = 2
 # Refusal time after the last crash; then a single call is let through as a
@@ -144,13 +146,11 @@
         self, record: CrashRecord, at: float, *, shared: bool = False
     ) -> bool:
         """Add a record; return whether it is new."""
-        suspect = self._suspects.pop(record.fingerprint, None) or _Suspect(
-            answered_before=record.fingerprint in self._answered,
+        fingerprint = record.fingerprint
+        suspect = self._suspects.get(fingerprint) or _Suspect(
+            answered_before=fingerprint in self._answered,
         )
-        # In order of the last update, the newest last.
-        self._suspects[record.fingerprint] = suspect
-        while len(self._suspects) > _MAX_SUSPECTS:
-            self._suspects.pop(next(iter(self._suspects)))
+        keep_newest(self._suspects, fingerprint, suspect, _MAX_SUSPECTS)
         is_new = record.incarnation_id not in suspect.crashed_at
         if is_new:
             # The trial crashed an endpoint, here or at another entry.
@@ -186,10 +186,7 @@
 
     def note_answered(self, fingerprint: str) -> list[CrashRecord]:
         """Clear calls of this fingerprint; return the records it had."""
-        self._answered.pop(fingerprint, None)
-        self._answered[fingerprint] = None
-        if len(self._answered) > _MAX_ANSWERED:
-            self._answered.pop(next(iter(self._answered)))
+        keep_newest(self._answered, fingerprint, None, _MAX_ANSWERED)
         suspect = self._suspects.pop(fingerprint, None)
         if suspect is None:
             return []
--- a/src/linnetwood/calls/crashsharing.py
+++ b/src/linnetwood/calls/crashsharing.py
@@ -13,6 +13,7 @@
 
 from linnetwood.calls.crashes import CrashRecord
 from linnetwood.core.backoff import pause_s
+from linnetwood.core.bounded import keep_newest
 from linnetwood.core.errors import StoreError
 from linnetwood.core.events import Event, log
 from linnetwood.core.owner import TaskOwner
@@ -169,18 +170,12 @@
         await self._store.write(added, removed)
         for record in added:
             self._uncertain.discard(record)
-            self._note_written(record)
+            keep_newest(self._written, record, None, _MAX_PENDING)
             if record in self._to_add:
                 self._to_add.remove(record)
         for record in removed:
             self._removal_written(record)
 
-    def _note_written(self, record: CrashRecord) -> None:
-        self._written.pop(record, None)
-        self._written[record] = None
-        while len(self._written) > _MAX_PENDING:
-            self._written.pop(next(iter(self._written)))
-
     def _queue_removal(self, record: CrashRecord) -> None:
         if record not in self._to_remove:
             self._to_remove.append(record)
--- a/src/linnetwood/calls/directory.py
+++ b/src/linnetwood/calls/directory.py
@@ -4,9 +4,9 @@
 import math
 import zlib
 from collections.abc import Iterator, Mapping
-from typing import TypeVar
 
 from linnetwood.calls.warmuplimiter import ASSUMED_COLD_S
+from linnetwood.core.bounded import keep_newest
 
 # A list that was unreachable may have dropped records of running endpoints;
 # they are written again within about 2 s of its return. An endpoint that left
@@ -21,7 +21,6 @@
 UNCONFIRMED_S = 4.0
 # Covers the ids of a fleet of 600 endpoints over days of restarts.
 _MAX_KEPT = 4096
-_Kept = TypeVar('_Kept')
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -230,7 +229,7 @@
         if endpoint.born:
             if endpoint.born < self._latest_born.get(endpoint.endpoint_id, 0):
                 return
-            _keep_newest(
+            keep_newest(
                 self._latest_born,
                 endpoint.endpoint_id,
                 endpoint.born,
@@ -238,7 +237,7 @@
             )
         incarnation_id = endpoint.incarnation_id
         if not endpoint.ready:
-            _keep_newest(self._leaving, incarnation_id, None, _MAX_KEPT)
+            keep_newest(self._leaving, incarnation_id, None, _MAX_KEPT)
         elif incarnation_id in self._leaving:
             endpoint = dataclasses.replace(endpoint, ready=False)
         self._put(endpoint)
@@ -263,20 +262,10 @@
             return
         self.change_count += 1
         self._remove_from_indexes(endpoint)
-        _keep_newest(self._removed, endpoint.incarnation_id, None, _MAX_KEPT)
+        keep_newest(self._removed, endpoint.incarnation_id, None, _MAX_KEPT)
 
     def _remove_from_indexes(self, endpoint: Endpoint) -> None:
         """Remove an endpoint; another one may own its address by now."""
         self._by_service[endpoint.service].pop(endpoint.endpoint_id)
         if self._by_host.get(endpoint.host) == endpoint.endpoint_id:
             self._by_host.pop(endpoint.host)
-
-
-def _keep_newest(
-    kept: dict[str, _Kept], key: str, found: _Kept, limit: int
-) -> None:
-    """Keep a value under a key, and drop the oldest beyond a limit."""
-    kept.pop(key, None)
-    kept[key] = found
-    while len(kept) > limit:
-        kept.pop(next(iter(kept)))
--- a/src/linnetwood/fleet/peerlist.py
+++ b/src/linnetwood/fleet/peerlist.py
@@ -11,6 +11,7 @@
 import zlib
 from collections.abc import Callable, Mapping
 
+from linnetwood.core.bounded import keep_newest
 from linnetwood.core.errors import CodecError, LinnetwoodError
 from linnetwood.core.events import Event, log
 from linnetwood.fleet.members import hash64
@@ -56,10 +57,7 @@
         digest = list_digest(zones_by_host)
         rows = [PeerPlace(*peer) for peer in sorted(zones_by_host.items())]
         encoded = encode(PeerList(revision=revision, peers=rows))
-        self._packed.pop(digest, None)
-        self._packed[digest] = zlib.compress(encoded)
-        while len(self._packed) > _LISTS_KEPT:
-            self._packed.pop(next(iter(self._packed)))
+        keep_newest(self._packed, digest, zlib.compress(encoded), _LISTS_KEPT)
         return digest
 
     async def serve(self, stream: FrameStream, frame: Frame) -> None:
--- a/src/linnetwood/platform/ignored.py
+++ b/src/linnetwood/platform/ignored.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+from linnetwood.core.bounded import keep_newest
 from linnetwood.core.errors import ConfigError
 from linnetwood.core.events import Event, log
 from linnetwood.fleet.ranges import Record
@@ -30,10 +31,9 @@
         """Log and count a record, unless this revision was logged."""
         if self._logged_revisions.get(key) == record.revision:
             return
-        self._logged_revisions.pop(key, None)
-        self._logged_revisions[key] = record.revision
-        while len(self._logged_revisions) > _MAX_LOGGED_KEYS:
-            self._logged_revisions.pop(next(iter(self._logged_revisions)))
+        keep_newest(
+            self._logged_revisions, key, record.revision, _MAX_LOGGED_KEYS
+        )
         self._count()
         log(
             Event.ITEM_IGNORED,
--- a/tests/test_callserver.py
+++ b/tests/test_callserver.py
@@ -31,6 +31,7 @@
 from linnetwood.fleet.wanted import WantedVersions
 from linnetwood.platform.dialect import PlatformDialect
 from linnetwood.wire.curldriver import CurlDriver
+from tests.clocks import ManualClock
 from tests.test_curldriver import (
     HOST,
     Behaviour,
@@ -95,19 +96,6 @@
     return '\r\n'.join(lines).encode()
 
 
-class ManualClock:
-    """A clock that the test sets."""
-
-    def __init__(self) -> None:
-        self.at = 100.0
-
-    def now(self) -> float:
-        return self.at
-
-    def wall(self) -> float:
-        return self.at
-
-
 class CallServerTest(unittest.IsolatedAsyncioTestCase):
     """Call a server over sockets."""
 
--- a/tests/test_places.py
+++ b/tests/test_places.py
@@ -18,12 +18,12 @@
     intersect_regions,
 )
 from linnetwood.calls.routetable import RouteTable, Service
-from linnetwood.core.clock import SystemClock
 from linnetwood.fleet.ranges import Change, Record, Snapshot
 from linnetwood.fleet.wanted import WantedVersions
 from linnetwood.platform import records
 from linnetwood.platform.crashstore import CrashFeed
 from linnetwood.platform.feeds import EndpointFeed, OperatorFeed, StoreFeed
+from tests.clocks import ManualClock
 from tests.test_junk import ENTRY, record_of
 from tests.test_records import CONFIG, ROUTE
 
@@ -35,21 +35,11 @@
 CALLS = 200
 
 
-class Clock(SystemClock):
-    """A clock that the test sets."""
-
-    def __init__(self) -> None:
-        self.at = 100.0
-
-    def now(self) -> float:
-        return self.at
-
-
 class RegionsTest(unittest.TestCase):
     """Choose among endpoints of three zones in two regions."""
 
     def setUp(self) -> None:
-        self.clock = Clock()
+        self.clock = ManualClock()
         self.directory = Directory()
         self.chooser = Chooser(self.directory, Random(1))
         wanted = WantedVersions(8)
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -8,6 +8,7 @@
 from linnetwood.calls.quarantine import Quarantine
 from linnetwood.calls.routetable import Repeat, Route, Service, Share
 from linnetwood.core.outcomes import Code, Ending, not_run
+from tests.clocks import ManualClock
 
 FINGERPRINT = 'c0' * 12
 ROUTE = Route(
@@ -28,25 +29,12 @@
 )
 
 
-class FakeClock:
-    """A clock that tests set."""
-
-    def __init__(self) -> None:
-        self.at = float()
-
-    def now(self) -> float:
-        return self.at
-
-    def wall(self) -> float:
-        return self.at
-
-
 class QuarantineTest(unittest.TestCase):
     """Which calls are refused, and which one is the trial."""
 
     def setUp(self) -> None:
         self.crashes = CrashHistory()
-        self.clock = FakeClock()
+        self.clock = ManualClock(0)
         self.verdict: Urgency | Ending = Urgency.IN_TIME
         self.quarantine = Quarantine(
             self.crashes,
--- a/tests/test_restored_crashes.py
+++ b/tests/test_restored_crashes.py
@@ -29,7 +29,7 @@
 from linnetwood.platform.store import LEASE_GONE, PlatformStore
 from linnetwood.wire.curldriver import CurlDriver
 from tests import test_crashsharing as sharing
-from tests.test_callserver import ManualClock
+from tests.clocks import ManualClock
 from tests.test_curldriver import HOST, ScriptedServer
 from tests.test_store_histories import answer
 
--- a/tests/test_restored_endpoints.py
+++ b/tests/test_restored_endpoints.py
@@ -18,7 +18,7 @@
 from linnetwood.fleet.ranges import Change, Record, Snapshot
 from linnetwood.fleet.revisions import join
 from linnetwood.platform.feeds import EndpointFeed
-from tests.test_callserver import ManualClock
+from tests.clocks import ManualClock
 from tests.test_directory import endpoint
 
 SERVICE = 'desk'
--- a/tests/test_restored_operators.py
+++ b/tests/test_restored_operators.py
@@ -23,7 +23,7 @@
 from linnetwood.fleet.wanted import WantedVersions
 from linnetwood.lab import virtual
 from linnetwood.platform.feeds import OperatorFeed
-from tests.test_callserver import ManualClock
+from tests.clocks import ManualClock
 from tests.test_following import ScriptedStore
 from tests.test_junk import record_of
 
