--- a/src/linnetwood/lab/soak/callers.py
+++ b/src/linnetwood/lab/soak/callers.py
@@ -1,4 +1,4 @@
-"""Callers that keep connections open until they are gone, and note all."""
+"""Callers that keep connections open, and record every call."""
 
 import asyncio
 import secrets
@@ -34,7 +34,7 @@
 _THINK_S = (0.02, 0.3)
 _BACK_S = (0.1, 1.0)
 _PROBE_S = (0.1, 0.4)
-# How far apart a call comes again that ends servers.
+# The interval between calls that crash servers, in seconds.
 _FATAL_S = (0.2, 0.8)
 _CONNECT_S = 1.0
 _ID_BYTES = 8
@@ -42,11 +42,11 @@
 
 
 class Callers:
-    """Own the tasks that call."""
+    """Own the tasks that send calls."""
 
     def __init__(self, fleet: Fleet, history: History, seed: int) -> None:
-        """Call nobody yet."""
-        # The newest configuration that was sent; probes ask for its route.
+        """Start without callers."""
+        # The newest configuration that was sent; probes call its route.
         self.configuration = 1
         self._fleet = fleet
         self._history = history
@@ -54,7 +54,7 @@
         self._tasks: list[asyncio.Task[None]] = []
 
     def start(self, count: int) -> None:
-        """Let so many callers begin, each at an entry of its own."""
+        """Start callers, spread over the entries."""
         for number in range(count):
             vm = self._fleet.entries[number % len(self._fleet.entries)]
             self._tasks.append(asyncio.create_task(self._call_on(vm)))
@@ -62,13 +62,13 @@
             self._tasks.append(asyncio.create_task(self._probe(vm)))
 
     async def close(self) -> None:
-        """Let nobody call any more."""
+        """Stop all callers."""
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
     async def end_servers(self, fault: Fault) -> None:
-        """Send a call that ends servers, again and again, to any entry."""
+        """Send a call that crashes servers repeatedly, to random entries."""
         rng = Random(fault.pick)
         kind = rng.choice(tuple(Kind))
         path = f'{_PATHS[kind]}/{FATAL}-{fault.pick}'
@@ -118,17 +118,17 @@
 
 
 class Connection:
-    """One kept connection to an entry, opened anew when it is gone."""
+    """A kept connection to an entry, reopened once it is closed."""
 
     def __init__(self, vm: Vm) -> None:
-        """Open nothing yet."""
+        """Start without a connection."""
         self._vm = vm
         self._streams: (
             tuple[asyncio.StreamReader, asyncio.StreamWriter] | None
         ) = None
 
     async def run(self, call: Call, events: int, leaves_s: float) -> None:
-        """Send one call and read what comes, or leave in the middle."""
+        """Send a call and read its answer, or disconnect before its end."""
         try:
             async with asyncio.timeout(leaves_s or call.patience_s):
                 await self._run(call, events)
--- a/src/linnetwood/lab/soak/checks.py
+++ b/src/linnetwood/lab/soak/checks.py
@@ -1,4 +1,4 @@
-"""Check the promises against what was seen; no I/O or clock."""
+"""Check the promises against a history; no I/O or clock."""
 
 import dataclasses
 import itertools
@@ -24,18 +24,18 @@
 _LATE_S = 0.5
 _FEW = 5
 _QUARTER = 0.25
-# So many servers may end under a call before all know it, and so many times it
-# may be sent to one from then on.
+# The number of servers that may crash under a call before all entries know it,
+# and how often it may be sent to servers after that.
 _MOST_ENDED = 3
 _MOST_AFTER = 3
-# Fewer calls at the end tell nothing.
+# With fewer calls at the end, recovery is not judged.
 _ENOUGH = 20
 _ENOUGH_ALIKE = 10
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Limits:
-    """The bounds of a deployment, and what a busy machine may add to them."""
+    """The bounds of a deployment, and the slack for a busy machine."""
 
     contact_s: float = 3
     apply_s: float = 4
@@ -49,10 +49,10 @@
 
 
 class Checker:
-    """Look at one history."""
+    """Check one history."""
 
     def __init__(self, history: History, limits: Limits) -> None:
-        """Sort what was seen by call."""
+        """Index the runs by call."""
         self._history = history
         self._limits = limits
         self._runs: dict[str, list[Run]] = defaultdict(list)
@@ -60,7 +60,7 @@
             self._runs[run.call_id].append(run)
 
     def violations(self) -> Iterator[str]:
-        """Yield each broken promise: its name, when and what."""
+        """Yield each broken promise with its name, time and details."""
         yield from itertools.chain(
             self._of_calls(),
             (f'WHOLE {one}' for one in self._history.found),
@@ -105,10 +105,10 @@
                 yield _told('MIXED', call, f'body {call.body[:60]!r}')
 
     def _order(self, call: Call) -> Iterator[str]:
-        """A stream's events: its own, one after the other, all if it ends."""
+        """Check that events are the call's own, in order, and complete."""
         if call.kind is not Kind.STREAM or call.status != _OK:
             return
-        # What follows the last blank line is half an event, or nothing.
+        # After the last blank line comes a partial event, or nothing.
         rows = call.body.split('\n\n')[:-1]
         events = [row.partition('data: ')[2].split('|') for row in rows]
         if {parts[0] for parts in events} - {call.call_id}:
@@ -130,15 +130,15 @@
             yield _told('REFUSED', call, f'ran at {runs[0].server}')
 
     def _config(self, call: Call) -> Iterator[str]:
-        """Probes ask for a route that one configuration added or took away.
+        """Check probes of routes that configurations added or removed.
 
-        Each configuration has its own route, and those of a few before it; one
-        that is newer than it must be may be in force, too.
+        Each configuration has its own route and those of a few before it. One
+        that is newer than the newest due one may be in force, too.
         """
         if not call.probes or not self._in_touch(call.entry, call.sent_at):
             return
         due = self._newest('config', call.sent_at - self._limits.apply_s)
-        # One that is sent may be in force before it is acknowledged.
+        # A configuration may be in force before it is acknowledged.
         newest = 1 + self._newest('config', call.ended_at)
         kept = call.probes <= due and call.probes >= newest - KEPT_ROUTES
         if kept and call.status == _UNKNOWN:
@@ -153,7 +153,7 @@
         for run in runs:
             left_s = call.sent_at + call.patience_s - run.at
             late = run.wait_ms / _MILLISECONDS > left_s + self._limits.slack_s
-            # One that stood still can't know how long a call waited for it.
+            # A suspended entry can't know how long a call waited for it.
             if late and self._in_touch(call.entry, run.at):
                 yield _told('BUDGET', call, f'{run.wait_ms} ms told')
 
@@ -181,7 +181,7 @@
                 )
 
     def _budget(self) -> Iterator[str]:
-        """What goes to a second back end, in any window, of all calls."""
+        """Check the share of attempts after the first, in any window."""
         again = sorted(
             run.at
             for runs in self._runs.values()
@@ -199,7 +199,7 @@
                 return
 
     def _after_three_ended(self) -> Iterator[str]:
-        """A call under which three servers ended goes to hardly any more."""
+        """Check that a call that crashed three servers reaches few more."""
         by_path: dict[str, list[Run]] = defaultdict(list)
         entries = {one.call_id: one.entry for one in self._history.calls}
         for call in self._history.calls:
@@ -218,13 +218,13 @@
                 yield f'BUDGET {known_at:.3f} {path} ended servers: {told}'
 
     def _known_at(self, ended: list[float]) -> float:
-        """Give from when all must know of a call that ended servers."""
+        """Return when all must know of a call that crashed servers."""
         if len(ended) < _MOST_ENDED:
             return math.inf
         return ended[_MOST_ENDED - 1] + self._limits.contact_s
 
     def _gone(self) -> Iterator[str]:
-        """Back ends stop soon after callers have left."""
+        """Check that servers stop soon after callers disconnect."""
         late_s = _LATE_S + self._limits.slack_s
         left = [
             call
@@ -259,7 +259,7 @@
         )
 
     def _recover(self) -> Iterator[str]:
-        """At the end, without any fault, calls are served again."""
+        """Check that calls are served again once all faults are over."""
         calls = self._history.calls
         ended = max((one.until for one in self._history.troubles), default=0)
         since = ended + self._limits.version_s
@@ -269,7 +269,7 @@
         served = sum(call.status == _OK for call in last)
         if len(last) >= _ENOUGH and served < _QUARTER * len(last):
             yield f'RECOVER {since:.3f} {served} of {len(last)} served'
-        # One kind that is served must not hide another that is not.
+        # Judged by kind, since one kind may be served while another is not.
         for kind in Kind:
             alike = [call for call in last if call.kind is kind]
             served = sum(call.status == _OK for call in alike)
@@ -295,7 +295,7 @@
         return self._history.calm(who, since, at)
 
     def _calm_since(self, since: float, run: Run) -> bool:
-        """Tell whether no fault lay on anybody since, up to a run."""
+        """Return whether there was no fault between a time and a run."""
         return not any(
             one.at < run.at and one.until > since
             for one in self._history.troubles
--- a/src/linnetwood/lab/soak/commands.py
+++ b/src/linnetwood/lab/soak/commands.py
@@ -1,4 +1,4 @@
-"""Give commands to the stand-ins of a soak."""
+"""Send commands to the stand-ins of a soak."""
 
 import json
 from typing import Any
@@ -9,15 +9,15 @@
 
 
 class Commands:
-    """Post commands to the servers and to the store, and give the answers."""
+    """Post commands to the servers and to the store; return the answers."""
 
     def __init__(self, fleet: Fleet) -> None:
-        """Reach the stand-ins of a fleet."""
+        """Use the stand-ins of a fleet."""
         self._fleet = fleet
         self._client = AsyncHTTPClient()
 
     async def servers(self, said: dict[str, Any]) -> dict[str, Any]:
-        """Command the servers and the origin; give the servers' records."""
+        """Command the servers and the origin; return the servers' records."""
         return await self._post(f'{self._fleet.control_url}/control', said)
 
     async def order(self, server: str, order: str, **more: object) -> None:
@@ -25,7 +25,7 @@
         await self.servers({'server': server, 'order': order, **more})
 
     async def store(self, said: dict[str, Any]) -> dict[str, Any]:
-        """Write to the store, or change how it answers."""
+        """Write to the store, or set its fault."""
         return await self._post(f'{self._fleet.store_url}/operator', said)
 
     async def _post(self, url: str, said: dict[str, Any]) -> dict[str, Any]:
--- a/src/linnetwood/lab/soak/configuration.py
+++ b/src/linnetwood/lab/soak/configuration.py
@@ -1,16 +1,16 @@
-"""The configurations that a soak names, one after the other."""
+"""The configurations that a soak writes, one after the other."""
 
 from linnetwood.lab.soak.callers import HOST, KEY
 from linnetwood.lab.soak.standservers import MODEL, PIECE_BYTES, PIECES
 
-# Those of so many configurations before it are in each one, too.
+# Each configuration also has the routes of this many before it.
 KEPT_ROUTES = 3
 _TIMEOUT_MS = 6000
 _TARGET_MS = 400
 
 
 def configuration(number: int, origin: str) -> dict[str, object]:
-    """Give a configuration that has a route of its own number."""
+    """Return a configuration with a route of its own number."""
     first = max(1, number - KEPT_ROUTES)
     only = [
         _route(f'/only-{one}/', 'idempotent', 'desk')
--- a/src/linnetwood/lab/soak/faults.py
+++ b/src/linnetwood/lab/soak/faults.py
@@ -1,4 +1,4 @@
-"""Bring faults about from outside, and note whom each lay on."""
+"""Cause faults from outside, and record whom each affected."""
 
 import asyncio
 import signal
@@ -20,13 +20,13 @@
 
 _BEAT_S = 0.3
 _RESTART_S = 0.5
-# A process that was killed takes so long to be there again, at most.
+# The longest time until a killed process is ready again.
 _BACK_S = 4.0
-# A connection that was silenced stays so until it is left.
+# A silenced connection stays silent until it is closed.
 _SILENCED_S = 3.0
 _DRAINS_S = 3.0
 _RESTS_S = (3.0, 2.0)
-# Calls a second that a server in need says it takes.
+# Rate limits that a server names, in calls a second.
 _LIMITS = (1.0, 1.8, 0.5, 4.0)
 _MODES: Mapping[str, str] = MappingProxyType(
     {
@@ -41,12 +41,12 @@
 
 
 class Faults:
-    """Own the list of servers, the configuration, and what goes wrong."""
+    """Own the list of servers, the configuration and the faults."""
 
     def __init__(
         self, fleet: Fleet, history: History, callers: Callers
     ) -> None:
-        """Nothing is wrong yet."""
+        """Start without a fault."""
         self.done: dict[str, int] = {}
         self._fleet = fleet
         self._history = history
@@ -61,7 +61,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def begin(self) -> None:
-        """Write what stands in the store at the start."""
+        """Write the initial records to the store."""
         for name in self._fleet.servers:
             if name.startswith('i-engine'):
                 await self._commands.order(name, 'serve', version=1)
@@ -70,23 +70,23 @@
         self._later(self._beat_on())
 
     async def close(self) -> None:
-        """Go on with nothing."""
+        """Cancel all faults."""
         for task in tuple(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
     def play(self, fault: Fault) -> None:
-        """Begin one fault; it ends by itself."""
+        """Start a fault; it ends by itself."""
         self.done[fault.kind] = self.done.get(fault.kind, 0) + 1
         self._later(self._act(fault))
 
     async def settled(self) -> None:
-        """Wait until every fault is over."""
+        """Wait until every fault has ended."""
         while len(self._tasks) > 1:
             await asyncio.sleep(_BEAT_S)
 
     async def configure(self) -> None:
-        """Write a configuration with a route of its own."""
+        """Write the next configuration."""
         self._configuration += 1
         number = self._configuration
         self._callers.configuration = number
@@ -163,7 +163,7 @@
         self._end(trouble, 0)
 
     async def _end_servers(self, fault: Fault) -> None:
-        """Nothing lies on the entries: they are to heed all their bounds."""
+        """Crash servers by a call; entries must keep all their bounds."""
         trouble = self._note(fault.kind, 'servers', fault.span_s)
         await self._callers.end_servers(fault)
         self._end(trouble, _BACK_S)
@@ -174,7 +174,7 @@
         choices: Sequence[float],
         fault: Fault,
     ) -> None:
-        """Let a server say something; nothing lies on the entries."""
+        """Let a server send a notice; entries must keep all their bounds."""
         name = _pick(sorted(self._places), fault)
         trouble = self._note(fault.kind, name, fault.span_s)
         await self._say(name, **{field: _pick(choices, fault)})
@@ -183,7 +183,7 @@
         self._end(trouble, 0)
 
     async def _leave(self, fault: Fault) -> None:
-        """Let a server say in answers alone that it leaves, and end."""
+        """Let a server announce in answers alone that it leaves, and end."""
         name = _pick(sorted(self._places), fault)
         trouble = self._note(fault.kind, name, fault.span_s + _DRAINS_S)
         await self._say(name, leaving=True)
@@ -191,7 +191,7 @@
         self._end(trouble, 0)
 
     async def _drain(self, fault: Fault) -> None:
-        """Let a server say that it leaves, end, and come with a new id."""
+        """Let a server drain, end, and start with a new id."""
         name = _pick(sorted(self._places), fault)
         if name not in self._places:
             return
@@ -250,7 +250,7 @@
         self._end(trouble, 0)
 
     async def _way(self, fault: Fault) -> None:
-        """Trouble the connections of some entries to the store, or a server."""
+        """Disturb connections of some entries to the store, or to a server."""
         if fault.kind.startswith('store'):
             first = fault.pick % len(self._fleet.entries)
             who = [vm.name for vm in self._fleet.entries[first::2]]
@@ -275,7 +275,7 @@
         state = _pick(tuple(StoreState), fault)
         trouble = self._note(fault.kind, '', fault.span_s + _BACK_S)
         if state is not StoreState.ANSWERS:
-            # Servers that live write their records again.
+            # Servers that run write their records again.
             self._listed = {}
         loss = TotalLoss(self._fleet, self._commands)
         await loss.play(sorted(self._places), fault.span_s, state)
@@ -292,7 +292,7 @@
             await self._beat()
 
     async def _beat(self) -> float:
-        """Write the entries of servers that changed; give the time."""
+        """Write the records of servers that changed; return the time."""
         told = await self._commands.servers({})
         fresh = {
             name: {**told[name], **_place(vm)}
--- a/src/linnetwood/lab/soak/fleet.py
+++ b/src/linnetwood/lab/soak/fleet.py
@@ -1,6 +1,6 @@
 """The processes of a soak on loopback: the programs, stand-ins and the proxy.
 
-Each VM has an address of its own under 127/8, so that ports are alike on all.
+Each VM has an address of its own under 127/8, so that all use the same ports.
 """
 
 import dataclasses
@@ -60,7 +60,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Size:
-    """How many of each."""
+    """The number of processes of each kind."""
 
     entries: int = 6
     engines: int = 6
@@ -69,7 +69,7 @@
 
 @dataclasses.dataclass(slots=True)
 class Vm:
-    """One VM: its address, and the program that runs there."""
+    """A VM: its address, and the program that runs on it."""
 
     name: str
     host: str
@@ -80,12 +80,12 @@
 
     @property
     def alive(self) -> bool:
-        """Tell whether its process runs."""
+        """Return whether its process runs."""
         return self.process is not None and self.process.poll() is None
 
 
 class Fleet:
-    """Own all processes; it ends none that it did not start."""
+    """Own all processes; only those that it started are ended."""
 
     def __init__(self, size: Size, version_s: float, apply_s: float) -> None:
         """Choose addresses and write settings; start nothing."""
@@ -106,7 +106,7 @@
 
     @property
     def servers(self) -> dict[str, Vm]:
-        """Give the VM of each server at the start, by its id."""
+        """Return the VM of each initial server, by its id."""
         return {f'i-{vm.name}': vm for vm in (*self.engines, *self.desks)}
 
     def start_stand_ins(self) -> None:
@@ -152,20 +152,20 @@
             self.start(vm)
 
     def start(self, vm: Vm) -> None:
-        """Start a VM's program, once more if it had ended."""
+        """Start a VM's program, or restart it once it has ended."""
         environment = {'LINNETWOOD_NODE_FILE': vm.settings}
         program = f'linnetwood.programs.{vm.program}'
         vm.process = self._spawn(vm.name, program, [], environment)
 
     def trouble(self, ways: list[str], mode: str) -> None:
-        """Set how the proxy carries some connections."""
+        """Set the mode in which the proxy forwards some connections."""
         if self._proxy is not None and self._proxy.stdin is not None:
             line = json.dumps({'ways': ways, 'mode': mode})
             self._proxy.stdin.write(f'{line}\n'.encode())
             self._proxy.stdin.flush()
 
     def close(self) -> list[str]:
-        """Stop everything; give the names of programs that did not end well."""
+        """Stop everything; return the programs that did not end well."""
         programs = [*self.entries, *self.engines]
         for vm in programs:
             _tell_to_stop(vm.process)
@@ -226,7 +226,7 @@
 
 
 def _free_net() -> int:
-    """Give the second number of addresses that nobody listens at."""
+    """Return the second byte of addresses that nobody listens on."""
     nets = list(range(_NET_FROM, _NET_TO))
     random.shuffle(nets)
     return next(net for net in nets if _is_free(f'127.{net}.1.10'))
@@ -258,7 +258,7 @@
 
 
 def _ended(process: 'subprocess.Popen[bytes] | None') -> bool:
-    """Tell whether a process that was told to stop did, in time and well."""
+    """Return whether a stopped process ended in time and well."""
     if process is None:
         return True
     try:
--- a/src/linnetwood/lab/soak/history.py
+++ b/src/linnetwood/lab/soak/history.py
@@ -1,6 +1,6 @@
-"""What callers, back ends and operators saw in one run; times in seconds.
+"""What callers, servers and operators saw in one run; times in seconds.
 
-All times are of the machine's steady clock, which its processes share.
+All times are of the machine's monotonic clock, which its processes share.
 """
 
 import dataclasses
@@ -9,7 +9,7 @@
 
 
 class Kind(enum.Enum):
-    """What may be done with a call a second time."""
+    """Whether a call may be repeated."""
 
     STREAM = 'stream'
     NEVER = 'never'
@@ -18,7 +18,7 @@
 
 @dataclasses.dataclass(slots=True)
 class Call:
-    """One try of a caller, and what it got."""
+    """One attempt of a caller, and its answer."""
 
     call_id: str
     kind: Kind
@@ -32,13 +32,13 @@
     signature: str = ''
     body: str = ''
     left_at: float = 0
-    # The configuration of whose routes this asks, if it is a probe.
+    # The configuration whose route this calls; 0 if it is no probe.
     probes: int = 0
 
 
 @dataclasses.dataclass(slots=True)
 class Run:
-    """One call that a back end began."""
+    """One call that a server began."""
 
     call_id: str
     server: str
@@ -51,37 +51,37 @@
     body: str = ''
     ended_at: float = 0
     finished: bool = False
-    # The server ended under it.
+    # The server crashed under it.
     crashed: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Saying:
-    """What a back end says of itself in its answers."""
+    """The notice that a server sends in its answers."""
 
-    # Calls a second that it takes from all; 0 for any number.
+    # Rate limit in calls a second from all entries; 0 for none.
     limit: float = 0
-    # It leaves; what stands of it in the store need not say so.
+    # It is leaving, whether or not its record in the store says so.
     leaving: bool = False
-    # It turns calls away, and wants so long a rest in seconds.
+    # It refuses calls, and asks for this pause in seconds.
     rest_s: float = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Arrival:
-    """One call that reached a back end, begun or not, and what it was told."""
+    """One call that reached a server, begun or not, and the notice it got."""
 
     call_id: str
     server: str
     at: float
     said: Saying = Saying()
-    # Which life of the back end it reached.
+    # The incarnation of the server that it reached.
     born: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Acked:
-    """Something that the store acknowledged to whoever wrote it."""
+    """A write that the store acknowledged."""
 
     what: str
     name: str
@@ -91,7 +91,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Trouble:
-    """A fault, who had it (nobody named: all), and for how long."""
+    """A fault, whom it affected (all if nobody is named), and when."""
 
     kind: str
     at: float
@@ -99,33 +99,33 @@
     who: str = ''
 
     def touches(self, who: str, since: float, until: float) -> bool:
-        """Tell whether it lay on somebody in a span of time."""
+        """Return whether it affected somebody in a span of time."""
         mine = not self.who or self.who == who
         return mine and self.at < until and self.until > since
 
 
 @dataclasses.dataclass(slots=True)
 class History:
-    """All that is checked."""
+    """Everything that is checked."""
 
     calls: list[Call] = dataclasses.field(default_factory=list)
     runs: list[Run] = dataclasses.field(default_factory=list)
     arrivals: list[Arrival] = dataclasses.field(default_factory=list)
     acked: list[Acked] = dataclasses.field(default_factory=list)
     troubles: list[Trouble] = dataclasses.field(default_factory=list)
-    # What back ends found wrong by themselves, as engines with weights.
+    # Faults that servers found themselves, as in their weights.
     found: list[str] = dataclasses.field(default_factory=list)
 
     def calm(self, who: str, since: float, until: float) -> bool:
-        """Tell whether no fault lay on somebody."""
+        """Return whether no fault affected somebody."""
         return not any(one.touches(who, since, until) for one in self.troubles)
 
 
 def arrivals_of(rows: list[dict[str, Any]]) -> list[Arrival]:
-    """Read the arrivals that a stand-in tells."""
+    """Decode the arrivals that a stand-in returns."""
     return [Arrival(**{**row, 'said': Saying(**row['said'])}) for row in rows]
 
 
 def runs_of(rows: list[dict[str, Any]]) -> list[Run]:
-    """Read the runs that a stand-in tells."""
+    """Decode the runs that a stand-in returns."""
     return [Run(**row) for row in rows]
--- a/src/linnetwood/lab/soak/lost.py
+++ b/src/linnetwood/lab/soak/lost.py
@@ -1,4 +1,4 @@
-"""Find calls that an entry passed on and then left without an answer.
+"""Find calls that an entry forwarded and then left without an answer.
 
 No I/O or clock.
 """
@@ -10,11 +10,12 @@
 from linnetwood.lab.soak.history import Call, History, Run, Trouble
 
 STOP: Final = 'stop entry'
-# So many times an entry in touch may close without an answer.
+# How often an entry in touch may close without an answer.
 _MOST_LOST = 3
-# What a deployment leaves an entry that is told to stop.
+# The time that a deployment gives an entry to stop.
 _GRACE_S = 8.0
-# A call that came so late may be cut if its server works to the end of that.
+# A call that was sent within this time after the signal may be cut if its
+# server works until the end of that time.
 _LATE_CALL_S = 3.0
 _LAST_SIXTH = 5 / 6
 Runs = Mapping[str, Sequence[Run]]
@@ -27,7 +28,7 @@
     in_touch: InTouch,
     contact_s: float,
 ) -> Iterator[str]:
-    """Yield what was lost: by entries in touch, and by those that stop."""
+    """Yield calls lost by entries in touch, and by entries that stop."""
     cut = [call for call in history.calls if _is_cut(call, runs)]
     by_entry: dict[str, list[Call]] = defaultdict(list)
     for call in cut:
@@ -42,12 +43,12 @@
 
 
 def _is_cut(call: Call, runs: Runs) -> bool:
-    """Tell whether a call was passed on and its connection ended early."""
+    """Return whether a call was forwarded and its connection ended early."""
     passed_on = runs.get(call.call_id, ())
     if call.whole or call.left_at or not passed_on:
         return False
     if not call.ended_at:
-        # The soak ended before it.
+        # The call was in progress when the soak ended.
         return False
     return not any(run.crashed for run in passed_on)
 
@@ -65,7 +66,7 @@
     runs: Runs,
     contact_s: float,
 ) -> bool:
-    """Tell whether nothing but an entry's being told to stop was the matter."""
+    """Return whether the stop of its entry was the only fault."""
     since = call.sent_at - contact_s
     near = [
         one
--- a/src/linnetwood/lab/soak/notices.py
+++ b/src/linnetwood/lab/soak/notices.py
@@ -1,7 +1,7 @@
-"""Check that entries heed what servers say of themselves; no I/O or clock.
+"""Check that entries obey the notices of servers; no I/O or clock.
 
-These checks bind entries in touch and out of touch alike: what excuses one is
-that it started again or stood still since it was told.
+The checks apply to entries in touch and out of touch alike. An entry is excused
+if it restarted or was suspended since it got the notice.
 """
 
 import itertools
@@ -11,15 +11,15 @@
 
 from linnetwood.lab.soak.history import Arrival, History
 
-# An entry that has passed an answer on knows it after this.
+# An entry knows a notice this long after it forwarded the answer.
 _KNOWN_S = 0.5
-# What an answer takes on its way, and a busy machine may add.
+# The time that an answer takes, with slack for a busy machine.
 _WAY_S = 0.5
 _WINDOW_S = 4.0
 _OVER = 1.5
 _EXTRA = 5
 
-# Calls that may come during a rest.
+# The number of calls that may arrive during a requested pause.
 _FEW = 2
 _EXCUSES = frozenset(
     ('kill entry', 'stop entry', 'pause entry', 'machine busy'),
@@ -33,7 +33,7 @@
     in_touch: InTouch,
     contact_s: float,
 ) -> Iterator[str]:
-    """Yield each server that got more than the limit that it had named."""
+    """Yield each server that got more calls than its rate limit allows."""
     entries = {call.call_id: call.entry for call in history.calls}
     by_life: dict[tuple[str, int], list[Arrival]] = defaultdict(list)
     for one in sorted(history.arrivals, key=_time):
@@ -44,7 +44,7 @@
 
 
 def after_leaving(history: History, drain_s: float) -> Iterator[str]:
-    """Yield each call that came later than an entry knew of the leaving."""
+    """Yield each call sent after an entry knew that the server leaves."""
     for entry, came in _by_entry(history):
         first = next((one for one in came if one.arrival.said.leaving), None)
         if first is None:
@@ -58,7 +58,7 @@
 
 
 def during_rest(history: History) -> Iterator[str]:
-    """Yield each entry that sent on in a rest that it was asked for."""
+    """Yield each entry that sent calls during a requested pause."""
     for entry, came in _by_entry(history):
         arrivals = [one.arrival for one in came]
         broken = (
@@ -75,7 +75,7 @@
     asked: Arrival,
     arrivals: list[Arrival],
 ) -> str:
-    """Tell what came in a rest, if it was more than a few; else nothing."""
+    """Describe the calls during a pause if there were more than a few."""
     since = asked.at + _KNOWN_S
     until = asked.at + asked.said.rest_s
     inside = [one for one in arrivals if since < one.at < until]
@@ -94,7 +94,7 @@
 
 
 def _by_entry(history: History) -> Iterator[tuple[str, list[_Came]]]:
-    """Yield what came from each entry to each life of a server, by time."""
+    """Yield arrivals by entry and incarnation of a server, by time."""
     calls = {call.call_id: call for call in history.calls}
     found: dict[tuple[str, str, int], list[_Came]] = defaultdict(list)
     for one in sorted(history.arrivals, key=_time):
@@ -107,7 +107,7 @@
 
 
 def _excused(history: History, entry: str, since: float, until: float) -> bool:
-    """Tell whether an entry started again or stood still in a span."""
+    """Return whether an entry restarted or was suspended in a span."""
     return any(
         trouble.kind in _EXCUSES and trouble.touches(entry, since, until)
         for trouble in history.troubles
@@ -124,7 +124,7 @@
     in_touch: InTouch,
     contact_s: float,
 ) -> Iterator[Arrival]:
-    """Yield what came from entries that had been told, while a limit stands."""
+    """Yield calls of entries that knew the rate limit, while it holds."""
     named_at = float()
     told_at: dict[str, float] = {}
     for one in arrivals:
--- a/src/linnetwood/lab/soak/proxy.py
+++ b/src/linnetwood/lab/soak/proxy.py
@@ -1,8 +1,9 @@
-"""Carry connections on loopback, and trouble them as told.
+"""Forward connections on loopback, with network faults on command.
 
-One line of JSON a command comes on standard input: which ways, and the mode:
-pass, slow (each piece waits), silent (nothing more passes, nothing is closed),
-one-way (what the caller sends is lost), resets (what is open is reset).
+Each command is a line of JSON on standard input: the forwarded addresses and
+the mode. The modes are pass, slow (each piece is delayed), silent (nothing is
+forwarded or closed), one-way (what the client sends is lost) and resets (open
+connections are reset).
 """
 
 import asyncio
@@ -19,10 +20,10 @@
 
 
 class Way:
-    """One address that is listened at, and where it leads."""
+    """An address to listen on, and the target to forward to."""
 
     def __init__(self, listen: str, target: str) -> None:
-        """Pass everything."""
+        """Start without a fault."""
         self.mode = 'pass'
         self._listen = _address(listen)
         self._target = _address(target)
@@ -31,12 +32,12 @@
         self._looking: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
-        """Listen."""
+        """Start to listen."""
         host, port = self._listen
         self._server = await asyncio.start_server(self._carry, host, port)
 
     def trouble(self, mode: str) -> None:
-        """Begin a mode; connections that were silenced stay so."""
+        """Set the mode; connections that were silenced stay silent."""
         self.mode = mode
         if mode == 'resets':
             for writer in tuple(self._open):
@@ -61,7 +62,7 @@
         self._open -= {writer, there[1]}
 
     def _refuse(self) -> None:
-        """Refuse connections for as long as the target does."""
+        """Refuse connections while the target refuses them."""
         if self._server is not None:
             self._server.close()
             self._server = None
@@ -141,7 +142,7 @@
 
 
 def main() -> None:
-    """Carry until standard input ends."""
+    """Forward until standard input ends."""
     asyncio.run(_run(sys.argv[1:]))
 
 
--- a/src/linnetwood/lab/soak/schedule.py
+++ b/src/linnetwood/lab/soak/schedule.py
@@ -5,10 +5,10 @@
 from random import Random
 from types import MappingProxyType
 
-# So long nothing happens at the start, and at the end all is well again.
+# The time at the start without a fault.
 LEAD_S = 4.0
 _GAP_S = (0.3, 2.0)
-# A fault on one process or connection, and how long it lasts.
+# The kinds of faults, and how long each lasts, in seconds.
 _NO_TIME = (0, 0)
 _SPANS: Mapping[str, tuple[float, float]] = MappingProxyType(
     {
@@ -41,17 +41,17 @@
         'all lost': (0.5, 2.0),
     }
 )
-# Which of those that it fits, whatever their number.
+# The range of the numbers that choose what a fault affects.
 _PICKS = 65536
 _OFTEN = ('config', 'config', 'configs', 'version')
-# A series: as many changes as this, as far apart.
+# The number of changes in a series, and the seconds between them.
 SERIES = 4
 SERIES_GAP_S = 0.25
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Fault:
-    """What happens, when, for how long, and to which one of those it fits."""
+    """A fault: when, for how long, and which process or server it affects."""
 
     at_s: float
     kind: str
@@ -60,7 +60,7 @@
 
 
 def schedule(seed: int, span_s: float) -> list[Fault]:
-    """Give the faults of a run, by time; several may lie over each other."""
+    """Return the faults of a run, by time; several may overlap."""
     rng = Random(seed)
     kinds = (*_SPANS, *_OFTEN)
     faults = []
--- a/src/linnetwood/lab/soak/standservers.py
+++ b/src/linnetwood/lab/soak/standservers.py
@@ -1,7 +1,7 @@
-"""Stand-ins of engines, plain servers and the origin of weights.
+"""Stand-ins for engines, plain servers and the origin of weights.
 
-Each server notes what it began, and an engine looks whether the pieces that it
-is ordered to serve are all there and of one version.
+Each server records the calls that it began, and an engine checks that the
+chunks that it is ordered to serve are complete and of one version.
 """
 
 import asyncio
@@ -41,7 +41,7 @@
 
 
 def piece(version: int, index: int) -> bytes:
-    """Give the one right piece of a version."""
+    """Return the valid chunk of a version at an index."""
     seed = hashlib.sha256(f'{version}/{index}'.encode()).digest()
     return (seed * PIECE_BYTES)[:PIECE_BYTES]
 
@@ -50,7 +50,7 @@
     """One server of a service; an engine if it has a model."""
 
     def __init__(self, name: str, service: str, slots: int) -> None:
-        """Be there, holding nothing."""
+        """Start without weights or calls."""
         self.name = name
         self.service = service
         self.slots = slots
@@ -68,15 +68,15 @@
         self._listening: HTTPServer | None = None
 
     def listen(self, app: Application, port: int) -> None:
-        """Take calls at a port of loopback."""
+        """Accept calls on a port of the loopback address."""
         self._app = app
         self._port = port
-        # One that was stopped can't listen again.
+        # A stopped HTTP server can't listen again.
         self._listening = HTTPServer(app)
         self._listening.listen(port, '127.0.0.1')
 
     def start_again(self, *, keeps_staged: bool) -> None:
-        """Begin a life that knows nothing; what is staged may outlast it."""
+        """Start a new incarnation; staged chunks may be kept."""
         self.born = max(self.born + 1, _now_ms())
         self.says = Saying()
         self.serving = 0
@@ -89,7 +89,7 @@
             self.staged.clear()
 
     def crash(self) -> None:
-        """Break every call off, and take none."""
+        """Abort every call, and accept no more."""
         if self.alive and self._listening is not None:
             self._listening.stop()
         self.alive = False
@@ -97,7 +97,7 @@
             _close(handler)
 
     def entry(self, address: str, zone: str) -> dict[str, Any]:
-        """Give what the server writes of itself to the store."""
+        """Return the record that the server writes to the store."""
         said: dict[str, Any] = {
             'service': self.service,
             'address': address,
@@ -114,17 +114,17 @@
         return said
 
     def held(self) -> list[dict[str, Any]]:
-        """Give what it serves, as it tells that."""
+        """Return the served models as they are reported."""
         if not self.serving:
             return []
         return [{'name': MODEL, 'version': self.serving, 'adapters': []}]
 
 
 class Servers:
-    """All of them, and what they saw."""
+    """All servers, and the calls that they received."""
 
     def __init__(self) -> None:
-        """Have none."""
+        """Start without servers."""
         self.servers: dict[str, Server] = {}
         self.runs: list[Run] = []
         self.arrivals: list[Arrival] = []
@@ -135,7 +135,7 @@
         self.newest = 1
 
     def add(self, name: str, service: str, slots: int, port: int) -> None:
-        """Serve at a port of loopback."""
+        """Add a server that listens on a port of the loopback address."""
         server = Server(name, service, slots)
         self.servers[name] = server
         shared = {'servers': self, 'server': server}
@@ -152,7 +152,7 @@
         server.listen(app, port)
 
     def arrive(self, server: Server, headers: HTTPHeaders) -> None:
-        """Note that a call is there."""
+        """Record that a call arrived."""
         call_id = headers.get('X-Attempt-Id', '')
         now = time.monotonic()
         self.arrivals.append(
@@ -160,7 +160,7 @@
         )
 
     def run(self, server: Server, handler: RequestHandler) -> Run:
-        """Note that a call begins."""
+        """Record that a call begins to run."""
         headers = handler.request.headers
         run = Run(
             headers.get('X-Attempt-Id', ''),
@@ -186,12 +186,12 @@
             _close(self)
 
     def data_received(self, chunk: bytes) -> None:
-        """Take no streamed bodies."""
+        """Accept no streamed bodies."""
 
 
 class _Report(_Base):
     def get(self) -> None:
-        """Tell what it does."""
+        """Return the load report."""
         server = self.server
         self.write(
             {
@@ -211,7 +211,7 @@
 
 class _Health(_Base):
     def get(self) -> None:
-        """Be well unless it leaves."""
+        """Report healthy unless the server is draining."""
         self.set_header('X-Instance-Id', self.server.name)
         if self.server.draining:
             self.set_status(_BUSY)
@@ -219,14 +219,14 @@
 
 class _StagePut(_Base):
     def put(self, model: str) -> None:
-        """Lay a piece."""
+        """Store a chunk."""
         index = int(self.get_argument('quantity'))
         self.server.staged[index] = self.request.body
 
 
 class _StageGet(_Base):
     def get(self, model: str) -> None:
-        """Give a piece back, or tell which lie there."""
+        """Return a chunk, or the list of those that are stored."""
         index = self.get_argument('quantity', '')
         staged = self.server.staged
         if not index:
@@ -240,7 +240,7 @@
 
 class _Order(_Base):
     async def post(self) -> None:
-        """Serve what lies there, after the calls that run."""
+        """Load the staged chunks, and record it if any is wrong."""
         server = self.server
         order = json.loads(self.request.body)
         if order['expected_revision'] != server.sequence:
@@ -270,7 +270,7 @@
 
 class _Call(_Base):
     async def post(self) -> None:
-        """Run a call, if it is for this server and this can."""
+        """Run a call if it is meant for this server and a slot is free."""
         server = self.server
         headers = self.request.headers
         self.servers.arrive(server, headers)
@@ -289,11 +289,11 @@
         await self._run(self.servers.run(server, self))
 
     async def get(self) -> None:
-        """Run a call that changes nothing."""
+        """Run a call that may be repeated."""
         await self.post()
 
     def on_connection_close(self) -> None:
-        """Stop: whoever asked has gone."""
+        """Stop working, since the client disconnected."""
         self._gone = True
 
     async def _run(self, run: Run) -> None:
@@ -310,7 +310,7 @@
             running.discard(self)
 
     async def _end_server(self, run: Run) -> None:
-        """End the server, if this is such a call."""
+        """Crash the server if this call is fatal."""
         if FATAL not in self.request.path:
             return
         server = self.server
@@ -354,17 +354,17 @@
 
 
 class Origin(RequestHandler):
-    """Give manifests and pieces; some are spoilt on order."""
+    """Return manifests and chunks; some are corrupted on command."""
 
     def initialize(self, servers: Servers) -> None:
-        """Share the state."""
+        """Use the shared state."""
         self.servers = servers
 
     def data_received(self, chunk: bytes) -> None:
-        """Take no streamed bodies."""
+        """Accept no streamed bodies."""
 
     async def get(self, what: str, model: str) -> None:
-        """Answer as asked."""
+        """Return a manifest or a chunk."""
         while self.servers.origin_silent:
             await asyncio.sleep(_LOAD_S)
         newest = str(self.servers.newest)
@@ -392,17 +392,17 @@
 
 
 class Control(RequestHandler):
-    """Do what the soak orders, and tell what was seen."""
+    """Carry out commands of the soak, and return what was recorded."""
 
     def initialize(self, servers: Servers) -> None:
-        """Share the state."""
+        """Use the shared state."""
         self.servers = servers
 
     def data_received(self, chunk: bytes) -> None:
-        """Take no streamed bodies."""
+        """Accept no streamed bodies."""
 
     def get(self) -> None:
-        """Tell all."""
+        """Return all recorded calls and arrivals."""
         runs = [dataclasses.asdict(run) for run in self.servers.runs]
         arrivals = [dataclasses.asdict(one) for one in self.servers.arrivals]
         self.write(
@@ -410,7 +410,7 @@
         )
 
     def post(self) -> None:
-        """Order a server, or set a trouble; give the servers' entries."""
+        """Command a server or set a fault; return the servers' records."""
         said = json.loads(self.request.body)
         server = self.servers.servers.get(said.get('server', ''))
         if server is not None:
@@ -448,7 +448,7 @@
 
 
 def application(servers: Servers) -> Application:
-    """Give the origin and the control as a tornado application."""
+    """Return the origin and the control as a tornado application."""
     shared = {'servers': servers}
     return Application(
         [
@@ -459,7 +459,7 @@
 
 
 def _is_meant(server: Server, headers: HTTPHeaders) -> bool:
-    """Tell whether a call names this server, and a version that it serves."""
+    """Return whether a call names this server and a served version."""
     if headers.get('X-Expected-Instance', '') != server.name:
         return False
     wanted = headers.get('X-Expected-Version', str(server.serving))
@@ -468,7 +468,7 @@
 
 
 def _told(says: Saying) -> Iterator[tuple[str, str]]:
-    """Yield the headers that say it."""
+    """Yield the headers of a notice."""
     if says.limit:
         yield 'Server-Limit', str(says.limit)
     if says.leaving:
--- a/src/linnetwood/lab/soak/standstore.py
+++ b/src/linnetwood/lab/soak/standstore.py
@@ -1,4 +1,4 @@
-"""A stand-in of the platform's store: ranges, waits, and troubles on order."""
+"""A stand-in for the platform's store: ranges, waits and faults on command."""
 
 import asyncio
 import base64
@@ -31,10 +31,10 @@
 
 
 class StoreState:
-    """Hold keys, the last changes, and the trouble that is on."""
+    """Hold keys, the last changes, and the fault in effect."""
 
     def __init__(self) -> None:
-        """Hold nothing."""
+        """Start empty and without a fault."""
         self.mode = 'pass'
         self.era = 1
         self.revision = 0
@@ -45,7 +45,7 @@
         self._changed = asyncio.Event()
 
     def write(self, key: str, payload: bytes | None) -> None:
-        """Write a key, or take it away."""
+        """Write a key, or delete it."""
         self.revision += 1
         row: dict[str, Any] = {'private_key': key, 'revision': self.revision}
         if payload is None:
@@ -82,18 +82,18 @@
         self.stir()
 
     def forget(self) -> None:
-        """Lose the history: waits from before are told so."""
+        """Drop the history: waits from earlier revisions get 410."""
         self._forgotten = self.revision
         self._events.clear()
         self.stir()
 
     def stir(self) -> None:
-        """Let those that wait look again."""
+        """Wake all waits, so that they check for changes."""
         self._changed.set()
         self._changed = asyncio.Event()
 
     def rows(self, prefix: str) -> list[dict[str, Any]]:
-        """Give a range."""
+        """Return the rows of a range, by key."""
         return [
             row
             for key, row in sorted(self._rows.items())
@@ -101,7 +101,7 @@
         ]
 
     def since(self, prefix: str, after: int) -> list[dict[str, Any]] | None:
-        """Give the changes after a revision; none if they aren't held."""
+        """Return the changes after a revision, or None if they aren't held."""
         if after < self._forgotten or after > self.revision:
             return None
         return [
@@ -127,17 +127,17 @@
             await self.finish()
 
     def finish(self, chunk: Any = None) -> Any:
-        """Name the era in each answer, as of when it is given."""
+        """Send the era in each answer, as of the time when it is sent."""
         self.set_header('Store-Era', str(self.state.era))
         return super().finish(chunk)
 
     def data_received(self, chunk: bytes) -> None:
-        """Take no streamed bodies."""
+        """Accept no streamed bodies."""
 
 
 class _Range(_Base):
     def get(self) -> None:
-        """Give a whole range in one page."""
+        """Return a whole range in one page."""
         prefix = self.get_argument('path_prefix', '')
         self.write(
             {
@@ -150,7 +150,7 @@
 
 class _Watch(_Base):
     async def get(self) -> None:
-        """Give what changes, as soon as something does."""
+        """Return changes as soon as there are any."""
         state = self.state
         prefix = self.get_argument('path_prefix', '')
         after = int(self.get_argument('after_revision'))
@@ -170,14 +170,14 @@
 
 class _Lease(_Base):
     def post(self) -> None:
-        """Give a lease; no run lasts until it ends."""
+        """Create a lease; no soak runs until one expires."""
         said = json.loads(self.request.body)
         self.write({'lease': 1, 'ttl_ms': said['ttl_ms']})
 
 
 class _Txn(_Base):
     def post(self) -> None:
-        """Write and remove keys, but those of operators and servers."""
+        """Write and delete keys, except those of operators and servers."""
         said = json.loads(self.request.body)
         keys = [row['private_key'] for row in said['write']]
         if any(key.startswith(_OTHERS) for key in (*keys, *said['remove'])):
@@ -192,17 +192,17 @@
 
 
 class _Operator(RequestHandler):
-    """What operators and servers do, which no trouble keeps from writing."""
+    """Writes of operators and servers, which no fault prevents."""
 
     def initialize(self, state: StoreState) -> None:
-        """Share the state."""
+        """Use the shared state."""
         self.state = state
 
     def data_received(self, chunk: bytes) -> None:
-        """Take no streamed bodies."""
+        """Accept no streamed bodies."""
 
     def post(self) -> None:
-        """Write keys, or set the trouble."""
+        """Write keys, set the fault, or copy and restore the store."""
         said = json.loads(self.request.body)
         if 'restore' in said:
             self.state.restore_saved()
@@ -220,7 +220,7 @@
 
 
 def application(state: StoreState | None = None) -> Application:
-    """Give the store as a tornado application."""
+    """Return the store as a tornado application."""
     shared = {'state': state or StoreState()}
     return Application(
         [
--- a/src/linnetwood/lab/soak/totalloss.py
+++ b/src/linnetwood/lab/soak/totalloss.py
@@ -1,4 +1,4 @@
-"""Let everything but the store and the origin lose power at once."""
+"""Cut the power of everything but the store and the origin."""
 
 import asyncio
 import enum
@@ -12,26 +12,26 @@
 
 
 class StoreState(enum.Enum):
-    """What becomes of the store meanwhile."""
+    """What happens to the store meanwhile."""
 
     ANSWERS = 'answers'
     LEASES_RUN_OUT = 'leases run out'
-    # Leases run out too, and it is down until all have started again.
+    # Leases run out, and it is down until all have restarted.
     DOWN = 'down'
 
 
 class TotalLoss:
-    """Kill every program and server, and start them knowing nothing."""
+    """Kill every program and server, and start them without any state."""
 
     def __init__(self, fleet: Fleet, commands: Commands) -> None:
-        """Act on the programs of a fleet and on its stand-ins."""
+        """Use the programs of a fleet and its stand-ins."""
         self._fleet = fleet
         self._commands = commands
 
     async def play(
         self, servers: Sequence[str], down_s: float, state: StoreState
     ) -> None:
-        """Take these servers down together with all programs."""
+        """Kill these servers together with all programs."""
         killed = self._kill_programs()
         await self._crash_all(servers, state)
         await asyncio.sleep(down_s)
@@ -55,7 +55,7 @@
         for name in servers:
             await self._commands.order(name, 'start', keeps=False)
         for vm, process in killed:
-            # Another fault may have started it meanwhile.
+            # Another fault may have restarted it meanwhile.
             if vm.process is process:
                 self._fleet.start(vm)
 
