Log the shared parts of a call's prompt, as fingerprints

The log couldn't tell whether calls that lost their endpoint had a part of their prompts in common: X-Prompt-Prefix was read nowhere. Attempts, refusals and endings now name the fingerprints of the parts that other calls may have (all but the last), and 'linnetwood explain' finds calls by them. Nothing is decided by them yet.

--- a/src/linnetwood/calls/attemptlog.py
+++ b/src/linnetwood/calls/attemptlog.py
@@ -9,7 +9,11 @@
 from linnetwood.calls.dialect import Urgency
 from linnetwood.calls.directory import Endpoint
 from linnetwood.calls.endpointstats import EndpointStats
-from linnetwood.calls.logfields import call_fields, logged_id
+from linnetwood.calls.logfields import (
+    call_fields,
+    logged_id,
+    logged_parts,
+)
 from linnetwood.calls.notices import Notice
 from linnetwood.calls.policy.prioritythresholds import NO_LIMIT, LoadLimit
 from linnetwood.calls.routetable import Organisation, Route
@@ -51,6 +55,7 @@
     config_basis: ConfigBasis
     prompt: int = 0
     organisation: Organisation | None = None
+    part_fingerprints: tuple[str, ...] = ()
 
 
 def load_estimate(stats: EndpointStats, now: float) -> LoadEstimate:
@@ -107,6 +112,7 @@
         Event.ATTEMPT_ENDED,
         call=logged_id(sent_attempt.call_id),
         likeness=sent_attempt.fingerprint,
+        parts=logged_parts(sent_attempt.part_fingerprints),
         **call_fields(route, sent_attempt.organisation),
         endpoint=sent_attempt.choice.endpoint.endpoint_id,
         born=sent_attempt.choice.endpoint.born,
--- a/src/linnetwood/calls/callparsing.py
+++ b/src/linnetwood/calls/callparsing.py
@@ -6,7 +6,7 @@
 from linnetwood.calls.configbasis import ConfigBasis
 from linnetwood.calls.dialect import CallHead, Dialect
 from linnetwood.calls.direct import DirectCall
-from linnetwood.calls.fingerprint import call_fingerprint
+from linnetwood.calls.fingerprint import call_fingerprint, part_fingerprints
 from linnetwood.calls.regionscope import intersect_regions
 from linnetwood.calls.routetable import (
     Organisation,
@@ -93,6 +93,7 @@
             incoming.target,
             incoming.body,
         ),
+        part_fingerprints(head.model, head.shared_parts),
     )
 
 
--- a/src/linnetwood/calls/callserver.py
+++ b/src/linnetwood/calls/callserver.py
@@ -33,6 +33,7 @@
     MAX_LOGGED_CHARS,
     call_fields,
     logged_id,
+    logged_parts,
 )
 from linnetwood.calls.memoryguard import MemoryGuard
 from linnetwood.calls.policy.retryafter import LastPart
@@ -249,7 +250,11 @@
         writer.name_call(self._call_id, self._call_fields)
         admitted = self._delegate.admit(call)
         if isinstance(admitted, Ending):
-            self._log_refused(admitted, likeness=call.fingerprint)
+            self._log_refused(
+                admitted,
+                likeness=call.fingerprint,
+                parts=logged_parts(call.part_fingerprints),
+            )
             return admitted
         ending = await self._delegate.dispatcher.run(call, writer, admitted)
         if ending.outcome is not Outcome.ANSWERED:
@@ -259,6 +264,7 @@
                 else Event.CALL_UNKNOWN,
                 call=self._call_id,
                 likeness=call.fingerprint,
+                parts=logged_parts(call.part_fingerprints),
                 **self._call_fields,
                 code=ending.code,
                 detail=ending.detail,
--- a/src/linnetwood/calls/dialect.py
+++ b/src/linnetwood/calls/dialect.py
@@ -31,7 +31,8 @@
 class CallHead:
     """What a caller's headers say; times in seconds, the prompt in tokens.
 
-    `wait_s` is None for a caller that states no deadline.
+    `wait_s` is None for a caller that states no deadline. `shared_parts` are
+    the ids of the parts of the prompt that other calls may have too, in order.
     """
 
     call_id: str = ''
@@ -40,6 +41,7 @@
     model: str = ''
     prompt: int = 0
     resume_after: str = ''
+    shared_parts: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/linnetwood/calls/direct.py
+++ b/src/linnetwood/calls/direct.py
@@ -89,6 +89,8 @@
     region_scope: RegionScope = ANY_REGION
     # Equal for calls that ask for the same; empty where unknown.
     fingerprint: str = ''
+    # Of the parts of its prompt that other calls may share.
+    part_fingerprints: tuple[str, ...] = ()
 
     @property
     def level(self) -> int:
@@ -291,6 +293,7 @@
             call.config_basis,
             call.head.prompt,
             call.organisation,
+            call.part_fingerprints,
         )
         stats.record_sent()
         self._chooser.record_sent(call.service, choice.endpoint, now)
--- a/src/linnetwood/calls/logfields.py
+++ b/src/linnetwood/calls/logfields.py
@@ -1,9 +1,12 @@
 """Log fields that name the route, organisation and priority of a call."""
 
+from collections.abc import Sequence
+
 from linnetwood.calls.routetable import Organisation, Route
 
 # Values from callers and configurations are cut to this length in log lines.
 MAX_LOGGED_CHARS = 120
+_MAX_LOGGED_PARTS = 8
 
 
 def logged_id(call_id: str) -> str:
@@ -24,3 +27,8 @@
     if route is not None:
         fields.update(route=route.name, priority=route.priority)
     return fields
+
+
+def logged_parts(part_fingerprints: Sequence[str]) -> list[str]:
+    """Return the first few fingerprints of a prompt's shared parts."""
+    return list(part_fingerprints[:_MAX_LOGGED_PARTS])
--- a/src/linnetwood/platform/dialect.py
+++ b/src/linnetwood/platform/dialect.py
@@ -16,6 +16,8 @@
 _MODEL = 'x-model'
 # Tokens of the prompt, and the maximum number of generated tokens.
 _TOKENS = 'x-token-counts'
+# Parts of the prompt in order, as ID:TOKENS; the last one is the call's own.
+_PARTS = 'x-prompt-prefix'
 _RESUME_AFTER = 'last-event-id'
 _ORGANISATION = 'x-tenant'
 _ENDPOINT = 'x-expected-instance'
@@ -71,6 +73,7 @@
             model=by_name.get(_MODEL, ''),
             prompt=_integer(prompt),
             resume_after=by_name.get(_RESUME_AFTER, ''),
+            shared_parts=_shared_parts(headers),
         )
 
     def outgoing(self, headers: Headers, call: OutgoingCall) -> Headers:
@@ -181,6 +184,12 @@
     return found, unread
 
 
+def _shared_parts(headers: Headers) -> tuple[str, ...]:
+    """Return the ids of all parts but the last, which no other call has."""
+    ids = [one.partition(':')[0].strip() for one in _texts(headers, _PARTS)]
+    return tuple(filter(None, ids[:-1]))
+
+
 def _integer(text: str) -> int:
     trimmed = text.strip()
     return int(trimmed) if trimmed.isdecimal() else 0
--- a/src/linnetwood/programs/explain.py
+++ b/src/linnetwood/programs/explain.py
@@ -66,7 +66,8 @@
 ) -> list[dict[str, Any]]:
     """Return a call's lines ordered by time, or raise UsageError.
 
-    The name may also be a fingerprint, for all calls that share it.
+    The name may also be a fingerprint, of a call or of a part of a prompt, for
+    all calls that share it.
     """
     found = [line for line in lines if _concerns(line, call)]
     if not found:
@@ -86,8 +87,8 @@
     ids = (name, logged_id(name))
     if line.get(_CALL) in ids or line.get('likeness') == name:
         return True
-    likenesses = line.get('likenesses')
-    return isinstance(likenesses, list) and name in likenesses
+    listed = [line.get(field) for field in ('likenesses', 'parts')]
+    return any(isinstance(names, list) and name in names for names in listed)
 
 
 def _attempt(line: dict[str, Any]) -> str:
