Soak parts of prompts that crash engines, and answers without length or chunks

Reproduces the incident on loopback, failing: nine entries and nine engines, a part in the middle or in front of a prompt, in calls no two of which are alike, sent twice a second for 14 s.

Stand-ins answer a quarter of all calls with neither a length nor chunks, and crash before the first event, after it, inside one, or at its end.

The new checks: no more than three such calls reach servers from 3 s after the fifth crash (BUDGET), and sound calls with the same key or first part begin at least half as often as before all faults (LOST). The check of calls that crash servers by their path leaves these out, since it bounds calls that are alike: with a part, the path is that of all sound calls. The order check no longer raises for a stream without events; such a stream, if whole, is a violation.

--- a/src/linnetwood/lab/soak/callers.py
+++ b/src/linnetwood/lab/soak/callers.py
@@ -8,6 +8,13 @@
 from types import MappingProxyType
 from typing import Any
 
+from linnetwood.lab.soak.fatalparts import (
+    FIRST_PARTS,
+    Company,
+    draw_fatal_part,
+    header,
+    sound_parts,
+)
 from linnetwood.lab.soak.fleet import CALLERS_PORT, Fleet, Vm
 from linnetwood.lab.soak.history import Call, CallKind, History
 from linnetwood.lab.soak.schedule import Fault
@@ -36,6 +43,8 @@
 _PROBE_INTERVAL_S = (0.1, 0.4)
 # The interval between calls that crash servers, in seconds.
 _FATAL_CALL_INTERVAL_S = (0.2, 0.8)
+# Sound calls have a new first part this long after the first fatal call.
+_NEW_FIRST_PART_S = 3.0
 _CONNECT_TIMEOUT_S = 1.0
 _ID_BYTES = 8
 _SERVICE_UNAVAILABLE = 503
@@ -51,6 +60,8 @@
         self._fleet = fleet
         self._history = history
         self._rng = Random(seed)
+        # The first parts of sound prompts, the most frequent last.
+        self._first_parts = list(FIRST_PARTS)
         self._tasks: list[asyncio.Task[None]] = []
 
     def start(self, count: int) -> None:
@@ -80,6 +91,23 @@
             )
             await asyncio.sleep(rng.uniform(*_FATAL_CALL_INTERVAL_S))
 
+    async def crash_engines(self, fault: Fault) -> None:
+        """Send calls with a part that crashes engines, to random entries."""
+        rng = Random(fault.pick)
+        fatal = draw_fatal_part(fault.pick)
+        began = time.monotonic()
+        is_shared = fatal.company is not Company.NEW_FIRST
+        while time.monotonic() < began + fault.span_s:
+            vm = rng.choice(self._fleet.entries)
+            call = self._record_call(
+                vm, CallKind.STREAM, _PATHS[CallKind.STREAM], fatal.parts(rng)
+            )
+            self._run_in_background(Connection(vm).run(call, 4, 0))
+            await asyncio.sleep(rng.uniform(*_FATAL_CALL_INTERVAL_S))
+            if not is_shared and time.monotonic() > began + _NEW_FIRST_PART_S:
+                is_shared = True
+                self._first_parts.append(fatal.new_first_part)
+
     def _run_in_background(self, work: Coroutine[Any, Any, None]) -> None:
         self._tasks.append(asyncio.create_task(work))
 
@@ -113,7 +141,13 @@
             call.probes = probed
             await conn.run(call, 1, 0)
 
-    def _record_call(self, vm: Vm, kind: CallKind, path: str) -> Call:
+    def _record_call(
+        self,
+        vm: Vm,
+        kind: CallKind,
+        path: str,
+        parts: tuple[str, ...] = (),
+    ) -> Call:
         call = Call(
             secrets.token_hex(_ID_BYTES),
             kind,
@@ -121,6 +155,7 @@
             path,
             time.monotonic(),
             _CALL_TIMEOUT_S[kind],
+            parts=parts or sound_parts(self._rng, self._first_parts),
         )
         self._history.calls.append(call)
         return call
@@ -165,6 +200,7 @@
             f'X-Attempt-Id: {call.call_id}\r\n'
             f'X-Deadline-Ms: {int(call.patience_s * _MILLISECONDS)}\r\n'
             f'X-Model: m-1\r\nX-Token-Counts: 10,{events}\r\n'
+            f'X-Prompt-Prefix: {header(call.parts)}\r\n'
             f'Authorization: Bearer {KEY}\r\nContent-Length: 0\r\n\r\n'
         )
         writer.write(head.encode())
--- a/src/linnetwood/lab/soak/checks.py
+++ b/src/linnetwood/lab/soak/checks.py
@@ -7,6 +7,8 @@
 from collections.abc import Callable, Iterator
 
 from linnetwood.lab.soak.configuration import KEPT_ROUTES
+from linnetwood.lab.soak.fatalchecks import FatalPartChecker
+from linnetwood.lab.soak.fatalparts import fatal_part_of
 from linnetwood.lab.soak.history import AckedWrite, Call, CallKind, History, Run
 from linnetwood.lab.soak.lost import find_lost_calls
 from linnetwood.lab.soak.notices import (
@@ -67,6 +69,7 @@
             self._run_violations(),
             self._check_retry_share(),
             self._check_fatal_calls(),
+            self._check_fatal_parts(),
             self._check_gone(),
             self._check_lost(),
             self._check_rate_limits(),
@@ -116,7 +119,7 @@
         numbers = [parts[1] for parts in events]
         if numbers != [str(one) for one in range(1, len(rows) + 1)]:
             yield _describe('ORDER', call, f'events {numbers}')
-        elif call.whole and numbers[-1:] != events[-1][2:3]:
+        elif call.whole and not _ends_with_last(events):
             yield _describe('ORDER', call, f'ends after event {numbers[-1:]}')
 
     def _check_twice(self, call: Call) -> Iterator[str]:
@@ -207,11 +210,15 @@
                 return
 
     def _check_fatal_calls(self) -> Iterator[str]:
-        """Check that a call that crashed three servers reaches few more."""
+        """Check that a call that crashed three servers reaches few more.
+
+        Where a part of the prompt crashes them, no two calls are alike.
+        """
         by_path: dict[str, list[Run]] = defaultdict(list)
         entries = {one.call_id: one.entry for one in self._history.calls}
         for call in self._history.calls:
-            by_path[call.path].extend(self._runs[call.call_id])
+            if not fatal_part_of(call.parts):
+                by_path[call.path].extend(self._runs[call.call_id])
         for path, runs in by_path.items():
             crashes = sorted(one.ended_at for one in runs if one.crashed)
             known_at = self._known_at(crashes)
@@ -233,6 +240,14 @@
             return math.inf
         return crashes[_MAX_CRASHES - 1] + self._limits.contact_s
 
+    def _check_fatal_parts(self) -> Iterator[str]:
+        return FatalPartChecker(
+            self._history,
+            self._runs,
+            self._is_connected,
+            self._limits.contact_s,
+        ).violations()
+
     def _check_gone(self) -> Iterator[str]:
         """Check that servers stop soon after callers disconnect."""
         late_s = _STOP_DELAY_S + self._limits.slack_s
@@ -321,6 +336,11 @@
         )
 
 
+def _ends_with_last(events: list[list[str]]) -> bool:
+    """Return whether the last event is the last of its stream."""
+    return bool(events) and events[-1][1] == events[-1][2]
+
+
 def _describe(rule: str, call: Call, detail: str) -> str:
     return (
         f'{rule} {call.sent_at:.3f} {call.call_id} by {call.entry}: '
--- a/src/linnetwood/lab/soak/faults.py
+++ b/src/linnetwood/lab/soak/faults.py
@@ -103,7 +103,12 @@
             'pause endpoint': partial(self._pause, engines),
             'crash server': self._crash,
             'drain server': self._drain,
-            'call that ends servers': self._crash_by_call,
+            'call that ends servers': partial(
+                self._crash_by_calls, self._callers.crash_servers
+            ),
+            'part that ends engines': partial(
+                self._crash_by_calls, self._callers.crash_engines
+            ),
             'server in need': partial(self._send_notice, 'limit', _RATE_LIMITS),
             'server asks for rest': partial(
                 self._send_notice, 'rest_s', _PAUSES_S
@@ -162,10 +167,12 @@
         await self._commands.order(name, 'start', keeps=bool(fault.pick % 2))
         self._record_end(index, 0)
 
-    async def _crash_by_call(self, fault: Fault) -> None:
-        """Crash servers by a call; entries must keep within their bounds."""
+    async def _crash_by_calls(
+        self, send_calls: Callable[[Fault], Awaitable[None]], fault: Fault
+    ) -> None:
+        """Crash servers by calls; entries must keep within their bounds."""
         index = self._record_start(fault.kind, 'servers', fault.span_s)
-        await self._callers.crash_servers(fault)
+        await send_calls(fault)
         self._record_end(index, _READY_TIMEOUT_S)
 
     async def _send_notice(
--- a/src/linnetwood/lab/soak/history.py
+++ b/src/linnetwood/lab/soak/history.py
@@ -34,6 +34,8 @@
     left_at: float = 0
     # The configuration whose route this calls; 0 if it is no probe.
     probes: int = 0
+    # The parts of its prompt, in order; the last is its own.
+    parts: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/linnetwood/lab/soak/schedule.py
+++ b/src/linnetwood/lab/soak/schedule.py
@@ -20,6 +20,7 @@
         'crash server': (0.3, 2.0),
         'drain server': (2.0, 5.0),
         'call that ends servers': (8.0, 15.0),
+        'part that ends engines': (8.0, 15.0),
         'server in need': (8.0, 15.0),
         'server asks for rest': (4.0, 8.0),
         'server leaves unlisted': (2.0, 5.0),
--- a/src/linnetwood/lab/soak/standservers.py
+++ b/src/linnetwood/lab/soak/standservers.py
@@ -10,7 +10,7 @@
 import json
 import secrets
 import time
-from collections.abc import Iterator
+from collections.abc import AsyncIterator, Iterator
 from typing import Any
 
 from tornado.httpserver import HTTPServer
@@ -18,7 +18,15 @@
 from tornado.iostream import StreamClosedError
 from tornado.web import Application, RequestHandler
 
+from linnetwood.lab.soak.fatalparts import CrashMoment, crash_moment
 from linnetwood.lab.soak.history import Arrival, Notice, Run
+from linnetwood.lab.soak.standanswers import (
+    Answer,
+    ClosingAnswer,
+    answer_of,
+    check_connected,
+    close_connection,
+)
 
 _NOT_FOUND = 404
 _CONFLICT = 409
@@ -94,7 +102,7 @@
             self._listening.stop()
         self.alive = False
         for handler in tuple(self.running):
-            _close(handler)
+            close_connection(handler)
 
     def record(self, address: str, zone: str) -> dict[str, Any]:
         """Return the record that the server writes to the store."""
@@ -185,7 +193,7 @@
 
     def prepare(self) -> None:
         if not self.server.alive:
-            _close(self)
+            close_connection(self)
 
     def data_received(self, chunk: bytes) -> None:
         """Accept no streamed bodies."""
@@ -302,7 +310,7 @@
 
     def on_connection_close(self) -> None:
         """Stop the call, since the client disconnected."""
-        self._is_disconnected = True
+        self.is_disconnected = True
 
     async def _run(self, run: Run) -> None:
         running = self.server.running
@@ -319,8 +327,10 @@
 
     async def _crash_if_fatal(self, run: Run) -> None:
         """Crash the server if this call is fatal."""
-        if FATAL not in self.request.path:
-            return
+        if FATAL in self.request.path:
+            await self._crash_server(run)
+
+    async def _crash_server(self, run: Run) -> None:
         server = self.server
         incarnation = server.incarnation
         await asyncio.sleep(_CRASH_DELAY_S)
@@ -340,23 +350,48 @@
         await asyncio.sleep(_ANSWER_TIME_S)
         run.body = f'{run.server} {run.call_id} {run.signature}'
         self._sign(run)
-        self.write(run.body)
-        await self.finish()
+        answer = answer_of(self, run.call_id, streams=False)
+        answer.begin()
+        await answer.send(run.body)
+        await answer.end()
 
     async def _stream(self, run: Run) -> None:
         self._sign(run)
         self.set_header('X-Weight-Versions', str(run.version))
         self.set_header('Content-Type', 'text/event-stream')
+        moment = crash_moment(self.request.headers.get('X-Prompt-Prefix', ''))
+        closes = moment is not None and moment.ends_with_connection
+        answer = (
+            ClosingAnswer(self)
+            if closes
+            else answer_of(self, run.call_id, streams=True)
+        )
+        answer.begin()
+        if moment is not None:
+            await self._crash_in_answer(run, answer, moment)
+        async for event in self._events(run):
+            await answer.send(event)
+        await answer.end()
+
+    async def _crash_in_answer(
+        self, run: Run, answer: Answer, moment: CrashMoment
+    ) -> None:
+        if moment is not CrashMoment.BEFORE_EVENTS:
+            event = await anext(self._events(run))
+            if moment is CrashMoment.INSIDE_EVENT:
+                event = event.rstrip()
+            await answer.send(event)
+        await self._crash_server(run)
+
+    async def _events(self, run: Run) -> AsyncIterator[str]:
         counts = self.request.headers.get('X-Token-Counts', '10,10')
         total = int(counts.partition(',')[2])
         after = int(self.request.headers.get('Last-Event-Id', '0'))
         for number in range(after + 1, total + 1):
             await asyncio.sleep(_EVENT_INTERVAL_S)
-            if getattr(self, '_is_disconnected', False):
-                raise StreamClosedError()
+            check_connected(self)
             row = f'{run.call_id}|{number}|{total}|{run.version}'
-            self.write(f'id: {number}\ndata: {row}\n\n')
-            await self.flush()
+            yield f'id: {number}\ndata: {row}\n\n'
 
     def _sign(self, run: Run) -> None:
         self.set_header('X-Attempt-Id', run.call_id)
@@ -496,10 +531,5 @@
         server.restart(keep_staged=True)
 
 
-def _close(handler: RequestHandler) -> None:
-    stream = handler.request.connection.stream  # type: ignore[union-attr]
-    stream.close()
-
-
 def _now_ms() -> int:
     return int(time.time() * _MILLISECONDS)
