Take an answer without a length as cut if its endpoint crashed at its end

An answer with neither a length nor chunks ends with its connection, and so does one that a crash cuts between two events.

Before such an answer is ended, a connection to its endpoint is tried: where it is refused, the answer was cut, and the call goes on as after any lost answer. An endpoint that left, or said that it would, is not asked. Ruled out: the end of the transfer as libcurl tells it, which is the same in both cases.

tests.test_direct: half an answer was delivered as a whole one, streamed or not; now neither is.

--- a/src/linnetwood/calls/attempt.py
+++ b/src/linnetwood/calls/attempt.py
@@ -25,6 +25,7 @@
 
 MAX_ANSWER_BYTES = 16777216
 _OK_BELOW = 300
+_FRAMING_HEADERS = frozenset(('content-length', 'transfer-encoding'))
 _NEVER_BLOCKED = AnswerFlow()
 
 
@@ -93,6 +94,8 @@
     body: bytes = b''
     # The endpoint is another incarnation, or holds another version.
     misdirected: bool = False
+    # Nothing but the end of its connection shows that the answer is whole.
+    ends_with_connection: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -328,7 +331,10 @@
                     AttemptOutcome.LOST, reached=True, detail='no event'
                 )
             return AttemptResult(
-                AttemptOutcome.ANSWERED, reached=True, status=self._status
+                AttemptOutcome.ANSWERED,
+                reached=True,
+                status=self._status,
+                ends_with_connection=_ends_with_connection(self._headers),
             )
         failed = self._verdict is Verdict.FAILED
         return AttemptResult(
@@ -338,6 +344,7 @@
             status=self._status,
             headers=self._dialect.answer_headers(self._headers),
             body=b''.join(self._pieces),
+            ends_with_connection=_ends_with_connection(self._headers),
         )
 
     def _wake_at(self, limits: 'AttemptLimits') -> float:
@@ -360,3 +367,8 @@
         elif not self.first_event_at and now >= limits.start_by:
             outcome = AttemptOutcome.WITHDRAWN
         self.fut.set_result(AttemptResult(outcome, reached=True))
+
+
+def _ends_with_connection(headers: Headers) -> bool:
+    """Return whether an answer has neither a length nor chunks."""
+    return not any(name.lower() in _FRAMING_HEADERS for name, _ in headers)
--- a/src/linnetwood/calls/crashwatch.py
+++ b/src/linnetwood/calls/crashwatch.py
@@ -46,6 +46,9 @@
     def note_answered(self, fingerprint: str) -> None:
         """Note that a call was answered and so crashes no endpoint."""
 
+    async def survived(self, endpoint: Endpoint) -> bool:
+        """Return whether an endpoint runs after an answer without a length."""
+
     def may_retry(self, fingerprint: str) -> bool:
         """Return whether a call may be sent to a second endpoint."""
 
@@ -61,6 +64,10 @@
     def note_answered(self, fingerprint: str) -> None:
         """Note nothing."""
 
+    async def survived(self, endpoint: Endpoint) -> bool:
+        """Take every answer as whole."""
+        return True
+
     def may_retry(self, fingerprint: str) -> bool:
         """Allow every retry."""
         return True
@@ -109,9 +116,7 @@
         """Suspect a call until it is known why its answer broke off."""
         if not fingerprint or streamed_s >= _HEALTHY_STREAM_S:
             return
-        listed = self._directory.get(endpoint.endpoint_id)
-        if listed is None or not listed.ready:
-            # The endpoint left or announced its stop beforehand: no crash.
+        if not self._may_crash(endpoint):
             return
         suspects = self._suspects.setdefault(endpoint.incarnation_id, {})
         if len(suspects) < _MAX_SUSPECTS:
@@ -129,10 +134,27 @@
         for record in records:
             self._reports.withdraw(record)
 
+    async def survived(self, endpoint: Endpoint) -> bool:
+        """Return whether an endpoint runs after an answer without a length.
+
+        The end of such an answer looks the same if its endpoint crashed.
+        """
+        if not self._may_crash(endpoint):
+            return True
+        return not await self._is_refused(endpoint.host, endpoint.port)
+
     def may_retry(self, fingerprint: str) -> bool:
         """Return whether a call may be sent to a second endpoint."""
         return self._crashes.may_retry(fingerprint)
 
+    def _may_crash(self, endpoint: Endpoint) -> bool:
+        """Return whether its end would be a crash.
+
+        An endpoint that left or announced its stop beforehand does not crash.
+        """
+        listed = self._directory.get(endpoint.endpoint_id)
+        return listed is not None and listed.ready
+
     async def _check(self, endpoint: Endpoint) -> None:
         try:
             why = await self._crash_evidence(endpoint)
--- a/src/linnetwood/calls/direct.py
+++ b/src/linnetwood/calls/direct.py
@@ -311,6 +311,7 @@
                 self._request(call, choice, outgoing),
                 limits,
             )
+            result = await self._checked(result, choice.endpoint)
         finally:
             self._end_waiting(call, sent_attempt, waiting_count)
             stats.record_ended()
@@ -505,6 +506,20 @@
             # The endpoint answered, so the call did not crash it.
             self.crash_observer.note_answered(call.fingerprint)
 
+    async def _checked(
+        self, result: AttemptResult, endpoint: Endpoint
+    ) -> AttemptResult:
+        """Return the result; an endpoint that crashed at its end broke off."""
+        if (
+            result.outcome is not AttemptOutcome.ANSWERED
+            or not result.ends_with_connection
+            or await self.crash_observer.survived(endpoint)
+        ):
+            return result
+        return AttemptResult(
+            AttemptOutcome.LOST, reached=True, detail='endpoint crashed'
+        )
+
     def _may_retry(
         self,
         call: DirectCall,
--- a/tests/test_curldriver.py
+++ b/tests/test_curldriver.py
@@ -49,6 +49,10 @@
         self._server = await asyncio.start_server(self._accept, HOST, 0)
         return int(self._server.sockets[0].getsockname()[1])
 
+    def stop_listening(self) -> None:
+        """Refuse connections from now on."""
+        self._server.close()
+
     async def close(self) -> None:
         await close_server(self._server)
         # The loop warns of tasks that it has to cancel when it closes.
--- a/tests/test_direct.py
+++ b/tests/test_direct.py
@@ -6,20 +6,25 @@
 from random import Random
 from types import SimpleNamespace
 from typing import Any
+from unittest import mock
 
 from linnetwood.calls.attempt import AnswerSink, AttemptOutcome, AttemptResult
 from linnetwood.calls.choice import Choice, Chooser
+from linnetwood.calls.crashes import CrashHistory
+from linnetwood.calls.crashwatch import CrashWatch
 from linnetwood.calls.dialect import CallHead, OutgoingCall
 from linnetwood.calls.direct import DirectCall, DirectDispatcher, RetryLimits
 from linnetwood.calls.directory import Directory, Endpoint
 from linnetwood.calls.endpointstats import Report
 from linnetwood.calls.prioritylevels import rank_priorities
 from linnetwood.calls.routetable import Repeat, Route, Service, Share
+from linnetwood.core.clock import SystemClock
 from linnetwood.core.metrics import NoMetrics
 from linnetwood.core.outcomes import Ending, Outcome
 from linnetwood.fleet.wanted import WantedVersions
 from linnetwood.platform.dialect import PlatformDialect
 from linnetwood.wire.curldriver import CurlDriver, Headers
+from linnetwood.wire.probing import refuses_connections
 from tests.test_curldriver import HOST, Behaviour, Server, reset, respond_with
 from tests.test_directory import PROFILE
 
@@ -117,6 +122,16 @@
             for _ in range(number):
                 self.chooser.stats_of(name).record_sent()
 
+    def watch_crashes(self) -> None:
+        """Check endpoints whose answers broke off."""
+        self.dispatcher.crash_observer = CrashWatch(
+            CrashHistory(),
+            self.directory,
+            SystemClock(),
+            refuses_connections,
+            mock.Mock(),
+        )
+
     async def call(
         self,
         repeat: Repeat,
@@ -246,6 +261,41 @@
         self.assertEqual((sink.status, sink.received), (500, b'oops'))
         self.assertEqual(self.runs(), 2)
 
+    async def test_answer_cut_by_a_crash_is_not_whole(self) -> None:
+        """Guard against half an answer that is delivered as a whole one.
+
+        An answer without length and chunks ends with its connection, as it
+        does when its endpoint crashes.
+        """
+
+        async def crash(
+            reader: asyncio.StreamReader,
+            writer: asyncio.StreamWriter,
+        ) -> None:
+            writer.write(f'HTTP/1.1 200 OK\r\n{SIGNED}\r\n'.encode())
+            writer.write(events(1))
+            await writer.drain()
+            self.servers[0].stop_listening()
+
+        for streams in (True, False):
+            with self.subTest(streams=streams):
+                await self.asyncTearDown()
+                await self.asyncSetUp()
+                await self.serve(crash)
+                self.watch_crashes()
+                ending, sink = await self.call(Repeat.NEVER, streams=streams)
+                self.assertEqual(ending.outcome, Outcome.UNKNOWN)
+                self.assertNotEqual(sink.ended, 'whole')
+
+    async def test_answer_that_ends_with_its_connection(self) -> None:
+        """It is whole if its endpoint goes on."""
+        head = f'HTTP/1.1 200 OK\r\n{SIGNED}\r\n'
+        await self.serve(respond_with(head.encode() + b'fine'))
+        self.watch_crashes()
+        ending, sink = await self.call(Repeat.NEVER)
+        self.assertEqual(ending.outcome, Outcome.ANSWERED)
+        self.assertEqual((sink.received, sink.ended), (b'fine', 'whole'))
+
     async def test_refused_everywhere_is_not_run(self) -> None:
         """A call that no endpoint ran ends as not run, with a retry delay."""
         await self.serve(respond_with(FULL), respond_with(FULL))
