Refuse calls by the shared parts of their prompts that endpoints crashed under

Cause: crashes were counted by a digest of the whole call, and no two of these calls are alike. Class: what is counted by a name that is new each time. Ruled out: crashes that nobody sees (each end in the logs has its line, by a refused connection, within 10 ms at all entries that had calls there) and records that come too late (two calls were refused for a crash at all).

Each part that other calls may have is counted by itself, in the same records. Suspects explain each other: one that lost an endpoint only where a likelier one did too is not refused for it; where both are as likely, a call that has one without the other is a trial, one about each half second in the fleet. So a sound part that came only with the fatal one can clear itself, and a part that was answered before is not held up. Trials after a refusal are spread over the entries too; each entry had one of its own. An answer clears a part only if it is a success and its endpoint outlived it: engines that fail by chance, or crash at the end of an answer without a length, cleared it. Answers are remembered by twos, so that calls that never come again don't push out the parts that many share.

--- a/src/linnetwood/calls/crashes.py
+++ b/src/linnetwood/calls/crashes.py
@@ -1,4 +1,7 @@
-"""Record which calls endpoints crashed under and refuse them; no I/O or clock.
+"""Record which calls endpoints crashed under; no I/O or clock.
+
+A call is known by its fingerprint and by those of the parts of its prompt that
+other calls may have. Below, "call" stands for either.
 
 Load pattern: a call that crashes every endpoint that starts to run it is sent
 twice a second, to any entry, with a new call id each time. Each crash also
@@ -19,10 +22,11 @@
 
 import hashlib
 import math
+from collections import defaultdict
 from collections.abc import Iterable, Iterator
 from typing import NamedTuple
 
-from linnetwood.core.bounded import keep_newest
+from linnetwood.calls.answeredcalls import AnsweredFingerprints
 
 # Calls with one fingerprint are refused after this many crashes under them.
 REFUSE_AFTER_CRASHES = 2
@@ -43,11 +47,10 @@
 # Records that were not confirmed for this long are dropped; the store's lease
 # on them expires within the same time.
 CRASH_RECORD_TTL_S = 600.0
-# Suspects of 250 crashed endpoints with 16 calls each; the oldest are dropped.
+# Suspects of 80 crashed endpoints with 16 calls of three fingerprints each; the
+# oldest are dropped.
 _MAX_SUSPECTS = 4096
 _INCARNATION_BYTES = 8
-# Calls that many callers send are answered at least once in this many calls.
-_MAX_ANSWERED = 1024
 
 
 class CrashRecord(NamedTuple):
@@ -65,24 +68,49 @@
     return digest.hexdigest()
 
 
-class _Suspect:
+class Suspect:
     """Incarnations that crashed under calls of one fingerprint, and when."""
 
-    __slots__ = ('answered_before', 'crashed_at', 'shared', 'trial_until')
+    __slots__ = (
+        'answered_before',
+        'crashed_at',
+        'shared',
+        'trial_until',
+        'turn',
+    )
 
     def __init__(self, *, answered_before: bool) -> None:
+        """Start without crashes."""
         self.answered_before = answered_before
         self.crashed_at: dict[str, float] = {}
         # Incarnations whose record is in the store, where all entries read it.
         self.shared: set[str] = set()
         self.trial_until = float()
+        # This entry's place among all entries in trials, 0 to 1.
+        self.turn: float | None = None
 
     @property
     def is_refused(self) -> bool:
+        """Return whether enough endpoints crashed to refuse such calls."""
         return len(self.crashed_at) >= REFUSE_AFTER_CRASHES
 
+    @property
+    def last_crash_at(self) -> float:
+        """Return the time of the newest crash."""
+        return max(self.crashed_at.values())
+
+    @property
+    def weight(self) -> tuple[bool, int]:
+        """Return how much speaks against such calls, for comparison.
+
+        A fatal call is never answered, so one that was not weighs more than
+        one that was, and else the number of crashes counts.
+        """
+        return not self.answered_before, len(self.crashed_at)
+
     @property
     def refused_until(self) -> float:
+        """Return until when such calls are refused, without any trial."""
         crashed_at = sorted(self.crashed_at.values())
         if self.answered_before:
             refused_since = crashed_at[REFUSE_AFTER_CRASHES - 1]
@@ -96,13 +124,23 @@
 class CrashHistory:
     """Hold the calls under which endpoints crashed, as known to this entry."""
 
-    __slots__ = ('_answered', '_suspects')
+    __slots__ = ('_answered', '_by_incarnation', '_suspects')
 
     def __init__(self) -> None:
         """Start without suspects."""
-        self._suspects: dict[str, _Suspect] = {}
         # In order of the last update, the newest last.
-        self._answered: dict[str, None] = {}
+        self._suspects: dict[str, Suspect] = {}
+        self._by_incarnation: dict[str, set[str]] = defaultdict(set)
+        self._answered = AnsweredFingerprints()
+
+    def suspect(self, fingerprint: str) -> Suspect | None:
+        """Return what is known against such calls, None if nothing is."""
+        return self._suspects.get(fingerprint)
+
+    def suspects_at(self, incarnation_id: str) -> Iterator[Suspect]:
+        """Yield what is known of all calls under which one crashed."""
+        for fingerprint in self._by_incarnation.get(incarnation_id, ()):
+            yield self._suspects[fingerprint]
 
     def crash_count(self, fingerprint: str) -> int:
         """Return how many incarnations crashed under such calls."""
@@ -147,27 +185,29 @@
     ) -> bool:
         """Add a record; return whether it is new."""
         fingerprint = record.fingerprint
-        suspect = self._suspects.get(fingerprint) or _Suspect(
+        suspect = self._suspects.get(fingerprint) or Suspect(
             answered_before=fingerprint in self._answered,
         )
-        keep_newest(self._suspects, fingerprint, suspect, _MAX_SUSPECTS)
+        self._suspects.pop(fingerprint, None)
+        self._suspects[fingerprint] = suspect
         is_new = record.incarnation_id not in suspect.crashed_at
         if is_new:
             # The trial crashed an endpoint, here or at another entry.
             suspect.trial_until = float()
         known_at = suspect.crashed_at.get(record.incarnation_id, at)
         suspect.crashed_at[record.incarnation_id] = min(known_at, at)
+        self._by_incarnation[record.incarnation_id].add(fingerprint)
         if shared:
             suspect.shared.add(record.incarnation_id)
+        while len(self._suspects) > _MAX_SUSPECTS:
+            self._drop(next(iter(self._suspects)))
         return is_new
 
     def remove(self, record: CrashRecord) -> None:
         """Remove a record that was withdrawn for all entries."""
         suspect = self._suspects.get(record.fingerprint)
         if suspect is not None:
-            suspect.crashed_at.pop(record.incarnation_id, None)
-            suspect.shared.discard(record.incarnation_id)
-            self._drop_if_clear(record.fingerprint, suspect)
+            self._forget_crash(record.fingerprint, record.incarnation_id)
 
     def replace_shared(
         self, records: Iterable[tuple[CrashRecord, float]]
@@ -186,8 +226,8 @@
 
     def note_answered(self, fingerprint: str) -> list[CrashRecord]:
         """Clear calls of this fingerprint; return the records it had."""
-        keep_newest(self._answered, fingerprint, None, _MAX_ANSWERED)
-        suspect = self._suspects.pop(fingerprint, None)
+        self._answered.add(fingerprint)
+        suspect = self._drop(fingerprint)
         if suspect is None:
             return []
         return [
@@ -198,17 +238,31 @@
     def expire(self, now: float) -> None:
         """Drop records of crashes that are too old."""
         for fingerprint, suspect in tuple(self._suspects.items()):
-            suspect.crashed_at = {
-                incarnation_id: at
-                for incarnation_id, at in suspect.crashed_at.items()
-                if now - at < CRASH_RECORD_TTL_S
-            }
-            self._drop_if_clear(fingerprint, suspect)
-
-    def _drop_if_clear(self, fingerprint: str, suspect: _Suspect) -> None:
+            for incarnation_id, at in tuple(suspect.crashed_at.items()):
+                if now - at >= CRASH_RECORD_TTL_S:
+                    self._forget_crash(fingerprint, incarnation_id)
+
+    def _forget_crash(self, fingerprint: str, incarnation_id: str) -> None:
+        suspect = self._suspects[fingerprint]
+        suspect.crashed_at.pop(incarnation_id, None)
+        suspect.shared.discard(incarnation_id)
+        self._unlink(fingerprint, incarnation_id)
         if not suspect.crashed_at:
             self._suspects.pop(fingerprint)
 
+    def _drop(self, fingerprint: str) -> Suspect | None:
+        suspect = self._suspects.pop(fingerprint, None)
+        if suspect is not None:
+            for incarnation_id in suspect.crashed_at:
+                self._unlink(fingerprint, incarnation_id)
+        return suspect
+
+    def _unlink(self, fingerprint: str, incarnation_id: str) -> None:
+        linked = self._by_incarnation[incarnation_id]
+        linked.discard(fingerprint)
+        if not linked:
+            self._by_incarnation.pop(incarnation_id)
+
     def _all_shared(self) -> Iterator[CrashRecord]:
         for fingerprint, suspect in self._suspects.items():
             for incarnation_id in suspect.shared:
--- a/src/linnetwood/calls/crashsharing.py
+++ b/src/linnetwood/calls/crashsharing.py
@@ -45,7 +45,8 @@
 # must know of a crash within 3 s.
 _BACKOFF_MAX_S = 0.8
 _BACKOFF_MIN_SHARE = 0.5
-# Records of 32 crashes with 16 calls each; beyond that the oldest are dropped.
+# Records of 10 crashes with 16 calls of three fingerprints each, at one entry;
+# beyond that the oldest are dropped.
 _MAX_PENDING = 512
 
 
@@ -91,7 +92,7 @@
         # Records that an unanswered write may have added.
         self._uncertain: set[CrashRecord] = set()
         self._wake = asyncio.Event()
-        self._add_pending = asyncio.Event()
+        self._write_soon = asyncio.Event()
 
     def share(self, record: CrashRecord) -> None:
         """Share a record with all entries."""
@@ -99,17 +100,19 @@
             self._to_remove.remove(record)
         self._removed.pop(record, None)
         self._to_add.append(record)
-        self._add_pending.set()
+        self._write_soon.set()
         self._wake.set()
 
-    def withdraw(self, record: CrashRecord) -> None:
-        """Withdraw a record from all entries."""
+    def withdraw(self, record: CrashRecord, *, urgent: bool = False) -> None:
+        """Withdraw a record from all entries, at once if it is urgent."""
         if record in self._to_add:
             self._to_add.remove(record)
             if record not in self._uncertain:
                 # It was never written.
                 return
         self._queue_removal(record)
+        if urgent:
+            self._write_soon.set()
 
     def note_added(self, record: CrashRecord) -> None:
         """Note that the store holds a record."""
@@ -164,9 +167,9 @@
         if not self._to_add:
             spread_s = self._entries() * _WATCH_DELAY_S / _CONCURRENT_REMOVALS
             delay_s = _REMOVAL_DELAY_S + self._rng.uniform(0, spread_s)
-            # A record to add ends this wait.
-            await wait_for_event(self._add_pending, delay_s)
-        self._add_pending.clear()
+            # A record to add, or an urgent removal, ends this wait.
+            await wait_for_event(self._write_soon, delay_s)
+        self._write_soon.clear()
         if self._to_add:
             await asyncio.sleep(_BATCH_S)
             spread_s = self._spread_s()
--- a/src/linnetwood/calls/crashwatch.py
+++ b/src/linnetwood/calls/crashwatch.py
@@ -6,14 +6,16 @@
 """
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from typing import Protocol
 
+from linnetwood.calls.crashcauses import CrashCauses
 from linnetwood.calls.crashes import (
     CrashHistory,
     CrashRecord,
     incarnation_digest,
 )
+from linnetwood.calls.crashlog import log_new_crash
 from linnetwood.calls.directory import Directory, Endpoint
 from linnetwood.core.clock import Clock
 from linnetwood.core.events import Event, log
@@ -28,15 +30,19 @@
 # A fatal call crashes its endpoint within its first forward passes; a call that
 # has streamed events for this long is not the cause.
 _HEALTHY_STREAM_S = 1.0
-# An endpoint runs at most this many calls of one entry at a time.
-_MAX_SUSPECTS = 64
+# An endpoint runs at most 64 calls of one entry at a time; beyond four
+# fingerprints each, the others are left out.
+_MAX_SUSPECTS = 256
 _MAX_LOGGED = 8
 
 ConnectionProbe = Callable[[str, int], Awaitable[bool]]
 
 
 class CrashObserver(Protocol):
-    """Receive from a dispatcher how its calls ended."""
+    """Receive from a dispatcher how its calls ended.
+
+    A call is named by its fingerprint and by those of its prompt's parts.
+    """
 
     def note_lost(
         self, fingerprint: str, endpoint: Endpoint, streamed_s: float
@@ -49,9 +55,17 @@
     async def survived(self, endpoint: Endpoint) -> bool:
         """Return whether an endpoint runs after an answer without a length."""
 
-    def may_retry(self, fingerprint: str) -> bool:
+    def note_closed(
+        self, fingerprints: Sequence[str], endpoint: Endpoint
+    ) -> None:
+        """Note an answer that ended with its connection, and seems whole."""
+
+    def may_retry(self, fingerprints: Sequence[str]) -> bool:
         """Return whether a call may be sent to a second endpoint."""
 
+    def note_ended(self, fingerprints: Sequence[str]) -> None:
+        """Note that a call ended, with or without an answer."""
+
 
 class NoCrashWatch:
     """Suspect no call."""
@@ -68,10 +82,18 @@
         """Take every answer as whole."""
         return True
 
-    def may_retry(self, fingerprint: str) -> bool:
+    def note_closed(
+        self, fingerprints: Sequence[str], endpoint: Endpoint
+    ) -> None:
+        """Note nothing."""
+
+    def may_retry(self, fingerprints: Sequence[str]) -> bool:
         """Allow every retry."""
         return True
 
+    def note_ended(self, fingerprints: Sequence[str]) -> None:
+        """Note nothing."""
+
 
 class CrashReports(Protocol):
     """Report crash records to other entries."""
@@ -79,8 +101,8 @@
     def share(self, record: CrashRecord) -> None:
         """Share a record with all entries."""
 
-    def withdraw(self, record: CrashRecord) -> None:
-        """Withdraw a record from all entries."""
+    def withdraw(self, record: CrashRecord, *, urgent: bool) -> None:
+        """Withdraw a record from all entries, which may refuse calls for it."""
 
 
 class CrashWatch:
@@ -89,6 +111,7 @@
     def __init__(
         self,
         crashes: CrashHistory,
+        causes: CrashCauses,
         directory: Directory,
         clock: Clock,
         is_refused: ConnectionProbe,
@@ -96,16 +119,19 @@
     ) -> None:
         """Start without checks."""
         self._crashes = crashes
+        self._causes = causes
         self._directory = directory
         self._clock = clock
         self._is_refused = is_refused
         self._reports = reports
         self._suspects: dict[str, dict[str, float]] = {}
         self._checks: dict[str, asyncio.Task[None]] = {}
+        # Answers that seemed whole, until their endpoints prove to run.
+        self._confirmations: set[asyncio.Task[None]] = set()
 
     async def close(self) -> None:
         """Cancel all checks."""
-        tasks = list(self._checks.values())
+        tasks = [*self._checks.values(), *self._confirmations]
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
@@ -127,12 +153,16 @@
 
     def note_answered(self, fingerprint: str) -> None:
         """Clear calls of this fingerprint, here and for all entries."""
+        suspect = self._crashes.suspect(fingerprint)
         records = self._crashes.note_answered(fingerprint)
-        if not records:
+        if suspect is None:
             return
+        # Sound calls wait for this; it comes from few entries, since such calls
+        # were refused nearly everywhere.
+        urgent = suspect.is_refused and not suspect.answered_before
         log(Event.SUSPECT_CLEARED, likeness=fingerprint, ends=len(records))
         for record in records:
-            self._reports.withdraw(record)
+            self._reports.withdraw(record, urgent=urgent)
 
     async def survived(self, endpoint: Endpoint) -> bool:
         """Return whether an endpoint runs after an answer without a length.
@@ -143,9 +173,22 @@
             return True
         return not await self._is_refused(endpoint.host, endpoint.port)
 
-    def may_retry(self, fingerprint: str) -> bool:
+    def note_closed(
+        self, fingerprints: Sequence[str], endpoint: Endpoint
+    ) -> None:
+        """Clear calls once their endpoint proves to have survived them."""
+        if any(not self._is_known_sound(one) for one in fingerprints):
+            task = asyncio.create_task(self._confirm(fingerprints, endpoint))
+            self._confirmations.add(task)
+            task.add_done_callback(self._confirmations.discard)
+
+    def may_retry(self, fingerprints: Sequence[str]) -> bool:
         """Return whether a call may be sent to a second endpoint."""
-        return self._crashes.may_retry(fingerprint)
+        return self._causes.may_retry(fingerprints)
+
+    def note_ended(self, fingerprints: Sequence[str]) -> None:
+        """End the trial of a call."""
+        self._causes.note_ended(fingerprints, self._clock.now())
 
     def _may_crash(self, endpoint: Endpoint) -> bool:
         """Return whether its end would be a crash.
@@ -155,6 +198,22 @@
         listed = self._directory.get(endpoint.endpoint_id)
         return listed is not None and listed.ready
 
+    def _is_known_sound(self, fingerprint: str) -> bool:
+        return self._crashes.crash_count(
+            fingerprint
+        ) == 0 and self._crashes.was_answered(fingerprint)
+
+    async def _confirm(
+        self, fingerprints: Sequence[str], endpoint: Endpoint
+    ) -> None:
+        await asyncio.sleep(_PROBE_PAUSES_S[-1])
+        survived = await self.survived(endpoint)
+        for fingerprint in fingerprints:
+            if survived:
+                self.note_answered(fingerprint)
+            else:
+                self.note_lost(fingerprint, endpoint, 0)
+
     async def _check(self, endpoint: Endpoint) -> None:
         try:
             why = await self._crash_evidence(endpoint)
@@ -190,19 +249,26 @@
 
     def _record_crash(self, endpoint: Endpoint, why: str) -> None:
         suspects = self._suspects[endpoint.incarnation_id]
+        digest = incarnation_digest(endpoint.incarnation_id)
         log(
             Event.ENDPOINT_CRASHED,
             endpoint=endpoint.endpoint_id,
             born=endpoint.born,
+            incarnation=digest,
             service=endpoint.service,
             why=why,
             calls=len(suspects),
             likenesses=list(suspects)[:_MAX_LOGGED],
         )
         self._crashes.expire(self._clock.now())
-        digest = incarnation_digest(endpoint.incarnation_id)
-        for fingerprint, at in suspects.items():
+        # Those never answered are the likelier causes: they are shared first.
+        in_order = sorted(suspects.items(), key=self._was_answered)
+        for fingerprint, at in in_order:
             record = CrashRecord(fingerprint, digest)
             if self._crashes.add(record, at):
+                log_new_crash(self._crashes, record)
                 self._reports.share(record)
         suspects.clear()
+
+    def _was_answered(self, suspect: tuple[str, float]) -> bool:
+        return self._crashes.was_answered(suspect[0])
--- a/src/linnetwood/calls/direct.py
+++ b/src/linnetwood/calls/direct.py
@@ -64,6 +64,7 @@
 _MIN_REMAINING_S = 0.02
 _RETRY_AFTER_MS = 200
 _MILLISECONDS = 1000
+_OK_BELOW = 300
 # Time that a call has at its endpoint, over any link, before it is withdrawn.
 _MIN_TIME_TO_BEGIN_S = SEND_MARGIN_S - START_MARGIN_S
 
@@ -92,6 +93,12 @@
     # Of the parts of its prompt that other calls may share.
     part_fingerprints: tuple[str, ...] = ()
 
+    @property
+    def fingerprints(self) -> tuple[str, ...]:
+        """Return its own fingerprint and those of the shared parts."""
+        own = (self.fingerprint,) if self.fingerprint else ()
+        return own + self.part_fingerprints
+
     @property
     def level(self) -> int:
         """Return the level of its priority in the service, 0 the highest."""
@@ -175,6 +182,14 @@
         urgency: Urgency = Urgency.IN_TIME,
     ) -> Ending:
         """Run the call; the answer has been sent if the ending is ANSWERED."""
+        try:
+            return await self._run(call, sink, urgency)
+        finally:
+            self.crash_observer.note_ended(call.fingerprints)
+
+    async def _run(
+        self, call: DirectCall, sink: AnswerSink, urgency: Urgency
+    ) -> Ending:
         answer = AnswerStream(sink, call.head.resume_after)
         history = _AttemptHistory()
         budget = self._retry_budget(call.service.name)
@@ -499,12 +514,17 @@
             since_first_event_s = float()
             if attempt.first_event_at:
                 since_first_event_s = self._loop.time() - attempt.first_event_at
-            self.crash_observer.note_lost(
-                call.fingerprint, choice.endpoint, since_first_event_s
-            )
-        elif result.outcome in {AttemptOutcome.ANSWERED, AttemptOutcome.FAILED}:
-            # The endpoint answered, so the call did not crash it.
-            self.crash_observer.note_answered(call.fingerprint)
+            for fingerprint in call.fingerprints:
+                self.crash_observer.note_lost(
+                    fingerprint, choice.endpoint, since_first_event_s
+                )
+            return
+        cleared = _cleared_by(call, result)
+        if result.ends_with_connection:
+            self.crash_observer.note_closed(cleared, choice.endpoint)
+            return
+        for fingerprint in cleared:
+            self.crash_observer.note_answered(fingerprint)
 
     async def _checked(
         self, result: AttemptResult, endpoint: Endpoint
@@ -539,7 +559,7 @@
             return False
         if answer.begun and call.route.repeat is not Repeat.RESUME:
             return False
-        if not self.crash_observer.may_retry(call.fingerprint):
+        if not self.crash_observer.may_retry(call.fingerprints):
             return False
         return not result.reached or budget.spend(self._pressure(call))
 
@@ -571,6 +591,19 @@
         return history.ending(answer, code, result.detail)
 
 
+def _cleared_by(call: DirectCall, result: AttemptResult) -> tuple[str, ...]:
+    """Return the fingerprints that crash no endpoint, as a result shows.
+
+    An endpoint that answers with an error of its own may not have begun to
+    write an answer on the prompt.
+    """
+    if result.outcome is AttemptOutcome.ANSWERED and result.status < _OK_BELOW:
+        return call.fingerprints
+    if result.outcome in {AttemptOutcome.ANSWERED, AttemptOutcome.FAILED}:
+        return call.fingerprints[:1] if call.fingerprint else ()
+    return ()
+
+
 def _endpoint_failed(attempt: Attempt, result: AttemptResult) -> bool:
     """Return whether the endpoint failed, rather than a caller that stalled.
 
--- a/src/linnetwood/core/events.py
+++ b/src/linnetwood/core/events.py
@@ -85,6 +85,7 @@
     ENDS_UNSHARED = 6010
     ADMISSION_DECIDED = 6011
     ENDPOINT_NOTICE = 6012
+    SUSPECT_FOUND = 6013
     FRAME_REFUSED = 7001
     METRICS_UNREACHABLE = 7002
     KEYS_RELOADED = 7003
@@ -122,6 +123,7 @@
         Event.CALL_CUT,
         Event.ENDPOINT_CRASHED,
         Event.ENDS_UNSHARED,
+        Event.SUSPECT_FOUND,
         Event.METRICS_UNREACHABLE,
         Event.KEYS_REFUSED,
     ),
--- a/src/linnetwood/platform/crashstore.py
+++ b/src/linnetwood/platform/crashstore.py
@@ -10,6 +10,7 @@
     CrashHistory,
     CrashRecord,
 )
+from linnetwood.calls.crashlog import log_new_crash
 from linnetwood.core.clock import Clock
 from linnetwood.core.errors import ConfigError, StoreError
 from linnetwood.fleet.ranges import Change, Record, Snapshot
@@ -171,7 +172,8 @@
                 self._stored.note_removed(crash)
             else:
                 at = now - _known_for_s(change.age_s)
-                self._crashes.add(crash, at, shared=True)
+                if self._crashes.add(crash, at, shared=True):
+                    log_new_crash(self._crashes, crash)
                 self._stored.note_added(crash)
                 self._note_value(crash, change.record)
 
--- a/src/linnetwood/programs/resident_crashes.py
+++ b/src/linnetwood/programs/resident_crashes.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from random import Random
 
+from linnetwood.calls.crashcauses import CrashCauses
 from linnetwood.calls.crashes import CrashHistory
 from linnetwood.calls.crashsharing import CrashPublisher
 from linnetwood.calls.crashwatch import CrashWatch
@@ -35,8 +36,12 @@
             rng,
             lambda: self.entries(),
         )
+        self._causes = CrashCauses(
+            self._crashes, rng, lambda: max(1, self.entries())
+        )
         self.watch = CrashWatch(
             self._crashes,
+            self._causes,
             directory,
             clock,
             refuses_connections,
@@ -58,7 +63,7 @@
 
     def quarantine_before(self, admit: Admit) -> Quarantine:
         """Return an admission that first refuses calls that crash endpoints."""
-        return Quarantine(self._crashes, admit, self._clock)
+        return Quarantine(self._causes, admit, self._clock)
 
 
 def _one_entry() -> int:
--- a/tests/test_crashsharing.py
+++ b/tests/test_crashsharing.py
@@ -13,6 +13,7 @@
 import collections
 import unittest
 from collections.abc import Sequence
+from itertools import product
 from random import Random
 
 from linnetwood.calls.crashes import CrashRecord, incarnation_digest
@@ -142,22 +143,40 @@
     def test_zone_loses_power(self) -> None:
         """All records are written in time, within half the store's limit."""
 
-        async def scenario() -> Fleet:
+        async def scenario(fingerprints: int) -> Fleet:
             fleet = Fleet()
             rng = Random(3)
-            for number in range(ENDPOINTS):
+            for number, call in product(range(ENDPOINTS), range(CALLS)):
                 incarnation_id = incarnation_digest(f'i-{number}')
-                for call in range(CALLS):
-                    crash = CrashRecord(f'{number}-{call}', incarnation_id)
-                    rng.choice(fleet.publishers).share(crash)
+                publisher = rng.choice(fleet.publishers)
+                for one in range(fingerprints):
+                    publisher.share(
+                        CrashRecord(f'{number}-{call}-{one}', incarnation_id)
+                    )
             await asyncio.sleep(30)
             await fleet.close()
             return fleet
 
-        fleet = run(scenario())
-        self.assertEqual(len(fleet.known), ENDPOINTS * CALLS)
-        self.assertLessEqual(max(fleet.known.values()), KNOWN_WITHIN_S)
-        self.assertLessEqual(fleet.max_calls_per_s(), MAX_CALLS_PER_S)
+        # Calls alone, and calls with two parts that others may share.
+        for fingerprints in (1, 3):
+            with self.subTest(fingerprints=fingerprints):
+                fleet = run(scenario(fingerprints))
+                count = ENDPOINTS * CALLS * fingerprints
+                self.assertEqual(len(fleet.known), count)
+                self.assertLessEqual(max(fleet.known.values()), KNOWN_WITHIN_S)
+                self.assertLessEqual(fleet.max_calls_per_s(), MAX_CALLS_PER_S)
+
+    def test_urgent_removal(self) -> None:
+        """Guard against sound calls that are refused until it is written."""
+
+        async def scenario() -> Fleet:
+            fleet = Fleet()
+            fleet.publishers[0].withdraw(CRASH, urgent=True)
+            await asyncio.sleep(0.1)
+            await fleet.close()
+            return fleet
+
+        self.assertEqual(sum(run(scenario()).calls.values()), 1)
 
     def test_crash_of_one_endpoint(self) -> None:
         """It is written at once, however many entries there are."""
--- a/tests/test_crashwatch.py
+++ b/tests/test_crashwatch.py
@@ -6,6 +6,7 @@
 from random import Random
 from unittest import mock
 
+from linnetwood.calls.crashcauses import CrashCauses
 from linnetwood.calls.crashes import (
     CrashHistory,
     CrashRecord,
@@ -34,7 +35,7 @@
     def share(self, crash: CrashRecord) -> None:
         self.shared.append(crash)
 
-    def withdraw(self, crash: CrashRecord) -> None:
+    def withdraw(self, crash: CrashRecord, *, urgent: bool) -> None:
         self.withdrawn.append(crash)
 
 
@@ -71,6 +72,7 @@
         self.reports = RecordedReports()
         self.watch = CrashWatch(
             self.crashes,
+            CrashCauses(self.crashes, Random(1), lambda: 1),
             self.directory,
             VirtualClock(loop),
             self.is_refused,
--- a/tests/test_direct.py
+++ b/tests/test_direct.py
@@ -10,7 +10,8 @@
 
 from linnetwood.calls.attempt import AnswerSink, AttemptOutcome, AttemptResult
 from linnetwood.calls.choice import Choice, Chooser
-from linnetwood.calls.crashes import CrashHistory
+from linnetwood.calls.crashcauses import CrashCauses
+from linnetwood.calls.crashes import CrashHistory, CrashRecord
 from linnetwood.calls.crashwatch import CrashWatch
 from linnetwood.calls.dialect import CallHead, OutgoingCall
 from linnetwood.calls.direct import DirectCall, DirectDispatcher, RetryLimits
@@ -40,6 +41,8 @@
 
 
 DESK = Service('desk', 10)
+CALL = 'c0' * 12
+PART = 'f0' * 12
 GOOD = answer(f'200 OK\r\n{SIGNED}', b'fine')
 FULL = answer(f'503 No\r\n{ID}X-Not-Executed: 1\r\n', b'')
 ELSEWHERE = answer('421 No\r\nX-Instance-Id: i-9\r\n', b'')
@@ -124,8 +127,10 @@
 
     def watch_crashes(self) -> None:
         """Check endpoints whose answers broke off."""
+        self.crashes = CrashHistory()
         self.dispatcher.crash_observer = CrashWatch(
-            CrashHistory(),
+            self.crashes,
+            CrashCauses(self.crashes, Random(1), lambda: 1),
             self.directory,
             SystemClock(),
             refuses_connections,
@@ -168,6 +173,8 @@
             b'body',
             now,
             now + wait_s,
+            fingerprint=CALL,
+            part_fingerprints=(PART,),
         )
         sink = RecordingSink()
         return await self.dispatcher.run(call, sink), sink
@@ -296,6 +303,36 @@
         self.assertEqual(ending.outcome, Outcome.ANSWERED)
         self.assertEqual((sink.received, sink.ended), (b'fine', 'whole'))
 
+    async def test_what_clears_calls_and_parts(self) -> None:
+        """Guard against an answer that clears what it says nothing about.
+
+        An endpoint that fails survived the call, but may not have begun to
+        write an answer on its prompt. One without a length may have crashed.
+        """
+        unframed = f'HTTP/1.1 200 OK\r\n{SIGNED}\r\nfine'.encode()
+        cases: tuple[tuple[bytes, float, set[str]], ...] = (
+            (GOOD, 0, set()),
+            (FAILED, 0, {PART}),
+            (answer(f'404 No\r\n{SIGNED}', b''), 0, {PART}),
+            (FULL, 0, {CALL, PART}),
+            (unframed, 0, {CALL, PART}),
+            (unframed, 0.5, set()),
+        )
+        for first, pause_s, suspected in cases:
+            with self.subTest(first=first, pause_s=pause_s):
+                await self.asyncTearDown()
+                await self.asyncSetUp()
+                await self.serve(respond_with(first))
+                self.watch_crashes()
+                for fingerprint in (CALL, PART):
+                    self.crashes.add(CrashRecord(fingerprint, 'a'), 0)
+                await self.call(Repeat.NEVER)
+                await asyncio.sleep(pause_s)
+                left = {
+                    one for one in (CALL, PART) if self.crashes.crash_count(one)
+                }
+                self.assertEqual(left, suspected)
+
     async def test_refused_everywhere_is_not_run(self) -> None:
         """A call that no endpoint ran ends as not run, with a retry delay."""
         await self.serve(respond_with(FULL), respond_with(FULL))
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -1,7 +1,9 @@
 """Calls that are refused because endpoints crashed under them."""
 
 import unittest
+from random import Random
 
+from linnetwood.calls.crashcauses import CrashCauses
 from linnetwood.calls.crashes import REFUSAL_FIRST_S, CrashHistory, CrashRecord
 from linnetwood.calls.dialect import CallHead, Urgency
 from linnetwood.calls.direct import DirectCall
@@ -37,7 +39,7 @@
         self.clock = ManualClock(0)
         self.verdict: Urgency | Ending = Urgency.IN_TIME
         self.quarantine = Quarantine(
-            self.crashes,
+            CrashCauses(self.crashes, Random(1), lambda: 1),
             lambda call: self.verdict,
             self.clock,
         )
