Split the stand-in servers of the soak by what they handle

The state, calls, orders of engines, and origin and control are modules of their own now. Nothing else changes.

--- a/src/linnetwood/lab/soak/callers.py
+++ b/src/linnetwood/lab/soak/callers.py
@@ -18,7 +18,7 @@
 from linnetwood.lab.soak.fleet import CALLERS_PORT, Fleet, Vm
 from linnetwood.lab.soak.history import Call, CallKind, History
 from linnetwood.lab.soak.schedule import Fault
-from linnetwood.lab.soak.standservers import FATAL
+from linnetwood.lab.soak.standcalls import FATAL
 
 KEY = 'key-1'
 HOST = 'soak.example'
--- a/src/linnetwood/lab/soak/standins.py
+++ b/src/linnetwood/lab/soak/standins.py
@@ -4,7 +4,7 @@
 
 import defopt
 
-from linnetwood.lab.soak import standservers, standstore
+from linnetwood.lab.soak import standcontrol, standservers, standstore
 
 
 def store(port: int) -> None:
@@ -33,8 +33,10 @@
     all_servers = standservers.Servers()
     for row in rows:
         name, service, slots, listens = row.split('=')
-        all_servers.add(name, service, int(slots), int(listens))
-    standservers.application(all_servers).listen(port, '127.0.0.1')
+        standcontrol.add_server(
+            all_servers, name, service, int(slots), int(listens)
+        )
+    standcontrol.application(all_servers).listen(port, '127.0.0.1')
     await asyncio.Event().wait()
 
 
