Reword the simulation of versions in the terms of the field

A scenario, policies, flows, an outage and a target in place of places, ways, what is on its way, being away and an aim. Keys of what the command prints stay.

--- a/src/linnetwood/lab/measure_versions.py
+++ b/src/linnetwood/lab/measure_versions.py
@@ -9,94 +9,97 @@
 from typing import Any
 
 from linnetwood.core.options import Decisions
-from linnetwood.lab.transfers import Fleet, Outcome, Place, Ways
+from linnetwood.lab.transfers import Fleet, Outcome, Policies, Scenario
 from linnetwood.lab.versioncases import (
-    AWAY,
     FIRST,
+    OUTAGE,
     SECOND,
-    drawn_place,
-    least_without_s,
+    draw_scenario,
+    min_without_s,
 )
 from linnetwood.weights.takeover import TAKEOVERS
 from linnetwood.weights.versionplan import PLANS
 
-# Versions are named at these times, in seconds, and the origin is away.
-_AWAY_LATER = (4.5, 10.5)
-_MOST_OVER_S = 1.5
+# The origin is unavailable between these times, in seconds.
+_LATE_OUTAGE = (4.5, 10.5)
+_MAX_OVER_S = 1.5
 _NEVER = (math.inf, math.inf)
-_PLACES = (
-    ('one', Place()),
-    ('one, origin away', Place(away=AWAY)),
-    ('2 s apart', Place(named=(0, 2))),
-    ('2 s apart, origin away', Place(named=(0, 2), away=AWAY)),
-    ('4 s apart, origin away', Place(named=(0, 4), away=_AWAY_LATER)),
-    ('9 s apart', Place(named=(0, 9))),
+_SCENARIOS = (
+    ('one', Scenario()),
+    ('one, origin away', Scenario(outage=OUTAGE)),
+    ('2 s apart', Scenario(named_at=(0, 2))),
+    ('2 s apart, origin away', Scenario(named_at=(0, 2), outage=OUTAGE)),
+    ('4 s apart, origin away', Scenario(named_at=(0, 4), outage=_LATE_OUTAGE)),
+    ('9 s apart', Scenario(named_at=(0, 9))),
     ('first', FIRST),
     ('second', SECOND),
-    ('first, one', dataclasses.replace(FIRST, named=(0,), away=_NEVER)),
-    ('second, one', dataclasses.replace(SECOND, named=(0,), away=_NEVER)),
+    ('first, one', dataclasses.replace(FIRST, named_at=(0,), outage=_NEVER)),
+    ('second, one', dataclasses.replace(SECOND, named_at=(0,), outage=_NEVER)),
 )
 
 
 def versions(
     *, vms: int = 41, zones: int = 3, seeds: int = 2, draws: int = 0
 ) -> bool:
-    """Print, for each way, what several namings cost, and what the links allow.
+    """Print the cost of several namings for each policy, and the links' limit.
 
     :param vms: VMs beside engines, evenly over the zones
     :param zones: availability zones
-    :param seeds: how many seeds to take the mean of
-    :param draws: how many drawn places to play instead, the default way only
+    :param seeds: the number of seeds to average over
+    :param draws: how many drawn scenarios to run instead, by default policies
     """
     if draws:
-        return _drawn(draws)
+        return _run_drawn(draws)
     best = Decisions()
     rows = []
     missed = False
-    for name, place in _PLACES:
-        played = dataclasses.replace(place, vms=vms, zones=zones)
-        found = {way: _row(played, way, seeds) for way in _ways()}
-        limit_s = round(least_without_s(played), 2)
+    for name, scenario in _SCENARIOS:
+        played = dataclasses.replace(scenario, vms=vms, zones=zones)
+        found = {
+            policies: _row(played, policies, seeds)
+            for policies in _policy_names()
+        }
+        limit_s = round(min_without_s(played), 2)
         rows.append({'place': name, 'limit_s': limit_s, **found})
         least = min(row['without_s'] for row in found.values())
-        missed |= found[_name(best)]['without_s'] > least + 1
+        missed |= found[_policy_name(best)]['without_s'] > least + 1
     sys.stdout.write(f'{json.dumps({"rows": rows, "missed": missed})}\n')
     return missed
 
 
-def _drawn(draws: int) -> bool:
+def _run_drawn(draws: int) -> bool:
     """Print the seconds over the link limit; return whether any is too many."""
-    way = _name(Decisions())
+    policies = _policy_name(Decisions())
     over_s: list[float] = []
     for seed in range(draws):
-        place = drawn_place(seed)
-        without_s = float(_row(place, way, 1)['without_s'])
-        over_s.append(round(without_s - least_without_s(place), 2))
-    missed = max(over_s, default=0) > _MOST_OVER_S
+        scenario = draw_scenario(seed)
+        without_s = float(_row(scenario, policies, 1)['without_s'])
+        over_s.append(round(without_s - min_without_s(scenario), 2))
+    missed = max(over_s, default=0) > _MAX_OVER_S
     found = {
         'over_limit_s': over_s,
         'mean_s': round(statistics.mean(over_s), 2),
-        'within': sum(each <= _MOST_OVER_S for each in over_s),
+        'within': sum(each <= _MAX_OVER_S for each in over_s),
         'missed': missed,
     }
     sys.stdout.write(f'{json.dumps(found)}\n')
     return missed
 
 
-def _ways() -> Iterator[str]:
+def _policy_names() -> Iterator[str]:
     for takeover in TAKEOVERS:
         for plan in PLANS:
             yield f'{takeover}, {plan}'
 
 
-def _name(cfg: Decisions) -> str:
+def _policy_name(cfg: Decisions) -> str:
     return f'{cfg.takeover}, {cfg.version_plan}'
 
 
-def _row(place: Place, way: str, seeds: int) -> dict[str, Any]:
-    takeover, _, plan = way.partition(', ')
-    ways = Ways(TAKEOVERS[takeover], PLANS[plan])
-    found = [Fleet(place, ways, seed).play() for seed in range(seeds)]
+def _row(scenario: Scenario, policies: str, seeds: int) -> dict[str, Any]:
+    takeover, _, plan = policies.partition(', ')
+    ways = Policies(TAKEOVERS[takeover], PLANS[plan])
+    found = [Fleet(scenario, ways, seed).run() for seed in range(seeds)]
     return {
         'without_s': _mean(found, 'without_s'),
         'served_at_s': _mean(found, 'served_at'),
--- a/src/linnetwood/lab/versioncases.py
+++ b/src/linnetwood/lab/versioncases.py
@@ -1,4 +1,4 @@
-"""Cases for plays of versions, drawn by seed, and what the links allow."""
+"""Scenarios for versions, drawn by seed, and what their links allow."""
 
 import itertools
 import math
@@ -6,59 +6,58 @@
 from random import Random
 
 from linnetwood.fleet.wanted import WantedVersions
-from linnetwood.lab.transfers import CHANGE_S, MODEL, Place
+from linnetwood.lab.transfers import CHANGE_S, MODEL, Scenario
 
 _STEP_S = 0.01
 _LONGEST_S = 60
 # The share of a link that a transfer is expected to reach.
 _EXPECTED_SHARE = 0.72
-# Drawn from these: bytes per second, and seconds.
+# Ranges to draw from: rates in bytes per second, and bounds in seconds.
 _LINKS = (4.5e5, 9.0e5)
 _ORIGINS = (5.0e5, 1.3e6)
 _BOUNDS_S = (8, 14)
 _NEVER = (math.inf, math.inf)
-
-
-AWAY = (2.5, 8.5)
-# The first fields of a place, up to the times at which versions are named.
+# The origin is unavailable between these times, in seconds.
+OUTAGE = (2.5, 8.5)
+# The first fields of a scenario, up to the times at which versions are named.
 _FIRST = (36, 3, 48, 49152, 587500, 0.9, 1125000, 48, 9.7, 5.58, (0, 3))
 _SECOND = (41, 3, 64, 32768, 475000, 0.9, 742500, 48, 10.3, 6.13, (0, 2))
-FIRST = Place(*_FIRST, away=AWAY)
-SECOND = Place(*_SECOND, away=AWAY)
+FIRST = Scenario(*_FIRST, outage=OUTAGE)
+SECOND = Scenario(*_SECOND, outage=OUTAGE)
 
 
-def drawn_place(seed: int) -> Place:
-    """Return a place with sizes, rates, namings and an outage by the seed."""
+def draw_scenario(seed: int) -> Scenario:
+    """Draw sizes, rates, times of namings and an outage by a seed."""
     rng = Random(seed)
     count, size = rng.choice(((48, 49152), (64, 32768), (96, 24576)))
     link = rng.uniform(*_LINKS)
     named = [float()]
     for _ in range(rng.randrange(3)):
         named.append(named[-1] + rng.choice((2, 3, 4, 9)))
-    away_at = rng.uniform(0, 6)
-    away = (away_at, away_at + rng.uniform(2, 6))
-    return Place(
+    outage_at = rng.uniform(0, 6)
+    outage = (outage_at, outage_at + rng.uniform(2, 6))
+    return Scenario(
         vms=rng.choice((7, 12, 24, 36, 41, 60, 101)),
         zones=rng.choice((1, 2, 3)),
         chunks=count,
         chunk_bytes=size,
-        link=link,
-        origin=rng.uniform(*_ORIGINS),
+        link_bytes_per_s=link,
+        origin_bytes_per_s=rng.uniform(*_ORIGINS),
         bound_s=rng.uniform(*_BOUNDS_S),
         transfer_s=count * size / (_EXPECTED_SHARE * link),
-        named=tuple(named),
-        away=rng.choice((_NEVER, away, away)),
+        named_at=tuple(named),
+        outage=rng.choice((_NEVER, outage, outage)),
     )
 
 
-def least_without_s(place: Place) -> float:
+def min_without_s(scenario: Scenario) -> float:
     """Return the seconds without an allowed version that no plan can avoid.
 
-    Every plan reads its versions one after the other, each with the full rate
-    of the origin, and brings what was read with the full rate of a VM's link.
+    Every plan reads its versions one after the other, at the origin's full
+    rate, and transfers what was read at the full rate of a VM's link.
     """
-    newest = 1 + len(place.named)
-    return min(_without_s(place, plan) for plan in _plans(newest))
+    newest = 1 + len(scenario.named_at)
+    return min(_without_s(scenario, plan) for plan in _plans(newest))
 
 
 def _plans(newest: int) -> Iterator[tuple[int, ...]]:
@@ -68,11 +67,11 @@
             yield (*chosen, newest)
 
 
-def _without_s(place: Place, plan: Sequence[int]) -> float:
-    wanted = WantedVersions(place.bound_s)
-    for version, named_at in enumerate(place.named, start=2):
+def _without_s(scenario: Scenario, plan: Sequence[int]) -> float:
+    wanted = WantedVersions(scenario.bound_s)
+    for version, named_at in enumerate(scenario.named_at, start=2):
         wanted.add_named(MODEL, version, named_at)
-    serves_from = dict(_served(place, plan))
+    serves_from = dict(_served(scenario, plan))
     without_s = float()
     for step in range(int(_LONGEST_S / _STEP_S)):
         now = step * _STEP_S
@@ -83,33 +82,41 @@
     return without_s
 
 
-def _served(place: Place, plan: Sequence[int]) -> Iterator[tuple[int, float]]:
+def _served(
+    scenario: Scenario, plan: Sequence[int]
+) -> Iterator[tuple[int, float]]:
     """Yield each version of a plan with the time from which it serves."""
-    size = place.chunks * place.chunk_bytes
+    size = scenario.chunks * scenario.chunk_bytes
     left_to_read = dict.fromkeys(plan, float(size))
-    left_to_bring = dict.fromkeys(plan, float(size))
+    left_to_transfer = dict.fromkeys(plan, float(size))
     for step in range(int(_LONGEST_S / _STEP_S)):
         now = step * _STEP_S
-        if not place.away[0] <= now < place.away[1]:
-            _use(place.origin, left_to_read, place, now)
-        _use(place.link * place.share, left_to_bring, place, now, left_to_read)
+        if not scenario.outage[0] <= now < scenario.outage[1]:
+            _use_link(scenario.origin_bytes_per_s, left_to_read, scenario, now)
+        _use_link(
+            scenario.link_bytes_per_s * scenario.link_share,
+            left_to_transfer,
+            scenario,
+            now,
+            left_to_read,
+        )
         for version in plan:
-            if version in left_to_bring and left_to_bring[version] <= 0:
-                left_to_bring.pop(version)
+            if version in left_to_transfer and left_to_transfer[version] <= 0:
+                left_to_transfer.pop(version)
                 yield version, now + CHANGE_S
 
 
-def _use(
+def _use_link(
     rate: float,
     left: dict[int, float],
-    place: Place,
+    scenario: Scenario,
     now: float,
     least: dict[int, float] | None = None,
 ) -> None:
     """Spend one step of a link on the first versions that can use it."""
     room = rate * _STEP_S
     for version in left:
-        if place.named[version - 2] > now:
+        if scenario.named_at[version - 2] > now:
             continue
         floor = least[version] if least else 0
         used = min(room, max(0, left[version] - floor))
--- a/tests/test_cut_zone.py
+++ b/tests/test_cut_zone.py
@@ -15,7 +15,7 @@
 import unittest
 from itertools import product
 
-from linnetwood.lab.transfers import Fleet, Outcome, Place, Ways
+from linnetwood.lab.transfers import Fleet, Outcome, Policies, Scenario
 from linnetwood.weights.takeover import AFTER_THE_REST, TAKEOVERS
 from linnetwood.weights.versionplan import ByForecast
 
@@ -24,10 +24,10 @@
 HEALS_AT = 13
 
 
-def run_transfer(place: Place, seed: int) -> Outcome:
+def run_transfer(scenario: Scenario, seed: int) -> Outcome:
     """Run the transfer of one version to all engines."""
-    ways = Ways(TAKEOVERS[AFTER_THE_REST], ByForecast())
-    return Fleet(place, ways, seed).play(40)
+    policies = Policies(TAKEOVERS[AFTER_THE_REST], ByForecast())
+    return Fleet(scenario, policies, seed).run(40)
 
 
 class CutZoneTest(unittest.TestCase):
@@ -39,10 +39,11 @@
         Without a cut that takes them 9.9 to 10.6 s.
         """
         for since, seed in product((3, 5), SEEDS):
-            place = Place(vms=11, cut=(since, HEALS_AT))
+            scenario = Scenario(vms=11, cut=(since, HEALS_AT))
             with self.subTest(since=since, seed=seed):
                 self.assertLess(
-                    run_transfer(place, seed).near_at[VERSION], HEALS_AT
+                    run_transfer(scenario, seed).near_complete_at[VERSION],
+                    HEALS_AT,
                 )
 
     # A zone that was cut off before a version was named missed the chunks whose
@@ -50,27 +51,28 @@
     def test_zone_that_was_cut_off_before_the_naming(self) -> None:
         """It reads all chunks from the origin, which is on its side."""
         for seed in SEEDS:
-            place = Place(vms=11, cut=(0, HEALS_AT))
+            scenario = Scenario(vms=11, cut=(0, HEALS_AT))
             with self.subTest(seed=seed):
                 self.assertLess(
-                    run_transfer(place, seed).near_at[VERSION], HEALS_AT
+                    run_transfer(scenario, seed).near_complete_at[VERSION],
+                    HEALS_AT,
                 )
 
     def test_no_additional_reads_without_a_cut(self) -> None:
         """All chunks but a few are read once."""
         for seed in SEEDS:
-            place = Place(vms=11)
+            scenario = Scenario(vms=11)
             with self.subTest(seed=seed):
-                reads = run_transfer(place, seed).reads[VERSION]
-                self.assertLessEqual(reads, place.chunks + 3)
+                reads = run_transfer(scenario, seed).reads[VERSION]
+                self.assertLessEqual(reads, scenario.chunks + 3)
 
     def test_other_zones_are_hardly_delayed(self) -> None:
         """The origin's link is free for them soon after the cut heals."""
         for seed in SEEDS:
-            place = Place(vms=11, cut=(4, 9))
+            scenario = Scenario(vms=11, cut=(4, 9))
             with self.subTest(seed=seed):
-                outcome = run_transfer(place, seed)
-                self.assertLess(outcome.whole_at[VERSION], 12.5)
+                outcome = run_transfer(scenario, seed)
+                self.assertLess(outcome.complete_at_by_version[VERSION], 12.5)
 
 
 if __name__ == '__main__':
--- a/tests/test_versionplan.py
+++ b/tests/test_versionplan.py
@@ -11,7 +11,7 @@
 import unittest
 
 from linnetwood.fleet.wanted import SEND_MARGIN_S, WantedVersions
-from linnetwood.lab.transfers import Fleet, Outcome, Place, Ways
+from linnetwood.lab.transfers import Fleet, Outcome, Policies, Scenario
 from linnetwood.weights.takeover import TAKEOVERS
 from linnetwood.weights.versionplan import (
     PLANS,
@@ -27,7 +27,7 @@
 CHUNK_ORIGIN_S = 0.045
 COUNT = 96
 ALL = ChunkProgress(COUNT, COUNT, COUNT)
-OUTAGE = Place(named=(0, 2), away=(2.5, 8.5))
+OUTAGE = Scenario(named_at=(0, 2), outage=(2.5, 8.5))
 
 
 def named(*since: float) -> WantedVersions:
@@ -171,10 +171,12 @@
 class LoadTest(unittest.TestCase):
     """Simulate the default policies and the simpler ones."""
 
-    def play(self, plan: str, takeover: str, place: Place) -> Outcome:
+    def play(self, plan: str, takeover: str, place: Scenario) -> Outcome:
         """Simulate seed 0."""
         version_plan: VersionPlan = PLANS[plan]
-        return Fleet(place, Ways(TAKEOVERS[takeover], version_plan), 0).play()
+        return Fleet(
+            place, Policies(TAKEOVERS[takeover], version_plan), 0
+        ).run()
 
     def test_calls_have_a_version(self) -> None:
         """At most half of the unserved time, and few chunks read twice."""
@@ -185,7 +187,7 @@
 
     def test_unread_chunks_are_read_once_after_an_outage(self) -> None:
         """At most a quarter of all chunks twice, and few refusals."""
-        place = Place(away=(2.5, 8.5))
+        place = Scenario(outage=(2.5, 8.5))
         after = self.play('by-forecast', 'after-the-rest', place)
         self.assertLessEqual(after.reads[2], COUNT + COUNT // 4)
         self.assertLess(after.refused, COUNT // 4)
