Split the simulation of policies, and reword it in the terms of the field

A scenario, a simulation, calls that are received and retried, and a halved rate stand in place of what is played, comes, comes back, and calm. Options and keys of the command stay.

--- a/src/linnetwood/lab/measure_policy.py
+++ b/src/linnetwood/lab/measure_policy.py
@@ -8,16 +8,17 @@
 from typing import Any, Literal
 
 from linnetwood.core.options import Decisions
-from linnetwood.lab.policy import Fleet, SlowEngines, World
+from linnetwood.lab.policy import Simulation
+from linnetwood.lab.policyscenario import Scenario, SlowEngines
 from linnetwood.lab.sheets import SHEETS
 
-# Passes of a second fill the queues; what comes after is counted.
+# The queues fill in this time; calls after it are counted.
 _WARM_S = 3.0
-# In half of the rate entries learn first how long callers wait.
-_CALM_S = 6.0
+# With half of the rate, entries first learn how long callers wait.
+_HALF_RATE_S = 6.0
 _SPAN_S = 5.0
-# Of the calls in time at the knee, so many should be left beyond it.
-_AIM = 0.9
+# The share of the calls in time at the knee to reach beyond it.
+_MIN_GOODPUT = 0.9
 _REDRAW_S = 0.6
 
 
@@ -51,24 +52,24 @@
     :param zones: availability zones
     :param every_s: seconds between two reports of an engine
     :param knee: calls a second and engine at the knee
-    :param seeds: how many seeds to take the mean of
+    :param seeds: the number of seeds to average over
     :param sheet: engines and calls: large, shifted, first or priorities
-    :param swing: the part of the rate by which it swings
-    :param patience_s: how long callers wait, who come back once; 0 for never
-    :param returns: when refused callers come back
-    :param first_tries: by what callers who come back are told
-    :param return_room: what callers who come back may take
-    :param by_priority: whether the priorities of kinds count
+    :param swing: the share of the rate by which it rises and falls
+    :param patience_s: how long callers wait, who retry once; 0 for never
+    :param returns: when refused callers retry
+    :param first_tries: how retries are told from first attempts
+    :param return_room: which slots retries may take
+    :param by_priority: whether the priorities of kinds are used
     :param surging: the number of the kind that surges in the counted span
-    :param surge: how many times as often the surging kind comes
-    :param lag_s: the age of a report when it is made
-    :param slow_share: the part of the engines that is slow
+    :param surge: how many times as frequent the surging kind is
+    :param lag_s: the age of a report when it is sent
+    :param slow_share: the share of the engines that is slow
     :param slow_pace: how many times slower these are
     :param slow_s: seconds after which others are drawn
-    :param slow_as: entries hear of it, don't, or all engines are equally slow
+    :param slow_as: whether paces are reported, hidden, or equal at all engines
     """
-    calm_s = _CALM_S if patience_s else 0
-    fleet = Fleet(
+    half_rate_s = _HALF_RATE_S if patience_s else 0
+    scenario = Scenario(
         entries,
         engines,
         zones,
@@ -80,40 +81,42 @@
             first_tries=first_tries,
             return_room=return_room,
         ),
-        calm_s=calm_s,
-        swing=swing,
+        half_rate_s=half_rate_s,
+        rate_swing=swing,
         patience_s=patience_s,
         by_priority=by_priority,
         surging=surging,
         surge=surge,
-        surge_from_s=_WARM_S + calm_s,
-        lag_s=lag_s,
+        surge_from_s=_WARM_S + half_rate_s,
+        report_age_s=lag_s,
         slow=SlowEngines(
             slow_share,
             slow_pace,
             slow_s,
-            hidden=slow_as == 'hidden',
-            even=slow_as == 'even',
+            unreported=slow_as == 'hidden',
+            equal=slow_as == 'even',
         ),
     )
-    rows = list(_rows(fleet, seeds))
+    rows = list(_rows(scenario, seeds))
     best = rows[0]['in_time_per_s']
-    missed = any(row['in_time_per_s'] < _AIM * best for row in rows)
+    missed = any(row['in_time_per_s'] < _MIN_GOODPUT * best for row in rows)
     sys.stdout.write(f'{json.dumps({"rows": rows, "missed": missed})}\n')
     return missed
 
 
-def _rows(fleet: Fleet, seeds: int) -> Iterator[dict[str, Any]]:
+def _rows(scenario: Scenario, seeds: int) -> Iterator[dict[str, Any]]:
     for times in (1, 1.3, 1.6, 2, 3):
-        rate = fleet.rate * times
-        played = dataclasses.replace(fleet, rate=rate)
+        rate = scenario.rate * times
+        played = dataclasses.replace(scenario, rate=rate)
         outcomes = [
-            World(played, seed).play(_WARM_S + fleet.calm_s, _SPAN_S)
+            Simulation(played, seed).run(
+                _WARM_S + scenario.half_rate_s, _SPAN_S
+            )
             for seed in range(seeds)
         ]
         yield {
             'times': times,
-            **_means(outcome.row(fleet.engines) for outcome in outcomes),
+            **_means(outcome.row(scenario.engines) for outcome in outcomes),
             'kinds': [
                 {
                     'priority': kind.priority,
@@ -121,7 +124,7 @@
                         one.kinds[kind].row(kind, _SPAN_S) for one in outcomes
                     ),
                 }
-                for kind in fleet.sheet.kinds
+                for kind in scenario.sheet.kinds
             ],
         }
 
--- a/src/linnetwood/lab/sheets.py
+++ b/src/linnetwood/lab/sheets.py
@@ -1,4 +1,4 @@
-"""Engines and calls by the figures of deployments' pages; times in seconds."""
+"""Engines and calls of deployments, by their pages; times in seconds."""
 
 import dataclasses
 from types import MappingProxyType
@@ -25,7 +25,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Kind:
-    """A kind of call: tokens, the target in seconds, and how often it comes.
+    """A kind of call: tokens, the target in seconds, and its frequency.
 
     Priority 0 is the highest. The values are of a call in time and a late one.
     """
@@ -41,9 +41,9 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Sheet:
-    """Engines and calls by the figures of a deployment's pages."""
+    """The engines and calls of a deployment."""
 
-    figures: EngineProfile
+    profile: EngineProfile
     kinds: tuple[Kind, ...]
 
 
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -8,7 +8,9 @@
 import itertools
 import unittest
 
-from linnetwood.lab.policy import Fleet, Outcome, SlowEngines, World
+from linnetwood.lab.policy import Simulation
+from linnetwood.lab.policyoutcome import Outcome
+from linnetwood.lab.policyscenario import Scenario, SlowEngines
 from linnetwood.lab.sheets import SHEETS
 
 SEEDS = (0, 1)
@@ -16,8 +18,8 @@
 SPAN_S = 5
 # Calls a second and engine that nearly all begin in time.
 KNEE = 4.2
-LARGE = Fleet(98, 60, 5, every_s=0.2)
-GROWN = Fleet(40, 23, 3, every_s=0.17)
+LARGE = Scenario(98, 60, 5, report_interval_s=0.2)
+GROWN = Scenario(40, 23, 3, report_interval_s=0.17)
 
 # A burst after a calm of three seconds; times in seconds.
 CALM_S = 3
@@ -25,18 +27,18 @@
 PATIENCE_S = 6
 
 
-def in_time(fleet: Fleet, times: float) -> float:
+def in_time(scenario: Scenario, times: float) -> float:
     """Give calls in time a second, in the mean of the seeds."""
-    rate = KNEE * fleet.engines * times
-    played = Fleet(
-        fleet.entries,
-        fleet.engines,
-        fleet.zones,
+    rate = KNEE * scenario.engines * times
+    played = Scenario(
+        scenario.entries,
+        scenario.engines,
+        scenario.zones,
         rate,
-        fleet.every_s,
-        fleet.pressed,
+        scenario.report_interval_s,
+        scenario.loaded_zones,
     )
-    found = [World(played, seed).play(WARM_S, SPAN_S) for seed in SEEDS]
+    found = [Simulation(played, seed).run(WARM_S, SPAN_S) for seed in SEEDS]
     return sum(one.in_time for one in found) / len(SEEDS) / SPAN_S
 
 
@@ -45,51 +47,56 @@
 
     def test_overload(self) -> None:
         """Of what is in time at the knee, eight in ten remain at any rate."""
-        for fleet in (LARGE, GROWN):
-            knee = in_time(fleet, 1)
-            self.assertGreater(knee, 0.9 * KNEE * fleet.engines)
+        for scenario in (LARGE, GROWN):
+            knee = in_time(scenario, 1)
+            self.assertGreater(knee, 0.9 * KNEE * scenario.engines)
             for times in (1.3, 1.6, 2, 3):
-                with self.subTest(engines=fleet.engines, times=times):
-                    self.assertGreater(in_time(fleet, times), 0.8 * knee)
+                with self.subTest(engines=scenario.engines, times=times):
+                    self.assertGreater(in_time(scenario, times), 0.8 * knee)
 
     def test_herds(self) -> None:
         """At the knee no engine gets over three times the mean of a second."""
-        played = World(Fleet(98, 60, 5, KNEE * 60, 0.2), 0)
-        row = played.play(WARM_S, SPAN_S).row(60)
+        played = Simulation(Scenario(98, 60, 5, KNEE * 60, 0.2), 0)
+        row = played.run(WARM_S, SPAN_S).row(60)
         self.assertLess(row['most_over_mean'], 3)
 
     def test_one_zone_is_pressed(self) -> None:
         """What one zone's engines can't take goes to the others in time."""
-        fleet = Fleet(98, 60, 5, every_s=0.2, pressed=1)
-        own = KNEE * 60 / fleet.zones
-        self.assertGreater(in_time(fleet, 0.5), 2 * own)
+        scenario = Scenario(98, 60, 5, report_interval_s=0.2, loaded_zones=1)
+        own = KNEE * 60 / scenario.zones
+        self.assertGreater(in_time(scenario, 0.5), 2 * own)
 
 
 class SlowEnginesTest(unittest.TestCase):
     """Some engines are slow for a while, by reports that are 0.2 s old."""
 
-    def in_time(self, fleet: Fleet, slow: SlowEngines) -> int:
+    def in_time(self, scenario: Scenario, slow: SlowEngines) -> int:
         """Add up the calls in time of the seeds."""
         played = dataclasses.replace(
-            fleet,
-            rate=KNEE * fleet.engines,
+            scenario,
+            rate=KNEE * scenario.engines,
             sheet=SHEETS['shifted'],
-            lag_s=0.2,
+            report_age_s=0.2,
             slow=slow,
         )
         return sum(
-            World(played, seed).play(WARM_S, SPAN_S).in_time for seed in SEEDS
+            Simulation(played, seed).run(WARM_S, SPAN_S).in_time
+            for seed in SEEDS
         )
 
     def test_nearly_as_many_as_with_even_engines(self) -> None:
         """Guard against calls sent to engines that report to be slow."""
-        fleets = (Fleet(35, 20, 3, every_s=0.1), Fleet(98, 98, 5, every_s=0.1))
+        scenarios = (
+            Scenario(35, 20, 3, report_interval_s=0.1),
+            Scenario(98, 98, 5, report_interval_s=0.1),
+        )
         kinds = (SlowEngines(0.15, 2.5, 0.6), SlowEngines(0.15, 4, 5))
-        for fleet, slow in itertools.product(fleets, kinds):
-            even = dataclasses.replace(slow, even=True)
-            with self.subTest(engines=fleet.engines, slow=slow):
+        for scenario, slow in itertools.product(scenarios, kinds):
+            even = dataclasses.replace(slow, equal=True)
+            with self.subTest(engines=scenario.engines, slow=slow):
                 self.assertGreater(
-                    self.in_time(fleet, slow), 0.95 * self.in_time(fleet, even)
+                    self.in_time(scenario, slow),
+                    0.95 * self.in_time(scenario, even),
                 )
 
 
@@ -107,23 +114,23 @@
     ) -> Outcome:
         """Add up what becomes of the calls of a span from a time on."""
         times = 2.2
-        fleet = Fleet(
+        scenario = Scenario(
             9,
             9,
             3,
             4.6 * 9 * times,
-            every_s=0.17,
+            report_interval_s=0.17,
             sheet=SHEETS['first'],
             patience_s=patience_s,
-            calm_s=CALM_S,
-            ends_s=ENDS_S,
+            half_rate_s=CALM_S,
+            half_rate_from_s=ENDS_S,
         )
         found = Outcome(0)
         for seed in SEEDS:
-            one = World(fleet, seed).play(*span)
-            found.came += one.came
+            one = Simulation(scenario, seed).run(*span)
+            found.received += one.received
             found.in_time += one.in_time
-            found.lost += one.lost
+            found.refused_twice += one.refused_twice
         return found
 
     def test_first_tries_keep_their_place(self) -> None:
@@ -137,8 +144,8 @@
     def test_returns_are_served_once_the_burst_is_over(self) -> None:
         """From half a second after it hardly anybody is refused twice."""
         after = self.played(PATIENCE_S, (ENDS_S + 1, 2))
-        self.assertGreater(after.came, 0)
-        self.assertLess(after.lost, 0.04 * after.came)
+        self.assertGreater(after.received, 0)
+        self.assertLess(after.refused_twice, 0.04 * after.received)
 
 
 if __name__ == '__main__':
--- a/tests/test_priorities.py
+++ b/tests/test_priorities.py
@@ -24,7 +24,9 @@
 from linnetwood.calls.retries import RetryBudget
 from linnetwood.core.outcomes import Ending
 from linnetwood.fleet.ranges import Record
-from linnetwood.lab.policy import Fleet, Outcome, World
+from linnetwood.lab.policy import Simulation
+from linnetwood.lab.policyoutcome import Outcome
+from linnetwood.lab.policyscenario import Scenario
 from linnetwood.lab.sheets import SHEETS, Sheet
 from linnetwood.platform import records
 from linnetwood.platform.dialect import PlatformDialect
@@ -265,7 +267,7 @@
 
         The most urgent kind surges in the counted span.
         """
-        fleet = Fleet(
+        scenario = Scenario(
             29,
             ENGINES,
             3,
@@ -276,7 +278,7 @@
             surge=surge,
             surge_from_s=3,
         )
-        return World(fleet, 0).play(3, 4)
+        return Simulation(scenario, 0).run(3, 4)
 
     def shares(self, outcome: Outcome) -> list[float]:
         """Return the share of each kind that began in time."""
@@ -304,15 +306,15 @@
         """
         cases = ((0, (571, 257, 252, 53, 0)), (6, (566, 350, 144, 167, 201)))
         for patience_s, expected in cases:
-            fleet = Fleet(40, 23, 3, 193.2, 0.17, patience_s=patience_s)
-            found = World(fleet, 0).play(3, 3)
+            scenario = Scenario(40, 23, 3, 193.2, 0.17, patience_s=patience_s)
+            found = Simulation(scenario, 0).run(3, 3)
             self.assertEqual(
                 (
-                    found.came,
+                    found.received,
                     found.refused,
                     found.in_time,
                     found.late,
-                    found.lost,
+                    found.refused_twice,
                 ),
                 expected,
             )
