--- a/demo/run.py
+++ b/demo/run.py
@@ -45,7 +45,7 @@
 """
 
 
-async def command(fleet: Fleet, *args: str) -> int:
+async def run_command(fleet: Fleet, *args: str) -> int:
     """Run an operator's command as an operator would."""
     print('$ linnetwood', *args)
     with_entry = [*args, f'--entry={fleet.operators()}']
@@ -53,9 +53,9 @@
 
 
 async def rollout(fleet: Fleet, version: str) -> float:
-    """Roll a version out and give the seconds it took."""
+    """Roll a version out; return the seconds it took."""
     began = time.monotonic()
-    code = await command(
+    code = await run_command(
         fleet,
         'rollout',
         'start',
@@ -70,8 +70,8 @@
     return time.monotonic() - began
 
 
-async def once(fleet: Fleet) -> list[str]:
-    """Confirm a slot twice under one key; give what went wrong."""
+async def confirm_twice(fleet: Fleet) -> list[str]:
+    """Confirm a slot twice under one key; return what went wrong."""
     client = AsyncHTTPClient()
     base = f'http://127.0.0.1:{fleet.http_ports()[0]}'
     keys_url = f'{base}/v1/keys?service=booking'
@@ -90,9 +90,11 @@
     return [] if counted.get('slot 7') == 1 else [f'slot 7 ran {counted}']
 
 
-def broken(records: list[Record]) -> list[str]:
-    """Give the promises that callers saw broken."""
-    wrong = [f'wrong answer to {one.name}' for one in records if not one.right]
+def broken_promises(records: list[Record]) -> list[str]:
+    """Return the promises that callers saw broken."""
+    wrong = [
+        f'wrong answer to {one.name}' for one in records if not one.correct
+    ]
     cut = [
         f'{one.name} was cut: {one.code}'
         for one in records
@@ -101,7 +103,9 @@
     return wrong + cut
 
 
-def report(times: list[float], copies: float, records: list[Record]) -> None:
+def report(
+    rollouts_s: list[float], copies: float, records: list[Record]
+) -> None:
     """Print the plain report."""
     counts = {
         outcome: sum(1 for one in records if one.outcome == outcome)
@@ -110,7 +114,8 @@
     firsts = [one.first_s for one in records if one.outcome == 'answered']
     print()
     print(
-        f'time to {REPLICAS} replicas: v1 {times[0]:.1f} s, v2 {times[1]:.1f} s'
+        f'time to {REPLICAS} replicas: v1 {rollouts_s[0]:.1f} s, '
+        f'v2 {rollouts_s[1]:.1f} s'
     )
     print(f'copies read from the origin, both versions: {copies:.2f}')
     print(
@@ -120,25 +125,25 @@
     print(f'first token, 95 in 100: {percentile(firsts, 0.95):.3f} s')
 
 
-async def show(fleet: Fleet) -> list[str]:
-    """Run both rollouts and give the promises that broke."""
+async def run_rollouts(fleet: Fleet) -> list[str]:
+    """Run both rollouts; return the promises that were broken."""
     rng = random.Random(7)
     weights = [rng.randbytes(SIZE), rng.randbytes(SIZE)]
     manifests = [await publish(fleet, one, CHUNK) for one in weights]
     path = pathlib.Path(fleet.folder, 'deployment.thrift')
     path.write_text(SCHEMA % tuple(manifests))
-    await command(fleet, 'apply', str(path))
+    await run_command(fleet, 'apply', str(path))
     caller = Caller(Traffic(fleet.http_ports(), MODEL, CALLS_PER_S))
-    times = [await rollout(fleet, 'v1')]
+    rollouts_s = [await rollout(fleet, 'v1')]
     caller.start()
     await asyncio.sleep(1)
-    times.append(await rollout(fleet, 'v2'))
+    rollouts_s.append(await rollout(fleet, 'v2'))
     await asyncio.sleep(1)
-    faults = await once(fleet)
+    faults = await confirm_twice(fleet)
     await caller.close()
     read = (await origin_state(fleet))['bytes_read']
-    report(times, read / SIZE, caller.records)
-    faults += broken(caller.records)
+    report(rollouts_s, read / SIZE, caller.records)
+    faults += broken_promises(caller.records)
     bad_loads = await engine_violations(fleet)
     if bad_loads:
         faults.append(f'engines saw {bad_loads} bad loads')
@@ -146,14 +151,14 @@
 
 
 def main() -> int:
-    """Run the demo; give 0 only when every promise held."""
+    """Run the demo; return 0 only if every promise was kept."""
     fleet = Fleet(Plan(engines=6, services=1, entries=2))
     try:
         fleet.start()
-        faults = asyncio.run(show(fleet))
+        faults = asyncio.run(run_rollouts(fleet))
     finally:
-        bad = fleet.close()
-    faults += [f'{vm} did not stop cleanly' for vm in bad]
+        unclean = fleet.close()
+    faults += [f'{vm} did not stop cleanly' for vm in unclean]
     for fault in faults:
         print(f'BROKEN: {fault}')
     print('a promise broke' if faults else 'every promise held')
--- a/src/linnetwood/lab/load.py
+++ b/src/linnetwood/lab/load.py
@@ -28,22 +28,22 @@
 
 @dataclasses.dataclass(slots=True)
 class Record:
-    """How one call went, as its caller saw it."""
+    """The outcome of one call, as its caller saw it; times in seconds."""
 
     name: str
-    began: float
+    started_at: float
     first_s: float = 0
     whole_s: float = 0
     outcome: str = ''
     code: str = ''
     version: str = ''
-    right: bool = True
+    correct: bool = True
     gaps_s: list[float] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Traffic:
-    """What to send: an open stream of calls at a steady mean rate."""
+    """Calls to send, at random intervals with a constant mean rate."""
 
     ports: list[int]
     model: str
@@ -54,8 +54,8 @@
     organisation: str = ''
 
 
-class _Heard:
-    """Collect an answer's pieces and when they came."""
+class _Answer:
+    """Collect the pieces of an answer, with their times."""
 
     __slots__ = ('pieces', 'times')
 
@@ -63,8 +63,8 @@
         self.pieces: list[bytes] = []
         self.times: list[float] = []
 
-    def take(self, piece: bytes) -> None:
-        """Take one piece."""
+    def add(self, piece: bytes) -> None:
+        """Add one piece."""
         self.times.append(time.monotonic())
         self.pieces.append(piece)
 
@@ -73,7 +73,7 @@
     """Send calls and keep their records."""
 
     def __init__(self, traffic: Traffic) -> None:
-        """Send nothing yet."""
+        """Start without calls."""
         self.records: list[Record] = []
         self._traffic = traffic
         self._rng = Random(traffic.seed)
@@ -82,22 +82,22 @@
         self._running: asyncio.Task[None] | None = None
 
     def start(self) -> None:
-        """Begin to send."""
+        """Start to send."""
         self._running = asyncio.create_task(self._run())
 
     async def close(self) -> None:
-        """Send no more and wait for what is under way."""
+        """Stop sending, and wait for calls in progress."""
         if self._running is not None:
             self._running.cancel()
         await asyncio.gather(*self._tasks)
         self._client.close()
 
     async def call(self, name: str) -> Record:
-        """Send one call and check what comes back."""
+        """Send one call and check its answer."""
         traffic = self._traffic
         record = Record(name, time.monotonic())
         self.records.append(record)
-        heard = _Heard()
+        answer = _Answer()
         port = self._rng.choice(traffic.ports)
         body = {
             'model': traffic.model,
@@ -112,12 +112,12 @@
                 DEADLINE_HEADER: str(int(traffic.deadline_s * _MILLISECONDS)),
                 ORGANISATION_HEADER: traffic.organisation,
             },
-            streaming_callback=heard.take,
+            streaming_callback=answer.add,
             request_timeout=traffic.deadline_s + 5,
         )
         reply = await fetch(self._client, req)
-        _note(record, reply, heard.times)
-        _check(record, b''.join(heard.pieces), traffic.tokens)
+        _record_outcome(record, reply, answer.times)
+        _check_answer(record, b''.join(answer.pieces), traffic.tokens)
         return record
 
     async def _run(self) -> None:
@@ -132,18 +132,18 @@
             task.add_done_callback(self._tasks.discard)
 
 
-def _note(
+def _record_outcome(
     record: Record,
     reply: HTTPResponse,
     times: list[float],
 ) -> None:
-    record.whole_s = time.monotonic() - record.began
+    record.whole_s = time.monotonic() - record.started_at
     record.outcome = 'answered' if reply.code == _OK else 'cut'
     record.outcome = reply.headers.get(OUTCOME_HEADER, record.outcome)
     record.code = reply.headers.get(CODE_HEADER, '')
     record.version = reply.headers.get(VERSION_HEADER, '')
     if times:
-        record.first_s = times[0] - record.began
+        record.first_s = times[0] - record.started_at
         record.gaps_s = [
             later - earlier
             for earlier, later in zip(times, times[1:], strict=False)
@@ -152,21 +152,21 @@
         record.code = str(reply.error)
 
 
-def _check(record: Record, body: bytes, tokens: int) -> None:
+def _check_answer(record: Record, body: bytes, tokens: int) -> None:
     if record.outcome != 'answered':
         return
     expected = ''.join(
         f'data: {token(record.version, record.name, index)}\n\n'
         for index in range(tokens)
     )
-    record.right = body.decode() == f'{expected}data: [DONE]\n\n'
+    record.correct = body.decode() == f'{expected}data: [DONE]\n\n'
 
 
-def percentile(figures: list[float], share: float) -> float:
-    """Give the figure below which a share of them lies."""
-    if not figures:
+def percentile(found: list[float], share: float) -> float:
+    """Return the value below which a share of them lies; 0 without any."""
+    if not found:
         return 0
-    ordered = sorted(figures)
+    ordered = sorted(found)
     return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
 
 
@@ -179,10 +179,10 @@
     deadline_s: float = 60.0,
     seed: int = 0,
 ) -> None:
-    """Send calls until told to stop; then print how many went wrong.
+    """Send calls until SIGTERM; then print how many had wrong answers.
 
     :param ports: ports of the entries
-    :param model: the model to ask
+    :param model: the model to call
     :param calls_per_s: mean rate
     :param tokens: tokens of each answer
     :param deadline_s: deadline of each call
@@ -200,10 +200,10 @@
     caller.start()
     await stop.wait()
     await caller.close()
-    wrong = sum(1 for one in caller.records if not one.right)
+    wrong = sum(1 for one in caller.records if not one.correct)
     tokens = sum(len(one.gaps_s) + 1 for one in caller.records)
-    spans = [one.began + one.whole_s for one in caller.records]
-    began = min(one.began for one in caller.records)
+    spans = [one.started_at + one.whole_s for one in caller.records]
+    began = min(one.started_at for one in caller.records)
     found = {
         'calls': len(caller.records),
         'wrong': wrong,
--- a/src/linnetwood/lab/measure_serve.py
+++ b/src/linnetwood/lab/measure_serve.py
@@ -238,7 +238,7 @@
         figures.close()
         await asyncio.to_thread(fleet.close)
     records = [record for offered in mixed.values() for record in offered]
-    wrong = sum(1 for record in records if not record.right)
+    wrong = sum(1 for record in records if not record.correct)
     answered = sum(map(_is_correct, records))
     small = percentile(
         [record.whole_s for record in mixed[_SMALL] if _is_correct(record)],
@@ -266,7 +266,7 @@
 
 
 def _is_correct(record: Record) -> bool:
-    return record.outcome == 'answered' and record.right
+    return record.outcome == 'answered' and record.correct
 
 
 def _count_codes(records: list[Record]) -> dict[str, int]:
--- a/tests/test_packages.py
+++ b/tests/test_packages.py
@@ -12,7 +12,7 @@
 
 
 class PackagesTest(unittest.TestCase):
-    """Read the imports anew; tools/draw_packages.py mends what differs."""
+    """Read the imports; tools/draw_packages.py updates the file."""
 
     def test_the_data_is_of_this_code(self) -> None:
         """The committed imports are those that the code has."""
@@ -29,7 +29,7 @@
 
     def test_the_floors_are_those_that_are_kept(self) -> None:
         """The drawing has them in the order that the layers' test has."""
-        self.assertEqual(draw_packages.FLOORS, FLOORS)
+        self.assertEqual(draw_packages.LAYERS, FLOORS)
 
     def test_every_step_of_the_page_is_a_module(self) -> None:
         """The page shows the picture and names no module that is gone."""
--- a/tools/draw_packages.py
+++ b/tools/draw_packages.py
@@ -1,6 +1,6 @@
-"""Read which package imports which, and draw it.
+"""Draw which package imports which.
 
-Without arguments it writes docs/packages.json and docs/packages.svg anew.
+Writes docs/packages.json and docs/packages.svg.
 """
 
 import ast
@@ -17,8 +17,8 @@
 SOURCES = ROOT / 'src' / 'linnetwood'
 EDGES = ROOT / 'docs' / 'packages.json'
 PICTURE = ROOT / 'docs' / 'packages.svg'
-# From the ground up, as tests/test_layers.py has them.
-FLOORS = (
+# The lowest layer first, as in tests/test_layers.py.
+LAYERS = (
     'gen',
     'core',
     'wire',
@@ -29,16 +29,16 @@
     'programs',
     'lab',
 )
-_BEND = 0.17
-_BOX = 1.6
-_HALF = 0.3
-_HEAD = 12
+_BEND_PER_LAYER = 0.17
+_BOX_WIDTH = 1.6
+_HALF_BOX_HEIGHT = 0.3
+_ARROW_HEAD_SIZE = 12
 
 
 def read_imports(sources: pathlib.Path) -> dict[str, list[str]]:
-    """Give for each package the others that it imports, by name."""
+    """Return for each package the names of the others that it imports."""
     return {
-        floor: sorted(_imported(sources / floor) - {floor}) for floor in FLOORS
+        layer: sorted(_imported(sources / layer) - {layer}) for layer in LAYERS
     }
 
 
@@ -60,60 +60,61 @@
 
 
 def as_text(imports: Mapping[str, list[str]]) -> str:
-    """Give the data as it stands in the file."""
+    """Return the content of the JSON file."""
     return f'{json.dumps(imports, indent=2)}\n'
 
 
 def draw(imports: Mapping[str, list[str]], target: pathlib.Path) -> None:
-    """Draw the packages one over the other, and an arrow an import."""
+    """Draw the packages in layers, with an arrow for each import."""
     mpl.use('Agg')
     mpl.rcParams['svg.hashsalt'] = 'packages'
     figure, axes = plt.subplots(figsize=(8, 8))
-    for height, name in enumerate(FLOORS):
+    for height, name in enumerate(LAYERS):
         axes.text(0, height, name, ha='center', va='center', fontsize=13)
         axes.add_patch(
             Rectangle(
-                (-_BOX / 2, height - _HALF),
-                _BOX,
-                2 * _HALF,
+                (-_BOX_WIDTH / 2, height - _HALF_BOX_HEIGHT),
+                _BOX_WIDTH,
+                2 * _HALF_BOX_HEIGHT,
                 fill=False,
             ),
         )
         for other in imports[name]:
-            _arrow(axes, height, FLOORS.index(other))
+            _arrow(axes, height, LAYERS.index(other))
     axes.set_xlim(-4, 4)
-    axes.set_ylim(-1, len(FLOORS))
+    axes.set_ylim(-1, len(LAYERS))
     axes.axis('off')
     figure.savefig(target, metadata={'Date': None}, bbox_inches='tight')
 
 
 def _arrow(axes: Axes, above: int, below: int) -> None:
-    """Bend it the further the more floors it passes, by turns left and right.
+    """Draw an arrow that bends around the layers between its ends.
 
-    What imports from the floor just below needs no bend.
+    It bends further the more layers there are, left and right by turns. An
+    arrow to the next lower layer is straight.
     """
     passed = above - below - 1
     side = 0
     if passed:
         side = 1 if above % 2 else -1
-    place = side * _BOX / 2
-    inset = 0 if passed else _HALF
-    bend = -side * (_BEND + _BEND * passed / 2)
+    arrow_x = side * _BOX_WIDTH / 2
+    inset = 0 if passed else _HALF_BOX_HEIGHT
+    bend = -side * (_BEND_PER_LAYER + _BEND_PER_LAYER * passed / 2)
     arrow = FancyArrowPatch(
-        (place, above - inset),
-        (place, below + inset),
+        (arrow_x, above - inset),
+        (arrow_x, below + inset),
         connectionstyle=f'arc3,rad={bend}',
         arrowstyle='->',
-        mutation_scale=_HEAD,
+        mutation_scale=_ARROW_HEAD_SIZE,
         color=f'C{above}',
     )
-    # The picture's file tells by this what it shows.
-    arrow.set_gid(f'{FLOORS[above]}-imports-{FLOORS[below]}')
+    # The id names the import in the image file.
+    arrow.set_gid(f'{LAYERS[above]}-imports-{LAYERS[below]}')
     axes.add_patch(arrow)
 
 
 def main() -> None:
-    """Write both files anew."""
+    """Write both files."""
     imports = read_imports(SOURCES)
     EDGES.write_text(as_text(imports))
     draw(imports, PICTURE)
--- a/tools/plot_burst.py
+++ b/tools/plot_burst.py
@@ -1,4 +1,4 @@
-"""Plot replicas complete against time from a burst's JSON, with the bound."""
+"""Plot complete replicas over time, with the bound, from a burst's JSON."""
 
 import json
 import pathlib
--- a/tools/plot_soak.py
+++ b/tools/plot_soak.py
@@ -1,4 +1,4 @@
-"""Plot calls by outcome and faults against time from a soak's history."""
+"""Plot calls by outcome, and faults, over time from a soak's history."""
 
 import collections
 import json
@@ -14,7 +14,7 @@
 
 
 def outcome(call: dict[str, Any]) -> str:
-    """Name how a call ended."""
+    """Return the name of a call's outcome."""
     if call['left_at']:
         return 'caller left or gave up'
     if call['status'] == _SUCCESS:
@@ -23,7 +23,7 @@
 
 
 def main() -> None:
-    """Read what `linnetwood-measure soak --out FILE` wrote; write one PNG."""
+    """Read the file of `linnetwood-measure soak --out FILE`; write one PNG."""
     target, source = sys.argv[1:]
     mpl.use('Agg')
     found = json.loads(pathlib.Path(source).read_text())
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -10,49 +10,53 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 KNOWN_RED = ROOT / 'KNOWN-RED.txt'
 # The command with its seed, what was seen, the open issue.
-TOLD = 3
+FIELD_COUNT = 3
 
 
 class Counted(unittest.TextTestResult):
-    """Keep the names of the tests that passed, too."""
+    """Record the names of the tests that passed, too."""
 
     def __init__(self, *args: object, **options: object) -> None:
-        """Start with none."""
+        """Start without tests."""
         super().__init__(*args, **options)  # type: ignore[arg-type]
         self.passed: set[str] = set()
 
     def addSuccess(self, test: unittest.TestCase) -> None:  # noqa: N802
-        """Note a test that passed."""
+        """Record a test that passed."""
         super().addSuccess(test)
         self.passed.add(test.id())
 
     def failed(self) -> set[str]:
-        """Give the tests that failed; one that has parts counts once."""
-        bad = {name_of(test) for test, _ in self.failures + self.errors}
-        return bad | {test.id() for test in self.unexpectedSuccesses}
+        """Return the failed tests; one with failed subtests counts once."""
+        failed_names = {
+            name_of(test) for test, _ in self.failures + self.errors
+        }
+        return failed_names | {test.id() for test in self.unexpectedSuccesses}
 
 
 def name_of(test: unittest.TestCase) -> str:
-    """Give the name of a test, also for a part of one."""
+    """Return the name of a test, also for a subtest."""
     return str(getattr(test, 'test_case', test).id())
 
 
-def entries(text: str) -> list[tuple[str, list[str]]]:
-    """Read what is listed: the name of each test, and what is told of it."""
-    found = []
+def parse_list(text: str) -> list[tuple[str, list[str]]]:
+    """Parse the list: the name of each test, and the fields after it."""
+    entries = []
     for line in text.splitlines():
         if line.strip():
-            name, _, told = line.partition(':')
-            found.append((name.strip(), told.split(';')))
-    return found
+            name, _, fields = line.partition(':')
+            entries.append((name.strip(), fields.split(';')))
+    return entries
 
 
-def unfit(listed: Iterable[tuple[str, list[str]]]) -> Iterator[str]:
-    """Yield what is wrong with a list, whichever tests are run."""
+def list_errors(listed: Iterable[tuple[str, list[str]]]) -> Iterator[str]:
+    """Yield the errors of a list, whichever tests are run."""
     names: Counter[str] = Counter()
-    for name, told in listed:
+    for name, fields in listed:
         names[name] += 1
-        if len(told) < TOLD or not all(part.strip() for part in told):
+        if len(fields) < FIELD_COUNT or not all(
+            part.strip() for part in fields
+        ):
             yield f'{name}: needs a command and seed; what was seen; an issue'
     for name, times in names.items():
         if times > 1:
@@ -62,34 +66,36 @@
 
 
 def is_test(name: str) -> bool:
-    """Tell whether a name is that of one test."""
+    """Return whether a name is that of one test."""
     loader = unittest.TestLoader()
     try:
         suite = loader.loadTestsFromName(name)
     except (TypeError, ValueError):
         return False
-    found = [getattr(test, 'id', str)() for test in suite]
-    return not loader.errors and found == [name]
+    names = [getattr(test, 'id', str)() for test in suite]
+    return not loader.errors and names == [name]
 
 
 def verdict(result: Counted, text: str) -> int:
-    """Print the counts and give 0 only if tests ran and none failed.
+    """Print the counts; return 0 only if tests ran and none failed.
 
-    Those that are listed may fail, and must: one that passes has been mended,
-    and its line would hide the next fault.
+    Listed tests must fail: one that passes has been fixed, and its line would
+    hide the next fault.
     """
-    listed = entries(text)
-    red = {name for name, _ in listed}
-    bad = result.failed()
-    wrong = list(unfit(listed))
-    wrong += [f'{name}: listed, but passes' for name in red & result.passed]
-    for name in sorted(bad & red):
+    listed = parse_list(text)
+    listed_names = {name for name, _ in listed}
+    failed_names = result.failed()
+    errors = list(list_errors(listed))
+    errors += [
+        f'{name}: listed, but passes' for name in listed_names & result.passed
+    ]
+    for name in sorted(failed_names & listed_names):
         print(f'known red: {name}')
-    for line in sorted(wrong):
+    for line in sorted(errors):
         print(f'{KNOWN_RED.name}: {line}')
-    failed = len(bad - red)
+    failed = len(failed_names - listed_names)
     print(f'{len(result.passed)} passed, {failed} failed')
-    return 0 if result.passed and not failed and not wrong else 1
+    return 0 if result.passed and not failed and not errors else 1
 
 
 def main() -> int:
