Let a settings file switch parts of the decisions off

Operators had no way to run without predictions by pace, without priorities, without limits on callers that stop reading, or without the counting of prompt parts, and no way to measure what each does. Each is a policy now, like the others in the file of decisions; the defaults are as before.

Tests hold that what is switched off changes nothing: an engine's pace is its usual one, all calls of a service are of one level, prompts have no parts, and no answer pauses while the limit of the entry's memory stays. Not measured on deployments yet.

--- a/src/linnetwood/calls/choice.py
+++ b/src/linnetwood/calls/choice.py
@@ -16,7 +16,7 @@
 from linnetwood.calls.directory import Directory, Endpoint
 from linnetwood.calls.endpointstats import EndpointStats, Reporting
 from linnetwood.calls.engine import EngineProfile
-from linnetwood.calls.enginepace import PaceDurations
+from linnetwood.calls.enginepace import EnginePace, PaceDurations
 from linnetwood.calls.limits import RateLimits, RateLimitTarget
 from linnetwood.calls.notices import Notices
 from linnetwood.calls.policy.lateness import acceptable_wait_s
@@ -93,8 +93,14 @@
 class Chooser:
     """Predict the wait at each endpoint and choose the shortest."""
 
-    def __init__(self, directory: Directory, rng: Random) -> None:
+    def __init__(
+        self,
+        directory: Directory,
+        rng: Random,
+        new_pace: type[EnginePace] = EnginePace,
+    ) -> None:
         """Choose among the directory's endpoints."""
+        self._new_pace = new_pace
         self.stats: dict[str, EndpointStats] = {}
         self.pace_durations = PaceDurations()
         self.candidates = Candidates(directory)
@@ -113,7 +119,7 @@
         """Return the statistics of one incarnation, new if there are none."""
         found = self.stats.get(incarnation_id)
         if found is None:
-            found = EndpointStats(self.pace_durations)
+            found = EndpointStats(self._new_pace(self.pace_durations))
             self.stats[incarnation_id] = found
         return found
 
--- a/src/linnetwood/calls/endpointstats.py
+++ b/src/linnetwood/calls/endpointstats.py
@@ -101,9 +101,9 @@
         'waiting_by_level',
     )
 
-    def __init__(self, pace_durations: PaceDurations | None = None) -> None:
+    def __init__(self, pace: EnginePace | None = None) -> None:
         """Start without calls, failures or reports."""
-        self._pace = EnginePace(pace_durations or PaceDurations())
+        self._pace = pace or EnginePace(PaceDurations())
         self.in_flight = 0
         # Calls of this entry that wait there.
         self.waiting_by_level: dict[int, int] = {}
--- a/src/linnetwood/calls/enginepace.py
+++ b/src/linnetwood/calls/enginepace.py
@@ -9,6 +9,9 @@
 
 import math
 from collections import deque
+from collections.abc import Mapping
+from types import MappingProxyType
+from typing import Final
 
 # A pace this near to 1 counts as the usual one, and one this near to the last
 # as the same.
@@ -150,3 +153,17 @@
         slow_s = min(usual_s * self.pace, max(0, remaining_s))
         rest_s = usual_s - slow_s / self.pace
         return slow_s + rest_s * self._durations.next_pace
+
+
+class UsualPace(EnginePace):
+    """Take every engine as running at its usual pace, whatever it reports."""
+
+    __slots__ = ()
+
+    def record(self, pace: float, now: float) -> None:
+        """Ignore the pace in a report."""
+
+
+PACES: Final[Mapping[str, type[EnginePace]]] = MappingProxyType(
+    {'predicted': EnginePace, 'ignored': UsualPace},
+)
--- a/src/linnetwood/calls/heldbytes.py
+++ b/src/linnetwood/calls/heldbytes.py
@@ -1,6 +1,11 @@
 """Count the bytes that an entry holds for callers and endpoints."""
 
 import dataclasses
+import math
+import sys
+from collections.abc import Mapping
+from types import MappingProxyType
+from typing import Final
 
 from linnetwood.calls.slowreaders import READER_STALL_S
 from linnetwood.core.sizes import MIB
@@ -25,6 +30,13 @@
 
 
 _DEFAULT_LIMITS = HoldLimits()
+# Limits for each policy on callers that read slowly.
+READER_LIMITS: Final[Mapping[str, HoldLimits]] = MappingProxyType(
+    {
+        'paused': _DEFAULT_LIMITS,
+        'unlimited': HoldLimits(pause_above=sys.maxsize, stall_s=math.inf),
+    },
+)
 
 
 class HeldBytes:
--- a/src/linnetwood/calls/routetable.py
+++ b/src/linnetwood/calls/routetable.py
@@ -119,6 +119,14 @@
                 return route
         return None
 
+    def without_priorities(self) -> 'RouteTable':
+        """Return this configuration with one priority level per service."""
+        services = {
+            name: dataclasses.replace(service, levels=PriorityLevels())
+            for name, service in self.services.items()
+        }
+        return dataclasses.replace(self, services=services)
+
     def organisation(self, key: str) -> Organisation | None:
         """Return the organisation that holds a key, if any."""
         return (self.organisations or {}).get(key)
--- a/src/linnetwood/core/options.py
+++ b/src/linnetwood/core/options.py
@@ -133,7 +133,8 @@
 class Decisions:
     """The policy for each decision that has more than one.
 
-    docs/design/shifted.md and docs/design/returns.md compare them.
+    docs/design/shifted.md and docs/design/returns.md compare some of them; the
+    last four switch a part of the decisions off.
     """
 
     takeover: str = one_of(
@@ -153,3 +154,7 @@
         default='by-patience',
     )
     return_room: str = one_of('as-first', 'reserve', default='reserve')
+    paces: str = one_of('predicted', 'ignored', default='predicted')
+    priorities: str = one_of('ranked', 'ignored', default='ranked')
+    prompt_parts: str = one_of('counted', 'ignored', default='counted')
+    slow_readers: str = one_of('paused', 'unlimited', default='paused')
--- a/src/linnetwood/platform/dialect.py
+++ b/src/linnetwood/platform/dialect.py
@@ -62,6 +62,10 @@
 class PlatformDialect:
     """Parse and build the platform's headers."""
 
+    def __init__(self, *, reads_parts: bool = True) -> None:
+        """Read the parts of prompts, or take prompts as without parts."""
+        self._reads_parts = reads_parts
+
     def read(self, headers: Headers) -> CallHead:
         """Parse a caller's headers."""
         by_name = {name.lower(): text for name, text in headers}
@@ -73,7 +77,7 @@
             model=by_name.get(_MODEL, ''),
             prompt=_integer(prompt),
             resume_after=by_name.get(_RESUME_AFTER, ''),
-            shared_parts=_shared_parts(headers),
+            shared_parts=_shared_parts(headers) if self._reads_parts else (),
         )
 
     def outgoing(self, headers: Headers, call: OutgoingCall) -> Headers:
--- a/src/linnetwood/programs/resident_calls.py
+++ b/src/linnetwood/programs/resident_calls.py
@@ -1,5 +1,6 @@
 """The call path of an entry, with the policies from the settings."""
 
+import dataclasses
 from random import Random
 
 from linnetwood.calls.callserver import CallServerDelegate
@@ -7,7 +8,8 @@
 from linnetwood.calls.deadlineadmission import DeadlineAdmission
 from linnetwood.calls.direct import DirectDispatcher
 from linnetwood.calls.directory import Directory
-from linnetwood.calls.heldbytes import HoldLimits
+from linnetwood.calls.enginepace import PACES
+from linnetwood.calls.heldbytes import READER_LIMITS
 from linnetwood.calls.memoryguard import HELD_SHARE, MemoryGuard
 from linnetwood.calls.policy.firstattempts import FIRST_ATTEMPT_DETECTORS
 from linnetwood.calls.policy.retryafter import RETRY_AFTER_POLICIES
@@ -37,8 +39,10 @@
         decisions: Decisions,
     ) -> None:
         """Build all parts without starting them."""
-        self.chooser = Chooser(directory, rng)
-        self.dialect = PlatformDialect()
+        self.chooser = Chooser(directory, rng, PACES[decisions.paces])
+        self.dialect = PlatformDialect(
+            reads_parts=decisions.prompt_parts == 'counted'
+        )
         self.dispatcher = DirectDispatcher(
             self.chooser,
             driver,
@@ -47,6 +51,7 @@
             zone,
             metrics,
         )
+        self.dispatcher.held.limits = READER_LIMITS[decisions.slow_readers]
         self.admission = DeadlineAdmission(
             self.chooser,
             self.dispatcher,
@@ -65,7 +70,9 @@
     ) -> None:
         """Refuse calls near the memory limit of the process; 0 sets none."""
         held = self.dispatcher.held
-        held.limits = HoldLimits(entry=int(limit_bytes * HELD_SHARE))
+        held.limits = dataclasses.replace(
+            held.limits, entry=int(limit_bytes * HELD_SHARE)
+        )
         delegate.memory_guard = MemoryGuard(held, limit_bytes, resident_bytes)
         metrics.gauge(Metric.ANSWERS_HELD_BYTES, lambda: held.answers)
         metrics.gauge(Metric.BODIES_HELD_BYTES, lambda: held.bodies)
--- a/src/linnetwood/programs/resident_entry.py
+++ b/src/linnetwood/programs/resident_entry.py
@@ -59,6 +59,7 @@
         """Build all parts without starting them."""
         self.route_table = RouteTable()
         self._cfg = cfg
+        self._decisions = decisions
         self._stopping = False
         clock = SystemClock()
         rng = Random()
@@ -171,6 +172,8 @@
             and self.route_table.revision
         ):
             return
+        if self._decisions.priorities == 'ignored':
+            route_table = route_table.without_priorities()
         self.route_table = route_table
         self.config_age.adopted(route_table)
         self.reports.route_table = route_table
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -1,11 +1,14 @@
 """Decisions on calls: the settings that select policies, and the policies."""
 
 import dataclasses
+import math
 import pathlib
 import tempfile
 import unittest
 from random import Random
 
+from linnetwood.calls.enginepace import PACES, PaceDurations
+from linnetwood.calls.heldbytes import READER_LIMITS, HeldBytes
 from linnetwood.calls.policy.firstattempts import (
     FIRST_ATTEMPT_DETECTORS,
     AlwaysFirst,
@@ -23,13 +26,20 @@
     keep_reserve,
     same_as_first,
 )
+from linnetwood.calls.prioritylevels import rank_priorities
+from linnetwood.calls.routetable import RouteTable, Service
 from linnetwood.core.errors import SettingsError
 from linnetwood.core.options import Decisions
+from linnetwood.platform.dialect import PlatformDialect
 from linnetwood.programs.resident import read_decisions
 from linnetwood.weights.takeover import TAKEOVERS
 from linnetwood.weights.versionplan import PLANS
 
 POLICIES = {
+    'paces': PACES,
+    'priorities': ('ranked', 'ignored'),
+    'prompt_parts': ('counted', 'ignored'),
+    'slow_readers': READER_LIMITS,
     'first_tries': FIRST_ATTEMPT_DETECTORS,
     'return_room': RETRY_CAPACITY,
     'returns': RETRY_AFTER_POLICIES,
@@ -232,5 +242,50 @@
                 self.assertIs(keep_reserve(SlotUsage(taken, slots)), expected)
 
 
+class SwitchedOffTest(unittest.TestCase):
+    """Parts of the decisions that a settings file switches off."""
+
+    def test_paces(self) -> None:
+        """An engine counts as usual, whatever pace it reports."""
+        for name, expected_s in (('predicted', 0.25), ('ignored', 0.1)):
+            pace = PACES[name](PaceDurations())
+            pace.record(2.5, 1)
+            with self.subTest(policy=name):
+                self.assertAlmostEqual(pace.expected_s(0.1, 0, 1), expected_s)
+
+    def test_priorities(self) -> None:
+        """All calls of a service are of one level, and engines get none."""
+        ranked = rank_priorities((0, 1), (0, 2))
+        service = Service('pool', 1, levels=ranked)
+        table = RouteTable(3, 2, services={'pool': service})
+        found = table.without_priorities()
+        levels = found.services['pool'].levels
+        self.assertEqual(levels.count, 1)
+        self.assertIsNone(levels.engine_priority(levels.level(1, 2)))
+        self.assertEqual((found.revision, found.version), (3, 2))
+        self.assertEqual(
+            dataclasses.replace(found, services=table.services), table
+        )
+
+    def test_prompt_parts(self) -> None:
+        """Guard against a part that is counted though it is switched off."""
+        headers = [('X-Prompt-Prefix', 'a:1,b:2')]
+        for reads_parts, parts in ((True, ('a',)), (False, ())):
+            dialect = PlatformDialect(reads_parts=reads_parts)
+            with self.subTest(reads_parts=reads_parts):
+                self.assertEqual(dialect.read(headers).shared_parts, parts)
+
+    def test_slow_readers(self) -> None:
+        """The limit on all that the entry holds stays in force."""
+        held = HeldBytes(
+            dataclasses.replace(READER_LIMITS['unlimited'], entry=1000)
+        )
+        self.assertGreater(held.pause_above, 1 << 40)
+        self.assertTrue(math.isinf(held.limits.stall_s))
+        held.answers = 1000
+        self.assertTrue(held.is_full)
+        self.assertEqual(held.pause_above, 0)
+
+
 if __name__ == '__main__':
     unittest.main()
--- a/tests/test_resident_entry.py
+++ b/tests/test_resident_entry.py
@@ -8,7 +8,9 @@
 from tornado.netutil import bind_sockets
 
 from linnetwood.calls.configbasis import ConfigBasis
-from linnetwood.calls.routetable import CallLimits
+from linnetwood.calls.prioritylevels import rank_priorities
+from linnetwood.calls.routetable import CallLimits, RouteTable, Service
+from linnetwood.core.options import Decisions
 from linnetwood.platform import records
 from linnetwood.programs.resident_entry import ResidentEntry
 from tests.process_settings import process_settings
@@ -48,6 +50,28 @@
         async with asyncio.timeout(60):
             await self.entry._follower.synced.wait()
 
+    async def test_parts_that_are_switched_off(self) -> None:
+        """Guard against a setting that is read and has no effect."""
+        entry = ResidentEntry(
+            process_settings(memory_bytes=1 << 20),
+            Decisions(
+                paces='ignored',
+                priorities='ignored',
+                prompt_parts='ignored',
+                slow_readers='unlimited',
+            ),
+        )
+        self.addCleanup(entry.driver.close)
+        ranked = rank_priorities((0, 1), (0,))
+        service = Service('pool', 1, levels=ranked)
+        entry.adopt(RouteTable(1, 1, services={'pool': service}))
+        self.assertEqual(entry.route_table.services['pool'].levels.count, 1)
+        headers = [('X-Prompt-Prefix', 'a:1,b:2')]
+        self.assertEqual(entry.delegate.dialect.read(headers).shared_parts, ())
+        limits = entry.dispatcher.held.limits
+        self.assertGreater(limits.pause_above, limits.entry)
+        self.assertGreater(limits.entry, 0)
+
     async def test_calls_are_told_by_what_is_in_force(self) -> None:
         """Nothing is known at first; then version, revision and both ages."""
         self.assertEqual(self.entry.delegate.config_basis(), ConfigBasis())
