Keep silenced connections of the soak's proxy open

The proxy drops what passes a silenced connection, and closed it when its source did, so an answer without a length lost its last events and ended well. A silent connection shows no end in a network either: only a time-out of the reader does. The test failed before.

--- a/src/linnetwood/lab/soak/proxy.py
+++ b/src/linnetwood/lab/soak/proxy.py
@@ -38,6 +38,15 @@
             self._forward_connection, host, port
         )
 
+    def close(self) -> None:
+        """Stop listening, and reset open connections."""
+        if self._probe_task is not None:
+            self._probe_task.cancel()
+        if self._server is not None:
+            self._server.close()
+        for writer in tuple(self._open):
+            _reset(writer)
+
     def apply_mode(self, mode: str) -> None:
         """Set the mode; connections that were silenced stay silent."""
         self.mode = mode
@@ -89,7 +98,8 @@
         to_target: bool,
     ) -> None:
         try:
-            await self._copy(reader, writer, to_target=to_target)
+            if await self._copy(reader, writer, to_target=to_target):
+                await _wait_until_closed(writer)
         except OSError:
             _reset(writer)
         finally:
@@ -101,7 +111,8 @@
         writer: asyncio.StreamWriter,
         *,
         to_target: bool,
-    ) -> None:
+    ) -> bool:
+        """Forward until the source closes; return whether it was silenced."""
         is_silenced = False
         while chunk := await reader.read(_READ_BYTES):
             is_silenced = is_silenced or self.mode == 'silent'
@@ -111,6 +122,13 @@
                 await asyncio.sleep(_SLOW_DELAY_S)
             writer.write(chunk)
             await writer.drain()
+        return is_silenced
+
+
+async def _wait_until_closed(writer: asyncio.StreamWriter) -> None:
+    """Wait until the other side resets a connection."""
+    while not writer.is_closing():
+        await asyncio.sleep(_PROBE_INTERVAL_S)
 
 
 def _reset(writer: asyncio.StreamWriter) -> None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,8 +1,10 @@
 """Test the checker of soak tests on histories, and run short soak tests."""
 
+import asyncio
 import dataclasses
 import unittest
 
+from linnetwood.lab.launcher import Ports
 from linnetwood.lab.measure_soak import run_soak
 from linnetwood.lab.soak.checks import Checker, Limits
 from linnetwood.lab.soak.fleet import Size
@@ -16,8 +18,10 @@
     Notice,
     Run,
 )
+from linnetwood.lab.soak.proxy import Forwarder
 from linnetwood.lab.soak.schedule import LEAD_S, Fault, schedule
 from linnetwood.lab.soak.totalloss import StoreState
+from tests.loops import close_server
 
 SEED = 1
 MINUTES = 0.2
@@ -411,6 +415,43 @@
         self.assertEqual(schedule(7, 60)[0].at_s, LEAD_S)
 
 
+class ForwarderTest(unittest.IsolatedAsyncioTestCase):
+    """Connections through the proxy of the soak test."""
+
+    async def test_silenced_connections_stay_open(self) -> None:
+        """Guard against an end that is forwarded without what came before.
+
+        An answer without a length that is cut by it looks complete.
+        """
+        silenced = asyncio.Event()
+
+        async def answer(
+            _: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            writer.write(b'a')
+            await silenced.wait()
+            writer.write(b'b')
+            writer.close()
+
+        target = await asyncio.start_server(answer, '127.0.0.1', 0)
+        self.addAsyncCleanup(close_server, target)
+        ports = Ports().take(1)
+        forwarder = Forwarder(
+            f'127.0.0.1:{ports[0]}',
+            f'127.0.0.1:{target.sockets[0].getsockname()[1]}',
+        )
+        await forwarder.start()
+        self.addCleanup(forwarder.close)
+        reader, writer = await asyncio.open_connection('127.0.0.1', ports[0])
+        self.addCleanup(writer.close)
+        self.assertEqual(await reader.read(1), b'a')
+        forwarder.apply_mode('silent')
+        silenced.set()
+        with self.assertRaises(TimeoutError):
+            async with asyncio.timeout(0.2):
+                await reader.read(1)
+
+
 class SoakTest(unittest.TestCase):
     """Run the programs under faults."""
 
