Claim the addresses of a soak run, and show what a measurement never reached

Two runs of the soak on one machine could take the same addresses, since each only looked whether one of them was free at its start. A socket holds the claim now until the run ends. The measurement of control took the largest of times in which -1 meant never, so a size that never got there was hidden; it is null now. The relay that measurements compare with took a number of clients as a time.

--- a/src/linnetwood/lab/measure_control.py
+++ b/src/linnetwood/lab/measure_control.py
@@ -46,8 +46,8 @@
     rss_mb: float
     bytes_per_s: float
     kv_calls_per_s: float
-    config_everywhere_s: float
-    detect_dead_s: float
+    config_everywhere_s: float | None
+    detect_dead_s: float | None
     false_deaths: int
 
 
@@ -145,8 +145,11 @@
     )
 
 
-async def _measure_config_s(fleet: Fleet) -> float:
-    """Return the seconds until every process has adopted a change, or -1."""
+async def _measure_config_s(fleet: Fleet) -> float | None:
+    """Return the seconds until every process has adopted a change.
+
+    None means that some have not adopted it.
+    """
     deployment = Deployment(organisations=[Organisation(name='o', share=1)])
     began = time.time()
     with OperatorClient(fleet.operators()) as calls:
@@ -158,8 +161,8 @@
     ]
     times = [max(stamps) for stamps in adoptions if stamps]
     if len(times) < len(_pids(fleet)):
-        return -1
-    return max(times) - began
+        return None
+    return round(max(times) - began, 3)
 
 
 def _logs(fleet: Fleet) -> list[pathlib.Path]:
@@ -180,8 +183,11 @@
     ]
 
 
-async def _measure_detection_s(fleet: Fleet) -> float:
-    """Kill a process; return the seconds until an entry reports it dead."""
+async def _measure_detection_s(fleet: Fleet) -> float | None:
+    """Kill a process; return the seconds until an entry reports it dead.
+
+    None means that no entry has reported it in time.
+    """
     killed_vm = sorted(fleet.endpoints)[-1]
     fleet.kill(killed_vm)
     began = time.monotonic()
@@ -191,8 +197,8 @@
             states = {one.vm: one.state for one in calls.endpoints()}
         if states.get(killed_vm) == 'dead':
             fleet.endpoints.pop(killed_vm)
-            return time.monotonic() - began
-    return -1
+            return round(time.monotonic() - began, 3)
+    return None
 
 
 def _count_deaths(fleet: Fleet) -> int:
@@ -237,12 +243,18 @@
         round(rss, 2),
         round(sent),
         round(kv_calls / _KV_WINDOW_S, 3),
-        round(config_s, 3),
-        round(detected_s, 3),
+        config_s,
+        detected_s,
         false_deaths,
     )
 
 
+def _longest_s(times_s: list[float | None]) -> float | None:
+    """Return the longest time; None if one of them was never reached."""
+    reached = [one for one in times_s if one is not None]
+    return max(reached) if len(reached) == len(times_s) else None
+
+
 def control(*, processes: str = '30,60,120', seed: int = 1) -> None:
     """Measure how the cost of control grows with the number of processes.
 
@@ -263,10 +275,10 @@
     result['control_mb_at_design'] = round(measure_view_mb(DESIGN_PROCESSES), 3)
     result['rss_mb'] = points[-1].rss_mb
     result['kv_calls_per_s'] = points[-1].kv_calls_per_s
-    result['config_everywhere_s'] = max(
-        one.config_everywhere_s for one in points
+    result['config_everywhere_s'] = _longest_s(
+        [one.config_everywhere_s for one in points]
     )
-    result['detect_dead_s'] = max(one.detect_dead_s for one in points)
+    result['detect_dead_s'] = _longest_s([one.detect_dead_s for one in points])
     result['false_deaths'] = sum(one.false_deaths for one in points)
     result['slopes'] = {
         name: {'base': round(base, 4), 'slope': round(slope, 6)}
--- a/src/linnetwood/lab/relay.py
+++ b/src/linnetwood/lab/relay.py
@@ -12,6 +12,7 @@
 from linnetwood.wire.http import open_client
 
 _CLIENTS = 512
+_REQUEST_TIMEOUT_S = 512
 
 
 class RelayHandler(RequestHandler):
@@ -29,7 +30,7 @@
             method='POST',
             body=self.request.body,
             streaming_callback=self._forward_chunk,
-            request_timeout=_CLIENTS,
+            request_timeout=_REQUEST_TIMEOUT_S,
         )
         await self._client.fetch(req, raise_error=False)
 
--- a/src/linnetwood/lab/soak/fleet.py
+++ b/src/linnetwood/lab/soak/fleet.py
@@ -92,7 +92,8 @@
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix='linnetwood-soak-'))
         self.version_s = version_s
         self.apply_s = apply_s
-        self._net = _free_net()
+        self._claim = _claim_net()
+        self._net = _net_of(self._claim)
         ports = Ports().take(2 + size.engines + size.desks)
         self.store_url = f'http://{_LOOPBACK}:{ports[0]}'
         self.control_url = f'http://{_LOOPBACK}:{ports[1]}'
@@ -175,6 +176,7 @@
         for one in self._stand_ins:
             one.terminate()
             _stopped_cleanly(one)
+        self._claim.close()
         return failed
 
     def _vms(self, kind: str, count: int, first: int) -> list[Vm]:
@@ -229,20 +231,25 @@
             )
 
 
-def _free_net() -> int:
-    """Return the second octet of addresses on which no process listens."""
+def _claim_net() -> socket.socket:
+    """Claim addresses that no other fleet uses, until the socket is closed."""
     nets = list(range(_NET_FROM, _NET_TO))
     random.shuffle(nets)
-    return next(net for net in nets if _is_free(f'127.{net}.1.10'))
-
-
-def _is_free(host: str) -> bool:
-    with socket.socket() as probe:
+    for net in nets:
+        claim = socket.socket()
         try:
-            probe.bind((host, CALLERS_PORT))
+            claim.bind((f'127.{net}.255.1', CALLERS_PORT))
         except OSError:
-            return False
-    return True
+            claim.close()
+            continue
+        return claim
+    raise OSError('other fleets have claimed all networks')
+
+
+def _net_of(claim: socket.socket) -> int:
+    """Return the second octet of the claimed addresses."""
+    host, _ = claim.getsockname()
+    return int(host.split('.')[1])
 
 
 def _wait_for_port(host: str, port: int) -> None:
