Send callers with a possible cause away for a short time only

A caller whose prompt has one of two equally likely causes was told to come back at the turn of the entry that it called: up to 49 s with 98 entries, 205 s with 410, though one trial anywhere mostly decides within 1.5 s. It is told 1.5 s at most now.

--- a/src/linnetwood/calls/crashcauses.py
+++ b/src/linnetwood/calls/crashcauses.py
@@ -22,6 +22,9 @@
 # The same for calls with one of two equally likely causes. A crash is known to
 # nearly all entries within this time.
 TRIAL_INTERVAL_S = 0.5
+# One entry's trial is mostly decided within this time, so callers with one of
+# two equally likely causes need not wait for the turn of this entry.
+_DECIDED_S = 1.5
 # A trial that ended without an answer may still prove to have crashed its
 # endpoint: connections are probed twice, 0.25 s apart.
 _EVIDENCE_S = 1.0
@@ -126,12 +129,13 @@
         if suspect is None or suspicion <= Suspicion.EXPLAINED:
             return 0
         if suspicion is Suspicion.POSSIBLE:
-            since = suspect.last_crash_at
-            turn_s = self._turn_s(suspect, TRIAL_INTERVAL_S)
-        else:
-            since = suspect.refused_until
-            turn_s = self._turn_s(suspect, RETRIAL_INTERVAL_S)
-        return max(0, max(since + turn_s, suspect.trial_until) - now)
+            turn_at = suspect.last_crash_at
+            turn_at += self._turn_s(suspect, TRIAL_INTERVAL_S)
+            wait_s = max(turn_at, suspect.trial_until) - now
+            return max(0, min(wait_s, _DECIDED_S))
+        turn_at = suspect.refused_until
+        turn_at += self._turn_s(suspect, RETRIAL_INTERVAL_S)
+        return max(0, max(turn_at, suspect.trial_until) - now)
 
     def _turn_s(self, suspect: Suspect, interval_s: float) -> float:
         """Return this entry's turn for a trial, drawn among all entries."""
--- a/tests/test_crashcauses.py
+++ b/tests/test_crashcauses.py
@@ -43,6 +43,7 @@
 POPULAR = 20
 # Entries, from which calls come, and endpoints.
 SIZES = ((3, 12), (9, 9), (40, 26), (98, 60))
+DESIGN_SIZE = (410, 600)
 
 
 class CausesTest(unittest.TestCase):
@@ -80,6 +81,15 @@
         self.causes.note_admitted([NEW], 0)
         self.assertGreater(self.refused_s(NEW), 0)
 
+    def test_callers_wait_for_no_turn(self) -> None:
+        """Guard against sound callers sent away for as long as a fatal one."""
+        self.entries = 410
+        self.crash('a', FATAL, NEW)
+        self.crash('b', FATAL, NEW)
+        for now in range(10):
+            self.assertLess(self.refused_s(NEW, now=now), 2)
+            self.assertGreater(self.refused_s(FATAL, NEW, now=now), 20)
+
     def test_answered_trial(self) -> None:
         """It clears its part, and leaves the other as the cause."""
         self.crash('a', FATAL, NEW)
@@ -329,8 +339,8 @@
 
     def play(self, *, new_first: bool) -> None:
         """Check the crashes and the sound calls at several sizes."""
-        for entries, endpoints in SIZES:
-            for seed in range(10):
+        for entries, endpoints in (*SIZES, DESIGN_SIZE):
+            for seed in range(10 if entries < 100 else 2):
                 fleet = Fleet(entries, endpoints, seed, new_first=new_first)
                 fleet.run(30)
                 with self.subTest(entries=entries, seed=seed):
