--- a/src/linnetwood/calls/crashes.py
+++ b/src/linnetwood/calls/crashes.py
@@ -142,6 +142,11 @@
         for fingerprint in self._by_incarnation.get(incarnation_id, ()):
             yield self._suspects[fingerprint]
 
+    @property
+    def suspect_count(self) -> int:
+        """Return the number of fingerprints that are suspect."""
+        return sum(one.is_refused for one in self._suspects.values())
+
     def crash_count(self, fingerprint: str) -> int:
         """Return how many incarnations crashed under such calls."""
         suspect = self._suspects.get(fingerprint)
--- a/src/linnetwood/core/metrics.py
+++ b/src/linnetwood/core/metrics.py
@@ -32,6 +32,7 @@
     CONFIG_VERSION = 'config.version'
     STORE_AGE_S = 'store.age_s'
     STORE_ERA = 'store.era'
+    SUSPECTS = 'crashes.suspects'
     RECORDS_IGNORED = 'records.ignored'
 
 
--- a/src/linnetwood/programs/resident_crashes.py
+++ b/src/linnetwood/programs/resident_crashes.py
@@ -10,6 +10,8 @@
 from linnetwood.calls.directory import Directory
 from linnetwood.calls.quarantine import Admit, Quarantine
 from linnetwood.core.clock import Clock
+from linnetwood.core.exposed import ExposedMetrics
+from linnetwood.core.metrics import Metric
 from linnetwood.platform.crashstore import CrashFeed, PlatformCrashStore
 from linnetwood.platform.ignored import IgnoredRecords
 from linnetwood.platform.store import PlatformStore
@@ -48,6 +50,10 @@
             self._publisher,
         )
 
+    def expose(self, metrics: ExposedMetrics) -> None:
+        """Add the number of suspects to the metrics."""
+        metrics.gauge(Metric.SUSPECTS, lambda: self._crashes.suspect_count)
+
     def start(self) -> None:
         """Start to write crash records to the store."""
         self._publisher.start()
--- a/tests/test_crashcauses.py
+++ b/tests/test_crashcauses.py
@@ -106,8 +106,11 @@
         self.assertGreater(self.refused_s(FATAL), REFUSAL_FIRST_S)
         self.assertEqual(self.refused_s(NEW), 0)
         self.assertTrue(self.causes.may_retry([NEW]))
+        self.assertEqual(self.crashes.suspect_count, 2)
         self.crash('d', NEW)
         self.assertGreater(self.refused_s(NEW), REFUSAL_FIRST_S)
+        self.crashes.note_answered(NEW)
+        self.assertEqual(self.crashes.suspect_count, 1)
 
     def test_two_fatal_parts(self) -> None:
         """A bystander of both is explained by them together."""
