Take an answer as cut if other calls have shown that its endpoint crashed

The proxy before the endpoint, on a busy machine, accepted one more connection and kept it for longer than the entry waits. What other calls have shown counts now, too. The test failed before.

--- a/src/linnetwood/calls/crashwatch.py
+++ b/src/linnetwood/calls/crashwatch.py
@@ -17,6 +17,7 @@
 )
 from linnetwood.calls.crashlog import log_new_crash
 from linnetwood.calls.directory import Directory, Endpoint
+from linnetwood.core.bounded import keep_newest
 from linnetwood.core.clock import Clock
 from linnetwood.core.events import Event, log
 
@@ -34,6 +35,8 @@
 # fingerprints each, the others are left out.
 _MAX_SUSPECTS = 256
 _MAX_LOGGED = 8
+# Crashes to remember, for answers that end at the same moment.
+_MAX_CRASHED = 256
 
 ConnectionProbe = Callable[[str, int], Awaitable[bool]]
 
@@ -126,6 +129,8 @@
         self._reports = reports
         self._suspects: dict[str, dict[str, float]] = {}
         self._checks: dict[str, asyncio.Task[None]] = {}
+        # Incarnations that crashed, by their digests, the newest last.
+        self._crashed: dict[str, None] = {}
         # Answers that seemed whole, until their endpoints prove to run.
         self._confirmations: set[asyncio.Task[None]] = set()
 
@@ -171,7 +176,10 @@
         """
         if not self._may_crash(endpoint):
             return True
-        return not await self._is_refused(endpoint.host, endpoint.port)
+        if await self._is_refused(endpoint.host, endpoint.port):
+            return False
+        # What forwards to it may have kept the connection open for a moment.
+        return not self._is_known_crashed(endpoint)
 
     def note_closed(
         self, fingerprints: Sequence[str], endpoint: Endpoint
@@ -198,6 +206,12 @@
         listed = self._directory.get(endpoint.endpoint_id)
         return listed is not None and listed.ready
 
+    def _is_known_crashed(self, endpoint: Endpoint) -> bool:
+        """Return whether other calls have shown that an endpoint crashed."""
+        digest = incarnation_digest(endpoint.incarnation_id)
+        suspects = self._crashes.suspects_at(digest)
+        return digest in self._crashed or any(suspects)
+
     def _is_known_sound(self, fingerprint: str) -> bool:
         return self._crashes.crash_count(
             fingerprint
@@ -250,6 +264,7 @@
     def _record_crash(self, endpoint: Endpoint, why: str) -> None:
         suspects = self._suspects[endpoint.incarnation_id]
         digest = incarnation_digest(endpoint.incarnation_id)
+        keep_newest(self._crashed, digest, None, _MAX_CRASHED)
         log(
             Event.ENDPOINT_CRASHED,
             endpoint=endpoint.endpoint_id,
--- a/tests/test_crashwatch.py
+++ b/tests/test_crashwatch.py
@@ -158,6 +158,26 @@
         """It did not cause the crash."""
         self.assertEqual(self.count_crashes(True, streamed_s=1.2), 0)
 
+    def test_answer_that_ends_as_its_endpoint_crashes(self) -> None:
+        """Guard against half an answer that is taken as whole.
+
+        What forwards to the endpoint may accept one more connection, after
+        another call has shown that the endpoint crashed.
+        """
+
+        async def scenario(*probe_results: bool) -> bool:
+            scene = Scene(*probe_results)
+            scene.watch.note_lost('other', ENDPOINT, 0)
+            await asyncio.sleep(0.1)
+            scene.watch.note_answered('other')
+            survived = await scene.watch.survived(ENDPOINT)
+            await scene.watch.close()
+            return survived
+
+        self.assertFalse(run(scenario(True, True)))
+        self.assertFalse(run(scenario(True, False)))
+        self.assertTrue(run(scenario(False, False)))
+
     def test_all_suspects_of_a_crash(self) -> None:
         """One check serves all calls; those lost a little later count too."""
 
