--- a/tests/test_candidates.py
+++ b/tests/test_candidates.py
@@ -30,7 +30,7 @@
 
 
 def subscriptions(size: tuple[int, int, int]) -> dict[str, dict[str, float]]:
-    """Give the hosts that each entry of a fleet subscribes to."""
+    """Return the hosts that each entry of a fleet subscribes to."""
     entries, engines, zones = size
     places = zones_by_host('e', engines, zones)
     return {
@@ -138,7 +138,7 @@
         self.running: Counter[str] = Counter()
 
     def chooser(self, entry: str, zone: str) -> Chooser:
-        """Give the chooser of an entry with exact reports of its hosts."""
+        """Return the chooser of an entry with exact reports of its hosts."""
         chooser = Chooser(self.directory, Random(entry))
         subscribed = select_hosts(entry, zone, self.places)
         chooser.candidates.prefer_hosts(subscribed)
--- a/tests/test_control_traffic.py
+++ b/tests/test_control_traffic.py
@@ -287,7 +287,7 @@
     async def check_reports(
         self, known_version: int, uncounted_s: float = 0
     ) -> None:
-        """Play the reports of fleets whose entries know no version of 'm'."""
+        """Simulate reports in fleets whose entries know no version of 'm'."""
         for size in SIZES[:4]:
             with self.subTest(size=size):
                 fleet = Fleet(*size)
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -28,7 +28,7 @@
 
 
 def endpoint(name: str, *, ready: bool = True, version: int = 1) -> Endpoint:
-    """Give the record of an engine."""
+    """Return the record of an engine."""
     return Endpoint(
         name,
         'pool',
@@ -42,7 +42,7 @@
 
 
 def report(waiting: int, running: int, at: float, serving: int = 1) -> Report:
-    """Give a report of an engine."""
+    """Return a report of an engine."""
     return Report(waiting, running, serving, changing=False, received_at=at)
 
 
@@ -88,7 +88,7 @@
         self.directory.update(endpoint('i-2', ready=False))
 
     def names(self, now: float = 100) -> list[str]:
-        """Give the ids of eligible endpoints."""
+        """Return the ids of eligible endpoints."""
         return [
             known.endpoint_id for known in self.directory.eligible('pool', now)
         ]
@@ -137,7 +137,7 @@
             self.directory.update(endpoint(name))
 
     def chosen(self, requirements: Requirements, *tried: str) -> str:
-        """Give the id of the endpoint chosen at 10 s."""
+        """Return the id of the endpoint chosen at 10 s."""
         choice = self.chooser.choose(requirements, tried, 10)
         return choice.endpoint.endpoint_id if choice else ''
 
--- a/tests/test_fairness.py
+++ b/tests/test_fairness.py
@@ -12,7 +12,7 @@
 
 
 def full_queue(capacity: int = 1, length: int = 100) -> FairQueue:
-    """Give a queue whose slots are all taken."""
+    """Return a queue whose slots are all taken."""
     queue = FairQueue(QueueLimits(length, 1000), SHARES)
     queue.capacity = capacity
     for _ in range(capacity):
@@ -21,7 +21,7 @@
 
 
 def queue_after_a_pause() -> FairQueue:
-    """Give a queue where "small" paused during a long backlog."""
+    """Return a queue where "small" paused during a long backlog."""
     queue = full_queue()
     queue.submit('small', 0, 1000, 0)
     for _ in range(60):
@@ -158,7 +158,7 @@
         return self.admitted()
 
     def admitted(self) -> list[str]:
-        """Give whose calls are admitted now."""
+        """Return whose calls are admitted now."""
         return [
             ticket.organisation
             for ticket, _ in self.queue.pop_admitted(self.now)
--- a/tests/test_inflow.py
+++ b/tests/test_inflow.py
@@ -18,7 +18,7 @@
 
 
 def measured(chunk_s: float) -> InboundLink:
-    """Give a link that has received some chunks one after the other."""
+    """Return a link that has received some chunks one after the other."""
     link = InboundLink()
     for number in range(3):
         chunk = link.record_request(number * chunk_s)
--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -8,7 +8,7 @@
 
 
 def memory(limit: int = 10) -> KeyMemory:
-    """Give the key memory of incarnation 5 on vm-1."""
+    """Return the key memory of incarnation 5 on vm-1."""
     return KeyMemory('vm-1', 5, 10.0, limit, 0)
 
 
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -6,8 +6,8 @@
 from collections.abc import Iterator
 
 SOURCES = pathlib.Path(__file__).resolve().parent.parent / 'src' / 'linnetwood'
-# From the ground up; each may import itself and what stands before it.
-FLOORS = (
+# The lowest layer first; each may import itself and those before it.
+LAYERS = (
     'gen',
     'core',
     'wire',
@@ -32,31 +32,31 @@
         yield from names
 
 
-def upward(floor: str, names: Iterator[str]) -> list[str]:
-    """Give the imports that point up from a floor."""
-    allowed = FLOORS[: FLOORS.index(floor) + 1]
+def upward(layer: str, names: Iterator[str]) -> list[str]:
+    """Return the imports from layers above a layer."""
+    allowed = LAYERS[: LAYERS.index(layer) + 1]
     return [name for name in names if name not in allowed]
 
 
 class LayersTest(unittest.TestCase):
-    """Hold the order that docs/ARCHITECTURE.md draws."""
+    """The order of layers in docs/ARCHITECTURE.md."""
 
     def test_only_downwards(self) -> None:
-        """No module imports from a floor above its own."""
+        """No module imports from a layer above its own."""
         for path in SOURCES.glob('*/**/*.py'):
-            floor = path.relative_to(SOURCES).parts[0]
-            if floor == 'gen':
+            layer = path.relative_to(SOURCES).parts[0]
+            if layer == 'gen':
                 continue
             with self.subTest(path=str(path)):
-                self.assertEqual(upward(floor, imported(path)), [])
+                self.assertEqual(upward(layer, imported(path)), [])
 
-    def test_every_folder_has_a_floor_and_a_word(self) -> None:
-        """Each package is placed and says what comes in and goes out."""
+    def test_every_package_has_a_layer_and_a_docstring(self) -> None:
+        """Each package has its place in the order, and is described."""
         for folder in SOURCES.iterdir():
             if not folder.is_dir() or folder.name in {'idl', '__pycache__'}:
                 continue
             with self.subTest(folder=folder.name):
-                self.assertIn(folder.name, FLOORS)
+                self.assertIn(folder.name, LAYERS)
                 if folder.name != 'gen':
                     opening = (folder / '__init__.py').read_text()
                     self.assertIsNotNone(ast.get_docstring(ast.parse(opening)))
@@ -68,9 +68,9 @@
             ('programs', ['lab', 'core'], ['lab']),
             ('weights', ['calls', 'gen'], []),
         )
-        for floor, names, expected in cases:
-            with self.subTest(floor=floor):
-                self.assertEqual(upward(floor, iter(names)), expected)
+        for layer, names, expected in cases:
+            with self.subTest(layer=layer):
+                self.assertEqual(upward(layer, iter(names)), expected)
 
 
 if __name__ == '__main__':
--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -99,7 +99,7 @@
         return self.notices.record('i-1', notice, now)
 
     def limit(self) -> float | None:
-        """Give the limit in effect."""
+        """Return the limit in effect."""
         return self.notices.latest('i-1').limit_per_s
 
     def test_a_limit_holds_until_a_call_that_ran_names_none(self) -> None:
--- a/tests/test_packages.py
+++ b/tests/test_packages.py
@@ -3,7 +3,7 @@
 import re
 import unittest
 
-from tests.test_layers import FLOORS, SOURCES
+from tests.test_layers import LAYERS, SOURCES
 from tools import draw_packages
 
 PAGE = draw_packages.ROOT / 'docs' / 'ARCHITECTURE.md'
@@ -29,7 +29,7 @@
 
     def test_the_floors_are_those_that_are_kept(self) -> None:
         """The drawing has them in the order that the layers' test has."""
-        self.assertEqual(draw_packages.LAYERS, FLOORS)
+        self.assertEqual(draw_packages.LAYERS, LAYERS)
 
     def test_every_step_of_the_page_is_a_module(self) -> None:
         """The page shows the picture and names no module that is gone."""
--- a/tests/test_passed_notices.py
+++ b/tests/test_passed_notices.py
@@ -84,7 +84,7 @@
         reports.forward_notice(self.listed, now)
 
     def limits(self) -> list[float | None]:
-        """Give the limit that each entry knows."""
+        """Return the limit that each entry knows."""
         incarnation_id = self.listed.incarnation_id
         return [
             entry._chooser.notices.latest(incarnation_id).limit_per_s
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -28,7 +28,7 @@
 
 
 def in_time(scenario: Scenario, times: float) -> float:
-    """Give calls in time a second, in the mean of the seeds."""
+    """Return calls in time a second, in the mean of the seeds."""
     rate = KNEE * scenario.engines * times
     played = Scenario(
         scenario.entries,
@@ -43,10 +43,10 @@
 
 
 class PolicyTest(unittest.TestCase):
-    """Play the modules that decide."""
+    """Simulate the policies under load."""
 
     def test_overload(self) -> None:
-        """Of what is in time at the knee, eight in ten remain at any rate."""
+        """At any rate, at least 0.8 of the calls in time at the knee remain."""
         for scenario in (LARGE, GROWN):
             knee = in_time(scenario, 1)
             self.assertGreater(knee, 0.9 * KNEE * scenario.engines)
@@ -55,13 +55,13 @@
                     self.assertGreater(in_time(scenario, times), 0.8 * knee)
 
     def test_herds(self) -> None:
-        """At the knee no engine gets over three times the mean of a second."""
-        played = Simulation(Scenario(98, 60, 5, KNEE * 60, 0.2), 0)
-        row = played.run(WARM_S, SPAN_S).row(60)
+        """At the knee no engine gets over three times the mean in a second."""
+        simulation = Simulation(Scenario(98, 60, 5, KNEE * 60, 0.2), 0)
+        row = simulation.run(WARM_S, SPAN_S).row(60)
         self.assertLess(row['most_over_mean'], 3)
 
-    def test_one_zone_is_pressed(self) -> None:
-        """What one zone's engines can't take goes to the others in time."""
+    def test_one_loaded_zone(self) -> None:
+        """Calls that exceed one zone's engines go to the others in time."""
         scenario = Scenario(98, 60, 5, report_interval_s=0.2, loaded_zones=1)
         own = KNEE * 60 / scenario.zones
         self.assertGreater(in_time(scenario, 0.5), 2 * own)
--- a/tests/test_priorities.py
+++ b/tests/test_priorities.py
@@ -253,7 +253,7 @@
 
 
 class PlayedTest(unittest.TestCase):
-    """Play mixed kinds over what engines bear, in virtual time."""
+    """Simulate mixed kinds beyond the engines' capacity, in virtual time."""
 
     def played(
         self,
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -47,12 +47,12 @@
 
 
 def allowed(limit: float) -> int:
-    """Give how many calls may arrive in a span at an endpoint with a limit."""
+    """Return how many calls may arrive in a span at a limited endpoint."""
     return int(1.5 * limit * SPAN_S + 5)
 
 
 def most_in_span(times: list[float]) -> int:
-    """Give the largest number of calls within any span."""
+    """Return the largest number of calls within any span."""
     times = sorted(times)
     first = 0
     most = 0
@@ -78,7 +78,7 @@
             await self.server.close()
 
     def entry(self, port: int) -> DirectDispatcher:
-        """Give the dispatcher of one entry."""
+        """Return the dispatcher of one entry."""
         directory = Directory()
         endpoint = Endpoint('i-1', 'desk', HOST, port, 'z1', 6, ready=True)
         directory.update(endpoint)
@@ -96,7 +96,7 @@
         )
 
     def call(self) -> DirectCall:
-        """Give a call."""
+        """Return a call."""
         now = self.loop.time()
         return DirectCall(
             CallHead(call_id='c-1'),
@@ -254,7 +254,7 @@
             entry.stats.record_report(reports[entry.zone == 'z0'])
 
     def report(self, *, same_zone: bool) -> Report:
-        """Give the report to entries of the same zone, or to the others."""
+        """Return the report to entries of the same zone, or to the others."""
         quota = self.subscribers.quota_share('z0', self.now, near=same_zone)
         notice = Notice(self.limit, complete=True)
         report = Report(0, 1, 1, changing=False, received_at=self.now)
--- a/tests/test_relaying.py
+++ b/tests/test_relaying.py
@@ -32,7 +32,7 @@
 
 
 class FarStore:
-    """Hold one range behind a link that all its readers share."""
+    """Serve one range over a link that all its readers share."""
 
     def __init__(self) -> None:
         self.records: dict[str, Record] = {KEY: Record(b'1', 1)}
--- a/tests/test_reportintake.py
+++ b/tests/test_reportintake.py
@@ -58,7 +58,7 @@
         self.holds = 0
 
     def record(self) -> Endpoint:
-        """Give its record in the list."""
+        """Return its record in the list."""
         versions = {'m': self.holds} if self.holds else {}
         return Endpoint(
             self.name,
@@ -92,7 +92,7 @@
             self.directory.update(record)
 
     def play(self) -> list[str]:
-        """Give what was assigned to the wrong incarnation."""
+        """Return what was assigned to the wrong incarnation."""
         for now in range(1, STEPS):
             act = self.rng.choice(
                 (self._restart, self._bring, self._list, self._stale),
--- a/tests/test_resident_entry.py
+++ b/tests/test_resident_entry.py
@@ -83,7 +83,7 @@
         self.assertGreaterEqual(found.store_age_ms, found.config_age_ms)
 
     def figure(self, name: str) -> float:
-        """Give a figure as a collector reads it."""
+        """Return a figure as a collector reads it."""
         text = self.entry._metrics_page._metrics.text().decode()
         told = dict(
             line.rsplit(' ', 1)
@@ -115,7 +115,7 @@
         )
 
     async def status(self, asked: bytes, store_age_s: float) -> int:
-        """Give the status of a call that comes so long after the store."""
+        """Return the status of a call that comes so long after the store."""
         # Heads may be longer than the test's configuration allows.
         self.entry._callers.set_limits(CallLimits())
         sockets = bind_sockets(0, HOST)
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -21,7 +21,7 @@
 
 
 def engine(vm: str, serving: str = 'm@v1', **fields: int) -> Member:
-    """Give an engine that serves a version."""
+    """Return an engine that serves a version."""
     return copy(
         member(vm),
         kind='engine',
@@ -32,7 +32,7 @@
 
 
 def routes(*members: Member, policy: str = 'least_known_load') -> Routes:
-    """Give routes for a model whose intent goes from v1 to v2."""
+    """Return routes for a model whose intent goes from v1 to v2."""
     chosen: Policy = POLICIES[policy]()
     found = Routes('z', chosen, Random(1))
     versions = [
--- a/tests/test_shared_crashes.py
+++ b/tests/test_shared_crashes.py
@@ -18,7 +18,7 @@
 
 
 def known(entry: RegionEntry) -> set[str]:
-    """Give the keys of the crash records that an entry holds."""
+    """Return the keys of the crash records that an entry holds."""
     now = asyncio.get_running_loop().time()
     held = entry.follower.mirror.delta_since(0, now).changes
     return {
--- a/tests/test_silent_peers.py
+++ b/tests/test_silent_peers.py
@@ -29,7 +29,7 @@
 
 
 def packed_answer(name: str) -> bytes:
-    """Give the answer to a request for the manifest of this name."""
+    """Return the answer to a request for the manifest of this name."""
     reply = ChunkReply(
         manifest=name,
         index=chunks.MANIFEST_INDEX,
--- a/tests/test_slow_links.py
+++ b/tests/test_slow_links.py
@@ -74,7 +74,7 @@
 
 
 class TricklingServer(StoreStandIn):
-    """Give each answer at its own speed, and none to later requests."""
+    """Return each answer at its own speed, and none to later requests."""
 
     def __init__(self, *steps: Step) -> None:
         super().__init__(self._next)
@@ -212,7 +212,7 @@
 
 
 class FarStore(StoreStandIn):
-    """Hold one key and write it 3 times while the link is busy."""
+    """Serve one key, and write it 3 times while the link is busy."""
 
     def __init__(self) -> None:
         super().__init__(self._answer)
--- a/tests/test_swarm.py
+++ b/tests/test_swarm.py
@@ -28,19 +28,19 @@
     """Never read from the origin."""
 
     def retry_at(self, index: int, away: OriginFailure) -> float:
-        """Give any time; no chunk has a turn."""
+        """Return any time; no chunk has a turn."""
         return away.failed_at
 
     def fallback_at(self, index: int, since: float) -> float:
-        """Give no time."""
+        """Return no time."""
         return math.inf
 
     def due_at(self, index: int, started: float) -> float | None:
-        """Give no time."""
+        """Return no time."""
         return None
 
     def assigned(self) -> int:
-        """Give no chunk."""
+        """Return no chunk."""
         return 0
 
     def is_takeover(self, index: int) -> bool:
@@ -49,7 +49,7 @@
 
 
 def make_swarm(held: int = 0, **options: Any) -> Swarm:
-    """Give a swarm with peers a and b and no reads from the origin."""
+    """Return a swarm with peers a and b and no reads from the origin."""
     cfg = SwarmOptions(**options)
     swarm = Swarm(COUNT, held, cfg, NoOriginReads(), Random(1), 0)
     for vm in ('a', 'b'):
@@ -287,7 +287,7 @@
     """Read from the origin only what no neighbour can send."""
 
     def fallback_at(self, index: int, since: float) -> float:
-        """Give the time since which no neighbour can send it."""
+        """Return the time since which no neighbour can send it."""
         return since
 
 
@@ -339,11 +339,11 @@
         self._among = among
 
     def due_at(self, index: int, started: float) -> float | None:
-        """Give the start for the given chunks, else no time."""
+        """Return the start for the given chunks, else no time."""
         return started if self._among >> index & 1 else None
 
     def assigned(self) -> int:
-        """Give the chunks to read."""
+        """Return the chunks to read."""
         return self._among
 
 
@@ -480,11 +480,11 @@
     """Read any chunk from the origin without delay."""
 
     def due_at(self, index: int, started: float) -> float | None:
-        """Give the start."""
+        """Return the start."""
         return started
 
     def assigned(self) -> int:
-        """Give every chunk."""
+        """Return every chunk."""
         return chunks.full_bitmap(COUNT)
 
 
--- a/tests/test_warmuplimiter.py
+++ b/tests/test_warmuplimiter.py
@@ -27,7 +27,7 @@
         self.limiters = [self.limiter() for _ in range(count)]
 
     def limiter(self) -> WarmupLimiter:
-        """Give the limiter of a new entry."""
+        """Return the limiter of a new entry."""
         return WarmupLimiter(
             Random(self.rng.random()), lambda: self.known_count
         )
@@ -40,7 +40,7 @@
                 self.sent.append(now)
 
     def max_in_a_second(self) -> int:
-        """Give the largest number of calls sent within any second."""
+        """Return the largest number of calls sent within any second."""
         times = sorted(self.sent)
         first = 0
         most = 0
