--- a/src/linnetwood/calls/direct.py
+++ b/src/linnetwood/calls/direct.py
@@ -14,6 +14,11 @@
     AttemptOutcome,
     AttemptResult,
 )
+from linnetwood.calls.attempthistory import (
+    AttemptHistory,
+    WaitingCount,
+    endpoint_failed,
+)
 from linnetwood.calls.attemptlog import (
     SentAttempt,
     load_estimate,
@@ -25,7 +30,6 @@
 from linnetwood.calls.crashwatch import CrashObserver, NoCrashWatch
 from linnetwood.calls.dialect import CallHead, Dialect, OutgoingCall, Urgency
 from linnetwood.calls.directory import Endpoint
-from linnetwood.calls.endpointstats import EndpointStats
 from linnetwood.calls.enginepace import explained_s
 from linnetwood.calls.heldbytes import HeldBytes
 from linnetwood.calls.notices import Notice
@@ -41,14 +45,7 @@
 from linnetwood.calls.routetable import Organisation, Repeat, Route, Service
 from linnetwood.calls.silencetimeouts import SilenceTimeouts
 from linnetwood.core.metrics import Metrics
-from linnetwood.core.outcomes import (
-    ANSWERED,
-    Code,
-    Ending,
-    Outcome,
-    not_run,
-    unknown,
-)
+from linnetwood.core.outcomes import ANSWERED, Code, Ending
 from linnetwood.fleet.members import hash64
 from linnetwood.fleet.wanted import (
     SEND_MARGIN_S,
@@ -62,8 +59,6 @@
 CONNECT_TIMEOUT_S = 0.4
 # With less time left no call can be answered.
 _MIN_REMAINING_S = 0.02
-_RETRY_AFTER_MS = 200
-_MILLISECONDS = 1000
 _OK_BELOW = 300
 # Time that a call has at its endpoint, over any link, before it is withdrawn.
 _MIN_TIME_TO_BEGIN_S = SEND_MARGIN_S - START_MARGIN_S
@@ -191,7 +186,7 @@
         self, call: DirectCall, sink: AnswerSink, urgency: Urgency
     ) -> Ending:
         answer = AnswerStream(sink, call.head.resume_after)
-        history = _AttemptHistory()
+        history = AttemptHistory()
         budget = self._retry_budget(call.service.name)
         budget.earn()
         while True:
@@ -312,7 +307,7 @@
         )
         stats.record_sent()
         self._chooser.record_sent(call.service, choice.endpoint, now)
-        waiting_count = _WaitingCount(stats, _engine_level(call, urgency))
+        waiting_count = WaitingCount(stats, _engine_level(call, urgency))
         attempt.on_start = functools.partial(
             self._on_begun,
             call,
@@ -419,7 +414,7 @@
         self,
         call: DirectCall,
         sent_attempt: SentAttempt,
-        waiting_count: '_WaitingCount',
+        waiting_count: WaitingCount,
     ) -> None:
         self._end_waiting(call, sent_attempt, waiting_count)
         self._note_begun(sent_attempt)
@@ -429,7 +424,7 @@
         self,
         call: DirectCall,
         sent_attempt: SentAttempt,
-        waiting_count: '_WaitingCount',
+        waiting_count: WaitingCount,
     ) -> None:
         if waiting_count.release():
             now = self._loop.time()
@@ -499,7 +494,7 @@
         ):
             stats.record_unreachable(now)
             self._chooser.record_unreachable(service, choice.endpoint, now)
-        elif _endpoint_failed(attempt, result):
+        elif endpoint_failed(attempt, result):
             stats.record_failure()
 
     def _report_to_crash_observer(
@@ -543,7 +538,7 @@
     def _may_retry(
         self,
         call: DirectCall,
-        history: '_AttemptHistory',
+        history: AttemptHistory,
         result: AttemptResult,
         answer: AnswerStream,
         budget: RetryBudget,
@@ -577,7 +572,7 @@
     def _give_up(
         self,
         answer: AnswerStream,
-        history: '_AttemptHistory',
+        history: AttemptHistory,
         result: AttemptResult,
     ) -> Ending:
         if result.outcome is AttemptOutcome.FAILED and not answer.begun:
@@ -604,78 +599,5 @@
     return ()
 
 
-def _endpoint_failed(attempt: Attempt, result: AttemptResult) -> bool:
-    """Return whether the endpoint failed, rather than a caller that stalled.
-
-    An endpoint may end an answer that it can't write.
-    """
-    if result.outcome is AttemptOutcome.LOST:
-        return not attempt.was_held_up
-    return result.outcome is AttemptOutcome.FAILED
-
-
-class _WaitingCount:
-    """Count a call as waiting at an endpoint until it begins."""
-
-    __slots__ = ('_stats', '_level')
-
-    def __init__(self, stats: EndpointStats, level: int) -> None:
-        self._stats: EndpointStats | None = stats
-        self._level = level
-        stats.count_waiting(level, 1)
-
-    def release(self) -> bool:
-        """Stop counting; return False if that was done before."""
-        stats = self._stats
-        if stats is None:
-            return False
-        self._stats = None
-        stats.count_waiting(self._level, -1)
-        return True
-
-
 def _engine_level(call: DirectCall, urgency: Urgency) -> int:
     return LATE_LEVEL if urgency is Urgency.LATE else call.level
-
-
-class _AttemptHistory:
-    """The attempts of one call so far."""
-
-    __slots__ = ('may_have_run', 'reached', 'tried')
-
-    def __init__(self) -> None:
-        self.tried: set[str] = set()
-        self.reached = 0
-        self.may_have_run = False
-
-    def add(self, incarnation_id: str, result: AttemptResult) -> None:
-        self.tried.add(incarnation_id)
-        self.reached += result.reached
-        if result.outcome is not AttemptOutcome.NOT_RUN:
-            self.may_have_run = True
-
-    def no_endpoint(
-        self, answer: AnswerStream, rate_limited_s: float
-    ) -> Ending:
-        """End a call for which no endpoint is available.
-
-        `rate_limited_s` is the time in seconds until a rate limit or a
-        requested pause of an endpoint is over, 0 if neither is the reason.
-        """
-        ending = self.ending(answer, Code.NO_ENDPOINT)
-        if ending.outcome is not Outcome.NOT_RUN or not rate_limited_s:
-            return ending
-        after_ms = max(
-            _RETRY_AFTER_MS, math.ceil(rate_limited_s * _MILLISECONDS)
-        )
-        return not_run(Code.NO_ENDPOINT, 'limited', after_ms)
-
-    def ending(
-        self, answer: AnswerStream, code: Code, detail: str = ''
-    ) -> Ending:
-        if answer.begun:
-            answer.sink.abort()
-            return Ending(Outcome.UNKNOWN, code.value, detail)
-        if self.may_have_run:
-            return unknown(code, detail)
-        return not_run(code, detail, _RETRY_AFTER_MS)
