Report a stream whose last event is malformed, in place of raising

The check of the order of events had become one that raises where the last event of a whole stream lacks its total; before, it reported that stream. Now it does again, and a test holds this, also for a stream without events.

--- a/src/linnetwood/lab/soak/checks.py
+++ b/src/linnetwood/lab/soak/checks.py
@@ -338,7 +338,10 @@
 
 def _ends_with_last(events: list[list[str]]) -> bool:
     """Return whether the last event is the last of its stream."""
-    return bool(events) and events[-1][1] == events[-1][2]
+    if not events:
+        return False
+    _, *numbers = events[-1]
+    return numbers[:1] == numbers[1:2]
 
 
 def _describe(rule: str, call: Call, detail: str) -> str:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -415,6 +415,18 @@
         self.assertEqual(schedule(7, 60)[0].at_s, LEAD_S)
 
 
+class StreamEndTest(unittest.TestCase):
+    """Streams that end as complete."""
+
+    def test_streams_without_a_last_event(self) -> None:
+        """Guard against a checker that raises, or finds nothing."""
+        for events in ('', 'id: 1\ndata: c|1\n\n', 'id: 1\ndata: c|1|2|1\n\n'):
+            with self.subTest(events=events):
+                found = violated_rules(history_of(STREAM, RUN, body=events))
+                self.assertIn('ORDER', found)
+        self.assertNotIn('ORDER', violated_rules(history_of(STREAM, RUN)))
+
+
 class ForwarderTest(unittest.IsolatedAsyncioTestCase):
     """Connections through the proxy of the soak test."""
 
