Reuse what the soak's checks and attempts already had

The new checker repeated two types of the one for lost calls, and the dispatcher a threshold of attempts; a result says itself whether it is a success. The proxy awaits the close of a silenced connection in place of polling for it. Its test still prints a traceback of a cancelled task at tear-down in a whole run. Nothing else changes.

--- a/src/linnetwood/calls/attempt.py
+++ b/src/linnetwood/calls/attempt.py
@@ -97,6 +97,12 @@
     # Nothing but the end of its connection shows that the answer is whole.
     ends_with_connection: bool = False
 
+    @property
+    def is_success(self) -> bool:
+        """Return whether the endpoint did what the call asks."""
+        answered = self.outcome is AttemptOutcome.ANSWERED
+        return answered and self.status < _OK_BELOW
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AttemptLimits:
--- a/src/linnetwood/calls/direct.py
+++ b/src/linnetwood/calls/direct.py
@@ -59,7 +59,6 @@
 CONNECT_TIMEOUT_S = 0.4
 # With less time left no call can be answered.
 _MIN_REMAINING_S = 0.02
-_OK_BELOW = 300
 # Time that a call has at its endpoint, over any link, before it is withdrawn.
 _MIN_TIME_TO_BEGIN_S = SEND_MARGIN_S - START_MARGIN_S
 
@@ -592,7 +591,7 @@
     An endpoint that answers with an error of its own may not have begun to
     write an answer on the prompt.
     """
-    if result.outcome is AttemptOutcome.ANSWERED and result.status < _OK_BELOW:
+    if result.is_success:
         return call.fingerprints
     if result.outcome in {AttemptOutcome.ANSWERED, AttemptOutcome.FAILED}:
         return call.fingerprints[:1] if call.fingerprint else ()
--- a/src/linnetwood/lab/soak/fatalchecks.py
+++ b/src/linnetwood/lab/soak/fatalchecks.py
@@ -5,12 +5,13 @@
 
 import math
 from collections import defaultdict
-from collections.abc import Callable, Iterator, Mapping, Sequence
+from collections.abc import Iterator, Sequence
 from itertools import chain
 from typing import NamedTuple
 
 from linnetwood.lab.soak.fatalparts import fatal_part_of
-from linnetwood.lab.soak.history import Call, History, Run
+from linnetwood.lab.soak.history import Call, History
+from linnetwood.lab.soak.lost import IsConnected, Runs
 
 # The number of crashes after which all connected entries must know the part,
 # and how many calls with it may reach servers after that.
@@ -20,9 +21,6 @@
 _MIN_CALLS = 20
 _MIN_SHARE = 0.5
 
-Runs = Mapping[str, Sequence[Run]]
-IsConnected = Callable[[str, float], bool]
-
 
 class _FatalPart(NamedTuple):
     """A fatal part, the calls with it, and the times of its crashes."""
--- a/src/linnetwood/lab/soak/proxy.py
+++ b/src/linnetwood/lab/soak/proxy.py
@@ -99,7 +99,8 @@
     ) -> None:
         try:
             if await self._copy(reader, writer, to_target=to_target):
-                await _wait_until_closed(writer)
+                # The end of a silenced connection isn't forwarded.
+                await writer.wait_closed()
         except OSError:
             _reset(writer)
         finally:
@@ -125,12 +126,6 @@
         return is_silenced
 
 
-async def _wait_until_closed(writer: asyncio.StreamWriter) -> None:
-    """Wait until the other side resets a connection."""
-    while not writer.is_closing():
-        await asyncio.sleep(_PROBE_INTERVAL_S)
-
-
 def _reset(writer: asyncio.StreamWriter) -> None:
     sock = writer.get_extra_info('socket')
     if sock is not None and sock.fileno() >= 0:
