Log what is decided about a silent stream, and why an answer was cut

Callers saw streams cut; the entries' lines said connection-lost with an empty detail, so the reason could not be told. Now 6014 names the silence, the endpoint's other calls and report, and the decision with the attempts and retries left, and the detail of 6002 says why there was no other attempt. No decision changes.

--- a/src/linnetwood/calls/attempt.py
+++ b/src/linnetwood/calls/attempt.py
@@ -96,6 +96,8 @@
     misdirected: bool = False
     # Nothing but the end of its connection shows that the answer is whole.
     ends_with_connection: bool = False
+    # For how long nothing had been received when a timeout ended the attempt.
+    silent_s: float = 0
 
     @property
     def is_success(self) -> bool:
@@ -372,7 +374,10 @@
             outcome = AttemptOutcome.TIMED_OUT
         elif not self.first_event_at and now >= limits.start_by:
             outcome = AttemptOutcome.WITHDRAWN
-        self.fut.set_result(AttemptResult(outcome, reached=True))
+        silent_s = now - self.last_received_at
+        self.fut.set_result(
+            AttemptResult(outcome, reached=True, silent_s=silent_s)
+        )
 
 
 def _ends_with_connection(headers: Headers) -> bool:
--- a/src/linnetwood/calls/attempthistory.py
+++ b/src/linnetwood/calls/attempthistory.py
@@ -1,5 +1,6 @@
 """What the attempts of one call have shown so far."""
 
+import enum
 import math
 
 from linnetwood.calls.attempt import (
@@ -21,6 +22,18 @@
 _MILLISECONDS = 1000
 
 
+class RetryRefusal(enum.Enum):
+    """Why a call isn't sent to another endpoint; the values are logged."""
+
+    NO_TIME = 'no time left'
+    ATTEMPTS_USED = 'attempts used'
+    MAY_HAVE_RUN = 'may have run'
+    ANSWER_BEGUN = 'answer begun'
+    SUSPECTED = 'suspected of crashes'
+    NO_BUDGET = 'no retry budget'
+    NO_ENDPOINT = 'no endpoint'
+
+
 class AttemptHistory:
     """The attempts of one call so far."""
 
@@ -47,7 +60,9 @@
         `rate_limited_s` is the time in seconds until a rate limit or a
         requested pause of an endpoint is over, 0 if neither is the reason.
         """
-        ending = self.ending(answer, Code.NO_ENDPOINT)
+        ending = self.ending(
+            answer, Code.NO_ENDPOINT, RetryRefusal.NO_ENDPOINT.value
+        )
         if ending.outcome is not Outcome.NOT_RUN or not rate_limited_s:
             return ending
         after_ms = max(
--- a/src/linnetwood/calls/attemptlog.py
+++ b/src/linnetwood/calls/attemptlog.py
@@ -41,6 +41,21 @@
     extra_link_delay_ms: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Silence:
+    """A silent stream, and what the decision on it was based on.
+
+    `streams` counts this entry's other calls at the endpoint; the age of its
+    report is -1 ms if it never reported.
+    """
+
+    silent_s: float
+    streams: int
+    report_age_ms: int
+    attempts_left: int
+    retries_left: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class SentAttempt:
     """An attempt at the time it is sent; `sent_at` is of the loop's clock."""
@@ -144,6 +159,24 @@
     )
 
 
+def log_silence(
+    call_id: str, endpoint: Endpoint, silence: Silence, decision: str
+) -> None:
+    """Log what was decided about a stream that has been silent for too long."""
+    log(
+        Event.STREAM_SILENT,
+        call=logged_id(call_id),
+        endpoint=endpoint.endpoint_id,
+        born=endpoint.born,
+        silent_ms=_ms(silence.silent_s),
+        streams=silence.streams,
+        report_age_ms=silence.report_age_ms,
+        attempts_left=silence.attempts_left,
+        retries_left=round(silence.retries_left, 1),
+        decision=decision,
+    )
+
+
 def log_notice(
     endpoint: Endpoint,
     notice: Notice,
--- a/src/linnetwood/calls/direct.py
+++ b/src/linnetwood/calls/direct.py
@@ -16,13 +16,16 @@
 )
 from linnetwood.calls.attempthistory import (
     AttemptHistory,
+    RetryRefusal,
     WaitingCount,
     endpoint_failed,
 )
 from linnetwood.calls.attemptlog import (
     SentAttempt,
+    Silence,
     load_estimate,
     log_notice,
+    log_silence,
     record_attempt,
 )
 from linnetwood.calls.choice import Choice, Chooser, Requirements
@@ -207,8 +210,13 @@
             if result.outcome is AttemptOutcome.ANSWERED:
                 self._deliver(answer, result)
                 return ANSWERED
-            if not self._may_retry(call, history, result, answer, budget):
-                return self._give_up(answer, history, result)
+            refusal = self._retry_refusal(call, history, result, answer, budget)
+            if result.outcome is AttemptOutcome.STALLED:
+                self._log_silence(
+                    call, choice, result, history, budget, refusal
+                )
+            if refusal is not None:
+                return self._give_up(answer, history, result, refusal)
             answer.splitter.drop_partial()
 
     def _max_wait_s(self, call: DirectCall) -> float:
@@ -534,28 +542,63 @@
             AttemptOutcome.LOST, reached=True, detail='endpoint crashed'
         )
 
-    def _may_retry(
+    def _retry_refusal(
         self,
         call: DirectCall,
         history: AttemptHistory,
         result: AttemptResult,
         answer: AnswerStream,
         budget: RetryBudget,
-    ) -> bool:
-        if (
-            result.outcome is AttemptOutcome.TIMED_OUT
-            or history.reached >= call.route.attempts
-        ):
-            return False
-        if call.deadline - self._loop.time() < _MIN_REMAINING_S:
-            return False
-        if result.outcome is not AttemptOutcome.NOT_RUN and not call.repeatable:
-            return False
-        if answer.begun and call.route.repeat is not Repeat.RESUME:
-            return False
-        if not self.crash_observer.may_retry(call.fingerprints):
-            return False
-        return not result.reached or budget.spend(self._pressure(call))
+    ) -> RetryRefusal | None:
+        """Return why the call isn't sent again; None if it may be sent."""
+        not_run = result.outcome is AttemptOutcome.NOT_RUN
+        remaining_s = call.deadline - self._loop.time()
+        checks = (
+            (RetryRefusal.NO_TIME, remaining_s < _MIN_REMAINING_S),
+            (
+                RetryRefusal.NO_TIME,
+                result.outcome is AttemptOutcome.TIMED_OUT,
+            ),
+            (
+                RetryRefusal.ATTEMPTS_USED,
+                history.reached >= call.route.attempts,
+            ),
+            (RetryRefusal.MAY_HAVE_RUN, not (not_run or call.repeatable)),
+            (
+                RetryRefusal.ANSWER_BEGUN,
+                answer.begun and call.route.repeat is not Repeat.RESUME,
+            ),
+            (
+                RetryRefusal.SUSPECTED,
+                not self.crash_observer.may_retry(call.fingerprints),
+            ),
+        )
+        refusal = next((one for one, applies in checks if applies), None)
+        if refusal is None and result.reached:
+            if not budget.spend(self._pressure(call)):
+                return RetryRefusal.NO_BUDGET
+        return refusal
+
+    def _log_silence(
+        self,
+        call: DirectCall,
+        choice: Choice,
+        result: AttemptResult,
+        history: AttemptHistory,
+        budget: RetryBudget,
+        refusal: RetryRefusal | None,
+    ) -> None:
+        now = self._loop.time()
+        stats = self._chooser.stats_of(choice.endpoint.incarnation_id)
+        silence = Silence(
+            result.silent_s,
+            stats.in_flight,
+            load_estimate(stats, now).report_age_ms,
+            call.route.attempts - history.reached,
+            budget.left,
+        )
+        decision = 'sent again' if refusal is None else refusal.value
+        log_silence(call.head.call_id, choice.endpoint, silence, decision)
 
     def _pressure(self, call: DirectCall) -> float:
         """Return the pressure of more urgent calls of the service, 0 to 1."""
@@ -573,6 +616,7 @@
         answer: AnswerStream,
         history: AttemptHistory,
         result: AttemptResult,
+        refusal: RetryRefusal,
     ) -> Ending:
         if result.outcome is AttemptOutcome.FAILED and not answer.begun:
             answer.sink.send_whole(result.status, result.headers, result.body)
@@ -582,7 +626,8 @@
             if result.outcome is AttemptOutcome.TIMED_OUT
             else Code.CONNECTION_LOST
         )
-        return history.ending(answer, code, result.detail)
+        how = result.detail or result.outcome.value
+        return history.ending(answer, code, f'{how}: {refusal.value}')
 
 
 def _cleared_by(call: DirectCall, result: AttemptResult) -> tuple[str, ...]:
--- a/src/linnetwood/calls/retries.py
+++ b/src/linnetwood/calls/retries.py
@@ -30,6 +30,11 @@
         self._reserve = reserve
         self._tokens = reserve
 
+    @property
+    def left(self) -> float:
+        """Return the retries that are left."""
+        return self._tokens
+
     def set_limits(self, share: float, reserve: float) -> None:
         """Set new limits; drop what was saved beyond the new reserve."""
         self._share = share
--- a/src/linnetwood/programs/explain.py
+++ b/src/linnetwood/programs/explain.py
@@ -142,6 +142,16 @@
     return f'{line.get("endpoint")} says of itself: {text}'
 
 
+def _silent(line: dict[str, Any]) -> str:
+    return (
+        f'{line.get("endpoint")} has sent nothing for {line.get("silent_ms")} '
+        f'ms, with {line.get("streams")} other calls there and a report '
+        f'{line.get("report_age_ms")} ms old; decided: {line.get("decision")} '
+        f'({line.get("attempts_left")} attempts and '
+        f'{line.get("retries_left")} retries left)'
+    )
+
+
 def _plain(line: dict[str, Any]) -> str:
     fields = {
         name: text
@@ -166,5 +176,6 @@
         int(Event.CALL_CUT): _cut,
         int(Event.ENDPOINT_CRASHED): _crashed,
         int(Event.ENDPOINT_NOTICE): _notice,
+        int(Event.STREAM_SILENT): _silent,
     },
 )
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -109,6 +109,26 @@
         self.assertIn('sent to i-1', second)
         self.assertIn('no event came; ended "stalled"', second)
 
+    def test_silences_of_streams(self) -> None:
+        """A silence is described with what was decided, and on what basis."""
+        row = json.loads(
+            line(
+                6014,
+                'stream_silent',
+                '1,000',
+                endpoint='i-1',
+                silent_ms=1003,
+                streams=4,
+                report_age_ms=90,
+                attempts_left=1,
+                retries_left=0.4,
+                decision='no retry budget',
+            )
+        )
+        text = explain.describe(row)
+        self.assertIn('i-1 has sent nothing for 1003 ms, with 4 other', text)
+        self.assertIn('no retry budget (1 attempts and 0.4 retries', text)
+
     def test_notices_of_endpoints(self) -> None:
         """Each notice is described in words."""
         for fields, notice in (
