Answer a call whose time is over with 504, not with 502

The driver's timer, set to the time that is left, fires just before the entry's own check of the deadline, and its end was taken for a broken connection, also against the endpoint. Ruled out: a paused reader, which was told well. Now this end is the call's deadline, unless the endpoint had refused the call. The new test got connection-lost before.

--- a/src/linnetwood/calls/attempt.py
+++ b/src/linnetwood/calls/attempt.py
@@ -224,14 +224,7 @@
         """Turn the end of the transfer into the result."""
         if self.fut.done():
             return
-        if self._paused_at and finish.detail == TIMED_OUT:
-            # The endpoint is not at fault: receiving was paused until the
-            # deadline.
-            self.fut.set_result(
-                AttemptResult(AttemptOutcome.TIMED_OUT, reached=True)
-            )
-        else:
-            self.fut.set_result(self._result_of(finish))
+        self.fut.set_result(self._result_of(finish))
 
     @property
     def was_held_up(self) -> bool:
@@ -302,6 +295,8 @@
             self._last_sent_at = now
 
     def _result_of(self, finish: Finish) -> AttemptResult:
+        if finish.detail == TIMED_OUT and finish.connected:
+            return self._timed_out_result()
         if self._verdict is None or self._verdict is Verdict.FOREIGN:
             detail = finish.detail or 'foreign answer'
             outcome = (
@@ -310,22 +305,35 @@
                 else AttemptOutcome.NOT_RUN
             )
             return AttemptResult(outcome, finish.connected, detail)
-        if self._verdict in {Verdict.NOT_RUN, Verdict.MISDIRECTED}:
-            # The head alone is enough; the body does not matter.
-            return AttemptResult(
-                AttemptOutcome.NOT_RUN,
-                reached=True,
-                detail=f'status {self._status}',
-                status=self._status,
-                headers=self._headers,
-                misdirected=self._verdict is Verdict.MISDIRECTED,
-            )
+        if self._is_refused:
+            return self._refused_result()
         if not finish.whole or self._size > MAX_ANSWER_BYTES:
             return AttemptResult(
                 AttemptOutcome.LOST, reached=True, detail=finish.detail
             )
         return self._complete_result()
 
+    @property
+    def _is_refused(self) -> bool:
+        return self._verdict in {Verdict.NOT_RUN, Verdict.MISDIRECTED}
+
+    def _refused_result(self) -> AttemptResult:
+        # The head alone is enough; the body does not matter.
+        return AttemptResult(
+            AttemptOutcome.NOT_RUN,
+            reached=True,
+            detail=f'status {self._status}',
+            status=self._status,
+            headers=self._headers,
+            misdirected=self._verdict is Verdict.MISDIRECTED,
+        )
+
+    def _timed_out_result(self) -> AttemptResult:
+        """Return the result of an attempt that the call's deadline ended."""
+        if self._is_refused:
+            return self._refused_result()
+        return AttemptResult(AttemptOutcome.TIMED_OUT, reached=True)
+
     def _complete_result(self) -> AttemptResult:
         if self._is_forwarded:
             if self._answer.splitter.has_partial:
--- a/tests/test_direct.py
+++ b/tests/test_direct.py
@@ -21,7 +21,7 @@
 from linnetwood.calls.routetable import Repeat, Route, Service, Share
 from linnetwood.core.clock import SystemClock
 from linnetwood.core.metrics import NoMetrics
-from linnetwood.core.outcomes import Ending, Outcome
+from linnetwood.core.outcomes import Code, Ending, Outcome
 from linnetwood.fleet.wanted import WantedVersions
 from linnetwood.platform.dialect import PlatformDialect
 from linnetwood.wire.curldriver import CurlDriver, Headers
@@ -49,6 +49,13 @@
 FAILED = answer(f'500 Bad\r\n{SIGNED}', b'oops')
 
 
+async def never_answer(
+    reader: asyncio.StreamReader, _: asyncio.StreamWriter
+) -> None:
+    """Wait until the caller closes the connection."""
+    await reader.read()
+
+
 class RecordingSink(AnswerSink):
     """Record the answer that a caller is sent."""
 
@@ -333,6 +340,16 @@
                 }
                 self.assertEqual(left, suspected)
 
+    async def test_deadline_is_no_lost_connection(self) -> None:
+        """Guard against 502, and a worse endpoint, for a call out of time."""
+        await self.serve(never_answer)
+        ending, _ = await self.call(Repeat.NEVER, wait_s=0.2)
+        self.assertEqual(
+            (ending.outcome, ending.code),
+            (Outcome.UNKNOWN, Code.LATE.value),
+        )
+        self.assertEqual(self.chooser.stats_of('i-0').failure_rate, 0)
+
     async def test_refused_everywhere_is_not_run(self) -> None:
         """A call that no endpoint ran ends as not run, with a retry delay."""
         await self.serve(respond_with(FULL), respond_with(FULL))
