Show that silence cuts streams of sound endpoints

An endpoint that is silent for 1.6 s and goes on: the stream is cut where no other attempt may be sent (no retry budget, attempts used, no other endpoint, a suspected call, a second endpoint that refuses or is silent too). Six tests fail on this code and are listed; the seventh, where the second attempt goes on, passes.

--- /dev/null
+++ b/tests/test_silent_endpoints.py
@@ -0,0 +1,217 @@
+"""Streams at sound endpoints that fall silent for a second and go on.
+
+Callers lost these streams: silence was taken for an end, and the only attempt
+was cancelled before it was known whether another one may be sent.
+"""
+
+import asyncio
+import dataclasses
+import unittest
+from collections.abc import Sequence
+from random import Random
+
+from linnetwood.calls.choice import Chooser
+from linnetwood.calls.crashwatch import NoCrashWatch
+from linnetwood.calls.dialect import CallHead
+from linnetwood.calls.direct import DirectCall, DirectDispatcher, RetryLimits
+from linnetwood.calls.directory import Directory, Endpoint
+from linnetwood.calls.routetable import Service
+from linnetwood.core.metrics import NoMetrics
+from linnetwood.core.outcomes import Ending, Outcome
+from linnetwood.fleet.wanted import WantedVersions
+from linnetwood.lab import virtual
+from linnetwood.platform.dialect import PlatformDialect
+from linnetwood.wire.curldriver import (
+    CurlDriver,
+    Finish,
+    Headers,
+    Receiver,
+    Request,
+    Transfer,
+)
+from tests.test_direct import RecordingSink, events
+from tests.test_narrow_way import ROUTE
+
+COUNT = 10
+WHOLE = events(*range(1, COUNT + 1))
+EVENT_INTERVAL_S = 0.1
+SILENT_S = 1.6
+SIGNED = [('X-Attempt-Id', 'c-1'), ('X-Server-Signature', 's-1')]
+REFUSED = [('X-Attempt-Id', 'c-1'), ('X-Not-Executed', '1')]
+POOL = Service('pool', 100)
+NO_RETRIES = RetryLimits(share=0, reserve=0)
+RETRIES = RetryLimits(reserve=100)
+
+
+class SuspectsAll(NoCrashWatch):
+    """Suspect every call of crashing its endpoints."""
+
+    def may_retry(self, fingerprints: Sequence[str]) -> bool:
+        """Allow no retry."""
+        return False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Script:
+    """What an endpoint does: after which event it is silent, and how long."""
+
+    silent_after: int = 0
+    silent_s: float = 0
+    refuses: bool = False
+
+
+class ScriptedDriver(CurlDriver):
+    """Carry streams of scripted endpoints, each by its port."""
+
+    def __init__(self, scripts: dict[int, Script]) -> None:
+        self.scripts = scripts
+        self.begun: list[tuple[int, int]] = []
+        self.open: dict[Transfer, asyncio.Task[None]] = {}
+        self.most_open = 0
+
+    def begin(self, req: Request, receiver: Receiver) -> Transfer:
+        """Send a stream from behind the last event that the caller has."""
+        after = int(dict(req.headers).get('Last-Event-Id', '0'))
+        self.begun.append((req.port, after))
+        transfer = Transfer(receiver)
+        work = self.send(transfer, self.scripts[req.port], after)
+        self.open[transfer] = asyncio.create_task(work)
+        self.most_open = max(self.most_open, len(self.open))
+        return transfer
+
+    def cancel(self, transfer: Transfer) -> None:
+        """Stop a transfer at once."""
+        task = self.open.pop(transfer, None)
+        if task is not None:
+            task.cancel()
+
+    async def send(
+        self, transfer: Transfer, script: Script, after: int
+    ) -> None:
+        """Send the events that follow, with the silence of the script."""
+        receiver = transfer.receiver
+        head: Headers = REFUSED if script.refuses else SIGNED
+        receiver.head(503 if script.refuses else 200, head)
+        numbers = () if script.refuses else range(after + 1, COUNT + 1)
+        for number in numbers:
+            if script.silent_s and number == script.silent_after + 1:
+                await asyncio.sleep(script.silent_s)
+            await asyncio.sleep(EVENT_INTERVAL_S)
+            receiver.body(events(number))
+        self.open.pop(transfer)
+        receiver.done(Finish(whole=True, connected=True))
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Played:
+    """How one call ended, and what was sent for it."""
+
+    ending: Ending
+    sink: RecordingSink
+    driver: ScriptedDriver
+
+
+async def play(
+    scripts: dict[int, Script],
+    limits: RetryLimits = RETRIES,
+    attempts: int = 2,
+    *,
+    is_suspected: bool = False,
+) -> Played:
+    """Run one call; endpoints are tried in the order of the scripts."""
+    loop = asyncio.get_running_loop()
+    directory = Directory()
+    chooser = Chooser(directory, Random(1))
+    for position, port in enumerate(scripts):
+        name = f'i-{port}'
+        directory.update(Endpoint(name, 'pool', 'h', port, 'z', 16, ready=True))
+        for _ in range(position):
+            chooser.stats_of(name).record_sent()
+    driver = ScriptedDriver(scripts)
+    dispatcher = DirectDispatcher(
+        chooser, driver, PlatformDialect(), WantedVersions(8), 'z', NoMetrics()
+    )
+    dispatcher.retry_limits = limits
+    if is_suspected:
+        dispatcher.crash_observer = SuspectsAll()
+    now = loop.time()
+    call = DirectCall(
+        CallHead(call_id='c-1'),
+        dataclasses.replace(ROUTE, attempts=attempts),
+        POOL,
+        None,
+        'POST',
+        '/x',
+        [('X-Attempt-Id', 'c-1')],
+        b'',
+        now,
+        now + ROUTE.timeout_s,
+    )
+    sink = RecordingSink()
+    ending = await dispatcher.run(call, sink)
+    return Played(ending, sink, driver)
+
+
+SILENT = Script(silent_after=5, silent_s=SILENT_S)
+LATE = Script(silent_after=0, silent_s=ROUTE.timeout_s / 2)
+
+
+class SilentEndpointTest(unittest.TestCase):
+    """Run in virtual time."""
+
+    def assert_whole(self, played: Played) -> None:
+        """Assert that the caller got each event once, and the end."""
+        self.assertEqual(played.ending.outcome, Outcome.ANSWERED)
+        self.assertEqual(played.sink.received, WHOLE)
+        self.assertEqual(played.sink.ended, 'whole')
+        self.assertFalse(played.driver.open)
+
+    def test_silent_stream_is_not_cut_without_a_retry_budget(self) -> None:
+        """Guard against cutting the only source of an answer."""
+        for silent in (SILENT, LATE):
+            with self.subTest(silent=silent):
+                played = virtual.run(
+                    play({1: silent, 2: Script()}, limits=NO_RETRIES)
+                )
+                self.assert_whole(played)
+                self.assertEqual(played.driver.begun, [(1, 0)])
+
+    def test_silent_stream_is_not_cut_without_attempts(self) -> None:
+        """Guard against a cut where the route allows no other attempt."""
+        played = virtual.run(play({1: SILENT, 2: Script()}, attempts=1))
+        self.assert_whole(played)
+
+    def test_silent_stream_is_not_cut_without_other_endpoints(self) -> None:
+        """Guard against a cut where no other endpoint may run the call."""
+        self.assert_whole(virtual.run(play({1: SILENT})))
+
+    def test_silent_stream_is_not_cut_for_a_suspected_call(self) -> None:
+        """Guard against a cut of a call that may go to no other endpoint."""
+        played = virtual.run(play({1: SILENT, 2: Script()}, is_suspected=True))
+        self.assert_whole(played)
+
+    def test_silent_stream_is_not_cut_by_a_refusal_elsewhere(self) -> None:
+        """Guard against a refused second attempt that ends the first."""
+        played = virtual.run(play({1: SILENT, 2: Script(refuses=True)}))
+        self.assert_whole(played)
+        self.assertEqual(played.driver.begun, [(1, 0), (2, 5)])
+
+    def test_silent_stream_goes_on_while_the_other_is_silent(self) -> None:
+        """Guard against a cut where two endpoints are silent at once."""
+        other = Script(silent_after=5, silent_s=2 * SILENT_S)
+        played = virtual.run(play({1: SILENT, 2: other}))
+        self.assert_whole(played)
+
+    def test_second_attempt_goes_on_while_the_first_is_silent(self) -> None:
+        """Guard against an answer that waits though another one has it."""
+        for silent_s in (SILENT_S, ROUTE.timeout_s):
+            silent = Script(silent_after=5, silent_s=silent_s)
+            with self.subTest(silent_s=silent_s):
+                played = virtual.run(play({1: silent, 2: Script()}))
+                self.assert_whole(played)
+                self.assertEqual(played.driver.begun, [(1, 0), (2, 5)])
+                self.assertLessEqual(played.driver.most_open, 2)
+
+
+if __name__ == '__main__':
+    unittest.main()
