Keep the attempt of a silent stream while another one is sent

What callers saw: streams of sound endpoints that fall silent for a second and go on were cut, with planned work under way or without. Cause: an attempt was cancelled after 2.5 of the route's longest gaps, and only then was it asked whether the stream may go on elsewhere. Where it may not (no retry budget, attempts used, a suspected call, no other endpoint, a second endpoint that refuses), the only source of the answer had been given up. Class: a source is given up before another is sure. Change: a silent attempt stays open; another is sent beside it where attempts, budget and endpoints allow it, as before; the first that brings an event goes on and ends the other in the same turn of the loop. Each has its own splitter. The avoidance of a silent endpoint ends as soon as one of its streams goes on. The dispatcher is split: the race of attempts, one call's run, and what is recorded of attempts have modules of their own.

--- a/src/linnetwood/calls/attempt.py
+++ b/src/linnetwood/calls/attempt.py
@@ -4,6 +4,7 @@
 import dataclasses
 import enum
 import functools
+import math
 from collections.abc import Callable
 from typing import Protocol
 
@@ -53,7 +54,7 @@
         """Close without an end, so that the answer can't look complete."""
 
 
-def _ignore_start() -> None:
+def _ignore() -> None:
     """Do nothing by default."""
 
 
@@ -71,8 +72,10 @@
     FAILED = 'failed'
     # The connection broke or the answer was invalid; the call may have run.
     LOST = 'lost'
-    # No event arrived within its timeout.
+    # It was silent when another attempt went on with the answer.
     STALLED = 'stalled'
+    # It was not, but another attempt went on with the answer first.
+    OVERTAKEN = 'overtaken'
     # The deadline of the call passed.
     TIMED_OUT = 'timed-out'
     # Cancelled because the first event had not arrived by `start_by`.
@@ -96,8 +99,6 @@
     misdirected: bool = False
     # Nothing but the end of its connection shows that the answer is whole.
     ends_with_connection: bool = False
-    # For how long nothing had been received when a timeout ended the attempt.
-    silent_s: float = 0
 
     @property
     def is_success(self) -> bool:
@@ -108,11 +109,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AttemptLimits:
-    """When an attempt must end, and how long its stream may be silent.
+    """When an attempt must end, and when its stream counts as silent.
 
     `deadline` and `start_by`, the latest time for the first event, are times of
-    the loop's clock. `first_event_s` and `next_event_s` are the longest waits
-    for the first event and between two events, in seconds.
+    the loop's clock. `first_event_s` and `next_event_s` are the waits for the
+    first event and between two events, in seconds, after which another attempt
+    may be sent beside a silent one.
     """
 
     deadline: float
@@ -124,15 +126,15 @@
 class AnswerStream:
     """The answer as sent to the caller so far, over all attempts of a call."""
 
-    __slots__ = ('begun', 'splitter', 'sink', 'version')
+    __slots__ = ('begun', 'last_id', 'sink', 'version')
 
     def __init__(self, sink: AnswerSink, resume_after: str) -> None:
         """Start with nothing sent; resume after the given event id, if any."""
         self.sink = sink
         self.begun = False
         self.version = 0
-        self.splitter = EventSplitter()
-        self.splitter.last_id = resume_after
+        # The id of the last event that was sent.
+        self.last_id = resume_after
 
 
 class Attempt:
@@ -151,11 +153,16 @@
         """Expect a stream of events, or an answer to deliver complete."""
         self.last_received_at = clock_now
         self.first_event_at = float()
-        self.sent = Sent()
         self.longest_gap_s = float()
         # Seconds for which a slow caller kept the endpoint waiting.
         self.paused_s = float()
-        self.on_start: Callable[[], None] = _ignore_start
+        # Whether it has been silent for longer than its limits allow.
+        self.silent = False
+        self.on_start: Callable[[], None] = _ignore
+        # Called before the answer goes on, and once it ends whole.
+        self.on_progress: Callable[[], None] = _ignore
+        # Called when something arrives after a silence.
+        self.on_resumed: Callable[[], None] = _ignore
         self.on_notice: Callable[[Notice], None] = _ignore_notice
         self._loop = asyncio.get_running_loop()
         self._answer = answer
@@ -164,7 +171,10 @@
         self._streams = streams
         self._held = held or HeldBytes()
         self._paused_at = float()
-        self._pause: Callable[[], None] = _ignore_start
+        self._driver: CurlDriver | None = None
+        self._transfer: Transfer | None = None
+        self._splitter = EventSplitter()
+        self._splitter.last_id = answer.last_id
         self._last_sent_at = float()
         self._verdict: Verdict | None = None
         self._status = 0
@@ -175,31 +185,62 @@
         self._partial_size = 0
         self.fut: asyncio.Future[AttemptResult] = self._loop.create_future()
 
-    async def run(
-        self,
-        driver: CurlDriver,
-        req: Request,
-        limits: 'AttemptLimits',
-    ) -> AttemptResult:
-        """Send the request and wait for the result; cancel it on a timeout."""
-        transfer = driver.begin(req, self)
-        self._pause = functools.partial(self._pause_transfer, driver, transfer)
-        try:
-            while not self.fut.done():
-                wait_s = max(0, self._wake_at(limits) - self._loop.time())
-                # The first event shortens the timeout without ending this
-                # wait, so never wait for longer than the shorter one.
-                wait_s = min(wait_s, limits.next_event_s)
-                await asyncio.wait((self.fut,), timeout=wait_s)
-                self._check_timeouts(limits)
-        finally:
-            driver.cancel(transfer)
-            self._end(transfer)
-        return self.fut.result()
+    def start(self, driver: CurlDriver, req: Request) -> None:
+        """Send the request; `fut` gets the result."""
+        self._driver = driver
+        self._transfer = driver.begin(req, self)
+
+    def close(self) -> None:
+        """Cancel the request if it is in progress."""
+        driver = self._driver
+        if driver is None or self._transfer is None:
+            return
+        self._driver = None
+        driver.cancel(self._transfer)
+        self._held.answers -= sum(map(len, self._pieces)) + self._partial_size
+        self._note_resumed()
+
+    def abandon(self) -> None:
+        """End the attempt, since another one goes on with the answer."""
+        if not self.fut.done():
+            outcome = AttemptOutcome.OVERTAKEN
+            if self.silent:
+                outcome = AttemptOutcome.STALLED
+            self.fut.set_result(AttemptResult(outcome, reached=True))
+        self.close()
+
+    @property
+    def sent(self) -> Sent:
+        """Return how much of the request was sent, once it has ended."""
+        return Sent() if self._transfer is None else self._transfer.sent
+
+    def silent_at(self, limits: AttemptLimits) -> float:
+        """Return when it counts as silent unless something arrives before."""
+        if self._paused_at:
+            return math.inf
+        if self.first_event_at:
+            return self.last_received_at + limits.next_event_s
+        return self.last_received_at + limits.first_event_s
+
+    def ends_at(self, limits: AttemptLimits) -> float:
+        """Return when it must end."""
+        if self.first_event_at or self._paused_at:
+            return limits.deadline
+        return min(limits.deadline, limits.start_by)
+
+    def check_end(self, limits: AttemptLimits) -> None:
+        """End the attempt if its time is over."""
+        now = self._loop.time()
+        if self.fut.done() or now < self.ends_at(limits):
+            return
+        outcome = AttemptOutcome.WITHDRAWN
+        if now >= limits.deadline:
+            outcome = AttemptOutcome.TIMED_OUT
+        self.fut.set_result(AttemptResult(outcome, reached=True))
 
     def head(self, status: int, headers: Headers) -> None:
         """Classify the head, and report what it says about the endpoint."""
-        self.last_received_at = self._loop.time()
+        self._note_received()
         self._status = status
         self._headers = headers
         self._verdict = self._dialect.verdict(status, headers, self._call_id)
@@ -209,11 +250,13 @@
 
     def body(self, piece: bytes) -> None:
         """Forward whole events; collect the body of any other answer."""
-        self.last_received_at = self._loop.time()
+        if self.fut.done():
+            return
+        self._note_received()
         self._size += len(piece)
         if self._is_forwarded:
-            whole_events = self._answer.splitter.feed(piece)
-            self._hold_partial(self._answer.splitter.partial_bytes)
+            whole_events = self._splitter.feed(piece)
+            self._hold_partial(self._splitter.partial_bytes)
             if whole_events:
                 self._send(whole_events)
         elif self._size <= MAX_ANSWER_BYTES:
@@ -224,17 +267,21 @@
         """Turn the end of the transfer into the result."""
         if self.fut.done():
             return
-        self.fut.set_result(self._result_of(finish))
+        result = self._result_of(finish)
+        self.fut.set_result(result)
+        if result.outcome is AttemptOutcome.ANSWERED:
+            self.on_progress()
 
     @property
     def was_held_up(self) -> bool:
         """Return whether the endpoint may have cut off the unread answer."""
         return self.paused_s >= MIN_HELD_UP_S
 
-    def _end(self, transfer: Transfer) -> None:
-        self.sent = transfer.sent
-        self._held.answers -= sum(map(len, self._pieces)) + self._partial_size
-        self._note_resumed()
+    def _note_received(self) -> None:
+        self.last_received_at = self._loop.time()
+        if self.silent:
+            self.silent = False
+            self.on_resumed()
 
     def _hold_partial(self, size: int) -> None:
         """Count an incomplete event, and end the attempt if it is too large."""
@@ -256,6 +303,7 @@
         )
 
     def _send(self, whole_events: bytes) -> None:
+        self.on_progress()
         answer = self._answer
         if self.first_event_at:
             gap_s = self.last_received_at - self._last_sent_at
@@ -270,16 +318,18 @@
             headers = self._dialect.answer_headers(self._headers)
             answer.sink.begin(self._status, headers)
         answer.sink.send_piece(whole_events)
-        if answer.sink.flow.blocked:
+        answer.last_id = self._splitter.last_id
+        if answer.sink.flow.blocked and not self._paused_at:
             self._pause()
 
-    def _pause_transfer(self, driver: CurlDriver, transfer: Transfer) -> None:
-        if not self._paused_at:
-            self._paused_at = self._loop.time()
-            driver.pause(transfer)
-            self._answer.sink.flow.on_unblocked = functools.partial(
-                self._resume_transfer, driver, transfer
-            )
+    def _pause(self) -> None:
+        if self._driver is None or self._transfer is None:
+            return
+        self._paused_at = self._loop.time()
+        self._driver.pause(self._transfer)
+        self._answer.sink.flow.on_unblocked = functools.partial(
+            self._resume_transfer, self._driver, self._transfer
+        )
 
     def _resume_transfer(self, driver: CurlDriver, transfer: Transfer) -> None:
         self._note_resumed()
@@ -336,7 +386,7 @@
 
     def _complete_result(self) -> AttemptResult:
         if self._is_forwarded:
-            if self._answer.splitter.has_partial:
+            if self._splitter.has_partial:
                 return AttemptResult(
                     AttemptOutcome.LOST,
                     reached=True,
@@ -363,30 +413,6 @@
             ends_with_connection=_ends_with_connection(self._headers),
         )
 
-    def _wake_at(self, limits: 'AttemptLimits') -> float:
-        if self._paused_at:
-            return limits.deadline
-        if self.first_event_at:
-            return min(
-                limits.deadline, self.last_received_at + limits.next_event_s
-            )
-        first = self.last_received_at + limits.first_event_s
-        return min(limits.deadline, first, limits.start_by)
-
-    def _check_timeouts(self, limits: 'AttemptLimits') -> None:
-        now = self._loop.time()
-        if self.fut.done() or now < self._wake_at(limits):
-            return
-        outcome = AttemptOutcome.STALLED
-        if now >= limits.deadline:
-            outcome = AttemptOutcome.TIMED_OUT
-        elif not self.first_event_at and now >= limits.start_by:
-            outcome = AttemptOutcome.WITHDRAWN
-        silent_s = now - self.last_received_at
-        self.fut.set_result(
-            AttemptResult(outcome, reached=True, silent_s=silent_s)
-        )
-
 
 def _ends_with_connection(headers: Headers) -> bool:
     """Return whether an answer has neither a length nor chunks."""
--- /dev/null
+++ b/src/linnetwood/calls/attemptrecorder.py
@@ -0,0 +1,146 @@
+"""Record what attempts show about their endpoints and about predictions."""
+
+import asyncio
+from collections.abc import Callable
+
+from linnetwood.calls.attempt import Attempt, AttemptOutcome, AttemptResult
+from linnetwood.calls.attempthistory import WaitingCount, endpoint_failed
+from linnetwood.calls.attemptlog import SentAttempt
+from linnetwood.calls.choice import Choice, Chooser
+from linnetwood.calls.dialect import Urgency
+from linnetwood.calls.directcall import DirectCall
+from linnetwood.calls.endpointstats import EndpointStats
+from linnetwood.calls.enginepace import explained_s
+from linnetwood.calls.policy.lateness import Lateness, level_lateness
+from linnetwood.calls.prioritylevels import LATE_LEVEL
+
+
+def engine_level(call: DirectCall, urgency: Urgency) -> int:
+    """Return the level by which an engine orders a call."""
+    return LATE_LEVEL if urgency is Urgency.LATE else call.level
+
+
+class AttemptRecorder:
+    """Update the statistics of endpoints, and the lateness of calls."""
+
+    def __init__(
+        self, chooser: Chooser, new_lateness: Callable[[], Lateness]
+    ) -> None:
+        """Start without any lateness."""
+        self._chooser = chooser
+        self._new_lateness = new_lateness
+        self._lateness: dict[tuple[str, int, int], Lateness] = {}
+        self._loop = asyncio.get_running_loop()
+
+    def lateness_of(self, call: DirectCall) -> Lateness:
+        """Return the lateness of the call's level; urgent levels wait less."""
+        count = call.service.levels.count
+        key = (call.service.name, count, call.level)
+        found = self._lateness.get(key)
+        if found is None:
+            found = self._new_lateness() if count == 1 else level_lateness()
+            self._lateness[key] = found
+        return found
+
+    def note_begun(
+        self,
+        call: DirectCall,
+        sent_attempt: SentAttempt,
+        waiting_count: WaitingCount,
+    ) -> None:
+        """Record the first event of an attempt."""
+        self.end_waiting(call, sent_attempt, waiting_count)
+        self._record_start(sent_attempt)
+        self._update_lateness(call, sent_attempt)
+
+    def end_waiting(
+        self,
+        call: DirectCall,
+        sent_attempt: SentAttempt,
+        waiting_count: WaitingCount,
+    ) -> None:
+        """Record that an attempt no longer waits at its endpoint."""
+        if waiting_count.release():
+            now = self._loop.time()
+            self._chooser.record_waited(
+                call.service,
+                engine_level(call, sent_attempt.urgency),
+                now - sent_attempt.sent_at,
+                now,
+            )
+
+    def note_silence(self, choice: Choice, now: float) -> None:
+        """Avoid an endpoint until it goes on; one that is slow may be sound."""
+        stats = self._stats_of(choice)
+        if not stats.is_slow(now):
+            stats.record_unreachable(now)
+
+    def note_result(
+        self,
+        call: DirectCall,
+        sent_attempt: SentAttempt,
+        attempt: Attempt,
+        result: AttemptResult,
+    ) -> None:
+        """Record how an attempt ended."""
+        stats = self._stats_of(sent_attempt.choice)
+        if result.misdirected:
+            stats.record_misdirected(self._loop.time())
+        elif result.outcome is AttemptOutcome.ANSWERED:
+            self._record_success(sent_attempt, attempt)
+        elif endpoint_failed(attempt, result):
+            stats.record_failure()
+        elif result.outcome is AttemptOutcome.STALLED:
+            self._record_stalled(call, sent_attempt, attempt)
+        if not result.reached:
+            stats.record_unreachable(self._loop.time())
+            self._mark_cold(call, sent_attempt.choice)
+
+    def _stats_of(self, choice: Choice) -> EndpointStats:
+        return self._chooser.stats_of(choice.endpoint.incarnation_id)
+
+    def _record_success(
+        self, sent_attempt: SentAttempt, attempt: Attempt
+    ) -> None:
+        self._stats_of(sent_attempt.choice).record_success()
+        if not attempt.first_event_at:
+            self._record_start(sent_attempt)
+
+    def _record_stalled(
+        self, call: DirectCall, sent_attempt: SentAttempt, attempt: Attempt
+    ) -> None:
+        now = self._loop.time()
+        choice = sent_attempt.choice
+        if not self._stats_of(choice).is_slow(now):
+            self._mark_cold(call, choice)
+        if not attempt.first_event_at:
+            self._update_lateness(call, sent_attempt)
+
+    def _mark_cold(self, call: DirectCall, choice: Choice) -> None:
+        """Take an endpoint that may have restarted as cold."""
+        now = self._loop.time()
+        self._chooser.record_unreachable(call.service, choice.endpoint, now)
+
+    def _record_start(self, sent_attempt: SentAttempt) -> None:
+        choice = sent_attempt.choice
+        waited_s = self._loop.time() - sent_attempt.sent_at
+        self._stats_of(choice).record_start(
+            sent_attempt.sent_at, waited_s - choice.wait_s
+        )
+
+    def _update_lateness(
+        self, call: DirectCall, sent_attempt: SentAttempt
+    ) -> None:
+        """Compare the wait of an admitted call with its prediction.
+
+        The part that a change of the engine's pace explains isn't learned:
+        predictions contain the new pace as soon as a report has it.
+        """
+        if call.service.engine is None or sent_attempt.urgency is Urgency.LATE:
+            return
+        now = self._loop.time()
+        choice = sent_attempt.choice
+        waited_s = now - sent_attempt.sent_at
+        pace = self._stats_of(choice).pace(now) / choice.pace
+        predicted_s = explained_s(choice.wait_s, waited_s, pace)
+        self.lateness_of(call).record(predicted_s, waited_s, now)
--- a/src/linnetwood/calls/callparsing.py
+++ b/src/linnetwood/calls/callparsing.py
@@ -5,7 +5,7 @@
 
 from linnetwood.calls.configbasis import ConfigBasis
 from linnetwood.calls.dialect import CallHead, Dialect
-from linnetwood.calls.direct import DirectCall
+from linnetwood.calls.directcall import DirectCall
 from linnetwood.calls.fingerprint import call_fingerprint, part_fingerprints
 from linnetwood.calls.regionscope import intersect_regions
 from linnetwood.calls.routetable import (
--- /dev/null
+++ b/src/linnetwood/calls/callrun.py
@@ -0,0 +1,56 @@
+"""One call over its attempts, and whether another one may be sent; no I/O."""
+
+import dataclasses
+
+from linnetwood.calls.attempt import AnswerStream, AttemptOutcome
+from linnetwood.calls.attempthistory import AttemptHistory, RetryRefusal
+from linnetwood.calls.attemptrace import AttemptRace
+from linnetwood.calls.dialect import Urgency
+from linnetwood.calls.directcall import DirectCall
+from linnetwood.calls.retries import RetryBudget
+from linnetwood.calls.routetable import Repeat
+
+# With less time left no call can be answered.
+MIN_REMAINING_S = 0.02
+
+
+@dataclasses.dataclass(slots=True)
+class CallRun:
+    """A call that is run: its answer, its attempts and its entry's budget."""
+
+    call: DirectCall
+    urgency: Urgency
+    answer: AnswerStream
+    budget: RetryBudget
+    history: AttemptHistory
+    race: AttemptRace
+    # What was decided last about its silence.
+    decision: str = ''
+
+    @property
+    def attempts_left(self) -> int:
+        """Return how many more attempts the route allows."""
+        sent = self.history.reached + len(self.race.attempts)
+        return self.call.route.attempts - sent
+
+    def refusal(
+        self, last: AttemptOutcome, now: float, *, is_suspected: bool
+    ) -> RetryRefusal | None:
+        """Return why no other attempt may be sent, apart from the budget.
+
+        `last` is the outcome of the last attempt, or STALLED for those that are
+        silent.
+        """
+        call = self.call
+        is_resumable = call.route.repeat is Repeat.RESUME
+        may_have_run = last is not AttemptOutcome.NOT_RUN
+        remaining_s = call.deadline - now
+        checks = (
+            (RetryRefusal.NO_TIME, last is AttemptOutcome.TIMED_OUT),
+            (RetryRefusal.NO_TIME, remaining_s < MIN_REMAINING_S),
+            (RetryRefusal.ATTEMPTS_USED, self.attempts_left <= 0),
+            (RetryRefusal.MAY_HAVE_RUN, may_have_run and not call.repeatable),
+            (RetryRefusal.ANSWER_BEGUN, self.answer.begun and not is_resumable),
+            (RetryRefusal.SUSPECTED, is_suspected),
+        )
+        return next((one for one, applies in checks if applies), None)
--- a/src/linnetwood/calls/callserver.py
+++ b/src/linnetwood/calls/callserver.py
@@ -27,7 +27,8 @@
 )
 from linnetwood.calls.configbasis import ConfigBasis
 from linnetwood.calls.dialect import CallHead, Dialect, Urgency
-from linnetwood.calls.direct import DirectCall, DirectDispatcher
+from linnetwood.calls.direct import DirectDispatcher
+from linnetwood.calls.directcall import DirectCall
 from linnetwood.calls.heldbytes import HeldBytes
 from linnetwood.calls.logfields import (
     MAX_LOGGED_CHARS,
--- a/src/linnetwood/calls/deadlineadmission.py
+++ b/src/linnetwood/calls/deadlineadmission.py
@@ -6,7 +6,7 @@
 from linnetwood.calls.attemptlog import load_estimate, log_admission
 from linnetwood.calls.choice import Choice, Chooser, Requirements
 from linnetwood.calls.dialect import Urgency
-from linnetwood.calls.direct import DirectCall
+from linnetwood.calls.directcall import DirectCall
 from linnetwood.calls.engine import EngineProfile
 from linnetwood.calls.policy.firstattempts import (
     AlwaysFirst,
--- a/src/linnetwood/calls/direct.py
+++ b/src/linnetwood/calls/direct.py
@@ -18,7 +18,6 @@
     AttemptHistory,
     RetryRefusal,
     WaitingCount,
-    endpoint_failed,
 )
 from linnetwood.calls.attemptlog import (
     SentAttempt,
@@ -28,26 +27,25 @@
     log_silence,
     record_attempt,
 )
+from linnetwood.calls.attemptrace import AttemptRace, RunningAttempt
+from linnetwood.calls.attemptrecorder import AttemptRecorder, engine_level
+from linnetwood.calls.callrun import MIN_REMAINING_S, CallRun
 from linnetwood.calls.choice import Choice, Chooser, Requirements
-from linnetwood.calls.configbasis import ConfigBasis
 from linnetwood.calls.crashwatch import CrashObserver, NoCrashWatch
-from linnetwood.calls.dialect import CallHead, Dialect, OutgoingCall, Urgency
+from linnetwood.calls.dialect import Dialect, OutgoingCall, Urgency
+from linnetwood.calls.directcall import DirectCall
 from linnetwood.calls.directory import Endpoint
-from linnetwood.calls.enginepace import explained_s
 from linnetwood.calls.heldbytes import HeldBytes
 from linnetwood.calls.notices import Notice
 from linnetwood.calls.policy.lateness import (
     Lateness,
     MeanLateness,
-    level_lateness,
 )
 from linnetwood.calls.policy.prioritythresholds import ServiceThresholds
-from linnetwood.calls.prioritylevels import LATE_LEVEL
-from linnetwood.calls.regionscope import ANY_REGION, RegionScope
 from linnetwood.calls.retries import RETRY_SHARE, RetryBudget
-from linnetwood.calls.routetable import Organisation, Repeat, Route, Service
+from linnetwood.calls.routetable import Repeat
 from linnetwood.calls.silencetimeouts import SilenceTimeouts
-from linnetwood.core.metrics import Metrics
+from linnetwood.core.metrics import Metric, Metrics
 from linnetwood.core.outcomes import ANSWERED, Code, Ending
 from linnetwood.fleet.members import hash64
 from linnetwood.fleet.wanted import (
@@ -55,62 +53,15 @@
     START_MARGIN_S,
     WantedVersions,
 )
-from linnetwood.wire.curldriver import CurlDriver, Headers, Request
+from linnetwood.wire.curldriver import CurlDriver, Request
 
 # A handshake takes two delays of a few milliseconds. A lost packet is resent
 # only after a second, so trying another endpoint is faster.
 CONNECT_TIMEOUT_S = 0.4
-# With less time left no call can be answered.
-_MIN_REMAINING_S = 0.02
 # Time that a call has at its endpoint, over any link, before it is withdrawn.
 _MIN_TIME_TO_BEGIN_S = SEND_MARGIN_S - START_MARGIN_S
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class DirectCall:
-    """A call to be run at an endpoint of a service.
-
-    `arrived_at` and `deadline` are times of the loop's clock.
-    """
-
-    head: CallHead
-    route: Route
-    service: Service
-    organisation: Organisation | None
-    method: str
-    target: str
-    headers: Headers
-    body: bytes
-    arrived_at: float
-    deadline: float
-    config_basis: ConfigBasis = ConfigBasis()
-    region_scope: RegionScope = ANY_REGION
-    # Equal for calls that ask for the same; empty where unknown.
-    fingerprint: str = ''
-    # Of the parts of its prompt that other calls may share.
-    part_fingerprints: tuple[str, ...] = ()
-
-    @property
-    def fingerprints(self) -> tuple[str, ...]:
-        """Return its own fingerprint and those of the shared parts."""
-        own = (self.fingerprint,) if self.fingerprint else ()
-        return own + self.part_fingerprints
-
-    @property
-    def level(self) -> int:
-        """Return the level of its priority in the service, 0 the highest."""
-        organisation = self.organisation
-        return self.service.levels.level(
-            None if organisation is None else organisation.priority,
-            self.route.priority,
-        )
-
-    @property
-    def repeatable(self) -> bool:
-        """Return whether the call may run more than once."""
-        return self.route.repeat is not Repeat.NEVER
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class RetryLimits:
     """Limits on retries of this entry: a share of its calls, and a reserve."""
@@ -143,8 +94,7 @@
         # Called when the head of an answer had a notice of its endpoint.
         self.on_notice: Callable[[Endpoint, float], None] = _ignore_notice
         self._budgets: dict[str, RetryBudget] = {}
-        self._new_lateness = lateness
-        self._lateness: dict[tuple[str, int, int], Lateness] = {}
+        self.recorder = AttemptRecorder(chooser, lateness)
         self.thresholds = ServiceThresholds()
         self._chooser = chooser
         self._driver = driver
@@ -179,65 +129,92 @@
         urgency: Urgency = Urgency.IN_TIME,
     ) -> Ending:
         """Run the call; the answer has been sent if the ending is ANSWERED."""
+        run = CallRun(
+            call,
+            urgency,
+            AnswerStream(sink, call.head.resume_after),
+            self._retry_budget(call.service.name),
+            AttemptHistory(),
+            AttemptRace(),
+        )
+        run.budget.earn()
         try:
-            return await self._run(call, sink, urgency)
+            return await self._run(run)
         finally:
+            for one in tuple(run.race.attempts):
+                self._release(run, one)
             self.crash_observer.note_ended(call.fingerprints)
 
-    async def _run(
-        self, call: DirectCall, sink: AnswerSink, urgency: Urgency
-    ) -> Ending:
-        answer = AnswerStream(sink, call.head.resume_after)
-        history = AttemptHistory()
-        budget = self._retry_budget(call.service.name)
-        budget.earn()
+    async def _run(self, run: CallRun) -> Ending:
         while True:
+            requirements = self._current_requirements(run)
             now = self._loop.time()
-            # An answer comes from one version, also when it is resumed.
-            requirements = dataclasses.replace(
-                self.requirements(call),
-                exact_version=answer.version,
-                urgent=urgency is Urgency.IN_TIME,
-            )
-            choice = self._chooser.choose(requirements, history.tried, now)
+            choice = self._chooser.choose(requirements, run.history.tried, now)
             if choice is None:
                 rate_limited_s = self._chooser.rate_limited_s(requirements, now)
-                return history.no_endpoint(answer, rate_limited_s)
-            result = await self._run_attempt_if_room(
-                call, requirements, choice, answer, urgency
-            )
-            history.add(choice.endpoint.incarnation_id, result)
+                return run.history.no_endpoint(run.answer, rate_limited_s)
+            result = self._start(run, requirements, choice)
+            if result is None:
+                result = await self._last_result(run)
             if result.outcome is AttemptOutcome.ANSWERED:
-                self._deliver(answer, result)
+                self._deliver(run.answer, result)
                 return ANSWERED
-            refusal = self._retry_refusal(call, history, result, answer, budget)
-            if result.outcome is AttemptOutcome.STALLED:
-                self._log_silence(
-                    call, choice, result, history, budget, refusal
-                )
+            refusal = self._refusal(run, result)
             if refusal is not None:
-                return self._give_up(answer, history, result, refusal)
-            answer.splitter.drop_partial()
+                return self._give_up(run, result, refusal)
+
+    async def _last_result(self, run: CallRun) -> AttemptResult:
+        """Wait for the answer, or for the end of the last attempt.
+
+        An attempt that is silent goes on; others are sent beside it.
+        """
+        while True:
+            ended = await run.race.wait()
+            if ended is None:
+                self._send_beside_silent(run)
+                continue
+            result = await self._finish(run, ended)
+            answered = result.outcome is AttemptOutcome.ANSWERED
+            if answered or not run.race.attempts:
+                return result
+
+    def _send_beside_silent(self, run: CallRun) -> None:
+        """Send another attempt, if one may be sent, and log the decision."""
+        now = self._loop.time()
+        for one in run.race.take_silent():
+            # Each silence is logged, also where the decision is the same.
+            run.decision = ''
+            self.recorder.note_silence(one.sent.choice, now)
+        requirements = self._current_requirements(run)
+        choice = self._chooser.choose(requirements, run.history.tried, now)
+        refusal = run.refusal(
+            AttemptOutcome.STALLED, now, is_suspected=self._is_suspected(run)
+        )
+        if refusal is None and choice is None:
+            refusal = RetryRefusal.NO_ENDPOINT
+        if refusal is None and not self._spend_retry(run):
+            refusal = RetryRefusal.NO_BUDGET
+        self._log_silence(run, refusal, now)
+        if refusal is None and choice is not None:
+            self._start(run, requirements, choice)
+
+    def _current_requirements(self, run: CallRun) -> Requirements:
+        # An answer comes from one version, also when it is resumed.
+        return dataclasses.replace(
+            self.requirements(run.call),
+            exact_version=run.answer.version,
+            urgent=run.urgency is Urgency.IN_TIME,
+        )
 
     def _max_wait_s(self, call: DirectCall) -> float:
         """Return the longest predicted wait with which a call is in time."""
         target_s = call.route.target_s
         now = self._loop.time()
-        margin_s = self._lateness_of(call).margin_s(target_s, now)
+        margin_s = self.recorder.lateness_of(call).margin_s(target_s, now)
         return self._chooser.max_wait_s(
             call.service, call.head.prompt, target_s, margin_s, now
         )
 
-    def _lateness_of(self, call: DirectCall) -> Lateness:
-        """Return the lateness of the call's level; urgent levels wait less."""
-        count = call.service.levels.count
-        key = (call.service.name, count, call.level)
-        found = self._lateness.get(key)
-        if found is None:
-            found = self._new_lateness() if count == 1 else level_lateness()
-            self._lateness[key] = found
-        return found
-
     def _retry_budget(self, service: str) -> RetryBudget:
         limits = self.retry_limits
         budget = self._budgets.get(service)
@@ -248,63 +225,76 @@
         budget.set_limits(limits.share, limits.reserve)
         return budget
 
-    async def _run_attempt_if_room(
-        self,
-        call: DirectCall,
-        requirements: Requirements,
-        choice: Choice,
-        answer: AnswerStream,
-        urgency: Urgency,
-    ) -> AttemptResult:
-        """Run an attempt unless its endpoint has too many bodies in flight."""
-        size = len(call.body)
-        incarnation_id = choice.endpoint.incarnation_id
-        if not self.held.add_in_flight(incarnation_id, size):
-            return AttemptResult(
-                AttemptOutcome.NOT_RUN, reached=False, detail='bodies in flight'
-            )
-        try:
-            return await self._run_attempt(
-                call, requirements, choice, answer, urgency
+    def _start(
+        self, run: CallRun, requirements: Requirements, choice: Choice
+    ) -> AttemptResult | None:
+        """Send an attempt; return a result if it can't be sent."""
+        now = self._loop.time()
+        call = run.call
+        limits = self._limits(call, choice, run.urgency)
+        detail = ''
+        if call.deadline - now < MIN_REMAINING_S:
+            detail = 'late'
+        elif not self._has_time_to_begin(choice, limits, now):
+            detail = 'late'
+        elif not self.held.add_in_flight(
+            choice.endpoint.incarnation_id, len(call.body)
+        ):
+            detail = 'bodies in flight'
+        if detail:
+            result = AttemptResult(
+                AttemptOutcome.NOT_RUN, reached=False, detail=detail
             )
-        finally:
-            self.held.remove_in_flight(incarnation_id, size)
+            run.history.add(choice.endpoint.incarnation_id, result)
+            return result
+        run.history.tried.add(choice.endpoint.incarnation_id)
+        self._send(run, requirements, choice, limits)
+        return None
 
-    async def _run_attempt(
+    def _send(
         self,
-        call: DirectCall,
+        run: CallRun,
         requirements: Requirements,
         choice: Choice,
-        answer: AnswerStream,
-        urgency: Urgency,
-    ) -> AttemptResult:
-        now = self._loop.time()
-        remaining_s = call.deadline - now
-        limits = self._limits(call, choice, urgency)
-        if remaining_s < _MIN_REMAINING_S or not self._has_time_to_begin(
-            choice, limits, now
-        ):
-            return AttemptResult(
-                AttemptOutcome.NOT_RUN, reached=False, detail='late'
-            )
+        limits: AttemptLimits,
+    ) -> None:
+        call = run.call
+        sent_attempt = self._sent_attempt(run, choice)
+        stats = self._chooser.stats_of(choice.endpoint.incarnation_id)
+        stats.record_sent()
+        self._chooser.record_sent(
+            call.service, choice.endpoint, sent_attempt.sent_at
+        )
+        waiting_count = WaitingCount(stats, engine_level(call, run.urgency))
         attempt = Attempt(
-            answer,
+            run.answer,
             self._dialect,
             call.head.call_id,
             streams=call.route.streams,
-            clock_now=now,
+            clock_now=sent_attempt.sent_at,
             held=self.held,
         )
-        outgoing = self._outgoing_call(
-            call, requirements, choice, answer, urgency
+        attempt.on_start = functools.partial(
+            self.recorder.note_begun, call, sent_attempt, waiting_count
+        )
+        attempt.on_notice = functools.partial(self._on_notice, sent_attempt)
+        attempt.on_resumed = stats.record_resumed
+        run.race.add(
+            RunningAttempt(attempt, limits, sent_attempt, waiting_count)
         )
+        outgoing = self._outgoing_call(run, requirements, choice)
+        attempt.start(self._driver, self._request(call, choice, outgoing))
+
+    def _sent_attempt(self, run: CallRun, choice: Choice) -> SentAttempt:
+        call = run.call
+        now = self._loop.time()
         stats = self._chooser.stats_of(choice.endpoint.incarnation_id)
-        sent_attempt = SentAttempt(
+        return SentAttempt(
             call.head.call_id,
             call.fingerprint,
             call.route,
             choice,
-            urgency,
+            run.urgency,
             load_estimate(stats, now),
             now,
             call.config_basis,
@@ -312,56 +302,44 @@
             call.organisation,
             call.part_fingerprints,
         )
-        stats.record_sent()
-        self._chooser.record_sent(call.service, choice.endpoint, now)
-        waiting_count = WaitingCount(stats, _engine_level(call, urgency))
-        attempt.on_start = functools.partial(
-            self._on_begun,
-            call,
-            sent_attempt,
-            waiting_count,
-        )
-        attempt.on_notice = functools.partial(self._on_notice, sent_attempt)
-        try:
-            result = await attempt.run(
-                self._driver,
-                self._request(call, choice, outgoing),
-                limits,
-            )
-            result = await self._checked(result, choice.endpoint)
-        finally:
-            self._end_waiting(call, sent_attempt, waiting_count)
-            stats.record_ended()
-        if result.misdirected:
-            stats.record_misdirected(self._loop.time())
-        else:
-            self._update_stats(call.service, sent_attempt, attempt, result)
-        self._report_to_crash_observer(call, choice, attempt, result)
-        if (
-            result.outcome is AttemptOutcome.STALLED
-            and not attempt.first_event_at
-        ):
-            self._update_lateness(call, sent_attempt)
+
+    async def _finish(
+        self, run: CallRun, ended: RunningAttempt
+    ) -> AttemptResult:
+        """Record how an attempt ended, and return its result."""
+        self._release(run, ended)
+        attempt = ended.attempt
+        choice = ended.sent.choice
+        endpoint = choice.endpoint
+        result = await self._checked(attempt.fut.result(), endpoint)
+        run.history.add(endpoint.incarnation_id, result)
+        self.recorder.note_result(run.call, ended.sent, attempt, result)
+        self._report_to_crash_observer(run.call, choice, attempt, result)
         now = self._loop.time()
-        record_attempt(sent_attempt, attempt, result, now, self._metrics)
+        record_attempt(ended.sent, attempt, result, now, self._metrics)
         return result
 
+    def _release(self, run: CallRun, ended: RunningAttempt) -> None:
+        """Cancel an attempt in progress, and count it no longer."""
+        run.race.attempts.remove(ended)
+        ended.attempt.close()
+        self.recorder.end_waiting(run.call, ended.sent, ended.waiting_count)
+        incarnation_id = ended.sent.choice.endpoint.incarnation_id
+        self._chooser.stats_of(incarnation_id).record_ended()
+        self.held.remove_in_flight(incarnation_id, len(run.call.body))
+
     def _outgoing_call(
-        self,
-        call: DirectCall,
-        requirements: Requirements,
-        choice: Choice,
-        answer: AnswerStream,
-        urgency: Urgency,
+        self, run: CallRun, requirements: Requirements, choice: Choice
     ) -> OutgoingCall:
+        call = run.call
         bound = bool(requirements.min_version or requirements.exact_version)
         return OutgoingCall(
             choice.endpoint.endpoint_id,
             call.deadline - self._loop.time(),
             call.organisation.name if call.organisation else '',
             choice.version if bound else 0,
-            answer.splitter.last_id,
-            urgency,
+            run.answer.last_id,
+            run.urgency,
             call.service.levels.engine_priority(call.level),
         )
 
@@ -417,31 +395,6 @@
         remaining_s = limits.start_by - now - extra_delay_s
         return not extra_delay_s or remaining_s >= _MIN_TIME_TO_BEGIN_S
 
-    def _on_begun(
-        self,
-        call: DirectCall,
-        sent_attempt: SentAttempt,
-        waiting_count: WaitingCount,
-    ) -> None:
-        self._end_waiting(call, sent_attempt, waiting_count)
-        self._note_begun(sent_attempt)
-        self._update_lateness(call, sent_attempt)
-
-    def _end_waiting(
-        self,
-        call: DirectCall,
-        sent_attempt: SentAttempt,
-        waiting_count: WaitingCount,
-    ) -> None:
-        if waiting_count.release():
-            now = self._loop.time()
-            self._chooser.record_waited(
-                call.service,
-                _engine_level(call, sent_attempt.urgency),
-                now - sent_attempt.sent_at,
-                now,
-            )
-
     def _on_notice(self, sent_attempt: SentAttempt, notice: Notice) -> None:
         """Apply what the head of an answer reports about its endpoint."""
         endpoint = sent_attempt.choice.endpoint
@@ -454,56 +407,6 @@
             )
         self.on_notice(endpoint, now)
 
-    def _note_begun(self, sent_attempt: SentAttempt) -> None:
-        stats = self._chooser.stats_of(
-            sent_attempt.choice.endpoint.incarnation_id
-        )
-        waited_s = self._loop.time() - sent_attempt.sent_at
-        stats.record_start(
-            sent_attempt.sent_at, waited_s - sent_attempt.choice.wait_s
-        )
-
-    def _update_lateness(
-        self, call: DirectCall, sent_attempt: SentAttempt
-    ) -> None:
-        """Compare the wait of an admitted call with its prediction.
-
-        The part that a change of the engine's pace explains isn't learned:
-        predictions contain the new pace as soon as a report has it.
-        """
-        if call.service.engine is None or sent_attempt.urgency is Urgency.LATE:
-            return
-        now = self._loop.time()
-        choice = sent_attempt.choice
-        stats = self._chooser.stats_of(choice.endpoint.incarnation_id)
-        waited_s = now - sent_attempt.sent_at
-        predicted_s = explained_s(
-            choice.wait_s, waited_s, stats.pace(now) / choice.pace
-        )
-        self._lateness_of(call).record(predicted_s, waited_s, now)
-
-    def _update_stats(
-        self,
-        service: Service,
-        sent_attempt: SentAttempt,
-        attempt: Attempt,
-        result: AttemptResult,
-    ) -> None:
-        choice = sent_attempt.choice
-        stats = self._chooser.stats_of(choice.endpoint.incarnation_id)
-        now = self._loop.time()
-        if result.outcome is AttemptOutcome.ANSWERED:
-            stats.record_success()
-            if not attempt.first_event_at:
-                self._note_begun(sent_attempt)
-        elif not result.reached or (
-            result.outcome is AttemptOutcome.STALLED and not stats.is_slow(now)
-        ):
-            stats.record_unreachable(now)
-            self._chooser.record_unreachable(service, choice.endpoint, now)
-        elif endpoint_failed(attempt, result):
-            stats.record_failure()
-
     def _report_to_crash_observer(
         self,
         call: DirectCall,
@@ -542,63 +445,44 @@
             AttemptOutcome.LOST, reached=True, detail='endpoint crashed'
         )
 
-    def _retry_refusal(
-        self,
-        call: DirectCall,
-        history: AttemptHistory,
-        result: AttemptResult,
-        answer: AnswerStream,
-        budget: RetryBudget,
+    def _refusal(
+        self, run: CallRun, result: AttemptResult
     ) -> RetryRefusal | None:
         """Return why the call isn't sent again; None if it may be sent."""
-        not_run = result.outcome is AttemptOutcome.NOT_RUN
-        remaining_s = call.deadline - self._loop.time()
-        checks = (
-            (RetryRefusal.NO_TIME, remaining_s < _MIN_REMAINING_S),
-            (
-                RetryRefusal.NO_TIME,
-                result.outcome is AttemptOutcome.TIMED_OUT,
-            ),
-            (
-                RetryRefusal.ATTEMPTS_USED,
-                history.reached >= call.route.attempts,
-            ),
-            (RetryRefusal.MAY_HAVE_RUN, not (not_run or call.repeatable)),
-            (
-                RetryRefusal.ANSWER_BEGUN,
-                answer.begun and call.route.repeat is not Repeat.RESUME,
-            ),
-            (
-                RetryRefusal.SUSPECTED,
-                not self.crash_observer.may_retry(call.fingerprints),
-            ),
+        refusal = run.refusal(
+            result.outcome,
+            self._loop.time(),
+            is_suspected=self._is_suspected(run),
         )
-        refusal = next((one for one, applies in checks if applies), None)
-        if refusal is None and result.reached:
-            if not budget.spend(self._pressure(call)):
-                return RetryRefusal.NO_BUDGET
+        if refusal is None and result.reached and not self._spend_retry(run):
+            return RetryRefusal.NO_BUDGET
         return refusal
 
+    def _is_suspected(self, run: CallRun) -> bool:
+        return not self.crash_observer.may_retry(run.call.fingerprints)
+
+    def _spend_retry(self, run: CallRun) -> bool:
+        return run.budget.spend(self._pressure(run.call))
+
     def _log_silence(
-        self,
-        call: DirectCall,
-        choice: Choice,
-        result: AttemptResult,
-        history: AttemptHistory,
-        budget: RetryBudget,
-        refusal: RetryRefusal | None,
+        self, run: CallRun, refusal: RetryRefusal | None, now: float
     ) -> None:
-        now = self._loop.time()
-        stats = self._chooser.stats_of(choice.endpoint.incarnation_id)
-        silence = Silence(
-            result.silent_s,
-            stats.in_flight,
-            load_estimate(stats, now).report_age_ms,
-            call.route.attempts - history.reached,
-            budget.left,
-        )
-        decision = 'sent again' if refusal is None else refusal.value
-        log_silence(call.head.call_id, choice.endpoint, silence, decision)
+        decision = 'sent beside' if refusal is None else refusal.value
+        if decision == run.decision:
+            return
+        run.decision = decision
+        self._metrics.count(Metric.STREAMS_SILENT, kind=decision)
+        for one in run.race.attempts:
+            endpoint = one.sent.choice.endpoint
+            stats = self._chooser.stats_of(endpoint.incarnation_id)
+            silence = Silence(
+                now - one.attempt.last_received_at,
+                stats.in_flight,
+                load_estimate(stats, now).report_age_ms,
+                run.attempts_left,
+                run.budget.left,
+            )
+            log_silence(run.call.head.call_id, endpoint, silence, decision)
 
     def _pressure(self, call: DirectCall) -> float:
         """Return the pressure of more urgent calls of the service, 0 to 1."""
@@ -612,12 +496,9 @@
             answer.sink.send_whole(result.status, result.headers, result.body)
 
     def _give_up(
-        self,
-        answer: AnswerStream,
-        history: AttemptHistory,
-        result: AttemptResult,
-        refusal: RetryRefusal,
+        self, run: CallRun, result: AttemptResult, refusal: RetryRefusal
     ) -> Ending:
+        answer = run.answer
         if result.outcome is AttemptOutcome.FAILED and not answer.begun:
             answer.sink.send_whole(result.status, result.headers, result.body)
             return ANSWERED
@@ -627,7 +508,7 @@
             else Code.CONNECTION_LOST
         )
         how = result.detail or result.outcome.value
-        return history.ending(answer, code, f'{how}: {refusal.value}')
+        return run.history.ending(answer, code, f'{how}: {refusal.value}')
 
 
 def _cleared_by(call: DirectCall, result: AttemptResult) -> tuple[str, ...]:
@@ -641,7 +522,3 @@
     if result.outcome in {AttemptOutcome.ANSWERED, AttemptOutcome.FAILED}:
         return call.fingerprints[:1] if call.fingerprint else ()
     return ()
-
-
-def _engine_level(call: DirectCall, urgency: Urgency) -> int:
-    return LATE_LEVEL if urgency is Urgency.LATE else call.level
--- a/src/linnetwood/calls/endpointstats.py
+++ b/src/linnetwood/calls/endpointstats.py
@@ -173,6 +173,11 @@
         self.backoff_until = now + self.backoff_s
         self.backoff_s = min(_BACKOFF_MAX_S, self.backoff_s * 2)
 
+    def record_resumed(self) -> None:
+        """Record that a silent endpoint goes on, so it is no longer avoided."""
+        self.backoff_s = _BACKOFF_FIRST_S
+        self.backoff_until = -math.inf
+
     def record_misdirected(self, now: float) -> None:
         """Record that the process at the address refused a call for this one.
 
--- a/src/linnetwood/calls/quarantine.py
+++ b/src/linnetwood/calls/quarantine.py
@@ -5,7 +5,7 @@
 
 from linnetwood.calls.crashcauses import CrashCauses
 from linnetwood.calls.dialect import Urgency
-from linnetwood.calls.direct import DirectCall
+from linnetwood.calls.directcall import DirectCall
 from linnetwood.core.clock import Clock
 from linnetwood.core.outcomes import Code, Ending, not_run
 
--- a/src/linnetwood/calls/silencetimeouts.py
+++ b/src/linnetwood/calls/silencetimeouts.py
@@ -1,4 +1,4 @@
-"""How long a stream may be silent before it is sent elsewhere; no I/O or clock.
+"""How long a stream is silent before it is sent elsewhere too; no I/O or clock.
 
 The timeouts are for a load pattern: under lasting overload, first events are
 late by some hundred milliseconds at all endpoints. An entry that then cancels a
@@ -23,16 +23,15 @@
 # A call that was known to wait gets all of it, except the time that a refusal
 # needs to arrive.
 _LATE_FIRST_EVENT_SHARE = 0.9
-# Between two events an endpoint is given up after this multiple of the route's
-# longest gap. It must have failed then, since calls queue only before their
-# first event.
+# Between two events, a stream is sent elsewhere too after this multiple of the
+# route's longest gap, since calls queue only before their first event.
 _NEXT_EVENT_GAPS = 2.5
 _NEXT_EVENT_MIN_S = 0.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SilenceTimeouts:
-    """The silences after which a stream is sent elsewhere, in seconds.
+    """The silences after which a stream is sent elsewhere as well, in seconds.
 
     `late_first_event_s` replaces `first_event_s` for calls that were expected
     to wait.
--- a/src/linnetwood/core/exposed.py
+++ b/src/linnetwood/core/exposed.py
@@ -20,6 +20,7 @@
     {
         Metric.CALLS_REFUSED: 'code',
         Metric.ATTEMPTS_ENDED: 'how',
+        Metric.STREAMS_SILENT: 'decision',
         Metric.ATTEMPTS_AT_VERSION: 'version',
     },
 )
--- a/src/linnetwood/core/metrics.py
+++ b/src/linnetwood/core/metrics.py
@@ -22,6 +22,7 @@
     BODIES_HELD_BYTES = 'bodies.held_bytes'
     CALLS_REFUSED = 'calls.refused'
     ATTEMPTS_ENDED = 'attempts.ended'
+    STREAMS_SILENT = 'streams.silent'
     ATTEMPTS_AT_VERSION = 'attempts.at_version'
     FIRST_EVENT_MS = 'attempts.first_event_ms'
     PREDICTED_MS = 'attempts.predicted_ms'
--- a/src/linnetwood/wire/eventstream.py
+++ b/src/linnetwood/wire/eventstream.py
@@ -38,10 +38,6 @@
         """Return whether the last event is incomplete."""
         return bool(self._pending)
 
-    def drop_partial(self) -> None:
-        """Drop a partial event, which another endpoint will send again."""
-        self._pending = b''
-
     def _count_events(self, whole: bytes) -> None:
         self.count += whole.count(_EVENT_END)
         for line in whole.split(b'\n'):
--- a/tests/test_deadlineadmission.py
+++ b/tests/test_deadlineadmission.py
@@ -7,7 +7,7 @@
 from linnetwood.calls.choice import Choice, Chooser, Requirements
 from linnetwood.calls.deadlineadmission import DeadlineAdmission
 from linnetwood.calls.dialect import CallHead, Urgency
-from linnetwood.calls.direct import DirectCall
+from linnetwood.calls.directcall import DirectCall
 from linnetwood.calls.directory import Directory
 from linnetwood.calls.policy.firstattempts import ByRemainingWait
 from linnetwood.calls.policy.lateness import SPREAD_S
--- a/tests/test_narrow_way.py
+++ b/tests/test_narrow_way.py
@@ -12,7 +12,8 @@
 
 from linnetwood.calls.choice import Chooser, Requirements
 from linnetwood.calls.dialect import CallHead
-from linnetwood.calls.direct import DirectCall, DirectDispatcher
+from linnetwood.calls.direct import DirectDispatcher
+from linnetwood.calls.directcall import DirectCall
 from linnetwood.calls.directory import Directory, Endpoint
 from linnetwood.calls.endpointstats import EndpointStats, Report
 from linnetwood.calls.engine import EngineProfile
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -6,7 +6,7 @@
 from linnetwood.calls.crashcauses import CrashCauses
 from linnetwood.calls.crashes import REFUSAL_FIRST_S, CrashHistory, CrashRecord
 from linnetwood.calls.dialect import CallHead, Urgency
-from linnetwood.calls.direct import DirectCall
+from linnetwood.calls.directcall import DirectCall
 from linnetwood.calls.quarantine import Quarantine
 from linnetwood.calls.routetable import Repeat, Route, Service, Share
 from linnetwood.core.outcomes import Code, Ending, not_run
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -13,7 +13,8 @@
 from linnetwood.calls.candidates import select_hosts
 from linnetwood.calls.choice import Chooser
 from linnetwood.calls.dialect import CallHead
-from linnetwood.calls.direct import DirectCall, DirectDispatcher
+from linnetwood.calls.direct import DirectDispatcher
+from linnetwood.calls.directcall import DirectCall
 from linnetwood.calls.directory import Directory, Endpoint
 from linnetwood.calls.endpointstats import EndpointStats, Report
 from linnetwood.calls.engine import EngineProfile
--- a/tests/test_severed.py
+++ b/tests/test_severed.py
@@ -6,7 +6,8 @@
 
 from linnetwood.calls.choice import Chooser
 from linnetwood.calls.dialect import CallHead
-from linnetwood.calls.direct import DirectCall, DirectDispatcher, RetryLimits
+from linnetwood.calls.direct import DirectDispatcher, RetryLimits
+from linnetwood.calls.directcall import DirectCall
 from linnetwood.calls.directory import Directory, Endpoint
 from linnetwood.calls.routetable import Service
 from linnetwood.calls.silencetimeouts import SilenceTimeouts
