Do not end a stream as complete by an error of its second endpoint

A stream that broke off and whose resumption got a 4xx of the second endpoint was ended as if it were whole, without its last events: an answer below 500 counts as the endpoint's own, and delivering it when events had been sent meant to finish the stream. Found by reading what may end an answer. Now it counts as failed once events were sent, so the answer is closed without an end. The new test got an answered call before.

--- a/src/linnetwood/calls/attempt.py
+++ b/src/linnetwood/calls/attempt.py
@@ -402,7 +402,8 @@
                 status=self._status,
                 ends_with_connection=_ends_with_connection(self._headers),
             )
-        failed = self._verdict is Verdict.FAILED
+        # An error can't follow the events that were sent, or end them.
+        failed = self._verdict is Verdict.FAILED or self._answer.begun
         return AttemptResult(
             AttemptOutcome.FAILED if failed else AttemptOutcome.ANSWERED,
             reached=True,
--- a/tests/test_direct.py
+++ b/tests/test_direct.py
@@ -47,6 +47,7 @@
 GOOD = answer(f'200 OK\r\n{SIGNED}', b'fine')
 FULL = answer(f'503 No\r\n{ID}X-Not-Executed: 1\r\n', b'')
 ELSEWHERE = answer('421 No\r\nX-Instance-Id: i-9\r\n', b'')
+NOT_FOUND = answer(f'404 No\r\n{SIGNED}', b'no')
 FAILED = answer(f'500 Bad\r\n{SIGNED}', b'oops')
 
 
@@ -392,6 +393,14 @@
         self.assertEqual(sink.ended, 'whole')
         self.assertIn(b'Last-Event-Id: 1\r\n', self.servers[1].requests[0])
 
+    async def test_error_status_does_not_end_a_resumed_stream(self) -> None:
+        """Guard against a truncated answer that looks complete."""
+        first = stream(events(0, 1), ends=False)
+        await self.serve(respond_with(first), respond_with(NOT_FOUND))
+        ending, sink = await self.call(Repeat.RESUME, streams=True)
+        self.assertEqual(ending.outcome, Outcome.UNKNOWN)
+        self.assertEqual((sink.received, sink.ended), (events(0, 1), 'aborted'))
+
     async def test_a_slow_engine_is_not_unhealthy(self) -> None:
         """Guard against a back-off from an engine that reports to be slow."""
         result = AttemptResult(AttemptOutcome.STALLED, reached=True)
