Keep a silent attempt until the end of another one is sure

A second attempt that was sent beside a silent one, answered without a length or chunks and crashed at its end, ended the sound first one before it was checked whether its endpoint still runs; the answer was cut. And a retry was spent where the chosen endpoint then had no room. Now only a framed end ends the other attempts; one that brings an event meanwhile goes on instead, and an unsent retry is put back.

--- a/src/linnetwood/calls/attempt.py
+++ b/src/linnetwood/calls/attempt.py
@@ -126,13 +126,15 @@
 class AnswerStream:
     """The answer as sent to the caller so far, over all attempts of a call."""
 
-    __slots__ = ('begun', 'last_id', 'sink', 'version')
+    __slots__ = ('begun', 'last_id', 'pieces', 'sink', 'version')
 
     def __init__(self, sink: AnswerSink, resume_after: str) -> None:
         """Start with nothing sent; resume after the given event id, if any."""
         self.sink = sink
         self.begun = False
         self.version = 0
+        # The number of pieces that were sent.
+        self.pieces = 0
         # The id of the last event that was sent.
         self.last_id = resume_after
 
@@ -176,6 +178,7 @@
         self._splitter = EventSplitter()
         self._splitter.last_id = answer.last_id
         self._last_sent_at = float()
+        self._pieces_at_end = 0
         self._verdict: Verdict | None = None
         self._status = 0
         self._headers: Headers = []
@@ -269,9 +272,19 @@
             return
         result = self._result_of(finish)
         self.fut.set_result(result)
-        if result.outcome is AttemptOutcome.ANSWERED:
+        self._pieces_at_end = self._answer.pieces
+        # An answer that ends with its connection may turn out to be cut.
+        if (
+            result.outcome is AttemptOutcome.ANSWERED
+            and not result.ends_with_connection
+        ):
             self.on_progress()
 
+    @property
+    def was_overtaken(self) -> bool:
+        """Return whether another attempt went on since this one ended."""
+        return self._answer.pieces != self._pieces_at_end
+
     @property
     def was_held_up(self) -> bool:
         """Return whether the endpoint may have cut off the unread answer."""
@@ -318,6 +331,7 @@
             headers = self._dialect.answer_headers(self._headers)
             answer.sink.begin(self._status, headers)
         answer.sink.send_piece(whole_events)
+        answer.pieces += 1
         answer.last_id = self._splitter.last_id
         if answer.sink.flow.blocked and not self._paused_at:
             self._pause()
--- a/src/linnetwood/calls/attempthistory.py
+++ b/src/linnetwood/calls/attempthistory.py
@@ -32,6 +32,8 @@
     SUSPECTED = 'suspected of crashes'
     NO_BUDGET = 'no retry budget'
     NO_ENDPOINT = 'no endpoint'
+    # The chosen endpoint had no room, or the call no time to begin there.
+    NOT_SENT = 'not sent'
 
 
 class AttemptHistory:
--- a/src/linnetwood/calls/direct.py
+++ b/src/linnetwood/calls/direct.py
@@ -194,9 +194,17 @@
             refusal = RetryRefusal.NO_ENDPOINT
         if refusal is None and not self._spend_retry(run):
             refusal = RetryRefusal.NO_BUDGET
-        self._log_silence(run, refusal, now)
         if refusal is None and choice is not None:
-            self._start(run, requirements, choice)
+            refusal = self._start_beside(run, requirements, choice)
+        self._log_silence(run, refusal, now)
+
+    def _start_beside(
+        self, run: CallRun, requirements: Requirements, choice: Choice
+    ) -> RetryRefusal | None:
+        if self._start(run, requirements, choice) is None:
+            return None
+        run.budget.refund()
+        return RetryRefusal.NOT_SENT
 
     def _current_requirements(self, run: CallRun) -> Requirements:
         # An answer comes from one version, also when it is resumed.
@@ -311,7 +319,7 @@
         attempt = ended.attempt
         choice = ended.sent.choice
         endpoint = choice.endpoint
-        result = await self._checked(attempt.fut.result(), endpoint)
+        result = await self._checked(attempt, endpoint)
         run.history.add(endpoint.incarnation_id, result)
         self.recorder.note_result(run.call, ended.sent, attempt, result)
         self._report_to_crash_observer(run.call, choice, attempt, result)
@@ -432,15 +440,20 @@
             self.crash_observer.note_answered(fingerprint)
 
     async def _checked(
-        self, result: AttemptResult, endpoint: Endpoint
+        self, attempt: Attempt, endpoint: Endpoint
     ) -> AttemptResult:
         """Return the result; an endpoint that crashed at its end broke off."""
+        result = attempt.fut.result()
         if (
             result.outcome is not AttemptOutcome.ANSWERED
             or not result.ends_with_connection
-            or await self.crash_observer.survived(endpoint)
         ):
             return result
+        survived = await self.crash_observer.survived(endpoint)
+        if attempt.was_overtaken:
+            return AttemptResult(AttemptOutcome.OVERTAKEN, reached=True)
+        if survived:
+            return result
         return AttemptResult(
             AttemptOutcome.LOST, reached=True, detail='endpoint crashed'
         )
--- a/src/linnetwood/calls/retries.py
+++ b/src/linnetwood/calls/retries.py
@@ -45,6 +45,10 @@
         """Add the share that a first attempt earns."""
         self._tokens = min(self._reserve, self._tokens + self._share)
 
+    def refund(self) -> None:
+        """Put back a retry that was not sent."""
+        self._tokens = min(self._reserve, self._tokens + 1)
+
     def spend(self, kept_share: float = 0) -> bool:
         """Take one retry from the budget; return whether it had one.
 
