Don't withdraw an answer that has begun to arrive

A call that is answered at once as a whole, and may be repeated, was withdrawn at the bound of its version though the first bytes of its answer were there, and got 502: only forwarded events counted as its beginning. Now a piece of such an answer counts too.

--- a/src/linnetwood/calls/attempt.py
+++ b/src/linnetwood/calls/attempt.py
@@ -82,6 +82,10 @@
     WITHDRAWN = 'taken-back'
 
 
+# Attempts that were cancelled as another one went on with the answer.
+ENDED_BY_OTHERS = frozenset((AttemptOutcome.STALLED, AttemptOutcome.OVERTAKEN))
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class AttemptResult:
     """How an attempt ended, with the answer unless it was streamed.
@@ -227,7 +231,8 @@
 
     def ends_at(self, limits: AttemptLimits) -> float:
         """Return when it must end."""
-        if self.first_event_at or self._paused_at:
+        # Pieces are kept of an answer that isn't forwarded but has begun.
+        if self.first_event_at or self._paused_at or self._pieces:
             return limits.deadline
         return min(limits.deadline, limits.start_by)
 
--- a/src/linnetwood/calls/callrun.py
+++ b/src/linnetwood/calls/callrun.py
@@ -2,7 +2,12 @@
 
 import dataclasses
 
-from linnetwood.calls.attempt import AnswerStream, AttemptOutcome
+from linnetwood.calls.attempt import (
+    ENDED_BY_OTHERS,
+    AnswerStream,
+    AttemptOutcome,
+    AttemptResult,
+)
 from linnetwood.calls.attempthistory import AttemptHistory, RetryRefusal
 from linnetwood.calls.attemptrace import AttemptRace
 from linnetwood.calls.dialect import Urgency
@@ -26,6 +31,7 @@
     race: AttemptRace
     # What was decided last about its silence.
     decision: str = ''
+    _last: AttemptResult | None = None
 
     @property
     def attempts_left(self) -> int:
@@ -33,6 +39,12 @@
         sent = self.history.reached + len(self.race.attempts)
         return self.call.route.attempts - sent
 
+    def decisive(self, result: AttemptResult) -> AttemptResult:
+        """Return the result that shows how the call stands after a new one."""
+        if self._last is None or result.outcome not in ENDED_BY_OTHERS:
+            self._last = result
+        return self._last
+
     def refusal(
         self, last: AttemptOutcome, now: float, *, is_suspected: bool
     ) -> RetryRefusal | None:
--- a/src/linnetwood/calls/direct.py
+++ b/src/linnetwood/calls/direct.py
@@ -174,9 +174,10 @@
                 self._send_beside_silent(run)
                 continue
             result = await self._finish(run, ended)
+            last = run.decisive(result)
             answered = result.outcome is AttemptOutcome.ANSWERED
             if answered or not run.race.attempts:
-                return result
+                return last
 
     def _send_beside_silent(self, run: CallRun) -> None:
         """Send another attempt, if one may be sent, and log the decision."""
