Choose an endpoint beside a silent one only if a retry is left

While streams are silent, each asks for another attempt four times a second; the choice was made before it was known that none may be sent. No decision changes.

--- a/src/linnetwood/calls/direct.py
+++ b/src/linnetwood/calls/direct.py
@@ -186,22 +186,22 @@
             # Each silence is logged, also where the decision is the same.
             run.decision = ''
             self.recorder.note_silence(one.sent.choice, now)
-        requirements = self._current_requirements(run)
-        choice = self._chooser.choose(requirements, run.history.tried, now)
         refusal = run.refusal(
             AttemptOutcome.STALLED, now, is_suspected=self._is_suspected(run)
         )
-        if refusal is None and choice is None:
-            refusal = RetryRefusal.NO_ENDPOINT
         if refusal is None and not self._spend_retry(run):
             refusal = RetryRefusal.NO_BUDGET
-        if refusal is None and choice is not None:
-            refusal = self._start_beside(run, requirements, choice)
+        if refusal is None:
+            refusal = self._start_beside(run, now)
         self._log_silence(run, refusal, now)
 
-    def _start_beside(
-        self, run: CallRun, requirements: Requirements, choice: Choice
-    ) -> RetryRefusal | None:
+    def _start_beside(self, run: CallRun, now: float) -> RetryRefusal | None:
+        """Send an attempt that was taken from the budget, or put it back."""
+        requirements = self._current_requirements(run)
+        choice = self._chooser.choose(requirements, run.history.tried, now)
+        if choice is None:
+            run.budget.refund()
+            return RetryRefusal.NO_ENDPOINT
         if self._start(run, requirements, choice) is None:
             return None
         run.budget.refund()
