--- a/src/linnetwood/calls/callserver.py
+++ b/src/linnetwood/calls/callserver.py
@@ -3,10 +3,8 @@
 import asyncio
 from collections.abc import Callable
 from random import Random
-from types import MappingProxyType
 from typing import Protocol
 
-from tornado.http1connection import HTTP1Connection
 from tornado.httputil import (
     HTTPConnection,
     HTTPHeaders,
@@ -15,10 +13,9 @@
     RequestStartLine,
     ResponseStartLine,
 )
-from tornado.iostream import StreamClosedError
 
-from linnetwood.calls.answerflow import AnswerFlow, ConnectionFlow
-from linnetwood.calls.callersockets import PIECE_BYTES, CallerServer
+from linnetwood.calls.answerwriter import AnswerWriter, http1, refuse
+from linnetwood.calls.callersockets import CallerServer
 from linnetwood.calls.callparsing import (
     IncomingRequest,
     read_call,
@@ -38,45 +35,17 @@
 from linnetwood.calls.memoryguard import MemoryGuard
 from linnetwood.calls.policy.retryafter import LastPart
 from linnetwood.calls.routetable import CallLimits, RouteTable
-from linnetwood.calls.slowreaders import report_stalled_reader
 from linnetwood.core.events import Event, log
 from linnetwood.core.metrics import Metric, Metrics
 from linnetwood.core.outcomes import Code, Ending, Outcome, not_run
 from linnetwood.fleet.revisions import era_of, number_of
 from linnetwood.wire.curldriver import Headers
 
-_NOT_FOUND = 404
-_UNAUTHORISED = 401
-_UNAVAILABLE = 503
-_GATEWAY = 502
-_TIMED_OUT = 504
-_BAD_REQUEST = 400
 _MILLISECONDS = 1000
 # For calls that another entry can take at once.
 _RETRY_ELSEWHERE_MS = 100
 # Stalled callers are cut off within seconds, which frees memory.
 _RETRY_MEMORY_MS = (250, 750)
-# Counted for the head and the last chunk of an answer.
-_HEAD_BYTES = 512
-_END_BYTES = 5
-_REASONS = MappingProxyType(
-    {
-        200: 'OK',
-        400: 'Bad Request',
-        401: 'Unauthorized',
-        404: 'Not Found',
-        502: 'Bad Gateway',
-        503: 'Service Unavailable',
-        504: 'Gateway Timeout',
-    },
-)
-_STATUSES = MappingProxyType(
-    {
-        Code.UNKNOWN_TARGET.value: _NOT_FOUND,
-        Code.KEY_UNKNOWN.value: _UNAUTHORISED,
-        Code.BAD_REQUEST.value: _BAD_REQUEST,
-    },
-)
 # Refusals that a newer configuration might turn into answers.
 _UNPLACED_CODES = frozenset((Code.UNKNOWN_TARGET.value, Code.KEY_UNKNOWN.value))
 
@@ -188,7 +157,7 @@
 
     def finish(self) -> None:
         """Run the call once the request is complete."""
-        if _http1(self._conn).stream.closed():
+        if http1(self._conn).stream.closed():
             # The request crossed our close; no one would receive an answer.
             self._release_body()
             return
@@ -197,7 +166,7 @@
         self._task.add_done_callback(self._release_body)
         # Without this the library reports a closed connection only while it
         # reads.
-        _http1(self._conn).set_close_callback(self.on_connection_close)
+        http1(self._conn).set_close_callback(self.on_connection_close)
 
     def on_connection_close(self) -> None:
         """Cancel the call, since its caller has left."""
@@ -208,10 +177,16 @@
 
     def close(self) -> None:
         """Close the connection."""
-        _http1(self._conn).stream.close()
+        http1(self._conn).stream.close()
 
     async def _run(self) -> None:
-        writer = AnswerWriter(self._conn, self._delegate)
+        delegate = self._delegate
+        writer = AnswerWriter(
+            self._conn,
+            delegate.held,
+            delegate.metrics,
+            lambda: delegate.stopping,
+        )
         try:
             ending = await self._answer(writer)
         except asyncio.CancelledError:
@@ -236,7 +211,7 @@
         if not writer.begun:
             refuse(writer, ending)
 
-    async def _answer(self, writer: 'AnswerWriter') -> Ending:
+    async def _answer(self, writer: AnswerWriter) -> Ending:
         if self._delegate.leaving:
             # It arrived on a connection that an earlier answer kept open.
             return not_run(Code.STOPPING, '', _RETRY_ELSEWHERE_MS)
@@ -277,7 +252,7 @@
         guard = delegate.memory_guard
         return self._refused or guard.refuses(delegate.active_calls, now)
 
-    def _refuse_for_memory(self, writer: 'AnswerWriter') -> Ending:
+    def _refuse_for_memory(self, writer: AnswerWriter) -> Ending:
         delegate = self._delegate
         ending = not_run(
             Code.OVERLOADED,
@@ -333,109 +308,6 @@
         return body
 
 
-class AnswerWriter:
-    """Write one answer on a caller's connection."""
-
-    def __init__(
-        self, conn: HTTPConnection, delegate: CallServerDelegate
-    ) -> None:
-        """Start with nothing written."""
-        self.begun = False
-        # The whole answer was written, if not yet taken by the caller.
-        self.complete = False
-        # The caller read nothing for too long and was cut off.
-        self.stalled = False
-        self._conn = conn
-        self._stream = _http1(conn).stream
-        self._flow = ConnectionFlow(self._stream, delegate.held, self._cut_off)
-        self._delegate = delegate
-        self._call_id = ''
-        self._call_fields: dict[str, object] = {}
-
-    def name_call(self, call_id: str, fields: dict[str, object]) -> None:
-        """Set what log lines say of the call."""
-        self._call_id = call_id
-        self._call_fields = fields
-
-    @property
-    def flow(self) -> AnswerFlow:
-        """Return the flow control of this caller."""
-        return self._flow
-
-    def begin(self, status: int, headers: Headers) -> None:
-        """Write the head of a streamed answer."""
-        self._head(status, headers, None, b'')
-
-    def send_piece(self, piece: bytes) -> None:
-        """Write a piece without waiting; see `flow` before the next one."""
-        for start in range(0, len(piece), PIECE_BYTES):
-            part = piece[start : start + PIECE_BYTES]
-            _write_in_background(self._conn.write(part))
-            if self._stream.writing():
-                self._flow.hold(len(part))
-
-    def send_whole(self, status: int, headers: Headers, body: bytes) -> None:
-        """Write a complete answer."""
-        self._head(status, headers, len(body), body[:PIECE_BYTES])
-        self.send_piece(body[PIECE_BYTES:])
-        self.complete = True
-        self._conn.finish()
-
-    def finish(self) -> None:
-        """End a streamed answer."""
-        self.complete = True
-        self._conn.finish()
-        if self._stream.writing():
-            self._flow.hold(_END_BYTES)
-
-    def abort(self) -> None:
-        """Close the connection, so that the answer can't look complete."""
-        self._stream.close()
-
-    def _cut_off(self, stalled_s: float) -> None:
-        self.stalled = True
-        report_stalled_reader(
-            self._delegate.metrics,
-            self._call_id,
-            self._flow.unread,
-            stalled_s,
-            answered=self.complete,
-            **self._call_fields,
-        )
-        self.abort()
-
-    def _head(
-        self,
-        status: int,
-        headers: Headers,
-        length: int | None,
-        body: bytes,
-    ) -> None:
-        self.begun = True
-        fields = HTTPHeaders()
-        for name, text in headers:
-            fields.add(name, text)
-        if length is not None:
-            fields['Content-Length'] = str(length)
-        if self._delegate.stopping:
-            fields['Connection'] = 'close'
-        start_line = ResponseStartLine(
-            'HTTP/1.1',
-            status,
-            _REASONS.get(status, 'Answer'),
-        )
-        _write_in_background(
-            self._conn.write_headers(start_line, fields, body or None)
-        )
-        if self._stream.writing():
-            self._flow.hold(_HEAD_BYTES + len(body))
-
-
-def _http1(conn: HTTPConnection) -> HTTP1Connection:
-    assert isinstance(conn, HTTP1Connection)
-    return conn
-
-
 def _refuse_unplaced(
     incoming: IncomingRequest, ending: Ending, delegate: CallServerDelegate
 ) -> Ending:
@@ -494,20 +366,6 @@
     )
 
 
-def refuse(writer: AnswerWriter, ending: Ending) -> None:
-    """Send the status and the error code of a call without an answer."""
-    if ending.outcome is Outcome.NOT_RUN:
-        status = _STATUSES.get(ending.code, _UNAVAILABLE)
-    else:
-        late = ending.code == Code.LATE.value
-        status = _TIMED_OUT if late else _GATEWAY
-    headers: Headers = []
-    if status == _UNAVAILABLE:
-        seconds = ending.retry_after_ms / _MILLISECONDS
-        headers.append(('Retry-After', f'{seconds:.3f}'))
-    writer.send_whole(status, headers, ending.code.encode())
-
-
 class CallServer(CallerServer):
     """Report closed connections to its delegate and limit requests."""
 
@@ -544,15 +402,3 @@
 def _body_timeout_s(limits: CallLimits) -> float:
     # The configuration limits the time for the head; a body gets twice that.
     return limits.header_s * 2
-
-
-def _write_in_background(fut: 'asyncio.Future[None]') -> None:
-    fut.add_done_callback(_log_failed_write)
-
-
-def _log_failed_write(fut: 'asyncio.Future[None]') -> None:
-    if not fut.cancelled() and not isinstance(
-        fut.exception(),
-        StreamClosedError | None,
-    ):
-        log(Event.CALL_CUT, code='write-failed', detail=str(fut.exception()))
