Answer a call that an unexpected error ends, and log the error

Callers saw nothing until they gave up: _Request._run caught cancellation alone, so any other error while reading, admitting, choosing or sending left the connection open without an answer, and no line of ours said so (asyncio wrote its own to stderr, with the error's text, when the task was collected). Ruled out: tornado's own handling, which covers its reading and not the task that runs the call.

Now 6015 CALL_FAILED names the error's type and places, never its text, which may hold a prompt; calls.failed counts them. A call that failed before the dispatcher had it gets 503 with Retry-After, later 502, and an answer that had begun is cut; a whole answer stays. Where the refusal itself fails, the connection is closed. An error between the dispatcher's start and its first send counts as may have run: the dispatcher does not say more. 1008 TASK_FAILED logs errors that no task or callback caught, in all programs.

--- a/src/linnetwood/calls/answerwriter.py
+++ b/src/linnetwood/calls/answerwriter.py
@@ -133,7 +133,6 @@
         length: int | None,
         body: bytes,
     ) -> None:
-        self.begun = True
         fields = HTTPHeaders()
         for name, text in headers:
             fields.add(name, text)
@@ -146,9 +145,9 @@
             status,
             _REASONS.get(status, 'Answer'),
         )
-        _write_in_background(
-            self._conn.write_headers(start_line, fields, body or None)
-        )
+        written = self._conn.write_headers(start_line, fields, body or None)
+        self.begun = True
+        _write_in_background(written)
         if self._stream.writing():
             self._flow.hold(_HEAD_BYTES + len(body))
 
--- a/src/linnetwood/calls/callserver.py
+++ b/src/linnetwood/calls/callserver.py
@@ -36,8 +36,16 @@
 from linnetwood.calls.policy.retryafter import LastPart
 from linnetwood.calls.routetable import CallLimits, RouteTable
 from linnetwood.core.events import Event, log
+from linnetwood.core.failures import failure_fields
 from linnetwood.core.metrics import Metric, Metrics
-from linnetwood.core.outcomes import Code, Ending, Outcome, not_run
+from linnetwood.core.outcomes import (
+    ANSWERED,
+    Code,
+    Ending,
+    Outcome,
+    not_run,
+    unknown,
+)
 from linnetwood.fleet.revisions import era_of, number_of
 from linnetwood.wire.curldriver import Headers
 
@@ -131,6 +139,8 @@
         self._arrived_at = float()
         self._call_id = ''
         self._call_fields: dict[str, object] = {}
+        # An attempt may have been sent once the dispatcher has the call.
+        self._dispatched = False
 
     def headers_received(
         self,
@@ -188,7 +198,7 @@
             lambda: delegate.stopping,
         )
         try:
-            ending = await self._answer(writer)
+            await self._run_and_end(writer)
         except asyncio.CancelledError:
             if not writer.stalled:
                 log(
@@ -197,9 +207,46 @@
                     **self._call_fields,
                     code='caller-gone',
                 )
-            return
+        except Exception as exc:
+            self._fail(writer, exc)
         finally:
             self._delegate.active_calls -= 1
+
+    async def _run_and_end(self, writer: AnswerWriter) -> None:
+        self._end(writer, await self._answer(writer))
+
+    def _fail(self, writer: AnswerWriter, exc: Exception) -> None:
+        """Log an unexpected error, and end the call truthfully."""
+        ending = unknown(Code.INTERNAL)
+        if writer.complete:
+            ending = ANSWERED
+        elif not self._dispatched:
+            ending = not_run(Code.INTERNAL)
+        self._log_failure(exc, _caller_got(writer, ending))
+        if writer.begun and not writer.complete:
+            writer.abort()
+        try:
+            self._end(writer, ending)
+        except Exception:
+            # A closed connection tells the caller more than silence does.
+            writer.abort()
+            raise
+
+    def _log_failure(self, exc: Exception, answer: str) -> None:
+        failure = failure_fields(exc)
+        log(
+            Event.CALL_FAILED,
+            call=self._call_id,
+            **self._call_fields,
+            **failure,
+            answer=answer,
+        )
+        self._delegate.metrics.count(
+            Metric.CALLS_FAILED, kind=str(failure['error'])
+        )
+
+    def _end(self, writer: AnswerWriter, ending: Ending) -> None:
+        """Count how the call ended, and refuse it unless it was answered."""
         metrics = self._delegate.metrics
         if ending.outcome is Outcome.ANSWERED:
             metrics.count(Metric.CALLS_ANSWERED)
@@ -231,6 +278,7 @@
                 parts=logged_parts(call.part_fingerprints),
             )
             return admitted
+        self._dispatched = True
         ending = await self._delegate.dispatcher.run(call, writer, admitted)
         if ending.outcome is not Outcome.ANSWERED:
             log(
@@ -308,6 +356,15 @@
         return body
 
 
+def _caller_got(writer: AnswerWriter, ending: Ending) -> str:
+    """Return what the log says about the answer of a call that failed."""
+    if writer.complete:
+        return 'whole'
+    if writer.begun:
+        return 'cut'
+    return 'not-run' if ending.outcome is Outcome.NOT_RUN else 'unknown'
+
+
 def _refuse_unplaced(
     incoming: IncomingRequest, ending: Ending, delegate: CallServerDelegate
 ) -> Ending:
--- a/src/linnetwood/core/events.py
+++ b/src/linnetwood/core/events.py
@@ -23,6 +23,7 @@
     STOP_LIMIT_REACHED = 1005
     SETTINGS_RELOADED = 1006
     LOG_DROPPED = 1007
+    TASK_FAILED = 1008
     DATAGRAM_DROPPED = 2001
     GOSSIP_BACKLOG = 2002
     MEMBER_DOUBTED = 2003
@@ -87,6 +88,7 @@
     ENDPOINT_NOTICE = 6012
     SUSPECT_FOUND = 6013
     STREAM_SILENT = 6014
+    CALL_FAILED = 6015
     FRAME_REFUSED = 7001
     METRICS_UNREACHABLE = 7002
     KEYS_RELOADED = 7003
@@ -97,6 +99,7 @@
     (
         Event.STOP_LIMIT_REACHED,
         Event.LOG_DROPPED,
+        Event.TASK_FAILED,
         Event.CALL_REFUSED,
         Event.CALL_UNPLACED,
         Event.CALL_UNKNOWN,
@@ -122,6 +125,7 @@
         Event.VERSION_UNKNOWN,
         Event.PACE_IGNORED,
         Event.CALL_CUT,
+        Event.CALL_FAILED,
         Event.ENDPOINT_CRASHED,
         Event.ENDS_UNSHARED,
         Event.SUSPECT_FOUND,
--- a/src/linnetwood/core/exposed.py
+++ b/src/linnetwood/core/exposed.py
@@ -19,6 +19,7 @@
 _LABELS = MappingProxyType(
     {
         Metric.CALLS_REFUSED: 'code',
+        Metric.CALLS_FAILED: 'error',
         Metric.ATTEMPTS_ENDED: 'how',
         Metric.ATTEMPTS_AT_VERSION: 'version',
     },
--- a/src/linnetwood/core/loops.py
+++ b/src/linnetwood/core/loops.py
@@ -11,6 +11,7 @@
 from typing import Any, TypeVar
 
 from linnetwood.core.clock import monotonic_s
+from linnetwood.core.failures import log_loop_failure
 
 # An idle process wakes 5 times a second for this, a busy one does so 100 times
 # and more anyway. All time bounds are 2 s or longer.
@@ -46,4 +47,5 @@
 def run(work: Coroutine[Any, Any, _Result]) -> _Result:
     """Run a program's coroutine to its end."""
     with asyncio.Runner(loop_factory=SuspendableLoop) as runner:
+        runner.get_loop().set_exception_handler(log_loop_failure)
         return runner.run(work)
--- a/src/linnetwood/core/metrics.py
+++ b/src/linnetwood/core/metrics.py
@@ -21,6 +21,7 @@
     ANSWERS_HELD_BYTES = 'answers.held_bytes'
     BODIES_HELD_BYTES = 'bodies.held_bytes'
     CALLS_REFUSED = 'calls.refused'
+    CALLS_FAILED = 'calls.failed'
     ATTEMPTS_ENDED = 'attempts.ended'
     ATTEMPTS_AT_VERSION = 'attempts.at_version'
     FIRST_EVENT_MS = 'attempts.first_event_ms'
--- a/src/linnetwood/core/outcomes.py
+++ b/src/linnetwood/core/outcomes.py
@@ -40,6 +40,7 @@
     BELIEF_OLD = 'belief-old'
     OVERLOADED = 'overloaded'
     ENDS_ENDPOINTS = 'ends-endpoints'
+    INTERNAL = 'internal-error'
 
 
 RETRY_SOON_MS = 1000
--- a/tests/test_callserver.py
+++ b/tests/test_callserver.py
@@ -98,8 +98,8 @@
     return '\r\n'.join(lines).encode()
 
 
-class CallServerTest(unittest.IsolatedAsyncioTestCase):
-    """Call a server over sockets."""
+class CallServerCase(unittest.IsolatedAsyncioTestCase):
+    """A server that is called over sockets."""
 
     async def asyncSetUp(self) -> None:
         self.route_table = ROUTE_TABLE
@@ -175,6 +175,10 @@
         writer.close()
         return answers
 
+
+class CallServerTest(CallServerCase):
+    """Call a server over sockets."""
+
     async def test_statuses(self) -> None:
         """Each ending has its status, and only 503 has a Retry-After."""
         cases: tuple[tuple[str, bytes, Behaviour, int], ...] = (
