Send each call to the back end once, on a connection of its own

A service that had read a call on a kept connection and then broke off got the same call a second time, also one with a key; where it no longer listened, the call was reported as not run, though it may have run, and an entry would have sent it to another endpoint. libcurl repeats a request of any method by itself if a reused connection ends without an answer, and the ending of the repeat was taken for that of the call. Ruled out: our own retries (the back end alone was called). Calls to engines and services now use a new connection each, as those on the platform do, and curl never repeats a request that it sent on one. The tests got three requests for two calls from both back ends, and backend-unreachable, before.

--- a/src/linnetwood/calls/backend.py
+++ b/src/linnetwood/calls/backend.py
@@ -78,9 +78,13 @@
     begun: bool = False
     is_wrong: bool = False
 
-    def attach_header_callback(self, curl: pycurl.Curl) -> None:
-        """Let curl pass each header line to this exchange."""
+    def prepare(self, curl: pycurl.Curl) -> None:
+        """Let curl send the request once, and pass each header line here."""
         curl.setopt(pycurl.HEADERFUNCTION, self.header)
+        # If a kept connection ends without an answer, curl sends the request
+        # again on a new one, though the server may have run it.
+        curl.setopt(pycurl.FRESH_CONNECT, True)
+        curl.setopt(pycurl.FORBID_REUSE, True)
 
     def header(self, line: bytes) -> None:
         """Receive a status or header line."""
@@ -132,7 +136,7 @@
         exchange: _Exchange,
     ) -> HTTPResponse:
         # Tornado's own header callback may run after the one for the body.
-        req.prepare_curl_callback = exchange.attach_header_callback
+        req.prepare_curl_callback = exchange.prepare
         req.streaming_callback = exchange.body
         req.follow_redirects = False
         req.decompress_response = False
--- /dev/null
+++ b/tests/test_backend.py
@@ -0,0 +1,96 @@
+"""Requests to an engine or service that keeps or breaks its connections."""
+
+import asyncio
+import unittest
+
+from linnetwood.calls.backend import (
+    Backend,
+    EngineBackend,
+    ServiceBackend,
+)
+from linnetwood.core.outcomes import Code, Ending, Outcome
+from linnetwood.gen.wire.ttypes import Start
+from linnetwood.wire.http import open_client
+from tests.test_curldriver import HOST, Server, read_request
+
+CLIENTS = 2
+KEPT = (
+    b'HTTP/1.1 200 OK\r\nX-Call: c\r\nX-Model-Version: v\r\n'
+    b'Content-Length: 2\r\n\r\nok'
+)
+
+
+def start_of(method: str = 'POST', path: str = '/confirm') -> Start:
+    """Return a call that reaches the back end."""
+    return Start('c', 'desk', 60000, method, path, [], 'v', 'key', '')
+
+
+class RecordingSink:
+    """Record the answer of a back end."""
+
+    def __init__(self) -> None:
+        self.statuses: list[int] = []
+        self.received = b''
+
+    def head(self, status: int, headers: list[str], version: str) -> None:
+        """Record the status."""
+        self.statuses.append(status)
+
+    def body(self, piece: bytes) -> None:
+        """Record a piece of the body."""
+        self.received += piece
+
+
+class KeptConnectionTest(unittest.IsolatedAsyncioTestCase):
+    """A server keeps its connection, then dies with a request it has read."""
+
+    async def asyncSetUp(self) -> None:
+        self.server = Server(self.answer_then_die)
+        port = await self.server.start()
+        self.client = open_client(CLIENTS)
+        url = f'http://{HOST}:{port}'
+        self.backends: tuple[Backend, ...] = (
+            ServiceBackend(url, self.client),
+            EngineBackend(url, self.client),
+        )
+        self.stops_listening = False
+
+    async def asyncTearDown(self) -> None:
+        self.client.close()
+        await self.server.close()
+
+    async def answer_then_die(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Answer the first request; close on the second without an answer."""
+        if len(self.server.requests) == 1:
+            writer.write(KEPT)
+            self.server.requests.append(await read_request(reader))
+        if self.stops_listening:
+            self.server.stop_listening()
+
+    async def run_two(self, backend: Backend) -> Ending:
+        """Run two calls and return the ending of the second."""
+        self.server.requests.clear()
+        first = await backend.run(start_of(), b'slot', RecordingSink())
+        self.assertEqual(first.outcome, Outcome.ANSWERED)
+        return await backend.run(start_of(), b'slot', RecordingSink())
+
+    async def test_request_is_sent_once(self) -> None:
+        """Guard against a second run of a call whose server broke off."""
+        for backend in self.backends:
+            with self.subTest(backend=type(backend).__name__):
+                ending = await self.run_two(backend)
+                self.assertEqual(len(self.server.requests), 2)
+                self.assertEqual(ending.outcome, Outcome.UNKNOWN)
+
+    async def test_call_that_may_have_run_is_unknown(self) -> None:
+        """Guard against "not run" for a call that its server had read."""
+        self.stops_listening = True
+        ending = await self.run_two(self.backends[0])
+        self.assertEqual(len(self.server.requests), 2)
+        self.assertEqual(ending.code, Code.BACKEND_LOST.value)
+
+
+if __name__ == '__main__':
+    unittest.main()
