Close the connection of an answer that an error cut short

A caller of the product's own path whose answer had begun got a part of it that looked whole, chunked and with the last chunk, if an unexpected error was raised before its end. tornado ends such an answer with finish(). Ruled out: cuts that we know of (connection lost, a stalled reader), which close the connection already. Now the connection is closed first, and finish() writes nothing.

--- a/src/linnetwood/calls/callers.py
+++ b/src/linnetwood/calls/callers.py
@@ -122,6 +122,24 @@
         self.clear_header('Content-Type')
         self.clear_header('Date')
 
+    def send_error(self, status_code: int = 500, **kwargs: Any) -> None:
+        """Close the connection of an answer that an error cut short.
+
+        Tornado would finish it, so that it would look complete.
+        """
+        if self.headers_written and not self._finished:
+            self.close_connection()
+        super().send_error(status_code, **kwargs)
+
+    def close_connection(self) -> None:
+        """Close the connection, so that the answer can't look complete."""
+        self.request.connection.stream.close()  # type: ignore[union-attr]
+
+    @property
+    def headers_written(self) -> bool:
+        """Return whether the status was sent to the caller."""
+        return self._headers_written
+
     def end_unanswered(self, ending: Ending) -> None:
         """Write the outcome of a call that has no answer."""
         outcome = 'not-run' if ending.outcome == Outcome.NOT_RUN else 'unknown'
@@ -275,15 +293,6 @@
             self.clear()
             self.end_unanswered(ending)
 
-    def close_connection(self) -> None:
-        """Close the connection, so that the answer can't look complete."""
-        self.request.connection.stream.close()  # type: ignore[union-attr]
-
-    @property
-    def headers_written(self) -> bool:
-        """Return whether the status was sent to the caller."""
-        return self._headers_written
-
     def note_first_byte(self) -> None:
         """Record how long the caller waited for the head of its answer."""
         waited_ms = self.request.request_time() * _MILLISECONDS
