Forward GET and HEAD requests that have a body

A caller's GET with a body got 502 connection-lost, after up to three endpoints had been asked and each was avoided for 2 s; a HEAD with a body reached the service as PUT. tornado's client refuses GET with a body, in an error that ends the endpoint's connection, and libcurl turns an upload without a method of its own into PUT. Ruled out: the caller's side of the entry, which passes both on as they came. Now a GET with a body is sent under its own name, and a HEAD without its body, whose content means nothing. The new test raised ValueError for the first and saw a PUT for the second before; it holds for seven methods with and without a body.

--- a/src/linnetwood/calls/backend.py
+++ b/src/linnetwood/calls/backend.py
@@ -73,6 +73,8 @@
 
     sink: BackendSink
     check: Callable[['_Exchange'], bool]
+    # Sent in place of the method that curl is given; empty for that one.
+    method: str = ''
     status: int = 0
     lines: list[str] = dataclasses.field(default_factory=list)
     begun: bool = False
@@ -85,6 +87,8 @@
         # again on a new one, though the server may have run it.
         curl.setopt(pycurl.FRESH_CONNECT, True)
         curl.setopt(pycurl.FORBID_REUSE, True)
+        if self.method:
+            curl.setopt(pycurl.CUSTOMREQUEST, self.method)
 
     def header(self, line: bytes) -> None:
         """Receive a status or header line."""
@@ -149,6 +153,11 @@
     async def run(self, start: Start, body: bytes, sink: BackendSink) -> Ending:
         """Run one call."""
         exchange = _Exchange(sink, lambda _: True)
+        method = start.method
+        if method == 'GET' and body:
+            # The client refuses this, and sends any other method with a body.
+            exchange.method = method
+            method = 'PATCH'
         headers = HTTPHeaders()
         for line in _without_headers(
             end_to_end_headers(start.headers), _REQUEST_ONLY_HEADERS
@@ -157,9 +166,9 @@
             headers.add(name.strip(), text.strip())
         req = HTTPRequest(
             self._url + start.path,
-            method=start.method,
+            method=method,
             headers=headers,
-            body=body if body or start.method in _BODY_METHODS else None,
+            body=_sent_body(method, body),
             allow_nonstandard_methods=True,
             request_timeout=_timeout_s(start),
         )
@@ -206,6 +215,13 @@
         await fetch(self._client, req)
 
 
+def _sent_body(method: str, body: bytes) -> bytes | None:
+    # With a body, curl would send HEAD as PUT.
+    if method == 'HEAD' or not (body or method in _BODY_METHODS):
+        return None
+    return body
+
+
 def _timeout_s(start: Start) -> float:
     return max(1, start.deadline_ms) / _MILLISECONDS
 
--- a/tests/test_backend.py
+++ b/tests/test_backend.py
@@ -11,7 +11,13 @@
 from linnetwood.core.outcomes import Code, Ending, Outcome
 from linnetwood.gen.wire.ttypes import Start
 from linnetwood.wire.http import open_client
-from tests.test_curldriver import HOST, Server, read_request
+from tests.test_curldriver import (
+    HOST,
+    WHOLE,
+    Server,
+    read_request,
+    respond_with,
+)
 
 CLIENTS = 2
 KEPT = (
@@ -92,5 +98,41 @@
         self.assertEqual(ending.code, Code.BACKEND_LOST.value)
 
 
+class MethodTest(unittest.IsolatedAsyncioTestCase):
+    """Forward requests of each method, with and without a body."""
+
+    async def forwarded(self, method: str, body: bytes) -> bytes:
+        """Forward a request and return what the service read."""
+        server = Server(respond_with(WHOLE))
+        client = open_client(CLIENTS)
+        service = ServiceBackend(
+            f'http://{HOST}:{await server.start()}', client
+        )
+        sink = RecordingSink()
+        try:
+            ending = await service.run(start_of(method, '/a?b=1'), body, sink)
+        finally:
+            client.close()
+            await server.close()
+        self.assertEqual(ending.outcome, Outcome.ANSWERED)
+        self.assertEqual(sink.statuses, [200])
+        self.assertEqual(len(server.requests), 1)
+        return server.requests[0]
+
+    async def test_method_and_body_are_forwarded(self) -> None:
+        """Guard against a request that is refused or sent by another method."""
+        methods = ('GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE', 'OPTIONS')
+        for method in methods:
+            for body in (b'', b'abc'):
+                with self.subTest(method=method, body=body):
+                    request = await self.forwarded(method, body)
+                    head, _, received = request.partition(b'\r\n\r\n')
+                    line = f'{method} /a?b=1 HTTP/1.1\r\n'.encode()
+                    self.assertTrue(head.startswith(line), head)
+                    # Content of a HEAD request has no meaning.
+                    expected = b'' if method == 'HEAD' else body
+                    self.assertEqual(received, expected)
+
+
 if __name__ == '__main__':
     unittest.main()
