Report a call as not run if its engine refuses it with a body

A call that its engine refused with 503 or 404 and a body ended with 502 unknown, wrong-answer, without an attempt elsewhere (seen from outside with a stand-in engine that answers 503 and "busy"); without a body it was told as not run. The guard passed the refusal on as the call's answer, and the entry did not find its version in it. Ruled out: the entry's check, which must not take an answer of another version. Such a status is no answer any more, with or without a body; the same call now ends with 503 not-run, backend-busy. The new test saw the refusal passed on for both statuses before.

--- a/src/linnetwood/calls/backend.py
+++ b/src/linnetwood/calls/backend.py
@@ -196,11 +196,11 @@
             request_timeout=_timeout_s(start),
         )
         reply = await self._exchange(req, exchange)
+        if reply.code in {_BUSY, _NOT_FOUND}:
+            return not_run(Code.BACKEND_BUSY, f'engine said {reply.code}')
         if exchange.is_wrong:
             await self.cancel(start.call_id)
             return unknown(Code.WRONG_ANSWER, 'the engine answered otherwise')
-        if reply.code in {_BUSY, _NOT_FOUND}:
-            return not_run(Code.BACKEND_BUSY, f'engine said {reply.code}')
         return _ending(reply, exchange)
 
     async def cancel(self, call_id: str) -> None:
@@ -228,7 +228,8 @@
 
 def _is_own_answer(exchange: _Exchange, start: Start) -> bool:
     if exchange.status in {_BUSY, _NOT_FOUND}:
-        return True
+        # A refusal is no answer, so another endpoint may be asked.
+        return False
     is_own = exchange.header_value(CALL_HEADER) == start.call_id
     return is_own and exchange.header_value(VERSION_HEADER) == start.version
 
--- a/tests/test_backend.py
+++ b/tests/test_backend.py
@@ -134,5 +134,42 @@
                     self.assertEqual(received, expected)
 
 
+class EngineAnswerTest(unittest.IsolatedAsyncioTestCase):
+    """Answers of engines that are not those of the call."""
+
+    async def ran(self, answer: bytes) -> tuple[Ending, RecordingSink]:
+        """Run a call at an engine that gives this answer."""
+        server = Server(respond_with(answer))
+        client = open_client(CLIENTS)
+        engine = EngineBackend(f'http://{HOST}:{await server.start()}', client)
+        sink = RecordingSink()
+        try:
+            ending = await engine.run(start_of(), b'{}', sink)
+        finally:
+            client.close()
+            await server.close()
+        return ending, sink
+
+    async def test_refusal_is_no_answer(self) -> None:
+        """Guard against a refusal with a body that ends retries."""
+        for status in (404, 503):
+            for body in (b'', b'busy'):
+                with self.subTest(status=status, body=body):
+                    head = f'HTTP/1.1 {status} X\r\nContent-Length: {len(body)}'
+                    answer = head.encode() + b'\r\n\r\n' + body
+                    ending, sink = await self.ran(answer)
+                    self.assertEqual(ending.outcome, Outcome.NOT_RUN)
+                    self.assertEqual(sink.statuses, [])
+                    self.assertEqual(sink.received, b'')
+
+    async def test_answer_of_another_call_is_dropped(self) -> None:
+        """Guard against an answer that is not that of the call."""
+        for wrong in (b'X-Call: c', b'X-Model-Version: v'):
+            with self.subTest(wrong=wrong):
+                ending, sink = await self.ran(KEPT.replace(wrong, wrong + b'2'))
+                self.assertEqual(ending.code, Code.WRONG_ANSWER.value)
+                self.assertEqual(sink.statuses, [])
+
+
 if __name__ == '__main__':
     unittest.main()
