Check an engine's answer without a body, too

A caller whose engine answered 500 without a body got 200 with an empty body (seen from outside with a stand-in engine). Whether an answer is that of the call is checked as its body begins; without one it was checked after the decision, so nothing was passed on and the call counted as answered, which the entry ends with its own default status. Ruled out: the entry, which got "answered" and no head. The head is now checked before the ending is decided, and the same call ends with 502 unknown, wrong-answer. The new cases, an empty 500 and an empty 200 of another call, were taken as answered before.

--- a/src/linnetwood/calls/backend.py
+++ b/src/linnetwood/calls/backend.py
@@ -144,7 +144,10 @@
         req.streaming_callback = exchange.body
         req.follow_redirects = False
         req.decompress_response = False
-        return await fetch(self._client, req)
+        reply = await fetch(self._client, req)
+        if not exchange.begun and not _is_lost(reply):
+            exchange.open()
+        return reply
 
 
 class ServiceBackend(_HttpBackend):
@@ -173,7 +176,7 @@
             request_timeout=_timeout_s(start),
         )
         reply = await self._exchange(req, exchange)
-        return _ending(reply, exchange)
+        return _ending(reply)
 
 
 class EngineBackend(_HttpBackend):
@@ -201,7 +204,7 @@
         if exchange.is_wrong:
             await self.cancel(start.call_id)
             return unknown(Code.WRONG_ANSWER, 'the engine answered otherwise')
-        return _ending(reply, exchange)
+        return _ending(reply)
 
     async def cancel(self, call_id: str) -> None:
         """Ask the engine to stop a stream."""
@@ -234,10 +237,12 @@
     return is_own and exchange.header_value(VERSION_HEADER) == start.version
 
 
-def _ending(reply: HTTPResponse, exchange: _Exchange) -> Ending:
-    if reply.code != NO_ANSWER or reply.error is None:
-        if not exchange.begun:
-            exchange.open()
+def _is_lost(reply: HTTPResponse) -> bool:
+    return reply.code == NO_ANSWER and reply.error is not None
+
+
+def _ending(reply: HTTPResponse) -> Ending:
+    if not _is_lost(reply):
         return ANSWERED
     detail = str(reply.error)
     errno = reply.error.errno if isinstance(reply.error, CurlError) else 0
--- a/tests/test_backend.py
+++ b/tests/test_backend.py
@@ -164,9 +164,16 @@
 
     async def test_answer_of_another_call_is_dropped(self) -> None:
         """Guard against an answer that is not that of the call."""
-        for wrong in (b'X-Call: c', b'X-Model-Version: v'):
+        empty = b'HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n'
+        cases = (
+            KEPT.replace(b'X-Call: c', b'X-Call: c2'),
+            KEPT.replace(b'X-Model-Version: v', b'X-Model-Version: v2'),
+            empty,
+            empty.replace(b'500', b'200'),
+        )
+        for wrong in cases:
             with self.subTest(wrong=wrong):
-                ending, sink = await self.ran(KEPT.replace(wrong, wrong + b'2'))
+                ending, sink = await self.ran(wrong)
                 self.assertEqual(ending.code, Code.WRONG_ANSWER.value)
                 self.assertEqual(sink.statuses, [])
 
