Pass on a service's own answer with status 599

An answer of a service with status 599 was told as a lost connection, and its caller saw it cut. The HTTP library uses this status for a request that got no answer, and holds an error in both cases. Ruled out: the other statuses (five of them pass in the new test). The error of a real answer holds that answer, which tells the two apart.

--- a/src/linnetwood/calls/backend.py
+++ b/src/linnetwood/calls/backend.py
@@ -238,7 +238,9 @@
 
 
 def _is_lost(reply: HTTPResponse) -> bool:
-    return reply.code == NO_ANSWER and reply.error is not None
+    # The error of a real answer with this status holds that answer.
+    is_status = getattr(reply.error, 'response', None) is not None
+    return reply.code == NO_ANSWER and not is_status
 
 
 def _ending(reply: HTTPResponse) -> Ending:
--- a/tests/test_backend.py
+++ b/tests/test_backend.py
@@ -101,9 +101,14 @@
 class MethodTest(unittest.IsolatedAsyncioTestCase):
     """Forward requests of each method, with and without a body."""
 
-    async def forwarded(self, method: str, body: bytes) -> bytes:
-        """Forward a request and return what the service read."""
-        server = Server(respond_with(WHOLE))
+    async def forwarded(
+        self, method: str, body: bytes, answer: bytes = WHOLE
+    ) -> tuple[bytes, RecordingSink]:
+        """Forward a request; return it as the service read it, and the answer.
+
+        The service must have got it once and have answered it.
+        """
+        server = Server(respond_with(answer))
         client = open_client(CLIENTS)
         service = ServiceBackend(
             f'http://{HOST}:{await server.start()}', client
@@ -115,9 +120,8 @@
             client.close()
             await server.close()
         self.assertEqual(ending.outcome, Outcome.ANSWERED)
-        self.assertEqual(sink.statuses, [200])
         self.assertEqual(len(server.requests), 1)
-        return server.requests[0]
+        return server.requests[0], sink
 
     async def test_method_and_body_are_forwarded(self) -> None:
         """Guard against a request that is refused or sent by another method."""
@@ -125,7 +129,8 @@
         for method in methods:
             for body in (b'', b'abc'):
                 with self.subTest(method=method, body=body):
-                    request = await self.forwarded(method, body)
+                    request, sink = await self.forwarded(method, body)
+                    self.assertEqual(sink.statuses, [200])
                     head, _, received = request.partition(b'\r\n\r\n')
                     line = f'{method} /a?b=1 HTTP/1.1\r\n'.encode()
                     self.assertTrue(head.startswith(line), head)
@@ -133,6 +138,14 @@
                     expected = b'' if method == 'HEAD' else body
                     self.assertEqual(received, expected)
 
+    async def test_any_status_is_an_answer(self) -> None:
+        """Guard against a status that is taken for a lost connection."""
+        for status in (204, 304, 404, 500, 503, 599):
+            with self.subTest(status=status):
+                answer = f'HTTP/1.1 {status} X\r\nContent-Length: 0\r\n\r\n'
+                _, sink = await self.forwarded('GET', b'', answer.encode())
+                self.assertEqual(sink.statuses, [status])
+
 
 class EngineAnswerTest(unittest.IsolatedAsyncioTestCase):
     """Answers of engines that are not those of the call."""
