Send a call again if its kept connection ends unanswered

A repeatable call to the only endpoint of its target got 502 unknown, connection-lost, if it was sent on a kept connection that the endpoint was just closing, though a new connection would have been taken. The endpoint counted as tried, and no other was left. Now such an endpoint may be tried again, on a new connection, if there is no other; this counts as a retry in attempts and budget as before.

--- a/src/linnetwood/calls/dispatch.py
+++ b/src/linnetwood/calls/dispatch.py
@@ -70,15 +70,36 @@
 class _Attempt:
     """Hold the progress of one attempt."""
 
-    __slots__ = ('begun', 'key', 'sent', 'version')
+    __slots__ = ('begun', 'key', 'may_reuse', 'reused', 'sent', 'version')
 
-    def __init__(self, key: str, version: str) -> None:
+    def __init__(self, key: str, version: str, *, may_reuse: bool) -> None:
         self.key = key
         self.version = version
+        self.may_reuse = may_reuse
+        # The connection was kept from an earlier call.
+        self.reused = False
         self.sent = False
         self.begun = False
 
 
+class _Tried:
+    """Hold the endpoints that a call was sent to."""
+
+    __slots__ = ('again', 'vms')
+
+    def __init__(self) -> None:
+        self.vms: set[str] = set()
+        # Of these, the ones to try again if there is no other.
+        self.again: set[str] = set()
+
+    def add(self, vm: str, *, may_try_again: bool) -> None:
+        self.vms.add(vm)
+        if may_try_again:
+            self.again.add(vm)
+        else:
+            self.again.discard(vm)
+
+
 class Dispatcher:
     """Choose endpoints for calls and retry where that is safe."""
 
@@ -103,19 +124,29 @@
         """Run a call and give its ending."""
         self._budget.earn()
         self._probe_load(call.query)
-        tried: set[str] = set()
+        tried = _Tried()
         endings: list[Ending] = []
         for _ in range(MAX_ATTEMPTS):
-            member = self._routes.choose(call.query, tried, self._clock.now())
+            member = self._choose(call.query, tried)
             if member is None:
                 break
-            tried.add(member.vm)
-            attempt = self._new_attempt(call, member)
-            endings.append(await self._run_attempt(call, member, attempt, sink))
-            if not self._should_retry(call, endings[-1], attempt):
+            attempt = self._new_attempt(call, member, is_first=not endings)
+            ending = await self._run_attempt(call, member, attempt, sink)
+            endings.append(ending)
+            tried.add(
+                member.vm, may_try_again=_is_lost_with_kept(attempt, ending)
+            )
+            if not self._should_retry(call, ending, attempt):
                 break
         return conclude(endings) if endings else self._no_endpoint_ending(call)
 
+    def _choose(self, query: EndpointQuery, tried: _Tried) -> Member | None:
+        now = self._clock.now()
+        member = self._routes.choose(query, tried.vms, now)
+        if member is None and tried.again:
+            return self._routes.choose(query, tried.vms - tried.again, now)
+        return member
+
     def _probe_load(self, query: EndpointQuery) -> None:
         member = self._routes.sample(query) if self._probe else None
         if member is not None and self._probe is not None:
@@ -144,11 +175,17 @@
             return not_run(Code.UNKNOWN_TARGET, call.target)
         return not_run(Code.NO_ENDPOINT, call.target)
 
-    def _new_attempt(self, call: Call, member: Member) -> _Attempt:
+    def _new_attempt(
+        self, call: Call, member: Member, *, is_first: bool
+    ) -> _Attempt:
         key = call.key
         if call.at_most_once and not key:
             key = mint_key(member, call.call_id)
-        return _Attempt(key, member.serving if call.query.model else '')
+        version = member.serving if call.query.model else ''
+        # An idle connection may be dead unnoticed; a call sent on it would be
+        # lost.
+        may_reuse = call.may_repeat and is_first
+        return _Attempt(key, version, may_reuse=may_reuse)
 
     async def _run_attempt(
         self,
@@ -165,7 +202,7 @@
         ending = unknown(Code.CONNECTION_LOST, 'cut short')
         try:
             async with asyncio.timeout(call.deadline - self._clock.now()):
-                stream = await self._connect(address, call)
+                stream = await self._connect(address, attempt)
                 ending = await self._exchange(call, attempt, stream, sink)
         except TimeoutError:
             ending = self._failure_ending(
@@ -181,13 +218,14 @@
             self._release(address, stream, ending)
         return self._caller_ending(call, ending)
 
-    async def _connect(self, address: Address, call: Call) -> FrameStream:
-        if call.may_repeat:
+    async def _connect(
+        self, address: Address, attempt: _Attempt
+    ) -> FrameStream:
+        if attempt.may_reuse:
             idle_stream = self._pool.reuse(address)
             if idle_stream is not None:
+                attempt.reused = True
                 return idle_stream
-        # An idle connection may be dead unnoticed; a call sent on it would be
-        # lost.
         return await self._pool.dial(address)
 
     def _release(
@@ -310,6 +348,12 @@
     ).text()
 
 
+def _is_lost_with_kept(attempt: _Attempt, ending: Ending) -> bool:
+    """Return whether a kept connection ended, maybe before the call came."""
+    is_lost = ending.code == Code.CONNECTION_LOST.value
+    return is_lost and attempt.reused and not attempt.begun
+
+
 def _is_own_head(head: Head, call: Call, attempt: _Attempt) -> bool:
     if head.call_id != call.call_id:
         return False
