Take no ending without a head for an answer

An entry whose endpoint ended a call as answered without having sent its head wrote 200 with an empty body of its own; a piece of a body before the head was written under 200, too. Both are told as unknown, wrong-answer, now. The new test got answered before, in both cases.

--- a/src/linnetwood/calls/dispatch.py
+++ b/src/linnetwood/calls/dispatch.py
@@ -22,9 +22,10 @@
 from linnetwood.gen.wire.ttypes import End, Head, Member, Start
 from linnetwood.wire.codec import decode, encode
 from linnetwood.wire.connections import Address, Pool
-from linnetwood.wire.frames import FrameKind, FrameStream
+from linnetwood.wire.frames import Frame, FrameKind, FrameStream
 
 _MILLISECONDS = 1000
+_NO_HEAD = unknown(Code.WRONG_ANSWER, 'no head')
 _UNUSED_KEY_REFUSALS = frozenset(
     (Code.KEY_OTHER_OWNER.value, Code.KEY_EXPIRED.value),
 )
@@ -254,16 +255,31 @@
         await stream.write(FrameKind.BODY, call.body)
         while True:
             frame = await stream.read()
-            if frame.kind == FrameKind.BODY:
-                await sink.body(frame.payload)
-            elif frame.kind == FrameKind.HEAD:
-                head = decode(Head, frame.payload)
-                if not _is_own_head(head, call, attempt):
-                    return unknown(Code.WRONG_ANSWER, head.call_id)
-                attempt.begun = True
-                await sink.head(head, attempt.key)
-            else:
-                return self._read_ending(frame.payload, call)
+            ending = await self._take_frame(frame, call, attempt, sink)
+            if ending is not None:
+                return ending
+
+    async def _take_frame(
+        self,
+        frame: Frame,
+        call: Call,
+        attempt: _Attempt,
+        sink: AnswerSink,
+    ) -> Ending | None:
+        """Pass a frame of the answer on; return how the attempt ends by it."""
+        if frame.kind == FrameKind.BODY:
+            if not attempt.begun:
+                return _NO_HEAD
+            await sink.body(frame.payload)
+        elif frame.kind == FrameKind.HEAD:
+            head = decode(Head, frame.payload)
+            if not _is_own_head(head, call, attempt):
+                return unknown(Code.WRONG_ANSWER, head.call_id)
+            attempt.begun = True
+            await sink.head(head, attempt.key)
+        else:
+            return self._read_ending(frame.payload, call, attempt)
+        return None
 
     def _start(self, call: Call, attempt: _Attempt) -> Start:
         left_s = call.deadline - self._clock.now()
@@ -279,12 +295,14 @@
             traceparent=call.traceparent,
         )
 
-    def _read_ending(self, payload: bytes, call: Call) -> Ending:
+    def _read_ending(
+        self, payload: bytes, call: Call, attempt: _Attempt
+    ) -> Ending:
         end = decode(End, payload)
         if end.call_id != call.call_id:
             return unknown(Code.WRONG_ANSWER, end.call_id)
         if end.outcome == Outcome.ANSWERED:
-            return ANSWERED
+            return ANSWERED if attempt.begun else _NO_HEAD
         return Ending(
             Outcome(end.outcome),
             end.code,
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -190,6 +190,24 @@
             self.assertEqual(fleet.dispatcher.attempts, 3)
             self.assertEqual(len(fleet.net.streams['memory', 1]), 2)
 
+    @in_virtual_time
+    async def test_answered_without_a_head(self) -> None:
+        """Guard against an answer of our own in place of the endpoint's."""
+
+        async def end(stream: FrameStream, start: Start) -> None:
+            stream.send(FrameKind.END, end_of(start))
+
+        async def send_body(stream: FrameStream, start: Start) -> None:
+            stream.send(FrameKind.BODY, BODY)
+            stream.send(FrameKind.END, end_of(start))
+
+        for behave in (end, send_body):
+            async with running() as fleet:
+                fleet.behave = behave
+                ending, sink = await fleet.call()
+            self.assertEqual(ending.code, 'wrong-answer')
+            self.assertEqual((sink.heads, sink.received), (0, b''))
+
 
 if __name__ == '__main__':
     unittest.main()
