Dial an endpoint again that is silent while connecting

Calls were refused as not run, and calls with a key ended as unknown, if the only endpoint that may take them was silent for more than 1 s while the connection was set up (a handshake in TLS needs its process; the kernel alone takes a plain connection), though it went on and the deadline was far. The time for connecting was taken for an end, like a refused connection. Now the dialler tells both apart. After silence the next endpoint is dialled as before, and the same one again if there is no other, up to the three attempts of a call. Nothing was sent, so this takes nothing from the retry budget, and holds for calls that may not be repeated, too. Cost: a call whose only endpoint is gone without a reset is refused after 3 s in place of 1 s. Three new tests in virtual time; that of an endpoint silent for 2 s got not-run before.

--- a/src/linnetwood/calls/dispatch.py
+++ b/src/linnetwood/calls/dispatch.py
@@ -21,7 +21,7 @@
 )
 from linnetwood.gen.wire.ttypes import End, Head, Member, Start
 from linnetwood.wire.codec import decode, encode
-from linnetwood.wire.connections import Address, Pool
+from linnetwood.wire.connections import CONNECT_TIMEOUT, Address, Pool
 from linnetwood.wire.frames import Frame, FrameKind, FrameStream
 
 _MILLISECONDS = 1000
@@ -71,7 +71,15 @@
 class _Attempt:
     """Hold the progress of one attempt."""
 
-    __slots__ = ('begun', 'key', 'may_reuse', 'reused', 'sent', 'version')
+    __slots__ = (
+        'begun',
+        'key',
+        'may_reuse',
+        'reused',
+        'sent',
+        'silent',
+        'version',
+    )
 
     def __init__(self, key: str, version: str, *, may_reuse: bool) -> None:
         self.key = key
@@ -79,6 +87,8 @@
         self.may_reuse = may_reuse
         # The connection was kept from an earlier call.
         self.reused = False
+        # The endpoint was silent while connecting; it may go on.
+        self.silent = False
         self.sent = False
         self.begun = False
 
@@ -134,9 +144,7 @@
             attempt = self._new_attempt(call, member, is_first=not endings)
             ending = await self._run_attempt(call, member, attempt, sink)
             endings.append(ending)
-            tried.add(
-                member.vm, may_try_again=_is_lost_with_kept(attempt, ending)
-            )
+            tried.add(member.vm, may_try_again=_may_try_again(attempt, ending))
             if not self._should_retry(call, ending, attempt):
                 break
         return conclude(endings) if endings else self._no_endpoint_ending(call)
@@ -156,15 +164,15 @@
     def _should_retry(
         self, call: Call, ending: Ending, attempt: _Attempt
     ) -> bool:
-        if call.key:
-            return False
-        is_safe = may_retry(
-            ending,
-            may_repeat=call.may_repeat,
-            begun=attempt.begun,
-        )
-        if not is_safe or not self._budget.spend():
-            return False
+        # After silence no endpoint has got the call, so it is no repeat.
+        if not attempt.silent:
+            is_safe = not call.key and may_retry(
+                ending,
+                may_repeat=call.may_repeat,
+                begun=attempt.begun,
+            )
+            if not is_safe or not self._budget.spend():
+                return False
         self._metrics.count(Metric.CALLS_RETRIED)
         return True
 
@@ -212,6 +220,7 @@
         except (WireError, CodecError) as exc:
             code = Code.CONNECTION_LOST if attempt.sent else Code.CONNECT_FAILED
             ending = self._failure_ending(call, attempt, code, str(exc))
+            attempt.silent = exc.code == CONNECT_TIMEOUT
             if not sink.was_held_up:
                 load.failed_at = self._clock.now()
         finally:
@@ -366,8 +375,11 @@
     ).text()
 
 
-def _is_lost_with_kept(attempt: _Attempt, ending: Ending) -> bool:
-    """Return whether a kept connection ended, maybe before the call came."""
+def _may_try_again(attempt: _Attempt, ending: Ending) -> bool:
+    """Return whether a new connection to the same endpoint may do better."""
+    if attempt.silent:
+        return True
+    # A kept connection may have ended before the call came.
     is_lost = ending.code == Code.CONNECTION_LOST.value
     return is_lost and attempt.reused and not attempt.begun
 
--- a/src/linnetwood/wire/connections.py
+++ b/src/linnetwood/wire/connections.py
@@ -13,6 +13,8 @@
 Address = tuple[str, int]
 _MAX_IDLE = 64
 CONNECT_TIMEOUT_S = 1.0
+# The code of an error: the peer may go on, unlike one that refused.
+CONNECT_TIMEOUT = 'connect-timeout'
 # A lost packet is resent after at most about 1 s, so a shorter silence within
 # an answer does not mean that the connection is dead.
 SILENCE_TIMEOUT_S = 2.0
@@ -22,7 +24,7 @@
     """Open connections to other processes."""
 
     async def dial(self, address: Address) -> FrameStream:
-        """Connect, or raise WireError."""
+        """Connect, or raise WireError, with CONNECT_TIMEOUT for silence."""
 
 
 class Pool(Dialler, Protocol):
@@ -60,7 +62,9 @@
                     port,
                     ssl=self._context,
                 )
-        except (OSError, TimeoutError) as exc:
+        except TimeoutError as exc:
+            raise WireError(CONNECT_TIMEOUT, f'{host}:{port}') from exc
+        except OSError as exc:
             raise WireError('connect-failed', f'{host}:{port}: {exc}') from exc
         return opened[1]
 
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -9,6 +9,7 @@
 
 from linnetwood.calls.dispatch import AnswerSink, Call, Dispatcher
 from linnetwood.calls.routing import POLICIES, EndpointQuery, Routes
+from linnetwood.core.errors import WireError
 from linnetwood.core.metrics import NoMetrics
 from linnetwood.core.outcomes import Ending, Outcome
 from linnetwood.fleet.members import ENDPOINT, Health
@@ -16,6 +17,11 @@
 from linnetwood.lab import virtual
 from linnetwood.lab.memory_net import MemoryDialler, MemoryNet
 from linnetwood.wire.codec import decode, encode
+from linnetwood.wire.connections import (
+    CONNECT_TIMEOUT,
+    CONNECT_TIMEOUT_S,
+    Address,
+)
 from linnetwood.wire.frames import FrameKind, FrameStream
 
 DEADLINE_S = 20.0
@@ -56,6 +62,25 @@
         self.received += piece
 
 
+class SilentDialler(MemoryDialler):
+    """Connect to processes, of which some don't answer a handshake."""
+
+    def __init__(self, net: MemoryNet) -> None:
+        super().__init__(net)
+        self.silent_until: dict[Address, float] = {}
+        self.dialled: list[Address] = []
+
+    async def dial(self, address: Address) -> FrameStream:
+        """Connect, or fail after a timeout as the TCP dialler does."""
+        self.dialled.append(address)
+        now = asyncio.get_running_loop().time()
+        silent_s = self.silent_until.get(address, 0) - now
+        await asyncio.sleep(min(max(0, silent_s), CONNECT_TIMEOUT_S))
+        if silent_s > CONNECT_TIMEOUT_S:
+            raise WireError(CONNECT_TIMEOUT, 'silent')
+        return await super().dial(address)
+
+
 class Fleet:
     """An entry's dispatcher, and endpoints that a test scripts."""
 
@@ -70,8 +95,9 @@
         for number in range(endpoints):
             self.net.accepting['memory', number] = self.accept
             self.routes.member_changed(member(number))
+        self.pool = SilentDialler(self.net)
         self.dispatcher = Dispatcher(
-            self.routes, MemoryDialler(self.net), self.clock, NoMetrics()
+            self.routes, self.pool, self.clock, NoMetrics()
         )
 
     async def accept(self, stream: FrameStream) -> None:
@@ -84,7 +110,7 @@
             await self.behave(stream, start)
 
     async def call(
-        self, *, may_repeat: bool = True
+        self, *, may_repeat: bool = True, key: str = ''
     ) -> tuple[Ending, RecordingSink]:
         """Run a call and return its ending and answer."""
         call = Call(
@@ -97,6 +123,8 @@
             b'',
             deadline=self.clock.now() + DEADLINE_S,
             may_repeat=may_repeat,
+            at_most_once=bool(key),
+            key=key,
         )
         sink = RecordingSink()
         ending = await self.dispatcher.run(call, sink)
@@ -208,6 +236,44 @@
             self.assertEqual(ending.code, 'wrong-answer')
             self.assertEqual((sink.heads, sink.received), (0, b''))
 
+    @in_virtual_time
+    async def test_endpoint_silent_while_connecting(self) -> None:
+        """Guard against a refusal since the only endpoint is silent for 2 s."""
+        for key, retries in (('', 10), ('', 0), ('vm-0.1.1.a', 10)):
+            async with running() as fleet:
+                fleet.dispatcher._budget.set_limits(0, retries)
+                fleet.pool.silent_until['memory', 0] = fleet.clock.now() + 2
+                ending, sink = await fleet.call(may_repeat=False, key=key)
+            self.assertEqual(ending.outcome, Outcome.ANSWERED, key)
+            self.assertEqual(sink.received, BODY)
+            self.assertEqual(len(fleet.starts), 1)
+
+    @in_virtual_time
+    async def test_other_endpoint_before_a_silent_one(self) -> None:
+        """Guard against calls that wait for a silent endpoint in vain."""
+        async with running(endpoints=2) as fleet:
+            fleet.routes.load('vm-1').sent = 4
+            fleet.pool.silent_until['memory', 0] = 9
+            ending, _ = await fleet.call()
+            self.assertEqual(ending.outcome, Outcome.ANSWERED)
+            found = [port for _, port in fleet.pool.dialled]
+            self.assertEqual(found, [0, 1])
+
+    @in_virtual_time
+    async def test_endpoint_that_stays_silent(self) -> None:
+        """Guard against calls without a refusal, or without a true one."""
+        for key, expected in (
+            ('', Outcome.NOT_RUN),
+            ('vm-0.1.1.a', Outcome.UNKNOWN),
+        ):
+            async with running() as fleet:
+                began = fleet.clock.now()
+                fleet.pool.silent_until['memory', 0] = began + 9
+                ending, _ = await fleet.call(may_repeat=False, key=key)
+                self.assertLess(fleet.clock.now(), began + 4)
+            self.assertEqual(ending.outcome, expected)
+            self.assertEqual(ending.code, 'connect-failed')
+
 
 if __name__ == '__main__':
     unittest.main()
--- a/tests/test_frames.py
+++ b/tests/test_frames.py
@@ -1,6 +1,7 @@
 """Decoding arbitrary bytes neither crashes nor uses much memory."""
 
 import asyncio
+import ssl
 import unittest
 from unittest import mock
 
@@ -14,6 +15,7 @@
 from linnetwood.wire import codec, frames
 from linnetwood.wire.connections import TcpDialler, WireServer
 from linnetwood.wire.frames import Frame, FrameKind, FrameStream
+from tests.loops import close_server
 
 QUIET = settings(
     max_examples=200,
@@ -184,6 +186,23 @@
         with self.assertRaisesRegex(WireError, 'connect-failed'):
             await TcpDialler().dial(('127.0.0.1', port))
 
+    async def test_silence_is_told_from_a_refusal(self) -> None:
+        """Guard against a silent peer that is taken for one that is gone."""
+        server = await asyncio.start_server(hold, '127.0.0.1', 0)
+        address = server.sockets[0].getsockname()
+        dialler = TcpDialler(ssl.create_default_context(), timeout_s=0.05)
+        with self.assertRaisesRegex(WireError, 'connect-timeout'):
+            await dialler.dial(address)
+        await close_server(server)
+
+
+async def hold(
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+) -> None:
+    """Read until the other side closes."""
+    await reader.read()
+    writer.close()
+
 
 if __name__ == '__main__':
     unittest.main()
