End a call that waits for a slot when its caller leaves

A closed connection cancelled only a call that had been admitted. Ruled out: the queue, which gives back the place or slot of a cancelled call (second new test, also on the code before). The new test ran into its time limit before: the call went on waiting.

--- a/src/linnetwood/calls/callers.py
+++ b/src/linnetwood/calls/callers.py
@@ -4,9 +4,9 @@
 import dataclasses
 import json
 import secrets
-from collections.abc import Iterable
+from collections.abc import Coroutine, Iterable
 from types import MappingProxyType
-from typing import Any, Protocol, cast
+from typing import Any, Protocol, TypeVar, cast
 
 from tornado.httputil import HTTPConnection, HTTPServerRequest
 from tornado.iostream import StreamClosedError
@@ -57,6 +57,8 @@
     },
 )
 
+_Result = TypeVar('_Result')
+
 
 class AdmissionGate(Protocol):
     """Admit calls and count those in flight."""
@@ -241,43 +243,25 @@
         """Keep the shared context; no call is running yet."""
         super().initialize(context)
         self.call_id = ''
-        self._running_call: asyncio.Future[Ending] | None = None
+        self._is_caller_gone = False
+        self._running_step: asyncio.Future[Any] | None = None
 
     def on_connection_close(self) -> None:
         """Cancel the call when its caller disconnects."""
-        if self._running_call is not None:
-            self._running_call.cancel()
+        self._is_caller_gone = True
+        if self._running_step is not None:
+            self._running_step.cancel()
 
     async def run_call(self, call: Call) -> None:
         """Admit, dispatch and finish the call."""
-        context = self.context
-        admission_request = AdmissionRequest(
-            call.target,
-            self.request.headers.get(ORGANISATION_HEADER, ''),
-            call.deadline,
-            parse_priority(self.request.headers.get(PRIORITY_HEADER, '')),
-        )
-        refused = await context.gate.enter(admission_request)
-        if refused is not None:
-            self.finish_call(refused, _AnswerWriter(self))
-            return
         self.call_id = call.call_id
         answer = _AnswerWriter(self)
-        began = context.clock.now()
-        span = context.traces.span('entry', call.traceparent)
-        call = dataclasses.replace(call, traceparent=span.traceparent)
-        self._running_call = asyncio.ensure_future(
-            context.dispatcher.run(call, answer),
-        )
         try:
-            ending = await self._running_call
+            ending = await self._admit_and_run(call, answer)
         except (StreamClosedError, asyncio.CancelledError):
             if not answer.stalled:
                 log(Event.CALL_CUT, call=call.call_id, code='caller-gone')
             return
-        finally:
-            context.gate.leave(admission_request, context.clock.now() - began)
-            span.end(call=call.call_id)
         self.finish_call(ending, answer)
 
     def finish_call(self, ending: Ending, answer: _AnswerWriter) -> None:
@@ -306,6 +290,35 @@
             limit_s = min(limit_s, int(requested) / _MILLISECONDS)
         return self.context.clock.now() + limit_s
 
+    async def _admit_and_run(self, call: Call, answer: _AnswerWriter) -> Ending:
+        context = self.context
+        admission_request = AdmissionRequest(
+            call.target,
+            self.request.headers.get(ORGANISATION_HEADER, ''),
+            call.deadline,
+            parse_priority(self.request.headers.get(PRIORITY_HEADER, '')),
+        )
+        refused = await self._unless_gone(context.gate.enter(admission_request))
+        if refused is not None:
+            return refused
+        began = context.clock.now()
+        span = context.traces.span('entry', call.traceparent)
+        call = dataclasses.replace(call, traceparent=span.traceparent)
+        try:
+            return await self._unless_gone(context.dispatcher.run(call, answer))
+        finally:
+            context.gate.leave(admission_request, context.clock.now() - began)
+            span.end(call=call.call_id)
+
+    async def _unless_gone(self, step: Coroutine[Any, Any, _Result]) -> _Result:
+        """Run a step of the call, which ends when the caller disconnects."""
+        if self._is_caller_gone:
+            step.close()
+            raise asyncio.CancelledError
+        running = asyncio.ensure_future(step)
+        self._running_step = running
+        return await running
+
     def _count(self, ending: Ending) -> None:
         metric = {
             Outcome.ANSWERED: Metric.CALLS_ANSWERED,
--- a/tests/test_broken_calls.py
+++ b/tests/test_broken_calls.py
@@ -1,4 +1,4 @@
-"""Calls of the product's own path that end by an unexpected error."""
+"""Calls of the product's own path whose callers leave, or that errors end."""
 
 import asyncio
 import unittest
@@ -7,14 +7,17 @@
 
 from tornado.netutil import bind_sockets
 
+from linnetwood.calls.admission import Admission, AdmissionRequest
 from linnetwood.calls.callers import HandlerContext, application
 from linnetwood.calls.callersockets import CallerServer
 from linnetwood.calls.dispatch import AnswerSink, Call
+from linnetwood.calls.fairness import QueueLimits
 from linnetwood.core.clock import SystemClock
 from linnetwood.core.metrics import NoMetrics
 from linnetwood.core.outcomes import Ending
 from linnetwood.core.traces import NoTraces
 from linnetwood.gen.wire.ttypes import Head
+from tests.clocks import ManualClock
 from tests.test_curldriver import HOST
 
 LIMIT_S = 30
@@ -22,14 +25,30 @@
 
 
 class Scripted:
-    """Admit every call, and let a test run it."""
+    """Admit calls when a test says so, and run them as it says."""
 
     def __init__(self) -> None:
         self.behave: Behaviour = fail
+        self.admits = asyncio.Event()
+        self.admits.set()
+        # Admit a call in the step in which its caller leaves.
+        self.admits_gone = False
+        # Calls that wait for a slot, that got one, and that gave it back.
+        self.waiting = 0
+        self.entered = 0
         self.left = 0
 
     async def enter(self, _: object) -> None:
         """Admit a call."""
+        self.waiting += 1
+        try:
+            await self.admits.wait()
+        except asyncio.CancelledError:
+            if not self.admits_gone:
+                raise
+        finally:
+            self.waiting -= 1
+        self.entered += 1
 
     def leave(self, call: object, took_s: float) -> None:
         """Count calls that left."""
@@ -94,6 +113,56 @@
         self.assertTrue(received.endswith(b'\r\n4\r\npart\r\n'), received)
         self.assertEqual(self.scripted.left, 1)
 
+    async def test_caller_leaves_while_its_call_waits(self) -> None:
+        """Guard against a call that runs after its caller has left."""
+        for admits_gone in (False, True):
+            with self.subTest(admits_gone=admits_gone):
+                self.scripted.admits_gone = admits_gone
+                line = await self.line_of_gone_caller()
+                self.assertEqual(line.code, 'caller-gone')
+                self.assertEqual(self.scripted.entered, int(admits_gone))
+                self.assertEqual(self.scripted.left, int(admits_gone))
+
+    async def line_of_gone_caller(self) -> Any:
+        """Leave while a call waits, and return what is logged first."""
+        self.scripted.admits.clear()
+        _, writer = await asyncio.open_connection(HOST, self.port)
+        writer.write(b'GET /services/desk/x HTTP/1.1\r\nHost: h\r\n\r\n')
+        await self.until(lambda: self.scripted.waiting == 1)
+        with self.assertLogs('linnetwood', 'INFO') as captured:
+            writer.close()
+            await self.until(lambda: bool(captured.records))
+        return captured.records[0]
+
+    async def until(self, happened: Callable[[], bool]) -> None:
+        """Wait for something that must happen."""
+        async with asyncio.timeout(LIMIT_S):
+            while not happened():
+                await asyncio.sleep(0.01)
+
+
+class WaitingTest(unittest.IsolatedAsyncioTestCase):
+    """Calls that leave the queue of a target with one slot."""
+
+    async def test_slot_of_a_call_that_leaves(self) -> None:
+        """Guard against a slot that is lost with the call that got it."""
+        for is_granted in (False, True):
+            with self.subTest(is_granted=is_granted):
+                gate = Admission(QueueLimits(), lambda _: 1, ManualClock())
+                call = AdmissionRequest('desk', '', 200)
+                self.assertIsNone(await gate.enter(call))
+                waiting = asyncio.create_task(gate.enter(call))
+                await asyncio.sleep(0)
+                if is_granted:
+                    gate.leave(call, 1)
+                waiting.cancel()
+                await asyncio.wait([waiting])
+                self.assertTrue(waiting.cancelled())
+                if not is_granted:
+                    gate.leave(call, 1)
+                self.assertEqual(gate.in_flight, 0)
+                self.assertIsNone(await gate.enter(call))
+
 
 if __name__ == '__main__':
     unittest.main()
