--- a/src/linnetwood/calls/backend.py
+++ b/src/linnetwood/calls/backend.py
@@ -73,14 +73,22 @@
 
     sink: BackendSink
     check: Callable[['_Exchange'], bool]
+    # Sent in place of the method that curl is given; empty for that one.
+    method: str = ''
     status: int = 0
     lines: list[str] = dataclasses.field(default_factory=list)
     begun: bool = False
     is_wrong: bool = False
 
-    def attach_header_callback(self, curl: pycurl.Curl) -> None:
-        """Let curl pass each header line to this exchange."""
+    def prepare(self, curl: pycurl.Curl) -> None:
+        """Let curl send the request once, and pass each header line here."""
         curl.setopt(pycurl.HEADERFUNCTION, self.header)
+        # If a kept connection ends without an answer, curl sends the request
+        # again on a new one, though the server may have run it.
+        curl.setopt(pycurl.FRESH_CONNECT, True)
+        curl.setopt(pycurl.FORBID_REUSE, True)
+        if self.method:
+            curl.setopt(pycurl.CUSTOMREQUEST, self.method)
 
     def header(self, line: bytes) -> None:
         """Receive a status or header line."""
@@ -132,11 +140,14 @@
         exchange: _Exchange,
     ) -> HTTPResponse:
         # Tornado's own header callback may run after the one for the body.
-        req.prepare_curl_callback = exchange.attach_header_callback
+        req.prepare_curl_callback = exchange.prepare
         req.streaming_callback = exchange.body
         req.follow_redirects = False
         req.decompress_response = False
-        return await fetch(self._client, req)
+        reply = await fetch(self._client, req)
+        if not exchange.begun and not _is_lost(reply):
+            exchange.open()
+        return reply
 
 
 class ServiceBackend(_HttpBackend):
@@ -145,6 +156,11 @@
     async def run(self, start: Start, body: bytes, sink: BackendSink) -> Ending:
         """Run one call."""
         exchange = _Exchange(sink, lambda _: True)
+        method = start.method
+        if method == 'GET' and body:
+            # The client refuses this, and sends any other method with a body.
+            exchange.method = method
+            method = 'PATCH'
         headers = HTTPHeaders()
         for line in _without_headers(
             end_to_end_headers(start.headers), _REQUEST_ONLY_HEADERS
@@ -153,14 +169,14 @@
             headers.add(name.strip(), text.strip())
         req = HTTPRequest(
             self._url + start.path,
-            method=start.method,
+            method=method,
             headers=headers,
-            body=body if body or start.method in _BODY_METHODS else None,
+            body=_sent_body(method, body),
             allow_nonstandard_methods=True,
             request_timeout=_timeout_s(start),
         )
         reply = await self._exchange(req, exchange)
-        return _ending(reply, exchange)
+        return _ending(reply)
 
 
 class EngineBackend(_HttpBackend):
@@ -183,12 +199,12 @@
             request_timeout=_timeout_s(start),
         )
         reply = await self._exchange(req, exchange)
+        if reply.code in {_BUSY, _NOT_FOUND}:
+            return not_run(Code.BACKEND_BUSY, f'engine said {reply.code}')
         if exchange.is_wrong:
             await self.cancel(start.call_id)
             return unknown(Code.WRONG_ANSWER, 'the engine answered otherwise')
-        if reply.code in {_BUSY, _NOT_FOUND}:
-            return not_run(Code.BACKEND_BUSY, f'engine said {reply.code}')
-        return _ending(reply, exchange)
+        return _ending(reply)
 
     async def cancel(self, call_id: str) -> None:
         """Ask the engine to stop a stream."""
@@ -202,21 +218,33 @@
         await fetch(self._client, req)
 
 
+def _sent_body(method: str, body: bytes) -> bytes | None:
+    # With a body, curl would send HEAD as PUT.
+    if method == 'HEAD' or not (body or method in _BODY_METHODS):
+        return None
+    return body
+
+
 def _timeout_s(start: Start) -> float:
     return max(1, start.deadline_ms) / _MILLISECONDS
 
 
 def _is_own_answer(exchange: _Exchange, start: Start) -> bool:
     if exchange.status in {_BUSY, _NOT_FOUND}:
-        return True
+        # A refusal is no answer, so another endpoint may be asked.
+        return False
     is_own = exchange.header_value(CALL_HEADER) == start.call_id
     return is_own and exchange.header_value(VERSION_HEADER) == start.version
 
 
-def _ending(reply: HTTPResponse, exchange: _Exchange) -> Ending:
-    if reply.code != NO_ANSWER or reply.error is None:
-        if not exchange.begun:
-            exchange.open()
+def _is_lost(reply: HTTPResponse) -> bool:
+    # The error of a real answer with this status holds that answer.
+    is_status = getattr(reply.error, 'response', None) is not None
+    return reply.code == NO_ANSWER and not is_status
+
+
+def _ending(reply: HTTPResponse) -> Ending:
+    if not _is_lost(reply):
         return ANSWERED
     detail = str(reply.error)
     errno = reply.error.errno if isinstance(reply.error, CurlError) else 0
--- a/src/linnetwood/calls/dispatch.py
+++ b/src/linnetwood/calls/dispatch.py
@@ -21,10 +21,11 @@
 )
 from linnetwood.gen.wire.ttypes import End, Head, Member, Start
 from linnetwood.wire.codec import decode, encode
-from linnetwood.wire.connections import Address, Pool
-from linnetwood.wire.frames import FrameKind, FrameStream
+from linnetwood.wire.connections import CONNECT_TIMEOUT, Address, Pool
+from linnetwood.wire.frames import Frame, FrameKind, FrameStream
 
 _MILLISECONDS = 1000
+_NO_HEAD = unknown(Code.WRONG_ANSWER, 'no head')
 _UNUSED_KEY_REFUSALS = frozenset(
     (Code.KEY_OTHER_OWNER.value, Code.KEY_EXPIRED.value),
 )
@@ -70,15 +71,46 @@
 class _Attempt:
     """Hold the progress of one attempt."""
 
-    __slots__ = ('begun', 'key', 'sent', 'version')
-
-    def __init__(self, key: str, version: str) -> None:
+    __slots__ = (
+        'begun',
+        'key',
+        'may_reuse',
+        'reused',
+        'sent',
+        'silent',
+        'version',
+    )
+
+    def __init__(self, key: str, version: str, *, may_reuse: bool) -> None:
         self.key = key
         self.version = version
+        self.may_reuse = may_reuse
+        # The connection was kept from an earlier call.
+        self.reused = False
+        # The endpoint was silent while connecting; it may go on.
+        self.silent = False
         self.sent = False
         self.begun = False
 
 
+class _Tried:
+    """Hold the endpoints that a call was sent to."""
+
+    __slots__ = ('again', 'vms')
+
+    def __init__(self) -> None:
+        self.vms: set[str] = set()
+        # Of these, the ones to try again if there is no other.
+        self.again: set[str] = set()
+
+    def add(self, vm: str, *, may_try_again: bool) -> None:
+        self.vms.add(vm)
+        if may_try_again:
+            self.again.add(vm)
+        else:
+            self.again.discard(vm)
+
+
 class Dispatcher:
     """Choose endpoints for calls and retry where that is safe."""
 
@@ -103,19 +135,27 @@
         """Run a call and give its ending."""
         self._budget.earn()
         self._probe_load(call.query)
-        tried: set[str] = set()
+        tried = _Tried()
         endings: list[Ending] = []
         for _ in range(MAX_ATTEMPTS):
-            member = self._routes.choose(call.query, tried, self._clock.now())
+            member = self._choose(call.query, tried)
             if member is None:
                 break
-            tried.add(member.vm)
-            attempt = self._new_attempt(call, member)
-            endings.append(await self._run_attempt(call, member, attempt, sink))
-            if not self._should_retry(call, endings[-1], attempt):
+            attempt = self._new_attempt(call, member, is_first=not endings)
+            ending = await self._run_attempt(call, member, attempt, sink)
+            endings.append(ending)
+            tried.add(member.vm, may_try_again=_may_try_again(attempt, ending))
+            if not self._should_retry(call, ending, attempt):
                 break
         return conclude(endings) if endings else self._no_endpoint_ending(call)
 
+    def _choose(self, query: EndpointQuery, tried: _Tried) -> Member | None:
+        now = self._clock.now()
+        member = self._routes.choose(query, tried.vms, now)
+        if member is None and tried.again:
+            return self._routes.choose(query, tried.vms - tried.again, now)
+        return member
+
     def _probe_load(self, query: EndpointQuery) -> None:
         member = self._routes.sample(query) if self._probe else None
         if member is not None and self._probe is not None:
@@ -124,15 +164,15 @@
     def _should_retry(
         self, call: Call, ending: Ending, attempt: _Attempt
     ) -> bool:
-        if call.key:
-            return False
-        is_safe = may_retry(
-            ending,
-            may_repeat=call.may_repeat,
-            begun=attempt.begun,
-        )
-        if not is_safe or not self._budget.spend():
-            return False
+        # After silence no endpoint has got the call, so it is no repeat.
+        if not attempt.silent:
+            is_safe = not call.key and may_retry(
+                ending,
+                may_repeat=call.may_repeat,
+                begun=attempt.begun,
+            )
+            if not is_safe or not self._budget.spend():
+                return False
         self._metrics.count(Metric.CALLS_RETRIED)
         return True
 
@@ -144,11 +184,17 @@
             return not_run(Code.UNKNOWN_TARGET, call.target)
         return not_run(Code.NO_ENDPOINT, call.target)
 
-    def _new_attempt(self, call: Call, member: Member) -> _Attempt:
+    def _new_attempt(
+        self, call: Call, member: Member, *, is_first: bool
+    ) -> _Attempt:
         key = call.key
         if call.at_most_once and not key:
             key = mint_key(member, call.call_id)
-        return _Attempt(key, member.serving if call.query.model else '')
+        version = member.serving if call.query.model else ''
+        # An idle connection may be dead unnoticed; a call sent on it would be
+        # lost.
+        may_reuse = call.may_repeat and is_first
+        return _Attempt(key, version, may_reuse=may_reuse)
 
     async def _run_attempt(
         self,
@@ -165,7 +211,7 @@
         ending = unknown(Code.CONNECTION_LOST, 'cut short')
         try:
             async with asyncio.timeout(call.deadline - self._clock.now()):
-                stream = await self._connect(address, call)
+                stream = await self._connect(address, attempt)
                 ending = await self._exchange(call, attempt, stream, sink)
         except TimeoutError:
             ending = self._failure_ending(
@@ -174,6 +220,7 @@
         except (WireError, CodecError) as exc:
             code = Code.CONNECTION_LOST if attempt.sent else Code.CONNECT_FAILED
             ending = self._failure_ending(call, attempt, code, str(exc))
+            attempt.silent = exc.code == CONNECT_TIMEOUT
             if not sink.was_held_up:
                 load.failed_at = self._clock.now()
         finally:
@@ -181,13 +228,14 @@
             self._release(address, stream, ending)
         return self._caller_ending(call, ending)
 
-    async def _connect(self, address: Address, call: Call) -> FrameStream:
-        if call.may_repeat:
+    async def _connect(
+        self, address: Address, attempt: _Attempt
+    ) -> FrameStream:
+        if attempt.may_reuse:
             idle_stream = self._pool.reuse(address)
             if idle_stream is not None:
+                attempt.reused = True
                 return idle_stream
-        # An idle connection may be dead unnoticed; a call sent on it would be
-        # lost.
         return await self._pool.dial(address)
 
     def _release(
@@ -216,16 +264,31 @@
         await stream.write(FrameKind.BODY, call.body)
         while True:
             frame = await stream.read()
-            if frame.kind == FrameKind.BODY:
-                await sink.body(frame.payload)
-            elif frame.kind == FrameKind.HEAD:
-                head = decode(Head, frame.payload)
-                if not _is_own_head(head, call, attempt):
-                    return unknown(Code.WRONG_ANSWER, head.call_id)
-                attempt.begun = True
-                await sink.head(head, attempt.key)
-            else:
-                return self._read_ending(frame.payload, call)
+            ending = await self._take_frame(frame, call, attempt, sink)
+            if ending is not None:
+                return ending
+
+    async def _take_frame(
+        self,
+        frame: Frame,
+        call: Call,
+        attempt: _Attempt,
+        sink: AnswerSink,
+    ) -> Ending | None:
+        """Pass a frame of the answer on; return how the attempt ends by it."""
+        if frame.kind == FrameKind.BODY:
+            if not attempt.begun:
+                return _NO_HEAD
+            await sink.body(frame.payload)
+        elif frame.kind == FrameKind.HEAD:
+            head = decode(Head, frame.payload)
+            if not _is_own_head(head, call, attempt):
+                return unknown(Code.WRONG_ANSWER, head.call_id)
+            attempt.begun = True
+            await sink.head(head, attempt.key)
+        else:
+            return self._read_ending(frame.payload, call, attempt)
+        return None
 
     def _start(self, call: Call, attempt: _Attempt) -> Start:
         left_s = call.deadline - self._clock.now()
@@ -241,12 +304,14 @@
             traceparent=call.traceparent,
         )
 
-    def _read_ending(self, payload: bytes, call: Call) -> Ending:
+    def _read_ending(
+        self, payload: bytes, call: Call, attempt: _Attempt
+    ) -> Ending:
         end = decode(End, payload)
         if end.call_id != call.call_id:
             return unknown(Code.WRONG_ANSWER, end.call_id)
         if end.outcome == Outcome.ANSWERED:
-            return ANSWERED
+            return ANSWERED if attempt.begun else _NO_HEAD
         return Ending(
             Outcome(end.outcome),
             end.code,
@@ -310,6 +375,15 @@
     ).text()
 
 
+def _may_try_again(attempt: _Attempt, ending: Ending) -> bool:
+    """Return whether a new connection to the same endpoint may do better."""
+    if attempt.silent:
+        return True
+    # A kept connection may have ended before the call came.
+    is_lost = ending.code == Code.CONNECTION_LOST.value
+    return is_lost and attempt.reused and not attempt.begun
+
+
 def _is_own_head(head: Head, call: Call, attempt: _Attempt) -> bool:
     if head.call_id != call.call_id:
         return False
--- /dev/null
+++ b/tests/test_backend.py
@@ -0,0 +1,195 @@
+"""Requests to an engine or service that keeps or breaks its connections."""
+
+import asyncio
+import unittest
+
+from linnetwood.calls.backend import (
+    Backend,
+    EngineBackend,
+    ServiceBackend,
+)
+from linnetwood.core.outcomes import Code, Ending, Outcome
+from linnetwood.gen.wire.ttypes import Start
+from linnetwood.wire.http import open_client
+from tests.test_curldriver import (
+    HOST,
+    WHOLE,
+    Server,
+    read_request,
+    respond_with,
+)
+
+CLIENTS = 2
+KEPT = (
+    b'HTTP/1.1 200 OK\r\nX-Call: c\r\nX-Model-Version: v\r\n'
+    b'Content-Length: 2\r\n\r\nok'
+)
+
+
+def start_of(method: str = 'POST', path: str = '/confirm') -> Start:
+    """Return a call that reaches the back end."""
+    return Start('c', 'desk', 60000, method, path, [], 'v', 'key', '')
+
+
+class RecordingSink:
+    """Record the answer of a back end."""
+
+    def __init__(self) -> None:
+        self.statuses: list[int] = []
+        self.received = b''
+
+    def head(self, status: int, headers: list[str], version: str) -> None:
+        """Record the status."""
+        self.statuses.append(status)
+
+    def body(self, piece: bytes) -> None:
+        """Record a piece of the body."""
+        self.received += piece
+
+
+class KeptConnectionTest(unittest.IsolatedAsyncioTestCase):
+    """A server keeps its connection, then dies with a request it has read."""
+
+    async def asyncSetUp(self) -> None:
+        self.server = Server(self.answer_then_die)
+        port = await self.server.start()
+        self.client = open_client(CLIENTS)
+        url = f'http://{HOST}:{port}'
+        self.backends: tuple[Backend, ...] = (
+            ServiceBackend(url, self.client),
+            EngineBackend(url, self.client),
+        )
+        self.stops_listening = False
+
+    async def asyncTearDown(self) -> None:
+        self.client.close()
+        await self.server.close()
+
+    async def answer_then_die(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Answer the first request; close on the second without an answer."""
+        if len(self.server.requests) == 1:
+            writer.write(KEPT)
+            self.server.requests.append(await read_request(reader))
+        if self.stops_listening:
+            self.server.stop_listening()
+
+    async def run_two(self, backend: Backend) -> Ending:
+        """Run two calls and return the ending of the second."""
+        self.server.requests.clear()
+        first = await backend.run(start_of(), b'slot', RecordingSink())
+        self.assertEqual(first.outcome, Outcome.ANSWERED)
+        return await backend.run(start_of(), b'slot', RecordingSink())
+
+    async def test_request_is_sent_once(self) -> None:
+        """Guard against a second run of a call whose server broke off."""
+        for backend in self.backends:
+            with self.subTest(backend=type(backend).__name__):
+                ending = await self.run_two(backend)
+                self.assertEqual(len(self.server.requests), 2)
+                self.assertEqual(ending.outcome, Outcome.UNKNOWN)
+
+    async def test_call_that_may_have_run_is_unknown(self) -> None:
+        """Guard against "not run" for a call that its server had read."""
+        self.stops_listening = True
+        ending = await self.run_two(self.backends[0])
+        self.assertEqual(len(self.server.requests), 2)
+        self.assertEqual(ending.code, Code.BACKEND_LOST.value)
+
+
+class MethodTest(unittest.IsolatedAsyncioTestCase):
+    """Forward requests of each method, with and without a body."""
+
+    async def forwarded(
+        self, method: str, body: bytes, answer: bytes = WHOLE
+    ) -> tuple[bytes, RecordingSink]:
+        """Forward a request; return it as the service read it, and the answer.
+
+        The service must have got it once and have answered it.
+        """
+        server = Server(respond_with(answer))
+        client = open_client(CLIENTS)
+        service = ServiceBackend(
+            f'http://{HOST}:{await server.start()}', client
+        )
+        sink = RecordingSink()
+        try:
+            ending = await service.run(start_of(method, '/a?b=1'), body, sink)
+        finally:
+            client.close()
+            await server.close()
+        self.assertEqual(ending.outcome, Outcome.ANSWERED)
+        self.assertEqual(len(server.requests), 1)
+        return server.requests[0], sink
+
+    async def test_method_and_body_are_forwarded(self) -> None:
+        """Guard against a request that is refused or sent by another method."""
+        methods = ('GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE', 'OPTIONS')
+        for method in methods:
+            for body in (b'', b'abc'):
+                with self.subTest(method=method, body=body):
+                    request, sink = await self.forwarded(method, body)
+                    self.assertEqual(sink.statuses, [200])
+                    head, _, received = request.partition(b'\r\n\r\n')
+                    line = f'{method} /a?b=1 HTTP/1.1\r\n'.encode()
+                    self.assertTrue(head.startswith(line), head)
+                    # Content of a HEAD request has no meaning.
+                    expected = b'' if method == 'HEAD' else body
+                    self.assertEqual(received, expected)
+
+    async def test_any_status_is_an_answer(self) -> None:
+        """Guard against a status that is taken for a lost connection."""
+        for status in (204, 304, 404, 500, 503, 599):
+            with self.subTest(status=status):
+                answer = f'HTTP/1.1 {status} X\r\nContent-Length: 0\r\n\r\n'
+                _, sink = await self.forwarded('GET', b'', answer.encode())
+                self.assertEqual(sink.statuses, [status])
+
+
+class EngineAnswerTest(unittest.IsolatedAsyncioTestCase):
+    """Answers of engines that are not those of the call."""
+
+    async def ran(self, answer: bytes) -> tuple[Ending, RecordingSink]:
+        """Run a call at an engine that gives this answer."""
+        server = Server(respond_with(answer))
+        client = open_client(CLIENTS)
+        engine = EngineBackend(f'http://{HOST}:{await server.start()}', client)
+        sink = RecordingSink()
+        try:
+            ending = await engine.run(start_of(), b'{}', sink)
+        finally:
+            client.close()
+            await server.close()
+        return ending, sink
+
+    async def test_refusal_is_no_answer(self) -> None:
+        """Guard against a refusal with a body that ends retries."""
+        for status in (404, 503):
+            for body in (b'', b'busy'):
+                with self.subTest(status=status, body=body):
+                    head = f'HTTP/1.1 {status} X\r\nContent-Length: {len(body)}'
+                    answer = head.encode() + b'\r\n\r\n' + body
+                    ending, sink = await self.ran(answer)
+                    self.assertEqual(ending.outcome, Outcome.NOT_RUN)
+                    self.assertEqual(sink.statuses, [])
+                    self.assertEqual(sink.received, b'')
+
+    async def test_answer_of_another_call_is_dropped(self) -> None:
+        """Guard against an answer that is not that of the call."""
+        empty = b'HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n'
+        cases = (
+            KEPT.replace(b'X-Call: c', b'X-Call: c2'),
+            KEPT.replace(b'X-Model-Version: v', b'X-Model-Version: v2'),
+            empty,
+            empty.replace(b'500', b'200'),
+        )
+        for wrong in cases:
+            with self.subTest(wrong=wrong):
+                ending, sink = await self.ran(wrong)
+                self.assertEqual(ending.code, Code.WRONG_ANSWER.value)
+                self.assertEqual(sink.statuses, [])
+
+
+if __name__ == '__main__':
+    unittest.main()
