Undo what a silence cost an endpoint as soon as it goes on

Now what held before the silence is restored with the first byte, and a silence before the first event counts as late at the moment it is noticed. An attempt that another one ended in its last turn has its line and its count; every attempt sent beside another is logged; none is sent with less than the route's target left, as it can't begin.

--- a/src/linnetwood/calls/attempt.py
+++ b/src/linnetwood/calls/attempt.py
@@ -157,6 +157,7 @@
         held: HeldBytes | None = None,
     ) -> None:
         """Expect a stream of events, or an answer to deliver complete."""
+        # When anything arrived; until then, when it was sent.
         self.last_received_at = clock_now
         self.first_event_at = float()
         self.longest_gap_s = float()
--- a/src/linnetwood/calls/attemptrace.py
+++ b/src/linnetwood/calls/attemptrace.py
@@ -58,6 +58,11 @@
         running.attempt.on_progress = partial(self._keep_only, running)
         self.attempts.append(running)
 
+    @property
+    def silent(self) -> list[RunningAttempt]:
+        """Return the attempts that are silent, as `take_silent` found them."""
+        return [one for one in self.attempts if one.attempt.silent]
+
     def take_silent(self) -> list[RunningAttempt]:
         """Return the attempts that have fallen silent since the last time."""
         now = self._loop.time()
--- a/src/linnetwood/calls/attemptrecorder.py
+++ b/src/linnetwood/calls/attemptrecorder.py
@@ -6,6 +6,7 @@
 from linnetwood.calls.attempt import Attempt, AttemptOutcome, AttemptResult
 from linnetwood.calls.attempthistory import WaitingCount, endpoint_failed
 from linnetwood.calls.attemptlog import SentAttempt
+from linnetwood.calls.attemptrace import RunningAttempt
 from linnetwood.calls.choice import Choice, Chooser
 from linnetwood.calls.dialect import Urgency
 from linnetwood.calls.directcall import DirectCall
@@ -69,11 +70,15 @@
                 now,
             )
 
-    def note_silence(self, choice: Choice, now: float) -> None:
+    def note_silence(
+        self, call: DirectCall, silent: RunningAttempt, now: float
+    ) -> None:
         """Avoid an endpoint until it goes on; one that is slow may be sound."""
-        stats = self._stats_of(choice)
+        stats = self._stats_of(silent.sent.choice)
         if not stats.is_slow(now):
-            stats.record_unreachable(now)
+            stats.record_silence(now)
+        if not silent.attempt.first_event_at:
+            self._update_lateness(call, silent.sent)
 
     def note_result(
         self,
@@ -90,11 +95,8 @@
             self._record_success(sent_attempt, attempt)
         elif endpoint_failed(attempt, result):
             stats.record_failure()
-        elif result.outcome is AttemptOutcome.STALLED:
-            self._record_stalled(call, sent_attempt, attempt)
-        if not result.reached:
-            stats.record_unreachable(self._loop.time())
-            self._mark_cold(call, sent_attempt.choice)
+        else:
+            self._record_unanswered(call, sent_attempt, result)
 
     def _stats_of(self, choice: Choice) -> EndpointStats:
         return self._chooser.stats_of(choice.endpoint.incarnation_id)
@@ -106,15 +108,19 @@
         if not attempt.first_event_at:
             self._record_start(sent_attempt)
 
-    def _record_stalled(
-        self, call: DirectCall, sent_attempt: SentAttempt, attempt: Attempt
+    def _record_unanswered(
+        self, call: DirectCall, sent_attempt: SentAttempt, result: AttemptResult
     ) -> None:
         now = self._loop.time()
         choice = sent_attempt.choice
-        if not self._stats_of(choice).is_slow(now):
+        stats = self._stats_of(choice)
+        if not result.reached:
+            stats.record_unreachable(now)
+            self._mark_cold(call, choice)
+            return
+        stalled = result.outcome is AttemptOutcome.STALLED
+        if stalled and not stats.is_slow(now):
             self._mark_cold(call, choice)
-        if not attempt.first_event_at:
-            self._update_lateness(call, sent_attempt)
 
     def _mark_cold(self, call: DirectCall, choice: Choice) -> None:
         """Take an endpoint that may have restarted as cold."""
--- a/src/linnetwood/calls/callrun.py
+++ b/src/linnetwood/calls/callrun.py
@@ -39,6 +39,17 @@
         sent = self.history.reached + len(self.race.attempts)
         return self.call.route.attempts - sent
 
+    def beside_refusal(
+        self, now: float, *, is_suspected: bool
+    ) -> RetryRefusal | None:
+        """Return why no attempt may be sent beside those that are silent."""
+        # No endpoint is expected to begin before the route's target.
+        if self.call.deadline - now < self.call.route.target_s:
+            return RetryRefusal.NO_TIME
+        return self.refusal(
+            AttemptOutcome.STALLED, now, is_suspected=is_suspected
+        )
+
     def decisive(self, result: AttemptResult) -> AttemptResult:
         """Return the result that shows how the call stands after a new one."""
         if self._last is None or result.outcome not in ENDED_BY_OTHERS:
@@ -50,8 +61,7 @@
     ) -> RetryRefusal | None:
         """Return why no other attempt may be sent, apart from the budget.
 
-        `last` is the outcome of the last attempt, or STALLED for those that are
-        silent.
+        `last` is the outcome of the last attempt.
         """
         call = self.call
         is_resumable = call.route.repeat is Repeat.RESUME
--- a/src/linnetwood/calls/direct.py
+++ b/src/linnetwood/calls/direct.py
@@ -4,7 +4,7 @@
 import dataclasses
 import functools
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from linnetwood.calls.attempt import (
     AnswerSink,
@@ -158,6 +158,7 @@
                 result = await self._last_result(run)
             if result.outcome is AttemptOutcome.ANSWERED:
                 self._deliver(run.answer, result)
+                self._abandon_others(run)
                 return ANSWERED
             refusal = self._refusal(run, result)
             if refusal is not None:
@@ -185,15 +186,14 @@
         for one in run.race.take_silent():
             # Each silence is logged, also where the decision is the same.
             run.decision = ''
-            self.recorder.note_silence(one.sent.choice, now)
-        refusal = run.refusal(
-            AttemptOutcome.STALLED, now, is_suspected=self._is_suspected(run)
-        )
+            self.recorder.note_silence(run.call, one, now)
+        silent = run.race.silent
+        refusal = run.beside_refusal(now, is_suspected=self._is_suspected(run))
         if refusal is None and not self._spend_retry(run):
             refusal = RetryRefusal.NO_BUDGET
         if refusal is None:
             refusal = self._start_beside(run, now)
-        self._log_silence(run, refusal, now)
+        self._log_silence(run, silent, refusal)
 
     def _start_beside(self, run: CallRun, now: float) -> RetryRefusal | None:
         """Send an attempt that was taken from the budget, or put it back."""
@@ -317,16 +317,28 @@
     ) -> AttemptResult:
         """Record how an attempt ended, and return its result."""
         self._release(run, ended)
+        endpoint = ended.sent.choice.endpoint
+        result = await self._checked(ended.attempt, endpoint)
+        self._record(run, ended, result)
+        return result
+
+    def _abandon_others(self, run: CallRun) -> None:
+        """End and record the attempts in progress once one has answered."""
+        for one in tuple(run.race.attempts):
+            one.attempt.abandon()
+            self._release(run, one)
+            self._record(run, one, one.attempt.fut.result())
+
+    def _record(
+        self, run: CallRun, ended: RunningAttempt, result: AttemptResult
+    ) -> None:
         attempt = ended.attempt
         choice = ended.sent.choice
-        endpoint = choice.endpoint
-        result = await self._checked(attempt, endpoint)
-        run.history.add(endpoint.incarnation_id, result)
+        run.history.add(choice.endpoint.incarnation_id, result)
         self.recorder.note_result(run.call, ended.sent, attempt, result)
         self._report_to_crash_observer(run.call, choice, attempt, result)
         now = self._loop.time()
         record_attempt(ended.sent, attempt, result, now, self._metrics)
-        return result
 
     def _release(self, run: CallRun, ended: RunningAttempt) -> None:
         """Cancel an attempt in progress, and count it no longer."""
@@ -479,19 +491,23 @@
         return run.budget.spend(self._pressure(run.call))
 
     def _log_silence(
-        self, run: CallRun, refusal: RetryRefusal | None, now: float
+        self,
+        run: CallRun,
+        silent: Sequence[RunningAttempt],
+        refusal: RetryRefusal | None,
     ) -> None:
         decision = 'sent beside' if refusal is None else refusal.value
-        if decision == run.decision:
+        if refusal is not None and decision == run.decision:
             return
         run.decision = decision
         self._metrics.count(Metric.STREAMS_SILENT, kind=decision)
-        for one in run.race.attempts:
+        now = self._loop.time()
+        for one in silent:
             endpoint = one.sent.choice.endpoint
             stats = self._chooser.stats_of(endpoint.incarnation_id)
             silence = Silence(
                 now - one.attempt.last_received_at,
-                stats.in_flight,
+                stats.in_flight - 1,
                 load_estimate(stats, now).report_age_ms,
                 run.attempts_left,
                 run.budget.left,
--- a/src/linnetwood/calls/endpointstats.py
+++ b/src/linnetwood/calls/endpointstats.py
@@ -81,6 +81,15 @@
         return now - self.received_at < limit_s
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Avoidance:
+    """Why an endpoint gets fewer calls: failures, and a back-off."""
+
+    failure_rate: float
+    backoff_s: float
+    backoff_until: float
+
+
 class EndpointStats:
     """The load, failures and last report of one incarnation."""
 
@@ -95,6 +104,7 @@
         'report',
         '_notice_report',
         '_pace',
+        '_before_silence',
         'sent_since_report',
         'backoff_s',
         'backoff_until',
@@ -113,6 +123,8 @@
         self.backoff_s = _BACKOFF_FIRST_S
         self.backoff_until = -math.inf
         self._misdirected_at = -math.inf
+        # What held before its streams fell silent.
+        self._before_silence: _Avoidance | None = None
         self.report: Report | None = None
         # The last report with a notice.
         self._notice_report: Report | None = None
@@ -159,6 +171,7 @@
 
     def record_success(self) -> None:
         """Record a good answer."""
+        self._before_silence = None
         self.failure_rate -= _FAILURE_WEIGHT * self.failure_rate
         self.backoff_s = _BACKOFF_FIRST_S
 
@@ -173,10 +186,22 @@
         self.backoff_until = now + self.backoff_s
         self.backoff_s = min(_BACKOFF_MAX_S, self.backoff_s * 2)
 
+    def record_silence(self, now: float) -> None:
+        """Back off from a silent endpoint, until it goes on."""
+        if self._before_silence is None:
+            self._before_silence = _Avoidance(
+                self.failure_rate, self.backoff_s, self.backoff_until
+            )
+        self.record_unreachable(now)
+
     def record_resumed(self) -> None:
         """Record that a silent endpoint goes on, so it is no longer avoided."""
-        self.backoff_s = _BACKOFF_FIRST_S
-        self.backoff_until = -math.inf
+        before = self._before_silence
+        if before is not None:
+            self.failure_rate = before.failure_rate
+            self.backoff_s = before.backoff_s
+            self.backoff_until = before.backoff_until
+            self._before_silence = None
 
     def record_misdirected(self, now: float) -> None:
         """Record that the process at the address refused a call for this one.
--- a/src/linnetwood/programs/forecasts.py
+++ b/src/linnetwood/programs/forecasts.py
@@ -50,7 +50,7 @@
 _NOT_RUN = int(Event.CALL_NOT_RUN)
 _ENDED = frozenset((_REFUSED, _NOT_RUN))
 _NO_ENDPOINT = 'no-endpoint'
-_RETRIED = frozenset(('stalled', 'taken-back'))
+_RETRIED = frozenset(('stalled', 'overtaken', 'taken-back'))
 
 FIRST_EVENT = 'time to the first event: admitted as in time, began late'
 ADMISSION = 'admission: refused though the engine began others in time'
