Avoid an endpoint that let a call run out of time and sent nothing

A time that is over says nothing of an endpoint that answered other calls meanwhile, and much of one that sent nothing at all since the call was sent: only the second counts as failed.

--- a/src/linnetwood/calls/attempt.py
+++ b/src/linnetwood/calls/attempt.py
@@ -291,6 +291,11 @@
         """Return whether another attempt went on since this one ended."""
         return self._answer.pieces != self._pieces_at_end
 
+    @property
+    def has_head(self) -> bool:
+        """Return whether the head of an answer arrived."""
+        return bool(self._status)
+
     @property
     def was_held_up(self) -> bool:
         """Return whether the endpoint may have cut off the unread answer."""
--- a/src/linnetwood/calls/attemptrecorder.py
+++ b/src/linnetwood/calls/attemptrecorder.py
@@ -89,6 +89,8 @@
     ) -> None:
         """Record how an attempt ended."""
         stats = self._stats_of(sent_attempt.choice)
+        if attempt.has_head:
+            stats.record_received(attempt.last_received_at)
         if result.misdirected:
             stats.record_misdirected(self._loop.time())
         elif result.outcome is AttemptOutcome.ANSWERED:
@@ -119,8 +121,12 @@
             self._mark_cold(call, choice)
             return
         stalled = result.outcome is AttemptOutcome.STALLED
+        timed_out = result.outcome is AttemptOutcome.TIMED_OUT
         if stalled and not stats.is_slow(now):
             self._mark_cold(call, choice)
+        # One that answered other calls meanwhile is sound.
+        if timed_out and stats.last_received_at < sent_attempt.sent_at:
+            stats.record_failure()
 
     def _mark_cold(self, call: DirectCall, choice: Choice) -> None:
         """Take an endpoint that may have restarted as cold."""
--- a/src/linnetwood/calls/endpointstats.py
+++ b/src/linnetwood/calls/endpointstats.py
@@ -99,6 +99,7 @@
         'delay_suspected_at',
         'failure_rate',
         'in_flight',
+        'last_received_at',
         '_misdirected_at',
         'notice_forwarded_at',
         'report',
@@ -123,6 +124,8 @@
         self.backoff_s = _BACKOFF_FIRST_S
         self.backoff_until = -math.inf
         self._misdirected_at = -math.inf
+        # When an attempt that has ended received anything from it.
+        self.last_received_at = -math.inf
         # What held before its streams fell silent.
         self._before_silence: _Avoidance | None = None
         self.report: Report | None = None
@@ -169,6 +172,10 @@
             self.delay_suspected_at = math.inf
             self.suspected_delay_s = 0
 
+    def record_received(self, received_at: float) -> None:
+        """Record when an attempt that has ended last received anything."""
+        self.last_received_at = max(self.last_received_at, received_at)
+
     def record_success(self) -> None:
         """Record a good answer."""
         self._before_silence = None
--- a/tests/test_direct.py
+++ b/tests/test_direct.py
@@ -58,6 +58,25 @@
     await reader.read()
 
 
+class AnswerFromSecond:
+    """Never answer the first request; answer later ones, or none."""
+
+    def __init__(self, answers: bool) -> None:
+        self.answers = answers
+        self.seen = 0
+
+    async def behave(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Behave as an endpoint does for a request."""
+        self.seen += 1
+        if self.answers and self.seen > 1:
+            writer.write(GOOD)
+            await writer.drain()
+        else:
+            await never_answer(reader, writer)
+
+
 class RecordingSink(AnswerSink):
     """Record the answer that a caller is sent."""
 
@@ -351,6 +370,19 @@
             (Outcome.UNKNOWN, Code.LATE.value),
         )
 
+    async def test_long_calls_do_not_count_against_their_endpoint(self) -> None:
+        """Guard against avoiding a sound endpoint, and trusting a dead one."""
+        for answers, is_avoided in ((True, False), (False, True)):
+            await self.asyncTearDown()
+            await self.asyncSetUp()
+            server = AnswerFromSecond(answers)
+            await self.serve(server.behave)
+            calls = [self.call(Repeat.NEVER, wait_s=0.3) for _ in range(2)]
+            await asyncio.gather(*calls)
+            rate = self.chooser.stats_of('i-0').failure_rate
+            with self.subTest(answers=answers):
+                self.assertEqual(rate > 0, is_avoided)
+
     async def test_refused_everywhere_is_not_run(self) -> None:
         """A call that no endpoint ran ends as not run, with a retry delay."""
         await self.serve(respond_with(FULL), respond_with(FULL))
