Withdraw a waiting stream at the bound of a version named meanwhile

The latest time to begin was computed when an attempt was sent, so a version that was named after that bounded nothing. A silent stream used to be cancelled after 1.6 to 2.9 s without an event; now that it stays open, it could begin on the old version after the bound where its route allows more than about 7 s (found by the model of a call's life: begun at 9.1 s, bound 7.5 s). Now the bound is read again at least once a second.

--- a/src/linnetwood/calls/attempt.py
+++ b/src/linnetwood/calls/attempt.py
@@ -116,13 +116,14 @@
     """When an attempt must end, and when its stream counts as silent.
 
     `deadline` and `start_by`, the latest time for the first event, are times of
-    the loop's clock. `first_event_s` and `next_event_s` are the waits for the
+    the loop's clock. A version that is named meanwhile brings `start_by`
+    forward. `first_event_s` and `next_event_s` are the waits for the
     first event and between two events, in seconds, after which another attempt
     may be sent beside a silent one.
     """
 
     deadline: float
-    start_by: float
+    start_by: Callable[[], float]
     first_event_s: float
     next_event_s: float
 
@@ -235,7 +236,7 @@
         # Pieces are kept of an answer that isn't forwarded but has begun.
         if self.first_event_at or self._paused_at or self._pieces:
             return limits.deadline
-        return min(limits.deadline, limits.start_by)
+        return min(limits.deadline, limits.start_by())
 
     def check_end(self, limits: AttemptLimits) -> None:
         """End the attempt if its time is over."""
--- a/src/linnetwood/calls/attemptrace.py
+++ b/src/linnetwood/calls/attemptrace.py
@@ -16,6 +16,8 @@
 
 # While all attempts are silent, how often another one is asked for.
 _ASK_AGAIN_S = 0.25
+# A version that is named during a wait bounds it, some seconds ahead.
+_MAX_WAIT_S = 1.0
 
 
 class RunningAttempt:
@@ -103,7 +105,7 @@
         next_event_s = min(one.limits.next_event_s for one in self.attempts)
         await asyncio.wait(
             [one.attempt.fut for one in self.attempts],
-            timeout=max(0, min(wait_s, next_event_s)),
+            timeout=max(0, min(wait_s, next_event_s, _MAX_WAIT_S)),
             return_when=asyncio.FIRST_COMPLETED,
         )
 
--- a/src/linnetwood/calls/direct.py
+++ b/src/linnetwood/calls/direct.py
@@ -74,6 +74,11 @@
     """Do nothing by default."""
 
 
+def _never() -> float:
+    """Return the bound of a call that may begin at any time."""
+    return math.inf
+
+
 class DirectDispatcher:
     """Run calls: choose endpoints, send, and retry where that is safe."""
 
@@ -387,14 +392,15 @@
         choice: Choice,
         urgency: Urgency,
     ) -> AttemptLimits:
-        start_by = math.inf
+        start_by = _never
         if choice.version and call.repeatable:
-            start_by = self._wanted.start_deadline(
-                call.head.model, choice.version
-            )
-            # The cancellation must arrive before the bound as well.
             stats = self._chooser.stats_of(choice.endpoint.incarnation_id)
-            start_by -= stats.extra_link_delay_s(self._loop.time())
+            start_by = functools.partial(
+                self._start_by,
+                call.head.model,
+                choice.version,
+                stats.extra_link_delay_s(self._loop.time()),
+            )
         if not call.route.streams or call.route.repeat is not Repeat.RESUME:
             return AttemptLimits(call.deadline, start_by, math.inf, math.inf)
         timeouts = SilenceTimeouts.for_route(call.route)
@@ -406,6 +412,10 @@
             call.deadline, start_by, first_event_s, timeouts.next_event_s
         )
 
+    def _start_by(self, model: str, version: int, link_delay_s: float) -> float:
+        """Return when to cancel so that this arrives before the bound."""
+        return self._wanted.start_deadline(model, version) - link_delay_s
+
     def _has_time_to_begin(
         self, choice: Choice, limits: AttemptLimits, now: float
     ) -> bool:
@@ -413,7 +423,7 @@
         extra_delay_s = self._chooser.stats_of(
             choice.endpoint.incarnation_id
         ).extra_link_delay_s(now)
-        remaining_s = limits.start_by - now - extra_delay_s
+        remaining_s = limits.start_by() - now - extra_delay_s
         return not extra_delay_s or remaining_s >= _MIN_TIME_TO_BEGIN_S
 
     def _on_notice(self, sent_attempt: SentAttempt, notice: Notice) -> None:
