Answer a caller that resumes a stream behind its last event

A caller that had lost only the end of its stream came back with the id of the last event and got 502: each endpoint ended whole without an event, which counted as a lost answer and as a failure of that endpoint. Such an end is the whole answer now.

--- a/src/linnetwood/calls/attempt.py
+++ b/src/linnetwood/calls/attempt.py
@@ -418,7 +418,7 @@
                     reached=True,
                     detail='incomplete last event',
                 )
-            if not self._answer.begun:
+            if not self._answer.begun and not self._answer.last_id:
                 return AttemptResult(
                     AttemptOutcome.LOST, reached=True, detail='no event'
                 )
@@ -426,6 +426,7 @@
                 AttemptOutcome.ANSWERED,
                 reached=True,
                 status=self._status,
+                headers=self._dialect.answer_headers(self._headers),
                 ends_with_connection=_ends_with_connection(self._headers),
             )
         # An error can't follow the events that were sent, or end them.
