Try the life of one call against a law for its end

Callers lost streams of endpoints that fell silent for a second and went on. Scripted cases show the ways that were known; nothing tried what else may happen to a call at the same time. Endpoints leave the list, retry limits and suspicions change, callers read slowly or leave, deadlines and a version's bound come. Cancelled transfers are played on unheard, which shows what a caller lost.

--- /dev/null
+++ b/tests/call_life.py
@@ -0,0 +1,481 @@
+"""One call's life before scripted endpoints, and the law that judges its end.
+
+A call ends as a whole answer, as a truthful refusal, or since what it depended
+on broke off, its deadline passed or its caller left. As long as an endpoint
+that was sent the call would go on in time, its answer is not cut.
+"""
+
+import asyncio
+import dataclasses
+import enum
+import math
+from collections.abc import Callable, Iterator, Sequence
+from random import Random
+
+from linnetwood.calls.answerflow import AnswerFlow
+from linnetwood.calls.choice import Chooser
+from linnetwood.calls.crashwatch import NoCrashWatch
+from linnetwood.calls.dialect import CallHead
+from linnetwood.calls.direct import DirectCall, DirectDispatcher, RetryLimits
+from linnetwood.calls.directory import Directory, Endpoint
+from linnetwood.calls.routetable import Repeat
+from linnetwood.core.metrics import NoMetrics
+from linnetwood.core.outcomes import Ending, Outcome
+from linnetwood.fleet.wanted import START_MARGIN_S, WantedVersions
+from linnetwood.lab import virtual
+from linnetwood.platform.dialect import PlatformDialect
+from linnetwood.wire.curldriver import Headers
+from tests.scripted_endpoints import (
+    CALL_ID,
+    Flow,
+    Reply,
+    Script,
+    ScriptedDriver,
+    events_from,
+)
+from tests.test_narrow_way import MODEL, ROUTE, SERVICE
+
+BOUND_S = 8
+TIMEOUT_S = 6.0
+# libcurl counts the time that is left in whole milliseconds.
+EARLY_S = 0.002
+NO_RETRIES = RetryLimits(share=0, reserve=0)
+RETRIES = RetryLimits(reserve=100)
+CUT = 'cut though an endpoint would go on'
+LOOKS_WHOLE = 'a truncated answer looks whole'
+# Passes of the loop in which a cancelled call ends.
+_PASSES = 5
+_PROBE_S = 0.05
+# With less time left no call is sent.
+_MIN_REMAINING_S = 0.02
+
+
+class Change(enum.Enum):
+    """What changes around a call while it runs."""
+
+    # The endpoint with a given number leaves the directory.
+    UNLISTED = 'unlisted'
+    NO_RETRIES = 'no retries'
+    RETRIES = 'retries'
+    SUSPECTED = 'suspected'
+    BLOCKED = 'blocked'
+    UNBLOCKED = 'unblocked'
+    CALLER_LEFT = 'caller left'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Event:
+    """A change, when it happens, and to which endpoint."""
+
+    at: float
+    change: Change
+    number: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class World:
+    """All that one call meets."""
+
+    scripts: tuple[Script, ...]
+    repeat: Repeat = Repeat.RESUME
+    streams: bool = True
+    attempts: int = 2
+    limits: RetryLimits = RETRIES
+    timeout_s: float = TIMEOUT_S
+    # When version 2 was named; negative times are before the call.
+    named_at: float = math.inf
+    changes: tuple[Event, ...] = ()
+    seed: int = 1
+
+    @property
+    def is_plain(self) -> bool:
+        """Return whether nothing but its attempts bounds the call."""
+        return (
+            not self.changes
+            and self.limits == RETRIES
+            and self.named_at == math.inf
+        )
+
+    def may_start_until(self, version: int) -> float:
+        """Return until when a call may start on a version."""
+        return math.inf if version > 1 else self.named_at + BOUND_S
+
+
+class Sink:
+    """What the caller gets."""
+
+    def __init__(self) -> None:
+        self.flow = AnswerFlow()
+        self.status = 0
+        self.headers: Headers = []
+        self.received = b''
+        self.ended = ''
+        self.faults: list[str] = []
+
+    @property
+    def version(self) -> int:
+        """Return the version that its head states."""
+        return int(dict(self.headers).get('X-Weight-Versions', '0'))
+
+    def begin(self, status: int, headers: Headers) -> None:
+        if self.status:
+            self.faults.append('two heads')
+        self.status = status
+        self.headers = headers
+
+    def send_piece(self, piece: bytes) -> None:
+        if self.ended or not self.status:
+            self.faults.append('a piece outside of the answer')
+        self.received += piece
+
+    def send_whole(self, status: int, headers: Headers, body: bytes) -> None:
+        self.begin(status, headers)
+        self.received = body
+        self._end('whole')
+
+    def finish(self) -> None:
+        self._end('whole')
+
+    def abort(self) -> None:
+        self._end('aborted')
+
+    def block(self) -> None:
+        """Let the caller read nothing more."""
+        self.flow.blocked = True
+
+    def unblock(self) -> None:
+        """Let the caller read again."""
+        if self.flow.blocked:
+            self.flow.blocked = False
+            self.flow.on_unblocked()
+
+    def _end(self, how: str) -> None:
+        if self.ended:
+            self.faults.append('two ends')
+        self.ended = how
+
+
+class Observer(NoCrashWatch):
+    """Know which endpoints crashed, and suspect calls once told to."""
+
+    def __init__(self, crashed: set[int]) -> None:
+        self.suspects = False
+        self.crashed = crashed
+
+    def suspect(self) -> None:
+        self.suspects = True
+
+    async def survived(self, endpoint: Endpoint) -> bool:
+        await asyncio.sleep(_PROBE_S)
+        return endpoint.port not in self.crashed
+
+    def may_retry(self, fingerprints: Sequence[str]) -> bool:
+        return not self.suspects
+
+
+class Life:
+    """Run one call in a world."""
+
+    def __init__(self, world: World) -> None:
+        self.world = world
+        self.loop = asyncio.get_running_loop()
+        self.sink = Sink()
+        self.directory = Directory()
+        self.chooser = Chooser(self.directory, Random(world.seed))
+        self.driver = ScriptedDriver(dict(enumerate(world.scripts)))
+        self.driver.sent_bytes = lambda: len(self.sink.received)
+        wanted = WantedVersions(BOUND_S)
+        if world.named_at < math.inf:
+            wanted.add_named(MODEL, 2, world.named_at)
+        for port, script in enumerate(world.scripts):
+            self._list(port, script)
+        self.observer = Observer(self.driver.crashed)
+        self.dispatcher = DirectDispatcher(
+            self.chooser,
+            self.driver,
+            PlatformDialect(),
+            wanted,
+            'z',
+            NoMetrics(),
+        )
+        self.dispatcher.retry_limits = world.limits
+        self.dispatcher.crash_observer = self.observer
+        self.ending: Ending | None = None
+        self.ended_at = float()
+        self.left_open: list[Flow] = []
+        self.caller_left = False
+        self._task: asyncio.Task[Ending] | None = None
+
+    @property
+    def deadline(self) -> float:
+        """Return when the call must have ended."""
+        return self.world.timeout_s
+
+    async def run(self) -> None:
+        """Run the call to its end, then the endpoints to theirs."""
+        task = asyncio.create_task(self.dispatcher.run(self._call(), self.sink))
+        self._task = task
+        timers = [
+            self.loop.call_at(one.at, self._apply, one)
+            for one in self.world.changes
+        ]
+        await asyncio.wait([task])
+        for timer in timers:
+            timer.cancel()
+        self.ended_at = self.loop.time()
+        self.left_open = self.driver.open
+        if not task.cancelled():
+            self.ending = task.result()
+        await self.driver.settle()
+
+    def _list(self, port: int, script: Script) -> None:
+        name = f'i-{port}'
+        self.directory.update(
+            Endpoint(
+                name,
+                SERVICE.name,
+                f'h-{port}',
+                port,
+                'z',
+                16,
+                ready=True,
+                versions={MODEL: script.version},
+            )
+        )
+        # Endpoints are tried in the order of the scripts.
+        for _ in range(port * 2):
+            self.chooser.stats_of(name).record_sent()
+
+    def _call(self) -> DirectCall:
+        world = self.world
+        route = dataclasses.replace(
+            ROUTE,
+            repeat=world.repeat,
+            streams=world.streams,
+            attempts=world.attempts,
+            timeout_s=world.timeout_s,
+        )
+        return DirectCall(
+            CallHead(call_id=CALL_ID, model=MODEL, prompt=100),
+            route,
+            SERVICE,
+            None,
+            'POST',
+            '/x',
+            [('X-Attempt-Id', CALL_ID)],
+            b'body',
+            0,
+            self.deadline,
+        )
+
+    def _apply(self, one: Event) -> None:
+        apply: dict[Change, Callable[[], None]] = {
+            Change.UNLISTED: lambda: self.directory.discard(f'i-{one.number}'),
+            Change.NO_RETRIES: lambda: self._set_limits(NO_RETRIES),
+            Change.RETRIES: lambda: self._set_limits(RETRIES),
+            Change.SUSPECTED: self.observer.suspect,
+            Change.BLOCKED: self.sink.block,
+            Change.UNBLOCKED: self.sink.unblock,
+            Change.CALLER_LEFT: self._leave,
+        }
+        apply[one.change]()
+
+    def _set_limits(self, limits: RetryLimits) -> None:
+        self.dispatcher.retry_limits = limits
+        # A later call applies the new limits to the budget of all.
+        self.dispatcher._retry_budget(SERVICE.name)
+
+    def _leave(self) -> None:
+        if self._task is not None and self._task.cancel():
+            self.caller_left = True
+            self._check_left(_PASSES)
+
+    def _check_left(self, passes: int) -> None:
+        if passes:
+            self.loop.call_soon(self._check_left, passes - 1)
+        elif self.driver.open:
+            self.sink.faults.append('open after the caller left')
+
+
+def live(world: World) -> Life:
+    """Run a call in a world to its end."""
+
+    async def work() -> Life:
+        life = Life(world)
+        await life.run()
+        return life
+
+    return virtual.run(work())
+
+
+class Judge:
+    """Find what is wrong with the end of a life."""
+
+    def __init__(self, life: Life) -> None:
+        self.life = life
+        self.world = life.world
+        self.sink = life.sink
+        self.flows = life.driver.flows
+
+    def faults(self) -> Iterator[str]:
+        """Yield each broken law."""
+        yield from self.sink.faults
+        checks: tuple[tuple[str, Callable[[], bool]], ...] = (
+            ('a transfer left open', lambda: bool(self.life.left_open)),
+            ('bytes left counted', self._counts_bytes),
+            ('calls left counted', self._counts_calls),
+            ('more endpoints than attempts', self._is_sent_too_often),
+            ('ran twice', self._ran_twice),
+            ('begun on an old version', self._begun_late),
+            ('ended after its deadline', self._is_late),
+            (LOOKS_WHOLE, self._looks_whole),
+            ('mixed or repeated events', self._is_mixed),
+            ('an untrue refusal', self._is_untrue),
+            ('an answer without end', self._lacks_end),
+            (CUT, self._is_cut),
+            ('given up too early', self._is_given_up),
+        )
+        for name, applies in checks:
+            if applies():
+                yield name
+
+    @property
+    def outcome(self) -> Outcome | None:
+        """Return how the call ended; None if its caller left."""
+        ending = self.life.ending
+        return None if ending is None else ending.outcome
+
+    @property
+    def whole(self) -> bytes:
+        """Return the whole answer that its head promises."""
+        return events_from(1, self.sink.version)
+
+    @property
+    def is_whole(self) -> bool:
+        """Return whether the caller got a whole answer of its own."""
+        sink = self.sink
+        if sink.ended != 'whole' or self.outcome is not Outcome.ANSWERED:
+            return False
+        replies = {flow.script.reply for flow in self.flows}
+        if sink.status == 404:
+            return Reply.MISSING in replies and sink.received == b'missing'
+        return sink.status == 200 and sink.received == self.whole
+
+    @property
+    def is_failure(self) -> bool:
+        """Return whether the caller got an endpoint's own failure."""
+        sink = self.sink
+        replies = {flow.script.reply for flow in self.flows}
+        return (
+            self.outcome is Outcome.ANSWERED
+            and (sink.status, sink.received) == (500, b'failed')
+            and Reply.FAILED in replies
+        )
+
+    def _counts_bytes(self) -> bool:
+        held = self.life.dispatcher.held
+        return bool(held.total or held._by_endpoint)
+
+    def _counts_calls(self) -> bool:
+        for port, _ in enumerate(self.world.scripts):
+            stats = self.life.chooser.stats_of(f'i-{port}')
+            if stats.in_flight != port * 2 or any(
+                stats.waiting_by_level.values()
+            ):
+                return True
+        return False
+
+    def _is_sent_too_often(self) -> bool:
+        reached = sum(flow.reached for flow in self.flows)
+        return reached > self.world.attempts
+
+    def _ran_twice(self) -> bool:
+        ran = sum(flow.ran for flow in self.flows)
+        return self.world.repeat is Repeat.NEVER and ran > 1
+
+    def _begun_late(self) -> bool:
+        return any(
+            flow.started_at < min(flow.cancelled_at, flow.ended_at)
+            and flow.started_at
+            > self.world.may_start_until(flow.script.version)
+            for flow in self.flows
+            if self.world.repeat is not Repeat.NEVER
+        )
+
+    def _is_late(self) -> bool:
+        return self.life.ended_at > self.life.deadline + 2 * _PROBE_S
+
+    def _looks_whole(self) -> bool:
+        return self.sink.ended == 'whole' and not (
+            self.is_whole or self.is_failure
+        )
+
+    def _is_mixed(self) -> bool:
+        if self.sink.status != 200:
+            return False
+        return not self.whole.startswith(self.sink.received)
+
+    def _is_untrue(self) -> bool:
+        if self.outcome is not Outcome.NOT_RUN:
+            return False
+        return bool(self.sink.status) or any(flow.ran for flow in self.flows)
+
+    def _lacks_end(self) -> bool:
+        if self.life.caller_left:
+            return False
+        if self.outcome is Outcome.ANSWERED:
+            return self.sink.ended != 'whole'
+        due = 'aborted' if self.sink.status else ''
+        return self.sink.ended != due
+
+    @property
+    def _is_excused(self) -> bool:
+        return (
+            self.is_whole
+            or self.life.caller_left
+            or self.life.ended_at >= self.life.deadline - EARLY_S
+        )
+
+    def _is_cut(self) -> bool:
+        """Return whether an answer ended that an endpoint would go on with."""
+        return not self._is_excused and any(
+            flow.went_on_at < self.life.deadline - EARLY_S
+            and not self.life.driver.was_overtaken(flow)
+            and not self._is_withdrawn(flow)
+            for flow in self.flows
+        )
+
+    def _is_withdrawn(self, flow: Flow) -> bool:
+        """Return whether its version's bound came before its first event."""
+        until = self.world.may_start_until(flow.script.version)
+        # Its cancellation arrives later.
+        withdrawn_at = until - START_MARGIN_S
+        return withdrawn_at <= flow.cancelled_at < flow.started_at
+
+    def _is_given_up(self) -> bool:
+        """Return whether another attempt was due."""
+        world = self.world
+        remaining_s = self.life.deadline - self.life.ended_at
+        is_over = self._is_excused or remaining_s < _MIN_REMAINING_S
+        if is_over or not world.is_plain:
+            return False
+        if self.sink.status and world.repeat is not Repeat.RESUME:
+            return False
+        if world.repeat is Repeat.NEVER and any(
+            flow.ran for flow in self.flows
+        ):
+            return False
+        reached = sum(flow.reached for flow in self.flows)
+        tried = {flow.port for flow in self.flows}
+        left = [
+            script
+            for port, script in enumerate(world.scripts)
+            if port not in tried
+            and (not self.sink.status or script.version == self.sink.version)
+        ]
+        return reached < world.attempts and bool(left)
+
+
+def faults_of(world: World) -> list[str]:
+    """Run a call in a world; return which laws it broke."""
+    return list(Judge(live(world)).faults())
