--- a/src/linnetwood/calls/attempt.py
+++ b/src/linnetwood/calls/attempt.py
@@ -233,8 +233,8 @@
 
     def ends_at(self, limits: AttemptLimits) -> float:
         """Return when it must end."""
-        # Pieces are kept of an answer that isn't forwarded but has begun.
-        if self.first_event_at or self._paused_at or self._pieces:
+        # The first bytes of a body may be less than an event.
+        if self._size or self._paused_at:
             return limits.deadline
         return min(limits.deadline, limits.start_by())
 
