--- a/src/linnetwood/calls/direct.py
+++ b/src/linnetwood/calls/direct.py
@@ -542,11 +542,8 @@
         if result.outcome is AttemptOutcome.FAILED and not answer.begun:
             answer.sink.send_whole(result.status, result.headers, result.body)
             return ANSWERED
-        code = (
-            Code.LATE
-            if result.outcome is AttemptOutcome.TIMED_OUT
-            else Code.CONNECTION_LOST
-        )
+        is_late = refusal is RetryRefusal.NO_TIME
+        code = Code.LATE if is_late else Code.CONNECTION_LOST
         how = result.detail or result.outcome.value
         return run.history.ending(answer, code, f'{how}: {refusal.value}')
 
