Take a refusal as one from its head on

A refused attempt (X-Not-Executed or 421) whose body hung was waited for as if it were silent, 1.6 to 2.9 s, before the call went elsewhere. The head is proof that the call did not run, so the attempt ends with it.

--- a/src/linnetwood/calls/attempt.py
+++ b/src/linnetwood/calls/attempt.py
@@ -257,6 +257,9 @@
         notice = self._dialect.notice(status, headers, self._call_id)
         if notice is not None:
             self.on_notice(notice)
+        if self._is_refused and not self.fut.done():
+            # The head is proof, and its body may never come.
+            self.fut.set_result(self._refused_result())
 
     def body(self, piece: bytes) -> None:
         """Forward whole events; collect the body of any other answer."""
--- a/tests/test_silent_endpoints.py
+++ b/tests/test_silent_endpoints.py
@@ -63,6 +63,8 @@
     refuses: bool = False
     # Part of the next event precedes the silence.
     splits: bool = False
+    # The body of its refusal never comes.
+    hangs: bool = False
 
 
 class ScriptedDriver(CurlDriver):
@@ -71,6 +73,8 @@
     def __init__(self, scripts: dict[int, Script]) -> None:
         self.scripts = scripts
         self.begun: list[tuple[int, int]] = []
+        self.loop = asyncio.get_running_loop()
+        self.last_begun_at = float()
         self.open: dict[Transfer, asyncio.Task[None]] = {}
         self.most_open = 0
 
@@ -78,6 +82,7 @@
         """Send a stream from behind the last event that the caller has."""
         after = int(dict(req.headers).get('Last-Event-Id', '0'))
         self.begun.append((req.port, after))
+        self.last_begun_at = self.loop.time()
         transfer = Transfer(receiver)
         work = self.send(transfer, self.scripts[req.port], after)
         self.open[transfer] = asyncio.create_task(work)
@@ -97,6 +102,8 @@
         receiver = transfer.receiver
         head: Headers = REFUSED if script.refuses else SIGNED
         receiver.head(503 if script.refuses else 200, head)
+        if script.hangs:
+            await asyncio.sleep(ROUTE.timeout_s)
         numbers = () if script.refuses else range(after + 1, COUNT + 1)
         for number in numbers:
             event = events(number)
@@ -119,6 +126,7 @@
     sink: RecordingSink
     driver: ScriptedDriver
     stats: dict[str, EndpointStats]
+    began_at: float
 
 
 async def play(
@@ -159,7 +167,7 @@
     )
     sink = RecordingSink()
     ending = await dispatcher.run(call, sink)
-    return Played(ending, sink, driver, chooser.stats)
+    return Played(ending, sink, driver, chooser.stats, now)
 
 
 SILENT = Script(silent_after=5, silent_s=SILENT_S)
@@ -257,6 +265,13 @@
             with self.subTest(silent_s=silent_s):
                 self.assertCountEqual(ended, ['answered', how])
 
+    def test_refusal_counts_from_its_head_on(self) -> None:
+        """Guard against waiting for the body of a refusal as if silent."""
+        refusing = Script(refuses=True, hangs=True)
+        played = virtual.run(play({1: refusing, 2: Script()}))
+        self.assert_whole(played)
+        self.assertEqual(played.driver.last_begun_at, played.began_at)
+
 
 if __name__ == '__main__':
     unittest.main()
