Answer a refused HEAD request

Callers of a HEAD request that is refused got a closed connection in place of the status: the refusal was written with its code as the body, and tornado closes the connection of a HEAD answer with a body. Ruled out: the answers of endpoints, which have no body then. The writer now leaves the body out and keeps its length.

Before (new test on the old code): no byte for HEAD /b/x, in place of 404. After: 404 and 200.

--- a/src/linnetwood/calls/answerwriter.py
+++ b/src/linnetwood/calls/answerwriter.py
@@ -56,10 +56,13 @@
         held: HeldBytes,
         metrics: Metrics,
         is_last: Callable[[], bool],
+        *,
+        only_head: bool,
     ) -> None:
         """Start with nothing written.
 
-        `is_last` tells whether the connection closes after the answer.
+        `is_last` tells whether the connection closes after the answer. With
+        `only_head` the bodies of answers are left out, as for HEAD requests.
         """
         self.begun = False
         # The whole answer was written, if not yet taken by the caller.
@@ -71,6 +74,7 @@
         self._flow = ConnectionFlow(self._stream, held, self._cut_off)
         self._metrics = metrics
         self._is_last = is_last
+        self._only_head = only_head
         self._call_id = ''
         self._call_fields: dict[str, object] = {}
 
@@ -98,8 +102,9 @@
 
     def send_whole(self, status: int, headers: Headers, body: bytes) -> None:
         """Write a complete answer."""
-        self._head(status, headers, len(body), body[:PIECE_BYTES])
-        self.send_piece(body[PIECE_BYTES:])
+        sent = b'' if self._only_head else body
+        self._head(status, headers, len(body), sent[:PIECE_BYTES])
+        self.send_piece(sent[PIECE_BYTES:])
         self.complete = True
         self._conn.finish()
 
--- a/src/linnetwood/calls/callserver.py
+++ b/src/linnetwood/calls/callserver.py
@@ -50,6 +50,7 @@
 from linnetwood.wire.curldriver import Headers
 
 _MILLISECONDS = 1000
+_HEAD_METHOD = 'HEAD'
 # For calls that another entry can take at once.
 _RETRY_ELSEWHERE_MS = 100
 # Stalled callers are cut off within seconds, which frees memory.
@@ -196,6 +197,7 @@
             delegate.held,
             delegate.metrics,
             lambda: delegate.stopping,
+            only_head=self._method == _HEAD_METHOD,
         )
         try:
             await self._run_and_end(writer)
@@ -329,6 +331,10 @@
         self._body_size = 0
         self._pieces.clear()
 
+    @property
+    def _method(self) -> str:
+        return '' if self._start_line is None else self._start_line.method
+
     def _read(self) -> DirectCall | Ending:
         start_line = self._start_line
         if start_line is None:
