Send on the bytes of a call that are outside ASCII

Ruled out: tornado, which reads heads as Latin-1. The driver now passes bytes, the same as came in, and takes up a transfer only once it is prepared, so that none is left behind that was never begun.

After: 200, each byte arrives.

--- a/src/linnetwood/wire/curldriver.py
+++ b/src/linnetwood/wire/curldriver.py
@@ -164,8 +164,8 @@
             self._idle_handles.pop() if self._idle_handles else pycurl.Curl()
         )
         transfer.handle = handle
-        self._by_handle[handle] = transfer
         _prepare(handle, req, transfer)
+        self._by_handle[handle] = transfer
         if req.total_s:
             # On libcurl's own timeout the connection would not be reset.
             limit_s = _at_least_one_ms(req.total_s) / _MILLISECONDS
@@ -383,7 +383,7 @@
     fresh = int(not req.keep)
     of_request = (
         (pycurl.URL, f'http://{req.host}:{req.port}/'),
-        (pycurl.REQUEST_TARGET, req.target),
+        (pycurl.REQUEST_TARGET, _octets(req.target)),
         (pycurl.FRESH_CONNECT, fresh),
         (pycurl.FORBID_REUSE, fresh),
         (pycurl.CONNECTTIMEOUT_MS, _at_least_one_ms(req.connect_s)),
@@ -427,10 +427,19 @@
     given = {name.lower() for name, _ in req.headers}
     for name, text in req.headers:
         # libcurl omits a header without a value unless it ends in a semicolon.
-        yield f'{name}: {text}' if text else f'{name};'
+        yield _octets(f'{name}: {text}' if text else f'{name};')
     for name in _NOT_ADDED:
         if name.lower() not in given:
-            yield f'{name}:'
+            yield _octets(f'{name}:')
+
+
+def _octets(text: str) -> bytes:
+    """Return the bytes that a text of a caller, or of our own, stands for."""
+    try:
+        # As callers' heads are read, so that each byte is sent as it came.
+        return text.encode('latin-1')
+    except UnicodeEncodeError:
+        return text.encode()
 
 
 def _at_least_one_ms(seconds: float) -> int:
