Read numbers of any length in callers' headers

Numbers are cut to fifteen digits, more than any real value has.

A seeded test sends 200 whole requests with odd bytes, numbers and paths; each must be answered by something else than an unexpected error.

--- a/src/linnetwood/platform/dialect.py
+++ b/src/linnetwood/platform/dialect.py
@@ -38,6 +38,8 @@
 # Logged part of a value that can't be parsed.
 _MAX_SHOWN_CHARS = 40
 _MILLISECONDS = 1000
+# Python can't convert numbers of any length.
+_MAX_DIGITS = 15
 # Headers of a single connection, and headers that the system sets itself.
 _CONNECTION_HEADERS = frozenset(
     (
@@ -196,12 +198,20 @@
 
 def _integer(text: str) -> int:
     trimmed = text.strip()
-    return int(trimmed) if trimmed.isdecimal() else 0
+    return _capped(trimmed) if trimmed.isdecimal() else 0
 
 
 def _seconds(text: str) -> float | None:
     trimmed = text.strip()
-    return int(trimmed) / _MILLISECONDS if trimmed.isdecimal() else None
+    return _capped(trimmed) / _MILLISECONDS if trimmed.isdecimal() else None
+
+
+def _capped(digits: str) -> int:
+    """Return a number; one with more digits than any real value is cut."""
+    significant = digits.lstrip('0') or '0'
+    if len(significant) > _MAX_DIGITS:
+        return int('9' * _MAX_DIGITS)
+    return int(significant)
 
 
 def _bearer(text: str) -> str:
--- a/tests/test_odd_requests.py
+++ b/tests/test_odd_requests.py
@@ -1,6 +1,7 @@
 """Requests with rare methods, bytes and numbers: each gets an answer."""
 
 import asyncio
+from random import Random
 
 from tests.test_callserver import CallServerCase, request
 from tests.test_curldriver import HOST, respond_with
@@ -8,6 +9,20 @@
 
 # Far longer than any answer here takes.
 GUARD_S = 30
+SEED = 20240
+REQUESTS = 200
+NUMBERED = ('X-Deadline-Ms', 'X-Token-Counts', 'X-Weight-Versions')
+NAMES = (
+    *NUMBERED,
+    'X-Name',
+    'X-Attempt-Id',
+    'X-Prompt-Prefix',
+    'Last-Event-Id',
+    'Accept',
+    'Connection',
+)
+ODD_BYTES = b'09:,;= \t-.az"%\x80\xb2\xc3\xa9\xff'
+ODD_PATHS = (b'x', b'\xc3\xa9', b'%e9', b'\xff?q=\xb2', b'?', b'..//')
 
 
 def with_header(sent: bytes, name: str, text: bytes) -> bytes:
@@ -16,6 +31,18 @@
     return sent.replace(b'\r\n', field, 1)
 
 
+def odd_request(rng: Random) -> bytes:
+    """Return a whole request with odd values."""
+    sent = request('/a/x').replace(b'/a/x', b'/a/' + rng.choice(ODD_PATHS))
+    for name in rng.sample(NAMES, 3):
+        size = rng.choice((0, 1, 3, 20))
+        text = bytes(rng.choices(ODD_BYTES, k=size))
+        if name in NUMBERED and rng.choice((True, False)):
+            text = b'9' * rng.choice((1, 20, 400, 5000))
+        sent = with_header(sent, name, text.strip())
+    return sent
+
+
 class OddRequestsTest(CallServerCase):
     """Each request is whole, so that it must get an answer."""
 
@@ -47,3 +74,24 @@
         arrived = endpoint.requests[0]
         self.assertIn(b'POST /a/\xc3\xa9?q=\xb2 HTTP/1.1\r\n', arrived)
         self.assertIn(b'\r\nX-Name: \xc5\x82 \xe9\r\n', arrived)
+
+    async def test_numbers_of_any_length(self) -> None:
+        """Guard against numbers that can't be converted."""
+        await self.serve(respond_with(GOOD))
+        for name in NUMBERED:
+            for digits in (16, 400, 5000):
+                with self.subTest(name=name, digits=digits):
+                    text = b'9' * digits
+                    sent = with_header(request('/a/x'), name, text)
+                    sent = sent.replace(b'X-Deadline-Ms: 15000\r\n', b'')
+                    got = await self.answered(sent)
+                    self.assertEqual(got, (200, b'fine'))
+
+    async def test_seeded_requests(self) -> None:
+        """Guard against further values that end a call without an answer."""
+        await self.serve(respond_with(GOOD))
+        rng = Random(SEED)
+        for number in range(REQUESTS):
+            sent = odd_request(rng)
+            _, body = await self.answered(sent)
+            self.assertNotEqual(body, b'internal-error', (number, sent))
