Look at what has arrived before a caller's connection is closed

Callers whose whole request arrived just as the idle time ended, or while the event loop was held up (a large configuration is parsed in one step), got neither an answer nor a refusal. tornado's header_timeout was the idle time and covers the head as well: its timer fires in the turn in which the bytes are read, before the read resumes, and closes the connection. The same holds for its body_timeout. And both were taken when a request began to be awaited: a longer idle time did not reach open connections, which we closed while their callers counted on it. Ruled out: the order of asyncio, which runs reads before due timers; tornado's with_timeout resumes the read a turn later.

tornado's two timers are off. ReadTimer has one timer a connection: the idle time until the first byte, then header_timeout_ms for the head and twice that for the body, by the limits in force. A timer that is due looks for bytes in the kernel (MSG_PEEK, empty after the caller's end) and at when bytes were read last, and looks again every 0.1 s while more arrives, as often as a head has time, at least thrice. A slow request that is cut is logged (6003, request-late).

A head now has header_timeout_ms from its first byte in place of the idle time from the connection's last request: a slow head is cut earlier where the idle time is the longer one.

Before (the same cases on the old code, on loopback, loop held up for 0.4 s with an idle time of 0.3 s and a head time of 0.15 s): no byte for requests that came on an idle connection, with the head half sent, before and in the body; none on a connection opened with 0.3 s after the limit became 15 s. After: 200 in all five; the new tests pass.

--- a/src/linnetwood/calls/callersockets.py
+++ b/src/linnetwood/calls/callersockets.py
@@ -1,12 +1,17 @@
-"""Limit what the kernel holds for slow callers of an entry."""
+"""Connections of callers: what the kernel holds, and what has arrived."""
 
 import contextlib
+import math
 import socket
 from typing import Any
 
+from tornado.http1connection import HTTP1ServerConnection
 from tornado.httpserver import HTTPServer
 from tornado.iostream import IOStream
 
+from linnetwood.calls.readtimer import ReadTimer
+from linnetwood.calls.routetable import CallLimits
+
 # Larger answers are written in pieces of this size. A piece counts as progress
 # only when all of it is taken, so large ones would hide slow progress.
 PIECE_BYTES = 16384
@@ -15,15 +20,88 @@
 _UNSENT_BYTES = 16384
 
 
+class CallerStream(IOStream):
+    """A caller's connection, with the timer of what is read from it."""
+
+    def __init__(self, server: 'CallerServer', sock: socket.socket) -> None:
+        """Read from a socket that the server has accepted."""
+        super().__init__(
+            sock,
+            max_buffer_size=server.max_buffer_size,
+            read_chunk_size=server.read_chunk_size,
+        )
+        self.received_at = -math.inf
+        self.timer = ReadTimer(self, lambda: server.call_limits)
+
+    def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
+        """Read bytes, and note when they arrived."""
+        size = super().read_from_fd(buf)
+        if size:
+            self.received_at = self.timer.now()
+            self.timer.note_received()
+        return size
+
+    def close_fd(self) -> None:
+        """Close the socket, and stop the timer."""
+        self.timer.stop()
+        super().close_fd()
+
+    @property
+    def has_buffered(self) -> bool:
+        """Return whether bytes were read that belong to no request yet."""
+        return bool(self._read_buffer_size)
+
+    @property
+    def has_unread(self) -> bool:
+        """Return whether bytes wait in the kernel; False after the end."""
+        if self.closed():
+            return False
+        flags = socket.MSG_PEEK | socket.MSG_DONTWAIT
+        with contextlib.suppress(OSError):
+            return bool(self.socket.recv(1, flags))
+        return False
+
+
 class CallerServer(HTTPServer):
-    """An HTTP server that limits what the kernel holds unsent by caller."""
+    """An HTTP server that limits what callers may hold, and for how long."""
+
+    def initialize(self, *args: Any, **kwargs: Any) -> None:
+        """Start without connections."""
+        super().initialize(*args, **kwargs)
+        self.call_limits = CallLimits()
+        self.streams: set[CallerStream] = set()
+        # The library's own timers don't look at what has arrived.
+        self.conn_params.header_timeout = None
+        self.conn_params.body_timeout = None
 
     def handle_stream(self, stream: IOStream, address: tuple[Any, ...]) -> None:
-        """Set the limit on a new connection, and serve it."""
-        if isinstance(stream.socket, socket.socket):
-            # Without this option a stalled caller is noticed later.
-            with contextlib.suppress(OSError):
-                stream.socket.setsockopt(
-                    socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, _UNSENT_BYTES
-                )
-        super().handle_stream(stream, address)
+        """Set the limits on a new connection, and serve it."""
+        sock = stream.socket
+        assert isinstance(sock, socket.socket)
+        # Without this option a stalled caller is noticed later.
+        with contextlib.suppress(OSError):
+            sock.setsockopt(
+                socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, _UNSENT_BYTES
+            )
+        caller = CallerStream(self, sock)
+        self.streams.add(caller)
+        super().handle_stream(caller, address)
+
+    def on_close(self, server_conn: object) -> None:
+        """Forget a connection."""
+        super().on_close(server_conn)
+        assert isinstance(server_conn, HTTP1ServerConnection)
+        assert isinstance(server_conn.stream, CallerStream)
+        self.streams.discard(server_conn.stream)
+
+    def set_limits(self, limits: CallLimits) -> None:
+        """Apply new limits, also to what open connections wait for now.
+
+        The next request on an open connection is still read with the old
+        limits on sizes.
+        """
+        self.call_limits = limits
+        self.conn_params.max_header_size = limits.header_bytes
+        self.conn_params.max_body_size = limits.body_bytes
+        for stream in self.streams:
+            stream.timer.apply_limits()
--- a/src/linnetwood/calls/callserver.py
+++ b/src/linnetwood/calls/callserver.py
@@ -15,7 +15,7 @@
 )
 
 from linnetwood.calls.answerwriter import AnswerWriter, http1, refuse
-from linnetwood.calls.callersockets import CallerServer
+from linnetwood.calls.callersockets import CallerServer, CallerStream
 from linnetwood.calls.callparsing import (
     IncomingRequest,
     read_call,
@@ -34,6 +34,7 @@
 )
 from linnetwood.calls.memoryguard import MemoryGuard
 from linnetwood.calls.policy.retryafter import LastPart
+from linnetwood.calls.readtimer import ReadTimer
 from linnetwood.calls.routetable import CallLimits, RouteTable
 from linnetwood.core.events import Event, log
 from linnetwood.core.failures import failure_fields
@@ -102,6 +103,7 @@
         """Start reading one request."""
         req = _Request(self, server_conn, request_conn)
         self.idle_connections[server_conn] = req
+        req.await_head()
         return req
 
     @property
@@ -131,6 +133,7 @@
         self._delegate = delegate
         self._server_conn = server_conn
         self._conn = conn
+        self._timer = _timer_of(conn)
         self._start_line: RequestStartLine | None = None
         self._headers: Headers = []
         self._pieces: list[bytes] = []
@@ -150,6 +153,7 @@
     ) -> None:
         """Store the head."""
         self._delegate.idle_connections.pop(self._server_conn, None)
+        self._timer.await_body()
         assert isinstance(start_line, RequestStartLine)
         self._start_line = start_line
         self._headers = list(headers.get_all())
@@ -168,6 +172,7 @@
 
     def finish(self) -> None:
         """Run the call once the request is complete."""
+        self._timer.stop()
         if http1(self._conn).stream.closed():
             # The request crossed our close; no one would receive an answer.
             self._release_body()
@@ -186,6 +191,10 @@
         else:
             self._task.cancel()
 
+    def await_head(self) -> None:
+        """Wait for the request, for as long as the limits allow."""
+        self._timer.await_head()
+
     def close(self) -> None:
         """Close the connection."""
         http1(self._conn).stream.close()
@@ -439,29 +448,15 @@
         if isinstance(callback, CallServerDelegate):
             callback.on_close(server_conn)
 
-    def set_limits(self, limits: CallLimits) -> None:
-        """Apply new limits.
-
-        The next request on an open connection is still read with the old ones.
-        """
-        conn_params = self.conn_params
-        conn_params.max_header_size = limits.header_bytes
-        conn_params.max_body_size = limits.body_bytes
-        conn_params.header_timeout = limits.idle_s
-        conn_params.body_timeout = _body_timeout_s(limits)
-
 
 def open_server(delegate: CallServerDelegate, limits: CallLimits) -> CallServer:
     """Return an HTTP server for the delegate with the configured limits."""
-    return CallServer(
-        delegate,
-        max_header_size=limits.header_bytes,
-        max_body_size=limits.body_bytes,
-        idle_connection_timeout=limits.idle_s,
-        body_timeout=_body_timeout_s(limits),
-    )
+    server = CallServer(delegate)
+    server.set_limits(limits)
+    return server
 
 
-def _body_timeout_s(limits: CallLimits) -> float:
-    # The configuration limits the time for the head; a body gets twice that.
-    return limits.header_s * 2
+def _timer_of(conn: HTTPConnection) -> ReadTimer:
+    stream = http1(conn).stream
+    assert isinstance(stream, CallerStream)
+    return stream.timer
