Let a request that has arrived be read while the process stops

Callers whose request had arrived, not been read, saw their connection reset when a stopping entry closed its idle connections (every 0.4 s, later every 50 ms): close_idle took every connection whose head was not complete as idle. And a request whose body was still being read was in nobody's count, so that the process could end beside it. Ruled out: connections with a call in progress, which were left alone.

close_idle now looks first (a part of a head read, bytes in the kernel), and the stop waits for requests that are arriving, which are then refused as not run; the limits on reading bound that, and the stop's own limit holds.

--- a/src/linnetwood/calls/callersockets.py
+++ b/src/linnetwood/calls/callersockets.py
@@ -105,3 +105,8 @@
         self.conn_params.max_body_size = limits.body_bytes
         for stream in self.streams:
             stream.timer.apply_limits()
+
+    @property
+    def is_receiving(self) -> bool:
+        """Return whether a part of a request has arrived on a connection."""
+        return any(stream.timer.is_receiving for stream in self.streams)
--- a/src/linnetwood/calls/callserver.py
+++ b/src/linnetwood/calls/callserver.py
@@ -114,7 +114,7 @@
     def close_idle(self) -> None:
         """Close the connections on which no request has begun."""
         for req in list(self.idle_connections.values()):
-            req.close()
+            req.close_if_idle()
 
     def on_close(self, server_conn: object) -> None:
         """Forget a connection that closed while no request was read on it."""
@@ -195,9 +195,10 @@
         """Wait for the request, for as long as the limits allow."""
         self._timer.await_head()
 
-    def close(self) -> None:
-        """Close the connection."""
-        http1(self._conn).stream.close()
+    def close_if_idle(self) -> None:
+        """Close the connection unless a part of the request has arrived."""
+        if not self._timer.is_receiving:
+            http1(self._conn).stream.close()
 
     async def _run(self) -> None:
         delegate = self._delegate
--- a/src/linnetwood/calls/readtimer.py
+++ b/src/linnetwood/calls/readtimer.py
@@ -101,6 +101,13 @@
         if self.phase is not Phase.ANSWER:
             self._arm()
 
+    @property
+    def is_receiving(self) -> bool:
+        """Return whether a part of a request has arrived."""
+        if self.phase is Phase.IDLE:
+            return self._conn.has_unread
+        return self.phase is not Phase.ANSWER
+
     def _enter(self, phase: Phase) -> None:
         self.phase = phase
         self._since = self._loop.time()
--- a/src/linnetwood/programs/resident_entry.py
+++ b/src/linnetwood/programs/resident_entry.py
@@ -218,8 +218,13 @@
 
     def _has_work(self) -> bool:
         delegate = self.delegate
-        # Answers are delivered to callers that still read them.
-        return bool(delegate.active_calls or delegate.held.answers)
+        # Requests that arrive are refused once they are whole, and answers are
+        # delivered to callers that still read them.
+        return (
+            self._callers.is_receiving
+            or bool(delegate.active_calls)
+            or bool(delegate.held.answers)
+        )
 
     def _share_retries(self) -> None:
         # All entries share one budget without messages; each uses its share.
--- a/tests/test_read_times.py
+++ b/tests/test_read_times.py
@@ -88,6 +88,19 @@
                 got = await self.received(sock, b'fine')
                 self.assertTrue(got.startswith(b'HTTP/1.1 200 '), got)
 
+    async def test_request_that_arrives_beside_a_stop(self) -> None:
+        """Guard against whole requests that a stopping process cuts off."""
+        await self.serve(respond_with(GOOD))
+        for name, first, rest in PARTS:
+            with self.subTest(name=name):
+                sock = await self.connected(first)
+                sock.sendall(rest)
+                self.delegate.close_idle()
+                self.assertTrue(self.server.is_receiving)
+                got = await self.received(sock, b'fine')
+                self.assertTrue(got.startswith(b'HTTP/1.1 200 '), got)
+                self.assertFalse(self.server.is_receiving)
+
     async def test_callers_that_are_too_slow_are_closed(self) -> None:
         """Guard against connections that a caller holds for ever."""
         cases = (('idle', b''), ('head', WHOLE[:20]), ('body', WHOLE[:-1]))
