Read requests on open connections by larger limits at once

Callers on kept connections whose head or body fits a new configuration alone were cut (head: closed without an answer) or refused for good (body: 400) once after each change that raises a limit: the library takes both limits as it begins to await a request, which on an idle connection is long before. Ruled out: the limits of new connections, which were right.

Raised limits now hold for the request that is awaited; lowered ones still hold from the next one, since its caller may not know them yet.

Before (the new test on the old code): no byte for a head of 1.1 KB with a limit raised from 600 bytes, 400 for a body of 900 bytes with one raised from 60. After: 200 for both.

--- a/src/linnetwood/calls/callersockets.py
+++ b/src/linnetwood/calls/callersockets.py
@@ -32,6 +32,7 @@
         )
         self.received_at = -math.inf
         self.timer = ReadTimer(self, lambda: server.call_limits)
+        self._server = server
 
     def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
         """Read bytes, and note when they arrived."""
@@ -46,6 +47,16 @@
         self.timer.stop()
         super().close_fd()
 
+    def allow_head(self, max_bytes: int) -> None:
+        """Allow a head of this size that is awaited or read now."""
+        if self._read_regex is not None and self._read_max_bytes is not None:
+            self._read_max_bytes = max(self._read_max_bytes, max_bytes)
+
+    @property
+    def max_body_bytes(self) -> int:
+        """Return the limit on bodies that is in force."""
+        return self._server.call_limits.body_bytes
+
     @property
     def has_buffered(self) -> bool:
         """Return whether bytes were read that belong to no request yet."""
@@ -97,14 +108,15 @@
     def set_limits(self, limits: CallLimits) -> None:
         """Apply new limits, also to what open connections wait for now.
 
-        The next request on an open connection is still read with the old
-        limits on sizes.
+        A request that is awaited already may have the size allowed before: its
+        caller may not know the new limits yet.
         """
         self.call_limits = limits
         self.conn_params.max_header_size = limits.header_bytes
         self.conn_params.max_body_size = limits.body_bytes
         for stream in self.streams:
             stream.timer.apply_limits()
+            stream.allow_head(limits.header_bytes)
 
     @property
     def is_receiving(self) -> bool:
--- a/src/linnetwood/calls/callserver.py
+++ b/src/linnetwood/calls/callserver.py
@@ -34,7 +34,6 @@
 )
 from linnetwood.calls.memoryguard import MemoryGuard
 from linnetwood.calls.policy.retryafter import LastPart
-from linnetwood.calls.readtimer import ReadTimer
 from linnetwood.calls.routetable import CallLimits, RouteTable
 from linnetwood.core.events import Event, log
 from linnetwood.core.failures import failure_fields
@@ -133,7 +132,8 @@
         self._delegate = delegate
         self._server_conn = server_conn
         self._conn = conn
-        self._timer = _timer_of(conn)
+        self._stream = _stream_of(conn)
+        self._max_body_bytes = self._stream.max_body_bytes
         self._start_line: RequestStartLine | None = None
         self._headers: Headers = []
         self._pieces: list[bytes] = []
@@ -153,7 +153,10 @@
     ) -> None:
         """Store the head."""
         self._delegate.idle_connections.pop(self._server_conn, None)
-        self._timer.await_body()
+        self._stream.timer.await_body()
+        # The limit may have been raised since the head was awaited.
+        max_bytes = max(self._max_body_bytes, self._stream.max_body_bytes)
+        http1(self._conn).set_max_body_size(max_bytes)
         assert isinstance(start_line, RequestStartLine)
         self._start_line = start_line
         self._headers = list(headers.get_all())
@@ -172,8 +175,8 @@
 
     def finish(self) -> None:
         """Run the call once the request is complete."""
-        self._timer.stop()
-        if http1(self._conn).stream.closed():
+        self._stream.timer.stop()
+        if self._stream.closed():
             # The request crossed our close; no one would receive an answer.
             self._release_body()
             return
@@ -193,12 +196,12 @@
 
     def await_head(self) -> None:
         """Wait for the request, for as long as the limits allow."""
-        self._timer.await_head()
+        self._stream.timer.await_head()
 
     def close_if_idle(self) -> None:
         """Close the connection unless a part of the request has arrived."""
-        if not self._timer.is_receiving:
-            http1(self._conn).stream.close()
+        if not self._stream.timer.is_receiving:
+            self._stream.close()
 
     async def _run(self) -> None:
         delegate = self._delegate
@@ -457,7 +460,7 @@
     return server
 
 
-def _timer_of(conn: HTTPConnection) -> ReadTimer:
+def _stream_of(conn: HTTPConnection) -> CallerStream:
     stream = http1(conn).stream
     assert isinstance(stream, CallerStream)
-    return stream.timer
+    return stream
--- a/tests/test_read_times.py
+++ b/tests/test_read_times.py
@@ -43,7 +43,7 @@
         sock.setblocking(False)
         loop = asyncio.get_running_loop()
         await loop.sock_connect(sock, (HOST, self.port))
-        await until(lambda: self.server.streams)
+        await until(lambda: self.delegate.idle_connections)
         stream = next(iter(self.server.streams))
         if first:
             sock.sendall(first)
@@ -142,3 +142,21 @@
         sock.sendall(WHOLE)
         got = await self.received(sock, b'fine')
         self.assertTrue(got.startswith(b'HTTP/1.1 200 '), got)
+
+    async def test_larger_sizes_apply_to_open_connections(self) -> None:
+        """Guard against requests cut, or refused for good, by old limits."""
+        await self.serve(respond_with(GOOD))
+        field = b'\r\nX-Fill: ' + b'f' * 900 + b'\r\n'
+        cases = (
+            ('head', WHOLE.replace(b'\r\n', field, 1)),
+            ('body', WHOLE.replace(b': 2\r', b': 900\r') + b'f' * 898),
+        )
+        for name, sent in cases:
+            with self.subTest(name=name):
+                small = CallLimits(header_bytes=600, body_bytes=60)
+                self.server.set_limits(small)
+                sock = await self.connected()
+                self.server.set_limits(CallLimits())
+                sock.sendall(sent)
+                got = await self.received(sock, b'fine')
+                self.assertTrue(got.startswith(b'HTTP/1.1 200 '), got)
