--- a/src/linnetwood/calls/callserver.py
+++ b/src/linnetwood/calls/callserver.py
@@ -15,7 +15,7 @@
 )
 
 from linnetwood.calls.answerwriter import AnswerWriter, http1, refuse
-from linnetwood.calls.callersockets import CallerServer
+from linnetwood.calls.callersockets import CallerServer, CallerStream
 from linnetwood.calls.callparsing import (
     IncomingRequest,
     read_call,
@@ -51,6 +51,7 @@
 from linnetwood.wire.curldriver import Headers
 
 _MILLISECONDS = 1000
+_HEAD_METHOD = 'HEAD'
 # For calls that another entry can take at once.
 _RETRY_ELSEWHERE_MS = 100
 # Stalled callers are cut off within seconds, which frees memory.
@@ -102,6 +103,7 @@
         """Start reading one request."""
         req = _Request(self, server_conn, request_conn)
         self.idle_connections[server_conn] = req
+        req.await_head()
         return req
 
     @property
@@ -112,7 +114,7 @@
     def close_idle(self) -> None:
         """Close the connections on which no request has begun."""
         for req in list(self.idle_connections.values()):
-            req.close()
+            req.close_if_idle()
 
     def on_close(self, server_conn: object) -> None:
         """Forget a connection that closed while no request was read on it."""
@@ -131,6 +133,8 @@
         self._delegate = delegate
         self._server_conn = server_conn
         self._conn = conn
+        self._stream = _stream_of(conn)
+        self._max_body_bytes = self._stream.max_body_bytes
         self._start_line: RequestStartLine | None = None
         self._headers: Headers = []
         self._pieces: list[bytes] = []
@@ -150,6 +154,10 @@
     ) -> None:
         """Store the head."""
         self._delegate.idle_connections.pop(self._server_conn, None)
+        self._stream.timer.await_body()
+        # The limit may have been raised since the head was awaited.
+        max_bytes = max(self._max_body_bytes, self._stream.max_body_bytes)
+        http1(self._conn).set_max_body_size(max_bytes)
         assert isinstance(start_line, RequestStartLine)
         self._start_line = start_line
         self._headers = list(headers.get_all())
@@ -168,7 +176,8 @@
 
     def finish(self) -> None:
         """Run the call once the request is complete."""
-        if http1(self._conn).stream.closed():
+        self._stream.timer.stop()
+        if self._stream.closed():
             # The request crossed our close; no one would receive an answer.
             self._release_body()
             return
@@ -186,9 +195,14 @@
         else:
             self._task.cancel()
 
-    def close(self) -> None:
-        """Close the connection."""
-        http1(self._conn).stream.close()
+    def await_head(self) -> None:
+        """Wait for the request, for as long as the limits allow."""
+        self._stream.timer.await_head()
+
+    def close_if_idle(self) -> None:
+        """Close the connection unless a part of the request has arrived."""
+        if not self._stream.timer.is_receiving:
+            self._stream.close()
 
     async def _run(self) -> None:
         delegate = self._delegate
@@ -197,6 +211,7 @@
             delegate.held,
             delegate.metrics,
             lambda: delegate.stopping,
+            only_head=self._method == _HEAD_METHOD,
         )
         try:
             await self._run_and_end(writer)
@@ -330,6 +345,10 @@
         self._body_size = 0
         self._pieces.clear()
 
+    @property
+    def _method(self) -> str:
+        return '' if self._start_line is None else self._start_line.method
+
     def _read(self) -> DirectCall | Ending:
         start_line = self._start_line
         if start_line is None:
@@ -434,29 +453,15 @@
         if isinstance(callback, CallServerDelegate):
             callback.on_close(server_conn)
 
-    def set_limits(self, limits: CallLimits) -> None:
-        """Apply new limits.
-
-        The next request on an open connection is still read with the old ones.
-        """
-        conn_params = self.conn_params
-        conn_params.max_header_size = limits.header_bytes
-        conn_params.max_body_size = limits.body_bytes
-        conn_params.header_timeout = limits.idle_s
-        conn_params.body_timeout = _body_timeout_s(limits)
-
 
 def open_server(delegate: CallServerDelegate, limits: CallLimits) -> CallServer:
     """Return an HTTP server for the delegate with the configured limits."""
-    return CallServer(
-        delegate,
-        max_header_size=limits.header_bytes,
-        max_body_size=limits.body_bytes,
-        idle_connection_timeout=limits.idle_s,
-        body_timeout=_body_timeout_s(limits),
-    )
+    server = CallServer(delegate)
+    server.set_limits(limits)
+    return server
 
 
-def _body_timeout_s(limits: CallLimits) -> float:
-    # The configuration limits the time for the head; a body gets twice that.
-    return limits.header_s * 2
+def _stream_of(conn: HTTPConnection) -> CallerStream:
+    stream = http1(conn).stream
+    assert isinstance(stream, CallerStream)
+    return stream
