Tell a call of the product's own path that an error ended truthfully

A caller whose call met an unexpected error at an entry got a bare 500 that says neither "not run" nor "unknown"; no line or figure of ours showed it, and tornado wrote the request and the error's text, which may hold a prompt, to stderr. Ruled out: errors that layers raise themselves, which have endings. Now such a call ends like one on the platform: 503 not-run with Retry-After if it wasn't dispatched, else 502 unknown, or a closed connection; code internal-error, 6015 CALL_FAILED without the text, and calls.failed. tornado's own refusals (405) stay. The new tests found no line of ours before in each of the five cases.

--- a/src/linnetwood/calls/callers.py
+++ b/src/linnetwood/calls/callers.py
@@ -5,12 +5,12 @@
 import json
 import secrets
 from collections.abc import Coroutine, Iterable
-from types import MappingProxyType
+from types import MappingProxyType, TracebackType
 from typing import Any, Protocol, TypeVar, cast
 
 from tornado.httputil import HTTPConnection, HTTPServerRequest
 from tornado.iostream import StreamClosedError
-from tornado.web import Application, RequestHandler
+from tornado.web import Application, HTTPError, RequestHandler
 
 from linnetwood.calls import keys
 from linnetwood.calls.admission import AdmissionRequest
@@ -25,8 +25,9 @@
 from linnetwood.core.clock import Clock
 from linnetwood.core.errors import CallError
 from linnetwood.core.events import Event, log
+from linnetwood.core.failures import failure_fields
 from linnetwood.core.metrics import Metric, Metrics
-from linnetwood.core.outcomes import Code, Ending, Outcome, not_run
+from linnetwood.core.outcomes import Code, Ending, Outcome, not_run, unknown
 from linnetwood.core.sizes import MIB
 from linnetwood.core.traces import Tracer
 from linnetwood.fleet.placement import ENGINE_KIND
@@ -111,6 +112,7 @@
 class _BaseHandler(RequestHandler):
     def initialize(self, context: HandlerContext) -> None:
         self.context = context
+        self.call_id = ''
 
     def data_received(self, chunk: bytes) -> None:
         """Ignore streamed bodies, which are not enabled."""
@@ -133,6 +135,39 @@
             self.close_connection()
         super().send_error(status_code, **kwargs)
 
+    def write_error(self, status_code: int, **kwargs: Any) -> None:
+        """Write the outcome of a call that an unexpected error ended."""
+        exc = kwargs.get('exc_info', (None, None, None))[1]
+        if exc is None or isinstance(exc, HTTPError):
+            super().write_error(status_code, **kwargs)
+        else:
+            self.end_unanswered(self.failure())
+
+    def log_exception(
+        self,
+        typ: type[BaseException] | None,
+        exc: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Log an unexpected error without its text, which may be private."""
+        if exc is None or isinstance(exc, HTTPError):
+            super().log_exception(typ, exc, trace)
+            return
+        fields = failure_fields(exc)
+        ending = self.failure()
+        self.count(ending)
+        answer = 'cut' if self.headers_written else outcome_name(ending)
+        log(Event.CALL_FAILED, call=self.call_id, answer=answer, **fields)
+        metrics = self.context.metrics
+        metrics.count(Metric.CALLS_FAILED, kind=str(fields['error']))
+
+    def failure(self) -> Ending:
+        """Return the ending of a call that an unexpected error ended."""
+        return not_run(Code.INTERNAL)
+
+    def count(self, ending: Ending) -> None:
+        """Count nothing, since this is no call."""
+
     def close_connection(self) -> None:
         """Close the connection, so that the answer can't look complete."""
         self.request.connection.stream.close()  # type: ignore[union-attr]
@@ -144,7 +179,7 @@
 
     def end_unanswered(self, ending: Ending) -> None:
         """Write the outcome of a call that has no answer."""
-        outcome = 'not-run' if ending.outcome == Outcome.NOT_RUN else 'unknown'
+        outcome = outcome_name(ending)
         fallback = (
             _UNAVAILABLE_STATUS if outcome == 'not-run' else _BAD_GATEWAY_STATUS
         )
@@ -242,7 +277,8 @@
     def initialize(self, context: HandlerContext) -> None:
         """Keep the shared context; no call is running yet."""
         super().initialize(context)
-        self.call_id = ''
+        # An attempt may have been sent once the dispatcher has the call.
+        self._is_dispatched = False
         self._is_caller_gone = False
         self._running_step: asyncio.Future[Any] | None = None
 
@@ -264,9 +300,15 @@
             return
         self.finish_call(ending, answer)
 
+    def failure(self) -> Ending:
+        """Return the ending of a call that an unexpected error ended."""
+        if self._is_dispatched:
+            return unknown(Code.INTERNAL)
+        return super().failure()
+
     def finish_call(self, ending: Ending, answer: _AnswerWriter) -> None:
         """Finish a complete answer, or write why there is none."""
-        self._count(ending)
+        self.count(ending)
         if ending.outcome == Outcome.ANSWERED:
             self.finish()
         elif answer.begun and self.headers_written:
@@ -290,6 +332,15 @@
             limit_s = min(limit_s, int(requested) / _MILLISECONDS)
         return self.context.clock.now() + limit_s
 
+    def count(self, ending: Ending) -> None:
+        """Count how the call ended."""
+        metric = {
+            Outcome.ANSWERED: Metric.CALLS_ANSWERED,
+            Outcome.NOT_RUN: Metric.CALLS_NOT_RUN,
+            Outcome.UNKNOWN: Metric.CALLS_UNKNOWN,
+        }[ending.outcome]
+        self.context.metrics.count(metric)
+
     async def _admit_and_run(self, call: Call, answer: _AnswerWriter) -> Ending:
         context = self.context
         admission_request = AdmissionRequest(
@@ -304,6 +355,7 @@
         began = context.clock.now()
         span = context.traces.span('entry', call.traceparent)
         call = dataclasses.replace(call, traceparent=span.traceparent)
+        self._is_dispatched = True
         try:
             return await self._unless_gone(context.dispatcher.run(call, answer))
         finally:
@@ -319,14 +371,6 @@
         self._running_step = running
         return await running
 
-    def _count(self, ending: Ending) -> None:
-        metric = {
-            Outcome.ANSWERED: Metric.CALLS_ANSWERED,
-            Outcome.NOT_RUN: Metric.CALLS_NOT_RUN,
-            Outcome.UNKNOWN: Metric.CALLS_UNKNOWN,
-        }[ending.outcome]
-        self.context.metrics.count(metric)
-
 
 class CompletionHandler(_CallHandler):
     """Stream the answer of a model engine."""
@@ -481,6 +525,11 @@
         )
 
 
+def outcome_name(ending: Ending) -> str:
+    """Return the name that callers see of an outcome without an answer."""
+    return 'not-run' if ending.outcome == Outcome.NOT_RUN else 'unknown'
+
+
 def parse_priority(text: str) -> int:
     """Parse a priority from 0, the lowest, to 9; other texts count as 0."""
     return min(MAX_PRIORITY, int(text)) if text.isdecimal() else 0
--- a/tests/test_broken_calls.py
+++ b/tests/test_broken_calls.py
@@ -4,6 +4,7 @@
 import unittest
 from collections.abc import Awaitable, Callable
 from typing import Any, cast
+from unittest import mock
 
 from tornado.netutil import bind_sockets
 
@@ -13,14 +14,18 @@
 from linnetwood.calls.dispatch import AnswerSink, Call
 from linnetwood.calls.fairness import QueueLimits
 from linnetwood.core.clock import SystemClock
-from linnetwood.core.metrics import NoMetrics
-from linnetwood.core.outcomes import Ending
+from linnetwood.core.events import Event
+from linnetwood.core.metrics import Metric
+from linnetwood.core.outcomes import ANSWERED, Ending
 from linnetwood.core.traces import NoTraces
 from linnetwood.gen.wire.ttypes import Head
 from tests.clocks import ManualClock
 from tests.test_curldriver import HOST
 
 LIMIT_S = 30
+OUTCOME = b'\r\nX-Linnetwood-Outcome: '
+SECRET = 'text of a private prompt'
+CALL = 'GET /services/desk/x HTTP/1.1'
 Behaviour = Callable[[Call, AnswerSink], Awaitable[Ending]]
 
 
@@ -61,14 +66,25 @@
 
 async def fail(call: Call, sink: AnswerSink) -> Ending:
     """Fail before an answer."""
-    raise KeyError(call.call_id)
+    raise KeyError(SECRET)
+
+
+async def fail_after_head(call: Call, sink: AnswerSink) -> Ending:
+    """Fail as the head of an answer is not what it should be."""
+    await sink.head(Head(call.call_id, 200, [f'X-One: a\x00{SECRET}']), '')
+    return ANSWERED
+
+
+async def fail_to_admit(request: object) -> None:
+    """Fail before the call is admitted."""
+    raise KeyError(SECRET)
 
 
 async def fail_in_answer(call: Call, sink: AnswerSink) -> Ending:
     """Fail after a part of an answer."""
     await sink.head(Head(call.call_id, 200, []), '')
     await sink.body(b'part')
-    raise KeyError(call.call_id)
+    raise KeyError(SECRET)
 
 
 class BrokenCallTest(unittest.IsolatedAsyncioTestCase):
@@ -76,13 +92,14 @@
 
     async def asyncSetUp(self) -> None:
         self.scripted = Scripted()
+        self.metrics = mock.MagicMock()
         scripted = cast(Any, self.scripted)
         self.context = HandlerContext(
             scripted,
             scripted,
             scripted,
             SystemClock(),
-            NoMetrics(),
+            self.metrics,
             60,
             NoTraces(),
         )
@@ -108,11 +125,58 @@
     async def test_cut_answer_does_not_look_complete(self) -> None:
         """Guard against a part of an answer that ends like a whole one."""
         self.scripted.behave = fail_in_answer
-        received = await self.received('GET /services/desk/x HTTP/1.1')
+        received = await self.failed('cut')
         self.assertIn(b'\r\nTransfer-Encoding: chunked\r\n', received)
         self.assertTrue(received.endswith(b'\r\n4\r\npart\r\n'), received)
         self.assertEqual(self.scripted.left, 1)
 
+    async def test_errors_before_an_answer(self) -> None:
+        """Guard against an end that tells neither "not run" nor "unknown"."""
+        for behave in (fail, fail_after_head):
+            self.scripted.behave = behave
+            with self.subTest(behave=behave.__name__):
+                received = await self.failed('unknown')
+                self.assertTrue(received.startswith(b'HTTP/1.1 502 '))
+                self.assertIn(OUTCOME + b'unknown', received)
+                self.assertEqual(
+                    self.metrics.count.mock_calls,
+                    [
+                        mock.call(Metric.CALLS_UNKNOWN),
+                        mock.call(Metric.CALLS_FAILED, kind=mock.ANY),
+                    ],
+                )
+            self.metrics.count.reset_mock()
+        self.assertEqual(self.scripted.left, 2)
+
+    async def test_errors_before_a_call_is_sent(self) -> None:
+        """Guard against "unknown" for a call that no endpoint got."""
+        failing = mock.patch.object(self.scripted, 'enter', fail_to_admit)
+        for line in (CALL, 'POST /v1/keys?service=desk HTTP/1.1'):
+            with self.subTest(line=line), failing:
+                received = await self.failed('not-run', line)
+                self.assertTrue(received.startswith(b'HTTP/1.1 503 '))
+                self.assertIn(OUTCOME + b'not-run', received)
+                self.assertIn(b'\r\nRetry-After: 1\r\n', received)
+        self.assertEqual(self.scripted.left, 0)
+
+    async def test_errors_of_the_library_stay(self) -> None:
+        """Guard against "not run, come again" for what is never allowed."""
+        received = await self.received('PUT /v1/keys HTTP/1.1')
+        self.assertTrue(received.startswith(b'HTTP/1.1 405 '))
+
+    async def failed(self, answer: str, line: str = CALL) -> bytes:
+        """Return what the caller of a failing call gets."""
+        with (
+            self.assertLogs('linnetwood', 'INFO') as captured,
+            self.assertNoLogs('tornado.application'),
+        ):
+            received = await self.received(line)
+        lines = [record.__dict__ for record in captured.records]
+        self.assertNotIn(SECRET, f'{lines}{received!r}')
+        failed = [one for one in lines if one['event'] == Event.CALL_FAILED]
+        self.assertEqual([one['answer'] for one in failed], [answer])
+        return received
+
     async def test_caller_leaves_while_its_call_waits(self) -> None:
         """Guard against a call that runs after its caller has left."""
         for admits_gone in (False, True):
