Send the path of a service's call as the caller sent it

A caller's /x/../confirm reached the service as /confirm, so that a call to a path of once_paths ran without a key (seen from outside: no X-Linnetwood-Key in its answer); "#" and what follows was dropped, and %2f became %2F. A path with bytes over 127 got 502 connection-lost: the URL could not be set, and the error ended the endpoint's connection. libcurl parses a URL and normalises it. Ruled out: the entry, which checks and sends the path as it came. The path now goes to libcurl as the request target, which it leaves as it is. Of eight paths in the new test, four were changed and one refused before.

--- a/src/linnetwood/calls/backend.py
+++ b/src/linnetwood/calls/backend.py
@@ -3,6 +3,7 @@
 import dataclasses
 from collections.abc import Callable
 from typing import Protocol
+from urllib.parse import urlsplit
 
 import pycurl
 from tornado.curl_httpclient import CurlError
@@ -75,6 +76,8 @@
     check: Callable[['_Exchange'], bool]
     # Sent in place of the method that curl is given; empty for that one.
     method: str = ''
+    # Sent as it is; empty for the path of the URL.
+    target: bytes = b''
     status: int = 0
     lines: list[str] = dataclasses.field(default_factory=list)
     begun: bool = False
@@ -89,6 +92,8 @@
         curl.setopt(pycurl.FORBID_REUSE, True)
         if self.method:
             curl.setopt(pycurl.CUSTOMREQUEST, self.method)
+        if self.target:
+            curl.setopt(pycurl.REQUEST_TARGET, self.target)
 
     def header(self, line: bytes) -> None:
         """Receive a status or header line."""
@@ -156,6 +161,10 @@
     async def run(self, start: Start, body: bytes, sink: BackendSink) -> Ending:
         """Run one call."""
         exchange = _Exchange(sink, lambda _: True)
+        # Curl would change some paths, and refuse others.
+        path = start.path.removeprefix('/')
+        target = f'{urlsplit(self._url).path}/{path}'
+        exchange.target = target.encode('latin1')
         method = start.method
         if method == 'GET' and body:
             # The client refuses this, and sends any other method with a body.
@@ -168,7 +177,7 @@
             name, _, text = line.partition(':')
             headers.add(name.strip(), text.strip())
         req = HTTPRequest(
-            self._url + start.path,
+            self._url,
             method=method,
             headers=headers,
             body=_sent_body(method, body),
--- a/tests/test_backend.py
+++ b/tests/test_backend.py
@@ -102,7 +102,11 @@
     """Forward requests of each method, with and without a body."""
 
     async def forwarded(
-        self, method: str, body: bytes, answer: bytes = WHOLE
+        self,
+        method: str,
+        body: bytes,
+        answer: bytes = WHOLE,
+        path: str = '/a?b=1',
     ) -> tuple[bytes, RecordingSink]:
         """Forward a request; return it as the service read it, and the answer.
 
@@ -115,7 +119,7 @@
         )
         sink = RecordingSink()
         try:
-            ending = await service.run(start_of(method, '/a?b=1'), body, sink)
+            ending = await service.run(start_of(method, path), body, sink)
         finally:
             client.close()
             await server.close()
@@ -138,6 +142,27 @@
                     expected = b'' if method == 'HEAD' else body
                     self.assertEqual(received, expected)
 
+    async def test_path_is_forwarded(self) -> None:
+        """Guard against another path than the one that was checked."""
+        paths = (
+            '/x/../confirm',
+            '/./x',
+            '//x',
+            '/x%2F..%2f?q=/../',
+            '/x#y',
+            '/?',
+            '/{x}[1]',
+            '/\xc3\xbc',
+        )
+        for path in paths:
+            with self.subTest(path=path):
+                request, _ = await self.forwarded('GET', b'', path=path)
+                line, _, _ = request.partition(b'\r\n')
+                expected = f'GET {path} HTTP/1.1'
+                self.assertEqual(line, expected.encode('latin1'))
+        request, _ = await self.forwarded('GET', b'', path='?q=1')
+        self.assertTrue(request.startswith(b'GET /?q=1 HTTP/1.1'), request)
+
     async def test_any_status_is_an_answer(self) -> None:
         """Guard against a status that is taken for a lost connection."""
         for status in (204, 304, 404, 500, 503, 599):
