End a call truthfully whose back end raised an unexpected error

An error that nobody expects, in a request to an engine or service, closed the entry's connection: the call ended as connection-lost, no line of ours told of it (asyncio wrote one, with the error's text, once the task was collected), and the entry avoided the endpoint for 2 s. If the request to stop an engine's stream failed so, the slot counted as free while the call still ran. Ruled out: codec and wire errors, which are told and logged.

--- a/src/linnetwood/calls/guard.py
+++ b/src/linnetwood/calls/guard.py
@@ -8,6 +8,7 @@
 from linnetwood.calls.backend import Backend
 from linnetwood.core.errors import CallError, WireError
 from linnetwood.core.events import Event, log
+from linnetwood.core.failures import failure_fields
 from linnetwood.core.outcomes import (
     ANSWERED,
     Code,
@@ -184,15 +185,30 @@
         body: bytes,
         forwarder: _AnswerForwarder,
     ) -> Ending:
-        run = asyncio.ensure_future(self._backend.run(start, body, forwarder))
+        run = asyncio.ensure_future(self._run_backend(start, body, forwarder))
         gone = asyncio.ensure_future(stream.wait_closed())
         await asyncio.wait((run, gone), return_when=asyncio.FIRST_COMPLETED)
         gone.cancel()
         if not run.done():
             log(Event.CALL_CUT, call=start.call_id, code='caller-gone')
-            await self._backend.cancel(start.call_id)
+            await self._cancel(start)
         return await run
 
+    async def _run_backend(
+        self, start: Start, body: bytes, forwarder: _AnswerForwarder
+    ) -> Ending:
+        try:
+            return await self._backend.run(start, body, forwarder)
+        except Exception as exc:
+            _log_failure(start, exc, 'unknown')
+            return unknown(Code.INTERNAL)
+
+    async def _cancel(self, start: Start) -> None:
+        try:
+            await self._backend.cancel(start.call_id)
+        except Exception as exc:
+            _log_failure(start, exc, 'cut')
+
     def _record_key_outcome(
         self, key: keys.Key, ending: Ending, forwarder: _AnswerForwarder
     ) -> None:
@@ -247,3 +263,8 @@
             retry_after_ms=ending.retry_after_ms,
         )
         await stream.write(FrameKind.END, encode(end))
+
+
+def _log_failure(start: Start, exc: Exception, answer: str) -> None:
+    fields = failure_fields(exc)
+    log(Event.CALL_FAILED, call=start.call_id, answer=answer, **fields)
