Find the path of a service's call behind an encoded name

A caller of /services/boo%6bing/x got 502 backend-lost: the entry cut the path off after as many characters as the decoded name has, so "ng/x" was appended to the URL of the service, where it made a bad port. (As read, not run: behind a service at port 80, /services/bookin%67/x would have gone to port 8067.) Ruled out: names that are not encoded; their paths are the same as before. Now the path begins after the name as it was sent.

--- a/src/linnetwood/calls/callers.py
+++ b/src/linnetwood/calls/callers.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import json
+import re
 import secrets
 from collections.abc import Coroutine, Iterable
 from types import MappingProxyType, TracebackType
@@ -50,6 +51,8 @@
 _UNAVAILABLE_STATUS = 503
 _BAD_GATEWAY_STATUS = 502
 _MILLISECONDS = 1000
+# The name may be encoded.
+_SERVICE_PREFIX = re.compile('/services/[^/?]+')
 _STATUSES = MappingProxyType(
     {
         Code.BAD_REQUEST.value: _BAD_REQUEST_STATUS,
@@ -402,7 +405,7 @@
     async def handle(self, name: str) -> None:
         """Answer any method under /services/NAME/."""
         service = find_service(self.context.deployment, name)
-        path = service_path(self.request, name)
+        path = service_path(self.request)
         is_once = service is not None and runs_once(service, path)
         key = self.request.headers.get(KEY_HEADER, '')
         method = self.request.method or 'GET'
@@ -556,9 +559,11 @@
     return any(path.startswith(prefix) for prefix in service.once_paths)
 
 
-def service_path(req: HTTPServerRequest, name: str) -> str:
+def service_path(req: HTTPServerRequest) -> str:
     """Return the path and query as the service sees them."""
-    return (req.uri or '')[len(f'/services/{name}') :] or '/'
+    match = _SERVICE_PREFIX.match(req.uri or '')
+    path = match.string[match.end() :] if match else ''
+    return path if path.startswith('/') else f'/{path}'
 
 
 def header_lines(req: HTTPServerRequest) -> Iterable[str]:
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -5,7 +5,9 @@
 import unittest
 
 from tornado.httpclient import HTTPRequest
+from tornado.httputil import HTTPServerRequest
 
+from linnetwood.calls.callers import service_path
 from linnetwood.core.errors import OrderError, StoreError, WeightsError
 from linnetwood.core.options import Backend
 from linnetwood.fleet.store import HttpKeyValue
@@ -183,6 +185,24 @@
         self.assertEqual(rig.engines[0].traceparents, [parent])
 
 
+class PathTest(unittest.TestCase):
+    """Paths of calls to services."""
+
+    def test_path_at_the_service(self) -> None:
+        """Guard against a path that is cut for an encoded name."""
+        cases = (
+            ('/services/booking', '/'),
+            ('/services/booking?a=/b', '/?a=/b'),
+            ('/services/booking/x/y?a=b', '/x/y?a=b'),
+            ('/services/booking//x', '//x'),
+            ('/services/boo%6bing/confirm', '/confirm'),
+        )
+        for uri, expected in cases:
+            with self.subTest(uri=uri):
+                req = HTTPServerRequest(method='GET', uri=uri)
+                self.assertEqual(service_path(req), expected)
+
+
 class BackendTest(unittest.IsolatedAsyncioTestCase):
     """Errors of back ends and adapters."""
 
