Leave the bodies of calls to the services that read them

A caller that sent a service a form with over 1000 fields, a compressed form, or a multipart body that tornado can't split got 400 from the entry, without an outcome, though the entry passes bodies on unread. tornado parses every whole body that calls itself a form. Ruled out: our own checks, which read no service's body. Bodies now come in pieces, which tornado doesn't parse, up to the same limit. The new test, with a scripted dispatcher, got 400 for four bodies before; that of the limit passes before and after. (The stand-in service is a tornado program and refuses such bodies itself, so the rig can't show the difference.)

--- a/src/linnetwood/calls/callers.py
+++ b/src/linnetwood/calls/callers.py
@@ -11,7 +11,12 @@
 
 from tornado.httputil import HTTPConnection, HTTPServerRequest
 from tornado.iostream import StreamClosedError
-from tornado.web import Application, HTTPError, RequestHandler
+from tornado.web import (
+    Application,
+    HTTPError,
+    RequestHandler,
+    stream_request_body,
+)
 
 from linnetwood.calls import keys
 from linnetwood.calls.admission import AdmissionRequest
@@ -274,19 +279,30 @@
         handler.close_connection()
 
 
+@stream_request_body
 class _CallHandler(_BaseHandler):
-    """Run one call and write its answer or its outcome."""
+    """Run one call and write its answer or its outcome.
+
+    The body comes in pieces, since tornado would parse a whole one as a form
+    and refuse it if it can't.
+    """
 
     def initialize(self, context: HandlerContext) -> None:
         """Keep the shared context; no call is running yet."""
         super().initialize(context)
+        self.received = bytearray()
         # An attempt may have been sent once the dispatcher has the call.
         self._is_dispatched = False
         self._is_caller_gone = False
         self._running_step: asyncio.Future[Any] | None = None
 
+    def data_received(self, chunk: bytes) -> None:
+        """Keep a piece of the body."""
+        self.received += chunk
+
     def on_connection_close(self) -> None:
         """Cancel the call when its caller disconnects."""
+        super().on_connection_close()
         self._is_caller_gone = True
         if self._running_step is not None:
             self._running_step.cancel()
@@ -380,8 +396,9 @@
 
     async def post(self) -> None:
         """Answer POST /v1/completions."""
+        body = bytes(self.received)
         try:
-            req = read_completion(self.request.body)
+            req = read_completion(body)
         except CallError as exc:
             self.end_unanswered(not_run(Code.BAD_REQUEST, exc.detail))
             return
@@ -392,7 +409,7 @@
             method='POST',
             path='/generate',
             headers=(),
-            body=self.request.body,
+            body=body,
             deadline=self.deadline(),
             traceparent=self.request.headers.get('traceparent', ''),
         )
@@ -421,7 +438,7 @@
             method=method,
             path=path,
             headers=tuple(header_lines(self.request)),
-            body=self.request.body,
+            body=bytes(self.received),
             deadline=self.deadline(),
             may_repeat=method in _SAFE_METHODS and not (is_once or key),
             at_most_once=is_once or bool(key),
--- a/tests/test_broken_calls.py
+++ b/tests/test_broken_calls.py
@@ -9,7 +9,11 @@
 from tornado.netutil import bind_sockets
 
 from linnetwood.calls.admission import Admission, AdmissionRequest
-from linnetwood.calls.callers import HandlerContext, application
+from linnetwood.calls.callers import (
+    MAX_BODY_BYTES,
+    HandlerContext,
+    application,
+)
 from linnetwood.calls.callersockets import CallerServer
 from linnetwood.calls.dispatch import AnswerSink, Call
 from linnetwood.calls.fairness import QueueLimits
@@ -103,7 +107,9 @@
             60,
             NoTraces(),
         )
-        self.server = CallerServer(application(self.context, scripted))
+        self.server = CallerServer(
+            application(self.context, scripted), max_body_size=MAX_BODY_BYTES
+        )
         sockets = bind_sockets(0, HOST)
         self.server.add_sockets(sockets)
         self.port = int(sockets[0].getsockname()[1])
@@ -112,11 +118,18 @@
         self.server.stop()
         await self.server.close_all_connections()
 
-    async def received(self, *lines: str) -> bytes:
-        """Send a request and return what comes until the connection ends."""
+    async def received(
+        self, *lines: str, body: bytes = b'', more: int = 0
+    ) -> bytes:
+        """Send a request and return what comes until the connection ends.
+
+        `more` is the length that the request states, if not that of the body.
+        """
         reader, writer = await asyncio.open_connection(HOST, self.port)
-        head = '\r\n'.join((*lines, 'Host: h', 'Connection: close', '', ''))
-        writer.write(head.encode('latin1'))
+        length = f'Content-Length: {more or len(body)}'
+        end = (length, 'Host: h', 'Connection: close', '', '')
+        head = '\r\n'.join((*lines, *end))
+        writer.write(head.encode('latin1') + body)
         async with asyncio.timeout(LIMIT_S):
             received = await reader.read()
         writer.close()
@@ -159,6 +172,41 @@
                 self.assertIn(b'\r\nRetry-After: 1\r\n', received)
         self.assertEqual(self.scripted.left, 0)
 
+    async def test_forms_are_not_read(self) -> None:
+        """Guard against a refusal of bodies that only the service reads."""
+        got: list[bytes] = []
+
+        async def take(call: Call, sink: AnswerSink) -> Ending:
+            got.append(call.body)
+            await sink.head(Head(call.call_id, 200, []), '')
+            return ANSWERED
+
+        self.scripted.behave = take
+        urlencoded = 'Content-Type: application/x-www-form-urlencoded'
+        multipart = 'Content-Type: multipart/form-data'
+        cases = (
+            (b'a&' * 1500, (urlencoded,)),
+            (b'zipped', (urlencoded, 'Content-Encoding: gzip')),
+            (b'no part', (multipart,)),
+            (b'no part', (f'{multipart}; boundary=b',)),
+            (b'z' * 200000, ()),
+            (b'', ()),
+        )
+        for body, headers in cases:
+            with self.subTest(body=body[:9], headers=headers):
+                lines = ('POST /services/desk/x HTTP/1.1', *headers)
+                received = await self.received(*lines, body=body)
+                self.assertTrue(received.startswith(b'HTTP/1.1 200 '), received)
+                self.assertEqual(got.pop(), body)
+
+    async def test_too_long_body(self) -> None:
+        """Guard against a body that is held beyond the limit."""
+        body = bytes(MAX_BODY_BYTES + 1)
+        lines = ('POST /services/desk/x HTTP/1.1',)
+        received = await self.received(*lines, body=body[:10], more=len(body))
+        self.assertTrue(received.startswith(b'HTTP/1.1 400 '), received)
+        self.assertEqual(self.scripted.entered, 0)
+
     async def test_errors_of_the_library_stay(self) -> None:
         """Guard against "not run, come again" for what is never allowed."""
         received = await self.received('PUT /v1/keys HTTP/1.1')
