Take numbers of any length in callers' headers

Long deadlines now count as the entry's own limit, long priorities as the highest, and the other two are refused as bad-request.

--- a/src/linnetwood/calls/callers.py
+++ b/src/linnetwood/calls/callers.py
@@ -50,6 +50,7 @@
 VERSION_HEADER = 'X-Model-Version'
 MAX_BODY_BYTES = MIB
 _MAX_KEYS = 100
+_MAX_SHOWN_CHARS = 120
 _SAFE_METHODS = frozenset(('GET', 'HEAD', 'OPTIONS'))
 _BAD_REQUEST_STATUS = 400
 _NOT_FOUND_STATUS = 404
@@ -348,7 +349,8 @@
         requested = self.request.headers.get(DEADLINE_HEADER, '')
         limit_s = self.context.timeout_s
         if requested.isdecimal():
-            limit_s = min(limit_s, int(requested) / _MILLISECONDS)
+            # Unlike int, float takes any number of digits.
+            limit_s = min(limit_s, float(requested) / _MILLISECONDS)
         return self.context.clock.now() + limit_s
 
     def count(self, ending: Ending) -> None:
@@ -463,8 +465,9 @@
         """Answer POST /v1/keys?service=NAME&count=N."""
         name = self.get_argument('service', '')
         count = self.get_argument('count', '1')
-        if not count.isdecimal() or not 1 <= int(count) <= _MAX_KEYS:
-            detail = f'count: found {count!r}, allowed is 1 to {_MAX_KEYS}'
+        if not count.isdecimal() or not 1 <= float(count) <= _MAX_KEYS:
+            found = count[:_MAX_SHOWN_CHARS]
+            detail = f'count: found {found!r}, allowed is 1 to {_MAX_KEYS}'
             self.end_unanswered(not_run(Code.BAD_REQUEST, detail))
             return
         query = EndpointQuery(name)
@@ -521,7 +524,7 @@
     """Parse a completion request; raises CallError if it is malformed."""
     try:
         req = json.loads(body)
-    except ValueError as exc:
+    except (ValueError, RecursionError) as exc:
         raise CallError(Code.BAD_REQUEST.value, f'body: {exc}') from exc
     if not isinstance(req, dict):
         raise CallError(Code.BAD_REQUEST.value, 'body: allowed is an object')
@@ -552,7 +555,7 @@
 
 def parse_priority(text: str) -> int:
     """Parse a priority from 0, the lowest, to 9; other texts count as 0."""
-    return min(MAX_PRIORITY, int(text)) if text.isdecimal() else 0
+    return int(min(MAX_PRIORITY, float(text))) if text.isdecimal() else 0
 
 
 def service_want(name: str, key: str) -> EndpointQuery:
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -51,11 +51,13 @@
         cases = (
             (GENERATE, '[]', 400, 'bad-request'),
             (GENERATE, '{', 400, 'bad-request'),
+            (GENERATE, '[' * 100000, 400, 'bad-request'),
             (GENERATE, {'model': 'sevak'}, 400, 'bad-request'),
             (GENERATE, body(tokens=0), 400, 'bad-request'),
             (GENERATE, {**body(), 'model': 'x'}, 404, 'unknown-target'),
             ('/services/none/x', '', 404, 'unknown-target'),
             ('/v1/keys?service=booking&count=0', '', 400, 'bad-request'),
+            (f'/v1/keys?count={"9" * 5000}', '', 400, 'bad-request'),
             ('/v1/keys?service=none', '', 503, 'no-endpoint'),
         )
         for path, sent, status, code in cases:
@@ -69,6 +71,20 @@
         )
         self.assertEqual(bad_key.headers[CODE], 'key-malformed')
 
+    @running
+    async def test_numbers_of_any_length(self, rig: Rig) -> None:
+        """Guard against an error by a number that a caller sends."""
+        await rig.entry()
+        await rig.booking()
+        await rig.until(lambda: len(rig.entries[0].runtime.gossip.members) == 2)
+        for name in ('X-Deadline-Ms', 'X-Priority'):
+            for digits in (400, 5000):
+                with self.subTest(name=name, digits=digits):
+                    reply = await rig.http(
+                        '/services/booking/x', headers={name: '9' * digits}
+                    )
+                    self.assertEqual(reply.code, 200)
+
     @running
     async def test_service_answer_byte_for_byte(self, rig: Rig) -> None:
         """An answer through the system equals the service's own answer."""
