Refuse a call whose deadline has passed in place of sending it

A repeatable call whose deadline had passed when it got its slot (seen from outside with X-Deadline-Ms: 0) was written to a kept connection before its time limit took effect, and ended as unknown, 502, with the connection closed. Ruled out: the endpoint, which gives it 1 ms. It is refused as not run now, 503 deadline-passed; a call with a key stays unknown, since an earlier attempt may have run. The new test got unknown for both before.

--- a/src/linnetwood/calls/dispatch.py
+++ b/src/linnetwood/calls/dispatch.py
@@ -137,6 +137,9 @@
         self._probe_load(call.query)
         tried = _Tried()
         endings: list[Ending] = []
+        if call.deadline <= self._clock.now():
+            late = not_run(Code.LATE, 'deadline passed')
+            return self._caller_ending(call, late)
         for _ in range(MAX_ATTEMPTS):
             member = self._choose(call.query, tried)
             if member is None:
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -110,7 +110,11 @@
             await self.behave(stream, start)
 
     async def call(
-        self, *, may_repeat: bool = True, key: str = ''
+        self,
+        *,
+        may_repeat: bool = True,
+        key: str = '',
+        deadline_s: float = DEADLINE_S,
     ) -> tuple[Ending, RecordingSink]:
         """Run a call and return its ending and answer."""
         call = Call(
@@ -121,7 +125,7 @@
             '/',
             (),
             b'',
-            deadline=self.clock.now() + DEADLINE_S,
+            deadline=self.clock.now() + deadline_s,
             may_repeat=may_repeat,
             at_most_once=bool(key),
             key=key,
@@ -274,6 +278,21 @@
             self.assertEqual(ending.outcome, expected)
             self.assertEqual(ending.code, 'connect-failed')
 
+    @in_virtual_time
+    async def test_call_without_time(self) -> None:
+        """Guard against a call that is sent after its deadline."""
+        async with running() as fleet:
+            await fleet.call()
+            for key, expected in (
+                ('', Outcome.NOT_RUN),
+                ('vm-0.1.1.a', Outcome.UNKNOWN),
+            ):
+                ending, _ = await fleet.call(deadline_s=0, key=key)
+                found = (ending.outcome, ending.code)
+                self.assertEqual(found, (expected, 'deadline-passed'))
+            await asyncio.sleep(1)
+            self.assertEqual(len(fleet.starts), 1)
+
 
 if __name__ == '__main__':
     unittest.main()
