Log at the entry how a call without an answer ended

An entry of the product's own path wrote no line for a call that it told as not run or unknown, and no id in that of an answer that it cut: where the endpoint was gone, or admission refused the call, nothing told of it but the figures. The endpoint's own line of the call stays. The new test found no line before for the first two, and no call in that of the third.

--- a/src/linnetwood/calls/callers.py
+++ b/src/linnetwood/calls/callers.py
@@ -67,6 +67,12 @@
     },
 )
 
+_EVENTS = MappingProxyType(
+    {
+        Outcome.NOT_RUN: Event.CALL_NOT_RUN,
+        Outcome.UNKNOWN: Event.CALL_UNKNOWN,
+    },
+)
 _Result = TypeVar('_Result')
 
 
@@ -333,9 +339,10 @@
             self.finish()
         elif answer.begun and self.headers_written:
             # The caller must notice that the answer is incomplete.
-            log(Event.CALL_CUT, code=ending.code)
+            self._log_ending(Event.CALL_CUT, ending)
             self.close_connection()
         else:
+            self._log_ending(_EVENTS[ending.outcome], ending)
             self.clear()
             self.end_unanswered(ending)
 
@@ -362,6 +369,14 @@
         }[ending.outcome]
         self.context.metrics.count(metric)
 
+    def _log_ending(self, event: Event, ending: Ending) -> None:
+        log(
+            event,
+            call=self.call_id,
+            code=ending.code,
+            detail=ending.detail[:_MAX_SHOWN_CHARS],
+        )
+
     async def _admit_and_run(self, call: Call, answer: _AnswerWriter) -> Ending:
         context = self.context
         admission_request = AdmissionRequest(
--- a/tests/test_broken_calls.py
+++ b/tests/test_broken_calls.py
@@ -20,7 +20,7 @@
 from linnetwood.core.clock import SystemClock
 from linnetwood.core.events import Event
 from linnetwood.core.metrics import Metric
-from linnetwood.core.outcomes import ANSWERED, Ending
+from linnetwood.core.outcomes import ANSWERED, Code, Ending, not_run, unknown
 from linnetwood.core.traces import NoTraces
 from linnetwood.gen.wire.ttypes import Head
 from tests.clocks import ManualClock
@@ -172,6 +172,34 @@
                 self.assertIn(b'\r\nRetry-After: 1\r\n', received)
         self.assertEqual(self.scripted.left, 0)
 
+    async def test_each_end_has_its_line(self) -> None:
+        """Guard against an unanswered call that no line tells of."""
+        call_ids: list[str] = []
+        cases = (
+            (not_run(Code.NO_ENDPOINT, 'x' * 999), False, Event.CALL_NOT_RUN),
+            (unknown(Code.CONNECTION_LOST, 'x'), False, Event.CALL_UNKNOWN),
+            (unknown(Code.CONNECTION_LOST, 'x'), True, Event.CALL_CUT),
+        )
+        for ending, begins, event in cases:
+
+            async def end(call: Call, sink: AnswerSink) -> Ending:
+                call_ids.append(call.call_id)
+                if begins:
+                    await sink.head(Head(call.call_id, 200, []), '')
+                    await sink.body(b'part')
+                return ending
+
+            self.scripted.behave = end
+            with (
+                self.subTest(event=event),
+                self.assertLogs('linnetwood', 'INFO') as captured,
+            ):
+                await self.received(CALL)
+            line: Any = captured.records[-1]
+            found = (line.event, line.code, line.call)
+            self.assertEqual(found, (event, ending.code, call_ids[-1]))
+            self.assertEqual(line.detail, ending.detail[:120])
+
     async def test_forms_are_not_read(self) -> None:
         """Guard against a refusal of bodies that only the service reads."""
         got: list[bytes] = []
