Answer what has arrived before a stopping entry closes

A stop of an entry cut off calls that its caller had sent whole: one that waited for a slot while none ran (pacing), since the stop looked at running calls alone, and one that had arrived but was not read yet, since an idle entry closed in the step of the signal. And callers kept their connections while it stopped, so that calls kept coming until drain_limit_s, where the rest is cut. An idle entry takes 0.05 s more to stop.

--- a/src/linnetwood/calls/callers.py
+++ b/src/linnetwood/calls/callers.py
@@ -90,10 +90,12 @@
     """The objects that all handlers share."""
 
     __slots__ = (
+        'active_calls',
         'clock',
         'deployment',
         'dispatcher',
         'gate',
+        'leaving',
         'metrics',
         'routes',
         'stall_s',
@@ -120,6 +122,10 @@
         self.timeout_s = timeout_s
         self.traces = traces
         self.deployment = Deployment()
+        # Calls that were read whole and have not ended, admitted or not.
+        self.active_calls = 0
+        # The entry stops, so callers should open connections elsewhere.
+        self.leaving = False
         # Seconds after which a caller that takes nothing is cut off.
         self.stall_s = READER_STALL_S
 
@@ -187,6 +193,11 @@
         """Close the connection, so that the answer can't look complete."""
         self.request.connection.stream.close()  # type: ignore[union-attr]
 
+    def end_connection(self) -> None:
+        """Let the caller close the connection if the entry stops."""
+        if self.context.leaving:
+            self.set_header('Connection', 'close')
+
     @property
     def headers_written(self) -> bool:
         """Return whether the status was sent to the caller."""
@@ -205,6 +216,7 @@
             seconds = max(1, round(ending.retry_after_ms / _MILLISECONDS))
             self.set_header('Retry-After', str(seconds))
         self.set_header('Content-Type', 'application/json')
+        self.end_connection()
         self.finish(
             {'outcome': outcome, 'code': ending.code, 'detail': ending.detail},
         )
@@ -239,6 +251,7 @@
             handler.set_header(KEY_HEADER, key)
         if head.version:
             handler.set_header(VERSION_HEADER, head.version)
+        handler.end_connection()
 
     async def body(self, piece: bytes) -> None:
         """Write a piece and wait until the caller's socket accepts it.
@@ -317,14 +330,11 @@
     async def run_call(self, call: Call) -> None:
         """Admit, dispatch and finish the call."""
         self.call_id = call.call_id
-        answer = _AnswerWriter(self)
+        self.context.active_calls += 1
         try:
-            ending = await self._admit_and_run(call, answer)
-        except (StreamClosedError, asyncio.CancelledError):
-            if not answer.stalled:
-                log(Event.CALL_CUT, call=call.call_id, code='caller-gone')
-            return
-        self.finish_call(ending, answer)
+            await self._run_and_finish(call)
+        finally:
+            self.context.active_calls -= 1
 
     def failure(self) -> Ending:
         """Return the ending of a call that an unexpected error ended."""
@@ -377,6 +387,16 @@
             detail=ending.detail[:_MAX_SHOWN_CHARS],
         )
 
+    async def _run_and_finish(self, call: Call) -> None:
+        answer = _AnswerWriter(self)
+        try:
+            ending = await self._admit_and_run(call, answer)
+        except (StreamClosedError, asyncio.CancelledError):
+            if not answer.stalled:
+                log(Event.CALL_CUT, call=call.call_id, code='caller-gone')
+            return
+        self.finish_call(ending, answer)
+
     async def _admit_and_run(self, call: Call, answer: _AnswerWriter) -> Ending:
         context = self.context
         admission_request = AdmissionRequest(
--- a/src/linnetwood/programs/entry.py
+++ b/src/linnetwood/programs/entry.py
@@ -25,6 +25,8 @@
 from linnetwood.wire.http import open_simple_client
 
 _DRAIN_CHECK_S = 0.05
+# Steps of the loop, with some to spare, from a connection to its call.
+_STEPS_TO_READ = 20
 _MAX_CLIENTS = 16
 
 
@@ -69,7 +71,6 @@
             cfg.call_timeout_s,
             self.runtime.traces,
         )
-        self._leaving = False
         self._http = CallerServer(
             callers.application(self.context, self),
             max_body_size=callers.MAX_BODY_BYTES,
@@ -92,7 +93,7 @@
 
     async def close(self) -> None:
         """Report as not ready, wait for calls in progress, and leave."""
-        self._leaving = True
+        self.context.leaving = True
         self.runtime.leave()
         await self._wait_for_calls()
         self._http.stop()
@@ -102,7 +103,7 @@
 
     def reason(self) -> str:
         """Return why the entry is not ready, or an empty text."""
-        if self._leaving:
+        if self.context.leaving:
             return 'leaving'
         if not self.runtime.config.is_loaded:
             return 'no configuration learned yet'
@@ -138,11 +139,20 @@
 
     async def _wait_for_calls(self) -> None:
         until = self.runtime.clock.now() + self._cfg.drain_limit_s
-        while self.gate.in_flight:
-            if self.runtime.clock.now() > until:
-                log(Event.STOP_LIMIT_REACHED, in_flight=self.gate.in_flight)
+        was_active = True
+        # A request that has arrived by one check is read by the next.
+        while was_active or self.context.active_calls:
+            was_active = bool(self.context.active_calls)
+            if was_active and self.runtime.clock.now() > until:
+                log(
+                    Event.STOP_LIMIT_REACHED,
+                    in_flight=self.context.active_calls,
+                )
                 return
             await asyncio.sleep(_DRAIN_CHECK_S)
+            # On a slow machine the pause may be one step of the loop.
+            for _ in range(_STEPS_TO_READ):
+                await asyncio.sleep(0)
 
 
 async def serve(cfg: EntryOptions) -> None:
