Let a large answer wait for its reader in place of cutting it

A caller of a plain service got about 18 MB of an answer of 20 MiB, then the connection was cut, though it read as fast as it could; one that read nothing for 1.5 s and went on got 9.9 MB (seen from outside, one process). The endpoint's process takes an answer from the service as fast as it comes, and gave it up, the only source, once over 4 MiB were unsent (reader-too-slow). Ruled out: the stall limit of the entry (4 s), which was not reached. Now the transfer is paused while the connection to the entry holds more than the transport's limit, and goes on when that is sent or the entry has gone. Answers over 100 MiB are still cut, by the HTTP library.

--- a/src/linnetwood/calls/backend.py
+++ b/src/linnetwood/calls/backend.py
@@ -1,5 +1,7 @@
 """HTTP clients for the one engine or plain service of the VM."""
 
+import asyncio
+import contextlib
 import dataclasses
 from collections.abc import Callable
 from typing import Protocol
@@ -44,6 +46,13 @@
     def body(self, piece: bytes) -> None:
         """Receive a piece of the body; raises WireError if nobody reads it."""
 
+    @property
+    def is_behind(self) -> bool:
+        """Return whether pieces are held for a reader that is slower."""
+
+    async def wait_until_read(self) -> None:
+        """Wait until few bytes are held, or the reader has gone."""
+
 
 class Backend(Protocol):
     """Run calls on the engine or service of this VM."""
@@ -82,9 +91,13 @@
     lines: list[str] = dataclasses.field(default_factory=list)
     begun: bool = False
     is_wrong: bool = False
+    # None before and after the transfer.
+    curl: pycurl.Curl | None = None
+    resuming: asyncio.Task[None] | None = None
 
     def prepare(self, curl: pycurl.Curl) -> None:
         """Let curl send the request once, and pass each header line here."""
+        self.curl = curl
         curl.setopt(pycurl.HEADERFUNCTION, self.header)
         # If a kept connection ends without an answer, curl sends the request
         # again on a new one, though the server may have run it.
@@ -110,6 +123,32 @@
             self.open()
         if not self.is_wrong:
             self.sink.body(piece)
+            if self.sink.is_behind:
+                self.pause()
+
+    def pause(self) -> None:
+        """Receive no more until the sink's reader has caught up."""
+        if self.curl is None:
+            return
+        # At the end of a transfer curl refuses, and the rest comes at once.
+        with contextlib.suppress(pycurl.error):
+            self.curl.pause(pycurl.PAUSE_RECV)
+            if self.resuming is None:
+                self.resuming = asyncio.create_task(self.resume())
+
+    async def resume(self) -> None:
+        """Receive again once the sink's reader has caught up."""
+        await self.sink.wait_until_read()
+        self.resuming = None
+        if self.curl is not None:
+            with contextlib.suppress(pycurl.error):
+                self.curl.pause(pycurl.PAUSE_CONT)
+
+    def close(self) -> None:
+        """Leave the handle of curl to other requests."""
+        self.curl = None
+        if self.resuming is not None:
+            self.resuming.cancel()
 
     def open(self) -> None:
         """Pass the head to the sink if the answer belongs to the call."""
@@ -149,7 +188,10 @@
         req.streaming_callback = exchange.body
         req.follow_redirects = False
         req.decompress_response = False
-        reply = await fetch(self._client, req)
+        try:
+            reply = await fetch(self._client, req)
+        finally:
+            exchange.close()
         if not exchange.begun and not _is_lost(reply):
             exchange.open()
         return reply
--- a/src/linnetwood/calls/guard.py
+++ b/src/linnetwood/calls/guard.py
@@ -99,6 +99,15 @@
             log(Event.CALL_CUT, call=self._start.call_id, code=exc.code)
             self._stream.close()
 
+    @property
+    def is_behind(self) -> bool:
+        """Return whether pieces are held for an entry that reads slowly."""
+        return not self._stream.writable
+
+    async def wait_until_read(self) -> None:
+        """Wait until the entry has read most of them, or has gone."""
+        await self._stream.wait_writable()
+
 
 class Guard:
     """Serve the calls of entries and count those in flight."""
--- a/src/linnetwood/wire/frames.py
+++ b/src/linnetwood/wire/frames.py
@@ -186,8 +186,7 @@
     async def write(self, kind: FrameKind, payload: bytes) -> None:
         """Send one frame, and wait while the peer reads too slowly."""
         self.send(kind, payload)
-        if not self._writable.is_set():
-            await self._writable.wait()
+        await self.wait_writable()
 
     def send(self, kind: FrameKind, payload: bytes) -> None:
         """Send one frame without waiting."""
@@ -200,6 +199,15 @@
     async def write_part(self, part: bytes) -> None:
         """Send a part of a payload; wait while the peer reads too slowly."""
         self._write_bytes(part)
+        await self.wait_writable()
+
+    @property
+    def writable(self) -> bool:
+        """Return whether the peer reads as fast as this side writes."""
+        return self._writable.is_set()
+
+    async def wait_writable(self) -> None:
+        """Wait while the peer reads too slowly."""
         if not self._writable.is_set():
             await self._writable.wait()
 
--- a/tests/test_backend.py
+++ b/tests/test_backend.py
@@ -9,6 +9,7 @@
     ServiceBackend,
 )
 from linnetwood.core.outcomes import Code, Ending, Outcome
+from linnetwood.core.sizes import MIB
 from linnetwood.gen.wire.ttypes import Start
 from linnetwood.wire.http import open_client
 from tests.test_curldriver import (
@@ -20,6 +21,10 @@
 )
 
 CLIENTS = 2
+LIMIT_S = 60
+LARGE = 16 * MIB
+# What the HTTP library holds at most, and a piece.
+HELD = 2 * MIB
 KEPT = (
     b'HTTP/1.1 200 OK\r\nX-Call: c\r\nX-Model-Version: v\r\n'
     b'Content-Length: 2\r\n\r\nok'
@@ -37,6 +42,17 @@
     def __init__(self) -> None:
         self.statuses: list[int] = []
         self.received = b''
+        self.reads = asyncio.Event()
+        self.reads.set()
+
+    @property
+    def is_behind(self) -> bool:
+        """Return whether the test says so."""
+        return not self.reads.is_set()
+
+    async def wait_until_read(self) -> None:
+        """Wait until the test reads again."""
+        await self.reads.wait()
 
     def head(self, status: int, headers: list[str], version: str) -> None:
         """Record the status."""
@@ -216,5 +232,35 @@
                 self.assertEqual(sink.statuses, [])
 
 
+class SlowReaderTest(unittest.IsolatedAsyncioTestCase):
+    """Answers that come faster than they are read."""
+
+    async def test_answer_waits_for_its_reader(self) -> None:
+        """Guard against a large answer that is held, or cut for its size."""
+        head = f'HTTP/1.1 200 OK\r\nContent-Length: {LARGE}\r\n\r\n'
+        server = Server(respond_with(head.encode() + bytes(LARGE)))
+        client = open_client(CLIENTS)
+        service = ServiceBackend(
+            f'http://{HOST}:{await server.start()}', client
+        )
+        sink = RecordingSink()
+        for _ in range(2):
+            sink.reads.clear()
+            running = asyncio.create_task(service.run(start_of(), b'', sink))
+            async with asyncio.timeout(LIMIT_S):
+                while not sink.received:
+                    await asyncio.sleep(0.01)
+                # Time to receive all of it, if it did not wait.
+                await asyncio.sleep(0.2)
+                self.assertLess(len(sink.received), HELD)
+                sink.reads.set()
+                ending = await running
+            self.assertEqual(ending.outcome, Outcome.ANSWERED)
+            self.assertEqual(len(sink.received), LARGE)
+            sink.received = b''
+        client.close()
+        await server.close()
+
+
 if __name__ == '__main__':
     unittest.main()
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -10,6 +10,7 @@
 from linnetwood.calls.callers import service_path
 from linnetwood.core.errors import OrderError, StoreError, WeightsError
 from linnetwood.core.options import Backend
+from linnetwood.core.sizes import MIB
 from linnetwood.fleet.store import HttpKeyValue
 from linnetwood.fleet.vmlist import HttpVmList
 from linnetwood.lab.fakeengine import token
@@ -17,12 +18,14 @@
 from linnetwood.weights.orders import HttpOrderClient
 from linnetwood.weights.origin import HttpWeightStore
 from linnetwood.wire.http import open_client
-from tests.rig import Rig, running
+from tests.rig import HOST, Rig, running
+from tests.test_curldriver import Server, respond_with
 
 GENERATE = '/v1/completions'
 OUTCOME = 'X-Linnetwood-Outcome'
 CODE = 'X-Linnetwood-Code'
 KEY = 'X-Linnetwood-Key'
+LARGE = 24 * MIB
 
 
 def body(prompt: str = 'p', tokens: int = 3) -> dict[str, object]:
@@ -201,6 +204,34 @@
         self.assertEqual(rig.engines[0].traceparents, [parent])
 
 
+class LargeAnswerTest(unittest.IsolatedAsyncioTestCase):
+    """A plain service whose answers are larger than all buffers."""
+
+    @running
+    async def test_large_answer_is_whole(self, rig: Rig) -> None:
+        """Guard against an answer that is cut since it is read slowly."""
+        head = f'HTTP/1.1 200 OK\r\nContent-Length: {LARGE}\r\n\r\n'
+        service = Server(respond_with(head.encode() + bytes(LARGE)))
+        url = f'http://{HOST}:{await service.start()}'
+        entry = await rig.entry()
+        entry.context.stall_s = 60
+        await rig.endpoint(Backend('service', url, 'booking', 8))
+        await rig.until(lambda: len(entry.runtime.gossip.members) == 2)
+        for pause_s in (0, 1):
+            with self.subTest(pause_s=pause_s):
+                port = rig.url('').rpartition(':')[2]
+                reader, writer = await asyncio.open_connection(HOST, int(port))
+                writer.write(
+                    b'GET /services/booking/x HTTP/1.1\r\nHost: h\r\n\r\n'
+                )
+                head = (await reader.readuntil(b'\r\n\r\n')).decode()
+                self.assertIn(f'Content-Length: {LARGE}', head)
+                await asyncio.sleep(pause_s)
+                self.assertEqual(len(await reader.readexactly(LARGE)), LARGE)
+                writer.close()
+        await service.close()
+
+
 class PathTest(unittest.TestCase):
     """Paths of calls to services."""
 
