--- a/src/linnetwood/calls/backend.py
+++ b/src/linnetwood/calls/backend.py
@@ -1,8 +1,11 @@
 """HTTP clients for the one engine or plain service of the VM."""
 
+import asyncio
+import contextlib
 import dataclasses
 from collections.abc import Callable
 from typing import Protocol
+from urllib.parse import urlsplit
 
 import pycurl
 from tornado.curl_httpclient import CurlError
@@ -43,6 +46,13 @@
     def body(self, piece: bytes) -> None:
         """Receive a piece of the body; raises WireError if nobody reads it."""
 
+    @property
+    def is_behind(self) -> bool:
+        """Return whether pieces are held for a reader that is slower."""
+
+    async def wait_until_read(self) -> None:
+        """Wait until few bytes are held, or the reader has gone."""
+
 
 class Backend(Protocol):
     """Run calls on the engine or service of this VM."""
@@ -75,13 +85,19 @@
     check: Callable[['_Exchange'], bool]
     # Sent in place of the method that curl is given; empty for that one.
     method: str = ''
+    # Sent as it is; empty for the path of the URL.
+    target: bytes = b''
     status: int = 0
     lines: list[str] = dataclasses.field(default_factory=list)
     begun: bool = False
     is_wrong: bool = False
+    # None before and after the transfer.
+    curl: pycurl.Curl | None = None
+    resuming: asyncio.Task[None] | None = None
 
     def prepare(self, curl: pycurl.Curl) -> None:
         """Let curl send the request once, and pass each header line here."""
+        self.curl = curl
         curl.setopt(pycurl.HEADERFUNCTION, self.header)
         # If a kept connection ends without an answer, curl sends the request
         # again on a new one, though the server may have run it.
@@ -89,6 +105,8 @@
         curl.setopt(pycurl.FORBID_REUSE, True)
         if self.method:
             curl.setopt(pycurl.CUSTOMREQUEST, self.method)
+        if self.target:
+            curl.setopt(pycurl.REQUEST_TARGET, self.target)
 
     def header(self, line: bytes) -> None:
         """Receive a status or header line."""
@@ -105,6 +123,32 @@
             self.open()
         if not self.is_wrong:
             self.sink.body(piece)
+            if self.sink.is_behind:
+                self.pause()
+
+    def pause(self) -> None:
+        """Receive no more until the sink's reader has caught up."""
+        if self.curl is None:
+            return
+        # At the end of a transfer curl refuses, and the rest comes at once.
+        with contextlib.suppress(pycurl.error):
+            self.curl.pause(pycurl.PAUSE_RECV)
+            if self.resuming is None:
+                self.resuming = asyncio.create_task(self.resume())
+
+    async def resume(self) -> None:
+        """Receive again once the sink's reader has caught up."""
+        await self.sink.wait_until_read()
+        self.resuming = None
+        if self.curl is not None:
+            with contextlib.suppress(pycurl.error):
+                self.curl.pause(pycurl.PAUSE_CONT)
+
+    def close(self) -> None:
+        """Leave the handle of curl to other requests."""
+        self.curl = None
+        if self.resuming is not None:
+            self.resuming.cancel()
 
     def open(self) -> None:
         """Pass the head to the sink if the answer belongs to the call."""
@@ -144,7 +188,10 @@
         req.streaming_callback = exchange.body
         req.follow_redirects = False
         req.decompress_response = False
-        reply = await fetch(self._client, req)
+        try:
+            reply = await fetch(self._client, req)
+        finally:
+            exchange.close()
         if not exchange.begun and not _is_lost(reply):
             exchange.open()
         return reply
@@ -156,6 +203,10 @@
     async def run(self, start: Start, body: bytes, sink: BackendSink) -> Ending:
         """Run one call."""
         exchange = _Exchange(sink, lambda _: True)
+        # Curl would change some paths, and refuse others.
+        path = start.path.removeprefix('/')
+        target = f'{urlsplit(self._url).path}/{path}'
+        exchange.target = target.encode('latin1')
         method = start.method
         if method == 'GET' and body:
             # The client refuses this, and sends any other method with a body.
@@ -168,7 +219,7 @@
             name, _, text = line.partition(':')
             headers.add(name.strip(), text.strip())
         req = HTTPRequest(
-            self._url + start.path,
+            self._url,
             method=method,
             headers=headers,
             body=_sent_body(method, body),
--- a/src/linnetwood/calls/callers.py
+++ b/src/linnetwood/calls/callers.py
@@ -3,14 +3,20 @@
 import asyncio
 import dataclasses
 import json
+import re
 import secrets
 from collections.abc import Coroutine, Iterable
-from types import MappingProxyType
+from types import MappingProxyType, TracebackType
 from typing import Any, Protocol, TypeVar, cast
 
 from tornado.httputil import HTTPConnection, HTTPServerRequest
 from tornado.iostream import StreamClosedError
-from tornado.web import Application, RequestHandler
+from tornado.web import (
+    Application,
+    HTTPError,
+    RequestHandler,
+    stream_request_body,
+)
 
 from linnetwood.calls import keys
 from linnetwood.calls.admission import AdmissionRequest
@@ -25,8 +31,9 @@
 from linnetwood.core.clock import Clock
 from linnetwood.core.errors import CallError
 from linnetwood.core.events import Event, log
+from linnetwood.core.failures import failure_fields
 from linnetwood.core.metrics import Metric, Metrics
-from linnetwood.core.outcomes import Code, Ending, Outcome, not_run
+from linnetwood.core.outcomes import Code, Ending, Outcome, not_run, unknown
 from linnetwood.core.sizes import MIB
 from linnetwood.core.traces import Tracer
 from linnetwood.fleet.placement import ENGINE_KIND
@@ -43,12 +50,15 @@
 VERSION_HEADER = 'X-Model-Version'
 MAX_BODY_BYTES = MIB
 _MAX_KEYS = 100
+_MAX_SHOWN_CHARS = 120
 _SAFE_METHODS = frozenset(('GET', 'HEAD', 'OPTIONS'))
 _BAD_REQUEST_STATUS = 400
 _NOT_FOUND_STATUS = 404
 _UNAVAILABLE_STATUS = 503
 _BAD_GATEWAY_STATUS = 502
 _MILLISECONDS = 1000
+# The name may be encoded.
+_SERVICE_PREFIX = re.compile('/services/[^/?]+')
 _STATUSES = MappingProxyType(
     {
         Code.BAD_REQUEST.value: _BAD_REQUEST_STATUS,
@@ -57,6 +67,12 @@
     },
 )
 
+_EVENTS = MappingProxyType(
+    {
+        Outcome.NOT_RUN: Event.CALL_NOT_RUN,
+        Outcome.UNKNOWN: Event.CALL_UNKNOWN,
+    },
+)
 _Result = TypeVar('_Result')
 
 
@@ -74,10 +90,12 @@
     """The objects that all handlers share."""
 
     __slots__ = (
+        'active_calls',
         'clock',
         'deployment',
         'dispatcher',
         'gate',
+        'leaving',
         'metrics',
         'routes',
         'stall_s',
@@ -104,6 +122,10 @@
         self.timeout_s = timeout_s
         self.traces = traces
         self.deployment = Deployment()
+        # Calls that were read whole and have not ended, admitted or not.
+        self.active_calls = 0
+        # The entry stops, so callers should open connections elsewhere.
+        self.leaving = False
         # Seconds after which a caller that takes nothing is cut off.
         self.stall_s = READER_STALL_S
 
@@ -111,6 +133,7 @@
 class _BaseHandler(RequestHandler):
     def initialize(self, context: HandlerContext) -> None:
         self.context = context
+        self.call_id = ''
 
     def data_received(self, chunk: bytes) -> None:
         """Ignore streamed bodies, which are not enabled."""
@@ -133,10 +156,48 @@
             self.close_connection()
         super().send_error(status_code, **kwargs)
 
+    def write_error(self, status_code: int, **kwargs: Any) -> None:
+        """Write the outcome of a call that an unexpected error ended."""
+        exc = kwargs.get('exc_info', (None, None, None))[1]
+        if exc is None or isinstance(exc, HTTPError):
+            super().write_error(status_code, **kwargs)
+        else:
+            self.end_unanswered(self.failure())
+
+    def log_exception(
+        self,
+        typ: type[BaseException] | None,
+        exc: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Log an unexpected error without its text, which may be private."""
+        if exc is None or isinstance(exc, HTTPError):
+            super().log_exception(typ, exc, trace)
+            return
+        fields = failure_fields(exc)
+        ending = self.failure()
+        self.count(ending)
+        answer = 'cut' if self.headers_written else outcome_name(ending)
+        log(Event.CALL_FAILED, call=self.call_id, answer=answer, **fields)
+        metrics = self.context.metrics
+        metrics.count(Metric.CALLS_FAILED, kind=str(fields['error']))
+
+    def failure(self) -> Ending:
+        """Return the ending of a call that an unexpected error ended."""
+        return not_run(Code.INTERNAL)
+
+    def count(self, ending: Ending) -> None:
+        """Count nothing, since this is no call."""
+
     def close_connection(self) -> None:
         """Close the connection, so that the answer can't look complete."""
         self.request.connection.stream.close()  # type: ignore[union-attr]
 
+    def end_connection(self) -> None:
+        """Let the caller close the connection if the entry stops."""
+        if self.context.leaving:
+            self.set_header('Connection', 'close')
+
     @property
     def headers_written(self) -> bool:
         """Return whether the status was sent to the caller."""
@@ -144,7 +205,7 @@
 
     def end_unanswered(self, ending: Ending) -> None:
         """Write the outcome of a call that has no answer."""
-        outcome = 'not-run' if ending.outcome == Outcome.NOT_RUN else 'unknown'
+        outcome = outcome_name(ending)
         fallback = (
             _UNAVAILABLE_STATUS if outcome == 'not-run' else _BAD_GATEWAY_STATUS
         )
@@ -155,6 +216,7 @@
             seconds = max(1, round(ending.retry_after_ms / _MILLISECONDS))
             self.set_header('Retry-After', str(seconds))
         self.set_header('Content-Type', 'application/json')
+        self.end_connection()
         self.finish(
             {'outcome': outcome, 'code': ending.code, 'detail': ending.detail},
         )
@@ -189,6 +251,7 @@
             handler.set_header(KEY_HEADER, key)
         if head.version:
             handler.set_header(VERSION_HEADER, head.version)
+        handler.end_connection()
 
     async def body(self, piece: bytes) -> None:
         """Write a piece and wait until the caller's socket accepts it.
@@ -236,18 +299,30 @@
         handler.close_connection()
 
 
+@stream_request_body
 class _CallHandler(_BaseHandler):
-    """Run one call and write its answer or its outcome."""
+    """Run one call and write its answer or its outcome.
+
+    The body comes in pieces, since tornado would parse a whole one as a form
+    and refuse it if it can't.
+    """
 
     def initialize(self, context: HandlerContext) -> None:
         """Keep the shared context; no call is running yet."""
         super().initialize(context)
-        self.call_id = ''
+        self.received = bytearray()
+        # An attempt may have been sent once the dispatcher has the call.
+        self._is_dispatched = False
         self._is_caller_gone = False
         self._running_step: asyncio.Future[Any] | None = None
 
+    def data_received(self, chunk: bytes) -> None:
+        """Keep a piece of the body."""
+        self.received += chunk
+
     def on_connection_close(self) -> None:
         """Cancel the call when its caller disconnects."""
+        super().on_connection_close()
         self._is_caller_gone = True
         if self._running_step is not None:
             self._running_step.cancel()
@@ -255,25 +330,29 @@
     async def run_call(self, call: Call) -> None:
         """Admit, dispatch and finish the call."""
         self.call_id = call.call_id
-        answer = _AnswerWriter(self)
+        self.context.active_calls += 1
         try:
-            ending = await self._admit_and_run(call, answer)
-        except (StreamClosedError, asyncio.CancelledError):
-            if not answer.stalled:
-                log(Event.CALL_CUT, call=call.call_id, code='caller-gone')
-            return
-        self.finish_call(ending, answer)
+            await self._run_and_finish(call)
+        finally:
+            self.context.active_calls -= 1
+
+    def failure(self) -> Ending:
+        """Return the ending of a call that an unexpected error ended."""
+        if self._is_dispatched:
+            return unknown(Code.INTERNAL)
+        return super().failure()
 
     def finish_call(self, ending: Ending, answer: _AnswerWriter) -> None:
         """Finish a complete answer, or write why there is none."""
-        self._count(ending)
+        self.count(ending)
         if ending.outcome == Outcome.ANSWERED:
             self.finish()
         elif answer.begun and self.headers_written:
             # The caller must notice that the answer is incomplete.
-            log(Event.CALL_CUT, code=ending.code)
+            self._log_ending(Event.CALL_CUT, ending)
             self.close_connection()
         else:
+            self._log_ending(_EVENTS[ending.outcome], ending)
             self.clear()
             self.end_unanswered(ending)
 
@@ -287,9 +366,37 @@
         requested = self.request.headers.get(DEADLINE_HEADER, '')
         limit_s = self.context.timeout_s
         if requested.isdecimal():
-            limit_s = min(limit_s, int(requested) / _MILLISECONDS)
+            # Unlike int, float takes any number of digits.
+            limit_s = min(limit_s, float(requested) / _MILLISECONDS)
         return self.context.clock.now() + limit_s
 
+    def count(self, ending: Ending) -> None:
+        """Count how the call ended."""
+        metric = {
+            Outcome.ANSWERED: Metric.CALLS_ANSWERED,
+            Outcome.NOT_RUN: Metric.CALLS_NOT_RUN,
+            Outcome.UNKNOWN: Metric.CALLS_UNKNOWN,
+        }[ending.outcome]
+        self.context.metrics.count(metric)
+
+    def _log_ending(self, event: Event, ending: Ending) -> None:
+        log(
+            event,
+            call=self.call_id,
+            code=ending.code,
+            detail=ending.detail[:_MAX_SHOWN_CHARS],
+        )
+
+    async def _run_and_finish(self, call: Call) -> None:
+        answer = _AnswerWriter(self)
+        try:
+            ending = await self._admit_and_run(call, answer)
+        except (StreamClosedError, asyncio.CancelledError):
+            if not answer.stalled:
+                log(Event.CALL_CUT, call=call.call_id, code='caller-gone')
+            return
+        self.finish_call(ending, answer)
+
     async def _admit_and_run(self, call: Call, answer: _AnswerWriter) -> Ending:
         context = self.context
         admission_request = AdmissionRequest(
@@ -304,6 +411,7 @@
         began = context.clock.now()
         span = context.traces.span('entry', call.traceparent)
         call = dataclasses.replace(call, traceparent=span.traceparent)
+        self._is_dispatched = True
         try:
             return await self._unless_gone(context.dispatcher.run(call, answer))
         finally:
@@ -319,22 +427,15 @@
         self._running_step = running
         return await running
 
-    def _count(self, ending: Ending) -> None:
-        metric = {
-            Outcome.ANSWERED: Metric.CALLS_ANSWERED,
-            Outcome.NOT_RUN: Metric.CALLS_NOT_RUN,
-            Outcome.UNKNOWN: Metric.CALLS_UNKNOWN,
-        }[ending.outcome]
-        self.context.metrics.count(metric)
-
 
 class CompletionHandler(_CallHandler):
     """Stream the answer of a model engine."""
 
     async def post(self) -> None:
         """Answer POST /v1/completions."""
+        body = bytes(self.received)
         try:
-            req = read_completion(self.request.body)
+            req = read_completion(body)
         except CallError as exc:
             self.end_unanswered(not_run(Code.BAD_REQUEST, exc.detail))
             return
@@ -345,7 +446,7 @@
             method='POST',
             path='/generate',
             headers=(),
-            body=self.request.body,
+            body=body,
             deadline=self.deadline(),
             traceparent=self.request.headers.get('traceparent', ''),
         )
@@ -358,7 +459,7 @@
     async def handle(self, name: str) -> None:
         """Answer any method under /services/NAME/."""
         service = find_service(self.context.deployment, name)
-        path = service_path(self.request, name)
+        path = service_path(self.request)
         is_once = service is not None and runs_once(service, path)
         key = self.request.headers.get(KEY_HEADER, '')
         method = self.request.method or 'GET'
@@ -374,7 +475,7 @@
             method=method,
             path=path,
             headers=tuple(header_lines(self.request)),
-            body=self.request.body,
+            body=bytes(self.received),
             deadline=self.deadline(),
             may_repeat=method in _SAFE_METHODS and not (is_once or key),
             at_most_once=is_once or bool(key),
@@ -399,8 +500,9 @@
         """Answer POST /v1/keys?service=NAME&count=N."""
         name = self.get_argument('service', '')
         count = self.get_argument('count', '1')
-        if not count.isdecimal() or not 1 <= int(count) <= _MAX_KEYS:
-            detail = f'count: found {count!r}, allowed is 1 to {_MAX_KEYS}'
+        if not count.isdecimal() or not 1 <= float(count) <= _MAX_KEYS:
+            found = count[:_MAX_SHOWN_CHARS]
+            detail = f'count: found {found!r}, allowed is 1 to {_MAX_KEYS}'
             self.end_unanswered(not_run(Code.BAD_REQUEST, detail))
             return
         query = EndpointQuery(name)
@@ -457,7 +559,7 @@
     """Parse a completion request; raises CallError if it is malformed."""
     try:
         req = json.loads(body)
-    except ValueError as exc:
+    except (ValueError, RecursionError) as exc:
         raise CallError(Code.BAD_REQUEST.value, f'body: {exc}') from exc
     if not isinstance(req, dict):
         raise CallError(Code.BAD_REQUEST.value, 'body: allowed is an object')
@@ -481,9 +583,14 @@
         )
 
 
+def outcome_name(ending: Ending) -> str:
+    """Return the name that callers see of an outcome without an answer."""
+    return 'not-run' if ending.outcome == Outcome.NOT_RUN else 'unknown'
+
+
 def parse_priority(text: str) -> int:
     """Parse a priority from 0, the lowest, to 9; other texts count as 0."""
-    return min(MAX_PRIORITY, int(text)) if text.isdecimal() else 0
+    return int(min(MAX_PRIORITY, float(text))) if text.isdecimal() else 0
 
 
 def service_want(name: str, key: str) -> EndpointQuery:
@@ -507,9 +614,11 @@
     return any(path.startswith(prefix) for prefix in service.once_paths)
 
 
-def service_path(req: HTTPServerRequest, name: str) -> str:
+def service_path(req: HTTPServerRequest) -> str:
     """Return the path and query as the service sees them."""
-    return (req.uri or '')[len(f'/services/{name}') :] or '/'
+    match = _SERVICE_PREFIX.match(req.uri or '')
+    path = match.string[match.end() :] if match else ''
+    return path if path.startswith('/') else f'/{path}'
 
 
 def header_lines(req: HTTPServerRequest) -> Iterable[str]:
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -5,9 +5,12 @@
 import unittest
 
 from tornado.httpclient import HTTPRequest
+from tornado.httputil import HTTPServerRequest
 
+from linnetwood.calls.callers import service_path
 from linnetwood.core.errors import OrderError, StoreError, WeightsError
 from linnetwood.core.options import Backend
+from linnetwood.core.sizes import MIB
 from linnetwood.fleet.store import HttpKeyValue
 from linnetwood.fleet.vmlist import HttpVmList
 from linnetwood.lab.fakeengine import token
@@ -15,12 +18,14 @@
 from linnetwood.weights.orders import HttpOrderClient
 from linnetwood.weights.origin import HttpWeightStore
 from linnetwood.wire.http import open_client
-from tests.rig import Rig, running
+from tests.rig import HOST, Rig, running
+from tests.test_curldriver import Server, respond_with
 
 GENERATE = '/v1/completions'
 OUTCOME = 'X-Linnetwood-Outcome'
 CODE = 'X-Linnetwood-Code'
 KEY = 'X-Linnetwood-Key'
+LARGE = 24 * MIB
 
 
 def body(prompt: str = 'p', tokens: int = 3) -> dict[str, object]:
@@ -49,11 +54,13 @@
         cases = (
             (GENERATE, '[]', 400, 'bad-request'),
             (GENERATE, '{', 400, 'bad-request'),
+            (GENERATE, '[' * 100000, 400, 'bad-request'),
             (GENERATE, {'model': 'sevak'}, 400, 'bad-request'),
             (GENERATE, body(tokens=0), 400, 'bad-request'),
             (GENERATE, {**body(), 'model': 'x'}, 404, 'unknown-target'),
             ('/services/none/x', '', 404, 'unknown-target'),
             ('/v1/keys?service=booking&count=0', '', 400, 'bad-request'),
+            (f'/v1/keys?count={"9" * 5000}', '', 400, 'bad-request'),
             ('/v1/keys?service=none', '', 503, 'no-endpoint'),
         )
         for path, sent, status, code in cases:
@@ -67,6 +74,20 @@
         )
         self.assertEqual(bad_key.headers[CODE], 'key-malformed')
 
+    @running
+    async def test_numbers_of_any_length(self, rig: Rig) -> None:
+        """Guard against an error by a number that a caller sends."""
+        await rig.entry()
+        await rig.booking()
+        await rig.until(lambda: len(rig.entries[0].runtime.gossip.members) == 2)
+        for name in ('X-Deadline-Ms', 'X-Priority'):
+            for digits in (400, 5000):
+                with self.subTest(name=name, digits=digits):
+                    reply = await rig.http(
+                        '/services/booking/x', headers={name: '9' * digits}
+                    )
+                    self.assertEqual(reply.code, 200)
+
     @running
     async def test_service_answer_byte_for_byte(self, rig: Rig) -> None:
         """An answer through the system equals the service's own answer."""
@@ -183,6 +204,52 @@
         self.assertEqual(rig.engines[0].traceparents, [parent])
 
 
+class LargeAnswerTest(unittest.IsolatedAsyncioTestCase):
+    """A plain service whose answers are larger than all buffers."""
+
+    @running
+    async def test_large_answer_is_whole(self, rig: Rig) -> None:
+        """Guard against an answer that is cut since it is read slowly."""
+        head = f'HTTP/1.1 200 OK\r\nContent-Length: {LARGE}\r\n\r\n'
+        service = Server(respond_with(head.encode() + bytes(LARGE)))
+        url = f'http://{HOST}:{await service.start()}'
+        entry = await rig.entry()
+        entry.context.stall_s = 60
+        await rig.endpoint(Backend('service', url, 'booking', 8))
+        await rig.until(lambda: len(entry.runtime.gossip.members) == 2)
+        for pause_s in (0, 1):
+            with self.subTest(pause_s=pause_s):
+                port = rig.url('').rpartition(':')[2]
+                reader, writer = await asyncio.open_connection(HOST, int(port))
+                writer.write(
+                    b'GET /services/booking/x HTTP/1.1\r\nHost: h\r\n\r\n'
+                )
+                head = (await reader.readuntil(b'\r\n\r\n')).decode()
+                self.assertIn(f'Content-Length: {LARGE}', head)
+                await asyncio.sleep(pause_s)
+                self.assertEqual(len(await reader.readexactly(LARGE)), LARGE)
+                writer.close()
+        await service.close()
+
+
+class PathTest(unittest.TestCase):
+    """Paths of calls to services."""
+
+    def test_path_at_the_service(self) -> None:
+        """Guard against a path that is cut for an encoded name."""
+        cases = (
+            ('/services/booking', '/'),
+            ('/services/booking?a=/b', '/?a=/b'),
+            ('/services/booking/x/y?a=b', '/x/y?a=b'),
+            ('/services/booking//x', '//x'),
+            ('/services/boo%6bing/confirm', '/confirm'),
+        )
+        for uri, expected in cases:
+            with self.subTest(uri=uri):
+                req = HTTPServerRequest(method='GET', uri=uri)
+                self.assertEqual(service_path(req), expected)
+
+
 class BackendTest(unittest.IsolatedAsyncioTestCase):
     """Errors of back ends and adapters."""
 
