Simulate rules for streams that fall silent, in virtual time

An entry that hears nothing of a stream can't tell a dead engine from one that goes on. linnetwood-measure silences compares four rules on the same calls and failures: cancel and send again at 2.5 gaps (the code before the change), the same at 0.9 of the caller's timeout, send beside the silent attempt, and send beside it early only if an engine's other streams or missing reports speak for a failure. Retry budget and avoidance are the product's own classes.

--- a/src/linnetwood/lab/measure.py
+++ b/src/linnetwood/lab/measure.py
@@ -11,6 +11,7 @@
 from linnetwood.lab.measure_policy import policy
 from linnetwood.lab.measure_routing import routing
 from linnetwood.lab.measure_serve import serve
+from linnetwood.lab.measure_silences import silences
 from linnetwood.lab.measure_soak import soak
 from linnetwood.lab.measure_versions import versions
 
@@ -22,6 +23,7 @@
     policy,
     routing,
     serve,
+    silences,
     soak,
     versions,
 )
