Check how a late call is told, and that a paused one is not sent on

Two mutants of the change were not noticed: a pause by a slow reader counted as silence, and a deadline told as a withdrawal. Now nothing may be sent while the caller reads nothing, and a call whose time is over must be told so.

--- a/tests/call_life.py
+++ b/tests/call_life.py
@@ -21,7 +21,7 @@
 from linnetwood.calls.directory import Directory, Endpoint
 from linnetwood.calls.routetable import Repeat
 from linnetwood.core.metrics import NoMetrics
-from linnetwood.core.outcomes import Ending, Outcome
+from linnetwood.core.outcomes import Code, Ending, Outcome
 from linnetwood.core.sizes import MIB
 from linnetwood.fleet.wanted import (
     SEND_MARGIN_S,
@@ -51,6 +51,7 @@
 CUT = 'cut though an endpoint would go on'
 BEGUN_LATE = 'begun on an old version'
 DROPPED = 'a whole answer was dropped'
+TOLD_AS_LOST = 'late, but told as lost'
 SEVERAL = 'several feed the caller'
 LOOKS_WHOLE = 'a truncated answer looks whole'
 # Passes of the loop in which a cancelled call ends.
@@ -385,6 +386,8 @@
             ('sent again though suspected', self._is_sent_suspected),
             ('sent to an endpoint that left', self._is_sent_to_gone),
             ('sent to an old version', self._is_sent_late),
+            ('sent beside a paused one', self._is_sent_beside_paused),
+            (TOLD_AS_LOST, self._is_told_as_lost),
             (SEVERAL, self._is_fed_by_several),
             (DROPPED, self._is_dropped),
             (CUT, self._is_cut),
@@ -550,6 +553,26 @@
             for flow in self.flows
         )
 
+    def _is_sent_beside_paused(self) -> bool:
+        return self.life.driver.sent_beside_paused
+
+    def _is_told_as_lost(self) -> bool:
+        """Return whether a call whose time is over ends as if it broke off."""
+        ending = self.life.ending
+        ended_at = self.life.ended_at
+        if ending is None or ending.outcome is not Outcome.UNKNOWN:
+            return False
+        was_open = any(
+            flow.is_timed_out or flow.cancelled_at == ended_at
+            for flow in self.flows
+        )
+        broke_off = any(
+            flow.is_heard and flow.ended_at >= self.life.deadline - EARLY_S
+            for flow in self.flows
+        )
+        is_late = ended_at >= self.life.deadline and was_open
+        return is_late and not broke_off and ending.code != Code.LATE.value
+
     def _is_dropped(self) -> bool:
         """Return whether an endpoint ended whole and its caller got nothing."""
         if self.life.caller_left or self.outcome is not Outcome.UNKNOWN:
--- a/tests/scripted_endpoints.py
+++ b/tests/scripted_endpoints.py
@@ -127,8 +127,9 @@
         # When something new came after it was cancelled.
         self.went_on_at = math.inf
         self.is_whole = False
-        # Whether its end was delivered.
+        # Whether its end was delivered, or came with its time.
         self.is_heard = False
+        self.is_timed_out = False
         # When its endpoint sent the first bytes, and had sent a whole event.
         self.began_at = math.inf
         self.started_at = math.inf
@@ -227,6 +228,8 @@
         self.crashed: set[int] = set()
         # The transfers that went on with the answer, and when.
         self.feeds: list[tuple[float, Flow]] = []
+        # Whether a call was sent elsewhere since its caller read nothing.
+        self.sent_beside_paused = False
         # How many bytes the caller has got.
         self.sent_bytes: Callable[[], int] = int
 
@@ -238,6 +241,8 @@
         version = headers.get('X-Expected-Version', str(script.version))
         if version != str(script.version) and script.reply in STREAMED:
             script = dataclasses.replace(script, reply=Reply.MISDIRECTED)
+        if any(flow.is_paused for flow in self.flows):
+            self.sent_beside_paused = True
         transfer = Transfer(receiver)
         flow = Flow(script, req.port, after, transfer)
         self.flows.append(flow)
@@ -295,6 +300,7 @@
         receiver = flow.receiver
         if receiver is not None:
             self._close(flow)
+            flow.is_timed_out = True
             flow.ended_at = self.loop.time()
             receiver.done(Finish(False, flow.reached, TIMED_OUT))
 
--- a/tests/test_call_life.py
+++ b/tests/test_call_life.py
@@ -15,6 +15,7 @@
     DROPPED,
     LOOKS_WHOLE,
     SEVERAL,
+    TOLD_AS_LOST,
     World,
     faults_of,
 )
@@ -24,7 +25,7 @@
 _FIRST, _, _LAST = os.environ.get('LIFE_SEEDS', '0:2000').partition(':')
 _MAX_SHOWN = 3
 # The laws that have tests of their own.
-_OWN_TESTS = frozenset((BEGUN_LATE, CUT, LOOKS_WHOLE))
+_OWN_TESTS = frozenset((BEGUN_LATE, CUT, LOOKS_WHOLE, TOLD_AS_LOST))
 
 
 def _drawn_worlds() -> Iterable[World]:
@@ -99,6 +100,10 @@
         """Guard against a version that is named while a call is silent."""
         self.assert_none(lambda _, fault: fault == BEGUN_LATE)
 
+    def test_no_late_call_is_told_as_lost(self) -> None:
+        """Guard against 502 in place of 504 where the time was over."""
+        self.assert_none(lambda _, fault: fault == TOLD_AS_LOST)
+
     def test_no_whole_answer_is_dropped(self) -> None:
         """Guard against 502 for a caller that lost only the end of a stream."""
         self.assert_none(_is_dropped_end)
