--- a/src/linnetwood/calls/endpointstats.py
+++ b/src/linnetwood/calls/endpointstats.py
@@ -199,6 +199,9 @@
             self._before_silence = _Avoidance(
                 self.failure_rate, self.backoff_s, self.backoff_until
             )
+        elif now < self.backoff_until:
+            # Streams that fall silent together show one silence.
+            return
         self.record_unreachable(now)
 
     def record_resumed(self) -> None:
--- a/tests/test_silent_endpoints.py
+++ b/tests/test_silent_endpoints.py
@@ -249,6 +249,18 @@
                 self.assertEqual(stats.failure_rate > 0, is_avoided)
                 self.assertEqual(stats.backoff_until > 0, is_avoided)
 
+    def test_streams_that_fall_silent_together_count_once(self) -> None:
+        """Guard against avoiding an endpoint longer the more streams it has."""
+        one, many = EndpointStats(), EndpointStats()
+        one.record_silence(1)
+        for number in range(10):
+            many.record_silence(1 + number / 100)
+        self.assertEqual(many.backoff_until, one.backoff_until)
+        self.assertEqual(many.failure_rate, one.failure_rate)
+        again_at = many.backoff_until
+        many.record_silence(again_at)
+        self.assertEqual(many.backoff_until - again_at, 2 * (again_at - 1))
+
     def test_each_attempt_is_logged(self) -> None:
         """Guard against attempts whose cost nobody sees."""
         for silent_s, how in ((SILENT_S, 'overtaken'), (99, 'stalled')):
