Let servers of the soak fall silent and go on, beside planned work

Callers lost streams at sound servers that were silent for a second and went on, and no soak could show it: its servers answered, crashed or were cut off by the network. A fault 'server silent' holds back all that one server, or all engines at once, writes on its calls, for 0.5 to 1.8 s, several times in a row; by its pick their reports and health, too. It is kept in `History.silences`, not among the troubles, so that it excuses nothing. A notice in an answer that is held counts as known from the time the answer began; without a silence the checks are as they were. 'server dark' takes connections and answers nothing until a new incarnation: a trouble of that server.

Planned work grows by SIGHUP of an entry ('hup entry'), other idle times ('config idle') and a route of streams that moves to a service without servers and back. `--planned-work` runs only these beside silent servers, with longer streams. The faults that a seed draws change with the kinds. faults.py loses configurations and the log of faults to modules of their own, and is shorter than before.

The check is the one there was; cuts beside configurations are not looked for yet.

--- a/src/linnetwood/lab/measure_soak.py
+++ b/src/linnetwood/lab/measure_soak.py
@@ -11,7 +11,7 @@
 
 from tornado.httpclient import AsyncHTTPClient
 
-from linnetwood.lab.soak.callers import Callers
+from linnetwood.lab.soak.callers import EVENT_COUNTS, LONG_EVENT_COUNTS, Callers
 from linnetwood.lab.soak.checks import Checker, Limits
 from linnetwood.lab.soak.faults import FaultInjector
 from linnetwood.lab.soak.fleet import Fleet, Size
@@ -21,7 +21,7 @@
     decode_arrivals,
     decode_runs,
 )
-from linnetwood.lab.soak.schedule import Fault, schedule
+from linnetwood.lab.soak.schedule import Fault, schedule, schedule_planned_work
 
 _MINUTE_S = 60
 _SETTLE_S = 3.0
@@ -41,6 +41,7 @@
     engines: int = 6,
     desks: int = 3,
     callers: int = 24,
+    planned_work: bool = False,
     out: str = '',
 ) -> bool:
     """Print faults by kind, calls by outcome, and violations.
@@ -51,10 +52,16 @@
     :param engines: engines, each with an endpoint process
     :param desks: plain servers
     :param callers: callers, each with a persistent connection
+    :param planned_work: only planned work and silent servers, longer streams
     :param out: a file for the whole history, which can be plotted
     """
     size = Size(entries, engines, desks)
-    found = run_soak(seed, minutes, size, callers, out)
+    planned = None
+    event_counts = EVENT_COUNTS
+    if planned_work:
+        planned = schedule_planned_work(seed, minutes * _MINUTE_S)
+        event_counts = LONG_EVENT_COUNTS
+    found = run_soak(seed, minutes, size, callers, out, planned, event_counts)
     sys.stdout.write(f'{json.dumps(found)}\n')
     return bool(found['violations'] or found['ended_badly'])
 
@@ -66,14 +73,16 @@
     callers: int,
     out: str = '',
     planned: list[Fault] | None = None,
+    event_counts: tuple[int, int] = EVENT_COUNTS,
 ) -> dict[str, Any]:
     """Run one soak test; return what is printed.
 
-    Planned faults replace those from the seed.
+    Planned faults replace those from the seed. Streams have a number of events
+    in a range.
     """
     if planned is None:
         planned = schedule(seed, minutes * _MINUTE_S)
-    return asyncio.run(_soak(seed, planned, size, callers, out))
+    return asyncio.run(_soak(seed, planned, size, callers, event_counts, out))
 
 
 async def _soak(
@@ -81,12 +90,13 @@
     planned: list[Fault],
     size: Size,
     count: int,
+    event_counts: tuple[int, int],
     out: str,
 ) -> dict[str, Any]:
     limits = Limits()
     fleet = Fleet(size, limits.version_s, limits.apply_s)
     history = History()
-    callers = Callers(fleet, history, seed)
+    callers = Callers(fleet, history, seed, event_counts)
     faults = FaultInjector(fleet, history, callers)
     busy_task = asyncio.create_task(_record_busy_times(history))
     try:
@@ -105,6 +115,7 @@
         'faults': dict(sorted(faults.counts.items())),
         'calls': _outcomes(history),
         'runs': len(history.runs),
+        'silences': len(history.silences),
         'violations': len(violations),
         'first': violations[:_MAX_SHOWN],
         'ended_badly': failed,
--- a/src/linnetwood/lab/soak/callers.py
+++ b/src/linnetwood/lab/soak/callers.py
@@ -37,7 +37,8 @@
 _MILLISECONDS = 1000
 _DISCONNECT_SHARE = 0.05
 _DISCONNECT_AFTER_S = (0.05, 0.4)
-_EVENT_COUNTS = (5, 25)
+EVENT_COUNTS = (5, 25)
+LONG_EVENT_COUNTS = (15, 60)
 _THINK_TIME_S = (0.02, 0.3)
 _RETRY_DELAY_S = (0.1, 1.0)
 _PROBE_INTERVAL_S = (0.1, 0.4)
@@ -53,12 +54,19 @@
 class Callers:
     """Own the tasks that send calls."""
 
-    def __init__(self, fleet: Fleet, history: History, seed: int) -> None:
-        """Start without callers."""
+    def __init__(
+        self,
+        fleet: Fleet,
+        history: History,
+        seed: int,
+        event_counts: tuple[int, int] = EVENT_COUNTS,
+    ) -> None:
+        """Start without callers; streams have a number of events in a range."""
         # The newest configuration that was sent; probes call its route.
         self.configuration = 1
         self._fleet = fleet
         self._history = history
+        self._event_counts = event_counts
         self._rng = Random(seed)
         # The first parts of sound prompts, the most frequent last.
         self._first_parts = list(FIRST_PARTS)
@@ -123,7 +131,7 @@
             ):
                 disconnect_after_s = self._rng.uniform(*_DISCONNECT_AFTER_S)
             await conn.run(
-                call, self._rng.randint(*_EVENT_COUNTS), disconnect_after_s
+                call, self._rng.randint(*self._event_counts), disconnect_after_s
             )
             unserved = call.status in {0, _SERVICE_UNAVAILABLE}
             delay_range_s = _RETRY_DELAY_S if unserved else _THINK_TIME_S
--- a/src/linnetwood/lab/soak/configuration.py
+++ b/src/linnetwood/lab/soak/configuration.py
@@ -1,5 +1,7 @@
 """The numbered configurations that a soak test writes."""
 
+import dataclasses
+
 from linnetwood.lab.soak.callers import HOST, KEY
 from linnetwood.lab.soak.standservers import CHUNK_BYTES, CHUNKS, MODEL
 
@@ -9,8 +11,22 @@
 _TARGET_MS = 400
 
 
-def configuration(number: int, origin: str) -> dict[str, object]:
+@dataclasses.dataclass(frozen=True, slots=True)
+class Variant:
+    """What configurations of the same number may differ in."""
+
+    # The time after which an idle connection is closed; 0 for the default.
+    idle_ms: int = 0
+    # Whether streams go to the service that has engines.
+    has_engines: bool = True
+
+
+def configuration(
+    number: int, origin: str, variant: Variant
+) -> dict[str, object]:
     """Return a configuration with a route of its own number."""
+    streams_to = 'pool' if variant.has_engines else 'empty'
+    limits = {'idle_timeout_ms': variant.idle_ms} if variant.idle_ms else {}
     first = max(1, number - KEPT_ROUTES)
     numbered_routes = [
         _route(f'/only-{one}/', 'idempotent', 'desk')
@@ -20,7 +36,7 @@
         'version': number,
         'routes': [
             {
-                **_route('/chat/', 'streaming', 'pool'),
+                **_route('/chat/', 'streaming', streams_to),
                 'target_gap_ms': _TARGET_MS,
             },
             _route('/confirm/', 'non_idempotent', 'desk'),
@@ -42,6 +58,7 @@
                 },
             },
             {'name': 'desk', 'connection_limit': 100},
+            {'name': 'empty', 'connection_limit': 100},
             {
                 'name': 'weights',
                 'origin': origin,
@@ -49,6 +66,7 @@
                 'connection_limit': 48,
             },
         ],
+        'limits': limits,
         'tenants': [{'name': 't-1', 'api_keys': [KEY], 'priority': 1}],
     }
 
--- a/src/linnetwood/lab/soak/faults.py
+++ b/src/linnetwood/lab/soak/faults.py
@@ -10,12 +10,13 @@
 
 from linnetwood.lab.soak.callers import Callers
 from linnetwood.lab.soak.commands import Commands
-from linnetwood.lab.soak.configuration import configuration
+from linnetwood.lab.soak.configfaults import ConfigurationFaults
+from linnetwood.lab.soak.faultlog import FaultLog
 from linnetwood.lab.soak.fleet import SERVER_PORT, Fleet, Vm
-from linnetwood.lab.soak.history import AckedWrite, FaultRecord, History
+from linnetwood.lab.soak.history import AckedWrite, History
 from linnetwood.lab.soak.restoration import Restoration
-from linnetwood.lab.soak.schedule import SERIES_GAP_S, SERIES_LENGTH, Fault
-from linnetwood.lab.soak.standservers import MODEL
+from linnetwood.lab.soak.schedule import Fault
+from linnetwood.lab.soak.silencefaults import SilenceFaults
 from linnetwood.lab.soak.totalloss import PowerCut, StoreState
 
 _RECORDS_INTERVAL_S = 0.3
@@ -55,8 +56,11 @@
         self._written_records: dict[str, dict[str, Any]] = {}
         self._ever_written: set[str] = set()
         self._locations = dict(fleet.servers)
-        self._version = 1
-        self._configuration = 0
+        self._log = FaultLog(history.troubles)
+        self._configurations = ConfigurationFaults(
+            fleet, self._commands, history, callers
+        )
+        self._silences = SilenceFaults(self._commands, history, self._locations)
         self._starts = 0
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -66,7 +70,7 @@
             if name.startswith('i-engine'):
                 await self._commands.order(name, 'serve', version=1)
         await self._write_server_records()
-        await self.configure()
+        await self._configurations.configure()
         self._start_task(self._keep_writing_records())
 
     async def close(self) -> None:
@@ -85,13 +89,6 @@
         while len(self._tasks) > 1:
             await asyncio.sleep(_RECORDS_INTERVAL_S)
 
-    async def configure(self) -> None:
-        """Write the next configuration."""
-        self._configuration += 1
-        number = self._configuration
-        self._callers.configuration = number
-        await self._write_configuration()
-
     async def _run_fault(self, fault: Fault) -> None:
         entries = self._fleet.entries
         engines = self._fleet.engines
@@ -99,9 +96,12 @@
             'kill entry': partial(self._restart, entries, signal.SIGKILL),
             'stop entry': partial(self._restart, entries, signal.SIGTERM),
             'pause entry': partial(self._pause, entries),
+            'hup entry': self._reload,
             'kill endpoint': partial(self._restart, engines, signal.SIGKILL),
             'pause endpoint': partial(self._pause, engines),
             'crash server': self._crash,
+            'server silent': self._silences.silence,
+            'server dark': self._silences.darken,
             'drain server': self._drain,
             'call that ends servers': partial(
                 self._crash_by_calls, self._callers.crash_servers
@@ -120,9 +120,11 @@
             'store restored': self._restore_store,
             'spoilt pieces': self._disturb_origin,
             'origin silent': self._disturb_origin,
-            'config': self._write_configurations,
-            'configs': self._write_configurations,
-            'version': self._write_next_version,
+            'config': self._configurations.write_configurations,
+            'configs': self._configurations.write_configurations,
+            'config idle': self._configurations.change_idle_time,
+            'route without servers': self._configurations.move_route,
+            'version': self._configurations.write_next_version,
             'all lost': self._cut_power,
         }
         await handlers.get(fault.kind, self._disturb_connections)(fault)
@@ -137,7 +139,7 @@
         process = vm.process
         if process is None or not vm.alive:
             return
-        index = self._record_start(fault.kind, vm.name, self._fleet.version_s)
+        index = self._log.begin(fault.kind, vm.name, self._fleet.version_s)
         process.send_signal(signal.SIGCONT)
         process.send_signal(signum)
         while process.poll() is None:
@@ -145,35 +147,49 @@
         await asyncio.sleep(_RESTART_DELAY_S)
         if vm.process is process:
             self._fleet.start(vm)
-        self._record_end(index, _READY_TIMEOUT_S)
+        self._log.end(index, _READY_TIMEOUT_S)
+
+    async def _reload(self, fault: Fault) -> None:
+        """Tell an entry that its settings file has changed.
+
+        The signal ends a process that is still starting.
+        """
+        vm = _choose(self._fleet.entries, fault)
+        now = time.monotonic()
+        is_running = self._history.is_fault_free(vm.name, now, now + 1)
+        if vm.process is not None and vm.alive and is_running:
+            reloads = FaultLog(self._history.reloads)
+            index = reloads.begin(fault.kind, vm.name, 0)
+            vm.process.send_signal(signal.SIGHUP)
+            reloads.end(index)
 
     async def _pause(self, among: list[Vm], fault: Fault) -> None:
         vm = _choose(among, fault)
         process = vm.process
         if process is None or not vm.alive:
             return
-        index = self._record_start(fault.kind, vm.name, fault.span_s)
+        index = self._log.begin(fault.kind, vm.name, fault.span_s)
         process.send_signal(signal.SIGSTOP)
         await asyncio.sleep(fault.span_s)
         if process.poll() is None:
             process.send_signal(signal.SIGCONT)
-        self._record_end(index, 0)
+        self._log.end(index)
 
     async def _crash(self, fault: Fault) -> None:
         name = _choose(sorted(self._locations), fault)
-        index = self._record_start(fault.kind, name, fault.span_s)
+        index = self._log.begin(fault.kind, name, fault.span_s)
         await self._commands.order(name, 'crash')
         await asyncio.sleep(fault.span_s)
         await self._commands.order(name, 'start', keeps=bool(fault.pick % 2))
-        self._record_end(index, 0)
+        self._log.end(index)
 
     async def _crash_by_calls(
         self, send_calls: Callable[[Fault], Awaitable[None]], fault: Fault
     ) -> None:
         """Crash servers by calls; entries must keep within their bounds."""
-        index = self._record_start(fault.kind, 'servers', fault.span_s)
+        index = self._log.begin(fault.kind, 'servers', fault.span_s)
         await send_calls(fault)
-        self._record_end(index, _READY_TIMEOUT_S)
+        self._log.end(index, _READY_TIMEOUT_S)
 
     async def _send_notice(
         self,
@@ -183,31 +199,31 @@
     ) -> None:
         """Let a server send a notice; entries must keep within their bounds."""
         name = _choose(sorted(self._locations), fault)
-        index = self._record_start(fault.kind, name, fault.span_s)
+        index = self._log.begin(fault.kind, name, fault.span_s)
         await self._set_notice(name, **{field: _choose(choices, fault)})
         await asyncio.sleep(fault.span_s)
         await self._set_notice(name, **{field: 0})
-        self._record_end(index, 0)
+        self._log.end(index)
 
     async def _leave_unlisted(self, fault: Fault) -> None:
         """Let a server announce only in answers that it leaves; replace it."""
         name = _choose(sorted(self._locations), fault)
-        index = self._record_start(fault.kind, name, fault.span_s + _DRAIN_S)
+        index = self._log.begin(fault.kind, name, fault.span_s + _DRAIN_S)
         await self._set_notice(name, leaving=True)
         await self._replace_server(name, fault)
-        self._record_end(index, 0)
+        self._log.end(index)
 
     async def _drain(self, fault: Fault) -> None:
         """Drain a server, stop it, and start it with a new id."""
         name = _choose(sorted(self._locations), fault)
         if name not in self._locations:
             return
-        index = self._record_start(fault.kind, name, fault.span_s + _DRAIN_S)
+        index = self._log.begin(fault.kind, name, fault.span_s + _DRAIN_S)
         await self._commands.order(name, 'drain')
         at = await self._write_server_records()
         self._history.acked.append(AckedWrite('draining', name, 0, at))
         await self._replace_server(name, fault)
-        self._record_end(index, 0)
+        self._log.end(index)
 
     async def _replace_server(self, name: str, fault: Fault) -> None:
         await asyncio.sleep(_DRAIN_S + fault.span_s)
@@ -224,7 +240,7 @@
         await self._write_server_records()
 
     async def _disturb_store(self, fault: Fault) -> None:
-        index = self._record_start(fault.kind, '', fault.span_s)
+        index = self._log.begin(fault.kind, '', fault.span_s)
         if fault.kind == 'store forgets':
             await self._commands.store({'forget': True})
         else:
@@ -233,28 +249,29 @@
             )
             await asyncio.sleep(fault.span_s)
             await self._commands.store({'mode': 'pass'})
-        self._record_end(index, 0)
+        self._log.end(index)
 
     async def _restore_store(self, fault: Fault) -> None:
         """Restore the store from a copy, then write all records again."""
-        restoration = Restoration(self._commands, self.configure)
+        configure = self._configurations.configure
+        restoration = Restoration(self._commands, configure)
         await restoration.copy()
-        index = self._record_start(fault.kind, '', fault.span_s)
+        index = self._log.begin(fault.kind, '', fault.span_s)
         await restoration.restore(fault.span_s)
         # The copy names servers that have stopped since.
         self._written_records = dict.fromkeys(self._ever_written, {})
-        await self.configure()
-        await self._write_version()
+        await configure()
+        await self._configurations.write_version()
         await self._write_server_records()
-        self._record_end(index, _READY_TIMEOUT_S)
+        self._log.end(index, _READY_TIMEOUT_S)
 
     async def _disturb_origin(self, fault: Fault) -> None:
         field = 'spoils' if fault.kind == 'spoilt pieces' else 'origin_silent'
-        index = self._record_start(fault.kind, '', fault.span_s)
+        index = self._log.begin(fault.kind, '', fault.span_s)
         await self._commands.servers({field: True})
         await asyncio.sleep(fault.span_s)
         await self._commands.servers({field: False})
-        self._record_end(index, 0)
+        self._log.end(index)
 
     async def _disturb_connections(self, fault: Fault) -> None:
         """Disturb connections of some entries to the store, or to a server."""
@@ -266,34 +283,22 @@
             connections = [_choose(sorted(self._fleet.servers), fault)]
             who = ['']
         span_s = fault.span_s + _SILENCED_S
-        indexes = [self._record_start(fault.kind, one, span_s) for one in who]
+        indexes = [self._log.begin(fault.kind, one, span_s) for one in who]
         self._fleet.set_proxy_mode(connections, _MODES[fault.kind])
         await asyncio.sleep(fault.span_s)
         self._fleet.set_proxy_mode(connections, 'pass')
         for index in indexes:
-            self._record_end(index, _SILENCED_S)
-
-    async def _write_configurations(self, fault: Fault) -> None:
-        for _ in range(SERIES_LENGTH if fault.kind == 'configs' else 1):
-            await self.configure()
-            await asyncio.sleep(SERIES_GAP_S)
+            self._log.end(index, _SILENCED_S)
 
     async def _cut_power(self, fault: Fault) -> None:
         state = _choose(tuple(StoreState), fault)
-        index = self._record_start(
-            fault.kind, '', fault.span_s + _READY_TIMEOUT_S
-        )
+        index = self._log.begin(fault.kind, '', fault.span_s + _READY_TIMEOUT_S)
         if state is not StoreState.ANSWERS:
             # Running servers write their records again.
             self._written_records = {}
         power_cut = PowerCut(self._fleet, self._commands)
         await power_cut.run(sorted(self._locations), fault.span_s, state)
-        self._record_end(index, _READY_TIMEOUT_S)
-
-    async def _write_next_version(self, fault: Fault) -> None:
-        self._version += 1
-        await self._commands.servers({'newest': self._version})
-        await self._write_version()
+        self._log.end(index, _READY_TIMEOUT_S)
 
     async def _keep_writing_records(self) -> None:
         while True:
@@ -325,47 +330,15 @@
         answer = await self._commands.store({'write': write})
         return float(answer['at'])
 
-    async def _write_configuration(self) -> None:
-        parsed = configuration(self._configuration, self._fleet.origin)
-        await self._write('config', {'op/config': parsed})
-
-    async def _write_version(self) -> None:
-        record = _version_record(self._version)
-        await self._write('version', {f'op/version/{MODEL}': record})
-
-    async def _write(self, what: str, write: dict[str, object]) -> None:
-        number = self._version if what == 'version' else self._configuration
-        answer = await self._commands.store({'write': write})
-        self._history.acked.append(AckedWrite(what, '', number, answer['at']))
-
     async def _set_notice(self, server: str, **fields: object) -> None:
         await self._commands.order(server, 'say', says=fields)
 
-    def _record_start(self, kind: str, who: str, span_s: float) -> int:
-        now = time.monotonic()
-        self._history.troubles.append(FaultRecord(kind, now, now + span_s, who))
-        return len(self._history.troubles) - 1
-
-    def _record_end(self, index: int, after_s: float) -> None:
-        started = self._history.troubles[index]
-        until = time.monotonic() + after_s
-        self._history.troubles[index] = FaultRecord(
-            started.kind,
-            started.at,
-            until,
-            started.who,
-        )
-
     def _start_task(self, work: Any) -> None:
         task = asyncio.create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
 
-def _version_record(version: int) -> dict[str, object]:
-    return {'model': MODEL, 'version': version}
-
-
 def _location(vm: Vm) -> dict[str, str]:
     return {'address': f'{vm.host}:{SERVER_PORT}', 'zone': vm.zone}
 
--- a/src/linnetwood/lab/soak/history.py
+++ b/src/linnetwood/lab/soak/history.py
@@ -69,7 +69,7 @@
     rest_s: float = 0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(slots=True)
 class Arrival:
     """A call that reached a server, run or not, and the answer's notice."""
 
@@ -79,6 +79,14 @@
     said: Notice = Notice()
     # The incarnation of the server that it reached.
     born: int = 0
+    # When a silent server began to answer; infinite if it never did, and 0 if
+    # it was not silent then.
+    held_until: float = 0
+
+    @property
+    def notified_at(self) -> float:
+        """Return the earliest time at which the notice can be known."""
+        return max(self.at, self.held_until)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -89,6 +97,7 @@
     name: str
     number: int
     at: float
+    sent_at: float = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -115,6 +124,10 @@
     arrivals: list[Arrival] = dataclasses.field(default_factory=list)
     acked: list[AckedWrite] = dataclasses.field(default_factory=list)
     troubles: list[FaultRecord] = dataclasses.field(default_factory=list)
+    # Silences of sound servers, which excuse nothing.
+    silences: list[FaultRecord] = dataclasses.field(default_factory=list)
+    # Reloads of entries, which are planned and excuse nothing.
+    reloads: list[FaultRecord] = dataclasses.field(default_factory=list)
     # Errors that servers detected themselves, such as wrong weights.
     found: list[str] = dataclasses.field(default_factory=list)
 
--- a/src/linnetwood/lab/soak/notices.py
+++ b/src/linnetwood/lab/soak/notices.py
@@ -5,6 +5,7 @@
 """
 
 import itertools
+import math
 from collections import defaultdict
 from collections.abc import Callable, Iterator
 from typing import NamedTuple
@@ -48,12 +49,15 @@
 def leaving_violations(history: History, drain_s: float) -> Iterator[str]:
     """Yield each call sent after an entry knew that the server is leaving."""
     for entry, received in _group_by_entry(history):
-        first = next(
-            (one for one in received if one.arrival.said.leaving), None
+        first = min(
+            (
+                one.arrival.notified_at
+                for one in received
+                if one.arrival.said.leaving
+            ),
+            default=math.inf,
         )
-        if first is None:
-            continue
-        since = first.arrival.at + _TRANSIT_S
+        since = first + _TRANSIT_S
         late = [
             one.arrival for one in received if one.sent_at > since + drain_s
         ]
@@ -84,7 +88,7 @@
     arrivals: list[Arrival],
 ) -> str:
     """Describe the calls during a pause if there were more than a few."""
-    since = refusal.at + _NOTICE_DELAY_S
+    since = refusal.notified_at + _NOTICE_DELAY_S
     until = refusal.at + refusal.said.rest_s
     inside = [one for one in arrivals if since < one.at < until]
     few = len(inside) <= _MAX_CALLS_IN_PAUSE
@@ -140,18 +144,18 @@
     contact_s: float,
 ) -> Iterator[Arrival]:
     """Yield calls of entries that knew the rate limit in force."""
-    limited_since = float()
+    limited_since = math.inf
     notified_at: dict[str, float] = {}
     for one in arrivals:
         if not one.said.limit:
-            limited_since = 0
+            limited_since = math.inf
             notified_at.clear()
             continue
-        limited_since = limited_since or one.at
+        limited_since = min(limited_since, one.notified_at)
         entry = entries.get(one.call_id, '')
-        since = notified_at.setdefault(
-            entry, one.at + _NOTICE_DELAY_S + _TRANSIT_S
-        )
+        known_at = one.notified_at + _NOTICE_DELAY_S + _TRANSIT_S
+        since = min(known_at, notified_at.get(entry, math.inf))
+        notified_at[entry] = since
         due = one.at >= max(since, limited_since + contact_s)
         if due and is_connected(entry, one.at):
             yield one
--- a/src/linnetwood/lab/soak/schedule.py
+++ b/src/linnetwood/lab/soak/schedule.py
@@ -1,7 +1,7 @@
 """Generate a schedule of faults from a seed; no I/O or clock."""
 
 import dataclasses
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping, Sequence
 from random import Random
 from types import MappingProxyType
 
@@ -17,7 +17,10 @@
         'pause entry': (0.5, 4.0),
         'kill endpoint': _INSTANT,
         'pause endpoint': (0.5, 4.0),
+        'hup entry': _INSTANT,
         'crash server': (0.3, 2.0),
+        'server silent': (4.0, 10.0),
+        'server dark': (1.0, 4.0),
         'drain server': (2.0, 5.0),
         'call that ends servers': (8.0, 15.0),
         'part that ends engines': (8.0, 15.0),
@@ -38,6 +41,8 @@
         'origin silent': (0.5, 3.0),
         'config': _INSTANT,
         'configs': _INSTANT,
+        'config idle': _INSTANT,
+        'route without servers': (0.5, 2.5),
         'version': _INSTANT,
         'all lost': (0.5, 2.0),
     }
@@ -45,6 +50,16 @@
 # The range of the numbers that choose what a fault affects.
 _PICK_RANGE = 65536
 _FREQUENT_KINDS = ('config', 'config', 'configs', 'version')
+_PLANNED_KINDS = (
+    'config',
+    'configs',
+    'config idle',
+    'route without servers',
+    'hup entry',
+    'stop entry',
+)
+_SILENCE_GAP_S = (0.5, 2.0)
+_PLANNED_GAP_S = (0.5, 4.0)
 # The number of changes in a series, and the seconds between them.
 SERIES_LENGTH = 4
 SERIES_GAP_S = 0.25
@@ -62,14 +77,28 @@
 
 def schedule(seed: int, span_s: float) -> list[Fault]:
     """Return the faults of a run, ordered by time; several may overlap."""
-    rng = Random(seed)
     kinds = (*_DURATIONS_S, *_FREQUENT_KINDS)
-    faults = []
+    return list(_draw(Random(seed), span_s, kinds, _GAP_S))
+
+
+def schedule_planned_work(seed: int, span_s: float) -> list[Fault]:
+    """Return planned work beside silent servers, none of which excuses."""
+    rng = Random(seed)
+    silences = _draw(rng, span_s, ('server silent',), _SILENCE_GAP_S)
+    faults = [*silences, *_draw(rng, span_s, _PLANNED_KINDS, _PLANNED_GAP_S)]
+    return sorted(faults, key=lambda fault: fault.at_s)
+
+
+def _draw(
+    rng: Random,
+    span_s: float,
+    kinds: Sequence[str],
+    gap_s: tuple[float, float],
+) -> Iterator[Fault]:
     at_s = LEAD_S
     while at_s < span_s:
         kind = rng.choice(kinds)
         duration_s = rng.uniform(*_DURATIONS_S[kind])
         pick = rng.randrange(_PICK_RANGE)
-        faults.append(Fault(round(at_s, 2), kind, round(duration_s, 2), pick))
-        at_s += rng.uniform(*_GAP_S)
-    return faults
+        yield Fault(round(at_s, 2), kind, round(duration_s, 2), pick)
+        at_s += rng.uniform(*gap_s)
--- a/src/linnetwood/lab/soak/standanswers.py
+++ b/src/linnetwood/lab/soak/standanswers.py
@@ -4,6 +4,7 @@
 """
 
 import hashlib
+from collections.abc import Awaitable, Callable
 from typing import Protocol
 
 from tornado.iostream import StreamClosedError
@@ -74,6 +75,31 @@
         self._stream.close()
 
 
+class HeldAnswer:
+    """Write an answer, but nothing while its server is silent."""
+
+    def __init__(
+        self, answer: Answer, wait_until_heard: Callable[[], Awaitable[None]]
+    ) -> None:
+        """Write by means of another answer."""
+        self._answer = answer
+        self._wait_until_heard = wait_until_heard
+
+    def begin(self) -> None:
+        """Write the head; the caller has waited."""
+        self._answer.begin()
+
+    async def send(self, piece: str) -> None:
+        """Write a piece of the body."""
+        await self._wait_until_heard()
+        await self._answer.send(piece)
+
+    async def end(self) -> None:
+        """End the answer as complete."""
+        await self._wait_until_heard()
+        await self._answer.end()
+
+
 def answer_of(
     handler: RequestHandler, call_id: str, *, streams: bool
 ) -> Answer:
--- a/src/linnetwood/lab/soak/standcalls.py
+++ b/src/linnetwood/lab/soak/standcalls.py
@@ -1,6 +1,8 @@
 """Handle calls at stand-in servers, some of which crash them."""
 
 import asyncio
+import contextlib
+import math
 import time
 from collections.abc import AsyncIterator, Iterator
 
@@ -8,15 +10,16 @@
 from tornado.iostream import StreamClosedError
 
 from linnetwood.lab.soak.fatalparts import CrashMoment, crash_moment
-from linnetwood.lab.soak.history import Notice, Run
+from linnetwood.lab.soak.history import Arrival, Notice, Run
 from linnetwood.lab.soak.standanswers import (
     Answer,
     ClosingAnswer,
+    HeldAnswer,
     answer_of,
     check_connected,
 )
-from linnetwood.lab.soak.standhandler import ServerHandler
-from linnetwood.lab.soak.standservers import POOL, Server
+from linnetwood.lab.soak.standhandler import HOLD_CHECK_S, ServerHandler
+from linnetwood.lab.soak.standservers import POOL, Server, Servers, Silence
 
 # A call with this in its path crashes the server that begins to run it.
 FATAL = 'fatal'
@@ -31,22 +34,21 @@
 class CallHandler(ServerHandler):
     """Run one call."""
 
+    def initialize(self, servers: Servers, server: Server) -> None:
+        """Use the state of the server and of all of them."""
+        super().initialize(servers, server)
+        # The arrival, until its notice has been written.
+        self._unsent: Arrival | None = None
+
     async def post(self) -> None:
         """Run a call if it is addressed to this server and a slot is free."""
         server = self.server
-        headers = self.request.headers
-        self.servers.record_arrival(server, headers)
+        self._unsent = self.servers.record_arrival(server, self.request.headers)
         for header in _notice_headers(server.notice):
             self.set_header(*header)
-        if not _is_addressed(server, headers):
-            self.set_header('X-Instance-Id', server.name)
-            self.set_header('At-Server', server.name)
-            self.set_status(_MISDIRECTED)
-            return
-        full = len(server.running) >= server.slots
-        if full or server.changing or server.notice.rest_s:
-            self.set_header('X-Not-Executed', '1')
-            self.set_status(_SERVICE_UNAVAILABLE)
+        if self._refuses():
+            with contextlib.suppress(StreamClosedError):
+                await self._wait_until_heard()
             return
         await self._run(self.servers.record_run(server, self))
 
@@ -58,6 +60,21 @@
         """Stop the call, since the client disconnected."""
         self.is_disconnected = True
 
+    def _refuses(self) -> bool:
+        """Write the head of a refusal if the call can't run here."""
+        server = self.server
+        if not _is_addressed(server, self.request.headers):
+            self.set_header('X-Instance-Id', server.name)
+            self.set_header('At-Server', server.name)
+            self.set_status(_MISDIRECTED)
+            return True
+        full = len(server.running) >= server.slots
+        if full or server.changing or server.notice.rest_s:
+            self.set_header('X-Not-Executed', '1')
+            self.set_status(_SERVICE_UNAVAILABLE)
+            return True
+        return False
+
     async def _run(self, run: Run) -> None:
         running = self.server.running
         running.add(self)
@@ -96,7 +113,8 @@
         await asyncio.sleep(_ANSWER_TIME_S)
         run.body = f'{run.server} {run.call_id} {run.signature}'
         self._sign(run)
-        answer = answer_of(self, run.call_id, streams=False)
+        await self._wait_until_heard()
+        answer = self._held(answer_of(self, run.call_id, streams=False))
         answer.begin()
         await answer.send(run.body)
         await answer.end()
@@ -107,7 +125,8 @@
         self.set_header('Content-Type', 'text/event-stream')
         moment = crash_moment(self.request.headers.get('X-Prompt-Prefix', ''))
         closes = moment is not None and moment.ends_with_connection
-        answer = (
+        await self._wait_until_heard()
+        answer = self._held(
             ClosingAnswer(self)
             if closes
             else answer_of(self, run.call_id, streams=True)
@@ -117,6 +136,7 @@
             await self._crash_in_answer(run, answer, moment)
         async for event in self._events(run):
             await answer.send(event)
+            self._unsent = None
         await answer.end()
 
     async def _crash_in_answer(
@@ -139,6 +159,21 @@
             row = f'{run.call_id}|{number}|{total}|{run.version}'
             yield f'id: {number}\ndata: {row}\n\n'
 
+    def _held(self, answer: Answer) -> Answer:
+        return HeldAnswer(answer, self._wait_until_heard)
+
+    async def _wait_until_heard(self) -> None:
+        """Wait while the server is silent; raise if the client disconnects."""
+        if not self.server.is_silent(Silence.ANSWERS):
+            return
+        if self._unsent is not None:
+            self._unsent.held_until = math.inf
+        while self.server.is_silent(Silence.ANSWERS):
+            check_connected(self)
+            await asyncio.sleep(HOLD_CHECK_S)
+        if self._unsent is not None:
+            self._unsent.held_until = time.monotonic()
+
     def _sign(self, run: Run) -> None:
         self.set_header('X-Attempt-Id', run.call_id)
         self.set_header('X-Server-Signature', run.signature)
--- a/src/linnetwood/lab/soak/standcontrol.py
+++ b/src/linnetwood/lab/soak/standcontrol.py
@@ -22,6 +22,7 @@
     CHUNKS,
     Server,
     Servers,
+    Silence,
     make_chunk,
 )
 
@@ -118,6 +119,8 @@
             case 'say':
                 changed = command['says']
                 server.notice = dataclasses.replace(server.notice, **changed)
+            case 'silence':
+                server.fall_silent(Silence[command['holds']])
             case 'serve':
                 server.serving = command['version']
             case 'rename':
--- a/src/linnetwood/lab/soak/standengines.py
+++ b/src/linnetwood/lab/soak/standengines.py
@@ -9,7 +9,12 @@
 import time
 
 from linnetwood.lab.soak.standhandler import ServerHandler
-from linnetwood.lab.soak.standservers import CHUNKS, Server, make_chunk
+from linnetwood.lab.soak.standservers import (
+    CHUNKS,
+    Server,
+    Silence,
+    make_chunk,
+)
 
 _ACCEPTED = 202
 _NOT_FOUND = 404
@@ -19,6 +24,8 @@
 
 
 class ReportHandler(ServerHandler):
+    held_by = Silence.REPORTS
+
     def get(self) -> None:
         """Return the load report."""
         server = self.server
@@ -39,6 +46,8 @@
 
 
 class HealthHandler(ServerHandler):
+    held_by = Silence.REPORTS
+
     def get(self) -> None:
         """Report healthy unless the server is draining."""
         self.set_header('X-Instance-Id', self.server.name)
--- a/src/linnetwood/lab/soak/standhandler.py
+++ b/src/linnetwood/lab/soak/standhandler.py
@@ -1,23 +1,36 @@
 """The base of the HTTP handlers of stand-in servers."""
 
-from tornado.web import RequestHandler
+import asyncio
+
+from tornado.web import Finish, RequestHandler
 
 from linnetwood.lab.soak.standanswers import close_connection
-from linnetwood.lab.soak.standservers import Server, Servers
+from linnetwood.lab.soak.standservers import Server, Servers, Silence
+
+# How often a held request checks whether its server is still silent.
+HOLD_CHECK_S = 0.02
 
 
 class ServerHandler(RequestHandler):
     """Handle requests to one server, none after it crashed."""
 
+    # Such a silence holds requests of this kind back before they are handled.
+    held_by = Silence.EVERYTHING
+
     def initialize(self, servers: Servers, server: Server) -> None:
         """Use the state of the server and of all of them."""
         self.servers = servers
         self.server = server
 
-    def prepare(self) -> None:
-        """Close the connection to a server that crashed."""
+    async def prepare(self) -> None:
+        """Hold requests to a silent server; close those to one that crashed."""
+        is_held = self.server.is_silent(self.held_by)
+        while self.server.is_silent(self.held_by):
+            await asyncio.sleep(HOLD_CHECK_S)
         if not self.server.alive:
             close_connection(self)
+            if is_held:
+                raise Finish
 
     def data_received(self, chunk: bytes) -> None:
         """Accept no streamed bodies."""
--- a/src/linnetwood/lab/soak/standservers.py
+++ b/src/linnetwood/lab/soak/standservers.py
@@ -3,6 +3,7 @@
 Each server records the calls that it began.
 """
 
+import enum
 import hashlib
 import secrets
 import time
@@ -23,6 +24,16 @@
 CHUNK_BYTES = 2048
 
 
+class Silence(enum.IntEnum):
+    """What a server holds back for a time; each includes those before it."""
+
+    NONE = 0
+    ANSWERS = 1
+    REPORTS = 2
+    # The server takes connections and handles no requests.
+    EVERYTHING = 3
+
+
 def make_chunk(version: int, index: int) -> bytes:
     """Return the valid chunk of a version at an index."""
     seed = hashlib.sha256(f'{version}/{index}'.encode()).digest()
@@ -46,6 +57,7 @@
         self.incarnation = _now_ms()
         self.staged: dict[int, bytes] = {}
         self.running: set[RequestHandler] = set()
+        self._silence = Silence.NONE
         self._port = 0
         self._app: Application | None = None
         self._listening: HTTPServer | None = None
@@ -58,10 +70,20 @@
         self._listening = HTTPServer(app)
         self._listening.listen(port, '127.0.0.1')
 
+    def is_silent(self, silence: Silence) -> bool:
+        """Return whether the server holds this back."""
+        return self._silence >= silence
+
+    def fall_silent(self, silence: Silence) -> None:
+        """Hold back answers, or go on; a dark server stays dark."""
+        if self._silence is not Silence.EVERYTHING:
+            self._silence = silence
+
     def restart(self, *, keep_staged: bool) -> None:
         """Start a new incarnation; staged chunks may be kept."""
         self.incarnation = max(self.incarnation + 1, _now_ms())
         self.notice = Notice()
+        self._silence = Silence.NONE
         self.serving = 0
         self.sequence = 0
         self.changing = False
@@ -76,6 +98,7 @@
         if self.alive and self._listening is not None:
             self._listening.stop()
         self.alive = False
+        self._silence = Silence.NONE
         for handler in tuple(self.running):
             close_connection(handler)
 
@@ -117,15 +140,15 @@
         # The newest version that the origin has.
         self.newest = 1
 
-    def record_arrival(self, server: Server, headers: HTTPHeaders) -> None:
+    def record_arrival(self, server: Server, headers: HTTPHeaders) -> Arrival:
         """Record that a call arrived."""
         call_id = headers.get('X-Attempt-Id', '')
         now = time.monotonic()
-        self.arrivals.append(
-            Arrival(
-                call_id, server.name, now, server.notice, server.incarnation
-            )
+        arrival = Arrival(
+            call_id, server.name, now, server.notice, server.incarnation
         )
+        self.arrivals.append(arrival)
+        return arrival
 
     def record_run(self, server: Server, handler: RequestHandler) -> Run:
         """Record that a call begins to run."""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -6,6 +6,7 @@
 
 from linnetwood.lab.launcher import Ports
 from linnetwood.lab.measure_soak import run_soak
+from linnetwood.lab.soak.callers import LONG_EVENT_COUNTS
 from linnetwood.lab.soak.checks import Checker, Limits
 from linnetwood.lab.soak.fleet import Size
 from linnetwood.lab.soak.history import (
@@ -19,12 +20,18 @@
     Run,
 )
 from linnetwood.lab.soak.proxy import Forwarder
-from linnetwood.lab.soak.schedule import LEAD_S, Fault, schedule
+from linnetwood.lab.soak.schedule import (
+    LEAD_S,
+    Fault,
+    schedule,
+    schedule_planned_work,
+)
 from linnetwood.lab.soak.totalloss import StoreState
 from tests.loops import close_server
 
 SEED = 1
 MINUTES = 0.2
+PLANNED_WORK_S = 30
 AT = 1000.0
 CALL = Call(
     'c',
@@ -485,6 +492,23 @@
         self.assertEqual(found['first'], [])
         self.assertEqual(found['ended_badly'], [])
 
+    # Guards against silence taken for an end: streams at sound servers that
+    # fall silent for a second and go on were cut beside planned work.
+    def test_silent_servers_beside_planned_work(self) -> None:
+        """Entries complete what they sent on, also while one of them stops."""
+        found = run_soak(
+            SEED,
+            0,
+            Size(3, 6, 2),
+            callers=18,
+            planned=schedule_planned_work(SEED, LEAD_S + PLANNED_WORK_S),
+            event_counts=LONG_EVENT_COUNTS,
+        )
+        self.assertEqual(found['first'], [])
+        self.assertEqual(found['ended_badly'], [])
+        self.assertGreater(found['silences'], 0)
+        self.assertGreater(found['calls']['stream 200'], 0)
+
 
 if __name__ == '__main__':
     unittest.main()
