Check lost calls beside reloads and configurations, and unsent ones

The check of LOST knew two cases: four calls closed without an answer at one entry, and a forwarded call cut by an entry that stops. The rule asks for more, so calls cut beside SIGHUP or a configuration went unseen, and so did a call that was read and never sent on. Now, with no unplanned fault from `contact_s` before a call until its end, a call counts that ended without a whole answer, either after it reached a server (run or turned away) or over 0.2 s after its last byte was written: - beside SIGTERM of its entry, up to 1 s after the grace period (before: up to its end); the case of long runs is as it was; - beside SIGHUP of its entry, sent up to the bound after it and cut after; - beside a configuration, from when it is sent (now recorded) to 1 s after its bound, if the entry then cuts over three times as large a share of its calls as at other times, unless the call has used 7/10 of its time. Both shares are of calls without an unplanned fault, which is stricter than all other times. A call that has reached its deadline, or whose server crashed, doesn't count, as before. The check of four unanswered calls is as before, but for calls that a server turned away, which count as sent on, too; it includes calls on new connections, which the rule does not ask for.

--- a/src/linnetwood/lab/soak/callers.py
+++ b/src/linnetwood/lab/soak/callers.py
@@ -194,6 +194,7 @@
         call.ended_at = time.monotonic()
 
     async def _run(self, call: Call, events: int) -> None:
+        call.on_kept_connection = self._streams is not None
         if self._streams is None:
             async with asyncio.timeout(_CONNECT_TIMEOUT_S):
                 self._streams = await asyncio.open_connection(
@@ -213,6 +214,7 @@
         )
         writer.write(head.encode())
         await writer.drain()
+        call.written_at = time.monotonic()
         await self._read(call, reader)
 
     async def _read(self, call: Call, reader: asyncio.StreamReader) -> None:
--- a/src/linnetwood/lab/soak/checks.py
+++ b/src/linnetwood/lab/soak/checks.py
@@ -10,7 +10,7 @@
 from linnetwood.lab.soak.fatalchecks import FatalPartChecker
 from linnetwood.lab.soak.fatalparts import fatal_part_of
 from linnetwood.lab.soak.history import AckedWrite, Call, CallKind, History, Run
-from linnetwood.lab.soak.lost import find_lost_calls
+from linnetwood.lab.soak.lost import LostCalls
 from linnetwood.lab.soak.notices import (
     leaving_violations,
     pause_violations,
@@ -274,12 +274,13 @@
             )
 
     def _check_lost(self) -> Iterator[str]:
-        return find_lost_calls(
+        return LostCalls(
             self._history,
             self._runs,
             self._is_connected,
             self._limits.contact_s,
-        )
+            self._limits.apply_s,
+        ).violations()
 
     def _check_rate_limits(self) -> Iterator[str]:
         return rate_limit_violations(
--- a/src/linnetwood/lab/soak/fatalchecks.py
+++ b/src/linnetwood/lab/soak/fatalchecks.py
@@ -11,7 +11,8 @@
 
 from linnetwood.lab.soak.fatalparts import fatal_part_of
 from linnetwood.lab.soak.history import Call, History
-from linnetwood.lab.soak.lost import IsConnected, Runs
+from linnetwood.lab.soak.lost import IsConnected
+from linnetwood.lab.soak.plannedwork import Runs
 
 # The number of crashes after which all connected entries must know the part,
 # and how many calls with it may reach servers after that.
--- a/src/linnetwood/lab/soak/history.py
+++ b/src/linnetwood/lab/soak/history.py
@@ -32,6 +32,10 @@
     signature: str = ''
     body: str = ''
     left_at: float = 0
+    # When its last byte was written; 0 if it never was.
+    written_at: float = 0
+    # Whether its connection had carried another call before.
+    on_kept_connection: bool = False
     # The configuration whose route this calls; 0 if it is no probe.
     probes: int = 0
     # The parts of its prompt, in order; the last is its own.
--- a/src/linnetwood/lab/soak/lost.py
+++ b/src/linnetwood/lab/soak/lost.py
@@ -1,97 +1,146 @@
-"""Find calls that an entry forwarded but never answered.
+"""Find calls that an entry read whole, but never answered.
 
 No I/O or clock.
 """
 
 from collections import defaultdict
-from collections.abc import Callable, Iterator, Mapping, Sequence
-from typing import Final
+from collections.abc import Callable, Iterator, Sequence
+from fractions import Fraction
 
-from linnetwood.lab.soak.history import Call, FaultRecord, History, Run
+from linnetwood.lab.soak.history import Call, History
+from linnetwood.lab.soak.plannedwork import STOP, PlannedWork, Runs
 
-STOP: Final = 'stop entry'
 # The number of calls that a connected entry may close without an answer.
 _MAX_LOST = 3
-# The time that a deployment gives an entry to stop.
-_GRACE_PERIOD_S = 8.0
-# A call that was sent within this time after the signal may be cut if its
-# server still runs it in the last sixth of the grace period.
-_LATE_CALL_S = 3.0
-_LAST_SIXTH = 5 / 6
-Runs = Mapping[str, Sequence[Run]]
+# A call that was not forwarded may cross the close of its connection.
+_LOSS_SLACK_S = 0.2
+# How many times as often an entry may cut calls beside configurations, and
+# the share of its time after which such a call is not counted.
+_MAX_RATIO = 3
+_USED_SHARE = 0.7
+
 IsConnected = Callable[[str, float], bool]
 
 
-def find_lost_calls(
-    history: History,
-    runs: Runs,
-    is_connected: IsConnected,
-    contact_s: float,
-) -> Iterator[str]:
-    """Yield calls lost by connected entries, and by entries that stop."""
-    cut = [call for call in history.calls if _is_cut(call, runs)]
-    by_entry: dict[str, list[Call]] = defaultdict(list)
-    for call in cut:
-        fault_free = _are_servers_fault_free(history, call, runs)
-        if (
-            not call.status
-            and fault_free
-            and is_connected(call.entry, call.ended_at)
-        ):
+class LostCalls:
+    """Check the calls of a history that ended without a whole answer."""
+
+    def __init__(
+        self,
+        history: History,
+        runs: Runs,
+        is_connected: IsConnected,
+        contact_s: float,
+        apply_s: float,
+    ) -> None:
+        """Use a history, its runs by call, and the bounds."""
+        self._history = history
+        self._runs = runs
+        self._is_connected = is_connected
+        self._contact_s = contact_s
+        self._work = PlannedWork(history, runs, apply_s)
+        self._reached: dict[str, set[str]] = defaultdict(set)
+        for arrival in history.arrivals:
+            self._reached[arrival.call_id].add(arrival.server)
+        for run in history.runs:
+            self._reached[run.call_id].add(run.server)
+
+    def violations(self) -> Iterator[str]:
+        """Yield calls lost at any time, then those lost beside planned work."""
+        cut = [call for call in self._history.calls if self._is_cut(call)]
+        yield from self._check_connected_entries(cut)
+        lost = [
+            call
+            for call in cut
+            if self._was_read(call) and self._is_undisturbed(call)
+        ]
+        for call in lost:
+            for work in self._work.of_entry(call):
+                yield self._describe(call, work)
+        by_entry: dict[str, list[Call]] = defaultdict(list)
+        for call in lost:
             by_entry[call.entry].append(call)
-        if _is_lost_by_stop(history, call, runs, contact_s):
-            yield _describe(call, 'the entry was stopping')
-    for calls in by_entry.values():
-        if len(calls) > _MAX_LOST:
-            yield _describe(calls[0], f'and {len(calls) - 1} more')
-
-
-def _is_cut(call: Call, runs: Runs) -> bool:
-    """Return whether a call was forwarded and its connection ended early."""
-    forwarded = runs.get(call.call_id, ())
-    if call.whole or call.left_at or not forwarded:
-        return False
-    if not call.ended_at:
-        # The call was in progress when the soak test ended.
-        return False
-    return not any(run.crashed for run in forwarded)
-
-
-def _are_servers_fault_free(history: History, call: Call, runs: Runs) -> bool:
-    return all(
-        history.is_fault_free(run.server, call.sent_at, call.ended_at)
-        for run in runs[call.call_id]
-    )
-
-
-def _is_lost_by_stop(
-    history: History,
-    call: Call,
-    runs: Runs,
-    contact_s: float,
-) -> bool:
-    """Return whether the stop of its entry was the only fault."""
-    since = call.sent_at - contact_s
-    overlapping = [
-        one
-        for one in history.troubles
-        if one.at < call.ended_at and one.until > since
-    ]
-    if any(one.kind != STOP for one in overlapping):
-        return False
-    return any(
-        one.who == call.entry and _had_time_to_finish(call, runs, one)
-        for one in overlapping
-    )
-
-
-def _had_time_to_finish(call: Call, runs: Runs, stop: FaultRecord) -> bool:
-    if call.ended_at > stop.at + _GRACE_PERIOD_S:
-        return False
-    last = stop.at + _GRACE_PERIOD_S * _LAST_SIXTH
-    ran_to_the_end = any(run.ended_at > last for run in runs[call.call_id])
-    return not (ran_to_the_end and call.sent_at <= stop.at + _LATE_CALL_S)
-
-
-def _describe(call: Call, detail: str) -> str:
-    return f'LOST {call.sent_at:.3f} {call.call_id} by {call.entry}: {detail}'
+        for calls in by_entry.values():
+            yield from self._check_configurations(calls)
+
+    def _check_connected_entries(self, cut: Sequence[Call]) -> Iterator[str]:
+        """Check calls that connected entries forwarded to sound servers."""
+        unanswered: dict[str, list[Call]] = defaultdict(list)
+        for call in cut:
+            if (
+                not call.status
+                and self._reached.get(call.call_id)
+                and self._are_servers_fault_free(call)
+                and self._is_connected(call.entry, call.ended_at)
+            ):
+                unanswered[call.entry].append(call)
+        for calls in unanswered.values():
+            if len(calls) > _MAX_LOST:
+                yield self._describe(calls[0], f'and {len(calls) - 1} more')
+
+    def _check_configurations(self, lost: Sequence[Call]) -> Iterator[str]:
+        """Check the calls that one entry lost beside configurations."""
+        is_beside = self._work.is_beside_configuration
+        entry = lost[0].entry
+        sent = [
+            call
+            for call in self._history.calls
+            if call.entry == entry
+            and call.ended_at
+            and self._is_undisturbed(call)
+        ]
+        beside = [call for call in lost if is_beside(call)]
+        sent_beside = sum(is_beside(call) for call in sent)
+        share = _share(len(beside), sent_beside)
+        usual = _share(len(lost) - len(beside), len(sent) - sent_beside)
+        if share <= _MAX_RATIO * usual:
+            return
+        for call in beside:
+            if call.ended_at - call.sent_at < _USED_SHARE * call.patience_s:
+                shares = f'{share} of its calls, else {usual}'
+                yield self._describe(call, f'beside a configuration, {shares}')
+
+    def _is_cut(self, call: Call) -> bool:
+        """Return whether a call ended without an answer, and not by a server.
+
+        A call without an end was in progress when the soak test ended.
+        """
+        if call.whole or call.left_at or not call.ended_at:
+            return False
+        runs = self._runs.get(call.call_id, ())
+        return not any(run.crashed for run in runs)
+
+    def _was_read(self, call: Call) -> bool:
+        """Return whether an entry has read a call whose time is not over."""
+        if call.ended_at >= call.sent_at + call.patience_s:
+            return False
+        if self._reached.get(call.call_id):
+            return True
+        since = call.written_at
+        return bool(since) and call.ended_at > since + _LOSS_SLACK_S
+
+    def _is_undisturbed(self, call: Call) -> bool:
+        """Return whether there was no unplanned fault, or just before."""
+        since = call.sent_at - self._contact_s
+        return not any(
+            one.kind != STOP and one.at < call.ended_at and one.until > since
+            for one in self._history.troubles
+        )
+
+    def _are_servers_fault_free(self, call: Call) -> bool:
+        return all(
+            self._history.is_fault_free(one, call.sent_at, call.ended_at)
+            for one in self._reached[call.call_id]
+        )
+
+    def _describe(self, call: Call, detail: str) -> str:
+        servers = ', '.join(sorted(self._reached.get(call.call_id, ())))
+        seen = f'{call.status} after {call.ended_at - call.sent_at:.3f} s'
+        return (
+            f'LOST {call.sent_at:.3f} {call.call_id} by {call.entry}: {detail}'
+            f' ({seen}, sent to {servers or "none"})'
+        )
+
+
+def _share(count: int, among: int) -> Fraction:
+    return Fraction(count, among or 1)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import math
 import unittest
 
 from linnetwood.lab.launcher import Ports
@@ -83,6 +84,34 @@
     return history
 
 
+def beside_configuration(
+    cut_beside: int, cut_else: int, **changed: object
+) -> History:
+    """Return 20 streams beside a configuration, and 40 later; some are cut."""
+    history = History()
+    history.acked = [AckedWrite('config', '', 5, AT, AT - 0.5)]
+    for number in range(60):
+        later = number - 20
+        at = AT if later < 0 else AT + 5.2
+        name = f'c{number}'
+        call = dataclasses.replace(STREAM, call_id=name, sent_at=at)
+        if number < cut_beside or 0 <= later < cut_else:
+            call = dataclasses.replace(CLOSED_STREAM, call_id=name, sent_at=at)
+        call.ended_at = at + 0.1
+        for field, replacement in changed.items():
+            if number < cut_beside:
+                setattr(call, field, replacement)
+        history.calls.append(call)
+        history.runs.append(dataclasses.replace(RUN, call_id=name))
+    return history
+
+
+def violations_with(history: History, detail: str) -> list[str]:
+    """Return the violations that are described with some words."""
+    found = Checker(history, Limits()).violations()
+    return [one for one in found if detail in one]
+
+
 def stop_of_entry(stop: FaultRecord, entry: str) -> FaultRecord:
     """Return the same stop of another entry."""
     return dataclasses.replace(stop, who=entry)
@@ -268,6 +297,144 @@
             expected[name] = is_violation
         self.assertEqual(found, expected)
 
+    # Guards against a call that a stopping entry has read and never sends on.
+    def test_unsent_calls_lost_while_an_entry_stops(self) -> None:
+        """A stopping entry may close a connection that a call crosses."""
+        stop = FaultRecord('stop entry', AT - 0.5, AT + 8, 'e')
+        written = {'written_at': AT, 'ended_at': AT + 0.25}
+        found = {}
+        expected = {}
+        for name, changed, is_violation in (
+            ('read', written, True),
+            ('crosses the close', {**written, 'ended_at': AT + 0.15}, False),
+            ('not written', {**written, 'written_at': 0.0}, False),
+            ('refused', {**written, 'status': 503, 'whole': True}, False),
+            ('deadline', {**written, 'ended_at': AT + 4}, False),
+            (
+                'just before the deadline',
+                {**written, 'ended_at': AT + 3.9},
+                True,
+            ),
+        ):
+            history = closed_streams(1, None, **changed)
+            history.troubles = [stop]
+            found[name] = 'LOST' in violated_rules(history)
+            expected[name] = is_violation
+        self.assertEqual(found, expected)
+
+    def test_lost_after_the_grace_period(self) -> None:
+        """Planned work lasts a second longer than the grace period."""
+        stop = FaultRecord('stop entry', AT, AT + 12, 'e')
+        found = {}
+        for ended_at in (AT + 8.9, AT + 9.1):
+            history = closed_streams(
+                1, RUN, sent_at=AT + 6, ended_at=ended_at, patience_s=6
+            )
+            history.troubles = [stop]
+            found[ended_at] = 'LOST' in violated_rules(history)
+        self.assertEqual(found, {AT + 8.9: True, AT + 9.1: False})
+
+    # Guards against answers that a reload of its settings ends.
+    def test_lost_after_a_reload(self) -> None:
+        """Calls sent up to the bound after SIGHUP, and cut after it, count."""
+        found = {}
+        expected = {}
+        for name, at, changed, troubles, is_violation in (
+            ('before', AT - 0.1, {}, (), True),
+            ('during the call', AT + 0.05, {'status': 200}, (), True),
+            ('after the cut', AT + 0.2, {}, (), False),
+            ('within the bound', AT - 3.9, {}, (), True),
+            ('after the bound', AT - 4.1, {}, (), False),
+            ('another entry', AT - 0.1, {'entry': 'f'}, (), False),
+            ('whole', AT - 0.1, {'whole': True, 'status': 503}, (), False),
+            ('caller left', AT - 0.1, {'left_at': AT + 0.1}, (), False),
+            (
+                'fault before',
+                AT - 0.1,
+                {},
+                (FaultRecord('any', AT - 4, AT - 2.9, 'x'),),
+                False,
+            ),
+            (
+                'fault long before',
+                AT - 0.1,
+                {},
+                (FaultRecord('any', AT - 4, AT - 3.1, 'x'),),
+                True,
+            ),
+            (
+                'another entry stops',
+                AT - 0.1,
+                {},
+                (FaultRecord('stop entry', AT - 1, AT + 7, 'f'),),
+                True,
+            ),
+        ):
+            history = closed_streams(1, RUN, **changed)
+            history.reloads = [FaultRecord('hup entry', at, at, 'e')]
+            history.troubles = list(troubles)
+            found[name] = 'LOST' in violated_rules(history)
+            expected[name] = is_violation
+        self.assertEqual(found, expected)
+
+    # Guards against answers that the change of a configuration ends.
+    def test_lost_beside_a_configuration(self) -> None:
+        """Entries may cut thrice as many calls beside one as otherwise."""
+        found = {}
+        expected = {}
+        for name, cut_beside, cut_else, changed, is_violation in (
+            ('never else', 1, 0, {}, True),
+            ('over thrice as often', 4, 2, {}, True),
+            ('thrice as often', 3, 2, {}, False),
+            ('late', 1, 0, {'ended_at': AT + 2.9}, False),
+            ('not late', 1, 0, {'ended_at': AT + 2.7}, True),
+            ('never beside', 0, 2, {}, False),
+            ('none', 0, 0, {}, False),
+            ('at different entries', 1, 2, {'entry': 'f'}, True),
+        ):
+            history = beside_configuration(cut_beside, cut_else, **changed)
+            lost = violations_with(history, 'beside a configuration')
+            found[name] = bool(lost)
+            expected[name] = is_violation
+        self.assertEqual(found, expected)
+
+    # Guards against cuts just after a configuration is sent, or long after.
+    def test_span_of_a_configuration(self) -> None:
+        """It lasts from when it is sent to a second after its bound."""
+        found = {}
+        expected = {}
+        for name, sent_at, ended_at, is_violation in (
+            ('before it is sent', AT - 0.7, AT - 0.6, False),
+            ('not acknowledged', AT - 0.4, AT - 0.1, True),
+            ('ends within', AT - 0.7, AT - 0.4, True),
+            ('begins within', AT + 4.9, AT + 5.1, True),
+            ('begins later', AT + 5.1, AT + 5.2, False),
+        ):
+            history = closed_streams(1, RUN, sent_at=sent_at, ended_at=ended_at)
+            history.acked = [AckedWrite('config', '', 5, AT, AT - 0.5)]
+            found[name] = 'LOST' in violated_rules(history)
+            expected[name] = is_violation
+        self.assertEqual(found, expected)
+
+    def test_arrived_calls_count_as_sent_on(self) -> None:
+        """A call that a server turned away was sent on, too."""
+        history = closed_streams(4, None)
+        history.arrivals = [
+            Arrival(call.call_id, 'i', AT) for call in history.calls
+        ]
+        self.assertEqual(violated_rules(history), {'LOST'})
+        history.arrivals.pop()
+        self.assertEqual(violated_rules(history), set())
+
+    def test_silences_excuse_nothing(self) -> None:
+        """A server that is silent for a time is sound."""
+        silence = FaultRecord('silent answers', *SPAN, 'i')
+        history = closed_streams(4, RUN)
+        history.silences = [silence]
+        self.assertEqual(violated_rules(history), {'LOST'})
+        history.troubles = [silence]
+        self.assertEqual(violated_rules(history), set())
+
     def test_suspended_entry(self) -> None:
         """Guard against false alarms: a resumed entry sends the full deadline.
 
@@ -360,6 +527,36 @@
             expected[name] = is_violation
         self.assertEqual(found, expected)
 
+    def test_notices_of_silent_servers(self) -> None:
+        """Guard against false alarms: an entry can't know what is held back."""
+        found = {}
+        expected = {}
+        for name, gap_s, said, held_s, is_violation in (
+            ('leaves', 4.0, Notice(leaving=True), 0, True),
+            ('held for long', 4.0, Notice(leaving=True), 13, False),
+            ('held for a time', 4.0, Notice(leaving=True), 2, True),
+            ('never said', 4.0, Notice(leaving=True), math.inf, False),
+            ('pause', 0.6, Notice(rest_s=3.0), 0, True),
+            ('pause held', 0.6, Notice(rest_s=3.0), 1.8, False),
+            ('pause held for a time', 0.6, Notice(rest_s=3.0), 0.6, True),
+            ('limit', 0.3, Notice(limit=1), 0, True),
+            ('limit held', 0.3, Notice(limit=1), math.inf, False),
+        ):
+            history = History()
+            for number in range(60 if said.limit else 5):
+                at = AT + number * gap_s
+                call = dataclasses.replace(
+                    CALL, call_id=f'c{number}', sent_at=at, status=502
+                )
+                history.calls.append(call)
+                arrival = Arrival(call.call_id, 'i', at, said)
+                arrival.held_until = at + held_s if held_s else 0
+                history.arrivals.append(arrival)
+            rules = {'DRAIN', 'BUDGET', 'LIMIT'} & violated_rules(history)
+            found[name] = bool(rules)
+            expected[name] = is_violation
+        self.assertEqual(found, expected)
+
     def test_notice_ends_with_the_incarnation(self) -> None:
         """Guard against false alarms after a server that left has restarted."""
         history = History()
