Test the schedule of planned work, and plot silences and reloads

The plot of a soak showed troubles only, so that silences and reloads, which excuse nothing, could not be seen beside the calls that were cut. Not run: the plot itself (matplotlib is not among the environment's packages here).

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -618,6 +618,26 @@
         self.assertNotEqual(schedule(7, 60), schedule(8, 60))
         self.assertEqual(schedule(7, 60)[0].at_s, LEAD_S)
 
+    # Guards against a run whose other faults would excuse lost calls.
+    def test_planned_work_comes_without_other_faults(self) -> None:
+        """It comes beside silent servers, in the same order for each seed."""
+        faults = schedule_planned_work(7, 60)
+        self.assertEqual(faults, schedule_planned_work(7, 60))
+        self.assertNotEqual(faults, schedule_planned_work(8, 60))
+        self.assertEqual(faults, sorted(faults, key=lambda one: one.at_s))
+        self.assertEqual(
+            {one.kind for one in schedule_planned_work(7, 600)},
+            {
+                'server silent',
+                'config',
+                'configs',
+                'config idle',
+                'route without servers',
+                'hup entry',
+                'stop entry',
+            },
+        )
+
 
 class StreamEndTest(unittest.TestCase):
     """Streams that end as complete."""
--- a/tools/plot_soak.py
+++ b/tools/plot_soak.py
@@ -42,8 +42,9 @@
         )
     top.set_ylabel('calls a second')
     top.legend(loc='upper right')
-    kinds = sorted({one['kind'] for one in found['troubles']}, reverse=True)
-    for one in found['troubles']:
+    faults = [*found['troubles'], *found['silences'], *found['reloads']]
+    kinds = sorted({one['kind'] for one in faults}, reverse=True)
+    for one in faults:
         span = (one['at'] - began, one['until'] - one['at'])
         bottom.broken_barh([span], (kinds.index(one['kind']) - 0.4, 0.8))
     bottom.set_yticks(range(len(kinds)), kinds, fontsize=7)
