--- a/src/linnetwood/platform/dialect.py
+++ b/src/linnetwood/platform/dialect.py
@@ -94,9 +94,9 @@
         ]
         remaining_ms = max(1, int(call.remaining_s * _MILLISECONDS))
         sent.append(('X-Deadline-Ms', str(remaining_ms)))
-        sent.append(('X-Expected-Instance', call.endpoint))
+        sent.append(('X-Expected-Instance', _as_header(call.endpoint)))
         if call.organisation:
-            sent.append(('X-Tenant', call.organisation))
+            sent.append(('X-Tenant', _as_header(call.organisation)))
         if call.version:
             sent.append(('X-Expected-Version', str(call.version)))
         priority = call.priority
@@ -217,4 +217,17 @@
 def _bearer(text: str) -> str:
     if text[: len(_BEARER)].lower() != _BEARER:
         return ''
-    return text[len(_BEARER) :].strip()
+    key = text[len(_BEARER) :].strip()
+    try:
+        # Headers are read as Latin-1; configured keys are Unicode.
+        return key.encode('latin-1').decode()
+    except UnicodeDecodeError:
+        return key
+
+
+def _as_header(text: str) -> str:
+    """Return a configured text so that its UTF-8 is sent.
+
+    Texts of headers stand for bytes, one character each.
+    """
+    return text.encode().decode('latin-1')
--- a/tests/test_odd_requests.py
+++ b/tests/test_odd_requests.py
@@ -1,9 +1,11 @@
 """Requests with rare methods, bytes and numbers: each gets an answer."""
 
 import asyncio
+import dataclasses
 from random import Random
 
-from tests.test_callserver import CallServerCase, request
+from linnetwood.calls.routetable import Organisation
+from tests.test_callserver import ROUTE_TABLE, CallServerCase, request
 from tests.test_curldriver import HOST, respond_with
 from tests.test_direct import GOOD
 
@@ -75,6 +77,20 @@
         self.assertIn(b'POST /a/\xc3\xa9?q=\xb2 HTTP/1.1\r\n', arrived)
         self.assertIn(b'\r\nX-Name: \xc5\x82 \xe9\r\n', arrived)
 
+    async def test_configured_names_outside_ascii(self) -> None:
+        """Guard against calls lost for the name or key of an organisation."""
+        endpoint = await self.serve(respond_with(GOOD))
+        for name in ('t-1', 'Åkeri', '献血', 'é献'):
+            key = f'schlüssel-{name}'
+            self.route_table = dataclasses.replace(
+                ROUTE_TABLE, organisations={key: Organisation(name, 1)}
+            )
+            sent = request('/a/x').replace(b'k1', key.encode())
+            with self.subTest(name=name):
+                self.assertEqual(await self.answered(sent), (200, b'fine'))
+                expected = b'\r\nX-Tenant: %b\r\n' % name.encode()
+                self.assertIn(expected, endpoint.requests[-1])
+
     async def test_numbers_of_any_length(self) -> None:
         """Guard against numbers that can't be converted."""
         await self.serve(respond_with(GOOD))
