--- a/tests/test_curldriver.py
+++ b/tests/test_curldriver.py
@@ -45,8 +45,8 @@
         self._behave = behave
         self._serving: set[asyncio.Task[None] | None] = set()
 
-    async def start(self) -> int:
-        self._server = await asyncio.start_server(self._accept, HOST, 0)
+    async def start(self, host: str = HOST) -> int:
+        self._server = await asyncio.start_server(self._accept, host, 0)
         return int(self._server.sockets[0].getsockname()[1])
 
     def stop_listening(self) -> None:
