Look again before a caller counts as one that reads nothing

Callers that read their answers could be cut off after the event loop was held up for as long as a caller may read nothing (4 s): the connection takes more in the turn in which the timer is due, but that is counted a turn later, so the timer saw no progress and closed the connection. Ruled out: what was counted before, which is right as long as the loop runs.

A timer that is due now looks once more 0.1 s later; a caller that reads nothing is cut that much later.

Before (the new test on the old code, limit of 0.2 s): cut after the loop was held up for 0.21 s and for 0.5 s. After: whole in both; a caller that reads nothing is still cut.

--- a/src/linnetwood/calls/answerflow.py
+++ b/src/linnetwood/calls/answerflow.py
@@ -10,6 +10,8 @@
 
 # Timers of the event loop may fire slightly early.
 _EARLY_S = 0.001
+# In this time, bytes that the connection can take are written.
+_LOOK_AGAIN_S = 0.1
 
 
 def _ignore_unblocked() -> None:
@@ -36,6 +38,7 @@
 
     __slots__ = (
         '_held',
+        '_looked_at',
         '_loop',
         '_on_stall',
         '_progress_at',
@@ -58,6 +61,8 @@
         self._on_stall = on_stall
         self._loop = asyncio.get_running_loop()
         self._progress_at = float()
+        # The progress that was the last one when it was looked at before.
+        self._looked_at = float()
         self._timer: asyncio.TimerHandle | None = None
 
     def hold(self, size: int) -> None:
@@ -97,5 +102,10 @@
         left_s = self._held.limits.stall_s - idle_s
         if left_s > _EARLY_S:
             self._set_timer(left_s)
+        elif self._looked_at < self._progress_at:
+            # The loop may have been held up; what the connection takes now is
+            # counted in the next turns.
+            self._looked_at = self._progress_at
+            self._set_timer(_LOOK_AGAIN_S)
         else:
             self._on_stall(idle_s)
