Keep a connection that was made while the loop was held up

Ruled out: calls whose connecting had not begun, or that were connected, before.

The driver has its own timer, which asks the kernel (poll) whether the socket is connected, or has failed, before it ends the request; then libcurl sees it in one of the next turns. A server out of reach is given up as early as before, now with the detail 'connect timed out'.

A connection that is never made is still ended (second test).

--- a/src/linnetwood/wire/curldriver.py
+++ b/src/linnetwood/wire/curldriver.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import dataclasses
+import select
 import socket
 import struct
 from collections.abc import Callable
@@ -19,10 +20,14 @@
 
 # Detail of a request that exceeded its total time limit.
 TIMED_OUT = 'timed out'
+# Detail of a request whose connection was not made in time.
+CONNECT_TIMED_OUT = 'connect timed out'
 _MILLISECONDS = 1000
+_UNUSED_LIMIT_MS = 3600000
 _HEAD_METHOD = 'HEAD'
 _INTERIM_BELOW = 200
 _MAX_IDLE_HANDLES = 64
+_LOOK_AGAIN_S = 0.05
 # SO_LINGER with a timeout of 0: close() sends a reset, which discards unread
 # bytes at both ends.
 _RESET = struct.pack('ii', 1, 0)
@@ -95,6 +100,7 @@
     """A request in progress; `sent` is set when it ends."""
 
     __slots__ = (
+        'connect_timer',
         'descriptor',
         'handle',
         'headers',
@@ -111,6 +117,7 @@
         self.receiver = receiver
         self.sent = Sent()
         self.timer: asyncio.TimerHandle | None = None
+        self.connect_timer: asyncio.TimerHandle | None = None
         self.handle: Any = None
         self.descriptor = -1
         self.status = 0
@@ -171,6 +178,7 @@
             limit_s = _at_least_one_ms(req.total_s) / _MILLISECONDS
             late = self._time_out
             transfer.timer = self._loop.call_later(limit_s, late, transfer)
+        self._limit_connecting(transfer, req.connect_s)
         self._run_outside_callbacks(self._add, handle)
         return transfer
 
@@ -212,13 +220,33 @@
 
     def _time_out(self, transfer: Transfer) -> None:
         """End a request after its total time."""
-        if transfer.handle is None:
-            return
+        if transfer.handle is not None:
+            self._end(transfer, TIMED_OUT)
+
+    def _end(self, transfer: Transfer, detail: str) -> None:
         receiver = transfer.receiver
         connected = _connected(transfer.handle)
         fresh = _fresh(transfer.handle)
         self.cancel(transfer)
-        receiver.done(Finish(False, connected, TIMED_OUT, fresh))
+        receiver.done(Finish(False, connected, detail, fresh))
+
+    def _limit_connecting(self, transfer: Transfer, limit_s: float) -> None:
+        transfer.connect_timer = self._loop.call_later(
+            limit_s, self._check_connected, transfer, limit_s
+        )
+
+    def _check_connected(self, transfer: Transfer, limit_s: float) -> None:
+        """End a request without a connection, unless it was made just now."""
+        if transfer.handle is None or _connected(transfer.handle):
+            return
+        if transfer.descriptor < 0:
+            # The loop was held up, so that connecting has not begun.
+            self._limit_connecting(transfer, limit_s)
+        elif _is_writable(transfer.descriptor):
+            # libcurl sees this in one of the next turns.
+            self._limit_connecting(transfer, _LOOK_AGAIN_S)
+        else:
+            self._end(transfer, CONNECT_TIMED_OUT)
 
     def _resume(self, transfer: Transfer) -> None:
         if transfer.handle is None or not transfer.paused:
@@ -250,8 +278,9 @@
         if handle is None or self._by_handle.pop(handle, None) is None:
             return
         transfer.handle = None
-        if transfer.timer is not None:
-            transfer.timer.cancel()
+        for timer in (transfer.timer, transfer.connect_timer):
+            if timer is not None:
+                timer.cancel()
         transfer.sent = _sent(handle)
         try:
             self._multi.remove_handle(handle)
@@ -348,6 +377,13 @@
     )
 
 
+def _is_writable(descriptor: int) -> bool:
+    """Return whether a socket that connects is connected, or has failed."""
+    poll = select.poll()
+    poll.register(descriptor, select.POLLOUT)
+    return bool(poll.poll(0))
+
+
 def _reset_on_close(descriptor: int) -> None:
     if descriptor < 0:
         return
@@ -386,7 +422,9 @@
         (pycurl.REQUEST_TARGET, _octets(req.target)),
         (pycurl.FRESH_CONNECT, fresh),
         (pycurl.FORBID_REUSE, fresh),
-        (pycurl.CONNECTTIMEOUT_MS, _at_least_one_ms(req.connect_s)),
+        # Its own limit would hold for a connection that was made while the
+        # loop was held up.
+        (pycurl.CONNECTTIMEOUT_MS, _UNUSED_LIMIT_MS),
         (pycurl.HTTPHEADER, list(_header_lines(req))),
     )
     for option, setting in (*_FIXED_OPTIONS, *of_request):
--- a/tests/test_curldriver.py
+++ b/tests/test_curldriver.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import socket
+import time
 import unittest
 from collections.abc import Awaitable, Callable
 
 from linnetwood.wire.asking import Answer, SilenceLimits, ask
 from linnetwood.wire.curldriver import (
+    CONNECT_TIMED_OUT,
     CurlDriver,
     Finish,
     Headers,
@@ -190,6 +192,42 @@
                     self.assertTrue(answer.finish.connected)
                     self.assertEqual(len(server.requests), 1)
 
+    async def test_connection_made_while_the_loop_is_held_up(self) -> None:
+        """Guard against sound servers that count as out of reach."""
+        for turns in range(5):
+            with self.subTest(turns=turns):
+                server = Server(respond_with(WHOLE))
+                port = await server.start()
+                driver = CurlDriver()
+                req = Request(
+                    HOST, port, 'GET', '/', [('Host', 'x')], connect_s=0.1
+                )
+                asking = asyncio.create_task(ask(driver, req, MAX_BYTES))
+                for _ in range(turns):
+                    await asyncio.sleep(0)
+                time.sleep(0.2)
+                self.assertEqual((await asking).status, 200)
+                driver.close()
+                await server.close()
+
+    async def test_connection_that_is_not_made_in_time(self) -> None:
+        """Guard against calls that wait for a server that is out of reach."""
+        with socket.create_server((HOST, 0), backlog=0) as full:
+            port = full.getsockname()[1]
+            waiting = [socket.socket() for _ in range(3)]
+            for sock in waiting:
+                sock.setblocking(False)  # noqa: WPS425
+                sock.connect_ex((HOST, port))
+            driver = CurlDriver()
+            req = Request(HOST, port, 'GET', '/', [], connect_s=0.05)
+            finish = (await ask(driver, req, MAX_BYTES)).finish
+            driver.close()
+            for sock in waiting:
+                sock.close()
+        self.assertEqual(
+            (finish.connected, finish.detail), (False, CONNECT_TIMED_OUT)
+        )
+
     async def test_each_request_has_its_own_connection(self) -> None:
         """A surplus answer can't be taken for that of the next request."""
         server = Server(respond_with(WHOLE + WHOLE.replace(b'ok', b'no')))
