--- a/tests/scripted_endpoints.py
+++ b/tests/scripted_endpoints.py
@@ -29,6 +29,7 @@
 _MILLISECONDS = 1000
 CALL_ID = 'c-1'
 _PIECE_BYTES = 3
+_TORN = b'id:'
 
 
 class Reply(enum.Enum):
@@ -67,6 +68,8 @@
     RUN_ON = 'run-on'
     SILENCE = 'silence'
     CRASH = 'crash'
+    # End whole within an event.
+    TEAR = 'tear'
     # Silence for good.
     HANG = 'hang'
 
@@ -133,6 +136,7 @@
         # When its endpoint sent the first bytes, and had sent a whole event.
         self.began_at = math.inf
         self.started_at = math.inf
+        self.connect_s = math.inf
         self.is_paused = False
         self.held: list[Callable[[], None]] = []
         self.task: asyncio.Task[None] | None = None
@@ -247,6 +251,7 @@
         flow = Flow(script, req.port, after, transfer)
         self.flows.append(flow)
         self.by_transfer[transfer] = flow
+        flow.connect_s = req.connect_s
         flow.task = asyncio.create_task(self._play(flow))
         limit_s = max(1, int(req.total_s * _MILLISECONDS)) / _MILLISECONDS
         flow.timer = self.loop.call_later(limit_s, self._end_late, flow)
@@ -307,15 +312,22 @@
     async def _play(self, flow: Flow) -> None:
         try:
             await self._answer(flow)
-        except Crashed:
-            self.crashed.add(flow.port)
-            unframed = flow.script.reply is Reply.UNFRAMED
-            self._pass(flow, self._done, flow, unframed)
+        except Crashed as exc:
+            seems_whole = flow.script.reply is Reply.UNFRAMED
+            if exc.args == (Act.TEAR,) and flow.script.reply in STREAMED:
+                seems_whole = True
+                piece = Piece(_TORN, completes=False)
+                self._pass(flow, self._body, flow, piece)
+            else:
+                self.crashed.add(flow.port)
+            self._pass(flow, self._done, flow, seems_whole)
 
     async def _answer(self, flow: Flow) -> None:
         script = flow.script
-        await asyncio.sleep(script.head_s)
-        if not flow.reached:
+        if flow.reached:
+            await asyncio.sleep(script.head_s)
+        else:
+            await asyncio.sleep(min(script.head_s, flow.connect_s))
             self._pass(flow, self._done, flow, False)
             return
         self._pass(flow, self._head, flow)
@@ -343,8 +355,8 @@
                 await self._step(step)
 
     async def _step(self, step: Step) -> None:
-        if step.act is Act.CRASH:
-            raise Crashed
+        if step.act in {Act.CRASH, Act.TEAR}:
+            raise Crashed(step.act)
         silent_s = step.silent_s
         if step.act is Act.HANG:
             silent_s = 1000
