Pass on answers of over 100 MiB

An answer of a plain service was cut at 100 MiB: the HTTP library limits what a request receives, also where nothing of it is held (105 MB of 120 MiB, seen from outside). Ruled out: our own limits, which are for frames and what is unsent. Calls go through a client of their own without this limit; other requests of the process, which are held whole, keep it and their number falls from 256 to 64 (256 handles take 1 MB).

--- a/src/linnetwood/programs/endpoint.py
+++ b/src/linnetwood/programs/endpoint.py
@@ -24,12 +24,13 @@
 from linnetwood.weights.transfer import Tools
 from linnetwood.wire import codec
 from linnetwood.wire.frames import Frame, FrameKind, FrameStream
-from linnetwood.wire.http import open_client
+from linnetwood.wire.http import open_answer_client, open_client
 from linnetwood.wire.links import Link, SimulatedLink, UnlimitedLink
 
 _ORIGIN_TIMEOUT_S = 120.0
 _EPOCH_CHECK_S = 1.0
-_MAX_CLIENTS = 256
+_MAX_CALLS = 256
+_MAX_OTHER_REQUESTS = 64
 
 
 class Endpoint(Listener):
@@ -44,9 +45,10 @@
             cfg.gossiping,
             cfg.watching,
             _initial_member(cfg),
-            open_client(_MAX_CLIENTS),
+            open_client(_MAX_OTHER_REQUESTS),
             Credentials(cfg.trust),
         )
+        self._answers = open_answer_client(_MAX_CALLS)
         self.counters = TransferCounters()
         self.guard = self._build_guard()
         self.runtime.gossip.load = self.guard.load
@@ -89,6 +91,7 @@
         if self.agent is not None:
             await self.agent.close()
         await self.runtime.close()
+        self._answers.close()
 
     def drain(self) -> None:
         """Accept no new calls from now on."""
@@ -119,8 +122,8 @@
     def _build_backend(self) -> Backend:
         backend = self._cfg.backend
         if backend.kind == ENGINE_KIND:
-            return EngineBackend(backend.url, self.runtime.client)
-        return ServiceBackend(backend.url, self.runtime.client)
+            return EngineBackend(backend.url, self._answers)
+        return ServiceBackend(backend.url, self._answers)
 
     def _build_link(self) -> Link:
         rate = self._cfg.transfer.link_bytes_per_s
--- a/src/linnetwood/wire/http.py
+++ b/src/linnetwood/wire/http.py
@@ -1,6 +1,7 @@
 """HTTP clients that return failures as responses and close cleanly."""
 
 import asyncio
+import sys
 from typing import Any
 
 from tornado.httpclient import (
@@ -36,12 +37,20 @@
         fut.exception()
 
 
-def open_client(max_clients: int) -> Any:
+def open_client(max_clients: int, **options: int) -> Any:
     """Return a curl client for this number of parallel requests."""
     # Only endpoints need curl, which takes 6 MB of memory.
     from linnetwood.wire.curl import QuietCurlClient  # noqa: PLC0415
 
-    return QuietCurlClient(force_instance=True, max_clients=max_clients)
+    return QuietCurlClient(
+        force_instance=True, max_clients=max_clients, **options
+    )
+
+
+def open_answer_client(max_clients: int) -> Any:
+    """Return a curl client whose answers are passed on piece by piece."""
+    # Held nowhere as a whole, they may be of any size.
+    return open_client(max_clients, max_body_size=sys.maxsize)
 
 
 def open_simple_client(max_clients: int) -> Any:
--- a/tests/test_backend.py
+++ b/tests/test_backend.py
@@ -11,7 +11,7 @@
 from linnetwood.core.outcomes import Code, Ending, Outcome
 from linnetwood.core.sizes import MIB
 from linnetwood.gen.wire.ttypes import Start
-from linnetwood.wire.http import open_client
+from linnetwood.wire.http import open_answer_client, open_client
 from tests.test_curldriver import (
     HOST,
     WHOLE,
@@ -23,6 +23,7 @@
 CLIENTS = 2
 LIMIT_S = 60
 LARGE = 16 * MIB
+HUGE = 128 * MIB
 # What the HTTP library holds at most, and a piece.
 HELD = 2 * MIB
 KEPT = (
@@ -63,6 +64,18 @@
         self.received += piece
 
 
+class CountingSink(RecordingSink):
+    """Count the bytes of an answer."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.count = 0
+
+    def body(self, piece: bytes) -> None:
+        """Count a piece."""
+        self.count += len(piece)
+
+
 class KeptConnectionTest(unittest.IsolatedAsyncioTestCase):
     """A server keeps its connection, then dies with a request it has read."""
 
@@ -188,6 +201,34 @@
                 self.assertEqual(sink.statuses, [status])
 
 
+class SizeTest(unittest.IsolatedAsyncioTestCase):
+    """Answers of any size."""
+
+    async def test_answer_over_the_limit_of_the_library(self) -> None:
+        """Guard against an answer that is cut for its size."""
+
+        async def send(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            head = f'HTTP/1.1 200 OK\r\nContent-Length: {HUGE}\r\n\r\n'
+            writer.write(head.encode())
+            for _ in range(HUGE // MIB):
+                writer.write(bytes(MIB))
+                await writer.drain()
+
+        server = Server(send)
+        client = open_answer_client(CLIENTS)
+        service = ServiceBackend(
+            f'http://{HOST}:{await server.start()}', client
+        )
+        sink = CountingSink()
+        ending = await service.run(start_of(), b'', sink)
+        client.close()
+        await server.close()
+        self.assertEqual(ending.outcome, Outcome.ANSWERED)
+        self.assertEqual(sink.count, HUGE)
+
+
 class EngineAnswerTest(unittest.IsolatedAsyncioTestCase):
     """Answers of engines that are not those of the call."""
 
