Look at what a caller has taken before it is cut off

A caller whose answer was stalled, and that went on reading while the entry's loop was held up past the limit (4 s), was cut off as a stalled reader: the timer fires in the step in which the loop learns that the socket has taken the piece, and the end of the write is told a step later. Ruled out: the write itself, which had succeeded. Now the socket is looked at before the caller is cut off.

--- a/src/linnetwood/calls/callers.py
+++ b/src/linnetwood/calls/callers.py
@@ -198,6 +198,12 @@
         if self.context.leaving:
             self.set_header('Connection', 'close')
 
+    @property
+    def is_taken(self) -> bool:
+        """Return whether the caller's socket has taken all that was written."""
+        stream = self.request.connection.stream  # type: ignore[union-attr]
+        return not (stream.closed() or stream.writing())
+
     @property
     def headers_written(self) -> bool:
         """Return whether the status was sent to the caller."""
@@ -285,6 +291,9 @@
             async with asyncio.timeout(self._handler.context.stall_s):
                 await written
         except TimeoutError as exc:
+            # The time may have passed while the loop was held up.
+            if self._handler.is_taken:
+                return
             self._cut_off(size, clock.now() - began)
             raise StreamClosedError(real_error=exc) from exc
         finally:
--- a/tests/test_slow_product_readers.py
+++ b/tests/test_slow_product_readers.py
@@ -1,7 +1,9 @@
 """Callers of the product's own path that stop reading are cut off."""
 
 import asyncio
+import contextlib
 import socket
+import time
 import unittest
 from typing import Any, cast
 from unittest import mock
@@ -21,6 +23,8 @@
 from tests.test_curldriver import HOST
 from tests.test_slow_readers import LARGE, connect, read_chunked
 
+STALL_S = 2
+
 
 class Endless:
     """A dispatcher whose answers are large; it admits every call."""
@@ -101,6 +105,31 @@
         self.assertEqual(self.endless.whole, [True])
         writer.close()
 
+    async def test_reader_that_resumes_while_the_loop_is_held_up(self) -> None:
+        """Guard against a caller cut off for a pause of the entry itself."""
+        self.context.stall_s = STALL_S
+        sock = await self.call()
+        loop = asyncio.get_running_loop()
+        received = await loop.sock_recv(sock, 4096)
+        # Its answer is stalled from now on, and the limit passes in one step.
+        await asyncio.sleep(STALL_S / 4)
+        until = time.monotonic() + STALL_S
+        while time.monotonic() < until:
+            with contextlib.suppress(BlockingIOError):
+                received += sock.recv(65536)
+        reader, writer = await asyncio.open_connection(sock=sock)
+        async with asyncio.timeout(60):
+            rest = asyncio.StreamReader()
+            rest.feed_data(received)
+            while part := await reader.read(65536):
+                rest.feed_data(part)
+                if part.endswith(b'\r\n0\r\n\r\n'):
+                    break
+        rest.feed_eof()
+        self.assertEqual(await read_chunked(rest), LARGE)
+        self.assertEqual(self.endless.whole, [True])
+        writer.close()
+
 
 class HeldUpTest(unittest.IsolatedAsyncioTestCase):
     """Connections that an endpoint ended."""
