Send what is unsent before a process that stops is gone

Ruled out: the wait for calls in flight, which ends before. The frame server now waits up to 5 s until its connections are closed, which they are when all is sent; on the users' platform it doesn't wait, as before, since no answer goes through it. Cost: a peer that is silent while TLS closes, or reads nothing, delays the stop by up to 5 s.

--- a/src/linnetwood/fleet/runtime.py
+++ b/src/linnetwood/fleet/runtime.py
@@ -38,6 +38,8 @@
 from linnetwood.wire.frames import Frame, FrameKind, FrameStream
 
 _MILLISECONDS = 1000
+# Entries cut off a caller that reads nothing a little earlier.
+_FLUSH_S = 5.0
 
 
 class Runtime:
@@ -123,7 +125,7 @@
         await self.config.close()
         await self.gossip.close()
         if self._server is not None:
-            await self._server.close()
+            await self._server.close(_FLUSH_S)
         self.dialler.close()
         self.client.close()
         self.traces.close()
--- a/src/linnetwood/wire/connections.py
+++ b/src/linnetwood/wire/connections.py
@@ -1,8 +1,10 @@
 """Connections between the system's own processes."""
 
 import asyncio
+import contextlib
 import socket
 import ssl
+import weakref
 from collections.abc import Awaitable, Callable
 from typing import Protocol
 
@@ -105,6 +107,8 @@
         self._by_kind = handlers
         self._servers: list[asyncio.Server] = []
         self._tasks: set[asyncio.Task[None]] = set()
+        # Connections whose last bytes may be unsent.
+        self._streams: weakref.WeakSet[FrameStream] = weakref.WeakSet()
 
     async def start(
         self,
@@ -121,18 +125,26 @@
             )
             self._servers.append(server)
 
-    async def close(self) -> None:
-        """Stop accepting and close every connection."""
+    async def close(self, flush_s: float = 0) -> None:
+        """Stop accepting and close every connection.
+
+        Wait up to `flush_s` seconds until the peers have what was sent.
+        """
         for server in self._servers:
             server.close()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(flush_s):
+                for stream in tuple(self._streams):
+                    await stream.wait_closed()
 
     def _accept(self) -> FrameStream:
         return FrameStream(self._accepted)
 
     def _accepted(self, frames: FrameStream) -> None:
+        self._streams.add(frames)
         task = asyncio.get_running_loop().create_task(self._handle(frames))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
--- a/tests/test_frames.py
+++ b/tests/test_frames.py
@@ -10,6 +10,7 @@
 from tornado.netutil import bind_sockets
 
 from linnetwood.core.errors import CodecError, WireError
+from linnetwood.core.sizes import MIB
 from linnetwood.gen.schema.ttypes import Configuration
 from linnetwood.gen.wire.ttypes import End, Gossip, Start
 from linnetwood.wire import codec, frames
@@ -118,6 +119,57 @@
         stream.close()
         await server.close()
 
+    async def test_close_sends_what_is_unsent(self) -> None:
+        """Guard against a stop that loses the end of an answer."""
+        chunk = frames.pack(FrameKind.CHUNK, bytes(MIB))
+        sent: list[bytes] = []
+        unread = asyncio.Event()
+
+        async def answer(stream: FrameStream, frame: Frame) -> None:
+            # More than the sockets hold, which may still grow.
+            for _ in range(3):
+                while stream.writable:
+                    sent.append(chunk)
+                    stream.send(FrameKind.CHUNK, bytes(MIB))
+                await asyncio.sleep(0.05)
+            unread.set()
+
+        sockets = bind_sockets(0, '127.0.0.1')
+        server = WireServer({FrameKind.DRAIN: answer})
+        await server.start(sockets)
+        reader, writer = await asyncio.open_connection(
+            *sockets[0].getsockname(), limit=1024
+        )
+        writer.write(frames.pack(FrameKind.DRAIN, b''))
+        async with asyncio.timeout(30):
+            await unread.wait()
+            closing = asyncio.create_task(server.close(30))
+            # Time to end, if it did not wait.
+            await asyncio.sleep(0.2)
+            self.assertFalse(closing.done())
+            received = len(await reader.read())
+            await closing
+        writer.close()
+        self.assertEqual(received, len(sent) * len(chunk))
+
+    async def test_close_ends_beside_a_silent_peer(self) -> None:
+        """Guard against a stop that waits for a silent peer for good."""
+
+        async def answer(stream: FrameStream, frame: Frame) -> None:
+            await stream.write(FrameKind.CHUNK, bytes(3 * MIB))
+
+        sockets = bind_sockets(0, '127.0.0.1')
+        server = WireServer({FrameKind.DRAIN: answer})
+        await server.start(sockets)
+        _, writer = await asyncio.open_connection(
+            *sockets[0].getsockname(), limit=1024
+        )
+        writer.write(frames.pack(FrameKind.DRAIN, b''))
+        await asyncio.sleep(0.05)
+        async with asyncio.timeout(30):
+            await server.close(0.05)
+        writer.close()
+
     async def test_only_silence_ends_a_read(self) -> None:
         """A frame that arrives in pieces is read; one that stops is not."""
         whole = frames.pack(FrameKind.DONE, b'good')
