Divide the callers' handlers into three modules

What all handlers share is in calls/basehandler.py, running a call and writing its answer in calls/callhandler.py; callers.py keeps what is offered to callers. Moved as it was; names that other modules use lose their underscore.

--- a/src/linnetwood/lab/load.py
+++ b/src/linnetwood/lab/load.py
@@ -11,11 +11,10 @@
 import defopt
 from tornado.httpclient import HTTPRequest, HTTPResponse
 
-from linnetwood.calls.callers import (
-    CODE_HEADER,
+from linnetwood.calls.basehandler import CODE_HEADER, OUTCOME_HEADER
+from linnetwood.calls.callhandler import (
     DEADLINE_HEADER,
     ORGANISATION_HEADER,
-    OUTCOME_HEADER,
     VERSION_HEADER,
 )
 from linnetwood.lab.fakeengine import token
--- a/src/linnetwood/programs/entry.py
+++ b/src/linnetwood/programs/entry.py
@@ -7,6 +7,7 @@
 
 from linnetwood.calls import callers
 from linnetwood.calls.admission import Admission
+from linnetwood.calls.basehandler import HandlerContext
 from linnetwood.calls.callersockets import CallerServer
 from linnetwood.calls.dispatch import Dispatcher
 from linnetwood.calls.fairness import QueueLimits
@@ -62,7 +63,7 @@
             self.capacity,
             self.runtime.clock,
         )
-        self.context = callers.HandlerContext(
+        self.context = HandlerContext(
             self.dispatcher,
             self.routes,
             self.gate,
--- a/tests/test_broken_calls.py
+++ b/tests/test_broken_calls.py
@@ -9,11 +9,8 @@
 from tornado.netutil import bind_sockets
 
 from linnetwood.calls.admission import Admission, AdmissionRequest
-from linnetwood.calls.callers import (
-    MAX_BODY_BYTES,
-    HandlerContext,
-    application,
-)
+from linnetwood.calls.basehandler import HandlerContext
+from linnetwood.calls.callers import MAX_BODY_BYTES, application
 from linnetwood.calls.callersockets import CallerServer
 from linnetwood.calls.dispatch import AnswerSink, Call
 from linnetwood.calls.fairness import QueueLimits
--- a/tests/test_slow_product_readers.py
+++ b/tests/test_slow_product_readers.py
@@ -10,7 +10,8 @@
 
 from tornado.netutil import bind_sockets
 
-from linnetwood.calls.callers import HandlerContext, application
+from linnetwood.calls.basehandler import HandlerContext
+from linnetwood.calls.callers import application
 from linnetwood.calls.callersockets import CallerServer
 from linnetwood.calls.dispatch import AnswerSink, Call, Dispatcher
 from linnetwood.calls.routing import EndpointQuery, Load
