Tell a call as late whose time was over at the engine or service

A call that its engine or service held beyond the deadline ended at the endpoint as backend-lost, which may be sent again, if curl's timer came before the entry's own (both count the same time that is left). Ruled out: the entry's timer, which says deadline-passed. The endpoint says so, too, if the time was over; another end of a connection stays backend-lost. The new test got backend-lost from both kinds of back end before.

--- a/src/linnetwood/calls/backend.py
+++ b/src/linnetwood/calls/backend.py
@@ -22,6 +22,8 @@
 _NOT_FOUND = 404
 _MILLISECONDS = 1000
 _CANCEL_TIMEOUT_S = 2.0
+# Timers of curl may fire so much earlier than those of the loop.
+_TIMER_S = 0.01
 _HOP_HEADERS = frozenset(
     (
         'connection',
@@ -91,6 +93,8 @@
     lines: list[str] = dataclasses.field(default_factory=list)
     begun: bool = False
     is_wrong: bool = False
+    # The call's time was over at the end.
+    is_late: bool = False
     # None before and after the transfer.
     curl: pycurl.Curl | None = None
     resuming: asyncio.Task[None] | None = None
@@ -180,6 +184,7 @@
 
     async def _exchange(
         self,
+        start: Start,
         req: HTTPRequest,
         exchange: _Exchange,
     ) -> HTTPResponse:
@@ -188,10 +193,14 @@
         req.streaming_callback = exchange.body
         req.follow_redirects = False
         req.decompress_response = False
+        req.request_timeout = max(1, start.deadline_ms) / _MILLISECONDS
+        loop = asyncio.get_running_loop()
+        late_at = loop.time() + req.request_timeout - _TIMER_S
         try:
             reply = await fetch(self._client, req)
         finally:
             exchange.close()
+        exchange.is_late = loop.time() > late_at
         if not exchange.begun and not _is_lost(reply):
             exchange.open()
         return reply
@@ -224,10 +233,9 @@
             headers=headers,
             body=_sent_body(method, body),
             allow_nonstandard_methods=True,
-            request_timeout=_timeout_s(start),
         )
-        reply = await self._exchange(req, exchange)
-        return _ending(reply)
+        reply = await self._exchange(start, req, exchange)
+        return _ending(reply, exchange)
 
 
 class EngineBackend(_HttpBackend):
@@ -247,15 +255,14 @@
                 CALL_HEADER: start.call_id,
                 'traceparent': start.traceparent,
             },
-            request_timeout=_timeout_s(start),
         )
-        reply = await self._exchange(req, exchange)
+        reply = await self._exchange(start, req, exchange)
         if reply.code in {_BUSY, _NOT_FOUND}:
             return not_run(Code.BACKEND_BUSY, f'engine said {reply.code}')
         if exchange.is_wrong:
             await self.cancel(start.call_id)
             return unknown(Code.WRONG_ANSWER, 'the engine answered otherwise')
-        return _ending(reply)
+        return _ending(reply, exchange)
 
     async def cancel(self, call_id: str) -> None:
         """Ask the engine to stop a stream."""
@@ -276,10 +283,6 @@
     return body
 
 
-def _timeout_s(start: Start) -> float:
-    return max(1, start.deadline_ms) / _MILLISECONDS
-
-
 def _is_own_answer(exchange: _Exchange, start: Start) -> bool:
     if exchange.status in {_BUSY, _NOT_FOUND}:
         # A refusal is no answer, so another endpoint may be asked.
@@ -294,11 +297,13 @@
     return reply.code == NO_ANSWER and not is_status
 
 
-def _ending(reply: HTTPResponse) -> Ending:
+def _ending(reply: HTTPResponse, exchange: _Exchange) -> Ending:
     if not _is_lost(reply):
         return ANSWERED
     detail = str(reply.error)
     errno = reply.error.errno if isinstance(reply.error, CurlError) else 0
     if errno in {pycurl.E_COULDNT_CONNECT, pycurl.E_COULDNT_RESOLVE_HOST}:
         return not_run(Code.BACKEND_UNREACHABLE, detail)
+    if errno == pycurl.E_OPERATION_TIMEDOUT and exchange.is_late:
+        return unknown(Code.LATE, 'deadline passed')
     return unknown(Code.BACKEND_LOST, detail)
--- a/tests/test_backend.py
+++ b/tests/test_backend.py
@@ -273,6 +273,33 @@
                 self.assertEqual(sink.statuses, [])
 
 
+class LateTest(unittest.IsolatedAsyncioTestCase):
+    """A back end that holds a call beyond its deadline."""
+
+    async def test_time_that_is_over(self) -> None:
+        """Guard against a late call that is told as lost, and sent again."""
+
+        async def hold(
+            reader: asyncio.StreamReader, _: asyncio.StreamWriter
+        ) -> None:
+            await reader.read()
+
+        server = Server(hold)
+        client = open_client(CLIENTS)
+        url = f'http://{HOST}:{await server.start()}'
+        for backend in (
+            ServiceBackend(url, client),
+            EngineBackend(url, client),
+        ):
+            start = start_of()
+            start.deadline_ms = 100
+            ending = await backend.run(start, b'', RecordingSink())
+            found = (ending.outcome, ending.code)
+            self.assertEqual(found, (Outcome.UNKNOWN, Code.LATE.value))
+        client.close()
+        await server.close()
+
+
 class SlowReaderTest(unittest.IsolatedAsyncioTestCase):
     """Answers that come faster than they are read."""
 
