Divide the back end's client and its exchanges into two modules

What one exchange holds, its head, its pauses and what curl is told, is in calls/backendexchange.py; calls/backend.py keeps the requests to engines and services. Moved as it was.

--- a/src/linnetwood/calls/backend.py
+++ b/src/linnetwood/calls/backend.py
@@ -1,9 +1,6 @@
 """HTTP clients for the one engine or plain service of the VM."""
 
 import asyncio
-import contextlib
-import dataclasses
-from collections.abc import Callable
 from typing import Protocol
 from urllib.parse import urlsplit
 
@@ -12,50 +9,28 @@
 from tornado.httpclient import AsyncHTTPClient, HTTPRequest, HTTPResponse
 from tornado.httputil import HTTPHeaders
 
+from linnetwood.calls.backendexchange import (
+    VERSION_HEADER,
+    BackendSink,
+    Exchange,
+    end_to_end_headers,
+    without_headers,
+)
 from linnetwood.core.outcomes import ANSWERED, Code, Ending, not_run, unknown
 from linnetwood.gen.wire.ttypes import Start
 from linnetwood.wire.http import NO_ANSWER, fetch
 
 CALL_HEADER = 'X-Call'
-VERSION_HEADER = 'X-Model-Version'
 _BUSY = 503
 _NOT_FOUND = 404
 _MILLISECONDS = 1000
 _CANCEL_TIMEOUT_S = 2.0
 # Timers of curl may fire so much earlier than those of the loop.
 _TIMER_S = 0.01
-_HOP_HEADERS = frozenset(
-    (
-        'connection',
-        'keep-alive',
-        'proxy-connection',
-        'te',
-        'trailer',
-        'transfer-encoding',
-        'upgrade',
-    ),
-)
 _REQUEST_ONLY_HEADERS = frozenset(('host', 'content-length', 'expect'))
 _BODY_METHODS = frozenset(('POST', 'PUT', 'PATCH'))
 
 
-class BackendSink(Protocol):
-    """Receive an answer piece by piece, without blocking."""
-
-    def head(self, status: int, headers: list[str], version: str) -> None:
-        """Receive the status, the headers and the answering version."""
-
-    def body(self, piece: bytes) -> None:
-        """Receive a piece of the body; raises WireError if nobody reads it."""
-
-    @property
-    def is_behind(self) -> bool:
-        """Return whether pieces are held for a reader that is slower."""
-
-    async def wait_until_read(self) -> None:
-        """Wait until few bytes are held, or the reader has gone."""
-
-
 class Backend(Protocol):
     """Run calls on the engine or service of this VM."""
 
@@ -66,111 +41,6 @@
         """Stop a call whose caller has gone."""
 
 
-def end_to_end_headers(lines: list[str]) -> list[str]:
-    """Drop the headers that concern a single connection."""
-    return _without_headers(lines, _HOP_HEADERS)
-
-
-def _without_headers(lines: list[str], names: frozenset[str]) -> list[str]:
-    return [
-        line
-        for line in lines
-        if line.partition(':')[0].strip().lower() not in names
-    ]
-
-
-@dataclasses.dataclass(slots=True)
-class _Exchange:
-    """Collect the head of one HTTP answer and forward its body."""
-
-    sink: BackendSink
-    check: Callable[['_Exchange'], bool]
-    # Sent in place of the method that curl is given; empty for that one.
-    method: str = ''
-    # Sent as it is; empty for the path of the URL.
-    target: bytes = b''
-    status: int = 0
-    lines: list[str] = dataclasses.field(default_factory=list)
-    begun: bool = False
-    is_wrong: bool = False
-    # The call's time was over at the end.
-    is_late: bool = False
-    # None before and after the transfer.
-    curl: pycurl.Curl | None = None
-    resuming: asyncio.Task[None] | None = None
-
-    def prepare(self, curl: pycurl.Curl) -> None:
-        """Let curl send the request once, and pass each header line here."""
-        self.curl = curl
-        curl.setopt(pycurl.HEADERFUNCTION, self.header)
-        # If a kept connection ends without an answer, curl sends the request
-        # again on a new one, though the server may have run it.
-        curl.setopt(pycurl.FRESH_CONNECT, True)
-        curl.setopt(pycurl.FORBID_REUSE, True)
-        if self.method:
-            curl.setopt(pycurl.CUSTOMREQUEST, self.method)
-        if self.target:
-            curl.setopt(pycurl.REQUEST_TARGET, self.target)
-
-    def header(self, line: bytes) -> None:
-        """Receive a status or header line."""
-        text = line.decode('latin1').rstrip('\r\n')
-        if text.startswith('HTTP/') and not self.begun:
-            self.status = int(text.split(' ')[1])
-            self.lines = []
-        elif text:
-            self.lines.append(text)
-
-    def body(self, piece: bytes) -> None:
-        """Forward a piece of the body, after the head."""
-        if not self.begun:
-            self.open()
-        if not self.is_wrong:
-            self.sink.body(piece)
-            if self.sink.is_behind:
-                self.pause()
-
-    def pause(self) -> None:
-        """Receive no more until the sink's reader has caught up."""
-        if self.curl is None:
-            return
-        # At the end of a transfer curl refuses, and the rest comes at once.
-        with contextlib.suppress(pycurl.error):
-            self.curl.pause(pycurl.PAUSE_RECV)
-            if self.resuming is None:
-                self.resuming = asyncio.create_task(self.resume())
-
-    async def resume(self) -> None:
-        """Receive again once the sink's reader has caught up."""
-        await self.sink.wait_until_read()
-        self.resuming = None
-        if self.curl is not None:
-            with contextlib.suppress(pycurl.error):
-                self.curl.pause(pycurl.PAUSE_CONT)
-
-    def close(self) -> None:
-        """Leave the handle of curl to other requests."""
-        self.curl = None
-        if self.resuming is not None:
-            self.resuming.cancel()
-
-    def open(self) -> None:
-        """Pass the head to the sink if the answer belongs to the call."""
-        self.begun = True
-        self.is_wrong = not self.check(self)
-        if not self.is_wrong:
-            version = self.header_value(VERSION_HEADER)
-            self.sink.head(self.status, end_to_end_headers(self.lines), version)
-
-    def header_value(self, name: str) -> str:
-        """Return a header's value, or an empty text."""
-        for line in self.lines:
-            key, _, text = line.partition(':')
-            if key.lower() == name.lower():
-                return text.strip()
-        return ''
-
-
 class _HttpBackend:
     """HTTP exchange that engines and services have in common."""
 
@@ -186,7 +56,7 @@
         self,
         start: Start,
         req: HTTPRequest,
-        exchange: _Exchange,
+        exchange: Exchange,
     ) -> HTTPResponse:
         # Tornado's own header callback may run after the one for the body.
         req.prepare_curl_callback = exchange.prepare
@@ -211,7 +81,7 @@
 
     async def run(self, start: Start, body: bytes, sink: BackendSink) -> Ending:
         """Run one call."""
-        exchange = _Exchange(sink, lambda _: True)
+        exchange = Exchange(sink, lambda _: True)
         # Curl would change some paths, and refuse others.
         path = start.path.removeprefix('/')
         target = f'{urlsplit(self._url).path}/{path}'
@@ -222,7 +92,7 @@
             exchange.method = method
             method = 'PATCH'
         headers = HTTPHeaders()
-        for line in _without_headers(
+        for line in without_headers(
             end_to_end_headers(start.headers), _REQUEST_ONLY_HEADERS
         ):
             name, _, text = line.partition(':')
@@ -243,7 +113,7 @@
 
     async def run(self, start: Start, body: bytes, sink: BackendSink) -> Ending:
         """Run one call if the engine serves the version it is pinned to."""
-        exchange = _Exchange(
+        exchange = Exchange(
             sink,
             lambda found: _is_own_answer(found, start),
         )
@@ -283,7 +153,7 @@
     return body
 
 
-def _is_own_answer(exchange: _Exchange, start: Start) -> bool:
+def _is_own_answer(exchange: Exchange, start: Start) -> bool:
     if exchange.status in {_BUSY, _NOT_FOUND}:
         # A refusal is no answer, so another endpoint may be asked.
         return False
@@ -297,7 +167,7 @@
     return reply.code == NO_ANSWER and not is_status
 
 
-def _ending(reply: HTTPResponse, exchange: _Exchange) -> Ending:
+def _ending(reply: HTTPResponse, exchange: Exchange) -> Ending:
     if not _is_lost(reply):
         return ANSWERED
     detail = str(reply.error)
--- a/src/linnetwood/lab/histories.py
+++ b/src/linnetwood/lab/histories.py
@@ -5,7 +5,7 @@
 import itertools
 from random import Random
 
-from linnetwood.calls.backend import BackendSink
+from linnetwood.calls.backendexchange import BackendSink
 from linnetwood.calls.dispatch import AnswerSink, Call, Dispatcher, mint_key
 from linnetwood.calls.guard import Guard, GuardState
 from linnetwood.calls.keys import KeyMemory
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -8,7 +8,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from linnetwood.calls.backend import BackendSink
+from linnetwood.calls.backendexchange import BackendSink
 from linnetwood.calls.guard import Guard, GuardState
 from linnetwood.calls.keys import KeyMemory
 from linnetwood.core.errors import OrderError, WeightsError
--- a/tests/test_guard.py
+++ b/tests/test_guard.py
@@ -5,7 +5,7 @@
 from random import Random
 from typing import Any
 
-from linnetwood.calls.backend import BackendSink
+from linnetwood.calls.backendexchange import BackendSink
 from linnetwood.calls.guard import Guard, GuardState
 from linnetwood.calls.keys import KeyMemory
 from linnetwood.core.events import Event
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -11,7 +11,7 @@
 from random import Random
 
 from linnetwood.calls.admission import Admission, AdmissionRequest
-from linnetwood.calls.backend import BackendSink
+from linnetwood.calls.backendexchange import BackendSink
 from linnetwood.calls.dispatch import AnswerSink, Call, Dispatcher
 from linnetwood.calls.fairness import QueueLimits
 from linnetwood.calls.guard import Guard, GuardState
