--- a/tests/test_resident_entry.py
+++ b/tests/test_resident_entry.py
@@ -154,6 +154,32 @@
             await self.entry._finish_calls()
         self.assertEqual(getattr(captured.records[-1], 'unread_bytes', 0), 7)
 
+    async def test_a_stop_waits_for_a_request_that_arrives(self) -> None:
+        """Guard against a process that ends beside a request half read."""
+        await self.learn()
+        entry = self.entry
+        entry._callers.set_limits(CallLimits(header_s=60))
+        sockets = bind_sockets(0, HOST)
+        entry._callers.add_sockets(sockets)
+        reader, writer = await asyncio.open_connection(
+            *sockets[0].getsockname()
+        )
+        asked = request('/a/x')
+        writer.write(asked[:-1])
+        async with asyncio.timeout(60):
+            while not entry._callers.is_receiving:
+                await asyncio.sleep(0)
+            stopping = asyncio.create_task(entry._finish_calls())
+            while not entry.delegate.leaving:
+                await asyncio.sleep(0.01)
+            await asyncio.sleep(0)
+            self.assertFalse(stopping.done())
+            writer.write(asked[-1:])
+            # Nothing of it has run.
+            self.assertIn(b'503', await reader.readline())
+            writer.close()
+            await stopping
+
     async def test_a_fresh_belief_refuses_for_good(self) -> None:
         """A route that the store has just not named is none."""
         await self.learn()
