--- a/src/linnetwood/calls/direct.py
+++ b/src/linnetwood/calls/direct.py
@@ -209,6 +209,8 @@
             return RetryRefusal.NO_ENDPOINT
         if self._start(run, requirements, choice) is None:
             return None
+        # It may have room when the next attempt is asked for.
+        run.history.tried.discard(choice.endpoint.incarnation_id)
         run.budget.refund()
         return RetryRefusal.NOT_SENT
 
--- a/tests/test_silent_endpoints.py
+++ b/tests/test_silent_endpoints.py
@@ -9,6 +9,7 @@
 import unittest
 from collections.abc import Sequence
 from random import Random
+from unittest import mock
 
 from linnetwood.calls.choice import Chooser
 from linnetwood.calls.crashwatch import NoCrashWatch
@@ -135,6 +136,7 @@
     attempts: int = 2,
     *,
     is_suspected: bool = False,
+    has_room: Sequence[bool] = (),
 ) -> Played:
     """Run one call; endpoints are tried in the order of the scripts."""
     loop = asyncio.get_running_loop()
@@ -150,6 +152,9 @@
         chooser, driver, PlatformDialect(), WantedVersions(8), 'z', NoMetrics()
     )
     dispatcher.retry_limits = limits
+    if has_room:
+        dispatcher.held = mock.Mock(answers=0)
+        dispatcher.held.add_in_flight.side_effect = has_room
     if is_suspected:
         dispatcher.crash_observer = SuspectsAll()
     now = loop.time()
@@ -171,6 +176,7 @@
 
 
 SILENT = Script(silent_after=5, silent_s=SILENT_S)
+DEAD = Script(silent_after=5, silent_s=99)
 LATE = Script(silent_after=0, silent_s=ROUTE.timeout_s / 2)
 
 
@@ -230,6 +236,14 @@
                 self.assertEqual(played.driver.begun, [(1, 0), (2, 5)])
                 self.assertLessEqual(played.driver.most_open, 2)
 
+    def test_endpoint_without_room_is_asked_again(self) -> None:
+        """Guard against a stream that may go nowhere for one full moment."""
+        played = virtual.run(
+            play({1: DEAD, 2: Script()}, has_room=(True, False, True))
+        )
+        self.assert_whole(played)
+        self.assertEqual(played.driver.begun, [(1, 0), (2, 5)])
+
     def test_parts_of_an_event_are_not_mixed(self) -> None:
         """Guard against half an event that another attempt completes."""
         for silent_s in (SILENT_S - 0.4, SILENT_S, ROUTE.timeout_s):
