Record in the soak when an entry waited for a processor

The soak recorded only its own delays. Now each entry's waits of 0.3 s or more are faults of that entry alone, for that time alone; a call of another entry is not excused. What the kernel doesn't show stays a violation. The failing run had no such figures, so its cause is not shown.

--- a/src/linnetwood/lab/measure_soak.py
+++ b/src/linnetwood/lab/measure_soak.py
@@ -16,20 +16,17 @@
 from linnetwood.lab.soak.faults import FaultInjector
 from linnetwood.lab.soak.fleet import Fleet, Size
 from linnetwood.lab.soak.history import (
-    FaultRecord,
     History,
     decode_arrivals,
     decode_runs,
 )
+from linnetwood.lab.soak.processorwaits import ProcessorWaits
 from linnetwood.lab.soak.schedule import Fault, schedule, schedule_planned_work
 
 _MINUTE_S = 60
 _SETTLE_S = 3.0
 # Longer than a killed process takes to be ready again.
 _RECOVERY_S = 10.0
-_CHECK_INTERVAL_S = 0.05
-# If this process was not scheduled for so long, the others may not have been.
-_BUSY_DELAY_S = 0.3
 _MAX_SHOWN = 20
 
 
@@ -98,14 +95,15 @@
     history = History()
     callers = Callers(fleet, history, seed, event_counts)
     faults = FaultInjector(fleet, history, callers)
-    busy_task = asyncio.create_task(_record_busy_times(history))
+    processor_waits = ProcessorWaits(fleet.entries, history)
+    processor_waits.start()
     try:
         await _run(planned, fleet, faults, callers, count)
         # Servers need time to notice that their callers disconnected.
         await asyncio.sleep(1)
         await _collect_records(fleet, history)
     finally:
-        busy_task.cancel()
+        processor_waits.close()
         failed = fleet.close()
     if out:
         pathlib.Path(out).write_text(json.dumps(_serialize(history)))
@@ -157,16 +155,6 @@
     history.found = recorded['found']
 
 
-async def _record_busy_times(history: History) -> None:
-    """Record as faults the times when the machine was too busy."""
-    while True:
-        before = time.monotonic()
-        await asyncio.sleep(_CHECK_INTERVAL_S)
-        now = time.monotonic()
-        if now - before > _BUSY_DELAY_S:
-            history.troubles.append(FaultRecord('machine busy', before, now))
-
-
 def _outcomes(history: History) -> dict[str, int]:
     kinds = Counter(
         f'{call.kind.value} {call.status or "none"}'
--- a/src/linnetwood/lab/soak/history.py
+++ b/src/linnetwood/lab/soak/history.py
@@ -5,7 +5,10 @@
 
 import dataclasses
 import enum
-from typing import Any
+from typing import Any, Final
+
+# The fault that an entry was ready to run, but had no processor.
+PROCESSOR_WAIT: Final = 'waited for a processor'
 
 
 class CallKind(enum.Enum):
--- a/src/linnetwood/lab/soak/lost.py
+++ b/src/linnetwood/lab/soak/lost.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable, Iterator, Sequence
 from fractions import Fraction
 
-from linnetwood.lab.soak.history import Call, History
+from linnetwood.lab.soak.history import PROCESSOR_WAIT, Call, History
 from linnetwood.lab.soak.plannedwork import STOP, PlannedWork, Runs
 
 # The number of calls that a connected entry may close without an answer.
@@ -123,8 +123,10 @@
         """Return whether there was no unplanned fault, or just before."""
         since = call.sent_at - self._contact_s
         return not any(
-            one.kind != STOP and one.at < call.ended_at and one.until > since
+            one.at < call.ended_at and one.until > since
             for one in self._history.troubles
+            if one.kind != STOP
+            and (one.kind != PROCESSOR_WAIT or one.who == call.entry)
         )
 
     def _are_servers_fault_free(self, call: Call) -> bool:
