Back off from a silent endpoint, and count no failure

A silence counted as a failure, failures are forgotten by answers alone, and an engine whose streams all went on elsewhere gets no more calls. Now silence leads to a back-off alone, which ends by itself and doubles while it is silent. Tried and dropped: failures that fade with time (half of them in 10 s). Two tests asserted a failure for a silent engine that is not slow; they assert the back-off as before, and no failure.

--- a/src/linnetwood/calls/endpointstats.py
+++ b/src/linnetwood/calls/endpointstats.py
@@ -82,10 +82,9 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _Avoidance:
-    """Why an endpoint gets fewer calls: failures, and a back-off."""
+class _BackOff:
+    """How long the next back-off lasts, and when this one ends."""
 
-    failure_rate: float
     backoff_s: float
     backoff_until: float
 
@@ -127,7 +126,7 @@
         # When an attempt that has ended received anything from it.
         self.last_received_at = -math.inf
         # What held before its streams fell silent.
-        self._before_silence: _Avoidance | None = None
+        self._before_silence: _BackOff | None = None
         self.report: Report | None = None
         # The last report with a notice.
         self._notice_report: Report | None = None
@@ -189,26 +188,25 @@
     def record_unreachable(self, now: float) -> None:
         """Back off, for twice as long each time up to a bound."""
         self.record_failure()
-        self._suspect_delay(now, _MAX_EXTRA_DELAY_S)
-        self.backoff_until = now + self.backoff_s
-        self.backoff_s = min(_BACKOFF_MAX_S, self.backoff_s * 2)
+        self._back_off(now)
 
     def record_silence(self, now: float) -> None:
-        """Back off from a silent endpoint, until it goes on."""
+        """Back off from a silent endpoint, until it goes on.
+
+        Silence is no failure: failures are forgotten by answers alone, and an
+        endpoint whose streams all went elsewhere may get no more calls.
+        """
         if self._before_silence is None:
-            self._before_silence = _Avoidance(
-                self.failure_rate, self.backoff_s, self.backoff_until
-            )
+            self._before_silence = _BackOff(self.backoff_s, self.backoff_until)
         elif now < self.backoff_until:
             # Streams that fall silent together show one silence.
             return
-        self.record_unreachable(now)
+        self._back_off(now)
 
     def record_resumed(self) -> None:
         """Record that a silent endpoint goes on, so it is no longer avoided."""
         before = self._before_silence
         if before is not None:
-            self.failure_rate = before.failure_rate
             self.backoff_s = before.backoff_s
             self.backoff_until = before.backoff_until
             self._before_silence = None
@@ -337,6 +335,11 @@
             return None
         return report
 
+    def _back_off(self, now: float) -> None:
+        self._suspect_delay(now, _MAX_EXTRA_DELAY_S)
+        self.backoff_until = now + self.backoff_s
+        self.backoff_s = min(_BACKOFF_MAX_S, self.backoff_s * 2)
+
     def _suspect_delay(self, now: float, delay_s: float) -> None:
         """Assume a slow link until a call that is sent later begins in time."""
         self.delay_suspected_at = now
