--- a/src/linnetwood/calls/callersockets.py
+++ b/src/linnetwood/calls/callersockets.py
@@ -81,9 +81,6 @@
         super().initialize(*args, **kwargs)
         self.call_limits = CallLimits()
         self.streams: set[CallerStream] = set()
-        # The library's own timers don't look at what has arrived.
-        self.conn_params.header_timeout = None
-        self.conn_params.body_timeout = None
 
     def handle_stream(self, stream: IOStream, address: tuple[Any, ...]) -> None:
         """Set the limits on a new connection, and serve it."""
--- a/src/linnetwood/calls/callserver.py
+++ b/src/linnetwood/calls/callserver.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Callable
 from random import Random
-from typing import Protocol
+from typing import Any, Protocol
 
 from tornado.httputil import (
     HTTPConnection,
@@ -446,6 +446,13 @@
 class CallServer(CallerServer):
     """Report closed connections to its delegate and limit requests."""
 
+    def initialize(self, *args: Any, **kwargs: Any) -> None:
+        """Leave the times of reading to the timers of the connections."""
+        super().initialize(*args, **kwargs)
+        # The library's own timers don't look at what has arrived.
+        self.conn_params.header_timeout = None
+        self.conn_params.body_timeout = None
+
     def on_close(self, server_conn: object) -> None:
         """Pass on a close, which the library doesn't report to the callback."""
         super().on_close(server_conn)
--- a/tests/test_read_times.py
+++ b/tests/test_read_times.py
@@ -4,8 +4,13 @@
 import contextlib
 import socket
 import time
+import unittest
 from collections.abc import Callable
 
+from tornado.testing import bind_unused_port
+from tornado.web import Application
+
+from linnetwood.calls.callersockets import CallerServer
 from linnetwood.calls.routetable import CallLimits
 from linnetwood.core.events import Event, log
 from tests.test_callserver import CallServerCase, request
@@ -160,3 +165,23 @@
                 sock.sendall(sent)
                 got = await self.received(sock, b'fine')
                 self.assertTrue(got.startswith(b'HTTP/1.1 200 '), got)
+
+
+class LibraryTimesTest(unittest.IsolatedAsyncioTestCase):
+    """The server of the product's own path, whose reading the library times."""
+
+    async def test_idle_and_half_sent_requests_are_closed(self) -> None:
+        """Guard against connections that stay open for good."""
+        server = CallerServer(
+            Application(), idle_connection_timeout=BRIEF.idle_s
+        )
+        listening, port = bind_unused_port()
+        server.add_socket(listening)
+        for sent in (b'', b'GET / HT'):
+            reader, writer = await asyncio.open_connection(HOST, port)
+            writer.write(sent)
+            async with asyncio.timeout(GUARD_S):
+                self.assertEqual(await reader.read(), b'')
+            writer.close()
+        server.stop()
+        await server.close_all_connections()
