Send no events behind a head that could not be written

It counts as begun once its head is written; the caller gets 502. The new test got the bare events as a whole answer before.

--- a/src/linnetwood/calls/attempt.py
+++ b/src/linnetwood/calls/attempt.py
@@ -72,9 +72,9 @@
     FAILED = 'failed'
     # The connection broke or the answer was invalid; the call may have run.
     LOST = 'lost'
-    # It was silent when another attempt went on with the answer.
+    # The endpoint was silent when another attempt took over.
     STALLED = 'stalled'
-    # It was not, but another attempt went on with the answer first.
+    # Another attempt took over, though the endpoint was not silent.
     OVERTAKEN = 'overtaken'
     # The deadline of the call passed.
     TIMED_OUT = 'timed-out'
@@ -166,8 +166,10 @@
         self.paused_s = float()
         # Whether it has been silent for longer than its limits allow.
         self.silent = False
+        # Whether its wait was compared with the prediction.
+        self.wait_recorded = False
         self.on_start: Callable[[], None] = _ignore
-        # Called before the answer goes on, and once it ends whole.
+        # Called before whole events are sent, and when the answer is complete.
         self.on_progress: Callable[[], None] = _ignore
         # Called when something arrives after a silence.
         self.on_resumed: Callable[[], None] = _ignore
@@ -341,10 +343,11 @@
             self.on_start()
         self._last_sent_at = self.last_received_at
         if not answer.begun:
-            answer.begun = True
             answer.version = self._dialect.version(self._headers)
             headers = self._dialect.answer_headers(self._headers)
+            # Not begun if this head can't be written.
             answer.sink.begin(self._status, headers)
+            answer.begun = True
         answer.sink.send_piece(whole_events)
         answer.pieces += 1
         answer.last_id = self._splitter.last_id
--- a/tests/test_direct.py
+++ b/tests/test_direct.py
@@ -105,6 +105,13 @@
         self.ended = 'aborted'
 
 
+class HeadlessSink(RecordingSink):
+    """Refuse every head, as the library does with some headers."""
+
+    def begin(self, status: int, headers: Headers) -> None:
+        raise ValueError('unsafe header')
+
+
 def events(*numbers: int) -> bytes:
     """Return whole events of a stream."""
     return b''.join(b'id: %d\ndata: x\n\n' % number for number in numbers)
@@ -123,6 +130,7 @@
 
     async def asyncSetUp(self) -> None:
         self.servers: list[Server] = []
+        self.sink = RecordingSink()
         self.directory = Directory()
         self.chooser = Chooser(self.directory, Random(1))
         self.driver = CurlDriver()
@@ -204,8 +212,7 @@
             fingerprint=CALL,
             part_fingerprints=(PART,),
         )
-        sink = RecordingSink()
-        return await self.dispatcher.run(call, sink), sink
+        return await self.dispatcher.run(call, self.sink), self.sink
 
     def runs(self) -> int:
         """Count the requests that reached any endpoint."""
@@ -424,6 +431,15 @@
         self.assertEqual(sink.ended, 'whole')
         self.assertIn(b'Last-Event-Id: 1\r\n', self.servers[1].requests[0])
 
+    async def test_events_without_a_head_are_not_sent(self) -> None:
+        """Guard against events of a second attempt behind no status line."""
+        self.sink = HeadlessSink()
+        answers = respond_with(stream(events(0, 1)))
+        await self.serve(answers, answers)
+        ending, sink = await self.call(Repeat.RESUME, streams=True)
+        self.assertEqual(ending.outcome, Outcome.UNKNOWN)
+        self.assertEqual(sink.received, b'')
+
     async def test_error_status_does_not_end_a_resumed_stream(self) -> None:
         """Guard against a truncated answer that looks complete."""
         first = stream(events(0, 1), ends=False)
