--- a/src/linnetwood/calls/callhandler.py
+++ b/src/linnetwood/calls/callhandler.py
@@ -212,6 +212,8 @@
         except (StreamClosedError, asyncio.CancelledError):
             if not answer.stalled:
                 log(Event.CALL_CUT, call=call.call_id, code='caller-gone')
+            # Otherwise the library would end the answer as if it were whole.
+            self.close_connection()
             return
         self.finish_call(ending, answer)
 
