Compare a wait once, and end a back-off by any good answer

Both new tests failed before. Some names are those of the field now: mark_silent, note_result, parallel_refusal.

--- a/src/linnetwood/calls/attemptrace.py
+++ b/src/linnetwood/calls/attemptrace.py
@@ -62,11 +62,11 @@
 
     @property
     def silent(self) -> list[RunningAttempt]:
-        """Return the attempts that are silent, as `take_silent` found them."""
+        """Return the attempts that are silent, as `mark_silent` found them."""
         return [one for one in self.attempts if one.attempt.silent]
 
-    def take_silent(self) -> list[RunningAttempt]:
-        """Return the attempts that have fallen silent since the last time."""
+    def mark_silent(self) -> list[RunningAttempt]:
+        """Mark and return the attempts that have fallen silent since then."""
         now = self._loop.time()
         found = [
             one
--- a/src/linnetwood/calls/attemptrecorder.py
+++ b/src/linnetwood/calls/attemptrecorder.py
@@ -48,11 +48,12 @@
         call: DirectCall,
         sent_attempt: SentAttempt,
         waiting_count: WaitingCount,
+        attempt: Attempt,
     ) -> None:
         """Record the first event of an attempt."""
         self.end_waiting(call, sent_attempt, waiting_count)
         self._record_start(sent_attempt)
-        self._update_lateness(call, sent_attempt)
+        self._update_lateness(call, sent_attempt, attempt)
 
     def end_waiting(
         self,
@@ -78,7 +79,7 @@
         if not stats.is_slow(now):
             stats.record_silence(now)
         if not silent.attempt.first_event_at:
-            self._update_lateness(call, silent.sent)
+            self._update_lateness(call, silent.sent, silent.attempt)
 
     def note_result(
         self,
@@ -141,15 +142,18 @@
         )
 
     def _update_lateness(
-        self, call: DirectCall, sent_attempt: SentAttempt
+        self, call: DirectCall, sent_attempt: SentAttempt, attempt: Attempt
     ) -> None:
-        """Compare the wait of an admitted call with its prediction.
+        """Compare the wait of an admitted call with its prediction, once.
 
         The part that a change of the engine's pace explains isn't learned:
         predictions contain the new pace as soon as a report has it.
         """
         if call.service.engine is None or sent_attempt.urgency is Urgency.LATE:
             return
+        if attempt.wait_recorded:
+            return
+        attempt.wait_recorded = True
         now = self._loop.time()
         choice = sent_attempt.choice
         waited_s = now - sent_attempt.sent_at
--- a/src/linnetwood/calls/callrun.py
+++ b/src/linnetwood/calls/callrun.py
@@ -1,4 +1,4 @@
-"""One call over its attempts, and whether another one may be sent; no I/O."""
+"""The state of one call across its attempts; no I/O."""
 
 import dataclasses
 
@@ -39,7 +39,7 @@
         sent = self.history.reached + len(self.race.attempts)
         return self.call.route.attempts - sent
 
-    def beside_refusal(
+    def parallel_refusal(
         self, now: float, *, is_suspected: bool
     ) -> RetryRefusal | None:
         """Return why no attempt may be sent beside those that are silent."""
@@ -50,7 +50,7 @@
             AttemptOutcome.STALLED, now, is_suspected=is_suspected
         )
 
-    def decisive(self, result: AttemptResult) -> AttemptResult:
+    def note_result(self, result: AttemptResult) -> AttemptResult:
         """Return the result that shows how the call stands after a new one."""
         if self._last is None or result.outcome not in ENDED_BY_OTHERS:
             self._last = result
--- a/src/linnetwood/calls/direct.py
+++ b/src/linnetwood/calls/direct.py
@@ -74,7 +74,7 @@
     """Do nothing by default."""
 
 
-def _never() -> float:
+def _unbounded() -> float:
     """Return the bound of a call that may begin at any time."""
     return math.inf
 
@@ -180,7 +180,7 @@
                 self._send_beside_silent(run)
                 continue
             result = await self._finish(run, ended)
-            last = run.decisive(result)
+            last = run.note_result(result)
             answered = result.outcome is AttemptOutcome.ANSWERED
             if answered or not run.race.attempts:
                 return last
@@ -188,12 +188,14 @@
     def _send_beside_silent(self, run: CallRun) -> None:
         """Send another attempt, if one may be sent, and log the decision."""
         now = self._loop.time()
-        for one in run.race.take_silent():
+        for one in run.race.mark_silent():
             # Each silence is logged, also where the decision is the same.
             run.decision = ''
             self.recorder.note_silence(run.call, one, now)
         silent = run.race.silent
-        refusal = run.beside_refusal(now, is_suspected=self._is_suspected(run))
+        refusal = run.parallel_refusal(
+            now, is_suspected=self._is_suspected(run)
+        )
         if refusal is None and not self._spend_retry(run):
             refusal = RetryRefusal.NO_BUDGET
         if refusal is None:
@@ -291,7 +293,11 @@
             held=self.held,
         )
         attempt.on_start = functools.partial(
-            self.recorder.note_begun, call, sent_attempt, waiting_count
+            self.recorder.note_begun,
+            call,
+            sent_attempt,
+            waiting_count,
+            attempt,
         )
         attempt.on_notice = functools.partial(self._on_notice, sent_attempt)
         attempt.on_resumed = stats.record_resumed
@@ -394,7 +400,7 @@
         choice: Choice,
         urgency: Urgency,
     ) -> AttemptLimits:
-        start_by = _never
+        start_by = _unbounded
         if choice.version and call.repeatable:
             stats = self._chooser.stats_of(choice.endpoint.incarnation_id)
             start_by = functools.partial(
--- a/src/linnetwood/calls/endpointstats.py
+++ b/src/linnetwood/calls/endpointstats.py
@@ -177,7 +177,7 @@
 
     def record_success(self) -> None:
         """Record a good answer."""
-        self._before_silence = None
+        self.record_resumed()
         self.failure_rate -= _FAILURE_WEIGHT * self.failure_rate
         self.backoff_s = _BACKOFF_FIRST_S
 
--- a/tests/test_silent_endpoints.py
+++ b/tests/test_silent_endpoints.py
@@ -6,11 +6,13 @@
 
 import asyncio
 import dataclasses
+import math
 import unittest
 from collections.abc import Sequence
 from random import Random
 from unittest import mock
 
+from linnetwood.calls.attemptrecorder import AttemptRecorder
 from linnetwood.calls.choice import Chooser
 from linnetwood.calls.crashwatch import NoCrashWatch
 from linnetwood.calls.dialect import CallHead
@@ -263,6 +265,36 @@
                 self.assertEqual(stats.failure_rate, 0)
                 self.assertEqual(stats.backoff_until > 0, is_avoided)
 
+    def test_wait_is_compared_with_its_prediction_once(self) -> None:
+        """Guard against a margin that grows twice for one late call."""
+        virtual.run(self.check_one_comparison())
+
+    async def check_one_comparison(self) -> None:
+        """Let an attempt be silent before its first event."""
+        lateness = mock.Mock()
+        stats = EndpointStats()
+        chooser = mock.Mock()
+        chooser.stats_of.return_value = stats
+        recorder = AttemptRecorder(chooser, lambda: lateness)
+        call = mock.Mock()
+        call.service.levels.count = 1
+        sent = mock.Mock(sent_at=0)
+        sent.choice.wait_s = 0
+        sent.choice.pace = 1
+        silent = mock.Mock(sent=sent)
+        silent.attempt.first_event_at = 0
+        silent.attempt.wait_recorded = False
+        recorder.note_silence(call, silent, 1)
+        recorder.note_begun(call, sent, mock.Mock(), silent.attempt)
+        lateness.record.assert_called_once()
+
+    def test_answer_during_a_silence_ends_the_back_off(self) -> None:
+        """Guard against avoiding an endpoint that has just answered."""
+        stats = EndpointStats()
+        stats.record_silence(1)
+        stats.record_success()
+        self.assertEqual(stats.backoff_until, -math.inf)
+
     def test_streams_that_fall_silent_together_count_once(self) -> None:
         """Guard against avoiding an endpoint longer the more streams it has."""
         one, many = EndpointStats(), EndpointStats()
