--- a/tests/test_broken_calls.py
+++ b/tests/test_broken_calls.py
@@ -140,6 +140,17 @@
         self.assertTrue(received.endswith(b'\r\n4\r\npart\r\n'), received)
         self.assertEqual(self.scripted.left, 1)
 
+    async def test_cancelled_call_gets_no_empty_answer(self) -> None:
+        """Guard against an empty 200 from a call that was cancelled."""
+
+        async def cancel(call: Call, sink: AnswerSink) -> Ending:
+            raise asyncio.CancelledError
+
+        self.scripted.behave = cancel
+        self.assertEqual(
+            await self.received('GET /services/desk/x HTTP/1.1'), b''
+        )
+
     async def test_errors_before_an_answer(self) -> None:
         """Guard against an end that tells neither "not run" nor "unknown"."""
         for behave in (fail, fail_after_head):
