--- a/src/linnetwood/calls/attemptrace.py
+++ b/src/linnetwood/calls/attemptrace.py
@@ -66,7 +66,7 @@
         return [one for one in self.attempts if one.attempt.silent]
 
     def mark_silent(self) -> list[RunningAttempt]:
-        """Mark and return the attempts that have fallen silent since then."""
+        """Mark and return the attempts that have fallen silent."""
         now = self._loop.time()
         found = [
             one
