Drop what a refusal's head made dead

A refused attempt ends with its head, so neither the end of its transfer nor the call's deadline finds a refusal any more: both branches for it went. No behaviour changes.

--- a/src/linnetwood/calls/attempt.py
+++ b/src/linnetwood/calls/attempt.py
@@ -259,8 +259,9 @@
         notice = self._dialect.notice(status, headers, self._call_id)
         if notice is not None:
             self.on_notice(notice)
-        if self._is_refused and not self.fut.done():
-            # The head is proof, and its body may never come.
+        is_refused = self._verdict in {Verdict.NOT_RUN, Verdict.MISDIRECTED}
+        if is_refused and not self.fut.done():
+            # The head alone is enough, and its body may never come.
             self.fut.set_result(self._refused_result())
 
     def body(self, piece: bytes) -> None:
@@ -378,7 +379,7 @@
 
     def _result_of(self, finish: Finish) -> AttemptResult:
         if finish.detail == TIMED_OUT and finish.connected:
-            return self._timed_out_result()
+            return AttemptResult(AttemptOutcome.TIMED_OUT, reached=True)
         if self._verdict is None or self._verdict is Verdict.FOREIGN:
             detail = finish.detail or 'foreign answer'
             outcome = (
@@ -387,20 +388,13 @@
                 else AttemptOutcome.NOT_RUN
             )
             return AttemptResult(outcome, finish.connected, detail)
-        if self._is_refused:
-            return self._refused_result()
         if not finish.whole or self._size > MAX_ANSWER_BYTES:
             return AttemptResult(
                 AttemptOutcome.LOST, reached=True, detail=finish.detail
             )
         return self._complete_result()
 
-    @property
-    def _is_refused(self) -> bool:
-        return self._verdict in {Verdict.NOT_RUN, Verdict.MISDIRECTED}
-
     def _refused_result(self) -> AttemptResult:
-        # The head alone is enough; the body does not matter.
         return AttemptResult(
             AttemptOutcome.NOT_RUN,
             reached=True,
@@ -410,12 +404,6 @@
             misdirected=self._verdict is Verdict.MISDIRECTED,
         )
 
-    def _timed_out_result(self) -> AttemptResult:
-        """Return the result of an attempt that the call's deadline ended."""
-        if self._is_refused:
-            return self._refused_result()
-        return AttemptResult(AttemptOutcome.TIMED_OUT, reached=True)
-
     def _complete_result(self) -> AttemptResult:
         if self._is_forwarded:
             if self._splitter.has_partial:
