--- a/src/linnetwood/calls/callersockets.py
+++ b/src/linnetwood/calls/callersockets.py
@@ -108,10 +108,12 @@
         A request that is awaited already may have the size allowed before: its
         caller may not know the new limits yet.
         """
+        is_changed = limits != self.call_limits
         self.call_limits = limits
         self.conn_params.max_header_size = limits.header_bytes
         self.conn_params.max_body_size = limits.body_bytes
-        for stream in self.streams:
+        # Most configurations change routes alone.
+        for stream in self.streams if is_changed else ():
             stream.timer.apply_limits()
             stream.allow_head(limits.header_bytes)
 
--- a/tests/test_read_times.py
+++ b/tests/test_read_times.py
@@ -6,6 +6,7 @@
 import time
 import unittest
 from collections.abc import Callable
+from unittest import mock
 
 from tornado.testing import bind_unused_port
 from tornado.web import Application
@@ -148,6 +149,15 @@
         got = await self.received(sock, b'fine')
         self.assertTrue(got.startswith(b'HTTP/1.1 200 '), got)
 
+    async def test_same_limits_leave_open_connections_alone(self) -> None:
+        """Guard against work for each connection at each configuration."""
+        stream = mock.Mock()
+        self.server.streams.add(stream)
+        for limits, count in ((BRIEF, 1), (BRIEF, 1), (CallLimits(), 2)):
+            self.server.set_limits(limits)
+            self.assertEqual(stream.timer.apply_limits.call_count, count)
+        self.server.streams.discard(stream)
+
     async def test_larger_sizes_apply_to_open_connections(self) -> None:
         """Guard against requests cut, or refused for good, by old limits."""
         await self.serve(respond_with(GOOD))
