Log each call that is refused before its route is known

Of the ways in which a call ends without an answer, four had no line: the process stops, no configuration is known, the configuration lacks the route's service, no request line. They were counted by code alone, so nobody could tell what became of a call. Found by listing all ways. The new test got no line before. Statuses and metrics stay.

--- a/src/linnetwood/calls/callserver.py
+++ b/src/linnetwood/calls/callserver.py
@@ -277,7 +277,9 @@
     async def _answer(self, writer: AnswerWriter) -> Ending:
         if self._delegate.leaving:
             # It arrived on a connection that an earlier answer kept open.
-            return not_run(Code.STOPPING, '', _RETRY_ELSEWHERE_MS)
+            return self._refuse_unread(
+                not_run(Code.STOPPING, '', _RETRY_ELSEWHERE_MS)
+            )
         if self._lacks_memory():
             return self._refuse_for_memory(writer)
         call = self._read()
@@ -323,9 +325,14 @@
             'memory',
             delegate.rng.randint(*_RETRY_MEMORY_MS),
         )
-        head = delegate.dialect.read(self._headers)
-        self._call_id = logged_id(head.call_id)
+        self._refuse_unread(ending)
         writer.name_call(self._call_id, {})
+        return ending
+
+    def _refuse_unread(self, ending: Ending) -> Ending:
+        """Log the refusal of a call whose route and key are not known."""
+        head = self._delegate.dialect.read(self._headers)
+        self._call_id = logged_id(head.call_id)
         self._log_refused(ending)
         return ending
 
@@ -352,7 +359,9 @@
     def _read(self) -> DirectCall | Ending:
         start_line = self._start_line
         if start_line is None:
-            return not_run(Code.BAD_REQUEST, 'no request line')
+            return self._refuse_unread(
+                not_run(Code.BAD_REQUEST, 'no request line')
+            )
         delegate = self._delegate
         incoming = IncomingRequest(
             start_line.method,
@@ -365,9 +374,11 @@
         call = read_call(
             incoming, delegate.route_table(), delegate.dialect, delegate.rng
         )
-        if isinstance(call, Ending) and call.code in _UNPLACED_CODES:
+        if not isinstance(call, Ending):
+            return call
+        if call.code in _UNPLACED_CODES:
             return _refuse_unplaced(incoming, call, delegate)
-        return call
+        return self._refuse_unread(call)
 
     def _take_body(self) -> bytes:
         body = b''.join(self._pieces)
--- a/tests/test_callserver.py
+++ b/tests/test_callserver.py
@@ -1,6 +1,7 @@
 """Connections of callers at an entry: refusals, disconnects, stopping."""
 
 import asyncio
+import dataclasses
 import math
 import unittest
 from random import Random
@@ -415,6 +416,24 @@
         self.assertIn(b'Retry-After: 0.1', head)
         self.assertEqual(endpoint.requests, [])
 
+    async def test_refusals_before_a_route_is_known_have_a_line(self) -> None:
+        """Guard against calls that nobody can find in the log."""
+        without_services = dataclasses.replace(ROUTE_TABLE, services={})
+        for route_table, leaving, code in (
+            (RouteTable(), False, 'not-serving'),
+            (without_services, False, 'no-endpoint'),
+            (ROUTE_TABLE, True, 'stopping'),
+        ):
+            self.route_table = route_table
+            self.delegate.leaving = leaving
+            with self.assertLogs('linnetwood', 'INFO') as captured:
+                status, _, body = (await self.send(request('/a/x')))[0]
+            line = captured.records[0].__dict__
+            with self.subTest(code=code):
+                self.assertEqual((status, body), (503, code.encode()))
+                self.assertEqual(line['event'], Event.CALL_REFUSED)
+                self.assertEqual((line['code'], line['call']), (code, 'c-1'))
+
     async def test_only_idle_connections_are_closed(self) -> None:
         """Closing idle connections interrupts no call."""
         go = asyncio.Event()
