Answer calls in progress when the process ends, and log them as such

The runner cancels a call's task then: where its caller is still there, it gets 502 stopping, as the call may have run, and the line says stopping; an answer that had begun is cut as before. The new test, which cancels the task of a call, got no answer in 20 s before.

--- a/src/linnetwood/calls/callserver.py
+++ b/src/linnetwood/calls/callserver.py
@@ -216,18 +216,29 @@
         try:
             await self._run_and_end(writer)
         except asyncio.CancelledError:
-            if not writer.stalled:
-                log(
-                    Event.CALL_CUT,
-                    call=self._call_id,
-                    **self._call_fields,
-                    code='caller-gone',
-                )
+            self._end_cancelled(writer)
         except Exception as exc:
             self._fail(writer, exc)
         finally:
             self._delegate.active_calls -= 1
 
+    def _end_cancelled(self, writer: AnswerWriter) -> None:
+        """End a call whose caller has left, or whose process ends."""
+        if writer.stalled:
+            return
+        is_gone = self._stream.closed()
+        log(
+            Event.CALL_CUT,
+            call=self._call_id,
+            **self._call_fields,
+            code='caller-gone' if is_gone else Code.STOPPING.value,
+        )
+        if is_gone or writer.complete:
+            return
+        if writer.begun:
+            writer.abort()
+        self._end(writer, unknown(Code.STOPPING))
+
     async def _run_and_end(self, writer: AnswerWriter) -> None:
         self._end(writer, await self._answer(writer))
 
--- a/tests/test_callserver.py
+++ b/tests/test_callserver.py
@@ -42,7 +42,7 @@
     reset,
     respond_with,
 )
-from tests.test_direct import FULL, GOOD
+from tests.test_direct import FULL, GOOD, never_answer
 
 ROUTE_TABLE = RouteTable(
     revision=1,
@@ -434,6 +434,22 @@
                 self.assertEqual(line['event'], Event.CALL_REFUSED)
                 self.assertEqual((line['code'], line['call']), (code, 'c-1'))
 
+    async def test_calls_in_progress_at_the_end_are_answered(self) -> None:
+        """Guard against a stop that closes connections without an answer."""
+        endpoint = await self.serve(never_answer)
+        with self.assertLogs('linnetwood', 'INFO') as captured:
+            sent = asyncio.create_task(self.send(request('/a/x')))
+            while not endpoint.requests:
+                await asyncio.sleep(0)
+            for task in asyncio.all_tasks():
+                if 'Request._run' in str(task.get_coro()):
+                    task.cancel()
+            status, _, body = (await sent)[0]
+        self.assertEqual((status, body), (502, b'stopping'))
+        line = captured.records[-1].__dict__
+        self.assertEqual(line['event'], Event.CALL_CUT)
+        self.assertEqual(line['code'], 'stopping')
+
     async def test_only_idle_connections_are_closed(self) -> None:
         """Closing idle connections interrupts no call."""
         go = asyncio.Event()
