--- a/src/linnetwood/lab/measure_silences.py
+++ b/src/linnetwood/lab/measure_silences.py
@@ -5,6 +5,7 @@
 import sys
 from typing import Any, Literal
 
+from linnetwood.lab.load import percentile
 from linnetwood.lab.silencerules import RULES, Rule
 from linnetwood.lab.silences import Outcome, Simulation
 from linnetwood.lab.silentengines import Scenario
@@ -67,8 +68,6 @@
 def _figures(outcome: Outcome) -> dict[str, float]:
     """Return means over streams, and seconds that were held or paused."""
     streams = outcome.streams
-    held = sorted(outcome.held_s) or [float()]
-    pauses = sorted(outcome.pauses_s) or [float()]
     return {
         'streams': streams,
         'refused_share': outcome.refused / (streams + outcome.refused),
@@ -82,9 +81,9 @@
         'budget_used': outcome.second_attempts / outcome.budget,
         'severed_s': statistics.mean(outcome.severed_s or [0]),
         'held': len(outcome.held_s),
-        'held_s': statistics.mean(held),
-        'held_p90_s': held[int(_TAIL * len(held))],
-        'pause_s': statistics.mean(pauses),
-        'pause_p90_s': pauses[int(_TAIL * len(pauses))],
+        'held_s': statistics.mean(outcome.held_s or [0]),
+        'held_p90_s': percentile(outcome.held_s, _TAIL),
+        'pause_s': statistics.mean(outcome.pauses_s or [0]),
+        'pause_p90_s': percentile(outcome.pauses_s, _TAIL),
         'avoided_sound_s': outcome.avoided_sound_s / max(1, outcome.avoided),
     }
