--- a/tests/test_severed.py
+++ b/tests/test_severed.py
@@ -9,7 +9,7 @@
 from linnetwood.calls.direct import DirectDispatcher, RetryLimits
 from linnetwood.calls.directcall import DirectCall
 from linnetwood.calls.directory import Directory, Endpoint
-from linnetwood.calls.routetable import Service
+from linnetwood.calls.routetable import Route, Service
 from linnetwood.calls.silencetimeouts import SilenceTimeouts
 from linnetwood.core.metrics import NoMetrics
 from linnetwood.core.outcomes import Outcome
@@ -71,6 +71,22 @@
         receiver.done(Finish(whole=True, connected=True))
 
 
+def stream_call(now: float, route: Route = ROUTE) -> DirectCall:
+    """Return the call of a stream that arrives now."""
+    return DirectCall(
+        CallHead(call_id='c-1'),
+        route,
+        POOL,
+        None,
+        'POST',
+        '/x',
+        [('X-Attempt-Id', 'c-1')],
+        b'',
+        now,
+        now + route.timeout_s,
+    )
+
+
 async def run_severed() -> tuple[
     SeveredDriver, list[RecordingSink], list[Outcome]
 ]:
@@ -91,18 +107,7 @@
     )
     dispatcher.retry_limits = RetryLimits(reserve=4 * STREAMS)
     now = loop.time()
-    call = DirectCall(
-        CallHead(call_id='c-1'),
-        ROUTE,
-        POOL,
-        None,
-        'POST',
-        '/x',
-        [('X-Attempt-Id', 'c-1')],
-        b'',
-        now,
-        now + ROUTE.timeout_s,
-    )
+    call = stream_call(now)
     sinks = [RecordingSink() for _ in range(STREAMS)]
     running = [dispatcher.run(call, sink) for sink in sinks]
     endings = await asyncio.gather(*running)
--- a/tests/test_silent_endpoints.py
+++ b/tests/test_silent_endpoints.py
@@ -15,12 +15,9 @@
 from linnetwood.calls.attemptrecorder import AttemptRecorder
 from linnetwood.calls.choice import Chooser
 from linnetwood.calls.crashwatch import NoCrashWatch
-from linnetwood.calls.dialect import CallHead
 from linnetwood.calls.direct import DirectDispatcher, RetryLimits
-from linnetwood.calls.directcall import DirectCall
 from linnetwood.calls.directory import Directory, Endpoint
 from linnetwood.calls.endpointstats import EndpointStats
-from linnetwood.calls.routetable import Service
 from linnetwood.core.events import Event
 from linnetwood.core.metrics import NoMetrics
 from linnetwood.core.outcomes import Ending, Outcome
@@ -37,6 +34,7 @@
 )
 from tests.test_direct import RecordingSink, events
 from tests.test_narrow_way import ROUTE
+from tests.test_severed import stream_call
 
 COUNT = 10
 WHOLE = events(*range(1, COUNT + 1))
@@ -44,7 +42,6 @@
 SILENT_S = 1.6
 SIGNED = [('X-Attempt-Id', 'c-1'), ('X-Server-Signature', 's-1')]
 REFUSED = [('X-Attempt-Id', 'c-1'), ('X-Not-Executed', '1')]
-POOL = Service('pool', 100)
 NO_RETRIES = RetryLimits(share=0, reserve=0)
 RETRIES = RetryLimits(reserve=100)
 
@@ -160,18 +157,7 @@
     if is_suspected:
         dispatcher.crash_observer = SuspectsAll()
     now = loop.time()
-    call = DirectCall(
-        CallHead(call_id='c-1'),
-        dataclasses.replace(ROUTE, attempts=attempts),
-        POOL,
-        None,
-        'POST',
-        '/x',
-        [('X-Attempt-Id', 'c-1')],
-        b'',
-        now,
-        now + ROUTE.timeout_s,
-    )
+    call = stream_call(now, dataclasses.replace(ROUTE, attempts=attempts))
     sink = RecordingSink()
     ending = await dispatcher.run(call, sink)
     return Played(ending, sink, driver, chooser.stats, now)
