Log requests that are no valid calls on the product's own path

A malformed body or key got 400 without a line of ours. Found by listing all ways in which a call ends without an answer. The new test got no line before; statuses and metrics stay.

--- a/src/linnetwood/calls/callers.py
+++ b/src/linnetwood/calls/callers.py
@@ -38,7 +38,7 @@
         try:
             req = read_completion(body)
         except CallError as exc:
-            self.end_unanswered(not_run(Code.BAD_REQUEST, exc.detail))
+            self.refuse(not_run(Code.BAD_REQUEST, exc.detail))
             return
         call = Call(
             call_id=secrets.token_hex(8),
@@ -67,7 +67,7 @@
         try:
             query = service_want(name, key)
         except CallError as exc:
-            self.end_unanswered(not_run(Code.KEY_MALFORMED, exc.detail))
+            self.refuse(not_run(Code.KEY_MALFORMED, exc.detail))
             return
         call = Call(
             call_id=secrets.token_hex(8),
--- a/src/linnetwood/calls/callhandler.py
+++ b/src/linnetwood/calls/callhandler.py
@@ -174,6 +174,11 @@
             self.clear()
             self.end_unanswered(ending)
 
+    def refuse(self, ending: Ending) -> None:
+        """Refuse a request that is no valid call."""
+        self._log_ending(Event.CALL_NOT_RUN, ending)
+        self.end_unanswered(ending)
+
     def note_first_byte(self) -> None:
         """Record how long the caller waited for the head of its answer."""
         waited_ms = self.request.request_time() * _MILLISECONDS
--- a/tests/test_broken_calls.py
+++ b/tests/test_broken_calls.py
@@ -208,6 +208,23 @@
             self.assertEqual(found, (event, ending.code, call_ids[-1]))
             self.assertEqual(line.detail, ending.detail[:120])
 
+    async def test_invalid_calls_have_a_line(self) -> None:
+        """Guard against refusals that nobody can find in the log."""
+        for lines, code in (
+            (('POST /v1/completions HTTP/1.1',), 'bad-request'),
+            (
+                ('GET /services/desk/x HTTP/1.1', 'X-Linnetwood-Key: x'),
+                'key-malformed',
+            ),
+        ):
+            with self.assertLogs('linnetwood', 'INFO') as captured:
+                received = await self.received(*lines)
+            line = captured.records[-1].__dict__
+            with self.subTest(code=code):
+                self.assertIn(b' 400 ', received)
+                self.assertEqual(line['event'], Event.CALL_NOT_RUN)
+                self.assertEqual(line['code'], code)
+
     async def test_forms_are_not_read(self) -> None:
         """Guard against a refusal of bodies that only the service reads."""
         got: list[bytes] = []
