--- /dev/null
+++ b/review/__init__.py
@@ -0,0 +1,1 @@
+"""The cases of an independent review."""
