--- a/review/2/case.py
+++ b/review/2/case.py
@@ -37,8 +37,10 @@
     case.store.write(f'op/version/{MODEL}', named)
     case.note('named', {'version': version})
     await case.wait_for(
-        lambda: len(case.seen('stage-get', server=server, index=FREEZE_AT))
-        > checked,
+        lambda: (
+            len(case.seen('stage-get', server=server, index=FREEZE_AT))
+            > checked
+        ),
         within_s=30,
     )
     if case.trouble:
--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -367,7 +367,9 @@
                 host = self.address(zone, 50 + number)
                 await self.start_server(name, host, 'engine', 1, gap_ms)
                 self.list_server(name, f'z{zone}', 'pool', version=1)
-                self.add_endpoint(f'endpoint-{letter}{number}', zone, 50 + number)
+                self.add_endpoint(
+                    f'endpoint-{letter}{number}', zone, 50 + number
+                )
             self.add_entry(f'entry-{letter}', zone, 10)
         for letter in 'abc':
             await self.wait_until_ready(f'entry-{letter}')
--- a/review/standins/server.py
+++ b/review/standins/server.py
@@ -198,8 +198,8 @@
         their connections.
         """
         chunked = int(call_id, 16) % 2 == 0
-        framing = 'Transfer-Encoding: chunked' if chunked else (
-            'Connection: close'
+        framing = (
+            'Transfer-Encoding: chunked' if chunked else ('Connection: close')
         )
         lines = [f'{name}: {text}' for name, text in headers.items()]
         head = '\r\n'.join(['HTTP/1.1 200 OK', *lines, framing])
--- a/review/standins/store.py
+++ b/review/standins/store.py
@@ -49,9 +49,7 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
-    async def _handle(
-        self, req: Request, writer: asyncio.StreamWriter
-    ) -> bool:
+    async def _handle(self, req: Request, writer: asyncio.StreamWriter) -> bool:
         if req.path == '/linnetwood/kv-range':
             return await self._answer(writer, self._range(req))
         if req.path == '/linnetwood/kv-watch':
--- a/review/standins/weights.py
+++ b/review/standins/weights.py
@@ -40,9 +40,7 @@
         """Listen."""
         await listen(host, port, self._handle)
 
-    async def _handle(
-        self, req: Request, writer: asyncio.StreamWriter
-    ) -> bool:
+    async def _handle(self, req: Request, writer: asyncio.StreamWriter) -> bool:
         version = int(req.query('version', str(self.newest)))
         if version > self.newest:
             return await reply(writer, 404)
@@ -75,8 +73,6 @@
             at = body.index(digests[40].encode()) + 8
             digit = b'0' if body[at : at + 1] != b'0' else b'1'
             body = body[:at] + digit + body[at + 1 :]
-        self._note(
-            'origin manifest', {'version': version, 'spoilt': is_spoilt}
-        )
+        self._note('origin manifest', {'version': version, 'spoilt': is_spoilt})
         json_type = {'Content-Type': 'application/json'}
         return await reply(writer, 200, body, json_type)
