--- a/review/2/case.py
+++ b/review/2/case.py
@@ -14,7 +14,7 @@
 FREEZE_AT = 40
 # For each version another machine freezes, one a version. A freeze that hits
 # between a request and its answer makes the program check again.
-MACHINES = ('a1', 'b1', 'c1', 'a2', 'b2')
+MACHINES = ('a1', 'b1', 'c1', 'a2', 'b2', 'c2', 'a1')
 ALL = ('a1', 'a2', 'b1', 'b2', 'c1', 'c2')
 
 
