Log how old the check of staged chunks is as an order is given

Cause: the log of an order says neither when its chunks were verified nor how long that took, so a stale check, an answer read late and a chunk that turned bad in time can't be told apart. Change: event 5001 tells the age of the oldest check, in seconds.

--- a/src/linnetwood/weights/follower.py
+++ b/src/linnetwood/weights/follower.py
@@ -349,6 +349,7 @@
             manifest=target.name,
             answer=answer.value,
             running=report.running,
+            oldest_check_s=round(self._tools.clock.now() - now, 3),
         )
         if answer in {OrderResult.TAKEN, OrderResult.DONE}:
             self._ordered_at = now
