Give an order only while the checks of all staged chunks are recent

Cause: the staged chunks were read back one after the other and the order followed whenever that ended. A check has no age, so a freeze of the program, two short ones, or reads that are merely slow make it stale. Ruled out by the age that event 5001 tells: a chunk that turned bad within the 3 s that are allowed (4.057 s at the frozen endpoint, 0.07 s elsewhere), and answers read late (the time counts from before the read was sent). Change: each chunk has the time of its own last check. After a pass all is decided anew. An order is sent while the oldest check is at most 2 s old: libcurl asks just before it sends, so a freeze or a slow connection before that ends it; 1 s is left for the engine's answer. A read that fails says nothing of a chunk and no longer has it staged again.

--- a/src/linnetwood/core/events.py
+++ b/src/linnetwood/core/events.py
@@ -74,6 +74,7 @@
     VERSION_UNKNOWN = 5007
     VERSION_FOUND = 5008
     PACE_IGNORED = 5009
+    ORDER_WITHHELD = 5010
     CALL_NOT_RUN = 6001
     CALL_UNKNOWN = 6002
     CALL_CUT = 6003
@@ -121,6 +122,7 @@
         Event.CHUNK_BAD,
         Event.ORIGIN_UNREACHABLE,
         Event.ORDER_REFUSED,
+        Event.ORDER_WITHHELD,
         Event.ENGINE_UNREACHABLE,
         Event.VERSION_UNKNOWN,
         Event.PACE_IGNORED,
--- a/src/linnetwood/platform/weights.py
+++ b/src/linnetwood/platform/weights.py
@@ -2,6 +2,7 @@
 
 import hashlib
 import json
+import math
 from collections.abc import Mapping, Sequence
 from http import HTTPStatus
 from types import MappingProxyType
@@ -14,6 +15,7 @@
 from linnetwood.platform import tables, validation
 from linnetwood.weights.chunks import Manifest
 from linnetwood.weights.engine import EngineReport, OrderResult
+from linnetwood.weights.stagedchunks import ORDER_ANSWER_S
 from linnetwood.wire.asking import Answer, SilenceLimits, ask
 from linnetwood.wire.connections import SILENCE_TIMEOUT_S
 from linnetwood.wire.curldriver import CurlDriver, Request
@@ -85,7 +87,12 @@
         answer = await self._server.ask(
             'GET', path, limits=_LARGE_ANSWER_LIMITS
         )
-        return answer.body if answer.status == HTTPStatus.OK else None
+        if answer.status == HTTPStatus.NOT_FOUND:
+            return None
+        if answer.status != HTTPStatus.OK:
+            # It says nothing of the chunk, which may well be staged and right.
+            raise OrderError('engine-unreachable', _failure_detail(answer))
+        return answer.body
 
     async def stage(self, model: str, index: int, chunk: bytes) -> None:
         """Stage a chunk."""
@@ -95,7 +102,7 @@
             raise OrderError('engine-refused', _failure_detail(answer))
 
     async def activate(
-        self, model: str, version: int, orders: int
+        self, model: str, version: int, orders: int, send_by: float
     ) -> OrderResult:
         """Order it to serve the staged chunks if its order count matches."""
         body = json.dumps(
@@ -113,6 +120,8 @@
             '/linnetwood/order',
             body.encode(),
             [('Content-Type', 'application/json')],
+            total_s=ORDER_ANSWER_S,
+            send_by=send_by,
         )
         if not answer.status:
             raise OrderError('engine-unreachable', _failure_detail(answer))
@@ -198,6 +207,8 @@
         body: bytes = b'',
         headers: list[tuple[str, str]] | None = None,
         limits: SilenceLimits | None = None,
+        total_s: float = _TIMEOUT_S,
+        send_by: float = math.inf,
     ) -> Answer:
         host, port = self._address
         fields = [('Host', f'{host}:{port}'), *(headers or ())]
@@ -209,8 +220,9 @@
             fields,
             body,
             connect_s=1.0,
-            total_s=_TIMEOUT_S,
+            total_s=total_s,
             keep=method != 'POST',
+            send_by=send_by,
         )
         return await ask(self._driver, req, _MAX_BYTES, limits)
 
--- a/src/linnetwood/weights/engine.py
+++ b/src/linnetwood/weights/engine.py
@@ -53,9 +53,13 @@
         """Stage a chunk."""
 
     async def activate(
-        self, model: str, version: int, orders: int
+        self, model: str, version: int, orders: int, send_by: float
     ) -> OrderResult:
-        """Order it to serve the staged version if its order count matches."""
+        """Order it to serve the staged version if its order count matches.
+
+        The order is not sent after `send_by`, in seconds of the process's
+        clock.
+        """
 
 
 class Origin(Protocol):
--- a/src/linnetwood/weights/follower.py
+++ b/src/linnetwood/weights/follower.py
@@ -1,7 +1,6 @@
 """Load the wanted versions on this VM's engine, fetched from the swarm."""
 
 import asyncio
-import hashlib
 from collections.abc import Collection, Iterator
 
 from linnetwood.core.errors import LinnetwoodError
@@ -17,6 +16,7 @@
     ModelVersion,
     VersionDownloads,
 )
+from linnetwood.weights.stagedchunks import StagedCheck, StagedChunks
 from linnetwood.weights.swarm import progress_of
 from linnetwood.weights.takeover import TAKEOVERS
 from linnetwood.weights.transfer import Download, Tools
@@ -79,8 +79,8 @@
             self._downloads.zone_vms,
             self._version_found,
         )
-        # A bit for each chunk that is staged at the engine.
-        self._staged = 0
+        self._staged = StagedChunks()
+        self._check = StagedCheck(engine, tools.clock)
         self._engine_born = 0
         self._ordered_at = -_SETTLE_S
         self._ordered: ModelVersion | None = None
@@ -200,14 +200,14 @@
         if not download.swarm.complete or report.changing:
             return
         if now_s >= self._switch_at(target, report, now_s):
-            await self._order(target, download)
+            await self._check_or_order(target, download)
 
     def _reset_engine_state(self, born: int) -> None:
         """Forget what a previous incarnation of the engine was given."""
         if self._engine_born:
             log(Event.ENGINE_REBORN, before=self._engine_born, born=born)
         self._engine_born = born
-        self._staged = 0
+        self._staged = StagedChunks(len(self._digests()))
         self._ordered = None
         self._ordered_at = -_SETTLE_S
 
@@ -219,7 +219,7 @@
         """
         if newest != self.target and self._downloads.get(newest) is not None:
             self.target = newest
-            self._staged = 0
+            self._staged = StagedChunks(len(self._digests()))
             self._completed_at = None
         await self._downloads.fetch_only(
             tuple(self._versions_to_fetch(newest, inputs))
@@ -322,19 +322,43 @@
             progress,
         )
 
+    def _digests(self) -> tuple[bytes, ...]:
+        download = self.download
+        return () if download is None else download.manifest.digests
+
     async def _stage(self, target: ModelVersion, download: Download) -> None:
-        for index in chunks.indices(download.swarm.held & ~self._staged):
+        for index in chunks.indices(download.swarm.held & ~self._staged.bitmap):
             chunk = self._tools.store.chunk(download.manifest, index)
             if chunk is not None:
                 await self._engine.stage(target.model, index, chunk)
-                self._staged |= 1 << index
+                self._staged.add(index)
+
+    async def _check_or_order(
+        self, target: ModelVersion, download: Download
+    ) -> None:
+        """Give the order if all checks are recent, or make them so.
 
-    async def _order(self, target: ModelVersion, download: Download) -> None:
+        After a check the next step decides anew, since it may have taken long.
+        """
         now = self._tools.clock.now()
         if now - self._ordered_at < _SETTLE_S:
             return
-        if not await self._verify_staged(target, download):
+        if now <= self._staged.order_by:
+            await self._order(target)
             return
+        await self._check.run(target.model, download.manifest, self._staged)
+        now = self._tools.clock.now()
+        if now <= self._staged.order_by:
+            self._wake.set()
+        elif self._staged.verified:
+            log(
+                Event.ORDER_WITHHELD,
+                manifest=target.name,
+                oldest_check_s=round(self._staged.oldest_check_s(now), 3),
+            )
+
+    async def _order(self, target: ModelVersion) -> None:
+        now = self._tools.clock.now()
         report = await self._engine.report()
         if report.changing or report.born != self._engine_born:
             # The verified chunks were staged at the previous incarnation.
@@ -343,28 +367,17 @@
             target.model,
             target.version,
             report.orders_taken,
+            self._staged.order_by,
         )
+        answered_at = self._tools.clock.now()
         log(
             Event.ORDER_GIVEN,
             manifest=target.name,
             answer=answer.value,
             running=report.running,
-            oldest_check_s=round(self._tools.clock.now() - now, 3),
+            oldest_check_s=round(self._staged.oldest_check_s(answered_at), 3),
         )
         if answer in {OrderResult.TAKEN, OrderResult.DONE}:
             self._ordered_at = now
             self._ordered = target
             self._wake.set()
-
-    async def _verify_staged(
-        self, target: ModelVersion, download: Download
-    ) -> bool:
-        """Read the staged chunks back; have wrong ones staged again."""
-        digests = download.manifest.digests
-        for index, digest in enumerate(digests):
-            chunk = await self._engine.read_staged(target.model, index)
-            found = b'' if chunk is None else hashlib.sha256(chunk).digest()
-            if found != digest:
-                log(Event.CHUNK_BAD, manifest=target.name, index=index)
-                self._staged &= ~(1 << index)
-        return self._staged == chunks.full_bitmap(len(digests))
--- a/src/linnetwood/wire/curldriver.py
+++ b/src/linnetwood/wire/curldriver.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import dataclasses
+import math
 import select
 import socket
 import struct
@@ -22,6 +23,8 @@
 TIMED_OUT = 'timed out'
 # Detail of a request whose connection was not made in time.
 CONNECT_TIMED_OUT = 'connect timed out'
+# Detail of a request that was not sent, since its time to be sent had passed.
+TOO_LATE_TO_SEND = 'too late to send'
 _MILLISECONDS = 1000
 _UNUSED_LIMIT_MS = 3600000
 _HEAD_METHOD = 'HEAD'
@@ -41,7 +44,8 @@
 
     With `keep` it may use a kept connection, on which libcurl may resend it, so
     the request must be repeatable. A total time of 0 sets no limit; the caller
-    must detect silence then.
+    must detect silence then. The request is not sent after `send_by`, a time of
+    the loop, even if its connection is made later than that.
     """
 
     host: str
@@ -53,6 +57,7 @@
     connect_s: float = 1.0
     total_s: float = 10.0
     keep: bool = False
+    send_by: float = math.inf
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -102,6 +107,7 @@
     __slots__ = (
         'connect_timer',
         'descriptor',
+        'expired',
         'handle',
         'headers',
         'in_head',
@@ -120,6 +126,7 @@
         self.connect_timer: asyncio.TimerHandle | None = None
         self.handle: Any = None
         self.descriptor = -1
+        self.expired = False
         self.status = 0
         self.headers: Headers = []
         self.in_head = True
@@ -172,6 +179,8 @@
         )
         transfer.handle = handle
         _prepare(handle, req, transfer)
+        if req.send_by < math.inf:
+            self._limit_sending(transfer, req.send_by)
         self._by_handle[handle] = transfer
         if req.total_s:
             # On libcurl's own timeout the connection would not be reset.
@@ -230,6 +239,16 @@
         self.cancel(transfer)
         receiver.done(Finish(False, connected, detail, fresh))
 
+    def _limit_sending(self, transfer: Transfer, send_by: float) -> None:
+        # libcurl calls this when it is connected and sends next.
+        def may_send(*_addresses: object) -> int:  # noqa: WPS430
+            transfer.expired = self._loop.time() > send_by
+            if transfer.expired:
+                return int(pycurl.PREREQFUNC_ABORT)
+            return int(pycurl.PREREQFUNC_OK)
+
+        transfer.handle.setopt(pycurl.PREREQFUNCTION, may_send)
+
     def _limit_connecting(self, transfer: Transfer, limit_s: float) -> None:
         transfer.connect_timer = self._loop.call_later(
             limit_s, self._check_connected, transfer, limit_s
@@ -355,6 +374,9 @@
         connected = _connected(handle)
         fresh = _fresh(handle)
         self._drop(transfer)
+        if transfer.expired:
+            connected = False
+            detail = TOO_LATE_TO_SEND
         receiver.done(Finish(code == 0, connected, detail, fresh))
 
 
--- a/tests/test_curldriver.py
+++ b/tests/test_curldriver.py
@@ -6,9 +6,12 @@
 import unittest
 from collections.abc import Awaitable, Callable
 
+import pycurl
+
 from linnetwood.wire.asking import Answer, SilenceLimits, ask
 from linnetwood.wire.curldriver import (
     CONNECT_TIMED_OUT,
+    TOO_LATE_TO_SEND,
     CurlDriver,
     Finish,
     Headers,
@@ -210,6 +213,42 @@
                 driver.close()
                 await server.close()
 
+    async def test_request_with_a_time_to_be_sent_by(self) -> None:
+        """Guard against a request sent after a freeze that outlasts its time.
+
+        The program freezes after any number of turns of the loop.
+        """
+        outcomes = set()
+        for turns in range(6):
+            with self.subTest(turns=turns):
+                server = Server(respond_with(WHOLE))
+                port = await server.start()
+                driver = CurlDriver()
+                send_by = asyncio.get_running_loop().time() + 0.1
+                req = Request(
+                    HOST, port, 'POST', '/', [('Host', 'x')], send_by=send_by
+                )
+                receiver = RecordingReceiver()
+                transfer = driver.begin(req, receiver)
+                for _ in range(turns):
+                    await asyncio.sleep(0)
+                sent = bool(
+                    transfer.handle is None
+                    or transfer.handle.getinfo(pycurl.REQUEST_SIZE)
+                )
+                time.sleep(0.2)
+                await receiver.ended.wait()
+                finish = receiver.finish
+                assert finish is not None
+                driver.close()
+                await server.close()
+                self.assertEqual(len(server.requests), int(sent))
+                self.assertEqual(finish.whole, sent)
+                self.assertEqual(finish.detail == TOO_LATE_TO_SEND, not sent)
+                self.assertEqual(finish.connected, sent)
+                outcomes.add(sent)
+        self.assertEqual(outcomes, {True, False})
+
     async def test_connection_that_is_not_made_in_time(self) -> None:
         """Guard against calls that wait for a server that is out of reach."""
         with socket.create_server((HOST, 0), backlog=0) as full:
@@ -466,6 +505,7 @@
 
     def __init__(self) -> None:
         self.finish: Finish | None = None
+        self.ended = asyncio.Event()
         self.act: Callable[[], None] | None = None
 
     def head(self, status: int, headers: Headers) -> None:
@@ -479,6 +519,7 @@
     def done(self, finish: Finish) -> None:
         """Record the end."""
         self.finish = finish
+        self.ended.set()
 
 
 class GivenUpTest(unittest.IsolatedAsyncioTestCase):
--- a/tests/test_engine_client.py
+++ b/tests/test_engine_client.py
@@ -8,7 +8,7 @@
 from linnetwood.core.errors import OrderError, WeightsError
 from linnetwood.platform.weights import PlatformOrigin, ServerEngine
 from linnetwood.weights.engine import OrderResult
-from linnetwood.wire.curldriver import CurlDriver
+from linnetwood.wire.curldriver import TOO_LATE_TO_SEND, CurlDriver
 from tests.test_curldriver import HOST, ScriptedServer
 from tests.test_following import answer
 
@@ -81,7 +81,7 @@
         for status, expected in cases:
             with self.subTest(status=status):
                 self.server.answers = [answer(status)]
-                found = await self.engine.activate('m', 3, 4)
+                found = await self.engine.activate('m', 3, 4, math.inf)
                 self.assertIs(found, expected)
         body = self.server.requests[-1].partition(b'\r\n\r\n')[2]
         self.assertEqual(
@@ -95,6 +95,20 @@
             },
         )
 
+    async def test_late_order(self) -> None:
+        """Guards against an order on checks that became old on the way."""
+        self.server.answers = [answer(202)]
+        with self.assertRaises(OrderError) as caught:
+            await self.engine.activate('m', 3, 4, 0)
+        self.assertEqual(caught.exception.detail, TOO_LATE_TO_SEND)
+        self.assertEqual(self.server.requests, [])
+
+    async def test_engine_that_can_not_be_read(self) -> None:
+        """Guards against staging chunks again that an overload hid."""
+        self.server.answers = [answer(503)]
+        with self.assertRaises(OrderError):
+            await self.engine.read_staged('m', 1)
+
     async def test_staged(self) -> None:
         """No staged chunks are no error, and a missing chunk is None."""
         self.server.answers = [
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -6,7 +6,7 @@
 from random import Random
 from unittest import mock
 
-from linnetwood.core.clock import SystemClock
+from linnetwood.core.clock import Clock, SystemClock
 from linnetwood.core.errors import OrderError, WeightsError
 from linnetwood.core.metrics import open_metrics
 from linnetwood.core.options import Decisions, Transfer
@@ -28,18 +28,19 @@
     return b'%d/%d' % (version, index) * 20
 
 
-def manifest(version: int) -> Manifest:
+def manifest(version: int, count: int = COUNT) -> Manifest:
     """Return the manifest of a version."""
     digests = tuple(
-        hashlib.sha256(chunk(version, index)).digest() for index in range(COUNT)
+        hashlib.sha256(chunk(version, index)).digest() for index in range(count)
     )
-    return Manifest(60 * COUNT, 60, bytes(32), digests)
+    return Manifest(60 * count, 60, bytes(32), digests)
 
 
 class FakeOrigin:
     """An origin that may be unreachable or send corrupt chunks."""
 
-    def __init__(self) -> None:
+    def __init__(self, count: int = COUNT) -> None:
+        self.count = count
         self.unreachable = False
         self.missing_versions: set[int] = set()
         self.corrupt_reads: set[int] = set()
@@ -51,7 +52,7 @@
     async def manifest(self, model: str, version: int) -> Manifest:
         if self.unreachable or version in self.missing_versions:
             raise WeightsError('origin-refused')
-        return manifest(version)
+        return manifest(version, self.count)
 
     async def newest(self, model: str) -> tuple[int, Manifest]:
         self.asked += 1
@@ -113,7 +114,7 @@
             self.staged_chunks[index] = b'changed'
 
     async def activate(
-        self, model: str, version: int, orders: int
+        self, model: str, version: int, orders: int, send_by: float
     ) -> OrderResult:
         if orders != self.orders:
             return OrderResult.CONFLICT
@@ -123,6 +124,37 @@
         return OrderResult.TAKEN
 
 
+def make_follower(
+    engine: FakeEngine,
+    origin: FakeOrigin,
+    wanted: WantedVersions,
+    clock: Clock,
+    decisions: Decisions,
+) -> VersionFollower:
+    """Return a follower on the only VM, which has not been started."""
+    store = ChunkStore()
+    counters = TransferCounters()
+    cfg = Transfer()
+    link = UnlimitedLink()
+    tools = Tools(
+        me=ME,
+        store=store,
+        fetcher=Fetcher(ME, TcpDialler(), link),
+        uploads=Uploads(store, link, counters, cfg.upload_queue),
+        origin=OriginChunks(origin),
+        link=link,
+        clock=clock,
+        rng=Random(1),
+        counters=counters,
+        metrics=open_metrics('', 0),
+        cfg=cfg,
+    )
+    follower = VersionFollower(tools, engine, origin, wanted, 7700, decisions)
+    follower.fleet.peers = {ME: 'z1'}
+    follower.fleet.origin_bytes_per_s = 1.0e9
+    return follower
+
+
 class FollowerRig(unittest.IsolatedAsyncioTestCase):
     """Follow versions over fakes."""
 
@@ -132,33 +164,13 @@
         self.origin = FakeOrigin()
         self.engine = FakeEngine()
         self.wanted = WantedVersions(8)
-        store = ChunkStore()
-        counters = TransferCounters()
-        cfg = Transfer()
-        link = UnlimitedLink()
-        tools = Tools(
-            me=ME,
-            store=store,
-            fetcher=Fetcher(ME, TcpDialler(), link),
-            uploads=Uploads(store, link, counters, cfg.upload_queue),
-            origin=OriginChunks(self.origin),
-            link=link,
-            clock=SystemClock(),
-            rng=Random(1),
-            counters=counters,
-            metrics=open_metrics('', 0),
-            cfg=cfg,
-        )
-        self.follower = VersionFollower(
-            tools,
+        self.follower = make_follower(
             self.engine,
             self.origin,
             self.wanted,
-            7700,
+            SystemClock(),
             self.decisions,
         )
-        self.follower.fleet.peers = {ME: 'z1'}
-        self.follower.fleet.origin_bytes_per_s = 1.0e9
         self.follower.start()
 
     async def asyncTearDown(self) -> None:
