Give no second order for what an engine has loaded already

Cause: the pause between orders counted from before the check and the report, and the order relied on a report polled before it, so after a long check or while no report arrived the same order was given again. Change: the pause counts from the answer, and the report that an order asks for is looked at for the version that is served, too. Result: with reports polled every 12 s the new test saw a second order on the code before, and one order now.

--- a/src/linnetwood/weights/follower.py
+++ b/src/linnetwood/weights/follower.py
@@ -358,8 +358,9 @@
             )
 
     async def _order(self, target: ModelVersion) -> None:
-        now = self._tools.clock.now()
         report = await self._engine.report()
+        if report.serving.get(target.model, 0) >= target.version:
+            return
         if report.changing or report.born != self._engine_born:
             # The verified chunks were staged at the previous incarnation.
             return
@@ -369,13 +370,13 @@
             report.orders_taken,
             self._staged.order_by,
         )
-        answered_at = self._tools.clock.now()
+        now = self._tools.clock.now()
         log(
             Event.ORDER_GIVEN,
             manifest=target.name,
             answer=answer.value,
             running=report.running,
-            oldest_check_s=round(self._staged.oldest_check_s(answered_at), 3),
+            oldest_check_s=round(self._staged.oldest_check_s(now), 3),
         )
         if answer in {OrderResult.TAKEN, OrderResult.DONE}:
             self._ordered_at = now
--- a/tests/test_stale_checks.py
+++ b/tests/test_stale_checks.py
@@ -32,6 +32,9 @@
     count: int = 6
     read_s: float = 0.001
     load_s: float = 0.3
+    # How often the program asks for a report, and how long it runs on.
+    poll_s: float = 0.1
+    after_s: float = 0
     # Seconds that the program is frozen, by the number of the await.
     freezes: dict[int, float] = dataclasses.field(default_factory=dict)
     # Chunks that turn bad, by seconds since the start of the check.
@@ -137,7 +140,8 @@
     end_s = loop.time() + 60
     while engine.serving != VERSION and loop.time() < end_s:
         follower.report = engine.snapshot()
-        await asyncio.sleep(0.1)
+        await asyncio.sleep(world.poll_s)
+    await asyncio.sleep(world.after_s)
     await follower.close()
     return engine
 
@@ -163,11 +167,11 @@
         count,
         rng.choice((0.0003, 0.005, 0.045, 0.1)),
         rng.uniform(0.1, 4),
-        {
+        freezes={
             rng.randint(first, first + 4 * count): rng.uniform(0.1, 4)
             for _ in range(rng.randint(0, 3))
         },
-        [
+        rots=[
             (rng.uniform(0, 4), rng.randrange(count))
             for _ in range(rng.randint(0, 6))
         ],
@@ -222,6 +226,11 @@
             with self.subTest(load_s=load_s):
                 self.assert_holds(World(96, 0.045, load_s))
 
+    def test_a_report_from_before_the_order(self) -> None:
+        """Guards against an order for what the engine has loaded already."""
+        engine = play(World(poll_s=12, after_s=12))
+        self.assertEqual(len(engine.orders_taken), 1)
+
     def test_drawn_worlds(self) -> None:
         """All of these at once, at drawn moments."""
         for seed in range(SEEDS):
