Look at pause and target again just before an order to load is sent

Cause: on the product's own path an order was decided on the configuration read before the engine was asked for its state (up to 30 s), and the pause of the process was looked at before the connection was made. A newer configuration, or a freeze, that came in between did not stop the order. What callers saw: an engine that loaded a version that was no longer wanted, and served it until the next load. The engine itself compares the chunks' digests, so no weights were mixed. Change: after the engine's state is known, and once more when libcurl is about to send, the target must still be assigned to this VM and no pause may be unexplained. An order that was withheld for this does not stage all chunks again. Over a real client an order that may not be sent never reaches the engine, and the next request on the same handle does.

--- a/src/linnetwood/weights/agent.py
+++ b/src/linnetwood/weights/agent.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import functools
 import math
 
 from linnetwood.calls.guard import Guard
@@ -16,7 +17,11 @@
 from linnetwood.gen.schema.ttypes import Configuration, Intent
 from linnetwood.gen.wire.ttypes import HeldNotice, Member, TransferProgress
 from linnetwood.weights import chunks
-from linnetwood.weights.enginecontroller import EngineController, Target
+from linnetwood.weights.enginecontroller import (
+    WITHHELD,
+    EngineController,
+    Target,
+)
 from linnetwood.weights.orders import OrderClient
 from linnetwood.weights.reading import (
     DirectReading,
@@ -154,9 +159,7 @@
         if self._configuration is None:
             return
         members = list(self._gossip.members.values())
-        assignments = placement.assign_intents(
-            self._configuration.deployment, members
-        )
+        assignments = self._assignments()
         intent = assignments.get(self._gossip.own_record.vm)
         target = self._target_of(intent)
         if target != self.target:
@@ -173,6 +176,21 @@
             self._ring = sorted({*assigned, *ring})
             self._update_neighbours()
 
+    def _assignments(self) -> dict[str, Intent]:
+        """Give the intent of each VM by configuration and fleet as of now."""
+        if self._configuration is None:
+            return {}
+        return placement.assign_intents(
+            self._configuration.deployment,
+            list(self._gossip.members.values()),
+        )
+
+    def _is_wanted(self, target: Target) -> bool:
+        """Tell whether this VM is still to serve the version of a target."""
+        intent = self._assignments().get(self._gossip.own_record.vm)
+        wanted = self._target_of(intent)
+        return wanted is not None and wanted.is_same_version(target)
+
     def _target_of(self, intent: Intent | None) -> Target | None:
         if intent is None or self._configuration is None:
             return None
@@ -185,8 +203,7 @@
         same_version = (
             target is not None
             and self.target is not None
-            and target.manifest == self.target.manifest
-            and target.label == self.target.label
+            and target.is_same_version(self.target)
         )
         self.target = target
         if same_version:
@@ -381,10 +398,16 @@
         current = self._configuration
         revision = current.revision if current else 0
         try:
-            await self._keeper.order(target, download.manifest, revision)
-        except OrderError:
-            # The engine may have restarted and hold no chunks.
-            staging.restart()
+            await self._keeper.order(
+                target,
+                download.manifest,
+                revision,
+                functools.partial(self._is_wanted, target),
+            )
+        except OrderError as exc:
+            if exc.code not in WITHHELD:
+                # The engine may have restarted and hold no chunks.
+                staging.restart()
             raise
 
 
--- a/src/linnetwood/weights/enginecontroller.py
+++ b/src/linnetwood/weights/enginecontroller.py
@@ -1,6 +1,8 @@
 """Put complete versions into service at the engine and check they stay."""
 
 import dataclasses
+import functools
+from collections.abc import Callable
 
 from linnetwood.calls.guard import Guard
 from linnetwood.core.clock import Clock
@@ -19,6 +21,10 @@
 )
 
 _CHECK_INTERVAL_S = 1.0
+_SUPERSEDED = 'superseded'
+_PAUSED = 'paused'
+# Codes of orders that this process decided not to send.
+WITHHELD = frozenset((_SUPERSEDED, _PAUSED))
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -29,6 +35,10 @@
     manifest: str
     intent: Intent
 
+    def is_same_version(self, other: 'Target') -> bool:
+        """Tell whether both name the same chunks of the same version."""
+        return (self.label, self.manifest) == (other.label, other.manifest)
+
 
 class EngineController:
     """Take the engine out of service, order loads, verify confirmations."""
@@ -98,11 +108,15 @@
         target: Target,
         manifest: Manifest,
         revision: int,
+        is_wanted: Callable[[], bool],
     ) -> None:
-        """Order the load; raise OrderError unless it is confirmed exactly."""
+        """Order the load; raise OrderError unless it is confirmed exactly.
+
+        Nothing is ordered once the target is no longer wanted, or after a pause
+        of this process in which that may have changed.
+        """
         status = await self._orders.status()
-        if not self.pauses.may_order(self._clock.now()):
-            raise OrderError('paused', 'no order until a peer has answered')
+        self._require_current(target, is_wanted)
         order = LoadOrder(
             fence=next_fence(revision, status.fence),
             serving=target.label,
@@ -110,7 +124,9 @@
             chunks_digest=chunks_digest(manifest),
         )
         log(Event.ORDER_GIVEN, version=target.label, fence=order.fence)
-        await self._orders.load(order)
+        await self._orders.load(
+            order, functools.partial(self._is_current, is_wanted)
+        )
 
     def go_into_service(self, target: Target, total: int) -> None:
         """Accept calls for the target, and publish that."""
@@ -123,6 +139,17 @@
             total=total,
         )
 
+    def _is_current(self, is_wanted: Callable[[], bool]) -> bool:
+        return is_wanted() and self.pauses.may_order(self._clock.now())
+
+    def _require_current(
+        self, target: Target, is_wanted: Callable[[], bool]
+    ) -> None:
+        if not is_wanted():
+            raise OrderError(_SUPERSEDED, target.label)
+        if not self.pauses.may_order(self._clock.now()):
+            raise OrderError(_PAUSED, 'no order until a peer has answered')
+
     async def _engine_reports(self, target: Target) -> bool:
         status = await self._orders.status()
         reported = (status.serving, status.manifest)
--- a/src/linnetwood/weights/orders.py
+++ b/src/linnetwood/weights/orders.py
@@ -3,12 +3,14 @@
 import dataclasses
 import hashlib
 import json
+from collections.abc import Callable
 from typing import Protocol
 
 from tornado.httpclient import AsyncHTTPClient, HTTPRequest, HTTPResponse
 
 from linnetwood.core.errors import OrderError
 from linnetwood.weights.chunks import Manifest
+from linnetwood.wire.curl import SendCondition
 from linnetwood.wire.http import fetch
 
 FENCE_STEP = 1024 * 1024
@@ -45,8 +47,14 @@
     async def stage(self, manifest: str, index: int, chunk: bytes) -> None:
         """Send a verified chunk; may raise OrderError."""
 
-    async def load(self, order: LoadOrder) -> None:
-        """Order a load; raise OrderError unless it is confirmed exactly."""
+    async def load(
+        self, order: LoadOrder, may_send: Callable[[], bool]
+    ) -> None:
+        """Order a load; raise OrderError unless it is confirmed exactly.
+
+        `may_send` is asked once the engine is connected, since connecting may
+        take long, or the process may be frozen meanwhile.
+        """
 
 
 def next_fence(revision: int, current: int) -> int:
@@ -82,13 +90,17 @@
         url = f'{self._url}/stage/{manifest}/{index}'
         await self._fetch(HTTPRequest(url, method='PUT', body=chunk))
 
-    async def load(self, order: LoadOrder) -> None:
+    async def load(
+        self, order: LoadOrder, may_send: Callable[[], bool]
+    ) -> None:
         """Order a load and verify the confirmation."""
-        body = json.dumps(dataclasses.asdict(order))
-        url = f'{self._url}/orders'
-        answer = _parse_object(
-            await self._fetch(HTTPRequest(url, method='POST', body=body)),
+        req = HTTPRequest(
+            f'{self._url}/orders',
+            method='POST',
+            body=json.dumps(dataclasses.asdict(order)),
+            prepare_curl_callback=SendCondition(may_send).prepare,
         )
+        answer = _parse_object(await self._fetch(req))
         if (answer.get('serving'), answer.get('fence')) != (
             order.serving,
             order.fence,
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -1,8 +1,10 @@
 """Chunks, losses, restarts and versions in any order never mix weights."""
 
 import asyncio
+import functools
 import hashlib
 import unittest
+from collections.abc import Callable
 from random import Random
 
 from hypothesis import given, settings
@@ -50,6 +52,10 @@
 }
 
 
+def _do_nothing() -> None:
+    """Let an await pass."""
+
+
 class FakeEngine:
     """Take orders, lose answers on request, and record invalid loads."""
 
@@ -61,9 +67,12 @@
         self.staged: dict[str, dict[int, bytes]] = {}
         self.violations: list[str] = []
         self.loads: list[int] = []
+        self.versions_loaded: list[str] = []
         self.in_flight = 0
         self.lose_answers = 0
         self.down = False
+        # Called while an order is on its way, by the name of the await.
+        self.on_await: dict[str, Callable[[], None]] = {}
 
     def restart(self) -> None:
         """Lose all weights and the fence."""
@@ -75,6 +84,7 @@
     async def status(self) -> EngineStatus:
         """Return the fence and the version in service."""
         self._raise_if_down()
+        self._pass_await('status')
         return EngineStatus(self.fence, self.serving, self.manifest)
 
     async def stage(self, manifest: str, index: int, chunk: bytes) -> None:
@@ -84,9 +94,12 @@
         digest = hashlib.sha256(chunk).digest()
         self.staged.setdefault(manifest, {})[index] = digest
 
-    async def load(self, order: LoadOrder) -> None:
+    async def load(
+        self, order: LoadOrder, may_send: Callable[[], bool]
+    ) -> None:
         """Load the staged chunks; raise OrderError if stale or incomplete."""
         self._raise_if_down()
+        self._connect(may_send)
         if order.fence <= self.fence:
             raise OrderError('stale-fence')
         self.fence = order.fence
@@ -99,10 +112,19 @@
         self.serving = order.serving
         self.manifest = order.manifest
         self.loads.append(order.fence)
+        self.versions_loaded.append(order.serving)
         if self.lose_answers:
             self.lose_answers -= 1
             raise OrderError('engine-unreachable')
 
+    def _connect(self, may_send: Callable[[], bool]) -> None:
+        self._pass_await('connect')
+        if not may_send():
+            raise OrderError('engine-unreachable', 'not sent')
+
+    def _pass_await(self, name: str) -> None:
+        self.on_await.pop(name, _do_nothing)()
+
     def _raise_if_down(self) -> None:
         if self.down:
             raise OrderError('engine-unreachable')
@@ -159,6 +181,7 @@
         self.revision = 0
         self.deployment = Deployment()
         self.starts = 0
+        self.loaded_after_s = float()
         self.agent = self.start()
 
     def start(self) -> WeightsAgent:
@@ -253,6 +276,56 @@
     return slot
 
 
+async def overtaken(name: str, frozen_s: float) -> Slot:
+    """Want another version at an await of an order, after a freeze there."""
+    slot = Slot()
+
+    def want_other() -> None:
+        suspend(frozen_s)
+        slot.want('v2')
+
+    slot.want('v1')
+    await until_ordered(slot, name, want_other)
+    await asyncio.sleep(60)
+    await slot.agent.close()
+    return slot
+
+
+async def frozen(name: str, frozen_s: float) -> Slot:
+    """Freeze the process at an await of an order."""
+    slot = Slot()
+    slot.want('v1')
+    await until_ordered(slot, name, functools.partial(suspend, frozen_s))
+    thawed_at = slot.clock.now()
+    while not slot.engine.versions_loaded:
+        await asyncio.sleep(0.1)
+    slot.loaded_after_s = slot.clock.now() - thawed_at
+    await slot.agent.close()
+    return slot
+
+
+async def until_ordered(slot: Slot, name: str, act: Callable[[], None]) -> None:
+    """Act at an await of the first order, and return just after it."""
+    passed = asyncio.Event()
+
+    def act_and_pass() -> None:
+        act()
+        passed.set()
+
+    # Its state is asked for before the download, too.
+    while slot.agent.download is None:
+        await asyncio.sleep(0.001)
+    slot.engine.on_await[name] = act_and_pass
+    await passed.wait()
+
+
+def suspend(seconds: float) -> None:
+    """Freeze all tasks, while time goes on."""
+    loop = asyncio.get_running_loop()
+    assert isinstance(loop, virtual.VirtualLoop)
+    loop.suspend(seconds)
+
+
 async def apply_event(slot: Slot, event: str) -> None:
     """Apply one event: a restart, a fault or a new intent."""
     fault = FAULTS.get(event)
@@ -323,6 +396,30 @@
             found = (slot.engine.serving, slot.guard.state.serving)
             self.assertEqual(found, (label, label))
 
+    def test_order_that_is_overtaken(self) -> None:
+        """Guards against a load of what a newer configuration made obsolete.
+
+        It arrives while the engine is asked for its state, or connected to, and
+        the process may be frozen at that moment.
+        """
+        for name in ('status', 'connect'):
+            for frozen_s in (0, 1, 6):
+                with self.subTest(name=name, frozen_s=frozen_s):
+                    slot = virtual.run(overtaken(name, frozen_s))
+                    self.assertEqual(slot.engine.versions_loaded, ['m@v2'])
+                    self.assertEqual(slot.guard.state.serving, 'm@v2')
+
+    def test_order_after_a_pause(self) -> None:
+        """Guards against orders of a process that was frozen on the way.
+
+        It gives none until it knows that its configuration is the newest.
+        """
+        for name in ('status', 'connect'):
+            with self.subTest(name=name):
+                slot = virtual.run(frozen(name, 6))
+                self.assertEqual(slot.engine.versions_loaded, ['m@v1'])
+                self.assertGreater(slot.loaded_after_s, 9)
+
     def test_version_changed_in_flight(self) -> None:
         """After 3 quick changes the last version serves; none are mixed."""
         slot = self.play(('v2', 0.01), ('v1', 0.01), ('v2', 0.01))
--- a/tests/test_http_clients.py
+++ b/tests/test_http_clients.py
@@ -7,8 +7,11 @@
 
 from tornado.httpclient import HTTPRequest
 
+from linnetwood.core.errors import OrderError
+from linnetwood.weights.orders import HttpOrderClient, LoadOrder
 from linnetwood.wire.http import fetch, open_client, open_simple_client
-from tests.test_curldriver import HOST, Server, reset
+from tests.test_curldriver import HOST, ScriptedServer, Server, reset
+from tests.test_following import answer
 
 CLIENTS = 2
 # Long enough for a client to see that its connection ended.
@@ -67,5 +70,30 @@
         await self.assert_silent(open_client)
 
 
+class ConditionTest(unittest.IsolatedAsyncioTestCase):
+    """Orders that may be sent only on a condition."""
+
+    async def test_an_order_that_may_no_longer_be_sent(self) -> None:
+        """Guards against an order sent on a condition that holds no more.
+
+        Nor does the condition hold for the next request on the same handle.
+        """
+        server = ScriptedServer()
+        port = await server.start()
+        client = open_client(1)
+        orders = HttpOrderClient(f'http://{HOST}:{port}', client)
+        order = LoadOrder(1, 'm@v1', 'aa', 'bb')
+        with self.assertRaises(OrderError):
+            await orders.load(order, bool)
+        self.assertEqual(server.requests, [])
+        status = {'fence': 1, 'serving': 'm@v1', 'manifest': 'aa'}
+        server.answers = [answer(200, status), answer(200, status)]
+        self.assertEqual((await orders.status()).fence, 1)
+        await orders.load(order, lambda: True)
+        self.assertEqual(len(server.requests), 2)
+        client.close()
+        await server.close()
+
+
 if __name__ == '__main__':
     unittest.main()
