Keep a crash record that was shared again after an uncertain write

Cause: the removal of a record whose write had no answer is repeated 10 s later, as the store may carry the write out late. Change: the late removal is dropped where this entry has shared the record again. Result: the new test found the store without the record on the code before, and finds it now; a late write of a record that nobody shared again is still removed.

--- a/src/linnetwood/calls/crashsharing.py
+++ b/src/linnetwood/calls/crashsharing.py
@@ -211,7 +211,13 @@
         if record in self._uncertain:
             self._uncertain.discard(record)
             loop = asyncio.get_running_loop()
-            loop.call_later(_LATE_WRITE_S, self._queue_removal, record)
+            loop.call_later(_LATE_WRITE_S, self._remove_late_write, record)
+
+    def _remove_late_write(self, record: CrashRecord) -> None:
+        """Remove what an unanswered write may have added since its removal."""
+        is_shared_again = record in self._written or record in self._to_add
+        if not is_shared_again:
+            self._queue_removal(record)
 
     def _backoff_s(self, failures: int) -> float:
         return pause_s(
--- a/tests/test_crashsharing.py
+++ b/tests/test_crashsharing.py
@@ -136,6 +136,28 @@
         """A record that is removed before its late write is removed again."""
         self.assertEqual(self.remaining(LostAnswers(1, 4.0), 0.62), set())
 
+    def test_shared_again_after_an_uncertain_write(self) -> None:
+        """Guards against a removal that was decided before a record came back.
+
+        The late removal of an uncertain write must not remove a record that
+        was shared again meanwhile, or endpoints crash by calls that are known.
+        """
+        store = LostAnswers(1)
+
+        async def scenario() -> None:
+            publisher = CrashPublisher(store, Random(1), lambda: 1)
+            publisher.start()
+            publisher.share(CRASH)
+            await asyncio.sleep(0.3)
+            publisher.withdraw(CRASH)
+            await asyncio.sleep(5)
+            publisher.share(CRASH)
+            await asyncio.sleep(60)
+            await publisher.close()
+
+        run(scenario())
+        self.assertEqual(store.crashes, {CRASH})
+
 
 class GrowthTest(unittest.TestCase):
     """Calls to the store after a crash, at the design size."""
