Send no call after the time by which it had to be sent

Cause: an endpoint, its deadline and the bound of its version are decided on, then a connection is made. If the entry is frozen between, the call was sent by what held before: after its deadline, or when its version may no longer begin. What callers saw: 504 for a call that can't be repeated and had not run, in place of a refusal that says so; and the endpoint counted as out of reach. Change: libcurl asks just before it sends, and a call whose deadline or version bound has passed is not sent. That is truly not run, and no failure of the endpoint; nor is a deadline that passes while the connection is made already but not seen yet.

--- a/src/linnetwood/calls/attemptrecorder.py
+++ b/src/linnetwood/calls/attemptrecorder.py
@@ -14,6 +14,7 @@
 from linnetwood.calls.enginepace import explained_s
 from linnetwood.calls.policy.lateness import Lateness, level_lateness
 from linnetwood.calls.prioritylevels import LATE_LEVEL
+from linnetwood.wire.curldriver import TOO_LATE_TO_SEND
 
 
 def engine_level(call: DirectCall, urgency: Urgency) -> int:
@@ -117,6 +118,9 @@
         now = self._loop.time()
         choice = sent_attempt.choice
         stats = self._stats_of(choice)
+        if result.detail == TOO_LATE_TO_SEND:
+            # This process was held up, not the endpoint.
+            return
         if not result.reached:
             stats.record_unreachable(now)
             self._mark_cold(call, choice)
--- a/src/linnetwood/calls/direct.py
+++ b/src/linnetwood/calls/direct.py
@@ -305,7 +305,11 @@
             RunningAttempt(attempt, limits, sent_attempt, waiting_count)
         )
         outgoing = self._outgoing_call(run, requirements, choice)
-        attempt.start(self._driver, self._request(call, choice, outgoing))
+        # While connecting the process may be frozen for longer than this.
+        send_by = min(limits.deadline, limits.start_by())
+        attempt.start(
+            self._driver, self._request(call, choice, outgoing, send_by)
+        )
 
     def _sent_attempt(self, run: CallRun, choice: Choice) -> SentAttempt:
         call = run.call
@@ -382,6 +386,7 @@
         call: DirectCall,
         choice: Choice,
         outgoing: OutgoingCall,
+        send_by: float,
     ) -> Request:
         return Request(
             choice.endpoint.host,
@@ -392,6 +397,7 @@
             call.body,
             min(CONNECT_TIMEOUT_S, outgoing.remaining_s),
             outgoing.remaining_s,
+            send_by=send_by,
         )
 
     def _limits(
--- a/src/linnetwood/wire/curldriver.py
+++ b/src/linnetwood/wire/curldriver.py
@@ -229,8 +229,12 @@
 
     def _time_out(self, transfer: Transfer) -> None:
         """End a request after its total time."""
-        if transfer.handle is not None:
-            self._end(transfer, TIMED_OUT)
+        if transfer.handle is None:
+            return
+        is_sent_late = not _connected(transfer.handle) and not _is_connecting(
+            transfer
+        )
+        self._end(transfer, TOO_LATE_TO_SEND if is_sent_late else TIMED_OUT)
 
     def _end(self, transfer: Transfer, detail: str) -> None:
         receiver = transfer.receiver
@@ -258,14 +262,13 @@
         """End a request without a connection, unless it was made just now."""
         if transfer.handle is None or _connected(transfer.handle):
             return
-        if transfer.descriptor < 0:
-            # The loop was held up, so that connecting has not begun.
+        if _is_connecting(transfer):
+            self._end(transfer, CONNECT_TIMED_OUT)
+        elif transfer.descriptor < 0:
             self._limit_connecting(transfer, limit_s)
-        elif _is_writable(transfer.descriptor):
-            # libcurl sees this in one of the next turns.
-            self._limit_connecting(transfer, _LOOK_AGAIN_S)
         else:
-            self._end(transfer, CONNECT_TIMED_OUT)
+            # libcurl sees the connection in one of the next turns.
+            self._limit_connecting(transfer, _LOOK_AGAIN_S)
 
     def _resume(self, transfer: Transfer) -> None:
         if transfer.handle is None or not transfer.paused:
@@ -399,6 +402,16 @@
     )
 
 
+def _is_connecting(transfer: Transfer) -> bool:
+    """Return whether the server has yet to accept the connection.
+
+    After the loop was held up connecting may not have begun, or the connection
+    may be made while libcurl has yet to see it.
+    """
+    descriptor = transfer.descriptor
+    return descriptor >= 0 and not _is_writable(descriptor)
+
+
 def _is_writable(descriptor: int) -> bool:
     """Return whether a socket that connects is connected, or has failed."""
     poll = select.poll()
--- a/tests/test_direct.py
+++ b/tests/test_direct.py
@@ -2,12 +2,15 @@
 
 import asyncio
 import dataclasses
+import time
 import unittest
 from random import Random
 from types import SimpleNamespace
 from typing import Any
 from unittest import mock
 
+import pycurl
+
 from linnetwood.calls.attempt import AnswerSink, AttemptOutcome, AttemptResult
 from linnetwood.calls.choice import Choice, Chooser
 from linnetwood.calls.crashcauses import CrashCauses
@@ -25,7 +28,13 @@
 from linnetwood.core.outcomes import Code, Ending, Outcome
 from linnetwood.fleet.wanted import WantedVersions
 from linnetwood.platform.dialect import PlatformDialect
-from linnetwood.wire.curldriver import CurlDriver, Headers
+from linnetwood.wire.curldriver import (
+    CurlDriver,
+    Headers,
+    Receiver,
+    Request,
+    Transfer,
+)
 from linnetwood.wire.probing import refuses_connections
 from tests.test_curldriver import HOST, Behaviour, Server, reset, respond_with
 from tests.test_directory import PROFILE
@@ -125,6 +134,11 @@
     return head.encode() + chunks + end
 
 
+def _was_sent(transfer: Transfer) -> bool:
+    handle = transfer.handle
+    return handle is None or bool(handle.getinfo(pycurl.REQUEST_SIZE))
+
+
 class DirectTest(unittest.IsolatedAsyncioTestCase):
     """Run calls at test servers, the first of which may fail."""
 
@@ -293,6 +307,45 @@
                 self.assertEqual(ending.outcome, Outcome.ANSWERED)
                 self.assertEqual((sink.status, sink.received), (200, b'fine'))
 
+    async def call_frozen(self, turns: int) -> tuple[bool, Ending]:
+        """Freeze past the deadline; return also whether it was sent before."""
+        begun: list[Transfer] = []
+        begin = self.driver.begin
+
+        def record(req: Request, receiver: Receiver) -> Transfer:
+            begun.append(begin(req, receiver))
+            return begun[-1]
+
+        with mock.patch.object(self.driver, 'begin', record):
+            calling = asyncio.create_task(self.call(Repeat.NEVER, wait_s=0.15))
+            for _ in range(turns):
+                await asyncio.sleep(0)
+            sent = any(map(_was_sent, begun))
+            time.sleep(0.3)
+            return sent, (await calling)[0]
+
+    async def test_a_freeze_that_outlasts_the_deadline(self) -> None:
+        """Guards against calls sent after a freeze to endpoints for nobody.
+
+        The entry freezes after any number of turns of the loop, also while it
+        connects. What was not sent by then is truly not run, and its endpoint
+        is not to blame.
+        """
+        outcomes = set()
+        for turns in range(1, 9):
+            with self.subTest(turns=turns):
+                await self.asyncTearDown()
+                await self.asyncSetUp()
+                await self.serve(respond_with(GOOD))
+                sent, ending = await self.call_frozen(turns)
+                # The reset at the deadline may have overtaken what was sent.
+                self.assertLessEqual(self.runs(), int(sent))
+                self.assertEqual(ending.outcome is Outcome.NOT_RUN, not sent)
+                stats = self.chooser.stats_of('i-0')
+                self.assertLess(stats.backoff_until, 0)
+                outcomes.add(sent)
+        self.assertEqual(outcomes, {True, False})
+
     async def test_no_more_attempts_than_the_route_allows(self) -> None:
         """The last failure of an endpoint is delivered to the caller."""
         await self.serve(
