Ask whether an endpoint runs after each answer without a length

Cause: such an answer is whole if its endpoint survived it, and that was asked only of endpoints listed as ready, as others do not crash. But they end. Change: it is asked whatever the listing says, and the proof does not count if another incarnation or service is listed at the address by then. Only the search for calls that crash endpoints still leaves out planned ends.

--- a/src/linnetwood/calls/crashwatch.py
+++ b/src/linnetwood/calls/crashwatch.py
@@ -172,14 +172,18 @@
     async def survived(self, endpoint: Endpoint) -> bool:
         """Return whether an endpoint runs after an answer without a length.
 
-        The end of such an answer looks the same if its endpoint crashed.
+        The end of such an answer looks the same if its endpoint crashed, or
+        ended as planned with calls in progress.
         """
-        if not self._may_crash(endpoint):
-            return True
         if await self._is_refused(endpoint.host, endpoint.port):
             return False
         # What forwards to it may have kept the connection open for a moment.
-        return not self._is_known_crashed(endpoint)
+        if self._is_known_crashed(endpoint):
+            return False
+        current = self._listed_at_address(endpoint)
+        return current is None or (
+            current.incarnation_id == endpoint.incarnation_id
+        )
 
     def note_closed(
         self, fingerprints: Sequence[str], endpoint: Endpoint
@@ -253,14 +257,20 @@
         return ''
 
     def _is_replaced(self, endpoint: Endpoint) -> bool:
-        current = self._directory.at_host(endpoint.host)
-        if current is None or current.port != endpoint.port:
-            return False
+        current = self._listed_at_address(endpoint)
         return (
-            current.incarnation_id != endpoint.incarnation_id
+            current is not None
+            and current.incarnation_id != endpoint.incarnation_id
             and current.service == endpoint.service
         )
 
+    def _listed_at_address(self, endpoint: Endpoint) -> Endpoint | None:
+        """Return what is listed at an endpoint's address by now."""
+        current = self._directory.at_host(endpoint.host)
+        if current is None or current.port != endpoint.port:
+            return None
+        return current
+
     def _record_crash(self, endpoint: Endpoint, why: str) -> None:
         suspects = self._suspects[endpoint.incarnation_id]
         digest = incarnation_digest(endpoint.incarnation_id)
--- a/tests/test_crashwatch.py
+++ b/tests/test_crashwatch.py
@@ -1,6 +1,7 @@
 """Crash detection, and how all entries learn of crashes; virtual time."""
 
 import asyncio
+import dataclasses
 import unittest
 from collections.abc import Awaitable, Callable, Sequence
 from random import Random
@@ -178,6 +179,42 @@
         self.assertFalse(run(scenario(True, False)))
         self.assertTrue(run(scenario(False, False)))
 
+    def test_answer_that_ends_as_its_endpoint_leaves(self) -> None:
+        """Guards against half an answer of an endpoint that ended as planned.
+
+        It may have announced that, or be listed no longer.
+        """
+        leaving = dataclasses.replace(ENDPOINT, ready=False)
+
+        async def scenario(listed: Endpoint | None) -> bool:
+            scene = Scene(True)
+            if listed is None:
+                scene.directory.mark_removed('i-1', 0)
+            else:
+                scene.directory.update(listed)
+            return await scene.watch.survived(ENDPOINT)
+
+        for listed in (ENDPOINT, leaving, None):
+            with self.subTest(listed=listed):
+                self.assertFalse(run(scenario(listed)))
+
+    def test_answer_whose_endpoint_was_replaced(self) -> None:
+        """Guards against the proof that something else runs at the address."""
+        others = (
+            dataclasses.replace(ENDPOINT, born=9),
+            dataclasses.replace(ENDPOINT, endpoint_id='i-2', service='desk'),
+        )
+
+        async def scenario(other: Endpoint) -> bool:
+            scene = Scene()
+            scene.directory.update(other)
+            return await scene.watch.survived(ENDPOINT)
+
+        for other in others:
+            with self.subTest(other=other.endpoint_id):
+                self.assertFalse(run(scenario(other)))
+        self.assertTrue(run(scenario(ENDPOINT)))
+
     def test_all_suspects_of_a_crash(self) -> None:
         """One check serves all calls; those lost a little later count too."""
 
