Let an engine itself prove that it outlived an answer without a length

Cause: a connection that is accepted counted as proof. What forwards to a crashed engine accepts it too, under load for longer than the 30 ms that were watched; and after a freeze of the entry something else may run at the address. No response at all counted as proof as well. Not reproduced here; its path is read, not traced. Of plain services a connection is proof, but neither after a hold-up of the loop of over a second, which the loop now knows, nor without any response.

--- a/src/linnetwood/calls/crashwatch.py
+++ b/src/linnetwood/calls/crashwatch.py
@@ -39,6 +39,8 @@
 _MAX_CRASHED = 256
 
 ConnectionProbe = Callable[[str, int], Awaitable[bool]]
+# Returns whether an endpoint proves to run.
+SurvivalProof = Callable[[Endpoint], Awaitable[bool]]
 
 
 class CrashObserver(Protocol):
@@ -118,9 +120,11 @@
         directory: Directory,
         clock: Clock,
         is_refused: ConnectionProbe,
+        proves_to_run: SurvivalProof,
         reports: CrashReports,
     ) -> None:
         """Start without checks."""
+        self._proves_to_run = proves_to_run
         self._crashes = crashes
         self._causes = causes
         self._directory = directory
@@ -175,7 +179,7 @@
         The end of such an answer looks the same if its endpoint crashed, or
         ended as planned with calls in progress.
         """
-        if await self._is_refused(endpoint.host, endpoint.port):
+        if not await self._proves_to_run(endpoint):
             return False
         # What forwards to it may have kept the connection open for a moment.
         if self._is_known_crashed(endpoint):
--- a/src/linnetwood/core/loops.py
+++ b/src/linnetwood/core/loops.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import math
 import selectors
 from collections.abc import Coroutine
 from typing import Any, TypeVar
@@ -16,6 +17,9 @@
 # An idle process wakes 5 times a second for this, a busy one does so 100 times
 # and more anyway. All time bounds are 2 s or longer.
 MAX_WAIT_S = 0.2
+# A loop that stood still for longer than this was held up. What ends at an
+# address takes longer to be replaced there.
+HELD_UP_S = 1.0
 
 _Result = TypeVar('_Result')
 
@@ -23,13 +27,24 @@
 class BoundedSelector(selectors.DefaultSelector):
     """A selector that never waits longer than MAX_WAIT_S."""
 
+    def __init__(self) -> None:
+        """Start without any hold-up of the loop."""
+        super().__init__()
+        self.held_up_at = -math.inf
+        self._returned_at = monotonic_s()
+
     def select(
         self,
         timeout: float | None = None,
     ) -> list[tuple[selectors.SelectorKey, int]]:
         """Return what is ready, possibly nothing before the timeout is over."""
         bounded = MAX_WAIT_S if timeout is None else min(timeout, MAX_WAIT_S)
-        return super().select(bounded)
+        found = super().select(bounded)
+        now = monotonic_s()
+        if now - self._returned_at > HELD_UP_S:
+            self.held_up_at = now
+        self._returned_at = now
+        return found
 
 
 class SuspendableLoop(asyncio.SelectorEventLoop):
@@ -37,13 +52,29 @@
 
     def __init__(self) -> None:
         """Use the bounded selector."""
-        super().__init__(BoundedSelector())
+        self._bounded = BoundedSelector()
+        super().__init__(self._bounded)
+
+    @property
+    def held_up_at(self) -> float:
+        """Return when the last hold-up of the loop ended; -inf without any.
+
+        The process was frozen, its VM was suspended, or a step took too long.
+        """
+        return self._bounded.held_up_at
 
     def time(self) -> float:
         """Return the same seconds as the clocks of the programs."""
         return monotonic_s()
 
 
+def held_up_s(loop: asyncio.AbstractEventLoop) -> float:
+    """Return how long ago a loop was held up last, in seconds."""
+    if isinstance(loop, SuspendableLoop):
+        return loop.time() - loop.held_up_at
+    return math.inf
+
+
 def run(work: Coroutine[Any, Any, _Result]) -> _Result:
     """Run a program's coroutine to its end."""
     with asyncio.Runner(loop_factory=SuspendableLoop) as runner:
--- a/src/linnetwood/platform/weights.py
+++ b/src/linnetwood/platform/weights.py
@@ -52,9 +52,15 @@
 class ServerEngine:
     """A client of the model server on this VM."""
 
-    def __init__(self, address: tuple[str, int], driver: CurlDriver) -> None:
-        """Use the server at an address."""
-        self._server = _HttpServer(address, driver)
+    def __init__(
+        self,
+        address: tuple[str, int],
+        driver: CurlDriver,
+        *,
+        keep: bool = True,
+    ) -> None:
+        """Use the server at an address; connections may be kept."""
+        self._server = _HttpServer(address, driver, keep=keep)
         self._has_logged_pace = False
 
     async def report(self) -> EngineReport:
@@ -196,9 +202,16 @@
 class _HttpServer:
     """Send requests to one address."""
 
-    def __init__(self, address: tuple[str, int], driver: CurlDriver) -> None:
+    def __init__(
+        self,
+        address: tuple[str, int],
+        driver: CurlDriver,
+        *,
+        keep: bool = True,
+    ) -> None:
         self._address = address
         self._driver = driver
+        self._keep = keep
 
     async def ask(
         self,
@@ -221,7 +234,7 @@
             body,
             connect_s=1.0,
             total_s=total_s,
-            keep=method != 'POST',
+            keep=self._keep and method != 'POST',
             send_by=send_by,
         )
         return await ask(self._driver, req, _MAX_BYTES, limits)
--- a/src/linnetwood/programs/resident_crashes.py
+++ b/src/linnetwood/programs/resident_crashes.py
@@ -15,6 +15,8 @@
 from linnetwood.platform.crashstore import CrashFeed, PlatformCrashStore
 from linnetwood.platform.ignored import IgnoredRecords
 from linnetwood.platform.store import PlatformStore
+from linnetwood.platform.survival import SurvivalProbe
+from linnetwood.wire.curldriver import CurlDriver
 from linnetwood.wire.probing import refuses_connections
 
 
@@ -25,6 +27,7 @@
         self,
         store: PlatformStore,
         directory: Directory,
+        driver: CurlDriver,
         clock: Clock,
         rng: Random,
     ) -> None:
@@ -47,6 +50,7 @@
             directory,
             clock,
             refuses_connections,
+            SurvivalProbe(driver),
             self._publisher,
         )
 
--- a/src/linnetwood/programs/resident_entry.py
+++ b/src/linnetwood/programs/resident_entry.py
@@ -80,7 +80,7 @@
         chooser = path.chooser
         self.dispatcher = path.dispatcher
         store = PlatformStore(cfg.store, self.driver)
-        crashes = CrashTracker(store, self.directory, clock, rng)
+        crashes = CrashTracker(store, self.directory, self.driver, clock, rng)
         self.dispatcher.crash_observer = crashes.watch
         self._crashes = crashes
         self._selector = RelaySelector(cfg.host, rng)
--- a/src/linnetwood/weights/stagedchunks.py
+++ b/src/linnetwood/weights/stagedchunks.py
@@ -8,7 +8,6 @@
 import asyncio
 import hashlib
 import math
-import statistics
 from collections import deque
 from collections.abc import Iterator
 from itertools import islice
@@ -129,7 +128,8 @@
         """Return how many reads at once make a pass as long as it may be."""
         if not self._read_s:
             return 1
-        read_s = max(_MIN_READ_S, statistics.median(self._read_s))
+        median_s = sorted(self._read_s)[len(self._read_s) // 2]
+        read_s = max(_MIN_READ_S, median_s)
         rounds = max(1, math.floor(_PASS_S / read_s))
         in_memory = max(1, _MAX_BYTES_AT_ONCE // manifest.chunk_bytes)
         return min(math.ceil(count / rounds), in_memory, self._limit)
--- a/src/linnetwood/wire/probing.py
+++ b/src/linnetwood/wire/probing.py
@@ -1,6 +1,7 @@
-"""Probe whether a port is closed."""
+"""Probe whether something runs at an address."""
 
 import asyncio
+import enum
 
 # Within a fleet a connection is accepted or refused within milliseconds; a VM
 # without power, or behind a network cut, does not answer.
@@ -13,35 +14,48 @@
 _PROBES = 3
 
 
-async def refuses_connections(host: str, port: int) -> bool:
-    """Return whether a connection is refused; a timeout is no refusal."""
+class Reaction(enum.Enum):
+    """What an address does with a connection."""
+
+    KEPT_OPEN = enum.auto()
+    # It was accepted and closed at once, as over a limit of connections.
+    CLOSED = enum.auto()
+    REFUSED = enum.auto()
+    # No response at all, as from a VM without power or behind a network cut.
+    NONE = enum.auto()
+
+
+async def probe(host: str, port: int) -> Reaction:
+    """Return what an address does with new connections."""
     for _ in range(_PROBES):
-        try:
-            kept_open = await _keeps_open(host, port)
-        except ConnectionRefusedError:
-            return True
-        if kept_open:
-            return False
+        reaction = await _probe_once(host, port)
+        if reaction is not Reaction.CLOSED:
+            return reaction
         await asyncio.sleep(_KEPT_OPEN_S)
-    return False
+    return Reaction.CLOSED
 
 
-async def _keeps_open(host: str, port: int) -> bool:
-    """Return whether a connection stays open, or gets no response at all."""
+async def refuses_connections(host: str, port: int) -> bool:
+    """Return whether a connection is refused; a timeout is no refusal."""
+    return await probe(host, port) is Reaction.REFUSED
+
+
+async def _probe_once(host: str, port: int) -> Reaction:
     try:
         async with asyncio.timeout(_CONNECT_TIMEOUT_S):
             reader, writer = await asyncio.open_connection(host, port)
     except TimeoutError:
-        return True
+        return Reaction.NONE
     except ConnectionRefusedError:
-        raise
+        return Reaction.REFUSED
     except OSError:
         # It was reset as soon as it was accepted.
-        return False
+        return Reaction.CLOSED
     try:
-        return await _is_idle(reader)
+        is_idle = await _is_idle(reader)
     finally:
         writer.close()
+    return Reaction.KEPT_OPEN if is_idle else Reaction.CLOSED
 
 
 async def _is_idle(reader: asyncio.StreamReader) -> bool:
--- a/tests/test_crashwatch.py
+++ b/tests/test_crashwatch.py
@@ -77,12 +77,16 @@
             self.directory,
             VirtualClock(loop),
             self.is_refused,
+            self.proves_to_run,
             self.reports,
         )
 
     async def is_refused(self, host: str, port: int) -> bool:
         return self.probe_results.pop(0) if self.probe_results else False
 
+    async def proves_to_run(self, endpoint: Endpoint) -> bool:
+        return not await self.is_refused(endpoint.host, endpoint.port)
+
     async def lose_answer(self, streamed_s: float = 0) -> int:
         """Lose an answer, wait, and count the crashes held for its call."""
         self.watch.note_lost(FINGERPRINT, ENDPOINT, streamed_s)
--- a/tests/test_direct.py
+++ b/tests/test_direct.py
@@ -134,6 +134,11 @@
     return head.encode() + chunks + end
 
 
+async def accepts_connections(endpoint: Endpoint) -> bool:
+    """Return whether an endpoint proves to run by a connection."""
+    return not await refuses_connections(endpoint.host, endpoint.port)
+
+
 def _was_sent(transfer: Transfer) -> bool:
     handle = transfer.handle
     return handle is None or bool(handle.getinfo(pycurl.REQUEST_SIZE))
@@ -184,6 +189,7 @@
             self.directory,
             SystemClock(),
             refuses_connections,
+            accepts_connections,
             mock.Mock(),
         )
 
--- a/tests/test_suspension.py
+++ b/tests/test_suspension.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import math
 import time
 import unittest
 from unittest import mock
@@ -93,6 +94,23 @@
         with mock.patch('time.clock_gettime', suspension.clock_gettime):
             self.assertGreaterEqual(loops.run(play()), SUSPENDED_S * 100)
 
+    def test_a_hold_up_is_known(self) -> None:
+        """Guards against a proof by what runs after a freeze of the process."""
+        suspension = Suspension()
+
+        async def play() -> tuple[float, float]:
+            loop = asyncio.get_running_loop()
+            await asyncio.sleep(0)
+            before_s = loops.held_up_s(loop)
+            suspension.suspended_s = SUSPENDED_S
+            await asyncio.sleep(0)
+            return before_s, loops.held_up_s(loop)
+
+        with mock.patch('time.clock_gettime', suspension.clock_gettime):
+            before_s, after_s = loops.run(play())
+        self.assertEqual(before_s, math.inf)
+        self.assertLess(after_s, SUSPENDED_S)
+
     def test_no_wait_is_long(self) -> None:
         """Waits are bounded without a timer, too, or with a distant one."""
         for asked in (None, 60, 0.01, 0):
