Doubt a manifest when the same bytes come again and do not fit

Cause: the first manifest that could be parsed was believed for good, and a chunk that never fits was only fetched again, at once. Change: bytes that are spoilt on the way differ each time. If the same ones come twice and do not fit, the manifest is read again: from peers, and at this VM's turn from the origin, with pauses of 0.5 to 16 s; one that fits these bytes is taken. What is held fits the earlier one, so its digests stay. Who sent the chunk is no longer blocked. A chunk that the origin sent bad is read again after 0.1 to 30 s.

--- a/src/linnetwood/weights/manifests.py
+++ b/src/linnetwood/weights/manifests.py
@@ -70,6 +70,11 @@
     return min(_MAX_WAIT_S, max(0, vm_rank + 1 - _FIRST_READERS) * _TURN_S)
 
 
+def accept_any(manifest: chunks.Manifest) -> bool:
+    """Accept each manifest that can be parsed."""
+    return True
+
+
 class ManifestFinder:
     """Record the holders of manifests, and find a manifest."""
 
@@ -107,14 +112,20 @@
         version: int,
         near: set[str],
         partners: Callable[[str], list[str]],
+        accepts: Callable[[chunks.Manifest], bool] = accept_any,
     ) -> chunks.Manifest:
-        """Give the manifest; raise WeightsError if no source has it yet."""
+        """Give the manifest; raise WeightsError if no source has it yet.
+
+        One that is not accepted counts as not found there.
+        """
         name = f'{model}@{version}'
         loop = asyncio.get_running_loop()
         deadline = loop.time() + self._origin_wait_s(name, near)
         while loop.time() < deadline:
             self._holder_added.clear()
-            found = await self._from_peers(self._shuffled_holders(name), name)
+            found = await self._from_peers(
+                self._shuffled_holders(name), name, accepts
+            )
             if found is not None:
                 return found
             left_s = deadline - loop.time()
@@ -122,12 +133,14 @@
                 self._holder_added, min(_RETRY_S, max(0, left_s))
             )
         found = await self._from_origin(model, version)
-        if found is None:
+        if found is None or not accepts(found):
             all_partners = partners(name)
             count = min(len(all_partners), _UNREPORTED_PEERS)
             unreported = self._rng.sample(all_partners, count)
             peers = [*self._shuffled_holders(name), *unreported]
-            found = await self._from_peers(list(dict.fromkeys(peers)), name)
+            found = await self._from_peers(
+                list(dict.fromkeys(peers)), name, accepts
+            )
         if found is None:
             raise WeightsError('manifest-not-found', name)
         return found
@@ -168,6 +181,7 @@
         self,
         hosts: list[str],
         name: str,
+        accepts: Callable[[chunks.Manifest], bool],
     ) -> chunks.Manifest | None:
         for host in hosts:
             try:
@@ -181,9 +195,12 @@
                 log(Event.PEER_UNREACHABLE, peer=host, code=exc.code)
                 self._remove_holder(name, host)
                 continue
-            if encoded:
-                self._failures = 0
-                return chunks.parse_manifest(encoded)
+            if not encoded:
+                continue
+            self._failures = 0
+            found = chunks.parse_manifest(encoded)
+            if accepts(found):
+                return found
         return None
 
     def _remove_holder(self, name: str, host: str) -> None:
--- a/src/linnetwood/weights/swarm.py
+++ b/src/linnetwood/weights/swarm.py
@@ -10,6 +10,7 @@
 from linnetwood.weights import chunks
 from linnetwood.weights.inboundlink import InboundLink, InFlightChunk
 from linnetwood.weights.reading import READERS_PER_CHUNK, DueTimes, OriginPolicy
+from linnetwood.weights.rejectedchunks import BadReads
 from linnetwood.weights.silentpeers import (
     AbandonedChunks,
     SilentPeers,
@@ -120,6 +121,7 @@
         self._others_read_at: float | None = None
         self._available_at_failure = 0
         self._origin_retry_at = now
+        self.bad_reads = BadReads(rng)
         self._abandoned = AbandonedChunks(
             now,
             chunks.full_bitmap(count) & ~held,
@@ -211,6 +213,7 @@
         elif pending is not None:
             self._inbound_link.record_abandoned(pending.flight)
         self._finish_fetch(index)
+        self.bad_reads.forget(index)
         bit = 1 << index
         is_new = not self.held & bit
         self.held |= bit
@@ -336,6 +339,8 @@
         for index in self._due_from_origin(now):
             if in_progress >= limit:
                 return
+            if self.bad_reads.is_paused(index, now):
+                continue
             in_progress += 1
             yield self._start_fetch(Fetch(index, ORIGIN), now)
 
--- a/src/linnetwood/weights/transfer.py
+++ b/src/linnetwood/weights/transfer.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import hashlib
 from collections.abc import Callable, Collection
 from random import Random
 from typing import Protocol
@@ -17,6 +18,7 @@
 from linnetwood.weights.exchange import Fetcher, TransferCounters, Uploads
 from linnetwood.weights.inboundlink import InboundLink
 from linnetwood.weights.reading import DueTimes, OriginPolicy
+from linnetwood.weights.rejectedchunks import RejectedChunks
 from linnetwood.weights.swarm import ORIGIN, Fetch, Swarm
 from linnetwood.weights.swarmoptions import SwarmOptions
 from linnetwood.wire.connections import Address
@@ -77,6 +79,10 @@
             tools.inbound_link,
         )
         self.on_chunk_kept: Callable[[int, bytes], None] | None = None
+        # Called with a chunk that may not fit for a fault of the manifest, and
+        # the digest of what was received for it.
+        self.on_manifest_doubted: Callable[[int, bytes], None] | None = None
+        self._rejected = RejectedChunks()
         self._tools = tools
         self._addresses: dict[str, Address] = {}
         self._wake = asyncio.Event()
@@ -98,6 +104,27 @@
         await asyncio.gather(*tasks, return_exceptions=True)
         self.swarm.close()
 
+    def replace_manifest(self, found: chunks.Manifest, index: int) -> None:
+        """Use another manifest for the chunks that are not held.
+
+        Chunks that are held fit the manifest so far, so it is right about them.
+        """
+        digests = (
+            old if self.swarm.held >> number & 1 else new
+            for number, (old, new) in enumerate(
+                zip(self.manifest.digests, found.digests, strict=True)
+            )
+        )
+        self.manifest = dataclasses.replace(found, digests=tuple(digests))
+        self._tools.uploads.manifests[self.name] = self.manifest
+        self.swarm.bad_reads.forget(index)
+        for vm in self._rejected.forget(index):
+            peer = self.swarm.peers.get(vm)
+            if peer is not None:
+                # What it sent was right.
+                peer.blocked_until = float()
+        self._wake.set()
+
     def set_near(self, vms: Collection[str]) -> None:
         """Set the neighbours that are near; requests to them cost little."""
         self.swarm.mark_nearby(vms)
@@ -203,7 +230,7 @@
     def _keep(self, fetch: Fetch, chunk: bytes) -> None:
         tools = self._tools
         if not tools.store.keep(self.manifest, fetch.index, chunk):
-            self._reject(fetch)
+            self._reject(fetch, hashlib.sha256(chunk).digest())
             return
         tools.metrics.count(Metric.CHUNKS_RECEIVED)
         if not self.swarm.record_chunk(fetch.index, fetch.source):
@@ -212,7 +239,7 @@
         if self.on_chunk_kept is not None:
             self.on_chunk_kept(fetch.index, chunk)
 
-    def _reject(self, fetch: Fetch) -> None:
+    def _reject(self, fetch: Fetch, digest: bytes) -> None:
         tools = self._tools
         tools.counters.bad_chunks += 1
         tools.metrics.count(Metric.CHUNKS_BAD)
@@ -223,5 +250,10 @@
             index=fetch.index,
             source=fetch.source or 'origin',
         )
-        if fetch.source != ORIGIN:
+        if fetch.source == ORIGIN:
+            self.swarm.bad_reads.record(fetch.index, tools.clock.now())
+        else:
             self.swarm.record_bad_chunk(fetch.source, tools.clock.now())
+        is_repeated = self._rejected.add(fetch.index, digest, fetch.source)
+        if is_repeated and self.on_manifest_doubted is not None:
+            self.on_manifest_doubted(fetch.index, digest)
