Take an answer that is cut just before the end of its head as cut

What callers saw: a whole 200 with the server's signature and an empty body, also for a call that may not be repeated (MIXED; 4 of some 73,000 in the review). Cause: libcurl passes on a lone CR before the connection's end as a line, and it was taken as the empty line that ends a head. Change: a line without its LF ends no head, and the transfer is not whole. Result: a test that cuts an answer with a length, with chunks and without either at each byte failed at this byte in 2 of 3 framings on the code before, at none now.

--- a/src/linnetwood/wire/curldriver.py
+++ b/src/linnetwood/wire/curldriver.py
@@ -106,6 +106,7 @@
 
     __slots__ = (
         'connect_timer',
+        'cut_in_head',
         'descriptor',
         'expired',
         'handle',
@@ -127,6 +128,7 @@
         self.handle: Any = None
         self.descriptor = -1
         self.expired = False
+        self.cut_in_head = False
         self.status = 0
         self.headers: Headers = []
         self.in_head = True
@@ -134,6 +136,10 @@
 
     def header_line(self, raw: bytes) -> None:
         """Process one line of the head; ignore trailer lines after the body."""
+        if not raw.endswith(b'\n'):
+            # libcurl takes a lone CR before the connection's end as a line.
+            self.cut_in_head = self.in_head
+            return
         line = raw.decode('latin-1').rstrip('\r\n')
         if self.in_head and line:
             self._parse_field(line)
@@ -380,7 +386,8 @@
         if transfer.expired:
             connected = False
             detail = TOO_LATE_TO_SEND
-        receiver.done(Finish(code == 0, connected, detail, fresh))
+        whole = code == 0 and not transfer.cut_in_head
+        receiver.done(Finish(whole, connected, detail, fresh))
 
 
 def _connected(handle: Any) -> bool:
--- a/tests/test_curldriver.py
+++ b/tests/test_curldriver.py
@@ -213,6 +213,26 @@
                 driver.close()
                 await server.close()
 
+    async def test_an_answer_that_is_cut_at_any_byte(self) -> None:
+        """Guards against half an answer that is taken as whole.
+
+        Without a length only the head can show a cut.
+        """
+        head = b'HTTP/1.1 200 OK\r\nX-One: a\r\n'
+        chunks = b'2\r\nok\r\n3\r\nyes\r\n0\r\n\r\n'
+        framings = (
+            (head + b'Content-Length: 2\r\n\r\nok', 0),
+            (head + b'Transfer-Encoding: chunked\r\n\r\n' + chunks, 0),
+            (head + b'\r\nok', 2),
+        )
+        for whole, unframed_bytes in framings:
+            for cut in range(len(whole) - unframed_bytes):
+                with self.subTest(cut=whole[:cut]):
+                    answer, _ = await self.asked(respond_with(whole[:cut]))
+                    self.assertEqual(answer.status, 0)
+            answer, _ = await self.asked(respond_with(whole))
+            self.assertEqual(answer.status, 200)
+
     async def test_request_with_a_time_to_be_sent_by(self) -> None:
         """Guard against a request sent after a freeze that outlasts its time.
 
