Touch no socket of a request that has ended in the same turn

Cause: when two requests end in one turn of the loop, the receiver of the first may cancel the second, whose socket libcurl has closed by then. The option that resets a connection would be set on a closed descriptor, or on another connection. Change: the descriptors of all ended requests are forgotten before any is told. Result: the new test saw the option set on the code before, and does not now. Read in the review and not seen in a run.

--- a/src/linnetwood/wire/curldriver.py
+++ b/src/linnetwood/wire/curldriver.py
@@ -12,7 +12,7 @@
 import select
 import socket
 import struct
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any, Protocol
 
 import pycurl
@@ -368,6 +368,7 @@
     def _collect(self) -> None:
         while not self._closed:
             left, good, bad = self._multi.info_read()
+            self._forget_sockets((*good, *(failed[0] for failed in bad)))
             for handle in good:
                 self._finish(handle, 0, '')
             for handle, code, detail in bad:
@@ -375,6 +376,14 @@
             if not left:
                 return
 
+    def _forget_sockets(self, ended: Iterable[Any]) -> None:
+        # libcurl has closed them, and a receiver of one request may cancel
+        # another that has ended.
+        for handle in ended:
+            transfer = self._by_handle.get(handle)
+            if transfer is not None:
+                transfer.descriptor = -1
+
     def _finish(self, handle: Any, code: int, detail: str) -> None:
         transfer = self._by_handle.get(handle)
         if transfer is None:
--- a/tests/test_curldriver.py
+++ b/tests/test_curldriver.py
@@ -1,10 +1,12 @@
 """Requests through libcurl are sent once; incomplete answers are detected."""
 
 import asyncio
+import functools
 import socket
 import time
 import unittest
 from collections.abc import Awaitable, Callable
+from unittest import mock
 
 import pycurl
 
@@ -527,6 +529,7 @@
         self.finish: Finish | None = None
         self.ended = asyncio.Event()
         self.act: Callable[[], None] | None = None
+        self.on_done: Callable[[], None] | None = None
 
     def head(self, status: int, headers: Headers) -> None:
         """Do nothing."""
@@ -540,6 +543,39 @@
         """Record the end."""
         self.finish = finish
         self.ended.set()
+        if self.on_done is not None:
+            self.on_done()
+
+
+class EndingTogetherTest(unittest.IsolatedAsyncioTestCase):
+    """Two requests that end in the same turn of the loop."""
+
+    async def test_one_cancels_the_other_as_it_ends(self) -> None:
+        """Guards against options set on a socket that is closed, or another's.
+
+        libcurl has closed both sockets before either request is told.
+        """
+        server = Server(await_reset(asyncio.Event()))
+        port = await server.start()
+        driver = CurlDriver()
+        req = Request(HOST, port, 'GET', '/', [('Host', 'x')])
+        first, second = RecordingReceiver(), RecordingReceiver()
+        transfers = [driver.begin(req, one) for one in (first, second)]
+        while len(server.requests) < 2:
+            await asyncio.sleep(0)
+        first.on_done = functools.partial(driver.cancel, transfers[1])
+        multi = mock.Mock(wraps=driver._multi)
+        handles = [one.handle for one in transfers]
+        multi.info_read = mock.Mock(return_value=(0, handles, []))
+        with (
+            mock.patch.object(driver, '_multi', multi),
+            mock.patch('socket.fromfd', wraps=socket.fromfd) as touched,
+        ):
+            driver._collect()
+        touched.assert_not_called()
+        self.assertTrue(first.ended.is_set())
+        driver.close()
+        await server.close()
 
 
 class GivenUpTest(unittest.IsolatedAsyncioTestCase):
