Ignore SIGHUP until its handler stands

Cause: SIGHUP ends a process that has set no handler, and the resident programs set theirs after some 0.2 s of imports (named in the review). The start of Python itself, before the first statement, is as it was. SIGTERM in that time ends the process, as before.

--- a/src/linnetwood/programs/resident.py
+++ b/src/linnetwood/programs/resident.py
@@ -41,6 +41,11 @@
     return EXIT_OK
 
 
+def run_and_exit(program: str, serve: Serve) -> None:
+    """Run with the arguments of the command line, and exit with the result."""
+    sys.exit(run(program, serve, sys.argv[1:]))
+
+
 async def until_stopped() -> None:
     """Wait for a signal to stop; on SIGHUP validate the settings again."""
     stop = asyncio.Event()
--- a/src/linnetwood/programs/resident_entry.py
+++ b/src/linnetwood/programs/resident_entry.py
@@ -1,7 +1,12 @@
 """The program on an entry VM of the users' platform."""
 
+import signal
+
+if __name__ == '__main__':
+    # Until its handler stands, SIGHUP would end the program during the imports.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
 import asyncio
-import sys
 from random import Random
 
 from tornado.httpserver import HTTPServer
@@ -254,7 +259,7 @@
 
 def main() -> None:
     """Serve until stopped."""
-    sys.exit(resident.run(NAME, serve, sys.argv[1:]))
+    resident.run_and_exit(NAME, serve)
 
 
 if __name__ == '__main__':
