Give the reading of doubted manifests a module of its own

Cause: fetching.py had grown by a second job, and two tests built the same port that does not respond.

--- a/src/linnetwood/weights/fetching.py
+++ b/src/linnetwood/weights/fetching.py
@@ -2,16 +2,15 @@
 
 import asyncio
 import dataclasses
-import functools
 from collections.abc import Callable, Sequence
 
-from linnetwood.core.backoff import pause_s
 from linnetwood.core.errors import LinnetwoodError
 from linnetwood.core.events import Event, log
 from linnetwood.fleet.neighbours import partners
 from linnetwood.gen.wire.ttypes import HeldNotice, Member
 from linnetwood.weights import chunks
 from linnetwood.weights.engine import Engine, Origin
+from linnetwood.weights.manifestrereads import ManifestRereads
 from linnetwood.weights.manifests import ManifestFinder
 from linnetwood.weights.reading import Ring, SharedReading, ZoneReading
 from linnetwood.weights.swarm import progress_of
@@ -21,10 +20,6 @@
 from linnetwood.weights.versionplan import ChunkProgress
 
 _MANIFEST_RETRY_S = 0.3
-# Pauses between reads of a manifest that may be wrong.
-_REREAD_FIRST_S = 0.5
-_REREAD_MAX_S = 16.0
-_REREAD_MIN_SHARE = 0.5
 _TAKEOVER_S = 1.0
 # Up to 4 chunks may be queued before a requested one at a peer, which takes
 # 0.3 s on the narrowest links.
@@ -102,8 +97,9 @@
         self._recovered_models: set[str] = set()
         self._starting: dict[ModelVersion, asyncio.Task[None]] = {}
         self._downloads: dict[ModelVersion, Download] = {}
-        # Versions whose manifests are read again, since they may be wrong.
-        self._rereading: dict[ModelVersion, asyncio.Task[None]] = {}
+        self._rereads = ManifestRereads(
+            self._manifests, self.zone_vms, self.partners, tools.rng
+        )
         self._routed_peers: dict[ModelVersion, dict[str, str]] = {}
         self._partners: _Partners = {}
 
@@ -229,9 +225,7 @@
             version_key.name, manifest, self._tools, policy, cfg, far
         )
         self._downloads[version_key] = download
-        download.on_manifest_doubted = functools.partial(
-            self._doubt_manifest, version_key, download
-        )
+        self._rereads.watch(download)
         download.start()
         log(
             Event.TRANSFER_STARTED,
@@ -255,66 +249,10 @@
         uploads.manifests = {**kept, version_key.name: manifest}
         self._tools.store.retain_only(list(uploads.manifests.values()))
 
-    def _doubt_manifest(
-        self,
-        version_key: ModelVersion,
-        download: Download,
-        index: int,
-        digest: bytes,
-    ) -> None:
-        if version_key in self._rereading:
-            return
-        log(Event.MANIFEST_DOUBTED, manifest=version_key.name, index=index)
-        task = asyncio.create_task(
-            self._reread_manifest(version_key, download, index, digest)
-        )
-        self._rereading[version_key] = task
-        task.add_done_callback(lambda _: self._rereading.pop(version_key, None))
-
-    async def _reread_manifest(
-        self,
-        version_key: ModelVersion,
-        download: Download,
-        index: int,
-        digest: bytes,
-    ) -> None:
-        """Find a manifest that fits the bytes received for a chunk."""
-        fits = functools.partial(
-            _fits, len(download.manifest.digests), index, digest
-        )
-        failures = 0
-        while not download.swarm.held >> index & 1:
-            try:
-                found = await self._manifests.find(
-                    version_key.model,
-                    version_key.version,
-                    self.zone_vms(),
-                    self.partners,
-                    fits,
-                )
-            except LinnetwoodError:
-                await asyncio.sleep(self._reread_pause_s(failures))
-                failures += 1
-                continue
-            log(Event.MANIFEST_REPLACED, manifest=version_key.name, index=index)
-            download.replace_manifest(found, index)
-            return
-
-    def _reread_pause_s(self, failures: int) -> float:
-        return pause_s(
-            failures,
-            self._tools.rng,
-            _REREAD_FIRST_S,
-            _REREAD_MAX_S,
-            _REREAD_MIN_SHARE,
-        )
-
     async def _drop(self, version_key: ModelVersion) -> None:
         log(Event.TRANSFER_DROPPED, manifest=version_key.name)
         self._routed_peers.pop(version_key, None)
-        rereading = self._rereading.pop(version_key, None)
-        if rereading is not None:
-            await _cancel(rereading)
+        await self._rereads.drop(version_key.name)
         await self._downloads.pop(version_key).close()
 
     async def _wait_for_manifest(
@@ -410,14 +348,6 @@
         download.set_near(near)
 
 
-def _fits(
-    count: int, index: int, digest: bytes, manifest: chunks.Manifest
-) -> bool:
-    """Return whether a manifest has as many chunks, and this digest for one."""
-    digests = manifest.digests
-    return len(digests) == count and digests[index] == digest
-
-
 async def _cancel(task: asyncio.Task[None]) -> None:
     task.cancel()
     await asyncio.gather(task, return_exceptions=True)
--- a/tests/test_curldriver.py
+++ b/tests/test_curldriver.py
@@ -1,11 +1,12 @@
 """Requests through libcurl are sent once; incomplete answers are detected."""
 
 import asyncio
+import contextlib
 import functools
 import socket
 import time
 import unittest
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
 from unittest import mock
 
 import pycurl
@@ -88,6 +89,19 @@
             writer.close()
 
 
+@contextlib.contextmanager
+def unresponsive_port() -> Iterator[int]:
+    """Give a port that neither accepts nor refuses connections."""
+    with contextlib.ExitStack() as sockets:
+        full = sockets.enter_context(socket.create_server((HOST, 0), backlog=0))
+        port = int(full.getsockname()[1])
+        for _ in range(3):
+            waiting = sockets.enter_context(socket.socket())
+            waiting.setblocking(False)  # noqa: WPS425
+            waiting.connect_ex((HOST, port))
+        yield port
+
+
 def respond_with(answer: bytes) -> Behaviour:
     """Return a behaviour that sends an answer and closes."""
 
@@ -273,18 +287,11 @@
 
     async def test_connection_that_is_not_made_in_time(self) -> None:
         """Guard against calls that wait for a server that is out of reach."""
-        with socket.create_server((HOST, 0), backlog=0) as full:
-            port = full.getsockname()[1]
-            waiting = [socket.socket() for _ in range(3)]
-            for sock in waiting:
-                sock.setblocking(False)  # noqa: WPS425
-                sock.connect_ex((HOST, port))
+        with unresponsive_port() as port:
             driver = CurlDriver()
             req = Request(HOST, port, 'GET', '/', [], connect_s=0.05)
             finish = (await ask(driver, req, MAX_BYTES)).finish
             driver.close()
-            for sock in waiting:
-                sock.close()
         self.assertEqual(
             (finish.connected, finish.detail), (False, CONNECT_TIMED_OUT)
         )
--- a/tests/test_survival.py
+++ b/tests/test_survival.py
@@ -6,7 +6,6 @@
 
 import asyncio
 import dataclasses
-import socket
 import unittest
 from unittest import mock
 
@@ -19,6 +18,7 @@
     Server,
     reset,
     respond_with,
+    unresponsive_port,
 )
 from tests.test_engine_client import REPORT
 from tests.test_following import answer
@@ -87,16 +87,9 @@
 
     async def test_no_response(self) -> None:
         """Guards against an answer cut by a loss of power or of the network."""
-        with socket.create_server((HOST, 0), backlog=0) as full:
-            port = full.getsockname()[1]
-            waiting = [socket.socket() for _ in range(3)]
-            for sock in waiting:
-                sock.setblocking(False)  # noqa: WPS425
-                sock.connect_ex((HOST, port))
+        with unresponsive_port() as port:
             cut = Endpoint('i-1', 'desk', HOST, port, 'z1', 8, ready=True)
             self.assertFalse(await self.proves_to_run(cut))
-            for sock in waiting:
-                sock.close()
 
     async def test_after_a_freeze(self) -> None:
         """Guards against a connection to what replaced it meanwhile.
