Count a version's chunks where they are needed

Cause: the record of staged chunks kept the number of the version's chunks, which a reset without a download would have left at 0, so that no order could follow. Change: whoever asks gives the number. Result: no behaviour changed; the tests of the follower and of checks pass.

--- a/src/linnetwood/weights/follower.py
+++ b/src/linnetwood/weights/follower.py
@@ -207,7 +207,7 @@
         if self._engine_born:
             log(Event.ENGINE_REBORN, before=self._engine_born, born=born)
         self._engine_born = born
-        self._staged = StagedChunks(len(self._digests()))
+        self._staged = StagedChunks()
         self._ordered = None
         self._ordered_at = -_SETTLE_S
 
@@ -219,7 +219,7 @@
         """
         if newest != self.target and self._downloads.get(newest) is not None:
             self.target = newest
-            self._staged = StagedChunks(len(self._digests()))
+            self._staged = StagedChunks()
             self._completed_at = None
         await self._downloads.fetch_only(
             tuple(self._versions_to_fetch(newest, inputs))
@@ -322,10 +322,6 @@
             progress,
         )
 
-    def _digests(self) -> tuple[bytes, ...]:
-        download = self.download
-        return () if download is None else download.manifest.digests
-
     async def _stage(self, target: ModelVersion, download: Download) -> None:
         for index in chunks.indices(download.swarm.held & ~self._staged.bitmap):
             chunk = self._tools.store.chunk(download.manifest, index)
@@ -340,24 +336,26 @@
 
         After a check the next step decides anew, since it may have taken long.
         """
-        now = self._tools.clock.now()
-        if now - self._ordered_at < _SETTLE_S:
+        clock = self._tools.clock
+        count = download.swarm.count
+        if clock.now() - self._ordered_at < _SETTLE_S:
             return
-        if now <= self._staged.order_by:
-            await self._order(target)
+        order_by = self._staged.order_by(count)
+        if clock.now() <= order_by:
+            await self._order(target, order_by)
             return
         await self._check.run(target.model, download.manifest, self._staged)
-        now = self._tools.clock.now()
-        if now <= self._staged.order_by:
+        now = clock.now()
+        if now <= self._staged.order_by(count):
             self._wake.set()
-        elif self._staged.verified:
+        elif self._staged.all_verified(count):
             log(
                 Event.ORDER_WITHHELD,
                 manifest=target.name,
                 oldest_check_s=round(self._staged.oldest_check_s(now), 3),
             )
 
-    async def _order(self, target: ModelVersion) -> None:
+    async def _order(self, target: ModelVersion, order_by: float) -> None:
         report = await self._engine.report()
         if report.serving.get(target.model, 0) >= target.version:
             return
@@ -368,7 +366,7 @@
             target.model,
             target.version,
             report.orders_taken,
-            self._staged.order_by,
+            order_by,
         )
         now = self._tools.clock.now()
         log(
--- a/src/linnetwood/weights/stagedchunks.py
+++ b/src/linnetwood/weights/stagedchunks.py
@@ -40,12 +40,11 @@
     Times are seconds of the process's clock.
     """
 
-    __slots__ = ('_count', '_verified_at', 'bitmap')
+    __slots__ = ('_verified_at', 'bitmap')
 
-    def __init__(self, count: int = 0) -> None:
+    def __init__(self) -> None:
         """Start with none of the chunks staged."""
         self.bitmap = 0
-        self._count = count
         self._verified_at: dict[int, float] = {}
 
     def add(self, index: int) -> None:
@@ -72,15 +71,16 @@
             key=times.__getitem__,
         )
 
-    @property
-    def verified(self) -> bool:
-        """Return whether all chunks are staged and were right when read."""
-        return self._count > 0 and len(self._verified_at) == self._count
+    def all_verified(self, count: int) -> bool:
+        """Return whether this many chunks are staged and were right."""
+        return count > 0 and len(self._verified_at) == count
 
-    @property
-    def order_by(self) -> float:
-        """Return until when an order may be sent; -inf if none may be."""
-        if not self.verified:
+    def order_by(self, count: int) -> float:
+        """Return until when to order a version of this many chunks.
+
+        It is -inf unless all of them were verified.
+        """
+        if not self.all_verified(count):
             return -math.inf
         return min(self._verified_at.values()) + _MAX_CHECK_AGE_S
 
