Pause after an order that an engine does not take

Cause: while the checks of staged chunks stay recent, an order that was refused was repeated after 0.1 s; before, each one waited for a check of all chunks. Change: it ends the step as a failure, which is logged and followed by 0.3 s.

--- a/src/linnetwood/weights/follower.py
+++ b/src/linnetwood/weights/follower.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Collection, Iterator
 
-from linnetwood.core.errors import LinnetwoodError
+from linnetwood.core.errors import LinnetwoodError, OrderError
 from linnetwood.core.events import Event, log
 from linnetwood.core.options import Decisions
 from linnetwood.core.waits import wait_for_event
@@ -376,7 +376,9 @@
             running=report.running,
             oldest_check_s=round(self._staged.oldest_check_s(now), 3),
         )
-        if answer in {OrderResult.TAKEN, OrderResult.DONE}:
-            self._ordered_at = now
-            self._ordered = target
-            self._wake.set()
+        if answer not in {OrderResult.TAKEN, OrderResult.DONE}:
+            # The checks may stay recent, so only a pause spaces the next order.
+            raise OrderError('order-not-taken', answer.value)
+        self._ordered_at = now
+        self._ordered = target
+        self._wake.set()
--- a/tests/test_stale_checks.py
+++ b/tests/test_stale_checks.py
@@ -22,6 +22,8 @@
 MAX_BAD_S = 3.0
 # From the end of the last disturbance to the order, in seconds.
 ORDERED_WITHIN_S = 5.0
+# 1,000 staged chunks are read one by one when the program starts.
+RECOVERED_WITHIN_S = 200.0
 SEEDS = 60
 
 
@@ -35,6 +37,7 @@
     # How often the program asks for a report, and how long it runs on.
     poll_s: float = 0.1
     after_s: float = 0
+    refuses: bool = False
     # Seconds that the program is frozen, by the number of the await.
     freezes: dict[int, float] = dataclasses.field(default_factory=dict)
     # Chunks that turn bad, by seconds since the start of the check.
@@ -53,6 +56,7 @@
         self.disturbed_at = float()
         # By order: its time, and the age of the oldest read of a right chunk.
         self.orders_taken: list[tuple[float, float]] = []
+        self.orders_refused = 0
         self._loop = loop
         self._world = world
         self._read_at: dict[int, float] = {}
@@ -95,6 +99,9 @@
         if self._loop.time() > send_by:
             raise OrderError('engine-unreachable', 'too late to send')
         await asyncio.sleep(self._world.read_s)
+        if self._world.refuses:
+            self.orders_refused += 1
+            return OrderResult.REFUSED
         if orders != self.orders or self.snapshot().changing:
             return OrderResult.CONFLICT
         now = self._loop.time()
@@ -132,8 +139,9 @@
     wanted.add_named('m', VERSION, 0)
     follower.report = engine.snapshot()
     follower.start()
-    while follower.download is None:
-        await asyncio.sleep(0.01)
+    async with asyncio.timeout(RECOVERED_WITHIN_S):
+        while follower.download is None:
+            await asyncio.sleep(0.01)
     engine.disturbed_at = loop.time()
     for after_s, index in world.rots:
         loop.call_later(after_s, engine.rot, index)
@@ -231,6 +239,12 @@
         engine = play(World(poll_s=12, after_s=12))
         self.assertEqual(len(engine.orders_taken), 1)
 
+    def test_an_engine_that_refuses_orders(self) -> None:
+        """Guards against orders without a pause while the checks are recent."""
+        engine = play(World(refuses=True))
+        self.assertEqual(engine.orders_taken, [])
+        self.assertLessEqual(engine.orders_refused, 60 / 0.3)
+
     def test_drawn_worlds(self) -> None:
         """All of these at once, at drawn moments."""
         for seed in range(SEEDS):
