Log slow turns of the event loop with the processor time they took

Change: event 1009 sums up turns of over 0.1 s, at most once a second, with the process's own processor time.

--- a/src/linnetwood/core/events.py
+++ b/src/linnetwood/core/events.py
@@ -24,6 +24,7 @@
     SETTINGS_RELOADED = 1006
     LOG_DROPPED = 1007
     TASK_FAILED = 1008
+    LOOP_SLOW = 1009
     DATAGRAM_DROPPED = 2001
     GOSSIP_BACKLOG = 2002
     MEMBER_DOUBTED = 2003
@@ -103,6 +104,7 @@
         Event.STOP_LIMIT_REACHED,
         Event.LOG_DROPPED,
         Event.TASK_FAILED,
+        Event.LOOP_SLOW,
         Event.CALL_REFUSED,
         Event.CALL_UNPLACED,
         Event.CALL_UNKNOWN,
--- a/src/linnetwood/core/loops.py
+++ b/src/linnetwood/core/loops.py
@@ -8,11 +8,14 @@
 import asyncio
 import math
 import selectors
+import time
 from collections.abc import Coroutine
 from typing import Any, TypeVar
 
 from linnetwood.core.clock import monotonic_s
+from linnetwood.core.events import Event, log
 from linnetwood.core.failures import log_loop_failure
+from linnetwood.core.slowturns import SlowTurns
 
 # An idle process wakes 5 times a second for this, a busy one does so 100 times
 # and more anyway. All time bounds are 2 s or longer.
@@ -21,6 +24,8 @@
 # address takes longer to be replaced there.
 HELD_UP_S = 1.0
 
+_DIGITS = 3
+
 _Result = TypeVar('_Result')
 
 
@@ -32,12 +37,14 @@
         super().__init__()
         self.held_up_at = -math.inf
         self._returned_at = monotonic_s()
+        self._slow_turns = SlowTurns(self._returned_at, time.process_time())
 
     def select(
         self,
         timeout: float | None = None,
     ) -> list[tuple[selectors.SelectorKey, int]]:
         """Return what is ready, possibly nothing before the timeout is over."""
+        self._note_turn(monotonic_s())
         bounded = MAX_WAIT_S if timeout is None else min(timeout, MAX_WAIT_S)
         found = super().select(bounded)
         now = monotonic_s()
@@ -46,6 +53,22 @@
         self._returned_at = now
         return found
 
+    def _note_turn(self, now: float) -> None:
+        """Log slow turns, at most once a period."""
+        slow_turns = self._slow_turns
+        slow_turns.add(now - self._returned_at)
+        if not slow_turns.is_over(now):
+            return
+        period = slow_turns.end_period(now, time.process_time())
+        if period is not None:
+            log(
+                Event.LOOP_SLOW,
+                turns=period.turns,
+                slow_s=round(period.slow_s, _DIGITS),
+                longest_s=round(period.longest_s, _DIGITS),
+                processor_s=round(period.processor_s, _DIGITS),
+            )
+
 
 class SuspendableLoop(asyncio.SelectorEventLoop):
     """Run timers by the clock that includes suspensions."""
