Check all four kinds of the rule on configurations in the soak

Callers saw configurations come late, come back older or lead to routes that were not served, and the soak saw none of it: its callers wait for an answer before they send the next call, so that an entry that stands still gets none, and its check knew only a 404 of a due route and a 200 of a dropped one.

Each entry now gets probes at a fixed rate, each on a connection of its own: of the newest, an older and a dropped route, and of such keys. Every other numbered route has a timeout below the callers' patience for that. Before, a fault within the bound of configurations before that excused, too.

--- a/src/linnetwood/lab/measure_soak.py
+++ b/src/linnetwood/lab/measure_soak.py
@@ -12,7 +12,7 @@
 from tornado.httpclient import AsyncHTTPClient
 
 from linnetwood.lab.soak.callers import EVENT_COUNTS, LONG_EVENT_COUNTS, Callers
-from linnetwood.lab.soak.checks import Checker, Limits
+from linnetwood.lab.soak.checks import Checker
 from linnetwood.lab.soak.faults import FaultInjector
 from linnetwood.lab.soak.fleet import Fleet, Size
 from linnetwood.lab.soak.history import (
@@ -20,6 +20,7 @@
     decode_arrivals,
     decode_runs,
 )
+from linnetwood.lab.soak.limits import Limits
 from linnetwood.lab.soak.processorwaits import ProcessorWaits
 from linnetwood.lab.soak.schedule import Fault, schedule, schedule_planned_work
 
@@ -133,18 +134,21 @@
     fleet.start_programs()
     await asyncio.sleep(_SETTLE_S)
     callers.start(count)
-    await _inject_faults(planned, faults)
-    await asyncio.sleep(fleet.version_s + _RECOVERY_S)
+    callers.start_probes()
+    await _inject_faults(planned, faults, fleet.version_s + _RECOVERY_S)
     await callers.close()
     await faults.close()
 
 
-async def _inject_faults(planned: list[Fault], faults: FaultInjector) -> None:
+async def _inject_faults(
+    planned: list[Fault], faults: FaultInjector, recovery_s: float
+) -> None:
     began = time.monotonic()
     for fault in planned:
         await asyncio.sleep(max(0, began + fault.at_s - time.monotonic()))
         faults.inject(fault)
     await faults.wait_until_ended()
+    await asyncio.sleep(recovery_s)
 
 
 async def _collect_records(fleet: Fleet, history: History) -> None:
--- a/src/linnetwood/lab/soak/callers.py
+++ b/src/linnetwood/lab/soak/callers.py
@@ -1,6 +1,7 @@
 """Callers with persistent connections, which record every call."""
 
 import asyncio
+import contextlib
 import secrets
 import time
 from collections.abc import Coroutine, Mapping
@@ -8,20 +9,23 @@
 from types import MappingProxyType
 from typing import Any
 
+from linnetwood.lab.soak.configuration import (
+    ADDED_PREFIX,
+    numbered_key,
+)
+from linnetwood.lab.soak.connection import Connection
 from linnetwood.lab.soak.fatalparts import (
     FIRST_PARTS,
     Company,
     draw_fatal_part,
-    header,
     sound_parts,
 )
-from linnetwood.lab.soak.fleet import CALLERS_PORT, Fleet, Vm
+from linnetwood.lab.soak.fleet import Fleet, Vm
 from linnetwood.lab.soak.history import Call, CallKind, History
+from linnetwood.lab.soak.probes import OpenLoopProbes
 from linnetwood.lab.soak.schedule import Fault
 from linnetwood.lab.soak.standcalls import FATAL
 
-KEY = 'key-1'
-HOST = 'soak.example'
 _PATHS: Mapping[CallKind, str] = MappingProxyType(
     {
         CallKind.STREAM: '/chat/x',
@@ -32,9 +36,6 @@
 _CALL_TIMEOUT_S: Mapping[CallKind, float] = MappingProxyType(
     {CallKind.STREAM: 6, CallKind.NON_IDEMPOTENT: 4, CallKind.IDEMPOTENT: 4},
 )
-_CONNECTION_ERRORS = (OSError, EOFError, ValueError)
-_HEX_BASE = 16
-_MILLISECONDS = 1000
 _DISCONNECT_SHARE = 0.05
 _DISCONNECT_AFTER_S = (0.05, 0.4)
 EVENT_COUNTS = (5, 25)
@@ -46,7 +47,6 @@
 _FATAL_CALL_INTERVAL_S = (0.2, 0.8)
 # Sound calls have a new first part this long after the first fatal call.
 _NEW_FIRST_PART_S = 3.0
-_CONNECT_TIMEOUT_S = 1.0
 _ID_BYTES = 8
 _SERVICE_UNAVAILABLE = 503
 
@@ -78,7 +78,12 @@
             vm = self._fleet.entries[number % len(self._fleet.entries)]
             self._tasks.append(asyncio.create_task(self._send_calls(vm)))
         for vm in self._fleet.entries:
-            self._tasks.append(asyncio.create_task(self._send_probes(vm)))
+            self._run_in_background(self._send_probes(vm))
+
+    def start_probes(self) -> None:
+        """Call each entry at a fixed rate, however long it takes to answer."""
+        probes = OpenLoopProbes(self._fleet.entries, self._record_probe)
+        self._run_in_background(probes.run())
 
     async def close(self) -> None:
         """Stop all callers."""
@@ -120,34 +125,43 @@
         self._tasks.append(asyncio.create_task(work))
 
     async def _send_calls(self, vm: Vm) -> None:
-        conn = Connection(vm)
-        while True:
-            kind = self._rng.choice(tuple(CallKind))
-            call = self._record_call(vm, kind, _PATHS[kind])
-            disconnect_after_s = float()
-            if (
-                kind is not CallKind.NON_IDEMPOTENT
-                and self._rng.random() < _DISCONNECT_SHARE
-            ):
-                disconnect_after_s = self._rng.uniform(*_DISCONNECT_AFTER_S)
-            await conn.run(
-                call, self._rng.randint(*self._event_counts), disconnect_after_s
-            )
-            unserved = call.status in {0, _SERVICE_UNAVAILABLE}
-            delay_range_s = _RETRY_DELAY_S if unserved else _THINK_TIME_S
-            await asyncio.sleep(self._rng.uniform(*delay_range_s))
+        with contextlib.closing(Connection(vm)) as conn:
+            while True:
+                call = await self._send_call(vm, conn)
+                unserved = call.status in {0, _SERVICE_UNAVAILABLE}
+                delay_range_s = _RETRY_DELAY_S if unserved else _THINK_TIME_S
+                await asyncio.sleep(self._rng.uniform(*delay_range_s))
+
+    async def _send_call(self, vm: Vm, conn: Connection) -> Call:
+        kind = self._rng.choice(tuple(CallKind))
+        call = self._record_call(vm, kind, _PATHS[kind])
+        disconnect_after_s = float()
+        if (
+            kind is not CallKind.NON_IDEMPOTENT
+            and self._rng.random() < _DISCONNECT_SHARE
+        ):
+            disconnect_after_s = self._rng.uniform(*_DISCONNECT_AFTER_S)
+        await conn.run(
+            call, self._rng.randint(*self._event_counts), disconnect_after_s
+        )
+        return call
 
     async def _send_probes(self, vm: Vm) -> None:
-        conn = Connection(vm)
-        while True:
-            await asyncio.sleep(self._rng.uniform(*_PROBE_INTERVAL_S))
-            age = self._rng.choice((0, 0, 1, 5))
-            probed = max(1, self.configuration - age)
-            call = self._record_call(
-                vm, CallKind.IDEMPOTENT, f'/only-{probed}/x'
-            )
-            call.probes = probed
-            await conn.run(call, 1, 0)
+        with contextlib.closing(Connection(vm)) as conn:
+            while True:
+                await asyncio.sleep(self._rng.uniform(*_PROBE_INTERVAL_S))
+                age = self._rng.choice((0, 0, 1, 5))
+                await conn.run(self._record_probe(vm, age, by_key=False), 1, 0)
+
+    def _record_probe(self, vm: Vm, age: int, *, by_key: bool) -> Call:
+        """Record a call with the route or key of a configuration."""
+        probed = max(1, self.configuration - age)
+        kind = CallKind.IDEMPOTENT
+        path = _PATHS[kind] if by_key else f'{ADDED_PREFIX}{probed}/x'
+        call = self._record_call(vm, kind, path)
+        call.probes = probed
+        call.key = numbered_key(probed) if by_key else call.key
+        return call
 
     def _record_call(
         self,
@@ -167,90 +181,3 @@
         )
         self._history.calls.append(call)
         return call
-
-
-class Connection:
-    """A persistent connection to an entry, reopened once it is closed."""
-
-    def __init__(self, vm: Vm) -> None:
-        """Start without a connection."""
-        self._vm = vm
-        self._streams: (
-            tuple[asyncio.StreamReader, asyncio.StreamWriter] | None
-        ) = None
-
-    async def run(
-        self, call: Call, events: int, disconnect_after_s: float
-    ) -> None:
-        """Send a call and read its answer, or disconnect before its end."""
-        try:
-            async with asyncio.timeout(disconnect_after_s or call.patience_s):
-                await self._run(call, events)
-        except TimeoutError:
-            call.left_at = time.monotonic()
-            self._close()
-        except _CONNECTION_ERRORS:
-            self._close()
-        call.ended_at = time.monotonic()
-
-    async def _run(self, call: Call, events: int) -> None:
-        call.on_kept_connection = self._streams is not None
-        if self._streams is None:
-            async with asyncio.timeout(_CONNECT_TIMEOUT_S):
-                self._streams = await asyncio.open_connection(
-                    self._vm.host,
-                    CALLERS_PORT,
-                )
-        reader, writer = self._streams
-        method = 'GET' if call.kind is CallKind.IDEMPOTENT else 'POST'
-        call.sent_at = time.monotonic()
-        head = (
-            f'{method} {call.path} HTTP/1.1\r\nHost: {HOST}\r\n'
-            f'X-Attempt-Id: {call.call_id}\r\n'
-            f'X-Deadline-Ms: {int(call.patience_s * _MILLISECONDS)}\r\n'
-            f'X-Model: m-1\r\nX-Token-Counts: 10,{events}\r\n'
-            f'X-Prompt-Prefix: {header(call.parts)}\r\n'
-            f'Authorization: Bearer {KEY}\r\nContent-Length: 0\r\n\r\n'
-        )
-        writer.write(head.encode())
-        await writer.drain()
-        call.written_at = time.monotonic()
-        await self._read(call, reader)
-
-    async def _read(self, call: Call, reader: asyncio.StreamReader) -> None:
-        head = (await reader.readuntil(b'\r\n\r\n')).decode('latin-1')
-        status_line, *lines = head.split('\r\n')
-        headers = dict(
-            line.lower().split(': ', 1) for line in lines if ': ' in line
-        )
-        call.status = int(status_line.split(' ')[1])
-        signature = [
-            line.partition(': ')[2]
-            for line in lines
-            if line.lower().startswith('x-server-signature')
-        ]
-        call.signature = ''.join(signature)
-        if headers.get('transfer-encoding') == 'chunked':
-            await self._read_chunks(call, reader)
-        else:
-            size = int(headers.get('content-length', '0'))
-            call.body = (await reader.readexactly(size)).decode('latin-1')
-        call.whole = True
-        if headers.get('connection') == 'close':
-            self._close()
-
-    async def _read_chunks(
-        self,
-        call: Call,
-        reader: asyncio.StreamReader,
-    ) -> None:
-        size = -1
-        while size:
-            size = int((await reader.readline()).strip(), _HEX_BASE)
-            chunk = await reader.readexactly(size + 2)
-            call.body += chunk[:size].decode('latin-1')
-
-    def _close(self) -> None:
-        if self._streams is not None:
-            self._streams[1].close()
-        self._streams = None
--- a/src/linnetwood/lab/soak/checks.py
+++ b/src/linnetwood/lab/soak/checks.py
@@ -1,15 +1,22 @@
 """Check the guarantees of the platform against a history; no I/O or clock."""
 
-import dataclasses
 import itertools
 import math
 from collections import defaultdict
 from collections.abc import Callable, Iterator
 
-from linnetwood.lab.soak.configuration import KEPT_ROUTES
+from linnetwood.lab.soak.configchecks import ConfigurationChecker
 from linnetwood.lab.soak.fatalchecks import FatalPartChecker
 from linnetwood.lab.soak.fatalparts import fatal_part_of
-from linnetwood.lab.soak.history import AckedWrite, Call, CallKind, History, Run
+from linnetwood.lab.soak.history import (
+    AckedWrite,
+    Call,
+    CallKind,
+    History,
+    Run,
+    describe,
+)
+from linnetwood.lab.soak.limits import Limits
 from linnetwood.lab.soak.lost import LostCalls
 from linnetwood.lab.soak.notices import (
     leaving_violations,
@@ -19,7 +26,6 @@
 
 _OK = 200
 _FOUND_BELOW = 300
-_UNKNOWN = 404
 # Statuses that guarantee that a call has not run, and never will.
 _NOT_RUN = frozenset((408, 421, 429, 503))
 _MILLISECONDS = 1000
@@ -35,21 +41,6 @@
 _MIN_CALLS_OF_KIND = 10
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Limits:
-    """The bounds of a deployment, and the slack for a busy machine."""
-
-    contact_s: float = 3
-    apply_s: float = 4
-    version_s: float = 12
-    drain_s: float = 3
-    attempts: int = 2
-    retry_share: float = 0.2
-    retry_extra: float = 100
-    window_s: float = 10
-    slack_s: float = 1
-
-
 class Checker:
     """Find the violations in one history."""
 
@@ -66,6 +57,9 @@
         yield from itertools.chain(
             self._call_violations(),
             (f'WHOLE {one}' for one in self._history.found),
+            ConfigurationChecker(
+                self._history, self._runs, self._limits
+            ).violations(),
             self._run_violations(),
             self._check_retry_share(),
             self._check_fatal_calls(),
@@ -84,7 +78,6 @@
             self._check_order,
             self._check_twice,
             self._check_refused,
-            self._check_config,
             self._check_attempts,
         )
         for call in self._history.calls:
@@ -102,10 +95,10 @@
             return
         runs = self._runs[call.call_id]
         if call.signature not in {run.signature for run in runs}:
-            yield _describe('MIXED', call, 'no run has this signature')
+            yield describe('MIXED', call, 'no run has this signature')
         if call.kind is not CallKind.STREAM and call.whole:
             if call.body not in {run.body for run in runs}:
-                yield _describe('MIXED', call, f'body {call.body[:60]!r}')
+                yield describe('MIXED', call, f'body {call.body[:60]!r}')
 
     def _check_order(self, call: Call) -> Iterator[str]:
         """Check that events are the call's own, in order, and complete."""
@@ -115,17 +108,17 @@
         rows = call.body.split('\n\n')[:-1]
         events = [row.partition('data: ')[2].split('|') for row in rows]
         if {parts[0] for parts in events} - {call.call_id}:
-            yield _describe('MIXED', call, 'an event of another call')
+            yield describe('MIXED', call, 'an event of another call')
         numbers = [parts[1] for parts in events]
         if numbers != [str(one) for one in range(1, len(rows) + 1)]:
-            yield _describe('ORDER', call, f'events {numbers}')
+            yield describe('ORDER', call, f'events {numbers}')
         elif call.whole and not _ends_with_last(events):
-            yield _describe('ORDER', call, f'ends after event {numbers[-1:]}')
+            yield describe('ORDER', call, f'ends after event {numbers[-1:]}')
 
     def _check_twice(self, call: Call) -> Iterator[str]:
         runs = self._runs[call.call_id]
         if call.kind is CallKind.NON_IDEMPOTENT and len(runs) > 1:
-            yield _describe('TWICE', call, f'at {[run.server for run in runs]}')
+            yield describe('TWICE', call, f'at {[run.server for run in runs]}')
 
     def _check_refused(self, call: Call) -> Iterator[str]:
         runs = self._runs[call.call_id]
@@ -134,35 +127,18 @@
             and call.status in _NOT_RUN
             and runs
         ):
-            yield _describe('REFUSED', call, f'ran at {runs[0].server}')
-
-    def _check_config(self, call: Call) -> Iterator[str]:
-        """Check probes of routes that configurations added or removed.
-
-        Each configuration has its own route and those of a few before it. A
-        newer configuration than the last due one may already be in force.
-        """
-        if not call.probes or not self._is_connected(call.entry, call.sent_at):
-            return
-        due = self._newest_acked('config', call.sent_at - self._limits.apply_s)
-        # A configuration may be in force before it is acknowledged.
-        newest = 1 + self._newest_acked('config', call.ended_at)
-        kept = call.probes <= due and call.probes >= newest - KEPT_ROUTES
-        if kept and call.status == _UNKNOWN:
-            yield _describe('CONFIG', call, f'{call.probes} not in force')
-        if call.probes < due - KEPT_ROUTES and call.status == _OK:
-            yield _describe('CONFIG', call, f'{call.probes} still in force')
+            yield describe('REFUSED', call, f'ran at {runs[0].server}')
 
     def _check_attempts(self, call: Call) -> Iterator[str]:
         runs = self._runs[call.call_id]
         if len(runs) > self._limits.attempts:
-            yield _describe('BUDGET', call, f'ran {len(runs)} times')
+            yield describe('BUDGET', call, f'ran {len(runs)} times')
         for run in runs:
             left_s = call.sent_at + call.patience_s - run.at
             late = run.wait_ms / _MILLISECONDS > left_s + self._limits.slack_s
             # A suspended entry can't know how long a call waited for it.
             if late and self._is_connected(call.entry, run.at):
-                yield _describe(
+                yield describe(
                     'BUDGET', call, f'sent a deadline of {run.wait_ms} ms'
                 )
 
@@ -343,10 +319,3 @@
         return False
     _, *numbers = events[-1]
     return numbers[:1] == numbers[1:2]
-
-
-def _describe(rule: str, call: Call, detail: str) -> str:
-    return (
-        f'{rule} {call.sent_at:.3f} {call.call_id} by {call.entry}: '
-        f'{call.status} {detail}'
-    )
--- a/src/linnetwood/lab/soak/configuration.py
+++ b/src/linnetwood/lab/soak/configuration.py
@@ -2,12 +2,18 @@
 
 import dataclasses
 
-from linnetwood.lab.soak.callers import HOST, KEY
+from linnetwood.lab.soak.history import KEY
 from linnetwood.lab.soak.standservers import CHUNK_BYTES, CHUNKS, MODEL
 
-# Each configuration also has the routes of this many earlier ones.
+HOST = 'soak.example'
+FIRST_PATHS = frozenset(('/confirm/x', '/lookup/x'))
+ADDED_PREFIX = '/only-'
+# Each configuration also has the routes and keys of this many earlier ones.
 KEPT_ROUTES = 3
+_MILLISECONDS = 1000
 _TIMEOUT_MS = 6000
+# Shorter than callers wait: the timeout of every other numbered route.
+_SHORT_TIMEOUT_MS = 1500
 _TARGET_MS = 400
 
 
@@ -28,10 +34,11 @@
     streams_to = 'pool' if variant.has_engines else 'empty'
     limits = {'idle_timeout_ms': variant.idle_ms} if variant.idle_ms else {}
     first = max(1, number - KEPT_ROUTES)
+    kept = range(first, number + 1)
     numbered_routes = [
-        _route(f'/only-{one}/', 'idempotent', 'desk')
-        for one in range(first, number + 1)
+        _route(f'{ADDED_PREFIX}{one}/', 'idempotent', 'desk') for one in kept
     ]
+    keys = [KEY, *map(numbered_key, kept)]
     return {
         'version': number,
         'routes': [
@@ -67,17 +74,30 @@
             },
         ],
         'limits': limits,
-        'tenants': [{'name': 't-1', 'api_keys': [KEY], 'priority': 1}],
+        'tenants': [{'name': 't-1', 'api_keys': keys, 'priority': 1}],
     }
 
 
+def numbered_key(number: int) -> str:
+    """Return the key that a configuration adds."""
+    return f'added-{number}'
+
+
+def timeout_s(path: str) -> float:
+    """Return the timeout of the route of a path."""
+    number = path.partition(ADDED_PREFIX)[2].partition('/')[0]
+    is_short = bool(number) and int(number) % 2
+    timeout_ms = _SHORT_TIMEOUT_MS if is_short else _TIMEOUT_MS
+    return timeout_ms / _MILLISECONDS
+
+
 def _route(prefix: str, kind: str, service: str) -> dict[str, object]:
     return dict(
         name=prefix,
         host=HOST,
         path_prefix=prefix,
         kind=kind,
-        timeout_ms=_TIMEOUT_MS,
+        timeout_ms=int(timeout_s(prefix) * _MILLISECONDS),
         target_latency_ms=_TARGET_MS,
         priority=1,
         service=service,
--- a/src/linnetwood/lab/soak/history.py
+++ b/src/linnetwood/lab/soak/history.py
@@ -7,6 +7,8 @@
 import enum
 from typing import Any, Final
 
+# The key that every configuration has.
+KEY: Final = 'key-1'
 # The fault that an entry was ready to run, but had no processor.
 PROCESSOR_WAIT: Final = 'waited for a processor'
 
@@ -39,8 +41,9 @@
     written_at: float = 0
     # Whether its connection had carried another call before.
     on_kept_connection: bool = False
-    # The configuration whose route this calls; 0 if it is no probe.
+    # The configuration whose route or key this has; 0 if it is no probe.
     probes: int = 0
+    key: str = KEY
     # The parts of its prompt, in order; the last is its own.
     parts: tuple[str, ...] = ()
 
@@ -151,3 +154,11 @@
 def decode_runs(rows: list[dict[str, Any]]) -> list[Run]:
     """Decode the runs that a stand-in returns."""
     return [Run(**row) for row in rows]
+
+
+def describe(rule: str, call: Call, detail: str) -> str:
+    """Return the description of a violation that a call shows."""
+    return (
+        f'{rule} {call.sent_at:.3f} {call.call_id} by {call.entry}: '
+        f'{call.status} {detail}'
+    )
--- a/tests/test_ending_calls.py
+++ b/tests/test_ending_calls.py
@@ -10,7 +10,7 @@
 from random import Random
 
 from linnetwood.lab.measure_soak import run_soak
-from linnetwood.lab.soak.checks import Checker, Limits
+from linnetwood.lab.soak.checks import Checker
 from linnetwood.lab.soak.fleet import Size
 from linnetwood.lab.soak.history import (
     Call,
@@ -19,6 +19,7 @@
     History,
     Run,
 )
+from linnetwood.lab.soak.limits import Limits
 from linnetwood.lab.soak.schedule import LEAD_S, Fault
 
 FATAL_CALLS = 'call that ends servers'
--- a/tests/test_fatal_parts.py
+++ b/tests/test_fatal_parts.py
@@ -8,7 +8,7 @@
 import unittest
 
 from linnetwood.lab.measure_soak import run_soak
-from linnetwood.lab.soak.checks import Checker, Limits
+from linnetwood.lab.soak.checks import Checker
 from linnetwood.lab.soak.fatalparts import (
     Company,
     CrashMoment,
@@ -24,6 +24,7 @@
     History,
     Run,
 )
+from linnetwood.lab.soak.limits import Limits
 from linnetwood.lab.soak.schedule import LEAD_S, Fault
 
 PART_FAULT = 'part that ends engines'
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -8,7 +8,7 @@
 from linnetwood.lab.launcher import Ports
 from linnetwood.lab.measure_soak import run_soak
 from linnetwood.lab.soak.callers import LONG_EVENT_COUNTS
-from linnetwood.lab.soak.checks import Checker, Limits
+from linnetwood.lab.soak.checks import Checker
 from linnetwood.lab.soak.fleet import Size
 from linnetwood.lab.soak.history import (
     AckedWrite,
@@ -20,6 +20,7 @@
     Notice,
     Run,
 )
+from linnetwood.lab.soak.limits import Limits
 from linnetwood.lab.soak.proxy import Forwarder
 from linnetwood.lab.soak.schedule import (
     LEAD_S,
