Let servers of the soak answer without end

Callers saw entries stand still while a server sent bytes that are no answer without end, and no server of the soak did so. A plain server, an engine or all engines now do for a time, with each call or one in four: in a line, fields or interim heads, in a body without length, with a length, in chunks, small chunks, a chunk's extension or a trailer. The stand-in hands the connection over to a process of its own, which records the bytes that the connection took and when it closed. The check: 16 MiB of an answer, 1 MiB of an event, and 8 MiB for the buffers of the sockets on the way. A run there lasts as long as its connection, so that the rule on calls that continue applies. The entries count as in touch meanwhile.

--- a/src/linnetwood/lab/measure_soak.py
+++ b/src/linnetwood/lab/measure_soak.py
@@ -13,6 +13,10 @@
 
 from linnetwood.lab.soak.callers import EVENT_COUNTS, LONG_EVENT_COUNTS, Callers
 from linnetwood.lab.soak.checks import Checker
+from linnetwood.lab.soak.endlesschecks import (
+    add_endless,
+    summarize_endless,
+)
 from linnetwood.lab.soak.faults import FaultInjector
 from linnetwood.lab.soak.fleet import Fleet, Size
 from linnetwood.lab.soak.history import (
@@ -22,7 +26,12 @@
 )
 from linnetwood.lab.soak.limits import Limits
 from linnetwood.lab.soak.processorwaits import ProcessorWaits
-from linnetwood.lab.soak.schedule import Fault, schedule, schedule_planned_work
+from linnetwood.lab.soak.schedule import (
+    Fault,
+    schedule,
+    schedule_endless,
+    schedule_planned_work,
+)
 
 _MINUTE_S = 60
 _SETTLE_S = 3.0
@@ -40,6 +49,7 @@
     desks: int = 3,
     callers: int = 24,
     planned_work: bool = False,
+    endless: bool = False,
     out: str = '',
 ) -> bool:
     """Print faults by kind, calls by outcome, and violations.
@@ -51,6 +61,7 @@
     :param desks: plain servers
     :param callers: callers, each with a persistent connection
     :param planned_work: only planned work and silent servers, longer streams
+    :param endless: only servers that answer without end and configurations
     :param out: a file for the whole history, which can be plotted
     """
     size = Size(entries, engines, desks)
@@ -59,6 +70,8 @@
     if planned_work:
         planned = schedule_planned_work(seed, minutes * _MINUTE_S)
         event_counts = LONG_EVENT_COUNTS
+    if endless:
+        planned = schedule_endless(seed, minutes * _MINUTE_S)
     found = run_soak(seed, minutes, size, callers, out, planned, event_counts)
     sys.stdout.write(f'{json.dumps(found)}\n')
     return bool(found['violations'] or found['ended_badly'])
@@ -106,16 +119,21 @@
     finally:
         processor_waits.close()
         failed = fleet.close()
+    add_endless(history, fleet.endless_rows())
     if out:
         pathlib.Path(out).write_text(json.dumps(_serialize(history)))
-    violations = list(Checker(history, limits).violations())
+    checker = Checker(history, limits)
+    violations = list(checker.violations())
     return {
         'seed': seed,
         'faults': dict(sorted(faults.counts.items())),
         'calls': _outcomes(history),
         'runs': len(history.runs),
         'silences': len(history.silences),
+        'endless': summarize_endless(history),
+        'in_touch': checker.in_touch_share(),
         'violations': len(violations),
+        'rules': dict(Counter(one.split(' ')[0] for one in violations)),
         'first': violations[:_MAX_SHOWN],
         'ended_badly': failed,
         'logs': str(fleet.folder),
--- a/src/linnetwood/lab/soak/checks.py
+++ b/src/linnetwood/lab/soak/checks.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Iterator
 
 from linnetwood.lab.soak.configchecks import ConfigurationChecker
+from linnetwood.lab.soak.endlesschecks import endless_violations
 from linnetwood.lab.soak.fatalchecks import FatalPartChecker
 from linnetwood.lab.soak.fatalparts import fatal_part_of
 from linnetwood.lab.soak.history import (
@@ -51,15 +52,14 @@
         self._runs: dict[str, list[Run]] = defaultdict(list)
         for run in history.runs:
             self._runs[run.call_id].append(run)
+        self._configurations = ConfigurationChecker(history, self._runs, limits)
 
     def violations(self) -> Iterator[str]:
         """Yield each violation with its rule, time and details."""
         yield from itertools.chain(
             self._call_violations(),
             (f'WHOLE {one}' for one in self._history.found),
-            ConfigurationChecker(
-                self._history, self._runs, self._limits
-            ).violations(),
+            self._configurations.violations(),
             self._run_violations(),
             self._check_retry_share(),
             self._check_fatal_calls(),
@@ -69,9 +69,14 @@
             self._check_rate_limits(),
             leaving_violations(self._history, self._limits.drain_s),
             pause_violations(self._history),
+            endless_violations(self._history),
             self._check_recovery(),
         )
 
+    def in_touch_share(self) -> float:
+        """Return the share of probes whose entry was in touch."""
+        return self._configurations.in_touch_share()
+
     def _call_violations(self) -> Iterator[str]:
         rules: tuple[Callable[[Call], Iterator[str]], ...] = (
             self._check_mixed,
--- a/src/linnetwood/lab/soak/faults.py
+++ b/src/linnetwood/lab/soak/faults.py
@@ -11,6 +11,7 @@
 from linnetwood.lab.soak.callers import Callers
 from linnetwood.lab.soak.commands import Commands
 from linnetwood.lab.soak.configfaults import ConfigurationFaults
+from linnetwood.lab.soak.endlessfaults import EndlessFaults
 from linnetwood.lab.soak.faultlog import FaultLog
 from linnetwood.lab.soak.fleet import SERVER_PORT, Fleet, Vm
 from linnetwood.lab.soak.history import AckedWrite, History
@@ -61,6 +62,7 @@
             fleet, self._commands, history, callers
         )
         self._silences = SilenceFaults(self._commands, history, self._locations)
+        self._endless = EndlessFaults(self._commands, history, self._locations)
         self._starts = 0
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -102,6 +104,7 @@
             'crash server': self._crash,
             'server silent': self._silences.silence,
             'server dark': self._silences.darken,
+            'server endless': self._endless.run,
             'drain server': self._drain,
             'call that ends servers': partial(
                 self._crash_by_calls, self._callers.crash_servers
--- a/src/linnetwood/lab/soak/fleet.py
+++ b/src/linnetwood/lab/soak/fleet.py
@@ -36,6 +36,9 @@
 _NET_TO = 250
 _SLOTS = 8
 
+_STAND_INS = 'linnetwood.lab.soak.standins'
+_ENDLESS = 'linnetwood.lab.soak.endless'
+
 _SETTINGS = """
 node = "{name}"
 ip = "{host}"
@@ -119,9 +122,12 @@
                 self.servers.items(), servers, strict=True
             )
         ]
-        stand_ins = 'linnetwood.lab.soak.standins'
-        self._start_stand_in(stand_ins, 'store', str(store))
-        self._start_stand_in(stand_ins, 'servers', str(control), *rows)
+        self._start_stand_in('store', _STAND_INS, 'store', str(store))
+        endless = str(self.folder / 'endless.sock')
+        self._start_stand_in('endless', _ENDLESS, endless)
+        self._start_stand_in(
+            'servers', _STAND_INS, 'servers', str(control), endless, *rows
+        )
         pairs = [
             f'{name}={vm.host}:{SERVER_PORT}={_LOOPBACK}:{port}'
             for (name, vm), port in zip(
@@ -165,6 +171,11 @@
             self._proxy.stdin.write(f'{line}\n'.encode())
             self._proxy.stdin.flush()
 
+    def endless_rows(self) -> list[str]:
+        """Return a line of JSON for each answer without end that has ended."""
+        text = (self.folder / 'endless.log').read_text()
+        return [line for line in text.splitlines() if line.startswith('{')]
+
     def close(self) -> list[str]:
         """Stop everything; return the programs that did not stop cleanly."""
         programs = [*self.entries, *self.engines]
@@ -211,8 +222,8 @@
         )
         vm.settings = str(path)
 
-    def _start_stand_in(self, program: str, *args: str) -> None:
-        self._stand_ins.append(self._spawn(args[0], program, list(args)))
+    def _start_stand_in(self, name: str, program: str, *args: str) -> None:
+        self._stand_ins.append(self._spawn(name, program, list(args)))
 
     def _spawn(
         self,
--- a/src/linnetwood/lab/soak/history.py
+++ b/src/linnetwood/lab/soak/history.py
@@ -125,6 +125,18 @@
         return applies and self.at < until and self.until > since
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class EndlessAnswer:
+    """An answer without end, and the bytes that were taken of it."""
+
+    call_id: str
+    server: str
+    framing: str
+    at: float
+    until: float
+    taken: int
+
+
 @dataclasses.dataclass(slots=True)
 class History:
     """All observations that are checked."""
@@ -138,6 +150,7 @@
     silences: list[FaultRecord] = dataclasses.field(default_factory=list)
     # Reloads of entries, which are planned and excuse nothing.
     reloads: list[FaultRecord] = dataclasses.field(default_factory=list)
+    endless: list[EndlessAnswer] = dataclasses.field(default_factory=list)
     # Errors that servers detected themselves, such as wrong weights.
     found: list[str] = dataclasses.field(default_factory=list)
 
--- a/src/linnetwood/lab/soak/schedule.py
+++ b/src/linnetwood/lab/soak/schedule.py
@@ -21,6 +21,7 @@
         'crash server': (0.3, 2.0),
         'server silent': (4.0, 10.0),
         'server dark': (1.0, 4.0),
+        'server endless': (4.0, 10.0),
         'drain server': (2.0, 5.0),
         'call that ends servers': (8.0, 15.0),
         'part that ends engines': (8.0, 15.0),
@@ -58,6 +59,7 @@
     'hup entry',
     'stop entry',
 )
+_ENDLESS_KINDS = ('config', 'server endless')
 _SILENCE_GAP_S = (0.5, 2.0)
 _PLANNED_GAP_S = (0.5, 4.0)
 # The number of changes in a series, and the seconds between them.
@@ -89,6 +91,11 @@
     return sorted(faults, key=lambda fault: fault.at_s)
 
 
+def schedule_endless(seed: int, span_s: float) -> list[Fault]:
+    """Return servers that answer without end beside configurations."""
+    return list(_draw(Random(seed), span_s, _ENDLESS_KINDS, _SILENCE_GAP_S))
+
+
 def _draw(
     rng: Random,
     span_s: float,
--- a/src/linnetwood/lab/soak/silencefaults.py
+++ b/src/linnetwood/lab/soak/silencefaults.py
@@ -36,10 +36,7 @@
         They are sound, so that this excuses nothing.
         """
         rng = Random(fault.pick)
-        servers = sorted(self._servers)
-        chosen = [rng.choice(servers)]
-        if rng.random() < _ALL_ENGINES_SHARE:
-            chosen = [one for one in servers if one.startswith(_ENGINE_PREFIX)]
+        chosen = choose_servers(rng, self._servers)
         holds = rng.choice((Silence.ANSWERS, Silence.REPORTS))
         until = time.monotonic() + fault.span_s
         while time.monotonic() < until:
@@ -73,3 +70,12 @@
 
     async def _hold_back(self, server: str, silence: Silence) -> None:
         await self._commands.order(server, 'silence', holds=silence.name)
+
+
+def choose_servers(rng: Random, among: Collection[str]) -> list[str]:
+    """Choose a server, or all engines."""
+    servers = sorted(among)
+    chosen = [rng.choice(servers)]
+    if rng.random() < _ALL_ENGINES_SHARE:
+        chosen = [one for one in servers if one.startswith(_ENGINE_PREFIX)]
+    return chosen
--- a/src/linnetwood/lab/soak/standanswers.py
+++ b/src/linnetwood/lab/soak/standanswers.py
@@ -3,6 +3,7 @@
 An answer without a length and without chunks ends with its connection.
 """
 
+import dataclasses
 import hashlib
 from collections.abc import Awaitable, Callable
 from typing import Protocol
@@ -10,6 +11,8 @@
 from tornado.iostream import StreamClosedError
 from tornado.web import RequestHandler
 
+from linnetwood.lab.soak.endless import Order, hand_over
+
 _CLOSING_SHARE = 4
 
 
@@ -104,12 +107,28 @@
     handler: RequestHandler, call_id: str, *, streams: bool
 ) -> Answer:
     """Return the answer of a call; some calls' answers end by closing."""
-    digest = hashlib.blake2b(call_id.encode(), digest_size=1).digest()
-    if digest[0] % _CLOSING_SHARE == 0:
+    if _digest(call_id) % _CLOSING_SHARE == 0:
         return ClosingAnswer(handler)
     return FramedAnswer(handler, streams=streams)
 
 
+def answers_without_end(call_id: str, period: int) -> bool:
+    """Return whether a call is the one in some that has no end."""
+    return bool(period) and _digest(call_id) % period == 0
+
+
+def hand_over_call(handler: RequestHandler, path: str, order: Order) -> None:
+    """Let another process answer a call on its connection."""
+    headers = handler._headers  # noqa: WPS437
+    lines = [f'{name}: {text}' for name, text in headers.get_all()]
+    head = '\r\n'.join(['HTTP/1.1 200 OK', *lines])
+    stream = handler.detach()
+    try:
+        hand_over(path, dataclasses.replace(order, head=head), stream.socket)
+    finally:
+        stream.close()
+
+
 def close_connection(handler: RequestHandler) -> None:
     """Close the connection of a call, whatever was sent on it."""
     raw_stream = getattr(handler, 'raw_stream', None)
@@ -127,5 +146,9 @@
         raise StreamClosedError
 
 
+def _digest(call_id: str) -> int:
+    return hashlib.blake2b(call_id.encode(), digest_size=1).digest()[0]
+
+
 def _ignore_close() -> None:
     """Do nothing."""
--- a/src/linnetwood/lab/soak/standcalls.py
+++ b/src/linnetwood/lab/soak/standcalls.py
@@ -9,6 +9,7 @@
 from tornado.httputil import HTTPHeaders
 from tornado.iostream import StreamClosedError
 
+from linnetwood.lab.soak.endless import Order
 from linnetwood.lab.soak.fatalparts import CrashMoment, crash_moment
 from linnetwood.lab.soak.history import Arrival, Notice, Run
 from linnetwood.lab.soak.standanswers import (
@@ -16,10 +17,18 @@
     ClosingAnswer,
     HeldAnswer,
     answer_of,
+    answers_without_end,
     check_connected,
+    hand_over_call,
 )
 from linnetwood.lab.soak.standhandler import HOLD_CHECK_S, ServerHandler
-from linnetwood.lab.soak.standservers import POOL, Server, Servers, Silence
+from linnetwood.lab.soak.standservers import (
+    POOL,
+    Endlessness,
+    Server,
+    Servers,
+    Silence,
+)
 
 # A call with this in its path crashes the server that begins to run it.
 FATAL = 'fatal'
@@ -107,6 +116,12 @@
 
     async def _serve(self, run: Run) -> None:
         engine = self.server.service == POOL
+        endless = self.servers.endless.get(run.server, Endlessness())
+        if answers_without_end(run.call_id, endless.period):
+            self._sign(run)
+            order = Order(run.call_id, run.server, endless.framing)
+            hand_over_call(self, self.servers.endless_path, order)
+            return
         await (self._stream(run) if engine else self._answer(run))
 
     async def _answer(self, run: Run) -> None:
@@ -121,8 +136,6 @@
 
     async def _stream(self, run: Run) -> None:
         self._sign(run)
-        self.set_header('X-Weight-Versions', str(run.version))
-        self.set_header('Content-Type', 'text/event-stream')
         moment = crash_moment(self.request.headers.get('X-Prompt-Prefix', ''))
         closes = moment is not None and moment.ends_with_connection
         await self._wait_until_heard()
@@ -177,6 +190,9 @@
     def _sign(self, run: Run) -> None:
         self.set_header('X-Attempt-Id', run.call_id)
         self.set_header('X-Server-Signature', run.signature)
+        if self.server.service == POOL:
+            self.set_header('X-Weight-Versions', str(run.version))
+            self.set_header('Content-Type', 'text/event-stream')
 
 
 def _is_addressed(server: Server, headers: HTTPHeaders) -> bool:
--- a/src/linnetwood/lab/soak/standcontrol.py
+++ b/src/linnetwood/lab/soak/standcontrol.py
@@ -20,6 +20,7 @@
 from linnetwood.lab.soak.standservers import (
     CHUNK_BYTES,
     CHUNKS,
+    Endlessness,
     Server,
     Servers,
     Silence,
@@ -98,6 +99,10 @@
             self._run_command(server, command)
         for field in command.keys() & {'spoils', 'origin_silent'}:
             setattr(self.servers, field, bool(command[field]))
+        endless = command.get('endless', {})
+        self.servers.endless.update(
+            {one: Endlessness(*endless[one]) for one in endless}
+        )
         self.servers.newest = int(command.get('newest', self.servers.newest))
         self.write(
             {
--- a/src/linnetwood/lab/soak/standins.py
+++ b/src/linnetwood/lab/soak/standins.py
@@ -15,13 +15,14 @@
     asyncio.run(_store(port))
 
 
-def servers(port: int, *rows: str) -> None:
+def servers(port: int, endless_path: str, *rows: str) -> None:
     """Run servers and the origin.
 
     :param port: where origin and control listen on loopback
+    :param endless_path: where answers without end are handed over
     :param rows: NAME=SERVICE=SLOTS=PORT for each server
     """
-    asyncio.run(_servers(port, rows))
+    asyncio.run(_servers(port, endless_path, rows))
 
 
 async def _store(port: int) -> None:
@@ -29,8 +30,8 @@
     await asyncio.Event().wait()
 
 
-async def _servers(port: int, rows: tuple[str, ...]) -> None:
-    all_servers = standservers.Servers()
+async def _servers(port: int, endless_path: str, rows: tuple[str, ...]) -> None:
+    all_servers = standservers.Servers(endless_path)
     for row in rows:
         name, service, slots, listens = row.split('=')
         standcontrol.add_server(
--- a/src/linnetwood/lab/soak/standservers.py
+++ b/src/linnetwood/lab/soak/standservers.py
@@ -3,6 +3,7 @@
 Each server records the calls that it began.
 """
 
+import dataclasses
 import enum
 import hashlib
 import secrets
@@ -34,6 +35,15 @@
     EVERYTHING = 3
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Endlessness:
+    """The part of answers that does not end, in one of some calls."""
+
+    framing: str = ''
+    # One in so many calls; 0 for none.
+    period: int = 0
+
+
 def make_chunk(version: int, index: int) -> bytes:
     """Return the valid chunk of a version at an index."""
     seed = hashlib.sha256(f'{version}/{index}'.encode()).digest()
@@ -129,8 +139,10 @@
 class Servers:
     """All servers, and the calls that they received."""
 
-    def __init__(self) -> None:
-        """Start without servers."""
+    def __init__(self, endless_path: str = '') -> None:
+        """Start without servers; answers without end are sent elsewhere."""
+        self.endless_path = endless_path
+        self.endless: dict[str, Endlessness] = {}
         self.servers: dict[str, Server] = {}
         self.runs: list[Run] = []
         self.arrivals: list[Arrival] = []
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -26,6 +26,7 @@
     LEAD_S,
     Fault,
     schedule,
+    schedule_endless,
     schedule_planned_work,
 )
 from linnetwood.lab.soak.totalloss import StoreState
@@ -34,6 +35,7 @@
 SEED = 1
 MINUTES = 0.2
 PLANNED_WORK_S = 30
+ENDLESS_S = 10
 AT = 1000.0
 CALL = Call(
     'c',
@@ -727,6 +729,16 @@
         self.assertGreater(found['silences'], 0)
         self.assertGreater(found['calls']['stream 200'], 0)
 
+    # Guards against entries that stand still while a server answers without
+    # end: due routes were not served, and dropped ones ran.
+    def test_answers_without_end(self) -> None:
+        """Entries keep every rule beside servers that answer without end."""
+        planned = schedule_endless(SEED, LEAD_S + ENDLESS_S)
+        found = run_soak(SEED, 0, Size(3, 3, 2), callers=6, planned=planned)
+        self.assertEqual(found['first'], [])
+        self.assertEqual(found['ended_badly'], [])
+        self.assertGreater(found['endless']['answers'], 0)
+
 
 if __name__ == '__main__':
     unittest.main()
