Give the zones of the soak links, and record stand-ins that did not run

The soak had no link that traffic could fill. The proxy now has one for each pair of zones and direction: 20 Mbit/s, one queue for all connections. Programs have an address of the store each, so that its connections pass between the right zones. On loopback nothing tells the zone of a server's caller, so that its connections are taken for those of each zone in turn. Connections between programs don't pass the proxy and have no link. A new kind of fault fills a link with bulk traffic for some seconds; it keeps what others wait for at 0.4 s, and excuses nothing. Small socket buffers keep the queue at the link.

All calls of all entries were recorded at the same instant, 1.0 to 3.8 s late and with the deadline as it was sent, so that stand-ins had not run. They now print when they did not run for 0.3 s, and the check of deadlines passes over calls in that time. Nothing else is excused for an entry. Handing a connection over no longer waits, either.

--- a/src/linnetwood/lab/soak/checks.py
+++ b/src/linnetwood/lab/soak/checks.py
@@ -10,6 +10,7 @@
 from linnetwood.lab.soak.fatalchecks import FatalPartChecker
 from linnetwood.lab.soak.fatalparts import fatal_part_of
 from linnetwood.lab.soak.history import (
+    STAND_INS,
     AckedWrite,
     Call,
     CallKind,
@@ -141,8 +142,13 @@
         for run in runs:
             left_s = call.sent_at + call.patience_s - run.at
             late = run.wait_ms / _MILLISECONDS > left_s + self._limits.slack_s
-            # A suspended entry can't know how long a call waited for it.
-            if late and self._is_connected(call.entry, run.at):
+            # A suspended entry can't know how long a call waited for it, nor
+            # how late a stand-in that did not run records it.
+            if (
+                late
+                and self._is_connected(call.entry, run.at)
+                and self._history.is_fault_free(STAND_INS, call.sent_at, run.at)
+            ):
                 yield describe(
                     'BUDGET', call, f'sent a deadline of {run.wait_ms} ms'
                 )
--- a/src/linnetwood/lab/soak/faults.py
+++ b/src/linnetwood/lab/soak/faults.py
@@ -123,6 +123,7 @@
             'store restored': self._restore_store,
             'spoilt pieces': self._disturb_origin,
             'origin silent': self._disturb_origin,
+            'link full': self._fill_link,
             'config': self._configurations.write_configurations,
             'configs': self._configurations.write_configurations,
             'config idle': self._configurations.change_idle_time,
@@ -293,6 +294,11 @@
         for index in indexes:
             self._log.end(index, _SILENCED_S)
 
+    async def _fill_link(self, fault: Fault) -> None:
+        """Fill a link between zones; this excuses nothing."""
+        self._fleet.fill_link(fault.pick, fault.span_s)
+        await asyncio.sleep(fault.span_s)
+
     async def _cut_power(self, fault: Fault) -> None:
         state = _choose(tuple(StoreState), fault)
         index = self._log.begin(fault.kind, '', fault.span_s + _READY_TIMEOUT_S)
--- a/src/linnetwood/lab/soak/history.py
+++ b/src/linnetwood/lab/soak/history.py
@@ -9,8 +9,9 @@
 
 # The key that every configuration has.
 KEY: Final = 'key-1'
-# The fault that an entry was ready to run, but had no processor.
+# The fault that an entry, or the stand-ins, had no processor.
 PROCESSOR_WAIT: Final = 'waited for a processor'
+STAND_INS: Final = 'stand-ins'
 
 
 class CallKind(enum.Enum):
--- a/src/linnetwood/lab/soak/processorwaits.py
+++ b/src/linnetwood/lab/soak/processorwaits.py
@@ -5,12 +5,15 @@
 """
 
 import asyncio
+import json
 import pathlib
 import time
+from collections.abc import Iterable
 
 from linnetwood.lab.soak.fleet import Vm
 from linnetwood.lab.soak.history import (
     PROCESSOR_WAIT,
+    STAND_INS,
     FaultRecord,
     History,
 )
@@ -54,6 +57,14 @@
             if vm.process is not None:
                 self._sample_process(vm.name, vm.process.pid, now)
 
+    def add_stalls(self, rows: Iterable[str]) -> None:
+        """Record when stand-ins did not run, as they printed it."""
+        for row in rows:
+            since, until = json.loads(row)['stall']
+            self._history.troubles.append(
+                FaultRecord(PROCESSOR_WAIT, since, until, STAND_INS)
+            )
+
     async def _sample_repeatedly(self) -> None:
         while True:
             before = time.monotonic()
--- a/src/linnetwood/lab/soak/schedule.py
+++ b/src/linnetwood/lab/soak/schedule.py
@@ -38,6 +38,7 @@
         'way silent': (0.5, 3.0),
         'way cut one way': (0.5, 3.0),
         'way resets': (0.1, 0.5),
+        'link full': (2.0, 8.0),
         'spoilt pieces': (1.0, 4.0),
         'origin silent': (0.5, 3.0),
         'config': _INSTANT,
--- a/src/linnetwood/lab/soak/standanswers.py
+++ b/src/linnetwood/lab/soak/standanswers.py
@@ -125,6 +125,8 @@
     stream = handler.detach()
     try:
         hand_over(path, dataclasses.replace(order, head=head), stream.socket)
+    except OSError as exc:
+        raise StreamClosedError from exc
     finally:
         stream.close()
 
--- a/src/linnetwood/lab/soak/standins.py
+++ b/src/linnetwood/lab/soak/standins.py
@@ -4,7 +4,12 @@
 
 import defopt
 
-from linnetwood.lab.soak import standcontrol, standservers, standstore
+from linnetwood.lab.soak import (
+    standcontrol,
+    standservers,
+    standstalls,
+    standstore,
+)
 
 
 def store(port: int) -> None:
@@ -38,7 +43,7 @@
             all_servers, name, service, int(slots), int(listens)
         )
     standcontrol.application(all_servers).listen(port, '127.0.0.1')
-    await asyncio.Event().wait()
+    await standstalls.print_stalls()
 
 
 def main() -> None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import json
 import math
 import unittest
 
@@ -21,6 +22,7 @@
     Run,
 )
 from linnetwood.lab.soak.limits import Limits
+from linnetwood.lab.soak.processorwaits import ProcessorWaits
 from linnetwood.lab.soak.proxy import Forwarder
 from linnetwood.lab.soak.schedule import (
     LEAD_S,
@@ -450,6 +452,19 @@
         history.troubles = [FaultRecord('pause entry', AT, AT + 2, 'e')]
         self.assertEqual(violated_rules(history), set())
 
+    # Guards against false alarms on a busy machine: stand-ins that did not run
+    # for over a second recorded calls late, with the deadline as it was sent.
+    def test_stand_in_without_a_processor(self) -> None:
+        """A stall of stand-ins excuses what they record late, and no entry."""
+        late = dataclasses.replace(RUN, at=AT + 2)
+        history = history_of(CALL, late)
+        stall = json.dumps({'stall': (AT, AT + 2)})
+        ProcessorWaits([], history).add_stalls([stall])
+        self.assertEqual(violated_rules(history), set())
+        lost = closed_streams(4, RUN)
+        lost.troubles = history.troubles
+        self.assertEqual(violated_rules(lost), {'LOST'})
+
     def test_a_newer_configuration_may_be_in_force(self) -> None:
         """Guard against false alarms: it may lack a route of the due one."""
         history = history_of(CALL, probes=5, status=404, signature='')
