Split the simulation of transfers into links, scenario and engines

Cause: lab/transfers.py held 504 lines and three jobs: rates on links, what VMs decide, what is printed.

--- a/src/linnetwood/lab/measure_versions.py
+++ b/src/linnetwood/lab/measure_versions.py
@@ -9,7 +9,8 @@
 from typing import Any
 
 from linnetwood.core.options import Decisions
-from linnetwood.lab.transfers import Fleet, Outcome, Policies, Scenario
+from linnetwood.lab.transfers import Fleet
+from linnetwood.lab.transferscenario import Outcome, Policies, Scenario
 from linnetwood.lab.versioncases import (
     FIRST,
     OUTAGE,
--- a/src/linnetwood/lab/versioncases.py
+++ b/src/linnetwood/lab/versioncases.py
@@ -6,7 +6,8 @@
 from random import Random
 
 from linnetwood.fleet.wanted import WantedVersions
-from linnetwood.lab.transfers import CHANGE_S, MODEL, Scenario
+from linnetwood.lab.transfers import CHANGE_S, MODEL
+from linnetwood.lab.transferscenario import Scenario
 
 _STEP_S = 0.01
 _LONGEST_S = 60
--- a/tests/test_cut_zone.py
+++ b/tests/test_cut_zone.py
@@ -15,7 +15,8 @@
 import unittest
 from itertools import product
 
-from linnetwood.lab.transfers import Fleet, Outcome, Policies, Scenario
+from linnetwood.lab.transfers import Fleet
+from linnetwood.lab.transferscenario import Outcome, Policies, Scenario
 from linnetwood.weights.takeover import AFTER_THE_REST, TAKEOVERS
 from linnetwood.weights.versionplan import ByForecast
 
--- a/tests/test_versioncases.py
+++ b/tests/test_versioncases.py
@@ -4,7 +4,8 @@
 import math
 import unittest
 
-from linnetwood.lab.transfers import Fleet, Policies, Scenario
+from linnetwood.lab.transfers import Fleet
+from linnetwood.lab.transferscenario import Policies, Scenario
 from linnetwood.lab.versioncases import FIRST, draw_scenario, min_without_s
 from linnetwood.weights.takeover import TAKEOVERS
 from linnetwood.weights.versionplan import PLANS
--- a/tests/test_versionplan.py
+++ b/tests/test_versionplan.py
@@ -11,7 +11,8 @@
 import unittest
 
 from linnetwood.fleet.wanted import SEND_MARGIN_S, WantedVersions
-from linnetwood.lab.transfers import Fleet, Outcome, Policies, Scenario
+from linnetwood.lab.transfers import Fleet
+from linnetwood.lab.transferscenario import Outcome, Policies, Scenario
 from linnetwood.weights.takeover import TAKEOVERS
 from linnetwood.weights.versionplan import (
     PLANS,
