Add failing tests of answers without an end

Two of the new tests pass: a stream goes on elsewhere, and an answer of the largest size is whole. DirectTest's setup moves to DirectFixture, without a change, so that other modules can use it.

--- /dev/null
+++ b/tests/test_answers_without_end.py
@@ -0,0 +1,153 @@
+"""An endpoint whose answer has no end is given up at a bound, and avoided."""
+
+import asyncio
+from unittest import mock
+
+from linnetwood.calls.attempt import MAX_ANSWER_BYTES, AnswerStream, Attempt
+from linnetwood.calls.routetable import Repeat
+from linnetwood.core.outcomes import Outcome
+from linnetwood.core.sizes import KIB, MIB
+from linnetwood.platform.dialect import PlatformDialect
+from linnetwood.wire.curldriver import Request
+from tests.test_curldriver import Behaviour, respond_with
+from tests.test_direct import (
+    SIGNED,
+    DirectFixture,
+    answer,
+    events,
+    stream,
+)
+
+PIECE = b'x' * 64 * KIB
+CHUNKED = f'HTTP/1.1 200 OK\r\n{SIGNED}Transfer-Encoding: chunked\r\n\r\n'
+CLOSING = f'HTTP/1.1 200 OK\r\n{SIGNED}\r\n'
+LONG = f'HTTP/1.1 200 OK\r\n{SIGNED}Content-Length: 999999999\r\n\r\n'
+LONG_CHUNK = b'%x\r\n%s\r\n' % (len(PIECE), PIECE)
+SMALL_CHUNKS = b'1\r\nx\r\n' * 10000
+TINY_IN_LONG = b'1;%s\r\nx\r\n' % PIECE
+# Far more than a caller that stops reading at a bound has in its buffers.
+SENT_AT_MOST = 64 * MIB
+
+
+class Endless:
+    """Answer with bytes that never end, until the caller closes."""
+
+    def __init__(self, head: str, block: bytes) -> None:
+        self.sent = 0
+        self._head = head.encode()
+        self._block = block
+
+    async def behave(
+        self, _: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Send until the connection is reset."""
+        writer.write(self._head)
+        while self.sent < SENT_AT_MOST:
+            writer.write(self._block)
+            await writer.drain()
+            self.sent += len(self._block)
+
+
+class EndlessAnswersTest(DirectFixture):
+    """Run calls at servers, the first of which answers without an end."""
+
+    async def check_given_up(self, head: str, block: bytes) -> None:
+        """Expect that the endpoint is reset soon, and avoided then."""
+        for streams in (True, False):
+            with self.subTest(block=block[:9], streams=streams):
+                await self.asyncTearDown()
+                await self.asyncSetUp()
+                endless = Endless(head, block)
+                await self.serve(endless.behave)
+                ending, sink = await self.call(Repeat.NEVER, streams=streams)
+                self.assertEqual(ending.outcome, Outcome.UNKNOWN)
+                self.assertNotEqual(sink.ended, 'whole')
+                self.assertLess(endless.sent, SENT_AT_MOST)
+                now = asyncio.get_running_loop().time()
+                stats = self.chooser.stats_of('i-0')
+                self.assertGreater(stats.backoff_until, now)
+
+    async def test_body_without_a_length(self) -> None:
+        """Guards against reading at full rate until the call's deadline."""
+        await self.check_given_up(CLOSING, PIECE)
+
+    async def test_body_with_a_length(self) -> None:
+        """Guards against a stated length that is taken on trust."""
+        await self.check_given_up(LONG, PIECE)
+
+    async def test_chunks(self) -> None:
+        """Guards against chunks of any size that never end an answer."""
+        for block in (LONG_CHUNK, SMALL_CHUNKS):
+            await self.check_given_up(CHUNKED, block)
+
+    async def test_bytes_that_are_no_part_of_the_answer(self) -> None:
+        """Guards against bytes that libcurl reads and drops by itself."""
+        for head, block in ((f'{CHUNKED}5;', PIECE), (CHUNKED, TINY_IN_LONG)):
+            await self.check_given_up(head, block)
+
+    async def test_heads_and_trailers(self) -> None:
+        """Guards against headers, trailers and interim heads without end."""
+        field = b'X-One: a\r\n'
+        for head, block in (
+            (CLOSING[:-2], field),
+            (f'{CHUNKED}0\r\n', field),
+            ('', b'HTTP/1.1 100 Continue\r\n\r\n'),
+        ):
+            await self.check_given_up(head, block * 1000)
+
+    async def test_a_stream_goes_on_elsewhere(self) -> None:
+        """Guards against a resumable stream that is given up for good."""
+        first = Endless(CLOSING + events(0, 1).decode(), PIECE)
+        await self.serve(first.behave, respond_with(stream(events(2, 3))))
+        ending, sink = await self.call(Repeat.RESUME, streams=True)
+        self.assertEqual(ending.outcome, Outcome.ANSWERED)
+        self.assertEqual(sink.received, events(0, 1, 2, 3))
+
+    async def test_a_call_is_no_suspect(self) -> None:
+        """Guards against taking an answer that we end for a crash."""
+        for streams in (True, False):
+            await self.asyncTearDown()
+            await self.asyncSetUp()
+            await self.serve(Endless(CLOSING, PIECE).behave)
+            observer = mock.Mock(wraps=self.dispatcher.crash_observer)
+            self.dispatcher.crash_observer = observer
+            await self.call(Repeat.NEVER, streams=streams)
+            observer.note_lost.assert_not_called()
+            observer.note_answered.assert_not_called()
+
+    async def test_the_largest_answer_is_whole(self) -> None:
+        """Guards against a bound that cuts answers of the largest size."""
+        body = b'y' * MAX_ANSWER_BYTES
+        for size, outcome in ((0, Outcome.ANSWERED), (1, Outcome.UNKNOWN)):
+            await self.asyncTearDown()
+            await self.asyncSetUp()
+            sent = answer(f'200 OK\r\n{SIGNED}', body + b'y' * size)
+            behave: Behaviour = respond_with(sent)
+            await self.serve(behave)
+            ending, sink = await self.call(Repeat.NEVER)
+            self.assertEqual(ending.outcome, outcome)
+            self.assertEqual(sink.received, b'' if size else body)
+
+
+class EndlessAttemptTest(DirectFixture):
+    """Attempts without a connection."""
+
+    async def test_the_connection_is_reset_at_once(self) -> None:
+        """Guards against reading on while the call's end is handled."""
+        for streams in (True, False):
+            driver = mock.Mock()
+            attempt = Attempt(
+                AnswerStream(mock.Mock(), ''),
+                PlatformDialect(),
+                'c-1',
+                streams=streams,
+                clock_now=0,
+            )
+            attempt.start(driver, Request('h', 1, 'GET', '/', []))
+            attempt.head(200, [('X-Server-Signature', 's')])
+            read_bytes = 0
+            while not driver.cancel.called:
+                attempt.body(PIECE)
+                read_bytes += len(PIECE)
+                self.assertLessEqual(read_bytes, MAX_ANSWER_BYTES + len(PIECE))
+            self.assertTrue(attempt.fut.done())
--- a/tests/test_direct.py
+++ b/tests/test_direct.py
@@ -144,8 +144,8 @@
     return handle is None or bool(handle.getinfo(pycurl.REQUEST_SIZE))
 
 
-class DirectTest(unittest.IsolatedAsyncioTestCase):
-    """Run calls at test servers, the first of which may fail."""
+class DirectFixture(unittest.IsolatedAsyncioTestCase):
+    """A dispatcher, and endpoints that tests choose."""
 
     async def asyncSetUp(self) -> None:
         self.servers: list[Server] = []
@@ -238,6 +238,10 @@
         """Count the requests that reached any endpoint."""
         return sum(len(server.requests) for server in self.servers)
 
+
+class DirectTest(DirectFixture):
+    """Run calls at test servers, the first of which may fail."""
+
     async def test_outcomes_of_calls_that_may_not_be_repeated(self) -> None:
         """Only proof that a call did not run leads to a second endpoint."""
         late = answer(f'200 OK\r\n{SIGNED}', b'fin', length=4)
--- a/tests/test_eventstream.py
+++ b/tests/test_eventstream.py
@@ -1,10 +1,12 @@
 """Only complete events of a stream are passed on."""
 
+import tracemalloc
 import unittest
 
 from hypothesis import given
 from hypothesis import strategies as st
 
+from linnetwood.core.sizes import KIB
 from linnetwood.wire.eventstream import EventSplitter
 
 STREAM = b''.join(b'id: %d\ndata: %d\n\n' % (one, one) for one in range(9))
@@ -38,6 +40,19 @@
         self.assertEqual(splitter.feed(b'\n\n'), b'id: 4\nda\n\n')
         self.assertEqual(splitter.last_id, '4')
 
+    def test_a_piece_copies_no_more_than_itself(self) -> None:
+        """Guards against an event without an end that holds up an entry."""
+        splitter = EventSplitter()
+        self.addCleanup(tracemalloc.stop)
+        for size in (KIB, 512 * KIB):
+            splitter.feed(b'x' * size)
+            tracemalloc.start()
+            splitter.feed(b'x')
+            copied_bytes = tracemalloc.get_traced_memory()[1]
+            tracemalloc.stop()
+            with self.subTest(size=size):
+                self.assertLess(copied_bytes, KIB)
+
 
 if __name__ == '__main__':
     unittest.main()
