--- a/tests/test_eventstream.py
+++ b/tests/test_eventstream.py
@@ -53,6 +53,17 @@
             with self.subTest(size=size):
                 self.assertLess(copied_bytes, KIB)
 
+    def test_small_pieces_take_no_more_memory_than_their_bytes(self) -> None:
+        """Guards against one object a piece, many times the bytes held."""
+        splitter = EventSplitter()
+        self.addCleanup(tracemalloc.stop)
+        tracemalloc.start()
+        for _ in range(64 * KIB):
+            splitter.feed(bytes((65, 66)))
+        held_bytes = tracemalloc.get_traced_memory()[0]
+        self.assertEqual(splitter.partial_bytes, 128 * KIB)
+        self.assertLess(held_bytes, 2 * splitter.partial_bytes)
+
 
 if __name__ == '__main__':
     unittest.main()
