End an answer at its bound, reset it and avoid its endpoint

What callers saw: the next call went to an endpoint whose last answer had no end, and kept the entry busy until its own deadline. Cause: a whole answer beyond 16 MiB was read on, and its bytes dropped, until the deadline; that ended as timed out, which is no failure of an endpoint that sent a head. An event beyond 16 MiB ended as lost, which made its call a suspect of crashing endpoints. No crash is assumed, and a stream may go on elsewhere. Callers get 502 or a cut answer as before, since the call may have run. The detail in 6005 and answers.too_large name the bound. Small pieces of whole answers are merged, as each took many times its bytes.

--- a/src/linnetwood/calls/attempt.py
+++ b/src/linnetwood/calls/attempt.py
@@ -13,6 +13,7 @@
 from linnetwood.calls.heldbytes import HeldBytes
 from linnetwood.calls.notices import Notice
 from linnetwood.calls.slowreaders import MIN_HELD_UP_S
+from linnetwood.core.sizes import MIB
 from linnetwood.wire.curldriver import (
     TIMED_OUT,
     CurlDriver,
@@ -23,8 +24,11 @@
     Transfer,
 )
 from linnetwood.wire.eventstream import EventSplitter
+from linnetwood.wire.piecebuffer import PieceBuffer
 
+# An answer, whole or streamed, and one event of a stream.
 MAX_ANSWER_BYTES = 16777216
+MAX_EVENT_BYTES = MIB
 _OK_BELOW = 300
 _FRAMING_HEADERS = frozenset(('content-length', 'transfer-encoding'))
 _NEVER_BLOCKED = AnswerFlow()
@@ -72,6 +76,8 @@
     FAILED = 'failed'
     # The connection broke or the answer was invalid; the call may have run.
     LOST = 'lost'
+    # It was cancelled, as its answer exceeded a bound; the call may have run.
+    TOO_LARGE = 'too-large'
     # The endpoint was silent when another attempt took over.
     STALLED = 'stalled'
     # Another attempt took over, though the endpoint was not silent.
@@ -190,10 +196,10 @@
         self._verdict: Verdict | None = None
         self._status = 0
         self._headers: Headers = []
-        self._pieces: list[bytes] = []
+        self._pieces = PieceBuffer()
         self._size = 0
-        # Bytes of the incomplete last event that are counted as held.
-        self._partial_size = 0
+        # Bytes that are counted as held.
+        self._held_bytes = 0
         self.fut: asyncio.Future[AttemptResult] = self._loop.create_future()
 
     def start(self, driver: CurlDriver, req: Request) -> None:
@@ -208,7 +214,7 @@
             return
         self._driver = None
         driver.cancel(self._transfer)
-        self._held.answers -= sum(map(len, self._pieces)) + self._partial_size
+        self._hold(0)
         self._note_resumed()
 
     def abandon(self) -> None:
@@ -272,12 +278,13 @@
         self._size += len(piece)
         if self._is_forwarded:
             whole_events = self._splitter.feed(piece)
-            self._hold_partial(self._splitter.partial_bytes)
+            self._hold(self._splitter.partial_bytes)
             if whole_events:
                 self._send(whole_events)
-        elif self._size <= MAX_ANSWER_BYTES:
-            self._pieces.append(piece)
-            self._held.answers += len(piece)
+        else:
+            self._pieces.add(piece)
+            self._hold(self._pieces.size)
+        self._check_size()
 
     def done(self, finish: Finish) -> None:
         """Turn the end of the transfer into the result."""
@@ -314,16 +321,24 @@
             self.silent = False
             self.on_resumed()
 
-    def _hold_partial(self, size: int) -> None:
-        """Count an incomplete event, and end the attempt if it is too large."""
-        self._held.answers += size - self._partial_size
-        self._partial_size = size
-        if size > MAX_ANSWER_BYTES and not self.fut.done():
-            self.fut.set_result(
-                AttemptResult(
-                    AttemptOutcome.LOST, reached=True, detail='event too large'
-                )
-            )
+    def _hold(self, size: int) -> None:
+        """Count what is not forwarded yet as held."""
+        self._held.answers += size - self._held_bytes
+        self._held_bytes = size
+
+    def _check_size(self) -> None:
+        """End an attempt whose answer is too large."""
+        if self._size > MAX_ANSWER_BYTES:
+            self._end_too_large('answer too large')
+        elif self._splitter.partial_bytes > MAX_EVENT_BYTES:
+            self._end_too_large('event too large')
+
+    def _end_too_large(self, detail: str) -> None:
+        # Reset first: what follows would be read until the result is handled.
+        self.close()
+        self.fut.set_result(
+            AttemptResult(AttemptOutcome.TOO_LARGE, reached=True, detail=detail)
+        )
 
     @property
     def _is_forwarded(self) -> bool:
@@ -388,7 +403,7 @@
                 else AttemptOutcome.NOT_RUN
             )
             return AttemptResult(outcome, finish.connected, detail)
-        if not finish.whole or self._size > MAX_ANSWER_BYTES:
+        if not finish.whole:
             return AttemptResult(
                 AttemptOutcome.LOST, reached=True, detail=finish.detail
             )
@@ -431,7 +446,7 @@
             detail=f'status {self._status}',
             status=self._status,
             headers=self._dialect.answer_headers(self._headers),
-            body=b''.join(self._pieces),
+            body=self._pieces.take(),
             ends_with_connection=_ends_with_connection(self._headers),
         )
 
--- a/src/linnetwood/calls/attemptlog.py
+++ b/src/linnetwood/calls/attemptlog.py
@@ -3,7 +3,7 @@
 import dataclasses
 import math
 
-from linnetwood.calls.attempt import Attempt, AttemptResult
+from linnetwood.calls.attempt import Attempt, AttemptOutcome, AttemptResult
 from linnetwood.calls.choice import Choice, Requirements
 from linnetwood.calls.configbasis import ConfigBasis
 from linnetwood.calls.dialect import Urgency
@@ -102,6 +102,8 @@
 ) -> None:
     """Add an attempt to the metrics."""
     metrics.count(Metric.ATTEMPTS_ENDED, kind=result.outcome.value)
+    if result.outcome is AttemptOutcome.TOO_LARGE:
+        metrics.count(Metric.ANSWERS_TOO_LARGE, kind=result.detail)
     if sent_attempt.choice.version:
         version = str(sent_attempt.choice.version)
         metrics.count(Metric.ATTEMPTS_AT_VERSION, kind=version)
--- a/src/linnetwood/calls/attemptrecorder.py
+++ b/src/linnetwood/calls/attemptrecorder.py
@@ -97,6 +97,8 @@
             stats.record_misdirected(self._loop.time())
         elif result.outcome is AttemptOutcome.ANSWERED:
             self._record_success(sent_attempt, attempt)
+        elif result.outcome is AttemptOutcome.TOO_LARGE:
+            stats.record_too_large(self._loop.time())
         elif endpoint_failed(attempt, result):
             stats.record_failure()
         else:
--- a/src/linnetwood/calls/endpointstats.py
+++ b/src/linnetwood/calls/endpointstats.py
@@ -190,6 +190,13 @@
         self.record_failure()
         self._back_off(now)
 
+    def record_too_large(self, now: float) -> None:
+        """Back off from an endpoint whose answer had no end within bounds."""
+        self.record_failure()
+        # It goes on, but is avoided all the same.
+        self._before_silence = None
+        self._set_backoff(now)
+
     def record_silence(self, now: float) -> None:
         """Back off from a silent endpoint, until it goes on.
 
@@ -337,6 +344,9 @@
 
     def _back_off(self, now: float) -> None:
         self._suspect_delay(now, _MAX_EXTRA_DELAY_S)
+        self._set_backoff(now)
+
+    def _set_backoff(self, now: float) -> None:
         self.backoff_until = now + self.backoff_s
         self.backoff_s = min(_BACKOFF_MAX_S, self.backoff_s * 2)
 
--- a/src/linnetwood/core/exposed.py
+++ b/src/linnetwood/core/exposed.py
@@ -21,6 +21,7 @@
         Metric.CALLS_REFUSED: 'code',
         Metric.CALLS_FAILED: 'error',
         Metric.ATTEMPTS_ENDED: 'how',
+        Metric.ANSWERS_TOO_LARGE: 'bound',
         Metric.STREAMS_SILENT: 'decision',
         Metric.ATTEMPTS_AT_VERSION: 'version',
     },
--- a/src/linnetwood/core/metrics.py
+++ b/src/linnetwood/core/metrics.py
@@ -23,6 +23,7 @@
     CALLS_REFUSED = 'calls.refused'
     CALLS_FAILED = 'calls.failed'
     ATTEMPTS_ENDED = 'attempts.ended'
+    ANSWERS_TOO_LARGE = 'answers.too_large'
     STREAMS_SILENT = 'streams.silent'
     ATTEMPTS_AT_VERSION = 'attempts.at_version'
     FIRST_EVENT_MS = 'attempts.first_event_ms'
