Give one answer 128 KB and 64 pieces in a turn of the event loop

What callers saw: all other calls, deadlines and configurations of an entry wait while libcurl passes on an answer in pieces of a few bytes. Cause: libcurl reads up to 400 KB of a connection at once, and passes each chunk on by itself: 66,000 callbacks in one turn for chunks of one byte. Change: after 128 KB or 64 pieces a receiver is paused until the next turn of the loop; a pause for a slow caller outlasts that. libcurl's own options don't do it: a smaller buffer bounds the bytes, not the callbacks. The parsing of heads moves to AnswerHead, without a change.

--- /dev/null
+++ b/src/linnetwood/wire/answerhead.py
@@ -0,0 +1,50 @@
+"""Parse the head of an HTTP answer line by line, as libcurl passes it on."""
+
+_INTERIM_BELOW = 200
+
+
+class AnswerHead:
+    """The head of one answer, behind any interim heads."""
+
+    __slots__ = ('headers', 'is_cut', 'is_open', 'status')
+
+    def __init__(self) -> None:
+        """Start before the first line."""
+        self.status = 0
+        self.headers: list[tuple[str, str]] = []
+        # Whether more of the head is expected.
+        self.is_open = True
+        # Whether the connection ended within it.
+        self.is_cut = False
+
+    def add(self, raw: bytes) -> bool:
+        """Process a line; return whether the head is complete with it.
+
+        Trailer lines after the body are ignored.
+        """
+        if not raw.endswith(b'\n'):
+            # libcurl takes a lone CR before the connection's end as a line.
+            self.is_cut = self.is_open
+            return False
+        if not self.is_open:
+            return False
+        line = raw.decode('latin-1').rstrip('\r\n')
+        if line:
+            self._parse_field(line)
+            return False
+        return self._end()
+
+    def _parse_field(self, line: str) -> None:
+        if line.startswith('HTTP/') and not self.headers:
+            # libcurl rejects a status line without a number.
+            self.status = int(line.split(' ', 2)[1])
+            return
+        name, _, text = line.partition(':')
+        self.headers.append((name, text.strip()))
+
+    def _end(self) -> bool:
+        if self.status < _INTERIM_BELOW:
+            self.headers = []
+            return False
+        self.is_open = False
+        return True
--- a/src/linnetwood/wire/curldriver.py
+++ b/src/linnetwood/wire/curldriver.py
@@ -17,6 +17,9 @@
 
 import pycurl
 
+from linnetwood.wire.answerbounds import AnswerBounds
+from linnetwood.wire.answerhead import AnswerHead
+
 Headers = list[tuple[str, str]]
 
 # Detail of a request that exceeded its total time limit.
@@ -28,7 +31,6 @@
 _MILLISECONDS = 1000
 _UNUSED_LIMIT_MS = 3600000
 _HEAD_METHOD = 'HEAD'
-_INTERIM_BELOW = 200
 _MAX_IDLE_HANDLES = 64
 _LOOK_AGAIN_S = 0.05
 # SO_LINGER with a timeout of 0: close() sends a reset, which discards unread
@@ -105,18 +107,17 @@
     """A request in progress; `sent` is set when it ends."""
 
     __slots__ = (
+        'bounds',
         'connect_timer',
-        'cut_in_head',
         'descriptor',
         'expired',
         'handle',
-        'headers',
-        'in_head',
+        'head',
         'paused',
         'receiver',
         'sent',
-        'status',
         'timer',
+        'yielding',
     )
 
     def __init__(self, receiver: Receiver) -> None:
@@ -128,38 +129,17 @@
         self.handle: Any = None
         self.descriptor = -1
         self.expired = False
-        self.cut_in_head = False
-        self.status = 0
-        self.headers: Headers = []
-        self.in_head = True
+        self.head = AnswerHead()
+        self.bounds = AnswerBounds()
         self.paused = False
+        # Whether it waits for the next turn of the loop.
+        self.yielding = False
 
     def header_line(self, raw: bytes) -> None:
-        """Process one line of the head; ignore trailer lines after the body."""
-        if not raw.endswith(b'\n'):
-            # libcurl takes a lone CR before the connection's end as a line.
-            self.cut_in_head = self.in_head
-            return
-        line = raw.decode('latin-1').rstrip('\r\n')
-        if self.in_head and line:
-            self._parse_field(line)
-        elif self.in_head:
-            self._end_head()
-
-    def _parse_field(self, line: str) -> None:
-        if line.startswith('HTTP/') and not self.headers:
-            # libcurl rejects a status line without a number.
-            self.status = int(line.split(' ', 2)[1])
-            return
-        name, _, text = line.partition(':')
-        self.headers.append((name, text.strip()))
-
-    def _end_head(self) -> None:
-        if self.status < _INTERIM_BELOW:
-            self.headers = []
-            return
-        self.in_head = False
-        self.receiver.head(self.status, self.headers)
+        """Process one line of the head."""
+        head = self.head
+        if head.add(raw):
+            self.receiver.head(head.status, head.headers)
 
 
 class CurlDriver:
@@ -173,6 +153,8 @@
         self._multi.setopt(pycurl.M_TIMERFUNCTION, self._on_timer)
         self._timer: asyncio.TimerHandle | None = None
         self._by_handle: dict[Any, Transfer] = {}
+        # Those with a connection of their own.
+        self._by_descriptor: dict[int, Transfer] = {}
         self._idle_handles: list[Any] = []
         self._in_callback = False
         self._closed = False
@@ -184,7 +166,8 @@
             self._idle_handles.pop() if self._idle_handles else pycurl.Curl()
         )
         transfer.handle = handle
-        _prepare(handle, req, transfer)
+        _prepare(handle, req)
+        self._set_callbacks(handle, transfer)
         if req.send_by < math.inf:
             self._limit_sending(transfer, req.send_by)
         self._by_handle[handle] = transfer
@@ -206,7 +189,7 @@
         handle = transfer.handle
         if handle is None or handle not in self._by_handle:
             return
-        transfer.in_head = False
+        transfer.head.is_open = False
         transfer.receiver = _IGNORING_RECEIVER
         _reset_on_close(transfer.descriptor)
         self._run_outside_callbacks(self._drop, transfer)
@@ -249,6 +232,40 @@
         self.cancel(transfer)
         receiver.done(Finish(False, connected, detail, fresh))
 
+    def _set_callbacks(self, handle: Any, transfer: Transfer) -> None:
+        # Look up the receiver each time, since a cancellation replaces it.
+        def piece(octets: bytes) -> int | None:  # noqa: WPS430
+            if transfer.paused or self._must_yield(transfer):
+                # libcurl keeps these bytes, and passes them on when resumed.
+                return int(pycurl.WRITEFUNC_PAUSE)
+            transfer.bounds.add_piece(len(octets))
+            transfer.receiver.body(octets)
+            return None
+
+        def opened(descriptor: int, _purpose: int) -> int:  # noqa: WPS430
+            transfer.descriptor = descriptor
+            self._by_descriptor[descriptor] = transfer
+            return int(pycurl.SOCKOPT_OK)
+
+        handle.setopt(pycurl.SOCKOPTFUNCTION, opened)
+        handle.setopt(pycurl.HEADERFUNCTION, transfer.header_line)
+        handle.setopt(pycurl.WRITEFUNCTION, piece)
+
+    def _must_yield(self, transfer: Transfer) -> bool:
+        """Return whether a request has had its turn; other ones go first."""
+        if not transfer.bounds.is_turn_over:
+            return False
+        if not transfer.yielding:
+            transfer.yielding = True
+            self._loop.call_soon(self._end_yield, transfer)
+        return True
+
+    def _end_yield(self, transfer: Transfer) -> None:
+        transfer.yielding = False
+        transfer.bounds.begin_turn()
+        if transfer.handle is not None and not transfer.paused:
+            self._continue(transfer)
+
     def _limit_sending(self, transfer: Transfer, send_by: float) -> None:
         # libcurl calls this when it is connected and sends next.
         def may_send(*_addresses: object) -> int:  # noqa: WPS430
@@ -280,6 +297,10 @@
         if transfer.handle is None or not transfer.paused:
             return
         transfer.paused = False
+        if not transfer.yielding:
+            self._continue(transfer)
+
+    def _continue(self, transfer: Transfer) -> None:
         self._in_callback = True
         try:
             # libcurl passes on what it holds before this returns.
@@ -306,6 +327,7 @@
         if handle is None or self._by_handle.pop(handle, None) is None:
             return
         transfer.handle = None
+        self._forget_descriptor(transfer)
         for timer in (transfer.timer, transfer.connect_timer):
             if timer is not None:
                 timer.cancel()
@@ -358,6 +380,9 @@
     def _on_event(self, fd: int, events: int) -> None:
         if self._closed:
             return
+        transfer = self._by_descriptor.get(fd)
+        if transfer is not None and not transfer.yielding:
+            transfer.bounds.begin_turn()
         self._in_callback = True
         try:
             self._multi.socket_action(fd, events)
@@ -382,8 +407,14 @@
         for handle in ended:
             transfer = self._by_handle.get(handle)
             if transfer is not None:
+                self._forget_descriptor(transfer)
                 transfer.descriptor = -1
 
+    def _forget_descriptor(self, transfer: Transfer) -> None:
+        # Another request may use the same number already.
+        if self._by_descriptor.get(transfer.descriptor) is transfer:
+            self._by_descriptor.pop(transfer.descriptor)
+
     def _finish(self, handle: Any, code: int, detail: str) -> None:
         transfer = self._by_handle.get(handle)
         if transfer is None:
@@ -395,7 +426,7 @@
         if transfer.expired:
             connected = False
             detail = TOO_LATE_TO_SEND
-        whole = code == 0 and not transfer.cut_in_head
+        whole = code == 0 and not transfer.head.is_cut
         receiver.done(Finish(whole, connected, detail, fresh))
 
 
@@ -466,7 +497,7 @@
 )
 
 
-def _prepare(handle: Any, req: Request, transfer: Transfer) -> None:
+def _prepare(handle: Any, req: Request) -> None:
     fresh = int(not req.keep)
     of_request = (
         (pycurl.URL, f'http://{req.host}:{req.port}/'),
@@ -481,25 +512,6 @@
     for option, setting in (*_FIXED_OPTIONS, *of_request):
         handle.setopt(option, setting)
     _prepare_body(handle, req)
-    _set_callbacks(handle, transfer)
-
-
-def _set_callbacks(handle: Any, transfer: Transfer) -> None:
-    # Look up the receiver each time, since a cancellation replaces it.
-    def piece(octets: bytes) -> int | None:  # noqa: WPS430
-        if transfer.paused:
-            # libcurl keeps these bytes, and passes them on when resumed.
-            return int(pycurl.WRITEFUNC_PAUSE)
-        transfer.receiver.body(octets)
-        return None
-
-    def opened(descriptor: int, _purpose: int) -> int:  # noqa: WPS430
-        transfer.descriptor = descriptor
-        return int(pycurl.SOCKOPT_OK)
-
-    handle.setopt(pycurl.SOCKOPTFUNCTION, opened)
-    handle.setopt(pycurl.HEADERFUNCTION, transfer.header_line)
-    handle.setopt(pycurl.WRITEFUNCTION, piece)
 
 
 def _prepare_body(handle: Any, req: Request) -> None:
