Bound the bytes of an answer that reach no receiver

What callers saw: a server that sends a chunk's extension without an end is read at full rate until the deadline of the call, and gets the next call at once. Cause: libcurl reads and drops what frames an answer; no callback says so. Heads and trailers without an end it ends itself, after up to 24,577 header lines in one turn, and as a lost connection, which is a sign of a crash. So do 1,000 lines of heads and trailers, and libcurl's own limits on them (head too large). The bytes that have arrived are asked with FIONREAD, which all systems have; TCP_INFO is Linux only, and libcurl counts decoded bytes. A piece that is refused in a turn is no longer counted.

--- a/src/linnetwood/calls/attempt.py
+++ b/src/linnetwood/calls/attempt.py
@@ -15,6 +15,7 @@
 from linnetwood.calls.slowreaders import MIN_HELD_UP_S
 from linnetwood.core.sizes import MIB
 from linnetwood.wire.curldriver import (
+    OVER_BOUNDS,
     TIMED_OUT,
     CurlDriver,
     Finish,
@@ -395,6 +396,10 @@
     def _result_of(self, finish: Finish) -> AttemptResult:
         if finish.detail == TIMED_OUT and finish.connected:
             return AttemptResult(AttemptOutcome.TIMED_OUT, reached=True)
+        if finish.detail in OVER_BOUNDS:
+            return AttemptResult(
+                AttemptOutcome.TOO_LARGE, reached=True, detail=finish.detail
+            )
         if self._verdict is None or self._verdict is Verdict.FOREIGN:
             detail = finish.detail or 'foreign answer'
             outcome = (
--- a/src/linnetwood/wire/answerbounds.py
+++ b/src/linnetwood/wire/answerbounds.py
@@ -1,36 +1,85 @@
-"""Bound what one answer takes of the loop."""
+"""Bound what one answer takes of the loop and of the link, beside its size."""
 
+import fcntl
+import struct
+import termios
+
+# Bytes that frame an answer, such as the extensions of chunks, reach no
+# receiver. Of those that are counted, they may be as many as the bytes of the
+# answer and this allowance.
+_FRAMING_ALLOWANCE = 65536
+# One in so many reads is counted, as asking the system takes some time.
+_READS_PER_COUNT = 8
+# libcurl reads at least this much of what a connection has, in bytes.
+_READ_BYTES = 16384
 # What a receiver gets in one turn of the loop.
 _TURN_BYTES = 131072
 _TURN_PIECES = 64
+_COUNT = struct.Struct('i')
 
 
 class AnswerBounds:
-    """Count what the receiver of one answer gets."""
+    """Count what was read of one answer, and what its receiver got of it."""
 
     __slots__ = (
+        '_counted_bytes',
+        '_framing_bytes',
+        '_reads',
+        '_received_bytes',
         '_turn_bytes',
         '_turn_pieces',
     )
 
     def __init__(self) -> None:
-        """Start with nothing received."""
+        """Start with nothing read."""
+        self._reads = 0
+        # What the last read took, if it is counted.
+        self._counted_bytes = 0
+        self._received_bytes = 0
+        self._framing_bytes = 0
         self._turn_bytes = 0
         self._turn_pieces = 0
 
-    def add_piece(self, size: int) -> None:
-        """Count a piece of the body."""
+    def add_line(self, size: int) -> None:
+        """Count a line of the head."""
+        self._received_bytes += size
+
+    def add_piece(self, size: int) -> bool:
+        """Count a piece of the body, unless other requests are to go first."""
+        if self._turn_bytes >= _TURN_BYTES or self._turn_pieces >= _TURN_PIECES:
+            return False
+        self._received_bytes += size
         self._turn_bytes += size
         self._turn_pieces += 1
+        return True
 
     def begin_turn(self) -> None:
         """Allow the pieces of one more turn."""
         self._turn_bytes = 0
         self._turn_pieces = 0
 
-    @property
-    def is_turn_over(self) -> bool:
-        """Return whether other requests are to go first."""
-        return (
-            self._turn_bytes >= _TURN_BYTES or self._turn_pieces >= _TURN_PIECES
-        )
+    def may_read(self, descriptor: int) -> bool:
+        """Return whether to read on in a new turn.
+
+        Framing is all that arrives if not.
+        """
+        self.begin_turn()
+        if self._counted_bytes:
+            self._count_framing()
+        self._received_bytes = 0
+        self._reads += 1
+        if not self._reads % _READS_PER_COUNT:
+            available = _readable_bytes(descriptor)
+            self._counted_bytes = min(available, _READ_BYTES)
+        return self._framing_bytes <= _FRAMING_ALLOWANCE
+
+    def _count_framing(self) -> None:
+        framing = self._counted_bytes - 2 * self._received_bytes
+        self._framing_bytes = max(0, self._framing_bytes + framing)
+        self._counted_bytes = 0
+
+
+def _readable_bytes(descriptor: int) -> int:
+    """Return how many bytes of a connection have arrived and are unread."""
+    octets = fcntl.ioctl(descriptor, termios.FIONREAD, bytes(_COUNT.size))
+    return int(_COUNT.unpack(octets)[0])
--- a/src/linnetwood/wire/answerhead.py
+++ b/src/linnetwood/wire/answerhead.py
@@ -1,12 +1,14 @@
 """Parse the head of an HTTP answer line by line, as libcurl passes it on."""
 
+# Of all heads and trailers of one answer.
+MAX_LINES = 1000
 _INTERIM_BELOW = 200
 
 
 class AnswerHead:
     """The head of one answer, behind any interim heads."""
 
-    __slots__ = ('headers', 'is_cut', 'is_open', 'status')
+    __slots__ = ('headers', 'is_cut', 'is_open', 'lines', 'status')
 
     def __init__(self) -> None:
         """Start before the first line."""
@@ -16,12 +18,14 @@
         self.is_open = True
         # Whether the connection ended within it.
         self.is_cut = False
+        self.lines = 0
 
     def add(self, raw: bytes) -> bool:
         """Process a line; return whether the head is complete with it.
 
         Trailer lines after the body are ignored.
         """
+        self.lines += 1
         if not raw.endswith(b'\n'):
             # libcurl takes a lone CR before the connection's end as a line.
             self.is_cut = self.is_open
--- a/src/linnetwood/wire/curldriver.py
+++ b/src/linnetwood/wire/curldriver.py
@@ -18,7 +18,7 @@
 import pycurl
 
 from linnetwood.wire.answerbounds import AnswerBounds
-from linnetwood.wire.answerhead import AnswerHead
+from linnetwood.wire.answerhead import MAX_LINES, AnswerHead
 
 Headers = list[tuple[str, str]]
 
@@ -28,9 +28,18 @@
 CONNECT_TIMED_OUT = 'connect timed out'
 # Detail of a request that was not sent, since its time to be sent had passed.
 TOO_LATE_TO_SEND = 'too late to send'
+# Details of answers that exceeded a bound.
+TOO_MUCH_FRAMING = 'too much framing'
+HEAD_TOO_LARGE = 'head too large'
+OVER_BOUNDS = frozenset((TOO_MUCH_FRAMING, HEAD_TOO_LARGE))
 _MILLISECONDS = 1000
 _UNUSED_LIMIT_MS = 3600000
 _HEAD_METHOD = 'HEAD'
+# CURLE_TOO_LARGE: a line, or the whole head or trailer.
+_TOO_LARGE_CODE = 100
+# What a header callback returns to end the request.
+_ABORT = 0
+_PAUSE = int(pycurl.WRITEFUNC_PAUSE)
 _MAX_IDLE_HANDLES = 64
 _LOOK_AGAIN_S = 0.05
 # SO_LINGER with a timeout of 0: close() sends a reset, which discards unread
@@ -113,6 +122,7 @@
         'expired',
         'handle',
         'head',
+        'over_bound',
         'paused',
         'receiver',
         'sent',
@@ -131,15 +141,26 @@
         self.expired = False
         self.head = AnswerHead()
         self.bounds = AnswerBounds()
+        # Detail of the bound that ended it.
+        self.over_bound = ''
         self.paused = False
         # Whether it waits for the next turn of the loop.
         self.yielding = False
 
-    def header_line(self, raw: bytes) -> None:
-        """Process one line of the head."""
+    def header_line(self, raw: bytes) -> int | None:
+        """Process one line of the head; end the request if there are too many.
+
+        Trailer lines after the body count as well.
+        """
         head = self.head
+        self.bounds.add_line(len(raw))
         if head.add(raw):
             self.receiver.head(head.status, head.headers)
+        if head.lines <= MAX_LINES:
+            return None
+        self.over_bound = HEAD_TOO_LARGE
+        _reset_on_close(self.descriptor)
+        return _ABORT
 
 
 class CurlDriver:
@@ -235,10 +256,10 @@
     def _set_callbacks(self, handle: Any, transfer: Transfer) -> None:
         # Look up the receiver each time, since a cancellation replaces it.
         def piece(octets: bytes) -> int | None:  # noqa: WPS430
-            if transfer.paused or self._must_yield(transfer):
+            if transfer.paused or not transfer.bounds.add_piece(len(octets)):
                 # libcurl keeps these bytes, and passes them on when resumed.
-                return int(pycurl.WRITEFUNC_PAUSE)
-            transfer.bounds.add_piece(len(octets))
+                self._yield_turn(transfer)
+                return _PAUSE
             transfer.receiver.body(octets)
             return None
 
@@ -251,14 +272,11 @@
         handle.setopt(pycurl.HEADERFUNCTION, transfer.header_line)
         handle.setopt(pycurl.WRITEFUNCTION, piece)
 
-    def _must_yield(self, transfer: Transfer) -> bool:
-        """Return whether a request has had its turn; other ones go first."""
-        if not transfer.bounds.is_turn_over:
-            return False
-        if not transfer.yielding:
+    def _yield_turn(self, transfer: Transfer) -> None:
+        """Let other requests go first, unless this one is paused anyway."""
+        if not transfer.paused and not transfer.yielding:
             transfer.yielding = True
             self._loop.call_soon(self._end_yield, transfer)
-        return True
 
     def _end_yield(self, transfer: Transfer) -> None:
         transfer.yielding = False
@@ -382,7 +400,9 @@
             return
         transfer = self._by_descriptor.get(fd)
         if transfer is not None and not transfer.yielding:
-            transfer.bounds.begin_turn()
+            if not transfer.bounds.may_read(fd):
+                self._end(transfer, TOO_MUCH_FRAMING)
+                return
         self._in_callback = True
         try:
             self._multi.socket_action(fd, events)
@@ -426,6 +446,9 @@
         if transfer.expired:
             connected = False
             detail = TOO_LATE_TO_SEND
+        elif code == _TOO_LARGE_CODE:
+            detail = HEAD_TOO_LARGE
+        detail = transfer.over_bound or detail
         whole = code == 0 and not transfer.head.is_cut
         receiver.done(Finish(whole, connected, detail, fresh))
 
--- a/tests/test_answerbounds.py
+++ b/tests/test_answerbounds.py
@@ -2,8 +2,11 @@
 
 import asyncio
 import itertools
+import socket
 import unittest
 
+from linnetwood.core.sizes import KIB
+from linnetwood.wire.answerbounds import AnswerBounds
 from linnetwood.wire.curldriver import (
     CurlDriver,
     Finish,
@@ -49,9 +52,11 @@
 class TurnTest(unittest.IsolatedAsyncioTestCase):
     """Receive an answer of many small pieces."""
 
-    async def start(self, *, pauses: bool) -> CountingReceiver:
+    async def start(
+        self, *, pauses: bool, answer: bytes = SMALL_CHUNKS
+    ) -> CountingReceiver:
         """Send a request."""
-        server = Server(respond_with(SMALL_CHUNKS))
+        server = Server(respond_with(answer))
         self.driver = CurlDriver()
         req = Request(HOST, await server.start(), 'GET', '/', [])
         receiver = CountingReceiver(self.driver, pauses=pauses)
@@ -70,6 +75,15 @@
         self.assertTrue(receiver.finish.whole)
         self.assertEqual(receiver.received, COUNT)
 
+    async def test_a_long_stream_of_short_events(self) -> None:
+        """Guards against events of a stream that are taken for framing."""
+        chunk = b'9\r\ndata: x\n\n\r\n'
+        answer = CHUNKED + chunk * 100000 + b'0\r\n\r\n'
+        receiver = await self.start(pauses=False, answer=answer)
+        while receiver.finish is None:
+            await asyncio.sleep(0)
+        self.assertTrue(receiver.finish.whole)
+
     async def test_a_pause_outlasts_the_turn(self) -> None:
         """Guards against pieces for a slow caller in the next turn."""
         receiver = await self.start(pauses=True)
@@ -87,5 +101,42 @@
         self.assertEqual(receiver.received, COUNT)
 
 
+class FramingTest(unittest.TestCase):
+    """Count what arrives beside the content of an answer."""
+
+    def setUp(self) -> None:
+        self.bounds = AnswerBounds()
+        near, far = socket.socketpair()
+        self.addCleanup(near.close)
+        self.addCleanup(far.close)
+        self.near = near
+        self.far = far
+
+    def reads(self, sent: int, pieces: int, size: int) -> int:
+        """Return how many reads are allowed, 1000 at most."""
+        for number in range(1000):
+            self.far.send(b'x' * sent)
+            if not self.bounds.may_read(self.near.fileno()):
+                return number
+            self.near.recv(sent)
+            for _ in itertools.repeat(None, pieces):
+                self.bounds.begin_turn()
+                self.bounds.add_piece(size)
+        return 1000
+
+    def test_bytes_without_content_are_bounded(self) -> None:
+        """Guards against framing that is read until the deadline."""
+        self.assertLess(self.reads(16 * KIB, 1, 1), 64)
+
+    def test_an_answer_in_small_chunks_is_sound(self) -> None:
+        """Guards against a bound that ends streams of short events."""
+        # Five bytes frame a chunk of up to 15.
+        self.assertEqual(self.reads(15 * 600, 600, 10), 1000)
+
+    def test_a_head_that_arrives_bytewise_is_sound(self) -> None:
+        """Guards against a bound on reads that bring no whole line."""
+        self.assertEqual(self.reads(1, 0, 0), 1000)
+
+
 if __name__ == '__main__':
     unittest.main()
