Send nothing twice over a range whose last page is newer than it

What callers saw: nothing is recorded of it; found by a law in virtual time (regions with full links). An entry that serves subscribers of other zones answers no call meanwhile and fills the link between two regions. Cause: a range is read in pages, and has the revision of its first one. A large payload that is written before its page is read is newer than the range. The relay server took it for a change that the subscriber lacks, did not wait for its heartbeat, had nothing to send, and sent an empty update, again and again. Nothing in that loop waits until the socket's buffers are full. Ruled out: the own zone's subscribers, which wait for a change or a heartbeat. Change: the revision of the large payload is at most the range's own, so it counts as a change once the next wait has brought the range up to it.

--- a/src/linnetwood/fleet/mirror.py
+++ b/src/linnetwood/fleet/mirror.py
@@ -53,7 +53,8 @@
     def __init__(self) -> None:
         """Start empty, at revision 0."""
         self.revision = 0
-        # The revision of the large payload that was written last.
+        # The revision of the large payload that was written last, at most that
+        # of the range.
         self.large_revision = 0
         # The revision at which the range was read first, 0 before that.
         self.first_revision = 0
@@ -75,11 +76,11 @@
         }
         for old_key, stored in previous.items():
             self._keep_earlier(old_key, stored.record)
-        self._note_large()
         self._deleted.clear()
         self._history_start = snapshot.revision
         self.revision = snapshot.revision
         self.first_revision = self.first_revision or snapshot.revision
+        self._note_large()
 
     def compare(self, snapshot: Snapshot) -> dict[str, int]:
         """Count the keys that a snapshot would lose, change and keep."""
@@ -174,7 +175,10 @@
                 self._keep_earlier(key, stored.record)
 
     def _note_large(self) -> None:
-        self.large_revision = max(self.held_revisions().values(), default=0)
+        # A page that was read late may hold a payload that is newer than the
+        # range: a subscriber that has it still counts as having the range.
+        newest = max(self.held_revisions().values(), default=0)
+        self.large_revision = min(newest, self.revision)
 
     def _keep_earlier(self, key: str, record: Record) -> None:
         stored = self._stored.get(key)
--- a/tests/test_relaying_quiet.py
+++ b/tests/test_relaying_quiet.py
@@ -6,14 +6,23 @@
 from random import Random
 from unittest import mock
 
-from linnetwood.core.errors import StoreError
+from linnetwood.core.errors import StoreError, WireError
 from linnetwood.fleet.freshness import RelayedUpdate, bounds_for
+from linnetwood.fleet.mirror import LARGE_BYTES
 from linnetwood.fleet.rangefollower import RangeFollower
+from linnetwood.fleet.rangerelayserver import (
+    REMOTE_HEARTBEAT_S,
+    RangeRelayServer,
+)
 from linnetwood.fleet.ranges import Changes, Record, Snapshot
 from linnetwood.fleet.wanted import WantedVersions
+from linnetwood.gen.wire.ttypes import RangeRequest
 from linnetwood.lab import virtual
+from linnetwood.lab.memory_net import MemoryNet, MemoryStream
 from linnetwood.platform import records
 from linnetwood.platform.feeds import OperatorFeed
+from linnetwood.wire.codec import encode
+from linnetwood.wire.frames import Frame, FrameKind
 from tests import test_relaying as zones
 
 BOUND_S = 3.0
@@ -263,6 +272,54 @@
         zones.run_scenario(act)
 
 
+class PagedStore(QuietStore):
+    """A store whose last page holds a write that came after the first page."""
+
+    async def read(self, prefix: str) -> Snapshot:
+        """Return one large key."""
+        return Snapshot({'k': Record(bytes(LARGE_BYTES), 3)}, 2)
+
+
+class CountingStream(MemoryStream):
+    """A connection that ends after some frames."""
+
+    def __init__(self) -> None:
+        super().__init__(MemoryNet(Random(1), 0, 0))
+        self.sent = 0
+
+    def send(self, kind: FrameKind, payload: bytes) -> None:
+        """Count a frame, and lose it."""
+        self.sent += 1
+        if self.sent > 50:
+            raise WireError('connection-lost', 'too many frames')
+
+
+class RemoteZoneTest(unittest.TestCase):
+    """What a subscriber of another zone gets while nothing changes."""
+
+    def test_a_page_that_is_newer_than_the_range(self) -> None:
+        """Updates go out at each heartbeat, not as fast as the link takes."""
+
+        async def scenario() -> int:
+            follower = new_follower(PagedStore())
+            follower.start()
+            await follower.synced.wait()
+            request = Frame(
+                FrameKind.RANGE_REQUEST, encode(RangeRequest(0, True, []))
+            )
+            stream = CountingStream()
+            serving = asyncio.create_task(
+                RangeRelayServer(follower).serve(stream, request)
+            )
+            await asyncio.wait((serving,), timeout=4 * REMOTE_HEARTBEAT_S)
+            serving.cancel()
+            await asyncio.gather(serving, return_exceptions=True)
+            await follower.close()
+            return stream.sent
+
+        self.assertLessEqual(virtual.run(scenario()), 6)
+
+
 class FeedTest(unittest.TestCase):
     """The age of a version that no entry saw being written."""
 
