Keep a silent connection to another zone until another one is heard

What callers saw: nothing is recorded of it; found by a law in virtual time. While both directions of the links between regions queue for over 1 s, far entries act by the configuration from before that. Cause: where a link fills up, the next update is late by as much as it queues. A subscriber left its relay after 2 s without an update, the newest changes being on their way to it, and a new connection had 2 s, while a handshake takes two queues. So none came until the links were free again: a state that lasts as long as the traffic does. The store's own waits do no better there, as handshakes with it have 2 s too, and its whole configurations take round trips. Ruled out: changes lost on the way, and bytes of our own that fill the links. Change: a silent connection is kept for 6 s, a connection may take that time to be made, and a further entry of the zone is subscribed to after 2 s, as before; which of them is heard first is kept (zonesubscription.py).

--- a/src/linnetwood/fleet/rangerelay.py
+++ b/src/linnetwood/fleet/rangerelay.py
@@ -16,6 +16,7 @@
 from linnetwood.fleet.relayselector import RelaySelector
 from linnetwood.fleet.remotezonesubscriber import RemoteZoneSubscriber
 from linnetwood.fleet.revisions import era_of, number_of
+from linnetwood.fleet.zonesubscription import GIVE_UP_S
 from linnetwood.wire.connections import (
     Dialler,
     FrameHandler,
@@ -29,8 +30,6 @@
 _STARTUP_IDLE_S = 0.02
 # An entry of the same availability zone is about 1 ms away.
 _CONNECT_TIMEOUT_S = 0.4
-# A packet to another region may wait on a full link for 1 s or more.
-_REMOTE_CONNECT_TIMEOUT_S = 2.0
 _NO_HANDLERS: Mapping[int, FrameHandler] = MappingProxyType({})
 
 
@@ -173,7 +172,7 @@
         )
         dialler = TcpDialler(timeout_s=_CONNECT_TIMEOUT_S)
         self._subscriber = RangeSubscriber(follower, selector, dialler, port)
-        remote_dialler = TcpDialler(timeout_s=_REMOTE_CONNECT_TIMEOUT_S)
+        remote_dialler = TcpDialler(timeout_s=GIVE_UP_S)
         self._remote_subscriber = RemoteZoneSubscriber(
             follower, selector, remote_dialler, port
         )
--- a/src/linnetwood/fleet/remotezonesubscriber.py
+++ b/src/linnetwood/fleet/remotezonesubscriber.py
@@ -8,15 +8,11 @@
 import asyncio
 import math
 
-from linnetwood.core.errors import LinnetwoodError, WireError
-from linnetwood.core.events import Event, log
 from linnetwood.core.owner import TaskOwner
 from linnetwood.fleet.rangefollower import RangeFollower
-from linnetwood.fleet.relayreader import RelayReader
 from linnetwood.fleet.relayselector import RelaySelector
-from linnetwood.fleet.revisions import number_of
-from linnetwood.wire.connections import SILENCE_TIMEOUT_S, Dialler
-from linnetwood.wire.frames import FrameStream
+from linnetwood.fleet.zonesubscription import ZoneSubscription
+from linnetwood.wire.connections import Dialler
 
 _CHECK_EVERY_S = 0.25
 # Shorter for an entry that knows no revision yet and waits for a relay.
@@ -53,7 +49,7 @@
         self._port = port
         self._not_isolated_at = -math.inf
         self._isolated_until = -math.inf
-        self._zone_tasks: dict[str, asyncio.Task[None]] = {}
+        self._subscriptions: dict[str, ZoneSubscription] = {}
 
     async def close(self) -> None:
         """End the task and all subscriptions."""
@@ -83,66 +79,16 @@
         return []
 
     async def _subscribe_only_to(self, zones: list[str]) -> None:
-        for zone in self._zone_tasks.keys() - set(zones):
-            task = self._zone_tasks.pop(zone)
-            task.cancel()
-            await asyncio.gather(task, return_exceptions=True)
+        for left in self._subscriptions.keys() - set(zones):
+            await self._subscriptions.pop(left).close()
         for zone in zones:
-            if zone not in self._zone_tasks:
-                task = asyncio.create_task(self._follow_zone(zone))
-                self._zone_tasks[zone] = task
-
-    async def _follow_zone(self, zone: str) -> None:
-        loop = asyncio.get_running_loop()
-        while True:
-            host = self._remote_zones.choose(zone, loop.time())
-            if host is None:
-                await asyncio.sleep(_CHECK_EVERY_S)
-                continue
-            try:
-                await self._follow_entry(zone, host)
-            except LinnetwoodError as exc:
-                self._remote_zones.note_failure(host, loop.time())
-                log(
-                    Event.TELLER_LEFT,
-                    teller=host,
-                    zone=zone,
-                    code=exc.code,
-                    detail=exc.detail,
-                    revision=number_of(self._follower.revision),
+            if zone not in self._subscriptions:
+                subscription = ZoneSubscription(
+                    zone,
+                    self._follower,
+                    self._remote_zones,
+                    self._dialler,
+                    self._port,
                 )
-
-    async def _follow_entry(self, zone: str, host: str) -> None:
-        stream = await self._dialler.dial((host, self._port))
-        try:
-            await self._read_updates(stream, zone, host)
-        finally:
-            stream.close()
-
-    async def _read_updates(
-        self,
-        stream: FrameStream,
-        zone: str,
-        host: str,
-    ) -> None:
-        mirror = self._follower.mirror
-        known_revision = -1
-        reader = RelayReader(
-            stream,
-            mirror,
-            host,
-            is_remote=True,
-            silence_timeout_s=SILENCE_TIMEOUT_S,
-        )
-        while True:
-            if mirror.revision != known_revision:
-                # Changes that are known here need not be sent.
-                known_revision = mirror.revision
-                await reader.request()
-            update = await reader.read()
-            self._remote_zones.note_success(host)
-            self._follower.apply_remote_update(update)
-            if update.preferred and host not in update.preferred:
-                # The named relays reach the store; this one subscribes to them.
-                self._remote_zones.prefer(zone, update.preferred)
-                raise WireError('teller-names-another', update.preferred[0])
+                subscription.start()
+                self._subscriptions[zone] = subscription
