Subscribe a zone's two relays to different entries of another zone

What callers saw: nothing is recorded of it; found by a law in virtual time. After the end of one entry beside the store, both far zones act by an older configuration for two queues of the link, however many entries run beside it. Cause: both relays of a zone subscribed to the same entry of another zone, the first of its order. What was on its way on both connections was lost with that entry, and a second relay there, which was in touch all the time, was left at once (teller-names-another) as it follows the first one. Change: the second relay of a zone subscribes to the second entry of the other zone's order, if there is one. A connection to an entry that is not wanted any more is kept until the wanted one is heard, as a new one takes two queues. Connections and bytes between zones are as many as before. Result: test_a_relay_that_ends_while_links_are_full (links that queue for 1.4 s, one of the near zone's two relays ends 0.3 s after a change) failed before: all four far entries lacked the change 2.2 s after it.

--- a/src/linnetwood/fleet/remotezoneselector.py
+++ b/src/linnetwood/fleet/remotezoneselector.py
@@ -43,15 +43,22 @@
         )
         return drawn[:ZONES_SUBSCRIBED]
 
-    def choose(self, zone: str, now: float) -> str | None:
-        """Return the entry of a zone to subscribe to, or None."""
+    def choose(
+        self, zone: str, now: float, *, second: bool = False
+    ) -> str | None:
+        """Return the entry of a zone to subscribe to, or None.
+
+        second asks for the second of these, if there are two.
+        """
         hosts = sorted(self._seen_at.get(zone, ()), key=relay_rank)
-        available = (
+        available = [
             host
-            for host in (*self._preferred.get(zone, ()), *hosts)
+            for host in dict.fromkeys((*self._preferred.get(zone, ()), *hosts))
             if self._cooldown.is_available(host, now)
-        )
-        return next(available, None)
+        ]
+        if second and len(available) > 1:
+            return available[1]
+        return next(iter(available), None)
 
     def prefer(self, zone: str, hosts: tuple[str, ...]) -> None:
         """Prefer the entries that a relay of a zone names in its place."""
--- a/src/linnetwood/fleet/remotezonesubscriber.py
+++ b/src/linnetwood/fleet/remotezonesubscriber.py
@@ -86,7 +86,7 @@
                 subscription = ZoneSubscription(
                     zone,
                     self._follower,
-                    self._remote_zones,
+                    self._selector,
                     self._dialler,
                     self._port,
                 )
--- a/src/linnetwood/fleet/zonesubscription.py
+++ b/src/linnetwood/fleet/zonesubscription.py
@@ -1,19 +1,21 @@
 """Follow one entry of another zone, and a further one while it is silent.
 
 Where the link between two regions fills up, the next update is late by as much
-as the link queues, and a new connection takes twice that. A silent connection
-is therefore kept until another one has brought an update.
+as the link queues, and a new connection takes twice that. A connection that is
+silent, or whose entry names a better one, is therefore kept until another one
+has brought an update. The two relays of a zone subscribe to different entries,
+so that changes on their way are not lost with one of these.
 """
 
 import asyncio
 import math
 
-from linnetwood.core.errors import LinnetwoodError, WireError
+from linnetwood.core.errors import LinnetwoodError
 from linnetwood.core.events import Event, log
 from linnetwood.core.owner import TaskOwner
 from linnetwood.fleet.rangefollower import RangeFollower
 from linnetwood.fleet.relayreader import RelayReader
-from linnetwood.fleet.remotezoneselector import RemoteZoneSelector
+from linnetwood.fleet.relayselector import RelaySelector
 from linnetwood.fleet.revisions import number_of
 from linnetwood.wire.connections import SILENCE_TIMEOUT_S, Dialler
 from linnetwood.wire.frames import FrameStream
@@ -42,6 +44,10 @@
         """Return whether it has brought nothing for too long."""
         return now - max(self.began_at, self.heard_at) > SILENCE_TIMEOUT_S
 
+    def is_good(self, now: float) -> bool:
+        """Return whether it brings updates."""
+        return math.isfinite(self.heard_at) and not self.is_silent(now)
+
 
 class ZoneSubscription(TaskOwner):
     """Own the connections to the entries of one other zone."""
@@ -50,7 +56,7 @@
         self,
         zone: str,
         follower: RangeFollower,
-        remote_zones: RemoteZoneSelector,
+        selector: RelaySelector,
         dialler: Dialler,
         port: int,
     ) -> None:
@@ -58,7 +64,8 @@
         super().__init__()
         self._zone = zone
         self._follower = follower
-        self._remote_zones = remote_zones
+        self._selector = selector
+        self._remote_zones = selector.remote_zones
         self._dialler = dialler
         self._port = port
         self._connections: list[_Connection] = []
@@ -71,8 +78,11 @@
     async def _run(self) -> None:
         loop = asyncio.get_running_loop()
         while True:
-            await self._close_surplus(loop.time())
-            self._connect_if_silent(loop.time())
+            wanted = self._remote_zones.choose(
+                self._zone, loop.time(), second=self._selector.has_relays
+            )
+            await self._close_surplus(wanted, loop.time())
+            self._connect_if_none(wanted, loop.time())
             await self._wait_for_end()
 
     async def _wait_for_end(self) -> None:
@@ -87,41 +97,43 @@
         else:
             await asyncio.sleep(_CHECK_EVERY_S)
 
-    async def _close_surplus(self, now: float) -> None:
-        """Close connections that ended, and silent ones beside a good one."""
+    async def _close_surplus(self, wanted: str | None, now: float) -> None:
+        """Drop connections that ended, and close others beside a good one."""
         self._connections = [
             one
             for one in self._connections
             if one.task is None or not one.task.done()
         ]
-        if any(self._is_heard(one, now) for one in self._connections):
-            silent = [one for one in self._connections if one.is_silent(now)]
-            await self._close_connections(silent)
+        good = [one for one in self._connections if one.is_good(now)]
+        best = [one for one in good if one.host == wanted] or good[-1:]
+        if best:
+            surplus = [
+                one
+                for one in self._connections
+                if one not in best and (one in good or one.is_silent(now))
+            ]
+            await self._close_connections(surplus)
             self._connections = [
-                one for one in self._connections if one not in silent
+                one for one in self._connections if one not in surplus
             ]
 
-    def _is_heard(self, connection: _Connection, now: float) -> bool:
-        return math.isfinite(connection.heard_at) and not connection.is_silent(
-            now
-        )
-
-    def _connect_if_silent(self, now: float) -> None:
-        """Connect to one more entry while no connection brings updates."""
+    def _connect_if_none(self, wanted: str | None, now: float) -> None:
+        """Connect to the wanted entry unless a connection may bring updates."""
         for connection in self._connections:
-            if not connection.is_silent(now):
+            if connection.is_silent(now):
+                self._note_silent(connection, now)
+            elif connection.host == wanted or not connection.is_good(now):
                 return
-            if not connection.noted_silent:
-                connection.noted_silent = True
-                self._remote_zones.note_failure(connection.host, now)
-        if len(self._connections) >= _MAX_CONNECTIONS:
-            return
-        host = self._remote_zones.choose(self._zone, now)
-        if host is not None:
-            begun = _Connection(host, now)
+        if wanted is not None and len(self._connections) < _MAX_CONNECTIONS:
+            begun = _Connection(wanted, now)
             begun.task = asyncio.create_task(self._follow(begun))
             self._connections.append(begun)
 
+    def _note_silent(self, connection: _Connection, now: float) -> None:
+        if not connection.noted_silent:
+            connection.noted_silent = True
+            self._remote_zones.note_failure(connection.host, now)
+
     async def _close_connections(self, connections: list[_Connection]) -> None:
         for connection in connections:
             if connection.task is not None:
@@ -176,6 +188,5 @@
             self._remote_zones.note_success(host)
             self._follower.apply_remote_update(update)
             if update.preferred and host not in update.preferred:
-                # The named relays reach the store; this one subscribes to them.
+                # The named relays ask the store; this one subscribes to them.
                 self._remote_zones.prefer(self._zone, update.preferred)
-                raise WireError('teller-names-another', update.preferred[0])
--- a/tests/test_full_regions.py
+++ b/tests/test_full_regions.py
@@ -22,6 +22,7 @@
 from random import Random
 from typing import Any
 
+from linnetwood.fleet.remotezoneselector import relay_rank
 from linnetwood.lab import virtual
 from tests import test_narrow_regions as regions
 from tests.full_regions import NEAR, FullRegions, Size
@@ -196,6 +197,23 @@
         fleet = run_fleet(Size(2, 110, 2.0), work)
         self.assertEqual(fleet.findings, [], fleet.journal)
 
+    def test_a_relay_that_ends_while_links_are_full(self) -> None:
+        """What another relay has sent before arrives without it."""
+
+        async def work(fleet: FullRegions) -> None:
+            for pair in PAIRS:
+                fleet.during(fleet.fill(pair, 1.4))
+            await asyncio.sleep(1)
+            fleet.change()
+            await asyncio.sleep(0.3)
+            names = relays_of(fleet, NEAR)
+            first = min(names, key=relay_rank)
+            fleet.during(fleet.restart([first], 3))
+            await asyncio.sleep(1.4 + 0.5)
+            self.assertEqual(fleet.behind(), {})
+
+        run_fleet(Size(2, 110, 2.0), work)
+
     def test_the_law(self) -> None:
         """No entry lacks a change for too long, or claims to be younger."""
         for seed in SEEDS:
