Take an update that is older than the view without its patches

Cause: a relay of another zone that is behind sends patches against a version that this entry named some time ago. An entry that is further meanwhile keeps the last five versions, so a series forgets the base; it left the relay for `patch-base-missing`, although it would have ignored the update, and made a new connection, which takes two queues of a full link. Change: the changes of an update that is not newer than what is held are not unpacked. Left: a newer update whose base is forgotten still ends the connection. Result: HeldPayloadsTest.test_a_patch_of_an_older_version_than_is_held failed before with that error.

--- a/src/linnetwood/fleet/relayreader.py
+++ b/src/linnetwood/fleet/relayreader.py
@@ -134,8 +134,10 @@
 ) -> RelayedUpdate:
     """Read an update with its changes; raise WireError, CodecError.
 
-    The mirror holds the payloads that patches apply to. The update's delay, in
-    seconds, is added to all ages.
+    The mirror holds the payloads that patches apply to. Of an update that is
+    not newer than the mirror no changes are returned, as the bases of its
+    patches may be forgotten. The update's delay, in seconds, is added to all
+    ages.
     """
     frame = await _expect(stream, FrameKind.RANGE_PART, silence_timeout_s)
     part = decode(RangePart, frame.payload)
@@ -145,8 +147,9 @@
         payload = packed.payload
     # The whole update has arrived by now.
     delay_s = measure_delay(part)
+    revision = received_revision(part.era, part.revision)
     changes: tuple[Change, ...] = ()
-    if payload:
+    if payload and (mirror is None or revision > mirror.revision):
         packed_age_ms = part.packed_ms + round(delay_s * _MILLISECONDS)
         changes = tuple(unpack(payload, packed_age_ms, mirror, part.era))
         if len(payload) > _LOGGED_FROM_BYTES:
@@ -156,7 +159,7 @@
         age_ms = round(delay_s * _MILLISECONDS)
         retained = tuple(unpack(part.retained, age_ms, era=part.retained_era))
     return RelayedUpdate(
-        received_revision(part.era, part.revision),
+        revision,
         as_seconds(part.age_ms) + delay_s,
         as_seconds(part.flow_age_ms) + delay_s,
         as_seconds(part.flowing_ms) + delay_s,
--- a/tests/test_store_histories.py
+++ b/tests/test_store_histories.py
@@ -7,7 +7,7 @@
 
 from linnetwood.core.errors import CodecError, StoreError
 from linnetwood.fleet.freshness import RelayedUpdate, bounds_for
-from linnetwood.fleet.mirror import LARGE_BYTES
+from linnetwood.fleet.mirror import LARGE_BYTES, Mirror
 from linnetwood.fleet.rangecodec import pack, unpack
 from linnetwood.fleet.rangefollower import RangeFollower
 from linnetwood.fleet.rangerelayserver import RangeRelayServer
@@ -442,6 +442,38 @@
 
         virtual.run(scenario())
 
+    def test_a_patch_of_an_older_version_than_is_held(self) -> None:
+        """Its base may be forgotten, and the connection goes on."""
+
+        async def scenario() -> None:
+            base = Record(b'{old' * LARGE_BYTES, 1)
+            late = Record(b'{new' * LARGE_BYTES, 2)
+            newest = Record(b'{newest' * LARGE_BYTES, 9)
+            relay = Mirror()
+            relay.replace_all(Snapshot({'c': base}, 1), 0)
+            relay.apply_changes((Change('c', late),), 2, 0)
+            packed = pack((Change('c', late),), {'c': 1}, relay)
+            held = Mirror()
+            held.replace_all(Snapshot({'c': newest}, 9), 0)
+            net = MemoryNet(Random(1), 0, 0)
+
+            async def accept(stream: FrameStream) -> None:
+                older = RangePart(
+                    revision=2, age_ms=5, flow_age_ms=-1, items=True
+                )
+                await stream.write(FrameKind.RANGE_PART, encode(older))
+                await stream.write(FrameKind.RANGE_ITEMS, packed)
+                part = RangePart(revision=3, age_ms=5, flow_age_ms=-1)
+                await stream.write(FrameKind.RANGE_PART, encode(part))
+
+            net.accepting[('t', 1)] = accept
+            stream = await MemoryDialler(net).dial(('t', 1))
+            updates = [await read_update(stream, held) for _ in range(2)]
+            await net.close()
+            self.assertEqual([one.revision for one in updates], [2, 3])
+
+        virtual.run(scenario())
+
 
 if __name__ == '__main__':
     unittest.main()
