Take null in a configuration's optional field as a missing field

Callers saw: after a configuration with a null in place of a missing field (as some encoders write), every entry kept the one before: added routes 404, dropped ones served. Cause: an optional field was checked against its type whenever it was there. Now a null is read as missing, except for tenants and allowed_regions, where that would let callers in that others keep out; records of servers are judged as before (tests/test_junk.py).

Test: eleven fields; before, all eleven left version 7 in force (11 failures of tests.test_configuration_cases.ValidCasesTest); after, it passes with tests.test_records, test_junk and test_places.

--- a/src/linnetwood/platform/records.py
+++ b/src/linnetwood/platform/records.py
@@ -37,11 +37,15 @@
 _MEGABIT_BYTES = 125000
 _STREAMING = 'streaming'
 _REPEATABLE = 'idempotent'
+# Without them, calls need no key and may be served anywhere.
+_RESTRICTING_FIELDS = frozenset(('tenants', 'allowed_regions'))
 
 
 def config(record: Record) -> RouteTable:
     """Decode the operator's configuration, or raise ConfigError."""
-    parsed = validation.parse(record.payload, tables.CONFIG, 'config-malformed')
+    parsed = validation.parse(
+        record.payload, tables.CONFIG, 'config-malformed', _without_nulls
+    )
     for one in parsed['routes']:
         if not (one.get('traffic_split') or one.get('service')):
             raise ConfigError('config-malformed', f'no service: {one["name"]}')
@@ -64,6 +68,17 @@
     return _endpoint(key.removeprefix(ENDPOINT_PREFIX), parsed)
 
 
+def _without_nulls(found: dict[str, Any]) -> dict[str, Any]:
+    """Treat null as a missing field, where that lifts no restriction."""
+    if None not in found.values():
+        return found
+    return {
+        name: one
+        for name, one in found.items()
+        if one is not None or name in _RESTRICTING_FIELDS
+    }
+
+
 def _endpoint(name: str, parsed: Mapping[str, Any]) -> Endpoint:
     host, port = address(parsed['address'])
     return Endpoint(
--- a/src/linnetwood/platform/validation.py
+++ b/src/linnetwood/platform/validation.py
@@ -22,6 +22,7 @@
 UNREADABLE = (ValueError, RecursionError)
 
 Check = Callable[[object], bool]
+ObjectHook = Callable[[dict[str, Any]], dict[str, Any]]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -123,10 +124,14 @@
     payload: bytes,
     fields: Sequence[Field],
     code: str,
+    object_hook: ObjectHook | None = None,
 ) -> Mapping[str, Any]:
-    """Parse an object with these fields, or raise ConfigError with a code."""
+    """Parse an object with these fields, or raise ConfigError with a code.
+
+    `object_hook` may replace each object before it is checked.
+    """
     try:
-        found = json.loads(payload)
+        found = json.loads(payload, object_hook=object_hook)
     except UNREADABLE as exc:
         raise ConfigError(code, repr(exc)) from exc
     fault = find_fault(found, fields)
--- a/tests/test_configuration_cases.py
+++ b/tests/test_configuration_cases.py
@@ -211,6 +211,30 @@
         cases['more fields'] = (routed(more=[1], else_={}), SERVED)
         await self.check(cases)
 
+    async def test_optional_fields_may_be_null(self) -> None:
+        """Guard against a configuration refused for a null; some write one."""
+        names = (
+            'target_latency_ms',
+            'target_gap_ms',
+            'max_attempts',
+            'priority',
+            'public',
+            'stream_resumption',
+            'traffic_split',
+        )
+        cases = {name: (routed(**{name: None}), SERVED) for name in names}
+        desk = {'name': 'desk', 'engine': None, 'origin': None}
+        holder = {'name': 't-1', 'api_keys': None}
+        cases['limits'] = (config(limits=None), SERVED)
+        hall = [{'service': 'hall', 'weight': 1}]
+        cases['service'] = (
+            routed(service=None, traffic_split=hall),
+            ELSEWHERE,
+        )
+        cases['engine'] = (config(services=[desk]), SERVED)
+        cases['keys'] = (config(tenants=[holder]), NO_KEY)
+        await self.check(cases)
+
     async def test_traffic_splits(self) -> None:
         """A service with a weight gets calls, and one without gets none."""
         await self.check(
@@ -329,6 +353,10 @@
             'negative weight': split(desk=-1, hall=2),
             'no weight': routed(traffic_split=[{'service': 'hall'}]),
             'tenant without a name': config(tenants=[{'api_keys': ['k1']}]),
+            'null for a name': routed(name=None),
+            # In place of what restricts callers it would let others in.
+            'null for tenants': config(tenants=None),
+            'null for regions': routed(allowed_regions=None),
             'number as a key': config(tenants=[{'name': 't', 'api_keys': [1]}]),
         }
         for name, said in cases.items():
