Read whole numbers of operators also when written with a fraction of zero

Callers saw: a configuration with 2.0 in place of 2, which JSON does not tell apart, was refused by every entry alike, and the one before stayed in force. Cause: the check compared types. Configurations and named versions now take any number without a fraction; records of servers are judged as before.

--- a/src/linnetwood/platform/records.py
+++ b/src/linnetwood/platform/records.py
@@ -57,7 +57,7 @@
     parsed = validation.parse(
         record.payload, tables.VERSION, 'version-malformed'
     )
-    return parsed['model'], parsed['version']
+    return parsed['model'], int(parsed['version'])
 
 
 def endpoint(key: str, record: Record) -> Endpoint:
--- a/src/linnetwood/platform/tables.py
+++ b/src/linnetwood/platform/tables.py
@@ -28,7 +28,7 @@
     MODELS,
     validation.integer('born', needed=_OPTIONAL),
 )
-VERSION = (validation.text('model'), validation.integer('version', 1))
+VERSION = (validation.text('model'), validation.whole('version', 1))
 _REGIONS = validation.text_list('allowed_regions', needed=_OPTIONAL)
 _ROUTE = (
     _NAME,
@@ -38,8 +38,8 @@
     validation.number('timeout_ms', above=0),
     validation.number('target_latency_ms', needed=_OPTIONAL),
     validation.number('target_gap_ms', needed=_OPTIONAL),
-    validation.integer('max_attempts', needed=_OPTIONAL),
-    validation.integer('priority', needed=_OPTIONAL),
+    validation.whole('max_attempts', needed=_OPTIONAL),
+    validation.whole('priority', needed=_OPTIONAL),
     validation.boolean('public', needed=_OPTIONAL),
     validation.boolean('stream_resumption', needed=_OPTIONAL),
     validation.text(_SERVICE_NAME.name, needed=_OPTIONAL),
@@ -60,25 +60,25 @@
     validation.number('answer', needed=_OPTIONAL),
 )
 _ENGINE = (
-    validation.integer('slots', 1),
+    validation.whole('slots', 1),
     validation.number('step_ms'),
     validation.number('read_per_s', above=0),
     validation.number('per_seq_ms', needed=_OPTIONAL),
     validation.number('context_per_k', needed=_OPTIONAL),
     validation.number('pairs_per_m', needed=_OPTIONAL),
-    validation.integer('stride', 1, needed=_OPTIONAL),
+    validation.whole('stride', 1, needed=_OPTIONAL),
     validation.nested('usual', _USUAL, needed=_OPTIONAL),
     validation.number('kv_capacity_tokens', needed=_OPTIONAL),
     validation.object_list('models', (_NAME,), needed=_OPTIONAL),
-    validation.integer('layers', 1, needed=_OPTIONAL),
-    validation.integer('chunks', needed=_OPTIONAL),
-    validation.integer('chunk_bytes', needed=_OPTIONAL),
+    validation.whole('layers', 1, needed=_OPTIONAL),
+    validation.whole('chunks', needed=_OPTIONAL),
+    validation.whole('chunk_bytes', needed=_OPTIONAL),
     validation.number('report_lag_ms', needed=_OPTIONAL),
     validation.object_list('delays', _DELAY, needed=_OPTIONAL),
 )
 _SERVICE = (
     _NAME,
-    validation.integer('connection_limit', needed=_OPTIONAL),
+    validation.whole('connection_limit', needed=_OPTIONAL),
     validation.number('link_mbps', needed=_OPTIONAL),
     validation.number('cold_start_s', needed=_OPTIONAL),
     validation.number('cold_per_s', needed=_OPTIONAL),
@@ -86,19 +86,19 @@
     validation.nested('engine', _ENGINE, needed=_OPTIONAL),
 )
 _LIMITS = (
-    validation.integer('max_header_bytes', 1, needed=_OPTIONAL),
-    validation.integer('max_body_bytes', 1, needed=_OPTIONAL),
+    validation.whole('max_header_bytes', 1, needed=_OPTIONAL),
+    validation.whole('max_body_bytes', 1, needed=_OPTIONAL),
     validation.number('header_timeout_ms', needed=_OPTIONAL),
     validation.number('idle_timeout_ms', needed=_OPTIONAL),
 )
 _TENANT = (
     _NAME,
-    validation.integer('priority', needed=_OPTIONAL),
+    validation.whole('priority', needed=_OPTIONAL),
     validation.text_list('api_keys', needed=_OPTIONAL),
     _REGIONS,
 )
 CONFIG = (
-    _VERSION_HELD,
+    validation.whole(_VERSION_HELD.name),
     validation.object_list('routes', _ROUTE),
     validation.object_list('services', _SERVICE),
     validation.nested('limits', _LIMITS, needed=_OPTIONAL),
--- a/src/linnetwood/platform/validation.py
+++ b/src/linnetwood/platform/validation.py
@@ -55,6 +55,16 @@
     )
 
 
+def whole(name: str, least: int = 0, *, needed: bool = True) -> Field:
+    """Require a number without a fraction, also one written as 2.0."""
+    return Field(
+        name,
+        lambda found: _is_whole(found) and cast(float, found) >= least,
+        f'a whole number from {least}',
+        needed,
+    )
+
+
 def number(name: str, *, above: float = -1, needed: bool = True) -> Field:
     """Require a finite number that is not negative and above `above`."""
     return Field(
@@ -156,6 +166,12 @@
     return type(found) is int and abs(found) <= _MAX_INTEGER  # noqa: WPS516
 
 
+def _is_whole(found: object) -> bool:
+    if isinstance(found, float):
+        return found.is_integer() and abs(found) <= _MAX_INTEGER
+    return _is_integer(found)
+
+
 def _is_number(found: object) -> bool:
     return _is_integer(found) or (
         isinstance(found, float) and math.isfinite(found) and found >= 0
--- a/tests/test_configuration_cases.py
+++ b/tests/test_configuration_cases.py
@@ -235,6 +235,26 @@
         cases['keys'] = (config(tenants=[holder]), NO_KEY)
         await self.check(cases)
 
+    async def test_whole_numbers_may_be_written_as_fractions(self) -> None:
+        """Guard against 2.0 that is refused where 2 is taken: JSON has one."""
+        desk = {'name': 'desk', 'connection_limit': 4e2}
+        engine = {**ENGINE, 'slots': 4.0, 'layers': 16.0}
+        busy = {**desk, 'engine': engine}
+        limits = {'max_header_bytes': 16384.0, 'max_body_bytes': 4e6}
+        await self.check(
+            {
+                'version': (config(8.0), SERVED),
+                'attempts': (routed(max_attempts=2.0), SERVED),
+                'priority': (routed(priority=0.0), SERVED),
+                'service': (config(services=[desk]), SERVED),
+                'engine': (config(services=[busy]), SERVED),
+                'limits': (config(limits=limits), SERVED),
+            }
+        )
+        self.assertIsInstance(self.entry.route_table.version, int)
+        self.write(self.change('op/version/m', {'model': 'm', 'version': 2.0}))
+        self.assertEqual(self.entry.wanted.newest('m'), 2)
+
     async def test_traffic_splits(self) -> None:
         """A service with a weight gets calls, and one without gets none."""
         await self.check(
