Put the last valid record in force of several that came together

Callers saw: a valid configuration that was read in one answer with a later malformed one, or with the deletion of its key, never came into force; added routes got 404 until the next write. Cause: of the changes of a key only the last was applied, whether it was valid or not. Now earlier ones follow until one is valid; malformed ones are logged as before.

Test: valid 8, valid 12, two malformed ones at once; before, version 7 stayed in force (7 != 12); after, 12, and 13 beside a deletion. 63 tests of test_configuration_cases, test_records, test_junk, test_places, test_restored_operators, test_retained and test_cold_start pass.

--- a/src/linnetwood/platform/feeds.py
+++ b/src/linnetwood/platform/feeds.py
@@ -66,15 +66,11 @@
         self._first = False
 
     def apply_changes(self, changes: tuple[Change, ...]) -> None:
-        """Apply changed records, only the last one of each key."""
-        newest = {one.key: one for one in changes}
-        for key, change in newest.items():
-            zone = _evacuated_zone(key)
-            if zone:
-                zones = self._evacuated - {zone}
-                self._set_evacuated(zones | {zone} if change.record else zones)
-            elif change.record is not None:
-                self._apply_record(key, change.record, change.age_s)
+        """Apply changed records, only the last valid one of each key."""
+        applied: set[str] = set()
+        for change in reversed(changes):
+            if change.key not in applied and self._apply_change(change):
+                applied.add(change.key)
 
     def apply_retained(self, changes: tuple[Change, ...]) -> None:
         """Apply records that the store lost and that others keep in force."""
@@ -85,6 +81,17 @@
             elif change.record is not None:
                 self._apply_record(change.key, change.record, change.age_s)
 
+    def _apply_change(self, change: Change) -> bool:
+        """Return whether earlier changes of the key have no effect any more."""
+        zone = _evacuated_zone(change.key)
+        if zone:
+            zones = self._evacuated - {zone}
+            self._set_evacuated(zones | {zone} if change.record else zones)
+            return True
+        if change.record is None:
+            return False
+        return self._apply_record(change.key, change.record, change.age_s)
+
     def _is_known(self, key: str, record: Record) -> bool:
         held = self._held.get(key)
         return held is not None and held.payload == record.payload
@@ -95,7 +102,8 @@
             self._evacuated = zones
             self._evacuate(zones)
 
-    def _apply_record(self, key: str, record: Record, age_s: float) -> None:
+    def _apply_record(self, key: str, record: Record, age_s: float) -> bool:
+        """Apply a record; return whether it is valid."""
         is_known = self._is_known(key, record)
         if is_known and self._held[key].revision != record.revision:
             # It was written again, as after the store was restored: that is not
@@ -107,8 +115,9 @@
         except ConfigError as exc:
             # The previous valid record stays in force.
             self._ignored.record_ignored(key, record, exc)
-            return
+            return False
         self._changed()
+        return True
 
     def _decode(self, key: str, record: Record, age_s: float) -> None:
         if key == records.CONFIG_KEY:
--- a/tests/test_configuration_cases.py
+++ b/tests/test_configuration_cases.py
@@ -394,6 +394,21 @@
         self.configure(routed(service='hall'))
         self.assertEqual(await self.ask(), ELSEWHERE)
 
+    async def test_invalid_after_valid(self) -> None:
+        """Guard against a valid configuration that came together with others.
+
+        The newest valid one is in force, and invalid ones are logged.
+        """
+        await self.begin()
+        with self.assertLogs('linnetwood', 'INFO') as captured:
+            self.configure(config(8), config(12, service='hall'), {}, [])
+        self.assertEqual(self.entry.route_table.version, 12)
+        found = [one.__dict__['event'] for one in captured.records]
+        self.assertEqual(found.count(Event.ITEM_IGNORED), 2)
+        newer = self.change('op/config', config(13))
+        self.write(newer, self.change('op/config', None))
+        self.assertEqual(self.entry.route_table.version, 13)
+
     async def test_older_and_equal_versions(self) -> None:
         """What was in force never comes back, whatever its revision."""
         await self.begin()
