Find routes whose host names a port or is an IPv6 address

Callers saw 404 on a route that every entry had in force, where its host was written with a port, or was an IPv6 address in brackets. Cause: requests lost their port, from the first colon on, and configured hosts kept it. Both are now reduced in the same way.

Tests: before, 404 in place of 200 in two tests of tests.test_configuration_cases; after, it passes with test_records, test_odd_requests and test_callserver (53 tests).

--- a/src/linnetwood/calls/routetable.py
+++ b/src/linnetwood/calls/routetable.py
@@ -114,7 +114,7 @@
     def find(self, host: str, target: str) -> Route | None:
         """Return the route with the longest prefix of the path, if any."""
         path = target.partition('?')[0]
-        for route in self.by_host.get(host.partition(':')[0].lower(), ()):
+        for route in self.by_host.get(_host_name(host), ()):
             if path.startswith(route.prefix):
                 return route
         return None
@@ -136,13 +136,21 @@
     """Group routes by host in lower case, the longest prefixes first."""
     by_host: dict[str, list[Route]] = {}
     for route in routes:
-        by_host.setdefault(route.host.lower(), []).append(route)
+        by_host.setdefault(_host_name(route.host), []).append(route)
     return {
         host: tuple(sorted(host_routes, key=_longest_prefix_first))
         for host, host_routes in by_host.items()
     }
 
 
+def _host_name(host: str) -> str:
+    """Return a host without its port, in lower case."""
+    name, bracket, _ = host.partition(']')
+    if not bracket:
+        name = host.partition(':')[0]
+    return f'{name}{bracket}'.lower()
+
+
 def _longest_prefix_first(route: Route) -> int:
     return -len(route.prefix)
 
--- a/tests/test_configuration_cases.py
+++ b/tests/test_configuration_cases.py
@@ -284,6 +284,7 @@
                 'root alone': (config(routes=[rest]), ELSEWHERE),
                 'twice': (config(routes=[ROUTE, {**ROUTE}]), SERVED),
                 'capitals': (routed(host='H.Example'), SERVED),
+                'port': (routed(host='h.example:8080'), SERVED),
                 'elsewhere': (routed(host='o.example'), NO_ROUTE),
                 'no routes': (config(routes=[]), NO_ROUTE),
             },
@@ -343,6 +344,11 @@
     async def test_hosts_of_callers(self) -> None:
         """A port and capitals in a request change nothing."""
         await self.begin()
+        there = changed(ROUTE, host='[::1]:80')
+        other = changed(ROUTE, host='[::2]', service='hall')
+        self.configure(config(routes=[ROUTE, other, there]))
+        self.assertEqual(await self.ask(host='[::1]'), SERVED)
+        self.assertEqual(await self.ask(host='[::2]:8080'), ELSEWHERE)
         for host in ('h.example', 'H.EXAMPLE', 'h.example:8080'):
             with self.subTest(host=host):
                 self.assertEqual(await self.ask(host=host), SERVED)
