Send no call to a service of a split that has no weight

A rounding error could send a call to the last service of a split although its weight is zero, so to one that the configuration gives no calls (weights 0.1, 0.1, 0.4, 0 and the largest chance below 1); and of services that all have no weight, the last got all calls. Services without a weight are now left out when the configuration is read, unless none has one.

--- a/src/linnetwood/platform/records.py
+++ b/src/linnetwood/platform/records.py
@@ -123,10 +123,6 @@
     repeat = Repeat.MAY if kind == _REPEATABLE else Repeat.NEVER
     if streams and parsed.get('stream_resumption'):
         repeat = Repeat.RESUME
-    # A route has one service, or a list of services with weights.
-    split = parsed.get('traffic_split') or [
-        {'service': parsed['service'], 'weight': 1},
-    ]
     return Route(
         name=parsed['name'],
         host=parsed['host'],
@@ -139,13 +135,22 @@
         attempts=int(parsed.get('max_attempts', 1)),
         priority=int(parsed.get('priority', 0)),
         public=bool(parsed.get('public')),
-        shares=tuple(
-            Share(one['service'], float(one['weight'])) for one in split
-        ),
+        shares=_shares(parsed),
         regions=tuple(parsed.get('allowed_regions', ())),
     )
 
 
+def _shares(parsed: Mapping[str, Any]) -> tuple[Share, ...]:
+    """Return one service, or those of the list that have a weight."""
+    split = parsed.get('traffic_split') or [
+        {'service': parsed['service'], 'weight': 1},
+    ]
+    shares = [Share(one['service'], float(one['weight'])) for one in split]
+    weighted = [share for share in shares if share.weight]
+    # Without any weight the services share the calls evenly.
+    return tuple(weighted or [Share(one.service, 1) for one in shares])
+
+
 def _priority_levels(
     service: str,
     routes: Iterable[Route],
--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -110,6 +110,29 @@
             with self.subTest(chance=chance):
                 self.assertEqual(pick_service(route, chance), expected)
 
+    def test_services_without_a_weight_get_no_calls(self) -> None:
+        """Guard against a rounding error that sends a call there."""
+        cases: tuple[tuple[dict[str, float], set[str]], ...] = (
+            (
+                {'pool': 0.1, 'desk': 0.1, 'hall': 0.4, 'gone': 0},
+                {'pool', 'desk', 'hall'},
+            ),
+            ({'gone': 0, 'pool': 0.3, 'desk': 0.3}, {'pool', 'desk'}),
+            ({'pool': 0, 'desk': 0}, {'pool', 'desk'}),
+        )
+        chances = (0, 0.3, 0.5, 0.7, 1 - 2**-53)
+        for weights, expected in cases:
+            rows = [
+                {'service': name, 'weight': weight}
+                for name, weight in weights.items()
+            ]
+            route = {**ROUTE, 'traffic_split': rows}
+            found = records.config(record({**CONFIG, 'routes': [route]}))
+            split = found.by_host['host1.example'][0]
+            picked = {pick_service(split, chance) for chance in chances}
+            with self.subTest(weights=weights):
+                self.assertEqual(picked, expected)
+
     def test_services_origin_keys_and_limits(self) -> None:
         """Engines, the origin, organisations and limits are decoded."""
         route_table = records.config(record(CONFIG))
