Refuse names from the store that can't be sent in a header

An organisation's name or an endpoint's id with a line break added a header of its own to each call sent on (X-Model in the trial), one with half of a surrogate pair ended each call with 502, and an endpoint without an id was sent calls that name no expected endpoint. Such records are now malformed: the configuration before stays in force, the endpoint isn't used, each is logged once.

--- a/src/linnetwood/platform/records.py
+++ b/src/linnetwood/platform/records.py
@@ -65,7 +65,10 @@
     parsed = validation.parse(
         record.payload, tables.ENDPOINT, 'endpoint-malformed'
     )
-    return _endpoint(key.removeprefix(ENDPOINT_PREFIX), parsed)
+    name = key.removeprefix(ENDPOINT_PREFIX)
+    if not validation.is_header_text(name):
+        raise ConfigError('endpoint-malformed', f'the id is {name!r}')
+    return _endpoint(name, parsed)
 
 
 def _without_nulls(found: dict[str, Any]) -> dict[str, Any]:
--- a/src/linnetwood/platform/tables.py
+++ b/src/linnetwood/platform/tables.py
@@ -92,7 +92,7 @@
     validation.number('idle_timeout_ms', needed=_OPTIONAL),
 )
 _TENANT = (
-    _NAME,
+    validation.header_text(_NAME.name),
     validation.whole('priority', needed=_OPTIONAL),
     validation.text_list('api_keys', needed=_OPTIONAL),
     _REGIONS,
--- a/src/linnetwood/platform/validation.py
+++ b/src/linnetwood/platform/validation.py
@@ -8,8 +8,9 @@
 import ipaddress
 import json
 import math
+import re
 from collections.abc import Callable, Mapping, Sequence
-from typing import Any, cast
+from typing import Any, Final, cast
 
 from linnetwood.core.errors import ConfigError
 
@@ -18,6 +19,8 @@
 _MAX_PORT = 65535
 # Logged part of a rejected value.
 _MAX_SHOWN_CHARS = 40
+# Control characters would end a header, and halves of a pair are no Unicode.
+_UNSENDABLE: Final = re.compile('[\x00-\x1f\x7f\ud800-\udfff]')
 # Raised for bytes that are not JSON, or nested too deeply for the parser.
 UNREADABLE = (ValueError, RecursionError)
 
@@ -40,6 +43,13 @@
     return Field(name, _is_text, 'text', needed)
 
 
+def header_text(name: str, *, needed: bool = True) -> Field:
+    """Require text that can be sent as the value of a header."""
+    return Field(
+        name, is_header_text, 'text without control characters', needed
+    )
+
+
 def boolean(name: str, *, needed: bool = True) -> Field:
     """Require true or false."""
     return Field(name, _is_boolean, 'true or false', needed)
@@ -150,6 +160,15 @@
     return cast(Mapping[str, Any], found)
 
 
+def is_header_text(found: object) -> bool:
+    """Return whether a text can be sent as the value of a header."""
+    return (
+        isinstance(found, str)
+        and bool(found)
+        and _UNSENDABLE.search(found) is None
+    )
+
+
 def _shown(found: object) -> str:
     return repr(found)[:_MAX_SHOWN_CHARS]
 
--- a/tests/test_configuration_cases.py
+++ b/tests/test_configuration_cases.py
@@ -330,6 +330,10 @@
                     (200, 'desk', ''),
                 ),
                 'public': (routed(public=True), SERVED),
+                'any letters': (
+                    config(tenants=[{'name': 'Blut é', 'api_keys': ['k1']}]),
+                    (200, 'desk', 'Blut é'),
+                ),
             }
         )
 
@@ -357,6 +361,10 @@
 class InvalidCasesTest(ConfigurationCase):
     """None takes effect; the configuration before stays in force."""
 
+    def held_by(self, name: str) -> dict[str, Any]:
+        """Return a configuration with a key of an organisation."""
+        return config(tenants=[{'name': name, 'api_keys': ['k1']}])
+
     async def test_invalid_configurations(self) -> None:
         """Each is logged once, however often it is read."""
         await self.begin()
@@ -383,6 +391,9 @@
             # In place of what restricts callers it would let others in.
             'null for tenants': config(tenants=None),
             'null for regions': routed(allowed_regions=None),
+            # Sent in a header, they would add another, or fail each call.
+            'line break in a name': self.held_by('t-1\r\nX-Model: m'),
+            'half a character in a name': self.held_by('t\ud800'),
             'number as a key': config(tenants=[{'name': 't', 'api_keys': [1]}]),
         }
         for name, said in cases.items():
@@ -415,6 +426,16 @@
         self.write(newer, self.change('op/config', None))
         self.assertEqual(self.entry.route_table.version, 13)
 
+    async def test_ids_of_endpoints(self) -> None:
+        """Guard against an id that adds a header to each call sent there."""
+        await self.begin()
+        listed = await self.serve('late', 'hall')
+        for name in ('i\r\nX-Model: m', 'i\ud800', ''):
+            key = f'servers/{name}'
+            with self.subTest(name=name):
+                self.write(Change(key, listed.record))
+                self.assertIsNone(self.entry.directory.get(name))
+
     async def test_older_and_equal_versions(self) -> None:
         """What was in force never comes back, whatever its revision."""
         await self.begin()
