Take calls of a route without a target as in time

Callers of a route whose target_latency_ms is missing, null or 0 were sent to engines behind all others (X-Request-Priority 8), and refused as overloaded where few slots were free. Cause: a missing target counted as a target of 0 s, which no predicted wait meets. Without a target a call is now in time until its deadline.

Test: tests.test_configuration_cases.AddedEngineRoutesTest; before, all three cases had the header; after, it passes with test_direct, test_deadlineadmission and test_callsteps (54 tests).

--- a/src/linnetwood/calls/direct.py
+++ b/src/linnetwood/calls/direct.py
@@ -226,7 +226,8 @@
 
     def _max_wait_s(self, call: DirectCall) -> float:
         """Return the longest predicted wait with which a call is in time."""
-        target_s = call.route.target_s
+        # Without a target a call is in time until its deadline.
+        target_s = call.route.target_s or call.deadline - call.arrived_at
         now = self._loop.time()
         margin_s = self.recorder.lateness_of(call).margin_s(target_s, now)
         return self._chooser.max_wait_s(
--- a/src/linnetwood/calls/routetable.py
+++ b/src/linnetwood/calls/routetable.py
@@ -32,7 +32,7 @@
     """One route of the configuration; times in seconds.
 
     `target_s` is promised for the first event of a stream, `gap_s` for the
-    longest pause between two events.
+    longest pause between two events; 0 stands for no promise.
     """
 
     name: str
--- a/tests/test_configuration_cases.py
+++ b/tests/test_configuration_cases.py
@@ -541,6 +541,22 @@
 
     figures = {'engine': ENGINE}
 
+    async def test_route_without_a_target(self) -> None:
+        """Guard against calls that count as late when they arrive.
+
+        Late ones are sent behind all others, and refused where slots are few.
+        """
+        await self.begin()
+        self.write(await self.serve('new', 'new'))
+        for target_ms in (ABSENT, None, 0):
+            said = self.added(self.revision, target_latency_ms=target_ms)
+            self.configure(said)
+            with self.subTest(target_ms=target_ms):
+                seen = await self.ask('/b/x', 'k3')
+                self.assertEqual(seen, (200, 'new', 't-3'))
+                sent = self.servers['new'].requests[0]
+                self.assertNotIn(b'X-Request-Priority', sent)
+
     async def serve(self, name: str, service: str, **more: object) -> Change:
         """List an engine with its model."""
         models = [{'name': 'm', 'version': 1, 'adapters': []}]
