Name the invalid field of a refused record in its log line

Event 3013's detail for a configuration showed the first 40 characters of the list that held the invalid value, so it named neither route nor field. It now gives the place: routes[1].max_attempts is '2', not a whole number from 0.

--- a/src/linnetwood/platform/validation.py
+++ b/src/linnetwood/platform/validation.py
@@ -36,6 +36,15 @@
     check: Check
     allowed: str
     needed: bool = True
+    # Finds the place inside a value that the check rejects, with its fault.
+    locate: Callable[[object], str] | None = None
+
+    def fault(self, found: object) -> str:
+        """Return the place of an invalid value, and what is wrong with it."""
+        inner = self.locate(found) if self.locate else ''
+        if inner:
+            return f'{self.name}{inner}'
+        return f'{self.name} is {_shown(found)}, not {self.allowed}'
 
 
 def text(name: str, *, needed: bool = True) -> Field:
@@ -52,7 +61,9 @@
 
 def boolean(name: str, *, needed: bool = True) -> Field:
     """Require true or false."""
-    return Field(name, _is_boolean, 'true or false', needed)
+    return Field(
+        name, lambda found: isinstance(found, bool), 'true or false', needed
+    )
 
 
 def integer(name: str, least: int = 0, *, needed: bool = True) -> Field:
@@ -107,7 +118,11 @@
 def nested(name: str, fields: Sequence[Field], *, needed: bool = True) -> Field:
     """Require an object with these fields."""
     return Field(
-        name, lambda found: not find_fault(found, fields), 'a table', needed
+        name,
+        lambda found: not find_fault(found, fields),
+        'a table',
+        needed,
+        lambda found: _inner_fault(found, fields),
     )
 
 
@@ -123,20 +138,35 @@
         ),
         'a list of tables',
         needed,
+        lambda found: _fault_in_list(found, fields),
     )
 
 
 def find_fault(found: object, fields: Sequence[Field]) -> str:
     """Return what is wrong with the first invalid field, or an empty text."""
     if not isinstance(found, dict):
-        return f'{_shown(found)} is no table'
+        return f'is no table: {_shown(found)}'
     for field in fields:
         if field.name not in found:
             if field.needed:
                 return f'{field.name} is missing'
         elif not field.check(found[field.name]):
-            shown = _shown(found[field.name])
-            return f'{field.name} is {shown}, not {field.allowed}'
+            return field.fault(found[field.name])
+    return ''
+
+
+def _inner_fault(found: object, fields: Sequence[Field]) -> str:
+    """Return what is wrong with a table, to be read after its name."""
+    separator = '.' if isinstance(found, dict) else ' '
+    return f'{separator}{find_fault(found, fields)}'
+
+
+def _fault_in_list(found: object, fields: Sequence[Field]) -> str:
+    if not isinstance(found, list):
+        return ''
+    for number, one in enumerate(found):
+        if find_fault(one, fields):
+            return f'[{number}]{_inner_fault(one, fields)}'
     return ''
 
 
@@ -177,10 +207,6 @@
     return isinstance(found, str) and bool(found)
 
 
-def _is_boolean(found: object) -> bool:
-    return isinstance(found, bool)
-
-
 def _is_integer(found: object) -> bool:
     return type(found) is int and abs(found) <= _MAX_INTEGER  # noqa: WPS516
 
--- a/tests/test_configuration_cases.py
+++ b/tests/test_configuration_cases.py
@@ -411,6 +411,28 @@
         self.configure(routed(service='hall'))
         self.assertEqual(await self.ask(), ELSEWHERE)
 
+    async def test_the_log_names_the_invalid_field(self) -> None:
+        """Guard against a line that shows the head of a long list instead."""
+        cases = {
+            "routes[1].max_attempts is '2', not a whole number from 0": config(
+                routes=[ROUTE, changed(ROUTE, max_attempts='2')]
+            ),
+            'services[0].engine.step_ms is missing': config(
+                services=[{'name': 'desk', 'engine': {'slots': 4}}]
+            ),
+            'tenants[0] is no table: 4': config(tenants=[4]),
+            'services is {}, not a list of tables': config(services={}),
+            'limits.idle_timeout_ms is -1, not a number': config(
+                limits={'idle_timeout_ms': -1}
+            ),
+        }
+        for expected, said in cases.items():
+            with self.assertLogs('linnetwood', 'INFO') as captured:
+                self.configure(said)
+            with self.subTest(expected):
+                line = captured.records[0].__dict__
+                self.assertEqual(line['detail'], expected)
+
     async def test_invalid_after_valid(self) -> None:
         """Guard against a valid configuration that came together with others.
 
