Say in each line of a call by which configuration it was decided

Test: tests.test_callserver, one line of each kind; before, the fields were missing. The test of 6005 asserted that the revision is not logged; it now asserts its value. 85 tests of nine modules of calls pass.

--- a/src/linnetwood/calls/attemptlog.py
+++ b/src/linnetwood/calls/attemptlog.py
@@ -11,6 +11,7 @@
 from linnetwood.calls.endpointstats import EndpointStats
 from linnetwood.calls.logfields import (
     call_fields,
+    config_fields,
     logged_id,
     logged_parts,
 )
@@ -122,7 +123,6 @@
     sent = attempt.sent
     route = sent_attempt.route
     estimate = sent_attempt.estimate
-    config_basis = sent_attempt.config_basis
     log(
         Event.ATTEMPT_ENDED,
         call=logged_id(sent_attempt.call_id),
@@ -140,9 +140,7 @@
         report_age_ms=estimate.report_age_ms,
         pace=sent_attempt.choice.pace,
         slow_ms=estimate.extra_link_delay_ms,
-        config_version=config_basis.version,
-        config_age_ms=config_basis.config_age_ms,
-        store_age_ms=config_basis.store_age_ms,
+        **config_fields(sent_attempt.config_basis),
         predicted_ms=_ms(sent_attempt.choice.wait_s),
         connect_ms=_ms(sent.connected_s) if sent.connected_s else _UNKNOWN_MS,
         written_bytes=sent.written,
--- a/src/linnetwood/calls/callserver.py
+++ b/src/linnetwood/calls/callserver.py
@@ -30,6 +30,7 @@
 from linnetwood.calls.logfields import (
     MAX_LOGGED_CHARS,
     call_fields,
+    config_fields,
     logged_id,
     logged_parts,
 )
@@ -47,7 +48,6 @@
     not_run,
     unknown,
 )
-from linnetwood.fleet.revisions import era_of, number_of
 from linnetwood.wire.curldriver import Headers
 
 _MILLISECONDS = 1000
@@ -297,7 +297,10 @@
         if isinstance(call, Ending):
             return call
         self._call_id = logged_id(call.head.call_id)
-        self._call_fields = call_fields(call.route, call.organisation)
+        self._call_fields = {
+            **call_fields(call.route, call.organisation),
+            **config_fields(call.config_basis),
+        }
         writer.name_call(self._call_id, self._call_fields)
         admitted = self._delegate.admit(call)
         if isinstance(admitted, Ending):
@@ -344,7 +347,8 @@
         """Log the refusal of a call whose route and key are not known."""
         head = self._delegate.dialect.read(self._headers)
         self._call_id = logged_id(head.call_id)
-        self._log_refused(ending)
+        basis = self._delegate.config_basis()
+        self._log_refused(ending, **config_fields(basis))
         return ending
 
     def _log_refused(self, ending: Ending, **fields: object) -> None:
@@ -449,18 +453,13 @@
     head: CallHead,
     **verdict: object,
 ) -> None:
-    config_basis = incoming.config_basis
     log(
         event,
         call=logged_id(head.call_id),
         host=requested_host(incoming.headers)[:MAX_LOGGED_CHARS],
         # The query is left out, since it may hold private data.
         path=incoming.target.partition('?')[0][:MAX_LOGGED_CHARS],
-        config_version=config_basis.version,
-        config_revision=number_of(config_basis.revision),
-        config_era=era_of(config_basis.revision),
-        config_age_ms=config_basis.config_age_ms,
-        store_age_ms=config_basis.store_age_ms,
+        **config_fields(incoming.config_basis),
         **verdict,
     )
 
--- a/src/linnetwood/calls/configbasis.py
+++ b/src/linnetwood/calls/configbasis.py
@@ -8,6 +8,9 @@
 from linnetwood.core.clock import Clock
 
 _MILLISECONDS = 1000
+# Who confirmed the view last: the store itself, or a relay of its changes.
+_BY_STORE = 'store'
+_BY_RELAY = 'relay'
 # Logged if no configuration was adopted or the store never answered.
 _UNKNOWN_MS = -1
 
@@ -24,6 +27,8 @@
     revision: int = 0
     config_age_ms: int = _UNKNOWN_MS
     store_age_ms: int = _UNKNOWN_MS
+    # `store` or `relay`; empty if nobody has confirmed it.
+    confirmed_by: str = ''
     # Not confirmed by the store for longer than the maximum age, or never.
     is_stale: bool = True
 
@@ -36,12 +41,15 @@
         clock: Clock,
         last_answer_at: Callable[[], float],
         max_age_s: float = math.inf,
+        store_answer_at: Callable[[], float] | None = None,
     ) -> None:
         """Read from `last_answer_at` when the store last answered correctly.
 
-        A configuration not confirmed for longer than `max_age_s` is stale.
+        `store_answer_at` leaves out answers that relays passed on. A
+        configuration not confirmed for longer than `max_age_s` is stale.
         """
         self._clock = clock
+        self._store_answer_at = store_answer_at or last_answer_at
         self._last_answer_at = last_answer_at
         self._max_age_s = max_age_s
         self._version = 0
@@ -62,6 +70,7 @@
             self._revision,
             _ms(self._clock.now() - self._adopted_at),
             _ms(store_age_s),
+            self._confirmed_by(),
             store_age_s > self._max_age_s,
         )
 
@@ -69,6 +78,13 @@
         """Return the seconds since the store answered; infinity if never."""
         return self._clock.now() - self._last_answer_at()
 
+    def _confirmed_by(self) -> str:
+        answered_at = self._last_answer_at()
+        if not math.isfinite(answered_at):
+            return ''
+        is_own = self._store_answer_at() >= answered_at
+        return _BY_STORE if is_own else _BY_RELAY
+
 
 def _ms(seconds: float) -> int:
     return (
--- a/src/linnetwood/calls/logfields.py
+++ b/src/linnetwood/calls/logfields.py
@@ -2,7 +2,9 @@
 
 from collections.abc import Sequence
 
+from linnetwood.calls.configbasis import ConfigBasis
 from linnetwood.calls.routetable import Organisation, Route
+from linnetwood.fleet.revisions import era_of, number_of
 
 # Values from callers and configurations are cut to this length in log lines.
 MAX_LOGGED_CHARS = 120
@@ -29,6 +31,18 @@
     return fields
 
 
+def config_fields(basis: ConfigBasis) -> dict[str, object]:
+    """Return the configuration that decides a call, and how old it is."""
+    return {
+        'config_version': basis.version,
+        'config_revision': number_of(basis.revision),
+        'config_era': era_of(basis.revision),
+        'config_age_ms': basis.config_age_ms,
+        'store_age_ms': basis.store_age_ms,
+        'confirmed_by': basis.confirmed_by,
+    }
+
+
 def logged_parts(part_fingerprints: Sequence[str]) -> list[str]:
     """Return the first few fingerprints of a prompt's shared parts."""
     return list(part_fingerprints[:_MAX_LOGGED_PARTS])
--- a/src/linnetwood/programs/resident_entry.py
+++ b/src/linnetwood/programs/resident_entry.py
@@ -104,6 +104,7 @@
             clock,
             lambda: self._follower.confirmed_at,
             cfg.config_bound_s * _TRUSTED_SHARE,
+            lambda: self._follower.store_confirmed_at,
         )
         self.delegate = CallServerDelegate(
             lambda: self.route_table,
