Log a configuration that is older than the one in force

An entry ignored such a configuration silently, so that a late or restored write could not be told from one that never arrived. Event 3029 gives both versions; 3009 now has the version before, too.

--- a/src/linnetwood/core/events.py
+++ b/src/linnetwood/core/events.py
@@ -55,6 +55,7 @@
     UPDATE_IGNORED = 3026
     RANGE_REPLACED = 3027
     CONFIG_WRITTEN_AGAIN = 3028
+    ROUTES_OLDER = 3029
     STORE_PAGE_AGAIN = 3015
     PEERS_TAKEN = 3016
     PEERS_UNHEARD = 3017
@@ -119,6 +120,7 @@
         Event.STORE_ERA,
         Event.STORE_ERA_UNREADABLE,
         Event.CONFIG_WRITTEN_AGAIN,
+        Event.ROUTES_OLDER,
         Event.ITEM_IGNORED,
         Event.STORE_PAGE_AGAIN,
         Event.INTRODUCTION_FAILED,
--- a/src/linnetwood/programs/resident_entry.py
+++ b/src/linnetwood/programs/resident_entry.py
@@ -174,10 +174,10 @@
 
     def adopt(self, route_table: RouteTable) -> None:
         """Apply a newer configuration; ignore an older one."""
-        if (
-            route_table.version <= self.route_table.version
-            and self.route_table.revision
-        ):
+        in_force = self.route_table
+        if in_force.revision and route_table.version <= in_force.version:
+            if route_table.version < in_force.version:
+                _log_adoption(Event.ROUTES_OLDER, route_table, in_force)
             return
         if self._decisions.priorities == 'ignored':
             route_table = route_table.without_priorities()
@@ -186,13 +186,7 @@
         self.reports.route_table = route_table
         self._callers.set_limits(route_table.limits)
         self._share_retries()
-        log(
-            Event.ROUTES_ADOPTED,
-            version=route_table.version,
-            revision=number_of(route_table.revision),
-            era=era_of(route_table.revision),
-            routes=sum(map(len, route_table.by_host.values())),
-        )
+        _log_adoption(Event.ROUTES_ADOPTED, route_table, in_force)
 
     @property
     def ready(self) -> bool:
@@ -250,6 +244,19 @@
             self._servers.append(server)
 
 
+def _log_adoption(
+    event: Event, found: RouteTable, in_force: RouteTable
+) -> None:
+    log(
+        event,
+        version=found.version,
+        revision=number_of(found.revision),
+        era=era_of(found.revision),
+        before=in_force.version,
+        routes=sum(map(len, found.by_host.values())),
+    )
+
+
 async def serve(cfg: ProcessSettings, decisions: Decisions) -> None:
     """Serve callers on an entry VM."""
     entry = ResidentEntry(cfg, decisions)
--- a/tests/test_configuration_cases.py
+++ b/tests/test_configuration_cases.py
@@ -14,7 +14,7 @@
 
 from linnetwood.calls.crashes import CrashHistory
 from linnetwood.core.clock import SystemClock
-from linnetwood.core.events import Event
+from linnetwood.core.events import Event, log
 from linnetwood.fleet.ranges import Change, Record, Snapshot
 from linnetwood.platform.crashstore import CrashFeed
 from linnetwood.platform.feeds import EndpointFeed, OperatorFeed, StoreFeed
@@ -464,8 +464,16 @@
         newer = routed(service='hall')
         for version in (1000, 999, 1000, 8, 0):
             said = {**(newer if version == 1000 else CONFIG)}
-            self.configure({**said, 'version': version})
+            with self.assertLogs('linnetwood', 'INFO') as captured:
+                log(Event.STARTED)
+                self.configure({**said, 'version': version})
+            older = [
+                one.__dict__['version']
+                for one in captured.records
+                if one.__dict__['event'] == Event.ROUTES_OLDER
+            ]
             with self.subTest(version=version):
+                self.assertEqual(older, [version] if version < 1000 else [])
                 self.assertEqual(await self.ask(), ELSEWHERE)
         self.configure(config(version=1001))
         self.assertEqual(await self.ask(), SERVED)
