--- a/tests/test_early_signals.py
+++ b/tests/test_early_signals.py
@@ -37,6 +37,8 @@
 class EarlySignalsTest(unittest.TestCase):
     """Send SIGHUP to programs as early as they can be ready for it."""
 
+    starts_processes = True
+
     def test_hangup_while_modules_are_imported(self) -> None:
         """The program goes on, and ends later for want of any settings."""
         for program in PROGRAMS:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -691,6 +691,8 @@
 class SoakTest(unittest.TestCase):
     """Run the programs under faults."""
 
+    starts_processes = True
+
     def test_a_short_run(self) -> None:
         """No rule is violated, calls are served, all programs stop cleanly."""
         found = run_soak(SEED, MINUTES, Size(3, 3, 2), callers=6)
