Abandon answers of platforms and engines that come in tiny pieces

Callers saw entries and endpoint processes that stood still: a report, a staged chunk, a chunk of the origin or a page of the store in chunks of one byte. Cause: each piece costs over a microsecond and was kept as an object, and only the bytes had a limit, 16 or 33 MB. Change: an answer may have 4096 pieces and one more for each 64 bytes; its body is collected in one buffer.

--- a/src/linnetwood/wire/asking.py
+++ b/src/linnetwood/wire/asking.py
@@ -9,6 +9,10 @@
 
 _NO_HEAD_S = -1.0
 _ERROR_FROM = 300
+# A server writes pieces of a KB or more, few of which arrive divided. Each
+# piece costs the same time, so tiny ones would keep the event loop busy.
+_FREE_PIECES = 4096
+_MIN_PIECE_BYTES = 64
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -83,8 +87,9 @@
         self._last_received_at = self._loop.time()
         self._status = 0
         self._headers: Headers = []
-        self._pieces: list[bytes] = []
+        self._body = bytearray()
         self._size = 0
+        self._pieces = 0
 
     async def wait(self, limits: SilenceLimits | None) -> Answer:
         """Wait until it is complete, has failed, or was silent for too long."""
@@ -106,22 +111,31 @@
         self._last_received_at = self._loop.time()
 
     def body(self, piece: bytes) -> None:
+        if self._fut.done():
+            return
         self._last_received_at = self._loop.time()
         if not self._size:
             self._progress.set()
         if self._status < _ERROR_FROM:
             self._on_bytes()
         self._size += len(piece)
-        if self._size <= self._max_bytes:
-            self._pieces.append(piece)
-        else:
+        self._pieces += 1
+        if self._size > self._max_bytes:
             self._fail(f'over {self._max_bytes} bytes')
+        elif self._is_in_tiny_pieces:
+            self._fail(f'{self._pieces} pieces in {self._size} bytes')
+        else:
+            self._body += piece
 
     def done(self, finish: Finish) -> None:
         if not self._fut.done():
             status = self._status if finish.whole else 0
             self._set_result(status, finish)
 
+    @property
+    def _is_in_tiny_pieces(self) -> bool:
+        return (self._pieces - _FREE_PIECES) * _MIN_PIECE_BYTES > self._size
+
     def _time_out(self, silent_s: float) -> None:
         self._fail(f'silent for {silent_s:.1f} s after {self._size} bytes')
 
@@ -137,7 +151,7 @@
             Answer(
                 status,
                 self._headers,
-                b''.join(self._pieces),
+                bytes(self._body),
                 finish,
                 self._head_s,
                 self._elapsed_s(),
