Bound the answers of the engine and the origin that are small

Callers saw an endpoint process read 16 MB for each report of an engine that sends a body without end, again at each report. Cause: one limit for every answer, that of a chunk. Change: 1 MiB for all answers but chunks, which keep 16 MiB. A manifest of 8192 chunks, the most that there may be, takes 0.55 MB. The test failed before: 'over bytes' for a report.

--- a/src/linnetwood/platform/weights.py
+++ b/src/linnetwood/platform/weights.py
@@ -12,6 +12,7 @@
 from linnetwood.calls.enginepace import is_valid_pace
 from linnetwood.core.errors import LinnetwoodError, OrderError, WeightsError
 from linnetwood.core.events import Event, log
+from linnetwood.core.sizes import MIB
 from linnetwood.platform import tables, validation
 from linnetwood.weights.chunks import Manifest
 from linnetwood.weights.engine import EngineReport, OrderResult
@@ -27,7 +28,9 @@
 # The origin's link is shared, so a chunk may begin later.
 _CHUNK_FIRST_BYTE_S = 4.0
 _CHUNK_LIMITS = SilenceLimits(_CHUNK_FIRST_BYTE_S, SILENCE_TIMEOUT_S)
-_MAX_BYTES = 16777216
+# Of a chunk, and of any other answer: manifests of 8192 chunks take half of it.
+_MAX_CHUNK_BYTES = 16777216
+_MAX_BYTES = MIB
 _MAX_LOGGED_CHARS = 40
 _BAD_ANSWER = (KeyError, TypeError, ValueError, OverflowError)
 _REPORT = (
@@ -91,7 +94,10 @@
         """Read a staged chunk."""
         path = _stage_path('stage-get', model, index)
         answer = await self._server.ask(
-            'GET', path, limits=_LARGE_ANSWER_LIMITS
+            'GET',
+            path,
+            limits=_LARGE_ANSWER_LIMITS,
+            max_bytes=_MAX_CHUNK_BYTES,
         )
         if answer.status == HTTPStatus.NOT_FOUND:
             return None
@@ -176,7 +182,9 @@
         """Read one chunk without verifying it."""
         query = urlencode({'quantity': index, 'version': version})
         path = f'/linnetwood/piece/{quote(model)}?{query}'
-        answer = await self._server().ask('GET', path, limits=_CHUNK_LIMITS)
+        answer = await self._server().ask(
+            'GET', path, limits=_CHUNK_LIMITS, max_bytes=_MAX_CHUNK_BYTES
+        )
         if answer.status != HTTPStatus.OK:
             raise WeightsError('origin-refused', _failure_detail(answer))
         return answer.body
@@ -222,6 +230,7 @@
         limits: SilenceLimits | None = None,
         total_s: float = _TIMEOUT_S,
         send_by: float = math.inf,
+        max_bytes: int = _MAX_BYTES,
     ) -> Answer:
         host, port = self._address
         fields = [('Host', f'{host}:{port}'), *(headers or ())]
@@ -237,7 +246,7 @@
             keep=self._keep and method != 'POST',
             send_by=send_by,
         )
-        return await ask(self._driver, req, _MAX_BYTES, limits)
+        return await ask(self._driver, req, max_bytes, limits)
 
 
 def _report(parsed: Mapping[str, Any], pace: float) -> EngineReport:
--- a/tests/test_bounded_asking.py
+++ b/tests/test_bounded_asking.py
@@ -1,8 +1,12 @@
 """Answers without end, or in tiny pieces, end the request within bounds."""
 
 import asyncio
+import math
 import unittest
+from collections.abc import Awaitable, Callable
 
+from linnetwood.core.errors import OrderError, WeightsError
+from linnetwood.platform.weights import PlatformOrigin, ServerEngine
 from linnetwood.wire.asking import Answer, SilenceLimits, ask
 from linnetwood.wire.curldriver import CurlDriver, Request
 from tests.test_curldriver import HOST, Behaviour, Server, respond_with
@@ -11,6 +15,7 @@
 # What may be read before an answer in tiny pieces is abandoned.
 TINY_PIECES_BYTES = 65536
 LIMITS = SilenceLimits(20, 20)
+UNFRAMED = b'HTTP/1.1 200 OK\r\n\r\n'
 CHUNKED = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
 BYTE_CHUNK = b'1\r\nx\r\n'
 
@@ -62,5 +67,37 @@
         self.assertEqual((answer.status, answer.body), (200, b'x' * 1000))
 
 
+class EndlessAnswersTest(unittest.IsolatedAsyncioTestCase):
+    """A server in trouble may send a body without end."""
+
+    async def asyncSetUp(self) -> None:
+        behave = send_without_end(UNFRAMED, bytes(TINY_PIECES_BYTES))
+        self.server = Server(behave)
+        address = (HOST, await self.server.start())
+        self.driver = CurlDriver()
+        self.engine = ServerEngine(address, self.driver)
+        self.origin = PlatformOrigin(self.driver)
+        self.origin.address = address
+
+    async def asyncTearDown(self) -> None:
+        self.driver.close()
+        await self.server.close()
+
+    async def test_small_answers(self) -> None:
+        """Guards against megabytes that are read, and parsed, for a report."""
+        requests: tuple[Callable[[], Awaitable[object]], ...] = (
+            self.engine.report,
+            lambda: self.engine.staged('m'),
+            lambda: self.engine.stage('m', 0, b'chunk'),
+            lambda: self.engine.activate('m', 1, 0, math.inf),
+            lambda: self.origin.manifest('m', 1),
+            lambda: self.origin.newest('m'),
+        )
+        for send in requests:
+            with self.assertRaises((OrderError, WeightsError)) as raised:
+                await send()
+            self.assertIn(f'over {MAX_BYTES} bytes', str(raised.exception))
+
+
 if __name__ == '__main__':
     unittest.main()
