--- a/src/linnetwood/calls/callserver.py
+++ b/src/linnetwood/calls/callserver.py
@@ -1,7 +1,7 @@
 """The HTTP server for callers of an entry that dispatches calls directly."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from random import Random
 from typing import Any, Protocol
 
@@ -30,6 +30,7 @@
 from linnetwood.calls.logfields import (
     MAX_LOGGED_CHARS,
     call_fields,
+    config_fields,
     logged_id,
     logged_parts,
 )
@@ -47,7 +48,6 @@
     not_run,
     unknown,
 )
-from linnetwood.fleet.revisions import era_of, number_of
 from linnetwood.wire.curldriver import Headers
 
 _MILLISECONDS = 1000
@@ -67,6 +67,10 @@
         """Return the urgency if the call is admitted, else its ending."""
 
 
+async def _await_no_view() -> None:
+    """Decide calls at once by default."""
+
+
 class CallServerDelegate(HTTPServerConnectionDelegate):
     """Accept connections of callers and run their calls."""
 
@@ -88,6 +92,7 @@
         self.rng = rng
         self.metrics = metrics
         self.config_basis = config_basis
+        self._view_wait: Callable[[], Awaitable[None]] = _await_no_view
         self.memory_guard = MemoryGuard(dispatcher.held)
         self.stopping = False
         # True once a new call may not finish before the process ends.
@@ -111,6 +116,14 @@
         """Return the bytes held for callers and endpoints."""
         return self.dispatcher.held
 
+    def use_view_wait(self, view_wait: Callable[[], Awaitable[None]]) -> None:
+        """Await the view in this way before each call is decided."""
+        self._view_wait = view_wait
+
+    async def await_view(self) -> None:
+        """Wait until a call may be decided."""
+        await self._view_wait()
+
     def close_idle(self) -> None:
         """Close the connections on which no request has begun."""
         for req in list(self.idle_connections.values()):
@@ -293,11 +306,15 @@
             )
         if self._lacks_memory():
             return self._refuse_for_memory(writer)
+        await self._delegate.await_view()
         call = self._read()
         if isinstance(call, Ending):
             return call
         self._call_id = logged_id(call.head.call_id)
-        self._call_fields = call_fields(call.route, call.organisation)
+        self._call_fields = {
+            **call_fields(call.route, call.organisation),
+            **config_fields(call.config_basis),
+        }
         writer.name_call(self._call_id, self._call_fields)
         admitted = self._delegate.admit(call)
         if isinstance(admitted, Ending):
@@ -344,7 +361,8 @@
         """Log the refusal of a call whose route and key are not known."""
         head = self._delegate.dialect.read(self._headers)
         self._call_id = logged_id(head.call_id)
-        self._log_refused(ending)
+        basis = self._delegate.config_basis()
+        self._log_refused(ending, **config_fields(basis))
         return ending
 
     def _log_refused(self, ending: Ending, **fields: object) -> None:
@@ -449,18 +467,13 @@
     head: CallHead,
     **verdict: object,
 ) -> None:
-    config_basis = incoming.config_basis
     log(
         event,
         call=logged_id(head.call_id),
         host=requested_host(incoming.headers)[:MAX_LOGGED_CHARS],
         # The query is left out, since it may hold private data.
         path=incoming.target.partition('?')[0][:MAX_LOGGED_CHARS],
-        config_version=config_basis.version,
-        config_revision=number_of(config_basis.revision),
-        config_era=era_of(config_basis.revision),
-        config_age_ms=config_basis.config_age_ms,
-        store_age_ms=config_basis.store_age_ms,
+        **config_fields(incoming.config_basis),
         **verdict,
     )
 
--- /dev/null
+++ b/tests/test_answerbounds.py
@@ -0,0 +1,142 @@
+"""What one answer may take of the loop, and beside its content."""
+
+import asyncio
+import itertools
+import socket
+import unittest
+
+from linnetwood.core.sizes import KIB
+from linnetwood.wire.answerbounds import AnswerBounds
+from linnetwood.wire.curldriver import (
+    CurlDriver,
+    Finish,
+    Headers,
+    Request,
+    Transfer,
+)
+from tests.test_curldriver import HOST, Server, respond_with
+
+CHUNKED = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
+COUNT = 20000
+SMALL_CHUNKS = CHUNKED + b'1\r\nx\r\n' * COUNT + b'0\r\n\r\n'
+# A turn of the loop may hold two turns of one answer.
+IN_ONE_TURN = 128
+
+
+class CountingReceiver:
+    """Count pieces and bytes, and pause at the end of a turn."""
+
+    def __init__(self, driver: CurlDriver, *, pauses: bool) -> None:
+        self.transfer: Transfer | None = None
+        self.pieces = 0
+        self.received = 0
+        self.finish: Finish | None = None
+        self._driver = driver
+        self._pauses = pauses
+
+    def head(self, status: int, headers: Headers) -> None:
+        """Do nothing."""
+
+    def body(self, piece: bytes) -> None:
+        """Count a piece."""
+        self.pieces += 1
+        self.received += len(piece)
+        if self._pauses and self.transfer and not self.pieces % 64:
+            self._driver.pause(self.transfer)
+
+    def done(self, finish: Finish) -> None:
+        """Record the end."""
+        self.finish = finish
+
+
+class TurnTest(unittest.IsolatedAsyncioTestCase):
+    """Receive an answer of many small pieces."""
+
+    async def start(
+        self, *, pauses: bool, answer: bytes = SMALL_CHUNKS
+    ) -> CountingReceiver:
+        """Send a request."""
+        server = Server(respond_with(answer))
+        self.driver = CurlDriver()
+        req = Request(HOST, await server.start(), 'GET', '/', [])
+        receiver = CountingReceiver(self.driver, pauses=pauses)
+        receiver.transfer = self.driver.begin(req, receiver)
+        self.addAsyncCleanup(server.close)
+        self.addCleanup(self.driver.close)
+        return receiver
+
+    async def test_others_get_their_turn(self) -> None:
+        """Guards against an answer in small pieces that holds up the loop."""
+        receiver = await self.start(pauses=False)
+        while receiver.finish is None:
+            before = receiver.pieces
+            await asyncio.sleep(0)
+            self.assertLessEqual(receiver.pieces - before, IN_ONE_TURN)
+        self.assertTrue(receiver.finish.whole)
+        self.assertEqual(receiver.received, COUNT)
+
+    async def test_a_long_stream_of_short_events(self) -> None:
+        """Guards against events of a stream that are taken for framing."""
+        chunk = b'9\r\ndata: x\n\n\r\n'
+        answer = CHUNKED + chunk * 100000 + b'0\r\n\r\n'
+        receiver = await self.start(pauses=False, answer=answer)
+        while receiver.finish is None:
+            await asyncio.sleep(0)
+        self.assertTrue(receiver.finish.whole)
+
+    async def test_a_pause_outlasts_the_turn(self) -> None:
+        """Guards against pieces for a slow caller in the next turn."""
+        receiver = await self.start(pauses=True)
+        transfer = receiver.transfer
+        assert transfer is not None
+        while receiver.finish is None:
+            await asyncio.sleep(0)
+            if transfer.paused:
+                before = receiver.pieces
+                for _ in itertools.repeat(None, 3):
+                    await asyncio.sleep(0)
+                self.assertEqual(receiver.pieces, before)
+                self.driver.resume(transfer)
+        self.assertTrue(receiver.finish.whole)
+        self.assertEqual(receiver.received, COUNT)
+
+
+class FramingTest(unittest.TestCase):
+    """Count what arrives beside the content of an answer."""
+
+    def setUp(self) -> None:
+        self.bounds = AnswerBounds()
+        near, far = socket.socketpair()
+        self.addCleanup(near.close)
+        self.addCleanup(far.close)
+        self.near = near
+        self.far = far
+
+    def reads(self, sent: int, pieces: int, size: int) -> int:
+        """Return how many reads are allowed, 1000 at most."""
+        for number in range(1000):
+            self.far.send(b'x' * sent)
+            if not self.bounds.may_read(self.near.fileno()):
+                return number
+            self.near.recv(sent)
+            for _ in itertools.repeat(None, pieces):
+                self.bounds.begin_turn()
+                self.bounds.add_piece(size)
+        return 1000
+
+    def test_bytes_without_content_are_bounded(self) -> None:
+        """Guards against framing that is read until the deadline."""
+        self.assertLess(self.reads(16 * KIB, 1, 1), 64)
+
+    def test_an_answer_in_small_chunks_is_sound(self) -> None:
+        """Guards against a bound that ends streams of short events."""
+        # Five bytes frame a chunk of up to 15.
+        self.assertEqual(self.reads(15 * 600, 600, 10), 1000)
+
+    def test_a_head_that_arrives_bytewise_is_sound(self) -> None:
+        """Guards against a bound on reads that bring no whole line."""
+        self.assertEqual(self.reads(1, 0, 0), 1000)
+
+
+if __name__ == '__main__':
+    unittest.main()
