Run the classes that start fleets of processes last, two at a time

Two classes besides SoakTest start fleets (run_soak); beside other tests each of them shared the machine with three workers. They are marked, and the last classes use two workers, since each fleet mostly waits.

--- a/tests/test_ending_calls.py
+++ b/tests/test_ending_calls.py
@@ -75,6 +75,8 @@
 class ProgramsTest(unittest.TestCase):
     """Run the programs with such calls."""
 
+    starts_processes = True
+
     def test_fatal_calls_reach_few_servers(self) -> None:
         """Calls of each kind reach few servers after three crashes."""
         planned = [
--- a/tests/test_fatal_parts.py
+++ b/tests/test_fatal_parts.py
@@ -119,6 +119,8 @@
 class ProgramsTest(unittest.TestCase):
     """Run the programs with such calls."""
 
+    starts_processes = True
+
     def violations(self, *picks: int) -> object:
         """Return the violations of a run with some parts at once."""
         planned = [Fault(LEAD_S, PART_FAULT, SPAN_S, pick) for pick in picks]
--- a/tools/test_workers.py
+++ b/tools/test_workers.py
@@ -14,19 +14,21 @@
 Unit = Sequence[unittest.TestCase]
 # Set by classes whose tests start processes of their own.
 _STARTS_PROCESSES = 'starts_processes'
+# Each starts up to 30 processes, which wait most of the time.
+_MAX_FLEETS = 2
 # Of a worker process.
 _worker_units: list[Unit] = []
 
 
 def run_all(suite: Iterable[object], jobs: int) -> Iterator[Outcomes]:
     """Run all tests, at the end those that start processes of their own."""
-    alone: list[Unit] = []
+    fleets: list[Unit] = []
     beside: list[Unit] = []
     for unit in _units_of(suite):
-        is_alone = getattr(unit[0], _STARTS_PROCESSES, False)
-        (alone if is_alone else beside).append(unit)
+        starts_processes = getattr(unit[0], _STARTS_PROCESSES, False)
+        (fleets if starts_processes else beside).append(unit)
     yield from run_units(beside, jobs)
-    yield from run_units(alone, 1)
+    yield from run_units(fleets, min(jobs, _MAX_FLEETS))
 
 
 def run_units(units: Sequence[Unit], jobs: int) -> Iterator[Outcomes]:
