--- a/tests/test_configuration_cases.py
+++ b/tests/test_configuration_cases.py
@@ -274,13 +274,15 @@
         """The longest prefix of the host decides, wherever it stands."""
         inner = changed(ROUTE, path_prefix='/a/x/', service='hall')
         rest = changed(ROUTE, path_prefix='/', service='hall')
+        again = changed(ROUTE, service='hall')
         await self.check(
             {
                 'nested': (config(routes=[inner, ROUTE]), ELSEWHERE),
                 'nested, last': (config(routes=[ROUTE, inner]), ELSEWHERE),
                 'rest': (config(routes=[rest, ROUTE]), SERVED),
                 'root alone': (config(routes=[rest]), ELSEWHERE),
-                'twice': (config(routes=[ROUTE, {**ROUTE}]), SERVED),
+                'twice': (config(routes=[ROUTE, again]), SERVED),
+                'no slashes': (routed(path_prefix='/a'), SERVED),
                 'capitals': (routed(host='H.Example'), SERVED),
                 'port': (routed(host='h.example:8080'), SERVED),
                 'elsewhere': (routed(host='o.example'), NO_ROUTE),
