--- a/src/linnetwood/wire/curldriver.py
+++ b/src/linnetwood/wire/curldriver.py
@@ -17,6 +17,9 @@
 
 import pycurl
 
+from linnetwood.wire.answerbounds import AnswerBounds
+from linnetwood.wire.answerhead import MAX_LINES, AnswerHead
+
 Headers = list[tuple[str, str]]
 
 # Detail of a request that exceeded its total time limit.
@@ -25,10 +28,18 @@
 CONNECT_TIMED_OUT = 'connect timed out'
 # Detail of a request that was not sent, since its time to be sent had passed.
 TOO_LATE_TO_SEND = 'too late to send'
+# Details of answers that exceeded a bound.
+TOO_MUCH_FRAMING = 'too much framing'
+HEAD_TOO_LARGE = 'head too large'
+OVER_BOUNDS = frozenset((TOO_MUCH_FRAMING, HEAD_TOO_LARGE))
 _MILLISECONDS = 1000
 _UNUSED_LIMIT_MS = 3600000
 _HEAD_METHOD = 'HEAD'
-_INTERIM_BELOW = 200
+# CURLE_TOO_LARGE: a line, or the whole head or trailer.
+_TOO_LARGE_CODE = 100
+# What a header callback returns to end the request.
+_ABORT = 0
+_PAUSE = int(pycurl.WRITEFUNC_PAUSE)
 _MAX_IDLE_HANDLES = 64
 _LOOK_AGAIN_S = 0.05
 # SO_LINGER with a timeout of 0: close() sends a reset, which discards unread
@@ -105,18 +116,18 @@
     """A request in progress; `sent` is set when it ends."""
 
     __slots__ = (
+        'bounds',
         'connect_timer',
-        'cut_in_head',
         'descriptor',
         'expired',
         'handle',
-        'headers',
-        'in_head',
+        'head',
+        'over_bound',
         'paused',
         'receiver',
         'sent',
-        'status',
         'timer',
+        'yielding',
     )
 
     def __init__(self, receiver: Receiver) -> None:
@@ -128,38 +139,28 @@
         self.handle: Any = None
         self.descriptor = -1
         self.expired = False
-        self.cut_in_head = False
-        self.status = 0
-        self.headers: Headers = []
-        self.in_head = True
+        self.head = AnswerHead()
+        self.bounds = AnswerBounds()
+        # Detail of the bound that ended it.
+        self.over_bound = ''
         self.paused = False
+        # Whether it waits for the next turn of the loop.
+        self.yielding = False
 
-    def header_line(self, raw: bytes) -> None:
-        """Process one line of the head; ignore trailer lines after the body."""
-        if not raw.endswith(b'\n'):
-            # libcurl takes a lone CR before the connection's end as a line.
-            self.cut_in_head = self.in_head
-            return
-        line = raw.decode('latin-1').rstrip('\r\n')
-        if self.in_head and line:
-            self._parse_field(line)
-        elif self.in_head:
-            self._end_head()
-
-    def _parse_field(self, line: str) -> None:
-        if line.startswith('HTTP/') and not self.headers:
-            # libcurl rejects a status line without a number.
-            self.status = int(line.split(' ', 2)[1])
-            return
-        name, _, text = line.partition(':')
-        self.headers.append((name, text.strip()))
+    def header_line(self, raw: bytes) -> int | None:
+        """Process one line of the head; end the request if there are too many.
 
-    def _end_head(self) -> None:
-        if self.status < _INTERIM_BELOW:
-            self.headers = []
-            return
-        self.in_head = False
-        self.receiver.head(self.status, self.headers)
+        Trailer lines after the body count as well.
+        """
+        head = self.head
+        self.bounds.add_line(len(raw))
+        if head.add(raw):
+            self.receiver.head(head.status, head.headers)
+        if head.lines <= MAX_LINES:
+            return None
+        self.over_bound = HEAD_TOO_LARGE
+        _reset_on_close(self.descriptor)
+        return _ABORT
 
 
 class CurlDriver:
@@ -173,6 +174,8 @@
         self._multi.setopt(pycurl.M_TIMERFUNCTION, self._on_timer)
         self._timer: asyncio.TimerHandle | None = None
         self._by_handle: dict[Any, Transfer] = {}
+        # Those with a connection of their own.
+        self._by_descriptor: dict[int, Transfer] = {}
         self._idle_handles: list[Any] = []
         self._in_callback = False
         self._closed = False
@@ -184,7 +187,8 @@
             self._idle_handles.pop() if self._idle_handles else pycurl.Curl()
         )
         transfer.handle = handle
-        _prepare(handle, req, transfer)
+        _prepare(handle, req)
+        self._set_callbacks(handle, transfer)
         if req.send_by < math.inf:
             self._limit_sending(transfer, req.send_by)
         self._by_handle[handle] = transfer
@@ -206,7 +210,7 @@
         handle = transfer.handle
         if handle is None or handle not in self._by_handle:
             return
-        transfer.in_head = False
+        transfer.head.is_open = False
         transfer.receiver = _IGNORING_RECEIVER
         _reset_on_close(transfer.descriptor)
         self._run_outside_callbacks(self._drop, transfer)
@@ -249,6 +253,37 @@
         self.cancel(transfer)
         receiver.done(Finish(False, connected, detail, fresh))
 
+    def _set_callbacks(self, handle: Any, transfer: Transfer) -> None:
+        # Look up the receiver each time, since a cancellation replaces it.
+        def piece(octets: bytes) -> int | None:  # noqa: WPS430
+            if transfer.paused or not transfer.bounds.add_piece(len(octets)):
+                # libcurl keeps these bytes, and passes them on when resumed.
+                self._yield_turn(transfer)
+                return _PAUSE
+            transfer.receiver.body(octets)
+            return None
+
+        def opened(descriptor: int, _purpose: int) -> int:  # noqa: WPS430
+            transfer.descriptor = descriptor
+            self._by_descriptor[descriptor] = transfer
+            return int(pycurl.SOCKOPT_OK)
+
+        handle.setopt(pycurl.SOCKOPTFUNCTION, opened)
+        handle.setopt(pycurl.HEADERFUNCTION, transfer.header_line)
+        handle.setopt(pycurl.WRITEFUNCTION, piece)
+
+    def _yield_turn(self, transfer: Transfer) -> None:
+        """Let other requests go first, unless this one is paused anyway."""
+        if not transfer.paused and not transfer.yielding:
+            transfer.yielding = True
+            self._loop.call_soon(self._end_yield, transfer)
+
+    def _end_yield(self, transfer: Transfer) -> None:
+        transfer.yielding = False
+        transfer.bounds.begin_turn()
+        if transfer.handle is not None and not transfer.paused:
+            self._continue(transfer)
+
     def _limit_sending(self, transfer: Transfer, send_by: float) -> None:
         # libcurl calls this when it is connected and sends next.
         def may_send(*_addresses: object) -> int:  # noqa: WPS430
@@ -280,6 +315,10 @@
         if transfer.handle is None or not transfer.paused:
             return
         transfer.paused = False
+        if not transfer.yielding:
+            self._continue(transfer)
+
+    def _continue(self, transfer: Transfer) -> None:
         self._in_callback = True
         try:
             # libcurl passes on what it holds before this returns.
@@ -306,6 +345,7 @@
         if handle is None or self._by_handle.pop(handle, None) is None:
             return
         transfer.handle = None
+        self._forget_descriptor(transfer)
         for timer in (transfer.timer, transfer.connect_timer):
             if timer is not None:
                 timer.cancel()
@@ -358,6 +398,11 @@
     def _on_event(self, fd: int, events: int) -> None:
         if self._closed:
             return
+        transfer = self._by_descriptor.get(fd)
+        if transfer is not None and not transfer.yielding:
+            if not transfer.bounds.may_read(fd):
+                self._end(transfer, TOO_MUCH_FRAMING)
+                return
         self._in_callback = True
         try:
             self._multi.socket_action(fd, events)
@@ -382,8 +427,14 @@
         for handle in ended:
             transfer = self._by_handle.get(handle)
             if transfer is not None:
+                self._forget_descriptor(transfer)
                 transfer.descriptor = -1
 
+    def _forget_descriptor(self, transfer: Transfer) -> None:
+        # Another request may use the same number already.
+        if self._by_descriptor.get(transfer.descriptor) is transfer:
+            self._by_descriptor.pop(transfer.descriptor)
+
     def _finish(self, handle: Any, code: int, detail: str) -> None:
         transfer = self._by_handle.get(handle)
         if transfer is None:
@@ -395,7 +446,10 @@
         if transfer.expired:
             connected = False
             detail = TOO_LATE_TO_SEND
-        whole = code == 0 and not transfer.cut_in_head
+        elif code == _TOO_LARGE_CODE:
+            detail = HEAD_TOO_LARGE
+        detail = transfer.over_bound or detail
+        whole = code == 0 and not transfer.head.is_cut
         receiver.done(Finish(whole, connected, detail, fresh))
 
 
@@ -466,7 +520,7 @@
 )
 
 
-def _prepare(handle: Any, req: Request, transfer: Transfer) -> None:
+def _prepare(handle: Any, req: Request) -> None:
     fresh = int(not req.keep)
     of_request = (
         (pycurl.URL, f'http://{req.host}:{req.port}/'),
@@ -481,25 +535,6 @@
     for option, setting in (*_FIXED_OPTIONS, *of_request):
         handle.setopt(option, setting)
     _prepare_body(handle, req)
-    _set_callbacks(handle, transfer)
-
-
-def _set_callbacks(handle: Any, transfer: Transfer) -> None:
-    # Look up the receiver each time, since a cancellation replaces it.
-    def piece(octets: bytes) -> int | None:  # noqa: WPS430
-        if transfer.paused:
-            # libcurl keeps these bytes, and passes them on when resumed.
-            return int(pycurl.WRITEFUNC_PAUSE)
-        transfer.receiver.body(octets)
-        return None
-
-    def opened(descriptor: int, _purpose: int) -> int:  # noqa: WPS430
-        transfer.descriptor = descriptor
-        return int(pycurl.SOCKOPT_OK)
-
-    handle.setopt(pycurl.SOCKOPTFUNCTION, opened)
-    handle.setopt(pycurl.HEADERFUNCTION, transfer.header_line)
-    handle.setopt(pycurl.WRITEFUNCTION, piece)
 
 
 def _prepare_body(handle: Any, req: Request) -> None:
