Give each test that starts a fleet a turn of its own

SoakTest has four tests of 35 to 70 s, which one worker ran one after the other while the second had nothing left to do.

--- a/tools/test_workers.py
+++ b/tools/test_workers.py
@@ -25,8 +25,10 @@
     fleets: list[Unit] = []
     beside: list[Unit] = []
     for unit in _units_of(suite):
-        starts_processes = getattr(unit[0], _STARTS_PROCESSES, False)
-        (fleets if starts_processes else beside).append(unit)
+        if getattr(unit[0], _STARTS_PROCESSES, False):
+            fleets.extend([test] for test in unit)
+        else:
+            beside.append(unit)
     yield from run_units(beside, jobs)
     yield from run_units(fleets, min(jobs, _MAX_FLEETS))
 
