Read on where the system cannot count what has arrived

Suspected, seen only in the test: FIONREAD fails on a descriptor that libcurl has closed in the same turn, the event raises OSError, and libcurl never gets it. A count that fails is now 0 bytes, which bounds nothing and ends nothing.

The new test failed before: OSError, Bad file descriptor, at the eighth read.

--- a/src/linnetwood/wire/answerbounds.py
+++ b/src/linnetwood/wire/answerbounds.py
@@ -81,5 +81,8 @@
 
 def _readable_bytes(descriptor: int) -> int:
     """Return how many bytes of a connection have arrived and are unread."""
-    octets = fcntl.ioctl(descriptor, termios.FIONREAD, bytes(_COUNT.size))
+    try:
+        octets = fcntl.ioctl(descriptor, termios.FIONREAD, bytes(_COUNT.size))
+    except OSError:
+        return 0
     return int(_COUNT.unpack(octets)[0])
--- a/tests/test_answerbounds.py
+++ b/tests/test_answerbounds.py
@@ -128,6 +128,14 @@
         """Guards against framing that is read until the deadline."""
         self.assertLess(self.reads(16 * KIB, 1, 1), 64)
 
+    def test_a_descriptor_that_is_gone(self) -> None:
+        """Guards against a read that fails for want of a count."""
+        with socket.socket() as closed:
+            descriptor = closed.fileno()
+        gone = AnswerBounds()
+        for _ in itertools.repeat(None, 10):
+            self.assertTrue(gone.may_read(descriptor))
+
     def test_an_answer_in_small_chunks_is_sound(self) -> None:
         """Guards against a bound that ends streams of short events."""
         # Five bytes frame a chunk of up to 15.
