Read many endless answers without content each for itself

What callers saw: 20 calls at servers that send the extension of a chunk without end hold all other calls, deadlines and configurations of an entry up. Cause: libcurl reads a connection that has more to read on at every event of any other, so N such connections are read N times each in one turn; the bound on framing counts one in eight events, and so acts N times later. Pieces do no such thing, as a receiver is paused after those of one turn. Change: a transfer that read 4 KB or more without a piece of the body waits for the next turn, as one with many pieces does; each read that brings no piece counts as framing, and one in two of the others.

Tests: ManyEndlessTest failed before, the server sent all 33 MB. The count of pieces has a new test of its own, with the former detail.

--- a/src/linnetwood/wire/answerbounds.py
+++ b/src/linnetwood/wire/answerbounds.py
@@ -8,10 +8,13 @@
 # receiver. Of those that are counted, they may be as many as the bytes of the
 # answer and this allowance.
 _FRAMING_ALLOWANCE = 65536
-# One in so many reads is counted, as asking the system takes some time.
-_READS_PER_COUNT = 8
+# One in so many reads that bring a piece counts, since sound answers may come
+# in tiny chunks.
+_READS_PER_COUNT = 2
 # libcurl reads at least this much of what a connection has, in bytes.
 _READ_BYTES = 16384
+# A head, or the line of a chunk's length, is shorter than this.
+_LARGE_READ_BYTES = 4096
 # What a receiver gets in one turn of the loop.
 _TURN_BYTES = 131072
 _TURN_PIECES = 64
@@ -22,19 +25,19 @@
     """Count what was read of one answer, and what its receiver got of it."""
 
     __slots__ = (
-        '_counted_bytes',
         '_framing_bytes',
         '_reads',
         '_received_bytes',
         '_turn_bytes',
         '_turn_pieces',
+        '_unread_bytes',
     )
 
     def __init__(self) -> None:
         """Start with nothing read."""
         self._reads = 0
-        # What the last read took, if it is counted.
-        self._counted_bytes = 0
+        # What had arrived before the last read.
+        self._unread_bytes = 0
         self._received_bytes = 0
         self._framing_bytes = 0
         self._turn_bytes = 0
@@ -63,20 +66,23 @@
 
         Framing is all that arrives if not.
         """
-        self.begin_turn()
-        if self._counted_bytes:
+        self._reads += 1
+        if self.is_unheard or not self._reads % _READS_PER_COUNT:
             self._count_framing()
+        self.begin_turn()
         self._received_bytes = 0
-        self._reads += 1
-        if not self._reads % _READS_PER_COUNT:
-            available = _readable_bytes(descriptor)
-            self._counted_bytes = min(available, _READ_BYTES)
+        self._unread_bytes = _readable_bytes(descriptor)
         return self._framing_bytes <= _FRAMING_ALLOWANCE
 
+    @property
+    def is_unheard(self) -> bool:
+        """Return whether a large read brought no piece of the body."""
+        return self._unread_bytes >= _LARGE_READ_BYTES and not self._turn_pieces
+
     def _count_framing(self) -> None:
-        framing = self._counted_bytes - 2 * self._received_bytes
+        read_bytes = min(self._unread_bytes, _READ_BYTES)
+        framing = read_bytes - 2 * self._received_bytes
         self._framing_bytes = max(0, self._framing_bytes + framing)
-        self._counted_bytes = 0
 
 
 def _readable_bytes(descriptor: int) -> int:
--- a/src/linnetwood/wire/curldriver.py
+++ b/src/linnetwood/wire/curldriver.py
@@ -176,6 +176,8 @@
         self._by_handle: dict[Any, Transfer] = {}
         # Those with a connection of their own.
         self._by_descriptor: dict[int, Transfer] = {}
+        # Those that may read on in any action of libcurl.
+        self._reading: set[Transfer] = set()
         self._idle_handles: list[Any] = []
         self._in_callback = False
         self._closed = False
@@ -280,10 +282,37 @@
 
     def _end_yield(self, transfer: Transfer) -> None:
         transfer.yielding = False
-        transfer.bounds.begin_turn()
-        if transfer.handle is not None and not transfer.paused:
+        if transfer.handle is None:
+            return
+        bounds = transfer.bounds
+        if not bounds.is_unheard:
+            bounds.begin_turn()
+        elif not self._may_read(transfer):
+            return
+        if not transfer.paused:
             self._continue(transfer)
 
+    def _may_read(self, transfer: Transfer) -> bool:
+        """End a request if framing is all that arrives."""
+        if transfer.bounds.may_read(transfer.descriptor):
+            return True
+        self._end(transfer, TOO_MUCH_FRAMING)
+        return False
+
+    def _hold_unheard(self) -> None:
+        """Let transfers wait that read a lot for nothing.
+
+        libcurl would read each of them on at any event of another.
+        """
+        for transfer in tuple(self._reading):
+            if transfer.paused or not transfer.bounds.is_unheard:
+                self._reading.discard(transfer)
+            elif transfer.handle is None:
+                self._reading.discard(transfer)
+            elif not transfer.yielding:
+                transfer.handle.pause(pycurl.PAUSE_RECV)
+                self._yield_turn(transfer)
+
     def _limit_sending(self, transfer: Transfer, send_by: float) -> None:
         # libcurl calls this when it is connected and sends next.
         def may_send(*_addresses: object) -> int:  # noqa: WPS430
@@ -399,16 +428,18 @@
         if self._closed:
             return
         transfer = self._by_descriptor.get(fd)
-        if transfer is not None and not transfer.yielding:
-            if not transfer.bounds.may_read(fd):
-                self._end(transfer, TOO_MUCH_FRAMING)
+        if transfer is not None and events == pycurl.CSELECT_IN:
+            if not (transfer.yielding or self._may_read(transfer)):
                 return
+            self._reading.add(transfer)
         self._in_callback = True
         try:
             self._multi.socket_action(fd, events)
         finally:
             self._in_callback = False
         self._collect()
+        if self._reading and not self._closed:
+            self._hold_unheard()
 
     def _collect(self) -> None:
         while not self._closed:
--- a/tests/test_answerbounds.py
+++ b/tests/test_answerbounds.py
@@ -5,9 +5,10 @@
 import socket
 import unittest
 
-from linnetwood.core.sizes import KIB
+from linnetwood.core.sizes import KIB, MIB
 from linnetwood.wire.answerbounds import AnswerBounds
 from linnetwood.wire.curldriver import (
+    TOO_MUCH_FRAMING,
     CurlDriver,
     Finish,
     Headers,
@@ -19,6 +20,11 @@
 CHUNKED = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
 COUNT = 20000
 SMALL_CHUNKS = CHUNKED + b'1\r\nx\r\n' * COUNT + b'0\r\n\r\n'
+# An extension of a chunk, which libcurl reads and drops.
+ENDLESS_BLOCK = b'x' * 64 * KIB
+ENDLESS_COUNT = 16
+# What the buffers of a connection may hold, and what is read before it ends.
+ENDLESS_SENT_AT_MOST = 16 * MIB
 # A turn of the loop may hold two turns of one answer.
 IN_ONE_TURN = 128
 
@@ -101,6 +107,44 @@
         self.assertEqual(receiver.received, COUNT)
 
 
+class ManyEndlessTest(unittest.IsolatedAsyncioTestCase):
+    """Receive several answers without content and without an end at once."""
+
+    def setUp(self) -> None:
+        self.most_sent = 0
+
+    async def behave(
+        self, _: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Send the extension of a chunk until the connection is reset."""
+        writer.write(CHUNKED + b'5;')
+        sent = 0
+        while sent < 2 * ENDLESS_SENT_AT_MOST:
+            sent += len(ENDLESS_BLOCK)
+            self.most_sent = max(self.most_sent, sent)
+            writer.write(ENDLESS_BLOCK)
+            await writer.drain()
+
+    async def test_each_is_read_for_itself(self) -> None:
+        """Guards against reading all of them on at each event of one."""
+        server = Server(self.behave)
+        self.addAsyncCleanup(server.close)
+        driver = CurlDriver()
+        self.addCleanup(driver.close)
+        req = Request(HOST, await server.start(), 'GET', '/', [])
+        receivers = [
+            CountingReceiver(driver, pauses=False) for _ in range(ENDLESS_COUNT)
+        ]
+        for receiver in receivers:
+            driver.begin(req, receiver)
+        while not all(receiver.finish for receiver in receivers):
+            await asyncio.sleep(0)
+        for receiver in receivers:
+            assert receiver.finish is not None
+            self.assertEqual(receiver.finish.detail, TOO_MUCH_FRAMING)
+        self.assertLess(self.most_sent, ENDLESS_SENT_AT_MOST)
+
+
 class FramingTest(unittest.TestCase):
     """Count what arrives beside the content of an answer."""
 
@@ -126,7 +170,7 @@
 
     def test_bytes_without_content_are_bounded(self) -> None:
         """Guards against framing that is read until the deadline."""
-        self.assertLess(self.reads(16 * KIB, 1, 1), 64)
+        self.assertLess(self.reads(16 * KIB, 1, 1), 16)
 
     def test_a_descriptor_that_is_gone(self) -> None:
         """Guards against a read that fails for want of a count."""
--- a/tests/test_bounded_asking.py
+++ b/tests/test_bounded_asking.py
@@ -1,6 +1,7 @@
 """Answers without end, or in tiny pieces, end the request within bounds."""
 
 import asyncio
+import itertools
 import math
 import unittest
 from collections.abc import Awaitable, Callable
@@ -8,7 +9,13 @@
 from linnetwood.core.errors import OrderError, WeightsError
 from linnetwood.platform.weights import PlatformOrigin, ServerEngine
 from linnetwood.wire.asking import Answer, SilenceLimits, ask
-from linnetwood.wire.curldriver import CurlDriver, Request
+from linnetwood.wire.curldriver import (
+    TOO_MUCH_FRAMING,
+    CurlDriver,
+    Receiver,
+    Request,
+    Transfer,
+)
 from tests.test_curldriver import HOST, Behaviour, Server, respond_with
 
 MAX_BYTES = 1048576
@@ -46,6 +53,17 @@
     return answer
 
 
+class TinyPiecesDriver(CurlDriver):
+    """Pass on pieces of one byte, as far as an answer may be large."""
+
+    def begin(self, req: Request, receiver: Receiver) -> Transfer:
+        """Answer at once."""
+        receiver.head(200, [])
+        for _ in itertools.repeat(None, MAX_BYTES):
+            receiver.body(b'x')
+        return Transfer(receiver)
+
+
 class TinyPiecesTest(unittest.IsolatedAsyncioTestCase):
     """Each piece costs the same time, whatever its size."""
 
@@ -57,6 +75,15 @@
         answer = await asked(send_without_end(CHUNKED, BYTE_CHUNK * 1000))
         self.assertEqual(answer.status, 0)
         self.assertLess(len(answer.body), TINY_PIECES_BYTES)
+        self.assertEqual(answer.finish.detail, TOO_MUCH_FRAMING)
+
+    async def test_a_body_of_one_byte_at_a_time(self) -> None:
+        """Guards against tiny pieces that have no framing."""
+        answer = await ask(
+            TinyPiecesDriver(), Request(HOST, 1, 'GET', '/', []), MAX_BYTES
+        )
+        self.assertEqual(answer.status, 0)
+        self.assertLess(len(answer.body), TINY_PIECES_BYTES)
         self.assertRegex(answer.finish.detail, r'^\d+ pieces in \d+ bytes$')
 
     async def test_a_short_answer_in_chunks_of_one_byte(self) -> None:
