--- a/tests/test_bounded_asking.py
+++ b/tests/test_bounded_asking.py
@@ -30,6 +30,7 @@
         while True:
             writer.write(block)
             await writer.drain()
+            await asyncio.sleep(0)
 
     return behave
 
--- a/tests/test_curldriver.py
+++ b/tests/test_curldriver.py
@@ -57,6 +57,11 @@
         self._server = await asyncio.start_server(self._accept, host, 0)
         return int(self._server.sockets[0].getsockname()[1])
 
+    @property
+    def is_serving(self) -> bool:
+        """Return whether a request is being answered."""
+        return bool(self._serving)
+
     def stop_listening(self) -> None:
         """Refuse connections from now on."""
         self._server.close()
