Record callers that wait for the proof of an answer beyond their timeout

A call whose answer has no length ends with its connection, and is held until its endpoint proves to run: up to 3 s for an engine that is silent by then, whatever the route's timeout.

--- a/tests/test_endless_calls.py
+++ b/tests/test_endless_calls.py
@@ -4,11 +4,12 @@
 import dataclasses
 import unittest
 
+from linnetwood.calls.crashwatch import NoCrashWatch
 from linnetwood.calls.directory import Endpoint
 from linnetwood.calls.routetable import Repeat, Route, index_by_host
 from tests.test_bounded_asking import send_without_end
 from tests.test_callserver import ROUTE_TABLE, CallServerCase, request
-from tests.test_curldriver import HOST, Behaviour, Server
+from tests.test_curldriver import HOST, Behaviour, Server, respond_with
 from tests.test_direct import SIGNED, events, never_answer
 
 # The caller waits for much longer than its route allows.
@@ -78,6 +79,18 @@
             await self._behave(reader, writer)
 
 
+class PendingProof(NoCrashWatch):
+    """Never learn whether an endpoint runs."""
+
+    def __init__(self) -> None:
+        self.is_asked = False
+
+    async def survived(self, endpoint: Endpoint) -> bool:
+        self.is_asked = True
+        await asyncio.Event().wait()
+        return False
+
+
 def endless_request() -> bytes:
     """Return a request whose caller waits for long, on one connection."""
     sent = request('/a/x').replace(b'15000', b'%d' % CALLER_TIMEOUT_MS)
@@ -200,6 +213,16 @@
         self.route_table = ROUTE_TABLE
         await ending
 
+    async def test_an_answer_whose_endpoint_must_prove_to_run(self) -> None:
+        """Guards against a final answer that waits for the proof alone."""
+        observer = PendingProof()
+        self.delegate.dispatcher.crash_observer = observer
+        self.use_route(Repeat.NEVER, streams=False)
+        await self.serve(respond_with(HEAD + b'\r\nfine'))
+        async with asyncio.timeout(TEST_TIMEOUT_S):
+            await self.final_answer(is_slow=False)
+        self.assertTrue(observer.is_asked)
+
 
 if __name__ == '__main__':
     unittest.main()
