End an engine's answer that is not the call's at its first byte

Callers of the product saw refused calls held until their deadline, in place of an attempt elsewhere, and the endpoint process grew without bound. Cause: the body of a refusal, or of another call's answer, was read to its end; and the answer to the request that cancels the call was kept in memory, up to 2 s of whatever the engine sends. Change: curl passes pieces straight to the exchange, which ends the transfer at the first byte of an answer that is not the call's; the answer to a cancel ends there as well.

--- a/src/linnetwood/calls/backend.py
+++ b/src/linnetwood/calls/backend.py
@@ -1,6 +1,7 @@
 """HTTP clients for the one engine or plain service of the VM."""
 
 import asyncio
+from http import HTTPStatus
 from typing import Protocol
 from urllib.parse import urlsplit
 
@@ -13,6 +14,7 @@
     VERSION_HEADER,
     BackendSink,
     Exchange,
+    end_at_body,
     end_to_end_headers,
     without_headers,
 )
@@ -21,8 +23,7 @@
 from linnetwood.wire.http import NO_ANSWER, fetch
 
 CALL_HEADER = 'X-Call'
-_BUSY = 503
-_NOT_FOUND = 404
+_REFUSALS = frozenset((HTTPStatus.SERVICE_UNAVAILABLE, HTTPStatus.NOT_FOUND))
 _MILLISECONDS = 1000
 _CANCEL_TIMEOUT_S = 2.0
 # Timers of curl may fire so much earlier than those of the loop.
@@ -58,9 +59,7 @@
         req: HTTPRequest,
         exchange: Exchange,
     ) -> HTTPResponse:
-        # Tornado's own header callback may run after the one for the body.
         req.prepare_curl_callback = exchange.prepare
-        req.streaming_callback = exchange.body
         req.follow_redirects = False
         req.decompress_response = False
         req.request_timeout = max(1, start.deadline_ms) / _MILLISECONDS
@@ -127,8 +126,8 @@
             },
         )
         reply = await self._exchange(start, req, exchange)
-        if reply.code in {_BUSY, _NOT_FOUND}:
-            return not_run(Code.BACKEND_BUSY, f'engine said {reply.code}')
+        if exchange.is_wrong and exchange.status in _REFUSALS:
+            return not_run(Code.BACKEND_BUSY, f'engine said {exchange.status}')
         if exchange.is_wrong:
             await self.cancel(start.call_id)
             return unknown(Code.WRONG_ANSWER, 'the engine answered otherwise')
@@ -142,6 +141,7 @@
             body=b'',
             headers={CALL_HEADER: call_id},
             request_timeout=_CANCEL_TIMEOUT_S,
+            prepare_curl_callback=end_at_body,
         )
         await fetch(self._client, req)
 
@@ -154,7 +154,7 @@
 
 
 def _is_own_answer(exchange: Exchange, start: Start) -> bool:
-    if exchange.status in {_BUSY, _NOT_FOUND}:
+    if exchange.status in _REFUSALS:
         # A refusal is no answer, so another endpoint may be asked.
         return False
     is_own = exchange.header_value(CALL_HEADER) == start.call_id
--- a/src/linnetwood/calls/backendexchange.py
+++ b/src/linnetwood/calls/backendexchange.py
@@ -9,6 +9,8 @@
 import pycurl
 
 VERSION_HEADER = 'X-Model-Version'
+# What ends a transfer when a callback of curl returns it.
+_NOTHING_TAKEN = 0
 _HOP_HEADERS = frozenset(
     (
         'connection',
@@ -60,9 +62,12 @@
     resuming: asyncio.Task[None] | None = None
 
     def prepare(self, curl: pycurl.Curl) -> None:
-        """Let curl send the request once, and pass each header line here."""
+        """Let curl send the request once, and pass the answer here."""
         self.curl = curl
+        # Tornado's own callbacks may run in another order than curl's, and
+        # can't end an answer.
         curl.setopt(pycurl.HEADERFUNCTION, self.header)
+        curl.setopt(pycurl.WRITEFUNCTION, self.write)
         # If a kept connection ends without an answer, curl sends the request
         # again on a new one, though the server may have run it.
         curl.setopt(pycurl.FRESH_CONNECT, True)
@@ -81,6 +86,12 @@
         elif text:
             self.lines.append(text)
 
+    def write(self, piece: bytes) -> int | None:
+        """Receive a piece from curl; end an answer that is not the call's."""
+        self.body(piece)
+        # It may have no end.
+        return _NOTHING_TAKEN if self.is_wrong else None
+
     def body(self, piece: bytes) -> None:
         """Forward a piece of the body, after the head."""
         if not self.begun:
@@ -131,6 +142,15 @@
         return ''
 
 
+def end_at_body(curl: pycurl.Curl) -> None:
+    """Let curl end an answer at the first byte of its body."""
+    curl.setopt(pycurl.WRITEFUNCTION, _take_nothing)
+
+
+def _take_nothing(_: bytes) -> int:
+    return _NOTHING_TAKEN
+
+
 def end_to_end_headers(lines: list[str]) -> list[str]:
     """Drop the headers that concern a single connection."""
     return without_headers(lines, _HOP_HEADERS)
--- a/tests/test_backend.py
+++ b/tests/test_backend.py
@@ -2,16 +2,19 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
+from linnetwood.calls import backend as backends
 from linnetwood.calls.backend import (
     Backend,
     EngineBackend,
     ServiceBackend,
 )
 from linnetwood.core.outcomes import Code, Ending, Outcome
-from linnetwood.core.sizes import MIB
+from linnetwood.core.sizes import KIB, MIB
 from linnetwood.gen.wire.ttypes import Start
 from linnetwood.wire.http import open_answer_client, open_client
+from tests.test_bounded_asking import send_without_end
 from tests.test_curldriver import (
     HOST,
     WHOLE,
@@ -22,6 +25,7 @@
 
 CLIENTS = 2
 LIMIT_S = 60
+ENDED_IN_S = 5
 LARGE = 16 * MIB
 HUGE = 128 * MIB
 # What the HTTP library holds at most, and a piece.
@@ -273,6 +277,45 @@
                 self.assertEqual(sink.statuses, [])
 
 
+class EndlessAnswerTest(unittest.IsolatedAsyncioTestCase):
+    """Answers without end that are not those of the call."""
+
+    async def ended(self, head: bytes) -> Ending:
+        """Run a call at an engine that never ends its answers.
+
+        Calls, and requests to cancel one, may take longer than the test.
+        """
+        server = Server(send_without_end(head, bytes(KIB)))
+        port = await server.start()
+        client = open_answer_client(CLIENTS)
+        backend = EngineBackend(f'http://{HOST}:{port}', client)
+        with mock.patch.object(backends, '_CANCEL_TIMEOUT_S', LIMIT_S):
+            async with asyncio.timeout(ENDED_IN_S):
+                ending = await backend.run(start_of(), b'', RecordingSink())
+        client.close()
+        await server.close()
+        return ending
+
+    async def test_refusal(self) -> None:
+        """Guard against a refused call that is held until its deadline."""
+        ending = await self.ended(b'HTTP/1.1 503 No\r\n\r\n')
+        self.assertEqual(
+            (ending.outcome, ending.code),
+            (Outcome.NOT_RUN, Code.BACKEND_BUSY.value),
+        )
+
+    async def test_answer_of_another_call(self) -> None:
+        """Guard against an engine that fills the memory of its endpoint.
+
+        It answers without end to the request to cancel the call, too.
+        """
+        ending = await self.ended(b'HTTP/1.1 200 OK\r\nX-Call: d\r\n\r\n')
+        self.assertEqual(
+            (ending.outcome, ending.code),
+            (Outcome.UNKNOWN, Code.WRONG_ANSWER.value),
+        )
+
+
 class LateTest(unittest.IsolatedAsyncioTestCase):
     """A back end that holds a call beyond its deadline."""
 
