Abandon answers that arrive at a few bytes a second

Callers of a store, an engine's staged chunks or the origin waited as long as one byte came every 2 s: hours, for the bytes that an answer may have. Cause: only silence ended such an answer, and any byte ends a silence. Change: from 15 s on, an answer must have brought 256 bytes for each further second. The test failed before: one byte a second went on after 60 s of virtual time.

--- a/src/linnetwood/wire/asking.py
+++ b/src/linnetwood/wire/asking.py
@@ -13,6 +13,10 @@
 # piece costs the same time, so tiny ones would keep the event loop busy.
 _FREE_PIECES = 4096
 _MIN_PIECE_BYTES = 64
+# A link that is narrowed carries more than this. A server that sends less, but
+# is never silent, would hold its reader for hours.
+_MIN_BYTES_PER_S = 256
+_SLOW_START_S = 15.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -36,8 +40,8 @@
 class SilenceLimits:
     """The longest silence before the body of an answer, and within it, in s.
 
-    As long as bytes arrive an answer may take any time: if it were abandoned,
-    the answer to the next request would be as large or larger.
+    As long as bytes arrive, be it slowly, an answer may take any time: if it
+    were abandoned, the answer to the next request would be as large or larger.
     """
 
     first_s: float
@@ -81,6 +85,7 @@
         # the answer ends.
         self._progress = asyncio.Event()
         self._started_at = self._loop.time()
+        self._body_began_at = float()
         self._head_s = _NO_HEAD_S
         self._max_bytes = max_bytes
         self._on_bytes = on_bytes
@@ -100,6 +105,9 @@
             if silent_s >= limit_s:
                 self._time_out(silent_s)
                 break
+            if self._is_trickling:
+                self._fail(f'{self._size} bytes in {self._body_s:.0f} s')
+                break
             await wait_for_event(self._progress, limit_s - silent_s)
             self._progress.clear()
         return await self._fut
@@ -115,6 +123,7 @@
             return
         self._last_received_at = self._loop.time()
         if not self._size:
+            self._body_began_at = self._last_received_at
             self._progress.set()
         if self._status < _ERROR_FROM:
             self._on_bytes()
@@ -136,6 +145,16 @@
     def _is_in_tiny_pieces(self) -> bool:
         return (self._pieces - _FREE_PIECES) * _MIN_PIECE_BYTES > self._size
 
+    @property
+    def _is_trickling(self) -> bool:
+        slow_s = self._body_s - _SLOW_START_S
+        return slow_s * _MIN_BYTES_PER_S > self._size
+
+    @property
+    def _body_s(self) -> float:
+        began_at = self._body_began_at
+        return self._loop.time() - began_at if self._size else 0
+
     def _time_out(self, silent_s: float) -> None:
         self._fail(f'silent for {silent_s:.1f} s after {self._size} bytes')
 
--- a/tests/test_bounded_asking.py
+++ b/tests/test_bounded_asking.py
@@ -6,9 +6,15 @@
 from collections.abc import Awaitable, Callable
 
 from linnetwood.core.errors import OrderError, WeightsError
+from linnetwood.lab import virtual
 from linnetwood.platform.weights import PlatformOrigin, ServerEngine
 from linnetwood.wire.asking import Answer, SilenceLimits, ask
-from linnetwood.wire.curldriver import CurlDriver, Request
+from linnetwood.wire.curldriver import (
+    CurlDriver,
+    Receiver,
+    Request,
+    Transfer,
+)
 from tests.test_curldriver import HOST, Behaviour, Server, respond_with
 
 MAX_BYTES = 1048576
@@ -68,6 +74,53 @@
         self.assertEqual((answer.status, answer.body), (200, b'x' * 1000))
 
 
+class TricklingDriver(CurlDriver):
+    """Answer each request with one piece a second, without end."""
+
+    def __init__(self, piece: bytes) -> None:
+        self._piece = piece
+        self._task: asyncio.Task[None] | None = None
+
+    def begin(self, req: Request, receiver: Receiver) -> Transfer:
+        self._task = asyncio.create_task(self._send(receiver))
+        return Transfer(receiver)
+
+    def cancel(self, transfer: Transfer) -> None:
+        if self._task is not None:
+            self._task.cancel()
+
+    async def _send(self, receiver: Receiver) -> None:
+        receiver.head(200, [])
+        while True:
+            receiver.body(self._piece)
+            await asyncio.sleep(1)
+
+
+class SlowAnswersTest(unittest.TestCase):
+    """Answers that go on for as long as their servers want."""
+
+    async def read_for(self, piece: bytes, seconds: float) -> Answer | None:
+        """Return the answer, or None if it goes on after this time."""
+        req = Request(HOST, 1, 'GET', '/', [])
+        asking = ask(TricklingDriver(piece), req, MAX_BYTES, LIMITS)
+        try:
+            async with asyncio.timeout(seconds):
+                return await asking
+        except TimeoutError:
+            return None
+
+    def test_a_few_bytes_a_second(self) -> None:
+        """Guards against a reader that a server holds for hours."""
+        answer = virtual.run(self.read_for(b'x', 60))
+        assert answer is not None
+        self.assertEqual(answer.status, 0)
+        self.assertRegex(answer.finish.detail, r'^\d+ bytes in \d+ s$')
+
+    def test_a_narrow_link(self) -> None:
+        """Guards against large answers that are read again and again."""
+        self.assertIsNone(virtual.run(self.read_for(bytes(1000), 600)))
+
+
 class EndlessAnswersTest(unittest.IsolatedAsyncioTestCase):
     """A server in trouble may send a body without end."""
 
