Pass on no answer of a service that breaks off within its head

Callers of the product got a whole answer, status 200 without a body, from a service whose connection ended anywhere behind its status line. Cause: curl reports such an answer as complete, and the exchange took what it had of the head. Change: an answer counts once its head has ended; a call without one is unknown, with the code of a lost back end. What may follow a status number is ignored, as curl does; it raised an error in a callback. Lines of a trailer are no longer added to a head.

--- a/src/linnetwood/calls/backend.py
+++ b/src/linnetwood/calls/backend.py
@@ -70,7 +70,7 @@
         finally:
             exchange.close()
         exchange.is_late = loop.time() > late_at
-        if not exchange.begun and not _is_lost(reply):
+        if exchange.has_head and not exchange.begun and not _is_lost(reply):
             exchange.open()
         return reply
 
@@ -168,8 +168,11 @@
 
 
 def _ending(reply: HTTPResponse, exchange: Exchange) -> Ending:
-    if not _is_lost(reply):
+    if not _is_lost(reply) and exchange.has_head:
         return ANSWERED
+    if not _is_lost(reply):
+        # Curl takes a head that ends with its connection as an answer.
+        return unknown(Code.BACKEND_LOST, 'incomplete head')
     detail = str(reply.error)
     errno = reply.error.errno if isinstance(reply.error, CurlError) else 0
     if errno in {pycurl.E_COULDNT_CONNECT, pycurl.E_COULDNT_RESOLVE_HOST}:
--- a/src/linnetwood/calls/backendexchange.py
+++ b/src/linnetwood/calls/backendexchange.py
@@ -4,6 +4,7 @@
 import contextlib
 import dataclasses
 from collections.abc import Callable
+from http import HTTPStatus
 from typing import Protocol
 
 import pycurl
@@ -11,6 +12,9 @@
 VERSION_HEADER = 'X-Model-Version'
 # What ends a transfer when a callback of curl returns it.
 _NOTHING_TAKEN = 0
+_STATUS_DIGITS = 3
+# Curl takes any line that begins so as the end of a head.
+_LINE_ENDS = (b'\r', b'\n')
 _HOP_HEADERS = frozenset(
     (
         'connection',
@@ -53,6 +57,8 @@
     target: bytes = b''
     status: int = 0
     lines: list[str] = dataclasses.field(default_factory=list)
+    # The whole head of the final answer was received.
+    has_head: bool = False
     begun: bool = False
     is_wrong: bool = False
     # The call's time was over at the end.
@@ -78,12 +84,18 @@
             curl.setopt(pycurl.REQUEST_TARGET, self.target)
 
     def header(self, line: bytes) -> None:
-        """Receive a status or header line."""
+        """Receive a status or header line, or what ends the head."""
         text = line.decode('latin1').rstrip('\r\n')
-        if text.startswith('HTTP/') and not self.begun:
-            self.status = int(text.split(' ')[1])
+        if not line.endswith(b'\n') or self.has_head:
+            # The connection ended within a line, or it is one of a trailer.
+            return
+        if line.startswith(_LINE_ENDS):
+            self.has_head = self.status >= HTTPStatus.OK
+        elif text.startswith('HTTP/'):
+            # Curl accepts any text behind the number.
+            self.status = int(text.split(' ')[1][:_STATUS_DIGITS])
             self.lines = []
-        elif text:
+        else:
             self.lines.append(text)
 
     def write(self, piece: bytes) -> int | None:
--- a/tests/test_backend.py
+++ b/tests/test_backend.py
@@ -1,6 +1,8 @@
 """Requests to an engine or service that keeps or breaks its connections."""
 
 import asyncio
+import contextlib
+import io
 import unittest
 from unittest import mock
 
@@ -277,6 +279,42 @@
                 self.assertEqual(sink.statuses, [])
 
 
+class CutHeadTest(unittest.IsolatedAsyncioTestCase):
+    """A service that breaks off before its answer has a body."""
+
+    async def ran(self, answer: bytes) -> tuple[Ending, RecordingSink]:
+        """Run a call at a service that gives this answer."""
+        server = Server(respond_with(answer))
+        client = open_answer_client(CLIENTS)
+        service = ServiceBackend(
+            f'http://{HOST}:{await server.start()}', client
+        )
+        sink = RecordingSink()
+        ending = await service.run(start_of(), b'{}', sink)
+        client.close()
+        await server.close()
+        return ending, sink
+
+    async def test_head_cut_at_any_byte(self) -> None:
+        """Guard against half a head that is passed on as a whole answer."""
+        head = b'HTTP/1.1 200 OK\r\nX-One: a\r\nX-Two: b\r\n\r\n'
+        cuts = (head[:kept] for kept in range(len(head)))
+        for cut in cuts:
+            with self.subTest(sent=cut):
+                ending, sink = await self.ran(cut)
+                self.assertEqual(ending.code, Code.BACKEND_LOST.value)
+                self.assertEqual(sink.statuses, [])
+        ending, sink = await self.ran(head)
+        self.assertEqual(ending.outcome, Outcome.ANSWERED)
+
+    async def test_status_that_is_followed_by_other_bytes(self) -> None:
+        """Guard against an error that escapes in a callback of curl."""
+        with contextlib.redirect_stderr(io.StringIO()) as printed:
+            ending, _ = await self.ran(WHOLE.replace(b'200 ', b'200\x9d'))
+        self.assertEqual(printed.getvalue(), '')
+        self.assertEqual(ending.outcome, Outcome.ANSWERED)
+
+
 class EndlessAnswerTest(unittest.IsolatedAsyncioTestCase):
     """Answers without end that are not those of the call."""
 
