Bound the answers that the product's clients hold as a whole

A store, an engine's status or an origin could send 100 MB, the default of the library, which were held, and parsed as JSON in one turn of the loop. Change: 8 MiB, twice the largest frame that a chunk travels in, for all clients but that of calls, which passes answers on piece by piece. The test failed before: 16 MiB were taken as an answer by both clients.

--- a/src/linnetwood/wire/http.py
+++ b/src/linnetwood/wire/http.py
@@ -11,7 +11,11 @@
     HTTPResponse,
 )
 
+from linnetwood.wire.frames import MAX_FRAME
+
 NO_ANSWER = 599
+# Twice the largest chunk of weights; values of the store take 1 MiB.
+MAX_ANSWER_BYTES = 2 * MAX_FRAME
 
 
 async def fetch(client: AsyncHTTPClient, req: HTTPRequest) -> HTTPResponse:
@@ -37,22 +41,26 @@
         fut.exception()
 
 
-def open_client(max_clients: int, **options: int) -> Any:
+def open_client(max_clients: int, max_bytes: int = MAX_ANSWER_BYTES) -> Any:
     """Return a curl client for this number of parallel requests."""
     # Only endpoints need curl, which takes 6 MB of memory.
     from linnetwood.wire.curl import QuietCurlClient  # noqa: PLC0415
 
     return QuietCurlClient(
-        force_instance=True, max_clients=max_clients, **options
+        force_instance=True, max_clients=max_clients, max_body_size=max_bytes
     )
 
 
 def open_answer_client(max_clients: int) -> Any:
     """Return a curl client whose answers are passed on piece by piece."""
     # Held nowhere as a whole, they may be of any size.
-    return open_client(max_clients, max_body_size=sys.maxsize)
+    return open_client(max_clients, sys.maxsize)
 
 
 def open_simple_client(max_clients: int) -> Any:
     """Return tornado's own client, for processes that send few requests."""
-    return AsyncHTTPClient(force_instance=True, max_clients=max_clients)
+    return AsyncHTTPClient(
+        force_instance=True,
+        max_clients=max_clients,
+        max_body_size=MAX_ANSWER_BYTES,
+    )
--- a/tests/test_http_clients.py
+++ b/tests/test_http_clients.py
@@ -9,11 +9,24 @@
 
 from linnetwood.core.errors import OrderError
 from linnetwood.weights.orders import HttpOrderClient, LoadOrder
-from linnetwood.wire.http import fetch, open_client, open_simple_client
-from tests.test_curldriver import HOST, ScriptedServer, Server, reset
+from linnetwood.wire.http import (
+    MAX_ANSWER_BYTES,
+    NO_ANSWER,
+    fetch,
+    open_client,
+    open_simple_client,
+)
+from tests.test_curldriver import (
+    HOST,
+    ScriptedServer,
+    Server,
+    reset,
+    respond_with,
+)
 from tests.test_following import answer
 
 CLIENTS = 2
+TOO_LARGE = 2 * MAX_ANSWER_BYTES
 # Long enough for a client to see that its connection ended.
 SEEN_S = 0.2
 Opener = Callable[[int], Any]
@@ -70,6 +83,25 @@
         await self.assert_silent(open_client)
 
 
+class SizeTest(unittest.IsolatedAsyncioTestCase):
+    """Answers that are held as a whole."""
+
+    async def test_answers_of_any_size(self) -> None:
+        """Guards against an answer that fills the memory, or is parsed."""
+        for opener in (open_simple_client, open_client):
+            for size, code in ((MAX_ANSWER_BYTES, 200), (TOO_LARGE, NO_ANSWER)):
+                with self.subTest(opener=opener.__name__, size=size):
+                    head = b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n'
+                    server = Server(respond_with(head % size + bytes(size)))
+                    client = opener(CLIENTS)
+                    port = await server.start()
+                    req = HTTPRequest(f'http://{HOST}:{port}/')
+                    reply = await fetch(client, req)
+                    client.close()
+                    await server.close()
+                    self.assertEqual(reply.code, code)
+
+
 class ConditionTest(unittest.IsolatedAsyncioTestCase):
     """Orders that may be sent only on a condition."""
 
