Ask a peer again soon after its first chunk that does not fit

Callers saw one of three or six endpoint processes serve a version, and the others a minute later, after each had read a manifest with the same wrong digit. Cause: a manifest is doubted once the same bytes came twice for a chunk, but the only peer that held the chunk was blocked for 60 s after the first time. Change: 2 s after the first bad chunk of a peer, 60 s after the next; once its manifest was found wrong, its peers count as sound again.

--- a/src/linnetwood/weights/swarm.py
+++ b/src/linnetwood/weights/swarm.py
@@ -22,6 +22,9 @@
 from linnetwood.weights.versionplan import ChunkProgress
 
 ORIGIN = ''
+# The same bytes from one holder, twice, show a fault of this VM's manifest, so
+# a peer is asked again soon after its first bad chunk.
+_FIRST_BAD_CHUNK_BLOCK_S = 2.0
 _BAD_CHUNK_BLOCK_S = 60.0
 # About the time that the list of VMs takes to drop one that is gone: 3
 # heartbeats.
@@ -50,6 +53,7 @@
     """What is known of one neighbour; `held` is a bitmap of chunks."""
 
     __slots__ = (
+        'bad_chunks',
         'blocked_until',
         'heard',
         'held',
@@ -61,6 +65,7 @@
     def __init__(self) -> None:
         """Start with nothing held, nothing requested and no message."""
         self.is_remote = False
+        self.bad_chunks = 0
         self.heard = False
         self.held = 0
         self.queued = 0
@@ -250,7 +255,13 @@
         """Send a peer that sent a bad chunk no requests for a while."""
         peer = self.peers.get(vm)
         if peer is not None:
-            peer.blocked_until = now + _BAD_CHUNK_BLOCK_S
+            peer.bad_chunks += 1
+            block_s = (
+                _BAD_CHUNK_BLOCK_S
+                if peer.bad_chunks > 1
+                else _FIRST_BAD_CHUNK_BLOCK_S
+            )
+            peer.blocked_until = now + block_s
 
     def expired(
         self,
--- a/src/linnetwood/weights/transfer.py
+++ b/src/linnetwood/weights/transfer.py
@@ -122,6 +122,7 @@
             peer = self.swarm.peers.get(vm)
             if peer is not None:
                 # What it sent was right.
+                peer.bad_chunks = 0
                 peer.blocked_until = float()
         self._wake.set()
 
--- a/tests/cold_fleet.py
+++ b/tests/cold_fleet.py
@@ -252,13 +252,14 @@
         engines: int = 2,
         entries: int = 2,
         lost: float = 0,
+        origin: FakeOrigin | None = None,
     ) -> None:
         """Create a number of engines and entries in each availability zone."""
         rng = Random(1)
         self.clock = virtual.VirtualClock(asyncio.get_running_loop())
         self.net = MemoryNet(rng, 0, 0)
         self.datagrams = Datagrams(rng, lost)
-        self.origin = FakeOrigin()
+        self.origin = origin or FakeOrigin()
         self.directory = Directory()
         self.endpoints: dict[str, EndpointVm] = {}
         self.entries: dict[str, EntryVm] = {}
--- a/tests/test_spoilt_manifests.py
+++ b/tests/test_spoilt_manifests.py
@@ -13,6 +13,7 @@
 from linnetwood.fleet.wanted import WantedVersions
 from linnetwood.lab import virtual
 from linnetwood.weights.chunks import Manifest
+from tests.cold_fleet import ColdFleet
 from tests.test_follower import (
     FakeEngine,
     FakeOrigin,
@@ -74,6 +75,17 @@
     return loop.time() - began if engine.serving == VERSION else None
 
 
+async def fleet_served_after_s(
+    origin: SpoiltOrigin, zones: int, engines: int
+) -> float:
+    """Return when all engines of a cold fleet serve its first version."""
+    fleet = ColdFleet(zones, engines, 1, origin=origin)
+    await fleet.start()
+    found_s = await fleet.served_after_s(1, WATCHED_S)
+    await fleet.close()
+    return found_s
+
+
 class SpoiltManifestTest(unittest.TestCase):
     """One VM reads manifests that are wrong in one digest."""
 
@@ -114,6 +126,21 @@
                 self.assertLessEqual(origin.manifests_read, WATCHED_S / 2)
                 self.assertEqual(engine.loaded, [])
 
+    def test_processes_that_pass_it_on(self) -> None:
+        """Guards against a version that most processes never complete.
+
+        Each process reads a manifest that is wrong in the same digest, twice.
+        """
+        for zones, engines in ((1, 1), (1, 3), (3, 1), (1, 6), (3, 2)):
+            for spoilt in (1, zones * engines, 2 * zones * engines):
+                with self.subTest(zones=zones, engines=engines, spoilt=spoilt):
+                    origin = SpoiltOrigin(*[WRONG] * spoilt)
+                    seconds = virtual.run(
+                        fleet_served_after_s(origin, zones, engines)
+                    )
+                    self.assertLess(seconds, RECOVERED_WITHIN_S)
+                    self.assertLessEqual(len(origin.reads), MAX_COPIES * COUNT)
+
 
 if __name__ == '__main__':
     unittest.main()
--- a/tests/test_swarm.py
+++ b/tests/test_swarm.py
@@ -100,6 +100,17 @@
         self.assertEqual(list(swarm.plan(1)), [])
         self.assertEqual(len(list(swarm.plan(100))), 1)
 
+    def test_peer_that_sent_two_bad_chunks_is_not_asked(self) -> None:
+        """It gets no request for a minute, unlike after the first one."""
+        swarm = make_swarm()
+        swarm.update_peer('a', 0b1, 0)
+        swarm.record_bad_chunk('a', 0)
+        self.assertEqual(len(list(swarm.plan(3))), 1)
+        swarm.record_failure(0, 'a')
+        swarm.record_bad_chunk('a', 3)
+        self.assertEqual(list(swarm.plan(60)), [])
+        self.assertEqual(len(list(swarm.plan(64))), 1)
+
     def test_removed_peer_frees_its_fetches(self) -> None:
         """Chunks requested from a removed peer are requested from another."""
         swarm = make_swarm()
