Let other tasks run while many frames of a peer are read

A reader whose frames have all arrived never waits, so a peer that sends tiny frames held up the event loop for all that one read from the socket brings, 256 KB or 52,000 frames, times the work on each. Change: a reader lets other tasks run after 256 frames. The test failed before: 20,000 frames were read in one turn.

--- a/src/linnetwood/wire/frames.py
+++ b/src/linnetwood/wire/frames.py
@@ -17,6 +17,9 @@
 _READY_LIMIT = 1024
 _READY_BYTES = 1048576
 _WRITE_LIMIT = MAX_FRAME
+# Frames to read before other tasks run. A peer that sends tiny ones without end
+# would otherwise keep a reader in one turn of the event loop.
+_READ_AT_ONCE = 256
 _HEADER = struct.Struct('>IB')
 
 
@@ -104,6 +107,7 @@
         self._ready: deque[Frame] = deque()
         # Bytes received since no frame was ready.
         self._unread = 0
+        self._read_at_once = 0
         self._waiter: asyncio.Future[None] | None = None
         self._writable = asyncio.Event()
         self._writable.set()
@@ -161,10 +165,14 @@
 
     async def read(self) -> Frame:
         """Wait for the next frame; raise WireError if the connection ends."""
+        if self._read_at_once >= _READ_AT_ONCE:
+            self._read_at_once = 0
+            await asyncio.sleep(0)
         while not self._ready:
             self._raise_if_closed()
             self._waiter = asyncio.get_running_loop().create_future()
             await self._waiter
+        self._read_at_once += 1
         frame = self._ready.popleft()
         if not self._ready:
             self._unread = 0
--- a/tests/test_frames.py
+++ b/tests/test_frames.py
@@ -18,6 +18,9 @@
 from linnetwood.wire.frames import Frame, FrameKind, FrameStream
 from tests.loops import close_server
 
+FLOOD_FRAMES = 20000
+FRAMES_A_TURN = 1000
+
 QUIET = settings(
     max_examples=200,
     deadline=None,
@@ -68,6 +71,26 @@
             list(frames.split(bytearray(header)))
 
 
+class FloodTest(unittest.IsolatedAsyncioTestCase):
+    """Read many tiny frames that have arrived at once."""
+
+    async def test_other_tasks_run_meanwhile(self) -> None:
+        """Guards against a peer that holds up the event loop with frames."""
+        stream = FrameStream()
+        stream.data_received(frames.pack(FrameKind.END, b'') * FLOOD_FRAMES)
+        reading = asyncio.create_task(self.read_all(stream))
+        turns = 0
+        while not reading.done():
+            await asyncio.sleep(0)
+            turns += 1
+        self.assertGreater(turns, FLOOD_FRAMES / FRAMES_A_TURN)
+
+    async def read_all(self, stream: FrameStream) -> None:
+        """Read the frames that have arrived."""
+        for _ in range(FLOOD_FRAMES):
+            await stream.read()
+
+
 class CodecTest(unittest.TestCase):
     """Decode messages, and bytes that are none."""
 
