Let a zone's first relay ask its neighbours again after a quarter second

What callers saw: nothing is recorded of it; found by a law in virtual time. The first relay of a far zone acts by an older configuration although its neighbours have the newer one, and so does who follows it. Cause: the first relay has no relay itself. Out of touch with the store and with other zones it tries a neighbour, leaves it when that knows nothing new just then, and does not try any for up to 4 s, longer with each failure. Change: failures of neighbours are not counted up by an entry without relays. It costs such an entry two to eight connections a second within its zone while it is out of touch; the others keep their relays and count as before. Result: test_an_entry_without_relays_asks_others_again_soon fails before (no neighbour after 0.25 s).

--- a/src/linnetwood/fleet/relayselector.py
+++ b/src/linnetwood/fleet/relayselector.py
@@ -100,9 +100,14 @@
 
     def note_failure(self, host: str, now: float) -> None:
         """Begin a cooldown of an entry that failed or knew nothing new."""
-        self._cooldown.note_failure(
-            host if self.is_first_choice(host) else _OTHER_ENTRIES, now
-        )
+        if self.is_first_choice(host):
+            self._cooldown.note_failure(host, now)
+            return
+        if not self.has_relays:
+            # It has no relay to wait for, and others follow it: however long
+            # its neighbours know nothing new, the next one may.
+            self._cooldown.forget(_OTHER_ENTRIES)
+        self._cooldown.note_failure(_OTHER_ENTRIES, now)
 
     def note_success(self, host: str) -> None:
         """Forget the failures of an entry that sends good updates."""
--- a/tests/test_asking_in_turn.py
+++ b/tests/test_asking_in_turn.py
@@ -13,6 +13,7 @@
 from linnetwood.fleet.rangefollower import RangeFollower
 from linnetwood.fleet.ranges import Changes, Record, Snapshot
 from linnetwood.fleet.relayselector import RelaySelector
+from linnetwood.fleet.remotezoneselector import relay_rank
 from linnetwood.lab import virtual
 from tests.test_following import RecordingSink
 
@@ -81,6 +82,17 @@
         counts = sorted(selector_of(me).stagger_position for me in ENTRIES)
         self.assertEqual(counts, [0, 0, 0, *range(1, 11)])
 
+    def test_an_entry_without_relays_asks_others_again_soon(self) -> None:
+        """However often these knew nothing new, as others follow it."""
+        first = min(ENTRIES, key=relay_rank)
+        selector = selector_of(first)
+        for number in range(10):
+            now = number / 10
+            selector.note_seen(ENTRIES, now)
+            selector.note_failure(ENTRIES[-1], now)
+            again_at = now + 0.25
+            self.assertIsNotNone(selector.choose(again_at, any_entry=True))
+
 
 if __name__ == '__main__':
     unittest.main()
