Let the entries of a zone that starts take turns at other zones

What callers saw: nothing; found by counting what our own control traffic takes of a link between regions. Cause: an entry that starts counts as isolated after 0.3 s and then subscribes to two other zones. Where a whole zone starts, each of its entries fetches the whole range from each of these, over the link that its region shares. Change: before it knows any revision, an entry does so 0.05 s after the one before it in the zone's order, 1 s later at most; the two relays begin at once and pass the range on. An entry that knows a revision subscribes as before. Left: each of these entries also begins to read the store at once.

--- a/src/linnetwood/fleet/remotezonesubscriber.py
+++ b/src/linnetwood/fleet/remotezonesubscriber.py
@@ -22,6 +22,10 @@
 # An entry without a revision gets the whole range from each zone: 60 KB with
 # 1,900 routes.
 _STARTUP_ZONES = 2
+# Where a whole zone starts, its relays get the range first and pass it on. The
+# others take turns, so that not all bring a copy over the same link.
+_STARTUP_STAGGER_S = 0.05
+_MAX_STARTUP_STAGGER_S = 1.0
 # An isolated entry stays subscribed to other zones for this time. Their updates
 # arrive within a round trip; if it then left, it would be isolated again.
 _STAY_SUBSCRIBED_S = 5.0
@@ -72,12 +76,18 @@
     def _needed_zones(self, now: float) -> list[str]:
         if not self._follower.is_isolated:
             self._not_isolated_at = now
-        elif now - self._not_isolated_at > _ISOLATED_AFTER_S:
+        elif now - self._not_isolated_at > self._isolated_after_s():
             self._isolated_until = now + _STAY_SUBSCRIBED_S
         if self._selector.is_relay or now < self._isolated_until:
             return self._remote_zones.zones(now)
         return []
 
+    def _isolated_after_s(self) -> float:
+        if self._follower.revision:
+            return _ISOLATED_AFTER_S
+        stagger_s = self._selector.stagger_position * _STARTUP_STAGGER_S
+        return _ISOLATED_AFTER_S + min(stagger_s, _MAX_STARTUP_STAGGER_S)
+
     async def _subscribe_only_to(self, zones: list[str]) -> None:
         for left in self._subscriptions.keys() - set(zones):
             await self._subscriptions.pop(left).close()
--- a/tests/full_regions.py
+++ b/tests/full_regions.py
@@ -317,6 +317,7 @@
         self.size = size
         self.shared = SharedLinks(size.bytes_per_s, size.queue_s)
         self.store = LinkedStore(self.shared, size.routes)
+        self.net: LinkedNet
         with (
             mock.patch.object(regions, 'ENTRIES', size.entries),
             mock.patch.object(regions, 'RegionStore', self._only_store),
@@ -432,7 +433,6 @@
         """Cut a zone off from the near region's entries, not the store."""
         self.note('block', zone, 'for', round(seconds, 2))
         pairs = {(zone, NEAR), (NEAR, zone)}
-        assert isinstance(self.net, LinkedNet)
         self.net.blocked |= pairs
         self.unblocked_from[zone] = math.inf
         await asyncio.sleep(seconds)
--- a/tests/test_full_regions.py
+++ b/tests/test_full_regions.py
@@ -18,6 +18,7 @@
 import functools
 import itertools
 import unittest
+import zlib
 from collections.abc import Awaitable, Callable, Coroutine
 from random import Random
 from typing import Any
@@ -25,7 +26,7 @@
 from linnetwood.fleet.remotezoneselector import relay_rank
 from linnetwood.lab import virtual
 from tests import test_narrow_regions as regions
-from tests.full_regions import NEAR, FullRegions, Size
+from tests.full_regions import NEAR, FullRegions, Size, configuration
 
 PAIRS = tuple(itertools.permutations(regions.ZONES, 2))
 SEEDS = range(3)
@@ -214,6 +215,26 @@
 
         run_fleet(Size(2, 110, 2.0), work)
 
+    def test_regions_that_start_again(self) -> None:
+        """Only some entries of each get a copy of the range from another."""
+        size = Size(13, 1900, 2.0)
+
+        async def work(fleet: FullRegions) -> None:
+            names = [
+                entry.name
+                for zone in regions.ZONES[1:]
+                for entry in fleet.of(zone)
+            ]
+            fleet.net.relayed_bytes.clear()
+            await fleet.restart(names, 0.1)
+            await asyncio.sleep(2)
+            self.assertEqual(fleet.behind(), {})
+            copy_bytes = len(zlib.compress(configuration(1, size.routes), 1))
+            relayed = fleet.net.relayed_bytes[NEAR, 'far']
+            self.assertLess(relayed, size.entries / 2 * copy_bytes)
+
+        run_fleet(size, work)
+
     def test_the_law(self) -> None:
         """No entry lacks a change for too long, or claims to be younger."""
         for seed in SEEDS:
