Log by which way each configuration came, and how long after it was first seen

Event 3020 tells of a relay's updates from 4 KB on, so the way of a small change, which is sent as a patch of 0.3 KB, could not be told from the log: whether a late one had waited at the store, in the own zone or on the link between two regions. Event 3029 names the way (store, relay, another zone), the relay, the revision, how long ago an entry saw it first in an answer of the store, and how old the view was; one line for each change of a record of 8 KB or more. Test: test_proven_ages.ViewChangedTest (new; there was no such event).

--- a/src/linnetwood/fleet/followerlog.py
+++ b/src/linnetwood/fleet/followerlog.py
@@ -1,14 +1,38 @@
 """Log what a follower of a range decides, each state once."""
 
+import dataclasses
+import math
+
 from linnetwood.core.errors import StoreError
 from linnetwood.core.events import Event, log
 from linnetwood.fleet.freshness import RelayedUpdate
-from linnetwood.fleet.mirror import Mirror
+from linnetwood.fleet.mirror import LARGE_BYTES, Mirror
 from linnetwood.fleet.ranges import HistoryLostError, Snapshot
 from linnetwood.fleet.revisions import era_of, number_of
 
-# The source of what the store itself answered.
-FROM_STORE = 'store'
+_UNKNOWN_S = -1.0
+_DIGITS = 3
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Source:
+    """The way by which a view changes, and the host of the relay, if any."""
+
+    way: str
+    host: str = ''
+
+
+FROM_STORE = Source('store')
+
+
+def relay_source(host: str) -> Source:
+    """Return the source of updates of a relay of the own zone."""
+    return Source('relay', host)
+
+
+def zone_source(host: str) -> Source:
+    """Return the source of updates of a relay of another zone."""
+    return Source('zone', host)
 
 
 class FollowerLog:
@@ -71,12 +95,39 @@
         """Log the next update that is ignored."""
         self._ignores_updates = False
 
-    def replaced(self, snapshot: Snapshot, source: str) -> None:
+    def changed(
+        self, source: Source, large: int, confirmed_at: float, now: float
+    ) -> None:
+        """Log that a large record has changed since the last one.
+
+        Small records change many times a second.
+        """
+        revision = self._mirror.large_revision
+        if revision == large:
+            return
+        ages = (
+            change.age_s
+            for change in self._mirror.changes_of_all(now)
+            if change.record is not None
+            and len(change.record.payload) >= LARGE_BYTES
+        )
+        log(
+            Event.VIEW_CHANGED,
+            prefix=self._prefix,
+            way=source.way,
+            source=source.host,
+            large=number_of(revision),
+            seen_s=_rounded(min(ages, default=math.inf)),
+            age_s=_rounded(now - confirmed_at),
+            **self._held(),
+        )
+
+    def replaced(self, snapshot: Snapshot, source: Source) -> None:
         """Log that a snapshot is about to replace the view, if there is one."""
         if self._mirror.revision:
             log(
                 Event.RANGE_REPLACED,
-                source=source,
+                source=source.host or source.way,
                 got=number_of(snapshot.revision),
                 got_era=era_of(snapshot.revision),
                 **self._held(),
@@ -86,3 +137,7 @@
     def _held(self) -> dict[str, int]:
         revision = self._mirror.revision
         return {'revision': number_of(revision), 'era': era_of(revision)}
+
+
+def _rounded(seconds: float) -> float:
+    return round(seconds, _DIGITS) if math.isfinite(seconds) else _UNKNOWN_S
--- a/src/linnetwood/fleet/rangefollower.py
+++ b/src/linnetwood/fleet/rangefollower.py
@@ -14,7 +14,13 @@
 from linnetwood.core.backoff import pause_s
 from linnetwood.core.errors import StoreError
 from linnetwood.core.owner import TaskOwner
-from linnetwood.fleet.followerlog import FROM_STORE, FollowerLog
+from linnetwood.fleet.followerlog import (
+    FROM_STORE,
+    FollowerLog,
+    Source,
+    relay_source,
+    zone_source,
+)
 from linnetwood.fleet.freshness import (
     DEFAULT_BOUNDS,
     FreshnessBounds,
@@ -160,7 +166,7 @@
         if is_lost:
             self._log.update_ignored(update)
         else:
-            self._apply_newer(update)
+            self._apply_newer(update, relay_source(update.source))
             self._note_confirmed(now - update.age_s)
         if self.uses_fallback_relay:
             # Requests to the store go on: it may be reachable again from here.
@@ -190,7 +196,7 @@
             self._log.update_ignored(update)
             return
         now = asyncio.get_running_loop().time()
-        self._apply_newer(update)
+        self._apply_newer(update, zone_source(update.source))
         self._note_confirmed(now - update.age_s)
 
     def forget_relay(self) -> None:
@@ -296,7 +302,9 @@
             )
             # All were written before the answer began to arrive.
             aged = _add_age(missing, self.last_byte_at - began_at)
-            self._apply_changes(Changes(tuple(aged), answer.revision))
+            self._apply_changes(
+                Changes(tuple(aged), answer.revision), FROM_STORE
+            )
         if answer.changes:
             await asyncio.sleep(self._batch_delay_s())
 
@@ -330,8 +338,9 @@
             return
         self._apply_snapshot(snapshot, FROM_STORE)
 
-    def _apply_snapshot(self, snapshot: Snapshot, source: str) -> None:
+    def _apply_snapshot(self, snapshot: Snapshot, source: Source) -> None:
         now = asyncio.get_running_loop().time()
+        large = self.mirror.large_revision
         self._log.replaced(snapshot, source)
         if self._revision and not same_era(snapshot.revision, self._revision):
             snapshot = dataclasses.replace(snapshot, is_restored=True)
@@ -343,25 +352,30 @@
         ages = {**snapshot.ages, **self.mirror.known_ages(now)}
         self._sink.replace_all(dataclasses.replace(snapshot, ages=ages))
         self.retained.apply(now)
+        self._log.changed(source, large, self.confirmed_at, now)
         self._advance(snapshot.revision)
 
-    def _apply_changes(self, answer: Changes) -> None:
+    def _apply_changes(self, answer: Changes, source: Source) -> None:
         now = asyncio.get_running_loop().time()
+        large = self.mirror.large_revision
         self.mirror.apply_changes(answer.changes, answer.revision, now)
         self.retained.note_changes(answer.changes)
         if answer.changes:
             self._sink.apply_changes(answer.changes)
+        self._log.changed(source, large, self.confirmed_at, now)
         self._advance(answer.revision)
 
-    def _apply_newer(self, update: RelayedUpdate) -> None:
+    def _apply_newer(self, update: RelayedUpdate, source: Source) -> None:
         """Apply an update if it has changes that are not known here."""
         if update.revision > self._revision:
-            self._apply_relayed(update)
+            self._apply_relayed(update, source)
             self._cancel_request_if_large(update)
 
-    def _apply_relayed(self, update: RelayedUpdate) -> None:
+    def _apply_relayed(self, update: RelayedUpdate, source: Source) -> None:
         if not update.whole:
-            self._apply_changes(Changes(update.changes, update.revision))
+            self._apply_changes(
+                Changes(update.changes, update.revision), source
+            )
             return
         records = {
             change.key: change.record
@@ -370,7 +384,7 @@
         }
         ages = {change.key: change.age_s for change in update.changes}
         snapshot = Snapshot(records, update.revision, ages)
-        self._apply_snapshot(snapshot, update.source)
+        self._apply_snapshot(snapshot, source)
 
     def _retain(self, update: RelayedUpdate) -> None:
         """Retain what a relay keeps in force, unless it was written since."""
--- a/tests/test_proven_ages.py
+++ b/tests/test_proven_ages.py
@@ -16,8 +16,10 @@
 import unittest
 from random import Random
 
+from linnetwood.core.events import Event
 from linnetwood.core.waits import wait_for_event
-from linnetwood.fleet.freshness import bounds_for
+from linnetwood.fleet.freshness import RelayedUpdate, bounds_for
+from linnetwood.fleet.mirror import LARGE_BYTES
 from linnetwood.fleet.rangefollower import RangeFollower
 from linnetwood.fleet.rangerelay import RangeSubscriber
 from linnetwood.fleet.ranges import Change, Changes, Record, Snapshot
@@ -26,7 +28,7 @@
 from linnetwood.wire.connections import Address
 from linnetwood.wire.frames import Frame, FrameStream
 from tests import test_relaying as zones
-from tests.test_following import RecordingSink
+from tests.test_following import RecordingSink, ScriptedStore
 
 APPLY_S = 2.0
 LATE_S = 1.5
@@ -188,5 +190,52 @@
         self.assertGreaterEqual(counted_s, truth_s)
 
 
+class ViewChangedTest(unittest.TestCase):
+    """The log says by which way each configuration came."""
+
+    def test_store_relay_and_another_zone(self) -> None:
+        """With the time since an entry first saw it at the store."""
+
+        async def scenario() -> None:
+            records = [Record(bytes(LARGE_BYTES), one) for one in range(4)]
+            store = ScriptedStore(
+                Snapshot({'k': records[1]}, 1), Changes((), 1)
+            )
+            follower = RangeFollower(store, '', RecordingSink(), Random(1))
+            follower.start()
+            await follower.synced.wait()
+            follower.apply_update(_update(records[2], 0.3, 'a'))
+            follower.apply_remote_update(_update(records[3], 1.5, 'b'))
+            small = Record(b'', 4)
+            follower.apply_remote_update(_update(small, 1.5, 'b', 'small'))
+            await follower.close()
+
+        with self.assertLogs('linnetwood', 'INFO') as captured:
+            virtual.run(scenario())
+        lines = [record.__dict__ for record in captured.records]
+        changed = [
+            (one['way'], one['source'], one['large'], one['seen_s'])
+            for one in lines
+            if one['event'] == Event.VIEW_CHANGED
+        ]
+        self.assertEqual(
+            changed,
+            [
+                ('store', '', 1, -1),
+                ('relay', 'a', 2, 0.3),
+                ('zone', 'b', 3, 1.5),
+            ],
+        )
+
+
+def _update(
+    record: Record, age_s: float, source: str, key: str = 'k'
+) -> RelayedUpdate:
+    changes = (Change(key, record, age_s),)
+    return RelayedUpdate(
+        record.revision, age_s, 0, 0, 0, False, changes, (), source
+    )
+
+
 if __name__ == '__main__':
     unittest.main()
