Pause after any end of a connection to another zone, and report what is unknown

Cause: a connection to another zone that ended by an error that is none of ours put no pause before the next, since only the known ones counted as a failure. An entry would have connected again and again in one turn of its loop. Result: ZoneSubscriptionTest.test_errors_that_nobody_expects had 101 dials in 2 s (where it stops counting) before, fewer than 20 after.

--- a/src/linnetwood/fleet/zonesubscription.py
+++ b/src/linnetwood/fleet/zonesubscription.py
@@ -98,12 +98,8 @@
             await asyncio.sleep(_CHECK_EVERY_S)
 
     async def _close_surplus(self, wanted: str | None, now: float) -> None:
-        """Drop connections that ended, and close others beside a good one."""
-        self._connections = [
-            one
-            for one in self._connections
-            if one.task is None or not one.task.done()
-        ]
+        """Drop connections that ended; beside a good one close all others."""
+        self._drop_ended(now)
         good = [one for one in self._connections if one.is_good(now)]
         best = [one for one in good if one.host == wanted] or good[-1:]
         if best:
@@ -117,6 +113,14 @@
                 one for one in self._connections if one not in surplus
             ]
 
+    def _drop_ended(self, now: float) -> None:
+        """Drop connections that ended, whatever the error."""
+        for connection in tuple(self._connections):
+            if connection.task is not None and connection.task.done():
+                self._connections.remove(connection)
+                self._remote_zones.note_failure(connection.host, now)
+                _report(connection.task)
+
     def _connect_if_none(self, wanted: str | None, now: float) -> None:
         """Connect to the wanted entry unless a connection may bring updates."""
         for connection in self._connections:
@@ -145,8 +149,6 @@
         try:
             await self._follow_entry(connection)
         except LinnetwoodError as exc:
-            now = asyncio.get_running_loop().time()
-            self._remote_zones.note_failure(connection.host, now)
             log(
                 Event.TELLER_LEFT,
                 teller=connection.host,
@@ -190,3 +192,11 @@
             if update.preferred and host not in update.preferred:
                 # The named relays ask the store; this one subscribes to them.
                 self._remote_zones.prefer(self._zone, update.preferred)
+
+
+def _report(task: asyncio.Task[None]) -> None:
+    """Report an error that nobody expects as soon as its task has ended."""
+    exc = None if task.cancelled() else task.exception()
+    if exc is not None:
+        loop = asyncio.get_running_loop()
+        loop.call_exception_handler({'message': repr(exc), 'exception': exc})
--- a/tests/test_full_regions.py
+++ b/tests/test_full_regions.py
@@ -23,10 +23,17 @@
 from random import Random
 from typing import Any
 
+from linnetwood.fleet.rangefollower import RangeFollower
+from linnetwood.fleet.relayselector import RelaySelector
 from linnetwood.fleet.remotezoneselector import relay_rank
+from linnetwood.fleet.zonesubscription import ZoneSubscription
 from linnetwood.lab import virtual
+from linnetwood.lab.memory_net import MemoryDialler, MemoryNet
+from linnetwood.wire.connections import Address
+from linnetwood.wire.frames import FrameStream
 from tests import test_narrow_regions as regions
 from tests.full_regions import NEAR, FullRegions, Size, configuration
+from tests.test_following import RecordingSink, ScriptedStore
 
 PAIRS = tuple(itertools.permutations(regions.ZONES, 2))
 SEEDS = range(3)
@@ -180,6 +187,47 @@
     return virtual.run(scenario())
 
 
+class BrokenDialler(MemoryDialler):
+    """Fail with an error that nobody expects; in the end, hang."""
+
+    def __init__(self) -> None:
+        super().__init__(MemoryNet(Random(1), 0, 0))
+        self.dials = 0
+
+    async def dial(self, address: Address) -> FrameStream:
+        """Count and fail."""
+        self.dials += 1
+        if self.dials > 100:
+            await asyncio.Event().wait()
+        raise RuntimeError(str(address))
+
+
+class ZoneSubscriptionTest(unittest.TestCase):
+    """Connect to one entry of another zone."""
+
+    def test_errors_that_nobody_expects(self) -> None:
+        """A pause follows each of them."""
+
+        async def scenario() -> int:
+            selector = RelaySelector('10.0.0.1', Random(1))
+            selector.remote_zones.note_seen('far', ['10.2.0.1'], 0)
+            follower = RangeFollower(
+                ScriptedStore(), '', RecordingSink(), Random(1)
+            )
+            dialler = BrokenDialler()
+            subscription = ZoneSubscription(
+                'far', follower, selector, dialler, 1
+            )
+            subscription.start()
+            await asyncio.sleep(2)
+            await subscription.close()
+            return dialler.dials
+
+        with self.assertLogs('asyncio', 'ERROR'):
+            dials = virtual.run(scenario())
+        self.assertLess(dials, 20)
+
+
 class FullRegionsTest(unittest.TestCase):
     """Run some seeds, and cases that were found by seeds."""
 
