--- a/src/linnetwood/lab/soak/proxy.py
+++ b/src/linnetwood/lab/soak/proxy.py
@@ -10,6 +10,7 @@
 """
 
 import asyncio
+import contextlib
 import itertools
 import json
 import socket
@@ -162,7 +163,9 @@
     """Keep what waits at a link in its queue, not in the buffers before it."""
     sock = writer.get_extra_info('socket')
     for option in (socket.SO_SNDBUF, socket.SO_RCVBUF):
-        sock.setsockopt(socket.SOL_SOCKET, option, _BUFFER_BYTES)
+        # The connection may have been reset by now.
+        with contextlib.suppress(OSError):
+            sock.setsockopt(socket.SOL_SOCKET, option, _BUFFER_BYTES)
 
 
 def _ways(
