Pass over calls that end while stand-ins do not run, as the deadlines' check does

A call counts only if the stand-ins ran from a second before its caller left to a second after the bound.

--- a/src/linnetwood/lab/soak/checks.py
+++ b/src/linnetwood/lab/soak/checks.py
@@ -147,7 +147,7 @@
             if (
                 late
                 and self._is_connected(call.entry, run.at)
-                and self._history.is_fault_free(STAND_INS, call.sent_at, run.at)
+                and self._is_recorded_in_time(run.at)
             ):
                 yield describe(
                     'BUDGET', call, f'sent a deadline of {run.wait_ms} ms'
@@ -244,6 +244,7 @@
             if call.left_at
             and call.kind is not CallKind.NON_IDEMPOTENT
             and self._is_connected(call.entry, call.left_at + late_s)
+            and self._is_recorded_in_time(call.left_at, late_s)
         ]
         continued = [
             run
@@ -308,6 +309,13 @@
         since = at - self._limits.contact_s - self._limits.apply_s
         return self._history.is_fault_free(who, since, at)
 
+    def _is_recorded_in_time(self, at: float, span_s: float = 0) -> bool:
+        """Return whether the stand-ins ran around a time, or for a span."""
+        slack_s = self._limits.slack_s
+        return self._history.is_fault_free(
+            STAND_INS, at - slack_s, at + span_s + slack_s
+        )
+
     def _is_fault_free_since(self, since: float, run: Run) -> bool:
         """Return whether there was no fault between a time and a run."""
         return not any(
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -461,6 +461,10 @@
         stall = json.dumps({'stall': (AT, AT + 2)})
         ProcessorWaits([], history).add_stalls([stall])
         self.assertEqual(violated_rules(history), set())
+        left = closed_streams(20, LONG, left_at=AT + 1)
+        self.assertEqual(violated_rules(left), {'GONE'})
+        left.troubles = history.troubles
+        self.assertEqual(violated_rules(left), set())
         lost = closed_streams(4, RUN)
         lost.troubles = history.troubles
         self.assertEqual(violated_rules(lost), {'LOST'})
