Name the call of a caller that leaves before its call was read

While a call waits for a fresh view after a hold-up, its caller may leave; event 6003 then had no id. Test: tests.test_viewwait; before, the id was empty; after, 34 tests of four modules pass.

--- a/src/linnetwood/calls/callserver.py
+++ b/src/linnetwood/calls/callserver.py
@@ -242,7 +242,8 @@
         is_gone = self._stream.closed()
         log(
             Event.CALL_CUT,
-            call=self._call_id,
+            # It may have left before its call was read.
+            call=self._call_id or self._stated_id(),
             **self._call_fields,
             code='caller-gone' if is_gone else Code.STOPPING.value,
         )
@@ -359,12 +360,15 @@
 
     def _refuse_unread(self, ending: Ending) -> Ending:
         """Log the refusal of a call whose route and key are not known."""
-        head = self._delegate.dialect.read(self._headers)
-        self._call_id = logged_id(head.call_id)
+        self._call_id = self._stated_id()
         basis = self._delegate.config_basis()
         self._log_refused(ending, **config_fields(basis))
         return ending
 
+    def _stated_id(self) -> str:
+        head = self._delegate.dialect.read(self._headers)
+        return logged_id(head.call_id)
+
     def _log_refused(self, ending: Ending, **fields: object) -> None:
         log(
             Event.CALL_REFUSED,
--- a/tests/test_viewwait.py
+++ b/tests/test_viewwait.py
@@ -6,6 +6,7 @@
 
 from linnetwood.calls import viewwait
 from linnetwood.calls.viewwait import MAX_VIEW_WAIT_S, ViewWait
+from linnetwood.core.events import Event
 from linnetwood.core.loops import SuspendableLoop
 from linnetwood.lab import virtual
 from tests.test_callserver import request
@@ -128,6 +129,30 @@
         await self.begin()
         self.assertEqual(await self.after_hold_up(None), (200, ['desk']))
 
+    async def test_caller_that_leaves_meanwhile(self) -> None:
+        """Guard against a call that runs for nobody, or that no line names."""
+        await self.begin()
+        loop = asyncio.get_running_loop()
+        assert isinstance(loop, SuspendableLoop)
+        self.entry._follower.confirmed_at = -math.inf
+        loop._bounded.held_up_at = loop.time()
+        follower = self.entry._follower
+        with (
+            mock.patch.object(viewwait, 'MAX_VIEW_WAIT_S', GUARD_S),
+            self.assertLogs('linnetwood', 'INFO') as captured,
+        ):
+            _, writer = await asyncio.open_connection(HOST, self.port)
+            writer.write(request('/a/x'))
+            while not follower._subscribers:
+                await asyncio.sleep(0)
+            writer.close()
+            while follower._subscribers:
+                await asyncio.sleep(0)
+        line = captured.records[0].__dict__
+        self.assertEqual((line['event'], line['call']), (Event.CALL_CUT, 'c-1'))
+        self.assertEqual(self.servers['desk'].requests, [])
+        self.assertEqual(self.entry.delegate.active_calls, 0)
+
     def test_waits(self) -> None:
         """Only a stale view after a hold-up is waited for, and not for long."""
         self.assertEqual(waited_s(stale=False), 0)
