--- a/src/linnetwood/platform/records.py
+++ b/src/linnetwood/platform/records.py
@@ -145,9 +145,9 @@
 
 def _shares(parsed: Mapping[str, Any]) -> tuple[Share, ...]:
     """Return one service, or those of the list that have a weight."""
-    split = parsed.get('traffic_split') or [
-        {'service': parsed['service'], 'weight': 1},
-    ]
+    split = parsed.get('traffic_split')
+    if not split:
+        return (Share(parsed['service'], 1),)
     shares = [Share(one['service'], float(one['weight'])) for one in split]
     weighted = [share for share in shares if share.weight]
     # Without any weight the services share the calls evenly.
--- a/src/linnetwood/platform/validation.py
+++ b/src/linnetwood/platform/validation.py
@@ -212,9 +212,11 @@
 
 
 def _is_whole(found: object) -> bool:
-    if isinstance(found, float):
-        return found.is_integer() and abs(found) <= _MAX_INTEGER
-    return _is_integer(found)
+    return _is_integer(found) or (
+        isinstance(found, float)
+        and found.is_integer()
+        and abs(found) <= _MAX_INTEGER
+    )
 
 
 def _is_number(found: object) -> bool:
