--- a/src/linnetwood/calls/viewwait.py
+++ b/src/linnetwood/calls/viewwait.py
@@ -10,8 +10,8 @@
 
 from linnetwood.core.waits import wait_for_event
 
-# From the end of the hold-up. The store answers a changed configuration within
-# some 10 ms; if it is away, calls lose no more than this, once.
+# From the end of the hold-up: enough for an answer of the store, and all that
+# calls lose if it is away.
 MAX_VIEW_WAIT_S = 0.1
 
 
