Bound what frames an answer on kept connections too

What callers saw, in a trial: the second answer on a kept connection, of the store, an engine or the origin, was read at full rate until its time limit or silence limit when its framing had no end. Cause: the descriptor was noted only when a connection was opened, so a request on a kept one had no count of bytes, and was not reset when cancelled. Change: at the first event of a descriptor without a request, the request that uses it is looked up by libcurl's ACTIVESOCKET. A request that libcurl moves to a new connection no longer leaves its former descriptor behind.

--- a/src/linnetwood/wire/curldriver.py
+++ b/src/linnetwood/wire/curldriver.py
@@ -174,7 +174,7 @@
         self._multi.setopt(pycurl.M_TIMERFUNCTION, self._on_timer)
         self._timer: asyncio.TimerHandle | None = None
         self._by_handle: dict[Any, Transfer] = {}
-        # Those with a connection of their own.
+        # Those with a connection.
         self._by_descriptor: dict[int, Transfer] = {}
         # Those that may read on in any action of libcurl.
         self._reading: set[Transfer] = set()
@@ -266,8 +266,7 @@
             return None
 
         def opened(descriptor: int, _purpose: int) -> int:  # noqa: WPS430
-            transfer.descriptor = descriptor
-            self._by_descriptor[descriptor] = transfer
+            self._note_descriptor(transfer, descriptor)
             return int(pycurl.SOCKOPT_OK)
 
         handle.setopt(pycurl.SOCKOPTFUNCTION, opened)
@@ -427,7 +426,7 @@
     def _on_event(self, fd: int, events: int) -> None:
         if self._closed:
             return
-        transfer = self._by_descriptor.get(fd)
+        transfer = self._by_descriptor.get(fd) or self._reusing(fd)
         if transfer is not None and events == pycurl.CSELECT_IN:
             if not (transfer.yielding or self._may_read(transfer)):
                 return
@@ -441,6 +440,23 @@
         if self._reading and not self._closed:
             self._hold_unheard()
 
+    def _reusing(self, fd: int) -> Transfer | None:
+        """Note a kept connection's new request, as it opened none."""
+        if fd < 0:
+            return None
+        for handle, transfer in self._by_handle.items():
+            is_unknown = transfer.descriptor < 0
+            if is_unknown and handle.getinfo(pycurl.ACTIVESOCKET) == fd:
+                self._note_descriptor(transfer, fd)
+                return transfer
+        return None
+
+    def _note_descriptor(self, transfer: Transfer, descriptor: int) -> None:
+        # libcurl may replace a kept connection that turns out to be dead.
+        self._forget_descriptor(transfer)
+        transfer.descriptor = descriptor
+        self._by_descriptor[descriptor] = transfer
+
     def _collect(self) -> None:
         while not self._closed:
             left, good, bad = self._multi.info_read()
--- a/tests/test_answerbounds.py
+++ b/tests/test_answerbounds.py
@@ -15,7 +15,13 @@
     Request,
     Transfer,
 )
-from tests.test_curldriver import HOST, Server, respond_with
+from tests.test_curldriver import (
+    HOST,
+    WHOLE,
+    Server,
+    read_request,
+    respond_with,
+)
 
 CHUNKED = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
 COUNT = 20000
@@ -114,7 +120,7 @@
         self.most_sent = 0
 
     async def behave(
-        self, _: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         """Send the extension of a chunk until the connection is reset."""
         writer.write(CHUNKED + b'5;')
@@ -144,6 +150,30 @@
             self.assertEqual(receiver.finish.detail, TOO_MUCH_FRAMING)
         self.assertLess(self.most_sent, ENDLESS_SENT_AT_MOST)
 
+    async def test_a_kept_connection(self) -> None:
+        """Guards against a bound on the first answer of a connection only."""
+        server = Server(self.behave_on_reuse)
+        self.addAsyncCleanup(server.close)
+        driver = CurlDriver()
+        self.addCleanup(driver.close)
+        port = await server.start()
+        req = Request(HOST, port, 'GET', '/', [], keep=True)
+        for detail in ('', TOO_MUCH_FRAMING):
+            receiver = CountingReceiver(driver, pauses=False)
+            driver.begin(req, receiver)
+            while receiver.finish is None:
+                await asyncio.sleep(0)
+            self.assertEqual(receiver.finish.detail, detail)
+        self.assertEqual(server.connections, 1)
+
+    async def behave_on_reuse(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Answer one request, and the next one without an end."""
+        writer.write(WHOLE)
+        await read_request(reader)
+        await self.behave(reader, writer)
+
 
 class FramingTest(unittest.TestCase):
     """Count what arrives beside the content of an answer."""
