Read no more than 64 KB of an answer that is not of the call

What callers saw: a server without a signature of its own, or with the id of another call, that sends a body without end is read for 16 MiB, 6.7 s of a link of 20 Mbit/s, though the call gets nothing of it whatever follows. Cause: the bound of whole answers held for all answers. Shorter ones end as before.

--- a/src/linnetwood/calls/attempt.py
+++ b/src/linnetwood/calls/attempt.py
@@ -30,6 +30,8 @@
 # An answer, whole or streamed, and one event of a stream.
 MAX_ANSWER_BYTES = 16777216
 MAX_EVENT_BYTES = MIB
+# Nobody gets the body of an answer that isn't the call's own.
+_MAX_FOREIGN_BYTES = 65536
 _OK_BELOW = 300
 _FRAMING_HEADERS = frozenset(('content-length', 'transfer-encoding'))
 _NEVER_BLOCKED = AnswerFlow()
@@ -329,7 +331,9 @@
 
     def _check_size(self) -> None:
         """End an attempt whose answer is too large."""
-        if self._size > MAX_ANSWER_BYTES:
+        is_foreign = self._verdict is Verdict.FOREIGN
+        limit = _MAX_FOREIGN_BYTES if is_foreign else MAX_ANSWER_BYTES
+        if self._size > limit:
             self._end_too_large('answer too large')
         elif self._splitter.partial_bytes > MAX_EVENT_BYTES:
             self._end_too_large('event too large')
--- a/tests/test_answers_without_end.py
+++ b/tests/test_answers_without_end.py
@@ -95,6 +95,17 @@
         ):
             await self.check_given_up(head, block * 1000)
 
+    async def test_an_answer_that_is_not_of_the_call(self) -> None:
+        """Guards against megabytes over a link that nobody gets."""
+        for streams in (True, False):
+            await self.asyncTearDown()
+            await self.asyncSetUp()
+            endless = Endless('HTTP/1.1 200 OK\r\n\r\n', PIECE)
+            await self.serve(endless.behave)
+            ending, _ = await self.call(Repeat.NEVER, streams=streams)
+            self.assertEqual(ending.outcome, Outcome.UNKNOWN)
+            self.assertLess(endless.sent, MAX_ANSWER_BYTES)
+
     async def test_a_stream_goes_on_elsewhere(self) -> None:
         """Guards against a resumable stream that is given up for good."""
         first = Endless(CLOSING + events(0, 1).decode(), PIECE)
