Serve no call without a host on a route of a bare IPv6 address

What callers saw: a call whose Host names no host, as :80, was served on a route whose host is ::1, written without brackets; since, 404 before it. Cause: a host loses all from its first colon on, and nothing is left of ::1. Change: a host that begins with a colon stays as it is.

--- a/src/linnetwood/calls/routetable.py
+++ b/src/linnetwood/calls/routetable.py
@@ -147,7 +147,8 @@
     """Return a host without its port, in lower case."""
     name, bracket, _ = host.partition(']')
     if not bracket:
-        name = host.partition(':')[0]
+        # An address that begins with a colon has no port.
+        name = host.partition(':')[0] or host
     return f'{name}{bracket}'.lower()
 
 
--- a/tests/test_configuration_cases.py
+++ b/tests/test_configuration_cases.py
@@ -369,6 +369,14 @@
             with self.subTest(host=host):
                 self.assertEqual(await self.ask(host=host), SERVED)
 
+    async def test_a_route_of_a_bare_address(self) -> None:
+        """Guards against calls without a host's name on such a route."""
+        await self.begin()
+        self.configure(config(routes=[changed(ROUTE, host='::1')]))
+        for host in (':80', 'h.example'):
+            with self.subTest(host=host):
+                self.assertEqual((await self.ask(host=host))[1:], NO_ROUTE[1:])
+
 
 class InvalidCasesTest(ConfigurationCase):
     """None takes effect; the configuration before stays in force."""
