Avoid an endpoint whose answer is cut off by the deadline while it grows

What callers saw: over a link of 20 Mbit/s an answer without an end reaches no bound before its deadline, and the next call goes to the same endpoint at once. Cause: an endpoint that timed out counts as sound if it sent anything meanwhile, and the call's own head and bytes were such a sign. Change: after a time-out with more than 256 KiB of an answer, or of one event, and no end, its endpoint counts as failed and is avoided, as after an answer that exceeds a bound. The outcome stays timed-out. An endpoint that was kept waiting by a slow caller isn't blamed.

--- a/src/linnetwood/calls/attempt.py
+++ b/src/linnetwood/calls/attempt.py
@@ -30,6 +30,8 @@
 # An answer, whole or streamed, and one event of a stream.
 MAX_ANSWER_BYTES = 16777216
 MAX_EVENT_BYTES = MIB
+# Few answers, and no events of a stream, are larger.
+_USUAL_BYTES = 262144
 _OK_BELOW = 300
 _FRAMING_HEADERS = frozenset(('content-length', 'transfer-encoding'))
 _NEVER_BLOCKED = AnswerFlow()
@@ -311,6 +313,12 @@
         """Return whether the head of an answer arrived."""
         return bool(self._status)
 
+    @property
+    def is_long(self) -> bool:
+        """Return whether an unusual size has arrived without an end."""
+        size = self._splitter.partial_bytes + self._pieces.size
+        return size > _USUAL_BYTES
+
     @property
     def was_held_up(self) -> bool:
         """Return whether the endpoint may have cut off the unread answer."""
--- a/src/linnetwood/calls/attempthistory.py
+++ b/src/linnetwood/calls/attempthistory.py
@@ -113,3 +113,10 @@
     if result.outcome is AttemptOutcome.LOST:
         return not attempt.was_held_up
     return result.outcome is AttemptOutcome.FAILED
+
+
+def answer_had_no_end(attempt: Attempt, result: AttemptResult) -> bool:
+    """Return whether more arrived than an answer has, or than has time to."""
+    if result.outcome is AttemptOutcome.TIMED_OUT:
+        return attempt.is_long and not attempt.was_held_up
+    return result.outcome is AttemptOutcome.TOO_LARGE
--- a/src/linnetwood/calls/attemptrecorder.py
+++ b/src/linnetwood/calls/attemptrecorder.py
@@ -4,7 +4,11 @@
 from collections.abc import Callable
 
 from linnetwood.calls.attempt import Attempt, AttemptOutcome, AttemptResult
-from linnetwood.calls.attempthistory import WaitingCount, endpoint_failed
+from linnetwood.calls.attempthistory import (
+    WaitingCount,
+    answer_had_no_end,
+    endpoint_failed,
+)
 from linnetwood.calls.attemptlog import SentAttempt
 from linnetwood.calls.attemptrace import RunningAttempt
 from linnetwood.calls.choice import Choice, Chooser
@@ -97,7 +101,7 @@
             stats.record_misdirected(self._loop.time())
         elif result.outcome is AttemptOutcome.ANSWERED:
             self._record_success(sent_attempt, attempt)
-        elif result.outcome is AttemptOutcome.TOO_LARGE:
+        elif answer_had_no_end(attempt, result):
             stats.record_too_large(self._loop.time())
         elif endpoint_failed(attempt, result):
             stats.record_failure()
--- a/tests/test_answers_without_end.py
+++ b/tests/test_answers_without_end.py
@@ -1,9 +1,18 @@
 """An endpoint whose answer has no end is given up at a bound, and avoided."""
 
 import asyncio
+from types import SimpleNamespace
+from typing import Any
 from unittest import mock
 
-from linnetwood.calls.attempt import MAX_ANSWER_BYTES, AnswerStream, Attempt
+from linnetwood.calls.attempt import (
+    MAX_ANSWER_BYTES,
+    AnswerStream,
+    Attempt,
+    AttemptOutcome,
+    AttemptResult,
+)
+from linnetwood.calls.choice import Choice
 from linnetwood.calls.routetable import Repeat
 from linnetwood.core.outcomes import Outcome
 from linnetwood.core.sizes import KIB, MIB
@@ -132,22 +141,45 @@
 class EndlessAttemptTest(DirectFixture):
     """Attempts without a connection."""
 
+    def attempt(self, *, streams: bool) -> Attempt:
+        """Return an attempt whose answer has begun."""
+        attempt = Attempt(
+            AnswerStream(mock.Mock(), ''),
+            PlatformDialect(),
+            'c-1',
+            streams=streams,
+            clock_now=0,
+        )
+        self.carrier = mock.Mock()
+        attempt.start(self.carrier, Request('h', 1, 'GET', '/', []))
+        attempt.head(200, [('X-Server-Signature', 's')])
+        return attempt
+
     async def test_the_connection_is_reset_at_once(self) -> None:
         """Guards against reading on while the call's end is handled."""
         for streams in (True, False):
-            driver = mock.Mock()
-            attempt = Attempt(
-                AnswerStream(mock.Mock(), ''),
-                PlatformDialect(),
-                'c-1',
-                streams=streams,
-                clock_now=0,
-            )
-            attempt.start(driver, Request('h', 1, 'GET', '/', []))
-            attempt.head(200, [('X-Server-Signature', 's')])
+            attempt = self.attempt(streams=streams)
             read_bytes = 0
-            while not driver.cancel.called:
+            while not self.carrier.cancel.called:
                 attempt.body(PIECE)
                 read_bytes += len(PIECE)
                 self.assertLessEqual(read_bytes, MAX_ANSWER_BYTES + len(PIECE))
             self.assertTrue(attempt.fut.done())
+
+    async def test_an_answer_too_slow_to_reach_a_bound(self) -> None:
+        """Guards against an endpoint that uses up the time of all calls."""
+        result = AttemptResult(AttemptOutcome.TIMED_OUT, reached=True)
+        for size, is_avoided in ((KIB, False), (320 * KIB, True)):
+            for streams in (True, False):
+                attempt = self.attempt(streams=streams)
+                attempt.body(b'x' * size)
+                attempt.close()
+                await self.serve(respond_with(b''))
+                choice = Choice(next(self.directory.all()), 0)
+                sent: Any = SimpleNamespace(choice=choice, sent_at=0)
+                self.dispatcher.recorder.note_result(
+                    mock.Mock(), sent, attempt, result
+                )
+                stats = self.chooser.stats_of('i-0')
+                with self.subTest(size=size, streams=streams):
+                    self.assertEqual(stats.backoff_until > 0, is_avoided)
