Read long answers from other regions at a bounded rate

Change: beyond 256 KiB of one answer, an entry reads from endpoints of other regions at its share of 500 KB/s, by the number of entries of its zone, and at 64 KiB/s at least, as that number may not be known. All its long answers share that rate. The driver ends the turn of such an answer until its pace allows the next piece; a pause for a slow caller outlasts that. Answers from the own region, and without regions in the settings, have no pace. With the pace left out the test fails: 307,157 bytes were read of 278,528 allowed.

--- a/src/linnetwood/calls/direct.py
+++ b/src/linnetwood/calls/direct.py
@@ -42,6 +42,7 @@
     MeanLateness,
 )
 from linnetwood.calls.policy.prioritythresholds import ServiceThresholds
+from linnetwood.calls.regionpace import RegionPace
 from linnetwood.calls.retries import RETRY_SHARE, RetryBudget
 from linnetwood.calls.routetable import Repeat
 from linnetwood.calls.silencetimeouts import SilenceTimeouts
@@ -98,6 +99,8 @@
         self.crash_observer: CrashObserver = NoCrashWatch()
         # Called when the head of an answer had a notice of its endpoint.
         self.on_notice: Callable[[Endpoint, float], None] = _ignore_notice
+        # None to read answers from other regions at any rate.
+        self.region_pace: RegionPace | None = None
         self._budgets: dict[str, RetryBudget] = {}
         self.recorder = AttemptRecorder(chooser, lateness)
         self.thresholds = ServiceThresholds()
@@ -388,6 +391,7 @@
         outgoing: OutgoingCall,
         send_by: float,
     ) -> Request:
+        pace = self.region_pace
         return Request(
             choice.endpoint.host,
             choice.endpoint.port,
@@ -398,6 +402,7 @@
             min(CONNECT_TIMEOUT_S, outgoing.remaining_s),
             outgoing.remaining_s,
             send_by=send_by,
+            pace=None if pace is None else pace.pace_of(choice.endpoint),
         )
 
     def _limits(
--- a/src/linnetwood/programs/resident_calls.py
+++ b/src/linnetwood/programs/resident_calls.py
@@ -14,6 +14,7 @@
 from linnetwood.calls.policy.firstattempts import FIRST_ATTEMPT_DETECTORS
 from linnetwood.calls.policy.retryafter import RETRY_AFTER_POLICIES
 from linnetwood.calls.policy.retrycapacity import RETRY_CAPACITY
+from linnetwood.calls.regionpace import RegionPace
 from linnetwood.core.clock import Clock
 from linnetwood.core.exposed import ExposedMetrics
 from linnetwood.core.metrics import Metric, Metrics
@@ -62,6 +63,12 @@
             self.dispatcher.thresholds,
         )
 
+    def limit_rate(self, region: str) -> None:
+        """Read long answers from other regions at a bounded rate."""
+        self.dispatcher.region_pace = RegionPace(
+            region, lambda: self.chooser.entry_count()
+        )
+
     def limit_memory(
         self,
         delegate: CallServerDelegate,
--- a/src/linnetwood/programs/resident_entry.py
+++ b/src/linnetwood/programs/resident_entry.py
@@ -114,6 +114,7 @@
             metrics,
             self.config_age.basis,
         )
+        path.limit_rate(cfg.region)
         path.limit_memory(self.delegate, cfg.memory_bytes, metrics)
         metrics.gauge(Metric.CONFIG_VERSION, lambda: self.route_table.version)
         metrics.gauge(Metric.STORE_AGE_S, self.config_age.store_age_s)
--- a/src/linnetwood/wire/answerbounds.py
+++ b/src/linnetwood/wire/answerbounds.py
@@ -3,6 +3,7 @@
 import fcntl
 import struct
 import termios
+from typing import Protocol
 
 # Bytes that frame an answer, such as the extensions of chunks, reach no
 # receiver. Of those that are counted, they may be as many as the bytes of the
@@ -15,23 +16,41 @@
 # What a receiver gets in one turn of the loop.
 _TURN_BYTES = 131072
 _TURN_PIECES = 64
+# What may be read of an answer before its pace applies, in bytes.
+_UNPACED_BYTES = 262144
 _COUNT = struct.Struct('i')
 
 
+class Pace(Protocol):
+    """Limit the rate at which answers are read together."""
+
+    @property
+    def wait_s(self) -> float:
+        """Return the seconds until more may be read."""
+
+    def add(self, size: int) -> None:
+        """Count bytes that were read."""
+
+
 class AnswerBounds:
     """Count what was read of one answer, and what its receiver got of it."""
 
     __slots__ = (
         '_counted_bytes',
         '_framing_bytes',
+        '_pace',
         '_reads',
         '_received_bytes',
+        '_size',
         '_turn_bytes',
         '_turn_pieces',
     )
 
-    def __init__(self) -> None:
-        """Start with nothing read."""
+    def __init__(self, pace: Pace | None = None) -> None:
+        """Start with nothing read; a pace applies to long answers."""
+        self._pace = pace
+        # Of the body, while it has a pace.
+        self._size = 0
         self._reads = 0
         # What the last read took, if it is counted.
         self._counted_bytes = 0
@@ -48,11 +67,20 @@
         """Count a piece of the body, unless other requests are to go first."""
         if self._turn_bytes >= _TURN_BYTES or self._turn_pieces >= _TURN_PIECES:
             return False
+        if self._pace is not None and not self._add_paced(self._pace, size):
+            return False
         self._received_bytes += size
         self._turn_bytes += size
         self._turn_pieces += 1
         return True
 
+    @property
+    def wait_s(self) -> float:
+        """Return the seconds until the next turn; 0 for the loop's next one."""
+        if self._pace is None or self._size < _UNPACED_BYTES:
+            return 0
+        return self._pace.wait_s
+
     def begin_turn(self) -> None:
         """Allow the pieces of one more turn."""
         self._turn_bytes = 0
@@ -73,6 +101,14 @@
             self._counted_bytes = min(available, _READ_BYTES)
         return self._framing_bytes <= _FRAMING_ALLOWANCE
 
+    def _add_paced(self, pace: Pace, size: int) -> bool:
+        if self.wait_s:
+            return False
+        if self._size >= _UNPACED_BYTES:
+            pace.add(size)
+        self._size += size
+        return True
+
     def _count_framing(self) -> None:
         framing = self._counted_bytes - 2 * self._received_bytes
         self._framing_bytes = max(0, self._framing_bytes + framing)
--- a/src/linnetwood/wire/curldriver.py
+++ b/src/linnetwood/wire/curldriver.py
@@ -17,7 +17,7 @@
 
 import pycurl
 
-from linnetwood.wire.answerbounds import AnswerBounds
+from linnetwood.wire.answerbounds import AnswerBounds, Pace
 from linnetwood.wire.answerhead import MAX_LINES, AnswerHead
 
 Headers = list[tuple[str, str]]
@@ -56,7 +56,8 @@
     With `keep` it may use a kept connection, on which libcurl may resend it, so
     the request must be repeatable. A total time of 0 sets no limit; the caller
     must detect silence then. The request is not sent after `send_by`, a time of
-    the loop, even if its connection is made later than that.
+    the loop, even if its connection is made later than that. A long answer is
+    read at its pace, if it has one.
     """
 
     host: str
@@ -69,6 +70,7 @@
     total_s: float = 10.0
     keep: bool = False
     send_by: float = math.inf
+    pace: Pace | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -130,7 +132,7 @@
         'yielding',
     )
 
-    def __init__(self, receiver: Receiver) -> None:
+    def __init__(self, receiver: Receiver, pace: Pace | None = None) -> None:
         """Start without any part of the answer."""
         self.receiver = receiver
         self.sent = Sent()
@@ -140,11 +142,11 @@
         self.descriptor = -1
         self.expired = False
         self.head = AnswerHead()
-        self.bounds = AnswerBounds()
+        self.bounds = AnswerBounds(pace)
         # Detail of the bound that ended it.
         self.over_bound = ''
         self.paused = False
-        # Whether it waits for the next turn of the loop.
+        # Whether it waits for its next turn.
         self.yielding = False
 
     def header_line(self, raw: bytes) -> int | None:
@@ -182,7 +184,7 @@
 
     def begin(self, req: Request, receiver: Receiver) -> Transfer:
         """Send a request, and pass the answer to the receiver."""
-        transfer = Transfer(receiver)
+        transfer = Transfer(receiver, req.pace)
         handle = (
             self._idle_handles.pop() if self._idle_handles else pycurl.Curl()
         )
@@ -276,7 +278,8 @@
         """Let other requests go first, unless this one is paused anyway."""
         if not transfer.paused and not transfer.yielding:
             transfer.yielding = True
-            self._loop.call_soon(self._end_yield, transfer)
+            wait_s = transfer.bounds.wait_s
+            self._loop.call_later(wait_s, self._end_yield, transfer)
 
     def _end_yield(self, transfer: Transfer) -> None:
         transfer.yielding = False
--- a/tests/test_answerbounds.py
+++ b/tests/test_answerbounds.py
@@ -1,12 +1,16 @@
 """What one answer may take of the loop, and beside its content."""
 
 import asyncio
+import functools
 import itertools
 import socket
 import unittest
+from unittest import mock
 
+from linnetwood.calls.directory import Endpoint
+from linnetwood.calls.regionpace import RegionPace
 from linnetwood.core.sizes import KIB
-from linnetwood.wire.answerbounds import AnswerBounds
+from linnetwood.wire.answerbounds import AnswerBounds, Pace
 from linnetwood.wire.curldriver import (
     CurlDriver,
     Finish,
@@ -21,6 +25,24 @@
 SMALL_CHUNKS = CHUNKED + b'1\r\nx\r\n' * COUNT + b'0\r\n\r\n'
 # A turn of the loop may hold two turns of one answer.
 IN_ONE_TURN = 128
+# What is read of an answer before its pace applies, and one piece.
+FREE_BYTES = 272 * KIB
+
+
+class GatedPace:
+    """Allow as many pieces as a test does."""
+
+    def __init__(self) -> None:
+        self.pieces = 0
+
+    @property
+    def wait_s(self) -> float:
+        """Return a short wait if no piece is allowed."""
+        return 0 if self.pieces else 0.001
+
+    def add(self, size: int) -> None:
+        """Count a piece."""
+        self.pieces -= 1
 
 
 class CountingReceiver:
@@ -53,12 +75,16 @@
     """Receive an answer of many small pieces."""
 
     async def start(
-        self, *, pauses: bool, answer: bytes = SMALL_CHUNKS
+        self,
+        *,
+        pauses: bool,
+        answer: bytes = SMALL_CHUNKS,
+        pace: Pace | None = None,
     ) -> CountingReceiver:
         """Send a request."""
         server = Server(respond_with(answer))
         self.driver = CurlDriver()
-        req = Request(HOST, await server.start(), 'GET', '/', [])
+        req = Request(HOST, await server.start(), 'GET', '/', [], pace=pace)
         receiver = CountingReceiver(self.driver, pauses=pauses)
         receiver.transfer = self.driver.begin(req, receiver)
         self.addAsyncCleanup(server.close)
@@ -100,6 +126,48 @@
         self.assertTrue(receiver.finish.whole)
         self.assertEqual(receiver.received, COUNT)
 
+    async def test_a_long_answer_from_another_region(self) -> None:
+        """Guards against answers that fill the link between two regions."""
+        pace = GatedPace()
+        body = b'x' * 2 * FREE_BYTES
+        head = b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n'
+        receiver = await self.start(
+            pauses=False, answer=head % len(body) + body, pace=pace
+        )
+        allowed_bytes = FREE_BYTES
+        while receiver.finish is None:
+            await asyncio.sleep(0)
+            self.assertLessEqual(receiver.received, allowed_bytes)
+            if not pace.pieces and receiver.received > FREE_BYTES - 32 * KIB:
+                pace.pieces = 1
+                allowed_bytes += 16 * KIB
+        self.assertTrue(receiver.finish.whole)
+        self.assertEqual(receiver.received, len(body))
+
+
+class RegionPaceTest(unittest.IsolatedAsyncioTestCase):
+    """The rate of one entry."""
+
+    async def test_entries_share_the_rate(self) -> None:
+        """Guards against entries that fill a link together, or read nothing."""
+        for entries, rate in ((2, 250000), (100, 64 * KIB)):
+            pace = RegionPace('r1', functools.partial(int, entries))
+            with mock.patch.object(asyncio.get_running_loop(), 'time') as time:
+                time.return_value = 1
+                self.assertEqual(pace.wait_s, 0)
+                pace.add(rate)
+                pace.add(rate)
+                self.assertEqual(pace.wait_s, 2)
+                time.return_value = 9
+                self.assertEqual(pace.wait_s, 0)
+
+    async def test_only_other_regions_have_a_pace(self) -> None:
+        """Guards against slow answers from the own region, or without one."""
+        pace = RegionPace('r1', lambda: 1)
+        for region, is_paced in (('r1', False), ('', False), ('r2', True)):
+            one = Endpoint('i', 's', 'h', 1, 'z', 1, ready=True, region=region)
+            self.assertEqual(pace.pace_of(one) is pace, is_paced)
+
 
 class FramingTest(unittest.TestCase):
     """Count what arrives beside the content of an answer."""
