--- a/tests/test_answers_without_end.py
+++ b/tests/test_answers_without_end.py
@@ -157,12 +157,16 @@
 
     async def test_the_connection_is_reset_at_once(self) -> None:
         """Guards against reading on while the call's end is handled."""
-        for streams in (True, False):
+        for streams, piece in (
+            (True, PIECE),
+            (True, b'data: x\n\n' * 1000),
+            (False, PIECE),
+        ):
             attempt = self.attempt(streams=streams)
             read_bytes = 0
             while not self.carrier.cancel.called:
-                attempt.body(PIECE)
-                read_bytes += len(PIECE)
+                attempt.body(piece)
+                read_bytes += len(piece)
                 self.assertLessEqual(read_bytes, MAX_ANSWER_BYTES + len(PIECE))
             self.assertTrue(attempt.fut.done())
 
