End long answers while an entry holds as much as it may

What callers saw: none of this here; several answers without an end, of up to 16 MiB each, may together exceed the memory limit of an entry, and end it. Cause: the limit on held bytes refuses new calls, while the answers of those in progress grow. Usual answers go on. The test failed before: five answers held 5,242,880 bytes under a limit of 1,048,576, now fewer than twice the limit.

--- a/src/linnetwood/calls/attempt.py
+++ b/src/linnetwood/calls/attempt.py
@@ -341,6 +341,8 @@
             self._end_too_large('answer too large')
         elif self._splitter.partial_bytes > MAX_EVENT_BYTES:
             self._end_too_large('event too large')
+        elif self._held_bytes > _USUAL_BYTES and self._held.is_full:
+            self._end_too_large('no memory for the answer')
 
     def _end_too_large(self, detail: str) -> None:
         # Reset first: what follows would be read until the result is handled.
--- a/tests/test_answers_without_end.py
+++ b/tests/test_answers_without_end.py
@@ -13,6 +13,7 @@
     AttemptResult,
 )
 from linnetwood.calls.choice import Choice
+from linnetwood.calls.heldbytes import HeldBytes, HoldLimits
 from linnetwood.calls.routetable import Repeat
 from linnetwood.core.outcomes import Outcome
 from linnetwood.core.sizes import KIB, MIB
@@ -141,7 +142,9 @@
 class EndlessAttemptTest(DirectFixture):
     """Attempts without a connection."""
 
-    def attempt(self, *, streams: bool) -> Attempt:
+    def attempt(
+        self, *, streams: bool, held: HeldBytes | None = None
+    ) -> Attempt:
         """Return an attempt whose answer has begun."""
         attempt = Attempt(
             AnswerStream(mock.Mock(), ''),
@@ -149,6 +152,7 @@
             'c-1',
             streams=streams,
             clock_now=0,
+            held=held,
         )
         self.carrier = mock.Mock()
         attempt.start(self.carrier, Request('h', 1, 'GET', '/', []))
@@ -170,6 +174,28 @@
                 self.assertLessEqual(read_bytes, MAX_ANSWER_BYTES + len(PIECE))
             self.assertTrue(attempt.fut.done())
 
+    async def test_long_answers_together(self) -> None:
+        """Guards against answers that together exceed an entry's memory."""
+        for streams in (True, False):
+            held = HeldBytes(HoldLimits(entry=MIB))
+            attempts = [
+                self.attempt(streams=streams, held=held) for _ in range(5)
+            ]
+            for _ in range(16):
+                for one in attempts:
+                    one.body(PIECE)
+            with self.subTest(streams=streams):
+                self.assertLess(held.answers, 2 * MIB)
+                self.assertTrue(any(one.fut.done() for one in attempts))
+
+    async def test_usual_answers_of_a_full_entry(self) -> None:
+        """Guards against usual answers that are ended for long ones."""
+        held = HeldBytes(HoldLimits(entry=MIB))
+        held.answers = 2 * MIB
+        attempt = self.attempt(streams=False, held=held)
+        attempt.body(PIECE)
+        self.assertFalse(attempt.fut.done())
+
     async def test_an_answer_too_slow_to_reach_a_bound(self) -> None:
         """Guards against an endpoint that uses up the time of all calls."""
         result = AttemptResult(AttemptOutcome.TIMED_OUT, reached=True)
