--- a/src/linnetwood/wire/answerbounds.py
+++ b/src/linnetwood/wire/answerbounds.py
@@ -3,6 +3,7 @@
 import fcntl
 import struct
 import termios
+from typing import Protocol
 
 # Bytes that frame an answer, such as the extensions of chunks, reach no
 # receiver. Of those that are counted, they may be as many as the bytes of the
@@ -18,23 +19,42 @@
 # What a receiver gets in one turn of the loop.
 _TURN_BYTES = 131072
 _TURN_PIECES = 64
+# What may be read of an answer before its pace applies, in bytes.
+_UNPACED_BYTES = 262144
 _COUNT = struct.Struct('i')
 
 
+class Pace(Protocol):
+    """Limit the rate at which answers are read together."""
+
+    @property
+    def wait_s(self) -> float:
+        """Return the seconds until more may be read."""
+
+    def add(self, size: int) -> None:
+        """Count bytes that were read."""
+
+
 class AnswerBounds:
     """Count what was read of one answer, and what its receiver got of it."""
 
     __slots__ = (
         '_framing_bytes',
+        '_has_refused',
+        '_pace',
         '_reads',
         '_received_bytes',
+        '_size',
         '_turn_bytes',
         '_turn_pieces',
         '_unread_bytes',
     )
 
-    def __init__(self) -> None:
-        """Start with nothing read."""
+    def __init__(self, pace: Pace | None = None) -> None:
+        """Start with nothing read; a pace applies to long answers."""
+        self._pace = pace
+        # Of the body, while it has a pace.
+        self._size = 0
         self._reads = 0
         # What had arrived before the last read.
         self._unread_bytes = 0
@@ -42,6 +62,8 @@
         self._framing_bytes = 0
         self._turn_bytes = 0
         self._turn_pieces = 0
+        # Whether a piece of this turn has to wait for a later one.
+        self._has_refused = False
 
     def add_line(self, size: int) -> None:
         """Count a line of the head."""
@@ -49,15 +71,28 @@
 
     def add_piece(self, size: int) -> bool:
         """Count a piece of the body, unless other requests are to go first."""
-        if self._turn_bytes >= _TURN_BYTES or self._turn_pieces >= _TURN_PIECES:
+        if self._is_turn_over or not self._keeps_pace(size):
+            self.refuse_piece()
             return False
         self._received_bytes += size
         self._turn_bytes += size
         self._turn_pieces += 1
         return True
 
+    @property
+    def wait_s(self) -> float:
+        """Return the seconds until the next turn; 0 for the loop's next one."""
+        if self._pace is None or self._size < _UNPACED_BYTES:
+            return 0
+        return self._pace.wait_s
+
+    def refuse_piece(self) -> None:
+        """Note a piece that arrived and has to wait: it is no framing."""
+        self._has_refused = True
+
     def begin_turn(self) -> None:
         """Allow the pieces of one more turn."""
+        self._has_refused = False
         self._turn_bytes = 0
         self._turn_pieces = 0
 
@@ -67,7 +102,8 @@
         Framing is all that arrives if not.
         """
         self._reads += 1
-        if self.is_unheard or not self._reads % _READS_PER_COUNT:
+        is_due = self.is_unheard or not self._reads % _READS_PER_COUNT
+        if is_due and not self._has_refused:
             self._count_framing()
         self.begin_turn()
         self._received_bytes = 0
@@ -77,7 +113,24 @@
     @property
     def is_unheard(self) -> bool:
         """Return whether a large read brought no piece of the body."""
-        return self._unread_bytes >= _LARGE_READ_BYTES and not self._turn_pieces
+        is_large = self._unread_bytes >= _LARGE_READ_BYTES
+        return is_large and not (self._turn_pieces or self._has_refused)
+
+    @property
+    def _is_turn_over(self) -> bool:
+        if self._turn_bytes >= _TURN_BYTES:
+            return True
+        return self._turn_pieces >= _TURN_PIECES
+
+    def _keeps_pace(self, size: int) -> bool:
+        if self._pace is None:
+            return True
+        if self.wait_s:
+            return False
+        if self._size >= _UNPACED_BYTES:
+            self._pace.add(size)
+        self._size += size
+        return True
 
     def _count_framing(self) -> None:
         read_bytes = min(self._unread_bytes, _READ_BYTES)
