Take an answer as whole only behind a whole, readable head

What callers saw: on the product's own path, an answer cut behind a line of its head went out as a whole, empty one; a status with other bytes behind it raised in a callback of libcurl, which printed a traceback. Cause: libcurl ends a head that its connection ends, and at any line that begins with CR; the driver asked only whether libcurl was content. Change: a request whose head is still open at its end isn't whole, bytes that come before the head's end and a status that can't be read end the request. Result: AnswerFuzzTest.test_cut_in_the_head and test_mutated_at_any_byte failed before and pass (150 drawn examples each, derandomized).

--- a/src/linnetwood/wire/answerhead.py
+++ b/src/linnetwood/wire/answerhead.py
@@ -8,7 +8,14 @@
 class AnswerHead:
     """The head of one answer, behind any interim heads."""
 
-    __slots__ = ('headers', 'is_cut', 'is_open', 'lines', 'status')
+    __slots__ = (
+        'headers',
+        'is_cut',
+        'is_malformed',
+        'is_open',
+        'lines',
+        'status',
+    )
 
     def __init__(self) -> None:
         """Start before the first line."""
@@ -18,6 +25,8 @@
         self.is_open = True
         # Whether the connection ended within it.
         self.is_cut = False
+        # Whether its status can't be read.
+        self.is_malformed = False
         self.lines = 0
 
     def add(self, raw: bytes) -> bool:
@@ -40,8 +49,10 @@
 
     def _parse_field(self, line: str) -> None:
         if line.startswith('HTTP/') and not self.headers:
-            # libcurl rejects a status line without a number.
-            self.status = int(line.split(' ', 2)[1])
+            # libcurl reads a number that other bytes follow.
+            status = line.split(' ', 2)[1]
+            self.is_malformed = not status.isdecimal()
+            self.status = 0 if self.is_malformed else int(status)
             return
         name, _, text = line.partition(':')
         self.headers.append((name, text.strip()))
--- a/src/linnetwood/wire/curldriver.py
+++ b/src/linnetwood/wire/curldriver.py
@@ -37,7 +37,7 @@
 _HEAD_METHOD = 'HEAD'
 # CURLE_TOO_LARGE: a line, or the whole head or trailer.
 _TOO_LARGE_CODE = 100
-# What a header callback returns to end the request.
+# What a callback returns to end the request.
 _ABORT = 0
 _PAUSE = int(pycurl.WRITEFUNC_PAUSE)
 _MAX_IDLE_HANDLES = 64
@@ -150,17 +150,19 @@
         self.yielding = False
 
     def header_line(self, raw: bytes) -> int | None:
-        """Process one line of the head; end the request if there are too many.
+        """Process a line of the head; end the request if there are too many.
 
-        Trailer lines after the body count as well.
+        Trailer lines after the body count as well. A status that can't be read
+        ends it, too.
         """
         head = self.head
         self.bounds.add_line(len(raw))
         if head.add(raw):
             self.receiver.head(head.status, head.headers)
-        if head.lines <= MAX_LINES:
+        if head.lines > MAX_LINES:
+            self.over_bound = HEAD_TOO_LARGE
+        elif not head.is_malformed:
             return None
-        self.over_bound = HEAD_TOO_LARGE
         _reset_on_close(self.descriptor)
         return _ABORT
 
@@ -260,6 +262,9 @@
     def _set_callbacks(self, handle: Any, transfer: Transfer) -> None:
         # Look up the receiver each time, since a cancellation replaces it.
         def piece(octets: bytes) -> int | None:  # noqa: WPS430
+            if transfer.head.is_open:
+                # libcurl takes any line that begins with CR as a head's end.
+                return _ABORT
             # libcurl keeps bytes that are refused, and passes them on later.
             if transfer.paused:
                 transfer.bounds.refuse_piece()
@@ -502,7 +507,8 @@
         elif code == _TOO_LARGE_CODE:
             detail = HEAD_TOO_LARGE
         detail = transfer.over_bound or detail
-        whole = code == 0 and not transfer.head.is_cut
+        head = transfer.head
+        whole = code == 0 and not (head.is_cut or head.is_open)
         receiver.done(Finish(whole, connected, detail, fresh))
 
 
