End the wait for the proof of an answer soon after its deadline

What callers saw: an answer without a length was held until its endpoint proved to run, up to 3 s for a silent engine, whatever the route's timeout. Cause: the proof had time limits of its own only. Change: it may take until 0.3 s after the deadline, so that what ended just in time is still delivered; after that the call has timed out, which is no sign of a crash. Result: EndlessCallsTest.test_an_answer_whose_endpoint_must_prove_to_run failed before and passes. Without the 0.3 s, test_call_life had whole answers dropped.

--- a/src/linnetwood/calls/direct.py
+++ b/src/linnetwood/calls/direct.py
@@ -4,7 +4,8 @@
 import dataclasses
 import functools
 import math
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
+from types import MappingProxyType
 
 from linnetwood.calls.attempt import (
     AnswerSink,
@@ -62,6 +63,16 @@
 # Time that a call has at its endpoint, over any link, before it is withdrawn.
 _MIN_TIME_TO_BEGIN_S = SEND_MARGIN_S - START_MARGIN_S
 
+# A proof takes milliseconds, and a final answer is due 0.5 s after the timeout.
+_PROOF_GRACE_S = 0.3
+# Why an answer that ended with its connection can't be taken as whole.
+_UNPROVEN: Mapping[AttemptOutcome, str] = MappingProxyType(
+    {
+        AttemptOutcome.LOST: 'endpoint crashed',
+        AttemptOutcome.TIMED_OUT: 'no proof of its end in time',
+    },
+)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RetryLimits:
@@ -339,7 +350,7 @@
         """Record how an attempt ended, and return its result."""
         self._release(run, ended)
         endpoint = ended.sent.choice.endpoint
-        result = await self._checked(ended.attempt, endpoint)
+        result = await self._checked(ended.attempt, endpoint, run.call.deadline)
         self._record(run, ended, result)
         return result
 
@@ -483,23 +494,26 @@
             self.crash_observer.note_answered(fingerprint)
 
     async def _checked(
-        self, attempt: Attempt, endpoint: Endpoint
+        self, attempt: Attempt, endpoint: Endpoint, deadline: float
     ) -> AttemptResult:
-        """Return the result; an endpoint that crashed at its end broke off."""
+        """Return the result; an endpoint that crashed at its end broke off.
+
+        What nothing has proved soon after the deadline can't be taken as whole.
+        """
         result = attempt.fut.result()
         if (
             result.outcome is not AttemptOutcome.ANSWERED
             or not result.ends_with_connection
         ):
             return result
-        survived = await self.crash_observer.survived(endpoint)
+        outcome = await _proven_outcome(
+            self.crash_observer, endpoint, deadline + _PROOF_GRACE_S
+        )
         if attempt.was_overtaken:
             return AttemptResult(AttemptOutcome.OVERTAKEN, reached=True)
-        if survived:
+        if outcome is AttemptOutcome.ANSWERED:
             return result
-        return AttemptResult(
-            AttemptOutcome.LOST, reached=True, detail='endpoint crashed'
-        )
+        return AttemptResult(outcome, reached=True, detail=_UNPROVEN[outcome])
 
     def _refusal(
         self, run: CallRun, result: AttemptResult
@@ -568,6 +582,18 @@
         return run.history.ending(answer, code, f'{how}: {refusal.value}')
 
 
+async def _proven_outcome(
+    observer: CrashObserver, endpoint: Endpoint, until: float
+) -> AttemptOutcome:
+    """Return what an answer without a length proves to be in time."""
+    try:
+        async with asyncio.timeout_at(until):
+            survived = await observer.survived(endpoint)
+    except TimeoutError:
+        return AttemptOutcome.TIMED_OUT
+    return AttemptOutcome.ANSWERED if survived else AttemptOutcome.LOST
+
+
 def _cleared_by(call: DirectCall, result: AttemptResult) -> tuple[str, ...]:
     """Return the fingerprints that crash no endpoint, as a result shows.
 
