Send reports of the soak's engines without end, too

Entries and endpoint processes read the reports of engines, and a server in trouble answers those without end as it does calls. The stand-ins' reports now do so in the same share; a report has the limit of an event. Calls and reports hand connections over in one place.

--- a/src/linnetwood/lab/soak/endless.py
+++ b/src/linnetwood/lab/soak/endless.py
@@ -7,6 +7,7 @@
 import asyncio
 import dataclasses
 import enum
+import hashlib
 import json
 import signal
 import socket
@@ -75,6 +76,11 @@
         return _PARTS[Framing(self.framing)][1]
 
 
+def digest_of(call_id: str) -> int:
+    """Return a number under 256 that chooses how a call is answered."""
+    return hashlib.blake2b(call_id.encode(), digest_size=1).digest()[0]
+
+
 def hand_over(path: str, order: Order, conn: socket.socket) -> None:
     """Let the process at a path answer on a connection; raise OSError."""
     text = json.dumps(dataclasses.asdict(order)).encode()
--- a/src/linnetwood/lab/soak/endlesschecks.py
+++ b/src/linnetwood/lab/soak/endlesschecks.py
@@ -20,16 +20,17 @@
     """Yield each answer without end of which an entry took too much."""
     calls = {call.call_id: call for call in history.calls}
     for one in history.endless:
+        # A report has no call, and a limit of its own, as an event has.
         call = calls.get(one.call_id)
-        if call is None:
-            continue
-        framing = Framing(one.framing)
-        is_event = call.kind is CallKind.STREAM and framing in _EVENT_FRAMINGS
+        is_small = call is None or call.kind is CallKind.STREAM
+        is_whole = Framing(one.framing) in _EVENT_FRAMINGS
+        is_event = is_small and is_whole
         limit = _MAX_EVENT_BYTES if is_event else _MAX_ANSWER_BYTES
         if one.taken > limit + _SOCKET_BUFFER_BYTES:
             taken = f'{one.taken} bytes of {one.framing} of {one.server}'
             yield (
-                f'ENDLESS {one.at:.3f} {one.call_id} by {call.entry}: '
+                f'ENDLESS {one.at:.3f} {one.call_id} '
+                f'by {call.entry if call else "a program"}: '
                 f'{taken} in {one.until - one.at:.1f} s, limit {limit}'
             )
 
--- a/src/linnetwood/lab/soak/standanswers.py
+++ b/src/linnetwood/lab/soak/standanswers.py
@@ -4,14 +4,13 @@
 """
 
 import dataclasses
-import hashlib
 from collections.abc import Awaitable, Callable
 from typing import Protocol
 
 from tornado.iostream import StreamClosedError
 from tornado.web import RequestHandler
 
-from linnetwood.lab.soak.endless import Order, hand_over
+from linnetwood.lab.soak.endless import Order, digest_of, hand_over
 
 _CLOSING_SHARE = 4
 
@@ -107,16 +106,11 @@
     handler: RequestHandler, call_id: str, *, streams: bool
 ) -> Answer:
     """Return the answer of a call; some calls' answers end by closing."""
-    if _digest(call_id) % _CLOSING_SHARE == 0:
+    if digest_of(call_id) % _CLOSING_SHARE == 0:
         return ClosingAnswer(handler)
     return FramedAnswer(handler, streams=streams)
 
 
-def answers_without_end(call_id: str, period: int) -> bool:
-    """Return whether a call is the one in some that has no end."""
-    return bool(period) and _digest(call_id) % period == 0
-
-
 def hand_over_call(handler: RequestHandler, path: str, order: Order) -> None:
     """Let another process answer a call on its connection."""
     headers = handler._headers  # noqa: WPS437
@@ -148,9 +142,5 @@
         raise StreamClosedError
 
 
-def _digest(call_id: str) -> int:
-    return hashlib.blake2b(call_id.encode(), digest_size=1).digest()[0]
-
-
 def _ignore_close() -> None:
     """Do nothing."""
--- a/src/linnetwood/lab/soak/standcalls.py
+++ b/src/linnetwood/lab/soak/standcalls.py
@@ -9,7 +9,6 @@
 from tornado.httputil import HTTPHeaders
 from tornado.iostream import StreamClosedError
 
-from linnetwood.lab.soak.endless import Order
 from linnetwood.lab.soak.fatalparts import CrashMoment, crash_moment
 from linnetwood.lab.soak.history import Arrival, Notice, Run
 from linnetwood.lab.soak.standanswers import (
@@ -17,14 +16,11 @@
     ClosingAnswer,
     HeldAnswer,
     answer_of,
-    answers_without_end,
     check_connected,
-    hand_over_call,
 )
 from linnetwood.lab.soak.standhandler import HOLD_CHECK_S, ServerHandler
 from linnetwood.lab.soak.standservers import (
     POOL,
-    Endlessness,
     Server,
     Servers,
     Silence,
@@ -116,18 +112,13 @@
 
     async def _serve(self, run: Run) -> None:
         engine = self.server.service == POOL
-        endless = self.servers.endless.get(run.server, Endlessness())
-        if answers_without_end(run.call_id, endless.period):
-            self._sign(run)
-            order = Order(run.call_id, run.server, endless.framing)
-            hand_over_call(self, self.servers.endless_path, order)
-            return
-        await (self._stream(run) if engine else self._answer(run))
+        self._sign(run)
+        if not self.answers_without_end(run.call_id):
+            await (self._stream(run) if engine else self._answer(run))
 
     async def _answer(self, run: Run) -> None:
         await asyncio.sleep(_ANSWER_TIME_S)
         run.body = f'{run.server} {run.call_id} {run.signature}'
-        self._sign(run)
         await self._wait_until_heard()
         answer = self._held(answer_of(self, run.call_id, streams=False))
         answer.begin()
@@ -135,7 +126,6 @@
         await answer.end()
 
     async def _stream(self, run: Run) -> None:
-        self._sign(run)
         moment = crash_moment(self.request.headers.get('X-Prompt-Prefix', ''))
         closes = moment is not None and moment.ends_with_connection
         await self._wait_until_heard()
--- a/src/linnetwood/lab/soak/standengines.py
+++ b/src/linnetwood/lab/soak/standengines.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import json
+import secrets
 import time
 
 from linnetwood.lab.soak.standhandler import ServerHandler
@@ -28,6 +29,8 @@
 
     def get(self) -> None:
         """Return the load report."""
+        if self.answers_without_end(f'report {secrets.token_hex(4)}'):
+            return
         server = self.server
         self.write(
             {
--- a/src/linnetwood/lab/soak/standservers.py
+++ b/src/linnetwood/lab/soak/standservers.py
@@ -14,6 +14,7 @@
 from tornado.httputil import HTTPHeaders
 from tornado.web import Application, RequestHandler
 
+from linnetwood.lab.soak.endless import digest_of
 from linnetwood.lab.soak.history import Arrival, Notice, Run
 from linnetwood.lab.soak.standanswers import close_connection
 
@@ -43,6 +44,10 @@
     # One in so many calls; 0 for none.
     period: int = 0
 
+    def includes(self, call_id: str) -> bool:
+        """Return whether the answer of a call has no end."""
+        return bool(self.period) and digest_of(call_id) % self.period == 0
+
 
 def make_chunk(version: int, index: int) -> bytes:
     """Return the valid chunk of a version at an index."""
