--- a/src/linnetwood/calls/attempt.py
+++ b/src/linnetwood/calls/attempt.py
@@ -30,6 +30,10 @@
 # An answer, whole or streamed, and one event of a stream.
 MAX_ANSWER_BYTES = 16777216
 MAX_EVENT_BYTES = MIB
+# Nobody gets the body of an answer that isn't the call's own.
+_MAX_FOREIGN_BYTES = 65536
+# Few answers, and no events of a stream, are larger.
+_USUAL_BYTES = 262144
 _OK_BELOW = 300
 _FRAMING_HEADERS = frozenset(('content-length', 'transfer-encoding'))
 _NEVER_BLOCKED = AnswerFlow()
@@ -279,7 +283,9 @@
         self._size += len(piece)
         if self._is_forwarded:
             whole_events = self._splitter.feed(piece)
-            self._hold(self._splitter.partial_bytes)
+            partial_bytes = self._splitter.partial_bytes
+            if partial_bytes != self._held_bytes:
+                self._hold(partial_bytes)
             if whole_events:
                 self._send(whole_events)
         else:
@@ -311,6 +317,12 @@
         """Return whether the head of an answer arrived."""
         return bool(self._status)
 
+    @property
+    def is_long(self) -> bool:
+        """Return whether an unusual size has arrived without an end."""
+        size = self._splitter.partial_bytes + self._pieces.size
+        return size > _USUAL_BYTES
+
     @property
     def was_held_up(self) -> bool:
         """Return whether the endpoint may have cut off the unread answer."""
@@ -329,10 +341,14 @@
 
     def _check_size(self) -> None:
         """End an attempt whose answer is too large."""
-        if self._size > MAX_ANSWER_BYTES:
+        is_foreign = self._verdict is Verdict.FOREIGN
+        limit = _MAX_FOREIGN_BYTES if is_foreign else MAX_ANSWER_BYTES
+        if self._size > limit:
             self._end_too_large('answer too large')
         elif self._splitter.partial_bytes > MAX_EVENT_BYTES:
             self._end_too_large('event too large')
+        elif self._held_bytes > _USUAL_BYTES and self._held.is_full:
+            self._end_too_large('no memory for the answer')
 
     def _end_too_large(self, detail: str) -> None:
         # Reset first: what follows would be read until the result is handled.
--- a/src/linnetwood/calls/backendexchange.py
+++ b/src/linnetwood/calls/backendexchange.py
@@ -4,11 +4,17 @@
 import contextlib
 import dataclasses
 from collections.abc import Callable
+from http import HTTPStatus
 from typing import Protocol
 
 import pycurl
 
 VERSION_HEADER = 'X-Model-Version'
+# What ends a transfer when a callback of curl returns it.
+_NOTHING_TAKEN = 0
+_STATUS_DIGITS = 3
+# Curl takes any line that begins so as the end of a head.
+_LINE_ENDS = (b'\r', b'\n')
 _HOP_HEADERS = frozenset(
     (
         'connection',
@@ -51,6 +57,8 @@
     target: bytes = b''
     status: int = 0
     lines: list[str] = dataclasses.field(default_factory=list)
+    # The whole head of the final answer was received.
+    has_head: bool = False
     begun: bool = False
     is_wrong: bool = False
     # The call's time was over at the end.
@@ -60,9 +68,12 @@
     resuming: asyncio.Task[None] | None = None
 
     def prepare(self, curl: pycurl.Curl) -> None:
-        """Let curl send the request once, and pass each header line here."""
+        """Let curl send the request once, and pass the answer here."""
         self.curl = curl
+        # Tornado's own callbacks may run in another order than curl's, and
+        # can't end an answer.
         curl.setopt(pycurl.HEADERFUNCTION, self.header)
+        curl.setopt(pycurl.WRITEFUNCTION, self.write)
         # If a kept connection ends without an answer, curl sends the request
         # again on a new one, though the server may have run it.
         curl.setopt(pycurl.FRESH_CONNECT, True)
@@ -73,14 +84,26 @@
             curl.setopt(pycurl.REQUEST_TARGET, self.target)
 
     def header(self, line: bytes) -> None:
-        """Receive a status or header line."""
+        """Receive a status or header line, or what ends the head."""
         text = line.decode('latin1').rstrip('\r\n')
-        if text.startswith('HTTP/') and not self.begun:
-            self.status = int(text.split(' ')[1])
+        if not line.endswith(b'\n') or self.has_head:
+            # The connection ended within a line, or it is one of a trailer.
+            return
+        if line.startswith(_LINE_ENDS):
+            self.has_head = self.status >= HTTPStatus.OK
+        elif text.startswith('HTTP/'):
+            # Curl accepts any text behind the number.
+            self.status = int(text.split(' ')[1][:_STATUS_DIGITS])
             self.lines = []
-        elif text:
+        else:
             self.lines.append(text)
 
+    def write(self, piece: bytes) -> int | None:
+        """Receive a piece from curl; end an answer that is not the call's."""
+        self.body(piece)
+        # It may have no end.
+        return _NOTHING_TAKEN if self.is_wrong else None
+
     def body(self, piece: bytes) -> None:
         """Forward a piece of the body, after the head."""
         if not self.begun:
@@ -131,6 +154,15 @@
         return ''
 
 
+def end_at_body(curl: pycurl.Curl) -> None:
+    """Let curl end an answer at the first byte of its body."""
+    curl.setopt(pycurl.WRITEFUNCTION, _take_nothing)
+
+
+def _take_nothing(_: bytes) -> int:
+    return _NOTHING_TAKEN
+
+
 def end_to_end_headers(lines: list[str]) -> list[str]:
     """Drop the headers that concern a single connection."""
     return without_headers(lines, _HOP_HEADERS)
--- a/src/linnetwood/wire/curldriver.py
+++ b/src/linnetwood/wire/curldriver.py
@@ -17,7 +17,7 @@
 
 import pycurl
 
-from linnetwood.wire.answerbounds import AnswerBounds
+from linnetwood.wire.answerbounds import AnswerBounds, Pace
 from linnetwood.wire.answerhead import MAX_LINES, AnswerHead
 
 Headers = list[tuple[str, str]]
@@ -56,7 +56,8 @@
     With `keep` it may use a kept connection, on which libcurl may resend it, so
     the request must be repeatable. A total time of 0 sets no limit; the caller
     must detect silence then. The request is not sent after `send_by`, a time of
-    the loop, even if its connection is made later than that.
+    the loop, even if its connection is made later than that. A long answer is
+    read at its pace, if it has one.
     """
 
     host: str
@@ -69,6 +70,7 @@
     total_s: float = 10.0
     keep: bool = False
     send_by: float = math.inf
+    pace: Pace | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -130,7 +132,7 @@
         'yielding',
     )
 
-    def __init__(self, receiver: Receiver) -> None:
+    def __init__(self, receiver: Receiver, pace: Pace | None = None) -> None:
         """Start without any part of the answer."""
         self.receiver = receiver
         self.sent = Sent()
@@ -140,11 +142,11 @@
         self.descriptor = -1
         self.expired = False
         self.head = AnswerHead()
-        self.bounds = AnswerBounds()
+        self.bounds = AnswerBounds(pace)
         # Detail of the bound that ended it.
         self.over_bound = ''
         self.paused = False
-        # Whether it waits for the next turn of the loop.
+        # Whether it waits for its next turn.
         self.yielding = False
 
     def header_line(self, raw: bytes) -> int | None:
@@ -174,7 +176,7 @@
         self._multi.setopt(pycurl.M_TIMERFUNCTION, self._on_timer)
         self._timer: asyncio.TimerHandle | None = None
         self._by_handle: dict[Any, Transfer] = {}
-        # Those with a connection of their own.
+        # Those with a connection.
         self._by_descriptor: dict[int, Transfer] = {}
         # Those that may read on in any action of libcurl.
         self._reading: set[Transfer] = set()
@@ -184,7 +186,7 @@
 
     def begin(self, req: Request, receiver: Receiver) -> Transfer:
         """Send a request, and pass the answer to the receiver."""
-        transfer = Transfer(receiver)
+        transfer = Transfer(receiver, req.pace)
         handle = (
             self._idle_handles.pop() if self._idle_handles else pycurl.Curl()
         )
@@ -258,16 +260,18 @@
     def _set_callbacks(self, handle: Any, transfer: Transfer) -> None:
         # Look up the receiver each time, since a cancellation replaces it.
         def piece(octets: bytes) -> int | None:  # noqa: WPS430
-            if transfer.paused or not transfer.bounds.add_piece(len(octets)):
-                # libcurl keeps these bytes, and passes them on when resumed.
+            # libcurl keeps bytes that are refused, and passes them on later.
+            if transfer.paused:
+                transfer.bounds.refuse_piece()
+                return _PAUSE
+            if not transfer.bounds.add_piece(len(octets)):
                 self._yield_turn(transfer)
                 return _PAUSE
             transfer.receiver.body(octets)
             return None
 
         def opened(descriptor: int, _purpose: int) -> int:  # noqa: WPS430
-            transfer.descriptor = descriptor
-            self._by_descriptor[descriptor] = transfer
+            self._note_descriptor(transfer, descriptor)
             return int(pycurl.SOCKOPT_OK)
 
         handle.setopt(pycurl.SOCKOPTFUNCTION, opened)
@@ -278,7 +282,8 @@
         """Let other requests go first, unless this one is paused anyway."""
         if not transfer.paused and not transfer.yielding:
             transfer.yielding = True
-            self._loop.call_soon(self._end_yield, transfer)
+            wait_s = transfer.bounds.wait_s
+            self._loop.call_later(wait_s, self._end_yield, transfer)
 
     def _end_yield(self, transfer: Transfer) -> None:
         transfer.yielding = False
@@ -427,7 +432,7 @@
     def _on_event(self, fd: int, events: int) -> None:
         if self._closed:
             return
-        transfer = self._by_descriptor.get(fd)
+        transfer = self._by_descriptor.get(fd) or self._reusing(fd)
         if transfer is not None and events == pycurl.CSELECT_IN:
             if not (transfer.yielding or self._may_read(transfer)):
                 return
@@ -441,6 +446,23 @@
         if self._reading and not self._closed:
             self._hold_unheard()
 
+    def _reusing(self, fd: int) -> Transfer | None:
+        """Note a kept connection's new request, as it opened none."""
+        if fd < 0:
+            return None
+        for handle, transfer in self._by_handle.items():
+            is_unknown = transfer.descriptor < 0
+            if is_unknown and handle.getinfo(pycurl.ACTIVESOCKET) == fd:
+                self._note_descriptor(transfer, fd)
+                return transfer
+        return None
+
+    def _note_descriptor(self, transfer: Transfer, descriptor: int) -> None:
+        # libcurl may replace a kept connection that turns out to be dead.
+        self._forget_descriptor(transfer)
+        transfer.descriptor = descriptor
+        self._by_descriptor[descriptor] = transfer
+
     def _collect(self) -> None:
         while not self._closed:
             left, good, bad = self._multi.info_read()
