--- a/src/linnetwood/lab/soak/history.py
+++ b/src/linnetwood/lab/soak/history.py
@@ -7,6 +7,8 @@
 import enum
 from typing import Any, Final
 
+# The key that every configuration has.
+KEY: Final = 'key-1'
 # The fault that an entry was ready to run, but had no processor.
 PROCESSOR_WAIT: Final = 'waited for a processor'
 
@@ -39,8 +41,9 @@
     written_at: float = 0
     # Whether its connection had carried another call before.
     on_kept_connection: bool = False
-    # The configuration whose route this calls; 0 if it is no probe.
+    # The configuration whose route or key this has; 0 if it is no probe.
     probes: int = 0
+    key: str = KEY
     # The parts of its prompt, in order; the last is its own.
     parts: tuple[str, ...] = ()
 
@@ -122,6 +125,18 @@
         return applies and self.at < until and self.until > since
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class EndlessAnswer:
+    """An answer without end, and the bytes that were taken of it."""
+
+    call_id: str
+    server: str
+    framing: str
+    at: float
+    until: float
+    taken: int
+
+
 @dataclasses.dataclass(slots=True)
 class History:
     """All observations that are checked."""
@@ -135,6 +150,7 @@
     silences: list[FaultRecord] = dataclasses.field(default_factory=list)
     # Reloads of entries, which are planned and excuse nothing.
     reloads: list[FaultRecord] = dataclasses.field(default_factory=list)
+    endless: list[EndlessAnswer] = dataclasses.field(default_factory=list)
     # Errors that servers detected themselves, such as wrong weights.
     found: list[str] = dataclasses.field(default_factory=list)
 
@@ -151,3 +167,11 @@
 def decode_runs(rows: list[dict[str, Any]]) -> list[Run]:
     """Decode the runs that a stand-in returns."""
     return [Run(**row) for row in rows]
+
+
+def describe(rule: str, call: Call, detail: str) -> str:
+    """Return the description of a violation that a call shows."""
+    return (
+        f'{rule} {call.sent_at:.3f} {call.call_id} by {call.entry}: '
+        f'{call.status} {detail}'
+    )
--- a/src/linnetwood/platform/records.py
+++ b/src/linnetwood/platform/records.py
@@ -37,11 +37,15 @@
 _MEGABIT_BYTES = 125000
 _STREAMING = 'streaming'
 _REPEATABLE = 'idempotent'
+# Without them, calls need no key and may be served anywhere.
+_RESTRICTING_FIELDS = frozenset(('tenants', 'allowed_regions'))
 
 
 def config(record: Record) -> RouteTable:
     """Decode the operator's configuration, or raise ConfigError."""
-    parsed = validation.parse(record.payload, tables.CONFIG, 'config-malformed')
+    parsed = validation.parse(
+        record.payload, tables.CONFIG, 'config-malformed', _without_nulls
+    )
     for one in parsed['routes']:
         if not (one.get('traffic_split') or one.get('service')):
             raise ConfigError('config-malformed', f'no service: {one["name"]}')
@@ -53,7 +57,7 @@
     parsed = validation.parse(
         record.payload, tables.VERSION, 'version-malformed'
     )
-    return parsed['model'], parsed['version']
+    return parsed['model'], int(parsed['version'])
 
 
 def endpoint(key: str, record: Record) -> Endpoint:
@@ -61,7 +65,21 @@
     parsed = validation.parse(
         record.payload, tables.ENDPOINT, 'endpoint-malformed'
     )
-    return _endpoint(key.removeprefix(ENDPOINT_PREFIX), parsed)
+    name = key.removeprefix(ENDPOINT_PREFIX)
+    if not validation.is_header_text(name):
+        raise ConfigError('endpoint-malformed', f'the id is {name!r}')
+    return _endpoint(name, parsed)
+
+
+def _without_nulls(found: dict[str, Any]) -> dict[str, Any]:
+    """Treat null as a missing field, where that lifts no restriction."""
+    if None not in found.values():
+        return found
+    return {
+        name: one
+        for name, one in found.items()
+        if one is not None or name in _RESTRICTING_FIELDS
+    }
 
 
 def _endpoint(name: str, parsed: Mapping[str, Any]) -> Endpoint:
@@ -108,10 +126,6 @@
     repeat = Repeat.MAY if kind == _REPEATABLE else Repeat.NEVER
     if streams and parsed.get('stream_resumption'):
         repeat = Repeat.RESUME
-    # A route has one service, or a list of services with weights.
-    split = parsed.get('traffic_split') or [
-        {'service': parsed['service'], 'weight': 1},
-    ]
     return Route(
         name=parsed['name'],
         host=parsed['host'],
@@ -124,13 +138,22 @@
         attempts=int(parsed.get('max_attempts', 1)),
         priority=int(parsed.get('priority', 0)),
         public=bool(parsed.get('public')),
-        shares=tuple(
-            Share(one['service'], float(one['weight'])) for one in split
-        ),
+        shares=_shares(parsed),
         regions=tuple(parsed.get('allowed_regions', ())),
     )
 
 
+def _shares(parsed: Mapping[str, Any]) -> tuple[Share, ...]:
+    """Return one service, or those of the list that have a weight."""
+    split = parsed.get('traffic_split') or [
+        {'service': parsed['service'], 'weight': 1},
+    ]
+    shares = [Share(one['service'], float(one['weight'])) for one in split]
+    weighted = [share for share in shares if share.weight]
+    # Without any weight the services share the calls evenly.
+    return tuple(weighted or [Share(one.service, 1) for one in shares])
+
+
 def _priority_levels(
     service: str,
     routes: Iterable[Route],
