Test how much of an answer without an end is taken beyond its bound

The test passes on this code: with a send buffer of 64 KB at the server, less than 1 MiB beyond the bound of an event or answer is sent.

--- a/tests/test_answers_without_end.py
+++ b/tests/test_answers_without_end.py
@@ -1,12 +1,14 @@
 """An endpoint whose answer has no end is given up at a bound, and avoided."""
 
 import asyncio
+import socket
 from types import SimpleNamespace
 from typing import Any
 from unittest import mock
 
 from linnetwood.calls.attempt import (
     MAX_ANSWER_BYTES,
+    MAX_EVENT_BYTES,
     AnswerStream,
     Attempt,
     AttemptOutcome,
@@ -51,6 +53,8 @@
         self, _: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         """Send until the connection is reset."""
+        sock = writer.get_extra_info('socket')
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, len(PIECE))
         writer.write(self._head)
         while self.sent < SENT_AT_MOST:
             writer.write(self._block)
@@ -105,6 +109,20 @@
         ):
             await self.check_given_up(head, block * 1000)
 
+    async def test_little_is_on_its_way(self) -> None:
+        """Guards against megabytes on a link behind the bound of an answer."""
+        for streams, bound in (
+            (True, MAX_EVENT_BYTES),
+            (False, MAX_ANSWER_BYTES),
+        ):
+            await self.asyncTearDown()
+            await self.asyncSetUp()
+            endless = Endless(CLOSING, PIECE)
+            await self.serve(endless.behave)
+            await self.call(Repeat.NEVER, streams=streams)
+            with self.subTest(streams=streams):
+                self.assertLess(endless.sent, bound + MIB)
+
     async def test_a_stream_goes_on_elsewhere(self) -> None:
         """Guards against a resumable stream that is given up for good."""
         first = Endless(CLOSING + events(0, 1).decode(), PIECE)
