Send the heartbeat to other zones when its timer fires, however early

What callers saw: nothing. Cause: a timer of asyncio may fire up to its clock's resolution early. The relay server then waited again for what was left of its heartbeat, a billionth of a second, and a virtual clock does not advance by so little. A real clock does, so a real entry only took a turn or two more. Change: the heartbeat is due when its timer has fired.

--- a/src/linnetwood/fleet/rangerelayserver.py
+++ b/src/linnetwood/fleet/rangerelayserver.py
@@ -96,7 +96,9 @@
             mirror.large_revision <= subscriber.known_revision
             and loop.time() < until
         ):
-            await wait_for_event(changed, until - loop.time())
+            if not await wait_for_event(changed, until - loop.time()):
+                # A timer may fire a little early, by the clock's resolution.
+                return
             changed.clear()
 
     async def _send_update(
--- a/tests/test_relaying_quiet.py
+++ b/tests/test_relaying_quiet.py
@@ -7,6 +7,7 @@
 from unittest import mock
 
 from linnetwood.core.errors import StoreError, WireError
+from linnetwood.fleet import rangerelayserver
 from linnetwood.fleet.freshness import RelayedUpdate, bounds_for
 from linnetwood.fleet.mirror import LARGE_BYTES
 from linnetwood.fleet.rangefollower import RangeFollower
@@ -319,6 +320,32 @@
 
         self.assertLessEqual(virtual.run(scenario()), 6)
 
+    def test_a_timer_that_fires_early(self) -> None:
+        """The heartbeat is due then, also if the clock stands still."""
+        waits = []
+
+        async def fire_early(event: asyncio.Event, seconds: float) -> bool:
+            waits.append(seconds)
+            if len(waits) > 50:
+                raise WireError('connection-lost', 'too many waits')
+            await asyncio.sleep(0)
+            return False
+
+        async def scenario() -> int:
+            follower = new_follower(QuietStore())
+            stream = CountingStream()
+            request = Frame(
+                FrameKind.RANGE_REQUEST, encode(RangeRequest(0, True, []))
+            )
+            with mock.patch.object(
+                rangerelayserver, 'wait_for_event', fire_early
+            ):
+                with self.assertRaises(WireError):
+                    await RangeRelayServer(follower).serve(stream, request)
+            return stream.sent
+
+        self.assertEqual(virtual.run(scenario()), 51)
+
 
 class FeedTest(unittest.TestCase):
     """The age of a version that no entry saw being written."""
