--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -6,6 +6,7 @@
 import unittest
 
 import defopt
+from hypothesis import HealthCheck, settings
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 _JOBS = 3
@@ -22,6 +23,7 @@
     sys.path.insert(0, str(ROOT))
     from tools import known_red, test_outcomes, test_workers
 
+    _leave_drawing_untimed()
     began = time.monotonic()
     outcomes = test_outcomes.Outcomes()
     for part in test_workers.run_all(_suite(names), jobs):
@@ -40,6 +42,14 @@
     sys.exit(known_red.verdict(outcomes, text))
 
 
+def _leave_drawing_untimed() -> None:
+    """Let no time limit decide drawn tests, however busy the machine is."""
+    settings.register_profile(
+        'untimed', deadline=None, suppress_health_check=[HealthCheck.too_slow]
+    )
+    settings.load_profile('untimed')
+
+
 def _suite(names: tuple[str, ...]) -> unittest.TestSuite:
     loader = unittest.TestLoader()
     if names:
