Move requests of libcurl and proofs of answers to modules of their own

Change: wire/curlrequest.py (requests, what becomes of them, libcurl's options), calls/answerproof.py (proof of an answer without a length); limits of an attempt have defaults. No behaviour changes.

--- a/src/linnetwood/calls/answerwriter.py
+++ b/src/linnetwood/calls/answerwriter.py
@@ -15,7 +15,7 @@
 from linnetwood.core.events import Event, log
 from linnetwood.core.metrics import Metrics
 from linnetwood.core.outcomes import Code, Ending, Outcome
-from linnetwood.wire.curldriver import Headers
+from linnetwood.wire.curlrequest import Headers
 
 _NOT_FOUND = 404
 _UNAUTHORISED = 401
--- a/src/linnetwood/calls/attempt.py
+++ b/src/linnetwood/calls/attempt.py
@@ -18,12 +18,9 @@
     OVER_BOUNDS,
     TIMED_OUT,
     CurlDriver,
-    Finish,
-    Headers,
-    Request,
-    Sent,
     Transfer,
 )
+from linnetwood.wire.curlrequest import Finish, Headers, Request, Sent
 from linnetwood.wire.eventstream import EventSplitter
 from linnetwood.wire.piecebuffer import PieceBuffer
 
@@ -71,6 +68,11 @@
     """Do nothing by default."""
 
 
+def unbounded() -> float:
+    """Return the bound of a call that may begin at any time."""
+    return math.inf
+
+
 class AttemptOutcome(enum.Enum):
     """How an attempt ended; the values are written to logs and metrics."""
 
@@ -130,13 +132,13 @@
     the loop's clock. A version that is named meanwhile brings `start_by`
     forward. `first_event_s` and `next_event_s` are the waits for the
     first event and between two events, in seconds, after which another attempt
-    may be sent beside a silent one.
+    may be sent beside a silent one; by default none is.
     """
 
     deadline: float
     start_by: Callable[[], float]
-    first_event_s: float
-    next_event_s: float
+    first_event_s: float = math.inf
+    next_event_s: float = math.inf
 
 
 class AnswerStream:
--- a/src/linnetwood/calls/callparsing.py
+++ b/src/linnetwood/calls/callparsing.py
@@ -15,7 +15,7 @@
     pick_service,
 )
 from linnetwood.core.outcomes import Code, Ending, not_run
-from linnetwood.wire.curldriver import Headers
+from linnetwood.wire.curlrequest import Headers
 
 # The longest wait for callers that state no deadline.
 _DEFAULT_WAIT_LIMIT_S = 30.0
--- a/src/linnetwood/calls/callserver.py
+++ b/src/linnetwood/calls/callserver.py
@@ -48,7 +48,7 @@
     not_run,
     unknown,
 )
-from linnetwood.wire.curldriver import Headers
+from linnetwood.wire.curlrequest import Headers
 
 _MILLISECONDS = 1000
 _HEAD_METHOD = 'HEAD'
--- a/src/linnetwood/calls/dialect.py
+++ b/src/linnetwood/calls/dialect.py
@@ -5,7 +5,7 @@
 from typing import Protocol
 
 from linnetwood.calls.notices import Notice
-from linnetwood.wire.curldriver import Headers
+from linnetwood.wire.curlrequest import Headers
 
 
 class Verdict(enum.Enum):
--- a/src/linnetwood/calls/direct.py
+++ b/src/linnetwood/calls/direct.py
@@ -3,10 +3,9 @@
 import asyncio
 import dataclasses
 import functools
-import math
-from collections.abc import Callable, Mapping, Sequence
-from types import MappingProxyType
+from collections.abc import Callable, Sequence
 
+from linnetwood.calls.answerproof import proven_result
 from linnetwood.calls.attempt import (
     AnswerSink,
     AnswerStream,
@@ -14,6 +13,7 @@
     AttemptLimits,
     AttemptOutcome,
     AttemptResult,
+    unbounded,
 )
 from linnetwood.calls.attempthistory import (
     AttemptHistory,
@@ -55,7 +55,8 @@
     START_MARGIN_S,
     WantedVersions,
 )
-from linnetwood.wire.curldriver import CurlDriver, Request
+from linnetwood.wire.curldriver import CurlDriver
+from linnetwood.wire.curlrequest import Request
 
 # A handshake takes two delays of a few milliseconds. A lost packet is resent
 # only after a second, so trying another endpoint is faster.
@@ -63,16 +64,6 @@
 # Time that a call has at its endpoint, over any link, before it is withdrawn.
 _MIN_TIME_TO_BEGIN_S = SEND_MARGIN_S - START_MARGIN_S
 
-# A proof takes milliseconds, and a final answer is due 0.5 s after the timeout.
-_PROOF_GRACE_S = 0.3
-# Why an answer that ended with its connection can't be taken as whole.
-_UNPROVEN: Mapping[AttemptOutcome, str] = MappingProxyType(
-    {
-        AttemptOutcome.LOST: 'endpoint crashed',
-        AttemptOutcome.TIMED_OUT: 'no proof of its end in time',
-    },
-)
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RetryLimits:
@@ -86,11 +77,6 @@
     """Do nothing by default."""
 
 
-def _unbounded() -> float:
-    """Return the bound of a call that may begin at any time."""
-    return math.inf
-
-
 class DirectDispatcher:
     """Run calls: choose endpoints, send, and retry where that is safe."""
 
@@ -350,7 +336,9 @@
         """Record how an attempt ended, and return its result."""
         self._release(run, ended)
         endpoint = ended.sent.choice.endpoint
-        result = await self._checked(ended.attempt, endpoint, run.call.deadline)
+        result = await proven_result(
+            ended.attempt, endpoint, self.crash_observer, run.call.deadline
+        )
         self._record(run, ended, result)
         return result
 
@@ -423,7 +411,7 @@
         choice: Choice,
         urgency: Urgency,
     ) -> AttemptLimits:
-        start_by = _unbounded
+        start_by = unbounded
         if choice.version and call.repeatable:
             stats = self._chooser.stats_of(choice.endpoint.incarnation_id)
             start_by = functools.partial(
@@ -433,7 +421,7 @@
                 stats.extra_link_delay_s(self._loop.time()),
             )
         if not call.route.streams or call.route.repeat is not Repeat.RESUME:
-            return AttemptLimits(call.deadline, start_by, math.inf, math.inf)
+            return AttemptLimits(call.deadline, start_by)
         timeouts = SilenceTimeouts.for_route(call.route)
         first_event_s = timeouts.first_event_s
         if urgency is Urgency.LATE or choice.wait_s > first_event_s / 2:
@@ -493,28 +481,6 @@
         for fingerprint in cleared:
             self.crash_observer.note_answered(fingerprint)
 
-    async def _checked(
-        self, attempt: Attempt, endpoint: Endpoint, deadline: float
-    ) -> AttemptResult:
-        """Return the result; an endpoint that crashed at its end broke off.
-
-        What nothing has proved soon after the deadline can't be taken as whole.
-        """
-        result = attempt.fut.result()
-        if (
-            result.outcome is not AttemptOutcome.ANSWERED
-            or not result.ends_with_connection
-        ):
-            return result
-        outcome = await _proven_outcome(
-            self.crash_observer, endpoint, deadline + _PROOF_GRACE_S
-        )
-        if attempt.was_overtaken:
-            return AttemptResult(AttemptOutcome.OVERTAKEN, reached=True)
-        if outcome is AttemptOutcome.ANSWERED:
-            return result
-        return AttemptResult(outcome, reached=True, detail=_UNPROVEN[outcome])
-
     def _refusal(
         self, run: CallRun, result: AttemptResult
     ) -> RetryRefusal | None:
@@ -582,18 +548,6 @@
         return run.history.ending(answer, code, f'{how}: {refusal.value}')
 
 
-async def _proven_outcome(
-    observer: CrashObserver, endpoint: Endpoint, until: float
-) -> AttemptOutcome:
-    """Return what an answer without a length proves to be in time."""
-    try:
-        async with asyncio.timeout_at(until):
-            survived = await observer.survived(endpoint)
-    except TimeoutError:
-        return AttemptOutcome.TIMED_OUT
-    return AttemptOutcome.ANSWERED if survived else AttemptOutcome.LOST
-
-
 def _cleared_by(call: DirectCall, result: AttemptResult) -> tuple[str, ...]:
     """Return the fingerprints that crash no endpoint, as a result shows.
 
--- a/src/linnetwood/calls/directcall.py
+++ b/src/linnetwood/calls/directcall.py
@@ -6,7 +6,7 @@
 from linnetwood.calls.dialect import CallHead
 from linnetwood.calls.regionscope import ANY_REGION, RegionScope
 from linnetwood.calls.routetable import Organisation, Repeat, Route, Service
-from linnetwood.wire.curldriver import Headers
+from linnetwood.wire.curlrequest import Headers
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/linnetwood/platform/dialect.py
+++ b/src/linnetwood/platform/dialect.py
@@ -7,7 +7,7 @@
 from linnetwood.calls.dialect import CallHead, OutgoingCall, Urgency, Verdict
 from linnetwood.calls.notices import Notice
 from linnetwood.calls.prioritylevels import LATE_LEVEL
-from linnetwood.wire.curldriver import Headers
+from linnetwood.wire.curlrequest import Headers
 
 _CALL_ID = 'x-attempt-id'
 _WAIT_MS = 'x-deadline-ms'
--- a/src/linnetwood/platform/store.py
+++ b/src/linnetwood/platform/store.py
@@ -23,7 +23,8 @@
 from linnetwood.platform.validation import UNREADABLE
 from linnetwood.wire.asking import Answer, SilenceLimits, ask
 from linnetwood.wire.connections import SILENCE_TIMEOUT_S
-from linnetwood.wire.curldriver import CurlDriver, Request
+from linnetwood.wire.curldriver import CurlDriver
+from linnetwood.wire.curlrequest import Request
 
 _OK = 200
 _NOT_FOUND = 404
--- a/src/linnetwood/platform/storeera.py
+++ b/src/linnetwood/platform/storeera.py
@@ -8,7 +8,7 @@
 
 from linnetwood.core.events import Event, log
 from linnetwood.fleet.revisions import MAX_ERA
-from linnetwood.wire.curldriver import Headers
+from linnetwood.wire.curlrequest import Headers
 
 NO_ERA = 0
 _HEADER = 'store-era'
--- a/src/linnetwood/platform/weights.py
+++ b/src/linnetwood/platform/weights.py
@@ -19,7 +19,8 @@
 from linnetwood.weights.stagedchunks import ORDER_ANSWER_S
 from linnetwood.wire.asking import Answer, SilenceLimits, ask
 from linnetwood.wire.connections import SILENCE_TIMEOUT_S
-from linnetwood.wire.curldriver import CurlDriver, Request
+from linnetwood.wire.curldriver import CurlDriver
+from linnetwood.wire.curlrequest import Request
 
 # An answer of a fixed size from the same VM takes milliseconds.
 _TIMEOUT_S = 1.5
--- a/src/linnetwood/wire/asking.py
+++ b/src/linnetwood/wire/asking.py
@@ -5,7 +5,8 @@
 from collections.abc import Callable
 
 from linnetwood.core.waits import wait_for_event
-from linnetwood.wire.curldriver import CurlDriver, Finish, Headers, Request
+from linnetwood.wire.curldriver import CurlDriver
+from linnetwood.wire.curlrequest import Finish, Headers, Request
 
 _NO_HEAD_S = -1.0
 _ERROR_FROM = 300
--- a/src/linnetwood/wire/curldriver.py
+++ b/src/linnetwood/wire/curldriver.py
@@ -7,20 +7,25 @@
 """
 
 import asyncio
-import dataclasses
 import math
 import select
 import socket
 import struct
 from collections.abc import Callable, Iterable
-from typing import Any, Protocol
+from typing import Any
 
 import pycurl
 
 from linnetwood.wire.answerbounds import AnswerBounds, Pace
 from linnetwood.wire.answerhead import MAX_LINES, AnswerHead
-
-Headers = list[tuple[str, str]]
+from linnetwood.wire.curlrequest import (
+    Finish,
+    Headers,
+    Receiver,
+    Request,
+    Sent,
+    prepare,
+)
 
 # Detail of a request that exceeded its total time limit.
 TIMED_OUT = 'timed out'
@@ -33,8 +38,6 @@
 HEAD_TOO_LARGE = 'head too large'
 OVER_BOUNDS = frozenset((TOO_MUCH_FRAMING, HEAD_TOO_LARGE))
 _MILLISECONDS = 1000
-_UNUSED_LIMIT_MS = 3600000
-_HEAD_METHOD = 'HEAD'
 # CURLE_TOO_LARGE: a line, or the whole head or trailer.
 _TOO_LARGE_CODE = 100
 # What a callback returns to end the request.
@@ -45,73 +48,6 @@
 # SO_LINGER with a timeout of 0: close() sends a reset, which discards unread
 # bytes at both ends.
 _RESET = struct.pack('ii', 1, 0)
-# Headers that libcurl adds unless the caller sets or removes them.
-_NOT_ADDED = ('Accept', 'User-Agent', 'Content-Type', 'Expect')
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Request:
-    """One request, which is sent without any change.
-
-    With `keep` it may use a kept connection, on which libcurl may resend it, so
-    the request must be repeatable. A total time of 0 sets no limit; the caller
-    must detect silence then. The request is not sent after `send_by`, a time of
-    the loop, even if its connection is made later than that. A long answer is
-    read at its pace, if it has one.
-    """
-
-    host: str
-    port: int
-    method: str
-    target: str
-    headers: Headers
-    body: bytes = b''
-    connect_s: float = 1.0
-    total_s: float = 10.0
-    keep: bool = False
-    send_by: float = math.inf
-    pace: Pace | None = None
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Finish:
-    """How a request ended.
-
-    `whole` says whether the answer is complete, `connected` whether the request
-    may have reached the server, and `fresh` whether a connection was opened for
-    it.
-    """
-
-    whole: bool
-    connected: bool
-    detail: str = ''
-    fresh: bool = True
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Sent:
-    """How much of a request was sent.
-
-    `connected_s` is the time until it was connected, 0 if it never was.
-    `written` counts the bytes of head and body that were written to the
-    connection; they may not have left this VM.
-    """
-
-    connected_s: float = 0
-    written: int = 0
-
-
-class Receiver(Protocol):
-    """Receive the parts of an answer."""
-
-    def head(self, status: int, headers: Headers) -> None:
-        """Receive the status and the headers."""
-
-    def body(self, piece: bytes) -> None:
-        """Receive a piece of the body."""
-
-    def done(self, finish: Finish) -> None:
-        """Receive how the request ended; nothing follows."""
 
 
 class Transfer:
@@ -193,7 +129,7 @@
             self._idle_handles.pop() if self._idle_handles else pycurl.Curl()
         )
         transfer.handle = handle
-        _prepare(handle, req)
+        prepare(handle, req)
         self._set_callbacks(handle, transfer)
         if req.send_by < math.inf:
             self._limit_sending(transfer, req.send_by)
@@ -572,58 +508,5 @@
 _IGNORING_RECEIVER = _IgnoringReceiver()
 
 
-_FIXED_OPTIONS = (
-    (pycurl.HTTP_VERSION, pycurl.CURL_HTTP_VERSION_1_1),
-    (pycurl.NOSIGNAL, 1),
-    (pycurl.PROXY, ''),
-)
-
-
-def _prepare(handle: Any, req: Request) -> None:
-    fresh = int(not req.keep)
-    of_request = (
-        (pycurl.URL, f'http://{req.host}:{req.port}/'),
-        (pycurl.REQUEST_TARGET, _octets(req.target)),
-        (pycurl.FRESH_CONNECT, fresh),
-        (pycurl.FORBID_REUSE, fresh),
-        # Its own limit would hold for a connection that was made while the
-        # loop was held up.
-        (pycurl.CONNECTTIMEOUT_MS, _UNUSED_LIMIT_MS),
-        (pycurl.HTTPHEADER, list(_header_lines(req))),
-    )
-    for option, setting in (*_FIXED_OPTIONS, *of_request):
-        handle.setopt(option, setting)
-    _prepare_body(handle, req)
-
-
-def _prepare_body(handle: Any, req: Request) -> None:
-    if req.method == _HEAD_METHOD:
-        handle.setopt(pycurl.NOBODY, 1)
-    elif req.body or req.method in {'POST', 'PUT', 'PATCH'}:
-        handle.setopt(pycurl.POST, 1)
-        handle.setopt(pycurl.POSTFIELDSIZE, len(req.body))
-        handle.setopt(pycurl.POSTFIELDS, req.body)
-    handle.setopt(pycurl.CUSTOMREQUEST, req.method)
-
-
-def _header_lines(req: Request) -> Any:
-    given = {name.lower() for name, _ in req.headers}
-    for name, text in req.headers:
-        # libcurl omits a header without a value unless it ends in a semicolon.
-        yield _octets(f'{name}: {text}' if text else f'{name};')
-    for name in _NOT_ADDED:
-        if name.lower() not in given:
-            yield _octets(f'{name}:')
-
-
-def _octets(text: str) -> bytes:
-    """Return the bytes that a text of a caller, or of our own, stands for."""
-    try:
-        # As callers' heads are read, so that each byte is sent as it came.
-        return text.encode('latin-1')
-    except UnicodeEncodeError:
-        return text.encode()
-
-
 def _at_least_one_ms(seconds: float) -> int:
     return max(1, int(seconds * _MILLISECONDS))
--- a/tests/call_life.py
+++ b/tests/call_life.py
@@ -31,7 +31,7 @@
 )
 from linnetwood.lab import virtual
 from linnetwood.platform.dialect import PlatformDialect
-from linnetwood.wire.curldriver import Headers
+from linnetwood.wire.curlrequest import Headers
 from tests.scripted_endpoints import (
     CALL_ID,
     STREAMED,
--- a/tests/scripted_endpoints.py
+++ b/tests/scripted_endpoints.py
@@ -11,15 +11,8 @@
 import math
 from collections.abc import Callable, Iterator
 
-from linnetwood.wire.curldriver import (
-    TIMED_OUT,
-    CurlDriver,
-    Finish,
-    Headers,
-    Receiver,
-    Request,
-    Transfer,
-)
+from linnetwood.wire.curldriver import TIMED_OUT, CurlDriver, Transfer
+from linnetwood.wire.curlrequest import Finish, Headers, Receiver, Request
 
 # Events of a whole answer.
 COUNT = 4
--- a/tests/test_answer_fuzz.py
+++ b/tests/test_answer_fuzz.py
@@ -12,7 +12,8 @@
 from hypothesis import strategies as st
 
 from linnetwood.core.loops import SuspendableLoop
-from linnetwood.wire.curldriver import CurlDriver, Finish, Headers, Request
+from linnetwood.wire.curldriver import CurlDriver
+from linnetwood.wire.curlrequest import Finish, Headers, Request
 from tests.test_curldriver import HOST, Server
 
 BODY = b'id: 1\ndata: one\n\nid: 2\ndata: two\n\n'
--- a/tests/test_answers_without_end.py
+++ b/tests/test_answers_without_end.py
@@ -20,7 +20,7 @@
 from linnetwood.core.outcomes import Outcome
 from linnetwood.core.sizes import KIB, MIB
 from linnetwood.platform.dialect import PlatformDialect
-from linnetwood.wire.curldriver import Request
+from linnetwood.wire.curlrequest import Request
 from tests.test_curldriver import Behaviour, respond_with
 from tests.test_direct import (
     SIGNED,
--- a/tests/test_bounded_asking.py
+++ b/tests/test_bounded_asking.py
@@ -10,13 +10,8 @@
 from linnetwood.lab import virtual
 from linnetwood.platform.weights import PlatformOrigin, ServerEngine
 from linnetwood.wire.asking import Answer, SilenceLimits, ask
-from linnetwood.wire.curldriver import (
-    TOO_MUCH_FRAMING,
-    CurlDriver,
-    Receiver,
-    Request,
-    Transfer,
-)
+from linnetwood.wire.curldriver import TOO_MUCH_FRAMING, CurlDriver, Transfer
+from linnetwood.wire.curlrequest import Receiver, Request
 from tests.test_curldriver import HOST, Behaviour, Server, respond_with
 
 MAX_BYTES = 1048576
--- a/tests/test_curldriver.py
+++ b/tests/test_curldriver.py
@@ -16,12 +16,9 @@
     CONNECT_TIMED_OUT,
     TOO_LATE_TO_SEND,
     CurlDriver,
-    Finish,
-    Headers,
-    Request,
-    Sent,
     Transfer,
 )
+from linnetwood.wire.curlrequest import Finish, Headers, Request, Sent
 from tests.loops import close_server
 
 HOST = '127.0.0.1'
--- a/tests/test_direct.py
+++ b/tests/test_direct.py
@@ -28,13 +28,8 @@
 from linnetwood.core.outcomes import Code, Ending, Outcome
 from linnetwood.fleet.wanted import WantedVersions
 from linnetwood.platform.dialect import PlatformDialect
-from linnetwood.wire.curldriver import (
-    CurlDriver,
-    Headers,
-    Receiver,
-    Request,
-    Transfer,
-)
+from linnetwood.wire.curldriver import CurlDriver, Transfer
+from linnetwood.wire.curlrequest import Headers, Receiver, Request
 from linnetwood.wire.probing import refuses_connections
 from tests.test_curldriver import HOST, Behaviour, Server, reset, respond_with
 from tests.test_directory import PROFILE
--- a/tests/test_narrow_way.py
+++ b/tests/test_narrow_way.py
@@ -31,13 +31,8 @@
 from linnetwood.gen.wire.ttypes import EngineNews, News
 from linnetwood.lab import virtual
 from linnetwood.platform.dialect import PlatformDialect
-from linnetwood.wire.curldriver import (
-    CurlDriver,
-    Finish,
-    Receiver,
-    Request,
-    Transfer,
-)
+from linnetwood.wire.curldriver import CurlDriver, Transfer
+from linnetwood.wire.curlrequest import Finish, Receiver, Request
 from tests.loops import close_server
 from tests.test_curldriver import HOST, Server, respond_with
 from tests.test_direct import RecordingSink, events, stream
--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -5,7 +5,7 @@
 
 from linnetwood.calls.notices import Notice, Notices
 from linnetwood.platform.dialect import PlatformDialect
-from linnetwood.wire.curldriver import Headers
+from linnetwood.wire.curlrequest import Headers
 
 SIGNED: Headers = [('X-Attempt-Id', 'c-1'), ('X-Server-Signature', 's')]
 
--- a/tests/test_severed.py
+++ b/tests/test_severed.py
@@ -16,13 +16,8 @@
 from linnetwood.fleet.wanted import WantedVersions
 from linnetwood.lab import virtual
 from linnetwood.platform.dialect import PlatformDialect
-from linnetwood.wire.curldriver import (
-    CurlDriver,
-    Finish,
-    Receiver,
-    Request,
-    Transfer,
-)
+from linnetwood.wire.curldriver import CurlDriver, Transfer
+from linnetwood.wire.curlrequest import Finish, Receiver, Request
 from tests.test_direct import RecordingSink, events
 from tests.test_narrow_way import ROUTE
 
--- a/tests/test_silent_endpoints.py
+++ b/tests/test_silent_endpoints.py
@@ -24,14 +24,8 @@
 from linnetwood.fleet.wanted import WantedVersions
 from linnetwood.lab import virtual
 from linnetwood.platform.dialect import PlatformDialect
-from linnetwood.wire.curldriver import (
-    CurlDriver,
-    Finish,
-    Headers,
-    Receiver,
-    Request,
-    Transfer,
-)
+from linnetwood.wire.curldriver import CurlDriver, Transfer
+from linnetwood.wire.curlrequest import Finish, Headers, Receiver, Request
 from tests.test_direct import RecordingSink, events
 from tests.test_narrow_way import ROUTE
 from tests.test_severed import stream_call
--- a/tests/test_suspension.py
+++ b/tests/test_suspension.py
@@ -20,7 +20,8 @@
 from linnetwood.fleet.wanted import WantedVersions
 from linnetwood.lab.virtual import VirtualClock, VirtualLoop
 from linnetwood.wire.asking import SilenceLimits, ask
-from linnetwood.wire.curldriver import CurlDriver, Request
+from linnetwood.wire.curldriver import CurlDriver
+from linnetwood.wire.curlrequest import Request
 from tests.crash_fleet import refused_s
 from tests.test_curldriver import HOST, Server
 
