Let an engine that is listed without a version prove that it still runs

The engine crashed just after an event of an answer without a length; the entry passed its end on as whole.

Cause: the proof asks an engine itself, and other endpoints by a connection. An engine counted as one only if its record listed a version. A record is written before weights are loaded, and the entry had learnt the version from the endpoint process: it listed the engine without one from 05:31:02.0 until 05:31:07.0, sent the call at 06.9, and saw the crash at 07.2. What forwarded to the engine accepted the connection and reset it, which a sound plain server over its limit does, too. A restarted engine would have accepted it as well.

Ruled out: a stand-in that answers after its crash (tried: it closes), another incarnation (its start differs) and another process at the port.

An endpoint is an engine if its record lists models, also none yet. The test failed before: True is not false. After: tests.test_survival, test_records, test_crashwatch and test_directory pass (57).

--- a/src/linnetwood/platform/survival.py
+++ b/src/linnetwood/platform/survival.py
@@ -27,7 +27,8 @@
 
     async def __call__(self, endpoint: Endpoint) -> bool:
         """Return whether it runs; False where nothing proves that."""
-        if endpoint.versions and endpoint.born:
+        is_engine = endpoint.lists_models or bool(endpoint.versions)
+        if is_engine and endpoint.born:
             return await self._is_same_incarnation(endpoint)
         # A connection shows only that something runs there by now. If this
         # process was held up, that may have replaced the endpoint.
--- a/tests/test_survival.py
+++ b/tests/test_survival.py
@@ -6,11 +6,13 @@
 
 import asyncio
 import dataclasses
+import json
 import unittest
 from unittest import mock
 
 from linnetwood.calls.directory import Endpoint
-from linnetwood.platform import survival
+from linnetwood.fleet.ranges import Record
+from linnetwood.platform import records, survival
 from linnetwood.wire.curldriver import CurlDriver
 from tests.test_curldriver import (
     HOST,
@@ -70,6 +72,32 @@
                 found = await self.asked(Server(behave), is_engine=True)
                 self.assertEqual(found, expected)
 
+    async def test_an_engine_that_is_listed_without_a_version(self) -> None:
+        """Guards against one that just started and is taken for no engine.
+
+        What forwards to it accepts connections, and resets them.
+        """
+        record = {
+            'service': 'pool',
+            'address': f'{HOST}:1',
+            'zone': 'z1',
+            'version': 'v1',
+            'slots': 8,
+            'sequence': 0,
+            'state': 'ready',
+            'cold_remaining_ms': 0,
+            'born': BORN,
+            'models': [],
+        }
+        key = f'{records.ENDPOINT_PREFIX}i-1'
+        payload = json.dumps(record).encode()
+        listed = records.endpoint(key, Record(payload, 1))
+        server = Server(reset)
+        port = await server.start()
+        endpoint = dataclasses.replace(listed, port=port)
+        self.assertFalse(await self.proves_to_run(endpoint))
+        await server.close()
+
     async def test_an_engine_that_is_silent_for_a_moment(self) -> None:
         """Guards against whole answers of sound engines that count as cut."""
         server = ScriptedServer()
