Ask for the proof of an engine by the service's configuration

The list of models of a record does not tell an engine from a plain server that lists none, whose sound answers would then count as cut. What the configuration says of the service does: its endpoints are engines, also before they list a version. The test is the same, for an engine of such a service.

--- a/src/linnetwood/calls/directory.py
+++ b/src/linnetwood/calls/directory.py
@@ -36,8 +36,6 @@
     ready: bool
     cold_s: float = 0
     versions: Mapping[str, int] = dataclasses.field(default_factory=dict)
-    # Whether the platform lists its models, also before it has any.
-    lists_models: bool = False
     # Unix time of its start in milliseconds; 0 if unknown.
     born: int = 0
     region: str = ''
--- a/src/linnetwood/calls/routetable.py
+++ b/src/linnetwood/calls/routetable.py
@@ -111,6 +111,11 @@
     limits: CallLimits = CallLimits()
     origin: Origin = Origin()
 
+    def has_engines(self, name: str) -> bool:
+        """Return whether a service is known, and its endpoints are engines."""
+        service = self.services.get(name)
+        return service is not None and service.engine is not None
+
     def find(self, host: str, target: str) -> Route | None:
         """Return the route with the longest prefix of the path, if any."""
         path = target.partition('?')[0]
--- a/src/linnetwood/platform/records.py
+++ b/src/linnetwood/platform/records.py
@@ -96,7 +96,6 @@
         versions={
             one['name']: one['version'] for one in parsed.get('models', ())
         },
-        lists_models='models' in parsed,
         # Optional; without it the incarnation is unknown.
         born=parsed.get('born', 0),
     )
--- a/src/linnetwood/platform/survival.py
+++ b/src/linnetwood/platform/survival.py
@@ -1,6 +1,7 @@
 """Prove that the endpoint of an answer without a length still runs."""
 
 import asyncio
+from collections.abc import Callable
 
 from linnetwood.calls.directory import Endpoint
 from linnetwood.core.errors import OrderError
@@ -21,14 +22,16 @@
 class SurvivalProbe:
     """Ask an endpoint itself whether it is still the same incarnation."""
 
-    def __init__(self, driver: CurlDriver) -> None:
-        """Ask over connections that are not kept."""
+    def __init__(
+        self, driver: CurlDriver, has_engines: Callable[[str], bool]
+    ) -> None:
+        """Ask `has_engines` whether a service is configured with engines."""
         self._driver = driver
+        self._has_engines = has_engines
 
     async def __call__(self, endpoint: Endpoint) -> bool:
         """Return whether it runs; False where nothing proves that."""
-        is_engine = endpoint.lists_models or bool(endpoint.versions)
-        if is_engine and endpoint.born:
+        if endpoint.born and self._is_engine(endpoint):
             return await self._is_same_incarnation(endpoint)
         # A connection shows only that something runs there by now. If this
         # process was held up, that may have replaced the endpoint.
@@ -36,6 +39,10 @@
             return False
         return await probe(endpoint.host, endpoint.port) in _RUNS
 
+    def _is_engine(self, endpoint: Endpoint) -> bool:
+        # One that has just started is listed without a version.
+        return bool(endpoint.versions) or self._has_engines(endpoint.service)
+
     async def _is_same_incarnation(self, endpoint: Endpoint) -> bool:
         """Compare the start that an engine reports with the listed one.
 
--- a/src/linnetwood/programs/resident_crashes.py
+++ b/src/linnetwood/programs/resident_crashes.py
@@ -20,6 +20,11 @@
 from linnetwood.wire.probing import refuses_connections
 
 
+def _no_engines(service: str) -> bool:
+    """Take every service for a plain one by default."""
+    return False
+
+
 class CrashTracker:
     """Own the crash watch, the crash history and its publisher."""
 
@@ -34,6 +39,8 @@
         """Start without suspects."""
         # Number of entries that share the limit of calls to the store.
         self.entries: Callable[[], int] = _one_entry
+        # Whether a service is configured with engines.
+        self.has_engines: Callable[[str], bool] = _no_engines
         self._clock = clock
         self._crashes = CrashHistory()
         self._publisher = CrashPublisher(
@@ -50,7 +57,7 @@
             directory,
             clock,
             refuses_connections,
-            SurvivalProbe(driver),
+            SurvivalProbe(driver, lambda service: self.has_engines(service)),
             self._publisher,
         )
 
--- a/src/linnetwood/programs/resident_entry.py
+++ b/src/linnetwood/programs/resident_entry.py
@@ -122,6 +122,7 @@
         metrics.gauge(Metric.STORE_ERA, lambda: era_of(self._follower.revision))
         chooser.entry_count = lambda: self.reports.entry_count
         crashes.entries = chooser.entry_count
+        crashes.has_engines = lambda name: self.route_table.has_engines(name)
         crashes.expose(metrics)
         self._metrics_page = MetricsPage(metrics)
         wake = self.reports.wake
--- a/tests/test_survival.py
+++ b/tests/test_survival.py
@@ -26,6 +26,7 @@
 from tests.test_following import answer
 
 BORN = 5
+ENGINES = 'pool'
 
 
 async def keep_silent(
@@ -40,7 +41,9 @@
 
     async def asyncSetUp(self) -> None:
         self.driver = CurlDriver()
-        self.proves_to_run = survival.SurvivalProbe(self.driver)
+        self.proves_to_run = survival.SurvivalProbe(
+            self.driver, lambda service: service == ENGINES
+        )
 
     async def asyncTearDown(self) -> None:
         self.driver.close()
@@ -78,7 +81,7 @@
         What forwards to it accepts connections, and resets them.
         """
         record = {
-            'service': 'pool',
+            'service': ENGINES,
             'address': f'{HOST}:1',
             'zone': 'z1',
             'version': 'v1',
