Let stalls of stand-ins excuse only what they record late

A recorded stall counted as a fault for every check, so that it excused DRAIN, VERSION and others, too, though no trace asked for that. Stalls have a list of their own, which the checks of deadlines and GONE look at, as traced. The test has a history with a stall and a broken DRAIN, which passed before.

--- a/src/linnetwood/lab/soak/checks.py
+++ b/src/linnetwood/lab/soak/checks.py
@@ -10,7 +10,6 @@
 from linnetwood.lab.soak.fatalchecks import FatalPartChecker
 from linnetwood.lab.soak.fatalparts import fatal_part_of
 from linnetwood.lab.soak.history import (
-    STAND_INS,
     AckedWrite,
     Call,
     CallKind,
@@ -312,8 +311,8 @@
     def _is_recorded_in_time(self, at: float, span_s: float = 0) -> bool:
         """Return whether the stand-ins ran around a time, or for a span."""
         slack_s = self._limits.slack_s
-        return self._history.is_fault_free(
-            STAND_INS, at - slack_s, at + span_s + slack_s
+        return self._history.is_recorded_in_time(
+            at - slack_s, at + span_s + slack_s
         )
 
     def _is_fault_free_since(self, since: float, run: Run) -> bool:
--- a/src/linnetwood/lab/soak/history.py
+++ b/src/linnetwood/lab/soak/history.py
@@ -12,7 +12,6 @@
 KEY: Final = 'key-1'
 # The fault that an entry, or the stand-ins, had no processor.
 PROCESSOR_WAIT: Final = 'waited for a processor'
-STAND_INS: Final = 'stand-ins'
 
 
 class CallKind(enum.Enum):
@@ -154,6 +153,8 @@
     arrivals: list[Arrival] = dataclasses.field(default_factory=list)
     acked: list[AckedWrite] = dataclasses.field(default_factory=list)
     troubles: list[FaultRecord] = dataclasses.field(default_factory=list)
+    # When stand-ins did not run, so that they recorded calls late.
+    stalls: list[FaultRecord] = dataclasses.field(default_factory=list)
     # Silences of sound servers, which excuse nothing.
     silences: list[FaultRecord] = dataclasses.field(default_factory=list)
     # Reloads of entries, which are planned and excuse nothing.
@@ -175,6 +176,12 @@
         """Return whether no fault affected a process or server in between."""
         return not any(one.affects(who, since, until) for one in self.troubles)
 
+    def is_recorded_in_time(self, since: float, until: float) -> bool:
+        """Return whether the stand-ins ran all the while."""
+        return not any(
+            one.at < until and one.until > since for one in self.stalls
+        )
+
 
 def decode_arrivals(rows: list[dict[str, Any]]) -> list[Arrival]:
     """Decode the arrivals that a stand-in returns."""
--- a/src/linnetwood/lab/soak/processorwaits.py
+++ b/src/linnetwood/lab/soak/processorwaits.py
@@ -13,7 +13,6 @@
 from linnetwood.lab.soak.fleet import Vm
 from linnetwood.lab.soak.history import (
     PROCESSOR_WAIT,
-    STAND_INS,
     FaultRecord,
     History,
 )
@@ -61,8 +60,8 @@
         """Record when stand-ins did not run, as they printed it."""
         for row in rows:
             since, until = json.loads(row)['stall']
-            self._history.troubles.append(
-                FaultRecord(PROCESSOR_WAIT, since, until, STAND_INS)
+            self._history.stalls.append(
+                FaultRecord(PROCESSOR_WAIT, since, until)
             )
 
     async def _sample_repeatedly(self) -> None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -463,11 +463,15 @@
         self.assertEqual(violated_rules(history), set())
         left = closed_streams(20, LONG, left_at=AT + 1)
         self.assertEqual(violated_rules(left), {'GONE'})
-        left.troubles = history.troubles
+        left.stalls = history.stalls
         self.assertEqual(violated_rules(left), set())
         lost = closed_streams(4, RUN)
-        lost.troubles = history.troubles
+        lost.stalls = history.stalls
         self.assertEqual(violated_rules(lost), {'LOST'})
+        drained = history_of(CALL, dataclasses.replace(RUN, at=AT + 9))
+        drained.acked = [AckedWrite('draining', 'i', 1, AT)]
+        drained.stalls = [FaultRecord('', AT, AT + 9)]
+        self.assertIn('DRAIN', violated_rules(drained))
 
     def test_a_newer_configuration_may_be_in_force(self) -> None:
         """Guard against false alarms: it may lack a route of the due one."""
