--- a/tests/test_answers_without_end.py
+++ b/tests/test_answers_without_end.py
@@ -21,14 +21,14 @@
 from linnetwood.core.sizes import KIB, MIB
 from linnetwood.platform.dialect import PlatformDialect
 from linnetwood.wire.curlrequest import Request
-from tests.test_curldriver import Behaviour, respond_with
-from tests.test_direct import (
+from tests.direct_calls import (
     SIGNED,
     DirectFixture,
     answer,
     events,
     stream,
 )
+from tests.test_curldriver import Behaviour, respond_with
 
 PIECE = b'x' * 64 * KIB
 CHUNKED = f'HTTP/1.1 200 OK\r\n{SIGNED}Transfer-Encoding: chunked\r\n\r\n'
--- a/tests/test_callserver.py
+++ b/tests/test_callserver.py
@@ -34,6 +34,7 @@
 from linnetwood.platform.dialect import PlatformDialect
 from linnetwood.wire.curldriver import CurlDriver
 from tests.clocks import ManualClock
+from tests.direct_calls import FULL, GOOD, never_answer
 from tests.test_curldriver import (
     HOST,
     Behaviour,
@@ -42,7 +43,6 @@
     reset,
     respond_with,
 )
-from tests.test_direct import FULL, GOOD, never_answer
 
 ROUTE_TABLE = RouteTable(
     revision=1,
--- a/tests/test_changing_tables.py
+++ b/tests/test_changing_tables.py
@@ -24,9 +24,9 @@
     index_by_host,
 )
 from linnetwood.core.events import Event
+from tests.direct_calls import ELSEWHERE, FAILED, FULL, GOOD, events, stream
 from tests.test_callserver import CallServerCase, request
 from tests.test_curldriver import HOST, Server
-from tests.test_direct import ELSEWHERE, FAILED, FULL, GOOD, events, stream
 
 # Far longer than any answer here takes.
 GUARD_S = 60
--- a/tests/test_configuration_cases.py
+++ b/tests/test_configuration_cases.py
@@ -20,10 +20,10 @@
 from linnetwood.platform.feeds import EndpointFeed, OperatorFeed, StoreFeed
 from linnetwood.platform.ignored import IgnoredRecords
 from linnetwood.programs.resident_entry import ResidentEntry
+from tests.direct_calls import GOOD
 from tests.process_settings import process_settings
 from tests.test_callserver import request
 from tests.test_curldriver import HOST, Server, respond_with
-from tests.test_direct import GOOD
 
 ROUTE: dict[str, Any] = {
     'name': 'r-1',
--- a/tests/test_endless_calls.py
+++ b/tests/test_endless_calls.py
@@ -7,10 +7,10 @@
 from linnetwood.calls.crashwatch import NoCrashWatch
 from linnetwood.calls.directory import Endpoint
 from linnetwood.calls.routetable import Repeat, Route, index_by_host
+from tests.direct_calls import SIGNED, events, never_answer
 from tests.test_bounded_asking import send_without_end
 from tests.test_callserver import ROUTE_TABLE, CallServerCase, request
 from tests.test_curldriver import HOST, Behaviour, Server, respond_with
-from tests.test_direct import SIGNED, events, never_answer
 
 # The caller waits for much longer than its route allows.
 ROUTE_TIMEOUT_S = 0.3
--- a/tests/test_heeding.py
+++ b/tests/test_heeding.py
@@ -5,8 +5,8 @@
 from linnetwood.calls.routetable import Repeat
 from linnetwood.core.outcomes import Outcome
 from tests import test_direct
+from tests.direct_calls import GOOD, ID, SIGNED, answer
 from tests.test_curldriver import Behaviour, respond_with
-from tests.test_direct import GOOD, ID, SIGNED, answer
 
 LEAVING = answer(f'200 OK\r\n{SIGNED}Server-Leaving: 1\r\n', b'fine')
 NOT_RUN = f'503 No\r\n{ID}X-Not-Executed: 1\r\n'
--- a/tests/test_narrow_way.py
+++ b/tests/test_narrow_way.py
@@ -33,9 +33,9 @@
 from linnetwood.platform.dialect import PlatformDialect
 from linnetwood.wire.curldriver import CurlDriver, Transfer
 from linnetwood.wire.curlrequest import Finish, Receiver, Request
+from tests.direct_calls import RecordingSink, events, stream
 from tests.loops import close_server
 from tests.test_curldriver import HOST, Server, respond_with
-from tests.test_direct import RecordingSink, events, stream
 
 MODEL = 'm'
 BOUND_S = 8
--- a/tests/test_odd_requests.py
+++ b/tests/test_odd_requests.py
@@ -5,9 +5,9 @@
 from random import Random
 
 from linnetwood.calls.routetable import Organisation
+from tests.direct_calls import GOOD
 from tests.test_callserver import ROUTE_TABLE, CallServerCase, request
 from tests.test_curldriver import HOST, respond_with
-from tests.test_direct import GOOD
 
 # Far longer than any answer here takes.
 GUARD_S = 30
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -31,8 +31,8 @@
 from linnetwood.platform.dialect import PlatformDialect
 from linnetwood.wire.curldriver import CurlDriver
 from tests import test_narrow_way
+from tests.direct_calls import SIGNED, RecordingSink, answer
 from tests.test_curldriver import HOST, Server, respond_with
-from tests.test_direct import SIGNED, RecordingSink, answer
 
 ENTRIES = 6
 CALLS = 40
--- a/tests/test_read_times.py
+++ b/tests/test_read_times.py
@@ -14,9 +14,9 @@
 from linnetwood.calls.callersockets import CallerServer
 from linnetwood.calls.routetable import CallLimits
 from linnetwood.core.events import Event, log
+from tests.direct_calls import GOOD
 from tests.test_callserver import CallServerCase, request
 from tests.test_curldriver import HOST, respond_with
-from tests.test_direct import GOOD
 
 # Far longer than any answer here takes.
 GUARD_S = 30
--- a/tests/test_severed.py
+++ b/tests/test_severed.py
@@ -18,7 +18,7 @@
 from linnetwood.platform.dialect import PlatformDialect
 from linnetwood.wire.curldriver import CurlDriver, Transfer
 from linnetwood.wire.curlrequest import Finish, Receiver, Request
-from tests.test_direct import RecordingSink, events
+from tests.direct_calls import RecordingSink, events
 from tests.test_narrow_way import ROUTE
 
 STREAMS = 20
--- a/tests/test_slow_readers.py
+++ b/tests/test_slow_readers.py
@@ -34,9 +34,9 @@
 from linnetwood.platform.dialect import PlatformDialect
 from linnetwood.programs.resident_calls import CallPath
 from linnetwood.wire.curldriver import CurlDriver
+from tests.direct_calls import SIGNED, answer, stream
 from tests.test_callserver import request
 from tests.test_curldriver import HOST, Server
-from tests.test_direct import SIGNED, answer, stream
 
 EVENT = b'data: ' + b'x' * 92 + b'\n\n'
 LARGE = EVENT * 10000
--- a/tests/test_unexpected_errors.py
+++ b/tests/test_unexpected_errors.py
@@ -12,9 +12,9 @@
 from linnetwood.core import loops
 from linnetwood.core.events import Event
 from linnetwood.core.outcomes import ANSWERED, Ending
+from tests.direct_calls import GOOD
 from tests.test_callserver import CallServerCase, request
 from tests.test_curldriver import HOST, respond_with
-from tests.test_direct import GOOD
 
 SECRET = 'text of a private prompt'
 # Far longer than any answer here takes.
