--- a/src/linnetwood/lab/soak/endless.py
+++ b/src/linnetwood/lab/soak/endless.py
@@ -118,6 +118,8 @@
         text, fds, *_ = socket.recv_fds(self._sock, _ORDER_BYTES, 1)
         conn = socket.socket(fileno=fds[0])
         conn.setblocking(False)  # noqa: WPS425
+        # What waits in a large buffer would count as taken by the caller.
+        conn.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, _BLOCK_BYTES)
         task = asyncio.create_task(_answer(Order(**json.loads(text)), conn))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
--- a/src/linnetwood/wire/answerbounds.py
+++ b/src/linnetwood/wire/answerbounds.py
@@ -102,7 +102,7 @@
         Framing is all that arrives if not.
         """
         self._reads += 1
-        is_due = self.is_unheard or not self._reads % _READS_PER_COUNT
+        is_due = self.is_contentless or not self._reads % _READS_PER_COUNT
         if is_due and not self._has_refused:
             self._count_framing()
         self.begin_turn()
@@ -111,7 +111,7 @@
         return self._framing_bytes <= _FRAMING_ALLOWANCE
 
     @property
-    def is_unheard(self) -> bool:
+    def is_contentless(self) -> bool:
         """Return whether a large read brought no piece of the body."""
         is_large = self._unread_bytes >= _LARGE_READ_BYTES
         return is_large and not (self._turn_pieces or self._has_refused)
--- a/src/linnetwood/wire/curldriver.py
+++ b/src/linnetwood/wire/curldriver.py
@@ -231,7 +231,7 @@
         if transfer.handle is None:
             return
         bounds = transfer.bounds
-        if not bounds.is_unheard:
+        if not bounds.is_contentless:
             bounds.begin_turn()
         elif not self._may_read(transfer):
             return
@@ -245,13 +245,13 @@
         self._end(transfer, TOO_MUCH_FRAMING)
         return False
 
-    def _hold_unheard(self) -> None:
-        """Let transfers wait that read a lot for nothing.
+    def _pause_contentless(self) -> None:
+        """Pause transfers whose last read was large and had no content.
 
         libcurl would read each of them on at any event of another.
         """
         for transfer in tuple(self._reading):
-            if transfer.paused or not transfer.bounds.is_unheard:
+            if transfer.paused or not transfer.bounds.is_contentless:
                 self._reading.discard(transfer)
             elif transfer.handle is None:
                 self._reading.discard(transfer)
@@ -385,7 +385,7 @@
             self._in_callback = False
         self._collect()
         if self._reading and not self._closed:
-            self._hold_unheard()
+            self._pause_contentless()
 
     def _reusing(self, fd: int) -> Transfer | None:
         """Note a kept connection's new request, as it opened none."""
--- a/tests/test_answerbounds.py
+++ b/tests/test_answerbounds.py
@@ -167,10 +167,10 @@
         for _ in range(ENDLESS_COUNT):
             self.assertTrue(paced.may_read(ours.fileno()))
             self.assertFalse(paced.add_piece(16 * KIB))
-            self.assertFalse(paced.is_unheard)
+            self.assertFalse(paced.is_contentless)
             self.assertTrue(paused.may_read(ours.fileno()))
             paused.refuse_piece()
-            self.assertFalse(paused.is_unheard)
+            self.assertFalse(paused.is_contentless)
 
 
 class RegionPaceTest(unittest.IsolatedAsyncioTestCase):
