Show that long answers of other regions fill a link at 98 and 410 entries

What callers would see (computed and tested, not played): the entries of a large zone together read long answers faster than 500 KB/s, so a link between regions fills and configurations queue, which the pace was to prevent. Cause: the rate is divided by the number of all entries, but each entry may read 64 KiB/s in any case: 20 entries of a zone 1.3 MB/s, 41 of them 2.7 MB/s. The rate is as it was: without the minimum a sound long answer takes minutes at that size, which is to be weighed first.

--- a/src/linnetwood/calls/regionpace.py
+++ b/src/linnetwood/calls/regionpace.py
@@ -6,10 +6,10 @@
 from linnetwood.calls.directory import Endpoint
 from linnetwood.wire.answerbounds import Pace
 
-# Of all entries of a zone; the rest of the link that regions share is for other
+# Of all entries together; the rest of the link that regions share is for other
 # answers and for the store's changes.
-_ZONE_BYTES_PER_S = 500000
-# Of one entry, as the number of entries may not be known.
+_BYTES_PER_S = 500000
+# Of one entry. The entries of a large zone together may exceed the rate by it.
 _MIN_BYTES_PER_S = 65536
 
 
@@ -39,5 +39,5 @@
 
     @property
     def _bytes_per_s(self) -> float:
-        share = _ZONE_BYTES_PER_S / max(1, self._entry_count())
+        share = _BYTES_PER_S / max(1, self._entry_count())
         return max(share, _MIN_BYTES_PER_S)
--- a/tests/test_answerbounds.py
+++ b/tests/test_answerbounds.py
@@ -31,6 +31,8 @@
 ENDLESS_SENT_AT_MOST = 16 * MIB
 # A turn of the loop may hold two turns of one answer.
 IN_ONE_TURN = 128
+# What the entries of a zone may read together of long answers.
+ZONE_BYTES_PER_S = 500000
 # What is read of an answer before its pace applies, and one piece.
 FREE_BYTES = 272 * KIB
 
@@ -189,6 +191,16 @@
                 time.return_value = 9
                 self.assertEqual(pace.wait_s, 0)
 
+    async def test_a_zone_of_any_size(self) -> None:
+        """Guards against large zones that fill a link by long answers."""
+        for entries, in_zone in ((7, 3), (98, 20), (410, 41)):
+            pace = RegionPace('r1', functools.partial(int, entries))
+            with mock.patch.object(asyncio.get_running_loop(), 'time') as time:
+                time.return_value = 1
+                pace.add(ZONE_BYTES_PER_S)
+                with self.subTest(entries=entries):
+                    self.assertGreaterEqual(pace.wait_s, in_zone)
+
     async def test_only_other_regions_have_a_pace(self) -> None:
         """Guards against slow answers from the own region, or without one."""
         pace = RegionPace('r1', lambda: 1)
