Give long answers of other regions no rate that grows with the entries

Callers saw nothing yet; by reading: each entry might read 64 KiB/s of long answers from other regions at least, so the entries of one zone together 1.3 MB/s at 98 entries and 2.7 MB/s at 410, where 500 KB/s are stated, and a link between regions carries 1.4 to 3 MB/s for all traffic.

Cost: of a long answer beyond its first 256 KiB an entry of 410 reads 1.2 KB/s.

--- a/src/linnetwood/calls/regionpace.py
+++ b/src/linnetwood/calls/regionpace.py
@@ -7,10 +7,9 @@
 from linnetwood.wire.answerbounds import Pace
 
 # Of all entries together; the rest of the link that regions share is for other
-# answers and for the store's changes.
+# answers and for the store's changes. A share per entry has no minimum: the
+# number of entries must not matter to the link.
 _BYTES_PER_S = 500000
-# Of one entry. The entries of a large zone together may exceed the rate by it.
-_MIN_BYTES_PER_S = 65536
 
 
 class RegionPace:
@@ -39,5 +38,4 @@
 
     @property
     def _bytes_per_s(self) -> float:
-        share = _BYTES_PER_S / max(1, self._entry_count())
-        return max(share, _MIN_BYTES_PER_S)
+        return _BYTES_PER_S / max(1, self._entry_count())
