Start a task again that an unexpected error ended, and log the error

What callers may have seen: an entry whose view is never confirmed again. It runs calls on known routes by the configuration that it had, refuses others with 503 (belief-old), and no line of its log says why.

Cause, by reading: tasks that run for as long as a process (the one that follows the store, those that follow relays, reports and subscriptions, versions, gossip) caught errors of their own kind alone. Any other error ended them for good. Their owners keep a reference, so that the event loop never reported it either. Records reach all entries, so that one error ends all of them at the same moment.

Evidence: with a sink that raises once, the follower asked the store no more (tests.test_owner: 'deadlock: a task waits, but no timer is scheduled'), and a task ran once. Both tests fail on the code before; the third one needs the new function.

Change: such tasks are supervised: the error is logged as event 1008 with its place, and the work runs again after 0.25 s. A change whose application failed is read and applied again, since the view's revision had not advanced.

--- a/src/linnetwood/calls/reports.py
+++ b/src/linnetwood/calls/reports.py
@@ -16,6 +16,7 @@
 from linnetwood.calls.reportsubscriptions import ReportSubscriptions
 from linnetwood.calls.routetable import RouteTable
 from linnetwood.core.clock import Clock
+from linnetwood.core.owner import supervise
 from linnetwood.core.waits import wait_for_event
 from linnetwood.fleet.hosts import unpack
 from linnetwood.fleet.news import Address, NewsSocket
@@ -88,7 +89,7 @@
     async def start(self, host: str) -> None:
         """Listen, and start sending subscriptions."""
         await self._news.start(host, self._port)
-        self._task = asyncio.create_task(self._run())
+        self._task = asyncio.create_task(supervise('Reports', self._run))
 
     async def close(self) -> None:
         """Stop sending and listening."""
--- a/src/linnetwood/core/owner.py
+++ b/src/linnetwood/core/owner.py
@@ -1,6 +1,32 @@
-"""A base for objects that own one background task."""
+"""Background tasks that belong to an object, and go on after errors."""
 
 import asyncio
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from linnetwood.core.events import Event, log
+from linnetwood.core.failures import failure_fields
+
+# Every time bound is 2 s or longer.
+_RESTART_PAUSE_S = 0.25
+
+
+async def supervise(
+    owner: str, run: Callable[[], Coroutine[Any, Any, None]]
+) -> None:
+    """Run until the work ends; after an unexpected error, log it and run again.
+
+    Nobody awaits a task that runs for as long as its process, so that its end
+    by an error would be unseen.
+    """
+    while True:
+        try:
+            await run()
+        except Exception as exc:
+            log(Event.TASK_FAILED, detail=owner, **failure_fields(exc))
+        else:
+            return
+        await asyncio.sleep(_RESTART_PAUSE_S)
 
 
 class TaskOwner:
@@ -12,7 +38,8 @@
 
     def start(self) -> None:
         """Start the task."""
-        self._task = asyncio.create_task(self._run())
+        work = supervise(type(self).__name__, self._run)
+        self._task = asyncio.create_task(work)
 
     async def close(self) -> None:
         """Cancel the task; the state remains readable."""
--- a/src/linnetwood/fleet/configtask.py
+++ b/src/linnetwood/fleet/configtask.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import functools
 from collections.abc import Callable
 from random import Random
 
@@ -12,6 +13,7 @@
 from linnetwood.core.clock import Clock
 from linnetwood.core.errors import LinnetwoodError, StoreError
 from linnetwood.core.events import Event, log
+from linnetwood.core.owner import supervise
 from linnetwood.fleet import configuration
 from linnetwood.fleet.gossip import Address, GossipTask, Listener
 from linnetwood.fleet.members import Health, hash64
@@ -96,7 +98,8 @@
     async def start(self, wait_s: float) -> None:
         """Begin to follow; each watch of the service takes up to `wait_s`."""
         self._gossip.add_listener(self)
-        self._spawn(self._watch(wait_s))
+        watch = functools.partial(self._watch, wait_s)
+        self._spawn(supervise('ConfigTask', watch))
 
     async def close(self) -> None:
         """Stop following."""
--- a/src/linnetwood/fleet/gossip.py
+++ b/src/linnetwood/fleet/gossip.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import enum
+import functools
 import struct
 from collections.abc import Callable, Iterable, Iterator
 from random import Random
@@ -11,6 +12,7 @@
 from linnetwood.core.errors import CodecError
 from linnetwood.core.events import Event, log
 from linnetwood.core.options import GossipOptions
+from linnetwood.core.owner import supervise
 from linnetwood.core.trust import DatagramSigner, NoSigning
 from linnetwood.fleet.members import Health
 from linnetwood.fleet.membership import BUCKETS, Membership, sample_members
@@ -120,22 +122,21 @@
         self._transport = opened[0]
         self._peers = tuple(peers)
         self.sync_with(self._peers)
+        timers = (
+            (_TICK_EVERY_S, self._tick),
+            (_JOIN_EVERY_S, self._retry_join),
+            (self._cfg.heartbeat_s, self._send_heartbeats),
+            (self._cfg.sync_every_s, self._sync_own_zone),
+            (self._cfg.far_sync_every_s, self._sync_other_zones),
+        )
         self._tasks = [
-            asyncio.create_task(self._run_every(_TICK_EVERY_S, self._tick)),
-            asyncio.create_task(
-                self._run_every(_JOIN_EVERY_S, self._retry_join)
-            ),
-            asyncio.create_task(
-                self._run_every(self._cfg.heartbeat_s, self._send_heartbeats)
-            ),
             asyncio.create_task(
-                self._run_every(self._cfg.sync_every_s, self._sync_own_zone)
-            ),
-            asyncio.create_task(
-                self._run_every(
-                    self._cfg.far_sync_every_s, self._sync_other_zones
-                ),
-            ),
+                supervise(
+                    'Gossip',
+                    functools.partial(self._run_every, period_s, action),
+                )
+            )
+            for period_s, action in timers
         ]
 
     def sync_with(self, peers: Iterable[str]) -> None:
--- a/src/linnetwood/programs/endpoint.py
+++ b/src/linnetwood/programs/endpoint.py
@@ -9,6 +9,7 @@
 from linnetwood.core.clock import SystemClock
 from linnetwood.core.events import Event, log
 from linnetwood.core.options import EndpointOptions
+from linnetwood.core.owner import supervise
 from linnetwood.core.trust import Credentials
 from linnetwood.fleet.gossip import Listener
 from linnetwood.fleet.members import ENDPOINT, Health, copy
@@ -79,7 +80,9 @@
         if self.agent is not None:
             self.runtime.config.add_listener(self.agent.apply_config)
             self.agent.start()
-        self._epochs = asyncio.create_task(self._advance_epochs())
+        self._epochs = asyncio.create_task(
+            supervise('Endpoint', self._advance_epochs)
+        )
 
     async def close(self) -> None:
         """Refuse new calls, wait for calls in progress, and leave the fleet."""
--- a/src/linnetwood/programs/resident_endpoint.py
+++ b/src/linnetwood/programs/resident_endpoint.py
@@ -16,6 +16,7 @@
 from linnetwood.core.events import Event, log
 from linnetwood.core.exposed import ExposedMetrics
 from linnetwood.core.options import Decisions, Transfer
+from linnetwood.core.owner import supervise
 from linnetwood.fleet.wanted import WantedVersions
 from linnetwood.platform.settings import ProcessSettings
 from linnetwood.platform.weights import PlatformOrigin, ServerEngine
@@ -86,7 +87,9 @@
         await self._server.start(bind_sockets(cfg.wire_port, cfg.host))
         await self.messenger.start()
         self._metrics_page.start(cfg.host)
-        self._task = asyncio.create_task(self._run())
+        self._task = asyncio.create_task(
+            supervise('ResidentEndpoint', self._run)
+        )
         self.follower.start()
 
     async def close(self) -> None:
--- a/src/linnetwood/weights/agent.py
+++ b/src/linnetwood/weights/agent.py
@@ -9,6 +9,7 @@
 from linnetwood.core.errors import LinnetwoodError, OrderError, WeightsError
 from linnetwood.core.events import Event, log
 from linnetwood.core.options import Transfer
+from linnetwood.core.owner import supervise
 from linnetwood.core.waits import wait_for_event
 from linnetwood.fleet import placement
 from linnetwood.fleet.configuration import manifest_of
@@ -71,8 +72,8 @@
         """Start the tasks and listen for gossip."""
         self._gossip.add_listener(self)
         self._tasks = [
-            asyncio.create_task(self._run()),
-            asyncio.create_task(self._report_held()),
+            asyncio.create_task(supervise('WeightsAgent', work))
+            for work in (self._run, self._report_held)
         ]
 
     async def close(self) -> None:
--- a/src/linnetwood/weights/follower.py
+++ b/src/linnetwood/weights/follower.py
@@ -6,6 +6,7 @@
 from linnetwood.core.errors import LinnetwoodError, OrderError
 from linnetwood.core.events import Event, log
 from linnetwood.core.options import Decisions
+from linnetwood.core.owner import supervise
 from linnetwood.core.waits import wait_for_event
 from linnetwood.fleet.wanted import ENGINE_SWITCH_S, WantedVersions
 from linnetwood.gen.wire.ttypes import HeldNotice
@@ -99,7 +100,9 @@
 
     def start(self) -> None:
         """Start following the wanted versions."""
-        self._task = asyncio.create_task(self._run())
+        self._task = asyncio.create_task(
+            supervise('VersionFollower', self._run)
+        )
         self._lookup.start()
 
     async def close(self) -> None:
--- a/src/linnetwood/weights/transfer.py
+++ b/src/linnetwood/weights/transfer.py
@@ -12,6 +12,7 @@
 from linnetwood.core.events import Event, log
 from linnetwood.core.metrics import Metric, Metrics
 from linnetwood.core.options import Transfer
+from linnetwood.core.owner import supervise
 from linnetwood.core.waits import wait_for_event
 from linnetwood.gen.wire.ttypes import HeldNotice, Member
 from linnetwood.weights import chunks
@@ -93,7 +94,7 @@
         """Start fetching."""
         self._tools.uploads.manifests[self.name] = self.manifest
         self._tasks = [
-            asyncio.create_task(self._run()),
+            asyncio.create_task(supervise('Download', self._run)),
         ]
 
     async def close(self) -> None:
--- /dev/null
+++ b/tests/test_owner.py
@@ -0,0 +1,118 @@
+"""Tasks that run for as long as their process, and errors nobody expects."""
+
+import asyncio
+import unittest
+from random import Random
+from typing import Any
+from unittest import mock
+
+from linnetwood.core import owner
+from linnetwood.core.events import Event
+from linnetwood.core.owner import TaskOwner, supervise
+from linnetwood.fleet.rangefollower import RangeFollower
+from linnetwood.fleet.ranges import Change, Changes, Record, Snapshot
+from linnetwood.lab import virtual
+from tests.test_following import RecordingSink, ScriptedStore
+
+FIRST = Record(b'1', 5)
+SECOND = Change('k', Record(b'2', 6))
+THIRD = Change('k', Record(b'3', 7))
+
+
+class FailingSink(RecordingSink):
+    """A sink that raises an error the first times that it is called."""
+
+    def __init__(self, failures: int) -> None:
+        super().__init__()
+        self.failures = failures
+
+    def apply_changes(self, changes: tuple[Change, ...]) -> None:
+        """Record changes once all errors were raised."""
+        if self.failures:
+            self.failures -= 1
+            raise ZeroDivisionError
+        super().apply_changes(changes)
+
+
+class FailingOwner(TaskOwner):
+    """Raise an error in the first run, and end in the second one."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.runs = 0
+
+    async def _run(self) -> None:
+        self.runs += 1
+        if self.runs == 1:
+            raise ZeroDivisionError
+
+
+class SupervisedTaskTest(unittest.TestCase):
+    """Errors of tasks are logged, and the tasks go on."""
+
+    def setUp(self) -> None:
+        self.lines: list[tuple[Event, dict[str, Any]]] = []
+        patched = mock.patch.object(owner, 'log', self.note)
+        patched.start()
+        self.addCleanup(patched.stop)
+
+    def note(self, event: Event, **fields: Any) -> None:
+        """Record a log line."""
+        self.lines.append((event, fields))
+
+    def test_a_task_runs_again(self) -> None:
+        """Guards against a task that an error ends without a log line."""
+
+        async def scenario() -> int:
+            one = FailingOwner()
+            one.start()
+            await asyncio.sleep(9)
+            await one.close()
+            return one.runs
+
+        self.assertEqual(virtual.run(scenario()), 2)
+        event, fields = self.lines[0]
+        self.assertEqual(event, Event.TASK_FAILED)
+        self.assertEqual(fields['detail'], 'FailingOwner')
+        self.assertEqual(fields['error'], 'ZeroDivisionError')
+
+    def test_a_task_is_cancelled_in_its_pause(self) -> None:
+        """Guards against a task that outlives its owner."""
+
+        async def fail() -> None:
+            raise ZeroDivisionError
+
+        async def scenario() -> None:
+            task = asyncio.create_task(supervise('one', fail))
+            await asyncio.sleep(0.01)
+            task.cancel()
+            with self.assertRaises(asyncio.CancelledError):
+                await task
+
+        virtual.run(scenario())
+
+    def test_a_follower_goes_on(self) -> None:
+        """Guards against a view that is stale for good after one error."""
+
+        async def scenario() -> tuple[RecordingSink, float, float]:
+            store = ScriptedStore(
+                Snapshot({'k': FIRST}, 5),
+                Changes((SECOND,), 6),
+                Changes((SECOND,), 6),
+                Changes((THIRD,), 7),
+            )
+            sink = FailingSink(1)
+            follower = RangeFollower(store, '', sink, Random(1))
+            follower.start()
+            await store.done.wait()
+            await follower.close()
+            now = asyncio.get_running_loop().time()
+            return sink, now, follower.confirmed_at
+
+        sink, now, confirmed_at = virtual.run(scenario())
+        self.assertEqual(sink.calls, [{'k': FIRST}, SECOND, THIRD])
+        self.assertLess(now - confirmed_at, 0.1)
+
+
+if __name__ == '__main__':
+    unittest.main()
