Take no endpoint or named version whose text can't be sent on

What callers see: an entry that subscribes to no engine's reports any more, so that it chooses and admits by what it knew last.

Cause: a record of another writer may hold half of a surrogate pair, which JSON allows and no encoding does. The entry's choice of the engines to subscribe to hashes zones, and its messages name services and models: UnicodeEncodeError in the task that exchanges reports, which ended it (before tasks were started again) or would end it each time.

Change: service, zone and models of endpoints' records and the model of a named version are checked as texts that are sent in headers are.

--- a/src/linnetwood/platform/tables.py
+++ b/src/linnetwood/platform/tables.py
@@ -10,15 +10,16 @@
 _VERSION_HELD = validation.integer('version')
 _SERVICE_NAME = validation.text('service')
 
+# These are sent to other processes.
 MODELS = validation.object_list(
     'models',
-    (_NAME, _VERSION_HELD),
+    (validation.header_text(_NAME.name), _VERSION_HELD),
     needed=_OPTIONAL,
 )
 ENDPOINT = (
-    _SERVICE_NAME,
+    validation.header_text(_SERVICE_NAME.name),
     validation.address('address'),
-    validation.text('zone'),
+    validation.header_text('zone'),
     validation.text('version'),
     validation.integer('slots', 1),
     validation.one_of('state', READY, _DRAINING),
@@ -28,7 +29,7 @@
     MODELS,
     validation.integer('born', needed=_OPTIONAL),
 )
-VERSION = (validation.text('model'), validation.whole('version', 1))
+VERSION = (validation.header_text('model'), validation.whole('version', 1))
 _REGIONS = validation.text_list('allowed_regions', needed=_OPTIONAL)
 _ROUTE = (
     _NAME,
