Let an unexpected error at one record keep back no other record

Records of operators, endpoints and crashes arrive together, in one range. An error that nobody expects, raised while one of them was applied, kept back all that followed: a configuration behind a spoilt endpoint, the endpoints behind a configuration whose limits could not be set. With the follower started again, the same record would be read again each time.

No record that raises such an error is known; the tests let the directory and the callers' server raise them.

--- a/src/linnetwood/core/failures.py
+++ b/src/linnetwood/core/failures.py
@@ -4,8 +4,10 @@
 """
 
 import asyncio
+import contextlib
 import traceback
 from collections import deque
+from collections.abc import Iterator
 from pathlib import PurePath
 from types import FrameType
 from typing import Any
@@ -28,17 +30,30 @@
     }
 
 
+@contextlib.contextmanager
+def failures_logged(detail: str) -> Iterator[None]:
+    """Log an unexpected error, and go on behind the block that raised it."""
+    try:
+        yield
+    except Exception as exc:
+        log_failure(detail, exc)
+
+
+def log_failure(detail: str, exc: BaseException) -> None:
+    """Log an unexpected error with a detail of where it was caught."""
+    log(Event.TASK_FAILED, detail=detail[:_MAX_CHARS], **failure_fields(exc))
+
+
 def log_loop_failure(
     loop: asyncio.AbstractEventLoop, context: dict[str, Any]
 ) -> None:
     """Log an error that no task or callback caught."""
     exc = context.get('exception')
-    fields = {} if exc is None else failure_fields(exc)
-    log(
-        Event.TASK_FAILED,
-        detail=str(context.get('message', ''))[:_MAX_CHARS],
-        **fields,
-    )
+    detail = str(context.get('message', ''))
+    if exc is None:
+        log(Event.TASK_FAILED, detail=detail[:_MAX_CHARS])
+    else:
+        log_failure(detail, exc)
 
 
 def _place(frame: FrameType, line: int) -> str:
--- a/src/linnetwood/core/owner.py
+++ b/src/linnetwood/core/owner.py
@@ -4,8 +4,7 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
-from linnetwood.core.events import Event, log
-from linnetwood.core.failures import failure_fields
+from linnetwood.core.failures import log_failure
 
 # Every time bound is 2 s or longer.
 _RESTART_PAUSE_S = 0.25
@@ -23,7 +22,7 @@
         try:
             await run()
         except Exception as exc:
-            log(Event.TASK_FAILED, detail=owner, **failure_fields(exc))
+            log_failure(owner, exc)
         else:
             return
         await asyncio.sleep(_RESTART_PAUSE_S)
--- a/src/linnetwood/platform/feeds.py
+++ b/src/linnetwood/platform/feeds.py
@@ -3,14 +3,16 @@
 import dataclasses
 import functools
 import math
-from collections.abc import Callable, Iterator, Mapping
+from collections.abc import Callable, Iterable, Iterator, Mapping
 from types import MappingProxyType
+from typing import Protocol
 
 from linnetwood.calls.directory import Directory, Endpoint
 from linnetwood.calls.routetable import RouteTable
 from linnetwood.core.clock import Clock
 from linnetwood.core.errors import ConfigError
 from linnetwood.core.events import Event, log
+from linnetwood.core.failures import failures_logged, log_failure
 from linnetwood.fleet.ranges import Change, Record, Snapshot
 from linnetwood.fleet.revisions import number_of
 from linnetwood.fleet.wanted import WantedVersions
@@ -139,6 +141,16 @@
                 )
 
 
+class RecordFeed(Protocol):
+    """Receive the records under one prefix."""
+
+    def replace_all(self, found: Snapshot) -> None:
+        """Replace all records."""
+
+    def apply_changes(self, changes: tuple[Change, ...]) -> None:
+        """Apply changes in order."""
+
+
 class StoreFeed:
     """Distribute one range, since each waiting call to the store costs."""
 
@@ -151,29 +163,23 @@
         """Pass each record to the feed of its prefix."""
         self._operator = operator
         self._endpoints = endpoints
-        self._crashes = crashes
+        self._feeds: tuple[tuple[str, RecordFeed], ...] = (
+            (records.OPERATOR_PREFIX, operator),
+            (records.ENDPOINT_PREFIX, endpoints),
+            (records.CRASH_PREFIX, crashes),
+        )
 
     def replace_all(self, found: Snapshot) -> None:
         """Apply all records of the store."""
-        self._operator.replace_all(
-            _under_prefix(found, records.OPERATOR_PREFIX)
-        )
-        self._endpoints.replace_all(
-            _under_prefix(found, records.ENDPOINT_PREFIX)
-        )
-        self._crashes.replace_all(_under_prefix(found, records.CRASH_PREFIX))
+        for prefix, feed in self._feeds:
+            _replace_all(feed, _under_prefix(found, prefix))
 
     def apply_changes(self, changes: tuple[Change, ...]) -> None:
         """Apply changes in order."""
-        written = _changes_under(records.OPERATOR_PREFIX, changes)
-        listed = _changes_under(records.ENDPOINT_PREFIX, changes)
-        ended = _changes_under(records.CRASH_PREFIX, changes)
-        if written:
-            self._operator.apply_changes(written)
-        if listed:
-            self._endpoints.apply_changes(listed)
-        if ended:
-            self._crashes.apply_changes(ended)
+        for prefix, feed in self._feeds:
+            changed = _changes_under(prefix, changes)
+            if changed:
+                _apply_all(feed, changed)
 
     def apply_retained(self, changes: tuple[Change, ...]) -> None:
         """Apply what operators wrote and a restored store lost."""
@@ -281,6 +287,37 @@
                 on_malformed(key, exc)
 
 
+def _replace_all(feed: RecordFeed, found: Snapshot) -> None:
+    """Replace all records; after an error, apply them one by one."""
+    try:
+        feed.replace_all(found)
+    except Exception as exc:
+        log_failure(type(feed).__name__, exc)
+        _apply_each(
+            feed,
+            (
+                Change(key, record, found.ages.get(key, 0))
+                for key, record in found.records.items()
+            ),
+        )
+
+
+def _apply_all(feed: RecordFeed, changes: tuple[Change, ...]) -> None:
+    """Apply changes together; after an error, one by one."""
+    try:
+        feed.apply_changes(changes)
+    except Exception as exc:
+        log_failure(type(feed).__name__, exc)
+        _apply_each(feed, changes)
+
+
+def _apply_each(feed: RecordFeed, changes: Iterable[Change]) -> None:
+    """Apply changes, so that one that raises an error keeps back no other."""
+    for change in changes:
+        with failures_logged(change.key):
+            feed.apply_changes((change,))
+
+
 def _age_s(one: Endpoint, found: Snapshot) -> float:
     """Return the age of a record, or 0 if it is not known."""
     age_s = found.ages.get(f'{records.ENDPOINT_PREFIX}{one.endpoint_id}', 0)
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -6,7 +6,7 @@
 from typing import Any
 from unittest import mock
 
-from linnetwood.core import owner
+from linnetwood.core import failures
 from linnetwood.core.events import Event
 from linnetwood.core.owner import TaskOwner, supervise
 from linnetwood.fleet.rangefollower import RangeFollower
@@ -52,7 +52,7 @@
 
     def setUp(self) -> None:
         self.lines: list[tuple[Event, dict[str, Any]]] = []
-        patched = mock.patch.object(owner, 'log', self.note)
+        patched = mock.patch.object(failures, 'log', self.note)
         patched.start()
         self.addCleanup(patched.stop)
 
--- a/tests/test_spoilt_records.py
+++ b/tests/test_spoilt_records.py
@@ -5,7 +5,9 @@
 from typing import Any
 from unittest import mock
 
-from linnetwood.fleet.ranges import Change, Record
+from linnetwood.core import failures
+from linnetwood.core.events import Event
+from linnetwood.fleet.ranges import Change, Record, Snapshot
 from linnetwood.platform import records
 from linnetwood.programs.resident_entry import ResidentEntry
 from tests.process_settings import process_settings
@@ -39,6 +41,14 @@
         self.entry = ResidentEntry(process_settings())
         self.addCleanup(self.entry.driver.close)
         self.feed = self.entry._follower._sink
+        self.logged: list[dict[str, Any]] = []
+        patched = mock.patch.object(failures, 'log', self.note)
+        patched.start()
+        self.addCleanup(patched.stop)
+
+    def note(self, event: Event, **fields: Any) -> None:
+        """Record a log line."""
+        self.logged.append({'event': event, **fields})
 
     def config(self, version: int, revision: int) -> Change:
         """Return a configuration with engines."""
@@ -71,6 +81,53 @@
         self.feed.apply_changes((Change('op/version/m', record(said, 1)),))
         self.assertEqual(self.entry.wanted.versions_by_model(), {})
 
+    async def test_an_error_keeps_back_no_other_record(self) -> None:
+        """Guards against a configuration lost to an error at an endpoint."""
+        endpoint = Change(SERVED, record(ENTRY, 1))
+        other = Change('servers/i-3', record(ENTRY, 2))
+        with mock.patch.object(
+            self.entry.directory, 'update', self.fail_for('i-1')
+        ):
+            self.feed.apply_changes((endpoint, other, self.config(7, 3)))
+        self.assertEqual(self.entry.route_table.version, 7)
+        self.assertEqual(self.applied, ['i-3'])
+        self.assertEqual(
+            {line['event'] for line in self.logged}, {Event.TASK_FAILED}
+        )
+
+    async def test_an_error_in_a_whole_range(self) -> None:
+        """Guards against endpoints lost to an error at the configuration."""
+        held = {
+            SERVED: record(ENTRY, 1),
+            'servers/i-3': record(ENTRY, 2),
+        }
+        config = self.config(7, 3)
+        assert config.record is not None
+        held[config.key] = config.record
+        with (
+            mock.patch.object(
+                self.entry.directory, 'replace_all', side_effect=KeyError
+            ),
+            mock.patch.object(
+                self.entry._callers, 'set_limits', side_effect=KeyError
+            ),
+        ):
+            self.feed.replace_all(Snapshot(held, 3))
+        self.assertEqual(self.entry.route_table.version, 7)
+        self.assertIsNotNone(self.entry.directory.get('i-1'))
+        self.assertIsNotNone(self.entry.directory.get('i-3'))
+
+    def fail_for(self, endpoint_id: str) -> Any:
+        """Return a function that raises for one endpoint."""
+        self.applied: list[str] = []
+
+        def update(endpoint: Any) -> None:
+            if endpoint.endpoint_id == endpoint_id:
+                raise ZeroDivisionError
+            self.applied.append(endpoint.endpoint_id)
+
+        return update
+
 
 if __name__ == '__main__':
     unittest.main()
