Show that one row that can't be read keeps all entries from later configurations

A row of the store's answer whose value is no base64, or whose revision is no number, makes the whole answer a StoreError. The same change is in each later wait and in each read, so that no entry hears of anything until the record is written again: each stays at its configuration, near the store and far from it, with a view that counts as stale.

--- /dev/null
+++ b/tests/test_spoilt_rows.py
@@ -0,0 +1,130 @@
+"""Rows of the store's answers that can't be read, beside sound ones.
+
+Another writer's record may hold anything. Entries read all records in one
+range, so a row that made an answer unreadable would keep all of them from every
+later configuration, while they go on to serve by the one before.
+"""
+
+import asyncio
+import json
+import unittest
+from typing import Any
+
+from linnetwood.core.errors import StoreError
+from linnetwood.fleet.revisions import join
+from linnetwood.platform import records
+from linnetwood.platform.store import PlatformStore
+from linnetwood.programs.resident_entry import ResidentEntry
+from linnetwood.wire.curldriver import CurlDriver
+from tests.process_settings import process_settings
+from tests.test_curldriver import HOST, ScriptedServer
+from tests.test_following import answer, row
+from tests.test_records import CONFIG
+
+ABSENT = object()
+KEY = 'servers/i-9'
+# What a row may hold in place of a text in base64, and of a revision.
+VALUES = (ABSENT, None, 5, True, [], {}, '!', 'AA', 'A===', 'é', '\ud800')
+REVISIONS = (ABSENT, None, 'x', -1, 1 << 50, [], 1e300)
+
+
+def config(version: int, revision: int) -> dict[str, Any]:
+    """Return the row of a configuration."""
+    said = json.dumps({**CONFIG, 'version': version})
+    return row(records.CONFIG_KEY, said, revision)
+
+
+def spoilt(field: str, found: object) -> dict[str, Any]:
+    """Return a row with one field replaced or removed."""
+    sound = row(KEY, '{}', 10)
+    sound[field] = found
+    return {name: one for name, one in sound.items() if one is not ABSENT}
+
+
+def spoilt_rows() -> list[dict[str, Any]]:
+    """Return rows that can't be read, each for another reason."""
+    return [
+        *(spoilt('value', found) for found in VALUES),
+        *(spoilt('revision', found) for found in REVISIONS),
+    ]
+
+
+class SpoiltRowTest(unittest.IsolatedAsyncioTestCase):
+    """Read and wait for a range with a spoilt row."""
+
+    async def asyncSetUp(self) -> None:
+        self.server = ScriptedServer()
+        self.port = await self.server.start()
+        self.addAsyncCleanup(self.server.close)
+
+    async def test_an_entry_follows_later_configurations(self) -> None:
+        """Guards against entries that stay at the one before a spoilt row."""
+        page = {'items': [config(7, 5)], 'has_more': False, 'timestamp': 9}
+        changes = {'events': [spoilt('value', '!'), config(8, 11)]}
+        self.server.answers = [
+            answer(200, page),
+            answer(200, {**changes, 'timestamp': 11}),
+            *[answer(503) for _ in range(1000)],
+        ]
+        entry = ResidentEntry(
+            process_settings(host=HOST, store=(HOST, self.port))
+        )
+        self.addCleanup(entry.driver.close)
+        self.addAsyncCleanup(entry._follower.close)
+        entry._follower.start()
+        async with asyncio.timeout(60):
+            while len(self.server.requests) < 4:
+                await asyncio.sleep(0.01)
+        self.assertEqual(entry.route_table.version, 8)
+
+    async def test_sound_rows_are_read(self) -> None:
+        """Guards against a row that makes a whole answer unreadable."""
+        driver = CurlDriver()
+        self.addCleanup(driver.close)
+        store = PlatformStore((HOST, self.port), driver)
+        for one in spoilt_rows():
+            with self.subTest(row=repr(one)):
+                rows = [one, config(8, 11)]
+                self.server.answers = [
+                    answer(
+                        200,
+                        {'items': rows, 'has_more': False, 'timestamp': 11},
+                    ),
+                    answer(200, {'events': rows, 'timestamp': 11}),
+                ]
+                found = await store.read('')
+                self.assertEqual(set(found.records), {KEY, records.CONFIG_KEY})
+                changes = await store.wait('', 9, 1)
+                self.assertEqual(changes.revision, 11)
+                record = changes.changes[0].record
+                assert record is not None
+                self.assertEqual(record, found.records[KEY])
+                self.assertIn(record.payload, (b'', b'{}'))
+                self.assertIn(record.revision, (10, 11))
+
+    async def test_a_deletion_with_a_spoilt_revision(self) -> None:
+        """Guards against a deletion that counts as older than it is."""
+        driver = CurlDriver()
+        self.addCleanup(driver.close)
+        store = PlatformStore((HOST, self.port), driver)
+        gone = {'private_key': KEY, 'revision': None, 'deleted': True}
+        self.server.answers = [answer(200, {'events': [gone], 'timestamp': 11})]
+        found = await store.wait('', 9, 1)
+        self.assertEqual(found.changes[0].deleted_revision, join(0, 11))
+
+    async def test_rows_without_a_key(self) -> None:
+        """Guards against going on past a change of an unknown key."""
+        driver = CurlDriver()
+        self.addCleanup(driver.close)
+        store = PlatformStore((HOST, self.port), driver)
+        for one in (5, {'revision': 10, 'value': 'AA=='}):
+            with self.subTest(row=one):
+                self.server.answers = [
+                    answer(200, {'events': [one], 'timestamp': 11})
+                ]
+                with self.assertRaises(StoreError):
+                    await store.wait('', 9, 1)
+
+
+if __name__ == '__main__':
+    unittest.main()
