Read the other rows of an answer of the store beside one that can't be read

What callers see: calls on a route that was moved or dropped are run by the service that it had left, at every entry, near the store and far from it, for as long as the spoilt record stands; new routes are refused with 503 on a stale view.

Cause: a record of another writer whose value is no base64, or whose revision is no number, made the whole answer a bad one. All entries read all records in one range, and the change is behind each later wait and in each whole read. Class: one part that can't be read makes the whole unreadable.

A row without a key still makes the answer a bad one, since nothing tells what has changed.

--- a/src/linnetwood/platform/store.py
+++ b/src/linnetwood/platform/store.py
@@ -280,8 +280,8 @@
 
 def _parse_page(parsed: dict[str, Any], era: int) -> tuple[Snapshot, bool]:
     try:
-        found = {_key(row): _record(row, era) for row in parsed['items']}
         revision = join(era, int(parsed['timestamp']))
+        found = {_key(row): _record(row, revision) for row in parsed['items']}
         return Snapshot(found, revision), bool(parsed['has_more'])
     except _BAD_ANSWER as exc:
         raise StoreError('store-bad-answer', repr(exc)) from exc
@@ -289,8 +289,9 @@
 
 def _changes(parsed: dict[str, Any], era: int) -> Changes:
     try:
-        changes = tuple(_change(row, era) for row in parsed['events'])
-        return Changes(changes, join(era, int(parsed['timestamp'])))
+        revision = join(era, int(parsed['timestamp']))
+        changes = tuple(_change(row, revision) for row in parsed['events'])
+        return Changes(changes, revision)
     except _BAD_ANSWER as exc:
         raise StoreError('store-bad-answer', repr(exc)) from exc
 
@@ -302,14 +303,29 @@
     return key
 
 
-def _record(row: dict[str, Any], era: int) -> Record:
-    payload = base64.b64decode(row['value'], validate=True)
-    return Record(payload, join(era, int(row['revision'])))
+def _record(row: dict[str, Any], newest: int) -> Record:
+    """Decode a row; one that can't be read holds no bytes.
+
+    All later changes are behind a spoilt row, in each answer until its key is
+    written again. So it is a malformed record, not a bad answer.
+    """
+    try:
+        payload = base64.b64decode(row['value'], validate=True)
+    except _BAD_ANSWER:
+        payload = b''
+    return Record(payload, _revision(row, newest))
 
 
-def _change(row: dict[str, Any], era: int) -> Change:
+def _change(row: dict[str, Any], newest: int) -> Change:
     key = _key(row)
     if row.get('deleted'):
-        deleted_revision = join(era, int(row['revision']))
-        return Change(key, None, deleted_revision=deleted_revision)
-    return Change(key, _record(row, era))
+        return Change(key, None, deleted_revision=_revision(row, newest))
+    return Change(key, _record(row, newest))
+
+
+def _revision(row: dict[str, Any], newest: int) -> int:
+    """Return the revision of a row, or that of its answer if it has none."""
+    try:
+        return join(era_of(newest), int(row['revision']))
+    except _BAD_ANSWER:
+        return newest
--- a/tests/test_spoilt_rows.py
+++ b/tests/test_spoilt_rows.py
@@ -24,8 +24,20 @@
 ABSENT = object()
 KEY = 'servers/i-9'
 # What a row may hold in place of a text in base64, and of a revision.
-VALUES = (ABSENT, None, 5, True, [], {}, '!', 'AA', 'A===', 'é', '\ud800')
-REVISIONS = (ABSENT, None, 'x', -1, 1 << 50, [], 1e300)
+VALUES: tuple[object, ...] = (
+    ABSENT,
+    None,
+    5,
+    True,
+    [],
+    {},
+    '!',
+    'AA',
+    'A===',
+    'é',
+    '\ud800',
+)
+REVISIONS: tuple[object, ...] = (ABSENT, None, 'x', -1, 1 << 50, [], 1e300)
 
 
 def config(version: int, revision: int) -> dict[str, Any]:
