Pass on a range that holds a key which can't be encoded

What callers see: entries that follow relays stay behind, as each relay ends their connections with an error.

Cause: JSON allows halves of surrogate pairs in a key, and messages between entries don't.

Change: such a key is read with the character in place that stands for unknown ones, and its record without bytes, so that it names nothing. The test failed before (UnicodeEncodeError out of pack).

--- a/src/linnetwood/platform/store.py
+++ b/src/linnetwood/platform/store.py
@@ -300,7 +300,13 @@
     key = row['private_key']
     if not isinstance(key, str):
         raise TypeError(f'a key is {type(key).__name__}')
-    return key
+    # Halves of surrogate pairs can't be passed on to other entries.
+    return key.encode(errors='replace').decode()
+
+
+def _payload(row: dict[str, Any]) -> bytes:
+    row['private_key'].encode()
+    return base64.b64decode(row['value'], validate=True)
 
 
 def _record(row: dict[str, Any], newest: int) -> Record:
@@ -310,7 +316,7 @@
     written again. So it is a malformed record, not a bad answer.
     """
     try:
-        payload = base64.b64decode(row['value'], validate=True)
+        payload = _payload(row)
     except _BAD_ANSWER:
         payload = b''
     return Record(payload, _revision(row, newest))
--- a/tests/test_spoilt_rows.py
+++ b/tests/test_spoilt_rows.py
@@ -11,6 +11,8 @@
 from typing import Any
 
 from linnetwood.core.errors import StoreError
+from linnetwood.fleet.mirror import Mirror
+from linnetwood.fleet.rangecodec import pack, unpack
 from linnetwood.fleet.revisions import join
 from linnetwood.platform import records
 from linnetwood.platform.store import PlatformStore
@@ -124,6 +126,19 @@
         found = await store.wait('', 9, 1)
         self.assertEqual(found.changes[0].deleted_revision, join(0, 11))
 
+    async def test_a_key_that_can_not_be_encoded(self) -> None:
+        """Guards against a range that no entry can pass on to others."""
+        driver = CurlDriver()
+        self.addCleanup(driver.close)
+        store = PlatformStore((HOST, self.port), driver)
+        rows = [spoilt('private_key', 'servers/\ud800'), config(8, 11)]
+        self.server.answers = [answer(200, {'events': rows, 'timestamp': 11})]
+        found = await store.wait('', 9, 1)
+        passed_on = unpack(pack(found.changes, {}, Mirror()), 0)
+        payloads = [one.record.payload for one in passed_on if one.record]
+        self.assertEqual(payloads[0], b'')
+        self.assertEqual(len(payloads), 2)
+
     async def test_rows_without_a_key(self) -> None:
         """Guards against going on past a change of an unknown key."""
         driver = CurlDriver()
