Go on behind the last key of a page, whatever it holds

A page that ends with a key which can't be encoded would have been asked for by the key as it is kept, which sorts elsewhere: the same page again, for ever. The next page starts behind the key that the store named. A page without rows that is not the last ends the read as a bad answer; before, the same page was asked for without end.

--- a/src/linnetwood/platform/store.py
+++ b/src/linnetwood/platform/store.py
@@ -27,6 +27,7 @@
 from linnetwood.wire.curlrequest import Request
 
 _OK = 200
+_KEY_ERRORS = 'surrogatepass'
 _NOT_FOUND = 404
 _GONE = 410
 _MILLISECONDS = 1000
@@ -48,7 +49,13 @@
 _PAGE_PAUSE_S = 0.1
 # A page holds 1 MB of values, encoded in base64 and JSON.
 _MAX_BYTES = 33554432
-_BAD_ANSWER = (KeyError, TypeError, ValueError, OverflowError, AttributeError)
+_BAD_ANSWER = (
+    LookupError,
+    TypeError,
+    ValueError,
+    OverflowError,
+    AttributeError,
+)
 _UNREADABLE = (*UNREADABLE, TypeError)
 
 
@@ -78,16 +85,14 @@
         """Read every page of a range."""
         found: dict[str, Record] = {}
         revision = 0
-        last = ''
-        more = True
-        while more:
-            page, more = await self._page_with_retries(prefix, last)
+        next_after: str | None = ''
+        while next_after is not None:
+            page, next_after = await self._page_with_retries(prefix, next_after)
             # Pages are no snapshot; the next wait returns the changes since.
             revision = revision or page.revision
             if not same_era(page.revision, revision):
                 raise _history_lost(era_of(page.revision))
             found.update(page.records)
-            last = next(reversed(found), '')
         return Snapshot(found, revision)
 
     async def wait(self, prefix: str, after: int, wait_s: float) -> Changes:
@@ -172,7 +177,7 @@
         self,
         prefix: str,
         last: str,
-    ) -> tuple[Snapshot, bool]:
+    ) -> tuple[Snapshot, str | None]:
         """Request a page with retries, so that previous pages are not lost."""
         # The first page needs none: the follower retries the whole read.
         retries = _PAGE_RETRIES if last else 0
@@ -188,7 +193,8 @@
 
     async def _request_page(
         self, prefix: str, last: str
-    ) -> tuple[Snapshot, bool]:
+    ) -> tuple[Snapshot, str | None]:
+        """Return a page, and the key after which the next one starts."""
         query = {'path_prefix': prefix}
         if last:
             # In this call the field holds the key after which the page starts.
@@ -196,14 +202,14 @@
         answer = await self._get('/linnetwood/kv-range', query, _FIRST_BYTE_S)
         try:
             era = self._current_era(answer)
-            page, more = _parse_page(_parse_answer(answer, era), era)
+            page, next_after = _parse_page(_parse_answer(answer, era), era)
         except StoreError as exc:
             self._call_log.log_failure('page', 0, answer, exc)
             raise
         held = (Change(key, one) for key, one in page.records.items())
         found = Changes(tuple(held), page.revision)
         self._call_log.log_answer('page', 0, answer, found)
-        return page, more
+        return page, next_after
 
     async def _get(
         self,
@@ -216,7 +222,8 @@
         # and kept connections may be silent as well.
         req = self._request(
             'GET',
-            f'{path}?{urlencode(query)}',
+            # A key of another writer may hold what can't be encoded.
+            f'{path}?{urlencode(query, errors=_KEY_ERRORS)}',
             keep=not self._in_progress,
         )
         self._in_progress += 1
@@ -278,13 +285,17 @@
         raise StoreError('store-bad-answer', str(exc)) from exc
 
 
-def _parse_page(parsed: dict[str, Any], era: int) -> tuple[Snapshot, bool]:
+def _parse_page(
+    parsed: dict[str, Any], era: int
+) -> tuple[Snapshot, str | None]:
     try:
         revision = join(era, int(parsed['timestamp']))
         found = {_key(row): _record(row, revision) for row in parsed['items']}
-        return Snapshot(found, revision), bool(parsed['has_more'])
+        has_more = bool(parsed['has_more'])
+        next_after = parsed['items'][-1]['private_key'] if has_more else None
     except _BAD_ANSWER as exc:
         raise StoreError('store-bad-answer', repr(exc)) from exc
+    return Snapshot(found, revision), next_after
 
 
 def _changes(parsed: dict[str, Any], era: int) -> Changes:
--- a/tests/test_spoilt_rows.py
+++ b/tests/test_spoilt_rows.py
@@ -139,6 +139,36 @@
         self.assertEqual(payloads[0], b'')
         self.assertEqual(len(payloads), 2)
 
+    async def test_pages_behind_a_key_that_can_not_be_encoded(self) -> None:
+        """Guards against a read that asks for the same page for ever."""
+        driver = CurlDriver()
+        self.addCleanup(driver.close)
+        store = PlatformStore((HOST, self.port), driver)
+        row_before = spoilt('private_key', 'servers/\ud800')
+        self.server.answers = [
+            answer(
+                200,
+                {'items': [row_before], 'has_more': True, 'timestamp': 11},
+            ),
+            answer(
+                200,
+                {'items': [config(8, 11)], 'has_more': False, 'timestamp': 11},
+            ),
+        ]
+        found = await store.read('')
+        self.assertEqual(found.records[records.CONFIG_KEY].revision, 11)
+        self.assertIn(b'=servers%2F%ED%A0%80 ', self.server.requests[-1])
+
+    async def test_a_page_without_rows_that_is_not_the_last(self) -> None:
+        """Guards against a read that asks for the same page for ever."""
+        driver = CurlDriver()
+        self.addCleanup(driver.close)
+        store = PlatformStore((HOST, self.port), driver)
+        page = {'items': [], 'has_more': True, 'timestamp': 11}
+        self.server.answers = [answer(200, page)]
+        with self.assertRaises(StoreError):
+            await store.read('')
+
     async def test_rows_without_a_key(self) -> None:
         """Guards against going on past a change of an unknown key."""
         driver = CurlDriver()
