Count a second wait from its own request, not as the store's delay

What callers may see: where connections to the store that are open go silent while new ones work, each entry, near the store and far, has a view that nobody confirms for up to 2.8 s, and acts by an older configuration for longer than its bound. All entries lose connections at the same moment, so all are late together.

Cause: a wait that gets no answer is repeated beside it. The answer to the second request was measured from the first one: the silence counted as the delay of the store (_overhead_s, 0.9 to 1.9 s). The second request beside the next wait was sent as much later; where that wait hung as well, on another connection that had gone silent, it came after the 2 s of the bound, or the wait failed before it. The confirmation counted from the first request too, which made the view seem older than it was.

Now an answered wait carries the time and length of the request that brought it; delay and confirmation count from these.

Evidence: tests.test_second_waits failed before: of two waits that hang one after the other, a change is known after 1.81, 2.15 and 2.14 s (the second request's answer comes at once, 0.3 s and 0.6 s late), over 1.6 s; it passes now.

--- a/src/linnetwood/fleet/rangefollower.py
+++ b/src/linnetwood/fleet/rangefollower.py
@@ -14,6 +14,7 @@
 from linnetwood.core.backoff import pause_s
 from linnetwood.core.errors import StoreError
 from linnetwood.core.owner import TaskOwner
+from linnetwood.fleet.answeredwait import AnsweredWait, answered_wait
 from linnetwood.fleet.followerlog import (
     FROM_STORE,
     FollowerLog,
@@ -282,17 +283,16 @@
         age_s = requested_at - self.confirmed_at
         wait_s = self._bounds.wait_s - self._overhead_s - age_s
         wait_s = max(_MIN_WAIT_S, wait_s)
-        answer = await hedged(
+        wait = await hedged(
             self._wait_request(wait_s),
             self._wait_request(_MIN_WAIT_S),
             self._hedge_after_s(wait_s, age_s),
             lambda: not math.isfinite(self.first_byte_at),
         )
-        # A wait that ends without changes also confirms the view.
-        full_wait_s = 0 if answer.changes else wait_s
-        began_at = self._note_answer(requested_at, full_wait_s)
+        answer = wait.changes
+        began_at = self._note_answer(wait.requested_at, wait.confirmed_s)
         if not answer.changes:
-            self._overhead_s = max(0, began_at - requested_at - wait_s)
+            self._overhead_s = wait.overhead_s(began_at)
         if answer.revision > self._revision:
             # Another entry may have relayed some of these changes meanwhile.
             missing = (
@@ -308,9 +308,10 @@
         if answer.changes:
             await asyncio.sleep(self._batch_delay_s())
 
-    def _wait_request(self, wait_s: float) -> Request[Changes]:
-        wait = self._store.wait
-        return functools.partial(wait, self._prefix, self._revision, wait_s)
+    def _wait_request(self, wait_s: float) -> Request[AnsweredWait]:
+        return functools.partial(
+            answered_wait, self._store, self._prefix, self._revision, wait_s
+        )
 
     def _hedge_after_s(self, wait_s: float, age_s: float) -> float:
         """Return after how many seconds to repeat a wait that has no answer.
