Keep no connection of a write to the store for later waits

What callers may see: after connections to the store went silent for good, an entry that had written a record of a failed call before hears of a change up to 0.24 s after it was due, though the store is back. All entries that wrote one are late at the same moment, near the store and far.

Cause: a write used and kept a connection of its own beside that of the pending wait. Both go silent together. The wait is given up after 2.1 s; the next request took the other kept connection and hung for 2.1 s again. A store that failed last gets no second request beside the first. Reads have none at all.

Now writes, which are rare, use a connection of their own each; at most one connection is kept, so at most one time-out is lost. Cost: a handshake a write.

Evidence: tests.test_following.KeptConnectionsTest failed before (one connection for all five calls instead of 3; waits share theirs, as before).

--- a/src/linnetwood/platform/store.py
+++ b/src/linnetwood/platform/store.py
@@ -233,7 +233,10 @@
 
     async def _post(self, path: str, parsed: dict[str, Any]) -> Answer:
         limits = SilenceLimits(_WRITE_S, SILENCE_TIMEOUT_S)
-        req = self._request('POST', path, json.dumps(parsed).encode())
+        # Kept beside the connection of a wait, this one might go silent
+        # unnoticed, and a later wait would hang on it.
+        body = json.dumps(parsed).encode()
+        req = self._request('POST', path, body, keep=False)
         answer = await ask(self._driver, req, _MAX_BYTES, limits)
         self._era.read(answer.headers)
         return answer
@@ -244,7 +247,7 @@
         target: str,
         body: bytes = b'',
         *,
-        keep: bool = True,
+        keep: bool,
     ) -> Request:
         host, port = self._address
         headers = [('Host', f'{host}:{port}')]
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -20,7 +20,7 @@
 )
 from linnetwood.platform.store import PlatformStore
 from linnetwood.wire.curldriver import CurlDriver
-from tests.test_curldriver import HOST, ScriptedServer
+from tests.test_curldriver import HOST, ScriptedServer, Server, read_request
 
 Step = Snapshot | Changes | StoreError
 Query = dict[str, list[str]]
@@ -193,6 +193,41 @@
         await self.server.close()
 
 
+class KeptConnectionsTest(unittest.IsolatedAsyncioTestCase):
+    """Use the store's client with a store that keeps connections open."""
+
+    async def test_a_wait_after_a_write(self) -> None:
+        """Guards against waits on a connection that went silent since.
+
+        Several of these would each take a time-out, one after the other; so
+        only the connection of waits is kept, and no other.
+        """
+
+        async def behave(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            while True:
+                writer.write(answer(200, {'events': [], 'timestamp': 3}))
+                server.requests.append(await read_request(reader))
+
+        server = Server(behave)
+        driver = CurlDriver()
+        store = PlatformStore((HOST, await server.start()), driver)
+        counts = []
+        for call in (
+            store.write({'k': b''}, (), 0),
+            store.wait('', 2, 1),
+            store.wait('', 2, 1),
+            store.write({'k': b''}, (), 0),
+            store.wait('', 2, 1),
+        ):
+            await call
+            counts.append(server.connections)
+        driver.close()
+        await server.close()
+        self.assertEqual(counts, [1, 2, 2, 3, 3])
+
+
 class PlatformStoreTest(StoreClientTest):
     """Speak the store's protocol to a stand-in."""
 
