Put the highest version in force where an older one was written after it

What callers would see: a write of the operator that was done late, or a second time, leaves an older configuration behind a newer one. An entry that read both in one answer, as all do whose store was away or slow, put only the older in force and never the acknowledged one: routes that had moved ran at their old service, on a fresh view, until the next configuration. An entry that read them one by one was right. The same for a model's named version.

Cause: of several records of a key only the last valid one was applied, and the order of versions was checked against what was in force before, not within the answer.

Change: a record before it is applied too if the version that it states is higher.

Evidence: tests.test_configuration_cases.InvalidCasesTest.test_older_written_last failed before (the call ran at 'desk', not at 'hall') and passes now.

--- a/src/linnetwood/platform/feeds.py
+++ b/src/linnetwood/platform/feeds.py
@@ -66,11 +66,17 @@
         self._first = False
 
     def apply_changes(self, changes: tuple[Change, ...]) -> None:
-        """Apply changed records, only the last valid one of each key."""
-        applied: set[str] = set()
+        """Apply changed records, of each key the newest valid one.
+
+        That is the last one, unless one before it has a higher version: a write
+        may be done late, or a second time.
+        """
+        applied: dict[str, float] = {}
         for change in reversed(changes):
-            if change.key not in applied and self._apply_change(change):
-                applied.add(change.key)
+            if _is_newer(change, applied.get(change.key, -math.inf)):
+                version = self._apply_change(change)
+                if version is not None:
+                    applied[change.key] = version
 
     def apply_retained(self, changes: tuple[Change, ...]) -> None:
         """Apply records that the store lost and that others keep in force."""
@@ -81,15 +87,18 @@
             elif change.record is not None:
                 self._apply_record(change.key, change.record, change.age_s)
 
-    def _apply_change(self, change: Change) -> bool:
-        """Return whether earlier changes of the key have no effect any more."""
+    def _apply_change(self, change: Change) -> float | None:
+        """Return the version of the change, or None if it has no effect.
+
+        It is infinite where no earlier change of the key has any effect.
+        """
         zone = _evacuated_zone(change.key)
         if zone:
             zones = self._evacuated - {zone}
             self._set_evacuated(zones | {zone} if change.record else zones)
-            return True
+            return math.inf
         if change.record is None:
-            return False
+            return None
         return self._apply_record(change.key, change.record, change.age_s)
 
     def _is_known(self, key: str, record: Record) -> bool:
@@ -102,8 +111,10 @@
             self._evacuated = zones
             self._evacuate(zones)
 
-    def _apply_record(self, key: str, record: Record, age_s: float) -> bool:
-        """Apply a record; return whether it is valid."""
+    def _apply_record(
+        self, key: str, record: Record, age_s: float
+    ) -> float | None:
+        """Apply a record; return its version, or None if it is invalid."""
         is_known = self._is_known(key, record)
         if is_known and self._held[key].revision != record.revision:
             # It was written again, as after the store was restored: that is not
@@ -111,18 +122,21 @@
             age_s = math.inf
         self._held[key] = record
         try:
-            self._decode(key, record, age_s)
+            version = self._decode(key, record, age_s)
         except ConfigError as exc:
             # The previous valid record stays in force.
             self._ignored.record_ignored(key, record, exc)
-            return False
+            return None
         self._changed()
-        return True
+        return version
 
-    def _decode(self, key: str, record: Record, age_s: float) -> None:
+    def _decode(self, key: str, record: Record, age_s: float) -> float:
+        """Put a record in force; return its version, infinity for none."""
         if key == records.CONFIG_KEY:
-            self._adopt(records.config(record))
-        elif key.startswith(records.VERSION_PREFIX):
+            route_table = records.config(record)
+            self._adopt(route_table)
+            return route_table.version
+        if key.startswith(records.VERSION_PREFIX):
             model, version = records.named_version(record)
             # Nobody saw when it was named, so its bound may be near. Endpoint
             # processes that saw it report the time.
@@ -137,6 +151,8 @@
                     version=version,
                     revision=number_of(record.revision),
                 )
+            return version
+        return math.inf
 
 
 class StoreFeed:
@@ -287,6 +303,14 @@
     return age_s if math.isfinite(age_s) else 0
 
 
+def _is_newer(change: Change, version: float) -> bool:
+    """Return whether a change may have a higher version than a later one."""
+    if math.isinf(version):
+        return version < 0
+    record = change.record
+    return record is not None and records.stated_version(record) > version
+
+
 def _evacuated_zone(key: str) -> str:
     """Return the zone that a key evacuates, or an empty text."""
     prefix = records.EVACUATE_PREFIX
--- a/src/linnetwood/platform/records.py
+++ b/src/linnetwood/platform/records.py
@@ -52,6 +52,20 @@
     return _config(parsed, record.revision)
 
 
+def stated_version(record: Record) -> int:
+    """Return the version that a record states, -1 for none.
+
+    The record may be invalid: this takes a sixth of the time of decoding it.
+    """
+    try:
+        found = validation.parse(
+            record.payload, tables.STATED_VERSION, 'version-malformed'
+        )
+    except ConfigError:
+        return -1
+    return int(found['version'])
+
+
 def named_version(record: Record) -> tuple[str, int]:
     """Decode a named version of a model, or raise ConfigError."""
     parsed = validation.parse(
--- a/src/linnetwood/platform/tables.py
+++ b/src/linnetwood/platform/tables.py
@@ -28,6 +28,8 @@
     MODELS,
     validation.integer('born', needed=_OPTIONAL),
 )
+# Of a configuration, or of a model.
+STATED_VERSION = (validation.whole(_VERSION_HELD.name),)
 VERSION = (validation.text('model'), validation.whole('version', 1))
 _REGIONS = validation.text_list('allowed_regions', needed=_OPTIONAL)
 _ROUTE = (
--- a/tests/test_configuration_cases.py
+++ b/tests/test_configuration_cases.py
@@ -470,6 +470,22 @@
         self.write(newer, self.change('op/config', None))
         self.assertEqual(self.entry.route_table.version, 13)
 
+    async def test_older_written_last(self) -> None:
+        """Guards against a late write that hides the one before it.
+
+        A write that was done late, or a second time, came together with a newer
+        version, and the newer one was never in force.
+        """
+        await self.begin()
+        newer = changed(routed(service='hall'), version=9)
+        self.configure(config(8), newer, config(8))
+        self.assertEqual(await self.ask(), ELSEWHERE)
+        self.configure({**newer, 'version': 12}, {}, config(11), config(10))
+        self.assertEqual(self.entry.route_table.version, 12)
+        named = [{'model': 'm', 'version': version} for version in (3, 2)]
+        self.write(*[self.change('op/version/m', said) for said in named])
+        self.assertEqual(self.entry.wanted.newest('m'), 3)
+
     async def test_ids_of_endpoints(self) -> None:
         """Guard against an id that adds a header to each call sent there."""
         await self.begin()
