Put the last of two configurations with one version in force everywhere

What callers would see: two configurations that differ under one version. Entries that had read the first kept it, silently and on a fresh view; those that started later, or read both in one answer, acted by the second. So the fleet differed until the next version, and the last one acknowledged was not in force.

Cause: a configuration whose version equals the one in force was dropped without a look at its content or its revision.

Change: of two that differ under one version the one with the higher revision is in force. One that is read again, or written again without a change, has no effect, as before; a lower version never has.

Evidence: tests.test_configuration_cases.InvalidCasesTest. test_one_version_written_twice failed before (the call ran at 'desk', not at 'hall') and passes now.

--- a/src/linnetwood/calls/routetable.py
+++ b/src/linnetwood/calls/routetable.py
@@ -124,6 +124,18 @@
                 return route
         return None
 
+    def replaces(self, in_force: 'RouteTable') -> bool:
+        """Return whether this is to be in force in place of another one.
+
+        The higher version is. Of two that differ under one version it is the
+        one that was written last, as entries that start read only that one.
+        """
+        if self.version != in_force.version:
+            return self.version > in_force.version
+        if self.revision <= in_force.revision:
+            return False
+        return dataclasses.replace(self, revision=in_force.revision) != in_force
+
     def without_priorities(self) -> 'RouteTable':
         """Return this configuration with one priority level per service."""
         services = {
--- a/src/linnetwood/programs/resident_entry.py
+++ b/src/linnetwood/programs/resident_entry.py
@@ -178,12 +178,12 @@
     def adopt(self, route_table: RouteTable) -> None:
         """Apply a newer configuration; ignore an older one."""
         in_force = self.route_table
-        if in_force.revision and route_table.version <= in_force.version:
+        if self._decisions.priorities == 'ignored':
+            route_table = route_table.without_priorities()
+        if in_force.revision and not route_table.replaces(in_force):
             if route_table.version < in_force.version:
                 _log_adoption(Event.ROUTES_OLDER, route_table, in_force)
             return
-        if self._decisions.priorities == 'ignored':
-            route_table = route_table.without_priorities()
         self.route_table = route_table
         self.config_age.adopted(route_table)
         self.reports.route_table = route_table
--- a/tests/test_configuration_cases.py
+++ b/tests/test_configuration_cases.py
@@ -516,6 +516,26 @@
         self.configure(config(version=1001))
         self.assertEqual(await self.ask(), SERVED)
 
+    async def test_one_version_written_twice(self) -> None:
+        """Guards against entries that differ for as long as a version holds.
+
+        Entries that had read the first record of a version kept it, and those
+        that started later acted by the second one.
+        """
+        await self.begin()
+        first = self.change('op/config', config(8))
+        second = self.change('op/config', routed(service='hall'))
+        again = self.change('op/config', routed(service='hall'))
+        self.write(first)
+        self.assertEqual(await self.ask(), SERVED)
+        self.write(second)
+        self.assertEqual(await self.ask(), ELSEWHERE)
+        revision = self.entry.route_table.revision
+        for late in ((first,), (second, first), (again,)):
+            self.write(*late)
+            self.assertEqual(self.entry.route_table.revision, revision)
+            self.assertEqual(await self.ask(), ELSEWHERE)
+
     async def test_deleted_configuration(self) -> None:
         """What was in force stays so without its record."""
         await self.begin()
