Say first in a log line what decided, and long fields last

What for: readers of the logs of an incident had the first 200 characters of each line; likeness and parts filled them, and code, detail, version and ages of refused and unknown calls were lost. Change: one formatter orders the fields of all lines: time, event, call, code, basis, detail, retry delay, then level and the rest, name and VM, long fields last. Names of fields stay; basis sums up the configuration and its ages in one short text, as eight fields with their names are longer than a cut line. The level stands behind them; a program that looks for it reads the whole line.

--- a/src/linnetwood/calls/logfields.py
+++ b/src/linnetwood/calls/logfields.py
@@ -32,8 +32,12 @@
 
 
 def config_fields(basis: ConfigBasis) -> dict[str, object]:
-    """Return the configuration that decides a call, and how old it is."""
+    """Return the configuration that decides a call, and how old it is.
+
+    `basis` sums the others up, for readers that cut lines.
+    """
     return {
+        'basis': _summary(basis),
         'config_version': basis.version,
         'config_revision': number_of(basis.revision),
         'config_era': era_of(basis.revision),
@@ -46,3 +50,10 @@
 def logged_parts(part_fingerprints: Sequence[str]) -> list[str]:
     """Return the first few fingerprints of a prompt's shared parts."""
     return list(part_fingerprints[:_MAX_LOGGED_PARTS])
+
+
+def _summary(basis: ConfigBasis) -> str:
+    revision = f'{number_of(basis.revision)}.{era_of(basis.revision)}'
+    confirmed_by = basis.confirmed_by or 'nobody'
+    ages_ms = f'{basis.store_age_ms}/{basis.config_age_ms}'
+    return f'v{basis.version} r{revision} {confirmed_by} {ages_ms}'
--- a/src/linnetwood/core/events.py
+++ b/src/linnetwood/core/events.py
@@ -4,8 +4,7 @@
 import logging
 import sys
 
-from pythonjsonlogger.json import JsonFormatter
-
+from linnetwood.core.logformat import line_formatter
 from linnetwood.core.logsink import BoundedHandler
 
 _LOGGER = logging.getLogger('linnetwood')
@@ -148,12 +147,7 @@
 def open_log(level: str, vm: str) -> None:
     """Write JSON lines to standard output without blocking on its reader."""
     handler = BoundedHandler(sys.stdout.fileno(), _report_dropped)
-    handler.setFormatter(
-        JsonFormatter(
-            '%(asctime)s %(levelname)s %(message)s',
-            static_fields={'vm': vm},
-        ),
-    )
+    handler.setFormatter(line_formatter(vm))
     _LOGGER.handlers.clear()
     _LOGGER.addHandler(handler)
     _LOGGER.propagate = False
--- a/tests/test_callserver.py
+++ b/tests/test_callserver.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import dataclasses
+import json
+import logging
 import math
 import unittest
 from random import Random
@@ -28,8 +30,10 @@
 from linnetwood.core.clock import SystemClock
 from linnetwood.core.events import Event, log
 from linnetwood.core.exposed import ExposedMetrics
+from linnetwood.core.logformat import line_formatter
 from linnetwood.core.metrics import NoMetrics
 from linnetwood.core.outcomes import Code, not_run
+from linnetwood.fleet.revisions import join
 from linnetwood.fleet.wanted import WantedVersions
 from linnetwood.platform.dialect import PlatformDialect
 from linnetwood.wire.curldriver import CurlDriver
@@ -402,6 +406,61 @@
         self.assertEqual(seen, set(range(6001, 6008)) - {6003, 6004})
         self.assertEqual(set(lines), {(1, 1, 0, 3000, 500, 'relay')})
 
+    async def test_cut_lines_say_what_decided(self) -> None:
+        """Guards against lines whose first 200 characters don't say why."""
+        confirmed_at = 100.0
+        config_age = ConfigAgeTracker(
+            self.clock,
+            lambda: confirmed_at,
+            store_answer_at=float,
+            max_age_s=1000,
+        )
+        self.delegate.config_basis = config_age.basis
+        revision = RouteTable(version=1234, revision=join(1, 123456))
+        self.clock.at = -899.999
+        config_age.adopted(revision)
+        self.clock.at = 112.345
+        sent_request = request(f'/a/{"x" * 500}').replace(
+            b'c-1', b'f8a8b707e706a86f'
+        )
+        unplaced = sent_request.replace(b'/a/', b'/b/')
+        limited = 'level 2, limit 1.25 per slot'
+        with self.assertLogs('linnetwood', 'INFO') as captured:
+            for behave in (respond_with(FULL), reset):
+                await self.serve(behave)
+                await self.send(sent_request)
+            await self.send(unplaced)
+            confirmed_at = 40.0
+            config_age._max_age_s = 1.2
+            await self.send(unplaced, sent_request.replace(b'k1', b'k2'))
+            for detail in ('came back', 'predicted 1234 ms', limited):
+                ending = not_run(Code.OVERLOADED, detail, 14999)
+                self.delegate.admit = lambda call, found=ending: found
+                await self.send(sent_request)
+        for record in captured.records:
+            with self.subTest(event=record.__dict__['event']):
+                self.check_cut_line(record)
+        seen = {record.__dict__['event'] for record in captured.records}
+        self.assertEqual(seen, {6001, 6002, 6005, 6006, 6007})
+        basis = captured.records[-1].__dict__['basis']
+        self.assertEqual(basis, 'v1234 r123456.1 relay 72345/1012344')
+
+    def check_cut_line(self, record: logging.LogRecord) -> None:
+        """Check what the first 200 characters of a line say."""
+        fields = record.__dict__
+        whole = line_formatter('frontend-mi-sala1-3').format(record)
+        self.assertEqual(json.loads(whole)['message'], record.message)
+        decisive = {'event', 'call', 'code', 'basis', 'detail'}
+        if fields.get('code') == Code.BELIEF_OLD.value:
+            decisive.add('retry_after_ms')
+        for name in decisive.intersection(fields):
+            shown = f'"{name}": {json.dumps(fields[name])}'
+            # Texts of libraries are longer.
+            self.assertIn(shown[:40], whole[:200])
+        if 'parts' in fields:
+            last = r'"likeness": "[^"]*", "parts": \[[^]]*\]\}$'
+            self.assertRegex(whole, last)
+
     async def test_no_configuration_yet(self) -> None:
         """Without a configuration a call gets 503, not 404."""
         self.route_table = RouteTable()
