Log changes of what calls are decided by, beside any flood of calls

Change: 3031 and 3032 say once when a view becomes stale (what was asked of the store, how long ago, what came, which relay was heard) and is fresh again (after how long, by which way); views.stale and view.stale_s count it. 3009 and 3029 name the way and the age of the news, 3009 also what it adds, drops, moves and alters; it is a warning where calls lose a service or a key. Of calls that end badly with one event and code, one in 5 s is a warning, and 6016 has the number of the others. These become informative lines and are all written: losses, forecasts and explain read route, organisation, detail and retry delay of each, which a number lacks. The last tenth of the log's budget and backlog is kept for changes of belief. No decision on calls or configurations changes.

--- a/src/linnetwood/core/events.py
+++ b/src/linnetwood/core/events.py
@@ -3,13 +3,17 @@
 import enum
 import logging
 import sys
+from collections.abc import Callable
 
+from linnetwood.core.clock import monotonic_s
 from linnetwood.core.logformat import line_formatter
-from linnetwood.core.logsink import BoundedHandler
+from linnetwood.core.logranks import Rank
+from linnetwood.core.logsink import BoundedHandler, rank_by_level
 
 _LOGGER = logging.getLogger('linnetwood')
 # Otherwise a program without an open log would print events to stderr.
 _LOGGER.addHandler(logging.NullHandler())
+_MAX_REASON_CHARS = 60
 
 
 class Event(enum.IntEnum):
@@ -56,6 +60,8 @@
     CONFIG_WRITTEN_AGAIN = 3028
     ROUTES_OLDER = 3029
     VIEW_CHANGED = 3030
+    VIEW_STALE = 3031
+    VIEW_FRESH = 3032
     STORE_PAGE_AGAIN = 3015
     PEERS_TAKEN = 3016
     PEERS_UNHEARD = 3017
@@ -94,6 +100,7 @@
     SUSPECT_FOUND = 6013
     STREAM_SILENT = 6014
     CALL_FAILED = 6015
+    CALLS_UNWARNED = 6016
     FRAME_REFUSED = 7001
     METRICS_UNREACHABLE = 7002
     KEYS_RELOADED = 7003
@@ -121,6 +128,8 @@
         Event.STORE_ERA_UNREADABLE,
         Event.CONFIG_WRITTEN_AGAIN,
         Event.ROUTES_OLDER,
+        Event.VIEW_STALE,
+        Event.VIEW_FRESH,
         Event.ITEM_IGNORED,
         Event.STORE_PAGE_AGAIN,
         Event.INTRODUCTION_FAILED,
@@ -135,6 +144,7 @@
         Event.PACE_IGNORED,
         Event.CALL_CUT,
         Event.CALL_FAILED,
+        Event.CALLS_UNWARNED,
         Event.ENDPOINT_CRASHED,
         Event.ENDS_UNSHARED,
         Event.SUSPECT_FOUND,
@@ -144,9 +154,38 @@
 )
 
 
+# What the process decides calls by.
+_BELIEF = frozenset(
+    (
+        Event.STORE_AWAY,
+        Event.STORE_BACK,
+        Event.STORE_HISTORY_LOST,
+        Event.STORE_ERA,
+        Event.ROUTES_ADOPTED,
+        Event.ROUTES_OLDER,
+        Event.TELLER_HEARD,
+        Event.TELLER_LEFT,
+        Event.RANGE_REPLACED,
+        Event.VIEW_CHANGED,
+        Event.VIEW_STALE,
+        Event.VIEW_FRESH,
+    ),
+)
+# A flood of calls with one reason has few warnings.
+_CALL_ENDS = frozenset(
+    (
+        Event.CALL_NOT_RUN,
+        Event.CALL_UNKNOWN,
+        Event.CALL_CUT,
+        Event.CALL_REFUSED,
+        Event.CALL_UNPLACED,
+    ),
+)
+
+
 def open_log(level: str, vm: str) -> None:
     """Write JSON lines to standard output without blocking on its reader."""
-    handler = BoundedHandler(sys.stdout.fileno(), _report_dropped)
+    handler = open_handler(sys.stdout.fileno())
     handler.setFormatter(line_formatter(vm))
     _LOGGER.handlers.clear()
     _LOGGER.addHandler(handler)
@@ -154,13 +193,51 @@
     _LOGGER.setLevel(level.upper())
 
 
+def open_handler(
+    fd: int, clock: Callable[[], float] = monotonic_s
+) -> BoundedHandler:
+    """Return a handler that ranks events and limits warnings of calls."""
+    return BoundedHandler(
+        fd,
+        _report_dropped,
+        clock,
+        _rank_of,
+        _call_reason,
+        lambda counts: log(Event.CALLS_UNWARNED, calls=counts),
+    )
+
+
+def _rank_of(record: logging.LogRecord) -> Rank:
+    if getattr(record, 'event', 0) in _BELIEF:
+        return Rank.BELIEF
+    return rank_by_level(record)
+
+
+def _call_reason(record: logging.LogRecord) -> str:
+    """Return the event and code of a call's line, else an empty string."""
+    event = getattr(record, 'event', 0)
+    if event not in _CALL_ENDS:
+        return ''
+    return f'{event} {getattr(record, "code", "")}'[:_MAX_REASON_CHARS]
+
+
 def _report_dropped(count: int) -> None:
     log(Event.LOG_DROPPED, lines=count)
 
 
 def log(event: Event, **fields: object) -> None:
     """Log one event with its number and fields."""
-    level = logging.WARNING if event in _WARNINGS else logging.INFO
+    _write(
+        logging.WARNING if event in _WARNINGS else logging.INFO, event, fields
+    )
+
+
+def log_warning(event: Event, **fields: object) -> None:
+    """Log as a warning what is informative as a rule."""
+    _write(logging.WARNING, event, fields)
+
+
+def _write(level: int, event: Event, fields: dict[str, object]) -> None:
     if _LOGGER.isEnabledFor(level):
         _LOGGER.log(
             level,
--- a/src/linnetwood/core/logsink.py
+++ b/src/linnetwood/core/logsink.py
@@ -1,25 +1,30 @@
 """Write log lines to standard output without blocking on its reader.
 
 Lines beyond a budget, and lines that a slow reader leaves unread, are dropped:
-successes first, failures last. The number of dropped lines is logged as well.
+successes first, then failures, and last what the process knows. The number of
+dropped lines is logged as well.
 """
 
 import asyncio
 import collections
+import contextlib
 import logging
 import os
 from collections.abc import Callable
+from types import MappingProxyType
 
 from linnetwood.core.clock import monotonic_s
+from linnetwood.core.logranks import CallWarnings, Rank
 
 # Budget of one process, with a burst of one second's worth.
 LINES_PER_S = 400
 BYTES_PER_S = 160000
-# Successes may use this share of the budget; the rest is for failures.
-_SUCCESS_SHARE = 0.6
+# The shares of the budget and of the backlog that lines of a rank may fill.
+_SHARES = MappingProxyType(
+    {Rank.SUCCESS: 0.6, Rank.FAILURE: 0.9, Rank.BELIEF: 1.0},
+)
 _BACKLOG_BYTES = 262144
 _REPORT_EVERY_S = 1.0
-_FAILURE = logging.WARNING
 
 
 class Budget:
@@ -54,14 +59,37 @@
         return True
 
 
+def rank_by_level(record: logging.LogRecord) -> Rank:
+    """Return the rank of a line of which only the level is known."""
+    if record.levelno >= logging.WARNING:
+        return Rank.FAILURE
+    return Rank.SUCCESS
+
+
+def _no_reason(record: logging.LogRecord) -> str:
+    """Return no reason of a call by default."""
+    return ''
+
+
+def _ignore(counts: dict[str, int]) -> None:
+    """Report nothing by default."""
+
+
 class BoundedHandler(logging.Handler):
-    """Format records and write what the budget and the reader allow."""
+    """Format records and write what the budget and the reader allow.
+
+    Of the warnings with one `call_reason`, the first in a period stays one. The
+    others become informative lines, and `report_calls` gets their numbers.
+    """
 
     def __init__(
         self,
         fd: int,
         report: Callable[[int], None],
         clock: Callable[[], float] = monotonic_s,
+        rank: Callable[[logging.LogRecord], Rank] = rank_by_level,
+        call_reason: Callable[[logging.LogRecord], str] = _no_reason,
+        report_calls: Callable[[dict[str, int]], None] = _ignore,
     ) -> None:
         """Write to a descriptor; report the number of dropped lines."""
         super().__init__()
@@ -70,6 +98,11 @@
         self._fd = fd
         self._report = report
         self._clock = clock
+        self._rank = rank
+        self._call_reason = call_reason
+        self._report_calls = report_calls
+        self._call_warnings = CallWarnings()
+        self._period_timer: asyncio.TimerHandle | None = None
         self._budget = Budget(LINES_PER_S, BYTES_PER_S)
         self._backlog: collections.deque[bytes] = collections.deque()
         self._backlog_bytes = 0
@@ -78,12 +111,13 @@
 
     def emit(self, record: logging.LogRecord) -> None:
         """Write a line now, append it to the backlog, or drop it."""
-        line = f'{self.format(record)}\n'.encode()
         now = self._clock()
-        failure = record.levelno >= _FAILURE
-        reserve = 0 if failure else 1 - _SUCCESS_SHARE
-        allowed = self._budget.allows(len(line), now, reserve)
-        if allowed and self._has_room(len(line), failure=failure):
+        rank = self._rank(record)
+        self._limit_warnings(record, now)
+        line = f'{self.format(record)}\n'.encode()
+        share = _SHARES[rank]
+        allowed = self._budget.allows(len(line), now, 1 - share)
+        if allowed and self._has_room(len(line), share):
             self._backlog.append(line)
             self._backlog_bytes += len(line)
             self._write_backlog()
@@ -95,8 +129,35 @@
         """Write as much of the backlog as the reader accepts."""
         self._write_backlog()
 
-    def _has_room(self, size: int, *, failure: bool) -> bool:
-        share = 1 if failure else _SUCCESS_SHARE
+    def _limit_warnings(self, record: logging.LogRecord, now: float) -> None:
+        """Make a warning of a call informative if there was one like it."""
+        reason = self._call_reason(record)
+        if not reason or record.levelno != logging.WARNING:
+            return
+        if self._call_warnings.remaining_s(now) <= 0:
+            self._end_period()
+        if self._call_warnings.is_first(reason, now):
+            return
+        record.levelno = logging.INFO
+        record.levelname = logging.getLevelName(logging.INFO)
+        if self._period_timer is None:
+            self._start_timer(self._call_warnings.remaining_s(now))
+
+    def _start_timer(self, seconds: float) -> None:
+        # Without a loop, the next warning of a call ends the period.
+        with contextlib.suppress(RuntimeError):
+            loop = asyncio.get_running_loop()
+            self._period_timer = loop.call_later(seconds, self._end_period)
+
+    def _end_period(self) -> None:
+        if self._period_timer is not None:
+            self._period_timer.cancel()
+            self._period_timer = None
+        left_out = self._call_warnings.end_period()
+        if left_out:
+            self._report_calls(left_out)
+
+    def _has_room(self, size: int, share: float) -> bool:
         return self._backlog_bytes + size <= _BACKLOG_BYTES * share
 
     def _write_backlog(self) -> None:
--- a/src/linnetwood/core/metrics.py
+++ b/src/linnetwood/core/metrics.py
@@ -37,6 +37,8 @@
     STORE_ERA = 'store.era'
     SUSPECTS = 'crashes.suspects'
     RECORDS_IGNORED = 'records.ignored'
+    VIEWS_STALE = 'views.stale'
+    VIEW_STALE_S = 'view.stale_s'
 
 
 class Metrics(Protocol):
--- a/src/linnetwood/fleet/followerlog.py
+++ b/src/linnetwood/fleet/followerlog.py
@@ -1,6 +1,5 @@
 """Log what a follower of a range decides, each state once."""
 
-import dataclasses
 import math
 
 from linnetwood.core.errors import StoreError
@@ -9,39 +8,26 @@
 from linnetwood.fleet.mirror import LARGE_BYTES, Mirror
 from linnetwood.fleet.ranges import HistoryLostError, Snapshot
 from linnetwood.fleet.revisions import era_of, number_of
+from linnetwood.fleet.viewsources import Source, ViewSources
 
 _UNKNOWN_S = -1.0
 _DIGITS = 3
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Source:
-    """The way by which a view changes, and the host of the relay, if any."""
-
-    way: str
-    host: str = ''
-
-
-FROM_STORE = Source('store')
-
-
-def relay_source(host: str) -> Source:
-    """Return the source of updates of a relay of the own zone."""
-    return Source('relay', host)
-
-
-def zone_source(host: str) -> Source:
-    """Return the source of updates of a relay of another zone."""
-    return Source('zone', host)
-
-
 class FollowerLog:
     """Log the decisions of one follower."""
 
-    __slots__ = ('_ignores_updates', '_is_unreachable', '_mirror', '_prefix')
+    __slots__ = (
+        '_ignores_updates',
+        '_is_unreachable',
+        '_mirror',
+        '_prefix',
+        'sources',
+    )
 
     def __init__(self, prefix: str, mirror: Mirror) -> None:
         """Log with the revision of the mirror."""
+        self.sources = ViewSources()
         self._prefix = prefix
         self._mirror = mirror
         self._is_unreachable = False
@@ -49,6 +35,7 @@
 
     def store_failed(self, exc: StoreError) -> None:
         """Log that the store became unreachable."""
+        self.sources.came(exc.code)
         if not self._is_unreachable:
             log(
                 Event.STORE_AWAY,
@@ -61,6 +48,7 @@
 
     def store_answered(self) -> None:
         """Log that the store is reachable again."""
+        self.sources.came('answered')
         if self._is_unreachable:
             log(
                 Event.STORE_BACK,
@@ -71,6 +59,7 @@
 
     def history_lost(self, exc: HistoryLostError) -> None:
         """Log that the store lacks the changes since the known revision."""
+        self.sources.came('history-lost')
         log(
             Event.STORE_HISTORY_LOST,
             prefix=self._prefix,
--- a/src/linnetwood/fleet/rangefollower.py
+++ b/src/linnetwood/fleet/rangefollower.py
@@ -14,13 +14,7 @@
 from linnetwood.core.backoff import pause_s
 from linnetwood.core.errors import StoreError
 from linnetwood.core.owner import TaskOwner
-from linnetwood.fleet.followerlog import (
-    FROM_STORE,
-    FollowerLog,
-    Source,
-    relay_source,
-    zone_source,
-)
+from linnetwood.fleet.followerlog import FollowerLog
 from linnetwood.fleet.freshness import (
     DEFAULT_BOUNDS,
     FreshnessBounds,
@@ -39,6 +33,12 @@
 from linnetwood.fleet.retained import RetainedRecords
 from linnetwood.fleet.revisions import same_era
 from linnetwood.fleet.storehistory import StoreHistory
+from linnetwood.fleet.viewsources import (
+    FROM_STORE,
+    Source,
+    relay_source,
+    zone_source,
+)
 
 # Records of live endpoints are back within 2 s of the store's return, so that
 # return must be noticed well within 1 s.
@@ -97,6 +97,8 @@
         self.stagger_position = 0
         self.mirror = Mirror()
         self._log = FollowerLog(prefix, self.mirror)
+        # What was asked and heard last, for log lines.
+        self.sources = self._log.sources
         self._store = store
         self._prefix = prefix
         self._sink = sink
@@ -143,6 +145,7 @@
         now = asyncio.get_running_loop().time()
         if not math.isfinite(self.first_byte_at):
             self.first_byte_at = now
+            self.sources.came('receiving')
         self.last_byte_at = now
 
     def apply_update(self, update: RelayedUpdate) -> bool:
@@ -151,6 +154,8 @@
         While it is, it replaces the store's own answers.
         """
         now = asyncio.get_running_loop().time()
+        source = relay_source(update.source)
+        self.sources.heard(source, now - update.age_s, now)
         trusted_s = self._trusted_s(update, now)
         if update.outages != self._relay_outages:
             if self._relay_outages is not None:
@@ -166,7 +171,7 @@
         if is_lost:
             self._log.update_ignored(update)
         else:
-            self._apply_newer(update, relay_source(update.source))
+            self._apply_newer(update, source)
             self._note_confirmed(now - update.age_s)
         if self.uses_fallback_relay:
             # Requests to the store go on: it may be reachable again from here.
@@ -196,7 +201,9 @@
             self._log.update_ignored(update)
             return
         now = asyncio.get_running_loop().time()
-        self._apply_newer(update, zone_source(update.source))
+        source = zone_source(update.source)
+        self.sources.heard(source, now - update.age_s, now)
+        self._apply_newer(update, source)
         self._note_confirmed(now - update.age_s)
 
     def forget_relay(self) -> None:
@@ -227,6 +234,8 @@
                 if answered:
                     self._failures = 0
                     self._log.store_answered()
+                else:
+                    self.sources.came('relayed')
 
     async def _wait_until_due(self) -> None:
         loop = asyncio.get_running_loop()
@@ -276,8 +285,10 @@
         )
         is_old = requested_at - last_news_at > _REREAD_AFTER_S
         if not self._revision or self._history.must_read or is_old:
+            self.sources.asked('read', requested_at)
             await self._read()
             return
+        self.sources.asked('wait', requested_at)
         # The older the view is, the sooner it must be confirmed.
         age_s = requested_at - self.confirmed_at
         wait_s = self._bounds.wait_s - self._overhead_s - age_s
@@ -473,6 +484,7 @@
         until = requested_at + waited_s
         known_at = until if until <= began_at else requested_at
         self.store_confirmed_at = max(self.store_confirmed_at, known_at)
+        self.sources.confirmed(FROM_STORE, known_at)
         self._note_confirmed(known_at)
         return began_at
 
--- a/src/linnetwood/programs/resident_calls.py
+++ b/src/linnetwood/programs/resident_calls.py
@@ -18,12 +18,15 @@
 from linnetwood.calls.policy.retrycapacity import RETRY_CAPACITY
 from linnetwood.calls.regionpace import RegionPace
 from linnetwood.calls.viewwait import ViewNews, ViewWait
+from linnetwood.calls.viewwatch import ViewWatch
 from linnetwood.core.clock import Clock
 from linnetwood.core.exposed import ExposedMetrics
 from linnetwood.core.loops import held_up_s
 from linnetwood.core.metrics import Metric, Metrics
 from linnetwood.core.options import Decisions
 from linnetwood.core.processmemory import resident_bytes
+from linnetwood.fleet.rangefollower import RangeFollower
+from linnetwood.fleet.revisions import era_of
 from linnetwood.fleet.wanted import WantedVersions
 from linnetwood.platform.dialect import PlatformDialect
 from linnetwood.wire.curldriver import CurlDriver
@@ -42,6 +45,22 @@
     delegate.use_view_wait(view_wait.wait)
 
 
+def watch_views(
+    follower: RangeFollower,
+    config_age: ConfigAgeTracker,
+    max_age_s: float,
+    metrics: ExposedMetrics,
+) -> ViewWatch:
+    """Return the watch of the view's age, and expose its figures."""
+    watch = ViewWatch(
+        follower, config_age, follower.sources, max_age_s, metrics
+    )
+    metrics.gauge(Metric.STORE_AGE_S, config_age.store_age_s)
+    metrics.gauge(Metric.VIEW_STALE_S, watch.stale_s)
+    metrics.gauge(Metric.STORE_ERA, lambda: era_of(follower.revision))
+    return watch
+
+
 class CallPath:
     """Compose admission, choice of an endpoint, and dispatch of calls."""
 
--- a/src/linnetwood/programs/resident_entry.py
+++ b/src/linnetwood/programs/resident_entry.py
@@ -23,16 +23,20 @@
 from linnetwood.core.metrics import Metric
 from linnetwood.core.options import Decisions
 from linnetwood.fleet.relayselector import RelaySelector
-from linnetwood.fleet.revisions import era_of, number_of
 from linnetwood.fleet.wanted import WantedVersions
 from linnetwood.platform.feeds import EndpointFeed, OperatorFeed, StoreFeed
 from linnetwood.platform.ignored import IgnoredRecords
 from linnetwood.platform.settings import ProcessSettings
 from linnetwood.platform.store import PlatformStore
 from linnetwood.programs import resident
+from linnetwood.programs.adoptionlog import log_adopted, log_older
 from linnetwood.programs.listening import listen, readiness_server
 from linnetwood.programs.metricspage import MetricsPage
-from linnetwood.programs.resident_calls import CallPath, await_views
+from linnetwood.programs.resident_calls import (
+    CallPath,
+    await_views,
+    watch_views,
+)
 from linnetwood.programs.resident_crashes import CrashTracker
 from linnetwood.programs.resident_store import StoreFollower
 from linnetwood.wire.curldriver import CurlDriver
@@ -118,8 +122,6 @@
         path.limit_rate(cfg.region)
         path.limit_memory(self.delegate, cfg.memory_bytes, metrics)
         metrics.gauge(Metric.CONFIG_VERSION, lambda: self.route_table.version)
-        metrics.gauge(Metric.STORE_AGE_S, self.config_age.store_age_s)
-        metrics.gauge(Metric.STORE_ERA, lambda: era_of(self._follower.revision))
         chooser.entry_count = lambda: self.reports.entry_count
         crashes.entries = chooser.entry_count
         crashes.has_engines = lambda name: self.route_table.has_engines(name)
@@ -150,6 +152,12 @@
         )
         self._follower = self._news.follower
         await_views(self.delegate, self._follower, self.config_age)
+        self._view_watch = watch_views(
+            self._follower,
+            self.config_age,
+            cfg.config_bound_s * _TRUSTED_SHARE,
+            metrics,
+        )
         self.reports.subscriptions.revision = lambda: self._follower.revision
         self._callers = open_server(self.delegate, self.route_table.limits)
         self._servers: list[HTTPServer] = []
@@ -161,6 +169,7 @@
         self._metrics_page.start(cfg.host)
         await self.reports.start(cfg.host)
         await self._news.start()
+        self._view_watch.start()
         self._crashes.start()
         self._listen(self._callers, cfg.callers)
 
@@ -170,6 +179,7 @@
         self.delegate.stopping = True
         await self._finish_calls()
         await self._crashes.close()
+        await self._view_watch.close()
         await self._news.close()
         await self.reports.close()
         self._metrics_page.close()
@@ -180,7 +190,7 @@
         in_force = self.route_table
         if in_force.revision and route_table.version <= in_force.version:
             if route_table.version < in_force.version:
-                _log_adoption(Event.ROUTES_OLDER, route_table, in_force)
+                log_older(route_table, in_force, self._news_fields())
             return
         if self._decisions.priorities == 'ignored':
             route_table = route_table.without_priorities()
@@ -189,7 +199,7 @@
         self.reports.route_table = route_table
         self._callers.set_limits(route_table.limits)
         self._share_retries()
-        _log_adoption(Event.ROUTES_ADOPTED, route_table, in_force)
+        log_adopted(route_table, in_force, self._news_fields())
 
     @property
     def ready(self) -> bool:
@@ -199,6 +209,9 @@
             learned and bool(self.route_table.revision) and not self._stopping
         )
 
+    def _news_fields(self) -> dict[str, object]:
+        return self._follower.sources.news(asyncio.get_running_loop().time())
+
     async def _finish_calls(self) -> None:
         loop = asyncio.get_running_loop()
         began = loop.time()
@@ -247,19 +260,6 @@
             self._servers.append(server)
 
 
-def _log_adoption(
-    event: Event, found: RouteTable, in_force: RouteTable
-) -> None:
-    log(
-        event,
-        version=found.version,
-        revision=number_of(found.revision),
-        era=era_of(found.revision),
-        before=in_force.version,
-        routes=sum(map(len, found.by_host.values())),
-    )
-
-
 async def serve(cfg: ProcessSettings, decisions: Decisions) -> None:
     """Serve callers on an entry VM."""
     entry = ResidentEntry(cfg, decisions)
--- a/tests/test_resident_entry.py
+++ b/tests/test_resident_entry.py
@@ -1,16 +1,20 @@
 """What an entry of the platform tells of its own belief."""
 
 import asyncio
+import dataclasses
 import json
 import math
 import unittest
+from typing import Any
 
 from tornado.netutil import bind_sockets
 
 from linnetwood.calls.configbasis import ConfigBasis
 from linnetwood.calls.prioritylevels import rank_priorities
 from linnetwood.calls.routetable import CallLimits, RouteTable, Service
+from linnetwood.core.events import Event
 from linnetwood.core.options import Decisions
+from linnetwood.fleet.viewsources import relay_source
 from linnetwood.platform import records
 from linnetwood.programs.resident_entry import ResidentEntry
 from tests.process_settings import process_settings
@@ -146,6 +150,46 @@
                 self.entry._follower.confirmed_at = now - age_s
                 self.assertIs(self.entry.delegate.config_basis().is_stale, old)
 
+    async def adopted(self, store_age_s: float) -> list[dict[str, Any]]:
+        """Adopt a configuration without a route; return what is logged."""
+        await self.learn()
+        follower = self.entry._follower
+        now = asyncio.get_running_loop().time()
+        follower.sources.heard(relay_source('e-2'), now - store_age_s, now)
+        with self.assertLogs('linnetwood', 'INFO') as captured:
+            self.entry.adopt(RouteTable(8, 8))
+            self.entry.adopt(RouteTable(9, 6))
+        return [record.__dict__ for record in captured.records]
+
+    async def test_adoption_says_what_calls_lose(self) -> None:
+        """Guards against a route that is dropped without a warning."""
+        adopted, older = await self.adopted(1.5)
+        self.assertEqual(adopted['event'], Event.ROUTES_ADOPTED)
+        self.assertEqual(adopted['levelname'], 'WARNING')
+        self.assertEqual((adopted['version'], adopted['before']), (8, 7))
+        self.assertEqual(adopted['dropped'], len(CONFIG['routes']))
+        self.assertGreater(adopted['keys_dropped'], 0)
+        self.assertTrue(adopted['changed'][0].startswith('dropped host1.'))
+        self.assertEqual((adopted['way'], adopted['source']), ('relay', 'e-2'))
+        self.assertGreaterEqual(adopted['age_s'], 1.5)
+        self.assertEqual(older['event'], Event.ROUTES_OLDER)
+        self.assertEqual((older['version'], older['before']), (6, 8))
+        self.assertEqual(older['way'], 'relay')
+
+    async def test_adoption_that_takes_nothing_is_no_warning(self) -> None:
+        """The first configuration, and one that only adds."""
+        with self.assertLogs('linnetwood', 'INFO') as captured:
+            await self.learn()
+            in_force = self.entry.route_table
+            again = dataclasses.replace(in_force, version=8)
+            self.entry.adopt(again)
+        levels = [
+            record.levelname
+            for record in captured.records
+            if record.__dict__['event'] == Event.ROUTES_ADOPTED
+        ]
+        self.assertEqual(levels, ['INFO', 'INFO'])
+
     async def test_a_stop_waits_for_no_stalled_reader(self) -> None:
         """Guard against a process that is killed as it ends too late."""
         self.entry._cfg = process_settings(stop_within_s=3.3)
