Order the fields of a log line without looking each one up twice

What for: each line costs processor time, and ordering cost 9 of 54 us. Change: the first and last fields are taken out, the others stay as they are.

--- a/src/linnetwood/core/logformat.py
+++ b/src/linnetwood/core/logformat.py
@@ -34,13 +34,11 @@
         self, log_data: dict[str, object]
     ) -> dict[str, object]:
         """Return the fields of a line in order."""
-        ordered = {name: log_data[name] for name in _FIRST if name in log_data}
-        last = {name: log_data[name] for name in _LAST if name in log_data}
-        for name, found in log_data.items():
-            if name not in last:
-                ordered[name] = found
-        ordered.update(last)
-        return ordered
+        first = {
+            name: log_data.pop(name) for name in _FIRST if name in log_data
+        }
+        last = {name: log_data.pop(name) for name in _LAST if name in log_data}
+        return {**first, **log_data, **last}
 
 
 def line_formatter(vm: str) -> OrderedFormatter:
