--- a/src/linnetwood/programs/explain.py
+++ b/src/linnetwood/programs/explain.py
@@ -123,6 +123,16 @@
     return f'cut off ({line.get("code")}){_detail(line)}'
 
 
+def _traced(line: dict[str, Any]) -> str:
+    return (
+        f'answered by {line.get("service")} after {line.get("took_ms")} ms; '
+        f'decided {line.get("decided_ms")} ms after it came by version '
+        f'{line.get("config_version")} on a view {line.get("store_age_ms")} ms '
+        f'old ({line.get("confirmed_by")}); version {line.get("version_now")} '
+        f'was in force at the end ({line.get("code")})'
+    )
+
+
 def _crashed(line: dict[str, Any]) -> str:
     return (
         f'{line.get("endpoint")} of {line.get("service")} ended '
@@ -174,6 +184,7 @@
         int(Event.CALL_NOT_RUN): _not_run,
         int(Event.CALL_UNKNOWN): _unknown,
         int(Event.CALL_CUT): _cut,
+        int(Event.CALL_TRACED): _traced,
         int(Event.ENDPOINT_CRASHED): _crashed,
         int(Event.ENDPOINT_NOTICE): _notice,
         int(Event.STREAM_SILENT): _silent,
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -129,6 +129,27 @@
         self.assertIn('i-1 has sent nothing for 1003 ms, with 4 other', text)
         self.assertIn('no retry budget (1 attempts and 0.4 retries', text)
 
+    def test_answers_by_an_older_configuration(self) -> None:
+        """Guards against an answered call whose configuration stays unknown."""
+        text = line(
+            6017,
+            'call_traced',
+            '1,000',
+            call='c-1',
+            code='moved',
+            service='desk',
+            config_version=7,
+            version_now=8,
+            store_age_ms=250,
+            confirmed_by='relay',
+            decided_ms=3,
+            took_ms=420,
+        )
+        found = explain.describe(json.loads(text))
+        self.assertIn('answered by desk after 420 ms', found)
+        self.assertIn('by version 7 on a view 250 ms old (relay)', found)
+        self.assertIn('version 8 was in force at the end (moved)', found)
+
     def test_notices_of_endpoints(self) -> None:
         """Each notice is described in words."""
         for fields, notice in (
