Say first in 3009 which way a configuration came and what calls lose

Change: versions, way and age, then what takes most from callers, then the rest. Result: tests check the first 200 characters of 3009, 3031 and 3032.

--- a/src/linnetwood/calls/tablechanges.py
+++ b/src/linnetwood/calls/tablechanges.py
@@ -16,8 +16,9 @@
 KEY_ADDED: Final = 'key-added'
 KEY_DROPPED: Final = 'key-dropped'
 KEY_ALTERED: Final = 'key-altered'
-_KINDS: Final = (ADDED, DROPPED, MOVED, ALTERED)
-_KEY_KINDS: Final = (KEY_ADDED, KEY_DROPPED, KEY_ALTERED)
+# What takes most from callers comes first.
+_KINDS: Final = (DROPPED, MOVED, ADDED, ALTERED)
+_KEY_KINDS: Final = (KEY_DROPPED, KEY_ADDED, KEY_ALTERED)
 # Calls that an older configuration would still serve, or serve elsewhere.
 _FELT: Final = (DROPPED, MOVED, KEY_DROPPED)
 
@@ -45,7 +46,7 @@
 
     def named(self) -> Iterator[str]:
         """Yield the places that changed, dropped and moved ones first."""
-        for kind in (DROPPED, MOVED, ADDED, ALTERED):
+        for kind in _KINDS:
             for (host, prefix), found in self.places.items():
                 if found == kind:
                     yield f'{kind} {host}{prefix}'
--- a/src/linnetwood/programs/adoptionlog.py
+++ b/src/linnetwood/programs/adoptionlog.py
@@ -36,10 +36,9 @@
         write = log_warning if changes.is_felt else log
     write(
         Event.ROUTES_ADOPTED,
-        **_versions(found, before),
+        **_versions(found, before, news),
         **changes.counts(),
-        **news,
-        routes=sum(map(len, found.by_host.values())),
+        **_size(found),
         changed=[name[:MAX_LOGGED_CHARS] for name in names],
     )
     return changes if before.revision else NO_CHANGES
@@ -51,16 +50,24 @@
     """Log a configuration that has no effect."""
     log(
         Event.ROUTES_OLDER,
-        **_versions(found, in_force),
-        **news,
-        routes=sum(map(len, found.by_host.values())),
+        **_versions(found, in_force, news),
+        **_size(found),
     )
 
 
-def _versions(found: RouteTable, before: RouteTable) -> dict[str, object]:
+def _versions(
+    found: RouteTable, before: RouteTable, news: Mapping[str, object]
+) -> dict[str, object]:
     return {
         'version': found.version,
         'before': before.version,
+        **news,
+    }
+
+
+def _size(found: RouteTable) -> dict[str, object]:
+    return {
         'revision': number_of(found.revision),
         'era': era_of(found.revision),
+        'routes': sum(map(len, found.by_host.values())),
     }
--- a/tests/test_resident_entry.py
+++ b/tests/test_resident_entry.py
@@ -14,6 +14,7 @@
 from linnetwood.calls.prioritylevels import rank_priorities
 from linnetwood.calls.routetable import CallLimits, RouteTable, Service
 from linnetwood.core.events import Event
+from linnetwood.core.logformat import line_formatter
 from linnetwood.core.options import Decisions
 from linnetwood.fleet.viewsources import relay_source
 from linnetwood.platform import records
@@ -161,6 +162,10 @@
         with self.assertLogs('linnetwood', 'INFO') as captured:
             self.entry.adopt(RouteTable(8, 8))
             self.entry.adopt(RouteTable(9, 6))
+        self.cut = [
+            line_formatter('frontend-mi-sala1-3').format(record)[:200]
+            for record in captured.records
+        ]
         return [record.__dict__ for record in captured.records]
 
     async def test_adoption_says_what_calls_lose(self) -> None:
@@ -177,6 +182,8 @@
         self.assertEqual(older['event'], Event.ROUTES_OLDER)
         self.assertEqual((older['version'], older['before']), (6, 8))
         self.assertEqual(older['way'], 'relay')
+        for name in ('version', 'before', 'way', 'age_s', 'dropped', 'moved'):
+            self.assertIn(f'"{name}": ', self.cut[0])
 
     async def test_adoption_that_takes_nothing_is_no_warning(self) -> None:
         """The first configuration, and one that only adds."""
--- a/tests/test_viewwatch.py
+++ b/tests/test_viewwatch.py
@@ -11,6 +11,7 @@
 from linnetwood.core.errors import StoreError
 from linnetwood.core.events import Event
 from linnetwood.core.exposed import ExposedMetrics
+from linnetwood.core.logformat import line_formatter
 from linnetwood.fleet.freshness import RelayedUpdate, bounds_for
 from linnetwood.fleet.rangefollower import RangeFollower
 from linnetwood.fleet.ranges import Snapshot
@@ -101,6 +102,11 @@
         with self.assertLogs('linnetwood', 'INFO') as captured:
             virtual.run(run())
         lines = [record.__dict__ for record in captured.records]
+        self.cut = [
+            line_formatter('frontend-mi-sala1-3').format(record)[:200]
+            for record in captured.records
+            if record.__dict__['event'] in VIEW_EVENTS
+        ]
         return [line for line in lines if line['event'] in VIEW_EVENTS]
 
     def test_silent_store(self) -> None:
@@ -129,6 +135,13 @@
         self.assertEqual((fresh['way'], fresh['source']), ('store', ''))
         self.assertGreater(fresh['stale_s'], 2)
         self.assertLess(fresh['age_s'], MAX_AGE_S)
+        for cut, names in zip(
+            self.cut,
+            (('code', 'basis', 'asked_s'), ('basis', 'stale_s', 'way')),
+            strict=True,
+        ):
+            for name in names:
+                self.assertIn(f'"{name}": ', cut)
 
     def test_relay_helps(self) -> None:
         """Guards against a line that says fresh, and not by whom."""
