--- a/src/linnetwood/calls/viewwatch.py
+++ b/src/linnetwood/calls/viewwatch.py
@@ -26,10 +26,10 @@
 
 
 class ViewSayings(Protocol):
-    """Tell where news of the view come from, as log fields."""
+    """Tell what the view was asked of and confirmed by, as log fields."""
 
-    def news(self, now: float) -> dict[str, object]:
-        """Return the way of the last news, and how old it is."""
+    def confirmation(self, now: float) -> dict[str, object]:
+        """Return by which way the view was confirmed last, and its age."""
 
     def reason(self, now: float) -> dict[str, object]:
         """Return what was asked and heard last, and how long ago."""
@@ -110,6 +110,6 @@
         log(
             Event.VIEW_FRESH,
             stale_s=stale_s,
-            **self._sayings.news(now),
+            **self._sayings.confirmation(now),
             **config_fields(self._age.basis()),
         )
--- a/src/linnetwood/fleet/rangefollower.py
+++ b/src/linnetwood/fleet/rangefollower.py
@@ -172,7 +172,7 @@
             self._log.update_ignored(update)
         else:
             self._apply_newer(update, source)
-            self._note_confirmed(now - update.age_s)
+            self._note_confirmed(now - update.age_s, source)
         if self.uses_fallback_relay:
             # Requests to the store go on: it may be reachable again from here.
             return trusted_s > 0
@@ -204,7 +204,7 @@
         source = zone_source(update.source)
         self.sources.heard(source, now - update.age_s, now)
         self._apply_newer(update, source)
-        self._note_confirmed(now - update.age_s)
+        self._note_confirmed(now - update.age_s, source)
 
     def forget_relay(self) -> None:
         """Drop the state of a relay that was left, before another is used."""
@@ -484,14 +484,15 @@
         until = requested_at + waited_s
         known_at = until if until <= began_at else requested_at
         self.store_confirmed_at = max(self.store_confirmed_at, known_at)
-        self.sources.confirmed(FROM_STORE, known_at)
-        self._note_confirmed(known_at)
+        self.sources.answered(FROM_STORE, known_at)
+        self._note_confirmed(known_at, FROM_STORE)
         return began_at
 
-    def _note_confirmed(self, known_at: float) -> None:
+    def _note_confirmed(self, known_at: float, source: Source) -> None:
         is_newer = known_at > self.confirmed_at + _AGE_RESOLUTION_S
         self.confirmed_at = max(self.confirmed_at, known_at)
         if is_newer:
+            self.sources.confirmed(source, known_at)
             # Subscribers need the new age also where no key changed.
             self._notify()
 
--- a/src/linnetwood/fleet/viewsources.py
+++ b/src/linnetwood/fleet/viewsources.py
@@ -40,19 +40,24 @@
         '_asked',
         '_asked_at',
         '_came',
+        '_confirmed_as_of',
+        '_confirmed_by',
+        '_news_as_of',
+        '_news_from',
         '_relay',
         '_relay_as_of',
         '_relay_at',
-        'news_as_of',
-        'news_from',
     )
 
     def __init__(self) -> None:
         """Start with nothing asked or heard."""
-        # Where the last confirmation or update came from, and as of when the
-        # store had confirmed it.
-        self.news_from = Source('')
-        self.news_as_of = -math.inf
+        # Where the last answer or update came from, also one that is ignored,
+        # and as of when the store had confirmed it.
+        self._news_from = Source('')
+        self._news_as_of = -math.inf
+        # What made the view younger last.
+        self._confirmed_by = Source('')
+        self._confirmed_as_of = -math.inf
         self._asked = ''
         self._asked_at = -math.inf
         self._came = _NOTHING_ASKED
@@ -75,20 +80,25 @@
         self._relay = source
         self._relay_at = now
         self._relay_as_of = as_of
-        self.confirmed(source, as_of)
+        self.answered(source, as_of)
+
+    def answered(self, source: Source, as_of: float) -> None:
+        """Note what the view may be changed or confirmed by next."""
+        self._news_from = source
+        self._news_as_of = as_of
 
     def confirmed(self, source: Source, as_of: float) -> None:
-        """Note what the view is changed or confirmed by next."""
-        self.news_from = source
-        self.news_as_of = as_of
+        """Note what made the view younger."""
+        self._confirmed_by = source
+        self._confirmed_as_of = as_of
 
     def news(self, now: float) -> dict[str, object]:
-        """Return the way of the last news, and how old it is."""
-        return {
-            'way': self.news_from.way,
-            'age_s': _seconds(now - self.news_as_of),
-            'source': self.news_from.host,
-        }
+        """Return the way of the last news, and how old they are."""
+        return _fields(self._news_from, now - self._news_as_of)
+
+    def confirmation(self, now: float) -> dict[str, object]:
+        """Return by which way the view was confirmed last, and its age."""
+        return _fields(self._confirmed_by, now - self._confirmed_as_of)
 
     def reason(self, now: float) -> dict[str, object]:
         """Return what was asked and heard last, and how long ago."""
@@ -102,5 +112,9 @@
         }
 
 
+def _fields(source: Source, age_s: float) -> dict[str, object]:
+    return {'way': source.way, 'age_s': _seconds(age_s), 'source': source.host}
+
+
 def _seconds(seconds: float) -> float:
     return round(seconds, _DIGITS) if math.isfinite(seconds) else _UNKNOWN_S
--- a/tests/test_viewwatch.py
+++ b/tests/test_viewwatch.py
@@ -66,7 +66,7 @@
             self.metrics,
         )
 
-    def relay(self, age_s: float) -> None:
+    def relay(self, age_s: float, host: str = '10.0.0.7') -> None:
         """Let a relay confirm the view as of so long ago."""
         update = RelayedUpdate(
             1,
@@ -76,7 +76,7 @@
             0,
             whole=False,
             changes=(),
-            source='10.0.0.7',
+            source=host,
         )
         self.follower.apply_update(update)
 
@@ -154,6 +154,8 @@
             watched.relay(MAX_AGE_S + 0.1)
             await asyncio.sleep(1)
             watched.relay(0.25)
+            # Read in the same step of the loop; it confirms nothing.
+            watched.relay(MAX_AGE_S + 0.1, '10.0.0.8')
             await asyncio.sleep(0.1)
 
         stale, fresh = self.lines(scenario)
