--- a/src/linnetwood/core/metrics.py
+++ b/src/linnetwood/core/metrics.py
@@ -37,6 +37,9 @@
     STORE_ERA = 'store.era'
     SUSPECTS = 'crashes.suspects'
     RECORDS_IGNORED = 'records.ignored'
+    VIEWS_STALE = 'views.stale'
+    VIEW_STALE_S = 'view.stale_s'
+    CALLS_ON_STALE_VIEW = 'calls.on_stale_view'
 
 
 class Metrics(Protocol):
--- a/tests/test_resident_entry.py
+++ b/tests/test_resident_entry.py
@@ -1,21 +1,28 @@
 """What an entry of the platform tells of its own belief."""
 
 import asyncio
+import dataclasses
 import json
 import math
 import unittest
+from typing import Any
 
 from tornado.netutil import bind_sockets
 
 from linnetwood.calls.configbasis import ConfigBasis
+from linnetwood.calls.directory import Endpoint
 from linnetwood.calls.prioritylevels import rank_priorities
 from linnetwood.calls.routetable import CallLimits, RouteTable, Service
+from linnetwood.core.events import Event
+from linnetwood.core.logformat import line_formatter
 from linnetwood.core.options import Decisions
+from linnetwood.fleet.viewsources import relay_source
 from linnetwood.platform import records
 from linnetwood.programs.resident_entry import ResidentEntry
+from tests.direct_calls import GOOD
 from tests.process_settings import process_settings
 from tests.test_callserver import request
-from tests.test_curldriver import HOST, ScriptedServer
+from tests.test_curldriver import HOST, ScriptedServer, Server, respond_with
 from tests.test_following import answer, row
 from tests.test_records import CONFIG
 
@@ -146,6 +153,77 @@
                 self.entry._follower.confirmed_at = now - age_s
                 self.assertIs(self.entry.delegate.config_basis().is_stale, old)
 
+    async def adopted(self, store_age_s: float) -> list[dict[str, Any]]:
+        """Adopt a configuration without a route; return what is logged."""
+        await self.learn()
+        follower = self.entry._follower
+        now = asyncio.get_running_loop().time()
+        follower.sources.heard(relay_source('e-2'), now - store_age_s, now)
+        with self.assertLogs('linnetwood', 'INFO') as captured:
+            self.entry.adopt(RouteTable(8, 8))
+            self.entry.adopt(RouteTable(9, 6))
+        self.cut = [
+            line_formatter('frontend-mi-sala1-3').format(record)[:200]
+            for record in captured.records
+        ]
+        return [record.__dict__ for record in captured.records]
+
+    async def test_adoption_says_what_calls_lose(self) -> None:
+        """Guards against a route that is dropped without a warning."""
+        adopted, older = await self.adopted(1.5)
+        self.assertEqual(adopted['event'], Event.ROUTES_ADOPTED)
+        self.assertEqual(adopted['levelname'], 'WARNING')
+        self.assertEqual((adopted['version'], adopted['before']), (8, 7))
+        self.assertEqual(adopted['dropped'], len(CONFIG['routes']))
+        self.assertGreater(adopted['keys_dropped'], 0)
+        self.assertTrue(adopted['changed'][0].startswith('dropped host1.'))
+        self.assertEqual((adopted['way'], adopted['source']), ('relay', 'e-2'))
+        self.assertGreaterEqual(adopted['age_s'], 1.5)
+        self.assertEqual(older['event'], Event.ROUTES_OLDER)
+        self.assertEqual((older['version'], older['before']), (6, 8))
+        self.assertEqual(older['way'], 'relay')
+        for name in ('version', 'before', 'way', 'age_s', 'dropped', 'moved'):
+            self.assertIn(f'"{name}": ', self.cut[0])
+
+    async def test_adoption_that_takes_nothing_is_no_warning(self) -> None:
+        """The first configuration, and one that only adds."""
+        with self.assertLogs('linnetwood', 'INFO') as captured:
+            await self.learn()
+            in_force = self.entry.route_table
+            again = dataclasses.replace(in_force, version=8)
+            self.entry.adopt(again)
+        levels = [
+            record.levelname
+            for record in captured.records
+            if record.__dict__['event'] == Event.ROUTES_ADOPTED
+        ]
+        self.assertEqual(levels, ['INFO', 'INFO'])
+
+    async def test_answers_on_an_old_view_have_a_line(self) -> None:
+        """Guards against calls that an entry without its store hides."""
+        await self.learn()
+        endpoint = Server(respond_with(GOOD))
+        port = await endpoint.start()
+        self.entry.directory.update(
+            Endpoint('i-1', 'pool', HOST, port, 'z1', 6, ready=True)
+        )
+        asked = request('/c/x', host='host1.example')
+        with self.assertLogs('linnetwood', 'INFO') as captured:
+            status = await self.status(asked, 5.2)
+        await endpoint.close()
+        self.assertEqual(status, 200)
+        traced = [
+            record.__dict__
+            for record in captured.records
+            if record.__dict__['event'] == Event.CALL_TRACED
+        ]
+        self.assertEqual(
+            [(line['code'], line['version_now']) for line in traced],
+            [('stale-view', 7)],
+        )
+        self.assertGreaterEqual(traced[0]['store_age_ms'], 5200)
+        self.assertEqual(self.figure('calls_on_stale_view_total'), 1)
+
     async def test_a_stop_waits_for_no_stalled_reader(self) -> None:
         """Guard against a process that is killed as it ends too late."""
         self.entry._cfg = process_settings(stop_within_s=3.3)
