Judge probes of routes that move between services with servers

What for: calls were run by the service that a route had left, seen with real processes. The soak only dropped numbered routes of one service, so that no run of it could show this.

Change: configurations of a fleet with several plain services move routes between these, shorten and lengthen prefixes, change hosts, drop routes and add them again. Each entry is called on each of them ten times a second, on new and on kept connections. A run by a service that no configuration since the bound allows is a CONFIG violation, also where a server saw the effect of a newer one in the same life; refusals and the share served are judged as for added routes. A store that forgets its history but answers in time extends the bound by five seconds, and no longer excuses everything.

--- a/src/linnetwood/lab/soak/callers.py
+++ b/src/linnetwood/lab/soak/callers.py
@@ -22,6 +22,8 @@
 )
 from linnetwood.lab.soak.fleet import Fleet, Vm
 from linnetwood.lab.soak.history import Call, CallKind, History
+from linnetwood.lab.soak.movedprobes import MovedProbes
+from linnetwood.lab.soak.movedroutes import Target
 from linnetwood.lab.soak.probes import OpenLoopProbes
 from linnetwood.lab.soak.schedule import Fault
 from linnetwood.lab.soak.standcalls import FATAL
@@ -84,6 +86,9 @@
         """Call each entry at a fixed rate, however long it takes to answer."""
         probes = OpenLoopProbes(self._fleet.entries, self._record_probe)
         self._run_in_background(probes.run())
+        if len(self._fleet.plain_services) > 1:
+            moved = MovedProbes(self._fleet.entries, self._record_moved)
+            self._run_in_background(moved.run())
 
     async def close(self) -> None:
         """Stop all callers."""
@@ -163,6 +168,11 @@
         call.key = numbered_key(probed) if by_key else call.key
         return call
 
+    def _record_moved(self, vm: Vm, target: Target) -> Call:
+        call = self._record_call(vm, CallKind.IDEMPOTENT, target.path)
+        call.host = target.host
+        return call
+
     def _record_call(
         self,
         vm: Vm,
--- a/src/linnetwood/lab/soak/checks.py
+++ b/src/linnetwood/lab/soak/checks.py
@@ -77,6 +77,10 @@
         """Return the share of probes whose entry was in touch."""
         return self._configurations.in_touch_share()
 
+    def moved_counts(self) -> dict[str, int]:
+        """Return the probes of moved routes in touch, and of due ones."""
+        return self._configurations.moved_counts()
+
     def _call_violations(self) -> Iterator[str]:
         rules: tuple[Callable[[Call], Iterator[str]], ...] = (
             self._check_mixed,
--- a/src/linnetwood/lab/soak/configchecks.py
+++ b/src/linnetwood/lab/soak/configchecks.py
@@ -4,8 +4,9 @@
 call. One whose event loop stands still is in touch.
 """
 
+from collections import defaultdict
 from collections.abc import Iterable, Iterator, Sequence
-from itertools import chain, groupby
+from itertools import chain
 from typing import Final, NamedTuple
 
 from linnetwood.lab.soak.configuration import (
@@ -14,6 +15,7 @@
     KEPT_ROUTES,
     timeout_s,
 )
+from linnetwood.lab.soak.contact import Contact
 from linnetwood.lab.soak.history import (
     PROCESSOR_WAIT,
     Call,
@@ -22,10 +24,9 @@
     describe,
 )
 from linnetwood.lab.soak.limits import Limits
+from linnetwood.lab.soak.movechecks import REFUSALS, MovedRouteChecker
 
 _OK = 200
-# Refusals that state that a route or key does not exist.
-_REFUSALS = frozenset((401, 403, 404))
 _MIN_CALLS_ON_ADDED = 20
 _MIN_UNANSWERED = 8
 _MIN_SHARE = 0.25
@@ -53,27 +54,42 @@
         self._history = history
         self._runs = runs
         self._limits = limits
+        self._contact = Contact(history, limits)
         self._probes = [
             call for call in history.calls if call.probes and call.ended_at
         ]
+        self._effects: dict[str, list[_Effect]] = defaultdict(list)
+        for call in self._probes:
+            self._effects[call.entry].extend(
+                _Effect(run.at, call.probes)
+                for run in runs.get(call.call_id, ())
+            )
+        self._moved = MovedRouteChecker(
+            history, runs, self._contact, self._seen_before
+        )
 
     def violations(self) -> Iterator[str]:
         """Yield each violation with its rule, time and details."""
         yield from chain.from_iterable(map(self._check_late, self._probes))
+        yield from self._moved.violations()
         yield from self._check_added_routes()
         yield from self._check_regressions()
         yield from self._check_timeouts()
 
     def in_touch_share(self) -> float:
         """Return the share of probes whose entry was in touch."""
-        in_touch = sum(map(self._is_in_touch, self._probes))
+        in_touch = sum(map(self._contact.is_in_touch, self._probes))
         return round(in_touch / (len(self._probes) or 1), 2)
 
+    def moved_counts(self) -> dict[str, int]:
+        """Return the probes of moved routes in touch, and of due ones."""
+        return self._moved.counts()
+
     def _check_late(self, call: Call) -> Iterator[str]:
         """Check routes and keys that due configurations added or dropped."""
-        due = self._due(call)
+        due = self._contact.due(call)
         is_wrong = self._is_refused(call, due) or self._is_obsolete(call, due)
-        if is_wrong and self._is_in_touch(call):
+        if is_wrong and self._contact.is_bound(call):
             yield describe('CONFIG', call, f'{call.probes}, due is {due}')
 
     def _check_added_routes(self) -> Iterator[str]:
@@ -82,10 +98,11 @@
             call
             for call in self._probes
             if call.path.startswith(ADDED_PREFIX)
-            and self._exists(call, self._due(call))
-            and self._is_in_touch(call)
+            and self._exists(call, self._contact.due(call))
+            and self._contact.is_in_touch(call)
         ]
         first = [call for call in self._history.calls if self._is_first(call)]
+        added.extend(self._moved.due_calls())
         yield from _compare('all entries', added, first)
         for entry in sorted({call.entry for call in added}):
             yield from _compare(
@@ -93,32 +110,34 @@
             )
 
     def _check_regressions(self) -> Iterator[str]:
-        by_entry = sorted(self._probes, key=_entry_and_time)
-        for entry, group in groupby(by_entry, key=_entry_of):
-            probes = list(group)
-            effects = sorted(
-                _Effect(run.at, call.probes)
-                for call in probes
-                for run in self._runs.get(call.call_id, ())
-            )
-            for call in probes:
-                yield from self._check_regression(entry, call, effects)
+        for call in sorted(self._probes, key=_entry_and_time):
+            yield from self._check_regression(call)
 
-    def _check_regression(
-        self, entry: str, call: Call, effects: Sequence[_Effect]
-    ) -> Iterator[str]:
+    def _check_regression(self, call: Call) -> Iterator[str]:
         """Check a call against what its entry did before in the same life."""
-        for effect in effects:
+        for effect in sorted(self._effects[call.entry]):
             is_wrong = self._is_refused(
                 call, effect.number
             ) or self._is_obsolete(call, effect.number)
-            if is_wrong and self._is_later(entry, call, effect):
+            if is_wrong and self._is_later(call, effect):
                 seen = f'{call.probes} after the effect of {effect.number}'
                 yield describe('CONFIG', call, f'{seen} at {effect.at:.3f}')
                 return
 
-    def _is_later(self, entry: str, call: Call, effect: _Effect) -> bool:
+    def _seen_before(self, call: Call) -> int:
+        """Return the newest number whose effect was seen before a call."""
+        numbers = (
+            effect.number
+            for effect in self._effects[call.entry]
+            if self._is_later(call, effect)
+        )
+        return max(numbers, default=0)
+
+    def _is_later(self, call: Call, effect: _Effect) -> bool:
+        entry = call.entry
         slack_s = self._limits.rollback_s
+        if call.sent_at <= effect.at + slack_s:
+            return False
         if self._has_fault(entry, effect.at, call.ended_at, _SLOWING):
             slack_s *= _SLOWED_RATIO
         return call.sent_at > effect.at + slack_s and not self._has_fault(
@@ -131,7 +150,7 @@
             call
             for call in self._history.calls
             if _duration_s(call) > timeout_s(call.path)
-            and self._is_in_touch(call)
+            and self._contact.is_in_touch(call)
         ]
         unanswered = [
             call
@@ -148,14 +167,16 @@
 
     def _is_refused(self, call: Call, number: int) -> bool:
         """Return whether a route or key is refused that must exist."""
-        return call.status in _REFUSALS and self._exists(call, number)
+        return call.status in REFUSALS and self._exists(call, number)
 
     def _exists(self, call: Call, number: int) -> bool:
         """Return whether configurations from a number on have what is called.
 
         One that is not acknowledged yet may be in force.
         """
-        newest = max(number, 1 + self._newest_acked(call.ended_at))
+        ended_at = call.ended_at
+        acked = self._history.newest_acked('config', ended_at)
+        newest = max(number, 1 + acked, self._history.newest_sent(ended_at))
         return newest - KEPT_ROUTES <= call.probes <= number
 
     def _is_obsolete(self, call: Call, number: int) -> bool:
@@ -171,13 +192,9 @@
             not call.probes
             and call.path in FIRST_PATHS
             and is_waited_for
-            and self._is_in_touch(call)
+            and self._contact.is_in_touch(call)
         )
 
-    def _is_in_touch(self, call: Call) -> bool:
-        since = call.sent_at - self._limits.contact_s
-        return self._history.is_fault_free(call.entry, since, call.ended_at)
-
     def _has_fault(
         self, entry: str, since: float, until: float, kinds: Iterable[str]
     ) -> bool:
@@ -186,12 +203,6 @@
             for one in self._history.troubles
         )
 
-    def _due(self, call: Call) -> int:
-        return self._newest_acked(call.sent_at - self._limits.apply_s)
-
-    def _newest_acked(self, before: float) -> int:
-        return self._history.newest_acked('config', before)
-
 
 def _compare(
     who: str, added: Sequence[Call], first: Sequence[Call]
@@ -217,9 +228,5 @@
     return max(0, call.ended_at - call.sent_at)
 
 
-def _entry_of(call: Call) -> str:
-    return call.entry
-
-
 def _entry_and_time(call: Call) -> tuple[str, float]:
     return call.entry, call.sent_at
--- a/src/linnetwood/lab/soak/configfaults.py
+++ b/src/linnetwood/lab/soak/configfaults.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import math
 import time
 from collections.abc import Sequence
 from typing import Any
@@ -10,7 +11,7 @@
 from linnetwood.lab.soak.commands import Commands
 from linnetwood.lab.soak.configuration import Variant, configuration
 from linnetwood.lab.soak.fleet import Fleet
-from linnetwood.lab.soak.history import AckedWrite, History
+from linnetwood.lab.soak.history import SENT, AckedWrite, History
 from linnetwood.lab.soak.schedule import SERIES_GAP_S, SERIES_LENGTH, Fault
 from linnetwood.lab.soak.standservers import MODEL
 
@@ -35,16 +36,23 @@
         self._callers = callers
         self._version = 1
         self._number = 0
-        self._variant = Variant()
+        # A later version is not written before an earlier one.
+        self._writing = asyncio.Lock()
+        self._variant = Variant(moves=len(fleet.plain_services) > 1)
 
     async def configure(self, **changes: Any) -> None:
         """Write the next configuration, with changes that last."""
         self._variant = dataclasses.replace(self._variant, **changes)
-        self._number += 1
-        number = self._number
-        self._callers.configuration = number
-        parsed = configuration(number, self._origin, self._variant)
-        await self._write('config', number, {'op/config': parsed})
+        async with self._writing:
+            number, write = self._next()
+            await self._write('config', number, write)
+
+    async def configure_late(self, fault: Fault) -> None:
+        """Write a configuration that is not answered, and may be late."""
+        number, write = self._next()
+        sent = AckedWrite(SENT, '', number, math.inf, time.monotonic())
+        self._acked.append(sent)
+        await self._commands.store({'write': write, 'late_s': fault.span_s})
 
     async def write_configurations(self, fault: Fault) -> None:
         """Write a configuration, or a series of them."""
@@ -76,6 +84,12 @@
             'version', self._version, {f'op/version/{MODEL}': record}
         )
 
+    def _next(self) -> tuple[int, dict[str, object]]:
+        self._number += 1
+        self._callers.configuration = self._number
+        parsed = configuration(self._number, self._origin, self._variant)
+        return self._number, {'op/config': parsed}
+
     async def _write(
         self, what: str, number: int, write: dict[str, object]
     ) -> None:
--- a/src/linnetwood/lab/soak/configuration.py
+++ b/src/linnetwood/lab/soak/configuration.py
@@ -2,10 +2,14 @@
 
 import dataclasses
 
-from linnetwood.lab.soak.history import KEY
+from linnetwood.lab.soak.history import HOST, KEY
+from linnetwood.lab.soak.movedroutes import (
+    PLAIN_SERVICES,
+    MovedRoute,
+    moved_routes,
+)
 from linnetwood.lab.soak.standservers import CHUNK_BYTES, CHUNKS, MODEL
 
-HOST = 'soak.example'
 FIRST_PATHS = frozenset(('/confirm/x', '/lookup/x'))
 ADDED_PREFIX = '/only-'
 # Each configuration also has the routes and keys of this many earlier ones.
@@ -25,6 +29,17 @@
     idle_ms: int = 0
     # Whether streams go to the service that has engines.
     has_engines: bool = True
+    # Whether routes move between the plain services.
+    moves: bool = False
+
+    @property
+    def plain(self) -> tuple[str, ...]:
+        """Return the plain services."""
+        return PLAIN_SERVICES if self.moves else PLAIN_SERVICES[:1]
+
+    def moved(self, number: int) -> list[MovedRoute]:
+        """Return the routes that move, as they are in a configuration."""
+        return list(moved_routes(number)) if self.moves else []
 
 
 def configuration(
@@ -49,6 +64,10 @@
             _route('/confirm/', 'non_idempotent', 'desk'),
             _route('/lookup/', 'idempotent', 'desk'),
             *numbered_routes,
+            *(
+                {**_route(prefix, 'idempotent', service), 'host': host}
+                for host, prefix, service in variant.moved(number)
+            ),
         ],
         'services': [
             {
@@ -64,7 +83,10 @@
                     'chunk_bytes': CHUNK_BYTES,
                 },
             },
-            {'name': 'desk', 'connection_limit': 100},
+            *(
+                {'name': name, 'connection_limit': 100}
+                for name in variant.plain
+            ),
             {'name': 'empty', 'connection_limit': 100},
             {
                 'name': 'weights',
--- a/src/linnetwood/lab/soak/connection.py
+++ b/src/linnetwood/lab/soak/connection.py
@@ -3,7 +3,6 @@
 import asyncio
 import time
 
-from linnetwood.lab.soak.configuration import HOST
 from linnetwood.lab.soak.fatalparts import header
 from linnetwood.lab.soak.fleet import CALLERS_PORT, Vm
 from linnetwood.lab.soak.history import Call, CallKind
@@ -56,7 +55,7 @@
         method = 'GET' if call.kind is CallKind.IDEMPOTENT else 'POST'
         call.sent_at = time.monotonic()
         head = (
-            f'{method} {call.path} HTTP/1.1\r\nHost: {HOST}\r\n'
+            f'{method} {call.path} HTTP/1.1\r\nHost: {call.host}\r\n'
             f'X-Attempt-Id: {call.call_id}\r\n'
             f'X-Deadline-Ms: {int(call.patience_s * _MILLISECONDS)}\r\n'
             f'X-Model: m-1\r\nX-Token-Counts: 10,{events}\r\n'
--- a/src/linnetwood/lab/soak/fleet.py
+++ b/src/linnetwood/lab/soak/fleet.py
@@ -4,6 +4,7 @@
 """
 
 import dataclasses
+import itertools
 import json
 import os
 import pathlib
@@ -17,6 +18,7 @@
 from collections.abc import Iterator, Mapping
 
 from linnetwood.lab.launcher import Ports
+from linnetwood.lab.soak.movedroutes import PLAIN_SERVICES
 
 ZONES = ('z1', 'z2', 'z3')
 CALLERS_PORT = 8005
@@ -72,6 +74,8 @@
     entries: int = 6
     engines: int = 6
     desks: int = 3
+    # The plain services that these servers are spread over.
+    services: int = 1
 
 
 @dataclasses.dataclass(slots=True)
@@ -105,6 +109,7 @@
         self.store_url = f'http://{_LOOPBACK}:{ports[0]}'
         self.control_url = f'http://{_LOOPBACK}:{ports[1]}'
         self._ports = ports
+        self.plain_services = PLAIN_SERVICES[: size.services]
         self.entries = self._vms('entry', size.entries, _ENTRIES_FROM)
         self.engines = self._vms('engine', size.engines, _ENGINES_FROM)
         self.desks = self._vms('desk', size.desks, _DESKS_FROM)
@@ -122,7 +127,7 @@
         """Start the store, the servers and the proxy."""
         store, control, *servers = self._ports
         rows = [
-            f'{name}={"pool" if vm in self.engines else "desk"}={_SLOTS}={port}'
+            f'{name}={self._service_of(vm)}={_SLOTS}={port}'
             for (name, vm), port in zip(
                 self.servers.items(), servers, strict=True
             )
@@ -173,6 +178,19 @@
         """Fill a link between two zones with bulk traffic for a time."""
         self._command_proxy({'fill': (pick, span_s)})
 
+    def lose_packets(self, pick: int, span_s: float) -> tuple[str, str]:
+        """Lose packets between two zones for a time; return the zones."""
+        pairs = tuple(itertools.permutations(ZONES, 2))
+        zones = pairs[pick % len(pairs)]
+        self._command_proxy({'lose': (zones, span_s)})
+        return zones
+
+    def store_address(self, vm: Vm) -> str:
+        """Return the address of the store that a VM uses."""
+        *_, zone, number = vm.host.split('.')
+        net = f'127.{self._net}.{_STORE_NET + int(zone)}'
+        return f'{net}.{number}:{_STORE_PORT}'
+
     def close(self) -> list[str]:
         """Stop everything; return the programs that did not stop cleanly."""
         for vm in self._programs:
@@ -197,7 +215,7 @@
             yield f'{name}={address}={_LOOPBACK}:{port}={vm.zone}='
         yield f'origin={self.origin}={_LOOPBACK}:{control}={_STORE_ZONE}='
         for vm in self._programs:
-            row = f'{self._store_address(vm)}={_LOOPBACK}:{store}'
+            row = f'{self.store_address(vm)}={_LOOPBACK}:{store}'
             yield f'store-{vm.name}={row}={_STORE_ZONE}={vm.zone}'
 
     def _vms(self, kind: str, count: int, first: int) -> list[Vm]:
@@ -208,10 +226,11 @@
             rows.append(Vm(f'{kind}-{number}', host, ZONES[zone]))
         return rows
 
-    def _store_address(self, vm: Vm) -> str:
-        *_, zone, number = vm.host.split('.')
-        net = f'127.{self._net}.{_STORE_NET + int(zone)}'
-        return f'{net}.{number}:{_STORE_PORT}'
+    def _service_of(self, vm: Vm) -> str:
+        if vm in self.engines:
+            return 'pool'
+        turn = self.desks.index(vm) % len(self.plain_services)
+        return self.plain_services[turn]
 
     def _command_proxy(self, command: Mapping[str, object]) -> None:
         if self._proxy is not None and self._proxy.stdin is not None:
@@ -231,7 +250,7 @@
                 wire=_WIRE_PORT,
                 app=app,
                 listen=listen,
-                store=self._store_address(vm),
+                store=self.store_address(vm),
                 version_ms=int(self.version_s * _MILLISECONDS),
                 apply_ms=int(self.apply_s * _MILLISECONDS),
             ),
--- a/src/linnetwood/lab/soak/history.py
+++ b/src/linnetwood/lab/soak/history.py
@@ -10,6 +10,8 @@
 
 # The key that every configuration has.
 KEY: Final = 'key-1'
+# The host of most routes.
+HOST: Final = 'soak.example'
 # The fault that an entry, or the stand-ins, had no processor.
 PROCESSOR_WAIT: Final = 'waited for a processor'
 
@@ -45,6 +47,7 @@
     # The configuration whose route or key this has; 0 if it is no probe.
     probes: int = 0
     key: str = KEY
+    host: str = HOST
     # The parts of its prompt, in order; the last is its own.
     parts: tuple[str, ...] = ()
 
@@ -68,6 +71,10 @@
     crashed: bool = False
 
 
+# The writes that may bring a configuration into force: acknowledged ones, and
+# those that were sent to the store and not answered.
+SENT: Final = 'config sent'
+_CONFIGURATIONS: Final = frozenset(('config', SENT))
 # The runs of each call, by its id.
 Runs = Mapping[str, Sequence[Run]]
 # Whether no fault affected an entry before a time.
@@ -172,6 +179,15 @@
         )
         return max(numbers, default=0)
 
+    def newest_sent(self, by: float) -> int:
+        """Return the newest configuration that was sent by a time, or 0."""
+        numbers = (
+            one.number
+            for one in self.acked
+            if one.what in _CONFIGURATIONS and one.sent_at <= by
+        )
+        return max(numbers, default=0)
+
     def is_fault_free(self, who: str, since: float, until: float) -> bool:
         """Return whether no fault affected a process or server in between."""
         return not any(one.affects(who, since, until) for one in self.troubles)
