Let the soak lose answers of the store, forget beside series, reuse addresses

Operators' writes that are not answered are late in the same way. Addresses of ended servers go to servers of another service; links between zones lose packets.

--- a/src/linnetwood/lab/measure_callcost.py
+++ b/src/linnetwood/lab/measure_callcost.py
@@ -15,6 +15,7 @@
 from linnetwood.lab.soak.faults import FaultInjector
 from linnetwood.lab.soak.fleet import Fleet, Size, Vm
 from linnetwood.lab.soak.history import History
+from linnetwood.lab.soak.limits import USUAL
 
 _SETTLE_S = 4.0
 _VERSION_S = 8.0
@@ -85,7 +86,7 @@
 ) -> dict[str, Any]:
     history = History()
     callers = Callers(fleet, history, seed)
-    faults = FaultInjector(fleet, history, callers)
+    faults = FaultInjector(fleet, history, callers, USUAL)
     try:
         fleet.start_stand_ins()
         await faults.start()
--- a/src/linnetwood/lab/measure_soak.py
+++ b/src/linnetwood/lab/measure_soak.py
@@ -27,19 +27,19 @@
     decode_arrivals,
     decode_runs,
 )
-from linnetwood.lab.soak.limits import Limits
+from linnetwood.lab.soak.limits import STRICT, USUAL, Limits
+from linnetwood.lab.soak.movedroutes import PLAIN_SERVICES
 from linnetwood.lab.soak.processorwaits import ProcessorWaits
 from linnetwood.lab.soak.schedule import (
     Fault,
     schedule,
     schedule_endless,
+    schedule_moves,
     schedule_planned_work,
 )
 
 _MINUTE_S = 60
 _SETTLE_S = 3.0
-# Longer than a killed process takes to be ready again.
-_RECOVERY_S = 10.0
 _MAX_SHOWN_PER_RULE = 5
 
 
@@ -53,6 +53,7 @@
     callers: int = 24,
     planned_work: bool = False,
     endless: bool = False,
+    moves: str = '',
     out: str = '',
 ) -> bool:
     """Print faults by kind, calls by outcome, and violations.
@@ -65,17 +66,27 @@
     :param callers: callers, each with a persistent connection
     :param planned_work: only planned work and silent servers, longer streams
     :param endless: only servers that answer without end and configurations
+    :param moves: move routes between three plain services, beside `all` faults
+        or those of some kinds, with commas between
     :param out: a file for the whole history, which can be plotted
     """
     size = Size(entries, engines, desks)
     planned = None
+    limits = USUAL
     event_counts = EVENT_COUNTS
     if planned_work:
         planned = schedule_planned_work(seed, minutes * _MINUTE_S)
         event_counts = LONG_EVENT_COUNTS
     if endless:
         planned = schedule_endless(seed, minutes * _MINUTE_S)
-    found = run_soak(seed, minutes, size, callers, out, planned, event_counts)
+    if moves:
+        limits = STRICT
+        size = dataclasses.replace(size, services=len(PLAIN_SERVICES))
+        kinds = () if moves == 'all' else moves.split(',')
+        planned = schedule_moves(seed, minutes * _MINUTE_S, kinds)
+    found = run_soak(
+        seed, minutes, size, callers, out, planned, event_counts, limits
+    )
     sys.stdout.write(f'{json.dumps(found)}\n')
     return bool(found['violations'] or found['ended_badly'])
 
@@ -88,6 +99,7 @@
     out: str = '',
     planned: list[Fault] | None = None,
     event_counts: tuple[int, int] = EVENT_COUNTS,
+    limits: Limits = USUAL,
 ) -> dict[str, Any]:
     """Run one soak test; return what is printed.
 
@@ -96,7 +108,8 @@
     """
     if planned is None:
         planned = schedule(seed, minutes * _MINUTE_S)
-    return asyncio.run(_soak(seed, planned, size, callers, event_counts, out))
+    work = _soak(seed, planned, size, callers, event_counts, out, limits)
+    return asyncio.run(work)
 
 
 async def _soak(
@@ -106,16 +119,16 @@
     count: int,
     event_counts: tuple[int, int],
     out: str,
+    limits: Limits,
 ) -> dict[str, Any]:
-    limits = Limits()
     fleet = Fleet(size, limits.version_s, limits.apply_s)
     history = History()
     callers = Callers(fleet, history, seed, event_counts)
-    faults = FaultInjector(fleet, history, callers)
+    faults = FaultInjector(fleet, history, callers, limits)
     processor_waits = ProcessorWaits(fleet.entries, history)
     processor_waits.start()
     try:
-        await _run(planned, fleet, faults, callers, count)
+        await _run(planned, fleet, faults, callers, count, limits.quiet_s)
         # Servers need time to notice that their callers disconnected.
         await asyncio.sleep(1)
         await _collect_records(fleet, history)
@@ -137,6 +150,7 @@
         'silences': len(history.silences),
         'endless': summarize_endless(history),
         'in_touch': checker.in_touch_share(),
+        'moved': checker.moved_counts(),
         'violations': len(violations),
         'rules': dict(Counter(map(_rule_of, violations))),
         'first': _first_of_each_rule(violations),
@@ -151,6 +165,7 @@
     faults: FaultInjector,
     callers: Callers,
     count: int,
+    quiet_s: float,
 ) -> None:
     fleet.start_stand_ins()
     await faults.start()
@@ -158,20 +173,20 @@
     await asyncio.sleep(_SETTLE_S)
     callers.start(count)
     callers.start_probes()
-    await _inject_faults(planned, faults, fleet.version_s + _RECOVERY_S)
+    await _inject_faults(planned, faults, quiet_s)
     await callers.close()
     await faults.close()
 
 
 async def _inject_faults(
-    planned: list[Fault], faults: FaultInjector, recovery_s: float
+    planned: list[Fault], faults: FaultInjector, quiet_s: float
 ) -> None:
     began = time.monotonic()
     for fault in planned:
         await asyncio.sleep(max(0, began + fault.at_s - time.monotonic()))
         faults.inject(fault)
     await faults.wait_until_ended()
-    await asyncio.sleep(recovery_s)
+    await asyncio.sleep(quiet_s)
 
 
 async def _collect_records(fleet: Fleet, history: History) -> None:
--- a/src/linnetwood/lab/soak/faults.py
+++ b/src/linnetwood/lab/soak/faults.py
@@ -3,6 +3,7 @@
 import asyncio
 import signal
 import time
+from collections import Counter
 from collections.abc import Awaitable, Callable, Mapping, Sequence
 from functools import partial
 from types import MappingProxyType
@@ -15,17 +16,15 @@
 from linnetwood.lab.soak.faultlog import FaultLog
 from linnetwood.lab.soak.fleet import SERVER_PORT, Fleet, Vm
 from linnetwood.lab.soak.history import AckedWrite, History
+from linnetwood.lab.soak.limits import Limits
 from linnetwood.lab.soak.restoration import Restoration
 from linnetwood.lab.soak.schedule import Fault
 from linnetwood.lab.soak.silencefaults import SilenceFaults
+from linnetwood.lab.soak.storefaults import StoreFaults
 from linnetwood.lab.soak.totalloss import PowerCut, StoreState
 
 _RECORDS_INTERVAL_S = 0.3
 _RESTART_DELAY_S = 0.5
-# The longest time until a killed process is ready again.
-_READY_TIMEOUT_S = 4.0
-# A silenced connection stays silent until it is closed.
-_SILENCED_S = 3.0
 _DRAIN_S = 3.0
 _PAUSES_S = (3.0, 2.0)
 # Rate limits that a server announces, in calls a second.
@@ -46,13 +45,21 @@
     """Own the records of servers, the configuration and the faults."""
 
     def __init__(
-        self, fleet: Fleet, history: History, callers: Callers
+        self,
+        fleet: Fleet,
+        history: History,
+        callers: Callers,
+        limits: Limits,
     ) -> None:
         """Start without a fault."""
         self.counts: dict[str, int] = {}
         self._fleet = fleet
         self._history = history
         self._callers = callers
+        # The longest time until a killed process is ready again.
+        self._ready_s = limits.ready_s
+        # A silenced connection stays silent until it is closed.
+        self._silenced_s = limits.silenced_s
         self._commands = Commands(fleet)
         self._written_records: dict[str, dict[str, Any]] = {}
         self._ever_written: set[str] = set()
@@ -61,6 +68,9 @@
         self._configurations = ConfigurationFaults(
             fleet, self._commands, history, callers
         )
+        self._store = StoreFaults(
+            fleet, self._commands, self._log, self._configurations
+        )
         self._silences = SilenceFaults(self._commands, history, self._locations)
         self._endless = EndlessFaults(self._commands, history, self._locations)
         self._starts = 0
@@ -117,9 +127,16 @@
                 self._send_notice, 'rest_s', _PAUSES_S
             ),
             'server leaves unlisted': self._leave_unlisted,
-            'store down': self._disturb_store,
-            'store slow': self._disturb_store,
-            'store forgets': self._disturb_store,
+            'store down': self._store.disturb,
+            'store slow': self._store.disturb,
+            'store forgets': self._store.disturb,
+            'store lost': self._store.disturb,
+            'store lags': self._store.disturb,
+            'store deaf': self._store.forget_beside_series,
+            'store turns away': self._store.turn_away,
+            'write late': self._configurations.configure_late,
+            'reuse address': self._reuse_address,
+            'link lossy': self._lose_packets,
             'store restored': self._restore_store,
             'spoilt pieces': self._disturb_origin,
             'origin silent': self._disturb_origin,
@@ -151,7 +168,7 @@
         await asyncio.sleep(_RESTART_DELAY_S)
         if vm.process is process:
             self._fleet.start(vm)
-        self._log.end(index, _READY_TIMEOUT_S)
+        self._log.end(index, self._ready_s)
 
     async def _reload(self, fault: Fault) -> None:
         """Tell an entry that its settings file has changed.
@@ -193,7 +210,7 @@
         """Crash servers by calls; entries must keep within their bounds."""
         index = self._log.begin(fault.kind, 'servers', fault.span_s)
         await send_calls(fault)
-        self._log.end(index, _READY_TIMEOUT_S)
+        self._log.end(index, self._ready_s)
 
     async def _send_notice(
         self,
@@ -231,30 +248,43 @@
 
     async def _replace_server(self, name: str, fault: Fault) -> None:
         await asyncio.sleep(_DRAIN_S + fault.span_s)
+        await self._start_renamed(name)
+
+    async def _reuse_address(self, fault: Fault) -> None:
+        """End a plain server whose address one of another service takes."""
+        services = self._fleet.plain_services
+        records = await self._commands.servers({})
+        plain = [
+            name
+            for name in sorted(self._locations.keys() & records.keys())
+            if records[name]['service'] in services
+        ]
+        held = Counter(records[name]['service'] for name in plain)
+        spare = [one for one in plain if held[records[one]['service']] > 1]
+        if not spare:
+            return
+        name = _choose(spare, fault)
+        place = services.index(records[name]['service']) + 1
+        index = self._log.begin(fault.kind, name, fault.span_s)
+        await self._commands.order(name, 'crash')
+        await asyncio.sleep(fault.span_s)
+        service = services[place % len(services)]
+        await self._start_renamed(name, service=service)
+        self._log.end(index)
+
+    async def _start_renamed(self, name: str, **fields: object) -> None:
         self._starts += 1
         new = f'{name}-{self._starts}'
         vm = self._locations.pop(name, None)
         if vm is not None:
             self._locations[new] = vm
-            await self._rename(name, new)
+            await self._rename(name, new, **fields)
 
-    async def _rename(self, name: str, new: str) -> None:
+    async def _rename(self, name: str, new: str, **fields: object) -> None:
         await self._commands.order(name, 'crash')
-        await self._commands.order(name, 'rename', name=new)
+        await self._commands.order(name, 'rename', name=new, **fields)
         await self._write_server_records()
 
-    async def _disturb_store(self, fault: Fault) -> None:
-        index = self._log.begin(fault.kind, '', fault.span_s)
-        if fault.kind == 'store forgets':
-            await self._commands.store({'forget': True})
-        else:
-            await self._commands.store(
-                {'mode': fault.kind.removeprefix('store ')}
-            )
-            await asyncio.sleep(fault.span_s)
-            await self._commands.store({'mode': 'pass'})
-        self._log.end(index)
-
     async def _restore_store(self, fault: Fault) -> None:
         """Restore the store from a copy, then write all records again."""
         configure = self._configurations.configure
@@ -267,7 +297,19 @@
         await configure()
         await self._configurations.write_version()
         await self._write_server_records()
-        self._log.end(index, _READY_TIMEOUT_S)
+        self._log.end(index, self._ready_s)
+
+    async def _lose_packets(self, fault: Fault) -> None:
+        """Lose packets on a link, which affects the entries of both zones."""
+        zones = self._fleet.lose_packets(fault.pick, fault.span_s)
+        indexes = [
+            self._log.begin(fault.kind, vm.name, fault.span_s)
+            for vm in self._fleet.entries
+            if vm.zone in zones
+        ]
+        await asyncio.sleep(fault.span_s)
+        for index in indexes:
+            self._log.end(index)
 
     async def _disturb_origin(self, fault: Fault) -> None:
         field = 'spoils' if fault.kind == 'spoilt pieces' else 'origin_silent'
@@ -286,13 +328,13 @@
         else:
             connections = [_choose(sorted(self._fleet.servers), fault)]
             who = ['']
-        span_s = fault.span_s + _SILENCED_S
+        span_s = fault.span_s + self._silenced_s
         indexes = [self._log.begin(fault.kind, one, span_s) for one in who]
         self._fleet.set_proxy_mode(connections, _MODES[fault.kind])
         await asyncio.sleep(fault.span_s)
         self._fleet.set_proxy_mode(connections, 'pass')
         for index in indexes:
-            self._log.end(index, _SILENCED_S)
+            self._log.end(index, self._silenced_s)
 
     async def _fill_link(self, fault: Fault) -> None:
         """Fill a link between zones; this excuses nothing."""
@@ -301,13 +343,13 @@
 
     async def _cut_power(self, fault: Fault) -> None:
         state = _choose(tuple(StoreState), fault)
-        index = self._log.begin(fault.kind, '', fault.span_s + _READY_TIMEOUT_S)
+        index = self._log.begin(fault.kind, '', fault.span_s + self._ready_s)
         if state is not StoreState.ANSWERS:
             # Running servers write their records again.
             self._written_records = {}
         power_cut = PowerCut(self._fleet, self._commands)
         await power_cut.run(sorted(self._locations), fault.span_s, state)
-        self._log.end(index, _READY_TIMEOUT_S)
+        self._log.end(index, self._ready_s)
 
     async def _keep_writing_records(self) -> None:
         while True:
--- a/src/linnetwood/lab/soak/links.py
+++ b/src/linnetwood/lab/soak/links.py
@@ -2,12 +2,16 @@
 
 import asyncio
 import itertools
+import random
 from collections.abc import Collection
 from typing import Protocol
 
 # 20 Mbit/s.
 _RATE_BYTES_PER_S = 2500000
 _BULK_BYTES = 65536
+# A lost packet, and all behind it on its connection, come after a timeout.
+_LOST_SHARE = 0.15
+_TIMEOUT_S = (0.2, 0.9)
 # Bulk traffic makes others wait for so long; over half a second excuses.
 _BULK_QUEUE_S = 0.4
 
@@ -18,6 +22,7 @@
     def __init__(self) -> None:
         """Start with an empty queue."""
         self._free_at = float()
+        self.loses_until = float()
 
     def reserve(self, size: int, now: float) -> float:
         """Queue some bytes; return the seconds until the last has passed."""
@@ -28,7 +33,10 @@
     async def carry(self, size: int) -> None:
         """Wait until some bytes have passed behind those before them."""
         now = asyncio.get_running_loop().time()
-        await asyncio.sleep(self.reserve(size, now))
+        wait_s = self.reserve(size, now)
+        if now < self.loses_until and random.random() < _LOST_SHARE:
+            wait_s += random.uniform(*_TIMEOUT_S)
+        await asyncio.sleep(wait_s)
 
 
 class Way(Protocol):
@@ -58,6 +66,11 @@
         """Return the way from a zone to another, or within one."""
         return self._links.get((source, target)) or LocalWay()
 
+    def lose_packets(self, source: str, target: str, until: float) -> None:
+        """Lose packets between two zones, in both directions."""
+        for pair in ((source, target), (target, source)):
+            self._links[pair].loses_until = until
+
     async def fill(self, pick: int, span_s: float) -> None:
         """Send bulk traffic over a link for a time."""
         link = tuple(self._links.values())[pick % len(self._links)]
--- a/src/linnetwood/lab/soak/proxy.py
+++ b/src/linnetwood/lab/soak/proxy.py
@@ -4,9 +4,9 @@
 tells the zone of a caller of a server: each zone is taken in turn.
 
 Each command is a line of JSON on standard input: the forwarded addresses and
-the mode, or a link to fill. The modes are pass, slow (each chunk is delayed),
-silent (nothing is forwarded or closed), one-way (what the client sends is lost)
-and resets (open connections are reset).
+the mode, or a link to fill or to lose packets on. The modes are pass, slow
+(each chunk is delayed), silent (nothing is forwarded or closed), one-way (what
+the client sends is lost) and resets (open connections are reset).
 """
 
 import asyncio
@@ -197,6 +197,9 @@
             case {'fill': [pick, span_s]}:
                 filling = self._links.fill(pick, span_s)
                 self._filling.add(asyncio.create_task(filling))
+            case {'lose': [[source, target], span_s]}:
+                until = asyncio.get_running_loop().time() + span_s
+                self._links.lose_packets(source, target, until)
             case {'ways': names, 'mode': mode}:
                 for name in names:
                     self._forwarders[name].apply_mode(mode)
--- a/src/linnetwood/lab/soak/schedule.py
+++ b/src/linnetwood/lab/soak/schedule.py
@@ -49,9 +49,41 @@
         'all lost': (0.5, 2.0),
     }
 )
+# More kinds, beside routes that move between services.
+_MOVE_DURATIONS_S: Mapping[str, tuple[float, float]] = MappingProxyType(
+    {
+        'store lost': (0.5, 4.0),
+        'store lags': (1.0, 4.0),
+        'store deaf': (1.0, 1.0),
+        'store turns away': (1.0, 5.0),
+        'write late': (0.3, 6.0),
+        'reuse address': (0, 2.0),
+        'link lossy': (2.0, 6.0),
+    }
+)
+_MOVE_KINDS = (
+    *_MOVE_DURATIONS_S,
+    'store down',
+    'store slow',
+    'store silent',
+    'store resets',
+    'store forgets',
+    'kill entry',
+    'pause entry',
+    'hup entry',
+    'crash server',
+    'drain server',
+    'link full',
+    'all lost',
+)
+_MOVE_GAP_S = (0.6, 3.5)
+# Faults come one at a time, mostly, so that entries are in touch in between.
+_MOVE_FAULT_GAP_S = (3.0, 8.0)
+_BESIDE_SHARE = 0.4
 # The range of the numbers that choose what a fault affects.
 _PICK_RANGE = 65536
-_FREQUENT_KINDS = ('config', 'config', 'configs', 'version')
+_MOVES = ('config', 'config', 'configs')
+_FREQUENT_KINDS = (*_MOVES, 'version')
 _PLANNED_KINDS = (
     'config',
     'configs',
@@ -97,6 +129,22 @@
     return list(_draw(Random(seed), span_s, _ENDLESS_KINDS, _SILENCE_GAP_S))
 
 
+def schedule_moves(
+    seed: int, span_s: float, kinds: Sequence[str] = ()
+) -> list[Fault]:
+    """Return configurations beside faults of some kinds, or of all."""
+    rng = Random(seed)
+    faults = list(_draw(rng, span_s, _MOVES, _MOVE_GAP_S))
+    chosen = kinds or _MOVE_KINDS
+    for fault in _draw(rng, span_s, chosen, _MOVE_FAULT_GAP_S):
+        faults.append(fault)
+        if rng.random() < _BESIDE_SHARE:
+            # Also an entry that starts while the store is away.
+            beside = rng.choice(kinds or ('kill entry', *_MOVE_KINDS))
+            faults.append(dataclasses.replace(fault, kind=beside))
+    return sorted(faults, key=lambda one: one.at_s)
+
+
 def _draw(
     rng: Random,
     span_s: float,
@@ -106,7 +154,8 @@
     at_s = LEAD_S
     while at_s < span_s:
         kind = rng.choice(kinds)
-        duration_s = rng.uniform(*_DURATIONS_S[kind])
+        durations = _DURATIONS_S.get(kind) or _MOVE_DURATIONS_S[kind]
+        duration_s = rng.uniform(*durations)
         pick = rng.randrange(_PICK_RANGE)
         yield Fault(round(at_s, 2), kind, round(duration_s, 2), pick)
         at_s += rng.uniform(*gap_s)
--- a/src/linnetwood/lab/soak/standcontrol.py
+++ b/src/linnetwood/lab/soak/standcontrol.py
@@ -126,6 +126,7 @@
             case 'rename':
                 server.draining = False
                 server.name = command['name']
+                server.service = command.get('service', server.service)
                 self.servers.servers[server.name] = server
                 server.restart(keep_staged=False)
 
--- a/src/linnetwood/lab/soak/standstore.py
+++ b/src/linnetwood/lab/soak/standstore.py
@@ -4,6 +4,7 @@
 import base64
 import dataclasses
 import json
+import random
 import time
 from collections import deque
 from typing import Any
@@ -12,14 +13,21 @@
 
 from linnetwood.core.waits import wait_for_event
 from linnetwood.lab.soak.standhandler import StandInHandler
+from linnetwood.lab.soak.storerates import READS_PER_S, WRITES_PER_S, Rate
 
 _SERVICE_UNAVAILABLE = 503
 _GONE = 410
+_PRECONDITION_FAILED = 412
+_TOO_MANY_REQUESTS = 429
 _FORBIDDEN = 403
 _FORBIDDEN_PREFIXES = ('op/', 'servers/')
 _MAX_EVENTS = 400
 _MILLISECONDS = 1000
 _SLOW_DELAY_S = 0.5
+_REVISION = 'revision'
+# How late answers arrive that are as old as that.
+_LAG_S = (0.2, 2.0)
+_LATE_S = (0.3, 6.0)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -37,6 +45,13 @@
     def __init__(self) -> None:
         """Start empty and without a fault."""
         self.mode = 'pass'
+        # The status that calls to such addresses of the store get.
+        self.refused: dict[str, int] = {}
+        # The range of how late writes are whose answers are lost.
+        self.late_s = _LATE_S
+        # Writes of operators that are late.
+        self.pending = 0
+        self.rates = {'GET': Rate(READS_PER_S), 'POST': Rate(WRITES_PER_S)}
         self.era = 1
         self.revision = 0
         self._rows: dict[str, dict[str, Any]] = {}
@@ -48,7 +63,7 @@
     def write(self, key: str, payload: bytes | None) -> None:
         """Write a key, or delete it."""
         self.revision += 1
-        row: dict[str, Any] = {'private_key': key, 'revision': self.revision}
+        row: dict[str, Any] = {'private_key': key, _REVISION: self.revision}
         if payload is None:
             self._rows.pop(key, None)
             row['deleted'] = True
@@ -57,10 +72,18 @@
             row['lease'] = 0
             self._rows[key] = row
         if len(self._events) == _MAX_EVENTS:
-            self._compacted_revision = self._events[0]['revision']
+            self._compacted_revision = self._events[0][_REVISION]
         self._events.append(row)
         self.wake_watches()
 
+    def revision_of(self, key: str) -> int:
+        """Return the revision of a key, 0 if it is absent."""
+        return int(self._rows[key][_REVISION]) if key in self._rows else 0
+
+    def holds(self, revisions: dict[str, int]) -> bool:
+        """Return whether keys still have these revisions."""
+        return all(self.revision_of(key) == revisions[key] for key in revisions)
+
     def save(self) -> None:
         """Make the copy that the store is restored from."""
         self._copy = self.copy()
@@ -110,7 +133,7 @@
         return [
             row
             for row in self._events
-            if row['revision'] > after and row['private_key'].startswith(prefix)
+            if row[_REVISION] > after and row['private_key'].startswith(prefix)
         ]
 
     async def wait_for_change(self, wait_s: float) -> None:
@@ -127,12 +150,31 @@
     """Calls of programs, which faults affect."""
 
     async def prepare(self) -> None:
+        self._closed = asyncio.Event()
         if self.state.mode == 'slow':
             await asyncio.sleep(_SLOW_DELAY_S)
+        status = self.state.refused.get(self.request.host, 0)
+        if not self.state.rates[str(self.request.method)].takes():
+            status = _TOO_MANY_REQUESTS
         if self.state.mode == 'down':
-            self.set_status(_SERVICE_UNAVAILABLE)
+            status = _SERVICE_UNAVAILABLE
+        if status:
+            self.set_status(status)
             await self.finish()
 
+    def on_connection_close(self) -> None:
+        """End the wait for an answer that is lost."""
+        self._closed.set()
+
+    async def answer(self, answer: dict[str, Any]) -> None:
+        """Answer at once, or late, or not at all."""
+        if self.state.mode == 'lost':
+            await self._closed.wait()
+            return
+        if self.state.mode == 'lags':
+            await asyncio.sleep(random.uniform(*_LAG_S))
+        self.write(answer)
+
     def finish(self, chunk: Any = None) -> Any:
         """Send the era in each answer, as of the time when it is sent."""
         self.set_header('Store-Era', str(self.state.era))
@@ -140,10 +182,10 @@
 
 
 class _Range(_Call):
-    def get(self) -> None:
+    async def get(self) -> None:
         """Return a whole range in one page."""
         prefix = self.get_argument('path_prefix', '')
-        self.write(
+        await self.answer(
             {
                 'items': self.state.rows(prefix),
                 'has_more': False,
@@ -160,27 +202,34 @@
         after = int(self.get_argument('after_revision'))
         wait_s = int(self.get_argument('wait_ms')) / _MILLISECONDS
         until = time.monotonic() + wait_s
-        while True:
+        while state.mode != 'deaf' or await self._hears_again():
             events = state.changes_since(prefix, after)
             left_s = until - time.monotonic()
             if events is None:
                 self.set_status(_GONE)
                 return
             if events or left_s <= 0 or state.mode == 'down':
-                self.write({'events': events, 'timestamp': state.revision})
+                await self.answer(
+                    {'events': events, 'timestamp': state.revision}
+                )
                 return
             await state.wait_for_change(left_s)
 
+    async def _hears_again(self) -> bool:
+        while self.state.mode == 'deaf':
+            await self.state.wait_for_change(1)
+        return True
+
 
 class _Lease(_Call):
-    def post(self) -> None:
+    async def post(self) -> None:
         """Create a lease; no soak runs until one expires."""
         body = json.loads(self.request.body)
-        self.write({'lease': 1, 'ttl_ms': body['ttl_ms']})
+        await self.answer({'lease': 1, 'ttl_ms': body['ttl_ms']})
 
 
 class _Txn(_Call):
-    def post(self) -> None:
+    async def post(self) -> None:
         """Write and delete keys, except those of operators and servers."""
         body = json.loads(self.request.body)
         keys = [row['private_key'] for row in body['write']]
@@ -190,33 +239,55 @@
         ):
             self.set_status(_FORBIDDEN)
             return
+        if self.state.mode == 'lost':
+            await asyncio.sleep(random.uniform(*self.state.late_s))
+        expected = {
+            row['private_key']: int(row[_REVISION])
+            for row in body['expected_revision']
+        }
+        if not self.state.holds(expected):
+            self.set_status(_PRECONDITION_FAILED)
+            rows = map(self.state.rows, expected)
+            await self.answer({'items': [row for one in rows for row in one]})
+            return
         for row in body['write']:
             payload = base64.b64decode(row['value'], validate=True)
             self.state.write(row['private_key'], payload)
         for key in body['remove']:
             self.state.write(key, None)
-        self.write({'revision': self.state.revision})
+        await self.answer({_REVISION: self.state.revision})
 
 
 class _Operator(_Base):
     """Writes of operators and servers, which no fault prevents."""
 
-    def post(self) -> None:
-        """Write keys, set the fault, or copy and restore the store."""
+    async def post(self) -> None:
+        """Write keys, set the fault, or copy and restore the store.
+
+        A write that is late is carried out if its keys are unchanged then.
+        """
         body = json.loads(self.request.body)
         if 'restore' in body:
             self.state.restore_saved()
-        for key in body.get('write', ()):
-            wanted = body['write'][key]
+        writes = body.get('write', {})
+        late_s = body.get('late_s', 0)
+        if late_s:
+            revisions = {key: self.state.revision_of(key) for key in writes}
+            self.state.pending += 1
+            await asyncio.sleep(late_s)
+            self.state.pending -= 1
+            writes = writes if self.state.holds(revisions) else {}
+        for key, wanted in writes.items():
             payload = None if wanted is None else json.dumps(wanted).encode()
             self.state.write(key, payload)
+        self.state.refused = body.get('refused', self.state.refused)
         self.state.mode = body.get('mode', self.state.mode)
         self.state.wake_watches()
         if 'forget' in body:
             self.state.discard_history()
         if 'save' in body:
             self.state.save()
-        self.write({'at': time.monotonic(), 'revision': self.state.revision})
+        self.write({'at': time.monotonic(), _REVISION: self.state.revision})
 
 
 def application(state: StoreState | None = None) -> Application:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -29,6 +29,7 @@
     Fault,
     schedule,
     schedule_endless,
+    schedule_moves,
     schedule_planned_work,
 )
 from linnetwood.lab.soak.totalloss import StoreState
@@ -664,6 +665,20 @@
             },
         )
 
+    # Guards against runs of moved routes whose seed does not give the faults.
+    def test_moves_come_beside_chosen_faults(self) -> None:
+        """All kinds come, or only those that are chosen."""
+        faults = schedule_moves(7, 60)
+        self.assertEqual(faults, schedule_moves(7, 60))
+        self.assertNotEqual(faults, schedule_moves(8, 60))
+        self.assertEqual(faults, sorted(faults, key=lambda one: one.at_s))
+        moves = {'config', 'configs'}
+        chosen = {one.kind for one in schedule_moves(7, 600, ('write late',))}
+        self.assertEqual(chosen, {*moves, 'write late'})
+        every = {one.kind for one in schedule_moves(7, 6000)}
+        wanted = {'store lost', 'store deaf', 'reuse address', 'link lossy'}
+        self.assertLessEqual(wanted | moves, every)
+
 
 class StreamEndTest(unittest.TestCase):
     """Streams that end as complete."""
--- a/tests/test_soak_links.py
+++ b/tests/test_soak_links.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import unittest
+from collections import Counter
 
 from linnetwood.lab import virtual
 from linnetwood.lab.soak.links import Links
@@ -48,6 +49,32 @@
         self.assertGreaterEqual(there, 0.4)
         self.assertLess(there, 0.6)
 
+    # Guards against a link that loses packets and delays nobody, or for good.
+    def test_lost_packets(self) -> None:
+        """Some bytes come late in both directions, until the loss ends."""
+
+        async def carry_often() -> dict[tuple[str, str], int]:
+            links = Links(('z1', 'z2', 'z3'))
+            loop = asyncio.get_running_loop()
+            links.lose_packets('z1', 'z2', loop.time() + 60)
+            late = Counter[tuple[str, str]]()
+            for pair in (THERE, BACK, ('z1', 'z3'), NEAR):
+                for _ in range(200):
+                    began = loop.time()
+                    await links.way(*pair).carry(1)
+                    late[pair] += loop.time() > began + 0.1
+            await asyncio.sleep(60)
+            began = loop.time()
+            for _ in range(200):
+                await links.way(*THERE).carry(1)
+            self.assertLess(loop.time(), began + 0.1)
+            return late
+
+        late = virtual.run(carry_often())
+        self.assertGreater(late[THERE], 0)
+        self.assertGreater(late[BACK], 0)
+        self.assertEqual(late[NEAR] + late['z1', 'z3'], 0)
+
 
 if __name__ == '__main__':
     unittest.main()
