Let the soak write series of large configurations

What for: configurations grow by many routes and come in series, and links between zones carry 20 Mbit/s for all traffic together; the soak's were of 3 kB.

Watches that hear nothing now miss a series and not a single configuration: only one was written.

--- a/src/linnetwood/lab/soak/faults.py
+++ b/src/linnetwood/lab/soak/faults.py
@@ -143,6 +143,7 @@
             'link full': self._fill_link,
             'config': self._configurations.write_configurations,
             'configs': self._configurations.write_configurations,
+            'config large': self._configurations.write_large,
             'config idle': self._configurations.change_idle_time,
             'route without servers': self._configurations.move_route,
             'version': self._configurations.write_next_version,
--- a/src/linnetwood/lab/soak/schedule.py
+++ b/src/linnetwood/lab/soak/schedule.py
@@ -57,6 +57,7 @@
         'store deaf': (1.0, 1.0),
         'store turns away': (1.0, 5.0),
         'write late': (0.3, 6.0),
+        'config large': (0.5, 3.0),
         'reuse address': (0, 2.0),
         'link lossy': (2.0, 6.0),
     }
