Let the soak list a record that can't be read, and hold a late write of a test

What for: no run of the soak had a row of the store whose value is no base64, beside which all entries stayed at their configuration; it excuses nothing in the check.

The test of late writes failed once in the lead's run at a load of 27 (revision 2 for 1): its second write took longer than the 0.1 s after which the first one is carried out, so that both were right. The late write waits for an event of the test now; what is asserted is the same.

--- a/src/linnetwood/lab/soak/faults.py
+++ b/src/linnetwood/lab/soak/faults.py
@@ -134,6 +134,7 @@
             'store lags': self._store.disturb,
             'store deaf': self._store.forget_beside_series,
             'store turns away': self._store.turn_away,
+            'record unreadable': self._store.spoil_record,
             'write late': self._configurations.configure_late,
             'reuse address': self._reuse_address,
             'link lossy': self._lose_packets,
--- a/src/linnetwood/lab/soak/schedule.py
+++ b/src/linnetwood/lab/soak/schedule.py
@@ -56,6 +56,7 @@
         'store lags': (1.0, 4.0),
         'store deaf': (1.0, 1.0),
         'store turns away': (1.0, 5.0),
+        'record unreadable': (3.0, 8.0),
         'write late': (0.3, 6.0),
         'config large': (0.5, 3.0),
         'reuse address': (0, 2.0),
--- a/src/linnetwood/lab/soak/standstore.py
+++ b/src/linnetwood/lab/soak/standstore.py
@@ -7,6 +7,7 @@
 import random
 import time
 from collections import deque
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 from tornado.web import Application
@@ -16,6 +17,7 @@
 from linnetwood.lab.soak.storerates import READS_PER_S, WRITES_PER_S, Rate
 
 _SERVICE_UNAVAILABLE = 503
+_UNREADABLE = '!'
 _GONE = 410
 _PRECONDITION_FAILED = 412
 _TOO_MANY_REQUESTS = 429
@@ -54,6 +56,8 @@
         self.rates = {'GET': Rate(READS_PER_S), 'POST': Rate(WRITES_PER_S)}
         self.era = 1
         self.revision = 0
+        # Waits until a late write is carried out.
+        self.sleep: Callable[[float], Awaitable[None]] = asyncio.sleep
         self._rows: dict[str, dict[str, Any]] = {}
         self._events: deque[dict[str, Any]] = deque(maxlen=_MAX_EVENTS)
         self._compacted_revision = 0
@@ -76,6 +80,11 @@
         self._events.append(row)
         self.wake_watches()
 
+    def write_unreadable(self, key: str) -> None:
+        """Write a key whose value is no base64, as another writer may."""
+        self.write(key, b'')
+        self._rows[key]['value'] = _UNREADABLE
+
     def revision_of(self, key: str) -> int:
         """Return the revision of a key, 0 if it is absent."""
         return int(self._rows[key][_REVISION]) if key in self._rows else 0
@@ -274,12 +283,14 @@
         if late_s:
             revisions = {key: self.state.revision_of(key) for key in writes}
             self.state.pending += 1
-            await asyncio.sleep(late_s)
+            await self.state.sleep(late_s)
             self.state.pending -= 1
             writes = writes if self.state.holds(revisions) else {}
         for key, wanted in writes.items():
             payload = None if wanted is None else json.dumps(wanted).encode()
             self.state.write(key, payload)
+        for unreadable in body.get('spoil', ()):
+            self.state.write_unreadable(unreadable)
         self.state.refused = body.get('refused', self.state.refused)
         self.state.mode = body.get('mode', self.state.mode)
         self.state.wake_watches()
--- a/src/linnetwood/lab/soak/storefaults.py
+++ b/src/linnetwood/lab/soak/storefaults.py
@@ -10,6 +10,8 @@
 from linnetwood.lab.soak.schedule import Fault
 
 _REFUSALS = (429, 503)
+# Of no endpoint.
+_UNREADABLE_KEY = 'servers/unreadable'
 
 
 class StoreFaults:
@@ -40,6 +42,12 @@
         await self._commands.store(command)
         self._log.end(index)
 
+    async def spoil_record(self, fault: Fault) -> None:
+        """List a record that can't be read, which excuses nothing."""
+        await self._commands.store({'spoil': [_UNREADABLE_KEY]})
+        await asyncio.sleep(fault.span_s)
+        await self._commands.store({'write': {_UNREADABLE_KEY: None}})
+
     async def forget_beside_series(self, fault: Fault) -> None:
         """Let no watch hear of a series, then drop the change history."""
         index = self._log.begin(fault.kind, '', fault.span_s)
--- a/tests/test_soak_store.py
+++ b/tests/test_soak_store.py
@@ -57,15 +57,38 @@
         query = f'path_prefix=&after_revision={after}&wait_ms={wait_ms}'
         return await self._fetch(f'linnetwood/kv-watch?{query}')
 
+    # Guards against a stand-in whose unreadable record could be read.
+    async def test_an_unreadable_record(self) -> None:
+        """It stands in reads and waits until its key is deleted."""
+        await self._operate(spoil=[KEY])
+        for call in ('kv-range?path_prefix=', 'kv-watch?path_prefix='):
+            query = '&after_revision=0&wait_ms=0' if 'watch' in call else ''
+            said = json.loads(
+                (await self._fetch(f'linnetwood/{call}{query}')).body
+            )
+            rows = said.get('items') or said['events']
+            with self.assertRaises(ValueError):
+                base64.b64decode(rows[0]['value'], validate=True)
+        await self._operate(write={KEY: None})
+        said = json.loads((await self._watch(1)).body)
+        self.assertTrue(said['events'][0]['deleted'])
+
     # Guards against a store whose late writes undo later ones.
     async def test_late_writes(self) -> None:
         """A late write is carried out only if its condition still holds."""
+        due = asyncio.Event()
+
+        async def wait_until_due(_: float) -> None:
+            await due.wait()
+
+        self.state.sleep = wait_until_due
         late = asyncio.create_task(
             self._operate(write={KEY: {'version': 1}}, late_s=0.1)
         )
         while not self.state.pending:
             await asyncio.sleep(0)
         await self._operate(write={KEY: {'version': 2}})
+        due.set()
         await late
         self.assertEqual(self.state.revision, 1)
         await self._operate(write={KEY: {'version': 3}}, late_s=0.1)
