Trace no call of a server that is not told of its configuration

Seen: tests.test_slow_readers failed, as a server without a tracker of its configuration counts as stale and wrote a line for each answered call. Change: a call counts as decided on a stale view once a configuration is in force; no entry answers calls before. The test stays as it is and passes.

--- a/src/linnetwood/calls/callserver.py
+++ b/src/linnetwood/calls/callserver.py
@@ -319,7 +319,7 @@
         if isinstance(call, Ending):
             return call
         decided_at = asyncio.get_running_loop().time()
-        if call.config_basis.is_stale:
+        if call.config_basis.is_adopted_and_stale:
             self._delegate.metrics.count(Metric.CALLS_ON_STALE_VIEW)
         self._call_id = logged_id(call.head.call_id)
         self._call_fields = {
--- a/src/linnetwood/calls/calltrace.py
+++ b/src/linnetwood/calls/calltrace.py
@@ -73,7 +73,7 @@
         self, call: DirectCall, decided_at: float, now: float
     ) -> None:
         """Log an answered call if its configuration may matter."""
-        if call.config_basis.is_stale:
+        if call.config_basis.is_adopted_and_stale:
             self._trace(call, _STALE_VIEW, decided_at, now)
         elif now < self._until:
             kind = self._kind_for(call, now)
--- a/src/linnetwood/calls/configbasis.py
+++ b/src/linnetwood/calls/configbasis.py
@@ -32,6 +32,11 @@
     # Not confirmed by the store for longer than the maximum age, or never.
     is_stale: bool = True
 
+    @property
+    def is_adopted_and_stale(self) -> bool:
+        """Return whether a configuration is in force on a stale view."""
+        return self.is_stale and self.config_age_ms != _UNKNOWN_MS
+
 
 class ConfigAgeTracker:
     """Know the configuration in force and when the store last confirmed it."""
--- a/tests/test_calltrace.py
+++ b/tests/test_calltrace.py
@@ -116,6 +116,13 @@
             (line['code'], line['store_age_ms']), ('stale-view', 4000)
         )
 
+    def test_without_a_configuration(self) -> None:
+        """A server that is not told of its configuration traces nothing."""
+        call = dataclasses.replace(
+            call_at('/a/', '/a/x'), config_basis=ConfigBasis()
+        )
+        self.assertEqual(self.lines(call, 1), [])
+
     def test_lines_are_bounded(self) -> None:
         """Guards against a log that traces fill; the rest is counted."""
         self.adopt()
