Retain no record whose deletion is known

What callers would see, after the store came back from a copy: an operator ends an evacuation, and an entry evacuates the zone again, until somebody writes and deletes the key once more; its calls leave out the endpoints of that zone. Another entry that had not heard of the deletion still told the record that it retained. Configurations can't go back in this way, since their versions only rise.

Cause: a retained record that is told was checked against the keys that are held with a later revision; a deleted key is not held.

Change: the revision of the last deletion is kept for each key that operators write, and a record from before it is not taken.

Evidence: tests.test_configuration_orders now draws evacuations, too.

--- a/src/linnetwood/fleet/rangefollower.py
+++ b/src/linnetwood/fleet/rangefollower.py
@@ -359,7 +359,7 @@
         now = asyncio.get_running_loop().time()
         large = self.mirror.large_revision
         self.mirror.apply_changes(answer.changes, answer.revision, now)
-        self.retained.note_changes(answer.changes)
+        self.retained.note_changes(answer.changes, answer.revision)
         if answer.changes:
             self._sink.apply_changes(answer.changes)
         self._log.changed(source, large, self.confirmed_at, now)
--- a/src/linnetwood/fleet/retained.py
+++ b/src/linnetwood/fleet/retained.py
@@ -7,8 +7,12 @@
 
 from collections.abc import Callable, Iterable
 
+from linnetwood.core.bounded import keep_newest
 from linnetwood.fleet.ranges import Change, Record, Snapshot
 
+# Operators delete a key for each evacuation that ends.
+_MAX_DELETED = 4096
+
 
 def _apply_none(changes: tuple[Change, ...]) -> None:
     """Do nothing by default."""
@@ -21,7 +25,7 @@
     which it was first seen and the revision of the store that lacked it.
     """
 
-    __slots__ = ('_apply', '_held', '_prefix', 'version')
+    __slots__ = ('_apply', '_deleted', '_held', '_prefix', 'version')
 
     def __init__(
         self,
@@ -34,6 +38,8 @@
         self._prefix = prefix
         self._apply = apply
         self._held: dict[str, tuple[Record, float, int]] = {}
+        # The revision up to which the deletion of a key is known.
+        self._deleted: dict[str, int] = {}
 
     @property
     def revision(self) -> int:
@@ -72,19 +78,25 @@
             if record is not None and record.revision > lacked_at:
                 self._held.pop(key)
 
-    def note_changes(self, changes: Iterable[Change]) -> None:
-        """Drop the records whose keys were written or deleted."""
+    def note_changes(self, changes: Iterable[Change], revision: int) -> None:
+        """Drop the records whose keys were written or deleted up to then."""
         for change in changes:
             self._held.pop(change.key, None)
+            self._deleted.pop(change.key, None)
+            if change.record is None and self._may_retain(change.key):
+                keep_newest(self._deleted, change.key, revision, _MAX_DELETED)
 
     def add(
         self, changes: Iterable[Change], lacked_at: int, now: float
     ) -> None:
-        """Retain records that another entry retains as of a revision."""
+        """Retain records that another entry retains as of a revision.
+
+        It may not have heard of a later deletion.
+        """
         for change in changes:
             known = self._held.get(change.key)
             is_new = known is None or known[0] != change.record
-            if change.record is not None and is_new:
+            if is_new and not self._is_deleted(change):
                 self._retain(change, lacked_at, now)
 
     def apply(self, now: float) -> None:
@@ -92,11 +104,16 @@
         if self._held:
             self._apply(self.changes(now))
 
+    def _may_retain(self, key: str) -> bool:
+        return self._prefix is not None and key.startswith(self._prefix)
+
+    def _is_deleted(self, change: Change) -> bool:
+        """Return whether the key was deleted after a record was written."""
+        return not change.may_follow(self._deleted.get(change.key, 0))
+
     def _retain(self, change: Change, lacked_at: int, now: float) -> None:
-        prefix = self._prefix
-        if prefix is None or not change.key.startswith(prefix):
+        if change.record is None or not self._may_retain(change.key):
             return
-        assert change.record is not None
         self.version += 1
         self._held[change.key] = (
             change.record,
--- a/tests/test_configuration_orders.py
+++ b/tests/test_configuration_orders.py
@@ -1,7 +1,8 @@
 """Configurations that reach entries in drawn orders, by the store and relays.
 
 Guards against an entry that keeps, or goes back to, an older configuration than
-the newest one that it was told, or than the store had at the view's revision.
+the newest one that it was told, or than the store had at the view's revision,
+and against one that evacuates a zone again whose evacuation was ended.
 
 Load pattern: answers of the store and updates of relays are made at one moment
 and applied at another, in any order between connections: waits, whole reads in
@@ -40,7 +41,8 @@
 from linnetwood.wire.frames import Frame, FrameKind, FrameStream
 from tests.process_settings import process_settings
 
-SEEDS = range(4)
+# With the last two a key is deleted that others still retain.
+SEEDS = (0, 1, 1050, 1096)
 STEPS = 1000
 SETTLE_STEPS = 12
 PAUSES_S = (0.001, 0.001, 0.001, 0.02, 0.15)
@@ -48,6 +50,9 @@
 ROUTES = 60
 SERVICES = ('desk', 'hall')
 JUNK = b'{"version": 99999}'
+ZONE = 'z1'
+EVACUATED = f'{records.EVACUATE_PREFIX}{ZONE}'
+OTHERS = ('op/other-a', 'op/other-b', 'op/other-c')
 
 
 def payload_of(version: int, moved: frozenset[int]) -> bytes:
@@ -82,8 +87,8 @@
         self.gates: deque[asyncio.Event] = deque()
         self._moved: frozenset[int] = frozenset()
         self._payloads = [payload_of(1, self._moved)]
-        for name in ('a', 'b', 'c'):
-            self.write(f'op/other-{name}', b'{}')
+        for key in OTHERS:
+            self.write(key, b'{}')
         self.write(records.CONFIG_KEY, self._payloads[0])
 
     def write(self, key: str, payload: bytes | None) -> None:
@@ -111,8 +116,10 @@
 
     def change_others(self) -> None:
         """Write or delete other keys, as servers do."""
-        key = f'op/other-{self.rng.choice("abcd")}'
-        self.write(key, self.rng.choice((b'{}', b'{"a": 1}', None)))
+        key = self.rng.choice((EVACUATED, *OTHERS))
+        payload = self.rng.choice((b'{}', b'{"a": 1}', None))
+        if payload is not None or key in self.records:
+            self.write(key, payload)
 
     def forget(self) -> None:
         """Forget the history."""
@@ -141,7 +148,7 @@
 
     async def read(self, prefix: str) -> Snapshot:
         """Read two pages, with writes in between."""
-        keys = sorted((*self.records, 'op/d'))
+        keys = sorted((*self.records, EVACUATED, *OTHERS))
         middle = self.rng.randint(0, len(keys))
         revision = self.revision
         found = self._page(keys[:middle])
@@ -199,17 +206,24 @@
     def __init__(self, entry: ResidentEntry) -> None:
         """Pass on to the entry's own feed."""
         self.newest = RouteTable()
+        # Whether the store said that the zone is evacuated no longer.
+        self.has_ended = False
         self._feed = entry._follower._sink
         self._apply_retained = entry._follower.retained._apply
 
     def replace_all(self, snapshot: Snapshot) -> None:
         """Replace the whole range."""
         self._note(snapshot.records.get(records.CONFIG_KEY))
+        if snapshot.is_restored or EVACUATED in snapshot.records:
+            self.has_ended = False
         self._feed.replace_all(snapshot)
 
     def apply_changes(self, changes: tuple[Change, ...]) -> None:
         """Apply changes in order."""
         self._note_changes(changes)
+        for change in changes:
+            if change.key == EVACUATED:
+                self.has_ended = change.record is None
         self._feed.apply_changes(changes)
 
     def apply_retained(self, changes: tuple[Change, ...]) -> None:
@@ -369,6 +383,8 @@
             self.findings.append(
                 f'{where}: {in_force.version} in force, {told.version} told'
             )
+        if entry.told.has_ended and entry.resident.directory.evacuated:
+            self.findings.append(f'{where}: evacuates a zone again')
         held = 0
         if entry.follower.revision == self.store.revision:
             held = version_of(self.store.records.get(records.CONFIG_KEY))
--- a/tests/test_retained.py
+++ b/tests/test_retained.py
@@ -151,6 +151,24 @@
         self.retained.note_read(Snapshot({CONFIG: record}, join(2, 9)))
         self.assertEqual(self.retained.changes(11), ())
 
+    def test_a_deleted_record_does_not_come_back(self) -> None:
+        """Guards against a zone that stays evacuated after its evacuation.
+
+        Another entry had not heard of the deletion, or not of this one, and
+        still told the record that it retained.
+        """
+        key = 'op/evacuate/z1'
+        told = Change(key, Record(b'{}', join(1, 9)))
+        self.retained.add((told,), join(2, 5), 10)
+        self.retained.note_changes((Change(key, None),), join(2, 8))
+        for revision in (join(2, 7), join(2, 9)):
+            self.retained.add((told,), revision, 11)
+            self.assertEqual(self.retained.changes(11), ())
+        written = Change(key, Record(b'{}', join(2, 12)))
+        self.retained.note_changes((written,), join(2, 12))
+        self.retained.add((written,), join(3, 4), 12)
+        self.assertEqual(len(self.retained.changes(12)), 1)
+
     def test_other_keys(self) -> None:
         """Records that nobody writes again by intent are not retained."""
         change = Change('servers/i-1', Record(NEW, join(1, 9)))
