--- a/tests/full_regions.py
+++ b/tests/full_regions.py
@@ -313,16 +313,18 @@
 class FullRegions(regions.Regions):
     """Regions in which links, the store and entries have faults."""
 
+    client_class: type[LinkedStoreClient] = LinkedStoreClient
+
     def __init__(self, size: Size) -> None:
         self.size = size
         self.shared = SharedLinks(size.bytes_per_s, size.queue_s)
-        self.store = LinkedStore(self.shared, size.routes)
+        self.store = self._make_store()
         self.net: LinkedNet
         with (
             mock.patch.object(regions, 'ENTRIES', size.entries),
             mock.patch.object(regions, 'RegionStore', self._only_store),
             mock.patch.object(regions, 'RegionNet', self._make_net),
-            mock.patch.object(zones, 'StoreLink', LinkedStoreClient),
+            mock.patch.object(zones, 'StoreLink', self.client_class),
             mock.patch.object(zones, 'APPLY_S', APPLY_S),
         ):
             super().__init__()
@@ -340,6 +342,9 @@
         self.journal: list[str] = []
         self._tasks_of_faults: list[asyncio.Task[None]] = []
 
+    def _make_store(self) -> LinkedStore:
+        return LinkedStore(self.shared, self.size.routes)
+
     def _only_store(self, zone: str, links: regions.Links) -> LinkedStore:
         return self.store
 
@@ -402,7 +407,7 @@
             self.running_from[name] = now
             self.in_touch_from[name] = now
         with (
-            mock.patch.object(zones, 'StoreLink', LinkedStoreClient),
+            mock.patch.object(zones, 'StoreLink', self.client_class),
             mock.patch.object(zones, 'APPLY_S', APPLY_S),
         ):
             for name in names:
