Start one follower only, however often the search for relays starts again

What callers would see: an entry that asks the store more and more often, until the store refuses reads of all entries by its rate, so that all views become stale.

Cause, by reading: since tasks are started again after unexpected errors, the work of StartupSync runs again, and its first step started the follower. The task before was lost to its owner, which neither ended nor cancelled it.

Evidence: with a search that raises each time, 36 reads were pending after 9 s in virtual time where there should be one (tests.test_owner, failed before).

Change: the follower is started where the search is started, not in its task.

--- a/src/linnetwood/fleet/startupsync.py
+++ b/src/linnetwood/fleet/startupsync.py
@@ -46,10 +46,16 @@
         self._find_hosts = find_hosts
         self._request_entries = request_entries
 
-    async def _run(self) -> None:
-        # The follower cancels its own read when a relay sends the range; where
-        # there is no relay, as after a restart of all entries, no time is lost.
+    def start(self) -> None:
+        """Start the follower, once, and the search beside it.
+
+        The follower cancels its own read when a relay sends the range; where
+        there is no relay, as after a restart of all entries, no time is lost.
+        """
         self._follower.start()
+        super().start()
+
+    async def _run(self) -> None:
         started_at = asyncio.get_running_loop().time()
         try:
             await self._request_until_synced(
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -11,6 +11,8 @@
 from linnetwood.core.owner import TaskOwner, supervise
 from linnetwood.fleet.rangefollower import RangeFollower
 from linnetwood.fleet.ranges import Change, Changes, Record, Snapshot
+from linnetwood.fleet.relayselector import RelaySelector
+from linnetwood.fleet.startupsync import StartupSync
 from linnetwood.lab import virtual
 from tests.test_following import RecordingSink, ScriptedStore
 
@@ -113,6 +115,25 @@
         self.assertEqual(sink.calls, [{'k': FIRST}, SECOND, THIRD])
         self.assertLess(now - confirmed_at, 0.1)
 
+    def test_a_start_that_fails_starts_one_follower(self) -> None:
+        """Guards against followers beside each other that ask one store."""
+
+        async def find_none() -> list[str]:
+            raise ZeroDivisionError
+
+        async def scenario() -> list[tuple[str, int]]:
+            store = ScriptedStore()
+            follower = RangeFollower(store, '', RecordingSink(), Random(1))
+            selector = RelaySelector('10.0.0.1', Random(1))
+            one = StartupSync(follower, selector, find_none, lambda _: None)
+            one.start()
+            await asyncio.sleep(9)
+            await one.close()
+            await follower.close()
+            return store.requests
+
+        self.assertEqual(virtual.run(scenario()), [('read', 0)])
+
 
 if __name__ == '__main__':
     unittest.main()
