Ask a relay again for a change whose application failed

What callers would see: calls run by the configuration before, at an entry whose view counts as fresh, until the record is written again.

Cause: the mirror took a change before the state did. Where applying it raised an unexpected error, the task started again, as intended, and its next connection asked the relay for what the mirror lacks: nothing. The relay's next update confirmed the revision, and the change was lost. Only the way by the store itself read it again.

Evidence: both new tests of tests.test_owner failed before (the sink saw the first record alone; the mirror was at revision 6). No error of the platform's own feed reaches the follower today but one raised while retained records are applied.

Change: changes reach the mirror after they are applied; the mirror of a whole range that failed stays at the revision in force.

--- a/src/linnetwood/fleet/rangefollower.py
+++ b/src/linnetwood/fleet/rangefollower.py
@@ -350,18 +350,24 @@
         self.mirror.replace_all(snapshot, now)
         # A record that is only read again keeps its age.
         ages = {**snapshot.ages, **self.mirror.known_ages(now)}
-        self._sink.replace_all(dataclasses.replace(snapshot, ages=ages))
-        self.retained.apply(now)
+        try:
+            self._sink.replace_all(dataclasses.replace(snapshot, ages=ages))
+            self.retained.apply(now)
+        except Exception:
+            # Relays send again only what the mirror lacks.
+            self.mirror.revision = self._revision
+            raise
         self._log.changed(source, large, self.confirmed_at, now)
         self._advance(snapshot.revision)
 
     def _apply_changes(self, answer: Changes, source: Source) -> None:
         now = asyncio.get_running_loop().time()
         large = self.mirror.large_revision
-        self.mirror.apply_changes(answer.changes, answer.revision, now)
         self.retained.note_changes(answer.changes)
         if answer.changes:
             self._sink.apply_changes(answer.changes)
+        # Relays send again only what the mirror lacks.
+        self.mirror.apply_changes(answer.changes, answer.revision, now)
         self._log.changed(source, large, self.confirmed_at, now)
         self._advance(answer.revision)
 
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -1,6 +1,7 @@
 """Tasks that run for as long as their process, and errors nobody expects."""
 
 import asyncio
+import contextlib
 import unittest
 from random import Random
 from typing import Any
@@ -9,6 +10,7 @@
 from linnetwood.core import failures
 from linnetwood.core.events import Event
 from linnetwood.core.owner import TaskOwner, supervise
+from linnetwood.fleet.freshness import RelayedUpdate
 from linnetwood.fleet.rangefollower import RangeFollower
 from linnetwood.fleet.ranges import Change, Changes, Record, Snapshot
 from linnetwood.fleet.relayselector import RelaySelector
@@ -36,6 +38,21 @@
         super().apply_changes(changes)
 
 
+class FailingRangeSink(RecordingSink):
+    """A sink that raises an error the second time that all is replaced."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.reads = 0
+
+    def replace_all(self, found: Snapshot) -> None:
+        """Record a range unless it is the second one."""
+        self.reads += 1
+        if self.reads == 2:
+            raise ZeroDivisionError
+        super().replace_all(found)
+
+
 class FailingOwner(TaskOwner):
     """Raise an error in the first run, and end in the second one."""
 
@@ -134,6 +151,43 @@
 
         self.assertEqual(virtual.run(scenario()), [('read', 0)])
 
+    def test_a_relay_brings_again_what_failed(self) -> None:
+        """Guards against a view that counts as fresh and lacks a change."""
+
+        async def scenario() -> RecordingSink:
+            sink = FailingSink(1)
+            follower = RangeFollower(ScriptedStore(), '', sink, Random(1))
+            first = RelayedUpdate(5, 0, 0, 0, 0, True, (Change('k', FIRST),))
+            follower.apply_update(first)
+            with self.assertRaises(ZeroDivisionError):
+                follower.apply_update(
+                    RelayedUpdate(6, 0, 0, 0, 0, False, (SECOND,))
+                )
+            # The next connection asks for what the mirror lacks.
+            known = follower.mirror.revision
+            lacking = (SECOND,) if SECOND.may_follow(known) else ()
+            follower.apply_update(RelayedUpdate(6, 0, 0, 0, 0, False, lacking))
+            return sink
+
+        sink = virtual.run(scenario())
+        self.assertEqual(sink.calls, [{'k': FIRST}, SECOND])
+
+    def test_a_range_that_failed_is_asked_for_again(self) -> None:
+        """Guards against a view that counts as fresh and lacks a range."""
+
+        async def scenario() -> int:
+            sink = FailingRangeSink()
+            follower = RangeFollower(ScriptedStore(), '', sink, Random(1))
+            for revision in (5, 6):
+                update = RelayedUpdate(
+                    revision, 0, 0, 0, 0, True, (Change('k', FIRST),)
+                )
+                with contextlib.suppress(ZeroDivisionError):
+                    follower.apply_update(update)
+            return follower.mirror.revision
+
+        self.assertEqual(virtual.run(scenario()), 5)
+
 
 if __name__ == '__main__':
     unittest.main()
