Ask for later lists of processes after an unexpected error at one

What callers would see: an engine's process that knows no new neighbours any more, so that weights spread by the lists of before.

Cause: a request for a list is noted while it runs, and no other is sent. An unexpected error ended it without removing the note, unseen, since the note itself holds the task.

Evidence: the new test of tests.test_peerlist failed before (its guard of 60 s). No list that raises such an error is known.

--- a/src/linnetwood/fleet/peerlist.py
+++ b/src/linnetwood/fleet/peerlist.py
@@ -14,6 +14,7 @@
 from linnetwood.core.bounded import keep_newest
 from linnetwood.core.errors import CodecError, LinnetwoodError
 from linnetwood.core.events import Event, log
+from linnetwood.core.failures import failures_logged
 from linnetwood.fleet.members import hash64
 from linnetwood.fleet.revisions import era_of, number_of
 from linnetwood.gen.wire.ttypes import PeerList, PeerPlace, PeersRequest
@@ -101,6 +102,12 @@
         self._fetch_task = asyncio.create_task(self._fetch(entry, digest))
 
     async def _fetch(self, entry: Address, digest: int) -> None:
+        with failures_logged(type(self).__name__):
+            await self._request_and_apply(entry, digest)
+        await asyncio.sleep(_PAUSE_S)
+        self._fetch_task = None
+
+    async def _request_and_apply(self, entry: Address, digest: int) -> None:
         try:
             self._apply(await self._request_list(entry, digest), entry)
         except LinnetwoodError as exc:
@@ -110,8 +117,6 @@
                 code=exc.code,
                 detail=exc.detail,
             )
-        await asyncio.sleep(_PAUSE_S)
-        self._fetch_task = None
 
     async def _request_list(self, entry: Address, digest: int) -> PeerList:
         request = encode(PeersRequest(digest=digest))
--- a/tests/test_peerlist.py
+++ b/tests/test_peerlist.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
 from tornado.netutil import bind_sockets
 
+from linnetwood.fleet import peerlist
 from linnetwood.fleet.peerlist import (
     PeerListClient,
     PeerListServer,
@@ -100,6 +102,15 @@
         await self.pass_digest(digest, 5)
         self.assertEqual(self.taken, [ONE])
 
+    async def test_an_error_of_the_listener(self) -> None:
+        """Guards against a process that asks for no list after one error."""
+        failing = mock.Mock(side_effect=(ZeroDivisionError, None))
+        self.list_client = PeerListClient(TcpDialler(), failing)
+        with mock.patch.object(peerlist, '_PAUSE_S', 0):
+            await self.pass_digest(self.list_server.update(ONE, 5), 5)
+            await self.pass_digest(self.list_server.update(TWO, 6), 6)
+        failing.assert_called_with(TWO)
+
 
 class DigestTest(unittest.TestCase):
     """Digests of lists."""
