Subscribe to reports under a configuration with large figures

What callers see: an entry that hears no engine, so that it chooses and admits by what it knew last, under a valid configuration: an origin's link of 17,180 Mbit/s or more, or 2,147,483,648 bytes or chunks.

Cause: messages hold these figures in 32 bits, and records allow any integer up to 2^53. Encoding raised OverflowError in the task that exchanges reports, at each entry, each time. The class is that of the spoilt texts: a record that is read and can't be sent on. A fuzz that only validates messages doesn't see it.

Evidence: the new test of tests.test_spoilt_records failed before (OverflowError out of encode, link_mbps = 25000, chunks and chunk_bytes = 2^40).

Change: a larger figure is sent as the largest one.

--- a/src/linnetwood/calls/reportsubscriptions.py
+++ b/src/linnetwood/calls/reportsubscriptions.py
@@ -17,6 +17,8 @@
 
 _MILLISECONDS = 1000
 _PERCENT = 100
+# Messages hold integers of 32 bits; an origin's link may carry more bytes.
+_MAX_SENT = 2147483647
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -168,9 +170,9 @@
             number=self._number,
             wanted=self._wanted.to_messages(service, engine.models, now),
             origin=f'{origin.host}:{origin.port}' if origin.host else '',
-            chunk_bytes=engine.chunk_bytes,
-            chunks=engine.chunks,
-            origin_bytes_per_s=int(origin.bytes_per_s),
+            chunk_bytes=min(engine.chunk_bytes, _MAX_SENT),
+            chunks=min(engine.chunks, _MAX_SENT),
+            origin_bytes_per_s=int(min(origin.bytes_per_s, _MAX_SENT)),
             zone=self._zone,
         )
 
--- a/tests/test_spoilt_records.py
+++ b/tests/test_spoilt_records.py
@@ -10,6 +10,7 @@
 from linnetwood.fleet.ranges import Change, Record, Snapshot
 from linnetwood.platform import records
 from linnetwood.programs.resident_entry import ResidentEntry
+from linnetwood.wire import codec
 from tests.process_settings import process_settings
 from tests.test_configuration_cases import CONFIG, ENGINE
 from tests.test_junk import ENTRY
@@ -81,6 +82,33 @@
         self.feed.apply_changes((Change('op/version/m', record(said, 1)),))
         self.assertEqual(self.entry.wanted.versions_by_model(), {})
 
+    async def test_figures_of_any_size(self) -> None:
+        """Guards against an entry that hears no engine under large figures."""
+        large = 1 << 40
+        engine = {**ENGINE, 'chunks': large, 'chunk_bytes': large}
+        said = {
+            **CONFIG,
+            'services': [
+                {'name': 'pool', 'engine': engine},
+                {'name': 'desk'},
+                {'name': 'w', 'origin': '10.0.0.9:80', 'link_mbps': 25000},
+            ],
+        }
+        self.feed.apply_changes(
+            (
+                Change(records.CONFIG_KEY, record(said, 1)),
+                Change(SERVED, record(ENTRY, 2)),
+            )
+        )
+        self.assertEqual(self.entry.route_table.version, 7)
+        news = mock.Mock()
+        self.entry.reports.subscriptions.send(
+            self.entry.route_table, 0, news, 1
+        )
+        for sent in news.send.call_args_list:
+            self.assertTrue(codec.encode(sent.args[0]))
+        self.assertTrue(news.send.call_args_list)
+
     async def test_an_error_keeps_back_no_other_record(self) -> None:
         """Guards against a configuration lost to an error at an endpoint."""
         endpoint = Change(SERVED, record(ENTRY, 1))
