Take no revision of a row that is above that of its answer

What callers would see: at entries that follow a relay, calls run by the configuration before, while their view counts as fresh.

Cause: a row whose revision is a number, but too high, was taken as written. The relay's mirror keeps the highest revision of each key, so that it ignored every later write of the key, and sent the old record to its subscribers with each update. An answer's own revision is the store's, so no row of it can be higher.

Evidence: tests.test_spoilt_rows, 'a revision above that of the answer', failed before (version 7 was passed on in place of 8).

Change: such a revision counts as that of the answer, like one that is no number.

--- a/src/linnetwood/platform/store.py
+++ b/src/linnetwood/platform/store.py
@@ -341,8 +341,11 @@
 
 
 def _revision(row: dict[str, Any], newest: int) -> int:
-    """Return the revision of a row, or that of its answer if it has none."""
+    """Return the revision of a row, or that of its answer if it has none.
+
+    A higher one is none: it would hide all later changes of its key.
+    """
     try:
-        return join(era_of(newest), int(row['revision']))
+        return min(newest, join(era_of(newest), int(row['revision'])))
     except _BAD_ANSWER:
         return newest
--- a/tests/test_spoilt_rows.py
+++ b/tests/test_spoilt_rows.py
@@ -116,6 +116,26 @@
                 self.assertIn(record.payload, (b'', b'{}'))
                 self.assertIn(record.revision, (10, 11))
 
+    async def test_a_revision_above_that_of_the_answer(self) -> None:
+        """Guards against relays that keep a record for good."""
+        driver = CurlDriver()
+        self.addCleanup(driver.close)
+        store = PlatformStore((HOST, self.port), driver)
+        rows = [config(7, 1 << 39)]
+        self.server.answers = [
+            answer(200, {'events': rows, 'timestamp': 9}),
+            answer(200, {'events': [config(8, 11)], 'timestamp': 11}),
+        ]
+        mirror = Mirror()
+        for after in (5, 9):
+            found = await store.wait('', after, 1)
+            mirror.apply_changes(found.changes, found.revision, 0)
+        passed_on = mirror.delta_since(9, 0).changes
+        payloads = [one.record.payload for one in passed_on if one.record]
+        self.assertEqual(
+            [json.loads(payload)['version'] for payload in payloads], [8]
+        )
+
     async def test_a_deletion_with_a_spoilt_revision(self) -> None:
         """Guards against a deletion that counts as older than it is."""
         driver = CurlDriver()
