End a task whose clean-up fails while it is cancelled

What callers would see: a process that doesn't stop until it is killed, and calls cut off with it.

Cause, by reading: an owner cancels its task once and waits for it. Since tasks are started again after unexpected errors, an error in the clean-up of a cancelled task took the place of the cancellation, and the work ran again.

Evidence: the new test of tests.test_owner failed before: the task ran on 9 s after it was cancelled, in virtual time. No clean-up that raises such an error is known.

Change: an error behind a cancellation is logged, and the task ends.

--- a/src/linnetwood/core/owner.py
+++ b/src/linnetwood/core/owner.py
@@ -16,18 +16,25 @@
     """Run until the work ends; after an unexpected error, log it and run again.
 
     Nobody awaits a task that runs for as long as its process, so that its end
-    by an error would be unseen.
+    by an error would be unseen. An error while the task is cancelled ends it.
     """
-    while True:
-        try:
-            await run()
-        except Exception as exc:
-            log_failure(owner, exc)
-        else:
-            return
+    while not await _has_ended(owner, run):
         await asyncio.sleep(_RESTART_PAUSE_S)
 
 
+async def _has_ended(
+    owner: str, run: Callable[[], Coroutine[Any, Any, None]]
+) -> bool:
+    """Run the work; return whether it is done, or its task is cancelled."""
+    try:
+        await run()
+    except Exception as exc:
+        log_failure(owner, exc)
+        task = asyncio.current_task()
+        return task is not None and task.cancelling() > 0
+    return True
+
+
 class TaskOwner:
     """Start and cancel one task, which alone changes the object's state."""
 
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -110,6 +110,29 @@
 
         virtual.run(scenario())
 
+    def test_an_error_while_a_task_is_cancelled(self) -> None:
+        """Guards against an owner that waits for ever for its task."""
+
+        async def fail_at_the_end() -> None:
+            try:
+                await asyncio.Event().wait()
+            finally:
+                raise ZeroDivisionError
+
+        async def scenario() -> bool:
+            task = asyncio.create_task(supervise('one', fail_at_the_end))
+            await asyncio.sleep(0.01)
+            task.cancel()
+            await asyncio.sleep(9)
+            is_done = task.done()
+            while not task.done():
+                task.cancel()
+                await asyncio.sleep(0.01)
+            return is_done
+
+        self.assertTrue(virtual.run(scenario()))
+        self.assertEqual(len(self.lines), 1)
+
     def test_a_follower_goes_on(self) -> None:
         """Guards against a view that is stale for good after one error."""
 
