Refuse calls for the moment while no configuration could be read

What callers would see: 404 by an entry that has just started, on routes that exist.

Cause: since a row that can't be read counts as a malformed record, it confirms the view of an entry that starts, though that entry has no configuration, and calls without a route are refused finally on a fresh view. Before, the answer was a bad one, and the entry refused them for the moment (503). A record that is malformed in itself always did this. Such an entry is not ready, so that only callers which name it are affected.

Evidence: the new test of tests.test_spoilt_records failed before (the basis was fresh).

Change: the basis of calls counts as stale until a configuration is in force.

--- a/src/linnetwood/calls/configbasis.py
+++ b/src/linnetwood/calls/configbasis.py
@@ -32,6 +32,10 @@
     # Not confirmed by the store for longer than the maximum age, or never.
     is_stale: bool = True
 
+    def as_stale(self) -> 'ConfigBasis':
+        """Return the same basis, but stale."""
+        return dataclasses.replace(self, is_stale=True)
+
 
 class ConfigAgeTracker:
     """Know the configuration in force and when the store last confirmed it."""
--- a/src/linnetwood/programs/resident_entry.py
+++ b/src/linnetwood/programs/resident_entry.py
@@ -12,7 +12,7 @@
 from tornado.httpserver import HTTPServer
 
 from linnetwood.calls.callserver import CallServerDelegate, open_server
-from linnetwood.calls.configbasis import ConfigAgeTracker
+from linnetwood.calls.configbasis import ConfigAgeTracker, ConfigBasis
 from linnetwood.calls.direct import RetryLimits
 from linnetwood.calls.directory import Directory
 from linnetwood.calls.reports import Reports
@@ -113,7 +113,7 @@
             crashes.quarantine_before(path.admission),
             rng,
             metrics,
-            self.config_age.basis,
+            self._config_basis,
         )
         path.limit_rate(cfg.region)
         path.limit_memory(self.delegate, cfg.memory_bytes, metrics)
@@ -199,6 +199,14 @@
             learned and bool(self.route_table.revision) and not self._stopping
         )
 
+    def _config_basis(self) -> ConfigBasis:
+        """Return the basis of calls; stale until a configuration is in force.
+
+        A view is confirmed also where its configuration can't be read.
+        """
+        basis = self.config_age.basis()
+        return basis if self.route_table.revision else basis.as_stale()
+
     async def _finish_calls(self) -> None:
         loop = asyncio.get_running_loop()
         began = loop.time()
--- a/tests/test_spoilt_records.py
+++ b/tests/test_spoilt_records.py
@@ -6,6 +6,7 @@
 from unittest import mock
 
 from linnetwood.core import failures
+from linnetwood.core.clock import SystemClock
 from linnetwood.core.events import Event
 from linnetwood.fleet.ranges import Change, Record, Snapshot
 from linnetwood.platform import records
@@ -109,6 +110,15 @@
             self.assertTrue(codec.encode(sent.args[0]))
         self.assertTrue(news.send.call_args_list)
 
+    async def test_a_first_configuration_that_is_spoilt(self) -> None:
+        """Guards against final refusals by an entry that knows no route."""
+        spoilt = Record(b'', 3)
+        self.feed.replace_all(Snapshot({records.CONFIG_KEY: spoilt}, 3))
+        self.entry._follower.confirmed_at = SystemClock().now()
+        self.assertTrue(self.entry.delegate.config_basis().is_stale)
+        self.feed.apply_changes((self.config(7, 4),))
+        self.assertFalse(self.entry.delegate.config_basis().is_stale)
+
     async def test_an_error_keeps_back_no_other_record(self) -> None:
         """Guards against a configuration lost to an error at an endpoint."""
         endpoint = Change(SERVED, record(ENTRY, 1))
