Take no record for new whose age is unknown, after an error in its range

What callers would see: an older version of a model that serves longer than its bound, and full load on endpoints that are cold.

Cause: a whole range that raised an unexpected error is applied record by record. Each without an age counted as written at that moment; where a whole range is applied together, a named version without an age counts as named at an unknown time. An endpoint's unknown age (infinity) counted as long ago where changes are applied, and as 0 in a whole range.

Evidence: the new test of tests.test_spoilt_records failed before (no guessed version).

Change: the age is unknown in that case, and an endpoint's unknown age is 0 everywhere.

--- a/src/linnetwood/platform/feeds.py
+++ b/src/linnetwood/platform/feeds.py
@@ -253,7 +253,8 @@
             born=one.born,
             revision=number_of(change.record.revision),
         )
-        self._directory.update(self._with_region(one, change.age_s))
+        age_s = _known_age_s(change.age_s)
+        self._directory.update(self._with_region(one, age_s))
 
     def _with_region(self, one: Endpoint, age_s: float) -> Endpoint:
         """Add the region, and record how long the endpoint is still cold."""
@@ -296,7 +297,7 @@
         _apply_each(
             feed,
             (
-                Change(key, record, found.ages.get(key, 0))
+                Change(key, record, found.ages.get(key, math.inf))
                 for key, record in found.records.items()
             ),
         )
@@ -320,7 +321,12 @@
 
 def _age_s(one: Endpoint, found: Snapshot) -> float:
     """Return the age of a record, or 0 if it is not known."""
-    age_s = found.ages.get(f'{records.ENDPOINT_PREFIX}{one.endpoint_id}', 0)
+    key = f'{records.ENDPOINT_PREFIX}{one.endpoint_id}'
+    return _known_age_s(found.ages.get(key, math.inf))
+
+
+def _known_age_s(age_s: float) -> float:
+    """Return an age, or 0 if it is not known."""
     return age_s if math.isfinite(age_s) else 0
 
 
--- a/tests/test_spoilt_records.py
+++ b/tests/test_spoilt_records.py
@@ -155,6 +155,30 @@
         self.assertIsNotNone(self.entry.directory.get('i-1'))
         self.assertIsNotNone(self.entry.directory.get('i-3'))
 
+    async def test_ages_after_an_error_in_a_whole_range(self) -> None:
+        """Guards against a version that counts as named later than it was."""
+        found = {
+            'op/version/m-1': record({'model': 'm-1', 'version': 2}, 1),
+            SERVED: record({**ENTRY, 'cold_remaining_ms': 9000}, 2),
+        }
+        config = self.config(7, 3)
+        assert config.record is not None
+        found[config.key] = config.record
+        with (
+            mock.patch.object(
+                self.entry.directory, 'replace_all', side_effect=KeyError
+            ),
+            mock.patch.object(
+                self.entry._callers, 'set_limits', side_effect=KeyError
+            ),
+        ):
+            self.feed.replace_all(Snapshot(found, 3))
+        self.assertEqual(self.entry.wanted._guessed, {('m-1', 2)})
+        endpoint = self.entry.directory.get('i-1')
+        assert endpoint is not None
+        now = SystemClock().now()
+        self.assertGreater(self.entry.directory.cold_left_s(endpoint, now), 0)
+
     def fail_for(self, endpoint_id: str) -> Any:
         """Return a function that raises for one endpoint."""
         self.applied: list[str] = []
