Ask again once for an answer with a row that can't be read, before it is taken

What callers would see: calls run by the configuration before, and 404 on new routes, by an entry whose view counts as fresh, until the next configuration is written.

Cause: since a row that can't be read counts as a malformed record, the answer is taken and the next wait goes on behind it. Where the row was spoilt in that one answer alone, the store holds it sound, but nobody asks for it again.

Change: an answer with such a row under a key for the first time is refused; the next one is taken, so that spoilt rows that stay, or come under ever new keys, keep back no other for more than one answer. Five tests of these rows took the first answer; they state now that the first is refused and assert the same of the second.

--- a/src/linnetwood/platform/store.py
+++ b/src/linnetwood/platform/store.py
@@ -18,6 +18,7 @@
     Snapshot,
 )
 from linnetwood.fleet.revisions import era_of, join, number_of, same_era
+from linnetwood.platform.spoiltrows import SpoiltRows
 from linnetwood.platform.storecalllog import StoreCallLog
 from linnetwood.platform.storeera import StoreEra
 from linnetwood.platform.validation import UNREADABLE
@@ -74,6 +75,7 @@
         self._driver = driver
         self._era = StoreEra()
         self._call_log = StoreCallLog(self._era)
+        self._spoilt = SpoiltRows()
         self._in_progress = 0
 
     @property
@@ -160,7 +162,7 @@
         if era > asked_era:
             # A number of the earlier history means nothing in this one.
             raise _history_lost(era)
-        return _changes(_parse_answer(answer, era), era)
+        return _changes(_parse_answer(answer, era), era, self._spoilt)
 
     def _current_era(self, answer: Answer) -> int:
         """Return the era of an answer; raise StoreError if it is not newest.
@@ -202,7 +204,9 @@
         answer = await self._get('/linnetwood/kv-range', query, _FIRST_BYTE_S)
         try:
             era = self._current_era(answer)
-            page, next_after = _parse_page(_parse_answer(answer, era), era)
+            page, next_after = _parse_page(
+                _parse_answer(answer, era), era, self._spoilt
+            )
         except StoreError as exc:
             self._call_log.log_failure('page', 0, answer, exc)
             raise
@@ -286,25 +290,33 @@
 
 
 def _parse_page(
-    parsed: dict[str, Any], era: int
+    parsed: dict[str, Any], era: int, spoilt: SpoiltRows
 ) -> tuple[Snapshot, str | None]:
+    spoilt.begin()
     try:
         revision = join(era, int(parsed['timestamp']))
-        found = {_key(row): _record(row, revision) for row in parsed['items']}
+        found = {
+            _key(row): _record(row, revision, spoilt) for row in parsed['items']
+        }
         has_more = bool(parsed['has_more'])
         next_after = parsed['items'][-1]['private_key'] if has_more else None
     except _BAD_ANSWER as exc:
         raise StoreError('store-bad-answer', repr(exc)) from exc
+    spoilt.check()
     return Snapshot(found, revision), next_after
 
 
-def _changes(parsed: dict[str, Any], era: int) -> Changes:
+def _changes(parsed: dict[str, Any], era: int, spoilt: SpoiltRows) -> Changes:
+    spoilt.begin()
     try:
         revision = join(era, int(parsed['timestamp']))
-        changes = tuple(_change(row, revision) for row in parsed['events'])
-        return Changes(changes, revision)
+        changes = tuple(
+            _change(row, revision, spoilt) for row in parsed['events']
+        )
     except _BAD_ANSWER as exc:
         raise StoreError('store-bad-answer', repr(exc)) from exc
+    spoilt.check()
+    return Changes(changes, revision)
 
 
 def _key(row: dict[str, Any]) -> str:
@@ -320,7 +332,7 @@
     return base64.b64decode(row['value'], validate=True)
 
 
-def _record(row: dict[str, Any], newest: int) -> Record:
+def _record(row: dict[str, Any], newest: int, spoilt: SpoiltRows) -> Record:
     """Decode a row; one that can't be read holds no bytes.
 
     All later changes are behind a spoilt row, in each answer until its key is
@@ -329,23 +341,28 @@
     try:
         payload = _payload(row)
     except _BAD_ANSWER:
+        spoilt.note(row['private_key'])
         payload = b''
-    return Record(payload, _revision(row, newest))
+    return Record(payload, _revision(row, newest, spoilt))
 
 
-def _change(row: dict[str, Any], newest: int) -> Change:
+def _change(row: dict[str, Any], newest: int, spoilt: SpoiltRows) -> Change:
     key = _key(row)
     if row.get('deleted'):
-        return Change(key, None, deleted_revision=_revision(row, newest))
-    return Change(key, _record(row, newest))
+        deleted_revision = _revision(row, newest, spoilt)
+        return Change(key, None, deleted_revision=deleted_revision)
+    return Change(key, _record(row, newest, spoilt))
 
 
-def _revision(row: dict[str, Any], newest: int) -> int:
+def _revision(row: dict[str, Any], newest: int, spoilt: SpoiltRows) -> int:
     """Return the revision of a row, or that of its answer if it has none.
 
     A higher one is none: it would hide all later changes of its key.
     """
     try:
-        return min(newest, join(era_of(newest), int(row['revision'])))
+        revision = join(era_of(newest), int(row['revision']))
     except _BAD_ANSWER:
-        return newest
+        revision = newest + 1
+    if revision > newest:
+        spoilt.note(row['private_key'])
+    return min(newest, revision)
--- a/tests/test_spoilt_rows.py
+++ b/tests/test_spoilt_rows.py
@@ -19,7 +19,7 @@
 from linnetwood.programs.resident_entry import ResidentEntry
 from linnetwood.wire.curldriver import CurlDriver
 from tests.process_settings import process_settings
-from tests.test_curldriver import HOST, ScriptedServer
+from tests.test_curldriver import HOST, ScriptedServer, Server
 from tests.test_following import answer, row
 from tests.test_records import CONFIG
 
@@ -77,6 +77,8 @@
         changes = {'events': [spoilt('value', '!'), config(8, 11)]}
         self.server.answers = [
             answer(200, page),
+            # It is taken when it is the same again.
+            answer(200, {**changes, 'timestamp': 11}),
             answer(200, {**changes, 'timestamp': 11}),
             *[answer(503) for _ in range(1000)],
         ]
@@ -87,25 +89,62 @@
         self.addAsyncCleanup(entry._follower.close)
         entry._follower.start()
         async with asyncio.timeout(60):
-            while len(self.server.requests) < 4:
+            while len(self.server.requests) < 5:
                 await asyncio.sleep(0.01)
         self.assertEqual(entry.route_table.version, 8)
 
+    async def test_a_row_that_is_spoilt_in_one_answer_only(self) -> None:
+        """Guards against a fresh view that lacks a configuration for good."""
+        page = {'items': [config(7, 5)], 'has_more': False, 'timestamp': 9}
+        later = {'items': [config(8, 11)], 'has_more': False, 'timestamp': 11}
+        once = {'events': [{**config(8, 11), 'value': '!'}], 'timestamp': 11}
+        again = {'events': [config(8, 11)], 'timestamp': 11}
+        reads = iter((page, *[later] * 1000))
+        waits = iter((once, *[again] * 1000))
+
+        async def behave(
+            _: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            asked = server.requests[-1]
+            if b'kv-range' in asked:
+                said = next(reads)
+            elif b'after_revision=9' in asked:
+                said = next(waits)
+            else:
+                said = {'events': [], 'timestamp': 11}
+            writer.write(answer(200, said))
+            await writer.drain()
+
+        server = Server(behave)
+        port = await server.start()
+        self.addAsyncCleanup(server.close)
+        entry = ResidentEntry(process_settings(host=HOST, store=(HOST, port)))
+        self.addCleanup(entry.driver.close)
+        self.addAsyncCleanup(entry._follower.close)
+        entry._follower.start()
+        async with asyncio.timeout(60):
+            while len(server.requests) < 200:
+                await asyncio.sleep(0.01)
+                if entry.route_table.version == 8:
+                    break
+        self.assertEqual(entry.route_table.version, 8)
+
     async def test_sound_rows_are_read(self) -> None:
         """Guards against a row that makes a whole answer unreadable."""
         driver = CurlDriver()
         self.addCleanup(driver.close)
-        store = PlatformStore((HOST, self.port), driver)
         for one in spoilt_rows():
             with self.subTest(row=repr(one)):
+                store = PlatformStore((HOST, self.port), driver)
                 rows = [one, config(8, 11)]
+                page = {'items': rows, 'has_more': False, 'timestamp': 11}
                 self.server.answers = [
-                    answer(
-                        200,
-                        {'items': rows, 'has_more': False, 'timestamp': 11},
-                    ),
+                    answer(200, page),
+                    answer(200, page),
                     answer(200, {'events': rows, 'timestamp': 11}),
                 ]
+                with self.assertRaises(StoreError):
+                    await store.read('')
                 found = await store.read('')
                 self.assertEqual(set(found.records), {KEY, records.CONFIG_KEY})
                 changes = await store.wait('', 9, 1)
@@ -123,9 +162,12 @@
         store = PlatformStore((HOST, self.port), driver)
         rows = [config(7, 1 << 39)]
         self.server.answers = [
+            answer(200, {'events': rows, 'timestamp': 9}),
             answer(200, {'events': rows, 'timestamp': 9}),
             answer(200, {'events': [config(8, 11)], 'timestamp': 11}),
         ]
+        with self.assertRaises(StoreError):
+            await store.wait('', 5, 1)
         mirror = Mirror()
         for after in (5, 9):
             found = await store.wait('', after, 1)
@@ -136,13 +178,39 @@
             [json.loads(payload)['version'] for payload in payloads], [8]
         )
 
+    async def test_spoilt_rows_under_ever_new_keys(self) -> None:
+        """Guards against a store whose every answer is refused."""
+        driver = CurlDriver()
+        self.addCleanup(driver.close)
+        store = PlatformStore((HOST, self.port), driver)
+        self.server.answers = [
+            answer(
+                200,
+                {
+                    'events': [
+                        spoilt('private_key', f'servers/{number}\ud800')
+                    ],
+                    'timestamp': 11,
+                },
+            )
+            for number in range(4)
+        ]
+        for _ in range(2):
+            with self.assertRaises(StoreError):
+                await store.wait('', 9, 1)
+            found = await store.wait('', 9, 1)
+            self.assertEqual(len(found.changes), 1)
+
     async def test_a_deletion_with_a_spoilt_revision(self) -> None:
         """Guards against a deletion that counts as older than it is."""
         driver = CurlDriver()
         self.addCleanup(driver.close)
         store = PlatformStore((HOST, self.port), driver)
         gone = {'private_key': KEY, 'revision': None, 'deleted': True}
-        self.server.answers = [answer(200, {'events': [gone], 'timestamp': 11})]
+        said = {'events': [gone], 'timestamp': 11}
+        self.server.answers = [answer(200, said), answer(200, said)]
+        with self.assertRaises(StoreError):
+            await store.wait('', 9, 1)
         found = await store.wait('', 9, 1)
         self.assertEqual(found.changes[0].deleted_revision, join(0, 11))
 
@@ -152,7 +220,10 @@
         self.addCleanup(driver.close)
         store = PlatformStore((HOST, self.port), driver)
         rows = [spoilt('private_key', 'servers/\ud800'), config(8, 11)]
-        self.server.answers = [answer(200, {'events': rows, 'timestamp': 11})]
+        said = {'events': rows, 'timestamp': 11}
+        self.server.answers = [answer(200, said), answer(200, said)]
+        with self.assertRaises(StoreError):
+            await store.wait('', 9, 1)
         found = await store.wait('', 9, 1)
         passed_on = unpack(pack(found.changes, {}, Mirror()), 0)
         payloads = [one.record.payload for one in passed_on if one.record]
@@ -165,16 +236,17 @@
         self.addCleanup(driver.close)
         store = PlatformStore((HOST, self.port), driver)
         row_before = spoilt('private_key', 'servers/\ud800')
+        first = {'items': [row_before], 'has_more': True, 'timestamp': 11}
         self.server.answers = [
-            answer(
-                200,
-                {'items': [row_before], 'has_more': True, 'timestamp': 11},
-            ),
+            answer(200, first),
+            answer(200, first),
             answer(
                 200,
                 {'items': [config(8, 11)], 'has_more': False, 'timestamp': 11},
             ),
         ]
+        with self.assertRaises(StoreError):
+            await store.read('')
         found = await store.read('')
         self.assertEqual(found.records[records.CONFIG_KEY].revision, 11)
         self.assertIn(b'=servers%2F%ED%A0%80 ', self.server.requests[-1])
