Start a download again whose start an unexpected error ended

What callers would see: a VM that never fetches a version, and serves the one before beyond its bound.

Cause: the start of a download is noted while it waits for a manifest. An unexpected error in that wait ended it and left the note, so that nobody started it again; the note also holds the task, so that the event loop never reported the error.

Evidence: tests.test_download_starts failed before (its guard of 12 s). No such error is known.

Change: the start is supervised, and noted until its download is there.

--- a/src/linnetwood/weights/fetching.py
+++ b/src/linnetwood/weights/fetching.py
@@ -2,10 +2,12 @@
 
 import asyncio
 import dataclasses
+import functools
 from collections.abc import Callable, Sequence
 
 from linnetwood.core.errors import LinnetwoodError
 from linnetwood.core.events import Event, log
+from linnetwood.core.owner import supervise
 from linnetwood.fleet.neighbours import partners
 from linnetwood.gen.wire.ttypes import HeldNotice, Member
 from linnetwood.weights import chunks
@@ -120,8 +122,9 @@
                 version_key not in self._starting
                 and version_key not in self._downloads
             ):
+                start = functools.partial(self._start_download, version_key)
                 self._starting[version_key] = asyncio.create_task(
-                    self._start_download(version_key)
+                    supervise(type(self).__name__, start)
                 )
         for version_key, download in self._downloads.items():
             self._update_peers(version_key, download)
@@ -214,8 +217,10 @@
         }
 
     async def _start_download(self, version_key: ModelVersion) -> None:
+        if version_key in self._downloads:
+            # An error behind its start began this anew.
+            return
         manifest = await self._wait_for_manifest(version_key)
-        self._starting.pop(version_key, None)
         self._retain_manifests(version_key, manifest)
         cfg = self._options(manifest)
         policy, far = self._reading_policies(
@@ -224,6 +229,7 @@
         download = Download(
             version_key.name, manifest, self._tools, policy, cfg, far
         )
+        self._starting.pop(version_key, None)
         self._downloads[version_key] = download
         self._rereads.watch(download)
         download.start()
