Name no model of a configuration that can't be sent on

What callers would see: an entry that hears no engine's reports, so that it chooses and admits by what it knew last.

Cause: the names of models in a configuration's engine may hold half of a surrogate pair, as those of endpoints' records did. Encoding a subscription raised UnicodeEncodeError in the task that exchanges reports, at each entry, each time. Tests that only validate messages don't see it.

Evidence: the new test of tests.test_spoilt_records failed before (UnicodeEncodeError).

Change: such a model is left out; the configuration holds. Endpoints' records that name it are malformed already, so nothing is lost.

--- a/src/linnetwood/platform/records.py
+++ b/src/linnetwood/platform/records.py
@@ -202,7 +202,13 @@
         typical_prompt_tokens=int(defaults.get('prompt', 0)),
         typical_answer_tokens=int(defaults.get('answer', 0)),
         kv_tokens=int(parsed.get('kv_capacity_tokens', 0)),
-        models=tuple(one['name'] for one in parsed.get('models', ())),
+        # Names are sent to other processes, and no endpoint holds another one.
+        models=tuple(
+            filter(
+                validation.is_header_text,
+                (one['name'] for one in parsed.get('models', ())),
+            )
+        ),
         layers=int(parsed.get('layers', 1)),
         chunks=int(parsed.get('chunks', 0)),
         chunk_bytes=int(parsed.get('chunk_bytes', 0)),
--- a/tests/test_spoilt_records.py
+++ b/tests/test_spoilt_records.py
@@ -83,6 +83,26 @@
         self.feed.apply_changes((Change('op/version/m', record(said, 1)),))
         self.assertEqual(self.entry.wanted.versions_by_model(), {})
 
+    async def test_models_of_a_configuration(self) -> None:
+        """Guards against an entry that hears no engine beside spoilt text."""
+        models = [{'name': UNENCODABLE}, {'name': 'm'}]
+        pool = {'name': 'pool', 'engine': {**ENGINE, 'models': models}}
+        said = {**CONFIG, 'services': [pool, {'name': 'desk'}]}
+        self.feed.apply_changes(
+            (
+                Change(records.CONFIG_KEY, record(said, 1)),
+                Change(SERVED, record(ENTRY, 2)),
+            )
+        )
+        self.assertEqual(self.entry.route_table.version, 7)
+        news = mock.Mock()
+        self.entry.reports.subscriptions.send(
+            self.entry.route_table, 0, news, 1
+        )
+        sent = news.send.call_args.args[0]
+        self.assertTrue(codec.encode(sent))
+        self.assertEqual({one.model for one in sent.entry.wanted}, {'m'})
+
     async def test_figures_of_any_size(self) -> None:
         """Guards against an entry that hears no engine under large figures."""
         large = 1 << 40
