Let an unexpected error at a retained record keep back no other record

What callers would see: stale views at all entries that saw a store before it was restored, and links filled by whole ranges.

Cause: errors at records that the store holds are caught record by record; those at records that entries retain after a restore were not. They end the follower's work, which runs again after 0.25 s, and reads the whole range.

Evidence: the new test of tests.test_spoilt_records failed before (KeyError out of the feed). No record that raises such an error is known.

--- a/src/linnetwood/platform/feeds.py
+++ b/src/linnetwood/platform/feeds.py
@@ -183,7 +183,9 @@
 
     def apply_retained(self, changes: tuple[Change, ...]) -> None:
         """Apply what operators wrote and a restored store lost."""
-        self._operator.apply_retained(changes)
+        for change in changes:
+            with failures_logged(change.key):
+                self._operator.apply_retained((change,))
 
     def mark_unreachable(self) -> None:
         """Keep endpoints for a time whose records are missing from now on."""
--- a/tests/test_spoilt_records.py
+++ b/tests/test_spoilt_records.py
@@ -10,6 +10,7 @@
 from linnetwood.core.events import Event
 from linnetwood.fleet.ranges import Change, Record, Snapshot
 from linnetwood.platform import records
+from linnetwood.platform.feeds import StoreFeed
 from linnetwood.programs.resident_entry import ResidentEntry
 from linnetwood.wire import codec
 from tests.process_settings import process_settings
@@ -199,6 +200,19 @@
         now = SystemClock().now()
         self.assertGreater(self.entry.directory.cold_left_s(endpoint, now), 0)
 
+    async def test_an_error_at_a_retained_record(self) -> None:
+        """Guards against a range that is read without end after a restore."""
+        named = record({'model': 'm-1', 'version': 2}, 1)
+        assert isinstance(self.feed, StoreFeed)
+        with mock.patch.object(
+            self.entry._callers, 'set_limits', side_effect=KeyError
+        ):
+            self.feed.apply_retained(
+                (self.config(7, 3), Change('op/version/m-1', named))
+            )
+        self.assertEqual(self.entry.wanted.newest('m-1'), 2)
+        self.assertEqual(self.logged[0]['event'], Event.TASK_FAILED)
+
     def fail_for(self, endpoint_id: str) -> Any:
         """Return a function that raises for one endpoint."""
         self.applied: list[str] = []
