--- a/src/linnetwood/calls/configbasis.py
+++ b/src/linnetwood/calls/configbasis.py
@@ -37,6 +37,10 @@
         """Return whether a configuration is in force on a stale view."""
         return self.is_stale and self.config_age_ms != _UNKNOWN_MS
 
+    def as_stale(self) -> 'ConfigBasis':
+        """Return the same basis, but stale."""
+        return dataclasses.replace(self, is_stale=True)
+
 
 class ConfigAgeTracker:
     """Know the configuration in force and when the store last confirmed it."""
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -1,6 +1,7 @@
 """Tasks that run for as long as their process, and errors nobody expects."""
 
 import asyncio
+import contextlib
 import unittest
 from random import Random
 from typing import Any
@@ -9,8 +10,11 @@
 from linnetwood.core import failures
 from linnetwood.core.events import Event
 from linnetwood.core.owner import TaskOwner, supervise
+from linnetwood.fleet.freshness import RelayedUpdate
 from linnetwood.fleet.rangefollower import RangeFollower
 from linnetwood.fleet.ranges import Change, Changes, Record, Snapshot
+from linnetwood.fleet.relayselector import RelaySelector
+from linnetwood.fleet.startupsync import StartupSync
 from linnetwood.lab import virtual
 from tests.test_following import RecordingSink, ScriptedStore
 
@@ -34,6 +38,21 @@
         super().apply_changes(changes)
 
 
+class FailingRangeSink(RecordingSink):
+    """A sink that raises an error the second time that all is replaced."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.reads = 0
+
+    def replace_all(self, found: Snapshot) -> None:
+        """Record a range unless it is the second one."""
+        self.reads += 1
+        if self.reads == 2:
+            raise ZeroDivisionError
+        super().replace_all(found)
+
+
 class FailingOwner(TaskOwner):
     """Raise an error in the first run, and end in the second one."""
 
@@ -91,6 +110,29 @@
 
         virtual.run(scenario())
 
+    def test_an_error_while_a_task_is_cancelled(self) -> None:
+        """Guards against an owner that waits for ever for its task."""
+
+        async def fail_at_the_end() -> None:
+            try:
+                await asyncio.Event().wait()
+            finally:
+                raise ZeroDivisionError
+
+        async def scenario() -> bool:
+            task = asyncio.create_task(supervise('one', fail_at_the_end))
+            await asyncio.sleep(0.01)
+            task.cancel()
+            await asyncio.sleep(9)
+            is_done = task.done()
+            while not task.done():
+                task.cancel()
+                await asyncio.sleep(0.01)
+            return is_done
+
+        self.assertTrue(virtual.run(scenario()))
+        self.assertEqual(len(self.lines), 1)
+
     def test_a_follower_goes_on(self) -> None:
         """Guards against a view that is stale for good after one error."""
 
@@ -113,6 +155,62 @@
         self.assertEqual(sink.calls, [{'k': FIRST}, SECOND, THIRD])
         self.assertLess(now - confirmed_at, 0.1)
 
+    def test_a_start_that_fails_starts_one_follower(self) -> None:
+        """Guards against followers beside each other that ask one store."""
+
+        async def find_none() -> list[str]:
+            raise ZeroDivisionError
+
+        async def scenario() -> list[tuple[str, int]]:
+            store = ScriptedStore()
+            follower = RangeFollower(store, '', RecordingSink(), Random(1))
+            selector = RelaySelector('10.0.0.1', Random(1))
+            one = StartupSync(follower, selector, find_none, lambda _: None)
+            one.start()
+            await asyncio.sleep(9)
+            await one.close()
+            await follower.close()
+            return store.requests
+
+        self.assertEqual(virtual.run(scenario()), [('read', 0)])
+
+    def test_a_relay_brings_again_what_failed(self) -> None:
+        """Guards against a view that counts as fresh and lacks a change."""
+
+        async def scenario() -> RecordingSink:
+            sink = FailingSink(1)
+            follower = RangeFollower(ScriptedStore(), '', sink, Random(1))
+            first = RelayedUpdate(5, 0, 0, 0, 0, True, (Change('k', FIRST),))
+            follower.apply_update(first)
+            with self.assertRaises(ZeroDivisionError):
+                follower.apply_update(
+                    RelayedUpdate(6, 0, 0, 0, 0, False, (SECOND,))
+                )
+            # The next connection asks for what the mirror lacks.
+            known = follower.mirror.revision
+            lacking = (SECOND,) if SECOND.may_follow(known) else ()
+            follower.apply_update(RelayedUpdate(6, 0, 0, 0, 0, False, lacking))
+            return sink
+
+        sink = virtual.run(scenario())
+        self.assertEqual(sink.calls, [{'k': FIRST}, SECOND])
+
+    def test_a_range_that_failed_is_asked_for_again(self) -> None:
+        """Guards against a view that counts as fresh and lacks a range."""
+
+        async def scenario() -> int:
+            sink = FailingRangeSink()
+            follower = RangeFollower(ScriptedStore(), '', sink, Random(1))
+            for revision in (5, 6):
+                update = RelayedUpdate(
+                    revision, 0, 0, 0, 0, True, (Change('k', FIRST),)
+                )
+                with contextlib.suppress(ZeroDivisionError):
+                    follower.apply_update(update)
+            return follower.mirror.revision
+
+        self.assertEqual(virtual.run(scenario()), 5)
+
 
 if __name__ == '__main__':
     unittest.main()
