Draw more calls on routes that exist

Of the calls of the drawn series two in three had no route, since routes went as often as they came.

--- a/tests/test_configuration_series.py
+++ b/tests/test_configuration_series.py
@@ -34,6 +34,7 @@
 PREFIXES = ('/', '/x/', '/x/y/', '/x/y/z/')
 PATHS = ('/1', '/x/1', '/x/y/1', '/x/y/z/1')
 SERVICES = ('desk', 'hall')
+MIN_ROUTES = 3
 KEYS = ('k1', 'k2', 'k3')
 ENDPOINTS = ('e-1', 'e-2', 'e-3', 'e-4')
 
@@ -42,12 +43,15 @@
     """Draw configurations that each change a little of the one before."""
 
     def __init__(self, seed: int) -> None:
-        """Start with one route of each service."""
+        """Start with some routes of each service."""
         self.rng = Random(seed)
         self.version = 1
         self._places = {
-            ('a.example', '/x/'): [('desk', 1.0)],
+            ('a.example', '/'): [('desk', 1.0)],
+            ('a.example', '/x/'): [('hall', 1.0)],
+            ('a.example', '/x/y/'): [('desk', 1.0)],
             ('b.example', '/'): [('hall', 1.0)],
+            ('b.example', '/x/'): [('desk', 1.0)],
         }
         self._names = {place: str(place) for place in self._places}
         self._listed = set(SERVICES)
@@ -119,7 +123,7 @@
         self._names[there] = f'{there} {self.rng.randrange(3)}'
 
     def _drop(self) -> None:
-        if self._places:
+        if len(self._places) > MIN_ROUTES:
             place = self.rng.choice(list(self._places))
             self._places.pop(place)
             self._names.pop(place)
