Send counts of an engine's report that no message holds as the largest one

What callers see: entries that hear nothing more of an engine, whose VM sends neither reports nor the chunks that it holds. A report may state 2^31 calls and more, which messages of 32 bits can't hold: OverflowError in the task that sends them, each time. Found by the review; the test failed before with that error.

--- a/src/linnetwood/platform/weights.py
+++ b/src/linnetwood/platform/weights.py
@@ -22,6 +22,8 @@
 from linnetwood.wire.curldriver import CurlDriver
 from linnetwood.wire.curlrequest import Request
 
+# Messages to entries hold counts of 32 bits.
+_MAX_SENT = 2147483647
 # An answer of a fixed size from the same VM takes milliseconds.
 _TIMEOUT_S = 1.5
 # Answers that grow with the model have no limit on their total time.
@@ -252,8 +254,8 @@
 
 def _report(parsed: Mapping[str, Any], pace: float) -> EngineReport:
     return EngineReport(
-        waiting=int(parsed.get('waiting', 0)),
-        running=int(parsed.get('running', 0)),
+        waiting=min(parsed.get('waiting', 0), _MAX_SENT),
+        running=min(parsed.get('running', 0), _MAX_SENT),
         kv_used=int(parsed.get('kv_used', 0)),
         kv_total=int(parsed.get('kv_total', 0)),
         serving={
--- a/tests/test_engine_client.py
+++ b/tests/test_engine_client.py
@@ -6,8 +6,10 @@
 from typing import Any
 
 from linnetwood.core.errors import OrderError, WeightsError
+from linnetwood.gen.wire.ttypes import EngineNews
 from linnetwood.platform.weights import PlatformOrigin, ServerEngine
 from linnetwood.weights.engine import OrderResult
+from linnetwood.wire.codec import decode, encode
 from linnetwood.wire.curldriver import TOO_LATE_TO_SEND, CurlDriver
 from tests.test_curldriver import HOST, ScriptedServer
 from tests.test_following import answer
@@ -46,6 +48,17 @@
         self.assertTrue(found.changing)
         self.assertEqual((found.running, found.orders_taken), (12, 4))
 
+    async def test_counts_that_no_message_holds(self) -> None:
+        """Guards against an engine of which entries hear nothing any more."""
+        said = {**REPORT, 'waiting': 1 << 40, 'running': 1 << 31}
+        self.server.answers = [answer(200, said)]
+        found = await self.engine.report()
+        news = EngineNews(
+            number=1, waiting=found.waiting, running=found.running
+        )
+        sent = decode(EngineNews, encode(news))
+        self.assertGreater(min(sent.waiting, sent.running), 1 << 30)
+
     async def test_paces(self) -> None:
         """Guard against predictions by what is no pace; logged once."""
         cases = ((2.5, 2.5), ('fast', 1), (-1, 1), (math.inf, 1), (4, 4))
