Refuse a range of which no row can be read

Change: a page of several rows, none of which can be read, is a bad answer, each time. Both tests are new; the first failed before (the read returned three empty records).

--- a/src/linnetwood/platform/storerows.py
+++ b/src/linnetwood/platform/storerows.py
@@ -75,7 +75,7 @@
         next_after = parsed['items'][-1][_KEY] if has_more else None
     except BAD_ANSWER as exc:
         raise StoreError('store-bad-answer', repr(exc)) from exc
-    spoilt.check()
+    spoilt.check_page(len(found))
     return Snapshot(found, revision), next_after
 
 
--- a/tests/test_spoilt_rows.py
+++ b/tests/test_spoilt_rows.py
@@ -270,6 +270,34 @@
         with self.assertRaises(StoreError):
             await store.read('')
 
+    async def test_a_range_of_which_nothing_can_be_read(self) -> None:
+        """Guards against endpoints that a store in trouble takes all away."""
+        driver = CurlDriver()
+        self.addCleanup(driver.close)
+        store = PlatformStore((HOST, self.port), driver)
+        rows = [
+            {**row(f'servers/{number}', '{}', 10), 'value': None}
+            for number in range(3)
+        ]
+        page = {'items': rows, 'has_more': False, 'timestamp': 11}
+        self.server.answers = [answer(200, page)] * 3
+        for _ in range(3):
+            with self.assertRaises(StoreError):
+                await store.read('')
+
+    async def test_a_range_of_which_one_row_can_be_read(self) -> None:
+        """Guards against a sound row lost beside several that are spoilt."""
+        driver = CurlDriver()
+        self.addCleanup(driver.close)
+        store = PlatformStore((HOST, self.port), driver)
+        rows = [{}, spoilt('value', '!'), config(8, 11)]
+        page = {'items': rows, 'has_more': False, 'timestamp': 11}
+        self.server.answers = [answer(200, page)] * 2
+        with self.assertRaises(StoreError):
+            await store.read('')
+        found = await store.read('')
+        self.assertEqual(set(found.records), {KEY, records.CONFIG_KEY})
+
     async def test_rows_without_a_key(self) -> None:
         """Guards against entries that hear of nothing behind such a row."""
         driver = CurlDriver()
