--- a/src/linnetwood/core/owner.py
+++ b/src/linnetwood/core/owner.py
@@ -6,7 +6,7 @@
 
 from linnetwood.core.failures import log_failure
 
-# Every time bound is 2 s or longer.
+# Short beside the shortest time bound, 2 s.
 _RESTART_PAUSE_S = 0.25
 
 
--- a/src/linnetwood/platform/store.py
+++ b/src/linnetwood/platform/store.py
@@ -33,7 +33,7 @@
 from linnetwood.wire.curldriver import CurlDriver
 from linnetwood.wire.curlrequest import Request
 
-_KEY_ERRORS = 'surrogatepass'
+_KEY_ENCODING_ERRORS = 'surrogatepass'
 _NOT_FOUND = 404
 _MILLISECONDS = 1000
 # The store begins to answer within milliseconds, a slow one after 0.5 s.
@@ -174,29 +174,29 @@
     async def _page_with_retries(
         self,
         prefix: str,
-        last: str,
+        after_key: str,
     ) -> tuple[Snapshot, str | None]:
         """Request a page with retries, so that previous pages are not lost."""
         # The first page needs none: the follower retries the whole read.
-        retries = _PAGE_RETRIES if last else 0
+        retries = _PAGE_RETRIES if after_key else 0
         for _ in range(retries):
             try:
-                return await self._request_page(prefix, last)
+                return await self._request_page(prefix, after_key)
             except HistoryLostError:
                 raise
             except StoreError as exc:
                 log(Event.STORE_PAGE_AGAIN, prefix=prefix, detail=str(exc))
                 await asyncio.sleep(_PAGE_PAUSE_S)
-        return await self._request_page(prefix, last)
+        return await self._request_page(prefix, after_key)
 
     async def _request_page(
-        self, prefix: str, last: str
+        self, prefix: str, after_key: str
     ) -> tuple[Snapshot, str | None]:
         """Return a page, and the key after which the next one starts."""
         query = {'path_prefix': prefix}
-        if last:
+        if after_key:
             # In this call the field holds the key after which the page starts.
-            query['after_revision'] = last
+            query['after_revision'] = after_key
         answer = await self._get('/linnetwood/kv-range', query, _FIRST_BYTE_S)
         try:
             era = self._current_era(answer)
@@ -223,7 +223,7 @@
         req = self._request(
             'GET',
             # A key of another writer may hold what can't be encoded.
-            f'{path}?{urlencode(query, errors=_KEY_ERRORS)}',
+            f'{path}?{urlencode(query, errors=_KEY_ENCODING_ERRORS)}',
             keep=not self._in_progress,
         )
         self._in_progress += 1
--- a/src/linnetwood/wire/answerbounds.py
+++ b/src/linnetwood/wire/answerbounds.py
@@ -105,11 +105,12 @@
         is_due = self.is_contentless or not self._reads % _READS_PER_COUNT
         if is_due and not self._has_refused:
             self._count_framing()
-        # A read behind one that brought a piece is asked for only if it counts.
-        is_counted = not self._turn_pieces or self._reads % _READS_PER_COUNT
+        # What this read brings is counted before the next one, if that is due.
+        is_next_due = not (self._reads + 1) % _READS_PER_COUNT
+        measures = is_next_due or not self._turn_pieces
         self.begin_turn()
         self._received_bytes = 0
-        self._unread_bytes = _readable_bytes(descriptor) if is_counted else 0
+        self._unread_bytes = _readable_bytes(descriptor) if measures else 0
         return self._framing_bytes <= _FRAMING_ALLOWANCE
 
     @property
