Notice that the store answers again while a request to it hangs

Cause: a request that was lost just before the return is given up after its wait and 2 s, a whole read after 2.5 s. It can't be given up sooner, since sound answers take as long on full links. A store that failed last gets no second request, and whole reads never had one. Entries follow the one that reads for their zone.

Change: after a failure, a short request (no wait, no records, given up after 0.5 s) goes beside a silent one each 0.6 s; when it is answered, the silent one is dropped and the next is sent at once. Sound answers on full links go on as before.

--- a/src/linnetwood/fleet/freshness.py
+++ b/src/linnetwood/fleet/freshness.py
@@ -93,6 +93,10 @@
             return min(position * self.reread_delay_s, self.max_age_s)
         return min(position * self.batch_delay_s, self.max_stagger_s)
 
+    def batch_delay_at_s(self, age_s: float) -> float:
+        """Return how long to gather changes: less for a view that is older."""
+        return max(0, min(self.batch_delay_s, self.wait_s - age_s))
+
     def fresh_for_s(self, update: RelayedUpdate) -> float:
         """Return the seconds for which an update is fresh; negative if old."""
         return self.max_age_s - update.age_s
--- a/src/linnetwood/fleet/rangefollower.py
+++ b/src/linnetwood/fleet/rangefollower.py
@@ -34,6 +34,7 @@
 from linnetwood.fleet.retained import RetainedRecords
 from linnetwood.fleet.revisions import same_era
 from linnetwood.fleet.storehistory import StoreHistory
+from linnetwood.fleet.storeprobe import until_answered
 from linnetwood.fleet.viewsources import (
     FROM_STORE,
     Source,
@@ -266,11 +267,16 @@
         """Request the store; return whether it answered before a relay did."""
         task = asyncio.create_task(self._read_or_wait())
         self._request_task = task
+        tasks = [task]
+        if self._failures:
+            # The request may have been lost just before the store's return.
+            probe = until_answered(self._store, self._revision, self._is_silent)
+            tasks.append(asyncio.create_task(probe))
         try:
-            await asyncio.wait((task,))
+            await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
         finally:
             self._request_task = None
-            await cancel_all((task,))
+            await cancel_all(tasks)
         if task.cancelled():
             return False
         task.result()
@@ -298,7 +304,7 @@
             self._wait_request(wait_s),
             self._wait_request(_MIN_WAIT_S),
             self._hedge_after_s(wait_s, age_s),
-            lambda: not math.isfinite(self.first_byte_at),
+            self._is_silent,
         )
         answer = wait.changes
         began_at = self._note_answer(wait.requested_at, wait.confirmed_s)
@@ -317,7 +323,12 @@
                 Changes(tuple(aged), answer.revision), FROM_STORE
             )
         if answer.changes:
-            await asyncio.sleep(self._batch_delay_s())
+            age_s = asyncio.get_running_loop().time() - self.confirmed_at
+            await asyncio.sleep(self._bounds.batch_delay_at_s(age_s))
+
+    def _is_silent(self) -> bool:
+        """Return whether the request has no byte of an answer yet."""
+        return not math.isfinite(self.first_byte_at)
 
     def _wait_request(self, wait_s: float) -> Request[AnsweredWait]:
         return functools.partial(
@@ -334,13 +345,6 @@
         due_s = wait_s + self._overhead_s
         return due_s + self._bounds.hedge_delay_at_s(age_s + due_s)
 
-    def _batch_delay_s(self) -> float:
-        """Return how long to gather changes: less for a view that is older."""
-        age_s = asyncio.get_running_loop().time() - self.confirmed_at
-        return max(
-            0, min(self._bounds.batch_delay_s, self._bounds.wait_s - age_s)
-        )
-
     async def _read(self) -> None:
         requested_at = asyncio.get_running_loop().time()
         snapshot = await self._store.read(self._prefix)
