Drop one request only for a short one that is answered

What callers would see: after one failed request to a store whose reads begin over a second later than its answers to short requests, all entries stay without any news, for good.

Cause: since a request that is silent while a short one is answered is dropped and sent again, each time, so that such a read never ended.

Change: after a request was dropped, the next one is kept until it is answered or fails; only then may one be dropped again. The new test of tests.test_store_return failed before (never read in 60 s).

--- a/src/linnetwood/fleet/rangefollower.py
+++ b/src/linnetwood/fleet/rangefollower.py
@@ -109,6 +109,8 @@
         self._revision = 0
         self._history = StoreHistory()
         self._failures = 0
+        # Whether a request failed since one was dropped for a short request.
+        self._may_drop_request = True
         self._answered_at = -math.inf
         self._advanced_at = -math.inf
         self._trusted_until = -math.inf
@@ -226,6 +228,7 @@
             except StoreError as exc:
                 self._failures += 1
                 self.outages += 1
+                self._may_drop_request = True
                 self._log.store_failed(exc)
                 self._sink.mark_unreachable()
                 # The time that a hung call took counts as part of the pause, as
@@ -268,12 +271,15 @@
         task = asyncio.create_task(self._read_or_wait())
         self._request_task = task
         tasks = [task]
-        if self._failures:
+        if self._failures and self._may_drop_request:
             # The request may have been lost just before the store's return.
             probe = until_answered(self._store, self._revision, self._is_silent)
             tasks.append(asyncio.create_task(probe))
         try:
             await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+            if not task.done():
+                # The next one may take longer than short requests, and is kept.
+                self._may_drop_request = False
         finally:
             self._request_task = None
             await cancel_all(tasks)
--- a/tests/test_store_return.py
+++ b/tests/test_store_return.py
@@ -25,6 +25,7 @@
 READ_LIMIT_S = 2.5
 SLACK_S = 2.0
 STEP_S = 0.02
+SLOW_READ_S = 1.4
 
 
 class AwayStore:
@@ -92,6 +93,32 @@
     return heard_s, calls
 
 
+class SlowReadStore(AwayStore):
+    """Answer reads much later than waits."""
+
+    async def read(self, prefix: str) -> Snapshot:
+        """Return the key after more than the pause between short requests."""
+        await asyncio.sleep(SLOW_READ_S)
+        return await super().read(prefix)
+
+
+async def calls_until_read(store: AwayStore) -> int:
+    """Return the calls until the range is read after one failed request."""
+    store.is_away = True
+    follower = RangeFollower(
+        store, '', RecordingSink(), Random(1), bounds_for(APPLY_S)
+    )
+    follower.start()
+    while not follower.outages:
+        await asyncio.sleep(0.01)
+    store.is_away = False
+    calls = store.calls
+    async with asyncio.timeout(60):
+        await follower.synced.wait()
+    await follower.close()
+    return store.calls - calls
+
+
 class StoreReturnTest(unittest.TestCase):
     """Sweep how long the store is away."""
 
@@ -104,6 +131,11 @@
                 with self.subTest(away_s=away_s):
                     self.assertLess(heard_s, HEARD_WITHIN_S)
 
+    def test_reads_that_are_slower_than_short_requests(self) -> None:
+        """Guards against a read that is dropped again and again."""
+        calls = virtual.run(calls_until_read(SlowReadStore()))
+        self.assertLess(calls, 5)
+
     def test_calls_to_a_store_that_is_away(self) -> None:
         """Guards against calls that each cost money, many times a second."""
         _, calls = virtual.run(heard_after_s(60))
