--- a/review/rig/http1.py
+++ b/review/rig/http1.py
@@ -153,6 +153,7 @@
         """Run the handler, and cancel it when the peer leaves."""
         conn = req.conn
         work = asyncio.create_task(self.handler(req))
+        work.add_done_callback(_retrieve)
         watch = asyncio.create_task(_until_left(conn))
         done, _ = await asyncio.wait(
             (work, watch), return_when=asyncio.FIRST_COMPLETED
@@ -168,6 +169,12 @@
             conn.done = True
 
 
+def _retrieve(work):
+    """Take the error of a handler whose connection has ended."""
+    if not work.cancelled():
+        work.exception()
+
+
 async def _until_left(conn):
     """Return when the peer has closed or reset the connection."""
     while not conn.reader.at_eof():
--- a/review/rig/rig.py
+++ b/review/rig/rig.py
@@ -278,6 +278,7 @@
                 process.wait()
         for one in (self.store, self.origin, *self.servers):
             await one.server.stop()
+        await asyncio.sleep(0.2)
         with open(self.folder / 'record.txt', 'w') as stream:
             for line in self.notes:
                 stream.write(f'{line}\n')
