--- a/review/rig/rig.py
+++ b/review/rig/rig.py
@@ -285,7 +285,7 @@
             for row in self.calls:
                 stream.write(f'sent {json.dumps(row)}\n')
             for run in self.runs:
-                stream.write(f'run {json.dumps(run.row())}\n')
+                stream.write(f'run {json.dumps(run.row(), default=str)}\n')
         if os.environ.get('KEEP_LOGS'):
             shutil.copytree(self.temp, os.environ['KEEP_LOGS'],
                             dirs_exist_ok=True)
