--- a/review/rig/rig.py
+++ b/review/rig/rig.py
@@ -85,7 +85,8 @@
     def __init__(self, folder, entries=3, version_ms=8000):
         self.folder = pathlib.Path(folder)
         self.temp = pathlib.Path(tempfile.mkdtemp(prefix='linnetwood-rig-'))
-        self.net = _free_net()
+        # Held for as long as the script runs, so that no other takes the net.
+        self.claim, self.net = _free_net()
         self.version_ms = version_ms
         self.began = time.monotonic()
         self.store = Store()
@@ -293,17 +294,20 @@
 
 
 def _free_net():
-    """Return the second octet of addresses that nobody uses."""
+    """Claim addresses that nobody uses; return the second octet, too."""
     nets = list(range(20, 250))
     random.shuffle(nets)
     for net in nets:
+        claim = socket.socket()
         try:
+            claim.bind((f'127.{net}.255.1', CALLERS))
             for port in (CALLERS, WIRE, APP, STORE):
                 with socket.socket() as probe:
                     probe.bind((f'127.{net}.1.10', port))
         except OSError:
+            claim.close()
             continue
-        return net
+        return claim, net
     raise OSError('no free addresses')
 
 
