--- a/tools/test_workers.py
+++ b/tools/test_workers.py
@@ -16,21 +16,27 @@
 _STARTS_PROCESSES = 'starts_processes'
 # Each starts up to 30 processes, which wait most of the time.
 _MAX_FLEETS = 2
+# Set by classes whose tests measure a process, so that nothing runs beside it.
+_RUNS_ALONE = 'runs_alone'
 # Of a worker process.
 _worker_units: list[Unit] = []
 
 
 def run_all(suite: Iterable[object], jobs: int) -> Iterator[Outcomes]:
     """Run all tests, at the end those that start processes of their own."""
+    alone: list[Unit] = []
     fleets: list[Unit] = []
     beside: list[Unit] = []
     for unit in _units_of(suite):
-        if getattr(unit[0], _STARTS_PROCESSES, False):
+        if getattr(unit[0], _RUNS_ALONE, False):
+            alone.extend([test] for test in unit)
+        elif getattr(unit[0], _STARTS_PROCESSES, False):
             fleets.extend([test] for test in unit)
         else:
             beside.append(unit)
     yield from run_units(beside, jobs)
     yield from run_units(fleets, min(jobs, _MAX_FLEETS))
+    yield from run_units(alone, 1)
 
 
 def run_units(units: Sequence[Unit], jobs: int) -> Iterator[Outcomes]:
