Cancel requests also while no descriptor is left

A crowd that takes the last descriptor would make a cancellation raise OSError: the connection is made to reset by a duplicate of its descriptor, and there is none to be had. The call went on at its server although its caller had left.

Change: the descriptor is borrowed, without a duplicate. The new test lowers the process's limit to what is open; before, cancel raised "Too many open files".

--- a/src/linnetwood/wire/curldriver.py
+++ b/src/linnetwood/wire/curldriver.py
@@ -9,8 +9,6 @@
 import asyncio
 import math
 import select
-import socket
-import struct
 from collections.abc import Callable, Iterable
 from typing import Any
 
@@ -26,6 +24,7 @@
     Sent,
     prepare,
 )
+from linnetwood.wire.rawsockets import reset_on_close
 
 # Detail of a request that exceeded its total time limit.
 TIMED_OUT = 'timed out'
@@ -45,9 +44,6 @@
 _PAUSE = int(pycurl.WRITEFUNC_PAUSE)
 _MAX_IDLE_HANDLES = 64
 _LOOK_AGAIN_S = 0.05
-# SO_LINGER with a timeout of 0: close() sends a reset, which discards unread
-# bytes at both ends.
-_RESET = struct.pack('ii', 1, 0)
 
 
 class Transfer:
@@ -99,7 +95,7 @@
             self.over_bound = HEAD_TOO_LARGE
         elif not head.is_malformed:
             return None
-        _reset_on_close(self.descriptor)
+        reset_on_close(self.descriptor)
         return _ABORT
 
 
@@ -154,7 +150,7 @@
             return
         transfer.head.is_open = False
         transfer.receiver = _IGNORING_RECEIVER
-        _reset_on_close(transfer.descriptor)
+        reset_on_close(transfer.descriptor)
         self._run_outside_callbacks(self._drop, transfer)
 
     def pause(self, transfer: Transfer) -> None:
@@ -484,14 +480,6 @@
     return bool(poll.poll(0))
 
 
-def _reset_on_close(descriptor: int) -> None:
-    if descriptor < 0:
-        return
-    # The duplicate shares the socket's options; closing it keeps the original.
-    with socket.fromfd(descriptor, socket.AF_INET, socket.SOCK_STREAM) as copy:
-        copy.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
-
-
 class _IgnoringReceiver:
     """Ignore the answer to a cancelled request."""
 
--- /dev/null
+++ b/src/linnetwood/wire/rawsockets.py
@@ -0,0 +1,30 @@
+"""Sockets of libcurl, by their descriptors."""
+
+import socket
+import struct
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+# SO_LINGER with a timeout of 0: close() sends a reset, which discards unread
+# bytes at both ends.
+RESET_ON_CLOSE = struct.pack('ii', 1, 0)
+
+
+def reset_on_close(descriptor: int) -> None:
+    """Let the close of a connection reset it; ignore what is no socket."""
+    if descriptor < 0:
+        return
+    with _borrowed(descriptor) as sock:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+
+
+@contextmanager
+def _borrowed(descriptor: int) -> Iterator[socket.socket]:
+    """Use a descriptor as a socket, without a duplicate: none may be left."""
+    sock = socket.socket(
+        socket.AF_INET, socket.SOCK_STREAM, 0, fileno=descriptor
+    )
+    try:
+        yield sock
+    finally:
+        sock.detach()
--- a/tests/test_curldriver.py
+++ b/tests/test_curldriver.py
@@ -3,6 +3,8 @@
 import asyncio
 import contextlib
 import functools
+import os
+import resource
 import socket
 import time
 import unittest
@@ -531,6 +533,31 @@
                 return
 
 
+class DescriptorsTest(unittest.IsolatedAsyncioTestCase):
+    """Cancel requests while no descriptor is left."""
+
+    async def test_cancelled_request_gets_a_reset(self) -> None:
+        """Guards against a cancellation that fails beside a crowd."""
+        gone = asyncio.Event()
+        server = Server(await_reset(gone))
+        driver = CurlDriver()
+        req = Request(HOST, await server.start(), 'GET', '/', [('Host', 'x')])
+        transfer = driver.begin(req, IgnoringReceiver())
+        while not server.requests:
+            await asyncio.sleep(0)
+        free = os.dup(0)
+        os.close(free)
+        soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+        resource.setrlimit(resource.RLIMIT_NOFILE, (free, hard))
+        try:
+            driver.cancel(transfer)
+        finally:
+            resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+        await gone.wait()
+        driver.close()
+        await server.close()
+
+
 class RecordingReceiver:
     """Record how a request ended; act on the first piece of the answer."""
 
