Read answers by the grammar of HTTP, whatever libcurl takes

Callers got spoilt answers of servers in trouble as whole, signed ones (MIXED): heads spoilt where they tell the length, statuses such as 2000 or 600, names of fields that hold blanks or control bytes, sizes of chunks followed by other bytes.

Cause: libcurl reads numbers, lists and lines by rules of its own, and our reader of heads took the status alone from what was left.

Change: libcurl no longer decodes chunks (HTTP_TRANSFER_DECODING off); heads, chunk lines and trailers are read by RFC 9112's grammar, and an answer is whole only if both readers agree. Folded lines, which libcurl joins, are seen in the arrived bytes ahead of it.

Why it holds: the reader takes what the grammar has and nothing that a recipient may merely tolerate, so another libcurl can only refuse more.

--- a/src/linnetwood/calls/attempt.py
+++ b/src/linnetwood/calls/attempt.py
@@ -14,12 +14,8 @@
 from linnetwood.calls.notices import Notice
 from linnetwood.calls.slowreaders import MIN_HELD_UP_S
 from linnetwood.core.sizes import MIB
-from linnetwood.wire.curldriver import (
-    OVER_BOUNDS,
-    TIMED_OUT,
-    CurlDriver,
-    Transfer,
-)
+from linnetwood.wire.answerreader import OVER_BOUNDS
+from linnetwood.wire.curldriver import TIMED_OUT, CurlDriver, Transfer
 from linnetwood.wire.curlrequest import Finish, Headers, Request, Sent
 from linnetwood.wire.eventstream import EventSplitter
 from linnetwood.wire.piecebuffer import PieceBuffer
--- a/src/linnetwood/wire/answerbounds.py
+++ b/src/linnetwood/wire/answerbounds.py
@@ -79,6 +79,10 @@
         self._turn_pieces += 1
         return True
 
+    def add_chunks(self, count: int) -> None:
+        """Count the chunks of a piece, each of which takes time to decode."""
+        self._turn_pieces += max(0, count - 1)
+
     @property
     def wait_s(self) -> float:
         """Return the seconds until the next turn; 0 for the loop's next one."""
--- a/src/linnetwood/wire/curldriver.py
+++ b/src/linnetwood/wire/curldriver.py
@@ -15,8 +15,13 @@
 import pycurl
 
 from linnetwood.wire.answerbounds import AnswerBounds, Pace
-from linnetwood.wire.answerhead import MAX_LINES, AnswerHead
+from linnetwood.wire.answerreader import (
+    HEAD_TOO_LARGE,
+    TOO_MUCH_FRAMING,
+    AnswerReader,
+)
 from linnetwood.wire.curlrequest import (
+    HEAD_METHOD,
     Finish,
     Headers,
     Receiver,
@@ -24,7 +29,7 @@
     Sent,
     prepare,
 )
-from linnetwood.wire.rawsockets import reset_on_close
+from linnetwood.wire.rawsockets import reset_on_close, unread_bytes
 
 # Detail of a request that exceeded its total time limit.
 TIMED_OUT = 'timed out'
@@ -32,10 +37,6 @@
 CONNECT_TIMED_OUT = 'connect timed out'
 # Detail of a request that was not sent, since its time to be sent had passed.
 TOO_LATE_TO_SEND = 'too late to send'
-# Details of answers that exceeded a bound.
-TOO_MUCH_FRAMING = 'too much framing'
-HEAD_TOO_LARGE = 'head too large'
-OVER_BOUNDS = frozenset((TOO_MUCH_FRAMING, HEAD_TOO_LARGE))
 _MILLISECONDS = 1000
 # CURLE_TOO_LARGE: a line, or the whole head or trailer.
 _TOO_LARGE_CODE = 100
@@ -55,17 +56,22 @@
         'descriptor',
         'expired',
         'handle',
-        'head',
-        'over_bound',
         'paused',
+        'reader',
         'receiver',
         'sent',
         'timer',
         'yielding',
     )
 
-    def __init__(self, receiver: Receiver, pace: Pace | None = None) -> None:
-        """Start without any part of the answer."""
+    def __init__(
+        self,
+        receiver: Receiver,
+        pace: Pace | None = None,
+        *,
+        has_body: bool = True,
+    ) -> None:
+        """Start without any part of the answer; HEAD requests get no body."""
         self.receiver = receiver
         self.sent = Sent()
         self.timer: asyncio.TimerHandle | None = None
@@ -73,28 +79,31 @@
         self.handle: Any = None
         self.descriptor = -1
         self.expired = False
-        self.head = AnswerHead()
+        self.reader = AnswerReader(has_body=has_body)
         self.bounds = AnswerBounds(pace)
-        # Detail of the bound that ended it.
-        self.over_bound = ''
         self.paused = False
         # Whether it waits for its next turn.
         self.yielding = False
 
     def header_line(self, raw: bytes) -> int | None:
-        """Process a line of the head; end the request if there are too many.
-
-        Trailer lines after the body count as well. A status that can't be read
-        ends it, too.
-        """
-        head = self.head
+        """Process a line of the head; end the request at a malformed one."""
+        reader = self.reader
         self.bounds.add_line(len(raw))
-        if head.add(raw):
-            self.receiver.head(head.status, head.headers)
-        if head.lines > MAX_LINES:
-            self.over_bound = HEAD_TOO_LARGE
-        elif not head.is_malformed:
-            return None
+        if reader.add_line(raw):
+            self.receiver.head(reader.head.status, reader.head.headers)
+        return self._abort() if reader.fault else None
+
+    def body_piece(self, octets: bytes) -> int | None:
+        """Process bytes of the body; end the request at malformed ones."""
+        reader = self.reader
+        chunks = reader.chunks
+        piece = reader.add_body(octets)
+        self.bounds.add_chunks(reader.chunks - chunks)
+        if piece:
+            self.receiver.body(piece)
+        return self._abort() if reader.fault else None
+
+    def _abort(self) -> int:
         reset_on_close(self.descriptor)
         return _ABORT
 
@@ -120,7 +129,8 @@
 
     def begin(self, req: Request, receiver: Receiver) -> Transfer:
         """Send a request, and pass the answer to the receiver."""
-        transfer = Transfer(receiver, req.pace)
+        has_body = req.method != HEAD_METHOD
+        transfer = Transfer(receiver, req.pace, has_body=has_body)
         handle = (
             self._idle_handles.pop() if self._idle_handles else pycurl.Curl()
         )
@@ -148,7 +158,6 @@
         handle = transfer.handle
         if handle is None or handle not in self._by_handle:
             return
-        transfer.head.is_open = False
         transfer.receiver = _IGNORING_RECEIVER
         reset_on_close(transfer.descriptor)
         self._run_outside_callbacks(self._drop, transfer)
@@ -194,9 +203,6 @@
     def _set_callbacks(self, handle: Any, transfer: Transfer) -> None:
         # Look up the receiver each time, since a cancellation replaces it.
         def piece(octets: bytes) -> int | None:  # noqa: WPS430
-            if transfer.head.is_open:
-                # libcurl takes any line that begins with CR as a head's end.
-                return _ABORT
             # libcurl keeps bytes that are refused, and passes them on later.
             if transfer.paused:
                 transfer.bounds.refuse_piece()
@@ -204,8 +210,7 @@
             if not transfer.bounds.add_piece(len(octets)):
                 self._yield_turn(transfer)
                 return _PAUSE
-            transfer.receiver.body(octets)
-            return None
+            return transfer.body_piece(octets)
 
         def opened(descriptor: int, _purpose: int) -> int:  # noqa: WPS430
             self._note_descriptor(transfer, descriptor)
@@ -235,11 +240,17 @@
             self._continue(transfer)
 
     def _may_read(self, transfer: Transfer) -> bool:
-        """End a request if framing is all that arrives."""
-        if transfer.bounds.may_read(transfer.descriptor):
-            return True
-        self._end(transfer, TOO_MUCH_FRAMING)
-        return False
+        """End a request if a malformed head arrives, or framing alone."""
+        reader = transfer.reader
+        fault = ''
+        if not transfer.bounds.may_read(transfer.descriptor):
+            fault = TOO_MUCH_FRAMING
+        elif reader.head.is_open:
+            reader.see(unread_bytes(transfer.descriptor))
+            fault = reader.fault
+        if fault:
+            self._end(transfer, fault)
+        return not fault
 
     def _pause_contentless(self) -> None:
         """Pause transfers whose last read was large and had no content.
@@ -438,9 +449,8 @@
             detail = TOO_LATE_TO_SEND
         elif code == _TOO_LARGE_CODE:
             detail = HEAD_TOO_LARGE
-        detail = transfer.over_bound or detail
-        head = transfer.head
-        whole = code == 0 and not (head.is_cut or head.is_open)
+        detail = transfer.reader.fault or detail
+        whole = code == 0 and transfer.reader.is_whole
         receiver.done(Finish(whole, connected, detail, fresh))
 
 
--- a/src/linnetwood/wire/curlrequest.py
+++ b/src/linnetwood/wire/curlrequest.py
@@ -11,7 +11,7 @@
 Headers = list[tuple[str, str]]
 
 _UNUSED_LIMIT_MS = 3600000
-_HEAD_METHOD = 'HEAD'
+HEAD_METHOD = 'HEAD'
 # Headers that libcurl adds unless the caller sets or removes them.
 _NOT_ADDED = ('Accept', 'User-Agent', 'Content-Type', 'Expect')
 
@@ -85,6 +85,8 @@
     (pycurl.HTTP_VERSION, pycurl.CURL_HTTP_VERSION_1_1),
     (pycurl.NOSIGNAL, 1),
     (pycurl.PROXY, ''),
+    # Chunks are decoded here, since libcurl's decoder takes malformed ones.
+    (pycurl.HTTP_TRANSFER_DECODING, 0),
 )
 
 
@@ -107,7 +109,7 @@
 
 
 def _prepare_body(handle: Any, req: Request) -> None:
-    if req.method == _HEAD_METHOD:
+    if req.method == HEAD_METHOD:
         handle.setopt(pycurl.NOBODY, 1)
     elif req.body or req.method in {'POST', 'PUT', 'PATCH'}:
         handle.setopt(pycurl.POST, 1)
--- a/src/linnetwood/wire/rawsockets.py
+++ b/src/linnetwood/wire/rawsockets.py
@@ -5,6 +5,8 @@
 from collections.abc import Iterator
 from contextlib import contextmanager
 
+# What libcurl reads at once.
+_READ_BYTES = 16384
 # SO_LINGER with a timeout of 0: close() sends a reset, which discards unread
 # bytes at both ends.
 RESET_ON_CLOSE = struct.pack('ii', 1, 0)
@@ -18,6 +20,15 @@
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
 
 
+def unread_bytes(descriptor: int) -> bytes:
+    """Return what libcurl reads next of a connection, and leave it there."""
+    with _borrowed(descriptor) as sock:
+        try:
+            return sock.recv(_READ_BYTES, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except OSError:
+            return b''
+
+
 @contextmanager
 def _borrowed(descriptor: int) -> Iterator[socket.socket]:
     """Use a descriptor as a socket, without a duplicate: none may be left."""
--- a/tests/test_answerbounds.py
+++ b/tests/test_answerbounds.py
@@ -11,7 +11,8 @@
 from linnetwood.calls.regionpace import RegionPace
 from linnetwood.core.sizes import KIB, MIB
 from linnetwood.wire.answerbounds import AnswerBounds, Pace
-from linnetwood.wire.curldriver import TOO_MUCH_FRAMING, CurlDriver, Transfer
+from linnetwood.wire.answerreader import TOO_MUCH_FRAMING
+from linnetwood.wire.curldriver import CurlDriver, Transfer
 from linnetwood.wire.curlrequest import Finish, Headers, Request
 from tests.test_curldriver import (
     HOST,
--- a/tests/test_bounded_asking.py
+++ b/tests/test_bounded_asking.py
@@ -9,8 +9,9 @@
 from linnetwood.core.errors import OrderError, WeightsError
 from linnetwood.lab import virtual
 from linnetwood.platform.weights import PlatformOrigin, ServerEngine
+from linnetwood.wire.answerreader import TOO_MUCH_FRAMING
 from linnetwood.wire.asking import Answer, SilenceLimits, ask
-from linnetwood.wire.curldriver import TOO_MUCH_FRAMING, CurlDriver, Transfer
+from linnetwood.wire.curldriver import CurlDriver, Transfer
 from linnetwood.wire.curlrequest import Receiver, Request
 from tests.test_curldriver import HOST, Behaviour, Server, respond_with
 
