Read the product's answers by the same grammar

Callers of the product's own path got spoilt answers of engines and services too, and its processes took those of the origin, the key-value service and the list of VMs.

Cause: tornado's clients were trusted. Its curl client takes what libcurl takes; its own one is stricter, but takes lines that end in LF alone, statuses such as 000 and 99, and lengths told twice.

Change: Exchange reads by AnswerReader and has no reader of its own any more (logic that stood twice); QuietCurlClient reads whole answers by it, follows no redirects and asks for no coding; StrictSimpleClient checks the bytes of its one answer as they arrive.

One test changes what it expects: test_status_that_is_followed_by_other_bytes took "200\x9dOK" for an answer, as curl does; it is no status line, so the ending is unknown now and nothing reaches the caller, which is as strict.

--- a/src/linnetwood/calls/backend.py
+++ b/src/linnetwood/calls/backend.py
@@ -20,6 +20,8 @@
 )
 from linnetwood.core.outcomes import ANSWERED, Code, Ending, not_run, unknown
 from linnetwood.gen.wire.ttypes import Start
+from linnetwood.wire.answerreader import AnswerReader
+from linnetwood.wire.curlrequest import HEAD_METHOD
 from linnetwood.wire.http import NO_ANSWER, fetch
 
 CALL_HEADER = 'X-Call'
@@ -60,8 +62,6 @@
         exchange: Exchange,
     ) -> HTTPResponse:
         req.prepare_curl_callback = exchange.prepare
-        req.follow_redirects = False
-        req.decompress_response = False
         req.request_timeout = max(1, start.deadline_ms) / _MILLISECONDS
         loop = asyncio.get_running_loop()
         late_at = loop.time() + req.request_timeout - _TIMER_S
@@ -70,7 +70,7 @@
         finally:
             exchange.close()
         exchange.is_late = loop.time() > late_at
-        if exchange.has_head and not exchange.begun and not _is_lost(reply):
+        if exchange.is_whole and not exchange.begun and not _is_lost(reply):
             exchange.open()
         return reply
 
@@ -81,6 +81,7 @@
     async def run(self, start: Start, body: bytes, sink: BackendSink) -> Ending:
         """Run one call."""
         exchange = Exchange(sink, lambda _: True)
+        exchange.reader = AnswerReader(has_body=start.method != HEAD_METHOD)
         # Curl would change some paths, and refuse others.
         path = start.path.removeprefix('/')
         target = f'{urlsplit(self._url).path}/{path}'
@@ -148,7 +149,7 @@
 
 def _sent_body(method: str, body: bytes) -> bytes | None:
     # With a body, curl would send HEAD as PUT.
-    if method == 'HEAD' or not (body or method in _BODY_METHODS):
+    if method == HEAD_METHOD or not (body or method in _BODY_METHODS):
         return None
     return body
 
@@ -168,11 +169,8 @@
 
 
 def _ending(reply: HTTPResponse, exchange: Exchange) -> Ending:
-    if not _is_lost(reply) and exchange.has_head:
-        return ANSWERED
     if not _is_lost(reply):
-        # Curl takes a head that ends with its connection as an answer.
-        return unknown(Code.BACKEND_LOST, 'incomplete head')
+        return ANSWERED
     detail = str(reply.error)
     errno = reply.error.errno if isinstance(reply.error, CurlError) else 0
     if errno in {pycurl.E_COULDNT_CONNECT, pycurl.E_COULDNT_RESOLVE_HOST}:
--- a/src/linnetwood/calls/backendexchange.py
+++ b/src/linnetwood/calls/backendexchange.py
@@ -4,17 +4,14 @@
 import contextlib
 import dataclasses
 from collections.abc import Callable
-from http import HTTPStatus
 from typing import Protocol
 
 import pycurl
 
+from linnetwood.wire.answerreader import AnswerReader
+from linnetwood.wire.curl import ABORT, read_answer
+
 VERSION_HEADER = 'X-Model-Version'
-# What ends a transfer when a callback of curl returns it.
-_NOTHING_TAKEN = 0
-_STATUS_DIGITS = 3
-# Curl takes any line that begins so as the end of a head.
-_LINE_ENDS = (b'\r', b'\n')
 _HOP_HEADERS = frozenset(
     (
         'connection',
@@ -55,10 +52,7 @@
     method: str = ''
     # Sent as it is; empty for the path of the URL.
     target: bytes = b''
-    status: int = 0
-    lines: list[str] = dataclasses.field(default_factory=list)
-    # The whole head of the final answer was received.
-    has_head: bool = False
+    reader: AnswerReader = dataclasses.field(default_factory=AnswerReader)
     begun: bool = False
     is_wrong: bool = False
     # The call's time was over at the end.
@@ -72,8 +66,7 @@
         self.curl = curl
         # Tornado's own callbacks may run in another order than curl's, and
         # can't end an answer.
-        curl.setopt(pycurl.HEADERFUNCTION, self.header)
-        curl.setopt(pycurl.WRITEFUNCTION, self.write)
+        read_answer(curl, self.reader, _ignore_line, self.write)
         # If a kept connection ends without an answer, curl sends the request
         # again on a new one, though the server may have run it.
         curl.setopt(pycurl.FRESH_CONNECT, True)
@@ -83,26 +76,21 @@
         if self.target:
             curl.setopt(pycurl.REQUEST_TARGET, self.target)
 
-    def header(self, line: bytes) -> None:
-        """Receive a status or header line, or what ends the head."""
-        text = line.decode('latin1').rstrip('\r\n')
-        if not line.endswith(b'\n') or self.has_head:
-            # The connection ended within a line, or it is one of a trailer.
-            return
-        if line.startswith(_LINE_ENDS):
-            self.has_head = self.status >= HTTPStatus.OK
-        elif text.startswith('HTTP/'):
-            # Curl accepts any text behind the number.
-            self.status = int(text.split(' ')[1][:_STATUS_DIGITS])
-            self.lines = []
-        else:
-            self.lines.append(text)
-
-    def write(self, piece: bytes) -> int | None:
-        """Receive a piece from curl; end an answer that is not the call's."""
+    @property
+    def status(self) -> int:
+        """Return the status, 0 ahead of a head."""
+        return self.reader.head.status
+
+    @property
+    def is_whole(self) -> bool:
+        """Return whether the answer is complete, once it has ended."""
+        return self.reader.is_whole
+
+    def write(self, piece: bytes) -> bool:
+        """Forward content; return whether the answer is the call's."""
         self.body(piece)
         # It may have no end.
-        return _NOTHING_TAKEN if self.is_wrong else None
+        return not self.is_wrong
 
     def body(self, piece: bytes) -> None:
         """Forward a piece of the body, after the head."""
@@ -143,24 +131,30 @@
         self.is_wrong = not self.check(self)
         if not self.is_wrong:
             version = self.header_value(VERSION_HEADER)
-            self.sink.head(self.status, end_to_end_headers(self.lines), version)
+            lines = [
+                f'{name}: {text}' for name, text in self.reader.head.headers
+            ]
+            self.sink.head(self.status, end_to_end_headers(lines), version)
 
     def header_value(self, name: str) -> str:
         """Return a header's value, or an empty text."""
-        for line in self.lines:
-            key, _, text = line.partition(':')
+        for key, text in self.reader.head.headers:
             if key.lower() == name.lower():
-                return text.strip()
+                return text
         return ''
 
 
+def _ignore_line(_: bytes) -> None:
+    """Do nothing: the reader keeps the head."""
+
+
 def end_at_body(curl: pycurl.Curl) -> None:
     """Let curl end an answer at the first byte of its body."""
     curl.setopt(pycurl.WRITEFUNCTION, _take_nothing)
 
 
 def _take_nothing(_: bytes) -> int:
-    return _NOTHING_TAKEN
+    return ABORT
 
 
 def end_to_end_headers(lines: list[str]) -> list[str]:
--- a/src/linnetwood/wire/http.py
+++ b/src/linnetwood/wire/http.py
@@ -12,6 +12,7 @@
 )
 
 from linnetwood.wire.frames import MAX_FRAME
+from linnetwood.wire.simpleclient import StrictSimpleClient
 
 NO_ANSWER = 599
 # Twice the largest chunk of weights; values of the store take 1 MiB.
@@ -59,7 +60,7 @@
 
 def open_simple_client(max_clients: int) -> Any:
     """Return tornado's own client, for processes that send few requests."""
-    return AsyncHTTPClient(
+    return StrictSimpleClient(
         force_instance=True,
         max_clients=max_clients,
         max_body_size=MAX_ANSWER_BYTES,
--- a/tests/test_backend.py
+++ b/tests/test_backend.py
@@ -308,11 +308,12 @@
         self.assertEqual(ending.outcome, Outcome.ANSWERED)
 
     async def test_status_that_is_followed_by_other_bytes(self) -> None:
-        """Guard against an error that escapes in a callback of curl."""
+        """Guard against an error in a callback, and an answer that is none."""
         with contextlib.redirect_stderr(io.StringIO()) as printed:
-            ending, _ = await self.ran(WHOLE.replace(b'200 ', b'200\x9d'))
+            ending, sink = await self.ran(WHOLE.replace(b'200 ', b'200\x9d'))
         self.assertEqual(printed.getvalue(), '')
-        self.assertEqual(ending.outcome, Outcome.ANSWERED)
+        self.assertEqual(ending.outcome, Outcome.UNKNOWN)
+        self.assertEqual(sink.statuses, [])
 
 
 class EndlessAnswerTest(unittest.IsolatedAsyncioTestCase):
--- a/tests/test_spoilt_heads.py
+++ b/tests/test_spoilt_heads.py
@@ -8,13 +8,17 @@
 import asyncio
 import dataclasses
 import unittest
+from collections.abc import Callable
+from typing import Any
 
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
+from tornado.httpclient import HTTPRequest
 
 from linnetwood.core.loops import SuspendableLoop
 from linnetwood.wire.curldriver import CurlDriver
 from linnetwood.wire.curlrequest import Finish, Headers, Request
+from linnetwood.wire.http import fetch, open_client, open_simple_client
 from tests.strict_answers import UnfinishedError, UnreadableError, judge
 from tests.test_curldriver import HOST, Server
 
@@ -358,5 +362,52 @@
             self.assertEqual(received.headers, list(judged.fields))
 
 
+Opener = Callable[[int], Any]
+
+
+class ClientsTest(unittest.IsolatedAsyncioTestCase):
+    """The clients that read whole answers, on the product's own path."""
+
+    async def answers(
+        self, opener: Opener, kinds: tuple[bytes, ...]
+    ) -> list[tuple[bytes, Any]]:
+        """Return what a client makes of answers."""
+        script = list(kinds)
+
+        async def behave(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            writer.write(script[0])
+
+        server = Server(behave)
+        port = await server.start()
+        found = []
+        while script:
+            client = opener(1)
+            reply = await fetch(
+                client,
+                HTTPRequest(
+                    f'http://{HOST}:{port}/', decompress_response=False
+                ),
+            )
+            client.close()
+            found.append((script.pop(0), reply))
+        await server.close()
+        return found
+
+    async def test_spoilt_answers(self) -> None:
+        """Guards against spoilt answers of stores, origins and engines."""
+        for opener in (open_client, open_simple_client):
+            for octets, reply in await self.answers(opener, SPOILT):
+                with self.subTest(opener=opener.__name__, octets=octets):
+                    self.assertEqual(reply.code, 599, reply.headers)
+
+    async def test_sound_answers(self) -> None:
+        """Guards against clients that refuse what servers may send."""
+        for octets, reply in await self.answers(open_client, SOUND):
+            with self.subTest(octets=octets):
+                self.assertEqual(reply.body, BODY, reply.error)
+
+
 if __name__ == '__main__':
     unittest.main()
