End a request whose malformed bytes libcurl held during a pause

A receiver that pauses, as for a slow caller, would have left a malformed answer without an end: libcurl passes on what it holds as it is resumed, the reader refuses it, and pycurl raises from the call that resumes, into the loop.

Change: the request ends there, with what the reader found. The new test, test_spoilt_behind_a_pause, waited for ever before ("pause/unpause failed" in the loop); sound answers behind a pause are whole as before.

--- a/src/linnetwood/wire/curldriver.py
+++ b/src/linnetwood/wire/curldriver.py
@@ -302,12 +302,19 @@
 
     def _continue(self, transfer: Transfer) -> None:
         self._in_callback = True
+        detail = ''
         try:
             # libcurl passes on what it holds before this returns.
             transfer.handle.pause(pycurl.PAUSE_CONT)
+        except pycurl.error as exc:
+            # What it held was refused.
+            detail = transfer.reader.fault or str(exc)
         finally:
             self._in_callback = False
-        self._collect()
+        if detail:
+            self._end(transfer, detail)
+        else:
+            self._collect()
 
     def _run_outside_callbacks(
         self, step: Callable[[Any], None], subject: Any
--- a/tests/test_spoilt_heads.py
+++ b/tests/test_spoilt_heads.py
@@ -16,13 +16,16 @@
 from tornado.httpclient import HTTPRequest
 
 from linnetwood.core.loops import SuspendableLoop
-from linnetwood.wire.curldriver import CurlDriver
+from linnetwood.core.sizes import KIB
+from linnetwood.wire.curldriver import CurlDriver, Transfer
 from linnetwood.wire.curlrequest import Finish, Headers, Request
 from linnetwood.wire.http import fetch, open_client, open_simple_client
 from tests.strict_answers import UnfinishedError, UnreadableError, judge
-from tests.test_curldriver import HOST, Server
+from tests.test_curldriver import HOST, Server, respond_with
 
 TOTAL_S = 20
+RESUME_S = 0.01
+LONG_PIECE = b'x' * 16 * KIB
 SIGNED = b'X-Attempt-Id: c-1\r\nX-Server-Signature: s\r\n'
 OK = b'HTTP/1.1 200 OK\r\n'
 BODY = b'0123456789'  # noqa: WPS447
@@ -227,7 +230,7 @@
 )
 
 
-@dataclasses.dataclass(slots=True)
+@dataclasses.dataclass
 class Received:
     """What a receiver got of one answer."""
 
@@ -333,6 +336,44 @@
                 self.assertEqual(received.octets, b'')
 
 
+class PausingReceiver(Received):
+    """Pause at the first piece, and go on in a later turn."""
+
+    def pause_with(self, driver: CurlDriver, transfer: Transfer) -> None:
+        """Pause this transfer."""
+        self.driver = driver
+        self.transfer = transfer
+
+    def body(self, piece: bytes) -> None:
+        """Keep a piece, and take no more for now."""
+        super().body(piece)
+        self.driver.pause(self.transfer)
+        loop = asyncio.get_running_loop()
+        loop.call_later(RESUME_S, self.driver.resume, self.transfer)
+
+
+class PausedTest(unittest.IsolatedAsyncioTestCase):
+    """Read on after a pause."""
+
+    async def test_spoilt_behind_a_pause(self) -> None:
+        """Guards against an error that escapes as libcurl passes on bytes."""
+        whole = b'4000\r\n' + LONG_PIECE + b'\r\n'
+        for chunks, is_whole in (
+            (whole * 3 + b'0\r\n\r\n', True),
+            (whole * 2 + whole.replace(b'4000', b'400x') + b'0\r\n\r\n', False),
+        ):
+            server = Server(respond_with(with_coding(CODING, chunks)))
+            driver = CurlDriver()
+            receiver = PausingReceiver()
+            req = Request(HOST, await server.start(), 'GET', '/', [])
+            receiver.pause_with(driver, driver.begin(req, receiver))
+            await receiver.ended.wait()
+            driver.close()
+            await server.close()
+            with self.subTest(chunks=chunks[-20:]):
+                self.assertEqual(receiver.whole, is_whole)
+
+
 class ChangedAnywhereTest(unittest.TestCase):
     """Change sound answers anywhere, and ask an independent reader."""
 
