Bound what clients may do at the ports for checks and metrics

A crowd at the readiness port or at the metrics ended a process by memory (393 MB of 120 after 320 MB of bodies) or took all of its descriptors, so that callers, the store and the balancer got no connection (594 connections of 400).

Cause: both ports were served with the library's defaults: bodies of 100 MB are read into memory, connections rest for an hour, and their number has no bound. At the end of the descriptors, accepting raised in every turn of the loop.

Change: a server for such requests takes heads of 8 KiB, bodies of 1 KiB and 12 connections or 2 in 100 of those that the process may have (76 at 4,100 descriptors), and ends an idle one after 15 s; beyond the number the connection that was used longest ago is closed. limits.file_descriptors of the settings, less 200 for files, and the kernel's limit are what is shared. Accepting pauses for 0.2 s when a descriptor is missing. Bytes that clients send ahead are bounded in the kernel, too.

--- a/src/linnetwood/core/exposed.py
+++ b/src/linnetwood/core/exposed.py
@@ -24,6 +24,7 @@
         Metric.ANSWERS_TOO_LARGE: 'bound',
         Metric.STREAMS_SILENT: 'decision',
         Metric.ATTEMPTS_AT_VERSION: 'version',
+        Metric.CONNECTIONS_CLOSED: 'listener',
     },
 )
 
--- a/src/linnetwood/core/metrics.py
+++ b/src/linnetwood/core/metrics.py
@@ -40,6 +40,7 @@
     VIEWS_STALE = 'views.stale'
     VIEW_STALE_S = 'view.stale_s'
     CALLS_ON_STALE_VIEW = 'calls.on_stale_view'
+    CONNECTIONS_CLOSED = 'connections.closed'
 
 
 class Metrics(Protocol):
--- a/src/linnetwood/platform/settings.py
+++ b/src/linnetwood/platform/settings.py
@@ -45,6 +45,8 @@
     contact_s: float = _CONTACT_MS / _MILLISECONDS
     # The memory that the process may use; 0 if the platform names none.
     memory_bytes: int = 0
+    # The files and connections that it may have open; 0 if none are named.
+    file_descriptors: int = 0
 
 
 def load(path: str = '') -> ProcessSettings:
@@ -93,6 +95,9 @@
         # With a negative limit every call would be refused.
         memory_bytes=max(0, int(given['limits'].get('memory_mb', 0)))
         * _MEGABYTE,
+        file_descriptors=max(
+            0, int(given['limits'].get('file_descriptors', 0))
+        ),
     )
 
 
--- a/src/linnetwood/programs/listening.py
+++ b/src/linnetwood/programs/listening.py
@@ -6,6 +6,9 @@
 from tornado.httputil import HTTPServerRequest
 from tornado.netutil import bind_sockets
 
+from linnetwood.wire.connectionlimit import ConnectionLimit
+from linnetwood.wire.controlserver import open_control_server
+
 _OK = 200
 _UNAVAILABLE = 503
 
@@ -16,9 +19,11 @@
     server.add_sockets(bind_sockets(port, host))
 
 
-def readiness_server(is_ready: Callable[[], bool]) -> HTTPServer:
+def readiness_server(
+    is_ready: Callable[[], bool], limit: ConnectionLimit
+) -> HTTPServer:
     """Return the server for the readiness checks of the balancer."""
-    return HTTPServer(_Readiness(is_ready))
+    return open_control_server(_Readiness(is_ready), limit)
 
 
 class _Readiness:
--- a/src/linnetwood/programs/metricspage.py
+++ b/src/linnetwood/programs/metricspage.py
@@ -2,16 +2,18 @@
 
 from http import HTTPStatus
 
-from tornado.httpserver import HTTPServer
 from tornado.httputil import HTTPHeaders, HTTPServerRequest, ResponseStartLine
 from tornado.netutil import bind_sockets
 
 from linnetwood.core.events import Event, log
 from linnetwood.core.exposed import ExposedMetrics
+from linnetwood.wire.connectionlimit import ConnectionLimit
+from linnetwood.wire.controlserver import open_control_server
 
 # deploy/system.toml names the same port and path.
 PORT = 9464
 PATH = '/metrics'
+_CONNECTIONS = 16
 _OK = ResponseStartLine('HTTP/1.1', HTTPStatus.OK, 'OK')
 _NOT_FOUND = ResponseStartLine(
     'HTTP/1.1',
@@ -23,10 +25,14 @@
 class MetricsPage:
     """Serve the metrics at one address."""
 
-    def __init__(self, metrics: ExposedMetrics) -> None:
-        """Serve these metrics."""
+    def __init__(
+        self, metrics: ExposedMetrics, limit: ConnectionLimit | None = None
+    ) -> None:
+        """Serve these metrics, on a limited number of connections."""
         self._metrics = metrics
-        self._server = HTTPServer(self._answer)
+        self._server = open_control_server(
+            self._answer, limit or ConnectionLimit('metrics', _CONNECTIONS)
+        )
 
     def start(self, host: str, port: int = PORT) -> None:
         """Listen; if the port is in use, continue without the page."""
--- a/src/linnetwood/programs/resident_endpoint.py
+++ b/src/linnetwood/programs/resident_endpoint.py
@@ -12,6 +12,7 @@
 from tornado.netutil import bind_sockets
 
 from linnetwood.core.clock import SystemClock
+from linnetwood.core.connectionshares import endpoint_shares
 from linnetwood.core.errors import OrderError
 from linnetwood.core.events import Event, log
 from linnetwood.core.exposed import ExposedMetrics
@@ -22,6 +23,7 @@
 from linnetwood.platform.weights import PlatformOrigin, ServerEngine
 from linnetwood.programs import resident
 from linnetwood.programs.metricspage import MetricsPage
+from linnetwood.programs.resident_limits import ResidentLimits
 from linnetwood.programs.resident_messages import EndpointMessenger
 from linnetwood.weights.chunks import ChunkStore
 from linnetwood.weights.exchange import Fetcher, TransferCounters, Uploads
@@ -58,7 +60,12 @@
         self._origin = PlatformOrigin(self.driver)
         self._inbound_link = InboundLink()
         self._metrics = ExposedMetrics()
-        self._metrics_page = MetricsPage(self._metrics)
+        limits = ResidentLimits(
+            cfg, endpoint_shares(cfg.file_descriptors), self._metrics
+        )
+        self._metrics_page = MetricsPage(
+            self._metrics, limits.control('metrics')
+        )
         tools = self._tools()
         self.follower = VersionFollower(
             tools,
--- a/src/linnetwood/programs/resident_entry.py
+++ b/src/linnetwood/programs/resident_entry.py
@@ -9,8 +9,6 @@
 import asyncio
 from random import Random
 
-from tornado.httpserver import HTTPServer
-
 from linnetwood.calls.callserver import CallServerDelegate, open_server
 from linnetwood.calls.configbasis import ConfigAgeTracker, ConfigBasis
 from linnetwood.calls.direct import RetryLimits
@@ -18,6 +16,7 @@
 from linnetwood.calls.reports import Reports
 from linnetwood.calls.routetable import RouteTable
 from linnetwood.core.clock import SystemClock
+from linnetwood.core.connectionshares import entry_shares
 from linnetwood.core.events import Event, log
 from linnetwood.core.exposed import ExposedMetrics
 from linnetwood.core.metrics import Metric
@@ -30,14 +29,14 @@
 from linnetwood.platform.store import PlatformStore
 from linnetwood.programs import resident
 from linnetwood.programs.adoptionlog import log_adopted, log_older
-from linnetwood.programs.listening import listen, readiness_server
-from linnetwood.programs.metricspage import MetricsPage
 from linnetwood.programs.resident_calls import (
     CallPath,
     await_views,
     watch_views,
 )
 from linnetwood.programs.resident_crashes import CrashTracker
+from linnetwood.programs.resident_limits import ResidentLimits
+from linnetwood.programs.resident_listeners import EntryListeners
 from linnetwood.programs.resident_store import StoreFollower
 from linnetwood.wire.curldriver import CurlDriver
 from linnetwood.wire.frames import FrameKind
@@ -120,25 +119,32 @@
             self._config_basis,
         )
         path.limit_rate(cfg.region)
+        limits = ResidentLimits(
+            cfg, entry_shares(cfg.file_descriptors), metrics
+        )
         path.limit_memory(self.delegate, cfg.memory_bytes, metrics)
         metrics.gauge(Metric.CONFIG_VERSION, lambda: self.route_table.version)
         chooser.entry_count = lambda: self.reports.entry_count
         crashes.entries = chooser.entry_count
         crashes.has_engines = lambda name: self.route_table.has_engines(name)
         crashes.expose(metrics)
-        self._metrics_page = MetricsPage(metrics)
-        wake = self.reports.wake
         ignored = IgnoredRecords(lambda: metrics.count(Metric.RECORDS_IGNORED))
         feed = StoreFeed(
             OperatorFeed(
                 self.adopt,
                 self.wanted,
                 clock,
-                wake,
+                self.reports.wake,
                 ignored,
                 lambda zones: self.directory.evacuate(zones, clock.now()),
             ),
-            EndpointFeed(self.directory, clock, wake, ignored, cfg.regions),
+            EndpointFeed(
+                self.directory,
+                clock,
+                self.reports.wake,
+                ignored,
+                cfg.regions,
+            ),
             crashes.feed(ignored),
         )
         self._news = StoreFollower(
@@ -160,18 +166,20 @@
         )
         self.reports.subscriptions.revision = lambda: self._follower.revision
         self._callers = open_server(self.delegate, self.route_table.limits)
-        self._servers: list[HTTPServer] = []
+        self._listeners = EntryListeners(
+            cfg, self._callers, lambda: self.ready, metrics, limits
+        )
+        self._metrics_page = self._listeners.metrics_page
 
     async def start(self) -> None:
         """Listen, and start to follow the store."""
         cfg = self._cfg
-        self._listen(readiness_server(lambda: self.ready), cfg.readiness)
-        self._metrics_page.start(cfg.host)
+        self._listeners.start_control()
         await self.reports.start(cfg.host)
         await self._news.start()
         self._view_watch.start()
         self._crashes.start()
-        self._listen(self._callers, cfg.callers)
+        self._listeners.start_callers()
 
     async def close(self) -> None:
         """Report as not ready, wait for calls in progress, and stop."""
@@ -182,7 +190,7 @@
         await self._view_watch.close()
         await self._news.close()
         await self.reports.close()
-        self._metrics_page.close()
+        self._listeners.close()
         self.driver.close()
 
     def adopt(self, route_table: RouteTable) -> None:
@@ -229,8 +237,7 @@
         while loop.time() < began + _BALANCER_NOTICES_S:
             await asyncio.sleep(_IDLE_CHECK_S)
             self.delegate.close_idle()
-        for server in self._servers:
-            server.stop()
+        self._listeners.stop_accepting()
         self.delegate.leaving = True
         while self._has_work() and loop.time() < until:
             await asyncio.sleep(_CHECK_S)
@@ -260,15 +267,6 @@
             max(1, self._cfg.retry_extra * _RETRY_SHARE / entries),
         )
 
-    def _listen(
-        self,
-        server: HTTPServer,
-        address: tuple[str, int] | None,
-    ) -> None:
-        if address is not None:
-            listen(server, address)
-            self._servers.append(server)
-
 
 async def serve(cfg: ProcessSettings, decisions: Decisions) -> None:
     """Serve callers on an entry VM."""
--- a/src/linnetwood/wire/rawsockets.py
+++ b/src/linnetwood/wire/rawsockets.py
@@ -3,8 +3,11 @@
 import socket
 import struct
 from collections.abc import Iterator
-from contextlib import contextmanager
+from contextlib import contextmanager, suppress
 
+# What a peer may have sent before it is read. A link of 1 Gbit/s is filled in
+# half a millisecond.
+UNREAD_BYTES = 65536
 # What libcurl reads at once.
 _READ_BYTES = 16384
 # SO_LINGER with a timeout of 0: close() sends a reset, which discards unread
@@ -20,6 +23,15 @@
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
 
 
+def limit_unread(descriptor: int) -> None:
+    """Let a server send little ahead of what is read.
+
+    The kernel would let it be some MB, which count as memory of the process.
+    """
+    with _borrowed(descriptor) as sock, suppress(OSError):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, UNREAD_BYTES)
+
+
 def unread_bytes(descriptor: int) -> bytes:
     """Return what libcurl reads next of a connection, and leave it there."""
     with _borrowed(descriptor) as sock:
--- /dev/null
+++ b/tests/test_caller_limits.py
@@ -0,0 +1,85 @@
+"""Guard against callers that take connections and memory from others."""
+
+import asyncio
+import unittest
+
+from tornado.httputil import HTTPServerRequest
+from tornado.netutil import bind_sockets
+
+from linnetwood.core.sizes import KIB
+from linnetwood.wire.connectionlimit import ConnectionLimit
+from linnetwood.wire.controlserver import ControlServer, open_control_server
+from tests.test_curldriver import HOST
+
+GUARD_S = 30.0
+SOON_S = 0.1
+AHEAD = b'x' * (256 * KIB)
+
+
+async def is_closed(reader: asyncio.StreamReader) -> bool:
+    """Return whether a connection ends soon, without an answer."""
+    try:
+        async with asyncio.timeout(GUARD_S):
+            return not await reader.read(1)
+    except ConnectionResetError:
+        return True
+
+
+async def read_rest(reader: asyncio.StreamReader) -> bytes:
+    """Return what is sent until the end; nothing if that is a reset."""
+    try:
+        async with asyncio.timeout(GUARD_S):
+            return await reader.read()
+    except ConnectionResetError:
+        return b''
+
+
+class ControlServerTest(unittest.IsolatedAsyncioTestCase):
+    """Requests of the platform at a port of its own."""
+
+    async def asyncSetUp(self) -> None:
+        self.server: ControlServer = open_control_server(
+            self.answer, ConnectionLimit('readiness', 2)
+        )
+        sockets = bind_sockets(0, HOST)
+        self.server.add_sockets(sockets)
+        self.address = sockets[0].getsockname()
+
+    async def asyncTearDown(self) -> None:
+        self.server.stop()
+        await self.server.close_all_connections()
+
+    def answer(self, req: HTTPServerRequest) -> None:
+        """Answer at once."""
+        conn = req.connection
+        assert conn is not None
+        conn.write(b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n')
+        conn.finish()
+
+    async def test_kept_connections(self) -> None:
+        """Guards against a balancer that loses its connection to idle ones."""
+        kept, kept_writer = await asyncio.open_connection(*self.address)
+        for _ in range(5):
+            kept_writer.write(b'GET / HTTP/1.1\r\nHost: x\r\n\r\n')
+            head = await kept.readuntil(b'\r\n\r\n')
+            self.assertTrue(head.startswith(b'HTTP/1.1 200 '))
+            _, writer = await asyncio.open_connection(*self.address)
+            await asyncio.sleep(0)
+            writer.close()
+        kept_writer.close()
+
+    async def test_what_no_check_sends(self) -> None:
+        """Guards against bodies and heads that are read into memory."""
+        for sent in (
+            b'POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 94371840\r\n\r\n',
+            b'GET / HTTP/1.1\r\nX: ' + AHEAD,
+        ):
+            reader, writer = await asyncio.open_connection(*self.address)
+            writer.write(sent)
+            with self.subTest(sent=sent[:40]):
+                self.assertNotIn(b' 200 ', await read_rest(reader))
+            writer.close()
+
+
+if __name__ == '__main__':
+    unittest.main()
