Keep callers' connections within a share of the descriptors

900 connections that send nothing, or a part of a head, took all descriptors of an entry: an ordinary caller got no answer, and no call could be sent on.

Cause: the number of callers' connections had no bound. On the product's own path a connection could also rest for an hour, or take as long over its head.

Beyond that the idle one that was used longest ago is closed, one within a head or body only where none is idle, and never one with a call; if all have calls, the newest is closed unread. On the product's own path heads and bodies have 10 and 20 s, and idle connections 75 s, by the timers that the platform's callers have.

A call in progress outlasts a crowd (test_a_call_outlasts_a_crowd).

--- a/src/linnetwood/calls/callersockets.py
+++ b/src/linnetwood/calls/callersockets.py
@@ -3,14 +3,23 @@
 import contextlib
 import math
 import socket
+from collections.abc import Awaitable
 from typing import Any
 
 from tornado.http1connection import HTTP1ServerConnection
 from tornado.httpserver import HTTPServer
+from tornado.httputil import (
+    HTTPHeaders,
+    HTTPMessageDelegate,
+    RequestStartLine,
+    ResponseStartLine,
+)
 from tornado.iostream import IOStream
 
-from linnetwood.calls.readtimer import ReadTimer
+from linnetwood.calls.readtimer import Phase, ReadTimer
 from linnetwood.calls.routetable import CallLimits
+from linnetwood.wire.accepting import BoundedServer
+from linnetwood.wire.connectionlimit import ConnectionLimit, Stage
 
 # Larger answers are written in pieces of this size. A piece counts as progress
 # only when all of it is taken, so large ones would hide slow progress.
@@ -52,6 +61,13 @@
         if self._read_regex is not None and self._read_max_bytes is not None:
             self._read_max_bytes = max(self._read_max_bytes, max_bytes)
 
+    @property
+    def stage(self) -> Stage:
+        """Return what the connection is used for now."""
+        if self.timer.phase is Phase.ANSWER:
+            return Stage.BUSY
+        return Stage.REQUEST if self.timer.is_receiving else Stage.IDLE
+
     @property
     def max_body_bytes(self) -> int:
         """Return the limit on bodies that is in force."""
@@ -73,13 +89,47 @@
         return False
 
 
-class CallerServer(HTTPServer):
+class _TimedRequest(HTTPMessageDelegate):
+    """Limit the time of a request that another delegate reads."""
+
+    def __init__(self, delegate: HTTPMessageDelegate, timer: ReadTimer) -> None:
+        self._delegate = delegate
+        self._timer = timer
+
+    def headers_received(
+        self,
+        start_line: RequestStartLine | ResponseStartLine,
+        headers: HTTPHeaders,
+    ) -> Awaitable[None] | None:
+        """Wait for the body."""
+        self._timer.await_body()
+        return self._delegate.headers_received(start_line, headers)
+
+    def data_received(self, chunk: bytes) -> Awaitable[None] | None:
+        """Pass a piece of the body on."""
+        return self._delegate.data_received(chunk)
+
+    def finish(self) -> None:
+        """Set no limit while the request is answered."""
+        self._timer.stop()
+        self._delegate.finish()
+
+    def on_connection_close(self) -> None:
+        """Pass the end on."""
+        self._delegate.on_connection_close()
+
+
+class CallerServer(HTTPServer, BoundedServer):
     """An HTTP server that limits what callers may hold, and for how long."""
 
     def initialize(self, *args: Any, **kwargs: Any) -> None:
         """Start without connections."""
         super().initialize(*args, **kwargs)
+        # The library's own timers don't look at what has arrived.
+        self.conn_params.header_timeout = None
+        self.conn_params.body_timeout = None
         self.call_limits = CallLimits()
+        self.limit = ConnectionLimit('callers')
         self.streams: set[CallerStream] = set()
 
     def handle_stream(self, stream: IOStream, address: tuple[Any, ...]) -> None:
@@ -92,8 +142,27 @@
                 socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, _UNSENT_BYTES
             )
         caller = CallerStream(self, sock)
-        self.streams.add(caller)
-        super().handle_stream(caller, address)
+        self.limit.add(caller)
+        if not caller.closed():
+            self.streams.add(caller)
+            super().handle_stream(caller, address)
+
+    def start_request(
+        self, server_conn: object, request_conn: Any
+    ) -> HTTPMessageDelegate:
+        """Start reading a request, and limit the time for it."""
+        stream = request_conn.stream
+        assert isinstance(stream, CallerStream)
+        self.limit.note_used(stream)
+        delegate = super().start_request(server_conn, request_conn)
+        return self.timed(delegate, stream.timer)
+
+    def timed(
+        self, delegate: HTTPMessageDelegate, timer: ReadTimer
+    ) -> HTTPMessageDelegate:
+        """Limit the time of a request that is awaited now."""
+        timer.await_head()
+        return _TimedRequest(delegate, timer)
 
     def on_close(self, server_conn: object) -> None:
         """Forget a connection."""
@@ -101,6 +170,7 @@
         assert isinstance(server_conn, HTTP1ServerConnection)
         assert isinstance(server_conn.stream, CallerStream)
         self.streams.discard(server_conn.stream)
+        self.limit.discard(server_conn.stream)
 
     def set_limits(self, limits: CallLimits) -> None:
         """Apply new limits, also to what open connections wait for now.
--- a/src/linnetwood/calls/callserver.py
+++ b/src/linnetwood/calls/callserver.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 from random import Random
-from typing import Any, Protocol
+from typing import Protocol
 
 from tornado.httputil import (
     HTTPConnection,
@@ -37,6 +37,7 @@
 )
 from linnetwood.calls.memoryguard import MemoryGuard
 from linnetwood.calls.policy.retryafter import LastPart
+from linnetwood.calls.readtimer import ReadTimer
 from linnetwood.calls.routetable import CallLimits, RouteTable
 from linnetwood.core.events import Event, log
 from linnetwood.core.failures import failure_fields
@@ -504,12 +505,11 @@
 class CallServer(CallerServer):
     """Report closed connections to its delegate and limit requests."""
 
-    def initialize(self, *args: Any, **kwargs: Any) -> None:
-        """Leave the times of reading to the timers of the connections."""
-        super().initialize(*args, **kwargs)
-        # The library's own timers don't look at what has arrived.
-        self.conn_params.header_timeout = None
-        self.conn_params.body_timeout = None
+    def timed(
+        self, delegate: HTTPMessageDelegate, timer: ReadTimer
+    ) -> HTTPMessageDelegate:
+        """Leave the time of a request to itself."""
+        return delegate
 
     def on_close(self, server_conn: object) -> None:
         """Pass on a close, which the library doesn't report to the callback."""
--- a/src/linnetwood/programs/entry.py
+++ b/src/linnetwood/programs/entry.py
@@ -11,8 +11,10 @@
 from linnetwood.calls.callersockets import CallerServer
 from linnetwood.calls.dispatch import Dispatcher
 from linnetwood.calls.fairness import QueueLimits
+from linnetwood.calls.routetable import CallLimits
 from linnetwood.calls.routing import POLICIES, Routes
 from linnetwood.core.clock import SystemClock
+from linnetwood.core.connectionshares import entry_shares
 from linnetwood.core.events import Event, log
 from linnetwood.core.options import EntryOptions
 from linnetwood.core.trust import Credentials
@@ -23,12 +25,18 @@
 from linnetwood.gen.wire.ttypes import Member
 from linnetwood.programs import daemon
 from linnetwood.programs.operators import OperatorCalls, OperatorServer
+from linnetwood.wire.connectionlimit import ConnectionLimit
 from linnetwood.wire.http import open_simple_client
 
 _DRAIN_CHECK_S = 0.05
 # Steps of the loop, with some to spare, from a connection to its call.
 _STEPS_TO_READ = 20
 _MAX_CLIENTS = 16
+# Longer than the pauses between calls of clients that keep connections.
+_IDLE_S = 75.0
+_CALL_LIMITS = CallLimits(
+    body_bytes=callers.MAX_BODY_BYTES, header_s=10, idle_s=_IDLE_S
+)
 
 
 class Entry(Listener):
@@ -76,6 +84,11 @@
             callers.application(self.context, self),
             max_body_size=callers.MAX_BODY_BYTES,
         )
+        shares = entry_shares()
+        self._http.call_limits = _CALL_LIMITS
+        self._http.limit = ConnectionLimit(
+            'callers', shares.callers, self.runtime.metrics
+        )
         self._operators = OperatorServer(
             OperatorCalls(self.runtime),
             self.runtime.keys.server,
--- a/src/linnetwood/programs/resident_limits.py
+++ b/src/linnetwood/programs/resident_limits.py
@@ -19,6 +19,10 @@
         self._cfg = cfg
         self._metrics = metrics
 
+    def callers(self) -> ConnectionLimit:
+        """Return the limit on connections of callers."""
+        return self._limit('callers', self.shares.callers)
+
     def control(self, listener: str) -> ConnectionLimit:
         """Return the limit on connections of the platform at a listener."""
         return self._limit(listener, self.shares.control)
--- a/src/linnetwood/programs/resident_listeners.py
+++ b/src/linnetwood/programs/resident_listeners.py
@@ -26,6 +26,7 @@
         """Set the limits of each; start nothing."""
         self._cfg = cfg
         self._callers = callers
+        self._callers.limit = limits.callers()
         self._readiness = readiness_server(
             is_ready, limits.control('readiness')
         )
--- a/tests/test_caller_limits.py
+++ b/tests/test_caller_limits.py
@@ -6,9 +6,13 @@
 from tornado.httputil import HTTPServerRequest
 from tornado.netutil import bind_sockets
 
+from linnetwood.calls.callersockets import CallerServer
+from linnetwood.calls.routetable import CallLimits
 from linnetwood.core.sizes import KIB
 from linnetwood.wire.connectionlimit import ConnectionLimit
 from linnetwood.wire.controlserver import ControlServer, open_control_server
+from tests.direct_calls import never_answer
+from tests.test_callserver import CallServerCase, request
 from tests.test_curldriver import HOST
 
 GUARD_S = 30.0
@@ -34,6 +38,67 @@
         return b''
 
 
+class ConnectionsTest(CallServerCase):
+    """Callers of an entry that allows two connections."""
+
+    async def test_a_call_outlasts_a_crowd(self) -> None:
+        """Guards against the end of a call, or of a head, for idle ones."""
+        await self.serve(never_answer)
+        self.server.limit = ConnectionLimit('callers', 2)
+        reader, writer = await asyncio.open_connection(HOST, self.port)
+        writer.write(request('/a/x'))
+        while not self.delegate.active_calls:
+            await asyncio.sleep(0)
+        for _ in range(5):
+            idle, idle_writer = await asyncio.open_connection(HOST, self.port)
+            newer, newer_writer = await asyncio.open_connection(HOST, self.port)
+            self.assertTrue(await is_closed(idle))
+            for one in (idle_writer, newer_writer):
+                one.close()
+        self.assertEqual(self.delegate.active_calls, 1)
+        writer.close()
+
+
+class TimedTest(unittest.IsolatedAsyncioTestCase):
+    """Callers of the product's own path, whose requests tornado reads."""
+
+    async def asyncSetUp(self) -> None:
+        self.server = CallerServer(self.answer)
+        self.server.call_limits = CallLimits(header_s=SOON_S, idle_s=SOON_S)
+        sockets = bind_sockets(0, HOST)
+        self.server.add_sockets(sockets)
+        self.address = sockets[0].getsockname()
+
+    async def asyncTearDown(self) -> None:
+        self.server.stop()
+        await self.server.close_all_connections()
+
+    def answer(self, req: HTTPServerRequest) -> None:
+        """Answer long after the limits."""
+        loop = asyncio.get_running_loop()
+        loop.call_later(5 * SOON_S, self.finish, req)
+
+    def finish(self, req: HTTPServerRequest) -> None:
+        """Answer."""
+        conn = req.connection
+        assert conn is not None
+        conn.write(b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok')
+        conn.finish()
+
+    async def test_time_for_requests(self) -> None:
+        """Guards against connections that stay for an hour, and short calls."""
+        for sent in (b'', b'GET / HT', request('/a')[:-1]):
+            reader, writer = await asyncio.open_connection(*self.address)
+            writer.write(sent)
+            with self.subTest(sent=sent):
+                self.assertTrue(await is_closed(reader))
+            writer.close()
+        reader, writer = await asyncio.open_connection(*self.address)
+        writer.write(request('/a'))
+        self.assertEqual(await reader.readexactly(8), b'HTTP/1.1')
+        writer.close()
+
+
 class ControlServerTest(unittest.IsolatedAsyncioTestCase):
     """Requests of the platform at a port of its own."""
 
