Bound connections between processes, and what they hold

A crowd at the port between processes ended an entry or an endpoint process: 60 unfinished frames of 3 MiB made it 242 MB of 120, and 900 idle connections took all descriptors, so that relays and peers got none.

Cause: neither the number of accepted connections nor the bytes that they hold, unread or not taken by their peers, had a bound; one frame may have 4 MiB.

Change: an entry allows 10 in 100 of its connections there (390 at 4,100 descriptors; 41 entries of a zone subscribe at most), an endpoint process 60 in 100 (554 at 1,124). Beyond that the idle one used longest ago is closed, never one that is served. What they hold together is bounded by a fifth of the memory limit, on the product's own path by 64 MiB: the connection that holds most is closed first.

--- a/src/linnetwood/fleet/rangerelay.py
+++ b/src/linnetwood/fleet/rangerelay.py
@@ -21,6 +21,7 @@
     Dialler,
     FrameHandler,
     TcpDialler,
+    WireLimits,
     WireServer,
 )
 from linnetwood.wire.frames import FrameKind, FrameStream
@@ -160,6 +161,7 @@
         selector: RelaySelector,
         port: int,
         handlers: Mapping[int, FrameHandler] = _NO_HANDLERS,
+        limits: WireLimits | None = None,
     ) -> None:
         """Serve on the port that all entries use.
 
@@ -169,6 +171,7 @@
         self._port = port
         self._server = WireServer(
             {FrameKind.RANGE_REQUEST: relay_server.serve, **handlers},
+            limits,
         )
         dialler = TcpDialler(timeout_s=_CONNECT_TIMEOUT_S)
         self._subscriber = RangeSubscriber(follower, selector, dialler, port)
--- a/src/linnetwood/fleet/runtime.py
+++ b/src/linnetwood/fleet/runtime.py
@@ -11,6 +11,7 @@
 from tornado.netutil import bind_sockets
 
 from linnetwood.core.clock import Clock, SystemClock
+from linnetwood.core.connectionshares import endpoint_shares
 from linnetwood.core.errors import SettingsError
 from linnetwood.core.events import Event, log
 from linnetwood.core.metrics import Metrics, open_metrics
@@ -30,9 +31,11 @@
 from linnetwood.fleet.vmlist import HttpVmList, VmListTask
 from linnetwood.gen.wire.ttypes import ConfigRequest, Member
 from linnetwood.wire import codec
+from linnetwood.wire.connectionlimit import ConnectionLimit
 from linnetwood.wire.connections import (
     FrameHandler,
     TcpDialler,
+    WireLimits,
     WireServer,
 )
 from linnetwood.wire.frames import Frame, FrameKind, FrameStream
@@ -40,6 +43,8 @@
 _MILLISECONDS = 1000
 # Entries cut off a caller that reads nothing a little earlier.
 _FLUSH_S = 5.0
+# What connections between processes may hold together: some large frames.
+_HELD_BYTES = 67108864
 
 
 class Runtime:
@@ -107,7 +112,14 @@
         Peers are addresses of other processes; handlers are by frame kind.
         """
         served = {FrameKind.CONFIG_REQUEST: self._serve_config, **handlers}
-        self._server = WireServer(served)
+        shares = endpoint_shares()
+        self._server = WireServer(
+            served,
+            WireLimits(
+                ConnectionLimit('processes', shares.processes, self.metrics),
+                _HELD_BYTES,
+            ),
+        )
         # The slot has one port, so binding it keeps out a second process.
         await self._server.start(
             bind_sockets(self._place.wire_port, self._place.host),
--- a/src/linnetwood/programs/resident_endpoint.py
+++ b/src/linnetwood/programs/resident_endpoint.py
@@ -85,6 +85,7 @@
         )
         self._server = WireServer(
             {FrameKind.CHUNK_REQUEST: tools.uploads.serve},
+            limits.processes(),
         )
         self._task: asyncio.Task[None] | None = None
 
--- a/src/linnetwood/programs/resident_entry.py
+++ b/src/linnetwood/programs/resident_entry.py
@@ -155,6 +155,7 @@
             rng,
             {FrameKind.PEERS_REQUEST: self.reports.subscriptions.peers.serve},
             self.reports.request_neighbours,
+            limits.processes(),
         )
         self._follower = self._news.follower
         await_views(self.delegate, self._follower, self.config_age)
--- a/src/linnetwood/programs/resident_store.py
+++ b/src/linnetwood/programs/resident_store.py
@@ -13,7 +13,7 @@
 from linnetwood.platform.feeds import StoreFeed, endpoints
 from linnetwood.platform.settings import ProcessSettings
 from linnetwood.platform.store import PlatformStore
-from linnetwood.wire.connections import FrameHandler
+from linnetwood.wire.connections import FrameHandler, WireLimits
 
 
 class StoreFollower:
@@ -28,6 +28,7 @@
         rng: Random,
         handlers: Mapping[int, FrameHandler],
         ask: Callable[[list[str]], None],
+        limits: WireLimits,
     ) -> None:
         """Pass all changes to the feed; start nothing.
 
@@ -52,6 +53,7 @@
             selector,
             cfg.wire_port,
             handlers,
+            limits,
         )
 
         self._startup_sync = StartupSync(
--- a/src/linnetwood/wire/connections.py
+++ b/src/linnetwood/wire/connections.py
@@ -2,15 +2,19 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import socket
 import ssl
+import sys
 import weakref
 from collections.abc import Awaitable, Callable
 from typing import Protocol
 
 from linnetwood.core.errors import CodecError, LinnetwoodError, WireError
 from linnetwood.core.events import Event, log
+from linnetwood.wire.connectionlimit import ConnectionLimit, Stage
 from linnetwood.wire.frames import Frame, FrameStream
+from linnetwood.wire.rawsockets import limit_unread
 
 Address = tuple[str, int]
 _MAX_IDLE = 64
@@ -99,12 +103,50 @@
 FrameHandler = Callable[[FrameStream, Frame], Awaitable[None]]
 
 
+class _Connection:
+    """An accepted connection, and whether a frame of it is handled now."""
+
+    __slots__ = ('frames', 'is_busy')
+
+    def __init__(self, frames: FrameStream) -> None:
+        self.frames = frames
+        self.is_busy = False
+
+    @property
+    def stage(self) -> Stage:
+        """Return what it is used for now."""
+        if self.is_busy:
+            return Stage.BUSY
+        return Stage.IDLE if self.frames.idle else Stage.REQUEST
+
+    def close(self) -> None:
+        """Close it; what is unsent is lost."""
+        self.frames.abort()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WireLimits:
+    """Limits on accepted connections: their number, and what they hold.
+
+    If they hold more than `held_bytes` together, unread or not yet taken by
+    their peers, the one that holds most is closed.
+    """
+
+    connections: ConnectionLimit
+    held_bytes: int = sys.maxsize
+
+
 class WireServer:
     """Accept connections, and pass each opening frame to its handler."""
 
-    def __init__(self, handlers: dict[int, FrameHandler]) -> None:
+    def __init__(
+        self,
+        handlers: dict[int, FrameHandler],
+        limits: WireLimits | None = None,
+    ) -> None:
         """Handle these kinds of opening frames."""
         self._by_kind = handlers
+        self._limits = limits or WireLimits(ConnectionLimit('processes'))
         self._servers: list[asyncio.Server] = []
         self._tasks: set[asyncio.Task[None]] = set()
         # Connections whose last bytes may be unsent.
@@ -118,6 +160,7 @@
         """Listen on bound sockets; without a context, don't use TLS."""
         loop = asyncio.get_running_loop()
         for sock in sockets:
+            limit_unread(sock.fileno())
             server = await loop.create_server(
                 self._accept,
                 sock=sock,
@@ -145,25 +188,49 @@
 
     def _accepted(self, frames: FrameStream) -> None:
         self._streams.add(frames)
-        task = asyncio.get_running_loop().create_task(self._handle(frames))
+        frames.on_large = self._make_room
+        conn = _Connection(frames)
+        self._limits.connections.add(conn)
+        task = asyncio.get_running_loop().create_task(self._handle(conn))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _handle(self, frames: FrameStream) -> None:
+    def _make_room(self, _: FrameStream) -> None:
+        """Close connections until all hold no more than they may."""
+        open_streams = [one for one in self._streams if not one.closed]
+        open_streams.sort(key=_held_bytes)
+        total = sum(map(_held_bytes, open_streams))
+        while total > self._limits.held_bytes:
+            largest = open_streams.pop()
+            total -= largest.held_bytes
+            detail = f'{largest.held_bytes} bytes'
+            log(Event.FRAME_REFUSED, code='no-memory', detail=detail)
+            largest.abort()
+
+    async def _handle(self, conn: _Connection) -> None:
+        frames = conn.frames
         try:
-            await self._serve(frames)
+            await self._serve(conn)
         except CodecError as exc:
             log(Event.FRAME_REFUSED, code=exc.code, detail=exc.detail)
         except LinnetwoodError:
             # The peer is gone; the handler has cleaned up.
             return
         finally:
+            self._limits.connections.discard(conn)
             frames.close()
 
-    async def _serve(self, frames: FrameStream) -> None:
+    async def _serve(self, conn: _Connection) -> None:
         while True:
-            frame = await frames.read()
+            frame = await conn.frames.read()
             handler = self._by_kind.get(frame.kind)
             if handler is None:
                 raise CodecError('unexpected-frame', frame.kind.name)
-            await handler(frames, frame)
+            conn.is_busy = True
+            await handler(conn.frames, frame)
+            conn.is_busy = False
+            self._limits.connections.note_used(conn)
+
+
+def _held_bytes(stream: FrameStream) -> int:
+    return stream.held_bytes
--- a/src/linnetwood/wire/frames.py
+++ b/src/linnetwood/wire/frames.py
@@ -17,6 +17,8 @@
 _READY_LIMIT = 1024
 _READY_BYTES = 1048576
 _WRITE_LIMIT = MAX_FRAME
+# What a connection may hold until its owner is asked whether there is room.
+_USUAL_HELD_BYTES = 65536
 # Frames to read before other tasks run. A peer that sends tiny ones without end
 # would otherwise keep a reader in one turn of the event loop.
 _READ_AT_ONCE = 256
@@ -87,6 +89,10 @@
     return kind
 
 
+def _ignore_large(_: 'FrameStream') -> None:
+    """Do nothing by default."""
+
+
 class FrameStream(asyncio.Protocol):
     """Read and write frames on one connection.
 
@@ -101,6 +107,8 @@
     ) -> None:
         """Call `accepted`, if given, once the connection is made."""
         self.last_received_at = float()
+        # Called when it holds more than usual, again and again.
+        self.on_large: Callable[[FrameStream], None] = _ignore_large
         self._accepted = accepted
         self._transport: asyncio.Transport | None = None
         self._pending = bytearray()
@@ -137,9 +145,12 @@
             self._paused = True
             self._transport.pause_reading()
         self._wake()
+        if self._unread_bytes > _USUAL_HELD_BYTES:
+            self.on_large(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Wake readers and writers."""
+        """Wake readers and writers; drop the part of a frame."""
+        self._pending.clear()
         self._closed_event.set()
         self._writable.set()
         self._wake()
@@ -163,6 +174,14 @@
         """Return whether no received bytes are unread."""
         return not (self._ready or self._pending)
 
+    @property
+    def held_bytes(self) -> int:
+        """Return the bytes that are not read, or not taken by the peer."""
+        transport = self._transport
+        if transport is None:
+            return self._unread_bytes
+        return self._unread_bytes + transport.get_write_buffer_size()
+
     async def read(self) -> Frame:
         """Wait for the next frame; raise WireError if the connection ends."""
         if self._read_at_once >= _READ_AT_ONCE:
@@ -240,6 +259,12 @@
         if transport.get_write_buffer_size() > _WRITE_LIMIT:
             raise WireError('reader-too-slow', f'over {_WRITE_LIMIT} bytes')
         transport.write(payload)
+        if self.held_bytes > _USUAL_HELD_BYTES:
+            self.on_large(self)
+
+    @property
+    def _unread_bytes(self) -> int:
+        return max(len(self._pending), self._unread)
 
     async def _wait_for_bytes(self, silent_s: float) -> None:
         waiter = asyncio.get_running_loop().create_future()
