Let callers that read slowly give way, and free ended answers at once

250 callers that asked for answers of 8 MiB and read them slowly, or not, ended an entry by memory: 328 MB of 120, also with 60 that pipelined. Ordinary callers got 503 as long as they stayed.

Cause, in three parts: - what an entry held was counted, and new calls were refused beyond a quarter of its memory; nothing made those under way give way, up to 256 KiB each, and answers that were collected whole stayed until their callers had taken them, also at 64 bytes a time, which counted as progress; - an ended attempt and its answer were held by cycles (its own callbacks, the transfer) until these were collected, beside the count; - calls in progress had no bound, so they took two descriptors each, and servers could send some MB ahead into the kernel for each.

Change: an entry's bytes have holders, a caller's connection or an attempt. At the limit the one gives way that has held most bytes for longest (bytes times seconds), so a crowd goes before a short call; the only answer stays. A caller that leaves 16 KiB or more unread and takes less than that in 4 s, twice in a row, is cut off. Calls in progress are bounded by 33 in 100 of the connections and a quarter of the memory (64 KiB each): 1,144 at 300 MB and 4,100 descriptors; beyond that a caller that reads slowly gives way to a new call, else the call is refused, not run. Ended attempts have no cycles. What servers send ahead is bounded to 64 KiB for each connection.

Ruled out: bytes that callers send behind a request. The library reads 64 KiB of them at most.

--- a/src/linnetwood/calls/answerflow.py
+++ b/src/linnetwood/calls/answerflow.py
@@ -12,6 +12,10 @@
 _EARLY_S = 0.001
 # In this time, bytes that the connection can take are written.
 _LOOK_AGAIN_S = 0.1
+# What a caller with as much unread takes in the time of a stall at least. One
+# that takes less in two such times holds memory for minutes.
+_MIN_TAKEN_BYTES = 16384
+_MAX_SLOW_PERIODS = 2
 
 
 def _ignore_unblocked() -> None:
@@ -37,13 +41,20 @@
     """Count the bytes of an answer that a connection has not taken."""
 
     __slots__ = (
+        '_due_bytes',
         '_held',
         '_looked_at',
         '_loop',
         '_on_stall',
+        '_period_began',
         '_progress_at',
+        '_slow_periods',
         '_stream',
+        '_taken',
         '_timer',
+        'gave_way',
+        'held_since',
+        'is_running',
         'unread',
     )
 
@@ -56,6 +67,17 @@
         """Call `on_stall` with the seconds for which nothing was taken."""
         super().__init__()
         self.unread = 0
+        self.held_since = float()
+        # Whether more of the answer may follow.
+        self.is_running = True
+        # Whether the answer was ended for want of memory.
+        self.gave_way = False
+        # In this period of the length of a stall: when it began, the bytes
+        # taken, and those that are due.
+        self._period_began = float()
+        self._taken = 0
+        self._due_bytes = 0
+        self._slow_periods = 0
         self._stream = stream
         self._held = held
         self._on_stall = on_stall
@@ -67,10 +89,16 @@
 
     def hold(self, size: int) -> None:
         """Count bytes just written, until the connection has taken them."""
+        if self.gave_way:
+            return
         if not self.unread:
             self._progress_at = self._loop.time()
+            self.held_since = self._progress_at
+            self._begin_period()
         self.unread += size
-        self._held.answers += size
+        self._held.hold(self, size)
+        if self.gave_way:
+            return
         # The futures of HTTP1Connection.write may never be done if another
         # write follows; those of the stream are done in order.
         taken = self._stream.write(b'')
@@ -80,9 +108,31 @@
         if self.unread > self._held.pause_above:
             self.blocked = True
 
+    @property
+    def answer(self) -> object:
+        """Return what stands for the answer."""
+        return self
+
+    @property
+    def held_bytes(self) -> int:
+        """Return the bytes that the caller has not taken."""
+        return self.unread
+
+    def give_way(self) -> None:
+        """Cut the caller off, since there is no memory left."""
+        idle_s = self._loop.time() - self._progress_at
+        self.gave_way = True
+        self._on_stall(idle_s)
+        size = self.unread
+        self.unread = 0
+        self._held.release(self, size)
+
     def _release(self, size: int, taken: 'asyncio.Future[None]') -> None:
+        if self.gave_way:
+            return
         self.unread -= size
-        self._held.answers -= size
+        self._taken += size
+        self._held.release(self, size)
         self._progress_at = self._loop.time()
         if taken.cancelled() or taken.exception() is not None:
             # The connection is closed, which cancels the call.
@@ -100,7 +150,9 @@
             return
         idle_s = self._loop.time() - self._progress_at
         left_s = self._held.limits.stall_s - idle_s
-        if left_s > _EARLY_S:
+        if self._is_too_slow():
+            self._on_stall(idle_s)
+        elif left_s > _EARLY_S:
             self._set_timer(left_s)
         elif self._looked_at < self._progress_at:
             # The loop may have been held up; what the connection takes now is
@@ -109,3 +161,18 @@
             self._set_timer(_LOOK_AGAIN_S)
         else:
             self._on_stall(idle_s)
+
+    def _begin_period(self) -> None:
+        self._period_began = self._loop.time()
+        self._due_bytes = min(self.unread, _MIN_TAKEN_BYTES)
+        self._taken = 0
+
+    def _is_too_slow(self) -> bool:
+        """Return whether too little was taken in the last periods."""
+        stall_s = self._held.limits.stall_s
+        if self._loop.time() < self._period_began + stall_s - _EARLY_S:
+            return False
+        is_slow = self._taken < self._due_bytes
+        self._slow_periods = self._slow_periods + 1 if is_slow else 0
+        self._begin_period()
+        return self._slow_periods >= _MAX_SLOW_PERIODS
--- a/src/linnetwood/calls/answerwriter.py
+++ b/src/linnetwood/calls/answerwriter.py
@@ -95,6 +95,8 @@
     def send_piece(self, piece: bytes) -> None:
         """Write a piece without waiting; see `flow` before the next one."""
         for start in range(0, len(piece), PIECE_BYTES):
+            if self._flow.gave_way:
+                return
             part = piece[start : start + PIECE_BYTES]
             _write_in_background(self._conn.write(part))
             if self._stream.writing():
@@ -105,13 +107,11 @@
         sent = b'' if self._only_head else body
         self._head(status, headers, len(body), sent[:PIECE_BYTES])
         self.send_piece(sent[PIECE_BYTES:])
-        self.complete = True
-        self._conn.finish()
+        self._complete()
 
     def finish(self) -> None:
         """End a streamed answer."""
-        self.complete = True
-        self._conn.finish()
+        self._complete()
         if self._stream.writing():
             self._flow.hold(_END_BYTES)
 
@@ -119,6 +119,12 @@
         """Close the connection, so that the answer can't look complete."""
         self._stream.close()
 
+    def _complete(self) -> None:
+        self.complete = True
+        self._flow.is_running = False
+        if not self._stream.closed():
+            self._conn.finish()
+
     def _cut_off(self, stalled_s: float) -> None:
         self.stalled = True
         report_stalled_reader(
@@ -127,6 +133,7 @@
             self._flow.unread,
             stalled_s,
             answered=self.complete,
+            evicted=self._flow.gave_way,
             **self._call_fields,
         )
         self.abort()
--- a/src/linnetwood/calls/attempt.py
+++ b/src/linnetwood/calls/attempt.py
@@ -27,6 +27,7 @@
 _MAX_FOREIGN_BYTES = 65536
 # Few answers, and no events of a stream, are larger.
 _USUAL_BYTES = 262144
+_NO_MEMORY = 'no memory for the answer'
 _OK_BELOW = 300
 _FRAMING_HEADERS = frozenset(('content-length', 'transfer-encoding'))
 _NEVER_BLOCKED = AnswerFlow()
@@ -183,6 +184,8 @@
         # Called when something arrives after a silence.
         self.on_resumed: Callable[[], None] = _ignore
         self.on_notice: Callable[[Notice], None] = _ignore_notice
+        # The time of the loop since which bytes are held.
+        self.held_since = float()
         self._loop = asyncio.get_running_loop()
         self._answer = answer
         self._dialect = dialect
@@ -212,6 +215,12 @@
 
     def close(self) -> None:
         """Cancel the request if it is in progress."""
+        # Each of these may lead back here, and the answer would stay in memory
+        # until such cycles are collected.
+        self.on_start = _ignore
+        self.on_progress = _ignore
+        self.on_resumed = _ignore
+        self.on_notice = _ignore_notice
         driver = self._driver
         if driver is None or self._transfer is None:
             return
@@ -229,6 +238,26 @@
             self.fut.set_result(AttemptResult(outcome, reached=True))
         self.close()
 
+    @property
+    def held_bytes(self) -> int:
+        """Return the bytes that are collected and not sent on."""
+        return self._held_bytes
+
+    @property
+    def answer(self) -> object:
+        """Return what stands for the answer, over all attempts of a call."""
+        return self._answer.sink.flow
+
+    @property
+    def is_running(self) -> bool:
+        """Return whether it has not ended."""
+        return not self.fut.done()
+
+    def give_way(self) -> None:
+        """End it, since there is no memory for the answer."""
+        if not self.fut.done():
+            self._end_too_large(_NO_MEMORY)
+
     @property
     def sent(self) -> Sent:
         """Return how much of the request was sent, once it has ended."""
@@ -284,12 +313,13 @@
             partial_bytes = self._splitter.partial_bytes
             if partial_bytes != self._held_bytes:
                 self._hold(partial_bytes)
-            if whole_events:
+            if whole_events and not self.fut.done():
                 self._send(whole_events)
         else:
             self._pieces.add(piece)
             self._hold(self._pieces.size)
-        self._check_size()
+        if not self.fut.done():
+            self._check_size()
 
     def done(self, finish: Finish) -> None:
         """Turn the end of the transfer into the result."""
@@ -334,8 +364,14 @@
 
     def _hold(self, size: int) -> None:
         """Count what is not forwarded yet as held."""
-        self._held.answers += size - self._held_bytes
+        added = size - self._held_bytes
+        if not self._held_bytes:
+            self.held_since = self._loop.time()
         self._held_bytes = size
+        if added > 0:
+            self._held.hold(self, added)
+        else:
+            self._held.release(self, -added)
 
     def _check_size(self) -> None:
         """End an attempt whose answer is too large."""
@@ -346,11 +382,12 @@
         elif self._splitter.partial_bytes > MAX_EVENT_BYTES:
             self._end_too_large('event too large')
         elif self._held_bytes > _USUAL_BYTES and self._held.is_full:
-            self._end_too_large('no memory for the answer')
+            self._end_too_large(_NO_MEMORY)
 
     def _end_too_large(self, detail: str) -> None:
         # Reset first: what follows would be read until the result is handled.
         self.close()
+        self._pieces.take()
         self.fut.set_result(
             AttemptResult(AttemptOutcome.TOO_LARGE, reached=True, detail=detail)
         )
@@ -395,6 +432,7 @@
         )
 
     def _resume_transfer(self, driver: CurlDriver, transfer: Transfer) -> None:
+        self._answer.sink.flow.on_unblocked = _ignore
         self._note_resumed()
         driver.resume(transfer)
 
--- a/src/linnetwood/calls/heldbytes.py
+++ b/src/linnetwood/calls/heldbytes.py
@@ -1,11 +1,12 @@
 """Count the bytes that an entry holds for callers and endpoints."""
 
+import asyncio
 import dataclasses
 import math
 import sys
 from collections.abc import Mapping
 from types import MappingProxyType
-from typing import Final
+from typing import Final, Protocol
 
 from linnetwood.calls.slowreaders import READER_STALL_S
 from linnetwood.core.sizes import MIB
@@ -30,6 +31,8 @@
 
 
 _DEFAULT_LIMITS = HoldLimits()
+# Share of the limit that is held at the most once holders gave way.
+_ROOM_SHARE = 0.9
 # Limits for each policy on callers that read slowly.
 READER_LIMITS: Final[Mapping[str, HoldLimits]] = MappingProxyType(
     {
@@ -39,10 +42,38 @@
 )
 
 
+class Holder(Protocol):
+    """What holds bytes of one answer: an attempt, or a caller's connection."""
+
+    @property
+    def held_bytes(self) -> int:
+        """Return the bytes that it holds."""
+
+    @property
+    def held_since(self) -> float:
+        """Return the time of the loop since which it holds any."""
+
+    @property
+    def answer(self) -> object:
+        """Return the same for all holders of one answer."""
+
+    @property
+    def is_running(self) -> bool:
+        """Return whether a call is in progress as long as it holds them."""
+
+    def give_way(self) -> None:
+        """End the answer at once, so that it can't look whole."""
+
+
 class HeldBytes:
-    """The bytes held now: answers unread by callers, and request bodies."""
+    """The bytes held now: answers unread by callers, and request bodies.
 
-    __slots__ = ('_by_endpoint', 'answers', 'bodies', 'limits')
+    Where the limit is reached, the holder gives way that has taken most of the
+    memory for longest, in bytes times seconds: a caller that reads slowly, not
+    one that comes with a small call.
+    """
+
+    __slots__ = ('_by_endpoint', '_holders', 'answers', 'bodies', 'limits')
 
     def __init__(self, limits: HoldLimits = _DEFAULT_LIMITS) -> None:
         """Start with nothing held."""
@@ -50,6 +81,39 @@
         self.answers = 0
         self.bodies = 0
         self._by_endpoint: dict[str, int] = {}
+        self._holders: set[Holder] = set()
+
+    def hold(self, holder: Holder, size: int) -> None:
+        """Count more bytes of a holder; others give way if there is no room."""
+        self.answers += size
+        self._holders.add(holder)
+        if self.is_full:
+            self._make_room()
+
+    def release(self, holder: Holder, size: int) -> None:
+        """Count fewer bytes of a holder."""
+        self.answers -= size
+        if not holder.held_bytes:
+            self._holders.discard(holder)
+
+    def evict(self, *, running: bool = False) -> bool:
+        """Let one holder give way; return whether there was one.
+
+        With `running` only one whose call is in progress.
+        """
+        candidates = [
+            one for one in self._holders if one.is_running or not running
+        ]
+        if not candidates:
+            return False
+        now = asyncio.get_running_loop().time()
+        victim = max(
+            candidates,
+            key=lambda one: one.held_bytes * (now - one.held_since),
+        )
+        self._holders.discard(victim)
+        victim.give_way()
+        return True
 
     @property
     def total(self) -> int:
@@ -94,6 +158,14 @@
         else:
             self._by_endpoint.pop(endpoint)
 
+    def _make_room(self) -> None:
+        # The only answer stays: one of any size has room.
+        while (
+            len({one.answer for one in self._holders}) > 1
+            and self.total > self.limits.entry * _ROOM_SHARE
+        ):
+            self.evict()
+
     @property
     def _is_half_full(self) -> bool:
         return 0 < self.limits.entry <= self.total * 2
--- a/src/linnetwood/calls/memoryguard.py
+++ b/src/linnetwood/calls/memoryguard.py
@@ -1,6 +1,7 @@
-"""Decide when an entry is too near its memory limit for new calls."""
+"""Decide when an entry is too near its limits for new calls."""
 
 import math
+import sys
 from collections.abc import Callable
 
 from linnetwood.calls.heldbytes import HeldBytes
@@ -15,21 +16,38 @@
 _USUAL_HELD_SHARE = 0.02
 # Buffers and objects of a call in progress, beyond its bytes.
 _CALL_BYTES = 65536
+# Share of the limit that calls in progress may take beyond their bytes.
+_CALLS_SHARE = 0.25
 _SAMPLE_S = 0.1
 
 
 class MemoryGuard:
-    """Compare the memory of the process, and what it holds, with a limit."""
+    """Compare calls, the memory of the process and what it holds with limits.
 
-    __slots__ = ('_held', '_limit', '_read_resident', '_resident', '_sampled')
+    Callers that read slowly give way to new calls.
+    """
+
+    __slots__ = (
+        '_held',
+        '_limit',
+        '_max_calls',
+        '_read_resident',
+        '_resident',
+        '_sampled',
+    )
 
     def __init__(
         self,
         held: HeldBytes,
         limit_bytes: int = 0,
         read_resident: Callable[[], int] = int,
+        max_calls: int = sys.maxsize,
     ) -> None:
-        """Use the limit of the process; 0 sets none."""
+        """Use the memory limit of the process, 0 for none.
+
+        `max_calls` bounds calls in progress.
+        """
+        self._max_calls = max_calls
         self._held = held
         self._limit = limit_bytes
         self._read_resident = read_resident
@@ -37,7 +55,13 @@
         self._sampled = -math.inf
 
     def refuses(self, active_calls: int, now: float) -> bool:
-        """Return whether a new call is refused; `now` in seconds."""
+        """Return whether a new call is refused; `now` in seconds.
+
+        `active_calls` include it.
+        """
+        if active_calls > self._max_calls:
+            # The one that gives way ends in the next turns.
+            return not self._held.evict(running=True)
         if self._held.is_full:
             return True
         # Reading the memory costs a system call, so what is held is checked
@@ -48,4 +72,14 @@
         if now >= self._sampled + _SAMPLE_S:
             self._sampled = now
             self._resident = self._read_resident()
-        return self._resident >= self._limit * _RESIDENT_SHARE
+        if self._resident < self._limit * _RESIDENT_SHARE:
+            return False
+        self._held.evict()
+        return True
+
+
+def calls_within(limit_bytes: int) -> int:
+    """Return how many calls a memory limit allows at once; 0 sets none."""
+    if not limit_bytes:
+        return sys.maxsize
+    return max(1, int(limit_bytes * _CALLS_SHARE) // _CALL_BYTES)
--- a/src/linnetwood/programs/resident_calls.py
+++ b/src/linnetwood/programs/resident_calls.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import sys
 from random import Random
 
 from linnetwood.calls.callserver import CallServerDelegate
@@ -12,7 +13,7 @@
 from linnetwood.calls.directory import Directory
 from linnetwood.calls.enginepace import PACES
 from linnetwood.calls.heldbytes import READER_LIMITS
-from linnetwood.calls.memoryguard import HELD_SHARE, MemoryGuard
+from linnetwood.calls.memoryguard import HELD_SHARE, MemoryGuard, calls_within
 from linnetwood.calls.policy.firstattempts import FIRST_ATTEMPT_DETECTORS
 from linnetwood.calls.policy.retryafter import RETRY_AFTER_POLICIES
 from linnetwood.calls.policy.retrycapacity import RETRY_CAPACITY
@@ -110,12 +111,18 @@
         delegate: CallServerDelegate,
         limit_bytes: int,
         metrics: ExposedMetrics,
+        max_calls: int = sys.maxsize,
     ) -> None:
-        """Refuse calls near the memory limit of the process; 0 sets none."""
+        """Refuse calls near the limits of the process; 0 bytes set none."""
         held = self.dispatcher.held
         held.limits = dataclasses.replace(
             held.limits, entry=int(limit_bytes * HELD_SHARE)
         )
-        delegate.memory_guard = MemoryGuard(held, limit_bytes, resident_bytes)
+        delegate.memory_guard = MemoryGuard(
+            held,
+            limit_bytes,
+            resident_bytes,
+            min(max_calls, calls_within(limit_bytes)),
+        )
         metrics.gauge(Metric.ANSWERS_HELD_BYTES, lambda: held.answers)
         metrics.gauge(Metric.BODIES_HELD_BYTES, lambda: held.bodies)
--- a/src/linnetwood/programs/resident_entry.py
+++ b/src/linnetwood/programs/resident_entry.py
@@ -122,7 +122,9 @@
         limits = ResidentLimits(
             cfg, entry_shares(cfg.file_descriptors), metrics
         )
-        path.limit_memory(self.delegate, cfg.memory_bytes, metrics)
+        path.limit_memory(
+            self.delegate, cfg.memory_bytes, metrics, limits.shares.calls
+        )
         metrics.gauge(Metric.CONFIG_VERSION, lambda: self.route_table.version)
         chooser.entry_count = lambda: self.reports.entry_count
         crashes.entries = chooser.entry_count
--- a/src/linnetwood/wire/curldriver.py
+++ b/src/linnetwood/wire/curldriver.py
@@ -29,7 +29,11 @@
     Sent,
     prepare,
 )
-from linnetwood.wire.rawsockets import reset_on_close, unread_bytes
+from linnetwood.wire.rawsockets import (
+    limit_unread,
+    reset_on_close,
+    unread_bytes,
+)
 
 # Detail of a request that exceeded its total time limit.
 TIMED_OUT = 'timed out'
@@ -213,6 +217,7 @@
             return transfer.body_piece(octets)
 
         def opened(descriptor: int, _purpose: int) -> int:  # noqa: WPS430
+            limit_unread(descriptor)
             self._note_descriptor(transfer, descriptor)
             return int(pycurl.SOCKOPT_OK)
 
@@ -459,6 +464,8 @@
         detail = transfer.reader.fault or detail
         whole = code == 0 and transfer.reader.is_whole
         receiver.done(Finish(whole, connected, detail, fresh))
+        # The receiver has the transfer, and both would stay in memory.
+        transfer.receiver = _IGNORING_RECEIVER
 
 
 def _connected(handle: Any) -> bool:
