Reset the connection of a caller of HTTP/1.0 whose stream is cut

A caller of HTTP/1.0 gets a stream without chunks, which ends as its connection does.

Change: such a connection is reset. test_cut_answer_of_an_old_caller failed before (the half answer ended without an error). Callers of HTTP/1.1 see the missing last chunk, or length, as before.

--- a/src/linnetwood/calls/answerwriter.py
+++ b/src/linnetwood/calls/answerwriter.py
@@ -16,6 +16,7 @@
 from linnetwood.core.metrics import Metrics
 from linnetwood.core.outcomes import Code, Ending, Outcome
 from linnetwood.wire.curlrequest import Headers
+from linnetwood.wire.rawsockets import reset_on_close
 
 _NOT_FOUND = 404
 _UNAUTHORISED = 401
@@ -58,11 +59,14 @@
         is_last: Callable[[], bool],
         *,
         only_head: bool,
+        ends_by_close: bool = False,
     ) -> None:
         """Start with nothing written.
 
         `is_last` tells whether the connection closes after the answer. With
         `only_head` the bodies of answers are left out, as for HEAD requests.
+        `ends_by_close` says that callers take a close for the end of a streamed
+        answer, as those of HTTP/1.0 do.
         """
         self.begun = False
         # The whole answer was written, if not yet taken by the caller.
@@ -75,6 +79,7 @@
         self._metrics = metrics
         self._is_last = is_last
         self._only_head = only_head
+        self._ends_by_close = ends_by_close
         self._call_id = ''
         self._call_fields: dict[str, object] = {}
 
@@ -117,6 +122,8 @@
 
     def abort(self) -> None:
         """Close the connection, so that the answer can't look complete."""
+        if self._ends_by_close and not self._stream.closed():
+            reset_on_close(self._stream.socket.fileno())
         self._stream.close()
 
     def _complete(self) -> None:
--- a/src/linnetwood/calls/callserver.py
+++ b/src/linnetwood/calls/callserver.py
@@ -54,6 +54,8 @@
 
 _MILLISECONDS = 1000
 _HEAD_METHOD = 'HEAD'
+# Callers of this version get no chunks.
+_UNCHUNKED_VERSION = 'HTTP/1.0'
 # For calls that another entry can take at once.
 _RETRY_ELSEWHERE_MS = 100
 # Stalled callers are cut off within seconds, which frees memory.
@@ -233,6 +235,7 @@
             delegate.metrics,
             lambda: delegate.stopping,
             only_head=self._method == _HEAD_METHOD,
+            ends_by_close=self._version == _UNCHUNKED_VERSION,
         )
         try:
             await self._run_and_end(writer)
@@ -409,6 +412,10 @@
     def _method(self) -> str:
         return '' if self._start_line is None else self._start_line.method
 
+    @property
+    def _version(self) -> str:
+        return '' if self._start_line is None else self._start_line.version
+
     def _read(self) -> DirectCall | Ending:
         start_line = self._start_line
         if start_line is None:
--- a/tests/test_slow_readers.py
+++ b/tests/test_slow_readers.py
@@ -270,6 +270,16 @@
         writer.close()
         self.assertGreater(self.stats.failure_rate, 0)
 
+    async def test_cut_answer_of_an_old_caller(self) -> None:
+        """Guards against a cut stream that looks whole without chunks."""
+        old = request('/a/cut').replace(b'HTTP/1.1', b'HTTP/1.0')
+        reader, writer = await asyncio.open_connection(HOST, self.port)
+        writer.write(old)
+        async with asyncio.timeout(60):
+            with self.assertRaises(ConnectionResetError):
+                await reader.read()
+        writer.close()
+
     async def test_usual_stream_is_neither_held_nor_paused(self) -> None:
         """Guard against a change for callers that read."""
         held = mock.patch.object(ConnectionFlow, 'hold')
