End an upload whose peer takes nothing of its chunk

A peer that asked for a chunk larger than the kernel's buffers and took nothing held up all other uploads of that process for good: uploads are sent one at a time, and a part was written without a limit in time.

Change: a part that isn't taken within 5 s ends the connection. The new test (four such peers, then a sound one) ended at its guard before, in 15 s as run; it passes now.

--- a/src/linnetwood/weights/exchange.py
+++ b/src/linnetwood/weights/exchange.py
@@ -4,7 +4,7 @@
 import dataclasses
 from collections.abc import Callable
 
-from linnetwood.core.errors import WeightsError
+from linnetwood.core.errors import WeightsError, WireError
 from linnetwood.gen.wire.ttypes import ChunkReply, ChunkRequest
 from linnetwood.weights import chunks
 from linnetwood.wire.codec import decode, encode
@@ -12,6 +12,10 @@
 from linnetwood.wire.frames import Frame, FrameKind, FrameStream
 from linnetwood.wire.links import Link
 
+# Peers leave one that sends nothing for 0.8 s, so one that takes nothing for
+# this time has gone, or has no use for the chunk.
+_STALL_TIMEOUT_S = 5.0
+
 
 @dataclasses.dataclass(slots=True)
 class TransferCounters:
@@ -80,11 +84,11 @@
         await self._link.send(min(size, len(payload)))
         await self._reply(stream, request, held_here=True)
         stream.begin_frame(FrameKind.CHUNK, len(payload))
-        await stream.write_part(payload[:size])
+        await _write(stream, payload[:size])
         for start in range(size, len(payload), size):
             part = payload[start : start + size]
             await self._link.send(len(part))
-            await stream.write_part(part)
+            await _write(stream, part)
 
     def _payload(self, request: ChunkRequest) -> bytes | None:
         manifest = self.manifests.get(request.manifest)
@@ -188,6 +192,19 @@
         return reply, frame.payload
 
 
+async def _write(stream: FrameStream, part: bytes) -> None:
+    """Write a part of a chunk; raise WireError if the peer takes nothing.
+
+    Other uploads wait for this one.
+    """
+    try:
+        async with asyncio.timeout(_STALL_TIMEOUT_S):
+            await stream.write_part(part)
+    except TimeoutError as exc:
+        stream.abort()
+        raise WireError('reader-too-slow', f'{_STALL_TIMEOUT_S} s') from exc
+
+
 async def _frame(stream: FrameStream, index: int) -> Frame:
     # The swarm has a timeout for chunks; manifests have none but this.
     if index == chunks.MANIFEST_INDEX:
