Bound the connections at the operators' port

Connections that send nothing at the product's operators' port could take all of an entry's descriptors; each may hold a call of 2 MiB.

Change: 32 connections, the idle one that was used longest ago goes first. test_idle_operators had no bound to set before; with it, the oldest is closed and an operator is served beside the others.

--- a/src/linnetwood/programs/operators.py
+++ b/src/linnetwood/programs/operators.py
@@ -9,7 +9,6 @@
 from thrift.Thrift import TApplicationException, TException, TMessageType
 from thrift.transport.TTransport import TMemoryBuffer
 from tornado.iostream import IOStream, SSLIOStream, StreamClosedError
-from tornado.tcpserver import TCPServer
 
 from linnetwood.core.errors import ConfigError, LinnetwoodError, WireError
 from linnetwood.core.events import Event, log
@@ -35,10 +34,13 @@
 )
 from linnetwood.gen.wire.ttypes import DrainOrder, Member
 from linnetwood.wire import codec
+from linnetwood.wire.accepting import BoundedServer
+from linnetwood.wire.connectionlimit import ConnectionLimit, Stage
 from linnetwood.wire.frames import FrameKind
 
 _LENGTH_BYTES = 4
 _MAX_CALL = 2 * MIB
+_MAX_CONNECTIONS = 32
 _ZONE_SILENT_S = 12.0
 _DRAIN_TIMEOUT_S = 2.0
 _READ_CALLS = frozenset(('settle', 'configuration', 'status', 'endpoints'))
@@ -225,7 +227,21 @@
     )
 
 
-class OperatorServer(TCPServer):
+class _Connection:
+    """A connection of an operator, and what it is used for."""
+
+    __slots__ = ('_stream', 'stage')
+
+    def __init__(self, stream: IOStream) -> None:
+        self._stream = stream
+        self.stage = Stage.IDLE
+
+    def close(self) -> None:
+        """Close it."""
+        self._stream.close()
+
+
+class OperatorServer(BoundedServer):
     """Serve framed Thrift calls by the methods of the same names."""
 
     def __init__(
@@ -235,27 +251,38 @@
     ) -> None:
         """Serve these calls; without a context, don't use TLS."""
         super().__init__(ssl_options=context, max_buffer_size=_MAX_CALL)
+        self.limit = ConnectionLimit('operators', _MAX_CONNECTIONS)
         self._calls = calls
 
     async def handle_stream(self, stream: IOStream, address: object) -> None:
         """Serve one connection, one call after another."""
+        conn = _Connection(stream)
+        self.limit.add(conn)
         try:
             operator = await _authenticate(stream)
             while True:
-                await self._serve_one(stream, operator)
+                await self._serve_one(stream, operator, conn)
         except StreamClosedError:
             return
         except _CALL_ERRORS as exc:
             log(Event.FRAME_REFUSED, source=str(address), detail=str(exc))
         finally:
+            self.limit.discard(conn)
             stream.close()
 
-    async def _serve_one(self, stream: IOStream, operator: Operator) -> None:
+    async def _serve_one(
+        self, stream: IOStream, operator: Operator, conn: _Connection
+    ) -> None:
+        conn.stage = Stage.IDLE
         head = await stream.read_bytes(_LENGTH_BYTES)
+        conn.stage = Stage.REQUEST
         length = int.from_bytes(head, 'big')
         if length > _MAX_CALL:
             raise WireError('call-too-large', f'{length} bytes')
-        reply = await self._answer(await stream.read_bytes(length), operator)
+        payload = await stream.read_bytes(length)
+        conn.stage = Stage.BUSY
+        self.limit.note_used(conn)
+        reply = await self._answer(payload, operator)
         await stream.write(len(reply).to_bytes(_LENGTH_BYTES, 'big') + reply)
 
     async def _answer(self, payload: bytes, operator: Operator) -> bytes:
--- a/tests/test_caller_limits.py
+++ b/tests/test_caller_limits.py
@@ -12,6 +12,7 @@
 from linnetwood.wire.connectionlimit import ConnectionLimit
 from linnetwood.wire.controlserver import ControlServer, open_control_server
 from tests.direct_calls import never_answer
+from tests.rig import Rig, running
 from tests.test_callserver import CallServerCase, request
 from tests.test_curldriver import HOST
 
@@ -99,6 +100,24 @@
         writer.close()
 
 
+class OperatorsTest(unittest.IsolatedAsyncioTestCase):
+    """The operators' port of the product's own path."""
+
+    @running
+    async def test_idle_operators(self, rig: Rig) -> None:
+        """Guards against connections at rest that keep operators out."""
+        entry = await rig.entry()
+        limit = entry._operators.limit
+        limit.most = 2
+        _, port = rig._http[entry]
+        crowd = [await asyncio.open_connection(HOST, port) for _ in range(3)]
+        self.assertTrue(await is_closed(crowd[0][0]))
+        status = await rig.operate(lambda calls: calls.status())
+        self.assertIsNotNone(status)
+        for _, writer in crowd:
+            writer.close()
+
+
 class ControlServerTest(unittest.IsolatedAsyncioTestCase):
     """Requests of the platform at a port of its own."""
 
