Take less time for the strict reading of answers

Since answers are read by the grammar, each event of a stream took 5.1 us more, and each connection some more for its options.

Change: bytes that are one whole chunk, as an event usually arrives, are taken by one match (5.1 us to 0.96 us an event of 90 bytes, timed alone); behind the head the kernel isn't asked any more how much has arrived, since all that frames a body is seen now where it is decoded; options are set without a generator.

--- a/src/linnetwood/wire/answerbounds.py
+++ b/src/linnetwood/wire/answerbounds.py
@@ -117,6 +117,12 @@
         self._unread_bytes = _readable_bytes(descriptor) if measures else 0
         return self._framing_bytes <= _FRAMING_ALLOWANCE
 
+    def begin_body_read(self) -> None:
+        """Allow a turn; what frames a body is counted where it is decoded."""
+        self._unread_bytes = 0
+        self._received_bytes = 0
+        self.begin_turn()
+
     @property
     def is_contentless(self) -> bool:
         """Return whether a large read brought no piece of the body."""
--- a/src/linnetwood/wire/answergrammar.py
+++ b/src/linnetwood/wire/answergrammar.py
@@ -25,6 +25,8 @@
 _CHUNK_LINE = re.compile(
     rb'([0-9A-Fa-f]{1,15})(?:%b)*+\r\n' % _EXTENSION,
 )
+# A line ahead of a chunk without extensions.
+_PLAIN_CHUNK_LINE = re.compile(rb'([0-9A-Fa-f]{1,15})\r\n')
 _HEX = 16
 
 
@@ -54,3 +56,16 @@
     """Return the size that the line ahead of a chunk tells, or None."""
     found = _CHUNK_LINE.fullmatch(line)
     return None if found is None else int(found[1], _HEX)
+
+
+def whole_chunk(octets: bytes) -> bytes:
+    """Return the data of a chunk if the bytes are one, without extensions.
+
+    Return nothing for any other bytes, also sound ones.
+    """
+    found = _PLAIN_CHUNK_LINE.match(octets)
+    if found is None:
+        return b''
+    start = found.end()
+    stop = start + int(found[1], _HEX)
+    return octets[start:stop] if octets[stop:] == b'\r\n' else b''
--- a/src/linnetwood/wire/chunkedbody.py
+++ b/src/linnetwood/wire/chunkedbody.py
@@ -3,7 +3,11 @@
 import enum
 from collections.abc import Iterator
 
-from linnetwood.wire.answergrammar import read_chunk_size, read_field
+from linnetwood.wire.answergrammar import (
+    read_chunk_size,
+    read_field,
+    whole_chunk,
+)
 
 _LINE_END = b'\r\n'
 # Of one line ahead of a chunk, or of a trailer.
@@ -65,6 +69,14 @@
 
         Bytes behind the end belong to no answer and are ignored.
         """
+        if self._part is _Part.SIZE and not self._line and self._reads_on:
+            # An event of a stream usually arrives as one chunk.
+            piece = whole_chunk(octets)
+            if piece:
+                self.chunks += 1
+                self._content_bytes += len(piece)
+                self._count_framing(len(octets) - len(piece))
+                return piece
         return b''.join(self._pieces(octets))
 
     def _pieces(self, octets: bytes) -> Iterator[bytes]:
@@ -93,9 +105,8 @@
         """Read up to the end of a line; return where the rest begins."""
         end = octets.find(b'\n', start) + 1 or len(octets)
         self._line += octets[start:end]
-        self._framing_bytes += end - start
-        limit = _MAX_FRAMING_RATIO * self._content_bytes + _FRAMING_ALLOWANCE
-        if len(self._line) > _MAX_LINE_BYTES or self._framing_bytes > limit:
+        self._count_framing(end - start)
+        if len(self._line) > _MAX_LINE_BYTES:
             self.has_excess_framing = True
         elif self._line.endswith(b'\n'):
             line = self._line
@@ -103,6 +114,12 @@
             self._read_line(line)
         return end
 
+    def _count_framing(self, size: int) -> None:
+        self._framing_bytes += size
+        limit = _MAX_FRAMING_RATIO * self._content_bytes + _FRAMING_ALLOWANCE
+        if self._framing_bytes > limit:
+            self.has_excess_framing = True
+
     def _read_line(self, line: bytes) -> None:
         if self._part is _Part.SIZE:
             self._begin_chunk(line)
--- a/src/linnetwood/wire/curldriver.py
+++ b/src/linnetwood/wire/curldriver.py
@@ -247,10 +247,11 @@
     def _may_read(self, transfer: Transfer) -> bool:
         """End a request if a malformed head arrives, or framing alone."""
         reader = transfer.reader
-        fault = ''
-        if not transfer.bounds.may_read(transfer.descriptor):
-            fault = TOO_MUCH_FRAMING
-        elif reader.head.is_open:
+        if not reader.head.is_open:
+            transfer.bounds.begin_body_read()
+            return True
+        fault = TOO_MUCH_FRAMING
+        if transfer.bounds.may_read(transfer.descriptor):
             reader.see(unread_bytes(transfer.descriptor))
             fault = reader.fault
         if fault:
--- a/src/linnetwood/wire/rawsockets.py
+++ b/src/linnetwood/wire/rawsockets.py
@@ -2,14 +2,14 @@
 
 import socket
 import struct
-from collections.abc import Iterator
-from contextlib import contextmanager, suppress
+from contextlib import suppress
 
 # What a peer may have sent before it is read. A link of 1 Gbit/s is filled in
 # half a millisecond.
 UNREAD_BYTES = 65536
 # What libcurl reads at once.
 _READ_BYTES = 16384
+_PEEK = socket.MSG_PEEK | socket.MSG_DONTWAIT
 # SO_LINGER with a timeout of 0: close() sends a reset, which discards unread
 # bytes at both ends.
 RESET_ON_CLOSE = struct.pack('ii', 1, 0)
@@ -19,8 +19,7 @@
     """Let the close of a connection reset it; ignore what is no socket."""
     if descriptor < 0:
         return
-    with _borrowed(descriptor) as sock:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    _set_option(descriptor, socket.SO_LINGER, RESET_ON_CLOSE)
 
 
 def limit_unread(descriptor: int) -> None:
@@ -28,26 +27,34 @@
 
     The kernel would let it be some MB, which count as memory of the process.
     """
-    with _borrowed(descriptor) as sock, suppress(OSError):
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, UNREAD_BYTES)
+    with suppress(OSError):
+        _set_option(descriptor, socket.SO_RCVBUF, UNREAD_BYTES)
 
 
 def unread_bytes(descriptor: int) -> bytes:
     """Return what libcurl reads next of a connection, and leave it there."""
-    with _borrowed(descriptor) as sock:
-        try:
-            return sock.recv(_READ_BYTES, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-        except OSError:
-            return b''
+    sock = _borrow(descriptor)
+    try:
+        return sock.recv(_READ_BYTES, _PEEK)
+    except OSError:
+        return b''
+    finally:
+        sock.detach()
 
 
-@contextmanager
-def _borrowed(descriptor: int) -> Iterator[socket.socket]:
-    """Use a descriptor as a socket, without a duplicate: none may be left."""
-    sock = socket.socket(
-        socket.AF_INET, socket.SOCK_STREAM, 0, fileno=descriptor
-    )
+def _set_option(descriptor: int, option: int, setting: int | bytes) -> None:
+    sock = _borrow(descriptor)
     try:
-        yield sock
+        sock.setsockopt(socket.SOL_SOCKET, option, setting)
     finally:
         sock.detach()
+
+
+def _borrow(descriptor: int) -> socket.socket:
+    """Use a descriptor as a socket, without a duplicate: none may be left.
+
+    It must be detached.
+    """
+    return socket.socket(
+        socket.AF_INET, socket.SOCK_STREAM, 0, fileno=descriptor
+    )
