--- a/src/linnetwood/calls/answerflow.py
+++ b/src/linnetwood/calls/answerflow.py
@@ -52,7 +52,7 @@
         '_stream',
         '_taken',
         '_timer',
-        'gave_way',
+        'is_evicted',
         'held_since',
         'is_running',
         'unread',
@@ -71,7 +71,7 @@
         # Whether more of the answer may follow.
         self.is_running = True
         # Whether the answer was ended for want of memory.
-        self.gave_way = False
+        self.is_evicted = False
         # In this period of the length of a stall: when it began, the bytes
         # taken, and those that are due.
         self._period_began = float()
@@ -89,7 +89,7 @@
 
     def hold(self, size: int) -> None:
         """Count bytes just written, until the connection has taken them."""
-        if self.gave_way:
+        if self.is_evicted:
             return
         if not self.unread:
             self._progress_at = self._loop.time()
@@ -97,7 +97,7 @@
             self._begin_period()
         self.unread += size
         self._held.hold(self, size)
-        if self.gave_way:
+        if self.is_evicted:
             return
         # The futures of HTTP1Connection.write may never be done if another
         # write follows; those of the stream are done in order.
@@ -118,17 +118,17 @@
         """Return the bytes that the caller has not taken."""
         return self.unread
 
-    def give_way(self) -> None:
+    def evict(self) -> None:
         """Cut the caller off, since there is no memory left."""
         idle_s = self._loop.time() - self._progress_at
-        self.gave_way = True
+        self.is_evicted = True
         self._on_stall(idle_s)
         size = self.unread
         self.unread = 0
         self._held.release(self, size)
 
     def _release(self, size: int, taken: 'asyncio.Future[None]') -> None:
-        if self.gave_way:
+        if self.is_evicted:
             return
         self.unread -= size
         self._taken += size
--- a/src/linnetwood/calls/answerwriter.py
+++ b/src/linnetwood/calls/answerwriter.py
@@ -100,7 +100,7 @@
     def send_piece(self, piece: bytes) -> None:
         """Write a piece without waiting; see `flow` before the next one."""
         for start in range(0, len(piece), PIECE_BYTES):
-            if self._flow.gave_way:
+            if self._flow.is_evicted:
                 return
             part = piece[start : start + PIECE_BYTES]
             _write_in_background(self._conn.write(part))
@@ -140,7 +140,7 @@
             self._flow.unread,
             stalled_s,
             answered=self.complete,
-            evicted=self._flow.gave_way,
+            evicted=self._flow.is_evicted,
             **self._call_fields,
         )
         self.abort()
--- a/src/linnetwood/calls/attempt.py
+++ b/src/linnetwood/calls/attempt.py
@@ -253,7 +253,7 @@
         """Return whether it has not ended."""
         return not self.fut.done()
 
-    def give_way(self) -> None:
+    def evict(self) -> None:
         """End it, since there is no memory for the answer."""
         if not self.fut.done():
             self._end_too_large(_NO_MEMORY)
--- a/src/linnetwood/calls/heldbytes.py
+++ b/src/linnetwood/calls/heldbytes.py
@@ -61,7 +61,7 @@
     def is_running(self) -> bool:
         """Return whether a call is in progress as long as it holds them."""
 
-    def give_way(self) -> None:
+    def evict(self) -> None:
         """End the answer at once, so that it can't look whole."""
 
 
@@ -96,7 +96,7 @@
         if not holder.held_bytes:
             self._holders.discard(holder)
 
-    def evict(self, *, running: bool = False) -> bool:
+    def evict_one(self, *, running: bool = False) -> bool:
         """Let one holder give way; return whether there was one.
 
         With `running` only one whose call is in progress.
@@ -112,7 +112,7 @@
             key=lambda one: one.held_bytes * (now - one.held_since),
         )
         self._holders.discard(victim)
-        victim.give_way()
+        victim.evict()
         return True
 
     @property
@@ -164,7 +164,7 @@
             len({one.answer for one in self._holders}) > 1
             and self.total > self.limits.entry * _ROOM_SHARE
         ):
-            self.evict()
+            self.evict_one()
 
     @property
     def _is_half_full(self) -> bool:
--- a/src/linnetwood/calls/memoryguard.py
+++ b/src/linnetwood/calls/memoryguard.py
@@ -61,7 +61,7 @@
         """
         if active_calls > self._max_calls:
             # The one that gives way ends in the next turns.
-            return not self._held.evict(running=True)
+            return not self._held.evict_one(running=True)
         if self._held.is_full:
             return True
         # Reading the memory costs a system call, so what is held is checked
@@ -74,7 +74,7 @@
             self._resident = self._read_resident()
         if self._resident < self._limit * _RESIDENT_SHARE:
             return False
-        self._held.evict()
+        self._held.evict_one()
         return True
 
 
--- a/tests/test_giving_way.py
+++ b/tests/test_eviction.py
@@ -38,7 +38,7 @@
         self.held_bytes = size
         self.held_since = asyncio.get_running_loop().time() - age_s
         self.is_running = running
-        self.gave_way = False
+        self.is_evicted = False
         self._held = held
 
     @property
@@ -46,9 +46,9 @@
         """Return an answer of its own."""
         return self
 
-    def give_way(self) -> None:
+    def evict(self) -> None:
         """Hold nothing any more."""
-        self.gave_way = True
+        self.is_evicted = True
         size = self.held_bytes
         self.held_bytes = 0
         self._held.release(self, size)
@@ -73,16 +73,16 @@
         slow = self.hold(200, 50)
         large = self.hold(700, 1)
         small = self.hold(50, 1)
-        self.assertFalse(slow.gave_way)
+        self.assertFalse(slow.is_evicted)
         newest = self.hold(60, 0)
-        gave_way = [one.gave_way for one in (slow, large, small, newest)]
-        self.assertEqual(gave_way, [True, False, False, False])
+        is_evicted = [one.is_evicted for one in (slow, large, small, newest)]
+        self.assertEqual(is_evicted, [True, False, False, False])
         self.assertEqual(self.held.answers, 810)
 
     async def test_the_only_answer_stays(self) -> None:
         """Guards against a large answer that nobody ever gets in calm."""
         only = self.hold(5000, 10)
-        self.assertFalse(only.gave_way)
+        self.assertFalse(only.is_evicted)
         self.assertTrue(self.held.is_full)
 
     async def test_a_crowd_is_held_to_the_limit(self) -> None:
@@ -101,7 +101,7 @@
         self.assertTrue(guard.refuses(11, 0))
         slow = self.hold(10, 10)
         self.assertFalse(guard.refuses(11, 0))
-        self.assertEqual((ended.gave_way, slow.gave_way), (False, True))
+        self.assertEqual((ended.is_evicted, slow.is_evicted), (False, True))
         self.assertTrue(guard.refuses(11, 0))
 
     async def test_a_process_near_its_limit(self) -> None:
@@ -110,7 +110,7 @@
         holders = [self.hold(100, age_s) for age_s in range(3)]
         for number in range(3):
             self.assertTrue(guard.refuses(0, number))
-        self.assertTrue(all(one.gave_way for one in holders))
+        self.assertTrue(all(one.is_evicted for one in holders))
         self.assertFalse(guard.refuses(0, 4))
 
     def test_every_load_of_the_pages_fits(self) -> None:
--- a/tests/test_priorities.py
+++ b/tests/test_priorities.py
@@ -243,7 +243,7 @@
         decision = admission(call(FIRST_ATTEMPT_WAIT_S))
         return decision.detail if isinstance(decision, Ending) else 'admitted'
 
-    def test_patient_calls_evict(self) -> None:
+    def test_patient_calls_give_way(self) -> None:
         """Calls with a long target don't take the last slots from others."""
         chooser = one_engine()
         chooser.stats_of('i-1').record_report(report(0, 14, 10))
--- a/tests/test_wire_limits.py
+++ b/tests/test_wire_limits.py
@@ -59,7 +59,7 @@
             self.assertEqual((await stream.read()).kind, FrameKind.DONE)
         stream.close()
 
-    async def test_idle_connections_evict(self) -> None:
+    async def test_idle_connections_give_way(self) -> None:
         """Guards against a port that a crowd takes, or a peer cut off."""
         await self.serve(WireLimits(ConnectionLimit('processes', 3)))
         subscriber = await self.connect(frames.pack(FrameKind.DRAIN, b'x'))
