Evict for a new call only callers that keep theirs waiting

Found in reading the change: at the bound on calls in progress a new call would have ended the one with the most bytes for longest, also one whose endpoint was still sending it, which then ended as 502 although nobody was slow.

Change: only a caller whose answer is paused, since it doesn't read, is evicted for a new call; if there is none, the new call is refused as not run. test_calls_beyond_the_limit asserts it of a holder that delays no call. An answer's end is written as before also where its connection is closed.

--- a/src/linnetwood/calls/answerflow.py
+++ b/src/linnetwood/calls/answerflow.py
@@ -54,7 +54,7 @@
         '_timer',
         'is_evicted',
         'held_since',
-        'is_running',
+        'is_open',
         'unread',
     )
 
@@ -69,7 +69,7 @@
         self.unread = 0
         self.held_since = float()
         # Whether more of the answer may follow.
-        self.is_running = True
+        self.is_open = True
         # Whether the answer was ended for want of memory.
         self.is_evicted = False
         # In this period of the length of a stall: when it began, the bytes
@@ -108,6 +108,11 @@
         if self.unread > self._held.pause_above:
             self.blocked = True
 
+    @property
+    def delays_call(self) -> bool:
+        """Return whether more of the answer waits for the caller to read."""
+        return self.is_open and self.blocked
+
     @property
     def answer(self) -> object:
         """Return what stands for the answer."""
--- a/src/linnetwood/calls/answerwriter.py
+++ b/src/linnetwood/calls/answerwriter.py
@@ -128,9 +128,8 @@
 
     def _complete(self) -> None:
         self.complete = True
-        self._flow.is_running = False
-        if not self._stream.closed():
-            self._conn.finish()
+        self._flow.is_open = False
+        self._conn.finish()
 
     def _cut_off(self, stalled_s: float) -> None:
         self.stalled = True
--- a/src/linnetwood/calls/attempt.py
+++ b/src/linnetwood/calls/attempt.py
@@ -249,9 +249,9 @@
         return self._answer.sink.flow
 
     @property
-    def is_running(self) -> bool:
-        """Return whether it has not ended."""
-        return not self.fut.done()
+    def delays_call(self) -> bool:
+        """Return False: what is collected waits for the endpoint."""
+        return False
 
     def evict(self) -> None:
         """End it, since there is no memory for the answer."""
--- a/src/linnetwood/calls/heldbytes.py
+++ b/src/linnetwood/calls/heldbytes.py
@@ -31,7 +31,7 @@
 
 
 _DEFAULT_LIMITS = HoldLimits()
-# Share of the limit that is held at the most once holders gave way.
+# Share of the limit that is held at the most after an eviction.
 _ROOM_SHARE = 0.9
 # Limits for each policy on callers that read slowly.
 READER_LIMITS: Final[Mapping[str, HoldLimits]] = MappingProxyType(
@@ -58,8 +58,8 @@
         """Return the same for all holders of one answer."""
 
     @property
-    def is_running(self) -> bool:
-        """Return whether a call is in progress as long as it holds them."""
+    def delays_call(self) -> bool:
+        """Return whether a call in progress waits for its caller to read."""
 
     def evict(self) -> None:
         """End the answer at once, so that it can't look whole."""
@@ -68,7 +68,7 @@
 class HeldBytes:
     """The bytes held now: answers unread by callers, and request bodies.
 
-    Where the limit is reached, the holder gives way that has taken most of the
+    Where the limit is reached, the holder is evicted that has taken most of the
     memory for longest, in bytes times seconds: a caller that reads slowly, not
     one that comes with a small call.
     """
@@ -84,7 +84,7 @@
         self._holders: set[Holder] = set()
 
     def hold(self, holder: Holder, size: int) -> None:
-        """Count more bytes of a holder; others give way if there is no room."""
+        """Count more bytes of a holder; evict others if there is no room."""
         self.answers += size
         self._holders.add(holder)
         if self.is_full:
@@ -96,13 +96,13 @@
         if not holder.held_bytes:
             self._holders.discard(holder)
 
-    def evict_one(self, *, running: bool = False) -> bool:
-        """Let one holder give way; return whether there was one.
+    def evict_one(self, *, only_slow: bool = False) -> bool:
+        """Evict one holder; return whether there was one.
 
-        With `running` only one whose call is in progress.
+        With `only_slow` only one whose call waits for its caller.
         """
         candidates = [
-            one for one in self._holders if one.is_running or not running
+            one for one in self._holders if one.delays_call or not only_slow
         ]
         if not candidates:
             return False
--- a/src/linnetwood/calls/memoryguard.py
+++ b/src/linnetwood/calls/memoryguard.py
@@ -24,7 +24,7 @@
 class MemoryGuard:
     """Compare calls, the memory of the process and what it holds with limits.
 
-    Callers that read slowly give way to new calls.
+    Callers that read slowly are evicted for new calls.
     """
 
     __slots__ = (
@@ -60,8 +60,8 @@
         `active_calls` include it.
         """
         if active_calls > self._max_calls:
-            # The one that gives way ends in the next turns.
-            return not self._held.evict_one(running=True)
+            # The call of an evicted caller ends in the next turns.
+            return not self._held.evict_one(only_slow=True)
         if self._held.is_full:
             return True
         # Reading the memory costs a system call, so what is held is checked
--- a/tests/test_eviction.py
+++ b/tests/test_eviction.py
@@ -33,11 +33,11 @@
     """Hold bytes since some seconds."""
 
     def __init__(
-        self, held: HeldBytes, size: int, age_s: float, *, running: bool = True
+        self, held: HeldBytes, size: int, age_s: float, *, delays: bool = True
     ) -> None:
         self.held_bytes = size
         self.held_since = asyncio.get_running_loop().time() - age_s
-        self.is_running = running
+        self.delays_call = delays
         self.is_evicted = False
         self._held = held
 
@@ -61,10 +61,10 @@
         self.held = HeldBytes(HoldLimits(entry=1000))
 
     def hold(
-        self, size: int, age_s: float, *, running: bool = True
+        self, size: int, age_s: float, *, delays: bool = True
     ) -> FakeHolder:
         """Return a holder that is counted."""
-        holder = FakeHolder(self.held, size, age_s, running=running)
+        holder = FakeHolder(self.held, size, age_s, delays=delays)
         self.held.hold(holder, size)
         return holder
 
@@ -97,7 +97,7 @@
         guard = MemoryGuard(self.held, max_calls=10)
         self.assertFalse(guard.refuses(10, 0))
         self.assertTrue(guard.refuses(11, 0))
-        ended = self.hold(100, 100, running=False)
+        ended = self.hold(100, 100, delays=False)
         self.assertTrue(guard.refuses(11, 0))
         slow = self.hold(10, 10)
         self.assertFalse(guard.refuses(11, 0))
