Tidy what the limits on clients added

No behaviour but one: a connection that is closed as soon as it is accepted at the ports for checks and metrics isn't remembered.

--- a/src/linnetwood/wire/answerbounds.py
+++ b/src/linnetwood/wire/answerbounds.py
@@ -5,9 +5,9 @@
 import termios
 from typing import Protocol
 
-# Bytes that frame an answer, such as the extensions of chunks, reach no
-# receiver. Of those that are counted, they may be as many as the bytes of the
-# answer and this allowance.
+# Bytes of a head may arrive without a whole line. Of those that are counted,
+# they may be as many as the bytes of whole lines and this allowance. What
+# frames a body is counted where it is decoded.
 _FRAMING_ALLOWANCE = 65536
 # One in so many reads that bring a piece counts, since sound answers may come
 # in tiny chunks.
--- a/src/linnetwood/wire/controlserver.py
+++ b/src/linnetwood/wire/controlserver.py
@@ -59,14 +59,16 @@
     def handle_stream(self, stream: IOStream, address: tuple[Any, ...]) -> None:
         """Count a new connection, and serve it."""
         conn = _Connection(stream)
-        self._by_stream[stream] = conn
         self.limit.add(conn)
         if not stream.closed():
+            self._by_stream[stream] = conn
             super().handle_stream(stream, address)
 
     def start_request(self, server_conn: object, request_conn: Any) -> Any:
         """Note that a connection is used."""
-        self.limit.note_used(self._by_stream[request_conn.stream])
+        conn = self._by_stream.get(request_conn.stream)
+        if conn is not None:
+            self.limit.note_used(conn)
         return super().start_request(server_conn, request_conn)
 
     def on_close(self, server_conn: object) -> None:
--- a/src/linnetwood/wire/rawsockets.py
+++ b/src/linnetwood/wire/rawsockets.py
@@ -1,4 +1,4 @@
-"""Sockets of libcurl, by their descriptors."""
+"""Sockets that a library owns, by their descriptors."""
 
 import socket
 import struct
@@ -6,29 +6,31 @@
 
 # What a peer may have sent before it is read. A link of 1 Gbit/s is filled in
 # half a millisecond.
-UNREAD_BYTES = 65536
+_UNREAD_BYTES = 65536
 # What libcurl reads at once.
 _READ_BYTES = 16384
 _PEEK = socket.MSG_PEEK | socket.MSG_DONTWAIT
 # SO_LINGER with a timeout of 0: close() sends a reset, which discards unread
 # bytes at both ends.
-RESET_ON_CLOSE = struct.pack('ii', 1, 0)
+_RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 
 
 def reset_on_close(descriptor: int) -> None:
     """Let the close of a connection reset it; ignore what is no socket."""
     if descriptor < 0:
         return
-    _set_option(descriptor, socket.SO_LINGER, RESET_ON_CLOSE)
+    _set_option(descriptor, socket.SO_LINGER, _RESET_ON_CLOSE)
 
 
 def limit_unread(descriptor: int) -> None:
-    """Let a server send little ahead of what is read.
+    """Let the peer of a connection send little ahead of what is read.
+
+    Connections that a listening socket accepts have the same limit.
 
     The kernel would let it be some MB, which count as memory of the process.
     """
     with suppress(OSError):
-        _set_option(descriptor, socket.SO_RCVBUF, UNREAD_BYTES)
+        _set_option(descriptor, socket.SO_RCVBUF, _UNREAD_BYTES)
 
 
 def unread_bytes(descriptor: int) -> bytes:
