Keep an answer over its bound of framing when a sound trailer follows

Found in reading the change: each sound trailer set the finding anew, so that trailers beyond the 64 KiB that may frame an answer were read on, up to 100 of 4 KiB each.

Change: a trailer only ever adds to it. test_trailers_count_as_framing failed before.

--- a/src/linnetwood/wire/chunkedbody.py
+++ b/src/linnetwood/wire/chunkedbody.py
@@ -129,9 +129,13 @@
         elif line == _LINE_END:
             self._part = _Part.NOTHING
         else:
-            self._trailers += 1
-            self.is_malformed = read_field(line) is None
-            self.has_excess_framing = self._trailers > _MAX_TRAILERS
+            self._read_trailer(line)
+
+    def _read_trailer(self, line: bytes) -> None:
+        self._trailers += 1
+        self.is_malformed = read_field(line) is None
+        if self._trailers > _MAX_TRAILERS:
+            self.has_excess_framing = True
 
     def _begin_chunk(self, line: bytes) -> None:
         size = read_chunk_size(line)
--- a/tests/test_spoilt_heads.py
+++ b/tests/test_spoilt_heads.py
@@ -17,6 +17,7 @@
 
 from linnetwood.core.loops import SuspendableLoop
 from linnetwood.core.sizes import KIB
+from linnetwood.wire.chunkedbody import ChunkedBody
 from linnetwood.wire.curldriver import CurlDriver, Transfer
 from linnetwood.wire.curlrequest import Finish, Headers, Request
 from linnetwood.wire.http import fetch, open_client, open_simple_client
@@ -336,6 +337,20 @@
                 self.assertEqual(received.octets, b'')
 
 
+class TrailersTest(unittest.TestCase):
+    """Read trailers without an end."""
+
+    def test_trailers_count_as_framing(self) -> None:
+        """Guards against a bound that the next sound trailer lifts."""
+        chunked = ChunkedBody()
+        chunked.feed(b'1\r\nx\r\n0\r\n')
+        line = b'X-Sum: ' + b'x' * 4000 + b'\r\n'
+        for _ in range(20):
+            chunked.feed(line)
+        self.assertTrue(chunked.has_excess_framing)
+        self.assertFalse(chunked.is_complete)
+
+
 class PausingReceiver(Received):
     """Pause at the first piece, and go on in a later turn."""
 
