Look at the memory also for a call that another one makes room for

Found in reading the change: at the bound on calls in progress, a call for which a slow caller was evicted was taken without a look at what the entry holds, or at the memory of the process.

Change: both limits hold. test_calls_beyond_both_limits failed before.

--- a/src/linnetwood/calls/memoryguard.py
+++ b/src/linnetwood/calls/memoryguard.py
@@ -59,9 +59,10 @@
 
         `active_calls` include it.
         """
-        if active_calls > self._max_calls:
-            # The call of an evicted caller ends in the next turns.
-            return not self._held.evict_one(only_slow=True)
+        is_over = active_calls > self._max_calls
+        # The call of an evicted caller ends in the next turns.
+        if is_over and not self._held.evict_one(only_slow=True):
+            return True
         if self._held.is_full:
             return True
         # Reading the memory costs a system call, so what is held is checked
--- a/tests/test_eviction.py
+++ b/tests/test_eviction.py
@@ -104,6 +104,13 @@
         self.assertEqual((ended.is_evicted, slow.is_evicted), (False, True))
         self.assertTrue(guard.refuses(11, 0))
 
+    async def test_calls_beyond_both_limits(self) -> None:
+        """Guards against a call that is taken although memory is full."""
+        guard = MemoryGuard(self.held, max_calls=10)
+        self.hold(10, 10)
+        self.held.bodies = 1000
+        self.assertTrue(guard.refuses(11, 0))
+
     async def test_a_process_near_its_limit(self) -> None:
         """Guards against a guard that refuses as long as a crowd stays."""
         guard = MemoryGuard(self.held, 1000, lambda: 900)
