Reset a cut answer of an HTTP/1.0 caller on the product's own path, too

The twin of: the product's handlers closed the connection of an answer that an error or a slow reader cut short, which a caller of HTTP/1.0 takes for its end.

Change: such a connection is reset. test_cut_answer_of_an_old_caller of tests.test_caller_limits failed before (no error, half an answer).

--- a/src/linnetwood/calls/basehandler.py
+++ b/src/linnetwood/calls/basehandler.py
@@ -6,6 +6,7 @@
 from tornado.web import HTTPError, RequestHandler
 
 from linnetwood.calls.admission import AdmissionRequest
+from linnetwood.calls.callersockets import UNCHUNKED_VERSION
 from linnetwood.calls.dispatch import Dispatcher
 from linnetwood.calls.routing import Routes
 from linnetwood.calls.slowreaders import READER_STALL_S
@@ -16,6 +17,7 @@
 from linnetwood.core.outcomes import Code, Ending, Outcome, not_run
 from linnetwood.core.traces import Tracer
 from linnetwood.gen.schema.ttypes import Deployment
+from linnetwood.wire.rawsockets import reset_on_close
 
 OUTCOME_HEADER = 'X-Linnetwood-Outcome'
 CODE_HEADER = 'X-Linnetwood-Code'
@@ -151,7 +153,10 @@
 
     def close_connection(self) -> None:
         """Close the connection, so that the answer can't look complete."""
-        self.request.connection.stream.close()  # type: ignore[union-attr]
+        stream = self.request.connection.stream  # type: ignore[union-attr]
+        if self.request.version == UNCHUNKED_VERSION and not stream.closed():
+            reset_on_close(stream.socket.fileno())
+        stream.close()
 
     def end_connection(self) -> None:
         """Let the caller close the connection if the entry stops."""
--- a/src/linnetwood/calls/callersockets.py
+++ b/src/linnetwood/calls/callersockets.py
@@ -27,6 +27,8 @@
 # Bytes that the kernel may hold unsent for a connection. With more, a caller
 # that reads nothing is noticed later, and the VM needs more memory.
 _UNSENT_BYTES = 16384
+# Callers of this version get no chunks: a close ends a streamed answer.
+UNCHUNKED_VERSION = 'HTTP/1.0'
 
 
 class CallerStream(IOStream):
--- a/src/linnetwood/calls/callserver.py
+++ b/src/linnetwood/calls/callserver.py
@@ -15,7 +15,11 @@
 )
 
 from linnetwood.calls.answerwriter import AnswerWriter, http1, refuse
-from linnetwood.calls.callersockets import CallerServer, CallerStream
+from linnetwood.calls.callersockets import (
+    UNCHUNKED_VERSION,
+    CallerServer,
+    CallerStream,
+)
 from linnetwood.calls.callparsing import (
     IncomingRequest,
     read_call,
@@ -54,8 +58,6 @@
 
 _MILLISECONDS = 1000
 _HEAD_METHOD = 'HEAD'
-# Callers of this version get no chunks.
-_UNCHUNKED_VERSION = 'HTTP/1.0'
 # For calls that another entry can take at once.
 _RETRY_ELSEWHERE_MS = 100
 # Stalled callers are cut off within seconds, which frees memory.
@@ -235,7 +237,7 @@
             delegate.metrics,
             lambda: delegate.stopping,
             only_head=self._method == _HEAD_METHOD,
-            ends_by_close=self._version == _UNCHUNKED_VERSION,
+            ends_by_close=self._version == UNCHUNKED_VERSION,
         )
         try:
             await self._run_and_end(writer)
--- a/tests/test_caller_limits.py
+++ b/tests/test_caller_limits.py
@@ -2,10 +2,13 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
 from tornado.httputil import HTTPServerRequest
 from tornado.netutil import bind_sockets
+from tornado.web import Application
 
+from linnetwood.calls.basehandler import BaseHandler
 from linnetwood.calls.callersockets import CallerServer
 from linnetwood.calls.routetable import CallLimits
 from linnetwood.core.sizes import KIB
@@ -100,6 +103,37 @@
         writer.close()
 
 
+class CutHandler(BaseHandler):
+    """Cut an answer short."""
+
+    async def get(self) -> None:
+        """Send a part of an answer."""
+        self.write('half')
+        await self.flush()
+        self.close_connection()
+
+
+class CutTest(unittest.IsolatedAsyncioTestCase):
+    """Answers of the product's own path that end early."""
+
+    async def test_cut_answer_of_an_old_caller(self) -> None:
+        """Guards against a cut answer that looks whole without chunks."""
+        shared = {'context': mock.Mock()}
+        server = CallerServer(Application([('/', CutHandler, shared)]))
+        sockets = bind_sockets(0, HOST)
+        server.add_sockets(sockets)
+        reader, writer = await asyncio.open_connection(
+            *sockets[0].getsockname()
+        )
+        writer.write(b'GET / HTTP/1.0\r\nHost: x\r\n\r\n')
+        async with asyncio.timeout(GUARD_S):
+            with self.assertRaises(ConnectionResetError):
+                await reader.read()
+        writer.close()
+        server.stop()
+        await server.close_all_connections()
+
+
 class OperatorsTest(unittest.IsolatedAsyncioTestCase):
     """The operators' port of the product's own path."""
 
